--- /dev/null
+++ b/internal/benchwire/charter.go
@@ -0,0 +1,112 @@
+package benchwire
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"willowdeck/internal/gossip"
+	"willowdeck/logic"
+)
+
+// names are what an instance's charter lists by name, in the charter's order.
+type names struct {
+	products, plans map[string]int
+	zones           map[string]int
+	zone            string
+}
+
+// charter reads the settings of a new instance.
+func charter(raw []byte) (logic.Charter, names, error) {
+	var s struct {
+		Me        int
+		Balancers int
+		Zone      string
+		Classes   []struct {
+			Name      string
+			Aim       float64 `json:"aim_us"`
+			Worth     float64
+			LateShare float64 `json:"late_share"`
+			Effect    string
+			Group     string
+			Window    float64 `json:"window_us"`
+		}
+		Tariffs []struct {
+			Name        string
+			Rate        float64
+			MostAtOnce  float64 `json:"most_at_once"`
+			HardRate    float64 `json:"hard_rate"`
+			CapDepth    float64 `json:"cap_depth"`
+			Open        int
+			WorthFactor float64 `json:"worth_factor"`
+			ExcessWorth float64 `json:"excess_worth"`
+			OverCost    float64 `json:"over_cost"`
+		}
+		Allowed struct {
+			MaxAttempts   int     `json:"max_attempts"`
+			MayDuplicate  bool    `json:"may_duplicate"`
+			Cancel        bool    `json:"cancel"`
+			RetryAfter    bool    `json:"retry_after"`
+			MaxRetryAfter float64 `json:"max_retry_after_us"`
+			Peers         bool    `json:"peers"`
+		}
+		FamilyInfo struct {
+			Largest    float64
+			PeerInPerS float64 `json:"peer_in_per_s"`
+		} `json:"family_info"`
+		Safety struct {
+			ColdFrom float64 `json:"cold_from"`
+			WarmUp   float64 `json:"warm_up_us"`
+		}
+		Deductions struct {
+			CrossZone float64 `json:"cross_zone"`
+		}
+	}
+	n := names{products: map[string]int{}, plans: map[string]int{}}
+	if err := json.Unmarshal(raw, &s); err != nil {
+		return logic.Charter{}, n, fmt.Errorf("settings: %w", err)
+	}
+	c := logic.Charter{
+		Me: s.Me, Gatekeepers: s.Balancers,
+		LargestUnits:   s.FamilyInfo.Largest,
+		MaxSubmissions: s.Allowed.MaxAttempts,
+		MayOverlap:     s.Allowed.MayDuplicate,
+		MayWithdraw:    s.Allowed.Cancel,
+		MayAdvise:      s.Allowed.RetryAfter,
+		MaxAdvice:      s.Allowed.MaxRetryAfter / usPerMs,
+		MayTell:        s.Allowed.Peers,
+		PeerInPerS:     s.FamilyInfo.PeerInPerS,
+		ReportsPerTell: gossip.Room,
+		ColdFrom:       s.Safety.ColdFrom,
+		WarmUp:         s.Safety.WarmUp / usPerMs,
+		ZoneFee:        s.Deductions.CrossZone,
+	}
+	n.zone = s.Zone
+	for i, p := range s.Classes {
+		d := logic.Product{SLA: p.Aim / usPerMs, Value: p.Worth, LateShare: p.LateShare, Window: p.Window / usPerMs}
+		switch p.Effect {
+		case "read_like":
+			d.Repeat = logic.InquiryLike
+		case "idempotency_key":
+			d.Repeat = logic.Referenced
+		case "non_idempotent":
+			d.Repeat = logic.OnceOnly
+		default:
+			return c, n, fmt.Errorf("settings: class %q: effect %q", p.Name, p.Effect)
+		}
+		switch p.Group {
+		case "zone":
+			d.Group = logic.GroupZone
+		case "cell":
+			d.Group = logic.GroupCell
+		}
+		n.products[p.Name] = i
+		c.Products = append(c.Products, d)
+	}
+	for i, p := range s.Tariffs {
+		n.plans[p.Name] = i
+		c.Plans = append(c.Plans, logic.Plan{Rate: p.Rate, Burst: p.MostAtOnce, CeilingRate: p.HardRate,
+			CeilingDepth: p.CapDepth, Open: p.Open, Factor: p.WorthFactor, ExcessShare: p.ExcessWorth,
+			ExcessFee: p.OverCost})
+	}
+	return c, n, nil
+}
--- /dev/null
+++ b/internal/gossip/gossip.go
@@ -0,0 +1,72 @@
+// Package gossip turns a gatekeeper's demand reports into the bytes of one peer message and back.
+//
+// A message is a version byte, a count byte, and for each report four bytes of the customer's number and two of
+// its demand, all big-endian. The demand is logarithmic, so that one step is under two parts in a thousand.
+package gossip
+
+import (
+	"encoding/binary"
+	"fmt"
+	"math"
+
+	"willowdeck/logic"
+)
+
+const (
+	version = 1
+	header  = 2
+	entry   = 6
+	limit   = 256 // bytes that a peer message may have
+
+	step  = 1.0 / 1024 // of a power of two, between neighbouring demands
+	least = 1.0 / 1024 // units a second; demand below it is nought
+)
+
+// Room is how many reports fit one message.
+const Room = (limit - header) / entry
+
+// Append adds the message for the reports, at most Room of them, to dst.
+func Append(dst []byte, reports []logic.Report) []byte {
+	reports = reports[:min(len(reports), Room)]
+	dst = append(dst, version, byte(len(reports)))
+	for _, r := range reports {
+		dst = binary.BigEndian.AppendUint32(dst, uint32(r.Customer))
+		dst = binary.BigEndian.AppendUint16(dst, pack(r.Demand))
+	}
+	return dst
+}
+
+// Decode reads a message into dst. A message that is not whole, or of another version, gives an error and nothing
+// else.
+func Decode(dst []logic.Report, b []byte) ([]logic.Report, error) {
+	if len(b) < header {
+		return dst, fmt.Errorf("peer message of %d bytes: too short", len(b))
+	}
+	if b[0] != version {
+		return dst, fmt.Errorf("peer message of version %d, not %d", b[0], version)
+	}
+	if n := int(b[1]); len(b) != header+n*entry {
+		return dst, fmt.Errorf("peer message of %d bytes for %d reports", len(b), n)
+	}
+	for b = b[header:]; len(b) > 0; b = b[entry:] {
+		dst = append(dst, logic.Report{
+			Customer: uint64(binary.BigEndian.Uint32(b)),
+			Demand:   unpack(binary.BigEndian.Uint16(b[4:])),
+		})
+	}
+	return dst, nil
+}
+
+func pack(demand float64) uint16 {
+	if !(demand > least) {
+		return 0
+	}
+	return uint16(math.Min(1+math.Round(math.Log2(demand/least)/step), math.MaxUint16))
+}
+
+func unpack(v uint16) float64 {
+	if v == 0 {
+		return 0
+	}
+	return least * math.Exp2(float64(v-1)*step)
+}
--- /dev/null
+++ b/logic/iface.go
@@ -0,0 +1,140 @@
+package logic
+
+// Repeat tells what a second run of a product would do.
+type Repeat uint8
+
+const (
+	InquiryLike Repeat = iota // may run again
+	Referenced                // carries a mark by which a repeat is dropped
+	OnceOnly                  // must never run twice
+)
+
+// Group names the workers that share the marks of a referenced product.
+type Group uint8
+
+const (
+	GroupAll Group = iota
+	GroupZone
+	GroupCell
+)
+
+// Product is a kind of txn. Times are in ms.
+type Product struct {
+	SLA       float64
+	Value     float64
+	LateShare float64
+	Repeat    Repeat
+	Group     Group
+	Window    float64 // how long marks of a referenced product are remembered
+}
+
+// Plan is what a customer has signed for. Rates are in units a second; 0 means no such limit.
+type Plan struct {
+	Rate, Burst                    float64 // quota: fill and depth of the customer's store
+	CeilingRate, CeilingDepth      float64 // hard ceiling
+	Open                           int     // submissions the customer may have out at once
+	Factor, ExcessShare, ExcessFee float64 // value multiplier; earned and paid beyond the quota, of the value
+}
+
+// Charter is all that a gatekeeper is told once, at its start. Times are in ms.
+type Charter struct {
+	Me, Gatekeepers int
+	Products        []Product
+	Plans           []Plan
+	LargestUnits    float64
+	MaxSubmissions  int
+	MayOverlap      bool // two submissions of a txn may be out together
+	MayWithdraw     bool
+	MayAdvise       bool    // a decline may say when to return
+	MaxAdvice       float64 // longest advice that clients heed
+	MayTell         bool    // peer messages are allowed
+	PeerInPerS      float64 // messages a gatekeeper takes in a second
+	ReportsPerTell  int     // customer reports that fit one peer message
+	ColdFrom        float64 // a started worker's least share of its capacity
+	WarmUp          float64 // and the longest it takes to reach all of it
+	ZoneFee         float64 // points for each txn that crosses zones
+}
+
+// Posting is one worker of the list, by the index the host gave it.
+type Posting struct {
+	Worker     int
+	Near       bool // stands in the gatekeeper's own zone
+	Zone, Cell int
+	Active     bool    // neither draining nor gone
+	Since      float64 // start of its process; 0 long ago
+}
+
+// Arrival is a txn as it reaches the gatekeeper.
+type Arrival struct {
+	ID, Customer   uint64
+	Product, Plan  int
+	Units          float64
+	SetSize, First int     // the gatekeepers it can come through: SetSize in a row from First
+	Left           float64 // ms until its client stops waiting
+}
+
+// Outcome is how a submission ended.
+type Outcome uint8
+
+const (
+	Settled   Outcome = iota
+	Fault             // an error; it may have run
+	Full              // turned away unseen
+	TimedOut          // no answer; it may have run
+	NoRoute           // no connection; it never ran
+	Cut               // the connection broke; it may have run
+	Withdrawn         // it may have run
+	NotSent           // the host never sent it
+)
+
+// Kind is what a Decision asks of the host.
+type Kind uint8
+
+const (
+	Submit   Kind = iota + 1
+	Decline       // final: not done, harmless to try again, best after Wait
+	Void          // final: nothing promised
+	Withdraw      // stop waiting for submission N
+	Tell          // send Reports to gatekeeper Peer
+	Wake          // call Clock again at time At
+)
+
+// Decision is one thing for the host to do. Reports is valid until the next call.
+type Decision struct {
+	Kind    Kind
+	Txn     uint64
+	Worker  int
+	N       int
+	Wait    float64 // Submit: time-out; Decline: when to return; ms
+	At      float64
+	Peer    int
+	Reports []Report
+}
+
+// Report is a customer's demand, units a second, as one gatekeeper sees it.
+type Report struct {
+	Customer uint64 // the low half of the customer's number
+	Demand   float64
+}
+
+// Reason tells why a txn got its final answer.
+type Reason uint8
+
+const (
+	BySettled  Reason = iota
+	ByQuota           // beyond the customer's share
+	ByCeiling         // beyond the gatekeeper's slice of the ceiling
+	ByPressure        // the fleet is pressed
+	ByNoWorker        // no worker may be sent to
+	ByFailure         // submissions spent or not repeatable
+	ByClient          // the client left
+	Reasons           // how many there are
+)
+
+// Tally is what on-call staff look at: counts since start and the present state.
+type Tally struct {
+	Final                      [Reasons]int
+	Declined, Voided           int
+	Hot, Customers, Distrusted int
+	InFlight, Window           float64
+}
--- /dev/null
+++ b/logic/logic.go
@@ -0,0 +1,941 @@
+// Package logic decides what a gatekeeper does with each txn: whether its customer's quota lets it in, which
+// worker gets it, how long to wait, whether to submit again, and which final answer it gets.
+//
+// To use it: New with the Charter, then Clock before the inputs of a moment, then any of Roster, Take, Ended,
+// Left and Hear, and then Next until it reports no more. Inputs only update what is known; every decision comes
+// out of Next. A Gatekeeper is not safe for concurrent use and shares nothing with others. Its plain types are in
+// iface.go; the mechanism, and each departure from it with its condition, in docs/design.md.
+package logic
+
+import (
+	"math"
+	"math/rand"
+)
+
+const (
+	// The quota mechanism.
+	demandMemory = 1000.0  // ms; the estimate is smoothed over one second, as the design says
+	alpha        = 0.5     // share of rate/N that a cold customer runs at
+	beta         = 0.05    // part of the rate that is kept as floors
+	hotAt        = 0.8     // of the cold slice; own demand above it turns a customer hot
+	period       = 400.0   // ms between reports; a quarter of the 1 s memory loses little of a jump
+	cooldown     = 5000.0  // ms under the cold slice until a customer is cold again, or idle until dropped
+	suspicion    = 6000.0  // ms of silence until a peer is suspected
+	hold         = 10000.0 // ms after that during which its last demand still counts
+	toldFor      = 3.5     // periods that a report stands while its peer is heard; three lost in a row are rare
+	tellBudget   = 0.5     // of the peers' intake that reports may fill; the rest is for jitter
+	mostHeard    = 4096    // customers known from peers alone; bounds what messages can make us keep
+
+	// Workers.
+	distrustFade = 3000.0 // ms; about what a restart or a short jam lasts
+	distrustMost = 12.0   // so that a worker is tried again within about three fades
+	distrusted   = 1.0    // distrust above which a draw is not good enough and all workers are looked at
+	paceGain     = 0.1    // weight of the newest answer in a worker's pace
+	patience     = 0.35   // of the SLA time; a worker that has said nothing for so long is silent
+	secondCopyAt = 0.55   // of the SLA time; a running txn gets a second copy if there is room
+	spareAt      = 0.5    // of the window; under it capacity counts as spare
+	beat         = 20.0   // ms between looks at waiting txns; small against any SLA time
+	zoneWeight   = 5.0    // how much dearer a worker looks for each point that crossing zones costs
+
+	// Workers that have just started.
+	coldShare  = 1.0    // of what a warm worker is seen to do, scaled by the guessed warmth
+	coldBlind  = 1000.0 // ms between units to a cold worker for all gatekeepers while no warm one has been seen
+	refMemory  = 5000.0 // ms over which the work of warm workers is averaged
+	warmMargin = 1.1    // the stated warm-up is stretched by this before a worker counts as warm
+
+	// Pressure.
+	slaUse     = 0.4   // of the SLA time; answers slower than this on average shrink the window
+	pressGain  = 0.08  // weight of the newest answer in the pressure
+	growth     = 0.5   // growth of the window for each answer while it is in use
+	startDepth = 8.0   // txns in hand for each worker that the window starts at
+	leastDepth = 0.7   // and the least
+	shedSpan   = 0.35  // the least valuable txns see a window smaller by this
+	cutPause   = 150.0 // ms between cuts of the window; an answer's delay is the loop's
+	adviseBusy = 0.25  // of the SLA time; when to return after a decline under pressure
+)
+
+type account struct {
+	customer       uint64
+	plan           int // -1 while known from peers alone
+	n, first       int // its gatekeepers
+	demand         float64
+	seen           float64 // time of the last txn, and of the estimate
+	txns           int
+	hot            bool
+	coolSince      float64 // since when demand has been under the cold slice
+	share          float64 // units a ms
+	tat, ceilingAt float64 // GCRA: the moment each store is full again
+	out            int     // submissions out
+	told           []told  // by gatekeeper
+	live           bool
+}
+
+// told is the last demand that a peer reported for a customer.
+type told struct{ demand, at float64 }
+
+type worker struct {
+	Posting
+	listed   bool
+	inFlight int
+	pace     float64 // smoothed time of an answer, ms
+	answers  int
+	heard    float64
+	distrust float64
+	doubtAt  float64 // time of the distrust figure
+	coldAt   float64 // GCRA of a worker that is not warm yet
+}
+
+type submission struct {
+	worker   int
+	sent     float64
+	out      bool
+	dropped  bool
+	silent   bool // already held against the worker
+	coldSent bool
+}
+
+type txn struct {
+	id            uint64
+	acct          int32
+	product, plan int
+	units         float64
+	taken, expiry float64
+	subs          []submission
+	out           int
+	mayRun        bool // some submission may have run
+	bond          int  // worker of the first one that may have run
+	bondAt        float64
+	answered      bool
+	another       bool // a second copy, or a move, is wanted
+	live          bool
+}
+
+// plan holds what decisions need of a Plan, per ms.
+type plan struct {
+	rate, burst          float64 // units a ms; ms of it that may be used at once
+	ceilRate, ceilDepth  float64 // this gatekeeper's slice, before division by the customer's N
+	open                 int
+	excess               bool // letting in beyond the quota earns more than it costs
+	alpha                float64
+	factor, costs, earns float64
+}
+
+// Gatekeeper is one instance. All its state is its own.
+type Gatekeeper struct {
+	rng      *rand.Rand
+	now      float64
+	started  float64
+	begun    bool
+	charter  terms
+	products []Product
+	plans    []plan
+	depth    [][]float64 // window fraction by product and plan
+
+	workers []worker
+	ready   []int
+	peers   []float64 // when each gatekeeper was last heard
+
+	txns []txn
+	free []int32
+	byID map[uint64]int32
+	due  []int32
+	head int
+
+	accounts  []account
+	unused    []int32
+	byKey     map[uint32]int32
+	heardOnly int
+
+	inHand   int     // submissions out at workers that are not silent
+	window   float64 // most of them
+	press    float64 // smoothed answer time over SLA time
+	cutAt    float64
+	pace     float64
+	warmDone float64 // units settled by warm workers, fading
+	warmAt   float64
+	warmFrom float64
+
+	nextBeat, nextTell, wakeAt float64
+	beatAt                     int // next txn to look at in this beat; -1 none
+	tellPeer, tellFrom         int // next peer and account to report; tellPeer -1 none
+	reports                    []Report
+	tally                      Tally
+}
+
+// terms are the charter's figures that decisions use as they are.
+type terms struct {
+	me, n, maxSubs, perTell       int
+	overlap, withdraw, advise     bool
+	maxAdvice, largest, period    float64
+	coldFrom, warmUp, zonePenalty float64
+	talks                         bool
+}
+
+// New starts a gatekeeper that knows nothing but its charter. The same seed and inputs give the same decisions.
+func New(c Charter, seed int64) *Gatekeeper {
+	g := &Gatekeeper{rng: rand.New(rand.NewSource(seed)), byID: map[uint64]int32{}, byKey: map[uint32]int32{},
+		products: append([]Product(nil), c.Products...), beatAt: -1, tellPeer: -1}
+	n := max(c.Gatekeepers, 1)
+	g.peers = make([]float64, n)
+	g.charter = terms{me: c.Me, n: n, maxSubs: max(c.MaxSubmissions, 1), perTell: c.ReportsPerTell,
+		overlap: c.MayOverlap, withdraw: c.MayWithdraw, advise: c.MayAdvise, maxAdvice: c.MaxAdvice,
+		largest: math.Max(c.LargestUnits, 1), period: period, coldFrom: c.ColdFrom,
+		warmUp: c.WarmUp * warmMargin, zonePenalty: 1 + zoneWeight*c.ZoneFee,
+		talks: c.MayTell && n > 1 && c.ReportsPerTell > 0}
+	if c.PeerInPerS > 0 { // two messages a period from each peer must fit the intake
+		g.charter.period = math.Max(period, 2000*float64(n-1)/(c.PeerInPerS*tellBudget))
+	}
+	var dearest float64
+	for _, p := range c.Plans {
+		q := plan{rate: p.Rate / 1000, ceilRate: p.CeilingRate / 1000, ceilDepth: p.CeilingDepth, open: p.Open,
+			excess: p.ExcessShare > p.ExcessFee, alpha: alpha, factor: p.Factor, costs: p.ExcessFee,
+			earns: p.ExcessShare}
+		if p.Rate > 0 {
+			q.burst = p.Burst / q.rate
+		}
+		g.plans = append(g.plans, q)
+		for _, d := range c.Products {
+			dearest = math.Max(dearest, d.Value*p.Factor)
+		}
+	}
+	for _, d := range c.Products {
+		row := make([]float64, len(c.Plans))
+		for i, p := range c.Plans {
+			row[i] = 1
+			if dearest > 0 {
+				row[i] = 1 - shedSpan*(1-d.Value*p.Factor/dearest)
+			}
+		}
+		g.depth = append(g.depth, row)
+	}
+	return g
+}
+
+// Clock sets the time, in ms, of the inputs and decisions that follow.
+func (g *Gatekeeper) Clock(now float64) {
+	if !g.begun {
+		g.begun, g.started, g.now = true, now, now
+		g.warmAt, g.warmFrom = now, now
+		g.nextTell = now + g.charter.period*g.rng.Float64()
+		for i := range g.peers {
+			g.peers[i] = now
+		}
+	}
+	g.now = math.Max(g.now, now)
+	if g.wakeAt <= g.now {
+		g.wakeAt = 0
+	}
+}
+
+// Roster updates the list of workers. Unless it is partial, workers that it does not name are gone.
+func (g *Gatekeeper) Roster(list []Posting, partial bool) {
+	if !partial {
+		for i := range g.workers {
+			g.workers[i].listed = false
+		}
+	}
+	for _, p := range list {
+		for len(g.workers) <= p.Worker {
+			g.workers = append(g.workers, worker{})
+		}
+		w := &g.workers[p.Worker]
+		if p.Active && (p.Since != w.Since || w.Worker != p.Worker) {
+			// A fresh process: what its former life, and ours, sent it must be taken as spent.
+			w.coldAt = g.now + 1/g.coldRate(p.Since)
+			w.distrust, w.heard = 0, g.now
+		}
+		w.Posting, w.listed = p, p.Active
+	}
+	g.ready = g.ready[:0]
+	for i := range g.workers {
+		if g.workers[i].listed {
+			g.ready = append(g.ready, i)
+		}
+	}
+	if g.window == 0 {
+		g.window = startDepth * float64(max(len(g.ready), 1))
+	}
+}
+
+// Take accepts a txn. Its final answer comes out of Next, at the latest at its expiry.
+func (g *Gatekeeper) Take(a Arrival) {
+	var slot int32
+	if n := len(g.free); n > 0 {
+		slot, g.free = g.free[n-1], g.free[:n-1]
+	} else {
+		slot = int32(len(g.txns))
+		g.txns = append(g.txns, txn{})
+	}
+	ai := g.account(a)
+	t := &g.txns[slot]
+	*t = txn{id: a.ID, acct: ai, product: a.Product, plan: a.Plan, units: a.Units, taken: g.now,
+		expiry: g.now + a.Left, subs: t.subs[:0], live: true}
+	g.byID[a.ID] = slot
+	g.due = append(g.due, slot)
+	c := &g.accounts[ai]
+	c.demand = c.now(g.now) + a.Units/demandMemory
+	c.seen = g.now
+	c.txns++
+}
+
+// Ended tells how submission n of a txn ended, and whether that closed the txn, now or earlier.
+func (g *Gatekeeper) Ended(id uint64, n int, o Outcome, took float64, closed bool) {
+	slot, ok := g.byID[id]
+	if !ok {
+		return
+	}
+	t := &g.txns[slot]
+	if n < 0 || n >= len(t.subs) || !t.subs[n].out {
+		return
+	}
+	s := &t.subs[n]
+	s.out = false
+	t.out--
+	g.accounts[t.acct].out--
+	w := &g.workers[s.worker]
+	w.inFlight--
+	if !s.silent {
+		g.inHand--
+	}
+	sla := math.Max(g.products[t.product].SLA, 1)
+	switch o {
+	case Settled:
+		w.heard = g.now
+		w.answers++
+		gain := math.Max(paceGain, 1/float64(w.answers))
+		w.pace += gain * (took - w.pace)
+		if g.pace == 0 {
+			g.pace = took
+		}
+		g.pace += paceGain / 4 * (took - g.pace)
+		if g.warmth(w.Since) >= 1 {
+			g.warmDone = g.warmWork() + t.units
+			g.warmAt = g.now
+		}
+		g.pressed(took / sla)
+	case Fault, Cut:
+		w.heard = g.now
+		g.doubt(w, 1)
+		g.risk(t, s)
+	case Full, NoRoute:
+		w.heard = g.now
+		g.doubt(w, 1)
+	case TimedOut:
+		if !s.silent {
+			g.doubt(w, 1)
+		}
+		g.pressed(1)
+		g.risk(t, s)
+	case Withdrawn:
+		g.risk(t, s)
+	}
+	if closed && !t.answered {
+		t.answered = true
+		g.tally.Final[BySettled]++
+	}
+	g.due = append(g.due, slot)
+}
+
+// Begun tells that the answer of submission n has started to stream: it is the client's now, and has no expiry.
+func (g *Gatekeeper) Begun(id uint64, n int) {
+	if slot, ok := g.byID[id]; ok && n >= 0 && n < len(g.txns[slot].subs) {
+		t := &g.txns[slot]
+		t.subs[n].dropped, t.answered = true, true
+		g.due = append(g.due, slot)
+	}
+}
+
+// risk notes that a submission may have run.
+func (g *Gatekeeper) risk(t *txn, s *submission) {
+	if !t.mayRun || s.sent < t.bondAt {
+		t.bond, t.bondAt = s.worker, s.sent
+	}
+	t.mayRun = true
+}
+
+// Left tells that the client of a txn no longer waits.
+func (g *Gatekeeper) Left(id uint64) {
+	if slot, ok := g.byID[id]; ok && !g.txns[slot].answered {
+		g.txns[slot].answered = true
+		g.tally.Final[ByClient]++
+		g.due = append(g.due, slot)
+	}
+}
+
+// Hear takes a peer's reports.
+func (g *Gatekeeper) Hear(peer int, reports []Report) {
+	if peer < 0 || peer >= g.charter.n || peer == g.charter.me {
+		return
+	}
+	g.peers[peer] = g.now
+	for _, r := range reports {
+		if !(r.Demand >= 0) || math.IsInf(r.Demand, 0) {
+			continue
+		}
+		ai, ok := g.byKey[uint32(r.Customer)]
+		if !ok {
+			if r.Demand == 0 || g.heardOnly >= mostHeard {
+				continue
+			}
+			ai = g.open(r.Customer & math.MaxUint32)
+			g.heardOnly++
+		}
+		c := &g.accounts[ai]
+		c.told[peer] = told{r.Demand / 1000, g.now}
+		if !c.hot && r.Demand > 0 {
+			c.hot, c.coolSince = true, g.now
+		}
+		g.reshare(c)
+	}
+}
+
+// Tally gives the counts and the present state that on-call staff look at.
+func (g *Gatekeeper) Tally() Tally {
+	t := g.tally
+	t.InFlight, t.Window, t.Customers = float64(g.inHand), g.window, len(g.byKey)
+	for i := range g.accounts {
+		if g.accounts[i].live && g.accounts[i].hot {
+			t.Hot++
+		}
+	}
+	for _, i := range g.ready {
+		if g.distrustOf(&g.workers[i]) > distrusted {
+			t.Distrusted++
+		}
+	}
+	return t
+}
+
+// Next gives the next decision, or none.
+func (g *Gatekeeper) Next() (Decision, bool) {
+	for g.head < len(g.due) {
+		if d, ok := g.step(g.due[g.head]); ok {
+			return d, true
+		}
+		g.head++
+	}
+	g.due, g.head = g.due[:0], 0
+	if g.now >= g.nextBeat && g.inHand+len(g.byID) > 0 && g.beatAt < 0 {
+		g.beatAt, g.nextBeat = 0, g.now+beat
+	}
+	for g.beatAt >= 0 {
+		if g.beatAt == len(g.txns) {
+			g.beatAt = -1
+			break
+		}
+		slot := int32(g.beatAt)
+		g.watch(&g.txns[slot])
+		if d, ok := g.step(slot); ok {
+			return d, true
+		}
+		g.beatAt++
+	}
+	if g.now >= g.nextTell && g.tellPeer < 0 {
+		g.nextTell = g.now + g.charter.period
+		g.sweep()
+		if g.charter.talks {
+			g.tellPeer, g.tellFrom = 0, 0
+		}
+	}
+	for g.tellPeer >= 0 {
+		if d, ok := g.report(); ok {
+			return d, true
+		}
+		g.tellPeer, g.tellFrom = g.tellPeer+1, 0
+		if g.tellPeer == g.charter.n {
+			g.tellPeer = -1
+		}
+	}
+	at := 0.0
+	if len(g.byID) > 0 {
+		at = g.nextBeat
+	}
+	if len(g.byKey) > 0 && (at == 0 || g.nextTell < at) {
+		at = g.nextTell
+	}
+	if at > 0 && (g.wakeAt == 0 || at < g.wakeAt) {
+		g.wakeAt = at
+		return Decision{Kind: Wake, At: at}, true
+	}
+	return Decision{}, false
+}
+
+// watch looks at a waiting txn for a silent worker, or for one whose answer is late while capacity is spare.
+func (g *Gatekeeper) watch(t *txn) {
+	if !t.live || t.answered {
+		return
+	}
+	p := &g.products[t.product]
+	for i := range t.subs {
+		s := &t.subs[i]
+		if !s.out {
+			continue
+		}
+		w, age := &g.workers[s.worker], g.now-s.sent
+		if !s.silent && age > patience*p.SLA && w.heard < s.sent {
+			// Guards against workers that take txns and answer none: a hang, a lost hall, a cut link.
+			s.silent = true
+			g.inHand--
+			g.doubt(w, 1)
+			t.another = true
+		}
+		if i == len(t.subs)-1 && age > secondCopyAt*p.SLA && g.charter.overlap && t.out == 1 &&
+			float64(g.inHand) < spareAt*g.window {
+			t.another = true
+		}
+	}
+}
+
+// step gives the next decision on one txn, or none.
+func (g *Gatekeeper) step(slot int32) (Decision, bool) {
+	t := &g.txns[slot]
+	if !t.live {
+		return Decision{}, false
+	}
+	if t.answered {
+		if g.charter.withdraw {
+			if d, ok := g.withdraw(t); ok {
+				return d, true
+			}
+		}
+		if t.out == 0 {
+			delete(g.byID, t.id)
+			t.live = false
+			g.free = append(g.free, slot)
+		}
+		return Decision{}, false
+	}
+	if t.out > 0 {
+		if !t.another {
+			return Decision{}, false
+		}
+		t.another = false
+		if !g.mayRepeat(t, true) {
+			return Decision{}, false
+		}
+		if !g.charter.overlap {
+			if g.charter.withdraw {
+				return g.withdraw(t)
+			}
+			return Decision{}, false
+		}
+		if w := g.choose(t); w >= 0 {
+			return g.submit(t, w), true
+		}
+		return Decision{}, false
+	}
+	if t.expiry-g.now <= 1 {
+		return g.giveUp(t, ByFailure, 0), true
+	}
+	if len(t.subs) == 0 {
+		reason, wait := g.admit(t)
+		if reason != BySettled {
+			return g.giveUp(t, reason, wait), true
+		}
+	} else if !g.mayRepeat(t, false) {
+		return g.giveUp(t, ByFailure, 0), true
+	}
+	w := g.choose(t)
+	if w < 0 {
+		return g.giveUp(t, ByNoWorker, adviseBusy*g.products[t.product].SLA), true
+	}
+	return g.submit(t, w), true
+}
+
+func (g *Gatekeeper) withdraw(t *txn) (Decision, bool) {
+	for i := range t.subs {
+		if s := &t.subs[i]; s.out && !s.dropped {
+			s.dropped = true
+			return Decision{Kind: Withdraw, Txn: t.id, N: i}, true
+		}
+	}
+	return Decision{}, false
+}
+
+// mayRepeat tells whether a further submission keeps the rule against double effects.
+func (g *Gatekeeper) mayRepeat(t *txn, running bool) bool {
+	p := &g.products[t.product]
+	if len(t.subs) >= g.charter.maxSubs {
+		return false
+	}
+	if !t.mayRun && !running {
+		return true
+	}
+	switch p.Repeat {
+	case InquiryLike:
+		return true
+	case Referenced:
+		from := t.bondAt
+		for i := range t.subs {
+			if s := &t.subs[i]; s.out && (!t.mayRun || s.sent < from) {
+				from = s.sent
+				break
+			}
+		}
+		return g.now-from < p.Window-beat
+	}
+	return false
+}
+
+// giveUp ends a txn at once: declined where that promise holds, else voided.
+func (g *Gatekeeper) giveUp(t *txn, why Reason, wait float64) Decision {
+	t.answered = true
+	g.tally.Final[why]++
+	g.due = append(g.due, g.byID[t.id])
+	p := &g.products[t.product]
+	if t.out == 0 && !t.mayRun || p.Repeat == InquiryLike || p.Repeat == Referenced && p.Group == GroupAll {
+		g.tally.Declined++
+		if !g.charter.advise {
+			wait = 0
+		}
+		return Decision{Kind: Decline, Txn: t.id, Wait: math.Min(wait, g.charter.maxAdvice)}
+	}
+	g.tally.Voided++
+	return Decision{Kind: Void, Txn: t.id}
+}
+
+func (g *Gatekeeper) submit(t *txn, wi int) Decision {
+	if len(t.subs) == 0 {
+		g.spend(t)
+	}
+	w := &g.workers[wi]
+	if g.warmth(w.Since) < 1 {
+		w.coldAt = math.Max(w.coldAt, g.now) + t.units/g.coldRate(w.Since)
+	}
+	t.subs = append(t.subs, submission{worker: wi, sent: g.now, out: true})
+	t.out++
+	g.accounts[t.acct].out++
+	w.inFlight++
+	g.inHand++
+	return Decision{Kind: Submit, Txn: t.id, Worker: wi, N: len(t.subs) - 1, Wait: t.expiry - g.now}
+}
+
+// choose draws two workers at random and takes the one that own counts favour. All are looked at only if neither
+// may be used or the better one is distrusted.
+func (g *Gatekeeper) choose(t *txn) int {
+	if len(g.ready) == 0 {
+		return -1
+	}
+	best, cost := -1, math.Inf(1)
+	for range 2 {
+		if w := g.ready[g.rng.Intn(len(g.ready))]; g.usable(t, w) {
+			if c := g.cost(w); c < cost {
+				best, cost = w, c
+			}
+		}
+	}
+	if best >= 0 && g.distrustOf(&g.workers[best]) < distrusted {
+		return best
+	}
+	for _, w := range g.ready {
+		if g.usable(t, w) {
+			if c := g.cost(w); c < cost {
+				best, cost = w, c
+			}
+		}
+	}
+	return best
+}
+
+// usable tells whether the rules let a txn go to a listed worker.
+func (g *Gatekeeper) usable(t *txn, wi int) bool {
+	w := &g.workers[wi]
+	for i := range t.subs {
+		if t.subs[i].worker == wi && (t.subs[i].out || len(g.ready) > len(t.subs)) {
+			return false
+		}
+	}
+	if g.products[t.product].Repeat == Referenced && (t.mayRun || t.out > 0) {
+		b := t.bond
+		if !t.mayRun {
+			b = t.subs[0].worker
+		}
+		switch o := &g.workers[b]; g.products[t.product].Group {
+		case GroupZone:
+			if o.Zone != w.Zone {
+				return false
+			}
+		case GroupCell:
+			if o.Cell != w.Cell {
+				return false
+			}
+		}
+	}
+	return g.warmth(w.Since) >= 1 || w.coldAt <= g.now
+}
+
+func (g *Gatekeeper) cost(wi int) float64 {
+	w := &g.workers[wi]
+	pace := w.pace
+	if w.answers == 0 {
+		pace = g.pace
+	}
+	c := float64(w.inFlight+1) * math.Max(pace, 1) * (1 + g.distrustOf(w))
+	if !w.Near {
+		c *= g.charter.zonePenalty
+	}
+	return c
+}
+
+func (g *Gatekeeper) distrustOf(w *worker) float64 {
+	return w.distrust * math.Exp((w.doubtAt-g.now)/distrustFade)
+}
+
+func (g *Gatekeeper) doubt(w *worker, by float64) {
+	w.distrust = math.Min(g.distrustOf(w)+by, distrustMost)
+	w.doubtAt = g.now
+}
+
+// warmth guesses which part of its capacity a worker has, from the stated least start and longest warm-up.
+func (g *Gatekeeper) warmth(since float64) float64 {
+	if since <= 0 || g.charter.warmUp <= 0 || g.now-since >= g.charter.warmUp {
+		return 1
+	}
+	return g.charter.coldFrom + (1-g.charter.coldFrom)*math.Max(g.now-since, 0)/g.charter.warmUp
+}
+
+func (g *Gatekeeper) warmWork() float64 {
+	return g.warmDone * math.Exp((g.warmAt-g.now)/refMemory)
+}
+
+// coldRate is this gatekeeper's budget for a worker that is not warm, in units a ms: what it sees a warm worker
+// do, times the guessed warmth. Each gatekeeper's part of the warm load adds up to no more than a warm worker can
+// do, so together they stay under the worker's present capacity whoever else is alive.
+func (g *Gatekeeper) coldRate(since float64) float64 {
+	warm := 0
+	for _, i := range g.ready {
+		if g.warmth(g.workers[i].Since) >= 1 {
+			warm++
+		}
+	}
+	least := g.charter.coldFrom / (coldBlind * float64(g.charter.n))
+	if warm == 0 {
+		return least
+	}
+	span := refMemory * (1 - math.Exp((g.warmFrom-g.now)/refMemory))
+	if span <= 0 {
+		return least
+	}
+	return math.Max(coldShare*g.warmth(since)*g.warmWork()/(math.Max(span, 500)*float64(warm)), least)
+}
+
+// pressed takes one answer's time over its SLA time, and moves the window.
+func (g *Gatekeeper) pressed(x float64) {
+	g.press += pressGain * (math.Min(x, 2) - g.press)
+	switch {
+	case g.press > slaUse && g.now-g.cutAt > cutPause:
+		g.cutAt = g.now
+		least := leastDepth * float64(max(len(g.ready), 1))
+		g.window = math.Max(math.Min(g.window, float64(g.inHand)+1)*math.Max(slaUse/g.press, 0.7), least)
+	case g.press < slaUse && float64(g.inHand) > 0.7*g.window:
+		g.window += growth / math.Max(g.window, 1)
+	}
+}
+
+// admit decides on a txn's first submission: BySettled lets it in, else the reason and when to return.
+func (g *Gatekeeper) admit(t *txn) (Reason, float64) {
+	c, p := &g.accounts[t.acct], &g.plans[t.plan]
+	room := float64(g.inHand) < g.window*g.depth[t.product][t.plan]
+	if p.ceilRate > 0 || p.ceilDepth > 0 {
+		rate, depth := p.ceilRate/float64(c.n), p.ceilDepth/float64(c.n)
+		if wait := gcraWait(c.ceilingAt, g.now, rate, depth, t.units); wait > 0 {
+			return ByCeiling, wait
+		}
+	}
+	if p.rate > 0 {
+		wait := gcraWait(c.tat, g.now, c.share, math.Max(c.share*p.burst, g.charter.largest), t.units)
+		if wait > 0 && !(p.excess && float64(g.inHand) < spareAt*g.window) {
+			return ByQuota, wait
+		}
+	}
+	if p.open > 0 && c.out >= max(p.open/c.n, 1) {
+		return ByQuota, g.pace
+	}
+	if !room {
+		return ByPressure, adviseBusy * g.products[t.product].SLA
+	}
+	return BySettled, 0
+}
+
+// gcraWait is how long until a store that is full at tat, fills at rate and holds depth has the units; 0 is now.
+func gcraWait(tat, now, rate, depth, units float64) float64 {
+	if rate <= 0 {
+		return math.MaxFloat64
+	}
+	level := depth - math.Max(tat-now, 0)*rate
+	if level >= units-1e-9 {
+		return 0
+	}
+	return (units - level) / rate
+}
+
+// spend takes a txn's units from its customer's stores at the first submission.
+func (g *Gatekeeper) spend(t *txn) {
+	c, p := &g.accounts[t.acct], &g.plans[t.plan]
+	if p.ceilRate > 0 {
+		c.ceilingAt = math.Max(c.ceilingAt, g.now) + t.units*float64(c.n)/p.ceilRate
+	}
+	if p.rate > 0 && c.share > 0 {
+		wait := gcraWait(c.tat, g.now, c.share, math.Max(c.share*p.burst, g.charter.largest), t.units)
+		if wait == 0 { // beyond the quota nothing is taken
+			c.tat = math.Max(c.tat, g.now) + t.units/c.share
+		}
+	}
+}
+
+// account finds or opens the account of an arrival, and fills in what only a txn tells.
+func (g *Gatekeeper) account(a Arrival) int32 {
+	ai, ok := g.byKey[uint32(a.Customer)]
+	if !ok {
+		ai = g.open(a.Customer & math.MaxUint32)
+	}
+	c := &g.accounts[ai]
+	if c.plan < 0 {
+		if ok {
+			g.heardOnly--
+		}
+		p := &g.plans[a.Plan]
+		c.plan, c.n, c.first = a.Plan, min(max(a.SetSize, 1), g.charter.n), a.First
+		if p.ceilRate > 0 {
+			// A former life of this gatekeeper may have spent its whole slice just before it ended.
+			c.ceilingAt = g.started + p.ceilDepth/p.ceilRate
+		}
+		g.reshare(c)
+	}
+	return ai
+}
+
+// open makes an account, in a used place if there is one.
+func (g *Gatekeeper) open(customer uint64) int32 {
+	var ai int32
+	if n := len(g.unused); n > 0 {
+		ai, g.unused = g.unused[n-1], g.unused[:n-1]
+	} else {
+		ai = int32(len(g.accounts))
+		g.accounts = append(g.accounts, account{told: make([]told, g.charter.n)})
+	}
+	c := &g.accounts[ai]
+	clear(c.told)
+	*c = account{customer: customer, plan: -1, seen: g.now, coolSince: g.now, told: c.told, live: true}
+	g.byKey[uint32(customer)] = ai
+	return ai
+}
+
+// now is the demand estimate at a moment, units a ms.
+func (c *account) now(at float64) float64 { return c.demand * math.Exp((c.seen-at)/demandMemory) }
+
+// coldSlice is what a cold customer runs at, units a ms.
+func (g *Gatekeeper) coldSlice(c *account) float64 {
+	p := &g.plans[c.plan]
+	return p.rate / float64(c.n) * p.alpha
+}
+
+// reshare sets a customer's share: the cold slice, or the floor and its part of the rest by demand.
+func (g *Gatekeeper) reshare(c *account) {
+	if c.plan < 0 {
+		return
+	}
+	if !c.hot {
+		c.share = g.coldSlice(c)
+		return
+	}
+	own := c.now(g.now)
+	total := own
+	for i := range c.told {
+		if c.told[i].at == 0 || i == g.charter.me {
+			continue
+		}
+		silent := g.now - g.peers[i]
+		if silent > suspicion && silent <= suspicion+hold {
+			return // the last share stays in force
+		}
+		// A peer that is heard, but no longer on this customer, has let it turn cold.
+		if silent <= suspicion+hold && (g.now-c.told[i].at < toldFor*g.charter.period || silent > g.charter.period) {
+			total += c.told[i].demand
+		}
+	}
+	rate, n := g.plans[c.plan].rate, float64(c.n)
+	if total <= 0 {
+		c.share = rate / n
+		return
+	}
+	c.share = rate*beta/n + rate*(1-beta)*own/total
+}
+
+// sweep turns customers hot and cold, renews their shares, and drops the idle ones.
+func (g *Gatekeeper) sweep() {
+	for i := range g.accounts {
+		c := &g.accounts[i]
+		if !c.live {
+			continue
+		}
+		own, idle := c.now(g.now), g.now-c.seen
+		slice := 0.0
+		if c.plan >= 0 {
+			slice = g.coldSlice(c)
+		}
+		if own > slice || c.plan < 0 && idle < cooldown {
+			c.coolSince = g.now
+		}
+		if !c.hot && c.txns > 1 && own > hotAt*slice && slice > 0 {
+			c.hot = true
+		}
+		if c.hot && g.now-c.coolSince > cooldown {
+			heard := 0.0
+			for k := range c.told {
+				if g.now-c.told[k].at < cooldown && c.told[k].at > 0 {
+					heard += c.told[k].demand
+				}
+			}
+			if heard <= 0 || c.plan < 0 {
+				c.hot = false
+			}
+		}
+		g.reshare(c)
+		if idle > cooldown && !c.hot && c.out == 0 && c.tat <= g.now && c.ceilingAt <= g.now && !g.inUse(c) {
+			delete(g.byKey, uint32(c.customer))
+			if c.plan < 0 {
+				g.heardOnly--
+			}
+			c.live = false
+			g.unused = append(g.unused, int32(i))
+		}
+	}
+}
+
+func (g *Gatekeeper) inUse(c *account) bool {
+	for k := range c.told {
+		if c.told[k].at > 0 && g.now-c.told[k].at < cooldown && c.told[k].demand > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// report packs the next message of own demands for the customers that a peer shares.
+func (g *Gatekeeper) report() (Decision, bool) {
+	if g.tellPeer == g.charter.me {
+		return Decision{}, false
+	}
+	g.reports = g.reports[:0]
+	for g.tellFrom < len(g.accounts) && len(g.reports) < g.charter.perTell {
+		c := &g.accounts[g.tellFrom]
+		g.tellFrom++
+		if !c.live || !c.hot || !g.shared(c, g.tellPeer) {
+			continue
+		}
+		g.reports = append(g.reports, Report{c.customer, c.now(g.now) * 1000})
+	}
+	if len(g.reports) == 0 {
+		return Decision{}, false
+	}
+	return Decision{Kind: Tell, Peer: g.tellPeer, Reports: g.reports}, true
+}
+
+// shared tells whether a customer's txns can come through a peer too.
+func (g *Gatekeeper) shared(c *account, peer int) bool {
+	if c.plan < 0 {
+		return c.told[peer].at > 0
+	}
+	return (peer-c.first+g.charter.n)%g.charter.n < c.n
+}
