Report units spent; a full slice no longer declines while the whole store has room

Declines by the slice are overturned while the store, as known from peers' reports of units spent, has room.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -1,7 +1,8 @@
 // Package gossip turns a gatekeeper's demand reports into the bytes of one peer message and back.
 //
-// A message is a version byte, a count byte, and for each report four bytes of the customer's number and two of
-// its demand, all big-endian. The demand is logarithmic, so that one step is under two parts in a thousand.
+// A message is a version byte, a count byte, and for each report four bytes of the customer's number, two of
+// its demand and two of the units sent on, all big-endian. The demand is logarithmic, so that one step is under two
+// parts in a thousand; units are counted in quarters.
 package gossip
 
 import (
@@ -13,11 +14,13 @@
 )
 
 const (
-	version = 1
+	version = 2
 	header  = 2
-	entry   = 6
+	entry   = 8
 	limit   = 256 // bytes that a peer message may have
 
+	quarters = (math.MaxUint16 + 1) / logic.SpentWrap
+
 	step  = 1.0 / 1024 // of a power of two, between neighbouring demands
 	least = 1.0 / 1024 // units a second; demand below it is nought
 )
@@ -32,6 +35,7 @@
 	for _, r := range reports {
 		dst = binary.BigEndian.AppendUint32(dst, uint32(r.Customer))
 		dst = binary.BigEndian.AppendUint16(dst, pack(r.Demand))
+		dst = binary.BigEndian.AppendUint16(dst, uint16(uint64(math.Max(r.Spent, 0)*quarters)))
 	}
 	return dst
 }
@@ -52,6 +56,7 @@
 		dst = append(dst, logic.Report{
 			Customer: uint64(binary.BigEndian.Uint32(b)),
 			Demand:   unpack(binary.BigEndian.Uint16(b[4:])),
+			Spent:    float64(binary.BigEndian.Uint16(b[6:])) / quarters,
 		})
 	}
 	return dst, nil
--- a/logic/iface.go
+++ b/logic/iface.go
@@ -115,8 +115,12 @@
 type Report struct {
 	Customer uint64 // the low half of the customer's number
 	Demand   float64
+	Spent    float64 // units sent on since some start, modulo SpentWrap
 }
 
+// SpentWrap is where the count of a Report starts again.
+const SpentWrap = 1 << 14
+
 // Reason tells why a txn got its final answer.
 type Reason uint8
 
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -23,6 +23,7 @@
 	suspicion    = 6000.0  // ms of silence until a peer is suspected
 	hold         = 10000.0 // ms after that during which its last demand still counts
 	toldFor      = 3.5     // periods that a report stands while its peer is heard; three lost in a row are rare
+	hearsay      = 400.0   // ms in which peers may have spent without our hearing of it; a period
 	tellBudget   = 0.5     // of the peers' intake that reports may fill; the rest is for jitter
 	mostHeard    = 4096    // customers known from peers alone; bounds what messages can make us keep
 
@@ -65,13 +66,15 @@
 	coolSince      float64 // since when demand has been under the cold slice
 	share          float64 // units a ms
 	tat, ceilingAt float64 // GCRA: the moment each store is full again
+	whole, wholeAt float64 // the quota's one store as far as it is known here, units, and when
+	spent          float64 // units sent on here
 	out            int     // submissions out
 	told           []told  // by gatekeeper
 	live           bool
 }
 
-// told is the last demand that a peer reported for a customer.
-type told struct{ demand, at float64 }
+// told is what a peer last reported for a customer.
+type told struct{ demand, spent, at float64 }
 
 type worker struct {
 	Posting
@@ -381,7 +384,14 @@
 			g.heardOnly++
 		}
 		c := &g.accounts[ai]
-		c.told[peer] = told{r.Demand / 1000, g.now}
+		g.fill(c)
+		if was := c.told[peer]; was.at > 0 && c.plan >= 0 {
+			// A peer that started again counts from nought: such a jump says nothing of what it spent.
+			if used := math.Mod(r.Spent-was.spent+SpentWrap, SpentWrap); used < SpentWrap/2 {
+				c.whole = math.Max(c.whole-used, 0)
+			}
+		}
+		c.told[peer] = told{r.Demand / 1000, r.Spent, g.now}
 		if !c.hot && r.Demand > 0 {
 			c.hot, c.coolSince = true, g.now
 		}
@@ -744,7 +754,7 @@
 	}
 	if p.rate > 0 {
 		wait := gcraWait(c.tat, g.now, c.share, math.Max(c.share*p.burst, g.charter.largest), t.units)
-		if wait > 0 && !(p.excess && float64(g.inHand) < spareAt*g.window) {
+		if wait > 0 && !g.roomy(c, t.units) && !(p.excess && float64(g.inHand) < spareAt*g.window) {
 			return ByQuota, wait
 		}
 	}
@@ -757,6 +767,23 @@
 	return BySettled, 0
 }
 
+// fill brings the known part of the quota's one store up to now.
+func (g *Gatekeeper) fill(c *account) {
+	if c.plan < 0 {
+		return
+	}
+	p := &g.plans[c.plan]
+	c.whole = math.Min(c.whole+(g.now-c.wholeAt)*p.rate, math.Max(p.rate*p.burst, g.charter.largest))
+	c.wholeAt = g.now
+}
+
+// roomy tells whether the quota's one store, as far as it is known here, has the units with something to spare:
+// peers are taken to see the same demand as this gatekeeper for as long as it takes to hear of it.
+func (g *Gatekeeper) roomy(c *account, units float64) bool {
+	g.fill(c)
+	return c.whole-units >= c.now(g.now)*float64(c.n-1)*hearsay
+}
+
 // gcraWait is how long until a store that is full at tat, fills at rate and holds depth has the units; 0 is now.
 func gcraWait(tat, now, rate, depth, units float64) float64 {
 	if rate <= 0 {
@@ -775,6 +802,9 @@
 	if p.ceilRate > 0 {
 		c.ceilingAt = math.Max(c.ceilingAt, g.now) + t.units*float64(c.n)/p.ceilRate
 	}
+	g.fill(c)
+	c.spent += t.units
+	c.whole = math.Max(c.whole-t.units, 0)
 	if p.rate > 0 && c.share > 0 {
 		wait := gcraWait(c.tat, g.now, c.share, math.Max(c.share*p.burst, g.charter.largest), t.units)
 		if wait == 0 { // beyond the quota nothing is taken
@@ -800,6 +830,7 @@
 			// A former life of this gatekeeper may have spent its whole slice just before it ended.
 			c.ceilingAt = g.started + p.ceilDepth/p.ceilRate
 		}
+		c.whole, c.wholeAt = math.Max(p.rate*p.burst, g.charter.largest), g.now
 		g.reshare(c)
 	}
 	return ai
@@ -924,7 +955,7 @@
 		if !c.live || !c.hot || !g.shared(c, g.tellPeer) {
 			continue
 		}
-		g.reports = append(g.reports, Report{c.customer, c.now(g.now) * 1000})
+		g.reports = append(g.reports, Report{c.customer, c.now(g.now) * 1000, math.Mod(c.spent, SpentWrap)})
 	}
 	if len(g.reports) == 0 {
 		return Decision{}, false
