--- a/logic/logic.go
+++ b/logic/logic.go
@@ -33,6 +33,7 @@
 	distrusted   = 1.0    // distrust above which a draw is not good enough and all workers are looked at
 	paceGain     = 0.1    // weight of the newest answer in a worker's pace
 	patience     = 0.35   // of the SLA time; a worker that has said nothing for so long is silent
+	quiet        = 3.0    // times the usual answer; nor is a worker silent before that
 	secondCopyAt = 0.55   // of the SLA time; a running txn gets a second copy if there is room
 	spareAt      = 0.5    // of the window; under it capacity counts as spare
 	beat         = 20.0   // ms between looks at waiting txns; small against any SLA time
@@ -47,9 +48,11 @@
 	// Pressure.
 	slaUse     = 0.4   // of the SLA time; answers slower than this on average shrink the window
 	pressGain  = 0.08  // weight of the newest answer in the pressure
-	growth     = 0.5   // growth of the window for each answer while it is in use
-	startDepth = 8.0   // txns in hand for each worker that the window starts at
-	leastDepth = 0.7   // and the least
+	lateAt     = 0.8   // of the SLA time; a submission still out then counts as an answer of that time
+	leap       = 0.2   // growth of the window for each answer while the pressure is under half of slaUse
+	growth     = 1.0   // growth of the window for each answer while it is in use
+	startDepth = 8.0   // txns in hand at each worker, by all gatekeepers, that the window starts at
+	leastDepth = 2.0   // and the least
 	shedSpan   = 0.35  // the least valuable txns see a window smaller by this
 	cutPause   = 150.0 // ms between cuts of the window; an answer's delay is the loop's
 	adviseBusy = 0.25  // of the SLA time; when to return after a decline under pressure
@@ -89,12 +92,12 @@
 }
 
 type submission struct {
-	worker   int
-	sent     float64
-	out      bool
-	dropped  bool
-	silent   bool // already held against the worker
-	coldSent bool
+	worker  int
+	sent    float64
+	out     bool
+	dropped bool
+	silent  bool // already held against the worker
+	late    bool // already counted as pressure
 }
 
 type txn struct {
@@ -159,8 +162,10 @@
 	warmFrom float64
 
 	nextBeat, nextTell, wakeAt float64
-	beatAt                     int // next txn to look at in this beat; -1 none
-	tellPeer, tellFrom         int // next peer and account to report; tellPeer -1 none
+	beatAt                     int   // next txn to look at in this beat; -1 none
+	tellPeer, told             int   // peer that is told now, -1 none; messages it got this period
+	looked                     int   // accounts looked at for it
+	tellFrom                   []int // by peer: account to go on from
 	reports                    []Report
 	tally                      Tally
 }
@@ -168,6 +173,7 @@
 // terms are the charter's figures that decisions use as they are.
 type terms struct {
 	me, n, maxSubs, perTell       int
+	tells                         int // messages to one peer in a period
 	overlap, withdraw, advise     bool
 	maxAdvice, largest, period    float64
 	coldFrom, warmUp, zonePenalty float64
@@ -179,14 +185,17 @@
 	g := &Gatekeeper{rng: rand.New(rand.NewSource(seed)), byID: map[uint64]int32{}, byKey: map[uint32]int32{},
 		products: append([]Product(nil), c.Products...), beatAt: -1, tellPeer: -1}
 	n := max(c.Gatekeepers, 1)
-	g.peers = make([]float64, n)
+	g.peers, g.tellFrom = make([]float64, n), make([]int, n)
 	g.charter = terms{me: c.Me, n: n, maxSubs: max(c.MaxSubmissions, 1), perTell: c.ReportsPerTell,
 		overlap: c.MayOverlap, withdraw: c.MayWithdraw, advise: c.MayAdvise, maxAdvice: c.MaxAdvice,
 		largest: math.Max(c.LargestUnits, 1), period: period, coldFrom: c.ColdFrom,
 		warmUp: c.WarmUp * warmMargin, zonePenalty: 1 + zoneWeight*c.ZoneFee,
 		talks: c.MayTell && n > 1 && c.ReportsPerTell > 0}
-	if c.PeerInPerS > 0 { // two messages a period from each peer must fit the intake
-		g.charter.period = math.Max(period, 2000*float64(n-1)/(c.PeerInPerS*tellBudget))
+	g.charter.tells = math.MaxInt32
+	if c.PeerInPerS > 0 { // what all peers send in a period must fit the intake
+		perMs := c.PeerInPerS * tellBudget / 1000 / float64(max(n-1, 1))
+		g.charter.period = math.Max(period, 1/perMs)
+		g.charter.tells = int(g.charter.period * perMs)
 	}
 	var dearest float64
 	for _, p := range c.Plans {
@@ -256,7 +265,7 @@
 		}
 	}
 	if g.window == 0 {
-		g.window = startDepth * float64(max(len(g.ready), 1))
+		g.window = startDepth * g.perWorker()
 	}
 }
 
@@ -323,11 +332,13 @@
 	case Full, NoRoute:
 		w.heard = g.now
 		g.doubt(w, 1)
+		if o == Full {
+			g.pressed(1)
+		}
 	case TimedOut:
 		if !s.silent {
 			g.doubt(w, 1)
 		}
-		g.pressed(1)
 		g.risk(t, s)
 	case Withdrawn:
 		g.risk(t, s)
@@ -444,14 +455,14 @@
 		g.nextTell = g.now + g.charter.period
 		g.sweep()
 		if g.charter.talks {
-			g.tellPeer, g.tellFrom = 0, 0
+			g.tellPeer, g.told, g.looked = 0, 0, 0
 		}
 	}
 	for g.tellPeer >= 0 {
 		if d, ok := g.report(); ok {
 			return d, true
 		}
-		g.tellPeer, g.tellFrom = g.tellPeer+1, 0
+		g.tellPeer, g.told, g.looked = g.tellPeer+1, 0, 0
 		if g.tellPeer == g.charter.n {
 			g.tellPeer = -1
 		}
@@ -482,7 +493,12 @@
 			continue
 		}
 		w, age := &g.workers[s.worker], g.now-s.sent
-		if !s.silent && age > patience*p.SLA && w.heard < s.sent {
+		if !s.late && !s.silent && age > lateAt*p.SLA {
+			// Guards against a jam that shows no answers at all to learn from.
+			s.late = true
+			g.pressed(lateAt)
+		}
+		if !s.silent && age > math.Max(patience*p.SLA, quiet*g.pace) && w.heard < s.sent {
 			// Guards against workers that take txns and answer none: a hang, a lost hall, a cut link.
 			s.silent = true
 			g.inHand--
@@ -529,8 +545,10 @@
 			}
 			return Decision{}, false
 		}
-		if w := g.choose(t); w >= 0 {
-			return g.submit(t, w), true
+		if float64(g.inHand) < g.window {
+			if w := g.choose(t); w >= 0 {
+				return g.submit(t, w), true
+			}
 		}
 		return Decision{}, false
 	}
@@ -544,6 +562,8 @@
 		}
 	} else if !g.mayRepeat(t, false) {
 		return g.giveUp(t, ByFailure, 0), true
+	} else if float64(g.inHand) >= g.window {
+		return g.giveUp(t, ByPressure, adviseBusy*g.products[t.product].SLA), true
 	}
 	w := g.choose(t)
 	if w < 0 {
@@ -735,13 +755,19 @@
 	switch {
 	case g.press > slaUse && g.now-g.cutAt > cutPause:
 		g.cutAt = g.now
-		least := leastDepth * float64(max(len(g.ready), 1))
-		g.window = math.Max(math.Min(g.window, float64(g.inHand)+1)*math.Max(slaUse/g.press, 0.7), least)
+		g.window = math.Max(math.Min(g.window, float64(g.inHand)+1)*math.Max(slaUse/g.press, 0.7), leastDepth*g.perWorker())
+	case g.press < slaUse/2 && float64(g.inHand) > 0.7*g.window:
+		g.window += leap
 	case g.press < slaUse && float64(g.inHand) > 0.7*g.window:
 		g.window += growth / math.Max(g.window, 1)
 	}
 }
 
+// perWorker is the number of workers for each gatekeeper.
+func (g *Gatekeeper) perWorker() float64 {
+	return float64(max(len(g.ready), 1)) / float64(g.charter.n)
+}
+
 // admit decides on a txn's first submission: BySettled lets it in, else the reason and when to return.
 func (g *Gatekeeper) admit(t *txn) (Reason, float64) {
 	c, p := &g.accounts[t.acct], &g.plans[t.plan]
@@ -943,23 +969,26 @@
 	return false
 }
 
-// report packs the next message of own demands for the customers that a peer shares.
+// report packs the next message of own demands for the customers that a peer shares. What does not fit the period's
+// messages goes on in the next.
 func (g *Gatekeeper) report() (Decision, bool) {
-	if g.tellPeer == g.charter.me {
+	if g.tellPeer == g.charter.me || g.told >= g.charter.tells {
 		return Decision{}, false
 	}
 	g.reports = g.reports[:0]
-	for g.tellFrom < len(g.accounts) && len(g.reports) < g.charter.perTell {
-		c := &g.accounts[g.tellFrom]
-		g.tellFrom++
-		if !c.live || !c.hot || !g.shared(c, g.tellPeer) {
-			continue
+	from := &g.tellFrom[g.tellPeer]
+	for ; g.looked < len(g.accounts) && len(g.reports) < g.charter.perTell; g.looked++ {
+		if *from++; *from >= len(g.accounts) {
+			*from = 0
+		}
+		if c := &g.accounts[*from]; c.live && c.hot && g.shared(c, g.tellPeer) {
+			g.reports = append(g.reports, Report{c.customer, c.now(g.now) * 1000, math.Mod(c.spent, SpentWrap)})
 		}
-		g.reports = append(g.reports, Report{c.customer, c.now(g.now) * 1000, math.Mod(c.spent, SpentWrap)})
 	}
 	if len(g.reports) == 0 {
 		return Decision{}, false
 	}
+	g.told++
 	return Decision{Kind: Tell, Peer: g.tellPeer, Reports: g.reports}, true
 }
 
