--- /dev/null
+++ b/internal/gossip/gossip_test.go
@@ -0,0 +1,44 @@
+package gossip
+
+import (
+	"bytes"
+	"math"
+	"testing"
+
+	"willowdeck/logic"
+)
+
+func TestRoundTrip(t *testing.T) {
+	for _, r := range []logic.Report{{}, {Customer: 7, Demand: 0.5, Spent: 3.25}, {Customer: math.MaxUint32, Demand: 1e6},
+		{Customer: 1, Demand: 12, Spent: logic.SpentWrap - 1}} {
+		got, err := Decode(nil, Append(nil, []logic.Report{r}))
+		if err != nil || len(got) != 1 {
+			t.Fatalf("%+v: got %v, %v", r, got, err)
+		}
+		if g := got[0]; g.Customer != r.Customer || g.Spent != r.Spent || math.Abs(g.Demand-r.Demand) > r.Demand*0.002 {
+			t.Errorf("%+v came back as %+v", r, g)
+		}
+	}
+	if n := len(Append(nil, make([]logic.Report, 2*Room))); n > 256 {
+		t.Errorf("a message of %d bytes", n)
+	}
+}
+
+func TestMalformed(t *testing.T) {
+	good := Append(nil, []logic.Report{{Customer: 7, Demand: 1}, {Customer: 8, Demand: 2}})
+	other := bytes.Clone(good)
+	other[0]++
+	for name, b := range map[string][]byte{"empty": nil, "one byte": {version}, "cut short": good[:len(good)-1],
+		"too long": append(bytes.Clone(good), 0), "other version": other} {
+		t.Run(name, func(t *testing.T) {
+			if got, err := Decode(nil, b); err == nil || len(got) != 0 {
+				t.Errorf("got %v, %v", got, err)
+			}
+		})
+	}
+	b := append(bytes.Clone(good[:2]), bytes.Repeat([]byte{255}, 16)...)
+	got, err := Decode(nil, b)
+	if err != nil || math.IsInf(got[0].Demand, 0) || math.IsNaN(got[0].Demand) {
+		t.Errorf("the largest demand reads as %v, %v", got, err)
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -1,10 +1,11 @@
-// Package logic decides what a gatekeeper does with each txn: whether its customer's quota lets it in, which
-// worker gets it, how long to wait, whether to submit again, and which final answer it gets.
+// Package logic decides what a gatekeeper does with each txn: whether its customer's quota lets it in,
+// which worker gets it, how long to wait, whether to submit again, and which final answer it gets.
 //
-// To use it: New with the Charter, then Clock before the inputs of a moment, then any of Roster, Take, Ended,
-// Left and Hear, and then Next until it reports no more. Inputs only update what is known; every decision comes
-// out of Next. A Gatekeeper is not safe for concurrent use and shares nothing with others. Its plain types are in
-// iface.go; the mechanism, and each departure from it with its condition, in docs/design.md.
+// To use it: New with the Charter, then Clock before the inputs of a moment, then any of Roster, Take,
+// Ended, Left and Hear, and then Next until it reports no more. Inputs only update what is known; every
+// decision comes out of Next. A Gatekeeper is not safe for concurrent use and shares nothing with others.
+// Its plain types are in iface.go, what it keeps in state.go; the mechanism, and each departure from it
+// with its condition, in docs/design.md.
 package logic
 
 import (
@@ -54,133 +55,13 @@
 	startDepth = 8.0   // txns in hand at each worker, by all gatekeepers, that the window starts at
 	leastDepth = 2.0   // and the least
 	shedSpan   = 0.35  // the least valuable txns see a window smaller by this
+	mostCut    = 0.7   // the window is never cut below this part of it at once
 	cutPause   = 150.0 // ms between cuts of the window; an answer's delay is the loop's
 	adviseBusy = 0.25  // of the SLA time; when to return after a decline under pressure
 )
 
-type account struct {
-	customer       uint64
-	plan           int // -1 while known from peers alone
-	n, first       int // its gatekeepers
-	demand         float64
-	seen           float64 // time of the last txn, and of the estimate
-	txns           int
-	hot            bool
-	coolSince      float64 // since when demand has been under the cold slice
-	share          float64 // units a ms
-	tat, ceilingAt float64 // GCRA: the moment each store is full again
-	whole, wholeAt float64 // the quota's one store as far as it is known here, units, and when
-	spent          float64 // units sent on here
-	out            int     // submissions out
-	told           []told  // by gatekeeper
-	live           bool
-}
-
-// told is what a peer last reported for a customer.
-type told struct{ demand, spent, at float64 }
-
-type worker struct {
-	Posting
-	listed   bool
-	inFlight int
-	pace     float64 // smoothed time of an answer, ms
-	answers  int
-	heard    float64
-	distrust float64
-	doubtAt  float64 // time of the distrust figure
-	coldAt   float64 // GCRA of a worker that is not warm yet
-}
-
-type submission struct {
-	worker  int
-	sent    float64
-	out     bool
-	dropped bool
-	silent  bool // already held against the worker
-	late    bool // already counted as pressure
-}
-
-type txn struct {
-	id            uint64
-	acct          int32
-	product, plan int
-	units         float64
-	taken, expiry float64
-	subs          []submission
-	out           int
-	mayRun        bool // some submission may have run
-	bond          int  // worker of the first one that may have run
-	bondAt        float64
-	answered      bool
-	another       bool // a second copy, or a move, is wanted
-	live          bool
-}
-
-// plan holds what decisions need of a Plan, per ms.
-type plan struct {
-	rate, burst          float64 // units a ms; ms of it that may be used at once
-	ceilRate, ceilDepth  float64 // this gatekeeper's slice, before division by the customer's N
-	open                 int
-	excess               bool // letting in beyond the quota earns more than it costs
-	alpha                float64
-	factor, costs, earns float64
-}
-
-// Gatekeeper is one instance. All its state is its own.
-type Gatekeeper struct {
-	rng      *rand.Rand
-	now      float64
-	started  float64
-	begun    bool
-	charter  terms
-	products []Product
-	plans    []plan
-	depth    [][]float64 // window fraction by product and plan
-
-	workers []worker
-	ready   []int
-	peers   []float64 // when each gatekeeper was last heard
-
-	txns []txn
-	free []int32
-	byID map[uint64]int32
-	due  []int32
-	head int
-
-	accounts  []account
-	unused    []int32
-	byKey     map[uint32]int32
-	heardOnly int
-
-	inHand   int     // submissions out at workers that are not silent
-	window   float64 // most of them
-	press    float64 // smoothed answer time over SLA time
-	cutAt    float64
-	pace     float64
-	warmDone float64 // units settled by warm workers, fading
-	warmAt   float64
-	warmFrom float64
-
-	nextBeat, nextTell, wakeAt float64
-	beatAt                     int   // next txn to look at in this beat; -1 none
-	tellPeer, told             int   // peer that is told now, -1 none; messages it got this period
-	looked                     int   // accounts looked at for it
-	tellFrom                   []int // by peer: account to go on from
-	reports                    []Report
-	tally                      Tally
-}
-
-// terms are the charter's figures that decisions use as they are.
-type terms struct {
-	me, n, maxSubs, perTell       int
-	tells                         int // messages to one peer in a period
-	overlap, withdraw, advise     bool
-	maxAdvice, largest, period    float64
-	coldFrom, warmUp, zonePenalty float64
-	talks                         bool
-}
-
-// New starts a gatekeeper that knows nothing but its charter. The same seed and inputs give the same decisions.
+// New starts a gatekeeper that knows nothing but its charter. The same seed and inputs give the same
+// decisions.
 func New(c Charter, seed int64) *Gatekeeper {
 	g := &Gatekeeper{rng: rand.New(rand.NewSource(seed)), byID: map[uint64]int32{}, byKey: map[uint32]int32{},
 		products: append([]Product(nil), c.Products...), beatAt: -1, tellPeer: -1}
@@ -350,7 +231,8 @@
 	g.due = append(g.due, slot)
 }
 
-// Begun tells that the answer of submission n has started to stream: it is the client's now, and has no expiry.
+// Begun tells that the answer of submission n has started to stream: it is the client's now, and has no
+// expiry.
 func (g *Gatekeeper) Begun(id uint64, n int) {
 	if slot, ok := g.byID[id]; ok && n >= 0 && n < len(g.txns[slot].subs) {
 		t := &g.txns[slot]
@@ -410,23 +292,6 @@
 	}
 }
 
-// Tally gives the counts and the present state that on-call staff look at.
-func (g *Gatekeeper) Tally() Tally {
-	t := g.tally
-	t.InFlight, t.Window, t.Customers = float64(g.inHand), g.window, len(g.byKey)
-	for i := range g.accounts {
-		if g.accounts[i].live && g.accounts[i].hot {
-			t.Hot++
-		}
-	}
-	for _, i := range g.ready {
-		if g.distrustOf(&g.workers[i]) > distrusted {
-			t.Distrusted++
-		}
-	}
-	return t
-}
-
 // Next gives the next decision, or none.
 func (g *Gatekeeper) Next() (Decision, bool) {
 	for g.head < len(g.due) {
@@ -481,7 +346,8 @@
 	return Decision{}, false
 }
 
-// watch looks at a waiting txn for a silent worker, or for one whose answer is late while capacity is spare.
+// watch looks at a waiting txn for a silent worker, or for one whose answer is late while capacity is
+// spare.
 func (g *Gatekeeper) watch(t *txn) {
 	if !t.live || t.answered {
 		return
@@ -572,16 +438,6 @@
 	return g.submit(t, w), true
 }
 
-func (g *Gatekeeper) withdraw(t *txn) (Decision, bool) {
-	for i := range t.subs {
-		if s := &t.subs[i]; s.out && !s.dropped {
-			s.dropped = true
-			return Decision{Kind: Withdraw, Txn: t.id, N: i}, true
-		}
-	}
-	return Decision{}, false
-}
-
 // mayRepeat tells whether a further submission keeps the rule against double effects.
 func (g *Gatekeeper) mayRepeat(t *txn, running bool) bool {
 	p := &g.products[t.product]
@@ -640,8 +496,8 @@
 	return Decision{Kind: Submit, Txn: t.id, Worker: wi, N: len(t.subs) - 1, Wait: t.expiry - g.now}
 }
 
-// choose draws two workers at random and takes the one that own counts favour. All are looked at only if neither
-// may be used or the better one is distrusted.
+// choose draws two workers at random and takes the one that own counts favour. All are looked at only if
+// neither may be used or the better one is distrusted.
 func (g *Gatekeeper) choose(t *txn) int {
 	if len(g.ready) == 0 {
 		return -1
@@ -654,7 +510,7 @@
 			}
 		}
 	}
-	if best >= 0 && g.distrustOf(&g.workers[best]) < distrusted {
+	if best >= 0 && !g.suspect(&g.workers[best]) {
 		return best
 	}
 	for _, w := range g.ready {
@@ -711,6 +567,9 @@
 	return w.distrust * math.Exp((w.doubtAt-g.now)/distrustFade)
 }
 
+// suspect tells whether a worker is distrusted enough to look past the two draws.
+func (g *Gatekeeper) suspect(w *worker) bool { return g.distrustOf(w) >= distrusted }
+
 func (g *Gatekeeper) doubt(w *worker, by float64) {
 	w.distrust = math.Min(g.distrustOf(w)+by, distrustMost)
 	w.doubtAt = g.now
@@ -728,9 +587,9 @@
 	return g.warmDone * math.Exp((g.warmAt-g.now)/refMemory)
 }
 
-// coldRate is this gatekeeper's budget for a worker that is not warm, in units a ms: what it sees a warm worker
-// do, times the guessed warmth. Each gatekeeper's part of the warm load adds up to no more than a warm worker can
-// do, so together they stay under the worker's present capacity whoever else is alive.
+// coldRate is this gatekeeper's budget for a worker that is not warm, in units a ms: what it sees a warm
+// worker do, times the guessed warmth. Each gatekeeper's part of the warm load adds up to no more than a
+// warm worker can do, so together they stay under the worker's present capacity whoever else is alive.
 func (g *Gatekeeper) coldRate(since float64) float64 {
 	warm := 0
 	for _, i := range g.ready {
@@ -755,7 +614,8 @@
 	switch {
 	case g.press > slaUse && g.now-g.cutAt > cutPause:
 		g.cutAt = g.now
-		g.window = math.Max(math.Min(g.window, float64(g.inHand)+1)*math.Max(slaUse/g.press, 0.7), leastDepth*g.perWorker())
+		used := math.Min(g.window, float64(g.inHand)+1)
+		g.window = math.Max(used*math.Max(slaUse/g.press, mostCut), leastDepth*g.perWorker())
 	case g.press < slaUse/2 && float64(g.inHand) > 0.7*g.window:
 		g.window += leap
 	case g.press < slaUse && float64(g.inHand) > 0.7*g.window:
@@ -803,14 +663,15 @@
 	c.wholeAt = g.now
 }
 
-// roomy tells whether the quota's one store, as far as it is known here, has the units with something to spare:
-// peers are taken to see the same demand as this gatekeeper for as long as it takes to hear of it.
+// roomy tells whether the quota's one store, as far as it is known here, has the units with something to
+// spare: peers are taken to see the same demand as this gatekeeper for as long as it takes to hear of it.
 func (g *Gatekeeper) roomy(c *account, units float64) bool {
 	g.fill(c)
 	return c.whole-units >= c.now(g.now)*float64(c.n-1)*hearsay
 }
 
-// gcraWait is how long until a store that is full at tat, fills at rate and holds depth has the units; 0 is now.
+// gcraWait is how long until a store that is full at tat, fills at rate and holds depth has the units; 0
+// is now.
 func gcraWait(tat, now, rate, depth, units float64) float64 {
 	if rate <= 0 {
 		return math.MaxFloat64
@@ -862,22 +723,6 @@
 	return ai
 }
 
-// open makes an account, in a used place if there is one.
-func (g *Gatekeeper) open(customer uint64) int32 {
-	var ai int32
-	if n := len(g.unused); n > 0 {
-		ai, g.unused = g.unused[n-1], g.unused[:n-1]
-	} else {
-		ai = int32(len(g.accounts))
-		g.accounts = append(g.accounts, account{told: make([]told, g.charter.n)})
-	}
-	c := &g.accounts[ai]
-	clear(c.told)
-	*c = account{customer: customer, plan: -1, seen: g.now, coolSince: g.now, told: c.told, live: true}
-	g.byKey[uint32(customer)] = ai
-	return ai
-}
-
 // now is the demand estimate at a moment, units a ms.
 func (c *account) now(at float64) float64 { return c.demand * math.Exp((c.seen-at)/demandMemory) }
 
@@ -907,7 +752,8 @@
 			return // the last share stays in force
 		}
 		// A peer that is heard, but no longer on this customer, has let it turn cold.
-		if silent <= suspicion+hold && (g.now-c.told[i].at < toldFor*g.charter.period || silent > g.charter.period) {
+		fresh := g.now-c.told[i].at < toldFor*g.charter.period || silent > g.charter.period
+		if silent <= suspicion+hold && fresh {
 			total += c.told[i].demand
 		}
 	}
@@ -969,8 +815,8 @@
 	return false
 }
 
-// report packs the next message of own demands for the customers that a peer shares. What does not fit the period's
-// messages goes on in the next.
+// report packs the next message of own demands for the customers that a peer shares. What does not fit the
+// period's messages goes on in the next.
 func (g *Gatekeeper) report() (Decision, bool) {
 	if g.tellPeer == g.charter.me || g.told >= g.charter.tells {
 		return Decision{}, false
--- /dev/null
+++ b/logic/state.go
@@ -0,0 +1,172 @@
+package logic
+
+import (
+	"math/rand"
+)
+
+// This file holds what a gatekeeper keeps, and the book-keeping that decides nothing.
+
+type account struct {
+	customer       uint64
+	plan           int // -1 while known from peers alone
+	n, first       int // its gatekeepers
+	demand         float64
+	seen           float64 // time of the last txn, and of the estimate
+	txns           int
+	hot            bool
+	coolSince      float64 // since when demand has been under the cold slice
+	share          float64 // units a ms
+	tat, ceilingAt float64 // GCRA: the moment each store is full again
+	whole, wholeAt float64 // the quota's one store as far as it is known here, units, and when
+	spent          float64 // units sent on here
+	out            int     // submissions out
+	told           []told  // by gatekeeper
+	live           bool
+}
+
+// told is what a peer last reported for a customer.
+type told struct{ demand, spent, at float64 }
+
+type worker struct {
+	Posting
+	listed   bool
+	inFlight int
+	pace     float64 // smoothed time of an answer, ms
+	answers  int
+	heard    float64
+	distrust float64
+	doubtAt  float64 // time of the distrust figure
+	coldAt   float64 // GCRA of a worker that is not warm yet
+}
+
+type submission struct {
+	worker  int
+	sent    float64
+	out     bool
+	dropped bool
+	silent  bool // already held against the worker
+	late    bool // already counted as pressure
+}
+
+type txn struct {
+	id            uint64
+	acct          int32
+	product, plan int
+	units         float64
+	taken, expiry float64
+	subs          []submission
+	out           int
+	mayRun        bool // some submission may have run
+	bond          int  // worker of the first one that may have run
+	bondAt        float64
+	answered      bool
+	another       bool // a second copy, or a move, is wanted
+	live          bool
+}
+
+// plan holds what decisions need of a Plan, per ms.
+type plan struct {
+	rate, burst          float64 // units a ms; ms of it that may be used at once
+	ceilRate, ceilDepth  float64 // this gatekeeper's slice, before division by the customer's N
+	open                 int
+	excess               bool // letting in beyond the quota earns more than it costs
+	alpha                float64
+	factor, costs, earns float64
+}
+
+// Gatekeeper is one instance. All its state is its own.
+type Gatekeeper struct {
+	rng      *rand.Rand
+	now      float64
+	started  float64
+	begun    bool
+	charter  terms
+	products []Product
+	plans    []plan
+	depth    [][]float64 // window fraction by product and plan
+
+	workers []worker
+	ready   []int
+	peers   []float64 // when each gatekeeper was last heard
+
+	txns []txn
+	free []int32
+	byID map[uint64]int32
+	due  []int32
+	head int
+
+	accounts  []account
+	unused    []int32
+	byKey     map[uint32]int32
+	heardOnly int
+
+	inHand   int     // submissions out at workers that are not silent
+	window   float64 // most of them
+	press    float64 // smoothed answer time over SLA time
+	cutAt    float64
+	pace     float64
+	warmDone float64 // units settled by warm workers, fading
+	warmAt   float64
+	warmFrom float64
+
+	nextBeat, nextTell, wakeAt float64
+	beatAt                     int   // next txn to look at in this beat; -1 none
+	tellPeer, told             int   // peer that is told now, -1 none; messages it got this period
+	looked                     int   // accounts looked at for it
+	tellFrom                   []int // by peer: account to go on from
+	reports                    []Report
+	tally                      Tally
+}
+
+// terms are the charter's figures that decisions use as they are.
+type terms struct {
+	me, n, maxSubs, perTell       int
+	tells                         int // messages to one peer in a period
+	overlap, withdraw, advise     bool
+	maxAdvice, largest, period    float64
+	coldFrom, warmUp, zonePenalty float64
+	talks                         bool
+}
+
+// Tally gives the counts and the present state that on-call staff look at.
+func (g *Gatekeeper) Tally() Tally {
+	t := g.tally
+	t.InFlight, t.Window, t.Customers = float64(g.inHand), g.window, len(g.byKey)
+	for i := range g.accounts {
+		if g.accounts[i].live && g.accounts[i].hot {
+			t.Hot++
+		}
+	}
+	for _, i := range g.ready {
+		if g.suspect(&g.workers[i]) {
+			t.Distrusted++
+		}
+	}
+	return t
+}
+
+func (g *Gatekeeper) withdraw(t *txn) (Decision, bool) {
+	for i := range t.subs {
+		if s := &t.subs[i]; s.out && !s.dropped {
+			s.dropped = true
+			return Decision{Kind: Withdraw, Txn: t.id, N: i}, true
+		}
+	}
+	return Decision{}, false
+}
+
+// open makes an account, in a used place if there is one.
+func (g *Gatekeeper) open(customer uint64) int32 {
+	var ai int32
+	if n := len(g.unused); n > 0 {
+		ai, g.unused = g.unused[n-1], g.unused[:n-1]
+	} else {
+		ai = int32(len(g.accounts))
+		g.accounts = append(g.accounts, account{told: make([]told, g.charter.n)})
+	}
+	c := &g.accounts[ai]
+	clear(c.told)
+	*c = account{customer: customer, plan: -1, seen: g.now, coolSince: g.now, told: c.told, live: true}
+	g.byKey[uint32(customer)] = ai
+	return ai
+}
