--- a/logic/logic.go
+++ b/logic/logic.go
@@ -47,7 +47,7 @@
 	warmMargin = 1.1    // the stated warm-up is stretched by this before a worker counts as warm
 
 	// Pressure.
-	slaUse     = 0.4   // of the SLA time; answers slower than this on average shrink the window
+	slaUse     = 0.45  // of the SLA time; answers slower than this on average shrink the window
 	pressGain  = 0.08  // weight of the newest answer in the pressure
 	lateAt     = 0.8   // of the SLA time; a submission still out then counts as an answer of that time
 	leap       = 0.2   // growth of the window for each answer while the pressure is under half of slaUse
