--- a/logic/logic.go
+++ b/logic/logic.go
@@ -24,7 +24,7 @@
 	suspicion    = 6000.0  // ms of silence until a peer is suspected
 	hold         = 10000.0 // ms after that during which its last demand still counts
 	toldFor      = 3.5     // periods that a report stands while its peer is heard; three lost in a row are rare
-	hearsay      = 400.0   // ms in which peers may have spent without our hearing of it; a period
+	hearsay      = 600.0   // ms in which peers may have spent unheard: a period, its jitter and half again
 	tellBudget   = 0.5     // of the peers' intake that reports may fill; the rest is for jitter
 	mostHeard    = 4096    // customers known from peers alone; bounds what messages can make us keep
 
@@ -667,7 +667,8 @@
 // spare: peers are taken to see the same demand as this gatekeeper for as long as it takes to hear of it.
 func (g *Gatekeeper) roomy(c *account, units float64) bool {
 	g.fill(c)
-	return c.whole-units >= c.now(g.now)*float64(c.n-1)*hearsay
+	before := math.Max(c.now(g.now)-units/demandMemory, 0)
+	return c.whole-units >= before*float64(c.n-1)*hearsay
 }
 
 // gcraWait is how long until a store that is full at tat, fills at rate and holds depth has the units; 0
