--- a/logic/logic.go
+++ b/logic/logic.go
@@ -194,12 +194,13 @@
 	switch o {
 	case Settled:
 		w.heard = g.now
-		w.answers++
-		gain := math.Max(paceGain, 1/float64(w.answers))
-		w.pace += gain * (took - w.pace)
 		if g.pace == 0 {
 			g.pace = took
 		}
+		if w.pace == 0 {
+			w.pace = g.pace // one slow answer must not make a worker look slow for long
+		}
+		w.pace += paceGain * (took - w.pace)
 		g.pace += paceGain / 4 * (took - g.pace)
 		if g.warmth(w.Since) >= 1 {
 			g.warmDone = g.warmWork() + t.units
@@ -553,7 +554,7 @@
 func (g *Gatekeeper) cost(wi int) float64 {
 	w := &g.workers[wi]
 	pace := w.pace
-	if w.answers == 0 {
+	if pace == 0 {
 		pace = g.pace
 	}
 	c := float64(w.inFlight+1) * math.Max(pace, 1) * (1 + g.distrustOf(w))
--- a/logic/state.go
+++ b/logic/state.go
@@ -32,7 +32,6 @@
 	listed   bool
 	inFlight int
 	pace     float64 // smoothed time of an answer, ms
-	answers  int
 	heard    float64
 	distrust float64
 	doubtAt  float64 // time of the distrust figure
