--- a/logic/logic.go
+++ b/logic/logic.go
@@ -52,7 +52,7 @@
 	lateAt     = 0.8   // of the SLA time; a submission still out then counts as an answer of that time
 	leap       = 0.2   // growth of the window for each answer while the pressure is under half of slaUse
 	growth     = 1.0   // growth of the window for each answer while it is in use
-	startDepth = 8.0   // txns in hand at each worker, by all gatekeepers, that the window starts at
+	startDepth = 3.0   // txns in hand at each worker, by all gatekeepers, that the window starts at
 	leastDepth = 2.0   // and the least
 	shedSpan   = 0.35  // the least valuable txns see a window smaller by this
 	mostCut    = 0.7   // the window is never cut below this part of it at once
