--- a/logic/logic.go
+++ b/logic/logic.go
@@ -34,6 +34,7 @@
 	distrusted   = 1.0    // distrust above which a draw is not good enough and all workers are looked at
 	paceGain     = 0.1    // weight of the newest answer in a worker's pace
 	patience     = 0.35   // of the SLA time; a worker that has said nothing for so long is silent
+	crowded      = 0.25   // of the SLA time; a draw that takes longer to answer makes us look at all workers
 	quiet        = 3.0    // times the usual answer; nor is a worker silent before that
 	secondCopyAt = 0.55   // of the SLA time; a running txn gets a second copy if there is room
 	spareAt      = 0.5    // of the window; under it capacity counts as spare
@@ -511,7 +512,9 @@
 			}
 		}
 	}
-	if best >= 0 && !g.suspect(&g.workers[best]) {
+	// Guards against jams at slow workers while fast ones have room: two draws often meet two slow ones. It also
+	// covers a worker that fails or falls silent. With many gatekeepers alike it could make them run as a herd.
+	if best >= 0 && !g.suspect(&g.workers[best]) && g.workers[best].pace < crowded*g.products[t.product].SLA {
 		return best
 	}
 	for _, w := range g.ready {
@@ -611,7 +614,7 @@
 
 // pressed takes one answer's time over its SLA time, and moves the window.
 func (g *Gatekeeper) pressed(x float64) {
-	g.press += pressGain * (math.Min(x, 2) - g.press)
+	g.press += pressGain * (math.Min(x, 1) - g.press)
 	switch {
 	case g.press > slaUse && g.now-g.cutAt > cutPause:
 		g.cutAt = g.now
