Shedding by value and the allowed answer time derived from the charter's weights

Shedding by value now fades with the weight of the worst plan; answers may be slower only where late ones earn.

--- a/internal/benchwire/charter.go
+++ b/internal/benchwire/charter.go
@@ -57,6 +57,10 @@
 			ColdFrom float64 `json:"cold_from"`
 			WarmUp   float64 `json:"warm_up_us"`
 		}
+		ScoreParts struct {
+			Whole       float64
+			WorstTenant float64 `json:"worst_tenant"`
+		} `json:"score_parts"`
 		Deductions struct {
 			CrossZone float64 `json:"cross_zone"`
 		}
@@ -79,6 +83,8 @@
 		ColdFrom:       s.Safety.ColdFrom,
 		WarmUp:         s.Safety.WarmUp / usPerMs,
 		ZoneFee:        s.Deductions.CrossZone,
+		Whole:          s.ScoreParts.Whole,
+		WorstPlan:      s.ScoreParts.WorstTenant,
 	}
 	n.zone = s.Zone
 	for i, p := range s.Classes {
--- a/logic/iface.go
+++ b/logic/iface.go
@@ -53,6 +53,8 @@
 	ColdFrom        float64 // a started worker's least share of its capacity
 	WarmUp          float64 // and the longest it takes to reach all of it
 	ZoneFee         float64 // points for each txn that crosses zones
+	Whole           float64 // how much the service as a whole counts
+	WorstPlan       float64 // and how much the worst-served plan
 }
 
 // Posting is one worker of the list, by the index the host gave it.
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -48,14 +48,15 @@
 	warmMargin = 1.1    // the stated warm-up is stretched by this before a worker counts as warm
 
 	// Pressure.
-	slaUse     = 0.45  // of the SLA time; answers slower than this on average shrink the window
+	slaUse     = 0.37  // of the SLA time, more where late answers earn; slower ones shrink the window
 	pressGain  = 0.08  // weight of the newest answer in the pressure
 	lateAt     = 0.8   // of the SLA time; a submission still out then counts as an answer of that time
 	leap       = 0.2   // growth of the window for each answer while the pressure is under half of slaUse
 	growth     = 1.0   // growth of the window for each answer while it is in use
 	startDepth = 3.0   // txns in hand at each worker, by all gatekeepers, that the window starts at
 	leastDepth = 2.0   // and the least
-	shedSpan   = 0.35  // the least valuable txns see a window smaller by this
+	shedSpan   = 0.4   // the least valuable txns see a window smaller by this, where only the whole counts
+	evenly     = 2.5   // how fast that falls with the worst plan's part of what counts
 	mostCut    = 0.7   // the window is never cut below this part of it at once
 	cutPause   = 150.0 // ms between cuts of the window; an answer's delay is the loop's
 	adviseBusy = 0.25  // of the SLA time; when to return after a decline under pressure
@@ -92,12 +93,21 @@
 			dearest = math.Max(dearest, d.Value*p.Factor)
 		}
 	}
+	span := shedSpan * math.Max(0, 1-evenly*c.WorstPlan/math.Max(c.WorstPlan+c.Whole, 1e-9))
+	g.charter.slack = 1
+	if len(c.Products) > 0 {
+		late := 0.0
+		for _, d := range c.Products {
+			late += d.LateShare / float64(len(c.Products))
+		}
+		g.charter.slack += late
+	}
 	for _, d := range c.Products {
 		row := make([]float64, len(c.Plans))
 		for i, p := range c.Plans {
 			row[i] = 1
 			if dearest > 0 {
-				row[i] = 1 - shedSpan*(1-d.Value*p.Factor/dearest)
+				row[i] = 1 - span*(1-d.Value*p.Factor/dearest)
 			}
 		}
 		g.depth = append(g.depth, row)
@@ -207,7 +217,7 @@
 			g.warmDone = g.warmWork() + t.units
 			g.warmAt = g.now
 		}
-		g.pressed(took / sla)
+		g.pressed(took / sla / g.charter.slack)
 	case Fault, Cut:
 		w.heard = g.now
 		g.doubt(w, 1)
@@ -364,7 +374,7 @@
 		if !s.late && !s.silent && age > lateAt*p.SLA {
 			// Guards against a jam that shows no answers at all to learn from.
 			s.late = true
-			g.pressed(lateAt)
+			g.pressed(lateAt / g.charter.slack)
 		}
 		if !s.silent && age > math.Max(patience*p.SLA, quiet*g.pace) && w.heard < s.sent {
 			// Guards against workers that take txns and answer none: a hang, a lost hall, a cut link.
--- a/logic/state.go
+++ b/logic/state.go
@@ -124,6 +124,7 @@
 	overlap, withdraw, advise     bool
 	maxAdvice, largest, period    float64
 	coldFrom, warmUp, zonePenalty float64
+	slack                         float64 // how much slower than slaUse answers may get, for what late ones earn
 	talks                         bool
 }
 
