--- a/logic/logic.go
+++ b/logic/logic.go
@@ -53,8 +53,7 @@
 	lateAt     = 0.8   // of the SLA time; a submission still out then counts as an answer of that time
 	leap       = 0.2   // growth of the window for each answer while the pressure is under half of slaUse
 	growth     = 1.0   // growth of the window for each answer while it is in use
-	startDepth = 3.0   // txns in hand at each worker, by all gatekeepers, that the window starts at
-	leastDepth = 2.0   // and the least
+	leastDepth = 3.5   // txns in hand at each worker, by all gatekeepers, that the window starts at and keeps
 	shedSpan   = 0.4   // the least valuable txns see a window smaller by this, where only the whole counts
 	evenly     = 2.5   // how fast that falls with the worst plan's part of what counts
 	mostCut    = 0.7   // the window is never cut below this part of it at once
@@ -157,7 +156,7 @@
 		}
 	}
 	if g.window == 0 {
-		g.window = startDepth * g.perWorker()
+		g.window = leastDepth * g.perWorker()
 	}
 }
 
