Tests of the module; retry time from either store, cold debt at the present rate

Found by the tests: a txn could get a second copy at its expiry; the told retry time was later than the module's own reopening; a restarted gatekeeper kept off a cold worker for up to 18 s.

--- a/internal/benchwire/benchwire.go
+++ b/internal/benchwire/benchwire.go
@@ -1,5 +1,5 @@
-// Package benchwire speaks the bench's wire: it decodes each batch into calls on the gatekeepers that live in this
-// process, and encodes what they decide into the reply.
+// Package benchwire speaks the bench's wire: it decodes each batch into calls on the gatekeepers that live
+// in this process, and encodes what they decide into the reply.
 package benchwire
 
 import (
--- a/internal/benchwire/benchwire_test.go
+++ b/internal/benchwire/benchwire_test.go
@@ -8,10 +8,12 @@
 const launch = `["LAUNCH",3,77,{"me":0,"balancers":2,"zone":"z1","later_key":1,
  "classes":[{"name":"check","aim_us":1000000,"effect":"read_like","worth":1}],
  "tariffs":[{"name":"basic","rate":2,"most_at_once":6,"worth_factor":1}],
- "allowed":{"max_attempts":3,"may_duplicate":true,"cancel":true,"retry_after":true,"max_retry_after_us":500000,
-  "peers":true},"family_info":{"largest":1,"peer_in_per_s":60},
+ "allowed":{"max_attempts":3,"may_duplicate":true,"cancel":true,"retry_after":true,
+  "max_retry_after_us":500000,"peers":true},"family_info":{"largest":1,"peer_in_per_s":60},
  "safety":{"cold_from":0.2,"warm_up_us":10000000}}]`
 
+const round = "[\"ROUND\",1001000]\n"
+
 const list = `["SNAPSHOT_ROWS",0,[["w-a","z1","k",0,"active",1,null]]]
 ["DIRECTORY_UPDATE",3,"warm_copy",1,0]`
 
@@ -38,15 +40,18 @@
 	const request = `["REQUEST",3,9,"00000000000000ff","check",false,2,1,"basic",false,0,500000]`
 	cases := []struct{ name, in, want string }{
 		{"empty batch", "[\"ROUND\",5]\n[\"END\"]\n", "[\"READY\"]\n"},
-		{"one txn settled", first + "[\"ROUND\",1001000]\n" + request + "\n[\"END\"]\n" +
-			"[\"ROUND\",1050000]\n[\"OUTCOME\",3,9,0,\"w-a\",\"pass\",49000,true,0,0,null]\n[\"GONE\",3,9]\n[\"END\"]\n",
+		{"one txn settled", first + round + "" + request + "\n[\"END\"]\n" +
+			"[\"ROUND\",1050000]\n[\"OUTCOME\",3,9,0,\"w-a\",\"pass\",49000,true,0,0,null]\n" +
+			"[\"GONE\",3,9]\n[\"END\"]\n",
 			"[\"READY\"]\n[\"TRANSMIT\",3,9,500000,\"w-a\"]\n[\"READY\"]\n[\"READY\"]\n"},
-		{"lost update, peer bytes of no sense, late outcome", first + "[\"ROUND\",1001000]\n[\"DIRECTORY_UPDATE\",3,\"lost\",0,0]\n" +
+		{"lost update, peer bytes of no sense, late outcome", first + round +
+			"[\"DIRECTORY_UPDATE\",3,\"lost\",0,0]\n" +
 			"[\"WHISPER\",3,1,\"ffff\"]\n[\"WHISPER\",3,1,\"\"]\n[\"OUTCOME\",3,8,0,\"w-a\",\"cut\",1,true]\n" +
 			"[\"COUNTED\",3,1,0,\"too_slow\",\"n\"]\n[\"END\"]\n", "[\"READY\"]\n[\"READY\"]\n"},
-		{"no worker left", first + "[\"ROUND\",1001000]\n[\"SNAPSHOT_ROWS\",0,[]]\n[\"DIRECTORY_UPDATE\",3,\"total\",2,0]\n" +
+		{"no worker left", first + round + "[\"SNAPSHOT_ROWS\",0,[]]\n" +
+			"[\"DIRECTORY_UPDATE\",3,\"total\",2,0]\n" +
 			request + "\n[\"END\"]\n", "[\"READY\"]\n[\"SAY_NO\",3,9,250000]\n[\"READY\"]\n"},
-		{"stopped and started in one batch", first + "[\"ROUND\",1001000]\n" + request + "\n[\"DETACH\",3]\n" +
+		{"stopped and started in one batch", first + round + "" + request + "\n[\"DETACH\",3]\n" +
 			strings.ReplaceAll(launch, "\n", "") + "\n[\"END\"]\n", "[\"READY\"]\n[\"READY\"]\n"},
 	}
 	for _, c := range cases {
@@ -64,11 +69,11 @@
 		{"no JSON", "[\"ROUND\",5\n", "line 1"},
 		{"no batch", "[\"END\"]\n", "out of place"},
 		{"unknown instance", "[\"ROUND\",5]\n[\"GONE\",4,1]\n", "no instance 4"},
-		{"unknown event", first + "[\"ROUND\",1001000]\n[\"WHAT\",3]\n", "unknown event"},
-		{"unknown class", first + "[\"ROUND\",1001000]\n" +
+		{"unknown event", first + round + "[\"WHAT\",3]\n", "unknown event"},
+		{"unknown class", first + round + "" +
 			`["REQUEST",3,9,"ff","other",false,2,1,"basic",false,0,500000]` + "\n", `class "other"`},
-		{"value missing", first + "[\"ROUND\",1001000]\n[\"OUTCOME\",3,9]\n", "line 7: OUTCOME"},
-		{"no such list", first + "[\"ROUND\",1001000]\n[\"DIRECTORY_UPDATE\",3,\"total\",2,7]\n", "no list 7"},
+		{"value missing", first + round + "[\"OUTCOME\",3,9]\n", "line 7: OUTCOME"},
+		{"no such list", first + round + "[\"DIRECTORY_UPDATE\",3,\"total\",2,7]\n", "no list 7"},
 		{"cut off", "[\"ROUND\",5]\n", "input ends"},
 	}
 	for _, c := range cases {
--- a/internal/benchwire/message.go
+++ b/internal/benchwire/message.go
@@ -5,7 +5,8 @@
 	"strconv"
 )
 
-// message reads the values of one line by place. The first that is missing or of the wrong kind is kept as err.
+// message reads the values of one line by place. The first that is missing or of the wrong kind is kept as
+// err.
 type message struct {
 	v   []any
 	err error
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -1,8 +1,8 @@
 // Package gossip turns a gatekeeper's demand reports into the bytes of one peer message and back.
 //
-// A message is a version byte, a count byte, and for each report four bytes of the customer's number, two of
-// its demand and two of the units sent on, all big-endian. The demand is logarithmic, so that one step is under two
-// parts in a thousand; units are counted in quarters.
+// A message is a version byte, a count byte, and for each report four bytes of the customer's number, two
+// of its demand and two of the units sent on, all big-endian. The demand is logarithmic, so that one step
+// is under two parts in a thousand; units are counted in quarters.
 package gossip
 
 import (
@@ -40,8 +40,8 @@
 	return dst
 }
 
-// Decode reads a message into dst. A message that is not whole, or of another version, gives an error and nothing
-// else.
+// Decode reads a message into dst. A message that is not whole, or of another version, gives an error and
+// nothing else.
 func Decode(dst []logic.Report, b []byte) ([]logic.Report, error) {
 	if len(b) < header {
 		return dst, fmt.Errorf("peer message of %d bytes: too short", len(b))
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -9,13 +9,14 @@
 )
 
 func TestRoundTrip(t *testing.T) {
-	for _, r := range []logic.Report{{}, {Customer: 7, Demand: 0.5, Spent: 3.25}, {Customer: math.MaxUint32, Demand: 1e6},
-		{Customer: 1, Demand: 12, Spent: logic.SpentWrap - 1}} {
+	for _, r := range []logic.Report{{}, {Customer: 7, Demand: 0.5, Spent: 3.25},
+		{Customer: math.MaxUint32, Demand: 1e6}, {Customer: 1, Demand: 12, Spent: logic.SpentWrap - 1}} {
 		got, err := Decode(nil, Append(nil, []logic.Report{r}))
 		if err != nil || len(got) != 1 {
 			t.Fatalf("%+v: got %v, %v", r, got, err)
 		}
-		if g := got[0]; g.Customer != r.Customer || g.Spent != r.Spent || math.Abs(g.Demand-r.Demand) > r.Demand*0.002 {
+		g := got[0]
+		if g.Customer != r.Customer || g.Spent != r.Spent || math.Abs(g.Demand-r.Demand) > r.Demand*0.002 {
 			t.Errorf("%+v came back as %+v", r, g)
 		}
 	}
--- /dev/null
+++ b/logic/host_test.go
@@ -0,0 +1,202 @@
+package logic
+
+import (
+	"math"
+	"math/rand"
+	"testing"
+)
+
+// charterFor is a plain charter: one product of the given kind, one plan of rate 10 with 2 s of burst.
+func charterFor(r Repeat, change func(*Charter)) Charter {
+	c := Charter{Gatekeepers: 2, LargestUnits: 1, MaxSubmissions: 3, MayOverlap: true, MayWithdraw: true,
+		MayAdvise: true, MaxAdvice: 2000, MayTell: true, PeerInPerS: 60, ReportsPerTell: 31, ColdFrom: 0.2,
+		WarmUp: 10000, Whole: 1,
+		Products: []Product{{SLA: 1000, Value: 1, Repeat: r, Window: 5000}},
+		Plans:    []Plan{{Rate: 10, Burst: 20, Factor: 1, ExcessFee: 1}}}
+	if change != nil {
+		change(&c)
+	}
+	return c
+}
+
+// host drives one gatekeeper and keeps its rules: it knows each txn's submissions and final answers.
+type host struct {
+	t    *testing.T
+	g    *Gatekeeper
+	c    Charter
+	now  float64
+	next uint64
+	txns map[uint64]*seen
+	told []Decision // Tell, with its reports copied
+	sent []Decision // Submit
+	gone int        // a worker that drains
+}
+
+type seen struct {
+	Arrival
+	expiry float64
+	subs   []Decision
+	out    []bool
+	mayRun bool
+	first  float64 // when the first submission that may have run was sent
+	sentAt []float64
+	final  Kind
+	wait   float64
+}
+
+func newHost(t *testing.T, c Charter, seed int64, workers int) *host {
+	h := &host{t: t, g: New(c, seed), c: c, now: 1000, txns: map[uint64]*seen{}, gone: -1}
+	h.g.Clock(h.now)
+	var list []Posting
+	for i := range workers {
+		list = append(list, Posting{Worker: i, Near: true, Active: true})
+	}
+	h.g.Roster(list, false)
+	h.pull()
+	return h
+}
+
+func (h *host) at(now float64) {
+	h.now = now
+	h.g.Clock(now)
+}
+
+// txn brings a txn of a customer and pulls what is decided on it.
+func (h *host) txn(customer uint64, units float64) *seen {
+	return h.arrive(Arrival{Customer: customer, Units: units, SetSize: h.c.Gatekeepers, Left: 3000})
+}
+
+func (h *host) arrive(a Arrival) *seen {
+	h.next++
+	a.ID = h.next
+	s := &seen{Arrival: a, expiry: h.now + a.Left}
+	h.txns[a.ID] = s
+	h.g.Take(a)
+	h.pull()
+	return s
+}
+
+func (h *host) ended(s *seen, n int, o Outcome, took float64) {
+	s.out[n] = false
+	switch o {
+	case Fault, TimedOut, Cut, Withdrawn:
+		if !s.mayRun || s.sentAt[n] < s.first {
+			s.first = s.sentAt[n]
+		}
+		s.mayRun = true
+	case Settled:
+		if s.final == 0 {
+			s.final = Submit
+		}
+	}
+	h.g.Ended(s.ID, n, o, took, s.final != 0)
+	h.pull()
+}
+
+// pull takes all decisions, and fails the test on one that breaks a rule.
+func (h *host) pull() {
+	h.t.Helper()
+	for range 10000 {
+		d, ok := h.g.Next()
+		if !ok {
+			return
+		}
+		switch d.Kind {
+		case Tell:
+			d.Reports = append([]Report(nil), d.Reports...)
+			h.told = append(h.told, d)
+		case Submit, Decline, Void:
+			h.judge(d)
+		}
+	}
+	h.t.Fatal("decisions without end")
+}
+
+func (h *host) judge(d Decision) {
+	h.t.Helper()
+	s := h.txns[d.Txn]
+	p := h.c.Products[s.Product]
+	out := 0
+	for _, o := range s.out {
+		if o {
+			out++
+		}
+	}
+	switch {
+	case s.final != 0:
+		h.t.Fatalf("txn %d: %+v after its final answer", d.Txn, d)
+	case d.Kind == Submit && h.now >= s.expiry:
+		h.t.Fatalf("txn %d: submitted after its expiry", d.Txn)
+	case d.Kind == Submit && out > 0 && !h.c.MayOverlap:
+		h.t.Fatalf("txn %d: two submissions at once", d.Txn)
+	case d.Kind == Submit && d.Worker == h.gone:
+		h.t.Fatalf("txn %d: submitted to worker %d, which drains", d.Txn, d.Worker)
+	case d.Kind == Submit && len(s.subs) >= max(h.c.MaxSubmissions, 1):
+		h.t.Fatalf("txn %d: one submission too many", d.Txn)
+	case d.Kind != Void && p.Repeat == OnceOnly && (s.mayRun || out > 0):
+		h.t.Fatalf("txn %d: %+v although it may have run", d.Txn, d)
+	case d.Kind == Submit && p.Repeat == Referenced && s.mayRun && h.now > s.first+p.Window:
+		h.t.Fatalf("txn %d: repeated after its window", d.Txn)
+	case d.Kind == Decline && p.Repeat == Referenced && p.Group != GroupAll && (s.mayRun || out > 0):
+		h.t.Fatalf("txn %d: declined outside group all", d.Txn)
+	}
+	if d.Kind != Submit {
+		s.final, s.wait = d.Kind, d.Wait
+		if h.now > s.expiry+5 {
+			h.t.Fatalf("txn %d: answered %v ms late", d.Txn, h.now-s.expiry)
+		}
+		return
+	}
+	s.subs, s.out, s.sentAt = append(s.subs, d), append(s.out, true), append(s.sentAt, h.now)
+	h.sent = append(h.sent, d)
+}
+
+// run brings txns at a rate a second until a moment, each ended by end after a random time; end may say
+// NotSent for a worker that never answers.
+func (h *host) run(until, perS float64, rng *rand.Rand, take func() Arrival,
+	end func(*seen, int) (Outcome, float64)) {
+	type event struct {
+		at float64
+		s  *seen
+		n  int
+		o  Outcome
+	}
+	var events []event
+	known := map[*seen]int{}
+	arrival := h.now
+	for h.now < until+5000 {
+		h.at(h.now + 4)
+		for arrival < h.now && arrival < until {
+			arrival += rng.ExpFloat64() * 1000 / perS
+			h.arrive(take())
+		}
+		for id := uint64(1); id <= h.next; id++ {
+			s := h.txns[id]
+			for ; known[s] < len(s.subs); known[s]++ {
+				o, took := end(s, known[s])
+				at := h.now + took
+				if o == NotSent || at > s.expiry {
+					o, at = TimedOut, s.expiry
+				}
+				events = append(events, event{at, s, known[s], o})
+			}
+		}
+		keep := events[:0]
+		for _, e := range events {
+			if e.at > h.now {
+				keep = append(keep, e)
+				continue
+			}
+			h.ended(e.s, e.n, e.o, h.now-e.s.sentAt[e.n])
+		}
+		events = keep
+		h.pull()
+	}
+	for id, s := range h.txns {
+		if s.final == 0 {
+			h.t.Fatalf("txn %d got no final answer", id)
+		}
+	}
+}
+
+func near(a, b float64) bool { return math.Abs(a-b) <= 1e-6*math.Max(1, math.Abs(b)) }
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -144,7 +144,7 @@
 		w := &g.workers[p.Worker]
 		if p.Active && (p.Since != w.Since || w.Worker != p.Worker) {
 			// A fresh process: what its former life, and ours, sent it must be taken as spent.
-			w.coldAt = g.now + 1/g.coldRate(p.Since)
+			w.coldAt, w.coldDebt = g.now, 1
 			w.distrust, w.heard = 0, g.now
 		}
 		w.Posting, w.listed = p, p.Active
@@ -408,12 +408,12 @@
 		}
 		return Decision{}, false
 	}
-	if t.out > 0 {
+	if t.out > 0 && g.now < t.expiry {
 		if !t.another {
 			return Decision{}, false
 		}
 		t.another = false
-		if !g.mayRepeat(t, true) {
+		if t.expiry-g.now <= 1 || !g.mayRepeat(t, true) {
 			return Decision{}, false
 		}
 		if !g.charter.overlap {
@@ -497,7 +497,7 @@
 	}
 	w := &g.workers[wi]
 	if g.warmth(w.Since) < 1 {
-		w.coldAt = math.Max(w.coldAt, g.now) + t.units/g.coldRate(w.Since)
+		w.coldAt, w.coldDebt = g.now, t.units
 	}
 	t.subs = append(t.subs, submission{worker: wi, sent: g.now, out: true})
 	t.out++
@@ -546,8 +546,10 @@
 	}
 	if g.products[t.product].Repeat == Referenced && (t.mayRun || t.out > 0) {
 		b := t.bond
-		if !t.mayRun {
-			b = t.subs[0].worker
+		for i := len(t.subs) - 1; i >= 0 && !t.mayRun; i-- {
+			if t.subs[i].out {
+				b = t.subs[i].worker
+			}
 		}
 		switch o := &g.workers[b]; g.products[t.product].Group {
 		case GroupZone:
@@ -560,7 +562,7 @@
 			}
 		}
 	}
-	return g.warmth(w.Since) >= 1 || w.coldAt <= g.now
+	return g.warmth(w.Since) >= 1 || (g.now-w.coldAt)*g.coldRate(w.Since) >= w.coldDebt
 }
 
 func (g *Gatekeeper) cost(wi int) float64 {
@@ -653,7 +655,10 @@
 	}
 	if p.rate > 0 {
 		wait := gcraWait(c.tat, g.now, c.share, math.Max(c.share*p.burst, g.charter.largest), t.units)
-		if wait > 0 && !g.roomy(c, t.units) && !(p.excess && float64(g.inHand) < spareAt*g.window) {
+		if wait > 0 {
+			wait = math.Min(wait, g.roomWait(c, t.units))
+		}
+		if wait > 0 && !(p.excess && float64(g.inHand) < spareAt*g.window) {
 			return ByQuota, wait
 		}
 	}
@@ -676,12 +681,14 @@
 	c.wholeAt = g.now
 }
 
-// roomy tells whether the quota's one store, as far as it is known here, has the units with something to
-// spare: peers are taken to see the same demand as this gatekeeper for as long as it takes to hear of it.
-func (g *Gatekeeper) roomy(c *account, units float64) bool {
+// roomWait is how long until the quota's one store, as far as it is known here, has the units with
+// something to spare; 0 is now. Peers are taken to see the same demand as this gatekeeper for as long as
+// it takes to hear of it.
+func (g *Gatekeeper) roomWait(c *account, units float64) float64 {
 	g.fill(c)
 	before := math.Max(c.now(g.now)-units/demandMemory, 0)
-	return c.whole-units >= before*float64(c.n-1)*hearsay
+	short := units + before*float64(c.n-1)*hearsay - c.whole
+	return math.Max(short/g.plans[c.plan].rate, 0)
 }
 
 // gcraWait is how long until a store that is full at tat, fills at rate and holds depth has the units; 0
@@ -721,15 +728,15 @@
 		ai = g.open(a.Customer & math.MaxUint32)
 	}
 	c := &g.accounts[ai]
-	if c.plan < 0 {
-		if ok {
+	if c.plan != a.Plan { // new, known from peers alone so far, or moved to another plan
+		if ok && c.plan < 0 {
 			g.heardOnly--
 		}
 		p := &g.plans[a.Plan]
 		c.plan, c.n, c.first = a.Plan, min(max(a.SetSize, 1), g.charter.n), a.First
 		if p.ceilRate > 0 {
 			// A former life of this gatekeeper may have spent its whole slice just before it ended.
-			c.ceilingAt = g.started + p.ceilDepth/p.ceilRate
+			c.ceilingAt = math.Max(c.ceilingAt, g.started+p.ceilDepth/p.ceilRate)
 		}
 		c.whole, c.wholeAt = math.Max(p.rate*p.burst, g.charter.largest), g.now
 		g.reshare(c)
--- /dev/null
+++ b/logic/logic_test.go
@@ -0,0 +1,497 @@
+package logic
+
+import (
+	"fmt"
+	"math"
+	"math/rand"
+	"testing"
+)
+
+func TestGCRA(t *testing.T) {
+	cases := []struct {
+		name                          string
+		tat, rate, depth, units, want float64
+	}{
+		{"full store", 0, 0.01, 3, 3, 0},
+		{"more than it ever holds", 0, 0.01, 3, 4, 100},
+		{"exactly what is left", 1000 + 200, 0.01, 3, 1, 0},
+		{"one unit short", 1000 + 300, 0.01, 3, 1, 100},
+		{"long past full", 10, 0.01, 1, 1, 0},
+		{"no rate", 0, 0, 3, 1, math.MaxFloat64},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			if got := gcraWait(c.tat, 1000, c.rate, c.depth, c.units); !near(got, c.want) {
+				t.Errorf("waits %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
+func TestRetryTimeHolds(t *testing.T) {
+	h := newHost(t, charterFor(InquiryLike, func(c *Charter) { c.Gatekeepers = 1 }), 1, 4)
+	var s *seen
+	for s = h.txn(7, 1); s.final == 0; s = h.txn(7, 1) {
+		h.ended(s, 0, Settled, 20)
+	}
+	if s.final != Decline || s.wait <= 0 {
+		t.Fatalf("a spent store answers %v with %v ms", s.final, s.wait)
+	}
+	if h.at(h.now + s.wait - 1); h.txn(7, 1).final != Decline {
+		t.Error("let in before the time it was told")
+	}
+	if h.at(h.now + 2); h.txn(7, 1).final != 0 {
+		t.Error("declined at the time it was told")
+	}
+}
+
+func TestSplit(t *testing.T) {
+	cases := []struct {
+		name      string
+		n         int
+		own       float64
+		peers     []float64 // units a second, of gatekeepers 1, 2, ..
+		wantShare float64   // of the rate
+	}{
+		{"alone", 2, 5, nil, beta/2 + (1 - beta)},
+		{"half each", 2, 5, []float64{5}, beta/2 + (1-beta)/2},
+		{"a peer asks nought", 2, 5, []float64{0}, beta/2 + (1 - beta)},
+		{"nothing asked here", 3, 0, []float64{4, 4}, beta / 3},
+		{"nobody asks", 2, 0, []float64{0}, 0.5},
+		{"absurd demand", 2, 5, []float64{1e300}, beta / 2},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			h := newHost(t, charterFor(InquiryLike, func(ch *Charter) { ch.Gatekeepers = c.n }), 1, 2)
+			h.txn(7, 1)
+			a := &h.g.accounts[h.g.byKey[7]]
+			a.hot, a.demand = true, c.own/1000
+			for i, d := range c.peers {
+				h.g.Hear(i+1, []Report{{7, d, 0}})
+			}
+			if h.g.reshare(a); !near(a.share*1000, 10*c.wantShare) {
+				t.Errorf("share %v of 10, want %v", a.share*1000, 10*c.wantShare)
+			}
+		})
+	}
+}
+
+func TestAbsurdReports(t *testing.T) {
+	for _, d := range []float64{math.NaN(), math.Inf(1), -1} {
+		h := newHost(t, charterFor(InquiryLike, nil), 1, 2)
+		h.txn(7, 1)
+		h.g.Hear(1, []Report{{7, d, 0}, {8, d, 0}})
+		h.g.Hear(99, []Report{{7, 1, 0}})
+		h.g.Hear(-1, []Report{{7, 1, 0}})
+		if a := h.g.accounts[h.g.byKey[7]]; a.hot || !(a.share > 0) || len(h.g.byKey) != 1 {
+			t.Errorf("demand %v: share %v, hot %v, %d customers", d, a.share, a.hot, len(h.g.byKey))
+		}
+	}
+}
+
+func TestHotAndCold(t *testing.T) {
+	h := newHost(t, charterFor(InquiryLike, nil), 1, 4)
+	ask := func(perS, ms float64) {
+		for end := h.now + ms; h.now < end; {
+			h.at(h.now + 1000/perS)
+			if s := h.txn(7, 1); s.final == 0 {
+				h.ended(s, 0, Settled, 20)
+			}
+		}
+	}
+	ask(1, 4000)
+	if len(h.told) > 0 {
+		t.Fatal("a cold customer is told of")
+	}
+	ask(9, 3000)
+	if len(h.told) == 0 || h.told[0].Peer != 1 || h.told[0].Reports[0].Customer != 7 {
+		t.Fatalf("a customer near its slice is not told of: %v", h.told)
+	}
+	if last := h.told[len(h.told)-1].Reports[0]; last.Demand < 5 || last.Spent < 20 {
+		t.Errorf("told %v", last)
+	}
+	for end := h.now + 2*cooldown + 2*period; h.now < end; {
+		h.at(h.now + period)
+		h.pull()
+	}
+	if n := h.g.Tally(); n.Hot != 0 || n.Customers != 0 || n.InFlight != 0 {
+		t.Errorf("after the cooldown: %+v", n)
+	}
+}
+
+func TestReceiverReportsNought(t *testing.T) {
+	h := newHost(t, charterFor(InquiryLike, nil), 1, 4)
+	h.g.Hear(1, []Report{{7, 4, 0}})
+	h.at(h.now + 2*period)
+	h.pull()
+	if len(h.told) != 1 || h.told[0].Reports[0] != (Report{7, 0, 0}) {
+		t.Errorf("told %v, want nought for customer 7", h.told)
+	}
+}
+
+func TestPeerSilence(t *testing.T) {
+	cases := []struct {
+		name   string
+		silent float64
+		whole  bool
+	}{
+		{"just heard", 0, false},
+		{"suspected", suspicion - 1, false},
+		{"held", suspicion + hold - 1, false},
+		{"given up", suspicion + hold + 1, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			h := newHost(t, charterFor(InquiryLike, nil), 1, 4)
+			h.txn(7, 1)
+			a := &h.g.accounts[h.g.byKey[7]]
+			h.g.Hear(1, []Report{{7, 6, 0}})
+			h.at(h.now + c.silent)
+			a.hot, a.seen, a.demand = true, h.now, 0.006
+			h.g.reshare(a)
+			if whole := a.share > 0.0096; whole != c.whole {
+				t.Errorf("share %v of 10 after %v ms of silence", a.share*1000, c.silent)
+			}
+		})
+	}
+}
+
+func TestWholeStoreHasRoom(t *testing.T) {
+	cases := []struct {
+		name  string
+		spent float64 // by the peer, since its last report
+		want  bool
+	}{
+		{"peer spent nothing", 0, true},
+		{"peer spent all", 20, false},
+		{"peer started again", SpentWrap - 50, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			h := newHost(t, charterFor(InquiryLike, nil), 1, 4)
+			h.txn(7, 1)
+			a := &h.g.accounts[h.g.byKey[7]]
+			h.g.Hear(1, []Report{{7, 1, 0}})
+			h.g.Hear(1, []Report{{7, 1, c.spent}})
+			a.tat = h.now + 1e6 // the slice is spent
+			if in := h.txn(7, 1).final == 0; in != c.want {
+				t.Errorf("let in: %v", in)
+			}
+		})
+	}
+}
+
+// TestKinds ends the first submission of each kind of product and looks at what follows.
+func TestKinds(t *testing.T) {
+	const again = Submit
+	cases := []struct {
+		kind    Repeat
+		group   Group
+		outcome Outcome
+		want    Kind
+	}{
+		{InquiryLike, GroupAll, Fault, again}, {InquiryLike, GroupAll, Cut, again},
+		{InquiryLike, GroupAll, Full, again}, {Referenced, GroupAll, Fault, again},
+		{Referenced, GroupZone, Fault, Void}, {Referenced, GroupZone, Full, again},
+		{Referenced, GroupCell, Cut, Void}, {Referenced, GroupCell, NotSent, again},
+		{OnceOnly, GroupAll, Fault, Void}, {OnceOnly, GroupAll, TimedOut, Void}, {OnceOnly, GroupAll, Cut, Void},
+		{OnceOnly, GroupAll, Withdrawn, Void}, {OnceOnly, GroupAll, Full, again},
+		{OnceOnly, GroupAll, NoRoute, again},
+	}
+	for _, c := range cases {
+		t.Run(fmt.Sprint(c.kind, c.group, c.outcome), func(t *testing.T) {
+			h := newHost(t, charterFor(c.kind, func(ch *Charter) { ch.Products[0].Group = c.group }), 1, 0)
+			// The second worker stands in another zone and cell.
+			h.g.Roster([]Posting{{Worker: 0, Active: true}, {Worker: 1, Zone: 1, Cell: 1, Active: true}}, false)
+			s := h.txn(7, 1)
+			h.at(h.now + 50)
+			h.ended(s, 0, c.outcome, 50)
+			got := s.final
+			if len(s.subs) == 2 && got == 0 {
+				got = again
+			}
+			if got != c.want {
+				t.Errorf("%d submissions, final answer %v, want %v", len(s.subs), s.final, c.want)
+			}
+		})
+	}
+}
+
+// TestRulesAtRandom plays every product kind against workers that answer, fail, drop and hang at random,
+// drain and come back; host fails on a broken rule.
+func TestRulesAtRandom(t *testing.T) {
+	for _, overlap := range []bool{true, false} {
+		for kind := InquiryLike; kind <= OnceOnly; kind++ {
+			for group := GroupAll; group <= GroupCell; group++ {
+				t.Run(fmt.Sprint(overlap, kind, group), func(t *testing.T) {
+					rng := rand.New(rand.NewSource(int64(kind)))
+					h := newHost(t, charterFor(kind, func(c *Charter) {
+						c.MayOverlap, c.Products[0].Group, c.Products[0].Window = overlap, group, 600
+					}), 5, 6)
+					h.run(9000, 60, rng, func() Arrival {
+						if rng.Intn(40) == 0 {
+							var list []Posting
+							h.gone = rng.Intn(8)
+							for i := range 6 {
+								list = append(list, Posting{Worker: i, Zone: i % 2, Cell: i % 3, Active: i != h.gone})
+							}
+							h.g.Roster(list, false)
+						}
+						return Arrival{Customer: uint64(rng.Intn(40)), Units: 1, SetSize: 2,
+							Left: 200 + 3000*rng.Float64()}
+					}, func(s *seen, n int) (Outcome, float64) {
+						if s.subs[n].Worker == 1 {
+							return NotSent, 0
+						}
+						o := Settled
+						if rng.Intn(4) == 0 {
+							o = []Outcome{Fault, Full, NoRoute, Cut}[rng.Intn(4)]
+						}
+						return o, 300 * rng.ExpFloat64()
+					})
+				})
+			}
+		}
+	}
+}
+
+// TestCeiling: two gatekeepers that hear nothing of each other, one of which keeps starting again,
+// together stay within the ceiling.
+func TestCeiling(t *testing.T) {
+	const rate, depth, seconds = 8.0, 16.0, 30.0
+	c := charterFor(InquiryLike, func(c *Charter) {
+		c.Plans[0] = Plan{Rate: 100, Burst: 1000, CeilingRate: rate, CeilingDepth: depth, Factor: 1}
+	})
+	hosts := []*host{newHost(t, c, 1, 200), newHost(t, c, 2, 200)}
+	level, in := depth, 0
+	for now := 1000.0; now < 1000+seconds*1000; now += 10 {
+		level = math.Min(level+rate/100, depth)
+		if int(now)%3000 == 0 {
+			h := newHost(t, c, int64(now), 200)
+			h.at(now)
+			hosts[1] = h
+			hosts[1].g.started = now
+		}
+		for _, h := range hosts {
+			h.at(now)
+			for range 3 {
+				if s := h.txn(7, 1); s.final == 0 {
+					level--
+					in++
+					h.ended(s, 0, Settled, 1)
+				}
+			}
+		}
+		if level < -1 {
+			t.Fatalf("%v units under the ceiling's store after %v ms", -level, now)
+		}
+	}
+	if float64(in) < rate*seconds/3 {
+		t.Errorf("only %d let in: the ceiling's slices are hardly used", in)
+	}
+}
+
+// TestColdWorker: three gatekeepers under full load, one just started, never send a worker that has just
+// started more than twice what it can do in any second.
+func TestColdWorker(t *testing.T) {
+	c := charterFor(InquiryLike, func(c *Charter) { c.Gatekeepers, c.Plans[0] = 3, Plan{Factor: 1} })
+	const warm, each = 5, 10.0 // txns a second that a warm worker settles, for all gatekeepers
+	var times []float64
+	for i := range 3 {
+		h := newHost(t, c, int64(i), warm)
+		rng := rand.New(rand.NewSource(int64(i)))
+		cold := false
+		h.run(20000, warm*each/3, rng, func() Arrival {
+			if !cold && h.now > 4000 {
+				cold = true
+				h.g.Roster([]Posting{{Worker: warm, Active: true, Since: 4000}}, true)
+			}
+			return Arrival{Customer: 7, Units: 1, SetSize: 3, Left: 2000}
+		}, func(s *seen, n int) (Outcome, float64) {
+			if s.subs[n].Worker == warm {
+				times = append(times, h.now)
+			}
+			return Settled, 60
+		})
+	}
+	if len(times) < 20 {
+		t.Errorf("only %d txns for a worker that warms up", len(times))
+	}
+	for now := 4000.0; now < 14000; now += 50 {
+		n := 0.0
+		for _, at := range times {
+			if at >= now && at < now+1000 {
+				n++
+			}
+		}
+		if can := each * (0.2 + 0.8*(now-4000)/10000); n > 2*can+3 {
+			t.Fatalf("%v txns in the second from %v, of %v it can do", n, now, can)
+		}
+	}
+}
+
+// TestSymptoms are the troubles of workers: how much still goes to the struck one, and how much is settled.
+func TestSymptoms(t *testing.T) {
+	cases := []struct {
+		name      string
+		outcome   Outcome // of worker 0; NotSent never answers
+		took      float64
+		mostThere float64 // of all submissions
+		leastDone float64 // of all txns
+	}{
+		{"fails fast", Fault, 2, 0.07, 0.99},
+		{"turns away", Full, 2, 0.07, 0.99},
+		{"cannot be reached", NoRoute, 250, 0.07, 0.99},
+		{"silent", NotSent, 0, 0.07, 0.98},
+		{"slow", Settled, 900, 0.13, 0.99},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			h := newHost(t, charterFor(InquiryLike, func(ch *Charter) { ch.Plans[0] = Plan{Factor: 1} }), 3, 8)
+			rng := rand.New(rand.NewSource(3))
+			there := 0
+			h.run(15000, 60, rng, func() Arrival {
+				return Arrival{Customer: uint64(rng.Intn(40)), Units: 1, SetSize: 2, Left: 3000}
+			}, func(s *seen, n int) (Outcome, float64) {
+				if s.subs[n].Worker == 0 {
+					there++
+					return c.outcome, c.took
+				}
+				return Settled, 120 * rng.ExpFloat64()
+			})
+			n := h.g.Tally()
+			if part := float64(there) / float64(len(h.sent)); part > c.mostThere {
+				t.Errorf("%.3f of the submissions went there", part)
+			}
+			if done := float64(n.Final[BySettled]) / float64(h.next); done < c.leastDone {
+				t.Errorf("only %.3f settled: %+v", done, n)
+			}
+		})
+	}
+}
+
+// TestPressed: a fleet that answers late is pressed less, declines come at once with a time to return, and
+// the dearer plan fares better.
+func TestPressed(t *testing.T) {
+	h := newHost(t, charterFor(InquiryLike, func(c *Charter) {
+		c.Plans = []Plan{{Factor: 0.5}, {Factor: 2}}
+	}), 3, 4)
+	rng := rand.New(rand.NewSource(3))
+	h.run(15000, 200, rng, func() Arrival {
+		return Arrival{Customer: uint64(rng.Intn(40)), Plan: rng.Intn(2), Units: 1, SetSize: 2, Left: 3000}
+	}, func(*seen, int) (Outcome, float64) {
+		return Settled, 40 * math.Max(float64(h.g.inHand), 4) * rng.ExpFloat64()
+	})
+	var declined [2]int
+	for _, s := range h.txns {
+		if s.final == Decline {
+			declined[s.Plan]++
+			if len(s.subs) == 0 && s.wait <= 0 {
+				t.Fatal("declined under pressure without a time to return")
+			}
+		}
+	}
+	if declined[0] <= declined[1] || declined[1] == 0 {
+		t.Errorf("declined of the cheap and the dear plan: %v", declined)
+	}
+	if n := h.g.Tally(); n.Final[ByPressure] == 0 || n.InFlight != 0 {
+		t.Errorf("%+v", n)
+	}
+}
+
+func TestOneOffFlood(t *testing.T) {
+	h := newHost(t, charterFor(InquiryLike, nil), 1, 8)
+	for i := range 20000 {
+		h.at(h.now + 5)
+		if s := h.txn(uint64(i+1), 1); s.final == 0 {
+			h.ended(s, 0, Settled, 4)
+		}
+		delete(h.txns, h.next)
+	}
+	if n := h.g.Tally(); n.Customers > int((cooldown+3*period)/5) || len(h.g.txns) > 8 {
+		t.Errorf("%d customers and %d txns kept", n.Customers, len(h.g.txns))
+	}
+	if len(h.told) > 0 {
+		t.Errorf("%d messages for customers seen once", len(h.told))
+	}
+	for i := range 3 * mostHeard {
+		h.g.Hear(1, []Report{{uint64(1e6 + i), 1, 0}})
+	}
+	if len(h.g.byKey) > mostHeard+2000 {
+		t.Errorf("%d customers kept for a peer", len(h.g.byKey))
+	}
+}
+
+func TestNoAllocation(t *testing.T) {
+	c := charterFor(InquiryLike, func(c *Charter) { c.Plans[0].Rate, c.Plans[0].Burst = 1e6, 1e6 })
+	h := newHost(t, c, 1, 8)
+	id := uint64(1 << 20)
+	one := func() {
+		id++
+		h.now += 2
+		h.g.Clock(h.now)
+		h.g.Take(Arrival{ID: id, Customer: id % 16, Units: 1, SetSize: 2, Left: 2000})
+		for d, ok := h.g.Next(); ok; d, ok = h.g.Next() {
+			if d.Kind == Submit {
+				h.g.Ended(d.Txn, d.N, Settled, 5, true)
+			}
+		}
+	}
+	for range 2000 {
+		one()
+	}
+	if n := testing.AllocsPerRun(2000, one); n > 0 {
+		t.Errorf("%v allocations a txn", n)
+	}
+}
+
+// TestExtremes: legal but odd charters and arrivals are answered in time and without a fault.
+func TestExtremes(t *testing.T) {
+	cases := []struct {
+		name   string
+		change func(*Charter)
+		units  float64
+		want   Kind // of the first txn; 0 is let in
+	}{
+		{"one gatekeeper", func(c *Charter) { c.Gatekeepers = 1 }, 1, 0},
+		{"no figures at all", func(c *Charter) {
+			*c = Charter{Products: make([]Product, 1), Plans: make([]Plan, 1)}
+		}, 1, 0},
+		{"tiny rate", func(c *Charter) { c.Plans[0].Rate, c.Plans[0].Burst = 1e-6, 1 }, 1, 0},
+		{"large unit", func(c *Charter) { c.LargestUnits = 500 }, 500, 0},
+		{"no SLA time", func(c *Charter) { c.Products[0].SLA = 0 }, 1, 0},
+		{"no peers", func(c *Charter) { c.MayTell, c.PeerInPerS = false, 0 }, 1, 0},
+		{"a ceiling of nothing", func(c *Charter) { c.Plans[0].CeilingDepth = 1 }, 1, Decline},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			h := newHost(t, charterFor(InquiryLike, c.change), 1, 3)
+			s := h.arrive(Arrival{Customer: 7, Units: c.units, SetSize: 9, First: 40, Left: 500})
+			if s.final != c.want {
+				t.Fatalf("final answer %v, want %v", s.final, c.want)
+			}
+			rng := rand.New(rand.NewSource(1))
+			h.run(6000, 50, rng, func() Arrival {
+				return Arrival{Customer: uint64(rng.Intn(5)), Units: c.units, SetSize: rng.Intn(4),
+					Left: 500 * rng.Float64()}
+			}, func(*seen, int) (Outcome, float64) { return Settled, 50 })
+		})
+	}
+}
+
+func TestSameInputSameOutput(t *testing.T) {
+	play := func() (out []Decision) {
+		h := newHost(t, charterFor(InquiryLike, nil), 9, 6)
+		rng := rand.New(rand.NewSource(2))
+		h.run(5000, 80, rng, func() Arrival {
+			return Arrival{Customer: uint64(rng.Intn(30)), Units: 1, SetSize: 2, Left: 2000}
+		}, func(*seen, int) (Outcome, float64) { return Settled, 100 * rng.ExpFloat64() })
+		return h.sent
+	}
+	a, b := play(), play()
+	for i := range a {
+		if len(a) != len(b) || a[i].Worker != b[i].Worker || a[i].Txn != b[i].Txn {
+			t.Fatalf("decision %d differs", i)
+		}
+	}
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -29,13 +29,13 @@
 
 type worker struct {
 	Posting
-	listed   bool
-	inFlight int
-	pace     float64 // smoothed time of an answer, ms
-	heard    float64
-	distrust float64
-	doubtAt  float64 // time of the distrust figure
-	coldAt   float64 // GCRA of a worker that is not warm yet
+	listed           bool
+	inFlight         int
+	pace             float64 // smoothed time of an answer, ms
+	heard            float64
+	distrust         float64
+	doubtAt          float64 // time of the distrust figure
+	coldAt, coldDebt float64 // while it is not warm: when it was last sent to, and the units
 }
 
 type submission struct {
