Remove second copies of txns that still run

Cause: a long txn is long again elsewhere while its first run goes on, so copies cost work and saved little.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -36,8 +36,7 @@
 	patience     = 0.35   // of the SLA time; a worker that has said nothing for so long is silent
 	crowded      = 0.25   // of the SLA time; a draw that takes longer to answer makes us look at all workers
 	quiet        = 3.0    // times the usual answer; nor is a worker silent before that
-	secondCopyAt = 0.55   // of the SLA time; a running txn gets a second copy if there is room
-	spareAt      = 0.5    // of the window; under it capacity counts as spare
+	spareAt      = 0.5    // of the window; under it capacity counts as spare for txns beyond a quota
 	beat         = 20.0   // ms between looks at waiting txns; small against any SLA time
 	zoneWeight   = 5.0    // how much dearer a worker looks for each point that crossing zones costs
 
@@ -382,10 +381,6 @@
 			g.doubt(w, 1)
 			t.another = true
 		}
-		if i == len(t.subs)-1 && age > secondCopyAt*p.SLA && g.charter.overlap && t.out == 1 &&
-			float64(g.inHand) < spareAt*g.window {
-			t.another = true
-		}
 	}
 }
 
