--- a/logic/logic.go
+++ b/logic/logic.go
@@ -23,7 +23,7 @@
 	cooldown     = 5000.0  // ms under the cold slice until a customer is cold again, or idle until dropped
 	suspicion    = 6000.0  // ms of silence until a peer is suspected
 	hold         = 10000.0 // ms after that during which its last demand still counts
-	toldFor      = 3.5     // periods that a report stands while its peer is heard; three lost in a row are rare
+	toldFor      = 3.5     // rounds that a report stands while its peer is heard; three lost in a row are rare
 	hearsay      = 600.0   // ms in which peers may have spent unheard: a period, its jitter and half again
 	tellBudget   = 0.5     // of the peers' intake that reports may fill; the rest is for jitter
 	mostHeard    = 4096    // customers known from peers alone; bounds what messages can make us keep
@@ -37,6 +37,7 @@
 	crowded      = 0.25   // of the SLA time; a draw that takes longer to answer makes us look at all workers
 	quiet        = 3.0    // times the usual answer; nor is a worker silent before that
 	spareAt      = 0.5    // of the window; under it capacity counts as spare for txns beyond a quota
+	stopped      = 100.0  // ms that a wake comes late, if the gatekeeper itself stood still; many ticks and beats
 	beat         = 20.0   // ms between looks at waiting txns; small against any SLA time
 	zoneWeight   = 5.0    // how much dearer a worker looks for each point that crossing zones costs
 
@@ -72,12 +73,13 @@
 		largest: math.Max(c.LargestUnits, 1), period: period, coldFrom: c.ColdFrom,
 		warmUp: c.WarmUp * warmMargin, zonePenalty: 1 + zoneWeight*c.ZoneFee,
 		talks: c.MayTell && n > 1 && c.ReportsPerTell > 0}
-	g.charter.tells = math.MaxInt32
+	g.charter.tells = math.MaxInt16
 	if c.PeerInPerS > 0 { // what all peers send in a period must fit the intake
 		perMs := c.PeerInPerS * tellBudget / 1000 / float64(max(n-1, 1))
 		g.charter.period = math.Max(period, 1/perMs)
 		g.charter.tells = int(g.charter.period * perMs)
 	}
+	g.round = g.charter.period
 	var dearest float64
 	for _, p := range c.Plans {
 		q := plan{rate: p.Rate / 1000, ceilRate: p.CeilingRate / 1000, ceilDepth: p.CeilingDepth, open: p.Open,
@@ -123,6 +125,11 @@
 			g.peers[i] = now
 		}
 	}
+	// Guards against this gatekeeper itself being stopped for a while: what it finds then says nothing of how
+	// long workers took. It would hide true slowness only while wakes come late all the time.
+	if g.wakeAt > 0 && now-g.wakeAt > stopped {
+		g.thawed = now
+	}
 	g.now = math.Max(g.now, now)
 	if g.wakeAt <= g.now {
 		g.wakeAt = 0
@@ -203,6 +210,9 @@
 	switch o {
 	case Settled:
 		w.heard = g.now
+		if s.sent < g.thawed {
+			break
+		}
 		if g.pace == 0 {
 			g.pace = took
 		}
@@ -368,7 +378,7 @@
 		if !s.out {
 			continue
 		}
-		w, age := &g.workers[s.worker], g.now-s.sent
+		w, age := &g.workers[s.worker], g.now-math.Max(s.sent, g.thawed)
 		if !s.late && !s.silent && age > lateAt*p.SLA {
 			// Guards against a jam that shows no answers at all to learn from.
 			s.late = true
@@ -768,7 +778,7 @@
 			return // the last share stays in force
 		}
 		// A peer that is heard, but no longer on this customer, has let it turn cold.
-		fresh := g.now-c.told[i].at < toldFor*g.charter.period || silent > g.charter.period
+		fresh := g.now-c.told[i].at < toldFor*g.round || silent > g.charter.period
 		if silent <= suspicion+hold && fresh {
 			total += c.told[i].demand
 		}
@@ -783,6 +793,11 @@
 
 // sweep turns customers hot and cold, renews their shares, and drops the idle ones.
 func (g *Gatekeeper) sweep() {
+	hot := 0
+	defer func() {
+		// With more hot customers than a period's messages hold, each is heard of less often.
+		g.round = g.charter.period * math.Max(1, float64(hot)/float64(g.charter.perTell*g.charter.tells+1))
+	}()
 	for i := range g.accounts {
 		c := &g.accounts[i]
 		if !c.live {
@@ -811,6 +826,9 @@
 			}
 		}
 		g.reshare(c)
+		if c.hot {
+			hot++
+		}
 		if idle > cooldown && !c.hot && c.out == 0 && c.tat <= g.now && c.ceilingAt <= g.now && !g.inUse(c) {
 			delete(g.byKey, uint32(c.customer))
 			if c.plan < 0 {
--- a/logic/state.go
+++ b/logic/state.go
@@ -78,6 +78,7 @@
 	rng      *rand.Rand
 	now      float64
 	started  float64
+	thawed   float64 // when the gatekeeper last found that it had itself stood still
 	begun    bool
 	charter  terms
 	products []Product
@@ -109,10 +110,11 @@
 	warmFrom float64
 
 	nextBeat, nextTell, wakeAt float64
-	beatAt                     int   // next txn to look at in this beat; -1 none
-	tellPeer, told             int   // peer that is told now, -1 none; messages it got this period
-	looked                     int   // accounts looked at for it
-	tellFrom                   []int // by peer: account to go on from
+	beatAt                     int     // next txn to look at in this beat; -1 none
+	tellPeer, told             int     // peer that is told now, -1 none; messages it got this period
+	looked                     int     // accounts looked at for it
+	tellFrom                   []int   // by peer: account to go on from
+	round                      float64 // ms in which every hot customer is reported once
 	reports                    []Report
 	tally                      Tally
 }
