--- a/logic/logic.go
+++ b/logic/logic.go
@@ -35,7 +35,7 @@
 	paceGain     = 0.1    // weight of the newest answer in a worker's pace
 	patience     = 0.35   // of the SLA time; a worker that has said nothing for so long is silent
 	crowded      = 0.25   // of the SLA time; a draw that takes longer to answer makes us look at all workers
-	quiet        = 3.0    // times the usual answer; nor is a worker silent before that
+	quiet        = 10.0   // usual answers that a worker owes in sum over what it has out, before it counts as silent
 	spareAt      = 0.5    // of the window; under it capacity counts as spare for txns beyond a quota
 	stopped      = 100.0  // ms that a wake comes late, if the gatekeeper itself stood still; many ticks and beats
 	beat         = 20.0   // ms between looks at waiting txns; small against any SLA time
@@ -384,7 +384,7 @@
 			s.late = true
 			g.pressed(lateAt / g.charter.slack)
 		}
-		if !s.silent && age > math.Max(patience*p.SLA, quiet*g.pace) && w.heard < s.sent {
+		if !s.silent && age > patience*p.SLA && age*float64(w.inFlight) > quiet*g.pace && w.heard < s.sent {
 			// Guards against workers that take txns and answer none: a hang, a lost hall, a cut link.
 			s.silent = true
 			g.inHand--
