--- a/internal/benchwire/benchwire.go
+++ b/internal/benchwire/benchwire.go
@@ -249,7 +249,7 @@
 		v, _ := r.([]any)
 		e := message{v: v}
 		name, zone, state := e.text(0, "worker"), e.text(1, "locality"), e.text(4, "stage_state")
-		p := logic.Posting{Near: zone == in.names.zone, Cell: e.int(3, "block"), Active: state == "active",
+		p := logic.Posting{Cell: e.int(3, "block"), Active: state == "active",
 			Since: e.opt(6) / usPerMs}
 		if e.err != nil {
 			return fmt.Errorf("list %d: %w", list, e.err)
--- a/internal/benchwire/charter.go
+++ b/internal/benchwire/charter.go
@@ -12,7 +12,6 @@
 type names struct {
 	products, plans map[string]int
 	zones           map[string]int
-	zone            string
 }
 
 // charter reads the settings of a new instance.
@@ -20,7 +19,6 @@
 	var s struct {
 		Me        int
 		Balancers int
-		Zone      string
 		Classes   []struct {
 			Name      string
 			Aim       float64 `json:"aim_us"`
@@ -61,9 +59,6 @@
 			Whole       float64
 			WorstTenant float64 `json:"worst_tenant"`
 		} `json:"score_parts"`
-		Deductions struct {
-			CrossZone float64 `json:"cross_zone"`
-		}
 	}
 	n := names{products: map[string]int{}, plans: map[string]int{}}
 	if err := json.Unmarshal(raw, &s); err != nil {
@@ -82,11 +77,9 @@
 		ReportsPerTell: gossip.Room,
 		ColdFrom:       s.Safety.ColdFrom,
 		WarmUp:         s.Safety.WarmUp / usPerMs,
-		ZoneFee:        s.Deductions.CrossZone,
 		Whole:          s.ScoreParts.Whole,
 		WorstPlan:      s.ScoreParts.WorstTenant,
 	}
-	n.zone = s.Zone
 	for i, p := range s.Classes {
 		d := logic.Product{SLA: p.Aim / usPerMs, Value: p.Worth, LateShare: p.LateShare, Window: p.Window / usPerMs}
 		switch p.Effect {
--- a/logic/host_test.go
+++ b/logic/host_test.go
@@ -49,7 +49,7 @@
 	h.g.Clock(h.now)
 	var list []Posting
 	for i := range workers {
-		list = append(list, Posting{Worker: i, Near: true, Active: true})
+		list = append(list, Posting{Worker: i, Active: true})
 	}
 	h.g.Roster(list, false)
 	h.pull()
--- a/logic/iface.go
+++ b/logic/iface.go
@@ -52,7 +52,6 @@
 	ReportsPerTell  int     // customer reports that fit one peer message
 	ColdFrom        float64 // a started worker's least share of its capacity
 	WarmUp          float64 // and the longest it takes to reach all of it
-	ZoneFee         float64 // points for each txn that crosses zones
 	Whole           float64 // how much the service as a whole counts
 	WorstPlan       float64 // and how much the worst-served plan
 }
@@ -60,7 +59,6 @@
 // Posting is one worker of the list, by the index the host gave it.
 type Posting struct {
 	Worker     int
-	Near       bool // stands in the gatekeeper's own zone
 	Zone, Cell int
 	Active     bool    // neither draining nor gone
 	Since      float64 // start of its process; 0 long ago
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -35,11 +35,10 @@
 	paceGain     = 0.1    // weight of the newest answer in a worker's pace
 	patience     = 0.35   // of the SLA time; a worker that has said nothing for so long is silent
 	crowded      = 0.25   // of the SLA time; a draw that takes longer to answer makes us look at all workers
-	quiet        = 10.0   // usual answers that a worker owes in sum over what it has out, before it counts as silent
+	quiet        = 10.0   // usual answers that a worker owes in sum before it counts as silent
 	spareAt      = 0.5    // of the window; under it capacity counts as spare for txns beyond a quota
-	stopped      = 100.0  // ms that a wake comes late, if the gatekeeper itself stood still; many ticks and beats
+	stopped      = 100.0  // ms that a wake comes late if the gatekeeper itself stood still; many beats
 	beat         = 20.0   // ms between looks at waiting txns; small against any SLA time
-	zoneWeight   = 5.0    // how much dearer a worker looks for each point that crossing zones costs
 
 	// Workers that have just started.
 	coldShare  = 1.0    // of what a warm worker is seen to do, scaled by the guessed warmth
@@ -50,7 +49,6 @@
 	// Pressure.
 	slaUse     = 0.37  // of the SLA time, more where late answers earn; slower ones shrink the window
 	pressGain  = 0.08  // weight of the newest answer in the pressure
-	lateAt     = 0.8   // of the SLA time; a submission still out then counts as an answer of that time
 	leap       = 0.2   // growth of the window for each answer while the pressure is under half of slaUse
 	growth     = 1.0   // growth of the window for each answer while it is in use
 	leastDepth = 3.5   // txns in hand at each worker, by all gatekeepers, that the window starts at and keeps
@@ -71,8 +69,8 @@
 	g.charter = terms{me: c.Me, n: n, maxSubs: max(c.MaxSubmissions, 1), perTell: c.ReportsPerTell,
 		overlap: c.MayOverlap, withdraw: c.MayWithdraw, advise: c.MayAdvise, maxAdvice: c.MaxAdvice,
 		largest: math.Max(c.LargestUnits, 1), period: period, coldFrom: c.ColdFrom,
-		warmUp: c.WarmUp * warmMargin, zonePenalty: 1 + zoneWeight*c.ZoneFee,
-		talks: c.MayTell && n > 1 && c.ReportsPerTell > 0}
+		warmUp: c.WarmUp * warmMargin,
+		talks:  c.MayTell && n > 1 && c.ReportsPerTell > 0}
 	g.charter.tells = math.MaxInt16
 	if c.PeerInPerS > 0 { // what all peers send in a period must fit the intake
 		perMs := c.PeerInPerS * tellBudget / 1000 / float64(max(n-1, 1))
@@ -366,8 +364,7 @@
 	return Decision{}, false
 }
 
-// watch looks at a waiting txn for a silent worker, or for one whose answer is late while capacity is
-// spare.
+// watch looks at a waiting txn for a silent worker.
 func (g *Gatekeeper) watch(t *txn) {
 	if !t.live || t.answered {
 		return
@@ -379,11 +376,6 @@
 			continue
 		}
 		w, age := &g.workers[s.worker], g.now-math.Max(s.sent, g.thawed)
-		if !s.late && !s.silent && age > lateAt*p.SLA {
-			// Guards against a jam that shows no answers at all to learn from.
-			s.late = true
-			g.pressed(lateAt / g.charter.slack)
-		}
 		if !s.silent && age > patience*p.SLA && age*float64(w.inFlight) > quiet*g.pace && w.heard < s.sent {
 			// Guards against workers that take txns and answer none: a hang, a lost hall, a cut link.
 			s.silent = true
@@ -576,11 +568,7 @@
 	if pace == 0 {
 		pace = g.pace
 	}
-	c := float64(w.inFlight+1) * math.Max(pace, 1) * (1 + g.distrustOf(w))
-	if !w.Near {
-		c *= g.charter.zonePenalty
-	}
-	return c
+	return float64(w.inFlight+1) * math.Max(pace, 1) * (1 + g.distrustOf(w))
 }
 
 func (g *Gatekeeper) distrustOf(w *worker) float64 {
--- a/logic/state.go
+++ b/logic/state.go
@@ -44,7 +44,6 @@
 	out     bool
 	dropped bool
 	silent  bool // already held against the worker
-	late    bool // already counted as pressure
 }
 
 type txn struct {
@@ -121,13 +120,13 @@
 
 // terms are the charter's figures that decisions use as they are.
 type terms struct {
-	me, n, maxSubs, perTell       int
-	tells                         int // messages to one peer in a period
-	overlap, withdraw, advise     bool
-	maxAdvice, largest, period    float64
-	coldFrom, warmUp, zonePenalty float64
-	slack                         float64 // how much slower than slaUse answers may get, for what late ones earn
-	talks                         bool
+	me, n, maxSubs, perTell    int
+	tells                      int // messages to one peer in a period
+	overlap, withdraw, advise  bool
+	maxAdvice, largest, period float64
+	coldFrom, warmUp           float64
+	slack                      float64 // how much slower than slaUse answers may get, for what late ones earn
+	talks                      bool
 }
 
 // Tally gives the counts and the present state that on-call staff look at.
