--- a/logic/logic.go
+++ b/logic/logic.go
@@ -237,6 +237,7 @@
 	case TimedOut:
 		if !s.silent {
 			g.doubt(w, 1)
+			g.pressed(1) // where tries are short, late answers are never seen
 		}
 		g.risk(t, s)
 	case Withdrawn:
