--- a/logic/logic.go
+++ b/logic/logic.go
@@ -305,7 +305,7 @@
 		}
 		c.told[peer] = told{r.Demand / 1000, r.Spent, g.now}
 		if !c.hot && r.Demand > 0 {
-			c.hot, c.coolSince = true, g.now
+			c.hot, c.hotSince, c.coolSince = true, g.now, g.now
 		}
 		g.reshare(c)
 	}
@@ -671,7 +671,13 @@
 		return
 	}
 	p := &g.plans[c.plan]
-	c.whole = math.Min(c.whole+(g.now-c.wholeAt)*p.rate, math.Max(p.rate*p.burst, g.charter.largest))
+	rate := p.rate
+	for i := range c.told {
+		if c.hot && i != g.charter.me && g.shared(c, i) && g.now-math.Max(c.told[i].at, c.hotSince) > toldFor*g.round {
+			rate = c.share // guards against a peer that spends unheard: its messages are lost, or it is cut off
+		}
+	}
+	c.whole = math.Min(c.whole+(g.now-c.wholeAt)*rate, math.Max(p.rate*p.burst, g.charter.largest))
 	c.wholeAt = g.now
 }
 
@@ -801,7 +807,7 @@
 			c.coolSince = g.now
 		}
 		if !c.hot && c.txns > 1 && own > hotAt*slice && slice > 0 {
-			c.hot = true
+			c.hot, c.hotSince = true, g.now
 		}
 		if c.hot && g.now-c.coolSince > cooldown {
 			heard := 0.0
--- a/logic/state.go
+++ b/logic/state.go
@@ -14,6 +14,7 @@
 	seen           float64 // time of the last txn, and of the estimate
 	txns           int
 	hot            bool
+	hotSince       float64
 	coolSince      float64 // since when demand has been under the cold slice
 	share          float64 // units a ms
 	tat, ceilingAt float64 // GCRA: the moment each store is full again
