--- a/logic/logic.go
+++ b/logic/logic.go
@@ -673,14 +673,20 @@
 	p := &g.plans[c.plan]
 	rate := p.rate
 	for i := range c.told {
-		if c.hot && i != g.charter.me && g.shared(c, i) && g.now-math.Max(c.told[i].at, c.hotSince) > toldFor*g.round {
-			rate = c.share // guards against a peer that spends unheard: its messages are lost, or it is cut off
+		if c.hot && i != g.charter.me && g.shared(c, i) && g.unheard(c, i) {
+			rate = c.share
 		}
 	}
 	c.whole = math.Min(c.whole+(g.now-c.wholeAt)*rate, math.Max(p.rate*p.burst, g.charter.largest))
 	c.wholeAt = g.now
 }
 
+// unheard tells whether a peer, which reports a customer that is hot here at least as nought, has not for
+// some rounds. Guards against a peer that spends unheard: its messages or ours are lost, or it is cut off.
+func (g *Gatekeeper) unheard(c *account, peer int) bool {
+	return g.now-math.Max(c.told[peer].at, c.hotSince) > toldFor*g.round
+}
+
 // roomWait is how long until the quota's one store, as far as it is known here, has the units with
 // something to spare; 0 is now. Peers are taken to see the same demand as this gatekeeper for as long as
 // it takes to hear of it.
@@ -765,17 +771,15 @@
 	own := c.now(g.now)
 	total := own
 	for i := range c.told {
-		if c.told[i].at == 0 || i == g.charter.me {
-			continue
-		}
 		silent := g.now - g.peers[i]
-		if silent > suspicion && silent <= suspicion+hold {
+		switch {
+		case i == g.charter.me || !g.shared(c, i) || silent > suspicion+hold:
+		case c.told[i].at > 0 && silent > suspicion:
 			return // the last share stays in force
-		}
-		// A peer that is heard, but no longer on this customer, has let it turn cold.
-		fresh := g.now-c.told[i].at < toldFor*g.round || silent > g.charter.period
-		if silent <= suspicion+hold && fresh {
+		case c.told[i].at > 0:
 			total += c.told[i].demand
+		case g.unheard(c, i):
+			total += own // as the reserve of roomWait does
 		}
 	}
 	rate, n := g.plans[c.plan].rate, float64(c.n)
@@ -818,6 +822,7 @@
 			}
 			if heard <= 0 || c.plan < 0 {
 				c.hot = false
+				clear(c.told)
 			}
 		}
 		g.reshare(c)
