--- a/logic/logic.go
+++ b/logic/logic.go
@@ -47,13 +47,14 @@
 	warmMargin = 1.1    // the stated warm-up is stretched by this before a worker counts as warm
 
 	// Pressure.
-	slaUse     = 0.37  // of the SLA time, more where late answers earn; slower ones shrink the window
+	slaUse     = 0.25  // of the SLA time, more where late answers earn; slower ones on average shrink the window
 	pressGain  = 0.08  // weight of the newest answer in the pressure
 	leap       = 0.2   // growth of the window for each answer while the pressure is under half of slaUse
 	growth     = 1.0   // growth of the window for each answer while it is in use
 	leastDepth = 3.5   // txns in hand at each worker, by all gatekeepers, that the window starts at and keeps
 	shedSpan   = 0.4   // the least valuable txns see a window smaller by this, where only the whole counts
 	evenly     = 2.5   // how fast that falls with the worst plan's part of what counts
+	lateWorth  = 2.0   // how much slower answers may get, in parts of slaUse, for each part that late ones earn
 	mostCut    = 0.7   // the window is never cut below this part of it at once
 	cutPause   = 150.0 // ms between cuts of the window; an answer's delay is the loop's
 	adviseBusy = 0.25  // of the SLA time; when to return after a decline under pressure
@@ -96,7 +97,7 @@
 	if len(c.Products) > 0 {
 		late := 0.0
 		for _, d := range c.Products {
-			late += d.LateShare / float64(len(c.Products))
+			late += lateWorth * d.LateShare / float64(len(c.Products))
 		}
 		g.charter.slack += late
 	}
