--- a/logic/logic.go
+++ b/logic/logic.go
@@ -23,7 +23,7 @@
 	cooldown     = 5000.0  // ms under the cold slice until a customer is cold again, or idle until dropped
 	suspicion    = 6000.0  // ms of silence until a peer is suspected
 	hold         = 10000.0 // ms after that during which its last demand still counts
-	toldFor      = 3.5     // rounds that a report stands while its peer is heard; three lost in a row are rare
+	toldFor      = 3.5     // rounds without a word of a hot customer until its peer is unheard
 	hearsay      = 600.0   // ms in which peers may have spent unheard: a period, its jitter and half again
 	tellBudget   = 0.5     // of the peers' intake that reports may fill; the rest is for jitter
 	mostHeard    = 4096    // customers known from peers alone; bounds what messages can make us keep
@@ -64,7 +64,7 @@
 // decisions.
 func New(c Charter, seed int64) *Gatekeeper {
 	g := &Gatekeeper{rng: rand.New(rand.NewSource(seed)), byID: map[uint64]int32{}, byKey: map[uint32]int32{},
-		products: append([]Product(nil), c.Products...), beatAt: -1, tellPeer: -1}
+		beatAt: -1, tellPeer: -1}
 	n := max(c.Gatekeepers, 1)
 	g.peers, g.tellFrom = make([]float64, n), make([]int, n)
 	g.charter = terms{me: c.Me, n: n, maxSubs: max(c.MaxSubmissions, 1), perTell: c.ReportsPerTell,
@@ -76,14 +76,13 @@
 	if c.PeerInPerS > 0 { // what all peers send in a period must fit the intake
 		perMs := c.PeerInPerS * tellBudget / 1000 / float64(max(n-1, 1))
 		g.charter.period = math.Max(period, 1/perMs)
-		g.charter.tells = int(g.charter.period * perMs)
+		g.charter.tells = int(g.charter.period*perMs + 1e-9)
 	}
 	g.round = g.charter.period
 	var dearest float64
 	for _, p := range c.Plans {
 		q := plan{rate: p.Rate / 1000, ceilRate: p.CeilingRate / 1000, ceilDepth: p.CeilingDepth, open: p.Open,
-			excess: p.ExcessShare > p.ExcessFee, alpha: alpha, factor: p.Factor, costs: p.ExcessFee,
-			earns: p.ExcessShare}
+			excess: p.ExcessShare > p.ExcessFee}
 		if p.Rate > 0 {
 			q.burst = p.Burst / q.rate
 		}
@@ -94,14 +93,9 @@
 	}
 	span := shedSpan * math.Max(0, 1-evenly*c.WorstPlan/math.Max(c.WorstPlan+c.Whole, 1e-9))
 	g.charter.slack = 1
-	if len(c.Products) > 0 {
-		late := 0.0
-		for _, d := range c.Products {
-			late += lateWorth * d.LateShare / float64(len(c.Products))
-		}
-		g.charter.slack += late
-	}
 	for _, d := range c.Products {
+		g.products = append(g.products, product{sla: d.SLA, window: d.Window, repeat: d.Repeat, group: d.Group})
+		g.charter.slack += lateWorth * d.LateShare / float64(len(c.Products))
 		row := make([]float64, len(c.Plans))
 		for i, p := range c.Plans {
 			row[i] = 1
@@ -176,7 +170,7 @@
 	}
 	ai := g.account(a)
 	t := &g.txns[slot]
-	*t = txn{id: a.ID, acct: ai, product: a.Product, plan: a.Plan, units: a.Units, taken: g.now,
+	*t = txn{id: a.ID, acct: ai, product: a.Product, plan: a.Plan, units: a.Units,
 		expiry: g.now + a.Left, subs: t.subs[:0], live: true}
 	g.byID[a.ID] = slot
 	g.due = append(g.due, slot)
@@ -205,7 +199,7 @@
 	if !s.silent {
 		g.inHand--
 	}
-	sla := math.Max(g.products[t.product].SLA, 1)
+	sla := math.Max(g.products[t.product].sla, 1)
 	switch o {
 	case Settled:
 		w.heard = g.now
@@ -378,7 +372,7 @@
 			continue
 		}
 		w, age := &g.workers[s.worker], g.now-math.Max(s.sent, g.thawed)
-		if !s.silent && age > patience*p.SLA && age*float64(w.inFlight) > quiet*g.pace && w.heard < s.sent {
+		if !s.silent && age > patience*p.sla && age*float64(w.inFlight) > quiet*g.pace && w.heard < s.sent {
 			// Guards against workers that take txns and answer none: a hang, a lost hall, a cut link.
 			s.silent = true
 			g.inHand--
@@ -439,11 +433,11 @@
 	} else if !g.mayRepeat(t, false) {
 		return g.giveUp(t, ByFailure, 0), true
 	} else if float64(g.inHand) >= g.window {
-		return g.giveUp(t, ByPressure, adviseBusy*g.products[t.product].SLA), true
+		return g.giveUp(t, ByPressure, adviseBusy*g.products[t.product].sla), true
 	}
 	w := g.choose(t)
 	if w < 0 {
-		return g.giveUp(t, ByNoWorker, adviseBusy*g.products[t.product].SLA), true
+		return g.giveUp(t, ByNoWorker, adviseBusy*g.products[t.product].sla), true
 	}
 	return g.submit(t, w), true
 }
@@ -457,7 +451,7 @@
 	if !t.mayRun && !running {
 		return true
 	}
-	switch p.Repeat {
+	switch p.repeat {
 	case InquiryLike:
 		return true
 	case Referenced:
@@ -468,7 +462,7 @@
 				break
 			}
 		}
-		return g.now-from < p.Window-beat
+		return g.now-from < p.window-beat
 	}
 	return false
 }
@@ -479,7 +473,7 @@
 	g.tally.Final[why]++
 	g.due = append(g.due, g.byID[t.id])
 	p := &g.products[t.product]
-	if t.out == 0 && !t.mayRun || p.Repeat == InquiryLike || p.Repeat == Referenced && p.Group == GroupAll {
+	if t.out == 0 && !t.mayRun || p.repeat == InquiryLike || p.repeat == Referenced && p.group == GroupAll {
 		g.tally.Declined++
 		if !g.charter.advise {
 			wait = 0
@@ -522,7 +516,7 @@
 	}
 	// Guards against jams at slow workers while fast ones have room: two draws often meet two slow ones. It also
 	// covers a worker that fails or falls silent. With many gatekeepers alike it could make them run as a herd.
-	if best >= 0 && !g.suspect(&g.workers[best]) && g.workers[best].pace < crowded*g.products[t.product].SLA {
+	if best >= 0 && !g.suspect(&g.workers[best]) && g.workers[best].pace < crowded*g.products[t.product].sla {
 		return best
 	}
 	for _, w := range g.ready {
@@ -543,14 +537,14 @@
 			return false
 		}
 	}
-	if g.products[t.product].Repeat == Referenced && (t.mayRun || t.out > 0) {
+	if g.products[t.product].repeat == Referenced && (t.mayRun || t.out > 0) {
 		b := t.bond
 		for i := len(t.subs) - 1; i >= 0 && !t.mayRun; i-- {
 			if t.subs[i].out {
 				b = t.subs[i].worker
 			}
 		}
-		switch o := &g.workers[b]; g.products[t.product].Group {
+		switch o := &g.workers[b]; g.products[t.product].group {
 		case GroupZone:
 			if o.Zone != w.Zone {
 				return false
@@ -661,7 +655,7 @@
 		return ByQuota, g.pace
 	}
 	if !room {
-		return ByPressure, adviseBusy * g.products[t.product].SLA
+		return ByPressure, adviseBusy * g.products[t.product].sla
 	}
 	return BySettled, 0
 }
@@ -757,7 +751,7 @@
 // coldSlice is what a cold customer runs at, units a ms.
 func (g *Gatekeeper) coldSlice(c *account) float64 {
 	p := &g.plans[c.plan]
-	return p.rate / float64(c.n) * p.alpha
+	return p.rate / float64(c.n) * alpha
 }
 
 // reshare sets a customer's share: the cold slice, or the floor and its part of the rest by demand.
--- a/logic/state.go
+++ b/logic/state.go
@@ -52,7 +52,7 @@
 	acct          int32
 	product, plan int
 	units         float64
-	taken, expiry float64
+	expiry        float64
 	subs          []submission
 	out           int
 	mayRun        bool // some submission may have run
@@ -63,14 +63,19 @@
 	live          bool
 }
 
+// product holds what decisions need of a Product; times in ms.
+type product struct {
+	sla, window float64
+	repeat      Repeat
+	group       Group
+}
+
 // plan holds what decisions need of a Plan, per ms.
 type plan struct {
-	rate, burst          float64 // units a ms; ms of it that may be used at once
-	ceilRate, ceilDepth  float64 // this gatekeeper's slice, before division by the customer's N
-	open                 int
-	excess               bool // letting in beyond the quota earns more than it costs
-	alpha                float64
-	factor, costs, earns float64
+	rate, burst         float64 // units a ms; ms of it that may be used at once
+	ceilRate, ceilDepth float64 // this gatekeeper's slice, before division by the customer's N
+	open                int
+	excess              bool // letting in beyond the quota earns more than it costs
 }
 
 // Gatekeeper is one instance. All its state is its own.
@@ -81,7 +86,7 @@
 	thawed   float64 // when the gatekeeper last found that it had itself stood still
 	begun    bool
 	charter  terms
-	products []Product
+	products []product
 	plans    []plan
 	depth    [][]float64 // window fraction by product and plan
 
