Decline at once a txn whose client waits less than one usual answer

Guards against tries too short for the fleet: their work is done for nobody and comes again. It should also cover clients near their limit in a jam; it may hurt where a few very slow products set the usual answer.

--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -132,17 +132,11 @@
 
 func TestPeerSilence(t *testing.T) {
 	cases := []struct {
-		name   string
-		silent float64
-		whole  bool
-	}{
-		{"just heard", 0, false},
-		{"suspected", suspicion - 1, false},
-		{"held", suspicion + hold - 1, false},
-		{"given up", suspicion + hold + 1, true},
-	}
+		silent float64 // ms since the peer was heard
+		whole  bool    // the share is the whole rate
+	}{{0, false}, {suspicion - 1, false}, {suspicion + hold - 1, false}, {suspicion + hold + 1, true}}
 	for _, c := range cases {
-		t.Run(c.name, func(t *testing.T) {
+		t.Run(fmt.Sprint(c.silent), func(t *testing.T) {
 			h := newHost(t, charterFor(InquiryLike, nil), 1, 4)
 			h.txn(7, 1)
 			a := &h.g.accounts[h.g.byKey[7]]
@@ -438,6 +432,9 @@
 	if n := h.g.Tally(); n.Window > 40 || n.Final[ByPressure] == 0 {
 		t.Errorf("%+v", n)
 	}
+	if s := h.arrive(Arrival{Customer: 7, Units: 1, Left: h.g.pace / 2}); s.final != Decline {
+		t.Error("sent on although its client waits less than half of a usual answer")
+	}
 }
 
 // TestStoodStill: what a gatekeeper finds after standing still is not held against its workers.
