--- a/logic/logic.go
+++ b/logic/logic.go
@@ -33,24 +33,29 @@
 	distrustMost = 12.0   // so that a worker is tried again within about three fades
 	distrusted   = 1.0    // distrust above which a draw is not good enough and all workers are looked at
 	paceGain     = 0.1    // weight of the newest answer in a worker's pace
+	fleetGain    = 0.025  // the same in the fleet's pace, which has many more answers
 	patience     = 0.35   // of the SLA time; a worker that has said nothing for so long is silent
 	crowded      = 0.25   // of the SLA time; a draw that takes longer to answer makes us look at all workers
 	quiet        = 10.0   // usual answers that a worker owes in sum before it counts as silent
 	spareAt      = 0.5    // of the window; under it capacity counts as spare for txns beyond a quota
 	stopped      = 100.0  // ms that a wake comes late if the gatekeeper itself stood still; many beats
+	margin       = 1.0    // ms before its expiry at which a txn gets its final answer rather than a submission
 	beat         = 20.0   // ms between looks at waiting txns; small against any SLA time
 
 	// Workers that have just started.
 	coldShare  = 1.0    // of what a warm worker is seen to do, scaled by the guessed warmth
 	coldBlind  = 1000.0 // ms between units to a cold worker for all gatekeepers while no warm one has been seen
 	refMemory  = 5000.0 // ms over which the work of warm workers is averaged
+	refLeast   = 500.0  // ms of watching that the first averages are at least taken over
 	warmMargin = 1.1    // the stated warm-up is stretched by this before a worker counts as warm
 
 	// Pressure.
 	slaUse     = 0.25  // of the SLA time, more where late answers earn; slower ones on average shrink the window
 	pressGain  = 0.08  // weight of the newest answer in the pressure
-	leap       = 0.2   // growth of the window for each answer while the pressure is under half of slaUse
-	growth     = 1.0   // growth of the window for each answer while it is in use
+	usedAt     = 0.7   // of the window; it grows only while more than this is in use
+	leap       = 0.2   // growth of the window for each answer while the pressure is under eager
+	eager      = 0.5   // of slaUse
+	growth     = 1.0   // growth over one window's worth of answers otherwise
 	leastDepth = 3.5   // txns in hand at each worker, by all gatekeepers, that the window starts at and keeps
 	shedSpan   = 0.4   // the least valuable txns see a window smaller by this, where only the whole counts
 	evenly     = 2.5   // how fast that falls with the worst plan's part of what counts
@@ -214,7 +219,7 @@
 			w.pace = g.pace // one slow answer must not make a worker look slow for long
 		}
 		w.pace += paceGain * (took - w.pace)
-		g.pace += paceGain / 4 * (took - g.pace)
+		g.pace += fleetGain * (took - g.pace)
 		if g.warmth(w.Since) >= 1 {
 			g.warmDone = g.warmWork() + t.units
 			g.warmAt = g.now
@@ -407,7 +412,7 @@
 			return Decision{}, false
 		}
 		t.another = false
-		if t.expiry-g.now <= 1 || !g.mayRepeat(t, true) {
+		if t.expiry-g.now <= margin || !g.mayRepeat(t, true) {
 			return Decision{}, false
 		}
 		if !g.charter.overlap {
@@ -423,7 +428,7 @@
 		}
 		return Decision{}, false
 	}
-	if t.expiry-g.now <= 1 {
+	if t.expiry-g.now <= margin {
 		return g.giveUp(t, ByFailure, 0), true
 	}
 	if len(t.subs) == 0 {
@@ -502,7 +507,7 @@
 }
 
 // choose draws two workers at random and takes the one that own counts favour. All are looked at only if
-// neither may be used or the better one is distrusted.
+// neither may be used or the better one is distrusted or answers slowly.
 func (g *Gatekeeper) choose(t *txn) int {
 	if len(g.ready) == 0 {
 		return -1
@@ -515,8 +520,8 @@
 			}
 		}
 	}
-	// Guards against jams at slow workers while fast ones have room: two draws often meet two slow ones. It also
-	// covers a worker that fails or falls silent. With many gatekeepers alike it could make them run as a herd.
+	// Guards against jams at slow workers while fast ones have room: two draws often meet two slow ones. It
+	// also covers a worker that fails or falls silent. Many gatekeepers alike could run as a herd.
 	if best >= 0 && !g.suspect(&g.workers[best]) && g.workers[best].pace < crowded*g.products[t.product].sla {
 		return best
 	}
@@ -610,7 +615,7 @@
 	if span <= 0 {
 		return least
 	}
-	return math.Max(coldShare*g.warmth(since)*g.warmWork()/(math.Max(span, 500)*float64(warm)), least)
+	return math.Max(coldShare*g.warmth(since)*g.warmWork()/(math.Max(span, refLeast)*float64(warm)), least)
 }
 
 // pressed takes one answer's time over its SLA time, and moves the window.
@@ -621,9 +626,9 @@
 		g.cutAt = g.now
 		used := math.Min(g.window, float64(g.inHand)+1)
 		g.window = math.Max(used*math.Max(slaUse/g.press, mostCut), leastDepth*g.perWorker())
-	case g.press < slaUse/2 && float64(g.inHand) > 0.7*g.window:
+	case g.press < eager*slaUse && float64(g.inHand) > usedAt*g.window:
 		g.window += leap
-	case g.press < slaUse && float64(g.inHand) > 0.7*g.window:
+	case g.press < slaUse && float64(g.inHand) > usedAt*g.window:
 		g.window += growth / math.Max(g.window, 1)
 	}
 }
@@ -655,6 +660,8 @@
 	if p.open > 0 && c.out >= max(p.open/c.n, 1) {
 		return ByQuota, g.pace
 	}
+	// Guards against tries too short for the fleet: their work is done for nobody and comes again. It may hurt
+	// a fast product beside very slow ones.
 	if !room || t.expiry-g.now < hopeless*g.pace {
 		return ByPressure, adviseBusy * g.products[t.product].sla
 	}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -38,11 +38,10 @@
 	if s.final != Decline || s.wait <= 0 {
 		t.Fatalf("a spent store answers %v with %v ms", s.final, s.wait)
 	}
-	if h.at(h.now + s.wait - 1); h.txn(7, 1).final != Decline {
-		t.Error("let in before the time it was told")
-	}
-	if h.at(h.now + 2); h.txn(7, 1).final != 0 {
-		t.Error("declined at the time it was told")
+	h.at(h.now + s.wait - 1)
+	early := h.txn(7, 1)
+	if h.at(h.now + 2); early.final != Decline || h.txn(7, 1).final != 0 {
+		t.Error("the time it was told is not the time it is let in")
 	}
 }
 
@@ -82,8 +81,9 @@
 		h := newHost(t, charterFor(InquiryLike, nil), 1, 2)
 		h.txn(7, 1)
 		h.g.Hear(1, []Report{{7, d, 0}, {8, d, 0}})
-		h.g.Hear(99, []Report{{7, 1, 0}})
-		h.g.Hear(-1, []Report{{7, 1, 0}})
+		for _, peer := range []int{-1, 0, 99} {
+			h.g.Hear(peer, []Report{{7, 1, 0}})
+		}
 		if a := h.g.accounts[h.g.byKey[7]]; a.hot || !(a.share > 0) || len(h.g.byKey) != 1 {
 			t.Errorf("demand %v: share %v, hot %v, %d customers", d, a.share, a.hot, len(h.g.byKey))
 		}
@@ -178,20 +178,19 @@
 
 // TestKinds ends the first submission of each kind of product and looks at what follows.
 func TestKinds(t *testing.T) {
-	const again = Submit
 	cases := []struct {
 		kind    Repeat
 		group   Group
 		outcome Outcome
 		want    Kind
 	}{
-		{InquiryLike, GroupAll, Fault, again}, {InquiryLike, GroupAll, Cut, again},
-		{InquiryLike, GroupAll, Full, again}, {Referenced, GroupAll, Fault, again},
-		{Referenced, GroupZone, Fault, Void}, {Referenced, GroupZone, Full, again},
-		{Referenced, GroupCell, Cut, Void}, {Referenced, GroupCell, NotSent, again},
+		{InquiryLike, GroupAll, Fault, Submit}, {InquiryLike, GroupAll, Cut, Submit},
+		{InquiryLike, GroupAll, Full, Submit}, {Referenced, GroupAll, Fault, Submit},
+		{Referenced, GroupZone, Fault, Void}, {Referenced, GroupZone, Full, Submit},
+		{Referenced, GroupCell, Cut, Void}, {Referenced, GroupCell, NotSent, Submit},
 		{OnceOnly, GroupAll, Fault, Void}, {OnceOnly, GroupAll, TimedOut, Void}, {OnceOnly, GroupAll, Cut, Void},
-		{OnceOnly, GroupAll, Withdrawn, Void}, {OnceOnly, GroupAll, Full, again},
-		{OnceOnly, GroupAll, NoRoute, again},
+		{OnceOnly, GroupAll, Withdrawn, Void}, {OnceOnly, GroupAll, Full, Submit},
+		{OnceOnly, GroupAll, NoRoute, Submit},
 	}
 	for _, c := range cases {
 		t.Run(fmt.Sprint(c.kind, c.group, c.outcome), func(t *testing.T) {
@@ -203,7 +202,7 @@
 			h.ended(s, 0, c.outcome, 50)
 			got := s.final
 			if len(s.subs) == 2 && got == 0 {
-				got = again
+				got = Submit
 			}
 			if got != c.want {
 				t.Errorf("%d submissions, final answer %v, want %v", len(s.subs), s.final, c.want)
