--- a/logic/host_test.go
+++ b/logic/host_test.go
@@ -6,7 +6,7 @@
 	"testing"
 )
 
-// charterFor is a plain charter: one product of the given kind, one plan of rate 10 with 2 s of burst.
+// charterFor is a plain charter: one product, one plan of rate 10 with 2 s of burst.
 func charterFor(r Repeat, change func(*Charter)) Charter {
 	c := Charter{Gatekeepers: 2, LargestUnits: 1, MaxSubmissions: 3, MayOverlap: true, MayWithdraw: true,
 		MayAdvise: true, MaxAdvice: 2000, MayTell: true, PeerInPerS: 60, ReportsPerTell: 31, ColdFrom: 0.2,
@@ -151,8 +151,7 @@
 	h.sent = append(h.sent, d)
 }
 
-// run brings txns at a rate a second until a moment, each ended by end after a random time; end may say
-// NotSent for a worker that never answers.
+// run brings txns at a rate a second; end says how each submission ends and when, NotSent that it never does.
 func (h *host) run(until, perS float64, rng *rand.Rand, take func() Arrival,
 	end func(*seen, int) (Outcome, float64)) {
 	type event struct {
