--- a/internal/benchwire/benchwire_test.go
+++ b/internal/benchwire/benchwire_test.go
@@ -40,7 +40,7 @@
 	const request = `["REQUEST",3,9,"00000000000000ff","check",false,2,1,"basic",false,0,500000]`
 	cases := []struct{ name, in, want string }{
 		{"empty batch", "[\"ROUND\",5]\n[\"END\"]\n", "[\"READY\"]\n"},
-		{"one txn settled", first + round + "" + request + "\n[\"END\"]\n" +
+		{"one txn settled", first + round + request + "\n[\"END\"]\n" +
 			"[\"ROUND\",1050000]\n[\"OUTCOME\",3,9,0,\"w-a\",\"pass\",49000,true,0,0,null]\n" +
 			"[\"GONE\",3,9]\n[\"END\"]\n",
 			"[\"READY\"]\n[\"TRANSMIT\",3,9,500000,\"w-a\"]\n[\"READY\"]\n[\"READY\"]\n"},
@@ -51,7 +51,7 @@
 		{"no worker left", first + round + "[\"SNAPSHOT_ROWS\",0,[]]\n" +
 			"[\"DIRECTORY_UPDATE\",3,\"total\",2,0]\n" +
 			request + "\n[\"END\"]\n", "[\"READY\"]\n[\"SAY_NO\",3,9,250000]\n[\"READY\"]\n"},
-		{"stopped and started in one batch", first + round + "" + request + "\n[\"DETACH\",3]\n" +
+		{"stopped and started in one batch", first + round + request + "\n[\"DETACH\",3]\n" +
 			strings.ReplaceAll(launch, "\n", "") + "\n[\"END\"]\n", "[\"READY\"]\n[\"READY\"]\n"},
 	}
 	for _, c := range cases {
@@ -70,7 +70,7 @@
 		{"no batch", "[\"END\"]\n", "out of place"},
 		{"unknown instance", "[\"ROUND\",5]\n[\"GONE\",4,1]\n", "no instance 4"},
 		{"unknown event", first + round + "[\"WHAT\",3]\n", "unknown event"},
-		{"unknown class", first + round + "" +
+		{"unknown class", first + round +
 			`["REQUEST",3,9,"ff","other",false,2,1,"basic",false,0,500000]` + "\n", `class "other"`},
 		{"value missing", first + round + "[\"OUTCOME\",3,9]\n", "line 7: OUTCOME"},
 		{"no such list", first + round + "[\"DIRECTORY_UPDATE\",3,\"total\",2,7]\n", "no list 7"},
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -321,7 +321,7 @@
 		g.head++
 	}
 	g.due, g.head = g.due[:0], 0
-	if g.now >= g.nextBeat && g.inHand+len(g.byID) > 0 && g.beatAt < 0 {
+	if g.now >= g.nextBeat && len(g.byID) > 0 && g.beatAt < 0 {
 		g.beatAt, g.nextBeat = 0, g.now+beat
 	}
 	for g.beatAt >= 0 {
@@ -513,24 +513,23 @@
 		return -1
 	}
 	best, cost := -1, math.Inf(1)
-	for range 2 {
-		if w := g.ready[g.rng.Intn(len(g.ready))]; g.usable(t, w) {
+	look := func(w int) {
+		if g.usable(t, w) {
 			if c := g.cost(w); c < cost {
 				best, cost = w, c
 			}
 		}
 	}
+	for range 2 {
+		look(g.ready[g.rng.Intn(len(g.ready))])
+	}
 	// Guards against jams at slow workers while fast ones have room: two draws often meet two slow ones. It
 	// also covers a worker that fails or falls silent. Many gatekeepers alike could run as a herd.
 	if best >= 0 && !g.suspect(&g.workers[best]) && g.workers[best].pace < crowded*g.products[t.product].sla {
 		return best
 	}
 	for _, w := range g.ready {
-		if g.usable(t, w) {
-			if c := g.cost(w); c < cost {
-				best, cost = w, c
-			}
-		}
+		look(w)
 	}
 	return best
 }
@@ -649,7 +648,7 @@
 		}
 	}
 	if p.rate > 0 {
-		wait := gcraWait(c.tat, g.now, c.share, math.Max(c.share*p.burst, g.charter.largest), t.units)
+		wait := g.sliceWait(c, t.units)
 		if wait > 0 {
 			wait = math.Min(wait, g.roomWait(c, t.units))
 		}
@@ -676,11 +675,11 @@
 	p := &g.plans[c.plan]
 	rate := p.rate
 	for i := range c.told {
-		if c.hot && i != g.charter.me && g.shared(c, i) && g.unheard(c, i) {
+		if c.hot && g.shared(c, i) && g.unheard(c, i) {
 			rate = c.share
 		}
 	}
-	c.whole = math.Min(c.whole+(g.now-c.wholeAt)*rate, math.Max(p.rate*p.burst, g.charter.largest))
+	c.whole = math.Min(c.whole+(g.now-c.wholeAt)*rate, g.holds(p, p.rate))
 	c.wholeAt = g.now
 }
 
@@ -713,6 +712,16 @@
 	return (units - level) / rate
 }
 
+// holds is how much a store of a plan holds that fills at a rate.
+func (g *Gatekeeper) holds(p *plan, rate float64) float64 {
+	return math.Max(rate*p.burst, g.charter.largest)
+}
+
+// sliceWait is how long until a customer's own slice has the units; 0 is now.
+func (g *Gatekeeper) sliceWait(c *account, units float64) float64 {
+	return gcraWait(c.tat, g.now, c.share, g.holds(&g.plans[c.plan], c.share), units)
+}
+
 // spend takes a txn's units from its customer's stores at the first submission.
 func (g *Gatekeeper) spend(t *txn) {
 	c, p := &g.accounts[t.acct], &g.plans[t.plan]
@@ -723,8 +732,7 @@
 	c.spent += t.units
 	c.whole = math.Max(c.whole-t.units, 0)
 	if p.rate > 0 && c.share > 0 {
-		wait := gcraWait(c.tat, g.now, c.share, math.Max(c.share*p.burst, g.charter.largest), t.units)
-		if wait == 0 { // beyond the quota nothing is taken
+		if g.sliceWait(c, t.units) == 0 { // beyond the quota nothing is taken
 			c.tat = math.Max(c.tat, g.now) + t.units/c.share
 		}
 	}
@@ -747,7 +755,7 @@
 			// A former life of this gatekeeper may have spent its whole slice just before it ended.
 			c.ceilingAt = math.Max(c.ceilingAt, g.started+p.ceilDepth/p.ceilRate)
 		}
-		c.whole, c.wholeAt = math.Max(p.rate*p.burst, g.charter.largest), g.now
+		c.whole, c.wholeAt = g.holds(p, p.rate), g.now
 		g.reshare(c)
 	}
 	return ai
@@ -776,7 +784,7 @@
 	for i := range c.told {
 		silent := g.now - g.peers[i]
 		switch {
-		case i == g.charter.me || !g.shared(c, i) || silent > suspicion+hold:
+		case !g.shared(c, i) || silent > suspicion+hold:
 		case c.told[i].at > 0 && silent > suspicion:
 			return // the last share stays in force
 		case c.told[i].at > 0:
@@ -796,10 +804,6 @@
 // sweep turns customers hot and cold, renews their shares, and drops the idle ones.
 func (g *Gatekeeper) sweep() {
 	hot := 0
-	defer func() {
-		// With more hot customers than a period's messages hold, each is heard of less often.
-		g.round = g.charter.period * math.Max(1, float64(hot)/float64(g.charter.perTell*g.charter.tells+1))
-	}()
 	for i := range g.accounts {
 		c := &g.accounts[i]
 		if !c.live {
@@ -816,17 +820,9 @@
 		if !c.hot && c.txns > 1 && own > hotAt*slice && slice > 0 {
 			c.hot, c.hotSince = true, g.now
 		}
-		if c.hot && g.now-c.coolSince > cooldown {
-			heard := 0.0
-			for k := range c.told {
-				if g.now-c.told[k].at < cooldown && c.told[k].at > 0 {
-					heard += c.told[k].demand
-				}
-			}
-			if heard <= 0 || c.plan < 0 {
-				c.hot = false
-				clear(c.told)
-			}
+		if c.hot && g.now-c.coolSince > cooldown && (c.plan < 0 || !g.inUse(c)) {
+			c.hot = false
+			clear(c.told)
 		}
 		g.reshare(c)
 		if c.hot {
@@ -841,8 +837,11 @@
 			g.unused = append(g.unused, int32(i))
 		}
 	}
+	// With more hot customers than a period's messages hold, each is heard of less often.
+	g.round = g.charter.period * math.Max(1, float64(hot)/float64(g.charter.perTell*g.charter.tells+1))
 }
 
+// inUse tells whether a peer has lately reported that a customer asks there.
 func (g *Gatekeeper) inUse(c *account) bool {
 	for k := range c.told {
 		if c.told[k].at > 0 && g.now-c.told[k].at < cooldown && c.told[k].demand > 0 {
@@ -880,5 +879,5 @@
 	if c.plan < 0 {
 		return c.told[peer].at > 0
 	}
-	return (peer-c.first+g.charter.n)%g.charter.n < c.n
+	return peer != g.charter.me && (peer-c.first+g.charter.n)%g.charter.n < c.n
 }
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -126,9 +126,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			var hs [2]*host
-			var next [2]float64
-			in := 0
+			hs, next, in := [2]*host{}, [2]float64{}, 0
 			for i := range hs {
 				hs[i] = newHost(t, charterFor(InquiryLike, func(ch *Charter) { ch.Me = i }), int64(i), 20)
 			}
@@ -294,9 +292,7 @@
 	for now := 1000.0; now < 1000+seconds*1000; now += 10 {
 		level = math.Min(level+rate/100, depth)
 		if int(now)%3000 == 0 {
-			h := newHost(t, c, int64(now), 200)
-			h.at(now)
-			hosts[1] = h
+			hosts[1] = newHost(t, c, int64(now), 200)
 			hosts[1].g.started = now
 		}
 		for _, h := range hosts {
--- a/logic/state.go
+++ b/logic/state.go
@@ -1,8 +1,6 @@
 package logic
 
-import (
-	"math/rand"
-)
+import "math/rand"
 
 // This file holds what a gatekeeper keeps, and the book-keeping that decides nothing.
 
