Report only customers with news, with the units since; slices are levels that fill by the share

Change: a period's message names only customers asked for since the last; the rest is nought by silence of the message. It carries the plan and the units sent on, so that a gatekeeper knows the store of a customer it has not met. Peers' demand fades as an own estimate does and is kept as one sum; silence is judged by peer. Slices are levels that fill at the share as it was, and start without the rounding up.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -1,8 +1,8 @@
 // Package gossip turns a gatekeeper's demand reports into the bytes of one peer message and back.
 //
-// A message is a version byte, a count byte, and for each report four bytes of the customer's number, two
-// of its demand and two of the units sent on, all big-endian. The demand is logarithmic, so that one step
-// is under two parts in a thousand; units are counted in quarters.
+// A message is a version byte, a count byte, and for each report four bytes of the customer's number, one of
+// its plan, one of its demand and two of the units sent on, all big-endian. The demand is logarithmic, so
+// that it is right within a twentieth; units are counted in quarters.
 package gossip
 
 import (
@@ -14,14 +14,14 @@
 )
 
 const (
-	version = 2
+	version = 3
 	header  = 2
 	entry   = 8
 	limit   = 256 // bytes that a peer message may have
 
-	quarters = (math.MaxUint16 + 1) / logic.SpentWrap
+	quarters = 4
 
-	step  = 1.0 / 1024 // of a power of two, between neighbouring demands
+	step  = 1.0 / 8    // of a power of two, between neighbouring demands
 	least = 1.0 / 1024 // units a second; demand below it is nought
 )
 
@@ -34,8 +34,8 @@
 	dst = append(dst, version, byte(len(reports)))
 	for _, r := range reports {
 		dst = binary.BigEndian.AppendUint32(dst, uint32(r.Customer))
-		dst = binary.BigEndian.AppendUint16(dst, pack(r.Demand))
-		dst = binary.BigEndian.AppendUint16(dst, uint16(uint64(math.Max(r.Spent, 0)*quarters)))
+		dst = append(dst, byte(r.Plan), pack(r.Demand))
+		dst = binary.BigEndian.AppendUint16(dst, uint16(math.Min(math.Max(r.Spent, 0)*quarters, math.MaxUint16)))
 	}
 	return dst
 }
@@ -55,21 +55,22 @@
 	for b = b[header:]; len(b) > 0; b = b[entry:] {
 		dst = append(dst, logic.Report{
 			Customer: uint64(binary.BigEndian.Uint32(b)),
-			Demand:   unpack(binary.BigEndian.Uint16(b[4:])),
+			Plan:     int(b[4]),
+			Demand:   unpack(b[5]),
 			Spent:    float64(binary.BigEndian.Uint16(b[6:])) / quarters,
 		})
 	}
 	return dst, nil
 }
 
-func pack(demand float64) uint16 {
+func pack(demand float64) uint8 {
 	if !(demand > least) {
 		return 0
 	}
-	return uint16(math.Min(1+math.Round(math.Log2(demand/least)/step), math.MaxUint16))
+	return uint8(math.Min(1+math.Round(math.Log2(demand/least)/step), math.MaxUint8))
 }
 
-func unpack(v uint16) float64 {
+func unpack(v uint8) float64 {
 	if v == 0 {
 		return 0
 	}
--- a/logic/iface.go
+++ b/logic/iface.go
@@ -114,13 +114,11 @@
 // Report is a customer's demand, units a second, as one gatekeeper sees it.
 type Report struct {
 	Customer uint64 // the low half of the customer's number
+	Plan     int    // by its place in the Charter
 	Demand   float64
-	Spent    float64 // units sent on since some start, modulo SpentWrap
+	Spent    float64 // units sent on since the last report
 }
 
-// SpentWrap is where the count of a Report starts again.
-const SpentWrap = 1 << 14
-
 // Reason tells why a txn got its final answer.
 type Reason uint8
 
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -23,9 +23,9 @@
 	cooldown     = 5000.0  // ms under the cold slice until a customer is cold again, or idle until dropped
 	suspicion    = 6000.0  // ms of silence until a peer is suspected
 	hold         = 10000.0 // ms after that during which its last demand still counts
-	toldFor      = 3.5     // rounds without a word of a hot customer until its peer is unheard
-	hearsay      = 600.0   // ms in which peers may have spent unheard: a period, its jitter and half again
-	tellBudget   = 0.5     // of the peers' intake that reports may fill; the rest is for jitter
+	toldFor      = 3.5     // periods without a word from a peer that owes one until it is unheard
+	hearsay      = 1.5     // periods in which peers may have spent unheard: one, its jitter and half again
+	tellBudget   = 0.8     // of the peers' intake that reports may fill; the rest is for jitter
 	mostHeard    = 4096    // customers known from peers alone; bounds what messages can make us keep
 
 	// Workers.
@@ -72,7 +72,8 @@
 	g := &Gatekeeper{rng: rand.New(rand.NewSource(seed)), byID: map[uint64]int32{}, byKey: map[uint32]int32{},
 		beatAt: -1, tellPeer: -1}
 	n := max(c.Gatekeepers, 1)
-	g.peers, g.tellFrom = make([]float64, n), make([]int, n)
+	g.peers, g.mute = make([]peer, n), make([]int, 2*n+1)
+	g.owed = make([]int, 2*n+1)
 	g.charter = terms{me: c.Me, n: n, maxSubs: max(c.MaxSubmissions, 1), perTell: c.ReportsPerTell,
 		overlap: c.MayOverlap, withdraw: c.MayWithdraw, advise: c.MayAdvise, maxAdvice: c.MaxAdvice,
 		largest: math.Max(c.LargestUnits, 1), period: period, coldFrom: c.ColdFrom,
@@ -84,7 +85,8 @@
 		g.charter.period = math.Max(period, 1/perMs)
 		g.charter.tells = int(g.charter.period*perMs + 1e-9)
 	}
-	g.round = g.charter.period
+	// What a peer reports fades between its reports; this makes up for it on average.
+	g.charter.regain = g.charter.period / demandMemory / (1 - math.Exp(-g.charter.period/demandMemory))
 	var dearest float64
 	for _, p := range c.Plans {
 		q := plan{rate: p.Rate / 1000, ceilRate: p.CeilingRate / 1000, ceilDepth: p.CeilingDepth, open: p.Open,
@@ -120,9 +122,6 @@
 		g.begun, g.started, g.now = true, now, now
 		g.warmAt, g.warmFrom = now, now
 		g.nextTell = now + g.charter.period*g.rng.Float64()
-		for i := range g.peers {
-			g.peers[i] = now
-		}
 	}
 	// Guards against this gatekeeper itself being stopped for a while: what it finds then says nothing of how
 	// long workers took. It would hide true slowness only while wakes come late all the time.
@@ -181,9 +180,11 @@
 	g.byID[a.ID] = slot
 	g.due = append(g.due, slot)
 	c := &g.accounts[ai]
+	g.fill(c)
 	c.demand = c.now(g.now) + a.Units/demandMemory
 	c.seen = g.now
 	c.txns++
+	g.reshare(c)
 }
 
 // Ended tells how submission n of a txn ended, and whether that closed the txn, now or earlier.
@@ -278,14 +279,17 @@
 	}
 }
 
-// Hear takes a peer's reports.
-func (g *Gatekeeper) Hear(peer int, reports []Report) {
-	if peer < 0 || peer >= g.charter.n || peer == g.charter.me {
+// Hear takes a peer's reports. A message says nought of the customers that it does not name.
+func (g *Gatekeeper) Hear(from int, reports []Report) {
+	if from < 0 || from >= g.charter.n || from == g.charter.me {
 		return
 	}
-	g.peers[peer] = g.now
+	g.peers[from].heard = g.now
+	if g.peers[from].silent {
+		g.silence(from, false)
+	}
 	for _, r := range reports {
-		if !(r.Demand >= 0) || math.IsInf(r.Demand, 0) {
+		if !(r.Demand >= 0) || math.IsInf(r.Demand, 0) || !(r.Spent >= 0) || r.Plan < 0 || r.Plan >= len(g.plans) {
 			continue
 		}
 		ai, ok := g.byKey[uint32(r.Customer)]
@@ -293,25 +297,59 @@
 			if r.Demand == 0 || g.heardOnly >= mostHeard {
 				continue
 			}
-			ai = g.open(r.Customer & math.MaxUint32)
+			ai = g.open(r.Customer&math.MaxUint32, r.Plan)
 			g.heardOnly++
 		}
 		c := &g.accounts[ai]
 		g.fill(c)
-		if was := c.told[peer]; was.at > 0 && c.plan >= 0 {
-			// A peer that started again counts from nought: such a jump says nothing of what it spent.
-			if used := math.Mod(r.Spent-was.spent+SpentWrap, SpentWrap); used < SpentWrap/2 {
-				c.whole = math.Max(c.whole-used, 0)
+		c.whole = math.Max(c.whole-r.Spent, 0)
+		t := c.from(from)
+		c.others += r.Demand/1000 - t.demand*math.Exp((t.at-g.now)/demandMemory)
+		t.demand, t.at = r.Demand/1000, g.now
+		if r.Demand > 0 {
+			c.heard = g.now
+			if !c.hot {
+				c.hot, c.coolSince = true, g.now
 			}
 		}
-		c.told[peer] = told{r.Demand / 1000, r.Spent, g.now}
-		if !c.hot && r.Demand > 0 {
-			c.hot, c.hotSince, c.coolSince = true, g.now, g.now
-		}
 		g.reshare(c)
 	}
 }
 
+// silence notes that a peer which owes a word has said nothing for some periods, or is heard again. While it
+// is silent its last demand does not fade.
+func (g *Gatekeeper) silence(from int, on bool) {
+	p := &g.peers[from]
+	p.silent, p.gone = on, false
+	for i := range g.accounts {
+		if c := &g.accounts[i]; c.live {
+			g.release(c, from)
+			if k, ok := c.find(from); ok && on {
+				t := &c.told[k]
+				g.fill(c)
+				c.others = math.Max(c.others-t.demand*math.Exp((t.at-g.now)/demandMemory), 0)
+				t.held, t.frozen = t.demand*math.Exp((t.at-math.Max(p.heard, t.at))/demandMemory), true
+				t.demand = 0
+				c.held += t.held
+				c.holding++
+			}
+		}
+	}
+	g.countMute()
+}
+
+// release lets go of what is held of a silent peer's demand for a customer.
+func (g *Gatekeeper) release(c *account, from int) {
+	if k, ok := c.find(from); ok && c.told[k].frozen {
+		g.fill(c)
+		c.held = math.Max(c.held-c.told[k].held, 0)
+		c.told[k].held, c.told[k].frozen = 0, false
+		if c.holding--; c.holding == 0 {
+			c.held = 0
+		}
+	}
+}
+
 // Next gives the next decision, or none.
 func (g *Gatekeeper) Next() (Decision, bool) {
 	for g.head < len(g.due) {
@@ -341,6 +379,8 @@
 		g.sweep()
 		if g.charter.talks {
 			g.tellPeer, g.told, g.looked = 0, 0, 0
+		} else {
+			g.news = g.news[:0]
 		}
 	}
 	for g.tellPeer >= 0 {
@@ -350,6 +390,9 @@
 		g.tellPeer, g.told, g.looked = g.tellPeer+1, 0, 0
 		if g.tellPeer == g.charter.n {
 			g.tellPeer = -1
+			for _, i := range g.news {
+				g.accounts[i].unsaid = 0
+			}
 		}
 	}
 	at := 0.0
@@ -667,35 +710,45 @@
 	return BySettled, 0
 }
 
-// fill brings the known part of the quota's one store up to now.
+// fill brings a customer's slice, and the quota's one store as far as it is known here, up to now.
 func (g *Gatekeeper) fill(c *account) {
-	if c.plan < 0 {
+	p := &g.plans[c.plan]
+	dt := g.now - c.filled
+	if dt <= 0 {
 		return
 	}
-	p := &g.plans[c.plan]
 	rate := p.rate
-	for i := range c.told {
-		if c.hot && g.shared(c, i) && g.unheard(c, i) {
-			rate = c.share
-		}
+	if c.hot && c.n > 1 {
+		// Guards against peers that spend unheard: their messages or ours are lost, or they are cut off.
+		rate -= (rate - c.share) * float64(g.unheard(c)) / float64(c.n-1)
 	}
-	c.whole = math.Min(c.whole+(g.now-c.wholeAt)*rate, g.holds(p, p.rate))
-	c.wholeAt = g.now
+	c.whole = math.Min(c.whole+dt*rate, g.holds(p, p.rate))
+	c.level = math.Min(c.level+dt*c.share, g.holds(p, c.share))
+	fade := math.Exp(-dt / demandMemory)
+	c.others = math.Max(c.others*fade, 0)
+	c.filled = g.now
 }
 
-// unheard tells whether a peer, which reports a customer that is hot here at least as nought, has not for
-// some rounds. Guards against a peer that spends unheard: its messages or ours are lost, or it is cut off.
-func (g *Gatekeeper) unheard(c *account, peer int) bool {
-	return g.now-math.Max(c.told[peer].at, c.hotSince) > toldFor*g.round
+// unheard counts the silent peers of a customer's set.
+func (g *Gatekeeper) unheard(c *account) int { return g.mute[c.first+c.n] - g.mute[c.first] }
+
+// countMute sums the silent peers over the ring of gatekeepers.
+func (g *Gatekeeper) countMute() {
+	for i := range g.charter.n * 2 {
+		g.mute[i+1] = g.mute[i]
+		if p := &g.peers[i%g.charter.n]; p.silent && !p.gone {
+			g.mute[i+1]++
+		}
+	}
 }
 
-// roomWait is how long until the quota's one store, as far as it is known here, has the units with
-// something to spare; 0 is now. Peers are taken to see the same demand as this gatekeeper for as long as
-// it takes to hear of it.
+// roomWait is how long until the quota's one store, as far as it is known here, has the units besides what
+// peers may have spent unheard; 0 is now.
 func (g *Gatekeeper) roomWait(c *account, units float64) float64 {
 	g.fill(c)
 	before := math.Max(c.now(g.now)-units/demandMemory, 0)
-	short := units + before*float64(c.n-1)*hearsay - c.whole
+	reserve := math.Max(c.others*g.charter.regain+c.held, before*float64(min(c.n-1, 3)))
+	short := units + reserve*hearsay*g.charter.period - c.whole
 	return math.Max(short/g.plans[c.plan].rate, 0)
 }
 
@@ -719,7 +772,14 @@
 
 // sliceWait is how long until a customer's own slice has the units; 0 is now.
 func (g *Gatekeeper) sliceWait(c *account, units float64) float64 {
-	return gcraWait(c.tat, g.now, c.share, g.holds(&g.plans[c.plan], c.share), units)
+	g.fill(c)
+	if c.level >= units-1e-9 {
+		return 0
+	}
+	if c.share <= 0 {
+		return math.MaxFloat64
+	}
+	return (units - c.level) / c.share
 }
 
 // spend takes a txn's units from its customer's stores at the first submission.
@@ -728,13 +788,12 @@
 	if p.ceilRate > 0 {
 		c.ceilingAt = math.Max(c.ceilingAt, g.now) + t.units*float64(c.n)/p.ceilRate
 	}
-	g.fill(c)
-	c.spent += t.units
-	c.whole = math.Max(c.whole-t.units, 0)
-	if p.rate > 0 && c.share > 0 {
+	if p.rate > 0 {
+		c.unsaid += t.units
 		if g.sliceWait(c, t.units) == 0 { // beyond the quota nothing is taken
-			c.tat = math.Max(c.tat, g.now) + t.units/c.share
+			c.level -= t.units
 		}
+		c.whole = math.Max(c.whole-t.units, 0)
 	}
 }
 
@@ -742,58 +801,57 @@
 func (g *Gatekeeper) account(a Arrival) int32 {
 	ai, ok := g.byKey[uint32(a.Customer)]
 	if !ok {
-		ai = g.open(a.Customer & math.MaxUint32)
+		ai = g.open(a.Customer&math.MaxUint32, a.Plan)
 	}
 	c := &g.accounts[ai]
-	if c.plan != a.Plan { // new, known from peers alone so far, or moved to another plan
-		if ok && c.plan < 0 {
+	if c.n == 0 || c.plan != a.Plan { // new, known from peers alone so far, or moved to another plan
+		if ok && c.n == 0 {
 			g.heardOnly--
 		}
 		p := &g.plans[a.Plan]
-		c.plan, c.n, c.first = a.Plan, min(max(a.SetSize, 1), g.charter.n), a.First
+		if c.plan != a.Plan {
+			c.whole = g.holds(p, p.rate)
+		}
+		c.plan, c.n, c.first = a.Plan, min(max(a.SetSize, 1), g.charter.n), 0
+		if a.First > 0 {
+			c.first = a.First % g.charter.n
+		}
 		if p.ceilRate > 0 {
 			// A former life of this gatekeeper may have spent its whole slice just before it ended.
 			c.ceilingAt = math.Max(c.ceilingAt, g.started+p.ceilDepth/p.ceilRate)
 		}
-		c.whole, c.wholeAt = g.holds(p, p.rate), g.now
+		c.level = g.startLevel(c)
 		g.reshare(c)
 	}
 	return ai
 }
 
+// startLevel is what a slice holds at first: full, though without the rounding up to the largest txn, which
+// over all gatekeepers of a large set would come to many times the quota's burst.
+func (g *Gatekeeper) startLevel(c *account) float64 { return g.coldSlice(c) * g.plans[c.plan].burst }
+
 // now is the demand estimate at a moment, units a ms.
 func (c *account) now(at float64) float64 { return c.demand * math.Exp((c.seen-at)/demandMemory) }
 
 // coldSlice is what a cold customer runs at, units a ms.
 func (g *Gatekeeper) coldSlice(c *account) float64 {
-	p := &g.plans[c.plan]
-	return p.rate / float64(c.n) * alpha
+	return g.plans[c.plan].rate / float64(max(c.n, 1)) * alpha
 }
 
 // reshare sets a customer's share: the cold slice, or the floor and its part of the rest by demand.
 func (g *Gatekeeper) reshare(c *account) {
-	if c.plan < 0 {
-		return
-	}
 	if !c.hot {
 		c.share = g.coldSlice(c)
 		return
 	}
 	own := c.now(g.now)
-	total := own
-	for i := range c.told {
-		silent := g.now - g.peers[i]
-		switch {
-		case !g.shared(c, i) || silent > suspicion+hold:
-		case c.told[i].at > 0 && silent > suspicion:
-			return // the last share stays in force
-		case c.told[i].at > 0:
-			total += c.told[i].demand
-		case g.unheard(c, i):
-			total += own // as the reserve of roomWait does
-		}
+	known := own + c.others*g.charter.regain
+	total := known + c.held
+	if c.n > 1 { // a silent peer that never spoke of the customer counts as the mean of those that may speak
+		mute := g.unheard(c)
+		total += known / float64(max(c.n-mute, 1)) * float64(max(mute-c.holding, 0))
 	}
-	rate, n := g.plans[c.plan].rate, float64(c.n)
+	rate, n := g.plans[c.plan].rate, float64(max(c.n, 1))
 	if total <= 0 {
 		c.share = rate / n
 		return
@@ -801,83 +859,106 @@
 	c.share = rate*beta/n + rate*(1-beta)*own/total
 }
 
-// sweep turns customers hot and cold, renews their shares, and drops the idle ones.
+// sweep looks for silent peers, turns customers hot and cold, renews their shares, gathers what is to be
+// reported, and drops the idle customers.
 func (g *Gatekeeper) sweep() {
-	hot := 0
+	for i := range g.peers {
+		p := &g.peers[i]
+		quiet := g.now - math.Max(p.heard, p.owes)
+		switch {
+		case p.owes == 0 || i == g.charter.me:
+		case !p.silent && quiet > toldFor*g.charter.period:
+			g.silence(i, true)
+		case p.silent && !p.gone && quiet > suspicion+hold:
+			p.gone = true
+			for k := range g.accounts {
+				if c := &g.accounts[k]; c.live {
+					g.release(c, i)
+				}
+			}
+			g.countMute()
+		}
+	}
+	clear(g.owed)
+	g.news = g.news[:0]
 	for i := range g.accounts {
 		c := &g.accounts[i]
 		if !c.live {
 			continue
 		}
-		own, idle := c.now(g.now), g.now-c.seen
-		slice := 0.0
-		if c.plan >= 0 {
-			slice = g.coldSlice(c)
-		}
-		if own > slice || c.plan < 0 && idle < cooldown {
+		g.fill(c)
+		own, idle, slice := c.now(g.now), g.now-c.seen, g.coldSlice(c)
+		if own > slice || c.n == 0 && idle < cooldown {
 			c.coolSince = g.now
 		}
-		if !c.hot && c.txns > 1 && own > hotAt*slice && slice > 0 {
-			c.hot, c.hotSince = true, g.now
+		// One txn makes no demand, unless the slice cannot hold it: then all that is known is what peers say.
+		if !c.hot && own > hotAt*slice && slice > 0 && (c.txns > 1 || g.startLevel(c) < g.charter.largest) {
+			c.hot = true
 		}
-		if c.hot && g.now-c.coolSince > cooldown && (c.plan < 0 || !g.inUse(c)) {
+		inUse := c.heard > 0 && g.now-c.heard < cooldown
+		if c.hot && g.now-c.coolSince > cooldown && !inUse {
 			c.hot = false
-			clear(c.told)
+			c.told, c.others, c.held, c.holding = c.told[:0], 0, 0, 0
 		}
 		g.reshare(c)
 		if c.hot {
-			hot++
+			g.owed[c.first]++
+			g.owed[c.first+c.n]--
+			if c.n > 0 && (g.now-c.seen <= g.charter.period || c.unsaid > 0) {
+				g.news = append(g.news, int32(i))
+			}
+			for k := 0; k < len(c.told) && c.n == 0; k++ {
+				g.owed[c.told[k].peer]++
+				g.owed[c.told[k].peer+1]--
+			}
+			continue
 		}
-		if idle > cooldown && !c.hot && c.out == 0 && c.tat <= g.now && c.ceilingAt <= g.now && !g.inUse(c) {
+		c.unsaid = 0
+		p := &g.plans[c.plan]
+		if idle > cooldown && c.out == 0 && c.level >= g.startLevel(c)-1e-9 && c.ceilingAt <= g.now && !inUse &&
+			c.whole >= g.holds(p, p.rate)-1e-9 {
 			delete(g.byKey, uint32(c.customer))
-			if c.plan < 0 {
+			if c.n == 0 {
 				g.heardOnly--
 			}
 			c.live = false
 			g.unused = append(g.unused, int32(i))
 		}
 	}
-	// With more hot customers than a period's messages hold, each is heard of less often.
-	g.round = g.charter.period * math.Max(1, float64(hot)/float64(g.charter.perTell*g.charter.tells+1))
-}
-
-// inUse tells whether a peer has lately reported that a customer asks there.
-func (g *Gatekeeper) inUse(c *account) bool {
-	for k := range c.told {
-		if c.told[k].at > 0 && g.now-c.told[k].at < cooldown && c.told[k].demand > 0 {
-			return true
-		}
+	for i := range g.owed[1:] {
+		g.owed[i+1] += g.owed[i]
 	}
-	return false
 }
 
-// report packs the next message of own demands for the customers that a peer shares. What does not fit the
-// period's messages goes on in the next.
+// report packs the next message of own demands for the customers that a peer shares: those with news, or a
+// bare word that there is none. What the period's messages cannot hold is left out, from a random place on.
 func (g *Gatekeeper) report() (Decision, bool) {
-	if g.tellPeer == g.charter.me || g.told >= g.charter.tells {
+	n, to := g.charter.n, g.tellPeer
+	if to == 0 && g.told == 0 && g.looked == 0 && len(g.news) > 0 {
+		g.newsFrom = g.rng.Intn(len(g.news))
+	}
+	if to == g.charter.me || g.told >= g.charter.tells || g.owed[to]+g.owed[to+n] == 0 {
 		return Decision{}, false
 	}
 	g.reports = g.reports[:0]
-	from := &g.tellFrom[g.tellPeer]
-	for ; g.looked < len(g.accounts) && len(g.reports) < g.charter.perTell; g.looked++ {
-		if *from++; *from >= len(g.accounts) {
-			*from = 0
-		}
-		if c := &g.accounts[*from]; c.live && c.hot && g.shared(c, g.tellPeer) {
-			g.reports = append(g.reports, Report{c.customer, c.now(g.now) * 1000, math.Mod(c.spent, SpentWrap)})
+	for ; g.looked < len(g.news) && len(g.reports) < g.charter.perTell; g.looked++ {
+		if c := &g.accounts[g.news[(g.newsFrom+g.looked)%len(g.news)]]; g.shared(c, to) {
+			g.reports = append(g.reports, Report{c.customer, c.plan, c.now(g.now) * 1000, c.unsaid})
 		}
 	}
-	if len(g.reports) == 0 {
+	if len(g.reports) == 0 && g.told > 0 {
 		return Decision{}, false
 	}
+	p := &g.peers[to]
+	if g.now-p.told > 2*g.charter.period {
+		p.owes = g.now
+	}
+	p.told = g.now
 	g.told++
-	return Decision{Kind: Tell, Peer: g.tellPeer, Reports: g.reports}, true
+	return Decision{Kind: Tell, Peer: to, Reports: g.reports}, true
 }
 
 // shared tells whether a customer's txns can come through a peer too.
 func (g *Gatekeeper) shared(c *account, peer int) bool {
-	if c.plan < 0 {
-		return c.told[peer].at > 0
-	}
-	return peer != g.charter.me && (peer-c.first+g.charter.n)%g.charter.n < c.n
+	return (peer-c.first+g.charter.n)%g.charter.n < c.n
 }
--- a/logic/state.go
+++ b/logic/state.go
@@ -1,30 +1,48 @@
 package logic
 
-import "math/rand"
+import (
+	"math/rand"
+	"slices"
+)
 
 // This file holds what a gatekeeper keeps, and the book-keeping that decides nothing.
 
 type account struct {
-	customer       uint64
-	plan           int // -1 while known from peers alone
-	n, first       int // its gatekeepers
-	demand         float64
-	seen           float64 // time of the last txn, and of the estimate
-	txns           int
-	hot            bool
-	hotSince       float64
-	coolSince      float64 // since when demand has been under the cold slice
-	share          float64 // units a ms
-	tat, ceilingAt float64 // GCRA: the moment each store is full again
-	whole, wholeAt float64 // the quota's one store as far as it is known here, units, and when
-	spent          float64 // units sent on here
-	out            int     // submissions out
-	told           []told  // by gatekeeper
-	live           bool
+	customer  uint64
+	plan      int
+	n, first  int // its gatekeepers; n is 0 while it is known from peers alone
+	demand    float64
+	seen      float64 // time of the last txn, and of the estimate
+	txns      int
+	hot       bool
+	coolSince float64 // since when demand has been under the cold slice
+	share     float64 // units a ms
+	level     float64 // of the slice
+	whole     float64 // of the quota's one store as far as it is known here
+	filled    float64 // time of both, and of others
+	ceilingAt float64 // GCRA: the moment the slice of the ceiling is full again
+	unsaid    float64 // units sent on since the last report
+	out       int     // submissions out
+	told      []told  // by peers that have reported it, in their order
+	others    float64 // sum of their demand, fading
+	held      float64 // sum of the last demand of those that are silent
+	holding   int     // how many these are
+	heard     float64 // time of the last report of demand
+	live      bool
 }
 
 // told is what a peer last reported for a customer.
-type told struct{ demand, spent, at float64 }
+type told struct {
+	peer             int
+	demand, at, held float64
+	frozen           bool // the peer is silent, and held counts for it
+}
+
+// peer is what is known of another gatekeeper.
+type peer struct {
+	heard, told, owes float64 // last heard; last told; since when it has owed a word each period
+	silent, gone      bool    // it says nothing; has not for so long that it counts no more
+}
 
 type worker struct {
 	Posting
@@ -90,7 +108,9 @@
 
 	workers []worker
 	ready   []int
-	peers   []float64 // when each gatekeeper was last heard
+	peers   []peer
+	mute    []int // silent peers before each place of the ring, gone round twice
+	owed    []int // hot customers that each place of the ring shares, likewise
 
 	txns []txn
 	free []int32
@@ -115,9 +135,9 @@
 	nextBeat, nextTell, wakeAt float64
 	beatAt                     int     // next txn to look at in this beat; -1 none
 	tellPeer, told             int     // peer that is told now, -1 none; messages it got this period
-	looked                     int     // accounts looked at for it
-	tellFrom                   []int   // by peer: account to go on from
-	round                      float64 // ms in which every hot customer is reported once
+	looked                     int     // news looked at for it
+	news                       []int32 // accounts to report this period
+	newsFrom                   int     // where in news the messages begin
 	reports                    []Report
 	tally                      Tally
 }
@@ -129,6 +149,7 @@
 	overlap, withdraw, advise  bool
 	maxAdvice, largest, period float64
 	coldFrom, warmUp           float64
+	regain                     float64 // makes up for the fading of reported demand
 	slack                      float64 // how much slower than slaUse answers may get, for what late ones earn
 	talks                      bool
 }
@@ -160,18 +181,32 @@
 	return Decision{}, false
 }
 
-// open makes an account, in a used place if there is one.
-func (g *Gatekeeper) open(customer uint64) int32 {
+// open makes an account with full stores, in a used place if there is one.
+func (g *Gatekeeper) open(customer uint64, plan int) int32 {
 	var ai int32
 	if n := len(g.unused); n > 0 {
 		ai, g.unused = g.unused[n-1], g.unused[:n-1]
 	} else {
 		ai = int32(len(g.accounts))
-		g.accounts = append(g.accounts, account{told: make([]told, g.charter.n)})
+		g.accounts = append(g.accounts, account{})
 	}
-	c := &g.accounts[ai]
-	clear(c.told)
-	*c = account{customer: customer, plan: -1, seen: g.now, coolSince: g.now, told: c.told, live: true}
+	c, p := &g.accounts[ai], &g.plans[plan]
+	*c = account{customer: customer, plan: plan, seen: g.now, coolSince: g.now, filled: g.now,
+		whole: g.holds(p, p.rate), told: c.told[:0], live: true}
 	g.byKey[uint32(customer)] = ai
 	return ai
 }
+
+// find gives the place of a peer in told, and whether it is there.
+func (c *account) find(peer int) (int, bool) {
+	return slices.BinarySearchFunc(c.told, peer, func(t told, p int) int { return t.peer - p })
+}
+
+// from gives what a peer last reported, nought at first.
+func (c *account) from(peer int) *told {
+	k, ok := c.find(peer)
+	if !ok {
+		c.told = slices.Insert(c.told, k, told{peer: peer})
+	}
+	return &c.told[k]
+}
