--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -16,7 +16,8 @@
 			t.Fatalf("%+v: got %v, %v", r, got, err)
 		}
 		g := got[0]
-		if g.Customer != r.Customer || g.Plan != r.Plan || g.Spent != r.Spent || math.Abs(g.Demand-r.Demand) > r.Demand*0.05 {
+		if g.Customer != r.Customer ||
+			g.Plan != r.Plan || g.Spent != r.Spent || math.Abs(g.Demand-r.Demand) > r.Demand*0.05 {
 			t.Errorf("%+v came back as %+v", r, g)
 		}
 	}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -25,6 +25,7 @@
 	hold         = 10000.0 // ms after that during which its last demand still counts
 	toldFor      = 3.5     // periods without a word from a peer that owes one until it is unheard
 	hearsay      = 1.5     // periods in which peers may have spent unheard: one, its jitter and half again
+	flowMemory   = 5000.0  // ms over which what peers send on is averaged; several txns of a small quota
 	tellBudget   = 0.8     // of the peers' intake that reports may fill; the rest is for jitter
 	mostHeard    = 4096    // customers known from peers alone; bounds what messages can make us keep
 
@@ -303,6 +304,7 @@
 		c := &g.accounts[ai]
 		g.fill(c)
 		c.whole = math.Max(c.whole-r.Spent, 0)
+		c.flow += r.Spent
 		t := c.from(from)
 		c.others += r.Demand/1000 - t.demand*math.Exp((t.at-g.now)/demandMemory)
 		t.demand, t.at = r.Demand/1000, g.now
@@ -726,6 +728,7 @@
 	c.level = math.Min(c.level+dt*c.share, g.holds(p, c.share))
 	fade := math.Exp(-dt / demandMemory)
 	c.others = math.Max(c.others*fade, 0)
+	c.flow *= math.Exp(-dt / flowMemory)
 	c.filled = g.now
 }
 
@@ -747,7 +750,7 @@
 func (g *Gatekeeper) roomWait(c *account, units float64) float64 {
 	g.fill(c)
 	before := math.Max(c.now(g.now)-units/demandMemory, 0)
-	reserve := math.Max(c.others*g.charter.regain+c.held, before*float64(min(c.n-1, 3)))
+	reserve := math.Max(c.flow/flowMemory, before*float64(min(c.n-1, 3)))
 	short := units + reserve*hearsay*g.charter.period - c.whole
 	return math.Max(short/g.plans[c.plan].rate, 0)
 }
--- a/logic/state.go
+++ b/logic/state.go
@@ -26,6 +26,7 @@
 	told      []told  // by peers that have reported it, in their order
 	others    float64 // sum of their demand, fading
 	held      float64 // sum of the last demand of those that are silent
+	flow      float64 // units that peers sent on, fading over flowMemory
 	holding   int     // how many these are
 	heard     float64 // time of the last report of demand
 	live      bool
