A worker that turns one plan away is marked for that plan and product alone

Each full drove all plans off the worker for some seconds and cut the window; the worker was tried again too soon. Change: marks by plan and product that fade over 15 s; full counts against the whole worker, and as pressure, only once it strikes more than one plan and more than one product. When two draws are not good enough 16 workers are looked at, not all. Guards against: throttles by plan or product, at one worker or many. Also covers a worker whose queue is full (found out a little later: that may hurt for a moment in a jam).

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -30,18 +30,21 @@
 	mostHeard    = 4096    // customers known from peers alone; bounds what messages can make us keep
 
 	// Workers.
-	distrustFade = 3000.0 // ms; about what a restart or a short jam lasts
-	distrustMost = 12.0   // so that a worker is tried again within about three fades
-	distrusted   = 1.0    // distrust above which a draw is not good enough and all workers are looked at
-	paceGain     = 0.1    // weight of the newest answer in a worker's pace
-	fleetGain    = 0.025  // the same in the fleet's pace, which has many more answers
-	patience     = 0.35   // of the SLA time; a worker that has said nothing for so long is silent
-	crowded      = 0.25   // of the SLA time; a draw that takes longer to answer makes us look at all workers
-	quiet        = 10.0   // usual answers that a worker owes in sum before it counts as silent
-	spareAt      = 0.5    // of the window; under it capacity counts as spare for txns beyond a quota
-	stopped      = 100.0  // ms that a wake comes late if the gatekeeper itself stood still; many beats
-	margin       = 1.0    // ms before its expiry at which a txn gets its final answer rather than a submission
-	beat         = 20.0   // ms between looks at waiting txns; small against any SLA time
+	distrustFade = 3000.0  // ms; about what a restart or a short jam lasts
+	turnedFade   = 15000.0 // ms; the same for a worker that turns one kind of txn away: it is seen rarely
+	turnedAt     = 0.5     // of a mark; above it a worker is held to turn that kind of txn away
+	distrustMost = 12.0    // so that a worker is tried again within about three fades
+	distrusted   = 1.0     // distrust above which a draw is not good enough and all workers are looked at
+	widest       = 16      // workers looked at when two draws are not good enough; all of a small fleet
+	paceGain     = 0.1     // weight of the newest answer in a worker's pace
+	fleetGain    = 0.025   // the same in the fleet's pace, which has many more answers
+	patience     = 0.35    // of the SLA time; a worker that has said nothing for so long is silent
+	crowded      = 0.25    // of the SLA time; a draw that takes longer to answer makes us look at all workers
+	quiet        = 10.0    // usual answers that a worker owes in sum before it counts as silent
+	spareAt      = 0.5     // of the window; under it capacity counts as spare for txns beyond a quota
+	stopped      = 100.0   // ms that a wake comes late if the gatekeeper itself stood still; many beats
+	margin       = 1.0     // ms before its expiry at which a txn gets its final answer rather than a submission
+	beat         = 20.0    // ms between looks at waiting txns; small against any SLA time
 
 	// Workers that have just started.
 	coldShare  = 1.0    // of what a warm worker is seen to do, scaled by the guessed warmth
@@ -144,13 +147,14 @@
 	}
 	for _, p := range list {
 		for len(g.workers) <= p.Worker {
-			g.workers = append(g.workers, worker{})
+			g.workers = append(g.workers, worker{turned: make([]mark, len(g.plans)*len(g.products))})
 		}
 		w := &g.workers[p.Worker]
 		if p.Active && (p.Since != w.Since || w.Worker != p.Worker) {
 			// A fresh process: what its former life, and ours, sent it must be taken as spent.
 			w.coldAt, w.coldDebt = g.now, 1
-			w.distrust, w.heard = 0, g.now
+			w.distrust.score, w.heard = 0, g.now
+			clear(w.turned)
 		}
 		w.Posting, w.listed = p, p.Active
 	}
@@ -231,10 +235,13 @@
 		w.heard = g.now
 		g.doubt(w, 1)
 		g.risk(t, s)
-	case Full, NoRoute:
+	case NoRoute:
 		w.heard = g.now
 		g.doubt(w, 1)
-		if o == Full {
+	case Full:
+		w.heard = g.now
+		if g.turned(w, t); w.full {
+			g.doubt(w, 1)
 			g.pressed(1)
 		}
 	case TimedOut:
@@ -263,6 +270,25 @@
 	}
 }
 
+// turned notes that a worker turned a txn away as full. It counts as full for all only once it has done so to
+// more than one plan and more than one product, as far as there are more. Guards against workers that turn
+// away one plan or product though they have room: others would be driven off them, and the window cut. A
+// worker that is truly full is found out a little later.
+func (g *Gatekeeper) turned(w *worker, t *txn) {
+	w.turned[g.sort(t)].add(1, g.now, turnedFade)
+	plan, product := len(g.plans) == 1, len(g.products) == 1
+	for i := range w.turned {
+		if w.turned[i].at(g.now, turnedFade) > turnedAt {
+			plan = plan || i/len(g.products) != t.plan
+			product = product || i%len(g.products) != t.product
+		}
+	}
+	w.full = plan && product
+}
+
+// sort numbers the pairs of plan and product.
+func (g *Gatekeeper) sort(t *txn) int { return t.plan*len(g.products) + t.product }
+
 // risk notes that a submission may have run.
 func (g *Gatekeeper) risk(t *txn, s *submission) {
 	if !t.mayRun || s.sent < t.bondAt {
@@ -287,7 +313,7 @@
 	}
 	g.peers[from].heard = g.now
 	if g.peers[from].silent {
-		g.silence(from, false)
+		g.silence(from, false, false)
 	}
 	for _, r := range reports {
 		if !(r.Demand >= 0) || math.IsInf(r.Demand, 0) || !(r.Spent >= 0) || r.Plan < 0 || r.Plan >= len(g.plans) {
@@ -318,36 +344,35 @@
 	}
 }
 
-// silence notes that a peer which owes a word has said nothing for some periods, or is heard again. While it
-// is silent its last demand does not fade.
-func (g *Gatekeeper) silence(from int, on bool) {
+// silence notes that a peer which owes a word has said nothing for some periods, for so long that it counts
+// no more, or is heard again. While it is silent its last demand does not fade.
+func (g *Gatekeeper) silence(from int, silent, gone bool) {
 	p := &g.peers[from]
-	p.silent, p.gone = on, false
+	p.silent, p.gone = silent, gone
 	for i := range g.accounts {
-		if c := &g.accounts[i]; c.live {
-			g.release(c, from)
-			if k, ok := c.find(from); ok && on {
-				t := &c.told[k]
-				g.fill(c)
-				c.others = math.Max(c.others-t.demand*math.Exp((t.at-g.now)/demandMemory), 0)
-				t.held, t.frozen = t.demand*math.Exp((t.at-math.Max(p.heard, t.at))/demandMemory), true
-				t.demand = 0
-				c.held += t.held
-				c.holding++
-			}
+		c := &g.accounts[i]
+		k, ok := c.find(from)
+		if !c.live || !ok {
+			continue
 		}
-	}
-	g.countMute()
-}
-
-// release lets go of what is held of a silent peer's demand for a customer.
-func (g *Gatekeeper) release(c *account, from int) {
-	if k, ok := c.find(from); ok && c.told[k].frozen {
 		g.fill(c)
-		c.held = math.Max(c.held-c.told[k].held, 0)
-		c.told[k].held, c.told[k].frozen = 0, false
-		if c.holding--; c.holding == 0 {
-			c.held = 0
+		t := &c.told[k]
+		if t.frozen {
+			t.frozen, c.held = false, math.Max(c.held-t.held, 0)
+			c.holding--
+		}
+		if silent && !gone {
+			c.others = math.Max(c.others-t.demand*math.Exp((t.at-g.now)/demandMemory), 0)
+			t.held, t.frozen = t.demand*math.Exp((t.at-math.Max(p.heard, t.at))/demandMemory), true
+			t.demand = 0
+			c.held += t.held
+			c.holding++
+		}
+	}
+	for i := range g.mute[1:] { // silent peers over the ring
+		g.mute[i+1] = g.mute[i]
+		if p := &g.peers[i%g.charter.n]; p.silent && !p.gone {
+			g.mute[i+1]++
 		}
 	}
 }
@@ -551,7 +576,7 @@
 	return Decision{Kind: Submit, Txn: t.id, Worker: wi, N: len(t.subs) - 1, Wait: t.expiry - g.now}
 }
 
-// choose draws two workers at random and takes the one that own counts favour. All are looked at only if
+// choose draws two workers at random and takes the one that own counts favour. More are looked at only if
 // neither may be used or the better one is distrusted or answers slowly.
 func (g *Gatekeeper) choose(t *txn) int {
 	if len(g.ready) == 0 {
@@ -560,7 +585,7 @@
 	best, cost := -1, math.Inf(1)
 	look := func(w int) {
 		if g.usable(t, w) {
-			if c := g.cost(w); c < cost {
+			if c := g.cost(t, w); c < cost {
 				best, cost = w, c
 			}
 		}
@@ -569,12 +594,17 @@
 		look(g.ready[g.rng.Intn(len(g.ready))])
 	}
 	// Guards against jams at slow workers while fast ones have room: two draws often meet two slow ones. It
-	// also covers a worker that fails or falls silent. Many gatekeepers alike could run as a herd.
-	if best >= 0 && !g.suspect(&g.workers[best]) && g.workers[best].pace < crowded*g.products[t.product].sla {
+	// also covers a worker that fails, falls silent or turns such txns away. Many gatekeepers alike could run
+	// as a herd, and a large fleet cost much time, so no more than widest are looked at.
+	slow := crowded * g.products[t.product].sla
+	if best >= 0 && g.distrustOf(t, best) < distrusted && g.workers[best].pace < slow {
 		return best
 	}
-	for _, w := range g.ready {
-		look(w)
+	for i := range min(len(g.ready), widest) {
+		if len(g.ready) > widest {
+			i = g.rng.Intn(len(g.ready))
+		}
+		look(g.ready[i])
 	}
 	return best
 }
@@ -608,25 +638,33 @@
 	return g.warmth(w.Since) >= 1 || (g.now-w.coldAt)*g.coldRate(w.Since) >= w.coldDebt
 }
 
-func (g *Gatekeeper) cost(wi int) float64 {
+func (g *Gatekeeper) cost(t *txn, wi int) float64 {
 	w := &g.workers[wi]
 	pace := w.pace
 	if pace == 0 {
 		pace = g.pace
 	}
-	return float64(w.inFlight+1) * math.Max(pace, 1) * (1 + g.distrustOf(w))
+	return float64(w.inFlight+1) * math.Max(pace, 1) * (1 + g.distrustOf(t, wi))
 }
 
-func (g *Gatekeeper) distrustOf(w *worker) float64 {
-	return w.distrust * math.Exp((w.doubtAt-g.now)/distrustFade)
+// distrustOf is what speaks against a worker for a txn.
+func (g *Gatekeeper) distrustOf(t *txn, wi int) float64 {
+	w := &g.workers[wi]
+	return w.distrust.at(g.now, distrustFade) + w.turned[g.sort(t)].at(g.now, turnedFade)
 }
 
-// suspect tells whether a worker is distrusted enough to look past the two draws.
-func (g *Gatekeeper) suspect(w *worker) bool { return g.distrustOf(w) >= distrusted }
+func (g *Gatekeeper) doubt(w *worker, by float64) { w.distrust.add(by, g.now, distrustFade) }
+
+// at gives a score as it has faded.
+func (m *mark) at(now, fade float64) float64 {
+	if m.score == 0 {
+		return 0
+	}
+	return m.score * math.Exp((m.since-now)/fade)
+}
 
-func (g *Gatekeeper) doubt(w *worker, by float64) {
-	w.distrust = math.Min(g.distrustOf(w)+by, distrustMost)
-	w.doubtAt = g.now
+func (m *mark) add(by, now, fade float64) {
+	m.score, m.since = math.Min(m.at(now, fade)+by, distrustMost), now
 }
 
 // warmth guesses which part of its capacity a worker has, from the stated least start and longest warm-up.
@@ -726,8 +764,7 @@
 	}
 	c.whole = math.Min(c.whole+dt*rate, g.holds(p, p.rate))
 	c.level = math.Min(c.level+dt*c.share, g.holds(p, c.share))
-	fade := math.Exp(-dt / demandMemory)
-	c.others = math.Max(c.others*fade, 0)
+	c.others = math.Max(c.others*math.Exp(-dt/demandMemory), 0)
 	c.flow *= math.Exp(-dt / flowMemory)
 	c.filled = g.now
 }
@@ -735,16 +772,6 @@
 // unheard counts the silent peers of a customer's set.
 func (g *Gatekeeper) unheard(c *account) int { return g.mute[c.first+c.n] - g.mute[c.first] }
 
-// countMute sums the silent peers over the ring of gatekeepers.
-func (g *Gatekeeper) countMute() {
-	for i := range g.charter.n * 2 {
-		g.mute[i+1] = g.mute[i]
-		if p := &g.peers[i%g.charter.n]; p.silent && !p.gone {
-			g.mute[i+1]++
-		}
-	}
-}
-
 // roomWait is how long until the quota's one store, as far as it is known here, has the units besides what
 // peers may have spent unheard; 0 is now.
 func (g *Gatekeeper) roomWait(c *account, units float64) float64 {
@@ -871,15 +898,9 @@
 		switch {
 		case p.owes == 0 || i == g.charter.me:
 		case !p.silent && quiet > toldFor*g.charter.period:
-			g.silence(i, true)
+			g.silence(i, true, false)
 		case p.silent && !p.gone && quiet > suspicion+hold:
-			p.gone = true
-			for k := range g.accounts {
-				if c := &g.accounts[k]; c.live {
-					g.release(c, i)
-				}
-			}
-			g.countMute()
+			g.silence(i, true, true)
 		}
 	}
 	clear(g.owed)
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -566,3 +566,36 @@
 		t.Error("decisions differ")
 	}
 }
+
+// TestTurnsAway: half of the workers turn one plan away though they have room. That plan leaves them, the other
+// one does not, and the window is not cut. Where they turn all away, all leave them.
+func TestTurnsAway(t *testing.T) {
+	for _, all := range []bool{false, true} {
+		t.Run(fmt.Sprint(all), func(t *testing.T) {
+			c := charterFor(InquiryLike, nil)
+			c.Plans = []Plan{{Factor: 1}, {Factor: 1}}
+			h := newHost(t, c, 3, 8)
+			rng := rand.New(rand.NewSource(3))
+			var there [2]float64
+			h.run(20000, 60, rng, func() Arrival {
+				return Arrival{Customer: uint64(rng.Intn(40)), Plan: rng.Intn(2), Units: 1, Left: 3000}
+			}, func(s *seen, n int) (Outcome, float64) {
+				if s.subs[n].Worker >= 4 {
+					return Settled, 120 * rng.ExpFloat64()
+				}
+				there[s.Plan]++
+				if all || s.Plan == 0 {
+					return Full, 100
+				}
+				return Settled, 120 * rng.ExpFloat64()
+			})
+			part := [2]float64{there[0] / float64(len(h.sent)), there[1] / float64(len(h.sent))}
+			if part[0] > 0.05 || all != (part[1] < 0.05) {
+				t.Errorf("%v of the submissions went there", part)
+			}
+			if n := h.g.Tally(); !all && (n.Final[ByPressure] > 5 || n.Distrusted > 0) {
+				t.Errorf("%+v", n)
+			}
+		})
+	}
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -51,11 +51,15 @@
 	inFlight         int
 	pace             float64 // smoothed time of an answer, ms
 	heard            float64
-	distrust         float64
-	doubtAt          float64 // time of the distrust figure
+	distrust         mark
+	turned           []mark  // by sort of txn
+	full             bool    // turns all away
 	coldAt, coldDebt float64 // while it is not warm: when it was last sent to, and the units
 }
 
+// mark is a score that fades.
+type mark struct{ score, since float64 }
+
 type submission struct {
 	worker  int
 	sent    float64
@@ -165,7 +169,7 @@
 		}
 	}
 	for _, i := range g.ready {
-		if g.suspect(&g.workers[i]) {
+		if g.workers[i].distrust.at(g.now, distrustFade) >= distrusted {
 			t.Distrusted++
 		}
 	}
