--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -567,8 +567,8 @@
 	}
 }
 
-// TestTurnsAway: half of the workers turn one plan away though they have room. That plan leaves them, the other
-// one does not, and the window is not cut. Where they turn all away, all leave them.
+// TestTurnsAway: half of the workers turn one plan away though they have room. That plan leaves them, the
+// other one does not, and the window is not cut. Where they turn all away, all leave them.
 func TestTurnsAway(t *testing.T) {
 	for _, all := range []bool{false, true} {
 		t.Run(fmt.Sprint(all), func(t *testing.T) {
