Least window allows for the swing of a small part; first turns at cold workers come at chance

Change: least window 1.5 txns a worker and 2.5 deviations of the part (about the old figure at 10 workers and 3 gatekeepers); the first wait for a fresh worker is a random part of the largest txn's. Reports fill 0.95 of the peers' intake (0.8). Guards against: many small parts of one budget. May hurt: a gatekeeper alone may press a small fleet a little more.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -26,7 +26,7 @@
 	toldFor      = 3.5     // periods without a word from a peer that owes one until it is unheard
 	hearsay      = 1.5     // periods in which peers may have spent unheard: one, its jitter and half again
 	flowMemory   = 5000.0  // ms over which what peers send on is averaged; several txns of a small quota
-	tellBudget   = 0.8     // of the peers' intake that reports may fill; the rest is for jitter
+	tellBudget   = 0.95    // of the peers' intake that reports may fill; the rest is for jitter
 	mostHeard    = 4096    // customers known from peers alone; bounds what messages can make us keep
 
 	// Workers.
@@ -60,7 +60,8 @@
 	leap       = 0.2   // growth of the window for each answer while the pressure is under eager
 	eager      = 0.5   // of slaUse
 	growth     = 1.0   // growth over one window's worth of answers otherwise
-	leastDepth = 3.5   // txns in hand at each worker, by all gatekeepers, that the window starts at and keeps
+	leastDepth = 1.5   // txns in hand at each worker, by all gatekeepers, that the window starts at and keeps,
+	leastSwing = 2.5   // and standard deviations of a gatekeeper's part above that: chance does not add up
 	shedSpan   = 0.4   // the least valuable txns see a window smaller by this, where only the whole counts
 	evenly     = 2.5   // how fast that falls with the worst plan's part of what counts
 	lateWorth  = 2.0   // how much slower answers may get, in parts of slaUse, for each part that late ones earn
@@ -151,8 +152,9 @@
 		}
 		w := &g.workers[p.Worker]
 		if p.Active && (p.Since != w.Since || w.Worker != p.Worker) {
-			// A fresh process: what its former life, and ours, sent it must be taken as spent.
-			w.coldAt, w.coldDebt = g.now, 1
+			// A fresh process: what its former life, and ours, sent it must be taken as spent. Where each of many
+			// gatekeepers may send it one txn in minutes, chance spreads their turns from the start on.
+			w.coldAt, w.coldDebt = g.now, g.rng.Float64()*g.charter.largest
 			w.distrust.score, w.heard = 0, g.now
 			clear(w.turned)
 		}
@@ -165,7 +167,7 @@
 		}
 	}
 	if g.window == 0 {
-		g.window = leastDepth * g.perWorker()
+		g.window = g.leastWindow()
 	}
 }
 
@@ -286,9 +288,6 @@
 	w.full = plan && product
 }
 
-// sort numbers the pairs of plan and product.
-func (g *Gatekeeper) sort(t *txn) int { return t.plan*len(g.products) + t.product }
-
 // risk notes that a submission may have run.
 func (g *Gatekeeper) risk(t *txn, s *submission) {
 	if !t.mayRun || s.sent < t.bondAt {
@@ -655,18 +654,6 @@
 
 func (g *Gatekeeper) doubt(w *worker, by float64) { w.distrust.add(by, g.now, distrustFade) }
 
-// at gives a score as it has faded.
-func (m *mark) at(now, fade float64) float64 {
-	if m.score == 0 {
-		return 0
-	}
-	return m.score * math.Exp((m.since-now)/fade)
-}
-
-func (m *mark) add(by, now, fade float64) {
-	m.score, m.since = math.Min(m.at(now, fade)+by, distrustMost), now
-}
-
 // warmth guesses which part of its capacity a worker has, from the stated least start and longest warm-up.
 func (g *Gatekeeper) warmth(since float64) float64 {
 	if since <= 0 || g.charter.warmUp <= 0 || g.now-since >= g.charter.warmUp {
@@ -707,7 +694,7 @@
 	case g.press > slaUse && g.now-g.cutAt > cutPause:
 		g.cutAt = g.now
 		used := math.Min(g.window, float64(g.inHand)+1)
-		g.window = math.Max(used*math.Max(slaUse/g.press, mostCut), leastDepth*g.perWorker())
+		g.window = math.Max(used*math.Max(slaUse/g.press, mostCut), g.leastWindow())
 	case g.press < eager*slaUse && float64(g.inHand) > usedAt*g.window:
 		g.window += leap
 	case g.press < slaUse && float64(g.inHand) > usedAt*g.window:
@@ -715,9 +702,11 @@
 	}
 }
 
-// perWorker is the number of workers for each gatekeeper.
-func (g *Gatekeeper) perWorker() float64 {
-	return float64(max(len(g.ready), 1)) / float64(g.charter.n)
+// leastWindow is what the window starts at and keeps. A small part of few txns swings much, and no other
+// gatekeeper can lend its room: without the allowance many gatekeepers decline while workers idle.
+func (g *Gatekeeper) leastWindow() float64 {
+	part := leastDepth * float64(max(len(g.ready), 1)) / float64(g.charter.n)
+	return part + leastSwing*math.Sqrt(part)
 }
 
 // admit decides on a txn's first submission: BySettled lets it in, else the reason and when to return.
@@ -860,9 +849,6 @@
 // over all gatekeepers of a large set would come to many times the quota's burst.
 func (g *Gatekeeper) startLevel(c *account) float64 { return g.coldSlice(c) * g.plans[c.plan].burst }
 
-// now is the demand estimate at a moment, units a ms.
-func (c *account) now(at float64) float64 { return c.demand * math.Exp((c.seen-at)/demandMemory) }
-
 // coldSlice is what a cold customer runs at, units a ms.
 func (g *Gatekeeper) coldSlice(c *account) float64 {
 	return g.plans[c.plan].rate / float64(max(c.n, 1)) * alpha
@@ -981,8 +967,3 @@
 	g.told++
 	return Decision{Kind: Tell, Peer: to, Reports: g.reports}, true
 }
-
-// shared tells whether a customer's txns can come through a peer too.
-func (g *Gatekeeper) shared(c *account, peer int) bool {
-	return (peer-c.first+g.charter.n)%g.charter.n < c.n
-}
--- a/logic/state.go
+++ b/logic/state.go
@@ -1,6 +1,7 @@
 package logic
 
 import (
+	"math"
 	"math/rand"
 	"slices"
 )
@@ -215,3 +216,26 @@
 	}
 	return &c.told[k]
 }
+
+// at gives a score as it has faded.
+func (m *mark) at(now, fade float64) float64 {
+	if m.score == 0 {
+		return 0
+	}
+	return m.score * math.Exp((m.since-now)/fade)
+}
+
+func (m *mark) add(by, now, fade float64) {
+	m.score, m.since = math.Min(m.at(now, fade)+by, distrustMost), now
+}
+
+// sort numbers the pairs of plan and product.
+func (g *Gatekeeper) sort(t *txn) int { return t.plan*len(g.products) + t.product }
+
+// now is the demand estimate at a moment, units a ms.
+func (c *account) now(at float64) float64 { return c.demand * math.Exp((c.seen-at)/demandMemory) }
+
+// shared tells whether a customer's txns can come through a peer too.
+func (g *Gatekeeper) shared(c *account, peer int) bool {
+	return (peer-c.first+g.charter.n)%g.charter.n < c.n
+}
