A txn let in for room in the whole store is owed by the slice

Change: the slice goes below nothing by what was borrowed, at most a whole burst; the slices of all gatekeepers together then follow the one store.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -809,8 +809,8 @@
 	}
 	if p.rate > 0 {
 		c.unsaid += t.units
-		if g.sliceWait(c, t.units) == 0 { // beyond the quota nothing is taken
-			c.level -= t.units
+		if g.sliceWait(c, t.units) == 0 || g.roomWait(c, t.units) == 0 { // beyond the quota nothing is taken
+			c.level = math.Max(c.level-t.units, -g.holds(p, p.rate))
 		}
 		c.whole = math.Max(c.whole-t.units, 0)
 	}
