Peers' demand without a table by peer: a report says what is left of the one before

The profile: looking up what each peer last said of each customer took a quarter, the memory it lies in most of the rest. Now a report carries the demand and what is left of the demand reported before, so that the sum over peers needs no table; of a silent peer its last message is kept.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -1,8 +1,8 @@
 // Package gossip turns a gatekeeper's demand reports into the bytes of one peer message and back.
 //
-// A message is a version byte, a count byte, and for each report four bytes of the customer's number, one of
-// its plan, one of its demand and two of the units sent on, all big-endian. The demand is logarithmic, so
-// that it is right within a twentieth; units are counted in quarters.
+// A message is a version byte, a count byte, and for each report four bytes of the customer's number,
+// big-endian, and one each of its plan, its demand, what is known of that, and the units sent on. The last
+// three are logarithmic, so that they are right within a twentieth.
 package gossip
 
 import (
@@ -14,15 +14,13 @@
 )
 
 const (
-	version = 3
+	version = 4
 	header  = 2
 	entry   = 8
 	limit   = 256 // bytes that a peer message may have
 
-	quarters = 4
-
 	step  = 1.0 / 8    // of a power of two, between neighbouring demands
-	least = 1.0 / 1024 // units a second; demand below it is nought
+	least = 1.0 / 1024 // units a second; less is nought
 )
 
 // Room is how many reports fit one message.
@@ -34,8 +32,7 @@
 	dst = append(dst, version, byte(len(reports)))
 	for _, r := range reports {
 		dst = binary.BigEndian.AppendUint32(dst, uint32(r.Customer))
-		dst = append(dst, byte(r.Plan), pack(r.Demand))
-		dst = binary.BigEndian.AppendUint16(dst, uint16(math.Min(math.Max(r.Spent, 0)*quarters, math.MaxUint16)))
+		dst = append(dst, byte(r.Plan), pack(r.Demand), pack(r.Known), pack(r.Spent))
 	}
 	return dst
 }
@@ -56,18 +53,17 @@
 		dst = append(dst, logic.Report{
 			Customer: uint64(binary.BigEndian.Uint32(b)),
 			Plan:     int(b[4]),
-			Demand:   unpack(b[5]),
-			Spent:    float64(binary.BigEndian.Uint16(b[6:])) / quarters,
+			Demand:   unpack(b[5]), Known: unpack(b[6]), Spent: unpack(b[7]),
 		})
 	}
 	return dst, nil
 }
 
-func pack(demand float64) uint8 {
-	if !(demand > least) {
+func pack(v float64) uint8 {
+	if !(v > least) {
 		return 0
 	}
-	return uint8(math.Min(1+math.Round(math.Log2(demand/least)/step), math.MaxUint8))
+	return uint8(math.Min(1+math.Round(math.Log2(v/least)/step), math.MaxUint8))
 }
 
 func unpack(v uint8) float64 {
--- a/logic/iface.go
+++ b/logic/iface.go
@@ -116,6 +116,7 @@
 	Customer uint64 // the low half of the customer's number
 	Plan     int    // by its place in the Charter
 	Demand   float64
+	Known    float64 // what is left of the demand last reported
 	Spent    float64 // units sent on since the last report
 }
 
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -310,12 +310,16 @@
 	if from < 0 || from >= g.charter.n || from == g.charter.me {
 		return
 	}
-	g.peers[from].heard = g.now
-	if g.peers[from].silent {
+	p := &g.peers[from]
+	if p.heard = g.now; p.silent {
 		g.silence(from, false, false)
 	}
+	p.last = append(p.last[:0], reports...)
 	for _, r := range reports {
-		if !(r.Demand >= 0) || math.IsInf(r.Demand, 0) || !(r.Spent >= 0) || r.Plan < 0 || r.Plan >= len(g.plans) {
+		p.spoke = g.now
+		d := (r.Demand - r.Known) / 1000
+		if !(r.Demand >= 0) || math.IsInf(d, 0) || !(r.Known >= 0) || !(r.Spent >= 0) ||
+			r.Plan < 0 || r.Plan >= len(g.plans) {
 			continue
 		}
 		ai, ok := g.byKey[uint32(r.Customer)]
@@ -330,9 +334,7 @@
 		g.fill(c)
 		c.whole = math.Max(c.whole-r.Spent, 0)
 		c.flow += r.Spent
-		t := c.from(from)
-		c.others += r.Demand/1000 - t.demand*math.Exp((t.at-g.now)/demandMemory)
-		t.demand, t.at = r.Demand/1000, g.now
+		c.others = math.Max(c.others+d, 0)
 		if r.Demand > 0 {
 			c.heard = g.now
 			if !c.hot {
@@ -344,33 +346,32 @@
 }
 
 // silence notes that a peer which owes a word has said nothing for some periods, for so long that it counts
-// no more, or is heard again. While it is silent its last demand does not fade.
+// no more, or is heard again. While it is silent the demand of its last message does not fade.
 func (g *Gatekeeper) silence(from int, silent, gone bool) {
 	p := &g.peers[from]
-	p.silent, p.gone = silent, gone
-	for i := range g.accounts {
-		c := &g.accounts[i]
-		k, ok := c.find(from)
-		if !c.live || !ok {
-			continue
-		}
-		g.fill(c)
-		t := &c.told[k]
-		if t.frozen {
-			t.frozen, c.held = false, math.Max(c.held-t.held, 0)
-			c.holding--
-		}
-		if silent && !gone {
-			c.others = math.Max(c.others-t.demand*math.Exp((t.at-g.now)/demandMemory), 0)
-			t.held, t.frozen = t.demand*math.Exp((t.at-math.Max(p.heard, t.at))/demandMemory), true
-			t.demand = 0
-			c.held += t.held
-			c.holding++
+	hold := silent && !gone
+	if hold != p.holds {
+		for _, r := range p.last {
+			ai, ok := g.byKey[uint32(r.Customer)]
+			if !ok || !(r.Demand >= 0) || math.IsInf(r.Demand, 0) {
+				continue
+			}
+			c := &g.accounts[ai]
+			g.fill(c)
+			if d := r.Demand / 1000; hold {
+				c.others = math.Max(c.others-d*math.Exp((p.heard-g.now)/demandMemory), 0)
+				c.held += d
+				c.holding++
+			} else {
+				c.held = math.Max(c.held-d, 0)
+				c.holding = max(c.holding-1, 0)
+			}
 		}
 	}
+	p.silent, p.gone, p.holds = silent, gone, hold
 	for i := range g.mute[1:] { // silent peers over the ring
 		g.mute[i+1] = g.mute[i]
-		if p := &g.peers[i%g.charter.n]; p.silent && !p.gone {
+		if p := &g.peers[i%g.charter.n]; p.holds {
 			g.mute[i+1]++
 		}
 	}
@@ -908,7 +909,7 @@
 		inUse := c.heard > 0 && g.now-c.heard < cooldown
 		if c.hot && g.now-c.coolSince > cooldown && !inUse {
 			c.hot = false
-			c.told, c.others, c.held, c.holding = c.told[:0], 0, 0, 0
+			c.others, c.held, c.holding = 0, 0, 0
 		}
 		g.reshare(c)
 		if c.hot {
@@ -916,10 +917,8 @@
 			g.owed[c.first+c.n]--
 			if c.n > 0 && (g.now-c.seen <= g.charter.period || c.unsaid > 0) {
 				g.news = append(g.news, int32(i))
-			}
-			for k := 0; k < len(c.told) && c.n == 0; k++ {
-				g.owed[c.told[k].peer]++
-				g.owed[c.told[k].peer+1]--
+				c.known = c.said * math.Exp((c.saidAt-g.now)/demandMemory)
+				c.said, c.saidAt = own, g.now
 			}
 			continue
 		}
@@ -947,19 +946,20 @@
 	if to == 0 && g.told == 0 && g.looked == 0 && len(g.news) > 0 {
 		g.newsFrom = g.rng.Intn(len(g.news))
 	}
-	if to == g.charter.me || g.told >= g.charter.tells || g.owed[to]+g.owed[to+n] == 0 {
+	p := &g.peers[to]
+	asks := p.spoke > 0 && g.now-p.spoke < 2*g.charter.period // it spoke of customers, maybe not known here
+	if to == g.charter.me || g.told >= g.charter.tells || g.owed[to]+g.owed[to+n] == 0 && !asks {
 		return Decision{}, false
 	}
 	g.reports = g.reports[:0]
 	for ; g.looked < len(g.news) && len(g.reports) < g.charter.perTell; g.looked++ {
 		if c := &g.accounts[g.news[(g.newsFrom+g.looked)%len(g.news)]]; g.shared(c, to) {
-			g.reports = append(g.reports, Report{c.customer, c.plan, c.now(g.now) * 1000, c.unsaid})
+			g.reports = append(g.reports, Report{c.customer, c.plan, c.said * 1000, c.known * 1000, c.unsaid})
 		}
 	}
 	if len(g.reports) == 0 && g.told > 0 {
 		return Decision{}, false
 	}
-	p := &g.peers[to]
 	if g.now-p.told > 2*g.charter.period {
 		p.owes = g.now
 	}
--- a/logic/state.go
+++ b/logic/state.go
@@ -3,47 +3,44 @@
 import (
 	"math"
 	"math/rand"
-	"slices"
 )
 
 // This file holds what a gatekeeper keeps, and the book-keeping that decides nothing.
 
 type account struct {
-	customer  uint64
-	plan      int
-	n, first  int // its gatekeepers; n is 0 while it is known from peers alone
-	demand    float64
-	seen      float64 // time of the last txn, and of the estimate
-	txns      int
-	hot       bool
-	coolSince float64 // since when demand has been under the cold slice
-	share     float64 // units a ms
-	level     float64 // of the slice
-	whole     float64 // of the quota's one store as far as it is known here
-	filled    float64 // time of both, and of others
-	ceilingAt float64 // GCRA: the moment the slice of the ceiling is full again
-	unsaid    float64 // units sent on since the last report
-	out       int     // submissions out
-	told      []told  // by peers that have reported it, in their order
-	others    float64 // sum of their demand, fading
-	held      float64 // sum of the last demand of those that are silent
-	flow      float64 // units that peers sent on, fading over flowMemory
-	holding   int     // how many these are
-	heard     float64 // time of the last report of demand
-	live      bool
-}
-
-// told is what a peer last reported for a customer.
-type told struct {
-	peer             int
-	demand, at, held float64
-	frozen           bool // the peer is silent, and held counts for it
+	plan    int
+	n       int     // its gatekeepers; 0 while it is known from peers alone
+	share   float64 // units a ms
+	level   float64 // of the slice
+	whole   float64 // of the quota's one store as far as it is known here
+	filled  float64 // time of both, and of others
+	others  float64 // sum of peers' demand, fading
+	flow    float64 // units that peers sent on, fading over flowMemory
+	held    float64 // sum of the last demand of those that are silent
+	holding int     // how many these are
+	heard   float64 // time of the last report of demand
+	demand  float64
+	seen    float64 // time of the last txn, and of the estimate
+	hot     bool
+	live    bool
+
+	first               int
+	customer            uint64
+	txns                int
+	coolSince           float64 // since when demand has been under the cold slice
+	ceilingAt           float64 // GCRA: the moment the slice of the ceiling is full again
+	unsaid              float64 // units sent on since the last report
+	said, saidAt, known float64 // demand last reported, when, and what was left of the one before
+	out                 int     // submissions out
 }
 
 // peer is what is known of another gatekeeper.
 type peer struct {
 	heard, told, owes float64 // last heard; last told; since when it has owed a word each period
+	spoke             float64 // last heard with reports
 	silent, gone      bool    // it says nothing; has not for so long that it counts no more
+	holds             bool    // the demand of its last message is held
+	last              []Report
 }
 
 type worker struct {
@@ -198,25 +195,11 @@
 	}
 	c, p := &g.accounts[ai], &g.plans[plan]
 	*c = account{customer: customer, plan: plan, seen: g.now, coolSince: g.now, filled: g.now,
-		whole: g.holds(p, p.rate), told: c.told[:0], live: true}
+		whole: g.holds(p, p.rate), live: true}
 	g.byKey[uint32(customer)] = ai
 	return ai
 }
 
-// find gives the place of a peer in told, and whether it is there.
-func (c *account) find(peer int) (int, bool) {
-	return slices.BinarySearchFunc(c.told, peer, func(t told, p int) int { return t.peer - p })
-}
-
-// from gives what a peer last reported, nought at first.
-func (c *account) from(peer int) *told {
-	k, ok := c.find(peer)
-	if !ok {
-		c.told = slices.Insert(c.told, k, told{peer: peer})
-	}
-	return &c.told[k]
-}
-
 // at gives a score as it has faded.
 func (m *mark) at(now, fade float64) float64 {
 	if m.score == 0 {
