Doubt of a worker by the usual answers that a failure took; long time-outs are no pressure

Each gatekeeper meets each worker once in seconds; it forgot a time-out within 3 s, tried the worker again, and counted each time-out as pressure, so the windows stood at the least while the fleet had room. May hurt: where all workers slow down at once and tries are long, the slow ones are avoided for longer.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -41,6 +41,7 @@
 	patience     = 0.35    // of the SLA time; a worker that has said nothing for so long is silent
 	crowded      = 0.25    // of the SLA time; a draw that takes longer to answer makes us look at all workers
 	quiet        = 10.0    // usual answers that a worker owes in sum before it counts as silent
+	lost         = 5.0     // usual answers after which a time-out is its worker's doing, not the fleet's
 	spareAt      = 0.5     // of the window; under it capacity counts as spare for txns beyond a quota
 	stopped      = 100.0   // ms that a wake comes late if the gatekeeper itself stood still; many beats
 	margin       = 1.0     // ms before its expiry at which a txn gets its final answer rather than a submission
@@ -235,21 +236,23 @@
 		g.pressed(took / sla / g.charter.slack)
 	case Fault, Cut:
 		w.heard = g.now
-		g.doubt(w, 1)
+		g.doubt(w, took)
 		g.risk(t, s)
 	case NoRoute:
 		w.heard = g.now
-		g.doubt(w, 1)
+		g.doubt(w, took)
 	case Full:
 		w.heard = g.now
 		if g.turned(w, t); w.full {
-			g.doubt(w, 1)
+			g.doubt(w, took)
 			g.pressed(1)
 		}
 	case TimedOut:
 		if !s.silent {
-			g.doubt(w, 1)
-			g.pressed(1) // where tries are short, late answers are never seen
+			g.doubt(w, took)
+			if took < lost*g.pace { // where tries are short, late answers are never seen
+				g.pressed(1)
+			}
 		}
 		g.risk(t, s)
 	case Withdrawn:
@@ -452,7 +455,7 @@
 			// Guards against workers that take txns and answer none: a hang, a lost hall, a cut link.
 			s.silent = true
 			g.inHand--
-			g.doubt(w, 1)
+			g.doubt(w, age)
 			t.another = true
 		}
 	}
@@ -653,7 +656,11 @@
 	return w.distrust.at(g.now, distrustFade) + w.turned[g.sort(t)].at(g.now, turnedFade)
 }
 
-func (g *Gatekeeper) doubt(w *worker, by float64) { w.distrust.add(by, g.now, distrustFade) }
+// doubt notes a failure at a worker by the usual answers' time that it took, one at least. A worker that
+// answers none is so left alone for longer: each of many gatekeepers finds that out for itself.
+func (g *Gatekeeper) doubt(w *worker, took float64) {
+	w.distrust.add(math.Max(took/math.Max(g.pace, 1), 1), g.now, distrustFade)
+}
 
 // warmth guesses which part of its capacity a worker has, from the stated least start and longest warm-up.
 func (g *Gatekeeper) warmth(since float64) float64 {
