Silent submissions free their place early; failures weigh more where visits are rare

Change: a submission at a worker that has said nothing since frees its place after lost (5) usual answers, and is moved after quiet (10) as before; a failure weighs by the fades between two visits to a worker, one at least, no more than it took. Warm workers are counted once a period, not for every look at a cold one. Guards against hangs, lost halls, cut links. May hurt in a jam: freed places press the fleet a little.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -33,6 +33,7 @@
 	distrustFade = 3000.0  // ms; about what a restart or a short jam lasts
 	turnedFade   = 15000.0 // ms; the same for a worker that turns one kind of txn away: it is seen rarely
 	turnedAt     = 0.5     // of a mark; above it a worker is held to turn that kind of txn away
+	rarely       = 4.0     // how much heavier a failure weighs for each fade between visits to a worker
 	distrustMost = 12.0    // so that a worker is tried again within about three fades
 	distrusted   = 1.0     // distrust above which a draw is not good enough and all workers are looked at
 	widest       = 16      // workers looked at when two draws are not good enough; all of a small fleet
@@ -161,12 +162,7 @@
 		}
 		w.Posting, w.listed = p, p.Active
 	}
-	g.ready = g.ready[:0]
-	for i := range g.workers {
-		if g.workers[i].listed {
-			g.ready = append(g.ready, i)
-		}
-	}
+	g.list()
 	if g.window == 0 {
 		g.window = g.leastWindow()
 	}
@@ -248,7 +244,7 @@
 			g.pressed(1)
 		}
 	case TimedOut:
-		if !s.silent {
+		if !s.moved {
 			g.doubt(w, took)
 			if took < lost*g.pace { // where tries are short, late answers are never seen
 				g.pressed(1)
@@ -317,14 +313,14 @@
 	if p.heard = g.now; p.silent {
 		g.silence(from, false, false)
 	}
-	p.last = append(p.last[:0], reports...)
+	p.last = p.last[:0]
 	for _, r := range reports {
-		p.spoke = g.now
 		d := (r.Demand - r.Known) / 1000
 		if !(r.Demand >= 0) || math.IsInf(d, 0) || !(r.Known >= 0) || !(r.Spent >= 0) ||
 			r.Plan < 0 || r.Plan >= len(g.plans) {
 			continue
 		}
+		p.spoke, p.last = g.now, append(p.last, r)
 		ai, ok := g.byKey[uint32(r.Customer)]
 		if !ok {
 			if r.Demand == 0 || g.heardOnly >= mostHeard {
@@ -356,7 +352,7 @@
 	if hold != p.holds {
 		for _, r := range p.last {
 			ai, ok := g.byKey[uint32(r.Customer)]
-			if !ok || !(r.Demand >= 0) || math.IsInf(r.Demand, 0) {
+			if !ok {
 				continue
 			}
 			c := &g.accounts[ai]
@@ -451,12 +447,20 @@
 			continue
 		}
 		w, age := &g.workers[s.worker], g.now-math.Max(s.sent, g.thawed)
-		if !s.silent && age > patience*p.sla && age*float64(w.inFlight) > quiet*g.pace && w.heard < s.sent {
-			// Guards against workers that take txns and answer none: a hang, a lost hall, a cut link.
+		owes := age * float64(w.inFlight) / math.Max(g.pace, 1)
+		if age < patience*p.sla || w.heard >= s.sent {
+			continue
+		}
+		// Guards against workers that take txns and answer none: a hang, a lost hall, a cut link. The place of
+		// such a txn is free for others well before it is moved: many gatekeepers have few places each, and
+		// moving a txn that is only slow wastes its work.
+		if !s.silent && owes > lost {
 			s.silent = true
 			g.inHand--
+		}
+		if s.silent && !s.moved && owes > quiet {
+			s.moved, t.another = true, true
 			g.doubt(w, age)
-			t.another = true
 		}
 	}
 }
@@ -656,10 +660,13 @@
 	return w.distrust.at(g.now, distrustFade) + w.turned[g.sort(t)].at(g.now, turnedFade)
 }
 
-// doubt notes a failure at a worker by the usual answers' time that it took, one at least. A worker that
-// answers none is so left alone for longer: each of many gatekeepers finds that out for itself.
+// doubt notes a failure at a worker: by one where this gatekeeper sees each worker often. Among many
+// gatekeepers it would forget before it comes there again, and lose a txn each time; then the failure weighs
+// as often as the distrust fades between two visits, but no more than the usual answers that it took.
 func (g *Gatekeeper) doubt(w *worker, took float64) {
-	w.distrust.add(math.Max(took/math.Max(g.pace, 1), 1), g.now, distrustFade)
+	visits := refMemory * float64(len(g.ready)) / math.Max(g.warmWork(), 1)
+	by := math.Min(rarely*visits/distrustFade, took/math.Max(g.pace, 1))
+	w.distrust.add(math.Max(by, 1), g.now, distrustFade)
 }
 
 // warmth guesses which part of its capacity a worker has, from the stated least start and longest warm-up.
@@ -678,21 +685,13 @@
 // worker do, times the guessed warmth. Each gatekeeper's part of the warm load adds up to no more than a
 // warm worker can do, so together they stay under the worker's present capacity whoever else is alive.
 func (g *Gatekeeper) coldRate(since float64) float64 {
-	warm := 0
-	for _, i := range g.ready {
-		if g.warmth(g.workers[i].Since) >= 1 {
-			warm++
-		}
-	}
 	least := g.charter.coldFrom / (coldBlind * float64(g.charter.n))
-	if warm == 0 {
-		return least
-	}
 	span := refMemory * (1 - math.Exp((g.warmFrom-g.now)/refMemory))
-	if span <= 0 {
+	if g.warm == 0 || span <= 0 {
 		return least
 	}
-	return math.Max(coldShare*g.warmth(since)*g.warmWork()/(math.Max(span, refLeast)*float64(warm)), least)
+	each := g.warmWork() / (math.Max(span, refLeast) * float64(g.warm))
+	return math.Max(coldShare*g.warmth(since)*each, least)
 }
 
 // pressed takes one answer's time over its SLA time, and moves the window.
@@ -773,7 +772,7 @@
 // peers may have spent unheard; 0 is now.
 func (g *Gatekeeper) roomWait(c *account, units float64) float64 {
 	g.fill(c)
-	before := math.Max(c.now(g.now)-units/demandMemory, 0)
+	before := c.now(g.now) - units/demandMemory
 	reserve := math.Max(c.flow/flowMemory, before*float64(min(c.n-1, 3)))
 	short := units + reserve*hearsay*g.charter.period - c.whole
 	return math.Max(short/g.plans[c.plan].rate, 0)
@@ -897,6 +896,7 @@
 			g.silence(i, true, true)
 		}
 	}
+	g.list()
 	clear(g.owed)
 	g.news = g.news[:0]
 	for i := range g.accounts {
--- a/logic/state.go
+++ b/logic/state.go
@@ -63,7 +63,8 @@
 	sent    float64
 	out     bool
 	dropped bool
-	silent  bool // already held against the worker
+	silent  bool // no longer counts as in hand
+	moved   bool // already held against the worker
 }
 
 type txn struct {
@@ -110,7 +111,8 @@
 	depth    [][]float64 // window fraction by product and plan
 
 	workers []worker
-	ready   []int
+	ready   []int // the listed ones
+	warm    int   // how many of these are warm
 	peers   []peer
 	mute    []int // silent peers before each place of the ring, gone round twice
 	owed    []int // hot customers that each place of the ring shares, likewise
@@ -222,3 +224,16 @@
 func (g *Gatekeeper) shared(c *account, peer int) bool {
 	return (peer-c.first+g.charter.n)%g.charter.n < c.n
 }
+
+// list gathers the workers that may be sent to.
+func (g *Gatekeeper) list() {
+	g.ready, g.warm = g.ready[:0], 0
+	for i := range g.workers {
+		if g.workers[i].listed {
+			g.ready = append(g.ready, i)
+			if g.warmth(g.workers[i].Since) >= 1 {
+				g.warm++
+			}
+		}
+	}
+}
