Least window counts cold workers by their warmth; first turns within a middling txn's wait

Guards against fleets of which a part has just started; may hurt where true warm-up is much faster than stated.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -156,7 +156,7 @@
 		if p.Active && (p.Since != w.Since || w.Worker != p.Worker) {
 			// A fresh process: what its former life, and ours, sent it must be taken as spent. Where each of many
 			// gatekeepers may send it one txn in minutes, chance spreads their turns from the start on.
-			w.coldAt, w.coldDebt = g.now, g.rng.Float64()*g.charter.largest
+			w.coldAt, w.coldDebt = g.now, g.rng.Float64()*(1+g.charter.largest)/2
 			w.distrust.score, w.heard = 0, g.now
 			clear(w.turned)
 		}
@@ -712,7 +712,7 @@
 // leastWindow is what the window starts at and keeps. A small part of few txns swings much, and no other
 // gatekeeper can lend its room: without the allowance many gatekeepers decline while workers idle.
 func (g *Gatekeeper) leastWindow() float64 {
-	part := leastDepth * float64(max(len(g.ready), 1)) / float64(g.charter.n)
+	part := leastDepth * math.Max(g.able, 1) / float64(g.charter.n)
 	return part + leastSwing*math.Sqrt(part)
 }
 
--- a/logic/state.go
+++ b/logic/state.go
@@ -111,8 +111,9 @@
 	depth    [][]float64 // window fraction by product and plan
 
 	workers []worker
-	ready   []int // the listed ones
-	warm    int   // how many of these are warm
+	ready   []int   // the listed ones
+	warm    int     // how many of these are warm
+	able    float64 // what they can do, in warm workers
 	peers   []peer
 	mute    []int // silent peers before each place of the ring, gone round twice
 	owed    []int // hot customers that each place of the ring shares, likewise
@@ -227,11 +228,12 @@
 
 // list gathers the workers that may be sent to.
 func (g *Gatekeeper) list() {
-	g.ready, g.warm = g.ready[:0], 0
+	g.ready, g.warm, g.able = g.ready[:0], 0, 0
 	for i := range g.workers {
 		if g.workers[i].listed {
 			g.ready = append(g.ready, i)
-			if g.warmth(g.workers[i].Since) >= 1 {
+			part := g.warmth(g.workers[i].Since)
+			if g.able += part; part >= 1 {
 				g.warm++
 			}
 		}
