Room for what came while the gatekeeper stood still

Change: after its own late wake the window is wider by the answers' times that were missed (10 at most), fading over 300 ms. Told from pressure by the late wake. Guards against stalls of the gatekeeper; may hurt where many wake at the same moment. Tests: room after a stall, a silent submission's place.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -45,6 +45,8 @@
 	lost         = 5.0     // usual answers after which a time-out is its worker's doing, not the fleet's
 	spareAt      = 0.5     // of the window; under it capacity counts as spare for txns beyond a quota
 	stopped      = 100.0   // ms that a wake comes late if the gatekeeper itself stood still; many beats
+	surgeMost    = 10.0    // windows of room more after standing still; a stall of one or two SLA times
+	surgeFade    = 300.0   // ms; two usual answers
 	margin       = 1.0     // ms before its expiry at which a txn gets its final answer rather than a submission
 	beat         = 20.0    // ms between looks at waiting txns; small against any SLA time
 
@@ -132,8 +134,11 @@
 	}
 	// Guards against this gatekeeper itself being stopped for a while: what it finds then says nothing of how
 	// long workers took. It would hide true slowness only while wakes come late all the time.
-	if g.wakeAt > 0 && now-g.wakeAt > stopped {
+	// All that came meanwhile comes at once: it gets the room that would have been used in turns, for a while.
+	// Where many stand still at the same time, that presses the fleet.
+	if gap := now - g.wakeAt; g.wakeAt > 0 && gap > stopped {
 		g.thawed = now
+		g.surge = g.window * math.Min(gap/math.Max(g.pace, 1), surgeMost)
 	}
 	g.now = math.Max(g.now, now)
 	if g.wakeAt <= g.now {
@@ -498,7 +503,7 @@
 			}
 			return Decision{}, false
 		}
-		if float64(g.inHand) < g.window {
+		if float64(g.inHand) < g.room() {
 			if w := g.choose(t); w >= 0 {
 				return g.submit(t, w), true
 			}
@@ -515,7 +520,7 @@
 		}
 	} else if !g.mayRepeat(t, false) {
 		return g.giveUp(t, ByFailure, 0), true
-	} else if float64(g.inHand) >= g.window {
+	} else if float64(g.inHand) >= g.room() {
 		return g.giveUp(t, ByPressure, adviseBusy*g.products[t.product].sla), true
 	}
 	w := g.choose(t)
@@ -709,6 +714,11 @@
 	}
 }
 
+// room is how many submissions may be out now.
+func (g *Gatekeeper) room() float64 {
+	return g.window + g.surge*math.Exp((g.thawed-g.now)/surgeFade)
+}
+
 // leastWindow is what the window starts at and keeps. A small part of few txns swings much, and no other
 // gatekeeper can lend its room: without the allowance many gatekeepers decline while workers idle.
 func (g *Gatekeeper) leastWindow() float64 {
@@ -719,7 +729,7 @@
 // admit decides on a txn's first submission: BySettled lets it in, else the reason and when to return.
 func (g *Gatekeeper) admit(t *txn) (Reason, float64) {
 	c, p := &g.accounts[t.acct], &g.plans[t.plan]
-	room := float64(g.inHand) < g.window*g.depth[t.product][t.plan]
+	room := float64(g.inHand) < g.room()*g.depth[t.product][t.plan]
 	if p.ceilRate > 0 || p.ceilDepth > 0 {
 		rate, depth := p.ceilRate/float64(c.n), p.ceilDepth/float64(c.n)
 		if wait := gcraWait(c.ceilingAt, g.now, rate, depth, t.units); wait > 0 {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -500,6 +500,28 @@
 	if n := h.g.Tally(); n.Distrusted > 0 || h.g.press > 0 {
 		t.Errorf("%+v, pressure %v", n, h.g.press)
 	}
+	h.at(h.now + 2000) // again, and all that came meanwhile is there at once
+	for i := range 30 {
+		if h.txn(uint64(100+i), 1).final != 0 {
+			t.Fatalf("%d of 30 let in, with a window of %v", i, h.g.window)
+		}
+	}
+}
+
+// TestSilentPlace: what a silent worker holds frees its place before it is moved.
+func TestSilentPlace(t *testing.T) {
+	h := newHost(t, charterFor(InquiryLike, nil), 3, 2)
+	h.ended(h.txn(1, 1), 0, Settled, 100)
+	h.at(h.now + 5)
+	s := h.txn(7, 1)
+	for _, c := range [][3]float64{{400, 1, 1}, {700, 0, 1}, {1200, 1, 2}} { // ms, in hand, submissions
+		for sent := s.sentAt[0]; h.now < sent+c[0]; h.pull() {
+			h.at(h.now + 5)
+		}
+		if n := h.g.Tally(); n.InFlight != c[1] || float64(len(s.subs)) != c[2] {
+			t.Errorf("after %v ms %d submissions, %v in hand", c[0], len(s.subs), n.InFlight)
+		}
+	}
 }
 
 func TestOneOffFlood(t *testing.T) {
--- a/logic/state.go
+++ b/logic/state.go
@@ -131,6 +131,7 @@
 
 	inHand   int     // submissions out at workers that are not silent
 	window   float64 // most of them
+	surge    float64 // room more than the window when it last found that it had stood still
 	press    float64 // smoothed answer time over SLA time
 	cutAt    float64
 	pace     float64
