--- a/logic/logic.go
+++ b/logic/logic.go
@@ -608,7 +608,7 @@
 	// Guards against jams at slow workers while fast ones have room: two draws often meet two slow ones. It
 	// also covers a worker that fails, falls silent or turns such txns away. Many gatekeepers alike could run
 	// as a herd, and a large fleet cost much time, so no more than widest are looked at.
-	slow := crowded * g.products[t.product].sla
+	slow := crowded * math.Min(g.products[t.product].sla, t.expiry-g.now)
 	if best >= 0 && g.distrustOf(t, best) < distrusted && g.workers[best].pace < slow {
 		return best
 	}
