A plan that part of the workers turns away gets the open part of the window

Change: its submissions out are held to the window times the part of the workers that take it (one at least, so that it is tried again), and its answers move the window only while most workers take it. Covers any cause that closes workers to one plan or product; may hurt if marks are wrong for long: they fade in 15 s.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -34,6 +34,7 @@
 	turnedFade   = 15000.0 // ms; the same for a worker that turns one kind of txn away: it is seen rarely
 	turnedAt     = 0.5     // of a mark; above it a worker is held to turn that kind of txn away
 	rarely       = 4.0     // how much heavier a failure weighs for each fade between visits to a worker
+	mostly       = 0.5     // of the workers that take a sort of txn, for its answers to tell of the fleet
 	distrustMost = 12.0    // so that a worker is tried again within about three fades
 	distrusted   = 1.0     // distrust above which a draw is not good enough and all workers are looked at
 	widest       = 16      // workers looked at when two draws are not good enough; all of a small fleet
@@ -122,6 +123,7 @@
 		}
 		g.depth = append(g.depth, row)
 	}
+	g.outOf, g.openTo = make([]int, len(c.Plans)*len(c.Products)), make([]float64, len(c.Plans)*len(c.Products))
 	return g
 }
 
@@ -212,6 +214,7 @@
 	g.accounts[t.acct].out--
 	w := &g.workers[s.worker]
 	w.inFlight--
+	g.outOf[g.sort(t)]--
 	if !s.silent {
 		g.inHand--
 	}
@@ -234,7 +237,9 @@
 			g.warmDone = g.warmWork() + t.units
 			g.warmAt = g.now
 		}
-		g.pressed(took / sla / g.charter.slack)
+		if g.openTo[g.sort(t)] > mostly { // else it is those few workers that are pressed
+			g.pressed(took / sla / g.charter.slack)
+		}
 	case Fault, Cut:
 		w.heard = g.now
 		g.doubt(w, took)
@@ -278,8 +283,8 @@
 
 // turned notes that a worker turned a txn away as full. It counts as full for all only once it has done so to
 // more than one plan and more than one product, as far as there are more. Guards against workers that turn
-// away one plan or product though they have room: others would be driven off them, and the window cut. A
-// worker that is truly full is found out a little later.
+// away one of them though they have room: others would be driven off, and the window cut. A plan turned away
+// by a part of the workers gets the rest's part of the window; a true jam is found out a little later.
 func (g *Gatekeeper) turned(w *worker, t *txn) {
 	w.turned[g.sort(t)].add(1, g.now, turnedFade)
 	plan, product := len(g.plans) == 1, len(g.products) == 1
@@ -410,8 +415,7 @@
 		g.sweep()
 		if g.charter.talks {
 			g.tellPeer, g.told, g.looked = 0, 0, 0
-		} else {
-			g.news = g.news[:0]
+			g.newsFrom = g.rng.Intn(len(g.news) + 1)
 		}
 	}
 	for g.tellPeer >= 0 {
@@ -584,6 +588,7 @@
 	t.out++
 	g.accounts[t.acct].out++
 	w.inFlight++
+	g.outOf[g.sort(t)]++
 	g.inHand++
 	return Decision{Kind: Submit, Txn: t.id, Worker: wi, N: len(t.subs) - 1, Wait: t.expiry - g.now}
 }
@@ -605,9 +610,8 @@
 	for range 2 {
 		look(g.ready[g.rng.Intn(len(g.ready))])
 	}
-	// Guards against jams at slow workers while fast ones have room: two draws often meet two slow ones. It
-	// also covers a worker that fails, falls silent or turns such txns away. Many gatekeepers alike could run
-	// as a herd, and a large fleet cost much time, so no more than widest are looked at.
+	// Guards against jams at slow workers while fast ones have room, and covers workers that fail, are silent or
+	// turn such txns away. Many gatekeepers alike could run as a herd, so no more than widest are looked at.
 	slow := crowded * math.Min(g.products[t.product].sla, t.expiry-g.now)
 	if best >= 0 && g.distrustOf(t, best) < distrusted && g.workers[best].pace < slow {
 		return best
@@ -729,7 +733,8 @@
 // admit decides on a txn's first submission: BySettled lets it in, else the reason and when to return.
 func (g *Gatekeeper) admit(t *txn) (Reason, float64) {
 	c, p := &g.accounts[t.acct], &g.plans[t.plan]
-	room := float64(g.inHand) < g.room()*g.depth[t.product][t.plan]
+	room := float64(g.inHand) < g.room()*g.depth[t.product][t.plan] &&
+		float64(g.outOf[g.sort(t)]) < math.Max(g.room()*g.openTo[g.sort(t)], 1)
 	if p.ceilRate > 0 || p.ceilDepth > 0 {
 		rate, depth := p.ceilRate/float64(c.n), p.ceilDepth/float64(c.n)
 		if wait := gcraWait(c.ceilingAt, g.now, rate, depth, t.units); wait > 0 {
@@ -737,10 +742,7 @@
 		}
 	}
 	if p.rate > 0 {
-		wait := g.sliceWait(c, t.units)
-		if wait > 0 {
-			wait = math.Min(wait, g.roomWait(c, t.units))
-		}
+		wait := math.Min(g.sliceWait(c, t.units), g.roomWait(c, t.units))
 		if wait > 0 && !(p.excess && float64(g.inHand) < spareAt*g.window) {
 			return ByQuota, wait
 		}
@@ -960,9 +962,6 @@
 // bare word that there is none. What the period's messages cannot hold is left out, from a random place on.
 func (g *Gatekeeper) report() (Decision, bool) {
 	n, to := g.charter.n, g.tellPeer
-	if to == 0 && g.told == 0 && g.looked == 0 && len(g.news) > 0 {
-		g.newsFrom = g.rng.Intn(len(g.news))
-	}
 	p := &g.peers[to]
 	asks := p.spoke > 0 && g.now-p.spoke < 2*g.charter.period // it spoke of customers, maybe not known here
 	if to == g.charter.me || g.told >= g.charter.tells || g.owed[to]+g.owed[to+n] == 0 && !asks {
--- a/logic/state.go
+++ b/logic/state.go
@@ -111,9 +111,11 @@
 	depth    [][]float64 // window fraction by product and plan
 
 	workers []worker
-	ready   []int   // the listed ones
-	warm    int     // how many of these are warm
-	able    float64 // what they can do, in warm workers
+	ready   []int     // the listed ones
+	outOf   []int     // submissions out by sort of txn
+	openTo  []float64 // part of the workers that does not turn a sort away
+	warm    int       // how many of these are warm
+	able    float64   // what they can do, in warm workers
 	peers   []peer
 	mute    []int // silent peers before each place of the ring, gone round twice
 	owed    []int // hot customers that each place of the ring shares, likewise
@@ -230,13 +232,24 @@
 // list gathers the workers that may be sent to.
 func (g *Gatekeeper) list() {
 	g.ready, g.warm, g.able = g.ready[:0], 0, 0
+	clear(g.openTo)
 	for i := range g.workers {
-		if g.workers[i].listed {
-			g.ready = append(g.ready, i)
-			part := g.warmth(g.workers[i].Since)
-			if g.able += part; part >= 1 {
-				g.warm++
+		w := &g.workers[i]
+		if !w.listed {
+			continue
+		}
+		g.ready = append(g.ready, i)
+		part := g.warmth(w.Since)
+		if g.able += part; part >= 1 {
+			g.warm++
+		}
+		for k := range g.openTo {
+			if w.full || w.turned[k].at(g.now, turnedFade) <= turnedAt {
+				g.openTo[k]++
 			}
 		}
 	}
+	for k := range g.openTo {
+		g.openTo[k] /= float64(max(len(g.ready), 1))
+	}
 }
