--- a/logic/logic.go
+++ b/logic/logic.go
@@ -36,14 +36,14 @@
 	rarely       = 4.0     // how much heavier a failure weighs for each fade between visits to a worker
 	mostly       = 0.5     // of the workers that take a sort of txn, for its answers to tell of the fleet
 	distrustMost = 12.0    // so that a worker is tried again within about three fades
-	distrusted   = 1.0     // distrust above which a draw is not good enough and all workers are looked at
+	distrusted   = 1.0     // distrust above which a draw is not good enough and more workers are looked at
 	widest       = 16      // workers looked at when two draws are not good enough; all of a small fleet
 	paceGain     = 0.1     // weight of the newest answer in a worker's pace
 	fleetGain    = 0.025   // the same in the fleet's pace, which has many more answers
-	patience     = 0.35    // of the SLA time; a worker that has said nothing for so long is silent
-	crowded      = 0.25    // of the SLA time; a draw that takes longer to answer makes us look at all workers
-	quiet        = 10.0    // usual answers that a worker owes in sum before it counts as silent
-	lost         = 5.0     // usual answers after which a time-out is its worker's doing, not the fleet's
+	patience     = 0.35    // of the SLA time; a worker must have said nothing for so long to count as silent
+	crowded      = 0.25    // of the SLA time, or of the time left; a draw that takes longer makes us look at more
+	quiet        = 10.0    // usual answers that a silent worker owes in sum before its txns are moved
+	lost         = 5.0     // usual answers after which a silent or timed-out txn is its worker's doing, not the fleet's
 	spareAt      = 0.5     // of the window; under it capacity counts as spare for txns beyond a quota
 	stopped      = 100.0   // ms that a wake comes late if the gatekeeper itself stood still; many beats
 	surgeMost    = 10.0    // windows of room more after standing still; a stall of one or two SLA times
@@ -325,7 +325,7 @@
 	}
 	p.last = p.last[:0]
 	for _, r := range reports {
-		d := (r.Demand - r.Known) / 1000
+		d := (r.Demand - r.Known) / 1000 // what is known of it is in the sum already
 		if !(r.Demand >= 0) || math.IsInf(d, 0) || !(r.Known >= 0) || !(r.Spent >= 0) ||
 			r.Plan < 0 || r.Plan >= len(g.plans) {
 			continue
