--- a/logic/logic.go
+++ b/logic/logic.go
@@ -41,9 +41,9 @@
 	paceGain     = 0.1     // weight of the newest answer in a worker's pace
 	fleetGain    = 0.025   // the same in the fleet's pace, which has many more answers
 	patience     = 0.35    // of the SLA time; a worker must have said nothing for so long to count as silent
-	crowded      = 0.25    // of the SLA time, or of the time left; a draw that takes longer makes us look at more
+	crowded      = 0.25    // of the SLA time, or of the time left; after a slower draw more are looked at
 	quiet        = 10.0    // usual answers that a silent worker owes in sum before its txns are moved
-	lost         = 5.0     // usual answers after which a silent or timed-out txn is its worker's doing, not the fleet's
+	lost         = 5.0     // usual answers; a txn silent or timed out after them is its worker's doing
 	spareAt      = 0.5     // of the window; under it capacity counts as spare for txns beyond a quota
 	stopped      = 100.0   // ms that a wake comes late if the gatekeeper itself stood still; many beats
 	surgeMost    = 10.0    // windows of room more after standing still; a stall of one or two SLA times
