--- a/logic/host_test.go
+++ b/logic/host_test.go
@@ -76,6 +76,19 @@
 	return s
 }
 
+// ask brings txns of customer 7 at a rate a second, each settled at once if let in, and does after each.
+func (h *host) ask(perS, ms float64, after func()) {
+	for end := h.now + ms; h.now < end; {
+		h.at(h.now + 1000/perS)
+		if s := h.txn(7, 1); s.final == 0 {
+			h.ended(s, 0, Settled, 20)
+		}
+		if after != nil {
+			after()
+		}
+	}
+}
+
 func (h *host) ended(s *seen, n int, o Outcome, took float64) {
 	s.out[n] = false
 	switch o {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -25,7 +25,9 @@
 	hold         = 10000.0 // ms after that during which its last demand still counts
 	toldFor      = 3.5     // periods without a word from a peer that owes one until it is unheard
 	hearsay      = 1.5     // periods in which peers may have spent unheard: one, its jitter and half again
+	alike        = 3       // peers that are taken to see the same burst as this gatekeeper, at most
 	flowMemory   = 5000.0  // ms over which what peers send on is averaged; several txns of a small quota
+	lapse        = 2.0     // periods without a message after which talk with a peer starts anew
 	tellBudget   = 0.95    // of the peers' intake that reports may fill; the rest is for jitter
 	mostHeard    = 4096    // customers known from peers alone; bounds what messages can make us keep
 
@@ -177,14 +179,7 @@
 
 // Take accepts a txn. Its final answer comes out of Next, at the latest at its expiry.
 func (g *Gatekeeper) Take(a Arrival) {
-	var slot int32
-	if n := len(g.free); n > 0 {
-		slot, g.free = g.free[n-1], g.free[:n-1]
-	} else {
-		slot = int32(len(g.txns))
-		g.txns = append(g.txns, txn{})
-	}
-	ai := g.account(a)
+	slot, ai := place(&g.txns, &g.free), g.account(a)
 	t := &g.txns[slot]
 	*t = txn{id: a.ID, acct: ai, product: a.Product, plan: a.Plan, units: a.Units,
 		expiry: g.now + a.Left, subs: t.subs[:0], live: true}
@@ -289,7 +284,7 @@
 	w.turned[g.sort(t)].add(1, g.now, turnedFade)
 	plan, product := len(g.plans) == 1, len(g.products) == 1
 	for i := range w.turned {
-		if w.turned[i].at(g.now, turnedFade) > turnedAt {
+		if g.turnsAway(w, i) {
 			plan = plan || i/len(g.products) != t.plan
 			product = product || i%len(g.products) != t.product
 		}
@@ -297,6 +292,11 @@
 	w.full = plan && product
 }
 
+// turnsAway tells whether a worker is held to turn a sort of txn away.
+func (g *Gatekeeper) turnsAway(w *worker, sort int) bool {
+	return w.turned[sort].at(g.now, turnedFade) > turnedAt
+}
+
 // risk notes that a submission may have run.
 func (g *Gatekeeper) risk(t *txn, s *submission) {
 	if !t.mayRun || s.sent < t.bondAt {
@@ -358,8 +358,9 @@
 // no more, or is heard again. While it is silent the demand of its last message does not fade.
 func (g *Gatekeeper) silence(from int, silent, gone bool) {
 	p := &g.peers[from]
-	hold := silent && !gone
-	if hold != p.holds {
+	held := p.silent && !p.gone
+	p.silent, p.gone = silent, gone
+	if hold := silent && !gone; hold != held {
 		for _, r := range p.last {
 			ai, ok := g.byKey[uint32(r.Customer)]
 			if !ok {
@@ -377,10 +378,9 @@
 			}
 		}
 	}
-	p.silent, p.gone, p.holds = silent, gone, hold
 	for i := range g.mute[1:] { // silent peers over the ring
 		g.mute[i+1] = g.mute[i]
-		if p := &g.peers[i%g.charter.n]; p.holds {
+		if p := &g.peers[i%g.charter.n]; p.silent && !p.gone {
 			g.mute[i+1]++
 		}
 	}
@@ -743,7 +743,7 @@
 	}
 	if p.rate > 0 {
 		wait := math.Min(g.sliceWait(c, t.units), g.roomWait(c, t.units))
-		if wait > 0 && !(p.excess && float64(g.inHand) < spareAt*g.window) {
+		if t.inside = wait <= 0; !t.inside && !(p.excess && float64(g.inHand) < spareAt*g.window) {
 			return ByQuota, wait
 		}
 	}
@@ -785,7 +785,7 @@
 func (g *Gatekeeper) roomWait(c *account, units float64) float64 {
 	g.fill(c)
 	before := c.now(g.now) - units/demandMemory
-	reserve := math.Max(c.flow/flowMemory, before*float64(min(c.n-1, 3)))
+	reserve := math.Max(c.flow/flowMemory, before*float64(min(c.n-1, alike)))
 	short := units + reserve*hearsay*g.charter.period - c.whole
 	return math.Max(short/g.plans[c.plan].rate, 0)
 }
@@ -828,7 +828,7 @@
 	}
 	if p.rate > 0 {
 		c.unsaid += t.units
-		if g.sliceWait(c, t.units) == 0 || g.roomWait(c, t.units) == 0 { // beyond the quota nothing is taken
+		if g.fill(c); t.inside { // beyond the quota nothing is taken
 			c.level = math.Max(c.level-t.units, -g.holds(p, p.rate))
 		}
 		c.whole = math.Max(c.whole-t.units, 0)
@@ -963,7 +963,7 @@
 func (g *Gatekeeper) report() (Decision, bool) {
 	n, to := g.charter.n, g.tellPeer
 	p := &g.peers[to]
-	asks := p.spoke > 0 && g.now-p.spoke < 2*g.charter.period // it spoke of customers, maybe not known here
+	asks := p.spoke > 0 && g.now-p.spoke < lapse*g.charter.period // it spoke of customers, maybe not known here
 	if to == g.charter.me || g.told >= g.charter.tells || g.owed[to]+g.owed[to+n] == 0 && !asks {
 		return Decision{}, false
 	}
@@ -976,7 +976,7 @@
 	if len(g.reports) == 0 && g.told > 0 {
 		return Decision{}, false
 	}
-	if g.now-p.told > 2*g.charter.period {
+	if g.now-p.told > lapse*g.charter.period {
 		p.owes = g.now
 	}
 	p.told = g.now
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -84,19 +84,11 @@
 
 func TestHotAndCold(t *testing.T) {
 	h := newHost(t, charterFor(InquiryLike, nil), 1, 4)
-	ask := func(perS, ms float64) {
-		for end := h.now + ms; h.now < end; {
-			h.at(h.now + 1000/perS)
-			if s := h.txn(7, 1); s.final == 0 {
-				h.ended(s, 0, Settled, 20)
-			}
-		}
-	}
-	ask(1, 4000)
+	h.ask(1, 4000, nil)
 	if len(h.told) > 0 {
 		t.Fatal("a cold customer is told of")
 	}
-	ask(9, 3000)
+	h.ask(9, 3000, nil)
 	if len(h.told) == 0 || h.told[0].Peer != 1 || h.told[0].Reports[0].Customer != 7 {
 		t.Fatalf("a customer near its slice is not told of: %v", h.told)
 	}
@@ -187,22 +179,11 @@
 	for _, c := range cases {
 		t.Run(fmt.Sprint(c.silent, c.again), func(t *testing.T) {
 			h := newHost(t, charterFor(InquiryLike, nil), 1, 4)
-			ask := func(until float64, peer bool) {
-				for h.now < until {
-					h.at(h.now + 100)
-					if s := h.txn(7, 1); s.final == 0 {
-						h.ended(s, 0, Settled, 1)
-					}
-					if peer {
-						h.g.Hear(1, []Report{{7, 0, 10, 9, 0}})
-					}
-				}
-			}
-			ask(4000, true)
-			ask(h.now+c.silent, false)
+			h.ask(10, 3000, func() { h.g.Hear(1, []Report{{7, 0, 10, 9, 0}}) })
+			h.ask(10, c.silent, nil)
 			if c.again {
 				h.g.Hear(1, nil)
-				ask(h.now+2*period, false)
+				h.ask(10, 2*period, nil)
 			}
 			a := &h.g.accounts[h.g.byKey[7]]
 			want := 10 * (beta/2 + (1-beta)*c.part)
--- a/logic/state.go
+++ b/logic/state.go
@@ -36,11 +36,10 @@
 
 // peer is what is known of another gatekeeper.
 type peer struct {
-	heard, told, owes float64 // last heard; last told; since when it has owed a word each period
-	spoke             float64 // last heard with reports
-	silent, gone      bool    // it says nothing; has not for so long that it counts no more
-	holds             bool    // the demand of its last message is held
-	last              []Report
+	heard, told, owes float64  // last heard; last told; since when it has owed a word each period
+	spoke             float64  // last heard with reports
+	silent, gone      bool     // it says nothing; has not for so long that it counts no more
+	last              []Report // of its last message; their demand is held while it is silent and not gone
 }
 
 type worker struct {
@@ -80,6 +79,7 @@
 	bondAt        float64
 	answered      bool
 	another       bool // a second copy, or a move, is wanted
+	inside        bool // its quota had the units when it was let in
 	live          bool
 }
 
@@ -114,8 +114,8 @@
 	ready   []int     // the listed ones
 	outOf   []int     // submissions out by sort of txn
 	openTo  []float64 // part of the workers that does not turn a sort away
-	warm    int       // how many of these are warm
-	able    float64   // what they can do, in warm workers
+	warm    int       // how many of the listed ones are warm
+	able    float64   // what all the listed ones can do, in warm workers
 	peers   []peer
 	mute    []int // silent peers before each place of the ring, gone round twice
 	owed    []int // hot customers that each place of the ring shares, likewise
@@ -190,15 +190,21 @@
 	return Decision{}, false
 }
 
+// place gives a used place of a slab, or a new one at its end.
+func place[T any](slab *[]T, unused *[]int32) int32 {
+	if n := len(*unused); n > 0 {
+		at := (*unused)[n-1]
+		*unused = (*unused)[:n-1]
+		return at
+	}
+	var fresh T
+	*slab = append(*slab, fresh)
+	return int32(len(*slab) - 1)
+}
+
 // open makes an account with full stores, in a used place if there is one.
 func (g *Gatekeeper) open(customer uint64, plan int) int32 {
-	var ai int32
-	if n := len(g.unused); n > 0 {
-		ai, g.unused = g.unused[n-1], g.unused[:n-1]
-	} else {
-		ai = int32(len(g.accounts))
-		g.accounts = append(g.accounts, account{})
-	}
+	ai := place(&g.accounts, &g.unused)
 	c, p := &g.accounts[ai], &g.plans[plan]
 	*c = account{customer: customer, plan: plan, seen: g.now, coolSince: g.now, filled: g.now,
 		whole: g.holds(p, p.rate), live: true}
@@ -244,7 +250,7 @@
 			g.warm++
 		}
 		for k := range g.openTo {
-			if w.full || w.turned[k].at(g.now, turnedFade) <= turnedAt {
+			if w.full || !g.turnsAway(w, k) {
 				g.openTo[k]++
 			}
 		}
