--- /dev/null
+++ b/cmd/willowdeck/main.go
@@ -0,0 +1,87 @@
+// Command willowdeck is the gatekeeper on sockets.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/urfave/cli/v3"
+
+	"willowdeck/internal/config"
+	"willowdeck/internal/lifecycle"
+)
+
+func main() {
+	if err := command().Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintf(os.Stderr, "willowdeck: %v\n", err)
+		os.Exit(1)
+	}
+}
+
+func command() *cli.Command {
+	file := &cli.StringFlag{Name: "config", Usage: "the configuration `FILE`", Sources: cli.EnvVars("NODE_CONFIG")}
+	level := &cli.StringFlag{Name: "log", Value: "info", Usage: "the least `LEVEL` to log: debug, info, warn, error",
+		Sources: cli.EnvVars("WILLOWDECK_LOG")}
+	return &cli.Command{
+		Name:  "willowdeck",
+		Usage: "holds customers to quotas before a shared back end",
+		Commands: []*cli.Command{
+			{Name: "serve", Usage: "run a gatekeeper until SIGTERM", Flags: []cli.Flag{file, level}, Action: serve},
+			{Name: "check", Usage: "read and check the configuration, and say what it holds", Flags: []cli.Flag{file},
+				Action: check},
+			{Name: "version", Usage: "say which build this is", Action: version},
+		},
+	}
+}
+
+func serve(_ context.Context, c *cli.Command) error {
+	level, err := zerolog.ParseLevel(c.String("log"))
+	if err != nil {
+		return fmt.Errorf("log: %w", err)
+	}
+	conf, err := config.Read(c.String("config"), os.Getenv)
+	if err != nil {
+		return err
+	}
+	zerolog.TimeFieldFormat = time.RFC3339Nano
+	log := zerolog.New(os.Stderr).Level(level).With().Timestamp().Str("gatekeeper", conf.Name).Logger()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	g, err := lifecycle.Start(conf, log)
+	if err != nil {
+		return err
+	}
+	return g.Run(signals)
+}
+
+func check(_ context.Context, c *cli.Command) error {
+	conf, err := config.Read(c.String("config"), os.Getenv)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("%s: %d products, %d plans, %d workers known, %d gatekeepers\n", conf.Name,
+		len(conf.Charter.Products), len(conf.Charter.Plans), len(conf.Known.Workers), conf.Charter.Gatekeepers)
+	return nil
+}
+
+func version(context.Context, *cli.Command) error {
+	b, ok := debug.ReadBuildInfo()
+	if !ok {
+		fmt.Println("willowdeck, build unknown")
+		return nil
+	}
+	rev := "unknown"
+	for _, s := range b.Settings {
+		if s.Key == "vcs.revision" {
+			rev = s.Value
+		}
+	}
+	fmt.Printf("willowdeck %s, revision %s, %s\n", b.Main.Version, rev, b.GoVersion)
+	return nil
+}
--- a/internal/benchwire/benchwire.go
+++ b/internal/benchwire/benchwire.go
@@ -12,7 +12,9 @@
 	"math"
 	"strconv"
 
-	"willowdeck/internal/gossip"
+	"willowdeck/internal/config"
+	"willowdeck/internal/held"
+	"willowdeck/internal/wire/gossip"
 	"willowdeck/logic"
 )
 
@@ -22,10 +24,10 @@
 type instance struct {
 	num     int
 	gk      *logic.Gatekeeper
-	names   names
-	workers map[string]int
-	ids     []string // by worker index
-	acts    bool     // has had an event in this batch
+	names   config.Names
+	workers held.Index
+	zones   held.Index
+	acts    bool // has had an event in this batch
 }
 
 type link struct {
@@ -143,10 +145,10 @@
 			SetSize: m.int(6, "set_size"), Units: m.num(7, "cost_units"), First: m.int(10, "base"),
 			Left: m.num(11, "budget_us") / usPerMs}
 		var ok bool
-		if a.Product, ok = in.names.products[product]; !ok && m.err == nil {
+		if a.Product, ok = in.names.Products[product]; !ok && m.err == nil {
 			return fmt.Errorf("class %q is not in the settings", product)
 		}
-		if a.Plan, ok = in.names.plans[plan]; !ok && m.err == nil {
+		if a.Plan, ok = in.names.Plans[plan]; !ok && m.err == nil {
 			return fmt.Errorf("plan %q is not in the settings", plan)
 		}
 		if m.err == nil {
@@ -206,11 +208,11 @@
 	if err := json.Unmarshal(raw, &parts); err != nil {
 		return fmt.Errorf("setup: %w", err)
 	}
-	c, n, err := charter(parts[3])
+	c, n, _, err := config.Charter(parts[3])
 	if err != nil {
 		return err
 	}
-	in := &instance{num: num, names: n, workers: map[string]int{}}
+	in := &instance{num: num, names: n}
 	defer l.guard(in)
 	in.gk = logic.New(c, int64(seed))
 	l.instances[num] = in
@@ -254,7 +256,7 @@
 		if e.err != nil {
 			return fmt.Errorf("list %d: %w", list, e.err)
 		}
-		p.Worker, p.Zone = in.index(name), in.zoneIndex(zone)
+		p.Worker, p.Zone = in.workers.Of(name), in.zones.Of(zone)
 		l.postings = append(l.postings, p)
 	}
 	if m.err == nil {
@@ -263,28 +265,6 @@
 	return m.err
 }
 
-func (in *instance) index(name string) int {
-	i, ok := in.workers[name]
-	if !ok {
-		i = len(in.ids)
-		in.workers[name] = i
-		in.ids = append(in.ids, name)
-	}
-	return i
-}
-
-func (in *instance) zoneIndex(name string) int {
-	if in.names.zones == nil {
-		in.names.zones = map[string]int{}
-	}
-	i, ok := in.names.zones[name]
-	if !ok {
-		i = len(in.names.zones)
-		in.names.zones[name] = i
-	}
-	return i
-}
-
 // guard reports a panic of the module in the wire's word for it.
 func (l *link) guard(in *instance) {
 	if p := recover(); p != nil {
@@ -329,7 +309,7 @@
 	switch d.Kind {
 	case logic.Submit:
 		b = ints(append(b, `TRANSMIT"`...), int64(in.num), int64(d.Txn), us(d.Wait))
-		b = append(strconv.AppendQuote(append(b, ','), in.ids[d.Worker]), ']')
+		b = append(strconv.AppendQuote(append(b, ','), in.workers.Name(d.Worker)), ']')
 	case logic.Decline:
 		b = append(ints(append(b, `SAY_NO"`...), int64(in.num), int64(d.Txn), us(d.Wait)), ']')
 	case logic.Void:
--- a/internal/benchwire/charter.go
+++ b/internal/config/charter.go
@@ -1,21 +1,31 @@
-package benchwire
+// Package config reads what a gatekeeper is told at its start, checks it and fills in defaults. Its errors
+// name the key at fault.
+package config
 
 import (
 	"encoding/json"
 	"fmt"
 
-	"willowdeck/internal/gossip"
+	"willowdeck/internal/wire/gossip"
 	"willowdeck/logic"
 )
 
-// names are what an instance's charter lists by name, in the charter's order.
-type names struct {
-	products, plans map[string]int
-	zones           map[string]int
+const usPerMs = 1000
+
+// Names gives the places in the charter of the products and plans that txns name.
+type Names struct {
+	Products, Plans map[string]int
+}
+
+// Lines is what the settings say of connections to workers. Times are in ms.
+type Lines struct {
+	IdleLimit      float64 // the worker's side closes a connection that stands idle for so long
+	ConnectTimeout float64
+	AnswerSlack    float64 // how late after its expiry a txn's final answer may come
 }
 
-// charter reads the settings of a new instance.
-func charter(raw []byte) (logic.Charter, names, error) {
+// Charter reads the settings, as they stand in the configuration and on the bench's wire alike.
+func Charter(raw []byte) (logic.Charter, Names, Lines, error) {
 	var s struct {
 		Me        int
 		Balancers int
@@ -40,29 +50,32 @@
 			OverCost    float64 `json:"over_cost"`
 		}
 		Allowed struct {
-			MaxAttempts   int     `json:"max_attempts"`
-			MayDuplicate  bool    `json:"may_duplicate"`
-			Cancel        bool    `json:"cancel"`
-			RetryAfter    bool    `json:"retry_after"`
-			MaxRetryAfter float64 `json:"max_retry_after_us"`
-			Peers         bool    `json:"peers"`
+			MaxAttempts    int     `json:"max_attempts"`
+			MayDuplicate   bool    `json:"may_duplicate"`
+			Cancel         bool    `json:"cancel"`
+			RetryAfter     bool    `json:"retry_after"`
+			MaxRetryAfter  float64 `json:"max_retry_after_us"`
+			Peers          bool    `json:"peers"`
+			Keepalive      float64 `json:"keepalive_us"`
+			ConnectTimeout float64 `json:"connect_timeout_us"`
 		}
 		FamilyInfo struct {
 			Largest    float64
 			PeerInPerS float64 `json:"peer_in_per_s"`
 		} `json:"family_info"`
 		Safety struct {
-			ColdFrom float64 `json:"cold_from"`
-			WarmUp   float64 `json:"warm_up_us"`
+			ColdFrom    float64 `json:"cold_from"`
+			AnswerSlack float64 `json:"answer_slack_us"`
+			WarmUp      float64 `json:"warm_up_us"`
 		}
 		ScoreParts struct {
 			Whole       float64
 			WorstTenant float64 `json:"worst_tenant"`
 		} `json:"score_parts"`
 	}
-	n := names{products: map[string]int{}, plans: map[string]int{}}
+	n := Names{Products: map[string]int{}, Plans: map[string]int{}}
 	if err := json.Unmarshal(raw, &s); err != nil {
-		return logic.Charter{}, n, fmt.Errorf("settings: %w", err)
+		return logic.Charter{}, n, Lines{}, fmt.Errorf("settings: %w", err)
 	}
 	c := logic.Charter{
 		Me: s.Me, Gatekeepers: s.Balancers,
@@ -90,7 +103,7 @@
 		case "non_idempotent":
 			d.Repeat = logic.OnceOnly
 		default:
-			return c, n, fmt.Errorf("settings: class %q: effect %q", p.Name, p.Effect)
+			return c, n, Lines{}, fmt.Errorf("settings: classes[%d].effect: %q is unknown", i, p.Effect)
 		}
 		switch p.Group {
 		case "zone":
@@ -98,14 +111,15 @@
 		case "cell":
 			d.Group = logic.GroupCell
 		}
-		n.products[p.Name] = i
+		n.Products[p.Name] = i
 		c.Products = append(c.Products, d)
 	}
 	for i, p := range s.Tariffs {
-		n.plans[p.Name] = i
+		n.Plans[p.Name] = i
 		c.Plans = append(c.Plans, logic.Plan{Rate: p.Rate, Burst: p.MostAtOnce, CeilingRate: p.HardRate,
 			CeilingDepth: p.CapDepth, Open: p.Open, Factor: p.WorthFactor, ExcessShare: p.ExcessWorth,
 			ExcessFee: p.OverCost})
 	}
-	return c, n, nil
+	return c, n, Lines{IdleLimit: s.Allowed.Keepalive / usPerMs, ConnectTimeout: s.Allowed.ConnectTimeout / usPerMs,
+		AnswerSlack: s.Safety.AnswerSlack / usPerMs}, nil
 }
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,158 @@
+package config
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"strconv"
+
+	"willowdeck/internal/wire/roster"
+	"willowdeck/logic"
+)
+
+// What a gatekeeper takes where its configuration does not say.
+const (
+	defaultCores    = 1.0
+	defaultMemoryMB = 192
+	defaultSockets  = 1024
+)
+
+// Gatekeeper is all that one gatekeeper's program is told.
+type Gatekeeper struct {
+	Name      string
+	Listen    string
+	Discovery string
+	Seed      int64
+	Cores     float64
+	MemoryMB  int
+	Sockets   int
+	PeerPort  netip.AddrPort   // where peers' datagrams arrive; not valid where peers are not talked to
+	Peers     []netip.AddrPort // by number, this gatekeeper's own included
+	Known     roster.List
+	Charter   logic.Charter
+	Names     Names
+	Lines     Lines
+}
+
+// Read reads the configuration file. What it lacks of name, listen and discovery comes from the
+// environment.
+func Read(path string, env func(string) string) (Gatekeeper, error) {
+	if path == "" {
+		return Gatekeeper{}, errors.New("NODE_CONFIG is not set: it names the configuration file")
+	}
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return Gatekeeper{}, fmt.Errorf("NODE_CONFIG: %w", err)
+	}
+	g, err := Decode(raw, env)
+	if err != nil {
+		return g, fmt.Errorf("%s: %w", path, err)
+	}
+	return g, nil
+}
+
+// Decode reads and checks a configuration.
+func Decode(raw []byte, env func(string) string) (Gatekeeper, error) {
+	var m struct {
+		Name, Listen, Discovery, Seed string
+		Limits                        struct {
+			Cores    float64
+			MemoryMB int `json:"memory_mb"`
+			Sockets  int
+		}
+		PeerListen string `json:"peer_listen"`
+		Peers      []string
+		Known      json.RawMessage
+		Settings   json.RawMessage
+	}
+	g := Gatekeeper{}
+	if err := json.Unmarshal(raw, &m); err != nil {
+		return g, err
+	}
+	var err error
+	if len(m.Settings) == 0 {
+		return g, errors.New("settings is missing")
+	}
+	if g.Charter, g.Names, g.Lines, err = Charter(m.Settings); err != nil {
+		return g, err
+	}
+	if len(m.Known) > 0 {
+		if g.Known, err = roster.Decode(m.Known); err != nil {
+			return g, fmt.Errorf("known: %w", err)
+		}
+		g.Known.Whole = true
+	}
+	if m.Seed != "" {
+		seed, err := strconv.ParseUint(m.Seed, 16, 64)
+		if err != nil {
+			return g, fmt.Errorf("seed: %w", err)
+		}
+		g.Seed = int64(seed)
+	}
+	g.Name = either(m.Name, env("NODE_NAME"))
+	if g.Listen, err = address("listen", either(m.Listen, env("NODE_LISTEN"))); err != nil {
+		return g, err
+	}
+	if g.Discovery, err = address("discovery", either(m.Discovery, env("NODE_DISCOVERY"))); err != nil {
+		return g, err
+	}
+	if g.Cores = m.Limits.Cores; g.Cores == 0 {
+		g.Cores = defaultCores
+	}
+	if g.MemoryMB = m.Limits.MemoryMB; g.MemoryMB == 0 {
+		g.MemoryMB = defaultMemoryMB
+	}
+	if g.Sockets = m.Limits.Sockets; g.Sockets == 0 {
+		g.Sockets = defaultSockets
+	}
+	switch {
+	case g.Cores < 0:
+		return g, fmt.Errorf("limits.cores: %v is below nought", g.Cores)
+	case g.MemoryMB < 0:
+		return g, fmt.Errorf("limits.memory_mb: %d is below nought", g.MemoryMB)
+	case g.Sockets < 0:
+		return g, fmt.Errorf("limits.sockets: %d is below nought", g.Sockets)
+	}
+	if g.Charter.MayTell && g.Charter.Gatekeepers > 1 {
+		return g, g.peers(m.PeerListen, m.Peers)
+	}
+	return g, nil
+}
+
+func (g *Gatekeeper) peers(listen string, list []string) error {
+	var err error
+	if g.PeerPort, err = netip.ParseAddrPort(listen); err != nil {
+		return fmt.Errorf("peer_listen: %w", err)
+	}
+	if len(list) != g.Charter.Gatekeepers {
+		return fmt.Errorf("peers: %d addresses for settings.balancers of %d", len(list), g.Charter.Gatekeepers)
+	}
+	for i, p := range list {
+		a, err := netip.ParseAddrPort(p)
+		if err != nil {
+			return fmt.Errorf("peers[%d]: %w", i, err)
+		}
+		g.Peers = append(g.Peers, a)
+	}
+	return nil
+}
+
+// address checks an address that must be there.
+func address(key, value string) (string, error) {
+	if value == "" {
+		return "", fmt.Errorf("%s is missing", key)
+	}
+	if _, err := netip.ParseAddrPort(value); err != nil {
+		return "", fmt.Errorf("%s: %w", key, err)
+	}
+	return value, nil
+}
+
+func either(a, b string) string {
+	if a != "" {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/internal/gate/desk.go
@@ -0,0 +1,198 @@
+package gate
+
+import (
+	"sync"
+	"time"
+
+	"willowdeck/internal/held"
+	"willowdeck/internal/wire"
+	"willowdeck/internal/wire/gossip"
+	"willowdeck/internal/wire/roster"
+	"willowdeck/logic"
+)
+
+// clock gives the module's time: Unix ms at the start, and from there on by the monotonic clock, so that the
+// starts of workers' processes are in it as they are told.
+type clock struct {
+	start time.Time
+	unix  float64
+}
+
+func newClock() clock {
+	now := time.Now()
+	return clock{start: now, unix: float64(now.UnixMicro()) / 1000}
+}
+
+func (c clock) now() float64 { return c.unix + float64(time.Since(c.start))/float64(time.Millisecond) }
+
+func (c clock) time(at float64) time.Time {
+	return c.start.Add(time.Duration((at - c.unix) * float64(time.Millisecond)))
+}
+
+// Desk owns the module, its clock and its wake-up timer. Its lock is held for calls of the module alone, never
+// over I/O.
+type Desk struct {
+	clock clock
+	tell  func(peer int, b []byte)
+	shed  func(worker int)
+	subs  int
+	late  float64 // ms after its expiry that the rules allow a final answer
+
+	mu      sync.Mutex
+	gk      *logic.Gatekeeper
+	timer   *time.Timer
+	last    uint64
+	txns    map[uint64]*held.Txn
+	workers held.Workers
+	speech  []speech
+}
+
+// speech is a datagram that waits for the lock's end.
+type speech struct {
+	peer int
+	b    []byte
+}
+
+// NewDesk starts the module. Final answers may be late by so many ms; tell sends a peer's datagram; shed ends the idle connections to a worker.
+func NewDesk(c logic.Charter, seed int64, late float64, tell func(int, []byte), shed func(int)) *Desk {
+	d := &Desk{clock: newClock(), tell: tell, shed: shed, subs: max(c.MaxSubmissions, 1), late: late,
+		gk: logic.New(c, seed), txns: map[uint64]*held.Txn{}}
+	d.timer = time.AfterFunc(time.Hour, d.wake)
+	return d
+}
+
+// Stop ends the wake-up timer.
+func (d *Desk) Stop() { d.timer.Stop() }
+
+// Ready tells whether a txn could be served.
+func (d *Desk) Ready() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.workers.Active()
+}
+
+// Tally gives the module's counts.
+func (d *Desk) Tally() logic.Tally {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.gk.Tally()
+}
+
+// Roster takes discovery's news.
+func (d *Desk) Roster(l roster.List) {
+	d.enter()
+	list, ended := d.workers.Update(l)
+	d.gk.Roster(list, !l.Whole)
+	d.leave()
+	for _, w := range ended {
+		d.shed(w)
+	}
+}
+
+// Hear takes a peer's reports.
+func (d *Desk) Hear(from int, reports []logic.Report) {
+	d.enter()
+	d.gk.Hear(from, reports)
+	d.leave()
+}
+
+func (d *Desk) wake() {
+	d.enter()
+	d.leave()
+}
+
+// take gives a txn to the module. What is decided on it comes to its box.
+func (d *Desk) take(t *wire.Txn) *held.Txn {
+	now := d.enter()
+	d.last++
+	t.ID = d.last
+	h := held.NewTxn(t.ID, now+t.Left, d.subs)
+	d.txns[t.ID] = h
+	d.gk.Take(t.Arrival)
+	d.leave()
+	return h
+}
+
+// ended tells the module how a submission ended. The first answer of a worker settles the txn.
+func (d *Desk) ended(h *held.Txn, n int, a *wire.Answer, took float64) {
+	now := d.enter()
+	if a.Outcome == logic.Settled && !h.Final {
+		d.finish(h, held.Word{Answer: a}, now)
+	}
+	d.gk.Ended(h.ID, n, a.Outcome, took, h.Final)
+	h.Out--
+	d.forget(h)
+	d.leave()
+}
+
+// finish gives a txn its final answer.
+func (d *Desk) finish(h *held.Txn, w held.Word, now float64) {
+	held.Must(!h.Final, held.OneFinal)
+	held.Must(now <= h.Expiry+d.late, held.InTime)
+	h.Final = true
+	h.Box <- w
+}
+
+// forget drops a txn of which nothing more can come.
+func (d *Desk) forget(h *held.Txn) {
+	if h.Final && h.Out == 0 {
+		delete(d.txns, h.ID)
+	}
+}
+
+// enter takes the lock and brings the module's clock up to now.
+func (d *Desk) enter() float64 {
+	d.mu.Lock()
+	now := d.clock.now()
+	d.gk.Clock(now)
+	return now
+}
+
+// leave pulls the module's decisions one by one until there is none, gives up the lock, and sends what peers
+// are told.
+func (d *Desk) leave() {
+	for {
+		v, ok := d.gk.Next()
+		if !ok {
+			break
+		}
+		d.carry(v)
+	}
+	speech := d.speech
+	d.speech = nil
+	d.mu.Unlock()
+	for _, s := range speech {
+		d.tell(s.peer, s.b)
+	}
+}
+
+func (d *Desk) carry(v logic.Decision) {
+	switch v.Kind {
+	case logic.Wake:
+		d.timer.Reset(time.Until(d.clock.time(v.At)))
+		return
+	case logic.Tell:
+		b := gossip.Append(nil, v.Reports)
+		held.Must(len(b) <= gossip.Limit, held.ShortSpeech)
+		d.speech = append(d.speech, speech{v.Peer, b})
+		return
+	}
+	h := d.txns[v.Txn]
+	held.Must(h != nil, held.Named)
+	if h == nil {
+		return
+	}
+	switch v.Kind {
+	case logic.Withdraw:
+		h.Subs[v.N].Withdraw()
+	case logic.Submit:
+		held.Must(!h.Final && len(h.Subs) == v.N, held.NoneAfter)
+		s := &held.Submission{}
+		h.Subs = append(h.Subs, s)
+		h.Out++
+		h.Box <- held.Word{Decision: v, To: d.workers.Life(v.Worker), Sub: s}
+	case logic.Decline, logic.Void:
+		d.finish(h, held.Word{Decision: v}, d.clock.now())
+		d.forget(h)
+	}
+}
--- /dev/null
+++ b/internal/held/claims_debug.go
@@ -0,0 +1,5 @@
+//go:build debug
+
+package held
+
+const asserted = true
--- /dev/null
+++ b/internal/held/life.go
@@ -0,0 +1,67 @@
+package held
+
+import (
+	"sync"
+
+	"willowdeck/internal/wire"
+	"willowdeck/logic"
+)
+
+// Word is what a txn's function is told: a decision of the module, or the answer that settles the txn.
+type Word struct {
+	Decision logic.Decision
+	Answer   *wire.Answer
+	To       Life        // Submit: the worker as it was when this was decided
+	Sub      *Submission // Submit: the submission itself
+}
+
+// Txn is one txn in hand. All but Box belongs to the gate's lock.
+type Txn struct {
+	ID     uint64
+	Expiry float64
+	Box    chan Word // holds all that a txn can be told, so that telling never waits
+	Final  bool      // its final answer is on the way
+	Out    int       // submissions that have not ended
+	Subs   []*Submission
+}
+
+// NewTxn makes room for a txn of at most so many submissions.
+func NewTxn(id uint64, expiry float64, subs int) *Txn {
+	return &Txn{ID: id, Expiry: expiry, Box: make(chan Word, subs+1)}
+}
+
+// Submission is one submission that is out, which another goroutine may withdraw.
+type Submission struct {
+	mu        sync.Mutex
+	link      *wire.Link
+	withdrawn bool
+}
+
+// Begin puts a submission on a link, unless it has been withdrawn.
+func (s *Submission) Begin(l *wire.Link) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.withdrawn {
+		return false
+	}
+	s.link = l
+	return true
+}
+
+// End takes a submission off its link, and tells whether it was withdrawn before.
+func (s *Submission) End() (withdrawn bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.link = nil
+	return s.withdrawn
+}
+
+// Withdraw ends a submission: one that has not been sent never will be.
+func (s *Submission) Withdraw() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.withdrawn = true
+	if s.link != nil {
+		s.link.Abort()
+	}
+}
--- /dev/null
+++ b/internal/held/workers.go
@@ -0,0 +1,86 @@
+package held
+
+import (
+	"net/netip"
+	"sync/atomic"
+
+	"willowdeck/internal/wire/roster"
+	"willowdeck/logic"
+)
+
+// Worker is what the sockets need of one worker: where it is, and in which of its lives.
+type Worker struct {
+	addr   netip.AddrPort
+	since  float64
+	active bool
+	life   atomic.Int64 // grows with each change that ends what was meant for the worker as it was
+}
+
+// Life is a worker as a submission was meant for it.
+type Life struct {
+	Worker int
+	Addr   netip.AddrPort
+	of     *Worker
+	life   int64
+}
+
+// Holds tells whether the worker still takes new submissions and lives the same life. Safe from any goroutine.
+func (l *Life) Holds() bool { return l.of.life.Load() == l.life }
+
+// Workers is the list of workers as it was last told. Its owner is the gate.
+type Workers struct {
+	names, zones Index
+	all          []*Worker
+	postings     []logic.Posting
+}
+
+// Life gives a worker as it is now.
+func (w *Workers) Life(i int) Life {
+	of := w.all[i]
+	return Life{Worker: i, Addr: of.addr, of: of, life: of.life.Load()}
+}
+
+// Active tells whether any worker takes submissions.
+func (w *Workers) Active() bool {
+	for _, x := range w.all {
+		if x.active {
+			return true
+		}
+	}
+	return false
+}
+
+// Update takes a list, and gives the module's form of it and the workers whose connections are of no more use.
+// Both are valid until the next call.
+func (w *Workers) Update(l roster.List) (list []logic.Posting, ended []int) {
+	w.postings = w.postings[:0]
+	named := map[int]bool{}
+	for _, e := range l.Workers {
+		i := w.names.Of(e.Name)
+		if i == len(w.all) {
+			w.all = append(w.all, &Worker{since: e.Since, addr: e.Address})
+		}
+		named[i] = true
+		if w.all[i].become(e.Address, e.Since, e.Active) {
+			ended = append(ended, i)
+		}
+		w.postings = append(w.postings, logic.Posting{Worker: i, Zone: w.zones.Of(e.Zone), Cell: e.Cell,
+			Active: e.Active, Since: e.Since})
+	}
+	for i, x := range w.all {
+		if l.Whole && !named[i] && x.become(x.addr, x.since, false) {
+			ended = append(ended, i)
+		}
+	}
+	return w.postings, ended
+}
+
+// become notes a worker's state, and tells whether that ends what was meant for it as it was.
+func (w *Worker) become(addr netip.AddrPort, since float64, active bool) bool {
+	if w.addr == addr && w.since == since && w.active == active {
+		return false
+	}
+	w.addr, w.since, w.active = addr, since, active
+	w.life.Add(1)
+	return true
+}
--- /dev/null
+++ b/internal/lifecycle/start.go
@@ -0,0 +1,83 @@
+// Package lifecycle starts a gatekeeper and stops it.
+package lifecycle
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"net"
+	"runtime"
+	"runtime/debug"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"willowdeck/internal/config"
+	"willowdeck/internal/gate"
+	"willowdeck/internal/wire"
+	"willowdeck/internal/wire/roster"
+	"willowdeck/logic"
+)
+
+// socketSlack is by how much the protocol lengthens the rules' time limits, ms.
+const socketSlack = 50
+
+// Gatekeeper is a gatekeeper that runs.
+type Gatekeeper struct {
+	log    zerolog.Logger
+	desk   *gate.Desk
+	front  *wire.Front
+	peers  *wire.Peers // nil where peers are not talked to
+	unwind context.CancelFunc
+	served chan error
+}
+
+// Start brings a gatekeeper up: when it returns, clients are served.
+func Start(c config.Gatekeeper, log zerolog.Logger) (*Gatekeeper, error) {
+	runtime.GOMAXPROCS(max(int(math.Ceil(c.Cores)), 1))
+	debug.SetMemoryLimit(int64(float64(c.MemoryMB) * (1 << 20) * logic.MemoryPart))
+	debug.SetGCPercent(logic.GarbagePart)
+
+	g := &Gatekeeper{log: log, served: make(chan error, 1)}
+	links := wire.NewLinks(int(float64(c.Sockets)*logic.WorkerPart), ms(c.Lines.IdleLimit*logic.IdleUse),
+		ms(c.Lines.ConnectTimeout))
+	tell := func(int, []byte) {}
+	if len(c.Peers) > 0 {
+		var err error
+		if g.peers, err = wire.ListenPeers(c.PeerPort, c.Peers, c.Charter.Me); err != nil {
+			return nil, err
+		}
+		tell = g.peers.Tell
+	}
+	g.desk = gate.NewDesk(c.Charter, c.Seed, c.Lines.AnswerSlack+socketSlack, tell, links.Shed)
+	g.desk.Roster(c.Known)
+	g.front = wire.NewFront(c.Names, c.Charter, gate.New(g.desk, links).Serve, g.desk.Ready)
+
+	l, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		if g.peers != nil {
+			_ = g.peers.Close()
+		}
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	g.unwind = cancel
+	go wire.Watch(ctx, c.Discovery, c.Known.Version, g.news, g.unheard)
+	if g.peers != nil {
+		go g.peers.Hear(g.desk.Hear)
+	}
+	go func() {
+		g.served <- g.front.Serve(wire.Limit(l, int(float64(c.Sockets)*logic.ClientPart)))
+	}()
+	log.Info().Str("listen", c.Listen).Int("workers", len(c.Known.Workers)).Msg("serving")
+	return g, nil
+}
+
+func ms(v float64) time.Duration { return time.Duration(v * float64(time.Millisecond)) }
+
+func (g *Gatekeeper) news(l roster.List) {
+	g.desk.Roster(l)
+	g.log.Debug().Int64("version", l.Version).Bool("whole", l.Whole).Int("workers", len(l.Workers)).Msg("list")
+}
+
+func (g *Gatekeeper) unheard(err error) { g.log.Warn().Err(err).Msg("watch ended, opening it again") }
--- /dev/null
+++ b/internal/wire/discovery.go
@@ -0,0 +1,80 @@
+package wire
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"willowdeck/internal/wire/roster"
+	"willowdeck/logic"
+)
+
+// Watch follows discovery's list from a version on until ctx ends, and gives each change to tell as soon as
+// it is read. It opens the watch again when that ends or falls silent, and reports why to failed.
+func Watch(ctx context.Context, addr string, version int64, tell func(roster.List), failed func(error)) {
+	for ctx.Err() == nil {
+		err := watchOnce(ctx, addr, &version, tell)
+		if ctx.Err() != nil {
+			return
+		}
+		failed(err)
+		select {
+		case <-ctx.Done():
+		case <-time.After(ms(logic.WatchAgain)):
+		}
+	}
+}
+
+func ms(v float64) time.Duration { return time.Duration(v * float64(time.Millisecond)) }
+
+func watchOnce(ctx context.Context, addr string, version *int64, tell func(roster.List)) error {
+	d := net.Dialer{Timeout: ms(logic.WatchQuiet), KeepAlive: -1}
+	conn, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return fmt.Errorf("discovery: %w", err)
+	}
+	defer conn.Close()
+	defer context.AfterFunc(ctx, func() { conn.Close() })()
+	quiet := func() { _ = conn.SetDeadline(time.Now().Add(ms(logic.WatchQuiet))) }
+	quiet()
+	_, err = fmt.Fprintf(conn, "GET /discovery/hosts?stream=1&index=%d HTTP/1.1\r\nHost: %s\r\n\r\n", *version, addr)
+	if err != nil {
+		return fmt.Errorf("discovery: %w", err)
+	}
+	r := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(r)
+	r.StreamBody = true
+	if err := r.Read(bufio.NewReader(conn)); err != nil {
+		return fmt.Errorf("discovery: %w", err)
+	}
+	if r.StatusCode() != fasthttp.StatusOK {
+		return fmt.Errorf("discovery: status %d", r.StatusCode())
+	}
+	lines := bufio.NewReader(r.BodyStream())
+	for {
+		quiet()
+		line, err := lines.ReadBytes('\n')
+		if err != nil {
+			if err == io.EOF {
+				err = io.ErrUnexpectedEOF
+			}
+			return fmt.Errorf("discovery: watch: %w", err)
+		}
+		if line = bytes.TrimSpace(line); len(line) == 0 {
+			continue
+		}
+		l, err := roster.Decode(line)
+		if err != nil {
+			*version = 0 // what it said is unknown: ask for all
+			return err
+		}
+		*version = l.Version
+		tell(l)
+	}
+}
--- a/internal/gossip/gossip.go
+++ b/internal/wire/gossip/gossip.go
@@ -17,14 +17,14 @@
 	version = 4
 	header  = 2
 	entry   = 8
-	limit   = 256 // bytes that a peer message may have
+	Limit   = 256 // bytes that a peer message may have
 
 	step  = 1.0 / 8    // of a power of two, between neighbouring demands
 	least = 1.0 / 1024 // units a second; less is nought
 )
 
 // Room is how many reports fit one message.
-const Room = (limit - header) / entry
+const Room = (Limit - header) / entry
 
 // Append adds the message for the reports, at most Room of them, to dst.
 func Append(dst []byte, reports []logic.Report) []byte {
--- /dev/null
+++ b/internal/wire/links.go
@@ -0,0 +1,129 @@
+package wire
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+)
+
+// ErrNoRoom tells that the gatekeeper has no descriptor to spare for one more connection.
+var ErrNoRoom = errors.New("no connection to spare")
+
+// Links keeps the connections to workers: idle ones for reuse, the most recent first, and no more in all
+// than it is given.
+type Links struct {
+	mu      sync.Mutex
+	idle    [][]*Link // by worker; the most recent last
+	open    int
+	most    int
+	keep    time.Duration
+	connect time.Duration
+}
+
+// NewLinks makes room for so many connections, which are dropped once they have been idle for keep.
+func NewLinks(most int, keep, connect time.Duration) *Links {
+	return &Links{most: most, keep: keep, connect: connect}
+}
+
+// Idle gives the connection to a worker that was used last, or nil.
+func (p *Links) Idle(worker int) *Link {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if worker >= len(p.idle) {
+		return nil
+	}
+	p.prune(worker)
+	s := p.idle[worker]
+	if len(s) == 0 {
+		return nil
+	}
+	l := s[len(s)-1]
+	p.idle[worker] = s[:len(s)-1]
+	return l
+}
+
+// Dial opens a connection, within its own limit and until a moment.
+func (p *Links) Dial(worker int, addr netip.AddrPort, until time.Time) (*Link, error) {
+	p.mu.Lock()
+	if p.open >= p.most && !p.dropOldest() {
+		p.mu.Unlock()
+		return nil, ErrNoRoom
+	}
+	p.open++
+	p.mu.Unlock()
+	d := net.Dialer{Timeout: p.connect, Deadline: until, KeepAlive: -1}
+	conn, err := d.Dial("tcp", addr.String())
+	if err != nil {
+		p.mu.Lock()
+		p.open--
+		p.mu.Unlock()
+		return nil, fmt.Errorf("worker: %w", err)
+	}
+	return &Link{conn: conn, in: bufio.NewReader(conn), worker: worker}, nil
+}
+
+// Keep takes a connection back whose answer has been read whole.
+func (p *Links) Keep(l *Link) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for len(p.idle) <= l.worker {
+		p.idle = append(p.idle, nil)
+	}
+	l.idle = time.Now()
+	p.idle[l.worker] = append(p.idle[l.worker], l)
+	p.prune(l.worker)
+}
+
+// Drop ends a connection.
+func (p *Links) Drop(l *Link) {
+	_ = l.conn.Close()
+	p.mu.Lock()
+	p.open--
+	p.mu.Unlock()
+}
+
+// Shed ends the idle connections to a worker.
+func (p *Links) Shed(worker int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if worker < len(p.idle) {
+		p.cut(worker, len(p.idle[worker]))
+	}
+}
+
+// prune ends those connections of a worker that have been idle for too long.
+func (p *Links) prune(worker int) {
+	n, s := 0, p.idle[worker]
+	for n < len(s) && time.Since(s[n].idle) > p.keep {
+		n++
+	}
+	p.cut(worker, n)
+}
+
+// cut ends the n connections of a worker that have been idle for the longest.
+func (p *Links) cut(worker, n int) {
+	s := p.idle[worker]
+	for _, l := range s[:n] {
+		_ = l.conn.Close()
+		p.open--
+	}
+	p.idle[worker] = append(s[:0], s[n:]...)
+}
+
+// dropOldest ends the connection that has been idle for the longest, if there is one.
+func (p *Links) dropOldest() bool {
+	at := -1
+	for w, s := range p.idle {
+		if len(s) > 0 && (at < 0 || s[0].idle.Before(p.idle[at][0].idle)) {
+			at = w
+		}
+	}
+	if at >= 0 {
+		p.cut(at, 1)
+	}
+	return at >= 0
+}
--- /dev/null
+++ b/internal/wire/roster/roster.go
@@ -0,0 +1,61 @@
+// Package roster reads discovery's list of workers.
+package roster
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+)
+
+// Worker is one entry of the list.
+type Worker struct {
+	Name    string
+	Address netip.AddrPort // where this gatekeeper reaches it
+	Zone    string
+	Cell    int
+	Active  bool    // neither draining nor gone
+	Since   float64 // Unix time of its process's start, ms; 0 long ago
+}
+
+// List is the whole list, or the entries that changed up to a version of it.
+type List struct {
+	Version int64
+	Whole   bool
+	Workers []Worker
+}
+
+// Decode reads one JSON object. A list that breaks the form gives an error and nothing else.
+func Decode(raw []byte) (List, error) {
+	var m struct {
+		Index     int64
+		Snapshot  bool
+		Endpoints []struct {
+			Name, Address, Zone, Status string
+			Group                       int
+			SinceMs                     float64 `json:"since_ms"`
+		}
+	}
+	if err := json.Unmarshal(raw, &m); err != nil {
+		return List{}, fmt.Errorf("list of workers: %w", err)
+	}
+	l := List{Version: m.Index, Whole: m.Snapshot, Workers: make([]Worker, 0, len(m.Endpoints))}
+	for i, e := range m.Endpoints {
+		w := Worker{Name: e.Name, Zone: e.Zone, Cell: e.Group, Since: max(e.SinceMs, 0)}
+		switch e.Status {
+		case "active":
+			w.Active = true
+		case "leaving", "left":
+		default:
+			return List{}, fmt.Errorf("list of workers: endpoints[%d].status: %q is unknown", i, e.Status)
+		}
+		var err error
+		if w.Address, err = netip.ParseAddrPort(e.Address); err != nil && w.Active {
+			return List{}, fmt.Errorf("list of workers: endpoints[%d].address: %w", i, err)
+		}
+		if w.Name == "" {
+			return List{}, fmt.Errorf("list of workers: endpoints[%d].name is missing", i)
+		}
+		l.Workers = append(l.Workers, w)
+	}
+	return l, nil
+}
--- /dev/null
+++ b/internal/wire/submission.go
@@ -0,0 +1,86 @@
+package wire
+
+import (
+	"bufio"
+	"errors"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"willowdeck/logic"
+)
+
+// Answer is what a worker said to a submission.
+type Answer struct {
+	Outcome      logic.Outcome
+	Type, Coding string
+	Body         []byte
+	last         bool // the connection ends with it
+}
+
+// Keep tells whether the connection can carry another submission.
+func (a *Answer) Keep() bool { return !a.last }
+
+var errStray = errors.New("bytes after the answer")
+
+// AppendSubmission encodes a submission of a txn that is waited for so many ms.
+func AppendSubmission(b []byte, t *Txn, wait float64) []byte {
+	b = append(append(b, t.Method...), ' ')
+	b = append(append(b, t.Target...), " HTTP/1.1\r\nHost: backend.local\r\nX-Request-Id: "...)
+	b = append(append(b, t.Mark...), "\r\nX-Deadline: "...)
+	b = append(strconv.AppendInt(b, int64(max(wait, 0)*1000), 10), "u\r\n"...)
+	if len(t.Key) > 0 {
+		b = append(append(append(b, "Idempotency-Key: "...), t.Key...), "\r\n"...)
+	}
+	if len(t.Body) > 0 || string(t.Method) != fasthttp.MethodGet {
+		b = append(strconv.AppendInt(append(b, "Content-Length: "...), int64(len(t.Body)), 10), "\r\n"...)
+	}
+	return append(append(b, "\r\n"...), t.Body...)
+}
+
+// Link is one connection to a worker. It carries one submission at a time, and sends nothing again by itself.
+type Link struct {
+	conn   net.Conn
+	in     *bufio.Reader
+	worker int
+	idle   time.Time
+}
+
+// Abort ends the submission that is out on the link, from any goroutine.
+func (l *Link) Abort() { _ = l.conn.SetDeadline(time.Unix(1, 0)) }
+
+// Until sets the moment at which whatever waits on the link gives up.
+func (l *Link) Until(at time.Time) { _ = l.conn.SetDeadline(at) }
+
+// Send writes a submission, and tells whether it was written whole.
+func (l *Link) Send(b []byte) bool {
+	n, _ := l.conn.Write(b)
+	return n == len(b)
+}
+
+// Receive reads one answer. After an error the link is of no more use.
+func (l *Link) Receive() (*Answer, error) {
+	r := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(r)
+	if err := r.ReadLimitBody(l.in, MostBody); err != nil {
+		return nil, err
+	}
+	if l.in.Buffered() > 0 {
+		return nil, errStray
+	}
+	a := &Answer{last: r.ConnectionClose()}
+	switch code := r.StatusCode(); {
+	case code == fasthttp.StatusOK:
+		a.Outcome = logic.Settled
+		a.Type, a.Coding = string(r.Header.ContentType()), string(r.Header.ContentEncoding())
+		a.Body = r.SwapBody(nil)
+	case (code == fasthttp.StatusServiceUnavailable || code == fasthttp.StatusGatewayTimeout) &&
+		string(r.Header.Peek("X-Not-Run")) == "1":
+		a.Outcome = logic.Full
+	default:
+		a.Outcome = logic.Fault
+	}
+	return a, nil
+}
--- /dev/null
+++ b/internal/wire/txn.go
@@ -0,0 +1,155 @@
+// Package wire holds all that a gatekeeper speaks on sockets: clients through the front, workers, discovery
+// and peers. Each message is decoded once into a small typed value, and encoded once. It decides nothing.
+package wire
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"math"
+	"strconv"
+
+	"github.com/valyala/fasthttp"
+
+	"willowdeck/internal/config"
+	"willowdeck/logic"
+)
+
+// MostBody is how many bytes a message's body may have.
+const MostBody = 64 << 10
+
+// Txn is a client's txn as it came: what the module needs of it, and the bytes that pass on unchanged.
+// The bytes are the client's connection's, good until its answer is given.
+type Txn struct {
+	logic.Arrival
+	Method, Target, Mark, Key, Body []byte
+}
+
+// decodeTxn reads a txn. An error is the client's fault, and says what is wrong.
+func decodeTxn(req *fasthttp.Request, names *config.Names, charter *logic.Charter) (Txn, error) {
+	h := &req.Header
+	t := Txn{Method: h.Method(), Target: h.RequestURI(), Body: req.Body()}
+	var err error
+	if t.Mark, err = only(h, "X-Request-Id"); err != nil {
+		return t, err
+	}
+	if t.Product, err = product(t.Target, names); err != nil {
+		return t, err
+	}
+	if t.Key, err = method(h, t.Method, charter.Products[t.Product].Repeat); err != nil {
+		return t, err
+	}
+	plan, err := only(h, "Plan")
+	if err != nil {
+		return t, err
+	}
+	var ok bool
+	if t.Plan, ok = names.Plans[string(plan)]; !ok {
+		return t, fmt.Errorf("Plan: %q is unknown", plan)
+	}
+	if t.Customer, err = strconv.ParseUint(string(h.Cookie("key")), 16, 64); err != nil {
+		return t, errors.New("Cookie: key must be a hex number")
+	}
+	wait, err := only(h, "X-Deadline")
+	if err != nil {
+		return t, err
+	}
+	if t.Left, err = span(wait); err != nil {
+		return t, err
+	}
+	quota, err := only(h, "Quota-Info")
+	if err != nil {
+		return t, err
+	}
+	return t, t.quota(quota)
+}
+
+// only gives the value of a header that must be there once.
+func only(h *fasthttp.RequestHeader, name string) ([]byte, error) {
+	all := h.PeekAll(name)
+	if len(all) != 1 || len(all[0]) == 0 {
+		return nil, fmt.Errorf("%s must be given once", name)
+	}
+	return all[0], nil
+}
+
+// product finds the product that the path's first part names.
+func product(target []byte, names *config.Names) (int, error) {
+	part, ok := bytes.CutPrefix(target, []byte("/"))
+	if end := bytes.IndexAny(part, "/?"); end >= 0 {
+		part = part[:end]
+	}
+	p, known := names.Products[string(part)]
+	if !ok || !known {
+		return 0, fmt.Errorf("path: product %q is unknown", part)
+	}
+	return p, nil
+}
+
+// method checks that a txn comes as its product's kind asks, and gives its mark against repeats, if any.
+func method(h *fasthttp.RequestHeader, name []byte, kind logic.Repeat) ([]byte, error) {
+	want := fasthttp.MethodPost
+	if kind == logic.InquiryLike {
+		want = fasthttp.MethodGet
+	}
+	if string(name) != want {
+		return nil, fmt.Errorf("method: this product takes %s", want)
+	}
+	if kind == logic.Referenced {
+		return only(h, "Idempotency-Key")
+	}
+	if kind == logic.OnceOnly && len(h.Peek("Idempotency-Key")) > 0 {
+		return nil, errors.New("Idempotency-Key: this product takes none")
+	}
+	return h.Peek("Idempotency-Key"), nil
+}
+
+// span reads a time with its unit, as ms.
+func span(b []byte) (float64, error) {
+	var ms float64
+	if n := len(b) - 1; n > 0 {
+		v, err := strconv.ParseFloat(string(b[:n]), 64)
+		switch {
+		case err != nil:
+		case b[n] == 'm':
+			ms = v
+		case b[n] == 'u':
+			ms = v / 1000
+		}
+	}
+	if !(ms > 0) || math.IsInf(ms, 0) {
+		return 0, fmt.Errorf("X-Deadline: %q is no time ahead in m or u", b)
+	}
+	return ms, nil
+}
+
+// quota reads units=2,spread=3,first=1.
+func (t *Txn) quota(b []byte) error {
+	const all = 7
+	seen := 0
+	for len(b) > 0 {
+		var part []byte
+		part, b, _ = bytes.Cut(b, []byte(","))
+		name, value, _ := bytes.Cut(bytes.TrimSpace(part), []byte("="))
+		v, err := strconv.ParseFloat(string(value), 64)
+		bit := 0
+		switch string(name) {
+		case "units":
+			bit, t.Units = 1, v
+		case "spread":
+			bit, t.SetSize = 2, int(v)
+		case "first":
+			bit, t.First = 4, int(v)
+		default:
+			continue
+		}
+		if err != nil || !(v >= 0) || v > math.MaxInt32 || bit > 1 && v != math.Trunc(v) || seen&bit != 0 {
+			return fmt.Errorf("Quota-Info: %s must be given once, as a number", name)
+		}
+		seen |= bit
+	}
+	if seen != all || t.Units == 0 || t.SetSize == 0 {
+		return errors.New("Quota-Info: units, spread and first must be given")
+	}
+	return nil
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -76,6 +76,17 @@
 	cutPause   = 150.0 // ms between cuts of the window; an answer's delay is the loop's
 	hopeless   = 1.0   // usual answers; a txn whose client waits less is not worth a worker's time
 	adviseBusy = 0.25  // of the SLA time; when to return after a decline under pressure
+
+	// What the host of sockets goes by.
+	IdleUse     = 0.5     // of the worker's idle limit; a connection idle for longer is dropped, never written to
+	ClientPart  = 0.4     // of the descriptors; connections of clients, who come again when there is none free
+	WorkerPart  = 0.5     // of the descriptors; connections to workers, busy and idle; the rest is for all else
+	MemoryPart  = 0.6     // of the memory; the runtime's soft limit, as files and the kernel's part count too
+	GarbagePart = 400     // per cent; a heap of a few MB is let grow so far, which is cheap beside its upkeep
+	WholeTxn    = 10000.0 // ms for a client to send one whole txn; beyond any expiry its place is freed
+	WatchQuiet  = 5000.0  // ms; the watch says something each 2 s, and one line may be late
+	WatchAgain  = 100.0   // ms until the watch is opened anew; news must not wait long
+	AcceptOn    = 450.0   // ms after the order to stop in which new connections are served; they come for 400
 )
 
 // New starts a gatekeeper that knows nothing but its charter. The same seed and inputs give the same
@@ -266,16 +277,6 @@
 	g.due = append(g.due, slot)
 }
 
-// Begun tells that the answer of submission n has started to stream: it is the client's now, and has no
-// expiry.
-func (g *Gatekeeper) Begun(id uint64, n int) {
-	if slot, ok := g.byID[id]; ok && n >= 0 && n < len(g.txns[slot].subs) {
-		t := &g.txns[slot]
-		t.subs[n].dropped, t.answered = true, true
-		g.due = append(g.due, slot)
-	}
-}
-
 // turned notes that a worker turned a txn away as full. It counts as full for all only once it has done so to
 // more than one plan and more than one product, as far as there are more. Guards against workers that turn
 // away one of them though they have room: others would be driven off, and the window cut. A plan turned away
@@ -297,23 +298,6 @@
 	return w.turned[sort].at(g.now, turnedFade) > turnedAt
 }
 
-// risk notes that a submission may have run.
-func (g *Gatekeeper) risk(t *txn, s *submission) {
-	if !t.mayRun || s.sent < t.bondAt {
-		t.bond, t.bondAt = s.worker, s.sent
-	}
-	t.mayRun = true
-}
-
-// Left tells that the client of a txn no longer waits.
-func (g *Gatekeeper) Left(id uint64) {
-	if slot, ok := g.byID[id]; ok && !g.txns[slot].answered {
-		g.txns[slot].answered = true
-		g.tally.Final[ByClient]++
-		g.due = append(g.due, slot)
-	}
-}
-
 // Hear takes a peer's reports. A message says nought of the customers that it does not name.
 func (g *Gatekeeper) Hear(from int, reports []Report) {
 	if from < 0 || from >= g.charter.n || from == g.charter.me {
@@ -354,38 +338,6 @@
 	}
 }
 
-// silence notes that a peer which owes a word has said nothing for some periods, for so long that it counts
-// no more, or is heard again. While it is silent the demand of its last message does not fade.
-func (g *Gatekeeper) silence(from int, silent, gone bool) {
-	p := &g.peers[from]
-	held := p.silent && !p.gone
-	p.silent, p.gone = silent, gone
-	if hold := silent && !gone; hold != held {
-		for _, r := range p.last {
-			ai, ok := g.byKey[uint32(r.Customer)]
-			if !ok {
-				continue
-			}
-			c := &g.accounts[ai]
-			g.fill(c)
-			if d := r.Demand / 1000; hold {
-				c.others = math.Max(c.others-d*math.Exp((p.heard-g.now)/demandMemory), 0)
-				c.held += d
-				c.holding++
-			} else {
-				c.held = math.Max(c.held-d, 0)
-				c.holding = max(c.holding-1, 0)
-			}
-		}
-	}
-	for i := range g.mute[1:] { // silent peers over the ring
-		g.mute[i+1] = g.mute[i]
-		if p := &g.peers[i%g.charter.n]; p.silent && !p.gone {
-			g.mute[i+1]++
-		}
-	}
-}
-
 // Next gives the next decision, or none.
 func (g *Gatekeeper) Next() (Decision, bool) {
 	for g.head < len(g.due) {
--- a/logic/state.go
+++ b/logic/state.go
@@ -259,3 +259,62 @@
 		g.openTo[k] /= float64(max(len(g.ready), 1))
 	}
 }
+
+// Begun tells that the answer of submission n has started to stream: it is the client's now, and has no
+// expiry.
+func (g *Gatekeeper) Begun(id uint64, n int) {
+	if slot, ok := g.byID[id]; ok && n >= 0 && n < len(g.txns[slot].subs) {
+		t := &g.txns[slot]
+		t.subs[n].dropped, t.answered = true, true
+		g.due = append(g.due, slot)
+	}
+}
+
+// risk notes that a submission may have run.
+func (g *Gatekeeper) risk(t *txn, s *submission) {
+	if !t.mayRun || s.sent < t.bondAt {
+		t.bond, t.bondAt = s.worker, s.sent
+	}
+	t.mayRun = true
+}
+
+// Left tells that the client of a txn no longer waits.
+func (g *Gatekeeper) Left(id uint64) {
+	if slot, ok := g.byID[id]; ok && !g.txns[slot].answered {
+		g.txns[slot].answered = true
+		g.tally.Final[ByClient]++
+		g.due = append(g.due, slot)
+	}
+}
+
+// silence notes that a peer which owes a word has said nothing for some periods, for so long that it counts
+// no more, or is heard again. While it is silent the demand of its last message does not fade.
+func (g *Gatekeeper) silence(from int, silent, gone bool) {
+	p := &g.peers[from]
+	held := p.silent && !p.gone
+	p.silent, p.gone = silent, gone
+	if hold := silent && !gone; hold != held {
+		for _, r := range p.last {
+			ai, ok := g.byKey[uint32(r.Customer)]
+			if !ok {
+				continue
+			}
+			c := &g.accounts[ai]
+			g.fill(c)
+			if d := r.Demand / 1000; hold {
+				c.others = math.Max(c.others-d*math.Exp((p.heard-g.now)/demandMemory), 0)
+				c.held += d
+				c.holding++
+			} else {
+				c.held = math.Max(c.held-d, 0)
+				c.holding = max(c.holding-1, 0)
+			}
+		}
+	}
+	for i := range g.mute[1:] { // silent peers over the ring
+		g.mute[i+1] = g.mute[i]
+		if p := &g.peers[i%g.charter.n]; p.silent && !p.gone {
+			g.mute[i+1]++
+		}
+	}
+}
