Fewer wakes: looks at waiting txns come seldom while none has waited for long

Nothing can be found silent before patience is over, so the next look is now the earliest moment at which one of the waiting txns could be, 100 ms at most; from there on each 20 ms as before.

--- a/internal/gate/desk.go
+++ b/internal/gate/desk.go
@@ -36,6 +36,7 @@
 	tell  func(peer int, b []byte)
 	shed  func(worker int)
 	subs  int
+	stop  chan struct{}
 	late  float64 // ms after its expiry that the rules allow a final answer
 
 	mu      sync.Mutex
@@ -57,12 +58,13 @@
 func NewDesk(c logic.Charter, seed int64, late float64, tell func(int, []byte), shed func(int)) *Desk {
 	d := &Desk{clock: newClock(), tell: tell, shed: shed, subs: max(c.MaxSubmissions, 1), late: late,
 		gk: logic.New(c, seed), txns: map[uint64]*held.Txn{}}
-	d.timer = time.AfterFunc(time.Hour, d.wake)
+	d.timer, d.stop = time.NewTimer(time.Hour), make(chan struct{})
+	go d.wake()
 	return d
 }
 
-// Stop ends the wake-up timer.
-func (d *Desk) Stop() { d.timer.Stop() }
+// Stop ends the wake-ups.
+func (d *Desk) Stop() { close(d.stop) }
 
 // Ready tells whether a txn could be served.
 func (d *Desk) Ready() bool {
@@ -96,9 +98,17 @@
 	d.leave()
 }
 
+// wake gives the module its turn at the time that it asked for, until Stop.
 func (d *Desk) wake() {
-	d.enter()
-	d.leave()
+	for {
+		select {
+		case <-d.timer.C:
+			d.enter()
+			d.leave()
+		case <-d.stop:
+			return
+		}
+	}
 }
 
 // take gives a txn to the module. What is decided on it comes to its box.
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -12,10 +12,18 @@
 type Gate struct {
 	desk  *Desk
 	links *wire.Links
+	jobs  chan job
+}
+
+// job is one submission to carry.
+type job struct {
+	txn  *held.Txn
+	word held.Word
+	msg  []byte
 }
 
 // New makes a gate over a desk and connections to workers.
-func New(d *Desk, links *wire.Links) *Gate { return &Gate{desk: d, links: links} }
+func New(d *Desk, links *wire.Links) *Gate { return &Gate{desk: d, links: links, jobs: make(chan job)} }
 
 // Serve is a txn's life: it is taken, submitted where the module says and as often, and answered once.
 func (g *Gate) Serve(t *wire.Txn) wire.Final {
@@ -30,11 +38,25 @@
 		}
 		// What passes on is copied here: the txn's own bytes end with this function, which a submission that may
 		// not be withdrawn outlives.
-		go g.submit(h, w, wire.AppendSubmission(nil, t, d.Wait))
+		j := job{h, w, wire.AppendSubmission(nil, t, d.Wait)}
+		select {
+		case g.jobs <- j:
+		default:
+			go g.work(j)
+		}
 	}
 	return wire.Final{Kind: logic.Void}
 }
 
+// work carries one submission after another. There come to be as many that do as submissions were ever out at
+// once; each keeps the stack that its first one grew.
+func (g *Gate) work(j job) {
+	for {
+		g.submit(j.txn, j.word, j.msg)
+		j = <-g.jobs
+	}
+}
+
 // submit carries one submission to its worker and its end to the desk.
 func (g *Gate) submit(h *held.Txn, w held.Word, msg []byte) {
 	began := g.desk.clock.now()
--- a/internal/wire/limit.go
+++ b/internal/wire/limit.go
@@ -30,7 +30,7 @@
 		<-l.places
 		return nil, err
 	}
-	return &placed{Conn: c, leave: func() { <-l.places }}, nil
+	return &placed{Conn: hasten(c), leave: func() { <-l.places }}, nil
 }
 
 func (l *limited) Close() error {
--- a/internal/wire/links.go
+++ b/internal/wire/links.go
@@ -63,6 +63,7 @@
 		p.mu.Unlock()
 		return nil, fmt.Errorf("worker: %w", err)
 	}
+	conn = hasten(conn)
 	return &Link{conn: conn, in: bufio.NewReader(conn), worker: worker}, nil
 }
 
--- /dev/null
+++ b/internal/wire/quick_other.go
@@ -0,0 +1,8 @@
+//go:build !linux
+
+package wire
+
+import "net"
+
+// hasten leaves a connection as it is where the kernel is not Linux.
+func hasten(c net.Conn) net.Conn { return c }
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -52,6 +52,7 @@
 	surgeFade    = 300.0   // ms; two usual answers
 	margin       = 1.0     // ms before its expiry at which a txn gets its final answer rather than a submission
 	beat         = 20.0    // ms between looks at waiting txns; small against any SLA time
+	calmBeat     = 100.0   // ms between them while none has waited for long; a look wakes an idle process
 
 	// Workers that have just started.
 	coldShare  = 1.0    // of what a warm worker is seen to do, scaled by the guessed warmth
@@ -124,7 +125,9 @@
 	}
 	span := shedSpan * math.Max(0, 1-evenly*c.WorstPlan/math.Max(c.WorstPlan+c.Whole, 1e-9))
 	g.charter.slack = 1
+	g.charter.calm = calmBeat // a txn that comes after a look can't be found silent sooner than patience allows
 	for _, d := range c.Products {
+		g.charter.calm = math.Max(math.Min(g.charter.calm, patience*d.SLA), beat)
 		g.products = append(g.products, product{sla: d.SLA, window: d.Window, repeat: d.Repeat, group: d.Group})
 		g.charter.slack += lateWorth * d.LateShare / float64(len(c.Products))
 		row := make([]float64, len(c.Plans))
@@ -195,7 +198,7 @@
 	*t = txn{id: a.ID, acct: ai, product: a.Product, plan: a.Plan, units: a.Units,
 		expiry: g.now + a.Left, subs: t.subs[:0], live: true}
 	g.byID[a.ID] = slot
-	g.due = append(g.due, slot)
+	g.due, g.nextBeat = append(g.due, slot), math.Min(g.nextBeat, t.expiry)
 	c := &g.accounts[ai]
 	g.fill(c)
 	c.demand = c.now(g.now) + a.Units/demandMemory
@@ -348,7 +351,7 @@
 	}
 	g.due, g.head = g.due[:0], 0
 	if g.now >= g.nextBeat && len(g.byID) > 0 && g.beatAt < 0 {
-		g.beatAt, g.nextBeat = 0, g.now+beat
+		g.beatAt, g.nextBeat = 0, g.now+g.charter.calm
 	}
 	for g.beatAt >= 0 {
 		if g.beatAt == len(g.txns) {
@@ -402,14 +405,20 @@
 		return
 	}
 	p := &g.products[t.product]
+	g.nextBeat = math.Min(g.nextBeat, math.Max(t.expiry, g.now+beat))
 	for i := range t.subs {
 		s := &t.subs[i]
 		if !s.out {
 			continue
 		}
-		w, age := &g.workers[s.worker], g.now-math.Max(s.sent, g.thawed)
+		w, from := &g.workers[s.worker], math.Max(s.sent, g.thawed)
+		if w.heard >= s.sent || s.moved {
+			continue
+		}
+		g.nextBeat = math.Min(g.nextBeat, math.Max(from+patience*p.sla, g.now+beat))
+		age := g.now - from
 		owes := age * float64(w.inFlight) / math.Max(g.pace, 1)
-		if age < patience*p.sla || w.heard >= s.sent {
+		if age < patience*p.sla {
 			continue
 		}
 		// Guards against workers that take txns and answer none: a hang, a lost hall, a cut link. The place of
--- a/logic/state.go
+++ b/logic/state.go
@@ -159,6 +159,7 @@
 	maxAdvice, largest, period float64
 	coldFrom, warmUp           float64
 	regain                     float64 // makes up for the fading of reported demand
+	calm                       float64 // ms between looks while no txn has waited for long
 	slack                      float64 // how much slower than slaUse answers may get, for what late ones earn
 	talks                      bool
 }
