--- a/cmd/willowdeck/main.go
+++ b/cmd/willowdeck/main.go
@@ -25,8 +25,9 @@
 }
 
 func command() *cli.Command {
-	file := &cli.StringFlag{Name: "config", Usage: "the configuration `FILE`", Sources: cli.EnvVars("NODE_CONFIG")}
-	level := &cli.StringFlag{Name: "log", Value: "info", Usage: "the least `LEVEL` to log: debug, info, warn, error",
+	file := &cli.StringFlag{Name: "config", Usage: "the configuration `FILE`",
+		Sources: cli.EnvVars("NODE_CONFIG")}
+	level := &cli.StringFlag{Name: "log", Value: "info", Usage: "the least `LEVEL` to log",
 		Sources: cli.EnvVars("WILLOWDECK_LOG")}
 	return &cli.Command{
 		Name:  "willowdeck",
--- a/internal/benchwire/benchwire.go
+++ b/internal/benchwire/benchwire.go
@@ -208,13 +208,13 @@
 	if err := json.Unmarshal(raw, &parts); err != nil {
 		return fmt.Errorf("setup: %w", err)
 	}
-	c, n, _, err := config.Charter(parts[3])
+	terms, err := config.ReadTerms(parts[3])
 	if err != nil {
 		return err
 	}
-	in := &instance{num: num, names: n}
+	in := &instance{num: num, names: terms.Names}
 	defer l.guard(in)
-	in.gk = logic.New(c, int64(seed))
+	in.gk = logic.New(terms.Charter, int64(seed))
 	l.instances[num] = in
 	l.touch(in)
 	return nil
--- a/internal/config/charter.go
+++ b/internal/config/charter.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 
 	"willowdeck/internal/wire/gossip"
@@ -17,67 +18,83 @@
 	Products, Plans map[string]int
 }
 
-// Lines is what the settings say of connections to workers. Times are in ms.
+// Lines is what the settings say of connections to workers and of final answers. Times are in ms.
 type Lines struct {
 	IdleLimit      float64 // the worker's side closes a connection that stands idle for so long
 	ConnectTimeout float64
 	AnswerSlack    float64 // how late after its expiry a txn's final answer may come
 }
 
-// Charter reads the settings, as they stand in the configuration and on the bench's wire alike.
-func Charter(raw []byte) (logic.Charter, Names, Lines, error) {
-	var s struct {
-		Me        int
-		Balancers int
-		Classes   []struct {
-			Name      string
-			Aim       float64 `json:"aim_us"`
-			Worth     float64
-			LateShare float64 `json:"late_share"`
-			Effect    string
-			Group     string
-			Window    float64 `json:"window_us"`
-		}
-		Tariffs []struct {
-			Name        string
-			Rate        float64
-			MostAtOnce  float64 `json:"most_at_once"`
-			HardRate    float64 `json:"hard_rate"`
-			CapDepth    float64 `json:"cap_depth"`
-			Open        int
-			WorthFactor float64 `json:"worth_factor"`
-			ExcessWorth float64 `json:"excess_worth"`
-			OverCost    float64 `json:"over_cost"`
-		}
-		Allowed struct {
-			MaxAttempts    int     `json:"max_attempts"`
-			MayDuplicate   bool    `json:"may_duplicate"`
-			Cancel         bool    `json:"cancel"`
-			RetryAfter     bool    `json:"retry_after"`
-			MaxRetryAfter  float64 `json:"max_retry_after_us"`
-			Peers          bool    `json:"peers"`
-			Keepalive      float64 `json:"keepalive_us"`
-			ConnectTimeout float64 `json:"connect_timeout_us"`
-		}
-		FamilyInfo struct {
-			Largest    float64
-			PeerInPerS float64 `json:"peer_in_per_s"`
-		} `json:"family_info"`
-		Safety struct {
-			ColdFrom    float64 `json:"cold_from"`
-			AnswerSlack float64 `json:"answer_slack_us"`
-			WarmUp      float64 `json:"warm_up_us"`
-		}
-		ScoreParts struct {
-			Whole       float64
-			WorstTenant float64 `json:"worst_tenant"`
-		} `json:"score_parts"`
+// Terms are what the settings hold, in the form that a gatekeeper uses.
+type Terms struct {
+	Charter logic.Charter
+	Names   Names
+	Lines   Lines
+}
+
+// told is the settings' own form.
+type told struct {
+	Me        int
+	Balancers int
+	Classes   []struct {
+		Name      string
+		Aim       float64 `json:"aim_us"`
+		Worth     float64
+		LateShare float64 `json:"late_share"`
+		Effect    string
+		Group     string
+		Window    float64 `json:"window_us"`
+	}
+	Tariffs []struct {
+		Name        string
+		Rate        float64
+		MostAtOnce  float64 `json:"most_at_once"`
+		HardRate    float64 `json:"hard_rate"`
+		CapDepth    float64 `json:"cap_depth"`
+		Open        int
+		WorthFactor float64 `json:"worth_factor"`
+		ExcessWorth float64 `json:"excess_worth"`
+		OverCost    float64 `json:"over_cost"`
 	}
-	n := Names{Products: map[string]int{}, Plans: map[string]int{}}
+	Allowed struct {
+		MaxAttempts    int     `json:"max_attempts"`
+		MayDuplicate   bool    `json:"may_duplicate"`
+		Cancel         bool    `json:"cancel"`
+		RetryAfter     bool    `json:"retry_after"`
+		MaxRetryAfter  float64 `json:"max_retry_after_us"`
+		Peers          bool    `json:"peers"`
+		Keepalive      float64 `json:"keepalive_us"`
+		ConnectTimeout float64 `json:"connect_timeout_us"`
+	}
+	FamilyInfo struct {
+		Largest    float64
+		PeerInPerS float64 `json:"peer_in_per_s"`
+	} `json:"family_info"`
+	Safety struct {
+		ColdFrom    float64 `json:"cold_from"`
+		AnswerSlack float64 `json:"answer_slack_us"`
+		WarmUp      float64 `json:"warm_up_us"`
+	}
+	ScoreParts struct {
+		Whole       float64
+		WorstTenant float64 `json:"worst_tenant"`
+	} `json:"score_parts"`
+}
+
+// ReadTerms reads the settings, as they stand in the configuration and on the bench's wire alike.
+func ReadTerms(raw []byte) (Terms, error) {
+	var s told
+	t := Terms{Names: Names{Products: map[string]int{}, Plans: map[string]int{}}}
 	if err := json.Unmarshal(raw, &s); err != nil {
-		return logic.Charter{}, n, Lines{}, fmt.Errorf("settings: %w", err)
+		return t, fmt.Errorf("settings: %w", err)
 	}
-	c := logic.Charter{
+	if err := s.check(); err != nil {
+		return t, fmt.Errorf("settings.%w", err)
+	}
+	t.Lines = Lines{IdleLimit: orDefault(s.Allowed.Keepalive/usPerMs, defaultIdleLimit),
+		ConnectTimeout: orDefault(s.Allowed.ConnectTimeout/usPerMs, defaultConnect),
+		AnswerSlack:    s.Safety.AnswerSlack / usPerMs}
+	t.Charter = logic.Charter{
 		Me: s.Me, Gatekeepers: s.Balancers,
 		LargestUnits:   s.FamilyInfo.Largest,
 		MaxSubmissions: s.Allowed.MaxAttempts,
@@ -94,32 +111,70 @@
 		WorstPlan:      s.ScoreParts.WorstTenant,
 	}
 	for i, p := range s.Classes {
-		d := logic.Product{SLA: p.Aim / usPerMs, Value: p.Worth, LateShare: p.LateShare, Window: p.Window / usPerMs}
-		switch p.Effect {
-		case "read_like":
-			d.Repeat = logic.InquiryLike
-		case "idempotency_key":
-			d.Repeat = logic.Referenced
-		case "non_idempotent":
-			d.Repeat = logic.OnceOnly
-		default:
-			return c, n, Lines{}, fmt.Errorf("settings: classes[%d].effect: %q is unknown", i, p.Effect)
-		}
-		switch p.Group {
-		case "zone":
-			d.Group = logic.GroupZone
-		case "cell":
-			d.Group = logic.GroupCell
+		t.Names.Products[p.Name] = i
+		t.Charter.Products = append(t.Charter.Products, logic.Product{SLA: p.Aim / usPerMs, Value: p.Worth,
+			LateShare: p.LateShare, Repeat: repeats[p.Effect], Group: groups[p.Group], Window: p.Window / usPerMs})
+	}
+	for i, p := range s.Tariffs {
+		t.Names.Plans[p.Name] = i
+		t.Charter.Plans = append(t.Charter.Plans, logic.Plan{Rate: p.Rate, Burst: p.MostAtOnce,
+			CeilingRate: p.HardRate, CeilingDepth: p.CapDepth, Open: p.Open, Factor: p.WorthFactor,
+			ExcessShare: p.ExcessWorth, ExcessFee: p.OverCost})
+	}
+	return t, nil
+}
+
+var repeats = map[string]logic.Repeat{"read_like": logic.InquiryLike, "idempotency_key": logic.Referenced,
+	"non_idempotent": logic.OnceOnly}
+
+var groups = map[string]logic.Group{"": logic.GroupAll, "all": logic.GroupAll, "zone": logic.GroupZone,
+	"cell": logic.GroupCell}
+
+// check finds the first key whose value makes no sense.
+func (s *told) check() error {
+	if s.Me < 0 || s.Me >= max(s.Balancers, 1) {
+		return fmt.Errorf("me: %d is none of balancers, which is %d", s.Me, s.Balancers)
+	}
+	if len(s.Classes) == 0 {
+		return errors.New("classes: there is none")
+	}
+	if len(s.Tariffs) == 0 {
+		return errors.New("tariffs: there is none")
+	}
+	seen := map[string]bool{}
+	for i, p := range s.Classes {
+		key := fmt.Sprintf("classes[%d]", i)
+		_, repeat := repeats[p.Effect]
+		_, group := groups[p.Group]
+		switch {
+		case p.Name == "" || seen[p.Name]:
+			return fmt.Errorf("%s.name: %q is empty or there twice", key, p.Name)
+		case !repeat:
+			return fmt.Errorf("%s.effect: %q is unknown", key, p.Effect)
+		case !group:
+			return fmt.Errorf("%s.group: %q is unknown", key, p.Group)
+		case p.Aim < 0 || p.Window < 0:
+			return fmt.Errorf("%s: aim_us or window_us is below nought", key)
 		}
-		n.Products[p.Name] = i
-		c.Products = append(c.Products, d)
+		seen[p.Name] = true
 	}
+	clear(seen)
 	for i, p := range s.Tariffs {
-		n.Plans[p.Name] = i
-		c.Plans = append(c.Plans, logic.Plan{Rate: p.Rate, Burst: p.MostAtOnce, CeilingRate: p.HardRate,
-			CeilingDepth: p.CapDepth, Open: p.Open, Factor: p.WorthFactor, ExcessShare: p.ExcessWorth,
-			ExcessFee: p.OverCost})
+		key := fmt.Sprintf("tariffs[%d]", i)
+		switch {
+		case p.Name == "" || seen[p.Name]:
+			return fmt.Errorf("%s.name: %q is empty or there twice", key, p.Name)
+		case p.Rate < 0 || p.MostAtOnce < 0 || p.HardRate < 0 || p.CapDepth < 0 || p.Open < 0:
+			return fmt.Errorf("%s: a rate or a limit is below nought", key)
+		}
+		seen[p.Name] = true
+	}
+	return nil
+}
+
+func orDefault(v, other float64) float64 {
+	if v > 0 {
+		return v
 	}
-	return c, n, Lines{IdleLimit: s.Allowed.Keepalive / usPerMs, ConnectTimeout: s.Allowed.ConnectTimeout / usPerMs,
-		AnswerSlack: s.Safety.AnswerSlack / usPerMs}, nil
+	return other
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -9,7 +9,6 @@
 	"strconv"
 
 	"willowdeck/internal/wire/roster"
-	"willowdeck/logic"
 )
 
 // What a gatekeeper takes where its configuration does not say.
@@ -17,6 +16,9 @@
 	defaultCores    = 1.0
 	defaultMemoryMB = 192
 	defaultSockets  = 1024
+
+	defaultIdleLimit = 10000.0 // ms; short, as it must be under what the workers' side allows
+	defaultConnect   = 250.0   // ms
 )
 
 // Gatekeeper is all that one gatekeeper's program is told.
@@ -31,9 +33,7 @@
 	PeerPort  netip.AddrPort   // where peers' datagrams arrive; not valid where peers are not talked to
 	Peers     []netip.AddrPort // by number, this gatekeeper's own included
 	Known     roster.List
-	Charter   logic.Charter
-	Names     Names
-	Lines     Lines
+	Terms
 }
 
 // Read reads the configuration file. What it lacks of name, listen and discovery comes from the
@@ -75,7 +75,7 @@
 	if len(m.Settings) == 0 {
 		return g, errors.New("settings is missing")
 	}
-	if g.Charter, g.Names, g.Lines, err = Charter(m.Settings); err != nil {
+	if g.Terms, err = ReadTerms(m.Settings); err != nil {
 		return g, err
 	}
 	if len(m.Known) > 0 {
--- a/internal/gate/desk.go
+++ b/internal/gate/desk.go
@@ -29,8 +29,8 @@
 	return c.start.Add(time.Duration((at - c.unix) * float64(time.Millisecond)))
 }
 
-// Desk owns the module, its clock and its wake-up timer. Its lock is held for calls of the module alone, never
-// over I/O.
+// Desk owns the module, its clock and its wake-up timer. Its lock is held for calls of the module
+// alone, never over I/O.
 type Desk struct {
 	clock clock
 	tell  func(peer int, b []byte)
@@ -54,7 +54,8 @@
 	b    []byte
 }
 
-// NewDesk starts the module. Final answers may be late by so many ms; tell sends a peer's datagram; shed ends the idle connections to a worker.
+// NewDesk starts the module. Final answers may be late by so many ms; tell sends a peer's datagram; shed ends
+// the idle connections to a worker.
 func NewDesk(c logic.Charter, seed int64, late float64, tell func(int, []byte), shed func(int)) *Desk {
 	d := &Desk{clock: newClock(), tell: tell, shed: shed, subs: max(c.MaxSubmissions, 1), late: late,
 		gk: logic.New(c, seed), txns: map[uint64]*held.Txn{}}
@@ -135,11 +136,15 @@
 	d.leave()
 }
 
-// finish gives a txn its final answer.
+// finish gives a txn its final answer. Guards against a submission whose connection is still coming up:
+// nothing is sent for a txn after that, also where submissions may not be withdrawn.
 func (d *Desk) finish(h *held.Txn, w held.Word, now float64) {
 	held.Must(!h.Final, held.OneFinal)
 	held.Must(now <= h.Expiry+d.late, held.InTime)
 	h.Final = true
+	for _, s := range h.Subs {
+		s.Bar()
+	}
 	h.Box <- w
 }
 
--- a/internal/gate/exchange.go
+++ b/internal/gate/exchange.go
@@ -10,8 +10,8 @@
 	"willowdeck/logic"
 )
 
-// exchange sends a submission and waits for its answer. However it ends, its link is closed or free for others
-// before it returns: only then may the txn be submitted again.
+// exchange sends a submission and waits for its answer. However it ends, its link is closed or free for
+// others before it returns: only then may the txn be submitted again.
 func (g *Gate) exchange(s *held.Submission, to held.Life, until time.Time, msg []byte) *wire.Answer {
 	l := g.links.Idle(to.Worker)
 	if l == nil {
@@ -30,19 +30,23 @@
 		g.links.Drop(l)
 		return &wire.Answer{Outcome: logic.NotSent}
 	}
-	whole := l.Send(msg)
-	a, err := &wire.Answer{Outcome: logic.NoRoute}, error(nil)
-	if whole {
-		a, err = l.Receive()
+	if err := l.Send(msg); err != nil {
+		outcome := logic.NoRoute // broke before its last byte: it never ran
+		if withdrawn := s.End(); withdrawn || errors.Is(err, os.ErrDeadlineExceeded) {
+			outcome = logic.NotSent
+		}
+		g.links.Drop(l)
+		return &wire.Answer{Outcome: outcome}
 	}
+	a, err := l.Receive()
 	withdrawn := s.End()
-	if whole && err == nil && !withdrawn && a.Keep() {
+	if err == nil && !withdrawn && a.Keep() {
 		g.links.Keep(l)
 		return a
 	}
 	g.links.Drop(l)
 	switch {
-	case !whole || err == nil:
+	case err == nil:
 		return a
 	case withdrawn:
 		return &wire.Answer{Outcome: logic.Withdrawn}
--- a/internal/held/life.go
+++ b/internal/held/life.go
@@ -65,3 +65,10 @@
 		s.link.Abort()
 	}
 }
+
+// Bar keeps a submission that has not been sent from ever being.
+func (s *Submission) Bar() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.withdrawn = s.withdrawn || s.link == nil
+}
--- a/internal/held/workers.go
+++ b/internal/held/workers.go
@@ -24,7 +24,8 @@
 	life   int64
 }
 
-// Holds tells whether the worker still takes new submissions and lives the same life. Safe from any goroutine.
+// Holds tells whether the worker still takes new submissions and lives the same life. Any goroutine
+// may ask.
 func (l *Life) Holds() bool { return l.of.life.Load() == l.life }
 
 // Workers is the list of workers as it was last told. Its owner is the gate.
@@ -50,8 +51,8 @@
 	return false
 }
 
-// Update takes a list, and gives the module's form of it and the workers whose connections are of no more use.
-// Both are valid until the next call.
+// Update takes a list, and gives the module's form of it and the workers whose connections are of no more
+// use. Both are valid until the next call.
 func (w *Workers) Update(l roster.List) (list []logic.Posting, ended []int) {
 	w.postings = w.postings[:0]
 	named := map[int]bool{}
--- /dev/null
+++ b/internal/lifecycle/lifecycle_test.go
@@ -0,0 +1,467 @@
+package lifecycle
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"willowdeck/internal/config"
+	"willowdeck/internal/held"
+)
+
+// deployment is a gatekeeper on loopback between stand-ins for its workers and for discovery.
+type deployment struct {
+	t       *testing.T
+	gk      *Gatekeeper
+	at      string
+	workers []*standIn
+	list    net.Listener
+	news    chan string
+	asked   chan string // what the watch asks for
+}
+
+// standIn is a worker. It does what the word after the ? in a target says, and keeps what came.
+type standIn struct {
+	net.Listener
+	mu   sync.Mutex
+	got  []string // whole submissions
+	dial int      // connections
+}
+
+func (w *standIn) serve() {
+	for {
+		c, err := w.Accept()
+		if err != nil {
+			return
+		}
+		w.mu.Lock()
+		w.dial++
+		w.mu.Unlock()
+		go w.talk(c)
+	}
+}
+
+func (w *standIn) talk(c net.Conn) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for {
+		raw, target := "", ""
+		for size := 0; ; {
+			line, err := r.ReadString('\n')
+			if err != nil {
+				return
+			}
+			if raw == "" {
+				target = strings.Fields(line)[1]
+			}
+			fmt.Sscanf(line, "Content-Length: %d", &size)
+			if raw += line; line == "\r\n" {
+				body := make([]byte, size)
+				if _, err := io.ReadFull(r, body); err != nil {
+					return
+				}
+				raw += string(body)
+				break
+			}
+		}
+		w.mu.Lock()
+		w.got = append(w.got, raw)
+		w.mu.Unlock()
+		_, do, _ := strings.Cut(target, "?")
+		if text, ok := says[do]; ok {
+			if fmt.Fprint(c, text); strings.HasPrefix(do, "cut") {
+				return
+			}
+		}
+	}
+}
+
+var says = map[string]string{
+	"":           "HTTP/1.1 200 OK\r\nContent-Length: 6\r\nX-Load: {\"inflight\":1}\r\n\r\nvalid\n",
+	"chunks":     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nval\r\n3\r\nid\n\r\n0\r\n\r\n",
+	"fault":      "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n",
+	"full":       "HTTP/1.1 503 No\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
+	"maybe":      "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n",
+	"cut":        "",
+	"cutshort":   "HTTP/1.1 200 OK\r\nContent-Length: 600\r\n\r\nval",
+	"junk":       "what is this\r\n\r\n",
+	"long":       "HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n",
+	"longchunk":  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nFFFFFFFF\r\n",
+	"stray":      "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nvalid\nHTTP/1.1 200 OK\r\n\r\n",
+	"negative":   "HTTP/1.1 200 OK\r\nContent-Length: -4\r\n\r\nvalid\n",
+	"cutnothing": "HTTP/1.1 200 OK\r\n",
+}
+
+const settings = `{"me":0,"balancers":1,"classes":[
+ {"name":"check","aim_us":400000,"effect":"read_like","worth":1},
+ {"name":"sale","aim_us":400000,"effect":"idempotency_key","group":"all","window_us":5000000,"worth":1},
+ {"name":"issue","aim_us":400000,"effect":"non_idempotent","worth":1}],
+ "tariffs":[{"name":"basic","rate":1000,"most_at_once":1000,"worth_factor":1},
+  {"name":"tiny","rate":0.1,"most_at_once":1,"worth_factor":1,"over_cost":1}],
+ "allowed":{"max_attempts":3,"cancel":true,"retry_after":true,"max_retry_after_us":9000000,
+  "keepalive_us":IDLE,"connect_timeout_us":100000},
+ "family_info":{"largest":1},"safety":{"cold_from":0.2,"warm_up_us":10000000,"answer_slack_us":5000}}`
+
+// deploy starts a gatekeeper before so many workers whose connections may stand idle for so many ms.
+func deploy(t *testing.T, workers, idle int) *deployment {
+	t.Helper()
+	d := &deployment{t: t, news: make(chan string, 9), asked: make(chan string, 9)}
+	var names []string
+	for i := range workers {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		w := &standIn{Listener: l}
+		go w.serve()
+		t.Cleanup(func() { l.Close() })
+		d.workers = append(d.workers, w)
+		names = append(names, d.entry(i, "active", 0))
+	}
+	d.list, _ = net.Listen("tcp", "127.0.0.1:0")
+	t.Cleanup(func() { d.list.Close() })
+	go d.discovery()
+	conf := fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":%q,"seed":"5","limits":{"sockets":64},
+		"known":{"index":7,"snapshot":true,"endpoints":[%s]},"settings":%s}`, d.list.Addr(),
+		strings.Join(names, ","), strings.Replace(settings, "IDLE", fmt.Sprint(idle*1000), 1))
+	c, err := config.Decode([]byte(conf), func(string) string { return "" })
+	if err != nil {
+		t.Fatal(err)
+	}
+	if d.gk, err = Start(c, zerolog.Nop()); err != nil {
+		t.Fatal(err)
+	}
+	d.at = d.gk.At
+	return d
+}
+
+func (d *deployment) entry(i int, status string, since int64) string {
+	return fmt.Sprintf(`{"name":"w%d","address":%q,"zone":"a","group":1,"status":%q,"since_ms":%d}`, i,
+		d.workers[i].Addr(), status, since)
+}
+
+// discovery answers each watch, sends it the news there is, and ends it at the word "end".
+func (d *deployment) discovery() {
+	for {
+		c, err := d.list.Accept()
+		if err != nil {
+			return
+		}
+		line, _ := bufio.NewReader(c).ReadString('\n')
+		d.asked <- line
+		fmt.Fprint(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n")
+		for n := range d.news {
+			if n == "end" {
+				break
+			}
+			fmt.Fprintf(c, "%x\r\n%s\n\r\n", len(n)+1, n)
+		}
+		c.Close()
+	}
+}
+
+// got gives what all workers have been sent.
+func (d *deployment) got() (all []string) {
+	for _, w := range d.workers {
+		w.mu.Lock()
+		all = append(all, w.got...)
+		w.mu.Unlock()
+	}
+	return all
+}
+
+// ask sends bytes on a connection of their own, and gives the status line and the body that come back.
+func (d *deployment) ask(raw string) (string, string) {
+	d.t.Helper()
+	c, err := net.Dial("tcp", d.at)
+	if err != nil {
+		return err.Error(), ""
+	}
+	defer c.Close()
+	fmt.Fprint(c, raw)
+	return read(c)
+}
+
+func read(c net.Conn) (string, string) {
+	c.SetDeadline(time.Now().Add(5 * time.Second))
+	r := bufio.NewReader(c)
+	status, _ := r.ReadString('\n')
+	size := 0
+	for {
+		line, err := r.ReadString('\n')
+		if err != nil {
+			return strings.TrimSpace(status), "broken off"
+		}
+		fmt.Sscanf(line, "Content-Length: %d", &size)
+		if line == "\r\n" {
+			body := make([]byte, size)
+			io.ReadFull(r, body)
+			return strings.TrimSpace(status), string(body)
+		}
+	}
+}
+
+const heads = "Host: backend.local\r\nPlan: basic\r\nCookie: key=00000000b4d65521\r\nX-Deadline: 300m\r\n" +
+	"Quota-Info: units=1,spread=1,first=0\r\n"
+
+func check(target, id string) string {
+	return "GET " + target + " HTTP/1.1\r\nX-Request-Id: " + id + "\r\n" + heads + "\r\n"
+}
+
+func sale(target, id string) string {
+	return "POST " + target + " HTTP/1.1\r\nX-Request-Id: " + id + "\r\nIdempotency-Key: k1\r\n" + heads +
+		"Content-Length: 4\r\n\r\na\r\nb"
+}
+
+func issue(target, id string) string {
+	return "POST " + target + " HTTP/1.1\r\nX-Request-Id: " + id + "\r\n" + heads + "Content-Length: 0\r\n\r\n"
+}
+
+func TestPassesOnUnchanged(t *testing.T) {
+	d := deploy(t, 1, 5000)
+	cases := []struct{ name, raw, line, mark string }{
+		{"inquiry", check("/check/..//%41?", "9b1f"), "GET /check/..//%41? HTTP/1.1", "X-Request-Id: 9b1f\r\n"},
+		{"referenced", sale("/sale", "9b2f"), "POST /sale HTTP/1.1", "Idempotency-Key: k1\r\n"},
+		{"once-only", issue("/issue/7", "9b3f"), "POST /issue/7 HTTP/1.1", "X-Request-Id: 9b3f\r\n"},
+	}
+	for i, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			if status, body := d.ask(c.raw); status != "HTTP/1.1 200 OK" || body != "valid\n" {
+				t.Errorf("answered %q %q", status, body)
+			}
+			got := d.got()
+			if len(got) != i+1 || !strings.HasPrefix(got[i], c.line+"\r\n") || !strings.Contains(got[i], c.mark) {
+				t.Fatalf("the worker got %q", got)
+			}
+			if i == 1 && !strings.HasSuffix(got[i], "\r\n\r\na\r\nb") {
+				t.Errorf("the body changed: %q", got[i])
+			}
+		})
+	}
+}
+
+// What clients get wrong has a clear answer, and none of it reaches a worker.
+func TestBrokenClients(t *testing.T) {
+	d := deploy(t, 1, 5000)
+	good := check("/check", "1")
+	swap := func(old, new string) string { return strings.Replace(good, old, new, 1) }
+	const bad = "HTTP/1.1 400 Bad Request"
+	cases := []struct{ name, raw, status, says string }{
+		{"no id", swap("X-Request-Id: 1\r\n", ""), bad, "X-Request-Id"},
+		{"two ids", swap("Host:", "X-Request-Id: 2\r\nHost:"), bad, "X-Request-Id"},
+		{"no product", swap("/check", "/"), bad, "product"},
+		{"unknown product", swap("/check", "/checks"), bad, "product"},
+		{"no path", swap("/check", "*"), bad, "product"},
+		{"wrong method", swap("GET", "DELETE"), bad, "method"},
+		{"unknown plan", swap("basic", "gold"), bad, "Plan"},
+		{"no plan", swap("Plan: basic\r\n", ""), bad, "Plan"},
+		{"customer no number", swap("b4d65521", "zzz"), bad, "key"},
+		{"no cookie", swap("Cookie", "Kookie"), bad, "key"},
+		{"no unit of time", swap("300m", "300"), bad, "X-Deadline"},
+		{"no time left", swap("300m", "0m"), bad, "X-Deadline"},
+		{"time without end", swap("300m", "infm"), bad, "X-Deadline"},
+		{"no units", swap("units=1,", ""), bad, "Quota-Info"},
+		{"units below nought", swap("units=1", "units=-1"), bad, "Quota-Info"},
+		{"units no number", swap("units=1", "units=NaN"), bad, "Quota-Info"},
+		{"spread of a half", swap("spread=1", "spread=0.5"), bad, "Quota-Info"},
+		{"units twice", swap("units=1", "units=1,units=2"), bad, "Quota-Info"},
+		{"referenced without mark", strings.Replace(sale("/sale", "1"), "Idempotency", "Other", 1), bad,
+			"Idempotency-Key"},
+		{"once-only with mark", sale("/issue", "1"), bad, "Idempotency-Key"},
+		{"no HTTP", "hello\r\n\r\n", bad, "read"},
+		{"body too long", strings.Replace(sale("/sale", "1"), "Length: 4", "Length: 65537", 1),
+			"HTTP/1.1 413 Request Entity Too Large", "64 KiB"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			status, body := d.ask(c.raw)
+			if status != c.status || !strings.Contains(body, c.says) {
+				t.Errorf("answered %q %q, want %q with %q", status, body, c.status, c.says)
+			}
+		})
+	}
+	t.Run("half a request", func(t *testing.T) {
+		c, _ := net.Dial("tcp", d.at)
+		fmt.Fprint(c, good[:40])
+		c.Close()
+	})
+	if got := d.got(); len(got) > 0 {
+		t.Errorf("a worker got %q", got)
+	}
+	if status, _ := d.ask(good); status != "HTTP/1.1 200 OK" {
+		t.Errorf("after all that a good one gets %q", status)
+	}
+}
+
+// How a worker ends a submission tells what may follow: no resend that the module did not decide, and none at
+// all where it could run twice.
+func TestWorkersThatFail(t *testing.T) {
+	const settled, declined, voided = "HTTP/1.1 200 OK", "HTTP/1.1 429 Too Many Requests",
+		"HTTP/1.1 500 Internal Server Error"
+	cases := []struct {
+		name, raw, status string
+		subs              int
+	}{
+		{"answer in chunks", check("/check?chunks", "1"), settled, 1},
+		{"inquiry, error", check("/check?fault", "2"), declined, 2},
+		{"inquiry, cut", check("/check?cut", "3"), declined, 2},
+		{"inquiry, cut short", check("/check?cutshort", "4"), declined, 2},
+		{"inquiry, answer of nonsense", check("/check?junk", "5"), declined, 2},
+		{"inquiry, answer too long", check("/check?long", "6"), declined, 2},
+		{"inquiry, chunk too long", check("/check?longchunk", "7"), declined, 2},
+		{"inquiry, bytes after the answer", check("/check?stray", "8"), declined, 2},
+		{"inquiry, half a head", check("/check?cutnothing", "9"), declined, 2},
+		{"inquiry, silence", check("/check?silence", "10"), declined, 2},
+		{"referenced, cut", sale("/sale?cut", "11"), declined, 2},
+		{"once-only, error", issue("/issue?fault", "12"), voided, 1},
+		{"once-only, cut", issue("/issue?cut", "13"), voided, 1},
+		{"once-only, 503 that may have run", issue("/issue?maybe", "14"), voided, 1},
+		{"once-only, silence", issue("/issue?silence", "15"), voided, 1},
+		{"once-only, turned away", issue("/issue?full", "16"), declined, 2},
+		{"once-only, length below nought", issue("/issue?negative", "17"), voided, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			d := deploy(t, 2, 5000)
+			start := time.Now()
+			status, body := d.ask(c.raw)
+			if took := time.Since(start); took > 350*time.Millisecond {
+				t.Errorf("answered after %v, past the expiry", took)
+			}
+			if status != c.status || status == settled && body != "valid\n" {
+				t.Errorf("answered %q %q, want %q", status, body, c.status)
+			}
+			time.Sleep(20 * time.Millisecond) // a resend would come at once
+			if got := d.got(); len(got) < 1 || len(got) > c.subs {
+				t.Errorf("%d submissions, want at most %d", len(got), c.subs)
+			}
+			if b := held.Broken(); len(b) > 0 {
+				t.Errorf("claims broken: %v", b)
+			}
+		})
+	}
+}
+
+func TestQuotaTellsWhenToReturn(t *testing.T) {
+	d := deploy(t, 1, 5000)
+	tiny := func(id string) string { return strings.Replace(check("/check", id), "basic", "tiny", 1) }
+	for i := range 3 {
+		c, err := net.Dial("tcp", d.at)
+		if err != nil {
+			t.Fatal(err)
+		}
+		fmt.Fprint(c, tiny(fmt.Sprint(i)))
+		c.SetDeadline(time.Now().Add(time.Second))
+		b := make([]byte, 4096)
+		n, _ := c.Read(b)
+		c.Close()
+		declined := strings.HasPrefix(string(b[:n]), "HTTP/1.1 429")
+		if declined != (i > 0) || declined && !strings.Contains(string(b[:n]), "\r\nRetry-After: ") {
+			t.Errorf("txn %d answered %q", i, b[:n])
+		}
+	}
+}
+
+func TestListIsFollowed(t *testing.T) {
+	d := deploy(t, 2, 5000)
+	if q := <-d.asked; !strings.Contains(q, "stream=1&index=7 ") {
+		t.Errorf("the watch asks %q, known was 7", q)
+	}
+	steps := []struct {
+		name, news string
+		index      int // of the watch that is opened after "end"
+		to         []int
+	}{
+		{"one drains", `{"index":9,"snapshot":false,"endpoints":[` + d.entry(0, "leaving", 0) + `]}`, 0, []int{1}},
+		{"nonsense changes nothing", `{"index":`, 0, []int{1}},
+		{"after it all is asked for", `{"index":11,"snapshot":true,"endpoints":[` + d.entry(0, "active", 0) + `]}`,
+			-1, []int{0}},
+		{"the watch ends and goes on", "end", 11, []int{0}},
+		{"all are gone", `{"index":12,"snapshot":true,"endpoints":[]}`, 0, nil},
+	}
+	for i, s := range steps {
+		t.Run(s.name, func(t *testing.T) {
+			d.news <- s.news
+			if s.index != 0 || strings.HasPrefix(s.news, `{"index":`) && len(s.news) < 12 {
+				want := fmt.Sprintf("index=%d ", max(s.index, 0))
+				if q := <-d.asked; s.index >= 0 && s.index != 11 && !strings.Contains(q, want) ||
+					s.index == 11 && !strings.Contains(q, "index=11 ") {
+					t.Errorf("the watch asks %q, want %q", q, want)
+				}
+			}
+			time.Sleep(50 * time.Millisecond)
+			before := [2]int{len(d.workers[0].got), len(d.workers[1].got)}
+			for k := range 6 {
+				d.ask(check("/check", fmt.Sprint(i, "-", k)))
+			}
+			var to []int
+			for w := range before {
+				if len(d.workers[w].got) > before[w] {
+					to = append(to, w)
+				}
+			}
+			if fmt.Sprint(to) != fmt.Sprint(s.to) {
+				t.Errorf("txns went to %v, want %v", to, s.to)
+			}
+		})
+	}
+}
+
+func TestIdleConnections(t *testing.T) {
+	cases := []struct {
+		name  string
+		idle  int
+		dials int
+	}{
+		{"reused", 5000, 1},
+		{"dropped before the worker's limit", 60, 3},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			d := deploy(t, 1, c.idle)
+			for i := range 3 {
+				d.ask(check("/check", fmt.Sprint(i)))
+				time.Sleep(45 * time.Millisecond)
+			}
+			if n := d.workers[0].dial; n != c.dials {
+				t.Errorf("%d connections, want %d", n, c.dials)
+			}
+		})
+	}
+}
+
+// At a stop what was taken is answered, kept connections are served on for a while, then all ends.
+func TestStop(t *testing.T) {
+	d := deploy(t, 1, 5000)
+	slow, _ := net.Dial("tcp", d.at)
+	late := strings.Replace(issue("/issue?silence", "1"), "300m", "900m", 1)
+	fmt.Fprint(slow, late)
+	time.Sleep(20 * time.Millisecond)
+	done := make(chan bool)
+	go func() {
+		d.gk.Stop()
+		close(done)
+	}()
+	time.Sleep(200 * time.Millisecond)
+	if status, _ := d.ask(check("/check", "2")); status != "HTTP/1.1 200 OK" {
+		t.Errorf("a new connection while it stops gets %q", status)
+	}
+	if status, _ := read(slow); status != "HTTP/1.1 500 Internal Server Error" {
+		t.Errorf("what was taken before gets %q", status)
+	}
+	select {
+	case <-done:
+	case <-time.After(3 * time.Second):
+		t.Fatal("it does not end")
+	}
+	if _, err := net.Dial("tcp", d.at); err == nil {
+		t.Error("it still takes connections")
+	}
+}
--- a/internal/lifecycle/start.go
+++ b/internal/lifecycle/start.go
@@ -24,6 +24,7 @@
 
 // Gatekeeper is a gatekeeper that runs.
 type Gatekeeper struct {
+	At     string // where clients connect
 	log    zerolog.Logger
 	desk   *gate.Desk
 	front  *wire.Front
@@ -61,7 +62,7 @@
 		return nil, fmt.Errorf("listen: %w", err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	g.unwind = cancel
+	g.unwind, g.At = cancel, l.Addr().String()
 	go wire.Watch(ctx, c.Discovery, c.Known.Version, g.news, g.unheard)
 	if g.peers != nil {
 		go g.peers.Hear(g.desk.Hear)
@@ -69,7 +70,7 @@
 	go func() {
 		g.served <- g.front.Serve(wire.Limit(l, int(float64(c.Sockets)*logic.ClientPart)))
 	}()
-	log.Info().Str("listen", c.Listen).Int("workers", len(c.Known.Workers)).Msg("serving")
+	log.Info().Str("listen", g.At).Int("workers", len(c.Known.Workers)).Msg("serving")
 	return g, nil
 }
 
--- a/internal/wire/discovery.go
+++ b/internal/wire/discovery.go
@@ -31,8 +31,6 @@
 	}
 }
 
-func ms(v float64) time.Duration { return time.Duration(v * float64(time.Millisecond)) }
-
 func watchOnce(ctx context.Context, addr string, version *int64, tell func(roster.List)) error {
 	d := net.Dialer{Timeout: ms(logic.WatchQuiet), KeepAlive: -1}
 	conn, err := d.DialContext(ctx, "tcp", addr)
@@ -43,8 +41,8 @@
 	defer context.AfterFunc(ctx, func() { conn.Close() })()
 	quiet := func() { _ = conn.SetDeadline(time.Now().Add(ms(logic.WatchQuiet))) }
 	quiet()
-	_, err = fmt.Fprintf(conn, "GET /discovery/hosts?stream=1&index=%d HTTP/1.1\r\nHost: %s\r\n\r\n", *version, addr)
-	if err != nil {
+	const ask = "GET /discovery/hosts?stream=1&index=%d HTTP/1.1\r\nHost: %s\r\n\r\n"
+	if _, err = fmt.Fprintf(conn, ask, *version, addr); err != nil {
 		return fmt.Errorf("discovery: %w", err)
 	}
 	r := fasthttp.AcquireResponse()
--- a/internal/wire/front.go
+++ b/internal/wire/front.go
@@ -7,7 +7,6 @@
 	"net"
 	"strconv"
 	"sync/atomic"
-	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -40,8 +39,8 @@
 		Handler:               f.handle,
 		ErrorHandler:          f.unreadable,
 		MaxRequestBodySize:    MostBody,
-		ReadTimeout:           time.Duration(logic.WholeTxn * float64(time.Millisecond)),
-		IdleTimeout:           -1, // clients keep their connections for as long as they like
+		ReadTimeout:           ms(logic.WholeTxn),
+		IdleTimeout:           ms(logic.IdleClient),
 		NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true,
 		DisablePreParseMultipartForm: true,
 		CloseOnShutdown:              true,
--- a/internal/wire/limit.go
+++ b/internal/wire/limit.go
@@ -3,6 +3,9 @@
 import (
 	"net"
 	"sync"
+	"time"
+
+	"willowdeck/logic"
 )
 
 // limited is a listener that takes a connection only while fewer than so many are open. Those that come
@@ -26,9 +29,15 @@
 		return nil, net.ErrClosed
 	}
 	c, err := l.Listener.Accept()
-	if err != nil {
-		<-l.places
-		return nil, err
+	for err != nil {
+		// Guards against a moment without descriptors, or a client gone before it is met: the front must not end.
+		select {
+		case <-l.closed:
+			<-l.places
+			return nil, net.ErrClosed
+		case <-time.After(ms(logic.AcceptAgain)):
+		}
+		c, err = l.Listener.Accept()
 	}
 	return &placed{Conn: hasten(c), leave: func() { <-l.places }}, nil
 }
--- a/internal/wire/links.go
+++ b/internal/wire/links.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -61,6 +62,9 @@
 		p.mu.Lock()
 		p.open--
 		p.mu.Unlock()
+		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
+			return nil, ErrNoRoom // the want is here, not at the worker
+		}
 		return nil, fmt.Errorf("worker: %w", err)
 	}
 	conn = hasten(conn)
--- a/internal/wire/peers.go
+++ b/internal/wire/peers.go
@@ -34,7 +34,8 @@
 	}
 }
 
-// Hear gives each peer's reports to take, until Close. What comes from elsewhere or makes no sense is dropped.
+// Hear gives each peer's reports to take, until Close. What comes from elsewhere or makes no sense is
+// dropped.
 func (p *Peers) Hear(take func(from int, reports []logic.Report)) {
 	var reports []logic.Report
 	buf := make([]byte, 2*gossip.Limit)
--- a/internal/wire/submission.go
+++ b/internal/wire/submission.go
@@ -54,10 +54,10 @@
 // Until sets the moment at which whatever waits on the link gives up.
 func (l *Link) Until(at time.Time) { _ = l.conn.SetDeadline(at) }
 
-// Send writes a submission, and tells whether it was written whole.
-func (l *Link) Send(b []byte) bool {
-	n, _ := l.conn.Write(b)
-	return n == len(b)
+// Send writes a submission. After an error it was not written whole.
+func (l *Link) Send(b []byte) error {
+	_, err := l.conn.Write(b)
+	return err
 }
 
 // Receive reads one answer. After an error the link is of no more use.
--- a/internal/wire/txn.go
+++ b/internal/wire/txn.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"math"
 	"strconv"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -15,6 +16,8 @@
 	"willowdeck/logic"
 )
 
+func ms(v float64) time.Duration { return time.Duration(v * float64(time.Millisecond)) }
+
 // MostBody is how many bytes a message's body may have.
 const MostBody = 64 << 10
 
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -79,12 +79,14 @@
 	adviseBusy = 0.25  // of the SLA time; when to return after a decline under pressure
 
 	// What the host of sockets goes by.
-	IdleUse     = 0.5     // of the worker's idle limit; a connection idle for longer is dropped, never written to
+	IdleUse     = 0.5     // of the worker's idle limit; a connection idle for longer is dropped
 	ClientPart  = 0.4     // of the descriptors; connections of clients, who come again when there is none free
 	WorkerPart  = 0.5     // of the descriptors; connections to workers, busy and idle; the rest is for all else
 	MemoryPart  = 0.6     // of the memory; the runtime's soft limit, as files and the kernel's part count too
 	GarbagePart = 400     // per cent; a heap of a few MB is let grow so far, which is cheap beside its upkeep
 	WholeTxn    = 10000.0 // ms for a client to send one whole txn; beyond any expiry its place is freed
+	IdleClient  = 30000.0 // ms until the place of a client that asks nothing is freed; longer than pauses in use
+	AcceptAgain = 10.0    // ms until the next try to take a connection after one has failed
 	WatchQuiet  = 5000.0  // ms; the watch says something each 2 s, and one line may be late
 	WatchAgain  = 100.0   // ms until the watch is opened anew; news must not wait long
 	AcceptOn    = 450.0   // ms after the order to stop in which new connections are served; they come for 400
