--- /dev/null
+++ b/Makefile
@@ -0,0 +1,20 @@
+# build, test, lint and run; see README.md.
+.PHONY: build test lint run debug
+
+build:
+	mkdir -p bin && go build -o bin/ ./cmd/...
+
+# The same program with what must hold asserted instead of counted.
+debug:
+	mkdir -p bin && go build -tags debug -o bin/ ./cmd/...
+
+test:
+	go test -count=1 ./...
+	go test -count=1 -tags debug ./internal/...
+
+lint:
+	.ci/lint
+
+# CONFIG names the configuration file.
+run: build
+	NODE_CONFIG=$(or $(CONFIG),$(NODE_CONFIG)) bin/willowdeck serve
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,121 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"willowdeck/logic"
+)
+
+const whole = `{"name":"n1","listen":"127.0.0.1:5000","discovery":"127.0.0.1:8500","seed":"8c1f30d27a5be964",
+ "limits":{"cores":0.5,"memory_mb":64,"sockets":256},
+ "peer_listen":"127.0.0.1:7946","peers":["127.0.0.2:7946","127.0.0.3:7946"],
+ "known":{"index":41,"snapshot":true,"endpoints":[
+  {"name":"s1","address":"127.0.0.9:80","zone":"a","group":3,"status":"active","since_ms":12}]},
+ "settings":{"me":1,"balancers":2,
+  "classes":[{"name":"check","aim_us":1000000,"effect":"read_like"},
+   {"name":"sale","aim_us":2000000,"effect":"idempotency_key","group":"cell","window_us":7000000}],
+  "tariffs":[{"name":"basic","rate":2}],
+  "allowed":{"peers":true,"keepalive_us":30000000,"connect_timeout_us":250000},
+  "safety":{"answer_slack_us":8000}}}`
+
+func none(string) string { return "" }
+
+func TestDecode(t *testing.T) {
+	g, err := Decode([]byte(whole), none)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := g.Charter.Products
+	switch {
+	case g.Name != "n1" || g.Listen != "127.0.0.1:5000" || uint64(g.Seed) != 0x8c1f30d27a5be964:
+		t.Errorf("name, listen or seed: %+v", g)
+	case g.Cores != 0.5 || g.MemoryMB != 64 || g.Sockets != 256:
+		t.Errorf("limits: %v %v %v", g.Cores, g.MemoryMB, g.Sockets)
+	case len(g.Peers) != 2 || g.Peers[1].String() != "127.0.0.3:7946" || g.Charter.Me != 1:
+		t.Errorf("peers: %v", g.Peers)
+	case len(p) != 2 || p[1].Repeat != logic.Referenced || p[1].Group != logic.GroupCell || p[1].Window != 7000:
+		t.Errorf("products: %+v", p)
+	case g.Lines != Lines{IdleLimit: 30000, ConnectTimeout: 250, AnswerSlack: 8}:
+		t.Errorf("lines: %+v", g.Lines)
+	case !g.Known.Whole || g.Known.Version != 41 || len(g.Known.Workers) != 1 || g.Known.Workers[0].Since != 12:
+		t.Errorf("known: %+v", g.Known)
+	}
+}
+
+func TestDefaults(t *testing.T) {
+	bare := `{"settings":{"balancers":1,"classes":[{"name":"check","effect":"read_like"}],
+		"tariffs":[{"name":"basic"}]}}`
+	env := map[string]string{"NODE_NAME": "n7", "NODE_LISTEN": "127.0.0.1:1", "NODE_DISCOVERY": "127.0.0.1:2"}
+	g, err := Decode([]byte(bare), func(k string) string { return env[k] })
+	if err != nil {
+		t.Fatal(err)
+	}
+	if g.Name != "n7" || g.Listen != "127.0.0.1:1" || g.Discovery != "127.0.0.1:2" {
+		t.Errorf("from the environment: %+v", g)
+	}
+	if g.Cores != defaultCores || g.MemoryMB != defaultMemoryMB || g.Sockets != defaultSockets ||
+		g.Lines.IdleLimit != defaultIdleLimit || g.Lines.ConnectTimeout != defaultConnect {
+		t.Errorf("defaults: %+v", g)
+	}
+}
+
+// A message names the key at fault.
+func TestFaultyKeys(t *testing.T) {
+	cases := []struct{ name, old, new, says string }{
+		{"no JSON", `"name"`, `name`, "invalid character"},
+		{"no settings", `"settings"`, `"other"`, "settings is missing"},
+		{"no listen", `"listen"`, `"other"`, "listen is missing"},
+		{"listen no address", `127.0.0.1:5000`, `here`, "listen: "},
+		{"discovery no address", `127.0.0.1:8500`, `127.0.0.1`, "discovery: "},
+		{"seed no hex", `8c1f30d27a5be964`, `seed`, "seed: "},
+		{"memory below nought", `"memory_mb":64`, `"memory_mb":-1`, "limits.memory_mb"},
+		{"sockets below nought", `"sockets":256`, `"sockets":-1`, "limits.sockets"},
+		{"cores below nought", `"cores":0.5`, `"cores":-1`, "limits.cores"},
+		{"peer without port", `127.0.0.2:7946`, `127.0.0.2`, "peers[0]"},
+		{"a peer too few", `"127.0.0.2:7946",`, ``, "peers: 1 addresses"},
+		{"no peer_listen", `"peer_listen"`, `"other"`, "peer_listen"},
+		{"known of no sense", `"active"`, `"asleep"`, "known: list of workers: endpoints[0].status"},
+		{"known without address", `127.0.0.9:80`, ``, "endpoints[0].address"},
+		{"known without name", `"s1"`, `""`, "endpoints[0].name"},
+		{"no products", `"classes"`, `"other"`, "settings.classes"},
+		{"no plans", `"tariffs"`, `"other"`, "settings.tariffs"},
+		{"unknown effect", `read_like`, `magic`, "settings.classes[0].effect"},
+		{"unknown group", `"cell"`, `"row"`, "settings.classes[1].group"},
+		{"product twice", `"sale"`, `"check"`, "settings.classes[1].name"},
+		{"plan without name", `"basic"`, `""`, "settings.tariffs[0].name"},
+		{"rate below nought", `"rate":2`, `"rate":-2`, "settings.tariffs[0]"},
+		{"me beyond the gatekeepers", `"me":1`, `"me":2`, "settings.me"},
+		{"me no number", `"me":1`, `"me":"one"`, "settings: "},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			_, err := Decode([]byte(strings.Replace(whole, c.old, c.new, 1)), none)
+			if err == nil || !strings.Contains(err.Error(), c.says) {
+				t.Errorf("got %v, want a message with %q", err, c.says)
+			}
+		})
+	}
+}
+
+func TestRead(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(file, []byte(whole), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cases := []struct{ name, path, says string }{
+		{"there", file, ""},
+		{"not named", "", "NODE_CONFIG"},
+		{"not there", file + "x", "NODE_CONFIG"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			_, err := Read(c.path, none)
+			if c.says == "" && err != nil || c.says != "" && (err == nil || !strings.Contains(err.Error(), c.says)) {
+				t.Errorf("got %v, want %q", err, c.says)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/held/held_test.go
@@ -0,0 +1,85 @@
+package held
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+
+	"willowdeck/internal/wire/roster"
+)
+
+// What was meant for a worker ends when it drains, goes, moves or starts anew, and by nothing else.
+func TestLife(t *testing.T) {
+	at := func(name, addr string, active bool, since float64) roster.Worker {
+		return roster.Worker{Name: name, Address: netip.MustParseAddrPort(addr), Active: active, Since: since}
+	}
+	a, b := at("a", "127.0.0.1:1", true, 0), at("b", "127.0.0.1:2", true, 5)
+	cases := []struct {
+		name  string
+		next  roster.List
+		holds bool
+		ended []int
+	}{
+		{"the same again", roster.List{Whole: true, Workers: []roster.Worker{a, b}}, true, nil},
+		{"news of another", roster.List{Workers: []roster.Worker{at("b", "127.0.0.1:2", false, 5)}}, true,
+			[]int{1}},
+		{"drains", roster.List{Workers: []roster.Worker{at("a", "127.0.0.1:1", false, 0)}}, false, []int{0}},
+		{"started anew", roster.List{Workers: []roster.Worker{at("a", "127.0.0.1:1", true, 9)}}, false, []int{0}},
+		{"moved", roster.List{Workers: []roster.Worker{at("a", "127.0.0.1:3", true, 0)}}, false, []int{0}},
+		{"not on the whole list", roster.List{Whole: true, Workers: []roster.Worker{b}}, false, []int{0}},
+		{"nobody left", roster.List{Whole: true}, false, []int{0, 1}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			var w Workers
+			if w.Active() {
+				t.Error("active without a list")
+			}
+			w.Update(roster.List{Whole: true, Workers: []roster.Worker{a, b}})
+			l := w.Life(0)
+			if !l.Holds() || !w.Active() {
+				t.Fatal("a listed worker does not hold")
+			}
+			_, ended := w.Update(c.next)
+			if l.Holds() != c.holds || fmt.Sprint(ended) != fmt.Sprint(c.ended) {
+				t.Errorf("holds %v, want %v; ended %v, want %v", l.Holds(), c.holds, ended, c.ended)
+			}
+		})
+	}
+}
+
+// Nothing is sent for what was withdrawn or barred before it was on a link.
+func TestSubmission(t *testing.T) {
+	cases := []struct {
+		name   string
+		before func(*Submission)
+		begins bool
+	}{
+		{"plain", func(*Submission) {}, true},
+		{"withdrawn", (*Submission).Withdraw, false},
+		{"barred", (*Submission).Bar, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := &Submission{}
+			c.before(s)
+			if s.Begin(nil) != c.begins || s.End() == c.begins {
+				t.Errorf("begins %v, want %v", !c.begins, c.begins)
+			}
+		})
+	}
+}
+
+func TestClaims(t *testing.T) {
+	defer func() {
+		if stopped := recover() != nil; stopped != asserted {
+			t.Errorf("stopped %v, asserted %v", stopped, asserted)
+		}
+	}()
+	Must(true, Named)
+	Must(false, ShortSpeech)
+	if n := Broken(); n["short_speech"] != 1 || len(n) != 1 {
+		t.Errorf("counted %v", n)
+	}
+	broken[ShortSpeech].Store(0)
+}
--- /dev/null
+++ b/internal/wire/wire_test.go
@@ -0,0 +1,213 @@
+package wire
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"willowdeck/internal/wire/gossip"
+	"willowdeck/logic"
+)
+
+// sink listens on loopback and gives each connection that it takes.
+func sink(t *testing.T) (net.Listener, netip.AddrPort) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	return l, netip.MustParseAddrPort(l.Addr().String())
+}
+
+func TestLinks(t *testing.T) {
+	_, at := sink(t)
+	soon := func() time.Time { return time.Now().Add(time.Second) }
+	p := NewLinks(2, 40*time.Millisecond, time.Second)
+	a, err := p.Dial(0, at, soon())
+	if err != nil {
+		t.Fatal(err)
+	}
+	b, _ := p.Dial(1, at, soon())
+	if _, err := p.Dial(0, at, soon()); !errors.Is(err, ErrNoRoom) {
+		t.Errorf("a third of two: %v", err)
+	}
+	p.Keep(b)
+	c, err := p.Dial(0, at, soon()) // takes the place of the idle one
+	if err != nil || p.Idle(1) != nil {
+		t.Fatalf("no place was made: %v", err)
+	}
+	p.Keep(a)
+	p.Keep(c)
+	if l := p.Idle(0); l != c {
+		t.Error("the most recent is not the first to be used")
+	}
+	p.Keep(c)
+	p.Shed(0)
+	if p.Idle(0) != nil || p.open != 0 {
+		t.Errorf("after shedding %d are open", p.open)
+	}
+	d, _ := p.Dial(0, at, soon())
+	p.Keep(d)
+	time.Sleep(50 * time.Millisecond)
+	if p.Idle(0) != nil || p.open != 0 {
+		t.Error("one idle for too long was given")
+	}
+	if _, err := p.Dial(0, netip.MustParseAddrPort("127.0.0.1:1"), soon()); err == nil || p.open != 0 {
+		t.Errorf("a refused one counts as open: %d, %v", p.open, err)
+	}
+}
+
+// Reads and writes past the scheduler keep the ways of ordinary ones.
+func TestQuickConnection(t *testing.T) {
+	l, at := sink(t)
+	taken := make(chan net.Conn, 1)
+	go func() {
+		c, _ := l.Accept()
+		taken <- c
+	}()
+	raw, err := net.Dial("tcp", at.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, other := hasten(raw), <-taken
+	big := bytes.Repeat([]byte("txn"), 3<<20)
+	written := make(chan error)
+	go func() {
+		_, err := c.Write(big) // more than the kernel takes at once
+		written <- err
+	}()
+	got := make([]byte, len(big))
+	_, err = io.ReadFull(other, got)
+	if sent := <-written; sent != nil || err != nil || !bytes.Equal(got, big) {
+		t.Errorf("a long write came otherwise: %v, %v", sent, err)
+	}
+	other.Write([]byte("ab"))
+	if n, err := c.Read(got); n != 2 || err != nil || string(got[:2]) != "ab" {
+		t.Errorf("read %d bytes, %v", n, err)
+	}
+	c.SetDeadline(time.Now().Add(20 * time.Millisecond))
+	var late net.Error
+	if _, err := c.Read(got); !errors.As(err, &late) || !late.Timeout() {
+		t.Errorf("after its deadline: %v", err)
+	}
+	c.SetDeadline(time.Time{})
+	other.(*net.TCPConn).CloseWrite()
+	if _, err := c.Read(got); err != io.EOF {
+		t.Errorf("at the end: %v", err)
+	}
+	other.(*net.TCPConn).SetLinger(0)
+	other.Close()
+	time.Sleep(20 * time.Millisecond)
+	if _, err := c.Write([]byte("x")); err == nil {
+		t.Error("a write to a broken connection is taken as whole")
+	}
+	c.Close()
+	if _, err := c.Read(got); !errors.Is(err, net.ErrClosed) {
+		t.Errorf("after its close: %v", err)
+	}
+}
+
+// Beyond its bound a listener lets clients wait; it turns none away.
+func TestLimit(t *testing.T) {
+	raw, at := sink(t)
+	l := Limit(raw, 1)
+	taken := make(chan net.Conn, 2)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				close(taken)
+				return
+			}
+			taken <- c
+		}
+	}()
+	for range 2 {
+		c, err := net.Dial("tcp", at.String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+	}
+	first := <-taken
+	select {
+	case <-taken:
+		t.Error("a second one is open")
+	case <-time.After(30 * time.Millisecond):
+	}
+	first.Close()
+	first.Close() // gives back one place, not two
+	<-taken
+	l.Close()
+	if _, open := <-taken; open {
+		t.Error("it goes on after its close")
+	}
+}
+
+func TestPeersTakeOnlyPeers(t *testing.T) {
+	bind := func() (*net.UDPConn, netip.AddrPort) {
+		c, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		return c, c.LocalAddr().(*net.UDPAddr).AddrPort()
+	}
+	peer, peerAt := bind()
+	stranger, _ := bind()
+	self, selfAt := bind()
+	self.Close()
+	p, err := ListenPeers(selfAt, []netip.AddrPort{selfAt, peerAt}, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.Close()
+	heard := make(chan int, 9)
+	go p.Hear(func(from int, r []logic.Report) { heard <- 10*from + len(r) })
+	good := gossip.Append(nil, []logic.Report{{Customer: 7, Demand: 3}})
+	to := net.UDPAddrFromAddrPort(selfAt)
+	stranger.WriteTo(good, to)
+	p.Tell(0, good) // itself
+	peer.WriteTo([]byte("nonsense"), to)
+	peer.WriteTo(nil, to)
+	peer.WriteTo(bytes.Repeat([]byte{4}, 400), to)
+	peer.WriteTo(good, to)
+	select {
+	case got := <-heard:
+		if got != 11 || p.Dropped() != 5 {
+			t.Errorf("heard %d after %d dropped, want 11 after 5", got, p.Dropped())
+		}
+	case <-time.After(time.Second):
+		t.Fatal("a peer's report is not heard")
+	}
+}
+
+func TestAppendSubmission(t *testing.T) {
+	cases := []struct {
+		name string
+		t    Txn
+		wait float64
+		want string
+	}{
+		{"inquiry", Txn{Method: []byte("GET"), Target: []byte("/a?b"), Mark: []byte("1")}, 12.5,
+			"GET /a?b HTTP/1.1\r\nHost: backend.local\r\nX-Request-Id: 1\r\nX-Deadline: 12500u\r\n\r\n"},
+		{"referenced", Txn{Method: []byte("POST"), Target: []byte("/s"), Mark: []byte("2"), Key: []byte("k"),
+			Body: []byte("xy")}, 1, "POST /s HTTP/1.1\r\nHost: backend.local\r\nX-Request-Id: 2\r\n" +
+			"X-Deadline: 1000u\r\nIdempotency-Key: k\r\nContent-Length: 2\r\n\r\nxy"},
+		{"no time left", Txn{Method: []byte("POST"), Target: []byte("/s"), Mark: []byte("3")}, -1,
+			"POST /s HTTP/1.1\r\nHost: backend.local\r\nX-Request-Id: 3\r\n" +
+				"X-Deadline: 0u\r\nContent-Length: 0\r\n\r\n"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			if got := AppendSubmission(nil, &c.t, c.wait); string(got) != c.want {
+				t.Errorf("got %q, want %q", got, c.want)
+			}
+		})
+	}
+}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -632,3 +632,53 @@
 		})
 	}
 }
+
+// Wakes of an idle process cost CPU: there are few while no txn has waited for patience, and yet a silent
+// worker is found as soon as patience allows.
+func TestSeldomLooks(t *testing.T) {
+	cases := []struct {
+		name            string
+		sla, found      float64
+		wakes, stranger int // wakes until then; ms until another txn comes
+	}{
+		{"long patience", 1000, 350, 6, 0},
+		{"short patience", 100, 35, 4, 0},
+		{"no patience at all", 1, 0.35, 3, 0},
+		{"another txn comes meanwhile", 1000, 350, 8, 120},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			ch := charterFor(InquiryLike, func(ch *Charter) {
+				ch.Products[0].SLA, ch.MayOverlap, ch.MayTell = c.sla, false, false
+			})
+			h := newHost(t, ch, 1, 4)
+			h.at(h.now + 10)
+			start, wakes, wake, stranger := h.now, 0, 0.0, h.now+float64(c.stranger)
+			h.g.Take(Arrival{ID: 1, Customer: 7, Units: 1, SetSize: 2, Left: 3000})
+			for h.now < start+3000 {
+				for d, ok := h.g.Next(); ok; d, ok = h.g.Next() {
+					if d.Kind == Wake {
+						wake, wakes = d.At, wakes+1
+					}
+					if d.Kind != Withdraw {
+						continue
+					}
+					if late := h.now - start - c.found; late < 0 || late > beat+1 || wakes > c.wakes {
+						t.Errorf("found silent %v ms late, after %d wakes, want %d at most", late, wakes, c.wakes)
+					}
+					return
+				}
+				if c.stranger > 0 && h.now < stranger && wake > stranger {
+					h.at(stranger)
+					h.g.Take(Arrival{ID: 2, Customer: 8, Units: 1, SetSize: 2, Left: 3000})
+					continue
+				}
+				if wake <= h.now {
+					t.Fatal("no wake is asked for while a txn waits")
+				}
+				h.at(wake)
+			}
+			t.Error("a silent worker is never found")
+		})
+	}
+}
