--- a/internal/gate/desk.go
+++ b/internal/gate/desk.go
@@ -46,6 +46,7 @@
 	txns    map[uint64]*held.Txn
 	workers held.Workers
 	speech  []speech
+	waiting []*held.Txn // of the wake's goroutine
 }
 
 // speech is a datagram that waits for the lock's end.
@@ -104,20 +105,50 @@
 	for {
 		select {
 		case <-d.timer.C:
-			d.enter()
-			d.leave()
+			d.dismiss()
 		case <-d.stop:
 			return
 		}
 	}
 }
 
+// dismiss gives the module its turn, and tells it of the txns whose clients no longer wait. The clients are
+// looked at between two holds of the lock.
+func (d *Desk) dismiss() {
+	d.enter()
+	d.waiting = d.waiting[:0]
+	for _, h := range d.txns {
+		if !h.Final {
+			d.waiting = append(d.waiting, h)
+		}
+	}
+	d.leave()
+	left := d.waiting[:0]
+	for _, h := range d.waiting {
+		if h.Gone() {
+			left = append(left, h)
+		}
+	}
+	if len(left) == 0 {
+		return
+	}
+	now := d.enter()
+	for _, h := range left {
+		if !h.Final {
+			d.gk.Left(h.ID)
+			d.finish(h, held.Word{Decision: logic.Decision{Kind: logic.Void}}, now)
+			d.forget(h)
+		}
+	}
+	d.leave()
+}
+
 // take gives a txn to the module. What is decided on it comes to its box.
 func (d *Desk) take(t *wire.Txn) *held.Txn {
 	now := d.enter()
 	d.last++
 	t.ID = d.last
-	h := held.NewTxn(t.ID, now+t.Left, d.subs)
+	h := held.NewTxn(t.ID, now+t.Left, t.Gone, d.subs)
 	d.txns[t.ID] = h
 	d.gk.Take(t.Arrival)
 	d.leave()
--- a/internal/held/life.go
+++ b/internal/held/life.go
@@ -19,15 +19,16 @@
 type Txn struct {
 	ID     uint64
 	Expiry float64
-	Box    chan Word // holds all that a txn can be told, so that telling never waits
-	Final  bool      // its final answer is on the way
-	Out    int       // submissions that have not ended
+	Gone   func() bool // whether its client has closed; for the desk's wake alone
+	Box    chan Word   // holds all that a txn can be told, so that telling never waits
+	Final  bool        // its final answer is on the way
+	Out    int         // submissions that have not ended
 	Subs   []*Submission
 }
 
 // NewTxn makes room for a txn of at most so many submissions.
-func NewTxn(id uint64, expiry float64, subs int) *Txn {
-	return &Txn{ID: id, Expiry: expiry, Box: make(chan Word, subs+1)}
+func NewTxn(id uint64, expiry float64, gone func() bool, subs int) *Txn {
+	return &Txn{ID: id, Expiry: expiry, Gone: gone, Box: make(chan Word, subs+1)}
 }
 
 // Submission is one submission that is out, which another goroutine may withdraw.
--- a/internal/lifecycle/lifecycle_test.go
+++ b/internal/lifecycle/lifecycle_test.go
@@ -14,6 +14,7 @@
 
 	"willowdeck/internal/config"
 	"willowdeck/internal/held"
+	"willowdeck/logic"
 )
 
 // deployment is a gatekeeper on loopback between stand-ins for its workers and for discovery.
@@ -450,6 +451,24 @@
 	}
 }
 
+// A client that closes is seen, and its submission withdrawn.
+func TestClientLeaves(t *testing.T) {
+	d := deploy(t, 1, 5000)
+	c, _ := net.Dial("tcp", d.at)
+	fmt.Fprint(c, strings.Replace(check("/check?silence", "1"), "300m", "30000m", 1))
+	time.Sleep(20 * time.Millisecond)
+	if n := d.gk.desk.Tally(); n.InFlight != 1 {
+		t.Fatalf("%v submissions out", n.InFlight)
+	}
+	c.Close()
+	for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if n := d.gk.desk.Tally(); n.InFlight == 0 && n.Final[logic.ByClient] == 1 {
+			return
+		}
+	}
+	t.Errorf("it goes on: %+v", d.gk.desk.Tally())
+}
+
 // At a stop what was taken is answered, kept connections are served on for a while, then all ends.
 func TestStop(t *testing.T) {
 	d := deploy(t, 1, 5000)
--- a/internal/lifecycle/start.go
+++ b/internal/lifecycle/start.go
@@ -31,6 +31,7 @@
 	peers  *wire.Peers // nil where peers are not talked to
 	unwind context.CancelFunc
 	served chan error
+	said   time.Time // when the log last told that the watch had ended
 }
 
 // Start brings a gatekeeper up: when it returns, clients are served.
@@ -81,4 +82,10 @@
 	g.log.Debug().Int64("version", l.Version).Bool("whole", l.Whole).Int("workers", len(l.Workers)).Msg("list")
 }
 
-func (g *Gatekeeper) unheard(err error) { g.log.Warn().Err(err).Msg("watch ended, opening it again") }
+// unheard says at most once in WatchQuiet that the watch has ended: tries without end must not fill the log.
+func (g *Gatekeeper) unheard(err error) {
+	if now := time.Now(); now.Sub(g.said) > ms(logic.WatchQuiet) {
+		g.said = now
+		g.log.Warn().Err(err).Msg("watch ended, opening it again")
+	}
+}
--- a/internal/wire/front.go
+++ b/internal/wire/front.go
@@ -40,6 +40,7 @@
 		ErrorHandler:          f.unreadable,
 		MaxRequestBodySize:    MostBody,
 		ReadTimeout:           ms(logic.WholeTxn),
+		WriteTimeout:          ms(logic.WholeTxn), // a client that reads nothing does not hold its place
 		IdleTimeout:           ms(logic.IdleClient),
 		NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true,
 		DisablePreParseMultipartForm: true,
--- a/internal/wire/limit.go
+++ b/internal/wire/limit.go
@@ -54,6 +54,12 @@
 	leave func()
 }
 
+// Gone tells whether the client has closed the connection, where that can be seen.
+func (c *placed) Gone() bool {
+	l, ok := c.Conn.(client)
+	return ok && l.Gone()
+}
+
 func (c *placed) Close() error {
 	c.once.Do(c.leave)
 	return c.Conn.Close()
--- a/internal/wire/quick_linux.go
+++ b/internal/wire/quick_linux.go
@@ -15,6 +15,8 @@
 	*net.TCPConn
 	raw     syscall.RawConn
 	in, out transfer
+	look    func(fd uintptr)
+	gone    bool
 }
 
 // transfer is one read or write; call goes to the kernel and is made once.
@@ -36,7 +38,7 @@
 		return c
 	}
 	q := &quick{TCPConn: t, raw: raw}
-	q.in.call, q.out.call = q.in.read, q.out.write
+	q.in.call, q.out.call, q.look = q.in.read, q.out.write, q.peek
 	return q
 }
 
@@ -81,6 +83,20 @@
 	return t.n, err
 }
 
+// peek asks the kernel whether the other side has closed, and takes nothing.
+func (q *quick) peek(fd uintptr) {
+	var b [1]byte
+	n, _, e := syscall.RawSyscall6(syscall.SYS_RECVFROM, fd, uintptr(unsafe.Pointer(&b[0])), 1,
+		syscall.MSG_PEEK|syscall.MSG_DONTWAIT, 0, 0)
+	q.gone = e == 0 && n == 0 || e == syscall.ECONNRESET
+}
+
+// Gone tells whether the other side has closed the connection. One goroutine at a time may ask.
+func (q *quick) Gone() bool {
+	q.gone = false
+	return q.raw.Control(q.look) == nil && q.gone
+}
+
 func (q *quick) Read(b []byte) (int, error) {
 	if len(b) == 0 {
 		return 0, nil
--- a/internal/wire/txn.go
+++ b/internal/wire/txn.go
@@ -26,8 +26,15 @@
 type Txn struct {
 	logic.Arrival
 	Method, Target, Mark, Key, Body []byte
+	client                          client // nil where it cannot be seen whether the client waits
 }
 
+// client is a connection that can tell whether its other side has closed it.
+type client interface{ Gone() bool }
+
+// Gone tells whether the client has closed its connection. One goroutine at a time may ask.
+func (t *Txn) Gone() bool { return t.client != nil && t.client.Gone() }
+
 // decodeTxn reads a txn. An error is the client's fault, and says what is wrong.
 func decodeTxn(req *fasthttp.Request, names *config.Names, charter *logic.Charter) (Txn, error) {
 	h := &req.Header
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -84,7 +84,7 @@
 	WorkerPart  = 0.5     // of the descriptors; connections to workers, busy and idle; the rest is for all else
 	MemoryPart  = 0.6     // of the memory; the runtime's soft limit, as files and the kernel's part count too
 	GarbagePart = 400     // per cent; a heap of a few MB is let grow so far, which is cheap beside its upkeep
-	WholeTxn    = 10000.0 // ms for a client to send one whole txn; beyond any expiry its place is freed
+	WholeTxn    = 10000.0 // ms for a client to send a whole txn, or take its answer; beyond any expiry
 	IdleClient  = 30000.0 // ms until the place of a client that asks nothing is freed; longer than pauses in use
 	AcceptAgain = 10.0    // ms until the next try to take a connection after one has failed
 	WatchQuiet  = 5000.0  // ms; the watch says something each 2 s, and one line may be late
