--- a/internal/wire/front.go
+++ b/internal/wire/front.go
@@ -86,6 +86,7 @@
 		ctx.Response.SetBodyString(err.Error() + "\n")
 		return
 	}
+	t.client, _ = ctx.Conn().(client)
 	f.answer(&ctx.Response, f.serve(&t))
 }
 
