--- a/internal/lifecycle/lifecycle_test.go
+++ b/internal/lifecycle/lifecycle_test.go
@@ -34,6 +34,7 @@
 	mu   sync.Mutex
 	got  []string // whole submissions
 	dial int      // connections
+	mute bool     // it takes all and answers nothing
 }
 
 func (w *standIn) serve() {
@@ -74,9 +75,13 @@
 		}
 		w.mu.Lock()
 		w.got = append(w.got, raw)
+		mute := w.mute
 		w.mu.Unlock()
 		_, do, _ := strings.Cut(target, "?")
-		if text, ok := says[do]; ok {
+		if do == "slow" {
+			time.Sleep(120 * time.Millisecond)
+		}
+		if text, ok := says[do]; ok && !mute {
 			if fmt.Fprint(c, text); strings.HasPrefix(do, "cut") {
 				return
 			}
@@ -87,6 +92,7 @@
 var says = map[string]string{
 	"":           "HTTP/1.1 200 OK\r\nContent-Length: 6\r\nX-Load: {\"inflight\":1}\r\n\r\nvalid\n",
 	"chunks":     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nval\r\n3\r\nid\n\r\n0\r\n\r\n",
+	"slow":       "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nvalid\n",
 	"fault":      "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n",
 	"full":       "HTTP/1.1 503 No\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
 	"maybe":      "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n",
@@ -110,8 +116,9 @@
   "keepalive_us":IDLE,"connect_timeout_us":100000},
  "family_info":{"largest":1},"safety":{"cold_from":0.2,"warm_up_us":10000000,"answer_slack_us":5000}}`
 
-// deploy starts a gatekeeper before so many workers whose connections may stand idle for so many ms.
-func deploy(t *testing.T, workers, idle int) *deployment {
+// deploy starts a gatekeeper before so many workers whose connections may stand idle for so many ms. swaps
+// are pairs of old and new text in its settings.
+func deploy(t *testing.T, workers, idle int, swaps ...string) *deployment {
 	t.Helper()
 	d := &deployment{t: t, news: make(chan string, 9), asked: make(chan string, 9)}
 	var names []string
@@ -131,7 +138,8 @@
 	go d.discovery()
 	conf := fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":%q,"seed":"5","limits":{"sockets":64},
 		"known":{"index":7,"snapshot":true,"endpoints":[%s]},"settings":%s}`, d.list.Addr(),
-		strings.Join(names, ","), strings.Replace(settings, "IDLE", fmt.Sprint(idle*1000), 1))
+		strings.Join(names, ","),
+		strings.NewReplacer(append(swaps, "IDLE", fmt.Sprint(idle*1000))...).Replace(settings))
 	c, err := config.Decode([]byte(conf), func(string) string { return "" })
 	if err != nil {
 		t.Fatal(err)
@@ -451,6 +459,66 @@
 	}
 }
 
+// Where a worker falls silent its txns end well elsewhere, as far as the settings let them; what is given up
+// on while a submission may not be withdrawn is answered all the same, and nothing is sent for it after.
+func TestSilentWorker(t *testing.T) {
+	const settled, declined = "HTTP/1.1 200 OK", "HTTP/1.1 429 Too Many Requests"
+	cases := []struct {
+		name   string
+		swaps  []string
+		status string
+	}{
+		{"withdrawn and moved", nil, settled},
+		{"second copies", []string{`"cancel":true`, `"may_duplicate":true`}, settled},
+		{"second copies, withdrawn at the end", []string{`"cancel"`, `"may_duplicate":true,"cancel"`}, settled},
+		{"neither", []string{`"cancel":true`, `"cancel":false`}, declined},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			d := deploy(t, 2, 5000, c.swaps...)
+			d.workers[0].mute = true
+			d.workers[1].mute = c.status == declined
+			const txns = 3
+			for i := range txns {
+				raw := strings.Replace(check("/check", fmt.Sprint(i)), "300m", "600m", 1)
+				if status, _ := d.ask(raw); status != c.status {
+					t.Errorf("txn %d: %q, want %q", i, status, c.status)
+				}
+			}
+			before := len(d.got())
+			time.Sleep(50 * time.Millisecond)
+			if n := len(d.got()); n != before || d.workers[0].count() > txns {
+				t.Errorf("%d submissions after the last answer, %d to the silent one", n-before,
+					d.workers[0].count())
+			}
+			if b := held.Broken(); len(b) > 0 {
+				t.Errorf("claims broken: %v", b)
+			}
+		})
+	}
+}
+
+// A connection that was out while its worker started anew is not used for the new process.
+func TestFormerLife(t *testing.T) {
+	d := deploy(t, 1, 5000)
+	answered := make(chan string)
+	go func() {
+		status, _ := d.ask(check("/check?slow", "1"))
+		answered <- status
+	}()
+	time.Sleep(40 * time.Millisecond)
+	d.news <- `{"index":9,"snapshot":false,"endpoints":[` + d.entry(0, "active", 5) + `]}`
+	if status := <-answered; status != "HTTP/1.1 200 OK" {
+		t.Errorf("the txn that was out gets %q", status)
+	}
+	d.ask(check("/check", "2"))
+	d.workers[0].mu.Lock()
+	defer d.workers[0].mu.Unlock()
+	if d.workers[0].dial != 2 {
+		t.Errorf("%d connections, want a new one for the new process", d.workers[0].dial)
+	}
+}
+
 // A client that closes is seen, and its submission withdrawn.
 func TestClientLeaves(t *testing.T) {
 	d := deploy(t, 1, 5000)
