Idle client connections make room when places run out; descriptors kept for the program itself

While all places of clients are taken, a new connection waited up to 30 s for an idle one to end: its txns would have been taken by the machine and never answered. The one idle for the longest now makes room (limit.go).

--- a/internal/lifecycle/start.go
+++ b/internal/lifecycle/start.go
@@ -28,6 +28,7 @@
 	log    zerolog.Logger
 	desk   *gate.Desk
 	front  *wire.Front
+	limit  *wire.Limited
 	peers  *wire.Peers // nil where peers are not talked to
 	unwind context.CancelFunc
 	served chan error
@@ -41,7 +42,8 @@
 	debug.SetGCPercent(logic.GarbagePart)
 
 	g := &Gatekeeper{log: log, served: make(chan error, 1)}
-	links := wire.NewLinks(int(float64(c.Sockets)*logic.WorkerPart), ms(c.Lines.IdleLimit*logic.IdleUse),
+	spare := float64(max(c.Sockets-logic.SpareFiles, 2))
+	links := wire.NewLinks(max(int(spare*logic.WorkerPart), 1), ms(c.Lines.IdleLimit*logic.IdleUse),
 		ms(c.Lines.ConnectTimeout))
 	tell := func(int, []byte) {}
 	if len(c.Peers) > 0 {
@@ -62,6 +64,7 @@
 		}
 		return nil, fmt.Errorf("listen: %w", err)
 	}
+	g.limit = wire.Limit(l, int(spare*logic.ClientPart))
 	ctx, cancel := context.WithCancel(context.Background())
 	g.unwind, g.At = cancel, l.Addr().String()
 	go wire.Watch(ctx, c.Discovery, c.Known.Version, g.news, g.unheard)
@@ -69,7 +72,7 @@
 		go g.peers.Hear(g.desk.Hear)
 	}
 	go func() {
-		g.served <- g.front.Serve(wire.Limit(l, int(float64(c.Sockets)*logic.ClientPart)))
+		g.served <- g.front.Serve(g.limit)
 	}()
 	log.Info().Str("listen", g.At).Int("workers", len(c.Known.Workers)).Msg("serving")
 	return g, nil
--- a/internal/lifecycle/stop.go
+++ b/internal/lifecycle/stop.go
@@ -38,7 +38,8 @@
 		_ = g.peers.Close()
 	}
 	t := g.desk.Tally()
-	e := g.log.Info().Ints("finals", t.Final[:]).Int64("unreadable", g.front.Broken())
+	e := g.log.Info().Ints("finals", t.Final[:]).Int64("unreadable", g.front.Broken()).
+		Int64("clients_shed", g.limit.Shed())
 	for name, n := range held.Broken() {
 		e = e.Int64("broken_"+name, n)
 	}
--- a/internal/wire/front.go
+++ b/internal/wire/front.go
@@ -38,6 +38,7 @@
 	f.server = fasthttp.Server{
 		Handler:               f.handle,
 		ErrorHandler:          f.unreadable,
+		ConnState:             noteState,
 		MaxRequestBodySize:    MostBody,
 		ReadTimeout:           ms(logic.WholeTxn),
 		WriteTimeout:          ms(logic.WholeTxn), // a client that reads nothing does not hold its place
--- a/internal/wire/limit.go
+++ b/internal/wire/limit.go
@@ -3,55 +3,110 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"willowdeck/logic"
 )
 
-// limited is a listener that takes a connection only while fewer than so many are open. Those that come
-// beyond wait in the machine's queue: nobody is turned away with an answer that no one decided on.
-type limited struct {
+// Limited is a listener that has no more than so many connections open at once. For one more it ends the one
+// that has asked nothing for the longest; where all are busy, clients wait in the machine's queue. Nobody is
+// turned away with an answer that no one decided on.
+type Limited struct {
 	net.Listener
-	places chan struct{}
+	most   int
+	freed  chan struct{}
 	closed chan struct{}
 	once   sync.Once
+	shed   atomic.Int64
+
+	mu   sync.Mutex
+	open map[*placed]bool
 }
 
 // Limit bounds the connections that a listener has open at once.
-func Limit(l net.Listener, most int) net.Listener {
-	return &limited{Listener: l, places: make(chan struct{}, max(most, 1)), closed: make(chan struct{})}
+func Limit(l net.Listener, most int) *Limited {
+	return &Limited{Listener: l, most: max(most, 1), freed: make(chan struct{}, 1), closed: make(chan struct{}),
+		open: map[*placed]bool{}}
 }
 
-func (l *limited) Accept() (net.Conn, error) {
-	select {
-	case l.places <- struct{}{}:
-	case <-l.closed:
-		return nil, net.ErrClosed
-	}
+// Accept takes the next connection, and holds it back until there is room for it.
+func (l *Limited) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	for err != nil {
 		// Guards against a moment without descriptors, or a client gone before it is met: the front must not end.
 		select {
 		case <-l.closed:
-			<-l.places
 			return nil, net.ErrClosed
 		case <-time.After(ms(logic.AcceptAgain)):
 		}
 		c, err = l.Listener.Accept()
 	}
-	return &placed{Conn: hasten(c), leave: func() { <-l.places }}, nil
+	for !l.room() {
+		select {
+		case <-l.freed:
+		case <-time.After(ms(logic.AcceptAgain)): // one may have become idle
+		case <-l.closed:
+			_ = c.Close()
+			return nil, net.ErrClosed
+		}
+	}
+	p := &placed{Conn: hasten(c), of: l}
+	p.idle.Store(time.Now().UnixNano())
+	l.mu.Lock()
+	l.open[p] = true
+	l.mu.Unlock()
+	return p, nil
 }
 
-func (l *limited) Close() error {
+// room tells whether one more may be taken, and makes room if it can.
+func (l *Limited) room() bool {
+	l.mu.Lock()
+	full := len(l.open) >= l.most
+	var oldest *placed
+	var since int64
+	for p := range l.open {
+		if t := p.idle.Load(); full && t != 0 && (oldest == nil || t < since) {
+			oldest, since = p, t
+		}
+	}
+	l.mu.Unlock()
+	if oldest != nil {
+		l.shed.Add(1)
+		_ = oldest.Close()
+	}
+	return !full || oldest != nil
+}
+
+// Shed tells how many idle connections were ended to make room.
+func (l *Limited) Shed() int64 { return l.shed.Load() }
+
+// Close ends Accept.
+func (l *Limited) Close() error {
 	l.once.Do(func() { close(l.closed) })
 	return l.Listener.Close()
 }
 
-// placed gives its place back when it is closed first.
+// placed is a client's connection; its place is free once it is closed.
 type placed struct {
 	net.Conn
-	once  sync.Once
-	leave func()
+	of   *Limited
+	idle atomic.Int64 // since when it has asked nothing, Unix ns; 0 while a txn of it is in hand
+	once sync.Once
+}
+
+// noteState keeps track of which connections are idle, for the server to call.
+func noteState(c net.Conn, s fasthttp.ConnState) {
+	p, ok := c.(*placed)
+	switch {
+	case !ok:
+	case s == fasthttp.StateActive:
+		p.idle.Store(0)
+	case s == fasthttp.StateIdle:
+		p.idle.Store(time.Now().UnixNano())
+	}
 }
 
 // Gone tells whether the client has closed the connection, where that can be seen.
@@ -61,6 +116,15 @@
 }
 
 func (c *placed) Close() error {
-	c.once.Do(c.leave)
-	return c.Conn.Close()
+	err := c.Conn.Close()
+	c.once.Do(func() {
+		c.of.mu.Lock()
+		delete(c.of.open, c)
+		c.of.mu.Unlock()
+		select {
+		case c.of.freed <- struct{}{}:
+		default:
+		}
+	})
+	return err
 }
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"willowdeck/internal/wire/gossip"
 	"willowdeck/logic"
 )
@@ -112,7 +114,8 @@
 	}
 }
 
-// Beyond its bound a listener lets clients wait; it turns none away.
+// Beyond its bound a listener ends what is idle, and lets clients wait where all are busy; it turns none
+// away.
 func TestLimit(t *testing.T) {
 	raw, at := sink(t)
 	l := Limit(raw, 1)
@@ -127,14 +130,17 @@
 			taken <- c
 		}
 	}()
-	for range 2 {
+	dial := func() {
 		c, err := net.Dial("tcp", at.String())
 		if err != nil {
 			t.Fatal(err)
 		}
-		defer c.Close()
+		t.Cleanup(func() { c.Close() })
 	}
+	dial()
 	first := <-taken
+	noteState(first, fasthttp.StateActive)
+	dial()
 	select {
 	case <-taken:
 		t.Error("a second one is open")
@@ -142,7 +148,14 @@
 	}
 	first.Close()
 	first.Close() // gives back one place, not two
-	<-taken
+	second := <-taken
+	noteState(second, fasthttp.StateActive)
+	dial()
+	noteState(second, fasthttp.StateIdle)
+	<-taken // in the place of the second, which asks nothing
+	if l.Shed() != 1 {
+		t.Errorf("%d were ended for others, want 1", l.Shed())
+	}
 	l.Close()
 	if _, open := <-taken; open {
 		t.Error("it goes on after its close")
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -80,8 +80,9 @@
 
 	// What the host of sockets goes by.
 	IdleUse     = 0.5     // of the worker's idle limit; a connection idle for longer is dropped
-	ClientPart  = 0.4     // of the descriptors; connections of clients, who come again when there is none free
-	WorkerPart  = 0.5     // of the descriptors; connections to workers, busy and idle; the rest is for all else
+	SpareFiles  = 16      // descriptors for all but clients and workers: a dozen, with the runtime's own
+	ClientPart  = 0.45    // of the others; connections of clients, each of which has one txn at a time
+	WorkerPart  = 0.55    // of the others; connections to workers, busy and idle; a txn may need two
 	MemoryPart  = 0.6     // of the memory; the runtime's soft limit, as files and the kernel's part count too
 	GarbagePart = 400     // per cent; a heap of a few MB is let grow so far, which is cheap beside its upkeep
 	WholeTxn    = 10000.0 // ms for a client to send a whole txn, or take its answer; beyond any expiry
