Places of clients are freed by answers that end their connection, none with a txn unread in it

Now a connection is ended only after 1 s without a txn and with nothing unread; besides, while one is held back, answers carry Connection: close.

--- a/internal/wire/front.go
+++ b/internal/wire/front.go
@@ -87,8 +87,14 @@
 		ctx.Response.SetBodyString(err.Error() + "\n")
 		return
 	}
-	t.client, _ = ctx.Conn().(client)
+	p, placed := ctx.Conn().(*placed)
+	if placed {
+		t.client = p
+	}
 	f.answer(&ctx.Response, f.serve(&t))
+	if placed && p.of.held.Load() {
+		ctx.SetConnectionClose() // its place is wanted
+	}
 }
 
 // answer encodes a final answer. Only the module's declines are 429: it says that trying again is harmless.
--- a/internal/wire/limit.go
+++ b/internal/wire/limit.go
@@ -11,9 +11,9 @@
 	"willowdeck/logic"
 )
 
-// Limited is a listener that has no more than so many connections open at once. For one more it ends the one
-// that has asked nothing for the longest; where all are busy, clients wait in the machine's queue. Nobody is
-// turned away with an answer that no one decided on.
+// Limited is a listener that has no more than so many connections open at once. One more is held back: until
+// it has a place, connections end with their next answer, and one that has long asked nothing is ended. Nobody
+// is turned away with an answer that no one decided on.
 type Limited struct {
 	net.Listener
 	most   int
@@ -21,6 +21,7 @@
 	closed chan struct{}
 	once   sync.Once
 	shed   atomic.Int64
+	held   atomic.Bool // a connection waits for a place
 
 	mu   sync.Mutex
 	open map[*placed]bool
@@ -44,7 +45,9 @@
 		}
 		c, err = l.Listener.Accept()
 	}
+	defer l.held.Store(false)
 	for !l.room() {
+		l.held.Store(true)
 		select {
 		case <-l.freed:
 		case <-time.After(ms(logic.AcceptAgain)): // one may have become idle
@@ -66,18 +69,20 @@
 	l.mu.Lock()
 	full := len(l.open) >= l.most
 	var oldest *placed
-	var since int64
+	since := time.Now().Add(-ms(logic.IdleLong)).UnixNano()
 	for p := range l.open {
-		if t := p.idle.Load(); full && t != 0 && (oldest == nil || t < since) {
+		if t := p.idle.Load(); full && t != 0 && t < since {
 			oldest, since = p, t
 		}
 	}
 	l.mu.Unlock()
-	if oldest != nil {
-		l.shed.Add(1)
-		_ = oldest.Close()
+	// Guards against ending a connection in which a txn lies unread: the machine has taken it.
+	if oldest == nil || !oldest.quiet() {
+		return !full
 	}
-	return !full || oldest != nil
+	l.shed.Add(1)
+	_ = oldest.Close()
+	return true
 }
 
 // Shed tells how many idle connections were ended to make room.
@@ -115,6 +120,11 @@
 	return ok && l.Gone()
 }
 
+func (c *placed) quiet() bool {
+	q, ok := c.Conn.(interface{ Quiet() bool })
+	return ok && q.Quiet()
+}
+
 func (c *placed) Close() error {
 	err := c.Conn.Close()
 	c.once.Do(func() {
--- a/internal/wire/quick_linux.go
+++ b/internal/wire/quick_linux.go
@@ -83,14 +83,29 @@
 	return t.n, err
 }
 
-// peek asks the kernel whether the other side has closed, and takes nothing.
-func (q *quick) peek(fd uintptr) {
+// ahead looks at what the kernel has for a connection, and takes nothing.
+func ahead(fd uintptr) (int, syscall.Errno) {
 	var b [1]byte
 	n, _, e := syscall.RawSyscall6(syscall.SYS_RECVFROM, fd, uintptr(unsafe.Pointer(&b[0])), 1,
 		syscall.MSG_PEEK|syscall.MSG_DONTWAIT, 0, 0)
+	return int(n), e
+}
+
+func (q *quick) peek(fd uintptr) {
+	n, e := ahead(fd)
 	q.gone = e == 0 && n == 0 || e == syscall.ECONNRESET
 }
 
+// Quiet tells whether nothing lies unread in the connection.
+func (q *quick) Quiet() bool {
+	quiet := false
+	err := q.raw.Control(func(fd uintptr) {
+		_, e := ahead(fd)
+		quiet = e == syscall.EAGAIN
+	})
+	return err == nil && quiet
+}
+
 // Gone tells whether the other side has closed the connection. One goroutine at a time may ask.
 func (q *quick) Gone() bool {
 	q.gone = false
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -87,6 +87,7 @@
 	GarbagePart = 400     // per cent; a heap of a few MB is let grow so far, which is cheap beside its upkeep
 	WholeTxn    = 10000.0 // ms for a client to send a whole txn, or take its answer; beyond any expiry
 	IdleClient  = 30000.0 // ms until the place of a client that asks nothing is freed; longer than pauses in use
+	IdleLong    = 1000.0  // ms without a txn after which a client's connection may be ended for another's
 	AcceptAgain = 10.0    // ms until the next try to take a connection after one has failed
 	WatchQuiet  = 5000.0  // ms; the watch says something each 2 s, and one line may be late
 	WatchAgain  = 100.0   // ms until the watch is opened anew; news must not wait long
