--- a/internal/wire/limit.go
+++ b/internal/wire/limit.go
@@ -12,8 +12,8 @@
 )
 
 // Limited is a listener that has no more than so many connections open at once. One more is held back: until
-// it has a place, connections end with their next answer, and one that has long asked nothing is ended. Nobody
-// is turned away with an answer that no one decided on.
+// it has a place, connections end with their next answer, and one that has long asked nothing is ended.
+// Nobody is turned away with an answer that no one decided on.
 type Limited struct {
 	net.Listener
 	most   int
