A stop ends idle connections only where no txn lies unread in them

Now the connections are drained first, with the listener still open: each is closed once the kernel has nothing unread for it, busy ones end with their answer.

--- a/internal/lifecycle/lifecycle_test.go
+++ b/internal/lifecycle/lifecycle_test.go
@@ -540,6 +540,9 @@
 // At a stop what was taken is answered, kept connections are served on for a while, then all ends.
 func TestStop(t *testing.T) {
 	d := deploy(t, 1, 5000)
+	kept, _ := net.Dial("tcp", d.at)
+	fmt.Fprint(kept, check("/check", "0"))
+	read(kept)
 	slow, _ := net.Dial("tcp", d.at)
 	late := strings.Replace(issue("/issue?silence", "1"), "300m", "900m", 1)
 	fmt.Fprint(slow, late)
@@ -553,6 +556,13 @@
 	if status, _ := d.ask(check("/check", "2")); status != "HTTP/1.1 200 OK" {
 		t.Errorf("a new connection while it stops gets %q", status)
 	}
+	fmt.Fprint(kept, check("/check", "3"))
+	if status, _ := read(kept); status != "HTTP/1.1 200 OK" {
+		t.Errorf("a kept connection while it stops gets %q", status)
+	}
+	if _, err := kept.Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("a kept connection ends with %v", err)
+	}
 	if status, _ := read(slow); status != "HTTP/1.1 500 Internal Server Error" {
 		t.Errorf("what was taken before gets %q", status)
 	}
--- a/internal/lifecycle/stop.go
+++ b/internal/lifecycle/stop.go
@@ -29,6 +29,7 @@
 // has its answer.
 func (g *Gatekeeper) Stop() {
 	time.Sleep(ms(logic.AcceptOn))
+	g.limit.Drain()
 	if err := g.front.Close(context.Background()); err != nil {
 		g.log.Warn().Err(err).Msg("closing the front")
 	}
--- a/internal/wire/front.go
+++ b/internal/wire/front.go
@@ -92,8 +92,8 @@
 		t.client = p
 	}
 	f.answer(&ctx.Response, f.serve(&t))
-	if placed && p.of.held.Load() {
-		ctx.SetConnectionClose() // its place is wanted
+	if placed && p.wanted() {
+		ctx.SetConnectionClose()
 	}
 }
 
--- a/internal/wire/limit.go
+++ b/internal/wire/limit.go
@@ -22,6 +22,7 @@
 	once   sync.Once
 	shed   atomic.Int64
 	held   atomic.Bool // a connection waits for a place
+	ending atomic.Bool // all are to end
 
 	mu   sync.Mutex
 	open map[*placed]bool
@@ -85,6 +86,30 @@
 	return true
 }
 
+// Drain ends the idle connections, each once nothing lies unread in it, and lets the others end with their
+// next answer. Guards against a stop that ends a connection with a txn in it that the machine has taken.
+func (l *Limited) Drain() {
+	l.ending.Store(true)
+	for left := true; left; time.Sleep(ms(logic.AcceptAgain)) {
+		l.mu.Lock()
+		var idle []*placed
+		for p := range l.open {
+			if p.idle.Load() != 0 {
+				idle = append(idle, p)
+			}
+		}
+		l.mu.Unlock()
+		left = false
+		for _, p := range idle {
+			if settled := time.Since(time.Unix(0, p.idle.Load())) > ms(logic.AcceptAgain); settled && p.quiet() {
+				_ = p.Close()
+			} else if !p.Gone() {
+				left = true
+			}
+		}
+	}
+}
+
 // Shed tells how many idle connections were ended to make room.
 func (l *Limited) Shed() int64 { return l.shed.Load() }
 
@@ -120,9 +145,12 @@
 	return ok && l.Gone()
 }
 
+// wanted tells whether the connection should end with its next answer.
+func (c *placed) wanted() bool { return c.of.held.Load() || c.of.ending.Load() }
+
 func (c *placed) quiet() bool {
 	q, ok := c.Conn.(interface{ Quiet() bool })
-	return ok && q.Quiet()
+	return !ok || q.Quiet() // where it cannot be seen it counts as quiet, or a stop would never end
 }
 
 func (c *placed) Close() error {
--- a/internal/wire/quick_linux.go
+++ b/internal/wire/quick_linux.go
@@ -15,8 +15,6 @@
 	*net.TCPConn
 	raw     syscall.RawConn
 	in, out transfer
-	look    func(fd uintptr)
-	gone    bool
 }
 
 // transfer is one read or write; call goes to the kernel and is made once.
@@ -38,7 +36,7 @@
 		return c
 	}
 	q := &quick{TCPConn: t, raw: raw}
-	q.in.call, q.out.call, q.look = q.in.read, q.out.write, q.peek
+	q.in.call, q.out.call = q.in.read, q.out.write
 	return q
 }
 
@@ -83,33 +81,31 @@
 	return t.n, err
 }
 
-// ahead looks at what the kernel has for a connection, and takes nothing.
-func ahead(fd uintptr) (int, syscall.Errno) {
-	var b [1]byte
-	n, _, e := syscall.RawSyscall6(syscall.SYS_RECVFROM, fd, uintptr(unsafe.Pointer(&b[0])), 1,
-		syscall.MSG_PEEK|syscall.MSG_DONTWAIT, 0, 0)
-	return int(n), e
-}
-
-func (q *quick) peek(fd uintptr) {
-	n, e := ahead(fd)
-	q.gone = e == 0 && n == 0 || e == syscall.ECONNRESET
-}
-
-// Quiet tells whether nothing lies unread in the connection.
-func (q *quick) Quiet() bool {
-	quiet := false
+// ahead looks at what the kernel has for the connection, and takes nothing.
+func (q *quick) ahead() (n int, e syscall.Errno) {
 	err := q.raw.Control(func(fd uintptr) {
-		_, e := ahead(fd)
-		quiet = e == syscall.EAGAIN
+		var b [1]byte
+		var got uintptr
+		got, _, e = syscall.RawSyscall6(syscall.SYS_RECVFROM, fd, uintptr(unsafe.Pointer(&b[0])), 1,
+			syscall.MSG_PEEK|syscall.MSG_DONTWAIT, 0, 0)
+		n = int(got)
 	})
-	return err == nil && quiet
+	if err != nil {
+		e = syscall.EBADF // closed here
+	}
+	return n, e
 }
 
-// Gone tells whether the other side has closed the connection. One goroutine at a time may ask.
+// Gone tells whether the other side has closed the connection.
 func (q *quick) Gone() bool {
-	q.gone = false
-	return q.raw.Control(q.look) == nil && q.gone
+	n, e := q.ahead()
+	return e == 0 && n == 0 || e == syscall.ECONNRESET
+}
+
+// Quiet tells whether the connection is up and nothing lies unread in it.
+func (q *quick) Quiet() bool {
+	_, e := q.ahead()
+	return e == syscall.EAGAIN
 }
 
 func (q *quick) Read(b []byte) (int, error) {
--- a/internal/wire/txn.go
+++ b/internal/wire/txn.go
@@ -32,7 +32,7 @@
 // client is a connection that can tell whether its other side has closed it.
 type client interface{ Gone() bool }
 
-// Gone tells whether the client has closed its connection. One goroutine at a time may ask.
+// Gone tells whether the client has closed its connection.
 func (t *Txn) Gone() bool { return t.client != nil && t.client.Gone() }
 
 // decodeTxn reads a txn. An error is the client's fault, and says what is wrong.
