One form of ms for all that waits; defaults by cmp.Or; an unused method and a stale comment gone

The turning of ms into a time span stood in wire, in lifecycle and in the desk's clock: wire.Millis serves all three.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -91,22 +92,16 @@
 		}
 		g.Seed = int64(seed)
 	}
-	g.Name = either(m.Name, env("NODE_NAME"))
-	if g.Listen, err = address("listen", either(m.Listen, env("NODE_LISTEN"))); err != nil {
+	g.Name = cmp.Or(m.Name, env("NODE_NAME"))
+	if g.Listen, err = address("listen", cmp.Or(m.Listen, env("NODE_LISTEN"))); err != nil {
 		return g, err
 	}
-	if g.Discovery, err = address("discovery", either(m.Discovery, env("NODE_DISCOVERY"))); err != nil {
+	if g.Discovery, err = address("discovery", cmp.Or(m.Discovery, env("NODE_DISCOVERY"))); err != nil {
 		return g, err
 	}
-	if g.Cores = m.Limits.Cores; g.Cores == 0 {
-		g.Cores = defaultCores
-	}
-	if g.MemoryMB = m.Limits.MemoryMB; g.MemoryMB == 0 {
-		g.MemoryMB = defaultMemoryMB
-	}
-	if g.Sockets = m.Limits.Sockets; g.Sockets == 0 {
-		g.Sockets = defaultSockets
-	}
+	g.Cores = cmp.Or(m.Limits.Cores, defaultCores)
+	g.MemoryMB = cmp.Or(m.Limits.MemoryMB, defaultMemoryMB)
+	g.Sockets = cmp.Or(m.Limits.Sockets, defaultSockets)
 	switch {
 	case g.Cores < 0:
 		return g, fmt.Errorf("limits.cores: %v is below nought", g.Cores)
@@ -149,10 +144,3 @@
 	}
 	return value, nil
 }
-
-func either(a, b string) string {
-	if a != "" {
-		return a
-	}
-	return b
-}
--- a/internal/gate/desk.go
+++ b/internal/gate/desk.go
@@ -26,7 +26,7 @@
 func (c clock) now() float64 { return c.unix + float64(time.Since(c.start))/float64(time.Millisecond) }
 
 func (c clock) time(at float64) time.Time {
-	return c.start.Add(time.Duration((at - c.unix) * float64(time.Millisecond)))
+	return c.start.Add(wire.Millis(at - c.unix))
 }
 
 // Desk owns the module, its clock and its wake-up timer. Its lock is held for calls of the module
--- a/internal/held/index.go
+++ b/internal/held/index.go
@@ -24,6 +24,3 @@
 
 // Name gives the name that has a number.
 func (x *Index) Name(i int) string { return x.names[i] }
-
-// Len tells how many names there are.
-func (x *Index) Len() int { return len(x.names) }
--- a/internal/lifecycle/start.go
+++ b/internal/lifecycle/start.go
@@ -43,8 +43,8 @@
 
 	g := &Gatekeeper{log: log, served: make(chan error, 1)}
 	spare := float64(max(c.Sockets-logic.SpareFiles, 2))
-	links := wire.NewLinks(max(int(spare*logic.WorkerPart), 1), ms(c.Lines.IdleLimit*logic.IdleUse),
-		ms(c.Lines.ConnectTimeout))
+	links := wire.NewLinks(max(int(spare*logic.WorkerPart), 1), wire.Millis(c.Lines.IdleLimit*logic.IdleUse),
+		wire.Millis(c.Lines.ConnectTimeout))
 	tell := func(int, []byte) {}
 	if len(c.Peers) > 0 {
 		var err error
@@ -78,8 +78,6 @@
 	return g, nil
 }
 
-func ms(v float64) time.Duration { return time.Duration(v * float64(time.Millisecond)) }
-
 func (g *Gatekeeper) news(l roster.List) {
 	g.desk.Roster(l)
 	g.log.Debug().Int64("version", l.Version).Bool("whole", l.Whole).Int("workers", len(l.Workers)).Msg("list")
@@ -87,7 +85,7 @@
 
 // unheard says at most once in WatchQuiet that the watch has ended: tries without end must not fill the log.
 func (g *Gatekeeper) unheard(err error) {
-	if now := time.Now(); now.Sub(g.said) > ms(logic.WatchQuiet) {
+	if now := time.Now(); now.Sub(g.said) > wire.Millis(logic.WatchQuiet) {
 		g.said = now
 		g.log.Warn().Err(err).Msg("watch ended, opening it again")
 	}
--- a/internal/lifecycle/stop.go
+++ b/internal/lifecycle/stop.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"willowdeck/internal/held"
+	"willowdeck/internal/wire"
 	"willowdeck/logic"
 )
 
@@ -28,7 +29,7 @@
 // Stop serves on for as long as connections may come, then closes idle ones and ends once all that was taken
 // has its answer.
 func (g *Gatekeeper) Stop() {
-	time.Sleep(ms(logic.AcceptOn))
+	time.Sleep(wire.Millis(logic.AcceptOn))
 	g.limit.Drain()
 	if err := g.front.Close(context.Background()); err != nil {
 		g.log.Warn().Err(err).Msg("closing the front")
--- a/internal/wire/discovery.go
+++ b/internal/wire/discovery.go
@@ -26,20 +26,20 @@
 		failed(err)
 		select {
 		case <-ctx.Done():
-		case <-time.After(ms(logic.WatchAgain)):
+		case <-time.After(Millis(logic.WatchAgain)):
 		}
 	}
 }
 
 func watchOnce(ctx context.Context, addr string, version *int64, tell func(roster.List)) error {
-	d := net.Dialer{Timeout: ms(logic.WatchQuiet), KeepAlive: -1}
+	d := net.Dialer{Timeout: Millis(logic.WatchQuiet), KeepAlive: -1}
 	conn, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return fmt.Errorf("discovery: %w", err)
 	}
 	defer conn.Close()
 	defer context.AfterFunc(ctx, func() { conn.Close() })()
-	quiet := func() { _ = conn.SetDeadline(time.Now().Add(ms(logic.WatchQuiet))) }
+	quiet := func() { _ = conn.SetDeadline(time.Now().Add(Millis(logic.WatchQuiet))) }
 	quiet()
 	const ask = "GET /discovery/hosts?stream=1&index=%d HTTP/1.1\r\nHost: %s\r\n\r\n"
 	if _, err = fmt.Fprintf(conn, ask, *version, addr); err != nil {
--- a/internal/wire/front.go
+++ b/internal/wire/front.go
@@ -32,7 +32,7 @@
 	broken  atomic.Int64
 }
 
-// NewFront makes a front that takes at most a number of connections at once.
+// NewFront makes a front that is up, by its own word, while ready says so.
 func NewFront(names config.Names, charter logic.Charter, serve func(*Txn) Final, ready func() bool) *Front {
 	f := &Front{names: names, charter: charter, serve: serve, ready: ready}
 	f.server = fasthttp.Server{
@@ -40,9 +40,9 @@
 		ErrorHandler:          f.unreadable,
 		ConnState:             noteState,
 		MaxRequestBodySize:    MostBody,
-		ReadTimeout:           ms(logic.WholeTxn),
-		WriteTimeout:          ms(logic.WholeTxn), // a client that reads nothing does not hold its place
-		IdleTimeout:           ms(logic.IdleClient),
+		ReadTimeout:           Millis(logic.WholeTxn),
+		WriteTimeout:          Millis(logic.WholeTxn), // a client that reads nothing does not hold its place
+		IdleTimeout:           Millis(logic.IdleClient),
 		NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true,
 		DisablePreParseMultipartForm: true,
 		CloseOnShutdown:              true,
--- a/internal/wire/limit.go
+++ b/internal/wire/limit.go
@@ -42,7 +42,7 @@
 		select {
 		case <-l.closed:
 			return nil, net.ErrClosed
-		case <-time.After(ms(logic.AcceptAgain)):
+		case <-time.After(Millis(logic.AcceptAgain)):
 		}
 		c, err = l.Listener.Accept()
 	}
@@ -51,7 +51,7 @@
 		l.held.Store(true)
 		select {
 		case <-l.freed:
-		case <-time.After(ms(logic.AcceptAgain)): // one may have become idle
+		case <-time.After(Millis(logic.AcceptAgain)): // one may have become idle
 		case <-l.closed:
 			_ = c.Close()
 			return nil, net.ErrClosed
@@ -70,7 +70,7 @@
 	l.mu.Lock()
 	full := len(l.open) >= l.most
 	var oldest *placed
-	since := time.Now().Add(-ms(logic.IdleLong)).UnixNano()
+	since := time.Now().Add(-Millis(logic.IdleLong)).UnixNano()
 	for p := range l.open {
 		if t := p.idle.Load(); full && t != 0 && t < since {
 			oldest, since = p, t
@@ -90,7 +90,7 @@
 // next answer. Guards against a stop that ends a connection with a txn in it that the machine has taken.
 func (l *Limited) Drain() {
 	l.ending.Store(true)
-	for left := true; left; time.Sleep(ms(logic.AcceptAgain)) {
+	for left := true; left; time.Sleep(Millis(logic.AcceptAgain)) {
 		l.mu.Lock()
 		var idle []*placed
 		for p := range l.open {
@@ -101,7 +101,7 @@
 		l.mu.Unlock()
 		left = false
 		for _, p := range idle {
-			if settled := time.Since(time.Unix(0, p.idle.Load())) > ms(logic.AcceptAgain); settled && p.quiet() {
+			if settled := time.Since(time.Unix(0, p.idle.Load())) > Millis(logic.AcceptAgain); settled && p.quiet() {
 				_ = p.Close()
 			} else if !p.Gone() {
 				left = true
--- a/internal/wire/txn.go
+++ b/internal/wire/txn.go
@@ -16,7 +16,8 @@
 	"willowdeck/logic"
 )
 
-func ms(v float64) time.Duration { return time.Duration(v * float64(time.Millisecond)) }
+// Millis turns the module's form of a time span into the library's.
+func Millis(v float64) time.Duration { return time.Duration(v * float64(time.Millisecond)) }
 
 // MostBody is how many bytes a message's body may have.
 const MostBody = 64 << 10
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -151,7 +151,7 @@
 	second := <-taken
 	noteState(second, fasthttp.StateActive)
 	dial()
-	second.(*placed).idle.Store(time.Now().Add(-ms(2 * logic.IdleLong)).UnixNano())
+	second.(*placed).idle.Store(time.Now().Add(-Millis(2 * logic.IdleLong)).UnixNano())
 	<-taken // in the place of the second, which asks nothing
 	if l.Shed() != 1 {
 		t.Errorf("%d were ended for others, want 1", l.Shed())
