SIGHUP moves the watch to the discovery of the new configuration, the rest goes on

Cause: 129 is SIGHUP's default action; cmd/willowdeck notified SIGTERM and SIGINT alone, and lifecycle.Run knew only a stop. Nothing else is at fault: the node's log ends without a word.

Now a reload reads and checks the file; a bad one is named in the log and the old one stays. A good one ends the old watch, waits for its end (no news of it may come behind that of the new one) and goes on at the new address from the version reached. Stop and reload have a channel each, since a signal that finds its channel full is dropped; reloads are taken while a stop is under way, as workers drain meanwhile. `counter` is checked though it is not used.

TestReload breaks without it.

--- a/cmd/willowdeck/main.go
+++ b/cmd/willowdeck/main.go
@@ -33,7 +33,8 @@
 		Name:  "willowdeck",
 		Usage: "holds customers to quotas before a shared back end",
 		Commands: []*cli.Command{
-			{Name: "serve", Usage: "run a gatekeeper until SIGTERM", Flags: []cli.Flag{file, level}, Action: serve},
+			{Name: "serve", Usage: "run a gatekeeper until SIGTERM; SIGHUP reads its file anew",
+				Flags: []cli.Flag{file, level}, Action: serve},
 			{Name: "check", Usage: "read and check the configuration, and say what it holds", Flags: []cli.Flag{file},
 				Action: check},
 			{Name: "version", Usage: "say which build this is", Action: version},
@@ -46,19 +47,23 @@
 	if err != nil {
 		return fmt.Errorf("log: %w", err)
 	}
-	conf, err := config.Read(c.String("config"), os.Getenv)
+	// A channel each: a signal that finds its channel full is dropped, and a stop must not be. They are taken
+	// from here on, so that none ends the program while it starts.
+	stop, reload := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
+	signal.Notify(reload, syscall.SIGHUP)
+	read := func() (config.Gatekeeper, error) { return config.Read(c.String("config"), os.Getenv) }
+	conf, err := read()
 	if err != nil {
 		return err
 	}
 	zerolog.TimeFieldFormat = time.RFC3339Nano
 	log := zerolog.New(os.Stderr).Level(level).With().Timestamp().Str("gatekeeper", conf.Name).Logger()
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 	g, err := lifecycle.Start(conf, log)
 	if err != nil {
 		return err
 	}
-	return g.Run(signals)
+	return g.Run(stop, reload, read)
 }
 
 func check(_ context.Context, c *cli.Command) error {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -63,6 +63,7 @@
 			MemoryMB int `json:"memory_mb"`
 			Sockets  int
 		}
+		Counter    string
 		PeerListen string `json:"peer_listen"`
 		Peers      []string
 		Known      json.RawMessage
@@ -99,6 +100,11 @@
 	if g.Discovery, err = address("discovery", cmp.Or(m.Discovery, env("NODE_DISCOVERY"))); err != nil {
 		return g, err
 	}
+	if m.Counter != "" { // not used, but what is wrong in a configuration is said
+		if _, err = address("counter", m.Counter); err != nil {
+			return g, err
+		}
+	}
 	g.Cores = cmp.Or(m.Limits.Cores, defaultCores)
 	g.MemoryMB = cmp.Or(m.Limits.MemoryMB, defaultMemoryMB)
 	g.Sockets = cmp.Or(m.Limits.Sockets, defaultSockets)
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -70,6 +70,7 @@
 		{"no listen", `"listen"`, `"other"`, "listen is missing"},
 		{"listen no address", `127.0.0.1:5000`, `here`, "listen: "},
 		{"discovery no address", `127.0.0.1:8500`, `127.0.0.1`, "discovery: "},
+		{"counter no address", `"name":"n1"`, `"counter":"here"`, "counter: "},
 		{"seed no hex", `8c1f30d27a5be964`, `seed`, "seed: "},
 		{"memory below nought", `"memory_mb":64`, `"memory_mb":-1`, "limits.memory_mb"},
 		{"sockets below nought", `"sockets":256`, `"sockets":-1`, "limits.sockets"},
--- a/internal/lifecycle/lifecycle_test.go
+++ b/internal/lifecycle/lifecycle_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -23,7 +26,7 @@
 	gk      *Gatekeeper
 	at      string
 	workers []*standIn
-	list    net.Listener
+	conf    config.Gatekeeper
 	news    chan string
 	asked   chan string // what the watch asks for
 }
@@ -133,18 +136,16 @@
 		d.workers = append(d.workers, w)
 		names = append(names, d.entry(i, "active", 0))
 	}
-	d.list, _ = net.Listen("tcp", "127.0.0.1:0")
-	t.Cleanup(func() { d.list.Close() })
-	go d.discovery()
+	list := d.discovery()
 	conf := fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":%q,"seed":"5","limits":{"sockets":64},
-		"known":{"index":7,"snapshot":true,"endpoints":[%s]},"settings":%s}`, d.list.Addr(),
+		"known":{"index":7,"snapshot":true,"endpoints":[%s]},"settings":%s}`, list,
 		strings.Join(names, ","),
 		strings.NewReplacer(append(swaps, "IDLE", fmt.Sprint(idle*1000))...).Replace(settings))
-	c, err := config.Decode([]byte(conf), func(string) string { return "" })
-	if err != nil {
+	var err error
+	if d.conf, err = config.Decode([]byte(conf), func(string) string { return "" }); err != nil {
 		t.Fatal(err)
 	}
-	if d.gk, err = Start(c, zerolog.Nop()); err != nil {
+	if d.gk, err = Start(d.conf, zerolog.Nop()); err != nil {
 		t.Fatal(err)
 	}
 	d.at = d.gk.At
@@ -156,10 +157,21 @@
 		d.workers[i].Addr(), status, since)
 }
 
-// discovery answers each watch and sends it the news there is, until the word "end" or the watcher's leaving.
-func (d *deployment) discovery() {
+// discovery answers each watch at the address that it gives, and sends it the news there is, until the word
+// "end" or the watcher's leaving.
+func (d *deployment) discovery() string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	d.t.Cleanup(func() { l.Close() })
+	go d.tell(l)
+	return l.Addr().String()
+}
+
+func (d *deployment) tell(l net.Listener) {
 	for {
-		c, err := d.list.Accept()
+		c, err := l.Accept()
 		if err != nil {
 			return
 		}
@@ -436,6 +448,49 @@
 	}
 }
 
+// A reload moves the watch to the new address and goes on from where it was, also while a stop is under way.
+// One that fails changes nothing.
+func TestReload(t *testing.T) {
+	d := deploy(t, 2, 5000)
+	<-d.asked
+	stop, reload, ended := make(chan os.Signal, 1), make(chan os.Signal, 1), make(chan error)
+	files := make(chan error, 1)
+	go func() {
+		ended <- d.gk.Run(stop, reload, func() (config.Gatekeeper, error) {
+			next := d.conf
+			next.Discovery = d.discovery()
+			return next, <-files
+		})
+	}()
+	news := func(version int, entry string) {
+		time.Sleep(20 * time.Millisecond) // for the stand-in to see that it was left
+		d.news <- fmt.Sprintf(`{"index":%d,"snapshot":false,"endpoints":[%s]}`, version, entry)
+		time.Sleep(50 * time.Millisecond)
+	}
+	files <- errors.New("listen is missing")
+	reload <- syscall.SIGHUP
+	news(8, d.entry(0, "leaving", 0))
+	files <- nil
+	reload <- syscall.SIGHUP
+	if q := <-d.asked; !strings.Contains(q, "stream=1&index=8 ") {
+		t.Errorf("the moved watch asks %q, want it from 8 on", q)
+	}
+	news(9, d.entry(0, "active", 0)+","+d.entry(1, "leaving", 0))
+	d.ask(check("/check", "1"))
+	if a, b := d.workers[0].count(), d.workers[1].count(); a != 1 || b != 0 {
+		t.Errorf("%d and %d submissions after news at the new address, want 1 and 0", a, b)
+	}
+	files <- nil
+	stop <- syscall.SIGTERM
+	reload <- syscall.SIGHUP
+	if q := <-d.asked; !strings.Contains(q, "index=9 ") {
+		t.Errorf("while it stops the watch asks %q", q)
+	}
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
+
 func TestIdleConnections(t *testing.T) {
 	cases := []struct {
 		name  string
--- a/internal/lifecycle/start.go
+++ b/internal/lifecycle/start.go
@@ -25,12 +25,14 @@
 // Gatekeeper is a gatekeeper that runs.
 type Gatekeeper struct {
 	At     string // where clients connect
+	conf   config.Gatekeeper
 	log    zerolog.Logger
 	desk   *gate.Desk
 	front  *wire.Front
 	limit  *wire.Limited
-	peers  *wire.Peers // nil where peers are not talked to
-	unwind context.CancelFunc
+	peers  *wire.Peers        // nil where peers are not talked to
+	unwind context.CancelFunc // ends the watch
+	ended  chan int64         // the version that it got to
 	served chan error
 	said   time.Time // when the log last told that the watch had ended
 }
@@ -41,7 +43,7 @@
 	debug.SetMemoryLimit(int64(float64(c.MemoryMB) * (1 << 20) * logic.MemoryPart))
 	debug.SetGCPercent(logic.GarbagePart)
 
-	g := &Gatekeeper{log: log, served: make(chan error, 1)}
+	g := &Gatekeeper{conf: c, log: log, served: make(chan error, 1)}
 	spare := float64(max(c.Sockets-logic.SpareFiles, 2))
 	links := wire.NewLinks(max(int(spare*logic.WorkerPart), 1), wire.Millis(c.Lines.IdleLimit*logic.IdleUse),
 		wire.Millis(c.Lines.ConnectTimeout))
@@ -65,9 +67,8 @@
 		return nil, fmt.Errorf("listen: %w", err)
 	}
 	g.limit = wire.Limit(l, int(spare*logic.ClientPart))
-	ctx, cancel := context.WithCancel(context.Background())
-	g.unwind, g.At = cancel, l.Addr().String()
-	go wire.Watch(ctx, c.Discovery, c.Known.Version, g.news, g.unheard)
+	g.At = l.Addr().String()
+	g.watch(c.Known.Version)
 	if g.peers != nil {
 		go g.peers.Hear(g.desk.Hear)
 	}
@@ -78,6 +79,16 @@
 	return g, nil
 }
 
+// watch follows discovery's list from a version on.
+func (g *Gatekeeper) watch(version int64) {
+	ctx, cancel := context.WithCancel(context.Background())
+	addr, ended := g.conf.Discovery, make(chan int64, 1)
+	g.unwind, g.ended = cancel, ended
+	go func() {
+		ended <- wire.Watch(ctx, addr, version, g.news, g.unheard)
+	}()
+}
+
 func (g *Gatekeeper) news(l roster.List) {
 	g.desk.Roster(l)
 	g.log.Debug().Int64("version", l.Version).Bool("whole", l.Whole).Int("workers", len(l.Workers)).Msg("list")
--- a/internal/lifecycle/stop.go
+++ b/internal/lifecycle/stop.go
@@ -6,20 +6,39 @@
 	"os"
 	"time"
 
+	"willowdeck/internal/config"
 	"willowdeck/internal/held"
 	"willowdeck/internal/wire"
 	"willowdeck/logic"
 )
 
-// Run serves until a signal comes or serving fails, then stops.
-func (g *Gatekeeper) Run(signals <-chan os.Signal) error {
+// Run serves until stop gives a signal or serving fails, then stops. At each signal of reload it takes up the
+// configuration that read gives, also while it stops: workers may drain until the last txn is answered.
+func (g *Gatekeeper) Run(stop, reload <-chan os.Signal, read func() (config.Gatekeeper, error)) error {
+	done, over := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(over)
+		for {
+			select {
+			case <-reload:
+				g.Reload(read())
+			case <-done:
+				return
+			}
+		}
+	}()
+	defer func() {
+		close(done)
+		<-over
+		g.unwind()
+	}()
 	select {
 	case err := <-g.served:
 		if err == nil {
 			err = errors.New("front: ended unasked")
 		}
 		return err
-	case s := <-signals:
+	case s := <-stop:
 		g.log.Info().Str("signal", s.String()).Msg("stopping")
 	}
 	g.Stop()
@@ -35,7 +54,6 @@
 		g.log.Warn().Err(err).Msg("closing the front")
 	}
 	g.desk.Stop()
-	g.unwind()
 	if g.peers != nil {
 		_ = g.peers.Close()
 	}
--- a/internal/wire/discovery.go
+++ b/internal/wire/discovery.go
@@ -16,12 +16,14 @@
 )
 
 // Watch follows discovery's list from a version on until ctx ends, and gives each change to tell as soon as
-// it is read. It opens the watch again when that ends or falls silent, and reports why to failed.
-func Watch(ctx context.Context, addr string, version int64, tell func(roster.List), failed func(error)) {
+// it is read. It opens the watch again when that ends or falls silent, and reports why to failed. It returns
+// the version that it got to.
+func Watch(ctx context.Context, addr string, version int64, tell func(roster.List),
+	failed func(error)) int64 {
 	for ctx.Err() == nil {
 		err := watchOnce(ctx, addr, &version, tell)
 		if ctx.Err() != nil {
-			return
+			break
 		}
 		failed(err)
 		select {
@@ -29,6 +31,7 @@
 		case <-time.After(Millis(logic.WatchAgain)):
 		}
 	}
+	return version
 }
 
 func watchOnce(ctx context.Context, addr string, version *int64, tell func(roster.List)) error {
