Idle links are looked at before use; the heap levels off at a few MB

Cause of growth: GarbagePart of 400 per cent puts the first collection at a heap of 16 MB; the live heap is under 2 MB, so memory climbs for 40 s and then stands. No leak showed: the last two quarters are level.

Cause of resets: workers close 457 connections right after an answer without saying so. Links.Idle gave them out again by age alone (links.go); the submission ends as a reset, which a once-only txn can't repeat. Now the kernel is asked whether the link is up with nothing unread in it, without reading. Bytes left behind an answer are found by the same look.

TestLinksLeaveWhatIsNotQuiet breaks without the look.

--- a/internal/lifecycle/reload.go
+++ b/internal/lifecycle/reload.go
@@ -2,9 +2,9 @@
 
 import "willowdeck/internal/config"
 
-// Reload takes up a configuration that has been read anew: the watch moves to the discovery that it names, and
-// goes on from where it was. All else that it may change waits for the next start. Where it could not be read,
-// the old one stays.
+// Reload takes up a configuration that has been read anew: the watch moves to the discovery that it names,
+// and goes on from where it was. All else that it may change waits for the next start. Where it could not be
+// read, the old one stays.
 func (g *Gatekeeper) Reload(c config.Gatekeeper, err error) {
 	if err != nil {
 		g.log.Error().Err(err).Msg("configuration not taken up, the old one stays")
--- a/internal/lifecycle/start.go
+++ b/internal/lifecycle/start.go
@@ -30,6 +30,7 @@
 	desk   *gate.Desk
 	front  *wire.Front
 	limit  *wire.Limited
+	links  *wire.Links
 	peers  *wire.Peers        // nil where peers are not talked to
 	unwind context.CancelFunc // ends the watch
 	ended  chan int64         // the version that it got to
@@ -45,7 +46,7 @@
 
 	g := &Gatekeeper{conf: c, log: log, served: make(chan error, 1)}
 	spare := float64(max(c.Sockets-logic.SpareFiles, 2))
-	links := wire.NewLinks(max(int(spare*logic.WorkerPart), 1), wire.Millis(c.Lines.IdleLimit*logic.IdleUse),
+	g.links = wire.NewLinks(max(int(spare*logic.WorkerPart), 1), wire.Millis(c.Lines.IdleLimit*logic.IdleUse),
 		wire.Millis(c.Lines.ConnectTimeout))
 	tell := func(int, []byte) {}
 	if len(c.Peers) > 0 {
@@ -55,9 +56,9 @@
 		}
 		tell = g.peers.Tell
 	}
-	g.desk = gate.NewDesk(c.Charter, c.Seed, c.Lines.AnswerSlack+socketSlack, tell, links.Shed)
+	g.desk = gate.NewDesk(c.Charter, c.Seed, c.Lines.AnswerSlack+socketSlack, tell, g.links.Shed)
 	g.desk.Roster(c.Known)
-	g.front = wire.NewFront(c.Names, c.Charter, gate.New(g.desk, links).Serve, g.desk.Ready)
+	g.front = wire.NewFront(c.Names, c.Charter, gate.New(g.desk, g.links).Serve, g.desk.Ready)
 
 	l, err := net.Listen("tcp", c.Listen)
 	if err != nil {
--- a/internal/lifecycle/stop.go
+++ b/internal/lifecycle/stop.go
@@ -59,7 +59,7 @@
 	}
 	t := g.desk.Tally()
 	e := g.log.Info().Ints("finals", t.Final[:]).Int64("unreadable", g.front.Broken()).
-		Int64("clients_shed", g.limit.Shed())
+		Int64("clients_shed", g.limit.Shed()).Int64("links_spoilt", g.links.Spoilt())
 	for name, n := range held.Broken() {
 		e = e.Int64("broken_"+name, n)
 	}
--- a/internal/wire/limit.go
+++ b/internal/wire/limit.go
@@ -78,7 +78,7 @@
 	}
 	l.mu.Unlock()
 	// Guards against ending a connection in which a txn lies unread: the machine has taken it.
-	if oldest == nil || !oldest.quiet() {
+	if oldest == nil || !quiet(oldest.Conn) {
 		return !full
 	}
 	l.shed.Add(1)
@@ -101,7 +101,8 @@
 		l.mu.Unlock()
 		left = false
 		for _, p := range idle {
-			if settled := time.Since(time.Unix(0, p.idle.Load())) > Millis(logic.AcceptAgain); settled && p.quiet() {
+			settled := time.Since(time.Unix(0, p.idle.Load())) > Millis(logic.AcceptAgain)
+			if settled && quiet(p.Conn) {
 				_ = p.Close()
 			} else if !p.Gone() {
 				left = true
@@ -148,9 +149,11 @@
 // wanted tells whether the connection should end with its next answer.
 func (c *placed) wanted() bool { return c.of.held.Load() || c.of.ending.Load() }
 
-func (c *placed) quiet() bool {
-	q, ok := c.Conn.(interface{ Quiet() bool })
-	return !ok || q.Quiet() // where it cannot be seen it counts as quiet, or a stop would never end
+// quiet tells whether a connection is up and nothing lies unread in it. Where that cannot be seen it counts
+// as quiet, or a stop would never end.
+func quiet(c net.Conn) bool {
+	q, ok := c.(interface{ Quiet() bool })
+	return !ok || q.Quiet()
 }
 
 func (c *placed) Close() error {
--- a/internal/wire/links.go
+++ b/internal/wire/links.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -23,6 +24,7 @@
 	most    int
 	keep    time.Duration
 	connect time.Duration
+	spoilt  atomic.Int64
 }
 
 // NewLinks makes room for so many connections, which are dropped once they have been idle for keep.
@@ -30,7 +32,9 @@
 	return &Links{most: most, keep: keep, connect: connect}
 }
 
-// Idle gives the connection to a worker that was used last, or nil.
+// Idle gives the connection to a worker that was used last, or nil. Guards against one that the worker has
+// closed without a word, on which a submission would be lost that may not be sent again, and one with bytes
+// in it that would be read as the next submission's answer.
 func (p *Links) Idle(worker int) *Link {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -38,15 +42,22 @@
 		return nil
 	}
 	p.prune(worker)
-	s := p.idle[worker]
-	if len(s) == 0 {
-		return nil
+	for s := p.idle[worker]; len(s) > 0; s = p.idle[worker] {
+		l := s[len(s)-1]
+		p.idle[worker] = s[:len(s)-1]
+		if quiet(l.conn) {
+			return l
+		}
+		_ = l.conn.Close()
+		p.open--
+		p.spoilt.Add(1)
 	}
-	l := s[len(s)-1]
-	p.idle[worker] = s[:len(s)-1]
-	return l
+	return nil
 }
 
+// Spoilt tells how many idle connections were found closed by the worker, or with bytes in them.
+func (p *Links) Spoilt() int64 { return p.spoilt.Load() }
+
 // Dial opens a connection, within its own limit and until a moment.
 func (p *Links) Dial(worker int, addr netip.AddrPort, until time.Time) (*Link, error) {
 	p.mu.Lock()
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -64,6 +64,44 @@
 	}
 }
 
+// A connection that its worker has closed, or said more on, is not used again.
+func TestLinksLeaveWhatIsNotQuiet(t *testing.T) {
+	l, at := sink(t)
+	cases := []struct {
+		name string
+		do   func(net.Conn)
+		used bool
+	}{
+		{"quiet", func(net.Conn) {}, true},
+		{"closed by the worker", func(c net.Conn) { c.Close() }, false},
+		{"bytes behind the answer", func(c net.Conn) { c.Write([]byte("HTTP/1.1 200 OK\r\n")) }, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			p := NewLinks(4, time.Second, time.Second)
+			var links []*Link
+			for range 2 {
+				link, err := p.Dial(0, at, time.Now().Add(time.Second))
+				if err != nil {
+					t.Fatal(err)
+				}
+				links = append(links, link)
+			}
+			older, _ := l.Accept()
+			newer, _ := l.Accept()
+			defer older.Close()
+			defer newer.Close()
+			p.Keep(links[0])
+			p.Keep(links[1])
+			c.do(newer)
+			time.Sleep(20 * time.Millisecond)
+			if got := p.Idle(0); (got == links[1]) != c.used || !c.used && (got != links[0] || p.open != 1) {
+				t.Errorf("the first to be used is the one that was spoilt: %v, open %d", got == links[1], p.open)
+			}
+		})
+	}
+}
+
 // Reads and writes past the scheduler keep the ways of ordinary ones.
 func TestQuickConnection(t *testing.T) {
 	l, at := sink(t)
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -84,7 +84,7 @@
 	ClientPart  = 0.45    // of the others; connections of clients, each of which has one txn at a time
 	WorkerPart  = 0.55    // of the others; connections to workers, busy and idle; a txn may need two
 	MemoryPart  = 0.6     // of the memory; the runtime's soft limit, as files and the kernel's part count too
-	GarbagePart = 400     // per cent; a heap of a few MB is let grow so far, which is cheap beside its upkeep
+	GarbagePart = 100     // per cent; a heap of a few MB levels off in seconds, at little work
 	WholeTxn    = 10000.0 // ms for a client to send a whole txn, or take its answer; beyond any expiry
 	IdleClient  = 30000.0 // ms until the place of a client that asks nothing is freed; longer than pauses in use
 	IdleLong    = 1000.0  // ms without a txn after which a client's connection may be ended for another's
