Bad clients get a word in 3 s and give up their places; good answers with noise count

Causes, looked at one by one: - Places of clients. A probe of what each connection was about, ten times a second, showed 46 silent ones that stood for 10 s, then 250 connections a second that asked GET /up once and stayed: 220 places all idle, none over the limit of idle time, Accept blocked for 2 s (limit.go, room). Answers without a stated length are cut, and one that stalls is cut after WholeAnswer instead of at the expiry.

--- a/internal/gate/exchange.go
+++ b/internal/gate/exchange.go
@@ -38,7 +38,7 @@
 		g.links.Drop(l)
 		return &wire.Answer{Outcome: outcome}
 	}
-	a, err := l.Receive()
+	a, err := l.Receive(until)
 	withdrawn := s.End()
 	if err == nil && !withdrawn && a.Keep() && to.Holds() { // one to a former life would never be used again
 		g.links.Keep(l)
@@ -50,8 +50,8 @@
 		return a
 	case withdrawn:
 		return &wire.Answer{Outcome: logic.Withdrawn}
-	case errors.Is(err, os.ErrDeadlineExceeded):
+	case errors.Is(err, os.ErrDeadlineExceeded) && !time.Now().Before(until):
 		return &wire.Answer{Outcome: logic.TimedOut}
 	}
-	return &wire.Answer{Outcome: logic.Cut}
+	return &wire.Answer{Outcome: logic.Cut} // one that stalls is cut from here
 }
--- a/internal/wire/front.go
+++ b/internal/wire/front.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"strconv"
+	"sync"
 	"sync/atomic"
 
 	"github.com/valyala/fasthttp"
@@ -30,11 +31,13 @@
 	ready   func() bool
 	closing atomic.Bool
 	broken  atomic.Int64
+	marks   marks
 }
 
 // NewFront makes a front that is up, by its own word, while ready says so.
 func NewFront(names config.Names, charter logic.Charter, serve func(*Txn) Final, ready func() bool) *Front {
-	f := &Front{names: names, charter: charter, serve: serve, ready: ready}
+	f := &Front{names: names, charter: charter, serve: serve, ready: ready,
+		marks: marks{open: map[string]bool{}}}
 	f.server = fasthttp.Server{
 		Handler:               f.handle,
 		ErrorHandler:          f.unreadable,
@@ -74,6 +77,12 @@
 func (f *Front) Broken() int64 { return f.broken.Load() }
 
 func (f *Front) handle(ctx *fasthttp.RequestCtx) {
+	p, placed := ctx.Conn().(*placed)
+	defer func() {
+		if placed && p.wanted() {
+			ctx.SetConnectionClose()
+		}
+	}()
 	if string(ctx.Request.Header.RequestURI()) == "/up" {
 		if !f.ready() || f.closing.Load() {
 			ctx.Response.SetStatusCode(fasthttp.StatusInternalServerError)
@@ -82,18 +91,32 @@
 	}
 	t, err := decodeTxn(&ctx.Request, &f.names, &f.charter)
 	if err != nil {
-		f.broken.Add(1)
-		ctx.Response.SetStatusCode(fasthttp.StatusBadRequest)
-		ctx.Response.SetBodyString(err.Error() + "\n")
+		f.refuse(ctx, fasthttp.StatusBadRequest, err.Error())
 		return
 	}
-	p, placed := ctx.Conn().(*placed)
+	if !f.marks.take(t.Mark) {
+		f.refuse(ctx, fasthttp.StatusConflict, "X-Request-Id: a txn with this one is open")
+		return
+	}
+	defer f.marks.free(t.Mark)
 	if placed {
+		if !p.take() {
+			f.refuse(ctx, fasthttp.StatusRequestTimeout, "the connection was ended before it came whole")
+			return
+		}
 		t.client = p
 	}
 	f.answer(&ctx.Response, f.serve(&t))
-	if placed && p.wanted() {
-		ctx.SetConnectionClose()
+}
+
+// refuse answers what is no txn, and ends its connection: what follows there may be part of it.
+func (f *Front) refuse(ctx *fasthttp.RequestCtx, status int, says string) {
+	f.broken.Add(1)
+	ctx.Response.SetStatusCode(status)
+	ctx.Response.SetBodyString(says + "\n")
+	ctx.SetConnectionClose()
+	if p, ok := ctx.Conn().(*placed); ok {
+		p.lingers.Store(true)
 	}
 }
 
@@ -118,16 +141,41 @@
 	}
 }
 
-// unreadable answers what is no HTTP, or too long.
+// unreadable answers what is no HTTP, too long, or does not come whole in time.
 func (f *Front) unreadable(ctx *fasthttp.RequestCtx, err error) {
-	f.broken.Add(1)
 	var small *fasthttp.ErrSmallBuffer
+	var late net.Error
 	switch {
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
-		ctx.Error("the body is over 64 KiB\n", fasthttp.StatusRequestEntityTooLarge)
+		f.refuse(ctx, fasthttp.StatusRequestEntityTooLarge, "the body is over 64 KiB")
 	case errors.As(err, &small):
-		ctx.Error("the head is too long\n", fasthttp.StatusRequestHeaderFieldsTooLarge)
+		f.refuse(ctx, fasthttp.StatusRequestHeaderFieldsTooLarge, "the head is too long")
+	case errors.As(err, &late) && late.Timeout():
+		f.refuse(ctx, fasthttp.StatusRequestTimeout, "no whole request has come in time")
 	default:
-		ctx.Error("no request could be read\n", fasthttp.StatusBadRequest)
+		f.refuse(ctx, fasthttp.StatusBadRequest, "no request could be read")
+	}
+}
+
+// marks are the marks of the txns that are open. Guards against a client that sends another's mark: two txns
+// of one mark could not be told apart by workers.
+type marks struct {
+	mu   sync.Mutex
+	open map[string]bool
+}
+
+func (m *marks) take(mark []byte) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.open[string(mark)] {
+		return false
 	}
+	m.open[string(mark)] = true
+	return true
+}
+
+func (m *marks) free(mark []byte) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.open, string(mark))
 }
--- a/internal/wire/limit.go
+++ b/internal/wire/limit.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -12,8 +13,8 @@
 )
 
 // Limited is a listener that has no more than so many connections open at once. One more is held back: until
-// it has a place, connections end with their next answer, and one that has long asked nothing is ended.
-// Nobody is turned away with an answer that no one decided on.
+// it has a place, connections end with their next answer, and one is ended that has sent no whole txn so far,
+// or else has long asked nothing. Nobody is turned away with an answer that no one decided on.
 type Limited struct {
 	net.Listener
 	most   int
@@ -58,7 +59,7 @@
 		}
 	}
 	p := &placed{Conn: hasten(c), of: l}
-	p.idle.Store(time.Now().UnixNano())
+	p.since.Store(time.Now().UnixNano())
 	l.mu.Lock()
 	l.open[p] = true
 	l.mu.Unlock()
@@ -68,22 +69,34 @@
 // room tells whether one more may be taken, and makes room if it can.
 func (l *Limited) room() bool {
 	l.mu.Lock()
-	full := len(l.open) >= l.most
-	var oldest *placed
-	since := time.Now().Add(-Millis(logic.IdleLong)).UnixNano()
+	if len(l.open) < l.most {
+		l.mu.Unlock()
+		return true
+	}
+	now := time.Now()
+	var oldest [2]*placed // by what may be ended first
+	since := [2]int64{now.Add(-Millis(logic.Unproven)).UnixNano(), now.Add(-Millis(logic.IdleLong)).UnixNano()}
 	for p := range l.open {
-		if t := p.idle.Load(); full && t != 0 && t < since {
-			oldest, since = p, t
+		for i, state := range [2]int32{fresh, idle} {
+			if t := p.since.Load(); p.state.Load() == state && t < since[i] {
+				oldest[i], since[i] = p, t
+			}
 		}
 	}
 	l.mu.Unlock()
-	// Guards against ending a connection in which a txn lies unread: the machine has taken it.
-	if oldest == nil || !quiet(oldest.Conn) {
-		return !full
+	for _, p := range oldest {
+		if p != nil && p.end() {
+			l.shed.Add(1)
+			return true
+		}
 	}
-	l.shed.Add(1)
-	_ = oldest.Close()
-	return true
+	return false
+}
+
+func (l *Limited) crowded() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return float64(len(l.open)) > logic.CrowdedAt*float64(l.most)
 }
 
 // Drain ends the idle connections, each once nothing lies unread in it, and lets the others end with their
@@ -92,19 +105,17 @@
 	l.ending.Store(true)
 	for left := true; left; time.Sleep(Millis(logic.AcceptAgain)) {
 		l.mu.Lock()
-		var idle []*placed
+		var waiting []*placed
 		for p := range l.open {
-			if p.idle.Load() != 0 {
-				idle = append(idle, p)
+			if s := p.state.Load(); s == fresh || s == idle {
+				waiting = append(waiting, p)
 			}
 		}
 		l.mu.Unlock()
 		left = false
-		for _, p := range idle {
-			settled := time.Since(time.Unix(0, p.idle.Load())) > Millis(logic.AcceptAgain)
-			if settled && quiet(p.Conn) {
-				_ = p.Close()
-			} else if !p.Gone() {
+		for _, p := range waiting {
+			settled := time.Since(time.Unix(0, p.since.Load())) > Millis(logic.AcceptAgain)
+			if !(settled && p.end()) && !p.Gone() {
 				left = true
 			}
 		}
@@ -120,34 +131,69 @@
 	return l.Listener.Close()
 }
 
+// What a client's connection is about.
+const (
+	fresh  int32 = iota // it has sent no whole txn so far
+	idle                // it has had its answers
+	asking              // it is sending one more txn
+	taken               // a txn of it is in hand
+	ended               // it has been ended from here
+)
+
 // placed is a client's connection; its place is free once it is closed.
 type placed struct {
 	net.Conn
-	of   *Limited
-	idle atomic.Int64 // since when it has asked nothing, Unix ns; 0 while a txn of it is in hand
-	once sync.Once
+	of      *Limited
+	state   atomic.Int32
+	proven  bool         // it has sent more than one txn
+	since   atomic.Int64 // when it came, or had its last answer, Unix ns
+	lingers atomic.Bool
+	once    sync.Once
 }
 
-// noteState keeps track of which connections are idle, for the server to call.
+// noteState keeps track of what connections are about, for the server to call.
 func noteState(c net.Conn, s fasthttp.ConnState) {
 	p, ok := c.(*placed)
 	switch {
 	case !ok:
 	case s == fasthttp.StateActive:
-		p.idle.Store(0)
+		p.state.CompareAndSwap(idle, asking)
 	case s == fasthttp.StateIdle:
-		p.idle.Store(time.Now().UnixNano())
+		p.since.Store(time.Now().UnixNano())
+		p.state.Store(idle)
 	}
 }
 
+// take notes that a whole txn has come, and tells whether the connection is still there to answer it.
+func (c *placed) take() bool {
+	if c.state.CompareAndSwap(asking, taken) {
+		c.proven = true
+		return true
+	}
+	return c.state.CompareAndSwap(fresh, taken)
+}
+
+// end ends a connection that asks nothing. Guards against one in which a txn lies unread: the machine has
+// taken it.
+func (c *placed) end() bool {
+	if !quiet(c.Conn) || !c.state.CompareAndSwap(fresh, ended) && !c.state.CompareAndSwap(idle, ended) {
+		return false
+	}
+	_ = c.Close()
+	return true
+}
+
 // Gone tells whether the client has closed the connection, where that can be seen.
 func (c *placed) Gone() bool {
 	l, ok := c.Conn.(client)
 	return ok && l.Gone()
 }
 
-// wanted tells whether the connection should end with its next answer.
-func (c *placed) wanted() bool { return c.of.held.Load() || c.of.ending.Load() }
+// wanted tells whether the connection should end with its next answer. Guards against hundreds that ask once
+// and stay: idle ones may not be ended at once, and would take every place from those that go on asking.
+func (c *placed) wanted() bool {
+	return c.of.held.Load() || c.of.ending.Load() || !c.proven && c.of.crowded()
+}
 
 // quiet tells whether a connection is up and nothing lies unread in it. Where that cannot be seen it counts
 // as quiet, or a stop would never end.
@@ -156,9 +202,15 @@
 	return !ok || q.Quiet()
 }
 
-func (c *placed) Close() error {
-	err := c.Conn.Close()
+// Close frees the place. One that lingers first says that no more will come and takes what the client was
+// still sending: closed on unread bytes, the connection would be reset and its last answer could be lost.
+func (c *placed) Close() (err error) {
 	c.once.Do(func() {
+		if t, ok := c.Conn.(interface{ CloseWrite() error }); ok && c.lingers.Load() && t.CloseWrite() == nil {
+			_ = c.Conn.SetReadDeadline(time.Now().Add(Millis(logic.Linger)))
+			_, _ = io.CopyN(io.Discard, c.Conn, logic.LingerBytes)
+		}
+		err = c.Conn.Close()
 		c.of.mu.Lock()
 		delete(c.of.open, c)
 		c.of.mu.Unlock()
--- a/internal/wire/submission.go
+++ b/internal/wire/submission.go
@@ -23,7 +23,10 @@
 // Keep tells whether the connection can carry another submission.
 func (a *Answer) Keep() bool { return !a.last }
 
-var errStray = errors.New("bytes after the answer")
+var (
+	errNoLength = errors.New("an answer that does not say where it ends")
+	errInterim  = errors.New("interim answers without end")
+)
 
 // AppendSubmission encodes a submission of a txn that is waited for so many ms.
 func AppendSubmission(b []byte, t *Txn, wait float64) []byte {
@@ -60,17 +63,22 @@
 	return err
 }
 
-// Receive reads one answer. After an error the link is of no more use.
-func (l *Link) Receive() (*Answer, error) {
+// Receive reads one answer until a moment at the latest. After an error the link is of no more use. What lies
+// behind a whole answer is not part of it: the answer is good, and the link's last.
+func (l *Link) Receive(until time.Time) (*Answer, error) {
+	if _, err := l.in.Peek(1); err != nil {
+		return nil, err
+	}
+	// Guards against an answer that stalls or trickles on: what has begun comes whole at once, or not at all.
+	if whole := time.Now().Add(Millis(logic.WholeAnswer)); whole.Before(until) {
+		_ = l.conn.SetReadDeadline(whole)
+	}
 	r := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(r)
-	if err := r.ReadLimitBody(l.in, MostBody); err != nil {
+	if err := readAnswer(r, l.in); err != nil {
 		return nil, err
 	}
-	if l.in.Buffered() > 0 {
-		return nil, errStray
-	}
-	a := &Answer{last: r.ConnectionClose()}
+	a := &Answer{last: r.ConnectionClose() || l.in.Buffered() > 0}
 	switch code := r.StatusCode(); {
 	case code == fasthttp.StatusOK:
 		a.Outcome = logic.Settled
@@ -84,3 +92,28 @@
 	}
 	return a, nil
 }
+
+// readAnswer reads an answer whose end is stated, past the interim ones ahead of it. Guards against one that
+// ends with its connection: it could have been cut short anywhere.
+func readAnswer(r *fasthttp.Response, in *bufio.Reader) error {
+	for n := 0; ; n++ {
+		if err := r.Header.Read(in); err != nil {
+			return err
+		}
+		if r.StatusCode() >= fasthttp.StatusOK {
+			break
+		}
+		if n == logic.MostInterim || r.StatusCode() == fasthttp.StatusSwitchingProtocols {
+			return errInterim
+		}
+	}
+	const chunked, unstated = -1, -2
+	length := r.Header.ContentLength()
+	if length == unstated {
+		return errNoLength
+	}
+	if err := r.ReadBody(in, MostBody); err != nil || length != chunked {
+		return err
+	}
+	return r.Header.ReadTrailer(in)
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -81,13 +81,21 @@
 	// What the host of sockets goes by.
 	IdleUse     = 0.5     // of the worker's idle limit; a connection idle for longer is dropped
 	SpareFiles  = 16      // descriptors for all but clients and workers: a dozen, with the runtime's own
-	ClientPart  = 0.45    // of the others; connections of clients, each of which has one txn at a time
-	WorkerPart  = 0.55    // of the others; connections to workers, busy and idle; a txn may need two
+	ClientPart  = 0.6     // of the others; connections of clients, usual ones beside as many silent ones
+	WorkerPart  = 0.4     // of the others; connections to workers, busy and idle
 	MemoryPart  = 0.6     // of the memory; the runtime's soft limit, as files and the kernel's part count too
 	GarbagePart = 100     // per cent; a heap of a few MB levels off in seconds, at little work
-	WholeTxn    = 10000.0 // ms for a client to send a whole txn, or take its answer; beyond any expiry
-	IdleClient  = 30000.0 // ms until the place of a client that asks nothing is freed; longer than pauses in use
-	IdleLong    = 1000.0  // ms without a txn after which a client's connection may be ended for another's
+	WholeTxn    = 2000.0  // ms for a client to send a whole txn, or take its answer; it is owed a word in 3 s
+	IdleClient  = 5000.0  // ms until the place of a client that asks nothing is freed; longer than pauses in use
+	IdleLong    = 2000.0  // ms without a txn after which a client's connection may be ended for another's
+	Unproven    = 100.0   // ms after which so may one that has sent no whole txn yet; usual ones do at once
+	CrowdedAt   = 0.4     // of clients' places; above it connections end with their first answer
+	LongestWait = 3.6e6   // ms that a client may say it waits; more is no time to reckon with
+	LongestMark = 64      // bytes of a txn's mark; those in use have 16
+	Linger      = 500.0   // ms in which a client that still sends may take the word that ends its connection
+	LingerBytes = 1 << 20 // that are read from it and dropped meanwhile; what is in flight when it hears
+	WholeAnswer = 500.0   // ms from an answer's first byte to its last; workers send it at once
+	MostInterim = 8       // interim answers ahead of one; more are no answer
 	AcceptAgain = 10.0    // ms until the next try to take a connection after one has failed
 	WatchQuiet  = 5000.0  // ms; the watch says something each 2 s, and one line may be late
 	WatchAgain  = 100.0   // ms until the watch is opened anew; news must not wait long
