Places of workers that are gone are used again; a link belongs to one life of its worker

Now a worker that is not known takes the place of one that is gone, once no txn in hand refers to that (Vacant); the module is told that it is New and forgets pace, distrust and turns of the one before. "left" is kept apart from "leaving" for it.

Found beside it: between Life.Holds and Links.Keep, and between the news of a worker and the shedding of its links, a link to a former process could be kept or taken for the new one at the same place. The life is now asked under the links' lock when a link is kept, and again when it is taken.

Tests: TestPlacesOfWorkersGone, TestPlaceOfWorkerGone, TestLinks, TestLinksLeaveWhatIsNotQuiet.

--- a/internal/gate/desk.go
+++ b/internal/gate/desk.go
@@ -85,7 +85,7 @@
 // Roster takes discovery's news.
 func (d *Desk) Roster(l roster.List) {
 	d.enter()
-	list, ended := d.workers.Update(l)
+	list, ended := d.workers.Update(l, d.gk.Vacant)
 	d.gk.Roster(list, !l.Whole)
 	d.leave()
 	for _, w := range ended {
--- a/internal/gate/exchange.go
+++ b/internal/gate/exchange.go
@@ -40,8 +40,7 @@
 	}
 	a, err := l.Receive(until)
 	withdrawn := s.End()
-	if err == nil && !withdrawn && a.Keep() && to.Holds() { // one to a former life would never be used again
-		g.links.Keep(l)
+	if err == nil && !withdrawn && a.Keep() && g.links.Keep(l, &to) {
 		return a
 	}
 	g.links.Drop(l)
--- a/internal/held/held_test.go
+++ b/internal/held/held_test.go
@@ -35,12 +35,12 @@
 			if w.Active() {
 				t.Error("active without a list")
 			}
-			w.Update(roster.List{Whole: true, Workers: []roster.Worker{a, b}})
+			w.Update(roster.List{Whole: true, Workers: []roster.Worker{a, b}}, never)
 			l := w.Life(0)
 			if !l.Holds() || !w.Active() {
 				t.Fatal("a listed worker does not hold")
 			}
-			_, ended := w.Update(c.next)
+			_, ended := w.Update(c.next, never)
 			if l.Holds() != c.holds || fmt.Sprint(ended) != fmt.Sprint(c.ended) {
 				t.Errorf("holds %v, want %v; ended %v, want %v", l.Holds(), c.holds, ended, c.ended)
 			}
@@ -48,6 +48,33 @@
 	}
 }
 
+func never(int) bool { return false }
+
+// Workers that come and go under ever new names keep to a few places, and get nothing of those before them.
+func TestPlacesOfWorkersGone(t *testing.T) {
+	var w Workers
+	held := -1 // a place that something still refers to
+	vacant := func(i int) bool { return i != held }
+	at := netip.MustParseAddrPort("127.0.0.1:1")
+	was := Life{}
+	for i := range 100 {
+		next := roster.Worker{Name: fmt.Sprint("w", i), Address: at, Active: true}
+		list, _ := w.Update(roster.List{Workers: []roster.Worker{next}}, vacant)
+		if p := list[0].Worker; p > 2 || p == held || !list[0].New {
+			t.Fatalf("worker %d is at place %d, new %v", i, p, list[0].New)
+		}
+		if i > 0 && was.Holds() {
+			t.Fatalf("what was meant for worker %d holds", i-1)
+		}
+		was, held = w.Life(list[0].Worker), list[0].Worker
+		next.Active, next.Gone = false, true
+		w.Update(roster.List{Workers: []roster.Worker{next}}, vacant)
+	}
+	if len(w.places) > 2 || len(w.all) > 2 {
+		t.Errorf("%d names and %d places are kept", len(w.places), len(w.all))
+	}
+}
+
 // Nothing is sent for what was withdrawn or barred before it was on a link.
 func TestSubmission(t *testing.T) {
 	cases := []struct {
--- a/internal/held/workers.go
+++ b/internal/held/workers.go
@@ -13,6 +13,7 @@
 	addr   netip.AddrPort
 	since  float64
 	active bool
+	gone   bool
 	life   atomic.Int64 // grows with each change that ends what was meant for the worker as it was
 }
 
@@ -30,9 +31,11 @@
 
 // Workers is the list of workers as it was last told. Its owner is the gate.
 type Workers struct {
-	names, zones Index
-	all          []*Worker
-	postings     []logic.Posting
+	zones    Index
+	places   map[string]int // of the workers on the list, and of those gone whose places nobody has taken
+	names    []string       // by place
+	all      []*Worker
+	postings []logic.Posting
 }
 
 // Life gives a worker as it is now.
@@ -52,30 +55,56 @@
 }
 
 // Update takes a list, and gives the module's form of it and the workers whose connections are of no more
-// use. Both are valid until the next call.
-func (w *Workers) Update(l roster.List) (list []logic.Posting, ended []int) {
+// use. Both are valid until the next call. vacant tells whether nothing refers to a place any more.
+func (w *Workers) Update(l roster.List, vacant func(int) bool) (list []logic.Posting, ended []int) {
 	w.postings = w.postings[:0]
 	named := map[int]bool{}
 	for _, e := range l.Workers {
-		i := w.names.Of(e.Name)
-		if i == len(w.all) {
-			w.all = append(w.all, &Worker{since: e.Since, addr: e.Address})
+		i, known := w.places[e.Name]
+		if !known {
+			i = w.place(e, vacant)
 		}
 		named[i] = true
 		if w.all[i].become(e.Address, e.Since, e.Active) {
 			ended = append(ended, i)
 		}
+		w.all[i].gone = e.Gone
 		w.postings = append(w.postings, logic.Posting{Worker: i, Zone: w.zones.Of(e.Zone), Cell: e.Cell,
-			Active: e.Active, Since: e.Since})
+			Active: e.Active, Since: e.Since, New: !known})
 	}
 	for i, x := range w.all {
-		if l.Whole && !named[i] && x.become(x.addr, x.since, false) {
-			ended = append(ended, i)
+		if l.Whole && !named[i] {
+			if x.gone = true; x.become(x.addr, x.since, false) {
+				ended = append(ended, i)
+			}
 		}
 	}
 	return w.postings, ended
 }
 
+// place gives a worker that is not known a place: that of one that is gone, or a new one. Guards against
+// workers without end, each under a name of its own, that fill the memory.
+func (w *Workers) place(e roster.Worker, vacant func(int) bool) int {
+	x, at := &Worker{since: e.Since, addr: e.Address}, len(w.all)
+	for i, other := range w.all {
+		if other.gone && vacant(i) {
+			at = i
+			break
+		}
+	}
+	if at == len(w.all) {
+		w.all, w.names = append(w.all, x), append(w.names, e.Name)
+	} else {
+		delete(w.places, w.names[at])
+		w.all[at], w.names[at] = x, e.Name
+	}
+	if w.places == nil {
+		w.places = map[string]int{}
+	}
+	w.places[e.Name] = at
+	return at
+}
+
 // become notes a worker's state, and tells whether that ends what was meant for it as it was.
 func (w *Worker) become(addr netip.AddrPort, since float64, active bool) bool {
 	if w.addr == addr && w.since == since && w.active == active {
--- a/internal/wire/links.go
+++ b/internal/wire/links.go
@@ -15,6 +15,9 @@
 // ErrNoRoom tells that the gatekeeper has no descriptor to spare for one more connection.
 var ErrNoRoom = errors.New("no connection to spare")
 
+// Life is one life of a worker, which ends when it drains, goes, moves or starts anew.
+type Life interface{ Holds() bool }
+
 // Links keeps the connections to workers: idle ones for reuse, the most recent first, and no more in all
 // than it is given.
 type Links struct {
@@ -45,7 +48,7 @@
 	for s := p.idle[worker]; len(s) > 0; s = p.idle[worker] {
 		l := s[len(s)-1]
 		p.idle[worker] = s[:len(s)-1]
-		if quiet(l.conn) {
+		if l.of.Holds() && quiet(l.conn) {
 			return l
 		}
 		_ = l.conn.Close()
@@ -82,16 +85,21 @@
 	return &Link{conn: conn, in: bufio.NewReader(conn), worker: worker}, nil
 }
 
-// Keep takes a connection back whose answer has been read whole.
-func (p *Links) Keep(l *Link) {
+// Keep takes a connection back whose answer has been read whole, if its worker still is what it was. Guards
+// against a connection to a former life, or to another worker that had its place.
+func (p *Links) Keep(l *Link, of Life) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if !of.Holds() { // asked here, as the worker's end sheds what has been kept before it
+		return false
+	}
 	for len(p.idle) <= l.worker {
 		p.idle = append(p.idle, nil)
 	}
-	l.idle = time.Now()
+	l.idle, l.of = time.Now(), of
 	p.idle[l.worker] = append(p.idle[l.worker], l)
 	p.prune(l.worker)
+	return true
 }
 
 // Drop ends a connection.
--- a/internal/wire/roster/roster.go
+++ b/internal/wire/roster/roster.go
@@ -13,7 +13,8 @@
 	Address netip.AddrPort // where this gatekeeper reaches it
 	Zone    string
 	Cell    int
-	Active  bool    // neither draining nor gone
+	Active  bool // neither draining nor gone
+	Gone    bool
 	Since   float64 // Unix time of its process's start, ms; 0 long ago
 }
 
@@ -44,7 +45,9 @@
 		switch e.Status {
 		case "active":
 			w.Active = true
-		case "leaving", "left":
+		case "leaving":
+		case "left":
+			w.Gone = true
 		default:
 			return List{}, fmt.Errorf("list of workers: endpoints[%d].status: %q is unknown", i, e.Status)
 		}
--- a/internal/wire/submission.go
+++ b/internal/wire/submission.go
@@ -48,6 +48,7 @@
 	conn   net.Conn
 	in     *bufio.Reader
 	worker int
+	of     Life // while it is idle
 	idle   time.Time
 }
 
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -26,6 +26,11 @@
 	return l, netip.MustParseAddrPort(l.Addr().String())
 }
 
+// standing is a worker that is what it was, or is not.
+type standing bool
+
+func (s standing) Holds() bool { return bool(s) }
+
 func TestLinks(t *testing.T) {
 	_, at := sink(t)
 	soon := func() time.Time { return time.Now().Add(time.Second) }
@@ -38,23 +43,26 @@
 	if _, err := p.Dial(0, at, soon()); !errors.Is(err, ErrNoRoom) {
 		t.Errorf("a third of two: %v", err)
 	}
-	p.Keep(b)
+	p.Keep(b, standing(true))
 	c, err := p.Dial(0, at, soon()) // takes the place of the idle one
 	if err != nil || p.Idle(1) != nil {
 		t.Fatalf("no place was made: %v", err)
 	}
-	p.Keep(a)
-	p.Keep(c)
+	p.Keep(a, standing(true))
+	p.Keep(c, standing(true))
 	if l := p.Idle(0); l != c {
 		t.Error("the most recent is not the first to be used")
 	}
-	p.Keep(c)
+	p.Keep(c, standing(true))
 	p.Shed(0)
 	if p.Idle(0) != nil || p.open != 0 {
 		t.Errorf("after shedding %d are open", p.open)
 	}
 	d, _ := p.Dial(0, at, soon())
-	p.Keep(d)
+	if p.Keep(d, standing(false)) || p.Idle(0) != nil {
+		t.Error("one to a worker that is no more what it was is kept")
+	}
+	p.Keep(d, standing(true))
 	time.Sleep(50 * time.Millisecond)
 	if p.Idle(0) != nil || p.open != 0 {
 		t.Error("one idle for too long was given")
@@ -73,6 +81,7 @@
 		used bool
 	}{
 		{"quiet", func(net.Conn) {}, true},
+		{"of a worker that is no more what it was", nil, false},
 		{"closed by the worker", func(c net.Conn) { c.Close() }, false},
 		{"bytes behind the answer", func(c net.Conn) { c.Write([]byte("HTTP/1.1 200 OK\r\n")) }, false},
 	}
@@ -91,9 +100,12 @@
 			newer, _ := l.Accept()
 			defer older.Close()
 			defer newer.Close()
-			p.Keep(links[0])
-			p.Keep(links[1])
-			c.do(newer)
+			stands := standing(true)
+			p.Keep(links[0], standing(true))
+			p.Keep(links[1], &stands)
+			if stands = c.do != nil; stands {
+				c.do(newer)
+			}
 			time.Sleep(20 * time.Millisecond)
 			if got := p.Idle(0); (got == links[1]) != c.used || !c.used && (got != links[0] || p.open != 1) {
 				t.Errorf("the first to be used is the one that was spoilt: %v, open %d", got == links[1], p.open)
--- a/logic/iface.go
+++ b/logic/iface.go
@@ -62,6 +62,7 @@
 	Zone, Cell int
 	Active     bool    // neither draining nor gone
 	Since      float64 // start of its process; 0 long ago
+	New        bool    // another worker than the one that had this place before, if any
 }
 
 // Arrival is a txn as it reaches the gatekeeper.
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -188,6 +188,10 @@
 			g.workers = append(g.workers, worker{turned: make([]mark, len(g.plans)*len(g.products))})
 		}
 		w := &g.workers[p.Worker]
+		if p.New {
+			clear(w.turned)
+			*w = worker{turned: w.turned}
+		}
 		if p.Active && (p.Since != w.Since || w.Worker != p.Worker) {
 			// A fresh process: what its former life, and ours, sent it must be taken as spent. Where each of many
 			// gatekeepers may send it one txn in minutes, chance spreads their turns from the start on.
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -682,3 +682,28 @@
 		})
 	}
 }
+
+// A worker at the place of one that is gone has nothing of its standing, and gets no place that a txn in hand
+// still refers to.
+func TestPlaceOfWorkerGone(t *testing.T) {
+	h := newHost(t, charterFor(OnceOnly, nil), 1, 1)
+	for range 3 {
+		h.ended(h.txn(7, 1), 0, Cut, 400)
+	}
+	s := h.txn(7, 1)
+	if w := &h.g.workers[0]; w.distrust.at(h.now, distrustFade) < distrusted || h.g.Vacant(0) {
+		t.Fatalf("before: %+v, vacant %v", *w, h.g.Vacant(0))
+	}
+	h.g.Roster([]Posting{{Worker: 0}}, true)
+	h.ended(s, 0, Cut, 400)
+	if !h.g.Vacant(0) {
+		t.Error("nothing refers to the place, and it is not vacant")
+	}
+	for _, since := range []float64{0, h.now - 10} {
+		h.g.Roster([]Posting{{Worker: 0, Active: true, Since: since, New: true}}, true)
+		w := &h.g.workers[0]
+		if w.distrust.score != 0 || w.pace != 0 || w.inFlight != 0 || (h.g.warmth(w.Since) < 1) != (since > 0) {
+			t.Errorf("started %v: it begins with %+v", since, *w)
+		}
+	}
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -261,6 +261,18 @@
 	}
 }
 
+// Vacant tells whether no txn in hand has been sent to a worker: if it is gone its place may be another's.
+func (g *Gatekeeper) Vacant(wi int) bool {
+	for i := range g.txns {
+		for k := range g.txns[i].subs {
+			if g.txns[i].live && g.txns[i].subs[k].worker == wi {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // Begun tells that the answer of submission n has started to stream: it is the client's now, and has no
 // expiry.
 func (g *Gatekeeper) Begun(id uint64, n int) {
