A set that lacks this gatekeeper is refused; a line of the watch has a bound

Such a set gives it a slice of quota and ceiling beside the parts that add up to the whole, so it is a 400 now. A list of workers without a line end filled the memory until the watch fell silent; its lines end at LongestList. TestSetsOfGatekeepers.

--- a/internal/lifecycle/lifecycle_test.go
+++ b/internal/lifecycle/lifecycle_test.go
@@ -386,6 +386,29 @@
 	}
 }
 
+// A set that lacks this gatekeeper would give it a slice that is none of the quota's parts.
+func TestSetsOfGatekeepers(t *testing.T) {
+	d := deploy(t, 1, 5000, `"me":0,"balancers":1`, `"me":1,"balancers":3`)
+	cases := []struct {
+		set, status string
+	}{
+		{"spread=1,first=1", "HTTP/1.1 200 OK"},
+		{"spread=3,first=2", "HTTP/1.1 200 OK"},
+		{"spread=2,first=2", "HTTP/1.1 400 Bad Request"},
+		{"spread=1,first=0", "HTTP/1.1 400 Bad Request"},
+		{"spread=4,first=0", "HTTP/1.1 400 Bad Request"},
+	}
+	for _, c := range cases {
+		t.Run(c.set, func(t *testing.T) {
+			raw := strings.Replace(check("/check", c.set), "spread=1,first=0", c.set, 1)
+			raw = strings.Replace(raw, "Id: "+c.set, "Id: 1", 1)
+			if status, body := d.ask(raw); status != c.status {
+				t.Errorf("answered %q %q, want %q", status, body, c.status)
+			}
+		})
+	}
+}
+
 // The mark of a txn that is open can't be taken by another one.
 func TestOpenMark(t *testing.T) {
 	d := deploy(t, 1, 5000)
--- a/internal/wire/discovery.go
+++ b/internal/wire/discovery.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -57,16 +58,14 @@
 	if r.StatusCode() != fasthttp.StatusOK {
 		return fmt.Errorf("discovery: status %d", r.StatusCode())
 	}
-	lines := bufio.NewReader(r.BodyStream())
+	lines := bufio.NewScanner(r.BodyStream())
+	lines.Buffer(nil, logic.LongestList)
 	for {
 		quiet()
-		line, err := lines.ReadBytes('\n')
-		if err != nil {
-			if err == io.EOF {
-				err = io.ErrUnexpectedEOF
-			}
-			return fmt.Errorf("discovery: watch: %w", err)
+		if !lines.Scan() {
+			return fmt.Errorf("discovery: watch: %w", cmp.Or(lines.Err(), io.ErrUnexpectedEOF))
 		}
+		line := lines.Bytes()
 		if line = bytes.TrimSpace(line); len(line) == 0 {
 			continue
 		}
--- a/internal/wire/txn.go
+++ b/internal/wire/txn.go
@@ -91,6 +91,9 @@
 		return t, fmt.Errorf("Quota-Info: units must be at most %g", charter.LargestUnits)
 	case t.SetSize > n || t.First >= n:
 		return t, fmt.Errorf("Quota-Info: spread and first must be of %d gatekeepers", n)
+	case (charter.Me-t.First+n)%n >= t.SetSize:
+		// Guards against a slice of quota and ceiling that is none of the parts they were split in.
+		return t, errors.New("Quota-Info: this gatekeeper is not of the set")
 	}
 	return t, nil
 }
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -98,6 +98,7 @@
 	MostInterim = 8       // interim answers ahead of one; more are no answer
 	AcceptAgain = 10.0    // ms until the next try to take a connection after one has failed
 	WatchQuiet  = 5000.0  // ms; the watch says something each 2 s, and one line may be late
+	LongestList = 8 << 20 // bytes of a line of the watch; some ten thousand workers
 	WatchAgain  = 100.0   // ms until the watch is opened anew; news must not wait long
 	AcceptOn    = 450.0   // ms after the order to stop in which new connections are served; they come for 400
 )
