Overdue txns are moved while more of them go astray than are settled late

An overdue txn is long or its answer lost; the age tells no more, and moving long ones was tried before and lost. So two fading counts say what became of such txns of late, settled or never answered, and the move acts only while the second leads by one, once a txn; once-only txns stay and go on bearing witness.

TestOverdue breaks without the move, and without the evidence.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -45,6 +45,8 @@
 	patience     = 0.35    // of the SLA time; a worker must have said nothing for so long to count as silent
 	crowded      = 0.25    // of the SLA time, or of the time left; after a slower draw more are looked at
 	quiet        = 10.0    // usual answers that a silent worker owes in sum before its txns are moved
+	overdue      = 8.0     // usual answers; a txn out for so long at a worker that goes on is long, or astray
+	astrayFade   = 10000.0 // ms over which it counts what became of such txns
 	lost         = 5.0     // usual answers; a txn silent or timed out after them is its worker's doing
 	spareAt      = 0.5     // of the window; under it capacity counts as spare for txns beyond a quota
 	stopped      = 100.0   // ms that a wake comes late if the gatekeeper itself stood still; many beats
@@ -245,6 +247,11 @@
 		g.inHand--
 	}
 	sla := math.Max(g.products[t.product].sla, 1)
+	if late := took > overdue*math.Max(g.pace, 1); late && o == Settled {
+		g.long.add(1, g.now, astrayFade)
+	} else if late && o == TimedOut && w.heard >= s.sent {
+		g.astray.add(1, g.now, astrayFade)
+	}
 	switch o {
 	case Settled:
 		w.heard = g.now
@@ -429,7 +436,19 @@
 			continue
 		}
 		w, from := &g.workers[s.worker], math.Max(s.sent, g.thawed)
-		if w.heard >= s.sent || s.moved {
+		if s.moved {
+			continue
+		}
+		if w.heard >= s.sent {
+			// Guards against answers that get lost though their worker is well. A txn that is only long would be
+			// long again, so it acts only while more of such age were never answered than late, once a txn.
+			due := from + math.Max(patience*p.sla, overdue*math.Max(g.pace, w.pace))
+			switch loses := g.astray.at(g.now, astrayFade) > g.long.at(g.now, astrayFade)+1; {
+			case loses && g.now >= due && len(t.subs) == 1:
+				s.moved, t.another = true, true
+			case loses && g.now < due:
+				g.nextBeat = math.Min(g.nextBeat, math.Max(due, g.now+beat))
+			}
 			continue
 		}
 		g.nextBeat = math.Min(g.nextBeat, math.Max(from+patience*p.sla, g.now+beat))
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -707,3 +707,47 @@
 		}
 	}
 }
+
+// Some txns stay out at workers that go on answering. While such ones never get an answer they are moved; where
+// they are only long they are left alone but for a silent worker, as are those that must not run twice.
+func TestOverdue(t *testing.T) {
+	cases := []struct {
+		name   string
+		repeat Repeat
+		took   float64 // of the overdue; 0 is never
+		moved  bool
+	}{
+		{"astray", InquiryLike, 0, true},
+		{"long", InquiryLike, 700, false},
+		{"astray, once-only", OnceOnly, 0, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			ch := charterFor(c.repeat, func(ch *Charter) { ch.Plans[0].Rate = 0 })
+			h := newHost(t, ch, 1, 4)
+			rng := rand.New(rand.NewSource(1))
+			overdue := map[*seen]bool{}
+			h.run(30000, 60, rng, func() Arrival {
+				return Arrival{Customer: uint64(rng.Intn(40)), Units: 1, SetSize: 2, Left: 3000}
+			}, func(s *seen, n int) (Outcome, float64) {
+				if n == 0 && rng.Float64() < 0.05 {
+					overdue[s] = true
+					if c.took == 0 {
+						return NotSent, 0
+					}
+					return Settled, c.took
+				}
+				return Settled, 30 * rng.ExpFloat64()
+			})
+			moved := 0
+			for s := range overdue {
+				if len(s.subs) > 1 {
+					moved++
+				}
+			}
+			if part := float64(moved) / float64(len(overdue)); c.moved && part < 0.7 || !c.moved && part > 0.1 {
+				t.Errorf("%d of %d overdue txns were moved", moved, len(overdue))
+			}
+		})
+	}
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -137,6 +137,8 @@
 	press    float64 // smoothed answer time over SLA time
 	cutAt    float64
 	pace     float64
+	long     mark    // txns overdue that were settled after all
+	astray   mark    // and those that never had an answer from a worker that went on
 	warmDone float64 // units settled by warm workers, fading
 	warmAt   float64
 	warmFrom float64
