--- a/logic/logic.go
+++ b/logic/logic.go
@@ -96,7 +96,7 @@
 	LongestMark = 64      // bytes of a txn's mark; those in use have 16
 	Linger      = 500.0   // ms in which a client that still sends may take the word that ends its connection
 	LingerBytes = 1 << 20 // that are read from it and dropped meanwhile; what is in flight when it hears
-	WholeAnswer = 100.0   // ms from an answer's first byte to its last; sent at once, none that came whole took 20
+	WholeAnswer = 100.0   // ms from an answer's first byte to its last; of those that came whole none took 20
 	MostInterim = 8       // interim answers ahead of one; more are no answer
 	AcceptAgain = 10.0    // ms until the next try to take a connection after one has failed
 	WatchQuiet  = 5000.0  // ms; the watch says something each 2 s, and one line may be late
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -708,8 +708,8 @@
 	}
 }
 
-// Some txns stay out at workers that go on answering. While such ones never get an answer they are moved; where
-// they are only long they are left alone but for a silent worker, as are those that must not run twice.
+// Some txns stay out at workers that go on answering. While such ones never get an answer they are moved;
+// where they are only long they stay, but for a silent worker, as do those that must not run twice.
 func TestOverdue(t *testing.T) {
 	cases := []struct {
 		name   string
