--- a/internal/wire/limit.go
+++ b/internal/wire/limit.go
@@ -179,6 +179,7 @@
 	if !quiet(c.Conn) || !c.state.CompareAndSwap(fresh, ended) && !c.state.CompareAndSwap(idle, ended) {
 		return false
 	}
+	_ = c.Conn.Close() // one that lingers would hold up whoever ends it
 	_ = c.Close()
 	return true
 }
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -26,6 +26,11 @@
 	return l, netip.MustParseAddrPort(l.Addr().String())
 }
 
+// lingering is a connection of which one side can be closed.
+type lingering struct{ net.Conn }
+
+func (lingering) CloseWrite() error { return nil }
+
 // standing is a worker that is what it was, or is not.
 type standing bool
 
@@ -229,6 +234,22 @@
 	if _, open := <-taken; open {
 		t.Error("it goes on after its close")
 	}
+	// A bad client whose connection lingers does not keep its place from others.
+	ours, theirs := net.Pipe()
+	defer theirs.Close()
+	last := &placed{Conn: lingering{ours}, of: l}
+	last.lingers.Store(true)
+	closed := make(chan bool)
+	go func() {
+		last.Close()
+		close(closed)
+	}()
+	time.Sleep(20 * time.Millisecond)
+	start := time.Now()
+	if !last.end() || time.Since(start) > Millis(logic.Linger/2) {
+		t.Errorf("ended after %v", time.Since(start))
+	}
+	<-closed
 }
 
 // While places are scarce a connection ends with its first answer, but not one that goes on asking.
