A status of 000 or 0200 is no 200: the status line is checked before the library reads it

Found by a new fuzz test of what workers may send (FuzzAnswer, after 9,618 tries): fasthttp keeps a status of 0 for "unset" and gives it out as 200, so a spoilt head "HTTP/1.1 000" with a length settled its txn, and 0200 or HTTP/0.9 did too (submission.go, readAnswer). Serving such an answer would lose the txn. Now the line must be HTTP/1.0 or 1.1 and a status of three digits from 100 to 599; all else is cut.

--- /dev/null
+++ b/internal/wire/fuzz_test.go
@@ -0,0 +1,64 @@
+package wire
+
+import (
+	"bufio"
+	"bytes"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"willowdeck/internal/config"
+	"willowdeck/logic"
+)
+
+// Whatever a client sends, a txn that is taken is one that the module can reckon with.
+func FuzzTxn(f *testing.F) {
+	names := config.Names{Products: map[string]int{"check": 0, "sale": 1}, Plans: map[string]int{"basic": 0}}
+	charter := logic.Charter{Gatekeepers: 3, LargestUnits: 4,
+		Products: []logic.Product{{Repeat: logic.InquiryLike}, {Repeat: logic.Referenced}}}
+	const heads = " HTTP/1.1\r\nHost: h\r\nX-Request-Id: 1\r\nPlan: basic\r\nCookie: key=00000000b4d65521\r\n" +
+		"X-Deadline: 300m\r\nQuota-Info: units=1,spread=3,first=2\r\n"
+	f.Add([]byte("GET /check" + heads + "\r\n"))
+	f.Add([]byte("POST /sale" + heads + "Idempotency-Key: k\r\nContent-Length: 2\r\n\r\nab"))
+	f.Add([]byte("POST /sale" + heads + "Idempotency-Key: k\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n"))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		var req fasthttp.Request
+		if req.ReadLimitBody(bufio.NewReader(bytes.NewReader(raw)), MostBody) != nil {
+			return
+		}
+		got, err := decodeTxn(&req, &names, &charter)
+		if err != nil {
+			return
+		}
+		in := got.Units > 0 && got.Units <= charter.LargestUnits && got.Left > 0 && got.Left <= logic.LongestWait &&
+			got.SetSize > 0 && got.SetSize <= 3 && got.First < 3 && got.Customer < 1<<33
+		if !in || len(got.Mark) == 0 || bytes.ContainsAny(got.Mark, "\r\n ") || bytes.ContainsAny(got.Target, "\r\n ") {
+			t.Errorf("%q is taken as %+v", raw, got)
+		}
+	})
+}
+
+// Whatever a worker sends, what settles a txn is the body that its answer's head states.
+func FuzzAnswer(f *testing.F) {
+	f.Add([]byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab"))
+	f.Add([]byte("HTTP/1.1 102 On\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\nnoise"))
+	f.Add([]byte("HTTP/1.1 503 No\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		ours, theirs := net.Pipe()
+		defer ours.Close()
+		go func() {
+			_, _ = theirs.Write(raw)
+			theirs.Close()
+		}()
+		l := &Link{conn: ours, in: bufio.NewReader(ours)}
+		a, err := l.Receive(time.Now().Add(time.Second))
+		if err != nil || a.Outcome != logic.Settled {
+			return
+		}
+		if len(a.Body) > MostBody || !bytes.Contains(raw, []byte("200")) || len(a.Body) > len(raw) {
+			t.Errorf("%q settles with %d bytes", raw, len(a.Body))
+		}
+	})
+}
--- a/internal/wire/submission.go
+++ b/internal/wire/submission.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"net"
 	"strconv"
@@ -25,6 +26,7 @@
 
 var (
 	errNoLength = errors.New("an answer that does not say where it ends")
+	errStatus   = errors.New("no status line")
 	errInterim  = errors.New("interim answers without end")
 )
 
@@ -98,6 +100,14 @@
 // ends with its connection: it could have been cut short anywhere.
 func readAnswer(r *fasthttp.Response, in *bufio.Reader) error {
 	for n := 0; ; n++ {
+		// Guards against a status line that the library makes 200 of: it reads status 000 so, and 0200.
+		line, err := in.Peek(len("HTTP/1.1 200 "))
+		if err != nil {
+			return err
+		}
+		if !isStatus(line) {
+			return errStatus
+		}
 		if err := r.Header.Read(in); err != nil {
 			return err
 		}
@@ -118,3 +128,13 @@
 	}
 	return r.Header.ReadTrailer(in)
 }
+
+// isStatus tells whether a line begins as HTTP/1.0 or 1.1 with a status of three digits, and no more of them.
+func isStatus(line []byte) bool {
+	rest, ok := bytes.CutPrefix(line, []byte("HTTP/1."))
+	if !ok || rest[0] != '0' && rest[0] != '1' || rest[1] != ' ' || rest[2] < '1' || rest[2] > '5' {
+		return false
+	}
+	digit := func(c byte) bool { return c >= '0' && c <= '9' }
+	return digit(rest[3]) && digit(rest[4]) && (rest[5] == ' ' || rest[5] == '\r')
+}
