--- a/internal/wire/fuzz_test.go
+++ b/internal/wire/fuzz_test.go
@@ -22,7 +22,8 @@
 		"X-Deadline: 300m\r\nQuota-Info: units=1,spread=3,first=2\r\n"
 	f.Add([]byte("GET /check" + heads + "\r\n"))
 	f.Add([]byte("POST /sale" + heads + "Idempotency-Key: k\r\nContent-Length: 2\r\n\r\nab"))
-	f.Add([]byte("POST /sale" + heads + "Idempotency-Key: k\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n"))
+	f.Add([]byte("POST /sale" + heads + "Idempotency-Key: k\r\nTransfer-Encoding: chunked\r\n\r\n" +
+		"2\r\nab\r\n0\r\n\r\n"))
 	f.Fuzz(func(t *testing.T, raw []byte) {
 		var req fasthttp.Request
 		if req.ReadLimitBody(bufio.NewReader(bytes.NewReader(raw)), MostBody) != nil {
@@ -34,7 +35,8 @@
 		}
 		in := got.Units > 0 && got.Units <= charter.LargestUnits && got.Left > 0 && got.Left <= logic.LongestWait &&
 			got.SetSize > 0 && got.SetSize <= 3 && got.First < 3 && got.Customer < 1<<33
-		if !in || len(got.Mark) == 0 || bytes.ContainsAny(got.Mark, "\r\n ") || bytes.ContainsAny(got.Target, "\r\n ") {
+		clean := len(got.Mark) > 0 && !bytes.ContainsAny(append(got.Mark, got.Target...), "\r\n ")
+		if !in || !clean {
 			t.Errorf("%q is taken as %+v", raw, got)
 		}
 	})
@@ -43,7 +45,8 @@
 // Whatever a worker sends, what settles a txn is the body that its answer's head states.
 func FuzzAnswer(f *testing.F) {
 	f.Add([]byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab"))
-	f.Add([]byte("HTTP/1.1 102 On\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\nnoise"))
+	f.Add([]byte("HTTP/1.1 102 On\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" +
+		"2\r\nab\r\n0\r\n\r\nnoise"))
 	f.Add([]byte("HTTP/1.1 503 No\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"))
 	f.Fuzz(func(t *testing.T, raw []byte) {
 		ours, theirs := net.Pipe()
