Tests end each gatekeeper's watch: a port that was used again got a stray watch

Eight runs of the lifecycle tests side by side failed now and then: a gatekeeper of an earlier test went on opening its watch, and where discovery's port had become another test's worker, that worker counted a submission too many. Now the cleanup ends the watch first. The program is not touched.

--- a/internal/lifecycle/lifecycle_test.go
+++ b/internal/lifecycle/lifecycle_test.go
@@ -158,6 +158,10 @@
 	if d.gk, err = Start(d.conf, zerolog.Nop()); err != nil {
 		t.Fatal(err)
 	}
+	t.Cleanup(func() { // before its discovery's port can become another test's
+		d.gk.unwind()
+		<-d.gk.ended
+	})
 	d.at = d.gk.At
 	return d
 }
