Bounds of Quota-Info stand where it is read; one way to end an idle link; a worker keeps its name

Looked at and left: a link's life is asked when it is kept and when it is taken, as the first frees descriptors of workers gone and the second covers the moment between news and shedding.

--- a/internal/held/workers.go
+++ b/internal/held/workers.go
@@ -10,6 +10,7 @@
 
 // Worker is what the sockets need of one worker: where it is, and in which of its lives.
 type Worker struct {
+	name   string
 	addr   netip.AddrPort
 	since  float64
 	active bool
@@ -33,8 +34,7 @@
 type Workers struct {
 	zones    Index
 	places   map[string]int // of the workers on the list, and of those gone whose places nobody has taken
-	names    []string       // by place
-	all      []*Worker
+	all      []*Worker      // by place
 	postings []logic.Posting
 }
 
@@ -85,7 +85,7 @@
 // place gives a worker that is not known a place: that of one that is gone, or a new one. Guards against
 // workers without end, each under a name of its own, that fill the memory.
 func (w *Workers) place(e roster.Worker, vacant func(int) bool) int {
-	x, at := &Worker{since: e.Since, addr: e.Address}, len(w.all)
+	x, at := &Worker{name: e.Name, since: e.Since, addr: e.Address}, len(w.all)
 	for i, other := range w.all {
 		if other.gone && vacant(i) {
 			at = i
@@ -93,10 +93,10 @@
 		}
 	}
 	if at == len(w.all) {
-		w.all, w.names = append(w.all, x), append(w.names, e.Name)
+		w.all = append(w.all, x)
 	} else {
-		delete(w.places, w.names[at])
-		w.all[at], w.names[at] = x, e.Name
+		delete(w.places, w.all[at].name)
+		w.all[at] = x
 	}
 	if w.places == nil {
 		w.places = map[string]int{}
--- a/internal/wire/discovery.go
+++ b/internal/wire/discovery.go
@@ -65,8 +65,8 @@
 		if !lines.Scan() {
 			return fmt.Errorf("discovery: watch: %w", cmp.Or(lines.Err(), io.ErrUnexpectedEOF))
 		}
-		line := lines.Bytes()
-		if line = bytes.TrimSpace(line); len(line) == 0 {
+		line := bytes.TrimSpace(lines.Bytes())
+		if len(line) == 0 {
 			continue
 		}
 		l, err := roster.Decode(line)
--- a/internal/wire/links.go
+++ b/internal/wire/links.go
@@ -51,14 +51,14 @@
 		if l.of.Holds() && quiet(l.conn) {
 			return l
 		}
-		_ = l.conn.Close()
-		p.open--
+		p.end(l)
 		p.spoilt.Add(1)
 	}
 	return nil
 }
 
-// Spoilt tells how many idle connections were found closed by the worker, or with bytes in them.
+// Spoilt tells how many idle connections were found closed by the worker, with bytes in them, or of a life of
+// it that has ended.
 func (p *Links) Spoilt() int64 { return p.spoilt.Load() }
 
 // Dial opens a connection, within its own limit and until a moment.
@@ -132,12 +132,17 @@
 func (p *Links) cut(worker, n int) {
 	s := p.idle[worker]
 	for _, l := range s[:n] {
-		_ = l.conn.Close()
-		p.open--
+		p.end(l)
 	}
 	p.idle[worker] = append(s[:0], s[n:]...)
 }
 
+// end closes a connection and frees its place, under the lock.
+func (p *Links) end(l *Link) {
+	_ = l.conn.Close()
+	p.open--
+}
+
 // dropOldest ends the connection that has been idle for the longest, if there is one.
 func (p *Links) dropOldest() bool {
 	at := -1
--- a/internal/wire/txn.go
+++ b/internal/wire/txn.go
@@ -82,20 +82,7 @@
 	if err != nil {
 		return t, err
 	}
-	if err := t.quota(quota); err != nil {
-		return t, err
-	}
-	n := max(charter.Gatekeepers, 1)
-	switch {
-	case charter.LargestUnits > 0 && t.Units > charter.LargestUnits:
-		return t, fmt.Errorf("Quota-Info: units must be at most %g", charter.LargestUnits)
-	case t.SetSize > n || t.First >= n:
-		return t, fmt.Errorf("Quota-Info: spread and first must be of %d gatekeepers", n)
-	case (charter.Me-t.First+n)%n >= t.SetSize:
-		// Guards against a slice of quota and ceiling that is none of the parts they were split in.
-		return t, errors.New("Quota-Info: this gatekeeper is not of the set")
-	}
-	return t, nil
+	return t, t.quota(quota, charter)
 }
 
 // plain checks that a head can be read in one way only. Guards against a request that hides another in its
@@ -216,8 +203,8 @@
 	return ms, nil
 }
 
-// quota reads units=2,spread=3,first=1.
-func (t *Txn) quota(b []byte) error {
+// quota reads units=2,spread=3,first=1, which must be within what the charter allows.
+func (t *Txn) quota(b []byte, charter *logic.Charter) error {
 	const all = 7
 	seen := 0
 	for len(b) > 0 {
@@ -241,8 +228,17 @@
 		}
 		seen |= bit
 	}
-	if seen != all || t.Units == 0 || t.SetSize == 0 {
+	n := max(charter.Gatekeepers, 1)
+	switch {
+	case seen != all || t.Units == 0 || t.SetSize == 0:
 		return errors.New("Quota-Info: units, spread and first must be given")
+	case charter.LargestUnits > 0 && t.Units > charter.LargestUnits:
+		return fmt.Errorf("Quota-Info: units must be at most %g", charter.LargestUnits)
+	case t.SetSize > n || t.First >= n:
+		return fmt.Errorf("Quota-Info: spread and first must be of %d gatekeepers", n)
+	case (charter.Me-t.First+n)%n >= t.SetSize:
+		// Guards against a slice of quota and ceiling that is none of the parts they were split in.
+		return errors.New("Quota-Info: this gatekeeper is not of the set")
 	}
 	return nil
 }
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -432,13 +432,10 @@
 	g.nextBeat = math.Min(g.nextBeat, math.Max(t.expiry, g.now+beat))
 	for i := range t.subs {
 		s := &t.subs[i]
-		if !s.out {
+		if !s.out || s.moved {
 			continue
 		}
 		w, from := &g.workers[s.worker], math.Max(s.sent, g.thawed)
-		if s.moved {
-			continue
-		}
 		if w.heard >= s.sent {
 			// Guards against answers that get lost though their worker is well. A txn that is only long would be
 			// long again, so it acts only while more of such age were never answered than late, once a txn.
