--- a/internal/benchwire/benchwire.go
+++ b/internal/benchwire/benchwire.go
@@ -27,6 +27,7 @@
 	names   config.Names
 	workers held.Index
 	zones   held.Index
+	kinds   held.Index
 	acts    bool // has had an event in this batch
 }
 
@@ -166,6 +167,9 @@
 			return fmt.Errorf("code %q is unknown", code)
 		}
 		if m.err == nil {
+			if name, ok := m.at(4).(string); ok && m.at(10) != nil {
+				in.gk.Burden(in.workers.Of(name), burden(m.at(10)))
+			}
 			in.gk.Ended(id, n, o, took, closed)
 		}
 	case "GONE":
@@ -191,6 +195,18 @@
 	return m.err
 }
 
+// burden reads a load report. What it lacks, or what is no number, counts as not said.
+func burden(v any) logic.Burden {
+	of, _ := v.(map[string]any)
+	at := func(name string) float64 {
+		if f, ok := of[name].(float64); ok && f >= 0 {
+			return f
+		}
+		return -1
+	}
+	return logic.Burden{Held: at("concurrent"), Waiting: at("depth"), Busy: at("load_share")}
+}
+
 var outcomes = map[string]logic.Outcome{
 	"pass": logic.Settled, "fault": logic.Fault, "no_room": logic.Full, "too_slow": logic.TimedOut,
 	"no_route": logic.NoRoute, "cut": logic.Cut, "undone": logic.Withdrawn, "stale_send": logic.NotSent,
@@ -252,11 +268,12 @@
 		e := message{v: v}
 		name, zone, state := e.text(0, "worker"), e.text(1, "locality"), e.text(4, "stage_state")
 		p := logic.Posting{Cell: e.int(3, "block"), Active: state == "active",
-			Since: e.opt(6) / usPerMs}
+			Since: e.opt(6) / usPerMs, Rating: e.opt(5)}
 		if e.err != nil {
 			return fmt.Errorf("list %d: %w", list, e.err)
 		}
 		p.Worker, p.Zone = in.workers.Of(name), in.zones.Of(zone)
+		p.Kind = in.kinds.Of(e.word(2))
 		l.postings = append(l.postings, p)
 	}
 	if m.err == nil {
--- a/internal/benchwire/message.go
+++ b/internal/benchwire/message.go
@@ -47,6 +47,12 @@
 	return f
 }
 
+// word is a text that may be absent.
+func (m *message) word(i int) string {
+	s, _ := m.at(i).(string)
+	return s
+}
+
 func (m *message) int(i int, what string) int {
 	f := m.num(i, what)
 	if f != float64(int(f)) {
--- a/logic/iface.go
+++ b/logic/iface.go
@@ -60,6 +60,8 @@
 type Posting struct {
 	Worker     int
 	Zone, Cell int
+	Kind       int     // of its machine, by the index the host gave it
+	Rating     float64 // what the list says of its size; 0 says nothing
 	Active     bool    // neither draining nor gone
 	Since      float64 // start of its process; 0 long ago
 	New        bool    // another worker than the one that had this place before, if any
@@ -88,6 +90,10 @@
 	NotSent           // the host never sent it
 )
 
+// Burden is what a worker said of its load: txns it holds, txns that wait, part of its cores in use. What it
+// did not say is below nought.
+type Burden struct{ Held, Waiting, Busy float64 }
+
 // Kind is what a Decision asks of the host.
 type Kind uint8
 
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -31,6 +31,11 @@
 	tellBudget   = 0.95    // of the peers' intake that reports may fill; the rest is for jitter
 	mostHeard    = 4096    // customers known from peers alone; bounds what messages can make us keep
 
+	fewPeers   = 8      // gatekeepers up to which a slice under one txn still fills in time
+	longMemory = 5000.0 // ms; the longest that demand is smoothed over for a plan's burst
+	firstWords = 0.1    // of the first period, taken to have passed at a start
+	outStep    = 0.05   // submissions; the fineness of how many are to be out
+
 	// Workers.
 	distrustFade = 3000.0  // ms; about what a restart or a short jam lasts
 	turnedFade   = 15000.0 // ms; the same for a worker that turns one kind of txn away: it is seen rarely
@@ -41,6 +46,9 @@
 	distrusted   = 1.0     // distrust above which a draw is not good enough and more workers are looked at
 	widest       = 16      // workers looked at when two draws are not good enough; all of a small fleet
 	paceGain     = 0.1     // weight of the newest answer in a worker's pace
+	paceFade     = 15000.0 // ms in which a worker's pace goes back to its kind's, as slow spells last
+	loadFade     = 1000.0  // ms; a report of load tells of some answers' time
+	fullest      = 0.9     // of the cores; more in use tells no more of what is in hand
 	fleetGain    = 0.025   // the same in the fleet's pace, which has many more answers
 	patience     = 0.35    // of the SLA time; a worker must have said nothing for so long to count as silent
 	crowded      = 0.25    // of the SLA time, or of the time left; after a slower draw more are looked at
@@ -118,21 +126,32 @@
 		largest: math.Max(c.LargestUnits, 1), period: period, coldFrom: c.ColdFrom,
 		warmUp: c.WarmUp * warmMargin,
 		talks:  c.MayTell && n > 1 && c.ReportsPerTell > 0}
-	g.charter.tells = math.MaxInt16
+	g.charter.tells, g.charter.cooldown = math.MaxInt16, cooldown
 	if c.PeerInPerS > 0 { // what all peers send in a period must fit the intake
 		perMs := c.PeerInPerS * tellBudget / 1000 / float64(max(n-1, 1))
 		g.charter.period = math.Max(period, 1/perMs)
 		g.charter.tells = int(g.charter.period*perMs + 1e-9)
+		g.charter.cooldown = math.Max(cooldown, toldFor*g.charter.period) // customers stay hot between two words
+	}
+	for _, d := range c.Products {
+		g.charter.slowest = math.Max(g.charter.slowest, d.SLA)
 	}
-	// What a peer reports fades between its reports; this makes up for it on average.
-	g.charter.regain = g.charter.period / demandMemory / (1 - math.Exp(-g.charter.period/demandMemory))
 	var dearest float64
 	for _, p := range c.Plans {
 		q := plan{rate: p.Rate / 1000, ceilRate: p.CeilingRate / 1000, ceilDepth: p.CeilingDepth, open: p.Open,
-			excess: p.ExcessShare > p.ExcessFee}
-		if p.Rate > 0 {
+			excess: p.ExcessShare > p.ExcessFee, largest: g.charter.largest, memory: demandMemory}
+		switch {
+		case p.Rate > 0:
 			q.burst = p.Burst / q.rate
+		case p.Open > 0:
+			q.out, q.stay, q.largest = mostOut(p), slaUse*g.charter.slowest, 1
+			q.restate()
 		}
+		if n > fewPeers && q.rate*q.burst*alpha < q.largest*float64(n) {
+			q.sparse, q.memory = true, math.Max(math.Max(demandMemory, g.charter.period), math.Min(q.burst, longMemory))
+		}
+		// What a peer reports fades between its reports; this makes up for it on average.
+		q.regain = g.charter.period / q.memory / (1 - math.Exp(-g.charter.period/q.memory))
 		g.plans = append(g.plans, q)
 		for _, d := range c.Products {
 			dearest = math.Max(dearest, d.Value*p.Factor)
@@ -190,6 +209,9 @@
 		for len(g.workers) <= p.Worker {
 			g.workers = append(g.workers, worker{turned: make([]mark, len(g.plans)*len(g.products))})
 		}
+		for len(g.kinds) <= p.Kind {
+			g.kinds = append(g.kinds, kind{})
+		}
 		w := &g.workers[p.Worker]
 		if p.New {
 			clear(w.turned)
@@ -220,7 +242,14 @@
 	g.due, g.nextBeat = append(g.due, slot), math.Min(g.nextBeat, t.expiry)
 	c := &g.accounts[ai]
 	g.fill(c)
-	c.demand = c.now(g.now) + a.Units/demandMemory
+	p := &g.plans[c.plan]
+	if t.draws = a.Units; p.out > 0 {
+		t.draws = 1
+	}
+	if g.sparse(c) {
+		g.credit(c, t.draws)
+	}
+	c.demand = c.demand*math.Exp((c.seen-g.now)/p.memory) + t.draws/p.memory
 	c.seen = g.now
 	c.txns++
 	g.reshare(c)
@@ -246,6 +275,9 @@
 	if !s.silent {
 		g.inHand--
 	}
+	if p := &g.plans[t.plan]; p.out > 0 && o != NotSent {
+		p.stay += fleetGain * (took - p.stay)
+	}
 	sla := math.Max(g.products[t.product].sla, 1)
 	if late := took > overdue*math.Max(g.pace, 1); late && o == Settled {
 		g.long.add(1, g.now, astrayFade)
@@ -261,11 +293,12 @@
 		if g.pace == 0 {
 			g.pace = took
 		}
-		if w.pace == 0 {
-			w.pace = g.pace // one slow answer must not make a worker look slow for long
-		}
+		w.pace, w.paced = g.paceOf(w), g.now // one slow answer must not make a worker look slow for long
 		w.pace += paceGain * (took - w.pace)
 		g.pace += fleetGain * (took - g.pace)
+		k := &g.kinds[w.Kind]
+		k.answers++
+		k.pace += math.Max(fleetGain, 1/k.answers) * (took - k.pace)
 		if g.warmth(w.Since) >= 1 {
 			g.warmDone = g.warmWork() + t.units
 			g.warmAt = g.now
@@ -607,7 +640,7 @@
 	// Guards against jams at slow workers while fast ones have room, and covers workers that fail, are silent or
 	// turn such txns away. Many gatekeepers alike could run as a herd, so no more than widest are looked at.
 	slow := crowded * math.Min(g.products[t.product].sla, t.expiry-g.now)
-	if best >= 0 && g.distrustOf(t, best) < distrusted && g.workers[best].pace < slow {
+	if best >= 0 && g.distrustOf(t, best) < distrusted && g.paceOf(&g.workers[best]) < slow {
 		return best
 	}
 	for i := range min(len(g.ready), widest) {
@@ -650,11 +683,36 @@
 
 func (g *Gatekeeper) cost(t *txn, wi int) float64 {
 	w := &g.workers[wi]
-	pace := w.pace
-	if pace == 0 {
-		pace = g.pace
+	held := math.Max(float64(w.inFlight), w.load*math.Exp((w.told-g.now)/loadFade))
+	return (held + 1) * math.Max(g.paceOf(w), 1) * (1 + g.distrustOf(t, wi))
+}
+
+// paceOf is the time of an answer of a worker: its own as far as it is recent, else that of its kind. Among
+// many gatekeepers each sees a worker once in many seconds, and a kind of machine often.
+func (g *Gatekeeper) paceOf(w *worker) float64 {
+	usual := g.kinds[w.Kind].pace
+	if usual == 0 {
+		usual = g.pace
+	}
+	if w.pace == 0 {
+		return usual
+	}
+	return usual + (w.pace-usual)*math.Exp((w.paced-g.now)/paceFade)
+}
+
+// Burden takes what a worker said of its load with an answer. What makes no sense changes nothing.
+func (g *Gatekeeper) Burden(wi int, b Burden) {
+	if wi < 0 || wi >= len(g.workers) {
+		return
+	}
+	held := b.Held
+	if !(held >= 0) && b.Busy >= 0 { // of a queue that is as busy
+		busy := math.Min(b.Busy, fullest)
+		held = busy / (1 - busy)
+	}
+	if held >= 0 && held < math.MaxInt32 {
+		g.workers[wi].load, g.workers[wi].told = held, g.now
 	}
-	return float64(w.inFlight+1) * math.Max(pace, 1) * (1 + g.distrustOf(t, wi))
 }
 
 // distrustOf is what speaks against a worker for a txn.
@@ -736,13 +794,15 @@
 		}
 	}
 	if p.rate > 0 {
-		wait := math.Min(g.sliceWait(c, t.units), g.roomWait(c, t.units))
+		wait := math.Min(g.sliceWait(c, t.draws), g.roomWait(c, t.draws))
 		if t.inside = wait <= 0; !t.inside && !(p.excess && float64(g.inHand) < spareAt*g.window) {
 			return ByQuota, wait
 		}
 	}
-	if p.open > 0 && c.out >= max(p.open/c.n, 1) {
-		return ByQuota, g.pace
+	if p.open > 0 && (c.out >= p.open || p.out == 0 && c.out >= max(p.open/c.n, 1)) {
+		if t.inside = false; !(p.excess && float64(g.inHand) < spareAt*g.window) {
+			return ByQuota, g.pace
+		}
 	}
 	// Guards against tries too short for the fleet: their work is done for nobody and comes again. It may hurt
 	// a fast product beside very slow ones.
@@ -766,7 +826,7 @@
 	}
 	c.whole = math.Min(c.whole+dt*rate, g.holds(p, p.rate))
 	c.level = math.Min(c.level+dt*c.share, g.holds(p, c.share))
-	c.others = math.Max(c.others*math.Exp(-dt/demandMemory), 0)
+	c.others = math.Max(c.others*math.Exp(-dt/p.memory), 0)
 	c.flow *= math.Exp(-dt / flowMemory)
 	c.filled = g.now
 }
@@ -778,7 +838,7 @@
 // peers may have spent unheard; 0 is now.
 func (g *Gatekeeper) roomWait(c *account, units float64) float64 {
 	g.fill(c)
-	before := c.now(g.now) - units/demandMemory
+	before := g.own(c) - units/g.plans[c.plan].memory
 	reserve := math.Max(c.flow/flowMemory, before*float64(min(c.n-1, alike)))
 	short := units + reserve*hearsay*g.charter.period - c.whole
 	return math.Max(short/g.plans[c.plan].rate, 0)
@@ -799,7 +859,7 @@
 
 // holds is how much a store of a plan holds that fills at a rate.
 func (g *Gatekeeper) holds(p *plan, rate float64) float64 {
-	return math.Max(rate*p.burst, g.charter.largest)
+	return math.Max(rate*p.burst, p.largest)
 }
 
 // sliceWait is how long until a customer's own slice has the units; 0 is now.
@@ -821,11 +881,11 @@
 		c.ceilingAt = math.Max(c.ceilingAt, g.now) + t.units*float64(c.n)/p.ceilRate
 	}
 	if p.rate > 0 {
-		c.unsaid += t.units
+		c.unsaid += t.draws
 		if g.fill(c); t.inside { // beyond the quota nothing is taken
-			c.level = math.Max(c.level-t.units, -g.holds(p, p.rate))
+			c.level = math.Max(c.level-t.draws, -g.holds(p, p.rate))
 		}
-		c.whole = math.Max(c.whole-t.units, 0)
+		c.whole = math.Max(c.whole-t.draws, 0)
 	}
 }
 
@@ -852,7 +912,9 @@
 			// A former life of this gatekeeper may have spent its whole slice just before it ended.
 			c.ceilingAt = math.Max(c.ceilingAt, g.started+p.ceilDepth/p.ceilRate)
 		}
-		c.level = g.startLevel(c)
+		if c.level = g.startLevel(c); g.sparse(c) {
+			c.level = p.largest * g.rng.Float64() // where many fill slowly, chance spreads their turns
+		}
 		g.reshare(c)
 	}
 	return ai
@@ -869,23 +931,77 @@
 
 // reshare sets a customer's share: the cold slice, or the floor and its part of the rest by demand.
 func (g *Gatekeeper) reshare(c *account) {
+	rate, n := g.plans[c.plan].rate, float64(max(c.n, 1))
+	if g.sparse(c) { // the rest is credited as demand comes
+		c.share = rate * beta / n
+		return
+	}
 	if !c.hot {
 		c.share = g.coldSlice(c)
 		return
 	}
-	own := c.now(g.now)
-	known := own + c.others*g.charter.regain
+	own, total := g.own(c), g.total(c)
+	if total <= 0 {
+		c.share = rate / n
+		return
+	}
+	c.share = rate*beta/n + rate*(1-beta)*own/total
+}
+
+// total is a customer's demand at all its gatekeepers, as far as it is known here.
+func (g *Gatekeeper) total(c *account) float64 {
+	p, others := &g.plans[c.plan], c.others
+	if age := (g.now - g.started) / g.charter.period; p.sparse && age < 1 { // not all have spoken yet
+		others /= math.Max(age, firstWords)
+	}
+	known := g.own(c) + others*p.regain
 	total := known + c.held
 	if c.n > 1 { // a silent peer that never spoke of the customer counts as the mean of those that may speak
 		mute := g.unheard(c)
 		total += known / float64(max(c.n-mute, 1)) * float64(max(mute-c.holding, 0))
 	}
-	rate, n := g.plans[c.plan].rate, float64(max(c.n, 1))
-	if total <= 0 {
-		c.share = rate / n
-		return
+	return total
+}
+
+// sparse tells whether a customer's slices are too small to hold a txn, over many gatekeepers.
+func (g *Gatekeeper) sparse(c *account) bool {
+	return g.plans[c.plan].sparse && c.n > 0 && g.startLevel(c) < g.plans[c.plan].largest
+}
+
+// credit puts in a sparse slice what units asked here bring it of the split, rate x (1 - beta) x own / total, at
+// once instead of over the memory: a gatekeeper that sees a txn in many seconds would always have it too late.
+func (g *Gatekeeper) credit(c *account, units float64) {
+	part, total := 1.0, g.total(c)
+	if total > 0 {
+		part = math.Min(g.plans[c.plan].rate*(1-beta)/total, 1)
+	}
+	if part < 1 {
+		c.level += units * part
+	} else {
+		c.level = math.Max(c.level, units)
 	}
-	c.share = rate*beta/n + rate*(1-beta)*own/total
+}
+
+// mostOut is how many submissions a quota on those out should have out on average: where one more earns no
+// more than it costs, as many gatekeepers that don't see each other's meet by chance.
+func mostOut(p Plan) float64 {
+	best, most := 0.0, 0.0
+	for a := outStep; a <= float64(p.Open); a += outStep {
+		inside, term := 0.0, math.Exp(-a)
+		for k := range p.Open { // Poisson: fewer than the limit are out
+			inside, term = inside+term, term*a/float64(k+1)
+		}
+		if earns := a * (inside + (1-inside)*math.Min(p.ExcessShare-p.ExcessFee, 0)); earns > best {
+			best, most = earns, a
+		}
+	}
+	return most
+}
+
+// restate puts a quota on submissions out as a rate: as many as are to be out, each as long as one stays out.
+func (p *plan) restate() {
+	p.rate = p.out / math.Max(p.stay, 1)
+	p.burst = float64(p.open) / p.rate
 }
 
 // sweep looks for silent peers, turns customers hot and cold, renews their shares, gathers what is to be
@@ -903,6 +1019,11 @@
 		}
 	}
 	g.list()
+	for i := range g.plans {
+		if p := &g.plans[i]; p.out > 0 {
+			p.restate()
+		}
+	}
 	clear(g.owed)
 	g.news = g.news[:0]
 	for i := range g.accounts {
@@ -911,16 +1032,16 @@
 			continue
 		}
 		g.fill(c)
-		own, idle, slice := c.now(g.now), g.now-c.seen, g.coldSlice(c)
-		if own > slice || c.n == 0 && idle < cooldown {
+		own, idle, slice := g.own(c), g.now-c.seen, g.coldSlice(c)
+		if own > slice || c.n == 0 && idle < g.charter.cooldown {
 			c.coolSince = g.now
 		}
 		// One txn makes no demand, unless the slice cannot hold it: then all that is known is what peers say.
 		if !c.hot && own > hotAt*slice && slice > 0 && (c.txns > 1 || g.startLevel(c) < g.charter.largest) {
 			c.hot = true
 		}
-		inUse := c.heard > 0 && g.now-c.heard < cooldown
-		if c.hot && g.now-c.coolSince > cooldown && !inUse {
+		inUse := c.heard > 0 && g.now-c.heard < g.charter.cooldown
+		if c.hot && g.now-c.coolSince > g.charter.cooldown && !inUse {
 			c.hot = false
 			c.others, c.held, c.holding = 0, 0, 0
 		}
@@ -930,14 +1051,14 @@
 			g.owed[c.first+c.n]--
 			if c.n > 0 && (g.now-c.seen <= g.charter.period || c.unsaid > 0) {
 				g.news = append(g.news, int32(i))
-				c.known = c.said * math.Exp((c.saidAt-g.now)/demandMemory)
+				c.known = c.said * math.Exp((c.saidAt-g.now)/g.plans[c.plan].memory)
 				c.said, c.saidAt = own, g.now
 			}
 			continue
 		}
 		c.unsaid = 0
 		p := &g.plans[c.plan]
-		if idle > cooldown && c.out == 0 && c.level >= g.startLevel(c)-1e-9 && c.ceilingAt <= g.now && !inUse &&
+		if idle > g.charter.cooldown && c.out == 0 && c.level >= g.startLevel(c)-1e-9 && c.ceilingAt <= g.now && !inUse &&
 			c.whole >= g.holds(p, p.rate)-1e-9 {
 			delete(g.byKey, uint32(c.customer))
 			if c.n == 0 {
--- a/logic/state.go
+++ b/logic/state.go
@@ -46,7 +46,8 @@
 	Posting
 	listed           bool
 	inFlight         int
-	pace             float64 // smoothed time of an answer, ms
+	pace, paced      float64 // smoothed time of an answer, ms, and when it was renewed
+	load, told       float64 // txns in hand by its last report, by all gatekeepers, and when it came
 	heard            float64
 	distrust         mark
 	turned           []mark  // by sort of txn
@@ -54,6 +55,9 @@
 	coldAt, coldDebt float64 // while it is not warm: when it was last sent to, and the units
 }
 
+// kind is what is known of all workers of a kind of machine.
+type kind struct{ pace, answers float64 }
+
 // mark is a score that fades.
 type mark struct{ score, since float64 }
 
@@ -70,7 +74,7 @@
 	id            uint64
 	acct          int32
 	product, plan int
-	units         float64
+	units, draws  float64 // its size, and what it takes from its quota
 	expiry        float64
 	subs          []submission
 	out           int
@@ -93,6 +97,10 @@
 // plan holds what decisions need of a Plan, per ms.
 type plan struct {
 	rate, burst         float64 // units a ms; ms of it that may be used at once
+	largest             float64 // units of a txn at most
+	memory, regain      float64 // ms that demand is smoothed over; makes up for the fading of what peers report
+	sparse              bool    // each gatekeeper's part is too small to hold a txn
+	out, stay           float64 // a quota on submissions out: how many are to be, and how long one is, ms
 	ceilRate, ceilDepth float64 // this gatekeeper's slice, before division by the customer's N
 	open                int
 	excess              bool // letting in beyond the quota earns more than it costs
@@ -137,6 +145,7 @@
 	press    float64 // smoothed answer time over SLA time
 	cutAt    float64
 	pace     float64
+	kinds    []kind
 	long     mark    // txns overdue that were settled after all
 	astray   mark    // and those that never had an answer from a worker that went on
 	warmDone float64 // units settled by warm workers, fading
@@ -159,8 +168,8 @@
 	tells                      int // messages to one peer in a period
 	overlap, withdraw, advise  bool
 	maxAdvice, largest, period float64
+	cooldown, slowest          float64 // ms; the longest SLA time
 	coldFrom, warmUp           float64
-	regain                     float64 // makes up for the fading of reported demand
 	calm                       float64 // ms between looks while no txn has waited for long
 	slack                      float64 // how much slower than slaUse answers may get, for what late ones earn
 	talks                      bool
@@ -230,8 +239,16 @@
 // sort numbers the pairs of plan and product.
 func (g *Gatekeeper) sort(t *txn) int { return t.plan*len(g.products) + t.product }
 
-// now is the demand estimate at a moment, units a ms.
-func (c *account) now(at float64) float64 { return c.demand * math.Exp((c.seen-at)/demandMemory) }
+// own is the demand estimate, units a ms. That of a sparse plan has a long memory: right after a start it makes up
+// for what it has not seen yet.
+func (g *Gatekeeper) own(c *account) float64 {
+	p := &g.plans[c.plan]
+	d := c.demand * math.Exp((c.seen-g.now)/p.memory)
+	if p.sparse {
+		d /= 1 - math.Exp(-math.Max(g.now-g.started, firstWords*g.charter.period)/p.memory)
+	}
+	return d
+}
 
 // shared tells whether a customer's txns can come through a peer too.
 func (g *Gatekeeper) shared(c *account, peer int) bool {
@@ -317,7 +334,7 @@
 			c := &g.accounts[ai]
 			g.fill(c)
 			if d := r.Demand / 1000; hold {
-				c.others = math.Max(c.others-d*math.Exp((p.heard-g.now)/demandMemory), 0)
+				c.others = math.Max(c.others-d*math.Exp((p.heard-g.now)/g.plans[c.plan].memory), 0)
 				c.held += d
 				c.holding++
 			} else {
