--- a/logic/logic.go
+++ b/logic/logic.go
@@ -32,6 +32,7 @@
 	mostHeard    = 4096    // customers known from peers alone; bounds what messages can make us keep
 
 	fewPeers   = 8      // gatekeepers up to which a slice under one txn still fills in time
+	freshNews  = 2.0    // periods; a burst that lasts so long is told of while it is used up
 	longMemory = 5000.0 // ms; the longest that demand is smoothed over for a plan's burst
 	firstWords = 0.1    // of the first period, taken to have passed at a start
 	outStep    = 0.05   // submissions; the fineness of how many are to be out
@@ -57,6 +58,7 @@
 	astrayFade   = 10000.0 // ms over which it counts what became of such txns
 	lost         = 5.0     // usual answers; a txn silent or timed out after them is its worker's doing
 	spareAt      = 0.5     // of the window; under it capacity counts as spare for txns beyond a quota
+	spareUse     = 0.6     // of slaUse; and only while answers are as quick as this
 	stopped      = 100.0   // ms that a wake comes late if the gatekeeper itself stood still; many beats
 	surgeMost    = 10.0    // windows of room more after standing still; a stall of one or two SLA times
 	surgeFade    = 300.0   // ms; two usual answers
@@ -80,6 +82,7 @@
 	growth     = 1.0   // growth over one window's worth of answers otherwise
 	leastDepth = 1.5   // txns in hand at each worker, by all gatekeepers, that the window starts at and keeps,
 	leastSwing = 2.5   // and standard deviations of a gatekeeper's part above that: chance does not add up
+	leastSum   = 2.0   // but no more of it: over all gatekeepers of a large set it adds up after all
 	shedSpan   = 0.4   // the least valuable txns see a window smaller by this, where only the whole counts
 	evenly     = 2.5   // how fast that falls with the worst plan's part of what counts
 	lateWorth  = 2.0   // how much slower answers may get, in parts of slaUse, for each part that late ones earn
@@ -147,7 +150,7 @@
 			q.out, q.stay, q.largest = mostOut(p), slaUse*g.charter.slowest, 1
 			q.restate()
 		}
-		if n > fewPeers && q.rate*q.burst*alpha < q.largest*float64(n) {
+		if n > fewPeers && q.burst < freshNews*g.charter.period && q.rate*q.burst*alpha < q.largest*float64(n) {
 			q.sparse, q.memory = true, math.Max(math.Max(demandMemory, g.charter.period), math.Min(q.burst, longMemory))
 		}
 		// What a peer reports fades between its reports; this makes up for it on average.
@@ -250,6 +253,7 @@
 		g.credit(c, t.draws)
 	}
 	c.demand = c.demand*math.Exp((c.seen-g.now)/p.memory) + t.draws/p.memory
+	c.lately = c.lately*math.Exp((c.seen-g.now)/demandMemory) + t.draws/demandMemory
 	c.seen = g.now
 	c.txns++
 	g.reshare(c)
@@ -683,7 +687,7 @@
 
 func (g *Gatekeeper) cost(t *txn, wi int) float64 {
 	w := &g.workers[wi]
-	held := math.Max(float64(w.inFlight), w.load*math.Exp((w.told-g.now)/loadFade))
+	held := float64(w.inFlight)
 	return (held + 1) * math.Max(g.paceOf(w), 1) * (1 + g.distrustOf(t, wi))
 }
 
@@ -779,7 +783,7 @@
 // gatekeeper can lend its room: without the allowance many gatekeepers decline while workers idle.
 func (g *Gatekeeper) leastWindow() float64 {
 	part := leastDepth * math.Max(g.able, 1) / float64(g.charter.n)
-	return part + leastSwing*math.Sqrt(part)
+	return part + math.Min(leastSwing*math.Sqrt(part), leastSum*part)
 }
 
 // admit decides on a txn's first submission: BySettled lets it in, else the reason and when to return.
@@ -794,13 +798,16 @@
 		}
 	}
 	if p.rate > 0 {
-		wait := math.Min(g.sliceWait(c, t.draws), g.roomWait(c, t.draws))
-		if t.inside = wait <= 0; !t.inside && !(p.excess && float64(g.inHand) < spareAt*g.window) {
+		wait := g.sliceWait(c, t.draws)
+		if !g.sparse(c) {
+			wait = math.Min(wait, g.roomWait(c, t.draws))
+		}
+		if t.inside = wait <= 0; !t.inside && !(p.excess && g.spare()) {
 			return ByQuota, wait
 		}
 	}
 	if p.open > 0 && (c.out >= p.open || p.out == 0 && c.out >= max(p.open/c.n, 1)) {
-		if t.inside = false; !(p.excess && float64(g.inHand) < spareAt*g.window) {
+		if t.inside = false; !(p.excess && g.spare()) {
 			return ByQuota, g.pace
 		}
 	}
@@ -812,6 +819,12 @@
 	return BySettled, 0
 }
 
+// spare tells whether capacity is left for txns beyond a quota: little of the window is in use, and answers come
+// quickly. Among many gatekeepers each has few submissions out, however pressed the fleet.
+func (g *Gatekeeper) spare() bool {
+	return float64(g.inHand) < spareAt*g.window && g.press < spareUse*slaUse
+}
+
 // fill brings a customer's slice, and the quota's one store as far as it is known here, up to now.
 func (g *Gatekeeper) fill(c *account) {
 	p := &g.plans[c.plan]
@@ -971,9 +984,14 @@
 // credit puts in a sparse slice what units asked here bring it of the split, rate x (1 - beta) x own / total, at
 // once instead of over the memory: a gatekeeper that sees a txn in many seconds would always have it too late.
 func (g *Gatekeeper) credit(c *account, units float64) {
-	part, total := 1.0, g.total(c)
+	p, part, total := &g.plans[c.plan], 1.0, g.total(c)
+	// Guards against bursts that end before a word of them comes: what was asked here in the last second, scaled up
+	// by this gatekeeper's usual part of the customer's demand, is taken to be asked at the peers too.
+	lately := c.lately * math.Exp((c.seen-g.now)/demandMemory)
+	usual := math.Max(g.own(c)-lately*demandMemory/p.memory, 0) / math.Max(total, 1e-9)
+	total = math.Max(total, lately/math.Min(usual+1/float64(c.n), 1))
 	if total > 0 {
-		part = math.Min(g.plans[c.plan].rate*(1-beta)/total, 1)
+		part = math.Min(p.rate*(1-beta)/total, 1)
 	}
 	if part < 1 {
 		c.level += units * part
--- a/logic/state.go
+++ b/logic/state.go
@@ -20,7 +20,8 @@
 	holding int     // how many these are
 	heard   float64 // time of the last report of demand
 	demand  float64
-	seen    float64 // time of the last txn, and of the estimate
+	lately  float64 // the same over demandMemory alone
+	seen    float64 // time of the last txn, and of both
 	hot     bool
 	live    bool
 
