--- a/logic/logic.go
+++ b/logic/logic.go
@@ -58,7 +58,7 @@
 	astrayFade   = 10000.0 // ms over which it counts what became of such txns
 	lost         = 5.0     // usual answers; a txn silent or timed out after them is its worker's doing
 	spareAt      = 0.5     // of the window; under it capacity counts as spare for txns beyond a quota
-	spareUse     = 0.6     // of slaUse; and only while answers are as quick as this
+	spareUse     = 0.4     // of slaUse; and only while answers are as quick as this
 	stopped      = 100.0   // ms that a wake comes late if the gatekeeper itself stood still; many beats
 	surgeMost    = 10.0    // windows of room more after standing still; a stall of one or two SLA times
 	surgeFade    = 300.0   // ms; two usual answers
