--- a/logic/logic.go
+++ b/logic/logic.go
@@ -246,9 +246,7 @@
 	c := &g.accounts[ai]
 	g.fill(c)
 	p := &g.plans[c.plan]
-	if t.draws = a.Units; p.out > 0 {
-		t.draws = 1
-	}
+	t.draws = p.draw(a.Units)
 	if g.sparse(c) {
 		g.credit(c, t.draws)
 	}
@@ -926,7 +924,7 @@
 			c.ceilingAt = math.Max(c.ceilingAt, g.started+p.ceilDepth/p.ceilRate)
 		}
 		if c.level = g.startLevel(c); g.sparse(c) {
-			c.level = p.largest * g.rng.Float64() // where many fill slowly, chance spreads their turns
+			c.level = p.draw(a.Units) * g.rng.Float64() // of many that fill slowly, chance spreads the turns
 		}
 		g.reshare(c)
 	}
@@ -1016,6 +1014,14 @@
 	return most
 }
 
+// draw is what a txn takes from its quota.
+func (p *plan) draw(units float64) float64 {
+	if p.out > 0 {
+		return 1
+	}
+	return units
+}
+
 // restate puts a quota on submissions out as a rate: as many as are to be out, each as long as one stays out.
 func (p *plan) restate() {
 	p.rate = p.out / math.Max(p.stay, 1)
