--- a/logic/logic.go
+++ b/logic/logic.go
@@ -34,6 +34,9 @@
 	fewPeers   = 8      // gatekeepers up to which a slice under one txn still fills in time
 	freshNews  = 2.0    // periods; a burst that lasts so long is told of while it is used up
 	longMemory = 5000.0 // ms; the longest that demand is smoothed over for a plan's burst
+	useGain    = 0.1    // weight of the newest told use; one period's use is noisy
+	mostUse    = 100.0  // of the rate; more is no use that could be
+	mostTrim   = 2.0    // and the other way round; told use is late
 	firstWords = 0.1    // of the first period, taken to have passed at a start
 	outStep    = 0.05   // submissions; the fineness of how many are to be out
 
@@ -48,6 +51,7 @@
 	widest       = 16      // workers looked at when two draws are not good enough; all of a small fleet
 	paceGain     = 0.1     // weight of the newest answer in a worker's pace
 	paceFade     = 15000.0 // ms in which a worker's pace goes back to its kind's, as slow spells last
+	loadSays     = 0.25    // of the cost, for a report of twice the usual load; it is late and noisy
 	loadFade     = 1000.0  // ms; a report of load tells of some answers' time
 	fullest      = 0.9     // of the cores; more in use tells no more of what is in hand
 	fleetGain    = 0.025   // the same in the fleet's pace, which has many more answers
@@ -360,6 +364,20 @@
 	return w.turned[sort].at(g.now, turnedFade) > turnedAt
 }
 
+// Used takes what a worker's answer to a txn said of its customer's use of the quota by all gatekeepers, as a part of
+// the rate, in a period that has passed. It mends the split of a customer held to its quota: demand that is known
+// late, or comes again and again, lets in too much or too little. Where no use is told the split stands as it is.
+func (g *Gatekeeper) Used(id uint64, use float64) {
+	slot, ok := g.byID[id]
+	if !ok || !(use >= 0) || use > mostUse {
+		return
+	}
+	c := &g.accounts[g.txns[slot].acct]
+	if p := &g.plans[c.plan]; g.sparse(c) && p.out == 0 && g.total(c) > p.rate {
+		c.trim = math.Min(math.Max(c.trim*(1+useGain*(1-use)), 1/mostTrim), 1)
+	}
+}
+
 // Hear takes a peer's reports. A message says nought of the customers that it does not name.
 func (g *Gatekeeper) Hear(from int, reports []Report) {
 	if from < 0 || from >= g.charter.n || from == g.charter.me {
@@ -685,8 +703,10 @@
 
 func (g *Gatekeeper) cost(t *txn, wi int) float64 {
 	w := &g.workers[wi]
-	held := float64(w.inFlight)
-	return (held + 1) * math.Max(g.paceOf(w), 1) * (1 + g.distrustOf(t, wi))
+	// A report only speaks against a worker, and while it is fresh: many gatekeepers that go for the one that said it
+	// has little to do would run as a herd, and a worker that fails fast has always little to do.
+	busier := loadSays * math.Max(w.load/math.Max(g.load, 1)-1, 0) * math.Exp((w.told-g.now)/loadFade)
+	return float64(w.inFlight+1) * math.Max(g.paceOf(w), 1) * (1 + g.distrustOf(t, wi) + busier)
 }
 
 // paceOf is the time of an answer of a worker: its own as far as it is recent, else that of its kind. Among
@@ -714,6 +734,7 @@
 	}
 	if held >= 0 && held < math.MaxInt32 {
 		g.workers[wi].load, g.workers[wi].told = held, g.now
+		g.load += fleetGain * (held - g.load)
 	}
 }
 
@@ -989,7 +1010,7 @@
 	usual := math.Max(g.own(c)-lately*demandMemory/p.memory, 0) / math.Max(total, 1e-9)
 	total = math.Max(total, lately/math.Min(usual+1/float64(c.n), 1))
 	if total > 0 {
-		part = math.Min(p.rate*(1-beta)/total, 1)
+		part = math.Min(p.rate*(1-beta)*c.trim/total, 1)
 	}
 	if part < 1 {
 		c.level += units * part
--- a/logic/state.go
+++ b/logic/state.go
@@ -33,6 +33,7 @@
 	unsaid              float64 // units sent on since the last report
 	said, saidAt, known float64 // demand last reported, when, and what was left of the one before
 	out                 int     // submissions out
+	trim                float64 // by how much the split is mended by told use
 }
 
 // peer is what is known of another gatekeeper.
@@ -147,6 +148,7 @@
 	cutAt    float64
 	pace     float64
 	kinds    []kind
+	load     float64 // smoothed txns in hand by workers' reports
 	long     mark    // txns overdue that were settled after all
 	astray   mark    // and those that never had an answer from a worker that went on
 	warmDone float64 // units settled by warm workers, fading
@@ -219,7 +221,7 @@
 func (g *Gatekeeper) open(customer uint64, plan int) int32 {
 	ai := place(&g.accounts, &g.unused)
 	c, p := &g.accounts[ai], &g.plans[plan]
-	*c = account{customer: customer, plan: plan, seen: g.now, coolSince: g.now, filled: g.now,
+	*c = account{customer: customer, plan: plan, seen: g.now, coolSince: g.now, filled: g.now, trim: 1,
 		whole: g.holds(p, p.rate), live: true}
 	g.byKey[uint32(customer)] = ai
 	return ai
