Load and use in answers reach the module on sockets; a mixed configuration is refused by its key

X-Load and Usage-Percent of a whole answer, type and weight of the list. The module heeds them only where settings.report.how is answers and use_period_us is above 0; without these keys it decides as before.

--- a/internal/config/charter.go
+++ b/internal/config/charter.go
@@ -69,8 +69,15 @@
 	FamilyInfo struct {
 		Largest    float64
 		PeerInPerS float64 `json:"peer_in_per_s"`
+		Counter    bool
+		UsePeriod  float64 `json:"use_period_us"`
 	} `json:"family_info"`
-	Safety struct {
+	Report struct {
+		How    string
+		Fields []string
+	}
+	WeightSource string `json:"weight_source"`
+	Safety       struct {
 		ColdFrom    float64 `json:"cold_from"`
 		AnswerSlack float64 `json:"answer_slack_us"`
 		WarmUp      float64 `json:"warm_up_us"`
@@ -83,14 +90,26 @@
 
 // ReadTerms reads the settings, as they stand in the configuration and on the bench's wire alike.
 func ReadTerms(raw []byte) (Terms, error) {
+	s, err := read(raw)
+	if err != nil {
+		return Terms{}, err
+	}
+	return s.terms(), nil
+}
+
+func read(raw []byte) (told, error) {
 	var s told
-	t := Terms{Names: Names{Products: map[string]int{}, Plans: map[string]int{}}}
 	if err := json.Unmarshal(raw, &s); err != nil {
-		return t, fmt.Errorf("settings: %w", err)
+		return s, fmt.Errorf("settings: %w", err)
 	}
 	if err := s.check(); err != nil {
-		return t, fmt.Errorf("settings.%w", err)
+		return s, fmt.Errorf("settings.%w", err)
 	}
+	return s, nil
+}
+
+func (s *told) terms() Terms {
+	t := Terms{Names: Names{Products: map[string]int{}, Plans: map[string]int{}}}
 	t.Lines = Lines{IdleLimit: orDefault(s.Allowed.Keepalive/usPerMs, defaultIdleLimit),
 		ConnectTimeout: orDefault(s.Allowed.ConnectTimeout/usPerMs, defaultConnect),
 		AnswerSlack:    s.Safety.AnswerSlack / usPerMs}
@@ -109,6 +128,8 @@
 		WarmUp:         s.Safety.WarmUp / usPerMs,
 		Whole:          s.ScoreParts.Whole,
 		WorstPlan:      s.ScoreParts.WorstTenant,
+		LoadTold:       s.Report.How == inAnswers,
+		UseTold:        s.FamilyInfo.UsePeriod > 0,
 	}
 	for i, p := range s.Classes {
 		t.Names.Products[p.Name] = i
@@ -121,9 +142,41 @@
 			CeilingRate: p.HardRate, CeilingDepth: p.CapDepth, Open: p.Open, Factor: p.WorthFactor,
 			ExcessShare: p.ExcessWorth, ExcessFee: p.OverCost})
 	}
-	return t, nil
+	return t
+}
+
+// inAnswers is how reports of load come where they reach the module.
+const inAnswers = "answers"
+
+// mixed finds the first key that does not fit the shape of deployment that the settings are of. There are
+// two: one perhaps with a counter, where answers say nothing of load or use and each quota has a rate; one
+// without it, where answers say load and perhaps use, and a plan may have just a limit on submissions out.
+// Which it is follows from report.how.
+func (s *told) mixed() error {
+	answers := s.Report.How == inAnswers
+	switch {
+	case answers && s.FamilyInfo.Counter:
+		return errors.New("family_info.counter: there is none where report.how is answers")
+	case answers && len(s.Report.Fields) == 0:
+		return errors.New("report.fields: there is none, though report.how is answers")
+	case !answers && s.FamilyInfo.UsePeriod > 0:
+		return errors.New("family_info.use_period_us: use is told only where report.how is answers")
+	}
+	for i, p := range s.Tariffs {
+		if !answers && p.Open > 0 && p.Rate == 0 {
+			return fmt.Errorf("tariffs[%d].open: without a rate it goes only with report.how of answers", i)
+		}
+		if p.Open > 0 && p.Rate == 0 && p.MostAtOnce > 0 {
+			return fmt.Errorf("tariffs[%d].most_at_once: a store does not go with a limit on submissions out alone", i)
+		}
+	}
+	return nil
 }
 
+var reportWays = map[string]bool{"": true, "none": true, "probe": true, inAnswers: true}
+
+var weightSources = map[string]bool{"": true, "none": true, "nominal": true, "rough": true, "live": true}
+
 var repeats = map[string]logic.Repeat{"read_like": logic.InquiryLike, "idempotency_key": logic.Referenced,
 	"non_idempotent": logic.OnceOnly}
 
@@ -135,6 +188,14 @@
 	if s.Me < 0 || s.Me >= max(s.Balancers, 1) {
 		return fmt.Errorf("me: %d is none of balancers, which is %d", s.Me, s.Balancers)
 	}
+	switch {
+	case !reportWays[s.Report.How]:
+		return fmt.Errorf("report.how: %q is unknown", s.Report.How)
+	case !weightSources[s.WeightSource]:
+		return fmt.Errorf("weight_source: %q is unknown", s.WeightSource)
+	case s.FamilyInfo.UsePeriod < 0:
+		return fmt.Errorf("family_info.use_period_us: %v is below nought", s.FamilyInfo.UsePeriod)
+	}
 	if len(s.Classes) == 0 {
 		return errors.New("classes: there is none")
 	}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -73,13 +73,17 @@
 	if err := json.Unmarshal(raw, &m); err != nil {
 		return g, err
 	}
-	var err error
 	if len(m.Settings) == 0 {
 		return g, errors.New("settings is missing")
 	}
-	if g.Terms, err = ReadTerms(m.Settings); err != nil {
+	s, err := read(m.Settings)
+	if err != nil {
 		return g, err
 	}
+	if err = s.mixed(); err != nil {
+		return g, fmt.Errorf("settings.%w", err)
+	}
+	g.Terms = s.terms()
 	if len(m.Known) > 0 {
 		if g.Known, err = roster.Decode(m.Known); err != nil {
 			return g, fmt.Errorf("known: %w", err)
@@ -104,6 +108,9 @@
 		if _, err = address("counter", m.Counter); err != nil {
 			return g, err
 		}
+		if g.Charter.LoadTold {
+			return g, errors.New("counter: there is none where settings.report.how is answers")
+		}
 	}
 	g.Cores = cmp.Or(m.Limits.Cores, defaultCores)
 	g.MemoryMB = cmp.Or(m.Limits.MemoryMB, defaultMemoryMB)
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -120,3 +120,51 @@
 		})
 	}
 }
+
+// A configuration that mixes two shapes of deployment is refused with the key; the wire of the bench is not.
+func TestMixedShapes(t *testing.T) {
+	const told = `"settings":{"report":{"how":"answers","fields":["concurrent"]},`
+	const rated, open = `{"name":"basic","rate":2}`, `{"name":"basic","open":2}`
+	cases := []struct {
+		name  string
+		swaps []string
+		says  string
+	}{
+		{"a rate, and nothing in answers", nil, ""},
+		{"load in answers", []string{`"settings":{`, told}, ""},
+		{"load and use in answers, a limit on submissions out",
+			[]string{`"settings":{`, told + `"family_info":{"use_period_us":1000000},`, rated, open}, ""},
+		{"a counter beside load in answers",
+			[]string{`"settings":{`, told + `"family_info":{"counter":true},`}, "settings.family_info.counter"},
+		{"a counter's address beside load in answers",
+			[]string{`"settings":{`, `"counter":"127.0.0.1:9",` + told}, "counter: there is none"},
+		{"load in answers without a field", []string{`"settings":{`, `"settings":{"report":{"how":"answers"},`},
+			"settings.report.fields"},
+		{"use told without load", []string{`"settings":{`, `"settings":{"family_info":{"use_period_us":1},`},
+			"settings.family_info.use_period_us"},
+		{"a limit on submissions out without load", []string{rated, open},
+			"settings.tariffs[0].open"},
+		{"a store beside a limit on submissions out",
+			[]string{`"settings":{`, told, rated, `{"name":"basic","open":2,"most_at_once":4}`},
+			"settings.tariffs[0].most_at_once"},
+		{"another way of load", []string{`"settings":{`, `"settings":{"report":{"how":"post"},`},
+			"settings.report.how"},
+		{"another rating", []string{`"settings":{`, `"settings":{"weight_source":"guess",`},
+			"settings.weight_source"},
+		{"use below nought", []string{`"settings":{`, `"settings":{"family_info":{"use_period_us":-1},`},
+			"settings.family_info.use_period_us"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g, err := Decode([]byte(strings.NewReplacer(c.swaps...).Replace(whole)), none)
+			if c.says == "" && err != nil || c.says != "" && (err == nil || !strings.Contains(err.Error(), c.says)) {
+				t.Errorf("got %v, want %q", err, c.says)
+			}
+			text := strings.Join(c.swaps, " ")
+			load, use := strings.Contains(text, "answers"), strings.Contains(text, "use_")
+			if err == nil && (g.Charter.LoadTold != load || g.Charter.UseTold != use) {
+				t.Errorf("the charter has load %v, use %v", g.Charter.LoadTold, g.Charter.UseTold)
+			}
+		})
+	}
+}
--- a/internal/gate/desk.go
+++ b/internal/gate/desk.go
@@ -156,8 +156,12 @@
 }
 
 // ended tells the module how a submission ended. The first answer of a worker settles the txn.
-func (d *Desk) ended(h *held.Txn, n int, a *wire.Answer, took float64) {
+func (d *Desk) ended(h *held.Txn, n, worker int, a *wire.Answer, took float64) {
 	now := d.enter()
+	if a.Heard {
+		d.gk.Burden(worker, a.Load)
+		d.gk.Used(h.ID, a.Use)
+	}
 	if a.Outcome == logic.Settled && !h.Final {
 		d.finish(h, held.Word{Answer: a}, now)
 	}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -61,5 +61,5 @@
 func (g *Gate) submit(h *held.Txn, w held.Word, msg []byte) {
 	began := g.desk.clock.now()
 	a := g.exchange(w.Sub, w.To, g.desk.clock.time(began+w.Decision.Wait), msg)
-	g.desk.ended(h, w.Decision.N, a, g.desk.clock.now()-began)
+	g.desk.ended(h, w.Decision.N, w.Decision.Worker, a, g.desk.clock.now()-began)
 }
--- a/internal/held/workers.go
+++ b/internal/held/workers.go
@@ -33,6 +33,7 @@
 // Workers is the list of workers as it was last told. Its owner is the gate.
 type Workers struct {
 	zones    Index
+	kinds    Index
 	places   map[string]int // of the workers on the list, and of those gone whose places nobody has taken
 	all      []*Worker      // by place
 	postings []logic.Posting
@@ -70,6 +71,7 @@
 		}
 		w.all[i].gone = e.Gone
 		w.postings = append(w.postings, logic.Posting{Worker: i, Zone: w.zones.Of(e.Zone), Cell: e.Cell,
+			Kind: w.kinds.Of(e.Kind), Rating: e.Rating,
 			Active: e.Active, Since: e.Since, New: !known})
 	}
 	for i, x := range w.all {
--- a/internal/lifecycle/lifecycle_test.go
+++ b/internal/lifecycle/lifecycle_test.go
@@ -38,6 +38,7 @@
 	got  []string // whole submissions
 	dial int      // connections
 	mute bool     // it takes all and answers nothing
+	load string   // what it says of its load
 }
 
 func (w *standIn) serve() {
@@ -78,13 +79,16 @@
 		}
 		w.mu.Lock()
 		w.got = append(w.got, raw)
-		mute := w.mute
+		mute, load := w.mute, w.load
 		w.mu.Unlock()
 		_, do, _ := strings.Cut(target, "?")
 		if do == "slow" {
 			time.Sleep(120 * time.Millisecond)
 		}
 		if text, ok := says[do]; ok && !mute {
+			if load != "" {
+				text = strings.Replace(text, `{"inflight":1}`, load, 1)
+			}
 			if fmt.Fprint(c, text); strings.HasPrefix(do, "cut") {
 				return
 			}
@@ -600,6 +604,51 @@
 	}
 }
 
+// A reload with a configuration that mixes two shapes of deployment names the key, and the old one stays.
+func TestReloadOfMixedShapes(t *testing.T) {
+	d := deploy(t, 1, 5000)
+	<-d.asked
+	var log strings.Builder
+	d.gk.log = zerolog.New(&log)
+	mixed := strings.Replace(settings, `"largest":1`, `"largest":1,"use_period_us":1000000`, 1)
+	d.gk.Reload(config.Decode([]byte(`{"listen":"127.0.0.1:1","discovery":"127.0.0.1:2","settings":`+
+		strings.Replace(mixed, "IDLE", "1", 1)+`}`), func(string) string { return "" }))
+	if !strings.Contains(log.String(), "settings.family_info.use_period_us") ||
+		!strings.Contains(log.String(), "the old one stays") || d.gk.conf.Discovery != d.conf.Discovery {
+		t.Errorf("discovery is %s now, and the log says %s", d.gk.conf.Discovery, log.String())
+	}
+}
+
+// What a worker says of its load reaches the module where that is announced; what makes no sense does not.
+func TestLoadInAnswers(t *testing.T) {
+	const told = `"report":{"how":"answers","fields":["concurrent"]},"family_info"`
+	cases := []struct {
+		name, as, load string
+		most           int // of 200 txns, at the worker that says so
+	}{
+		{"busy", told, `{"inflight":90,"queue":80}`, 75},
+		{"busy by its cores", told, `{"util":0.97}`, 75},
+		{"not announced", `"family_info"`, `{"inflight":90}`, 200},
+		{"unreadable", told, `{"inflight":90,"queue":[}`, 200},
+		{"below nought", told, `{"inflight":-90}`, 200},
+		{"no number", told, `{"inflight":"90"}`, 200},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			d := deploy(t, 2, 5000, `"family_info"`, c.as)
+			d.workers[0].load, d.workers[1].load = c.load, `{"inflight":0}`
+			for i := range 200 {
+				if status, _ := d.ask(check("/check", fmt.Sprint(i))); status != "HTTP/1.1 200 OK" {
+					t.Fatal(status)
+				}
+			}
+			if n := d.workers[0].count(); n > c.most || c.most == 200 && n < 76 {
+				t.Errorf("%d of 200 txns went there", n)
+			}
+		})
+	}
+}
+
 func TestIdleConnections(t *testing.T) {
 	cases := []struct {
 		name  string
--- a/internal/wire/roster/roster.go
+++ b/internal/wire/roster/roster.go
@@ -13,7 +13,9 @@
 	Address netip.AddrPort // where this gatekeeper reaches it
 	Zone    string
 	Cell    int
-	Active  bool // neither draining nor gone
+	Kind    string
+	Rating  float64 // what the list says of its size; 0 says nothing
+	Active  bool    // neither draining nor gone
 	Gone    bool
 	Since   float64 // Unix time of its process's start, ms; 0 long ago
 }
@@ -31,9 +33,10 @@
 		Index     int64
 		Snapshot  bool
 		Endpoints []struct {
-			Name, Address, Zone, Status string
-			Group                       int
-			SinceMs                     float64 `json:"since_ms"`
+			Name, Address, Zone, Status, Type string
+			Group                             int
+			Weight                            float64
+			SinceMs                           float64 `json:"since_ms"`
 		}
 	}
 	if err := json.Unmarshal(raw, &m); err != nil {
@@ -41,7 +44,8 @@
 	}
 	l := List{Version: m.Index, Whole: m.Snapshot, Workers: make([]Worker, 0, len(m.Endpoints))}
 	for i, e := range m.Endpoints {
-		w := Worker{Name: e.Name, Zone: e.Zone, Cell: e.Group, Since: max(e.SinceMs, 0)}
+		w := Worker{Name: e.Name, Zone: e.Zone, Cell: e.Group, Kind: e.Type, Rating: max(e.Weight, 0),
+			Since: max(e.SinceMs, 0)}
 		switch e.Status {
 		case "active":
 			w.Active = true
--- a/internal/wire/submission.go
+++ b/internal/wire/submission.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"encoding/json"
 	"errors"
 	"net"
 	"strconv"
@@ -18,7 +19,10 @@
 	Outcome      logic.Outcome
 	Type, Coding string
 	Body         []byte
-	last         bool // the connection ends with it
+	Load         logic.Burden // what the worker said of its load
+	Use          float64      // of the customer's quota, by all gatekeepers; below nought it is not said
+	Heard        bool         // it came from the worker, and whole
+	last         bool         // the connection ends with it
 }
 
 // Keep tells whether the connection can carry another submission.
@@ -81,7 +85,8 @@
 	if err := readAnswer(r, l.in); err != nil {
 		return nil, err
 	}
-	a := &Answer{last: r.ConnectionClose() || l.in.Buffered() > 0}
+	a := &Answer{last: r.ConnectionClose() || l.in.Buffered() > 0, Heard: true,
+		Load: load(&r.Header), Use: use(&r.Header)}
 	switch code := r.StatusCode(); {
 	case code == fasthttp.StatusOK:
 		a.Outcome = logic.Settled
@@ -96,6 +101,35 @@
 	return a, nil
 }
 
+// load reads what a worker said of its load. A report that is missing or cannot be read says nothing, and so
+// does what is no number of nought or more in it.
+func load(h *fasthttp.ResponseHeader) logic.Burden {
+	var says struct{ Inflight, Queue, Util *float64 }
+	if all := h.PeekAll("X-Load"); len(all) != 1 || json.Unmarshal(all[0], &says) != nil {
+		says.Inflight, says.Queue, says.Util = nil, nil, nil
+	}
+	or := func(v *float64) float64 {
+		if v == nil || *v < 0 {
+			return -1
+		}
+		return *v
+	}
+	return logic.Burden{Held: or(says.Inflight), Waiting: or(says.Queue), Busy: or(says.Util)}
+}
+
+// use reads the customer's use of its quota, told as one more than per cent.
+func use(h *fasthttp.ResponseHeader) float64 {
+	all := h.PeekAll("Usage-Percent")
+	if len(all) != 1 {
+		return -1
+	}
+	v, err := number(all[0])
+	if err != nil || v < 1 {
+		return -1
+	}
+	return (v - 1) / 100
+}
+
 // readAnswer reads an answer whose end is stated, past the interim ones ahead of it. Guards against one that
 // ends with its connection: it could have been cut short anywhere.
 func readAnswer(r *fasthttp.Response, in *bufio.Reader) error {
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -346,3 +346,37 @@
 		})
 	}
 }
+
+// What answers say of load and use, and what of it counts as not said.
+func TestLoadAndUse(t *testing.T) {
+	cases := []struct {
+		name, load, use string
+		want            logic.Burden
+		wantUse         float64
+	}{
+		{"both", `{"inflight":7,"queue":2,"util":0.61}`, "87", logic.Burden{Held: 7, Waiting: 2, Busy: 0.61}, 0.86},
+		{"some, and one not known", `{"queue":2,"eps":1}`, "1", logic.Burden{Held: -1, Waiting: 2, Busy: -1}, 0},
+		{"no JSON", `inflight=7`, "eighty", logic.Burden{Held: -1, Waiting: -1, Busy: -1}, -1},
+		{"no number", `{"inflight":"7"}`, "NaN", logic.Burden{Held: -1, Waiting: -1, Busy: -1}, -1},
+		{"over all bounds", `{"inflight":1e999}`, "1e999", logic.Burden{Held: -1, Waiting: -1, Busy: -1}, -1},
+		{"below nought", `{"inflight":-7,"queue":1}`, "-3", logic.Burden{Held: -1, Waiting: 1, Busy: -1}, -1},
+		{"nought is not said", `{}`, "0", logic.Burden{Held: -1, Waiting: -1, Busy: -1}, -1},
+		{"missing", "", "", logic.Burden{Held: -1, Waiting: -1, Busy: -1}, -1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			var h fasthttp.ResponseHeader
+			if c.load != "" {
+				h.Set("X-Load", c.load)
+				h.Set("Usage-Percent", c.use)
+			}
+			if got, u := load(&h), use(&h); got != c.want || u-c.wantUse > 1e-9 || c.wantUse-u > 1e-9 {
+				t.Errorf("load %+v, use %v", got, u)
+			}
+			h.Add("X-Load", `{"inflight":1}`)
+			if c.load != "" && load(&h).Held >= 0 {
+				t.Error("a report given twice is taken")
+			}
+		})
+	}
+}
--- a/logic/iface.go
+++ b/logic/iface.go
@@ -48,6 +48,8 @@
 	MayAdvise       bool    // a decline may say when to return
 	MaxAdvice       float64 // longest advice that clients heed
 	MayTell         bool    // peer messages are allowed
+	LoadTold        bool    // answers may carry the worker's load
+	UseTold         bool    // and the customer's use of its quota
 	PeerInPerS      float64 // messages a gatekeeper takes in a second
 	ReportsPerTell  int     // customer reports that fit one peer message
 	ColdFrom        float64 // a started worker's least share of its capacity
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -131,8 +131,8 @@
 	g.charter = terms{me: c.Me, n: n, maxSubs: max(c.MaxSubmissions, 1), perTell: c.ReportsPerTell,
 		overlap: c.MayOverlap, withdraw: c.MayWithdraw, advise: c.MayAdvise, maxAdvice: c.MaxAdvice,
 		largest: math.Max(c.LargestUnits, 1), period: period, coldFrom: c.ColdFrom,
-		warmUp: c.WarmUp * warmMargin,
-		talks:  c.MayTell && n > 1 && c.ReportsPerTell > 0}
+		warmUp: c.WarmUp * warmMargin, loadTold: c.LoadTold, useTold: c.UseTold,
+		talks: c.MayTell && n > 1 && c.ReportsPerTell > 0}
 	g.charter.tells, g.charter.cooldown = math.MaxInt16, cooldown
 	if c.PeerInPerS > 0 { // what all peers send in a period must fit the intake
 		perMs := c.PeerInPerS * tellBudget / 1000 / float64(max(n-1, 1))
@@ -155,7 +155,7 @@
 			q.restate()
 		}
 		if n > fewPeers && q.burst < freshNews*g.charter.period && q.rate*q.burst*alpha < q.largest*float64(n) {
-			q.sparse, q.memory = true, math.Max(math.Max(demandMemory, g.charter.period), math.Min(q.burst, longMemory))
+			q.sparse, q.memory = true, max(demandMemory, g.charter.period, min(q.burst, longMemory))
 		}
 		// What a peer reports fades between its reports; this makes up for it on average.
 		q.regain = g.charter.period / q.memory / (1 - math.Exp(-g.charter.period/q.memory))
@@ -364,12 +364,12 @@
 	return w.turned[sort].at(g.now, turnedFade) > turnedAt
 }
 
-// Used takes what a worker's answer to a txn said of its customer's use of the quota by all gatekeepers, as a part of
-// the rate, in a period that has passed. It mends the split of a customer held to its quota: demand that is known
-// late, or comes again and again, lets in too much or too little. Where no use is told the split stands as it is.
+// Used takes what an answer said of its customer's use of the quota by all gatekeepers, in parts of the rate,
+// in some period before. Guards against a split that lets in too much, as demand is known late or words of it
+// are lost; where no use is told the split stands.
 func (g *Gatekeeper) Used(id uint64, use float64) {
 	slot, ok := g.byID[id]
-	if !ok || !(use >= 0) || use > mostUse {
+	if !ok || !g.charter.useTold || !(use >= 0) || use > mostUse {
 		return
 	}
 	c := &g.accounts[g.txns[slot].acct]
@@ -703,8 +703,8 @@
 
 func (g *Gatekeeper) cost(t *txn, wi int) float64 {
 	w := &g.workers[wi]
-	// A report only speaks against a worker, and while it is fresh: many gatekeepers that go for the one that said it
-	// has little to do would run as a herd, and a worker that fails fast has always little to do.
+	// A report only speaks against a worker, and while it is fresh: gatekeepers that all go for the one that has
+	// little to do would run as a herd, and a worker that fails fast always has.
 	busier := loadSays * math.Max(w.load/math.Max(g.load, 1)-1, 0) * math.Exp((w.told-g.now)/loadFade)
 	return float64(w.inFlight+1) * math.Max(g.paceOf(w), 1) * (1 + g.distrustOf(t, wi) + busier)
 }
@@ -714,7 +714,9 @@
 func (g *Gatekeeper) paceOf(w *worker) float64 {
 	usual := g.kinds[w.Kind].pace
 	if usual == 0 {
-		usual = g.pace
+		if usual = g.pace; w.Rating > 0 { // until the kind is seen, the list's word on its size
+			usual *= g.rating / w.Rating
+		}
 	}
 	if w.pace == 0 {
 		return usual
@@ -724,7 +726,7 @@
 
 // Burden takes what a worker said of its load with an answer. What makes no sense changes nothing.
 func (g *Gatekeeper) Burden(wi int, b Burden) {
-	if wi < 0 || wi >= len(g.workers) {
+	if !g.charter.loadTold || wi < 0 || wi >= len(g.workers) {
 		return
 	}
 	held := b.Held
@@ -825,7 +827,7 @@
 			return ByQuota, wait
 		}
 	}
-	if p.open > 0 && (c.out >= p.open || p.out == 0 && c.out >= max(p.open/c.n, 1)) {
+	if p.open > 0 && c.out >= p.open {
 		if t.inside = false; !(p.excess && g.spare()) {
 			return ByQuota, g.pace
 		}
@@ -838,8 +840,8 @@
 	return BySettled, 0
 }
 
-// spare tells whether capacity is left for txns beyond a quota: little of the window is in use, and answers come
-// quickly. Among many gatekeepers each has few submissions out, however pressed the fleet.
+// spare tells whether there is capacity for txns beyond a quota: little of the window is in use, and answers
+// are quick. Among many gatekeepers each has few submissions out, however pressed the fleet.
 func (g *Gatekeeper) spare() bool {
 	return float64(g.inHand) < spareAt*g.window && g.press < spareUse*slaUse
 }
@@ -1000,12 +1002,12 @@
 	return g.plans[c.plan].sparse && c.n > 0 && g.startLevel(c) < g.plans[c.plan].largest
 }
 
-// credit puts in a sparse slice what units asked here bring it of the split, rate x (1 - beta) x own / total, at
-// once instead of over the memory: a gatekeeper that sees a txn in many seconds would always have it too late.
+// credit puts in a sparse slice what units asked here bring it of the split, rate x (1 - beta) x own / total,
+// at once and not over the memory: a gatekeeper that sees a txn in many seconds would have it too late.
 func (g *Gatekeeper) credit(c *account, units float64) {
 	p, part, total := &g.plans[c.plan], 1.0, g.total(c)
-	// Guards against bursts that end before a word of them comes: what was asked here in the last second, scaled up
-	// by this gatekeeper's usual part of the customer's demand, is taken to be asked at the peers too.
+	// Guards against bursts that end before a word of them comes: what was asked here in the last second, scaled
+	// up by this gatekeeper's usual part of the customer's demand, is taken to be asked at the peers too.
 	lately := c.lately * math.Exp((c.seen-g.now)/demandMemory)
 	usual := math.Max(g.own(c)-lately*demandMemory/p.memory, 0) / math.Max(total, 1e-9)
 	total = math.Max(total, lately/math.Min(usual+1/float64(c.n), 1))
@@ -1035,20 +1037,6 @@
 	return most
 }
 
-// draw is what a txn takes from its quota.
-func (p *plan) draw(units float64) float64 {
-	if p.out > 0 {
-		return 1
-	}
-	return units
-}
-
-// restate puts a quota on submissions out as a rate: as many as are to be out, each as long as one stays out.
-func (p *plan) restate() {
-	p.rate = p.out / math.Max(p.stay, 1)
-	p.burst = float64(p.open) / p.rate
-}
-
 // sweep looks for silent peers, turns customers hot and cold, renews their shares, gathers what is to be
 // reported, and drops the idle customers.
 func (g *Gatekeeper) sweep() {
@@ -1103,8 +1091,8 @@
 		}
 		c.unsaid = 0
 		p := &g.plans[c.plan]
-		if idle > g.charter.cooldown && c.out == 0 && c.level >= g.startLevel(c)-1e-9 && c.ceilingAt <= g.now && !inUse &&
-			c.whole >= g.holds(p, p.rate)-1e-9 {
+		if idle > g.charter.cooldown && c.out == 0 && c.level >= g.startLevel(c)-1e-9 && c.ceilingAt <= g.now &&
+			!inUse && c.whole >= g.holds(p, p.rate)-1e-9 {
 			delete(g.byKey, uint32(c.customer))
 			if c.n == 0 {
 				g.heardOnly--
--- a/logic/state.go
+++ b/logic/state.go
@@ -148,6 +148,7 @@
 	cutAt    float64
 	pace     float64
 	kinds    []kind
+	rating   float64 // mean of the listed workers'
 	load     float64 // smoothed txns in hand by workers' reports
 	long     mark    // txns overdue that were settled after all
 	astray   mark    // and those that never had an answer from a worker that went on
@@ -170,6 +171,7 @@
 	me, n, maxSubs, perTell    int
 	tells                      int // messages to one peer in a period
 	overlap, withdraw, advise  bool
+	loadTold, useTold          bool
 	maxAdvice, largest, period float64
 	cooldown, slowest          float64 // ms; the longest SLA time
 	coldFrom, warmUp           float64
@@ -239,10 +241,24 @@
 	m.score, m.since = math.Min(m.at(now, fade)+by, distrustMost), now
 }
 
+// draw is what a txn takes from its quota.
+func (p *plan) draw(units float64) float64 {
+	if p.out > 0 {
+		return 1
+	}
+	return units
+}
+
+// restate puts a quota on submissions out as a rate: as many as are to be out, each as long as one stays out.
+func (p *plan) restate() {
+	p.rate = p.out / math.Max(p.stay, 1)
+	p.burst = float64(p.open) / p.rate
+}
+
 // sort numbers the pairs of plan and product.
 func (g *Gatekeeper) sort(t *txn) int { return t.plan*len(g.products) + t.product }
 
-// own is the demand estimate, units a ms. That of a sparse plan has a long memory: right after a start it makes up
+// own is the demand estimate, units a ms. That of a sparse plan has a long memory: after a start it makes up
 // for what it has not seen yet.
 func (g *Gatekeeper) own(c *account) float64 {
 	p := &g.plans[c.plan]
@@ -260,7 +276,7 @@
 
 // list gathers the workers that may be sent to.
 func (g *Gatekeeper) list() {
-	g.ready, g.warm, g.able = g.ready[:0], 0, 0
+	g.ready, g.warm, g.able, g.rating = g.ready[:0], 0, 0, 0
 	clear(g.openTo)
 	for i := range g.workers {
 		w := &g.workers[i]
@@ -268,6 +284,7 @@
 			continue
 		}
 		g.ready = append(g.ready, i)
+		g.rating += (w.Rating - g.rating) / float64(len(g.ready))
 		part := g.warmth(w.Since)
 		if g.able += part; part >= 1 {
 			g.warm++
