--- a/logic/logic.go
+++ b/logic/logic.go
@@ -902,10 +902,14 @@
 	if c.level >= units-1e-9 {
 		return 0
 	}
-	if c.share <= 0 {
+	share := c.share
+	if total := g.total(c); g.sparse(c) && total > 0 { // what is credited, over time
+		share += g.plans[c.plan].rate * (1 - beta) * math.Min(g.own(c)/total, 1)
+	}
+	if share <= 0 {
 		return math.MaxFloat64
 	}
-	return (units - c.level) / c.share
+	return (units - c.level) / share
 }
 
 // spend takes a txn's units from its customer's stores at the first submission.
