--- a/logic/logic.go
+++ b/logic/logic.go
@@ -709,21 +709,6 @@
 	return float64(w.inFlight+1) * math.Max(g.paceOf(w), 1) * (1 + g.distrustOf(t, wi) + busier)
 }
 
-// paceOf is the time of an answer of a worker: its own as far as it is recent, else that of its kind. Among
-// many gatekeepers each sees a worker once in many seconds, and a kind of machine often.
-func (g *Gatekeeper) paceOf(w *worker) float64 {
-	usual := g.kinds[w.Kind].pace
-	if usual == 0 {
-		if usual = g.pace; w.Rating > 0 { // until the kind is seen, the list's word on its size
-			usual *= g.rating / w.Rating
-		}
-	}
-	if w.pace == 0 {
-		return usual
-	}
-	return usual + (w.pace-usual)*math.Exp((w.paced-g.now)/paceFade)
-}
-
 // Burden takes what a worker said of its load with an answer. What makes no sense changes nothing.
 func (g *Gatekeeper) Burden(wi int, b Burden) {
 	if !g.charter.loadTold || wi < 0 || wi >= len(g.workers) {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -751,3 +751,275 @@
 		})
 	}
 }
+
+// many is a charter of so many gatekeepers whose parts of a quota of 10 a second are too small for a txn.
+func many(n int, change func(*Charter)) Charter {
+	return charterFor(InquiryLike, func(c *Charter) {
+		c.Gatekeepers, c.LoadTold, c.UseTold = n, true, true
+		c.Plans[0].Burst = 10
+		if change != nil {
+			change(c)
+		}
+	})
+}
+
+// old brings a gatekeeper past its first period, and back to a wide window.
+func (h *host) old() {
+	h.at(h.now + 3*h.g.charter.period)
+	h.pull()
+	h.g.window = 1e9
+}
+
+// firsts brings one txn of each of 400 customers whose demand a peer has told, and gives the part let in.
+func (h *host) firsts(demand float64, units func(i int) float64) float64 {
+	in := 0
+	for i := range 400 {
+		customer := uint64(1000 + i)
+		h.g.Hear(1, []Report{{Customer: customer, Demand: demand}})
+		if s := h.txn(customer, units(i)); s.final == 0 {
+			h.ended(s, 0, Settled, 50)
+			in++
+		}
+	}
+	return float64(in) / 400
+}
+
+// Slices that each hold less than a txn let in together what the split gives: the first txn that one of them
+// sees is let in as often as the quota bears what all ask.
+func TestSparseSlices(t *testing.T) {
+	one := func(int) float64 { return 1 }
+	sizes := func(i int) float64 { return float64(1 + 3*(i%2)) }
+	cases := []struct {
+		name         string
+		n            int
+		times        float64 // what all ask, in parts of the rate
+		units        func(int) float64
+		young        bool // the gatekeeper has just started, and heard a tenth of its peers
+		least, most  float64
+		sparse, open bool
+	}{
+		{"within the quota", 100, 0.5, one, false, 1, 1, true, false},
+		{"twice the quota", 100, 2, one, false, 0.40, 0.56, true, false},
+		{"ten times", 100, 10, one, false, 0.05, 0.15, true, false},
+		{"ten times, sizes of 1 and 4", 100, 10, sizes, false, 0.05, 0.15, true, false},
+		{"words of a tenth of the peers", 100, 0.5, one, true, 0.1, 0.35, true, false},
+		{"a limit on submissions out", 100, 10, one, false, 0.05, 0.15, true, true},
+		{"few gatekeepers", 4, 0.5, one, false, 0, 1, false, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			h := newHost(t, many(c.n, func(ch *Charter) {
+				if ch.LargestUnits = 4; c.open {
+					ch.Plans[0] = Plan{Open: 3, Factor: 1, ExcessFee: 1}
+				}
+			}), 5, 8)
+			if h.old(); c.young {
+				h.g.started = h.now - firstWords*h.g.charter.period
+			}
+			p := &h.g.plans[0]
+			if p.sparse != c.sparse {
+				t.Fatalf("sparse is %v", p.sparse)
+			}
+			if in := h.firsts(c.times*p.rate*1000/p.regain, c.units); in < c.least || in > c.most {
+				t.Errorf("%.3f let in, want %v to %v", in, c.least, c.most)
+			}
+		})
+	}
+}
+
+// A burst is over before a word of it comes: a second txn within a second at one of many gatekeepers is taken
+// for one. Some seconds later the customer is let in again, and it is told to wait no longer than that.
+func TestBurstSeenAlone(t *testing.T) {
+	h := newHost(t, many(100, nil), 5, 8)
+	h.old()
+	h.g.Hear(1, []Report{{Customer: 7, Demand: 3}})
+	first := h.txn(7, 1)
+	h.at(h.now + 20)
+	if first.final != 0 {
+		t.Fatal("the first txn of a customer within its quota is not let in")
+	}
+	h.ended(first, 0, Settled, 20)
+	h.g.accounts[h.g.byKey[7]].level = 0 // whatever the first one left
+	second := h.txn(7, 1)
+	h.at(h.now + 3000)
+	third := h.txn(7, 1)
+	if second.final != Decline || third.final != 0 {
+		t.Errorf("then answers %v and %v", second.final, third.final)
+	}
+	if !(second.wait > 0 && second.wait < 2000) {
+		t.Errorf("told to wait %v ms", second.wait)
+	}
+}
+
+// A limit on submissions out becomes a rate by what one more earns and costs, and by how long one stays out.
+func TestSubmissionsOut(t *testing.T) {
+	cases := []struct {
+		name        string
+		plan        Plan
+		least, most float64
+	}{
+		{"beyond costs more than it earns", Plan{Open: 2, ExcessFee: 1.2}, 0.6, 0.9},
+		{"beyond costs nothing", Plan{Open: 2}, 1.4, 1.8},
+		{"beyond earns a part", Plan{Open: 2, ExcessShare: 0.3}, 1.4, 1.8},
+		{"one at once", Plan{Open: 1, ExcessFee: 1}, 0.2, 0.5},
+		{"a wide limit", Plan{Open: 40, ExcessFee: 1}, 25, 40},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			if got := mostOut(c.plan); got < c.least || got > c.most {
+				t.Errorf("%v out, want %v to %v", got, c.least, c.most)
+			}
+		})
+	}
+	h := newHost(t, many(2, func(c *Charter) { c.Plans[0] = Plan{Open: 2, Factor: 1, ExcessFee: 1} }), 5, 8)
+	h.g.window = 1e9
+	for range 300 {
+		if s := h.txn(7, 1); s.final == 0 {
+			h.ended(s, 0, Settled, 50)
+		}
+		h.at(h.now + 500)
+		h.pull()
+	}
+	if p := &h.g.plans[0]; math.Abs(p.rate*50-p.out) > 0.1*p.out {
+		t.Errorf("at stays of 50 ms the rate is %v a second for %v out", p.rate*1000, p.out)
+	}
+	for range 3 {
+		h.g.accounts[h.g.byKey[7]].level = 9 // however much the store holds
+		h.txn(7, 1)
+	}
+	if n := h.g.accounts[h.g.byKey[7]].out; n != 2 {
+		t.Errorf("%d out at a limit of 2", n)
+	}
+}
+
+// What chance allows a gatekeeper's part is bounded in sum; larger parts keep it whole.
+func TestLeastWindow(t *testing.T) {
+	cases := []struct {
+		name       string
+		n, workers int
+		want       float64
+	}{
+		{"a part well under one", 300, 60, 0.3 * 3},
+		{"a part of six", 10, 40, 6 + 2.5*math.Sqrt(6)},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			h := newHost(t, many(c.n, nil), 5, c.workers)
+			if got := h.g.leastWindow(); !near(got, c.want) {
+				t.Errorf("%v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
+// Beyond a quota nothing is let in while answers are slow, though this gatekeeper has little out itself.
+func TestSpareOnlyWhileQuick(t *testing.T) {
+	for _, took := range []float64{20, 600} {
+		h := newHost(t, many(2, func(c *Charter) {
+			c.Plans[0] = Plan{Rate: 1, Burst: 1, Factor: 1, ExcessShare: 0.3}
+		}), 5, 8)
+		let := 0
+		for range 100 {
+			h.at(h.now + 20)
+			if s := h.txn(7, 1); s.final == 0 {
+				h.ended(s, 0, Settled, took)
+				let++
+			}
+		}
+		if quick := took < 100; quick != (let > 50) {
+			t.Errorf("answers of %v ms: %d of 100 let in", took, let)
+		}
+	}
+}
+
+// Among many gatekeepers a worker is seen seldom: what is known of its kind speaks for it, before that the
+// list's rating, and a little its own word on its load. A word of no sense changes nothing.
+func TestWorkersOfAKind(t *testing.T) {
+	nan := math.NaN()
+	cases := []struct {
+		name        string
+		before      func(h *host, g *Gatekeeper)
+		least, most float64 // part of the submissions at worker 0
+	}{
+		{"nothing known", func(*host, *Gatekeeper) {}, 0.4, 0.6},
+		{"its kind is slow", func(h *host, g *Gatekeeper) {
+			g.kinds[0].pace, g.kinds[1].pace = 200, 100
+		}, 0.15, 0.35},
+		{"rated smaller", func(h *host, g *Gatekeeper) {
+			g.pace, g.workers[0].Rating, g.workers[1].Rating = 100, 1, 3
+		}, 0.15, 0.35},
+		{"says that it is busy", func(h *host, g *Gatekeeper) {
+			g.load = 2
+			g.Burden(0, Burden{Held: 40, Waiting: -1, Busy: -1})
+			g.Burden(1, Burden{Held: 0, Waiting: -1, Busy: -1})
+		}, 0.15, 0.35},
+		{"words of no sense", func(h *host, g *Gatekeeper) {
+			for _, v := range []float64{nan, math.Inf(1), -5, 1e300} {
+				g.Burden(0, Burden{Held: v, Waiting: v, Busy: nan})
+			}
+			g.Burden(-1, Burden{Held: 9})
+			g.Burden(99, Burden{Held: 9})
+		}, 0.4, 0.6},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			there := 0
+			h := newHost(t, many(2, func(ch *Charter) { ch.Plans[0] = Plan{Factor: 1} }), 5, 2)
+			h.g.Roster([]Posting{{Worker: 0, Active: true, Kind: 0}, {Worker: 1, Active: true, Kind: 1}}, false)
+			h.g.list()
+			for range 400 {
+				h.g.kinds[0], h.g.kinds[1], h.g.pace = kind{}, kind{}, 0
+				h.g.workers[0].pace, h.g.workers[1].pace = 0, 0
+				c.before(h, h.g)
+				h.g.list()
+				if s := h.txn(7, 1); s.final == 0 {
+					if s.subs[0].Worker == 0 {
+						there++
+					}
+					h.ended(s, 0, Settled, 100)
+				}
+			}
+			if part := float64(there) / 400; part < c.least || part > c.most {
+				t.Errorf("%.2f went to worker 0, want %v to %v", part, c.least, c.most)
+			}
+		})
+	}
+}
+
+// Told use lowers the split of a customer held to its quota while that is overspent, by half at most. Where
+// what is told makes no sense, the split stands.
+func TestToldUse(t *testing.T) {
+	cases := []struct {
+		name   string
+		use    float64
+		demand float64
+		want   float64
+	}{
+		{"overspent", 3, 40, 1 / mostTrim},
+		{"well within", 0.5, 40, 1},
+		{"overspent, asking little", 3, 1, 1},
+		{"no number", math.NaN(), 40, 1},
+		{"without end", math.Inf(1), 40, 1},
+		{"below nought", -1, 40, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			h := newHost(t, many(100, nil), 5, 8)
+			h.old()
+			h.g.Hear(1, []Report{{Customer: 7, Demand: c.demand}})
+			h.g.account(Arrival{Customer: 7, SetSize: 100})
+			a := &h.g.accounts[h.g.byKey[7]]
+			for range 5 {
+				a.level = 5
+				if s := h.txn(7, 1); s.final == 0 {
+					h.g.Used(s.ID, c.use)
+					h.ended(s, 0, Settled, 50)
+				}
+			}
+			if !near(a.trim, c.want) {
+				t.Errorf("trim is %v, want %v", a.trim, c.want)
+			}
+			h.g.Used(12345, 3) // of no txn
+		})
+	}
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -241,6 +241,21 @@
 	m.score, m.since = math.Min(m.at(now, fade)+by, distrustMost), now
 }
 
+// paceOf is the time of an answer of a worker: its own as far as it is recent, else that of its kind. Among
+// many gatekeepers each sees a worker once in many seconds, and a kind of machine often.
+func (g *Gatekeeper) paceOf(w *worker) float64 {
+	usual := g.kinds[w.Kind].pace
+	if usual == 0 {
+		if usual = g.pace; w.Rating > 0 { // until the kind is seen, the list's word on its size
+			usual *= g.rating / w.Rating
+		}
+	}
+	if w.pace == 0 {
+		return usual
+	}
+	return usual + (w.pace-usual)*math.Exp((w.paced-g.now)/paceFade)
+}
+
 // draw is what a txn takes from its quota.
 func (p *plan) draw(units float64) float64 {
 	if p.out > 0 {
