--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -1023,3 +1023,17 @@
 		})
 	}
 }
+
+// With hundreds of gatekeepers a period lasts for seconds: customers stay hot from one word to the next, and the
+// demand that a gatekeeper tells soon after its start is what is asked a second, not the part it has seen of it.
+func TestLongPeriod(t *testing.T) {
+	h := newHost(t, many(300, nil), 5, 8)
+	h.g.window = 1e9
+	if c := h.g.charter; c.period < 5000 || c.cooldown < 2*c.period {
+		t.Errorf("a period of %v ms, cooldown %v ms", c.period, c.cooldown)
+	}
+	h.ask(4, 0.3*h.g.charter.period, nil)
+	if got := h.g.own(&h.g.accounts[h.g.byKey[7]]) * 1000; got < 3 || got > 5 {
+		t.Errorf("4 a second are reckoned as %v", got)
+	}
+}
