--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -1024,8 +1024,8 @@
 	}
 }
 
-// With hundreds of gatekeepers a period lasts for seconds: customers stay hot from one word to the next, and what
-// a gatekeeper tells soon after its start is what is asked a second, not the part it has seen.
+// With hundreds of gatekeepers a period lasts for seconds: customers stay hot from one word to the next, and
+// what a gatekeeper tells soon after its start is what is asked a second, not the part it has seen.
 func TestLongPeriod(t *testing.T) {
 	h := newHost(t, many(300, nil), 5, 8)
 	h.g.window = 1e9
