--- a/internal/config/charter.go
+++ b/internal/config/charter.go
@@ -199,8 +199,8 @@
 	if len(s.Classes) == 0 {
 		return errors.New("classes: there is none")
 	}
-	if len(s.Tariffs) == 0 {
-		return errors.New("tariffs: there is none")
+	if len(s.Tariffs) == 0 || len(s.Tariffs) > gossip.Plans {
+		return fmt.Errorf("tariffs: there are %d, of 1 to %d", len(s.Tariffs), gossip.Plans)
 	}
 	seen := map[string]bool{}
 	for i, p := range s.Classes {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -83,6 +83,8 @@
 		{"known without name", `"s1"`, `""`, "endpoints[0].name"},
 		{"no products", `"classes"`, `"other"`, "settings.classes"},
 		{"no plans", `"tariffs"`, `"other"`, "settings.tariffs"},
+		{"more plans than messages tell apart", `{"name":"basic","rate":2}`,
+			strings.Repeat(`{"name":"basic"},`, 64) + `{"name":"basic"}`, "settings.tariffs: there are 65"},
 		{"unknown effect", `read_like`, `magic`, "settings.classes[0].effect"},
 		{"unknown group", `"cell"`, `"row"`, "settings.classes[1].group"},
 		{"product twice", `"sale"`, `"check"`, "settings.classes[1].name"},
--- a/internal/wire/gossip/gossip.go
+++ b/internal/wire/gossip/gossip.go
@@ -1,8 +1,9 @@
 // Package gossip turns a gatekeeper's demand reports into the bytes of one peer message and back.
 //
 // A message is a version byte, a count byte, and for each report four bytes of the customer's number,
-// big-endian, and one each of its plan, its demand, what is known of that, and the units sent on. The last
-// three are logarithmic, so that they are right within a twentieth.
+// big-endian, one of its plan, with a bit each for whether what is known of the demand and the units sent on
+// follow, one of its demand, and these two. The last three are logarithmic, so that they are right within a
+// twentieth. The form before, in which all of them always follow, is still understood.
 package gossip
 
 import (
@@ -14,15 +15,22 @@
 )
 
 const (
-	version = 4
+	version = 5
+	former  = 4 // version
 	header  = 2
-	entry   = 8
-	Limit   = 256 // bytes that a peer message may have
+	entry   = 8 // at most
+	bare    = 6 // bytes of a report without known and spent
+
+	hasKnown, hasSpent = 0x40, 0x80
+	Limit              = 256 // bytes that a peer message may have
 
 	step  = 1.0 / 8    // of a power of two, between neighbouring demands
 	least = 1.0 / 1024 // units a second; less is nought
 )
 
+// Plans is how many plans a message can tell apart.
+const Plans = hasKnown
+
 // Room is how many reports fit one message.
 const Room = (Limit - header) / entry
 
@@ -32,7 +40,20 @@
 	dst = append(dst, version, byte(len(reports)))
 	for _, r := range reports {
 		dst = binary.BigEndian.AppendUint32(dst, uint32(r.Customer))
-		dst = append(dst, byte(r.Plan), pack(r.Demand), pack(r.Known), pack(r.Spent))
+		plan, known, spent := byte(r.Plan), pack(r.Known), pack(r.Spent)
+		if known > 0 {
+			plan |= hasKnown
+		}
+		if spent > 0 {
+			plan |= hasSpent
+		}
+		dst = append(dst, plan, pack(r.Demand))
+		if known > 0 {
+			dst = append(dst, known)
+		}
+		if spent > 0 {
+			dst = append(dst, spent)
+		}
 	}
 	return dst
 }
@@ -43,18 +64,33 @@
 	if len(b) < header {
 		return dst, fmt.Errorf("peer message of %d bytes: too short", len(b))
 	}
-	if b[0] != version {
+	if b[0] != version && b[0] != former {
 		return dst, fmt.Errorf("peer message of version %d, not %d", b[0], version)
 	}
-	if n := int(b[1]); len(b) != header+n*entry {
-		return dst, fmt.Errorf("peer message of %d bytes for %d reports", len(b), n)
+	whole, none, n := b, dst, int(b[1])
+	for b = b[header:]; len(b) >= bare && len(dst)-len(none) < n; {
+		plan := b[4]
+		if whole[0] == former {
+			plan |= hasKnown | hasSpent
+		}
+		r := logic.Report{Customer: uint64(binary.BigEndian.Uint32(b)), Plan: int(plan &^ (hasKnown | hasSpent)),
+			Demand: unpack(b[5])}
+		b = b[bare:]
+		for _, f := range []struct {
+			bit byte
+			v   *float64
+		}{{hasKnown, &r.Known}, {hasSpent, &r.Spent}} {
+			if plan&f.bit != 0 {
+				if len(b) == 0 {
+					return none, fmt.Errorf("peer message of %d bytes ends within a report", len(whole))
+				}
+				*f.v, b = unpack(b[0]), b[1:]
+			}
+		}
+		dst = append(dst, r)
 	}
-	for b = b[header:]; len(b) > 0; b = b[entry:] {
-		dst = append(dst, logic.Report{
-			Customer: uint64(binary.BigEndian.Uint32(b)),
-			Plan:     int(b[4]),
-			Demand:   unpack(b[5]), Known: unpack(b[6]), Spent: unpack(b[7]),
-		})
+	if len(b) > 0 || len(dst)-len(none) != n {
+		return none, fmt.Errorf("peer message of %d bytes for %d reports", len(whole), n)
 	}
 	return dst, nil
 }
--- a/internal/wire/gossip/gossip_test.go
+++ b/internal/wire/gossip/gossip_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"math"
+	"slices"
 	"testing"
 
 	"willowdeck/logic"
@@ -27,19 +28,36 @@
 	}
 }
 
+// The form before is understood while builds are mixed; what is nought takes no room in the new one.
+func TestForms(t *testing.T) {
+	before := []byte{former, 2, 0, 0, 0, 7, 1, 81, 73, 0, 0, 0, 0, 9, 0, 81, 0, 65}
+	now := []byte{version, 2, 0, 0, 0, 7, 1 | hasKnown, 81, 73, 0, 0, 0, 9, hasSpent, 81, 65}
+	want := []logic.Report{{Customer: 7, Plan: 1, Demand: 1, Known: 0.5}, {Customer: 9, Demand: 1, Spent: 0.25}}
+	for name, b := range map[string][]byte{"before": before, "now": now} {
+		if got, err := Decode(nil, b); err != nil || !slices.Equal(got, want) {
+			t.Errorf("%s: got %+v, %v", name, got, err)
+		}
+	}
+	if got := Append(nil, want); !bytes.Equal(got, now) {
+		t.Errorf("told as %v, want %v", got, now)
+	}
+}
+
 func TestMalformed(t *testing.T) {
 	good := Append(nil, []logic.Report{{Customer: 7, Demand: 1}, {Customer: 8, Demand: 2}})
 	other := bytes.Clone(good)
 	other[0]++
 	for name, b := range map[string][]byte{"empty": nil, "one byte": {version}, "cut short": good[:len(good)-1],
-		"too long": append(bytes.Clone(good), 0), "other version": other} {
+		"too long": append(bytes.Clone(good), 0), "other version": other,
+		"ends before what it announces": {version, 1, 0, 0, 0, 7, hasKnown | hasSpent, 81, 73},
+		"fewer than it counts":          {version, 2, 0, 0, 0, 7, 0, 81}} {
 		t.Run(name, func(t *testing.T) {
 			if got, err := Decode(nil, b); err == nil || len(got) != 0 {
 				t.Errorf("got %v, %v", got, err)
 			}
 		})
 	}
-	b := append(bytes.Clone(good[:2]), bytes.Repeat([]byte{255}, 16)...)
+	b := append([]byte{former, 2}, bytes.Repeat([]byte{255}, 16)...)
 	got, err := Decode(nil, b)
 	if err != nil || math.IsInf(got[0].Demand, 0) || math.IsNaN(got[0].Demand) {
 		t.Errorf("the largest demand reads as %v, %v", got, err)
--- a/logic/iface.go
+++ b/logic/iface.go
@@ -126,7 +126,7 @@
 	Plan     int    // by its place in the Charter
 	Demand   float64
 	Known    float64 // what is left of the demand last reported
-	Spent    float64 // units sent on since the last report
+	Spent    float64 // units sent on since the last report; nought of a sparse slice
 }
 
 // Reason tells why a txn got its final answer.
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -904,7 +904,9 @@
 		c.ceilingAt = math.Max(c.ceilingAt, g.now) + t.units*float64(c.n)/p.ceilRate
 	}
 	if p.rate > 0 {
-		c.unsaid += t.draws
+		if !g.sparse(c) { // where it comes too late to go by, it is not told
+			c.unsaid += t.draws
+		}
 		if g.fill(c); t.inside { // beyond the quota nothing is taken
 			c.level = math.Max(c.level-t.draws, -g.holds(p, p.rate))
 		}
@@ -994,16 +996,13 @@
 // credit puts in a sparse slice what units asked here bring it of the split, rate x (1 - beta) x own / total,
 // at once and not over the memory: a gatekeeper that sees a txn in many seconds would have it too late.
 func (g *Gatekeeper) credit(c *account, units float64) {
-	p, part, total := &g.plans[c.plan], 1.0, g.total(c)
+	p, total := &g.plans[c.plan], g.total(c)
 	// Guards against bursts that end before a word of them comes: what was asked here in the last second, scaled
 	// up by this gatekeeper's usual part of the customer's demand, is taken to be asked at the peers too.
 	lately := c.lately * math.Exp((c.seen-g.now)/demandMemory)
 	usual := math.Max(g.own(c)-lately*demandMemory/p.memory, 0) / math.Max(total, 1e-9)
 	total = math.Max(total, lately/math.Min(usual+1/float64(c.n), 1))
-	if total > 0 {
-		part = math.Min(p.rate*(1-beta)*c.trim/total, 1)
-	}
-	if part < 1 {
+	if part := p.rate * (1 - beta) * c.trim / math.Max(total, 1e-12); part < 1 {
 		c.level += units * part
 	} else {
 		c.level = math.Max(c.level, units)
