--- a/logic/logic.go
+++ b/logic/logic.go
@@ -92,7 +92,7 @@
 	lateWorth  = 2.0   // how much slower answers may get, in parts of slaUse, for each part that late ones earn
 	mostCut    = 0.7   // the window is never cut below this part of it at once
 	cutPause   = 150.0 // ms between cuts of the window; an answer's delay is the loop's
-	hopeless   = 1.0   // usual answers; a txn whose client waits less is not worth a worker's time
+	hopeless   = 2.2   // usual answers; a txn whose client waits less is not worth a worker's time
 	adviseBusy = 0.25  // of the SLA time; when to return after a decline under pressure
 
 	// What the host of sockets goes by.
