--- a/logic/logic.go
+++ b/logic/logic.go
@@ -92,7 +92,11 @@
 	lateWorth  = 2.0   // how much slower answers may get, in parts of slaUse, for each part that late ones earn
 	mostCut    = 0.7   // the window is never cut below this part of it at once
 	cutPause   = 150.0 // ms between cuts of the window; an answer's delay is the loop's
-	hopeless   = 2.2   // usual answers; a txn whose client waits less is not worth a worker's time
+	tightAt    = 3.5   // usual answers; a txn whose client waits less is tight
+	tightWorth = 0.65  // of a plan's tight txns settled in time; under it they waste more than they bring
+	tightTry   = 0.1   // of them is tried all the same, to see when that changes
+	tightGain  = 0.1   // weight of the newest
+	hopeless   = 1.0   // usual answers; a txn whose client waits less is not worth a worker's time
 	adviseBusy = 0.25  // of the SLA time; when to return after a decline under pressure
 
 	// What the host of sockets goes by.
@@ -146,7 +150,7 @@
 	var dearest float64
 	for _, p := range c.Plans {
 		q := plan{rate: p.Rate / 1000, ceilRate: p.CeilingRate / 1000, ceilDepth: p.CeilingDepth, open: p.Open,
-			excess: p.ExcessShare > p.ExcessFee, largest: g.charter.largest, memory: demandMemory}
+			excess: p.ExcessShare > p.ExcessFee, largest: g.charter.largest, memory: demandMemory, tight: 1}
 		switch {
 		case p.Rate > 0:
 			q.burst = p.Burst / q.rate
@@ -281,9 +285,15 @@
 	if !s.silent {
 		g.inHand--
 	}
-	if p := &g.plans[t.plan]; p.out > 0 && o != NotSent {
+	p := &g.plans[t.plan]
+	if p.out > 0 && o != NotSent {
 		p.stay += fleetGain * (took - p.stay)
 	}
+	if t.tight && o == Settled {
+		p.tight += tightGain * (1 - p.tight)
+	} else if t.tight && o == TimedOut {
+		p.tight -= tightGain * p.tight
+	}
 	sla := math.Max(g.products[t.product].sla, 1)
 	if late := took > overdue*math.Max(g.pace, 1); late && o == Settled {
 		g.long.add(1, g.now, astrayFade)
@@ -818,8 +828,10 @@
 		}
 	}
 	// Guards against tries too short for the fleet: their work is done for nobody and comes again. It may hurt
-	// a fast product beside very slow ones.
-	if !room || t.expiry-g.now < hopeless*g.pace {
+	// a fast product beside very slow ones. What is not hopeless is tried where most such tries succeed.
+	left := t.expiry - g.now
+	t.tight = left < tightAt*g.pace
+	if !room || left < hopeless*g.pace || t.tight && p.tight < tightWorth && g.rng.Float64() > tightTry {
 		return ByPressure, adviseBusy * g.products[t.product].sla
 	}
 	return BySettled, 0
--- a/logic/state.go
+++ b/logic/state.go
@@ -86,6 +86,7 @@
 	answered      bool
 	another       bool // a second copy, or a move, is wanted
 	inside        bool // its quota had the units when it was let in
+	tight         bool // it came with little time
 	live          bool
 }
 
@@ -102,6 +103,7 @@
 	largest             float64 // units of a txn at most
 	memory, regain      float64 // ms that demand is smoothed over; makes up for the fading of what peers report
 	sparse              bool    // each gatekeeper's part is too small to hold a txn
+	tight               float64 // part of the tight txns that are settled in their time
 	out, stay           float64 // a quota on submissions out: how many are to be, and how long one is, ms
 	ceilRate, ceilDepth float64 // this gatekeeper's slice, before division by the customer's N
 	open                int
