--- a/logic/logic.go
+++ b/logic/logic.go
@@ -196,9 +196,8 @@
 		g.nextTell = now + g.charter.period*g.rng.Float64()
 	}
 	// Guards against this gatekeeper itself being stopped for a while: what it finds then says nothing of how
-	// long workers took. It would hide true slowness only while wakes come late all the time.
-	// All that came meanwhile comes at once: it gets the room that would have been used in turns, for a while.
-	// Where many stand still at the same time, that presses the fleet.
+	// long workers took. All that came meanwhile comes at once: it gets the room that would have been used in
+	// turns, for a while. Where many stand still at the same time, that presses the fleet.
 	if gap := now - g.wakeAt; g.wakeAt > 0 && gap > stopped {
 		g.thawed = now
 		g.surge = g.window * math.Min(gap/math.Max(g.pace, 1), surgeMost)
@@ -735,12 +734,6 @@
 	}
 }
 
-// distrustOf is what speaks against a worker for a txn.
-func (g *Gatekeeper) distrustOf(t *txn, wi int) float64 {
-	w := &g.workers[wi]
-	return w.distrust.at(g.now, distrustFade) + w.turned[g.sort(t)].at(g.now, turnedFade)
-}
-
 // doubt notes a failure at a worker: by one where this gatekeeper sees each worker often. Among many
 // gatekeepers it would forget before it comes there again, and lose a txn each time; then the failure weighs
 // as often as the distrust fades between two visits, but no more than the usual answers that it took.
@@ -758,10 +751,6 @@
 	return g.charter.coldFrom + (1-g.charter.coldFrom)*math.Max(g.now-since, 0)/g.charter.warmUp
 }
 
-func (g *Gatekeeper) warmWork() float64 {
-	return g.warmDone * math.Exp((g.warmAt-g.now)/refMemory)
-}
-
 // coldRate is this gatekeeper's budget for a worker that is not warm, in units a ms: what it sees a warm
 // worker do, times the guessed warmth. Each gatekeeper's part of the warm load adds up to no more than a
 // warm worker can do, so together they stay under the worker's present capacity whoever else is alive.
@@ -862,9 +851,6 @@
 	c.filled = g.now
 }
 
-// unheard counts the silent peers of a customer's set.
-func (g *Gatekeeper) unheard(c *account) int { return g.mute[c.first+c.n] - g.mute[c.first] }
-
 // roomWait is how long until the quota's one store, as far as it is known here, has the units besides what
 // peers may have spent unheard; 0 is now.
 func (g *Gatekeeper) roomWait(c *account, units float64) float64 {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -1037,3 +1037,38 @@
 		t.Errorf("4 a second are reckoned as %v", got)
 	}
 }
+
+// Txns that come with little time are tried while most such are settled in it; where they fail, few still are,
+// so that a change is seen. Those with time are let in all along.
+func TestTightTxns(t *testing.T) {
+	cases := []struct {
+		name        string
+		end         Outcome
+		left        float64
+		least, most int // of the last 100 of 200
+	}{
+		{"settled in time", Settled, 200, 100, 100},
+		{"out of time", TimedOut, 200, 2, 35},
+		{"out of time, though there was plenty", TimedOut, 3000, 100, 100},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			h := newHost(t, charterFor(InquiryLike, func(ch *Charter) { ch.Plans[0] = Plan{Factor: 1} }), 5, 8)
+			let := 0
+			for i := range 200 {
+				h.g.window, h.g.pace = 1e9, 100
+				s := h.arrive(Arrival{Customer: 7, Units: 1, SetSize: 2, Left: c.left})
+				if h.at(h.now + 150); s.final == 0 {
+					h.at(math.Max(h.now, s.expiry))
+					h.ended(s, 0, c.end, 150)
+					if i >= 100 {
+						let++
+					}
+				}
+			}
+			if let < c.least || let > c.most {
+				t.Errorf("%d of the last 100 let in, want %d to %d", let, c.least, c.most)
+			}
+		})
+	}
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -272,6 +272,19 @@
 	p.burst = float64(p.open) / p.rate
 }
 
+// unheard counts the silent peers of a customer's set.
+func (g *Gatekeeper) unheard(c *account) int { return g.mute[c.first+c.n] - g.mute[c.first] }
+
+func (g *Gatekeeper) warmWork() float64 {
+	return g.warmDone * math.Exp((g.warmAt-g.now)/refMemory)
+}
+
+// distrustOf is what speaks against a worker for a txn.
+func (g *Gatekeeper) distrustOf(t *txn, wi int) float64 {
+	w := &g.workers[wi]
+	return w.distrust.at(g.now, distrustFade) + w.turned[g.sort(t)].at(g.now, turnedFade)
+}
+
 // sort numbers the pairs of plan and product.
 func (g *Gatekeeper) sort(t *txn) int { return t.plan*len(g.products) + t.product }
 
