--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -1038,7 +1038,7 @@
 	}
 }
 
-// Txns that come with little time are tried while most such are settled in it; where they fail, few still are,
+// Txns that come with little time are tried while most such are settled in it; where they fail, few are,
 // so that a change is seen. Those with time are let in all along.
 func TestTightTxns(t *testing.T) {
 	cases := []struct {
