--- a/internal/benchwire/benchwire_test.go
+++ b/internal/benchwire/benchwire_test.go
@@ -44,6 +44,11 @@
 			"[\"ROUND\",1050000]\n[\"OUTCOME\",3,9,0,\"w-a\",\"pass\",49000,true,0,0,null]\n" +
 			"[\"GONE\",3,9]\n[\"END\"]\n",
 			"[\"READY\"]\n[\"TRANSMIT\",3,9,500000,\"w-a\"]\n[\"READY\"]\n[\"READY\"]\n"},
+		{"load and use of no sense", first + round + request + "\n[\"END\"]\n" +
+			"[\"ROUND\",1050000]\n[\"OUTCOME\",3,9,0,\"w-a\",\"pass\",49000,true,\"many\",null," +
+			"{\"concurrent\":\"few\",\"depth\":-1,\"load_share\":[],\"other\":1}]\n" +
+			"[\"OUTCOME\",3,9,0,\"w-z\",\"pass\",49000,true,-7,null,7]\n[\"END\"]\n",
+			"[\"READY\"]\n[\"TRANSMIT\",3,9,500000,\"w-a\"]\n[\"READY\"]\n[\"READY\"]\n"},
 		{"lost update, peer bytes of no sense, late outcome", first + round +
 			"[\"DIRECTORY_UPDATE\",3,\"lost\",0,0]\n" +
 			"[\"WHISPER\",3,1,\"ffff\"]\n[\"WHISPER\",3,1,\"\"]\n[\"OUTCOME\",3,8,0,\"w-a\",\"cut\",1,true]\n" +
