--- a/logic/logic.go
+++ b/logic/logic.go
@@ -353,9 +353,8 @@
 }
 
 // turned notes that a worker turned a txn away as full. It counts as full for all only once it has done so to
-// more than one plan and more than one product, as far as there are more. Guards against workers that turn
-// away one of them though they have room: others would be driven off, and the window cut. A plan turned away
-// by a part of the workers gets the rest's part of the window; a true jam is found out a little later.
+// more than one plan and product, as far as there are more. Guards against workers that turn away one of them
+// though they have room. A plan turned away by a part of the workers gets the rest's part of the window.
 func (g *Gatekeeper) turned(w *worker, t *txn) {
 	w.turned[g.sort(t)].add(1, g.now, turnedFade)
 	plan, product := len(g.plans) == 1, len(g.products) == 1
@@ -517,8 +516,7 @@
 			continue
 		}
 		// Guards against workers that take txns and answer none: a hang, a lost hall, a cut link. The place of
-		// such a txn is free for others well before it is moved: many gatekeepers have few places each, and
-		// moving a txn that is only slow wastes its work.
+		// such a txn is free for others well before it is moved, as moving one that is only slow wastes its work.
 		if !s.silent && owes > lost {
 			s.silent = true
 			g.inHand--
@@ -802,7 +800,10 @@
 			return ByCeiling, wait
 		}
 	}
-	if p.rate > 0 {
+	limit := p.open
+	if p.out > 0 && p.open%c.n == 0 { // parts of the limit are whole submissions, which need no split
+		limit, t.inside = p.open/c.n, true
+	} else if p.rate > 0 {
 		wait := g.sliceWait(c, t.draws)
 		if !g.sparse(c) {
 			wait = math.Min(wait, g.roomWait(c, t.draws))
@@ -811,7 +812,7 @@
 			return ByQuota, wait
 		}
 	}
-	if p.open > 0 && c.out >= p.open {
+	if p.open > 0 && c.out >= limit {
 		if t.inside = false; !(p.excess && g.spare()) {
 			return ByQuota, g.pace
 		}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -871,7 +871,17 @@
 			}
 		})
 	}
-	h := newHost(t, many(2, func(c *Charter) { c.Plans[0] = Plan{Open: 2, Factor: 1, ExcessFee: 1} }), 5, 8)
+	for _, n := range []int{2, 3} { // whole parts of the limit, and parts of it
+		h := newHost(t, many(n, func(c *Charter) { c.Plans[0] = Plan{Open: 2, Factor: 1, ExcessFee: 1} }), 5, 8)
+		h.g.window = 1e9
+		for range 5 {
+			h.txn(7, 1)
+		}
+		if got := h.g.accounts[h.g.byKey[7]].out; got != 1 {
+			t.Errorf("%d out at one of %d gatekeepers", got, n)
+		}
+	}
+	h := newHost(t, many(3, func(c *Charter) { c.Plans[0] = Plan{Open: 2, Factor: 1, ExcessFee: 1} }), 5, 8)
 	h.g.window = 1e9
 	for range 300 {
 		if s := h.txn(7, 1); s.final == 0 {
