Read once more: less work and state for the same decisions; a wide limit starts quickly

How many submissions are to be out was searched in steps of 0.05 whatever the limit, so a setting of 100,000 would have taken minutes at a start: at most 800 steps now, the same ones up to a limit of 40. The longest SLA time is no longer kept after New; the demand known of all is reckoned for the time to return of sparse slices alone; restating plans and the check of limits without a rate are simpler; an unused parameter of a test is gone.

--- a/internal/config/charter.go
+++ b/internal/config/charter.go
@@ -163,10 +163,10 @@
 		return errors.New("family_info.use_period_us: use is told only where report.how is answers")
 	}
 	for i, p := range s.Tariffs {
-		if !answers && p.Open > 0 && p.Rate == 0 {
+		switch outAlone := p.Open > 0 && p.Rate == 0; {
+		case outAlone && !answers:
 			return fmt.Errorf("tariffs[%d].open: without a rate it goes only with report.how of answers", i)
-		}
-		if p.Open > 0 && p.Rate == 0 && p.MostAtOnce > 0 {
+		case outAlone && p.MostAtOnce > 0:
 			return fmt.Errorf("tariffs[%d].most_at_once: a store does not go with a limit on submissions out alone", i)
 		}
 	}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -39,6 +39,7 @@
 	mostTrim   = 2.0    // and the other way round; told use is late
 	firstWords = 0.1    // of the first period, taken to have passed at a start
 	outStep    = 0.05   // submissions; the fineness of how many are to be out
+	outSteps   = 800.0  // of these at most; a wide limit takes coarser ones, so that a start is quick
 
 	// Workers.
 	distrustFade = 3000.0  // ms; about what a restart or a short jam lasts
@@ -144,10 +145,10 @@
 		g.charter.tells = int(g.charter.period*perMs + 1e-9)
 		g.charter.cooldown = math.Max(cooldown, toldFor*g.charter.period) // customers stay hot between two words
 	}
+	var dearest, slowest float64
 	for _, d := range c.Products {
-		g.charter.slowest = math.Max(g.charter.slowest, d.SLA)
+		slowest = math.Max(slowest, d.SLA)
 	}
-	var dearest float64
 	for _, p := range c.Plans {
 		q := plan{rate: p.Rate / 1000, ceilRate: p.CeilingRate / 1000, ceilDepth: p.CeilingDepth, open: p.Open,
 			excess: p.ExcessShare > p.ExcessFee, largest: g.charter.largest, memory: demandMemory, tight: 1}
@@ -155,7 +156,7 @@
 		case p.Rate > 0:
 			q.burst = p.Burst / q.rate
 		case p.Open > 0:
-			q.out, q.stay, q.largest = mostOut(p), slaUse*g.charter.slowest, 1
+			q.out, q.stay, q.largest = mostOut(p), slaUse*slowest, 1
 			q.restate()
 		}
 		if n > fewPeers && q.burst < freshNews*g.charter.period && q.rate*q.burst*alpha < q.largest*float64(n) {
@@ -887,8 +888,8 @@
 		return 0
 	}
 	share := c.share
-	if total := g.total(c); g.sparse(c) && total > 0 { // what is credited, over time
-		share += g.plans[c.plan].rate * (1 - beta) * math.Min(g.own(c)/total, 1)
+	if g.sparse(c) { // what is credited, over time
+		share += g.plans[c.plan].rate * (1 - beta) * math.Min(g.own(c)/math.Max(g.total(c), 1e-12), 1)
 	}
 	if share <= 0 {
 		return math.MaxFloat64
@@ -1011,8 +1012,8 @@
 // mostOut is how many submissions a quota on those out should have out on average: where one more earns no
 // more than it costs, as many gatekeepers that don't see each other's meet by chance.
 func mostOut(p Plan) float64 {
-	best, most := 0.0, 0.0
-	for a := outStep; a <= float64(p.Open); a += outStep {
+	best, most, step := 0.0, 0.0, math.Max(outStep, float64(p.Open)/outSteps)
+	for a := step; a <= float64(p.Open); a += step {
 		inside, term := 0.0, math.Exp(-a)
 		for k := range p.Open { // Poisson: fewer than the limit are out
 			inside, term = inside+term, term*a/float64(k+1)
@@ -1040,9 +1041,7 @@
 	}
 	g.list()
 	for i := range g.plans {
-		if p := &g.plans[i]; p.out > 0 {
-			p.restate()
-		}
+		g.plans[i].restate()
 	}
 	clear(g.owed)
 	g.news = g.news[:0]
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -948,22 +948,22 @@
 	nan := math.NaN()
 	cases := []struct {
 		name        string
-		before      func(h *host, g *Gatekeeper)
+		before      func(g *Gatekeeper)
 		least, most float64 // part of the submissions at worker 0
 	}{
-		{"nothing known", func(*host, *Gatekeeper) {}, 0.4, 0.6},
-		{"its kind is slow", func(h *host, g *Gatekeeper) {
+		{"nothing known", func(*Gatekeeper) {}, 0.4, 0.6},
+		{"its kind is slow", func(g *Gatekeeper) {
 			g.kinds[0].pace, g.kinds[1].pace = 200, 100
 		}, 0.15, 0.35},
-		{"rated smaller", func(h *host, g *Gatekeeper) {
+		{"rated smaller", func(g *Gatekeeper) {
 			g.pace, g.workers[0].Rating, g.workers[1].Rating = 100, 1, 3
 		}, 0.15, 0.35},
-		{"says that it is busy", func(h *host, g *Gatekeeper) {
+		{"says that it is busy", func(g *Gatekeeper) {
 			g.load = 2
 			g.Burden(0, Burden{Held: 40, Waiting: -1, Busy: -1})
 			g.Burden(1, Burden{Held: 0, Waiting: -1, Busy: -1})
 		}, 0.15, 0.35},
-		{"words of no sense", func(h *host, g *Gatekeeper) {
+		{"words of no sense", func(g *Gatekeeper) {
 			for _, v := range []float64{nan, math.Inf(1), -5, 1e300} {
 				g.Burden(0, Burden{Held: v, Waiting: v, Busy: nan})
 			}
@@ -980,7 +980,7 @@
 			for range 400 {
 				h.g.kinds[0], h.g.kinds[1], h.g.pace = kind{}, kind{}, 0
 				h.g.workers[0].pace, h.g.workers[1].pace = 0, 0
-				c.before(h, h.g)
+				c.before(h.g)
 				h.g.list()
 				if s := h.txn(7, 1); s.final == 0 {
 					if s.subs[0].Worker == 0 {
--- a/logic/state.go
+++ b/logic/state.go
@@ -175,7 +175,7 @@
 	overlap, withdraw, advise  bool
 	loadTold, useTold          bool
 	maxAdvice, largest, period float64
-	cooldown, slowest          float64 // ms; the longest SLA time
+	cooldown                   float64 // ms
 	coldFrom, warmUp           float64
 	calm                       float64 // ms between looks while no txn has waited for long
 	slack                      float64 // how much slower than slaUse answers may get, for what late ones earn
@@ -266,10 +266,13 @@
 	return units
 }
 
-// restate puts a quota on submissions out as a rate: as many as are to be out, each as long as one stays out.
+// restate puts a quota on submissions out, where there is no other, as a rate: as many as are to be out, each
+// as long as one stays out.
 func (p *plan) restate() {
-	p.rate = p.out / math.Max(p.stay, 1)
-	p.burst = float64(p.open) / p.rate
+	if p.out > 0 {
+		p.rate = p.out / math.Max(p.stay, 1)
+		p.burst = float64(p.open) / p.rate
+	}
 }
 
 // unheard counts the silent peers of a customer's set.
