Operators' port with health, figures, quiesce and resume; told use folded away

internal/ops answers the four calls on a listener of its own; figures are atomic counts and a copy of the module's. A drain ends idle connections one after another, the longest idle first.

--- a/internal/benchwire/benchwire.go
+++ b/internal/benchwire/benchwire.go
@@ -170,9 +170,6 @@
 			if name, ok := m.at(4).(string); ok && m.at(10) != nil {
 				in.gk.Burden(in.workers.Of(name), burden(m.at(10)))
 			}
-			if used := m.opt(8); used >= 1 { // 1 more than per cent; 0 or absent says nothing
-				in.gk.Used(id, (used-1)/100)
-			}
 			in.gk.Ended(id, n, o, took, closed)
 		}
 	case "GONE":
--- a/internal/config/charter.go
+++ b/internal/config/charter.go
@@ -129,7 +129,6 @@
 		Whole:          s.ScoreParts.Whole,
 		WorstPlan:      s.ScoreParts.WorstTenant,
 		LoadTold:       s.Report.How == inAnswers,
-		UseTold:        s.FamilyInfo.UsePeriod > 0,
 	}
 	for i, p := range s.Classes {
 		t.Names.Products[p.Name] = i
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -27,6 +27,7 @@
 	Name      string
 	Listen    string
 	Discovery string
+	Control   string // where operators call; empty where they don't
 	Seed      int64
 	Cores     float64
 	MemoryMB  int
@@ -63,6 +64,7 @@
 			MemoryMB int `json:"memory_mb"`
 			Sockets  int
 		}
+		Control    string
 		Counter    string
 		PeerListen string `json:"peer_listen"`
 		Peers      []string
@@ -104,6 +106,11 @@
 	if g.Discovery, err = address("discovery", cmp.Or(m.Discovery, env("NODE_DISCOVERY"))); err != nil {
 		return g, err
 	}
+	if g.Control = cmp.Or(m.Control, env("NODE_CONTROL")); g.Control != "" {
+		if _, err = address("control", g.Control); err != nil {
+			return g, err
+		}
+	}
 	if m.Counter != "" { // not used, but what is wrong in a configuration is said
 		if _, err = address("counter", m.Counter); err != nil {
 			return g, err
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -71,6 +71,7 @@
 		{"listen no address", `127.0.0.1:5000`, `here`, "listen: "},
 		{"discovery no address", `127.0.0.1:8500`, `127.0.0.1`, "discovery: "},
 		{"counter no address", `"name":"n1"`, `"counter":"here"`, "counter: "},
+		{"control no address", `"name":"n1"`, `"control":"here"`, "control: "},
 		{"seed no hex", `8c1f30d27a5be964`, `seed`, "seed: "},
 		{"memory below nought", `"memory_mb":64`, `"memory_mb":-1`, "limits.memory_mb"},
 		{"sockets below nought", `"sockets":256`, `"sockets":-1`, "limits.sockets"},
@@ -163,9 +164,9 @@
 				t.Errorf("got %v, want %q", err, c.says)
 			}
 			text := strings.Join(c.swaps, " ")
-			load, use := strings.Contains(text, "answers"), strings.Contains(text, "use_")
-			if err == nil && (g.Charter.LoadTold != load || g.Charter.UseTold != use) {
-				t.Errorf("the charter has load %v, use %v", g.Charter.LoadTold, g.Charter.UseTold)
+			load := strings.Contains(text, "answers")
+			if err == nil && g.Charter.LoadTold != load {
+				t.Errorf("the charter has load %v", g.Charter.LoadTold)
 			}
 		})
 	}
--- a/internal/gate/desk.go
+++ b/internal/gate/desk.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"willowdeck/internal/held"
@@ -38,6 +39,8 @@
 	subs  int
 	stop  chan struct{}
 	late  float64 // ms after its expiry that the rules allow a final answer
+	ready atomic.Bool
+	pool  atomic.Pointer[logic.Tally] // a copy for those who must not wait
 
 	mu      sync.Mutex
 	gk      *logic.Gatekeeper
@@ -69,10 +72,20 @@
 func (d *Desk) Stop() { close(d.stop) }
 
 // Ready tells whether a txn could be served.
-func (d *Desk) Ready() bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.workers.Active()
+func (d *Desk) Ready() bool { return d.ready.Load() }
+
+// Look renews the copy of the module's counts that Seen gives.
+func (d *Desk) Look() {
+	t := d.Tally()
+	d.pool.Store(&t)
+}
+
+// Seen gives the module's counts as they were at the last Look, and never waits.
+func (d *Desk) Seen() logic.Tally {
+	if t := d.pool.Load(); t != nil {
+		return *t
+	}
+	return logic.Tally{}
 }
 
 // Tally gives the module's counts.
@@ -86,6 +99,7 @@
 func (d *Desk) Roster(l roster.List) {
 	d.enter()
 	list, ended := d.workers.Update(l, d.gk.Vacant)
+	d.ready.Store(d.workers.Active())
 	d.gk.Roster(list, !l.Whole)
 	d.leave()
 	for _, w := range ended {
@@ -160,7 +174,6 @@
 	now := d.enter()
 	if a.Heard {
 		d.gk.Burden(worker, a.Load)
-		d.gk.Used(h.ID, a.Use)
 	}
 	if a.Outcome == logic.Settled && !h.Final {
 		d.finish(h, held.Word{Answer: a}, now)
--- a/internal/gate/exchange.go
+++ b/internal/gate/exchange.go
@@ -38,6 +38,7 @@
 		g.links.Drop(l)
 		return &wire.Answer{Outcome: outcome}
 	}
+	g.links.Wrote()
 	a, err := l.Receive(until)
 	withdrawn := s.End()
 	if err == nil && !withdrawn && a.Keep() && g.links.Keep(l, &to) {
--- a/internal/lifecycle/lifecycle_test.go
+++ b/internal/lifecycle/lifecycle_test.go
@@ -136,6 +136,13 @@
 // deploy starts a gatekeeper before so many workers whose connections may stand idle for so many ms. swaps
 // are pairs of old and new text in its settings.
 func deploy(t *testing.T, workers, idle int, swaps ...string) *deployment {
+	t.Helper()
+	return deployWith(t, func(*config.Gatekeeper) {}, workers, idle, swaps...)
+}
+
+// deployWith changes the configuration as it has been read.
+func deployWith(t *testing.T, change func(*config.Gatekeeper), workers, idle int,
+	swaps ...string) *deployment {
 	t.Helper()
 	d := &deployment{t: t, news: make(chan string, 9), asked: make(chan string, 9)}
 	var names []string
@@ -159,6 +166,7 @@
 	if d.conf, err = config.Decode([]byte(conf), func(string) string { return "" }); err != nil {
 		t.Fatal(err)
 	}
+	change(&d.conf)
 	if d.gk, err = Start(d.conf, zerolog.Nop()); err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/internal/lifecycle/operate.go
@@ -0,0 +1,38 @@
+package lifecycle
+
+import "willowdeck/internal/ops"
+
+// up tells clients' side whether to come here.
+func (g *Gatekeeper) up() bool { return g.desk.Ready() && !g.drains.Load() }
+
+// Healthy tells whether this process serves clients.
+func (g *Gatekeeper) Healthy() bool { return g.up() && !g.front.Closing() }
+
+// Quiesce sends clients away: /up says no at once, and all that still comes is served.
+func (g *Gatekeeper) Quiesce() {
+	g.drains.Store(true)
+	g.limit.SendAway()
+}
+
+// Resume takes clients again.
+func (g *Gatekeeper) Resume() {
+	g.limit.Welcome()
+	g.drains.Store(false)
+}
+
+// Note logs what operators ask.
+func (g *Gatekeeper) Note(what string) { g.log.Info().Str("call", what).Msg("operators") }
+
+// Figures gathers what operators see, from counts and copies alone.
+func (g *Gatekeeper) Figures() ops.Figures {
+	seen := g.desk.Seen()
+	f := ops.Figures{Tries: g.links.Tries(), Active: g.front.Active(), Workers: int64(seen.Workers),
+		Avoided: int64(seen.Distrusted)}
+	f.Products = make([]ops.Product, len(g.conf.Charter.Products))
+	for name, i := range g.conf.Names.Products {
+		p := &f.Products[i]
+		p.Name = name
+		p.Settled, p.Declined, p.Voided = g.front.Finals(i)
+	}
+	return f
+}
--- /dev/null
+++ b/internal/lifecycle/operate_test.go
@@ -0,0 +1,128 @@
+package lifecycle
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"willowdeck/internal/config"
+	"willowdeck/logic"
+)
+
+// operated is a deployment with an operators' port.
+func operated(t *testing.T) *deployment {
+	t.Helper()
+	return deployWith(t, func(c *config.Gatekeeper) { c.Control = "127.0.0.1:0" }, 1, 5000)
+}
+
+func (d *deployment) operate(line string) string {
+	d.t.Helper()
+	c, err := net.Dial("tcp", d.gk.port.At)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(time.Second))
+	fmt.Fprint(c, line+" HTTP/1.1\r\nHost: ops\r\n\r\n")
+	b, err := io.ReadAll(c)
+	if err != nil {
+		d.t.Errorf("%s: %v", line, err)
+	}
+	return string(b)
+}
+
+// Figures tell what clients got and workers saw.
+func TestFigures(t *testing.T) {
+	d := operated(t)
+	tiny := strings.Replace(check("/check", "t1"), "basic", "tiny", 1)
+	for i, raw := range []string{check("/check", "a"), sale("/sale", "b"), issue("/issue?fault", "c"),
+		tiny, strings.Replace(tiny, "t1", "t2", 1), check("/check", ""),
+		"GET /up HTTP/1.1\r\nHost: x\r\n\r\n"} {
+		if status, _ := d.ask(raw); status == "" {
+			t.Errorf("no answer to %d", i)
+		}
+	}
+	time.Sleep(2 * time.Millisecond * logic.FiguresEach)
+	got := d.operate("GET /admin/stats")
+	for _, want := range []string{"svc.ok.check=2\n", "svc.shed.check=1\n", "svc.errors.check=0\n",
+		"svc.ok.sale=1\n", "svc.errors.issue=1\n", fmt.Sprintf("svc.tries=%d\n", len(d.got())),
+		"svc.active=0\n", "svc.pool_size=1\n"} {
+		if !strings.Contains(got, want) {
+			t.Errorf("no %q in %q", want, got)
+		}
+	}
+}
+
+// A drain says no at once, serves what comes, ends all idle connections in time, and can be taken back.
+func TestDrainAndResume(t *testing.T) {
+	d := operated(t)
+	up := func() bool {
+		status, _ := d.ask("GET /up HTTP/1.1\r\nHost: x\r\n\r\n")
+		return status == "HTTP/1.1 200 OK"
+	}
+	var kept []net.Conn
+	for i := range 4 {
+		c, err := net.Dial("tcp", d.at)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		if i > 0 { // the first one has asked nothing
+			fmt.Fprint(c, check("/check", fmt.Sprint("k", i)))
+			read(c)
+		}
+		kept = append(kept, c)
+	}
+	if !up() {
+		t.Fatal("not up")
+	}
+	for range 2 {
+		d.operate("PUT /admin/quiesce")
+	}
+	if up() || !strings.Contains(d.operate("GET /admin/health"), " 503 ") {
+		t.Error("up while clients are sent away")
+	}
+	if status, _ := d.ask(check("/check", "new")); status != "HTTP/1.1 200 OK" {
+		t.Errorf("a new one gets %q", status)
+	}
+	fmt.Fprint(kept[3], check("/check", "again"))
+	kept[3].SetDeadline(time.Now().Add(2 * time.Second))
+	if b, err := io.ReadAll(kept[3]); err != nil || !strings.Contains(string(b), "Connection: close") {
+		t.Errorf("a kept one gets %q, %v", b, err)
+	}
+	for i, c := range kept[:3] {
+		c.SetDeadline(time.Now().Add(2 * time.Second))
+		if b, err := io.ReadAll(c); err != nil || len(b) > 0 {
+			t.Errorf("idle connection %d: %q, %v", i, b, err)
+		}
+	}
+	for range 2 {
+		d.operate("PUT /admin/resume")
+	}
+	c, err := net.Dial("tcp", d.at)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if !up() || !strings.Contains(d.operate("GET /admin/health"), " 200 ") {
+		t.Error("not up after resume")
+	}
+	time.Sleep(time.Duration(logic.DrainAsked+200) * time.Millisecond)
+	fmt.Fprint(c, check("/check", "later"))
+	if status, _ := read(c); status != "HTTP/1.1 200 OK" {
+		t.Errorf("a connection kept after resume: %q", status)
+	}
+}
+
+// A control address that is taken ends the start with a message that names the key.
+func TestControlTaken(t *testing.T) {
+	d := operated(t)
+	c := d.conf
+	c.Control = d.gk.port.At
+	if g, err := Start(c, d.gk.log); err == nil || !strings.HasPrefix(err.Error(), "control: ") {
+		t.Errorf("started: %v, %v", g, err)
+	}
+}
--- a/internal/lifecycle/start.go
+++ b/internal/lifecycle/start.go
@@ -8,12 +8,14 @@
 	"net"
 	"runtime"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"willowdeck/internal/config"
 	"willowdeck/internal/gate"
+	"willowdeck/internal/ops"
 	"willowdeck/internal/wire"
 	"willowdeck/internal/wire/roster"
 	"willowdeck/logic"
@@ -31,6 +33,9 @@
 	front  *wire.Front
 	limit  *wire.Limited
 	links  *wire.Links
+	port   *ops.Port          // nil where operators do not call
+	drains atomic.Bool        // clients are sent away
+	over   chan struct{}      // closed at the end
 	peers  *wire.Peers        // nil where peers are not talked to
 	unwind context.CancelFunc // ends the watch
 	ended  chan int64         // the version that it got to
@@ -44,8 +49,11 @@
 	debug.SetMemoryLimit(int64(float64(c.MemoryMB) * (1 << 20) * logic.MemoryPart))
 	debug.SetGCPercent(logic.GarbagePart)
 
-	g := &Gatekeeper{conf: c, log: log, served: make(chan error, 1)}
+	g := &Gatekeeper{conf: c, log: log, served: make(chan error, 1), over: make(chan struct{})}
 	spare := float64(max(c.Sockets-logic.SpareFiles, 2))
+	if c.Control != "" {
+		spare = max(spare-logic.OperatorCalls, 2)
+	}
 	g.links = wire.NewLinks(max(int(spare*logic.WorkerPart), 1), wire.Millis(c.Lines.IdleLimit*logic.IdleUse),
 		wire.Millis(c.Lines.ConnectTimeout))
 	tell := func(int, []byte) {}
@@ -58,7 +66,7 @@
 	}
 	g.desk = gate.NewDesk(c.Charter, c.Seed, c.Lines.AnswerSlack+socketSlack, tell, g.links.Shed)
 	g.desk.Roster(c.Known)
-	g.front = wire.NewFront(c.Names, c.Charter, gate.New(g.desk, g.links).Serve, g.desk.Ready)
+	g.front = wire.NewFront(c.Names, c.Charter, gate.New(g.desk, g.links).Serve, g.up)
 
 	l, err := net.Listen("tcp", c.Listen)
 	if err != nil {
@@ -68,6 +76,16 @@
 		return nil, fmt.Errorf("listen: %w", err)
 	}
 	g.limit = wire.Limit(l, int(spare*logic.ClientPart))
+	if c.Control != "" {
+		if g.port, err = ops.Open(c.Control, g); err != nil {
+			_ = l.Close()
+			if g.peers != nil {
+				_ = g.peers.Close()
+			}
+			return nil, err
+		}
+		go ops.Every(g.over, g.desk.Look)
+	}
 	g.At = l.Addr().String()
 	g.watch(c.Known.Version)
 	if g.peers != nil {
--- a/internal/lifecycle/stop.go
+++ b/internal/lifecycle/stop.go
@@ -54,6 +54,9 @@
 		g.log.Warn().Err(err).Msg("closing the front")
 	}
 	g.desk.Stop()
+	if close(g.over); g.port != nil {
+		g.port.Close()
+	}
 	if g.peers != nil {
 		_ = g.peers.Close()
 	}
--- /dev/null
+++ b/internal/ops/ops.go
@@ -0,0 +1,171 @@
+// Package ops is the operators' port: an address of its own, apart from the clients', at which staff and
+// their programs ask for a gatekeeper's health and figures and send its clients away. It decides nothing, and
+// asks nothing that waits on a txn.
+package ops
+
+import (
+	"fmt"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"willowdeck/internal/wire"
+	"willowdeck/logic"
+)
+
+// Figures are what operators see of one process. Counts run from its start.
+type Figures struct {
+	Products                     []Product
+	Tries                        int64 // submissions written whole to workers
+	Active                       int64 // txns taken and not ended
+	Workers, Avoided             int64 // on the list; of these, steered away from now
+	ClientsShed, Unread, Ignored int64 // connections ended for others' sake; messages that could not be read
+}
+
+// Product is what became of one product's txns.
+type Product struct {
+	Name                      string
+	Settled, Declined, Voided int64
+}
+
+// Desk is what the port needs of a gatekeeper. None of its functions may wait.
+type Desk interface {
+	Healthy() bool    // whether it is ready to serve
+	Figures() Figures // no older than half a second
+	Quiesce()         // send clients away
+	Resume()          // take them again
+	Note(what string) // a call that changes something, for the log
+}
+
+// Port answers operators' calls.
+type Port struct {
+	At     string
+	limit  *wire.Limited
+	server fasthttp.Server
+	desk   Desk
+}
+
+// Open listens at an address and answers calls there until Close. It has room for few calls at once: those
+// who send nothing give way.
+func Open(at string, desk Desk) (*Port, error) {
+	l, err := net.Listen("tcp", at)
+	if err != nil {
+		return nil, fmt.Errorf("control: %w", err)
+	}
+	p := &Port{At: l.Addr().String(), limit: wire.Limit(l, logic.OperatorCalls), desk: desk}
+	p.server = fasthttp.Server{
+		Handler:            p.handle,
+		ErrorHandler:       unreadable,
+		DisableKeepalive:   true, // one call to a connection
+		MaxRequestBodySize: logic.OperatorBytes,
+		ReadBufferSize:     logic.OperatorBytes,
+		ReadTimeout:        wire.Millis(logic.OperatorWait),
+		WriteTimeout:       wire.Millis(logic.OperatorWait),
+		CloseOnShutdown:    true, NoDefaultServerHeader: true, NoDefaultDate: true,
+		Logger: wire.Silent{},
+	}
+	go func() { _ = p.server.Serve(p.limit) }()
+	return p, nil
+}
+
+// Close takes no more calls.
+func (p *Port) Close() {
+	_ = p.limit.Close()
+}
+
+// call is one path: the method it takes, and what it does.
+type call struct {
+	method string
+	do     func(*Port, *fasthttp.RequestCtx)
+}
+
+var calls = map[string]call{
+	"/admin/health":  {fasthttp.MethodGet, (*Port).health},
+	"/admin/stats":   {fasthttp.MethodGet, (*Port).stats},
+	"/admin/quiesce": {fasthttp.MethodPut, (*Port).quiesce},
+	"/admin/resume":  {fasthttp.MethodPut, (*Port).resume},
+}
+
+func (p *Port) handle(ctx *fasthttp.RequestCtx) {
+	ctx.SetContentType("text/plain")
+	c, ok := calls[string(ctx.Path())]
+	switch {
+	case !ok:
+		say(ctx, fasthttp.StatusNotFound, "no such call")
+	case string(ctx.Method()) != c.method:
+		ctx.Response.Header.Set("Allow", c.method)
+		say(ctx, fasthttp.StatusMethodNotAllowed, "this call takes "+c.method)
+	default:
+		c.do(p, ctx)
+	}
+}
+
+func (p *Port) health(ctx *fasthttp.RequestCtx) {
+	if p.desk.Healthy() {
+		say(ctx, fasthttp.StatusOK, "ready")
+		return
+	}
+	say(ctx, fasthttp.StatusServiceUnavailable, "not ready")
+}
+
+func (p *Port) stats(ctx *fasthttp.RequestCtx) { ctx.SetBody(Append(nil, p.desk.Figures())) }
+
+func (p *Port) quiesce(ctx *fasthttp.RequestCtx) {
+	p.desk.Note("quiesce")
+	p.desk.Quiesce()
+	say(ctx, fasthttp.StatusOK, "sending clients away")
+}
+
+func (p *Port) resume(ctx *fasthttp.RequestCtx) {
+	p.desk.Note("resume")
+	p.desk.Resume()
+	say(ctx, fasthttp.StatusOK, "taking clients")
+}
+
+func say(ctx *fasthttp.RequestCtx, status int, what string) {
+	ctx.SetStatusCode(status)
+	ctx.SetBodyString(what + "\n")
+}
+
+// unreadable answers what is no HTTP, too long, or does not come whole in time.
+func unreadable(ctx *fasthttp.RequestCtx, _ error) {
+	say(ctx, fasthttp.StatusBadRequest, "no call could be read")
+	wire.Linger(ctx)
+}
+
+// Append encodes figures, a line each.
+func Append(b []byte, f Figures) []byte {
+	line := func(name, of string, v int64) {
+		b = append(append(b, "svc."...), name...)
+		if of != "" {
+			b = append(append(b, '.'), of...)
+		}
+		b = append(strconv.AppendInt(append(b, '='), v, 10), '\n')
+	}
+	for _, p := range f.Products {
+		line("ok", p.Name, p.Settled)
+		line("shed", p.Name, p.Declined)
+		line("errors", p.Name, p.Voided)
+	}
+	line("tries", "", f.Tries)
+	line("active", "", f.Active)
+	line("pool_size", "", f.Workers)
+	line("pool_ejected", "", f.Avoided)
+	return b
+}
+
+// Every calls f now and then until stop is closed: figures that are costly to gather are kept as a copy.
+func Every(stop <-chan struct{}, f func()) {
+	t := time.NewTicker(wire.Millis(logic.FiguresEach))
+	defer t.Stop()
+	for {
+		f()
+		select {
+		case <-t.C:
+		case <-stop:
+			return
+		}
+	}
+}
--- a/internal/wire/front.go
+++ b/internal/wire/front.go
@@ -31,13 +31,15 @@
 	ready   func() bool
 	closing atomic.Bool
 	broken  atomic.Int64
+	active  atomic.Int64
+	finals  [][3]atomic.Int64 // by product: settled, declined, voided
 	marks   marks
 }
 
 // NewFront makes a front that is up, by its own word, while ready says so.
 func NewFront(names config.Names, charter logic.Charter, serve func(*Txn) Final, ready func() bool) *Front {
 	f := &Front{names: names, charter: charter, serve: serve, ready: ready,
-		marks: marks{open: map[string]bool{}}}
+		marks: marks{open: map[string]bool{}}, finals: make([][3]atomic.Int64, len(charter.Products))}
 	f.server = fasthttp.Server{
 		Handler:               f.handle,
 		ErrorHandler:          f.unreadable,
@@ -49,15 +51,16 @@
 		NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true,
 		DisablePreParseMultipartForm: true,
 		CloseOnShutdown:              true,
-		Logger:                       silent{},
+		Logger:                       Silent{},
 	}
 	return f
 }
 
-// silent drops the server's own log: what clients break is counted instead.
-type silent struct{}
+// Silent drops a server's own log: what callers break is counted instead.
+type Silent struct{}
 
-func (silent) Printf(string, ...any) {}
+// Printf says nothing.
+func (Silent) Printf(string, ...any) {}
 
 // Serve answers clients until Close.
 func (f *Front) Serve(l net.Listener) error {
@@ -73,6 +76,9 @@
 	return f.server.ShutdownWithContext(ctx)
 }
 
+// Closing tells whether Close has been called.
+func (f *Front) Closing() bool { return f.closing.Load() }
+
 // Broken tells how many messages of clients could not be read.
 func (f *Front) Broken() int64 { return f.broken.Load() }
 
@@ -106,7 +112,18 @@
 		}
 		t.client = p
 	}
-	f.answer(&ctx.Response, f.serve(&t))
+	f.active.Add(1)
+	f.answer(&ctx.Response, f.serve(&t), t.Product)
+	f.active.Add(-1)
+}
+
+// Active tells how many txns are taken and not answered.
+func (f *Front) Active() int64 { return f.active.Load() }
+
+// Finals tells how many txns of a product were settled, declined and voided.
+func (f *Front) Finals(product int) (settled, declined, voided int64) {
+	n := &f.finals[product]
+	return n[0].Load(), n[1].Load(), n[2].Load()
 }
 
 // refuse answers what is no txn, and ends its connection: what follows there may be part of it.
@@ -114,6 +131,11 @@
 	f.broken.Add(1)
 	ctx.Response.SetStatusCode(status)
 	ctx.Response.SetBodyString(says + "\n")
+	Linger(ctx)
+}
+
+// Linger ends a connection with this answer, so that it reaches a caller who still sends.
+func Linger(ctx *fasthttp.RequestCtx) {
 	ctx.SetConnectionClose()
 	if p, ok := ctx.Conn().(*placed); ok {
 		p.lingers.Store(true)
@@ -121,9 +143,11 @@
 }
 
 // answer encodes a final answer. Only the module's declines are 429: it says that trying again is harmless.
-func (f *Front) answer(r *fasthttp.Response, end Final) {
+func (f *Front) answer(r *fasthttp.Response, end Final, product int) {
+	n := &f.finals[product]
 	switch end.Kind {
 	case logic.Submit:
+		n[0].Add(1)
 		if end.Answer.Type != "" {
 			r.Header.SetContentType(end.Answer.Type)
 		}
@@ -132,11 +156,13 @@
 		}
 		r.SetBodyRaw(end.Answer.Body)
 	case logic.Decline:
+		n[1].Add(1)
 		r.SetStatusCode(fasthttp.StatusTooManyRequests)
 		if end.Wait > 0 {
 			r.Header.Set("Retry-After", strconv.FormatFloat(end.Wait/1000, 'f', 3, 64))
 		}
 	default:
+		n[2].Add(1)
 		r.SetStatusCode(fasthttp.StatusInternalServerError)
 	}
 }
--- a/internal/wire/limit.go
+++ b/internal/wire/limit.go
@@ -27,6 +27,7 @@
 
 	mu   sync.Mutex
 	open map[*placed]bool
+	away chan struct{} // open while clients are sent away
 }
 
 // Limit bounds the connections that a listener has open at once.
@@ -99,27 +100,70 @@
 	return float64(len(l.open)) > logic.CrowdedAt*float64(l.most)
 }
 
-// Drain ends the idle connections, each once nothing lies unread in it, and lets the others end with their
-// next answer. Guards against a stop that ends a connection with a txn in it that the machine has taken.
-func (l *Limited) Drain() {
-	l.ending.Store(true)
-	for left := true; left; time.Sleep(Millis(logic.AcceptAgain)) {
-		l.mu.Lock()
-		var waiting []*placed
-		for p := range l.open {
-			if s := p.state.Load(); s == fresh || s == idle {
-				waiting = append(waiting, p)
+// SendAway lets connections end with their next answer, and the idle ones one after another: those first
+// that have asked nothing for longest, all within DrainDone. Guards against one that is ended while a txn is
+// on its way. It does so until Welcome; a second call changes nothing.
+func (l *Limited) SendAway() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.away == nil {
+		l.away = make(chan struct{})
+		l.ending.Store(true)
+		go l.sendAway(l.away, time.Now())
+	}
+}
+
+// Welcome ends SendAway.
+func (l *Limited) Welcome() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.away != nil {
+		close(l.away)
+		l.away = nil
+		l.ending.Store(false)
+	}
+}
+
+func (l *Limited) sendAway(over <-chan struct{}, from time.Time) {
+	t := time.NewTicker(Millis(logic.AcceptAgain))
+	defer t.Stop()
+	for {
+		select {
+		case <-over:
+			return
+		case now := <-t.C:
+			if gone := now.Sub(from); gone > Millis(logic.DrainAsked) {
+				l.endIdle(max(Millis(logic.DrainDone)-gone, Millis(logic.AcceptAgain)))
 			}
 		}
-		l.mu.Unlock()
-		left = false
-		for _, p := range waiting {
-			settled := time.Since(time.Unix(0, p.since.Load())) > Millis(logic.AcceptAgain)
-			if !(settled && p.end()) && !p.Gone() {
-				left = true
-			}
+	}
+}
+
+// endIdle ends the connections that have asked nothing for so long, each once nothing lies unread in it, and
+// tells whether any is left. Guards against ending one with a txn in it that the machine has taken.
+func (l *Limited) endIdle(since time.Duration) (left bool) {
+	l.mu.Lock()
+	var waiting []*placed
+	for p := range l.open {
+		if s := p.state.Load(); s == fresh || s == idle {
+			waiting = append(waiting, p)
+		}
+	}
+	l.mu.Unlock()
+	for _, p := range waiting {
+		if !(time.Since(time.Unix(0, p.since.Load())) > since && p.end()) && !p.Gone() {
+			left = true
 		}
 	}
+	return left
+}
+
+// Drain ends all idle connections, as they are, and lets the others end with their next answer.
+func (l *Limited) Drain() {
+	l.ending.Store(true)
+	for l.endIdle(Millis(logic.AcceptAgain)) {
+		time.Sleep(Millis(logic.AcceptAgain))
+	}
 }
 
 // Shed tells how many idle connections were ended to make room.
--- a/internal/wire/links.go
+++ b/internal/wire/links.go
@@ -28,6 +28,7 @@
 	keep    time.Duration
 	connect time.Duration
 	spoilt  atomic.Int64
+	tries   atomic.Int64
 }
 
 // NewLinks makes room for so many connections, which are dropped once they have been idle for keep.
@@ -61,6 +62,12 @@
 // it that has ended.
 func (p *Links) Spoilt() int64 { return p.spoilt.Load() }
 
+// Tries tells how many submissions have been written whole.
+func (p *Links) Tries() int64 { return p.tries.Load() }
+
+// Wrote counts one that has.
+func (p *Links) Wrote() { p.tries.Add(1) }
+
 // Dial opens a connection, within its own limit and until a moment.
 func (p *Links) Dial(worker int, addr netip.AddrPort, until time.Time) (*Link, error) {
 	p.mu.Lock()
--- a/internal/wire/submission.go
+++ b/internal/wire/submission.go
@@ -20,7 +20,6 @@
 	Type, Coding string
 	Body         []byte
 	Load         logic.Burden // what the worker said of its load
-	Use          float64      // of the customer's quota, by all gatekeepers; below nought it is not said
 	Heard        bool         // it came from the worker, and whole
 	last         bool         // the connection ends with it
 }
@@ -86,7 +85,7 @@
 		return nil, err
 	}
 	a := &Answer{last: r.ConnectionClose() || l.in.Buffered() > 0, Heard: true,
-		Load: load(&r.Header), Use: use(&r.Header)}
+		Load: load(&r.Header)}
 	switch code := r.StatusCode(); {
 	case code == fasthttp.StatusOK:
 		a.Outcome = logic.Settled
@@ -117,19 +116,6 @@
 	return logic.Burden{Held: or(says.Inflight), Waiting: or(says.Queue), Busy: or(says.Util)}
 }
 
-// use reads the customer's use of its quota, told as one more than per cent.
-func use(h *fasthttp.ResponseHeader) float64 {
-	all := h.PeekAll("Usage-Percent")
-	if len(all) != 1 {
-		return -1
-	}
-	v, err := number(all[0])
-	if err != nil || v < 1 {
-		return -1
-	}
-	return (v - 1) / 100
-}
-
 // readAnswer reads an answer whose end is stated, past the interim ones ahead of it. Guards against one that
 // ends with its connection: it could have been cut short anywhere.
 func readAnswer(r *fasthttp.Response, in *bufio.Reader) error {
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -347,31 +347,29 @@
 	}
 }
 
-// What answers say of load and use, and what of it counts as not said.
-func TestLoadAndUse(t *testing.T) {
+// What answers say of load, and what of it counts as not said.
+func TestLoad(t *testing.T) {
 	cases := []struct {
-		name, load, use string
-		want            logic.Burden
-		wantUse         float64
+		name, load string
+		want       logic.Burden
 	}{
-		{"both", `{"inflight":7,"queue":2,"util":0.61}`, "87", logic.Burden{Held: 7, Waiting: 2, Busy: 0.61}, 0.86},
-		{"some, and one not known", `{"queue":2,"eps":1}`, "1", logic.Burden{Held: -1, Waiting: 2, Busy: -1}, 0},
-		{"no JSON", `inflight=7`, "eighty", logic.Burden{Held: -1, Waiting: -1, Busy: -1}, -1},
-		{"no number", `{"inflight":"7"}`, "NaN", logic.Burden{Held: -1, Waiting: -1, Busy: -1}, -1},
-		{"over all bounds", `{"inflight":1e999}`, "1e999", logic.Burden{Held: -1, Waiting: -1, Busy: -1}, -1},
-		{"below nought", `{"inflight":-7,"queue":1}`, "-3", logic.Burden{Held: -1, Waiting: 1, Busy: -1}, -1},
-		{"nought is not said", `{}`, "0", logic.Burden{Held: -1, Waiting: -1, Busy: -1}, -1},
-		{"missing", "", "", logic.Burden{Held: -1, Waiting: -1, Busy: -1}, -1},
+		{"all", `{"inflight":7,"queue":2,"util":0.61}`, logic.Burden{Held: 7, Waiting: 2, Busy: 0.61}},
+		{"some, and one not known", `{"queue":2,"eps":1}`, logic.Burden{Held: -1, Waiting: 2, Busy: -1}},
+		{"no JSON", `inflight=7`, logic.Burden{Held: -1, Waiting: -1, Busy: -1}},
+		{"no number", `{"inflight":"7"}`, logic.Burden{Held: -1, Waiting: -1, Busy: -1}},
+		{"over all bounds", `{"inflight":1e999}`, logic.Burden{Held: -1, Waiting: -1, Busy: -1}},
+		{"below nought", `{"inflight":-7,"queue":1}`, logic.Burden{Held: -1, Waiting: 1, Busy: -1}},
+		{"nought is not said", `{}`, logic.Burden{Held: -1, Waiting: -1, Busy: -1}},
+		{"missing", "", logic.Burden{Held: -1, Waiting: -1, Busy: -1}},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			var h fasthttp.ResponseHeader
 			if c.load != "" {
 				h.Set("X-Load", c.load)
-				h.Set("Usage-Percent", c.use)
 			}
-			if got, u := load(&h), use(&h); got != c.want || u-c.wantUse > 1e-9 || c.wantUse-u > 1e-9 {
-				t.Errorf("load %+v, use %v", got, u)
+			if got := load(&h); got != c.want {
+				t.Errorf("load %+v", got)
 			}
 			h.Add("X-Load", `{"inflight":1}`)
 			if c.load != "" && load(&h).Held >= 0 {
--- a/logic/iface.go
+++ b/logic/iface.go
@@ -49,7 +49,6 @@
 	MaxAdvice       float64 // longest advice that clients heed
 	MayTell         bool    // peer messages are allowed
 	LoadTold        bool    // answers may carry the worker's load
-	UseTold         bool    // and the customer's use of its quota
 	PeerInPerS      float64 // messages a gatekeeper takes in a second
 	ReportsPerTell  int     // customer reports that fit one peer message
 	ColdFrom        float64 // a started worker's least share of its capacity
@@ -148,5 +147,6 @@
 	Final                      [Reasons]int
 	Declined, Voided           int
 	Hot, Customers, Distrusted int
+	Workers                    int // on the list
 	InFlight, Window           float64
 }
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -34,9 +34,6 @@
 	fewPeers   = 8      // gatekeepers up to which a slice under one txn still fills in time
 	freshNews  = 2.0    // periods; a burst that lasts so long is told of while it is used up
 	longMemory = 5000.0 // ms; the longest that demand is smoothed over for a plan's burst
-	useGain    = 0.1    // weight of the newest told use; one period's use is noisy
-	mostUse    = 100.0  // of the rate; more is no use that could be
-	mostTrim   = 2.0    // and the other way round; told use is late
 	firstWords = 0.1    // of the first period, taken to have passed at a start
 	outStep    = 0.05   // submissions; the fineness of how many are to be out
 	outSteps   = 800.0  // of these at most; a wide limit takes coarser ones, so that a start is quick
@@ -101,28 +98,34 @@
 	adviseBusy = 0.25  // of the SLA time; when to return after a decline under pressure
 
 	// What the host of sockets goes by.
-	IdleUse     = 0.5     // of the worker's idle limit; a connection idle for longer is dropped
-	SpareFiles  = 16      // descriptors for all but clients and workers: a dozen, with the runtime's own
-	ClientPart  = 0.6     // of the others; connections of clients, usual ones beside as many silent ones
-	WorkerPart  = 0.4     // of the others; connections to workers, busy and idle
-	MemoryPart  = 0.6     // of the memory; the runtime's soft limit, as files and the kernel's part count too
-	GarbagePart = 100     // per cent; a heap of a few MB levels off in seconds, at little work
-	WholeTxn    = 2000.0  // ms for a client to send a whole txn, or take its answer; it is owed a word in 3 s
-	IdleClient  = 5000.0  // ms until the place of a client that asks nothing is freed; longer than pauses in use
-	IdleLong    = 2000.0  // ms without a txn after which a client's connection may be ended for another's
-	Unproven    = 100.0   // ms after which so may one that has sent no whole txn yet; usual ones do at once
-	CrowdedAt   = 0.4     // of clients' places; above it connections end with their first answer
-	LongestWait = 3.6e6   // ms that a client may say it waits; more is no time to reckon with
-	LongestMark = 64      // bytes of a txn's mark; those in use have 16
-	Linger      = 500.0   // ms in which a client that still sends may take the word that ends its connection
-	LingerBytes = 1 << 20 // that are read from it and dropped meanwhile; what is in flight when it hears
-	WholeAnswer = 100.0   // ms from an answer's first byte to its last; of those that came whole none took 20
-	MostInterim = 8       // interim answers ahead of one; more are no answer
-	AcceptAgain = 10.0    // ms until the next try to take a connection after one has failed
-	WatchQuiet  = 5000.0  // ms; the watch says something each 2 s, and one line may be late
-	LongestList = 8 << 20 // bytes of a line of the watch; some ten thousand workers
-	WatchAgain  = 100.0   // ms until the watch is opened anew; news must not wait long
-	AcceptOn    = 450.0   // ms after the order to stop in which new connections are served; they come for 400
+	IdleUse       = 0.5     // of the worker's idle limit; a connection idle for longer is dropped
+	SpareFiles    = 16      // descriptors for all but clients and workers: a dozen, with the runtime's own
+	ClientPart    = 0.6     // of the others; connections of clients, usual ones beside as many silent ones
+	WorkerPart    = 0.4     // of the others; connections to workers, busy and idle
+	MemoryPart    = 0.6     // of the memory; the runtime's soft limit, as files and the kernel's part count too
+	GarbagePart   = 100     // per cent; a heap of a few MB levels off in seconds, at little work
+	WholeTxn      = 2000.0  // ms for a client to send a whole txn, or take its answer; it is owed a word in 3 s
+	IdleClient    = 5000.0  // ms until the place of a client that asks nothing is freed; over pauses in use
+	IdleLong      = 2000.0  // ms without a txn after which a client's connection may be ended for another's
+	Unproven      = 100.0   // ms after which so may one that has sent no whole txn yet; usual ones do at once
+	CrowdedAt     = 0.4     // of clients' places; above it connections end with their first answer
+	LongestWait   = 3.6e6   // ms that a client may say it waits; more is no time to reckon with
+	LongestMark   = 64      // bytes of a txn's mark; those in use have 16
+	Linger        = 500.0   // ms in which a client that still sends may take the word that ends its connection
+	LingerBytes   = 1 << 20 // that are read from it and dropped meanwhile; what is in flight when it hears
+	WholeAnswer   = 100.0   // ms from an answer's first byte to its last; of those that came whole none took 20
+	MostInterim   = 8       // interim answers ahead of one; more are no answer
+	AcceptAgain   = 10.0    // ms until the next try to take a connection after one has failed
+	WatchQuiet    = 5000.0  // ms; the watch says something each 2 s, and one line may be late
+	LongestList   = 8 << 20 // bytes of a line of the watch; some ten thousand workers
+	WatchAgain    = 100.0   // ms until the watch is opened anew; news must not wait long
+	OperatorCalls = 16      // operators' connections at once; silent ones give way
+	OperatorBytes = 4096    // of an operator's call; head and body
+	OperatorWait  = 800.0   // ms for a call to come whole, and for its answer to be taken; due in 1 s
+	FiguresEach   = 150.0   // ms between looks at the module for operators' figures; they may be 500 ms old
+	DrainAsked    = 300.0   // ms that connections go on coming after /up has said no; they come for 200
+	DrainDone     = 1500.0  // ms after which a drain has ended the last idle connection; it has 4 s
+	AcceptOn      = 450.0   // ms after the order to stop in which new connections are served; they come for 400
 )
 
 // New starts a gatekeeper that knows nothing but its charter. The same seed and inputs give the same
@@ -136,7 +139,7 @@
 	g.charter = terms{me: c.Me, n: n, maxSubs: max(c.MaxSubmissions, 1), perTell: c.ReportsPerTell,
 		overlap: c.MayOverlap, withdraw: c.MayWithdraw, advise: c.MayAdvise, maxAdvice: c.MaxAdvice,
 		largest: math.Max(c.LargestUnits, 1), period: period, coldFrom: c.ColdFrom,
-		warmUp: c.WarmUp * warmMargin, loadTold: c.LoadTold, useTold: c.UseTold,
+		warmUp: c.WarmUp * warmMargin, loadTold: c.LoadTold,
 		talks: c.MayTell && n > 1 && c.ReportsPerTell > 0}
 	g.charter.tells, g.charter.cooldown = math.MaxInt16, cooldown
 	if c.PeerInPerS > 0 { // what all peers send in a period must fit the intake
@@ -373,20 +376,6 @@
 	return w.turned[sort].at(g.now, turnedFade) > turnedAt
 }
 
-// Used takes what an answer said of its customer's use of the quota by all gatekeepers, in parts of the rate,
-// in some period before. Guards against a split that lets in too much, as demand is known late or words of it
-// are lost; where no use is told the split stands.
-func (g *Gatekeeper) Used(id uint64, use float64) {
-	slot, ok := g.byID[id]
-	if !ok || !g.charter.useTold || !(use >= 0) || use > mostUse {
-		return
-	}
-	c := &g.accounts[g.txns[slot].acct]
-	if p := &g.plans[c.plan]; g.sparse(c) && p.out == 0 && g.total(c) > p.rate {
-		c.trim = math.Min(math.Max(c.trim*(1+useGain*(1-use)), 1/mostTrim), 1)
-	}
-}
-
 // Hear takes a peer's reports. A message says nought of the customers that it does not name.
 func (g *Gatekeeper) Hear(from int, reports []Report) {
 	if from < 0 || from >= g.charter.n || from == g.charter.me {
@@ -1002,7 +991,7 @@
 	lately := c.lately * math.Exp((c.seen-g.now)/demandMemory)
 	usual := math.Max(g.own(c)-lately*demandMemory/p.memory, 0) / math.Max(total, 1e-9)
 	total = math.Max(total, lately/math.Min(usual+1/float64(c.n), 1))
-	if part := p.rate * (1 - beta) * c.trim / math.Max(total, 1e-12); part < 1 {
+	if part := p.rate * (1 - beta) / math.Max(total, 1e-12); part < 1 {
 		c.level += units * part
 	} else {
 		c.level = math.Max(c.level, units)
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -755,7 +755,7 @@
 // many is a charter of so many gatekeepers whose parts of a quota of 10 a second are too small for a txn.
 func many(n int, change func(*Charter)) Charter {
 	return charterFor(InquiryLike, func(c *Charter) {
-		c.Gatekeepers, c.LoadTold, c.UseTold = n, true, true
+		c.Gatekeepers, c.LoadTold = n, true
 		c.Plans[0].Burst = 10
 		if change != nil {
 			change(c)
@@ -996,44 +996,6 @@
 	}
 }
 
-// Told use lowers the split of a customer held to its quota while that is overspent, by half at most. Where
-// what is told makes no sense, the split stands.
-func TestToldUse(t *testing.T) {
-	cases := []struct {
-		name   string
-		use    float64
-		demand float64
-		want   float64
-	}{
-		{"overspent", 3, 40, 1 / mostTrim},
-		{"well within", 0.5, 40, 1},
-		{"overspent, asking little", 3, 1, 1},
-		{"no number", math.NaN(), 40, 1},
-		{"without end", math.Inf(1), 40, 1},
-		{"below nought", -1, 40, 1},
-	}
-	for _, c := range cases {
-		t.Run(c.name, func(t *testing.T) {
-			h := newHost(t, many(100, nil), 5, 8)
-			h.old()
-			h.g.Hear(1, []Report{{Customer: 7, Demand: c.demand}})
-			h.g.account(Arrival{Customer: 7, SetSize: 100})
-			a := &h.g.accounts[h.g.byKey[7]]
-			for range 5 {
-				a.level = 5
-				if s := h.txn(7, 1); s.final == 0 {
-					h.g.Used(s.ID, c.use)
-					h.ended(s, 0, Settled, 50)
-				}
-			}
-			if !near(a.trim, c.want) {
-				t.Errorf("trim is %v, want %v", a.trim, c.want)
-			}
-			h.g.Used(12345, 3) // of no txn
-		})
-	}
-}
-
 // With hundreds of gatekeepers a period lasts for seconds: customers stay hot from one word to the next, and
 // what a gatekeeper tells soon after its start is what is asked a second, not the part it has seen.
 func TestLongPeriod(t *testing.T) {
--- a/logic/state.go
+++ b/logic/state.go
@@ -33,7 +33,6 @@
 	unsaid              float64 // units sent on since the last report
 	said, saidAt, known float64 // demand last reported, when, and what was left of the one before
 	out                 int     // submissions out
-	trim                float64 // by how much the split is mended by told use
 }
 
 // peer is what is known of another gatekeeper.
@@ -173,7 +172,7 @@
 	me, n, maxSubs, perTell    int
 	tells                      int // messages to one peer in a period
 	overlap, withdraw, advise  bool
-	loadTold, useTold          bool
+	loadTold                   bool
 	maxAdvice, largest, period float64
 	cooldown                   float64 // ms
 	coldFrom, warmUp           float64
@@ -185,7 +184,7 @@
 // Tally gives the counts and the present state that on-call staff look at.
 func (g *Gatekeeper) Tally() Tally {
 	t := g.tally
-	t.InFlight, t.Window, t.Customers = float64(g.inHand), g.window, len(g.byKey)
+	t.InFlight, t.Window, t.Customers, t.Workers = float64(g.inHand), g.window, len(g.byKey), len(g.ready)
 	for i := range g.accounts {
 		if g.accounts[i].live && g.accounts[i].hot {
 			t.Hot++
@@ -225,7 +224,7 @@
 func (g *Gatekeeper) open(customer uint64, plan int) int32 {
 	ai := place(&g.accounts, &g.unused)
 	c, p := &g.accounts[ai], &g.plans[plan]
-	*c = account{customer: customer, plan: plan, seen: g.now, coolSince: g.now, filled: g.now, trim: 1,
+	*c = account{customer: customer, plan: plan, seen: g.now, coolSince: g.now, filled: g.now,
 		whole: g.holds(p, p.rate), live: true}
 	g.byKey[uint32(customer)] = ai
 	return ai
