The clients' door and the links stream what is over 64 KiB, both ways, in bounded memory

The door is a loop of our own over the library's codecs. Long bodies go out once, as they come, and the module knows (Streams, Poured); long answers are the client's from their first byte (Begun). Ruled out: refused heads, marks in use and connections shed (none was logged). An answer that ends with its connection now counts as whole: a spoilt one never ends.

--- a/internal/gate/desk.go
+++ b/internal/gate/desk.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -162,13 +163,48 @@
 	now := d.enter()
 	d.last++
 	t.ID = d.last
-	h := held.NewTxn(t.ID, now+t.Left, t.Gone, d.subs)
+	expiry := now + t.Left
+	if t.Streams {
+		expiry = math.Inf(1)
+	}
+	h := held.NewTxn(t.ID, expiry, t.Gone, d.subs)
 	d.txns[t.ID] = h
 	d.gk.Take(t.Arrival)
 	d.leave()
 	return h
 }
 
+// poured tells the module that a body that is not kept has begun to go out or, where left is given, has gone
+// out whole: its client waits so many ms from now on. It gives that moment.
+func (d *Desk) poured(h *held.Txn, n int, left float64) time.Time {
+	now := d.enter()
+	d.gk.Poured(h.ID, n, left)
+	if left > 0 {
+		h.Expiry, h.Whole = now+left, now
+	}
+	d.leave()
+	return d.clock.time(now + left)
+}
+
+// whole gives the time at which a txn's body had gone out.
+func (d *Desk) whole(h *held.Txn) float64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return h.Whole
+}
+
+// begun gives a txn the answer that begins to be passed on, unless it has its final one.
+func (d *Desk) begun(h *held.Txn, n int, a *wire.Answer) bool {
+	now := d.enter()
+	begins := !h.Final && a.Outcome == logic.Settled
+	if begins {
+		d.finish(h, held.Word{Answer: a}, now)
+		d.gk.Begun(h.ID, n)
+	}
+	d.leave()
+	return begins
+}
+
 // ended tells the module how a submission ended. The first answer of a worker settles the txn.
 func (d *Desk) ended(h *held.Txn, n, worker int, a *wire.Answer, took float64) {
 	now := d.enter()
--- a/internal/gate/exchange.go
+++ b/internal/gate/exchange.go
@@ -5,22 +5,22 @@
 	"os"
 	"time"
 
-	"willowdeck/internal/held"
 	"willowdeck/internal/wire"
 	"willowdeck/logic"
 )
 
-// exchange sends a submission and waits for its answer. However it ends, its link is closed or free for
-// others before it returns: only then may the txn be submitted again.
-func (g *Gate) exchange(s *held.Submission, to held.Life, until time.Time, msg []byte) *wire.Answer {
-	l := g.links.Idle(to.Worker)
-	if l == nil {
+// exchange sends a submission and waits for its answer, and gives the time at which that began to be waited
+// for. However it ends, its link is closed or free for others before it returns: only then may the txn be
+// submitted again. The exception is an answer whose rest is left to be passed on, which comes with its link.
+func (g *Gate) exchange(j job, until time.Time) (a *wire.Answer, l *wire.Link, began float64) {
+	s, to, began := j.word.Sub, j.word.To, g.desk.clock.now()
+	if l = g.links.Idle(to.Worker); l == nil {
 		var err error
 		if l, err = g.links.Dial(to.Worker, to.Addr, until); err != nil {
 			if errors.Is(err, wire.ErrNoRoom) || !time.Now().Before(until) {
-				return &wire.Answer{Outcome: logic.NotSent}
+				return &wire.Answer{Outcome: logic.NotSent}, nil, began
 			}
-			return &wire.Answer{Outcome: logic.NoRoute}
+			return &wire.Answer{Outcome: logic.NoRoute}, nil, began
 		}
 	}
 	l.Until(until)
@@ -28,30 +28,83 @@
 	// drains or has started anew, cold.
 	if !to.Holds() || !time.Now().Before(until) || !s.Begin(l) {
 		g.links.Drop(l)
-		return &wire.Answer{Outcome: logic.NotSent}
+		return &wire.Answer{Outcome: logic.NotSent}, nil, began
 	}
-	if err := l.Send(msg); err != nil {
-		outcome := logic.NoRoute // broke before its last byte: it never ran
-		if withdrawn := s.End(); withdrawn || errors.Is(err, os.ErrDeadlineExceeded) {
-			outcome = logic.NotSent
+	err := l.Send(j.msg)
+	if err == nil && j.upload != nil {
+		var whole bool
+		if a, began, whole, err = g.pour(j, l); whole || err == nil {
+			return g.answered(j, l, a, err, began)
 		}
+	}
+	if err != nil {
+		withdrawn := s.End()
 		g.links.Drop(l)
-		return &wire.Answer{Outcome: outcome}
+		if withdrawn || errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, errClient) {
+			return &wire.Answer{Outcome: logic.NotSent}, nil, began
+		}
+		return &wire.Answer{Outcome: logic.NoRoute}, nil, began // broke before its last byte: it never ran
 	}
 	g.links.Wrote()
-	a, err := l.Receive(until)
-	withdrawn := s.End()
-	if err == nil && !withdrawn && a.Keep() && g.links.Keep(l, &to) {
-		return a
+	a, err = l.Receive()
+	return g.answered(j, l, a, err, began)
+}
+
+// answered ends a submission that was written whole, or was answered before.
+func (g *Gate) answered(j job, l *wire.Link, a *wire.Answer, err error, began float64) (*wire.Answer,
+	*wire.Link, float64) {
+	withdrawn := j.word.Sub.End()
+	if err == nil && !withdrawn {
+		if a.Rest != nil {
+			return a, l, began
+		}
+		if a.Keep() && g.links.Keep(l, &j.word.To) {
+			return a, nil, began
+		}
 	}
 	g.links.Drop(l)
 	switch {
+	case err == nil && a.Rest == nil:
+	case err == nil || withdrawn:
+		a = &wire.Answer{Outcome: logic.Withdrawn}
+	case errors.Is(err, os.ErrDeadlineExceeded) && l.Overdue():
+		a = &wire.Answer{Outcome: logic.TimedOut}
+	default:
+		a = &wire.Answer{Outcome: logic.Cut} // one that stalls is cut from here
+	}
+	return a, nil, began
+}
+
+var errClient = errors.New("the client has not finished its txn")
+
+// pour sends the body of a txn on as it comes, while the worker may already answer, and tells whether it was
+// written whole. If not, it never ran.
+func (g *Gate) pour(j job, l *wire.Link) (a *wire.Answer, began float64, whole bool, err error) {
+	n := j.word.Decision.N
+	g.desk.poured(j.txn, n, 0)
+	l.Until(time.Time{}) // its time has not begun
+	sent := make(chan error, 1)
+	go func() {
+		err := l.Pour(j.upload)
+		if err == nil {
+			g.links.Wrote()
+			l.Until(g.desk.poured(j.txn, n, j.left))
+		} else if j.upload.Fault() != nil {
+			l.Abort()
+		}
+		sent <- err
+	}()
+	a, err = l.Receive()
+	began = g.desk.clock.now()
+	j.upload.Stop() // what is answered early needs no more of it
+	fail := <-sent
+	switch {
+	case fail == nil:
+		began = g.desk.whole(j.txn)
 	case err == nil:
-		return a
-	case withdrawn:
-		return &wire.Answer{Outcome: logic.Withdrawn}
-	case errors.Is(err, os.ErrDeadlineExceeded) && !time.Now().Before(until):
-		return &wire.Answer{Outcome: logic.TimedOut}
+		a.Last()
+	case j.upload.Fault() != nil:
+		err = errClient
 	}
-	return &wire.Answer{Outcome: logic.Cut} // one that stalls is cut from here
+	return a, began, fail == nil, err
 }
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -3,6 +3,8 @@
 package gate
 
 import (
+	"errors"
+
 	"willowdeck/internal/held"
 	"willowdeck/internal/wire"
 	"willowdeck/logic"
@@ -15,11 +17,16 @@
 	jobs  chan job
 }
 
+// errGone tells that an answer came when its txn had its final one.
+var errGone = errors.New("the txn has its answer")
+
 // job is one submission to carry.
 type job struct {
-	txn  *held.Txn
-	word held.Word
-	msg  []byte
+	txn    *held.Txn
+	word   held.Word
+	msg    []byte
+	upload *wire.Upload // what follows on it, or nil
+	left   float64      // ms that the client waits from then on
 }
 
 // New makes a gate over a desk and connections to workers.
@@ -28,6 +35,9 @@
 // Serve is a txn's life: it is taken, submitted where the module says and as often, and answered once.
 func (g *Gate) Serve(t *wire.Txn) wire.Final {
 	h := g.desk.take(t)
+	if t.Upload != nil {
+		defer t.Upload.Settle()
+	}
 	for w := range h.Box {
 		if w.Answer != nil {
 			return wire.Final{Kind: logic.Submit, Answer: w.Answer}
@@ -38,7 +48,10 @@
 		}
 		// What passes on is copied here: the txn's own bytes end with this function, which a submission that may
 		// not be withdrawn outlives.
-		j := job{h, w, wire.AppendSubmission(nil, t, d.Wait)}
+		j := job{h, w, wire.AppendSubmission(nil, t, d.Wait), t.Upload, t.Left}
+		if t.Upload != nil {
+			t.Upload.Begin()
+		}
 		select {
 		case g.jobs <- j:
 		default:
@@ -52,14 +65,32 @@
 // once; each keeps the stack that its first one grew.
 func (g *Gate) work(j job) {
 	for {
-		g.submit(j.txn, j.word, j.msg)
+		g.submit(j)
 		j = <-g.jobs
 	}
 }
 
 // submit carries one submission to its worker and its end to the desk.
-func (g *Gate) submit(h *held.Txn, w held.Word, msg []byte) {
-	began := g.desk.clock.now()
-	a := g.exchange(w.Sub, w.To, g.desk.clock.time(began+w.Decision.Wait), msg)
-	g.desk.ended(h, w.Decision.N, w.Decision.Worker, a, g.desk.clock.now()-began)
+func (g *Gate) submit(j job) {
+	d := &j.word.Decision
+	a, l, began := g.exchange(j, g.desk.clock.time(g.desk.clock.now()+d.Wait))
+	if j.upload != nil {
+		j.upload.End()
+	}
+	took := g.desk.clock.now() - began
+	if l != nil { // the answer is the client's from here on, and its rest goes through the client's function
+		passed := make(chan error, 1)
+		a.Then(func(err error) { passed <- err })
+		var err error = errGone
+		if g.desk.begun(j.txn, d.N, a) {
+			err = <-passed
+		}
+		if err != nil || !a.Keep() || !g.links.Keep(l, &j.word.To) {
+			g.links.Drop(l)
+		}
+		if errors.Is(err, wire.ErrBrokenOff) {
+			a.Outcome = logic.Cut
+		}
+	}
+	g.desk.ended(j.txn, d.N, d.Worker, a, took)
 }
--- a/internal/held/life.go
+++ b/internal/held/life.go
@@ -19,6 +19,7 @@
 type Txn struct {
 	ID     uint64
 	Expiry float64
+	Whole  float64     // when a body that is not kept had gone out
 	Gone   func() bool // whether its client has closed; for the desk's wake alone
 	Box    chan Word   // holds all that a txn can be told, so that telling never waits
 	Final  bool        // its final answer is on the way
--- a/internal/lifecycle/stop.go
+++ b/internal/lifecycle/stop.go
@@ -1,7 +1,6 @@
 package lifecycle
 
 import (
-	"context"
 	"errors"
 	"os"
 	"time"
@@ -49,10 +48,10 @@
 // has its answer.
 func (g *Gatekeeper) Stop() {
 	time.Sleep(wire.Millis(logic.AcceptOn))
+	g.front.Close()
 	g.limit.Drain()
-	if err := g.front.Close(context.Background()); err != nil {
-		g.log.Warn().Err(err).Msg("closing the front")
-	}
+	_ = g.limit.Close()
+	g.front.Wait()
 	g.desk.Stop()
 	if close(g.over); g.port != nil {
 		g.port.Close()
--- a/internal/ops/ops.go
+++ b/internal/ops/ops.go
@@ -132,7 +132,8 @@
 // unreadable answers what is no HTTP, too long, or does not come whole in time.
 func unreadable(ctx *fasthttp.RequestCtx, _ error) {
 	say(ctx, fasthttp.StatusBadRequest, "no call could be read")
-	wire.Linger(ctx)
+	ctx.SetConnectionClose()
+	wire.Linger(ctx.Conn())
 }
 
 // Append encodes figures, a line each.
--- a/internal/wire/limit.go
+++ b/internal/wire/limit.go
@@ -7,8 +7,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/valyala/fasthttp"
-
 	"willowdeck/logic"
 )
 
@@ -36,8 +34,17 @@
 		open: map[*placed]bool{}}
 }
 
-// Accept takes the next connection, and holds it back until there is room for it.
+// Accept takes the next connection, and holds it back until there is room for it, also while the listener
+// ends: the machine has taken it.
 func (l *Limited) Accept() (net.Conn, error) {
+	p, err := l.next()
+	if err != nil {
+		return nil, err
+	}
+	return p, nil
+}
+
+func (l *Limited) next() (*placed, error) {
 	c, err := l.Listener.Accept()
 	for err != nil {
 		// Guards against a moment without descriptors, or a client gone before it is met: the front must not end.
@@ -54,17 +61,22 @@
 		select {
 		case <-l.freed:
 		case <-time.After(Millis(logic.AcceptAgain)): // one may have become idle
-		case <-l.closed:
-			_ = c.Close()
-			return nil, net.ErrClosed
 		}
 	}
+	return l.admit(c), nil
+}
+
+// admit gives a connection a place.
+func (l *Limited) admit(c net.Conn) *placed {
 	p := &placed{Conn: hasten(c), of: l}
+	if q, ok := p.Conn.(watched); ok {
+		q.watch(&p.guard, p.heard)
+	}
 	p.since.Store(time.Now().UnixNano())
 	l.mu.Lock()
 	l.open[p] = true
 	l.mu.Unlock()
-	return p, nil
+	return p
 }
 
 // room tells whether one more may be taken, and makes room if it can.
@@ -75,18 +87,21 @@
 		return true
 	}
 	now := time.Now()
-	var oldest [2]*placed // by what may be ended first
-	since := [2]int64{now.Add(-Millis(logic.Unproven)).UnixNano(), now.Add(-Millis(logic.IdleLong)).UnixNano()}
+	var oldest [len(yields)]*placed
+	var since [len(yields)]int64
+	for i, y := range yields {
+		since[i] = now.Add(-Millis(y.after)).UnixNano()
+	}
 	for p := range l.open {
-		for i, state := range [2]int32{fresh, idle} {
-			if t := p.since.Load(); p.state.Load() == state && t < since[i] {
+		for i, y := range yields {
+			if t := p.since.Load(); p.state.Load() == y.state && t < since[i] {
 				oldest[i], since[i] = p, t
 			}
 		}
 	}
 	l.mu.Unlock()
 	for _, p := range oldest {
-		if p != nil && p.end() {
+		if p != nil && p.end(fresh, idle, opening) {
 			l.shed.Add(1)
 			return true
 		}
@@ -94,6 +109,13 @@
 	return false
 }
 
+// yields are the states in which connections give up their places to others, in this order, and after how
+// many ms without a byte. Guards against crowds that never finish a txn; slow honest ones go on sending.
+var yields = [...]struct {
+	state int32
+	after float64
+}{{fresh, logic.Unproven}, {idle, logic.IdleLong}, {opening, logic.Unfinished}}
+
 func (l *Limited) crowded() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -151,7 +173,7 @@
 	}
 	l.mu.Unlock()
 	for _, p := range waiting {
-		if !(time.Since(time.Unix(0, p.since.Load())) > since && p.end()) && !p.Gone() {
+		if !(time.Since(time.Unix(0, p.since.Load())) > since && p.end(fresh, idle)) && !p.Gone() {
 			left = true
 		}
 	}
@@ -177,34 +199,36 @@
 
 // What a client's connection is about.
 const (
-	fresh  int32 = iota // it has sent no whole txn so far
-	idle                // it has had its answers
-	asking              // it is sending one more txn
-	taken               // a txn of it is in hand
-	ended               // it has been ended from here
+	fresh   int32 = iota // it has sent nothing so far
+	opening              // it has sent part of its first txn
+	idle                 // it has had its answers
+	asking               // it has sent part of one more txn
+	taken                // a txn of it is in hand
+	ended                // it has been ended from here
 )
 
+// watched is a connection that calls took, under the guard, as soon as bytes have been read from it.
+type watched interface {
+	watch(guard *sync.Mutex, took func())
+}
+
 // placed is a client's connection; its place is free once it is closed.
 type placed struct {
 	net.Conn
 	of      *Limited
+	guard   sync.Mutex // between bytes that are read and an end from here
 	state   atomic.Int32
 	proven  bool         // it has sent more than one txn
-	since   atomic.Int64 // when it came, or had its last answer, Unix ns
+	since   atomic.Int64 // when it came, sent its last byte or had its last answer, Unix ns
 	lingers atomic.Bool
 	once    sync.Once
 }
 
-// noteState keeps track of what connections are about, for the server to call.
-func noteState(c net.Conn, s fasthttp.ConnState) {
-	p, ok := c.(*placed)
-	switch {
-	case !ok:
-	case s == fasthttp.StateActive:
-		p.state.CompareAndSwap(idle, asking)
-	case s == fasthttp.StateIdle:
-		p.since.Store(time.Now().UnixNano())
-		p.state.Store(idle)
+// heard notes that bytes have been read.
+func (c *placed) heard() {
+	c.since.Store(time.Now().UnixNano())
+	if !c.state.CompareAndSwap(fresh, opening) {
+		c.state.CompareAndSwap(idle, asking)
 	}
 }
 
@@ -214,18 +238,33 @@
 		c.proven = true
 		return true
 	}
-	return c.state.CompareAndSwap(fresh, taken)
+	return c.state.CompareAndSwap(opening, taken) || c.state.CompareAndSwap(fresh, taken)
 }
 
-// end ends a connection that asks nothing. Guards against one in which a txn lies unread: the machine has
-// taken it.
-func (c *placed) end() bool {
-	if !quiet(c.Conn) || !c.state.CompareAndSwap(fresh, ended) && !c.state.CompareAndSwap(idle, ended) {
-		return false
+// rest notes that all has been answered, and whether part of another txn has come already.
+func (c *placed) rest(more bool) {
+	c.since.Store(time.Now().UnixNano())
+	if more {
+		c.state.Store(asking)
+	} else {
+		c.state.Store(idle)
 	}
-	_ = c.Conn.Close() // one that lingers would hold up whoever ends it
-	_ = c.Close()
-	return true
+}
+
+// end ends a connection that is in one of these states. Guards against one in which a txn lies unread: the
+// machine has taken it.
+func (c *placed) end(states ...int32) bool {
+	c.guard.Lock()
+	ends := false
+	for _, s := range states {
+		ends = ends || quiet(c.Conn) && c.state.CompareAndSwap(s, ended)
+	}
+	c.guard.Unlock()
+	if ends {
+		_ = c.Conn.Close() // one that lingers would hold up whoever ends it
+		_ = c.Close()
+	}
+	return ends
 }
 
 // Gone tells whether the client has closed the connection, where that can be seen.
@@ -247,6 +286,13 @@
 	return !ok || q.Quiet()
 }
 
+// Linger has a connection end so that the answer before it reaches a caller who still sends.
+func Linger(c net.Conn) {
+	if p, ok := c.(*placed); ok {
+		p.lingers.Store(true)
+	}
+}
+
 // Close frees the place. One that lingers first says that no more will come and takes what the client was
 // still sending: closed on unread bytes, the connection would be reset and its last answer could be lost.
 func (c *placed) Close() (err error) {
--- a/internal/wire/links.go
+++ b/internal/wire/links.go
@@ -1,7 +1,6 @@
 package wire
 
 import (
-	"bufio"
 	"errors"
 	"fmt"
 	"net"
@@ -89,7 +88,7 @@
 		return nil, fmt.Errorf("worker: %w", err)
 	}
 	conn = hasten(conn)
-	return &Link{conn: conn, in: bufio.NewReader(conn), worker: worker}, nil
+	return newLink(conn, worker), nil
 }
 
 // Keep takes a connection back whose answer has been read whole, if its worker still is what it was. Guards
--- a/internal/wire/quick_linux.go
+++ b/internal/wire/quick_linux.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"os"
+	"sync"
 	"syscall"
 	"unsafe"
 )
@@ -15,6 +16,8 @@
 	*net.TCPConn
 	raw     syscall.RawConn
 	in, out transfer
+	guard   *sync.Mutex
+	took    func() // called under the guard once bytes have been read
 }
 
 // transfer is one read or write; call goes to the kernel and is made once.
@@ -71,6 +74,20 @@
 	return true
 }
 
+// watch has took called, under the guard, in one step with each read that brings bytes.
+func (q *quick) watch(guard *sync.Mutex, took func()) {
+	q.guard, q.took = guard, took
+	q.in.call = func(fd uintptr) bool {
+		q.guard.Lock()
+		defer q.guard.Unlock()
+		done := q.in.read(fd)
+		if q.in.n > 0 {
+			q.took()
+		}
+		return done
+	}
+}
+
 func (t *transfer) begin(b []byte) { t.b, t.n, t.errno = b, 0, 0 }
 
 func (t *transfer) end(op string, err error) (int, error) {
--- a/internal/wire/submission.go
+++ b/internal/wire/submission.go
@@ -5,8 +5,13 @@
 	"bytes"
 	"encoding/json"
 	"errors"
+	"fmt"
+	"io"
 	"net"
+	"net/http/httputil"
 	"strconv"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -19,21 +24,99 @@
 	Outcome      logic.Outcome
 	Type, Coding string
 	Body         []byte
+	Rest         io.Reader    // what is to come behind Body of an answer that is too long to be kept, or nil
+	Length       int          // of both; below nought it is not stated
 	Load         logic.Burden // what the worker said of its load
 	Heard        bool         // it came from the worker, and whole
 	last         bool         // the connection ends with it
+	over         func(error)  // to be called once the rest has been passed on, or could not be
 }
 
 // Keep tells whether the connection can carry another submission.
 func (a *Answer) Keep() bool { return !a.last }
 
+// Last says that the connection is of no more use.
+func (a *Answer) Last() { a.last = true }
+
+// Then has f called once the rest has been passed on or could not be, with what went wrong.
+func (a *Answer) Then(f func(error)) { a.over = f }
+
 var (
-	errNoLength = errors.New("an answer that does not say where it ends")
-	errStatus   = errors.New("no status line")
-	errInterim  = errors.New("interim answers without end")
+	errStatus  = errors.New("no status line")
+	errInterim = errors.New("interim answers without end")
+	// ErrBrokenOff tells that an answer has ended early at the worker's side.
+	ErrBrokenOff = errors.New("an answer that has not come whole")
 )
 
-// AppendSubmission encodes a submission of a txn that is waited for so many ms.
+// passed are the buffers that long bodies and answers go through.
+var passed = sync.Pool{New: func() any { return new([logic.PassBytes]byte) }}
+
+// copyTo passes the body on, as it comes.
+func (a *Answer) copyTo(w io.Writer) error {
+	if a.Length >= 0 {
+		return a.flow(w)
+	}
+	out := bufio.NewWriterSize(w, logic.PassBytes)
+	in := httputil.NewChunkedWriter(out)
+	if err := a.flow(flushed{in, out}); err != nil {
+		return err
+	}
+	_ = in.Close()
+	_, _ = out.WriteString("\r\n")
+	return out.Flush()
+}
+
+func (a *Answer) flow(w io.Writer) error {
+	if _, err := w.Write(a.Body); err != nil {
+		return err
+	}
+	n, err := pour(w, a.Rest)
+	if n += int64(len(a.Body)); err == nil && a.Length >= 0 && n != int64(a.Length) {
+		return ErrBrokenOff
+	}
+	return err
+}
+
+// pour copies r to w through one buffer. An error of r is ErrBrokenOff.
+func pour(w io.Writer, r io.Reader) (n int64, err error) {
+	buf := passed.Get().(*[logic.PassBytes]byte)
+	defer passed.Put(buf)
+	for {
+		got, end := r.Read(buf[:])
+		if got > 0 {
+			if _, err := w.Write(buf[:got]); err != nil {
+				return n, err
+			}
+			n += int64(got)
+		}
+		switch {
+		case end == io.EOF:
+			return n, nil
+		case end != nil:
+			return n, fmt.Errorf("%w: %w", ErrBrokenOff, end)
+		}
+	}
+}
+
+// flushed writes through to w, and what is under it, at once: nothing that has come is held back.
+type flushed struct {
+	io.Writer
+	under *bufio.Writer
+}
+
+func (f flushed) Write(b []byte) (int, error) {
+	if len(b) == 0 { // it would end the chunks
+		return 0, nil
+	}
+	n, err := f.Writer.Write(b)
+	if err == nil {
+		err = f.under.Flush()
+	}
+	return n, err
+}
+
+// AppendSubmission encodes a submission of a txn that is waited for so many ms, but for a body that is not
+// kept.
 func AppendSubmission(b []byte, t *Txn, wait float64) []byte {
 	b = append(append(b, t.Method...), ' ')
 	b = append(append(b, t.Target...), " HTTP/1.1\r\nHost: backend.local\r\nX-Request-Id: "...)
@@ -42,55 +125,136 @@
 	if len(t.Key) > 0 {
 		b = append(append(append(b, "Idempotency-Key: "...), t.Key...), "\r\n"...)
 	}
-	if len(t.Body) > 0 || string(t.Method) != fasthttp.MethodGet {
-		b = append(strconv.AppendInt(append(b, "Content-Length: "...), int64(len(t.Body)), 10), "\r\n"...)
+	length := int64(len(t.Body))
+	if t.Upload != nil {
+		length = t.Upload.Length
+	}
+	switch {
+	case length < 0:
+		b = append(b, "Transfer-Encoding: chunked\r\n"...)
+	case length > 0 || string(t.Method) != fasthttp.MethodGet:
+		b = append(strconv.AppendInt(append(b, "Content-Length: "...), length, 10), "\r\n"...)
 	}
 	return append(append(b, "\r\n"...), t.Body...)
 }
 
 // Link is one connection to a worker. It carries one submission at a time, and sends nothing again by itself.
 type Link struct {
-	conn   net.Conn
-	in     *bufio.Reader
-	worker int
-	of     Life // while it is idle
-	idle   time.Time
+	conn    net.Conn
+	in      *bufio.Reader
+	worker  int
+	of      Life // while it is idle
+	idle    time.Time
+	until   atomic.Int64  // the moment at which whatever waits for an answer gives up, Unix ns; 0 is never
+	pause   time.Duration // how long an answer that has begun may pause; 0 while none has
+	aborted atomic.Bool
+}
+
+func newLink(conn net.Conn, worker int) *Link {
+	l := &Link{conn: conn, worker: worker}
+	l.in = bufio.NewReader(l)
+	return l
+}
+
+// Overdue tells whether the moment to give up has come.
+func (l *Link) Overdue() bool {
+	until := l.until.Load()
+	return until > 0 && time.Now().UnixNano() >= until
 }
 
 // Abort ends the submission that is out on the link, from any goroutine.
-func (l *Link) Abort() { _ = l.conn.SetDeadline(time.Unix(1, 0)) }
+func (l *Link) Abort() {
+	l.aborted.Store(true)
+	_ = l.conn.SetDeadline(time.Unix(1, 0))
+}
+
+// Until sets the moment at which whatever waits on the link gives up; the zero time is never.
+func (l *Link) Until(at time.Time) {
+	l.until.Store(0)
+	if !at.IsZero() {
+		l.until.Store(at.UnixNano())
+	}
+	_ = l.conn.SetDeadline(at)
+	l.heed()
+}
+
+// heed keeps an abort in force after a deadline has been set anew.
+func (l *Link) heed() {
+	if l.aborted.Load() {
+		_ = l.conn.SetDeadline(time.Unix(1, 0))
+	}
+}
 
-// Until sets the moment at which whatever waits on the link gives up.
-func (l *Link) Until(at time.Time) { _ = l.conn.SetDeadline(at) }
+// Read reads what the worker sends. Guards against an answer that stalls: what has begun goes on coming, or
+// is cut here.
+func (l *Link) Read(b []byte) (int, error) {
+	if l.pause > 0 {
+		end := time.Now().Add(l.pause)
+		if until := time.Unix(0, l.until.Load()); l.until.Load() > 0 && until.Before(end) {
+			end = until
+		}
+		_ = l.conn.SetReadDeadline(end)
+		l.heed()
+	}
+	return l.conn.Read(b)
+}
 
-// Send writes a submission. After an error it was not written whole.
+// Write writes to the worker, which has to go on taking.
+func (l *Link) Write(b []byte) (int, error) {
+	_ = l.conn.SetWriteDeadline(time.Now().Add(Millis(logic.BodyPause)))
+	l.heed()
+	return l.conn.Write(b)
+}
+
+// Send writes a submission, but for a body that is not kept. After an error it was not written whole.
 func (l *Link) Send(b []byte) error {
 	_, err := l.conn.Write(b)
 	return err
 }
 
-// Receive reads one answer until a moment at the latest. After an error the link is of no more use. What lies
-// behind a whole answer is not part of it: the answer is good, and the link's last.
-func (l *Link) Receive(until time.Time) (*Answer, error) {
+// Pour writes a body that is not kept. After an error the submission was not written whole.
+func (l *Link) Pour(u *Upload) error {
+	narrow(l.conn)
+	if u.Length >= 0 {
+		_, err := pour(l, u)
+		return err
+	}
+	out := bufio.NewWriterSize(l, logic.PassBytes)
+	in := httputil.NewChunkedWriter(out)
+	if _, err := pour(flushed{in, out}, u); err != nil {
+		return err
+	}
+	_ = in.Close()
+	_, _ = out.WriteString("\r\n")
+	return out.Flush()
+}
+
+// Receive reads one answer, but for the rest of one that is too long to be kept. After an error the link is
+// of no more use. What lies behind a whole answer is not part of it: the answer is good, and the link's last.
+func (l *Link) Receive() (*Answer, error) {
+	l.pause = 0
 	if _, err := l.in.Peek(1); err != nil {
 		return nil, err
 	}
-	// Guards against an answer that stalls or trickles on: what has begun comes whole at once, or not at all.
-	if whole := time.Now().Add(Millis(logic.WholeAnswer)); whole.Before(until) {
-		_ = l.conn.SetReadDeadline(whole)
-	}
+	l.pause = Millis(logic.AnswerPause)
 	r := fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseResponse(r)
-	if err := readAnswer(r, l.in); err != nil {
+	a := &Answer{Heard: true}
+	err := readHead(r, l.in)
+	if err == nil {
+		err = l.body(r, a)
+	}
+	if a.Rest == nil || err != nil {
+		defer fasthttp.ReleaseResponse(r)
+	}
+	if err != nil {
 		return nil, err
 	}
-	a := &Answer{last: r.ConnectionClose() || l.in.Buffered() > 0, Heard: true,
-		Load: load(&r.Header)}
+	a.last = r.ConnectionClose() || a.last || a.Rest == nil && l.in.Buffered() > 0
+	a.Load = load(&r.Header)
 	switch code := r.StatusCode(); {
 	case code == fasthttp.StatusOK:
 		a.Outcome = logic.Settled
 		a.Type, a.Coding = string(r.Header.ContentType()), string(r.Header.ContentEncoding())
-		a.Body = r.SwapBody(nil)
 	case (code == fasthttp.StatusServiceUnavailable || code == fasthttp.StatusGatewayTimeout) &&
 		string(r.Header.Peek("X-Not-Run")) == "1":
 		a.Outcome = logic.Full
@@ -100,6 +264,72 @@
 	return a, nil
 }
 
+// body reads an answer's body, whole where it is short and comes at once. A longer one has gone on coming for
+// as long, or fills what is kept: the rest of it is left to be passed on.
+func (l *Link) body(r *fasthttp.Response, a *Answer) error {
+	a.Length = r.Header.ContentLength()
+	switch {
+	case a.Length > MostBody:
+		return errTooLong
+	case a.Length == 0 || r.StatusCode() == fasthttp.StatusNoContent ||
+		r.StatusCode() == fasthttp.StatusNotModified:
+		return nil
+	}
+	r.StreamBody = true
+	if err := r.ReadBody(l.in, MostBody); err != nil {
+		return err
+	}
+	rest, whole := r.BodyStream(), false
+	var err error
+	if a.Length <= MostKept {
+		a.Body, whole, err = l.keep(a.Length < 0, rest)
+	}
+	if err != nil || whole {
+		_ = r.CloseBodyStream()
+		return err
+	}
+	l.pause = Millis(logic.BodyPause)
+	l.until.Store(0) // it is the client's now, and has no expiry
+	a.Rest = &bounded{rest, int64(MostBody - len(a.Body))}
+	return nil
+}
+
+// keep reads a body until its end, or, where that is not stated, until it has filled what is kept or has been
+// coming for some time, and tells whether it is whole.
+func (l *Link) keep(unstated bool, from io.Reader) (b []byte, whole bool, err error) {
+	b = make([]byte, 0, 512)
+	for start := time.Now(); ; {
+		if len(b) == cap(b) {
+			b = append(b, 0)[:len(b)]
+		}
+		n, err := from.Read(b[len(b):cap(b)])
+		b = b[:len(b)+n]
+		switch {
+		case err == io.EOF:
+			return b, true, nil
+		case err != nil:
+			return nil, false, err
+		case unstated && (len(b) > MostKept || time.Since(start) > Millis(logic.AnswerPause)):
+			return b, false, nil
+		}
+	}
+}
+
+// bounded gives no more than so many bytes. Guards against answers without end.
+type bounded struct {
+	from io.Reader
+	left int64
+}
+
+func (r *bounded) Read(b []byte) (int, error) {
+	if r.left <= 0 {
+		return 0, errTooLong
+	}
+	n, err := r.from.Read(b)
+	r.left -= int64(n)
+	return n, err
+}
+
 // load reads what a worker said of its load. A report that is missing or cannot be read says nothing, and so
 // does what is no number of nought or more in it.
 func load(h *fasthttp.ResponseHeader) logic.Burden {
@@ -116,9 +346,8 @@
 	return logic.Burden{Held: or(says.Inflight), Waiting: or(says.Queue), Busy: or(says.Util)}
 }
 
-// readAnswer reads an answer whose end is stated, past the interim ones ahead of it. Guards against one that
-// ends with its connection: it could have been cut short anywhere.
-func readAnswer(r *fasthttp.Response, in *bufio.Reader) error {
+// readHead reads an answer's head, past the interim ones ahead of it.
+func readHead(r *fasthttp.Response, in *bufio.Reader) error {
 	for n := 0; ; n++ {
 		// Guards against a status line that the library makes 200 of: it reads status 000 so, and 0200.
 		line, err := in.Peek(len("HTTP/1.1 200 "))
@@ -132,21 +361,12 @@
 			return err
 		}
 		if r.StatusCode() >= fasthttp.StatusOK {
-			break
+			return nil
 		}
 		if n == logic.MostInterim || r.StatusCode() == fasthttp.StatusSwitchingProtocols {
 			return errInterim
 		}
 	}
-	const chunked, unstated = -1, -2
-	length := r.Header.ContentLength()
-	if length == unstated {
-		return errNoLength
-	}
-	if err := r.ReadBody(in, MostBody); err != nil || length != chunked {
-		return err
-	}
-	return r.Header.ReadTrailer(in)
 }
 
 // isStatus tells whether a line begins as HTTP/1.0 or 1.1 with a status of three digits, and no more of them.
--- a/internal/wire/txn.go
+++ b/internal/wire/txn.go
@@ -19,15 +19,16 @@
 // Millis turns the module's form of a time span into the library's.
 func Millis(v float64) time.Duration { return time.Duration(v * float64(time.Millisecond)) }
 
-// MostBody is how many bytes a message's body may have.
-const MostBody = 64 << 10
+// MostBody is how many bytes a message's body may have: 32 MB, however they are counted, and some more.
+const MostBody = 40 << 20
 
 // Txn is a client's txn as it came: what the module needs of it, and the bytes that pass on unchanged.
 // The bytes are the client's connection's, good until its answer is given.
 type Txn struct {
 	logic.Arrival
 	Method, Target, Mark, Key, Body []byte
-	client                          client // nil where it cannot be seen whether the client waits
+	Upload                          *Upload // a body that is not kept
+	client                          client  // nil where it cannot be seen whether the client waits
 }
 
 // client is a connection that can tell whether its other side has closed it.
@@ -36,13 +37,15 @@
 // Gone tells whether the client has closed its connection.
 func (t *Txn) Gone() bool { return t.client != nil && t.client.Gone() }
 
-// decodeTxn reads a txn. An error is the client's fault, and says what is wrong.
-func decodeTxn(req *fasthttp.Request, names *config.Names, charter *logic.Charter) (Txn, error) {
-	h := &req.Header
+// inChunks is how the library says that a body comes in chunks.
+const inChunks = -1
+
+// decodeTxn reads a txn's head. An error is the client's fault, and says what is wrong.
+func decodeTxn(h *fasthttp.RequestHeader, names *config.Names, charter *logic.Charter) (Txn, error) {
 	if err := plain(h.RawHeaders()); err != nil {
 		return Txn{}, err
 	}
-	t := Txn{Method: h.Method(), Target: h.RequestURI(), Body: req.Body()}
+	t := Txn{Method: h.Method(), Target: h.RequestURI()}
 	var err error
 	if t.Mark, err = only(h, "X-Request-Id"); err != nil {
 		return t, err
@@ -57,7 +60,7 @@
 	if t.Key, err = method(h, t.Method, repeat); err != nil {
 		return t, err
 	}
-	if repeat == logic.InquiryLike && len(t.Body) > 0 {
+	if n := h.ContentLength(); repeat == logic.InquiryLike && (n > 0 || n == inChunks) {
 		return t, errors.New("body: this product takes none")
 	}
 	plan, err := only(h, "Plan")
--- a/logic/iface.go
+++ b/logic/iface.go
@@ -75,6 +75,7 @@
 	Units          float64
 	SetSize, First int     // the gatekeepers it can come through: SetSize in a row from First
 	Left           float64 // ms until its client stops waiting
+	Streams        bool    // its body is passed on as it comes: Left begins with the last byte of it
 }
 
 // Outcome is how a submission ended.
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -98,34 +98,39 @@
 	adviseBusy = 0.25  // of the SLA time; when to return after a decline under pressure
 
 	// What the host of sockets goes by.
-	IdleUse       = 0.5     // of the worker's idle limit; a connection idle for longer is dropped
-	SpareFiles    = 16      // descriptors for all but clients and workers: a dozen, with the runtime's own
-	ClientPart    = 0.6     // of the others; connections of clients, usual ones beside as many silent ones
-	WorkerPart    = 0.4     // of the others; connections to workers, busy and idle
-	MemoryPart    = 0.6     // of the memory; the runtime's soft limit, as files and the kernel's part count too
-	GarbagePart   = 100     // per cent; a heap of a few MB levels off in seconds, at little work
-	WholeTxn      = 2000.0  // ms for a client to send a whole txn, or take its answer; it is owed a word in 3 s
-	IdleClient    = 5000.0  // ms until the place of a client that asks nothing is freed; over pauses in use
-	IdleLong      = 2000.0  // ms without a txn after which a client's connection may be ended for another's
-	Unproven      = 100.0   // ms after which so may one that has sent no whole txn yet; usual ones do at once
-	CrowdedAt     = 0.4     // of clients' places; above it connections end with their first answer
-	LongestWait   = 3.6e6   // ms that a client may say it waits; more is no time to reckon with
-	LongestMark   = 64      // bytes of a txn's mark; those in use have 16
-	Linger        = 500.0   // ms in which a client that still sends may take the word that ends its connection
-	LingerBytes   = 1 << 20 // that are read from it and dropped meanwhile; what is in flight when it hears
-	WholeAnswer   = 100.0   // ms from an answer's first byte to its last; of those that came whole none took 20
-	MostInterim   = 8       // interim answers ahead of one; more are no answer
-	AcceptAgain   = 10.0    // ms until the next try to take a connection after one has failed
-	WatchQuiet    = 5000.0  // ms; the watch says something each 2 s, and one line may be late
-	LongestList   = 8 << 20 // bytes of a line of the watch; some ten thousand workers
-	WatchAgain    = 100.0   // ms until the watch is opened anew; news must not wait long
-	OperatorCalls = 16      // operators' connections at once; silent ones give way
-	OperatorBytes = 4096    // of an operator's call; head and body
-	OperatorWait  = 800.0   // ms for a call to come whole, and for its answer to be taken; due in 1 s
-	FiguresEach   = 150.0   // ms between looks at the module for operators' figures; they may be 500 ms old
-	DrainAsked    = 300.0   // ms that connections go on coming after /up has said no; they come for 200
-	DrainDone     = 1500.0  // ms after which a drain has ended the last idle connection; it has 4 s
-	AcceptOn      = 450.0   // ms after the order to stop in which new connections are served; they come for 400
+	IdleUse       = 0.5      // of the worker's idle limit; a connection idle for longer is dropped
+	SpareFiles    = 16       // descriptors for all but clients and workers: a dozen, with the runtime's own
+	ClientPart    = 0.6      // of the others; connections of clients, usual ones beside as many silent ones
+	WorkerPart    = 0.4      // of the others; connections to workers, busy and idle
+	MemoryPart    = 0.6      // of the memory; the runtime's soft limit, as files and the kernel's part count too
+	GarbagePart   = 100      // per cent; a heap of a few MB levels off in seconds, at little work
+	WholeTxn      = 2500.0   // ms for a client to send a head; honest ones take 2 s, it is owed a word in 3
+	BodyPause     = 2000.0   // ms that a body or a long answer may pause, or be held up by who takes it
+	LeastRate     = 16.0     // bytes a ms that a body comes at, at least, once it is long; honest ones give 64
+	KernelBytes   = 64 << 10 // of it that the kernel may hold for one who takes it slowly; 1 s of the slowest
+	PassBytes     = 16 << 10 // of a long body or answer in hand; a handful of the network's pieces
+	IdleClient    = 5000.0   // ms until the place of a client that asks nothing is freed; over pauses in use
+	IdleLong      = 2000.0   // ms without a txn after which a client's connection may be ended for another's
+	Unfinished    = 300.0    // ms without a byte after which so may one that has sent part of a txn
+	Unproven      = 100.0    // ms after which so may one that has sent no whole txn yet; usual ones do at once
+	CrowdedAt     = 0.4      // of clients' places; above it connections end with their first answer
+	LongestWait   = 3.6e6    // ms that a client may say it waits; more is no time to reckon with
+	LongestMark   = 64       // bytes of a txn's mark; those in use have 16
+	Linger        = 500.0    // ms in which a client that still sends may take the word that ends its connection
+	LingerBytes   = 1 << 20  // that are read from it and dropped meanwhile; what is in flight when it hears
+	AnswerPause   = 100.0    // ms that an answer may pause; whole ones of usual workers come within 20
+	MostInterim   = 8        // interim answers ahead of one; more are no answer
+	AcceptAgain   = 10.0     // ms until the next try to take a connection after one has failed
+	WatchQuiet    = 5000.0   // ms; the watch says something each 2 s, and one line may be late
+	LongestList   = 8 << 20  // bytes of a line of the watch; some ten thousand workers
+	WatchAgain    = 100.0    // ms until the watch is opened anew; news must not wait long
+	OperatorCalls = 16       // operators' connections at once; silent ones give way
+	OperatorBytes = 4096     // of an operator's call; head and body
+	OperatorWait  = 800.0    // ms for a call to come whole, and for its answer to be taken; due in 1 s
+	FiguresEach   = 150.0    // ms between looks at the module for operators' figures; they may be 500 ms old
+	DrainAsked    = 300.0    // ms that connections go on coming after /up has said no; they come for 200
+	DrainDone     = 1500.0   // ms after which a drain has ended the last idle connection; it has 4 s
+	AcceptOn      = 450.0    // ms after the order to stop in which new connections are served; they come for 400
 )
 
 // New starts a gatekeeper that knows nothing but its charter. The same seed and inputs give the same
@@ -251,7 +256,7 @@
 	slot, ai := place(&g.txns, &g.free), g.account(a)
 	t := &g.txns[slot]
 	*t = txn{id: a.ID, acct: ai, product: a.Product, plan: a.Plan, units: a.Units,
-		expiry: g.now + a.Left, subs: t.subs[:0], live: true}
+		expiry: g.now + a.Left, coming: a.Streams, subs: t.subs[:0], live: true}
 	g.byID[a.ID] = slot
 	g.due, g.nextBeat = append(g.due, slot), math.Min(g.nextBeat, t.expiry)
 	c := &g.accounts[ai]
@@ -285,9 +290,7 @@
 	w := &g.workers[s.worker]
 	w.inFlight--
 	g.outOf[g.sort(t)]--
-	if !s.silent {
-		g.inHand--
-	}
+	g.seat(s, false)
 	p := &g.plans[t.plan]
 	if p.out > 0 && o != NotSent {
 		p.stay += fleetGain * (took - p.stay)
@@ -476,7 +479,7 @@
 
 // watch looks at a waiting txn for a silent worker.
 func (g *Gatekeeper) watch(t *txn) {
-	if !t.live || t.answered {
+	if !t.live || t.answered || t.coming {
 		return
 	}
 	p := &g.products[t.product]
@@ -507,11 +510,10 @@
 		}
 		// Guards against workers that take txns and answer none: a hang, a lost hall, a cut link. The place of
 		// such a txn is free for others well before it is moved, as moving one that is only slow wastes its work.
-		if !s.silent && owes > lost {
-			s.silent = true
-			g.inHand--
+		if owes > lost {
+			g.seat(s, false)
 		}
-		if s.silent && !s.moved && owes > quiet {
+		if !s.placed && !s.moved && owes > quiet {
 			s.moved, t.another = true, true
 			g.doubt(w, age)
 		}
@@ -537,7 +539,7 @@
 		}
 		return Decision{}, false
 	}
-	if t.out > 0 && g.now < t.expiry {
+	if t.out > 0 && (t.coming || g.now < t.expiry) {
 		if !t.another {
 			return Decision{}, false
 		}
@@ -558,7 +560,7 @@
 		}
 		return Decision{}, false
 	}
-	if t.expiry-g.now <= margin {
+	if t.expiry-g.now <= margin && !t.coming {
 		return g.giveUp(t, ByFailure, 0), true
 	}
 	if len(t.subs) == 0 {
@@ -581,7 +583,7 @@
 // mayRepeat tells whether a further submission keeps the rule against double effects.
 func (g *Gatekeeper) mayRepeat(t *txn, running bool) bool {
 	p := &g.products[t.product]
-	if len(t.subs) >= g.charter.maxSubs {
+	if len(t.subs) >= g.charter.maxSubs || t.poured {
 		return false
 	}
 	if !t.mayRun && !running {
@@ -633,7 +635,7 @@
 	g.accounts[t.acct].out++
 	w.inFlight++
 	g.outOf[g.sort(t)]++
-	g.inHand++
+	g.seat(&t.subs[len(t.subs)-1], !t.coming)
 	return Decision{Kind: Submit, Txn: t.id, Worker: wi, N: len(t.subs) - 1, Wait: t.expiry - g.now}
 }
 
--- a/logic/state.go
+++ b/logic/state.go
@@ -67,7 +67,7 @@
 	sent    float64
 	out     bool
 	dropped bool
-	silent  bool // no longer counts as in hand
+	placed  bool // counts as in hand
 	moved   bool // already held against the worker
 }
 
@@ -84,6 +84,8 @@
 	bondAt        float64
 	answered      bool
 	another       bool // a second copy, or a move, is wanted
+	coming        bool // its body's last byte has not gone out
+	poured        bool // its body has begun to, and is not kept: it cannot be submitted again
 	inside        bool // its quota had the units when it was let in
 	tight         bool // it came with little time
 	live          bool
@@ -350,10 +352,38 @@
 	if slot, ok := g.byID[id]; ok && n >= 0 && n < len(g.txns[slot].subs) {
 		t := &g.txns[slot]
 		t.subs[n].dropped, t.answered = true, true
+		g.seat(&t.subs[n], false) // the worker is done with it but for its passing on
 		g.due = append(g.due, slot)
 	}
 }
 
+// Poured tells that a body that is not kept has begun to go out with submission n, or, where left is given,
+// that its last byte has: the client waits so many ms from now on.
+func (g *Gatekeeper) Poured(id uint64, n int, left float64) {
+	slot, ok := g.byID[id]
+	if !ok || n < 0 || n >= len(g.txns[slot].subs) {
+		return
+	}
+	t := &g.txns[slot]
+	if t.poured = true; left > 0 && t.coming && t.subs[n].out {
+		t.coming, t.expiry, t.subs[n].sent = false, g.now+left, g.now
+		g.seat(&t.subs[n], true)
+		g.due, g.nextBeat = append(g.due, slot), math.Min(g.nextBeat, t.expiry)
+	}
+}
+
+// seat notes whether a submission counts as in hand.
+func (g *Gatekeeper) seat(s *submission, in bool) {
+	if s.placed != in {
+		s.placed = in
+		if in {
+			g.inHand++
+		} else {
+			g.inHand--
+		}
+	}
+}
+
 // risk notes that a submission may have run.
 func (g *Gatekeeper) risk(t *txn, s *submission) {
 	if !t.mayRun || s.sent < t.bondAt {
