A second process takes the place of the first: state, sockets and connections handed over

The clients' listener is $NODE_FD; the new process finds the old one at a Unix socket in $TMPDIR, waits ready, and on the old one's SIGTERM gets the module's state, the peers' socket and every client connection with no txn in hand. The old module lets nothing in from then on, so the two never hold two shares, cold budgets or ceilings.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -27,6 +27,8 @@
 	Name      string
 	Listen    string
 	Discovery string
+	FD        int    // of a listening socket that the platform holds for clients; 0 is none
+	Scratch   string // the folder that this process shares with one that takes its place; empty where none
 	Control   string // where operators call; empty where they don't
 	Seed      int64
 	Cores     float64
@@ -111,6 +113,12 @@
 			return g, err
 		}
 	}
+	if fd := env("NODE_FD"); fd != "" {
+		if g.FD, err = strconv.Atoi(fd); err != nil || g.FD < 3 {
+			return g, fmt.Errorf("NODE_FD: %q is no descriptor that a process may inherit", fd)
+		}
+		g.Scratch = env("TMPDIR")
+	}
 	if m.Counter != "" { // not used, but what is wrong in a configuration is said
 		if _, err = address("counter", m.Counter); err != nil {
 			return g, err
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -104,6 +104,25 @@
 	}
 }
 
+// The clients' listener that the platform holds is named by the environment alone.
+func TestDescriptor(t *testing.T) {
+	cases := []struct {
+		fd   string
+		want int
+		ok   bool
+	}{{"", 0, true}, {"3", 3, true}, {"2", 0, false}, {"three", 0, false}, {"-1", 0, false}}
+	for _, c := range cases {
+		env := map[string]string{"NODE_FD": c.fd, "TMPDIR": "/scratch"}
+		g, err := Decode([]byte(whole), func(k string) string { return env[k] })
+		if (err == nil) != c.ok || c.ok && (g.FD != c.want || (g.Scratch == "/scratch") != (c.want > 0)) {
+			t.Errorf("%q: descriptor %d, scratch %q, %v", c.fd, g.FD, g.Scratch, err)
+		}
+		if !c.ok && !strings.HasPrefix(err.Error(), "NODE_FD: ") {
+			t.Errorf("%q: %v", c.fd, err)
+		}
+	}
+}
+
 func TestRead(t *testing.T) {
 	file := filepath.Join(t.TempDir(), "config.json")
 	if err := os.WriteFile(file, []byte(whole), 0o600); err != nil {
--- a/internal/gate/desk.go
+++ b/internal/gate/desk.go
@@ -108,6 +108,30 @@
 	}
 }
 
+// Retire gives what the module knows, and lets it end the txns in hand alone from then on.
+func (d *Desk) Retire() (e logic.Estate, workers, kinds map[int]string) {
+	d.enter()
+	e = d.gk.Retire()
+	workers, kinds = d.workers.Names()
+	d.leave()
+	return e, workers, kinds
+}
+
+// Resume takes over what another process's module knew.
+func (d *Desk) Resume(e logic.Estate, workers, kinds map[int]string) {
+	d.enter()
+	d.workers.Renumber(&e, workers, kinds)
+	d.gk.Resume(e)
+	d.leave()
+}
+
+// Alone tells the module that the process before this one has ended.
+func (d *Desk) Alone() {
+	d.enter()
+	d.gk.Alone()
+	d.leave()
+}
+
 // Hear takes a peer's reports.
 func (d *Desk) Hear(from int, reports []logic.Report) {
 	d.enter()
--- a/internal/held/workers.go
+++ b/internal/held/workers.go
@@ -45,6 +45,39 @@
 	return Life{Worker: i, Addr: of.addr, of: of, life: of.life.Load()}
 }
 
+// Names gives the names of workers and of kinds of machines, by their numbers.
+func (w *Workers) Names() (workers, kinds map[int]string) {
+	workers, kinds = map[int]string{}, map[int]string{}
+	for i, x := range w.all {
+		if !x.gone {
+			workers[i] = x.name
+		}
+	}
+	for i, name := range w.kinds.names {
+		kinds[i] = name
+	}
+	return workers, kinds
+}
+
+// Renumber puts an estate whose workers and kinds bear other numbers in this one's, and leaves out those
+// that are not known here.
+func (w *Workers) Renumber(e *logic.Estate, workers, kinds map[int]string) {
+	standings, paces := e.Workers[:0], e.Kinds[:0]
+	for _, s := range e.Workers {
+		if at, known := w.places[workers[s.Worker]]; known {
+			s.Worker = at
+			standings = append(standings, s)
+		}
+	}
+	for _, k := range e.Kinds {
+		if at, known := w.kinds.at[kinds[k.Kind]]; known {
+			k.Kind = at
+			paces = append(paces, k)
+		}
+	}
+	e.Workers, e.Kinds = standings, paces
+}
+
 // Active tells whether any worker takes submissions.
 func (w *Workers) Active() bool {
 	for _, x := range w.all {
--- /dev/null
+++ b/internal/lifecycle/replace.go
@@ -0,0 +1,138 @@
+package lifecycle
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"syscall"
+	"time"
+
+	"willowdeck/internal/handover"
+	"willowdeck/internal/wire"
+	"willowdeck/logic"
+)
+
+// listen opens the clients' address, or takes the listening socket that the platform holds for it.
+func listen(at string, fd int) (net.Listener, error) {
+	if fd == 0 {
+		l, err := net.Listen("tcp", at)
+		if err != nil {
+			return nil, fmt.Errorf("listen: %w", err)
+		}
+		return l, nil
+	}
+	if on, err := syscall.GetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_ACCEPTCONN); err != nil || on == 0 {
+		return nil, fmt.Errorf("NODE_FD: descriptor %d is no listening socket", fd)
+	}
+	f := os.NewFile(uintptr(fd), "clients")
+	l, err := net.FileListener(f) // a duplicate: the one that was inherited is of no more use
+	_ = f.Close()
+	if err != nil {
+		return nil, fmt.Errorf("NODE_FD: %w", err)
+	}
+	return l, nil
+}
+
+// inherit waits, ready but without clients, until the process before this one leaves its place, and takes it.
+func (g *Gatekeeper) inherit(from *handover.Heir) {
+	whole, err := from.Receive(handover.Takes{
+		Will: func(w handover.Will) {
+			g.desk.Resume(w.Estate, w.Workers, w.Kinds)
+			g.log.Info().Int("customers", len(w.Estate.Customers)).Int("workers", len(w.Estate.Workers)).
+				Msg("taking over")
+			g.serve()
+			if w.Drains {
+				g.Quiesce()
+			}
+		},
+		Peers:  g.hear,
+		Client: func(c net.Conn, as handover.Client) { g.front.Adopt(g.limit, c, as.Proven, as.Ahead) },
+	})
+	g.log.Info().Bool("whole", whole).Err(err).Msg("the process before has ended")
+	g.desk.Alone()
+	if !whole { // as after any sudden end
+		g.serve()
+	}
+	if g.peers != nil && !g.peers.Bound() {
+		g.bindPeers()
+	}
+}
+
+// serve takes clients, and waits for an heir where this process can have one.
+func (g *Gatekeeper) serve() {
+	go func() { g.served <- g.front.Serve(g.limit) }()
+	if g.conf.Scratch == "" {
+		return
+	}
+	o, err := handover.Offer(handover.Path(g.conf.Scratch, g.conf.Name), g.conf.Name)
+	if err != nil {
+		g.log.Warn().Err(err).Msg("no process can take over from this one")
+		return
+	}
+	g.owner.Store(o)
+}
+
+// hear exchanges datagrams with peers on a socket that is bound.
+func (g *Gatekeeper) hear(c *net.UDPConn) {
+	if g.peers == nil {
+		_ = c.Close()
+		return
+	}
+	g.peers.Use(c)
+	go g.peers.Hear(g.desk.Hear)
+}
+
+// bindPeers binds the peers' address as soon as it is free: another process may not have ended yet.
+func (g *Gatekeeper) bindPeers() {
+	for {
+		err := g.peers.Bind(g.conf.PeerPort)
+		if err == nil {
+			go g.peers.Hear(g.desk.Hear)
+			return
+		}
+		select {
+		case <-g.over:
+			return
+		case <-time.After(wire.Millis(logic.WatchAgain)):
+		}
+	}
+}
+
+// handOver leaves this process's place to its heir, if one waits: what the module knows, the peers'
+// socket, and every client's connection once no txn of it is in hand.
+func (g *Gatekeeper) handOver() bool {
+	o := g.owner.Load()
+	if o == nil || !o.Awaited() {
+		return false
+	}
+	_ = g.limit.Close() // from here on the heir is to accept
+	left := make(chan error, 1)
+	told := make(chan struct{})
+	var failed error
+	go func() {
+		failed = <-left
+		close(told)
+	}()
+	g.front.HandOn(g.limit, func(c syscall.RawConn, proven bool, ahead []byte) bool {
+		<-told
+		return failed == nil && o.Client(c, handover.Client{Proven: proven, Ahead: ahead}) == nil
+	})
+	w := handover.Will{Drains: g.drains.Load()}
+	w.Estate, w.Workers, w.Kinds = g.desk.Retire()
+	err := o.Leave(w)
+	if err == nil && g.peers != nil && g.peers.Bound() {
+		if raw, e := g.peers.Raw(); e == nil {
+			e = errors.Join(e, o.Peers(raw))
+			if e != nil {
+				g.log.Warn().Err(e).Msg("handing the peers' socket on")
+			}
+		}
+		_ = g.peers.Close()
+	}
+	left <- err
+	g.log.Info().Err(err).Msg("place left to another process")
+	g.front.Wait()
+	o.Close()
+	return true
+}
--- /dev/null
+++ b/internal/lifecycle/replace_test.go
@@ -0,0 +1,174 @@
+package lifecycle
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"willowdeck/internal/config"
+)
+
+// held is a deployment whose clients' listener is the platform's, and what a second process is told.
+func heldListener(t *testing.T, swaps ...string) (*deployment, func(*config.Gatekeeper)) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	dir, err := os.MkdirTemp("", "wd") // a socket's path is short
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { os.RemoveAll(dir) })
+	change := func(c *config.Gatekeeper) {
+		f, err := l.(*net.TCPListener).File()
+		if err != nil {
+			t.Fatal(err)
+		}
+		fd, err := syscall.Dup(int(f.Fd())) // what a start takes over is closed by it
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.Close()
+		c.FD, c.Scratch, c.Control = fd, dir, "127.0.0.1:0"
+	}
+	return deployWith(t, change, 2, 5000, swaps...), change
+}
+
+// second starts another process beside a deployment's.
+func (d *deployment) second(change func(*config.Gatekeeper)) *Gatekeeper {
+	d.t.Helper()
+	c := d.conf
+	change(&c)
+	g, err := Start(c, zerolog.Nop())
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	d.t.Cleanup(func() {
+		g.unwind()
+		<-g.ended
+	})
+	return g
+}
+
+// A second process takes over all that the first knows and holds: kept connections go on, one with half a
+// head too, txns in hand are answered, and what was spent stays spent.
+func TestReplacement(t *testing.T) {
+	d, change := heldListener(t)
+	dial := func() (net.Conn, *bufio.Reader) {
+		c, err := net.Dial("tcp", d.at)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		c.SetDeadline(time.Now().Add(5 * time.Second))
+		return c, bufio.NewReader(c)
+	}
+	answer := func(name string, r *bufio.Reader, status int) {
+		t.Helper()
+		got, err := http.ReadResponse(r, nil)
+		if err != nil || got.StatusCode != status || got.Close {
+			t.Fatalf("%s: answered %v, %v", name, got, err)
+		}
+		buf := make([]byte, max(got.ContentLength, 0))
+		got.Body.Read(buf)
+	}
+	tiny := func(id string) string { // of another customer, as a change of plan fills the store
+		return strings.NewReplacer("basic", "tiny", "b4d65521", "b4d65522").Replace(check("/check", id))
+	}
+	kept, keptIn := dial()
+	fmt.Fprint(kept, tiny("k1"))
+	answer("a kept one", keptIn, 200)
+	half, halfIn := dial()
+	fmt.Fprint(half, check("/check", "h1")[:50])
+	silent, silentIn := dial()
+	busy, busyIn := dial()
+	fmt.Fprint(busy, check("/check?slow", "b1"))
+	time.Sleep(30 * time.Millisecond)
+
+	g := d.second(change)
+	if !g.Healthy() || !d.gk.Healthy() {
+		t.Error("not both are ready")
+	}
+	before := len(d.got())
+	fmt.Fprint(kept, check("/check", "k2"))
+	answer("before the change", keptIn, 200)
+	if len(d.got()) != before+1 || g.links.Tries() > 0 {
+		t.Error("the second process serves before the first has left")
+	}
+	stopped := make(chan bool)
+	go func() {
+		d.gk.Stop()
+		close(stopped)
+	}()
+	answer("in hand", busyIn, 200)
+	<-stopped
+	if d.gk.front.Active() > 0 {
+		t.Error("the first one ends with txns in hand")
+	}
+	fmt.Fprint(half, check("/check", "h1")[50:])
+	answer("half a head", halfIn, 200)
+	fmt.Fprint(silent, check("/check", "s1"))
+	answer("silent so far", silentIn, 200)
+	fmt.Fprint(busy, check("/check", "b2"))
+	answer("in hand before", busyIn, 200)
+	fmt.Fprint(kept, tiny("k3"))
+	answer("its quota was spent in the first process", keptIn, 429)
+	fresh, freshIn := dial()
+	fmt.Fprint(fresh, check("/check", "f1"))
+	answer("a new one", freshIn, 200)
+
+	third := d.second(change) // and so on
+	g.Stop()
+	fmt.Fprint(fresh, check("/check", "f2"))
+	answer("after a second change", freshIn, 200)
+	if third.links.Tries() == 0 {
+		t.Error("the third process serves nothing")
+	}
+}
+
+// A second process that dies before the first has left changes nothing; a first one that ends without a word
+// leaves the place all the same.
+func TestReplacementFails(t *testing.T) {
+	d, change := heldListener(t)
+	g := d.second(change)
+	g.unwind()
+	g.limit.Close()
+	if status, _ := d.ask(check("/check", "1")); status != "HTTP/1.1 200 OK" {
+		t.Errorf("beside one that has died: %q", status)
+	}
+	again := d.second(change)
+	d.gk.owner.Load().Close() // as at a sudden end
+	d.gk.limit.Close()
+	if status, _ := d.ask(check("/check", "2")); status != "HTTP/1.1 200 OK" || again.links.Tries() != 1 {
+		t.Errorf("after a sudden end: %q", status)
+	}
+}
+
+// A descriptor that is no listening socket ends the start with a message that names the key.
+func TestNoListeningSocket(t *testing.T) {
+	d, _ := heldListener(t)
+	for _, fd := range []int{0, 999} {
+		c := d.conf
+		if c.FD = fd; fd == 0 {
+			f, err := os.Open(os.DevNull)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer f.Close()
+			c.FD = int(f.Fd())
+		}
+		if g, err := Start(c, zerolog.Nop()); err == nil || !strings.HasPrefix(err.Error(), "NODE_FD: ") {
+			t.Errorf("started: %v, %v", g, err)
+		}
+	}
+}
--- a/internal/lifecycle/start.go
+++ b/internal/lifecycle/start.go
@@ -3,9 +3,7 @@
 
 import (
 	"context"
-	"fmt"
 	"math"
-	"net"
 	"runtime"
 	"runtime/debug"
 	"sync/atomic"
@@ -15,6 +13,7 @@
 
 	"willowdeck/internal/config"
 	"willowdeck/internal/gate"
+	"willowdeck/internal/handover"
 	"willowdeck/internal/ops"
 	"willowdeck/internal/wire"
 	"willowdeck/internal/wire/roster"
@@ -40,7 +39,8 @@
 	unwind context.CancelFunc // ends the watch
 	ended  chan int64         // the version that it got to
 	served chan error
-	said   time.Time // when the log last told that the watch had ended
+	owner  atomic.Pointer[handover.Owner] // where another process may take over from this one
+	said   time.Time                      // when the log last told that the watch had ended
 }
 
 // Start brings a gatekeeper up: when it returns, clients are served.
@@ -58,23 +58,29 @@
 		wire.Millis(c.Lines.ConnectTimeout))
 	tell := func(int, []byte) {}
 	if len(c.Peers) > 0 {
-		var err error
-		if g.peers, err = wire.ListenPeers(c.PeerPort, c.Peers, c.Charter.Me); err != nil {
+		g.peers = wire.NewPeers(c.Peers, c.Charter.Me)
+		tell = g.peers.Tell
+	}
+	l, err := listen(c.Listen, c.FD)
+	if err != nil {
+		return nil, err
+	}
+	var before *handover.Heir
+	if c.Scratch != "" {
+		if before, err = handover.Find(handover.Path(c.Scratch, c.Name), c.Name); err != nil {
+			log.Info().Err(err).Msg("starting from nothing")
+		}
+	}
+	if g.peers != nil && before == nil {
+		if err = g.peers.Bind(c.PeerPort); err != nil && c.FD == 0 {
+			_ = l.Close()
 			return nil, err
 		}
-		tell = g.peers.Tell
 	}
 	g.desk = gate.NewDesk(c.Charter, c.Seed, c.Lines.AnswerSlack+socketSlack, tell, g.links.Shed)
 	g.desk.Roster(c.Known)
 	g.front = wire.NewFront(c.Names, c.Charter, gate.New(g.desk, g.links).Serve, g.up)
 
-	l, err := net.Listen("tcp", c.Listen)
-	if err != nil {
-		if g.peers != nil {
-			_ = g.peers.Close()
-		}
-		return nil, fmt.Errorf("listen: %w", err)
-	}
 	g.limit = wire.Limit(l, int(spare*logic.ClientPart))
 	if c.Control != "" {
 		if g.port, err = ops.Open(c.Control, g); err != nil {
@@ -88,12 +94,17 @@
 	}
 	g.At = l.Addr().String()
 	g.watch(c.Known.Version)
-	if g.peers != nil {
-		go g.peers.Hear(g.desk.Hear)
+	switch {
+	case before != nil:
+		go g.inherit(before)
+	default:
+		if g.peers != nil && g.peers.Bound() {
+			go g.peers.Hear(g.desk.Hear)
+		} else if g.peers != nil { // a process that can't be talked to has it still
+			go g.bindPeers()
+		}
+		g.serve()
 	}
-	go func() {
-		g.served <- g.front.Serve(g.limit)
-	}()
 	log.Info().Str("listen", g.At).Int("workers", len(c.Known.Workers)).Msg("serving")
 	return g, nil
 }
--- a/internal/lifecycle/stop.go
+++ b/internal/lifecycle/stop.go
@@ -44,14 +44,16 @@
 	return nil
 }
 
-// Stop serves on for as long as connections may come, then closes idle ones and ends once all that was taken
-// has its answer.
+// Stop leaves its place to an heir, if one waits. Else it serves on for as long as connections may come,
+// then closes idle ones and ends once all that was taken has its answer.
 func (g *Gatekeeper) Stop() {
-	time.Sleep(wire.Millis(logic.AcceptOn))
-	g.front.Close()
-	g.limit.Drain()
-	_ = g.limit.Close()
-	g.front.Wait()
+	if !g.handOver() {
+		time.Sleep(wire.Millis(logic.AcceptOn))
+		g.front.Close()
+		g.limit.Drain()
+		_ = g.limit.Close()
+		g.front.Wait()
+	}
 	g.desk.Stop()
 	if close(g.over); g.port != nil {
 		g.port.Close()
--- a/internal/wire/front.go
+++ b/internal/wire/front.go
@@ -4,9 +4,11 @@
 	"bufio"
 	"errors"
 	"fmt"
+	"net"
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -31,6 +33,7 @@
 	turns   sync.Pool
 	open    sync.WaitGroup // connections
 	closing atomic.Bool
+	heir    atomic.Pointer[Heir]
 	broken  atomic.Int64
 	active  atomic.Int64
 	finals  [][3]atomic.Int64 // by product: settled, declined, voided
@@ -58,7 +61,7 @@
 	for {
 		p, err := l.next()
 		if err != nil {
-			if f.closing.Load() {
+			if l.Closed() {
 				return nil
 			}
 			return fmt.Errorf("front: %w", err)
@@ -68,6 +71,38 @@
 	}
 }
 
+// Heir takes a connection over, with what has been read of it and not taken up, and tells whether it has.
+type Heir func(c syscall.RawConn, proven bool, ahead []byte) bool
+
+// HandOn gives every connection of the listener to an heir as soon as no txn of it is in hand.
+func (f *Front) HandOn(l *Limited, to Heir) {
+	f.heir.Store(&to)
+	l.rouse()
+}
+
+// handOn gives a connection to the heir, if there is one.
+func (f *Front) handOn(p *placed, t *turn) bool {
+	heir := f.heir.Load()
+	if heir == nil {
+		return false
+	}
+	ahead, _ := t.in.Peek(t.in.Buffered())
+	if raw, err := p.raw(); err == nil && (*heir)(raw, p.proven, ahead) {
+		return true
+	}
+	f.closing.Store(true) // there is none after all: it goes on here until its next answer
+	return false
+}
+
+// Adopt goes on with a connection that another process has handed on.
+func (f *Front) Adopt(l *Limited, c net.Conn, proven bool, ahead []byte) {
+	p := l.admit(c)
+	p.proven, p.ahead = proven, ahead
+	p.rest(len(ahead) > 0)
+	f.open.Add(1)
+	go f.talk(p)
+}
+
 // Closing tells whether Close has been called.
 func (f *Front) Closing() bool { return f.closing.Load() }
 
@@ -94,7 +129,7 @@
 	defer f.open.Done()
 	t := f.turns.Get().(*turn)
 	t.in.Reset(p)
-	for f.once(p, t) {
+	for !f.handOn(p, t) && f.once(p, t) {
 		p.rest(t.in.Buffered() > 0)
 	}
 	_ = p.Close()
@@ -115,6 +150,9 @@
 	}
 	_ = p.SetReadDeadline(time.Now().Add(Millis(wait)))
 	if _, err := t.in.Peek(1); err != nil {
+		if late(err) && f.heir.Load() != nil {
+			return true
+		}
 		if first && late(err) {
 			f.unreadable(p, t, err)
 		}
@@ -125,7 +163,7 @@
 	}
 	h := &t.req.Header
 	if err := h.Read(t.in); err != nil {
-		return f.unreadable(p, t, err)
+		return late(err) && f.heir.Load() != nil || f.unreadable(p, t, err)
 	}
 	if string(h.RequestURI()) == "/up" {
 		t.closes = h.ContentLength() > 0
@@ -139,6 +177,9 @@
 	if err != nil {
 		return f.refuse(p, t, fasthttp.StatusBadRequest, err.Error())
 	}
+	if !p.come() {
+		return false // it was ended before
+	}
 	if t.req.MayContinue() && t.in.Buffered() == 0 {
 		if _, err := (timed{p}).Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
 			return false
@@ -152,7 +193,7 @@
 	}
 	defer f.marks.free(x.Mark)
 	if !p.take() {
-		return false // it was ended before the txn came whole
+		return false // it was ended before the body came whole
 	}
 	x.client, x.Streams = p, x.Upload != nil
 	f.active.Add(1)
--- a/internal/wire/limit.go
+++ b/internal/wire/limit.go
@@ -1,10 +1,12 @@
 package wire
 
 import (
+	"errors"
 	"io"
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"willowdeck/logic"
@@ -101,7 +103,7 @@
 	}
 	l.mu.Unlock()
 	for _, p := range oldest {
-		if p != nil && p.end(fresh, idle, opening) {
+		if p != nil && p.end(fresh, idle, opening, coming) {
 			l.shed.Add(1)
 			return true
 		}
@@ -114,7 +116,7 @@
 var yields = [...]struct {
 	state int32
 	after float64
-}{{fresh, logic.Unproven}, {idle, logic.IdleLong}, {opening, logic.Unfinished}}
+}{{fresh, logic.Unproven}, {idle, logic.IdleLong}, {opening, logic.Unfinished}, {coming, logic.Unfinished}}
 
 func (l *Limited) crowded() bool {
 	l.mu.Lock()
@@ -188,6 +190,27 @@
 	}
 }
 
+// rouse ends the reads that wait on connections of which no txn is in hand.
+func (l *Limited) rouse() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for p := range l.open {
+		if s := p.state.Load(); s != coming && s != taken && s != ended {
+			_ = p.SetReadDeadline(time.Unix(1, 0))
+		}
+	}
+}
+
+// Closed tells whether Close has been called.
+func (l *Limited) Closed() bool {
+	select {
+	case <-l.closed:
+		return true
+	default:
+		return false
+	}
+}
+
 // Shed tells how many idle connections were ended to make room.
 func (l *Limited) Shed() int64 { return l.shed.Load() }
 
@@ -203,6 +226,7 @@
 	opening              // it has sent part of its first txn
 	idle                 // it has had its answers
 	asking               // it has sent part of one more txn
+	coming               // it has sent a txn's head, and its body is being read
 	taken                // a txn of it is in hand
 	ended                // it has been ended from here
 )
@@ -219,11 +243,31 @@
 	guard   sync.Mutex // between bytes that are read and an end from here
 	state   atomic.Int32
 	proven  bool         // it has sent more than one txn
+	ahead   []byte       // read by a process before this one
 	since   atomic.Int64 // when it came, sent its last byte or had its last answer, Unix ns
 	lingers atomic.Bool
 	once    sync.Once
 }
 
+// Read gives what another process had read ahead, then what comes.
+func (c *placed) Read(b []byte) (int, error) {
+	if len(c.ahead) > 0 {
+		n := copy(b, c.ahead)
+		c.ahead = c.ahead[n:]
+		return n, nil
+	}
+	return c.Conn.Read(b)
+}
+
+// raw gives the connection's descriptor.
+func (c *placed) raw() (syscall.RawConn, error) {
+	s, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, errors.ErrUnsupported
+	}
+	return s.SyscallConn()
+}
+
 // heard notes that bytes have been read.
 func (c *placed) heard() {
 	c.since.Store(time.Now().UnixNano())
@@ -232,15 +276,18 @@
 	}
 }
 
-// take notes that a whole txn has come, and tells whether the connection is still there to answer it.
-func (c *placed) take() bool {
-	if c.state.CompareAndSwap(asking, taken) {
+// come notes that the head of a txn has come, and tells whether the connection is still there to answer it.
+func (c *placed) come() bool {
+	if c.state.CompareAndSwap(asking, coming) {
 		c.proven = true
 		return true
 	}
-	return c.state.CompareAndSwap(opening, taken) || c.state.CompareAndSwap(fresh, taken)
+	return c.state.CompareAndSwap(opening, coming) || c.state.CompareAndSwap(fresh, coming)
 }
 
+// take notes the same of the whole txn.
+func (c *placed) take() bool { return c.state.CompareAndSwap(coming, taken) }
+
 // rest notes that all has been answered, and whether part of another txn has come already.
 func (c *placed) rest(more bool) {
 	c.since.Store(time.Now().UnixNano())
--- a/internal/wire/peers.go
+++ b/internal/wire/peers.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/netip"
 	"sync/atomic"
+	"syscall"
 
 	"willowdeck/internal/wire/gossip"
 	"willowdeck/logic"
@@ -12,24 +13,41 @@
 
 // Peers exchanges datagrams with the other gatekeepers.
 type Peers struct {
-	conn    *net.UDPConn
+	conn    atomic.Pointer[net.UDPConn] // nil until it is bound
 	to      []netip.AddrPort
 	me      int
 	dropped atomic.Int64
 }
 
-// ListenPeers takes peers' datagrams at an address.
-func ListenPeers(at netip.AddrPort, peers []netip.AddrPort, me int) (*Peers, error) {
+// NewPeers exchanges nothing until it is bound.
+func NewPeers(peers []netip.AddrPort, me int) *Peers { return &Peers{to: peers, me: me} }
+
+// Bind takes peers' datagrams at an address.
+func (p *Peers) Bind(at netip.AddrPort) error {
 	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(at))
 	if err != nil {
-		return nil, fmt.Errorf("peer_listen: %w", err)
+		return fmt.Errorf("peer_listen: %w", err)
 	}
-	return &Peers{conn: conn, to: peers, me: me}, nil
+	p.Use(conn)
+	return nil
 }
 
+// Use takes peers' datagrams from a socket that another process has bound.
+func (p *Peers) Use(conn *net.UDPConn) { p.conn.Store(conn) }
+
+// Bound tells whether there is a socket.
+func (p *Peers) Bound() bool { return p.conn.Load() != nil }
+
+// Raw gives the socket's descriptor.
+func (p *Peers) Raw() (syscall.RawConn, error) { return p.conn.Load().SyscallConn() }
+
 // Tell sends a message to a peer. One that cannot be sent is as good as lost on the way.
 func (p *Peers) Tell(peer int, b []byte) {
-	if _, err := p.conn.WriteToUDPAddrPort(b, p.to[peer]); err != nil {
+	conn := p.conn.Load()
+	if conn == nil {
+		return
+	}
+	if _, err := conn.WriteToUDPAddrPort(b, p.to[peer]); err != nil {
 		p.dropped.Add(1)
 	}
 }
@@ -37,10 +55,11 @@
 // Hear gives each peer's reports to take, until Close. What comes from elsewhere or makes no sense is
 // dropped.
 func (p *Peers) Hear(take func(from int, reports []logic.Report)) {
+	conn := p.conn.Load()
 	var reports []logic.Report
 	buf := make([]byte, 2*gossip.Limit)
 	for {
-		n, from, err := p.conn.ReadFromUDPAddrPort(buf)
+		n, from, err := conn.ReadFromUDPAddrPort(buf)
 		if err != nil {
 			return
 		}
@@ -67,4 +86,9 @@
 func (p *Peers) Dropped() int64 { return p.dropped.Load() }
 
 // Close ends Hear.
-func (p *Peers) Close() error { return p.conn.Close() }
+func (p *Peers) Close() error {
+	if conn := p.conn.Load(); conn != nil {
+		return conn.Close()
+	}
+	return nil
+}
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -206,6 +206,7 @@
 		return c
 	}
 	first := <-taken
+	first.(*placed).come()
 	first.(*placed).take()
 	ago(first, 10*logic.IdleLong)
 	dial()
@@ -217,9 +218,10 @@
 	next("the other has just come", false)
 	ago(second, 2*logic.Unproven)
 	third := next("the other has long sent no whole txn", true)
-	if second.(*placed).take() {
+	if second.(*placed).come() {
 		t.Error("a txn is taken on a connection that was ended")
 	}
+	third.(*placed).come()
 	third.(*placed).take()
 	third.(*placed).rest(false)
 	dial()
@@ -272,10 +274,10 @@
 			for len(l.open) < c.open {
 				l.open[&placed{of: l}] = true
 			}
-			if p.take(); c.proven {
+			if p.come(); c.proven {
 				p.rest(false)
 				p.heard()
-				p.take()
+				p.come()
 			}
 			if p.wanted() != c.ends {
 				t.Errorf("ends with its answer: %v, want %v", !c.ends, c.ends)
@@ -297,8 +299,8 @@
 	stranger, _ := bind()
 	self, selfAt := bind()
 	self.Close()
-	p, err := ListenPeers(selfAt, []netip.AddrPort{selfAt, peerAt}, 0)
-	if err != nil {
+	p := NewPeers([]netip.AddrPort{selfAt, peerAt}, 0)
+	if err := p.Bind(selfAt); err != nil {
 		t.Fatal(err)
 	}
 	defer p.Close()
--- /dev/null
+++ b/logic/estate.go
@@ -0,0 +1,160 @@
+package logic
+
+// This file holds what a gatekeeper leaves to the process that takes its place on the same machine. Times are
+// those of the clock that both go by.
+
+// Estate is all that a successor takes over. The host names the workers and kinds for it.
+type Estate struct {
+	At        float64
+	Started   float64
+	Customers []Customer
+	Workers   []Standing
+	Kinds     []Pace
+	Peers     []Hearing
+
+	Window, Press, CutAt, Pace, Load float64
+	WarmDone, WarmAt, WarmFrom       float64
+	Long, LongAt, Astray, AstrayAt   float64
+	Tight, Stay                      []float64 // by plan
+	NextTell                         float64
+}
+
+// Customer is what is known of one customer, in the module's own units.
+type Customer struct {
+	Key                                    uint64
+	Plan, N, First, Txns, Out, Holding     int
+	Level, Whole, Filled                   float64
+	Others, Flow, Held, Heard              float64
+	Demand, Lately, Seen, CoolSince        float64
+	CeilingAt, Unsaid, Said, SaidAt, Known float64
+	Hot                                    bool
+}
+
+// Standing is what is known of one worker.
+type Standing struct {
+	Worker                         int
+	Since                          float64
+	Pace, Paced, Load, Told, Heard float64
+	Distrust, DistrustAt           float64
+	Turned, TurnedAt               []float64
+	Full                           bool
+	ColdAt, ColdDebt               float64
+}
+
+// Pace is what is known of a kind of machine.
+type Pace struct {
+	Kind          int
+	Pace, Answers float64
+}
+
+// Hearing is what is known of one peer.
+type Hearing struct {
+	Heard, Told, Owes, Spoke float64
+	Silent, Gone             bool
+	Last                     []Report
+}
+
+// Retire gives what a successor takes over. From then on this gatekeeper only ends the txns in hand: it lets
+// nothing in, sends nothing to cold workers and tells peers nothing, as its parts of all these are another's.
+func (g *Gatekeeper) Retire() Estate {
+	g.retired = true
+	e := Estate{At: g.now, Started: g.started, Window: g.window, Press: g.press, CutAt: g.cutAt, Pace: g.pace,
+		Load: g.load, WarmDone: g.warmDone, WarmAt: g.warmAt, WarmFrom: g.warmFrom, Long: g.long.score,
+		LongAt: g.long.since, Astray: g.astray.score, AstrayAt: g.astray.since, NextTell: g.nextTell}
+	for i := range g.accounts {
+		if c := &g.accounts[i]; c.live {
+			e.Customers = append(e.Customers, Customer{c.customer, c.plan, c.n, c.first, c.txns, c.out, c.holding,
+				c.level, c.whole, c.filled, c.others, c.flow, c.held, c.heard, c.demand, c.lately, c.seen,
+				c.coolSince, c.ceilingAt, c.unsaid, c.said, c.saidAt, c.known, c.hot})
+		}
+	}
+	for i := range g.workers {
+		w := &g.workers[i]
+		if !w.listed {
+			continue
+		}
+		s := Standing{Worker: i, Since: w.Since, Pace: w.pace, Paced: w.paced, Load: w.load, Told: w.told,
+			Heard: w.heard, Distrust: w.distrust.score, DistrustAt: w.distrust.since, Full: w.full,
+			ColdAt: w.coldAt, ColdDebt: w.coldDebt}
+		for _, m := range w.turned {
+			s.Turned, s.TurnedAt = append(s.Turned, m.score), append(s.TurnedAt, m.since)
+		}
+		e.Workers = append(e.Workers, s)
+	}
+	for i, k := range g.kinds {
+		e.Kinds = append(e.Kinds, Pace{i, k.pace, k.answers})
+	}
+	for i := range g.peers {
+		p := &g.peers[i]
+		e.Peers = append(e.Peers, Hearing{p.heard, p.told, p.owes, p.spoke, p.silent, p.gone,
+			append([]Report(nil), p.last...)})
+	}
+	for i := range g.plans {
+		e.Tight, e.Stay = append(e.Tight, g.plans[i].tight), append(e.Stay, g.plans[i].stay)
+	}
+	return e
+}
+
+// Resume takes over what a predecessor on this machine has left, before the first txn. What does not fit this
+// charter is not taken. The worker of a Standing, and a kind, are this gatekeeper's own indices.
+func (g *Gatekeeper) Resume(e Estate) {
+	if len(e.Peers) != len(g.peers) || len(e.Tight) != len(g.plans) || e.At > g.now+stopped {
+		return
+	}
+	g.started, g.window, g.press, g.cutAt, g.pace = e.Started, e.Window, e.Press, e.CutAt, e.Pace
+	g.load, g.warmDone, g.warmAt, g.warmFrom = e.Load, e.WarmDone, e.WarmAt, e.WarmFrom
+	g.long, g.astray, g.nextTell = mark{e.Long, e.LongAt}, mark{e.Astray, e.AstrayAt}, e.NextTell
+	for i := range g.plans {
+		g.plans[i].tight, g.plans[i].stay = e.Tight[i], e.Stay[i]
+		g.plans[i].restate()
+	}
+	for _, k := range e.Kinds {
+		if k.Kind < len(g.kinds) {
+			g.kinds[k.Kind] = kind{k.Pace, k.Answers}
+		}
+	}
+	for _, s := range e.Workers {
+		if s.Worker >= len(g.workers) || g.workers[s.Worker].Since != s.Since ||
+			len(s.Turned) != len(g.plans)*len(g.products) || len(s.TurnedAt) != len(s.Turned) {
+			continue // what started anew since is another process, cold, and keeps what is known of that
+		}
+		w := &g.workers[s.Worker]
+		w.pace, w.paced, w.load, w.told, w.heard = s.Pace, s.Paced, s.Load, s.Told, s.Heard
+		w.distrust, w.full, w.coldAt, w.coldDebt = mark{s.Distrust, s.DistrustAt}, s.Full, s.ColdAt, s.ColdDebt
+		for i := range s.Turned {
+			w.turned[i] = mark{s.Turned[i], s.TurnedAt[i]}
+		}
+	}
+	for i, p := range e.Peers {
+		g.peers[i] = peer{p.Heard, p.Told, p.Owes, p.Spoke, p.Silent, p.Gone, p.Last}
+	}
+	g.muted()
+	for _, k := range e.Customers {
+		if k.Plan < 0 || k.Plan >= len(g.plans) || k.N < 0 || k.N > g.charter.n || k.First < 0 ||
+			k.First >= g.charter.n {
+			continue
+		}
+		if _, known := g.byKey[uint32(k.Key)]; known {
+			continue
+		}
+		c := &g.accounts[g.open(k.Key, k.Plan)]
+		c.n, c.first, c.txns, c.holding, c.level, c.whole = k.N, k.First, k.Txns, k.Holding, k.Level, k.Whole
+		c.filled, c.others, c.flow, c.held, c.heard = k.Filled, k.Others, k.Flow, k.Held, k.Heard
+		c.demand, c.lately, c.seen, c.coolSince = k.Demand, k.Lately, k.Seen, k.CoolSince
+		c.ceilingAt, c.unsaid, c.said, c.saidAt = k.CeilingAt, k.Unsaid, k.Said, k.SaidAt
+		c.known, c.hot, c.lent, c.out = k.Known, k.Hot, k.Out, k.Out
+		if c.n == 0 {
+			g.heardOnly++
+		}
+		g.reshare(c)
+	}
+	g.list()
+}
+
+// Alone tells that the predecessor has ended: none of its submissions is out any more.
+func (g *Gatekeeper) Alone() {
+	for i := range g.accounts {
+		c := &g.accounts[i]
+		c.out, c.lent = c.out-c.lent, 0
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -446,7 +446,7 @@
 	if g.now >= g.nextTell && g.tellPeer < 0 {
 		g.nextTell = g.now + g.charter.period
 		g.sweep()
-		if g.charter.talks {
+		if g.charter.talks && !g.retired {
 			g.tellPeer, g.told, g.looked = 0, 0, 0
 			g.newsFrom = g.rng.Intn(len(g.news) + 1)
 		}
@@ -697,7 +697,7 @@
 			}
 		}
 	}
-	return g.warmth(w.Since) >= 1 || (g.now-w.coldAt)*g.coldRate(w.Since) >= w.coldDebt
+	return g.warmth(w.Since) >= 1 || !g.retired && (g.now-w.coldAt)*g.coldRate(w.Since) >= w.coldDebt
 }
 
 func (g *Gatekeeper) cost(t *txn, wi int) float64 {
@@ -784,6 +784,9 @@
 // admit decides on a txn's first submission: BySettled lets it in, else the reason and when to return.
 func (g *Gatekeeper) admit(t *txn) (Reason, float64) {
 	c, p := &g.accounts[t.acct], &g.plans[t.plan]
+	if g.retired {
+		return ByPressure, 0
+	}
 	room := float64(g.inHand) < g.room()*g.depth[t.product][t.plan] &&
 		float64(g.outOf[g.sort(t)]) < math.Max(g.room()*g.openTo[g.sort(t)], 1)
 	if p.ceilRate > 0 || p.ceilDepth > 0 {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -1044,3 +1044,120 @@
 		})
 	}
 }
+
+// Two that follow one another on a machine are one gatekeeper: what the first has spent of quota, ceiling and
+// a cold worker's turns stays spent for the second, and the first lets nothing in once it has left its place.
+func TestEstate(t *testing.T) {
+	c := charterFor(InquiryLike, func(c *Charter) {
+		c.Plans[0] = Plan{Rate: 1, Burst: 10, CeilingRate: 1, CeilingDepth: 10, Factor: 1, ExcessFee: 1}
+		c.WarmUp = 60000
+	})
+	cold := []Posting{{Worker: 0, Active: true}, {Worker: 1, Active: true, Since: 99000}}
+	start := func() *host {
+		h := newHost(t, c, 1, 0)
+		h.at(100000)
+		h.g.Roster(cold, false)
+		h.g.started = 1000 // the ceiling's slice has filled since
+		return h
+	}
+	one, two := start(), start()
+	one.ask(1000, 30, nil)
+	one.g.workers[1].coldAt, one.g.workers[1].coldDebt = one.now, 7
+	spent := one.g.accounts[0]
+	if one.txn(7, 1).final != Decline || spent.ceilingAt <= one.now {
+		t.Fatalf("the first has spent too little: %+v", spent)
+	}
+	s := one.txn(8, 1) // one is out while the place changes
+	spent = one.g.accounts[0]
+	e := one.g.Retire()
+	two.at(one.now)
+	two.g.Resume(e)
+	got := two.g.accounts[0]
+	if got.level != spent.level || got.whole != spent.whole || got.ceilingAt != spent.ceilingAt ||
+		two.g.workers[1].coldDebt != 7 || two.g.started != one.g.started || two.g.window != one.g.window {
+		t.Errorf("the second has %+v of %+v", got, spent)
+	}
+	if two.txn(7, 1).final != Decline {
+		t.Error("the second lets in what the first has spent")
+	}
+	if out := two.g.accounts[1].out; out != 1 || s.final != 0 {
+		t.Errorf("%d submissions of the first one's are out, final %v", out, s.final)
+	}
+	if two.g.Alone(); two.g.accounts[1].out != 0 {
+		t.Errorf("%d submissions are out for ever", two.g.accounts[1].out)
+	}
+	if one.txn(9, 1).final != Decline {
+		t.Error("the first goes on letting in")
+	}
+	if one.at(one.now + 9000); one.g.usable(&txn{}, 1) || !one.g.usable(&txn{}, 0) || len(one.told) > 0 {
+		t.Error("the first goes on with cold workers or peers, or not with warm ones")
+	}
+	bad := e
+	bad.Customers = append([]Customer{{Key: 9, Plan: 5}, {Key: 8, First: 77}, {Key: 7, N: -1}}, e.Customers...)
+	bad.Workers = []Standing{{Worker: 99}, {Worker: 0, Since: 5, Pace: 3}}
+	three := start()
+	three.at(one.now)
+	if three.g.Resume(bad); len(three.g.byKey) != len(e.Customers) || three.g.workers[0].pace != 0 {
+		t.Errorf("%d customers taken over, pace %v", len(three.g.byKey), three.g.workers[0].pace)
+	}
+	bad.Peers = nil
+	four := start()
+	four.at(one.now)
+	if four.g.Resume(bad); len(four.g.byKey) > 0 {
+		t.Error("an estate of another charter is taken over")
+	}
+}
+
+// A body that is not kept: its txn's time runs from the last byte on, it has no place in the window and
+// cannot be found silent before, and once begun it is not submitted again.
+func TestStreams(t *testing.T) {
+	c := charterFor(InquiryLike, nil)
+	arrive := func() (*host, *seen) {
+		h := newHost(t, c, 1, 3)
+		s := h.arrive(Arrival{Customer: 7, Units: 1, SetSize: 2, Left: 1000, Streams: true})
+		if s.expiry = math.Inf(1); len(s.subs) != 1 || h.g.inHand != 0 {
+			t.Fatalf("%d submissions, %d in hand", len(s.subs), h.g.inHand)
+		}
+		return h, s
+	}
+	h, s := arrive()
+	h.ended(s, 0, NoRoute, 1) // before a byte of it
+	if len(s.subs) != 2 {
+		t.Errorf("%d submissions after one that took none of the body", len(s.subs))
+	}
+	h.g.Poured(s.ID, 1, 0)
+	for range 100 {
+		h.at(h.now + 100)
+		h.pull()
+	}
+	if len(s.subs) != 2 || s.final != 0 || h.g.workers[s.subs[1].Worker].distrust.score > 1 {
+		t.Errorf("while it comes: %d submissions, final %v", len(s.subs), s.final)
+	}
+	h.ended(s, 1, NoRoute, 1)
+	if len(s.subs) != 2 || s.final != Decline {
+		t.Errorf("broken in its middle: %d submissions, final %v", len(s.subs), s.final)
+	}
+	h, s = arrive()
+	h.at(h.now + 5000)
+	h.g.Poured(s.ID, 0, 1000)
+	s.expiry = h.now + 1000
+	if h.pull(); h.g.inHand != 1 || s.final != 0 {
+		t.Errorf("it has come: %d in hand, final %v", h.g.inHand, s.final)
+	}
+	for range 20 {
+		h.at(h.now + 100)
+		h.pull()
+	}
+	if s.final != Decline || len(s.subs) != 1 {
+		t.Errorf("after its time: final %v, %d submissions", s.final, len(s.subs))
+	}
+	h, s = arrive()
+	h.g.Poured(s.ID, 0, 1000)
+	h.g.Begun(s.ID, 0) // the answer is long, and the client's
+	h.at(h.now + 9000)
+	if h.pull(); s.final != 0 || h.g.inHand != 0 {
+		t.Errorf("while its answer passes: final %v, %d in hand", s.final, h.g.inHand)
+	}
+	h.g.Poured(12345, 0, 7)
+	h.g.Poured(s.ID, 7, 7)
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -32,7 +32,7 @@
 	ceilingAt           float64 // GCRA: the moment the slice of the ceiling is full again
 	unsaid              float64 // units sent on since the last report
 	said, saidAt, known float64 // demand last reported, when, and what was left of the one before
-	out                 int     // submissions out
+	out, lent           int     // submissions out, and of these the predecessor's
 }
 
 // peer is what is known of another gatekeeper.
@@ -116,6 +116,7 @@
 	rng      *rand.Rand
 	now      float64
 	started  float64
+	retired  bool    // another has taken over what it knows
 	thawed   float64 // when the gatekeeper last found that it had itself stood still
 	begun    bool
 	charter  terms
@@ -425,7 +426,12 @@
 			}
 		}
 	}
-	for i := range g.mute[1:] { // silent peers over the ring
+	g.muted()
+}
+
+// muted counts the silent peers over the ring.
+func (g *Gatekeeper) muted() {
+	for i := range g.mute[1:] {
 		g.mute[i+1] = g.mute[i]
 		if p := &g.peers[i%g.charter.n]; p.silent && !p.gone {
 			g.mute[i+1]++
