--- a/logic/logic.go
+++ b/logic/logic.go
@@ -133,8 +133,7 @@
 	AcceptOn      = 450.0    // ms after the order to stop in which new connections are served; they come for 400
 )
 
-// New starts a gatekeeper that knows nothing but its charter. The same seed and inputs give the same
-// decisions.
+// New starts a gatekeeper that knows nothing but its charter. Same seed and inputs, same decisions.
 func New(c Charter, seed int64) *Gatekeeper {
 	g := &Gatekeeper{rng: rand.New(rand.NewSource(seed)), byID: map[uint64]int32{}, byKey: map[uint32]int32{},
 		beatAt: -1, tellPeer: -1}
@@ -276,13 +275,10 @@
 // Ended tells how submission n of a txn ended, and whether that closed the txn, now or earlier.
 func (g *Gatekeeper) Ended(id uint64, n int, o Outcome, took float64, closed bool) {
 	slot, ok := g.byID[id]
-	if !ok {
+	if !ok || n < 0 || n >= len(g.txns[slot].subs) || !g.txns[slot].subs[n].out {
 		return
 	}
 	t := &g.txns[slot]
-	if n < 0 || n >= len(t.subs) || !t.subs[n].out {
-		return
-	}
 	s := &t.subs[n]
 	s.out = false
 	t.out--
@@ -306,9 +302,11 @@
 	} else if late && o == TimedOut && w.heard >= s.sent {
 		g.astray.add(1, g.now, astrayFade)
 	}
+	if o <= Full || o == NoRoute || o == Cut {
+		w.heard = g.now
+	}
 	switch o {
 	case Settled:
-		w.heard = g.now
 		if s.sent < g.thawed {
 			break
 		}
@@ -329,14 +327,11 @@
 			g.pressed(took / sla / g.charter.slack)
 		}
 	case Fault, Cut:
-		w.heard = g.now
 		g.doubt(w, took)
 		g.risk(t, s)
 	case NoRoute:
-		w.heard = g.now
 		g.doubt(w, took)
 	case Full:
-		w.heard = g.now
 		if g.turned(w, t); w.full {
 			g.doubt(w, took)
 			g.pressed(1)
@@ -431,11 +426,7 @@
 	if g.now >= g.nextBeat && len(g.byID) > 0 && g.beatAt < 0 {
 		g.beatAt, g.nextBeat = 0, g.now+g.charter.calm
 	}
-	for g.beatAt >= 0 {
-		if g.beatAt == len(g.txns) {
-			g.beatAt = -1
-			break
-		}
+	for g.beatAt >= 0 && g.beatAt < len(g.txns) {
 		slot := int32(g.beatAt)
 		g.watch(&g.txns[slot])
 		if d, ok := g.step(slot); ok {
@@ -443,6 +434,7 @@
 		}
 		g.beatAt++
 	}
+	g.beatAt = -1
 	if g.now >= g.nextTell && g.tellPeer < 0 {
 		g.nextTell = g.now + g.charter.period
 		g.sweep()
@@ -527,10 +519,8 @@
 		return Decision{}, false
 	}
 	if t.answered {
-		if g.charter.withdraw {
-			if d, ok := g.withdraw(t); ok {
-				return d, true
-			}
+		if d, ok := g.withdraw(t); ok {
+			return d, true
 		}
 		if t.out == 0 {
 			delete(g.byID, t.id)
@@ -544,16 +534,11 @@
 			return Decision{}, false
 		}
 		t.another = false
-		if t.expiry-g.now <= margin || !g.mayRepeat(t, true) {
-			return Decision{}, false
-		}
-		if !g.charter.overlap {
-			if g.charter.withdraw {
-				return g.withdraw(t)
-			}
-			return Decision{}, false
+		again := t.expiry-g.now > margin && g.mayRepeat(t, true)
+		if again && !g.charter.overlap {
+			return g.withdraw(t)
 		}
-		if float64(g.inHand) < g.room() {
+		if again && float64(g.inHand) < g.room() {
 			if w := g.choose(t); w >= 0 {
 				return g.submit(t, w), true
 			}
@@ -589,20 +574,17 @@
 	if !t.mayRun && !running {
 		return true
 	}
-	switch p.repeat {
-	case InquiryLike:
-		return true
-	case Referenced:
-		from := t.bondAt
-		for i := range t.subs {
-			if s := &t.subs[i]; s.out && (!t.mayRun || s.sent < from) {
-				from = s.sent
-				break
-			}
+	if p.repeat != Referenced {
+		return p.repeat == InquiryLike
+	}
+	from := t.bondAt
+	for i := range t.subs {
+		if s := &t.subs[i]; s.out && (!t.mayRun || s.sent < from) {
+			from = s.sent
+			break
 		}
-		return g.now-from < p.window-beat
 	}
-	return false
+	return g.now-from < p.window-beat
 }
 
 // giveUp ends a txn at once: declined where that promise holds, else voided.
@@ -686,15 +668,9 @@
 				b = t.subs[i].worker
 			}
 		}
-		switch o := &g.workers[b]; g.products[t.product].group {
-		case GroupZone:
-			if o.Zone != w.Zone {
-				return false
-			}
-		case GroupCell:
-			if o.Cell != w.Cell {
-				return false
-			}
+		o, group := &g.workers[b], g.products[t.product].group
+		if group == GroupZone && o.Zone != w.Zone || group == GroupCell && o.Cell != w.Cell {
+			return false
 		}
 	}
 	return g.warmth(w.Since) >= 1 || !g.retired && (g.now-w.coldAt)*g.coldRate(w.Since) >= w.coldDebt
@@ -857,8 +833,8 @@
 	return math.Max(short/g.plans[c.plan].rate, 0)
 }
 
-// gcraWait is how long until a store that is full at tat, fills at rate and holds depth has the units; 0
-// is now.
+// gcraWait is how long until a store, full at tat, that fills at rate and holds depth has the units; 0 is
+// now.
 func gcraWait(tat, now, rate, depth, units float64) float64 {
 	if rate <= 0 {
 		return math.MaxFloat64
@@ -923,10 +899,7 @@
 		if c.plan != a.Plan {
 			c.whole = g.holds(p, p.rate)
 		}
-		c.plan, c.n, c.first = a.Plan, min(max(a.SetSize, 1), g.charter.n), 0
-		if a.First > 0 {
-			c.first = a.First % g.charter.n
-		}
+		c.plan, c.n, c.first = a.Plan, min(max(a.SetSize, 1), g.charter.n), max(a.First, 0)%g.charter.n
 		if p.ceilRate > 0 {
 			// A former life of this gatekeeper may have spent its whole slice just before it ended.
 			c.ceilingAt = math.Max(c.ceilingAt, g.started+p.ceilDepth/p.ceilRate)
--- a/logic/state.go
+++ b/logic/state.go
@@ -203,7 +203,7 @@
 
 func (g *Gatekeeper) withdraw(t *txn) (Decision, bool) {
 	for i := range t.subs {
-		if s := &t.subs[i]; s.out && !s.dropped {
+		if s := &t.subs[i]; s.out && !s.dropped && g.charter.withdraw {
 			s.dropped = true
 			return Decision{Kind: Withdraw, Txn: t.id, N: i}, true
 		}
