A worker that has begun to answer slowly is no longer taken for silent

Ruled out: time-outs (3), connections that did not come up (none). The host now tells the first bytes of an answer that does not come at once (Stirs).

--- a/internal/gate/desk.go
+++ b/internal/gate/desk.go
@@ -229,6 +229,13 @@
 	return begins
 }
 
+// stirs tells the module that a worker has begun to answer.
+func (d *Desk) stirs(worker int) {
+	d.enter()
+	d.gk.Stirs(worker)
+	d.leave()
+}
+
 // ended tells the module how a submission ended. The first answer of a worker settles the txn.
 func (d *Desk) ended(h *held.Txn, n, worker int, a *wire.Answer, took float64) {
 	now := d.enter()
--- a/internal/gate/exchange.go
+++ b/internal/gate/exchange.go
@@ -46,7 +46,7 @@
 		return &wire.Answer{Outcome: logic.NoRoute}, nil, began // broke before its last byte: it never ran
 	}
 	g.links.Wrote()
-	a, err = l.Receive()
+	a, err = l.Receive(func() { g.desk.stirs(to.Worker) })
 	return g.answered(j, l, a, err, began)
 }
 
@@ -94,7 +94,7 @@
 		}
 		sent <- err
 	}()
-	a, err = l.Receive()
+	a, err = l.Receive(func() { g.desk.stirs(j.word.To.Worker) })
 	began = g.desk.clock.now()
 	j.upload.Stop() // what is answered early needs no more of it
 	fail := <-sent
--- a/internal/lifecycle/stream_test.go
+++ b/internal/lifecycle/stream_test.go
@@ -217,6 +217,25 @@
 	}
 }
 
+// The module hears that a slow answer has begun, and of one that comes at once only its end.
+func TestAnswerThatTrickles(t *testing.T) {
+	d := before(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Length", "8")
+		for range 8 {
+			w.Write([]byte("x"))
+			w.(http.Flusher).Flush()
+			time.Sleep(40 * time.Millisecond) // 320 ms in all; a whole one may not pause for AnswerPause
+		}
+	})
+	c := strings.Replace(check("/check", "t"), "300m", "900m", 1)
+	if status, body := d.ask(c); status != "HTTP/1.1 200 OK" || body != "xxxxxxxx" {
+		t.Errorf("answered %q %q", status, body)
+	}
+	if n := d.gk.links.Tries(); n != 1 {
+		t.Errorf("%d submissions", n)
+	}
+}
+
 // All forms in which a client may send a body come to the same.
 func TestFormsOfBodies(t *testing.T) {
 	head := func(with string) string {
--- a/internal/wire/fuzz_test.go
+++ b/internal/wire/fuzz_test.go
@@ -57,7 +57,7 @@
 		}()
 		l := newLink(ours, 0)
 		l.Until(time.Now().Add(time.Second))
-		a, err := l.Receive()
+		a, err := l.Receive(nil)
 		if err != nil || a.Outcome != logic.Settled {
 			return
 		}
--- a/internal/wire/submission.go
+++ b/internal/wire/submission.go
@@ -148,6 +148,7 @@
 	until   atomic.Int64  // the moment at which whatever waits for an answer gives up, Unix ns; 0 is never
 	pause   time.Duration // how long an answer that has begun may pause; 0 while none has
 	aborted atomic.Bool
+	begins  func() // called once when an answer has begun and does not come at once; nil where none asks
 }
 
 func newLink(conn net.Conn, worker int) *Link {
@@ -189,6 +190,10 @@
 // is cut here.
 func (l *Link) Read(b []byte) (int, error) {
 	if l.pause > 0 {
+		if l.begins != nil {
+			l.begins()
+			l.begins = nil
+		}
 		end := time.Now().Add(l.pause)
 		if until := time.Unix(0, l.until.Load()); l.until.Load() > 0 && until.Before(end) {
 			end = until
@@ -231,8 +236,9 @@
 
 // Receive reads one answer, but for the rest of one that is too long to be kept. After an error the link is
 // of no more use. What lies behind a whole answer is not part of it: the answer is good, and the link's last.
-func (l *Link) Receive() (*Answer, error) {
-	l.pause = 0
+// begins is called where an answer has begun and does not come at once.
+func (l *Link) Receive(begins func()) (*Answer, error) {
+	l.pause, l.begins = 0, begins
 	if _, err := l.in.Peek(1); err != nil {
 		return nil, err
 	}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -505,6 +505,23 @@
 	}
 }
 
+// A worker that has begun to answer, however slowly it goes on, is not silent: nothing is moved from it.
+func TestSlowAnswer(t *testing.T) {
+	h := newHost(t, charterFor(InquiryLike, nil), 3, 2)
+	h.ended(h.txn(1, 1), 0, Settled, 20)
+	h.at(h.now + 5)
+	s := h.txn(7, 1)
+	h.at(h.now + 100)
+	h.g.Stirs(s.subs[0].Worker)
+	h.g.Stirs(99)
+	for end := h.now + 900; h.now < end; h.pull() {
+		h.at(h.now + 5)
+	}
+	if n := h.g.Tally(); n.InFlight != 1 || len(s.subs) != 1 || n.Distrusted > 0 {
+		t.Errorf("%d submissions, %v in hand, %d distrusted", len(s.subs), n.InFlight, n.Distrusted)
+	}
+}
+
 func TestOneOffFlood(t *testing.T) {
 	h := newHost(t, charterFor(InquiryLike, func(c *Charter) { c.Plans[0].Rate = 1 }), 1, 8)
 	for i := range 20000 {
--- a/logic/state.go
+++ b/logic/state.go
@@ -358,6 +358,13 @@
 	}
 }
 
+// Stirs tells that a worker has begun to answer, so that it is not taken for a silent one.
+func (g *Gatekeeper) Stirs(wi int) {
+	if wi >= 0 && wi < len(g.workers) {
+		g.workers[wi].heard = g.now
+	}
+}
+
 // Poured tells that a body that is not kept has begun to go out with submission n, or, where left is given,
 // that its last byte has: the client waits so many ms from now on.
 func (g *Gatekeeper) Poured(id uint64, n int, left float64) {
