--- a/internal/lifecycle/replace.go
+++ b/internal/lifecycle/replace.go
@@ -118,6 +118,7 @@
 		<-told
 		return failed == nil && o.Client(c, handover.Client{Proven: proven, Ahead: ahead}) == nil
 	})
+	g.links.Retire()
 	w := handover.Will{Drains: g.drains.Load()}
 	w.Estate, w.Workers, w.Kinds = g.desk.Retire()
 	err := o.Leave(w)
--- a/internal/wire/links.go
+++ b/internal/wire/links.go
@@ -23,6 +23,7 @@
 	mu      sync.Mutex
 	idle    [][]*Link // by worker; the most recent last
 	open    int
+	retired bool
 	most    int
 	keep    time.Duration
 	connect time.Duration
@@ -96,7 +97,7 @@
 func (p *Links) Keep(l *Link, of Life) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !of.Holds() { // asked here, as the worker's end sheds what has been kept before it
+	if p.retired || !of.Holds() { // asked here, as the worker's end sheds what has been kept before it
 		return false
 	}
 	for len(p.idle) <= l.worker {
@@ -125,6 +126,16 @@
 	}
 }
 
+// Retire ends the idle connections, and keeps none from then on: what is free is another process's now.
+func (p *Links) Retire() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.retired = true
+	for w := range p.idle {
+		p.cut(w, len(p.idle[w]))
+	}
+}
+
 // prune ends those connections of a worker that have been idle for too long.
 func (p *Links) prune(worker int) {
 	n, s := 0, p.idle[worker]
