--- a/internal/lifecycle/operate_test.go
+++ b/internal/lifecycle/operate_test.go
@@ -126,3 +126,51 @@
 		t.Errorf("started: %v, %v", g, err)
 	}
 }
+
+// Far more connections than there are places, which never finish a txn: true ones, each on a new connection,
+// are served in time, one whose head takes its time too, and a stop is kept to.
+func TestCrowd(t *testing.T) {
+	d := operated(t)
+	slow, err := net.Dial("tcp", d.at)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer slow.Close()
+	got := make(chan string, 1)
+	go func() {
+		raw := check("/check", "slow")
+		for len(raw) > 0 { // in 1.2 s
+			n := min(len(raw), 20)
+			slow.Write([]byte(raw[:n]))
+			raw = raw[n:]
+			time.Sleep(100 * time.Millisecond)
+		}
+		status, _ := read(slow)
+		got <- status
+	}()
+	for i := range 100 {
+		c, err := net.Dial("tcp", d.at)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		if i%2 == 0 {
+			fmt.Fprint(c, check("/check", "never")[:60])
+		}
+	}
+	for i := range 5 {
+		start := time.Now()
+		status, _ := d.ask(check("/check", fmt.Sprint("t", i)))
+		if took := time.Since(start); status != "HTTP/1.1 200 OK" || took > 2*time.Second {
+			t.Errorf("true txn %d: %q after %v", i, status, took)
+		}
+	}
+	if s := <-got; s != "HTTP/1.1 200 OK" {
+		t.Errorf("a slow honest one gets %q", s)
+	}
+	start := time.Now()
+	d.gk.Stop()
+	if took := time.Since(start); took > 3500*time.Millisecond { // it has 3.7 s at least
+		t.Errorf("stopped after %v", took)
+	}
+}
--- a/internal/lifecycle/start.go
+++ b/internal/lifecycle/start.go
@@ -55,7 +55,7 @@
 		spare = max(spare-logic.OperatorCalls, 2)
 	}
 	if c.Scratch != "" { // a process that gets ready to take this one's place is counted with it
-		spare = max(spare-logic.SpareFiles-logic.OperatorCalls, 2)
+		spare -= min(logic.SpareFiles+logic.OperatorCalls, spare/4)
 	}
 	g.links = wire.NewLinks(max(int(spare*logic.WorkerPart), 1), wire.Millis(c.Lines.IdleLimit*logic.IdleUse),
 		wire.Millis(c.Lines.ConnectTimeout))
