--- /dev/null
+++ b/internal/emu/emu_test.go
@@ -0,0 +1,341 @@
+package emu
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"willowdeck/logic"
+)
+
+func small(t testing.TB) *Scenario {
+	t.Helper()
+	s, err := Read("../../scenarios/small.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func play(t testing.TB, s *Scenario, seed int64, wrap func(int, brain) brain) *Result {
+	t.Helper()
+	r, err := run(context.Background(), s, seed, wrap)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// Every fault, under a surge: the module keeps the five rules, and every txn comes to an end.
+func TestFaults(t *testing.T) {
+	for kind := range FaultKinds {
+		t.Run(kind, func(t *testing.T) {
+			t.Parallel()
+			s := small(t)
+			s.Faults = []Fault{{Kind: kind, FromS: 5, ToS: 10, Part: 0.4, Factor: 0.5}}
+			if kind == "slow" {
+				s.Faults[0].Factor = 5
+			}
+			s.Shapes = []shape{{Kind: "surge", FromS: 3, ToS: 18, Factor: 2}}
+			r := play(t, s, 3, nil)
+			if r.Breaks != [6]int{} {
+				t.Errorf("broken %v, first %v", r.Breaks, r.First[0])
+			}
+			if r.Settled+r.Failed != r.Asked {
+				t.Errorf("%d settled and %d given up, of %d", r.Settled, r.Failed, r.Asked)
+			}
+			if r.Score < 0.5 || r.Settled < 3000 {
+				t.Errorf("score %.3f, %d settled", r.Score, r.Settled)
+			}
+		})
+	}
+}
+
+// planted is a module with something broken in it on purpose.
+type planted struct {
+	brain
+	now    float64
+	take   func(p *planted, a logic.Arrival)
+	next   func(p *planted, d logic.Decision) (logic.Decision, bool)
+	cold   int
+	due    []logic.Decision
+	left   map[uint64]float64
+	subs   map[uint64]int
+	repeat map[uint64]int
+}
+
+func (p *planted) Clock(now float64) {
+	p.now = now
+	p.brain.Clock(now)
+}
+
+func (p *planted) Roster(list []logic.Posting, partial bool) {
+	for _, x := range list {
+		if x.Since > 0 {
+			p.cold = x.Worker
+		}
+	}
+	p.brain.Roster(list, partial)
+}
+
+func (p *planted) Take(a logic.Arrival) {
+	p.left[a.ID] = p.now + a.Left
+	p.repeat[a.ID] = a.Product
+	p.brain.Take(a)
+}
+
+func (p *planted) Next() (logic.Decision, bool) {
+	if len(p.due) > 0 {
+		d := p.due[0]
+		p.due = p.due[1:]
+		return d, true
+	}
+	for {
+		d, ok := p.brain.Next()
+		if !ok {
+			return d, false
+		}
+		if d.Kind == logic.Submit {
+			p.subs[d.Txn]++
+		}
+		if d, ok = p.next(p, d); ok {
+			return d, true
+		}
+	}
+}
+
+// Each of the five rules, broken on purpose in one gatekeeper, is caught and named; what is not broken
+// stays clean.
+func TestPlantedBreaks(t *testing.T) {
+	cases := []struct {
+		rule int
+		name string
+		next func(*planted, logic.Decision) (logic.Decision, bool)
+		over func(*Scenario)
+	}{
+		{1, "forgets every hundredth decline", func(p *planted, d logic.Decision) (logic.Decision, bool) {
+			return d, d.Kind != logic.Decline || d.Txn%100 != 0
+		}, func(s *Scenario) { s.Plans[0].Asks = 3 }},
+		{2, "submits once-only txns again when one is given up", func(p *planted,
+			d logic.Decision) (logic.Decision, bool) {
+			if d.Kind == logic.Void && p.repeat[d.Txn] == 2 && p.left[d.Txn]-p.now > 50 {
+				d.Kind, d.Worker, d.N, d.Wait = logic.Submit, 0, p.subs[d.Txn], p.left[d.Txn]-p.now-1
+			}
+			return d, true
+		}, func(s *Scenario) { s.Faults = []Fault{{Kind: "fail", FromS: 1, ToS: 19, Part: 1, Factor: 0.2}} }},
+		{3, "sends to a worker that drains", func(p *planted, d logic.Decision) (logic.Decision, bool) {
+			if d.Kind == logic.Submit && p.now > 6000 && p.now < 7500 {
+				d.Worker = int(d.Txn % 8)
+			}
+			return d, true
+		}, func(s *Scenario) {
+			s.blind = true
+			s.Faults = []Fault{{Kind: "drain", FromS: 5, ToS: 12, Part: 0.5}}
+		}},
+		{4, "sends all to a cold worker", func(p *planted, d logic.Decision) (logic.Decision, bool) {
+			if d.Kind == logic.Submit && p.now > 8000 && p.now < 12000 {
+				d.Worker = p.cold
+			}
+			return d, true
+		}, func(s *Scenario) { s.Faults = []Fault{{Kind: "kill", FromS: 5, ToS: 7, Part: 0.1}} }},
+		{5, "knows no ceiling", nil, func(s *Scenario) {
+			s.Plans[1].Asks = 4
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			for _, broken := range []bool{true, false} {
+				s := small(t)
+				c.over(s)
+				var wrap func(int, brain) brain
+				if broken {
+					wrap = func(num int, b brain) brain {
+						if c.next == nil {
+							without := s.charter(num)
+							p := &without.Plans[1]
+							p.CeilingRate, p.CeilingDepth, p.Rate, p.Burst = 0, 0, 1000, 1000
+							return logic.New(without, 1)
+						}
+						return &planted{brain: b, next: c.next, left: map[uint64]float64{}, subs: map[uint64]int{},
+							repeat: map[uint64]int{}}
+					}
+				}
+				r := play(t, s, 5, wrap)
+				if (r.Breaks[c.rule] > 0) != broken {
+					t.Errorf("planted %v: broken %v", broken, r.Breaks)
+				}
+				if !broken && r.Breaks != [6]int{} {
+					t.Errorf("a clean run is broken: %v", r.First[0])
+				}
+				if broken && (r.First[0].At <= 0 || r.First[0].Txn == 0) {
+					t.Errorf("named as %v", r.First[0])
+				}
+			}
+		})
+	}
+}
+
+// One seed is one run, to the last byte; another is another.
+func TestSameSeed(t *testing.T) {
+	text := func(seed int64) string {
+		s := small(t)
+		s.Seconds = 8
+		s.Faults = []Fault{{Kind: "restart", FromS: 3, ToS: 4, Part: 0.5}, {Kind: "drain", FromS: 2, ToS: 5,
+			Part: 0.3}}
+		b, err := json.Marshal(play(t, s, seed, nil))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return string(b)
+	}
+	if text(7) != text(7) {
+		t.Error("two runs of one seed differ")
+	}
+	if text(7) == text(8) {
+		t.Error("two seeds give one run")
+	}
+}
+
+// Waiting in a worker's queue, held against Erlang's formulas: c cores, Poisson arrivals, exponential
+// service.
+func TestQueueAgainstErlang(t *testing.T) {
+	cases := []struct {
+		cores int
+		load  float64 // of the cores
+	}{{1, 0.5}, {1, 0.8}, {4, 0.7}}
+	for _, c := range cases {
+		t.Run(fmt.Sprint(c.cores, c.load), func(t *testing.T) {
+			s := small(t)
+			s.Seconds, s.Policy, s.Shapes = 3000, "open", nil
+			s.Gatekeepers.Count, s.Gatekeepers.Spread = 1, 1
+			s.Network.ClientMS, s.Network.WorkerMS = 0, 0
+			s.Clients.Waits, s.Clients.Retries = 100, 0
+			s.Workers.Count, s.Workers.Cores, s.Workers.Queue = 1, c.cores, 1000000
+			s.Workers.ServiceMS, s.Workers.Exponential = 20, true
+			s.Products, s.Plans = s.Products[:1], s.Plans[:1]
+			s.Plans[0].Customers, s.Plans[0].Rate, s.Plans[0].Burst = 10, 1000, 1000
+			s.Plans[0].Asks = c.load * float64(c.cores) * 50 / 10 / 1000
+			r := play(t, s, 11, nil)
+			a := c.load * float64(c.cores)
+			sum, term := 0.0, 1.0
+			for k := range c.cores {
+				sum += term
+				term *= a / float64(k+1)
+			}
+			waits := term / (1 - c.load) / (sum + term/(1-c.load)) // Erlang C
+			want := 20 + waits*20/(float64(c.cores)*(1-c.load))
+			mean := r.Mean
+			if math.Abs(mean-want) > 0.05*want {
+				t.Errorf("mean %.2f ms in %d txns, Erlang's %.2f", mean, r.Settled, want)
+			}
+		})
+	}
+}
+
+// A gatekeeper that stands still for two seconds: every txn that was due then shows the wait.
+func TestStallIsSeen(t *testing.T) {
+	s := small(t)
+	s.Clients.Waits = 10
+	s.Faults = []Fault{{Kind: "stall", FromS: 10, ToS: 12, Part: 1}}
+	r := play(t, s, 3, nil)
+	for _, sec := range r.Seconds {
+		if sec.At == 10 && sec.Most < 1900 || sec.At == 8 && sec.P99 > 1000 {
+			t.Errorf("second %d: p99 %.0f ms, most %.0f ms", sec.At, sec.P99, sec.Most)
+		}
+	}
+}
+
+// The baselines come in the order that they must, in a fleet that is pressed.
+func TestBaselines(t *testing.T) {
+	score := map[string]float64{}
+	for p := range Policies {
+		s := small(t)
+		s.Policy = p
+		s.Shapes = []shape{{Kind: "surge", FromS: 2, ToS: 18, Factor: 3}}
+		s.Faults = []Fault{{Kind: "silent", FromS: 5, ToS: 15, Part: 0.3}}
+		score[p] = play(t, s, 4, nil).Score
+	}
+	if !(score["seer"] > score["willowdeck"] && score["willowdeck"] > score["static"] &&
+		score["willowdeck"] > score["open"]) {
+		t.Errorf("%v", score)
+	}
+}
+
+// What is wrong in a scenario is named by its line or key.
+func TestBadScenarios(t *testing.T) {
+	raw, err := os.ReadFile("../../scenarios/small.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	good := string(raw)
+	cases := []struct{ name, old, new, says string }{
+		{"no TOML", "[workers]", "[workers", "line "},
+		{"unknown key", "cores = 2", "cors = 2", "line 15: workers.cors: unknown key"},
+		{"a word for a number", "cores = 2", `cores = "two"`, "cores"},
+		{"no worker", "count = 8", "count = 0", "workers.count"},
+		{"not a number", "seconds = 20", "seconds = nan", "seconds"},
+		{"a set beyond the fleet", "spread = 4 ", "spread = 5 ", "gatekeepers.spread"},
+		{"unknown kind", `repeat = "once"`, `repeat = "twice"`, "products[2].repeat"},
+		{"product twice", `name = "issue"`, `name = "sale"`, "products[2].name"},
+		{"unknown policy", "seconds = 20", "seconds = 20\npolicy = \"best\"", "policy"},
+		{"unknown fault", "[workers]", "[[faults]]\nkind = \"fire\"\n[workers]", "faults[0].kind"},
+		{"fault that ends first", "[workers]", "[[faults]]\nkind = \"kill\"\nfrom_s = 5\nto_s = 4\n[workers]",
+			"faults[0].to_s"},
+		{"shape of no plan", "[workers]",
+			"[[shapes]]\nkind = \"steady\"\nto_s = 4\nfactor = 2\nplan = \"gold\"\n[workers]", "shapes[0].plan"},
+		{"shape without a span", "[workers]", "[[shapes]]\nkind = \"surge\"\nfactor = 2\n[workers]",
+			"shapes[0].to_s"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			if !strings.Contains(good, c.old) {
+				t.Fatal("the case changes nothing")
+			}
+			_, err := Decode(strings.Replace(good, c.old, c.new, 1))
+			if err == nil || !strings.Contains(err.Error(), c.says) {
+				t.Errorf("got %v, want %q", err, c.says)
+			}
+		})
+	}
+	dir := t.TempDir()
+	file := filepath.Join(dir, "s.toml")
+	os.WriteFile(file, []byte("trace = \"t.csv\"\n"+good), 0o600)
+	s, err := Read(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Run(context.Background(), s, 1); err == nil || !strings.Contains(err.Error(), "t.csv") {
+		t.Errorf("a trace that is not there: %v", err)
+	}
+	os.WriteFile(filepath.Join(dir, "t.csv"),
+		[]byte("at_ms,customer,plan,product,units\n1,1,shop,check,1\n2,1,shop\n"), 0o600)
+	if _, err := Run(context.Background(), s, 1); err == nil || !strings.Contains(err.Error(), "line 3") {
+		t.Errorf("a trace that is cut: %v", err)
+	}
+	if _, err := Read(filepath.Join(dir, "none.toml")); err == nil || !strings.Contains(err.Error(),
+		"none.toml") {
+		t.Errorf("no file: %v", err)
+	}
+	if s = small(t); s.Set("workers.count", 0) == nil || s.Set("workers.colour", 1) == nil ||
+		s.Set("workers.count", 9) != nil {
+		t.Error("figures of a sweep are not checked")
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	if r, err := Run(ctx, small(t), 1); err == nil || r != nil {
+		t.Error("a stopped run has a result")
+	}
+}
+
+func BenchmarkEmulator(b *testing.B) {
+	var events int64
+	for range b.N {
+		events += play(b, small(b), 1, nil).Events
+	}
+	b.ReportMetric(float64(events)/b.Elapsed().Seconds(), "events/s")
+}
--- /dev/null
+++ b/internal/emu/gatekeeper.go
@@ -0,0 +1,333 @@
+package emu
+
+import (
+	"math"
+	"math/rand"
+
+	"willowdeck/internal/judge"
+	"willowdeck/logic"
+)
+
+// gatekeeper is one instance, through its lives.
+type gatekeeper struct {
+	w       *world
+	num     int
+	source  *rand.Rand // seeds of its lives
+	brain   brain
+	life    int
+	up      bool
+	held    bool // it stands still
+	pending []func()
+	cut     bool // from its peers
+	txns    map[uint64]*txn
+	wakeAt  float64
+	told    []told // by worker: what it knows of the list
+}
+
+type told struct {
+	active bool
+	life   int
+}
+
+// txn is a client's try at one gatekeeper.
+type txn struct {
+	c       *client
+	id      uint64
+	until   float64
+	final   bool
+	out     int
+	subs    []*submission
+	product int
+}
+
+// submission is one copy of a txn on its way to a worker, there, or back.
+type submission struct {
+	t       *txn
+	n       int
+	g       *gatekeeper
+	life    int // of its gatekeeper
+	worker  *worker
+	wlife   int
+	began   float64
+	written bool
+	over    bool // its gatekeeper waits no longer
+	work    float64
+}
+
+// start begins a life that knows nothing but the list as it is now.
+func (g *gatekeeper) start() {
+	g.life++
+	g.up, g.held, g.pending = true, false, nil
+	g.txns, g.wakeAt = map[uint64]*txn{}, 0
+	g.brain = g.w.newBrain(g.num, g.source.Int63())
+	g.told = make([]told, len(g.w.workers))
+	var list []logic.Posting
+	for i, x := range g.w.workers {
+		g.told[i] = told{x.listed(), x.life}
+		if !x.listed() {
+			g.w.judge.Told(g.w.now, g.num, i, false)
+		}
+		list = append(list, x.posting(true))
+	}
+	g.input(func(b brain) { b.Roster(list, false) })
+}
+
+// kill ends a life at once.
+func (g *gatekeeper) kill() {
+	if !g.up {
+		return
+	}
+	g.up = false
+	g.w.judge.Crashed(g.num)
+	for _, t := range ordered(g.txns) {
+		if !t.final {
+			t.final = true
+			g.w.res.Crashed++
+			g.w.in(g.w.s.Network.ClientMS, func() { t.c.answered(refused, 0) })
+		}
+	}
+	g.txns = nil
+}
+
+// ordered gives txns by their numbers: a map's own order would differ from run to run.
+func ordered(m map[uint64]*txn) []*txn {
+	all := make([]*txn, 0, len(m))
+	for _, t := range m {
+		all = append(all, t)
+	}
+	for i := 1; i < len(all); i++ {
+		for k := i; k > 0 && all[k].id < all[k-1].id; k-- {
+			all[k], all[k-1] = all[k-1], all[k]
+		}
+	}
+	return all
+}
+
+// input gives the brain one input, and carries out what it decides.
+func (g *gatekeeper) input(f func(brain)) {
+	if !g.up {
+		return
+	}
+	if g.held {
+		g.pending = append(g.pending, func() { g.input(f) })
+		return
+	}
+	g.brain.Clock(g.w.now)
+	f(g.brain)
+	for {
+		d, ok := g.brain.Next()
+		if !ok {
+			return
+		}
+		g.carry(d)
+	}
+}
+
+// hold has it stand still, until release.
+func (g *gatekeeper) hold() { g.held = g.up }
+
+func (g *gatekeeper) release() {
+	g.held = false
+	all := g.pending
+	g.pending = nil
+	for _, f := range all {
+		f()
+	}
+}
+
+// arrive is a txn's arrival at the machine.
+func (g *gatekeeper) arrive(c *client, firstOf int, until float64) {
+	w := g.w
+	if !g.up {
+		w.in(w.s.Network.ClientMS, func() { c.answered(refused, 0) })
+		return
+	}
+	w.ids++
+	t := &txn{c: c, id: w.ids, until: until, product: c.a.Product}
+	g.txns[t.id] = t
+	life := g.life
+	w.judge.Taken(w.now, g.num, t.id, c.a.Product, c.a.Plan, c.a.Customer, c.a.Units, until)
+	w.in(until-w.now, func() { // the client's own clock, with the slack of the answer's way
+		if !t.final && g.life == life && g.held {
+			t.final = true // it stands still: the client goes, and is owed nothing that it could get
+			w.judge.Left(t.id)
+			w.res.Silent++
+			c.answered(silent, 0)
+			g.input(func(b brain) { b.Left(t.id) })
+			g.drop(t)
+		}
+	})
+	g.input(func(b brain) {
+		if t.final {
+			return
+		}
+		b.Take(logic.Arrival{ID: t.id, Customer: uint64(c.a.Customer), Product: c.a.Product, Plan: c.a.Plan,
+			Units: c.a.Units, SetSize: w.s.Gatekeepers.Spread, First: firstOf, Left: until - w.now})
+	})
+}
+
+// carry carries out one decision.
+func (g *gatekeeper) carry(d logic.Decision) {
+	w := g.w
+	switch d.Kind {
+	case logic.Wake:
+		if g.wakeAt > w.now && g.wakeAt <= d.At {
+			return
+		}
+		g.wakeAt = d.At
+		life := g.life
+		w.in(d.At-w.now, func() {
+			if g.life == life {
+				if g.wakeAt <= w.now {
+					g.wakeAt = 0
+				}
+				g.input(func(brain) {})
+			}
+		})
+		return
+	case logic.Tell:
+		g.tell(d)
+		return
+	}
+	t := g.txns[d.Txn]
+	if t == nil {
+		w.res.Stray++
+		return
+	}
+	switch d.Kind {
+	case logic.Submit:
+		g.submit(t, d)
+	case logic.Withdraw:
+		if s := t.subs[d.N]; !s.over {
+			g.ended(s, logic.Withdrawn, judge.MayHaveRun)
+		}
+	case logic.Decline:
+		g.final(t, judge.Declined, declined, d.Wait)
+	case logic.Void:
+		g.final(t, judge.Voided, voided, 0)
+	}
+}
+
+// tell sends a message to a peer, if it gets there.
+func (g *gatekeeper) tell(d logic.Decision) {
+	w := g.w
+	w.res.Messages++
+	to := w.gks[d.Peer]
+	lost := w.net.Float64() < w.s.Network.PeerLoss
+	if delay := w.draw(w.s.Network.PeerMS); !lost && !g.cut && !to.cut {
+		reports, from := append([]logic.Report(nil), d.Reports...), g.num
+		w.in(delay, func() { to.input(func(b brain) { b.Hear(from, reports) }) })
+	}
+}
+
+// final gives a txn's client its answer.
+func (g *gatekeeper) final(t *txn, f judge.Final, k answerKind, wait float64) {
+	g.w.judge.Answered(g.w.now, t.id, f)
+	if t.final {
+		return
+	}
+	t.final = true
+	g.w.in(g.w.draw(g.w.s.Network.ClientMS), func() { t.c.answered(k, wait) })
+	g.drop(t)
+}
+
+// drop forgets a txn of which nothing more can come.
+func (g *gatekeeper) drop(t *txn) {
+	if t.final && t.out == 0 {
+		delete(g.txns, t.id)
+	}
+}
+
+// submit sends a submission on its way.
+func (g *gatekeeper) submit(t *txn, d logic.Decision) {
+	w := g.w
+	x := w.workers[d.Worker]
+	s := &submission{t: t, n: len(t.subs), g: g, life: g.life, worker: x, wlife: g.told[d.Worker].life,
+		began: w.now,
+		work:  w.s.Products[t.product].Work}
+	t.subs = append(t.subs, s)
+	t.out++
+	w.in(d.Wait, func() {
+		if g.life == s.life && g.up && !s.over {
+			proof := judge.MayHaveRun
+			if !s.written {
+				proof = judge.NeverRan
+			}
+			g.ended(s, logic.TimedOut, proof)
+		}
+	})
+	w.in(w.draw(w.s.Network.WorkerMS), func() { // its connection has come up, or not
+		switch {
+		case s.over || g.life != s.life || !g.up:
+		case t.final || !w.s.blind && (!g.told[x.at].active || g.told[x.at].life != s.wlife):
+			g.ended(s, logic.NotSent, judge.NeverRan)
+		case x.life != s.wlife || x.dead:
+			g.ended(s, logic.NoRoute, judge.NeverRan)
+		default:
+			s.written = true
+			w.res.Submissions++
+			w.judge.Sent(w.now, g.num, t.id, x.at)
+			x.coming++
+			w.in(w.draw(w.s.Network.WorkerMS), func() { x.take(s) })
+		}
+	})
+}
+
+// answer brings a worker's answer back.
+func (s *submission) answer(o logic.Outcome, proof judge.End) {
+	w := s.g.w
+	w.in(w.draw(w.s.Network.WorkerMS), func() {
+		if s.g.life == s.life && s.g.up && !s.over {
+			s.g.ended(s, o, proof)
+		}
+	})
+}
+
+// ended tells the brain how a submission ended. The first answer of a worker settles the txn.
+func (g *gatekeeper) ended(s *submission, o logic.Outcome, proof judge.End) {
+	if s.over {
+		return
+	}
+	s.over = true
+	w, t := g.w, s.t
+	t.out--
+	if s.written {
+		w.judge.Ended(w.now, t.id, s.n, proof)
+	}
+	if g.held { // what stands still learns of it later, and its client too
+		g.pending = append(g.pending, func() { g.learn(s, o) })
+		return
+	}
+	g.learn(s, o)
+}
+
+func (g *gatekeeper) learn(s *submission, o logic.Outcome) {
+	t := s.t
+	if o == logic.Settled && !t.final {
+		g.final(t, judge.Settled, settled, 0)
+	}
+	took, closed := g.w.now-s.began, t.final
+	g.input(func(b brain) { b.Ended(t.id, s.n, o, took, closed) })
+	g.drop(t)
+}
+
+// hear has the news of a worker reach the gatekeeper.
+func (g *gatekeeper) hear(x *worker) {
+	w, life := g.w, g.life
+	w.in(w.net.Float64()*w.s.Network.ListMS, func() {
+		if !g.up || g.life != life {
+			return
+		}
+		fresh := g.told[x.at].life != x.life
+		g.told[x.at] = told{x.listed(), x.life}
+		w.judge.Told(w.now, g.num, x.at, x.listed())
+		p := x.posting(fresh)
+		g.input(func(b brain) { b.Roster([]logic.Posting{p}, true) })
+	})
+}
+
+// part gives so many of n, rounded up, drawn from a source of its own.
+func part(of float64, n int, rng *rand.Rand) []int {
+	k := int(math.Ceil(of*float64(n) - 1e-9))
+	return rng.Perm(n)[:min(max(k, 0), n)]
+}
--- /dev/null
+++ b/internal/emu/result.go
@@ -0,0 +1,81 @@
+package emu
+
+import (
+	"math"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"willowdeck/internal/judge"
+)
+
+// Result is what became of one run.
+type Result struct {
+	Scenario, Policy string
+	Seed             int64
+	Score            float64 // value served, of what was offered within quotas
+	Offered, Served  float64 // values
+	Asked            int64   // txns that clients meant to send
+	Tries            int64   // with those that came again
+	Settled, Late    int64   // txns
+	Declined, Voided int64   // tries
+	Failed           int64   // txns given up by their clients
+	Lost, Crashed    int64   // tries that found no gatekeeper, and those of them that died with it
+	Silent           int64   // tries left by their clients while a gatekeeper stood still
+	Submissions      int64
+	Full             int64 // turned away by a worker
+	OverUnits        float64
+	Messages         int64 // to peers
+	Stray            int64 // decisions on txns that are not in hand
+	Events           int64
+	Mean             float64
+	P50, P99, P999   float64 // ms from the moment the client meant to send
+	Breaks           [6]int  // by rule
+	First            []judge.Break
+	Seconds          []Second
+}
+
+// Second is what became of the txns that were meant to be sent in one second.
+type Second struct {
+	At, Settled int
+	P99, Most   float64
+	hist        *hdrhistogram.Histogram
+}
+
+func newResult(s *Scenario, seed int64) *Result {
+	return &Result{Scenario: s.Name, Policy: s.Policy, Seed: seed,
+		Seconds: make([]Second, int(math.Ceil(s.Seconds)))}
+}
+
+func (r *Result) second(at float64) *Second {
+	i := min(max(int(at/1000), 0), len(r.Seconds)-1)
+	return &r.Seconds[i]
+}
+
+func (s *Second) add(took float64) {
+	if s.hist == nil {
+		s.hist = hdrhistogram.New(1, 600e6, 2)
+	}
+	_ = s.hist.RecordValue(int64(math.Max(took*1000, 1)))
+	s.Settled++
+	s.Most = math.Max(s.Most, took)
+}
+
+// finish reckons what is known at the end only.
+func (w *world) finish() {
+	r := w.res
+	if r.Offered > 0 {
+		r.Score = r.Served / r.Offered
+	}
+	r.Events = w.count
+	ms := func(q float64) float64 { return float64(w.lat.ValueAtQuantile(q)) / 1000 }
+	r.Mean = w.lat.Mean() / 1000
+	r.P50, r.P99, r.P999 = ms(50), ms(99), ms(99.9)
+	r.First, r.Breaks = w.judge.Breaks()
+	for i := range r.Seconds {
+		s := &r.Seconds[i]
+		if s.At = i; s.hist != nil {
+			s.P99 = float64(s.hist.ValueAtQuantile(99)) / 1000
+			s.hist = nil
+		}
+	}
+}
--- /dev/null
+++ b/internal/emu/scenario.go
@@ -0,0 +1,432 @@
+package emu
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"github.com/BurntSushi/toml"
+
+	"willowdeck/internal/judge"
+	"willowdeck/internal/traffic"
+	"willowdeck/logic"
+)
+
+// Scenario is a fleet, its customers and what happens to them, as a file says it. Times are in seconds or
+// ms, as the keys say.
+type Scenario struct {
+	Name    string
+	Seconds float64
+	Policy  string // willowdeck, or a baseline: open, static, seer
+	Trace   string // a recorded trace that is played instead of the customers' own asking
+
+	Gatekeepers struct {
+		Count          int
+		Spread         int     // of a customer's set
+		MaxSubmissions int     `toml:"max_submissions"`
+		MayOverlap     bool    `toml:"may_overlap"`
+		PeerInPerS     float64 `toml:"peer_in_per_s"`
+		Talks          bool
+		StartMS        float64 `toml:"start_ms"` // from its start until it serves
+	}
+	Products []struct {
+		Name     string
+		SLAMS    float64 `toml:"sla_ms"`
+		Value    float64
+		Late     float64 `toml:"late_share"`
+		Repeat   string
+		Group    string
+		WindowMS float64 `toml:"window_ms"`
+		Weight   float64
+		Work     float64 // of the workers' usual service time
+	}
+	Plans []struct {
+		Name         string
+		Customers    int
+		Rate, Burst  float64
+		Ceiling      float64
+		CeilingDepth float64 `toml:"ceiling_depth"`
+		Asks         float64 // of its rate
+		Factor       float64
+		Excess       float64 `toml:"excess_share"`
+		Fee          float64 `toml:"excess_fee"`
+		Units        float64
+	}
+	Workers struct {
+		Count, Cores, Queue, Zones int
+		ServiceMS                  float64 `toml:"service_ms"`
+		Spread                     float64 // of the logarithm of the service time
+		Exponential                bool    // the service time is, and spread is not heeded
+		ColdFrom                   float64 `toml:"cold_from"`
+		WarmUpS                    float64 `toml:"warm_up_s"`
+		DrainS                     float64 `toml:"drain_s"` // from the word until a draining process is gone
+		GraceMS                    float64 `toml:"grace_ms"`
+	}
+	Network struct {
+		ClientMS float64 `toml:"client_ms"`
+		WorkerMS float64 `toml:"worker_ms"`
+		PeerMS   float64 `toml:"peer_ms"`
+		PeerLoss float64 `toml:"peer_loss"`
+		ListMS   float64 `toml:"list_ms"` // within which news of the list reaches a gatekeeper
+	}
+	Clients struct {
+		Waits   float64 // of the SLA time
+		Retries int
+		BackMS  float64 `toml:"back_ms"` // the longest pause before one, where no time is advised
+	}
+	Shapes []shape
+	Faults []Fault
+
+	dir   string
+	blind bool // for tests: the host asks nothing of the list before it sends
+}
+
+type shape struct {
+	Kind      string
+	FromS     float64 `toml:"from_s"`
+	ToS       float64 `toml:"to_s"`
+	Factor    float64
+	Plan      string
+	Customers int
+}
+
+// Fault is something that goes wrong for a while.
+type Fault struct {
+	Kind   string
+	FromS  float64 `toml:"from_s"`
+	ToS    float64 `toml:"to_s"`
+	Part   float64 // of the workers or gatekeepers, rounded up
+	Factor float64 // slow: of the time; fail, lose: of the txns
+}
+
+// FaultKinds are the faults there are, and what they do.
+var FaultKinds = map[string]string{
+	"drain":   "workers drain, go, and come back as new processes, cold, at the end",
+	"kill":    "workers die, and come back cold at the end",
+	"slow":    "workers take factor times as long",
+	"fail":    "workers answer factor of the txns with an error",
+	"silent":  "workers take txns and answer none, and run none",
+	"lose":    "factor of the answers of these workers get lost on their way",
+	"cut":     "gatekeepers neither hear nor reach their peers",
+	"stall":   "gatekeepers stand still",
+	"restart": "gatekeepers are killed, and start from nothing at the end",
+	"roll":    "gatekeepers are killed one after another over the span, and each starts again at once",
+}
+
+// Policies are what may decide in a run.
+var Policies = map[string]string{
+	"willowdeck": "the project's module",
+	"open":       "baseline: lets all in, to random workers",
+	"static":     "baseline: each gatekeeper holds an equal part of each quota, random workers",
+	"seer":       "baseline: sees every quota and worker as it is",
+}
+
+var repeats = map[string]logic.Repeat{"inquiry": logic.InquiryLike, "referenced": logic.Referenced,
+	"once": logic.OnceOnly}
+var groups = map[string]logic.Group{"": logic.GroupAll, "all": logic.GroupAll, "zone": logic.GroupZone}
+
+// Read reads and checks a scenario. An error names the file, and the line or the key.
+func Read(path string) (*Scenario, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	s, err := Decode(string(raw))
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	s.dir = filepath.Dir(path)
+	return s, nil
+}
+
+// Decode decodes and checks a scenario.
+func Decode(text string) (*Scenario, error) {
+	s := &Scenario{Policy: "willowdeck"}
+	meta, err := toml.Decode(text, s)
+	var at toml.ParseError
+	if errors.As(err, &at) {
+		return nil, fmt.Errorf("line %d: %s", at.Position.Line, at.Message)
+	}
+	if err != nil {
+		return nil, err
+	}
+	if un := meta.Undecoded(); len(un) > 0 {
+		key := un[0][len(un[0])-1]
+		for i, line := range strings.Split(text, "\n") {
+			if name, _, ok := strings.Cut(line, "="); ok && strings.TrimSpace(name) == key {
+				return nil, fmt.Errorf("line %d: %s: unknown key", i+1, un[0])
+			}
+		}
+		return nil, fmt.Errorf("%s: unknown key", un[0])
+	}
+	if err := s.check(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// Set changes one figure by its key, as a sweep does, and checks the whole again.
+func (s *Scenario) Set(key string, v float64) error {
+	f, ok := s.figures()[key]
+	if !ok {
+		return fmt.Errorf("%s: no figure that can be swept; these can: %s", key, strings.Join(s.Figures(), ", "))
+	}
+	f(v)
+	return s.check()
+}
+
+// Figures names those that Set takes.
+func (s *Scenario) Figures() []string {
+	var names []string
+	for k := range s.figures() {
+		names = append(names, k)
+	}
+	slices.Sort(names)
+	return names
+}
+
+func (s *Scenario) figures() map[string]func(float64) {
+	number := func(p *float64) func(float64) { return func(v float64) { *p = v } }
+	whole := func(p *int) func(float64) { return func(v float64) { *p = int(v) } }
+	m := map[string]func(float64){
+		"seconds": number(&s.Seconds), "gatekeepers.count": whole(&s.Gatekeepers.Count),
+		"gatekeepers.spread":          whole(&s.Gatekeepers.Spread),
+		"gatekeepers.max_submissions": whole(&s.Gatekeepers.MaxSubmissions),
+		"gatekeepers.peer_in_per_s":   number(&s.Gatekeepers.PeerInPerS),
+		"workers.count":               whole(&s.Workers.Count), "workers.cores": whole(&s.Workers.Cores),
+		"workers.queue": whole(&s.Workers.Queue), "workers.service_ms": number(&s.Workers.ServiceMS),
+		"workers.spread": number(&s.Workers.Spread), "workers.cold_from": number(&s.Workers.ColdFrom),
+		"network.peer_ms": number(&s.Network.PeerMS), "network.peer_loss": number(&s.Network.PeerLoss),
+		"network.list_ms": number(&s.Network.ListMS), "clients.waits": number(&s.Clients.Waits),
+		"clients.retries": whole(&s.Clients.Retries),
+	}
+	for i := range s.Plans {
+		m[fmt.Sprintf("plans[%d].asks", i)] = number(&s.Plans[i].Asks)
+		m[fmt.Sprintf("plans[%d].rate", i)] = number(&s.Plans[i].Rate)
+	}
+	for i := range s.Faults {
+		m[fmt.Sprintf("faults[%d].part", i)] = number(&s.Faults[i].Part)
+		m[fmt.Sprintf("faults[%d].factor", i)] = number(&s.Faults[i].Factor)
+	}
+	return m
+}
+
+// check finds the first key whose figure makes no sense.
+func (s *Scenario) check() error {
+	in := func(key string, v, least, most float64) error {
+		if !(v >= least) || v > most {
+			return fmt.Errorf("%s: %v is not from %v to %v", key, v, least, most)
+		}
+		return nil
+	}
+	g, w, n := &s.Gatekeepers, &s.Workers, &s.Network
+	err := errors.Join(
+		in("seconds", s.Seconds, 0.1, 1e5), in("gatekeepers.count", float64(g.Count), 1, 2000),
+		in("gatekeepers.spread", float64(g.Spread), 1, float64(g.Count)),
+		in("gatekeepers.max_submissions", float64(g.MaxSubmissions), 1, 100),
+		in("gatekeepers.peer_in_per_s", g.PeerInPerS, 0, 1e6), in("gatekeepers.start_ms", g.StartMS, 0, 1e5),
+		in("workers.count", float64(w.Count), 1, 5000), in("workers.cores", float64(w.Cores), 1, 1000),
+		in("workers.queue", float64(w.Queue), 0, 1e6), in("workers.zones", float64(w.Zones), 0, 1000),
+		in("workers.service_ms", w.ServiceMS, 0.01, 1e5), in("workers.spread", w.Spread, 0, 3),
+		in("workers.cold_from", w.ColdFrom, 0.01, 1), in("workers.warm_up_s", w.WarmUpS, 0, 1e4),
+		in("workers.drain_s", w.DrainS, 0, 1e4), in("workers.grace_ms", w.GraceMS, 0, 1e5),
+		in("network.client_ms", n.ClientMS, 0, 1e4), in("network.worker_ms", n.WorkerMS, 0, 1e4),
+		in("network.peer_ms", n.PeerMS, 0, 1e5), in("network.peer_loss", n.PeerLoss, 0, 1),
+		in("network.list_ms", n.ListMS, 0, 1e5), in("clients.waits", s.Clients.Waits, 0.01, 100),
+		in("clients.retries", float64(s.Clients.Retries), 0, 100), in("clients.back_ms", s.Clients.BackMS, 0, 1e5))
+	if err != nil {
+		return first(err)
+	}
+	if _, ok := Policies[s.Policy]; !ok {
+		return fmt.Errorf("policy: %q is unknown", s.Policy)
+	}
+	if len(s.Products) == 0 || len(s.Plans) == 0 || s.Name == "" {
+		return errors.New("name, products and plans: there must be a name, and one of each at least")
+	}
+	seen := map[string]bool{}
+	for i, p := range s.Products {
+		key := fmt.Sprintf("products[%d].", i)
+		_, repeat := repeats[p.Repeat]
+		_, group := groups[p.Group]
+		switch {
+		case p.Name == "" || seen[p.Name]:
+			return fmt.Errorf("%sname: %q is empty or there twice", key, p.Name)
+		case !repeat:
+			return fmt.Errorf("%srepeat: %q is unknown", key, p.Repeat)
+		case !group:
+			return fmt.Errorf("%sgroup: %q is unknown", key, p.Group)
+		}
+		seen[p.Name] = true
+		if err := errors.Join(in(key+"sla_ms", p.SLAMS, 1, 1e6), in(key+"value", p.Value, 0, 1e6),
+			in(key+"late_share", p.Late, 0, 1), in(key+"window_ms", p.WindowMS, 0, 1e7),
+			in(key+"weight", p.Weight, 1e-6, 1e6), in(key+"work", p.Work, 1e-3, 1e3)); err != nil {
+			return first(err)
+		}
+	}
+	clear(seen)
+	for i, p := range s.Plans {
+		key := fmt.Sprintf("plans[%d].", i)
+		if p.Name == "" || seen[p.Name] {
+			return fmt.Errorf("%sname: %q is empty or there twice", key, p.Name)
+		}
+		seen[p.Name] = true
+		if err := errors.Join(in(key+"customers", float64(p.Customers), 1, 1e6), in(key+"rate", p.Rate, 1e-3, 1e6),
+			in(key+"burst", p.Burst, 0, 1e7), in(key+"ceiling", p.Ceiling, 0, 1e6),
+			in(key+"ceiling_depth", p.CeilingDepth, 0, 1e7), in(key+"asks", p.Asks, 0, 1000),
+			in(key+"factor", p.Factor, 0, 1000), in(key+"excess_share", p.Excess, 0, 1),
+			in(key+"excess_fee", p.Fee, 0, 100), in(key+"units", p.Units, 1, 1e6)); err != nil {
+			return first(err)
+		}
+	}
+	for i := range s.Shapes {
+		if _, err := s.shape(i); err != nil {
+			return fmt.Errorf("shapes[%d].%w", i, err)
+		}
+	}
+	for i, f := range s.Faults {
+		key := fmt.Sprintf("faults[%d].", i)
+		if _, ok := FaultKinds[f.Kind]; !ok {
+			return fmt.Errorf("%skind: %q is unknown", key, f.Kind)
+		}
+		if err := errors.Join(in(key+"from_s", f.FromS, 0, s.Seconds), in(key+"to_s", f.ToS, f.FromS,
+			s.Seconds+1e4),
+			in(key+"part", f.Part, 0, 1), in(key+"factor", f.Factor, 0, 1e4)); err != nil {
+			return first(err)
+		}
+	}
+	return nil
+}
+
+// first gives the first of some errors: one key is mended at a time.
+func first(err error) error {
+	if all, ok := err.(interface{ Unwrap() []error }); ok {
+		return all.Unwrap()[0]
+	}
+	return err
+}
+
+func (s *Scenario) groups() []traffic.Group {
+	var weights []float64
+	for _, p := range s.Products {
+		weights = append(weights, p.Weight)
+	}
+	var all []traffic.Group
+	for i, p := range s.Plans {
+		mean := (1 + p.Units) / 2
+		all = append(all, traffic.Group{Plan: i, Customers: p.Customers, Rate: p.Rate * p.Asks / mean,
+			Products: weights, Units: p.Units})
+	}
+	return all
+}
+
+func (s *Scenario) shape(i int) (traffic.Shape, error) {
+	h := &s.Shapes[i]
+	t := traffic.Shape{Kind: h.Kind, From: h.FromS * 1000, To: h.ToS * 1000, Factor: h.Factor, Group: -1,
+		Customers: h.Customers}
+	if t.Kind == "shift" && t.Factor == 0 {
+		t.Factor = 1
+	}
+	for k := range s.Plans {
+		if s.Plans[k].Name == h.Plan {
+			t.Group = k
+		}
+	}
+	if h.Plan != "" && t.Group < 0 {
+		return t, fmt.Errorf("plan: %q is unknown", h.Plan)
+	}
+	return t, t.Check(s.groups())
+}
+
+// Arrivals are the txns that clients mean to send, by the shapes or from the trace.
+func (s *Scenario) Arrivals(seed int64) ([]traffic.Arrival, error) {
+	if s.Trace == "" {
+		var shapes []traffic.Shape
+		for i := range s.Shapes {
+			h, err := s.shape(i)
+			if err != nil {
+				return nil, err
+			}
+			shapes = append(shapes, h)
+		}
+		return traffic.Plan(s.groups(), shapes, s.Seconds*1000, seed), nil
+	}
+	path := s.Trace
+	if !filepath.IsAbs(path) {
+		path = filepath.Join(s.dir, path)
+	}
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, fmt.Errorf("trace: %w", err)
+	}
+	defer f.Close()
+	names := traffic.Names{Plans: map[string]int{}, Products: map[string]int{}}
+	for i, p := range s.Plans {
+		names.Plans[p.Name] = i
+	}
+	for i, p := range s.Products {
+		names.Products[p.Name] = i
+	}
+	all, err := traffic.ReadTrace(f, names)
+	if err != nil {
+		return nil, fmt.Errorf("trace: %s: %w", path, err)
+	}
+	return all, nil
+}
+
+// capacity is what a warm worker does, units of usual work a second.
+func (s *Scenario) capacity() float64 {
+	mean := s.Workers.ServiceMS
+	if !s.Workers.Exponential {
+		mean *= math.Exp(s.Workers.Spread * s.Workers.Spread / 2)
+	}
+	return float64(s.Workers.Cores) * 1000 / mean
+}
+
+func (s *Scenario) largest() float64 {
+	most := 1.0
+	for _, p := range s.Plans {
+		most = math.Max(most, p.Units)
+	}
+	return most
+}
+
+// charter is what instance me is told.
+func (s *Scenario) charter(me int) logic.Charter {
+	g := &s.Gatekeepers
+	c := logic.Charter{Me: me, Gatekeepers: g.Count, LargestUnits: s.largest(), MaxSubmissions: g.MaxSubmissions,
+		MayOverlap: g.MayOverlap, MayWithdraw: true, MayAdvise: true, MaxAdvice: 10000, MayTell: g.Talks,
+		PeerInPerS: g.PeerInPerS, ReportsPerTell: 31, ColdFrom: s.Workers.ColdFrom,
+		WarmUp: s.Workers.WarmUpS * 1000,
+		Whole:  1}
+	for _, p := range s.Products {
+		c.Products = append(c.Products, logic.Product{SLA: p.SLAMS, Value: p.Value, LateShare: p.Late,
+			Repeat: repeats[p.Repeat], Group: groups[p.Group], Window: p.WindowMS})
+	}
+	for _, p := range s.Plans {
+		c.Plans = append(c.Plans, logic.Plan{Rate: p.Rate, Burst: p.Burst, CeilingRate: p.Ceiling,
+			CeilingDepth: p.CeilingDepth, Factor: p.Factor, ExcessShare: p.Excess, ExcessFee: p.Fee})
+	}
+	return c
+}
+
+// rules are the judge's figures.
+func (s *Scenario) rules() judge.Rules {
+	r := judge.Rules{Gatekeepers: s.Gatekeepers.Count, Largest: s.largest(), Overlap: s.Gatekeepers.MayOverlap,
+		Slack: 8, Grace: s.Workers.GraceMS, Capacity: s.capacity(), ColdFrom: s.Workers.ColdFrom,
+		WarmUp: s.Workers.WarmUpS * 1000}
+	for _, p := range s.Products {
+		j := judge.Product{Repeat: judge.Repeat(repeats[p.Repeat]), Window: p.WindowMS}
+		if groups[p.Group] == logic.GroupZone && s.Workers.Zones > 1 {
+			j.Same = func(a, b int) bool { return a%s.Workers.Zones == b%s.Workers.Zones }
+		}
+		r.Products = append(r.Products, j)
+	}
+	for _, p := range s.Plans {
+		r.Plans = append(r.Plans, judge.Plan{Ceiling: p.Ceiling, Depth: p.CeilingDepth})
+	}
+	return r
+}
--- /dev/null
+++ b/internal/emu/world.go
@@ -0,0 +1,263 @@
+// Package emu is the emulator: clients, gatekeepers that run the module itself, workers and the network
+// between them, as discrete events in virtual time. One seed gives one run, to the last bit.
+package emu
+
+import (
+	"container/heap"
+	"context"
+	"math"
+	"math/rand"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"willowdeck/internal/judge"
+	"willowdeck/internal/traffic"
+	"willowdeck/logic"
+)
+
+// brain is what decides at a gatekeeper: the module, or a baseline that takes the same calls.
+type brain interface {
+	Clock(now float64)
+	Roster(list []logic.Posting, partial bool)
+	Take(a logic.Arrival)
+	Ended(id uint64, n int, o logic.Outcome, took float64, closed bool)
+	Left(id uint64)
+	Hear(from int, reports []logic.Report)
+	Next() (logic.Decision, bool)
+}
+
+// event is something that happens at a moment; of two at one moment the one that was planned first goes
+// first.
+type event struct {
+	at  float64
+	seq uint64
+	do  func()
+}
+
+type events []event
+
+func (e events) Len() int      { return len(e) }
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	old := *e
+	x := old[len(old)-1]
+	old[len(old)-1] = event{}
+	*e = old[:len(old)-1]
+	return x
+}
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
+}
+
+// world is one run.
+type world struct {
+	s       *Scenario
+	seed    int64
+	now     float64
+	queue   events
+	seq     uint64
+	count   int64
+	gks     []*gatekeeper
+	workers []*worker
+	judge   *judge.Judge
+	net     *rand.Rand // delays and losses
+	work    *rand.Rand // service times and what goes wrong in them
+	res     *Result
+	lat     *hdrhistogram.Histogram
+	ids     uint64
+	inside  []bool // by arrival: within its customer's quota, were all seen at once
+	store   map[int]*bucket
+	truth   map[int]*bucket // ceilings, for the baseline that sees all
+	seen    map[int]*bucket // and quotas
+	wrap    func(int, brain) brain
+}
+
+// bucket is a store that fills.
+type bucket struct{ level, at float64 }
+
+// take fills a store and takes units from it, where it has them.
+func (b *bucket) take(now, rate, depth, units float64) bool {
+	b.level = math.Min(b.level+(now-b.at)*rate/1000, depth)
+	b.at = now
+	if b.level < units-1e-9 {
+		return false
+	}
+	b.level -= units
+	return true
+}
+
+// in plans something.
+func (w *world) in(ms float64, do func()) {
+	w.seq++
+	heap.Push(&w.queue, event{w.now + math.Max(ms, 0), w.seq, do})
+}
+
+// draw spreads a delay: never nothing, and now and then several times as long.
+func (w *world) draw(ms float64) float64 { return ms * (0.5 + 0.5*w.net.ExpFloat64()) }
+
+// Run plays a scenario with one seed. ctx ends it early, with an error and no result.
+func Run(ctx context.Context, s *Scenario, seed int64) (*Result, error) {
+	return run(ctx, s, seed, nil)
+}
+
+// run lets a test put something between the world and the gatekeepers' brains.
+func run(ctx context.Context, s *Scenario, seed int64, wrap func(int, brain) brain) (*Result, error) {
+	all, err := s.Arrivals(seed)
+	if err != nil {
+		return nil, err
+	}
+	source := rand.New(rand.NewSource(seed))
+	w := &world{s: s, seed: seed, judge: judge.New(s.rules()), net: rand.New(rand.NewSource(source.Int63())),
+		work: rand.New(rand.NewSource(source.Int63())), lat: hdrhistogram.New(1, 600e6, 3),
+		store: map[int]*bucket{},
+		truth: map[int]*bucket{}, seen: map[int]*bucket{}, wrap: wrap}
+	w.res = newResult(s, seed)
+	for i := range s.Workers.Count {
+		w.workers = append(w.workers, &worker{w: w, at: i, slow: 1, life: 1})
+	}
+	for i := range s.Gatekeepers.Count {
+		w.gks = append(w.gks, &gatekeeper{w: w, num: i, source: rand.New(rand.NewSource(source.Int63()))})
+	}
+	for _, g := range w.gks {
+		g.start()
+	}
+	w.plan(all)
+	w.faults()
+	end := s.Seconds * 1000
+	for len(w.queue) > 0 {
+		e := heap.Pop(&w.queue).(event)
+		if e.at > end+w.settle() {
+			break
+		}
+		w.now = e.at
+		e.do()
+		if w.count++; w.count%4096 == 0 && ctx.Err() != nil {
+			return nil, ctx.Err()
+		}
+	}
+	w.judge.Close(end + w.settle())
+	w.finish()
+	return w.res, nil
+}
+
+// settle is how long after the last arrival txns may still be on their way.
+func (w *world) settle() float64 {
+	most := 0.0
+	for _, p := range w.s.Products {
+		most = math.Max(most, p.SLAMS)
+	}
+	return most*w.s.Clients.Waits*float64(w.s.Clients.Retries+1) + 5000
+}
+
+// plan has the arrivals come, each planning the next: what is ahead stays small.
+func (w *world) plan(all []traffic.Arrival) {
+	quotas := map[int]*bucket{}
+	for _, a := range all {
+		p := &w.s.Plans[a.Plan]
+		b := quotas[a.Customer]
+		if b == nil {
+			b = &bucket{level: math.Max(p.Burst, w.s.largest()), at: a.At}
+			quotas[a.Customer] = b
+		}
+		in := b.take(a.At, p.Rate, math.Max(p.Burst, w.s.largest()), a.Units)
+		w.inside = append(w.inside, in)
+		if in {
+			w.res.Offered += w.worth(a)
+		}
+	}
+	var next func(i int)
+	next = func(i int) {
+		if i == len(all) {
+			return
+		}
+		w.in(all[i].At-w.now, func() {
+			(&client{w: w, a: all[i], first: all[i].At}).try()
+			next(i + 1)
+		})
+	}
+	next(0)
+	w.res.Asked = int64(len(all))
+}
+
+func (w *world) worth(a traffic.Arrival) float64 {
+	return w.s.Products[a.Product].Value * w.s.Plans[a.Plan].Factor
+}
+
+// client is one txn as its client sees it, through all its tries.
+type client struct {
+	w     *world
+	a     traffic.Arrival
+	first float64 // when it meant to send it
+	tries int
+}
+
+// try sends the txn to a gatekeeper of its customer's set.
+func (c *client) try() {
+	w := c.w
+	c.tries++
+	w.res.Tries++
+	n, spread := len(w.gks), w.s.Gatekeepers.Spread
+	firstOf := int(uint64(c.a.Customer+1) * 0x9E3779B97F4A7C15 >> 33 % uint64(n))
+	g := w.gks[(firstOf+(c.a.Set+c.tries-1)%spread)%n]
+	until := w.now + w.s.Products[c.a.Product].SLAMS*w.s.Clients.Waits
+	w.in(w.draw(w.s.Network.ClientMS), func() { g.arrive(c, firstOf, until) })
+}
+
+// answered is what the client gets, or finds out.
+func (c *client) answered(k answerKind, wait float64) {
+	w := c.w
+	switch k {
+	case settled:
+		w.res.Settled++
+		w.settled(c)
+		return
+	case declined:
+		w.res.Declined++
+	case voided:
+		w.res.Voided++
+	case refused:
+		w.res.Lost++
+	}
+	if c.tries > w.s.Clients.Retries || k == voided && w.s.Products[c.a.Product].Repeat == "once" {
+		w.res.Failed++
+		return
+	}
+	if wait <= 0 {
+		wait = w.net.Float64() * w.s.Clients.BackMS
+	}
+	w.in(wait, c.try)
+}
+
+// settled books what a settled txn is worth.
+func (w *world) settled(c *client) {
+	took := w.now - c.first
+	_ = w.lat.RecordValue(int64(math.Max(took*1000, 1)))
+	p, q := &w.s.Products[c.a.Product], &w.s.Plans[c.a.Plan]
+	worth := w.worth(c.a)
+	if took > p.SLAMS {
+		w.res.Late++
+		worth *= p.Late
+	}
+	b := w.store[c.a.Customer]
+	if b == nil {
+		b = &bucket{level: math.Max(q.Burst, w.s.largest()), at: w.now}
+		w.store[c.a.Customer] = b
+	}
+	if !b.take(w.now, q.Rate, math.Max(q.Burst, w.s.largest()), c.a.Units) {
+		w.res.OverUnits += c.a.Units
+		worth *= q.Excess - q.Fee
+	}
+	w.res.Served += worth
+	w.res.second(c.first).add(took)
+}
+
+type answerKind uint8
+
+const (
+	settled answerKind = iota
+	declined
+	voided
+	refused // no gatekeeper there, or it died
+	silent  // no answer in time
+)
--- a/internal/judge/judge.go
+++ b/internal/judge/judge.go
@@ -1,5 +1,6 @@
-// Package judge checks the five rules over a run. It is told facts in the order of time, by whoever saw them, and
-// keeps books of its own; it knows nothing of how gatekeepers decide and shares no code with them.
+// Package judge checks the five rules over a run. It is told facts in the order of time, by whoever saw
+// them, and keeps books of its own; it knows nothing of how gatekeepers decide and shares no code with
+// them.
 package judge
 
 import (
@@ -41,8 +42,8 @@
 	WarmUp      float64 // until it does all
 }
 
-// coldWindow is the span over which sends to a cold worker are added up: short against a warm-up, and long enough
-// for the one turn that each gatekeeper may be off not to hide everything.
+// coldWindow is the span over which sends to a cold worker are added up: short against a warm-up, and
+// long enough for the one turn that each gatekeeper may be off not to hide everything.
 const coldWindow = 2000.0
 
 // ceilingSlack is how much of a ceiling's rate is let pass besides, ms: news takes as long.
@@ -78,7 +79,8 @@
 }
 
 func (b Break) String() string {
-	return fmt.Sprintf("rule %d at %.1f ms, gatekeeper %d, txn %d: %s", b.Rule, b.At, b.Gatekeeper, b.Txn, b.Says)
+	return fmt.Sprintf("rule %d at %.1f ms, gatekeeper %d, txn %d: %s", b.Rule, b.At, b.Gatekeeper, b.Txn,
+		b.Says)
 }
 
 type submission struct {
@@ -137,7 +139,8 @@
 }
 
 // Taken tells that a gatekeeper has a whole txn, whose client waits until a moment.
-func (j *Judge) Taken(at float64, gatekeeper int, id uint64, product, plan, customer int, units, expiry float64) {
+func (j *Judge) Taken(at float64, gatekeeper int, id uint64, product, plan, customer int, units,
+	expiry float64) {
 	j.txns[id] = &txn{gatekeeper: gatekeeper, product: product, plan: plan, customer: customer, units: units,
 		expiry: expiry}
 	j.waits = append(j.waits, id)
@@ -146,8 +149,8 @@
 	}
 }
 
-// look drops a txn of which nothing more can come, and finds one that was never answered. It tells whether it is
-// done with it.
+// look drops a txn of which nothing more can come, and finds one that was never answered. It tells
+// whether it is done with it.
 func (j *Judge) look(at float64, id uint64) bool {
 	t := j.txns[id]
 	if at <= t.expiry+j.rules.Slack {
@@ -309,8 +312,8 @@
 	}
 }
 
-// Crashed tells that a gatekeeper has died: no answer is owed by it, and all that it had out may have run. What a
-// new process in its place is told begins anew.
+// Crashed tells that a gatekeeper has died: no answer is owed by it, and all that it had out may have
+// run. What a new process in its place is told begins anew.
 func (j *Judge) Crashed(gatekeeper int) {
 	for _, t := range j.txns {
 		if t.gatekeeper != gatekeeper {
--- a/internal/judge/judge_test.go
+++ b/internal/judge/judge_test.go
@@ -9,8 +9,8 @@
 	Gatekeepers: 2, Largest: 1, Slack: 10, Grace: 250, Capacity: 10, ColdFrom: 0.2, WarmUp: 10000,
 }
 
-// Each rule's breaks are caught, and named with the txn, the gatekeeper and the time; what only looks like one is
-// not.
+// Each rule's breaks are caught, and named with the txn, the gatekeeper and the time; what only looks
+// like one is not.
 func TestBreaks(t *testing.T) {
 	take := func(j *Judge, id uint64, product int) { j.Taken(0, 1, id, product, 0, 5, 1, 1000) }
 	cases := []struct {
--- a/internal/traffic/trace.go
+++ b/internal/traffic/trace.go
@@ -15,8 +15,8 @@
 // Names are the numbers of plans and products by their names.
 type Names struct{ Plans, Products map[string]int }
 
-// ReadTrace reads a recorded trace: CSV with the columns at_ms, customer, plan, product, units. Lines must be in
-// the order of time; one that is not, or is cut, ends the reading with its number.
+// ReadTrace reads a recorded trace: CSV with the columns at_ms, customer, plan, product, units. Lines
+// must be in the order of time; one that is not, or is cut, ends the reading with its number.
 func ReadTrace(r io.Reader, n Names) ([]Arrival, error) {
 	in := csv.NewReader(r)
 	in.FieldsPerRecord = len(head)
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -33,7 +33,7 @@
 	From, To  float64 // ms
 	Factor    float64 // of the rate, at the height of it
 	Group     int     // the group it changes; below nought all
-	Customers int     // greedy: only so many, the first of the group; shift: as many move to another place of their sets
+	Customers int     // greedy, shift: only so many, the first of the group
 }
 
 // Kinds are the shapes there are, and what they do.
@@ -62,8 +62,8 @@
 	return 1
 }
 
-// Plan plans all arrivals until a moment, in the order of time. Each customer has a random source of its own, so
-// that a change at one leaves the others as they are.
+// Plan plans all arrivals until a moment, in the order of time. Each customer has a random source of its
+// own, so that a change at one leaves the others as they are.
 func Plan(groups []Group, shapes []Shape, until float64, seed int64) []Arrival {
 	var all []Arrival
 	number := 0
@@ -80,7 +80,8 @@
 }
 
 // customer plans one customer's arrivals: those of a steady stream at its highest rate, thinned.
-func (g *Group) customer(all []Arrival, gi, c, number int, shapes []Shape, until float64, rng *rand.Rand) []Arrival {
+func (g *Group) customer(all []Arrival, gi, c, number int, shapes []Shape, until float64,
+	rng *rand.Rand) []Arrival {
 	rate := func(at float64) float64 {
 		r := g.Rate / 1000
 		for i := range shapes {
--- a/internal/traffic/traffic_test.go
+++ b/internal/traffic/traffic_test.go
@@ -92,7 +92,8 @@
 		t.Fatal(err)
 	}
 	got, err := ReadTrace(bytes.NewReader(b.Bytes()), n)
-	if err != nil || len(got) != len(all) || math.Abs(got[9].At-all[9].At) > 0.001 || got[9].Units != all[9].Units {
+	if err != nil || len(got) != len(all) || math.Abs(got[9].At-all[9].At) > 0.001 ||
+		got[9].Units != all[9].Units {
 		t.Fatalf("read %d of %d, %v", len(got), len(all), err)
 	}
 	const top = "at_ms,customer,plan,product,units\n"
@@ -110,7 +111,8 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			if _, err := ReadTrace(strings.NewReader(c.text), n); err == nil || !strings.HasPrefix(err.Error(), c.says) {
+			if _, err := ReadTrace(strings.NewReader(c.text), n); err == nil || !strings.HasPrefix(err.Error(),
+				c.says) {
 				t.Errorf("got %v, want %q", err, c.says)
 			}
 		})
