--- /dev/null
+++ b/cmd/wdlab/fleet.go
@@ -0,0 +1,88 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"willowdeck/internal/emu"
+	"willowdeck/internal/standin"
+)
+
+// fleet is what one gatekeeper meets, on loopback.
+type fleet struct {
+	workers   []*standin.Worker
+	discovery *standin.Discovery
+	counter   *standin.Counter
+	config    []byte
+}
+
+func (f *fleet) close() {
+	for _, w := range f.workers {
+		w.Close()
+	}
+	if f.discovery != nil {
+		f.discovery.Close()
+	}
+	if f.counter != nil {
+		f.counter.Close()
+	}
+}
+
+// newFleet starts a scenario's workers, with discovery and a counter, and writes the configuration of one
+// gatekeeper before them.
+func newFleet(s *emu.Scenario, listen string) (f *fleet, err error) {
+	f = &fleet{}
+	defer func() {
+		if err != nil {
+			f.close()
+		}
+	}()
+	var entries []standin.Entry
+	for i := range s.Workers.Count {
+		w, err := standin.NewWorker(fmt.Sprintf("w%d", i),
+			time.Duration(s.Workers.ServiceMS*float64(time.Millisecond)))
+		if err != nil {
+			return nil, err
+		}
+		f.workers = append(f.workers, w)
+		entries = append(entries, w.Of(fmt.Sprintf("z%d", i%max(s.Workers.Zones, 1))))
+	}
+	if f.discovery, err = standin.NewDiscovery(entries...); err != nil {
+		return nil, err
+	}
+	if f.counter, err = standin.NewCounter(); err != nil {
+		return nil, err
+	}
+	f.config, err = json.MarshalIndent(map[string]any{
+		"name": "n0", "listen": listen, "discovery": f.discovery.At, "counter": f.counter.At, "seed": "1",
+		"limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024}, "known": f.discovery.List(),
+		"settings": settings(s),
+	}, "", " ")
+	return f, err
+}
+
+// settings are a scenario's figures as a gatekeeper's configuration has them, for one gatekeeper alone.
+func settings(s *emu.Scenario) map[string]any {
+	effects := map[string]string{"inquiry": "read_like", "referenced": "idempotency_key",
+		"once": "non_idempotent"}
+	var classes, tariffs []map[string]any
+	largest := 1.0
+	for _, p := range s.Products {
+		classes = append(classes, map[string]any{"name": p.Name, "aim_us": p.SLAMS * 1000, "worth": p.Value,
+			"late_share": p.Late, "effect": effects[p.Repeat], "group": p.Group, "window_us": p.WindowMS * 1000})
+	}
+	for _, p := range s.Plans {
+		largest = max(largest, p.Units)
+		tariffs = append(tariffs, map[string]any{"name": p.Name, "rate": p.Rate, "most_at_once": p.Burst,
+			"hard_rate": p.Ceiling, "cap_depth": p.CeilingDepth, "worth_factor": p.Factor, "excess_worth": p.Excess,
+			"over_cost": p.Fee})
+	}
+	return map[string]any{"me": 0, "balancers": 1, "classes": classes, "tariffs": tariffs,
+		"allowed": map[string]any{"max_attempts": s.Gatekeepers.MaxSubmissions, "cancel": true, "retry_after": true,
+			"max_retry_after_us": 10e6, "keepalive_us": 10e6, "connect_timeout_us": 250e3},
+		"family_info": map[string]any{"largest": largest},
+		"safety": map[string]any{"cold_from": s.Workers.ColdFrom, "warm_up_us": s.Workers.WarmUpS * 1e6,
+			"answer_slack_us": 8000},
+		"score_parts": map[string]any{"whole": 1}}
+}
--- a/internal/emu/scenario.go
+++ b/internal/emu/scenario.go
@@ -430,3 +430,11 @@
 	}
 	return r
 }
+
+// Clone gives a copy that can be changed without changing this one.
+func (s *Scenario) Clone() *Scenario {
+	c := *s
+	c.Products, c.Plans = slices.Clone(s.Products), slices.Clone(s.Plans)
+	c.Shapes, c.Faults = slices.Clone(s.Shapes), slices.Clone(s.Faults)
+	return &c
+}
