--- a/cmd/wdlab/main.go
+++ b/cmd/wdlab/main.go
@@ -72,7 +72,7 @@
 
 func logger() zerolog.Logger {
 	return zerolog.New(zerolog.ConsoleWriter{Out: os.Stderr,
-		TimeFormat: time.TimeOnly}).With().Timestamp().Logger()
+		TimeFormat: time.TimeOnly, NoColor: true}).With().Timestamp().Logger()
 }
 
 // args gives so many arguments, or says what is wanted.
