A window at its least can grow: use counts the submission that has just ended

At fault: pressed() asks for inHand > usedAt x window when the ended submission is no longer counted, so a least window of 0.9 (one out) or 2.9 (three out) never grew. Growth by leaps now counts it; small windows leap by less.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -79,7 +79,7 @@
 	slaUse     = 0.25  // of the SLA time, more where late answers earn; slower ones on average shrink the window
 	pressGain  = 0.08  // weight of the newest answer in the pressure
 	usedAt     = 0.7   // of the window; it grows only while more than this is in use
-	leap       = 0.2   // growth of the window for each answer while the pressure is under eager
+	leap       = 0.2   // growth of the window for each answer while the pressure is under eager; less if small
 	eager      = 0.5   // of slaUse
 	growth     = 1.0   // growth over one window's worth of answers otherwise
 	leastDepth = 1.5   // txns in hand at each worker, by all gatekeepers, that the window starts at and keeps,
@@ -738,8 +738,8 @@
 		g.cutAt = g.now
 		used := math.Min(g.window, float64(g.inHand)+1)
 		g.window = math.Max(used*math.Max(slaUse/g.press, mostCut), g.leastWindow())
-	case g.press < eager*slaUse && float64(g.inHand) > usedAt*g.window:
-		g.window += leap
+	case g.press < eager*slaUse && float64(g.inHand)+1 > usedAt*g.window: // with the one that has just ended
+		g.window += leap * math.Min(g.window/leastSwing, 1)
 	case g.press < slaUse && float64(g.inHand) > usedAt*g.window:
 		g.window += growth / math.Max(g.window, 1)
 	}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -489,6 +489,45 @@
 	}
 }
 
+// However small the least window of one of many gatekeepers, it grows while answers are quick and all of
+// it is used. Guards against use that is looked at without the submission that has just ended: it never
+// did grow.
+func TestLeastWindowGrows(t *testing.T) {
+	for _, n := range []int{40, 300} {
+		h := newHost(t, charterFor(InquiryLike, func(c *Charter) { c.Gatekeepers = n }), 1, 26)
+		least := h.g.window
+		for range 200 {
+			h.at(h.now + 50)
+			var out []*seen
+			for range 4 {
+				if s := h.arrive(Arrival{Customer: h.next, Units: 1, SetSize: 1, First: 0, Left: 3000}); s.final == 0 {
+					out = append(out, s)
+				}
+			}
+			h.at(h.now + 20)
+			for _, s := range out {
+				h.ended(s, 0, Settled, 20)
+			}
+		}
+		if h.g.window < least+1 {
+			t.Errorf("%d gatekeepers: a window of %.2f is at %.2f after 200 quick rounds", n, least, h.g.window)
+		}
+		for range 60 {
+			s := h.arrive(Arrival{Customer: h.next, Units: 1, SetSize: 1, First: 0, Left: 3000})
+			for range 15 { // in steps, as a leap of time says that the gatekeeper stood still
+				h.at(h.now + 20)
+				h.pull()
+			}
+			if s.final == 0 {
+				h.ended(s, 0, Settled, 300)
+			}
+		}
+		if h.g.window > least+0.5 {
+			t.Errorf("%d gatekeepers: after slow answers it is still at %.2f, its least is %.2f", n, h.g.window, least)
+		}
+	}
+}
+
 // TestSilentPlace: what a silent worker holds frees its place before it is moved.
 func TestSilentPlace(t *testing.T) {
 	h := newHost(t, charterFor(InquiryLike, nil), 3, 2)
