Read once more: an end of a body is seen by two goroutines, repeated pieces said once

Upload.Stop reads whether the body has come whole while the function that passes it on may note so: an atomic now (found by reading; the race detector had not met it).

--- a/cmd/wdlab/main.go
+++ b/cmd/wdlab/main.go
@@ -83,12 +83,18 @@
 	return c.Args().Slice(), nil
 }
 
-func run(ctx context.Context, c *cli.Command) error {
-	a, err := args(c, 1)
+// scenario reads the scenario that the first of n arguments names.
+func scenario(c *cli.Command, n int) (*emu.Scenario, []string, error) {
+	a, err := args(c, n)
 	if err != nil {
-		return err
+		return nil, nil, err
 	}
 	s, err := emu.Read(a[0])
+	return s, a, err
+}
+
+func run(ctx context.Context, c *cli.Command) error {
+	s, _, err := scenario(c, 1)
 	if err != nil {
 		return err
 	}
@@ -212,11 +218,7 @@
 }
 
 func trace(_ context.Context, c *cli.Command) error {
-	a, err := args(c, 2)
-	if err != nil {
-		return err
-	}
-	s, err := emu.Read(a[0])
+	s, a, err := scenario(c, 2)
 	if err != nil {
 		return err
 	}
@@ -246,11 +248,7 @@
 }
 
 func send(ctx context.Context, c *cli.Command) error {
-	a, err := args(c, 1)
-	if err != nil {
-		return err
-	}
-	s, err := emu.Read(a[0])
+	s, _, err := scenario(c, 1)
 	if err != nil {
 		return err
 	}
@@ -279,11 +277,7 @@
 }
 
 func stand(ctx context.Context, c *cli.Command) error {
-	a, err := args(c, 1)
-	if err != nil {
-		return err
-	}
-	s, err := emu.Read(a[0])
+	s, _, err := scenario(c, 1)
 	if err != nil {
 		return err
 	}
--- a/internal/emu/worker.go
+++ b/internal/emu/worker.go
@@ -150,28 +150,12 @@
 		f := w.s.Faults[i]
 		workers, gks := part(f.Part, len(w.workers), rng), part(f.Part, len(w.gks), rng)
 		each := func(on, off func(*worker)) {
-			w.in(f.FromS*1000, func() {
-				for _, i := range workers {
-					on(w.workers[i])
-				}
-			})
-			w.in(f.ToS*1000, func() {
-				for _, i := range workers {
-					off(w.workers[i])
-				}
-			})
+			w.span(f, workers, func(i int) { on(w.workers[i]) },
+				func(i int) { off(w.workers[i]) })
 		}
 		all := func(on, off func(*gatekeeper)) {
-			w.in(f.FromS*1000, func() {
-				for _, i := range gks {
-					on(w.gks[i])
-				}
-			})
-			w.in(f.ToS*1000, func() {
-				for _, i := range gks {
-					off(w.gks[i])
-				}
-			})
+			w.span(f, gks, func(i int) { on(w.gks[i]) },
+				func(i int) { off(w.gks[i]) })
 		}
 		switch f.Kind {
 		case "drain":
@@ -216,6 +200,20 @@
 	}
 }
 
+// span has something begin for each of some at the start of a fault, and end at its end.
+func (w *world) span(f Fault, of []int, on, off func(int)) {
+	w.in(f.FromS*1000, func() {
+		for _, i := range of {
+			on(i)
+		}
+	})
+	w.in(f.ToS*1000, func() {
+		for _, i := range of {
+			off(i)
+		}
+	})
+}
+
 // again starts a gatekeeper that is down.
 func (g *gatekeeper) again() {
 	if !g.up {
--- a/internal/ops/ops.go
+++ b/internal/ops/ops.go
@@ -17,11 +17,10 @@
 
 // Figures are what operators see of one process. Counts run from its start.
 type Figures struct {
-	Products                     []Product
-	Tries                        int64 // submissions written whole to workers
-	Active                       int64 // txns taken and not ended
-	Workers, Avoided             int64 // on the list; of these, steered away from now
-	ClientsShed, Unread, Ignored int64 // connections ended for others' sake; messages that could not be read
+	Products         []Product
+	Tries            int64 // submissions written whole to workers
+	Active           int64 // txns taken and not ended
+	Workers, Avoided int64 // on the list; of these, steered away from now
 }
 
 // Product is what became of one product's txns.
--- a/internal/wire/body.go
+++ b/internal/wire/body.go
@@ -61,7 +61,7 @@
 
 // Stop ends a Read that waits for the client, and those to come.
 func (u *Upload) Stop() {
-	if u.stopped.Store(true); !u.rest.whole {
+	if u.stopped.Store(true); !u.rest.whole.Load() {
 		u.rest.stop()
 	}
 }
@@ -84,14 +84,14 @@
 	began   time.Time
 	n       int64
 	left    int64 // of the length that was stated; below nought it comes in chunks
-	whole   bool
+	whole   atomic.Bool
 	stopped atomic.Bool
 }
 
 // Read gives the next bytes. Guards against clients that stop in the middle, or go on for ever.
 func (b *incoming) Read(p []byte) (int, error) {
 	if b.left == 0 {
-		b.whole = true
+		b.whole.Store(true)
 		return 0, io.EOF
 	}
 	if b.n > MostBody {
@@ -116,7 +116,7 @@
 			err = io.ErrUnexpectedEOF
 		}
 	case err == io.EOF:
-		b.whole = true
+		b.whole.Store(true)
 	}
 	return n, err
 }
@@ -148,7 +148,7 @@
 	if t.kept, err = readUpTo(t.kept[:0], in, MostKept); err != nil {
 		return nil, nil, err
 	}
-	if in.whole {
+	if in.whole.Load() {
 		return t.kept, nil, nil
 	}
 	return nil, &Upload{Length: inChunks, kept: t.kept, rest: in}, nil
--- a/internal/wire/front.go
+++ b/internal/wire/front.go
@@ -199,7 +199,7 @@
 	f.active.Add(1)
 	defer f.active.Add(-1)
 	end := f.serve(&x)
-	if up := x.Upload; up != nil && !up.rest.whole {
+	if up := x.Upload; up != nil && !up.rest.whole.Load() {
 		if up.Fault() != nil {
 			return f.unreadable(p, t, up.Fault())
 		}
