A daemon that keeps many gatekeepers on one host: restarts, replacement in steps, recovery

Need: other installations run dozens of instances on one host as a daemon. First part of the matter: internal/fleet decides in a keeper free of I/O (back-off with jitter, reload in steps, order of a stop) and carries out with processes that inherit the clients' listeners, so a reload is a hand-over. Membership in service and warm start from peers are open.

--- a/cmd/willowdeck/main.go
+++ b/cmd/willowdeck/main.go
@@ -14,6 +14,7 @@
 	"github.com/urfave/cli/v3"
 
 	"willowdeck/internal/config"
+	"willowdeck/internal/fleet"
 	"willowdeck/internal/lifecycle"
 )
 
@@ -29,12 +30,15 @@
 		Sources: cli.EnvVars("NODE_CONFIG")}
 	level := &cli.StringFlag{Name: "log", Value: "info", Usage: "the least `LEVEL` to log",
 		Sources: cli.EnvVars("WILLOWDECK_LOG")}
+	fleetFile := &cli.StringFlag{Name: "file", Usage: "the fleet's `FILE`", Required: true}
 	return &cli.Command{
 		Name:  "willowdeck",
 		Usage: "holds customers to quotas before a shared back end",
 		Commands: []*cli.Command{
 			{Name: "serve", Usage: "run a gatekeeper until SIGTERM; SIGHUP reads its file anew",
 				Flags: []cli.Flag{file, level}, Action: serve},
+			{Name: "fleet", Usage: "keep many gatekeepers on this host until SIGTERM; SIGHUP reads the file anew",
+				Flags: []cli.Flag{fleetFile, level}, Action: keep},
 			{Name: "check", Usage: "read and check the configuration, and say what it holds", Flags: []cli.Flag{file},
 				Action: check},
 			{Name: "version", Usage: "say which build this is", Action: version},
@@ -66,6 +70,52 @@
 	return g.Run(stop, reload, read)
 }
 
+// keep runs a fleet. A second signal to stop ends the wait for instances that drain, and leaves them to
+// themselves.
+func keep(_ context.Context, c *cli.Command) error {
+	level, err := zerolog.ParseLevel(c.String("log"))
+	if err != nil {
+		return fmt.Errorf("log: %w", err)
+	}
+	stop, reload := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
+	signal.Notify(reload, syscall.SIGHUP)
+	f, err := fleet.Read(c.String("file"))
+	if err != nil {
+		return err
+	}
+	zerolog.TimeFieldFormat = time.RFC3339Nano
+	log := zerolog.New(os.Stderr).Level(level).With().Timestamp().Str("fleet", f.Name).Logger()
+	d, err := fleet.NewDaemon(f, log)
+	if err != nil {
+		return err
+	}
+	p, err := d.Open()
+	if err != nil {
+		d.Stop()
+		return err
+	}
+	defer p.Close()
+	for {
+		select {
+		case <-reload:
+			d.Reload(fleet.Read(c.String("file")))
+		case s := <-stop:
+			log.Info().Str("signal", s.String()).Msg("stopping")
+			over := make(chan struct{})
+			go func() {
+				d.Stop()
+				close(over)
+			}()
+			select {
+			case <-over:
+			case <-stop:
+			}
+			return nil
+		}
+	}
+}
+
 func check(_ context.Context, c *cli.Command) error {
 	conf, err := config.Read(c.String("config"), os.Getenv)
 	if err != nil {
--- /dev/null
+++ b/internal/fleet/host.go
@@ -0,0 +1,363 @@
+package fleet
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+// lookEach is how often instances are asked for their health, and those that are not the daemon's own
+// children looked at: a fifth of the shortest pause before a start, at some 0.1 ms of a core each.
+const lookEach = 50 * time.Millisecond
+
+// Daemon keeps a fleet.
+type Daemon struct {
+	log     zerolog.Logger
+	program string
+	client  http.Client
+
+	mu      sync.Mutex
+	keeper  *Keeper
+	fleet   *Fleet
+	by      map[string]*place
+	runs    map[int]*running
+	start   time.Time
+	timer   *time.Timer
+	done    chan struct{}
+	ended   bool
+	stopped chan struct{}
+}
+
+// place is what an instance has besides its processes.
+type place struct {
+	in       Instance
+	listener *os.File // held for it, and handed to each process
+	turn     int      // of its two operators' ports
+}
+
+// running is a process that runs.
+type running struct {
+	Instance string `json:"instance"`
+	Pid      int    `json:"pid"`
+	Born     string `json:"born"` // the kernel's start time of it: a pid may be another's by now
+	Control  string `json:"control"`
+	Config   []byte `json:"config"`
+	number   int
+	ready    bool
+	child    bool
+}
+
+// NewDaemon starts a daemon: it takes over the instances that one before it has left, and starts the others.
+func NewDaemon(f *Fleet, log zerolog.Logger) (*Daemon, error) {
+	d := &Daemon{log: log, program: f.Program, fleet: f, by: map[string]*place{}, runs: map[int]*running{},
+		start: time.Now(), done: make(chan struct{}), stopped: make(chan struct{}),
+		keeper: NewKeeper(f.Pace, time.Now().UnixNano()), client: http.Client{Timeout: time.Second,
+			Transport: &http.Transport{DisableKeepAlives: true}}}
+	if d.program == "" {
+		self, err := os.Executable()
+		if err != nil {
+			return nil, err
+		}
+		d.program = self
+	}
+	if err := os.MkdirAll(f.RunDir, 0o700); err != nil {
+		return nil, fmt.Errorf("run_dir: %w", err)
+	}
+	d.timer = time.NewTimer(time.Hour)
+	d.mu.Lock()
+	d.want(f)
+	d.adopt()
+	d.turn()
+	d.mu.Unlock()
+	go d.loop()
+	return d, nil
+}
+
+func (d *Daemon) now() float64 { return float64(time.Since(d.start)) / float64(time.Millisecond) }
+
+// turn tells the keeper the time and carries its decisions out, under the lock.
+func (d *Daemon) turn() {
+	d.keeper.Clock(d.now())
+	for {
+		v, ok := d.keeper.Next()
+		if !ok {
+			return
+		}
+		switch v.Kind {
+		case Start:
+			if err := d.spawn(v.Instance, v.Process); err != nil {
+				d.log.Error().Err(err).Str("instance", v.Instance).Msg("not started")
+				d.keeper.Ended(v.Instance, v.Process)
+			}
+		case Term:
+			d.signal(v.Process, syscall.SIGTERM)
+		case Kill:
+			d.log.Warn().Str("instance", v.Instance).Msg("ended by force")
+			d.signal(v.Process, syscall.SIGKILL)
+		case Wake:
+			d.timer.Reset(time.Duration((v.At - d.now()) * float64(time.Millisecond)))
+			return
+		case Done:
+			if !d.ended {
+				d.ended = true
+				close(d.done)
+			}
+			return
+		}
+	}
+}
+
+// loop looks at processes until the fleet has ended.
+func (d *Daemon) loop() {
+	defer close(d.stopped)
+	t := time.NewTicker(lookEach)
+	defer t.Stop()
+	for {
+		select {
+		case <-d.done:
+			return
+		case <-d.timer.C:
+		case <-t.C:
+			d.look()
+		}
+		d.mu.Lock()
+		d.turn()
+		d.mu.Unlock()
+	}
+}
+
+// look asks those that are not ready for their health, and finds adopted ones that are no more.
+func (d *Daemon) look() {
+	d.mu.Lock()
+	var ask []*running
+	for _, r := range d.runs {
+		if !r.child && born(r.Pid) != r.Born {
+			d.gone(r)
+		} else if !r.ready {
+			ask = append(ask, r)
+		}
+	}
+	d.mu.Unlock()
+	for _, r := range ask {
+		res, err := d.client.Get("http://" + r.Control + "/admin/health")
+		if err != nil {
+			continue
+		}
+		res.Body.Close()
+		if res.StatusCode == http.StatusOK {
+			d.mu.Lock()
+			r.ready = true
+			d.keeper.Ready(r.Instance, r.number)
+			d.log.Info().Str("instance", r.Instance).Int("pid", r.Pid).Msg("ready")
+			d.mu.Unlock()
+		}
+	}
+}
+
+// want takes a fleet's file up, under the lock. What an instance is told decides whether it has changed.
+func (d *Daemon) want(f *Fleet) {
+	var names []string
+	changed := map[string]bool{}
+	for _, in := range f.Instances {
+		names = append(names, in.Name)
+		p := d.by[in.Name]
+		if p == nil {
+			p = &place{}
+			d.by[in.Name] = p
+		} else if !bytes.Equal(p.in.Config, in.Config) {
+			changed[in.Name] = true
+		}
+		if p.listener != nil && p.in.Listen != in.Listen {
+			_ = p.listener.Close()
+			p.listener = nil
+		}
+		p.in = in
+	}
+	d.fleet = f
+	d.keeper.Pace(f.Pace)
+	d.keeper.Want(names, changed)
+}
+
+// Reload takes a fleet's file up that has been read anew; where it could not be, the old one stays in force.
+func (d *Daemon) Reload(f *Fleet, err error) {
+	if err == nil && (f.RunDir != d.fleet.RunDir || f.Control != d.fleet.Control || f.Name != d.fleet.Name) {
+		err = errors.New("name, run_dir and control can't change while the daemon runs")
+	}
+	if err != nil {
+		d.log.Error().Err(err).Msg("file not taken up, the old one stays")
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.want(f)
+	d.turn()
+	d.log.Info().Int("instances", len(f.Instances)).Msg("file taken up")
+}
+
+// Stop ends all instances, and returns when they have ended.
+func (d *Daemon) Stop() {
+	d.mu.Lock()
+	d.keeper.Stop()
+	d.turn()
+	d.mu.Unlock()
+	<-d.stopped
+	for _, p := range d.by {
+		if p.listener != nil {
+			_ = p.listener.Close()
+		}
+	}
+}
+
+// spawn starts a process, under the lock.
+func (d *Daemon) spawn(name string, number int) error {
+	p := d.by[name]
+	if p.listener == nil {
+		l, err := net.Listen("tcp", p.in.Listen)
+		if err != nil {
+			return fmt.Errorf("listen: %w", err)
+		}
+		p.listener, err = l.(*net.TCPListener).File()
+		_ = l.Close()
+		if err != nil {
+			return err
+		}
+	}
+	dir := filepath.Join(d.fleet.RunDir, name)
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return err
+	}
+	file := filepath.Join(dir, "config.json")
+	if err := os.WriteFile(file, p.in.Config, 0o600); err != nil {
+		return err
+	}
+	log, err := os.OpenFile(filepath.Join(dir, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	p.turn = 1 - p.turn
+	r := &running{Instance: name, Control: p.in.Operators[p.turn], Config: p.in.Config, number: number,
+		child: true}
+	cmd := exec.Command(d.program, "serve")
+	cmd.Env = append(os.Environ(), "NODE_CONFIG="+file, "NODE_NAME="+name, "NODE_CONTROL="+r.Control,
+		"NODE_FD=3",
+		"TMPDIR="+dir)
+	cmd.Stdout, cmd.Stderr, cmd.ExtraFiles = log, log, []*os.File{p.listener}
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true} // a signal to the daemon's group is not theirs
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	r.Pid = cmd.Process.Pid
+	r.Born = born(r.Pid)
+	d.runs[number] = r
+	d.note(r)
+	d.log.Info().Str("instance", name).Int("pid", r.Pid).Str("control", r.Control).Msg("started")
+	go func() {
+		err := cmd.Wait()
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.log.Info().Str("instance", name).Int("pid", r.Pid).AnErr("as", err).Msg("ended")
+		d.gone(r)
+		d.turn()
+	}()
+	return nil
+}
+
+// gone books the end of a process, under the lock.
+func (d *Daemon) gone(r *running) {
+	if _, there := d.runs[r.number]; !there {
+		return
+	}
+	delete(d.runs, r.number)
+	_ = os.Remove(d.noteOf(r))
+	d.keeper.Ended(r.Instance, r.number)
+}
+
+func (d *Daemon) signal(number int, s syscall.Signal) {
+	if r := d.runs[number]; r != nil && born(r.Pid) == r.Born {
+		_ = syscall.Kill(r.Pid, s)
+	}
+}
+
+// born gives when the kernel started a process, or nothing where there is none: a pid alone may be another's.
+func born(pid int) string {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return ""
+	}
+	_, rest, _ := strings.Cut(string(raw), ") ")
+	f := strings.Fields(rest)
+	const state, since = 0, 19 // behind the name: the state, and the start time
+	if len(f) <= since || f[state] == "Z" {
+		return ""
+	}
+	return f[since]
+}
+
+func (d *Daemon) noteOf(r *running) string {
+	return filepath.Join(d.fleet.RunDir, fmt.Sprintf("%s.%d.run", r.Instance, r.Pid))
+}
+
+// note writes what a daemon after this one needs to find a process.
+func (d *Daemon) note(r *running) {
+	b, err := json.Marshal(r)
+	if err == nil {
+		err = os.WriteFile(d.noteOf(r)+".part", b, 0o600)
+	}
+	if err == nil {
+		err = os.Rename(d.noteOf(r)+".part", d.noteOf(r))
+	}
+	if err != nil {
+		d.log.Warn().Err(err).Msg("a daemon after this one will not find the process")
+	}
+}
+
+// adopt takes over the processes that a daemon before this one has left, under the lock. One of two for an
+// instance is ended, and so is one that is none of the fleet's any more.
+func (d *Daemon) adopt() {
+	files, _ := filepath.Glob(filepath.Join(d.fleet.RunDir, "*.run"))
+	for _, file := range files {
+		raw, err := os.ReadFile(file)
+		r := &running{}
+		if err != nil || json.Unmarshal(raw, r) != nil || r.Pid <= 1 || born(r.Pid) != r.Born || r.Born == "" {
+			_ = os.Remove(file)
+			continue
+		}
+		p, has := d.by[r.Instance], false
+		for _, other := range d.runs {
+			has = has || other.Instance == r.Instance
+		}
+		if p == nil || has {
+			_ = syscall.Kill(r.Pid, syscall.SIGTERM)
+			continue
+		}
+		r.number = d.keeper.Adopt(r.Instance)
+		d.runs[r.number] = r
+		if r.Control == p.in.Operators[1] {
+			p.turn = 1
+		}
+		if !bytes.Equal(r.Config, p.in.Config) { // the file has changed meanwhile
+			d.keeper.Want(d.names(), map[string]bool{r.Instance: true})
+		}
+		d.log.Info().Str("instance", r.Instance).Int("pid", r.Pid).Msg("taken over")
+	}
+}
+
+func (d *Daemon) names() (all []string) {
+	for _, in := range d.fleet.Instances {
+		all = append(all, in.Name)
+	}
+	return all
+}
--- /dev/null
+++ b/internal/fleet/keeper_test.go
@@ -0,0 +1,238 @@
+package fleet
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+)
+
+var pace = Pace{First: 100, Most: 1000, Calm: 5000, Within: 2000, Grace: 3000, Step: 2}
+
+// bench drives a keeper: processes come up after a while, and end a while after they are told to.
+type bench struct {
+	t      *testing.T
+	k      *Keeper
+	now    float64
+	up     map[int]string  // processes that run
+	ready  map[int]float64 // when they will be
+	ends   map[int]float64
+	starts map[string]int
+	sick   map[string]bool // their processes end at once
+	deaf   map[string]bool // their processes heed no word
+	killed int
+	done   bool
+}
+
+func newBench(t *testing.T, names ...string) *bench {
+	b := &bench{t: t, k: NewKeeper(pace, 1), up: map[int]string{}, ready: map[int]float64{},
+		ends:   map[int]float64{},
+		starts: map[string]int{}, sick: map[string]bool{}, deaf: map[string]bool{}}
+	b.k.Want(names, nil)
+	return b
+}
+
+// run passes time in steps of 10 ms.
+func (b *bench) run(ms float64) {
+	b.t.Helper()
+	for end := b.now + ms; b.now < end; b.now += 10 {
+		b.k.Clock(b.now)
+		for p := 1; p <= b.k.numbers; p++ {
+			name, runs := b.up[p]
+			if at, due := b.ready[p]; runs && due && at <= b.now {
+				delete(b.ready, p)
+				b.k.Ready(name, p)
+			}
+			if at, due := b.ends[p]; runs && due && at <= b.now {
+				delete(b.up, p)
+				b.k.Ended(name, p)
+			}
+		}
+		for range 1000 {
+			d, ok := b.k.Next()
+			if !ok || d.Kind == Wake {
+				if ok && d.At < b.now {
+					b.t.Fatalf("woken at %v, %v ms ago", d.At, b.now-d.At)
+				}
+				break
+			}
+			b.carry(d)
+		}
+	}
+}
+
+func (b *bench) carry(d Decision) {
+	switch d.Kind {
+	case Start:
+		b.starts[d.Instance]++
+		b.up[d.Process], b.ready[d.Process] = d.Instance, b.now+200
+		if b.sick[d.Instance] {
+			b.ends[d.Process] = b.now + 20
+		}
+		n := 0
+		for _, name := range b.up {
+			if name == d.Instance {
+				n++
+			}
+		}
+		if n > 2 {
+			b.t.Fatalf("%d processes for %s", n, d.Instance)
+		}
+	case Term:
+		if !b.deaf[d.Instance] {
+			b.ends[d.Process] = b.now + 300
+		}
+	case Kill:
+		b.killed++
+		b.ends[d.Process] = b.now + 10
+	case Done:
+		b.done = true
+	}
+}
+
+func (b *bench) states() string { return fmt.Sprint(b.list()) }
+
+func (b *bench) list() (all []string) {
+	for _, s := range b.k.Standings() {
+		all = append(all, s.State.String())
+	}
+	return all
+}
+
+func TestStartsAndStops(t *testing.T) {
+	b := newBench(t, "n0", "n1", "n2")
+	b.run(100)
+	if b.states() != "[starting starting starting]" {
+		t.Error(b.states())
+	}
+	b.run(300)
+	if b.states() != "[ready ready ready]" || len(b.up) != 3 {
+		t.Error(b.states())
+	}
+	b.deaf["n1"] = true
+	b.k.Stop()
+	b.run(2000)
+	if b.done || b.states() != "[gone leaving gone]" {
+		t.Errorf("done %v, %s", b.done, b.states())
+	}
+	b.run(2000)
+	if !b.done || b.killed != 1 || len(b.up) > 0 {
+		t.Errorf("done %v, %d killed, %d left", b.done, b.killed, len(b.up))
+	}
+}
+
+// One that crashes at every start comes ever more rarely, up to a bound, and the others do not notice;
+// those that fall together do not come back together.
+func TestRestartPace(t *testing.T) {
+	b := newBench(t, "n0", "n1", "n2", "n3", "n4", "n5")
+	b.sick["n1"] = true
+	b.run(20000)
+	if n := b.starts["n1"]; n < 12 || n > 40 || b.starts["n0"] != 1 {
+		t.Errorf("%d starts of the sick one in 20 s, %d of the other", n, b.starts["n0"])
+	}
+	b.sick["n1"] = false
+	b.run(8000)
+	const all = "[ready ready ready ready ready ready]"
+	if b.states() != all {
+		t.Error(b.states())
+	}
+	for p := range b.up {
+		b.ends[p] = b.now
+	}
+	b.run(10)
+	var due []float64
+	for _, i := range b.k.order {
+		if i.failures != 1 {
+			t.Errorf("%s: %d failures in a row after it was up", i.name, i.failures)
+		}
+		due = append(due, i.due)
+	}
+	if slices.Max(due)-slices.Min(due) < 0.3*pace.First {
+		t.Errorf("all come back at %v", due)
+	}
+	b.run(1000)
+	if b.states() != all {
+		t.Error(b.states())
+	}
+}
+
+// A reload replaces some at a time, each by a process that is ready before the old one leaves.
+func TestReloadInSteps(t *testing.T) {
+	names := []string{"n0", "n1", "n2", "n3", "n4"}
+	b := newBench(t, names...)
+	b.run(500)
+	all := map[string]bool{}
+	for _, n := range names {
+		all[n] = true
+	}
+	b.k.Want(names, all)
+	for range 400 {
+		b.run(10)
+		replacing, serving := 0, 0
+		for _, s := range b.k.Standings() {
+			if s.State == Replacing {
+				replacing++
+			}
+		}
+		for _, i := range b.k.order {
+			if i.now != nil && i.now.ready || i.next != nil && i.next.ready {
+				serving++
+			}
+		}
+		if replacing > pace.Step || serving != len(names) {
+			t.Fatalf("%d are replaced at once, %d serve", replacing, serving)
+		}
+	}
+	for _, s := range b.k.Standings() {
+		if s.State != Ready || s.Behind || b.starts[s.Name] != 2 {
+			t.Errorf("%+v after %d starts", s, b.starts[s.Name])
+		}
+	}
+}
+
+// What is wanted changes while a reload is under way: the newest holds. A new one that dies before it is
+// ready leaves the old one serving.
+func TestReloadMeets(t *testing.T) {
+	b := newBench(t, "n0", "n1")
+	b.run(500)
+	b.k.Want([]string{"n0", "n1"}, map[string]bool{"n0": true, "n1": true})
+	b.run(100)
+	b.k.Want([]string{"n0", "n2"}, map[string]bool{"n0": true}) // again, one less, one more
+	b.run(4000)
+	if b.states() != "[ready gone ready]" || b.k.Standings()[0].Behind || b.starts["n0"] != 3 {
+		t.Errorf("%s, n0 started %d times", b.states(), b.starts["n0"])
+	}
+	b.sick["n0"] = true
+	b.k.Want([]string{"n0", "n2"}, map[string]bool{"n0": true})
+	b.run(5000)
+	if s := b.k.Standings()[0]; !s.Behind || b.k.by["n0"].now == nil || !b.k.by["n0"].now.ready ||
+		s.Restarts > 0 {
+		t.Errorf("while its new process dies: %+v", s)
+	}
+	b.k.Stop()
+	b.run(5000)
+	if !b.done || len(b.up) > 0 {
+		t.Errorf("a stop in the middle: done %v, %d left", b.done, len(b.up))
+	}
+}
+
+// One that never gets ready is ended and counts as failed; one that is adopted is kept as it is.
+func TestNeverReadyAndAdopted(t *testing.T) {
+	b := newBench(t, "n0", "n1")
+	p := b.k.Adopt("n1")
+	b.up[p], b.ready[p] = "n1", 50
+	b.k.Clock(0)
+	for range 3 {
+		if d, ok := b.k.Next(); ok && d.Kind == Start {
+			b.carry(d)
+			delete(b.ready, d.Process)
+		}
+	}
+	b.run(2100)
+	if b.killed != 1 || b.starts["n1"] != 0 || b.states() == "[starting ready]" {
+		t.Errorf("%d killed, n1 started %d times, %s", b.killed, b.starts["n1"], b.states())
+	}
+	b.run(1000)
+	if b.states() != "[ready ready]" {
+		t.Error(b.states())
+	}
+}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -33,6 +33,7 @@
 // Got is a txn that a worker was sent whole.
 type Got struct {
 	ID, Product string
+	Target      string // path and query
 	At          time.Time
 	Ran         bool
 }
@@ -92,7 +93,7 @@
 	product, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
 	w.mu.Lock()
 	fault, over, service := w.fault, w.over, w.service
-	w.got = append(w.got, Got{id, product, time.Now(), fault != Full && fault != Silent})
+	w.got = append(w.got, Got{id, product, r.RequestURI, time.Now(), fault != Full && fault != Silent})
 	w.mu.Unlock()
 	switch fault {
 	case Silent:
