--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -420,7 +420,8 @@
 	}
 }
 
-// What counts sends beyond a ceiling counts them: a part that two instances both take shows, an even stream does not.
+// What counts sends beyond a ceiling counts them: a part that two instances both take shows, an even
+// stream does not.
 func TestBeyond(t *testing.T) {
 	var even, burst, twice []time.Time
 	start := time.Now()
