--- a/internal/emu/gatekeeper.go
+++ b/internal/emu/gatekeeper.go
@@ -3,10 +3,8 @@
 import (
 	"math"
 	"math/rand"
-	"strconv"
 
 	"willowdeck/internal/judge"
-	"willowdeck/internal/warm"
 	"willowdeck/logic"
 )
 
@@ -72,52 +70,6 @@
 		list = append(list, x.posting(true))
 	}
 	g.input(func(b brain) { b.Roster(list, false) })
-	g.warm()
-}
-
-// warm has it ask running peers what they know of workers, and learn it a round trip later.
-func (g *gatekeeper) warm() {
-	w := g.w
-	if w.s.Gatekeepers.Warm == 0 || w.now == 0 {
-		return
-	}
-	var said []warm.Message
-	for _, i := range g.source.Perm(len(w.gks)) {
-		p := w.gks[i]
-		if b, ok := p.brain.(*logic.Gatekeeper); ok && i != g.num && p.up && !p.held &&
-			len(said) < w.s.Gatekeepers.Warm {
-			m := warm.Message{Version: warm.Version}
-			for _, k := range b.Known() {
-				if w.s.Gatekeepers.Wrong {
-					k.Worker = (k.Worker + 1) % len(w.workers)
-					k.Since = w.workers[k.Worker].since
-				}
-				m.Facts = append(m.Facts, warm.Fact{Worker: strconv.Itoa(k.Worker), Since: k.Since, Distrust: k.Distrust,
-					Pace: k.Pace, Age: math.Max(w.now-k.Told, 0)})
-			}
-			said = append(said, m)
-		}
-	}
-	life, asked := g.life, w.now
-	w.in(2*w.draw(w.s.Network.PeerMS), func() {
-		if g.life != life {
-			return
-		}
-		list := map[string]float64{}
-		for i, x := range w.workers {
-			if g.told[i].active {
-				list[strconv.Itoa(i)] = x.since
-			}
-		}
-		g.input(func(b brain) {
-			l, ok := b.(*logic.Gatekeeper)
-			for _, f := range warm.Merge(said, list) {
-				if at, err := strconv.Atoi(f.Worker); ok && err == nil {
-					l.Learn(at, asked-f.Age, f.Distrust, f.Pace)
-				}
-			}
-		})
-	})
 }
 
 // kill ends a life at once.
--- a/internal/emu/scenario.go
+++ b/internal/emu/scenario.go
@@ -32,8 +32,6 @@
 		PeerInPerS     float64 `toml:"peer_in_per_s"`
 		Talks          bool
 		StartMS        float64 `toml:"start_ms"` // from its start until it serves
-		Warm           int     // peers that one that starts asks what they know of workers
-		Wrong          bool    // and they say of each worker what they know of the next one
 	}
 	Products []struct {
 		Name     string
@@ -196,7 +194,6 @@
 	whole := func(p *int) func(float64) { return func(v float64) { *p = int(v) } }
 	m := map[string]func(float64){
 		"seconds": number(&s.Seconds), "gatekeepers.count": whole(&s.Gatekeepers.Count),
-		"gatekeepers.warm":            whole(&s.Gatekeepers.Warm),
 		"gatekeepers.spread":          whole(&s.Gatekeepers.Spread),
 		"gatekeepers.max_submissions": whole(&s.Gatekeepers.MaxSubmissions),
 		"gatekeepers.peer_in_per_s":   number(&s.Gatekeepers.PeerInPerS),
@@ -232,7 +229,6 @@
 		in("gatekeepers.spread", float64(g.Spread), 1, float64(g.Count)),
 		in("gatekeepers.max_submissions", float64(g.MaxSubmissions), 1, 100),
 		in("gatekeepers.peer_in_per_s", g.PeerInPerS, 0, 1e6), in("gatekeepers.start_ms", g.StartMS, 0, 1e5),
-		in("gatekeepers.warm", float64(g.Warm), 0, 100),
 		in("workers.count", float64(w.Count), 1, 5000), in("workers.cores", float64(w.Cores), 1, 1000),
 		in("workers.queue", float64(w.Queue), 0, 1e6), in("workers.zones", float64(w.Zones), 0, 1000),
 		in("workers.service_ms", w.ServiceMS, 0.01, 1e5), in("workers.spread", w.Spread, 0, 3),
--- a/logic/estate.go
+++ b/logic/estate.go
@@ -1,7 +1,5 @@
 package logic
 
-import "math"
-
 // This file holds what a gatekeeper leaves to the process that takes its place on the same machine. Times are
 // those of the clock that both go by.
 
@@ -160,32 +158,3 @@
 		c.out, c.lent = c.out-c.lent, 0
 	}
 }
-
-// Known gives how each listed worker stands here, distrust as it has faded; Told is the time of what it says.
-func (g *Gatekeeper) Known() []Standing {
-	var all []Standing
-	for i := range g.workers {
-		if w := &g.workers[i]; w.listed && (w.heard > 0 || w.distrust.score > 0) {
-			all = append(all, Standing{Worker: i, Since: w.Since, Pace: w.pace, Told: math.Max(w.heard,
-				w.distrust.since),
-				Distrust: w.distrust.at(g.now, distrustFade)})
-		}
-	}
-	return all
-}
-
-// Learn takes what others have seen of a worker at a time, where that is newer than what this gatekeeper
-// has seen.
-func (g *Gatekeeper) Learn(wi int, at, distrust, pace float64) {
-	if wi < 0 || wi >= len(g.workers) || !g.workers[wi].listed {
-		return
-	}
-	w := &g.workers[wi]
-	if at <= w.heard && w.pace > 0 || at <= w.distrust.since {
-		return
-	}
-	w.distrust = mark{math.Min(distrust, distrustMost), g.now}
-	if w.pace == 0 && pace > 0 {
-		w.pace, w.paced = pace, at
-	}
-}
