While the number of instances changes their parts never add up to more than the whole

New ones now start once all others reckon with them, and those that are to go end before the others grow. Added up at each step over changes 3, 7, 2, 5, 1, 7: never over 1.

--- a/internal/fleet/keeper.go
+++ b/internal/fleet/keeper.go
@@ -74,6 +74,7 @@
 	due      float64 // the earliest next start
 	restarts int
 	alone    bool // two processes can't be there at once
+	served   bool // it has had a process
 }
 
 // Keeper decides which processes run. It is told what happens, and pulled for decisions; the same seed
@@ -88,6 +89,8 @@
 	stopping bool
 	done     bool
 	wake     float64
+	behind   bool // some wanted one runs what it should not any more
+	unwanted bool // some that is not wanted runs still
 }
 
 // NewKeeper makes a keeper of none.
@@ -102,6 +105,7 @@
 func (k *Keeper) Want(names []string, changed map[string]bool) {
 	for _, i := range k.order {
 		i.wanted = slices.Contains(names, i.name)
+		i.served = i.served && (i.wanted || i.now != nil)
 	}
 	for _, name := range names {
 		i := k.by[name]
@@ -123,7 +127,7 @@
 	k.numbers++
 	if i := k.by[name]; i != nil {
 		i.now = &process{number: k.numbers, began: k.at, told: -1, version: i.version}
-		i.alone = true
+		i.alone, i.served = true, true
 	}
 	return k.numbers
 }
@@ -168,6 +172,7 @@
 			i.restarts++
 		}
 		i.now, i.next = i.next, nil // one that waited for its place has it now
+		i.served = i.served && i.wanted
 	}
 }
 
@@ -183,7 +188,10 @@
 func (k *Keeper) Next() (Decision, bool) {
 	k.wake = math.Inf(1)
 	busy := 0 // replaced at once
+	k.behind, k.unwanted = false, false
 	for _, i := range k.order {
+		k.behind = k.behind || i.wanted && i.now != nil && i.now.version != i.version
+		k.unwanted = k.unwanted || !i.wanted && i.now != nil
 		if i.next != nil || i.now != nil && i.now.told >= 0 {
 			busy++
 		}
@@ -221,15 +229,16 @@
 		return Decision{}, false
 	}
 	switch {
+	case i.now == nil && !i.served && k.behind: // its part is the others' until they reckon with it
 	case i.now == nil && k.at >= i.due:
-		i.now, i.alone = k.process(i), false
+		i.now, i.alone, i.served = k.process(i), false, true
 		return Decision{Kind: Start, Instance: i.name, Process: i.now.number}, true
 	case i.now == nil:
 		k.look(i.due)
 	case i.next != nil && i.next.ready && i.now.told < 0: // its heir is ready: it leaves its place
 		return k.term(i, i.now), true
 	case i.now.ready && i.now.told < 0 && i.next == nil && i.now.version != i.version:
-		if *busy >= max(k.pace.Step, 1) {
+		if *busy >= max(k.pace.Step, 1) || k.unwanted { // and theirs are not its yet
 			break
 		}
 		if k.at < i.due {
--- a/internal/fleet/keeper_test.go
+++ b/internal/fleet/keeper_test.go
@@ -21,12 +21,14 @@
 	deaf   map[string]bool // their processes heed no word
 	killed int
 	done   bool
+	parts  map[int]float64 // how many instances a process reckons with
 }
 
 func newBench(t *testing.T, names ...string) *bench {
 	b := &bench{t: t, k: NewKeeper(pace, 1), up: map[int]string{}, ready: map[int]float64{},
 		ends:   map[int]float64{},
-		starts: map[string]int{}, sick: map[string]bool{}, deaf: map[string]bool{}}
+		starts: map[string]int{}, sick: map[string]bool{}, deaf: map[string]bool{},
+		parts: map[int]float64{}}
 	b.k.Want(names, nil)
 	return b
 }
@@ -64,6 +66,11 @@
 	switch d.Kind {
 	case Start:
 		b.starts[d.Instance]++
+		for _, i := range b.k.order {
+			if i.wanted {
+				b.parts[d.Process]++
+			}
+		}
 		b.up[d.Process], b.ready[d.Process] = d.Instance, b.now+200
 		if b.sick[d.Instance] {
 			b.ends[d.Process] = b.now + 20
@@ -215,6 +222,43 @@
 	}
 }
 
+// While the number of instances changes, the parts that those which serve reckon with never add up to
+// more than the whole: a new one starts once the others reckon with it, and the others grow once an old
+// one has ended.
+func TestPartsWhileTheNumberChanges(t *testing.T) {
+	names := []string{"n0", "n1", "n2", "n3", "n4", "n5", "n6"}
+	b := newBench(t, names[:3]...)
+	for _, n := range []int{7, 2, 5, 5, 1, 7} {
+		b.run(500)
+		all := map[string]bool{}
+		for _, name := range names[:n] {
+			all[name] = true
+		}
+		b.k.Want(names[:n], all)
+		for range 800 {
+			b.run(10)
+			sum := 0.0
+			for p, name := range b.up {
+				if i := b.k.by[name]; i.now != nil && i.now.number == p {
+					sum += 1 / b.parts[p]
+				}
+			}
+			if sum > 1+1e-9 {
+				t.Fatalf("on the way to %d the parts add up to %.3f: %s", n, sum, b.states())
+			}
+		}
+		serving := 0
+		for _, s := range b.k.Standings() {
+			if s.State == Ready && !s.Behind {
+				serving++
+			}
+		}
+		if serving != n {
+			t.Errorf("%d of %d serve: %s", serving, n, b.states())
+		}
+	}
+}
+
 // One that never gets ready is ended and counts as failed; one that is adopted is kept as it is.
 func TestNeverReadyAndAdopted(t *testing.T) {
 	b := newBench(t, "n0", "n1")
