A long body that never comes whole gives its units back

Seen in reading the issue again: a broken chunk behind 64 KiB is found while its submission is under way, and its customer's stores kept what the submission had taken, though it reached no worker whole and so counts as none. spend is taken back now when such a submission ends. Test of the module's stores and of what peers are told.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -287,6 +287,9 @@
 	w.inFlight--
 	g.outOf[g.sort(t)]--
 	g.seat(s, false)
+	if t.coming && t.poured { // its body never came whole: it reached no worker
+		g.refund(t)
+	}
 	p := &g.plans[t.plan]
 	if p.out > 0 && o != NotSent {
 		p.stay += fleetGain * (took - p.stay)
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -1214,6 +1214,13 @@
 	if h.pull(); s.final != 0 || h.g.inHand != 0 {
 		t.Errorf("while its answer passes: final %v, %d in hand", s.final, h.g.inHand)
 	}
+	h, s = arrive()
+	h.g.Poured(s.ID, 0, 0)
+	a := &h.g.accounts[h.g.byKey[7]]
+	spent := a.whole
+	if h.ended(s, 0, NotSent, 1); a.whole < spent+0.99 || a.unsaid > 0 {
+		t.Errorf("of a body that never came whole %.2f of %.2f are kept, %v told", a.whole, spent, a.unsaid)
+	}
 	h.g.Poured(12345, 0, 7)
 	h.g.Poured(s.ID, 7, 7)
 }
--- a/logic/state.go
+++ b/logic/state.go
@@ -380,6 +380,22 @@
 	}
 }
 
+// refund gives back what spend took for a txn.
+func (g *Gatekeeper) refund(t *txn) {
+	c, p := &g.accounts[t.acct], &g.plans[t.plan]
+	if p.ceilRate > 0 {
+		c.ceilingAt -= t.units * float64(c.n) / p.ceilRate
+	}
+	if p.rate > 0 {
+		g.fill(c)
+		c.unsaid = math.Max(c.unsaid-t.draws, 0)
+		c.whole = math.Min(c.whole+t.draws, g.holds(p, p.rate))
+		if t.inside {
+			c.level = math.Min(c.level+t.draws, g.holds(p, c.share))
+		}
+	}
+}
+
 // seat notes whether a submission counts as in hand.
 func (g *Gatekeeper) seat(s *submission, in bool) {
 	if s.placed != in {
