Read once more: files decoded strictly in one place, one start of a command, less state

Three readers of TOML files each told of errors and unknown keys in their own way; strict.Decode serves them all, so experiments and fleets name the line of an unknown key too. serve and fleet take signals and make their log in one place (begin). The hand-over needs no goroutine to pass an error on, and an upload no second mark of having been stopped.

--- a/cmd/willowdeck/main.go
+++ b/cmd/willowdeck/main.go
@@ -46,24 +46,32 @@
 	}
 }
 
-func serve(_ context.Context, c *cli.Command) error {
+// begin takes the signals and makes the log. The signals have a channel each: one that finds its channel
+// full is dropped, and a stop must not be. They are taken from here on, so that none ends the program
+// while it starts.
+func begin(c *cli.Command) (stop, reload chan os.Signal, log zerolog.Logger, err error) {
 	level, err := zerolog.ParseLevel(c.String("log"))
 	if err != nil {
-		return fmt.Errorf("log: %w", err)
+		return nil, nil, log, fmt.Errorf("log: %w", err)
 	}
-	// A channel each: a signal that finds its channel full is dropped, and a stop must not be. They are taken
-	// from here on, so that none ends the program while it starts.
-	stop, reload := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	stop, reload = make(chan os.Signal, 1), make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
 	signal.Notify(reload, syscall.SIGHUP)
+	zerolog.TimeFieldFormat = time.RFC3339Nano
+	return stop, reload, zerolog.New(os.Stderr).Level(level).With().Timestamp().Logger(), nil
+}
+
+func serve(_ context.Context, c *cli.Command) error {
+	stop, reload, log, err := begin(c)
+	if err != nil {
+		return err
+	}
 	read := func() (config.Gatekeeper, error) { return config.Read(c.String("config"), os.Getenv) }
 	conf, err := read()
 	if err != nil {
 		return err
 	}
-	zerolog.TimeFieldFormat = time.RFC3339Nano
-	log := zerolog.New(os.Stderr).Level(level).With().Timestamp().Str("gatekeeper", conf.Name).Logger()
-	g, err := lifecycle.Start(conf, log)
+	g, err := lifecycle.Start(conf, log.With().Str("gatekeeper", conf.Name).Logger())
 	if err != nil {
 		return err
 	}
@@ -73,19 +81,15 @@
 // keep runs a fleet. A second signal to stop ends the wait for instances that drain, and leaves them to
 // themselves.
 func keep(_ context.Context, c *cli.Command) error {
-	level, err := zerolog.ParseLevel(c.String("log"))
+	stop, reload, log, err := begin(c)
 	if err != nil {
-		return fmt.Errorf("log: %w", err)
+		return err
 	}
-	stop, reload := make(chan os.Signal, 1), make(chan os.Signal, 1)
-	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
-	signal.Notify(reload, syscall.SIGHUP)
 	f, err := fleet.Read(c.String("file"))
 	if err != nil {
 		return err
 	}
-	zerolog.TimeFieldFormat = time.RFC3339Nano
-	log := zerolog.New(os.Stderr).Level(level).With().Timestamp().Str("fleet", f.Name).Logger()
+	log = log.With().Str("fleet", f.Name).Logger()
 	d, err := fleet.NewDaemon(f, log)
 	if err != nil {
 		return err
--- a/internal/emu/scenario.go
+++ b/internal/emu/scenario.go
@@ -9,9 +9,8 @@
 	"slices"
 	"strings"
 
-	"github.com/BurntSushi/toml"
-
 	"willowdeck/internal/judge"
+	"willowdeck/internal/strict"
 	"willowdeck/internal/traffic"
 	"willowdeck/logic"
 )
@@ -146,23 +145,9 @@
 // Decode decodes and checks a scenario.
 func Decode(text string) (*Scenario, error) {
 	s := &Scenario{Policy: "willowdeck"}
-	meta, err := toml.Decode(text, s)
-	var at toml.ParseError
-	if errors.As(err, &at) {
-		return nil, fmt.Errorf("line %d: %s", at.Position.Line, at.Message)
-	}
-	if err != nil {
+	if err := strict.Decode(text, s); err != nil {
 		return nil, err
 	}
-	if un := meta.Undecoded(); len(un) > 0 {
-		key := un[0][len(un[0])-1]
-		for i, line := range strings.Split(text, "\n") {
-			if name, _, ok := strings.Cut(line, "="); ok && strings.TrimSpace(name) == key {
-				return nil, fmt.Errorf("line %d: %s: unknown key", i+1, un[0])
-			}
-		}
-		return nil, fmt.Errorf("%s: unknown key", un[0])
-	}
 	if err := s.check(); err != nil {
 		return nil, err
 	}
--- a/internal/fleet/file.go
+++ b/internal/fleet/file.go
@@ -8,9 +8,8 @@
 	"os"
 	"path/filepath"
 
-	"github.com/BurntSushi/toml"
-
 	"willowdeck/internal/config"
+	"willowdeck/internal/strict"
 )
 
 // File is a fleet as its file says it.
@@ -47,15 +46,8 @@
 	}
 	f := File{ReadyS: 6, GraceS: 4, Step: 1}
 	f.Restart.FirstMS, f.Restart.MostMS, f.Restart.CalmS = 200, 10000, 30
-	meta, err := toml.Decode(string(raw), &f)
-	var at toml.ParseError
-	switch {
-	case errors.As(err, &at):
-		return nil, fmt.Errorf("%s: line %d: %s", path, at.Position.Line, at.Message)
-	case err != nil:
+	if err := strict.Decode(string(raw), &f); err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
-	case len(meta.Undecoded()) > 0:
-		return nil, fmt.Errorf("%s: %s: unknown key", path, meta.Undecoded()[0])
 	}
 	for _, p := range []*string{&f.Config, &f.RunDir} {
 		if *p != "" && !filepath.IsAbs(*p) {
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -12,9 +12,8 @@
 	"strings"
 	"sync"
 
-	"github.com/BurntSushi/toml"
-
 	"willowdeck/internal/emu"
+	"willowdeck/internal/strict"
 )
 
 // Experiment is a scenario played with each of some policies, values of a figure, and seeds.
@@ -37,15 +36,8 @@
 		return nil, err
 	}
 	x := &Experiment{}
-	meta, err := toml.Decode(string(raw), x)
-	var at toml.ParseError
-	switch {
-	case errors.As(err, &at):
-		return nil, fmt.Errorf("%s: line %d: %s", path, at.Position.Line, at.Message)
-	case err != nil:
+	if err := strict.Decode(string(raw), x); err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
-	case len(meta.Undecoded()) > 0:
-		return nil, fmt.Errorf("%s: %s: unknown key", path, meta.Undecoded()[0])
 	}
 	file := x.Scenario
 	if !filepath.IsAbs(file) {
--- a/internal/lifecycle/replace.go
+++ b/internal/lifecycle/replace.go
@@ -1,7 +1,6 @@
 package lifecycle
 
 import (
-	"errors"
 	"fmt"
 	"net"
 	"os"
@@ -106,32 +105,28 @@
 	if o == nil || !o.Awaited() {
 		return false
 	}
-	_ = g.limit.Close() // from here on the heir is to accept
-	left := make(chan error, 1)
-	told := make(chan struct{})
-	var failed error
-	go func() {
-		failed = <-left
-		close(told)
-	}()
+	_ = g.limit.Close()         // from here on the heir is to accept
+	told := make(chan struct{}) // closed once the heir has the will, or could not be given it
+	var err error
 	g.front.HandOn(g.limit, func(c syscall.RawConn, proven bool, ahead []byte) bool {
 		<-told
-		return failed == nil && o.Client(c, handover.Client{Proven: proven, Ahead: ahead}) == nil
+		return err == nil && o.Client(c, handover.Client{Proven: proven, Ahead: ahead}) == nil
 	})
 	g.links.Retire()
 	w := handover.Will{Drains: g.drains.Load()}
 	w.Estate, w.Workers, w.Kinds = g.desk.Retire()
-	err := o.Leave(w)
+	err = o.Leave(w)
 	if err == nil && g.peers != nil && g.peers.Bound() {
-		if raw, e := g.peers.Raw(); e == nil {
-			e = errors.Join(e, o.Peers(raw))
-			if e != nil {
-				g.log.Warn().Err(e).Msg("handing the peers' socket on")
-			}
+		raw, failed := g.peers.Raw()
+		if failed == nil {
+			failed = o.Peers(raw)
+		}
+		if failed != nil {
+			g.log.Warn().Err(failed).Msg("handing the peers' socket on")
 		}
 		_ = g.peers.Close()
 	}
-	left <- err
+	close(told)
 	g.log.Info().Err(err).Msg("place left to another process")
 	g.front.Wait()
 	o.Close()
--- a/internal/wire/body.go
+++ b/internal/wire/body.go
@@ -25,12 +25,11 @@
 
 // Upload is a client's body that is too long to be kept. It passes on as it comes, and so but once.
 type Upload struct {
-	Length  int64 // -1 where it is not stated
-	kept    []byte
-	rest    *incoming
-	stopped atomic.Bool
-	out     sync.WaitGroup // submissions that may read it
-	err     error          // why the client could not finish it
+	Length int64 // -1 where it is not stated
+	kept   []byte
+	rest   *incoming
+	out    sync.WaitGroup // submissions that may read it
+	err    error          // why the client could not finish it
 }
 
 // Read gives the body's next bytes.
@@ -41,7 +40,7 @@
 		return n, nil
 	}
 	n, err := u.rest.Read(b)
-	if err != nil && err != io.EOF && !u.stopped.Load() {
+	if err != nil && err != io.EOF && !u.rest.stopped.Load() {
 		u.err = err
 	}
 	return n, err
@@ -61,14 +60,13 @@
 
 // Stop ends a Read that waits for the client, and those to come.
 func (u *Upload) Stop() {
-	if u.stopped.Store(true); !u.rest.whole.Load() {
+	if !u.rest.whole.Load() {
 		u.rest.stop()
 	}
 }
 
 // Skip reads past what has not come, after Settle.
 func (u *Upload) Skip() error {
-	u.stopped.Store(false)
 	u.rest.stopped.Store(false)
 	_, err := pour(io.Discard, u)
 	return err
