Module clears a txn ahead of its coming: units kept, not spent, till it comes or lapses

Need: forward authentication says yes before a txn comes, and the units must be taken once, or come back without a ceiling being passed. Giving units back to a store is wrong: it would have run over meanwhile, and then holds more than the truth. Seen in the module as it was: a body that never comes whole gave its units back so, and a customer with a ceiling of 2 got 3 through (TestBodyGivenUpUnderCeiling fails on the former code).

--- /dev/null
+++ b/logic/clear_test.go
@@ -0,0 +1,220 @@
+package logic
+
+import (
+	"math"
+	"math/rand"
+	"testing"
+)
+
+// clear asks for a txn to be cleared for a life, and tells whether it was.
+func (h *host) clear(a Arrival, life float64) (id uint64, granted bool) {
+	h.next++
+	a.ID, a.Clears = h.next, life
+	h.txns[a.ID] = &seen{Arrival: a, expiry: h.now + math.Max(life, a.Left) + beat}
+	h.g.Take(a)
+	for {
+		d, ok := h.g.Next()
+		switch {
+		case !ok:
+			return a.ID, granted
+		case d.Kind == Grant && d.Txn == a.ID:
+			granted = true
+		case d.Kind == Submit || d.Kind == Decline || d.Kind == Void:
+			h.judge(d)
+		}
+	}
+}
+
+// rest lets time pass.
+func (h *host) rest(ms float64) {
+	for end := h.now + ms; h.now < end; {
+		h.at(math.Min(h.now+20, end))
+		h.pull()
+	}
+}
+
+// A cleared txn takes its units once, whatever comes of it, and none where it never comes.
+func TestClearance(t *testing.T) {
+	c := charterFor(OnceOnly, func(c *Charter) {
+		c.Gatekeepers, c.Plans[0] = 1, Plan{Rate: 1, Burst: 4, CeilingRate: 1, CeilingDepth: 4, Factor: 1,
+			ExcessFee: 1}
+		c.LargestUnits = 4
+	})
+	a := Arrival{Customer: 7, Units: 1, SetSize: 1, Left: 1000}
+	begin := func() (*host, *account) {
+		h := newHost(t, c, 1, 3)
+		h.at(h.now + 60000) // its ceiling counts as spent at a start
+		h.clear(a, 500)
+		h.rest(9000)
+		h.clear(a, 500) // an idle customer may be dropped
+		h.rest(600)
+		return h, &h.g.accounts[h.g.byKey[7]]
+	}
+	h, acct := begin()
+	if acct.kept != 0 || acct.out != 0 || h.g.tally.Final[ByLapse] != 2 || len(h.g.byID) != 0 {
+		t.Fatalf("one that never came: %v kept, %d out, tally %v", acct.kept, acct.out, h.g.tally.Final)
+	}
+	id, ok := h.clear(a, 500)
+	level := acct.level
+	if !ok || acct.kept != 1 || len(h.sent) != 0 {
+		t.Fatalf("cleared %v, %v kept, %d submitted", ok, acct.kept, len(h.sent))
+	}
+	h.txns[id].expiry = h.now + 1000
+	if !h.g.Claim(id, 1000, false) {
+		t.Fatal("its txn is not known")
+	}
+	h.pull()
+	if acct.kept != 0 || acct.out != 1 || acct.level != level-1 || len(h.sent) != 1 {
+		t.Errorf("come: %v kept, %d out, level %v of %v, %d submitted", acct.kept, acct.out, acct.level, level,
+			len(h.sent))
+	}
+	if h.g.Claim(id, 1000, false) {
+		t.Error("claimed twice")
+	}
+	h.ended(h.txns[id], 0, Settled, 5)
+	granted := 0
+	for range 9 {
+		if _, ok := h.clear(a, 5000); ok {
+			granted++
+		}
+	}
+	if granted != 3 {
+		t.Errorf("%d cleared of 3 that are left", granted)
+	}
+
+	h, acct = begin()
+	id, _ = h.clear(a, 500)
+	h.g.Release(id)
+	if h.pull(); acct.kept != 0 || acct.out != 0 || h.g.Claim(id, 1000, false) {
+		t.Errorf("released: %v kept, %d out", acct.kept, acct.out)
+	}
+	id, _ = h.clear(a, 500)
+	h.at(h.now + 505)
+	if h.g.Claim(id, 1000, false) {
+		t.Error("claimed after its time")
+	}
+	if h.pull(); acct.kept != 0 {
+		t.Errorf("lapsed: %v kept", acct.kept)
+	}
+	id, _ = h.clear(a, 500)
+	h.g.Left(id)
+	if h.pull(); acct.kept != 0 || acct.out != 0 {
+		t.Errorf("its client has left: %v kept, %d out", acct.kept, acct.out)
+	}
+	id, _ = h.clear(a, 500)
+	h.g.Roster(nil, false)
+	level = acct.level
+	h.txns[id].expiry = h.now + 1000
+	h.g.Claim(id, 1000, false)
+	if h.pull(); h.txns[id].final != Decline || acct.kept != 0 || acct.level != level {
+		t.Errorf("no worker: final %v, %v kept, level %v", h.txns[id].final, acct.kept, acct.level)
+	}
+}
+
+// Clearances that come, lapse or are given back at random never bring more to workers than the ceiling's one
+// store holds, and at most as many lapse as it costs to wait for them. Guards against units that are given
+// back to a store which would have run over meanwhile.
+func TestClearedUnderCeiling(t *testing.T) {
+	const rate, depth = 8.0, 6.0
+	for seed := range int64(20) {
+		c := charterFor(OnceOnly, func(c *Charter) {
+			c.Gatekeepers = 1
+			c.Plans[0] = Plan{Rate: 100, Burst: 1000, CeilingRate: rate, CeilingDepth: depth, Factor: 1}
+		})
+		rng := rand.New(rand.NewSource(seed))
+		h := newHost(t, c, seed, 200)
+		level, sent, open := depth, 0, map[uint64]bool{}
+		for range 8000 {
+			h.at(h.now + 5)
+			h.pull()
+			level = math.Min(level+rate*5/1000, depth)
+			if rng.Float64() < 0.03 {
+				if id, ok := h.clear(Arrival{Customer: 7, Units: 1, SetSize: 1, Left: 1000}, 2000); ok {
+					open[id] = true
+				}
+			}
+			if rng.Float64() < 0.01 {
+				h.txn(7, 1)
+			}
+			for id := range open {
+				switch x := rng.Float64(); {
+				case x < 0.002:
+					h.txns[id].expiry = h.now + 1000
+					h.g.Claim(id, 1000, false)
+				case x < 0.003:
+					h.g.Release(id)
+				default:
+					continue
+				}
+				h.pull()
+				delete(open, id)
+				break
+			}
+			for ; sent < len(h.sent); sent++ {
+				level--
+				h.ended(h.txns[h.sent[sent].Txn], 0, Settled, 1)
+			}
+			if level < -1e-6 {
+				t.Fatalf("seed %d: %v units beyond the ceiling", seed, -level)
+			}
+		}
+		if float64(sent) < rate*8/2 {
+			t.Errorf("seed %d: only %d sent", seed, sent)
+		}
+	}
+}
+
+// What a body that never comes whole gives back does not bring more than the ceiling's store holds.
+func TestBodyGivenUpUnderCeiling(t *testing.T) {
+	c := charterFor(InquiryLike, func(c *Charter) {
+		c.Gatekeepers, c.Plans[0] = 1, Plan{Rate: 100, Burst: 1000, CeilingRate: 1, CeilingDepth: 2, Factor: 1}
+	})
+	h := newHost(t, c, 1, 200)
+	h.at(h.now + 60000)
+	h.ended(h.txn(7, 1), 0, Settled, 1)
+	h.rest(4000) // its ceiling is full
+	s := h.arrive(Arrival{Customer: 7, Units: 1, SetSize: 1, Left: 1000, Streams: true})
+	h.g.Poured(s.ID, 0, 0)
+	s.expiry = math.Inf(1)
+	h.rest(4000) // full again
+	before := len(h.sent)
+	h.txn(7, 1)
+	h.ended(s, 0, NotSent, 1)
+	for range 4 {
+		h.txn(7, 1)
+	}
+	if n := len(h.sent) - before; n != 2 {
+		t.Errorf("%d submitted of 2 units that there are", n)
+	}
+}
+
+// What is kept passes to a successor as spent: both may yet send it on.
+func TestClearedAtReplacement(t *testing.T) {
+	c := charterFor(OnceOnly, func(c *Charter) { c.Gatekeepers = 1 })
+	old := newHost(t, c, 1, 3)
+	a := Arrival{Customer: 7, Units: 1, SetSize: 1, Left: 1000}
+	id, _ := old.clear(a, 500)
+	level := old.g.accounts[old.g.byKey[7]].level
+	e := old.g.Retire()
+	next := newHost(t, c, 2, 3)
+	next.g.Resume(e)
+	if got := next.g.accounts[next.g.byKey[7]].level; got != level-1 {
+		t.Errorf("the successor has %v of %v", got, level)
+	}
+	old.txns[id].expiry = old.now + 500
+	if !old.g.Claim(id, 500, false) {
+		t.Error("it can't go on where it was cleared")
+	}
+	if old.pull(); len(old.sent) != 1 {
+		t.Errorf("%d submitted", len(old.sent))
+	}
+	a.ID, a.Clears, a.Left = 99, 500, 1
+	next.txns[99] = &seen{Arrival: a, expiry: next.now + 1000}
+	next.g.Cleared(a)
+	if next.pull(); !next.g.Claim(99, 1000, false) {
+		t.Error("a clearance that is passed on is not known")
+	}
+	if next.pull(); len(next.sent) != 1 {
+		t.Errorf("%d submitted of it", len(next.sent))
+	}
+}
--- a/logic/estate.go
+++ b/logic/estate.go
@@ -58,6 +58,14 @@
 // nothing in, sends nothing to cold workers and tells peers nothing, as its parts of all these are another's.
 func (g *Gatekeeper) Retire() Estate {
 	g.retired = true
+	for i := range g.txns { // what is kept may yet be sent on from here: to the successor it is spent
+		if t := &g.txns[i]; t.live && t.kept {
+			coming, pass := t.coming, t.pass
+			t.coming = false
+			g.spend(t)
+			t.coming, t.pass = coming, pass
+		}
+	}
 	e := Estate{At: g.now, Started: g.started, Window: g.window, Press: g.press, CutAt: g.cutAt, Pace: g.pace,
 		Load: g.load, WarmDone: g.warmDone, WarmAt: g.warmAt, WarmFrom: g.warmFrom, Long: g.long.score,
 		LongAt: g.long.since, Astray: g.astray.score, AstrayAt: g.astray.since, NextTell: g.nextTell}
--- a/logic/iface.go
+++ b/logic/iface.go
@@ -76,6 +76,7 @@
 	SetSize, First int     // the gatekeepers it can come through: SetSize in a row from First
 	Left           float64 // ms until its client stops waiting
 	Streams        bool    // its body is passed on as it comes: Left begins with the last byte of it
+	Clears         float64 // ms for which it is cleared before it comes; 0 where it has come
 }
 
 // Outcome is how a submission ended.
@@ -106,6 +107,7 @@
 	Withdraw      // stop waiting for submission N
 	Tell          // send Reports to gatekeeper Peer
 	Wake          // call Clock again at time At
+	Grant         // the txn is cleared: it may come until Wait has passed
 )
 
 // Decision is one thing for the host to do. Reports is valid until the next call.
@@ -140,6 +142,7 @@
 	ByNoWorker        // no worker may be sent to
 	ByFailure         // submissions spent or not repeatable
 	ByClient          // the client left
+	ByLapse           // cleared, and never came
 	Reasons           // how many there are
 )
 
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -138,8 +138,7 @@
 	g := &Gatekeeper{rng: rand.New(rand.NewSource(seed)), byID: map[uint64]int32{}, byKey: map[uint32]int32{},
 		beatAt: -1, tellPeer: -1}
 	n := max(c.Gatekeepers, 1)
-	g.peers, g.mute = make([]peer, n), make([]int, 2*n+1)
-	g.owed = make([]int, 2*n+1)
+	g.peers, g.mute, g.owed = make([]peer, n), make([]int, 2*n+1), make([]int, 2*n+1)
 	g.charter = terms{me: c.Me, n: n, maxSubs: max(c.MaxSubmissions, 1), perTell: c.ReportsPerTell,
 		overlap: c.MayOverlap, withdraw: c.MayWithdraw, advise: c.MayAdvise, maxAdvice: c.MaxAdvice,
 		largest: math.Max(c.LargestUnits, 1), period: period, coldFrom: c.ColdFrom,
@@ -199,8 +198,7 @@
 // Clock sets the time, in ms, of the inputs and decisions that follow.
 func (g *Gatekeeper) Clock(now float64) {
 	if !g.begun {
-		g.begun, g.started, g.now = true, now, now
-		g.warmAt, g.warmFrom = now, now
+		g.begun, g.started, g.now, g.warmAt, g.warmFrom = true, now, now, now, now
 		g.nextTell = now + g.charter.period*g.rng.Float64()
 	}
 	// Guards against this gatekeeper itself being stopped for a while: what it finds then says nothing of how
@@ -255,7 +253,7 @@
 	slot, ai := place(&g.txns, &g.free), g.account(a)
 	t := &g.txns[slot]
 	*t = txn{id: a.ID, acct: ai, product: a.Product, plan: a.Plan, units: a.Units,
-		expiry: g.now + a.Left, coming: a.Streams, subs: t.subs[:0], live: true}
+		expiry: g.now + a.Left, coming: a.Streams, subs: t.subs[:0], life: a.Clears, live: true}
 	g.byID[a.ID] = slot
 	g.due, g.nextBeat = append(g.due, slot), math.Min(g.nextBeat, t.expiry)
 	c := &g.accounts[ai]
@@ -287,9 +285,6 @@
 	w.inFlight--
 	g.outOf[g.sort(t)]--
 	g.seat(s, false)
-	if t.coming && t.poured { // its body never came whole: it reached no worker
-		g.refund(t)
-	}
 	p := &g.plans[t.plan]
 	if p.out > 0 && o != NotSent {
 		p.stay += fleetGain * (took - p.stay)
@@ -323,8 +318,7 @@
 		k.answers++
 		k.pace += math.Max(fleetGain, 1/k.answers) * (took - k.pace)
 		if g.warmth(w.Since) >= 1 {
-			g.warmDone = g.warmWork() + t.units
-			g.warmAt = g.now
+			g.warmDone, g.warmAt = g.warmWork()+t.units, g.now
 		}
 		if g.openTo[g.sort(t)] > mostly { // else it is those few workers that are pressed
 			g.pressed(took / sla / g.charter.slack)
@@ -518,7 +512,7 @@
 // step gives the next decision on one txn, or none.
 func (g *Gatekeeper) step(slot int32) (Decision, bool) {
 	t := &g.txns[slot]
-	if !t.live {
+	if !t.live || t.waits(g.now) {
 		return Decision{}, false
 	}
 	if t.answered {
@@ -526,6 +520,7 @@
 			return d, true
 		}
 		if t.out == 0 {
+			g.unkeep(t)
 			delete(g.byID, t.id)
 			t.live = false
 			g.free = append(g.free, slot)
@@ -549,12 +544,14 @@
 		return Decision{}, false
 	}
 	if t.expiry-g.now <= margin && !t.coming {
-		return g.giveUp(t, ByFailure, 0), true
+		return g.giveUp(t, t.late(), 0), true
 	}
-	if len(t.subs) == 0 {
+	if len(t.subs) == 0 && t.pass != claimed {
 		reason, wait := g.admit(t)
 		if reason != BySettled {
 			return g.giveUp(t, reason, wait), true
+		} else if t.life > 0 {
+			return g.grant(t), true
 		}
 	} else if !g.mayRepeat(t, false) {
 		return g.giveUp(t, ByFailure, 0), true
@@ -770,7 +767,7 @@
 		float64(g.outOf[g.sort(t)]) < math.Max(g.room()*g.openTo[g.sort(t)], 1)
 	if p.ceilRate > 0 || p.ceilDepth > 0 {
 		rate, depth := p.ceilRate/float64(c.n), p.ceilDepth/float64(c.n)
-		if wait := gcraWait(c.ceilingAt, g.now, rate, depth, t.units); wait > 0 {
+		if wait := gcraWait(c.ceilingAt, g.now, rate, depth, t.units+c.kept); wait > 0 {
 			return ByCeiling, wait
 		}
 	}
@@ -832,7 +829,7 @@
 	g.fill(c)
 	before := g.own(c) - units/g.plans[c.plan].memory
 	reserve := math.Max(c.flow/flowMemory, before*float64(min(c.n-1, alike)))
-	short := units + reserve*hearsay*g.charter.period - c.whole
+	short := units + c.keptDraws + reserve*hearsay*g.charter.period - c.whole
 	return math.Max(short/g.plans[c.plan].rate, 0)
 }
 
@@ -857,7 +854,7 @@
 // sliceWait is how long until a customer's own slice has the units; 0 is now.
 func (g *Gatekeeper) sliceWait(c *account, units float64) float64 {
 	g.fill(c)
-	if c.level >= units-1e-9 {
+	if units += c.keptDraws; c.level >= units-1e-9 {
 		return 0
 	}
 	share := c.share
@@ -870,8 +867,13 @@
 	return (units - c.level) / share
 }
 
-// spend takes a txn's units from its customer's stores at the first submission.
+// spend takes a txn's units from its customer's stores at the first submission. A body that is still coming
+// may never reach a worker whole, and then takes nothing: until it has, its units are only kept.
 func (g *Gatekeeper) spend(t *txn) {
+	if g.unkeep(t); t.coming {
+		g.keep(t)
+		return
+	}
 	c, p := &g.accounts[t.acct], &g.plans[t.plan]
 	if p.ceilRate > 0 {
 		c.ceilingAt = math.Max(c.ceilingAt, g.now) + t.units*float64(c.n)/p.ceilRate
@@ -1065,8 +1067,7 @@
 // report packs the next message of own demands for the customers that a peer shares: those with news, or a
 // bare word that there is none. What the period's messages cannot hold is left out, from a random place on.
 func (g *Gatekeeper) report() (Decision, bool) {
-	n, to := g.charter.n, g.tellPeer
-	p := &g.peers[to]
+	n, to, p := g.charter.n, g.tellPeer, &g.peers[g.tellPeer]
 	asks := p.spoke > 0 && g.now-p.spoke < lapse*g.charter.period // it spoke of customers, maybe not known here
 	if to == g.charter.me || g.told >= g.charter.tells || g.owed[to]+g.owed[to+n] == 0 && !asks {
 		return Decision{}, false
@@ -1083,7 +1084,6 @@
 	if g.now-p.told > lapse*g.charter.period {
 		p.owes = g.now
 	}
-	p.told = g.now
-	g.told++
+	p.told, g.told = g.now, g.told+1
 	return Decision{Kind: Tell, Peer: to, Reports: g.reports}, true
 }
--- a/logic/state.go
+++ b/logic/state.go
@@ -32,7 +32,8 @@
 	ceilingAt           float64 // GCRA: the moment the slice of the ceiling is full again
 	unsaid              float64 // units sent on since the last report
 	said, saidAt, known float64 // demand last reported, when, and what was left of the one before
-	out, lent           int     // submissions out, and of these the predecessor's
+	out, lent           int     // submissions out or cleared, and of these the predecessor's
+	kept, keptDraws     float64 // units of txns that may yet be sent on; what they then take from the quota
 }
 
 // peer is what is known of another gatekeeper.
@@ -88,9 +89,21 @@
 	poured        bool // its body has begun to, and is not kept: it cannot be submitted again
 	inside        bool // its quota had the units when it was let in
 	tight         bool // it came with little time
+	kept          bool // its units are kept
+	pass          pass
+	life          float64 // ms that its clearance is kept
 	live          bool
 }
 
+// pass tells how far a txn has come that is cleared ahead of its coming.
+type pass uint8
+
+const (
+	noPass  pass = iota // it is not
+	granted             // it is, and has not come
+	claimed             // it has come
+)
+
 // product holds what decisions need of a Product; times in ms.
 type product struct {
 	sla, window float64
@@ -375,24 +388,97 @@
 	t := &g.txns[slot]
 	if t.poured = true; left > 0 && t.coming && t.subs[n].out {
 		t.coming, t.expiry, t.subs[n].sent = false, g.now+left, g.now
+		g.spend(t)
 		g.seat(&t.subs[n], true)
 		g.due, g.nextBeat = append(g.due, slot), math.Min(g.nextBeat, t.expiry)
 	}
 }
 
-// refund gives back what spend took for a txn.
-func (g *Gatekeeper) refund(t *txn) {
-	c, p := &g.accounts[t.acct], &g.plans[t.plan]
-	if p.ceilRate > 0 {
-		c.ceilingAt -= t.units * float64(c.n) / p.ceilRate
+// grant clears a txn: its units are kept for it until it comes, for as long as its clearance lasts.
+func (g *Gatekeeper) grant(t *txn) Decision {
+	t.pass, t.expiry = granted, g.now+t.life
+	g.keep(t)
+	g.accounts[t.acct].out++
+	g.nextBeat = math.Min(g.nextBeat, t.expiry)
+	return Decision{Kind: Grant, Txn: t.id, Wait: t.life}
+}
+
+// ungrant ends a clearance.
+func (g *Gatekeeper) ungrant(t *txn) {
+	if t.pass == granted {
+		t.pass = claimed
+		g.accounts[t.acct].out--
 	}
-	if p.rate > 0 {
-		g.fill(c)
-		c.unsaid = math.Max(c.unsaid-t.draws, 0)
-		c.whole = math.Min(c.whole+t.draws, g.holds(p, p.rate))
-		if t.inside {
-			c.level = math.Min(c.level+t.draws, g.holds(p, c.share))
-		}
+}
+
+// Claim tells that a cleared txn has come: its client waits so many ms from now on, or from the last byte of
+// a body that is still coming. It is false if its clearance is no more; the txn is then like any other.
+func (g *Gatekeeper) Claim(id uint64, left float64, coming bool) bool {
+	slot, ok := g.byID[id]
+	if !ok || g.txns[slot].pass != granted || g.txns[slot].answered || g.now >= g.txns[slot].expiry {
+		return false
+	}
+	t := &g.txns[slot]
+	g.ungrant(t)
+	t.expiry, t.coming = g.now+left, coming
+	g.due, g.nextBeat = append(g.due, slot), math.Min(g.nextBeat, t.expiry)
+	return true
+}
+
+// Release tells that a cleared txn will not come: its units are free again.
+func (g *Gatekeeper) Release(id uint64) {
+	if slot, ok := g.byID[id]; ok && g.txns[slot].pass == granted && !g.txns[slot].answered {
+		g.txns[slot].answered = true
+		g.tally.Final[ByLapse]++
+		g.due = append(g.due, slot)
+	}
+}
+
+// Cleared takes over a clearance that another process of this gatekeeper has given, for so many ms more.
+func (g *Gatekeeper) Cleared(a Arrival) {
+	g.Take(a)
+	t := &g.txns[g.byID[a.ID]]
+	t.inside = true
+	g.grant(t)
+}
+
+// waits tells whether a txn is cleared and has not come.
+func (t *txn) waits(now float64) bool {
+	return t.pass == granted && !t.answered && t.expiry-now > margin
+}
+
+// late is why a txn gets its answer at its expiry.
+func (t *txn) late() Reason {
+	if t.pass == granted {
+		return ByLapse
+	}
+	return ByFailure
+}
+
+// keep sets a txn's units aside. Guards against giving back what was spent: a store that would have been full
+// meanwhile has run over, and would hold more than the truth. What is kept was never taken from it.
+func (g *Gatekeeper) keep(t *txn) {
+	if !t.kept {
+		t.kept = true
+		g.kept(t, 1)
+	}
+}
+
+// unkeep ends that, and a clearance with it.
+func (g *Gatekeeper) unkeep(t *txn) {
+	g.ungrant(t)
+	if t.kept {
+		t.kept = false
+		g.kept(t, -1)
+	}
+}
+
+// kept changes what is kept for a customer by a txn's units, so many times. Beyond the quota nothing is
+// taken from it.
+func (g *Gatekeeper) kept(t *txn, times float64) {
+	c := &g.accounts[t.acct]
+	if c.kept = math.Max(c.kept+times*t.units, 0); t.inside {
+		c.keptDraws = math.Max(c.keptDraws+times*t.draws, 0)
 	}
 }
 
