Forward authentication in both roles: portals ask, and an auth service is asked, on the one core

Need: tills behind a portal. internal/portal takes portals' calls and the door's txns by what those were told; internal/vouch asks an auth service before a txn goes on; what both decide is in internal/clear, free of I/O; quota, worker and repetition stay in the module (Clear, Claim, Release). A clearance passes to a successor at a replacement.

--- a/cmd/willowdeck/main.go
+++ b/cmd/willowdeck/main.go
@@ -30,17 +30,19 @@
 		Sources: cli.EnvVars("NODE_CONFIG")}
 	level := &cli.StringFlag{Name: "log", Value: "info", Usage: "the least `LEVEL` to log",
 		Sources: cli.EnvVars("WILLOWDECK_LOG")}
+	forward := &cli.StringFlag{Name: "forward", Usage: "the operator `FILE` of forward authentication",
+		Sources: cli.EnvVars("WILLOWDECK_FORWARD")}
 	fleetFile := &cli.StringFlag{Name: "file", Usage: "the fleet's `FILE`", Required: true}
 	return &cli.Command{
 		Name:  "willowdeck",
 		Usage: "holds customers to quotas before a shared back end",
 		Commands: []*cli.Command{
 			{Name: "serve", Usage: "run a gatekeeper until SIGTERM; SIGHUP reads its file anew",
-				Flags: []cli.Flag{file, level}, Action: serve},
+				Flags: []cli.Flag{file, forward, level}, Action: serve},
 			{Name: "fleet", Usage: "keep many gatekeepers on this host until SIGTERM; SIGHUP reads the file anew",
 				Flags: []cli.Flag{fleetFile, level}, Action: keep},
-			{Name: "check", Usage: "read and check the configuration, and say what it holds", Flags: []cli.Flag{file},
-				Action: check},
+			{Name: "check", Usage: "read and check the configuration, and say what it holds",
+				Flags: []cli.Flag{file, forward}, Action: check},
 			{Name: "version", Usage: "say which build this is", Action: version},
 		},
 	}
@@ -66,7 +68,7 @@
 	if err != nil {
 		return err
 	}
-	read := func() (config.Gatekeeper, error) { return config.Read(c.String("config"), os.Getenv) }
+	read := func() (config.Gatekeeper, error) { return readAll(c) }
 	conf, err := read()
 	if err != nil {
 		return err
@@ -78,6 +80,15 @@
 	return g.Run(stop, reload, read)
 }
 
+// readAll reads a gatekeeper's configuration, and the operator files there are.
+func readAll(c *cli.Command) (config.Gatekeeper, error) {
+	conf, err := config.Read(c.String("config"), os.Getenv)
+	if path := c.String("forward"); err == nil && path != "" {
+		conf.Forward, err = config.ReadForward(path, &conf)
+	}
+	return conf, err
+}
+
 // keep runs a fleet. A second signal to stop ends the wait for instances that drain, and leaves them to
 // themselves.
 func keep(_ context.Context, c *cli.Command) error {
@@ -121,12 +132,18 @@
 }
 
 func check(_ context.Context, c *cli.Command) error {
-	conf, err := config.Read(c.String("config"), os.Getenv)
+	conf, err := readAll(c)
 	if err != nil {
 		return err
 	}
 	fmt.Printf("%s: %d products, %d plans, %d workers known, %d gatekeepers\n", conf.Name,
 		len(conf.Charter.Products), len(conf.Charter.Plans), len(conf.Known.Workers), conf.Charter.Gatekeepers)
+	if f := conf.Forward; f != nil && f.Asked != nil {
+		fmt.Printf("asked by portals at %s, clearances last %g ms\n", f.Asked.Listen, f.Asked.Life)
+	}
+	if f := conf.Forward; f != nil && f.Asking != nil {
+		fmt.Printf("asking %s, at most %g ms\n", f.Asking.Service, f.Asking.Terms.Limit)
+	}
 	return nil
 }
 
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -37,6 +37,7 @@
 	PeerPort  netip.AddrPort   // where peers' datagrams arrive; not valid where peers are not talked to
 	Peers     []netip.AddrPort // by number, this gatekeeper's own included
 	Known     roster.List
+	Forward   *Forward // nil where forward authentication is off
 	Terms
 }
 
--- a/internal/gate/desk.go
+++ b/internal/gate/desk.go
@@ -50,7 +50,13 @@
 	txns    map[uint64]*held.Txn
 	workers held.Workers
 	speech  []speech
-	waiting []*held.Txn // of the wake's goroutine
+	waiting []waiting // of the wake's goroutine
+}
+
+// waiting is a txn whose client is looked at.
+type waiting struct {
+	txn  *held.Txn
+	gone func() bool
 }
 
 // speech is a datagram that waits for the lock's end.
@@ -158,22 +164,22 @@
 	d.waiting = d.waiting[:0]
 	for _, h := range d.txns {
 		if !h.Final {
-			d.waiting = append(d.waiting, h)
+			d.waiting = append(d.waiting, waiting{h, h.Gone})
 		}
 	}
 	d.leave()
 	left := d.waiting[:0]
-	for _, h := range d.waiting {
-		if h.Gone() {
-			left = append(left, h)
+	for _, w := range d.waiting {
+		if w.gone() {
+			left = append(left, w)
 		}
 	}
 	if len(left) == 0 {
 		return
 	}
 	now := d.enter()
-	for _, h := range left {
-		if !h.Final {
+	for _, w := range left {
+		if h := w.txn; !h.Final {
 			d.gk.Left(h.ID)
 			d.finish(h, held.Word{Decision: logic.Decision{Kind: logic.Void}}, now)
 			d.forget(h)
@@ -185,19 +191,74 @@
 // take gives a txn to the module. What is decided on it comes to its box.
 func (d *Desk) take(t *wire.Txn) *held.Txn {
 	now := d.enter()
+	h := d.hold(&t.Arrival, t.Gone)
+	h.Expiry = expiry(t, now)
+	d.gk.Take(t.Arrival)
+	d.leave()
+	return h
+}
+
+// hold makes a txn, under the lock. Until it has come it has no expiry.
+func (d *Desk) hold(a *logic.Arrival, gone func() bool) *held.Txn {
 	d.last++
-	t.ID = d.last
-	expiry := now + t.Left
+	a.ID = d.last
+	h := held.NewTxn(a.ID, math.Inf(1), gone, d.subs)
+	d.txns[a.ID] = h
+	return h
+}
+
+// expiry is when a txn that has come is to have its final answer.
+func expiry(t *wire.Txn, now float64) float64 {
 	if t.Streams {
-		expiry = math.Inf(1)
+		return math.Inf(1)
 	}
-	h := held.NewTxn(t.ID, expiry, t.Gone, d.subs)
-	d.txns[t.ID] = h
-	d.gk.Take(t.Arrival)
+	return now + t.Left
+}
+
+// clear asks the module whether a txn may come within so many ms, and tells whether it may.
+func (d *Desk) clear(t *wire.Txn, life float64) (*held.Txn, bool) {
+	a := t.Arrival
+	a.Clears = life
+	d.enter()
+	h := d.hold(&a, t.Gone)
+	d.gk.Take(a)
+	d.leave()
+	return h, h.Clear
+}
+
+// cleared takes a clearance over that another process has given, for so many ms more.
+func (d *Desk) cleared(a logic.Arrival, life float64) *held.Txn {
+	a.Clears = life
+	d.enter()
+	h := d.hold(&a, func() bool { return false })
+	h.Clear = true
+	d.gk.Cleared(a)
 	d.leave()
 	return h
 }
 
+// claim tells the module that a cleared txn has come. It is false where its clearance is no more.
+func (d *Desk) claim(h *held.Txn, t *wire.Txn) bool {
+	now := d.enter()
+	known := !h.Final && d.gk.Claim(h.ID, t.Left, t.Streams)
+	if known {
+		t.ID, h.Expiry, h.Gone = h.ID, expiry(t, now), t.Gone
+	}
+	d.leave()
+	return known
+}
+
+// release tells the module that a cleared txn will not come.
+func (d *Desk) release(h *held.Txn) {
+	d.enter()
+	if !h.Final {
+		d.gk.Release(h.ID)
+		h.Final = true
+		d.forget(h)
+	}
+	d.leave()
+}
+
 // poured tells the module that a body that is not kept has begun to go out or, where left is given, has gone
 // out whole: its client waits so many ms from now on. It gives that moment.
 func (d *Desk) poured(h *held.Txn, n int, left float64) time.Time {
@@ -313,6 +374,8 @@
 		return
 	}
 	switch v.Kind {
+	case logic.Grant:
+		h.Clear = true
 	case logic.Withdraw:
 		h.Subs[v.N].Withdraw()
 	case logic.Submit:
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -33,8 +33,45 @@
 func New(d *Desk, links *wire.Links) *Gate { return &Gate{desk: d, links: links, jobs: make(chan job)} }
 
 // Serve is a txn's life: it is taken, submitted where the module says and as often, and answered once.
-func (g *Gate) Serve(t *wire.Txn) wire.Final {
-	h := g.desk.take(t)
+func (g *Gate) Serve(t *wire.Txn) wire.Final { return g.carry(g.desk.take(t), t) }
+
+// Hold is a txn that is cleared ahead of its coming: its units are kept for it.
+type Hold struct{ txn *held.Txn }
+
+// Over gives a word when a clearance ends unasked: it has lapsed, or the client has left.
+func (h *Hold) Over() <-chan held.Word { return h.txn.Box }
+
+// Now is the time by which clearances are reckoned, Unix ms.
+func (g *Gate) Now() float64 { return g.desk.clock.now() }
+
+// Clear asks the module whether a txn may come within so many ms. If not there is no hold, and the final
+// answer is the module's.
+func (g *Gate) Clear(t *wire.Txn, life float64) (*Hold, wire.Final) {
+	h, may := g.desk.clear(t, life)
+	if !may {
+		d := (<-h.Box).Decision
+		return nil, wire.Final{Kind: d.Kind, Wait: d.Wait}
+	}
+	return &Hold{h}, wire.Final{}
+}
+
+// Cleared takes over a clearance that another process has given, for so many ms more.
+func (g *Gate) Cleared(a logic.Arrival, life float64) *Hold { return &Hold{g.desk.cleared(a, life)} }
+
+// Claim is the life of a cleared txn from its coming on. It is false where the clearance is no more: then
+// nothing has become of it.
+func (g *Gate) Claim(h *Hold, t *wire.Txn) (wire.Final, bool) {
+	if !g.desk.claim(h.txn, t) {
+		return wire.Final{}, false
+	}
+	return g.carry(h.txn, t), true
+}
+
+// Release gives a cleared txn up: it will not come.
+func (g *Gate) Release(h *Hold) { g.desk.release(h.txn) }
+
+// carry carries a txn that is the module's to its final answer.
+func (g *Gate) carry(h *held.Txn, t *wire.Txn) wire.Final {
 	if t.Upload != nil {
 		defer t.Upload.Settle()
 	}
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -15,17 +15,19 @@
 	"syscall"
 	"time"
 
+	"willowdeck/internal/clear"
 	"willowdeck/logic"
 )
 
 // Version is of the conversation and of all that is in a will. Those of different versions do not talk.
-const Version = 1
+const Version = 2
 
 // Will is what a process leaves to its heir.
 type Will struct {
 	Drains         bool // its clients are sent away
 	Estate         logic.Estate
 	Workers, Kinds map[int]string // their names, by the indices in the estate
+	Clearances     []clear.Clearance
 }
 
 // Client is a client's connection as it is handed on.
--- a/internal/held/life.go
+++ b/internal/held/life.go
@@ -20,10 +20,11 @@
 	ID     uint64
 	Expiry float64
 	Whole  float64     // when a body that is not kept had gone out
-	Gone   func() bool // whether its client has closed; for the desk's wake alone
+	Gone   func() bool // whether its client has closed
 	Box    chan Word   // holds all that a txn can be told, so that telling never waits
 	Final  bool        // its final answer is on the way
 	Out    int         // submissions that have not ended
+	Clear  bool        // it is cleared ahead of its coming
 	Subs   []*Submission
 }
 
--- a/internal/lifecycle/operate.go
+++ b/internal/lifecycle/operate.go
@@ -34,5 +34,12 @@
 		p.Name = name
 		p.Settled, p.Declined, p.Voided = g.front.Finals(i)
 	}
+	add := func(name string, v int64) { f.More = append(f.More, ops.Figure{Name: name, Value: v}) }
+	if g.portal != nil {
+		g.portal.Figures(add)
+	}
+	if g.vouch != nil {
+		g.vouch.Figures(add)
+	}
 	return f
 }
--- a/internal/lifecycle/replace.go
+++ b/internal/lifecycle/replace.go
@@ -40,6 +40,10 @@
 			g.desk.Resume(w.Estate, w.Workers, w.Kinds)
 			g.log.Info().Int("customers", len(w.Estate.Customers)).Int("workers", len(w.Estate.Workers)).
 				Msg("taking over")
+			if g.portal != nil {
+				g.portal.Inherit(w.Clearances)
+				go g.portal.Rebind(g.over)
+			}
 			g.serve()
 			if w.Drains {
 				g.Quiesce()
@@ -51,6 +55,9 @@
 	g.log.Info().Bool("whole", whole).Err(err).Msg("the process before has ended")
 	g.desk.Alone()
 	if !whole { // as after any sudden end
+		if g.portal != nil {
+			go g.portal.Rebind(g.over)
+		}
 		g.serve()
 	}
 	if g.peers != nil && !g.peers.Bound() {
@@ -114,6 +121,10 @@
 	})
 	g.links.Retire()
 	w := handover.Will{Drains: g.drains.Load()}
+	if g.portal != nil {
+		g.portal.Close()
+		w.Clearances = g.portal.Leave() // before the module's own, which would count them as spent
+	}
 	w.Estate, w.Workers, w.Kinds = g.desk.Retire()
 	err = o.Leave(w)
 	if err == nil && g.peers != nil && g.peers.Bound() {
--- a/internal/lifecycle/start.go
+++ b/internal/lifecycle/start.go
@@ -15,6 +15,8 @@
 	"willowdeck/internal/gate"
 	"willowdeck/internal/handover"
 	"willowdeck/internal/ops"
+	"willowdeck/internal/portal"
+	"willowdeck/internal/vouch"
 	"willowdeck/internal/wire"
 	"willowdeck/internal/wire/roster"
 	"willowdeck/logic"
@@ -40,6 +42,8 @@
 	ended  chan int64         // the version that it got to
 	served chan error
 	owner  atomic.Pointer[handover.Owner] // where another process may take over from this one
+	portal *portal.Portal                 // nil where portals do not ask
+	vouch  *vouch.Voucher                 // nil where no auth service is asked
 	said   time.Time                      // when the log last told that the watch had ended
 }
 
@@ -54,6 +58,7 @@
 	if c.Control != "" {
 		spare = max(spare-logic.OperatorCalls, 2)
 	}
+	spare = max(spare-float64(c.Forward.Connections()), 2)
 	if c.Scratch != "" { // a process that gets ready to take this one's place is counted with it
 		spare -= min(logic.SpareFiles+logic.OperatorCalls, spare/4)
 	}
@@ -82,17 +87,27 @@
 	}
 	g.desk = gate.NewDesk(c.Charter, c.Seed, c.Lines.AnswerSlack+socketSlack, tell, g.links.Shed)
 	g.desk.Roster(c.Known)
-	g.front = wire.NewFront(c.Names, c.Charter, gate.New(g.desk, g.links).Serve, g.up)
+	g.front = wire.NewFront(c.Names, c.Charter, g.forward(gate.New(g.desk, g.links)), g.up)
+	g.front.Nameless = g.vouch != nil && c.Forward.Asking.Customer != ""
 
 	g.limit = wire.Limit(l, int(spare*logic.ClientPart))
-	if c.Control != "" {
-		if g.port, err = ops.Open(c.Control, g); err != nil {
-			_ = l.Close()
-			if g.peers != nil {
-				_ = g.peers.Close()
-			}
-			return nil, err
+	if g.portal != nil && before == nil {
+		err = g.portal.Bind()
+	}
+	if c.Control != "" && err == nil {
+		g.port, err = ops.Open(c.Control, g)
+	}
+	if err != nil {
+		_ = l.Close()
+		if g.peers != nil {
+			_ = g.peers.Close()
+		}
+		if g.portal != nil {
+			g.portal.Close()
 		}
+		return nil, err
+	}
+	if g.port != nil {
 		go ops.Every(g.over, g.desk.Look)
 	}
 	g.At = l.Addr().String()
@@ -112,6 +127,21 @@
 	return g, nil
 }
 
+// forward puts forward authentication before a gate, in the roles that are on: a txn that a portal has had
+// cleared needs nobody else's word.
+func (g *Gatekeeper) forward(to *gate.Gate) func(*wire.Txn) wire.Final {
+	serve, f := to.Serve, g.conf.Forward
+	if f != nil && f.Asking != nil {
+		g.vouch = vouch.New(f.Asking, g.conf.Charter, to, g.conf.Seed)
+		serve = g.vouch.Serve
+	}
+	if f != nil && f.Asked != nil {
+		g.portal = portal.New(f.Asked, g.conf.Names, g.conf.Charter, to, serve)
+		serve = g.portal.Serve
+	}
+	return serve
+}
+
 // watch follows discovery's list from a version on.
 func (g *Gatekeeper) watch(version int64) {
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/lifecycle/stop.go
+++ b/internal/lifecycle/stop.go
@@ -49,11 +49,17 @@
 func (g *Gatekeeper) Stop() {
 	if !g.handOver() {
 		time.Sleep(wire.Millis(logic.AcceptOn))
+		if g.portal != nil {
+			g.portal.Close()
+		}
 		g.front.Close()
 		g.limit.Drain()
 		_ = g.limit.Close()
 		g.front.Wait()
 	}
+	if g.vouch != nil {
+		g.vouch.Close()
+	}
 	g.desk.Stop()
 	if close(g.over); g.port != nil {
 		g.port.Close()
--- a/internal/ops/ops.go
+++ b/internal/ops/ops.go
@@ -21,6 +21,13 @@
 	Tries            int64 // submissions written whole to workers
 	Active           int64 // txns taken and not ended
 	Workers, Avoided int64 // on the list; of these, steered away from now
+	More             []Figure
+}
+
+// Figure is one that only some gatekeepers have.
+type Figure struct {
+	Name  string
+	Value int64
 }
 
 // Product is what became of one product's txns.
@@ -153,6 +160,9 @@
 	line("active", "", f.Active)
 	line("pool_size", "", f.Workers)
 	line("pool_ejected", "", f.Avoided)
+	for _, m := range f.More {
+		line(m.Name, "", m.Value)
+	}
 	return b
 }
 
--- /dev/null
+++ b/internal/portal/portal.go
@@ -0,0 +1,337 @@
+// Package portal is the front at which portals ask, before they send a client's txn on, whether it may come:
+// forward authentication, in the role of the one who is asked. The module decides by the customer's quota; a
+// yes keeps the units until the txn comes through the main door. The book of clearances is in package clear.
+package portal
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"willowdeck/internal/clear"
+	"willowdeck/internal/config"
+	"willowdeck/internal/gate"
+	"willowdeck/internal/wire"
+	"willowdeck/logic"
+)
+
+// Portal takes portals' calls, and the door's txns by what those were told.
+type Portal struct {
+	asked   *config.Asked
+	names   config.Names
+	charter logic.Charter
+	gate    *gate.Gate
+	next    func(*wire.Txn) wire.Final
+	server  fasthttp.Server
+	counts  [counts]atomic.Int64
+
+	mu     sync.Mutex // of what follows; never held over I/O or a call of the module
+	book   *clear.Book[*gate.Hold]
+	limit  *wire.Limited // nil until it is bound
+	closed bool
+}
+
+// count is one of the figures that operators see.
+type count int
+
+const (
+	yes count = iota
+	again
+	no
+	unreadable
+	stranger
+	others
+	used
+	noPlace
+	elsewhere
+	came
+	uncleared
+	counts
+)
+
+var countNames = [counts]string{"cleared", "again", "declined", "unreadable", "stranger", "others", "used",
+	"no_place", "elsewhere", "came", "uncleared"}
+
+// New makes a front over a gate; next serves the txns that have no clearance and need none.
+func New(a *config.Asked, names config.Names, charter logic.Charter, g *gate.Gate,
+	next func(*wire.Txn) wire.Final) *Portal {
+	p := &Portal{asked: a, names: names, charter: charter, gate: g, next: next,
+		book: clear.NewBook[*gate.Hold](a.Life, a.Memory, a.Most)}
+	p.server = fasthttp.Server{
+		Handler:            p.handle,
+		ErrorHandler:       func(ctx *fasthttp.RequestCtx, err error) { p.refuse(ctx, unreadable, broken(err)) },
+		MaxRequestBodySize: 1, // a call has none
+		ReadBufferSize:     2*clear.LongestTarget + 4096,
+		ReadTimeout:        wire.Millis(clear.CallWait),
+		WriteTimeout:       wire.Millis(clear.CallWait),
+		IdleTimeout:        wire.Millis(clear.IdleCaller),
+		CloseOnShutdown:    true, NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true,
+		Logger: wire.Silent{},
+	}
+	return p
+}
+
+// broken says what is wrong with a call that is no HTTP, too long, or does not come whole in time.
+func broken(err error) *flaw {
+	var small *fasthttp.ErrSmallBuffer
+	var late net.Error
+	switch {
+	case errors.As(err, &small):
+		return &flaw{fasthttp.StatusRequestHeaderFieldsTooLarge, "the head is too long"}
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		return &flaw{fasthttp.StatusRequestEntityTooLarge, "a call has no body"}
+	case errors.As(err, &late) && late.Timeout():
+		return &flaw{fasthttp.StatusRequestTimeout, "no whole call has come in time"}
+	}
+	return &flaw{fasthttp.StatusBadRequest, "no call could be read"}
+}
+
+// Bind opens the address and takes calls there until Close.
+func (p *Portal) Bind() error {
+	l, err := net.Listen("tcp", p.asked.Listen)
+	if err != nil {
+		return fmt.Errorf("asked.listen: %w", err)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return l.Close()
+	}
+	p.limit = wire.Limit(l, p.asked.Callers)
+	go func() { _ = p.server.Serve(p.limit) }()
+	return nil
+}
+
+// At is where it listens; empty while it does not.
+func (p *Portal) At() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.limit == nil {
+		return ""
+	}
+	return p.limit.Addr().String()
+}
+
+// Close takes no more connections; those there are end with their next answer.
+func (p *Portal) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	if p.limit != nil {
+		_ = p.limit.Close()
+	}
+	go func() { _ = p.server.Shutdown() }()
+}
+
+// Leave gives what is cleared and used to the process that takes this one's place. Nothing is cleared from
+// then on, and what was cleared is no more the module's here.
+func (p *Portal) Leave() []clear.Clearance {
+	p.mu.Lock()
+	all, holds := p.book.Leave(p.gate.Now())
+	p.mu.Unlock()
+	for _, h := range holds {
+		p.gate.Release(h)
+	}
+	return all
+}
+
+// Inherit takes what the process before has left. What does not fit this gatekeeper's settings is not taken.
+func (p *Portal) Inherit(all []clear.Clearance) {
+	for _, c := range all {
+		f, now := c.Facts, p.gate.Now()
+		if f.Product < 0 || f.Product >= len(p.charter.Products) || f.Plan < 0 || f.Plan >= len(p.charter.Plans) ||
+			c.Until <= now || len(c.Mark) == 0 || len(c.Mark) > logic.LongestMark || !(f.Units > 0) {
+			continue
+		}
+		var h *gate.Hold
+		if !c.Used {
+			h = p.gate.Cleared(arrival(f), c.Until-now)
+		}
+		p.mu.Lock()
+		taken := p.book.Inherit(c, h, now)
+		p.mu.Unlock()
+		if !taken && h != nil {
+			p.gate.Release(h)
+		}
+	}
+}
+
+func factsOf(t *wire.Txn) clear.Facts {
+	return clear.Facts{Customer: t.Customer, Product: t.Product, Plan: t.Plan, Units: t.Units, SetSize: t.SetSize,
+		First: t.First}
+}
+
+func arrival(f clear.Facts) logic.Arrival {
+	return logic.Arrival{Customer: f.Customer, Product: f.Product, Plan: f.Plan, Units: f.Units, SetSize: f.SetSize,
+		First: f.First}
+}
+
+// Serve is the life of a txn at the main door: one that was cleared takes what was kept for it, and comes
+// once. The rest goes on as ever, but for products that come only if they were cleared.
+func (p *Portal) Serve(t *wire.Txn) wire.Final {
+	p.mu.Lock()
+	found, hold := p.book.Come(string(t.Mark), factsOf(t), p.gate.Now())
+	p.mu.Unlock()
+	switch found {
+	case clear.Known:
+		if end, ok := p.gate.Claim(hold, t); ok {
+			p.counts[came].Add(1)
+			return end
+		}
+		// It lapsed at this very moment. The mark counts as used: so it comes once all the same.
+	case clear.Used, clear.Open:
+		p.counts[used].Add(1)
+		return refusal(fasthttp.StatusConflict, "X-Request-Id: its txn has come already")
+	case clear.Others:
+		p.counts[others].Add(1)
+		return refusal(fasthttp.StatusConflict, "X-Request-Id: another txn was cleared by it")
+	}
+	switch {
+	case !p.asked.Only[t.Product]:
+	case found == clear.Moved: // nothing was sent, and who has the book now is there at once
+		return wire.Final{Kind: logic.Decline, Wait: clear.RebindAgain}
+	default:
+		p.counts[uncleared].Add(1)
+		return refusal(fasthttp.StatusForbidden, "this product comes only if it has been cleared")
+	}
+	return p.next(t)
+}
+
+func refusal(status int, says string) wire.Final {
+	return wire.Final{Kind: logic.Void, Refusal: &wire.Refusal{Status: status, Says: says}}
+}
+
+// trusted tells whether a caller may speak for clients. Guards against a client that calls here itself: what
+// the forwarded headers say is only as good as who sends them.
+func (p *Portal) trusted(a net.Addr) bool {
+	from, err := netip.ParseAddrPort(a.String())
+	if err != nil {
+		return false
+	}
+	for _, t := range p.asked.Trusted {
+		if t.Contains(from.Addr().Unmap()) {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *Portal) handle(ctx *fasthttp.RequestCtx) {
+	if !p.trusted(ctx.RemoteAddr()) {
+		p.refuse(ctx, stranger, &flaw{fasthttp.StatusForbidden, "calls are taken from portals alone"})
+		return
+	}
+	h := &ctx.Request.Header
+	o, err := read(h, p.asked)
+	if err == nil && len(ctx.Request.Body()) > 0 {
+		err = bad("a call has no body")
+	}
+	var t wire.Txn
+	if err == nil {
+		t, err = wire.Decode(h, o.method, o.target, &p.names, &p.charter, false)
+	}
+	if err != nil {
+		var f *flaw
+		if !errors.As(err, &f) {
+			f = &flaw{fasthttp.StatusBadRequest, err.Error()}
+		}
+		p.refuse(ctx, unreadable, f)
+		return
+	}
+	p.answer(ctx, &t)
+}
+
+// answer answers a call that makes sense.
+func (p *Portal) answer(ctx *fasthttp.RequestCtx, t *wire.Txn) {
+	mark, facts := string(t.Mark), factsOf(t)
+	if home := clear.Home(mark, facts, p.charter.Gatekeepers); p.asked.Only[t.Product] && home != p.charter.Me {
+		ctx.Response.Header.Set("X-Clear-At", strconv.Itoa(home))
+		p.say(ctx, elsewhere, fasthttp.StatusMisdirectedRequest, "another gatekeeper clears this txn")
+		return
+	}
+	now := p.gate.Now()
+	p.mu.Lock()
+	found := p.book.Ask(mark, facts, now)
+	p.mu.Unlock()
+	switch found {
+	case clear.New:
+	case clear.Known:
+		p.say(ctx, again, fasthttp.StatusOK, "cleared before")
+		return
+	case clear.Used:
+		p.say(ctx, used, fasthttp.StatusConflict, "X-Request-Id: its txn has come already")
+		return
+	case clear.Others:
+		p.say(ctx, others, fasthttp.StatusConflict, "X-Request-Id: another txn was cleared by it")
+		return
+	default: // full, moved, or being decided on at this moment
+		wait := clear.FullAgain
+		if found != clear.Full {
+			wait = clear.RebindAgain
+		}
+		ctx.Response.Header.Set("Retry-After", wire.RetryAfter(wait))
+		p.say(ctx, noPlace, fasthttp.StatusServiceUnavailable, "no place for one more clearance")
+		return
+	}
+	hold, end := p.gate.Clear(t, p.book.Life())
+	p.mu.Lock()
+	if hold == nil {
+		p.book.Drop(mark)
+	} else if p.book.Grant(mark, hold, now) <= now { // another process has the book since
+		defer p.gate.Release(hold)
+		hold = nil
+	}
+	p.mu.Unlock()
+	if hold == nil {
+		if end.Wait > 0 {
+			ctx.Response.Header.Set("Retry-After", wire.RetryAfter(end.Wait))
+		}
+		p.say(ctx, no, p.asked.NoStatus, "declined")
+		return
+	}
+	ctx.Response.Header.Set("X-Cleared-Ms", strconv.FormatFloat(p.asked.Life, 'f', 0, 64))
+	p.say(ctx, yes, fasthttp.StatusOK, "cleared")
+}
+
+// refuse answers what makes no sense, or comes from a stranger, and ends its connection.
+func (p *Portal) refuse(ctx *fasthttp.RequestCtx, c count, f *flaw) {
+	p.say(ctx, c, f.status, f.says)
+	ctx.SetConnectionClose()
+	wire.Linger(ctx.Conn())
+}
+
+func (p *Portal) say(ctx *fasthttp.RequestCtx, c count, status int, says string) {
+	p.counts[c].Add(1)
+	ctx.SetStatusCode(status)
+	ctx.Response.Header.SetContentType("text/plain")
+	ctx.SetBodyString(says + "\n")
+}
+
+// Figures gives what operators see: counts since the start, and how many marks are known.
+func (p *Portal) Figures(add func(name string, v int64)) {
+	for i := range p.counts {
+		add("asked."+countNames[i], p.counts[i].Load())
+	}
+	p.mu.Lock()
+	n := p.book.Len()
+	p.mu.Unlock()
+	add("asked.marks", int64(n))
+}
+
+// Rebind binds the address as soon as it is free, until over is closed: the process before may have it still.
+func (p *Portal) Rebind(over <-chan struct{}) {
+	for p.Bind() != nil {
+		select {
+		case <-over:
+			return
+		case <-time.After(wire.Millis(clear.RebindAgain)):
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/forward.go
@@ -0,0 +1,259 @@
+package standin
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Asked is a question that an auth service was put.
+type Asked struct {
+	Credential, Method, Target, For string
+	At                              time.Time
+}
+
+// Auth is an auth service on loopback. It knows who may, and takes its time.
+type Auth struct {
+	At string
+
+	server  *http.Server
+	mu      sync.Mutex
+	service time.Duration
+	fault   Fault
+	over    chan struct{}
+	say     func(credential string) (status int, headers map[string]string)
+	got     []Asked
+}
+
+// HalfHead has an auth service end in the middle of its answer's head.
+const HalfHead = Garbage + 1
+
+// NewAuth starts a service that takes so long for an answer, and says yes to any credential but none.
+func NewAuth(service time.Duration) (*Auth, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	a := &Auth{At: l.Addr().String(), service: service, over: make(chan struct{})}
+	a.Says(func(credential string) (int, map[string]string) {
+		if credential == "" {
+			return http.StatusUnauthorized, map[string]string{"WWW-Authenticate": "Bearer"}
+		}
+		return http.StatusOK, nil
+	})
+	a.server = &http.Server{Handler: a}
+	go func() { _ = a.server.Serve(l) }()
+	return a, nil
+}
+
+// Close ends the service at once: its connections break.
+func (a *Auth) Close() { _ = a.server.Close() }
+
+// Says changes what it answers to a credential.
+func (a *Auth) Says(f func(credential string) (status int, headers map[string]string)) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.say = f
+}
+
+// Takes changes how long it takes for an answer.
+func (a *Auth) Takes(service time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.service = service
+}
+
+// Set begins a fault, or ends the one there is.
+func (a *Auth) Set(f Fault) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	close(a.over)
+	a.fault, a.over = f, make(chan struct{})
+}
+
+// Got gives what it was asked.
+func (a *Auth) Got() []Asked {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return append([]Asked(nil), a.got...)
+}
+
+func (a *Auth) ServeHTTP(out http.ResponseWriter, r *http.Request) {
+	credential := r.Header.Get("Authorization")
+	a.mu.Lock()
+	fault, over, service, say := a.fault, a.over, a.service, a.say
+	a.got = append(a.got, Asked{credential, r.Header.Get("X-Forwarded-Method"), r.Header.Get("X-Forwarded-Uri"),
+		r.Header.Get("X-Forwarded-For"), time.Now()})
+	a.mu.Unlock()
+	raw := func(text string) {
+		if c, _, err := out.(http.Hijacker).Hijack(); err == nil {
+			fmt.Fprint(c, text)
+			c.Close()
+		}
+	}
+	switch fault {
+	case Silent:
+		<-r.Context().Done()
+		return
+	case Stalls:
+		select {
+		case <-over:
+		case <-r.Context().Done():
+			return
+		}
+	case Full:
+		out.WriteHeader(http.StatusServiceUnavailable)
+		return
+	case Errs:
+		out.WriteHeader(http.StatusInternalServerError)
+		return
+	case Cuts:
+		panic(http.ErrAbortHandler)
+	case Garbage:
+		raw("what is this\r\n\r\n")
+		return
+	case HalfHead:
+		raw("HTTP/1.1 200 OK\r\nContent-Le")
+		return
+	}
+	time.Sleep(service)
+	status, headers := say(credential)
+	for k, v := range headers {
+		out.Header().Set(k, v)
+	}
+	out.WriteHeader(status)
+}
+
+// Portal is a reverse proxy on loopback that asks before it sends a request on: what is common to those that
+// do so by their published pages.
+type Portal struct {
+	At string
+
+	server fasthttp.Server
+	client fasthttp.Client
+	asks   string // where it asks; empty where it only sends on
+	to     string
+	mu     sync.Mutex
+	pause  time.Duration
+	loses  bool
+	seen   map[int]int // answers to what it asked, by status
+}
+
+// NewPortal starts a portal at an address that asks at another, and sends on to a third.
+func NewPortal(at, asks, to string) (*Portal, error) {
+	l, err := net.Listen("tcp", at)
+	if err != nil {
+		return nil, err
+	}
+	p := &Portal{At: l.Addr().String(), asks: asks, to: to, seen: map[int]int{}}
+	p.client = fasthttp.Client{MaxConnsPerHost: 1 << 16, MaxIdemponentCallAttempts: 1,
+		RetryIfErr:          func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+		MaxIdleConnDuration: 2 * time.Second, NoDefaultUserAgentHeader: true, DisablePathNormalizing: true}
+	p.server = fasthttp.Server{Handler: p.handle, NoDefaultServerHeader: true, NoDefaultDate: true,
+		CloseOnShutdown: true, Logger: quiet{}}
+	go func() { _ = p.server.Serve(l) }()
+	return p, nil
+}
+
+type quiet struct{}
+
+func (quiet) Printf(string, ...any) {}
+
+// Close ends the portal.
+func (p *Portal) Close() {
+	_ = p.server.Shutdown()
+	p.client.CloseIdleConnections()
+}
+
+// Pauses has it wait between a yes and sending on.
+func (p *Portal) Pauses(d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.pause = d
+}
+
+// Loses has it send nothing on that was cleared, as one that dies.
+func (p *Portal) Loses(loses bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.loses = loses
+}
+
+// Seen tells how often it was answered with a status.
+func (p *Portal) Seen(status int) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.seen[status]
+}
+
+func (p *Portal) handle(ctx *fasthttp.RequestCtx) {
+	patience := 10 * time.Second
+	if d, err := strconv.ParseFloat(string(unit(ctx.Request.Header.Peek("X-Deadline"))), 64); err == nil {
+		patience = time.Duration(d * float64(time.Microsecond))
+	}
+	until := time.Now().Add(patience)
+	if p.asks != "" && !p.ask(ctx, until) {
+		return
+	}
+	p.mu.Lock()
+	pause, loses := p.pause, p.loses
+	p.mu.Unlock()
+	time.Sleep(pause)
+	if loses {
+		ctx.SetStatusCode(fasthttp.StatusBadGateway)
+		return
+	}
+	ctx.Request.Header.Set("X-Deadline", strconv.FormatInt(max(time.Until(until).Microseconds(), 1), 10)+"u")
+	if p.send(ctx, &ctx.Request, p.to, until) != nil {
+		ctx.SetStatusCode(fasthttp.StatusGatewayTimeout)
+	}
+}
+
+// unit gives a time in microseconds without its unit, where it is so.
+func unit(b []byte) []byte {
+	if n := len(b); n > 0 && b[n-1] == 'u' {
+		return b[:n-1]
+	}
+	return nil
+}
+
+// ask asks on a request's behalf, and passes a no on.
+func (p *Portal) ask(ctx *fasthttp.RequestCtx, until time.Time) bool {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	ctx.Request.Header.CopyTo(&req.Header)
+	h := &req.Header
+	for _, name := range []string{"X-Forwarded-Method", "X-Forwarded-Uri", "X-Forwarded-Host", "X-Forwarded-Proto",
+		"X-Forwarded-For", "Content-Length", "Transfer-Encoding"} {
+		h.Del(name)
+	}
+	h.SetBytesV("X-Forwarded-Method", ctx.Method())
+	h.SetBytesV("X-Forwarded-Uri", ctx.RequestURI())
+	h.SetBytesV("X-Forwarded-Host", ctx.Host())
+	h.Set("X-Forwarded-Proto", "http")
+	h.Set("X-Forwarded-For", ctx.RemoteIP().String())
+	h.SetMethod(fasthttp.MethodGet)
+	h.SetRequestURI("/auth")
+	if err := p.send(ctx, req, p.asks, until); err != nil {
+		ctx.SetStatusCode(fasthttp.StatusBadGateway)
+		return false
+	}
+	status := ctx.Response.StatusCode()
+	p.mu.Lock()
+	p.seen[status]++
+	p.mu.Unlock()
+	return status >= 200 && status < 300
+}
+
+func (p *Portal) send(ctx *fasthttp.RequestCtx, req *fasthttp.Request, to string, until time.Time) error {
+	req.SetHost(to)
+	req.URI().SetScheme("http")
+	req.UseHostHeader = false
+	ctx.Response.Reset()
+	return p.client.DoDeadline(req, &ctx.Response, until)
+}
--- a/internal/wire/front.go
+++ b/internal/wire/front.go
@@ -19,13 +19,24 @@
 
 // Final is a txn's final answer. Answer is the worker's, where it is settled.
 type Final struct {
-	Kind   logic.Kind // Submit where it is settled, else Decline or Void
-	Wait   float64    // Decline: when to return, ms; 0 says nothing
-	Answer *Answer
+	Kind    logic.Kind // Submit where it is settled, else Decline or Void
+	Wait    float64    // Decline: when to return, ms; 0 says nothing
+	Answer  *Answer
+	Refusal *Refusal // of Void: it was not let to the module, or not again
+}
+
+// Refusal is a no that has nothing to do with quota, workers or time.
+type Refusal struct {
+	Status  int
+	Headers [][2]string
+	Says    string
 }
 
 // Front takes clients' connections and hands each txn to serve, which returns its final answer.
 type Front struct {
+	// Nameless has txns taken that don't say whose they are. To be set before Serve.
+	Nameless bool
+
 	names   config.Names
 	charter logic.Charter
 	serve   func(*Txn) Final
@@ -173,7 +184,7 @@
 		}
 		return f.reply(p, t, status, nil) == nil && !t.closes
 	}
-	x, err := decodeTxn(h, &f.names, &f.charter)
+	x, err := Decode(h, h.Method(), h.RequestURI(), &f.names, &f.charter, f.Nameless)
 	if err != nil {
 		return f.refuse(p, t, fasthttp.StatusBadRequest, err.Error())
 	}
@@ -267,17 +278,27 @@
 		}
 	case logic.Decline:
 		if end.Wait > 0 {
-			t.res.Set("Retry-After", strconv.FormatFloat(end.Wait/1000, 'f', 3, 64))
+			t.res.Set("Retry-After", RetryAfter(end.Wait))
 		}
 		err = f.reply(p, t, fasthttp.StatusTooManyRequests, nil)
 		n[1].Add(1)
 	default:
-		err = f.reply(p, t, fasthttp.StatusInternalServerError, nil)
+		status, says := fasthttp.StatusInternalServerError, []byte(nil)
+		if r := end.Refusal; r != nil {
+			status, says = r.Status, []byte(r.Says+"\n")
+			for _, h := range r.Headers {
+				t.res.Add(h[0], h[1])
+			}
+		}
+		err = f.reply(p, t, status, says)
 		n[2].Add(1)
 	}
 	return err == nil
 }
 
+// RetryAfter encodes when to return, from ms.
+func RetryAfter(ms float64) string { return strconv.FormatFloat(ms/1000, 'f', 3, 64) }
+
 // pass passes a worker's answer on.
 func (f *Front) pass(p *placed, t *turn, a *Answer) error {
 	if a.Type != "" {
--- a/internal/wire/fuzz_test.go
+++ b/internal/wire/fuzz_test.go
@@ -29,7 +29,7 @@
 		if req.ReadLimitBody(bufio.NewReader(bytes.NewReader(raw)), MostBody) != nil {
 			return
 		}
-		got, err := decodeTxn(&req.Header, &names, &charter)
+		got, err := Decode(&req.Header, req.Header.Method(), req.Header.RequestURI(), &names, &charter, false)
 		if err != nil {
 			return
 		}
--- a/internal/wire/txn.go
+++ b/internal/wire/txn.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"net"
 	"strconv"
 	"time"
 
@@ -28,11 +29,28 @@
 	logic.Arrival
 	Method, Target, Mark, Key, Body []byte
 	Upload                          *Upload // a body that is not kept
+	Nameless                        bool    // it does not say whose it is: an auth service has to
 	client                          client  // nil where it cannot be seen whether the client waits
+	head                            *fasthttp.RequestHeader
 }
 
 // client is a connection that can tell whether its other side has closed it.
-type client interface{ Gone() bool }
+type client interface {
+	Gone() bool
+	RemoteAddr() net.Addr
+}
+
+// From gives the client's address, without its port; empty where it is not known.
+func (t *Txn) From() string {
+	if t.client == nil {
+		return ""
+	}
+	host, _, _ := net.SplitHostPort(t.client.RemoteAddr().String())
+	return host
+}
+
+// Field gives the value of a header that may be there once; empty where it is not.
+func (t *Txn) Field(name string) ([]byte, error) { return AtMostOnce(t.head, name) }
 
 // Gone tells whether the client has closed its connection.
 func (t *Txn) Gone() bool { return t.client != nil && t.client.Gone() }
@@ -40,13 +58,16 @@
 // inChunks is how the library says that a body comes in chunks.
 const inChunks = -1
 
-// decodeTxn reads a txn's head. An error is the client's fault, and says what is wrong.
-func decodeTxn(h *fasthttp.RequestHeader, names *config.Names, charter *logic.Charter) (Txn, error) {
-	if err := plain(h.RawHeaders()); err != nil {
-		return Txn{}, err
+// Decode reads a txn's head; its method and target may be another's than the head's own, who asks on its
+// behalf. Where nameless txns are taken, a head may lack the customer. An error is the client's fault, and
+// says what is wrong.
+func Decode(h *fasthttp.RequestHeader, method, target []byte, names *config.Names, charter *logic.Charter,
+	nameless bool) (Txn, error) {
+	t := Txn{Method: method, Target: target, head: h}
+	err := plain(h.RawHeaders())
+	if err != nil {
+		return t, err
 	}
-	t := Txn{Method: h.Method(), Target: h.RequestURI()}
-	var err error
 	if t.Mark, err = only(h, "X-Request-Id"); err != nil {
 		return t, err
 	}
@@ -57,7 +78,7 @@
 		return t, err
 	}
 	repeat := charter.Products[t.Product].Repeat
-	if t.Key, err = method(h, t.Method, repeat); err != nil {
+	if t.Key, err = keyOf(h, t.Method, repeat); err != nil {
 		return t, err
 	}
 	if n := h.ContentLength(); repeat == logic.InquiryLike && (n > 0 || n == inChunks) {
@@ -71,7 +92,9 @@
 	if t.Plan, ok = names.Plans[string(plan)]; !ok {
 		return t, fmt.Errorf("Plan: %q is unknown", plan)
 	}
-	if t.Customer, err = customer(h); err != nil {
+	if nameless && len(h.Peek("Cookie")) == 0 {
+		t.Nameless = true
+	} else if t.Customer, err = customer(h); err != nil {
 		return t, err
 	}
 	wait, err := only(h, "X-Deadline")
@@ -114,7 +137,6 @@
 
 // customer reads the customer's number from the cookie that names it.
 func customer(h *fasthttp.RequestHeader) (uint64, error) {
-	const digits, bits = 16, 33
 	cookie, err := only(h, "Cookie")
 	if err != nil {
 		return 0, err
@@ -130,9 +152,19 @@
 			key, seen = value, true
 		}
 	}
+	v, err := Customer(key)
+	if err != nil {
+		return 0, fmt.Errorf("Cookie: key %w", err)
+	}
+	return v, nil
+}
+
+// Customer reads a customer's number.
+func Customer(key []byte) (uint64, error) {
+	const digits, bits = 16, 33
 	v, err := strconv.ParseUint(string(key), 16, bits)
 	if err != nil || len(key) != digits {
-		return 0, fmt.Errorf("Cookie: key must be %d hex digits, below 2^%d", digits, bits)
+		return 0, fmt.Errorf("must be %d hex digits, below 2^%d", digits, bits)
 	}
 	return v, nil
 }
@@ -156,6 +188,18 @@
 	return all[0], nil
 }
 
+// AtMostOnce gives the value of a header that may be there once; empty where it is not.
+func AtMostOnce(h *fasthttp.RequestHeader, name string) ([]byte, error) {
+	all := h.PeekAll(name)
+	switch len(all) {
+	case 0:
+		return nil, nil
+	case 1:
+		return all[0], nil
+	}
+	return nil, fmt.Errorf("%s must be given once at most", name)
+}
+
 // product finds the product that the path's first part names.
 func product(target []byte, names *config.Names) (int, error) {
 	part, ok := bytes.CutPrefix(target, []byte("/"))
@@ -169,8 +213,8 @@
 	return p, nil
 }
 
-// method checks that a txn comes as its product's kind asks, and gives its mark against repeats, if any.
-func method(h *fasthttp.RequestHeader, name []byte, kind logic.Repeat) ([]byte, error) {
+// keyOf checks that a txn comes as its product's kind asks, and gives its mark against repeats, if any.
+func keyOf(h *fasthttp.RequestHeader, name []byte, kind logic.Repeat) ([]byte, error) {
 	want := fasthttp.MethodPost
 	if kind == logic.InquiryLike {
 		want = fasthttp.MethodGet
--- a/logic/state.go
+++ b/logic/state.go
@@ -396,7 +396,7 @@
 
 // grant clears a txn: its units are kept for it until it comes, for as long as its clearance lasts.
 func (g *Gatekeeper) grant(t *txn) Decision {
-	t.pass, t.expiry = granted, g.now+t.life
+	t.pass, t.expiry, t.coming = granted, g.now+t.life, false
 	g.keep(t)
 	g.accounts[t.acct].out++
 	g.nextBeat = math.Min(g.nextBeat, t.expiry)
