--- a/internal/clear/asker.go
+++ b/internal/clear/asker.go
@@ -14,7 +14,7 @@
 	DefaultYes     = 5000.0  // ms that a yes is good for: so long a withdrawn credential still passes
 	DefaultNo      = 1000.0  // ms that a no is good for: so long a new one may be turned away
 	LongestGood    = 3.6e6   // ms for either
-	DefaultKept    = 100000  // answers kept; some 20 MB
+	DefaultKept    = 100000  // answers kept; 27 MB
 	MostKept       = 1 << 20 // of them that may be asked for
 	DefaultAsks    = 16      // connections to the service
 	MostAsks       = 1024
--- a/internal/clear/book.go
+++ b/internal/clear/book.go
@@ -80,7 +80,10 @@
 func (b *Book[H]) Life() float64 { return b.life }
 
 // Len is how many marks are known.
-func (b *Book[H]) Len() int { return len(b.byMark) }
+func (b *Book[H]) Len(now float64) int {
+	b.sweep(now)
+	return len(b.byMark)
+}
 
 // Ask looks a mark up for a portal. Where it is New it is Open from here on, until Grant or Drop; the others
 // change nothing.
--- a/internal/config/forward.go
+++ b/internal/config/forward.go
@@ -109,26 +109,22 @@
 
 // DecodeForward decodes and checks the operator file's text.
 func DecodeForward(text string, g *Gatekeeper) (*Forward, error) {
-	var there struct{ Asked, Asking map[string]any }
-	if err := strict.Decode(text, &there); err != nil {
-		return nil, err
-	}
-	if there.Asked == nil && there.Asking == nil {
-		return nil, errors.New("asked, asking: neither is there")
-	}
 	var file forwardFile
 	file.defaults()
-	if err := strict.Decode(text, &file); err != nil {
+	err := strict.Decode(text, &file)
+	if err != nil {
 		return nil, err
 	}
-	f := &Forward{}
-	var err error
-	if there.Asked != nil {
+	f, isAsked, asks := &Forward{}, strict.Has(text, "asked"), strict.Has(text, "asking")
+	if !isAsked && !asks {
+		return nil, errors.New("asked, asking: neither is there")
+	}
+	if isAsked {
 		if f.Asked, err = file.asked(g); err != nil {
 			return nil, fmt.Errorf("asked.%w", err)
 		}
 	}
-	if there.Asking != nil {
+	if asks {
 		if f.Asking, err = file.asking(g); err != nil {
 			return nil, fmt.Errorf("asking.%w", err)
 		}
--- a/internal/lifecycle/start.go
+++ b/internal/lifecycle/start.go
@@ -91,7 +91,7 @@
 	g.front.Nameless = g.vouch != nil && c.Forward.Asking.Customer != ""
 
 	g.limit = wire.Limit(l, int(spare*logic.ClientPart))
-	if g.portal != nil && before == nil {
+	if err = nil; g.portal != nil && before == nil {
 		err = g.portal.Bind()
 	}
 	if c.Control != "" && err == nil {
--- /dev/null
+++ b/internal/portal/original_test.go
@@ -0,0 +1,120 @@
+package portal
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"strings"
+	"testing"
+
+	"github.com/valyala/fasthttp"
+
+	"willowdeck/internal/clear"
+	"willowdeck/internal/config"
+)
+
+const forwarded = "GET /auth HTTP/1.1\r\nHost: g\r\nX-Forwarded-Method: POST\r\nX-Forwarded-Uri: /issue/7?a=b\r\n" +
+	"X-Forwarded-Host: sales.example\r\nX-Forwarded-Proto: https\r\nX-Forwarded-For: 192.0.2.7, 10.0.0.1\r\n\r\n"
+
+const originals = "GET /auth HTTP/1.1\r\nHost: g\r\nX-Original-Method: POST\r\n" +
+	"X-Original-URL: https://sales.example/issue/7?a=b\r\nX-Real-IP: 192.0.2.7\r\n\r\n"
+
+const byPath = "POST /auth/issue/7?a=b HTTP/1.1\r\nHost: g\r\nX-Forwarded-For: 192.0.2.7\r\nContent-Length: 0\r\n\r\n"
+
+func parse(t *testing.T, raw string) *fasthttp.RequestHeader {
+	t.Helper()
+	var h fasthttp.RequestHeader
+	if err := h.Read(bufio.NewReader(strings.NewReader(raw))); err != nil {
+		t.Fatalf("%q: %v", raw, err)
+	}
+	return &h
+}
+
+// What portals forward is read in each dialect; what is missing, doubled, too long or contradictory has its
+// status. Guards against a header of the client's own that the portal has passed on beside its.
+func TestRead(t *testing.T) {
+	swap := func(old, new string) string { return strings.Replace(forwarded, old, new, 1) }
+	add := func(line string) string { return swap("Host: g", "Host: g\r\n"+line) }
+	long := strings.Repeat("a", clear.LongestTarget+1)
+	cases := []struct {
+		name, raw string
+		dialect   config.Dialect
+		status    int // 200 is a call that is read
+	}{
+		{"forwarded", forwarded, config.ByForwarded, 200},
+		{"original", originals, config.ByOriginal, 200},
+		{"original, by path and query", strings.Replace(originals, "URL: https://sales.example", "URI: ", 1),
+			config.ByOriginal, 200},
+		{"path", byPath, config.ByPath, 200},
+		{"both, and they agree", add("X-Original-Method: POST"), config.ByForwarded, 200},
+		{"no method", swap("X-Forwarded-Method: POST\r\n", ""), config.ByForwarded, 400},
+		{"no target", swap("X-Forwarded-Uri: /issue/7?a=b\r\n", ""), config.ByForwarded, 400},
+		{"no client", swap("X-Forwarded-For: 192.0.2.7, 10.0.0.1\r\n", ""), config.ByForwarded, 400},
+		{"two methods", add("X-Forwarded-Method: GET"), config.ByForwarded, 400},
+		{"two targets", add("X-Forwarded-Uri: /check"), config.ByForwarded, 400},
+		{"two chains", add("X-Forwarded-For: 192.0.2.9"), config.ByForwarded, 400},
+		{"two hosts", add("X-Forwarded-Host: other"), config.ByForwarded, 400},
+		{"methods that differ", add("X-Original-Method: GET"), config.ByForwarded, 400},
+		{"targets that differ", add("X-Original-URI: /check"), config.ByForwarded, 400},
+		{"an address that differs", add("X-Original-URL: https://sales.example/check"), config.ByForwarded, 400},
+		{"an address that is none", add("X-Original-URL: /check"), config.ByForwarded, 400},
+		{"no method word", swap("POST", "po st"), config.ByForwarded, 400},
+		{"an empty method", swap("Method: POST", "Method: "), config.ByForwarded, 400},
+		{"no path", swap("/issue/7?a=b", "issue"), config.ByForwarded, 400},
+		{"a path that is a host", swap("/issue/7?a=b", "//issue/7"), config.ByForwarded, 400},
+		{"a path with a space", swap("/issue/7", "/issue 7"), config.ByForwarded, 400},
+		{"a fragment", swap("?a=b", "#b"), config.ByForwarded, 400},
+		{"another protocol", swap("https", "gopher"), config.ByForwarded, 400},
+		{"hosts in a row", swap("sales.example", "a, b"), config.ByForwarded, 400},
+		{"a client that is no address", swap("192.0.2.7", "unknown"), config.ByForwarded, 400},
+		{"a long chain", swap("192.0.2.7", strings.Repeat("192.0.2.7,", 9)+"192.0.2.7"), config.ByForwarded, 400},
+		{"a long target", swap("/issue/7", "/"+long), config.ByForwarded, 414},
+		{"a long host", swap("sales.example", long[:clear.LongestField+1]), config.ByForwarded, 414},
+		{"a very long chain", swap("192.0.2.7", long), config.ByForwarded, 431},
+		{"elsewhere", swap("/auth", "/other"), config.ByForwarded, 404},
+		{"no GET", swap("GET", "POST"), config.ByForwarded, 405},
+		{"path: nothing behind it", strings.Replace(byPath, "/issue/7?a=b", "", 1), config.ByPath, 404},
+		{"path: not under it", strings.Replace(byPath, "/auth/", "/authority/", 1), config.ByPath, 404},
+		{"path: it is said otherwise", strings.Replace(byPath, "Host: g", "Host: g\r\nX-Forwarded-Method: GET", 1),
+			config.ByPath, 400},
+		{"path: too long", strings.Replace(byPath, "issue/7", long, 1), config.ByPath, 414},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			o, err := read(parse(t, c.raw), &config.Asked{Path: "/auth", Dialect: c.dialect})
+			var f *flaw
+			switch {
+			case err == nil && c.status == 200:
+				if string(o.method) != "POST" || string(o.target) != "/issue/7?a=b" {
+					t.Errorf("read as %s %s", o.method, o.target)
+				}
+			case err == nil || !errors.As(err, &f) || f.status != c.status:
+				t.Errorf("%v", err)
+			}
+		})
+	}
+}
+
+// Whatever a portal forwards, what is read of it is one plain method and path, as somebody said it.
+func FuzzForwarded(f *testing.F) {
+	for _, raw := range []string{forwarded, originals, byPath} {
+		for d := range 3 {
+			f.Add([]byte(raw), uint8(d))
+		}
+	}
+	f.Fuzz(func(t *testing.T, raw []byte, dialect uint8) {
+		var h fasthttp.RequestHeader
+		if h.Read(bufio.NewReader(bytes.NewReader(raw))) != nil {
+			return
+		}
+		o, err := read(&h, &config.Asked{Path: "/auth", Dialect: config.Dialect(dialect % 3)})
+		if err != nil {
+			return
+		}
+		clean := len(o.method) > 0 && len(o.target) > 0 && o.target[0] == '/' &&
+			len(o.target) <= clear.LongestTarget && !bytes.ContainsAny(append(o.method, o.target...), "\r\n \t")
+		if !clean || !bytes.Contains(raw, o.target) {
+			t.Errorf("%q is read as %q %q", raw, o.method, o.target)
+		}
+	})
+}
--- a/internal/portal/portal.go
+++ b/internal/portal/portal.go
@@ -320,7 +320,7 @@
 		add("asked."+countNames[i], p.counts[i].Load())
 	}
 	p.mu.Lock()
-	n := p.book.Len()
+	n := p.book.Len(p.gate.Now())
 	p.mu.Unlock()
 	add("asked.marks", int64(n))
 }
--- a/internal/strict/strict.go
+++ b/internal/strict/strict.go
@@ -30,3 +30,11 @@
 	}
 	return nil
 }
+
+// Has tells whether a text has a key at its top; false where it can't be decoded.
+func Has(text, key string) bool {
+	var all map[string]any
+	_, err := toml.Decode(text, &all)
+	_, there := all[key]
+	return err == nil && there
+}
