--- a/internal/clear/clear_test.go
+++ b/internal/clear/clear_test.go
@@ -67,7 +67,8 @@
 		t.Errorf("granted after that, until %v", until)
 	}
 	h := NewBook[int](100, 500, 2)
-	for i, c := range append(all, all[0], Clearance{Mark: "over", Until: 700}, Clearance{Mark: "one more", Until: 9e9}) {
+	for i, c := range append(all, all[0], Clearance{Mark: "over", Until: 700},
+		Clearance{Mark: "one more", Until: 9e9}) {
 		if h.Inherit(c, 9, 730) != (i < 2) {
 			t.Errorf("entry %d of the heir's", i)
 		}
--- a/internal/lifecycle/forward_test.go
+++ b/internal/lifecycle/forward_test.go
@@ -20,10 +20,12 @@
 )
 
 // asked and asking are the operator file's tables for tests.
-const asked = "[asked]\nlisten = \"127.0.0.1:1\"\ntrusted = [\"127.0.0.0/8\"]\nlife_ms = 300\nremember_s = 30\nconnections = 8\n"
+const asked = "[asked]\nlisten = \"127.0.0.1:1\"\ntrusted = [\"127.0.0.0/8\"]\n" +
+	"life_ms = 300\nremember_s = 30\nconnections = 8\n"
 
 func asking(auth *standin.Auth, more string) string {
-	return fmt.Sprintf("[asking]\nservice = %q\nlimit_ms = 200\nshare = 0.6\nconnections = 12\n%s\n", auth.At, more)
+	return fmt.Sprintf("[asking]\nservice = %q\nlimit_ms = 200\nshare = 0.6\nconnections = 12\n%s\n", auth.At,
+		more)
 }
 
 // forwards turns forward authentication on by an operator file's text, with one worker as a rule.
@@ -120,7 +122,8 @@
 // A yes takes the units once; the txn that comes runs once, whoever clears or sends it again; one that never
 // comes gives its units back; a no says when to return, and that is true.
 func TestClearedOnce(t *testing.T) {
-	d := forwards(t, asked, `{"name":"tiny","rate":0.1,"most_at_once":1`, `{"name":"tiny","rate":2,"most_at_once":2`)
+	d := forwards(t, asked, `{"name":"tiny","rate":0.1,"most_at_once":1`,
+		`{"name":"tiny","rate":2,"most_at_once":2`)
 	at := d.gk.portal.At()
 	tiny := func(id string) string { return strings.Replace(issue("/issue", id), "basic", "tiny", 1) }
 	for range 2 { // by two portals
@@ -239,7 +242,8 @@
 	})
 	d := forwards(t, asking(auth, `copy = ["WWW-Authenticate"]`+"\nopen = [\"check\"]"))
 	as := func(raw, c string) string { return with(raw, "Authorization: "+c) }
-	if r := whole(t, d.at, with(as(issue("/issue", "1"), "good"), "X-Forwarded-For: 10.9.8.7")); r.StatusCode != 200 {
+	forged := with(as(issue("/issue", "1"), "good"), "X-Forwarded-For: 10.9.8.7")
+	if r := whole(t, d.at, forged); r.StatusCode != 200 {
 		t.Errorf("a yes: %v", r.Status)
 	}
 	if got := auth.Got(); len(got) != 1 || got[0].For != "127.0.0.1" || got[0].Target != "/issue" ||
@@ -302,8 +306,8 @@
 func TestServiceStalls(t *testing.T) {
 	auth := newAuth(t)
 	d := forwards(t, asking(auth, "[asking.breaker]\nafter = 7\npause_ms = 150\nmost_ms = 150"))
-	for i, f := range []standin.Fault{standin.Stalls, standin.Silent, standin.Errs, standin.Cuts, standin.Garbage,
-		standin.HalfHead, standin.Full} {
+	for i, f := range []standin.Fault{standin.Stalls, standin.Silent, standin.Errs, standin.Cuts,
+		standin.Garbage, standin.HalfHead, standin.Full} {
 		auth.Set(f)
 		from := time.Now()
 		r := whole(t, d.at, with(issue("/issue", fmt.Sprint("s", i)), fmt.Sprint("Authorization: c", i)))
@@ -335,7 +339,9 @@
 // free checks that nothing is kept once all is answered.
 func (d *deployment) free() {
 	d.t.Helper()
-	until(d.t, "txns stay in hand", func() bool { return d.gk.desk.Tally().InFlight == 0 && d.gk.front.Active() == 0 })
+	until(d.t, "txns stay in hand", func() bool {
+		return d.gk.desk.Tally().InFlight == 0 && d.gk.front.Active() == 0
+	})
 	r := whole(d.t, d.at, strings.Replace(check("/check", fmt.Sprint("free", time.Now().UnixNano())), "Host:",
 		"Authorization: good\r\nHost:", 1))
 	if r.StatusCode != 200 {
--- a/internal/portal/original_test.go
+++ b/internal/portal/original_test.go
@@ -13,13 +13,15 @@
 	"willowdeck/internal/config"
 )
 
-const forwarded = "GET /auth HTTP/1.1\r\nHost: g\r\nX-Forwarded-Method: POST\r\nX-Forwarded-Uri: /issue/7?a=b\r\n" +
+const forwarded = "GET /auth HTTP/1.1\r\nHost: g\r\nX-Forwarded-Method: POST\r\n" +
+	"X-Forwarded-Uri: /issue/7?a=b\r\n" +
 	"X-Forwarded-Host: sales.example\r\nX-Forwarded-Proto: https\r\nX-Forwarded-For: 192.0.2.7, 10.0.0.1\r\n\r\n"
 
 const originals = "GET /auth HTTP/1.1\r\nHost: g\r\nX-Original-Method: POST\r\n" +
 	"X-Original-URL: https://sales.example/issue/7?a=b\r\nX-Real-IP: 192.0.2.7\r\n\r\n"
 
-const byPath = "POST /auth/issue/7?a=b HTTP/1.1\r\nHost: g\r\nX-Forwarded-For: 192.0.2.7\r\nContent-Length: 0\r\n\r\n"
+const byPath = "POST /auth/issue/7?a=b HTTP/1.1\r\nHost: g\r\nX-Forwarded-For: 192.0.2.7\r\n" +
+	"Content-Length: 0\r\n\r\n"
 
 func parse(t *testing.T, raw string) *fasthttp.RequestHeader {
 	t.Helper()
--- a/internal/portal/portal.go
+++ b/internal/portal/portal.go
@@ -146,8 +146,9 @@
 func (p *Portal) Inherit(all []clear.Clearance) {
 	for _, c := range all {
 		f, now := c.Facts, p.gate.Now()
-		if f.Product < 0 || f.Product >= len(p.charter.Products) || f.Plan < 0 || f.Plan >= len(p.charter.Plans) ||
-			c.Until <= now || len(c.Mark) == 0 || len(c.Mark) > logic.LongestMark || !(f.Units > 0) {
+		if f.Product < 0 || f.Product >= len(p.charter.Products) || f.Plan < 0 ||
+			f.Plan >= len(p.charter.Plans) || c.Until <= now || len(c.Mark) == 0 ||
+			len(c.Mark) > logic.LongestMark || !(f.Units > 0) {
 			continue
 		}
 		var h *gate.Hold
@@ -164,13 +165,13 @@
 }
 
 func factsOf(t *wire.Txn) clear.Facts {
-	return clear.Facts{Customer: t.Customer, Product: t.Product, Plan: t.Plan, Units: t.Units, SetSize: t.SetSize,
-		First: t.First}
+	return clear.Facts{Customer: t.Customer, Product: t.Product, Plan: t.Plan, Units: t.Units,
+		SetSize: t.SetSize, First: t.First}
 }
 
 func arrival(f clear.Facts) logic.Arrival {
-	return logic.Arrival{Customer: f.Customer, Product: f.Product, Plan: f.Plan, Units: f.Units, SetSize: f.SetSize,
-		First: f.First}
+	return logic.Arrival{Customer: f.Customer, Product: f.Product, Plan: f.Plan, Units: f.Units,
+		SetSize: f.SetSize, First: f.First}
 }
 
 // Serve is the life of a txn at the main door: one that was cleared takes what was kept for it, and comes
--- a/internal/standin/forward.go
+++ b/internal/standin/forward.go
@@ -228,8 +228,8 @@
 	defer fasthttp.ReleaseRequest(req)
 	ctx.Request.Header.CopyTo(&req.Header)
 	h := &req.Header
-	for _, name := range []string{"X-Forwarded-Method", "X-Forwarded-Uri", "X-Forwarded-Host", "X-Forwarded-Proto",
-		"X-Forwarded-For", "Content-Length", "Transfer-Encoding"} {
+	for _, name := range []string{"X-Forwarded-Method", "X-Forwarded-Uri", "X-Forwarded-Host",
+		"X-Forwarded-Proto", "X-Forwarded-For", "Content-Length", "Transfer-Encoding"} {
 		h.Del(name)
 	}
 	h.SetBytesV("X-Forwarded-Method", ctx.Method())
--- a/internal/vouch/vouch.go
+++ b/internal/vouch/vouch.go
@@ -273,7 +273,8 @@
 	case w.err != nil:
 		v.service.Lost(now)
 	default:
-		v.service.Heard(a.digest, w.answer, asked, now, a.named && w.answer.Status != fasthttp.StatusTooManyRequests)
+		keep := a.named && w.answer.Status != fasthttp.StatusTooManyRequests
+		v.service.Heard(a.digest, w.answer, asked, now, keep)
 	}
 	return w
 }
