--- a/cmd/wdlab/main.go
+++ b/cmd/wdlab/main.go
@@ -61,6 +61,12 @@
 						Value: 1},
 					&cli.IntFlag{Name: "body", Value: 200, Usage: "`BYTES` of a body"},
 					&cli.IntFlag{Name: "closed", Usage: "instead, `N` clients that wait for their answers"}}},
+			{Name: "forward", Usage: "send a scenario's arrivals with and without forward authentication",
+				ArgsUsage: "SCENARIO.toml", Action: forward, Flags: []cli.Flag{
+					&cli.StringFlag{Name: "program", Value: "bin/willowdeck", Usage: "the gatekeeper's `FILE`"},
+					&cli.FloatFlag{Name: "seconds", Usage: "instead of the scenario's own"},
+					&cli.IntFlag{Name: "seed", Value: 1}, out,
+					&cli.StringFlag{Name: "chart", Usage: "draw each second's 99th percentile, `FILE.png`"}}},
 			{Name: "stand", Usage: "run stand-ins on loopback, and write a gatekeeper's configuration",
 				ArgsUsage: "SCENARIO.toml",
 				Action:    stand, Flags: []cli.Flag{&cli.StringFlag{Name: "config", Value: "wdlab.json",
--- a/internal/lab/chart.go
+++ b/internal/lab/chart.go
@@ -61,6 +61,40 @@
 		p.Add(line, points, bars)
 		p.Legend.Add(name, line, points)
 	}
+	return write(p, path)
+}
+
+// Curve is one line of a chart.
+type Curve struct {
+	Name string
+	X, Y []float64
+}
+
+// Lines draws lines over one axis; log has the other in powers of ten.
+func Lines(title, x, y string, log bool, lines []Curve, path string) error {
+	p := plot.New()
+	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = title, x, y
+	p.Legend.Top = true
+	if log {
+		p.Y.Scale, p.Y.Tick.Marker = plot.LogScale{}, plot.LogTicks{Prec: -1}
+	}
+	for i, l := range lines {
+		var points plotter.XYs
+		for k := range l.X {
+			points = append(points, plotter.XY{X: l.X[k], Y: l.Y[k]})
+		}
+		line, err := plotter.NewLine(points)
+		if err != nil {
+			return err
+		}
+		line.Color, line.Dashes = plotutil.Color(i), plotutil.Dashes(i)
+		p.Add(line)
+		p.Legend.Add(l.Name, line)
+	}
+	return write(p, path)
+}
+
+func write(p *plot.Plot, path string) error {
 	p.Add(plotter.NewGrid())
 	form := strings.TrimPrefix(filepath.Ext(path), ".")
 	return whole(path, func(w io.Writer) error {
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -40,6 +40,9 @@
 	Most     int   // requests out at once; one more is due and not sent, and counted so
 	Closed   int   // if above nought: so many clients, each sending its next one once it has its answer
 	Seed     int64 // of marks
+
+	// Credential names the header that says whose a request is; without one none is sent.
+	Credential string
 }
 
 // Outcome is what became of a request.
@@ -65,6 +68,13 @@
 	Latency *hdrhistogram.Histogram    // of all that were answered
 	Lag     *hdrhistogram.Histogram    // how late requests were sent
 	Took    time.Duration
+	Seconds []Second // by when requests were due
+}
+
+// Second is what a load has seen of the requests that were due in one second.
+type Second struct {
+	Counts  [outcomes]int64
+	Latency *hdrhistogram.Histogram
 }
 
 // mostLag is how late the 99th of a hundred requests may be sent until the report says that the schedule
@@ -105,6 +115,7 @@
 	client *fasthttp.Client
 	mu     sync.Mutex
 	report *Report
+	start  time.Time
 	next   atomic.Int64
 }
 
@@ -121,6 +132,7 @@
 		DisablePathNormalizing: true}
 	defer s.client.CloseIdleConnections()
 	start := time.Now()
+	s.start = start
 	var err error
 	if j.Closed > 0 {
 		err = s.closed(ctx, start)
@@ -233,6 +245,9 @@
 	h.Set("Plan", s.Plans[a.Plan])
 	h.Set("Cookie", fmt.Sprintf("key=%016x", a.Customer))
 	h.Set("Quota-Info", fmt.Sprintf("units=%g,spread=%d,first=%d", a.Units, s.Spread, first))
+	if s.Credential != "" {
+		h.Set(s.Credential, fmt.Sprintf("Bearer %d", a.Customer))
+	}
 	if p.Repeat == "inquiry" {
 		return
 	}
@@ -255,9 +270,15 @@
 	c := s.report.Counts[name]
 	c[o]++
 	s.report.Counts[name] = c
+	at := max(int(due.Sub(s.start)/time.Second), 0)
+	for len(s.report.Seconds) <= at {
+		s.report.Seconds = append(s.report.Seconds, Second{Latency: hdrhistogram.New(1, 600e6, 2)})
+	}
+	s.report.Seconds[at].Counts[o]++
 	if o != Unsent {
 		_ = s.report.Lag.RecordValue(max(sent.Sub(due).Microseconds(), 1))
 		_ = s.report.Latency.RecordValue(max(took.Microseconds(), 1))
+		_ = s.report.Seconds[at].Latency.RecordValue(max(took.Microseconds(), 1))
 	}
 }
 
--- a/internal/standin/forward.go
+++ b/internal/standin/forward.go
@@ -140,7 +140,8 @@
 	to     string
 	mu     sync.Mutex
 	pause  time.Duration
-	loses  bool
+	loses  int
+	sent   int
 	seen   map[int]int // answers to what it asked, by status
 }
 
@@ -177,11 +178,11 @@
 	p.pause = d
 }
 
-// Loses has it send nothing on that was cleared, as one that dies.
-func (p *Portal) Loses(loses bool) {
+// Loses has it send every so manieth request not on that was cleared, as one that dies; 0 is none.
+func (p *Portal) Loses(every int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.loses = loses
+	p.loses = every
 }
 
 // Seen tells how often it was answered with a status.
@@ -201,7 +202,8 @@
 		return
 	}
 	p.mu.Lock()
-	pause, loses := p.pause, p.loses
+	p.sent++
+	pause, loses := p.pause, p.loses > 0 && p.sent%p.loses == 0
 	p.mu.Unlock()
 	time.Sleep(pause)
 	if loses {
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -354,3 +355,12 @@
 	c.totals[words[1]] = t
 	return "ok " + strconv.FormatFloat(t.sum, 'g', 7, 64)
 }
+
+// InOrder gives what several workers were sent, by when it came.
+func InOrder(workers []*Worker) (all []Got) {
+	for _, w := range workers {
+		all = append(all, w.Got()...)
+	}
+	slices.SortFunc(all, func(a, b Got) int { return a.At.Compare(b.At) })
+	return all
+}
