--- a/cmd/wdlab/forward.go
+++ b/cmd/wdlab/forward.go
@@ -76,9 +76,8 @@
 		s.Seconds = n
 	}
 	program := c.String("program")
-	all, err := playArms(ctx, s, int64(c.Int("seed")), arms, func(conf []byte, file string) (*gatekeeper, error) {
-		return spawn(program, conf, file)
-	})
+	start := func(conf []byte, file string) (*gatekeeper, error) { return spawn(program, conf, file) }
+	all, err := playArms(ctx, s, int64(c.Int("seed")), arms, start)
 	if err != nil {
 		return err
 	}
@@ -157,8 +156,8 @@
 		target = p.At
 	}
 	plans, _ := names(s)
-	j := &load.Job{Arrivals: arrivals, Targets: []string{target}, Spread: 1, Plans: plans, Most: 4000, Seed: seed,
-		Credential: "Authorization"}
+	j := &load.Job{Arrivals: arrivals, Targets: []string{target}, Spread: 1, Plans: plans, Most: 4000,
+		Seed: seed, Credential: "Authorization"}
 	for _, p := range s.Products {
 		j.Products = append(j.Products, load.Product{Name: p.Name, Repeat: p.Repeat, Body: 100,
 			Waits: time.Duration(p.SLAMS * s.Clients.Waits * float64(time.Millisecond))})
@@ -182,7 +181,8 @@
 func (a arm) operators(listen, auth string) string {
 	var b strings.Builder
 	if a.asked {
-		fmt.Fprintf(&b, "[asked]\nlisten = %q\ntrusted = [\"127.0.0.0/8\"]\nlife_ms = 500\nconnections = 256\n", listen)
+		fmt.Fprintf(&b, "[asked]\nlisten = %q\ntrusted = [\"127.0.0.0/8\"]\n", listen)
+		b.WriteString("life_ms = 500\nconnections = 256\n")
 	}
 	if a.asking {
 		yes := 0.0
@@ -196,7 +196,8 @@
 
 // verdict reckons from the workers' own records: once-only txns that ran twice, and the most units by which
 // any customer's ceiling was passed, as one store that begins full sees it.
-func verdict(s *emu.Scenario, arrivals []traffic.Arrival, workers []*standin.Worker) (twice int, beyond float64) {
+func verdict(s *emu.Scenario, arrivals []traffic.Arrival, workers []*standin.Worker) (twice int,
+	beyond float64) {
 	type drawn struct {
 		at    time.Time
 		units float64
@@ -246,9 +247,12 @@
 		ms := func(q float64) string {
 			return strconv.FormatFloat(float64(r.report.Latency.ValueAtQuantile(q))/1000, 'f', 2, 64)
 		}
-		rows = append(rows, []string{r.arm.name, fmt.Sprint(r.report.Latency.TotalCount()), fmt.Sprint(n[load.Settled]),
-			fmt.Sprint(n[load.Declined]), fmt.Sprint(n[load.Voided]), fmt.Sprint(n[load.NoAnswer]), ms(50), ms(99),
-			ms(99.9), fmt.Sprint(r.asks), fmt.Sprint(r.twice), strconv.FormatFloat(r.beyond, 'f', 2, 64)})
+		row := []string{r.arm.name, fmt.Sprint(r.report.Latency.TotalCount())}
+		for _, o := range []load.Outcome{load.Settled, load.Declined, load.Voided, load.NoAnswer} {
+			row = append(row, fmt.Sprint(n[o]))
+		}
+		rows = append(rows, append(row, ms(50), ms(99), ms(99.9), fmt.Sprint(r.asks), fmt.Sprint(r.twice),
+			strconv.FormatFloat(r.beyond, 'f', 2, 64)))
 		if r.twice > 0 || r.beyond > 0 {
 			wrong++
 		}
--- a/cmd/wdlab/main.go
+++ b/cmd/wdlab/main.go
@@ -18,6 +18,7 @@
 	"willowdeck/internal/emu"
 	"willowdeck/internal/lab"
 	"willowdeck/internal/load"
+	"willowdeck/internal/standin"
 	"willowdeck/internal/traffic"
 )
 
@@ -57,6 +58,7 @@
 			{Name: "load", Usage: "send a scenario's arrivals to gatekeepers on sockets", ArgsUsage: "SCENARIO.toml",
 				Action: send, Flags: []cli.Flag{&cli.StringSliceFlag{Name: "target",
 					Usage: "a gatekeeper's `HOST:PORT`, by number"},
+					&cli.StringFlag{Name: "credential", Usage: "the `HEADER` that says whose a request is"},
 					&cli.IntFlag{Name: "most", Value: 2000, Usage: "requests out at once"}, &cli.IntFlag{Name: "seed",
 						Value: 1},
 					&cli.IntFlag{Name: "body", Value: 200, Usage: "`BYTES` of a body"},
@@ -71,7 +73,10 @@
 				ArgsUsage: "SCENARIO.toml",
 				Action:    stand, Flags: []cli.Flag{&cli.StringFlag{Name: "config", Value: "wdlab.json",
 					Usage: "`FILE` to write"},
-					&cli.StringFlag{Name: "listen", Value: "127.0.0.1:5000", Usage: "where the gatekeeper is to listen"}}},
+					&cli.StringFlag{Name: "listen", Value: "127.0.0.1:5000", Usage: "where the gatekeeper is to listen"},
+					&cli.StringFlag{Name: "portal", Usage: "run a portal at `HOST:PORT` before it"},
+					&cli.StringFlag{Name: "asks", Usage: "that asks at `HOST:PORT`"},
+					&cli.DurationFlag{Name: "auth", Usage: "run an auth service that takes so long"}}},
 		},
 	}
 }
@@ -264,7 +269,7 @@
 	}
 	plans, _ := names(s)
 	j := &load.Job{Arrivals: all, Targets: c.StringSlice("target"), Plans: plans, Most: c.Int("most"),
-		Closed: c.Int("closed"), Seed: int64(c.Int("seed"))}
+		Closed: c.Int("closed"), Seed: int64(c.Int("seed")), Credential: c.String("credential")}
 	j.Spread = min(s.Gatekeepers.Spread, len(j.Targets))
 	for _, p := range s.Products {
 		j.Products = append(j.Products, load.Product{Name: p.Name, Repeat: p.Repeat, Body: c.Int("body"),
@@ -296,6 +301,22 @@
 		return err
 	}
 	log := logger()
+	if at := c.String("portal"); at != "" {
+		p, err := standin.NewPortal(at, c.String("asks"), c.String("listen"))
+		if err != nil {
+			return err
+		}
+		defer p.Close()
+		log.Info().Str("portal", p.At).Str("asks", c.String("asks")).Msg("portal")
+	}
+	if c.IsSet("auth") {
+		a, err := standin.NewAuth(c.Duration("auth"))
+		if err != nil {
+			return err
+		}
+		defer a.Close()
+		log.Info().Str("service", a.At).Msg("auth service; it says yes to any credential")
+	}
 	log.Info().Int("workers", len(f.workers)).Str("discovery", f.discovery.At).Str("config", c.String("config")).
 		Msg("standing; start the gatekeeper with that configuration")
 	<-ctx.Done()
--- a/cmd/wdlab/main_test.go
+++ b/cmd/wdlab/main_test.go
@@ -126,3 +126,48 @@
 		t.Error("a chart is left that was not drawn")
 	}
 }
+
+// Load through a portal that asks the gatekeeper and loses some, and load that a stalling service has to
+// vouch for: by the workers' own records no once-only txn runs twice and no ceiling is passed, and every
+// request has one answer.
+func TestForwardArms(t *testing.T) {
+	s, err := emu.Read("../../scenarios/forward.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Seconds, s.Shapes[0].FromS = 3, 0.5
+	start := func(conf []byte, file string) (*gatekeeper, error) {
+		c, err := config.Decode(conf, func(string) string { return "" })
+		if err != nil {
+			return nil, err
+		}
+		if c.Forward, err = config.ReadForward(file, &c); err != nil {
+			return nil, err
+		}
+		g, err := lifecycle.Start(c, zerolog.Nop())
+		if err != nil {
+			return nil, err
+		}
+		at, err := listenOf(file)
+		return &gatekeeper{at: g.At, asked: at, stop: g.Stop}, err
+	}
+	all, err := playArms(t.Context(), s, 1, []arm{
+		{name: "asked", portal: true, asked: true, loses: 10},
+		{name: "asking", asking: true, stalls: true}}, start)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i, r := range all {
+		var settled, declined, lost int64
+		for _, c := range r.report.Counts {
+			settled, declined, lost = settled+c[load.Settled], declined+c[load.Declined], lost+c[load.NoAnswer]
+		}
+		if r.twice > 0 || r.beyond > 0 || lost > 0 {
+			t.Errorf("%s: %d ran twice, %.1f units beyond a ceiling, %d without answer", r.arm.name, r.twice, r.beyond,
+				lost)
+		}
+		if settled < 100 || declined == 0 || (r.asks > 50) != (i == 1) {
+			t.Errorf("%s: %d settled, %d declined, %d asked", r.arm.name, settled, declined, r.asks)
+		}
+	}
+}
--- a/internal/clear/book.go
+++ b/internal/clear/book.go
@@ -122,9 +122,10 @@
 	}
 }
 
-// Come looks a mark up for a txn that comes. Where it is Known it is Used from here on, and its hold is the
-// caller's. Guards against a txn that was cleared twice and comes twice: it would run twice.
-func (b *Book[H]) Come(mark string, f Facts, now float64) (Finding, H) {
+// Come looks a mark up for a txn that comes. Where it is Known its hold is the caller's, and it is Used from
+// here on if it may come but once. Guards against a txn that was cleared twice and comes twice: it would run
+// twice.
+func (b *Book[H]) Come(mark string, f Facts, once bool, now float64) (Finding, H) {
 	var none H
 	b.sweep(now)
 	e := b.byMark[mark]
@@ -139,6 +140,10 @@
 		return e.state, none
 	}
 	hold := e.hold
+	if !once { // all marks that ever came would take the place of those that have to be known
+		delete(b.byMark, mark)
+		return Known, hold
+	}
 	e.state, e.hold, e.until = Used, none, now+b.memory
 	b.used = append(b.used, due{mark, e.until})
 	return Known, hold
--- a/internal/clear/clear_test.go
+++ b/internal/clear/clear_test.go
@@ -23,7 +23,7 @@
 		}
 	}
 	come := func(mark string, f Facts, now float64) Finding {
-		found, _ := b.Come(mark, f, now)
+		found, _ := b.Come(mark, f, true, now)
 		return found
 	}
 	step("new", b.Ask("a", sale, 0), New)
@@ -35,7 +35,7 @@
 	step("again", b.Ask("a", sale, 50), Known)
 	step("by another", b.Ask("a", other, 50), Others)
 	step("it comes as another", come("a", other, 50), Others)
-	if found, hold := b.Come("a", sale, 99); found != Known || hold != 42 {
+	if found, hold := b.Come("a", sale, true, 99); found != Known || hold != 42 {
 		t.Errorf("it comes: %v, %v", found, hold)
 	}
 	step("it comes twice", come("a", sale, 100), Used)
@@ -46,6 +46,10 @@
 	b.Drop("a")
 	step("turned down", come("a", sale, 599), New)
 
+	b.Ask("i", sale, 600)
+	b.Grant("i", 1, 600)
+	b.Come("i", sale, false, 600)
+	step("one that may come again", come("i", sale, 600), New)
 	b.Ask("l", sale, 600)
 	b.Grant("l", 1, 600)
 	step("lapsed", come("l", sale, 700), New)
@@ -55,7 +59,7 @@
 	step("full", b.Ask("more", sale, 700), Full)
 	step("known ones are not new", b.Ask("f1", sale, 700), Open)
 	b.Grant("f1", 5, 700)
-	b.Come("f1", sale, 710)
+	b.Come("f1", sale, true, 710)
 	b.Grant("f2", 6, 720)
 	all, holds := b.Leave(730)
 	if len(all) != 2 || len(holds) != 1 || holds[0] != 6 {
@@ -73,11 +77,11 @@
 			t.Errorf("entry %d of the heir's", i)
 		}
 	}
-	found, hold := h.Come("f2", sale, 740)
+	found, hold := h.Come("f2", sale, true, 740)
 	if found != Known || hold != 9 {
 		t.Errorf("at the heir: %v, %v", found, hold)
 	}
-	found, _ = h.Come("f1", sale, 740)
+	found, _ = h.Come("f1", sale, true, 740)
 	step("used before the heir", found, Used)
 }
 
@@ -102,7 +106,7 @@
 					}
 				}
 			case 2:
-				if found, _ := b.Come(mark, sale, now); found == Known {
+				if found, _ := b.Come(mark, sale, true, now); found == Known {
 					if last, there := came[mark]; there && now < last+400 {
 						t.Fatalf("seed %d: %s comes at %v and %v", seed, mark, last, now)
 					}
@@ -275,7 +279,7 @@
 		now, m := float64(i), marks[i%len(marks)]
 		if book.Ask(m, sale, now) == New {
 			book.Grant(m, 1, now)
-			book.Come(m, sale, now)
+			book.Come(m, sale, true, now)
 		}
 	}
 }
--- a/internal/emu/gatekeeper.go
+++ b/internal/emu/gatekeeper.go
@@ -21,7 +21,8 @@
 	cut     bool // from its peers
 	txns    map[uint64]*txn
 	wakeAt  float64
-	told    []told // by worker: what it knows of the list
+	told    []told        // by worker: what it knows of the list
+	left    *logic.Estate // what its former life knew, as far as it is kept
 }
 
 type told struct {
@@ -70,6 +71,64 @@
 		list = append(list, x.posting(true))
 	}
 	g.input(func(b brain) { b.Roster(list, false) })
+	if m, ok := g.brain.(*logic.Gatekeeper); ok && g.left != nil {
+		m.Resume(*g.left)
+		m.Alone()
+		m.Roster(list, true) // its window, where that is not kept
+	}
+	g.left = nil
+}
+
+// What a gatekeeper may keep over its death. No real one could keep it so whole and so fresh: each is the
+// most that a snapshot, or a peer that was told, could ever bring.
+const (
+	KeepCeilings = 1 << iota // what was spent of them
+	KeepQuotas               // levels of slices and stores, demand, and what peers said
+	KeepWorkers              // their standing, paces and used turns
+	KeepPressure             // window, pace and pressure
+)
+
+// keep is what is left of an estate.
+func (g *gatekeeper) keep(e logic.Estate) *logic.Estate {
+	what := g.w.s.Gatekeepers.Keeps
+	if what == 0 {
+		return nil
+	}
+	if what&KeepQuotas == 0 {
+		started := e.At
+		if what&KeepCeilings != 0 {
+			started = e.Started // ceilings of customers that it does not know are full
+		}
+		e.Started = started
+		for i := range e.Peers {
+			e.Peers[i] = logic.Hearing{}
+		}
+	}
+	var customers []logic.Customer
+	for _, c := range e.Customers {
+		switch {
+		case what&KeepCeilings == 0 && what&KeepQuotas == 0:
+			continue
+		case what&KeepQuotas == 0: // as of one that is known from peers alone: its first txn fills the rest in
+			c = logic.Customer{Key: c.Key, Plan: c.Plan, First: c.First, CeilingAt: c.CeilingAt, Whole: math.Inf(1),
+				Filled: e.At, Seen: e.At, CoolSince: e.At}
+		case what&KeepCeilings == 0:
+			if p := g.w.s.Plans[c.Plan]; p.Ceiling > 0 { // taken as spent, as at any start
+				c.CeilingAt = e.At + g.w.s.Gatekeepers.StartMS + p.CeilingDepth/p.Ceiling*1000
+			}
+		}
+		customers = append(customers, c)
+	}
+	e.Customers = customers
+	if what&KeepWorkers == 0 {
+		e.Workers, e.Kinds = nil, nil
+		e.WarmDone, e.WarmAt, e.WarmFrom = 0, e.At, e.At
+	}
+	if what&KeepPressure == 0 {
+		e.Window, e.Press, e.CutAt, e.Pace, e.Load = 0, 0, 0, 0, 0
+		e.Long, e.Astray = 0, 0
+	}
+	return &e
 }
 
 // kill ends a life at once.
@@ -78,6 +137,10 @@
 		return
 	}
 	g.up = false
+	if m, ok := g.brain.(*logic.Gatekeeper); ok {
+		m.Clock(g.w.now)
+		g.left = g.keep(m.Retire())
+	}
 	g.w.judge.Crashed(g.num)
 	for _, t := range ordered(g.txns) {
 		if !t.final {
--- a/internal/emu/scenario.go
+++ b/internal/emu/scenario.go
@@ -31,6 +31,7 @@
 		PeerInPerS     float64 `toml:"peer_in_per_s"`
 		Talks          bool
 		StartMS        float64 `toml:"start_ms"` // from its start until it serves
+		Keeps          int     // what one that starts again knows of its former life: a sum of the Keep kinds
 	}
 	Products []struct {
 		Name     string
--- a/internal/portal/portal.go
+++ b/internal/portal/portal.go
@@ -177,8 +177,9 @@
 // Serve is the life of a txn at the main door: one that was cleared takes what was kept for it, and comes
 // once. The rest goes on as ever, but for products that come only if they were cleared.
 func (p *Portal) Serve(t *wire.Txn) wire.Final {
+	once := p.asked.Only[t.Product] || p.charter.Products[t.Product].Repeat != logic.InquiryLike
 	p.mu.Lock()
-	found, hold := p.book.Come(string(t.Mark), factsOf(t), p.gate.Now())
+	found, hold := p.book.Come(string(t.Mark), factsOf(t), once, p.gate.Now())
 	p.mu.Unlock()
 	switch found {
 	case clear.Known:
