--- a/internal/emu/gatekeeper.go
+++ b/internal/emu/gatekeeper.go
@@ -72,7 +72,7 @@
 	}
 	g.input(func(b brain) { b.Roster(list, false) })
 	if m, ok := g.brain.(*logic.Gatekeeper); ok && g.left != nil {
-		m.Resume(*g.left)
+		m.Resume(g.keep(*g.left))
 		m.Alone()
 		m.Roster(list, true) // its window, where that is not kept
 	}
@@ -88,14 +88,11 @@
 	KeepPressure             // window, pace and pressure
 )
 
-// keep is what is left of an estate.
-func (g *gatekeeper) keep(e logic.Estate) *logic.Estate {
+// keep is what is left of an estate as a new life begins.
+func (g *gatekeeper) keep(e logic.Estate) logic.Estate {
 	what := g.w.s.Gatekeepers.Keeps
-	if what == 0 {
-		return nil
-	}
 	if what&KeepQuotas == 0 {
-		started := e.At
+		started := g.w.now
 		if what&KeepCeilings != 0 {
 			started = e.Started // ceilings of customers that it does not know are full
 		}
@@ -114,7 +111,7 @@
 				Filled: e.At, Seen: e.At, CoolSince: e.At}
 		case what&KeepCeilings == 0:
 			if p := g.w.s.Plans[c.Plan]; p.Ceiling > 0 { // taken as spent, as at any start
-				c.CeilingAt = e.At + g.w.s.Gatekeepers.StartMS + p.CeilingDepth/p.Ceiling*1000
+				c.CeilingAt = g.w.now + p.CeilingDepth/p.Ceiling*1000
 			}
 		}
 		customers = append(customers, c)
@@ -128,7 +125,7 @@
 		e.Window, e.Press, e.CutAt, e.Pace, e.Load = 0, 0, 0, 0, 0
 		e.Long, e.Astray = 0, 0
 	}
-	return &e
+	return e
 }
 
 // kill ends a life at once.
@@ -137,9 +134,10 @@
 		return
 	}
 	g.up = false
-	if m, ok := g.brain.(*logic.Gatekeeper); ok {
+	if m, ok := g.brain.(*logic.Gatekeeper); ok && g.w.s.Gatekeepers.Keeps > 0 {
 		m.Clock(g.w.now)
-		g.left = g.keep(m.Retire())
+		e := m.Retire()
+		g.left = &e
 	}
 	g.w.judge.Crashed(g.num)
 	for _, t := range ordered(g.txns) {
