A killed gatekeeper remembers what it had spent of ceilings: a mapped file written before each send

Need: an instance that was killed takes all ceilings as spent and declines for up to their burst time; half of a fleet restarting together does so at once. Off in run; the fleet's file has it as remember.

--- a/cmd/willowdeck/main.go
+++ b/cmd/willowdeck/main.go
@@ -32,13 +32,15 @@
 		Sources: cli.EnvVars("WILLOWDECK_LOG")}
 	forward := &cli.StringFlag{Name: "forward", Usage: "the operator `FILE` of forward authentication",
 		Sources: cli.EnvVars("WILLOWDECK_FORWARD")}
+	left := &cli.StringFlag{Name: "residue", Usage: "the `FILE` that outlives a sudden end",
+		Sources: cli.EnvVars("WILLOWDECK_RESIDUE")}
 	fleetFile := &cli.StringFlag{Name: "file", Usage: "the fleet's `FILE`", Required: true}
 	return &cli.Command{
 		Name:  "willowdeck",
 		Usage: "holds customers to quotas before a shared back end",
 		Commands: []*cli.Command{
 			{Name: "serve", Usage: "run a gatekeeper until SIGTERM; SIGHUP reads its file anew",
-				Flags: []cli.Flag{file, forward, level}, Action: serve},
+				Flags: []cli.Flag{file, forward, left, level}, Action: serve},
 			{Name: "fleet", Usage: "keep many gatekeepers on this host until SIGTERM; SIGHUP reads the file anew",
 				Flags: []cli.Flag{fleetFile, level}, Action: keep},
 			{Name: "check", Usage: "read and check the configuration, and say what it holds",
@@ -83,6 +85,7 @@
 // readAll reads a gatekeeper's configuration, and the operator files there are.
 func readAll(c *cli.Command) (config.Gatekeeper, error) {
 	conf, err := config.Read(c.String("config"), os.Getenv)
+	conf.Residue = c.String("residue")
 	if path := c.String("forward"); err == nil && path != "" {
 		conf.Forward, err = config.ReadForward(path, &conf)
 	}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -37,6 +37,7 @@
 	PeerPort  netip.AddrPort   // where peers' datagrams arrive; not valid where peers are not talked to
 	Peers     []netip.AddrPort // by number, this gatekeeper's own included
 	Known     roster.List
+	Residue   string   // the file that outlives a sudden end of this process; empty where none is kept
 	Forward   *Forward // nil where forward authentication is off
 	Terms
 }
--- a/internal/emu/gatekeeper.go
+++ b/internal/emu/gatekeeper.go
@@ -96,7 +96,7 @@
 		if what&KeepCeilings != 0 {
 			started = e.Started // ceilings of customers that it does not know are full
 		}
-		e.Started = started
+		e.Started, e.Base = g.w.now, started
 		for i := range e.Peers {
 			e.Peers[i] = logic.Hearing{}
 		}
--- a/internal/fleet/file.go
+++ b/internal/fleet/file.go
@@ -35,6 +35,8 @@
 	ReadyS float64 `toml:"ready_s"`
 	GraceS float64 `toml:"grace_s"`
 	Step   int
+
+	Remember bool // instances keep what outlives a sudden end
 }
 
 // Read reads and checks a fleet's file, and the configuration that it names. An error names the file, and
@@ -44,7 +46,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := File{ReadyS: 6, GraceS: 4, Step: 1}
+	f := File{ReadyS: 6, GraceS: 4, Step: 1, Remember: true}
 	f.Restart.FirstMS, f.Restart.MostMS, f.Restart.CalmS = 200, 10000, 30
 	if err := strict.Decode(string(raw), &f); err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
@@ -66,6 +68,7 @@
 	Name, Program, RunDir, Control string
 	Pace                           Pace
 	Instances                      []Instance
+	Remember                       bool
 }
 
 // Instance is one gatekeeper of it.
@@ -114,7 +117,7 @@
 	case f.Step < 1:
 		return nil, fmt.Errorf("step: %d is under one", f.Step)
 	}
-	fl := &Fleet{Name: f.Name, Program: f.Program, RunDir: f.RunDir, Control: f.Control,
+	fl := &Fleet{Remember: f.Remember, Name: f.Name, Program: f.Program, RunDir: f.RunDir, Control: f.Control,
 		Pace: Pace{First: f.Restart.FirstMS, Most: f.Restart.MostMS, Calm: f.Restart.CalmS * 1000,
 			Within: f.ReadyS * 1000, Grace: f.GraceS * 1000, Step: f.Step}}
 	taken := map[netip.AddrPort]string{}
--- a/internal/fleet/host.go
+++ b/internal/fleet/host.go
@@ -254,6 +254,9 @@
 	cmd.Env = append(os.Environ(), "NODE_CONFIG="+file, "NODE_NAME="+name, "NODE_CONTROL="+r.Control,
 		"NODE_FD=3",
 		"TMPDIR="+dir)
+	if d.fleet.Remember {
+		cmd.Env = append(cmd.Env, "WILLOWDECK_RESIDUE="+filepath.Join(dir, "residue"))
+	}
 	cmd.Stdout, cmd.Stderr, cmd.ExtraFiles = log, log, []*os.File{p.listener}
 	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true} // a signal to the daemon's group is not theirs
 	if err := cmd.Start(); err != nil {
--- a/internal/gate/desk.go
+++ b/internal/gate/desk.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"willowdeck/internal/held"
+	"willowdeck/internal/residue"
 	"willowdeck/internal/wire"
 	"willowdeck/internal/wire/gossip"
 	"willowdeck/internal/wire/roster"
@@ -50,7 +51,8 @@
 	txns    map[uint64]*held.Txn
 	workers held.Workers
 	speech  []speech
-	waiting []waiting // of the wake's goroutine
+	waiting []waiting     // of the wake's goroutine
+	residue *residue.File // nil where none is kept
 }
 
 // waiting is a txn whose client is looked at.
@@ -75,8 +77,19 @@
 	return d
 }
 
-// Stop ends the wake-ups.
-func (d *Desk) Stop() { close(d.stop) }
+// Stop ends the wake-ups, and lets the residue go. Nothing is submitted any more.
+func (d *Desk) Stop() {
+	close(d.stop)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.residue != nil {
+		d.residue.Close()
+		d.residue = nil
+	}
+}
+
+// Now is the desk's time, Unix ms.
+func (d *Desk) Now() float64 { return d.clock.now() }
 
 // Ready tells whether a txn could be served.
 func (d *Desk) Ready() bool { return d.ready.Load() }
@@ -117,12 +130,34 @@
 // Retire gives what the module knows, and lets it end the txns in hand alone from then on.
 func (d *Desk) Retire() (e logic.Estate, workers, kinds map[int]string) {
 	d.enter()
+	d.void()
 	e = d.gk.Retire()
 	workers, kinds = d.workers.Names()
 	d.leave()
 	return e, workers, kinds
 }
 
+// Leave keeps a residue from here on, with what this module knows, and takes what a former life has left;
+// nil is nothing.
+func (d *Desk) Leave(f *residue.File, left *logic.Residue) {
+	d.enter()
+	if left != nil {
+		d.gk.Remember(*left)
+	}
+	base, spent := d.gk.Residue()
+	f.Inherit(base, spent, d.clock.now())
+	d.residue = f
+	d.leave()
+}
+
+// void ends the residue, under the lock: another process spends from here on.
+func (d *Desk) void() {
+	if d.residue != nil {
+		d.residue.Void()
+		d.residue = nil
+	}
+}
+
 // Resume takes over what another process's module knew.
 func (d *Desk) Resume(e logic.Estate, workers, kinds map[int]string) {
 	d.enter()
@@ -160,7 +195,11 @@
 // dismiss gives the module its turn, and tells it of the txns whose clients no longer wait. The clients are
 // looked at between two holds of the lock.
 func (d *Desk) dismiss() {
-	d.enter()
+	now := d.enter()
+	if d.residue != nil {
+		window, press, pace := d.gk.Pressure()
+		d.residue.Pressed(window, press, pace, now)
+	}
 	d.waiting = d.waiting[:0]
 	for _, h := range d.txns {
 		if !h.Final {
@@ -177,7 +216,7 @@
 	if len(left) == 0 {
 		return
 	}
-	now := d.enter()
+	now = d.enter()
 	for _, w := range left {
 		if h := w.txn; !h.Final {
 			d.gk.Left(h.ID)
@@ -203,6 +242,7 @@
 	d.last++
 	a.ID = d.last
 	h := held.NewTxn(a.ID, math.Inf(1), gone, d.subs)
+	h.Of, h.Plan = a.Customer, a.Plan
 	d.txns[a.ID] = h
 	return h
 }
@@ -383,6 +423,9 @@
 		s := &held.Submission{}
 		h.Subs = append(h.Subs, s)
 		h.Out++
+		if d.residue != nil && v.Full > 0 { // before it can go out
+			d.residue.Spend(h.Of, h.Plan, v.Full, d.clock.now())
+		}
 		h.Box <- held.Word{Decision: v, To: d.workers.Life(v.Worker), Sub: s}
 	case logic.Decline, logic.Void:
 		d.finish(h, held.Word{Decision: v}, d.clock.now())
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -42,7 +42,7 @@
 func (h *Hold) Over() <-chan held.Word { return h.txn.Box }
 
 // Now is the time by which clearances are reckoned, Unix ms.
-func (g *Gate) Now() float64 { return g.desk.clock.now() }
+func (g *Gate) Now() float64 { return g.desk.Now() }
 
 // Clear asks the module whether a txn may come within so many ms. If not there is no hold, and the final
 // answer is the module's.
--- a/internal/held/life.go
+++ b/internal/held/life.go
@@ -18,6 +18,8 @@
 // Txn is one txn in hand. All but Box belongs to the gate's lock.
 type Txn struct {
 	ID     uint64
+	Of     uint64 // its customer
+	Plan   int
 	Expiry float64
 	Whole  float64     // when a body that is not kept had gone out
 	Gone   func() bool // whether its client has closed
--- a/internal/lifecycle/replace.go
+++ b/internal/lifecycle/replace.go
@@ -38,6 +38,7 @@
 	whole, err := from.Receive(handover.Takes{
 		Will: func(w handover.Will) {
 			g.desk.Resume(w.Estate, w.Workers, w.Kinds)
+			g.remember() // the process before has let it go
 			g.log.Info().Int("customers", len(w.Estate.Customers)).Int("workers", len(w.Estate.Workers)).
 				Msg("taking over")
 			if g.portal != nil {
@@ -55,6 +56,7 @@
 	g.log.Info().Bool("whole", whole).Err(err).Msg("the process before has ended")
 	g.desk.Alone()
 	if !whole { // as after any sudden end
+		g.remember()
 		if g.portal != nil {
 			go g.portal.Rebind(g.over)
 		}
--- a/internal/lifecycle/replace_test.go
+++ b/internal/lifecycle/replace_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"os"
+	"path/filepath"
 	"strings"
 	"syscall"
 	"testing"
@@ -14,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"willowdeck/internal/config"
+	"willowdeck/internal/residue"
 )
 
 // held is a deployment whose clients' listener is the platform's, and what a second process is told.
@@ -172,3 +174,72 @@
 		}
 	}
 }
+
+// A process that ends without a word leaves what it has spent of ceilings: the next one holds to it, and need
+// not take all ceilings as spent. One that takes over from a living process goes on with its residue.
+func TestResidue(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "residue")
+	swap := []string{`{"name":"tiny","rate":0.1,"most_at_once":1`,
+		`{"name":"tiny","rate":100,"most_at_once":100,"hard_rate":0.01,"cap_depth":3`}
+	keeps := func(c *config.Gatekeeper) { c.Residue = path }
+	d := deployWith(t, keeps, 1, 5000, swap...)
+	of := func(d *deployment, customer, id string) string {
+		status, _ := d.ask(strings.NewReplacer("basic", "tiny", "b4d65521", customer).Replace(check("/check", id)))
+		return status
+	}
+	if s := of(d, "b4d65530", "1"); s != "HTTP/1.1 429 Too Many Requests" {
+		t.Fatalf("at a first start a ceiling counts as spent: %q", s)
+	}
+	end := func(d *deployment) {
+		d.gk.limit.Close()
+		d.gk.desk.Stop() // its locks are gone, as those of a killed one
+	}
+	end(d)
+	// As if its start had been long ago.
+	f, left, err := residue.Open(path, residue.Digest(d.conf.Charter), float64(time.Now().UnixMilli()))
+	if err != nil || left == nil {
+		t.Fatal(left, err)
+	}
+	f.Inherit(left.Base-1e6, nil, left.Base)
+	f.Close()
+	d = deployWith(t, keeps, 1, 5000, swap...)
+	for i := range 2 {
+		if s := of(d, "b4d65531", fmt.Sprint("a", i)); s != "HTTP/1.1 200 OK" {
+			t.Fatalf("a ceiling that is full: %q", s)
+		}
+	}
+	end(d)
+	d = deployWith(t, keeps, 1, 5000, swap...)
+	for i, want := range []string{"200 OK", "429 Too Many Requests"} {
+		if s := of(d, "b4d65531", fmt.Sprint("b", i)); s != "HTTP/1.1 "+want {
+			t.Errorf("the third and fourth of three units: %q", s)
+		}
+	}
+	if s := of(d, "b4d65532", "c"); s != "HTTP/1.1 200 OK" {
+		t.Errorf("another customer's: %q", s)
+	}
+	end(d)
+
+	held, change := heldListener(t, swap...)
+	both := func(c *config.Gatekeeper) {
+		change(c)
+		keeps(c)
+	}
+	first := held.second(both)
+	held.gk.Stop() // it keeps none
+	if s := of(held, "b4d65532", "d"); s != "HTTP/1.1 200 OK" {
+		t.Errorf("the second of three: %q", s)
+	}
+	second := held.second(both)
+	first.Stop()
+	if s := of(held, "b4d65532", "e"); s != "HTTP/1.1 200 OK" {
+		t.Errorf("the third of three, handed over: %q", s)
+	}
+	held.second(both)
+	second.limit.Close()
+	second.desk.Stop()
+	second.owner.Load().Close() // as at a sudden end
+	if s := of(held, "b4d65532", "f"); s != "HTTP/1.1 429 Too Many Requests" {
+		t.Errorf("the fourth of three, after a sudden end: %q", s)
+	}
+}
--- a/internal/lifecycle/start.go
+++ b/internal/lifecycle/start.go
@@ -16,6 +16,7 @@
 	"willowdeck/internal/handover"
 	"willowdeck/internal/ops"
 	"willowdeck/internal/portal"
+	"willowdeck/internal/residue"
 	"willowdeck/internal/vouch"
 	"willowdeck/internal/wire"
 	"willowdeck/internal/wire/roster"
@@ -116,6 +117,7 @@
 	case before != nil:
 		go g.inherit(before)
 	default:
+		g.remember()
 		if g.peers != nil && g.peers.Bound() {
 			go g.peers.Hear(g.desk.Hear)
 		} else if g.peers != nil { // a process that can't be talked to has it still
@@ -127,6 +129,24 @@
 	return g, nil
 }
 
+// remember keeps what outlives a sudden end, and takes what one has left. Without it the gatekeeper starts as
+// ever.
+func (g *Gatekeeper) remember() {
+	if g.conf.Residue == "" {
+		return
+	}
+	f, left, err := residue.Open(g.conf.Residue, residue.Digest(g.conf.Charter), g.desk.Now())
+	if err != nil {
+		g.log.Warn().Err(err).Msg("nothing will outlive a sudden end")
+		return
+	}
+	g.desk.Leave(f, left)
+	if left != nil {
+		g.log.Info().Int("ceilings", len(left.Ceilings)).Float64("base_s", (g.desk.Now()-left.Base)/1000).
+			Msg("remembering what a former life has spent")
+	}
+}
+
 // forward puts forward authentication before a gate, in the roles that are on: a txn that a portal has had
 // cleared needs nobody else's word.
 func (g *Gatekeeper) forward(to *gate.Gate) func(*wire.Txn) wire.Final {
--- a/logic/clear_test.go
+++ b/logic/clear_test.go
@@ -218,3 +218,67 @@
 		t.Errorf("%d submitted of it", len(next.sent))
 	}
 }
+
+// A gatekeeper that is killed over and over and remembers what it had spent, clearances and coming bodies
+// included, keeps within its ceiling, and need not wait as one that knows nothing.
+func TestRemembers(t *testing.T) {
+	const rate, depth, seconds = 4.0, 12.0, 60.0
+	c := charterFor(OnceOnly, func(c *Charter) {
+		c.Gatekeepers = 1
+		c.Plans[0] = Plan{Rate: 100, Burst: 1000, CeilingRate: rate, CeilingDepth: depth, Factor: 1}
+	})
+	sent := map[bool]int{}
+	for _, remembers := range []bool{false, true} {
+		rng := rand.New(rand.NewSource(1))
+		h := newHost(t, c, 1, 200)
+		level, full := depth, map[uint64]float64{}
+		left := Residue{Base: h.now}
+		for end := h.now + seconds*1000; h.now < end; {
+			h.at(h.now + 10)
+			h.pull()
+			level = math.Min(level+rate/100, depth)
+			if rng.Float64() < 0.02 { // killed, and there again a little later
+				next := newHost(t, c, rng.Int63(), 200)
+				next.at(h.now + 50)
+				next.g.base = next.now
+				level = math.Min(level+rate*0.05, depth)
+				if h = next; remembers {
+					left.Ceilings = left.Ceilings[:0]
+					for of, at := range full {
+						left.Ceilings = append(left.Ceilings, Spent{of, 0, at})
+					}
+					h.g.Remember(left)
+				}
+			}
+			before := len(h.sent)
+			if rng.Float64() < 0.1 {
+				h.txn(7, 1)
+			}
+			if rng.Float64() < 0.05 {
+				id, ok := h.clear(Arrival{Customer: 7, Units: 1, SetSize: 1, Left: 1000}, 500)
+				if h.txns[id].expiry = h.now + 1000; ok && rng.Intn(2) == 0 {
+					h.g.Claim(id, 1000, false)
+					h.pull()
+				}
+			}
+			for _, d := range h.sent[before:] {
+				level--
+				sent[remembers]++
+				full[7] = d.Full
+				h.ended(h.txns[d.Txn], 0, Settled, 1)
+			}
+			if level < -1e-6 {
+				t.Fatalf("remembers %v: %v units beyond the ceiling", remembers, -level)
+			}
+		}
+	}
+	if float64(sent[true]) < 0.9*rate*seconds || float64(sent[false]) > 0.6*rate*seconds {
+		t.Errorf("%d sent where it remembers, %d where not", sent[true], sent[false])
+	}
+	g := newHost(t, c, 1, 1).g
+	base := g.base
+	g.Remember(Residue{Base: base - 9, Ceilings: []Spent{{7, 9, base + 70}, {8, -1, base + 20}}})
+	if g.base != base+70 || len(g.byKey) != 0 {
+		t.Errorf("of plans that there are not: base %v, %d customers", g.base-base, len(g.byKey))
+	}
+}
--- a/logic/estate.go
+++ b/logic/estate.go
@@ -1,5 +1,7 @@
 package logic
 
+import "math"
+
 // This file holds what a gatekeeper leaves to the process that takes its place on the same machine. Times are
 // those of the clock that both go by.
 
@@ -7,6 +9,7 @@
 type Estate struct {
 	At        float64
 	Started   float64
+	Base      float64
 	Customers []Customer
 	Workers   []Standing
 	Kinds     []Pace
@@ -66,7 +69,8 @@
 			t.coming, t.pass = coming, pass
 		}
 	}
-	e := Estate{At: g.now, Started: g.started, Window: g.window, Press: g.press, CutAt: g.cutAt, Pace: g.pace,
+	e := Estate{At: g.now, Started: g.started, Base: g.base, Window: g.window,
+		Press: g.press, CutAt: g.cutAt, Pace: g.pace,
 		Load: g.load, WarmDone: g.warmDone, WarmAt: g.warmAt, WarmFrom: g.warmFrom, Long: g.long.score,
 		LongAt: g.long.since, Astray: g.astray.score, AstrayAt: g.astray.since, NextTell: g.nextTell}
 	for i := range g.accounts {
@@ -109,6 +113,7 @@
 	if len(e.Peers) != len(g.peers) || len(e.Tight) != len(g.plans) || e.At > g.now+stopped {
 		return
 	}
+	g.base = e.Base
 	g.started, g.window, g.press, g.cutAt, g.pace = e.Started, e.Window, e.Press, e.CutAt, e.Pace
 	g.load, g.warmDone, g.warmAt, g.warmFrom = e.Load, e.WarmDone, e.WarmAt, e.WarmFrom
 	g.long, g.astray, g.nextTell = mark{e.Long, e.LongAt}, mark{e.Astray, e.AstrayAt}, e.NextTell
@@ -166,3 +171,54 @@
 		c.out, c.lent = c.out-c.lent, 0
 	}
 }
+
+// Residue is what a former life of this gatekeeper has left that did not end in peace.
+type Residue struct {
+	Base                float64 // ceilings of all other customers are taken as spent at this time
+	Ceilings            []Spent
+	Window, Press, Pace float64 // nought where they are not known, or too old to go by
+}
+
+// Spent says when a customer's slice of its ceiling is full again.
+type Spent struct {
+	Customer uint64
+	Plan     int
+	Full     float64
+}
+
+// Remember takes a former life's residue, before the first txn. What it does not know, or what does not fit
+// this charter, is as after any start.
+func (g *Gatekeeper) Remember(r Residue) {
+	g.base = math.Min(r.Base, g.base)
+	for _, s := range r.Ceilings {
+		if _, known := g.byKey[uint32(s.Customer)]; known || s.Plan < 0 || s.Plan >= len(g.plans) ||
+			g.heardOnly >= mostHeard {
+			g.base = math.Max(g.base, s.Full) // later than true, for all that are not known
+			continue
+		}
+		g.accounts[g.open(s.Customer, s.Plan)].ceilingAt = s.Full
+		g.heardOnly++ // its first txn fills the rest in
+	}
+	if r.Window > 0 && r.Pace > 0 && r.Press >= 0 {
+		g.window, g.press, g.pace = math.Max(g.window, r.Window), r.Press, r.Pace
+	}
+}
+
+// Pressure tells how pressed the gatekeeper is, as a residue has it.
+func (g *Gatekeeper) Pressure() (window, press, pace float64) { return g.window, g.press, g.pace }
+
+// Residue gives what is spent of ceilings, for a life after this one.
+func (g *Gatekeeper) Residue() (base float64, all []Spent) {
+	for i := range g.accounts {
+		c := &g.accounts[i]
+		if !c.live || c.ceilingAt <= g.now {
+			continue
+		}
+		s := Spent{c.customer, c.plan, c.ceilingAt}
+		if p := &g.plans[c.plan]; p.ceilRate > 0 {
+			s.Full += c.kept * float64(c.n) / p.ceilRate
+		}
+		all = append(all, s)
+	}
+	return g.base, all
+}
--- a/logic/iface.go
+++ b/logic/iface.go
@@ -120,6 +120,7 @@
 	At      float64
 	Peer    int
 	Reports []Report
+	Full    float64 // Submit: when its customer's slice of the ceiling is full again; 0 where there is none
 }
 
 // Report is a customer's demand, units a second, as one gatekeeper sees it.
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -198,7 +198,7 @@
 // Clock sets the time, in ms, of the inputs and decisions that follow.
 func (g *Gatekeeper) Clock(now float64) {
 	if !g.begun {
-		g.begun, g.started, g.now, g.warmAt, g.warmFrom = true, now, now, now, now
+		g.begun, g.started, g.base, g.now, g.warmAt, g.warmFrom = true, now, now, now, now, now
 		g.nextTell = now + g.charter.period*g.rng.Float64()
 	}
 	// Guards against this gatekeeper itself being stopped for a while: what it finds then says nothing of how
@@ -618,7 +618,7 @@
 	w.inFlight++
 	g.outOf[g.sort(t)]++
 	g.seat(&t.subs[len(t.subs)-1], !t.coming)
-	return Decision{Kind: Submit, Txn: t.id, Worker: wi, N: len(t.subs) - 1, Wait: t.expiry - g.now}
+	return g.order(t, wi)
 }
 
 // choose draws two workers at random and takes the one that own counts favour. More are looked at only if
@@ -907,7 +907,7 @@
 		c.plan, c.n, c.first = a.Plan, min(max(a.SetSize, 1), g.charter.n), max(a.First, 0)%g.charter.n
 		if p.ceilRate > 0 {
 			// A former life of this gatekeeper may have spent its whole slice just before it ended.
-			c.ceilingAt = math.Max(c.ceilingAt, g.started+p.ceilDepth/p.ceilRate)
+			c.ceilingAt = math.Max(c.ceilingAt, g.base+p.ceilDepth/p.ceilRate)
 		}
 		if c.level = g.startLevel(c); g.sparse(c) {
 			c.level = p.draw(a.Units) * g.rng.Float64() // of many that fill slowly, chance spreads the turns
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -303,7 +303,7 @@
 		level = math.Min(level+rate/100, depth)
 		if int(now)%3000 == 0 {
 			hosts[1] = newHost(t, c, int64(now), 200)
-			hosts[1].g.started = now
+			hosts[1].g.base = now
 		}
 		for _, h := range hosts {
 			h.at(now)
@@ -1113,7 +1113,7 @@
 		h := newHost(t, c, 1, 0)
 		h.at(100000)
 		h.g.Roster(cold, false)
-		h.g.started = 1000 // the ceiling's slice has filled since
+		h.g.started, h.g.base = 1000, 1000 // the ceiling's slice has filled since
 		return h
 	}
 	one, two := start(), start()
--- a/logic/state.go
+++ b/logic/state.go
@@ -129,6 +129,7 @@
 	rng      *rand.Rand
 	now      float64
 	started  float64
+	base     float64 // ceilings of customers that are not known here are taken as spent at this time
 	retired  bool    // another has taken over what it knows
 	thawed   float64 // when the gatekeeper last found that it had itself stood still
 	begun    bool
@@ -482,6 +483,21 @@
 	}
 }
 
+// full is when the slice of a txn's ceiling is full again, if all that is kept goes out too.
+func (g *Gatekeeper) full(t *txn) float64 {
+	c, p := &g.accounts[t.acct], &g.plans[t.plan]
+	if p.ceilRate <= 0 {
+		return 0
+	}
+	return math.Max(c.ceilingAt, g.now) + c.kept*float64(c.n)/p.ceilRate
+}
+
+// order is the decision that sends a txn's newest submission to a worker.
+func (g *Gatekeeper) order(t *txn, wi int) Decision {
+	return Decision{Kind: Submit, Txn: t.id, Worker: wi, N: len(t.subs) - 1, Wait: t.expiry - g.now,
+		Full: g.full(t)}
+}
+
 // seat notes whether a submission counts as in hand.
 func (g *Gatekeeper) seat(s *submission, in bool) {
 	if s.placed != in {
