--- a/cmd/willowdeck/main.go
+++ b/cmd/willowdeck/main.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"fmt"
+	"net/netip"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -34,13 +35,17 @@
 		Sources: cli.EnvVars("WILLOWDECK_FORWARD")}
 	left := &cli.StringFlag{Name: "residue", Usage: "the `FILE` that outlives a sudden end",
 		Sources: cli.EnvVars("WILLOWDECK_RESIDUE")}
+	ask := &cli.StringSliceFlag{Name: "ask", Usage: "ask the instance whose operators' port is at `HOST:PORT`",
+		Sources: cli.EnvVars("WILLOWDECK_ASK")}
+	tell := &cli.BoolFlag{Name: "tell", Usage: "tell others the list at the operators' port",
+		Sources: cli.EnvVars("WILLOWDECK_TELL")}
 	fleetFile := &cli.StringFlag{Name: "file", Usage: "the fleet's `FILE`", Required: true}
 	return &cli.Command{
 		Name:  "willowdeck",
 		Usage: "holds customers to quotas before a shared back end",
 		Commands: []*cli.Command{
 			{Name: "serve", Usage: "run a gatekeeper until SIGTERM; SIGHUP reads its file anew",
-				Flags: []cli.Flag{file, forward, left, level}, Action: serve},
+				Flags: []cli.Flag{file, forward, left, ask, tell, level}, Action: serve},
 			{Name: "fleet", Usage: "keep many gatekeepers on this host until SIGTERM; SIGHUP reads the file anew",
 				Flags: []cli.Flag{fleetFile, level}, Action: keep},
 			{Name: "check", Usage: "read and check the configuration, and say what it holds",
@@ -85,7 +90,12 @@
 // readAll reads a gatekeeper's configuration, and the operator files there are.
 func readAll(c *cli.Command) (config.Gatekeeper, error) {
 	conf, err := config.Read(c.String("config"), os.Getenv)
-	conf.Residue = c.String("residue")
+	conf.Residue, conf.Ask, conf.Tells = c.String("residue"), c.StringSlice("ask"), c.Bool("tell")
+	for _, at := range conf.Ask {
+		if _, bad := netip.ParseAddrPort(at); err == nil && bad != nil {
+			err = fmt.Errorf("ask: %w", bad)
+		}
+	}
 	if path := c.String("forward"); err == nil && path != "" {
 		conf.Forward, err = config.ReadForward(path, &conf)
 	}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -37,6 +37,8 @@
 	PeerPort  netip.AddrPort   // where peers' datagrams arrive; not valid where peers are not talked to
 	Peers     []netip.AddrPort // by number, this gatekeeper's own included
 	Known     roster.List
+	Ask       []string // operators' ports of running instances, that a newcomer asks for their list
+	Tells     bool     // newcomers may ask this one for its list, at the operators' port
 	Residue   string   // the file that outlives a sudden end of this process; empty where none is kept
 	Forward   *Forward // nil where forward authentication is off
 	Terms
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -27,6 +27,7 @@
 
 var (
 	chaosFor  = flag.Duration("chaos", 12*time.Second, "how long instances are killed at random")
+	remember  = flag.Bool("remember", true, "whether those that are killed remember what they spent")
 	instances = flag.Int("instances", 5, "how many there are")
 )
 
@@ -209,6 +210,7 @@
 // goes beyond its ceiling by more than the stated slack.
 func TestChaos(t *testing.T) {
 	d := prepare(t, *instances)
+	d.write(*instances, fmt.Sprintf("remember = %t", *remember))
 	x := d.daemon()
 	defer x.Stop()
 	d.until(x, d.n)
@@ -434,3 +436,50 @@
 		t.Errorf("even %v, burst %v, twice %v", beyond(even), beyond(burst), beyond(twice))
 	}
 }
+
+// A worker drains, discovery falls silent, one instance is killed: it comes back with the list of its file, in
+// which the worker is well. Told by the others, it sends it nothing; without them it does.
+func TestNewcomerIsTold(t *testing.T) {
+	for _, warm := range []bool{true, false} {
+		d := prepare(t, 3)
+		d.write(3, fmt.Sprintf("warm = %t", warm))
+		x := d.daemon()
+		d.until(x, 3)
+		e := d.workers[0].Of("z")
+		e.Status = "leaving"
+		d.list.Tell(e)
+		time.Sleep(300 * time.Millisecond)
+		d.list.Down(true)
+		x.mu.Lock()
+		for _, s := range x.keeper.Standings() {
+			if r := x.runs[s.Process]; s.Name == "g-1" {
+				syscall.Kill(r.Pid, syscall.SIGKILL)
+			}
+		}
+		x.mu.Unlock()
+		for range 100 {
+			time.Sleep(20 * time.Millisecond)
+			if all := x.Standings(); all[1].Restarts == 1 && all[1].State == Ready {
+				break
+			}
+		}
+		d.until(x, 3)
+		time.Sleep(100 * time.Millisecond) // it is told within some ms; nothing waits for it
+		before := len(d.workers[0].Got())
+		var all []traffic.Arrival
+		for i := range 300 { // the other two know of the drain
+			all = append(all, traffic.Arrival{At: float64(i), Customer: i % 50, Units: 1, Set: i})
+		}
+		j := &load.Job{Arrivals: all, Targets: d.targets(3), Spread: 3, Plans: []string{"basic"}, Most: 100,
+			Products: []load.Product{{Name: "check", Repeat: "inquiry", Waits: 400 * time.Millisecond}}}
+		r, err := j.Run(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		n := len(d.workers[0].Got()) - before
+		if settled := r.Counts["check"][load.Settled]; settled < 100 || (n == 0) != warm {
+			t.Errorf("told %v: %d settled, %d sent to the worker that drains", warm, settled, n)
+		}
+		x.Stop()
+	}
+}
--- a/internal/fleet/host.go
+++ b/internal/fleet/host.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"github.com/rs/zerolog"
+
+	"willowdeck/internal/warm"
 )
 
 // lookEach is how often instances are asked for their health, and those that are not the daemon's own
@@ -254,6 +256,12 @@
 	cmd.Env = append(os.Environ(), "NODE_CONFIG="+file, "NODE_NAME="+name, "NODE_CONTROL="+r.Control,
 		"NODE_FD=3",
 		"TMPDIR="+dir)
+	if d.fleet.Warm {
+		cmd.Env = append(cmd.Env, "WILLOWDECK_TELL=true")
+		if ask := d.running(name); len(ask) > 0 {
+			cmd.Env = append(cmd.Env, "WILLOWDECK_ASK="+strings.Join(ask, ","))
+		}
+	}
 	if d.fleet.Remember {
 		cmd.Env = append(cmd.Env, "WILLOWDECK_RESIDUE="+filepath.Join(dir, "residue"))
 	}
@@ -278,6 +286,16 @@
 	return nil
 }
 
+// running gives the operators' ports of a few other instances that serve, under the lock.
+func (d *Daemon) running(but string) (all []string) {
+	for _, r := range d.runs {
+		if r.ready && r.Instance != but && len(all) < warm.Peers {
+			all = append(all, r.Control)
+		}
+	}
+	return all
+}
+
 // gone books the end of a process, under the lock.
 func (d *Daemon) gone(r *running) {
 	if _, there := d.runs[r.number]; !there {
--- a/internal/lifecycle/start.go
+++ b/internal/lifecycle/start.go
@@ -4,8 +4,10 @@
 import (
 	"context"
 	"math"
+	"math/rand"
 	"runtime"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -18,6 +20,7 @@
 	"willowdeck/internal/portal"
 	"willowdeck/internal/residue"
 	"willowdeck/internal/vouch"
+	"willowdeck/internal/warm"
 	"willowdeck/internal/wire"
 	"willowdeck/internal/wire/roster"
 	"willowdeck/logic"
@@ -43,9 +46,11 @@
 	ended  chan int64         // the version that it got to
 	served chan error
 	owner  atomic.Pointer[handover.Owner] // where another process may take over from this one
-	portal *portal.Portal                 // nil where portals do not ask
-	vouch  *vouch.Voucher                 // nil where no auth service is asked
-	said   time.Time                      // when the log last told that the watch had ended
+	lists  sync.Mutex                     // of list, and of what the desk is told of it
+	list   *warm.Book
+	portal *portal.Portal // nil where portals do not ask
+	vouch  *vouch.Voucher // nil where no auth service is asked
+	said   time.Time      // when the log last told that the watch had ended
 }
 
 // Start brings a gatekeeper up: when it returns, clients are served.
@@ -88,6 +93,7 @@
 	}
 	g.desk = gate.NewDesk(c.Charter, c.Seed, c.Lines.AnswerSlack+socketSlack, tell, g.links.Shed)
 	g.desk.Roster(c.Known)
+	g.list = warm.NewBook(c.Known)
 	g.front = wire.NewFront(c.Names, c.Charter, g.forward(gate.New(g.desk, g.links)), g.up)
 	g.front.Nameless = g.vouch != nil && c.Forward.Asking.Customer != ""
 
@@ -113,6 +119,9 @@
 	}
 	g.At = l.Addr().String()
 	g.watch(c.Known.Version)
+	if len(c.Ask) > 0 {
+		go g.ask(c.Ask, rand.New(rand.NewSource(c.Seed)))
+	}
 	switch {
 	case before != nil:
 		go g.inherit(before)
@@ -168,12 +177,14 @@
 	addr, ended := g.conf.Discovery, make(chan int64, 1)
 	g.unwind, g.ended = cancel, ended
 	go func() {
-		ended <- wire.Watch(ctx, addr, version, g.news, g.unheard)
+		ended <- wire.Watch(ctx, addr, version, g.news, g.alive, g.unheard)
 	}()
 }
 
 func (g *Gatekeeper) news(l roster.List) {
-	g.desk.Roster(l)
+	g.lists.Lock()
+	g.desk.Roster(g.list.Discovery(l, g.desk.Now()))
+	g.lists.Unlock()
 	g.log.Debug().Int64("version", l.Version).Bool("whole", l.Whole).Int("workers", len(l.Workers)).Msg("list")
 }
 
--- /dev/null
+++ b/internal/lifecycle/warm.go
@@ -0,0 +1,99 @@
+package lifecycle
+
+import (
+	"fmt"
+	"math/rand"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"willowdeck/internal/ops"
+	"willowdeck/internal/warm"
+	"willowdeck/internal/wire"
+	"willowdeck/internal/wire/roster"
+)
+
+// alive notes that discovery is heard.
+func (g *Gatekeeper) alive() {
+	g.lists.Lock()
+	defer g.lists.Unlock()
+	if whole, changed := g.list.Alive(g.desk.Now()); changed {
+		g.desk.Roster(whole)
+	}
+}
+
+// Tells tells whether newcomers may ask here.
+func (g *Gatekeeper) Tells() bool { return g.conf.Tells }
+
+// List gives what a newcomer may be told of workers; false where discovery has not spoken here.
+func (g *Gatekeeper) List() (list []byte, age float64, ok bool) {
+	g.lists.Lock()
+	defer g.lists.Unlock()
+	l, age, ok := g.list.Tells(g.desk.Now())
+	if ok {
+		var err error
+		if list, err = roster.Append(nil, l); err != nil {
+			return nil, 0, false
+		}
+	}
+	return list, age, ok
+}
+
+// ask asks running instances for their list until discovery has spoken. Nothing waits for it.
+func (g *Gatekeeper) ask(peers []string, rng *rand.Rand) {
+	client := fasthttp.Client{MaxResponseBodySize: warm.LongestOf, MaxIdemponentCallAttempts: 1,
+		NoDefaultUserAgentHeader: true, ReadTimeout: wire.Millis(warm.AskWithin)}
+	for {
+		for _, at := range peers {
+			g.lists.Lock()
+			waits := g.list.Waits()
+			g.lists.Unlock()
+			if !waits {
+				return
+			}
+			l, age, err := listOf(&client, at)
+			if err != nil {
+				g.log.Debug().Err(err).Str("peer", at).Msg("no list from a peer")
+				continue
+			}
+			g.lists.Lock()
+			whole, changed := g.list.Peer(l, age)
+			if changed {
+				g.desk.Roster(whole)
+			}
+			g.lists.Unlock()
+			if changed {
+				g.log.Info().Str("peer", at).Int64("version", l.Version).Float64("age_ms", age).
+					Int("workers", len(whole.Workers)).Msg("going by a peer's list until discovery speaks")
+			}
+		}
+		select {
+		case <-g.over:
+			return
+		case <-time.After(wire.Millis(warm.AskAgain * (0.5 + rng.Float64()))):
+		}
+	}
+}
+
+// listOf asks an instance for its list.
+func listOf(client *fasthttp.Client, at string) (roster.List, float64, error) {
+	req, res := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(res)
+	req.SetRequestURI("http://" + at + ops.ListPath)
+	req.SetConnectionClose()
+	if err := client.DoTimeout(req, res, wire.Millis(warm.AskWithin)); err != nil {
+		return roster.List{}, 0, err
+	}
+	if v := string(res.Header.Peek(ops.VersionHeader)); res.StatusCode() != fasthttp.StatusOK ||
+		v != strconv.Itoa(warm.Version) {
+		return roster.List{}, 0, fmt.Errorf("status %d, version %q", res.StatusCode(), v)
+	}
+	age, err := strconv.ParseFloat(string(res.Header.Peek(ops.AgeHeader)), 64)
+	if err != nil {
+		return roster.List{}, 0, fmt.Errorf("%s: %w", ops.AgeHeader, err)
+	}
+	l, err := roster.Decode(res.Body())
+	return l, age, err
+}
--- a/internal/ops/ops.go
+++ b/internal/ops/ops.go
@@ -11,6 +11,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"willowdeck/internal/warm"
 	"willowdeck/internal/wire"
 	"willowdeck/logic"
 )
@@ -45,6 +46,19 @@
 	Note(what string) // a call that changes something, for the log
 }
 
+// Teller is a desk that tells newcomers its list of workers, and how many ms ago it was last heard to be so.
+type Teller interface {
+	Tells() bool // whether newcomers may ask here at all
+	List() (list []byte, age float64, ok bool)
+}
+
+// What a newcomer asks for, and what the answer says beside the list.
+const (
+	ListPath      = "/admin/list"
+	VersionHeader = "X-Willowdeck-Version"
+	AgeHeader     = "X-Age-Ms"
+)
+
 // Port answers operators' calls.
 type Port struct {
 	At     string
@@ -90,6 +104,7 @@
 var calls = map[string]call{
 	"/admin/health":  {fasthttp.MethodGet, (*Port).health},
 	"/admin/stats":   {fasthttp.MethodGet, (*Port).stats},
+	ListPath:         {fasthttp.MethodGet, (*Port).list},
 	"/admin/quiesce": {fasthttp.MethodPut, (*Port).quiesce},
 	"/admin/resume":  {fasthttp.MethodPut, (*Port).resume},
 }
@@ -118,6 +133,23 @@
 
 func (p *Port) stats(ctx *fasthttp.RequestCtx) { ctx.SetBody(Append(nil, p.desk.Figures())) }
 
+func (p *Port) list(ctx *fasthttp.RequestCtx) {
+	t, ok := p.desk.(Teller)
+	if !ok || !t.Tells() {
+		say(ctx, fasthttp.StatusNotFound, "no such call")
+		return
+	}
+	list, age, ok := t.List()
+	if !ok {
+		say(ctx, fasthttp.StatusServiceUnavailable, "nothing to tell yet")
+		return
+	}
+	ctx.Response.Header.Set(VersionHeader, strconv.Itoa(warm.Version))
+	ctx.Response.Header.Set(AgeHeader, strconv.FormatFloat(age, 'f', 0, 64))
+	ctx.SetContentType("application/json")
+	ctx.SetBody(list)
+}
+
 func (p *Port) quiesce(ctx *fasthttp.RequestCtx) {
 	p.desk.Note("quiesce")
 	p.desk.Quiesce()
--- /dev/null
+++ b/internal/warm/warm.go
@@ -0,0 +1,126 @@
+// Package warm is what a newcomer goes by for its list of workers until discovery has spoken to it: its own
+// list, and what running instances say of theirs. It decides what of that is believed, and is free of I/O.
+package warm
+
+import (
+	"slices"
+	"strings"
+
+	"willowdeck/internal/wire/roster"
+)
+
+const (
+	Version   = 1       // of what instances tell each other; another one is not heard
+	Peers     = 3       // instances that are asked; one may be down and one wrong
+	AskWithin = 300.0   // ms for one to answer; a list takes some ms
+	AskAgain  = 500.0   // ms until they are asked again while discovery says nothing, with jitter of half
+	MostAge   = 60000.0 // ms since a peer last heard discovery; longer ago its list is no news to anyone
+	LongestOf = 8 << 20 // bytes of a peer's list; discovery's own bound
+)
+
+// Book is a newcomer's knowledge of the list. It is not safe for concurrent use.
+type Book struct {
+	version int64
+	own     map[string]roster.Worker // as discovery has told it, or as it was known at the start
+	heard   bool                     // discovery has spoken in this life
+	at      float64                  // when it last did, ms
+	hearsay roster.List              // the newest of peers' lists that is gone by
+	inForce bool
+}
+
+// NewBook begins with the list that was known at the start, which may be old.
+func NewBook(known roster.List) *Book {
+	b := &Book{own: map[string]roster.Worker{}}
+	b.take(known)
+	return b
+}
+
+func (b *Book) take(l roster.List) {
+	if l.Whole {
+		clear(b.own)
+	}
+	for _, w := range l.Workers {
+		if w.Gone {
+			delete(b.own, w.Name)
+		} else {
+			b.own[w.Name] = w
+		}
+	}
+	b.version = l.Version
+}
+
+// Discovery takes discovery's news, and gives what is to be gone by from then on: the news itself or, where
+// hearsay was in force till then, the whole list.
+func (b *Book) Discovery(l roster.List, now float64) roster.List {
+	b.take(l)
+	if whole, changed := b.Alive(now); changed {
+		return whole
+	}
+	return l
+}
+
+// Alive notes that discovery is heard, whether it has news or not. Hearsay ends with that: where it was in
+// force, the whole list is to be gone by again.
+func (b *Book) Alive(now float64) (roster.List, bool) {
+	b.heard, b.at = true, now
+	if !b.inForce {
+		return roster.List{}, false
+	}
+	b.inForce, b.hearsay = false, roster.List{}
+	return b.Own(), true
+}
+
+// Own gives the list without hearsay, in the order of names.
+func (b *Book) Own() roster.List {
+	l := roster.List{Version: b.version, Whole: true}
+	for _, w := range b.own {
+		l.Workers = append(l.Workers, w)
+	}
+	slices.SortFunc(l.Workers, func(x, y roster.Worker) int { return strings.Compare(x.Name, y.Name) })
+	return l
+}
+
+// Tells gives what a newcomer may be told, and how old it is: only what discovery has said in this life.
+// Guards against hearsay that goes round.
+func (b *Book) Tells(now float64) (l roster.List, age float64, ok bool) {
+	if !b.heard {
+		return l, 0, false
+	}
+	return b.Own(), now - b.at, true
+}
+
+// Waits tells whether discovery has not spoken yet.
+func (b *Book) Waits() bool { return !b.heard }
+
+// Peer takes a peer's list, of an age, and gives the whole list that is to be gone by if that changes it. Own
+// sight beats hearsay: once discovery has spoken nothing is believed. Newer beats older, by discovery's own
+// versions. And hearsay only takes away, or adds what is not known here: guards against a peer that is wrong
+// about a worker that drains, which must get nothing new whatever anybody else says. Nor may it take all
+// away.
+func (b *Book) Peer(l roster.List, age float64) (roster.List, bool) {
+	if b.heard || !l.Whole || l.Version <= b.version || l.Version <= b.hearsay.Version || !(age >= 0) ||
+		age > MostAge {
+		return roster.List{}, false
+	}
+	merged := roster.List{Version: b.version, Whole: true}
+	active := false
+	for _, w := range l.Workers {
+		if w.Gone {
+			continue
+		}
+		if own, known := b.own[w.Name]; known {
+			w.Active = w.Active && own.Active
+			w.Since = max(w.Since, own.Since) // of two starts the later one, so that it counts as cold
+			if !w.Active {
+				w.Address = own.Address
+			}
+		}
+		active = active || w.Active
+		merged.Workers = append(merged.Workers, w)
+	}
+	if !active {
+		return roster.List{}, false
+	}
+	b.hearsay, b.inForce = l, true
+	return merged, true
+}
--- a/internal/wire/discovery.go
+++ b/internal/wire/discovery.go
@@ -17,12 +17,12 @@
 )
 
 // Watch follows discovery's list from a version on until ctx ends, and gives each change to tell as soon as
-// it is read. It opens the watch again when that ends or falls silent, and reports why to failed. It returns
-// the version that it got to.
-func Watch(ctx context.Context, addr string, version int64, tell func(roster.List),
+// it is read; alive hears of each line without news. It opens the watch again when that ends or falls silent,
+// and reports why to failed. It returns the version that it got to.
+func Watch(ctx context.Context, addr string, version int64, tell func(roster.List), alive func(),
 	failed func(error)) int64 {
 	for ctx.Err() == nil {
-		err := watchOnce(ctx, addr, &version, tell)
+		err := watchOnce(ctx, addr, &version, tell, alive)
 		if ctx.Err() != nil {
 			break
 		}
@@ -35,7 +35,8 @@
 	return version
 }
 
-func watchOnce(ctx context.Context, addr string, version *int64, tell func(roster.List)) error {
+func watchOnce(ctx context.Context, addr string, version *int64, tell func(roster.List),
+	alive func()) error {
 	d := net.Dialer{Timeout: Millis(logic.WatchQuiet), KeepAlive: -1}
 	conn, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
@@ -67,6 +68,7 @@
 		}
 		line := bytes.TrimSpace(lines.Bytes())
 		if len(line) == 0 {
+			alive()
 			continue
 		}
 		l, err := roster.Decode(line)
--- a/internal/wire/roster/roster.go
+++ b/internal/wire/roster/roster.go
@@ -27,18 +27,48 @@
 	Workers []Worker
 }
 
-// Decode reads one JSON object. A list that breaks the form gives an error and nothing else.
-func Decode(raw []byte) (List, error) {
-	var m struct {
-		Index     int64
-		Snapshot  bool
-		Endpoints []struct {
-			Name, Address, Zone, Status, Type string
-			Group                             int
-			Weight                            float64
-			SinceMs                           float64 `json:"since_ms"`
+// entry is a worker in the list's own form.
+type entry struct {
+	Name    string  `json:"name"`
+	Address string  `json:"address"`
+	Zone    string  `json:"zone"`
+	Status  string  `json:"status"`
+	Type    string  `json:"type"`
+	Group   int     `json:"group"`
+	Weight  float64 `json:"weight"`
+	SinceMs float64 `json:"since_ms"`
+}
+
+type message struct {
+	Index     int64   `json:"index"`
+	Snapshot  bool    `json:"snapshot"`
+	Endpoints []entry `json:"endpoints"`
+}
+
+// Append encodes a list as one JSON object.
+func Append(dst []byte, l List) ([]byte, error) {
+	m := message{Index: l.Version, Snapshot: l.Whole, Endpoints: []entry{}}
+	for _, w := range l.Workers {
+		e := entry{Name: w.Name, Zone: w.Zone, Type: w.Kind, Group: w.Cell, Weight: w.Rating, SinceMs: w.Since,
+			Status: "leaving"}
+		if w.Address.IsValid() {
+			e.Address = w.Address.String()
 		}
+		switch {
+		case w.Active:
+			e.Status = "active"
+		case w.Gone:
+			e.Status = "left"
+		}
+		m.Endpoints = append(m.Endpoints, e)
 	}
+	b, err := json.Marshal(m)
+	return append(dst, b...), err
+}
+
+// Decode reads one JSON object. A list that breaks the form gives an error and nothing else.
+func Decode(raw []byte) (List, error) {
+	var m message
 	if err := json.Unmarshal(raw, &m); err != nil {
 		return List{}, fmt.Errorf("list of workers: %w", err)
 	}
