--- a/internal/fleet/file.go
+++ b/internal/fleet/file.go
@@ -118,7 +118,8 @@
 	case f.Step < 1:
 		return nil, fmt.Errorf("step: %d is under one", f.Step)
 	}
-	fl := &Fleet{Remember: f.Remember, Warm: f.Warm, Name: f.Name, Program: f.Program, RunDir: f.RunDir, Control: f.Control,
+	fl := &Fleet{Remember: f.Remember, Warm: f.Warm,
+		Name: f.Name, Program: f.Program, RunDir: f.RunDir, Control: f.Control,
 		Pace: Pace{First: f.Restart.FirstMS, Most: f.Restart.MostMS, Calm: f.Restart.CalmS * 1000,
 			Within: f.ReadyS * 1000, Grace: f.GraceS * 1000, Step: f.Step}}
 	taken := map[netip.AddrPort]string{}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -437,8 +437,8 @@
 	}
 }
 
-// A worker drains, discovery falls silent, one instance is killed: it comes back with the list of its file, in
-// which the worker is well. Told by the others, it sends it nothing; without them it does.
+// A worker drains, discovery falls silent, one instance is killed: it comes back with the list of its file,
+// in which the worker is well. Told by the others, it sends it nothing; without them it does.
 func TestNewcomerIsTold(t *testing.T) {
 	for _, warm := range []bool{true, false} {
 		d := prepare(t, 3)
--- a/internal/residue/residue.go
+++ b/internal/residue/residue.go
@@ -27,8 +27,8 @@
 	header   = 256     // bytes
 	place    = 16      // bytes of one
 	size     = header + places*place
-	step     = 50.0                   // ms by which the system's clock may differ from the machine's own and count as true
-	pressAge = 10000.0                // ms; how pressed a gatekeeper was tells of so long, as what it goes by fades faster
+	step     = 50.0                   // ms by which the system's clock may leave the machine's own
+	pressAge = 10000.0                // ms; older news of how pressed it was tells nothing
 	dying    = 100 * time.Millisecond // in which one that was killed lets its files go; seen: some ms
 	looks    = 16                     // places looked at for one that is of no more use
 )
@@ -251,7 +251,8 @@
 	}
 }
 
-// Void has the file say nothing to whoever opens it next, and lets it go: another process spends from here on.
+// Void has the file say nothing to whoever opens it next, and lets it go: another process spends from here
+// on.
 func (r *File) Void() {
 	r.store(atMagic, 0)
 	r.Close()
--- a/internal/warm/warm_test.go
+++ b/internal/warm/warm_test.go
@@ -40,8 +40,10 @@
 	}{
 		{"older", whole(6, worker("a", false)), 1, ""},
 		{"of the same version", whole(7, worker("a", true)), 1, ""},
-		{"newer: one drains, one is gone, one is new", whole(8, worker("a", false), worker("d", true)), 1, "(a) d "},
-		{"newer, and wrong about one that drains", whole(8, worker("a", true), worker("b", true)), 1, "a (b) "},
+		{"newer: one drains, one is gone, one is new", whole(8, worker("a", false), worker("d", true)), 1,
+			"(a) d "},
+		{"newer, and wrong about one that drains", whole(8, worker("a", true), worker("b", true)), 1,
+			"a (b) "},
 		{"newer, and all are gone", whole(8), 1, ""},
 		{"newer, and none takes anything", whole(8, worker("a", false)), 1, ""},
 		{"not whole", roster.List{Version: 8, Workers: []roster.Worker{worker("a", false)}}, 1, ""},
