Membership in service: instances take another number up by SIGHUP, and parts stay within the whole

Need: growing or shrinking a fleet replaced every instance. Reload now takes up the number of gatekeepers and their addresses where nothing else has changed; the daemon asks for it (Renew), waits until each says what it reckons with, and replaces one that does not. Module: Resize. With real processes: the first instance keeps its pid from 2 to 4 to 1 instances, a customer under one ceiling at four of them stays within it. Seen and mended on the way: accounts were brought up to date against the ring of the new number, a crash.

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -304,12 +304,44 @@
 	x := d.daemon()
 	defer x.Stop()
 	d.until(x, 2)
-	d.write(4, "")
-	x.Reload(Read(d.file))
-	d.until(x, 4)
-	d.write(1, "")
-	x.Reload(Read(d.file))
-	d.until(x, 1)
+	pid := func() int {
+		x.mu.Lock()
+		defer x.mu.Unlock()
+		return x.runs[x.keeper.Standings()[0].Process].Pid
+	}
+	first := pid()
+	grow := func(n int) {
+		t.Helper()
+		d.write(n, "")
+		x.Reload(Read(d.file))
+		d.until(x, n)
+		if pid() != first {
+			b, _ := os.ReadFile(filepath.Join(d.dir, "run", "g-0", "log"))
+			t.Errorf("the first instance was replaced on the way to %d: %s", n, b)
+		}
+	}
+	grow(4)
+	// All reckon with four: a set of four is taken by each, under one ceiling.
+	var all []traffic.Arrival
+	for i := range 600 {
+		all = append(all, traffic.Arrival{At: float64(i * 3), Customer: 100, Plan: 1, Units: 1, Set: i})
+	}
+	j := &load.Job{Arrivals: all, Targets: d.targets(4), Spread: 4, Plans: []string{"basic", "capped"},
+		Most:     100,
+		Products: []load.Product{{Name: "check", Repeat: "inquiry", Waits: 400 * time.Millisecond}}}
+	r, err := j.Run(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	var capped []time.Time
+	for _, got := range standin.InOrder(d.workers) {
+		capped = append(capped, got.At)
+	}
+	c := r.Counts["check"]
+	if over := beyond(capped); over > 0 || len(capped) < 30 || c[load.Voided]+c[load.NoAnswer] > 0 {
+		t.Errorf("%.1f units beyond the ceiling, of %d; %v", over, len(capped), c)
+	}
+	grow(1)
 	time.Sleep(200 * time.Millisecond)
 	for end := time.Now().Add(6 * time.Second); ; time.Sleep(50 * time.Millisecond) {
 		x.mu.Lock()
--- a/internal/fleet/host.go
+++ b/internal/fleet/host.go
@@ -5,11 +5,13 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"reflect"
 	"strings"
 	"sync"
 	"syscall"
@@ -59,6 +61,7 @@
 	number   int
 	ready    bool
 	child    bool
+	renewing bool // it has been told to read its configuration anew
 }
 
 // NewDaemon starts a daemon: it takes over the instances that one before it has left, and starts the others.
@@ -108,6 +111,10 @@
 		case Kill:
 			d.log.Warn().Str("instance", v.Instance).Msg("ended by force")
 			d.signal(v.Process, syscall.SIGKILL)
+		case Renew:
+			if err := d.renew(v.Instance, v.Process); err != nil {
+				d.log.Error().Err(err).Str("instance", v.Instance).Msg("not renewed")
+			}
 		case Wake:
 			d.timer.Reset(time.Duration((v.At - d.now()) * float64(time.Millisecond)))
 			return
@@ -143,22 +150,31 @@
 // look asks those that are not ready for their health, and finds adopted ones that are no more.
 func (d *Daemon) look() {
 	d.mu.Lock()
-	var ask []*running
+	var ask, renewing []*running
 	for _, r := range d.runs {
 		if !r.child && born(r.Pid) != r.Born {
 			d.gone(r)
 		} else if !r.ready {
 			ask = append(ask, r)
+		} else if r.renewing {
+			renewing = append(renewing, r)
 		}
 	}
+	members := fmt.Sprintf("svc.members=%d\n", len(d.fleet.Instances))
 	d.mu.Unlock()
-	for _, r := range ask {
-		res, err := d.client.Get("http://" + r.Control + "/admin/health")
-		if err != nil {
-			continue
+	for _, r := range renewing {
+		if figures, err := d.call(r, "/admin/stats"); err == nil && strings.Contains(figures, members) {
+			d.mu.Lock()
+			if r.renewing && bytes.Equal(r.Config, d.by[r.Instance].in.Config) {
+				r.renewing = false
+				d.keeper.Renewed(r.Instance, r.number)
+				d.log.Info().Str("instance", r.Instance).Int("pid", r.Pid).Msg("has taken up who the others are")
+			}
+			d.mu.Unlock()
 		}
-		res.Body.Close()
-		if res.StatusCode == http.StatusOK {
+	}
+	for _, r := range ask {
+		if _, err := d.call(r, "/admin/health"); err == nil {
 			d.mu.Lock()
 			r.ready = true
 			d.keeper.Ready(r.Instance, r.number)
@@ -168,10 +184,24 @@
 	}
 }
 
+// call asks a process at its operators' port. An error is any answer but a yes.
+func (d *Daemon) call(r *running, path string) (string, error) {
+	res, err := d.client.Get("http://" + r.Control + path)
+	if err != nil {
+		return "", err
+	}
+	defer res.Body.Close()
+	b, err := io.ReadAll(io.LimitReader(res.Body, 1<<20))
+	if err == nil && res.StatusCode != http.StatusOK {
+		err = fmt.Errorf("status %d", res.StatusCode)
+	}
+	return string(b), err
+}
+
 // want takes a fleet's file up, under the lock. What an instance is told decides whether it has changed.
 func (d *Daemon) want(f *Fleet) {
 	var names []string
-	changed := map[string]bool{}
+	changed := map[string]Change{}
 	for _, in := range f.Instances {
 		names = append(names, in.Name)
 		p := d.by[in.Name]
@@ -179,7 +209,9 @@
 			p = &place{}
 			d.by[in.Name] = p
 		} else if !bytes.Equal(p.in.Config, in.Config) {
-			changed[in.Name] = true
+			if changed[in.Name] = changeOf(p.in.Config, in.Config); !f.Warm { // they do not say what they reckon with
+				changed[in.Name] = More
+			}
 		}
 		if p.listener != nil && p.in.Listen != in.Listen {
 			_ = p.listener.Close()
@@ -192,6 +224,24 @@
 	d.keeper.Want(names, changed)
 }
 
+// changeOf tells in what two configurations differ.
+func changeOf(old, now []byte) Change {
+	var a, b map[string]any
+	if json.Unmarshal(old, &a) != nil || json.Unmarshal(now, &b) != nil {
+		return More
+	}
+	for _, c := range []map[string]any{a, b} {
+		delete(c, "peers")
+		if s, ok := c["settings"].(map[string]any); ok {
+			delete(s, "balancers")
+		}
+	}
+	if reflect.DeepEqual(a, b) {
+		return Members
+	}
+	return More
+}
+
 // Reload takes a fleet's file up that has been read anew; where it could not be, the old one stays in force.
 func (d *Daemon) Reload(f *Fleet, err error) {
 	if err == nil && (f.RunDir != d.fleet.RunDir || f.Control != d.fleet.Control || f.Name != d.fleet.Name) {
@@ -222,6 +272,34 @@
 	}
 }
 
+// renew has a process read its configuration anew, under the lock.
+func (d *Daemon) renew(name string, number int) error {
+	r, p := d.runs[number], d.by[name]
+	if r == nil {
+		return nil
+	}
+	if err := d.write(name, p.in.Config); err != nil {
+		return err
+	}
+	r.Config, r.renewing = p.in.Config, true
+	d.note(r)
+	d.signal(number, syscall.SIGHUP)
+	return nil
+}
+
+// write writes an instance's configuration, whole or not at all.
+func (d *Daemon) write(name string, config []byte) error {
+	file := d.configOf(name)
+	if err := os.WriteFile(file+".part", config, 0o600); err != nil {
+		return err
+	}
+	return os.Rename(file+".part", file)
+}
+
+func (d *Daemon) configOf(name string) string {
+	return filepath.Join(d.fleet.RunDir, name, "config.json")
+}
+
 // spawn starts a process, under the lock.
 func (d *Daemon) spawn(name string, number int) error {
 	p := d.by[name]
@@ -240,8 +318,8 @@
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return err
 	}
-	file := filepath.Join(dir, "config.json")
-	if err := os.WriteFile(file, p.in.Config, 0o600); err != nil {
+	file := d.configOf(name)
+	if err := d.write(name, p.in.Config); err != nil {
 		return err
 	}
 	log, err := os.OpenFile(filepath.Join(dir, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -370,7 +448,7 @@
 			p.turn = 1
 		}
 		if !bytes.Equal(r.Config, p.in.Config) { // the file has changed meanwhile
-			d.keeper.Want(d.names(), map[string]bool{r.Instance: true})
+			d.keeper.Want(d.names(), map[string]Change{r.Instance: More})
 		}
 		d.log.Info().Str("instance", r.Instance).Int("pid", r.Pid).Msg("taken over")
 	}
--- a/internal/fleet/keeper.go
+++ b/internal/fleet/keeper.go
@@ -41,6 +41,7 @@
 	Start Kind = iota + 1 // a process for an instance; it gets a new number
 	Term                  // tell a process to end
 	Kill                  // end it
+	Renew                 // have it take up what is wanted as it runs
 	Wake                  // call Clock again at time At
 	Done                  // all have ended that were to
 )
@@ -60,14 +61,26 @@
 	ready   bool
 	told    float64 // when it was told to end; below nought it was not
 	killed  bool
-	version int // of the wanted, when it was started
+	version int     // of the wanted, when it was started or took it up
+	renewed float64 // when it was last told to take up what is wanted; below nought it was not
 }
 
+// Change tells how what is wanted of an instance has changed.
+type Change uint8
+
+// The changes.
+const (
+	Same    Change = iota
+	Members        // in who the others are alone: it can take that up as it runs
+	More           // in more: another process has to take its place
+)
+
 // instance is one gatekeeper of the fleet, through its processes.
 type instance struct {
 	name     string
 	wanted   bool
-	version  int // what it is to run; grows with each change
+	version  int  // what it is to run; grows with each change
+	renews   bool // what runs can take that up
 	now      *process
 	next     *process // gets ready to take the place of now
 	failures int
@@ -102,7 +115,7 @@
 func (k *Keeper) Clock(now float64) { k.at = math.Max(k.at, now) }
 
 // Want says which instances there are to be, and which of them have changed since they were last wanted.
-func (k *Keeper) Want(names []string, changed map[string]bool) {
+func (k *Keeper) Want(names []string, changed map[string]Change) {
 	for _, i := range k.order {
 		i.wanted = slices.Contains(names, i.name)
 		i.served = i.served && (i.wanted || i.now != nil)
@@ -114,7 +127,9 @@
 			k.by[name] = i
 			k.order = append(k.order, i)
 		}
-		if changed[name] {
+		if c := changed[name]; c != Same {
+			current := i.now != nil && i.now.version == i.version
+			i.renews = c == Members && (current || i.renews)
 			i.version++
 			i.failures, i.due = 0, math.Min(i.due, k.at) // what failed before may not any more
 		}
@@ -126,7 +141,7 @@
 func (k *Keeper) Adopt(name string) int {
 	k.numbers++
 	if i := k.by[name]; i != nil {
-		i.now = &process{number: k.numbers, began: k.at, told: -1, version: i.version}
+		i.now = &process{number: k.numbers, began: k.at, told: -1, renewed: -1, version: i.version}
 		i.alone, i.served = true, true
 	}
 	return k.numbers
@@ -151,6 +166,13 @@
 	}
 }
 
+// Renewed tells that a process has taken up what is wanted.
+func (k *Keeper) Renewed(name string, number int) {
+	if i := k.by[name]; i != nil && i.now != nil && i.now.number == number && i.now.renewed >= 0 {
+		i.now.version, i.now.renewed, i.renews = i.version, -1, false
+	}
+}
+
 // Ended tells that a process is no more.
 func (k *Keeper) Ended(name string, number int) {
 	i := k.by[name]
@@ -237,6 +259,18 @@
 		k.look(i.due)
 	case i.next != nil && i.next.ready && i.now.told < 0: // its heir is ready: it leaves its place
 		return k.term(i, i.now), true
+	case i.now.ready && i.now.told < 0 && i.next == nil && i.now.version != i.version && i.renews:
+		switch {
+		case k.unwanted: // their parts are not its yet
+		case i.now.renewed < 0:
+			i.now.renewed = k.at
+			return Decision{Kind: Renew, Instance: i.name, Process: i.now.number}, true
+		case k.at >= i.now.renewed+k.pace.Within: // it does not: another process takes its place after all
+			i.renews = false
+			return k.decide(i, busy)
+		default:
+			k.look(i.now.renewed + k.pace.Within)
+		}
 	case i.now.ready && i.now.told < 0 && i.next == nil && i.now.version != i.version:
 		if *busy >= max(k.pace.Step, 1) || k.unwanted { // and theirs are not its yet
 			break
@@ -283,7 +317,7 @@
 
 func (k *Keeper) process(i *instance) *process {
 	k.numbers++
-	return &process{number: k.numbers, began: k.at, told: -1, version: i.version}
+	return &process{number: k.numbers, began: k.at, told: -1, renewed: -1, version: i.version}
 }
 
 // Standing is how an instance stands, for operators.
--- a/internal/fleet/keeper_test.go
+++ b/internal/fleet/keeper_test.go
@@ -22,13 +22,14 @@
 	killed int
 	done   bool
 	parts  map[int]float64 // how many instances a process reckons with
+	renews map[int]float64 // when they will take up what is wanted
 }
 
 func newBench(t *testing.T, names ...string) *bench {
 	b := &bench{t: t, k: NewKeeper(pace, 1), up: map[int]string{}, ready: map[int]float64{},
 		ends:   map[int]float64{},
 		starts: map[string]int{}, sick: map[string]bool{}, deaf: map[string]bool{},
-		parts: map[int]float64{}}
+		parts: map[int]float64{}, renews: map[int]float64{}}
 	b.k.Want(names, nil)
 	return b
 }
@@ -44,6 +45,11 @@
 				delete(b.ready, p)
 				b.k.Ready(name, p)
 			}
+			if at, due := b.renews[p]; runs && due && at <= b.now {
+				delete(b.renews, p)
+				b.parts[p] = b.wanted()
+				b.k.Renewed(name, p)
+			}
 			if at, due := b.ends[p]; runs && due && at <= b.now {
 				delete(b.up, p)
 				b.k.Ended(name, p)
@@ -66,11 +72,7 @@
 	switch d.Kind {
 	case Start:
 		b.starts[d.Instance]++
-		for _, i := range b.k.order {
-			if i.wanted {
-				b.parts[d.Process]++
-			}
-		}
+		b.parts[d.Process] = b.wanted()
 		b.up[d.Process], b.ready[d.Process] = d.Instance, b.now+200
 		if b.sick[d.Instance] {
 			b.ends[d.Process] = b.now + 20
@@ -88,6 +90,10 @@
 		if !b.deaf[d.Instance] {
 			b.ends[d.Process] = b.now + 300
 		}
+	case Renew:
+		if !b.deaf[d.Instance] {
+			b.renews[d.Process] = b.now + 60
+		}
 	case Kill:
 		b.killed++
 		b.ends[d.Process] = b.now + 10
@@ -96,6 +102,16 @@
 	}
 }
 
+// wanted counts the instances that there are to be.
+func (b *bench) wanted() (n float64) {
+	for _, i := range b.k.order {
+		if i.wanted {
+			n++
+		}
+	}
+	return n
+}
+
 func (b *bench) states() string { return fmt.Sprint(b.list()) }
 
 func (b *bench) list() (all []string) {
@@ -167,9 +183,9 @@
 	names := []string{"n0", "n1", "n2", "n3", "n4"}
 	b := newBench(t, names...)
 	b.run(500)
-	all := map[string]bool{}
+	all := map[string]Change{}
 	for _, n := range names {
-		all[n] = true
+		all[n] = More
 	}
 	b.k.Want(names, all)
 	for range 400 {
@@ -201,15 +217,15 @@
 func TestReloadMeets(t *testing.T) {
 	b := newBench(t, "n0", "n1")
 	b.run(500)
-	b.k.Want([]string{"n0", "n1"}, map[string]bool{"n0": true, "n1": true})
+	b.k.Want([]string{"n0", "n1"}, map[string]Change{"n0": More, "n1": More})
 	b.run(100)
-	b.k.Want([]string{"n0", "n2"}, map[string]bool{"n0": true}) // again, one less, one more
+	b.k.Want([]string{"n0", "n2"}, map[string]Change{"n0": More}) // again, one less, one more
 	b.run(4000)
 	if b.states() != "[ready gone ready]" || b.k.Standings()[0].Behind || b.starts["n0"] != 3 {
 		t.Errorf("%s, n0 started %d times", b.states(), b.starts["n0"])
 	}
 	b.sick["n0"] = true
-	b.k.Want([]string{"n0", "n2"}, map[string]bool{"n0": true})
+	b.k.Want([]string{"n0", "n2"}, map[string]Change{"n0": More})
 	b.run(5000)
 	if s := b.k.Standings()[0]; !s.Behind || b.k.by["n0"].now == nil || !b.k.by["n0"].now.ready ||
 		s.Restarts > 0 {
@@ -224,37 +240,43 @@
 
 // While the number of instances changes, the parts that those which serve reckon with never add up to
 // more than the whole: a new one starts once the others reckon with it, and the others grow once an old
-// one has ended.
+// one has ended. Where they can take it up as they run, none is started for it, but one that does not.
 func TestPartsWhileTheNumberChanges(t *testing.T) {
 	names := []string{"n0", "n1", "n2", "n3", "n4", "n5", "n6"}
-	b := newBench(t, names[:3]...)
-	for _, n := range []int{7, 2, 5, 5, 1, 7} {
-		b.run(500)
-		all := map[string]bool{}
-		for _, name := range names[:n] {
-			all[name] = true
-		}
-		b.k.Want(names[:n], all)
-		for range 800 {
-			b.run(10)
-			sum := 0.0
-			for p, name := range b.up {
-				if i := b.k.by[name]; i.now != nil && i.now.number == p {
-					sum += 1 / b.parts[p]
+	for _, change := range []Change{More, Members} {
+		b := newBench(t, names[:3]...)
+		b.deaf["n1"] = change == Members
+		for _, n := range []int{7, 2, 5, 5, 1, 7} {
+			b.run(500)
+			all := map[string]Change{}
+			for _, name := range names[:n] {
+				all[name] = change
+			}
+			b.k.Want(names[:n], all)
+			for range 1200 {
+				b.run(10)
+				sum := 0.0
+				for p, name := range b.up {
+					if i := b.k.by[name]; i.now != nil && i.now.number == p {
+						sum += 1 / b.parts[p]
+					}
+				}
+				if sum > 1+1e-9 {
+					t.Fatalf("on the way to %d the parts add up to %.3f: %s", n, sum, b.states())
 				}
 			}
-			if sum > 1+1e-9 {
-				t.Fatalf("on the way to %d the parts add up to %.3f: %s", n, sum, b.states())
+			serving := 0
+			for _, s := range b.k.Standings() {
+				if s.State == Ready && !s.Behind {
+					serving++
+				}
 			}
-		}
-		serving := 0
-		for _, s := range b.k.Standings() {
-			if s.State == Ready && !s.Behind {
-				serving++
+			if serving != n {
+				t.Errorf("%d of %d serve: %s", serving, n, b.states())
 			}
 		}
-		if serving != n {
-			t.Errorf("%d of %d serve: %s", serving, n, b.states())
+		if one := b.starts["n0"] == 1; one != (change == Members) || b.starts["n1"] < 3 {
+			t.Errorf("change %d: %d and %d starts", change, b.starts["n0"], b.starts["n1"])
 		}
 	}
 }
--- a/internal/gate/desk.go
+++ b/internal/gate/desk.go
@@ -166,6 +166,13 @@
 	d.leave()
 }
 
+// Resize tells the module how many gatekeepers there are from now on.
+func (d *Desk) Resize(n int) {
+	d.enter()
+	d.gk.Resize(n)
+	d.leave()
+}
+
 // Alone tells the module that the process before this one has ended.
 func (d *Desk) Alone() {
 	d.enter()
--- a/internal/lifecycle/operate.go
+++ b/internal/lifecycle/operate.go
@@ -35,6 +35,9 @@
 		p.Settled, p.Declined, p.Voided = g.front.Finals(i)
 	}
 	add := func(name string, v int64) { f.More = append(f.More, ops.Figure{Name: name, Value: v}) }
+	if g.conf.Tells {
+		add("members", g.members.Load())
+	}
 	if g.portal != nil {
 		g.portal.Figures(add)
 	}
--- a/internal/lifecycle/operate_test.go
+++ b/internal/lifecycle/operate_test.go
@@ -174,3 +174,38 @@
 		t.Errorf("stopped after %v", took)
 	}
 }
+
+// The number of gatekeepers is taken up in service, where no more than that has changed: kept connections go
+// on, and a txn of the new set is one of ours.
+func TestResizeInService(t *testing.T) {
+	d := deployWith(t, func(c *config.Gatekeeper) { c.Tells = true }, 1, 5000, `"balancers":1`, `"balancers":2`)
+	c, err := net.Dial("tcp", d.at)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	of := func(id string, n int) string {
+		fmt.Fprint(c, strings.Replace(check("/check", id), "spread=1", fmt.Sprint("spread=", n), 1))
+		status, _ := read(c)
+		return status
+	}
+	if s := of("a", 2); s != "HTTP/1.1 200 OK" {
+		t.Fatal(s)
+	}
+	conf := d.conf
+	conf.Charter.Gatekeepers = 3
+	d.gk.Reload(conf, nil)
+	if s := of("b", 3); s != "HTTP/1.1 200 OK" || d.figure("members") != 3 {
+		t.Errorf("of three: %q, %d", s, d.figure("members"))
+	}
+	conf.Charter.Gatekeepers, conf.Charter.LargestUnits = 4, 7
+	d.gk.Reload(conf, nil)
+	if n := d.figure("members"); n != 3 {
+		t.Errorf("with another charter it takes up %d", n)
+	}
+	conf.Charter.Gatekeepers, conf.Charter.LargestUnits = 1, d.conf.Charter.LargestUnits
+	d.gk.Reload(conf, nil)
+	if s := of("c", 1); s != "HTTP/1.1 200 OK" || d.figure("members") != 1 {
+		t.Errorf("alone: %q, %d", s, d.figure("members"))
+	}
+}
--- a/internal/lifecycle/reload.go
+++ b/internal/lifecycle/reload.go
@@ -1,15 +1,21 @@
 package lifecycle
 
-import "willowdeck/internal/config"
+import (
+	"reflect"
+	"slices"
 
-// Reload takes up a configuration that has been read anew: the watch moves to the discovery that it names,
-// and goes on from where it was. All else that it may change waits for the next start. Where it could not be
-// read, the old one stays.
+	"willowdeck/internal/config"
+)
+
+// Reload takes up a configuration that has been read anew: the number of gatekeepers and who they are, if
+// this one keeps its place among them, and the discovery that it names, where the watch goes on from where it
+// was. All else that it may change waits for the next start. Where it could not be read, the old one stays.
 func (g *Gatekeeper) Reload(c config.Gatekeeper, err error) {
 	if err != nil {
 		g.log.Error().Err(err).Msg("configuration not taken up, the old one stays")
 		return
 	}
+	g.resize(c)
 	if c.Discovery == g.conf.Discovery {
 		g.log.Info().Msg("configuration read, discovery as before")
 		return
@@ -19,3 +25,32 @@
 	g.watch(<-g.ended) // no news of the old watch may come behind that of the new one
 	g.log.Info().Str("discovery", c.Discovery).Msg("configuration taken up")
 }
+
+// resize takes up another number of gatekeepers, where nothing else of the charter has changed.
+func (g *Gatekeeper) resize(c config.Gatekeeper) {
+	n, was := c.Charter.Gatekeepers, g.members.Load()
+	same := c.Charter
+	same.Gatekeepers = g.conf.Charter.Gatekeepers
+	if int64(n) == was && slices.Equal(c.Peers, g.conf.Peers) {
+		return
+	}
+	unbound := g.peers == nil && len(c.Peers) > 0 // there is no socket to talk to them
+	if unbound || !reflect.DeepEqual(same, g.conf.Charter) {
+		g.log.Warn().Msg("the number of gatekeepers has changed along with more: that waits for the next start")
+		return
+	}
+	if int64(n) < was { // nobody is told who is no more
+		g.desk.Resize(n)
+	}
+	if len(c.Peers) > 0 { // one that is alone is told of none, and has nobody to tell
+		g.peers.Among(c.Peers)
+	}
+	g.desk.Resize(n)
+	g.front.Resize(n)
+	if g.portal != nil {
+		g.portal.Resize(n)
+	}
+	g.conf.Peers = c.Peers
+	g.members.Store(int64(n))
+	g.log.Info().Int64("from", was).Int("to", n).Msg("number of gatekeepers taken up")
+}
--- a/internal/lifecycle/start.go
+++ b/internal/lifecycle/start.go
@@ -31,26 +31,27 @@
 
 // Gatekeeper is a gatekeeper that runs.
 type Gatekeeper struct {
-	At     string // where clients connect
-	conf   config.Gatekeeper
-	log    zerolog.Logger
-	desk   *gate.Desk
-	front  *wire.Front
-	limit  *wire.Limited
-	links  *wire.Links
-	port   *ops.Port          // nil where operators do not call
-	drains atomic.Bool        // clients are sent away
-	over   chan struct{}      // closed at the end
-	peers  *wire.Peers        // nil where peers are not talked to
-	unwind context.CancelFunc // ends the watch
-	ended  chan int64         // the version that it got to
-	served chan error
-	owner  atomic.Pointer[handover.Owner] // where another process may take over from this one
-	lists  sync.Mutex                     // of list, and of what the desk is told of it
-	list   *warm.Book
-	portal *portal.Portal // nil where portals do not ask
-	vouch  *vouch.Voucher // nil where no auth service is asked
-	said   time.Time      // when the log last told that the watch had ended
+	At      string // where clients connect
+	conf    config.Gatekeeper
+	log     zerolog.Logger
+	desk    *gate.Desk
+	front   *wire.Front
+	limit   *wire.Limited
+	links   *wire.Links
+	port    *ops.Port          // nil where operators do not call
+	drains  atomic.Bool        // clients are sent away
+	over    chan struct{}      // closed at the end
+	peers   *wire.Peers        // nil where peers are not talked to
+	unwind  context.CancelFunc // ends the watch
+	ended   chan int64         // the version that it got to
+	served  chan error
+	owner   atomic.Pointer[handover.Owner] // where another process may take over from this one
+	members atomic.Int64                   // gatekeepers there are, this one included
+	lists   sync.Mutex                     // of list, and of what the desk is told of it
+	list    *warm.Book
+	portal  *portal.Portal // nil where portals do not ask
+	vouch   *vouch.Voucher // nil where no auth service is asked
+	said    time.Time      // when the log last told that the watch had ended
 }
 
 // Start brings a gatekeeper up: when it returns, clients are served.
@@ -94,6 +95,7 @@
 	g.desk = gate.NewDesk(c.Charter, c.Seed, c.Lines.AnswerSlack+socketSlack, tell, g.links.Shed)
 	g.desk.Roster(c.Known)
 	g.list = warm.NewBook(c.Known)
+	g.members.Store(int64(c.Charter.Gatekeepers))
 	g.front = wire.NewFront(c.Names, c.Charter, g.forward(gate.New(g.desk, g.links)), g.up)
 	g.front.Nameless = g.vouch != nil && c.Forward.Asking.Customer != ""
 
--- a/internal/portal/portal.go
+++ b/internal/portal/portal.go
@@ -26,7 +26,7 @@
 type Portal struct {
 	asked   *config.Asked
 	names   config.Names
-	charter logic.Charter
+	charter atomic.Pointer[logic.Charter]
 	gate    *gate.Gate
 	next    func(*wire.Txn) wire.Final
 	server  fasthttp.Server
@@ -62,8 +62,9 @@
 // New makes a front over a gate; next serves the txns that have no clearance and need none.
 func New(a *config.Asked, names config.Names, charter logic.Charter, g *gate.Gate,
 	next func(*wire.Txn) wire.Final) *Portal {
-	p := &Portal{asked: a, names: names, charter: charter, gate: g, next: next,
+	p := &Portal{asked: a, names: names, gate: g, next: next,
 		book: clear.NewBook[*gate.Hold](a.Life, a.Memory, a.Most)}
+	p.charter.Store(&charter)
 	p.server = fasthttp.Server{
 		Handler:            p.handle,
 		ErrorHandler:       func(ctx *fasthttp.RequestCtx, err error) { p.refuse(ctx, unreadable, broken(err)) },
@@ -78,6 +79,13 @@
 	return p
 }
 
+// Resize tells how many gatekeepers there are from now on.
+func (p *Portal) Resize(n int) {
+	c := *p.charter.Load()
+	c.Gatekeepers = n
+	p.charter.Store(&c)
+}
+
 // broken says what is wrong with a call that is no HTTP, too long, or does not come whole in time.
 func broken(err error) *flaw {
 	var small *fasthttp.ErrSmallBuffer
@@ -146,8 +154,8 @@
 func (p *Portal) Inherit(all []clear.Clearance) {
 	for _, c := range all {
 		f, now := c.Facts, p.gate.Now()
-		if f.Product < 0 || f.Product >= len(p.charter.Products) || f.Plan < 0 ||
-			f.Plan >= len(p.charter.Plans) || c.Until <= now || len(c.Mark) == 0 ||
+		if f.Product < 0 || f.Product >= len(p.charter.Load().Products) || f.Plan < 0 ||
+			f.Plan >= len(p.charter.Load().Plans) || c.Until <= now || len(c.Mark) == 0 ||
 			len(c.Mark) > logic.LongestMark || !(f.Units > 0) {
 			continue
 		}
@@ -177,7 +185,7 @@
 // Serve is the life of a txn at the main door: one that was cleared takes what was kept for it, and comes
 // once. The rest goes on as ever, but for products that come only if they were cleared.
 func (p *Portal) Serve(t *wire.Txn) wire.Final {
-	once := p.asked.Only[t.Product] || p.charter.Products[t.Product].Repeat != logic.InquiryLike
+	once := p.asked.Only[t.Product] || p.charter.Load().Products[t.Product].Repeat != logic.InquiryLike
 	p.mu.Lock()
 	found, hold := p.book.Come(string(t.Mark), factsOf(t), once, p.gate.Now())
 	p.mu.Unlock()
@@ -237,7 +245,7 @@
 	}
 	var t wire.Txn
 	if err == nil {
-		t, err = wire.Decode(h, o.method, o.target, &p.names, &p.charter, false)
+		t, err = wire.Decode(h, o.method, o.target, &p.names, p.charter.Load(), false)
 	}
 	if err != nil {
 		var f *flaw
@@ -253,7 +261,8 @@
 // answer answers a call that makes sense.
 func (p *Portal) answer(ctx *fasthttp.RequestCtx, t *wire.Txn) {
 	mark, facts := string(t.Mark), factsOf(t)
-	if home := clear.Home(mark, facts, p.charter.Gatekeepers); p.asked.Only[t.Product] && home != p.charter.Me {
+	c := p.charter.Load()
+	if home := clear.Home(mark, facts, c.Gatekeepers); p.asked.Only[t.Product] && home != c.Me {
 		ctx.Response.Header.Set("X-Clear-At", strconv.Itoa(home))
 		p.say(ctx, elsewhere, fasthttp.StatusMisdirectedRequest, "another gatekeeper clears this txn")
 		return
--- a/internal/wire/front.go
+++ b/internal/wire/front.go
@@ -38,7 +38,7 @@
 	Nameless bool
 
 	names   config.Names
-	charter logic.Charter
+	charter atomic.Pointer[logic.Charter]
 	serve   func(*Txn) Final
 	ready   func() bool
 	turns   sync.Pool
@@ -53,12 +53,20 @@
 
 // NewFront makes a front that is up, by its own word, while ready says so.
 func NewFront(names config.Names, charter logic.Charter, serve func(*Txn) Final, ready func() bool) *Front {
-	f := &Front{names: names, charter: charter, serve: serve, ready: ready,
+	f := &Front{names: names, serve: serve, ready: ready,
 		marks: marks{open: map[string]bool{}}, finals: make([][3]atomic.Int64, len(charter.Products))}
+	f.charter.Store(&charter)
 	f.turns.New = func() any { return &turn{in: bufio.NewReader(nil)} }
 	return f
 }
 
+// Resize tells how many gatekeepers there are from now on.
+func (f *Front) Resize(n int) {
+	c := *f.charter.Load()
+	c.Gatekeepers = n
+	f.charter.Store(&c)
+}
+
 // Silent drops a server's own log: what callers break is counted instead.
 type Silent struct{}
 
@@ -184,7 +192,7 @@
 		}
 		return f.reply(p, t, status, nil) == nil && !t.closes
 	}
-	x, err := Decode(h, h.Method(), h.RequestURI(), &f.names, &f.charter, f.Nameless)
+	x, err := Decode(h, h.Method(), h.RequestURI(), &f.names, f.charter.Load(), f.Nameless)
 	if err != nil {
 		return f.refuse(p, t, fasthttp.StatusBadRequest, err.Error())
 	}
--- a/internal/wire/peers.go
+++ b/internal/wire/peers.go
@@ -13,14 +13,21 @@
 
 // Peers exchanges datagrams with the other gatekeepers.
 type Peers struct {
-	conn    atomic.Pointer[net.UDPConn] // nil until it is bound
-	to      []netip.AddrPort
+	conn    atomic.Pointer[net.UDPConn]      // nil until it is bound
+	to      atomic.Pointer[[]netip.AddrPort] // by number
 	me      int
 	dropped atomic.Int64
 }
 
 // NewPeers exchanges nothing until it is bound.
-func NewPeers(peers []netip.AddrPort, me int) *Peers { return &Peers{to: peers, me: me} }
+func NewPeers(peers []netip.AddrPort, me int) *Peers {
+	p := &Peers{me: me}
+	p.Among(peers)
+	return p
+}
+
+// Among changes who the peers are; this one keeps its number.
+func (p *Peers) Among(peers []netip.AddrPort) { p.to.Store(&peers) }
 
 // Bind takes peers' datagrams at an address.
 func (p *Peers) Bind(at netip.AddrPort) error {
@@ -43,11 +50,11 @@
 
 // Tell sends a message to a peer. One that cannot be sent is as good as lost on the way.
 func (p *Peers) Tell(peer int, b []byte) {
-	conn := p.conn.Load()
-	if conn == nil {
+	conn, to := p.conn.Load(), *p.to.Load()
+	if conn == nil || peer >= len(to) {
 		return
 	}
-	if _, err := conn.WriteToUDPAddrPort(b, p.to[peer]); err != nil {
+	if _, err := conn.WriteToUDPAddrPort(b, to[peer]); err != nil {
 		p.dropped.Add(1)
 	}
 }
@@ -74,7 +81,7 @@
 
 func (p *Peers) number(from netip.AddrPort) int {
 	from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
-	for i, a := range p.to {
+	for i, a := range *p.to.Load() {
 		if a == from && i != p.me {
 			return i
 		}
--- a/logic/estate.go
+++ b/logic/estate.go
@@ -222,3 +222,48 @@
 	}
 	return g.base, all
 }
+
+// Resize tells that there are so many gatekeepers from now on. This one keeps its place, and so do the others
+// that stay; those beyond the number have ended. Customers' parts follow their sets, as their txns say.
+func (g *Gatekeeper) Resize(n int) {
+	c := g.signed
+	if n == g.charter.n || n <= c.Me {
+		return
+	}
+	for i := n; i < g.charter.n; i++ {
+		g.silence(i, false, false) // nothing is held for those that are no more
+	}
+	for i := range g.accounts {
+		if a := &g.accounts[i]; a.live {
+			g.fill(a)
+			if a.n > 0 && (a.first >= n || a.n > n) { // its next txn says what its set is now
+				a.ceilingAt = math.Max(a.ceilingAt, g.now+g.plans[a.plan].spentFor())
+			}
+			a.n, a.first = min(a.n, n), a.first%n
+		}
+	}
+	c.Gatekeepers = n
+	f := New(c, 0) // for what follows from the number
+	for i := range f.plans {
+		f.plans[i].tight, f.plans[i].stay = g.plans[i].tight, g.plans[i].stay
+		f.plans[i].restate()
+	}
+	copy(f.peers, g.peers)
+	g.signed, g.charter, g.plans, g.peers, g.mute, g.owed = c, f.charter, f.plans, f.peers, f.mute, f.owed
+	g.muted()
+	for i := range g.accounts {
+		if a := &g.accounts[i]; a.live {
+			g.reshare(a)
+		}
+	}
+	g.list()
+	g.window = math.Max(g.window, g.leastWindow())
+}
+
+// spentFor is how long a slice of a plan's ceiling that is spent takes to be full, ms; 0 where there is none.
+func (p *plan) spentFor() float64 {
+	if p.ceilRate <= 0 {
+		return 0
+	}
+	return p.ceilDepth / p.ceilRate
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -136,7 +136,7 @@
 // New starts a gatekeeper that knows nothing but its charter. Same seed and inputs, same decisions.
 func New(c Charter, seed int64) *Gatekeeper {
 	g := &Gatekeeper{rng: rand.New(rand.NewSource(seed)), byID: map[uint64]int32{}, byKey: map[uint32]int32{},
-		beatAt: -1, tellPeer: -1}
+		beatAt: -1, tellPeer: -1, signed: c}
 	n := max(c.Gatekeepers, 1)
 	g.peers, g.mute, g.owed = make([]peer, n), make([]int, 2*n+1), make([]int, 2*n+1)
 	g.charter = terms{me: c.Me, n: n, maxSubs: max(c.MaxSubmissions, 1), perTell: c.ReportsPerTell,
--- a/logic/member_test.go
+++ b/logic/member_test.go
@@ -6,9 +6,9 @@
 	"testing"
 )
 
-// A customer's set grows and shrinks in service, as its txns say, while gatekeepers come, knowing nothing, and
-// end: at no moment do all parts together let more through than the ceiling's one store holds. Guards against
-// parts of another whole: a slice of two is none of three.
+// A customer's set grows and shrinks in service, as its txns say, while gatekeepers come, knowing nothing,
+// and end: at no moment do all parts together let more through than the ceiling's one store holds. Guards
+// against parts of another whole: a slice of two is none of three.
 func TestSetsThatChange(t *testing.T) {
 	const rate, depth, most = 20.0, 30.0, 6
 	for seed := range int64(10) {
@@ -65,3 +65,57 @@
 		}
 	}
 }
+
+// The number of gatekeepers changes in service: what those that are no more had said counts no more, new
+// ones are told, and what was decided on goes on.
+func TestResize(t *testing.T) {
+	c := charterFor(InquiryLike, func(c *Charter) { c.Gatekeepers = 3 })
+	h := newHost(t, c, 1, 3)
+	s := h.txn(7, 1)
+	for range 40 {
+		h.at(h.now + 100)
+		h.g.Hear(2, []Report{{Customer: 7, Demand: 40}})
+		h.txn(7, 1)
+	}
+	h.rest(3 * h.g.charter.period * toldFor) // the third falls silent: its demand is held
+	a := &h.g.accounts[h.g.byKey[7]]
+	if a.held == 0 || a.n != 3 {
+		t.Fatalf("held %v, of %d", a.held, a.n)
+	}
+	h.g.Resize(2)
+	if h.pull(); a.held != 0 || a.n != 2 || len(h.g.peers) != 2 || h.g.charter.n != 2 {
+		t.Errorf("without the third: held %v, of %d", a.held, a.n)
+	}
+	h.g.Hear(2, []Report{{Customer: 7, Demand: 40}}) // its last word comes late
+	if a.others > 40.0/1000 {
+		t.Errorf("one that is no more is heard: %v", a.others)
+	}
+	h.ended(s, 0, Settled, 20)
+	h.g.Resize(5)
+	h.told = nil
+	for range 40 {
+		h.at(h.now + 100)
+		h.pull()
+		h.arrive(Arrival{Customer: 7, Units: 1, SetSize: 5, Left: 3000})
+	}
+	peers := map[int]bool{}
+	for _, d := range h.told {
+		peers[d.Peer] = true
+	}
+	if a = &h.g.accounts[h.g.byKey[7]]; len(peers) != 4 || a.n != 5 {
+		t.Errorf("told %v, of %d", peers, a.n)
+	}
+	for i := range uint64(30) { // sets all round the ring, as it shrinks and grows at random
+		h.arrive(Arrival{Customer: 100 + i, Units: 1, SetSize: 1 + int(i)%5, First: int(i*7) % 5, Left: 3000})
+		h.g.Hear(1+int(i)%4, []Report{{Customer: 200 + i, Demand: 9}})
+	}
+	for i := range 40 {
+		h.g.Resize(1 + i*7%9)
+		h.rest(300)
+	}
+	h.g.Resize(5)
+	h.g.Resize(0) // it is one of them itself
+	if h.g.charter.n != 5 {
+		t.Error("fewer than itself")
+	}
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -134,6 +134,7 @@
 	thawed   float64 // when the gatekeeper last found that it had itself stood still
 	begun    bool
 	charter  terms
+	signed   Charter // what they were derived from
 	products []product
 	plans    []plan
 	depth    [][]float64 // window fraction by product and plan
