Datagrams within a fleet bear incarnation and sequence, so that a returned peer is not its former self

Need: what a killed instance had told stood beside what its next life told from nought on, and survivors got less than their share. Now internal/member tells news from old words and finds who has returned; the module drops the former life's part (Returned). An heir goes on with its predecessor's word. Off on the platform, where messages are as before.

--- a/internal/gate/desk.go
+++ b/internal/gate/desk.go
@@ -180,9 +180,12 @@
 	d.leave()
 }
 
-// Hear takes a peer's reports.
-func (d *Desk) Hear(from int, reports []logic.Report) {
+// Hear takes a peer's reports, the first of a new life if it has returned.
+func (d *Desk) Hear(from int, reports []logic.Report, returned bool) {
 	d.enter()
+	if returned {
+		d.gk.Returned(from)
+	}
 	d.gk.Hear(from, reports)
 	d.leave()
 }
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"willowdeck/internal/clear"
+	"willowdeck/internal/member"
 	"willowdeck/logic"
 )
 
@@ -28,6 +29,7 @@
 	Estate         logic.Estate
 	Workers, Kinds map[int]string // their names, by the indices in the estate
 	Clearances     []clear.Clearance
+	Word           member.Word // of the last message to peers: the heir goes on from there
 }
 
 // Client is a client's connection as it is handed on.
--- a/internal/lifecycle/operate.go
+++ b/internal/lifecycle/operate.go
@@ -37,6 +37,8 @@
 	add := func(name string, v int64) { f.More = append(f.More, ops.Figure{Name: name, Value: v}) }
 	if g.conf.Tells {
 		add("members", g.members.Load())
+		add("peers.suspected", int64(seen.Suspected))
+		add("peers.gone", int64(seen.Lost))
 	}
 	if g.portal != nil {
 		g.portal.Figures(add)
--- a/internal/lifecycle/replace.go
+++ b/internal/lifecycle/replace.go
@@ -38,6 +38,9 @@
 	whole, err := from.Receive(handover.Takes{
 		Will: func(w handover.Will) {
 			g.desk.Resume(w.Estate, w.Workers, w.Kinds)
+			if g.peers != nil && g.conf.Tells {
+				g.peers.Bear(w.Word)
+			}
 			g.remember() // the process before has let it go
 			g.log.Info().Int("customers", len(w.Estate.Customers)).Int("workers", len(w.Estate.Workers)).
 				Msg("taking over")
@@ -128,6 +131,9 @@
 		w.Clearances = g.portal.Leave() // before the module's own, which would count them as spent
 	}
 	w.Estate, w.Workers, w.Kinds = g.desk.Retire()
+	if g.peers != nil {
+		w.Word = g.peers.Word()
+	}
 	err = o.Leave(w)
 	if err == nil && g.peers != nil && g.peers.Bound() {
 		raw, failed := g.peers.Raw()
--- a/internal/lifecycle/start.go
+++ b/internal/lifecycle/start.go
@@ -16,6 +16,7 @@
 	"willowdeck/internal/config"
 	"willowdeck/internal/gate"
 	"willowdeck/internal/handover"
+	"willowdeck/internal/member"
 	"willowdeck/internal/ops"
 	"willowdeck/internal/portal"
 	"willowdeck/internal/residue"
@@ -75,6 +76,10 @@
 	if len(c.Peers) > 0 {
 		g.peers = wire.NewPeers(c.Peers, c.Charter.Me)
 		tell = g.peers.Tell
+		if c.Tells { // among instances of one host, that may say more to each other than the platform's
+			c.Charter.ReportsPerTell = min(c.Charter.ReportsPerTell, wire.Room)
+			g.peers.Bear(member.Word{Incarnation: residue.Uptime()})
+		}
 	}
 	l, err := listen(c.Listen, c.FD)
 	if err != nil {
--- a/internal/residue/residue.go
+++ b/internal/residue/residue.go
@@ -84,6 +84,13 @@
 	return bytes.TrimSpace(mark), up * 1000, err
 }
 
+// Uptime gives how long the machine has been up, in hundredths of a second: it grows over the lives of
+// processes, however the system's clock is set.
+func Uptime() uint32 {
+	_, up, _ := machine()
+	return uint32(up / 10)
+}
+
 // Open opens a gatekeeper's residue, and gives what its former life has left; nil is nothing that can be gone
 // by. Times are Unix ms, as now is. A file that another process has is let alone, and one begun in its place:
 // what that one spends from here on would be missing in what this one leaves. An error tells that none can be
--- a/internal/wire/peers.go
+++ b/internal/wire/peers.go
@@ -1,12 +1,15 @@
 package wire
 
 import (
+	"encoding/binary"
 	"fmt"
 	"net"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"syscall"
 
+	"willowdeck/internal/member"
 	"willowdeck/internal/wire/gossip"
 	"willowdeck/logic"
 )
@@ -17,17 +20,50 @@
 	to      atomic.Pointer[[]netip.AddrPort] // by number
 	me      int
 	dropped atomic.Int64
+
+	bears atomic.Bool   // messages bear a word
+	life  atomic.Uint32 // incarnation
+	said  atomic.Uint32 // messages of it so far
+	mu    sync.Mutex    // of heard
+	heard *member.Table
+}
+
+// Room is how many reports fit a message that bears a word.
+const Room = gossip.Room - (wordBytes+7)/8
+
+// A message that bears a word begins with a mark that no version of the form has, and the word.
+const (
+	bearing   = 0xF1
+	wordBytes = 9
+)
+
+// Bear has messages say which life of this gatekeeper they are of, and their place in it; those that do not
+// say so are dropped from then on.
+func (p *Peers) Bear(w member.Word) {
+	p.life.Store(w.Incarnation)
+	p.said.Store(w.Sequence)
+	p.bears.Store(true)
+}
+
+// Word gives the word of the last message.
+func (p *Peers) Word() member.Word {
+	return member.Word{Incarnation: p.life.Load(), Sequence: p.said.Load()}
 }
 
 // NewPeers exchanges nothing until it is bound.
 func NewPeers(peers []netip.AddrPort, me int) *Peers {
-	p := &Peers{me: me}
+	p := &Peers{me: me, heard: member.NewTable()}
 	p.Among(peers)
 	return p
 }
 
 // Among changes who the peers are; this one keeps its number.
-func (p *Peers) Among(peers []netip.AddrPort) { p.to.Store(&peers) }
+func (p *Peers) Among(peers []netip.AddrPort) {
+	p.mu.Lock()
+	p.heard.Keep(len(peers))
+	p.mu.Unlock()
+	p.to.Store(&peers)
+}
 
 // Bind takes peers' datagrams at an address.
 func (p *Peers) Bind(at netip.AddrPort) error {
@@ -54,14 +90,18 @@
 	if conn == nil || peer >= len(to) {
 		return
 	}
+	if p.bears.Load() {
+		head := binary.BigEndian.AppendUint32([]byte{bearing}, p.life.Load())
+		b = append(binary.BigEndian.AppendUint32(head, p.said.Add(1)), b...)
+	}
 	if _, err := conn.WriteToUDPAddrPort(b, to[peer]); err != nil {
 		p.dropped.Add(1)
 	}
 }
 
-// Hear gives each peer's reports to take, until Close. What comes from elsewhere or makes no sense is
-// dropped.
-func (p *Peers) Hear(take func(from int, reports []logic.Report)) {
+// Hear gives each peer's reports to take, until Close, and says which are the first of one that has returned.
+// What comes from elsewhere, makes no sense or is no news is dropped.
+func (p *Peers) Hear(take func(from int, reports []logic.Report, returned bool)) {
 	conn := p.conn.Load()
 	var reports []logic.Report
 	buf := make([]byte, 2*gossip.Limit)
@@ -70,13 +110,33 @@
 		if err != nil {
 			return
 		}
-		who := p.number(from)
-		if reports, err = gossip.Decode(reports[:0], buf[:n]); who < 0 || err != nil {
+		who, b := p.number(from), buf[:n]
+		word, bears := wordOf(&b)
+		reports, err = gossip.Decode(reports[:0], b)
+		verdict := member.News
+		if who >= 0 && err == nil && bears {
+			p.mu.Lock()
+			verdict = p.heard.Hear(who, word)
+			p.mu.Unlock()
+		}
+		if who < 0 || err != nil || bears != p.bears.Load() || verdict == member.Old {
 			p.dropped.Add(1)
 			continue
 		}
-		take(who, reports)
+		take(who, reports, verdict == member.Returned)
+	}
+}
+
+// wordOf takes the word that a message bears off it.
+func wordOf(b *[]byte) (member.Word, bool) {
+	m := *b
+	if len(m) < wordBytes || m[0] != bearing {
+		return member.Word{}, false
 	}
+	*b = m[wordBytes:]
+	w := member.Word{Incarnation: binary.BigEndian.Uint32(m[1:])}
+	w.Sequence = binary.BigEndian.Uint32(m[5:])
+	return w, true
 }
 
 func (p *Peers) number(from netip.AddrPort) int {
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -6,11 +6,13 @@
 	"io"
 	"net"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
+	"willowdeck/internal/member"
 	"willowdeck/internal/wire/gossip"
 	"willowdeck/logic"
 )
@@ -305,7 +307,7 @@
 	}
 	defer p.Close()
 	heard := make(chan int, 9)
-	go p.Hear(func(from int, r []logic.Report) { heard <- 10*from + len(r) })
+	go p.Hear(func(from int, r []logic.Report, _ bool) { heard <- 10*from + len(r) })
 	good := gossip.Append(nil, []logic.Report{{Customer: 7, Demand: 3}})
 	to := net.UDPAddrFromAddrPort(selfAt)
 	stranger.WriteTo(good, to)
@@ -324,6 +326,78 @@
 	}
 }
 
+// Peers whose messages bear a word: each is heard once and in order, those of a former life and those without
+// one not at all, and one that has started anew is known for that. Whole messages stay within their bound.
+func TestPeersBear(t *testing.T) {
+	ports := make([]netip.AddrPort, 2)
+	for i := range ports {
+		c, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		ports[i] = c.LocalAddr().(*net.UDPAddr).AddrPort()
+		c.Close()
+	}
+	type got struct {
+		reports  int
+		returned bool
+	}
+	begin := func(me int, word member.Word, heard chan got) *Peers {
+		p := NewPeers(ports, me)
+		p.Bear(word)
+		if err := p.Bind(ports[me]); err != nil {
+			t.Fatal(err)
+		}
+		go p.Hear(func(_ int, r []logic.Report, returned bool) { heard <- got{len(r), returned} })
+		return p
+	}
+	heard := make(chan got, 9)
+	a, b := begin(0, member.Word{Incarnation: 5}, nil), begin(1, member.Word{Incarnation: 9}, heard)
+	defer b.Close()
+	most := gossip.Append(nil, make([]logic.Report, Room))
+	full := gossip.Append(nil, slices.Repeat([]logic.Report{{Customer: 7, Demand: 3, Known: 2, Spent: 1}}, Room))
+	if len(full)+wordBytes > gossip.Limit || len(full)+wordBytes < gossip.Limit-16 {
+		t.Errorf("a full message has %d bytes", len(full)+wordBytes)
+	}
+	expect := func(what string, want got, dropped int64) {
+		t.Helper()
+		select {
+		case g := <-heard:
+			if g != want || b.Dropped() != dropped {
+				t.Errorf("%s: %+v after %d dropped", what, g, b.Dropped())
+			}
+		case <-time.After(time.Second):
+			t.Fatalf("%s is not heard", what)
+		}
+	}
+	a.Tell(1, most)
+	expect("the first", got{Room, false}, 0)
+	a.Tell(1, full)
+	expect("the next", got{Room, false}, 0)
+	a.said.Store(0)
+	a.Tell(1, full) // as one that was held up on the way
+	a.bears.Store(false)
+	a.Tell(1, full)
+	a.Bear(member.Word{Incarnation: 4, Sequence: 100})
+	a.Tell(1, full) // of a former life
+	a.Bear(member.Word{Incarnation: 6})
+	a.Tell(1, full)
+	expect("one that has returned", got{Room, true}, 3)
+	word := a.Word()
+	a.Close()
+	c := begin(0, word, nil) // its heir
+	c.Tell(1, full)
+	expect("an heir", got{Room, false}, 3)
+	b.Among(ports[:0])
+	c.Tell(1, full)
+	time.Sleep(20 * time.Millisecond)
+	b.Among(ports)
+	c.Bear(member.Word{Incarnation: 1}) // another, under the number of one that was no more
+	c.Tell(1, full)
+	expect("another", got{Room, false}, 4)
+	c.Close()
+}
+
 func TestAppendSubmission(t *testing.T) {
 	cases := []struct {
 		name string
--- a/logic/estate.go
+++ b/logic/estate.go
@@ -267,3 +267,24 @@
 	}
 	return p.ceilDepth / p.ceilRate
 }
+
+// Returned tells that a peer has started anew, knowing nothing: what its former life told counts no more. It
+// will tell its demand from nought on, and both would be counted.
+func (g *Gatekeeper) Returned(from int) {
+	if from < 0 || from >= g.charter.n || from == g.charter.me {
+		return
+	}
+	p := &g.peers[from]
+	if p.silent {
+		g.silence(from, false, false)
+	}
+	for _, r := range p.last {
+		if ai, ok := g.byKey[uint32(r.Customer)]; ok {
+			c := &g.accounts[ai]
+			g.fill(c)
+			c.others = math.Max(c.others-r.Demand/1000*math.Exp((p.heard-g.now)/g.plans[c.plan].memory), 0)
+			g.reshare(c)
+		}
+	}
+	p.last = p.last[:0]
+}
--- a/logic/iface.go
+++ b/logic/iface.go
@@ -154,4 +154,5 @@
 	Hot, Customers, Distrusted int
 	Workers                    int // on the list
 	InFlight, Window           float64
+	Suspected, Lost            int // peers that owe a word and say nothing; of these, those that count no more
 }
--- a/logic/member_test.go
+++ b/logic/member_test.go
@@ -119,3 +119,34 @@
 		t.Error("fewer than itself")
 	}
 }
+
+// What a peer's former life told does not count beside what its new one tells. Guards against a demand that
+// is counted twice while one restarts, at the cost of all the others.
+func TestReturned(t *testing.T) {
+	shares := map[bool]float64{}
+	for _, told := range []bool{false, true} {
+		h := newHost(t, charterFor(InquiryLike, nil), 1, 3)
+		said := 0.0
+		for i := range 60 {
+			h.at(h.now + 100)
+			if h.txn(7, 2); i%4 == 0 {
+				h.g.Hear(1, []Report{{Customer: 7, Demand: 20, Known: said}})
+				said = 20 * math.Exp(-400.0/demandMemory)
+			}
+		}
+		if told {
+			h.g.Returned(1)
+		}
+		h.g.Hear(1, []Report{{Customer: 7, Demand: 20}}) // it knows nothing of what it had told
+		a := &h.g.accounts[h.g.byKey[7]]
+		if shares[told] = a.share * 1000; told && math.Abs(a.others*1000-20) > 5 {
+			t.Errorf("the others ask %.1f", a.others*1000)
+		}
+		h.g.Returned(0)
+		h.g.Returned(7)
+		h.pull()
+	}
+	if shares[true] < shares[false]*1.15 {
+		t.Errorf("a share of %.2f with its return known, %.2f without", shares[true], shares[false])
+	}
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -208,6 +208,13 @@
 			t.Hot++
 		}
 	}
+	for i := range g.peers {
+		if p := &g.peers[i]; p.gone {
+			t.Lost++
+		} else if p.silent {
+			t.Suspected++
+		}
+	}
 	for _, i := range g.ready {
 		if g.workers[i].distrust.at(g.now, distrustFade) >= distrusted {
 			t.Distrusted++
