--- a/internal/emu/gatekeeper.go
+++ b/internal/emu/gatekeeper.go
@@ -81,6 +81,11 @@
 	g.left = nil
 }
 
+// period is about the time within which a newcomer first speaks to its peers, ms: 400, or what they take in.
+func (s *Scenario) period() float64 {
+	return math.Max(400, 1000*float64(s.Gatekeepers.Count-1)/math.Max(s.Gatekeepers.PeerInPerS, 1))
+}
+
 // What a gatekeeper may keep over its death. No real one could keep it so whole and so fresh: each is the
 // most that a snapshot, or a peer that was told, could ever bring.
 const (
@@ -102,6 +107,10 @@
 		for i := range e.Peers {
 			e.Peers[i] = logic.Hearing{}
 		}
+		for i := range e.Tight { // as at a start
+			e.Tight[i] = 1
+		}
+		e.NextTell = g.w.now + g.w.s.period()*g.source.Float64()
 	}
 	var customers []logic.Customer
 	for _, c := range e.Customers {
