--- a/internal/standin/forward.go
+++ b/internal/standin/forward.go
@@ -1,7 +1,6 @@
 package standin
 
 import (
-	"fmt"
 	"net"
 	"net/http"
 	"strconv"
@@ -21,25 +20,19 @@
 type Auth struct {
 	At string
 
-	server  *http.Server
-	mu      sync.Mutex
-	service time.Duration
-	fault   Fault
-	over    chan struct{}
-	say     func(credential string) (status int, headers map[string]string)
-	got     []Asked
+	script
+	server *http.Server
+	say    func(credential string) (status int, headers map[string]string)
+	got    []Asked
 }
 
-// HalfHead has an auth service end in the middle of its answer's head.
-const HalfHead = Garbage + 1
-
 // NewAuth starts a service that takes so long for an answer, and says yes to any credential but none.
 func NewAuth(service time.Duration) (*Auth, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	a := &Auth{At: l.Addr().String(), service: service, over: make(chan struct{})}
+	a := &Auth{At: l.Addr().String(), script: script{service: service, over: make(chan struct{})}}
 	a.Says(func(credential string) (int, map[string]string) {
 		if credential == "" {
 			return http.StatusUnauthorized, map[string]string{"WWW-Authenticate": "Bearer"}
@@ -61,21 +54,6 @@
 	a.say = f
 }
 
-// Takes changes how long it takes for an answer.
-func (a *Auth) Takes(service time.Duration) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.service = service
-}
-
-// Set begins a fault, or ends the one there is.
-func (a *Auth) Set(f Fault) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	close(a.over)
-	a.fault, a.over = f, make(chan struct{})
-}
-
 // Got gives what it was asked.
 func (a *Auth) Got() []Asked {
 	a.mu.Lock()
@@ -90,38 +68,9 @@
 	a.got = append(a.got, Asked{credential, r.Header.Get("X-Forwarded-Method"), r.Header.Get("X-Forwarded-Uri"),
 		r.Header.Get("X-Forwarded-For"), time.Now()})
 	a.mu.Unlock()
-	raw := func(text string) {
-		if c, _, err := out.(http.Hijacker).Hijack(); err == nil {
-			fmt.Fprint(c, text)
-			c.Close()
-		}
-	}
-	switch fault {
-	case Silent:
-		<-r.Context().Done()
-		return
-	case Stalls:
-		select {
-		case <-over:
-		case <-r.Context().Done():
-			return
-		}
-	case Full:
-		out.WriteHeader(http.StatusServiceUnavailable)
-		return
-	case Errs:
-		out.WriteHeader(http.StatusInternalServerError)
-		return
-	case Cuts:
-		panic(http.ErrAbortHandler)
-	case Garbage:
-		raw("what is this\r\n\r\n")
-		return
-	case HalfHead:
-		raw("HTTP/1.1 200 OK\r\nContent-Le")
+	if !a.play(fault, over, service, out, r) {
 		return
 	}
-	time.Sleep(service)
 	status, headers := say(credential)
 	for k, v := range headers {
 		out.Header().Set(k, v)
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -22,13 +22,14 @@
 
 // The faults.
 const (
-	None    Fault = iota
-	Stalls        // answers once the fault is over
-	Silent        // never answers
-	Errs          // answers 500; it has run
-	Full          // answers 503, and that it has not run
-	Cuts          // ends the connection, having run
-	Garbage       // answers what is no HTTP
+	None     Fault = iota
+	Stalls         // answers once the fault is over
+	Silent         // never answers
+	Errs           // answers 500; it has run
+	Full           // answers 503, and that it has not run
+	Cuts           // ends the connection, having run
+	Garbage        // answers what is no HTTP
+	HalfHead       // ends in the middle of its answer's head
 )
 
 // Got is a txn that a worker was sent whole.
@@ -44,12 +45,70 @@
 	Name string
 	At   string
 
-	server  *http.Server
+	script
+	server *http.Server
+	got    []Got
+}
+
+// script is how a stand-in behaves now.
+type script struct {
 	mu      sync.Mutex
 	service time.Duration
 	fault   Fault
 	over    chan struct{} // closed when the fault ends
-	got     []Got
+}
+
+// Set begins a fault, or ends the one there is.
+func (s *script) Set(f Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	close(s.over)
+	s.fault, s.over = f, make(chan struct{})
+}
+
+// Takes changes how long it takes for an answer.
+func (s *script) Takes(service time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.service = service
+}
+
+// play waits, or does what a fault does, and tells whether an answer is to follow. It ends at once where its
+// caller gives up.
+func (s *script) play(f Fault, over <-chan struct{}, service time.Duration, out http.ResponseWriter,
+	r *http.Request) bool {
+	text := "what is this\r\n\r\n"
+	switch f {
+	case Silent:
+		<-r.Context().Done()
+		return false
+	case Stalls:
+		select {
+		case <-over:
+		case <-r.Context().Done():
+			return false
+		}
+	case Full:
+		out.Header().Set("X-Not-Run", "1")
+		out.WriteHeader(http.StatusServiceUnavailable)
+		return false
+	case Errs:
+		out.WriteHeader(http.StatusInternalServerError)
+		return false
+	case Cuts:
+		panic(http.ErrAbortHandler)
+	case HalfHead:
+		text = "HTTP/1.1 200 OK\r\nContent-Le"
+		fallthrough
+	case Garbage:
+		if c, _, err := out.(http.Hijacker).Hijack(); err == nil {
+			fmt.Fprint(c, text)
+			c.Close()
+		}
+		return false
+	}
+	time.Sleep(service)
+	return true
 }
 
 // NewWorker starts a worker that takes so long for a txn.
@@ -58,7 +117,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &Worker{Name: name, At: l.Addr().String(), service: service, over: make(chan struct{})}
+	w := &Worker{Name: name, At: l.Addr().String(), script: script{service: service, over: make(chan struct{})}}
 	w.server = &http.Server{Handler: w}
 	go func() { _ = w.server.Serve(l) }()
 	return w, nil
@@ -67,14 +126,6 @@
 // Close ends the worker at once: its connections break.
 func (w *Worker) Close() { _ = w.server.Close() }
 
-// Set begins a fault, or ends the one there is.
-func (w *Worker) Set(f Fault) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	close(w.over)
-	w.fault, w.over = f, make(chan struct{})
-}
-
 // Got gives what it was sent.
 func (w *Worker) Got() []Got {
 	w.mu.Lock()
@@ -96,34 +147,9 @@
 	fault, over, service := w.fault, w.over, w.service
 	w.got = append(w.got, Got{id, product, r.RequestURI, time.Now(), fault != Full && fault != Silent})
 	w.mu.Unlock()
-	switch fault {
-	case Silent:
-		<-r.Context().Done()
-		return
-	case Stalls:
-		select {
-		case <-over:
-		case <-r.Context().Done():
-			return
-		}
-	case Full:
-		out.Header().Set("X-Not-Run", "1")
-		out.WriteHeader(http.StatusServiceUnavailable)
-		return
-	case Errs:
-		out.WriteHeader(http.StatusInternalServerError)
-		return
-	case Cuts:
-		panic(http.ErrAbortHandler)
-	case Garbage:
-		if c, _, err := out.(http.Hijacker).Hijack(); err == nil {
-			fmt.Fprint(c, "what is this\r\n\r\n")
-			c.Close()
-		}
-		return
+	if w.play(fault, over, service, out, r) {
+		fmt.Fprintf(out, "done %s\n", id)
 	}
-	time.Sleep(service)
-	fmt.Fprintf(out, "done %s\n", id)
 }
 
 // Entry is one worker of discovery's list.
