Read once more: a known credential builds no question, and one reckoning of when a ceiling is full

What a submission says of its ceiling and what a residue is begun with are reckoned by one function (full). The stand-ins' script needs no receiver.

--- a/internal/standin/forward.go
+++ b/internal/standin/forward.go
@@ -68,7 +68,7 @@
 	a.got = append(a.got, Asked{credential, r.Header.Get("X-Forwarded-Method"), r.Header.Get("X-Forwarded-Uri"),
 		r.Header.Get("X-Forwarded-For"), time.Now()})
 	a.mu.Unlock()
-	if !a.play(fault, over, service, out, r) {
+	if !play(fault, over, service, out, r) {
 		return
 	}
 	status, headers := say(credential)
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -75,7 +75,7 @@
 
 // play waits, or does what a fault does, and tells whether an answer is to follow. It ends at once where its
 // caller gives up.
-func (s *script) play(f Fault, over <-chan struct{}, service time.Duration, out http.ResponseWriter,
+func play(f Fault, over <-chan struct{}, service time.Duration, out http.ResponseWriter,
 	r *http.Request) bool {
 	text := "what is this\r\n\r\n"
 	switch f {
@@ -147,7 +147,7 @@
 	fault, over, service := w.fault, w.over, w.service
 	w.got = append(w.got, Got{id, product, r.RequestURI, time.Now(), fault != Full && fault != Silent})
 	w.mu.Unlock()
-	if w.play(fault, over, service, out, r) {
+	if play(fault, over, service, out, r) {
 		fmt.Fprintf(out, "done %s\n", id)
 	}
 }
--- a/internal/vouch/vouch.go
+++ b/internal/vouch/vouch.go
@@ -87,17 +87,22 @@
 	if !v.asking.Concerned[t.Product] {
 		return v.gate.Serve(t)
 	}
-	ask, err := v.encode(t)
+	credential, err := t.Field(v.asking.Credential)
 	if err != nil {
 		return refusal(fasthttp.StatusBadRequest, nil, err.Error())
 	}
+	digest := digestOf(t.Product, credential)
 	v.mu.Lock()
-	a, known := v.service.Recall(ask.digest, v.gate.Now())
+	a, known := v.service.Recall(digest, v.gate.Now())
 	v.mu.Unlock()
-	if known && ask.named {
+	if known && len(credential) > 0 {
 		v.counts[recalled].Add(1)
 		return v.settle(t, nil, word{answer: a})
 	}
+	ask, err := v.encode(t, digest, credential)
+	if err != nil {
+		return refusal(fasthttp.StatusBadRequest, nil, err.Error())
+	}
 	asked, patience := v.gate.Now(), v.service.Patience(t.Left)
 	var hold *gate.Hold // of one that does not say whose it is there is nothing to keep yet
 	if !t.Nameless {
@@ -208,19 +213,19 @@
 	req    *fasthttp.Request
 }
 
-// encode makes the question. What it says of the original is the gatekeeper's own word: a client's headers
-// of those names do not pass.
-func (v *Voucher) encode(t *wire.Txn) (*ask, error) {
-	credential, err := t.Field(v.asking.Credential)
-	if err != nil {
-		return nil, err
-	}
-	a := &ask{named: len(credential) > 0}
+// digestOf gives what stands for a credential and a product.
+func digestOf(product int, credential []byte) (d clear.Digest) {
 	sum := sha256.New()
-	fmt.Fprintf(sum, "%d ", t.Product)
+	fmt.Fprintf(sum, "%d ", product)
 	sum.Write(credential)
-	sum.Sum(a.digest[:0])
-	a.req = &fasthttp.Request{}
+	sum.Sum(d[:0])
+	return d
+}
+
+// encode makes the question. What it says of the original is the gatekeeper's own word: a client's headers
+// of those names do not pass.
+func (v *Voucher) encode(t *wire.Txn, digest clear.Digest, credential []byte) (*ask, error) {
+	a := &ask{digest: digest, named: len(credential) > 0, req: &fasthttp.Request{}}
 	h := &a.req.Header
 	h.SetMethod(fasthttp.MethodGet)
 	a.req.SetRequestURI(v.asking.Path)
--- a/logic/estate.go
+++ b/logic/estate.go
@@ -211,14 +211,9 @@
 func (g *Gatekeeper) Residue() (base float64, all []Spent) {
 	for i := range g.accounts {
 		c := &g.accounts[i]
-		if !c.live || c.ceilingAt <= g.now {
-			continue
-		}
-		s := Spent{c.customer, c.plan, c.ceilingAt}
-		if p := &g.plans[c.plan]; p.ceilRate > 0 {
-			s.Full += c.kept * float64(c.n) / p.ceilRate
+		if full := g.full(c); c.live && full > g.now {
+			all = append(all, Spent{c.customer, c.plan, full})
 		}
-		all = append(all, s)
 	}
 	return g.base, all
 }
--- a/logic/state.go
+++ b/logic/state.go
@@ -502,9 +502,10 @@
 	}
 }
 
-// full is when the slice of a txn's ceiling is full again, if all that is kept goes out too.
-func (g *Gatekeeper) full(t *txn) float64 {
-	c, p := &g.accounts[t.acct], &g.plans[t.plan]
+// full is when the slice of a customer's ceiling is full again, if all that is kept goes out too; 0 where
+// there is none.
+func (g *Gatekeeper) full(c *account) float64 {
+	p := &g.plans[c.plan]
 	if p.ceilRate <= 0 {
 		return 0
 	}
@@ -514,7 +515,7 @@
 // order is the decision that sends a txn's newest submission to a worker.
 func (g *Gatekeeper) order(t *txn, wi int) Decision {
 	return Decision{Kind: Submit, Txn: t.id, Worker: wi, N: len(t.subs) - 1, Wait: t.expiry - g.now,
-		Full: g.full(t)}
+		Full: g.full(&g.accounts[t.acct])}
 }
 
 // seat notes whether a submission counts as in hand.
