Fleet asks discovery in turn: pauses that grow with the fleet and with each failed try

Checked: a call for the whole list is answered 503 as well; calls come at 5.9 a second and gatekeeper. At fault: the constant pause of wire.Watch (WatchAgain). Now the first call comes after a random part of 25 ms for each gatekeeper, a further one after twice as much for each failed try, up to eight times, where the settings say that the list is asked for; else 100 ms, doubling.

--- a/internal/config/charter.go
+++ b/internal/config/charter.go
@@ -23,6 +23,7 @@
 	IdleLimit      float64 // the worker's side closes a connection that stands idle for so long
 	ConnectTimeout float64
 	AnswerSlack    float64 // how late after its expiry a txn's final answer may come
+	ListAsked      bool    // discovery is asked, and may be asked too much; it does not push
 }
 
 // Terms are what the settings hold, in the form that a gatekeeper uses.
@@ -77,6 +78,7 @@
 		Fields []string
 	}
 	WeightSource string `json:"weight_source"`
+	RegistryMode string `json:"registry_mode"`
 	Safety       struct {
 		ColdFrom    float64 `json:"cold_from"`
 		AnswerSlack float64 `json:"answer_slack_us"`
@@ -112,7 +114,8 @@
 	t := Terms{Names: Names{Products: map[string]int{}, Plans: map[string]int{}}}
 	t.Lines = Lines{IdleLimit: orDefault(s.Allowed.Keepalive/usPerMs, defaultIdleLimit),
 		ConnectTimeout: orDefault(s.Allowed.ConnectTimeout/usPerMs, defaultConnect),
-		AnswerSlack:    s.Safety.AnswerSlack / usPerMs}
+		AnswerSlack:    s.Safety.AnswerSlack / usPerMs,
+		ListAsked:      s.RegistryMode == onRequest}
 	t.Charter = logic.Charter{
 		Me: s.Me, Gatekeepers: s.Balancers,
 		LargestUnits:   s.FamilyInfo.Largest,
@@ -144,8 +147,12 @@
 	return t
 }
 
-// inAnswers is how reports of load come where they reach the module.
-const inAnswers = "answers"
+// inAnswers is how reports of load come where they reach the module; onRequest is how the list does where
+// calls for it wait in turn.
+const (
+	inAnswers = "answers"
+	onRequest = "on_request"
+)
 
 // mixed finds the first key that does not fit the shape of deployment that the settings are of. There are
 // two: one perhaps with a counter, where answers say nothing of load or use and each quota has a rate; one
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -19,7 +19,7 @@
    {"name":"sale","aim_us":2000000,"effect":"idempotency_key","group":"cell","window_us":7000000}],
   "tariffs":[{"name":"basic","rate":2}],
   "allowed":{"peers":true,"keepalive_us":30000000,"connect_timeout_us":250000},
-  "safety":{"answer_slack_us":8000}}}`
+  "registry_mode":"on_request","safety":{"answer_slack_us":8000}}}`
 
 func none(string) string { return "" }
 
@@ -38,7 +38,7 @@
 		t.Errorf("peers: %v", g.Peers)
 	case len(p) != 2 || p[1].Repeat != logic.Referenced || p[1].Group != logic.GroupCell || p[1].Window != 7000:
 		t.Errorf("products: %+v", p)
-	case g.Lines != Lines{IdleLimit: 30000, ConnectTimeout: 250, AnswerSlack: 8}:
+	case g.Lines != Lines{IdleLimit: 30000, ConnectTimeout: 250, AnswerSlack: 8, ListAsked: true}:
 		t.Errorf("lines: %+v", g.Lines)
 	case !g.Known.Whole || g.Known.Version != 41 || len(g.Known.Workers) != 1 || g.Known.Workers[0].Since != 12:
 		t.Errorf("known: %+v", g.Known)
--- a/internal/lifecycle/start.go
+++ b/internal/lifecycle/start.go
@@ -183,8 +183,16 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	addr, ended := g.conf.Discovery, make(chan int64, 1)
 	g.unwind, g.ended = cancel, ended
+	rng := rand.New(rand.NewSource(g.conf.Seed))
+	after := func(tries int) float64 {
+		askers := 0
+		if g.conf.Lines.ListAsked {
+			askers = int(g.members.Load())
+		}
+		return logic.WatchAfter(tries, askers, rng.Float64())
+	}
 	go func() {
-		ended <- wire.Watch(ctx, addr, version, g.news, g.alive, g.unheard)
+		ended <- wire.Watch(ctx, addr, version, g.news, g.alive, g.unheard, after)
 	}()
 }
 
--- a/internal/wire/discovery.go
+++ b/internal/wire/discovery.go
@@ -17,19 +17,21 @@
 )
 
 // Watch follows discovery's list from a version on until ctx ends, and gives each change to tell as soon as
-// it is read; alive hears of each line without news. It opens the watch again when that ends or falls silent,
-// and reports why to failed. It returns the version that it got to.
+// it is read; alive hears of each line without news. When the watch ends or falls silent it reports why to
+// failed and opens it again, one call out at a time. Each opening, the first too, comes after the pause that
+// after gives for so many tries in a row that brought nothing, ms. It returns the version that it got to.
 func Watch(ctx context.Context, addr string, version int64, tell func(roster.List), alive func(),
-	failed func(error)) int64 {
-	for ctx.Err() == nil {
-		err := watchOnce(ctx, addr, &version, tell, alive)
-		if ctx.Err() != nil {
-			break
-		}
-		failed(err)
+	failed func(error), after func(tries int) float64) int64 {
+	for tries := 0; ctx.Err() == nil; tries++ {
 		select {
 		case <-ctx.Done():
-		case <-time.After(Millis(logic.WatchAgain)):
+			continue
+		case <-time.After(Millis(after(tries))):
+		}
+		err := watchOnce(ctx, addr, &version, func(l roster.List) { tries = 0; tell(l) },
+			func() { tries = 0; alive() })
+		if ctx.Err() == nil {
+			failed(err)
 		}
 	}
 	return version
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -124,6 +124,8 @@
 	WatchQuiet    = 5000.0   // ms; the watch says something each 2 s, and one line may be late
 	LongestList   = 8 << 20  // bytes of a line of the watch; some ten thousand workers
 	WatchAgain    = 100.0    // ms until the watch is opened anew; news must not wait long
+	WatchEach     = 25.0     // ms of that for each gatekeeper that may ask at the same time; a call takes some
+	WatchLonger   = 8.0      // times that at most; it doubles with each try that brings nothing
 	OperatorCalls = 16       // operators' connections at once; silent ones give way
 	OperatorBytes = 4096     // of an operator's call; head and body
 	OperatorWait  = 800.0    // ms for a call to come whole, and for its answer to be taken; due in 1 s
@@ -195,6 +197,17 @@
 	return g
 }
 
+// WatchAfter is the pause before the watch is opened, ms, after so many tries in a row that brought nothing,
+// by so many gatekeepers that may all ask at once; chance is from 0 to 1. Guards against a fleet that asks as
+// one: discovery then lets nobody in, kept busy with those who gave up and those whom it turns away.
+func WatchAfter(tries, askers int, chance float64) float64 {
+	if tries == 0 {
+		return WatchEach * float64(askers) * chance
+	}
+	longer := math.Min(math.Pow(2, float64(tries-1)), WatchLonger)
+	return math.Max(WatchEach*float64(askers), WatchAgain) * longer * (1 + chance) / 2
+}
+
 // Clock sets the time, in ms, of the inputs and decisions that follow.
 func (g *Gatekeeper) Clock(now float64) {
 	if !g.begun {
@@ -222,17 +235,7 @@
 		}
 	}
 	for _, p := range list {
-		for len(g.workers) <= p.Worker {
-			g.workers = append(g.workers, worker{turned: make([]mark, len(g.plans)*len(g.products))})
-		}
-		for len(g.kinds) <= p.Kind {
-			g.kinds = append(g.kinds, kind{})
-		}
-		w := &g.workers[p.Worker]
-		if p.New {
-			clear(w.turned)
-			*w = worker{turned: w.turned}
-		}
+		w := g.posted(p)
 		if p.Active && (p.Since != w.Since || w.Worker != p.Worker) {
 			// A fresh process: what its former life, and ours, sent it must be taken as spent. Where each of many
 			// gatekeepers may send it one txn in minutes, chance spreads their turns from the start on.
@@ -278,14 +281,7 @@
 	}
 	t := &g.txns[slot]
 	s := &t.subs[n]
-	s.out = false
-	t.out--
-	g.accounts[t.acct].out--
-	w := &g.workers[s.worker]
-	w.inFlight--
-	g.outOf[g.sort(t)]--
-	g.seat(s, false)
-	p := &g.plans[t.plan]
+	w, p := g.back(t, s), &g.plans[t.plan]
 	if p.out > 0 && o != NotSent {
 		p.stay += fleetGain * (took - p.stay)
 	}
@@ -612,12 +608,7 @@
 	if g.warmth(w.Since) < 1 {
 		w.coldAt, w.coldDebt = g.now, t.units
 	}
-	t.subs = append(t.subs, submission{worker: wi, sent: g.now, out: true})
-	t.out++
-	g.accounts[t.acct].out++
-	w.inFlight++
-	g.outOf[g.sort(t)]++
-	g.seat(&t.subs[len(t.subs)-1], !t.coming)
+	g.seat(g.away(t, wi), !t.coming)
 	return g.order(t, wi)
 }
 
--- a/logic/state.go
+++ b/logic/state.go
@@ -233,6 +233,44 @@
 	return Decision{}, false
 }
 
+// posted gives the worker of an entry of the list, a new one if another had its place.
+func (g *Gatekeeper) posted(p Posting) *worker {
+	for len(g.workers) <= p.Worker {
+		g.workers = append(g.workers, worker{turned: make([]mark, len(g.plans)*len(g.products))})
+	}
+	for len(g.kinds) <= p.Kind {
+		g.kinds = append(g.kinds, kind{})
+	}
+	w := &g.workers[p.Worker]
+	if p.New {
+		clear(w.turned)
+		*w = worker{turned: w.turned}
+	}
+	return w
+}
+
+// away books a submission that goes out.
+func (g *Gatekeeper) away(t *txn, wi int) *submission {
+	t.subs = append(t.subs, submission{worker: wi, sent: g.now, out: true})
+	t.out++
+	g.accounts[t.acct].out++
+	g.workers[wi].inFlight++
+	g.outOf[g.sort(t)]++
+	return &t.subs[len(t.subs)-1]
+}
+
+// back books the end of one, and gives its worker.
+func (g *Gatekeeper) back(t *txn, s *submission) *worker {
+	s.out = false
+	t.out--
+	g.accounts[t.acct].out--
+	w := &g.workers[s.worker]
+	w.inFlight--
+	g.outOf[g.sort(t)]--
+	g.seat(s, false)
+	return w
+}
+
 // place gives a used place of a slab, or a new one at its end.
 func place[T any](slab *[]T, unused *[]int32) int32 {
 	if n := len(*unused); n > 0 {
