Each gatekeeper draws from some workers of its own, and looks at a cold one each time

While 36 of 60 workers are cold they settle 80 a second, a fifth of what they can; the warm ones answer in 450 ms instead of 110 and 250 txns a second are declined for want of room. At fault: the draws of choose, from all workers alike, in which a cold worker whose small budget has come together is met by chance. Now the two draws are from the first workers by a rank that chance gives each of them here: as many as let each worker be drawn by 25 gatekeepers on average, at least as many as are looked at in need (widest), all of a small fleet. A third look is at a cold worker.

--- a/internal/emu/gatekeeper.go
+++ b/internal/emu/gatekeeper.go
@@ -234,7 +234,7 @@
 			return
 		}
 		b.Take(logic.Arrival{ID: t.id, Customer: uint64(c.a.Customer), Product: c.a.Product, Plan: c.a.Plan,
-			Units: c.a.Units, SetSize: w.s.Gatekeepers.Spread, First: firstOf, Left: until - w.now})
+			Units: c.a.Units, SetSize: w.s.spread(c.a.Plan), First: firstOf, Left: until - w.now})
 	})
 }
 
--- a/internal/emu/scenario.go
+++ b/internal/emu/scenario.go
@@ -55,6 +55,8 @@
 		Excess       float64 `toml:"excess_share"`
 		Fee          float64 `toml:"excess_fee"`
 		Units        float64
+		Spread       int     // of its customers' sets; 0 is as for all
+		Skew         float64 // how unevenly txns come through a set, by Zipf's law
 	}
 	Workers struct {
 		Count, Cores, Queue, Zones int
@@ -266,7 +268,8 @@
 			in(key+"burst", p.Burst, 0, 1e7), in(key+"ceiling", p.Ceiling, 0, 1e6),
 			in(key+"ceiling_depth", p.CeilingDepth, 0, 1e7), in(key+"asks", p.Asks, 0, 1000),
 			in(key+"factor", p.Factor, 0, 1000), in(key+"excess_share", p.Excess, 0, 1),
-			in(key+"excess_fee", p.Fee, 0, 100), in(key+"units", p.Units, 1, 1e6)); err != nil {
+			in(key+"excess_fee", p.Fee, 0, 100), in(key+"units", p.Units, 1, 1e6),
+			in(key+"spread", float64(p.Spread), 0, float64(g.Count)), in(key+"skew", p.Skew, 0, 10)); err != nil {
 			return first(err)
 		}
 	}
@@ -306,11 +309,19 @@
 	for i, p := range s.Plans {
 		mean := (1 + p.Units) / 2
 		all = append(all, traffic.Group{Plan: i, Customers: p.Customers, Rate: p.Rate * p.Asks / mean,
-			Products: weights, Units: p.Units})
+			Products: weights, Units: p.Units, Spread: s.spread(i), Skew: p.Skew})
 	}
 	return all
 }
 
+// spread is how many gatekeepers the customers of a plan come through.
+func (s *Scenario) spread(plan int) int {
+	if n := s.Plans[plan].Spread; n > 0 {
+		return n
+	}
+	return s.Gatekeepers.Spread
+}
+
 func (s *Scenario) shape(i int) (traffic.Shape, error) {
 	h := &s.Shapes[i]
 	t := traffic.Shape{Kind: h.Kind, From: h.FromS * 1000, To: h.ToS * 1000, Factor: h.Factor, Group: -1,
--- a/internal/emu/world.go
+++ b/internal/emu/world.go
@@ -197,7 +197,7 @@
 	w := c.w
 	c.tries++
 	w.res.Tries++
-	n, spread := len(w.gks), w.s.Gatekeepers.Spread
+	n, spread := len(w.gks), w.s.spread(c.a.Plan)
 	firstOf := int(uint64(c.a.Customer+1) * 0x9E3779B97F4A7C15 >> 33 % uint64(n))
 	g := w.gks[(firstOf+(c.a.Set+c.tries-1)%spread)%n]
 	until := w.now + w.s.Products[c.a.Product].SLAMS*w.s.Clients.Waits
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -25,6 +25,31 @@
 	Rate            float64   // txns a second that each asks for, before shapes
 	Products        []float64 // weights of the products
 	Units           float64   // units of a txn at most; each is drawn from 1 to it
+	Spread          int       // gatekeepers of a customer's set
+	Skew            float64   // how unevenly its txns come through them, by Zipf's law; 0 is evenly
+}
+
+// stays is how long the gatekeepers that a customer's txns come through most stay the same, ms.
+const stays = 12000
+
+// places gives the running sums of the weights of a set's places, or nil where all are alike.
+func (g *Group) places() []float64 {
+	if g.Skew <= 0 || g.Spread < 2 {
+		return nil
+	}
+	sums, sum := make([]float64, g.Spread), 0.0
+	for i := range sums {
+		sum += math.Pow(float64(i+1), -g.Skew)
+		sums[i] = sum
+	}
+	return sums
+}
+
+// place draws a place by its weight; the first in weight moves on every so often.
+func place(sums []float64, set, number int, at float64) int {
+	n := len(sums)
+	x := float64(set) / (1 << 30) * sums[n-1]
+	return (sort.SearchFloat64s(sums, x) + (number+int(at/stays))*(n/2+1)) % n
 }
 
 // Shape changes how much is asked from one moment to another.
@@ -96,12 +121,16 @@
 	if most <= 0 {
 		return all
 	}
+	places := g.places()
 	for at := rng.ExpFloat64() / most; at < until; at += rng.ExpFloat64() / most {
 		keep, set, product := rng.Float64(), rng.Intn(1<<30), pick(g.Products, rng.Float64())
 		units := 1 + math.Floor(rng.Float64()*math.Max(g.Units, 1))
 		if keep*most >= rate(at) {
 			continue
 		}
+		if places != nil {
+			set = place(places, set, number, at)
+		}
 		for i := range shapes {
 			if s := &shapes[i]; s.Kind == "shift" && at >= s.From && at < s.To && c < s.Customers &&
 				(s.Group < 0 || s.Group == gi) {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -46,6 +46,7 @@
 	mostly       = 0.5     // of the workers that take a sort of txn, for its answers to tell of the fleet
 	distrustMost = 12.0    // so that a worker is tried again within about three fades
 	distrusted   = 1.0     // distrust above which a draw is not good enough and more workers are looked at
+	reach        = 25.0    // gatekeepers that draw a worker, on average, at least; their chance evens out
 	widest       = 16      // workers looked at when two draws are not good enough; all of a small fleet
 	paceGain     = 0.1     // weight of the newest answer in a worker's pace
 	paceFade     = 15000.0 // ms in which a worker's pace goes back to its kind's, as slow spells last
@@ -627,7 +628,10 @@
 		}
 	}
 	for range 2 {
-		look(g.ready[g.rng.Intn(len(g.ready))])
+		look(g.near[g.rng.Intn(len(g.near))])
+	}
+	if len(g.cold) > 0 { // what they can do is little, and goes unused where they are looked at seldom
+		look(g.cold[g.rng.Intn(len(g.cold))])
 	}
 	// Guards against jams at slow workers while fast ones have room, and covers workers that fail, are silent or
 	// turn such txns away. Many gatekeepers alike could run as a herd, so no more than widest are looked at.
@@ -644,6 +648,13 @@
 	return best
 }
 
+// aperture is how many of the listed workers a gatekeeper draws from. Guards against hundreds of gatekeepers
+// that each see each worker once in many seconds, over a new connection each time.
+func (g *Gatekeeper) aperture() int {
+	part := int(math.Ceil(float64(len(g.ready)) * reach / float64(g.charter.n)))
+	return min(max(part, widest), len(g.ready))
+}
+
 // usable tells whether the rules let a txn go to a listed worker.
 func (g *Gatekeeper) usable(t *txn, wi int) bool {
 	w := &g.workers[wi]
--- a/logic/state.go
+++ b/logic/state.go
@@ -1,8 +1,10 @@
 package logic
 
 import (
+	"cmp"
 	"math"
 	"math/rand"
+	"slices"
 )
 
 // This file holds what a gatekeeper keeps, and the book-keeping that decides nothing.
@@ -54,6 +56,7 @@
 	distrust         mark
 	turned           []mark  // by sort of txn
 	full             bool    // turns all away
+	rank             float64 // by chance, so that each gatekeeper draws from some workers of its own
 	coldAt, coldDebt float64 // while it is not warm: when it was last sent to, and the units
 }
 
@@ -141,6 +144,8 @@
 
 	workers []worker
 	ready   []int     // the listed ones
+	near    []int     // of these, those that are drawn from: the first by rank
+	cold    []int     // of these, those that are not warm
 	outOf   []int     // submissions out by sort of txn
 	openTo  []float64 // part of the workers that does not turn a sort away
 	warm    int       // how many of the listed ones are warm
@@ -246,6 +251,9 @@
 		clear(w.turned)
 		*w = worker{turned: w.turned}
 	}
+	if w.rank == 0 {
+		w.rank = g.rng.Float64()
+	}
 	return w
 }
 
@@ -382,7 +390,7 @@
 
 // list gathers the workers that may be sent to.
 func (g *Gatekeeper) list() {
-	g.ready, g.warm, g.able, g.rating = g.ready[:0], 0, 0, 0
+	g.ready, g.cold, g.warm, g.able, g.rating = g.ready[:0], g.cold[:0], 0, 0, 0
 	clear(g.openTo)
 	for i := range g.workers {
 		w := &g.workers[i]
@@ -394,6 +402,8 @@
 		part := g.warmth(w.Since)
 		if g.able += part; part >= 1 {
 			g.warm++
+		} else {
+			g.cold = append(g.cold, i)
 		}
 		for k := range g.openTo {
 			if w.full || !g.turnsAway(w, k) {
@@ -404,6 +414,9 @@
 	for k := range g.openTo {
 		g.openTo[k] /= float64(max(len(g.ready), 1))
 	}
+	g.near = append(g.near[:0], g.ready...)
+	slices.SortFunc(g.near, func(a, b int) int { return cmp.Compare(g.workers[a].rank, g.workers[b].rank) })
+	g.near = g.near[:g.aperture()]
 }
 
 // Vacant tells whether no txn in hand has been sent to a worker: if it is gone its place may be another's.
