Small sets are told at once of what is sent on, where a large fleet's period is long

At fault: the period of 1.4 s that 80 gatekeepers' reports to all need, for customers whose burst lasts 1.5 s. Now a txn sent on for a customer with a set of eight at most is told to the others of the set at once, within a tenth of the intake that the period gives up for it; there the whole store counts, with half a second of unheard spending. Tests: TestToldAtOnce, TestToldAtOnceWithinIntake.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -29,6 +29,10 @@
 	flowMemory   = 5000.0  // ms over which what peers send on is averaged; several txns of a small quota
 	lapse        = 2.0     // periods without a message after which talk with a peer starts anew
 	tellBudget   = 0.95    // of the peers' intake that reports may fill; the rest is for jitter
+	promptAt     = 8       // gatekeepers of a set up to which what is sent on is told at once, not each period
+	promptPart   = 0.1     // of what reports may fill, for that
+	tellMost     = 64.0    // messages of that in a row; a burst of a few customers
+	soon         = 500.0   // ms in which peers may spend unheard where they tell at once: the way, and a loss
 	mostHeard    = 4096    // customers known from peers alone; bounds what messages can make us keep
 
 	fewPeers   = 8      // gatekeepers up to which a slice under one txn still fills in time
@@ -150,6 +154,10 @@
 	g.charter.tells, g.charter.cooldown = math.MaxInt16, cooldown
 	if c.PeerInPerS > 0 { // what all peers send in a period must fit the intake
 		perMs := c.PeerInPerS * tellBudget / 1000 / float64(max(n-1, 1))
+		if n > promptAt && g.charter.talks { // fewer hear of all that soon as it is
+			g.charter.tellAt = promptPart * perMs * float64(n-1)
+			perMs *= 1 - promptPart
+		}
 		g.charter.period = math.Max(period, 1/perMs)
 		g.charter.tells = int(g.charter.period*perMs + 1e-9)
 		g.charter.cooldown = math.Max(cooldown, toldFor*g.charter.period) // customers stay hot between two words
@@ -231,9 +239,7 @@
 // Roster updates the list of workers. Unless it is partial, workers that it does not name are gone.
 func (g *Gatekeeper) Roster(list []Posting, partial bool) {
 	if !partial {
-		for i := range g.workers {
-			g.workers[i].listed = false
-		}
+		g.unlist()
 	}
 	for _, p := range list {
 		w := g.posted(p)
@@ -267,10 +273,7 @@
 	if g.sparse(c) {
 		g.credit(c, t.draws)
 	}
-	c.demand = c.demand*math.Exp((c.seen-g.now)/p.memory) + t.draws/p.memory
-	c.lately = c.lately*math.Exp((c.seen-g.now)/demandMemory) + t.draws/demandMemory
-	c.seen = g.now
-	c.txns++
+	g.asked(c, t.draws)
 	g.reshare(c)
 }
 
@@ -305,15 +308,7 @@
 		if s.sent < g.thawed {
 			break
 		}
-		if g.pace == 0 {
-			g.pace = took
-		}
-		w.pace, w.paced = g.paceOf(w), g.now // one slow answer must not make a worker look slow for long
-		w.pace += paceGain * (took - w.pace)
-		g.pace += fleetGain * (took - g.pace)
-		k := &g.kinds[w.Kind]
-		k.answers++
-		k.pace += math.Max(fleetGain, 1/k.answers) * (took - k.pace)
+		g.timed(w, took)
 		if g.warmth(w.Since) >= 1 {
 			g.warmDone, g.warmAt = g.warmWork()+t.units, g.now
 		}
@@ -377,14 +372,17 @@
 	if p.heard = g.now; p.silent {
 		g.silence(from, false, false)
 	}
-	p.last = p.last[:0]
+	if len(reports) != 1 || len(p.last) > g.charter.perTell { // one may be told at once, between two periods
+		p.last = p.last[:0]
+	}
 	for _, r := range reports {
 		d := (r.Demand - r.Known) / 1000 // what is known of it is in the sum already
 		if !(r.Demand >= 0) || math.IsInf(d, 0) || !(r.Known >= 0) || !(r.Spent >= 0) ||
 			r.Plan < 0 || r.Plan >= len(g.plans) {
 			continue
 		}
-		p.spoke, p.last = g.now, append(p.last, r)
+		p.spoke = g.now
+		p.says(r)
 		ai, ok := g.byKey[uint32(r.Customer)]
 		if !ok {
 			if r.Demand == 0 || g.heardOnly >= mostHeard {
@@ -417,6 +415,9 @@
 		g.head++
 	}
 	g.due, g.head = g.due[:0], 0
+	if d, ok := g.promptly(); ok {
+		return d, true
+	}
 	if g.now >= g.nextBeat && len(g.byID) > 0 && g.beatAt < 0 {
 		g.beatAt, g.nextBeat = 0, g.now+g.charter.calm
 	}
@@ -449,18 +450,7 @@
 			}
 		}
 	}
-	at := 0.0
-	if len(g.byID) > 0 {
-		at = g.nextBeat
-	}
-	if len(g.byKey) > 0 && (at == 0 || g.nextTell < at) {
-		at = g.nextTell
-	}
-	if at > 0 && (g.wakeAt == 0 || at < g.wakeAt) {
-		g.wakeAt = at
-		return Decision{Kind: Wake, At: at}, true
-	}
-	return Decision{}, false
+	return g.wake()
 }
 
 // watch looks at a waiting txn for a silent worker.
@@ -686,22 +676,6 @@
 	return float64(w.inFlight+1) * math.Max(g.paceOf(w), 1) * (1 + g.distrustOf(t, wi) + busier)
 }
 
-// Burden takes what a worker said of its load with an answer. What makes no sense changes nothing.
-func (g *Gatekeeper) Burden(wi int, b Burden) {
-	if !g.charter.loadTold || wi < 0 || wi >= len(g.workers) {
-		return
-	}
-	held := b.Held
-	if !(held >= 0) && b.Busy >= 0 { // of a queue that is as busy
-		busy := math.Min(b.Busy, fullest)
-		held = busy / (1 - busy)
-	}
-	if held >= 0 && held < math.MaxInt32 {
-		g.workers[wi].load, g.workers[wi].told = held, g.now
-		g.load += fleetGain * (held - g.load)
-	}
-}
-
 // doubt notes a failure at a worker: by one where this gatekeeper sees each worker often. Among many
 // gatekeepers it would forget before it comes there again, and lose a txn each time; then the failure weighs
 // as often as the distrust fades between two visits, but no more than the usual answers that it took.
@@ -778,7 +752,7 @@
 		limit, t.inside = p.open/c.n, true
 	} else if p.rate > 0 {
 		wait := g.sliceWait(c, t.draws)
-		if !g.sparse(c) {
+		if !g.blind(c) {
 			wait = math.Min(wait, g.roomWait(c, t.draws))
 		}
 		if t.inside = wait <= 0; !t.inside && !(p.excess && g.spare()) {
@@ -831,7 +805,11 @@
 	g.fill(c)
 	before := g.own(c) - units/g.plans[c.plan].memory
 	reserve := math.Max(c.flow/flowMemory, before*float64(min(c.n-1, alike)))
-	short := units + c.keptDraws + reserve*hearsay*g.charter.period - c.whole
+	unheard := hearsay * g.charter.period
+	if g.prompt(c) {
+		unheard = soon
+	}
+	short := units + c.keptDraws + reserve*unheard - c.whole
 	return math.Max(short/g.plans[c.plan].rate, 0)
 }
 
@@ -881,13 +859,16 @@
 		c.ceilingAt = math.Max(c.ceilingAt, g.now) + t.units*float64(c.n)/p.ceilRate
 	}
 	if p.rate > 0 {
-		if !g.sparse(c) { // where it comes too late to go by, it is not told
+		if !g.blind(c) { // where it comes too late to go by, it is not told
 			c.unsaid += t.draws
 		}
 		if g.fill(c); t.inside { // beyond the quota nothing is taken
 			c.level = math.Max(c.level-t.draws, -g.holds(p, p.rate))
 		}
-		c.whole = math.Max(c.whole-t.draws, 0)
+		if c.whole = math.Max(c.whole-t.draws, 0); g.prompt(c) {
+			c.hot, c.coolSince = true, g.now
+			g.urgent = append(g.urgent, t.acct)
+		}
 	}
 }
 
@@ -970,6 +951,14 @@
 	return g.plans[c.plan].sparse && c.n > 0 && g.startLevel(c) < g.plans[c.plan].largest
 }
 
+// prompt tells whether a customer's set is so small that each txn sent on is told at once.
+func (g *Gatekeeper) prompt(c *account) bool {
+	return g.charter.tellAt > 0 && c.n > 1 && c.n <= promptAt
+}
+
+// blind tells whether news of a customer's whole store comes too late to go by.
+func (g *Gatekeeper) blind(c *account) bool { return !g.prompt(c) && g.sparse(c) }
+
 // credit puts in a sparse slice what units asked here bring it of the split, rate x (1 - beta) x own / total,
 // at once and not over the memory: a gatekeeper that sees a txn in many seconds would have it too late.
 func (g *Gatekeeper) credit(c *account, units float64) {
@@ -1043,13 +1032,7 @@
 		}
 		g.reshare(c)
 		if c.hot {
-			g.owed[c.first]++
-			g.owed[c.first+c.n]--
-			if c.n > 0 && (g.now-c.seen <= g.charter.period || c.unsaid > 0) {
-				g.news = append(g.news, int32(i))
-				c.known = c.said * math.Exp((c.saidAt-g.now)/g.plans[c.plan].memory)
-				c.said, c.saidAt = own, g.now
-			}
+			g.gather(int32(i))
 			continue
 		}
 		c.unsaid = 0
@@ -1064,6 +1047,26 @@
 	}
 }
 
+// promptly gives the next message that tells a small set at once what was sent on. Where that comes too often
+// for the peers' intake it waits for the period's.
+func (g *Gatekeeper) promptly() (Decision, bool) {
+	for ; len(g.urgent) > 0; g.urgent, g.toldTo = append(g.urgent[:0], g.urgent[1:]...), 0 {
+		c, at := &g.accounts[g.urgent[0]], g.charter.tellAt
+		if !c.live || !g.prompt(c) || g.toldTo == 0 && gcraWait(g.saidAll, g.now, at, tellMost, float64(c.n)) > 0 {
+			continue
+		}
+		if g.toldTo++; g.toldTo == 1 {
+			g.saidAll = math.Max(g.saidAll, g.now) + float64(c.n)/at
+			g.say(c)
+		}
+		if g.toldTo < c.n {
+			return g.word(c, g.toldTo), true
+		}
+		c.unsaid = 0
+	}
+	return Decision{}, false
+}
+
 // report packs the next message of own demands for the customers that a peer shares: those with news, or a
 // bare word that there is none. What the period's messages cannot hold is left out, from a random place on.
 func (g *Gatekeeper) report() (Decision, bool) {
--- /dev/null
+++ b/logic/prompt_test.go
@@ -0,0 +1,78 @@
+package logic
+
+import (
+	"math"
+	"testing"
+)
+
+// Guards against news of a small set that waits for the period of a large fleet: a burst that a quota bears is
+// declined, as each of five gatekeepers knows only a second later what the others have sent on.
+func TestToldAtOnce(t *testing.T) {
+	const n, set, first = 80, 5, 78
+	charter := func(me int) Charter {
+		return charterFor(InquiryLike, func(c *Charter) {
+			c.Me, c.Gatekeepers, c.PeerInPerS = me, n, 60
+			c.Plans[0].Rate, c.Plans[0].Burst = 4, 6
+		})
+	}
+	hosts, heard := map[int]*host{}, map[int]int{}
+	for i := range set {
+		me := (first + i) % n
+		hosts[me] = newHost(t, charter(me), int64(i+1), 8)
+	}
+	pass := func() {
+		for from, h := range hosts {
+			for _, d := range h.told {
+				if to := hosts[d.Peer]; to != nil {
+					to.g.Hear(from, d.Reports)
+					heard[d.Peer]++
+				}
+			}
+			h.told = nil
+		}
+	}
+	in, out := 0, 0
+	for i := range 40 { // a store of six that fills at four a second, and ten a second are asked
+		for _, h := range hosts {
+			h.at(20000 + 100*float64(i))
+		}
+		h := hosts[(first+i*3%set)%n]
+		s := h.arrive(Arrival{Customer: 9, Units: 1, SetSize: set, First: first, Left: 3000})
+		if s.final == 0 {
+			in++
+			h.ended(s, 0, Settled, 20)
+		} else {
+			out++
+		}
+		pass()
+	}
+	if in < 16 || in > 24 || out == 0 {
+		t.Errorf("%d of 40 txns are let in, %d declined; the quota has 22", in, out)
+	}
+	for me := range hosts {
+		if heard[me] < in/2 {
+			t.Errorf("gatekeeper %d heard %d messages of %d txns", me, heard[me], in)
+		}
+	}
+}
+
+// Guards against words said at once that fill the peers' intake: there the period's have to do.
+func TestToldAtOnceWithinIntake(t *testing.T) {
+	h := newHost(t, charterFor(InquiryLike, func(c *Charter) {
+		c.Gatekeepers, c.PeerInPerS, c.Plans[0].Rate, c.Plans[0].Burst = 80, 60, 1000, 1000
+	}), 1, 8)
+	h.at(h.now + 10000)
+	h.pull()
+	h.told = nil
+	const seconds = 10
+	for i := range 100 * seconds {
+		h.at(h.now + 10)
+		s := h.arrive(Arrival{Customer: uint64(i % 20), Units: 1, SetSize: 5, Left: 3000})
+		if s.final == 0 {
+			h.ended(s, 0, Settled, 5)
+		}
+	}
+	if most := 60*tellBudget*seconds + tellMost + 79; float64(len(h.told)) > math.Ceil(most) {
+		t.Errorf("%d messages in %d s, %v would fill the peers' intake", len(h.told), seconds, most)
+	}
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -187,6 +187,9 @@
 	news                       []int32 // accounts to report this period
 	newsFrom                   int     // where in news the messages begin
 	reports                    []Report
+	urgent                     []int32 // accounts whose sets are told at once, and how far the first has come
+	toldTo                     int
+	saidAll                    float64 // GCRA: the moment at which the part for this is whole again
 	tally                      Tally
 }
 
@@ -196,6 +199,7 @@
 	tells                      int // messages to one peer in a period
 	overlap, withdraw, advise  bool
 	loadTold                   bool
+	tellAt                     float64 // messages a ms that may be told at once; 0 where none are
 	maxAdvice, largest, period float64
 	cooldown                   float64 // ms
 	coldFrom, warmUp           float64
@@ -279,6 +283,86 @@
 	return w
 }
 
+// says keeps a peer's last word on a customer.
+func (p *peer) says(r Report) {
+	for i := range p.last {
+		if p.last[i].Customer == r.Customer {
+			p.last[i] = r
+			return
+		}
+	}
+	p.last = append(p.last, r)
+}
+
+// word tells the gatekeeper that stands so far behind this one in a customer's set, or in the fleet if this
+// one is not of the set.
+func (g *Gatekeeper) word(c *account, ahead int) Decision {
+	to := (g.charter.me + ahead) % g.charter.n
+	if place := (g.charter.me - c.first + g.charter.n) % g.charter.n; place < c.n {
+		to = (c.first + (place+ahead)%c.n) % g.charter.n
+	}
+	g.reports = append(g.reports[:0], Report{c.customer, c.plan, c.said * 1000, c.known * 1000, c.unsaid})
+	return Decision{Kind: Tell, Peer: to, Reports: g.reports}
+}
+
+// wake asks for the next turn, unless an earlier one has been asked for.
+func (g *Gatekeeper) wake() (Decision, bool) {
+	at := 0.0
+	if len(g.byID) > 0 {
+		at = g.nextBeat
+	}
+	if len(g.byKey) > 0 && (at == 0 || g.nextTell < at) {
+		at = g.nextTell
+	}
+	if at > 0 && (g.wakeAt == 0 || at < g.wakeAt) {
+		g.wakeAt = at
+		return Decision{Kind: Wake, At: at}, true
+	}
+	return Decision{}, false
+}
+
+// gather notes a hot customer's set, and its own demand if that is news.
+func (g *Gatekeeper) gather(ai int32) {
+	c := &g.accounts[ai]
+	g.owed[c.first]++
+	g.owed[c.first+c.n]--
+	if c.n > 0 && (g.now-c.seen <= g.charter.period || c.unsaid > 0) {
+		g.news = append(g.news, ai)
+		g.say(c)
+	}
+}
+
+// say books that own demand is told now.
+func (g *Gatekeeper) say(c *account) {
+	c.known = c.said * math.Exp((c.saidAt-g.now)/g.plans[c.plan].memory)
+	c.said, c.saidAt = g.own(c), g.now
+}
+
+// asked adds to a customer's demand here.
+func (g *Gatekeeper) asked(c *account, draws float64) {
+	p := &g.plans[c.plan]
+	c.demand = c.demand*math.Exp((c.seen-g.now)/p.memory) + draws/p.memory
+	c.lately = c.lately*math.Exp((c.seen-g.now)/demandMemory) + draws/demandMemory
+	c.seen = g.now
+	c.txns++
+}
+
+// Burden takes what a worker said of its load with an answer. What makes no sense changes nothing.
+func (g *Gatekeeper) Burden(wi int, b Burden) {
+	if !g.charter.loadTold || wi < 0 || wi >= len(g.workers) {
+		return
+	}
+	held := b.Held
+	if !(held >= 0) && b.Busy >= 0 { // of a queue that is as busy
+		busy := math.Min(b.Busy, fullest)
+		held = busy / (1 - busy)
+	}
+	if held >= 0 && held < math.MaxInt32 {
+		g.workers[wi].load, g.workers[wi].told = held, g.now
+		g.load += fleetGain * (held - g.load)
+	}
+}
+
 // place gives a used place of a slab, or a new one at its end.
 func place[T any](slab *[]T, unused *[]int32) int32 {
 	if n := len(*unused); n > 0 {
@@ -339,6 +423,26 @@
 	return usual + (w.pace-usual)*math.Exp((w.paced-g.now)/paceFade)
 }
 
+// timed adds the time of a whole answer to its worker's pace, its kind's and the fleet's.
+func (g *Gatekeeper) timed(w *worker, took float64) {
+	if g.pace == 0 {
+		g.pace = took
+	}
+	w.pace, w.paced = g.paceOf(w), g.now // one slow answer must not make a worker look slow for long
+	w.pace += paceGain * (took - w.pace)
+	g.pace += fleetGain * (took - g.pace)
+	k := &g.kinds[w.Kind]
+	k.answers++
+	k.pace += math.Max(fleetGain, 1/k.answers) * (took - k.pace)
+}
+
+// unlist takes all workers off the list.
+func (g *Gatekeeper) unlist() {
+	for i := range g.workers {
+		g.workers[i].listed = false
+	}
+}
+
 // draw is what a txn takes from its quota.
 func (p *plan) draw(units float64) float64 {
 	if p.out > 0 {
