--- a/logic/prompt_test.go
+++ b/logic/prompt_test.go
@@ -5,8 +5,8 @@
 	"testing"
 )
 
-// Guards against news of a small set that waits for the period of a large fleet: a burst that a quota bears is
-// declined, as each of five gatekeepers knows only a second later what the others have sent on.
+// Guards against news of a small set that waits for the period of a large fleet: each of five gatekeepers
+// knows only a second later what the others have sent on.
 func TestToldAtOnce(t *testing.T) {
 	const n, set, first = 80, 5, 78
 	charter := func(me int) Charter {
