One form of a report for words at once and each period's; no other way for a set's ring

Read once more: the report was put together in two places, and word had a branch for a gatekeeper that is not of the customer's set, which the ring of the set covers as well (such a txn's news now goes to that set). Else nothing changes.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -1078,7 +1078,7 @@
 	g.reports = g.reports[:0]
 	for ; g.looked < len(g.news) && len(g.reports) < g.charter.perTell; g.looked++ {
 		if c := &g.accounts[g.news[(g.newsFrom+g.looked)%len(g.news)]]; g.shared(c, to) {
-			g.reports = append(g.reports, Report{c.customer, c.plan, c.said * 1000, c.known * 1000, c.unsaid})
+			g.reports = append(g.reports, c.report())
 		}
 	}
 	if len(g.reports) == 0 && g.told > 0 {
--- a/logic/state.go
+++ b/logic/state.go
@@ -294,14 +294,16 @@
 	p.last = append(p.last, r)
 }
 
-// word tells the gatekeeper that stands so far behind this one in a customer's set, or in the fleet if this
-// one is not of the set.
+// report is what is told of a customer.
+func (c *account) report() Report {
+	return Report{c.customer, c.plan, c.said * 1000, c.known * 1000, c.unsaid}
+}
+
+// word tells the gatekeeper that stands so far behind this one in a customer's set.
 func (g *Gatekeeper) word(c *account, ahead int) Decision {
-	to := (g.charter.me + ahead) % g.charter.n
-	if place := (g.charter.me - c.first + g.charter.n) % g.charter.n; place < c.n {
-		to = (c.first + (place+ahead)%c.n) % g.charter.n
-	}
-	g.reports = append(g.reports[:0], Report{c.customer, c.plan, c.said * 1000, c.known * 1000, c.unsaid})
+	place := (g.charter.me - c.first + g.charter.n) % g.charter.n
+	to := (c.first + (place+ahead)%c.n) % g.charter.n
+	g.reports = append(g.reports[:0], c.report())
 	return Decision{Kind: Tell, Peer: to, Reports: g.reports}
 }
 
