A gatekeeper that has handed over says nothing at once: its successor speaks for both

Seen on reading the change once more: the period's reports bar a retired module, words at once did not, so that a body still coming at a replacement had two processes tell the same peers. At fault: prompt; it now asks for that too. TestRetiredSaysNothingAtOnce fails without.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -953,7 +953,7 @@
 
 // prompt tells whether a customer's set is so small that each txn sent on is told at once.
 func (g *Gatekeeper) prompt(c *account) bool {
-	return g.charter.tellAt > 0 && c.n > 1 && c.n <= promptAt
+	return g.charter.tellAt > 0 && !g.retired && c.n > 1 && c.n <= promptAt
 }
 
 // blind tells whether news of a customer's whole store comes too late to go by.
--- a/logic/prompt_test.go
+++ b/logic/prompt_test.go
@@ -76,3 +76,23 @@
 		t.Errorf("%d messages in %d s, %v would fill the peers' intake", len(h.told), seconds, most)
 	}
 }
+
+// Guards against two processes of one gatekeeper that both tell its peers: of what is still coming when
+// another takes over, the old one says nothing at once.
+func TestRetiredSaysNothingAtOnce(t *testing.T) {
+	for _, retired := range []bool{false, true} {
+		h := newHost(t, charterFor(InquiryLike, func(c *Charter) {
+			c.Gatekeepers, c.PeerInPerS, c.Plans[0].Rate, c.Plans[0].Burst = 80, 60, 1000, 1000
+		}), 1, 8)
+		s := h.arrive(Arrival{Customer: 9, Units: 1, SetSize: 5, Left: 3000, Streams: true})
+		if retired {
+			h.g.Retire()
+		}
+		h.told = nil
+		h.g.Poured(s.ID, 0, 1000)
+		h.pull()
+		if want := map[bool]int{false: 4, true: 0}[retired]; len(h.told) != want {
+			t.Errorf("retired %v: %d peers are told, not %d", retired, len(h.told), want)
+		}
+	}
+}
