--- /dev/null
+++ b/internal/history/event.go
@@ -0,0 +1,52 @@
+// Package history is what processes write down while they run, and the checks that are made of it afterwards.
+// Each process, stand-in and client has a record of its own; checks run over all of them, merged by time.
+package history
+
+// Kind tells what an Event speaks of.
+type Kind string
+
+// The kinds. Who writes one, and when: an act is written before it is done where a check would else miss one
+// that a crash cut short, and so is said here.
+const (
+	Began  Kind = "began"  // any: a process has started a life
+	Acts   Kind = "acts"   // a gatekeeper: it goes by Version from now on, in Mode; before it does
+	Gives  Kind = "gives"  // a daemon: Version is in force as far as it has been told
+	Wants  Kind = "wants"  // an operator or daemon: Version is proposed, in place of Base
+	Taken  Kind = "taken"  // the council: Version is in force in place of Base; Says has the reason of a refusal
+	Sends  Kind = "sends"  // a gatekeeper: Txn of Customer goes to Worker by Version; before the first byte
+	Got    Kind = "got"    // a worker: Txn has come whole, with the Version that it names
+	Asks   Kind = "asks"   // a client: Txn is sent to Peer
+	Ends   Kind = "ends"   // a client: Txn has its final answer, which Says names
+	Lends  Kind = "lends"  // a gatekeeper: Units of credit are drawn for Customer; before they are used
+	Repays Kind = "repays" // a gatekeeper: Units of Customer's debt at Peer (or its own) are paid back
+	Hands  Kind = "hands"  // a gatekeeper: a right to Units goes to Peer; before it is said. Serial is its place
+	Takes  Kind = "takes"  // a gatekeeper: a right to Units has come from Peer, with its Serial
+	Heard  Kind = "heard"  // any: a message of Peer with Serial was believed
+	Faults Kind = "faults" // the rig: a step of the schedule is done; Says has it
+)
+
+// Event is one line of a record. Fields that a Kind does not speak of are left out.
+type Event struct {
+	At       int64   `json:"at"` // ns of the machine's monotonic clock
+	Who      string  `json:"who"`
+	Life     uint32  `json:"life,omitempty"` // incarnation
+	Seq      uint64  `json:"seq"`            // place in its record, from 1 in each life
+	Kind     Kind    `json:"kind"`
+	Version  uint64  `json:"version,omitempty"`
+	Base     uint64  `json:"base,omitempty"`
+	Mode     string  `json:"mode,omitempty"`
+	Txn      string  `json:"txn,omitempty"`
+	Customer uint64  `json:"customer,omitempty"`
+	Plan     string  `json:"plan,omitempty"`
+	Worker   string  `json:"worker,omitempty"`
+	Peer     string  `json:"peer,omitempty"`
+	Units    float64 `json:"units,omitempty"`
+	Serial   uint64  `json:"serial,omitempty"`
+	Says     string  `json:"says,omitempty"`
+}
+
+// Recorder takes events. A nil one takes none, so that a program without a record pays a branch.
+type Recorder interface {
+	// Write fills in At, Who, Life and Seq, and returns once the line would outlive a kill of the process.
+	Write(Event)
+}
