--- /dev/null
+++ b/internal/history/contradict.go
@@ -0,0 +1,317 @@
+package history
+
+import (
+	"cmp"
+	"slices"
+
+	"willowdeck/internal/accord"
+)
+
+// Stance is what a gatekeeper goes by.
+type Stance struct {
+	Version uint64
+	Mode    string
+}
+
+// Clash tells whether two gatekeepers contradict each other by what they go by. The one with the lesser
+// version is the first; two of the same version are asked for too, in the order of their modes.
+type Clash func(first, second Stance) bool
+
+// Plainly is a Clash by rules alone. Two leases clash where the later version changes a ceiling, a credit
+// line, the members or a bar. A fallback does not know of what came after it, so it clashes only where its
+// part of its slice of a ceiling is more than a slice of the other version's, or where that has other
+// members; one that goes by no version clashes with none. Versions without rules here clash with all
+// others.
+func Plainly(rules map[uint64]accord.Rules) Clash {
+	return func(first, second Stance) bool {
+		if first.Version == second.Version || first.Mode == Bare || second.Mode == Bare {
+			return false
+		}
+		a, known := rules[first.Version]
+		b, too := rules[second.Version]
+		if !known || !too || !slices.Equal(a.Members, b.Members) {
+			return true
+		}
+		if first.Mode == Fallback || second.Mode == Fallback {
+			return first.Mode == Fallback && beyond(a, b) || second.Mode == Fallback && beyond(b, a)
+		}
+		return !slices.Equal(limits(a), limits(b)) || !slices.Equal(bars(a), bars(b))
+	}
+}
+
+// beyond tells whether the fallback of rules lets more through of some plan than others do.
+func beyond(fallback, others accord.Rules) bool {
+	part := fallback.Fallback.Part
+	for _, p := range fallback.Plans {
+		i := slices.IndexFunc(others.Plans, func(q accord.Plan) bool { return q.Name == p.Name })
+		if i < 0 || others.Plans[i].CeilingRate == 0 {
+			continue
+		}
+		q := others.Plans[i]
+		if p.CeilingRate == 0 || p.CeilingRate*part > q.CeilingRate || p.CeilingDepth*part > q.CeilingDepth {
+			return true
+		}
+	}
+	return false
+}
+
+// limits gives the hard limits and credit lines, in order.
+func limits(r accord.Rules) []accord.Plan {
+	var out []accord.Plan
+	for _, p := range r.Plans {
+		out = append(out, accord.Plan{Name: p.Name, CeilingRate: p.CeilingRate, CeilingDepth: p.CeilingDepth,
+			Credit: p.Credit * p.Rate, Repay: p.Repay})
+	}
+	slices.SortFunc(out, func(a, b accord.Plan) int { return cmp.Compare(a.Name, b.Name) })
+	return out
+}
+
+// bars gives what nothing may be sent to, in order.
+func bars(r accord.Rules) []accord.Word {
+	var out []accord.Word
+	for _, w := range r.Words {
+		if w.Barred || w.Drained {
+			out = append(out, accord.Word{Worker: w.Worker, Hall: w.Hall, Barred: w.Barred, Drained: w.Drained})
+		}
+	}
+	slices.SortFunc(out, func(a, b accord.Word) int {
+		return cmp.Or(cmp.Compare(a.Hall, b.Hall), cmp.Compare(a.Worker, b.Worker))
+	})
+	return out
+}
+
+// Contradictions is what Contradiction finds.
+type Contradictions struct {
+	Found
+	Longest float64 // ms for which two gatekeepers acted on contradicting versions
+	Of      []Event // with which these two began
+	Lag     float64 // ms by which a submission came after its gatekeeper had left the version that it names
+	Spans   int     // for which a gatekeeper went by one version in one mode
+	Unnamed int     // submissions at workers that name no version, or no gatekeeper that can be found
+}
+
+// span is a time for which one gatekeeper goes by one stance.
+type span struct {
+	Stance
+	began    Event
+	from, to int64
+	used     int64 // when it has last sent by it for sure, 0: never
+	still    []int64
+}
+
+// actor is one life of a process.
+type actor struct {
+	spans   []*span
+	open    bool  // the last span goes on
+	stalled int64 // since when it stands still; 0: it does not
+}
+
+// leave ends the open span.
+func (a *actor) leave(at int64) {
+	if a.open {
+		a.open = false
+		a.spans[len(a.spans)-1].to = at
+	}
+}
+
+// stage is the actors on the way through a record.
+type stage struct {
+	*Contradictions
+	step   float64
+	lives  lives
+	actors map[life]*actor
+	order  []*actor
+	sender map[arrival]life // by what was sent to whom; its serial is not asked for
+}
+
+func (p *stage) actor(l life) *actor {
+	a := p.actors[l]
+	if a == nil {
+		a = &actor{}
+		p.actors[l], p.order = a, append(p.order, a)
+	}
+	return a
+}
+
+// Contradiction finds pairs of gatekeepers that act on contradicting versions for longer than bound ms, and
+// submissions (as gatekeepers and workers have recorded them) that name a version on which their gatekeeper
+// does not act, and has not for more than step ms. step is what may lie between a decision and the worker's
+// line of it.
+//
+// A gatekeeper acts on a version from its Acts to its next one, or to the end of its life: its Gone, the
+// rig's Died, else its last line where a later life follows, else the record's end. One that stands still
+// (Stalls, Wakes) acts to the start of that, unless it sends by the version after it, or keeps to it for
+// more than step after it: then all of the time counts.
+func Contradiction(r Record, clash Clash, bound, step float64) Contradictions {
+	var c Contradictions
+	p := &stage{&c, step, livesOf(r), map[life]*actor{}, nil, map[arrival]life{}}
+	for _, e := range r.Events {
+		p.event(e)
+	}
+	var all []*span
+	for _, a := range p.order {
+		if a.open && a.stalled > 0 {
+			s := a.spans[len(a.spans)-1]
+			s.still = append(s.still, a.stalled, r.end())
+		}
+		a.leave(r.end())
+		for _, s := range a.spans {
+			s.trim(ns(step))
+			all = append(all, s)
+		}
+	}
+	c.overlaps(all, clash, bound)
+	return c
+}
+
+func (p *stage) event(e Event) {
+	here := life{e.Who, e.Life}
+	a := p.actor(here)
+	switch e.Kind {
+	case Acts:
+		p.Seen++
+		s := Stance{e.Version, e.Mode}
+		if !a.open || a.spans[len(a.spans)-1].Stance != s {
+			a.leave(e.At)
+			a.spans, a.open = append(a.spans, &span{Stance: s, began: e, from: e.At}), true
+		}
+	case Died:
+		d := p.actor(p.lives.of(e.Peer, e.PeerLife, e.At))
+		d.leave(e.At)
+		d.stalled = 0
+	case Stalls:
+		p.actor(p.lives.of(e.Peer, e.PeerLife, e.At)).stalled = e.At
+	case Wakes:
+		if w := p.actor(p.lives.of(e.Peer, e.PeerLife, e.At)); w.stalled > 0 {
+			if w.open {
+				s := w.spans[len(w.spans)-1]
+				s.still = append(s.still, w.stalled, e.At)
+			}
+			w.stalled = 0
+		}
+	case Sends:
+		p.sender[arrival{txn: e.Txn, worker: e.Worker}] = here
+		p.sent([]life{here}, e, 0)
+	case Got:
+		from := []life{{e.Peer, e.PeerLife}}
+		if e.Peer == "" {
+			from[0] = p.sender[arrival{txn: e.Txn, worker: worker(e)}]
+		} else if e.PeerLife == 0 {
+			from = p.lives.by[e.Peer]
+		}
+		if e.Version == 0 || e.Peer == "" && from[0].who == "" {
+			p.Seen++
+			p.Unnamed++
+		} else {
+			p.sent(from, e, p.step)
+		}
+	}
+	if p.lives.over(here, e.At) {
+		a.leave(e.At)
+	}
+}
+
+// sent holds one submission against what its gatekeeper, in one of some lives, goes by. late is by how many
+// ms the line may be later than what it speaks of.
+func (p *stage) sent(from []life, e Event, late float64) {
+	if p.Seen++; e.Version == 0 {
+		return
+	}
+	var s *span
+	goes := false
+	for _, l := range from {
+		a := p.actors[l]
+		if a == nil {
+			continue
+		}
+		for i, o := range slices.Backward(a.spans) {
+			if o.Version != e.Version || o.Mode == Bare {
+				continue
+			}
+			if goes = a.open && i == len(a.spans)-1; goes || s == nil || o.to > s.to {
+				s = o
+			}
+			break
+		}
+		if goes {
+			break
+		}
+	}
+	if s == nil {
+		p.broken(e.At, []Event{e}, "%s names version %d, and its gatekeeper has not acted on it", e.Who,
+			e.Version)
+		return
+	}
+	if s.used = max(s.used, e.At-ns(late)); goes {
+		return
+	}
+	lag := ms(e.At - s.to)
+	if p.Lag = max(p.Lag, lag); lag > p.step {
+		p.broken(e.At, []Event{s.began, e}, "%s names version %d %.3f ms after %s has left it, step is %v ms",
+			e.Who, e.Version, lag, s.began.Who, p.step)
+	}
+}
+
+// trim sets the end of a span to where its gatekeeper has stopped acting on it.
+func (s *span) trim(step int64) {
+	end := s.to
+	for i := len(s.still) - 2; i >= 0; i -= 2 {
+		if s.used > s.still[i+1] || end-s.still[i+1] > step {
+			break
+		}
+		end = s.still[i]
+	}
+	s.to = max(end, s.used)
+}
+
+// overlaps finds spans of two gatekeepers that contradict each other.
+func (c *Contradictions) overlaps(all []*span, clash Clash, bound float64) {
+	slices.SortFunc(all, func(a, b *span) int {
+		return cmp.Or(cmp.Compare(a.from, b.from), cmp.Compare(a.began.Who, b.began.Who),
+			cmp.Compare(a.began.Life, b.began.Life))
+	})
+	c.Spans = len(all)
+	at := map[Stance][]*span{} // those not known to have ended
+	var stances []Stance       // in the order of their first
+	clashes := map[[2]Stance]bool{}
+	for _, s := range all {
+		for _, o := range stances {
+			if o == s.Stance {
+				continue
+			}
+			first, second := o, s.Stance
+			if first.Version > second.Version || first.Version == second.Version && first.Mode > second.Mode {
+				first, second = second, first
+			}
+			pair := [2]Stance{first, second}
+			yes, known := clashes[pair]
+			if !known {
+				yes = clash(first, second)
+				clashes[pair] = yes
+			}
+			if !yes {
+				continue
+			}
+			spans := slices.DeleteFunc(at[o], func(o *span) bool { return o.to <= s.from })
+			at[o] = spans
+			for _, o := range spans {
+				if o.began.Who == s.began.Who && o.began.Life == s.began.Life {
+					continue
+				}
+				long := ms(min(o.to, s.to) - s.from)
+				if long > c.Longest {
+					c.Longest, c.Of = long, []Event{o.began, s.began}
+				}
+				if long > bound {
+					c.broken(s.from, []Event{o.began, s.began},
+						"%s by version %d (%s) and %s by %d (%s) contradict each other for %.3f ms, bound is %v ms",
+						o.began.Who, o.Version, o.Mode, s.began.Who, s.Version, s.Mode, long, bound)
+				}
+			}
+		}
+		if at[s.Stance] == nil {
+			stances = append(stances, s.Stance)
+		}
+		at[s.Stance] = append(at[s.Stance], s)
+	}
+}
--- a/internal/history/event.go
+++ b/internal/history/event.go
@@ -23,8 +23,8 @@
 	Hands  Kind = "hands"  // a gatekeeper: a right to Units goes to Peer; before it is said. Serial is its place
 	Takes  Kind = "takes"  // a gatekeeper: a right to Units has come from Peer, with its Serial
 	Heard  Kind = "heard"  // any: a message of Peer with Serial was believed
-	Holds  Kind = "holds"  // a gatekeeper: its right to Customer's line is Units by Version, in place of all before
-	Back   Kind = "back"   // a gatekeeper or worker: submission Serial of Txn is out no more; Says what that proves
+	Holds  Kind = "holds"  // a gatekeeper: its right to Customer's line is now Units by Version, whatever it was
+	Back   Kind = "back"   // a gatekeeper or worker: submission Serial of Txn is over; Says what that proves
 	Ran    Kind = "ran"    // a worker: submission Serial of Txn has run
 	Told   Kind = "told"   // a gatekeeper: it is told of Worker, which in Mode Active may be sent to, else not
 	Faults Kind = "faults" // the rig: a step of the schedule is done; Says has it
@@ -33,9 +33,10 @@
 	Wakes  Kind = "wakes"  // the rig: Peer goes on; before it does
 )
 
-var kinds = map[Kind]bool{Began: true, Gone: true, Acts: true, Gives: true, Wants: true, Taken: true, Sends: true,
-	Got: true, Asks: true, Ends: true, Lends: true, Repays: true, Hands: true, Takes: true, Heard: true,
-	Holds: true, Back: true, Ran: true, Told: true, Faults: true, Died: true, Stalls: true, Wakes: true}
+var kinds = map[Kind]bool{Began: true, Gone: true, Acts: true, Gives: true, Wants: true, Taken: true,
+	Sends: true, Got: true, Asks: true, Ends: true, Lends: true, Repays: true, Hands: true, Takes: true,
+	Heard: true, Holds: true, Back: true, Ran: true, Told: true, Faults: true, Died: true, Stalls: true,
+	Wakes: true}
 
 // The modes of Acts. Any other counts as Leased.
 const (
--- a/internal/history/log.go
+++ b/internal/history/log.go
@@ -13,8 +13,8 @@
 	"golang.org/x/sys/unix"
 )
 
-// Now gives ns of the machine's monotonic clock, which all its processes read alike. It goes on while a process
-// stands still, and does not follow the system's clock when that is set.
+// Now gives ns of the machine's monotonic clock, which all its processes read alike. It goes on while a
+// process stands still, and does not follow the system's clock when that is set.
 func Now() int64 {
 	var t unix.Timespec
 	if err := unix.ClockGettime(unix.CLOCK_MONOTONIC, &t); err != nil {
@@ -23,9 +23,9 @@
 	return t.Nano()
 }
 
-// Log is a record kept in a file, one JSON line an event and one write(2) a line, so that what Write has returned
-// from is in the kernel's hands and outlives a kill of the process (not a fall of the machine). It is safe for
-// concurrent use; lines stand in the order of their time. A nil Log takes nothing.
+// Log is a record kept in a file, one JSON line an event and one write(2) a line, so that what Write has
+// returned from is in the kernel's hands and outlives a kill of the process (not a fall of the machine). It
+// is safe for concurrent use; lines stand in the order of their time. A nil Log takes nothing.
 type Log struct {
 	// Tell is told the first error, once; nil writes it to standard error. It is set before the first Write.
 	Tell func(error)
@@ -95,8 +95,8 @@
 
 var errNumber = errors.New("units or age are no number")
 
-// Write gives an event its time, name, life and place, and returns once its line is written. One that cannot be
-// written is counted and leaves a gap in the places, which Read finds.
+// Write gives an event its time, name, life and place, and returns once its line is written. One that
+// cannot be written is counted and leaves a gap in the places, which Read finds.
 func (l *Log) Write(e Event) {
 	if l == nil {
 		return
@@ -194,8 +194,8 @@
 	return err
 }
 
-// Memory is a record kept in memory, for tests and what runs in their process. The zero one is ready. It is safe
-// for concurrent use, by any number of writers.
+// Memory is a record kept in memory, for tests and what runs in their process. The zero one is ready. It is
+// safe for concurrent use, by any number of writers.
 type Memory struct {
 	mu     sync.Mutex
 	events []Event
--- a/internal/history/log_test.go
+++ b/internal/history/log_test.go
@@ -133,8 +133,8 @@
 	return p.to.Write(b)
 }
 
-// An event that cannot be written is counted and told once, the lines after it are whole, and the reader finds
-// the gap: guards against losing one silently.
+// An event that cannot be written is counted and told once, the lines after it are whole, and the reader
+// finds the gap: guards against losing one silently.
 func TestLost(t *testing.T) {
 	for name, takes := range map[string]map[int]int{"nothing": {1: 0}, "a part": {1: 7}, "twice": {1: 7, 2: 5},
 		"the line's end alone": {1: 7, 2: 1, 3: 0}} {
@@ -238,7 +238,8 @@
 	}
 }
 
-// A process that is killed while it writes leaves a line without its end; the next life in the same file ends it.
+// A process that is killed while it writes leaves a line without its end; the next life in the same file
+// ends it.
 func TestNextLife(t *testing.T) {
 	dir := t.TempDir()
 	p := filepath.Join(dir, "a.jsonl")
--- a/internal/history/read.go
+++ b/internal/history/read.go
@@ -42,10 +42,10 @@
 	num uint32
 }
 
-// Read reads all the records in a directory (files that end in .jsonl) and merges them. A line without its end is
-// let pass where it is the last of a life, and counted. All else is an error that names the file and the line:
-// what is no event, of no known kind or with an unknown key, a gap in the places of a life (a line is missing),
-// a time that goes back, a life told of in two files.
+// Read reads all the records in a directory (files that end in .jsonl) and merges them. A line without its
+// end is let pass where it is the last of a life, and counted. All else is an error that names the file and
+// the line: what is no event, of no known kind or with an unknown key, a gap in the places of a life (a
+// line is missing), a time that goes back, a life told of in two files.
 func Read(dir string) (Record, error) {
 	paths, err := filepath.Glob(filepath.Join(dir, "*.jsonl"))
 	if err != nil {
--- /dev/null
+++ b/internal/history/versions.go
@@ -0,0 +1,263 @@
+package history
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+)
+
+// Versioned is what Versions finds.
+type Versioned struct {
+	Found
+	InForce int    // versions that came in force, or are shown to have by a read
+	Reads   int    // of the version in force
+	Checker string // what porcupine says: Ok, Illegal or Unknown; empty where the history was too long for it
+}
+
+const (
+	mostOperations = 3000            // given to porcupine: it may take time that grows exponentially
+	mostChecking   = 5 * time.Second // after which its word is Unknown
+)
+
+// version is what is known of one version's way into force, which is at one moment from lo to hi.
+type version struct {
+	number, base uint64
+	lo, hi       int64
+	loBy, hiBy   Event
+	taken        bool
+	wanted       []Event
+	reads        []Event
+}
+
+// Versions checks that the version in force is one register that is changed by compare-and-set alone: a
+// version comes in force at one moment between its Wants and its first Taken, in place of its Base, which
+// was in force up to then; a proposal without an outcome may have come in force at any later time, or
+// never; one that is refused never does. What Gives tells was in force at some moment from At-Age to At.
+// This is linearizability (Herlihy and Wing 1990) with reads that are as old as they say. It is decided in
+// one pass over the versions, as each is a value written once, and again by porcupine where the history is
+// short enough.
+//
+// A version with two marks, two versions in place of one, and one from nowhere are named as such.
+func Versions(r Record) Versioned {
+	var v Versioned
+	versions := map[uint64]*version{}
+	of := func(n uint64) *version {
+		w := versions[n]
+		if w == nil {
+			w = &version{number: n, lo: math.MinInt64, hi: math.MaxInt64}
+			versions[n] = w
+		}
+		return w
+	}
+	marks, refused, outcome := map[uint64]Event{}, map[string]Event{}, map[string]Event{}
+	start := uint64(math.MaxUint64) // what was in force before all
+	for _, e := range r.Events {
+		if e.Mark != "" && e.Version != 0 {
+			if m, known := marks[e.Version]; !known {
+				marks[e.Version] = e
+			} else if m.Mark != e.Mark {
+				v.broken(e.At, []Event{m, e}, "version %d is not the same for %s and %s", e.Version, m.Who, e.Who)
+			}
+		}
+		switch e.Kind {
+		case Wants:
+			v.Seen++
+			start = min(start, e.Base)
+			w := of(e.Version)
+			w.wanted = append(w.wanted, e)
+		case Taken:
+			v.Seen++
+			if o, known := outcome[e.Txn]; known && e.Txn != "" && (o.Says == "") != (e.Says == "") {
+				v.broken(e.At, []Event{o, e}, "proposal %s is both refused and in force", e.Txn)
+			}
+			outcome[e.Txn] = e
+			if e.Says != "" {
+				refused[proposal(e)] = e
+				continue
+			}
+			start = min(start, e.Base)
+			switch w := of(e.Version); {
+			case !w.taken:
+				w.taken, w.base, w.hi, w.hiBy = true, e.Base, e.At, e
+			case w.base != e.Base:
+				v.broken(e.At, []Event{w.hiBy, e}, "version %d is in force in place of %d and of %d", e.Version, w.base,
+					e.Base)
+			}
+		case Gives:
+			v.Seen++
+			v.Reads++
+			start = min(start, e.Version)
+			of(e.Version).reads = append(of(e.Version).reads, e)
+		}
+	}
+	if len(versions) == 0 {
+		return v
+	}
+	of(start)
+	chain := v.chain(versions, start, refused)
+	v.InForce = len(chain)
+	v.order(chain)
+	if n := v.Reads + len(chain); n <= mostOperations {
+		result := porcupine.CheckOperationsTimeout(register(start), operations(r, versions, refused), mostChecking)
+		if v.Checker = string(result); result == porcupine.Illegal && v.Count == 0 {
+			v.broken(r.end(), nil, "porcupine finds no order of proposals and reads")
+		}
+	}
+	return v
+}
+
+// proposal names a proposal: by Txn, else by what it asks for and who does (Peer in a Taken, where it says).
+func proposal(e Event) string {
+	if e.Txn != "" {
+		return e.Txn
+	}
+	who := e.Who
+	if e.Kind == Taken {
+		who = e.Peer
+	}
+	return Event{Kind: Wants, Who: who, Version: e.Version, Base: e.Base}.String()
+}
+
+// chain gives the versions that came in force, in order, with the times between which each did.
+func (v *Versioned) chain(versions map[uint64]*version, start uint64, refused map[string]Event) []*version {
+	for _, w := range versions {
+		w.wanted = slices.DeleteFunc(w.wanted, func(e Event) bool {
+			_, no := refused[proposal(e)]
+			return no || w.taken && e.Base != w.base
+		})
+		for i, e := range w.wanted {
+			if i == 0 { // the first of several: any of them may be the one
+				w.lo, w.loBy = e.At, e
+			}
+			if !w.taken {
+				w.base = max(w.base, e.Base)
+			}
+		}
+	}
+	numbers := slices.Sorted(maps.Keys(versions))
+	in := map[uint64]bool{start: true}
+	for _, n := range slices.Backward(numbers) {
+		w := versions[n]
+		if in[n] = in[n] || w.taken || len(w.reads) > 0; !in[n] || n == start {
+			continue
+		}
+		if in[w.base] = true; versions[w.base] == nil || w.base >= n {
+			v.broken(w.hiBy.At, w.rests(), "version %d is in force in place of %d, which never was", n, w.base)
+		}
+		if len(w.wanted) == 0 {
+			v.broken(w.hiBy.At, w.rests(), "version %d is in force, and nobody has proposed it", n)
+		}
+	}
+	var chain []*version
+	for _, n := range numbers {
+		if !in[n] {
+			continue
+		}
+		w := versions[n]
+		if len(chain) > 0 {
+			if last := chain[len(chain)-1]; w.base != last.number && versions[w.base] != nil && w.base < n {
+				v.broken(w.hiBy.At, append(last.rests(), w.rests()...), "versions %d and %d are both in force after %d",
+					last.number, n, w.base)
+			}
+		}
+		chain = append(chain, w)
+	}
+	return chain
+}
+
+// rests gives what shows that a version was in force, or else proposed.
+func (w *version) rests() []Event {
+	switch {
+	case w.taken:
+		return []Event{w.hiBy}
+	case len(w.reads) > 0:
+		return w.reads[:1]
+	case len(w.wanted) > 0:
+		return w.wanted[:1]
+	}
+	return nil
+}
+
+// order looks for moments at which the versions came in force one after the other so that each read is of
+// what was in force at some moment of its time. Each takes the earliest moment left to it.
+func (v *Versioned) order(chain []*version) {
+	lo, loBy := int64(math.MinInt64), Event{}
+	for _, w := range chain {
+		if w.lo > lo {
+			lo, loBy = w.lo, w.loBy
+		}
+		hi, hiBy := w.hi, w.hiBy
+		for _, e := range w.reads {
+			if e.At < hi {
+				hi, hiBy = e.At, e
+			}
+		}
+		if lo > hi {
+			v.broken(hi, []Event{loBy, hiBy}, "version %d was in force by %.3f ms, and cannot have been before %.3f",
+				w.number, ms(hi), ms(lo))
+			lo = hi // so that what follows is not held against it
+		}
+		for _, e := range w.reads { // still in force then
+			if from := e.At - ns(e.Age); from > lo {
+				lo, loBy = from, e
+			}
+		}
+	}
+}
+
+// change is a compare-and-set, or a read where it has no base.
+type change struct {
+	base, version uint64
+	read          bool
+}
+
+// register is a compare-and-set register. A change whose base is not in force does nothing, which is the case
+// of one that never happened; one that is known to have come in force has Output true.
+func register(start uint64) porcupine.Model {
+	return porcupine.Model{
+		Init: func() any { return start },
+		Step: func(state, input, output any) (bool, any) {
+			now, in := state.(uint64), input.(change)
+			switch {
+			case in.read:
+				return now == in.version, now
+			case now == in.base:
+				return true, in.version
+			}
+			return !output.(bool), now
+		},
+	}
+}
+
+// operations gives a history to porcupine.
+func operations(r Record, versions map[uint64]*version, refused map[string]Event) []porcupine.Operation {
+	var out []porcupine.Operation
+	clients := map[string]int{}
+	client := func(who string) int {
+		if _, known := clients[who]; !known {
+			clients[who] = len(clients)
+		}
+		return clients[who]
+	}
+	for _, n := range slices.Sorted(maps.Keys(versions)) {
+		w := versions[n]
+		for i, e := range w.wanted {
+			op := porcupine.Operation{ClientId: client(e.Who), Input: change{base: e.Base, version: n}, Call: e.At,
+				Output: false, Return: math.MaxInt64}
+			if w.taken && i == 0 { // of several one was, and the first has the longest time for it
+				op.Output, op.Return = true, w.hi
+			}
+			out = append(out, op)
+		}
+		for _, e := range w.reads {
+			out = append(out, porcupine.Operation{ClientId: client(e.Who), Input: change{version: n, read: true},
+				Call: e.At - ns(e.Age), Output: true, Return: e.At})
+		}
+	}
+	slices.SortStableFunc(out, func(a, b porcupine.Operation) int { return cmp.Compare(a.Call, b.Call) })
+	return out
+}
