--- a/internal/history/check_test.go
+++ b/internal/history/check_test.go
@@ -298,6 +298,15 @@
 			p.by(50, "c", Event{Kind: Taken, Version: 2, Base: 1})
 			p.by(60, "c", Event{Kind: Taken, Version: 3, Base: 1})
 		}},
+		{"versions", "acted on before it was wanted", "cannot have been", func(p *play) {
+			takenBy(p)
+			p.acts(29, "a", 2, Leased)
+		}},
+		{"versions", "acted on long after", "", func(p *play) {
+			takenBy(p)
+			p.by(50, "c", Event{Kind: Taken, Version: 2, Base: 1, Peer: "d"})
+			p.acts(900, "a", 1, Fallback)
+		}},
 		{"versions", "in place of two", "in place of 1 and of 0", func(p *play) {
 			takenBy(p)
 			p.by(50, "c", Event{Kind: Taken, Version: 2, Base: 1})
@@ -315,7 +324,7 @@
 		}},
 		{"versions", "one number, two contents", "not the same", func(p *play) {
 			takenBy(p)
-			p.by(40, "a", Event{Kind: Acts, Version: 1, Mark: "x"})
+			p.by(40, "d", Event{Kind: Gives, Version: 1, Mark: "x"})
 			p.by(40, "b", Event{Kind: Acts, Version: 1, Mark: "y"})
 		}},
 
@@ -348,6 +357,11 @@
 			p.units(1, "a", Hands, 4, "b", 1)
 			p.units(2, "b", Takes, 5, "a", 1)
 		}},
+		{"ledger", "a serial used again", "again with the same serial", func(p *play) {
+			rights(p)
+			p.units(1, "a", Hands, 4, "b", 1)
+			p.units(2, "a", Hands, 4, "b", 1)
+		}},
 		{"ledger", "lent after it was handed on", "with a right to 6", func(p *play) {
 			rights(p)
 			p.units(1, "a", Hands, 4, "b", 1)
@@ -746,8 +760,8 @@
 			}
 		}
 		for range rapid.IntRange(0, 4).Draw(t, "reads") {
-			p.by(at("read"), "e", Event{Kind: Gives, Version: uint64(rapid.IntRange(0, 3).Draw(t, "version")),
-				Age: at("age") / 4})
+			p.by(at("read"), "e", Event{Kind: rapid.SampledFrom([]Kind{Gives, Gives, Acts}).Draw(t, "kind"),
+				Version: uint64(rapid.IntRange(0, 3).Draw(t, "version")), Age: at("age") / 4})
 		}
 		v := Versions(p.record())
 		if (v.Checker == "Ok") != (v.Count == 0) || v.Count > 0 && strings.Contains(v.Breaks[0].Says, "porcupine") {
--- a/internal/history/versions.go
+++ b/internal/history/versions.go
@@ -31,15 +31,16 @@
 	taken        bool
 	wanted       []Event
 	reads        []Event
+	acted        Event // the first Acts by it
 }
 
 // Versions checks that the version in force is one register that is changed by compare-and-set alone: a
 // version comes in force at one moment between its Wants and its first Taken, in place of its Base, which
 // was in force up to then; a proposal without an outcome may have come in force at any later time, or
-// never; one that is refused never does. What Gives tells was in force at some moment from At-Age to At.
-// This is linearizability (Herlihy and Wing 1990) with reads that are as old as they say. It is decided in
-// one pass over the versions, as each is a value written once, and again by porcupine where the history is
-// short enough.
+// never; one that is refused never does. What Gives tells was in force at some moment from At-Age to At,
+// and what a gatekeeper Acts on at some moment before. This is linearizability (Herlihy and Wing 1990) with
+// reads that are as old as they say. It is decided in one pass over the versions, as each is a value
+// written once, and again by porcupine where the history is short enough.
 //
 // A version with two marks, two versions in place of one, and one from nowhere are named as such.
 func Versions(r Record) Versioned {
@@ -87,6 +88,15 @@
 				v.broken(e.At, []Event{w.hiBy, e}, "version %d is in force in place of %d and of %d", e.Version, w.base,
 					e.Base)
 			}
+		case Acts:
+			if e.Mode == Bare {
+				continue
+			}
+			v.Seen++
+			if w := of(e.Version); w.acted.Kind == "" {
+				start = min(start, e.Version)
+				w.acted = e
+			}
 		case Gives:
 			v.Seen++
 			v.Reads++
@@ -142,7 +152,7 @@
 	in := map[uint64]bool{start: true}
 	for _, n := range slices.Backward(numbers) {
 		w := versions[n]
-		if in[n] = in[n] || w.taken || len(w.reads) > 0; !in[n] || n == start {
+		if in[n] = in[n] || w.taken || len(w.reads) > 0 || w.acted.Kind != ""; !in[n] || n == start {
 			continue
 		}
 		if in[w.base] = true; versions[w.base] == nil || w.base >= n {
@@ -176,6 +186,8 @@
 		return []Event{w.hiBy}
 	case len(w.reads) > 0:
 		return w.reads[:1]
+	case w.acted.Kind != "":
+		return []Event{w.acted}
 	case len(w.wanted) > 0:
 		return w.wanted[:1]
 	}
@@ -191,6 +203,9 @@
 			lo, loBy = w.lo, w.loBy
 		}
 		hi, hiBy := w.hi, w.hiBy
+		if w.acted.Kind != "" && w.acted.At < hi {
+			hi, hiBy = w.acted.At, w.acted
+		}
 		for _, e := range w.reads {
 			if e.At < hi {
 				hi, hiBy = e.At, e
@@ -253,6 +268,10 @@
 			}
 			out = append(out, op)
 		}
+		if e := w.acted; e.Kind != "" { // it was in force at some moment before
+			out = append(out, porcupine.Operation{ClientId: client(e.Who), Input: change{version: n, read: true},
+				Call: r.Events[0].At - 1, Output: true, Return: e.At})
+		}
 		for _, e := range w.reads {
 			out = append(out, porcupine.Operation{ClientId: client(e.Who), Input: change{version: n, read: true},
 				Call: e.At - ns(e.Age), Output: true, Return: e.At})
