--- a/internal/history/check_test.go
+++ b/internal/history/check_test.go
@@ -247,6 +247,17 @@
 			p.acts(0, "b", 6, Fallback)
 			p.rig(1001, Faults, "")
 		}},
+		{"contradiction", "goes by no version", "", func(p *play) {
+			lease(p)
+			p.acts(90, "a", 1, Bare)
+			p.acts(100, "b", 3, Leased)
+			p.acts(9000, "a", 3, Leased)
+		}},
+		{"contradiction", "sent by a version without going by it", "60.000 ms after", func(p *play) {
+			lease(p)
+			p.acts(90, "a", 1, Bare)
+			p.came(150, "t", 1)
+		}},
 		{"contradiction", "the worker saw an old version", "60.000 ms after", func(p *play) {
 			p.acts(0, "a", 1, Leased)
 			p.acts(100, "a", 2, Leased)
@@ -302,6 +313,7 @@
 			takenBy(p)
 			p.acts(29, "a", 2, Leased)
 		}},
+		{"versions", "goes by none", "", func(p *play) { takenBy(p); p.acts(29, "a", 2, Bare) }},
 		{"versions", "acted on long after", "", func(p *play) {
 			takenBy(p)
 			p.by(50, "c", Event{Kind: Taken, Version: 2, Base: 1, Peer: "d"})
