Histories: a worker's start is told to those whose records say so, by the judge's new bound

Need: the judge now holds a cold worker's fall against those who knew of the start, which a record says by a told of an active worker.

--- a/internal/history/replay.go
+++ b/internal/history/replay.go
@@ -31,6 +31,7 @@
 	by      []*asked // by judge's number, from 1
 	lives   lives
 	came    map[arrival]bool
+	starts  map[int]float64 // of workers
 }
 
 // asked is a txn that a client has asked for.
@@ -51,15 +52,16 @@
 // Judge tells a record to internal/judge, which stays the one place of the five rules: txns by what clients
 // recorded (Asks with Product, Plan, Customer, Units, Peer and Expiry; Ends), submissions by gatekeepers
 // (Sends, with Serial where one worker gets a txn more than once), runs by workers (Ran), ends of
-// submissions by either (Back), words on workers by gatekeepers (Told), starts of workers (Began), and
-// deaths. Times are ms from the record's first event. Where a worker has
-// recorded how a submission ended, that counts, whatever its gatekeeper says of it later.
+// submissions by either (Back), words on workers by gatekeepers (Told; one that says active tells of the
+// start, too), starts of workers (Began), and deaths. Times are ms from the record's first event. Where a
+// worker has recorded how a submission ended, that counts, whatever its gatekeeper says of it later.
 //
 // What a record cannot give: a submission whose connection broke is known by its gatekeeper's word alone,
 // so a Back of a gatekeeper that says NeverRan is believed unless a worker's record has the submission.
 func Judge(r Record, cast Cast, rules judge.Rules) Judged {
 	var out Judged
-	p := &replay{Judged: &out, j: judge.New(rules), txns: map[string]*asked{}}
+	p := &replay{Judged: &out, j: judge.New(rules), txns: map[string]*asked{},
+		starts: map[int]float64{}}
 	for i, names := range [][]string{cast.Gatekeepers, cast.Workers, cast.Products, cast.Plans} {
 		p.numbers[i] = map[string]int{}
 		for n, name := range names {
@@ -153,12 +155,16 @@
 	case Began:
 		if n, is := p.numbers[workers][e.Who]; is {
 			p.j.Started(at, n)
+			p.starts[n] = at
 		}
 		return
 	case Told:
 		g, is := p.number(gatekeepers, e.Who, e)
 		if w, too := p.number(workers, e.Worker, e); is && too {
 			p.j.Told(at, g, w, e.Mode == Active)
+			if since, cold := p.starts[w]; cold && e.Mode == Active {
+				p.j.Knows(g, w, since)
+			}
 		}
 		return
 	case Asks:
