--- /dev/null
+++ b/internal/accord/parts.go
@@ -0,0 +1,162 @@
+package accord
+
+import (
+	"math"
+	"slices"
+)
+
+const (
+	unlimited = 1e300 // units of what has no ceiling: finite, so that a state can be written as JSON
+	rounding  = 1e-9  // of a figure, by which a sum of parts may pass it
+)
+
+// Part is what one gatekeeper may let through of one plan.
+type Part struct {
+	Rate, Depth float64 // of the ceiling, units a second and units; far beyond any use where there is none
+	Credit      float64 // units of the credit line
+}
+
+// least and most take the lesser, or greater, of two by each figure.
+func (p Part) least(o Part) Part {
+	return Part{math.Min(p.Rate, o.Rate), math.Min(p.Depth, o.Depth), math.Min(p.Credit, o.Credit)}
+}
+
+func (p Part) most(o Part) Part {
+	return Part{math.Max(p.Rate, o.Rate), math.Max(p.Depth, o.Depth), math.Max(p.Credit, o.Credit)}
+}
+
+// of is a part of what there is; all of it where there is no ceiling.
+func (p Part) of(f float64) Part {
+	q := Part{p.Rate * f, p.Depth * f, p.Credit * f}
+	if p.Rate == unlimited {
+		q.Rate, q.Depth = unlimited, unlimited
+	}
+	return q
+}
+
+func (p Part) plus(o Part) Part { return Part{p.Rate + o.Rate, p.Depth + o.Depth, p.Credit + o.Credit} }
+
+func (p Part) within(o Part) bool {
+	return p.Rate <= o.Rate*(1+rounding) && p.Depth <= o.Depth*(1+rounding) && p.Credit <= o.Credit*(1+rounding) ||
+		o.Rate == unlimited && p.Credit <= o.Credit*(1+rounding)
+}
+
+// Whole is what all gatekeepers together may let through of a plan.
+func Whole(p *Plan) Part {
+	w := Part{p.CeilingRate, p.CeilingDepth, p.Credit * p.Rate}
+	if p.CeilingRate == 0 {
+		w.Rate, w.Depth = unlimited, unlimited
+	}
+	return w
+}
+
+// Share is what a gatekeeper may let through by rules that are in force: one part of as many as there are
+// places; nothing where it has no place. A customer whose set is smaller has a larger part at each of fewer:
+// the sum over its set is the same, and where a set is dealt anew its parts count as spent (logic.Resize).
+func Share(r *Rules, plan, me int) Part {
+	if me < 0 || plan >= len(r.Plans) {
+		return Part{}
+	}
+	return Whole(&r.Plans[plan]).of(1 / float64(len(r.Members)))
+}
+
+// Cut is what one that has lost touch may let through by its fallback: a part of its share, and no credit.
+func Cut(r *Rules, plan, me int) Part {
+	p := Share(r, plan, me).of(r.Fallback.Part)
+	p.Credit = 0
+	return p
+}
+
+// Place is a gatekeeper's place by rules; -1 is none.
+func Place(r *Rules, name string) int {
+	if name == "" {
+		return -1
+	}
+	return slices.IndexFunc(r.Members, func(m Member) bool { return m.Name == name })
+}
+
+// Stance is what each of some gatekeepers may let through, by plan: the same for all.
+type Stance struct {
+	Members []Member
+	Parts   []Part
+}
+
+// normal and fallback are the stances that rules name.
+func normal(r *Rules) Stance {
+	s := Stance{Members: r.Members}
+	for i := range r.Plans {
+		s.Parts = append(s.Parts, Share(r, i, 0))
+	}
+	return s
+}
+
+func fallback(r *Rules) Stance {
+	s := Stance{Members: r.Members}
+	for i := range r.Plans {
+		s.Parts = append(s.Parts, Cut(r, i, 0))
+	}
+	return s
+}
+
+// narrowed is a stance held to the lesser of itself and what coming rules allow: nothing for those that the
+// coming ones do not name.
+func (s Stance) narrowed(coming *Rules) Stance {
+	var n Stance
+	for _, m := range s.Members {
+		if Place(coming, m.Name) >= 0 {
+			n.Members = append(n.Members, m)
+		}
+	}
+	for i, p := range s.Parts {
+		n.Parts = append(n.Parts, p.least(Share(coming, i, 0)))
+	}
+	return n
+}
+
+// Contradicts names the plan of which more than rules allow comes through where some go by them and others by
+// any of the stances, in the worst mix: each gatekeeper, told by its name, by whichever gives it most. Empty
+// where they never do. What is said of workers is not weighed: by it none passes a ceiling, and one that is
+// cut off keeps the words that it has.
+func Contradicts(held []Stance, next *Rules) string {
+	all := append([]Stance{normal(next)}, held...)
+	member := map[string][]int{} // which stances name it
+	var names []string
+	for i, s := range all {
+		for _, m := range s.Members {
+			if m.Name == "" {
+				continue
+			}
+			if member[m.Name] == nil {
+				names = append(names, m.Name)
+			}
+			member[m.Name] = append(member[m.Name], i)
+		}
+	}
+	for plan := range next.Plans {
+		var sum Part
+		for _, n := range names {
+			var worst Part
+			for _, i := range member[n] {
+				if plan < len(all[i].Parts) {
+					worst = worst.most(all[i].Parts[plan])
+				}
+			}
+			sum = sum.plus(worst)
+		}
+		if !sum.within(Whole(&next.Plans[plan])) {
+			return next.Plans[plan].Name
+		}
+	}
+	return ""
+}
+
+// hosts are those whose daemons keep members, each once.
+func hosts(members []Member) []string {
+	var all []string
+	for _, m := range members {
+		if m.Name != "" && !slices.Contains(all, m.Host) {
+			all = append(all, m.Host)
+		}
+	}
+	return all
+}
--- a/internal/accord/rules.go
+++ b/internal/accord/rules.go
@@ -11,7 +11,7 @@
 	Repay                     float64 // ms until what was borrowed is paid back
 }
 
-// Member is one gatekeeper; its number is its place in Rules.Members.
+// Member is one gatekeeper; its number is its place in Rules.Members. One without a name is a vacant place.
 type Member struct {
 	Name  string
 	Host  string // whose daemon keeps it
@@ -34,11 +34,14 @@
 
 // Rules are what the gatekeepers agree on.
 type Rules struct {
+	Form     int      // of the rules' own encoding; Form where it is this program's
+	Needs    []string // features that a program must have to go by them; see Has
 	Plans    []Plan
 	Members  []Member
 	Words    []Word
 	Fallback Fallback
 	Lease    float64 // ms that a version may be acted on without hearing that it is still in force
+	Bound    float64 // ms for which two gatekeepers may go by rules that contradict; see Bound
 }
 
 // Version is rules with their number. Numbers grow by one with each version that comes in force.
--- /dev/null
+++ b/internal/accord/steward.go
@@ -0,0 +1,196 @@
+package accord
+
+import (
+	"math"
+	"slices"
+)
+
+// process is one process of a gatekeeper on a daemon's host.
+type process struct {
+	id    int
+	given bool   // it may go by something
+	holds uint64 // as it last said
+}
+
+// ending is something that time will have run out for.
+type ending struct {
+	step         uint64
+	from         float64 // when it was first seen here; it began no later
+	acting, last float64 // ms from then until nobody acts on it, or goes by its fallback
+	pending      bool
+	told         float64 // when that was last submitted
+}
+
+// Steward is what a daemon does for its council and for the gatekeepers of its host, beside the log: it tells
+// them what is in force and for how long that may be believed, and the council what they go by and what time
+// has run out. All of it may be lost and begun anew. It is not safe for concurrent use.
+type Steward struct {
+	host      string
+	council   *Council
+	now       float64
+	leads     bool
+	processes []process
+	endings   []ending
+	lease     Lease   // as last read; Age is set when it is given
+	begun     float64 // when that reading began
+	read      float64 // when one was last asked for
+	told      float64 // when the host's own step was last submitted
+	toldStep  uint64
+	slept     float64
+}
+
+// NewSteward makes one for a host, with that daemon's own council, which the log is applied to beside it.
+func NewSteward(host string, c *Council) *Steward {
+	never := math.Inf(-1)
+	return &Steward{host: host, council: c, begun: never, read: never, told: never, slept: never}
+}
+
+// Clock sets the time of what follows, ms.
+func (s *Steward) Clock(now float64) { s.now = math.Max(s.now, now) }
+
+// Leads tells whether this daemon leads the log.
+func (s *Steward) Leads(yes bool) { s.leads = yes }
+
+// Applied tells that the council has applied entries or taken a snapshot. What ended in them ended no later
+// than now, so that its time may be counted from here by any daemon, whoever led when.
+func (s *Steward) Applied() {
+	st := s.council.State()
+	var all []ending
+	add := func(e ending) {
+		for _, o := range s.endings {
+			if o.step == e.step {
+				e.from, e.told = o.from, o.told
+			}
+		}
+		all = append(all, e)
+	}
+	for _, h := range st.Held {
+		e := ending{step: h.Step, from: s.now, acting: h.Bound, last: h.Lasts, told: math.Inf(-1)}
+		if !h.Acting {
+			e.acting = 0
+		}
+		add(e)
+	}
+	if p := st.Pending; p != nil {
+		add(ending{step: p.Step, from: s.now, last: p.Lasts, pending: true, told: math.Inf(-1)})
+	}
+	s.endings = all
+}
+
+// ReadDone tells that a quorum has confirmed a reading that began at a time, ms, and that the council here has
+// applied all that it has to see. What the council says now is what the host's gatekeepers may be told.
+func (s *Steward) ReadDone(began float64) {
+	st := s.council.State()
+	if began <= s.begun || st.Step < s.lease.Step || st.InForce.Number == 0 {
+		return
+	}
+	s.begun = began
+	s.lease = Lease{Step: st.Step, Version: st.InForce, Settled: st.Settled()}
+	if st.Pending != nil {
+		s.lease.Pending = &st.Pending.Version.Rules
+	}
+}
+
+// Began tells of a process of a gatekeeper. One that ran before this daemon did may go by anything until it
+// says what it holds.
+func (s *Steward) Began(id int, before bool) {
+	if s.of(id) == nil {
+		s.processes = append(s.processes, process{id: id, given: before})
+	}
+}
+
+// Ended tells that a process is no more.
+func (s *Steward) Ended(id int) {
+	s.processes = slices.DeleteFunc(s.processes, func(p process) bool { return p.id == id })
+}
+
+func (s *Steward) of(id int) *process {
+	if i := slices.IndexFunc(s.processes, func(p process) bool { return p.id == id }); i >= 0 {
+		return &s.processes[i]
+	}
+	return nil
+}
+
+// Asked takes a process's question, with the step that it holds, and gives what to answer; false where there
+// is nothing that may still be believed. The answer has to go out at once, or its Age is no more true.
+func (s *Steward) Asked(id int, holds uint64) (Lease, bool) {
+	p := s.of(id)
+	if p == nil { // it is not known to have ended: it counts
+		s.processes = append(s.processes, process{id: id})
+		p = &s.processes[len(s.processes)-1]
+	}
+	p.holds = max(p.holds, holds)
+	l := s.lease
+	l.Age = s.now - s.begun
+	if l.Version.Number == 0 || !(l.Age < l.Version.Rules.Lease) {
+		return Lease{}, false
+	}
+	p.given = true
+	return l, true
+}
+
+// seen is the step that no process of the host goes by anything older than.
+func (s *Steward) seen() uint64 {
+	least := s.lease.Step // what the next one that asks is told
+	for _, p := range s.processes {
+		if p.given {
+			least = min(least, p.holds)
+		}
+	}
+	return least
+}
+
+// wanted tells whether the council gains by knowing that this host has seen a step.
+func (s *Steward) wanted(step uint64) bool {
+	st := s.council.State()
+	known, there := st.Seen[s.host]
+	if !there || step <= known {
+		return false
+	}
+	for _, h := range st.Held {
+		if slices.Contains(h.Hosts, s.host) && known < h.Step && h.Step <= step {
+			return true
+		}
+	}
+	p := st.Pending
+	return p != nil && slices.Contains(p.Hosts, s.host) && known < p.Step && p.Step <= step
+}
+
+// Next gives what follows; call it until there is nothing more. Entries are to go to the log by way of
+// whoever leads it, and may be lost.
+func (s *Steward) Next() (Decision, bool) {
+	st := s.council.State()
+	wake := math.Inf(1)
+	every := math.Max(st.InForce.Rules.Lease, leastLease) / readsPer
+	if s.now >= s.read+every {
+		s.read = s.now
+		return Decision{Kind: Read}, true
+	}
+	wake = s.read + every
+	if seen := s.seen(); s.wanted(seen) {
+		if seen > s.toldStep || s.now >= s.told+again {
+			s.told, s.toldStep = s.now, seen
+			return Decision{Kind: Submit, Entry: Entry{Act: Seen, Host: s.host, Step: seen}}, true
+		}
+		wake = math.Min(wake, s.told+again)
+	}
+	for i := range s.endings {
+		e := &s.endings[i]
+		due, fallbacks := e.from+e.last, true
+		if e.acting > 0 {
+			due, fallbacks = e.from+e.acting, false
+		}
+		if due = math.Max(due, e.told+again); s.leads && s.now >= due {
+			e.told = s.now
+			return Decision{Kind: Submit, Entry: Entry{Act: Passed, Step: e.step, Fallbacks: fallbacks}}, true
+		}
+		if s.leads {
+			wake = math.Min(wake, due)
+		}
+	}
+	if wake == s.slept {
+		return Decision{}, false
+	}
+	s.slept = wake
+	return Decision{Kind: Wake, At: wake}, true
+}
