The protocol of versions explored without network, with planted breaks that are found

Need: that no two gatekeepers act on contradicting versions for longer than the bound has to be shown. Terms say where a share has grown.

--- a/internal/accord/check.go
+++ b/internal/accord/check.go
@@ -10,7 +10,7 @@
 // What the promise rests on, and what bounds the state. Times in ms.
 const (
 	Form         = 1      // of the encoding that this program writes and reads
-	drift        = 2e-4   // by which a clock runs fast or slow; crystals keep 1e-4, and clocks are slewed no faster
+	drift        = 2e-4   // by which a clock runs fast or slow; crystals keep 1e-4
 	step         = 250.0  // from the last check to the write that it allows; a long pause of the runtime or host
 	MostBound    = 2000.0 // of Rules.Bound where none is named; the promise to the operators
 	leastLease   = 100.0  // under it the asking alone would fill it
@@ -22,6 +22,7 @@
 	mostHeld     = 8      // fallbacks that may be held beside each other; each is a change in the life of one
 	mostAnswers  = 128    // proposals whose outcome is kept for those that ask again
 	readsPer     = 5      // asks and reads in a lease: one lost leaves three, and each costs a quorum's round
+	freshLease   = 1000.0 // of one that has heard of none: its default
 	again        = 300.0  // until what was submitted and not seen to be taken is submitted again
 )
 
@@ -31,17 +32,35 @@
 // Has tells whether this program has a feature that Rules.Needs may name.
 func Has(feature string) bool { return slices.Contains(features[:], feature) }
 
-// bound is how long after the end of its time in force a version may be acted on, ms: a lease counted by a slow
-// clock, and then one step, both as a fast clock counts them.
+// bound is how long after the end of its time in force a version may be acted on, ms: a lease counted by a
+// slow clock, and then one step, both as a fast clock counts them.
 func bound(lease float64) float64 { return (lease/(1-drift) + step) * (1 + drift) }
 
-// Bound is for how many ms at most two gatekeepers may go by rules that contradict each other, where these are
-// the ones that end: from the moment at which others are in force until nobody acts on them any more.
+// Bound is for how many ms at most two gatekeepers may go by rules that contradict each other, where these
+// are the ones that end: from the moment at which others are in force until nobody acts on them any more.
 func Bound(r *Rules) float64 { return bound(r.Lease) }
 
 // lasts is how long after the end of its time in force a version's fallback may be gone by, ms.
 func lasts(r *Rules) float64 { return bound(r.Lease + r.Fallback.For) }
 
+// every is how long it is between two asks, or two reads, ms.
+func every(lease float64) float64 {
+	if lease == 0 {
+		lease = freshLease
+	}
+	return lease / readsPer
+}
+
+// first is the first of some errors that there is.
+func first(all ...error) error {
+	for _, err := range all {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // figure checks one number of a key.
 func figure(key string, v, least, most float64) error {
 	if !(v >= least && v <= most) { // false for what is no number
@@ -76,7 +95,7 @@
 		return fmt.Errorf("needs: %q is not known here", what)
 	}
 	promised := r.Bound
-	err := errors.Join(figure("bound_ms", promised, bound(leastLease), 60000),
+	err := first(figure("bound_ms", promised, bound(leastLease), 60000),
 		figure("lease_ms", r.Lease, leastLease, 60000),
 		figure("fallback.part", r.Fallback.Part, 0, 1), figure("fallback.for_ms", r.Fallback.For, 0, mostFallback))
 	if err != nil {
@@ -106,7 +125,7 @@
 		}
 		plans[p.Name] = true
 		const most = 1e9
-		if err := errors.Join(figure(key+".rate", p.Rate, 0, most), figure(key+".burst", p.Burst, 0, most),
+		if err := first(figure(key+".rate", p.Rate, 0, most), figure(key+".burst", p.Burst, 0, most),
 			figure(key+".ceiling_rate", p.CeilingRate, 0, most), figure(key+".ceiling_depth", p.CeilingDepth, 0, most),
 			figure(key+".credit_s", p.Credit, 0, 86400), figure(key+".repay_ms", p.Repay, 0, 864e5)); err != nil {
 			return err
@@ -120,7 +139,7 @@
 			return fmt.Errorf("%s.ceiling_rate: it and ceiling_depth need each other", key)
 		}
 	}
-	return errors.Join(checkMembers(r), checkWords(r))
+	return first(checkMembers(r), checkWords(r))
 }
 
 func checkMembers(r *Rules) error {
@@ -133,7 +152,7 @@
 			}
 			continue
 		}
-		switch err := errors.Join(name(key+".name", m.Name), name(key+".host", m.Host)); {
+		switch err := first(name(key+".name", m.Name), name(key+".host", m.Host)); {
 		case err != nil:
 			return err
 		case len(m.Peers) > mostName:
--- a/internal/accord/council.go
+++ b/internal/accord/council.go
@@ -74,9 +74,9 @@
 	Answered []Answer          `json:",omitempty"` // the latest proposals, in their order
 }
 
-// Council decides which version is in force. Fed with the same entries, in the order of the log, it is the same
-// at each daemon; it knows no time, which comes to it as entries that say what has run out. It is not safe for
-// concurrent use.
+// Council decides which version is in force. Fed with the same entries, in the order of the log, it is the
+// same at each daemon. It knows no time: that comes to it as entries that say what has run out. It is not
+// safe for concurrent use.
 type Council struct{ s State }
 
 // NewCouncil makes one with no version in force; the first is to follow version 0.
@@ -178,8 +178,9 @@
 		return Outcome{Refused: err.Error()}
 	}
 	if len(s.Held) >= mostHeld {
-		return Outcome{Refused: fmt.Sprintf("base: the fallbacks of %d versions may still be held: wait until %s", len(
-			s.Held), s.unseen(s.Held[0].Hosts, s.Held[0].Step))}
+		until := s.unseen(s.Held[0].Hosts, s.Held[0].Step)
+		return Outcome{Refused: fmt.Sprintf("base: %d versions may be fallen back to still, until %s",
+			len(s.Held), until)}
 	}
 	p := &Coming{Version: Version{s.InForce.Number + 1, *e.Rules}, ID: e.ID, Step: s.Step + 1}
 	var held []Stance
@@ -220,8 +221,8 @@
 	case p == nil:
 		return ""
 	case p.Contradicts != "":
-		return fmt.Sprintf("fallbacks that may be held pass more of plan %s than it allows, until %s", p.Contradicts,
-			s.unseen(p.Hosts, p.Step))
+		return fmt.Sprintf("fallbacks that may be held pass more of plan %s than it allows, until %s",
+			p.Contradicts, s.unseen(p.Hosts, p.Step))
 	default:
 		for _, h := range s.Held {
 			if h.Acting {
@@ -264,8 +265,8 @@
 	c.note()
 }
 
-// enforce puts the pending version in force. seen: whatever is held is of the version in force and is narrowed
-// to what the pending one allows.
+// enforce puts the pending version in force. seen: whatever is held is of the version in force and is
+// narrowed to what the pending one allows.
 func (c *Council) enforce(seen bool) {
 	s := &c.s
 	p, old := s.Pending, &s.InForce
--- a/internal/accord/form.go
+++ b/internal/accord/form.go
@@ -88,8 +88,8 @@
 // Bytes is an entry as it stands in the log.
 func (e Entry) Bytes() ([]byte, error) { return json.Marshal(e) }
 
-// ReadEntry reads one. An entry that this program does not know whole is an error, and a daemon that meets one
-// in the log must stop there: to leave it out would part it from the others for good.
+// ReadEntry reads one. An entry that this program does not know whole is an error, and a daemon that meets
+// one in the log must stop there: to leave it out would part it from the others for good.
 func ReadEntry(raw []byte) (Entry, error) {
 	var e Entry
 	if err := decode(raw, &e); err != nil {
--- a/internal/accord/holder.go
+++ b/internal/accord/holder.go
@@ -7,8 +7,8 @@
 // Mode is by what a gatekeeper goes.
 type Mode uint8
 
-// The modes. Any but Leased has no new credit, and quotas at the slice that needs no word of peers; all keep the
-// operators' words.
+// The modes. Any but Leased has no new credit, and quotas at the slice that needs no word of peers; all keep
+// the operators' words.
 const (
 	Bare   Mode = iota // nothing of a ceiling is surely its own: nothing passes under one
 	CutOff             // it has lost touch: of ceilings what its version's fallback leaves it
@@ -32,11 +32,15 @@
 	Version uint64 // 0: what it was born with
 	Step    uint64 // of the council's word that they rest on
 	Mode    Mode
-	Me, N   int // its place and how many there are; Me is -1 where it has none, and it passes nothing of ceilings
+	Me, N   int // its place and how many there are; Me is -1 where it has none, and no ceiling's part
 	Plans   []PlanTerms
 	Credit  bool // it may lend anew
 	Words   []Word
 	Until   float64 // ms, by its own clock, for which they hold at first; see Holder.May
+	// Raised: its share has grown since the terms before, as others have less or are no more. They may have spent
+	// theirs just now, so that what it has more counts as spent: it fills at its rate. So it is at the first
+	// lease of a life, unless this one knows what the life before it had spent under the same version.
+	Raised bool
 }
 
 // Kind is what a Decision asks of the host.
@@ -69,9 +73,9 @@
 }
 
 // Holder decides what one gatekeeper goes by. It trusts nothing but its own clock: what was in force when its
-// daemon began to read may be acted on until a lease after that moment (Gray and Cheriton 1989, with the council
-// for the server and a quorum's read for the grant, as in Ongaro 2014, 6.4, so that nobody keeps books of who
-// holds a lease). It is not safe for concurrent use.
+// daemon began to read may be acted on until a lease after that moment: Gray and Cheriton 1989, with a
+// quorum's read (Ongaro 2014, 6.4) for the grant, so that nobody keeps books of who holds a lease. It is not
+// safe for concurrent use.
 type Holder struct {
 	name    string
 	now     float64
@@ -80,6 +84,7 @@
 	version Version
 	me      int
 	own     []Part // by plan, what it may let through while it is leased
+	raised  bool   // some of it has grown since it last adopted terms
 	coming  *Rules // what waits, as far as it is known here
 	strange bool   // and is not known whole, so that no part of it is either
 	until   float64
@@ -143,17 +148,14 @@
 	case CutOff:
 		p := h.own[plan].least(Cut(r, plan, h.me))
 		if h.strange {
-			return Part{}
+			return Share(r, plan, -1)
 		}
 		if h.coming != nil {
 			p = p.least(Share(h.coming, plan, Place(h.coming, h.name)))
 		}
 		return p
 	}
-	if plan < len(r.Plans) && Whole(&r.Plans[plan]).Rate == unlimited {
-		return Part{Rate: unlimited, Depth: unlimited}
-	}
-	return Part{}
+	return Share(r, plan, -1)
 }
 
 // Heard takes a daemon's word that came on a question that was sent at a time by this one's clock, ms.
@@ -208,7 +210,11 @@
 	me := Place(r, h.name)
 	own := make([]Part, len(r.Plans))
 	for i := range own {
-		own[i] = h.part(i).least(Share(r, i, me))
+		had := Share(r, i, -1)
+		if i < len(h.own) {
+			had = h.part(i)
+		}
+		own[i] = had.least(Share(r, i, me))
 	}
 	h.version, h.me, h.own, h.until = l.Version, me, own, math.Inf(-1)
 	h.change()
@@ -218,7 +224,7 @@
 func (h *Holder) raise() {
 	for i := range h.own {
 		if s := Share(&h.version.Rules, i, h.me); h.own[i] != s {
-			h.own[i] = s
+			h.own[i], h.raised = s, true
 			h.change()
 		}
 	}
@@ -242,10 +248,10 @@
 		if h.next > h.holds {
 			h.since = h.now // from here on, and not from when it was heard
 		}
-		h.terms = h.draw()
+		h.terms, h.raised = h.draw(), false
 		return Decision{Kind: Adopt, Terms: h.terms}, true
 	}
-	ask := h.asked + math.Max(h.version.Rules.Lease, leastLease)/readsPer
+	ask := h.asked + every(h.version.Rules.Lease)
 	if h.now >= ask {
 		h.asked, h.slept = h.now, math.Inf(-1)
 		return Decision{Kind: Ask}, true
@@ -264,8 +270,9 @@
 // draw makes the terms as they stand.
 func (h *Holder) draw() Terms {
 	r := &h.version.Rules
-	t := Terms{Version: h.version.Number, Step: h.step, Mode: h.mode, Me: h.me, N: len(r.Members), Words: r.Words,
-		Until: h.till, Credit: h.mode == Leased}
+	t := Terms{Version: h.version.Number, Step: h.step, Mode: h.mode, Me: h.me, N: len(r.Members),
+		Words: r.Words, Until: h.till, Credit: h.mode == Leased,
+		Raised: h.raised}
 	for i, p := range r.Plans {
 		q, even := PlanTerms{Plan: p, Part: h.part(i)}, Share(r, i, 0)
 		if p.CeilingRate > 0 && even.Rate > 0 {
@@ -282,8 +289,9 @@
 // Current gives the terms last adopted.
 func (h *Holder) Current() Terms { return h.terms }
 
-// May tells whether the terms last adopted may be acted on at a time, ms. To be asked at each decision and once
-// more before the write; where it is false, Clock and Next say by what to go.
+// May tells whether the terms last adopted may be acted on at a time, ms. To be asked at each decision and
+// once more before the write. There the terms have to be those of the decision still, or it is made anew.
+// Where it is false, Clock and Next say by what to go.
 func (h *Holder) May(now float64) bool { return now < h.till }
 
 // Holds gives the step that all this one does from now on rests on, with what it had decided before and might
--- a/internal/accord/lag.go
+++ b/internal/accord/lag.go
@@ -2,8 +2,9 @@
 
 import "slices"
 
-const mostHighest = 128 // of discovery's indices whose time is kept; where more come, one that lags counts as
-// behind the oldest kept, and is named no later for it
+// mostHighest is of how many of discovery's indices the time is kept. Where more came, one that is behind all
+// of them counts from the oldest kept: 128 changes of the list are a minute of a rolling deploy.
+const mostHighest = 128
 
 // Behind is one whose list of discovery's lags.
 type Behind struct {
@@ -12,8 +13,8 @@
 	For            float64 // ms since a newer index than its own was first told
 }
 
-// Lag knows which index of discovery's list each process has told. What discovery itself has is not known here:
-// where all lag, none does.
+// Lag knows which index of discovery's list each process has told. What discovery itself has is not known
+// here: where all lag, none does.
 type Lag struct {
 	has     map[string]int64
 	indices []int64   // each higher than the one before
--- a/internal/accord/parts.go
+++ b/internal/accord/parts.go
@@ -37,8 +37,10 @@
 func (p Part) plus(o Part) Part { return Part{p.Rate + o.Rate, p.Depth + o.Depth, p.Credit + o.Credit} }
 
 func (p Part) within(o Part) bool {
-	return p.Rate <= o.Rate*(1+rounding) && p.Depth <= o.Depth*(1+rounding) && p.Credit <= o.Credit*(1+rounding) ||
-		o.Rate == unlimited && p.Credit <= o.Credit*(1+rounding)
+	if p.Credit > o.Credit*(1+rounding) {
+		return false
+	}
+	return o.Rate == unlimited || p.Rate <= o.Rate*(1+rounding) && p.Depth <= o.Depth*(1+rounding)
 }
 
 // Whole is what all gatekeepers together may let through of a plan.
@@ -51,13 +53,19 @@
 }
 
 // Share is what a gatekeeper may let through by rules that are in force: one part of as many as there are
-// places; nothing where it has no place. A customer whose set is smaller has a larger part at each of fewer:
-// the sum over its set is the same, and where a set is dealt anew its parts count as spent (logic.Resize).
+// places; nothing of a ceiling where it has no place. A customer whose set is smaller has a larger part at
+// each of fewer: the sum over its set is the same, and where a set is dealt anew its parts count as spent
+// (logic.Resize).
 func Share(r *Rules, plan, me int) Part {
-	if me < 0 || plan >= len(r.Plans) {
+	if plan >= len(r.Plans) {
 		return Part{}
 	}
-	return Whole(&r.Plans[plan]).of(1 / float64(len(r.Members)))
+	if w := Whole(&r.Plans[plan]); me >= 0 {
+		return w.of(1 / float64(len(r.Members)))
+	} else if w.Rate == unlimited {
+		return Part{Rate: unlimited, Depth: unlimited}
+	}
+	return Part{}
 }
 
 // Cut is what one that has lost touch may let through by its fallback: a part of its share, and no credit.
--- a/internal/accord/steward.go
+++ b/internal/accord/steward.go
@@ -77,8 +77,8 @@
 	s.endings = all
 }
 
-// ReadDone tells that a quorum has confirmed a reading that began at a time, ms, and that the council here has
-// applied all that it has to see. What the council says now is what the host's gatekeepers may be told.
+// ReadDone tells that a quorum has confirmed a reading that began at a time, ms, and that the council here
+// has applied all that it has to see. What the council says now is what the host's gatekeepers may be told.
 func (s *Steward) ReadDone(began float64) {
 	st := s.council.State()
 	if began <= s.begun || st.Step < s.lease.Step || st.InForce.Number == 0 {
@@ -160,13 +160,12 @@
 // whoever leads it, and may be lost.
 func (s *Steward) Next() (Decision, bool) {
 	st := s.council.State()
-	wake := math.Inf(1)
-	every := math.Max(st.InForce.Rules.Lease, leastLease) / readsPer
+	every := every(st.InForce.Rules.Lease)
 	if s.now >= s.read+every {
 		s.read = s.now
 		return Decision{Kind: Read}, true
 	}
-	wake = s.read + every
+	wake := s.read + every
 	if seen := s.seen(); s.wanted(seen) {
 		if seen > s.toldStep || s.now >= s.told+again {
 			s.told, s.toldStep = s.now, seen
--- /dev/null
+++ b/internal/accord/walk_test.go
@@ -0,0 +1,308 @@
+package accord
+
+import (
+	"bytes"
+	"fmt"
+	"math"
+	"math/rand"
+	"slices"
+	"testing"
+)
+
+// walker is one host of a random walk: an instance and a daemon with its own copy of the council, each with a
+// clock of its own that runs fast or slow by as much as the protocol allows for.
+type walker struct {
+	name           string
+	holder         *Holder
+	steward        *Steward
+	council        *Council
+	applied        int // of the log
+	process        int
+	fast, offset   float64
+	stalled, still float64 // until when the instance stands still, and the daemon
+	writes         []write
+}
+
+// write is what was checked at a time and may be written up to a step later.
+type write struct {
+	at   float64
+	part Part
+}
+
+func (w *walker) clock(now float64) float64 { return now*w.fast + w.offset }
+
+// walk is many events at random, far beyond the depth of the exploration.
+type walk struct {
+	rng    *rand.Rand
+	now    float64
+	log    []Entry
+	truth  *Council // all of the log, at the moment of each commit
+	hosts  []*walker
+	later  []event
+	ended  []ended
+	allows float64
+	counts map[string]int
+	plant  planted
+}
+
+type event struct {
+	at float64
+	do func()
+}
+
+// in does something after a random time, mostly soon and sometimes very late; sometimes never, or twice.
+func (w *walk) in(do func()) {
+	for n := []int{0, 1, 1, 1, 1, 1, 1, 1, 1, 2}[w.rng.Intn(10)]; n > 0; n-- {
+		late := w.rng.ExpFloat64() * 20
+		if w.rng.Intn(12) == 0 {
+			late = w.rng.Float64() * 2500
+		}
+		w.later = append(w.later, event{w.now + late, do})
+	}
+}
+
+func (w *walk) commit(e Entry) {
+	old := w.truth.s.InForce
+	o := w.truth.Apply(e)
+	w.log = append(w.log, e)
+	if o.Refused != "" {
+		w.counts["refused"]++
+	}
+	if o.Waits != "" {
+		w.counts["waited"]++
+	}
+	if w.plant == enforcedEarly && w.truth.s.Pending != nil {
+		w.truth.enforce(false)
+		o.InForce = w.truth.s.InForce.Number
+	}
+	if o.InForce > 0 {
+		w.counts["in force"]++
+		w.ended = append(w.ended, ended{w.now, w.allows, Bound(&old.Rules)})
+		w.allows = w.truth.s.InForce.Rules.Plans[0].CeilingRate
+	}
+}
+
+func (w *walk) rules() *Rules {
+	r := small([]float64{12, 24, 48, 96, 192}[w.rng.Intn(5)], []string{"abcd", "abc", "ab.d", "a", "ab", ".bc"}[w.rng.
+		Intn(6)])
+	r.Lease = 100 + w.rng.Float64()*1500
+	r.Fallback = Fallback{Part: w.rng.Float64(), For: w.rng.Float64() * 3000}
+	return r
+}
+
+// drive is one look at the clock by each that does not stand still.
+func (w *walk) drive() {
+	for _, s := range w.hosts {
+		if s.still <= w.now {
+			w.daemon(s)
+		}
+		if s.stalled <= w.now {
+			w.instance(s)
+		}
+		// One that stands still, and goes on between two of its own lines, writes what May allows.
+		if s.holder.May(s.clock(w.now)) && len(s.holder.terms.Plans) > 0 {
+			s.writes = append(s.writes, write{w.now, s.holder.terms.Plans[0].Part})
+		}
+		s.writes = slices.DeleteFunc(s.writes, func(x write) bool { return x.at+step < w.now })
+	}
+}
+
+func (w *walk) daemon(s *walker) {
+	for s.applied < len(w.log) && w.rng.Intn(3) > 0 {
+		w.apply(s)
+	}
+	s.steward.Clock(s.clock(w.now))
+	s.steward.Leads(w.rng.Intn(2) == 0)
+	for {
+		d, more := s.steward.Next()
+		if !more {
+			return
+		}
+		switch d.Kind {
+		case Submit:
+			w.in(func() { w.commit(d.Entry) })
+		case Read:
+			steward, began, index := s.steward, s.clock(w.now), len(w.log)
+			w.in(func() {
+				if s.steward != steward || s.still > w.now {
+					return
+				}
+				for s.applied < index {
+					w.apply(s)
+				}
+				s.steward.Clock(s.clock(w.now))
+				s.steward.ReadDone(began)
+			})
+		}
+	}
+}
+
+func (w *walk) apply(s *walker) {
+	s.council.Apply(w.log[s.applied])
+	if s.applied++; w.plant == enforcedEarly && s.council.s.Pending != nil {
+		s.council.enforce(false)
+	}
+	s.steward.Clock(s.clock(w.now))
+	s.steward.Applied()
+}
+
+func (w *walk) instance(s *walker) {
+	s.holder.Clock(s.clock(w.now))
+	for {
+		d, more := s.holder.Next()
+		if !more {
+			return
+		}
+		if d.Kind == Ask {
+			holder, process, asked, holds := s.holder, s.process, s.clock(w.now), s.holder.Holds()
+			if w.plant == heldAtOnce {
+				holds = s.holder.step
+			}
+			w.in(func() {
+				if s.still > w.now || s.process != process { // a daemon knows which of its processes have ended
+					return
+				}
+				s.steward.Clock(s.clock(w.now))
+				l, ok := s.steward.Asked(process, holds)
+				if !ok {
+					return
+				}
+				switch w.plant {
+				case raisedAtOnce:
+					l.Settled = true
+				case notNarrowed:
+					l.Pending = nil
+				}
+				w.in(func() {
+					if s.holder != holder || s.stalled > w.now {
+						return
+					}
+					s.holder.Clock(s.clock(w.now))
+					if w.plant == fromReceipt {
+						l.Age, asked = 0, s.clock(w.now)
+					}
+					s.holder.Heard(l, asked)
+				})
+			})
+		}
+	}
+}
+
+// trouble is something at random: a proposal, a stall, a crash of an instance or of a daemon.
+func (w *walk) trouble() {
+	s := w.hosts[w.rng.Intn(len(w.hosts))]
+	switch w.rng.Intn(14) {
+	case 0, 1, 2, 3, 4, 5:
+		w.commit(Entry{Act: Propose, ID: fmt.Sprint(len(w.log)), Base: w.truth.s.InForce.Number, Rules: w.rules()})
+	case 6:
+		w.commit(Entry{Act: Withdraw, ID: fmt.Sprint(len(w.log)), Base: w.truth.s.InForce.Number})
+	case 7, 8, 9:
+		s.stalled = w.now + w.rng.Float64()*4000
+	case 10:
+		s.still = w.now + w.rng.Float64()*4000
+	case 11, 12:
+		s.steward.Ended(s.process)
+		s.process++
+		s.holder, s.stalled, s.writes = NewHolder(s.name, Rules{}), 0, nil
+		s.steward.Began(s.process, false)
+	default: // the daemon comes back with what its disk has: a snapshot, and what came since
+		raw, err := s.council.Snapshot()
+		if s.council = NewCouncil(); err != nil || s.council.Restore(raw) != nil {
+			panic("snapshot")
+		}
+		s.steward, s.still = NewSteward("host-"+s.name, s.council), 0
+		s.steward.Began(s.process, true)
+		s.steward.Clock(s.clock(w.now))
+		s.steward.Applied()
+	}
+}
+
+// walked walks for a time in ms; it gives what is wrong.
+func walked(seed int64, until float64, plant planted) (string, map[string]int) {
+	w := &walk{rng: rand.New(rand.NewSource(seed)), truth: NewCouncil(), counts: map[string]int{}, plant: plant}
+	for _, n := range []string{"a", "b", "c", "d"} {
+		s := &walker{name: n, holder: NewHolder(n, Rules{}), council: NewCouncil(),
+			fast: 1 + (2*w.rng.Float64()-1)*drift, offset: w.rng.Float64() * 1e6}
+		s.steward = NewSteward("host-"+n, s.council)
+		s.steward.Began(0, false)
+		w.hosts = append(w.hosts, s)
+	}
+	w.commit(Entry{Act: Propose, ID: "first", Rules: w.rules()})
+	for next := 1000.0; w.now < until; w.now += w.rng.ExpFloat64() * 20 {
+		for i := 0; i < len(w.later); i++ {
+			if e := w.later[i]; e.at <= w.now {
+				w.later = slices.Delete(w.later, i, i+1)
+				i--
+				e.do()
+			}
+		}
+		if w.now > next {
+			w.trouble()
+			next = w.now + w.rng.ExpFloat64()*[]float64{100, 1000, 4000}[w.rng.Intn(3)]
+		}
+		w.drive()
+		var sum Part
+		for _, s := range w.hosts {
+			var most Part
+			for _, x := range s.writes {
+				most = most.most(x.part)
+			}
+			sum = sum.plus(most)
+		}
+		w.ended = slices.DeleteFunc(w.ended, func(e ended) bool { return w.now > e.at+e.bound })
+		allowed := w.allows
+		for _, e := range w.ended {
+			allowed = math.Max(allowed, e.allows)
+		}
+		if sum.Rate > allowed*(1+rounding) || sum.Credit > allowed*(1+rounding) {
+			return fmt.Sprintf("at %.0f all write by %v of %v", w.now, sum, allowed), w.counts
+		}
+		w.counts["moments"]++
+		if allowed > 0 && sum.Rate >= allowed*(1-rounding) {
+			w.counts["full"]++
+		}
+	}
+	// Once all copies have the whole log they are the same.
+	want, _ := w.truth.Snapshot()
+	for _, s := range w.hosts {
+		for s.applied < len(w.log) {
+			w.apply(s)
+		}
+		if got, _ := s.council.Snapshot(); !bytes.Equal(got, want) {
+			return fmt.Sprintf("the council of %s is another:\n%s\n%s", s.name, got, want), w.counts
+		}
+	}
+	return "", w.counts
+}
+
+func TestWalks(t *testing.T) {
+	all := map[string]int{}
+	for seed := range int64(*walks) {
+		wrong, counts := walked(seed, 60000, none)
+		if wrong != "" {
+			t.Fatalf("seed %d: %s", seed, wrong)
+		}
+		for k, n := range counts {
+			all[k] += n
+		}
+	}
+	t.Logf("%d walks of a minute: %v", *walks, all)
+	if all["full"] < all["moments"]/10 || all["waited"] == 0 || all["in force"] < *walks {
+		t.Errorf("walks in which too little happens: %v", all)
+	}
+}
+
+func TestWalksFindPlantedBreaks(t *testing.T) {
+	for p := fromReceipt; p <= heldAtOnce; p++ {
+		found := false
+		for seed := int64(0); seed < 40 && !found; seed++ {
+			wrong, _ := walked(seed, 60000, p)
+			if found = wrong != ""; found {
+				t.Logf("%s: seed %d: %s", plantedNames[p], seed, wrong)
+			}
+		}
+		if !found {
+			t.Errorf("%s: not found", plantedNames[p])
+		}
+	}
+}
