--- a/internal/accord/check.go
+++ b/internal/accord/check.go
@@ -9,21 +9,22 @@
 
 // What the promise rests on, and what bounds the state. Times in ms.
 const (
-	Form         = 1      // of the encoding that this program writes and reads
-	drift        = 2e-4   // by which a clock runs fast or slow; crystals keep 1e-4
-	step         = 250.0  // from the last check to the write that it allows; a long pause of the runtime or host
-	MostBound    = 2000.0 // of Rules.Bound where none is named; the promise to the operators
-	leastLease   = 100.0  // under it the asking alone would fill it
-	mostFallback = 3.6e6  // an hour: a version that contradicts the fallback of one cut off waits for so long
-	mostPlans    = 256    // a plan's place is a small index with the instances, and is kept for life
-	mostMembers  = 500    // as many as a fleet's file may name
-	mostWords    = 4096   // a hall's worth of words by worker
-	mostName     = 200    // bytes of a name
-	mostHeld     = 8      // fallbacks that may be held beside each other; each is a change in the life of one
-	mostAnswers  = 128    // proposals whose outcome is kept for those that ask again
-	readsPer     = 5      // asks and reads in a lease: one lost leaves three, and each costs a quorum's round
-	freshLease   = 1000.0 // of one that has heard of none: its default
-	again        = 300.0  // until what was submitted and not seen to be taken is submitted again
+	Form         = 1               // of the encoding that this program writes and reads
+	drift        = 2e-4            // by which a clock runs fast or slow; crystals keep 1e-4
+	step         = 250.0           // from the last check to the write that it allows: a long pause of the host
+	MostBound    = 2000.0          // of Rules.Bound where none is named; the promise to the operators
+	leastLease   = 100.0           // under it the asking alone would fill it
+	mostFallback = 3.6e6           // an hour: what contradicts the fallback of one cut off waits for so long
+	mostPlans    = 256             // a plan's place is a small index with the instances, and is kept for life
+	mostMembers  = 500             // as many as a fleet's file may name
+	mostRun      = 2 * mostMembers // on a host: of each gatekeeper one, and one that takes its place
+	mostWords    = 4096            // a hall's worth of words by worker
+	mostName     = 200             // bytes of a name
+	mostHeld     = 8               // fallbacks that may be held beside each other, by those long cut off
+	mostAnswers  = 128             // proposals whose outcome is kept for those that ask again
+	readsPer     = 5               // asks and reads in a lease: two in a row may be lost, and each costs a round
+	freshLease   = 1000.0          // of one that has heard of none: its default
+	again        = 300.0           // until what was submitted and not seen to be taken is submitted again
 )
 
 // features are what this program can go by beyond the keys that it has always known.
@@ -127,14 +128,14 @@
 		const most = 1e9
 		if err := first(figure(key+".rate", p.Rate, 0, most), figure(key+".burst", p.Burst, 0, most),
 			figure(key+".ceiling_rate", p.CeilingRate, 0, most), figure(key+".ceiling_depth", p.CeilingDepth, 0, most),
-			figure(key+".credit_s", p.Credit, 0, 86400), figure(key+".repay_ms", p.Repay, 0, 864e5)); err != nil {
+			figure(key+".credit_s", p.Credit, 0, 86400), figure(key+".repay_s", p.Repay/1000, 0, 86400)); err != nil {
 			return err
 		}
 		switch {
 		case p.Credit > 0 && !(p.Rate > 0):
 			return fmt.Errorf("%s.credit_s: there is no rate to pay it back from", key)
 		case p.Credit > 0 && !(p.Repay > 0):
-			return fmt.Errorf("%s.repay_ms: credit_s needs one", key)
+			return fmt.Errorf("%s.repay_s: credit_s needs one", key)
 		case (p.CeilingRate > 0) != (p.CeilingDepth > 0):
 			return fmt.Errorf("%s.ceiling_rate: it and ceiling_depth need each other", key)
 		}
--- a/internal/accord/council.go
+++ b/internal/accord/council.go
@@ -34,7 +34,7 @@
 	Number  uint64 `json:",omitempty"` // that a proposal's version has, or will have
 	Waits   string `json:",omitempty"` // why that is not in force yet; empty: it is
 	InForce uint64 `json:",omitempty"` // the version that this entry has put in force, its own or a pending one
-	Again   bool   `json:",omitempty"` // the entry came before, and this was its outcome then
+	Again   bool   `json:",omitempty"` // the entry came before, and this is what it has come to
 }
 
 // Held is a version that is not in force any more, as it may still be gone by.
@@ -111,7 +111,9 @@
 	case Propose, Withdraw:
 		for _, a := range c.s.Answered {
 			if a.ID == e.ID {
-				a.Outcome.Again = true
+				if a.Outcome.Again = true; a.Outcome.Waits != "" {
+					a.Outcome.Waits = c.s.Waits()
+				}
 				return a.Outcome
 			}
 		}
@@ -162,7 +164,7 @@
 		return Outcome{Refused: fmt.Sprintf("base: version %d is not in force, %d is", e.Base, s.InForce.Number)}
 	}
 	if p := s.Pending; p != nil {
-		return Outcome{Refused: fmt.Sprintf("base: proposal %q is agreed already and waits: %s", p.ID, s.waits())}
+		return Outcome{Refused: fmt.Sprintf("base: proposal %q is agreed already and waits: %s", p.ID, s.Waits())}
 	}
 	if e.Rules == nil {
 		return Outcome{Refused: "rules: there are none"}
@@ -201,7 +203,7 @@
 	s.Pending = p
 	s.Step++
 	c.review(0)
-	return Outcome{Number: p.Version.Number, Waits: s.waits()}
+	return Outcome{Number: p.Version.Number, Waits: s.Waits()}
 }
 
 func (c *Council) withdraw(e Entry) Outcome {
@@ -209,13 +211,14 @@
 	if p == nil || e.Base != c.s.InForce.Number {
 		return Outcome{Refused: fmt.Sprintf("base: nothing waits on top of version %d", e.Base)}
 	}
+	c.answer(p.ID, Outcome{Refused: "withdrawn"})
 	c.s.Pending = nil
 	c.s.Step++
 	return Outcome{}
 }
 
-// waits says what the pending version waits for; empty where there is none.
-func (s *State) waits() string {
+// Waits says what the pending version waits for; empty where there is none.
+func (s *State) Waits() string {
 	p := s.Pending
 	switch {
 	case p == nil:
@@ -280,6 +283,16 @@
 		s.Held = append(s.Held, h)
 	}
 	s.InForce, s.Pending = p.Version, nil
+	c.answer(p.ID, Outcome{Number: p.Version.Number, InForce: p.Version.Number})
+}
+
+// answer sets what a proposal that waited has come to.
+func (c *Council) answer(id string, o Outcome) {
+	for i := range c.s.Answered {
+		if c.s.Answered[i].ID == id {
+			c.s.Answered[i].Outcome = o
+		}
+	}
 }
 
 // note keeps in sight the hosts that matter, and no others.
--- a/internal/accord/steward.go
+++ b/internal/accord/steward.go
@@ -112,9 +112,13 @@
 }
 
 // Asked takes a process's question, with the step that it holds, and gives what to answer; false where there
-// is nothing that may still be believed. The answer has to go out at once, or its Age is no more true.
+// is nothing that may still be believed. Clock has to be told a time after the question came. An answer that
+// is late after that does no harm, as the one that asked counts from when it did.
 func (s *Steward) Asked(id int, holds uint64) (Lease, bool) {
 	p := s.of(id)
+	if p == nil && len(s.processes) >= mostRun {
+		return Lease{}, false
+	}
 	if p == nil { // it is not known to have ended: it counts
 		s.processes = append(s.processes, process{id: id})
 		p = &s.processes[len(s.processes)-1]
