A change need not wait for the one before, unless places come and go in both

Need: an operator's word or a lower ceiling should not wait for up to a second because another change came just before. Change: what waited for the former version to settle does so only where the worst mix of the two passes what both allow; a part grows on the word alone that its version has settled, so that the sum holds otherwise.

--- a/internal/accord/council.go
+++ b/internal/accord/council.go
@@ -54,6 +54,7 @@
 	ID          string
 	Step        uint64   // at which it was agreed
 	Contradicts string   // the plan by which fallbacks contradict it that may be held; empty: none does
+	Mixes       string   // the plan of which too much passes beside the version in force; empty: none
 	Hosts       []string // whose gatekeepers may have one of them
 	Lasts       float64  // ms from its agreement until none has
 }
@@ -199,7 +200,7 @@
 			}
 		}
 	}
-	p.Contradicts = Contradicts(held, e.Rules)
+	p.Contradicts, p.Mixes = Contradicts(held, e.Rules), Mixes(&s.InForce.Rules, e.Rules)
 	s.Pending = p
 	s.Step++
 	c.review(0)
@@ -229,7 +230,8 @@
 	default:
 		for _, h := range s.Held {
 			if h.Acting {
-				return fmt.Sprintf("version %d may still be acted on, until %s", h.Number, s.unseen(h.Hosts, h.Step))
+				return fmt.Sprintf("who goes by version %d still would pass too much of plan %s, until %s", h.Number,
+					p.Mixes, s.unseen(h.Hosts, h.Step))
 			}
 		}
 	}
@@ -261,7 +263,8 @@
 	s := &c.s
 	s.Held = slices.DeleteFunc(s.Held, func(h Held) bool { return s.all(h.Hosts, h.Step) })
 	if p := s.Pending; p != nil {
-		if seen := s.all(p.Hosts, p.Step) || passed == p.Step; seen || p.Contradicts == "" && s.Settled() {
+		seen := s.all(p.Hosts, p.Step) || passed == p.Step
+		if seen || p.Contradicts == "" && (p.Mixes == "" || s.Settled()) {
 			c.enforce(seen)
 		}
 	}
--- a/internal/accord/parts.go
+++ b/internal/accord/parts.go
@@ -126,7 +126,30 @@
 // where they never do. What is said of workers is not weighed: by it none passes a ceiling, and one that is
 // cut off keeps the words that it has.
 func Contradicts(held []Stance, next *Rules) string {
-	all := append([]Stance{normal(next)}, held...)
+	var allowed []Part
+	for i := range next.Plans {
+		allowed = append(allowed, Whole(&next.Plans[i]))
+	}
+	return passes(append([]Stance{normal(next)}, held...), allowed, next)
+}
+
+// Mixes names the plan of which more comes through than either of two rules allow, where some gatekeepers go
+// by one and some by the other without having gone by the first before. Where a sum stays the same and places
+// come or go it does; where ceilings change alone it does not.
+func Mixes(former, next *Rules) string {
+	var allowed []Part
+	for i := range next.Plans {
+		w := Whole(&next.Plans[i])
+		if i < len(former.Plans) {
+			w = w.most(Whole(&former.Plans[i]))
+		}
+		allowed = append(allowed, w)
+	}
+	return passes([]Stance{normal(next), normal(former)}, allowed, next)
+}
+
+// passes names the plan of which the worst mix of stances lets through more than is allowed.
+func passes(all []Stance, allowed []Part, next *Rules) string {
 	member := map[string][]int{} // which stances name it
 	var names []string
 	for i, s := range all {
@@ -140,7 +163,7 @@
 			member[m.Name] = append(member[m.Name], i)
 		}
 	}
-	for plan := range next.Plans {
+	for plan := range allowed {
 		var sum Part
 		for _, n := range names {
 			var worst Part
@@ -151,7 +174,7 @@
 			}
 			sum = sum.plus(worst)
 		}
-		if !sum.within(Whole(&next.Plans[plan])) {
+		if !sum.within(allowed[plan]) {
 			return next.Plans[plan].Name
 		}
 	}
