What an instance holds is told at once, and what is new is read at once

Need: a change that contradicts a fallback waits until all have said that they hold it, and asks came five times a lease. Change: a holder asks as soon as it holds a step for good, a daemon reads as soon as its council has news.

--- a/internal/accord/accord_test.go
+++ b/internal/accord/accord_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"math/rand"
 	"strings"
 	"testing"
 )
@@ -315,6 +316,42 @@
 	}
 }
 
+// How long changes take where all are in touch, by virtual time and with 10 ms each way: one that contradicts
+// no fallback is everyone's, and settled, after two asks and a step; one that does, within half a second more.
+func TestTimeInForce(t *testing.T) {
+	for _, c := range []struct {
+		ceiling, inForce, all float64 // ms, at most
+	}{{48, 20, 850}, {24, 600, 1400}} {
+		w := &walk{rng: rand.New(rand.NewSource(1)), truth: NewCouncil(), counts: map[string]int{}, calm: 10}
+		w.people("abc")
+		first, second := small(96, "abc"), small(c.ceiling, "abc")
+		first.Lease, second.Lease = 1000, 1000
+		w.commit(Entry{Act: Propose, ID: "1", Rules: first})
+		inForce, settled := 0.0, 0.0
+		for at := 3000.0; w.now < at+5000 && settled == 0; w.now++ {
+			if w.now == at {
+				w.commit(Entry{Act: Propose, ID: "2", Base: 1, Rules: second})
+			}
+			w.pass()
+			w.drive()
+			if inForce == 0 && w.truth.s.InForce.Number == 2 {
+				inForce = w.now - at
+			}
+			all := w.truth.s.Settled()
+			for _, s := range w.hosts {
+				all = all && s.holder.terms.Version == 2 && s.holder.terms.Mode == Leased
+			}
+			if all {
+				settled = w.now - at
+			}
+		}
+		t.Logf("from 96 to %v: in force after %v ms, with all and settled after %v", c.ceiling, inForce, settled)
+		if inForce > c.inForce || settled == 0 || settled > c.all {
+			t.Errorf("in force after %v, with all after %v", inForce, settled)
+		}
+	}
+}
+
 func TestLag(t *testing.T) {
 	l := NewLag()
 	l.Told("a", 5, 0)
--- a/internal/accord/holder.go
+++ b/internal/accord/holder.go
@@ -23,7 +23,7 @@
 type PlanTerms struct {
 	Plan         // as the version has it, for all gatekeepers
 	Part Part    // what this one may let through, of all
-	Of   float64 // by this its even part of a ceiling is multiplied to be that, 0 to 1
+	Of   float64 // by this its even part of a ceiling is multiplied to be that, 0 to 1; 1 where there is none
 	Line float64 // and by this its even part of the credit line
 }
 
@@ -113,7 +113,7 @@
 func (h *Holder) Clock(now float64) {
 	h.now = math.Max(h.now, now)
 	if h.next > h.holds && !h.stale && h.now >= h.since+bound(0) {
-		h.holds = h.next
+		h.holds, h.asked = h.next, math.Inf(-1) // the daemon is told at once, as a change may wait for it
 	}
 	h.lapse()
 }
@@ -274,8 +274,8 @@
 		Words: r.Words, Until: h.till, Credit: h.mode == Leased,
 		Raised: h.raised}
 	for i, p := range r.Plans {
-		q, even := PlanTerms{Plan: p, Part: h.part(i)}, Share(r, i, 0)
-		if p.CeilingRate > 0 && even.Rate > 0 {
+		q, even := PlanTerms{Plan: p, Part: h.part(i), Of: 1}, Share(r, i, 0)
+		if p.CeilingRate > 0 {
 			q.Of = math.Min(q.Part.Rate/even.Rate, q.Part.Depth/even.Depth)
 		}
 		if even.Credit > 0 {
--- a/internal/accord/steward.go
+++ b/internal/accord/steward.go
@@ -34,6 +34,7 @@
 	lease     Lease   // as last read; Age is set when it is given
 	begun     float64 // when that reading began
 	read      float64 // when one was last asked for
+	readFor   uint64  // the step that was new here then
 	told      float64 // when the host's own step was last submitted
 	toldStep  uint64
 	slept     float64
@@ -75,6 +76,9 @@
 		add(ending{step: p.Step, from: s.now, last: p.Lasts, pending: true, told: math.Inf(-1)})
 	}
 	s.endings = all
+	if st.Step > s.readFor { // there is news for the host's gatekeepers
+		s.read, s.readFor = math.Inf(-1), st.Step
+	}
 }
 
 // ReadDone tells that a quorum has confirmed a reading that began at a time, ms, and that the council here
