--- a/internal/accord/holder.go
+++ b/internal/accord/holder.go
@@ -158,7 +158,8 @@
 	return Share(r, plan, -1)
 }
 
-// Heard takes a daemon's word that came on a question that was sent at a time by this one's clock, ms.
+// Heard takes a daemon's word that came on a question that was sent at a time by this one's clock, ms: read
+// before it was sent. Clock has to be told of a later one first, and Next pulled before anything is decided.
 func (h *Holder) Heard(l Lease, asked float64) {
 	r := &l.Version.Rules
 	switch {
