--- a/internal/faults/faults.go
+++ b/internal/faults/faults.go
@@ -37,6 +37,8 @@
 	mostReplays = 200
 	// leastStep is the shortest fault that is drawn, ms: shorter ones are lost in the scheduling of a process.
 	leastStep = 50
+	// usualPart is the share of a schedule's span that a drawn fault lasts on average: several overlap.
+	usualPart = 0.1
 	// calmPart is the share of a schedule's span that is left without faults at its end.
 	calmPart = 0.2
 )
