--- a/internal/faults/faults.go
+++ b/internal/faults/faults.go
@@ -11,6 +11,9 @@
 const (
 	// mostDatagrams is how many datagrams a direction holds, more are dropped: a second of a busy peer's.
 	mostDatagrams = 1024
+	// kernelBytes is asked of the kernel for what comes to a relay that has no core: what overflows is lost
+	// without being counted.
+	kernelBytes = 1 << 20
 	// datagramBytes is the largest datagram there is.
 	datagramBytes = 1 << 16
 	// chunkBytes and mostChunks bound what a direction of one connection holds; its reader waits then, as
--- a/internal/faults/process.go
+++ b/internal/faults/process.go
@@ -138,7 +138,7 @@
 	mu    sync.Mutex
 	spec  Spec
 	cmd   *exec.Cmd
-	done  chan struct{} // closed once this life's process has been reaped
+	done  chan struct{} // closed once this life's process has been reaped, and before the first
 	lives int
 }
 
@@ -157,8 +157,9 @@
 	if spec.Dir == "" {
 		spec.Dir = t.TempDir()
 	}
-	p := &Process{Name: spec.Name, t: t, spec: spec,
+	p := &Process{Name: spec.Name, t: t, spec: spec, done: make(chan struct{}),
 		mark: fmt.Sprintf("WILLOWDECK_RIG=%d.%s.%d", os.Getpid(), spec.Name, rand.Int63())}
+	close(p.done)
 	t.Cleanup(p.end)
 	if err := p.Restart(nil); err != nil {
 		t.Fatalf("%s: %v", spec.Name, err)
@@ -325,8 +326,10 @@
 	p.mu.Lock()
 	done := p.done
 	p.mu.Unlock()
-	if done == nil {
+	select {
+	case <-done: // also where there is no time to wait
 		return true
+	default:
 	}
 	select {
 	case <-done:
--- a/internal/faults/relay.go
+++ b/internal/faults/relay.go
@@ -233,6 +233,7 @@
 		if err != nil {
 			n.t.Fatalf("relay of %s and %s: %v", a, b, err)
 		}
+		_ = conn.SetReadBuffer(kernelBytes) // as much of it as the kernel gives
 		r.sides[i] = &side{end: pair[0], conn: conn, way: n.way(pair[0], pair[1]), kick: make(chan struct{}, 1),
 			done: make(chan struct{})}
 	}
