--- a/internal/faults/process_test.go
+++ b/internal/faults/process_test.go
@@ -472,3 +472,43 @@
 		}
 	}
 }
+
+// A scenario that fails is tried again and again with less in its schedule, each time with processes of its
+// own that end with the try: what is left is what makes it fail.
+func TestTryAndShrink(t *testing.T) {
+	t.Parallel()
+	var marks []string
+	ended := 0
+	scenario := func(t T, s Schedule) {
+		p := Start(t, Spec{Name: "p", Program: "/bin/sh", Args: []string{"-c", "exec sleep 300"}})
+		marks = append(marks, p.mark)
+		t.Cleanup(func() { ended++ })
+		rig := &Rig{Net: NewNet(t, s.Seed), Processes: map[string]*Process{"p": p}}
+		if err := (&Player{Stage: rig, Wait: atOnce}).Play(context.Background(), s); err != nil {
+			t.Errorf("%v", err)
+		}
+		if p.Lives() > 1 {
+			t.Fatalf("%d lives", p.Lives())
+		}
+	}
+	s := Draw(1, Cast{Ends: names, Processes: []string{"p"}, Steps: 12}, 4000)
+	breaks := func(s Schedule) bool { return Try(t, func(t T) { scenario(t, s) }) != nil }
+	small := Shrink(s, breaks)
+	if len(small.Steps) != 1 || small.Steps[0].What != Crashes || small.Steps[0].At != 0 {
+		t.Errorf("\n%s", small)
+	}
+	if err := Try(t, func(t T) { scenario(t, small) }); err == nil || err.Error() != "2 lives" {
+		t.Error(err)
+	}
+	if small.Steps = nil; breaks(small) {
+		t.Error("without a step it fails as well")
+	}
+	if ended != len(marks) {
+		t.Errorf("%d of %d have cleaned up", ended, len(marks))
+	}
+	for _, m := range marks {
+		if left := marked(m); len(left) > 0 {
+			t.Errorf("left over: %v", left)
+		}
+	}
+}
