--- a/internal/faults/relay_test.go
+++ b/internal/faults/relay_test.go
@@ -366,3 +366,28 @@
 		t.Errorf("%d bytes were taken for one that reads none: %v", sent, err)
 	}
 }
+
+// What becomes of a datagram hangs on its number alone, not on what the direction's Shape was before.
+func TestDrawsKeepTheirPlace(t *testing.T) {
+	fates := func(before Shape) (all []bool) {
+		n := NewNet(t, 3)
+		w := n.way("a", "b")
+		for i := range 300 {
+			if w.shape = before; i >= 100 {
+				w.shape = Shape{Loss: 0.5, Delay: time.Hour}
+			}
+			due, _ := w.draw(time.Now(), 100)
+			all = append(all, due.IsZero())
+		}
+		return all[100:]
+	}
+	want := fates(Shape{})
+	if !slices.Contains(want, true) || !slices.Contains(want, false) {
+		t.Error("nothing is lost, or all")
+	}
+	for _, s := range []Shape{{Loss: 1}, {Double: 0.5}, {Reorder: 0.5}, {Jitter: time.Second, Rate: 100}} {
+		if !slices.Equal(fates(s), want) {
+			t.Errorf("others are lost after %v", s)
+		}
+	}
+}
