--- a/internal/faults/debug.go
+++ /dev/null
@@ -1,6 +0,0 @@
-//go:build debug
-
-package faults
-
-// tags are what programs are built with: those of the tests that run them.
-const tags = "debug"
--- a/internal/faults/process.go
+++ b/internal/faults/process.go
@@ -26,8 +26,9 @@
 	built    = map[string]string{}
 )
 
-// Program gives the path of a program of this repository, cmd/NAME, built once for a test binary with the
-// same tags. It stands in the user's cache, by the checkout that it is of.
+// Program gives the path of a program of this repository, cmd/NAME, built once for a test binary. It stands
+// in the user's cache, by the checkout that it is of. It is built without the tag debug: a claim that does not
+// hold ends such a program, and one that is made to stand still answers late.
 func Program(t T, name string) string {
 	t.Helper()
 	building.Lock()
@@ -54,7 +55,7 @@
 	}
 	h := fnv.New64a()
 	h.Write(root)
-	dir := filepath.Join(cache, "willowdeck-rig", fmt.Sprintf("%x%s", h.Sum64(), tags))
+	dir := filepath.Join(cache, "willowdeck-rig", fmt.Sprintf("%x", h.Sum64()))
 	if err = os.MkdirAll(dir, 0o700); err != nil {
 		return "", err
 	}
@@ -67,7 +68,7 @@
 		return "", err
 	}
 	path := filepath.Join(dir, name)
-	cmd := exec.Command("go", "build", "-tags", tags, "-o", path, "willowdeck/cmd/"+name)
+	cmd := exec.Command("go", "build", "-o", path, "willowdeck/cmd/"+name)
 	cmd.Dir = strings.TrimSpace(string(root))
 	if out, err := cmd.CombinedOutput(); err != nil {
 		return "", fmt.Errorf("%w: %s", err, out)
--- a/internal/faults/process_test.go
+++ b/internal/faults/process_test.go
@@ -262,6 +262,15 @@
 			"--tell", "--residue", filepath.Join(store, "residue")}})
 	}
 	d.healthy()
+	t.Cleanup(func() {
+		if t.Failed() {
+			for i, name := range names {
+				page, err := Ask(d.control[name], "/admin/stats")
+				t.Logf("%s: %+v, %v\n%s%s", name, n.Counts(name, names[1-i]), err, page,
+					d.rig.Processes[name].Output())
+			}
+		}
+	})
 	return d
 }
 
