--- a/internal/faults/process.go
+++ b/internal/faults/process.go
@@ -27,8 +27,8 @@
 )
 
 // Program gives the path of a program of this repository, cmd/NAME, built once for a test binary. It stands
-// in the user's cache, by the checkout that it is of. It is built without the tag debug: a claim that does not
-// hold ends such a program, and one that is made to stand still answers late.
+// in the user's cache, by the checkout that it is of. It is built without the tag debug: a claim that does
+// not hold ends such a program, and one that is made to stand still answers late.
 func Program(t T, name string) string {
 	t.Helper()
 	building.Lock()
--- a/internal/faults/relay_test.go
+++ b/internal/faults/relay_test.go
@@ -313,6 +313,9 @@
 		if how == Refused && !errors.Is(err, syscall.ECONNREFUSED) {
 			t.Errorf("%v: %v", how, err)
 		}
+		if err := Reach(at, 50*time.Millisecond); (err != nil) != (how == Refused) {
+			t.Errorf("%v: reached: %v", how, err)
+		}
 		if err == nil {
 			fresh.SetReadDeadline(time.Now().Add(2 * time.Second))
 			if _, err = fresh.Read(make([]byte, 1)); !errors.Is(err, syscall.ECONNRESET) {
