Watch: lists over several lines are read; a silent one is opened anew within 6 s

Seen: a list written over several lines ended the watch each time and nothing was ever told; what a silent watch missed was told up to 12.5 s after its last word at 300 gatekeepers that ask for lists, where it counts as told at 6 s. Lines at fault: watchOnce's Scanner, which takes a line for a list; WatchQuiet of 5 s, and WatchAfter's first pause of up to 25 ms x 300 on top of it, also after a silence, an end, and a move (7.5 s, due in 4). Change: roster.Stream, encoding/json's decoder on the stream, notes signs of life as they come; a cut list leaves the version, only nonsense asks for all. 2.8 s of quiet, in which askers spread, then no pause; first pauses are bounded by what is due. Pauses after calls in vain stay as they are. Where lists are pushed they no longer grow, and a start waits for the agent's first word, 50 ms at most.

--- a/internal/lifecycle/lifecycle_test.go
+++ b/internal/lifecycle/lifecycle_test.go
@@ -539,7 +539,7 @@
 		to               []int
 	}{
 		{"one drains", `{"index":9,"snapshot":false,"endpoints":[` + d.entry(0, "leaving", 0) + `]}`, "", []int{1}},
-		{"after nonsense all is asked for", `{"index":`, "index=0 ", []int{1}},
+		{"after nonsense all is asked for", `{"index":no`, "index=0 ", []int{1}},
 		{"the whole list", `{"index":11,"snapshot":true,"endpoints":[` + d.entry(0, "active", 0) + `]}`, "",
 			[]int{0}},
 		{"the watch ends and goes on", "end", "index=11 ", []int{0}},
--- a/internal/lifecycle/reload.go
+++ b/internal/lifecycle/reload.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"willowdeck/internal/config"
+	"willowdeck/logic"
 )
 
 // Reload takes up a configuration that has been read anew: the number of gatekeepers and who they are, if
@@ -22,7 +23,7 @@
 	}
 	g.conf.Discovery = c.Discovery
 	g.unwind()
-	g.watch(<-g.ended) // no news of the old watch may come behind that of the new one
+	g.watch(<-g.ended, logic.WatchMoved) // no news of the old watch may come behind that of the new one
 	g.log.Info().Str("discovery", c.Discovery).Msg("configuration taken up")
 }
 
--- a/internal/lifecycle/start.go
+++ b/internal/lifecycle/start.go
@@ -53,6 +53,8 @@
 	portal  *portal.Portal // nil where portals do not ask
 	vouch   *vouch.Voucher // nil where no auth service is asked
 	said    time.Time      // when the log last told that the watch had ended
+	first   chan struct{}  // closed at the watch's first word or failure
+	once    sync.Once      // of that
 }
 
 // Start brings a gatekeeper up: when it returns, clients are served.
@@ -61,7 +63,8 @@
 	debug.SetMemoryLimit(int64(float64(c.MemoryMB) * (1 << 20) * logic.MemoryPart))
 	debug.SetGCPercent(logic.GarbagePart)
 
-	g := &Gatekeeper{conf: c, log: log, served: make(chan error, 1), over: make(chan struct{})}
+	g := &Gatekeeper{conf: c, log: log, served: make(chan error, 1), over: make(chan struct{}),
+		first: make(chan struct{})}
 	spare := float64(max(c.Sockets-logic.SpareFiles, 2))
 	if c.Control != "" {
 		spare = max(spare-logic.OperatorCalls, 2)
@@ -125,10 +128,13 @@
 		go ops.Every(g.over, g.desk.Look)
 	}
 	g.At = l.Addr().String()
-	g.watch(c.Known.Version)
+	g.watch(c.Known.Version, logic.WatchDue)
 	if len(c.Ask) > 0 {
 		go g.ask(c.Ask, rand.New(rand.NewSource(c.Seed)))
 	}
+	if !c.Lines.ListAsked {
+		g.await()
+	}
 	switch {
 	case before != nil:
 		go g.inherit(before)
@@ -178,34 +184,49 @@
 	return serve
 }
 
-// watch follows discovery's list from a version on.
-func (g *Gatekeeper) watch(version int64) {
+// watch follows discovery's list from a version on. What discovery has to tell counts as told in due ms.
+func (g *Gatekeeper) watch(version int64, due float64) {
 	ctx, cancel := context.WithCancel(context.Background())
 	addr, ended := g.conf.Discovery, make(chan int64, 1)
 	g.unwind, g.ended = cancel, ended
-	rng := rand.New(rand.NewSource(g.conf.Seed))
-	after := func(tries int) float64 {
-		askers := 0
-		if g.conf.Lines.ListAsked {
-			askers = int(g.members.Load())
-		}
-		return logic.WatchAfter(tries, askers, rng.Float64())
-	}
+	pace := wire.Pace{Askers: g.askers, Due: due, Chance: rand.New(rand.NewSource(g.conf.Seed)).Float64}
 	go func() {
-		ended <- wire.Watch(ctx, addr, version, g.news, g.alive, g.unheard, after)
+		ended <- wire.Watch(ctx, addr, version, g.news, g.alive, g.unheard, pace)
 	}()
 }
 
+// askers is how many gatekeepers may ask for the list at once; none where it is pushed.
+func (g *Gatekeeper) askers() int {
+	if g.conf.Lines.ListAsked {
+		return int(g.members.Load())
+	}
+	return 0
+}
+
+// await waits for the first word of the watch, or its first failure, but for FirstWord at most. Guards
+// against txns that go by the list known at the start where a newer one is at hand and counts as told.
+func (g *Gatekeeper) await() {
+	select {
+	case <-g.first:
+	case <-time.After(wire.Millis(logic.FirstWord)):
+	}
+}
+
+// speaks notes the watch's first word, or its first failure.
+func (g *Gatekeeper) speaks() { g.once.Do(func() { close(g.first) }) }
+
 func (g *Gatekeeper) news(l roster.List) {
 	g.lists.Lock()
 	g.desk.Roster(g.list.Discovery(l, g.desk.Now()))
 	g.lists.Unlock()
+	g.speaks()
 	g.log.Debug().Int64("version", l.Version).Bool("whole", l.Whole).Int("workers", len(l.Workers)).Msg("list")
 }
 
-// unheard says at most once in WatchQuiet that the watch has ended: tries without end must not fill the log.
+// unheard says at most once in WatchDue that the watch has ended: tries without end must not fill the log.
 func (g *Gatekeeper) unheard(err error) {
-	if now := time.Now(); now.Sub(g.said) > wire.Millis(logic.WatchQuiet) {
+	g.speaks()
+	if now := time.Now(); now.Sub(g.said) > wire.Millis(logic.WatchDue) {
 		g.said = now
 		g.log.Warn().Err(err).Msg("watch ended, opening it again")
 	}
--- a/internal/lifecycle/warm.go
+++ b/internal/lifecycle/warm.go
@@ -16,6 +16,7 @@
 
 // alive notes that discovery is heard.
 func (g *Gatekeeper) alive() {
+	defer g.speaks()
 	g.lists.Lock()
 	defer g.lists.Unlock()
 	if whole, changed := g.list.Alive(g.desk.Now()); changed {
--- a/internal/wire/roster/roster.go
+++ b/internal/wire/roster/roster.go
@@ -72,6 +72,10 @@
 	if err := json.Unmarshal(raw, &m); err != nil {
 		return List{}, fmt.Errorf("list of workers: %w", err)
 	}
+	return m.list()
+}
+
+func (m *message) list() (List, error) {
 	l := List{Version: m.Index, Whole: m.Snapshot, Workers: make([]Worker, 0, len(m.Endpoints))}
 	for i, e := range m.Endpoints {
 		w := Worker{Name: e.Name, Zone: e.Zone, Cell: e.Group, Kind: e.Type, Rating: max(e.Weight, 0),
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -126,8 +126,12 @@
 	AnswerPause   = 100.0    // ms that an answer may pause; whole ones of usual workers come within 20
 	MostInterim   = 8        // interim answers ahead of one; more are no answer
 	AcceptAgain   = 10.0     // ms until the next try to take a connection after one has failed
-	WatchQuiet    = 5000.0   // ms; the watch says something each 2 s, and one line may be late
-	LongestList   = 8 << 20  // bytes of a line of the watch; some ten thousand workers
+	WatchQuiet    = 2800.0   // ms for a watch to say something: it does each 2 s, and one word may be late
+	WatchDue      = 6000.0   // ms after a silence or an end: what was missed counts as told
+	WatchMoved    = 4000.0   // the same after a move to another discovery
+	WatchAnswer   = 2200.0   // ms to an answer: 2 s in turn where lists are asked for, the way, and 100 spare
+	FirstWord     = 50.0     // ms at a start for the list, where it is pushed: it is at hand, and txns may wait
+	LongestList   = 8 << 20  // bytes of a list in the watch; some ten thousand workers
 	WatchAgain    = 100.0    // ms until the watch is opened anew; news must not wait long
 	WatchEach     = 25.0     // ms of that for each gatekeeper that may ask at the same time; a call takes some
 	WatchLonger   = 8.0      // times that at most; it doubles with each try that brings nothing
@@ -206,17 +210,6 @@
 	return g
 }
 
-// WatchAfter is the pause before the watch is opened, ms, after so many tries in a row that brought nothing,
-// by so many gatekeepers that may all ask at once; chance is from 0 to 1. Guards against a fleet that asks as
-// one: discovery then lets nobody in, kept busy with those who gave up and those whom it turns away.
-func WatchAfter(tries, askers int, chance float64) float64 {
-	if tries == 0 {
-		return WatchEach * float64(askers) * chance
-	}
-	longer := math.Min(math.Pow(2, float64(tries-1)), WatchLonger)
-	return math.Max(WatchEach*float64(askers), WatchAgain) * longer * (1 + chance) / 2
-}
-
 // Clock sets the time, in ms, of the inputs and decisions that follow.
 func (g *Gatekeeper) Clock(now float64) {
 	if !g.begun {
