--- a/internal/wire/discovery_test.go
+++ b/internal/wire/discovery_test.go
@@ -72,8 +72,8 @@
 // act is what discovery does with one call after another, until the watcher leaves. In what it says "^" is
 // the head, "~" a second's wait and "$" the end; the rest comes in chunks of a byte.
 func act(t *testing.T, says ...string) (dial func(context.Context, string, string) (net.Conn, error),
-	asked *[]string) {
-	asked = new([]string)
+	asked chan string) {
+	asked = make(chan string, 9)
 	return func(ctx context.Context, _, _ string) (net.Conn, error) {
 		if len(says) == 0 {
 			<-ctx.Done()
@@ -91,7 +91,7 @@
 				t.Error(err)
 				return
 			}
-			*asked = append(*asked, r.URL.Query().Get("index"))
+			asked <- r.URL.Query().Get("index")
 			for _, c := range []byte(say) {
 				switch c {
 				case '^':
@@ -152,7 +152,7 @@
 			[]string{"3", "3"}},
 		{"moves, refused for a while", false, logic.WatchMoved, append(slices.Repeat([]string{"refused"}, 30),
 			"^"+news), 0, 4 * time.Second, []string{"3"}},
-		{"each sign is late", true, logic.WatchDue, []string{"^" + old + strings.Repeat("~~\n", 20) + news}, 0,
+		{"a sign each 2 s", true, logic.WatchDue, []string{"^" + old + strings.Repeat("~~\n", 20) + news}, 0,
 			60 * time.Second, []string{"3"}},
 	} {
 		for _, chance := range []float64{0, 0.5, 1} {
@@ -179,8 +179,12 @@
 				}
 				w.follow(ctx)
 				time.Sleep(time.Minute) // for discovery to see that it was left
-				if told > c.most || w.version != 5 || !slices.Equal(*asked, c.index) {
-					t.Errorf("%s, chance %v: told %v after, due in %v; asked for %v", c.name, chance, told, c.most, *asked)
+				var index []string
+				for len(asked) > 0 {
+					index = append(index, <-asked)
+				}
+				if told > c.most || w.version != 5 || !slices.Equal(index, c.index) {
+					t.Errorf("%s, chance %v: told %v after, due in %v; asked for %v", c.name, chance, told, c.most, index)
 				}
 			})
 		}
