SIGTERM: the listener stays until nobody waits in it for a place

Seen, on loopback: with one place and three connections, the second was held back and served, the third was reset at the stop with no answer. Line at fault: Limited.Drain looked at open connections alone, so that the listener was ended with more of them in its queue. Change: it waits until two looks in a row find none idle and none held back.

--- a/internal/wire/limit.go
+++ b/internal/wire/limit.go
@@ -186,11 +186,15 @@
 }
 
 // Drain lets connections end with their next answer, and ends the idle ones: those first that have asked
-// nothing for longest, all within StopIdle. Guards against one that is ended while a txn is on its way.
+// nothing for longest, all within StopIdle. Guards against one that is ended while a txn is on its way. It
+// returns once none is idle and none waits for a place: behind that one the machine may have taken more.
 func (l *Limited) Drain() {
 	l.ending.Store(true)
 	from := time.Now()
-	for l.endIdle(max(Millis(logic.StopIdle)-time.Since(from), Millis(logic.AcceptAgain))) {
+	for clean := 0; clean < 2; clean++ { // looks in a row: one may fall between two that wait
+		if l.endIdle(max(Millis(logic.StopIdle)-time.Since(from), Millis(logic.AcceptAgain))) || l.held.Load() {
+			clean = -1
+		}
 		time.Sleep(Millis(logic.AcceptAgain))
 	}
 }
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -304,6 +304,55 @@
 	}
 }
 
+// Guards against a stop that ends the listener while connections wait in it for a place: they would be reset
+// with no answer.
+func TestDrainWaitsForHeld(t *testing.T) {
+	raw, at := sink(t)
+	l := Limit(raw, 1)
+	taken := make(chan *placed, 3)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			p := c.(*placed)
+			p.come()
+			p.take()
+			taken <- p
+		}
+	}()
+	for range 3 {
+		c, err := net.Dial("tcp", at.String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+	}
+	first := <-taken
+	for !l.held.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	drained := make(chan bool)
+	go func() {
+		l.Drain()
+		_ = l.Close()
+		close(drained)
+	}()
+	for _, p := range []*placed{first, nil, nil} {
+		if p == nil {
+			select {
+			case p = <-taken:
+			case <-time.After(2 * time.Second):
+				t.Fatal("one that waited is not served")
+			}
+		}
+		time.Sleep(3 * Millis(logic.AcceptAgain)) // a txn
+		_ = p.Close()
+	}
+	<-drained
+}
+
 // While places are scarce a connection ends with its first answer, but not one that goes on asking.
 func TestCrowded(t *testing.T) {
 	const most = 10
