Watch: its pauses are decided in logic.go; GCRA arithmetic moves to state.go

Change: WatchAfter and WatchSilent move to logic.go, gcraWait and holds, which decide nothing, to state.go; no behaviour changes.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -211,6 +211,28 @@
 	return g
 }
 
+// WatchAfter is the pause before the watch is opened, ms, after so many tries in a row that brought nothing,
+// by so many gatekeepers that may all ask at once (none where lists are pushed), where what there is to tell
+// counts as told in due ms: +Inf if discovery has been out of reach. Chance is from 0 to 1. Guards against a
+// fleet that asks as one: discovery lets nobody in, kept busy with those who gave up or are turned away.
+func WatchAfter(tries, askers int, due, chance float64) float64 {
+	most, each := math.Max(due-WatchAnswer, 0), WatchEach*float64(askers)
+	switch {
+	case tries == 0:
+		return math.Min(each, most) * chance
+	case askers == 0: // it costs nobody anything, and what is missed counts as told at once
+		return WatchAgain * (1 + chance) / 2
+	}
+	longer := math.Min(math.Pow(2, float64(tries-1)), WatchLonger)
+	return math.Max(math.Min(each*longer, most), WatchAgain) * (1 + chance) / 2
+}
+
+// WatchSilent is how long a watch that has spoken may say nothing, ms, until it is opened anew, at once. The
+// askers spread in it, not after it: WatchDue is this and WatchAnswer at the worst chance.
+func WatchSilent(askers int, chance float64) float64 {
+	return WatchQuiet + WatchAfter(0, askers, WatchDue-WatchQuiet, chance)
+}
+
 // Clock sets the time, in ms, of the inputs and decisions that follow.
 func (g *Gatekeeper) Clock(now float64) {
 	if !g.begun {
@@ -807,24 +829,6 @@
 	return math.Max(short/g.plans[c.plan].rate, 0)
 }
 
-// gcraWait is how long until a store, full at tat, that fills at rate and holds depth has the units; 0 is
-// now.
-func gcraWait(tat, now, rate, depth, units float64) float64 {
-	if rate <= 0 {
-		return math.MaxFloat64
-	}
-	level := depth - math.Max(tat-now, 0)*rate
-	if level >= units-1e-9 {
-		return 0
-	}
-	return (units - level) / rate
-}
-
-// holds is how much a store of a plan holds that fills at a rate.
-func (g *Gatekeeper) holds(p *plan, rate float64) float64 {
-	return math.Max(rate*p.burst, p.largest)
-}
-
 // sliceWait is how long until a customer's own slice has the units; 0 is now.
 func (g *Gatekeeper) sliceWait(c *account, units float64) float64 {
 	g.fill(c)
--- a/logic/state.go
+++ b/logic/state.go
@@ -740,3 +740,21 @@
 		}
 	}
 }
+
+// gcraWait is how long until a store, full at tat, that fills at rate and holds depth has the units; 0 is
+// now.
+func gcraWait(tat, now, rate, depth, units float64) float64 {
+	if rate <= 0 {
+		return math.MaxFloat64
+	}
+	level := depth - math.Max(tat-now, 0)*rate
+	if level >= units-1e-9 {
+		return 0
+	}
+	return (units - level) / rate
+}
+
+// holds is how much a store of a plan holds that fills at a rate.
+func (g *Gatekeeper) holds(p *plan, rate float64) float64 {
+	return math.Max(rate*p.burst, p.largest)
+}
