--- a/internal/config/charter.go
+++ b/internal/config/charter.go
@@ -7,17 +7,30 @@
 	"errors"
 	"fmt"
 
+	lending "willowdeck/internal/credit"
 	"willowdeck/internal/wire/gossip"
 	"willowdeck/logic"
 )
 
-const usPerMs = 1000
+const (
+	usPerMs, msPerS = 1000, 1000
+	mostCredit      = 86400.0 // s; a day: what is to be paid back over more is another quota
+)
 
 // Names gives the places in the charter of the products and plans that txns name.
 type Names struct {
 	Products, Plans map[string]int
 }
 
+// PlanNames gives the plans' names by their places.
+func (n Names) PlanNames() []string {
+	all := make([]string, len(n.Plans))
+	for name, i := range n.Plans {
+		all[i] = name
+	}
+	return all
+}
+
 // Lines is what the settings say of connections to workers and of final answers. Times are in ms.
 type Lines struct {
 	IdleLimit      float64 // the worker's side closes a connection that stands idle for so long
@@ -56,6 +69,8 @@
 		WorthFactor float64 `json:"worth_factor"`
 		ExcessWorth float64 `json:"excess_worth"`
 		OverCost    float64 `json:"over_cost"`
+		Credit      float64 `json:"credit_s"`
+		Repay       float64 `json:"repay_s"`
 	}
 	Allowed struct {
 		MaxAttempts    int     `json:"max_attempts"`
@@ -142,7 +157,7 @@
 		t.Names.Plans[p.Name] = i
 		t.Charter.Plans = append(t.Charter.Plans, logic.Plan{Rate: p.Rate, Burst: p.MostAtOnce,
 			CeilingRate: p.HardRate, CeilingDepth: p.CapDepth, Open: p.Open, Factor: p.WorthFactor,
-			ExcessShare: p.ExcessWorth, ExcessFee: p.OverCost})
+			ExcessShare: p.ExcessWorth, ExcessFee: p.OverCost, Credit: p.Credit, Repay: p.Repay * msPerS})
 	}
 	return t
 }
@@ -234,11 +249,34 @@
 		case p.Rate < 0 || p.MostAtOnce < 0 || p.HardRate < 0 || p.CapDepth < 0 || p.Open < 0:
 			return fmt.Errorf("%s: a rate or a limit is below nought", key)
 		}
+		if err := Lends(p.Rate, p.Credit, p.Repay); err != nil {
+			return fmt.Errorf("%s.%w", key, err)
+		}
 		seen[p.Name] = true
 	}
 	return nil
 }
 
+// Lends checks a plan's line of credit against its rate, units a second; times are in seconds.
+func Lends(rate, credit, repay float64) error {
+	switch {
+	case !(credit >= 0) || credit > mostCredit:
+		return fmt.Errorf("credit_s: %v is not of 0 to %v", credit, mostCredit)
+	case !(repay >= 0) || repay > mostCredit:
+		return fmt.Errorf("repay_s: %v is not of 0 to %v", repay, mostCredit)
+	case credit == 0 && repay > 0:
+		return errors.New("repay_s: there is no credit_s to pay back")
+	case credit > 0 && repay == 0:
+		return errors.New("repay_s: it has to be there with credit_s")
+	case credit > 0 && rate <= 0:
+		return errors.New("credit_s: a rate of nought never pays it back")
+	case credit > 0 && credit > repay*lending.Part:
+		return fmt.Errorf("repay_s: in %v a half of the fill pays %v back, and credit_s is %v", repay,
+			repay*lending.Part, credit)
+	}
+	return nil
+}
+
 func orDefault(v, other float64) float64 {
 	if v > 0 {
 		return v
--- a/internal/gate/desk.go
+++ b/internal/gate/desk.go
@@ -53,6 +53,7 @@
 	speech  []speech
 	waiting []waiting     // of the wake's goroutine
 	residue *residue.File // nil where none is kept
+	lending *lending      // nil where nothing is lent
 }
 
 // waiting is a txn whose client is looked at.
@@ -86,6 +87,7 @@
 		d.residue.Close()
 		d.residue = nil
 	}
+	d.endLending()
 }
 
 // Now is the desk's time, Unix ms.
@@ -132,6 +134,7 @@
 	d.enter()
 	d.void()
 	e = d.gk.Retire()
+	d.endLending()
 	workers, kinds = d.workers.Names()
 	d.leave()
 	return e, workers, kinds
@@ -170,6 +173,9 @@
 func (d *Desk) Resize(n int) {
 	d.enter()
 	d.gk.Resize(n)
+	if d.lending != nil {
+		d.lending.book.Resize(n)
+	}
 	d.leave()
 }
 
@@ -397,8 +403,14 @@
 		if !ok {
 			break
 		}
+		if d.lending != nil { // what was drawn for it is kept before it is carried out
+			d.settle()
+		}
 		d.carry(v)
 	}
+	if d.lending != nil {
+		d.settle()
+	}
 	speech := d.speech
 	d.speech = nil
 	d.mu.Unlock()
--- /dev/null
+++ b/internal/gate/lend.go
@@ -0,0 +1,147 @@
+package gate
+
+import (
+	"strconv"
+
+	"willowdeck/internal/credit"
+	"willowdeck/internal/held"
+	"willowdeck/internal/history"
+	"willowdeck/internal/wire/ledger"
+)
+
+// Shelf keeps records of credit: what Keep has returned from outlives the process.
+type Shelf interface {
+	Now() float64 // ms of a clock that goes on over lives
+	Keep(place int, r *credit.Record)
+	Close()
+}
+
+// lending is a desk's book of credit, under the desk's lock.
+type lending struct {
+	book     *credit.Book
+	shelf    Shelf
+	recorder history.Recorder
+	plans    []string
+}
+
+// Lend asks the book; the module calls it. What follows is kept before the module's next decision is carried
+// out.
+func (l *lending) Lend(customer uint64, plan, first, n int, units float64) bool {
+	l.book.Clock(l.shelf.Now())
+	return l.book.Lend(customer, plan, first, n, units) == credit.Lent
+}
+
+// Undo gives a loan back that was not used.
+func (l *lending) Undo(customer uint64, units float64) { l.book.Undo(customer, units) }
+
+// Lends has the module borrow from a book that is kept on a shelf from here on. Plans gives their names, for
+// the record, which may be nil.
+func (d *Desk) Lends(b *credit.Book, s Shelf, r history.Recorder, plans []string) {
+	d.enter()
+	d.endLending()
+	d.lending = &lending{book: b, shelf: s, recorder: r, plans: plans}
+	b.Noting(r != nil)
+	b.Clock(s.Now())
+	d.gk.Borrow(d.lending)
+	d.leave()
+}
+
+// endLending lets the book go, under the lock: nothing is lent from here on.
+func (d *Desk) endLending() {
+	if d.lending == nil {
+		return
+	}
+	d.gk.Borrow(nil)
+	d.settle()
+	d.lending.shelf.Close()
+	d.lending = nil
+}
+
+// Ledger takes a peer's words on credit.
+func (d *Desk) Ledger(from int, entries []credit.Entry) {
+	d.enter()
+	if l := d.lending; l != nil {
+		l.book.Clock(l.shelf.Now())
+		l.book.Hear(from, entries)
+	}
+	d.leave()
+}
+
+// Due has the book look after what is owed, where anything is.
+func (d *Desk) Due() {
+	d.enter()
+	if l := d.lending; l != nil {
+		l.book.Clock(l.shelf.Now())
+	}
+	d.leave()
+}
+
+// Credit gives the book's figures; false where nothing is lent.
+func (d *Desk) Credit() (credit.Figures, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.lending == nil {
+		return credit.Figures{}, false
+	}
+	return d.lending.book.Figures(), true
+}
+
+// Relend changes the plans' lines in service.
+func (d *Desk) Relend(plans []credit.Plan) {
+	d.enter()
+	if l := d.lending; l != nil {
+		l.book.Clock(l.shelf.Now())
+		l.book.Replan(plans)
+	}
+	d.leave()
+}
+
+// settle pulls the book's decisions, under the lock. What is to be kept is kept before it returns; what is
+// said goes out after the lock.
+func (d *Desk) settle() {
+	l := d.lending
+	for {
+		v, ok := l.book.Next()
+		if !ok {
+			return
+		}
+		switch v.Act {
+		case credit.Store:
+			l.shelf.Keep(v.Place, v.Record)
+		case credit.Note:
+			l.write(v)
+		case credit.Tell:
+			for rest := v.Entries; len(rest) > 0; {
+				var b []byte
+				b, rest = ledger.Append(nil, rest)
+				held.Must(len(b) <= ledger.Limit, held.ShortSpeech)
+				d.speech = append(d.speech, speech{v.Peer, b})
+			}
+		case credit.Collect:
+			took, fill := d.gk.Repay(uint64(v.Customer), v.Plan, v.N, v.Need, v.Most, v.Span)
+			l.book.Paid(v.Customer, took, fill)
+		}
+	}
+}
+
+var kinds = map[credit.Event]history.Kind{credit.Lends: history.Lends, credit.Undone: history.Repays,
+	credit.Repays: history.Repays, credit.Earns: history.Repays, credit.Hands: history.Hands,
+	credit.HandsDebt: history.Hands, credit.Takes: history.Takes, credit.TakesDebt: history.Takes,
+	credit.Starts: history.Takes}
+
+var says = map[credit.Event]string{credit.Undone: "undone", credit.Earns: "earned", credit.HandsDebt: "debt",
+	credit.TakesDebt: "debt", credit.Starts: "part"}
+
+// write writes down what was done.
+func (l *lending) write(v credit.Decision) {
+	e := history.Event{Kind: kinds[v.Event], Says: says[v.Event], Customer: uint64(v.Customer), Units: v.Units,
+		Serial: v.Serial}
+	if v.Plan < len(l.plans) {
+		e.Plan = l.plans[v.Plan]
+	}
+	if v.Event == credit.Hands || v.Event == credit.HandsDebt || v.Event == credit.Takes ||
+		v.Event == credit.TakesDebt {
+		e.Peer = strconv.Itoa(v.Peer)
+	}
+	l.recorder.Write(e)
+}
--- /dev/null
+++ b/internal/lifecycle/lend.go
@@ -0,0 +1,92 @@
+package lifecycle
+
+import (
+	"math"
+	"time"
+
+	"willowdeck/internal/credit"
+	"willowdeck/internal/credit/book"
+	"willowdeck/internal/wire"
+	"willowdeck/logic"
+)
+
+// creditEach is how often the book of credit looks after what is owed, ms.
+const creditEach = 100.0
+
+// bookOf is where the book of credit is kept, beside the residue.
+const bookOf = ".credit"
+
+// lines gives plans' lines of credit as the book has them, and whether any lends.
+func lines(plans []logic.Plan) (all []credit.Plan, any bool) {
+	for _, p := range plans {
+		all = append(all, credit.Plan{Line: p.Credit * p.Rate, Repay: p.Repay})
+		any = any || p.Credit > 0 && p.Rate > 0
+	}
+	return all, any
+}
+
+// lend has the gatekeeper lend what plans allow. Nothing is lent where a sudden end would forget a debt, or
+// where peers that share customers can't be told from their former lives.
+func (g *Gatekeeper) lend() {
+	c := g.conf.Charter
+	plans, any := lines(c.Plans)
+	if !any {
+		return
+	}
+	switch {
+	case g.conf.Residue == "":
+		g.log.Warn().Msg("settings.tariffs: credit_s lends nothing, as nothing is kept over a sudden end (residue)")
+		return
+	case c.Gatekeepers > 1 && (g.peers == nil || !g.conf.Tells):
+		g.log.Warn().Msg("settings.tariffs: credit_s lends nothing, as peers do not say which life they speak of")
+		return
+	}
+	f, err := book.Open(g.conf.Residue+bookOf, c.Me)
+	if err != nil {
+		g.log.Warn().Err(err).Msg("nothing is lent")
+		return
+	}
+	b := credit.New(credit.Terms{Me: c.Me, Gatekeepers: int(g.members.Load()), Plans: plans}, g.conf.Seed, f.Born)
+	b.Clock(f.Now())
+	for _, k := range f.Records {
+		b.Restore(k.Place, k.Record)
+	}
+	g.log.Info().Int("customers", len(f.Records)).Int("spoilt", f.Spoilt).Float64("age_s", (f.Now()-f.Born)/1000).
+		Msg("lending")
+	f.Records = nil
+	g.desk.Lends(b, f, g.recorder, g.conf.Names.PlanNames())
+	if g.peers != nil {
+		g.peers.Credit(g.desk.Ledger)
+	}
+	go func() {
+		t := time.NewTicker(wire.Millis(creditEach))
+		defer t.Stop()
+		for {
+			select {
+			case <-t.C:
+				g.desk.Due()
+			case <-g.over:
+				return
+			}
+		}
+	}()
+}
+
+// creditFigures adds what operators see of credit, in units; where nothing is lent there is none.
+func (g *Gatekeeper) creditFigures(add func(name string, v int64)) {
+	f, on := g.desk.Credit()
+	if !on {
+		return
+	}
+	for _, m := range []struct {
+		name string
+		v    float64
+	}{{"outstanding", f.Outstanding}, {"rights", f.Rights}, {"earning", f.Earn}, {"lent", f.Lent},
+		{"repaid", f.Repaid}, {"earned", f.Earned}, {"undone", f.Undone}, {"late", f.Late}, {"handed", f.Handed},
+		{"taken", f.Taken}, {"moved", f.Moved}, {"customers", float64(f.Customers)},
+		{"refused.wide", float64(f.Refused[credit.Wide])}, {"refused.no_place", float64(f.Refused[credit.NoPlace])},
+		{"refused.unsure", float64(f.Refused[credit.Unsure])}, {"refused.short", float64(f.Refused[credit.Short])},
+		{"strayed", float64(f.Strayed)}, {"forgotten", float64(f.Forgotten)}} {
+		add("credit."+m.name, int64(math.Round(m.v)))
+	}
+}
--- a/internal/lifecycle/operate.go
+++ b/internal/lifecycle/operate.go
@@ -40,6 +40,7 @@
 		add("peers.suspected", int64(seen.Suspected))
 		add("peers.gone", int64(seen.Lost))
 	}
+	g.creditFigures(add)
 	if g.portal != nil {
 		g.portal.Figures(add)
 	}
--- a/internal/lifecycle/start.go
+++ b/internal/lifecycle/start.go
@@ -16,6 +16,7 @@
 	"willowdeck/internal/config"
 	"willowdeck/internal/gate"
 	"willowdeck/internal/handover"
+	"willowdeck/internal/history"
 	"willowdeck/internal/member"
 	"willowdeck/internal/ops"
 	"willowdeck/internal/portal"
@@ -53,6 +54,8 @@
 	portal  *portal.Portal // nil where portals do not ask
 	vouch   *vouch.Voucher // nil where no auth service is asked
 	said    time.Time      // when the log last told that the watch had ended
+
+	recorder history.Recorder // nil where nothing is recorded
 }
 
 // Start brings a gatekeeper up: when it returns, clients are served.
@@ -148,6 +151,7 @@
 // remember keeps what outlives a sudden end, and takes what one has left. Without it the gatekeeper starts as
 // ever.
 func (g *Gatekeeper) remember() {
+	g.lend()
 	if g.conf.Residue == "" {
 		return
 	}
--- a/internal/residue/residue.go
+++ b/internal/residue/residue.go
@@ -84,6 +84,9 @@
 	return bytes.TrimSpace(mark), up * 1000, err
 }
 
+// Boot gives what tells one start of the machine from another, and how long ago that was, ms.
+func Boot() (mark []byte, up float64, err error) { return machine() }
+
 // Uptime gives how long the machine has been up, in hundredths of a second: it grows over the lives of
 // processes, however the system's clock is set.
 func Uptime() uint32 {
@@ -100,10 +103,30 @@
 	if err != nil {
 		return nil, nil, fmt.Errorf("residue: %w", err)
 	}
-	f, err := os.OpenFile(path, os.O_RDWR|os.O_CREATE, 0o600)
+	f, b, was, err := Map(path, size)
 	if err != nil {
 		return nil, nil, fmt.Errorf("residue: %w", err)
 	}
+	r := &File{b: b, held: f, by: map[uint32]int{}}
+	offset := now - up
+	var left *logic.Residue
+	if was && r.load(atMagic) == magic && bytes.Equal(b[atDigest:atDigest+32], digest[:]) &&
+		bytes.Equal(bytes.TrimRight(b[atBoot:atOffset], "\x00"), mark) {
+		left = r.read(offset-r.figure(atOffset), now)
+	}
+	if left == nil {
+		r.fresh(digest, mark, now)
+	}
+	r.put(atOffset, offset)
+	return r, left, nil
+}
+
+// Map maps a file of so many bytes into memory, under a lock that ends with it, and tells whether there was one
+// of that size. A file that another process has is let alone, and one begun in its place.
+func Map(path string, size int) (f *os.File, b []byte, was bool, err error) {
+	if f, err = os.OpenFile(path, os.O_RDWR|os.O_CREATE, 0o600); err != nil {
+		return nil, nil, false, err
+	}
 	for end := time.Now().Add(dying); ; time.Sleep(dying / 20) {
 		if err = syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err == nil || time.Now().After(end) {
 			break
@@ -118,42 +141,30 @@
 			err = syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB)
 		}
 		if err != nil {
-			return nil, nil, fmt.Errorf("residue: another process has it: %w", err)
+			return nil, nil, false, fmt.Errorf("another process has it: %w", err)
 		}
 	}
 	info, err := f.Stat()
-	was := err == nil && info.Size() == size
+	was = err == nil && info.Size() == int64(size)
 	if err == nil && !was {
 		if err = f.Truncate(0); err == nil {
-			err = f.Truncate(size)
+			err = f.Truncate(int64(size))
 		}
 	}
-	var b []byte
 	if err == nil { // written out now, so that the disk being full is met here and not as a fault later
-		err = reserve(f)
+		err = reserve(f, int64(size))
 	}
 	if err == nil {
 		b, err = syscall.Mmap(int(f.Fd()), 0, size, syscall.PROT_READ|syscall.PROT_WRITE, syscall.MAP_SHARED)
 	}
 	if err != nil {
 		_ = f.Close()
-		return nil, nil, fmt.Errorf("residue: %w", err)
-	}
-	r := &File{b: b, held: f, by: map[uint32]int{}}
-	offset := now - up
-	var left *logic.Residue
-	if was && r.load(atMagic) == magic && bytes.Equal(b[atDigest:atDigest+32], digest[:]) &&
-		bytes.Equal(bytes.TrimRight(b[atBoot:atOffset], "\x00"), mark) {
-		left = r.read(offset-r.figure(atOffset), now)
+		return nil, nil, false, err
 	}
-	if left == nil {
-		r.fresh(digest, mark, now)
-	}
-	r.put(atOffset, offset)
-	return r, left, nil
+	return f, b, was, nil
 }
 
-func reserve(f *os.File) error {
+func reserve(f *os.File, size int64) error {
 	err := syscall.Fallocate(int(f.Fd()), 0, 0, size)
 	if errors.Is(err, syscall.EOPNOTSUPP) || errors.Is(err, syscall.ENOSYS) {
 		return nil
--- a/internal/wire/peers.go
+++ b/internal/wire/peers.go
@@ -9,8 +9,10 @@
 	"sync/atomic"
 	"syscall"
 
+	"willowdeck/internal/credit"
 	"willowdeck/internal/member"
 	"willowdeck/internal/wire/gossip"
+	"willowdeck/internal/wire/ledger"
 	"willowdeck/logic"
 )
 
@@ -21,6 +23,8 @@
 	me      int
 	dropped atomic.Int64
 
+	credit atomic.Pointer[func(from int, entries []credit.Entry)] // nil where none is lent
+
 	bears atomic.Bool   // messages bear a word
 	life  atomic.Uint32 // incarnation
 	said  atomic.Uint32 // messages of it so far
@@ -99,11 +103,15 @@
 	}
 }
 
+// Credit has peers' words on credit be taken; until then they are dropped.
+func (p *Peers) Credit(take func(from int, entries []credit.Entry)) { p.credit.Store(&take) }
+
 // Hear gives each peer's reports to take, until Close, and says which are the first of one that has returned.
 // What comes from elsewhere, makes no sense or is no news is dropped.
 func (p *Peers) Hear(take func(from int, reports []logic.Report, returned bool)) {
 	conn := p.conn.Load()
 	var reports []logic.Report
+	var entries []credit.Entry
 	buf := make([]byte, 2*gossip.Limit)
 	for {
 		n, from, err := conn.ReadFromUDPAddrPort(buf)
@@ -112,7 +120,13 @@
 		}
 		who, b := p.number(from), buf[:n]
 		word, bears := wordOf(&b)
-		reports, err = gossip.Decode(reports[:0], b)
+		lends := p.credit.Load()
+		if entries = entries[:0]; lends != nil && bears && len(b) > 0 && b[0] == ledger.Mark {
+			reports = reports[:0]
+			entries, err = ledger.Decode(entries, b)
+		} else {
+			reports, err = gossip.Decode(reports[:0], b)
+		}
 		verdict := member.News
 		if who >= 0 && err == nil && bears {
 			p.mu.Lock()
@@ -123,7 +137,12 @@
 			p.dropped.Add(1)
 			continue
 		}
-		take(who, reports, verdict == member.Returned)
+		if len(entries) == 0 || verdict == member.Returned {
+			take(who, reports, verdict == member.Returned)
+		}
+		if len(entries) > 0 {
+			(*lends)(who, entries)
+		}
 	}
 }
 
--- /dev/null
+++ b/logic/credit.go
@@ -0,0 +1,78 @@
+package logic
+
+import "math"
+
+const fullEnough = 0.5 // of a customer's stores; what is more may go to its credit while nothing has to
+
+// This file holds what a gatekeeper lends a customer beyond its quota, and takes from its fill for it. What
+// may be lent is another's to say; what is book-keeping of stores is here.
+
+// Lender says whether a customer may have units now that it pays back later.
+type Lender interface {
+	// Lend draws units for a customer of a plan, whose set has n gatekeepers in a row from first on.
+	Lend(customer uint64, plan, first, n int, units float64) bool
+	// Undo gives back units of a loan that was not used.
+	Undo(customer uint64, units float64)
+}
+
+// Borrow has a lender be asked where a quota alone would decline; nil asks nobody.
+func (g *Gatekeeper) Borrow(from Lender) { g.lender = from }
+
+// Pressed tells whether workers are too pressed for anything beyond a quota.
+func (g *Gatekeeper) Pressed() bool { return !g.spare() }
+
+// borrow draws what a txn's quota lacks, and tells whether it may go on. While workers are pressed nobody
+// borrows: other customers would pay for it. A loan takes nothing from the quota's stores; its repayment does.
+func (g *Gatekeeper) borrow(t *txn, c *account) bool {
+	if g.lender == nil || g.signed.Plans[t.plan].Credit <= 0 || t.draws <= 0 || !g.spare() ||
+		!g.lender.Lend(c.customer, t.plan, c.first, c.n, t.draws) {
+		return false
+	}
+	t.lent, t.draws = t.draws, 0
+	return true
+}
+
+// unlend gives a loan back whose txn was never submitted.
+func (g *Gatekeeper) unlend(t *txn) {
+	if t.lent > 0 && t.answered && len(t.subs) == 0 && g.lender != nil {
+		g.lender.Undo(g.accounts[t.acct].customer, t.lent)
+	}
+	if t.answered {
+		t.lent = 0
+	}
+}
+
+// Repay takes units out of a customer's stores: those that are needed out of its fill here of a span of ms,
+// and up to most of it where the stores are more than half full. It gives what was taken, and the fill, units
+// a ms. A customer that is not known has been idle, and its stores run over.
+func (g *Gatekeeper) Repay(customer uint64, plan, n int, need, most, span float64) (took, fill float64) {
+	if plan < 0 || plan >= len(g.plans) || !(span > 0) {
+		return 0, 0
+	}
+	ai, ok := g.byKey[uint32(customer)]
+	if p := &g.plans[plan]; !ok || g.accounts[ai].n == 0 || p.rate <= 0 {
+		fill = p.rate * alpha / float64(max(n, 1))
+		return math.Max(math.Min(math.Max(need, most), fill*span), 0), fill
+	}
+	c := &g.accounts[ai]
+	p := &g.plans[c.plan]
+	g.fill(c)
+	if fill = c.share; !c.hot || c.n == 1 { // what all its gatekeepers credit adds up to the rate
+		fill = p.rate / float64(c.n)
+	}
+	took = math.Min(need, fill*span)
+	over := c.level - fullEnough*g.startLevel(c)
+	if !g.blind(c) {
+		over = math.Min(over, c.whole-fullEnough*g.holds(p, p.rate))
+	}
+	took = math.Max(took, math.Min(math.Min(most, fill*span), over))
+	if !(took > 0) {
+		return 0, fill
+	}
+	c.level = math.Max(c.level-took, -g.holds(p, p.rate))
+	c.whole -= took
+	if !g.blind(c) {
+		c.unsaid += took
+	}
+	return took, fill
+}
--- a/logic/iface.go
+++ b/logic/iface.go
@@ -34,6 +34,8 @@
 	CeilingRate, CeilingDepth      float64 // hard ceiling
 	Open                           int     // submissions the customer may have out at once
 	Factor, ExcessShare, ExcessFee float64 // value multiplier; earned and paid beyond the quota, of the value
+	Credit                         float64 // s of the rate that may be borrowed; 0 is none
+	Repay                          float64 // ms within which that is paid back
 }
 
 // Charter is all that a gatekeeper is told once, at its start. Times are in ms.
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -755,7 +755,7 @@
 		if !g.blind(c) {
 			wait = math.Min(wait, g.roomWait(c, t.draws))
 		}
-		if t.inside = wait <= 0; !t.inside && !(p.excess && g.spare()) {
+		if t.inside = wait <= 0; !t.inside && !(p.excess && g.spare()) && !g.borrow(t, c) {
 			return ByQuota, wait
 		}
 	}
--- a/logic/state.go
+++ b/logic/state.go
@@ -80,6 +80,7 @@
 	acct          int32
 	product, plan int
 	units, draws  float64 // its size, and what it takes from its quota
+	lent          float64 // what it takes instead from its customer's credit
 	expiry        float64
 	subs          []submission
 	out           int
@@ -134,6 +135,7 @@
 	started  float64
 	base     float64 // ceilings of customers that are not known here are taken as spent at this time
 	retired  bool    // another has taken over what it knows
+	lender   Lender  // nil where nothing is lent
 	thawed   float64 // when the gatekeeper last found that it had itself stood still
 	begun    bool
 	charter  terms
@@ -644,6 +646,7 @@
 // unkeep ends that, and a clearance with it.
 func (g *Gatekeeper) unkeep(t *txn) {
 	g.ungrant(t)
+	g.unlend(t)
 	if t.kept {
 		t.kept = false
 		g.kept(t, -1)
