A charter that changes in service: ceilings, quotas and their parts, in one place with the number

Recharter takes another charter up; Resize is a case of it. What was spent of a ceiling stays spent in units, no store holds more by a change, and a record for a later life is reckoned so that it never reads as less. Narrow has quotas go by the message-free slice. Recall has a txn decided on anew that was never sent.

--- a/logic/estate.go
+++ b/logic/estate.go
@@ -1,12 +1,16 @@
 package logic
 
-import "math"
+import (
+	"math"
+	"reflect"
+)
 
 // This file holds what a gatekeeper leaves to the process that takes its place on the same machine. Times are
 // those of the clock that both go by.
 
 // Estate is all that a successor takes over. The host names the workers and kinds for it.
 type Estate struct {
+	Signed    Charter // in which all is reckoned
 	At        float64
 	Started   float64
 	Base      float64
@@ -69,7 +73,7 @@
 			t.coming, t.pass = coming, pass
 		}
 	}
-	e := Estate{At: g.now, Started: g.started, Base: g.base, Window: g.window,
+	e := Estate{Signed: g.signed, At: g.now, Started: g.started, Base: g.base, Window: g.window,
 		Press: g.press, CutAt: g.cutAt, Pace: g.pace,
 		Load: g.load, WarmDone: g.warmDone, WarmAt: g.warmAt, WarmFrom: g.warmFrom, Long: g.long.score,
 		LongAt: g.long.since, Astray: g.astray.score, AstrayAt: g.astray.since, NextTell: g.nextTell}
@@ -107,10 +111,19 @@
 	return e
 }
 
-// Resume takes over what a predecessor on this machine has left, before the first txn. What does not fit this
-// charter is not taken. The worker of a Standing, and a kind, are this gatekeeper's own indices.
+// Resume takes over what a predecessor on this machine has left, before the first txn, and has it changed to
+// this charter from the one that it went by. What does not fit is not taken. The worker of a Standing, and a kind, are this gatekeeper's own indices.
 func (g *Gatekeeper) Resume(e Estate) {
-	if len(e.Peers) != len(g.peers) || len(e.Tight) != len(g.plans) || e.At > g.now+stopped {
+	if len(e.Tight) != len(g.plans) || e.At > g.now+stopped {
+		return
+	}
+	if mine := g.signed; !reflect.DeepEqual(mine, e.Signed) {
+		if !g.Recharter(e.Signed) {
+			return
+		}
+		defer g.Recharter(mine)
+	}
+	if len(e.Peers) != len(g.peers) {
 		return
 	}
 	g.base = e.Base
@@ -218,12 +231,26 @@
 	return g.base, all
 }
 
-// Resize tells that there are so many gatekeepers from now on. This one keeps its place, and so do the others
-// that stay; those beyond the number have ended. Customers' parts follow their sets, as their txns say.
+// Resize tells that there are so many gatekeepers from now on.
 func (g *Gatekeeper) Resize(n int) {
-	c := g.signed
-	if n == g.charter.n || n <= c.Me {
-		return
+	if c := g.signed; n != g.charter.n && n > c.Me {
+		c.Gatekeepers = n
+		g.Recharter(c)
+	}
+}
+
+// Recharter tells that another charter is in force from now on: other rates and depths of the same plans,
+// another number of gatekeepers, another part of the ceilings. It is false, and nothing changes, where more of
+// it differs. This one keeps its place, and so do the others that stay; those beyond the number have ended.
+// Customers' parts follow their sets, as their txns say.
+//
+// No store holds more by the change. What was spent of a ceiling stays spent, in units: one that grows fills
+// at its new pace from what there was, one that shrinks holds at most its new depth less what is spent, and a
+// new one holds nothing. Of one of which only a part may be used all that is spent counts against that part.
+func (g *Gatekeeper) Recharter(c Charter) bool {
+	n := max(c.Gatekeepers, 1)
+	if c.Me != g.charter.me || n <= c.Me || len(c.Plans) != len(g.plans) || len(c.Products) != len(g.products) {
+		return false
 	}
 	for i := n; i < g.charter.n; i++ {
 		g.silence(i, false, false) // nothing is held for those that are no more
@@ -237,22 +264,120 @@
 			a.n, a.first = min(a.n, n), a.first%n
 		}
 	}
-	c.Gatekeepers = n
-	f := New(c, 0) // for what follows from the number
+	f, was, told := New(c, 0), g.plans, g.signed // for what follows from the charter
+	if g.first == nil {
+		g.first = told.Plans
+	}
 	for i := range f.plans {
-		f.plans[i].tight, f.plans[i].stay = g.plans[i].tight, g.plans[i].stay
+		f.plans[i].tight, f.plans[i].stay = was[i].tight, was[i].stay
 		f.plans[i].restate()
+		f.plans[i].narrow(c)
+		f.plans[i].recorded = lesser(f.plans[i].ceilRate, g.first[i].CeilingRate/1000)
+		g.rebase(&f.plans[i], told.Plans[i], c.Plans[i])
+	}
+	if c.Narrow { // what would be told of demand is not what is asked
+		f.charter.talks, f.charter.tellAt = false, 0
+	}
+	if g.signed.Narrow && !c.Narrow {
+		g.widened = g.now
 	}
 	copy(f.peers, g.peers)
 	g.signed, g.charter, g.plans, g.peers, g.mute, g.owed = c, f.charter, f.plans, f.peers, f.mute, f.owed
 	g.muted()
 	for i := range g.accounts {
 		if a := &g.accounts[i]; a.live {
+			p := &g.plans[a.plan]
+			a.ceilingAt = g.respent(a, &was[a.plan], told.Plans[a.plan], c.Plans[a.plan])
+			if told.Narrow || c.Narrow { // what the others have spent is not known
+				a.hot, a.others, a.held, a.holding, a.whole = false, 0, 0, 0, 0
+			}
 			g.reshare(a)
+			a.level, a.whole = math.Min(a.level, g.holds(p, a.share)), math.Min(a.whole, g.holds(p, p.rate))
+		}
+	}
+	for i := range g.txns {
+		if t := &g.txns[i]; t.live && t.pass == granted && g.plans[t.plan].shut() { // its clearance lapses
+			t.expiry = math.Min(t.expiry, g.now)
+			g.due = append(g.due, int32(i))
 		}
 	}
 	g.list()
 	g.window = math.Max(g.window, g.leastWindow())
+	return true
+}
+
+// narrow leaves a plan what is surely this gatekeeper's own, where the charter says so. All peers count as
+// unheard then: the split leaves each gatekeeper an even part of alpha x rate, which is the cold slice.
+func (p *plan) narrow(c Charter) {
+	if !c.Narrow {
+		return
+	}
+	p.ceilDepth *= c.Part
+	if c.Part > 0 { // one that is shut still fills
+		p.ceilRate *= c.Part
+	}
+	p.sparse, p.excess = false, false
+	p.rate, p.out = p.rate*alpha, p.out*alpha
+	p.restate()
+}
+
+// shut tells whether nothing passes under a plan's ceiling.
+func (p *plan) shut() bool { return p.ceilRate > 0 && p.ceilDepth <= 0 }
+
+// lesser gives the lower one of two rates, of which 0 is none.
+func lesser(a, b float64) float64 {
+	if a > 0 && b > 0 {
+		return math.Min(a, b)
+	}
+	return math.Max(a, b)
+}
+
+// rebase sees that customers that are not known find no more in a ceiling that grows, or is new, than those
+// that are. It falls on all plans: there is one base.
+func (g *Gatekeeper) rebase(p *plan, from, to Plan) {
+	had := from.CeilingDepth
+	if from.CeilingRate <= 0 {
+		had = 0
+	}
+	if to.CeilingRate > 0 && to.CeilingDepth > had {
+		g.base = math.Max(g.base, g.now-had/to.CeilingRate*1000)
+	}
+}
+
+// respent is the moment at which a customer's slice of a ceiling that has changed is full again.
+func (g *Gatekeeper) respent(a *account, was *plan, from, to Plan) float64 {
+	p := &g.plans[a.plan]
+	if to.CeilingRate <= 0 {
+		return a.ceilingAt
+	}
+	units := to.CeilingDepth
+	if from.CeilingRate > 0 {
+		spent := math.Max(a.ceilingAt-g.now, 0) * was.ceilRate
+		units = math.Min(spent+math.Max(to.CeilingDepth-from.CeilingDepth, 0), to.CeilingDepth)
+	}
+	if was.shut() && a.n > 0 { // it may have been opened meanwhile, and then has not been taken as spent
+		units = math.Max(units, to.CeilingDepth-math.Max(g.now-g.base, 0)*to.CeilingRate/1000)
+	}
+	return g.now + units/p.ceilRate
+}
+
+// Recall tells that submission n of a txn, the newest, never began: what it was decided by had run out. The
+// txn is decided on anew, the first time as if it had just come; what it took stays taken.
+func (g *Gatekeeper) Recall(id uint64, n int) {
+	slot, ok := g.byID[id]
+	if !ok || n < 0 || n != len(g.txns[slot].subs)-1 || !g.txns[slot].subs[n].out {
+		return
+	}
+	t := &g.txns[slot]
+	g.back(t, &t.subs[n])
+	t.subs = t.subs[:n]
+	if n == 0 {
+		g.unkeep(t)
+	}
+	if g.plans[t.plan].shut() { // also one that was cleared, or has been sent before
+		t.expiry = math.Min(t.expiry, g.now)
+	}
+	g.due = append(g.due, slot)
 }
 
 // spentFor is how long a slice of a plan's ceiling that is spent takes to be full, ms; 0 where there is none.
--- a/logic/iface.go
+++ b/logic/iface.go
@@ -36,7 +36,8 @@
 	Factor, ExcessShare, ExcessFee float64 // value multiplier; earned and paid beyond the quota, of the value
 }
 
-// Charter is all that a gatekeeper is told once, at its start. Times are in ms.
+// Charter is all that a gatekeeper is told at its start; some of it may change in service, see Recharter.
+// Times are in ms.
 type Charter struct {
 	Me, Gatekeepers int
 	Products        []Product
@@ -55,6 +56,8 @@
 	WarmUp          float64 // and the longest it takes to reach all of it
 	Whole           float64 // how much the service as a whole counts
 	WorstPlan       float64 // and how much the worst-served plan
+	Narrow          bool    // quotas go by the slices that need no word of peers, ceilings by a part of them
+	Part            float64 // that part, 0 to 1
 }
 
 // Posting is one worker of the list, by the index the host gave it.
--- /dev/null
+++ b/logic/recharter_test.go
@@ -0,0 +1,250 @@
+package logic
+
+import (
+	"math"
+	"math/rand"
+	"testing"
+)
+
+// burst brings txns of a customer of one gatekeeper at once, and gives how many were let in.
+func (h *host) burst(n int) (in int) {
+	for range n {
+		if s := h.arrive(Arrival{Customer: 7, Units: 1, SetSize: 1, Left: 3000}); s.final == 0 {
+			in++
+			h.ended(s, 0, Settled, 1)
+		}
+	}
+	return in
+}
+
+// rechartered is a gatekeeper that is alone, old enough for all its stores to be full.
+func rechartered(t *testing.T, p Plan) *host {
+	c := charterFor(InquiryLike, func(c *Charter) {
+		c.Gatekeepers, c.MayTell, c.Plans = 3, false, []Plan{p}
+	})
+	h := newHost(t, c, 1, 200)
+	h.at(1e6)
+	return h
+}
+
+func ceiling(rate, depth float64) Plan {
+	return Plan{Rate: 1e5, Burst: 1e5, CeilingRate: rate, CeilingDepth: depth, Factor: 1}
+}
+
+// A ceiling that changes in service holds no more by the change, from that moment on, and fills at its new
+// pace. Guards against a change that gives what was spent back, or gives a new depth for nothing.
+func TestRecharterCeiling(t *testing.T) {
+	narrow := func(part float64) func(*Charter) {
+		return func(c *Charter) { c.Narrow, c.Part = true, part }
+	}
+	set := func(p Plan) func(*Charter) { return func(c *Charter) { c.Plans = []Plan{p} } }
+	for _, c := range []struct {
+		name     string
+		from     Plan
+		spent    int // before
+		change   []func(*Charter)
+		at, in1s int // let in at the change, and a second later
+	}{
+		{"up, full", ceiling(10, 20), 0, []func(*Charter){set(ceiling(30, 50))}, 20, 30},
+		{"up, spent", ceiling(10, 20), 20, []func(*Charter){set(ceiling(30, 50))}, 0, 30},
+		{"down, full", ceiling(30, 50), 0, []func(*Charter){set(ceiling(10, 20))}, 20, 10},
+		{"down, part spent", ceiling(30, 50), 15, []func(*Charter){set(ceiling(10, 20))}, 5, 10},
+		{"down, more spent", ceiling(30, 50), 40, []func(*Charter){set(ceiling(10, 20))}, 0, 10},
+		{"down and up again", ceiling(30, 50), 15,
+			[]func(*Charter){set(ceiling(10, 20)), set(ceiling(30, 50))}, 5, 30},
+		{"new", Plan{Rate: 1e5, Burst: 1e5, Factor: 1}, 9, []func(*Charter){set(ceiling(10, 20))}, 0, 10},
+		{"none any more", ceiling(10, 20), 20, []func(*Charter){set(Plan{Rate: 1e5, Burst: 1e5, Factor: 1})},
+			100, 100},
+		{"half of it", ceiling(10, 20), 0, []func(*Charter){narrow(0.5)}, 10, 5},
+		{"half of it, of which some is spent", ceiling(10, 20), 4, []func(*Charter){narrow(0.5)}, 6, 5},
+		{"half of it, all spent", ceiling(10, 20), 20, []func(*Charter){narrow(0.5)}, 0, 0},
+		{"half of it and back", ceiling(10, 20), 4,
+			[]func(*Charter){narrow(0.5), func(c *Charter) { c.Narrow = false }}, 16, 10},
+		{"shut", ceiling(10, 20), 0, []func(*Charter){narrow(0)}, 0, 0},
+		{"shut and back", ceiling(10, 20), 4,
+			[]func(*Charter){narrow(0), func(c *Charter) { c.Narrow = false }}, 16, 10},
+		{"another number", ceiling(10, 20), 4, []func(*Charter){func(c *Charter) { c.Gatekeepers = 2 }}, 16, 10},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			h := rechartered(t, c.from)
+			if in := h.burst(c.spent); in != c.spent {
+				t.Fatalf("%d of %d let in before", in, c.spent)
+			}
+			now := h.c
+			for _, f := range c.change {
+				if f(&now); !h.g.Recharter(now) {
+					t.Fatal("not taken up")
+				}
+			}
+			if in := h.burst(100); in != c.at {
+				t.Errorf("%d let in at the change, not %d", in, c.at)
+			}
+			h.at(h.now + 1000)
+			if in := h.burst(100); in != c.in1s {
+				t.Errorf("%d let in a second later, not %d", in, c.in1s)
+			}
+		})
+	}
+}
+
+// A process that starts while nothing passes takes what it meets as spent, as after any start.
+func TestShutAtTheStart(t *testing.T) {
+	c := charterFor(InquiryLike, func(c *Charter) { c.Gatekeepers, c.Plans = 1, []Plan{ceiling(10, 20)} })
+	h := newHost(t, c, 1, 200)
+	shut := c
+	shut.Narrow = true
+	h.g.Recharter(shut)
+	h.at(h.now + 100)
+	if in := h.burst(5); in != 0 {
+		t.Errorf("%d let in while shut", in)
+	}
+	h.at(h.now + 900)
+	h.g.Recharter(c)
+	if in := h.burst(100); in != 10 {
+		t.Errorf("%d let in a second after the start, not 10", in)
+	}
+}
+
+// What fits no other charter is not taken.
+func TestRecharterRefuses(t *testing.T) {
+	h := rechartered(t, ceiling(10, 20))
+	for i, change := range []func(*Charter){
+		func(c *Charter) { c.Me = 1 },
+		func(c *Charter) { c.Me, c.Gatekeepers = 2, 2 },
+		func(c *Charter) { c.Plans = nil },
+		func(c *Charter) { c.Products = nil },
+	} {
+		c := h.c
+		if change(&c); h.g.Recharter(c) {
+			t.Errorf("change %d is taken up", i)
+		}
+	}
+}
+
+// Whatever changes, a life after this one never finds more in a ceiling than this one has: its record is read
+// by the charter of the start. Guards against a record in the pace of other rules.
+func TestRecordOverChanges(t *testing.T) {
+	for seed := range int64(20) {
+		rng := rand.New(rand.NewSource(seed))
+		plan := func() Plan { return ceiling(1+50*rng.Float64(), 1+99*rng.Float64()) }
+		h := rechartered(t, plan())
+		start, now := h.c, h.c
+		for range 200 {
+			h.at(h.now + 500*rng.Float64())
+			switch rng.Intn(4) {
+			case 0:
+				now.Plans = []Plan{plan()}
+				h.g.Recharter(now)
+			case 1:
+				now.Narrow, now.Part = !now.Narrow, float64(rng.Intn(3))/2
+				h.g.Recharter(now)
+			default:
+				h.burst(rng.Intn(20))
+			}
+			base, all := h.g.Residue()
+			// Both live on, unmoved, and the later one takes the rules up after a while.
+			later := rechartered(t, start.Plans[0])
+			later.at(h.now)
+			later.g.base = later.now // its start
+			later.g.Remember(Residue{Base: base, Ceilings: all})
+			gap := 300 * rng.Float64()
+			whole := now
+			whole.Narrow = false
+			for _, x := range []*host{h, later} {
+				x.at(h.now + gap)
+				x.at(math.Max(h.now, later.now))
+				x.g.Recharter(whole)
+			}
+			at := func(x *host) float64 { // as its next txn finds it
+				h.next++
+				x.g.account(Arrival{ID: h.next, Customer: 7, SetSize: 1})
+				return x.g.accounts[x.g.byKey[7]].ceilingAt
+			}
+			if a, b := math.Max(at(h), h.now), math.Max(at(later), h.now); b < a-1e-3 {
+				t.Fatalf("seed %d: full in %.1f ms, a later life says in %.1f", seed, a-h.now, b-h.now)
+			}
+			h.g.Recharter(now)
+		}
+	}
+}
+
+// A gatekeeper that is cut off lets in no more than its message-free slice of a quota, however hot its
+// customers were and whatever was said before: rate / N x alpha, and a slice's store.
+func TestNarrowQuota(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		n    int
+		plan Plan
+	}{
+		{"few", 4, Plan{Rate: 100, Burst: 100, Factor: 1}},
+		{"two", 2, Plan{Rate: 50, Burst: 200, Factor: 1}},
+		{"many", 20, Plan{Rate: 100, Burst: 100, Factor: 1}},
+		{"beyond the quota for a fee", 4, Plan{Rate: 100, Burst: 100, Factor: 1, ExcessShare: 1}},
+		{"sparse", 40, Plan{Rate: 20, Burst: 10, Factor: 1}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			ch := charterFor(InquiryLike, func(x *Charter) { x.Gatekeepers, x.Plans = c.n, []Plan{c.plan} })
+			h := newHost(t, ch, 1, 200)
+			h.ask(400, 3000, nil) // hot
+			ch.Narrow, ch.Part = true, 1
+			h.g.Recharter(ch)
+			slice := alpha * c.plan.Rate / float64(c.n)
+			most := math.Max(alpha*c.plan.Burst/float64(c.n), 1)
+			for _, customer := range []uint64{7, 8} { // one that is known, and one that comes new
+				in, span := 0, 10000.0
+				for end := h.now + span; h.now < end; {
+					h.at(h.now + 5)
+					if s := h.txn(customer, 1); s.final == 0 {
+						in++
+						h.ended(s, 0, Settled, 20)
+					}
+				}
+				if got, may := float64(in), slice*span/1000+most+1; got > may || got < 0.8*slice*span/1000 {
+					t.Errorf("customer %d: %v let in in 10 s, of at most %.1f", customer, got, may)
+				}
+			}
+			ch.Narrow = false
+			h.g.Recharter(ch)
+			h.txn(7, 1)
+			a := &h.g.accounts[h.g.byKey[7]]
+			if a.whole > 0 {
+				t.Errorf("%v of what peers may have spent", a.whole)
+			}
+			h.ask(400, 3000, nil)
+			if math.IsNaN(a.share) || math.IsNaN(a.level) || math.IsInf(a.demand, 0) {
+				t.Errorf("share %v, level %v, demand %v", a.share, a.level, a.demand)
+			}
+		})
+	}
+}
+
+// A clearance lapses where nothing passes any more, and a txn whose submission never began is decided on anew.
+func TestLapseAndRecall(t *testing.T) {
+	h := rechartered(t, ceiling(10, 20))
+	s := h.arrive(Arrival{Customer: 7, Units: 1, SetSize: 1, Left: 3000})
+	if s.final != 0 || len(s.subs) != 1 {
+		t.Fatalf("final %v, %d submissions", s.final, len(s.subs))
+	}
+	cleared := h.arrive(Arrival{Customer: 7, Units: 1, SetSize: 1, Clears: 5000})
+	shut := h.c
+	shut.Narrow = true
+	h.g.Recharter(shut)
+	if h.pull(); cleared.final != Decline {
+		t.Errorf("a clearance ends with %v", cleared.final)
+	}
+	h.g.Recall(s.ID, 0)
+	s.subs, s.out, s.sentAt = nil, nil, nil
+	if h.pull(); s.final != Decline || len(s.subs) != 0 {
+		t.Errorf("final %v, %d submissions", s.final, len(s.subs))
+	}
+	h.g.Recharter(h.c)
+	s = h.arrive(Arrival{Customer: 7, Units: 1, SetSize: 1, Left: 3000})
+	h.g.Recall(s.ID, 0)
+	s.subs, s.out, s.sentAt = nil, nil, nil
+	if h.pull(); s.final != 0 || len(s.subs) != 1 {
+		t.Errorf("final %v, %d submissions", s.final, len(s.subs))
+	}
+	h.g.Recall(s.ID, 1)
+	h.g.Recall(99, 0)
+	h.ended(s, 0, Settled, 1)
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -9,6 +9,9 @@
 
 // This file holds what a gatekeeper keeps, and the book-keeping that decides nothing.
 
+// boundless is more than any customer asks, units a ms, and little enough to reckon with.
+const boundless = 1e30
+
 type account struct {
 	plan    int
 	n       int     // its gatekeepers; 0 while it is known from peers alone
@@ -123,6 +126,7 @@
 	tight               float64 // part of the tight txns that are settled in their time
 	out, stay           float64 // a quota on submissions out: how many are to be, and how long one is, ms
 	ceilRate, ceilDepth float64 // this gatekeeper's slice, before division by the customer's N
+	recorded            float64 // units a ms at which its fill is reckoned for a later life; 0 as it fills
 	open                int
 	excess              bool // letting in beyond the quota earns more than it costs
 }
@@ -134,10 +138,12 @@
 	started  float64
 	base     float64 // ceilings of customers that are not known here are taken as spent at this time
 	retired  bool    // another has taken over what it knows
+	widened  float64 // when quotas last went by messages again; 0 where they always did
 	thawed   float64 // when the gatekeeper last found that it had itself stood still
 	begun    bool
 	charter  terms
 	signed   Charter // what they were derived from
+	first    []Plan  // as they were at the start, once they have changed
 	products []product
 	plans    []plan
 	depth    [][]float64 // window fraction by product and plan
@@ -383,6 +389,9 @@
 	c, p := &g.accounts[ai], &g.plans[plan]
 	*c = account{customer: customer, plan: plan, seen: g.now, coolSince: g.now, filled: g.now,
 		whole: g.holds(p, p.rate), live: true}
+	if g.widened > 0 { // what peers spent before is not known
+		c.whole = math.Min(c.whole, (g.now-g.widened)*p.rate)
+	}
 	g.byKey[uint32(customer)] = ai
 	return ai
 }
@@ -482,6 +491,9 @@
 // for what it has not seen yet.
 func (g *Gatekeeper) own(c *account) float64 {
 	p := &g.plans[c.plan]
+	if g.signed.Narrow && c.n > 1 && g.now-c.seen < g.charter.cooldown {
+		return boundless // so may its peers, unheard: there is no room in the one store
+	}
 	d := c.demand * math.Exp((c.seen-g.now)/p.memory)
 	if p.sparse {
 		d /= 1 - math.Exp(-math.Max(g.now-g.started, firstWords*g.charter.period)/p.memory)
@@ -660,12 +672,16 @@
 }
 
 // full is when the slice of a customer's ceiling is full again, if all that is kept goes out too; 0 where
-// there is none.
+// there is none. A later life reads it by the ceilings that this one began with, so where these have changed
+// the slower of both paces counts: it then takes for spent no less than is.
 func (g *Gatekeeper) full(c *account) float64 {
 	p := &g.plans[c.plan]
 	if p.ceilRate <= 0 {
 		return 0
 	}
+	if p.recorded > 0 {
+		return g.now + (math.Max(c.ceilingAt-g.now, 0)*p.ceilRate+c.kept*float64(c.n))/p.recorded
+	}
 	return math.Max(c.ceilingAt, g.now) + c.kept*float64(c.n)/p.ceilRate
 }
 
@@ -710,7 +726,7 @@
 	p := &g.peers[from]
 	held := p.silent && !p.gone
 	p.silent, p.gone = silent, gone
-	if hold := silent && !gone; hold != held {
+	if hold := silent && !gone; hold != held && !g.signed.Narrow { // all are unheard alike then
 		for _, r := range p.last {
 			ai, ok := g.byKey[uint32(r.Customer)]
 			if !ok {
@@ -735,7 +751,8 @@
 func (g *Gatekeeper) muted() {
 	for i := range g.mute[1:] {
 		g.mute[i+1] = g.mute[i]
-		if p := &g.peers[i%g.charter.n]; p.silent && !p.gone {
+		p := &g.peers[i%g.charter.n]
+		if p.silent && !p.gone || g.signed.Narrow && i%g.charter.n != g.charter.me {
 			g.mute[i+1]++
 		}
 	}
