Terms at the desk: acted on up to their end, looked at again before the write, named to the worker

A process that stood still must not send by rules whose time has run out. Each decision carries the terms it was made by; a submission whose terms ran out while its connection came up is not written and is decided anew.

--- a/internal/gate/desk.go
+++ b/internal/gate/desk.go
@@ -2,11 +2,13 @@
 
 import (
 	"math"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"willowdeck/internal/held"
+	"willowdeck/internal/history"
 	"willowdeck/internal/residue"
 	"willowdeck/internal/wire"
 	"willowdeck/internal/wire/gossip"
@@ -44,6 +46,12 @@
 	ready atomic.Bool
 	pool  atomic.Pointer[logic.Tally] // a copy for those who must not wait
 
+	record history.Recorder // nil where none is kept; to be set before the first txn
+	terms  *held.Terms      // under the lock; nil where no rules are agreed on
+	bound  logic.Charter    // that they have brought
+
+	recalled atomic.Int64
+
 	mu      sync.Mutex
 	gk      *logic.Gatekeeper
 	timer   *time.Timer
@@ -166,6 +174,51 @@
 	d.leave()
 }
 
+// Record has what is acted on and sent written down. To be called before the first txn.
+func (d *Desk) Record(r history.Recorder) { d.record = r }
+
+// Govern has the module go by a charter for as long as some terms hold, in place of those before, which end.
+// Where the time of these runs out and nothing has come in their place, nothing passes under a ceiling. It is
+// false, and nothing changes, where the charter differs in what may not change.
+func (d *Desk) Govern(t *held.Terms, c logic.Charter) bool {
+	d.mu.Lock()
+	d.gk.Clock(d.clock.now())
+	taken := d.govern(t, c)
+	d.leave()
+	return taken
+}
+
+func (d *Desk) govern(t *held.Terms, c logic.Charter) bool {
+	if d.record != nil {
+		d.record.Write(history.Event{Kind: history.Acts, Version: t.Version, Mode: t.Mode})
+	}
+	if !d.gk.Recharter(c) {
+		return false
+	}
+	if d.terms != nil {
+		d.terms.End()
+	}
+	d.terms, d.bound = t, c
+	if d.residue != nil { // what it says is reckoned by the ceilings
+		base, spent := d.gk.Residue()
+		d.residue.Inherit(base, spent, d.clock.now())
+	}
+	return true
+}
+
+// lapse has the module act on nothing whose time has run out. What comes in its place is told soon.
+func (d *Desk) lapse() {
+	if d.terms.Holds() {
+		return
+	}
+	c := d.bound
+	c.Narrow, c.Plans = true, slices.Clone(c.Plans)
+	for i := range c.Plans {
+		c.Plans[i].Withheld = 1
+	}
+	d.govern(held.NewTerms(d.terms.Version, d.terms.Mode+", lapsed", math.MaxInt64), c)
+}
+
 // Resize tells the module how many gatekeepers there are from now on.
 func (d *Desk) Resize(n int) {
 	d.enter()
@@ -186,6 +239,9 @@
 	if returned {
 		d.gk.Returned(from)
 	}
+	if d.bound.Narrow { // it is there, and what it says is not gone by
+		reports = nil
+	}
 	d.gk.Hear(from, reports)
 	d.leave()
 }
@@ -362,6 +418,23 @@
 	d.leave()
 }
 
+// recall tells the module that a submission was never sent, as what it was decided by had run out.
+func (d *Desk) recall(h *held.Txn, n int) {
+	d.enter()
+	if d.gk.Recall(h.ID, n) {
+		h.Subs = h.Subs[:n]
+	} else {
+		d.gk.Ended(h.ID, n, logic.NotSent, 0, h.Final)
+	}
+	h.Out--
+	d.recalled.Add(1)
+	d.forget(h)
+	d.leave()
+}
+
+// Recalled tells how many submissions were not sent as what they were decided by had run out.
+func (d *Desk) Recalled() int64 { return d.recalled.Load() }
+
 // finish gives a txn its final answer. Guards against a submission whose connection is still coming up:
 // nothing is sent for a txn after that, also where submissions may not be withdrawn.
 func (d *Desk) finish(h *held.Txn, w held.Word, now float64) {
@@ -386,6 +459,9 @@
 	d.mu.Lock()
 	now := d.clock.now()
 	d.gk.Clock(now)
+	if d.terms != nil {
+		d.lapse()
+	}
 	return now
 }
 
@@ -436,7 +512,7 @@
 		if d.residue != nil && v.Full > 0 { // before it can go out
 			d.residue.Spend(h.Of, h.Plan, v.Full, d.clock.now())
 		}
-		h.Box <- held.Word{Decision: v, To: d.workers.Life(v.Worker), Sub: s}
+		h.Box <- held.Word{Decision: v, To: d.workers.Life(v.Worker), Sub: s, By: d.terms}
 	case logic.Decline, logic.Void:
 		d.finish(h, held.Word{Decision: v}, d.clock.now())
 		d.forget(h)
--- a/internal/gate/exchange.go
+++ b/internal/gate/exchange.go
@@ -5,6 +5,7 @@
 	"os"
 	"time"
 
+	"willowdeck/internal/history"
 	"willowdeck/internal/wire"
 	"willowdeck/logic"
 )
@@ -12,6 +13,7 @@
 // exchange sends a submission and waits for its answer, and gives the time at which that began to be waited
 // for. However it ends, its link is closed or free for others before it returns: only then may the txn be
 // submitted again. The exception is an answer whose rest is left to be passed on, which comes with its link.
+// There is no answer where it was not sent as what it was decided by had run out.
 func (g *Gate) exchange(j job, until time.Time) (a *wire.Answer, l *wire.Link, began float64) {
 	s, to, began := j.word.Sub, j.word.To, g.desk.clock.now()
 	if l = g.links.Idle(to.Worker); l == nil {
@@ -30,6 +32,18 @@
 		g.links.Drop(l)
 		return &wire.Answer{Outcome: logic.NotSent}, nil, began
 	}
+	if r := g.desk.record; r != nil {
+		r.Write(history.Event{Kind: history.Sends, Txn: j.mark, Customer: j.txn.Of, Worker: to.Name(),
+			Version: j.word.By.Number(), Mode: j.word.By.Named()})
+	}
+	// Guards against a process that stood still, or waited for its connection, beyond the time of its rules. What
+	// is left is from here to the write below: a few us of this goroutine's own time, and however long the
+	// process is stopped between the two; the submission names its rules to the worker.
+	if !j.word.By.Holds() {
+		s.End()
+		g.links.Drop(l)
+		return nil, nil, began
+	}
 	err := l.Send(j.msg)
 	if err == nil && j.upload != nil {
 		var whole bool
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -27,6 +27,7 @@
 	msg    []byte
 	upload *wire.Upload // what follows on it, or nil
 	left   float64      // ms that the client waits from then on
+	mark   string       // of the txn, where submissions are recorded
 }
 
 // New makes a gate over a desk and connections to workers.
@@ -85,7 +86,14 @@
 		}
 		// What passes on is copied here: the txn's own bytes end with this function, which a submission that may
 		// not be withdrawn outlives.
-		j := job{h, w, wire.AppendSubmission(nil, t, d.Wait), t.Upload, t.Left}
+		rules := int64(wire.Ruleless)
+		if w.By != nil {
+			rules = int64(w.By.Version)
+		}
+		j := job{txn: h, word: w, msg: wire.AppendSubmission(nil, t, d.Wait, rules), upload: t.Upload, left: t.Left}
+		if g.desk.record != nil {
+			j.mark = string(t.Mark)
+		}
 		if t.Upload != nil {
 			t.Upload.Begin()
 		}
@@ -114,6 +122,10 @@
 	if j.upload != nil {
 		j.upload.End()
 	}
+	if a == nil {
+		g.desk.recall(j.txn, d.N)
+		return
+	}
 	took := g.desk.clock.now() - began
 	if l != nil { // the answer is the client's from here on, and its rest goes through the client's function
 		passed := make(chan error, 1)
--- a/internal/held/held_test.go
+++ b/internal/held/held_test.go
@@ -110,3 +110,20 @@
 	}
 	broken[ShortSpeech].Store(0)
 }
+
+// Terms hold until their time, for as long as they are extended, and never again once they were ended.
+func TestTerms(t *testing.T) {
+	const hour = 3600e9
+	none := (*Terms)(nil)
+	past, ahead := NewTerms(1, "leased", Boot()), NewTerms(1, "leased", Boot()+hour)
+	if !none.Holds() || past.Holds() || !ahead.Holds() {
+		t.Error("they do not hold as told")
+	}
+	if past.Extend(Boot() + hour); !past.Holds() {
+		t.Error("not extended")
+	}
+	past.End()
+	if past.Extend(Boot() + hour); past.Holds() {
+		t.Error("they come back")
+	}
+}
--- a/internal/held/life.go
+++ b/internal/held/life.go
@@ -13,6 +13,7 @@
 	Answer   *wire.Answer
 	To       Life        // Submit: the worker as it was when this was decided
 	Sub      *Submission // Submit: the submission itself
+	By       *Terms      // Submit: what it was decided by; nil where there are none
 }
 
 // Txn is one txn in hand. All but Box belongs to the gate's lock.
--- a/internal/held/workers.go
+++ b/internal/held/workers.go
@@ -30,6 +30,9 @@
 // may ask.
 func (l *Life) Holds() bool { return l.of.life.Load() == l.life }
 
+// Name is the worker's name.
+func (l *Life) Name() string { return l.of.name }
+
 // Workers is the list of workers as it was last told. Its owner is the gate.
 type Workers struct {
 	zones    Index
--- a/internal/wire/submission.go
+++ b/internal/wire/submission.go
@@ -115,13 +115,19 @@
 	return n, err
 }
 
+// Ruleless is no version of rules.
+const Ruleless = -1
+
 // AppendSubmission encodes a submission of a txn that is waited for so many ms, but for a body that is not
-// kept.
-func AppendSubmission(b []byte, t *Txn, wait float64) []byte {
+// kept. It names the version of the rules that it goes by, if any.
+func AppendSubmission(b []byte, t *Txn, wait float64, rules int64) []byte {
 	b = append(append(b, t.Method...), ' ')
 	b = append(append(b, t.Target...), " HTTP/1.1\r\nHost: backend.local\r\nX-Request-Id: "...)
 	b = append(append(b, t.Mark...), "\r\nX-Deadline: "...)
 	b = append(strconv.AppendInt(b, int64(max(wait, 0)*1000), 10), "u\r\n"...)
+	if rules >= 0 {
+		b = append(strconv.AppendInt(append(b, "X-Rules: "...), rules, 10), "\r\n"...)
+	}
 	if len(t.Key) > 0 {
 		b = append(append(append(b, "Idempotency-Key: "...), t.Key...), "\r\n"...)
 	}
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -400,23 +400,26 @@
 
 func TestAppendSubmission(t *testing.T) {
 	cases := []struct {
-		name string
-		t    Txn
-		wait float64
-		want string
+		name  string
+		t     Txn
+		wait  float64
+		rules int64
+		want  string
 	}{
-		{"inquiry", Txn{Method: []byte("GET"), Target: []byte("/a?b"), Mark: []byte("1")}, 12.5,
+		{"inquiry", Txn{Method: []byte("GET"), Target: []byte("/a?b"), Mark: []byte("1")}, 12.5, Ruleless,
 			"GET /a?b HTTP/1.1\r\nHost: backend.local\r\nX-Request-Id: 1\r\nX-Deadline: 12500u\r\n\r\n"},
 		{"referenced", Txn{Method: []byte("POST"), Target: []byte("/s"), Mark: []byte("2"), Key: []byte("k"),
-			Body: []byte("xy")}, 1, "POST /s HTTP/1.1\r\nHost: backend.local\r\nX-Request-Id: 2\r\n" +
+			Body: []byte("xy")}, 1, Ruleless, "POST /s HTTP/1.1\r\nHost: backend.local\r\nX-Request-Id: 2\r\n" +
 			"X-Deadline: 1000u\r\nIdempotency-Key: k\r\nContent-Length: 2\r\n\r\nxy"},
-		{"no time left", Txn{Method: []byte("POST"), Target: []byte("/s"), Mark: []byte("3")}, -1,
+		{"no time left", Txn{Method: []byte("POST"), Target: []byte("/s"), Mark: []byte("3")}, -1, Ruleless,
 			"POST /s HTTP/1.1\r\nHost: backend.local\r\nX-Request-Id: 3\r\n" +
 				"X-Deadline: 0u\r\nContent-Length: 0\r\n\r\n"},
+		{"by rules", Txn{Method: []byte("GET"), Target: []byte("/a"), Mark: []byte("4")}, 1, 12,
+			"GET /a HTTP/1.1\r\nHost: backend.local\r\nX-Request-Id: 4\r\nX-Deadline: 1000u\r\nX-Rules: 12\r\n\r\n"},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			if got := AppendSubmission(nil, &c.t, c.wait); string(got) != c.want {
+			if got := AppendSubmission(nil, &c.t, c.wait, c.rules); string(got) != c.want {
 				t.Errorf("got %q, want %q", got, c.want)
 			}
 		})
--- a/logic/estate.go
+++ b/logic/estate.go
@@ -240,13 +240,14 @@
 }
 
 // Recharter tells that another charter is in force from now on: other rates and depths of the same plans,
-// another number of gatekeepers, another part of the ceilings. It is false, and nothing changes, where more of
+// another number of gatekeepers, another part withheld. It is false, and nothing changes, where more of
 // it differs. This one keeps its place, and so do the others that stay; those beyond the number have ended.
 // Customers' parts follow their sets, as their txns say.
 //
 // No store holds more by the change. What was spent of a ceiling stays spent, in units: one that grows fills
 // at its new pace from what there was, one that shrinks holds at most its new depth less what is spent, and a
-// new one holds nothing. Of one of which only a part may be used all that is spent counts against that part.
+// new one holds nothing. Where a part is withheld, all that is spent counts against the rest; where it is given
+// free again, what was not spent of it is there.
 func (g *Gatekeeper) Recharter(c Charter) bool {
 	n := max(c.Gatekeepers, 1)
 	if c.Me != g.charter.me || n <= c.Me || len(c.Plans) != len(g.plans) || len(c.Products) != len(g.products) {
@@ -271,7 +272,7 @@
 	for i := range f.plans {
 		f.plans[i].tight, f.plans[i].stay = was[i].tight, was[i].stay
 		f.plans[i].restate()
-		f.plans[i].narrow(c)
+		f.plans[i].narrow(&c, c.Plans[i].Withheld)
 		f.plans[i].recorded = lesser(f.plans[i].ceilRate, g.first[i].CeilingRate/1000)
 		g.rebase(&f.plans[i], told.Plans[i], c.Plans[i])
 	}
@@ -306,19 +307,18 @@
 	return true
 }
 
-// narrow leaves a plan what is surely this gatekeeper's own, where the charter says so. All peers count as
-// unheard then: the split leaves each gatekeeper an even part of alpha x rate, which is the cold slice.
-func (p *plan) narrow(c Charter) {
-	if !c.Narrow {
-		return
-	}
-	p.ceilDepth *= c.Part
-	if c.Part > 0 { // one that is shut still fills
-		p.ceilRate *= c.Part
+// narrow leaves a plan what is this gatekeeper's own. Where its quota goes without words all peers count as
+// unheard: the split leaves each gatekeeper an even part of alpha x rate, which is the cold slice.
+func (p *plan) narrow(c *Charter, withheld float64) {
+	p.ceilDepth *= 1 - withheld
+	if withheld < 1 { // one that is shut still fills
+		p.ceilRate *= 1 - withheld
+	}
+	if c.Narrow {
+		p.sparse, p.excess = false, false
+		p.rate, p.out = p.rate*alpha, p.out*alpha
+		p.restate()
 	}
-	p.sparse, p.excess = false, false
-	p.rate, p.out = p.rate*alpha, p.out*alpha
-	p.restate()
 }
 
 // shut tells whether nothing passes under a plan's ceiling.
@@ -362,11 +362,12 @@
 }
 
 // Recall tells that submission n of a txn, the newest, never began: what it was decided by had run out. The
-// txn is decided on anew, the first time as if it had just come; what it took stays taken.
-func (g *Gatekeeper) Recall(id uint64, n int) {
+// txn is decided on anew, the first time as if it had just come; what it took stays taken. It is false where
+// that can't be, and the submission has Ended as NotSent.
+func (g *Gatekeeper) Recall(id uint64, n int) bool {
 	slot, ok := g.byID[id]
 	if !ok || n < 0 || n != len(g.txns[slot].subs)-1 || !g.txns[slot].subs[n].out {
-		return
+		return false
 	}
 	t := &g.txns[slot]
 	g.back(t, &t.subs[n])
@@ -378,6 +379,7 @@
 		t.expiry = math.Min(t.expiry, g.now)
 	}
 	g.due = append(g.due, slot)
+	return true
 }
 
 // spentFor is how long a slice of a plan's ceiling that is spent takes to be full, ms; 0 where there is none.
--- a/logic/iface.go
+++ b/logic/iface.go
@@ -32,6 +32,7 @@
 type Plan struct {
 	Rate, Burst                    float64 // quota: fill and depth of the customer's store
 	CeilingRate, CeilingDepth      float64 // hard ceiling
+	Withheld                       float64 // part of this gatekeeper's slice of it that is not to be used now, 0 to 1
 	Open                           int     // submissions the customer may have out at once
 	Factor, ExcessShare, ExcessFee float64 // value multiplier; earned and paid beyond the quota, of the value
 }
@@ -56,8 +57,7 @@
 	WarmUp          float64 // and the longest it takes to reach all of it
 	Whole           float64 // how much the service as a whole counts
 	WorstPlan       float64 // and how much the worst-served plan
-	Narrow          bool    // quotas go by the slices that need no word of peers, ceilings by a part of them
-	Part            float64 // that part, 0 to 1
+	Narrow          bool    // quotas go by the slices that need no word of peers
 }
 
 // Posting is one worker of the list, by the index the host gave it.
--- a/logic/recharter_test.go
+++ b/logic/recharter_test.go
@@ -27,6 +27,15 @@
 	return h
 }
 
+// withheld withholds a part of all ceilings; where it is some, quotas are narrow too.
+func withheld(c Charter, part float64) Charter {
+	c.Narrow, c.Plans = part > 0, append([]Plan(nil), c.Plans...)
+	for i := range c.Plans {
+		c.Plans[i].Withheld = part
+	}
+	return c
+}
+
 func ceiling(rate, depth float64) Plan {
 	return Plan{Rate: 1e5, Burst: 1e5, CeilingRate: rate, CeilingDepth: depth, Factor: 1}
 }
@@ -35,7 +44,7 @@
 // pace. Guards against a change that gives what was spent back, or gives a new depth for nothing.
 func TestRecharterCeiling(t *testing.T) {
 	narrow := func(part float64) func(*Charter) {
-		return func(c *Charter) { c.Narrow, c.Part = true, part }
+		return func(c *Charter) { *c = withheld(*c, 1-part) }
 	}
 	set := func(p Plan) func(*Charter) { return func(c *Charter) { c.Plans = []Plan{p} } }
 	for _, c := range []struct {
@@ -59,10 +68,10 @@
 		{"half of it, of which some is spent", ceiling(10, 20), 4, []func(*Charter){narrow(0.5)}, 6, 5},
 		{"half of it, all spent", ceiling(10, 20), 20, []func(*Charter){narrow(0.5)}, 0, 0},
 		{"half of it and back", ceiling(10, 20), 4,
-			[]func(*Charter){narrow(0.5), func(c *Charter) { c.Narrow = false }}, 16, 10},
+			[]func(*Charter){narrow(0.5), func(c *Charter) { *c = withheld(*c, 0) }}, 16, 10},
 		{"shut", ceiling(10, 20), 0, []func(*Charter){narrow(0)}, 0, 0},
 		{"shut and back", ceiling(10, 20), 4,
-			[]func(*Charter){narrow(0), func(c *Charter) { c.Narrow = false }}, 16, 10},
+			[]func(*Charter){narrow(0), func(c *Charter) { *c = withheld(*c, 0) }}, 16, 10},
 		{"another number", ceiling(10, 20), 4, []func(*Charter){func(c *Charter) { c.Gatekeepers = 2 }}, 16, 10},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -91,9 +100,7 @@
 func TestShutAtTheStart(t *testing.T) {
 	c := charterFor(InquiryLike, func(c *Charter) { c.Gatekeepers, c.Plans = 1, []Plan{ceiling(10, 20)} })
 	h := newHost(t, c, 1, 200)
-	shut := c
-	shut.Narrow = true
-	h.g.Recharter(shut)
+	h.g.Recharter(withheld(c, 1))
 	h.at(h.now + 100)
 	if in := h.burst(5); in != 0 {
 		t.Errorf("%d let in while shut", in)
@@ -136,7 +143,7 @@
 				now.Plans = []Plan{plan()}
 				h.g.Recharter(now)
 			case 1:
-				now.Narrow, now.Part = !now.Narrow, float64(rng.Intn(3))/2
+				now = withheld(now, float64(rng.Intn(3))/2)
 				h.g.Recharter(now)
 			default:
 				h.burst(rng.Intn(20))
@@ -148,8 +155,7 @@
 			later.g.base = later.now // its start
 			later.g.Remember(Residue{Base: base, Ceilings: all})
 			gap := 300 * rng.Float64()
-			whole := now
-			whole.Narrow = false
+			whole := withheld(now, 0)
 			for _, x := range []*host{h, later} {
 				x.at(h.now + gap)
 				x.at(math.Max(h.now, later.now))
@@ -186,7 +192,7 @@
 			ch := charterFor(InquiryLike, func(x *Charter) { x.Gatekeepers, x.Plans = c.n, []Plan{c.plan} })
 			h := newHost(t, ch, 1, 200)
 			h.ask(400, 3000, nil) // hot
-			ch.Narrow, ch.Part = true, 1
+			ch.Narrow = true
 			h.g.Recharter(ch)
 			slice := alpha * c.plan.Rate / float64(c.n)
 			most := math.Max(alpha*c.plan.Burst/float64(c.n), 1)
@@ -226,9 +232,7 @@
 		t.Fatalf("final %v, %d submissions", s.final, len(s.subs))
 	}
 	cleared := h.arrive(Arrival{Customer: 7, Units: 1, SetSize: 1, Clears: 5000})
-	shut := h.c
-	shut.Narrow = true
-	h.g.Recharter(shut)
+	h.g.Recharter(withheld(h.c, 1))
 	if h.pull(); cleared.final != Decline {
 		t.Errorf("a clearance ends with %v", cleared.final)
 	}
