--- a/cmd/willowdeck/main.go
+++ b/cmd/willowdeck/main.go
@@ -39,13 +39,17 @@
 		Sources: cli.EnvVars("WILLOWDECK_ASK")}
 	tell := &cli.BoolFlag{Name: "tell", Usage: "tell others the list at the operators' port",
 		Sources: cli.EnvVars("WILLOWDECK_TELL")}
+	agree := &cli.StringFlag{Name: "agree", Usage: "go by the rules that the daemon at `HOST:PORT` tells",
+		Sources: cli.EnvVars("WILLOWDECK_AGREE")}
+	past := &cli.StringFlag{Name: "history", Usage: "record what is done in a file in the folder `DIR`",
+		Sources: cli.EnvVars("WILLOWDECK_HISTORY")}
 	fleetFile := &cli.StringFlag{Name: "file", Usage: "the fleet's `FILE`", Required: true}
 	return &cli.Command{
 		Name:  "willowdeck",
 		Usage: "holds customers to quotas before a shared back end",
 		Commands: []*cli.Command{
 			{Name: "serve", Usage: "run a gatekeeper until SIGTERM; SIGHUP reads its file anew",
-				Flags: []cli.Flag{file, forward, left, ask, tell, level}, Action: serve},
+				Flags: []cli.Flag{file, forward, left, ask, tell, agree, past, level}, Action: serve},
 			{Name: "fleet", Usage: "keep many gatekeepers on this host until SIGTERM; SIGHUP reads the file anew",
 				Flags: []cli.Flag{fleetFile, level}, Action: keep},
 			{Name: "check", Usage: "read and check the configuration, and say what it holds",
@@ -91,11 +95,15 @@
 func readAll(c *cli.Command) (config.Gatekeeper, error) {
 	conf, err := config.Read(c.String("config"), os.Getenv)
 	conf.Residue, conf.Ask, conf.Tells = c.String("residue"), c.StringSlice("ask"), c.Bool("tell")
+	conf.Agree, conf.History = c.String("agree"), c.String("history")
 	for _, at := range conf.Ask {
 		if _, bad := netip.ParseAddrPort(at); err == nil && bad != nil {
 			err = fmt.Errorf("ask: %w", bad)
 		}
 	}
+	if _, bad := netip.ParseAddrPort(conf.Agree); err == nil && conf.Agree != "" && bad != nil {
+		err = fmt.Errorf("agree: %w", bad)
+	}
 	if path := c.String("forward"); err == nil && path != "" {
 		conf.Forward, err = config.ReadForward(path, &conf)
 	}
--- a/internal/gate/desk.go
+++ b/internal/gate/desk.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"willowdeck/internal/accord"
 	"willowdeck/internal/held"
 	"willowdeck/internal/history"
 	"willowdeck/internal/residue"
@@ -216,7 +217,7 @@
 	for i := range c.Plans {
 		c.Plans[i].Withheld = 1
 	}
-	d.govern(held.NewTerms(d.terms.Version, d.terms.Mode+", lapsed", math.MaxInt64), c)
+	d.govern(held.NewTerms(d.terms.Version, accord.Bare.String(), math.MaxInt64), c)
 }
 
 // Resize tells the module how many gatekeepers there are from now on.
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -21,7 +21,7 @@
 )
 
 // Version is of the conversation and of all that is in a will. Those of different versions do not talk.
-const Version = 2
+const Version = 3
 
 // Will is what a process leaves to its heir.
 type Will struct {
--- /dev/null
+++ b/internal/lifecycle/agree.go
@@ -0,0 +1,326 @@
+package lifecycle
+
+import (
+	"fmt"
+	"math"
+	"net/netip"
+	"net/url"
+	"os"
+	"reflect"
+	"slices"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"willowdeck/internal/accord"
+	"willowdeck/internal/held"
+	"willowdeck/internal/wire"
+	"willowdeck/logic"
+)
+
+// What the daemon is asked, and what its answer says beside the lease.
+const (
+	LeasePath   = "/fleet/lease"
+	IndexHeader = "X-Discovery-Index" // the highest index of discovery's list that any process has told
+)
+
+const (
+	askLeast  = 25.0   // ms at least for an answer; on one host it takes some tenths
+	spoiltSay = 5000.0 // ms between two lines of the log on answers that can't be gone by
+)
+
+// agreement is the part of a gatekeeper that goes by rules which all agree on. One goroutine does all of it but
+// the asking; what others read is atomic.
+type agreement struct {
+	g      *Gatekeeper
+	holder *accord.Holder
+	heard  accord.Version // the newest that was told
+	taken  accord.Terms   // last adopted
+	wide   logic.Charter  // what is gone by with nothing withheld
+	of     []float64      // by plan of the charter, the part of a place's that this has
+	client fasthttp.Client
+	timer  *time.Timer
+	answer chan answer
+	asks   bool // one is out
+	said   time.Time
+
+	terms   atomic.Pointer[held.Terms]
+	mode    atomic.Int64
+	refused atomic.Int64 // answers that can't be gone by
+	silent  atomic.Int64 // questions without an answer, or with none that holds
+	index   atomic.Int64 // of discovery's list here
+	highest atomic.Int64 // and anywhere, as told
+}
+
+// answer is what came on a question that was sent at a time, ms.
+type answer struct {
+	lease   accord.Lease
+	highest int64
+	asked   float64
+	err     error
+	spoilt  bool // something came, and it can't be gone by
+}
+
+// boot is the time by which leases run, ms.
+func boot() float64 { return float64(held.Boot()) / 1e6 }
+
+// moment is a time of boot's as terms have it.
+func moment(ms float64) int64 {
+	if ms >= math.MaxInt64/2e6 {
+		return math.MaxInt64
+	}
+	return int64(ms * 1e6)
+}
+
+// agree has the gatekeeper go by agreed rules from here on: bare, until it hears of some.
+func (g *Gatekeeper) agree() {
+	c := g.conf.Charter
+	a := &agreement{g: g, wide: c, timer: time.NewTimer(time.Hour), answer: make(chan answer, 1),
+		of: make([]float64, len(c.Plans)), client: fasthttp.Client{MaxResponseBodySize: accord.MostBytes,
+			MaxIdemponentCallAttempts: 1, NoDefaultUserAgentHeader: true}}
+	a.wide.Plans = slices.Clone(c.Plans)
+	a.holder = accord.NewHolder(g.conf.Name, born(&g.conf.Charter, g.conf.Name, g.conf.Names.Plans))
+	g.agreed = a
+	a.turn()
+	go a.run()
+}
+
+// born are the rules that a charter makes, with this gatekeeper alone named in its place.
+func born(c *logic.Charter, name string, plans map[string]int) accord.Rules {
+	r := accord.Rules{Form: accord.Form, Members: make([]accord.Member, max(c.Gatekeepers, 1)),
+		Plans: make([]accord.Plan, len(c.Plans))}
+	r.Members[c.Me].Name = name
+	for name, i := range plans {
+		p := &c.Plans[i]
+		r.Plans[i] = accord.Plan{Name: name, Rate: p.Rate, Burst: p.Burst, CeilingRate: p.CeilingRate,
+			CeilingDepth: p.CeilingDepth}
+	}
+	return r
+}
+
+func (a *agreement) run() {
+	for {
+		select {
+		case <-a.timer.C:
+		case got := <-a.answer:
+			a.asks = false
+			a.hear(got)
+		case <-a.g.over:
+			return
+		}
+		a.turn()
+	}
+}
+
+// turn has the holder decide, and does what it asks for.
+func (a *agreement) turn() {
+	a.holder.Clock(boot())
+	for {
+		d, ok := a.holder.Next()
+		if !ok {
+			break
+		}
+		switch d.Kind {
+		case accord.Adopt:
+			a.adopt(d.Terms)
+		case accord.Ask:
+			a.ask()
+		case accord.Wake:
+			a.timer.Reset(wire.Millis(d.At - boot()))
+		}
+	}
+	if t := a.terms.Load(); t != nil {
+		t.Extend(moment(a.holder.Until()))
+	}
+}
+
+// ask asks the daemon, unless it is being asked.
+func (a *agreement) ask() {
+	if a.asks {
+		return
+	}
+	a.asks = true
+	within := math.Max(a.heard.Rules.Lease/4, askLeast)
+	q := url.Values{"instance": {a.g.conf.Name}, "pid": {strconv.Itoa(os.Getpid())},
+		"holds": {strconv.FormatUint(a.holder.Holds(), 10)}, "index": {strconv.FormatInt(a.g.discovered(), 10)}}
+	at := "http://" + a.g.conf.Agree + LeasePath + "?" + q.Encode()
+	go func() { a.answer <- a.call(at, within) }()
+}
+
+// call asks the daemon and waits for so many ms at most.
+func (a *agreement) call(at string, within float64) (got answer) {
+	req, res := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(res)
+	req.SetRequestURI(at)
+	got.asked = boot()
+	if got.err = a.client.DoTimeout(req, res, wire.Millis(within)); got.err != nil {
+		got.spoilt = got.err == fasthttp.ErrBodyTooLarge
+		return got
+	}
+	if s := res.StatusCode(); s != fasthttp.StatusOK {
+		got.err = fmt.Errorf("status %d: %.100s", s, res.Body())
+		return got
+	}
+	got.lease, got.err = accord.ReadLease(res.Body())
+	got.spoilt = got.err != nil
+	got.highest, _ = strconv.ParseInt(string(res.Header.Peek(IndexHeader)), 10, 64)
+	return got
+}
+
+// hear takes an answer. One that can't be gone by changes nothing: what is gone by goes on until its time has
+// run out.
+func (a *agreement) hear(got answer) {
+	switch {
+	case got.spoilt:
+		a.refuse(got.err.Error())
+		return
+	case got.err != nil:
+		a.silent.Add(1)
+		return
+	}
+	a.holder.Clock(boot())
+	l := &got.lease
+	if l.Foreign == "" {
+		if why := a.misfit(&l.Version.Rules); why != "" {
+			a.refuse(why)
+			return
+		}
+		if l.Version.Number > a.heard.Number {
+			a.heard = l.Version
+		}
+	} else {
+		a.refuse("rules in force that need " + l.Foreign)
+	}
+	before := a.holder.Counts()
+	a.holder.Heard(*l, got.asked)
+	if c := a.holder.Counts(); c.Bad > before.Bad {
+		a.refuse("an age that is none")
+	} else if c.Late > before.Late {
+		a.silent.Add(1)
+	}
+	a.highest.Store(got.highest)
+}
+
+// misfit tells why this gatekeeper can't go by rules; empty where it can. One that was a member and is none any
+// more goes by them: nothing passes under its ceilings.
+func (a *agreement) misfit(r *accord.Rules) string {
+	c := &a.g.conf.Charter
+	if err := accord.Check(r); err != nil {
+		return err.Error()
+	}
+	switch me := accord.Place(r, a.g.conf.Name); {
+	case me >= 0 && me != c.Me:
+		return fmt.Sprintf("%s was started in place %d, and has place %d in the rules", a.g.conf.Name, c.Me, me)
+	case me < 0 && a.taken.Version == 0:
+		return a.g.conf.Name + " is not among the members"
+	}
+	for _, m := range r.Members {
+		if _, err := netip.ParseAddrPort(m.Peers); m.Peers != "" && err != nil {
+			return fmt.Sprintf("members.%s.peers: %v", m.Name, err)
+		}
+	}
+	return ""
+}
+
+// refuse counts what can't be gone by, and says so once in a while.
+func (a *agreement) refuse(why string) {
+	a.refused.Add(1)
+	if now := time.Now(); now.Sub(a.said) > wire.Millis(spoiltSay) {
+		a.said = now
+		a.g.log.Warn().Str("why", why).Int64("refused", a.refused.Load()).
+			Msg("the daemon's answer can't be gone by, the former rules go on until their time")
+	}
+}
+
+// adopt goes by terms from here on. Words that bar hold before the version that brings them, and those that it
+// lifts hold until it is there.
+func (a *agreement) adopt(t accord.Terms) {
+	same := reflect.DeepEqual(t.Words, a.taken.Words)
+	if !same {
+		a.g.words(append(slices.Clone(a.taken.Words), t.Words...))
+	}
+	terms := held.NewTerms(t.Version, t.Mode.String(), moment(t.Until))
+	c := a.charter(t)
+	peers := a.g.conf.Peers
+	if t.Version == a.heard.Number && t.Version > 0 {
+		peers = a.addresses()
+	}
+	a.g.seat(max(c.Gatekeepers, 1), peers, func() {
+		if !a.g.desk.Govern(terms, c) {
+			a.refuse("a charter that differs in what may not change")
+		}
+	})
+	a.terms.Store(terms)
+	a.mode.Store(int64(t.Mode))
+	if !same {
+		a.g.words(t.Words)
+	}
+	a.taken = t
+	a.g.log.Info().Uint64("version", t.Version).Stringer("mode", t.Mode).Int("gatekeepers", c.Gatekeepers).
+		Msg("going by rules")
+}
+
+// charter is what terms make of the charter. Ceilings are told as this gatekeeper may use them while it is
+// leased: what it has less of while it is cut off is withheld, and comes back with the lease.
+func (a *agreement) charter(t accord.Terms) logic.Charter {
+	c := &a.wide
+	if t.Me == c.Me {
+		c.Gatekeepers = t.N
+	}
+	withheld := make([]float64, len(c.Plans))
+	for _, p := range t.Plans {
+		i, known := a.g.conf.Names.Plans[p.Name]
+		if !known {
+			continue
+		}
+		if t.Mode == accord.Leased && p.Of > 0 {
+			a.of[i] = p.Of
+		} else if t.Version != a.taken.Version || a.of[i] == 0 {
+			a.of[i] = 1
+		}
+		q := &c.Plans[i]
+		q.Rate, q.Burst = p.Rate, p.Burst
+		q.CeilingRate, q.CeilingDepth = p.CeilingRate*a.of[i], p.CeilingDepth*a.of[i]
+		if p.CeilingRate > 0 {
+			withheld[i] = 1 - min(p.Of/a.of[i], 1)
+		}
+	}
+	now := *c
+	now.Narrow, now.Plans = t.Mode != accord.Leased || t.Me < 0, slices.Clone(c.Plans)
+	for i := range withheld {
+		now.Plans[i].Withheld = withheld[i]
+	}
+	return now
+}
+
+// addresses are those of the rules' members; of one that they have none for, what was known.
+func (a *agreement) addresses() []netip.AddrPort {
+	all := make([]netip.AddrPort, len(a.heard.Rules.Members))
+	for i, m := range a.heard.Rules.Members {
+		if at, err := netip.ParseAddrPort(m.Peers); err == nil {
+			all[i] = at
+		} else if m.Name != "" && i < len(a.g.conf.Peers) {
+			all[i] = a.g.conf.Peers[i]
+		}
+	}
+	return all
+}
+
+// figures are what operators see of it. Mode is 0 bare, 1 cut off, 2 leased.
+func (a *agreement) figures(add func(string, int64)) {
+	t, left := a.terms.Load(), int64(0)
+	if until := t.Until(); until < math.MaxInt64 {
+		left = max(until-held.Boot(), 0) / 1e6
+	}
+	add("rules.version", int64(t.Version))
+	add("rules.mode", a.mode.Load())
+	add("rules.left_ms", left)
+	add("rules.refused", a.refused.Load())
+	add("rules.unanswered", a.silent.Load())
+	add("rules.recalled", a.g.desk.Recalled())
+	add("discovery.index", a.g.discovered())
+	add("discovery.index_highest", a.highest.Load())
+}
--- a/internal/lifecycle/reload.go
+++ b/internal/lifecycle/reload.go
@@ -1,6 +1,7 @@
 package lifecycle
 
 import (
+	"net/netip"
 	"reflect"
 	"slices"
 
@@ -15,7 +16,9 @@
 		g.log.Error().Err(err).Msg("configuration not taken up, the old one stays")
 		return
 	}
-	g.resize(c)
+	if g.agreed == nil { // else the rules say how many there are
+		g.resize(c)
+	}
 	if c.Discovery == g.conf.Discovery {
 		g.log.Info().Msg("configuration read, discovery as before")
 		return
@@ -39,18 +42,28 @@
 		g.log.Warn().Msg("the number of gatekeepers has changed along with more: that waits for the next start")
 		return
 	}
-	if int64(n) < was { // nobody is told who is no more
-		g.desk.Resize(n)
+	g.seat(n, c.Peers, func() { g.desk.Resize(n) })
+	g.conf.Peers = c.Peers
+	g.log.Info().Int64("from", was).Int("to", n).Msg("number of gatekeepers taken up")
+}
+
+// seat takes up how many gatekeepers there are, and where the peers hear; desk tells the desk.
+func (g *Gatekeeper) seat(n int, peers []netip.AddrPort, desk func()) {
+	fewer := int64(n) < g.members.Load()
+	if fewer { // nobody is told who is no more
+		desk()
+	}
+	if len(peers) > 0 && g.peers != nil { // one that is alone is told of none, and has nobody to tell
+		g.peers.Among(peers)
 	}
-	if len(c.Peers) > 0 { // one that is alone is told of none, and has nobody to tell
-		g.peers.Among(c.Peers)
+	if !fewer {
+		desk()
 	}
-	g.desk.Resize(n)
-	g.front.Resize(n)
-	if g.portal != nil {
-		g.portal.Resize(n)
+	if int64(n) != g.members.Load() {
+		g.front.Resize(n)
+		if g.portal != nil {
+			g.portal.Resize(n)
+		}
+		g.members.Store(int64(n))
 	}
-	g.conf.Peers = c.Peers
-	g.members.Store(int64(n))
-	g.log.Info().Int64("from", was).Int("to", n).Msg("number of gatekeepers taken up")
 }
--- a/internal/lifecycle/start.go
+++ b/internal/lifecycle/start.go
@@ -3,8 +3,11 @@
 
 import (
 	"context"
+	"fmt"
 	"math"
 	"math/rand"
+	"os"
+	"path/filepath"
 	"runtime"
 	"runtime/debug"
 	"sync"
@@ -16,6 +19,7 @@
 	"willowdeck/internal/config"
 	"willowdeck/internal/gate"
 	"willowdeck/internal/handover"
+	"willowdeck/internal/history"
 	"willowdeck/internal/member"
 	"willowdeck/internal/ops"
 	"willowdeck/internal/portal"
@@ -52,6 +56,8 @@
 	list    *warm.Book
 	portal  *portal.Portal // nil where portals do not ask
 	vouch   *vouch.Voucher // nil where no auth service is asked
+	agreed  *agreement     // nil where no rules are agreed on
+	history *history.Log   // nil where no record is kept
 	said    time.Time      // when the log last told that the watch had ended
 }
 
@@ -85,6 +91,13 @@
 	if err != nil {
 		return nil, err
 	}
+	if c.History != "" {
+		path := filepath.Join(c.History, fmt.Sprintf("%s.%d.jsonl", c.Name, os.Getpid()))
+		if g.history, err = history.Open(path, c.Name, residue.Uptime()); err != nil {
+			_ = l.Close()
+			return nil, err
+		}
+	}
 	var before *handover.Heir
 	if c.Scratch != "" {
 		if before, err = handover.Find(handover.Path(c.Scratch, c.Name), c.Name); err != nil {
@@ -98,12 +111,19 @@
 		}
 	}
 	g.desk = gate.NewDesk(c.Charter, c.Seed, c.Lines.AnswerSlack+socketSlack, tell, g.links.Shed)
+	if g.history != nil {
+		g.desk.Record(g.history)
+	}
 	g.desk.Roster(c.Known)
 	g.list = warm.NewBook(c.Known)
 	g.members.Store(int64(c.Charter.Gatekeepers))
 	g.front = wire.NewFront(c.Names, c.Charter, g.forward(gate.New(g.desk, g.links)), g.up)
 	g.front.Nameless = g.vouch != nil && c.Forward.Asking.Customer != ""
 
+	if c.Agree != "" {
+		g.agree()
+	}
+
 	g.limit = wire.Limit(l, int(spare*logic.ClientPart))
 	if err = nil; g.portal != nil && before == nil {
 		err = g.portal.Bind()
--- a/internal/lifecycle/stop.go
+++ b/internal/lifecycle/stop.go
@@ -67,6 +67,9 @@
 	if g.peers != nil {
 		_ = g.peers.Close()
 	}
+	if g.history != nil {
+		_ = g.history.Close()
+	}
 	t := g.desk.Tally()
 	e := g.log.Info().Ints("finals", t.Final[:]).Int64("unreadable", g.front.Broken()).
 		Int64("clients_shed", g.limit.Shed()).Int64("links_spoilt", g.links.Spoilt())
--- a/internal/lifecycle/warm.go
+++ b/internal/lifecycle/warm.go
@@ -8,6 +8,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"willowdeck/internal/accord"
 	"willowdeck/internal/ops"
 	"willowdeck/internal/warm"
 	"willowdeck/internal/wire"
@@ -23,6 +24,23 @@
 	}
 }
 
+// words takes the operators' words on workers and halls.
+func (g *Gatekeeper) words(all []accord.Word) {
+	g.lists.Lock()
+	defer g.lists.Unlock()
+	g.desk.Roster(g.list.Words(all))
+}
+
+// discovered gives the index of discovery's list that is known here; below nought where it has not spoken.
+func (g *Gatekeeper) discovered() int64 {
+	g.lists.Lock()
+	defer g.lists.Unlock()
+	if g.list.Waits() {
+		return -1
+	}
+	return g.list.Version()
+}
+
 // Tells tells whether newcomers may ask here.
 func (g *Gatekeeper) Tells() bool { return g.conf.Tells }
 
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -15,6 +15,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"willowdeck/internal/history"
 )
 
 // Fault is what a worker does for a while, instead of answering.
@@ -38,6 +40,7 @@
 	Target      string // path and query
 	At          time.Time
 	Ran         bool
+	Version     string // of the rules that it was sent by; empty where it names none
 }
 
 // Worker is a worker on loopback.
@@ -46,6 +49,9 @@
 	At   string
 
 	script
+	// Record has what comes written down; to be set before anything does.
+	Record history.Recorder
+
 	server *http.Server
 	got    []Got
 }
@@ -145,8 +151,13 @@
 	product, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
 	w.mu.Lock()
 	fault, over, service := w.fault, w.over, w.service
-	w.got = append(w.got, Got{id, product, r.RequestURI, time.Now(), fault != Full && fault != Silent})
+	rules := r.Header.Get("X-Rules")
+	w.got = append(w.got, Got{id, product, r.RequestURI, time.Now(), fault != Full && fault != Silent, rules})
 	w.mu.Unlock()
+	if w.Record != nil {
+		version, _ := strconv.ParseUint(rules, 10, 64)
+		w.Record.Write(history.Event{Kind: history.Got, Txn: id, Worker: w.Name, Version: version})
+	}
 	if play(fault, over, service, out, r) {
 		fmt.Fprintf(out, "done %s\n", id)
 	}
--- a/internal/warm/warm.go
+++ b/internal/warm/warm.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 
+	"willowdeck/internal/accord"
 	"willowdeck/internal/wire/roster"
 )
 
@@ -26,6 +27,7 @@
 	at      float64                  // when it last did, ms
 	hearsay roster.List              // the newest of peers' lists that is gone by
 	inForce bool
+	words   []accord.Word // the operators', which hold over any list
 }
 
 // NewBook begins with the list that was known at the start, which may be old.
@@ -56,9 +58,52 @@
 	if whole, changed := b.Alive(now); changed {
 		return whole
 	}
+	return b.ruled(l)
+}
+
+// Words takes the operators' words on workers and halls, in place of those before, and gives the whole list
+// that is to be gone by.
+func (b *Book) Words(all []accord.Word) roster.List {
+	b.words = all
+	if b.inForce {
+		l, _ := b.merged(b.hearsay)
+		return b.ruled(l)
+	}
+	return b.ruled(b.Own())
+}
+
+// ruled is a list as the operators' words leave it: a worker that is barred is not on it, one that is drained
+// drains, and the weight that is said last holds, that of a worker before that of its hall.
+func (b *Book) ruled(l roster.List) roster.List {
+	if len(b.words) == 0 {
+		return l
+	}
+	l.Workers = slices.Clone(l.Workers)
+	for i := range l.Workers {
+		w := &l.Workers[i]
+		own := 0.0
+		for _, x := range b.words {
+			if x.Worker != "" && x.Worker != w.Name || x.Hall != "" && x.Hall != w.Zone || x.Worker+x.Hall == "" {
+				continue
+			}
+			w.Active = w.Active && !x.Drained && !x.Barred
+			w.Gone = w.Gone || x.Barred
+			if x.Weight > 0 && x.Worker != "" {
+				own = x.Weight
+			} else if x.Weight > 0 {
+				w.Rating = x.Weight
+			}
+		}
+		if own > 0 {
+			w.Rating = own
+		}
+	}
 	return l
 }
 
+// Version gives the index of the list that discovery has told, or that was known at the start.
+func (b *Book) Version() int64 { return b.version }
+
 // Alive notes that discovery is heard, whether it has news or not. Hearsay ends with that: where it was in
 // force, the whole list is to be gone by again.
 func (b *Book) Alive(now float64) (roster.List, bool) {
@@ -67,7 +112,7 @@
 		return roster.List{}, false
 	}
 	b.inForce, b.hearsay = false, roster.List{}
-	return b.Own(), true
+	return b.ruled(b.Own()), true
 }
 
 // Own gives the list without hearsay, in the order of names.
@@ -102,8 +147,17 @@
 		age > MostAge {
 		return roster.List{}, false
 	}
-	merged := roster.List{Version: b.version, Whole: true}
-	active := false
+	merged, active := b.merged(l)
+	if !active {
+		return roster.List{}, false
+	}
+	b.hearsay, b.inForce = l, true
+	return b.ruled(merged), true
+}
+
+// merged is the list that hearsay makes of the own one, and whether any worker on it takes submissions.
+func (b *Book) merged(l roster.List) (merged roster.List, active bool) {
+	merged = roster.List{Version: b.version, Whole: true}
 	for _, w := range l.Workers {
 		if w.Gone {
 			continue
@@ -118,9 +172,5 @@
 		active = active || w.Active
 		merged.Workers = append(merged.Workers, w)
 	}
-	if !active {
-		return roster.List{}, false
-	}
-	b.hearsay, b.inForce = l, true
-	return merged, true
+	return merged, active
 }
