--- /dev/null
+++ b/internal/lifecycle/agree_test.go
@@ -0,0 +1,352 @@
+package lifecycle
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"willowdeck/internal/accord"
+	"willowdeck/internal/config"
+	"willowdeck/internal/wire/roster"
+)
+
+// daemon stands in for the daemon of an instance's host.
+type daemon struct {
+	at    string
+	mu    sync.Mutex
+	lease accord.Lease
+	says  func(http.ResponseWriter) // in place of the lease; nil for that
+	asked int
+	last  map[string]string // what the last question said
+}
+
+func newDaemon(t *testing.T) *daemon {
+	d := &daemon{last: map[string]string{}}
+	d.at = scripted(t, func(w http.ResponseWriter, r *http.Request) {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.asked++
+		for key := range r.URL.Query() {
+			d.last[key] = r.FormValue(key)
+		}
+		if r.URL.Path != LeasePath {
+			t.Errorf("asked for %s", r.URL.Path)
+		}
+		if d.says != nil {
+			d.says(w)
+			return
+		}
+		b, err := d.lease.Bytes()
+		if err != nil {
+			t.Error(err)
+		}
+		w.Write(b)
+	})
+	return d
+}
+
+// leases has it tell a version from now on.
+func (d *daemon) leases(number uint64, r accord.Rules, settled bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.says = nil
+	d.lease = accord.Lease{Step: max(d.lease.Step+1, number), Version: accord.Version{Number: number, Rules: r},
+		Settled: settled}
+}
+
+// answers has it say something else.
+func (d *daemon) answers(says func(http.ResponseWriter)) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.says = says
+}
+
+func silent(w http.ResponseWriter) { w.WriteHeader(http.StatusServiceUnavailable) }
+
+// rules are those of one gatekeeper whose basic plan has a ceiling.
+func rules(rate, depth float64, words ...accord.Word) accord.Rules {
+	return accord.Rules{Form: accord.Form, Lease: 400, Bound: accord.MostBound,
+		Fallback: accord.Fallback{Part: 0.5, For: 600},
+		Members:  []accord.Member{{Name: "n0", Host: "h"}}, Words: words,
+		Plans: []accord.Plan{{Name: "basic", Rate: 1000, Burst: 1000, CeilingRate: rate, CeilingDepth: depth},
+			{Name: "tiny", Rate: 0.1, Burst: 1}}}
+}
+
+// agreed starts a gatekeeper that asks a daemon which says nothing yet.
+func agreed(t *testing.T, workers int) (*deployment, *daemon) {
+	t.Helper()
+	x := newDaemon(t)
+	x.answers(silent)
+	d := deployWith(t, func(c *config.Gatekeeper) {
+		c.Agree, c.Tells = x.at, true
+		c.Charter.Plans[0].CeilingRate, c.Charter.Plans[0].CeilingDepth = 1000, 1000
+	}, workers, 5000)
+	t.Cleanup(func() { close(d.gk.over) })
+	return d, x
+}
+
+var serial atomic.Int64
+
+// let asks one txn, and tells whether it is let in.
+func (d *deployment) let() bool {
+	d.t.Helper()
+	s, _ := d.ask(check("/check", fmt.Sprint("let", serial.Add(1))))
+	return s == "HTTP/1.1 200 OK"
+}
+
+// flood asks for so long, and gives how many were let in.
+func (d *deployment) flood(span time.Duration) (in int) {
+	for end := time.Now().Add(span); time.Now().Before(end); {
+		if d.let() {
+			in++
+		}
+	}
+	return in
+}
+
+func (d *deployment) mode(want accord.Mode) {
+	d.t.Helper()
+	until(d.t, "it does not come to be "+want.String(), func() bool {
+		return d.figure("rules.mode") == int64(want)
+	})
+}
+
+// named gives the version that the newest submission names.
+func (d *deployment) named() int {
+	got := d.got()
+	_, after, found := strings.Cut(got[len(got)-1], "X-Rules: ")
+	if !found {
+		return -1
+	}
+	v, _, _ := strings.Cut(after, "\r\n")
+	n, _ := strconv.Atoi(v)
+	return n
+}
+
+// An instance passes nothing under a ceiling until it has a lease, then goes by its version; when its daemon
+// falls silent it goes on until the lease has run out, by the fallback after that and then not at all; and is
+// back with the next answer.
+func TestLeaseFallbackBare(t *testing.T) {
+	d, x := agreed(t, 1)
+	if d.mode(accord.Bare); d.flood(100*time.Millisecond) != 0 {
+		t.Error("passes without a lease")
+	}
+	x.leases(1, rules(1000, 1000), true)
+	d.mode(accord.Leased)
+	time.Sleep(100 * time.Millisecond) // what a start takes as spent
+	if !d.let() || d.named() != 1 {
+		t.Errorf("by version %d", d.named())
+	}
+	x.mu.Lock()
+	if x.last["instance"] != "n0" || x.last["pid"] == "" || x.last["holds"] == "" || x.last["index"] == "" {
+		t.Errorf("it asks %v", x.last)
+	}
+	x.mu.Unlock()
+	x.answers(silent)
+	if !d.let() || d.figure("rules.mode") != int64(accord.Leased) {
+		t.Error("a lease ends with the first answer that is missing")
+	}
+	d.mode(accord.CutOff)
+	if d.flood(200*time.Millisecond) == 0 {
+		t.Error("cut off it passes nothing")
+	}
+	d.mode(accord.Bare)
+	if d.flood(100*time.Millisecond) != 0 {
+		t.Error("passes under a ceiling when the fallback's time is up")
+	}
+	x.leases(1, rules(1000, 1000), true)
+	d.mode(accord.Leased)
+	if !d.let() {
+		t.Error("not back")
+	}
+}
+
+// A ceiling that is lowered holds from the moment on at which it is adopted, by what workers are sent; one that
+// is raised waits until nobody goes by the version before.
+func TestCeilingDownAndUp(t *testing.T) {
+	d, x := agreed(t, 1)
+	x.leases(1, rules(1000, 1000), true)
+	d.mode(accord.Leased)
+	until(t, "nothing passes", d.let)
+	x.leases(2, rules(10, 5), false)
+	until(t, "not taken up", func() bool { return d.figure("rules.version") == 2 })
+	const span = 500 * time.Millisecond
+	start := time.Now()
+	in := d.flood(span)
+	if most := 5 + 10*time.Since(start).Seconds() + 1; float64(in) > most || in < 3 {
+		t.Errorf("%d in %v, of at most %.1f", in, time.Since(start), most)
+	}
+	x.leases(3, rules(2000, 2000), false)
+	until(t, "not taken up", func() bool { return d.figure("rules.version") == 3 })
+	start = time.Now()
+	in = d.flood(span)
+	if most := 5 + 10*time.Since(start).Seconds() + 1; float64(in) > most {
+		t.Errorf("%d in %v before all have left the version before", in, time.Since(start))
+	}
+	x.leases(3, rules(2000, 2000), true)
+	until(t, "never raised", func() bool { return d.flood(50*time.Millisecond) > 10 })
+	x.leases(2, rules(10, 5), true) // an old word changes nothing, whatever its step
+	if d.flood(200*time.Millisecond) < 20 || d.figure("rules.version") != 3 {
+		t.Errorf("back to version %d", d.figure("rules.version"))
+	}
+}
+
+// A worker that is barred gets nothing from then on, nor does one that is drained or of a hall that is; lifted,
+// they are sent to again. Newcomers are told discovery's list, not the operators' words.
+func TestWordsOnWorkers(t *testing.T) {
+	d, x := agreed(t, 2)
+	x.leases(1, rules(0, 0), true)
+	d.mode(accord.Leased)
+	number := uint64(1)
+	for _, c := range []struct {
+		name  string
+		words []accord.Word
+		out   []int // workers that get nothing
+	}{
+		{"barred", []accord.Word{{Worker: "w0", Barred: true}}, []int{0}},
+		{"drained", []accord.Word{{Worker: "w1", Drained: true}}, []int{1}},
+		{"weighed", []accord.Word{{Worker: "w1", Weight: 2}}, nil},
+		{"the hall", []accord.Word{{Hall: "a", Barred: true}}, []int{0, 1}},
+		{"another hall", []accord.Word{{Hall: "b", Barred: true}}, nil},
+	} {
+		number++
+		x.leases(number, rules(0, 0, c.words...), true)
+		until(t, "not taken up", func() bool { return uint64(d.figure("rules.version")) == number })
+		before := []int{d.workers[0].count(), d.workers[1].count()}
+		d.flood(150 * time.Millisecond)
+		for i, w := range d.workers {
+			out := false
+			for _, o := range c.out {
+				out = out || o == i
+			}
+			if got := w.count() > before[i]; got == out {
+				t.Errorf("%s: worker %d got %d", c.name, i, w.count()-before[i])
+			}
+		}
+		if l, _, ok := d.gk.List(); ok {
+			if told, err := roster.Decode(l); err != nil || len(told.Workers) != 2 || !told.Workers[0].Active {
+				t.Errorf("%s: newcomers are told %s", c.name, l)
+			}
+		}
+	}
+}
+
+// Answers that can't be gone by are counted, and change nothing: the former rules go on until their time.
+func TestAnswersRefused(t *testing.T) {
+	good := rules(1000, 1000)
+	with := func(change func(*accord.Lease)) func(http.ResponseWriter) {
+		l := accord.Lease{Step: 50, Version: accord.Version{Number: 50, Rules: rules(0, 0)}, Settled: true}
+		change(&l)
+		b, err := l.Bytes()
+		if err != nil {
+			t.Fatal(err)
+		}
+		return func(w http.ResponseWriter) { w.Write(b) }
+	}
+	text := func(s string) func(http.ResponseWriter) {
+		return func(w http.ResponseWriter) { io.WriteString(w, s) }
+	}
+	for _, c := range []struct {
+		name string
+		says func(http.ResponseWriter)
+	}{
+		{"garbled", text(`{"Step":50,"Number":`)},
+		{"nothing", text("")},
+		{"too long", func(w http.ResponseWriter) { w.Write(bytes.Repeat([]byte(" "), accord.MostBytes+1)) }},
+		{"another form", with(func(l *accord.Lease) { l.Version.Rules.Form = 7 })},
+		{"needs what is not known", with(func(l *accord.Lease) { l.Version.Rules.Needs = []string{"moon"} })},
+		{"a stranger's place", with(func(l *accord.Lease) {
+			l.Version.Rules.Members = []accord.Member{{Name: "m0", Host: "h"}, {Name: "n0", Host: "h"}}
+		})},
+		{"rules that make no sense", with(func(l *accord.Lease) { l.Version.Rules.Plans[0].Rate = -1 })},
+		{"no time", with(func(l *accord.Lease) { l.Age = -5 })},
+		{"an address that is none", with(func(l *accord.Lease) { l.Version.Rules.Members[0].Peers = "x" })},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			d, x := agreed(t, 1)
+			x.leases(1, good, true)
+			d.mode(accord.Leased)
+			before := d.figure("rules.refused")
+			x.answers(c.says)
+			until(t, "not counted", func() bool { return d.figure("rules.refused") > before })
+			if v := d.figure("rules.version"); v != 1 {
+				t.Errorf("by version %d", v)
+			}
+			until(t, "the lease does not end", func() bool { return d.figure("rules.mode") != int64(accord.Leased) })
+			if x.leases(51, good, true); true {
+				d.mode(accord.Leased)
+			}
+		})
+	}
+	t.Run("a stranger", func(t *testing.T) {
+		d, x := agreed(t, 1)
+		x.answers(with(func(l *accord.Lease) { l.Version.Rules.Members[0].Name = "other" }))
+		until(t, "not counted", func() bool { return d.figure("rules.refused") > 0 })
+		if d.figure("rules.mode") != int64(accord.Bare) || d.let() {
+			t.Error("goes by rules that do not name it")
+		}
+	})
+}
+
+// Rules with another number of gatekeepers are taken up in service, and so is one that they no longer name:
+// nothing passes under its ceilings.
+func TestMembersByRules(t *testing.T) {
+	d, x := agreed(t, 1)
+	r := rules(1000, 1000)
+	x.leases(1, r, true)
+	d.mode(accord.Leased)
+	until(t, "nothing passes", d.let)
+	r.Members = append(r.Members, accord.Member{Name: "n1", Host: "h"}, accord.Member{Name: "n2", Host: "i"})
+	x.leases(2, r, true)
+	until(t, "not three", func() bool { return d.figure("members") == 3 })
+	until(t, "a txn of a set of three does not pass", func() bool {
+		s, _ := d.ask(strings.Replace(check("/check", fmt.Sprint("of3", serial.Add(1))), "spread=1", "spread=3", 1))
+		return s == "HTTP/1.1 200 OK"
+	})
+	r.Members = []accord.Member{{}, {Name: "n1", Host: "h"}}
+	x.leases(3, r, true)
+	until(t, "not taken up", func() bool { return d.figure("rules.version") == 3 })
+	if d.flood(100*time.Millisecond) != 0 {
+		t.Error("one that is no member passes something")
+	}
+}
+
+// A process that gets ready to take another's place has its lease before it does: the change costs no ceiling.
+func TestReplacedUnderAgreement(t *testing.T) {
+	x := newDaemon(t)
+	x.leases(1, rules(1000, 1000), true)
+	d := deployWith(t, func(c *config.Gatekeeper) {
+		c.Agree, c.Scratch = x.at, t.TempDir()
+		c.Charter.Plans[0].CeilingRate, c.Charter.Plans[0].CeilingDepth = 1000, 1000
+	}, 1, 5000)
+	d.mode(accord.Leased)
+	until(t, "its ceiling does not fill", func() bool { return d.flood(100*time.Millisecond) > 20 })
+	heir := d.second(func(c *config.Gatekeeper) { c.Listen = "127.0.0.1:0" })
+	until(t, "the heir has no lease", func() bool { return heir.agreed.mode.Load() == int64(accord.Leased) })
+	d.gk.Stop()
+	d.at = heir.At
+	until(t, "the heir does not serve", d.let)
+	if in := d.flood(200 * time.Millisecond); in < 20 {
+		t.Errorf("%d let in by the heir", in)
+	}
+}
+
+// Without agreement no submission names rules, and no figure speaks of them.
+func TestWithoutAgreement(t *testing.T) {
+	d := deploy(t, 1, 5000)
+	if !d.let() || d.named() != -1 {
+		t.Error("it names rules")
+	}
+	for _, f := range d.gk.Figures().More {
+		if strings.HasPrefix(f.Name, "rules.") {
+			t.Errorf("there is %s", f.Name)
+		}
+	}
+}
