--- /dev/null
+++ b/internal/gate/exchange_test.go
@@ -0,0 +1,136 @@
+package gate
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"willowdeck/internal/held"
+	"willowdeck/internal/history"
+	"willowdeck/internal/wire"
+	"willowdeck/internal/wire/roster"
+	"willowdeck/logic"
+)
+
+func charter() logic.Charter {
+	return logic.Charter{Gatekeepers: 1, LargestUnits: 1, MaxSubmissions: 3, MayWithdraw: true,
+		Products: []logic.Product{{SLA: 1000, Value: 1}},
+		Plans:    []logic.Plan{{Rate: 1000, Burst: 1000, CeilingRate: 1000, CeilingDepth: 1000, Factor: 1}}}
+}
+
+// worker counts the bytes that come to it.
+func worker(t *testing.T) (roster.List, func() int) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	got := make(chan int, 100)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				buf, n := make([]byte, 4096), 0
+				for {
+					m, err := c.Read(buf)
+					if n += m; err != nil {
+						got <- n
+						return
+					}
+				}
+			}()
+		}
+	}()
+	at := l.Addr().(*net.TCPAddr).AddrPort()
+	return roster.List{Whole: true, Workers: []roster.Worker{{Name: "w", Address: at, Active: true}}},
+		func() int { return <-got }
+}
+
+// What was decided by terms that run out while the connection comes up is not written, and is decided anew by
+// those that hold then. Guards against a submission by rules that are no more.
+func TestTermsRunOutBeforeTheWrite(t *testing.T) {
+	list, came := worker(t)
+	links := wire.NewLinks(8, time.Second, time.Second)
+	d := NewDesk(charter(), 1, 5, func(int, []byte) {}, links.Shed)
+	t.Cleanup(d.Stop)
+	var past history.Memory
+	d.Record(past.As("n", 1))
+	d.Roster(list)
+	first, second := held.NewTerms(1, "leased", held.Boot()+3600e9), held.NewTerms(2, "leased", held.Boot()+3600e9)
+	if !d.Govern(first, charter()) {
+		t.Fatal("not governed")
+	}
+	time.Sleep(20 * time.Millisecond) // what a start takes as spent
+	g := New(d, links)
+	h := d.take(&wire.Txn{Arrival: logic.Arrival{Customer: 7, Units: 1, SetSize: 1, Left: 900}})
+	w := <-h.Box
+	if w.Decision.Kind != logic.Submit || w.By != first {
+		t.Fatalf("decided %+v by %+v", w.Decision, w.By)
+	}
+	d.Govern(second, charter())
+	a, l, _ := g.exchange(job{txn: h, word: w, msg: []byte("GET / HTTP/1.1\r\n\r\n")}, time.Now().Add(time.Second))
+	if a != nil || l != nil {
+		t.Fatalf("ended with %+v", a)
+	}
+	if n := came(); n > 0 {
+		t.Errorf("%d bytes came to the worker", n)
+	}
+	d.recall(h, w.Decision.N)
+	if w = <-h.Box; w.Decision.Kind != logic.Submit || w.By != second || w.Decision.N != 0 || d.Recalled() != 1 {
+		t.Errorf("then decided %+v by %+v", w.Decision, w.By)
+	}
+	second.End() // and what is decided after the end of all terms is by none of them
+	h = d.take(&wire.Txn{Arrival: logic.Arrival{Customer: 7, Units: 1, SetSize: 1, Left: 900}})
+	if w = <-h.Box; w.Decision.Kind != logic.Decline {
+		t.Errorf("without terms decided %+v", w.Decision)
+	}
+	modes := ""
+	for _, e := range past.Record().Events {
+		if e.Kind == history.Acts {
+			modes += e.Mode + " "
+		}
+	}
+	if modes != "leased leased bare " {
+		t.Errorf("acted as %s", modes)
+	}
+}
+
+// The ordinary path with agreement off and on: the decision, and both looks at the terms.
+func BenchmarkTake(b *testing.B) {
+	for _, on := range []bool{false, true} {
+		name := map[bool]string{false: "off", true: "on"}[on]
+		b.Run(name, func(b *testing.B) {
+			d := NewDesk(charter(), 1, 5, func(int, []byte) {}, func(int) {})
+			defer d.Stop()
+			c := charter()
+			c.Plans[0] = logic.Plan{Rate: 1e9, Burst: 1e9, CeilingRate: 1e9, CeilingDepth: 1e9, Factor: 1}
+			d.gk = logic.New(c, 1)
+			d.Roster(roster.List{Whole: true, Workers: []roster.Worker{{Name: "w", Active: true}}})
+			if on {
+				d.Govern(held.NewTerms(1, "leased", held.Boot()+3600e9), c)
+			}
+			time.Sleep(10 * time.Millisecond)
+			t := &wire.Txn{Arrival: logic.Arrival{Customer: 7, Units: 1, SetSize: 1, Left: 900}}
+			t.Mark = []byte("0123456789abcdef")
+			msg := make([]byte, 0, 512)
+			b.ReportAllocs()
+			for b.Loop() {
+				h := d.take(t)
+				w := <-h.Box
+				if w.Decision.Kind != logic.Submit || !w.By.Holds() {
+					b.Fatal(w.Decision)
+				}
+				rules := int64(wire.Ruleless)
+				if w.By != nil {
+					rules = int64(w.By.Version)
+				}
+				msg = wire.AppendSubmission(msg[:0], t, w.Decision.Wait, rules)
+				d.ended(h, 0, w.Decision.Worker, &wire.Answer{Outcome: logic.Settled, Heard: true}, 1)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/lifecycle/standstill_test.go
@@ -0,0 +1,167 @@
+package lifecycle
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"willowdeck/internal/accord"
+	"willowdeck/internal/history"
+	"willowdeck/internal/standin"
+)
+
+// started is a real process of the program.
+type started struct {
+	*exec.Cmd
+	at string
+}
+
+// start builds the program and runs it before a worker and discovery, with a daemon to ask.
+func start(t *testing.T, list *standin.Discovery, daemon, dir string) *started {
+	t.Helper()
+	path := filepath.Join(dir, "willowdeck")
+	if out, err := exec.Command("go", "build", "-o", path, "willowdeck/cmd/willowdeck").CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	at := free.Addr().String()
+	free.Close()
+	conf, err := json.Marshal(map[string]any{"name": "n0", "listen": at, "discovery": list.At, "seed": "5",
+		"known": list.List(), "limits": map[string]any{"sockets": 256, "memory_mb": 64},
+		"settings": map[string]any{"me": 0, "balancers": 1,
+			"classes": []map[string]any{{"name": "check", "aim_us": 400e3, "effect": "read_like", "worth": 1}},
+			"tariffs": []map[string]any{
+				{"name": "basic", "rate": 1000, "most_at_once": 1000, "hard_rate": 1000, "cap_depth": 1000, "worth_factor": 1},
+				{"name": "tiny", "rate": 0.1, "most_at_once": 1, "worth_factor": 1}},
+			"allowed":     map[string]any{"max_attempts": 3, "cancel": true, "keepalive_us": 5e6, "connect_timeout_us": 100e3},
+			"family_info": map[string]any{"largest": 1}, "safety": map[string]any{"answer_slack_us": 5000}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	file := filepath.Join(dir, "gatekeeper.json")
+	if err := os.WriteFile(file, conf, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	s := &started{exec.Command(path, "serve", "--config", file, "--agree", daemon, "--history", dir), at}
+	s.Stderr = os.Stderr
+	s.Env = append(os.Environ(), "WILLOWDECK_LOG=warn")
+	if err := s.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		s.Process.Kill()
+		s.Wait()
+	})
+	return s
+}
+
+// A process that stands still while the rules change twice sends nothing by the version that it had, once it
+// goes on: neither what comes new, nor what it had in hand. Guards against decisions on a lease that ran out
+// unnoticed. By the worker's own record, and by the process's.
+func TestStandsStillOverChanges(t *testing.T) {
+	const slack = 5 * time.Millisecond // a write that was checked before the stop, on its way to the worker's record
+	w, err := standin.NewWorker("w0", 2*time.Millisecond)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(w.Close)
+	list, err := standin.NewDiscovery(w.Of("a"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(list.Close)
+	x := newDaemon(t)
+	r := rules(1000, 1000)
+	r.Lease, r.Fallback = 200, accord.Fallback{Part: 0.5, For: 100}
+	x.leases(1, r, true)
+	dir := t.TempDir()
+	s := start(t, list, x.at, dir)
+	d := &deployment{t: t, at: s.at}
+	until(t, "it does not serve", d.let)
+	stop := make(chan struct{})
+	var asking sync.WaitGroup
+	for range 8 { // all the while
+		asking.Add(1)
+		go func() {
+			defer asking.Done()
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+					d.let()
+				}
+			}
+		}()
+	}
+	named := func(version uint64) (n int, last time.Time) {
+		for _, got := range w.Got() {
+			if got.Version == strconv.FormatUint(version, 10) {
+				n, last = n+1, got.At
+			}
+		}
+		return n, last
+	}
+	version := uint64(1)
+	for round := range 3 {
+		until(t, fmt.Sprintf("nothing is sent by version %d", version), func() bool {
+			n, _ := named(version)
+			return n > 20
+		})
+		s.Process.Signal(syscall.SIGSTOP)
+		r.Plans = append([]accord.Plan(nil), r.Plans...)
+		for range 2 {
+			time.Sleep(250 * time.Millisecond) // over the lease and its fallback
+			version++
+			r.Plans[0].CeilingRate = 500 + float64(version)
+			x.leases(version, r, true)
+		}
+		before, _ := named(version - 2)
+		on := time.Now()
+		s.Process.Signal(syscall.SIGCONT)
+		until(t, "it does not go on", func() bool {
+			n, _ := named(version)
+			return n > 5
+		})
+		after, last := named(version - 2)
+		if late := last.Sub(on); late > slack {
+			t.Errorf("round %d: %d sent by version %d, the last %v after it went on", round, after-before, version-2, late)
+		} else {
+			t.Logf("round %d: %d sent by the version before after it went on", round, after-before)
+		}
+		if n, _ := named(version - 1); n > 0 {
+			t.Errorf("%d sent by version %d, which it never heard of in time", n, version-1)
+		}
+	}
+	close(stop)
+	asking.Wait()
+	record, err := history.Read(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	sends, acts := 0, map[uint64]bool{}
+	for _, e := range record.Events {
+		switch e.Kind {
+		case history.Acts:
+			acts[e.Version] = true
+		case history.Sends:
+			if sends++; e.Txn == "" || e.Customer == 0 || e.Worker != "w0" || !acts[e.Version] {
+				t.Fatalf("sent by what it had not said that it goes by: %+v", e)
+			}
+		}
+	}
+	if n := len(w.Got()); sends < n {
+		t.Errorf("%d sends recorded, %d came", sends, n)
+	}
+}
