What a raised share, a first lease and another version's record bring counts as spent; lists that lag

Others may just have spent what a gatekeeper comes to have more of. A record under the same version is believed. A list of discovery behind what others have is held against theirs, though discovery goes on being heard.

--- a/internal/gate/desk.go
+++ b/internal/gate/desk.go
@@ -52,6 +52,7 @@
 	bound  logic.Charter    // that they have brought
 
 	recalled atomic.Int64
+	knows    uint64 // the version of the rules by which a former life spent what is remembered here; 0 none
 
 	mu      sync.Mutex
 	gk      *logic.Gatekeeper
@@ -150,8 +151,12 @@
 // nil is nothing.
 func (d *Desk) Leave(f *residue.File, left *logic.Residue) {
 	d.enter()
-	if left != nil {
+	if left != nil && (d.terms.Number() == 0 || d.terms.Number() == f.Rules()) { // else it is of other ceilings
 		d.gk.Remember(*left)
+		d.knows = f.Rules()
+	}
+	if n := d.terms.Number(); n > 0 {
+		f.By(n)
 	}
 	base, spent := d.gk.Residue()
 	f.Inherit(base, spent, d.clock.now())
@@ -201,12 +206,23 @@
 	}
 	d.terms, d.bound = t, c
 	if d.residue != nil { // what it says is reckoned by the ceilings
+		if t.Version > 0 {
+			d.residue.By(t.Version)
+		}
 		base, spent := d.gk.Residue()
 		d.residue.Inherit(base, spent, d.clock.now())
 	}
 	return true
 }
 
+// Knows gives the version of the rules by which a former life spent what is remembered of it; 0 where nothing
+// is, or no rules were agreed on.
+func (d *Desk) Knows() uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.knows
+}
+
 // lapse has the module act on nothing whose time has run out. What comes in its place is told soon.
 func (d *Desk) lapse() {
 	if d.terms.Holds() {
--- a/internal/lifecycle/agree.go
+++ b/internal/lifecycle/agree.go
@@ -50,8 +50,7 @@
 	mode    atomic.Int64
 	refused atomic.Int64 // answers that can't be gone by
 	silent  atomic.Int64 // questions without an answer, or with none that holds
-	index   atomic.Int64 // of discovery's list here
-	highest atomic.Int64 // and anywhere, as told
+	highest atomic.Int64 // index of discovery's list anywhere, as told
 }
 
 // answer is what came on a question that was sent at a time, ms.
@@ -74,7 +73,7 @@
 	return int64(ms * 1e6)
 }
 
-// agree has the gatekeeper go by agreed rules from here on: bare, until it hears of some.
+// agree has the gatekeeper go by agreed rules: bare, until it hears of some, for which run has to run.
 func (g *Gatekeeper) agree() {
 	c := g.conf.Charter
 	a := &agreement{g: g, wide: c, timer: time.NewTimer(time.Hour), answer: make(chan answer, 1),
@@ -84,7 +83,6 @@
 	a.holder = accord.NewHolder(g.conf.Name, born(&g.conf.Charter, g.conf.Name, g.conf.Names.Plans))
 	g.agreed = a
 	a.turn()
-	go a.run()
 }
 
 // born are the rules that a charter makes, with this gatekeeper alone named in its place.
@@ -202,6 +200,7 @@
 		a.silent.Add(1)
 	}
 	a.highest.Store(got.highest)
+	a.g.lags(got.highest)
 }
 
 // misfit tells why this gatekeeper can't go by rules; empty where it can. One that was a member and is none any
@@ -249,6 +248,11 @@
 		peers = a.addresses()
 	}
 	a.g.seat(max(c.Gatekeepers, 1), peers, func() {
+		// Guards against what a former life spent, or others did whose share this one has now, by rules that are
+		// not those that its record is of.
+		if a.taken.Version == 0 && t.Version > 0 && a.g.desk.Knows() != t.Version {
+			a.g.desk.Govern(held.NewTerms(0, accord.Bare.String(), math.MaxInt64), unknown(c))
+		}
 		if !a.g.desk.Govern(terms, c) {
 			a.refuse("a charter that differs in what may not change")
 		}
@@ -264,7 +268,8 @@
 }
 
 // charter is what terms make of the charter. Ceilings are told as this gatekeeper may use them while it is
-// leased: what it has less of while it is cut off is withheld, and comes back with the lease.
+// leased: what it has less of while it is cut off is withheld, and comes back with the lease. What it comes to
+// have more of is told as a ceiling that grows, or is new, and counts as spent: others may just have spent it.
 func (a *agreement) charter(t accord.Terms) logic.Charter {
 	c := &a.wide
 	if t.Me == c.Me {
@@ -276,16 +281,20 @@
 		if !known {
 			continue
 		}
-		if t.Mode == accord.Leased && p.Of > 0 {
-			a.of[i] = p.Of
-		} else if t.Version != a.taken.Version || a.of[i] == 0 {
-			a.of[i] = 1
-		}
 		q := &c.Plans[i]
 		q.Rate, q.Burst = p.Rate, p.Burst
+		if t.Version == 0 { // as it was born
+			withheld[i] = 1
+			continue
+		}
+		if t.Mode == accord.Leased || t.Version != a.taken.Version {
+			a.of[i] = p.Of
+		}
 		q.CeilingRate, q.CeilingDepth = p.CeilingRate*a.of[i], p.CeilingDepth*a.of[i]
-		if p.CeilingRate > 0 {
+		if a.of[i] > 0 {
 			withheld[i] = 1 - min(p.Of/a.of[i], 1)
+		} else { // one that never fills: nothing passes, and later it counts as spent
+			q.CeilingDepth = p.CeilingDepth
 		}
 	}
 	now := *c
@@ -296,6 +305,15 @@
 	return now
 }
 
+// unknown is a charter by which all ceilings count as spent from the moment on at which another follows.
+func unknown(c logic.Charter) logic.Charter {
+	c.Plans = slices.Clone(c.Plans)
+	for i := range c.Plans {
+		c.Plans[i].CeilingRate = 0
+	}
+	return c
+}
+
 // addresses are those of the rules' members; of one that they have none for, what was known.
 func (a *agreement) addresses() []netip.AddrPort {
 	all := make([]netip.AddrPort, len(a.heard.Rules.Members))
--- a/internal/lifecycle/agree_test.go
+++ b/internal/lifecycle/agree_test.go
@@ -270,6 +270,7 @@
 		{"an address that is none", with(func(l *accord.Lease) { l.Version.Rules.Members[0].Peers = "x" })},
 	} {
 		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
 			d, x := agreed(t, 1)
 			x.leases(1, good, true)
 			d.mode(accord.Leased)
--- a/internal/lifecycle/start.go
+++ b/internal/lifecycle/start.go
@@ -56,6 +56,7 @@
 	list    *warm.Book
 	portal  *portal.Portal // nil where portals do not ask
 	vouch   *vouch.Voucher // nil where no auth service is asked
+	asking  atomic.Bool    // others are asked for their list
 	agreed  *agreement     // nil where no rules are agreed on
 	history *history.Log   // nil where no record is kept
 	said    time.Time      // when the log last told that the watch had ended
@@ -146,7 +147,7 @@
 	}
 	g.At = l.Addr().String()
 	g.watch(c.Known.Version)
-	if len(c.Ask) > 0 {
+	if len(c.Ask) > 0 && g.asking.CompareAndSwap(false, true) {
 		go g.ask(c.Ask, rand.New(rand.NewSource(c.Seed)))
 	}
 	switch {
@@ -161,6 +162,9 @@
 		}
 		g.serve()
 	}
+	if g.agreed != nil { // what a former life has left is known by now
+		go g.agreed.run()
+	}
 	log.Info().Str("listen", g.At).Int("workers", len(c.Known.Workers)).Msg("serving")
 	return g, nil
 }
--- a/internal/lifecycle/warm.go
+++ b/internal/lifecycle/warm.go
@@ -35,12 +35,25 @@
 func (g *Gatekeeper) discovered() int64 {
 	g.lists.Lock()
 	defer g.lists.Unlock()
-	if g.list.Waits() {
+	if !g.list.Heard() {
 		return -1
 	}
 	return g.list.Version()
 }
 
+// lags takes the highest index of discovery's list that any instance has. Where this one has been behind it
+// for long, it asks the others.
+func (g *Gatekeeper) lags(highest int64) {
+	g.lists.Lock()
+	late := g.list.Lags(highest, g.desk.Now()) && g.list.Waits()
+	g.lists.Unlock()
+	if late && len(g.conf.Ask) > 0 && g.asking.CompareAndSwap(false, true) {
+		g.log.Warn().Int64("index", g.discovered()).Int64("highest", highest).
+			Msg("discovery lags here, asking others for the list")
+		go g.ask(g.conf.Ask, rand.New(rand.NewSource(g.conf.Seed)))
+	}
+}
+
 // Tells tells whether newcomers may ask here.
 func (g *Gatekeeper) Tells() bool { return g.conf.Tells }
 
@@ -60,6 +73,7 @@
 
 // ask asks running instances for their list until discovery has spoken. Nothing waits for it.
 func (g *Gatekeeper) ask(peers []string, rng *rand.Rand) {
+	defer g.asking.Store(false)
 	client := fasthttp.Client{MaxResponseBodySize: warm.LongestOf, MaxIdemponentCallAttempts: 1,
 		NoDefaultUserAgentHeader: true, ReadTimeout: wire.Millis(warm.AskWithin)}
 	for {
--- a/internal/residue/residue.go
+++ b/internal/residue/residue.go
@@ -44,6 +44,7 @@
 	atPress   = 128
 	atPace    = 136
 	atPressed = 144
+	atRules   = 152 // version of the agreed rules by which was spent; 0 where none were agreed on
 )
 
 var magic = binary.LittleEndian.Uint64([]byte("willowd" + string(rune('0'+version))))
@@ -226,6 +227,12 @@
 	r.put(at, full)
 }
 
+// By stores the version of the rules by which is spent from here on.
+func (r *File) By(rules uint64) { r.store(atRules, rules) }
+
+// Rules gives the version of the rules by which was spent last; 0 where none were agreed on.
+func (r *File) Rules() uint64 { return r.load(atRules) }
+
 // vacant finds a place that is of no use any more.
 func (r *File) vacant(now float64) int {
 	for range looks {
--- a/internal/warm/warm.go
+++ b/internal/warm/warm.go
@@ -16,6 +16,7 @@
 	AskWithin = 300.0   // ms for one to answer; a list takes some ms
 	AskAgain  = 500.0   // ms until they are asked again while discovery says nothing, with jitter of half
 	MostAge   = 60000.0 // ms since a peer last heard discovery; longer ago its list is no news to anyone
+	LagFor    = 1000.0  // ms behind another's list until others are asked; news comes to all within less
 	LongestOf = 8 << 20 // bytes of a peer's list; discovery's own bound
 )
 
@@ -28,6 +29,9 @@
 	hearsay roster.List              // the newest of peers' lists that is gone by
 	inForce bool
 	words   []accord.Word // the operators', which hold over any list
+	highest int64         // index that any instance is told to have
+	since   float64       // when it first was higher than the own one, ms; 0 where it is not
+	behind  bool          // it has been for long
 }
 
 // NewBook begins with the list that was known at the start, which may be old.
@@ -57,10 +61,27 @@
 	b.take(l)
 	if whole, changed := b.Alive(now); changed {
 		return whole
+	} else if b.inForce {
+		whole, _ = b.merged(b.hearsay)
+		return b.ruled(whole)
 	}
 	return b.ruled(l)
 }
 
+// Lags takes the highest index that any instance is told to have, and tells whether the own list has been behind
+// it for so long that others are to be asked, though discovery goes on being heard: what it says is old.
+func (b *Book) Lags(highest int64, now float64) bool {
+	b.highest = highest
+	switch {
+	case highest <= b.version:
+		b.since = 0
+	case b.since == 0:
+		b.since = now
+	}
+	b.behind = b.since > 0 && now-b.since > LagFor
+	return b.behind
+}
+
 // Words takes the operators' words on workers and halls, in place of those before, and gives the whole list
 // that is to be gone by.
 func (b *Book) Words(all []accord.Word) roster.List {
@@ -108,7 +129,8 @@
 // force, the whole list is to be gone by again.
 func (b *Book) Alive(now float64) (roster.List, bool) {
 	b.heard, b.at = true, now
-	if !b.inForce {
+	b.Lags(b.highest, now)
+	if !b.inForce || b.behind && b.hearsay.Version > b.version {
 		return roster.List{}, false
 	}
 	b.inForce, b.hearsay = false, roster.List{}
@@ -134,16 +156,19 @@
 	return b.Own(), now - b.at, true
 }
 
-// Waits tells whether discovery has not spoken yet.
-func (b *Book) Waits() bool { return !b.heard }
+// Waits tells whether discovery has not spoken yet, or speaks of old.
+func (b *Book) Waits() bool { return !b.heard || b.behind && b.hearsay.Version < b.highest }
+
+// Heard tells whether discovery has spoken in this life.
+func (b *Book) Heard() bool { return b.heard }
 
 // Peer takes a peer's list, of an age, and gives the whole list that is to be gone by if that changes it. Own
-// sight beats hearsay: once discovery has spoken nothing is believed. Newer beats older, by discovery's own
+// sight beats hearsay: once discovery has spoken nothing is believed, unless what it says is known to lag. Newer beats older, by discovery's own
 // versions. And hearsay only takes away, or adds what is not known here: guards against a peer that is wrong
 // about a worker that drains, which must get nothing new whatever anybody else says. Nor may it take all
 // away.
 func (b *Book) Peer(l roster.List, age float64) (roster.List, bool) {
-	if b.heard || !l.Whole || l.Version <= b.version || l.Version <= b.hearsay.Version || !(age >= 0) ||
+	if b.heard && !b.behind || !l.Whole || l.Version <= b.version || l.Version <= b.hearsay.Version || !(age >= 0) ||
 		age > MostAge {
 		return roster.List{}, false
 	}
--- a/internal/warm/warm_test.go
+++ b/internal/warm/warm_test.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"testing"
 
+	"willowdeck/internal/accord"
 	"willowdeck/internal/wire/roster"
 )
 
@@ -130,3 +131,74 @@
 		}
 	}
 }
+
+// A list that is behind what others have for long, though discovery goes on being heard, is held against theirs:
+// until it has caught up what they say takes away and adds. Guards against a discovery that hangs and says that
+// all is well.
+func TestLags(t *testing.T) {
+	b := NewBook(whole(0))
+	b.Discovery(whole(7, worker("a", true), worker("b", true)), 0)
+	newer := whole(9, worker("a", true), worker("c", true))
+	if b.Lags(9, 10) || b.Waits() {
+		t.Error("late at once")
+	}
+	if _, changed := b.Peer(newer, 1); changed {
+		t.Error("hearsay is believed at once")
+	}
+	if _, changed := b.Alive(10 + LagFor + 1); changed || !b.Waits() {
+		t.Error("it does not come to ask")
+	}
+	if l, changed := b.Peer(newer, 1); !changed || text(l) != "a c " || b.Waits() {
+		t.Errorf("%q, %v", text(l), changed)
+	}
+	if _, changed := b.Alive(2000); changed {
+		t.Error("the old list is back with a sign of life")
+	}
+	part := roster.List{Version: 8, Workers: []roster.Worker{worker("a", false)}}
+	if l := b.Discovery(part, 2100); text(l) != "(a) c " {
+		t.Errorf("with news that are old yet: %q", text(l))
+	}
+	if l := b.Words([]accord.Word{{Worker: "c", Drained: true}}); text(l) != "(a) (c) " {
+		t.Errorf("with a word on it: %q", text(l))
+	}
+	if l := b.Discovery(whole(9, worker("a", true), worker("c", true)), 2200); text(l) != "a (c) " || b.Waits() {
+		t.Errorf("when it has caught up: %q", text(l))
+	}
+	if b.Lags(9, 9000) {
+		t.Error("late for good")
+	}
+}
+
+// The operators' words hold over any list, and what is told on is without them.
+func TestWords(t *testing.T) {
+	list := whole(1, worker("a", true), worker("b", true))
+	list.Workers[0].Zone, list.Workers[1].Zone = "x", "y"
+	for _, c := range []struct {
+		words  []accord.Word
+		want   string
+		gone   int
+		rating float64 // of the first
+	}{
+		{nil, "a b ", 0, 0},
+		{[]accord.Word{{Worker: "a", Drained: true}}, "(a) b ", 0, 0},
+		{[]accord.Word{{Worker: "a", Barred: true}}, "(a) b ", 1, 0},
+		{[]accord.Word{{Hall: "y", Barred: true}, {Worker: "a", Weight: 3}, {Hall: "x", Weight: 2}}, "a (b) ", 1, 3},
+		{[]accord.Word{{Hall: "y", Worker: "a", Barred: true}, {Barred: true}}, "a b ", 0, 0},
+	} {
+		b := NewBook(whole(0))
+		b.Words(c.words)
+		l := b.Discovery(list, 1)
+		gone := 0
+		for _, w := range l.Workers {
+			if w.Gone {
+				gone++
+			}
+		}
+		if text(l) != c.want || gone != c.gone || l.Workers[0].Rating != c.rating {
+			t.Errorf("%v: %q, %d gone, of %v", c.words, text(l), gone, l.Workers[0].Rating)
+		}
+		if told, _, ok := b.Tells(1); !ok || text(told) != "a b " {
+			t.Errorf("%v: told on is %q", c.words, text(told))
+		}
+	}
+}
--- a/logic/estate.go
+++ b/logic/estate.go
@@ -322,7 +322,9 @@
 }
 
 // shut tells whether nothing passes under a plan's ceiling.
-func (p *plan) shut() bool { return p.ceilRate > 0 && p.ceilDepth <= 0 }
+func (p *plan) shut() bool {
+	return p.ceilRate > 0 && p.ceilDepth <= 0 || p.ceilRate <= 0 && p.ceilDepth > 0
+}
 
 // lesser gives the lower one of two rates, of which 0 is none.
 func lesser(a, b float64) float64 {
--- a/logic/recharter_test.go
+++ b/logic/recharter_test.go
@@ -72,6 +72,8 @@
 		{"shut", ceiling(10, 20), 0, []func(*Charter){narrow(0)}, 0, 0},
 		{"shut and back", ceiling(10, 20), 4,
 			[]func(*Charter){narrow(0), func(c *Charter) { *c = withheld(*c, 0) }}, 16, 10},
+		{"one that never fills", ceiling(10, 20), 0, []func(*Charter){set(ceiling(0, 20))}, 0, 0},
+		{"one that never filled", ceiling(0, 20), 0, []func(*Charter){set(ceiling(10, 20))}, 0, 10},
 		{"another number", ceiling(10, 20), 4, []func(*Charter){func(c *Charter) { c.Gatekeepers = 2 }}, 16, 10},
 	} {
 		t.Run(c.name, func(t *testing.T) {
