--- a/internal/credit/credit.go
+++ b/internal/credit/credit.go
@@ -15,6 +15,7 @@
 import (
 	"hash/fnv"
 	"math"
+	"math/bits"
 	"math/rand"
 )
 
@@ -148,19 +149,45 @@
 // Event is what a Note is of.
 type Event uint8
 
-// The events.
+// The events. A debt that grows is noted once it is kept, and one that shrinks before: whoever is killed
+// between owes no less than is noted.
 const (
 	Lends Event = iota
 	Undone
 	Repays
 	Earns
-	Hands
+	Hands // of rights, and Serial all that was ever given to the peer; parts
 	Takes
 	HandsDebt
 	TakesDebt
-	Starts // Units is the part that a gatekeeper holds from now on, Peer how much of it is owed already
+	Holds     // Units is the right from now on, whatever it was
+	HoldsEarn // the same of what is earned
+	HoldsOwed // and of what is owed
+	HoldsGave // Serial is what was ever given to the peer
+	HoldsGot  // and what was got from it
+	HoldsGaveDebt
+	HoldsGotDebt
+	HoldsNone // it does not know what it holds, or, with a Serial, says all of it next
 )
 
+var written = [...][2]string{Lends: {"lends"}, Undone: {"repays", "undone"}, Repays: {"repays"},
+	Earns: {"repays", "earned"}, Hands: {"hands"}, HandsDebt: {"hands", "debt"}, Takes: {"takes"},
+	TakesDebt: {"takes", "debt"}, Holds: {"holds"}, HoldsEarn: {"holds", "earn"}, HoldsOwed: {"holds", "owed"},
+	HoldsGave: {"holds", "gave"}, HoldsGot: {"holds", "got"}, HoldsGaveDebt: {"holds", "gave debt"},
+	HoldsGotDebt: {"holds", "got debt"}, HoldsNone: {"holds", "none"}}
+
+// Written gives how an event stands in a record: its kind, and which of that kind.
+func (e Event) Written() (kind, says string) { return written[e][0], written[e][1] }
+
+// Of tells whether an event is between two gatekeepers.
+func (e Event) Of() bool {
+	switch e {
+	case Hands, HandsDebt, Takes, TakesDebt, HoldsGave, HoldsGot, HoldsGaveDebt, HoldsGotDebt:
+		return true
+	}
+	return false
+}
+
 // Decision is one thing for the host to do. Entries is valid until the next call.
 type Decision struct {
 	Act        Act
@@ -172,6 +199,7 @@
 	Peer       int
 	Units      float64
 	Serial     uint64
+	Form       uint32
 	Entries    []Entry
 	Need, Most float64
 	Span, At   float64
@@ -203,7 +231,8 @@
 	active  []int32
 	at      int // in active, where the look goes on
 	dirty   []int32
-	notes   []Decision
+	notes   []Decision // before what is to be kept
+	later   []Decision // and after
 	talk    []talk
 	collect []int32
 	entries []Entry
@@ -232,8 +261,15 @@
 	}
 }
 
-// Noting has what is done come out as Notes.
-func (b *Book) Noting(on bool) { b.noting = on }
+// Noting has what is done from here on come out as Notes, after what is held now.
+func (b *Book) Noting(on bool) {
+	b.noting = on
+	for i := range b.all {
+		if b.all[i].Live {
+			b.state(int32(i))
+		}
+	}
+}
 
 // Clock sets the time of what follows, ms.
 func (b *Book) Clock(now float64) {
@@ -409,6 +445,7 @@
 		Live: true, Form: b.form(plan, first, n), Virgin: b.now-b.born >= b.terms.Plans[plan].Repay},
 		nonce: b.nonce(), looked: b.now, seen: math.Inf(-1), sought: math.Inf(-1)}
 	b.by[customer] = at
+	b.state(at)
 	b.touch(at)
 	return at
 }
@@ -447,6 +484,7 @@
 	a.Plan, a.First, a.N, a.Form = uint8(plan), uint16(first), uint8(n), form
 	a.Virgin = false
 	a.forget(b.nonce())
+	b.state(at)
 	b.touch(at)
 	b.wake(at)
 }
@@ -481,7 +519,7 @@
 	default:
 		a.Rights = t - owed
 	}
-	b.note(Starts, at, int(a.owed()+a.Earn), t, 0)
+	b.state(at)
 	b.touch(at)
 	b.wake(at)
 }
@@ -638,10 +676,44 @@
 }
 
 func (b *Book) note(e Event, at int32, peer int, m int64, serial uint64) {
-	if b.noting {
-		a := &b.all[at]
-		b.notes = append(b.notes, Decision{Act: Note, Event: e, Customer: a.Customer, Plan: int(a.Plan),
-			N: int(a.N), Peer: peer, Units: float64(m) / parts, Serial: serial})
+	if !b.noting {
+		return
+	}
+	a := &b.all[at]
+	d := Decision{Act: Note, Event: e, Customer: a.Customer, Plan: int(a.Plan), N: int(a.N), Peer: peer,
+		Units: float64(m) / parts, Serial: serial, Form: a.Form}
+	if e == Lends || e == TakesDebt || e >= Holds && len(b.later) > 0 {
+		b.later = append(b.later, d)
+	} else {
+		b.notes = append(b.notes, d)
+	}
+}
+
+// state notes all that is held of a customer.
+func (b *Book) state(at int32) {
+	if !b.noting {
+		return
+	}
+	a := &b.all[at]
+	known := uint64(0)
+	if a.Known { // all is said next
+		known = 1
+	}
+	b.note(HoldsNone, at, 0, 0, known)
+	for others := b.others(a); a.Known && others != 0; others &= others - 1 {
+		peer, p := (int(a.First)+bits.TrailingZeros64(others))%b.terms.Gatekeepers, Pair{}
+		if known := b.pair(a, peer); known != nil && known.Used && int(known.Peer) == peer {
+			p = *known
+		}
+		b.note(HoldsGave, at, peer, 0, p.GaveR)
+		b.note(HoldsGot, at, peer, 0, p.GotR)
+		b.note(HoldsGaveDebt, at, peer, 0, p.GaveD)
+		b.note(HoldsGotDebt, at, peer, 0, p.GotD)
+	}
+	b.note(HoldsOwed, at, 0, a.owed(), 0)
+	if a.Known {
+		b.note(HoldsEarn, at, 0, a.Earn, 0)
+		b.note(Holds, at, 0, a.Rights, 0)
 	}
 }
 
--- a/internal/credit/exchange.go
+++ b/internal/credit/exchange.go
@@ -54,6 +54,7 @@
 		// Guards against a book older than what it has said, as one brought back from a copy.
 		b.sum.Forgotten++
 		a.forget(b.nonce())
+		b.state(at)
 		b.touch(at)
 		b.wake(at)
 		p = b.pair(a, from)
@@ -324,9 +325,7 @@
 func (b *Book) Next() (Decision, bool) {
 	if len(b.notes) > 0 {
 		d := b.notes[0]
-		if b.notes = b.notes[1:]; len(b.notes) == 0 {
-			b.notes = nil
-		}
+		b.notes = b.notes[1:]
 		return d, true
 	}
 	if n := len(b.dirty); n > 0 {
@@ -335,10 +334,15 @@
 		b.all[at].dirty = false
 		return Decision{Act: Store, Place: int(at), Record: &b.all[at].Record}, true
 	}
+	if len(b.later) > 0 {
+		d := b.later[0]
+		b.later = b.later[1:]
+		return d, true
+	}
 	if b.begun && b.now >= b.next {
 		b.next = b.now + period
 		b.look()
-		if len(b.dirty)+len(b.notes) > 0 {
+		if len(b.dirty)+len(b.notes)+len(b.later) > 0 {
 			return b.Next()
 		}
 	}
@@ -370,6 +374,3 @@
 
 // Busy tells whether anything is open, so that the host has to look again within a period.
 func (b *Book) Busy() bool { return len(b.active) > 0 }
-
-// Pending tells whether anything waits to be kept.
-func (b *Book) Pending() bool { return len(b.dirty)+len(b.notes) > 0 }
--- a/internal/gate/lend.go
+++ b/internal/gate/lend.go
@@ -126,23 +126,15 @@
 	}
 }
 
-var kinds = map[credit.Event]history.Kind{credit.Lends: history.Lends, credit.Undone: history.Repays,
-	credit.Repays: history.Repays, credit.Earns: history.Repays, credit.Hands: history.Hands,
-	credit.HandsDebt: history.Hands, credit.Takes: history.Takes, credit.TakesDebt: history.Takes,
-	credit.Starts: history.Takes}
-
-var says = map[credit.Event]string{credit.Undone: "undone", credit.Earns: "earned", credit.HandsDebt: "debt",
-	credit.TakesDebt: "debt", credit.Starts: "part"}
-
-// write writes down what was done.
+// write writes down what was done. Base is the form: sets and lines that differ have rights of their own.
 func (l *lending) write(v credit.Decision) {
-	e := history.Event{Kind: kinds[v.Event], Says: says[v.Event], Customer: uint64(v.Customer), Units: v.Units,
-		Serial: v.Serial}
+	kind, says := v.Event.Written()
+	e := history.Event{Kind: history.Kind(kind), Says: says, Customer: uint64(v.Customer), Units: v.Units,
+		Serial: v.Serial, Base: uint64(v.Form)}
 	if v.Plan < len(l.plans) {
 		e.Plan = l.plans[v.Plan]
 	}
-	if v.Event == credit.Hands || v.Event == credit.HandsDebt || v.Event == credit.Takes ||
-		v.Event == credit.TakesDebt {
+	if v.Event.Of() {
 		e.Peer = strconv.Itoa(v.Peer)
 	}
 	l.recorder.Write(e)
--- a/internal/lifecycle/lend.go
+++ b/internal/lifecycle/lend.go
@@ -6,6 +6,7 @@
 
 	"willowdeck/internal/credit"
 	"willowdeck/internal/credit/book"
+	"willowdeck/internal/history"
 	"willowdeck/internal/wire"
 	"willowdeck/logic"
 )
@@ -54,7 +55,11 @@
 	g.log.Info().Int("customers", len(f.Records)).Int("spoilt", f.Spoilt).Float64("age_s", (f.Now()-f.Born)/1000).
 		Msg("lending")
 	f.Records = nil
-	g.desk.Lends(b, f, g.recorder, g.conf.Names.PlanNames())
+	var r history.Recorder
+	if g.history != nil {
+		r = g.history
+	}
+	g.desk.Lends(b, f, r, g.conf.Names.PlanNames())
 	if g.peers != nil {
 		g.peers.Credit(g.desk.Ledger)
 	}
--- a/internal/lifecycle/operate.go
+++ b/internal/lifecycle/operate.go
@@ -41,6 +41,9 @@
 		add("peers.gone", int64(seen.Lost))
 	}
 	g.creditFigures(add)
+	if g.agreed != nil {
+		g.agreed.figures(add)
+	}
 	if g.portal != nil {
 		g.portal.Figures(add)
 	}
--- a/internal/lifecycle/start.go
+++ b/internal/lifecycle/start.go
@@ -3,8 +3,11 @@
 
 import (
 	"context"
+	"fmt"
 	"math"
 	"math/rand"
+	"os"
+	"path/filepath"
 	"runtime"
 	"runtime/debug"
 	"sync"
@@ -53,9 +56,10 @@
 	list    *warm.Book
 	portal  *portal.Portal // nil where portals do not ask
 	vouch   *vouch.Voucher // nil where no auth service is asked
+	asking  atomic.Bool    // others are asked for their list
+	agreed  *agreement     // nil where no rules are agreed on
+	history *history.Log   // nil where no record is kept
 	said    time.Time      // when the log last told that the watch had ended
-
-	recorder history.Recorder // nil where nothing is recorded
 }
 
 // Start brings a gatekeeper up: when it returns, clients are served.
@@ -88,6 +92,13 @@
 	if err != nil {
 		return nil, err
 	}
+	if c.History != "" {
+		path := filepath.Join(c.History, fmt.Sprintf("%s.%d.jsonl", c.Name, os.Getpid()))
+		if g.history, err = history.Open(path, c.Name, residue.Uptime()); err != nil {
+			_ = l.Close()
+			return nil, err
+		}
+	}
 	var before *handover.Heir
 	if c.Scratch != "" {
 		if before, err = handover.Find(handover.Path(c.Scratch, c.Name), c.Name); err != nil {
@@ -101,12 +112,19 @@
 		}
 	}
 	g.desk = gate.NewDesk(c.Charter, c.Seed, c.Lines.AnswerSlack+socketSlack, tell, g.links.Shed)
+	if g.history != nil {
+		g.desk.Record(g.history)
+	}
 	g.desk.Roster(c.Known)
 	g.list = warm.NewBook(c.Known)
 	g.members.Store(int64(c.Charter.Gatekeepers))
 	g.front = wire.NewFront(c.Names, c.Charter, g.forward(gate.New(g.desk, g.links)), g.up)
 	g.front.Nameless = g.vouch != nil && c.Forward.Asking.Customer != ""
 
+	if c.Agree != "" {
+		g.agree()
+	}
+
 	g.limit = wire.Limit(l, int(spare*logic.ClientPart))
 	if err = nil; g.portal != nil && before == nil {
 		err = g.portal.Bind()
@@ -129,7 +147,7 @@
 	}
 	g.At = l.Addr().String()
 	g.watch(c.Known.Version)
-	if len(c.Ask) > 0 {
+	if len(c.Ask) > 0 && g.asking.CompareAndSwap(false, true) {
 		go g.ask(c.Ask, rand.New(rand.NewSource(c.Seed)))
 	}
 	switch {
@@ -144,6 +162,9 @@
 		}
 		g.serve()
 	}
+	if g.agreed != nil { // what a former life has left is known by now
+		go g.agreed.run()
+	}
 	log.Info().Str("listen", g.At).Int("workers", len(c.Known.Workers)).Msg("serving")
 	return g, nil
 }
