--- a/internal/accord/steward.go
+++ b/internal/accord/steward.go
@@ -34,6 +34,7 @@
 	lease     Lease   // as last read; Age is set when it is given
 	begun     float64 // when that reading began
 	read      float64 // when one was last asked for
+	readFor   uint64  // the step that was new here then
 	told      float64 // when the host's own step was last submitted
 	toldStep  uint64
 	slept     float64
@@ -75,6 +76,9 @@
 		add(ending{step: p.Step, from: s.now, last: p.Lasts, pending: true, told: math.Inf(-1)})
 	}
 	s.endings = all
+	if st.Step > s.readFor { // there is news for the host's gatekeepers
+		s.read, s.readFor = math.Inf(-1), st.Step
+	}
 }
 
 // ReadDone tells that a quorum has confirmed a reading that began at a time, ms, and that the council here
@@ -112,9 +116,13 @@
 }
 
 // Asked takes a process's question, with the step that it holds, and gives what to answer; false where there
-// is nothing that may still be believed. The answer has to go out at once, or its Age is no more true.
+// is nothing that may still be believed. Clock has to be told a time after the question came. An answer that
+// is late after that does no harm, as the one that asked counts from when it did.
 func (s *Steward) Asked(id int, holds uint64) (Lease, bool) {
 	p := s.of(id)
+	if p == nil && len(s.processes) >= mostRun {
+		return Lease{}, false
+	}
 	if p == nil { // it is not known to have ended: it counts
 		s.processes = append(s.processes, process{id: id})
 		p = &s.processes[len(s.processes)-1]
--- a/internal/history/check_test.go
+++ b/internal/history/check_test.go
@@ -77,6 +77,17 @@
 	p.by(at, who, e)
 }
 
+// many is so many txns that go to one worker at once.
+func (p *play) many(n int) {
+	for at, e := range []Event{{Who: "cl", Kind: Asks, Peer: "a", Product: "pay", Plan: "p", Customer: 1,
+		Units: 1, Expiry: ns(1000)}, {Who: "a", Kind: Sends, Worker: "w"}, {Who: "cl", Kind: Ends, Says: Settled}} {
+		for i := range n {
+			e.Txn = fmt.Sprint("t", i)
+			p.by(2+float64(at), e.Who, e)
+		}
+	}
+}
+
 func (p *play) record() Record { return merge(slices.Clone(p.events)) }
 
 // What the tests go by: versions 1, 2 and 4 have one ceiling, 3 a lower one.
@@ -90,8 +101,8 @@
 	cast = Cast{Gatekeepers: []string{"a", "b"}, Workers: []string{"w", "v"}, Products: []string{"ask", "pay"},
 		Plans: []string{"p"}}
 	fiveRules = judge.Rules{Products: []judge.Product{{}, {Repeat: judge.Once}},
-		Plans: []judge.Plan{{Ceiling: 10, Depth: 5}}, Gatekeepers: 2, Largest: 1, Slack: 10, Grace: 250,
-		Capacity: 1, ColdFrom: 0.1, WarmUp: 3000}
+		Plans: []judge.Plan{{Ceiling: 10, Depth: 5}}, Slack: 10, Grace: 250,
+		Capacity: 1, ColdFrom: 0.1, WarmUp: 3000, Tips: 0.01, TipsAfter: 1000}
 )
 
 // line is 30 units, 10 by version 9.
@@ -247,6 +258,17 @@
 			p.acts(0, "b", 6, Fallback)
 			p.rig(1001, Faults, "")
 		}},
+		{"contradiction", "goes by no version", "", func(p *play) {
+			lease(p)
+			p.acts(90, "a", 1, Bare)
+			p.acts(100, "b", 3, Leased)
+			p.acts(9000, "a", 3, Leased)
+		}},
+		{"contradiction", "sent by a version without going by it", "60.000 ms after", func(p *play) {
+			lease(p)
+			p.acts(90, "a", 1, Bare)
+			p.came(150, "t", 1)
+		}},
 		{"contradiction", "the worker saw an old version", "60.000 ms after", func(p *play) {
 			p.acts(0, "a", 1, Leased)
 			p.acts(100, "a", 2, Leased)
@@ -298,6 +320,16 @@
 			p.by(50, "c", Event{Kind: Taken, Version: 2, Base: 1})
 			p.by(60, "c", Event{Kind: Taken, Version: 3, Base: 1})
 		}},
+		{"versions", "acted on before it was wanted", "cannot have been", func(p *play) {
+			takenBy(p)
+			p.acts(29, "a", 2, Leased)
+		}},
+		{"versions", "goes by none", "", func(p *play) { takenBy(p); p.acts(29, "a", 2, Bare) }},
+		{"versions", "acted on long after", "", func(p *play) {
+			takenBy(p)
+			p.by(50, "c", Event{Kind: Taken, Version: 2, Base: 1, Peer: "d"})
+			p.acts(900, "a", 1, Fallback)
+		}},
 		{"versions", "in place of two", "in place of 1 and of 0", func(p *play) {
 			takenBy(p)
 			p.by(50, "c", Event{Kind: Taken, Version: 2, Base: 1})
@@ -315,7 +347,7 @@
 		}},
 		{"versions", "one number, two contents", "not the same", func(p *play) {
 			takenBy(p)
-			p.by(40, "a", Event{Kind: Acts, Version: 1, Mark: "x"})
+			p.by(40, "d", Event{Kind: Gives, Version: 1, Mark: "x"})
 			p.by(40, "b", Event{Kind: Acts, Version: 1, Mark: "y"})
 		}},
 
@@ -348,6 +380,11 @@
 			p.units(1, "a", Hands, 4, "b", 1)
 			p.units(2, "b", Takes, 5, "a", 1)
 		}},
+		{"ledger", "a serial used again", "again with the same serial", func(p *play) {
+			rights(p)
+			p.units(1, "a", Hands, 4, "b", 1)
+			p.units(2, "a", Hands, 4, "b", 1)
+		}},
 		{"ledger", "lent after it was handed on", "with a right to 6", func(p *play) {
 			rights(p)
 			p.units(1, "a", Hands, 4, "b", 1)
@@ -531,10 +568,18 @@
 			p.by(2000, "cl", Event{Kind: Gone})
 		}},
 		{"judge", "too much for a worker that has just started", "worker 0, started at", func(p *play) {
+			p.by(0, "w", Event{Kind: Began})
+			p.by(1, "a", Event{Kind: Told, Worker: "w", Mode: Active})
+			p.many(4)
+		}},
+		{"judge", "as much as it bears", "", func(p *play) {
+			p.by(0, "w", Event{Kind: Began})
+			p.by(1, "a", Event{Kind: Told, Worker: "w", Mode: Active})
+			p.many(3)
+		}},
+		{"judge", "too much for it, by one who does not know of its start", "", func(p *play) {
 			p.by(1, "w", Event{Kind: Began})
-			p.once(1, "cl", Asks, 0, "")
-			p.events[1].Units = 3
-			p.once(2, "a", Sends, 1, "")
+			p.many(4)
 		}},
 		{"judge", "no answer", "no final answer", func(p *play) {
 			p.once(1, "cl", Asks, 0, "")
@@ -746,8 +791,8 @@
 			}
 		}
 		for range rapid.IntRange(0, 4).Draw(t, "reads") {
-			p.by(at("read"), "e", Event{Kind: Gives, Version: uint64(rapid.IntRange(0, 3).Draw(t, "version")),
-				Age: at("age") / 4})
+			p.by(at("read"), "e", Event{Kind: rapid.SampledFrom([]Kind{Gives, Gives, Acts}).Draw(t, "kind"),
+				Version: uint64(rapid.IntRange(0, 3).Draw(t, "version")), Age: at("age") / 4})
 		}
 		v := Versions(p.record())
 		if (v.Checker == "Ok") != (v.Count == 0) || v.Count > 0 && strings.Contains(v.Breaks[0].Says, "porcupine") {
