--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -91,6 +91,12 @@
 		{"product twice", `"sale"`, `"check"`, "settings.classes[1].name"},
 		{"plan without name", `"basic"`, `""`, "settings.tariffs[0].name"},
 		{"rate below nought", `"rate":2`, `"rate":-2`, "settings.tariffs[0]"},
+		{"credit below nought", `"rate":2`, `"rate":2,"credit_s":-1,"repay_s":9`, "settings.tariffs[0].credit_s"},
+		{"credit without repay", `"rate":2`, `"rate":2,"credit_s":1`, "settings.tariffs[0].repay_s"},
+		{"repay without credit", `"rate":2`, `"rate":2,"repay_s":1`, "settings.tariffs[0].repay_s"},
+		{"credit without a rate", `"rate":2`, `"credit_s":1,"repay_s":9`, "settings.tariffs[0].credit_s"},
+		{"repaid too soon", `"rate":2`, `"rate":2,"credit_s":5,"repay_s":9`, "settings.tariffs[0].repay_s"},
+		{"credit without end", `"rate":2`, `"rate":2,"credit_s":1e6,"repay_s":3e6`, "settings.tariffs[0].credit_s"},
 		{"me beyond the gatekeepers", `"me":1`, `"me":2`, "settings.me"},
 		{"me no number", `"me":1`, `"me":"one"`, "settings: "},
 	}
--- a/internal/credit/audit/audit.go
+++ b/internal/credit/audit/audit.go
@@ -62,19 +62,20 @@
 	grace    map[string]int64
 }
 
-// Check goes over a record. number gives what peers call a gatekeeper, line the line of an event's customer, and
-// slack is the ms by which a repayment may be late; while a gatekeeper was gone or stood still nothing of it is,
-// nor for a time of repayment after it.
+// Check goes over a record. number gives what peers call a gatekeeper, line the line of an event's customer,
+// and slack is the ms by which a repayment may be late; while a gatekeeper was gone or stood still nothing
+// of it is, nor for a time of repayment after it.
 //
 //   - a gatekeeper draws no more than it has a right to, and pays back no more than it owes: each unit once;
-//   - it takes no right, and no debt, that was not handed to it, and each once. Serial counts all that was ever
-//     handed, so that what was lost comes with the next;
-//   - what was drawn and is neither paid back nor earned, what may yet be drawn, and rights on their way come to
-//     no more than the line. Where a line is lowered that holds for the former one until what was drawn by it is
-//     paid;
+//   - it takes no right, and no debt, that was not handed to it, and each once. Serial counts all that was
+//     ever handed, so that what was lost comes with the next;
+//   - what was drawn and is neither paid back nor earned, what may yet be drawn, and rights on their way come
+//     to no more than the line. Where a line is lowered that holds for the former one until what was drawn by
+//     it is paid;
 //   - each loan is paid back in time, the oldest first, wherever its debt has gone;
 //   - who starts again knows all that it owed (Forgotten counts what it does not).
-func Check(r history.Record, line func(history.Event) Line, number func(who string) string, slack float64) Audited {
+func Check(r history.Record, line func(history.Event) Line, number func(who string) string,
+	slack float64) Audited {
 	a := &auditor{line: line, number: number, slack: slack, accounts: map[uint64]*account{},
 		grace: map[string]int64{}}
 	for _, e := range r.Events {
@@ -135,10 +136,17 @@
 		}
 	}
 	if sum > c.line+crumb*float64(1+len(c.rights)) {
-		a.broken(e, "%.3f is outstanding, and with what may be drawn %.3f, of a line of %.3f", c.balance, sum, c.line)
+		a.broken(e, "%.3f is outstanding, and with what may be drawn %.3f, of a line of %.3f", c.balance, sum,
+			c.line)
 	}
 	if c.line > 0 {
-		a.Most = math.Max(a.Most, c.balance/c.line)
+		owed := 0.0
+		for _, all := range c.owed {
+			for _, o := range all {
+				owed += o.units
+			}
+		}
+		a.Most = math.Max(a.Most, owed/c.line)
 	}
 }
 
@@ -287,7 +295,8 @@
 		}
 		c.rights[me], c.unknown[between{me, "", e.Base}] = 0, true
 	case "earn":
-		if more := e.Units - c.earn[me]; more > crumb && c.earn[me] > 0 { // a payment that was not kept is made again
+		// A payment that was not kept is made again.
+		if more := e.Units - c.earn[me]; more > crumb && c.earn[me] > 0 {
 			c.balance += more
 		}
 		c.earn[me] = e.Units
--- a/internal/credit/book/book.go
+++ b/internal/credit/book/book.go
@@ -1,5 +1,5 @@
-// Package book keeps a gatekeeper's records of credit over a sudden end: a file that is mapped into memory, as
-// a residue is. What has been stored there outlives the process however it ends; it does not outlive the
+// Package book keeps a gatekeeper's records of credit over a sudden end: a file that is mapped into memory,
+// as a residue is. What has been stored there outlives the process however it ends; it does not outlive the
 // machine, and counts as none after that.
 package book
 
@@ -143,8 +143,8 @@
 	}
 }
 
-// Hear notes a peer's word, and tells whether it is news. Guards against a word from before a peer forgot what
-// it had said, that comes late to a life which has never heard that peer.
+// Hear notes a peer's word, and tells whether it is news. Guards against a word from before a peer forgot
+// what it had said, that comes late to a life which has never heard that peer.
 func (f *File) Hear(from int, w member.Word) bool {
 	if from < 0 || from >= peers {
 		return false
--- a/internal/credit/book/book_test.go
+++ b/internal/credit/book/book_test.go
@@ -71,8 +71,8 @@
 	f.Close()
 }
 
-// A file of another gatekeeper, start of the machine, version or length is as none. A record that is spoilt is
-// lost alone, and who is not in the book may owe from then on.
+// A file of another gatekeeper, start of the machine, version or length is as none. A record that is spoilt
+// is lost alone, and who is not in the book may owe from then on.
 func TestBookSpoilt(t *testing.T) {
 	for _, c := range []struct {
 		name  string
--- a/internal/credit/credit.go
+++ b/internal/credit/credit.go
@@ -3,13 +3,13 @@
 //
 // The line of a customer is a number of parts of a unit. Each part is in one place at one time: at one
 // gatekeeper of the customer's set, as a right that may be drawn or as a debt that is owed; or on its way to
-// another, where its giver has already let it go. Drawing makes debts of rights, paying makes rights of debts,
-// and both are the gatekeeper's own doing, which asks nobody. This is the escrow method (O'Neil, The escrow
-// transactional method, 1986) with rights handed on as in bounded counters (Balegas and others, Extending
-// eventually consistent cloud databases for enforcing numeric invariants, 2015). What differs: debts move as
-// well, and have a time; no matrix of all pairs is told, each pair of gatekeepers knows its own counters,
-// and either restores what the other has lost; and what may have been drawn by a life that nobody remembers
-// counts as drawn, and is earned back from fill that the customer leaves unused.
+// another, where its giver has already let it go. Drawing makes debts of rights, paying makes rights of
+// debts, and both are the gatekeeper's own doing, which asks nobody. This is the escrow method (O'Neil, The
+// escrow transactional method, 1986) with rights handed on as in bounded counters (Balegas and others,
+// Extending eventually consistent cloud databases for enforcing numeric invariants, 2015). What differs:
+// debts move as well, and have a time; no matrix of all pairs is told, each pair of gatekeepers knows its
+// own counters, and either restores what the other has lost; and what may have been drawn by a life that
+// nobody remembers counts as drawn, and is earned back from fill that the customer leaves unused.
 package credit
 
 import (
@@ -67,8 +67,8 @@
 	Plans           []Plan
 }
 
-// Plan is a plan's line, in units, and within how many ms each unit drawn is paid back. A line of nought lends
-// nothing.
+// Plan is a plan's line, in units, and within how many ms each unit drawn is paid back. A line of nought
+// lends nothing.
 type Plan struct{ Line, Repay float64 }
 
 // Pair is what one gatekeeper has given another and got from it, of a customer's rights and debts, in parts;
@@ -290,7 +290,8 @@
 		b.free = append(b.free, int32(len(b.all)))
 		b.all = append(b.all, account{})
 	}
-	b.all = append(b.all, account{Record: r, nonce: b.nonce(), looked: b.now, seen: math.Inf(-1), sought: math.Inf(-1)})
+	b.all = append(b.all, account{Record: r, nonce: b.nonce(), looked: b.now, seen: math.Inf(-1),
+		sought: math.Inf(-1)})
 	b.by[r.Customer] = int32(place)
 	b.wake(int32(place))
 }
--- a/internal/credit/credit_test.go
+++ b/internal/credit/credit_test.go
@@ -332,8 +332,8 @@
 }
 
 // What may be drawn and what was drawn and is not paid back never come to more than the line, whatever is
-// lost, doubled, late, out of turn, killed between any two decisions, or changed in the set. Each planted break
-// is found.
+// lost, doubled, late, out of turn, killed between any two decisions, or changed in the set. Each planted
+// break is found.
 func TestNeverBeyondTheLine(t *testing.T) {
 	sets := map[string][][2]int{"one set": {{0, 2}}, "three": {{0, 3}}, "set changes": {{0, 2}, {0, 3}, {1, 2}}}
 	for name, s := range sets {
@@ -373,8 +373,8 @@
 	}
 }
 
-// pump carries on until a time, every letter delivered at once, with the need of each debt paid where pays says
-// so. It gives the letters and entries that went.
+// pump carries on until a time, every letter delivered at once, with the need of each debt paid where pays
+// says so. It gives the letters and entries that went.
 func (f *fleet) pump(ms float64, pays func(i int) (part float64, fill float64)) (letters int) {
 	f.pays = pays
 	for end := f.now + ms; f.now < end; f.now += period {
@@ -455,7 +455,8 @@
 	f.used = 0
 	got := f.drawAll(0, 2)
 	f.pump(20000, func(i int) (float64, float64) { return 1, []float64{1e-6, 0.005}[i] })
-	if a, b := f.at(0), f.at(1); a.Owed+b.Owed > 0.2 || math.Abs(f.paid+a.Owed+b.Owed-got) > 0.01 || a.GaveD < got/2 {
+	a, b := f.at(0), f.at(1)
+	if a.Owed+b.Owed > 0.2 || math.Abs(f.paid+a.Owed+b.Owed-got) > 0.01 || a.GaveD < got/2 {
 		t.Errorf("%+v and %+v, %v paid of %v", a, b, f.paid, got)
 	}
 }
@@ -485,7 +486,8 @@
 	}
 }
 
-// A book brought back from an old copy, which has rights that it gave away, finds out and draws on none of them.
+// A book brought back from an old copy, which has rights that it gave away, finds out and draws on none of
+// them.
 func TestOldCopy(t *testing.T) {
 	f := newFleet(1, 2, Plan{Line: 12, Repay: 20000}, true)
 	f.lend(0, 0, 2, -1, unit)
--- a/internal/credit/exchange.go
+++ b/internal/credit/exchange.go
@@ -92,7 +92,7 @@
 		b.say(at, from)
 		b.wake(at) // for the next answer to say what is credited here
 	}
-	if e.Want > 0 && e.Known && a.Known {
+	if e.Asks && e.Want > 0 && e.Known && a.Known { // and not at each word: rights would go to and fro
 		b.give(at, from, int64(min(e.Want, math.MaxInt32)))
 	}
 }
--- a/internal/lifecycle/lend.go
+++ b/internal/lifecycle/lend.go
@@ -47,13 +47,14 @@
 		g.log.Warn().Err(err).Msg("nothing is lent")
 		return
 	}
-	b := credit.New(credit.Terms{Me: c.Me, Gatekeepers: int(g.members.Load()), Plans: plans}, g.conf.Seed, f.Born)
+	t := credit.Terms{Me: c.Me, Gatekeepers: int(g.members.Load()), Plans: plans}
+	b := credit.New(t, g.conf.Seed, f.Born)
 	b.Clock(f.Now())
 	for _, k := range f.Records {
 		b.Restore(k.Place, k.Record)
 	}
-	g.log.Info().Int("customers", len(f.Records)).Int("spoilt", f.Spoilt).Float64("age_s", (f.Now()-f.Born)/1000).
-		Msg("lending")
+	g.log.Info().Int("customers", len(f.Records)).Int("spoilt", f.Spoilt).
+		Float64("age_s", (f.Now()-f.Born)/1000).Msg("lending")
 	f.Records = nil
 	var r history.Recorder
 	if g.history != nil {
--- a/internal/residue/residue.go
+++ b/internal/residue/residue.go
@@ -122,8 +122,8 @@
 	return r, left, nil
 }
 
-// Map maps a file of so many bytes into memory, under a lock that ends with it, and tells whether there was one
-// of that size. A file that another process has is let alone, and one begun in its place.
+// Map maps a file of so many bytes into memory, under a lock that ends with it, and tells whether there was
+// one of that size. A file that another process has is let alone, and one begun in its place.
 func Map(path string, size int) (f *os.File, b []byte, was bool, err error) {
 	if f, err = os.OpenFile(path, os.O_RDWR|os.O_CREATE, 0o600); err != nil {
 		return nil, nil, false, err
--- a/internal/wire/ledger/ledger.go
+++ b/internal/wire/ledger/ledger.go
@@ -2,10 +2,10 @@
 // back.
 //
 // A message is a mark that no message of demand begins with, a version byte and a count byte. Then, for each
-// entry, the customer's number in four bytes, big-endian, one of its plan, one of how many gatekeepers its set
-// has, two each of the first of them and of the form, and one of flags. Counters follow as unsigned varints,
-// and by flag the question's number, the number that is answered, the rights wished for, the time left for
-// debts in 255ths, and the fill, logarithmic.
+// entry, the customer's number in four bytes, big-endian, one of its plan, one of how many gatekeepers its
+// set has, two each of the first of them and of the form, and one of flags. Counters follow as unsigned
+// varints, and by flag the question's number, the number that is answered, the rights wished for, the time
+// left for debts in 255ths, and the fill, logarithmic.
 package ledger
 
 import (
--- a/internal/wire/ledger/ledger_test.go
+++ b/internal/wire/ledger/ledger_test.go
@@ -22,7 +22,9 @@
 		}
 		all = append(all, e)
 	}
-	all[3].GaveR, all[3].GaveD, all[3].GotR, all[3].GotD = math.MaxInt64, math.MaxInt64, math.MaxInt64, math.MaxInt64
+	for _, v := range []*uint64{&all[3].GaveR, &all[3].GaveD, &all[3].GotR, &all[3].GotD} {
+		*v = math.MaxInt64
+	}
 	var got []credit.Entry
 	messages := 0
 	for rest := all; len(rest) > 0; messages++ {
@@ -56,7 +58,8 @@
 }
 
 func FuzzDecode(f *testing.F) {
-	good, _ := Append(nil, []credit.Entry{{Customer: 1, N: 2, GaveD: 300, Asks: true, Answers: true, Want: 5, Fill: 3}})
+	good, _ := Append(nil, []credit.Entry{{Customer: 1, N: 2, GaveD: 300, Asks: true, Answers: true, Want: 5,
+		Fill: 3}})
 	f.Add(good)
 	f.Fuzz(func(t *testing.T, b []byte) {
 		all, err := Decode(nil, b)
