--- a/internal/gate/desk.go
+++ b/internal/gate/desk.go
@@ -7,7 +7,6 @@
 	"sync/atomic"
 	"time"
 
-	"willowdeck/internal/accord"
 	"willowdeck/internal/held"
 	"willowdeck/internal/history"
 	"willowdeck/internal/residue"
@@ -47,9 +46,10 @@
 	ready atomic.Bool
 	pool  atomic.Pointer[logic.Tally] // a copy for those who must not wait
 
-	record history.Recorder // nil where none is kept; to be set before the first txn
-	terms  *held.Terms      // under the lock; nil where no rules are agreed on
-	bound  logic.Charter    // that they have brought
+	record *record       // nil where none is kept
+	terms  *held.Terms   // under the lock; nil where no rules are agreed on
+	bound  logic.Charter // that they have brought
+	under  uint64        // the last version that was gone by
 
 	recalled atomic.Int64
 	knows    uint64 // the version of the rules by which a former life spent what is remembered here; 0 none
@@ -128,6 +128,7 @@
 // Roster takes discovery's news.
 func (d *Desk) Roster(l roster.List) {
 	d.enter()
+	d.record.roster(l)
 	list, ended := d.workers.Update(l, d.gk.Vacant)
 	d.ready.Store(d.workers.Active())
 	d.gk.Roster(list, !l.Whole)
@@ -151,12 +152,12 @@
 // nil is nothing.
 func (d *Desk) Leave(f *residue.File, left *logic.Residue) {
 	d.enter()
-	if left != nil && (d.terms.Number() == 0 || d.terms.Number() == f.Rules()) { // else it is of other ceilings
+	if left != nil && (d.under == 0 || d.under == f.Rules()) { // else it is of other ceilings
 		d.gk.Remember(*left)
 		d.knows = f.Rules()
 	}
-	if n := d.terms.Number(); n > 0 {
-		f.By(n)
+	if d.under > 0 {
+		f.By(d.under)
 	}
 	base, spent := d.gk.Residue()
 	f.Inherit(base, spent, d.clock.now())
@@ -181,7 +182,7 @@
 }
 
 // Record has what is acted on and sent written down. To be called before the first txn.
-func (d *Desk) Record(r history.Recorder) { d.record = r }
+func (d *Desk) Record(r history.Recorder) { d.record = &record{to: r, told: map[string]bool{}} }
 
 // Govern has the module go by a charter for as long as some terms hold, in place of those before, which end.
 // Where the time of these runs out and nothing has come in their place, nothing passes under a ceiling. It is
@@ -195,20 +196,18 @@
 }
 
 func (d *Desk) govern(t *held.Terms, c logic.Charter) bool {
-	if d.record != nil {
-		d.record.Write(history.Event{Kind: history.Acts, Version: t.Version, Mode: t.Mode})
-	}
+	d.record.acts(t)
 	if !d.gk.Recharter(c) {
 		return false
 	}
 	if d.terms != nil {
 		d.terms.End()
 	}
-	d.terms, d.bound = t, c
+	if d.terms, d.bound = t, c; t.Version > 0 {
+		d.under = t.Version
+	}
 	if d.residue != nil { // what it says is reckoned by the ceilings
-		if t.Version > 0 {
-			d.residue.By(t.Version)
-		}
+		d.residue.By(d.under)
 		base, spent := d.gk.Residue()
 		d.residue.Inherit(base, spent, d.clock.now())
 	}
@@ -233,7 +232,7 @@
 	for i := range c.Plans {
 		c.Plans[i].Withheld = 1
 	}
-	d.govern(held.NewTerms(d.terms.Version, accord.Bare.String(), math.MaxInt64), c)
+	d.govern(held.NewTerms(0, history.Bare, math.MaxInt64), c)
 }
 
 // Resize tells the module how many gatekeepers there are from now on.
--- a/internal/gate/exchange.go
+++ b/internal/gate/exchange.go
@@ -5,7 +5,6 @@
 	"os"
 	"time"
 
-	"willowdeck/internal/history"
 	"willowdeck/internal/wire"
 	"willowdeck/logic"
 )
@@ -32,14 +31,15 @@
 		g.links.Drop(l)
 		return &wire.Answer{Outcome: logic.NotSent}, nil, began
 	}
-	if r := g.desk.record; r != nil {
-		r.Write(history.Event{Kind: history.Sends, Txn: j.mark, Customer: j.txn.Of, Worker: to.Name(),
-			Version: j.word.By.Number(), Mode: j.word.By.Named()})
-	}
 	// Guards against a process that stood still, or waited for its connection, beyond the time of its rules. What
-	// is left is from here to the write below: a few us of this goroutine's own time, and however long the
-	// process is stopped between the two; the submission names its rules to the worker.
-	if !j.word.By.Holds() {
+	// is left is from here to the write below: some us, and however long the process is stopped between the two;
+	// the submission names its rules to the worker.
+	holds := j.word.By.Holds()
+	if r := g.desk.record; r != nil && holds {
+		r.sends(&j)
+		holds = j.word.By.Holds()
+	}
+	if !holds {
 		s.End()
 		g.links.Drop(l)
 		return nil, nil, began
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -28,6 +28,7 @@
 	upload *wire.Upload // what follows on it, or nil
 	left   float64      // ms that the client waits from then on
 	mark   string       // of the txn, where submissions are recorded
+	serial uint64       // and how many went to the same worker before
 }
 
 // New makes a gate over a desk and connections to workers.
@@ -76,6 +77,7 @@
 	if t.Upload != nil {
 		defer t.Upload.Settle()
 	}
+	var sent []string // workers, where submissions are recorded
 	for w := range h.Box {
 		if w.Answer != nil {
 			return wire.Final{Kind: logic.Submit, Answer: w.Answer}
@@ -87,12 +89,18 @@
 		// What passes on is copied here: the txn's own bytes end with this function, which a submission that may
 		// not be withdrawn outlives.
 		rules := int64(wire.Ruleless)
-		if w.By != nil {
-			rules = int64(w.By.Version)
+		if n := w.By.Number(); n > 0 {
+			rules = int64(n)
 		}
 		j := job{txn: h, word: w, msg: wire.AppendSubmission(nil, t, d.Wait, rules), upload: t.Upload, left: t.Left}
 		if g.desk.record != nil {
 			j.mark = string(t.Mark)
+			for _, name := range sent {
+				if name == w.To.Name() {
+					j.serial++
+				}
+			}
+			sent = append(sent, w.To.Name())
 		}
 		if t.Upload != nil {
 			t.Upload.Begin()
@@ -123,6 +131,7 @@
 		j.upload.End()
 	}
 	if a == nil {
+		g.desk.record.back(&j, logic.NotSent)
 		g.desk.recall(j.txn, d.N)
 		return
 	}
@@ -141,5 +150,6 @@
 			a.Outcome = logic.Cut
 		}
 	}
+	g.desk.record.back(&j, a.Outcome)
 	g.desk.ended(j.txn, d.N, d.Worker, a, took)
 }
--- /dev/null
+++ b/internal/gate/record.go
@@ -0,0 +1,69 @@
+package gate
+
+import (
+	"willowdeck/internal/held"
+	"willowdeck/internal/history"
+	"willowdeck/internal/wire/roster"
+	"willowdeck/logic"
+)
+
+// record is what this process writes down while it runs, where it does. Acts and Told are written under the
+// desk's lock: a process that keeps a record waits for its disk, which is for tests.
+type record struct {
+	to   history.Recorder
+	told map[string]bool // workers that may be sent to, as last written
+}
+
+// acts writes by what is gone from now on.
+func (r *record) acts(t *held.Terms) {
+	if r != nil {
+		r.to.Write(history.Event{Kind: history.Acts, Version: t.Version, Mode: t.Mode})
+	}
+}
+
+// roster writes which workers may be sent to, and no more.
+func (r *record) roster(l roster.List) {
+	if r == nil {
+		return
+	}
+	named := map[string]bool{}
+	tell := func(name string, active bool) {
+		if r.told[name] == active {
+			return
+		}
+		mode := ""
+		if r.told[name] = active; active {
+			mode = history.Active
+		}
+		r.to.Write(history.Event{Kind: history.Told, Worker: name, Mode: mode})
+	}
+	for _, w := range l.Workers {
+		named[w.Name] = true
+		tell(w.Name, w.Active && !w.Gone)
+	}
+	for name := range r.told {
+		if l.Whole && !named[name] {
+			tell(name, false)
+		}
+	}
+}
+
+// sends writes that a submission goes out.
+func (r *record) sends(j *job) {
+	j.word.Sub.Recorded = true
+	r.to.Write(history.Event{Kind: history.Sends, Txn: j.mark, Customer: j.txn.Of, Worker: j.word.To.Name(),
+		Version: j.word.By.Number(), Mode: j.word.By.Named(), Serial: j.serial})
+}
+
+// proves is what the end of a submission says of it.
+var proves = map[logic.Outcome]string{logic.Settled: history.Answered, logic.Fault: history.MayRun,
+	logic.Full: history.NeverRan, logic.TimedOut: history.MayRun, logic.NoRoute: history.NeverRan,
+	logic.Cut: history.MayRun, logic.Withdrawn: history.MayRun, logic.NotSent: history.NeverRan}
+
+// back writes that a submission is out no more.
+func (r *record) back(j *job, o logic.Outcome) {
+	if r != nil && j.word.Sub.Recorded {
+		r.to.Write(history.Event{Kind: history.Back, Txn: j.mark, Worker: j.word.To.Name(), Serial: j.serial,
+			Says: proves[o]})
+	}
+}
--- a/internal/held/life.go
+++ b/internal/held/life.go
@@ -38,6 +38,7 @@
 
 // Submission is one submission that is out, which another goroutine may withdraw.
 type Submission struct {
+	Recorded  bool // it is written down that it goes out; the goroutine's that carries it
 	mu        sync.Mutex
 	link      *wire.Link
 	withdrawn bool
--- a/internal/held/terms.go
+++ b/internal/held/terms.go
@@ -20,8 +20,8 @@
 // Terms are what is gone by for a while: a version of the rules, and how far it is in force here. A submission
 // keeps those that it was decided by.
 type Terms struct {
-	Version uint64
-	Mode    string
+	Version uint64       // 0 where none is gone by
+	Mode    string       // as history names it
 	until   atomic.Int64 // as Boot has it
 }
 
--- a/internal/lifecycle/agree.go
+++ b/internal/lifecycle/agree.go
@@ -16,6 +16,7 @@
 
 	"willowdeck/internal/accord"
 	"willowdeck/internal/held"
+	"willowdeck/internal/history"
 	"willowdeck/internal/wire"
 	"willowdeck/logic"
 )
@@ -48,11 +49,15 @@
 
 	terms   atomic.Pointer[held.Terms]
 	mode    atomic.Int64
+	version atomic.Uint64
 	refused atomic.Int64 // answers that can't be gone by
 	silent  atomic.Int64 // questions without an answer, or with none that holds
 	highest atomic.Int64 // index of discovery's list anywhere, as told
 }
 
+// modes are as records name them.
+var modes = [...]string{accord.Bare: history.Bare, accord.CutOff: history.Fallback, accord.Leased: history.Leased}
+
 // answer is what came on a question that was sent at a time, ms.
 type answer struct {
 	lease   accord.Lease
@@ -241,7 +246,11 @@
 	if !same {
 		a.g.words(append(slices.Clone(a.taken.Words), t.Words...))
 	}
-	terms := held.NewTerms(t.Version, t.Mode.String(), moment(t.Until))
+	number := t.Version
+	if t.Mode == accord.Bare { // what goes out goes by none
+		number = 0
+	}
+	terms := held.NewTerms(number, modes[t.Mode], moment(t.Until))
 	c := a.charter(t)
 	peers := a.g.conf.Peers
 	if t.Version == a.heard.Number && t.Version > 0 {
@@ -251,7 +260,7 @@
 		// Guards against what a former life spent, or others did whose share this one has now, by rules that are
 		// not those that its record is of.
 		if a.taken.Version == 0 && t.Version > 0 && a.g.desk.Knows() != t.Version {
-			a.g.desk.Govern(held.NewTerms(0, accord.Bare.String(), math.MaxInt64), unknown(c))
+			a.g.desk.Govern(held.NewTerms(0, history.Bare, math.MaxInt64), unknown(c))
 		}
 		if !a.g.desk.Govern(terms, c) {
 			a.refuse("a charter that differs in what may not change")
@@ -259,6 +268,7 @@
 	})
 	a.terms.Store(terms)
 	a.mode.Store(int64(t.Mode))
+	a.version.Store(t.Version)
 	if !same {
 		a.g.words(t.Words)
 	}
@@ -333,7 +343,7 @@
 	if until := t.Until(); until < math.MaxInt64 {
 		left = max(until-held.Boot(), 0) / 1e6
 	}
-	add("rules.version", int64(t.Version))
+	add("rules.version", int64(a.version.Load()))
 	add("rules.mode", a.mode.Load())
 	add("rules.left_ms", left)
 	add("rules.refused", a.refused.Load())
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -52,8 +52,9 @@
 	// Record has what comes written down; to be set before anything does.
 	Record history.Recorder
 
-	server *http.Server
-	got    []Got
+	server  *http.Server
+	got     []Got
+	serials map[string]uint64 // how often each txn has come
 }
 
 // script is how a stand-in behaves now.
@@ -123,7 +124,8 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &Worker{Name: name, At: l.Addr().String(), script: script{service: service, over: make(chan struct{})}}
+	w := &Worker{Name: name, At: l.Addr().String(), script: script{service: service, over: make(chan struct{})},
+		serials: map[string]uint64{}}
 	w.server = &http.Server{Handler: w}
 	go func() { _ = w.server.Serve(l) }()
 	return w, nil
@@ -152,11 +154,17 @@
 	w.mu.Lock()
 	fault, over, service := w.fault, w.over, w.service
 	rules := r.Header.Get("X-Rules")
+	serial := w.serials[id]
+	w.serials[id]++
 	w.got = append(w.got, Got{id, product, r.RequestURI, time.Now(), fault != Full && fault != Silent, rules})
 	w.mu.Unlock()
 	if w.Record != nil {
 		version, _ := strconv.ParseUint(rules, 10, 64)
-		w.Record.Write(history.Event{Kind: history.Got, Txn: id, Worker: w.Name, Version: version})
+		w.Record.Write(history.Event{Kind: history.Got, Txn: id, Worker: w.Name, Version: version,
+			Serial: serial})
+		if fault != Full && fault != Silent {
+			w.Record.Write(history.Event{Kind: history.Ran, Txn: id, Worker: w.Name, Serial: serial})
+		}
 	}
 	if play(fault, over, service, out, r) {
 		fmt.Fprintf(out, "done %s\n", id)
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -6,8 +6,11 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
+
+	"willowdeck/internal/history"
 )
 
 func TestCounter(t *testing.T) {
@@ -90,3 +93,31 @@
 		t.Errorf("after it was down: %+v", l)
 	}
 }
+
+// What comes is written down with the rules that it names, before it is answered.
+func TestRecord(t *testing.T) {
+	w, err := NewWorker("w", 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer w.Close()
+	var m history.Memory
+	w.Record = m.As("w", 1)
+	for range 2 {
+		req, _ := http.NewRequest("GET", "http://"+w.At+"/check", nil)
+		req.Header.Set("X-Request-Id", "1")
+		req.Header.Set("X-Rules", "12")
+		res, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		res.Body.Close()
+	}
+	says := ""
+	for _, e := range m.Record().Events {
+		says += fmt.Sprintf("%s %s %d %d, ", e.Kind, e.Txn, e.Serial, e.Version)
+	}
+	if !strings.HasSuffix(says, "got 1 0 12, ran 1 0 0, got 1 1 12, ran 1 1 0, ") || w.Got()[0].Version != "12" {
+		t.Errorf("%q, %+v", says, w.Got())
+	}
+}
