--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -40,7 +40,7 @@
 	Ask       []string // operators' ports of running instances, that a newcomer asks for their list
 	Tells     bool     // newcomers may ask this one for its list, at the operators' port
 	Residue   string   // the file that outlives a sudden end of this process; empty where none is kept
-	Agree     string   // HOST:PORT of the daemon that tells which version of the rules is in force; empty where none
+	Agree     string   // HOST:PORT of the daemon that tells which rules are in force; empty where none
 	History   string   // the folder in which this process records what it does; empty where it does not
 	Forward   *Forward // nil where forward authentication is off
 	Terms
--- a/internal/gate/exchange.go
+++ b/internal/gate/exchange.go
@@ -31,9 +31,9 @@
 		g.links.Drop(l)
 		return &wire.Answer{Outcome: logic.NotSent}, nil, began
 	}
-	// Guards against a process that stood still, or waited for its connection, beyond the time of its rules. What
-	// is left is from here to the write below: some us, and however long the process is stopped between the two;
-	// the submission names its rules to the worker.
+	// Guards against a process that stood still, or waited for its connection, beyond the time of its rules.
+	// What is left is from here to the write below: some us, and however long the process is stopped between
+	// the two; the submission names its rules to the worker.
 	holds := j.word.By.Holds()
 	if r := g.desk.record; r != nil && holds {
 		r.sends(&j)
--- a/internal/gate/exchange_test.go
+++ b/internal/gate/exchange_test.go
@@ -60,7 +60,8 @@
 	var past history.Memory
 	d.Record(past.As("n", 1))
 	d.Roster(list)
-	first, second := held.NewTerms(1, history.Leased, held.Boot()+3600e9), held.NewTerms(2, history.Leased, held.Boot()+3600e9)
+	first := held.NewTerms(1, history.Leased, held.Boot()+3600e9)
+	second := held.NewTerms(2, history.Leased, held.Boot()+3600e9)
 	if !d.Govern(first, charter()) {
 		t.Fatal("not governed")
 	}
@@ -72,7 +73,8 @@
 		t.Fatalf("decided %+v by %+v", w.Decision, w.By)
 	}
 	d.Govern(second, charter())
-	a, l, _ := g.exchange(job{txn: h, word: w, msg: []byte("GET / HTTP/1.1\r\n\r\n")}, time.Now().Add(time.Second))
+	j := job{txn: h, word: w, msg: []byte("GET / HTTP/1.1\r\n\r\n")}
+	a, l, _ := g.exchange(j, time.Now().Add(time.Second))
 	if a != nil || l != nil {
 		t.Fatalf("ended with %+v", a)
 	}
--- a/internal/held/terms.go
+++ b/internal/held/terms.go
@@ -17,8 +17,8 @@
 	return t.Nano()
 }
 
-// Terms are what is gone by for a while: a version of the rules, and how far it is in force here. A submission
-// keeps those that it was decided by.
+// Terms are what is gone by for a while: a version of the rules, and how far it is in force here. A
+// submission keeps those that it was decided by.
 type Terms struct {
 	Version uint64       // 0 where none is gone by
 	Mode    string       // as history names it
--- a/internal/lifecycle/agree.go
+++ b/internal/lifecycle/agree.go
@@ -32,8 +32,8 @@
 	spoiltSay = 5000.0 // ms between two lines of the log on answers that can't be gone by
 )
 
-// agreement is the part of a gatekeeper that goes by rules which all agree on. One goroutine does all of it but
-// the asking; what others read is atomic.
+// agreement is the part of a gatekeeper that goes by rules which all agree on. One goroutine does all of it
+// but the asking; what others read is atomic.
 type agreement struct {
 	g      *Gatekeeper
 	holder *accord.Holder
@@ -45,6 +45,7 @@
 	timer  *time.Timer
 	answer chan answer
 	asks   bool // one is out
+	again  bool // and what it says is old by now
 	said   time.Time
 
 	terms   atomic.Pointer[held.Terms]
@@ -56,7 +57,8 @@
 }
 
 // modes are as records name them.
-var modes = [...]string{accord.Bare: history.Bare, accord.CutOff: history.Fallback, accord.Leased: history.Leased}
+var modes = [...]string{accord.Bare: history.Bare, accord.CutOff: history.Fallback,
+	accord.Leased: history.Leased}
 
 // answer is what came on a question that was sent at a time, ms.
 type answer struct {
@@ -109,7 +111,9 @@
 		case <-a.timer.C:
 		case got := <-a.answer:
 			a.asks = false
-			a.hear(got)
+			if a.hear(got); a.again {
+				a.ask()
+			}
 		case <-a.g.over:
 			return
 		}
@@ -139,12 +143,13 @@
 	}
 }
 
-// ask asks the daemon, unless it is being asked.
+// ask asks the daemon, once it is not being asked any more.
 func (a *agreement) ask() {
 	if a.asks {
+		a.again = true
 		return
 	}
-	a.asks = true
+	a.asks, a.again = true, false
 	within := math.Max(a.heard.Rules.Lease/4, askLeast)
 	q := url.Values{"instance": {a.g.conf.Name}, "pid": {strconv.Itoa(os.Getpid())},
 		"holds": {strconv.FormatUint(a.holder.Holds(), 10)}, "index": {strconv.FormatInt(a.g.discovered(), 10)}}
@@ -208,8 +213,8 @@
 	a.g.lags(got.highest)
 }
 
-// misfit tells why this gatekeeper can't go by rules; empty where it can. One that was a member and is none any
-// more goes by them: nothing passes under its ceilings.
+// misfit tells why this gatekeeper can't go by rules; empty where it can. One that was a member and is none
+// any more goes by them: nothing passes under its ceilings.
 func (a *agreement) misfit(r *accord.Rules) string {
 	c := &a.g.conf.Charter
 	if err := accord.Check(r); err != nil {
@@ -239,8 +244,8 @@
 	}
 }
 
-// adopt goes by terms from here on. Words that bar hold before the version that brings them, and those that it
-// lifts hold until it is there.
+// adopt goes by terms from here on. Words that bar hold before the version that brings them, and those that
+// it lifts hold until it is there.
 func (a *agreement) adopt(t accord.Terms) {
 	same := reflect.DeepEqual(t.Words, a.taken.Words)
 	if !same {
@@ -278,8 +283,9 @@
 }
 
 // charter is what terms make of the charter. Ceilings are told as this gatekeeper may use them while it is
-// leased: what it has less of while it is cut off is withheld, and comes back with the lease. What it comes to
-// have more of is told as a ceiling that grows, or is new, and counts as spent: others may just have spent it.
+// leased: what it has less of while it is cut off is withheld, and comes back with the lease. What it comes
+// to have more of is told as a ceiling that grows, or is new, and counts as spent: others may just have
+// spent it.
 func (a *agreement) charter(t accord.Terms) logic.Charter {
 	c := &a.wide
 	if t.Me == c.Me {
--- a/internal/lifecycle/agree_test.go
+++ b/internal/lifecycle/agree_test.go
@@ -168,8 +168,8 @@
 	}
 }
 
-// A ceiling that is lowered holds from the moment on at which it is adopted, by what workers are sent; one that
-// is raised waits until nobody goes by the version before.
+// A ceiling that is lowered holds from the moment on at which it is adopted, by what workers are sent; one
+// that is raised waits until nobody goes by the version before.
 func TestCeilingDownAndUp(t *testing.T) {
 	d, x := agreed(t, 1)
 	x.leases(1, rules(1000, 1000), true)
@@ -198,8 +198,8 @@
 	}
 }
 
-// A worker that is barred gets nothing from then on, nor does one that is drained or of a hall that is; lifted,
-// they are sent to again. Newcomers are told discovery's list, not the operators' words.
+// A worker that is barred gets nothing from then on, nor does one that is drained or of a hall that is;
+// lifted, they are sent to again. Newcomers are told discovery's list, not the operators' words.
 func TestWordsOnWorkers(t *testing.T) {
 	d, x := agreed(t, 2)
 	x.leases(1, rules(0, 0), true)
@@ -348,8 +348,9 @@
 	d.gk.Stop()
 	d.at = heir.At
 	in := burst(depth)
-	if least, most := depth-spent, float64(depth-spent)+rate*time.Since(began).Seconds()+1; in < least || float64(in) > most {
-		t.Errorf("%d let in by the heir, of %d to %.0f", in, least, most)
+	most := depth - spent + rate*time.Since(began).Seconds() + 1
+	if in < depth-spent || float64(in) > most {
+		t.Errorf("%d let in by the heir, of %d to %.0f", in, depth-spent, most)
 	}
 }
 
--- a/internal/lifecycle/standstill_test.go
+++ b/internal/lifecycle/standstill_test.go
@@ -29,7 +29,8 @@
 	t.Helper()
 	path := filepath.Join(dir, "willowdeck")
 	if _, err := os.Stat(path); err != nil {
-		if out, err := exec.Command("go", "build", "-o", path, "willowdeck/cmd/willowdeck").CombinedOutput(); err != nil {
+		make := exec.Command("go", "build", "-o", path, "willowdeck/cmd/willowdeck")
+		if out, err := make.CombinedOutput(); err != nil {
 			t.Fatalf("%v: %s", err, out)
 		}
 	}
@@ -44,9 +45,11 @@
 		"settings": map[string]any{"me": 0, "balancers": 1,
 			"classes": []map[string]any{{"name": "check", "aim_us": 400e3, "effect": "read_like", "worth": 1}},
 			"tariffs": []map[string]any{
-				{"name": "basic", "rate": 1000, "most_at_once": 1000, "hard_rate": 1000, "cap_depth": 1000, "worth_factor": 1},
+				{"name": "basic", "rate": 1000, "most_at_once": 1000, "hard_rate": 1000, "cap_depth": 1000,
+					"worth_factor": 1},
 				{"name": "tiny", "rate": 0.1, "most_at_once": 1, "worth_factor": 1}},
-			"allowed":     map[string]any{"max_attempts": 3, "cancel": true, "keepalive_us": 5e6, "connect_timeout_us": 100e3},
+			"allowed": map[string]any{"max_attempts": 3, "cancel": true, "keepalive_us": 5e6,
+				"connect_timeout_us": 100e3},
 			"family_info": map[string]any{"largest": 1}, "safety": map[string]any{"answer_slack_us": 5000}}})
 	if err != nil {
 		t.Fatal(err)
@@ -85,9 +88,9 @@
 	return w, list
 }
 
-// A process that is killed and comes back knows what the one before it had spent while the rules are the same;
-// if they are others it takes all ceilings as spent. Guards against a former life's record that is believed
-// though others may have had its share meanwhile.
+// A process that is killed and comes back knows what the one before it had spent while the rules are the
+// same; if they are others it takes all ceilings as spent. Guards against a former life's record that is
+// believed though others may have had its share meanwhile.
 func TestKilledUnderAgreement(t *testing.T) {
 	_, list := around(t)
 	x := newDaemon(t)
@@ -144,8 +147,8 @@
 // goes on: neither what comes new, nor what it had in hand. Guards against decisions on a lease that ran out
 // unnoticed. By the worker's own record, and by the process's.
 func TestStandsStillOverChanges(t *testing.T) {
-	// Of all rounds together: a thread may be stopped between the last look and the write, which takes some us of
-	// the ms that a txn does. Without the looks there are up to four a round.
+	// Of all rounds together: a thread may be stopped between the last look and the write, which takes some us
+	// of the ms that a txn does. Without the looks there are up to four a round.
 	const between = 2
 	sum := 0
 	w, list := around(t)
@@ -234,7 +237,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if c := history.Contradiction(record, history.Plainly(nil), accord.MostBound, 250); c.Count > 0 || c.Seen == 0 {
+	c := history.Contradiction(record, history.Plainly(nil), accord.MostBound, 250)
+	if c.Count > 0 || c.Seen == 0 {
 		t.Errorf("by the record: %+v", c)
 	}
 	sends, acts := 0, map[uint64]bool{}
--- a/internal/warm/warm.go
+++ b/internal/warm/warm.go
@@ -68,8 +68,9 @@
 	return b.ruled(l)
 }
 
-// Lags takes the highest index that any instance is told to have, and tells whether the own list has been behind
-// it for so long that others are to be asked, though discovery goes on being heard: what it says is old.
+// Lags takes the highest index that any instance is told to have, and tells whether the own list has been
+// behind it for so long that others are to be asked, though discovery goes on being heard: what it says is
+// old.
 func (b *Book) Lags(highest int64, now float64) bool {
 	b.highest = highest
 	switch {
@@ -162,13 +163,13 @@
 // Heard tells whether discovery has spoken in this life.
 func (b *Book) Heard() bool { return b.heard }
 
-// Peer takes a peer's list, of an age, and gives the whole list that is to be gone by if that changes it. Own
-// sight beats hearsay: once discovery has spoken nothing is believed, unless what it says is known to lag. Newer beats older, by discovery's own
-// versions. And hearsay only takes away, or adds what is not known here: guards against a peer that is wrong
-// about a worker that drains, which must get nothing new whatever anybody else says. Nor may it take all
-// away.
+// Peer takes a peer's list, of an age, and gives the whole list that is to be gone by if that changes it.
+// Own sight beats hearsay: once discovery has spoken nothing is believed, unless what it says is known to
+// lag. Newer beats older, by discovery's own versions. And hearsay only takes away, or adds what is not
+// known here: guards against a peer that is wrong about a worker that drains, which must get nothing new
+// whatever anybody else says. Nor may it take all away.
 func (b *Book) Peer(l roster.List, age float64) (roster.List, bool) {
-	if b.heard && !b.behind || !l.Whole || l.Version <= b.version || l.Version <= b.hearsay.Version || !(age >= 0) ||
+	if b.heard && !b.behind || !l.Whole || l.Version <= max(b.version, b.hearsay.Version) || !(age >= 0) ||
 		age > MostAge {
 		return roster.List{}, false
 	}
--- a/internal/warm/warm_test.go
+++ b/internal/warm/warm_test.go
@@ -132,9 +132,9 @@
 	}
 }
 
-// A list that is behind what others have for long, though discovery goes on being heard, is held against theirs:
-// until it has caught up what they say takes away and adds. Guards against a discovery that hangs and says that
-// all is well.
+// A list that is behind what others have for long, though discovery goes on being heard, is held against
+// theirs: until it has caught up what they say takes away and adds. Guards against a discovery that hangs
+// and says that all is well.
 func TestLags(t *testing.T) {
 	b := NewBook(whole(0))
 	b.Discovery(whole(7, worker("a", true), worker("b", true)), 0)
@@ -182,7 +182,8 @@
 		{nil, "a b ", 0, 0},
 		{[]accord.Word{{Worker: "a", Drained: true}}, "(a) b ", 0, 0},
 		{[]accord.Word{{Worker: "a", Barred: true}}, "(a) b ", 1, 0},
-		{[]accord.Word{{Hall: "y", Barred: true}, {Worker: "a", Weight: 3}, {Hall: "x", Weight: 2}}, "a (b) ", 1, 3},
+		{[]accord.Word{{Hall: "y", Barred: true}, {Worker: "a", Weight: 3}, {Hall: "x", Weight: 2}}, "a (b) ", 1,
+			3},
 		{[]accord.Word{{Hall: "y", Worker: "a", Barred: true}, {Barred: true}}, "a b ", 0, 0},
 	} {
 		b := NewBook(whole(0))
--- a/logic/estate.go
+++ b/logic/estate.go
@@ -112,7 +112,8 @@
 }
 
 // Resume takes over what a predecessor on this machine has left, before the first txn, and has it changed to
-// this charter from the one that it went by. What does not fit is not taken. The worker of a Standing, and a kind, are this gatekeeper's own indices.
+// this charter from the one that it went by. What does not fit is not taken. The worker of a Standing, and a
+// kind, are this gatekeeper's own indices.
 func (g *Gatekeeper) Resume(e Estate) {
 	if len(e.Tight) != len(g.plans) || e.At > g.now+stopped {
 		return
@@ -245,9 +246,9 @@
 // Customers' parts follow their sets, as their txns say.
 //
 // No store holds more by the change. What was spent of a ceiling stays spent, in units: one that grows fills
-// at its new pace from what there was, one that shrinks holds at most its new depth less what is spent, and a
-// new one holds nothing. Where a part is withheld, all that is spent counts against the rest; where it is given
-// free again, what was not spent of it is there.
+// at its new pace from what there was, one that shrinks holds at most its new depth less what is spent, and
+// a new one holds nothing. Where a part is withheld, all that is spent counts against the rest; where it is
+// given free again, what was not spent of it is there.
 func (g *Gatekeeper) Recharter(c Charter) bool {
 	n := max(c.Gatekeepers, 1)
 	if c.Me != g.charter.me || n <= c.Me || len(c.Plans) != len(g.plans) || len(c.Products) != len(g.products) {
--- a/logic/iface.go
+++ b/logic/iface.go
@@ -32,7 +32,7 @@
 type Plan struct {
 	Rate, Burst                    float64 // quota: fill and depth of the customer's store
 	CeilingRate, CeilingDepth      float64 // hard ceiling
-	Withheld                       float64 // part of this gatekeeper's slice of it that is not to be used now, 0 to 1
+	Withheld                       float64 // part of its slice here that is not to be used now, 0 to 1
 	Open                           int     // submissions the customer may have out at once
 	Factor, ExcessShare, ExcessFee float64 // value multiplier; earned and paid beyond the quota, of the value
 }
--- a/logic/recharter_test.go
+++ b/logic/recharter_test.go
@@ -226,7 +226,8 @@
 	}
 }
 
-// A clearance lapses where nothing passes any more, and a txn whose submission never began is decided on anew.
+// A clearance lapses where nothing passes any more, and a txn whose submission never began is decided on
+// anew.
 func TestLapseAndRecall(t *testing.T) {
 	h := rechartered(t, ceiling(10, 20))
 	s := h.arrive(Arrival{Customer: 7, Units: 1, SetSize: 1, Left: 3000})
