--- a/internal/gate/desk.go
+++ b/internal/gate/desk.go
@@ -249,6 +249,13 @@
 	d.leave()
 }
 
+// Another tells the module that a peer is another now, which knows nothing.
+func (d *Desk) Another(peer int) {
+	d.enter()
+	d.gk.Returned(peer)
+	d.leave()
+}
+
 // Hear takes a peer's reports, the first of a new life if it has returned.
 func (d *Desk) Hear(from int, reports []logic.Report, returned bool) {
 	d.enter()
--- a/internal/lifecycle/agree_test.go
+++ b/internal/lifecycle/agree_test.go
@@ -15,6 +15,7 @@
 	"willowdeck/internal/accord"
 	"willowdeck/internal/config"
 	"willowdeck/internal/wire/roster"
+	"willowdeck/logic"
 )
 
 // daemon stands in for the daemon of an instance's host.
@@ -366,3 +367,53 @@
 		}
 	}
 }
+
+// What terms make of the charter: ceilings as this one may use them while leased, the rest withheld while it
+// is not; what it has no share of never fills, so that a share that comes later counts as spent.
+func TestCharterOfTerms(t *testing.T) {
+	type want struct {
+		rate, depth, withheld float64
+		narrow                bool
+	}
+	term := func(version uint64, mode accord.Mode, me int, rate, depth, of float64) accord.Terms {
+		return accord.Terms{Version: version, Mode: mode, Me: me, N: 3, Plans: []accord.PlanTerms{
+			{Plan: accord.Plan{Name: "basic", Rate: 1, Burst: 1, CeilingRate: rate, CeilingDepth: depth}, Of: of},
+			{Plan: accord.Plan{Name: "not known here", CeilingRate: 1, CeilingDepth: 1}, Of: 1}}}
+	}
+	for name, steps := range map[string][]struct {
+		accord.Terms
+		want
+	}{
+		"born": {{term(0, accord.Bare, 0, 10, 20, 0), want{10, 20, 1, true}}},
+		"leased, cut off, bare, leased": {{term(1, accord.Leased, 0, 30, 60, 1), want{30, 60, 0, false}},
+			{term(1, accord.CutOff, 0, 30, 60, 0.25), want{30, 60, 0.75, true}},
+			{term(1, accord.Bare, 0, 30, 60, 0), want{30, 60, 1, true}},
+			{term(1, accord.Leased, 0, 30, 60, 1), want{30, 60, 0, false}}},
+		"no share yet": {{term(1, accord.Leased, 0, 30, 60, 0), want{0, 60, 0, false}},
+			{term(1, accord.Leased, 0, 30, 60, 1), want{30, 60, 0, false}}},
+		"up": {{term(1, accord.Leased, 0, 30, 60, 1), want{30, 60, 0, false}},
+			{term(2, accord.Leased, 0, 60, 120, 0.5), want{30, 60, 0, false}},
+			{term(2, accord.CutOff, 0, 60, 120, 0.25), want{30, 60, 0.5, true}},
+			{term(2, accord.Leased, 0, 60, 120, 1), want{60, 120, 0, false}}},
+		"another version as it is cut off": {{term(1, accord.Leased, 0, 30, 60, 1), want{30, 60, 0, false}},
+			{term(2, accord.CutOff, 0, 40, 80, 0.25), want{10, 20, 0, true}}},
+		"no member any more": {{term(1, accord.Leased, 0, 30, 60, 1), want{30, 60, 0, false}},
+			{term(2, accord.Leased, -1, 30, 60, 0), want{0, 60, 0, true}}},
+		"no ceiling": {{term(1, accord.Leased, 0, 0, 0, 1), want{0, 0, 0, false}},
+			{term(1, accord.Bare, 0, 0, 0, 1), want{0, 0, 0, true}}},
+	} {
+		g := &Gatekeeper{}
+		g.conf.Names.Plans = map[string]int{"basic": 0}
+		g.conf.Charter = logic.Charter{Gatekeepers: 3, Plans: []logic.Plan{{CeilingRate: 10, CeilingDepth: 20}}}
+		a := &agreement{g: g, wide: g.conf.Charter, of: make([]float64, 1)}
+		a.wide.Plans = append([]logic.Plan(nil), a.wide.Plans...)
+		for i, s := range steps {
+			c := a.charter(s.Terms)
+			p := c.Plans[0]
+			if got := (want{p.CeilingRate, p.CeilingDepth, p.Withheld, c.Narrow}); got != s.want {
+				t.Errorf("%s, step %d: %+v, not %+v", name, i, got, s.want)
+			}
+			a.taken = s.Terms
+		}
+	}
+}
--- a/internal/lifecycle/reload.go
+++ b/internal/lifecycle/reload.go
@@ -54,7 +54,9 @@
 		desk()
 	}
 	if len(peers) > 0 && g.peers != nil { // one that is alone is told of none, and has nobody to tell
-		g.peers.Among(peers)
+		for _, i := range g.peers.Among(peers) {
+			g.desk.Another(i)
+		}
 	}
 	if !fewer {
 		desk()
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -48,5 +48,8 @@
 	}
 }
 
+// Forget forgets one: another comes under its number.
+func (t *Table) Forget(from int) { delete(t.heard, from) }
+
 // after tells whether a serial number comes after another.
 func after(a, b uint32) bool { return int32(a-b) > 0 }
--- a/internal/wire/peers.go
+++ b/internal/wire/peers.go
@@ -57,12 +57,22 @@
 	return p
 }
 
-// Among changes who the peers are; this one keeps its number.
-func (p *Peers) Among(peers []netip.AddrPort) {
+// Among changes who the peers are; this one keeps its number. It gives the numbers of those that are others
+// now than were there before.
+func (p *Peers) Among(peers []netip.AddrPort) (others []int) {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.heard.Keep(len(peers))
-	p.mu.Unlock()
+	if was := p.to.Load(); was != nil {
+		for i := range min(len(*was), len(peers)) {
+			if (*was)[i] != peers[i] && i != p.me {
+				p.heard.Forget(i)
+				others = append(others, i)
+			}
+		}
+	}
 	p.to.Store(&peers)
+	return others
 }
 
 // Bind takes peers' datagrams at an address.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -457,3 +457,25 @@
 		})
 	}
 }
+
+// One that comes under another's number is told of as another, and is heard whatever its former owner has
+// said.
+func TestAnotherPeer(t *testing.T) {
+	at := func(ports ...uint16) (all []netip.AddrPort) {
+		for _, p := range ports {
+			all = append(all, netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), p))
+		}
+		return all
+	}
+	p := NewPeers(at(1, 2, 3), 0)
+	p.heard.Hear(2, member.Word{Incarnation: 9})
+	if got := p.Among(at(4, 2, 3, 5)); len(got) > 0 {
+		t.Errorf("%v are told of as others", got)
+	}
+	if got := p.Among(at(4, 2, 6)); len(got) != 1 || got[0] != 2 {
+		t.Errorf("%v are told of as others", got)
+	}
+	if v := p.heard.Hear(2, member.Word{Incarnation: 1}); v != member.News {
+		t.Errorf("its first word is %v", v)
+	}
+}
