--- a/logic/estate.go
+++ b/logic/estate.go
@@ -280,7 +280,12 @@
 	if c.Narrow { // what would be told of demand is not what is asked
 		f.charter.talks, f.charter.tellAt = false, 0
 	}
-	if g.signed.Narrow && !c.Narrow {
+	// What the others have spent in between is not known, unless all of it is as after a start.
+	unknown := (told.Narrow || c.Narrow) && !g.fresh
+	switch {
+	case c.Narrow && !told.Narrow:
+		g.fresh = len(g.byKey) == 0
+	case !c.Narrow && told.Narrow && !g.fresh:
 		g.widened = g.now
 	}
 	copy(f.peers, g.peers)
@@ -290,7 +295,7 @@
 		if a := &g.accounts[i]; a.live {
 			p := &g.plans[a.plan]
 			a.ceilingAt = g.respent(a, &was[a.plan], told.Plans[a.plan], c.Plans[a.plan])
-			if told.Narrow || c.Narrow { // what the others have spent is not known
+			if unknown {
 				a.hot, a.others, a.held, a.holding, a.whole = false, 0, 0, 0, 0
 			}
 			g.reshare(a)
--- a/logic/recharter_test.go
+++ b/logic/recharter_test.go
@@ -255,3 +255,73 @@
 	h.g.Recall(99, 0)
 	h.ended(s, 0, Settled, 1)
 }
+
+// A start that waits for its first lease is as any start: nothing is held back for having waited.
+func TestFreshStart(t *testing.T) {
+	c := charterFor(InquiryLike, nil)
+	h := newHost(t, c, 1, 200)
+	h.g.Recharter(withheld(c, 1))
+	h.at(h.now + 10)
+	h.txn(7, 1)
+	h.g.Recharter(c)
+	h.txn(8, 1)
+	for _, customer := range []uint32{7, 8} {
+		if a := &h.g.accounts[h.g.byKey[customer]]; a.whole < alpha*c.Plans[0].Burst-2 {
+			t.Errorf("customer %d: %v in its one store", customer, a.whole)
+		}
+	}
+	h.g.Recharter(withheld(c, 1)) // but not for having been cut off
+	h.g.Recharter(c)
+	h.txn(9, 1)
+	for _, customer := range []uint32{7, 8, 9} {
+		if a := &h.g.accounts[h.g.byKey[customer]]; a.whole > 0 {
+			t.Errorf("customer %d: %v in its one store", customer, a.whole)
+		}
+	}
+}
+
+// Whatever changes, in whatever order, all figures stay numbers and within their bounds.
+func TestRecharterAnyhow(t *testing.T) {
+	for seed := range int64(5) {
+		rng := rand.New(rand.NewSource(seed))
+		now := charterFor(InquiryLike, func(c *Charter) {
+			c.Gatekeepers, c.Plans = 6, []Plan{ceiling(20, 20), {Rate: 40, Burst: 10, Factor: 1}, {Open: 6, Factor: 1}}
+		})
+		h := newHost(t, now, seed, 50)
+		for range 600 {
+			h.at(h.now + 150*rng.Float64())
+			h.pull()
+			switch rng.Intn(6) {
+			case 0:
+				now = withheld(now, float64(rng.Intn(4))/3)
+				now.Gatekeepers = 1 + rng.Intn(40)
+				if rng.Intn(2) == 0 {
+					now.Plans[0].CeilingRate, now.Plans[0].CeilingDepth = 100*rng.Float64(), 100*rng.Float64()
+					now.Plans[1].Rate = 100 * rng.Float64()
+				}
+				h.g.Recharter(now)
+			case 1:
+				h.g.Hear(rng.Intn(6), []Report{{Customer: uint64(rng.Intn(9)), Demand: 50 * rng.Float64()}})
+			case 2:
+				h.rest(float64(rng.Intn(3000)))
+			default:
+				s := h.arrive(Arrival{Customer: uint64(rng.Intn(9)), Plan: rng.Intn(3), Units: 1,
+					SetSize: 1 + rng.Intn(now.Gatekeepers), Left: 3000})
+				if s.final == 0 {
+					h.ended(s, 0, Settled, 20)
+				}
+			}
+			for i := range h.g.accounts {
+				a := &h.g.accounts[i]
+				for _, v := range []float64{a.level, a.whole, a.share, a.ceilingAt, a.others, a.held, a.demand} {
+					if a.live && (math.IsNaN(v) || math.IsInf(v, 0)) {
+						t.Fatalf("seed %d: %+v", seed, *a)
+					}
+				}
+				if a.live && a.holding > now.Gatekeepers {
+					t.Fatalf("seed %d: %d are held of %d", seed, a.holding, now.Gatekeepers)
+				}
+			}
+		}
+	}
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -138,6 +138,7 @@
 	started  float64
 	base     float64 // ceilings of customers that are not known here are taken as spent at this time
 	retired  bool    // another has taken over what it knows
+	fresh    bool    // it knew nobody when quotas began to go without messages
 	widened  float64 // when quotas last went by messages again; 0 where they always did
 	thawed   float64 // when the gatekeeper last found that it had itself stood still
 	begun    bool
