--- a/internal/lifecycle/agree.go
+++ b/internal/lifecycle/agree.go
@@ -16,6 +16,7 @@
 
 	"willowdeck/internal/accord"
 	"willowdeck/internal/held"
+	"willowdeck/internal/history"
 	"willowdeck/internal/wire"
 	"willowdeck/logic"
 )
@@ -31,8 +32,8 @@
 	spoiltSay = 5000.0 // ms between two lines of the log on answers that can't be gone by
 )
 
-// agreement is the part of a gatekeeper that goes by rules which all agree on. One goroutine does all of it but
-// the asking; what others read is atomic.
+// agreement is the part of a gatekeeper that goes by rules which all agree on. One goroutine does all of it
+// but the asking; what others read is atomic.
 type agreement struct {
 	g      *Gatekeeper
 	holder *accord.Holder
@@ -44,15 +45,21 @@
 	timer  *time.Timer
 	answer chan answer
 	asks   bool // one is out
+	again  bool // and what it says is old by now
 	said   time.Time
 
 	terms   atomic.Pointer[held.Terms]
 	mode    atomic.Int64
+	version atomic.Uint64
 	refused atomic.Int64 // answers that can't be gone by
 	silent  atomic.Int64 // questions without an answer, or with none that holds
 	highest atomic.Int64 // index of discovery's list anywhere, as told
 }
 
+// ruleModes are as records name them.
+var ruleModes = [...]string{accord.Bare: history.Bare, accord.CutOff: history.Fallback,
+	accord.Leased: history.Leased}
+
 // answer is what came on a question that was sent at a time, ms.
 type answer struct {
 	lease   accord.Lease
@@ -104,7 +111,9 @@
 		case <-a.timer.C:
 		case got := <-a.answer:
 			a.asks = false
-			a.hear(got)
+			if a.hear(got); a.again {
+				a.ask()
+			}
 		case <-a.g.over:
 			return
 		}
@@ -134,12 +143,13 @@
 	}
 }
 
-// ask asks the daemon, unless it is being asked.
+// ask asks the daemon, once it is not being asked any more.
 func (a *agreement) ask() {
 	if a.asks {
+		a.again = true
 		return
 	}
-	a.asks = true
+	a.asks, a.again = true, false
 	within := math.Max(a.heard.Rules.Lease/4, askLeast)
 	q := url.Values{"instance": {a.g.conf.Name}, "pid": {strconv.Itoa(os.Getpid())},
 		"holds": {strconv.FormatUint(a.holder.Holds(), 10)}, "index": {strconv.FormatInt(a.g.discovered(), 10)}}
@@ -203,8 +213,8 @@
 	a.g.lags(got.highest)
 }
 
-// misfit tells why this gatekeeper can't go by rules; empty where it can. One that was a member and is none any
-// more goes by them: nothing passes under its ceilings.
+// misfit tells why this gatekeeper can't go by rules; empty where it can. One that was a member and is none
+// any more goes by them: nothing passes under its ceilings.
 func (a *agreement) misfit(r *accord.Rules) string {
 	c := &a.g.conf.Charter
 	if err := accord.Check(r); err != nil {
@@ -234,14 +244,18 @@
 	}
 }
 
-// adopt goes by terms from here on. Words that bar hold before the version that brings them, and those that it
-// lifts hold until it is there.
+// adopt goes by terms from here on. Words that bar hold before the version that brings them, and those that
+// it lifts hold until it is there.
 func (a *agreement) adopt(t accord.Terms) {
 	same := reflect.DeepEqual(t.Words, a.taken.Words)
 	if !same {
 		a.g.words(append(slices.Clone(a.taken.Words), t.Words...))
 	}
-	terms := held.NewTerms(t.Version, t.Mode.String(), moment(t.Until))
+	number := t.Version
+	if t.Mode == accord.Bare { // what goes out goes by none
+		number = 0
+	}
+	terms := held.NewTerms(number, ruleModes[t.Mode], moment(t.Until))
 	c := a.charter(t)
 	peers := a.g.conf.Peers
 	if t.Version == a.heard.Number && t.Version > 0 {
@@ -251,7 +265,7 @@
 		// Guards against what a former life spent, or others did whose share this one has now, by rules that are
 		// not those that its record is of.
 		if a.taken.Version == 0 && t.Version > 0 && a.g.desk.Knows() != t.Version {
-			a.g.desk.Govern(held.NewTerms(0, accord.Bare.String(), math.MaxInt64), unknown(c))
+			a.g.desk.Govern(held.NewTerms(0, history.Bare, math.MaxInt64), unknown(c))
 		}
 		if !a.g.desk.Govern(terms, c) {
 			a.refuse("a charter that differs in what may not change")
@@ -259,6 +273,7 @@
 	})
 	a.terms.Store(terms)
 	a.mode.Store(int64(t.Mode))
+	a.version.Store(t.Version)
 	if !same {
 		a.g.words(t.Words)
 	}
@@ -268,8 +283,9 @@
 }
 
 // charter is what terms make of the charter. Ceilings are told as this gatekeeper may use them while it is
-// leased: what it has less of while it is cut off is withheld, and comes back with the lease. What it comes to
-// have more of is told as a ceiling that grows, or is new, and counts as spent: others may just have spent it.
+// leased: what it has less of while it is cut off is withheld, and comes back with the lease. What it comes
+// to have more of is told as a ceiling that grows, or is new, and counts as spent: others may just have
+// spent it.
 func (a *agreement) charter(t accord.Terms) logic.Charter {
 	c := &a.wide
 	if t.Me == c.Me {
@@ -333,7 +349,7 @@
 	if until := t.Until(); until < math.MaxInt64 {
 		left = max(until-held.Boot(), 0) / 1e6
 	}
-	add("rules.version", int64(t.Version))
+	add("rules.version", int64(a.version.Load()))
 	add("rules.mode", a.mode.Load())
 	add("rules.left_ms", left)
 	add("rules.refused", a.refused.Load())
--- a/internal/lifecycle/reload.go
+++ b/internal/lifecycle/reload.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"willowdeck/internal/config"
+	"willowdeck/logic"
 )
 
 // Reload takes up a configuration that has been read anew: the number of gatekeepers and who they are, if
@@ -25,7 +26,7 @@
 	}
 	g.conf.Discovery = c.Discovery
 	g.unwind()
-	g.watch(<-g.ended) // no news of the old watch may come behind that of the new one
+	g.watch(<-g.ended, logic.WatchMoved) // no news of the old watch may come behind that of the new one
 	g.log.Info().Str("discovery", c.Discovery).Msg("configuration taken up")
 }
 
@@ -54,7 +55,9 @@
 		desk()
 	}
 	if len(peers) > 0 && g.peers != nil { // one that is alone is told of none, and has nobody to tell
-		g.peers.Among(peers)
+		for _, i := range g.peers.Among(peers) {
+			g.desk.Another(i)
+		}
 	}
 	if !fewer {
 		desk()
--- a/logic/estate.go
+++ b/logic/estate.go
@@ -112,7 +112,8 @@
 }
 
 // Resume takes over what a predecessor on this machine has left, before the first txn, and has it changed to
-// this charter from the one that it went by. What does not fit is not taken. The worker of a Standing, and a kind, are this gatekeeper's own indices.
+// this charter from the one that it went by. What does not fit is not taken. The worker of a Standing, and a
+// kind, are this gatekeeper's own indices.
 func (g *Gatekeeper) Resume(e Estate) {
 	if len(e.Tight) != len(g.plans) || e.At > g.now+stopped {
 		return
@@ -245,9 +246,9 @@
 // Customers' parts follow their sets, as their txns say.
 //
 // No store holds more by the change. What was spent of a ceiling stays spent, in units: one that grows fills
-// at its new pace from what there was, one that shrinks holds at most its new depth less what is spent, and a
-// new one holds nothing. Where a part is withheld, all that is spent counts against the rest; where it is given
-// free again, what was not spent of it is there.
+// at its new pace from what there was, one that shrinks holds at most its new depth less what is spent, and
+// a new one holds nothing. Where a part is withheld, all that is spent counts against the rest; where it is
+// given free again, what was not spent of it is there.
 func (g *Gatekeeper) Recharter(c Charter) bool {
 	n := max(c.Gatekeepers, 1)
 	if c.Me != g.charter.me || n <= c.Me || len(c.Plans) != len(g.plans) || len(c.Products) != len(g.products) {
@@ -279,7 +280,12 @@
 	if c.Narrow { // what would be told of demand is not what is asked
 		f.charter.talks, f.charter.tellAt = false, 0
 	}
-	if g.signed.Narrow && !c.Narrow {
+	// What the others have spent in between is not known, unless all of it is as after a start.
+	unknown := (told.Narrow || c.Narrow) && !g.fresh
+	switch {
+	case c.Narrow && !told.Narrow:
+		g.fresh = len(g.byKey) == 0
+	case !c.Narrow && told.Narrow && !g.fresh:
 		g.widened = g.now
 	}
 	copy(f.peers, g.peers)
@@ -289,7 +295,7 @@
 		if a := &g.accounts[i]; a.live {
 			p := &g.plans[a.plan]
 			a.ceilingAt = g.respent(a, &was[a.plan], told.Plans[a.plan], c.Plans[a.plan])
-			if told.Narrow || c.Narrow { // what the others have spent is not known
+			if unknown {
 				a.hot, a.others, a.held, a.holding, a.whole = false, 0, 0, 0, 0
 			}
 			g.reshare(a)
