--- a/internal/gate/desk.go
+++ b/internal/gate/desk.go
@@ -203,6 +203,9 @@
 	if !d.gk.Recharter(c) {
 		return false
 	}
+	if d.lending != nil {
+		d.lending.relend(c.Plans)
+	}
 	if d.terms != nil {
 		d.terms.End()
 	}
--- a/internal/gate/lend.go
+++ b/internal/gate/lend.go
@@ -8,6 +8,7 @@
 	"willowdeck/internal/history"
 	"willowdeck/internal/member"
 	"willowdeck/internal/wire/ledger"
+	"willowdeck/logic"
 )
 
 // Shelf keeps records of credit: what Keep has returned from outlives the process.
@@ -88,14 +89,20 @@
 	return d.lending.book.Figures(), true
 }
 
-// Relend changes the plans' lines in service.
-func (d *Desk) Relend(plans []credit.Plan) {
-	d.enter()
-	if l := d.lending; l != nil {
-		l.book.Clock(l.shelf.Now())
-		l.book.Replan(plans)
+// Lines gives plans' lines of credit as the book has them, and whether any lends.
+func Lines(plans []logic.Plan) (all []credit.Plan, any bool) {
+	for _, p := range plans {
+		all = append(all, credit.Plan{Line: p.Credit * p.Rate, Repay: p.Repay})
+		any = any || p.Credit > 0 && p.Rate > 0
 	}
-	d.leave()
+	return all, any
+}
+
+// relend has the book go by plans that have changed in service.
+func (l *lending) relend(plans []logic.Plan) {
+	all, _ := Lines(plans)
+	l.book.Clock(l.shelf.Now())
+	l.book.Replan(all)
 }
 
 // settle pulls the book's decisions, under the lock. What is to be kept is kept before it returns; what is
--- a/internal/lifecycle/agree.go
+++ b/internal/lifecycle/agree.go
@@ -100,7 +100,7 @@
 	for name, i := range plans {
 		p := &c.Plans[i]
 		r.Plans[i] = accord.Plan{Name: name, Rate: p.Rate, Burst: p.Burst, CeilingRate: p.CeilingRate,
-			CeilingDepth: p.CeilingDepth}
+			CeilingDepth: p.CeilingDepth, Credit: p.Credit, Repay: p.Repay}
 	}
 	return r
 }
@@ -271,6 +271,8 @@
 			a.refuse("a charter that differs in what may not change")
 		}
 	})
+	a.g.agreedOn.Store(&c.Plans)
+	a.g.lend(c.Plans)
 	a.terms.Store(terms)
 	a.mode.Store(int64(t.Mode))
 	a.version.Store(t.Version)
@@ -306,6 +308,7 @@
 		if t.Mode == accord.Leased || t.Version != a.taken.Version {
 			a.of[i] = p.Of
 		}
+		q.Credit, q.Repay = p.Credit, p.Repay
 		q.CeilingRate, q.CeilingDepth = p.CeilingRate*a.of[i], p.CeilingDepth*a.of[i]
 		if a.of[i] > 0 {
 			withheld[i] = 1 - min(p.Of/a.of[i], 1)
--- a/internal/lifecycle/lend.go
+++ b/internal/lifecycle/lend.go
@@ -6,6 +6,7 @@
 
 	"willowdeck/internal/credit"
 	"willowdeck/internal/credit/book"
+	"willowdeck/internal/gate"
 	"willowdeck/internal/history"
 	"willowdeck/internal/wire"
 	"willowdeck/logic"
@@ -17,24 +18,15 @@
 // bookOf is where the book of credit is kept, beside the residue.
 const bookOf = ".credit"
 
-// lines gives plans' lines of credit as the book has them, and whether any lends.
-func lines(plans []logic.Plan) (all []credit.Plan, any bool) {
-	for _, p := range plans {
-		all = append(all, credit.Plan{Line: p.Credit * p.Rate, Repay: p.Repay})
-		any = any || p.Credit > 0 && p.Rate > 0
-	}
-	return all, any
-}
-
-// lend has the gatekeeper lend what plans allow. Nothing is lent where a sudden end would forget a debt, or
+// lend has the gatekeeper lend what plans allow, once any does: those of its settings, or of rules that are
+// agreed on later. Nothing is lent where a sudden end would forget a debt, or
 // where peers that share customers can't be told from their former lives.
-func (g *Gatekeeper) lend() {
+func (g *Gatekeeper) lend(by []logic.Plan) {
 	c := g.conf.Charter
-	plans, any := lines(c.Plans)
-	if !any {
-		return
-	}
+	plans, any := gate.Lines(by)
 	switch {
+	case !any || g.away.Load() || !g.lends.CompareAndSwap(false, true):
+		return
 	case g.conf.Residue == "":
 		g.log.Warn().Msg("settings.tariffs: credit_s lends nothing, as nothing is kept over a sudden end (residue)")
 		return
--- a/internal/lifecycle/replace.go
+++ b/internal/lifecycle/replace.go
@@ -117,6 +117,7 @@
 	if o == nil || !o.Awaited() {
 		return false
 	}
+	g.away.Store(true)
 	_ = g.limit.Close()         // from here on the heir is to accept
 	told := make(chan struct{}) // closed once the heir has the will, or could not be given it
 	var err error
--- a/internal/lifecycle/start.go
+++ b/internal/lifecycle/start.go
@@ -59,9 +59,14 @@
 	asking  atomic.Bool    // others are asked for their list
 	agreed  *agreement     // nil where no rules are agreed on
 	history *history.Log   // nil where no record is kept
-	said    time.Time      // when the log last told that the watch had ended
-	first   chan struct{}  // closed at the watch's first word or failure
-	once    sync.Once      // of that
+	lends   atomic.Bool    // credit is, or can't be
+	away    atomic.Bool    // its place is another process's, still or from here on
+
+	agreedOn atomic.Pointer[[]logic.Plan] // as rules that were adopted last have them; nil before any
+
+	said  time.Time     // when the log last told that the watch had ended
+	first chan struct{} // closed at the watch's first word or failure
+	once  sync.Once     // of that
 }
 
 // Start brings a gatekeeper up: when it returns, clients are served.
@@ -124,6 +129,7 @@
 	g.front = wire.NewFront(c.Names, c.Charter, g.forward(gate.New(g.desk, g.links)), g.up)
 	g.front.Nameless = g.vouch != nil && c.Forward.Asking.Customer != ""
 
+	g.away.Store(true) // until what was before it is known
 	if c.Agree != "" {
 		g.agree()
 	}
@@ -178,7 +184,12 @@
 // remember keeps what outlives a sudden end, and takes what one has left. Without it the gatekeeper starts as
 // ever.
 func (g *Gatekeeper) remember() {
-	g.lend()
+	g.away.Store(false)
+	plans := g.conf.Charter.Plans
+	if p := g.agreedOn.Load(); p != nil {
+		plans = *p
+	}
+	g.lend(plans)
 	if g.conf.Residue == "" {
 		return
 	}
--- a/logic/credit.go
+++ b/logic/credit.go
@@ -22,10 +22,10 @@
 func (g *Gatekeeper) Pressed() bool { return !g.spare() }
 
 // borrow draws what a txn's quota lacks, and tells whether it may go on. While workers are pressed nobody
-// borrows: other customers would pay for it. A loan takes nothing from the quota's stores; its repayment
-// does.
+// borrows, as other customers would pay for it, nor while quotas go without words. A loan takes nothing from
+// the quota's stores; its repayment does.
 func (g *Gatekeeper) borrow(t *txn, c *account) bool {
-	if g.lender == nil || g.signed.Plans[t.plan].Credit <= 0 || t.draws <= 0 || !g.spare() ||
+	if g.lender == nil || g.signed.Narrow || g.signed.Plans[t.plan].Credit <= 0 || t.draws <= 0 || !g.spare() ||
 		!g.lender.Lend(c.customer, t.plan, c.first, c.n, t.draws) {
 		return false
 	}
