--- a/internal/credit/credit.go
+++ b/internal/credit/credit.go
@@ -20,23 +20,28 @@
 )
 
 const (
-	parts    = 1000    // of a unit, that are booked; sums of whole numbers are exact
-	slots    = 8       // debts of a customer that are told apart by when they are due
-	partners = 6       // peers of a customer that anything is exchanged with; bounds what is kept
-	widest   = 64      // gatekeepers of a set at most; of a wider one each part is too little to draw
-	period   = 200.0   // ms between looks; small against any time of repayment
-	again    = 400.0   // ms until what has not been acknowledged is told again; several ways there and back
-	wantFor  = 2000.0  // ms that a refused loan is asked for among the peers; a burst's length
-	settled  = 10000.0 // ms without a txn until a peer's word on what the customer's set is now is taken
-	earnEach = 1000.0  // ms between looks at customers that owe nothing and earn what may have been drawn
-	early    = 0.8     // of the time of repayment in which debts are paid, so that a late look is in time
-	keepHalf = 0.5     // of its rights that one which is itself short of them keeps when asked for some
-	tellMost = 24      // customers told of to one peer at once
-	talkMost = 4096    // words that wait to be told; what finds no place is told later
-	lookMost = 4096    // customers looked at in a period, so that the lock is not held for long
-	askWide  = 4       // peers that are asked for rights at once; of a larger set, any of them
-	relief   = 0.8     // of its fill, above which a gatekeeper has others pay a part of a debt
-	fillTold = 2000.0  // ms that a peer's word on its fill is gone by
+	parts     = 1000    // of a unit, that are booked; sums of whole numbers are exact
+	slots     = 8       // debts of a customer that are told apart by when they are due
+	partners  = 6       // peers of a customer that anything is exchanged with; bounds what is kept
+	widest    = 64      // gatekeepers of a set at most; of a wider one each part is too little to draw
+	period    = 200.0   // ms between looks; small against any time of repayment
+	again     = 400.0   // ms until what has not been acknowledged is told again; several ways there and back
+	wantFor   = 2000.0  // ms that a refused loan is asked for among the peers; a burst's length
+	settled   = 10000.0 // ms without a txn until a peer's word on what the customer's set is now is taken
+	earnEach  = 1000.0  // ms between looks at customers that owe nothing and earn what may have been drawn
+	quiet     = 1000.0  // ms without a loan until debts are paid that could still be paid later; a burst's pauses
+	early     = 0.8     // of the time of repayment in which debts are paid, so that a late look is in time
+	keepHalf  = 0.5     // of its rights that one which is itself short of them keeps when asked for some
+	tellMost  = 24      // customers told of to one peer at once
+	tellPart  = 0.25    // of what a gatekeeper takes from peers, that words on credit may fill
+	tellRow   = 10.0    // messages in a row; to the others of a few customers' sets
+	talkMost  = 4096    // words that wait to be told; what finds no place is told later
+	lookMost  = 4096    // customers looked at in a period, so that the lock is not held for long
+	askWide   = 2       // peers that are asked for rights at once: those that said that they have most
+	relievers = 4       // peers that are asked what they credit, where this one's own fill can't pay
+	spareTold = 1000.0  // ms that a peer's word that it has no rights to spare is gone by
+	relief    = 0.8     // of its fill, above which a gatekeeper has others pay a part of a debt
+	fillTold  = 2000.0  // ms that a peer's word on its fill is gone by
 
 	// Part is how much of a customer's fill may have to go to its debts: a line is at most what it comes to
 	// within the time of repayment.
@@ -65,6 +70,7 @@
 type Terms struct {
 	Me, Gatekeepers int
 	Plans           []Plan
+	PeerInPerS      float64 // messages that a gatekeeper takes in a second; 0 is no limit
 }
 
 // Plan is a plan's line, in units, and within how many ms each unit drawn is paid back. A line of nought
@@ -80,6 +86,7 @@
 	Due                        float64
 	ackedR, ackedD             uint64
 	fill                       float64 // the peer's, units a ms, as it last said
+	spare                      float64 // and what it could hand on, parts
 	known                      bool    // and whether it knows what it holds
 	heardFill, toldAt, askedAt float64
 }
@@ -131,6 +138,7 @@
 	GaveR, GaveD, GotR, GotD uint64
 	Left                     float64 // part of the time of repayment left for the debts given, 0 to 1
 	Want                     uint64  // rights wished for, parts
+	Spare                    float64 // rights that could be handed on, units; 0 where there are none
 	Fill                     float64 // what the customer is credited here, units a s; 0 where it is not seen
 }
 
@@ -233,6 +241,7 @@
 	dirty   []int32
 	notes   []Decision // before what is to be kept
 	later   []Decision // and after
+	saidAll float64    // GCRA: the moment at which the part for words is whole again
 	talk    []talk
 	collect []int32
 	entries []Entry
@@ -359,6 +368,7 @@
 	if !a.Known || a.Rights < m {
 		a.want, a.wantAt = m, b.now
 		b.wake(at)
+		b.beg(at)
 		if !a.Known {
 			return Unsure
 		}
@@ -372,6 +382,10 @@
 	b.note(Lends, at, 0, m, 0)
 	b.touch(at)
 	b.wake(at)
+	if a.Rights < m && n > 1 { // the next one of the kind would be refused
+		a.want, a.wantAt = m, b.now
+		b.beg(at)
+	}
 	return Lent
 }
 
--- a/internal/credit/exchange.go
+++ b/internal/credit/exchange.go
@@ -46,7 +46,7 @@
 	if p == nil && !none { // it can't be kept, and so is not believed: the peer will say it again
 		return
 	}
-	if p != nil && (!none || e.Asks || e.Fill > 0) {
+	if p != nil && (!none || e.Asks || e.Fill > 0 || e.Spare > 0) {
 		p.use(from)
 	}
 	bit := uint64(1) << its
@@ -72,6 +72,7 @@
 	if p != nil && p.Used {
 		p.ackedR, p.ackedD = max(p.ackedR, e.GotR), max(p.ackedD, e.GotD)
 		p.fill, p.heardFill, p.known = e.Fill/1000, b.now, e.Known
+		p.spare = e.Spare * parts
 	}
 	if news {
 		b.touch(at)
@@ -207,15 +208,48 @@
 // some gives the others of a small set, or any few of a large one.
 func (b *Book) some(a *account) (which uint64) {
 	others := b.others(a)
-	if bits.OnesCount64(others) <= askWide {
+	if bits.OnesCount64(others) <= relievers {
 		return others
 	}
-	for bits.OnesCount64(which) < askWide {
+	for bits.OnesCount64(which) < relievers {
 		which |= others & (1 << b.rng.Intn(int(a.N)))
 	}
 	return which
 }
 
+// able gives a few of the others that may have rights to hand on: those who said that they have most, and of
+// whom nothing is known; any one where all lately said that they have none.
+func (b *Book) able(a *account) (which uint64) {
+	left := b.others(a)
+	for range askWide {
+		best, most := -1, 0.0
+		from := b.rng.Intn(int(a.N)) // of several alike, any
+		for k := range int(a.N) {
+			place := (from + k) % int(a.N)
+			if left&(1<<place) == 0 {
+				continue
+			}
+			spare := float64(a.want) // of whom nothing is known
+			if p := b.pair(a, (int(a.First)+place)%b.terms.Gatekeepers); p != nil && p.Used &&
+				int(p.Peer) == (int(a.First)+place)%b.terms.Gatekeepers && b.now-p.heardFill < spareTold {
+				spare = p.spare
+			}
+			if spare > most {
+				best, most = place, spare
+			}
+		}
+		if best < 0 {
+			break
+		}
+		which |= 1 << best
+		left &^= 1 << best
+	}
+	for which == 0 && left != 0 {
+		which = left & (1 << b.rng.Intn(int(a.N)))
+	}
+	return which
+}
+
 // say has a word wait for a peer.
 func (b *Book) say(at int32, to int) {
 	a := &b.all[at]
@@ -246,6 +280,9 @@
 	if a.looked > 0 && b.now-a.looked < fillTold {
 		e.Fill = a.fill * 1000
 	}
+	if a.Known && a.Rights > 0 && !(b.short(a) && a.Rights < a.want) {
+		e.Spare = float64(a.Rights) / parts
+	}
 	if b.short(a) && a.Known && a.Rights < a.want {
 		e.Want = uint64(a.want)
 	}
@@ -279,6 +316,32 @@
 	}
 }
 
+// beg asks the others of a set for rights that are wanted here, or for what is needed to know what is held.
+func (b *Book) beg(at int32) {
+	a := &b.all[at]
+	if !b.short(a) && !b.unsure(a) || b.now-a.askedAt < again {
+		return
+	}
+	a.askedAt = b.now
+	switch {
+	case !a.Known:
+		a.asks = b.others(a) &^ a.heard
+	case a.Rights < a.want:
+		a.asks = b.able(a)
+	}
+	b.sayAll(at, a.asks)
+}
+
+// need is how much of a span's fill has to go to debts. While a customer borrows that is nothing, as long as a
+// part of its later fill is enough to pay all in time.
+func (b *Book) need(a *account, span float64) float64 {
+	pace := a.pace(b.now)
+	if b.now-a.seen < quiet && pace < a.fill*Part*parts {
+		return 0
+	}
+	return math.Min(pace*span, float64(a.owed())) / parts
+}
+
 // open tells whether a customer is to be looked at.
 func (b *Book) open(a *account) bool {
 	if !a.Live || int(a.Plan) >= len(b.lines) {
@@ -304,16 +367,7 @@
 	if a.owed() > 0 && a.Known {
 		b.relieve(at)
 	}
-	if (b.short(a) || b.unsure(a)) && b.now-a.askedAt >= again {
-		a.askedAt = b.now
-		switch {
-		case !a.Known:
-			a.asks = b.others(a) &^ a.heard
-		case a.Rights < a.want:
-			a.asks = b.some(a)
-		}
-		b.sayAll(at, a.asks)
-	}
+	b.beg(at)
 	for i := range a.Pairs {
 		if p := &a.Pairs[i]; p.Used && (p.GaveR > p.ackedR || p.GaveD > p.ackedD) && b.now-p.toldAt >= again {
 			b.say(at, int(p.Peer))
@@ -346,7 +400,7 @@
 			return b.Next()
 		}
 	}
-	if len(b.talk) > 0 {
+	if len(b.talk) > 0 && b.may() {
 		to, kept := b.talk[0].peer, b.talk[:0]
 		b.entries = b.entries[:0]
 		for _, t := range b.talk {
@@ -367,10 +421,23 @@
 		a.looked = b.now
 		owed := float64(a.owed())
 		return Decision{Act: Collect, Customer: a.Customer, Plan: int(a.Plan), N: int(a.N), Span: span,
-			Need: math.Min(a.pace(b.now)*span, owed) / parts, Most: (owed + float64(max(a.Earn, 0))) / parts}, true
+			Need: b.need(a, span), Most: (owed + float64(max(a.Earn, 0))) / parts}, true
 	}
 	return Decision{}, false
 }
 
+// may tells whether one more message fits the part for words, and counts it. What waits meanwhile goes together.
+func (b *Book) may() bool {
+	rate := b.terms.PeerInPerS * tellPart / 1000
+	if rate <= 0 {
+		return true
+	}
+	if b.saidAll = math.Max(b.saidAll, b.now); b.saidAll-b.now > (tellRow-1)/rate {
+		return false
+	}
+	b.saidAll += 1 / rate
+	return true
+}
+
 // Busy tells whether anything is open, so that the host has to look again within a period.
-func (b *Book) Busy() bool { return len(b.active) > 0 }
+func (b *Book) Busy() bool { return len(b.active)+len(b.talk) > 0 }
--- a/internal/emu/baseline.go
+++ b/internal/emu/baseline.go
@@ -10,7 +10,7 @@
 // newBrain makes what decides at an instance.
 func (w *world) newBrain(num int, seed int64) brain {
 	var b brain
-	if w.s.Policy == "willowdeck" {
+	if w.s.Policy == "willowdeck" || w.s.Policy == "deep" {
 		b = logic.New(w.s.charter(num), seed)
 	} else {
 		b = &baseline{w: w, num: num, rng: rand.New(rand.NewSource(seed)), txns: map[uint64]*plain{},
@@ -123,7 +123,7 @@
 		parts, stores, caps = float64(max(a.SetSize, 1)), b.slices, b.caps
 	}
 	c := int(a.Customer)
-	holds := math.Max(p.Burst/parts, b.w.s.largest())
+	holds := math.Max(p.Burst/parts, b.w.s.largest()) + p.Credit*p.Rate/parts
 	s := stores[c]
 	if s == nil {
 		s = &bucket{level: holds, at: b.now}
--- a/internal/emu/gatekeeper.go
+++ b/internal/emu/gatekeeper.go
@@ -22,6 +22,7 @@
 	txns    map[uint64]*txn
 	wakeAt  float64
 	told    []told        // by worker: what it knows of the list
+	lender  *lender       // nil where no plan has credit
 	left    *logic.Estate // what its former life knew, as far as it is kept
 }
 
@@ -63,6 +64,9 @@
 	g.up, g.held, g.pending = true, false, nil
 	g.txns, g.wakeAt = map[uint64]*txn{}, 0
 	g.brain = g.w.newBrain(g.num, g.source.Int63())
+	if m, ok := g.brain.(*logic.Gatekeeper); ok {
+		g.lend(m)
+	}
 	g.told = make([]told, len(g.w.workers))
 	var list []logic.Posting
 	for i, x := range g.w.workers {
@@ -187,8 +191,13 @@
 	}
 	g.brain.Clock(g.w.now)
 	f(g.brain)
+	m, lends := g.brain.(*logic.Gatekeeper)
+	lends = lends && g.lender != nil
 	for {
 		d, ok := g.brain.Next()
+		if lends {
+			g.lender.settle(m)
+		}
 		if !ok {
 			return
 		}
--- a/internal/emu/result.go
+++ b/internal/emu/result.go
@@ -27,8 +27,10 @@
 	Submissions      int64
 	Full             int64 // turned away by a worker
 	OverUnits        float64
-	Messages         int64 // to peers
-	Stray            int64 // decisions on txns that are not in hand
+	Messages         int64 // to peers, but for those of credit
+	CreditMessages   int64
+	Lent, RepaidLate float64 // units borrowed, and paid back after their time
+	Stray            int64   // decisions on txns that are not in hand
 	Events           int64
 	Mean             float64
 	P50, P99, P999   float64 // ms from the moment the client meant to send
@@ -99,6 +101,7 @@
 // finish reckons what is known at the end only.
 func (w *world) finish() {
 	r := w.res
+	w.lent()
 	if r.Offered > 0 {
 		r.Score = r.Served / r.Offered
 	}
--- a/internal/emu/scenario.go
+++ b/internal/emu/scenario.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strings"
 
+	"willowdeck/internal/credit"
 	"willowdeck/internal/judge"
 	"willowdeck/internal/strict"
 	"willowdeck/internal/traffic"
@@ -57,6 +58,8 @@
 		Fee          float64 `toml:"excess_fee"`
 		Units        float64
 		Spread       int     // of its customers' sets; 0 is as for all
+		Credit       float64 `toml:"credit_s"` // of its rate that may be borrowed
+		Repay        float64 `toml:"repay_s"`  // until that is paid back
 		Skew         float64 // how unevenly txns come through a set, by Zipf's law
 	}
 	Workers struct {
@@ -126,6 +129,7 @@
 var Policies = map[string]string{
 	"willowdeck": "the project's module",
 	"open":       "baseline: lets all in, to random workers",
+	"deep":       "the project's module, with lines of credit made part of bursts",
 	"static":     "baseline: each gatekeeper holds an equal part of each quota, random workers",
 	"seer":       "baseline: sees every quota and worker as it is",
 }
@@ -199,6 +203,8 @@
 	for i := range s.Plans {
 		m[fmt.Sprintf("plans[%d].asks", i)] = number(&s.Plans[i].Asks)
 		m[fmt.Sprintf("plans[%d].rate", i)] = number(&s.Plans[i].Rate)
+		m[fmt.Sprintf("plans[%d].burst", i)] = number(&s.Plans[i].Burst)
+		m[fmt.Sprintf("plans[%d].credit_s", i)] = number(&s.Plans[i].Credit)
 	}
 	for i := range s.Faults {
 		m[fmt.Sprintf("faults[%d].part", i)] = number(&s.Faults[i].Part)
@@ -273,9 +279,13 @@
 			in(key+"ceiling_depth", p.CeilingDepth, 0, 1e7), in(key+"asks", p.Asks, 0, 1000),
 			in(key+"factor", p.Factor, 0, 1000), in(key+"excess_share", p.Excess, 0, 1),
 			in(key+"excess_fee", p.Fee, 0, 100), in(key+"units", p.Units, 1, 1e6),
-			in(key+"spread", float64(p.Spread), 0, float64(g.Count)), in(key+"skew", p.Skew, 0, 10)); err != nil {
+			in(key+"spread", float64(p.Spread), 0, float64(g.Count)), in(key+"skew", p.Skew, 0, 10),
+			in(key+"credit_s", p.Credit, 0, 1e5), in(key+"repay_s", p.Repay, 0, 1e5)); err != nil {
 			return first(err)
 		}
+		if p.Credit > p.Repay*credit.Part {
+			return fmt.Errorf("%srepay_s: in %v s a half of the fill does not pay %v s back", key, p.Repay, p.Credit)
+		}
 	}
 	for i := range s.Shapes {
 		if _, err := s.shape(i); err != nil {
@@ -410,8 +420,12 @@
 			Repeat: repeats[p.Repeat], Group: groups[p.Group], Window: p.WindowMS})
 	}
 	for _, p := range s.Plans {
-		c.Plans = append(c.Plans, logic.Plan{Rate: p.Rate, Burst: p.Burst, CeilingRate: p.Ceiling,
-			CeilingDepth: p.CeilingDepth, Factor: p.Factor, ExcessShare: p.Excess, ExcessFee: p.Fee})
+		q := logic.Plan{Rate: p.Rate, Burst: p.Burst, CeilingRate: p.Ceiling, CeilingDepth: p.CeilingDepth,
+			Factor: p.Factor, ExcessShare: p.Excess, ExcessFee: p.Fee, Credit: p.Credit, Repay: p.Repay * 1000}
+		if s.Policy == "deep" {
+			q.Burst, q.Credit = q.Burst+q.Credit*q.Rate, 0
+		}
+		c.Plans = append(c.Plans, q)
 	}
 	return c
 }
--- a/internal/lab/table.go
+++ b/internal/lab/table.go
@@ -16,7 +16,7 @@
 var columns = []string{"experiment", "scenario", "policy", "key", "value", "seed", "build",
 	"score", "offered", "served", "asked", "tries", "settled", "late", "declined", "voided", "failed", "lost",
 	"submissions", "full", "over_units", "messages", "events", "mean_ms", "p50_ms", "p99_ms", "p999_ms",
-	"rule1", "rule2", "rule3", "rule4", "rule5", "falls", "near_fall", "worst_product", "worst_plan", "starved"}
+	"rule1", "rule2", "rule3", "rule4", "rule5", "falls", "near_fall", "worst_product", "worst_plan", "starved", "credit_messages", "lent", "repaid_late"}
 
 const (
 	figuresFrom = 7
@@ -43,7 +43,7 @@
 		out = append(out, strconv.Itoa(r.Breaks[rule]))
 	}
 	return append(out, strconv.Itoa(r.Falls), f(r.NearFall), f(emu.Worst(r.Products).Share()),
-		f(emu.Worst(r.Plans).Share()), f(r.Starved))
+		f(emu.Worst(r.Plans).Share()), f(r.Starved), d(r.CreditMessages), f(r.Lent), f(r.RepaidLate))
 }
 
 // whole writes a file beside its place and moves it there: what is stopped leaves none that passes for whole.
--- a/internal/lifecycle/lend.go
+++ b/internal/lifecycle/lend.go
@@ -39,7 +39,8 @@
 		g.log.Warn().Err(err).Msg("nothing is lent")
 		return
 	}
-	t := credit.Terms{Me: c.Me, Gatekeepers: int(g.members.Load()), Plans: plans}
+	t := credit.Terms{Me: c.Me, Gatekeepers: int(g.members.Load()), Plans: plans,
+		PeerInPerS: c.PeerInPerS}
 	b := credit.New(t, g.conf.Seed, f.Born)
 	b.Clock(f.Now())
 	for _, k := range f.Records {
--- a/internal/wire/ledger/ledger.go
+++ b/internal/wire/ledger/ledger.go
@@ -5,7 +5,7 @@
 // entry, the customer's number in four bytes, big-endian, one of its plan, one of how many gatekeepers its
 // set has, two each of the first of them and of the form, and one of flags. Counters follow as unsigned
 // varints, and by flag the question's number, the number that is answered, the rights wished for, the time
-// left for debts in 255ths, and the fill, logarithmic.
+// left for debts in 255ths, and the fill and the rights to spare, logarithmic.
 package ledger
 
 import (
@@ -28,7 +28,7 @@
 	Limit = 256 - 9
 
 	known, virgin, asks, answers = 1, 2, 4, 8
-	wants, owes, fills           = 16, 32, 64
+	wants, owes, fills, spares   = 16, 32, 64, 128
 	step, least                  = 1.0 / 4, 1.0 / 1024 // of a power of two; units a second
 )
 
@@ -56,7 +56,7 @@
 		bit byte
 		on  bool
 	}{{known, e.Known}, {virgin, e.Virgin}, {asks, e.Asks}, {answers, e.Answers}, {wants, e.Want > 0},
-		{owes, e.GaveD > 0}, {fills, e.Fill > least}} {
+		{owes, e.GaveD > 0}, {fills, e.Fill > least}, {spares, e.Spare > least}} {
 		if f.on {
 			flags |= f.bit
 		}
@@ -78,11 +78,20 @@
 		b = append(b, byte(math.Min(math.Max(e.Left, 0), 1)*math.MaxUint8))
 	}
 	if e.Fill > least {
-		b = append(b, byte(math.Min(1+math.Round(math.Log2(e.Fill/least)/step), math.MaxUint8)))
+		b = append(b, pack(e.Fill))
+	}
+	if e.Spare > least {
+		b = append(b, pack(e.Spare))
 	}
 	return b
 }
 
+func pack(v float64) byte {
+	return byte(math.Min(1+math.Round(math.Log2(v/least)/step), math.MaxUint8))
+}
+
+func unpack(v byte) float64 { return least * math.Exp2(float64(v)*step-step) }
+
 var errShort = errors.New("it ends within an entry")
 
 // reader takes fields off a message; after the first that is not there all are nought.
@@ -146,7 +155,10 @@
 			e.Left = float64(r.take(1)[0]) / math.MaxUint8
 		}
 		if flags&fills > 0 {
-			e.Fill = least * math.Exp2(float64(r.take(1)[0])*step-step)
+			e.Fill = unpack(r.take(1)[0])
+		}
+		if flags&spares > 0 {
+			e.Spare = unpack(r.take(1)[0])
 		}
 		dst = append(dst, e)
 	}
--- a/internal/wire/ledger/ledger_test.go
+++ b/internal/wire/ledger/ledger_test.go
@@ -19,6 +19,7 @@
 		}
 		if i%5 == 0 {
 			e.Answers, e.Echo, e.GaveD, e.Left, e.Fill = true, 9, 77, 51.0/255, 8
+			e.Spare = 0.5
 		}
 		all = append(all, e)
 	}
