--- a/internal/credit/rig/rig_test.go
+++ b/internal/credit/rig/rig_test.go
@@ -255,7 +255,8 @@
 	}
 	w := window(1000) // for how much passed at once
 	f.t.Logf("lent %.0f, repaid %.2f, earned %.2f, rights handed %.2f, debts moved %.2f, "+
-		"%.0f%% of the line at once; %.0f of %.0f units at once passed (and %.0f a second); answers %v", a.Lent, a.Repaid, a.Earned, a.Handed,
+		"%.0f%% of the line at once; %.0f of %.0f units at once passed (and %.0f a second); answers %v",
+		a.Lent, a.Repaid, a.Earned, a.Handed,
 		a.Moved, 100*a.Most, w.Most*1000, burst+most, rate, f.got)
 	return a
 }
--- a/logic/credit.go
+++ b/logic/credit.go
@@ -71,9 +71,17 @@
 		return 0, fill
 	}
 	c.level = math.Max(c.level-took, -g.holds(p, p.rate))
-	c.whole -= took
+	c.lag += took
+	c.withhold()
 	if !g.blind(c) {
 		c.unsaid += took
 	}
 	return took, fill
 }
+
+// withhold takes what was repaid from the quota's one store, as it fills. Guards against a store that has less
+// than nothing: with what is spent next it has nothing, and what was taken of it would be there again.
+func (c *account) withhold() {
+	paid := math.Min(c.lag, math.Max(c.whole, 0))
+	c.whole, c.lag = c.whole-paid, c.lag-paid
+}
--- /dev/null
+++ b/logic/credit_test.go
@@ -0,0 +1,131 @@
+package logic
+
+import (
+	"math"
+	"testing"
+)
+
+// purse lends up to a line, and counts.
+type purse struct{ line, lent, undone float64 }
+
+func (p *purse) Lend(_ uint64, _, _, _ int, units float64) bool {
+	if p.lent-p.undone+units > p.line {
+		return false
+	}
+	p.lent += units
+	return true
+}
+
+func (p *purse) Undo(_ uint64, units float64) { p.undone += units }
+
+func lends(c *Charter) {
+	c.Gatekeepers = 1
+	c.Plans[0].Credit, c.Plans[0].Repay = 1, 4000
+}
+
+// beyond gives by how much a customer that asks without end for a minute passes more than its rate, its burst
+// and the line come to, in any window; nil lends nothing.
+func beyond(t *testing.T, seed int64, p *purse, line float64) (most float64, passed int) {
+	h := newHost(t, charterFor(InquiryLike, lends), seed, 3)
+	if p != nil {
+		h.g.Borrow(p)
+	}
+	level, last, due, repaid := 20+line, h.now, h.now+200, 0.0
+	h.ask(40, 60000, func() {
+		level = math.Min(level+(h.now-last)*10/1000, 20+line)
+		if last = h.now; len(h.sent) > passed {
+			level -= float64(len(h.sent) - passed)
+			passed = len(h.sent)
+		}
+		if most = math.Max(most, -level); p != nil && h.now >= due {
+			owed := p.lent - p.undone - repaid
+			took, _ := h.g.Repay(7, 0, 1, owed/10, owed, 200)
+			repaid, p.line, due = repaid+took, p.line+took, due+200
+		}
+	})
+	return most, passed
+}
+
+// A customer that never stops asking passes, in any window, no more with credit than its rate, its burst and
+// the line come to, besides what the quota alone lets pass: what is repaid goes out of its fill, all of it.
+func TestPassesRateBurstAndLine(t *testing.T) {
+	for seed := range int64(5) {
+		bare, without := beyond(t, seed, nil, 0)
+		p := &purse{line: 10}
+		most, with := beyond(t, seed, p, 10)
+		if most > bare+1 || with < without || with > without+12 || p.lent < 20 {
+			t.Errorf("seed %d: %.2f beyond, %.2f without credit; %d and %d passed, %.0f lent", seed, most, bare, with,
+				without, p.lent)
+		}
+	}
+}
+
+// No loan while workers are pressed, beyond a ceiling, while quotas go without words, or for a plan without
+// credit; and one whose txn is not submitted is given back.
+func TestNoLoan(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		change       func(*Charter)
+		workers      int
+		press        float64
+		lent, undone float64
+	}{
+		{"lent", lends, 3, 0, 10, 0},
+		{"pressed", lends, 3, 0.2, 0, 0},
+		{"no credit", func(c *Charter) { c.Gatekeepers = 1 }, 3, 0, 0, 0},
+		{"narrow", func(c *Charter) { lends(c); c.Narrow = true }, 3, 0, 0, 0},
+		{"a ceiling", func(c *Charter) {
+			lends(c)
+			c.Plans[0].CeilingRate, c.Plans[0].CeilingDepth = 1e-3, 22
+		}, 3, 0, 2, 0},
+		{"no worker", lends, 0, 0, 10, 10},
+	} {
+		h := newHost(t, charterFor(InquiryLike, c.change), 1, c.workers)
+		h.at(h.now + 1e6) // a ceiling counts as spent at a start
+		if c.name == "a ceiling" {
+			h.at(h.now + 22e6)
+		}
+		p := &purse{line: 10}
+		h.g.Borrow(p)
+		h.g.press, h.g.window = c.press, 50
+		if c.workers == 0 {
+			h.txn(7, 1)
+			a := &h.g.accounts[h.g.byKey[7]]
+			a.level, a.whole = 0, 0
+		}
+		for range 60 {
+			if s := h.txn(7, 1); s.final == 0 {
+				h.g.press = c.press
+				h.ended(s, 0, Settled, 20)
+				h.g.press = c.press
+			}
+		}
+		if p.lent-p.undone != c.lent-c.undone || c.undone > 0 && p.undone == 0 {
+			t.Errorf("%s: %v lent, %v given back", c.name, p.lent, p.undone)
+		}
+	}
+}
+
+// A decision lent, and one within the quota: nothing is allocated for credit.
+func BenchmarkBorrow(b *testing.B) {
+	for _, rate := range []float64{1e9, 1e-6} {
+		b.Run(map[bool]string{true: "within", false: "lent"}[rate > 1], func(b *testing.B) {
+			c := charterFor(InquiryLike, lends)
+			c.Plans[0].Rate, c.Plans[0].Burst = rate, rate
+			g := New(c, 1)
+			g.Borrow(&purse{line: math.Inf(1)})
+			g.Clock(1000)
+			g.Roster([]Posting{{Worker: 0, Active: true}}, false)
+			b.ReportAllocs()
+			for i := range b.N {
+				g.Clock(1000 + float64(i)/1000)
+				g.Take(Arrival{ID: uint64(i + 1), Customer: 7, Units: 1, SetSize: 1, Left: 900})
+				for d, ok := g.Next(); ok; d, ok = g.Next() {
+					if d.Kind == Submit {
+						g.Ended(d.Txn, 0, Settled, 1, true)
+					}
+				}
+			}
+		})
+	}
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -38,6 +38,7 @@
 	unsaid              float64 // units sent on since the last report
 	said, saidAt, known float64 // demand last reported, when, and what was left of the one before
 	out, lent           int     // submissions out or cleared, and of these the predecessor's
+	lag                 float64 // repaid, and not yet taken from whole
 	kept, keptDraws     float64 // units of txns that may yet be sent on; what they then take from the quota
 }
 
@@ -352,6 +353,9 @@
 // asked adds to a customer's demand here.
 func (g *Gatekeeper) asked(c *account, draws float64) {
 	p := &g.plans[c.plan]
+	if c.lag > 0 {
+		c.withhold()
+	}
 	c.demand = c.demand*math.Exp((c.seen-g.now)/p.memory) + draws/p.memory
 	c.lately = c.lately*math.Exp((c.seen-g.now)/demandMemory) + draws/demandMemory
 	c.seen = g.now
