--- a/internal/credit/credit.go
+++ b/internal/credit/credit.go
@@ -39,6 +39,7 @@
 	lookMost  = 4096    // customers looked at in a period, so that the lock is not held for long
 	askWide   = 2       // peers that are asked for rights at once: those that said that they have most
 	relievers = 4       // peers that are asked what they credit, where this one's own fill can't pay
+	vainMost  = 2       // doublings of the pause between questions for rights that none have come on
 	spareTold = 1000.0  // ms that a peer's word that it has no rights to spare is gone by
 	relief    = 0.8     // of its fill, above which a gatekeeper has others pay a part of a debt
 	fillTold  = 2000.0  // ms that a peer's word on its fill is gone by
@@ -123,6 +124,7 @@
 	looked         float64 // last collected
 	fill           float64 // units a ms that it is credited here, as last seen
 	askedAt        float64
+	vain           int // times in a row that rights were asked for and none came
 	active, dirty  bool
 }
 
--- a/internal/credit/exchange.go
+++ b/internal/credit/exchange.go
@@ -88,8 +88,9 @@
 	}
 	if e.Asks {
 		a.reply, a.echo = bit, e.Nonce // one question at a time: others are asked again
-		a.sought = b.now
-		b.sum.Asked++
+		if b.sum.Asked++; e.Known {    // what is held here is asked for, or what is credited
+			a.sought = b.now
+		}
 		b.say(at, from)
 		b.wake(at) // for the next answer to say what is credited here
 	}
@@ -110,7 +111,7 @@
 	}
 	if e.GaveR > p.GotR {
 		m := int64(e.GaveR - p.GotR)
-		a.Rights += m
+		a.Rights, a.vain = a.Rights+m, 0
 		p.GotR, news = e.GaveR, true
 		b.sum.Taken += float64(m) / parts
 		b.note(Takes, at, int(p.Peer), m, p.GotR)
@@ -319,7 +320,7 @@
 // beg asks the others of a set for rights that are wanted here, or for what is needed to know what is held.
 func (b *Book) beg(at int32) {
 	a := &b.all[at]
-	if !b.short(a) && !b.unsure(a) || b.now-a.askedAt < again {
+	if !b.short(a) && !b.unsure(a) || b.now-a.askedAt < again*float64(int(1)<<a.vain) {
 		return
 	}
 	a.askedAt = b.now
@@ -327,7 +328,7 @@
 	case !a.Known:
 		a.asks = b.others(a) &^ a.heard
 	case a.Rights < a.want:
-		a.asks = b.able(a)
+		a.asks, a.vain = b.able(a), min(a.vain+1, vainMost)
 	}
 	b.sayAll(at, a.asks)
 }
--- a/logic/credit.go
+++ b/logic/credit.go
@@ -61,6 +61,9 @@
 	if fill = c.share; !c.hot || c.n == 1 { // what all its gatekeepers credit adds up to the rate
 		fill = p.rate / float64(c.n)
 	}
+	if g.sparse(c) { // what is credited as demand comes
+		fill = c.share + p.rate*(1-beta)*math.Min(g.own(c)/math.Max(g.total(c), 1e-12), 1)
+	}
 	took = math.Min(need, fill*span)
 	over := c.level - fullEnough*g.startLevel(c)
 	if !g.blind(c) {
--- a/logic/credit_test.go
+++ b/logic/credit_test.go
@@ -60,6 +60,23 @@
 	}
 }
 
+// What is repaid out of an empty store stays repaid, whatever comes next: a peer's word, a txn that the slice
+// lets in. Both leave a store at nothing that would be under it.
+func TestRepaidStaysRepaid(t *testing.T) {
+	h := newHost(t, charterFor(InquiryLike, func(c *Charter) { lends(c); c.Gatekeepers = 2 }), 1, 3)
+	h.ask(100, 1000, nil)
+	c := &h.g.accounts[h.g.byKey[7]]
+	c.whole, c.level, c.filled = 0.5, 5, h.now
+	if took, _ := h.g.Repay(7, 0, 2, 2, 2, 2000); took < 1.9 {
+		t.Fatalf("%v taken", took)
+	}
+	left := c.whole - c.lag
+	h.g.Hear(1, []Report{{Customer: 7, Plan: 0, Demand: 1}})
+	if h.txn(7, 1); c.whole-c.lag > left+1e-9 {
+		t.Errorf("%v in the store, and then %v", left, c.whole-c.lag)
+	}
+}
+
 // No loan while workers are pressed, beyond a ceiling, while quotas go without words, or for a plan without
 // credit; and one whose txn is not submitted is given back.
 func TestNoLoan(t *testing.T) {
