--- a/internal/accord/check.go
+++ b/internal/accord/check.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"math"
 	"slices"
+
+	"willowdeck/internal/credit"
 )
 
 // What the promise rests on, and what bounds the state. Times in ms.
@@ -136,6 +138,9 @@
 			return fmt.Errorf("%s.credit_s: there is no rate to pay it back from", key)
 		case p.Credit > 0 && !(p.Repay > 0):
 			return fmt.Errorf("%s.repay_s: credit_s needs one", key)
+		case p.Credit > p.Repay/1000*credit.Part:
+			return fmt.Errorf("%s.repay_s: in %v a half of the fill pays %v back, and credit_s is %v", key,
+				p.Repay/1000, p.Repay/1000*credit.Part, p.Credit)
 		case (p.CeilingRate > 0) != (p.CeilingDepth > 0):
 			return fmt.Errorf("%s.ceiling_rate: it and ceiling_depth need each other", key)
 		}
--- a/internal/gate/desk.go
+++ b/internal/gate/desk.go
@@ -204,7 +204,7 @@
 		return false
 	}
 	if d.lending != nil {
-		d.lending.relend(c.Plans)
+		d.lending.relend(&c)
 	}
 	if d.terms != nil {
 		d.terms.End()
--- a/internal/gate/lend.go
+++ b/internal/gate/lend.go
@@ -98,10 +98,11 @@
 	return all, any
 }
 
-// relend has the book go by plans that have changed in service.
-func (l *lending) relend(plans []logic.Plan) {
-	all, _ := Lines(plans)
+// relend has the book go by a charter that has changed in service.
+func (l *lending) relend(c *logic.Charter) {
+	all, _ := Lines(c.Plans)
 	l.book.Clock(l.shelf.Now())
+	l.book.Resize(max(c.Gatekeepers, 1))
 	l.book.Replan(all)
 }
 
