--- a/internal/council/council.go
+++ b/internal/council/council.go
@@ -24,8 +24,8 @@
 	// Form is the version of what daemons say to each other. Another one is refused.
 	Form = 1
 
-	longest     = 4 << 20                 // bytes of a message between daemons: rules of 500 members are some 100 kB
-	longestWord = 256 << 10               // bytes of one entry
+	longest     = 8 << 20                 // bytes of a message between daemons: a snapshot with the longest rules, and some
+	longestWord = 1 << 20                 // bytes of an entry: 4,096 words on workers and 500 members are half of it
 	mostQueued  = 512                     // messages that wait for one daemon; at two or three each tick, seconds of them
 	mostIn      = 256                     // posts that wait for the log
 	mostHeard   = 64                      // disks whose writes are remembered
@@ -55,27 +55,34 @@
 	Hosts   []Host            // all of them
 	Reach   map[string]string // address that is used in place of a host's
 	Found   bool              // a council is founded, once all hosts are there and have nothing of any
-	Read    time.Duration     // between two reads
 	Greet   time.Duration     // between two hellos
 	Tick    time.Duration     // the library's unit of time
 	Compact uint64            // entries between two snapshots
 
-	wrong func() error // for tests: what the disk says to a write
+	wrong func() error          // for tests: what the disk says to a write
+	link  func(to string) error // for tests: what becomes of a post to an address
 }
 
 // Machine is what the log is about. Its methods are called from one goroutine, and may not wait.
 type Machine interface {
-	// Apply takes an entry. All daemons' machines take the same ones in the same order.
-	Apply(data []byte)
-	// Save gives all state that Apply has made, and Load takes it in its place.
+	// Apply takes an entry. All daemons' machines take the same ones in the same order. After an error this
+	// one can't go on: the daemon has no voice in the council any more.
+	Apply(data []byte) error
+	// Save gives all state that Apply has made, and Load takes it in its place; nothing is the state at first.
 	Save() ([]byte, error)
 	Load([]byte) error
-	// Turn is called each time something may have changed, at least once a tick. It gives what to propose.
-	Turn(Turn) [][]byte
+	// Turn is called each time something may have changed, at least once a tick.
+	Turn(Turn) Wish
 	// Read tells that all that had been decided at begun, by this process's clock, has been applied.
 	Read(begun time.Time)
 }
 
+// Wish is what a Machine wants done.
+type Wish struct {
+	Read    bool     // what is the latest, as of now; it may be lost
+	Propose [][]byte // entries, which may be lost
+}
+
 // Turn is how things stand for a Machine.
 type Turn struct {
 	Now    time.Time
@@ -155,7 +162,7 @@
 	for _, d := range []struct {
 		at    *time.Duration
 		usual time.Duration
-	}{{&ch.Tick, tickEach}, {&ch.Greet, greetEach}, {&ch.Read, 250 * time.Millisecond}} {
+	}{{&ch.Tick, tickEach}, {&ch.Greet, greetEach}} {
 		if *d.at <= 0 {
 			*d.at = d.usual
 		}
@@ -437,7 +444,7 @@
 	lead    uint64
 	reads   map[uint64]time.Time
 	readNo  uint64
-	readAt  time.Time
+	again   bool // a read is due
 	failed  error
 	began   time.Time
 	asked   time.Time // when it last asked to be a member, or saw to it who is one
--- a/internal/council/log.go
+++ b/internal/council/log.go
@@ -89,14 +89,15 @@
 		if st.Lead != v.lead {
 			v.lead = st.Lead
 			v.c.log.Info().Str("leader", v.members[st.Lead]).Uint64("term", st.Term).Msg("council: leader")
-			v.readAt = time.Time{} // what the last one did not answer
+			v.again = true // what the last one did not answer
 		}
 		v.stands(st)
-		if st.Lead != 0 && time.Since(v.readAt) >= v.c.charter.Read {
+		wish := v.c.machine.Turn(Turn{Now: time.Now(), Leads: st.RaftState == raft.StateLeader,
+			Term: st.Term, Leader: v.members[st.Lead], Member: slices.Contains(v.conf.Voters, v.s.self.id())})
+		if st.Lead != 0 && (wish.Read || v.again) {
 			v.read()
 		}
-		for _, data := range v.c.machine.Turn(Turn{Now: time.Now(), Leads: st.RaftState == raft.StateLeader,
-			Term: st.Term, Leader: v.members[st.Lead], Member: slices.Contains(v.conf.Voters, v.s.self.id())}) {
+		for _, data := range wish.Propose {
 			v.propose(data)
 		}
 		if !v.rn.HasReady() {
@@ -177,7 +178,7 @@
 	v.applied = e.Index
 	if e.Type == raftpb.EntryNormal {
 		if len(e.Data) > 0 {
-			v.c.machine.Apply(e.Data)
+			return v.c.machine.Apply(e.Data)
 		}
 		return nil
 	}
@@ -244,12 +245,12 @@
 
 // read asks for the log's end as it is from now on.
 func (v *life) read() {
-	v.readAt = time.Now()
+	v.again = false
 	v.readNo++
 	if len(v.reads) >= mostReads {
 		clear(v.reads) // lost, as a leader's are that is no more
 	}
-	v.reads[v.readNo] = v.readAt
+	v.reads[v.readNo] = time.Now()
 	v.rn.ReadIndex(place(v.readNo))
 }
 
--- /dev/null
+++ b/internal/council/seat.go
@@ -0,0 +1,420 @@
+package council
+
+import (
+	"bytes"
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"math"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"willowdeck/internal/accord"
+	"willowdeck/internal/history"
+)
+
+const (
+	// proposeEach is how often what was proposed and not answered is proposed again.
+	proposeEach = 500 * time.Millisecond
+	lagAfter    = 3000.0 // ms behind another's list of discovery until one is named
+)
+
+// Seat is a daemon's part in agreeing on the rules: accord's council on the log, its steward for the gatekeepers
+// of this host, and the daemon's own proposal. It is safe for concurrent use, and nothing of it waits.
+type Seat struct {
+	*Council
+	log    zerolog.Logger
+	record history.Recorder
+	host   string
+	start  time.Time
+
+	mu       sync.Mutex
+	council  *accord.Council
+	steward  *accord.Steward
+	lag      *accord.Lag
+	turn     Turn
+	wanted   *wanted
+	begun    time.Time // of the last read that was confirmed
+	given    uint64    // version that was last read
+	changed  chan struct{}
+	tellers  map[int]teller
+	outcomes []Heard
+}
+
+// teller is a process that has asked.
+type teller struct {
+	name  string
+	holds uint64
+	index int64
+	at    time.Time
+}
+
+// wanted is a proposal of this daemon's that is not answered yet.
+type wanted struct {
+	id    string
+	act   accord.Act
+	first bool // only where no version is in force
+	rules *accord.Rules
+	raw   []byte
+	base  uint64
+	since time.Time
+	put   time.Time
+}
+
+// Heard is what became of a proposal of this daemon's, for operators.
+type Heard struct {
+	ID      string `json:"id"`
+	Base    uint64 `json:"base"`
+	Number  uint64 `json:"number,omitempty"`
+	Refused string `json:"refused,omitempty"`
+	Waits   string `json:"waits,omitempty"`
+}
+
+// NewSeat opens a daemon's part. Where no version is in force yet, rules are proposed as the first one; they
+// may be nil. The record may be nil.
+func NewSeat(ch Charter, rules *accord.Rules, record history.Recorder, log zerolog.Logger) (*Seat, error) {
+	s := &Seat{log: log, record: record, host: ch.Me, start: time.Now(), council: accord.NewCouncil(),
+		lag: accord.NewLag(), changed: make(chan struct{}, 1), tellers: map[int]teller{}}
+	s.steward = accord.NewSteward(ch.Me, s.council)
+	if rules != nil {
+		if err := accord.Check(rules); err != nil {
+			return nil, err
+		}
+		s.wanted = &wanted{id: proposalID(ch.Me), act: accord.Propose, first: true, rules: rules, since: time.Now()}
+	}
+	c, err := New(ch, (*bench)(s), log)
+	if err != nil {
+		return nil, err
+	}
+	s.Council = c
+	return s, nil
+}
+
+func proposalID(host string) string {
+	b := make([]byte, 8)
+	_, _ = rand.Read(b)
+	return host + "-" + hex.EncodeToString(b)
+}
+
+func (s *Seat) write(e history.Event) {
+	if s.record != nil {
+		s.record.Write(e)
+	}
+}
+
+func (s *Seat) ms(at time.Time) float64 { return float64(at.Sub(s.start)) / float64(time.Millisecond) }
+
+// clock sets the steward's time, under the lock.
+func (s *Seat) clock() { s.steward.Clock(s.ms(time.Now())) }
+
+// Changed tells that another version than before is in force, or none is agreed any more.
+func (s *Seat) Changed() <-chan struct{} { return s.changed }
+
+// InForce gives the version in force, as far as the log has come here; its rules are not to be changed.
+func (s *Seat) InForce() accord.Version {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.council.State().InForce
+}
+
+// Began tells of a process of this host's gatekeepers; before: it ran before this daemon did.
+func (s *Seat) Began(pid int, before bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.clock()
+	s.steward.Began(pid, before)
+}
+
+// Ended tells that a process is no more.
+func (s *Seat) Ended(pid int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.clock()
+	s.steward.Ended(pid)
+	if t, there := s.tellers[pid]; there {
+		s.lag.Left(t.name)
+		delete(s.tellers, pid)
+	}
+}
+
+// Asked answers a process of a gatekeeper that holds a step and has discovery's list of an index; below nought
+// it has none. False: there is nothing that may be believed.
+func (s *Seat) Asked(pid int, name string, holds uint64, index int64) (accord.Lease, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.clock()
+	now := time.Now()
+	s.tellers[pid] = teller{name, holds, index, now}
+	if index >= 0 {
+		s.lag.Told(name, index, s.ms(now))
+	}
+	return s.steward.Asked(pid, holds)
+}
+
+// Propose has rules follow the version in force; they stay this daemon's wish until they are taken or refused,
+// or others are proposed here. Those in force already take back what waits to follow them. It returns the
+// proposal's id, or nothing where there is nothing to agree on.
+func (s *Seat) Propose(rules *accord.Rules) (string, error) {
+	if err := accord.Check(rules); err != nil {
+		return "", err
+	}
+	raw, err := accord.Entry{Act: accord.Propose, Rules: rules}.Bytes()
+	if err != nil {
+		return "", err
+	}
+	if len(raw) > longestWord-1024 {
+		return "", fmt.Errorf("rules of %d bytes, more than %d", len(raw), longestWord-1024)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st := s.council.State()
+	s.wanted = &wanted{id: proposalID(s.host), act: accord.Propose, rules: rules, since: time.Now()}
+	switch same := st.InForce.Number > 0 && same(&st.InForce.Rules, rules); {
+	case same && st.Pending == nil:
+		s.wanted = nil
+		return "", nil
+	case same: // what is in force is to stay: not what waits
+		s.wanted.act, s.wanted.rules = accord.Withdraw, nil
+	}
+	return s.wanted.id, nil
+}
+
+// Same tells whether two rules say the same.
+func same(a, b *accord.Rules) bool {
+	x, err := json.Marshal(a)
+	y, bad := json.Marshal(b)
+	return err == nil && bad == nil && bytes.Equal(x, y)
+}
+
+// Outcomes gives what became of this daemon's last proposals, the latest last.
+func (s *Seat) Outcomes() []Heard {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]Heard(nil), s.outcomes...)
+}
+
+// bench is the seat as the log sees it.
+type bench Seat
+
+func (b *bench) seat() *Seat { return (*Seat)(b) }
+
+// Apply takes an entry of the log.
+func (b *bench) Apply(data []byte) error {
+	e, err := accord.ReadEntry(data)
+	if err != nil {
+		return err
+	}
+	s := b.seat()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.clock()
+	o := s.council.Apply(e)
+	s.steward.Applied()
+	if o.InForce > 0 {
+		in := s.council.State().InForce
+		s.write(history.Event{Kind: history.Taken, Version: o.InForce, Base: o.InForce - 1})
+		s.log.Info().Uint64("version", o.InForce).Int("members", len(in.Rules.Members)).Msg("council: in force")
+		s.tell()
+	}
+	if s.wanted != nil && e.ID == s.wanted.id {
+		s.heard(o)
+	}
+	return nil
+}
+
+func (s *Seat) tell() {
+	select {
+	case s.changed <- struct{}{}:
+	default:
+	}
+}
+
+// heard books what the council has made of this daemon's proposal.
+func (s *Seat) heard(o accord.Outcome) {
+	h := Heard{ID: s.wanted.id, Base: s.wanted.base, Number: o.Number, Refused: o.Refused, Waits: o.Waits}
+	if s.outcomes = append(s.outcomes, h); len(s.outcomes) > 16 {
+		s.outcomes = s.outcomes[1:]
+	}
+	if o.Refused != "" {
+		s.write(history.Event{Kind: history.Taken, Version: s.wanted.base + 1, Base: s.wanted.base,
+			Says: o.Refused})
+		level := zerolog.ErrorLevel
+		if s.wanted.first { // another's came first
+			level = zerolog.InfoLevel
+		}
+		s.log.WithLevel(level).Str("proposal", h.ID).Uint64("base", h.Base).Msg("council: refused: " + o.Refused)
+	} else {
+		s.log.Info().Str("proposal", h.ID).Uint64("version", h.Number).Str("waits", h.Waits).Msg("council: agreed")
+	}
+	s.wanted = nil
+}
+
+// Save gives accord's state.
+func (b *bench) Save() ([]byte, error) {
+	s := b.seat()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.council.Snapshot()
+}
+
+// Load takes accord's state.
+func (b *bench) Load(raw []byte) error {
+	s := b.seat()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.clock()
+	before := s.council.State().InForce.Number
+	if len(raw) == 0 {
+		raw, _ = accord.NewCouncil().Snapshot()
+	}
+	if err := s.council.Restore(raw); err != nil {
+		return err
+	}
+	s.steward.Applied()
+	if s.council.State().InForce.Number != before {
+		s.tell()
+	}
+	if s.wanted != nil { // it may have been answered in what the snapshot stands for
+		for _, a := range s.council.State().Answered {
+			if a.ID == s.wanted.id {
+				s.heard(a.Outcome)
+				break
+			}
+		}
+	}
+	return nil
+}
+
+// Read tells that what is applied was the latest at begun.
+func (b *bench) Read(begun time.Time) {
+	s := b.seat()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.clock()
+	s.steward.ReadDone(s.ms(begun))
+	n := s.council.State().InForce.Number
+	if s.begun = begun; n != s.given {
+		s.given = n
+		s.write(history.Event{Kind: history.Gives, Version: n, Age: float64(time.Since(begun)) / float64(time.Millisecond)})
+	}
+}
+
+// Turn gives what the steward and this daemon's proposal ask for.
+func (b *bench) Turn(t Turn) (w Wish) {
+	s := b.seat()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.turn = t
+	s.clock()
+	s.steward.Leads(t.Leads)
+	for {
+		d, ok := s.steward.Next()
+		if !ok || d.Kind == accord.Wake { // it is asked again within a tick
+			break
+		}
+		switch d.Kind {
+		case accord.Read:
+			w.Read = true
+		case accord.Submit:
+			if raw, err := d.Entry.Bytes(); err == nil {
+				w.Propose = append(w.Propose, raw)
+			}
+		}
+	}
+	if raw := s.want(t); raw != nil {
+		w.Propose = append(w.Propose, raw)
+	}
+	return w
+}
+
+// want gives this daemon's proposal where it is to be put (again). It is put on top of what was in force at a
+// read since it was wished for, so that a daemon that was away does not undo what it has not seen.
+func (s *Seat) want(t Turn) []byte {
+	p := s.wanted
+	if p == nil || t.Leader == "" || !t.Member || t.Now.Sub(p.put) < proposeEach || !s.begun.After(p.since) {
+		return nil
+	}
+	if p.first && s.council.State().InForce.Number > 0 {
+		s.wanted = nil
+		return nil
+	}
+	if p.raw == nil {
+		p.base = s.council.State().InForce.Number
+		var err error
+		if p.raw, err = (accord.Entry{Act: p.act, ID: p.id, Base: p.base, Rules: p.rules}).Bytes(); err != nil {
+			s.heard(accord.Outcome{Refused: err.Error()})
+			return nil
+		}
+		s.write(history.Event{Kind: history.Wants, Version: p.base + 1, Base: p.base, Says: p.id})
+	}
+	p.put = t.Now
+	return p.raw
+}
+
+// Agreement is how the rules stand, as this daemon sees it.
+type Agreement struct {
+	Version  uint64             `json:"version"`
+	Step     uint64             `json:"step"`
+	Settled  bool               `json:"settled"`
+	ReadMS   float64            `json:"read_ms"` // ago; below nought nothing has been confirmed
+	Pending  uint64             `json:"pending,omitempty"`
+	Waits    string             `json:"pending_waits,omitempty"`
+	Held     []uint64           `json:"held,omitempty"` // versions that may still be gone by
+	Wanted   string             `json:"wanted,omitempty"`
+	Outcomes []Heard            `json:"proposals,omitempty"`
+	CutOff   map[string]float64 `json:"cut_off,omitempty"` // instances here: ms since they last asked
+	Lags     []accord.Behind    `json:"lags,omitempty"`
+	Seen     map[string]uint64  `json:"seen,omitempty"`
+}
+
+// Agreement tells how the rules stand.
+func (s *Seat) Agreement() Agreement {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	st := s.council.State()
+	a := Agreement{Version: st.InForce.Number, Step: st.Step, Settled: st.Settled(), ReadMS: -1,
+		Outcomes: append([]Heard(nil), s.outcomes...), CutOff: map[string]float64{}, Seen: map[string]uint64{}}
+	if !s.begun.IsZero() {
+		a.ReadMS = float64(now.Sub(s.begun)) / float64(time.Millisecond)
+	}
+	for _, h := range st.Held {
+		a.Held = append(a.Held, h.Number)
+	}
+	for h, n := range st.Seen {
+		a.Seen[h] = n
+	}
+	if p := st.Pending; p != nil {
+		a.Pending, a.Waits = p.Version.Number, waits(st)
+	}
+	if s.wanted != nil {
+		a.Wanted = s.wanted.id
+	}
+	lease := math.Max(st.InForce.Rules.Lease, 100)
+	for _, t := range s.tellers {
+		if age := float64(now.Sub(t.at)) / float64(time.Millisecond); age > lease || a.ReadMS < 0 || a.ReadMS > lease {
+			a.CutOff[t.name] = age
+		}
+	}
+	a.Lags = s.lag.Late(s.ms(now), lagAfter)
+	return a
+}
+
+// waits says what the pending version waits for.
+func waits(st *accord.State) string {
+	p := st.Pending
+	var late []string
+	for _, h := range p.Hosts {
+		if st.Seen[h] < p.Step {
+			late = append(late, h)
+		}
+	}
+	if p.Contradicts != "" {
+		return fmt.Sprintf("fallbacks that may be held pass more of plan %s than it allows: until %v have seen it, or %.0f ms",
+			p.Contradicts, late, p.Lasts)
+	}
+	return "a version before it may still be acted on"
+}
--- a/internal/council/wire.go
+++ b/internal/council/wire.go
@@ -221,6 +221,11 @@
 
 // post sends a packet, and gives the answer.
 func (c *Council) post(ctx context.Context, address, path string, p *packet) (*reply, int, error) {
+	if c.charter.link != nil {
+		if err := c.charter.link(address); err != nil {
+			return nil, 0, err
+		}
+	}
 	b, err := json.Marshal(p)
 	if err != nil {
 		return nil, 0, err
