--- a/internal/council/council.go
+++ b/internal/council/council.go
@@ -109,6 +109,7 @@
 	hosts   atomic.Pointer[[]Host]
 	reach   atomic.Pointer[map[string]string]
 	seq     atomic.Uint64
+	index   atomic.Int64 // of discovery's list, told to the others
 	who     atomic.Pointer[who]
 	disk    atomic.Pointer[store]
 
--- a/internal/council/seat.go
+++ b/internal/council/seat.go
@@ -151,9 +151,25 @@
 	if index >= 0 {
 		s.lag.Told(name, index, s.ms(now))
 	}
+	most := int64(0)
+	for _, t := range s.tellers {
+		most = max(most, t.index)
+	}
+	s.Council.index.Store(most)
 	return s.steward.Asked(pid, holds)
 }
 
+// Highest gives the highest index of discovery's list that any process has told, here or to another daemon.
+func (s *Seat) Highest() int64 {
+	s.Council.mu.Lock()
+	defer s.Council.mu.Unlock()
+	most := s.Council.index.Load()
+	for _, p := range s.Council.peers {
+		most = max(most, p.Index)
+	}
+	return most
+}
+
 // Propose has rules follow the version in force; they stay this daemon's wish until they are taken or refused,
 // or others are proposed here. Those in force already take back what waits to follow them. It returns the
 // proposal's id, or nothing where there is nothing to agree on.
@@ -399,6 +415,13 @@
 			a.CutOff[t.name] = age
 		}
 	}
+	s.Council.mu.Lock()
+	for name, p := range s.Council.peers { // another host's newest, as if it were a process's
+		if p.Index > 0 {
+			s.lag.Told("host "+name, p.Index, s.ms(now))
+		}
+	}
+	s.Council.mu.Unlock()
 	a.Lags = s.lag.Late(s.ms(now), lagAfter)
 	return a
 }
--- a/internal/council/wire.go
+++ b/internal/council/wire.go
@@ -27,6 +27,7 @@
 	Seq     uint64   `json:"seq"`               // writes of its disk
 	Blank   bool     `json:"blank,omitempty"`   // it has nothing of any council
 	Hosts   []string `json:"hosts,omitempty"`   // as its file has them
+	Index   int64    `json:"index,omitempty"`   // the highest of discovery's list among its instances
 }
 
 // reply is who answers, and what it knows of the one that asked.
@@ -209,7 +210,8 @@
 
 // hello is who this daemon is now.
 func (c *Council) hello() hello {
-	h := hello{Form: Form, Cluster: c.charter.Cluster, Name: c.charter.Me, Seq: c.seq.Load()}
+	h := hello{Form: Form, Cluster: c.charter.Cluster, Name: c.charter.Me, Seq: c.seq.Load(),
+		Index: c.index.Load()}
 	if me := c.who.Load(); me != nil {
 		h.ID, h.Council, h.Blank = hexOf(me.ID), me.Council, me.Blank
 	}
--- /dev/null
+++ b/internal/fleet/council.go
@@ -0,0 +1,398 @@
+package fleet
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+
+	"willowdeck/internal/accord"
+	"willowdeck/internal/council"
+	"willowdeck/internal/history"
+	"willowdeck/internal/lifecycle"
+	"willowdeck/internal/residue"
+	"willowdeck/internal/rulebook"
+)
+
+const (
+	// nobody stands in a configuration for a peer that has no address: what is sent to it is dropped here.
+	nobody = "0.0.0.0:0"
+	// toCouncil is the name under reach by which the council's own addresses are rewritten.
+	toCouncil = "council"
+	mostHosts = 31 // of a council: each entry waits for half of them
+	lastRules = "rules.json"
+)
+
+// CouncilFile is what a fleet's file says of the council; nil where there is none.
+type CouncilFile struct {
+	Me     string // this host among the hosts
+	Listen string // HOST:PORT for the other daemons
+	Store  string // the file of the log
+	Rules  string // the file of the rules that this daemon proposes
+	Found  bool   // on a first start: a council is founded once all hosts are there with empty stores
+	Hosts  []struct{ Name, Address string }
+}
+
+// Agreed is a fleet's part in a council, as it is carried out.
+type Agreed struct {
+	Charter council.Charter
+	Rules   *accord.Rules
+	Stamp   string // of the rules' file: what has not been written since is not proposed anew
+	Reach   map[string]map[string]string
+}
+
+// agreed checks what the file says of the council.
+func (f *File) agreed() (*Agreed, error) {
+	c := f.Council
+	switch {
+	case c == nil && len(f.Reach) > 0:
+		return nil, errors.New("reach: it is for a council, and there is none")
+	case c == nil:
+		return nil, nil
+	case f.Instances != 0:
+		return nil, errors.New("instances: the rules say which there are")
+	case f.Peers != "":
+		return nil, errors.New("peers: the rules say where they hear")
+	case c.Store == "":
+		return nil, errors.New("council.store: there is none")
+	case c.Rules == "":
+		return nil, errors.New("council.rules: there is none")
+	case len(c.Hosts) == 0 || len(c.Hosts) > mostHosts:
+		return nil, fmt.Errorf("council.hosts: %d are not from 1 to %d", len(c.Hosts), mostHosts)
+	}
+	a := &Agreed{Reach: f.Reach, Charter: council.Charter{Cluster: f.Name, Me: c.Me, Listen: c.Listen,
+		Store: c.Store, Found: c.Found, Reach: f.Reach[toCouncil]}}
+	if _, err := netip.ParseAddrPort(c.Listen); err != nil {
+		return nil, fmt.Errorf("council.listen: %w", err)
+	}
+	names, at := map[string]bool{}, map[string]bool{}
+	for i, h := range c.Hosts {
+		if h.Name == "" || names[h.Name] {
+			return nil, fmt.Errorf("council.hosts.%d.name: %q is none, or another's", i, h.Name)
+		}
+		if _, err := netip.ParseAddrPort(h.Address); err != nil || at[h.Address] {
+			return nil, fmt.Errorf("council.hosts.%d.address: %q is none, or another's", i, h.Address)
+		}
+		names[h.Name], at[h.Address] = true, true
+		a.Charter.Hosts = append(a.Charter.Hosts, council.Host{Name: h.Name, Address: h.Address})
+	}
+	if !names[c.Me] {
+		return nil, fmt.Errorf("council.me: %q is none of the hosts", c.Me)
+	}
+	for who, ways := range f.Reach {
+		for from, to := range ways {
+			_, bad := netip.ParseAddrPort(from)
+			_, worse := netip.ParseAddrPort(to)
+			if err := errors.Join(bad, worse); err != nil {
+				return nil, fmt.Errorf("reach.%s: %w", who, err)
+			}
+		}
+	}
+	info, err := os.Stat(c.Rules)
+	if err != nil {
+		return nil, fmt.Errorf("council.rules: %w", err)
+	}
+	a.Stamp = fmt.Sprint(info.ModTime().UnixNano(), info.Size())
+	r, err := rulebook.Read(c.Rules)
+	if err != nil {
+		return nil, fmt.Errorf("council.rules: %w", err)
+	}
+	a.Rules = &r
+	return a, nil
+}
+
+// members gives this host's instances by rules. A member's place gives its ports, as it keeps it for life:
+// the address for clients is place ports above the first, the two operators' ports twice that.
+func (f *File) members(r *accord.Rules) ([]Instance, error) {
+	n, taken := len(r.Members), map[netip.AddrPort]string{}
+	if _, err := span("control", f.Control, 1, taken); err != nil {
+		return nil, err
+	}
+	clients, err := span("listen", f.Listen, n, taken)
+	if err != nil {
+		return nil, err
+	}
+	operators, err := span("operators", f.Operators, 2*n, taken)
+	if err != nil {
+		return nil, err
+	}
+	raw, err := os.ReadFile(f.Config)
+	if err != nil {
+		return nil, fmt.Errorf("config: %w", err)
+	}
+	var all []Instance
+	for place, m := range r.Members {
+		if m.Name == "" || m.Host != f.Council.Me {
+			continue
+		}
+		var peers []string
+		if m.Peers != "" {
+			for _, o := range r.Members {
+				peers = append(peers, f.reaches(m.Name, o.Peers))
+			}
+		}
+		in, g, err := f.instance(raw, m.Name, place, n, clients[place], m.Peers, peers)
+		if err != nil {
+			return nil, err
+		}
+		in.Operators = [2]string{operators[2*place], operators[2*place+1]}
+		for _, p := range r.Plans {
+			if _, known := g.Names.Plans[p.Name]; !known {
+				return nil, fmt.Errorf("council.rules: plans.%s: %s has no such tariff", p.Name, f.Config)
+			}
+		}
+		if err := f.roomFor(g, len(all)+1); err != nil {
+			return nil, err
+		}
+		all = append(all, in)
+	}
+	return all, nil
+}
+
+// reaches is where a peer hears that one instance speaks to.
+func (f *File) reaches(name, peer string) string {
+	if peer == "" {
+		return nobody
+	}
+	if to := f.Reach[name][peer]; to != "" {
+		return to
+	}
+	return peer
+}
+
+// seat is a daemon's part in the council.
+type seat struct {
+	*council.Seat
+	file   *File
+	fleet  *Fleet
+	record *history.Log
+	stamp  string
+	ended  chan struct{}
+}
+
+// convene takes this host's seat. Its instances are those of the version that a daemon before this one knew
+// last, or of the file.
+func (d *Daemon) convene(f *Fleet) error {
+	a := f.Agreed
+	s := &seat{file: f.file, fleet: f, stamp: a.Stamp, ended: make(chan struct{})}
+	var record history.Recorder
+	if dir := os.Getenv("WILLOWDECK_HISTORY"); dir != "" {
+		var err error
+		path := filepath.Join(dir, fmt.Sprintf("%s.%d.jsonl", a.Charter.Me, os.Getpid()))
+		if s.record, err = history.Open(path, a.Charter.Me, residue.Uptime()); err != nil {
+			return err
+		}
+		record = s.record
+	}
+	seat, err := council.NewSeat(a.Charter, a.Rules, record, d.log)
+	if err != nil {
+		_ = s.record.Close()
+		return err
+	}
+	s.Seat = seat
+	if last, err := s.last(); err == nil {
+		if all, err := f.file.members(last); err == nil {
+			f.Instances, f.places = all, len(last.Members)
+		}
+	}
+	d.seat = s
+	return nil
+}
+
+// last gives the rules that were carried out last on this host.
+func (s *seat) last() (*accord.Rules, error) {
+	raw, err := os.ReadFile(filepath.Join(s.fleet.RunDir, lastRules))
+	if err != nil {
+		return nil, err
+	}
+	var v accord.Version
+	if err := json.Unmarshal(raw, &v); err != nil {
+		return nil, err
+	}
+	return &v.Rules, accord.Check(&v.Rules)
+}
+
+// follow carries out each version that comes in force.
+func (d *Daemon) follow() {
+	defer close(d.seat.ended)
+	for {
+		select {
+		case <-d.done:
+			return
+		case <-d.seat.Changed():
+		}
+		d.mu.Lock()
+		if err := d.carry(); err != nil {
+			d.log.Error().Err(err).Msg("rules in force that can't be carried out here: instances stay as they are")
+		}
+		d.turn()
+		d.mu.Unlock()
+	}
+}
+
+// carry has the instances be those of the version in force, under the lock.
+func (d *Daemon) carry() error {
+	s := d.seat
+	v := s.InForce()
+	if v.Number == 0 {
+		return nil
+	}
+	all, err := s.file.members(&v.Rules)
+	if err != nil {
+		return err
+	}
+	f := *d.fleet
+	f.Instances = all
+	f.places = len(v.Rules.Members)
+	d.want(&f)
+	raw, err := json.Marshal(v)
+	path := filepath.Join(f.RunDir, lastRules)
+	if err == nil {
+		err = os.WriteFile(path+".part", raw, 0o600)
+	}
+	if err == nil {
+		err = os.Rename(path+".part", path)
+	}
+	if err != nil {
+		d.log.Warn().Err(err).Msg("a daemon after this one starts with the instances of its file")
+	}
+	return nil
+}
+
+// recall takes up a file that has been read anew: where the others are, and the rules that it proposes.
+func (d *Daemon) recall(f *Fleet) error {
+	s, was, a := d.seat, d.fleet.Agreed, f.Agreed
+	if (was == nil) != (a == nil) {
+		return errors.New("council: it can't come or go while the daemon runs")
+	}
+	if a == nil {
+		return nil
+	}
+	x, y := was.Charter, a.Charter
+	if x.Me != y.Me || x.Listen != y.Listen || x.Store != y.Store {
+		return errors.New("council.me, council.listen and council.store can't change while the daemon runs")
+	}
+	if _, err := f.file.members(a.Rules); err != nil {
+		return err
+	}
+	s.Hosts(y.Hosts, y.Reach)
+	s.file = f.file
+	if a.Stamp == s.stamp {
+		return nil
+	}
+	s.stamp = a.Stamp
+	id, err := s.Propose(a.Rules)
+	if err != nil {
+		return fmt.Errorf("council.rules: %w", err)
+	}
+	if id == "" {
+		d.log.Info().Msg("council: the rules' file says what is in force")
+	} else {
+		d.log.Info().Str("proposal", id).Msg("council: proposed")
+	}
+	return nil
+}
+
+// adjourn gives the seat up, once all instances have ended.
+func (d *Daemon) adjourn() {
+	if d.seat == nil {
+		return
+	}
+	<-d.seat.ended
+	d.seat.Close()
+	if err := d.seat.record.Close(); err != nil {
+		d.log.Warn().Err(err).Msg("record")
+	}
+}
+
+// leaves books a process that a daemon before this one has left and that is to end: until it has, it may go
+// by what it was told.
+func (d *Daemon) leaves(r *running) {
+	if d.seat != nil {
+		d.began(r, true)
+		d.strays = append(d.strays, r)
+	}
+}
+
+// left books the ends of those, under the lock.
+func (d *Daemon) left() {
+	d.strays = slices.DeleteFunc(d.strays, func(r *running) bool {
+		if born(r.Pid) == r.Born {
+			return false
+		}
+		d.pids.Delete(r.Pid)
+		d.seat.Ended(r.Pid)
+		return true
+	})
+}
+
+// lease answers an instance. It waits for nothing: what it says is what a quorum has confirmed last, and how
+// long ago that is.
+func (d *Daemon) lease(w http.ResponseWriter, r *http.Request) {
+	name := r.FormValue("instance")
+	pid, err := strconv.Atoi(r.FormValue("pid"))
+	holds, bad := strconv.ParseUint(r.FormValue("holds"), 10, 64)
+	index, worse := strconv.ParseInt(r.FormValue("index"), 10, 64)
+	if err := errors.Join(err, bad, worse); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if who, runs := d.pids.Load(pid); !runs || who != name {
+		http.Error(w, fmt.Sprintf("%d is no process of %q that this daemon keeps", pid, name), http.StatusForbidden)
+		return
+	}
+	w.Header().Set(lifecycle.IndexHeader, strconv.FormatInt(d.seat.Highest(), 10))
+	l, ok := d.seat.Asked(pid, name, holds, index)
+	if !ok {
+		http.Error(w, "no quorum has confirmed within the lease what is in force", http.StatusServiceUnavailable)
+		return
+	}
+	if ways := d.reach.Load(); ways != nil && len((*ways)[name]) > 0 {
+		l.Version.Rules.Members = slices.Clone(l.Version.Rules.Members)
+		for i, m := range l.Version.Rules.Members {
+			if to := (*ways)[name][m.Peers]; to != "" {
+				l.Version.Rules.Members[i].Peers = to
+			}
+		}
+	}
+	raw, err := l.Bytes()
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(raw)
+}
+
+// Sitting is how the council and its rules stand.
+type Sitting struct {
+	council.View
+	Rules council.Agreement `json:"rules"`
+}
+
+func (d *Daemon) sitting(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	e := json.NewEncoder(w)
+	e.SetIndent("", " ")
+	_ = e.Encode(Sitting{d.seat.View(), d.seat.Agreement()})
+}
+
+// rulesText is the version in force as a file of rules, for operators that change it.
+func (d *Daemon) rulesText(w http.ResponseWriter, _ *http.Request) {
+	v := d.seat.InForce()
+	if v.Number == 0 {
+		http.Error(w, "no version is in force", http.StatusServiceUnavailable)
+		return
+	}
+	text, err := rulebook.Encode(&v.Rules)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	fmt.Fprintf(w, "# version %d\n%s", v.Number, text)
+}
--- a/internal/fleet/file.go
+++ b/internal/fleet/file.go
@@ -38,6 +38,9 @@
 
 	Remember bool // instances keep what outlives a sudden end
 	Warm     bool // and ask others for their list until discovery has spoken
+
+	Council *CouncilFile                 // several hosts agree on the rules
+	Reach   map[string]map[string]string // by instance, and for the council: address in place of another
 }
 
 // Read reads and checks a fleet's file, and the configuration that it names. An error names the file, and
@@ -52,7 +55,11 @@
 	if err := strict.Decode(string(raw), &f); err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
-	for _, p := range []*string{&f.Config, &f.RunDir} {
+	paths := []*string{&f.Config, &f.RunDir}
+	if f.Council != nil {
+		paths = append(paths, &f.Council.Store, &f.Council.Rules)
+	}
+	for _, p := range paths {
 		if *p != "" && !filepath.IsAbs(*p) {
 			*p = filepath.Join(filepath.Dir(path), *p)
 		}
@@ -70,6 +77,10 @@
 	Pace                           Pace
 	Instances                      []Instance
 	Remember, Warm                 bool
+	Agreed                         *Agreed // nil where there is no council
+
+	file   *File
+	places int // gatekeepers that there are, on all hosts
 }
 
 // Instance is one gatekeeper of it.
@@ -102,10 +113,13 @@
 }
 
 func (f *File) fleet() (*Fleet, error) {
+	agreed, err := f.agreed()
 	switch {
+	case err != nil:
+		return nil, err
 	case f.Name == "":
 		return nil, errors.New("name: there is none")
-	case f.Instances < 1 || f.Instances > 500:
+	case f.Council == nil && (f.Instances < 1 || f.Instances > 500):
 		return nil, fmt.Errorf("instances: %d is not from 1 to 500", f.Instances)
 	case f.RunDir == "":
 		return nil, errors.New("run_dir: there is none")
@@ -118,10 +132,15 @@
 	case f.Step < 1:
 		return nil, fmt.Errorf("step: %d is under one", f.Step)
 	}
-	fl := &Fleet{Remember: f.Remember, Warm: f.Warm,
+	fl := &Fleet{Remember: f.Remember, Warm: f.Warm, Agreed: agreed, file: f, places: f.Instances,
 		Name: f.Name, Program: f.Program, RunDir: f.RunDir, Control: f.Control,
 		Pace: Pace{First: f.Restart.FirstMS, Most: f.Restart.MostMS, Calm: f.Restart.CalmS * 1000,
 			Within: f.ReadyS * 1000, Grace: f.GraceS * 1000, Step: f.Step}}
+	if agreed != nil {
+		fl.places = len(agreed.Rules.Members)
+		fl.Instances, err = f.members(agreed.Rules)
+		return fl, err
+	}
 	taken := map[netip.AddrPort]string{}
 	if _, err := span("control", f.Control, 1, taken); err != nil {
 		return nil, err
@@ -145,39 +164,58 @@
 		return nil, fmt.Errorf("config: %w", err)
 	}
 	for i := range f.Instances {
-		in := Instance{Name: fmt.Sprintf("%s-%d", f.Name, i), Listen: clients[i],
-			Operators: [2]string{operators[2*i], operators[2*i+1]}}
-		var c map[string]any
-		if err := json.Unmarshal(raw, &c); err != nil {
-			return nil, fmt.Errorf("config: %s: %w", f.Config, err)
-		}
-		settings, ok := c["settings"].(map[string]any)
-		if !ok {
-			return nil, fmt.Errorf("config: %s: settings is missing", f.Config)
-		}
-		settings["me"], settings["balancers"] = i, f.Instances
-		c["name"], c["listen"] = in.Name, in.Listen
-		delete(c, "control")
+		listen := ""
 		if len(peers) > 0 {
-			c["peer_listen"], c["peers"] = peers[i], peers
+			listen = peers[i]
 		}
-		if in.Config, err = json.MarshalIndent(c, "", " "); err != nil {
-			return nil, fmt.Errorf("config: %w", err)
-		}
-		g, err := config.Decode(in.Config, func(string) string { return "" })
+		in, g, err := f.instance(raw, fmt.Sprintf("%s-%d", f.Name, i), i, f.Instances, clients[i], listen, peers)
 		if err != nil {
-			return nil, fmt.Errorf("config: %s: %w", f.Config, err)
-		}
-		if n := g.MemoryMB * f.Instances; f.Host.MemoryMB > 0 && n > f.Host.MemoryMB {
-			return nil, fmt.Errorf("host.memory_mb: %d instances of %d MB have %d, over %d", f.Instances, g.MemoryMB,
-				n,
-				f.Host.MemoryMB)
+			return nil, err
 		}
-		if n := g.Sockets * f.Instances; f.Host.Sockets > 0 && n > f.Host.Sockets {
-			return nil, fmt.Errorf("host.sockets: %d instances of %d have %d, over %d", f.Instances, g.Sockets, n,
-				f.Host.Sockets)
+		in.Operators = [2]string{operators[2*i], operators[2*i+1]}
+		if err := f.roomFor(g, f.Instances); err != nil {
+			return nil, err
 		}
 		fl.Instances = append(fl.Instances, in)
 	}
 	return fl, nil
 }
+
+// instance makes one of what all are told: the i-th of n.
+func (f *File) instance(raw []byte, name string, i, n int, listen, hears string, peers []string) (in Instance,
+	g config.Gatekeeper, err error) {
+	in = Instance{Name: name, Listen: listen}
+	var c map[string]any
+	if err := json.Unmarshal(raw, &c); err != nil {
+		return in, g, fmt.Errorf("config: %s: %w", f.Config, err)
+	}
+	settings, ok := c["settings"].(map[string]any)
+	if !ok {
+		return in, g, fmt.Errorf("config: %s: settings is missing", f.Config)
+	}
+	settings["me"], settings["balancers"] = i, n
+	c["name"], c["listen"] = in.Name, in.Listen
+	delete(c, "control")
+	if len(peers) > 0 {
+		c["peer_listen"], c["peers"] = hears, peers
+	}
+	if in.Config, err = json.MarshalIndent(c, "", " "); err != nil {
+		return in, g, fmt.Errorf("config: %w", err)
+	}
+	if g, err = config.Decode(in.Config, func(string) string { return "" }); err != nil {
+		err = fmt.Errorf("config: %s: %w", f.Config, err)
+	}
+	return in, g, err
+}
+
+// roomFor checks that the host has room for n of them.
+func (f *File) roomFor(g config.Gatekeeper, n int) error {
+	if all := g.MemoryMB * n; f.Host.MemoryMB > 0 && all > f.Host.MemoryMB {
+		return fmt.Errorf("host.memory_mb: %d instances of %d MB have %d, over %d", n, g.MemoryMB, all,
+			f.Host.MemoryMB)
+	}
+	if all := g.Sockets * n; f.Host.Sockets > 0 && all > f.Host.Sockets {
+		return fmt.Errorf("host.sockets: %d instances of %d have %d, over %d", n, g.Sockets, all, f.Host.Sockets)
+	}
+	return nil
+}
--- a/internal/fleet/host.go
+++ b/internal/fleet/host.go
@@ -14,6 +14,7 @@
 	"reflect"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -42,6 +43,11 @@
 	done    chan struct{}
 	ended   bool
 	stopped chan struct{}
+
+	seat   *seat      // nil where there is no council
+	strays []*running // are to end, and are none of the fleet's
+	pids   sync.Map   // of processes that run, to the names of their instances
+	reach  atomic.Pointer[map[string]map[string]string]
 }
 
 // place is what an instance has besides its processes.
@@ -80,6 +86,12 @@
 	if err := os.MkdirAll(f.RunDir, 0o700); err != nil {
 		return nil, fmt.Errorf("run_dir: %w", err)
 	}
+	if f.Agreed != nil {
+		if err := d.convene(f); err != nil {
+			return nil, err
+		}
+		d.reach.Store(&f.Agreed.Reach)
+	}
 	d.timer = time.NewTimer(time.Hour)
 	d.mu.Lock()
 	d.want(f)
@@ -87,6 +99,9 @@
 	d.turn()
 	d.mu.Unlock()
 	go d.loop()
+	if d.seat != nil {
+		go d.follow()
+	}
 	return d, nil
 }
 
@@ -150,6 +165,7 @@
 // look asks those that are not ready for their health, and finds adopted ones that are no more.
 func (d *Daemon) look() {
 	d.mu.Lock()
+	d.left()
 	var ask, renewing []*running
 	for _, r := range d.runs {
 		if !r.child && born(r.Pid) != r.Born {
@@ -160,7 +176,7 @@
 			renewing = append(renewing, r)
 		}
 	}
-	members := fmt.Sprintf("svc.members=%d\n", len(d.fleet.Instances))
+	members := fmt.Sprintf("svc.members=%d\n", d.fleet.places)
 	d.mu.Unlock()
 	for _, r := range renewing {
 		if figures, err := d.call(r, "/admin/stats"); err == nil && strings.Contains(figures, members) {
@@ -253,7 +269,21 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.want(f)
+	if err := d.recall(f); err != nil {
+		d.log.Error().Err(err).Msg("file not taken up, the old one stays")
+		return
+	}
+	if d.seat != nil { // whatever the file says, the version in force says which there are
+		d.reach.Store(&f.Agreed.Reach)
+		f.Instances, f.places = d.fleet.Instances, d.fleet.places
+		d.fleet = f
+		err = d.carry()
+	} else {
+		d.want(f)
+	}
+	if err != nil {
+		d.log.Error().Err(err).Msg("instances stay as they are")
+	}
 	d.turn()
 	d.log.Info().Int("instances", len(f.Instances)).Msg("file taken up")
 }
@@ -270,6 +300,7 @@
 			_ = p.listener.Close()
 		}
 	}
+	d.adjourn()
 }
 
 // renew has a process read its configuration anew, under the lock.
@@ -282,7 +313,9 @@
 		return err
 	}
 	r.Config, r.renewing = p.in.Config, true
-	d.note(r)
+	if err := d.note(r); err != nil {
+		d.log.Warn().Err(err).Msg("a daemon after this one will find the process as it was")
+	}
 	d.signal(number, syscall.SIGHUP)
 	return nil
 }
@@ -343,6 +376,9 @@
 	if d.fleet.Remember {
 		cmd.Env = append(cmd.Env, "WILLOWDECK_RESIDUE="+filepath.Join(dir, "residue"))
 	}
+	if d.seat != nil {
+		cmd.Env = append(cmd.Env, "WILLOWDECK_AGREE="+d.fleet.Control)
+	}
 	cmd.Stdout, cmd.Stderr, cmd.ExtraFiles = log, log, []*os.File{p.listener}
 	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true} // a signal to the daemon's group is not theirs
 	if err := cmd.Start(); err != nil {
@@ -351,7 +387,13 @@
 	r.Pid = cmd.Process.Pid
 	r.Born = born(r.Pid)
 	d.runs[number] = r
-	d.note(r)
+	d.began(r, false)
+	if err := d.note(r); err != nil {
+		d.log.Warn().Err(err).Msg("a daemon after this one will not find the process")
+		if d.seat != nil { // and would take it for one that holds nothing
+			_ = cmd.Process.Kill()
+		}
+	}
 	d.log.Info().Str("instance", name).Int("pid", r.Pid).Str("control", r.Control).Msg("started")
 	go func() {
 		err := cmd.Wait()
@@ -380,10 +422,22 @@
 		return
 	}
 	delete(d.runs, r.number)
+	d.pids.Delete(r.Pid)
+	if d.seat != nil {
+		d.seat.Ended(r.Pid)
+	}
 	_ = os.Remove(d.noteOf(r))
 	d.keeper.Ended(r.Instance, r.number)
 }
 
+// began books that a process runs; before: it did before this daemon.
+func (d *Daemon) began(r *running, before bool) {
+	if d.seat != nil {
+		d.seat.Began(r.Pid, before)
+	}
+	d.pids.Store(r.Pid, r.Instance)
+}
+
 func (d *Daemon) signal(number int, s syscall.Signal) {
 	if r := d.runs[number]; r != nil && born(r.Pid) == r.Born {
 		_ = syscall.Kill(r.Pid, s)
@@ -410,7 +464,7 @@
 }
 
 // note writes what a daemon after this one needs to find a process.
-func (d *Daemon) note(r *running) {
+func (d *Daemon) note(r *running) error {
 	b, err := json.Marshal(r)
 	if err == nil {
 		err = os.WriteFile(d.noteOf(r)+".part", b, 0o600)
@@ -418,9 +472,7 @@
 	if err == nil {
 		err = os.Rename(d.noteOf(r)+".part", d.noteOf(r))
 	}
-	if err != nil {
-		d.log.Warn().Err(err).Msg("a daemon after this one will not find the process")
-	}
+	return err
 }
 
 // adopt takes over the processes that a daemon before this one has left, under the lock. One of two for an
@@ -440,10 +492,12 @@
 		}
 		if p == nil || has {
 			_ = syscall.Kill(r.Pid, syscall.SIGTERM)
+			d.leaves(r)
 			continue
 		}
 		r.number = d.keeper.Adopt(r.Instance)
 		d.runs[r.number] = r
+		d.began(r, true)
 		if r.Control == p.in.Operators[1] {
 			p.turn = 1
 		}
--- a/internal/fleet/port.go
+++ b/internal/fleet/port.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"willowdeck/internal/lifecycle"
 )
 
 // Port answers operators of the whole fleet.
@@ -34,9 +36,15 @@
 		w.Header().Set("Content-Type", "text/plain")
 		fmt.Fprint(w, d.text())
 	})
+	if d.seat != nil {
+		mux.HandleFunc("GET "+lifecycle.LeasePath, d.lease)
+		mux.HandleFunc("GET /fleet/council", d.sitting)
+		mux.HandleFunc("GET /fleet/rules", d.rulesText)
+	}
 	p := &Port{At: l.Addr().String(), server: &http.Server{Handler: mux, ReadTimeout: time.Second,
 		WriteTimeout: time.Second, MaxHeaderBytes: 4096}}
-	p.server.SetKeepAlivesEnabled(false)
+	p.server.SetKeepAlivesEnabled(d.seat != nil) // instances ask five times in each lease
+	p.server.IdleTimeout = time.Minute
 	go func() { _ = p.server.Serve(l) }()
 	return p, nil
 }
