--- a/internal/faults/faults.go
+++ b/internal/faults/faults.go
@@ -11,6 +11,9 @@
 const (
 	// mostDatagrams is how many datagrams a direction holds, more are dropped: a second of a busy peer's.
 	mostDatagrams = 1024
+	// kernelBytes is asked of the kernel for what comes to a relay that has no core: what overflows is lost
+	// without being counted.
+	kernelBytes = 1 << 20
 	// datagramBytes is the largest datagram there is.
 	datagramBytes = 1 << 16
 	// chunkBytes and mostChunks bound what a direction of one connection holds; its reader waits then, as
@@ -27,6 +30,8 @@
 	lookEach = 5 * time.Millisecond
 	// endLimit is how long an ended process may take until it is reaped: the kernel has to tear it down.
 	endLimit = 10 * time.Second
+	// lastWords is how long the output of a process that has ended is waited for.
+	lastWords = 500 * time.Millisecond
 	// stopLimit is how long a signal to stop may take to act.
 	stopLimit = 2 * time.Second
 	// firstPort and portRange are where ports are looked for: below those that the kernel gives to calls.
@@ -37,6 +42,8 @@
 	mostReplays = 200
 	// leastStep is the shortest fault that is drawn, ms: shorter ones are lost in the scheduling of a process.
 	leastStep = 50
+	// usualPart is the share of a schedule's span that a drawn fault lasts on average: several overlap.
+	usualPart = 0.1
 	// calmPart is the share of a schedule's span that is left without faults at its end.
 	calmPart = 0.2
 )
