--- a/internal/council/seat.go
+++ b/internal/council/seat.go
@@ -62,6 +62,7 @@
 	base  uint64
 	since time.Time
 	put   time.Time
+	read  time.Time // when the reading was asked for that it waits for
 }
 
 // Heard is what became of a proposal of this daemon's, for operators.
@@ -340,6 +341,9 @@
 			}
 		}
 	}
+	if p := s.wanted; p != nil && !s.begun.After(p.since) && t.Now.Sub(p.read) > 100*time.Millisecond {
+		p.read, w.Read = t.Now, true
+	}
 	if raw := s.want(t); raw != nil {
 		w.Propose = append(w.Propose, raw)
 	}
--- a/internal/fleet/council.go
+++ b/internal/fleet/council.go
@@ -42,6 +42,7 @@
 type Agreed struct {
 	Charter council.Charter
 	Rules   *accord.Rules
+	Wrong   error  // what is wrong with the rules' file: it keeps a daemon from starting only on its first start
 	Stamp   string // of the rules' file: what has not been written since is not proposed anew
 	Reach   map[string]map[string]string
 }
@@ -99,10 +100,9 @@
 	}
 	a.Stamp = fmt.Sprint(info.ModTime().UnixNano(), info.Size())
 	r, err := rulebook.Read(c.Rules)
-	if err != nil {
-		return nil, fmt.Errorf("council.rules: %w", err)
+	if a.Rules = &r; err != nil {
+		a.Rules, a.Wrong = nil, fmt.Errorf("council.rules: %w", err)
 	}
-	a.Rules = &r
 	return a, nil
 }
 
@@ -169,7 +169,6 @@
 type seat struct {
 	*council.Seat
 	file   *File
-	fleet  *Fleet
 	record *history.Log
 	stamp  string
 	ended  chan struct{}
@@ -179,7 +178,13 @@
 // last, or of the file.
 func (d *Daemon) convene(f *Fleet) error {
 	a := f.Agreed
-	s := &seat{file: f.file, fleet: f, stamp: a.Stamp, ended: make(chan struct{})}
+	if err := f.resume(); err != nil {
+		return err
+	}
+	if a.Wrong != nil {
+		d.log.Error().Err(a.Wrong).Msg("going on with the rules that were carried out last")
+	}
+	s := &seat{file: f.file, stamp: a.Stamp, ended: make(chan struct{})}
 	var record history.Recorder
 	if dir := os.Getenv("WILLOWDECK_HISTORY"); dir != "" {
 		var err error
@@ -195,18 +200,27 @@
 		return err
 	}
 	s.Seat = seat
-	if last, err := s.last(); err == nil {
-		if all, err := f.file.members(last); err == nil {
+	d.seat = s
+	return nil
+}
+
+// resume has the instances be those of the rules that were carried out last on this host, if there were any;
+// else those of the rules' file, which has to be right then.
+func (f *Fleet) resume() error {
+	last, err := f.last()
+	if err == nil {
+		var all []Instance
+		if all, err = f.file.members(last); err == nil {
 			f.Instances, f.places = all, len(last.Members)
+			return nil
 		}
 	}
-	d.seat = s
-	return nil
+	return f.Agreed.Wrong
 }
 
 // last gives the rules that were carried out last on this host.
-func (s *seat) last() (*accord.Rules, error) {
-	raw, err := os.ReadFile(filepath.Join(s.fleet.RunDir, lastRules))
+func (f *Fleet) last() (*accord.Rules, error) {
+	raw, err := os.ReadFile(filepath.Join(f.RunDir, lastRules))
 	if err != nil {
 		return nil, err
 	}
@@ -273,13 +287,13 @@
 	if a == nil {
 		return nil
 	}
+	if a.Wrong != nil {
+		return a.Wrong
+	}
 	x, y := was.Charter, a.Charter
 	if x.Me != y.Me || x.Listen != y.Listen || x.Store != y.Store {
 		return errors.New("council.me, council.listen and council.store can't change while the daemon runs")
 	}
-	if _, err := f.file.members(a.Rules); err != nil {
-		return err
-	}
 	s.Hosts(y.Hosts, y.Reach)
 	s.file = f.file
 	if a.Stamp == s.stamp {
--- a/internal/fleet/file.go
+++ b/internal/fleet/file.go
@@ -136,9 +136,11 @@
 		Name: f.Name, Program: f.Program, RunDir: f.RunDir, Control: f.Control,
 		Pace: Pace{First: f.Restart.FirstMS, Most: f.Restart.MostMS, Calm: f.Restart.CalmS * 1000,
 			Within: f.ReadyS * 1000, Grace: f.GraceS * 1000, Step: f.Step}}
-	if agreed != nil {
+	if agreed != nil && agreed.Wrong == nil {
 		fl.places = len(agreed.Rules.Members)
 		fl.Instances, err = f.members(agreed.Rules)
+	}
+	if agreed != nil {
 		return fl, err
 	}
 	taken := map[netip.AddrPort]string{}
