--- a/internal/council/council.go
+++ b/internal/council/council.go
@@ -27,6 +27,7 @@
 	longest     = 8 << 20                 // bytes of a message: a snapshot with the longest rules, and some
 	longestWord = 1 << 20                 // bytes of an entry: 500 members and 4,096 words are half of it
 	mostQueued  = 512                     // messages that wait for one daemon: seconds of them
+	mostAtOnce  = 32                      // posts that are read at once, from all daemons
 	mostIn      = 256                     // posts that wait for the log
 	mostHeard   = 64                      // disks whose writes are remembered
 	mostReads   = 16                      // that are under way
@@ -101,6 +102,7 @@
 	server  *http.Server
 	at      string
 	in      chan inbox
+	slots   chan struct{} // for posts that are being taken in
 	calls   chan func(*life)
 	stop    context.CancelFunc
 	ctx     context.Context
@@ -181,6 +183,7 @@
 		return nil, fmt.Errorf("council.listen: %w", err)
 	}
 	c := &Council{charter: ch, log: log, machine: m, at: l.Addr().String(), in: make(chan inbox, mostIn),
+		slots: make(chan struct{}, mostAtOnce),
 		calls: make(chan func(*life), mostIn), peers: map[string]*peer{}, aside: map[string]int{},
 		client: http.Client{Transport: &http.Transport{MaxConnsPerHost: 4, MaxIdleConnsPerHost: 4,
 			IdleConnTimeout: 30 * time.Second}}}
@@ -471,6 +474,8 @@
 	ctx, end := context.WithCancel(c.ctx)
 	v := &life{c: c, ctx: ctx, s: s, lines: map[uint64]*line{}, members: map[uint64]string{},
 		reads: map[uint64]time.Time{}, began: time.Now()}
+	// Others hold questions by their numbers, and answers to those of a former life may still be on the way.
+	v.readNo = randomly()
 	s.wrong = c.charter.wrong
 	c.seq.Store(s.seq)
 	c.disk.Store(s)
--- a/internal/council/council_test.go
+++ b/internal/council/council_test.go
@@ -602,3 +602,90 @@
 		t.Error(err)
 	}
 }
+
+// Two hosts that list the others in different orders found one council, and one that lists fewer none: each
+// would else have one of its own. Nor does one that is back with an empty disk found a second.
+func TestFoundedOnce(t *testing.T) {
+	t.Parallel()
+	p := newParley(t, 3)
+	for i, h := range p.hosts {
+		p.start(h.Name, func(c *Charter) {
+			c.Hosts = append(append([]Host{h}, p.hosts[:i]...), p.hosts[i+1:]...)
+			if i == 2 {
+				c.Hosts = c.Hosts[:2]
+			}
+		})
+	}
+	time.Sleep(4 * greetEach)
+	for name, s := range p.all {
+		if v := s.View(); v.Council != "" || v.State == "member" {
+			t.Errorf("%s: %+v", name, v)
+		}
+	}
+	p.end("h2")
+	p.start("h2", nil)
+	p.until("one council", func() bool {
+		a := p.all["h0"].View().Council
+		for _, s := range p.all {
+			if v := s.View(); v.State != "member" || v.Council != a {
+				return false
+			}
+		}
+		return true
+	})
+	first := p.all["h0"].View().Council
+	p.end("h0")
+	p.until("a leader", func() bool { return p.leader() != nil })
+	must(t, os.Remove(p.store("h0")))
+	p.start("h0", nil)
+	p.until("a member of it", func() bool {
+		v := p.all["h0"].View()
+		return v.State == "member" && v.Council == first
+	})
+}
+
+// An answer to a question of a former life is none to one of this life: numbers do not begin anew.
+func TestReadsOfAFormerLife(t *testing.T) {
+	t.Parallel()
+	p := newParley(t, 1)
+	seen := map[uint64]bool{}
+	for range 3 {
+		s := p.start("h0", nil)
+		got := make(chan uint64, 1)
+		p.until("it takes part", func() bool { return p.leader() != nil })
+		s.call(func(v *life) { got <- v.readNo })
+		n := <-got
+		for i := range uint64(100) {
+			if seen[n+i] || seen[n-i] {
+				t.Fatalf("number %d is of a former life too", n)
+			}
+		}
+		seen[n] = true
+		p.end("h0")
+	}
+}
+
+// One host's name cannot be taken by another process with an empty disk while the one is heard of.
+func TestNameInUse(t *testing.T) {
+	t.Parallel()
+	p := newParley(t, 3)
+	p.startAll()
+	p.until("a leader", func() bool { return p.leader() != nil })
+	p.outcome(p.all["h0"], p.propose(p.all["h0"], 100))
+	p.agree(1)
+	lead := p.leader()
+	other := "h1"
+	if lead.charter.Me == other {
+		other = "h2"
+	}
+	disk := p.all[other].View().Disk
+	ch := Charter{Cluster: "till", Me: other, Listen: "127.0.0.1:0", Store: filepath.Join(p.dir, "second"),
+		Hosts: p.hosts}
+	s, err := NewSeat(ch, nil, nil, zerolog.Nop())
+	must(t, err)
+	defer s.Close()
+	p.until("it is turned away", func() bool { return strings.Contains(s.View().Why, "heard a moment ago") })
+	if v := p.all[other].View(); v.Disk != disk || v.State != "member" {
+		t.Errorf("%+v", v)
+	}
+}
--- a/internal/council/log.go
+++ b/internal/council/log.go
@@ -303,7 +303,9 @@
 			defer c.wait.Done()
 			c.ask(leader)
 		}()
-	case blank == len(hosts) && c.charter.Found && hosts[0].Name == c.charter.Me:
+	case blank == len(hosts) && c.charter.Found && slices.IndexFunc(hosts, func(h Host) bool {
+		return h.Name < c.charter.Me
+	}) < 0:
 		return v.found()
 	}
 	return nil
@@ -321,8 +323,9 @@
 	return true
 }
 
-// found makes the council: the first of the hosts writes down who all of them are, and the others take that
-// from it. It can only be once, as it needs every host to be there with a disk that has nothing.
+// found makes the council: the first of the hosts, by name, writes down who all of them are, and the others
+// take that from it. It can only be once, as it needs every host to be there with a disk that has nothing,
+// and all of them to name the same hosts, in whatever order.
 func (v *life) found() error {
 	c := v.c
 	v.members = map[uint64]string{v.s.self.id(): c.charter.Me}
--- a/internal/council/store.go
+++ b/internal/council/store.go
@@ -125,6 +125,12 @@
 	return hex.EncodeToString(b)
 }
 
+func randomly() uint64 {
+	b := make([]byte, 8)
+	_, _ = rand.Read(b)
+	return binary.BigEndian.Uint64(b)
+}
+
 // guarded opens the file. One that breaks the library, by an error, a panic or a page beyond its end, is
 // torn.
 func guarded(path string, readOnly bool) (db *bbolt.DB, err error) {
--- a/internal/council/wire.go
+++ b/internal/council/wire.go
@@ -134,7 +134,14 @@
 	mux := http.NewServeMux()
 	serve := func(path string, take func(*packet) (string, error)) {
 		mux.HandleFunc("POST "+path, func(w http.ResponseWriter, r *http.Request) {
-			p, err := c.read(w, r)
+			var p *packet
+			var err error = &no{crowded, "more calls than this daemon can take"}
+			select {
+			case c.slots <- struct{}{}:
+				defer func() { <-c.slots }()
+				p, err = c.read(w, r)
+			default:
+			}
 			says := ""
 			if err == nil {
 				says, err = take(p)
