--- a/internal/council/council_test.go
+++ b/internal/council/council_test.go
@@ -723,3 +723,31 @@
 		t.Errorf("%+v", v)
 	}
 }
+
+// Indices of discovery's list are told among hosts: one that lags behind any is named, here and elsewhere.
+func TestLags(t *testing.T) {
+	t.Parallel()
+	p := newParley(t, 3)
+	p.startAll()
+	p.until("a leader", func() bool { return p.leader() != nil })
+	p.outcome(p.all["h0"], p.propose(p.all["h0"], 100))
+	p.agree(1)
+	p.all["h0"].Asked(1, "g0", 0, 5)
+	p.all["h1"].Asked(2, "g1", 0, 9)
+	p.until("the highest is told", func() bool { return p.all["h0"].Highest() == 9 && p.all["h2"].Highest() == 9 })
+	p.until("the one behind is named", func() bool {
+		p.all["h0"].Asked(1, "g0", 0, 5)
+		for _, b := range p.all["h0"].Agreement().Lags {
+			if b.Who == "g0" && b.Highest == 9 && b.For > lagAfter {
+				return true
+			}
+		}
+		return false
+	})
+	p.all["h0"].Asked(1, "g0", 0, 9)
+	for _, b := range p.all["h0"].Agreement().Lags {
+		if b.Who == "g0" {
+			t.Errorf("%+v, which has caught up", b)
+		}
+	}
+}
--- a/internal/fleet/council_hard_test.go
+++ b/internal/fleet/council_hard_test.go
@@ -43,12 +43,8 @@
 type trial struct {
 	*assembly
 	rig    *history.Log // what the rig does
-	seen   *history.Log // what workers are sent
-	cancel context.CancelFunc
 	loaded chan *load.Report
-	plans  map[string]int // by txn: known at the end
 	all    []traffic.Arrival
-	began  time.Time
 }
 
 // hard leaves a case to the long form.
@@ -61,21 +57,28 @@
 
 // try starts hosts and waits until all are leased; instances are k each.
 func try(t *testing.T, n, k int, change func(*accord.Rules)) *trial {
+	t.Helper()
+	x := ready(t, n, k, change)
+	x.start()
+	x.until(1, n*k, x.hosts...)
+	return x
+}
+
+// ready has all there but the daemons.
+func ready(t *testing.T, n, k int, change func(*accord.Rules)) *trial {
 	t.Helper()
 	x := &trial{assembly: assemble(t, n, k, change)}
-	var err error
-	if x.rig, err = history.Open(filepath.Join(x.records, "rig.jsonl"), "rig", 1); err != nil {
-		t.Fatal(err)
-	}
-	for _, w := range x.workers {
-		record, err := history.Open(filepath.Join(x.records, w.Name+".jsonl"), w.Name, 1)
+	record := func(name string) *history.Log {
+		l, err := history.Open(filepath.Join(x.records, name+".jsonl"), name, 1)
 		if err != nil {
 			t.Fatal(err)
 		}
-		w.Record = record
+		return l
+	}
+	x.rig = record("rig")
+	for _, w := range x.workers {
+		w.Record = record(w.Name)
 	}
-	x.start()
-	x.until(1, n*k, x.hosts...)
 	return x
 }
 
@@ -105,7 +108,7 @@
 		Most:     500,
 		Products: []load.Product{{Name: "check", Repeat: "inquiry", Waits: 400 * time.Millisecond}}}
 	ctx, cancel := context.WithCancel(context.Background())
-	x.cancel, x.loaded, x.began = cancel, make(chan *load.Report, 1), time.Now()
+	x.loaded = make(chan *load.Report, 1)
 	x.t.Cleanup(cancel)
 	go func() {
 		r, err := j.Run(ctx)
@@ -706,16 +709,7 @@
 // for it.
 func TestOlderProgram(t *testing.T) {
 	hard(t)
-	x := &trial{assembly: assemble(t, 3, 1, func(r *accord.Rules) { r.Fallback.For = 2000 })}
-	var err error
-	if x.rig, err = history.Open(filepath.Join(x.records, "rig.jsonl"), "rig", 1); err != nil {
-		t.Fatal(err)
-	}
-	for _, w := range x.workers {
-		if w.Record, err = history.Open(filepath.Join(x.records, w.Name+".jsonl"), w.Name, 1); err != nil {
-			t.Fatal(err)
-		}
-	}
+	x := ready(t, 3, 1, func(r *accord.Rules) { r.Fallback.For = 2000 })
 	h := x.hosts[2]
 	at, on := older(t, h.control)
 	script := filepath.Join(h.dir, "older")
