--- a/internal/lifecycle/agree.go
+++ b/internal/lifecycle/agree.go
@@ -56,8 +56,8 @@
 	highest atomic.Int64 // index of discovery's list anywhere, as told
 }
 
-// modes are as records name them.
-var modes = [...]string{accord.Bare: history.Bare, accord.CutOff: history.Fallback,
+// ruleModes are as records name them.
+var ruleModes = [...]string{accord.Bare: history.Bare, accord.CutOff: history.Fallback,
 	accord.Leased: history.Leased}
 
 // answer is what came on a question that was sent at a time, ms.
@@ -255,7 +255,7 @@
 	if t.Mode == accord.Bare { // what goes out goes by none
 		number = 0
 	}
-	terms := held.NewTerms(number, modes[t.Mode], moment(t.Until))
+	terms := held.NewTerms(number, ruleModes[t.Mode], moment(t.Until))
 	c := a.charter(t)
 	peers := a.g.conf.Peers
 	if t.Version == a.heard.Number && t.Version > 0 {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -126,8 +126,12 @@
 	AnswerPause   = 100.0    // ms that an answer may pause; whole ones of usual workers come within 20
 	MostInterim   = 8        // interim answers ahead of one; more are no answer
 	AcceptAgain   = 10.0     // ms until the next try to take a connection after one has failed
-	WatchQuiet    = 5000.0   // ms; the watch says something each 2 s, and one line may be late
-	LongestList   = 8 << 20  // bytes of a line of the watch; some ten thousand workers
+	WatchQuiet    = 2800.0   // ms for a watch to say something: it does each 2 s, and one word may be late
+	WatchDue      = 6000.0   // ms after a silence or an end: what was missed counts as told
+	WatchMoved    = 4000.0   // the same after a move to another discovery
+	WatchAnswer   = 2200.0   // ms to an answer: 2 s in turn where lists are asked for, the way, and 100 spare
+	FirstWord     = 50.0     // ms at a start for the list, where it is pushed: it is at hand, and txns may wait
+	LongestList   = 8 << 20  // bytes of a list in the watch; some ten thousand workers
 	WatchAgain    = 100.0    // ms until the watch is opened anew; news must not wait long
 	WatchEach     = 25.0     // ms of that for each gatekeeper that may ask at the same time; a call takes some
 	WatchLonger   = 8.0      // times that at most; it doubles with each try that brings nothing
@@ -138,6 +142,7 @@
 	DrainAsked    = 300.0    // ms that connections go on coming after /up has said no; they come for 200
 	DrainDone     = 1500.0   // ms after which a drain has ended the last idle connection; it has 4 s
 	AcceptOn      = 450.0    // ms after the order to stop in which new connections are served; they come for 400
+	StopIdle      = 200.0    // ms after that until all idle ones are ended; what comes after 700 may be lost
 )
 
 // New starts a gatekeeper that knows nothing but its charter. Same seed and inputs, same decisions.
@@ -207,14 +212,25 @@
 }
 
 // WatchAfter is the pause before the watch is opened, ms, after so many tries in a row that brought nothing,
-// by so many gatekeepers that may all ask at once; chance is from 0 to 1. Guards against a fleet that asks as
-// one: discovery then lets nobody in, kept busy with those who gave up and those whom it turns away.
-func WatchAfter(tries, askers int, chance float64) float64 {
-	if tries == 0 {
-		return WatchEach * float64(askers) * chance
+// by so many gatekeepers that may all ask at once (none where lists are pushed), where what there is to tell
+// counts as told in due ms: +Inf if discovery has been out of reach. Chance is from 0 to 1. Guards against a
+// fleet that asks as one: discovery lets nobody in, kept busy with those who gave up or are turned away.
+func WatchAfter(tries, askers int, due, chance float64) float64 {
+	most, each := math.Max(due-WatchAnswer, 0), WatchEach*float64(askers)
+	switch {
+	case tries == 0:
+		return math.Min(each, most) * chance
+	case askers == 0: // it costs nobody anything, and what is missed counts as told at once
+		return WatchAgain * (1 + chance) / 2
 	}
 	longer := math.Min(math.Pow(2, float64(tries-1)), WatchLonger)
-	return math.Max(WatchEach*float64(askers), WatchAgain) * longer * (1 + chance) / 2
+	return math.Max(math.Min(each*longer, most), WatchAgain) * (1 + chance) / 2
+}
+
+// WatchSilent is how long a watch that has spoken may say nothing, ms, until it is opened anew, at once. The
+// askers spread in it, not after it: WatchDue is this and WatchAnswer at the worst chance.
+func WatchSilent(askers int, chance float64) float64 {
+	return WatchQuiet + WatchAfter(0, askers, WatchDue-WatchQuiet, chance)
 }
 
 // Clock sets the time, in ms, of the inputs and decisions that follow.
@@ -813,24 +829,6 @@
 	return math.Max(short/g.plans[c.plan].rate, 0)
 }
 
-// gcraWait is how long until a store, full at tat, that fills at rate and holds depth has the units; 0 is
-// now.
-func gcraWait(tat, now, rate, depth, units float64) float64 {
-	if rate <= 0 {
-		return math.MaxFloat64
-	}
-	level := depth - math.Max(tat-now, 0)*rate
-	if level >= units-1e-9 {
-		return 0
-	}
-	return (units - level) / rate
-}
-
-// holds is how much a store of a plan holds that fills at a rate.
-func (g *Gatekeeper) holds(p *plan, rate float64) float64 {
-	return math.Max(rate*p.burst, p.largest)
-}
-
 // sliceWait is how long until a customer's own slice has the units; 0 is now.
 func (g *Gatekeeper) sliceWait(c *account, units float64) float64 {
 	g.fill(c)
--- a/logic/state.go
+++ b/logic/state.go
@@ -138,6 +138,7 @@
 	started  float64
 	base     float64 // ceilings of customers that are not known here are taken as spent at this time
 	retired  bool    // another has taken over what it knows
+	fresh    bool    // it knew nobody when quotas began to go without messages
 	widened  float64 // when quotas last went by messages again; 0 where they always did
 	thawed   float64 // when the gatekeeper last found that it had itself stood still
 	begun    bool
@@ -757,3 +758,21 @@
 		}
 	}
 }
+
+// gcraWait is how long until a store, full at tat, that fills at rate and holds depth has the units; 0 is
+// now.
+func gcraWait(tat, now, rate, depth, units float64) float64 {
+	if rate <= 0 {
+		return math.MaxFloat64
+	}
+	level := depth - math.Max(tat-now, 0)*rate
+	if level >= units-1e-9 {
+		return 0
+	}
+	return (units - level) / rate
+}
+
+// holds is how much a store of a plan holds that fills at a rate.
+func (g *Gatekeeper) holds(p *plan, rate float64) float64 {
+	return math.Max(rate*p.burst, p.largest)
+}
