Outlook of a lost hall: words, the projection, halls in the emulator, base form

What the loss of a hall would cost is projected from what each gatekeeper says of itself (logic.Sight, a meter in the host), and held against a run of the emulator with the same arrivals.

The emulator's clocks began at nought, which the module takes for never: peers that died in it were never found silent.

--- a/internal/emu/emu_test.go
+++ b/internal/emu/emu_test.go
@@ -71,7 +71,7 @@
 }
 
 func (p *planted) Clock(now float64) {
-	p.now = now
+	p.now = now - dawn
 	p.brain.Clock(now)
 }
 
--- a/internal/emu/gatekeeper.go
+++ b/internal/emu/gatekeeper.go
@@ -5,6 +5,7 @@
 	"math/rand"
 
 	"willowdeck/internal/judge"
+	"willowdeck/internal/outlook"
 	"willowdeck/logic"
 )
 
@@ -23,6 +24,7 @@
 	wakeAt  float64
 	told    []told        // by worker: what it knows of the list
 	left    *logic.Estate // what its former life knew, as far as it is kept
+	meter   *outlook.Meter
 }
 
 type told struct {
@@ -40,6 +42,7 @@
 	sent    int // submissions that were written: the judge knows of no others
 	subs    []*submission
 	product int
+	came    float64
 }
 
 // submission is one copy of a txn on its way to a worker, there, or back.
@@ -99,18 +102,18 @@
 func (g *gatekeeper) keep(e logic.Estate) logic.Estate {
 	what := g.w.s.Gatekeepers.Keeps
 	if what&KeepQuotas == 0 {
-		started := g.w.now
+		started := g.w.clock()
 		if what&KeepCeilings != 0 {
 			started = e.Started // ceilings of customers that it does not know are full
 		}
-		e.Started, e.Base = g.w.now, started
+		e.Started, e.Base = g.w.clock(), started
 		for i := range e.Peers {
 			e.Peers[i] = logic.Hearing{}
 		}
 		for i := range e.Tight { // as at a start
 			e.Tight[i] = 1
 		}
-		e.NextTell = g.w.now + g.w.s.period()*g.source.Float64()
+		e.NextTell = g.w.clock() + g.w.s.period()*g.source.Float64()
 	}
 	var customers []logic.Customer
 	for _, c := range e.Customers {
@@ -122,7 +125,7 @@
 				Filled: e.At, Seen: e.At, CoolSince: e.At}
 		case what&KeepCeilings == 0:
 			if p := g.w.s.Plans[c.Plan]; p.Ceiling > 0 { // taken as spent, as at any start
-				c.CeilingAt = g.w.now + p.CeilingDepth/p.Ceiling*1000
+				c.CeilingAt = g.w.clock() + p.CeilingDepth/p.Ceiling*1000
 			}
 		}
 		customers = append(customers, c)
@@ -146,7 +149,7 @@
 	}
 	g.up = false
 	if m, ok := g.brain.(*logic.Gatekeeper); ok && g.w.s.Gatekeepers.Keeps > 0 {
-		m.Clock(g.w.now)
+		m.Clock(g.w.clock())
 		e := m.Retire()
 		g.left = &e
 	}
@@ -184,7 +187,7 @@
 		g.pending = append(g.pending, func() { g.input(f) })
 		return
 	}
-	g.brain.Clock(g.w.now)
+	g.brain.Clock(g.w.clock())
 	f(g.brain)
 	for {
 		d, ok := g.brain.Next()
@@ -215,7 +218,8 @@
 		return
 	}
 	w.ids++
-	t := &txn{c: c, id: w.ids, until: until, product: c.a.Product}
+	t := &txn{c: c, id: w.ids, until: until, product: c.a.Product, came: w.now}
+	g.meter.Asked(c.a.Plan, c.a.Product, c.a.Units)
 	g.txns[t.id] = t
 	life := g.life
 	w.judge.Taken(w.now, g.num, t.id, c.a.Product, c.a.Plan, c.a.Customer, c.a.Units, until)
@@ -224,6 +228,7 @@
 			t.final = true // it stands still: the client goes, and is owed nothing that it could get
 			w.judge.Left(t.id)
 			w.res.Silent++
+			g.meter.Ended(c.a.Plan, c.a.Product, outlook.Other, 0)
 			c.answered(silent, 0)
 			g.input(func(b brain) { b.Left(t.id) })
 			g.drop(t)
@@ -243,6 +248,7 @@
 	w := g.w
 	switch d.Kind {
 	case logic.Wake:
+		d.At -= dawn
 		if g.wakeAt > w.now && g.wakeAt <= d.At {
 			return
 		}
@@ -286,7 +292,8 @@
 	w.res.Messages++
 	to := w.gks[d.Peer]
 	lost := w.net.Float64() < w.s.Network.PeerLoss
-	if delay := w.draw(w.s.Network.PeerMS); !lost && !g.cut && !to.cut {
+	if delay := w.draw(w.s.Network.PeerMS); !lost && !g.cut && !to.cut &&
+		w.joined(w.s.hall(g.num), w.s.hall(to.num)) {
 		reports, from := append([]logic.Report(nil), d.Reports...), g.num
 		w.in(delay, func() { to.input(func(b brain) { b.Hear(from, reports) }) })
 	}
@@ -299,10 +306,14 @@
 		return
 	}
 	t.final = true
+	g.meter.Ended(t.c.a.Plan, t.product, ends[k], g.w.now-t.came)
 	g.w.in(g.w.draw(g.w.s.Network.ClientMS), func() { t.c.answered(k, wait) })
 	g.drop(t)
 }
 
+var ends = map[answerKind]outlook.Final{settled: outlook.Settled, declined: outlook.Declined,
+	voided: outlook.Voided}
+
 // drop forgets a txn of which nothing more can come.
 func (g *gatekeeper) drop(t *txn) {
 	if t.final && t.out == 0 {
@@ -328,8 +339,14 @@
 			g.ended(s, logic.TimedOut, proof)
 		}
 	})
-	w.in(w.draw(w.s.Network.WorkerMS), func() { // its connection has come up, or not
+	w.in(w.way(g, x), func() { // its connection has come up, or not
 		switch {
+		case !s.over && g.life == s.life && g.up && !w.reach(g, x):
+			w.in(connects, func() {
+				if !s.over && g.life == s.life && g.up {
+					g.ended(s, logic.NoRoute, judge.NeverRan)
+				}
+			})
 		case s.over || g.life != s.life || !g.up:
 		case t.final || !w.s.blind && (!g.told[x.at].active || g.told[x.at].life != s.wlife):
 			g.ended(s, logic.NotSent, judge.NeverRan)
@@ -341,15 +358,21 @@
 			w.res.Submissions++
 			w.judge.Sent(w.now, g.num, t.id, x.at)
 			x.coming++
-			w.in(w.draw(w.s.Network.WorkerMS), func() { x.take(s) })
+			w.in(w.way(g, x), func() { x.take(s) })
 		}
 	})
 }
 
+// connects is how long a gatekeeper waits for a connection that does not come up, ms, as the program does.
+const connects = 250
+
 // answer brings a worker's answer back.
 func (s *submission) answer(o logic.Outcome, proof judge.End) {
 	w := s.g.w
-	w.in(w.draw(w.s.Network.WorkerMS), func() {
+	if !w.reach(s.g, s.worker) {
+		return
+	}
+	w.in(w.way(s.g, s.worker), func() {
 		if s.g.life == s.life && s.g.up && !s.over {
 			s.g.ended(s, o, proof)
 		}
@@ -376,10 +399,12 @@
 
 func (g *gatekeeper) learn(s *submission, o logic.Outcome) {
 	t := s.t
+	over := t.final
 	if o == logic.Settled && !t.final {
 		g.final(t, judge.Settled, settled, 0)
 	}
 	took, closed := g.w.now-s.began, t.final
+	g.meter.Answered(g.w.s.hall(s.worker.at), t.product, o, took, over)
 	g.input(func(b brain) { b.Ended(t.id, s.n, o, took, closed) })
 	g.drop(t)
 }
--- a/internal/emu/result.go
+++ b/internal/emu/result.go
@@ -36,9 +36,11 @@
 
 // Second is what became of the txns that were meant to be sent in one second.
 type Second struct {
-	At, Settled int
-	P99, Most   float64
-	hist        *hdrhistogram.Histogram
+	At, Settled     int
+	P99, Most       float64
+	Offered, Served float64   // values
+	Ran             []float64 // txns run in it, by hall of worker
+	hist            *hdrhistogram.Histogram
 }
 
 func newResult(s *Scenario, seed int64) *Result {
--- a/internal/emu/scenario.go
+++ b/internal/emu/scenario.go
@@ -73,7 +73,8 @@
 		WorkerMS float64 `toml:"worker_ms"`
 		PeerMS   float64 `toml:"peer_ms"`
 		PeerLoss float64 `toml:"peer_loss"`
-		ListMS   float64 `toml:"list_ms"` // within which news of the list reaches a gatekeeper
+		ListMS   float64 `toml:"list_ms"`   // within which news of the list reaches a gatekeeper
+		AcrossMS float64 `toml:"across_ms"` // more each way, between a gatekeeper and a worker of another hall
 	}
 	Clients struct {
 		Waits   float64 // of the SLA time
@@ -103,6 +104,7 @@
 	ToS    float64 `toml:"to_s"`
 	Part   float64 // of the workers or gatekeepers, rounded up
 	Factor float64 // slow: of the time; fail, lose: of the txns
+	Halls  []int   // hall, keepers, links: which; others: their workers or gatekeepers alone, in place of part
 }
 
 // FaultKinds are the faults there are, and what they do.
@@ -117,6 +119,9 @@
 	"stall":   "gatekeepers stand still",
 	"restart": "gatekeepers are killed, and start from nothing at the end",
 	"roll":    "gatekeepers are killed one after another over the span, and each starts again at once",
+	"hall":    "halls are lost, workers and gatekeepers, and come back as new processes",
+	"keepers": "the gatekeepers of halls are killed, and start from nothing at the end",
+	"links":   "halls are cut off from each other and all others; clients reach their gatekeepers",
 }
 
 // Policies are what may decide in a run.
@@ -226,7 +231,7 @@
 		in("workers.drain_s", w.DrainS, 0, 1e4), in("workers.grace_ms", w.GraceMS, 0, 1e5),
 		in("network.client_ms", n.ClientMS, 0, 1e4), in("network.worker_ms", n.WorkerMS, 0, 1e4),
 		in("network.peer_ms", n.PeerMS, 0, 1e5), in("network.peer_loss", n.PeerLoss, 0, 1),
-		in("network.list_ms", n.ListMS, 0, 1e5), in("clients.waits", s.Clients.Waits, 0.01, 100),
+		in("network.list_ms", n.ListMS, 0, 1e5), in("network.across_ms", n.AcrossMS, 0, 1e4), in("clients.waits", s.Clients.Waits, 0.01, 100),
 		in("clients.retries", float64(s.Clients.Retries), 0, 100), in("clients.back_ms", s.Clients.BackMS, 0, 1e5))
 	if err != nil {
 		return first(err)
@@ -288,6 +293,15 @@
 			in(key+"part", f.Part, 0, 1), in(key+"factor", f.Factor, 0, 1e4)); err != nil {
 			return first(err)
 		}
+		if ofHalls := f.Kind == "hall" || f.Kind == "keepers" || f.Kind == "links"; ofHalls != (len(f.Halls) > 0) &&
+			(ofHalls || f.Part > 0) {
+			return fmt.Errorf("%shalls: they go with hall, keepers and links, else in place of part", key)
+		}
+		for _, h := range f.Halls {
+			if err := in(key+"halls", float64(h), 0, float64(max(w.Zones, 1)-1)); err != nil {
+				return err
+			}
+		}
 	}
 	return nil
 }
@@ -314,6 +328,14 @@
 	return all
 }
 
+// hall is where a worker or gatekeeper of a number stands.
+func (s *Scenario) hall(number int) int {
+	if z := s.Workers.Zones; z > 1 {
+		return number % z
+	}
+	return 0
+}
+
 // spread is how many gatekeepers the customers of a plan come through.
 func (s *Scenario) spread(plan int) int {
 	if n := s.Plans[plan].Spread; n > 0 {
--- a/internal/emu/worker.go
+++ b/internal/emu/worker.go
@@ -30,11 +30,11 @@
 func (x *worker) listed() bool { return !x.dead && !x.drains }
 
 func (x *worker) posting(fresh bool) logic.Posting {
-	zone := 0
-	if z := x.w.s.Workers.Zones; z > 1 {
-		zone = x.at % z
+	since := x.since
+	if since > 0 {
+		since += dawn
 	}
-	return logic.Posting{Worker: x.at, Zone: zone, Active: x.listed(), Since: x.since, New: fresh}
+	return logic.Posting{Worker: x.at, Zone: x.w.s.hall(x.at), Active: x.listed(), Since: since, New: fresh}
 }
 
 // warmth is the part of its capacity that it has now.
@@ -50,6 +50,7 @@
 func (x *worker) take(s *submission) {
 	x.coming--
 	switch {
+	case !x.w.reach(s.g, x):
 	case x.life != s.wlife || x.dead:
 		s.answer(logic.Cut, judge.MayHaveRun)
 	case x.silent:
@@ -87,6 +88,7 @@
 		x.inHand = slices.DeleteFunc(x.inHand, func(o *submission) bool { return o == s })
 		if !fails || half {
 			w.judge.Ran(w.now, s.t.id, s.sent)
+			w.ran(x)
 		}
 		switch {
 		case x.silent || loses:
@@ -149,6 +151,9 @@
 	for i := range w.s.Faults {
 		f := w.s.Faults[i]
 		workers, gks := part(f.Part, len(w.workers), rng), part(f.Part, len(w.gks), rng)
+		if len(f.Halls) > 0 {
+			workers, gks = w.s.of(f.Halls, len(w.workers)), w.s.of(f.Halls, len(w.gks))
+		}
 		each := func(on, off func(*worker)) {
 			w.span(f, workers, func(i int) { on(w.workers[i]) },
 				func(i int) { off(w.workers[i]) })
@@ -186,6 +191,13 @@
 			all(func(g *gatekeeper) { g.cut = true }, func(g *gatekeeper) { g.cut = false })
 		case "stall":
 			all((*gatekeeper).hold, (*gatekeeper).release)
+		case "hall", "keepers":
+			if f.Kind == "hall" {
+				each((*worker).kill, (*worker).start)
+			}
+			all((*gatekeeper).kill, func(g *gatekeeper) { w.in(w.s.Gatekeepers.StartMS, g.again) })
+		case "links":
+			w.span(f, f.Halls, func(h int) { w.cutOff[h] = true }, func(h int) { delete(w.cutOff, h) })
 		case "restart":
 			all((*gatekeeper).kill, func(g *gatekeeper) { w.in(w.s.Gatekeepers.StartMS, g.again) })
 		case "roll":
@@ -200,6 +212,31 @@
 	}
 }
 
+// of gives those of n that stand in halls.
+func (s *Scenario) of(halls []int, n int) (all []int) {
+	for i := range n {
+		if slices.Contains(halls, s.hall(i)) {
+			all = append(all, i)
+		}
+	}
+	return all
+}
+
+// joined tells whether the links between two halls are up.
+func (w *world) joined(a, b int) bool { return a == b || !w.cutOff[a] && !w.cutOff[b] }
+
+func (w *world) reach(g *gatekeeper, x *worker) bool {
+	return w.joined(w.s.hall(g.num), w.s.hall(x.at))
+}
+
+// way draws the time of one way between a gatekeeper and a worker.
+func (w *world) way(g *gatekeeper, x *worker) float64 {
+	if w.s.Network.AcrossMS > 0 && w.s.hall(g.num) != w.s.hall(x.at) {
+		return w.draw(w.s.Network.WorkerMS) + w.s.Network.AcrossMS
+	}
+	return w.draw(w.s.Network.WorkerMS)
+}
+
 // span has something begin for each of some at the start of a fault, and end at its end.
 func (w *world) span(f Fault, of []int, on, off func(int)) {
 	w.in(f.FromS*1000, func() {
--- a/internal/emu/world.go
+++ b/internal/emu/world.go
@@ -5,12 +5,14 @@
 import (
 	"container/heap"
 	"context"
+	"fmt"
 	"math"
 	"math/rand"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"willowdeck/internal/judge"
+	"willowdeck/internal/outlook"
 	"willowdeck/internal/traffic"
 	"willowdeck/logic"
 )
@@ -71,6 +73,7 @@
 	truth   map[int]*bucket // ceilings, for the baseline that sees all
 	seen    map[int]*bucket // and quotas
 	wrap    func(int, brain) brain
+	cutOff  map[int]bool // halls whose links are down
 }
 
 // bucket is a store that fills.
@@ -93,6 +96,13 @@
 	heap.Push(&w.queue, event{w.now + math.Max(ms, 0), w.seq, do})
 }
 
+// dawn is what gatekeepers' clocks show at the start, ms. Guards against times near nought, which the module
+// takes for never: no real clock shows them, and peers that fell silent were not seen to.
+const dawn = 1e9
+
+// clock is the time as gatekeepers see it.
+func (w *world) clock() float64 { return w.now + dawn }
+
 // draw spreads a delay: never nothing, and now and then several times as long.
 func (w *world) draw(ms float64) float64 { return ms * (0.5 + 0.5*w.net.ExpFloat64()) }
 
@@ -101,8 +111,77 @@
 	return run(ctx, s, seed, nil)
 }
 
+// RunWords plays a scenario, and gives the words that its gatekeepers say at a moment, in seconds.
+func RunWords(ctx context.Context, s *Scenario, seed int64, atS float64) (*Result, []*outlook.Word, error) {
+	var words []*outlook.Word
+	r, err := playFrom(ctx, s, seed, nil, func(w *world) {
+		for _, g := range w.gks {
+			g.meter = outlook.NewMeter(s.charter(g.num), 1)
+		}
+		for at := 0.0; at < atS*1000; at += markEach {
+			w.in(at, func() {
+				for _, g := range w.gks {
+					if m, ok := g.brain.(*logic.Gatekeeper); ok && g.up {
+						t := m.Tally()
+						g.meter.Mark(w.clock(), &t)
+					}
+				}
+			})
+		}
+		w.in(atS*1000-1e-3, func() {
+			for _, g := range w.gks {
+				if g.up {
+					words = append(words, g.word())
+				}
+			}
+		})
+	})
+	return r, words, err
+}
+
+// markEach is how often meters are told the time, ms.
+const markEach = 200
+
+// word is what a gatekeeper says of itself.
+func (g *gatekeeper) word() *outlook.Word {
+	s := g.w.s
+	hall := func(z int) string { return fmt.Sprintf("hall%d", z) }
+	w := &outlook.Word{Name: fmt.Sprintf("g%d", g.num), Host: "emulated", Hall: hall(s.hall(g.num)),
+		Group: "emulated", Number: g.num, Charter: s.charter(g.num)}
+	w.Charter.Me = 0
+	for _, p := range s.Products {
+		w.Products = append(w.Products, p.Name)
+	}
+	for _, p := range s.Plans {
+		w.Plans = append(w.Plans, p.Name)
+	}
+	m, ok := g.brain.(*logic.Gatekeeper)
+	if !ok {
+		return w
+	}
+	var sight logic.Sight
+	t := m.Tally()
+	m.Look(&sight)
+	g.meter.Tell(w, g.w.clock(), &t, &sight, hall)
+	return w
+}
+
+// ran notes that a worker has run a txn.
+func (w *world) ran(x *worker) {
+	s := w.res.second(w.now)
+	for len(s.Ran) <= w.s.hall(x.at) {
+		s.Ran = append(s.Ran, 0)
+	}
+	s.Ran[w.s.hall(x.at)]++
+}
+
 // run lets a test put something between the world and the gatekeepers' brains.
 func run(ctx context.Context, s *Scenario, seed int64, wrap func(int, brain) brain) (*Result, error) {
+	return playFrom(ctx, s, seed, wrap, func(*world) {})
+}
+
+func playFrom(ctx context.Context, s *Scenario, seed int64, wrap func(int, brain) brain,
+	begin func(*world)) (*Result, error) {
 	all, err := s.Arrivals(seed)
 	if err != nil {
 		return nil, err
@@ -110,7 +189,7 @@
 	source := rand.New(rand.NewSource(seed))
 	w := &world{s: s, seed: seed, judge: judge.New(s.rules()), net: rand.New(rand.NewSource(source.Int63())),
 		work: rand.New(rand.NewSource(source.Int63())), lat: hdrhistogram.New(1, 600e6, 3),
-		store: map[int]*bucket{},
+		store: map[int]*bucket{}, cutOff: map[int]bool{},
 		truth: map[int]*bucket{}, seen: map[int]*bucket{}, wrap: wrap}
 	w.res = newResult(s, seed)
 	for i := range s.Workers.Count {
@@ -119,6 +198,7 @@
 	for i := range s.Gatekeepers.Count {
 		w.gks = append(w.gks, &gatekeeper{w: w, num: i, source: rand.New(rand.NewSource(source.Int63()))})
 	}
+	begin(w)
 	for _, g := range w.gks {
 		g.start()
 	}
@@ -164,6 +244,7 @@
 		w.inside = append(w.inside, in)
 		if in {
 			w.res.Offered += w.worth(a)
+			w.res.second(a.At).Offered += w.worth(a)
 		}
 	}
 	var next func(i int)
@@ -249,6 +330,7 @@
 		worth *= q.Excess - q.Fee
 	}
 	w.res.Served += worth
+	w.res.second(c.first).Served += worth
 	w.res.second(c.first).add(took)
 }
 
--- /dev/null
+++ b/internal/outlook/queue.go
@@ -0,0 +1,94 @@
+package outlook
+
+import "math"
+
+// servers are workers alike, each running k txns at once that take s ms on average, with the squared
+// coefficient of variation cv2.
+type servers struct{ k, s, cv2 float64 }
+
+// wait gives, at a use from 0 up to 1, the chance that a txn waits at its worker and how long it then does on
+// average, ms; the wait of those that do is taken as exponential. The approximation is Sakasegawa's (An
+// approximation formula L = a p^b / (1 - p), 1977) for the chance, and Allen and Cunneen's factor for the
+// spread of the work; both as in Whitt, Approximations for the GI/G/m queue, 1993.
+func (q servers) wait(use float64) (chance, mean float64) {
+	if use <= 0 || q.s <= 0 {
+		return 0, 0
+	}
+	use = math.Min(use, mostUse)
+	return math.Pow(use, math.Sqrt(2*(q.k+1))-1), (1 + q.cv2) / 2 * q.s / (q.k * (1 - use))
+}
+
+// wq is the mean wait of all, ms.
+func (q servers) wq(use float64) float64 {
+	chance, mean := q.wait(use)
+	return chance * mean
+}
+
+// mostUse is as near to all as a use is reckoned with; beyond it waits have no meaning.
+const mostUse = 0.995
+
+// bisect finds where a function that grows passes nought, between two points.
+func bisect(lo, hi float64, f func(float64) float64) float64 {
+	for range 60 {
+		if mid := (lo + hi) / 2; f(mid) < 0 {
+			lo = mid
+		} else {
+			hi = mid
+		}
+	}
+	return (lo + hi) / 2
+}
+
+// service gives how long a txn takes without any wait, ms, of what answers take at a rate of txns an ms at
+// each worker: the wait that it implies and itself add up to that.
+func service(k, cv2, took, perMs float64) float64 {
+	return bisect(0, took, func(s float64) float64 {
+		use := perMs * s / k
+		if use >= mostUse {
+			return 1
+		}
+		return s + servers{k, s, cv2}.wq(use) - took
+	})
+}
+
+// flowing is one sort of txn before a gatekeeper's window: how many come, an ms, and the part of the window
+// that it may fill.
+type flowing struct{ rate, depth float64 }
+
+// admits gives the part of each sort that a window lets in, where a submission is out for so many ms: the
+// stationary state of a birth and death process, with the room for a sort that shrinks as it is passed (a
+// trunk reservation; Kelly, Loss networks, 1991). The edge of a window that is no whole number is let in by
+// chance, as the window moves about it.
+func admits(sorts []flowing, window, out float64, into []float64) []float64 {
+	into = into[:0]
+	for range sorts {
+		into = append(into, 0)
+	}
+	open := func(s *flowing, n int) float64 {
+		return math.Min(math.Max(math.Max(window*s.depth, 1)-float64(n), 0), 1)
+	}
+	p, sum := 1.0, 0.0
+	for n := 0; p > 0 && n < mostOut; n++ {
+		rate := 0.0
+		for i := range sorts {
+			part := open(&sorts[i], n)
+			into[i] += p * part
+			rate += sorts[i].rate * part
+		}
+		sum += p
+		p *= rate * out / float64(n+1)
+		if sum > 1e200 { // long tails of many out: only the quotients matter
+			for i := range into {
+				into[i] /= sum
+			}
+			p, sum = p/sum, 1
+		}
+	}
+	for i := range into {
+		into[i] /= sum
+	}
+	return into
+}
+
+// mostOut is how many submissions of one gatekeeper are reckoned with.
+const mostOut = 20000
