--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -39,6 +39,8 @@
 	Known     roster.List
 	Ask       []string // operators' ports of running instances, that a newcomer asks for their list
 	Tells     bool     // newcomers may ask this one for its list, at the operators' port
+	Hall      string   // where this gatekeeper stands; where it is said, its word is told at the operators' port
+	Host      string   // whose daemon keeps it
 	Residue   string   // the file that outlives a sudden end of this process; empty where none is kept
 	Forward   *Forward // nil where forward authentication is off
 	Terms
--- a/internal/emu/scenario.go
+++ b/internal/emu/scenario.go
@@ -231,7 +231,8 @@
 		in("workers.drain_s", w.DrainS, 0, 1e4), in("workers.grace_ms", w.GraceMS, 0, 1e5),
 		in("network.client_ms", n.ClientMS, 0, 1e4), in("network.worker_ms", n.WorkerMS, 0, 1e4),
 		in("network.peer_ms", n.PeerMS, 0, 1e5), in("network.peer_loss", n.PeerLoss, 0, 1),
-		in("network.list_ms", n.ListMS, 0, 1e5), in("network.across_ms", n.AcrossMS, 0, 1e4), in("clients.waits", s.Clients.Waits, 0.01, 100),
+		in("network.list_ms", n.ListMS, 0, 1e5), in("network.across_ms", n.AcrossMS, 0, 1e4),
+		in("clients.waits", s.Clients.Waits, 0.01, 100),
 		in("clients.retries", float64(s.Clients.Retries), 0, 100), in("clients.back_ms", s.Clients.BackMS, 0, 1e5))
 	if err != nil {
 		return first(err)
--- a/internal/fleet/file.go
+++ b/internal/fleet/file.go
@@ -38,6 +38,8 @@
 
 	Remember bool // instances keep what outlives a sudden end
 	Warm     bool // and ask others for their list until discovery has spoken
+	Hall     string
+	Outlook  Looks
 }
 
 // Read reads and checks a fleet's file, and the configuration that it names. An error names the file, and
@@ -47,7 +49,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := File{ReadyS: 6, GraceS: 4, Step: 1, Remember: true, Warm: true}
+	f := File{ReadyS: 6, GraceS: 4, Step: 1, Remember: true, Warm: true, Outlook: usualLooks()}
 	f.Restart.FirstMS, f.Restart.MostMS, f.Restart.CalmS = 200, 10000, 30
 	if err := strict.Decode(string(raw), &f); err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
@@ -70,6 +72,8 @@
 	Pace                           Pace
 	Instances                      []Instance
 	Remember, Warm                 bool
+	Hall                           string // where it stands; empty where it looks ahead at nothing
+	Looks                          Looks
 }
 
 // Instance is one gatekeeper of it.
@@ -122,6 +126,9 @@
 		Name: f.Name, Program: f.Program, RunDir: f.RunDir, Control: f.Control,
 		Pace: Pace{First: f.Restart.FirstMS, Most: f.Restart.MostMS, Calm: f.Restart.CalmS * 1000,
 			Within: f.ReadyS * 1000, Grace: f.GraceS * 1000, Step: f.Step}}
+	if err := f.looks(fl); err != nil {
+		return nil, err
+	}
 	taken := map[netip.AddrPort]string{}
 	if _, err := span("control", f.Control, 1, taken); err != nil {
 		return nil, err
--- a/internal/fleet/host.go
+++ b/internal/fleet/host.go
@@ -42,6 +42,7 @@
 	done    chan struct{}
 	ended   bool
 	stopped chan struct{}
+	watcher *watcher // nil where it looks ahead at nothing
 }
 
 // place is what an instance has besides its processes.
@@ -86,6 +87,10 @@
 	d.adopt()
 	d.turn()
 	d.mu.Unlock()
+	if f.Hall != "" {
+		d.watcher = d.watches()
+		go d.watcher.loop(d)
+	}
 	go d.loop()
 	return d, nil
 }
@@ -244,8 +249,9 @@
 
 // Reload takes a fleet's file up that has been read anew; where it could not be, the old one stays in force.
 func (d *Daemon) Reload(f *Fleet, err error) {
-	if err == nil && (f.RunDir != d.fleet.RunDir || f.Control != d.fleet.Control || f.Name != d.fleet.Name) {
-		err = errors.New("name, run_dir and control can't change while the daemon runs")
+	if err == nil && (f.RunDir != d.fleet.RunDir || f.Control != d.fleet.Control || f.Name != d.fleet.Name ||
+		f.Hall != d.fleet.Hall) {
+		err = errors.New("name, run_dir, control and hall can't change while the daemon runs")
 	}
 	if err != nil {
 		d.log.Error().Err(err).Msg("file not taken up, the old one stays")
@@ -340,6 +346,9 @@
 			cmd.Env = append(cmd.Env, "WILLOWDECK_ASK="+strings.Join(ask, ","))
 		}
 	}
+	if d.fleet.Hall != "" {
+		cmd.Env = append(cmd.Env, "WILLOWDECK_HALL="+d.fleet.Hall, "WILLOWDECK_HOST="+d.fleet.Name)
+	}
 	if d.fleet.Remember {
 		cmd.Env = append(cmd.Env, "WILLOWDECK_RESIDUE="+filepath.Join(dir, "residue"))
 	}
--- a/internal/fleet/port.go
+++ b/internal/fleet/port.go
@@ -34,6 +34,10 @@
 		w.Header().Set("Content-Type", "text/plain")
 		fmt.Fprint(w, d.text())
 	})
+	if d.watcher != nil {
+		mux.HandleFunc("GET /fleet/words", d.watcher.words)
+		mux.HandleFunc("GET /fleet/outlook", d.watcher.outlook)
+	}
 	p := &Port{At: l.Addr().String(), server: &http.Server{Handler: mux, ReadTimeout: time.Second,
 		WriteTimeout: time.Second, MaxHeaderBytes: 4096}}
 	p.server.SetKeepAlivesEnabled(false)
@@ -69,5 +73,8 @@
 	for s, name := range stateNames {
 		fmt.Fprintf(&b, "fleet.%s=%d\n", name, counts[State(s)])
 	}
+	if d.watcher != nil {
+		d.watcher.figures(&b)
+	}
 	return b.String()
 }
--- a/internal/gate/desk.go
+++ b/internal/gate/desk.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"willowdeck/internal/held"
+	"willowdeck/internal/outlook"
 	"willowdeck/internal/residue"
 	"willowdeck/internal/wire"
 	"willowdeck/internal/wire/gossip"
@@ -53,6 +54,8 @@
 	speech  []speech
 	waiting []waiting     // of the wake's goroutine
 	residue *residue.File // nil where none is kept
+	meter   *outlook.Meter
+	sight   logic.Sight
 }
 
 // waiting is a txn whose client is looked at.
@@ -252,7 +255,8 @@
 	d.last++
 	a.ID = d.last
 	h := held.NewTxn(a.ID, math.Inf(1), gone, d.subs)
-	h.Of, h.Plan = a.Customer, a.Plan
+	h.Of, h.Plan, h.Kind, h.Came = a.Customer, a.Plan, a.Product, d.clock.now()
+	d.meter.Asked(a.Plan, a.Product, a.Units)
 	d.txns[a.ID] = h
 	return h
 }
@@ -292,7 +296,7 @@
 	now := d.enter()
 	known := !h.Final && d.gk.Claim(h.ID, t.Left, t.Streams)
 	if known {
-		t.ID, h.Expiry, h.Gone = h.ID, expiry(t, now), t.Gone
+		t.ID, h.Expiry, h.Gone, h.Came = h.ID, expiry(t, now), t.Gone, now
 	}
 	d.leave()
 	return known
@@ -304,6 +308,7 @@
 	if !h.Final {
 		d.gk.Release(h.ID)
 		h.Final = true
+		d.meter.Ended(h.Plan, h.Kind, outlook.Other, 0)
 		d.forget(h)
 	}
 	d.leave()
@@ -350,8 +355,10 @@
 // ended tells the module how a submission ended. The first answer of a worker settles the txn.
 func (d *Desk) ended(h *held.Txn, n, worker int, a *wire.Answer, took float64) {
 	now := d.enter()
+	d.meter.Answered(d.workers.Zone(worker), h.Kind, a.Outcome, took, h.Final)
 	if a.Heard {
 		d.gk.Burden(worker, a.Load)
+		d.meter.Said(d.workers.Zone(worker), a.Load)
 	}
 	if a.Outcome == logic.Settled && !h.Final {
 		d.finish(h, held.Word{Answer: a}, now)
@@ -368,12 +375,41 @@
 	held.Must(!h.Final, held.OneFinal)
 	held.Must(now <= h.Expiry+d.late, held.InTime)
 	h.Final = true
+	d.meter.Ended(h.Plan, h.Kind, endOf(w), now-h.Came)
 	for _, s := range h.Subs {
 		s.Bar()
 	}
 	h.Box <- w
 }
 
+// endOf tells a final answer's kind for the meter.
+func endOf(w held.Word) outlook.Final {
+	switch {
+	case w.Answer != nil:
+		return outlook.Settled
+	case w.Decision.Kind == logic.Decline:
+		return outlook.Declined
+	}
+	return outlook.Voided
+}
+
+// Measure has a meter count from here on what a word of this gatekeeper tells. It is to come before any txn.
+func (d *Desk) Measure(m *outlook.Meter) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.meter = m
+}
+
+// Speak fills in a word what the meter and the module have seen.
+func (d *Desk) Speak(w *outlook.Word) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now, t := d.clock.now(), d.gk.Tally()
+	d.meter.Mark(now, &t)
+	d.gk.Look(&d.sight)
+	d.meter.Tell(w, now, &t, &d.sight, d.workers.ZoneName)
+}
+
 // forget drops a txn of which nothing more can come.
 func (d *Desk) forget(h *held.Txn) {
 	if h.Final && h.Out == 0 {
--- a/internal/held/life.go
+++ b/internal/held/life.go
@@ -20,6 +20,8 @@
 	ID     uint64
 	Of     uint64 // its customer
 	Plan   int
+	Kind   int     // its product
+	Came   float64 // when it was taken
 	Expiry float64
 	Whole  float64     // when a body that is not kept had gone out
 	Gone   func() bool // whether its client has closed
--- a/internal/held/workers.go
+++ b/internal/held/workers.go
@@ -15,6 +15,7 @@
 	since  float64
 	active bool
 	gone   bool
+	zone   int
 	life   atomic.Int64 // grows with each change that ends what was meant for the worker as it was
 }
 
@@ -45,6 +46,12 @@
 	return Life{Worker: i, Addr: of.addr, of: of, life: of.life.Load()}
 }
 
+// Zone gives the number of a worker's zone, and ZoneName its name.
+func (w *Workers) Zone(i int) int { return w.all[i].zone }
+
+// ZoneName gives the name of a zone.
+func (w *Workers) ZoneName(zone int) string { return w.zones.Name(zone) }
+
 // Names gives the names of workers and of kinds of machines, by their numbers.
 func (w *Workers) Names() (workers, kinds map[int]string) {
 	workers, kinds = map[int]string{}, map[int]string{}
@@ -102,8 +109,8 @@
 		if w.all[i].become(e.Address, e.Since, e.Active) {
 			ended = append(ended, i)
 		}
-		w.all[i].gone = e.Gone
-		w.postings = append(w.postings, logic.Posting{Worker: i, Zone: w.zones.Of(e.Zone), Cell: e.Cell,
+		w.all[i].gone, w.all[i].zone = e.Gone, w.zones.Of(e.Zone)
+		w.postings = append(w.postings, logic.Posting{Worker: i, Zone: w.all[i].zone, Cell: e.Cell,
 			Kind: w.kinds.Of(e.Kind), Rating: e.Rating,
 			Active: e.Active, Since: e.Since, New: !known})
 	}
--- a/internal/lab/outlook.go
+++ b/internal/lab/outlook.go
@@ -54,8 +54,8 @@
 }
 
 // Foresee projects some losses from the words of an emulated fleet at a moment, in seconds, and plays each.
-func Foresee(ctx context.Context, s *emu.Scenario, seed int64, at float64, losses []outlook.Loss) ([]Foresight,
-	*outlook.Outlook, error) {
+func Foresee(ctx context.Context, s *emu.Scenario, seed int64, at float64,
+	losses []outlook.Loss) ([]Foresight, *outlook.Outlook, error) {
 	rules := Rules(s)
 	before, words, err := emu.RunWords(ctx, s, seed, at)
 	if err != nil {
--- a/internal/lab/outlook_test.go
+++ b/internal/lab/outlook_test.go
@@ -12,7 +12,7 @@
 var foreseeSeeds = flag.Int("foresee", 1, "seeds that losses of halls are projected and played with")
 
 func TestForesee(t *testing.T) {
-	for _, name := range []string{"halls20"} {
+	for _, name := range []string{"halls20", "halls300"} {
 		s, err := emu.Read("../../scenarios/" + name + ".toml")
 		if err != nil {
 			t.Fatal(err)
@@ -22,7 +22,7 @@
 			{Kind: outlook.Keepers, Halls: []string{"hall0"}}, {Kind: outlook.Links, Halls: []string{"hall0"}},
 			{Kind: outlook.Slowed, Halls: []string{"hall0"}}}
 		for seed := int64(1); seed <= int64(*foreseeSeeds); seed++ {
-			all, o, err := Foresee(context.Background(), s, seed, 6, losses)
+			all, o, err := Foresee(context.Background(), s, seed, 10, losses)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -32,7 +32,7 @@
 			for _, f := range all {
 				t.Logf("%s %v %v: asked %.1f foretold %.1f found %.1f error %.3f load %.3f", name, f.Loss.Kind,
 					f.Loss.Halls, f.Asked, f.Foretold, f.Found, f.Error(), f.LoadError())
-				t.Log(f.Loads)
+				t.Log(f.Loads, s.Gatekeepers.Count)
 			}
 		}
 	}
--- a/internal/lifecycle/reload.go
+++ b/internal/lifecycle/reload.go
@@ -51,6 +51,9 @@
 		g.portal.Resize(n)
 	}
 	g.conf.Peers = c.Peers
+	if g.word != nil {
+		g.word.among(c.Peers, n)
+	}
 	g.members.Store(int64(n))
 	g.log.Info().Int64("from", was).Int("to", n).Msg("number of gatekeepers taken up")
 }
--- /dev/null
+++ b/internal/lifecycle/speak.go
@@ -0,0 +1,86 @@
+package lifecycle
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"willowdeck/internal/outlook"
+	"willowdeck/internal/residue"
+)
+
+// wordEach is how often a word is made anew, at least: its rates are over ten seconds, and a look at all
+// customers takes some us for each hundred.
+const wordEach = 500 * time.Millisecond
+
+// speaker keeps the word that this gatekeeper says of itself.
+type speaker struct {
+	mu   sync.Mutex
+	word outlook.Word
+	made time.Time
+	said atomic.Pointer[[]byte]
+}
+
+// speaks begins to count what a word tells.
+func (g *Gatekeeper) speaks() *speaker {
+	c := &g.conf
+	s := &speaker{word: outlook.Word{Name: c.Name, Host: c.Host, Hall: c.Hall, Number: c.Charter.Me,
+		Charter: c.Charter, Products: make([]string, len(c.Charter.Products)),
+		Plans: make([]string, len(c.Charter.Plans))}}
+	for name, i := range c.Names.Products {
+		s.word.Products[i] = name
+	}
+	for name, i := range c.Names.Plans {
+		s.word.Plans[i] = name
+	}
+	s.word.Charter.Me = 0
+	s.among(c.Peers, c.Charter.Gatekeepers)
+	g.desk.Measure(outlook.NewMeter(c.Charter, residue.Uptime()))
+	return s
+}
+
+// among notes who the gatekeepers are that quotas are shared with.
+func (s *speaker) among(peers []netip.AddrPort, n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.word.Charter.Gatekeepers = n
+	if len(peers) == 0 {
+		s.word.Group = s.word.Host + "/" + s.word.Name
+		return
+	}
+	sum := sha256.Sum256(fmt.Append(nil, peers))
+	s.word.Group = fmt.Sprintf("%x", sum[:4])
+}
+
+// renew makes the word anew, if it is time.
+func (s *speaker) renew(g *Gatekeeper) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if time.Since(s.made) < wordEach {
+		return
+	}
+	s.made = time.Now()
+	g.desk.Speak(&s.word)
+	b, err := outlook.Append(nil, &s.word)
+	if err != nil {
+		g.log.Warn().Err(err).Msg("no word is told")
+		s.said.Store(nil)
+		return
+	}
+	s.said.Store(&b)
+}
+
+// Word gives what this gatekeeper says of itself, as it was made last.
+func (g *Gatekeeper) Word() ([]byte, bool) {
+	if g.word == nil {
+		return nil, false
+	}
+	b := g.word.said.Load()
+	if b == nil {
+		return nil, false
+	}
+	return *b, true
+}
--- a/internal/lifecycle/start.go
+++ b/internal/lifecycle/start.go
@@ -53,6 +53,7 @@
 	portal  *portal.Portal // nil where portals do not ask
 	vouch   *vouch.Voucher // nil where no auth service is asked
 	said    time.Time      // when the log last told that the watch had ended
+	word    *speaker       // nil where no word is told
 }
 
 // Start brings a gatekeeper up: when it returns, clients are served.
@@ -98,6 +99,9 @@
 		}
 	}
 	g.desk = gate.NewDesk(c.Charter, c.Seed, c.Lines.AnswerSlack+socketSlack, tell, g.links.Shed)
+	if c.Hall != "" && c.Control != "" {
+		g.word = g.speaks()
+	}
 	g.desk.Roster(c.Known)
 	g.list = warm.NewBook(c.Known)
 	g.members.Store(int64(c.Charter.Gatekeepers))
@@ -122,7 +126,7 @@
 		return nil, err
 	}
 	if g.port != nil {
-		go ops.Every(g.over, g.desk.Look)
+		go ops.Every(g.over, g.look)
 	}
 	g.At = l.Addr().String()
 	g.watch(c.Known.Version)
@@ -145,6 +149,14 @@
 	return g, nil
 }
 
+// look renews the copies that operators' calls are answered from.
+func (g *Gatekeeper) look() {
+	g.desk.Look()
+	if g.word != nil {
+		g.word.renew(g)
+	}
+}
+
 // remember keeps what outlives a sudden end, and takes what one has left. Without it the gatekeeper starts as
 // ever.
 func (g *Gatekeeper) remember() {
--- a/internal/ops/ops.go
+++ b/internal/ops/ops.go
@@ -52,6 +52,14 @@
 	List() (list []byte, age float64, ok bool)
 }
 
+// Speaker is a desk that tells its word for those who look ahead.
+type Speaker interface {
+	Word() (word []byte, ok bool) // false where it tells none
+}
+
+// WordPath is where a gatekeeper tells its word.
+const WordPath = "/admin/word"
+
 // What a newcomer asks for, and what the answer says beside the list.
 const (
 	ListPath      = "/admin/list"
@@ -105,6 +113,7 @@
 	"/admin/health":  {fasthttp.MethodGet, (*Port).health},
 	"/admin/stats":   {fasthttp.MethodGet, (*Port).stats},
 	ListPath:         {fasthttp.MethodGet, (*Port).list},
+	WordPath:         {fasthttp.MethodGet, (*Port).word},
 	"/admin/quiesce": {fasthttp.MethodPut, (*Port).quiesce},
 	"/admin/resume":  {fasthttp.MethodPut, (*Port).resume},
 }
@@ -150,6 +159,21 @@
 	ctx.SetBody(list)
 }
 
+func (p *Port) word(ctx *fasthttp.RequestCtx) {
+	s, ok := p.desk.(Speaker)
+	if !ok {
+		say(ctx, fasthttp.StatusNotFound, "no such call")
+		return
+	}
+	word, ok := s.Word()
+	if !ok {
+		say(ctx, fasthttp.StatusNotFound, "no such call")
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(word)
+}
+
 func (p *Port) quiesce(ctx *fasthttp.RequestCtx) {
 	p.desk.Note("quiesce")
 	p.desk.Quiesce()
--- a/internal/outlook/fleet.go
+++ b/internal/outlook/fleet.go
@@ -313,7 +313,8 @@
 }
 
 func (f *fleet) stateOf(x int) HallState {
-	return HallState{Name: f.names[x], Gatekeepers: f.keepers[x], Workers: f.workers[x], Able: f.able[x], Use: -1}
+	return HallState{Name: f.names[x], Gatekeepers: f.keepers[x], Workers: f.workers[x], Able: f.able[x],
+		Use: -1}
 }
 
 // mean is what a usual txn takes of a core, ms, over what is settled now.
--- a/internal/outlook/meter.go
+++ b/internal/outlook/meter.go
@@ -204,5 +204,6 @@
 		w.Halls = append(w.Halls, h)
 	}
 	w.Customers, w.Sets = append(w.Customers[:0], s.Plans...), append(w.Sets[:0], s.Sets...)
-	w.Others, w.Window, w.Press, w.InHand, w.Silent, w.Gone = s.Others, s.Window, s.Press, s.InHand, s.Silent, s.Gone
+	w.Others, w.Window, w.Press = s.Others, s.Window, s.Press
+	w.InHand, w.Silent, w.Gone = s.InHand, s.Silent, s.Gone
 }
--- a/internal/outlook/outlook.go
+++ b/internal/outlook/outlook.go
@@ -69,6 +69,9 @@
 	Halls []string
 }
 
+// Same tells whether two losses are the same.
+func (l *Loss) Same(o Loss) bool { return l.Kind == o.Kind && slices.Equal(l.Halls, o.Halls) }
+
 // Losses are all that are usually asked about: each kind for each hall, and for each pair of halls where
 // another one is left.
 func Losses(halls []string) (all []Loss) {
@@ -171,7 +174,7 @@
 		return o
 	}
 	f := o.gather(used)
-	o.Moved = round4(f.manner.Suspicion + f.manner.Hold)
+	o.Moved = round4(f.moved())
 	o.Now = f.now()
 	if f.cores == 0 {
 		return o
@@ -189,7 +192,7 @@
 	newest := map[string]*Word{}
 	for _, w := range words {
 		id := w.Group + "\x00" + fmt.Sprint(w.Number)
-		if was := newest[id]; was == nil || w.newer(was) {
+		if was := newest[id]; was == nil || w.Newer(was) {
 			newest[id] = w
 		}
 	}
@@ -232,7 +235,7 @@
 	return string(b)
 }
 
-// termsOf gives the terms of each word, and those that most have; of two that are as common the first by text.
+// termsOf gives the terms of each word, and those that most have; of two as common the first by text.
 func termsOf(words []*Word) (all []string, most string) {
 	count := map[string]int{}
 	for _, w := range words {
--- a/internal/outlook/project.go
+++ b/internal/outlook/project.go
@@ -28,8 +28,8 @@
 	pressed                              bool
 }
 
-// base is the fleet as it is, reckoned in the same way as after a loss: what a loss costs is the difference of
-// the two, so that much of what the reckoning gets wrong cancels.
+// base is the fleet as it is, reckoned in the same way as after a loss: what a loss costs is the difference
+// of the two, so that much of what the reckoning gets wrong cancels.
 func (f *fleet) base() *outcome { return f.play(f.stage(Loss{})) }
 
 func (f *fleet) stage(l Loss) *stage {
@@ -59,7 +59,7 @@
 	c := Cost{Loss: l}
 	s := f.stage(l)
 	now := f.now()
-	moved := f.manner.Suspicion + f.manner.Hold
+	moved := f.moved()
 	s.let = f.quotas(s.mute, true)
 	c.First.Credit = f.borrow(s, base, moved)
 	first := f.play(s)
@@ -198,7 +198,8 @@
 // gatekeepers for it.
 func (f *fleet) demand(s *stage) (all [][]coming, orphans, lost []float64) {
 	n, np, most := len(f.names), len(f.products), f.rules.Tries
-	all, orphans, lost = grid[coming](n, len(f.flows)), make([]float64, len(f.plans)), make([]float64, len(f.flows))
+	all = grid[coming](n, len(f.flows))
+	orphans, lost = make([]float64, len(f.plans)), make([]float64, len(f.flows))
 	for h := range all {
 		for i := range all[h] {
 			all[h][i] = coming{make([]float64, most+1), make([]float64, most+1)}
@@ -263,13 +264,6 @@
 			continue
 		}
 		able += f.able[x]
-		for _, g := range halls {
-			parts[x] += f.run[g][x]
-		}
-		if parts[x] == 0 {
-			parts[x] = f.able[x] * 1e-6
-		}
-		sum += parts[x]
 	}
 	fresh := make([]coming, len(f.flows)) // as quotas let it through
 	rates := make([]float64, len(f.names))
@@ -287,6 +281,24 @@
 	for _, g := range halls {
 		o.asked[g] += rates[g]
 	}
+	for _, g := range halls { // each hall's gatekeepers go on to favour the workers that they favour now
+		mine := 0.0
+		for _, x := range halls {
+			if !s.gone[x] {
+				mine += f.run[g][x]
+			}
+		}
+		for _, x := range halls {
+			if !s.gone[x] && mine > 0 {
+				parts[x] += rates[g] * f.run[g][x] / mine
+			} else if !s.gone[x] && able > 0 {
+				parts[x] += rates[g] * f.able[x] / able
+			}
+		}
+	}
+	for _, x := range halls {
+		sum += parts[x]
+	}
 	if keepers == 0 || able == 0 || sum == 0 {
 		for i := range fresh {
 			o.declined[i/np] += fresh[i].sum()
@@ -507,10 +519,11 @@
 	}
 	sum, weights := 0.0, 0.0
 	for lives, r := range p.come[i].rate {
+		first := p.come[i].before[lives] / math.Max(r, 1e-12) * (p.f.rules.Back/2 + p.way)
 		for k := range lives {
 			w := r * p.passes[i] * math.Pow(1-p.passes[i], float64(k))
 			weights += w
-			sum += w * over(p.come[i].before[lives]/math.Max(r, 1e-12)*(p.f.rules.Back/2+p.way)+float64(k)*(pause+p.way))
+			sum += w * over(first+float64(k)*(pause+p.way))
 		}
 	}
 	return rate, sum / math.Max(weights, 1e-12)
--- a/internal/outlook/quota.go
+++ b/internal/outlook/quota.go
@@ -22,11 +22,11 @@
 // using is demand of customers of a use, which is their demand over their rate.
 type using struct{ of, demand float64 }
 
-// uses gives a plan's demand by its customers' use. What gatekeepers see of a customer at a moment swings by
-// chance about what it asks: that part of the spread is taken out, as far as it would be there if all came by
-// chance alone (a Poisson stream, seen through an exponential memory of a second), so that what stores even
-// out is not taken for need.
-func (f *fleet) uses(plan int) (use [len(logic.UseSteps) + 1]using, all float64) {
+// uses gives a plan's demand by its customers' use, and the mean size of its txns. What gatekeepers see of a
+// customer at a moment swings by chance about what it asks: that part of the spread is taken out, as far as it
+// would be there if all came by chance alone (a Poisson stream, seen through an exponential memory of a
+// second), so that what stores even out is not taken for need.
+func (f *fleet) uses(plan int) (use [len(logic.UseSteps) + 1]using, size, all float64) {
 	customers, mean, squares := 0.0, 0.0, 0.0
 	for _, w := range f.words {
 		customers += w.Customers[plan].Customers * f.scaled
@@ -36,7 +36,7 @@
 		}
 	}
 	if all == 0 || customers == 0 {
-		return use, 0
+		return use, 1, 0
 	}
 	units, txns := 0.0, 0.0
 	for p := range f.products {
@@ -58,12 +58,15 @@
 	for i := range use {
 		use[i].of = math.Max(usual+narrow*(use[i].of-mean), usual/20)
 	}
-	return use, all
+	return use, math.Max(units/math.Max(txns, 1e-9), 1), all
 }
 
 // memory is the design's smoothing of demand, s.
 const memory = 1.0
 
+// moved is how long after a loss the demand of those lost still counts, ms.
+func (f *fleet) moved() float64 { return math.Max(f.manner.Suspicion+f.manner.Hold, f.manner.Unheard) }
+
 // quotas gives the part of what customers ask that their quotas and ceilings let in, by plan, while their
 // gatekeepers in some halls are silent. early has the mean until their shares have moved: the last demand of
 // those lost still counts for so long, so the others' parts of a rate add up to less than it.
@@ -73,7 +76,7 @@
 		if let[q] = 1; f.charter.Plans[q].Rate <= 0 || f.manner.Beyond[q] {
 			continue
 		}
-		use, all := f.uses(q)
+		use, size, all := f.uses(q)
 		if all == 0 {
 			continue
 		}
@@ -82,7 +85,7 @@
 		for i := range use {
 			if d := use[i].demand; d > 0 {
 				for _, p := range parts {
-					sum += d / all * p.weight * f.lets(q, use[i].of, p, early)
+					sum += d / all * p.weight * f.lets(q, use[i].of, size, p, early)
 				}
 			}
 		}
@@ -131,51 +134,89 @@
 	return all
 }
 
-// lets gives the part of its demand that a customer of some use is let in.
-func (f *fleet) lets(plan int, use float64, p share, early bool) float64 {
-	c, m := &f.charter.Plans[plan], &f.manner
-	if use <= 0 {
-		return 1
+// store is one that fills at a rate and holds depth, with demand of a mean and a variance, all in units and
+// seconds. What it holds is taken for a Brownian motion between nought and its depth (Harrison, Brownian
+// motion and stochastic flow systems, 1985): what it cannot give is what holds the motion up at nought.
+type store struct{ rate, depth, demand, variance float64 }
+
+// short gives the part of its demand that a store cannot give in the long run.
+func (s store) short() float64 {
+	drift := s.rate - s.demand
+	x := 2 * drift * s.depth / s.variance
+	push := s.variance / (2 * s.depth)
+	if math.Abs(x) > 1e-6 {
+		push = drift / math.Expm1(x)
 	}
-	most := func(rate, depth, ms float64) float64 { // of the demand, over so long
-		stored := 0.0
-		if use < rate/c.Rate && ms > 0 {
-			stored = depth / c.Rate / (ms / 1000)
-		}
-		return math.Min((rate/c.Rate+stored)/use, 1)
+	return math.Min(math.Max(push/s.demand, 0), 1)
+}
+
+// shortFor gives it as the mean over so many seconds that begin with a store that is full: until it is empty
+// for the first time it is short of nothing. That time's spread is that of a first passage.
+func (s store) shortFor(secs float64) float64 {
+	if secs <= 0 {
+		return 0
 	}
-	base := most(c.Rate, 0, 0)
-	if c.CeilingRate > 0 {
-		base = math.Min(base, most(c.CeilingRate, 0, 0))
+	drift, v := s.rate-s.demand, s.variance
+	x := 2 * drift * s.depth / v
+	until := s.depth * s.depth / v
+	if math.Abs(x) > 1e-3 {
+		until = v/(2*drift*drift)*math.Expm1(math.Min(x, 500)) - s.depth/drift
 	}
-	if p.lost == 0 {
-		return base
+	even := 1.0 // how far it is by chance alone
+	if drift < 0 {
+		even = math.Min(v/(-drift*s.depth), 1)
 	}
-	span := m.Suspicion + m.Hold - m.Unheard
-	// What is let in of the demand where a store fills at a rate and holds depth at the start.
-	hold := func(rate, depth float64) float64 {
-		if early && use < rate/c.Rate || early && rate < c.Rate && use < 1 {
-			rate += depth / (span / 1000)
+	sharp := math.Max(1-until/secs, 0)
+	blurred := 1 - until/secs*(1-math.Exp(-secs/until))
+	return s.short() * (even*blurred + (1-even)*sharp)
+}
+
+// lets gives the part of its demand that a customer of some use and a size of txns is let in. Of what its
+// stores cannot give, the worst counts: the quota's one store, the slices together, each slice by itself as
+// far as a further try at another gatekeeper finds no more, and the same of a ceiling.
+func (f *fleet) lets(plan int, use, size float64, p share, early bool) float64 {
+	c, m := &f.charter.Plans[plan], &f.manner
+	if use <= 0 {
+		return 1
+	}
+	demand := use * c.Rate
+	n, living := float64(p.size), math.Max(float64(p.size)*(1-p.lost), 1)
+	span := (f.moved() - m.Unheard) / 1000
+	steady := func(rate, depth, of float64) float64 {
+		s := store{rate / of, math.Max(depth/of, size), demand / of, 1.1 * demand / of * size}
+		if early && p.lost > 0 {
+			return s.shortFor(span)
 		}
-		return math.Min(rate/c.Rate/use, 1)
+		return s.short()
 	}
-	part := m.Floors*(1-p.lost) + 1 - m.Floors
-	if early {
+	part := 1.0
+	switch {
+	case p.lost > 0 && early:
 		part = m.Floors*(1-p.lost) + (1-m.Floors)/(1+p.lost)
+	case p.lost > 0:
+		part = m.Floors*(1-p.lost) + 1 - m.Floors
 	}
-	let := math.Min(base, hold(c.Rate*part, c.Burst*part))
-	if early && !m.Blind[plan] && p.size > 1 { // what the silent ones may spend is kept from the one store, too
-		n := float64(p.size)
-		own := part / (n * (1 - p.lost))
-		let = math.Min(let, hold(c.Rate*(1-p.lost*n/(n-1)*(1-own)), c.Burst))
+	short := math.Max(steady(c.Rate*part, c.Burst*part, 1),
+		math.Pow(steady(c.Rate*part, c.Burst*part, living), float64(f.rules.Tries)))
+	if !m.Blind[plan] && p.size > 1 {
+		rate := c.Rate
+		if early && p.lost > 0 { // what the silent ones may spend is kept from the one store, too
+			rate *= math.Max(1-p.lost*n/(n-1)*(1-part/living), 0)
+		}
+		kept := demand * (n - 1) / n * m.Reserve(p.size) / 1000
+		short = math.Max(short, steady(rate, c.Burst-kept, 1))
 	}
 	if c.CeilingRate > 0 {
-		let = math.Min(let, hold(c.CeilingRate*(1-p.lost), c.CeilingDepth*(1-p.lost)))
+		rate, depth := c.CeilingRate*(1-p.lost), c.CeilingDepth*(1-p.lost)
+		short = math.Max(short, steady(rate, depth, 1))
+		short = math.Max(short, math.Pow(steady(rate, depth, living), float64(f.rules.Tries)))
 	}
-	if early {
-		let = (base*m.Unheard + let*span) / (m.Unheard + span)
+	if early && p.lost > 0 {
+		moved := span + m.Unheard/1000
+		whole := share{p.weight, 0, p.size}
+		return ((moved-span)*f.lets(plan, use, size, whole, false) + span*(1-short)) / moved
 	}
-	return let
+	return 1 - short
 }
 
 // borrow has customers borrow what quotas keep from them until shares have moved, where plans lend and
@@ -210,8 +251,8 @@
 			demand += w.Customers[q].Demand * f.scaled
 		}
 		if v := (whole[q] - s.let[q]) * demand; v > 0.005*demand {
-			all = append(all, fmt.Sprintf("quota: %.4g units/s of %s until shares have moved, %.4g then", round4(v), plan,
-				round4(math.Max((whole[q]-after[q])*demand, 0))))
+			all = append(all, fmt.Sprintf("quota: %.4g units/s of %s until shares have moved, %.4g then", round4(v),
+				plan, round4(math.Max((whole[q]-after[q])*demand, 0))))
 		}
 	}
 	_, orphans, _ := f.demand(s)
@@ -224,8 +265,9 @@
 	return all
 }
 
-// atOnce reckons what a loss costs in its first moment: txns in hand at lost workers that may not be repeated,
-// those in hand at lost gatekeepers whose clients do not try again, and what is asked until clients have moved.
+// atOnce reckons what a loss costs in its first moment: txns in hand at lost workers that may not be
+// repeated, those in hand at lost gatekeepers whose clients do not try again, and what is asked until clients
+// have moved.
 func (f *fleet) atOnce(c *Cost, s *stage) {
 	np := len(f.products)
 	worth, once, all := 0.0, 0.0, 0.0
--- a/internal/outlook/word.go
+++ b/internal/outlook/word.go
@@ -94,6 +94,9 @@
 	return append(b, text...), nil
 }
 
+// ErrForm tells that a word was said by another version of the program.
+var ErrForm = errors.New("said by another version of the program")
+
 // Decode reads a word and checks it. An error names the figure at fault.
 func Decode(raw []byte) (*Word, error) {
 	if len(raw) > LongestWord {
@@ -104,7 +107,7 @@
 		return nil, fmt.Errorf("word: %w", err)
 	}
 	if form.Form != Form {
-		return nil, fmt.Errorf("form: %d, not %d: said by another version of the program", form.Form, Form)
+		return nil, fmt.Errorf("form: %d, not %d: %w", form.Form, Form, ErrForm)
 	}
 	w := &Word{}
 	d := json.NewDecoder(bytes.NewReader(raw))
@@ -226,8 +229,8 @@
 	return err
 }
 
-// newer tells whether a word was said after another of the same gatekeeper. Lives wrap, as serial numbers.
-func (w *Word) newer(o *Word) bool {
+// Newer tells whether a word was said after another of the same gatekeeper. Lives wrap, as serial numbers.
+func (w *Word) Newer(o *Word) bool {
 	if w.Life != o.Life {
 		return int32(w.Life-o.Life) > 0
 	}
--- a/logic/sight.go
+++ b/logic/sight.go
@@ -5,8 +5,8 @@
 // This file gives what a gatekeeper sees of halls, customers and its own room to those who look ahead. It
 // decides nothing, and costs nothing but when it is asked.
 
-// UseSteps are the bounds of a customer's use, demand over rate, that Sight counts demand by; the last step has
-// all above the last bound.
+// UseSteps are the bounds of a customer's use, demand over rate, that Sight counts demand by; the last step
+// has all above the last bound.
 var UseSteps = [...]float64{0.2, 0.4, 0.55, 0.7, 0.8, 0.9, 1, 1.1, 1.25, 1.5, 2, 3, 5, 10}
 
 // MostSets is how many sets of gatekeepers Sight tells apart. Beyond them it tells only how much is asked.
@@ -36,7 +36,7 @@
 type PlanSight struct {
 	Customers float64 // its part of them: each counts as one over the gatekeepers of its set
 	Demand    float64
-	Use       [len(UseSteps) + 1]float64 // demand here, by its customers' demand over their rate at all gatekeepers
+	Use       [len(UseSteps) + 1]float64 // demand here, by its customers' use at all gatekeepers
 }
 
 // SetSight is the demand here of a plan's customers that come through Size gatekeepers from First on.
@@ -117,6 +117,7 @@
 	Target           float64     // answers' time over their SLA time, on average, above which the window shrinks
 	Depth            [][]float64 // part of the window that txns of a plan (first) and product may fill
 	Room             float64     // submissions out of one gatekeeper at the least for each worker there is
+	Prompt           bool        // small sets are told at once of what is sent on
 	Blind            []bool      // by plan: news of a customer's whole store comes too late to go by
 	Beyond           []bool      // by plan: letting in beyond a quota earns more than it costs
 	Hopeless, Advice float64     // usual answers under which a try is declined; SLA times until one may return
@@ -127,13 +128,21 @@
 	g := New(c, 0)
 	m := Manner{Period: g.charter.period, Unheard: toldFor * g.charter.period, Suspicion: suspicion, Hold: hold,
 		Floors: beta, Target: slaUse * g.charter.slack, Depth: g.depth, Hopeless: hopeless, Advice: adviseBusy,
-		Room: leastDepth / math.Max(float64(g.charter.n), 1)}
+		Room: leastDepth / math.Max(float64(g.charter.n), 1), Prompt: g.charter.tellAt > 0}
 	for i := range g.plans {
 		m.Blind, m.Beyond = append(m.Blind, g.plans[i].sparse), append(m.Beyond, g.plans[i].excess)
 	}
 	return m
 }
 
+// Reserve is the ms of its peers' spending that a gatekeeper of a set keeps from the quota's one store.
+func (m *Manner) Reserve(size int) float64 {
+	if m.Prompt && size <= promptAt {
+		return soon
+	}
+	return hearsay * m.Period
+}
+
 // LeastWindow is what a gatekeeper's window keeps at least, of so many warm workers.
 func (m *Manner) LeastWindow(able float64) float64 {
 	part := m.Room * math.Max(able, 1)
