--- a/internal/fleet/outlook_test.go
+++ b/internal/fleet/outlook_test.go
@@ -48,7 +48,7 @@
 
 func hallOf(i int) string { return fmt.Sprintf("hall%d", i%3) }
 
-func newTrio(t *testing.T) *trio {
+func newTrio(t *testing.T, rate float64) *trio {
 	x := &trio{t: t, net: faults.NewNet(t, 1)}
 	for h := range 3 {
 		for i := range trioWorkers {
@@ -94,7 +94,7 @@
 		b, err := json.Marshal(map[string]any{"name": name, "listen": at(i), "control": at(trioKeepers + i),
 			"discovery": lists[i%3].At, "known": lists[i%3].List(), "seed": "5",
 			"peer_listen": at(2*trioKeepers + i), "peers": x.net.Peers(name, names),
-			"limits": map[string]any{"sockets": 512, "memory_mb": 64}, "settings": trioSettings(i)})
+			"limits": map[string]any{"sockets": 512, "memory_mb": 64}, "settings": trioSettings(i, rate)})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -153,14 +153,14 @@
 	}
 }
 
-func trioSettings(me int) map[string]any {
+func trioSettings(me int, rate float64) map[string]any {
 	return map[string]any{"me": me, "balancers": trioKeepers,
 		"classes": []map[string]any{
 			{"name": "check", "aim_us": 500e3, "effect": "read_like", "worth": trioValues[0]},
 			{"name": "sale", "aim_us": 500e3, "effect": "idempotency_key", "group": "all", "window_us": 5e6,
 				"worth": trioValues[1]},
 			{"name": "issue", "aim_us": 500e3, "effect": "non_idempotent", "worth": trioValues[2]}},
-		"tariffs": []map[string]any{{"name": "basic", "rate": 30, "most_at_once": 60, "worth_factor": 1}},
+		"tariffs": []map[string]any{{"name": "basic", "rate": rate, "most_at_once": 2 * rate, "worth_factor": 1}},
 		"allowed": map[string]any{"max_attempts": 3, "cancel": true, "retry_after": true, "max_retry_after_us": 9e6,
 			"keepalive_us": 5e6, "connect_timeout_us": 100e3, "peers": true},
 		"family_info": map[string]any{"largest": 1, "peer_in_per_s": 200},
@@ -229,25 +229,23 @@
 }
 
 // send sends a steady load for so many seconds: until the loss to all gatekeepers, and from then on, where
-// some are lost, to the next that live of each set.
+// some are lost, to the next one of each set that lives.
 func (x *trio) send(perS, lossS, endS float64, lost func(i int) bool) (*seen, func()) {
 	group := traffic.Group{Customers: 12, Rate: perS / 12, Products: []float64{6, 3, 1}, Units: 1, Spread: 3}
 	all := traffic.Plan([]traffic.Group{group}, nil, endS*1000, 7)
 	s := &seen{}
 	var done sync.WaitGroup
-	moved := append([]string(nil), x.targets...)
-	for i := range moved {
-		for k := i; lost(k); k = (k + 1) % trioKeepers {
-			moved[i] = x.targets[(k+1)%trioKeepers]
-		}
-	}
-	for part, targets := range [][]string{x.targets, moved} {
+	for part := range 2 {
 		var mine []traffic.Arrival
 		base := 0
 		for _, a := range all {
-			if late := a.At >= lossS*1000; late == (part == 1) {
-				mine = append(mine, a)
+			if late := a.At >= lossS*1000; late != (part == 1) {
+				continue
+			}
+			first := int(uint64(a.Customer+1) * 0x9E3779B97F4A7C15 >> 33 % trioKeepers) // as the sender has it
+			for a.Set %= 3; part == 1 && lost((first+a.Set)%trioKeepers); a.Set = (a.Set + 1) % 3 {
 			}
+			mine = append(mine, a)
 		}
 		s.mu.Lock()
 		base = len(s.at)
@@ -255,7 +253,7 @@
 			s.at, s.value, s.got = append(s.at, a.At), append(s.value, trioValues[a.Product]), append(s.got, false)
 		}
 		s.mu.Unlock()
-		j := &load.Job{Arrivals: mine, Targets: targets, Spread: 3, Plans: []string{"basic"}, Most: 2000,
+		j := &load.Job{Arrivals: mine, Targets: x.targets, Spread: 3, Plans: []string{"basic"}, Most: 2000,
 			Products: []load.Product{{Name: "check", Repeat: "inquiry", Waits: 500 * time.Millisecond},
 				{Name: "sale", Repeat: "referenced", Waits: 500 * time.Millisecond, Body: 20},
 				{Name: "issue", Repeat: "once", Waits: 500 * time.Millisecond, Body: 20}},
@@ -298,6 +296,11 @@
 			for _, w := range x.workers[h] {
 				w.Close()
 			}
+			for o := range 3 { // a relay takes connections for workers that are no more
+				if o != h {
+					x.net.Part(hallOf(h), hallOf(o), faults.Reset)
+				}
+			}
 		case !lost && l.Kind == outlook.Slowed:
 			for _, w := range x.workers[h] {
 				w.Takes(2 * trioTakes)
@@ -319,19 +322,21 @@
 	type form struct {
 		kind        outlook.Kind
 		perS, measS float64
+		rate        float64 // of each of twelve customers' quota
 	}
-	forms := []form{{outlook.Whole, 210, 4}}
+	forms := []form{{outlook.Whole, 210, 4, 30}}
 	if *foresee {
 		forms = nil
 		for k := outlook.Whole; k <= outlook.Slowed; k++ {
 			for _, perS := range []float64{140, 210, 270} {
-				forms = append(forms, form{k, perS, 16})
+				forms = append(forms, form{k, perS, 16, 40})
 			}
+			forms = append(forms, form{k, 180, 16, 16})
 		}
 	}
 	for _, f := range forms {
-		t.Run(fmt.Sprintf("%v at %v", f.kind, f.perS), func(t *testing.T) {
-			x := newTrio(t)
+		t.Run(fmt.Sprintf("%v at %v of %v", f.kind, f.perS, 12*f.rate), func(t *testing.T) {
+			x := newTrio(t, f.rate)
 			loss := outlook.Loss{Kind: f.kind, Halls: []string{hallOf(1)}}
 			warm := 4.0
 			if *foresee {
