--- a/internal/emu/emu_test.go
+++ b/internal/emu/emu_test.go
@@ -42,6 +42,9 @@
 			if kind == "slow" {
 				s.Faults[0].Factor = 5
 			}
+			if kind == "hall" || kind == "keepers" || kind == "links" {
+				s.Workers.Zones, s.Faults[0].Part, s.Faults[0].Halls = 3, 0, []int{1}
+			}
 			s.Shapes = []shape{{Kind: "surge", FromS: 3, ToS: 18, Factor: 2}}
 			r := play(t, s, 3, nil)
 			if r.Breaks != [6]int{} {
@@ -57,6 +60,49 @@
 	}
 }
 
+// Guards against clocks that begin at nought, which the module takes for never: gatekeepers that died in the
+// emulator were not found silent, and no score said what their quotas' parts cost until they are given up. A
+// hall's loss takes its workers and gatekeepers and no others, and they come back.
+func TestLostHall(t *testing.T) {
+	s, err := Read("../../scenarios/halls20.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Faults = []Fault{{Kind: "hall", FromS: 2, ToS: 9, Halls: []int{1}}}
+	s.Seconds = 11
+	r, words, err := RunWords(t.Context(), s, 1, 6)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r.Breaks != [6]int{} {
+		t.Errorf("broken %v, first %v", r.Breaks, r.First[0])
+	}
+	if len(words) != 13 {
+		t.Fatalf("%d gatekeepers speak while seven of twenty are lost", len(words))
+	}
+	for _, w := range words {
+		if err := w.Check(); err != nil {
+			t.Errorf("%s: %v", w.Name, err)
+		}
+		if w.Silent < 3 || w.Silent > 4 || w.Hall == "hall1" { // of the eight that it shares sets of five with
+			t.Errorf("%s in %s holds %d others to be silent", w.Name, w.Hall, w.Silent)
+		}
+	}
+	for i, second := range r.Seconds {
+		if lost := i >= 3 && i < 9; lost != (len(second.Ran) < 2 || second.Ran[1] == 0) && i != 2 && i != 9 {
+			t.Errorf("second %d: runs by hall %v", i, second.Ran)
+		}
+	}
+	s.Faults = []Fault{{Kind: "hall", FromS: 2, ToS: 9, Part: 0.3}}
+	if err := s.Set("seconds", 11); err == nil || !strings.Contains(err.Error(), "faults[0].halls") {
+		t.Errorf("a lost hall that is not named: %v", err)
+	}
+	s.Faults = []Fault{{Kind: "links", FromS: 2, ToS: 9, Halls: []int{3}}}
+	if err := s.Set("seconds", 11); err == nil || !strings.Contains(err.Error(), "faults[0].halls: 3") {
+		t.Errorf("a hall that there is not: %v", err)
+	}
+}
+
 // planted is a module with something broken in it on purpose.
 type planted struct {
 	brain
--- /dev/null
+++ b/internal/fleet/watcher_test.go
@@ -0,0 +1,153 @@
+package fleet
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"willowdeck/internal/outlook"
+	"willowdeck/logic"
+)
+
+// told1 is a word that is in order, of one of three gatekeepers.
+func told1(number int, change func(*outlook.Word)) json.RawMessage {
+	w := &outlook.Word{Form: outlook.Form, Name: fmt.Sprintf("g%d", number), Host: "there", Hall: "east", Group: "all",
+		Number: number, Life: 4, Seq: 9, At: time.Now().UnixMilli(), Span: 10000,
+		Charter: logic.Charter{Gatekeepers: 3, Products: []logic.Product{{SLA: 500, Value: 1}},
+			Plans: []logic.Plan{{Rate: 10, Burst: 10, Factor: 1}}},
+		Products: []string{"check"}, Plans: []string{"basic"}, Flows: make([]outlook.Flow, 1),
+		Customers: make([]logic.PlanSight, 1)}
+	if change != nil {
+		change(w)
+	}
+	b, err := json.Marshal(w)
+	if err != nil {
+		panic(err)
+	}
+	return b
+}
+
+// What is wrong with a word is counted by kind and named in the log, the word is let alone, and those beside
+// it count.
+func TestBadNeighbours(t *testing.T) {
+	good := told1(0, nil)
+	later := func(w *outlook.Word) { w.Seq = 10 }
+	for _, c := range []struct {
+		why, says string
+		answer    any // told, or what is sent as it stands
+		words     int
+	}{
+		{"version", "said by another version", []json.RawMessage{good, told1(1, func(w *outlook.Word) { w.Form = 9 })}, 1},
+		{"spoilt", "window: -1", []json.RawMessage{told1(1, func(w *outlook.Word) { w.Window = -1 }), good}, 1},
+		{"spoilt", "word:", []json.RawMessage{good, json.RawMessage(`{"Form":1,"At":"x"}`)}, 1},
+		{"spoilt", "unexpected end", "{", 0},
+		{"spoilt", "invalid character", `{"Form":1,"Host":"there","Words":[{"Form":1,"Window":NaN}]}`, 0},
+		{"version", "form 2 of words", `{"Form":2,"Words":[]}`, 0},
+		{"stranger", "and so does g0 of there", []json.RawMessage{good, told1(0, func(w *outlook.Word) {
+			w.Name, w.Life = "intruder", 99
+		})}, 1},
+		{"ahead", "clock is", []json.RawMessage{good, told1(1, func(w *outlook.Word) { w.At += 60000 })}, 1},
+		{"too_long", "over", strings.Repeat(" ", outlook.LongestWords+1), 0},
+		{"", "", []json.RawMessage{good, told1(0, later), told1(2, nil)}, 2},
+	} {
+		s := httptest.NewServer(http.HandlerFunc(func(out http.ResponseWriter, r *http.Request) {
+			if text, ok := c.answer.(string); ok {
+				_, _ = out.Write([]byte(text))
+				return
+			}
+			_ = json.NewEncoder(out).Encode(told{wordsForm, "there", c.answer.([]json.RawMessage)})
+		}))
+		var log bytes.Buffer
+		d := &Daemon{log: zerolog.New(&log), fleet: &Fleet{Name: "here", Hall: "west", Looks: usualLooks()}}
+		w := d.watches()
+		w.round(Looks{OldMS: 10000, Neighbours: []string{s.Listener.Addr().String()}}, nil)
+		s.Close()
+		w.stop()
+		var stats strings.Builder
+		w.figures(&stats)
+		if c.why != "" && (w.refused[c.why] != 1 || !strings.Contains(log.String(), c.says) ||
+			!strings.Contains(stats.String(), "refused."+c.why+"=1")) {
+			t.Errorf("%s: counted %v, log %s", c.why, w.refused, log.String())
+		}
+		if c.why == "" && len(w.refused) != 0 {
+			t.Errorf("counted %v: %s", w.refused, log.String())
+		}
+		if len(w.all) != c.words {
+			t.Errorf("%s, %s: %d words are kept, not %d", c.why, c.says, len(w.all), c.words)
+		}
+	}
+}
+
+// An own instance's word has to be that instance's, and one that is silent is counted. Its word goes to
+// neighbours; what came from neighbours does not go round.
+func TestOwnWords(t *testing.T) {
+	s := httptest.NewServer(http.HandlerFunc(func(out http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/fleet/words" {
+			_ = json.NewEncoder(out).Encode(told{wordsForm, "there", []json.RawMessage{told1(2, nil)}})
+			return
+		}
+		_, _ = out.Write(told1(0, func(w *outlook.Word) { w.Host = "here" }))
+	}))
+	defer s.Close()
+	at := s.Listener.Addr().String()
+	d := &Daemon{log: zerolog.Nop(), fleet: &Fleet{Name: "here", Hall: "west", Looks: usualLooks()}}
+	w := d.watches()
+	defer w.stop()
+	looks := Looks{OldMS: 10000, Neighbours: []string{at}}
+	w.round(looks, map[string]string{at: "g1", "127.0.0.1:1": "g7"})
+	if w.refused["stranger"] != 1 || w.silent != 1 || len(w.all) != 1 {
+		t.Errorf("refused %v, %d silent, %d words", w.refused, w.silent, len(w.all))
+	}
+	w.round(looks, map[string]string{at: "g0"})
+	out := httptest.NewRecorder()
+	w.words(out, nil)
+	var back told
+	if err := json.Unmarshal(out.Body.Bytes(), &back); err != nil || len(back.Words) != 1 || back.Host != "here" ||
+		len(w.all) != 2 || !strings.Contains(string(back.Words[0]), `"g0"`) {
+		t.Errorf("%v: %+v", err, back)
+	}
+}
+
+// A key that makes no sense is refused by its name.
+func TestBadLooks(t *testing.T) {
+	for text, says := range map[string]string{
+		"hall = \"a\"\n[outlook]\neach_ms = 10":                     "outlook.each_ms: 10",
+		"hall = \"a\"\n[outlook]\nold_ms = 0":                       "outlook.old_ms: 0",
+		"hall = \"a\"\n[outlook]\ntries = 0":                        "outlook.tries: 0",
+		"hall = \"a\"\n[outlook]\nslow = 0.5":                       "outlook.slow: 0.5",
+		"hall = \"a\"\n[outlook]\nworker_cores = -1":                "outlook.worker_cores",
+		"hall = \"a\"\n[outlook]\nback_ms = nan":                    "outlook.back_ms",
+		"hall = \"a\"\n[outlook]\nneighbours = [\"x\"]":             "outlook.neighbours[0]",
+		"hall = \"a\"\n[outlook]\nask = [\"127.0.0.1:1\", \"y:1\"]": "outlook.ask[1]",
+		"hall = \"a\"\n[outlook]\nneighbors = []":                   "unknown key",
+		"[outlook]\nneighbours = [\"127.0.0.1:1\"]":                 "hall: there is none",
+		"hall = \"a\\nb\"":                                          "hall: ",
+		"":                                                          "instances: 0",
+	} {
+		file := filepath.Join(t.TempDir(), "fleet.toml")
+		n := 0
+		if strings.HasPrefix(text, "[outlook]") {
+			n = 1
+		}
+		whole := fmt.Sprintf("name = \"g\"\ninstances = %d\n", n) +
+			"run_dir = \"run\"\ncontrol = \"127.0.0.1:6000\"\n" + text
+		if err := os.WriteFile(file, []byte(whole), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := Read(file); err == nil || !strings.Contains(err.Error(), says) {
+			t.Errorf("%q: %v", text, err)
+		}
+	}
+	if _, err := Read("../../deploy/outlook.toml"); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/ops/ops_test.go
+++ b/internal/ops/ops_test.go
@@ -64,6 +64,7 @@
 		{"no health", ask("GET /admin/health"), "503", "not ready"},
 		{"back", ask("PUT /admin/resume"), "200", ""},
 		{"health again", ask("GET /admin/health"), "200", ""},
+		{"no word where none is told", ask("GET /admin/word"), "404", "no such call"},
 		{"unknown", ask("GET /admin/other"), "404", "no such call"},
 		{"wrong method", ask("POST /admin/quiesce"), "405", "Allow: PUT"},
 		{"changed by a look", ask("GET /admin/resume"), "405", "Allow: PUT"},
--- a/internal/outlook/project.go
+++ b/internal/outlook/project.go
@@ -117,11 +117,12 @@
 	part                float64
 }
 
-// heirs gives, by plan, what becomes of what comes first through a hall's gatekeepers, in a fixed order, and
-// the part that finds none. Clients go round their sets.
-func (f *fleet) heirs(from int, s *stage) (all [][]heir, none []float64) {
+// heirs gives, by plan, what becomes of what comes first through a hall's gatekeepers, in a fixed order, the
+// part whose gatekeepers are all lost, and the part that has no try left when it would find one. Clients go
+// round their sets.
+func (f *fleet) heirs(from int, s *stage) (all [][]heir, none, late []float64) {
 	most := f.rules.Tries
-	none = make([]float64, len(f.plans))
+	none, late = make([]float64, len(f.plans)), make([]float64, len(f.plans))
 	for q := range f.plans {
 		parts, sum := map[heir]float64{}, 0.0
 		for _, e := range f.rings[q] {
@@ -148,11 +149,14 @@
 			if f.rules.Takeover > 0 || most == 1 { // clients know by then where to go
 				h.lives, h.before = most, 0
 			}
-			if h.hall < 0 || h.lives == 0 || s.mute[h.hall] {
+			switch {
+			case h.hall < 0 || s.mute[h.hall]:
 				none[q] += e.demand
-				continue
+			case h.lives == 0:
+				late[q] += e.demand
+			default:
+				parts[h] += e.demand
 			}
-			parts[h] += e.demand
 		}
 		var list []heir
 		for h, d := range parts {
@@ -160,7 +164,7 @@
 			list = append(list, h)
 		}
 		if sum > 0 {
-			none[q] /= sum
+			none[q], late[q] = none[q]/sum, late[q]/sum
 		} else if s.mute[from] { // nothing was told of sets
 			none[q] = 1
 		} else {
@@ -172,7 +176,7 @@
 		all = append(all, list)
 	}
 	if !f.rules.Elsewhere {
-		return all, none
+		return all, none, late
 	}
 	living := 0
 	for h := range f.names {
@@ -187,7 +191,7 @@
 			}
 		}
 	}
-	return all, none
+	return all, none, late
 }
 
 // coming is what clients mean to send of a sort, txns an ms, by how many of their tries find a gatekeeper,
@@ -206,7 +210,7 @@
 		}
 	}
 	for g := range f.names {
-		to, none := f.heirs(g, s)
+		to, none, late := f.heirs(g, s)
 		for i := range f.flows {
 			fresh, q := f.asked[g][i]*f.first(i), i/np
 			for _, h := range to[q] {
@@ -215,6 +219,7 @@
 				c.before[h.lives] += fresh * h.part * float64(h.before)
 			}
 			orphans[q] += fresh * none[q]
+			lost[i] += fresh * late[q]
 			if !f.rules.Elsewhere {
 				lost[i] += fresh * none[q]
 			}
