--- a/internal/outlook/project.go
+++ b/internal/outlook/project.go
@@ -50,7 +50,8 @@
 		}
 		rest = append(rest, x)
 	}
-	s.islands, s.let = append(s.islands, rest), f.quotas(s.mute, false)
+	s.islands = append(s.islands, rest)
+	s.let = f.quotas(s, false)
 	return s
 }
 
@@ -60,12 +61,12 @@
 	s := f.stage(l)
 	now := f.now()
 	moved := f.moved()
-	s.let = f.quotas(s.mute, true)
+	s.let = f.quotas(s, true)
 	c.First.Credit = f.borrow(s, base, moved)
 	first := f.play(s)
 	c.First.fill(f, s, now, base, first)
 	short := f.missing(s)
-	s.let = f.quotas(s.mute, false)
+	s.let = f.quotas(s, false)
 	after := f.play(s)
 	c.After.fill(f, s, now, base, after)
 	c.Missing = append(after.short, short...)
--- a/internal/outlook/quota.go
+++ b/internal/outlook/quota.go
@@ -70,7 +70,7 @@
 // quotas gives the part of what customers ask that their quotas and ceilings let in, by plan, while their
 // gatekeepers in some halls are silent. early has the mean until their shares have moved: the last demand of
 // those lost still counts for so long, so the others' parts of a rate add up to less than it.
-func (f *fleet) quotas(mute []bool, early bool) []float64 {
+func (f *fleet) quotas(s *stage, early bool) []float64 {
 	let := make([]float64, len(f.plans))
 	for q := range f.plans {
 		if let[q] = 1; f.charter.Plans[q].Rate <= 0 || f.manner.Beyond[q] {
@@ -80,12 +80,12 @@
 		if all == 0 {
 			continue
 		}
-		parts := f.parts(q, mute)
+		parts, come := f.parts(q, s.mute), f.come(q, s)
 		sum := 0.0
 		for i := range use {
 			if d := use[i].demand; d > 0 {
 				for _, p := range parts {
-					sum += d / all * p.weight * f.lets(q, use[i].of, size, p, early)
+					sum += d / all * p.weight * f.lets(q, use[i].of*come, size, p, early)
 				}
 			}
 		}
@@ -94,6 +94,36 @@
 	return let
 }
 
+// come is the part of a plan's demand that finds a gatekeeper.
+func (f *fleet) come(plan int, s *stage) float64 {
+	sum, all := 0.0, 0.0
+	np := len(f.products)
+	for g := range f.names {
+		rate := 0.0
+		for p := range f.products {
+			rate += f.asked[g][plan*np+p]
+		}
+		_, none, late := f.heirs(g, s)
+		if all += rate; f.rules.Elsewhere {
+			none[plan] = 0
+		}
+		sum += rate * (1 - none[plan] - late[plan])
+	}
+	if all == 0 {
+		return 1
+	}
+	return sum / all
+}
+
+// soonest is the shortest SLA time, ms.
+func (f *fleet) soonest() float64 {
+	least := math.Inf(1)
+	for _, p := range f.charter.Products {
+		least = math.Min(least, p.SLA)
+	}
+	return least
+}
+
 // share is the part of a plan's demand whose sets have lost so many of their gatekeepers.
 type share struct {
 	weight, lost float64 // lost is of the set's gatekeepers
@@ -182,7 +212,12 @@
 	demand := use * c.Rate
 	n, living := float64(p.size), math.Max(float64(p.size)*(1-p.lost), 1)
 	span := (f.moved() - m.Unheard) / 1000
+	waits := 0.0 // what is turned away comes again while that is of use: as much as a store that is so much deeper
+	if f.rules.Tries > 1 {
+		waits = demand * f.soonest() / 1000
+	}
 	steady := func(rate, depth, of float64) float64 {
+		depth += waits
 		s := store{rate / of, math.Max(depth/of, size), demand / of, 1.1 * demand / of * size}
 		if early && p.lost > 0 {
 			return s.shortFor(span)
@@ -192,7 +227,11 @@
 	part := 1.0
 	switch {
 	case p.lost > 0 && early:
-		part = m.Floors*(1-p.lost) + (1-m.Floors)/(1+p.lost)
+		// Those lost count by the last demand that they told. Where their last message did not name the customer,
+		// as one that asks seldom, they count as the mean of the others, which by now have all of its demand.
+		told := 1 - math.Exp(-demand/size/n*m.Told(p.size)/1000)
+		held := told*p.lost + (1-told)*p.lost/math.Max(1-p.lost, 1/n)
+		part = m.Floors*(1-p.lost) + (1-m.Floors)/(1+held)
 	case p.lost > 0:
 		part = m.Floors*(1-p.lost) + 1 - m.Floors
 	}
@@ -225,7 +264,7 @@
 	if base.pressed {
 		return 0
 	}
-	whole := f.quotas(make([]bool, len(f.names)), false)
+	whole := f.quotas(f.stage(Loss{}), false)
 	for q := range f.plans {
 		demand := 0.0
 		for _, w := range f.words {
@@ -243,8 +282,7 @@
 
 // missing names what quotas and ceilings keep back, and gatekeepers that nobody stands in for.
 func (f *fleet) missing(s *stage) (all []string) {
-	whole := f.quotas(make([]bool, len(f.names)), false)
-	after := f.quotas(s.mute, false)
+	whole, after := f.quotas(f.stage(Loss{}), false), f.quotas(s, false)
 	for q, plan := range f.plans {
 		demand := 0.0
 		for _, w := range f.words {
--- a/logic/sight.go
+++ b/logic/sight.go
@@ -143,6 +143,15 @@
 	return hearsay * m.Period
 }
 
+// Told is the ms before its last word that a gatekeeper's last reports to those of a set speak of, on average:
+// a period, and where they are told at once, what came in the next one too, which is cut short at any place.
+func (m *Manner) Told(size int) float64 {
+	if m.Prompt && size <= promptAt {
+		return 1.5 * m.Period
+	}
+	return m.Period
+}
+
 // LeastWindow is what a gatekeeper's window keeps at least, of so many warm workers.
 func (m *Manner) LeastWindow(able float64) float64 {
 	part := m.Room * math.Max(able, 1)
