--- a/internal/fleet/outlook_test.go
+++ b/internal/fleet/outlook_test.go
@@ -355,6 +355,55 @@
 	}
 }
 
+// A daemon tells its instances to say their words, and gathers them: each is named as the daemon names it.
+func TestInstancesSpeak(t *testing.T) {
+	d := prepare(t, 2)
+	d.write(2, "hall = \"z\"")
+	text, err := os.ReadFile(d.file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(d.file, append(text, "[outlook]\neach_ms = 100\nworker_cores = 4\n"...), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	x := d.daemon()
+	defer x.Stop()
+	p, err := x.Open()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.Close()
+	d.until(x, 2)
+	var all []traffic.Arrival
+	for i := range 300 {
+		all = append(all, traffic.Arrival{At: float64(10 * i), Customer: i % 5, Product: i % 3, Units: 1, Set: i})
+	}
+	j := &load.Job{Arrivals: all, Targets: d.targets(2), Spread: 2, Plans: []string{"basic", "capped"}, Most: 100,
+		Products: []load.Product{{Name: "check", Repeat: "inquiry", Waits: 400 * time.Millisecond},
+			{Name: "sale", Repeat: "referenced", Waits: 400 * time.Millisecond, Body: 20},
+			{Name: "issue", Repeat: "once", Waits: 400 * time.Millisecond, Body: 20}}}
+	if _, err := j.Run(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	var o outlook.Outlook
+	faults.Until(t, 10*time.Second, "words of both instances with answers in them", func() bool {
+		text, err := faults.Ask(p.At, "/fleet/outlook")
+		return err == nil && json.Unmarshal([]byte(text), &o) == nil && len(o.Rests) == 2 && o.Now.InTime > 20 &&
+			len(o.Losses) > 0
+	})
+	if s := o.Rests[0]; s.Name != "g-0" || s.Host != "g" || s.Hall != "z" || len(o.Unheard) != 0 {
+		t.Errorf("%+v, unheard %v", o.Rests, o.Unheard)
+	}
+	page, err := faults.Ask(p.At, "/fleet/outlook?form=text")
+	if err != nil || !strings.Contains(page, "rests on 2 words") || !strings.Contains(page, "loss of hall: z") {
+		t.Errorf("%v: %s", err, page)
+	}
+	t.Log(page)
+	if stats, err := faults.Ask(p.At, "/fleet/stats"); err != nil || !strings.Contains(stats, "fleet.outlook.words=2") {
+		t.Errorf("%v: %s", err, stats)
+	}
+}
+
 // hold holds a forecast against what was seen.
 func (x *trio) hold(o *outlook.Outlook, l outlook.Loss, s *seen, at, span float64, taken time.Time) {
 	t := x.t
--- a/internal/gate/desk.go
+++ b/internal/gate/desk.go
@@ -243,7 +243,7 @@
 // take gives a txn to the module. What is decided on it comes to its box.
 func (d *Desk) take(t *wire.Txn) *held.Txn {
 	now := d.enter()
-	h := d.hold(&t.Arrival, t.Gone)
+	h := d.hold(&t.Arrival, t.Gone, now)
 	h.Expiry = expiry(t, now)
 	d.gk.Take(t.Arrival)
 	d.leave()
@@ -251,11 +251,11 @@
 }
 
 // hold makes a txn, under the lock. Until it has come it has no expiry.
-func (d *Desk) hold(a *logic.Arrival, gone func() bool) *held.Txn {
+func (d *Desk) hold(a *logic.Arrival, gone func() bool, now float64) *held.Txn {
 	d.last++
 	a.ID = d.last
 	h := held.NewTxn(a.ID, math.Inf(1), gone, d.subs)
-	h.Of, h.Plan, h.Kind, h.Came = a.Customer, a.Plan, a.Product, d.clock.now()
+	h.Of, h.Plan, h.Kind, h.Came = a.Customer, a.Plan, a.Product, now
 	d.meter.Asked(a.Plan, a.Product, a.Units)
 	d.txns[a.ID] = h
 	return h
@@ -273,8 +273,8 @@
 func (d *Desk) clear(t *wire.Txn, life float64) (*held.Txn, bool) {
 	a := t.Arrival
 	a.Clears = life
-	d.enter()
-	h := d.hold(&a, t.Gone)
+	now := d.enter()
+	h := d.hold(&a, t.Gone, now)
 	d.gk.Take(a)
 	d.leave()
 	return h, h.Clear
@@ -283,8 +283,8 @@
 // cleared takes a clearance over that another process has given, for so many ms more.
 func (d *Desk) cleared(a logic.Arrival, life float64) *held.Txn {
 	a.Clears = life
-	d.enter()
-	h := d.hold(&a, func() bool { return false })
+	now := d.enter()
+	h := d.hold(&a, func() bool { return false }, now)
 	h.Clear = true
 	d.gk.Cleared(a)
 	d.leave()
--- a/internal/outlook/project.go
+++ b/internal/outlook/project.go
@@ -78,7 +78,7 @@
 // fill puts an outcome as a change of what is measured now.
 func (p *Phase) fill(f *fleet, s *stage, now State, base, o *outcome) {
 	less := func(v, by float64) float64 { return math.Max(v-1000*by, 0) }
-	p.Lost = 1000 * (base.value - o.value)
+	p.Lost = math.Min(1000*(base.value-o.value), now.Value)
 	p.Value, p.InTime = less(now.Value, base.value-o.value), less(now.InTime, base.inTime-o.inTime)
 	p.Late, p.Wasted = less(now.Late, base.late-o.late), 1000*o.wasted
 	p.Declined = nil
@@ -200,7 +200,7 @@
 type coming struct{ rate, before []float64 }
 
 // demand is what clients mean to send, by hall that it reaches first and by sort, as far as a stage has
-// gatekeepers for it.
+// gatekeepers for it; what has none of its own left, by plan; and what is lost with that, by sort.
 func (f *fleet) demand(s *stage) (all [][]coming, orphans, lost []float64) {
 	n, np, most := len(f.names), len(f.products), f.rules.Tries
 	all = grid[coming](n, len(f.flows))
@@ -221,7 +221,7 @@
 			}
 			orphans[q] += fresh * none[q]
 			lost[i] += fresh * late[q]
-			if !f.rules.Elsewhere {
+			if !f.rules.Elsewhere || !s.lives(f) {
 				lost[i] += fresh * none[q]
 			}
 		}
@@ -229,6 +229,16 @@
 	return all, orphans, lost
 }
 
+// lives tells whether any gatekeeper is left.
+func (s *stage) lives(f *fleet) bool {
+	for x := range f.names {
+		if !s.mute[x] && f.keepers[x] > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // first is the part of a sort's tries that are their clients' first ones.
 func (f *fleet) first(i int) float64 {
 	if x := &f.flows[i]; x.Asked > 0 {
--- a/internal/outlook/word.go
+++ b/internal/outlook/word.go
@@ -239,7 +239,7 @@
 
 // round4 keeps four significant digits, so that what is said is no finer than what it rests on.
 func round4(v float64) float64 {
-	if v == 0 || math.IsNaN(v) || math.IsInf(v, 0) {
+	if math.Abs(v) < 1e-6 || math.IsNaN(v) || math.IsInf(v, 0) {
 		return 0
 	}
 	p := math.Pow(10, 3-math.Floor(math.Log10(math.Abs(v))))
