--- a/internal/emu/world.go
+++ b/internal/emu/world.go
@@ -163,7 +163,9 @@
 	}
 	var sight logic.Sight
 	t := m.Tally()
-	m.Look(&sight)
+	for at := m.Look(&sight, 0); at > 0; {
+		at = m.Look(&sight, at)
+	}
 	g.meter.Tell(w, g.w.clock(), &t, &sight, hall)
 	return w
 }
--- a/internal/gate/desk.go
+++ b/internal/gate/desk.go
@@ -400,16 +400,25 @@
 	d.meter = m
 }
 
-// Speak fills in a word what the meter and the module have seen.
+// Speak fills in a word what the meter and the module have seen. Its caller is alone in that; txns come in
+// between.
 func (d *Desk) Speak(w *outlook.Word) {
+	for at := d.look(0); at > 0; {
+		at = d.look(at)
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now, t := d.clock.now(), d.gk.Tally()
 	d.meter.Mark(now, &t)
-	d.gk.Look(&d.sight)
 	d.meter.Tell(w, now, &t, &d.sight, d.workers.ZoneName)
 }
 
+func (d *Desk) look(from int) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.gk.Look(&d.sight, from)
+}
+
 // forget drops a txn of which nothing more can come.
 func (d *Desk) forget(h *held.Txn) {
 	if h.Final && h.Out == 0 {
--- a/logic/sight.go
+++ b/logic/sight.go
@@ -9,8 +9,10 @@
 // has all above the last bound.
 var UseSteps = [...]float64{0.2, 0.4, 0.55, 0.7, 0.8, 0.9, 1, 1.1, 1.25, 1.5, 2, 3, 5, 10}
 
-// MostSets is how many sets of gatekeepers Sight tells apart. Beyond them it tells only how much is asked.
-const MostSets = 64
+const (
+	MostSets = 64  // of gatekeepers that Sight tells apart; beyond them it tells only how much is asked
+	lookMost = 500 // customers that are looked at in one go; 0.1 ms
+)
 
 // Sight is what one gatekeeper sees at a moment. Demand is in units a second, times are in ms.
 type Sight struct {
@@ -23,6 +25,7 @@
 	Press  float64 // smoothed time of answers, of their SLA time
 	Silent int     // peers that owe a word, and are not given up yet
 	Gone   int
+	known  []int16 // by plan and first: one more than the place in Sets of the last one there
 }
 
 // HallSight is what it sees of the workers of one hall.
@@ -45,10 +48,31 @@
 	Demand            float64
 }
 
-// Look writes what it sees over s, whose room is used again.
-func (g *Gatekeeper) Look(s *Sight) {
+// Look writes what it sees over s, whose room is used again. It begins with from at nought and gives where it is
+// to go on, nought at the end, so that nobody waits for long while it looks at many customers.
+func (g *Gatekeeper) Look(s *Sight, from int) int {
+	if from == 0 {
+		g.lookAround(s)
+	}
+	to := min(from+lookMost, len(g.accounts))
+	for i := from; i < to; i++ {
+		if c := &g.accounts[i]; c.live && c.n > 0 {
+			g.lookAt(c, s)
+		}
+	}
+	if to == len(g.accounts) {
+		return 0
+	}
+	return to
+}
+
+func (g *Gatekeeper) lookAround(s *Sight) {
 	*s = Sight{Halls: s.Halls[:0], Plans: s.Plans[:0], Sets: s.Sets[:0], Window: g.window, InHand: g.inHand,
-		Press: g.press}
+		Press: g.press, known: s.known}
+	for len(s.known) < len(g.plans)*g.charter.n {
+		s.known = append(s.known, 0)
+	}
+	clear(s.known)
 	for i := range g.workers {
 		w := &g.workers[i]
 		for len(s.Halls) <= w.Zone {
@@ -70,11 +94,6 @@
 	for range g.plans {
 		s.Plans = append(s.Plans, PlanSight{})
 	}
-	for i := range g.accounts {
-		if c := &g.accounts[i]; c.live && c.n > 0 {
-			g.lookAt(c, s)
-		}
-	}
 }
 
 func (g *Gatekeeper) lookAt(c *account, s *Sight) {
@@ -95,17 +114,17 @@
 	if size == g.charter.n {
 		first = 0 // all of them, wherever it begins
 	}
-	for i := range s.Sets {
-		if e := &s.Sets[i]; e.Plan == c.plan && e.First == first && e.Size == size {
-			s.Sets[i].Demand += own
-			return
-		}
+	at := &s.known[(c.plan*g.charter.n+first)%len(s.known)]
+	if i := int(*at) - 1; i >= 0 && s.Sets[i].Size == size && s.Sets[i].First == first && s.Sets[i].Plan == c.plan {
+		s.Sets[i].Demand += own
+		return
 	}
 	if len(s.Sets) == MostSets {
 		s.Others += own
 		return
 	}
-	s.Sets = append(s.Sets, SetSight{c.plan, first, size, own})
+	s.Sets = append(s.Sets, SetSight{c.plan, first, size, own}) // twice, where sets of two sizes begin at one place
+	*at = int16(len(s.Sets))
 }
 
 // Manner is what of the design a look ahead goes by, derived from a charter as the decisions derive it.
--- a/logic/sight_test.go
+++ b/logic/sight_test.go
@@ -35,7 +35,7 @@
 		}
 	}
 	var s Sight
-	g.Look(&s)
+	g.Look(&s, 0)
 	if len(s.Halls) != 2 || s.Halls[0].Workers != 1 || s.Halls[1].Workers != 2 ||
 		!(s.Halls[1].Able > 1.5) || !(s.Halls[1].Able < 2) {
 		t.Errorf("halls %+v", s.Halls)
@@ -52,7 +52,7 @@
 	if len(s.Sets) != 2 || s.Sets[0] != want[0] || s.Sets[1] != want[1] {
 		t.Errorf("sets %+v, not %+v", s.Sets, want)
 	}
-	if n := testing.AllocsPerRun(100, func() { g.Look(&s) }); n != 0 {
+	if n := testing.AllocsPerRun(100, func() { g.Look(&s, 0) }); n != 0 {
 		t.Errorf("a second look takes %v allocations", n)
 	}
 	for k := range 2 * MostSets { // more sets than are told apart: their demand is told all the same
@@ -61,7 +61,7 @@
 		c := &g.accounts[g.byKey[uint32(100+k)]]
 		c.n, c.first = 1+k, 0 // as a larger fleet would have it
 	}
-	g.Look(&s)
+	g.Look(&s, 0)
 	if len(s.Sets) != MostSets || s.Others <= 0 {
 		t.Errorf("%d sets, others %v", len(s.Sets), s.Others)
 	}
@@ -76,3 +76,20 @@
 	g.able = able
 	return g.leastWindow()
 }
+
+func BenchmarkLook(b *testing.B) {
+	c := Charter{Gatekeepers: 300, LargestUnits: 1, MaxSubmissions: 2, MayTell: true, PeerInPerS: 60,
+		ReportsPerTell: 31, Products: []Product{{SLA: 500, Value: 1}}, Plans: []Plan{{Rate: 100, Burst: 100, Factor: 1}}}
+	g := New(c, 1)
+	g.Clock(1e9)
+	for i := range 10000 {
+		g.Take(Arrival{ID: uint64(i) + 1, Customer: uint64(i), Units: 1, SetSize: 8, First: i % 300, Left: 400})
+	}
+	var s Sight
+	b.ReportAllocs()
+	for b.Loop() {
+		for at := g.Look(&s, 0); at > 0; {
+			at = g.Look(&s, at)
+		}
+	}
+}
