--- a/internal/lifecycle/speak.go
+++ b/internal/lifecycle/speak.go
@@ -25,8 +25,8 @@
 	said  atomic.Pointer[[]byte]
 }
 
-// speaks begins to count what a word tells.
-func (g *Gatekeeper) speaks() *speaker {
+// teller begins to count what a word tells.
+func (g *Gatekeeper) teller() *speaker {
 	c := &g.conf
 	s := &speaker{word: outlook.Word{Name: c.Name, Host: c.Host, Hall: c.Hall, Number: c.Charter.Me,
 		Charter: c.Charter, Products: make([]string, len(c.Charter.Products)),
