--- a/internal/lifecycle/speak.go
+++ b/internal/lifecycle/speak.go
@@ -1,6 +1,7 @@
 package lifecycle
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"fmt"
 	"net/netip"
@@ -55,7 +56,7 @@
 		return
 	}
 	if len(peers) == 0 {
-		s.word.Group = s.word.Host + "/" + s.word.Name
+		s.word.Group = cmp.Or(s.word.Host, s.word.Name) // they share quotas without a word to each other
 		return
 	}
 	sum := sha256.Sum256(fmt.Append(nil, peers))
