--- a/internal/outlook/fleet.go
+++ b/internal/outlook/fleet.go
@@ -214,7 +214,8 @@
 	}
 	way := f.rules.Way + far/rate
 	mean := math.Max(took/rate-way, took/rate/10)
-	f.cv2 = math.Min(math.Max(squares/rate-took/rate*took/rate, 0)/(mean*mean), 4)
+	varies := math.Max(squares/rate-took/rate*took/rate, 0)
+	f.cv2 = math.Min(varies/(mean*mean), 4)
 	k, s := f.rules.Cores, 0.0
 	switch {
 	case f.rules.PerS > 0:
@@ -224,7 +225,11 @@
 		k = math.Max(k, 1)
 		s = k * busy[1] / busy[0] / (rate / able)
 	case k > 0:
-		s = service(k, f.cv2, mean, rate/able)
+		for range 8 { // waits spread answers, too: that part is no spread of the work
+			s = service(k, f.cv2, mean, rate/able)
+			chance, wait := servers{k, s, f.cv2}.wait(rate / able * s / k)
+			f.cv2 = math.Min(math.Max(varies-(2*chance-chance*chance)*wait*wait, 0)/(s*s), 4)
+		}
 	default:
 		f.unknown = append(f.unknown, "room: worker_cores and worker_per_s are not stated and workers do not "+
 			"tell how busy they are, so no loss is reckoned")
--- a/internal/outlook/project.go
+++ b/internal/outlook/project.go
@@ -393,6 +393,9 @@
 
 func (p *pool) usual(i int) float64 { return p.f.usual[i%len(p.f.products)] * p.slow }
 
+// queue is a worker: gatekeepers see little of what others have in hand there, so each is taken by itself.
+func (p *pool) queue() servers { return servers{p.f.cores, p.mean(), p.f.cv2} }
+
 // mean is what a usual txn takes, ms.
 func (p *pool) mean() float64 {
 	sum, all := 0.0, 0.0
@@ -439,7 +442,7 @@
 
 // settle finds at which window and use the pool comes to rest.
 func (p *pool) settle() {
-	q := servers{p.f.cores, p.mean(), p.f.cv2}
+	q := p.queue()
 	sla, all := 0.0, 0.0 // mean of one over it
 	for i, r := range p.fresh {
 		sla, all = sla+r/p.f.charter.Products[i%len(p.f.products)].SLA, all+r
@@ -516,7 +519,7 @@
 func (p *pool) done(i int) (rate, late float64) {
 	r := &p.f.rules
 	sla := p.f.charter.Products[i%len(p.f.products)].SLA
-	q := servers{p.f.cores, p.mean(), p.f.cv2}
+	q := p.queue()
 	chance, mean := q.wait(p.use)
 	rate = p.fresh[i] * p.last(i)
 	if rate <= 0 {
