--- a/internal/fleet/outlook_test.go
+++ b/internal/fleet/outlook_test.go
@@ -23,7 +23,7 @@
 	"willowdeck/internal/traffic"
 )
 
-var foresee = flag.Bool("foresee", false, "each kind of loss of a hall, until shares have moved; some minutes")
+var foresee = flag.Bool("foresee", false, "each kind of loss of a hall, until shares have moved; minutes")
 
 // trio is three halls of real gatekeepers before stand-ins, all links between halls through relays, and a
 // daemon in each hall that looks ahead.
@@ -342,7 +342,9 @@
 			if *foresee {
 				warm = 11
 			}
-			s, wait := x.send(f.perS, warm, warm+f.measS, func(i int) bool { return f.kind != outlook.Links && i%3 == 1 })
+			s, wait := x.send(f.perS, warm, warm+f.measS, func(i int) bool {
+				return f.kind != outlook.Links && i%3 == 1
+			})
 			began := time.Now()
 			time.Sleep(time.Until(began.Add(time.Duration((warm - 1) * float64(time.Second)))))
 			o := x.agree()
@@ -363,7 +365,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := os.WriteFile(d.file, append(text, "[outlook]\neach_ms = 100\nworker_cores = 4\n"...), 0o600); err != nil {
+	text = append(text, "[outlook]\neach_ms = 100\nworker_cores = 4\n"...)
+	if err := os.WriteFile(d.file, text, 0o600); err != nil {
 		t.Fatal(err)
 	}
 	x := d.daemon()
@@ -378,8 +381,8 @@
 	for i := range 300 {
 		all = append(all, traffic.Arrival{At: float64(10 * i), Customer: i % 5, Product: i % 3, Units: 1, Set: i})
 	}
-	j := &load.Job{Arrivals: all, Targets: d.targets(2), Spread: 2, Plans: []string{"basic", "capped"}, Most: 100,
-		Products: []load.Product{{Name: "check", Repeat: "inquiry", Waits: 400 * time.Millisecond},
+	j := &load.Job{Arrivals: all, Targets: d.targets(2), Spread: 2, Plans: []string{"basic", "capped"},
+		Most: 100, Products: []load.Product{{Name: "check", Repeat: "inquiry", Waits: 400 * time.Millisecond},
 			{Name: "sale", Repeat: "referenced", Waits: 400 * time.Millisecond, Body: 20},
 			{Name: "issue", Repeat: "once", Waits: 400 * time.Millisecond, Body: 20}}}
 	if _, err := j.Run(t.Context()); err != nil {
@@ -399,7 +402,8 @@
 		t.Errorf("%v: %s", err, page)
 	}
 	t.Log(page)
-	if stats, err := faults.Ask(p.At, "/fleet/stats"); err != nil || !strings.Contains(stats, "fleet.outlook.words=2") {
+	if stats, err := faults.Ask(p.At, "/fleet/stats"); err != nil ||
+		!strings.Contains(stats, "fleet.outlook.words=2") {
 		t.Errorf("%v: %s", err, stats)
 	}
 }
@@ -415,8 +419,8 @@
 		after, asked := s.share(at, at+span)
 		found := (before - after) * asked
 		foretold := c.First.Lost + c.AtOnce/span*1000
-		t.Logf("%v: asked %.1f, lost foretold %.1f, found %.1f, error %.3f of asked", l.Kind, asked, foretold, found,
-			(foretold-found)/asked)
+		t.Logf("%v: asked %.1f, lost foretold %.1f, found %.1f, error %.3f of asked", l.Kind, asked, foretold,
+			found, (foretold-found)/asked)
 		if math.Abs(foretold-found) > 0.25*asked {
 			t.Errorf("foretold %v of %v, found %v", foretold, asked, found)
 		}
--- a/internal/fleet/watcher_test.go
+++ b/internal/fleet/watcher_test.go
@@ -20,8 +20,8 @@
 
 // told1 is a word that is in order, of one of three gatekeepers.
 func told1(number int, change func(*outlook.Word)) json.RawMessage {
-	w := &outlook.Word{Form: outlook.Form, Name: fmt.Sprintf("g%d", number), Host: "there", Hall: "east", Group: "all",
-		Number: number, Life: 4, Seq: 9, At: time.Now().UnixMilli(), Span: 10000,
+	w := &outlook.Word{Form: outlook.Form, Name: fmt.Sprintf("g%d", number), Host: "there", Hall: "east",
+		Group: "all", Number: number, Life: 4, Seq: 9, At: time.Now().UnixMilli(), Span: 10000,
 		Charter: logic.Charter{Gatekeepers: 3, Products: []logic.Product{{SLA: 500, Value: 1}},
 			Plans: []logic.Plan{{Rate: 10, Burst: 10, Factor: 1}}},
 		Products: []string{"check"}, Plans: []string{"basic"}, Flows: make([]outlook.Flow, 1),
@@ -46,7 +46,9 @@
 		answer    any // told, or what is sent as it stands
 		words     int
 	}{
-		{"version", "said by another version", []json.RawMessage{good, told1(1, func(w *outlook.Word) { w.Form = 9 })}, 1},
+		{"version", "said by another version", []json.RawMessage{good, told1(1, func(w *outlook.Word) {
+			w.Form = 9
+		})}, 1},
 		{"spoilt", "window: -1", []json.RawMessage{told1(1, func(w *outlook.Word) { w.Window = -1 }), good}, 1},
 		{"spoilt", "word:", []json.RawMessage{good, json.RawMessage(`{"Form":1,"At":"x"}`)}, 1},
 		{"spoilt", "unexpected end", "{", 0},
@@ -111,8 +113,8 @@
 	out := httptest.NewRecorder()
 	w.words(out, nil)
 	var back told
-	if err := json.Unmarshal(out.Body.Bytes(), &back); err != nil || len(back.Words) != 1 || back.Host != "here" ||
-		len(w.all) != 2 || !strings.Contains(string(back.Words[0]), `"g0"`) {
+	if err := json.Unmarshal(out.Body.Bytes(), &back); err != nil || len(back.Words) != 1 ||
+		back.Host != "here" || len(w.all) != 2 || !strings.Contains(string(back.Words[0]), `"g0"`) {
 		t.Errorf("%v: %+v", err, back)
 	}
 }
--- a/internal/lab/outlook.go
+++ b/internal/lab/outlook.go
@@ -173,8 +173,8 @@
 }
 
 // foresightColumns are those of a table of foresights.
-var foresightColumns = []string{"scenario", "gatekeepers", "asks", "loss", "halls", "seed", "asked", "foretold",
-	"found", "error", "replayed", "replay_error", "load_error"}
+var foresightColumns = []string{"scenario", "gatekeepers", "asks", "loss", "halls", "seed", "asked",
+	"foretold", "found", "error", "replayed", "replay_error", "load_error"}
 
 // Foresights are those of one scenario and load.
 type Foresights struct {
--- a/internal/outlook/outlook_test.go
+++ b/internal/outlook/outlook_test.go
@@ -22,16 +22,16 @@
 		Plans: []logic.Plan{{Rate: 20, Burst: 40, Factor: 1}}}
 }
 
-// words are those of n gatekeepers in three halls by turns, each asked for 50 txns a second by ten customers in
-// sets of three, before four workers of each hall with two cores that take 20 ms and are used to a part.
+// words are those of n gatekeepers in three halls by turns, each asked by customers in sets of three, before
+// four workers of each hall with two cores that take 20 ms and are used to a part.
 func words(n int, use float64) (all []*Word) {
 	halls := []string{"east", "north", "west"}
 	q := servers{2, 20, 0.04}
 	pace := 1 + 20 + q.wq(use)
 	for i := range n {
 		w := &Word{Form: Form, Name: fmt.Sprintf("g%d", i), Host: "h", Hall: halls[i%3], Group: "all", Number: i,
-			Life: 7, Seq: 3, At: nowMS - int64(i), Span: 10000, Charter: terms(n), Products: []string{"check", "issue"},
-			Plans: []string{"basic"}, Window: 12, InHand: 3}
+			Life: 7, Seq: 3, At: nowMS - int64(i), Span: 10000, Charter: terms(n),
+			Products: []string{"check", "issue"}, Plans: []string{"basic"}, Window: 12, InHand: 3}
 		perS := use * 12 * 2 / 0.02 / float64(n)
 		w.Flows = []Flow{{Asked: 0.8 * perS, Units: 0.8 * perS, Settled: 0.8 * perS},
 			{Asked: 0.2 * perS, Units: 0.2 * perS, Settled: 0.2 * perS}}
@@ -167,7 +167,8 @@
 		t.Errorf("value %v of %v: those unheard are to count as the others do", o.Now.Value, whole)
 	}
 	text := string(AppendText(nil, o))
-	for _, s := range []string{"too old: g2", "g4: goes by other", "number 2 4 7 of 9", "loss of hall: east and north"} {
+	for _, s := range []string{"too old: g2", "g4: goes by other", "number 2 4 7 of 9",
+		"loss of hall: east and north"} {
 		if !strings.Contains(text, s) {
 			t.Errorf("%q is not in the text:\n%s", s, text)
 		}
@@ -208,7 +209,8 @@
 	f := o.gather(o.sift(words(9, 0.5)))
 	s := f.stage(Loss{Whole, []string{"east", "north"}})
 	// A set of three in a row has one of each hall, and from east the next is north: the third try finds west.
-	if got, none, late := f.heirs(0, s); len(got[0]) != 1 || got[0][0] != (heir{2, 1, 2, 1}) || none[0]+late[0] > 0 {
+	if got, none, late := f.heirs(0, s); len(got[0]) != 1 || got[0][0] != (heir{2, 1, 2, 1}) ||
+		none[0]+late[0] > 0 {
 		t.Errorf("heirs of east: %v, none %v, too late %v", got, none, late)
 	}
 	f.rules.Tries = 2
@@ -279,8 +281,8 @@
 	if _, err := Decode(b); err != nil {
 		t.Error(err)
 	}
-	for text, says := range map[string]string{`{"Form":1,"Window":NaN}`: "word:", `{"Form":1,"Extra":1}`: "Extra",
-		"": "word:", strings.Repeat(" ", LongestWord+1): "over"} {
+	for text, says := range map[string]string{`{"Form":1,"Window":NaN}`: "word:",
+		`{"Form":1,"Extra":1}`: "Extra", "": "word:", strings.Repeat(" ", LongestWord+1): "over"} {
 		if _, err := Decode([]byte(text)); err == nil || !strings.Contains(err.Error(), says) {
 			t.Errorf("%.20q: %v", text, err)
 		}
--- a/internal/outlook/quota.go
+++ b/internal/outlook/quota.go
@@ -23,8 +23,8 @@
 type using struct{ of, demand float64 }
 
 // uses gives a plan's demand by its customers' use, and the mean size of its txns. What gatekeepers see of a
-// customer at a moment swings by chance about what it asks: that part of the spread is taken out, as far as it
-// would be there if all came by chance alone (a Poisson stream, seen through an exponential memory of a
+// customer at a moment swings by chance about what it asks: that part of the spread is taken out, as far as
+// it would be there if all came by chance alone (a Poisson stream, seen through an exponential memory of a
 // second), so that what stores even out is not taken for need.
 func (f *fleet) uses(plan int) (use [len(logic.UseSteps) + 1]using, size, all float64) {
 	customers, mean, squares := 0.0, 0.0, 0.0
@@ -212,7 +212,7 @@
 	demand := use * c.Rate
 	n, living := float64(p.size), math.Max(float64(p.size)*(1-p.lost), 1)
 	span := (f.moved() - m.Unheard) / 1000
-	waits := 0.0 // what is turned away comes again while that is of use: as much as a store that is so much deeper
+	waits := 0.0 // what is turned away comes again while that is of use, as if the store were so much deeper
 	if f.rules.Tries > 1 {
 		waits = demand * f.soonest() / 1000
 	}
--- a/logic/sight.go
+++ b/logic/sight.go
@@ -48,8 +48,8 @@
 	Demand            float64
 }
 
-// Look writes what it sees over s, whose room is used again. It begins with from at nought and gives where it is
-// to go on, nought at the end, so that nobody waits for long while it looks at many customers.
+// Look writes what it sees over s, whose room is used again. It begins with from at nought and gives where it
+// is to go on, nought at the end, so that nobody waits for long while it looks at many customers.
 func (g *Gatekeeper) Look(s *Sight, from int) int {
 	if from == 0 {
 		g.lookAround(s)
@@ -115,15 +115,18 @@
 		first = 0 // all of them, wherever it begins
 	}
 	at := &s.known[(c.plan*g.charter.n+first)%len(s.known)]
-	if i := int(*at) - 1; i >= 0 && s.Sets[i].Size == size && s.Sets[i].First == first && s.Sets[i].Plan == c.plan {
-		s.Sets[i].Demand += own
-		return
+	if i := int(*at) - 1; i >= 0 {
+		if e := &s.Sets[i]; e.Size == size && e.First == first && e.Plan == c.plan {
+			e.Demand += own
+			return
+		}
 	}
 	if len(s.Sets) == MostSets {
 		s.Others += own
 		return
 	}
-	s.Sets = append(s.Sets, SetSight{c.plan, first, size, own}) // twice, where sets of two sizes begin at one place
+	// Where sets of two sizes begin at one place they may come twice: who reads them adds up.
+	s.Sets = append(s.Sets, SetSight{c.plan, first, size, own})
 	*at = int16(len(s.Sets))
 }
 
@@ -162,8 +165,8 @@
 	return hearsay * m.Period
 }
 
-// Told is the ms before its last word that a gatekeeper's last reports to those of a set speak of, on average:
-// a period, and where they are told at once, what came in the next one too, which is cut short at any place.
+// Told is the ms that a gatekeeper's last reports to those of a set speak of, on average: a period, and where
+// they are told at once, what came in the next one too, which is cut short at any place.
 func (m *Manner) Told(size int) float64 {
 	if m.Prompt && size <= promptAt {
 		return 1.5 * m.Period
--- a/logic/sight_test.go
+++ b/logic/sight_test.go
@@ -40,8 +40,8 @@
 		!(s.Halls[1].Able > 1.5) || !(s.Halls[1].Able < 2) {
 		t.Errorf("halls %+v", s.Halls)
 	}
-	if p := s.Plans[0]; math.Abs(p.Customers-0.5) > 1e-9 || math.Abs(p.Demand-19) > 3 || p.Use[1] < 0.9*p.Demand &&
-		p.Use[0] < 0.9*p.Demand {
+	if p := s.Plans[0]; math.Abs(p.Customers-0.5) > 1e-9 || math.Abs(p.Demand-19) > 3 ||
+		p.Use[1] < 0.9*p.Demand && p.Use[0] < 0.9*p.Demand {
 		t.Errorf("plan %+v", p) // demand here of a fifth of the rate, or twice that at two gatekeepers
 	}
 	if p := s.Plans[1]; math.Abs(p.Customers-1.0/6) > 1e-9 || p.Use[len(UseSteps)]+p.Use[9]+p.Use[10]+p.Use[11]+
@@ -66,8 +66,8 @@
 		t.Errorf("%d sets, others %v", len(s.Sets), s.Others)
 	}
 	m := MannerOf(c)
-	if m.Suspicion+m.Hold != suspicion+hold || m.Unheard != toldFor*m.Period || !m.Prompt == (c.Gatekeepers > promptAt) ||
-		math.Abs(m.LeastWindow(3)-g.leastWindowOf(3)) > 1e-9 {
+	if m.Suspicion+m.Hold != suspicion+hold || m.Unheard != toldFor*m.Period ||
+		!m.Prompt == (c.Gatekeepers > promptAt) || math.Abs(m.LeastWindow(3)-g.leastWindowOf(3)) > 1e-9 {
 		t.Errorf("manner %+v", m)
 	}
 }
@@ -79,7 +79,8 @@
 
 func BenchmarkLook(b *testing.B) {
 	c := Charter{Gatekeepers: 300, LargestUnits: 1, MaxSubmissions: 2, MayTell: true, PeerInPerS: 60,
-		ReportsPerTell: 31, Products: []Product{{SLA: 500, Value: 1}}, Plans: []Plan{{Rate: 100, Burst: 100, Factor: 1}}}
+		ReportsPerTell: 31, Products: []Product{{SLA: 500, Value: 1}},
+		Plans: []Plan{{Rate: 100, Burst: 100, Factor: 1}}}
 	g := New(c, 1)
 	g.Clock(1e9)
 	for i := range 10000 {
