--- a/internal/lifecycle/speak.go
+++ b/internal/lifecycle/speak.go
@@ -5,12 +5,14 @@
 	"crypto/sha256"
 	"fmt"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"willowdeck/internal/outlook"
 	"willowdeck/internal/residue"
+	"willowdeck/logic"
 )
 
 // wordEach is how often a word is made anew, at least: its rates are over ten seconds, and a look at all
@@ -63,6 +65,13 @@
 	s.word.Group = fmt.Sprintf("%x", sum[:4])
 }
 
+// rules notes which version of the rules is gone by, and what it says of plans.
+func (s *speaker) rules(version uint64, plans []logic.Plan) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.word.Version, s.word.Charter.Plans = version, slices.Clone(plans)
+}
+
 // renew makes the word anew, if it is time.
 func (s *speaker) renew(g *Gatekeeper) {
 	s.mu.Lock()
