--- a/internal/fleet/outlook.go
+++ b/internal/fleet/outlook.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -113,13 +112,15 @@
 	stop   context.CancelFunc
 	ctx    context.Context
 
-	mu       sync.Mutex
-	looks    Looks
-	all      map[string]heard // by group and number
-	refused  map[string]int   // by reason
-	silent   int              // sources that did not answer in the last round
-	said     map[string]time.Time
-	of       string // the words that the last answer rests on, and that answer
+	mu      sync.Mutex
+	looks   Looks
+	all     map[string]heard // by group and number
+	refused map[string]int   // by reason
+	silent  int              // sources that did not answer in the last round
+	said    map[string]time.Time
+
+	reckons  sync.Mutex // of the words that the last answer rests on, and that answer
+	of       string
 	answered *outlook.Outlook
 }
 
@@ -353,13 +354,15 @@
 		ids = append(ids, fmt.Sprintf("%s %d %d", id, h.word.Life, h.word.Seq))
 	}
 	rules := w.looks.rules()
-	slices.SortFunc(ids, cmp.Compare[string])
+	w.mu.Unlock()
+	slices.Sort(ids)
 	of := fmt.Sprint(ids, rules)
+	w.reckons.Lock()
 	if w.of != of {
 		w.of, w.answered = of, outlook.Project(words, rules)
 	}
 	o := w.answered
-	w.mu.Unlock()
+	w.reckons.Unlock()
 	if r.FormValue("form") == "text" {
 		out.Header().Set("Content-Type", "text/plain; charset=utf-8")
 		_, _ = out.Write(outlook.AppendText(nil, o))
--- a/internal/outlook/fleet.go
+++ b/internal/outlook/fleet.go
@@ -47,6 +47,7 @@
 	place  int     //
 	demand float64 // of all of the plan that this gatekeeper has told of: the part
 	halls  []int   // of the gatekeepers, around; -1 of one that is not heard
+	counts []int   // of them, by hall
 }
 
 func (f *fleet) hall(name string) int {
@@ -274,7 +275,13 @@
 			if place >= s.Size || s.Demand <= 0 {
 				continue // no set of its own
 			}
-			f.rings[s.Plan] = append(f.rings[s.Plan], ring{g, place, s.Demand, twice[0][s.First : s.First+s.Size]})
+			e := ring{g, place, s.Demand, twice[0][s.First : s.First+s.Size], make([]int, len(f.names))}
+			for _, h := range e.halls {
+				if h >= 0 {
+					e.counts[h]++
+				}
+			}
+			f.rings[s.Plan] = append(f.rings[s.Plan], e)
 		}
 	}
 }
--- a/internal/outlook/outlook_test.go
+++ b/internal/outlook/outlook_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"willowdeck/logic"
 )
@@ -214,6 +215,7 @@
 		t.Errorf("heirs of east: %v, none %v, too late %v", got, none, late)
 	}
 	f.rules.Tries = 2
+	s = f.stage(Loss{Whole, []string{"east", "north"}})
 	if got, none, late := f.heirs(0, s); len(got[0]) != 0 || none[0] != 0 || late[0] != 1 {
 		t.Errorf("with two tries, heirs of east: %v, none %v, too late %v", got, none, late)
 	}
@@ -381,6 +383,57 @@
 	m.Answered(0, 0, logic.Settled, 1, false)
 }
 
+// Guards against words whose figures are no gatekeeper's, though within all bounds, that take a core for ever.
+func TestBoundedWork(t *testing.T) {
+	c := terms(5000)
+	c.Products, c.Plans = nil, nil
+	var products, plans []string
+	for i := range mostProducts {
+		c.Products = append(c.Products, logic.Product{SLA: 500, Value: float64(i), Repeat: logic.OnceOnly})
+		products = append(products, fmt.Sprint("p", i))
+	}
+	for i := range mostPlans {
+		c.Plans = append(c.Plans, logic.Plan{Rate: 1e9, Burst: 1e9, Factor: float64(i + 1)})
+		plans = append(plans, fmt.Sprint("q", i))
+	}
+	var all []*Word
+	for i, w := range words(6, 0.9) {
+		w.Charter, w.Products, w.Plans = c, products, plans
+		w.Flows, w.Sets = make([]Flow, len(products)*len(plans)), nil
+		w.Customers = make([]logic.PlanSight, len(plans))
+		for k := range w.Flows {
+			w.Flows[k] = Flow{Asked: 1e8, Units: 1e8, Settled: 1e8}
+		}
+		for k := range w.Customers {
+			w.Customers[k] = logic.PlanSight{Customers: 5, Demand: 1e8}
+			w.Customers[k].Use[4+k%9] = 1e8
+		}
+		for k := range logic.MostSets {
+			w.Sets = append(w.Sets, logic.SetSight{Plan: k, Size: 5000, Demand: 1e8})
+		}
+		for h := range w.Halls {
+			w.Halls[h].Answers = make([]Answers, len(products))
+			for k := range w.Halls[h].Answers {
+				w.Halls[h].Answers[k] = Answers{PerS: 1e8, Pace: 21, Spread: 4}
+			}
+		}
+		w.Number = i * 700
+		if err := w.Check(); err != nil {
+			t.Fatal(err)
+		}
+		all = append(all, w)
+	}
+	began := time.Now()
+	if o := Project(all, rules()); len(o.Losses) == 0 {
+		t.Errorf("nothing is foretold: %v", o.Unknown)
+	}
+	if took := time.Since(began); took > 30*time.Second { // about one
+		t.Errorf("took %v", took)
+	} else {
+		t.Log(took)
+	}
+}
+
 // FuzzDecode holds that no text makes a word that the projection chokes on.
 func FuzzDecode(f *testing.F) {
 	b, _ := json.Marshal(words(3, 0.5)[0])
--- a/internal/outlook/project.go
+++ b/internal/outlook/project.go
@@ -17,6 +17,10 @@
 	slow    []float64 // how many times as long its workers take
 	islands [][]int   // halls that reach each other
 	let     []float64 // by plan: the part of what is asked that quotas let in
+
+	heirs      [][][]heir // by hall and plan, once they are known
+	none, late [][]float64
+	parts      [][]share // by plan
 }
 
 // outcome is how a stage does; rates a ms.
@@ -122,6 +126,17 @@
 // part whose gatekeepers are all lost, and the part that has no try left when it would find one. Clients go
 // round their sets.
 func (f *fleet) heirs(from int, s *stage) (all [][]heir, none, late []float64) {
+	if s.heirs == nil {
+		n := len(f.names)
+		s.heirs, s.none, s.late = make([][][]heir, n), make([][]float64, n), make([][]float64, n)
+		for x := range f.names {
+			s.heirs[x], s.none[x], s.late[x] = f.follow(x, s)
+		}
+	}
+	return s.heirs[from], s.none[from], s.late[from]
+}
+
+func (f *fleet) follow(from int, s *stage) (all [][]heir, none, late []float64) {
 	most := f.rules.Tries
 	none, late = make([]float64, len(f.plans)), make([]float64, len(f.plans))
 	for q := range f.plans {
@@ -132,7 +147,7 @@
 			}
 			sum += e.demand
 			h := heir{hall: -1}
-			for k := range max(most, len(e.halls)) {
+			for k := 0; k < max(most, len(e.halls)) && (k < most || h.hall < 0); k++ {
 				at := e.halls[(e.place+k)%len(e.halls)]
 				dead := at >= 0 && s.mute[at]
 				if dead && h.hall < 0 {
@@ -448,7 +463,7 @@
 		sla, all = sla+r/p.f.charter.Products[i%len(p.f.products)].SLA, all+r
 	}
 	sla /= math.Max(all, 1e-12)
-	p.target = bisect(0, mostUse, func(use float64) float64 {
+	p.target = bisect(0, mostUse, finely, func(use float64) float64 {
 		return (p.way+q.s+q.wq(use))*sla - p.f.manner.Target
 	})
 	p.passes = slices.Repeat([]float64{1}, len(p.fresh))
@@ -477,8 +492,8 @@
 	}
 	p.window = least
 	if reach(least) < 0 {
-		most := 2 * (least + p.out*all/p.keepers)
-		p.window = bisect(least, most, reach)
+		most := math.Min(2*(least+p.out*all/p.keepers), mostOut)
+		p.window = bisect(least, most, coarsely, reach)
 		p.pass(p.window)
 	}
 	if p.use = p.work() / p.cores; p.use > mostUse { // even the least windows are too much
@@ -492,27 +507,43 @@
 
 // pass reckons which part of tries a window lets in, with those that it turns away coming again.
 func (p *pool) pass(window float64) {
-	sorts := make([]flowing, len(p.fresh))
+	var at [shades + 1]int // one more than the place in kinds of the sorts with such a part of the window
+	var kinds []flowing
+	shade := func(i int) int {
+		d := p.f.manner.Depth[i%len(p.f.products)][i/len(p.f.products)]
+		return min(max(int(d*shades+0.5), 0), shades)
+	}
 	for i := range p.passes {
 		p.passes[i] = 1
+		if s := shade(i); at[s] == 0 && p.fresh[i] > 0 {
+			kinds = append(kinds, flowing{depth: float64(s) / shades})
+			at[s] = len(kinds)
+		}
 	}
 	for range passes {
-		for i := range p.fresh {
-			again := 0.0
-			for k, r := range p.come[i].rate {
-				again += r * tries(1-p.passes[i], k)
+		for k := range kinds {
+			kinds[k].rate = 0
+		}
+		for i, r := range p.fresh {
+			if r <= 0 {
+				continue
+			}
+			k := &kinds[at[shade(i)]-1]
+			for n, r := range p.come[i].rate {
+				k.rate += r * tries(1-p.passes[i], n) / p.keepers
 			}
-			sorts[i] = flowing{again / p.keepers, p.f.manner.Depth[i%len(p.f.products)][i/len(p.f.products)]}
 		}
-		p.into = admits(sorts, window, p.out, p.into)
-		for i := range p.passes {
-			p.passes[i] += (p.into[i] - p.passes[i]) / 2
+		p.into = admits(kinds, window, p.out, p.into)
+		for i, r := range p.fresh {
+			if r > 0 {
+				p.passes[i] += (p.into[at[shade(i)]-1] - p.passes[i]) / 2
+			}
 		}
 	}
 }
 
 // passes is how often the tries that come again are reckoned anew; each halves what is left to go.
-const passes = 16
+const passes = 8
 
 // done gives how many txns of a sort are settled, and which part of them late: a client counts from its first
 // try, with the pauses before the others, and the wait at a worker has an exponential tail.
--- a/internal/outlook/queue.go
+++ b/internal/outlook/queue.go
@@ -27,9 +27,9 @@
 // mostUse is as near to all as a use is reckoned with; beyond it waits have no meaning.
 const mostUse = 0.995
 
-// bisect finds where a function that grows passes nought, between two points.
-func bisect(lo, hi float64, f func(float64) float64) float64 {
-	for range 60 {
+// bisect finds where a function that grows passes nought, between two points, to a part in two to the steps.
+func bisect(lo, hi float64, steps int, f func(float64) float64) float64 {
+	for range steps {
 		if mid := (lo + hi) / 2; f(mid) < 0 {
 			lo = mid
 		} else {
@@ -42,7 +42,7 @@
 // service gives how long a txn takes without any wait, ms, of what answers take at a rate of txns an ms at
 // each worker: the wait that it implies and itself add up to that.
 func service(k, cv2, took, perMs float64) float64 {
-	return bisect(0, took, func(s float64) float64 {
+	return bisect(0, took, finely, func(s float64) float64 {
 		use := perMs * s / k
 		if use >= mostUse {
 			return 1
@@ -90,5 +90,11 @@
 	return into
 }
 
-// mostOut is how many submissions of one gatekeeper are reckoned with.
-const mostOut = 20000
+// mostOut is how many submissions of one gatekeeper are reckoned with; it has no more connections.
+const mostOut = 1024
+
+// finely is for what costs little, coarsely for what costs a window's states: a thousandth of a submission.
+const finely, coarsely = 40, 18
+
+// shades is how finely the parts of a window that sorts may fill are told apart.
+const shades = 32
--- a/internal/outlook/quota.go
+++ b/internal/outlook/quota.go
@@ -80,7 +80,7 @@
 		if all == 0 {
 			continue
 		}
-		parts, come := f.parts(q, s.mute), f.come(q, s)
+		parts, come := f.parts(q, s), f.come(q, s)
 		sum := 0.0
 		for i := range use {
 			if d := use[i].demand; d > 0 {
@@ -104,10 +104,12 @@
 			rate += f.asked[g][plan*np+p]
 		}
 		_, none, late := f.heirs(g, s)
-		if all += rate; f.rules.Elsewhere {
-			none[plan] = 0
+		all += rate
+		gone := late[plan]
+		if !f.rules.Elsewhere {
+			gone += none[plan]
 		}
-		sum += rate * (1 - none[plan] - late[plan])
+		sum += rate * (1 - gone)
 	}
 	if all == 0 {
 		return 1
@@ -131,13 +133,22 @@
 }
 
 // parts sums a plan's sets up by size and the part lost.
-func (f *fleet) parts(plan int, mute []bool) (all []share) {
+func (f *fleet) parts(plan int, s *stage) []share {
+	if s.parts == nil {
+		for q := range f.plans {
+			s.parts = append(s.parts, f.share(q, s.mute))
+		}
+	}
+	return s.parts[plan]
+}
+
+func (f *fleet) share(plan int, mute []bool) (all []share) {
 	sum := 0.0
 	for _, e := range f.rings[plan] {
 		lost := 0
-		for _, h := range e.halls {
-			if h >= 0 && mute[h] {
-				lost++
+		for h, n := range e.counts {
+			if mute[h] {
+				lost += n
 			}
 		}
 		if lost == len(e.halls) {
--- a/internal/outlook/word.go
+++ b/internal/outlook/word.go
@@ -19,8 +19,8 @@
 	LongestWord  = 1 << 18 // bytes; 40 plans x 20 products and 64 sets have some 100,000
 	LongestWords = 1 << 25 // bytes of what one daemon tells another; 300 usual words have 3 million
 	MostHalls    = 32      // that are told apart
-	mostProducts = 64
-	mostPlans    = 256
+	mostProducts = 32
+	mostPlans    = 64
 	longestName  = 128  // bytes
 	mostFigure   = 1e12 // any of them; more is no measure of anything here
 	MostAhead    = 2000 // ms that a word's clock may be ahead of its hearer's
