--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -55,6 +55,7 @@
 	server  *http.Server
 	got     []Got
 	serials map[string]uint64 // how often each txn has come
+	cores   chan struct{}     // nil where it runs all at once
 }
 
 // script is how a stand-in behaves now.
@@ -80,6 +81,13 @@
 	s.service = service
 }
 
+// Cores bounds how many txns it runs at once from now on; the others wait in turn.
+func (w *Worker) Cores(n int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cores = make(chan struct{}, n)
+}
+
 // play waits, or does what a fault does, and tells whether an answer is to follow. It ends at once where its
 // caller gives up.
 func play(f Fault, over <-chan struct{}, service time.Duration, out http.ResponseWriter,
@@ -157,6 +165,7 @@
 	serial := w.serials[id]
 	w.serials[id]++
 	w.got = append(w.got, Got{id, product, r.RequestURI, time.Now(), fault != Full && fault != Silent, rules})
+	cores := w.cores
 	w.mu.Unlock()
 	if w.Record != nil {
 		version, _ := strconv.ParseUint(rules, 10, 64)
@@ -166,6 +175,14 @@
 			w.Record.Write(history.Event{Kind: history.Ran, Txn: id, Worker: w.Name, Serial: serial})
 		}
 	}
+	if cores != nil {
+		select {
+		case cores <- struct{}{}:
+			defer func() { <-cores }()
+		case <-r.Context().Done():
+			return
+		}
+	}
 	if play(fault, over, service, out, r) {
 		fmt.Fprintf(out, "done %s\n", id)
 	}
