Rig: ports are a process's own by a lock, so that test binaries side by side don't bind each other's

Seen: TestCouncil ended with an address in use while other packages' tests ran. Lines at fault: Ports, which found a port free that another test binary had found free, too, and not bound yet. Change: blocks of ports locked by flock until the process ends; the fleet's tests take theirs there, too.

--- a/internal/faults/faults.go
+++ b/internal/faults/faults.go
@@ -34,8 +34,9 @@
 	lastWords = 500 * time.Millisecond
 	// stopLimit is how long a signal to stop may take to act.
 	stopLimit = 2 * time.Second
-	// firstPort and portRange are where ports are looked for: below those that the kernel gives to calls.
-	firstPort, portRange = 10000, 10000
+	// firstPort, and so many blocks of portBlock each, are where ports are looked for: below those that the
+	// kernel gives to calls. A block is a process's own; a scenario takes a few.
+	firstPort, portBlock, portBlocks = 10000, 25, 800
 	// portTries bounds the search.
 	portTries = 200
 	// mostReplays is how often Shrink asks whether a schedule breaks: with plays of a few seconds, minutes.
--- a/internal/faults/process.go
+++ b/internal/faults/process.go
@@ -76,12 +76,15 @@
 	return path, nil
 }
 
-// Ports finds a run of n ports at which nobody takes connections or datagrams, and gives the first.
+// Ports finds a run of n ports at which nobody takes connections or datagrams, and gives the first. They are
+// the caller's until its process ends. Guards against test binaries that run side by side, of which one binds
+// what another has found free and not bound yet.
 func Ports(t T, n int) int {
 	t.Helper()
+	blocks := (n + portBlock - 1) / portBlock
 	for range portTries {
-		from := firstPort + rand.Intn(portRange-n)
-		if portsFree(from, n) {
+		first := rand.Intn(portBlocks - blocks + 1)
+		if from := firstPort + first*portBlock; takeBlocks(first, blocks) && portsFree(from, n) {
 			return from
 		}
 	}
@@ -91,17 +94,41 @@
 
 var (
 	handing sync.Mutex
-	handed  = map[int]bool{} // to an earlier caller, that may not have bound it yet
+	handed  = map[int]*os.File{} // blocks of ports that are this process's, with their locks
 )
 
-func portsFree(from, n int) bool {
+// takeBlocks locks blocks of ports for this process, all or none.
+func takeBlocks(first, n int) bool {
 	handing.Lock()
 	defer handing.Unlock()
-	for i := from; i < from+n; i++ {
-		at := fmt.Sprintf("127.0.0.1:%d", i)
-		if handed[i] {
+	dir := filepath.Join(os.TempDir(), "willowdeck-ports")
+	if os.MkdirAll(dir, 0o777) != nil {
+		return false
+	}
+	var locks []*os.File
+	for i := first; i < first+n; i++ {
+		f, err := os.OpenFile(filepath.Join(dir, strconv.Itoa(i)), os.O_CREATE|os.O_RDWR, 0o666)
+		if err == nil {
+			if locks = append(locks, f); handed[i] == nil {
+				err = syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB)
+			}
+		}
+		if err != nil || handed[i] != nil {
+			for _, f := range locks {
+				_ = f.Close()
+			}
 			return false
 		}
+	}
+	for i, f := range locks {
+		handed[first+i] = f
+	}
+	return true
+}
+
+func portsFree(from, n int) bool {
+	for i := from; i < from+n; i++ {
+		at := fmt.Sprintf("127.0.0.1:%d", i)
 		l, err := net.Listen("tcp", at)
 		if err != nil {
 			return false
@@ -113,9 +140,6 @@
 		}
 		p.Close()
 	}
-	for i := from; i < from+n; i++ {
-		handed[i] = true
-	}
 	return true
 }
 
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"math/rand"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -21,6 +20,7 @@
 
 	"github.com/rs/zerolog"
 
+	"willowdeck/internal/faults"
 	"willowdeck/internal/load"
 	"willowdeck/internal/standin"
 	"willowdeck/internal/traffic"
@@ -66,30 +66,6 @@
 	}
 }()
 
-// free finds a run of so many ports that nobody listens at.
-func free(t *testing.T, n int) int {
-	t.Helper()
-	for range 50 {
-		from := 20000 + rand.Intn(10000)
-		var all []net.Listener
-		for i := range n {
-			l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", from+i))
-			if err != nil {
-				break
-			}
-			all = append(all, l)
-		}
-		for _, l := range all {
-			l.Close()
-		}
-		if len(all) == n {
-			return from
-		}
-	}
-	t.Fatal("no ports")
-	return 0
-}
-
 const ceiling, depth = 40.0, 20.0
 
 func prepare(t *testing.T, n int) *deployed {
@@ -99,7 +75,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { os.RemoveAll(dir) })
-	d := &deployed{t: t, dir: dir, file: filepath.Join(dir, "fleet.toml"), ports: free(t, 4*n+1), n: n}
+	d := &deployed{t: t, dir: dir, file: filepath.Join(dir, "fleet.toml"), ports: faults.Ports(t, 4*n+1), n: n}
 	var entries []standin.Entry
 	for i := range 4 {
 		w, err := standin.NewWorker(fmt.Sprintf("w%d", i), 5*time.Millisecond)
