--- a/internal/gate/desk.go
+++ b/internal/gate/desk.go
@@ -9,6 +9,7 @@
 
 	"willowdeck/internal/held"
 	"willowdeck/internal/history"
+	"willowdeck/internal/outlook"
 	"willowdeck/internal/residue"
 	"willowdeck/internal/wire"
 	"willowdeck/internal/wire/gossip"
@@ -64,6 +65,8 @@
 	waiting []waiting     // of the wake's goroutine
 	residue *residue.File // nil where none is kept
 	lending *lending      // nil where nothing is lent
+	meter   *outlook.Meter
+	sight   logic.Sight
 }
 
 // waiting is a txn whose client is looked at.
@@ -328,7 +331,7 @@
 // take gives a txn to the module. What is decided on it comes to its box.
 func (d *Desk) take(t *wire.Txn) *held.Txn {
 	now := d.enter()
-	h := d.hold(&t.Arrival, t.Gone)
+	h := d.hold(&t.Arrival, t.Gone, now)
 	h.Expiry = expiry(t, now)
 	d.gk.Take(t.Arrival)
 	d.leave()
@@ -336,11 +339,12 @@
 }
 
 // hold makes a txn, under the lock. Until it has come it has no expiry.
-func (d *Desk) hold(a *logic.Arrival, gone func() bool) *held.Txn {
+func (d *Desk) hold(a *logic.Arrival, gone func() bool, now float64) *held.Txn {
 	d.last++
 	a.ID = d.last
 	h := held.NewTxn(a.ID, math.Inf(1), gone, d.subs)
-	h.Of, h.Plan = a.Customer, a.Plan
+	h.Of, h.Plan, h.Kind, h.Came = a.Customer, a.Plan, a.Product, now
+	d.meter.Asked(a.Plan, a.Product, a.Units)
 	d.txns[a.ID] = h
 	return h
 }
@@ -357,8 +361,8 @@
 func (d *Desk) clear(t *wire.Txn, life float64) (*held.Txn, bool) {
 	a := t.Arrival
 	a.Clears = life
-	d.enter()
-	h := d.hold(&a, t.Gone)
+	now := d.enter()
+	h := d.hold(&a, t.Gone, now)
 	d.gk.Take(a)
 	d.leave()
 	return h, h.Clear
@@ -367,8 +371,8 @@
 // cleared takes a clearance over that another process has given, for so many ms more.
 func (d *Desk) cleared(a logic.Arrival, life float64) *held.Txn {
 	a.Clears = life
-	d.enter()
-	h := d.hold(&a, func() bool { return false })
+	now := d.enter()
+	h := d.hold(&a, func() bool { return false }, now)
 	h.Clear = true
 	d.gk.Cleared(a)
 	d.leave()
@@ -380,7 +384,7 @@
 	now := d.enter()
 	known := !h.Final && d.gk.Claim(h.ID, t.Left, t.Streams)
 	if known {
-		t.ID, h.Expiry, h.Gone = h.ID, expiry(t, now), t.Gone
+		t.ID, h.Expiry, h.Gone, h.Came = h.ID, expiry(t, now), t.Gone, now
 	}
 	d.leave()
 	return known
@@ -392,6 +396,7 @@
 	if !h.Final {
 		d.gk.Release(h.ID)
 		h.Final = true
+		d.meter.Ended(h.Plan, h.Kind, outlook.Other, 0)
 		d.forget(h)
 	}
 	d.leave()
@@ -438,8 +443,10 @@
 // ended tells the module how a submission ended. The first answer of a worker settles the txn.
 func (d *Desk) ended(h *held.Txn, n, worker int, a *wire.Answer, took float64) {
 	now := d.enter()
+	d.meter.Answered(d.workers.Zone(worker), h.Kind, a.Outcome, took, h.Final)
 	if a.Heard {
 		d.gk.Burden(worker, a.Load)
+		d.meter.Said(d.workers.Zone(worker), a.Load)
 	}
 	if a.Outcome == logic.Settled && !h.Final {
 		d.finish(h, held.Word{Answer: a}, now)
@@ -473,12 +480,50 @@
 	held.Must(!h.Final, held.OneFinal)
 	held.Must(now <= h.Expiry+d.late, held.InTime)
 	h.Final = true
+	d.meter.Ended(h.Plan, h.Kind, endOf(w), now-h.Came)
 	for _, s := range h.Subs {
 		s.Bar()
 	}
 	h.Box <- w
 }
 
+// endOf tells a final answer's kind for the meter.
+func endOf(w held.Word) outlook.Final {
+	switch {
+	case w.Answer != nil:
+		return outlook.Settled
+	case w.Decision.Kind == logic.Decline:
+		return outlook.Declined
+	}
+	return outlook.Voided
+}
+
+// Measure has a meter count from here on what a word of this gatekeeper tells. It is to come before any txn.
+func (d *Desk) Measure(m *outlook.Meter) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.meter = m
+}
+
+// Speak fills in a word what the meter and the module have seen. Its caller is alone in that; txns come in
+// between.
+func (d *Desk) Speak(w *outlook.Word) {
+	for at := d.look(0); at > 0; {
+		at = d.look(at)
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now, t := d.clock.now(), d.gk.Tally()
+	d.meter.Mark(now, &t)
+	d.meter.Tell(w, now, &t, &d.sight, d.workers.ZoneName)
+}
+
+func (d *Desk) look(from int) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.gk.Look(&d.sight, from)
+}
+
 // forget drops a txn of which nothing more can come.
 func (d *Desk) forget(h *held.Txn) {
 	if h.Final && h.Out == 0 {
--- a/internal/lifecycle/start.go
+++ b/internal/lifecycle/start.go
@@ -59,14 +59,14 @@
 	asking  atomic.Bool    // others are asked for their list
 	agreed  *agreement     // nil where no rules are agreed on
 	history *history.Log   // nil where no record is kept
+	said    time.Time      // when the log last told that the watch had ended
+	word    *speaker       // nil where no word is told
+	first   chan struct{}  // closed at the watch's first word or failure
+	once    sync.Once      // of that
 	lends   atomic.Bool    // credit is, or can't be
 	away    atomic.Bool    // its place is another process's, still or from here on
 
 	agreedOn atomic.Pointer[[]logic.Plan] // as rules that were adopted last have them; nil before any
-
-	said  time.Time     // when the log last told that the watch had ended
-	first chan struct{} // closed at the watch's first word or failure
-	once  sync.Once     // of that
 }
 
 // Start brings a gatekeeper up: when it returns, clients are served.
@@ -120,6 +120,9 @@
 		}
 	}
 	g.desk = gate.NewDesk(c.Charter, c.Seed, c.Lines.AnswerSlack+socketSlack, tell, g.links.Shed)
+	if c.Hall != "" && c.Control != "" {
+		g.word = g.teller()
+	}
 	if g.history != nil {
 		g.desk.Record(g.history)
 	}
@@ -152,7 +155,7 @@
 		return nil, err
 	}
 	if g.port != nil {
-		go ops.Every(g.over, g.desk.Look)
+		go ops.Every(g.over, g.look)
 	}
 	g.At = l.Addr().String()
 	g.watch(c.Known.Version, logic.WatchDue)
@@ -181,6 +184,14 @@
 	return g, nil
 }
 
+// look renews the copies that operators' calls are answered from.
+func (g *Gatekeeper) look() {
+	g.desk.Look()
+	if g.word != nil {
+		g.word.renew(g)
+	}
+}
+
 // remember keeps what outlives a sudden end, and takes what one has left. Without it the gatekeeper starts as
 // ever.
 func (g *Gatekeeper) remember() {
