--- a/internal/credit/credit.go
+++ b/internal/credit/credit.go
@@ -32,8 +32,8 @@
 	quiet     = 1000.0  // ms without a loan until debts that can wait are paid; a burst's pauses
 	early     = 0.8     // of the time of repayment in which debts are paid, so that a late look is in time
 	keepHalf  = 0.5     // of its rights that one which is itself short of them keeps when asked for some
-	tellMost  = 24      // customers told of to one peer at once
-	tellPart  = 0.25    // of what a gatekeeper takes from peers, that words on credit may fill
+	tellMost  = 8       // customers told of to one peer at once; about a datagram
+	tellPart  = 0.5     // of what a gatekeeper takes from peers, that words on credit may fill
 	tellRow   = 10.0    // messages in a row; to the others of a few customers' sets
 	talkMost  = 4096    // words that wait to be told; what finds no place is told later
 	lookMost  = 4096    // customers looked at in a period, so that the lock is not held for long
--- a/internal/emu/scenario.go
+++ b/internal/emu/scenario.go
@@ -211,6 +211,11 @@
 		m[fmt.Sprintf("plans[%d].burst", i)] = number(&s.Plans[i].Burst)
 		m[fmt.Sprintf("plans[%d].credit_s", i)] = number(&s.Plans[i].Credit)
 	}
+	m["shapes.factor"] = func(v float64) { // of all
+		for i := range s.Shapes {
+			s.Shapes[i].Factor = v
+		}
+	}
 	for i := range s.Faults {
 		m[fmt.Sprintf("faults[%d].part", i)] = number(&s.Faults[i].Part)
 		m[fmt.Sprintf("faults[%d].factor", i)] = number(&s.Faults[i].Factor)
--- a/internal/lab/table.go
+++ b/internal/lab/table.go
@@ -16,7 +16,8 @@
 var columns = []string{"experiment", "scenario", "policy", "key", "value", "seed", "build",
 	"score", "offered", "served", "asked", "tries", "settled", "late", "declined", "voided", "failed", "lost",
 	"submissions", "full", "over_units", "messages", "events", "mean_ms", "p50_ms", "p99_ms", "p999_ms",
-	"rule1", "rule2", "rule3", "rule4", "rule5", "falls", "near_fall", "worst_product", "worst_plan", "starved", "credit_messages", "lent", "repaid_late"}
+	"rule1", "rule2", "rule3", "rule4", "rule5", "falls", "near_fall", "worst_product", "worst_plan", "starved",
+	"credit_messages", "lent", "repaid_late"}
 
 const (
 	figuresFrom = 7
--- a/logic/credit.go
+++ b/logic/credit.go
@@ -82,8 +82,8 @@
 	return took, fill
 }
 
-// withhold takes what was repaid from the quota's one store, as it fills. Guards against a store that has less
-// than nothing: with what is spent next it has nothing, and what was taken of it would be there again.
+// withhold takes what was repaid from the quota's one store, as it fills. Guards against a store that has
+// less than nothing: with what is spent next it has nothing, and what was taken of it would be there again.
 func (c *account) withhold() {
 	paid := math.Min(c.lag, math.Max(c.whole, 0))
 	c.whole, c.lag = c.whole-paid, c.lag-paid
