--- a/internal/gate/desk.go
+++ b/internal/gate/desk.go
@@ -66,6 +66,7 @@
 	residue *residue.File // nil where none is kept
 	meter   *outlook.Meter
 	sight   logic.Sight
+	lending *lending // nil where nothing is lent
 }
 
 // waiting is a txn whose client is looked at.
@@ -99,6 +100,7 @@
 		d.residue.Close()
 		d.residue = nil
 	}
+	d.endLending()
 }
 
 // Now is the desk's time, Unix ms.
@@ -146,6 +148,7 @@
 	d.enter()
 	d.void()
 	e = d.gk.Retire()
+	d.endLending()
 	workers, kinds = d.workers.Names()
 	d.leave()
 	return e, workers, kinds
@@ -203,6 +206,9 @@
 	if !d.gk.Recharter(c) {
 		return false
 	}
+	if d.lending != nil {
+		d.lending.relend(c.Plans)
+	}
 	if d.terms != nil {
 		d.terms.End()
 	}
@@ -242,6 +248,9 @@
 func (d *Desk) Resize(n int) {
 	d.enter()
 	d.gk.Resize(n)
+	if d.lending != nil {
+		d.lending.book.Resize(n)
+	}
 	d.leave()
 }
 
@@ -541,8 +550,14 @@
 		if !ok {
 			break
 		}
+		if d.lending != nil { // what was drawn for it is kept before it is carried out
+			d.settle()
+		}
 		d.carry(v)
 	}
+	if d.lending != nil {
+		d.settle()
+	}
 	speech := d.speech
 	d.speech = nil
 	d.mu.Unlock()
