--- a/internal/council/council_test.go
+++ b/internal/council/council_test.go
@@ -734,7 +734,9 @@
 	p.agree(1)
 	p.all["h0"].Asked(1, "g0", 0, 5)
 	p.all["h1"].Asked(2, "g1", 0, 9)
-	p.until("the highest is told", func() bool { return p.all["h0"].Highest() == 9 && p.all["h2"].Highest() == 9 })
+	p.until("the highest is told", func() bool {
+		return p.all["h0"].Highest() == 9 && p.all["h2"].Highest() == 9
+	})
 	p.until("the one behind is named", func() bool {
 		p.all["h0"].Asked(1, "g0", 0, 5)
 		for _, b := range p.all["h0"].Agreement().Lags {
