--- a/internal/council/council.go
+++ b/internal/council/council.go
@@ -18,6 +18,8 @@
 	"github.com/rs/zerolog"
 	"go.etcd.io/raft/v3"
 	"go.etcd.io/raft/v3/raftpb"
+
+	"willowdeck/internal/held"
 )
 
 const (
@@ -74,10 +76,14 @@
 	Load([]byte) error
 	// Turn is called each time something may have changed, at least once a tick.
 	Turn(Turn) Wish
-	// Read tells that all that had been decided at begun, by this process's clock, has been applied.
-	Read(begun time.Time)
+	// Read tells that all that had been decided at begun, ms of Clock's, has been applied.
+	Read(begun float64)
 }
 
+// Clock is the time by which reads are aged, ms: it goes on while the process stands still and the machine
+// sleeps, as the clocks of the gatekeepers do that count what they are told from it.
+func Clock() float64 { return float64(held.Boot()) / 1e6 }
+
 // Wish is what a Machine wants done.
 type Wish struct {
 	Read    bool     // what is the latest, as of now; it may be lost
@@ -446,7 +452,7 @@
 	applied uint64
 	snapped uint64
 	lead    uint64
-	reads   map[uint64]time.Time
+	reads   map[uint64]float64
 	readNo  uint64
 	again   bool // a read is due
 	moved   bool // who the members are has changed since the last snapshot
@@ -460,7 +466,7 @@
 // pending is a read that waits for entries to be applied.
 type pending struct {
 	index uint64
-	begun time.Time
+	begun float64
 }
 
 func (v *life) fail(err error) {
@@ -473,7 +479,7 @@
 func (c *Council) live(s *store) (err error) {
 	ctx, end := context.WithCancel(c.ctx)
 	v := &life{c: c, ctx: ctx, s: s, lines: map[uint64]*line{}, members: map[uint64]string{},
-		reads: map[uint64]time.Time{}, began: time.Now()}
+		reads: map[uint64]float64{}, began: time.Now()}
 	// Others hold questions by their numbers, and answers to those of a former life may still be on the way.
 	v.readNo = randomly()
 	s.wrong = c.charter.wrong
--- a/internal/council/log.go
+++ b/internal/council/log.go
@@ -251,7 +251,7 @@
 	if len(v.reads) >= mostReads {
 		clear(v.reads) // lost, as a leader's are that is no more
 	}
-	v.reads[v.readNo] = time.Now()
+	v.reads[v.readNo] = Clock()
 	v.rn.ReadIndex(place(v.readNo))
 }
 
--- a/internal/council/seat.go
+++ b/internal/council/seat.go
@@ -31,7 +31,6 @@
 	log    zerolog.Logger
 	record history.Recorder
 	host   string
-	start  time.Time
 
 	mu       sync.Mutex
 	council  *accord.Council
@@ -39,8 +38,8 @@
 	lag      *accord.Lag
 	turn     Turn
 	wanted   *wanted
-	begun    time.Time // of the last read that was confirmed
-	mark     string    // of the version in force
+	begun    float64 // of the last read that was confirmed; below nought there was none
+	mark     string  // of the version in force
 	changed  chan struct{}
 	tellers  map[int]teller
 	outcomes []Heard
@@ -62,7 +61,7 @@
 	rules *accord.Rules
 	raw   []byte
 	base  uint64
-	since time.Time
+	since float64
 	put   time.Time
 	read  time.Time // when the reading was asked for that it waits for
 }
@@ -79,14 +78,14 @@
 // NewSeat opens a daemon's part. Where no version is in force yet, rules are proposed as the first one;
 // they may be nil. The record may be nil.
 func NewSeat(ch Charter, rules *accord.Rules, record history.Recorder, log zerolog.Logger) (*Seat, error) {
-	s := &Seat{log: log, record: record, host: ch.Me, start: time.Now(), council: accord.NewCouncil(),
+	s := &Seat{log: log, record: record, host: ch.Me, begun: -1, council: accord.NewCouncil(),
 		lag: accord.NewLag(), changed: make(chan struct{}, 1), tellers: map[int]teller{}}
 	s.steward = accord.NewSteward(ch.Me, s.council)
 	if rules != nil {
 		if err := accord.Check(rules); err != nil {
 			return nil, err
 		}
-		s.wanted = &wanted{id: proposalID(ch.Me), act: accord.Propose, first: true, rules: rules, since: time.Now()}
+		s.wanted = &wanted{id: proposalID(ch.Me), act: accord.Propose, first: true, rules: rules, since: Clock()}
 	}
 	c, err := New(ch, (*bench)(s), log)
 	if err != nil {
@@ -108,10 +107,8 @@
 	}
 }
 
-func (s *Seat) ms(at time.Time) float64 { return float64(at.Sub(s.start)) / float64(time.Millisecond) }
-
 // clock sets the steward's time, under the lock.
-func (s *Seat) clock() { s.steward.Clock(s.ms(time.Now())) }
+func (s *Seat) clock() { s.steward.Clock(Clock()) }
 
 // Changed tells that another version than before is in force, or none is agreed any more.
 func (s *Seat) Changed() <-chan struct{} { return s.changed }
@@ -152,7 +149,7 @@
 	now := time.Now()
 	s.tellers[pid] = teller{name, holds, index, now}
 	if index >= 0 {
-		s.lag.Told(name, index, s.ms(now))
+		s.lag.Told(name, index, Clock())
 	}
 	most := int64(0)
 	for _, t := range s.tellers {
@@ -189,7 +186,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.wanted = &wanted{id: proposalID(s.host), act: accord.Propose, rules: rules, since: time.Now()}
+	s.wanted = &wanted{id: proposalID(s.host), act: accord.Propose, rules: rules, since: Clock()}
 	return s.wanted.id, nil
 }
 
@@ -309,16 +306,16 @@
 }
 
 // Read tells that what is applied was the latest at begun.
-func (b *bench) Read(begun time.Time) {
+func (b *bench) Read(begun float64) {
 	s := b.seat()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.clock()
-	s.steward.ReadDone(s.ms(begun))
+	s.steward.ReadDone(begun)
 	n := s.council.State().InForce.Number
 	s.begun = begun
 	s.write(history.Event{Kind: history.Gives, Version: n, Mark: s.mark,
-		Age: float64(time.Since(begun)) / float64(time.Millisecond)})
+		Age: Clock() - begun})
 }
 
 // Mark is a digest of rules, as records name versions.
@@ -353,7 +350,7 @@
 			}
 		}
 	}
-	if p := s.wanted; p != nil && !s.begun.After(p.since) && t.Now.Sub(p.read) > 100*time.Millisecond {
+	if p := s.wanted; p != nil && s.begun <= p.since && t.Now.Sub(p.read) > 100*time.Millisecond {
 		p.read, w.Read = t.Now, true
 	}
 	if raw := s.want(t); raw != nil {
@@ -366,7 +363,7 @@
 // at a read since it was wished for, so that a daemon that was away does not undo what it has not seen.
 func (s *Seat) want(t Turn) []byte {
 	p := s.wanted
-	if p == nil || t.Leader == "" || !t.Member || t.Now.Sub(p.put) < proposeEach || !s.begun.After(p.since) {
+	if p == nil || t.Leader == "" || !t.Member || t.Now.Sub(p.put) < proposeEach || s.begun <= p.since {
 		return nil
 	}
 	st := s.council.State()
@@ -421,8 +418,8 @@
 	st := s.council.State()
 	a := Agreement{Version: st.InForce.Number, Mark: s.mark, Step: st.Step, Settled: st.Settled(), ReadMS: -1,
 		Outcomes: append([]Heard(nil), s.outcomes...), CutOff: map[string]float64{}, Seen: map[string]uint64{}}
-	if !s.begun.IsZero() {
-		a.ReadMS = float64(now.Sub(s.begun)) / float64(time.Millisecond)
+	if s.begun >= 0 {
+		a.ReadMS = Clock() - s.begun
 	}
 	for _, h := range st.Held {
 		a.Held = append(a.Held, h.Number)
@@ -446,10 +443,10 @@
 	s.Council.mu.Lock()
 	for name, p := range s.Council.peers { // another host's newest, as if it were a process's
 		if p.Index > 0 {
-			s.lag.Told("host "+name, p.Index, s.ms(now))
+			s.lag.Told("host "+name, p.Index, Clock())
 		}
 	}
 	s.Council.mu.Unlock()
-	a.Lags = s.lag.Late(s.ms(now), lagAfter)
+	a.Lags = s.lag.Late(Clock(), lagAfter)
 	return a
 }
