A slow disk no longer keeps a daemon's log from what comes in

Cause: the goroutine of the log asked its machine what it wants until it wanted nothing; from 300 ms a write on, the steward said again what it had not seen to be taken, each time with another write, and no message was read any more. Change: twice at most for each thing that comes, and no more than 32 entries under way. An entry that comes a second time is told once.

--- a/internal/council/council.go
+++ b/internal/council/council.go
@@ -36,6 +36,7 @@
 	mostGone    = 64                      // disks remembered as members once
 	postWithin  = time.Second             // for one post: longer than it takes a leader to be missed
 	keepBehind  = 64                      // entries kept before a snapshot
+	mostUnder   = 32                      // entries under way, before more are proposed
 	compactEach = 256                     // entries applied between two snapshots
 	reopenAfter = 2 * time.Second         // pause before a store that failed is opened again
 	hearAll     = 1500 * time.Millisecond // a disk waits so long for all others to say what they heard of it
--- a/internal/council/council_test.go
+++ b/internal/council/council_test.go
@@ -753,3 +753,25 @@
 		}
 	}
 }
+
+// Disks that take 300 ms for each write delay what is agreed on, and no more. Guards against a goroutine that
+// is kept by what it says again from what comes in: it was so from 300 ms on, as that is when the steward says
+// again what it has not seen to be taken.
+func TestSlowDisks(t *testing.T) {
+	t.Parallel()
+	p := newParley(t, 3)
+	for _, h := range p.hosts {
+		p.start(h.Name, func(c *Charter) {
+			c.wrong = func() error {
+				time.Sleep(300 * time.Millisecond)
+				return nil
+			}
+		})
+	}
+	p.until("a leader", func() bool { return p.leader() != nil })
+	for i := range 3 {
+		if h := p.outcome(p.all["h0"], p.propose(p.all["h0"], float64(100+i))); h.Refused != "" {
+			t.Errorf("%+v", h)
+		}
+	}
+}
--- a/internal/council/log.go
+++ b/internal/council/log.go
@@ -56,12 +56,12 @@
 				return err
 			}
 		}
-		for more := true; more && v.failed == nil; { // what else has come goes into the same write
+		for more := mostIn; more > 0 && v.failed == nil; more-- { // what else has come goes into the same write
 			select {
 			case in := <-v.c.in:
 				v.step(in)
 			default:
-				more = false
+				more = 0
 			}
 		}
 		if v.failed != nil {
@@ -73,16 +73,13 @@
 	}
 }
 
-// settle writes, says, and applies what has become of all that came, and asks the machine what it wants.
+// settle writes, says, and applies what has become of all that came, and asks the machine what it wants. It
+// does so twice at most: on a slow disk a machine that says again what is not carried out yet would else keep
+// the goroutine from what comes in.
 func (v *life) settle() error {
-	for {
-		for v.rn.HasReady() {
-			if err := v.ready(); err != nil {
-				return err
-			}
-			if v.failed != nil {
-				return v.failed
-			}
+	for range 2 {
+		if err := v.drain(); err != nil {
+			return err
 		}
 		v.tell()
 		st := v.rn.BasicStatus()
@@ -104,6 +101,20 @@
 			return nil
 		}
 	}
+	return v.drain()
+}
+
+// drain carries out all that the library wishes.
+func (v *life) drain() error {
+	for v.rn.HasReady() {
+		if err := v.ready(); err != nil {
+			return err
+		}
+		if v.failed != nil {
+			return v.failed
+		}
+	}
+	return nil
 }
 
 func (v *life) stands(st raft.BasicStatus) {
@@ -239,7 +250,10 @@
 }
 
 func (v *life) propose(data []byte) {
-	if v.rn != nil && v.rn.BasicStatus().Lead != 0 {
+	if v.rn == nil {
+		return
+	}
+	if last, _ := v.s.mem.LastIndex(); v.rn.BasicStatus().Lead != 0 && last < v.applied+mostUnder {
 		_ = v.rn.Propose(data) // what is dropped is proposed again by who wants it
 	}
 }
--- a/internal/council/seat.go
+++ b/internal/council/seat.go
@@ -225,7 +225,7 @@
 	}
 	o := s.council.Apply(e)
 	s.steward.Applied()
-	if o.InForce > 0 {
+	if o.InForce > 0 && !o.Again {
 		in := s.council.State().InForce
 		s.mark = Mark(&in.Rules)
 		s.write(history.Event{Kind: history.Taken, Version: o.InForce, Base: o.InForce - 1, Txn: id, Mark: s.mark})
