--- a/internal/council/council_test.go
+++ b/internal/council/council_test.go
@@ -754,9 +754,9 @@
 	}
 }
 
-// Disks that take 300 ms for each write delay what is agreed on, and no more. Guards against a goroutine that
-// is kept by what it says again from what comes in: it was so from 300 ms on, as that is when the steward says
-// again what it has not seen to be taken.
+// Disks that take 300 ms for each write delay what is agreed on, and no more. Guards against a goroutine
+// that is kept by what it says again from what comes in: it was so from 300 ms on, as that is when the
+// steward says again what it has not seen to be taken.
 func TestSlowDisks(t *testing.T) {
 	t.Parallel()
 	p := newParley(t, 3)
--- a/internal/lifecycle/start.go
+++ b/internal/lifecycle/start.go
@@ -59,15 +59,14 @@
 	asking  atomic.Bool    // others are asked for their list
 	agreed  *agreement     // nil where no rules are agreed on
 	history *history.Log   // nil where no record is kept
+	said    time.Time      // when the log last told that the watch had ended
 	word    *speaker       // nil where no word is told
+	first   chan struct{}  // closed at the watch's first word or failure
+	once    sync.Once      // of that
 	lends   atomic.Bool    // credit is, or can't be
 	away    atomic.Bool    // its place is another process's, still or from here on
 
 	agreedOn atomic.Pointer[[]logic.Plan] // as rules that were adopted last have them; nil before any
-
-	said  time.Time     // when the log last told that the watch had ended
-	first chan struct{} // closed at the watch's first word or failure
-	once  sync.Once     // of that
 }
 
 // Start brings a gatekeeper up: when it returns, clients are served.
