--- a/internal/outlook/outlook_test.go
+++ b/internal/outlook/outlook_test.go
@@ -315,7 +315,7 @@
 	}
 	rng := rand.New(rand.NewSource(1))
 	for _, c := range []struct{ rate, depth, demand float64 }{{20, 40, 25}, {20, 10, 19}, {20, 20, 20}} {
-		level, lost, asked := c.depth, 0.0, 0.0
+		level, lost, asked, held := c.depth, 0.0, 0.0, 0.0
 		for range 400000 {
 			if level = math.Min(level+rng.ExpFloat64()/c.demand*c.rate, c.depth); level >= 1 {
 				level--
@@ -323,13 +323,18 @@
 				lost++
 			}
 			asked++
+			held += level
 		}
 		s := store{c.rate, c.depth, c.demand, c.demand}
 		if got := s.short(); math.Abs(got-lost/asked) > 0.02 {
 			t.Errorf("%+v: short by %v, played %v", c, got, lost/asked)
 		}
-		if a, b := s.shortFor(5), s.shortFor(500); a >= b || b > s.short()+1e-9 {
-			t.Errorf("%+v: short by %v over 5 s, %v over 500", c, a, b)
+		if a, b := s.shortFor(5, 1), s.shortFor(500, 1); a >= b || b > s.short()+1e-9 || s.shortFor(5, 0.2) <= a {
+			t.Errorf("%+v: short by %v over 5 s, %v over 500, %v over 5 from a fifth of its depth", c, a, b,
+				s.shortFor(5, 0.2))
+		}
+		if got := s.level(); math.Abs(got-held/asked/c.depth) > 0.1 {
+			t.Errorf("%+v: holds %v of its depth, played %v", c, got, held/asked/c.depth)
 		}
 	}
 }
--- a/internal/outlook/quota.go
+++ b/internal/outlook/quota.go
@@ -191,21 +191,32 @@
 	return math.Min(math.Max(push/s.demand, 0), 1)
 }
 
-// shortFor gives it as the mean over so many seconds that begin with a store that is full: until it is empty
-// for the first time it is short of nothing. That time's spread is that of a first passage.
-func (s store) shortFor(secs float64) float64 {
+// level gives the part of its depth that a store holds in the long run, on average.
+func (s store) level() float64 {
+	x := 2 * (s.rate - s.demand) * s.depth / s.variance
+	if math.Abs(x) < 1e-3 {
+		return 0.5
+	}
+	return math.Min(math.Max(-1/math.Expm1(-x)-1/x, 0), 1)
+}
+
+// shortFor gives what it is short of as the mean over so many seconds that begin with a part of its depth in
+// it: until it is empty for the first time it is short of nothing. That time's spread is a first passage's.
+func (s store) shortFor(secs, full float64) float64 {
 	if secs <= 0 {
 		return 0
 	}
-	drift, v := s.rate-s.demand, s.variance
+	drift, v, y := s.rate-s.demand, s.variance, full*s.depth
 	x := 2 * drift * s.depth / v
-	until := s.depth * s.depth / v
+	until := y * (2*s.depth - y) / v
 	if math.Abs(x) > 1e-3 {
-		until = v/(2*drift*drift)*math.Expm1(math.Min(x, 500)) - s.depth/drift
+		grown := math.Exp(math.Min(x, 500)) * -math.Expm1(-2*drift*y/v)
+		until = v/(2*drift*drift)*grown - y/drift
 	}
+	until = math.Max(until, 1e-9)
 	even := 1.0 // how far it is by chance alone
 	if drift < 0 {
-		even = math.Min(v/(-drift*s.depth), 1)
+		even = math.Min(v/math.Max(-drift*y, 1e-9), 1)
 	}
 	sharp := math.Max(1-until/secs, 0)
 	blurred := 1 - until/secs*(1-math.Exp(-secs/until))
@@ -227,11 +238,13 @@
 	if f.rules.Tries > 1 {
 		waits = demand * f.soonest() / 1000
 	}
-	steady := func(rate, depth, of float64) float64 {
+	steady := func(was, rate, depth, of float64) float64 { // of a store that filled at a rate and does at another
 		depth += waits
 		s := store{rate / of, math.Max(depth/of, size), demand / of, 1.1 * demand / of * size}
 		if early && p.lost > 0 {
-			return s.shortFor(span)
+			before := s
+			before.rate = was / of
+			return s.shortFor(span, before.level())
 		}
 		return s.short()
 	}
@@ -246,20 +259,20 @@
 	case p.lost > 0:
 		part = m.Floors*(1-p.lost) + 1 - m.Floors
 	}
-	short := math.Max(steady(c.Rate*part, c.Burst*part, 1),
-		math.Pow(steady(c.Rate*part, c.Burst*part, living), float64(f.rules.Tries)))
+	short := math.Max(steady(c.Rate, c.Rate*part, c.Burst*part, 1),
+		math.Pow(steady(c.Rate, c.Rate*part, c.Burst*part, living), float64(f.rules.Tries)))
 	if !m.Blind[plan] && p.size > 1 {
 		rate := c.Rate
 		if early && p.lost > 0 { // what the silent ones may spend is kept from the one store, too
 			rate *= math.Max(1-p.lost*n/(n-1)*(1-part/living), 0)
 		}
 		kept := demand * (n - 1) / n * m.Reserve(p.size) / 1000
-		short = math.Max(short, steady(rate, c.Burst-kept, 1))
+		short = math.Max(short, steady(c.Rate, rate, c.Burst-kept, 1))
 	}
 	if c.CeilingRate > 0 {
 		rate, depth := c.CeilingRate*(1-p.lost), c.CeilingDepth*(1-p.lost)
-		short = math.Max(short, steady(rate, depth, 1))
-		short = math.Max(short, math.Pow(steady(rate, depth, living), float64(f.rules.Tries)))
+		short = math.Max(short, steady(c.CeilingRate, rate, depth, 1))
+		short = math.Max(short, math.Pow(steady(c.CeilingRate, rate, depth, living), float64(f.rules.Tries)))
 	}
 	if early && p.lost > 0 {
 		moved := span + m.Unheard/1000
