--- a/internal/outlook/outlook_test.go
+++ b/internal/outlook/outlook_test.go
@@ -388,7 +388,7 @@
 	m.Answered(0, 0, logic.Settled, 1, false)
 }
 
-// Guards against words whose figures are no gatekeeper's, though within all bounds, that take a core for ever.
+// Guards against words whose figures are no gatekeeper's, though within bounds, that take a core for ever.
 func TestBoundedWork(t *testing.T) {
 	c := terms(5000)
 	c.Products, c.Plans = nil, nil
--- a/internal/outlook/quota.go
+++ b/internal/outlook/quota.go
@@ -238,7 +238,8 @@
 	if f.rules.Tries > 1 {
 		waits = demand * f.soonest() / 1000
 	}
-	steady := func(was, rate, depth, of float64) float64 { // of a store that filled at a rate and does at another
+	// steady is of a store that has filled at a rate, and now does at another.
+	steady := func(was, rate, depth, of float64) float64 {
 		depth += waits
 		s := store{rate / of, math.Max(depth/of, size), demand / of, 1.1 * demand / of * size}
 		if early && p.lost > 0 {
