--- a/internal/fleet/outlook_test.go
+++ b/internal/fleet/outlook_test.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -276,7 +277,7 @@
 // take takes from the rig what a loss takes.
 func (x *trio) take(l outlook.Loss) {
 	for h := range 3 {
-		lost := l.Halls[0] == hallOf(h)
+		lost := slices.Contains(l.Halls, hallOf(h))
 		switch {
 		case lost && l.Kind == outlook.Links:
 			for o := range 3 {
@@ -323,27 +324,30 @@
 		kind        outlook.Kind
 		perS, measS float64
 		rate        float64 // of each of twelve customers' quota
+		halls       []string
 	}
-	forms := []form{{outlook.Whole, 210, 4, 30}}
+	one, two := []string{hallOf(1)}, []string{hallOf(1), hallOf(2)}
+	forms := []form{{outlook.Whole, 210, 4, 30, one}}
 	if *foresee {
 		forms = nil
 		for k := outlook.Whole; k <= outlook.Slowed; k++ {
 			for _, perS := range []float64{140, 210, 270} {
-				forms = append(forms, form{k, perS, 16, 40})
+				forms = append(forms, form{k, perS, 16, 40, one})
 			}
-			forms = append(forms, form{k, 180, 16, 16})
+			forms = append(forms, form{k, 140, 16, 40, two})
+			forms = append(forms, form{k, 180, 16, 16, one})
 		}
 	}
 	for _, f := range forms {
-		t.Run(fmt.Sprintf("%v at %v of %v", f.kind, f.perS, 12*f.rate), func(t *testing.T) {
+		t.Run(fmt.Sprintf("%v at %v of %v, %d", f.kind, f.perS, 12*f.rate, len(f.halls)), func(t *testing.T) {
 			x := newTrio(t, f.rate)
-			loss := outlook.Loss{Kind: f.kind, Halls: []string{hallOf(1)}}
+			loss := outlook.Loss{Kind: f.kind, Halls: f.halls}
 			warm := 4.0
 			if *foresee {
 				warm = 11
 			}
 			s, wait := x.send(f.perS, warm, warm+f.measS, func(i int) bool {
-				return f.kind != outlook.Links && i%3 == 1
+				return f.kind != outlook.Links && slices.Contains(f.halls, hallOf(i))
 			})
 			began := time.Now()
 			time.Sleep(time.Until(began.Add(time.Duration((warm - 1) * float64(time.Second)))))
