Credit drawn after a loss: by rights that living gatekeepers hold

Foretold from plans' lines it was far too much: a gatekeeper gets no right while others of a set are silent.

--- a/internal/credit/credit.go
+++ b/internal/credit/credit.go
@@ -748,6 +748,20 @@
 	return f
 }
 
+// Plans calls each with what is held for a customer, for all of them: its plan, the rights that it may draw
+// here at once, and what it owes here, in units.
+func (b *Book) Plans(each func(plan int, rights, owed float64)) {
+	for i := range b.all {
+		if a := &b.all[i]; a.Live {
+			rights := 0.0
+			if a.Known && a.Rights > 0 {
+				rights = float64(a.Rights) / parts
+			}
+			each(int(a.Plan), rights, float64(a.owed())/parts)
+		}
+	}
+}
+
 // Holding is what a book has of one customer, in units.
 type Holding struct {
 	Known                    bool
--- a/internal/emu/world.go
+++ b/internal/emu/world.go
@@ -167,6 +167,9 @@
 		at = m.Look(&sight, at)
 	}
 	g.meter.Tell(w, g.w.clock(), &t, &sight, hall)
+	if g.lender != nil {
+		g.lender.book.Plans(w.Lent)
+	}
 	return w
 }
 
--- a/internal/gate/desk.go
+++ b/internal/gate/desk.go
@@ -516,6 +516,9 @@
 	now, t := d.clock.now(), d.gk.Tally()
 	d.meter.Mark(now, &t)
 	d.meter.Tell(w, now, &t, &d.sight, d.workers.ZoneName)
+	if d.lending != nil {
+		d.lending.book.Plans(w.Lent)
+	}
 }
 
 func (d *Desk) look(from int) int {
--- a/internal/lab/outlook_test.go
+++ b/internal/lab/outlook_test.go
@@ -14,6 +14,7 @@
 var (
 	foresee  = flag.Int("foresee", 0, "seeds that losses of halls are foretold and played with, at 20 and 300")
 	into     = flag.String("into", "", "where the table and the chart of that go")
+	credit   = flag.Float64("credit", 0, "seconds of their rates that all plans lend")
 	replayed = flag.Bool("replayed", false, "play each loss from the words alone, too")
 )
 
@@ -30,6 +31,11 @@
 			outlook.Loss{Kind: outlook.Links, Halls: []string{"hall1", "hall2"}})
 	}
 	var table []Foresights
+	lending := func(s *emu.Scenario) {
+		for i := range s.Plans {
+			s.Plans[i].Credit, s.Plans[i].Repay = *credit, 30
+		}
+	}
 	for _, name := range names {
 		for _, load := range loads {
 			s, err := emu.Read("../../scenarios/" + name + ".toml")
@@ -41,6 +47,9 @@
 					t.Fatal(err)
 				}
 			}
+			if *credit > 0 {
+				lending(s)
+			}
 			g := Foresights{Gatekeepers: s.Gatekeepers.Count, Asks: load}
 			for seed := range int64(seeds) {
 				all, _, err := Foresee(t.Context(), s, seed+1, 10, losses, *replayed)
--- a/internal/outlook/fleet.go
+++ b/internal/outlook/fleet.go
@@ -33,7 +33,7 @@
 	away    []float64   // by hall of gatekeeper: what longer ways to other halls' workers add on average, ms
 	room    []float64   // windows' room, by hall of worker as txns go now
 	inHand  [][]int     // by hall of gatekeeper and hall of worker
-	credit  []Credit    // by plan
+	credit  [][]float64 // by hall of gatekeeper and plan, units that may be borrowed there
 	reason  [logic.Reasons]float64
 	usual   []float64 // by product: ms of a core that a txn takes, without any wait
 	cores   float64   // that each worker has, as reckoned with; 0 where that is not known
@@ -89,7 +89,7 @@
 	f.keepers, f.workers, f.able, f.room = make([]int, n), make([]int, n), make([]float64, n), make([]float64, n)
 	f.asked, f.flows, f.away = grid[float64](n, np*nq), make([]Flow, np*nq), make([]float64, n)
 	f.run, f.took, f.inHand = grid[float64](n, n), grid[float64](n, n), grid[int](n, n)
-	f.credit, f.rings = make([]Credit, nq), make([][]ring, nq)
+	f.credit, f.rings = grid[float64](n, nq), make([][]ring, nq)
 	counts, able := make([][]int, n), make([][]float64, n)
 	pace := make([][4]float64, np) // by product: answers an ms, their ms, squares, and answers in the same hall
 	busy := [2]float64{}
@@ -113,8 +113,7 @@
 			f.reason[i] += r * f.scaled / 1000
 		}
 		for i, c := range w.Credit {
-			f.credit[i].Line += c.Line
-			f.credit[i].Open += c.Open
+			f.credit[g][i] += c.Rights
 		}
 		mine := 0.0
 		for _, h := range w.Halls {
--- a/internal/outlook/meter.go
+++ b/internal/outlook/meter.go
@@ -156,8 +156,20 @@
 	m.kept++
 }
 
+// Lent adds what a customer of a plan may borrow and owes to a word.
+func (w *Word) Lent(plan int, rights, owed float64) {
+	for len(w.Credit) < len(w.Plans) {
+		w.Credit = append(w.Credit, Credit{})
+	}
+	if plan < len(w.Credit) {
+		w.Credit[plan].Rights += rights
+		w.Credit[plan].Open += owed
+	}
+}
+
 // Tell fills in a word what was counted since the oldest mark, and what a sight shows. halls names them.
 func (m *Meter) Tell(w *Word, now float64, t *logic.Tally, s *logic.Sight, halls func(int) string) {
+	w.Credit = w.Credit[:0]
 	w.Form, w.Life, w.At = Form, m.life, int64(now)
 	m.seq++
 	w.Seq = m.seq
--- a/internal/outlook/project.go
+++ b/internal/outlook/project.go
@@ -66,8 +66,12 @@
 	now := f.now()
 	moved := f.moved()
 	s.let = f.quotas(s, true)
-	c.First.Credit = f.borrow(s, base, moved)
 	first := f.play(s)
+	if !first.pressed { // else nothing is lent
+		if c.First.Credit = f.borrow(s, moved); c.First.Credit > 0 {
+			first = f.play(s)
+		}
+	}
 	c.First.fill(f, s, now, base, first)
 	short := f.missing(s)
 	s.let = f.quotas(s, false)
--- a/internal/outlook/quota.go
+++ b/internal/outlook/quota.go
@@ -283,12 +283,9 @@
 	return 1 - short
 }
 
-// borrow has customers borrow what quotas keep from them until shares have moved, where plans lend and
-// workers are not pressed. It gives the units.
-func (f *fleet) borrow(s *stage, base *outcome, ms float64) (drawn float64) {
-	if base.pressed {
-		return 0
-	}
+// borrow has customers borrow what quotas keep from them until shares have moved, as far as gatekeepers that
+// are left hold rights: they get no more while others of a set are silent. It gives the units.
+func (f *fleet) borrow(s *stage, ms float64) (drawn float64) {
 	whole := f.quotas(f.stage(Loss{}), false)
 	for q := range f.plans {
 		demand := 0.0
@@ -296,7 +293,13 @@
 			demand += w.Customers[q].Demand * f.scaled
 		}
 		short := (whole[q] - s.let[q]) * demand * ms / 1000
-		if line := f.credit[q].Line - f.credit[q].Open; short > 0 && line > 0 {
+		line := 0.0
+		for g := range f.names {
+			if !s.mute[g] {
+				line += f.credit[g][q]
+			}
+		}
+		if short > 0 && line > 0 {
 			lent := math.Min(short, line)
 			drawn += lent
 			s.let[q] += lent / (demand * ms / 1000)
--- a/internal/outlook/word.go
+++ b/internal/outlook/word.go
@@ -51,8 +51,9 @@
 	Wasted float64 // a second, that were run or may have been and settled nothing
 }
 
-// Credit is what a plan's customers may borrow at this gatekeeper, and have borrowed, units.
-type Credit struct{ Line, Open float64 }
+// Credit is what a plan's customers may borrow at this gatekeeper without asking others, and have borrowed at
+// it, units.
+type Credit struct{ Rights, Open float64 }
 
 // Word is what one gatekeeper says of itself and of what it sees.
 type Word struct {
@@ -205,7 +206,7 @@
 		}
 	}
 	for i, c := range w.Credit {
-		is(c.Line, "credit[%d].line", i)
+		is(c.Rights, "credit[%d].rights", i)
 		is(c.Open, "credit[%d].open", i)
 	}
 	for i, p := range w.Charter.Products {
@@ -215,7 +216,7 @@
 	}
 	for i, p := range w.Charter.Plans {
 		for _, v := range []float64{p.Rate, p.Burst, p.CeilingRate, p.CeilingDepth, p.Factor, p.ExcessShare,
-			p.ExcessFee} {
+			p.ExcessFee, p.Credit, p.Repay, p.Withheld} {
 			is(v, "charter.plans[%d]", i)
 		}
 		if p.Open < 0 {
