--- /dev/null
+++ b/internal/lifecycle/lend_test.go
@@ -0,0 +1,58 @@
+package lifecycle
+
+import (
+	"fmt"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"willowdeck/internal/config"
+)
+
+// owed gives one of a process's figures of credit; below nought where it has none.
+func owed(g *Gatekeeper, name string) int64 {
+	for _, m := range g.Figures().More {
+		if m.Name == "credit."+name {
+			return m.Value
+		}
+	}
+	return -1
+}
+
+// A process that takes another's place takes its book: what is owed stays owed, and no more is lent than the line.
+func TestDebtAtReplacement(t *testing.T) {
+	d, change := heldListener(t, `"rate":0.1,"most_at_once":1`,
+		`"rate":2,"most_at_once":2,"credit_s":1,"repay_s":60`)
+	book := filepath.Join(t.TempDir(), "residue")
+	keeps := func(c *config.Gatekeeper) {
+		change(c)
+		c.Residue = book
+	}
+	first := d.second(keeps)
+	d.gk.Stop()
+	n, passed := 0, 0
+	ask := func(times int) {
+		for range times {
+			n++
+			s, _ := d.ask(strings.Replace(check("/check", fmt.Sprint("t", n)), "basic", "tiny", 1))
+			if s == "HTTP/1.1 200 OK" {
+				passed++
+			}
+		}
+	}
+	ask(4) // the new book has the line as drawn
+	until(t, "the line is not earned", func() bool { return owed(first, "rights") == 2 })
+	time.Sleep(1200 * time.Millisecond)
+	if ask(8); owed(first, "outstanding") != 2 {
+		t.Fatalf("%d passed, %d is owed", passed, owed(first, "outstanding"))
+	}
+	second := d.second(keeps)
+	first.Stop()
+	until(t, "the book is not taken over", func() bool { return owed(second, "customers") == 1 })
+	before := owed(second, "outstanding")
+	if ask(6); before != 2 || owed(second, "lent") > 0 {
+		t.Errorf("%d is owed, %d more is lent", before, owed(second, "lent"))
+	}
+	second.Stop()
+}
