--- a/internal/credit/book/book_test.go
+++ b/internal/credit/book/book_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"math"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -11,6 +12,7 @@
 
 	"willowdeck/internal/credit"
 	"willowdeck/internal/member"
+	"willowdeck/internal/residue"
 )
 
 func record(i int) credit.Record {
@@ -54,6 +56,10 @@
 			t.Errorf("word %d is news: %v", i, got)
 		}
 	}
+	// Its time is the machine's since its start: a clock that is set moves nothing that is due.
+	if _, up, err := residue.Boot(); err != nil || math.Abs(f.Now()-up) > 2000 {
+		t.Errorf("it is %v, and the machine is up for %v", f.Now(), up)
+	}
 	f.Close()
 	f = open(t, path)
 	if f.Born != born || f.Spoilt != 0 || len(f.Records) != 4 {
--- a/internal/credit/credit_test.go
+++ b/internal/credit/credit_test.go
@@ -555,3 +555,68 @@
 		k.Paid(uint32(i%100), 1, 1)
 	}
 }
+
+// Every order of five steps out of nine, from where both know what they hold and one has asked the other for
+// more: letters taken in either order, twice or never, loans, looks, lives that end between two decisions.
+func TestEveryOrder(t *testing.T) {
+	steps := []struct {
+		name string
+		do   func(f *fleet)
+	}{
+		{"0 lends", func(f *fleet) { f.lend(0, 0, 2, -1, 2) }},
+		{"1 lends", func(f *fleet) { f.lend(1, 0, 2, -1, 2) }},
+		{"0 lends and is killed", func(f *fleet) { f.lend(0, 0, 2, 1, 2) }},
+		{"the first letter comes", func(f *fleet) {
+			if len(f.air) > 0 {
+				l := f.air[0]
+				f.air = f.air[1:]
+				f.deliver(l, -1)
+			}
+		}},
+		{"the last letter comes, and stays", func(f *fleet) {
+			if n := len(f.air); n > 0 {
+				f.deliver(f.air[n-1], -1)
+			}
+		}},
+		{"the last letter comes, and who reads it is killed", func(f *fleet) {
+			if n := len(f.air); n > 0 {
+				f.deliver(f.air[n-1], 2)
+			}
+		}},
+		{"the first letter is lost", func(f *fleet) { f.air = f.air[min(1, len(f.air)):] }},
+		{"0 looks", func(f *fleet) { f.look(0) }},
+		{"1 looks", func(f *fleet) { f.look(1) }},
+	}
+	const deep = 5
+	most, paths := 0.0, 1
+	for range deep {
+		paths *= len(steps)
+	}
+	for path := range paths {
+		f := newFleet(1, 2, Plan{Line: 12, Repay: 20000}, true)
+		f.lend(0, 0, 2, -1, 1)
+		f.lend(1, 0, 2, -1, 1)
+		f.pump(2*period, inTime)
+		f.used = 0
+		f.drawAll(0, 2)
+		var trail []string
+		for rest, k := path, 0; k < deep; rest, k = rest/len(steps), k+1 {
+			s := &steps[rest%len(steps)]
+			trail = append(trail, s.name)
+			s.do(f)
+			if err := f.check(); err != nil {
+				t.Fatalf("%v: %v", trail, err)
+			}
+		}
+		most = max(most, f.used)
+	}
+	if most < 11 {
+		t.Errorf("%v of a line of 12 were used at most: the orders test nothing", most)
+	}
+}
+
+func (f *fleet) look(i int) {
+	f.now += again
+	f.gks[i].book.Clock(f.now)
+	f.drain(i, -1)
+}
