--- a/internal/lifecycle/lend_test.go
+++ b/internal/lifecycle/lend_test.go
@@ -20,7 +20,8 @@
 	return -1
 }
 
-// A process that takes another's place takes its book: what is owed stays owed, and no more is lent than the line.
+// A process that takes another's place takes its book: what is owed stays owed, and no more is lent than the
+// line.
 func TestDebtAtReplacement(t *testing.T) {
 	d, change := heldListener(t, `"rate":0.1,"most_at_once":1`,
 		`"rate":2,"most_at_once":2,"credit_s":1,"repay_s":60`)
