--- a/internal/credit/rig/rig_test.go
+++ b/internal/credit/rig/rig_test.go
@@ -54,6 +54,15 @@
 	"TestDrawn":           68, // any of these
 }
 
+// These tests mostly wait: so many run side by side on any machine.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("test.parallel", "6"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
 // fleet is some gatekeepers of one set.
 type fleet struct {
 	t       *testing.T
