A killed gatekeeper's quotas and demand outlive it: a copy each 100 ms beside the residue

Need: one that came back knew its ceilings alone; quotas, demand and what peers had said were lost, which costs where sets are wide and words between peers take seconds. Change: logic.Copy gives what fades in pieces, internal/inventory writes it to one of two slots in turn, logic.Recall says what is believed of it by age. The emulator keeps copies as the program does (gatekeepers.keeps 16), and can have peers learn of returns (32).

--- a/cmd/willowdeck/main.go
+++ b/cmd/willowdeck/main.go
@@ -35,6 +35,8 @@
 		Sources: cli.EnvVars("WILLOWDECK_FORWARD")}
 	left := &cli.StringFlag{Name: "residue", Usage: "the `FILE` that outlives a sudden end",
 		Sources: cli.EnvVars("WILLOWDECK_RESIDUE")}
+	recall := &cli.BoolFlag{Name: "recall", Value: true, Usage: "keep quotas and demand beside the residue",
+		Sources: cli.EnvVars("WILLOWDECK_RECALL")}
 	ask := &cli.StringSliceFlag{Name: "ask", Usage: "ask the instance whose operators' port is at `HOST:PORT`",
 		Sources: cli.EnvVars("WILLOWDECK_ASK")}
 	tell := &cli.BoolFlag{Name: "tell", Usage: "tell others the list at the operators' port",
@@ -45,7 +47,7 @@
 		Usage: "holds customers to quotas before a shared back end",
 		Commands: []*cli.Command{
 			{Name: "serve", Usage: "run a gatekeeper until SIGTERM; SIGHUP reads its file anew",
-				Flags: []cli.Flag{file, forward, left, ask, tell, level}, Action: serve},
+				Flags: []cli.Flag{file, forward, left, recall, ask, tell, level}, Action: serve},
 			{Name: "fleet", Usage: "keep many gatekeepers on this host until SIGTERM; SIGHUP reads the file anew",
 				Flags: []cli.Flag{fleetFile, level}, Action: keep},
 			{Name: "check", Usage: "read and check the configuration, and say what it holds",
@@ -91,6 +93,7 @@
 func readAll(c *cli.Command) (config.Gatekeeper, error) {
 	conf, err := config.Read(c.String("config"), os.Getenv)
 	conf.Residue, conf.Ask, conf.Tells = c.String("residue"), c.StringSlice("ask"), c.Bool("tell")
+	conf.Recall = c.Bool("recall")
 	for _, at := range conf.Ask {
 		if _, bad := netip.ParseAddrPort(at); err == nil && bad != nil {
 			err = fmt.Errorf("ask: %w", bad)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -40,6 +40,7 @@
 	Ask       []string // operators' ports of running instances, that a newcomer asks for their list
 	Tells     bool     // newcomers may ask this one for its list, at the operators' port
 	Residue   string   // the file that outlives a sudden end of this process; empty where none is kept
+	Recall    bool     // beside it, a copy of quotas and demand
 	Forward   *Forward // nil where forward authentication is off
 	Terms
 }
--- a/internal/emu/emu_test.go
+++ b/internal/emu/emu_test.go
@@ -414,3 +414,24 @@
 		t.Errorf("the worst is %v, starved are %v", w, r.Starved)
 	}
 }
+
+// Gatekeepers that are killed go by copies of what they knew, and break no rule by them; where peers learn of
+// returns too. Guards against a form of the emulator that keeps nothing, or all.
+func TestCopies(t *testing.T) {
+	for _, keeps := range []int{KeepCeilings | KeepPressure, KeepCeilings | KeepPressure | KeepCopies,
+		KeepCeilings | KeepPressure | KeepCopies | KeepReturns} {
+		s, err := Read("../../scenarios/restarts.toml")
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.Gatekeepers.Keeps = keeps
+		s.Seconds, s.Faults = 12, slices.DeleteFunc(s.Faults, func(f Fault) bool { return f.FromS > 9 })
+		for i := range s.Faults {
+			s.Faults[i].ToS = min(s.Faults[i].ToS, 12)
+		}
+		r := play(t, s, 1, nil)
+		if (r.Recalled > 0) != (keeps&KeepCopies != 0) || r.Breaks != [6]int{} {
+			t.Errorf("keeps %d: %d customers recalled, %v", keeps, r.Recalled, r.First)
+		}
+	}
+}
--- a/internal/emu/gatekeeper.go
+++ b/internal/emu/gatekeeper.go
@@ -23,6 +23,8 @@
 	wakeAt  float64
 	told    []told        // by worker: what it knows of the list
 	left    *logic.Estate // what its former life knew, as far as it is kept
+	copied  logic.Estate  // the newest copy of what fades
+	heard   []int         // by peer: its life when it was last heard
 }
 
 type told struct {
@@ -78,8 +80,26 @@
 		m.Resume(g.keep(*g.left))
 		m.Alone()
 		m.Roster(list, true) // its window, where that is not kept
+		if what := g.w.s.Gatekeepers.Keeps; what&KeepCopies != 0 && what&KeepQuotas == 0 {
+			g.w.res.Recalled += int64(m.Recall(g.copied, what&KeepReturns != 0))
+		}
 	}
 	g.left = nil
+	g.heard = make([]int, g.w.s.Gatekeepers.Count)
+}
+
+// copies has the gatekeeper take a copy of what fades now and then, each at its own times, as long as it lives.
+func (g *gatekeeper) copies() {
+	_, phase := math.Modf(float64(g.num) * math.Phi)
+	var again func()
+	again = func() {
+		if m, ok := g.brain.(*logic.Gatekeeper); ok && g.up && !g.held {
+			for from := m.Copy(&g.copied, 0, g.w.now); from > 0; from = m.Copy(&g.copied, from, g.w.now) {
+			}
+		}
+		g.w.in(logic.CopyEach, again)
+	}
+	g.w.in(phase*logic.CopyEach, again)
 }
 
 // period is about the time within which a newcomer first speaks to its peers, ms: 400, or what they take in.
@@ -94,6 +114,8 @@
 	KeepQuotas               // levels of slices and stores, demand, and what peers said
 	KeepWorkers              // their standing, paces and used turns
 	KeepPressure             // window, pace and pressure
+	KeepCopies               // quotas as a copy has them that is up to 100 ms old: what the program does
+	KeepReturns              // no knowledge: peers learn that a gatekeeper has returned, as instances of a host do
 )
 
 // keep is what is left of an estate as a new life begins.
@@ -289,8 +311,23 @@
 	lost := w.net.Float64() < w.s.Network.PeerLoss
 	if delay := w.draw(w.s.Network.PeerMS); !lost && !g.cut && !to.cut {
 		reports, from := append([]logic.Report(nil), d.Reports...), g.num
-		w.in(delay, func() { to.input(func(b brain) { b.Hear(from, reports) }) })
+		life := g.life
+		w.in(delay, func() { to.input(func(b brain) { to.hears(b, from, life, reports) }) })
+	}
+}
+
+// hears takes a peer's message.
+func (g *gatekeeper) hears(b brain, from, life int, reports []logic.Report) {
+	if g.w.s.Gatekeepers.Keeps&KeepReturns != 0 {
+		if life < g.heard[from] {
+			return
+		}
+		if m, ok := b.(*logic.Gatekeeper); ok && g.heard[from] > 0 && life > g.heard[from] {
+			m.Returned(from)
+		}
+		g.heard[from] = life
 	}
+	b.Hear(from, reports)
 }
 
 // final gives a txn's client its answer.
--- a/internal/emu/result.go
+++ b/internal/emu/result.go
@@ -23,6 +23,7 @@
 	Declined, Voided int64   // tries
 	Failed           int64   // txns given up by their clients
 	Lost, Crashed    int64   // tries that found no gatekeeper, and those of them that died with it
+	Recalled         int64   // customers of copies that returned gatekeepers went by
 	Silent           int64   // tries left by their clients while a gatekeeper stood still
 	Submissions      int64
 	Full             int64 // turned away by a worker
--- a/internal/emu/world.go
+++ b/internal/emu/world.go
@@ -122,7 +122,9 @@
 		w.gks = append(w.gks, &gatekeeper{w: w, num: i, source: rand.New(rand.NewSource(source.Int63()))})
 	}
 	for _, g := range w.gks {
-		g.start()
+		if g.start(); s.Gatekeepers.Keeps&KeepCopies != 0 {
+			g.copies()
+		}
 	}
 	w.plan(all)
 	w.faults()
--- a/internal/fleet/file.go
+++ b/internal/fleet/file.go
@@ -37,6 +37,7 @@
 	Step   int
 
 	Remember bool // instances keep what outlives a sudden end
+	Recall   bool // of quotas and demand too
 	Warm     bool // and ask others for their list until discovery has spoken
 }
 
@@ -47,7 +48,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := File{ReadyS: 6, GraceS: 4, Step: 1, Remember: true, Warm: true}
+	f := File{ReadyS: 6, GraceS: 4, Step: 1, Remember: true, Recall: true, Warm: true}
 	f.Restart.FirstMS, f.Restart.MostMS, f.Restart.CalmS = 200, 10000, 30
 	if err := strict.Decode(string(raw), &f); err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
@@ -69,7 +70,7 @@
 	Name, Program, RunDir, Control string
 	Pace                           Pace
 	Instances                      []Instance
-	Remember, Warm                 bool
+	Remember, Recall, Warm         bool
 }
 
 // Instance is one gatekeeper of it.
@@ -118,7 +119,7 @@
 	case f.Step < 1:
 		return nil, fmt.Errorf("step: %d is under one", f.Step)
 	}
-	fl := &Fleet{Remember: f.Remember, Warm: f.Warm,
+	fl := &Fleet{Remember: f.Remember, Recall: f.Recall, Warm: f.Warm,
 		Name: f.Name, Program: f.Program, RunDir: f.RunDir, Control: f.Control,
 		Pace: Pace{First: f.Restart.FirstMS, Most: f.Restart.MostMS, Calm: f.Restart.CalmS * 1000,
 			Within: f.ReadyS * 1000, Grace: f.GraceS * 1000, Step: f.Step}}
--- a/internal/fleet/host.go
+++ b/internal/fleet/host.go
@@ -341,7 +341,8 @@
 		}
 	}
 	if d.fleet.Remember {
-		cmd.Env = append(cmd.Env, "WILLOWDECK_RESIDUE="+filepath.Join(dir, "residue"))
+		cmd.Env = append(cmd.Env, "WILLOWDECK_RESIDUE="+filepath.Join(dir, "residue"),
+			fmt.Sprintf("WILLOWDECK_RECALL=%t", d.fleet.Recall))
 	}
 	cmd.Stdout, cmd.Stderr, cmd.ExtraFiles = log, log, []*os.File{p.listener}
 	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true} // a signal to the daemon's group is not theirs
--- a/internal/gate/desk.go
+++ b/internal/gate/desk.go
@@ -53,6 +53,9 @@
 	speech  []speech
 	waiting []waiting     // of the wake's goroutine
 	residue *residue.File // nil where none is kept
+	left    bool          // another process goes on
+	charter logic.Charter
+	copies  Copies
 }
 
 // waiting is a txn whose client is looked at.
@@ -71,7 +74,7 @@
 // the idle connections to a worker.
 func NewDesk(c logic.Charter, seed int64, late float64, tell func(int, []byte), shed func(int)) *Desk {
 	d := &Desk{clock: newClock(), tell: tell, shed: shed, subs: max(c.MaxSubmissions, 1), late: late,
-		gk: logic.New(c, seed), txns: map[uint64]*held.Txn{}}
+		gk: logic.New(c, seed), charter: c, txns: map[uint64]*held.Txn{}}
 	d.timer, d.stop = time.NewTimer(time.Hour), make(chan struct{})
 	go d.wake()
 	return d
@@ -131,6 +134,7 @@
 func (d *Desk) Retire() (e logic.Estate, workers, kinds map[int]string) {
 	d.enter()
 	d.void()
+	d.left = true
 	e = d.gk.Retire()
 	workers, kinds = d.workers.Names()
 	d.leave()
@@ -170,6 +174,7 @@
 func (d *Desk) Resize(n int) {
 	d.enter()
 	d.gk.Resize(n)
+	d.charter.Gatekeepers = n
 	d.leave()
 }
 
--- /dev/null
+++ b/internal/inventory/code.go
@@ -0,0 +1,123 @@
+package inventory
+
+import (
+	"math"
+
+	"willowdeck/logic"
+)
+
+// This file puts a copy in bytes and back. All figures are little-endian; times and units are eight bytes.
+
+// figures are those of a customer that are written, in their order.
+func figures(c *logic.Customer) [15]*float64 {
+	return [...]*float64{&c.Level, &c.Whole, &c.Filled, &c.Others, &c.Flow, &c.Held, &c.Heard, &c.Demand, &c.Lately,
+		&c.Seen, &c.CoolSince, &c.Unsaid, &c.Said, &c.SaidAt, &c.Known}
+}
+
+func encode(b []byte, e *logic.Estate) []byte {
+	for _, n := range [...]int{len(e.Peers), len(e.Tight), len(e.Customers)} {
+		b = order.AppendUint32(b, uint32(n))
+	}
+	for _, v := range [...]float64{e.At, e.Started, e.NextTell} {
+		b = number(b, v)
+	}
+	for i := range e.Tight {
+		b = number(number(b, e.Tight[i]), e.Stay[i])
+	}
+	left := most
+	for i := range e.Peers {
+		p := &e.Peers[i]
+		for _, v := range [...]float64{p.Heard, p.Told, p.Owes, p.Spoke} {
+			b = number(b, v)
+		}
+		n := min(len(p.Last), left/perWord)
+		left -= n * perWord
+		b = order.AppendUint32(order.AppendUint32(b, flag(p.Silent, 1)|flag(p.Gone, 2)), uint32(n))
+		for k := range p.Last[:n] {
+			r := &p.Last[k]
+			b = order.AppendUint32(order.AppendUint32(b, uint32(r.Customer)), uint32(r.Plan))
+			b = number(b, r.Demand)
+		}
+	}
+	for i := range e.Customers {
+		c := &e.Customers[i]
+		for _, n := range [...]int{int(uint32(c.Key)), c.Plan, c.N, c.First, min(c.Txns, math.MaxInt32), c.Holding<<1 |
+			int(flag(c.Hot, 1))} {
+			b = order.AppendUint32(b, uint32(n))
+		}
+		for _, v := range figures(c) {
+			b = number(b, *v)
+		}
+	}
+	return b
+}
+
+func number(b []byte, v float64) []byte { return order.AppendUint64(b, math.Float64bits(v)) }
+
+func flag(is bool, bit uint32) uint32 {
+	if is {
+		return bit
+	}
+	return 0
+}
+
+// decoder takes what encode has put, and is bad once there is too little of it.
+type decoder struct {
+	b   []byte
+	bad bool
+}
+
+func (d *decoder) whole() int {
+	if len(d.b) < 4 {
+		d.bad = true
+		return 0
+	}
+	n := order.Uint32(d.b)
+	d.b = d.b[4:]
+	return int(n)
+}
+
+func (d *decoder) number() float64 {
+	if len(d.b) < 8 {
+		d.bad = true
+		return 0
+	}
+	v := math.Float64frombits(order.Uint64(d.b))
+	d.b = d.b[8:]
+	return v
+}
+
+// count takes how many there are of something of so many bytes each.
+func (d *decoder) count(n, each int) int {
+	if n > len(d.b)/each {
+		d.bad = true
+		return 0
+	}
+	return n
+}
+
+func (d *decoder) estate(e *logic.Estate) {
+	peers, plans, customers := d.whole(), d.whole(), d.whole()
+	e.At, e.Started, e.NextTell = d.number(), d.number(), d.number()
+	for range d.count(plans, 16) {
+		e.Tight, e.Stay = append(e.Tight, d.number()), append(e.Stay, d.number())
+	}
+	for range d.count(peers, perPeer) {
+		p := logic.Hearing{Heard: d.number(), Told: d.number(), Owes: d.number(), Spoke: d.number()}
+		bits := d.whole()
+		p.Silent, p.Gone = bits&1 != 0, bits&2 != 0
+		for range d.count(d.whole(), perWord) {
+			p.Last = append(p.Last, logic.Report{Customer: uint64(d.whole()), Plan: d.whole(), Demand: d.number()})
+		}
+		e.Peers = append(e.Peers, p)
+	}
+	for range d.count(customers, perOne) {
+		c := logic.Customer{Key: uint64(d.whole()), Plan: d.whole(), N: d.whole(), First: d.whole(), Txns: d.whole()}
+		bits := d.whole()
+		c.Holding, c.Hot = bits>>1, bits&1 != 0
+		for _, v := range figures(&c) {
+			*v = d.number()
+		}
+		e.Customers = append(e.Customers, c)
+	}
+}
--- /dev/null
+++ b/internal/inventory/inventory.go
@@ -0,0 +1,249 @@
+// Package inventory keeps a copy of what fades in a gatekeeper's estate beside its residue: quotas, demand, and
+// what peers said. It is a file of two slots that are written in turn, each with its place in the sequence, its
+// length and a checksum: a process that is killed in the middle of a write leaves the other slot. It is not
+// synced to disk, as what a process has written outlives it, and nothing here outlives the machine.
+package inventory
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"io"
+	"math"
+	"os"
+
+	"golang.org/x/sys/unix"
+
+	"willowdeck/logic"
+)
+
+const (
+	version  = 1
+	slot     = 4 << 20 // bytes; 16,384 customers and 65,536 reports of peers have room. Disk is used as needed
+	header   = 128     // of a slot
+	perOne   = 24 + 15*8
+	perPeer  = 40
+	perWord  = 16
+	most     = (slot - header) / 4 // bytes of peers' reports; those beyond are left out
+	step     = 50.0                // ms by which the system's clock may leave the machine's own
+	atOrder  = 8                   // the fields of a header, by their place: the sequence,
+	atLength = 16                  // bytes after the header,
+	atUp     = 24                  // how long the machine was up, ms,
+	atSum    = 32                  // the checksum of all but itself; four bytes,
+	atDigest = 40                  // of the charter; 32 bytes,
+	atBoot   = 72                  // and the mark of the machine's start; 56 bytes
+)
+
+var (
+	magic = binary.LittleEndian.Uint64([]byte("willowi" + string(rune('0'+version))))
+	order = binary.LittleEndian
+	table = crc32.MakeTable(crc32.Castagnoli)
+)
+
+// Why nothing can be gone by.
+var (
+	ErrNone    = errors.New("inventory: there is none")
+	ErrSpoilt  = errors.New("inventory: spoilt, cut or of another version")
+	ErrCharter = errors.New("inventory: of another charter")
+	ErrMachine = errors.New("inventory: of another start of the machine")
+)
+
+// Digest stands for all that a copy depends on.
+func Digest(c logic.Charter) [32]byte {
+	return sha256.Sum256(fmt.Append(nil, c.Me, c.Gatekeepers, c.LargestUnits, c.PeerInPerS, c.ReportsPerTell, c.Plans))
+}
+
+// file is where copies go; another in tests.
+type file interface {
+	io.WriterAt
+	io.Closer
+}
+
+// Book writes copies. It is not safe for concurrent use.
+type Book struct {
+	f      file
+	digest [32]byte
+	mark   []byte
+	next   uint64 // in the sequence
+	b      []byte
+}
+
+var machine = boot // another in tests
+
+// boot gives what tells one start of the machine from another, and how many ms ago that was.
+func boot() (mark []byte, up float64, err error) {
+	if mark, err = os.ReadFile("/proc/sys/kernel/random/boot_id"); err != nil {
+		return nil, 0, err
+	}
+	up, err = uptime()
+	return bytes.TrimSpace(mark), up, err
+}
+
+// uptime is how long the machine has been up, ms, however its clock was set.
+func uptime() (float64, error) {
+	var t unix.Timespec
+	err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t)
+	return float64(t.Nano()) / 1e6, err
+}
+
+// Open begins a file of copies at a path, and gives the newest whole copy of a former life with its times in
+// this one's, now being Unix ms; none says why there is nothing to go by. The file is a new one in the former's
+// place, with that copy in it: a process that yet writes the former is not heard. An error tells that no copies
+// can be kept.
+func Open(path string, digest [32]byte, now float64) (b *Book, e *logic.Estate, none, err error) {
+	mark, up, err := machine()
+	if err != nil {
+		return nil, nil, nil, fmt.Errorf("inventory: %w", err)
+	}
+	b = &Book{digest: digest, mark: mark}
+	raw, none := newest(path)
+	if none == nil {
+		e, none = read(raw, digest, mark, up, now)
+	}
+	if none != nil {
+		raw, e = nil, nil
+	}
+	fresh := path + ".new"
+	if err = os.Remove(fresh); err != nil && !errors.Is(err, os.ErrNotExist) {
+		return nil, nil, nil, fmt.Errorf("inventory: %w", err)
+	}
+	f, err := os.OpenFile(fresh, os.O_RDWR|os.O_CREATE|os.O_EXCL, 0o600)
+	if err != nil {
+		return nil, nil, nil, fmt.Errorf("inventory: %w", err)
+	}
+	if b.f = f; raw != nil {
+		at := order.Uint64(raw[atOrder:])
+		b.next = at + 1
+		_, err = f.WriteAt(raw, int64(at%2)*slot)
+	}
+	if err == nil {
+		err = os.Rename(fresh, path)
+	}
+	if err != nil {
+		_ = f.Close()
+		return nil, nil, nil, fmt.Errorf("inventory: %w", err)
+	}
+	return b, e, none, nil
+}
+
+// newest gives the slot that was written last of those that are whole.
+func newest(path string) (b []byte, none error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, ErrNone
+	}
+	defer f.Close()
+	if info, err := f.Stat(); err == nil && info.Size() == 0 { // its life was over before its first copy
+		return nil, ErrNone
+	}
+	for i := range uint64(2) {
+		s := make([]byte, header)
+		if _, err := f.ReadAt(s, int64(i)*slot); err != nil || order.Uint64(s) != magic {
+			continue
+		}
+		at, n := order.Uint64(s[atOrder:]), order.Uint64(s[atLength:])
+		if at%2 != i || n > slot-header || b != nil && order.Uint64(b[atOrder:]) > at {
+			continue
+		}
+		s = append(s, make([]byte, n)...)
+		if _, err := f.ReadAt(s[header:], int64(i)*slot+header); err == nil && order.Uint32(s[atSum:]) == sum(s) {
+			b = s
+		}
+	}
+	if b == nil {
+		return nil, ErrSpoilt
+	}
+	return b, nil
+}
+
+// sum is the checksum of a slot but for the place that it has there.
+func sum(s []byte) uint32 {
+	return crc32.Update(crc32.Checksum(s[:atSum], table), table, s[atSum+4:])
+}
+
+// read takes a slot. Guards against a clock that was set meanwhile: its age is by the machine's uptime, and what
+// moved the clock moves the times.
+func read(s []byte, digest [32]byte, mark []byte, up, now float64) (*logic.Estate, error) {
+	then := math.Float64frombits(order.Uint64(s[atUp:]))
+	switch {
+	case !bytes.Equal(s[atDigest:atDigest+32], digest[:]):
+		return nil, ErrCharter
+	case !bytes.Equal(bytes.TrimRight(s[atBoot:header], "\x00"), mark) || !(then <= up):
+		return nil, ErrMachine
+	}
+	e := &logic.Estate{}
+	d := decoder{b: s[header:]}
+	if d.estate(e); d.bad || len(d.b) > 0 {
+		return nil, ErrSpoilt
+	}
+	moved := now - (up - then) - e.At
+	if math.IsNaN(moved) || math.IsInf(moved, 0) {
+		return nil, ErrSpoilt
+	}
+	if math.Abs(moved) >= step {
+		shift(e, moved)
+	}
+	return e, nil
+}
+
+// shift moves all times but those that were never.
+func shift(e *logic.Estate, by float64) {
+	move := func(all ...*float64) {
+		for _, t := range all {
+			if *t != 0 {
+				*t += by
+			}
+		}
+	}
+	move(&e.At, &e.Started, &e.NextTell)
+	for i := range e.Peers {
+		p := &e.Peers[i]
+		move(&p.Heard, &p.Told, &p.Owes, &p.Spoke)
+	}
+	for i := range e.Customers {
+		c := &e.Customers[i]
+		move(&c.Filled, &c.Heard, &c.Seen, &c.CoolSince, &c.SaidAt)
+	}
+}
+
+// Write puts a copy over the older of the two. An error tells that it is not whole; the other one is.
+func (b *Book) Write(e *logic.Estate) error {
+	up, err := uptime()
+	if err != nil {
+		return fmt.Errorf("inventory: %w", err)
+	}
+	return b.write(e, up)
+}
+
+func (b *Book) write(e *logic.Estate, up float64) error {
+	if cap(b.b) < header {
+		b.b = make([]byte, header, header<<7)
+	}
+	s := b.b[:header]
+	clear(s)
+	s = encode(s, e)
+	if b.b = s; len(s) > slot {
+		return errors.New("inventory: a copy without end")
+	}
+	order.PutUint64(s, magic)
+	order.PutUint64(s[atOrder:], b.next)
+	order.PutUint64(s[atLength:], uint64(len(s)-header))
+	order.PutUint64(s[atUp:], math.Float64bits(up))
+	copy(s[atDigest:], b.digest[:])
+	copy(s[atBoot:header], b.mark)
+	order.PutUint32(s[atSum:], sum(s))
+	if _, err := b.f.WriteAt(s, int64(b.next%2)*slot); err != nil {
+		return fmt.Errorf("inventory: %w", err)
+	}
+	b.next++
+	return nil
+}
+
+// Sign has copies be of another charter from here on.
+func (b *Book) Sign(digest [32]byte) { b.digest = digest }
+
+// Close lets the file go. What is in it stays.
+func (b *Book) Close() { _ = b.f.Close() }
--- a/internal/lifecycle/operate.go
+++ b/internal/lifecycle/operate.go
@@ -40,6 +40,13 @@
 		add("peers.suspected", int64(seen.Suspected))
 		add("peers.gone", int64(seen.Lost))
 	}
+	if g.conf.Residue != "" && g.conf.Recall {
+		c := g.desk.Copies()
+		add("copies.recalled", c.Recalled.Load())
+		add("copies.spoilt", g.spoilt.Load())
+		add("copies.written", c.Written.Load())
+		add("copies.failed", c.Failed.Load())
+	}
 	if g.portal != nil {
 		g.portal.Figures(add)
 	}
--- a/internal/lifecycle/replace.go
+++ b/internal/lifecycle/replace.go
@@ -41,7 +41,7 @@
 			if g.peers != nil && g.conf.Tells {
 				g.peers.Bear(w.Word)
 			}
-			g.remember() // the process before has let it go
+			g.remember(false) // the process before has let it go
 			g.log.Info().Int("customers", len(w.Estate.Customers)).Int("workers", len(w.Estate.Workers)).
 				Msg("taking over")
 			if g.portal != nil {
@@ -59,7 +59,7 @@
 	g.log.Info().Bool("whole", whole).Err(err).Msg("the process before has ended")
 	g.desk.Alone()
 	if !whole { // as after any sudden end
-		g.remember()
+		g.remember(true)
 		if g.portal != nil {
 			go g.portal.Rebind(g.over)
 		}
--- a/internal/lifecycle/replace_test.go
+++ b/internal/lifecycle/replace_test.go
@@ -243,3 +243,68 @@
 		t.Errorf("the fourth of three, after a sudden end: %q", s)
 	}
 }
+
+// What a process knew of quotas outlives its sudden end, by a copy; a copy that is spoilt is as none, and counted.
+// A process that hands over has its heir go by the estate, and writes no more.
+func TestRecall(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "residue")
+	keeps := func(c *config.Gatekeeper) { c.Residue, c.Recall = path, true }
+	of := func(d *deployment, customer, id string) string {
+		status, _ := d.ask(strings.NewReplacer("basic", "tiny", "b4d65521", customer).Replace(check("/check", id)))
+		return strings.TrimPrefix(status, "HTTP/1.1 ")
+	}
+	end := func(d *deployment) {
+		n := d.gk.desk.Copies().Written.Load()
+		until(t, "no copies are written", func() bool { return d.gk.desk.Copies().Written.Load() > n+1 })
+		d.gk.limit.Close()
+		d.gk.desk.Stop()
+	}
+	d := deployWith(t, keeps, 1, 5000)
+	if s := of(d, "b4d65530", "1"); s != "200 OK" {
+		t.Fatalf("a first start: %q", s)
+	}
+	end(d)
+	d = deployWith(t, keeps, 1, 5000)
+	if s, n := of(d, "b4d65530", "2"), d.gk.desk.Copies().Recalled.Load(); s != "429 Too Many Requests" || n != 1 {
+		t.Errorf("after a sudden end: %q, %d customers", s, n)
+	}
+	if s := of(d, "b4d65531", "3"); s != "200 OK" {
+		t.Errorf("another customer: %q", s)
+	}
+	end(d)
+	b, err := os.ReadFile(path + ".inventory")
+	if err != nil {
+		t.Fatal(err)
+	}
+	clear(b)
+	if err := os.WriteFile(path+".inventory", b, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	d = deployWith(t, keeps, 1, 5000)
+	if s := of(d, "b4d65531", "4"); s != "200 OK" || d.gk.spoilt.Load() != 1 {
+		t.Errorf("by a spoilt copy: %q, %d counted", s, d.gk.spoilt.Load())
+	}
+	end(d)
+
+	held, change := heldListener(t)
+	both := func(c *config.Gatekeeper) {
+		change(c)
+		c.Residue, c.Recall = path+"2", true
+	}
+	first := held.second(both)
+	held.gk.Stop()
+	if s := of(held, "b4d65532", "5"); s != "200 OK" {
+		t.Errorf("by the first: %q", s)
+	}
+	second := held.second(both)
+	first.Stop()
+	n := first.desk.Copies().Written.Load()
+	if s := of(held, "b4d65532", "6"); s != "429 Too Many Requests" || second.desk.Copies().Recalled.Load() > 0 {
+		t.Errorf("handed over: %q", s)
+	}
+	m := second.desk.Copies().Written.Load()
+	until(t, "the heir writes none", func() bool { return second.desk.Copies().Written.Load() > m+1 })
+	if first.desk.Copies().Written.Load() > n+1 { // one may have been under way
+		t.Error("one that has handed over writes on")
+	}
+}
--- a/internal/lifecycle/start.go
+++ b/internal/lifecycle/start.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"math"
 	"math/rand"
 	"runtime"
@@ -16,6 +17,7 @@
 	"willowdeck/internal/config"
 	"willowdeck/internal/gate"
 	"willowdeck/internal/handover"
+	"willowdeck/internal/inventory"
 	"willowdeck/internal/member"
 	"willowdeck/internal/ops"
 	"willowdeck/internal/portal"
@@ -52,6 +54,7 @@
 	list    *warm.Book
 	portal  *portal.Portal // nil where portals do not ask
 	vouch   *vouch.Voucher // nil where no auth service is asked
+	spoilt  atomic.Int64   // copies of a former life that could not be gone by
 	said    time.Time      // when the log last told that the watch had ended
 }
 
@@ -133,7 +136,7 @@
 	case before != nil:
 		go g.inherit(before)
 	default:
-		g.remember()
+		g.remember(true)
 		if g.peers != nil && g.peers.Bound() {
 			go g.peers.Hear(g.desk.Hear)
 		} else if g.peers != nil { // a process that can't be talked to has it still
@@ -145,9 +148,9 @@
 	return g, nil
 }
 
-// remember keeps what outlives a sudden end, and takes what one has left. Without it the gatekeeper starts as
-// ever.
-func (g *Gatekeeper) remember() {
+// remember keeps what outlives a sudden end, and takes what one has left; of what fades, only where it was
+// sudden. Without it the gatekeeper starts as ever.
+func (g *Gatekeeper) remember(sudden bool) {
 	if g.conf.Residue == "" {
 		return
 	}
@@ -161,6 +164,32 @@
 		g.log.Info().Int("ceilings", len(left.Ceilings)).Float64("base_s", (g.desk.Now()-left.Base)/1000).
 			Msg("remembering what a former life has spent")
 	}
+	if g.conf.Recall {
+		g.recall(sudden)
+	}
+}
+
+// recall keeps copies of what fades beside the residue, and takes that of a former life.
+func (g *Gatekeeper) recall(sudden bool) {
+	b, e, none, err := inventory.Open(g.conf.Residue+".inventory", inventory.Digest(g.conf.Charter), g.desk.Now())
+	if err != nil {
+		g.log.Warn().Err(err).Msg("no copies of quotas and demand will be kept")
+		return
+	}
+	switch {
+	case !sudden:
+	case e != nil:
+		age := g.desk.Now() - e.At
+		n := g.desk.Recall(*e, g.conf.Tells)
+		g.log.Info().Int("customers", n).Int("of", len(e.Customers)).Float64("age_ms", age).
+			Msg("going by a copy of a former life's quotas and demand")
+	default:
+		if !errors.Is(none, inventory.ErrNone) {
+			g.spoilt.Add(1)
+		}
+		g.log.Info().AnErr("as", none).Msg("no copy of quotas and demand to go by")
+	}
+	g.desk.Copy(b)
 }
 
 // forward puts forward authentication before a gate, in the roles that are on: a txn that a portal has had
--- a/logic/estate.go
+++ b/logic/estate.go
@@ -75,9 +75,7 @@
 		LongAt: g.long.since, Astray: g.astray.score, AstrayAt: g.astray.since, NextTell: g.nextTell}
 	for i := range g.accounts {
 		if c := &g.accounts[i]; c.live {
-			e.Customers = append(e.Customers, Customer{c.customer, c.plan, c.n, c.first, c.txns, c.out, c.holding,
-				c.level, c.whole, c.filled, c.others, c.flow, c.held, c.heard, c.demand, c.lately, c.seen,
-				c.coolSince, c.ceilingAt, c.unsaid, c.said, c.saidAt, c.known, c.hot})
+			e.Customers = append(e.Customers, c.leaves())
 		}
 	}
 	for i := range g.workers {
--- /dev/null
+++ b/logic/recall.go
@@ -0,0 +1,160 @@
+package logic
+
+import "math"
+
+// This file holds what a gatekeeper that was killed may know again of what fades: quotas, demand, and what
+// peers said. Its ceilings are the residue's alone, and what was known of workers is not kept, as it does harm.
+
+const (
+	copyRows  = 128     // customers, or peers' reports, in one piece of a copy; the host's lock is held for some us
+	copyMost  = 1 << 14 // customers in a copy; 2 MB as the host writes them
+	recallFor = 5000.0  // ms; by then a store is full or a customer cold again, and no demand is left to speak of
+
+	// CopyEach is how long the host waits between copies, ms: what was spent since the last is not known.
+	CopyEach = 100.0
+)
+
+// Copy puts the next piece of what fades into e, from the place that the piece before has given, 0 at first,
+// and gives the next place; 0 tells that the copy is whole. It changes nothing here, and once e has grown to what
+// is known it allocates nothing. Customers beyond 16,384 are left out: they are as after any start.
+func (g *Gatekeeper) Copy(e *Estate, from int, now float64) int {
+	if from == 0 || len(e.Peers) != len(g.peers) { // other gatekeepers than at its beginning: anew
+		if from, e.At, e.Started, e.NextTell = 0, math.Max(now, g.now), g.started, g.nextTell; cap(e.Peers) < len(g.peers) {
+			e.Peers = make([]Hearing, len(g.peers))
+		}
+		e.Customers, e.Peers, e.Tight, e.Stay = e.Customers[:0], e.Peers[:len(g.peers)], e.Tight[:0], e.Stay[:0]
+		for i := range g.plans {
+			e.Tight, e.Stay = append(e.Tight, g.plans[i].tight), append(e.Stay, g.plans[i].stay)
+		}
+	}
+	rows := 0
+	for ; from < len(g.peers) && rows < copyRows; from++ {
+		p, to := &g.peers[from], &e.Peers[from]
+		*to = Hearing{p.heard, p.told, p.owes, p.spoke, p.silent, p.gone, append(to.Last[:0], p.last...)}
+		rows += 1 + len(p.last)
+	}
+	for at := from - len(g.peers); at >= 0 && at < len(g.accounts) && rows < copyRows; at++ {
+		if from, rows = from+1, rows+1; g.accounts[at].live && len(e.Customers) < copyMost {
+			e.Customers = append(e.Customers, g.accounts[at].leaves())
+		}
+	}
+	if from < len(g.peers)+len(g.accounts) {
+		return from
+	}
+	return 0
+}
+
+// leaves is what an account leaves to a successor.
+func (c *account) leaves() Customer {
+	return Customer{c.customer, c.plan, c.n, c.first, c.txns, c.out, c.holding, c.level, c.whole, c.filled,
+		c.others, c.flow, c.held, c.heard, c.demand, c.lately, c.seen, c.coolSince, c.ceilingAt, c.unsaid, c.said,
+		c.saidAt, c.known, c.hot}
+}
+
+// Recall takes a former life's copy, after Remember and before the first txn, and tells how many customers it
+// goes by: none of a copy of another charter, or that is older than five seconds. Peers that know this for a
+// new life drop what the former told them (told): then all demand is news to them, else only what has changed.
+//
+// What fades has faded by the copy's age. Stores have not filled since, unless there are no peers: what came in was
+// theirs to give. What the former life may have spent after the copy is taken from them, by the demand that it
+// saw, and a slice holds no more than that of one that knows nothing.
+func (g *Gatekeeper) Recall(e Estate, told bool) (customers int) {
+	age := g.now - e.At
+	if len(e.Peers) != len(g.peers) || len(e.Tight) != len(g.plans) || len(e.Stay) != len(g.plans) ||
+		!(age >= 0 && age <= recallFor) {
+		return 0
+	}
+	if e.Started <= e.At { // what it has seen of demand is as old as that
+		g.started = math.Min(g.started, e.Started)
+	}
+	if e.NextTell > e.At && e.NextTell <= e.At+g.charter.period { // its turn among the peers
+		turns := math.Max(math.Ceil((g.now-e.NextTell)/g.charter.period), 0)
+		g.nextTell = e.NextTell + turns*g.charter.period
+	}
+	for i := range g.plans {
+		if t, s := e.Tight[i], e.Stay[i]; t >= 0 && t <= 1 && s >= 0 && s <= math.MaxInt32 {
+			g.plans[i].tight, g.plans[i].stay = t, s
+			g.plans[i].restate()
+		}
+	}
+	for i, p := range e.Peers {
+		if i == g.charter.me || !(p.Heard <= e.At && p.Spoke <= e.At && p.Told <= e.At) {
+			continue
+		}
+		if p.Owes > 0 { // what it said while there was nobody to hear it is not its silence
+			p.Owes = g.now
+		}
+		g.peers[i] = peer{p.Heard, p.Told, p.Owes, p.Spoke, p.Silent, p.Gone, append([]Report(nil), p.Last...)}
+	}
+	g.muted()
+	said := e.NextTell <= e.At+CopyEach // it may have told its peers after the copy
+	for i := range e.Customers {
+		if g.recall(&e.Customers[i], e.At, told, said) {
+			customers++
+		}
+	}
+	return customers
+}
+
+// recall takes one customer of a copy, and tells whether it has.
+func (g *Gatekeeper) recall(k *Customer, at float64, told, said bool) bool {
+	figures := [...]float64{k.Level, k.Whole, k.Others, k.Flow, k.Held, k.Demand, k.Lately, k.Unsaid, k.Said,
+		k.Known}
+	for i, v := range figures {
+		if !(math.Abs(v) <= math.MaxInt32) || v < 0 && i > 0 { // a slice may be overdrawn
+			return false
+		}
+	}
+	times := [...]float64{k.Filled, k.Heard, k.Seen, k.CoolSince, k.SaidAt}
+	for _, v := range times {
+		if !(v >= 0 && v <= at) {
+			return false
+		}
+	}
+	if k.Plan < 0 || k.Plan >= len(g.plans) || k.N < 0 || k.N > g.charter.n || k.First < 0 ||
+		k.First >= g.charter.n || k.Holding < 0 || k.Holding > g.charter.n {
+		return false
+	}
+	ai, known := g.byKey[uint32(k.Key)]
+	if known && (g.accounts[ai].n > 0 || g.accounts[ai].plan != k.Plan) || !known && k.N == 0 &&
+		g.heardOnly >= mostHeard {
+		return false
+	}
+	if !known {
+		ai = g.open(k.Key&math.MaxUint32, k.Plan)
+		g.heardOnly++
+	}
+	c, p := &g.accounts[ai], &g.plans[k.Plan]
+	if c.n, c.first = k.N, k.First; c.n > 0 {
+		if g.heardOnly--; p.ceilRate > 0 { // as at any start: what is not in the residue is as full as its base says
+			c.ceilingAt = math.Max(c.ceilingAt, g.base+p.spentFor())
+		}
+	}
+	dt := g.now - k.Filled
+	fade := math.Exp(-dt / p.memory)
+	c.txns, c.hot, c.holding = max(k.Txns, 0), k.Hot, k.Holding
+	c.others, c.flow, c.held, c.heard = k.Others*fade, k.Flow*math.Exp(-dt/flowMemory), k.Held, k.Heard
+	c.demand, c.lately, c.seen, c.coolSince, c.filled = k.Demand, k.Lately, k.Seen, k.CoolSince, g.now
+	if !told {
+		c.said, c.saidAt, c.known = k.Said, k.SaidAt, k.Known
+	}
+	if !said {
+		c.unsaid = k.Unsaid
+	}
+	g.reshare(c)
+	grew := at - k.Filled // what came in while it was away was its peers' to give, if it has any
+	if c.n == 1 {
+		grew = dt
+	}
+	unseen := k.Demand * math.Exp((k.Seen-at)/p.memory) * math.Min(g.now-at, CopyEach)
+	most := g.holds(p, c.share)
+	if !g.sparse(c) { // never more than one has that knows nothing
+		most = math.Min(most, math.Max(g.startLevel(c), 0))
+	}
+	c.level = less(math.Min(k.Level+grew*c.share, most), unseen)
+	c.whole = less(math.Min(k.Whole+grew*p.rate, g.holds(p, p.rate)), unseen)
+	return true
+}
+
+// less is what is left of a store after so many units, or as little as there was.
+func less(store, units float64) float64 { return math.Max(store-units, math.Min(store, 0)) }
--- /dev/null
+++ b/logic/recall_test.go
@@ -0,0 +1,220 @@
+package logic
+
+import (
+	"math"
+	"slices"
+	"testing"
+	"time"
+)
+
+// copied is a whole copy at a time.
+func copied(g *Gatekeeper, now float64) (e Estate) {
+	for from := g.Copy(&e, 0, now); from > 0; from = g.Copy(&e, from, now) {
+	}
+	return e
+}
+
+// crowd is a gatekeeper of a set of two whose customer 7 has used most of its quota, with a peer that asks too.
+func crowd(t *testing.T, change func(*Charter)) *host {
+	h := newHost(t, charterFor(InquiryLike, change), 1, 3)
+	h.at(1e6)
+	h.ask(30, 6000, func() {
+		h.g.Hear(1, []Report{{Customer: 7, Demand: 20, Known: 20 * math.Exp(-1000.0/30/demandMemory),
+			Spent: 0.3}})
+	})
+	return h
+}
+
+// back is a new life of one that has left a residue and a copy, so many ms after it.
+func back(h *host, e Estate, age float64, told bool) (*host, int) {
+	n := &host{t: h.t, g: New(h.c, 2), c: h.c, txns: map[uint64]*seen{}, gone: -1}
+	n.at(e.At + age)
+	n.g.Roster([]Posting{{Worker: 0, Active: true}}, false)
+	return n, n.g.Recall(e, told)
+}
+
+// A life that was killed had a customer's store as good as empty, and knew what its peer asks. The next one goes
+// on from there as long as that is news: stores fill by its own share meanwhile, demand fades, and nothing is
+// believed of a copy that is too old, to come, or of another fleet.
+func TestRecall(t *testing.T) {
+	h := crowd(t, nil)
+	e, was := copied(h.g, h.now), h.g.accounts[0]
+	if was.level > 3 || was.others < 0.01 {
+		t.Fatalf("the former life has %+v", was)
+	}
+	for _, c := range []struct {
+		age  float64
+		goes bool
+	}{{0, true}, {100, true}, {1000, true}, {recallFor, true}, {recallFor + 1, false}, {-1, false}} {
+		n, took := back(h, e, c.age, false)
+		if (took == 1) != c.goes || len(n.g.byKey) != took {
+			t.Errorf("%v ms: %d customers", c.age, took)
+		}
+		if !c.goes {
+			continue
+		}
+		a := &n.g.accounts[n.g.byKey[7]]
+		full := was.level + c.age*n.g.plans[0].rate
+		if a.level > full || a.whole > was.whole+c.age*n.g.plans[0].rate || c.age > 0 && a.level < was.level-5 {
+			t.Errorf("%v ms: level %v of %v, whole %v of %v", c.age, a.level, was.level, a.whole, was.whole)
+		}
+		if want := was.others * math.Exp(-c.age/demandMemory); math.Abs(a.others-want) > 1e-3 {
+			t.Errorf("%v ms: others ask %v, want %v", c.age, a.others, want)
+		}
+		if fresh := newHost(t, h.c, 2, 1); c.age <= 100 && (n.txn(7, 4).final != Decline ||
+			fresh.txn(7, 4).final != 0) { // one that knows nothing has a full slice of 5
+			t.Errorf("%v ms: lets in what was spent", c.age)
+		}
+	}
+	other := e
+	other.Peers = e.Peers[:1]
+	if _, took := back(h, other, 10, false); took > 0 {
+		t.Error("goes by a copy of another fleet")
+	}
+	for name, spoil := range map[string]func(c *Customer){
+		"plan": func(c *Customer) { c.Plan = 1 }, "set": func(c *Customer) { c.N = 3 },
+		"first": func(c *Customer) { c.First = 2 }, "level": func(c *Customer) { c.Level = math.NaN() },
+		"demand": func(c *Customer) { c.Demand = -1 }, "time": func(c *Customer) { c.Seen = h.now + 1e5 },
+		"holding": func(c *Customer) { c.Holding = -1 }} {
+		bad := e
+		bad.Customers = append([]Customer(nil), e.Customers...)
+		spoil(&bad.Customers[0])
+		if n, took := back(h, bad, 10, false); took > 0 || len(n.g.byKey) > 0 {
+			t.Errorf("%s: taken", name)
+		}
+	}
+}
+
+// Ceilings are the residue's alone, whatever a copy says: a customer in the residue has what is left there, and
+// one that is not is as full as the residue's base says.
+func TestRecallCeilings(t *testing.T) {
+	h := crowd(t, func(c *Charter) { c.Plans[0].CeilingRate, c.Plans[0].CeilingDepth = 10, 100 })
+	e := copied(h.g, h.now)
+	e.Customers[0].CeilingAt = 0
+	e.Customers = append(e.Customers, e.Customers[0])
+	e.Customers[1].Key = 8
+	n := &host{t: t, g: New(h.c, 2), c: h.c, txns: map[uint64]*seen{}, gone: -1}
+	n.at(h.now + 50)
+	n.g.Roster([]Posting{{Worker: 0, Active: true}}, false)
+	base := n.now - 9000
+	n.g.Remember(Residue{Base: base, Ceilings: []Spent{{7, 0, n.now + 30000}}})
+	if took := n.g.Recall(e, false); took != 2 {
+		t.Fatalf("%d customers", took)
+	}
+	of := func(key uint32) *account { return &n.g.accounts[n.g.byKey[key]] }
+	if got, want := of(8).ceilingAt, base+10000; got != want {
+		t.Errorf("not in the residue: full at %v, want %v", got, want)
+	}
+	of(7).level, of(7).whole, of(8).level, of(8).whole = 99, 99, 99, 99
+	if got := of(7).ceilingAt; got != n.now+30000 || n.txn(7, 1).final != Decline || n.g.heardOnly != 0 {
+		t.Errorf("in the residue: full at %v, %d known from peers alone", got, n.g.heardOnly)
+	}
+}
+
+// What the former life told its peers does not count beside what this one tells: those that know of its return
+// have dropped it, and get all as news; to the others what is left of it is known. Nor are units told twice.
+func TestRecallTellsOnce(t *testing.T) {
+	h := crowd(t, nil)
+	e := copied(h.g, h.now)
+	a := h.g.accounts[0]
+	for _, told := range []bool{false, true} {
+		n, _ := back(h, e, 200, told)
+		n.txn(7, 1)
+		for len(n.told) == 0 && n.now < h.now+2000 {
+			n.at(n.now + 20)
+			n.pull()
+		}
+		if len(n.told) == 0 {
+			t.Fatal("it tells nothing")
+		}
+		if len(n.told[0].Reports) == 0 {
+			t.Fatalf("told %v: it tells nothing of the customer", told)
+		}
+		r := n.told[0].Reports[0]
+		left := a.said * 1000 * math.Exp((a.saidAt-n.now)/demandMemory)
+		if want := map[bool]float64{false: left, true: 0}[told]; math.Abs(r.Known-want) > 0.5 || r.Demand < 1 {
+			t.Errorf("told %v: demand %v, known %v, want %v", told, r.Demand, r.Known, want)
+		}
+	}
+	e.Customers[0].Unsaid = 5
+	for _, c := range []struct{ tells, unsaid float64 }{{50, 0}, {150, 5}} { // its turn came within a copy's time
+		e.NextTell = e.At + c.tells
+		n, _ := back(h, e, 120, false)
+		if got := n.g.accounts[n.g.byKey[7]].unsaid; got != c.unsaid {
+			t.Errorf("its turn %v ms after the copy: %v units are to be told", c.tells, got)
+		}
+	}
+}
+
+// A peer that was heard before the kill is not silent for what it said while there was nobody to hear it.
+func TestRecallPeers(t *testing.T) {
+	h := crowd(t, nil)
+	h.g.peers[1].owes = h.now - 100
+	n, _ := back(h, copied(h.g, h.now), 4000, false)
+	for range 10 {
+		n.at(n.now + 100)
+		n.txn(7, 1)
+	}
+	if n.g.peers[1].silent || len(n.g.peers[1].last) != 1 {
+		t.Errorf("%+v", n.g.peers[1])
+	}
+}
+
+// A copy in pieces is whole though customers come and go meanwhile, and costs the ordinary path no memory.
+func TestCopyInPieces(t *testing.T) {
+	h := newHost(t, charterFor(InquiryLike, nil), 1, 3)
+	for i := range uint64(1000) {
+		h.arrive(Arrival{Customer: i, Units: 1, SetSize: 2, Left: 1000})
+	}
+	var e Estate
+	pieces, from := 0, 0
+	for {
+		if from = h.g.Copy(&e, from, h.now); from == 0 {
+			break
+		}
+		if pieces++; pieces == 3 {
+			h.arrive(Arrival{Customer: 5000, Units: 1, SetSize: 2, Left: 1000})
+		}
+	}
+	if len(e.Customers) != 1001 || pieces < 1000/copyRows {
+		t.Errorf("%d customers in %d pieces", len(e.Customers), pieces)
+	}
+	if n := testing.AllocsPerRun(10, func() {
+		for from := h.g.Copy(&e, 0, h.now); from > 0; from = h.g.Copy(&e, from, h.now) {
+		}
+	}); n > 0 {
+		t.Errorf("%v allocations a copy", n)
+	}
+	h.g.Copy(&e, 0, h.now)
+	h.g.Resize(3)
+	for from = h.g.Copy(&e, 5, h.now); from > 0; from = h.g.Copy(&e, from, h.now) {
+	}
+	if len(e.Peers) != 3 || len(e.Customers) != 1001 {
+		t.Errorf("of %d gatekeepers, %d customers", len(e.Peers), len(e.Customers))
+	}
+}
+
+// BenchmarkCopy tells what a copy of 10,000 customers takes, and a piece of it, for which the lock is held.
+func BenchmarkCopy(b *testing.B) {
+	g := New(charterFor(InquiryLike, func(c *Charter) { c.Gatekeepers = 300 }), 1)
+	g.Clock(1000)
+	for i := range uint64(10000) {
+		g.account(Arrival{Customer: i, Units: 1, SetSize: 2})
+	}
+	var e Estate
+	var took []time.Duration // of pieces
+	b.ReportAllocs()
+	for range b.N {
+		for from := 0; ; {
+			began := time.Now()
+			from = g.Copy(&e, from, 2000)
+			took = append(took, time.Since(began))
+			if from == 0 {
+				break
+			}
+		}
+	}
+	slices.Sort(took)
+	b.ReportMetric(float64(took[len(took)/2].Nanoseconds()), "piece-ns")
+	b.ReportMetric(float64(took[len(took)*99/100].Nanoseconds()), "piece-p99-ns")
+}
