--- a/internal/emu/gatekeeper.go
+++ b/internal/emu/gatekeeper.go
@@ -88,7 +88,8 @@
 	g.heard = make([]int, g.w.s.Gatekeepers.Count)
 }
 
-// copies has the gatekeeper take a copy of what fades now and then, each at its own times, as long as it lives.
+// copies has the gatekeeper take a copy of what fades now and then, each at its own times, as long as it
+// lives.
 func (g *gatekeeper) copies() {
 	_, phase := math.Modf(float64(g.num) * math.Phi)
 	var again func()
@@ -115,7 +116,7 @@
 	KeepWorkers              // their standing, paces and used turns
 	KeepPressure             // window, pace and pressure
 	KeepCopies               // quotas as a copy has them that is up to 100 ms old: what the program does
-	KeepReturns              // no knowledge: peers learn that a gatekeeper has returned, as instances of a host do
+	KeepReturns              // no knowledge: peers learn that it has returned, as instances of a host do
 )
 
 // keep is what is left of an estate as a new life begins.
--- a/internal/fleet/recall_test.go
+++ b/internal/fleet/recall_test.go
@@ -26,8 +26,9 @@
 // job asks as arrivals say.
 func (d *deployed) job(all []traffic.Arrival) *load.Report {
 	d.t.Helper()
-	j := &load.Job{Arrivals: all, Targets: d.targets(d.n), Spread: d.n, Plans: []string{"basic", "slow", "pressed"},
-		Most: 2000, Products: []load.Product{{Name: "check", Repeat: "inquiry", Waits: 400 * time.Millisecond}}}
+	j := &load.Job{Arrivals: all, Targets: d.targets(d.n), Spread: d.n,
+		Plans: []string{"basic", "slow", "pressed"}, Most: 2000,
+		Products: []load.Product{{Name: "check", Repeat: "inquiry", Waits: 400 * time.Millisecond}}}
 	r, err := j.Run(d.t.Context())
 	if err != nil {
 		d.t.Fatal(err)
@@ -48,8 +49,8 @@
 	return n
 }
 
-// A process that is killed comes back with its customer's store as it was: what was spent is not let in again.
-// Without a copy it is.
+// A process that is killed comes back with its customer's store as it was: what was spent is not let in
+// again. Without a copy it is.
 func TestQuotaOutlivesKill(t *testing.T) {
 	program(t) // once for both
 	for _, recall := range []bool{true, false} {
@@ -86,8 +87,8 @@
 	}
 }
 
-// Instances are killed at random while a customer asks for three times its quota. With copies it gets no more of
-// it than without, within a twentieth, and others are served as well.
+// Instances are killed at random while a customer asks for three times its quota. With copies it gets no more
+// of it than without, within a twentieth, and others are served as well.
 func TestQuotaUnderKills(t *testing.T) {
 	if *recallFor == 0 {
 		t.Skip("the long form, by -recall")
@@ -133,8 +134,8 @@
 		c := report.Counts["check"]
 		sent[recall] = n
 		settled[recall] = (float64(c[load.Settled]) - float64(n)) / float64(len(all)/2)
-		t.Logf("recall %t: %d kills, %d sent of the pressed quota, which gives %.0f; %.3f of the others settled; %v",
-			recall, kills, n, 80+40*recallFor.Seconds(), settled[recall], c)
+		t.Logf("recall %t: %d kills, %d sent of the pressed quota, which gives %.0f; %.3f of the others settled; "+
+			"%v", recall, kills, n, 80+40*recallFor.Seconds(), settled[recall], c)
 		x.Stop()
 	}
 	if float64(sent[true]) > 1.05*float64(sent[false])+10 || settled[true] < settled[false]-0.1 {
--- a/internal/gate/copies.go
+++ b/internal/gate/copies.go
@@ -28,9 +28,9 @@
 	return n
 }
 
-// Copy writes copies of what fades from here on, until Stop or Retire, and closes the book then. Each is taken
-// in pieces, so that the lock is held for some microseconds at a time; bytes are put together, and written,
-// outside of it.
+// Copy writes copies of what fades from here on, until Stop or Retire, and closes the book then. Each is
+// taken in pieces, so that the lock is held for some microseconds at a time; bytes are put together, and
+// written, outside of it.
 func (d *Desk) Copy(b *inventory.Book) { go d.copying(b) }
 
 func (d *Desk) copying(b *inventory.Book) {
--- a/internal/inventory/code.go
+++ b/internal/inventory/code.go
@@ -10,8 +10,8 @@
 
 // figures are those of a customer that are written, in their order.
 func figures(c *logic.Customer) [15]*float64 {
-	return [...]*float64{&c.Level, &c.Whole, &c.Filled, &c.Others, &c.Flow, &c.Held, &c.Heard, &c.Demand, &c.Lately,
-		&c.Seen, &c.CoolSince, &c.Unsaid, &c.Said, &c.SaidAt, &c.Known}
+	return [...]*float64{&c.Level, &c.Whole, &c.Filled, &c.Others, &c.Flow, &c.Held, &c.Heard, &c.Demand,
+		&c.Lately, &c.Seen, &c.CoolSince, &c.Unsaid, &c.Said, &c.SaidAt, &c.Known}
 }
 
 func encode(b []byte, e *logic.Estate) []byte {
@@ -41,8 +41,8 @@
 	}
 	for i := range e.Customers {
 		c := &e.Customers[i]
-		for _, n := range [...]int{int(uint32(c.Key)), c.Plan, c.N, c.First, min(c.Txns, math.MaxInt32), c.Holding<<1 |
-			int(flag(c.Hot, 1))} {
+		for _, n := range [...]int{int(uint32(c.Key)), c.Plan, c.N, c.First, min(c.Txns, math.MaxInt32),
+			c.Holding<<1 | int(flag(c.Hot, 1))} {
 			b = order.AppendUint32(b, uint32(n))
 		}
 		for _, v := range figures(c) {
@@ -112,7 +112,8 @@
 		e.Peers = append(e.Peers, p)
 	}
 	for range d.count(customers, perOne) {
-		c := logic.Customer{Key: uint64(d.whole()), Plan: d.whole(), N: d.whole(), First: d.whole(), Txns: d.whole()}
+		c := logic.Customer{Key: uint64(d.whole()), Plan: d.whole(), N: d.whole(), First: d.whole(),
+			Txns: d.whole()}
 		bits := d.whole()
 		c.Holding, c.Hot = bits>>1, bits&1 != 0
 		for _, v := range figures(&c) {
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -1,7 +1,8 @@
-// Package inventory keeps a copy of what fades in a gatekeeper's estate beside its residue: quotas, demand, and
-// what peers said. It is a file of two slots that are written in turn, each with its place in the sequence, its
-// length and a checksum: a process that is killed in the middle of a write leaves the other slot. It is not
-// synced to disk, as what a process has written outlives it, and nothing here outlives the machine.
+// Package inventory keeps a copy of what fades in a gatekeeper's estate beside its residue: quotas, demand,
+// and what peers said. It is a file of two slots that are written in turn, each with its place in the
+// sequence, its length and a checksum: a process that is killed in the middle of a write leaves the other
+// slot. It is not synced to disk, as what a process has written outlives it, and nothing here outlives the
+// machine.
 package inventory
 
 import (
@@ -53,7 +54,8 @@
 
 // Digest stands for all that a copy depends on.
 func Digest(c logic.Charter) [32]byte {
-	return sha256.Sum256(fmt.Append(nil, c.Me, c.Gatekeepers, c.LargestUnits, c.PeerInPerS, c.ReportsPerTell, c.Plans))
+	return sha256.Sum256(fmt.Append(nil, c.Me, c.Gatekeepers, c.LargestUnits, c.PeerInPerS, c.ReportsPerTell,
+		c.Plans))
 }
 
 // file is where copies go; another in tests.
@@ -90,9 +92,9 @@
 }
 
 // Open begins a file of copies at a path, and gives the newest whole copy of a former life with its times in
-// this one's, now being Unix ms; none says why there is nothing to go by. The file is a new one in the former's
-// place, with that copy in it: a process that yet writes the former is not heard. An error tells that no copies
-// can be kept.
+// this one's, now being Unix ms; none says why there is nothing to go by. The file is a new one in the
+// former's place, with that copy in it: a process that yet writes the former is not heard. An error tells
+// that no copies can be kept.
 func Open(path string, digest [32]byte, now float64) (b *Book, e *logic.Estate, none, err error) {
 	mark, up, err := machine()
 	if err != nil {
@@ -164,8 +166,8 @@
 	return crc32.Update(crc32.Checksum(s[:atSum], table), table, s[atSum+4:])
 }
 
-// read takes a slot. Guards against a clock that was set meanwhile: its age is by the machine's uptime, and what
-// moved the clock moves the times.
+// read takes a slot. Guards against a clock that was set meanwhile: its age is by the machine's uptime, and
+// what moved the clock moves the times.
 func read(s []byte, digest [32]byte, mark []byte, up, now float64) (*logic.Estate, error) {
 	then := math.Float64frombits(order.Uint64(s[atUp:]))
 	switch {
--- a/internal/inventory/inventory_test.go
+++ b/internal/inventory/inventory_test.go
@@ -22,8 +22,9 @@
 
 // some is a copy at a time, with so many customers whose levels say which copy it is.
 func some(at float64, customers int, says float64) *logic.Estate {
-	e := &logic.Estate{At: at, Started: at - 9000, NextTell: at + 100, Tight: []float64{0.9}, Stay: []float64{120},
-		Peers: []logic.Hearing{{}, {Heard: at - 10, Told: at - 20, Owes: at - 30, Spoke: at - 40, Silent: true,
+	e := &logic.Estate{At: at, Started: at - 9000, NextTell: at + 100, Tight: []float64{0.9},
+		Stay: []float64{120}, Peers: []logic.Hearing{{}, {
+			Heard: at - 10, Told: at - 20, Owes: at - 30, Spoke: at - 40, Silent: true,
 			Last: []logic.Report{{Customer: 3, Demand: 7}, {Customer: 4, Plan: 1, Demand: 8}}}}}
 	for i := range customers {
 		e.Customers = append(e.Customers, logic.Customer{Key: uint64(i), Plan: i % 3, N: 2, First: 1, Txns: i,
@@ -45,8 +46,8 @@
 	return b, e, none
 }
 
-// What was written last is there at the next start, and at the one after it if that is killed before its first
-// copy; a clock that was set meanwhile moves its times.
+// What was written last is there at the next start, and at the one after it if that is killed before its
+// first copy; a clock that was set meanwhile moves its times.
 func TestInventory(t *testing.T) {
 	path, now := filepath.Join(t.TempDir(), "copy"), clock()
 	b, e, none := open(t, path, now, 1e6)
@@ -148,8 +149,10 @@
 		{"charter", func(b []byte) []byte { b[atDigest]++; return sealed(b) }, 1e6, ErrCharter},
 		{"machine", func(b []byte) []byte { b[atBoot]++; return sealed(b) }, 1e6, ErrMachine},
 		{"a machine up for longer then", func(b []byte) []byte { return b }, 1e5, ErrMachine},
-		{"a count that is none", func(b []byte) []byte { order.PutUint32(b[header:], 1<<31); return sealed(b) }, 1e6,
-			ErrSpoilt},
+		{"a count that is none", func(b []byte) []byte {
+			order.PutUint32(b[header:], 1<<31)
+			return sealed(b)
+		}, 1e6, ErrSpoilt},
 		{"a time that is none", func(b []byte) []byte {
 			order.PutUint64(b[header+12:], math.Float64bits(math.NaN()))
 			return sealed(b)
--- a/internal/lifecycle/replace_test.go
+++ b/internal/lifecycle/replace_test.go
@@ -244,8 +244,8 @@
 	}
 }
 
-// What a process knew of quotas outlives its sudden end, by a copy; a copy that is spoilt is as none, and counted.
-// A process that hands over has its heir go by the estate, and writes no more.
+// What a process knew of quotas outlives its sudden end, by a copy; a copy that is spoilt is as none, and
+// counted. A process that hands over has its heir go by the estate, and writes no more.
 func TestRecall(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "residue")
 	keeps := func(c *config.Gatekeeper) { c.Residue, c.Recall = path, true }
@@ -265,7 +265,8 @@
 	}
 	end(d)
 	d = deployWith(t, keeps, 1, 5000)
-	if s, n := of(d, "b4d65530", "2"), d.gk.desk.Copies().Recalled.Load(); s != "429 Too Many Requests" || n != 1 {
+	s, n := of(d, "b4d65530", "2"), d.gk.desk.Copies().Recalled.Load()
+	if s != "429 Too Many Requests" || n != 1 {
 		t.Errorf("after a sudden end: %q, %d customers", s, n)
 	}
 	if s := of(d, "b4d65531", "3"); s != "200 OK" {
@@ -298,7 +299,7 @@
 	}
 	second := held.second(both)
 	first.Stop()
-	n := first.desk.Copies().Written.Load()
+	n = first.desk.Copies().Written.Load()
 	if s := of(held, "b4d65532", "6"); s != "429 Too Many Requests" || second.desk.Copies().Recalled.Load() > 0 {
 		t.Errorf("handed over: %q", s)
 	}
--- a/internal/lifecycle/start.go
+++ b/internal/lifecycle/start.go
@@ -171,7 +171,8 @@
 
 // recall keeps copies of what fades beside the residue, and takes that of a former life.
 func (g *Gatekeeper) recall(sudden bool) {
-	b, e, none, err := inventory.Open(g.conf.Residue+".inventory", inventory.Digest(g.conf.Charter), g.desk.Now())
+	path, of := g.conf.Residue+".inventory", inventory.Digest(g.conf.Charter)
+	b, e, none, err := inventory.Open(path, of, g.desk.Now())
 	if err != nil {
 		g.log.Warn().Err(err).Msg("no copies of quotas and demand will be kept")
 		return
--- a/logic/recall.go
+++ b/logic/recall.go
@@ -1,25 +1,30 @@
 package logic
 
-import "math"
+import (
+	"math"
+	"slices"
+)
 
 // This file holds what a gatekeeper that was killed may know again of what fades: quotas, demand, and what
-// peers said. Its ceilings are the residue's alone, and what was known of workers is not kept, as it does harm.
+// peers said. Its ceilings are the residue's alone, and what was known of workers is not kept, as it does
+// harm.
 
 const (
-	copyRows  = 128     // customers, or peers' reports, in one piece of a copy; the host's lock is held for some us
+	copyRows  = 128     // customers, or peers' reports, in a piece of a copy: some us of the host's lock
 	copyMost  = 1 << 14 // customers in a copy; 2 MB as the host writes them
-	recallFor = 5000.0  // ms; by then a store is full or a customer cold again, and no demand is left to speak of
+	recallFor = 5000.0  // ms; by then a customer is cold again, and no demand is left to speak of
 
 	// CopyEach is how long the host waits between copies, ms: what was spent since the last is not known.
 	CopyEach = 100.0
 )
 
 // Copy puts the next piece of what fades into e, from the place that the piece before has given, 0 at first,
-// and gives the next place; 0 tells that the copy is whole. It changes nothing here, and once e has grown to what
-// is known it allocates nothing. Customers beyond 16,384 are left out: they are as after any start.
+// and gives the next place; 0 tells that the copy is whole. It changes nothing here, and once e has grown to
+// what is known it allocates nothing. Customers beyond 16,384 are left out: they are as after any start.
 func (g *Gatekeeper) Copy(e *Estate, from int, now float64) int {
 	if from == 0 || len(e.Peers) != len(g.peers) { // other gatekeepers than at its beginning: anew
-		if from, e.At, e.Started, e.NextTell = 0, math.Max(now, g.now), g.started, g.nextTell; cap(e.Peers) < len(g.peers) {
+		from, e.At, e.Started, e.NextTell = 0, math.Max(now, g.now), g.started, g.nextTell
+		if cap(e.Peers) < len(g.peers) {
 			e.Peers = make([]Hearing, len(g.peers))
 		}
 		e.Customers, e.Peers, e.Tight, e.Stay = e.Customers[:0], e.Peers[:len(g.peers)], e.Tight[:0], e.Stay[:0]
@@ -53,11 +58,12 @@
 
 // Recall takes a former life's copy, after Remember and before the first txn, and tells how many customers it
 // goes by: none of a copy of another charter, or that is older than five seconds. Peers that know this for a
-// new life drop what the former told them (told): then all demand is news to them, else only what has changed.
+// new life drop what the former told them (told): then all demand is news to them, else only what has
+// changed.
 //
-// What fades has faded by the copy's age. Stores have not filled since, unless there are no peers: what came in was
-// theirs to give. What the former life may have spent after the copy is taken from them, by the demand that it
-// saw, and a slice holds no more than that of one that knows nothing.
+// What fades has faded by the copy's age. Stores have not filled since, unless there are no peers: what came
+// in was theirs to give. What the former life may have spent after the copy is taken from them, by the demand
+// that it saw, and a slice holds no more than that of one that knows nothing.
 func (g *Gatekeeper) Recall(e Estate, told bool) (customers int) {
 	age := g.now - e.At
 	if len(e.Peers) != len(g.peers) || len(e.Tight) != len(g.plans) || len(e.Stay) != len(g.plans) ||
@@ -84,7 +90,10 @@
 		if p.Owes > 0 { // what it said while there was nobody to hear it is not its silence
 			p.Owes = g.now
 		}
-		g.peers[i] = peer{p.Heard, p.Told, p.Owes, p.Spoke, p.Silent, p.Gone, append([]Report(nil), p.Last...)}
+		last := slices.DeleteFunc(slices.Clone(p.Last), func(r Report) bool {
+			return !(r.Demand >= 0 && r.Demand <= math.MaxInt32) || r.Plan < 0 || r.Plan >= len(g.plans)
+		})
+		g.peers[i] = peer{p.Heard, p.Told, p.Owes, p.Spoke, p.Silent, p.Gone, last}
 	}
 	g.muted()
 	said := e.NextTell <= e.At+CopyEach // it may have told its peers after the copy
@@ -126,7 +135,7 @@
 	}
 	c, p := &g.accounts[ai], &g.plans[k.Plan]
 	if c.n, c.first = k.N, k.First; c.n > 0 {
-		if g.heardOnly--; p.ceilRate > 0 { // as at any start: what is not in the residue is as full as its base says
+		if g.heardOnly--; p.ceilRate > 0 { // what is not in the residue is as full as its base says
 			c.ceilingAt = math.Max(c.ceilingAt, g.base+p.spentFor())
 		}
 	}
--- a/logic/recall_test.go
+++ b/logic/recall_test.go
@@ -14,7 +14,8 @@
 	return e
 }
 
-// crowd is a gatekeeper of a set of two whose customer 7 has used most of its quota, with a peer that asks too.
+// crowd is a gatekeeper of a set of two whose customer 7 has used most of its quota, with a peer that asks
+// too.
 func crowd(t *testing.T, change func(*Charter)) *host {
 	h := newHost(t, charterFor(InquiryLike, change), 1, 3)
 	h.at(1e6)
@@ -33,9 +34,9 @@
 	return n, n.g.Recall(e, told)
 }
 
-// A life that was killed had a customer's store as good as empty, and knew what its peer asks. The next one goes
-// on from there as long as that is news: stores fill by its own share meanwhile, demand fades, and nothing is
-// believed of a copy that is too old, to come, or of another fleet.
+// A life that was killed had a customer's store as good as empty, and knew what its peer asks. The next one
+// goes on from there as long as that is news: stores fill by its own share meanwhile, demand fades, and
+// nothing is believed of a copy that is too old, to come, or of another fleet.
 func TestRecall(t *testing.T) {
 	h := crowd(t, nil)
 	e, was := copied(h.g, h.now), h.g.accounts[0]
@@ -85,8 +86,8 @@
 	}
 }
 
-// Ceilings are the residue's alone, whatever a copy says: a customer in the residue has what is left there, and
-// one that is not is as full as the residue's base says.
+// Ceilings are the residue's alone, whatever a copy says: a customer in the residue has what is left there,
+// and one that is not is as full as the residue's base says.
 func TestRecallCeilings(t *testing.T) {
 	h := crowd(t, func(c *Charter) { c.Plans[0].CeilingRate, c.Plans[0].CeilingDepth = 10, 100 })
 	e := copied(h.g, h.now)
@@ -111,8 +112,9 @@
 	}
 }
 
-// What the former life told its peers does not count beside what this one tells: those that know of its return
-// have dropped it, and get all as news; to the others what is left of it is known. Nor are units told twice.
+// What the former life told its peers does not count beside what this one tells: those that know of its
+// return have dropped it, and get all as news; to the others what is left of it is known. Nor are units told
+// twice.
 func TestRecallTellsOnce(t *testing.T) {
 	h := crowd(t, nil)
 	e := copied(h.g, h.now)
@@ -137,7 +139,7 @@
 		}
 	}
 	e.Customers[0].Unsaid = 5
-	for _, c := range []struct{ tells, unsaid float64 }{{50, 0}, {150, 5}} { // its turn came within a copy's time
+	for _, c := range []struct{ tells, unsaid float64 }{{50, 0}, {150, 5}} {
 		e.NextTell = e.At + c.tells
 		n, _ := back(h, e, 120, false)
 		if got := n.g.accounts[n.g.byKey[7]].unsaid; got != c.unsaid {
