Copies keep which life of each peer was last heard: two that return together count once

Change: the copy holds the last word of each peer, and a new life takes them; what peers do not drop of the former life's words, as it was not in its last message, is told as known.

--- a/internal/emu/gatekeeper.go
+++ b/internal/emu/gatekeeper.go
@@ -25,6 +25,7 @@
 	left    *logic.Estate // what its former life knew, as far as it is kept
 	copied  logic.Estate  // the newest copy of what fades
 	heard   []int         // by peer: its life when it was last heard
+	known   []int         // the same as the newest copy has it
 }
 
 type told struct {
@@ -86,6 +87,7 @@
 	}
 	g.left = nil
 	g.heard = make([]int, g.w.s.Gatekeepers.Count)
+	copy(g.heard, g.known)
 }
 
 // copies has the gatekeeper take a copy of what fades now and then, each at its own times, as long as it
@@ -97,6 +99,7 @@
 		if m, ok := g.brain.(*logic.Gatekeeper); ok && g.up && !g.held {
 			for from := m.Copy(&g.copied, 0, g.w.now); from > 0; from = m.Copy(&g.copied, from, g.w.now) {
 			}
+			g.known = append(g.known[:0], g.heard...)
 		}
 		g.w.in(logic.CopyEach, again)
 	}
--- a/internal/gate/copies.go
+++ b/internal/gate/copies.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"willowdeck/internal/inventory"
+	"willowdeck/internal/member"
 	"willowdeck/logic"
 )
 
@@ -31,11 +32,13 @@
 // Copy writes copies of what fades from here on, until Stop or Retire, and closes the book then. Each is
 // taken in pieces, so that the lock is held for some microseconds at a time; bytes are put together, and
 // written, outside of it.
-func (d *Desk) Copy(b *inventory.Book) { go d.copying(b) }
+func (d *Desk) Copy(b *inventory.Book, words func([]member.Word) []member.Word) {
+	go d.copying(b, words)
+}
 
-func (d *Desk) copying(b *inventory.Book) {
+func (d *Desk) copying(b *inventory.Book, words func([]member.Word) []member.Word) {
 	defer b.Close()
-	var e logic.Estate
+	var l inventory.Left
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for members, idle := 0, false; ; {
@@ -45,16 +48,17 @@
 		case <-timer.C:
 		}
 		began := time.Now()
-		c, goes := d.copy(&e)
+		c, goes := d.copy(&l.Estate)
 		if !goes {
 			return
 		}
+		l.Words = words(l.Words)
 		if members != c.Gatekeepers {
 			members = c.Gatekeepers
 			b.Sign(inventory.Digest(c))
 		}
-		if none := len(e.Customers) == 0; !none || !idle { // one copy says that there are none
-			if err := b.Write(&e); err != nil {
+		if none := len(l.Estate.Customers) == 0; !none || !idle { // one copy says that there are none
+			if err := b.Write(&l); err != nil {
 				d.copies.Failed.Add(1)
 			} else {
 				d.copies.Written.Add(1)
--- a/internal/inventory/code.go
+++ b/internal/inventory/code.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 
+	"willowdeck/internal/member"
 	"willowdeck/logic"
 )
 
@@ -14,7 +15,8 @@
 		&c.Lately, &c.Seen, &c.CoolSince, &c.Unsaid, &c.Said, &c.SaidAt, &c.Known}
 }
 
-func encode(b []byte, e *logic.Estate) []byte {
+func encode(b []byte, l *Left) []byte {
+	e := &l.Estate
 	for _, n := range [...]int{len(e.Peers), len(e.Tight), len(e.Customers)} {
 		b = order.AppendUint32(b, uint32(n))
 	}
@@ -30,6 +32,11 @@
 		for _, v := range [...]float64{p.Heard, p.Told, p.Owes, p.Spoke} {
 			b = number(b, v)
 		}
+		var w member.Word
+		if i < len(l.Words) {
+			w = l.Words[i]
+		}
+		b = order.AppendUint32(order.AppendUint32(b, w.Incarnation), w.Sequence)
 		n := min(len(p.Last), left/perWord)
 		left -= n * perWord
 		b = order.AppendUint32(order.AppendUint32(b, flag(p.Silent, 1)|flag(p.Gone, 2)), uint32(n))
@@ -96,7 +103,8 @@
 	return n
 }
 
-func (d *decoder) estate(e *logic.Estate) {
+func (d *decoder) left(l *Left) {
+	e := &l.Estate
 	peers, plans, customers := d.whole(), d.whole(), d.whole()
 	e.At, e.Started, e.NextTell = d.number(), d.number(), d.number()
 	for range d.count(plans, 16) {
@@ -104,6 +112,8 @@
 	}
 	for range d.count(peers, perPeer) {
 		p := logic.Hearing{Heard: d.number(), Told: d.number(), Owes: d.number(), Spoke: d.number()}
+		w := member.Word{Incarnation: uint32(d.whole()), Sequence: uint32(d.whole())}
+		l.Words = append(l.Words, w)
 		bits := d.whole()
 		p.Silent, p.Gone = bits&1 != 0, bits&2 != 0
 		for range d.count(d.whole(), perWord) {
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -18,6 +18,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"willowdeck/internal/member"
 	"willowdeck/logic"
 )
 
@@ -26,7 +27,7 @@
 	slot     = 4 << 20 // bytes; 16,384 customers and 65,536 reports of peers have room. Disk is used as needed
 	header   = 128     // of a slot
 	perOne   = 24 + 15*8
-	perPeer  = 40
+	perPeer  = 48
 	perWord  = 16
 	most     = (slot - header) / 4 // bytes of peers' reports; those beyond are left out
 	step     = 50.0                // ms by which the system's clock may leave the machine's own
@@ -52,6 +53,14 @@
 	ErrMachine = errors.New("inventory: of another start of the machine")
 )
 
+// Left is a copy: of the estate what logic.Copy gives, and the last word heard of each peer, by its number.
+// By these a new life knows which peers have returned while it was away; without, what such a peer told in
+// its former life would count beside what it tells now.
+type Left struct {
+	Estate logic.Estate
+	Words  []member.Word // none of those that were not heard
+}
+
 // Digest stands for all that a copy depends on.
 func Digest(c logic.Charter) [32]byte {
 	return sha256.Sum256(fmt.Append(nil, c.Me, c.Gatekeepers, c.LargestUnits, c.PeerInPerS, c.ReportsPerTell,
@@ -95,7 +104,7 @@
 // this one's, now being Unix ms; none says why there is nothing to go by. The file is a new one in the
 // former's place, with that copy in it: a process that yet writes the former is not heard. An error tells
 // that no copies can be kept.
-func Open(path string, digest [32]byte, now float64) (b *Book, e *logic.Estate, none, err error) {
+func Open(path string, digest [32]byte, now float64) (b *Book, l *Left, none, err error) {
 	mark, up, err := machine()
 	if err != nil {
 		return nil, nil, nil, fmt.Errorf("inventory: %w", err)
@@ -103,10 +112,10 @@
 	b = &Book{digest: digest, mark: mark}
 	raw, none := newest(path)
 	if none == nil {
-		e, none = read(raw, digest, mark, up, now)
+		l, none = read(raw, digest, mark, up, now)
 	}
 	if none != nil {
-		raw, e = nil, nil
+		raw, l = nil, nil
 	}
 	fresh := path + ".new"
 	if err = os.Remove(fresh); err != nil && !errors.Is(err, os.ErrNotExist) {
@@ -128,7 +137,7 @@
 		_ = f.Close()
 		return nil, nil, nil, fmt.Errorf("inventory: %w", err)
 	}
-	return b, e, none, nil
+	return b, l, none, nil
 }
 
 // newest gives the slot that was written last of those that are whole.
@@ -168,7 +177,7 @@
 
 // read takes a slot. Guards against a clock that was set meanwhile: its age is by the machine's uptime, and
 // what moved the clock moves the times.
-func read(s []byte, digest [32]byte, mark []byte, up, now float64) (*logic.Estate, error) {
+func read(s []byte, digest [32]byte, mark []byte, up, now float64) (*Left, error) {
 	then := math.Float64frombits(order.Uint64(s[atUp:]))
 	switch {
 	case !bytes.Equal(s[atDigest:atDigest+32], digest[:]):
@@ -176,9 +185,9 @@
 	case !bytes.Equal(bytes.TrimRight(s[atBoot:header], "\x00"), mark) || !(then <= up):
 		return nil, ErrMachine
 	}
-	e := &logic.Estate{}
-	d := decoder{b: s[header:]}
-	if d.estate(e); d.bad || len(d.b) > 0 {
+	l := &Left{}
+	e, d := &l.Estate, decoder{b: s[header:]}
+	if d.left(l); d.bad || len(d.b) > 0 {
 		return nil, ErrSpoilt
 	}
 	moved := now - (up - then) - e.At
@@ -188,7 +197,7 @@
 	if math.Abs(moved) >= step {
 		shift(e, moved)
 	}
-	return e, nil
+	return l, nil
 }
 
 // shift moves all times but those that were never.
@@ -212,21 +221,21 @@
 }
 
 // Write puts a copy over the older of the two. An error tells that it is not whole; the other one is.
-func (b *Book) Write(e *logic.Estate) error {
+func (b *Book) Write(l *Left) error {
 	up, err := uptime()
 	if err != nil {
 		return fmt.Errorf("inventory: %w", err)
 	}
-	return b.write(e, up)
+	return b.write(l, up)
 }
 
-func (b *Book) write(e *logic.Estate, up float64) error {
+func (b *Book) write(l *Left, up float64) error {
 	if cap(b.b) < header {
 		b.b = make([]byte, header, header<<7)
 	}
 	s := b.b[:header]
 	clear(s)
-	s = encode(s, e)
+	s = encode(s, l)
 	if b.b = s; len(s) > slot {
 		return errors.New("inventory: a copy without end")
 	}
--- a/internal/inventory/inventory_test.go
+++ b/internal/inventory/inventory_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"willowdeck/internal/member"
 	"willowdeck/logic"
 )
 
@@ -21,8 +22,10 @@
 func clock() float64 { return float64(time.Now().UnixMicro()) / 1000 }
 
 // some is a copy at a time, with so many customers whose levels say which copy it is.
-func some(at float64, customers int, says float64) *logic.Estate {
-	e := &logic.Estate{At: at, Started: at - 9000, NextTell: at + 100, Tight: []float64{0.9},
+func some(at float64, customers int, says float64) *Left {
+	l := &Left{Words: []member.Word{{}, {Incarnation: 7, Sequence: 8}}}
+	e := &l.Estate
+	*e = logic.Estate{At: at, Started: at - 9000, NextTell: at + 100, Tight: []float64{0.9},
 		Stay: []float64{120}, Peers: []logic.Hearing{{}, {
 			Heard: at - 10, Told: at - 20, Owes: at - 30, Spoke: at - 40, Silent: true,
 			Last: []logic.Report{{Customer: 3, Demand: 7}, {Customer: 4, Plan: 1, Demand: 8}}}}}
@@ -31,11 +34,11 @@
 			Holding: 1, Level: says, Whole: 3, Filled: at - 1, Others: 4, Flow: 5, Held: 6, Heard: at - 2, Demand: 7,
 			Lately: 8, Seen: at - 3, CoolSince: at - 4, Unsaid: 9, Said: 10, SaidAt: at - 5, Known: 11, Hot: i%2 == 0})
 	}
-	return e
+	return l
 }
 
 // open opens a book at a time by the wall clock, at which the machine has been up for so many ms.
-func open(t *testing.T, path string, now, up float64) (*Book, *logic.Estate, error) {
+func open(t *testing.T, path string, now, up float64) (*Book, *Left, error) {
 	t.Helper()
 	machine = func() ([]byte, float64, error) { return []byte("m1"), up, nil }
 	t.Cleanup(func() { machine = boot })
@@ -69,9 +72,9 @@
 	}
 	for _, by := range []float64{-3600e3, 3600e3} {
 		b, e, none = open(t, path, now+100+by, 1e6+100)
-		if want := some(now+2+by, 5, 2); none != nil || math.Abs(e.At-want.At) > 1 ||
-			math.Abs(e.Customers[4].Seen-want.Customers[4].Seen) > 1 || e.Peers[0].Heard != 0 ||
-			math.Abs(e.Peers[1].Heard-want.Peers[1].Heard) > 1 {
+		if want := some(now+2+by, 5, 2); none != nil || math.Abs(e.Estate.At-want.Estate.At) > 1 ||
+			math.Abs(e.Estate.Customers[4].Seen-want.Estate.Customers[4].Seen) > 1 || e.Estate.Peers[0].Heard != 0 ||
+			math.Abs(e.Estate.Peers[1].Heard-want.Estate.Peers[1].Heard) > 1 {
 			t.Errorf("set by %v: %v %+v", by, none, e)
 		}
 		b.Close()
@@ -114,13 +117,13 @@
 		if none != nil || (err != nil) != (at < whole) {
 			t.Fatalf("after %d bytes of %d: %v, %v", at, whole, none, err)
 		}
-		switch e.Customers[0].Level {
+		switch e.Estate.Customers[0].Level {
 		case 2:
 			older++
 		case 3:
 			newer++
 		}
-		if !reflect.DeepEqual(e, some(now, 3, e.Customers[0].Level)) {
+		if !reflect.DeepEqual(e, some(now, 3, e.Estate.Customers[0].Level)) {
 			t.Errorf("after %d bytes: %+v", at, e)
 		}
 	}
@@ -177,7 +180,7 @@
 			t.Fatal(err)
 		}
 		b.Close()
-		if b, e, none = open(t, path, now, c.up); none != nil || e.Customers[3].Level != 2 {
+		if b, e, none = open(t, path, now, c.up); none != nil || e.Estate.Customers[3].Level != 2 {
 			t.Errorf("%s: after it %v", c.name, none)
 		}
 		b.Close()
@@ -205,7 +208,7 @@
 	one.Close()
 	two.Close()
 	b, e, _ := open(t, path, now, 1e6)
-	if e == nil || e.Customers[0].Level != 2 {
+	if e == nil || e.Estate.Customers[0].Level != 2 {
 		t.Errorf("read %+v", e)
 	}
 	b.Close()
@@ -254,9 +257,10 @@
 			t.Fatal(err, none)
 		}
 		b.Close()
-		said := e.Customers[0].Level
-		if len(e.Customers) != 2000 || said < float64(last)-0.5 && last == kill || e.Customers[1999].Level != said {
-			t.Errorf("%d was said, %d customers, %v is left", last, len(e.Customers), said)
+		all := e.Estate.Customers
+		said := all[0].Level
+		if len(all) != 2000 || said < float64(last)-0.5 && last == kill || all[1999].Level != said {
+			t.Errorf("%d was said, %d customers, %v is left", last, len(all), said)
 		}
 	}
 }
--- a/internal/lifecycle/start.go
+++ b/internal/lifecycle/start.go
@@ -172,14 +172,18 @@
 // recall keeps copies of what fades beside the residue, and takes that of a former life.
 func (g *Gatekeeper) recall(sudden bool) {
 	path, of := g.conf.Residue+".inventory", inventory.Digest(g.conf.Charter)
-	b, e, none, err := inventory.Open(path, of, g.desk.Now())
+	b, left, none, err := inventory.Open(path, of, g.desk.Now())
 	if err != nil {
 		g.log.Warn().Err(err).Msg("no copies of quotas and demand will be kept")
 		return
 	}
 	switch {
 	case !sudden:
-	case e != nil:
+	case left != nil:
+		if g.peers != nil {
+			g.peers.Recall(left.Words)
+		}
+		e := &left.Estate
 		age := g.desk.Now() - e.At
 		n := g.desk.Recall(*e, g.conf.Tells)
 		g.log.Info().Int("customers", n).Int("of", len(e.Customers)).Float64("age_ms", age).
@@ -190,7 +194,11 @@
 		}
 		g.log.Info().AnErr("as", none).Msg("no copy of quotas and demand to go by")
 	}
-	g.desk.Copy(b)
+	words := func(all []member.Word) []member.Word { return all[:0] }
+	if g.peers != nil {
+		words = g.peers.Heard
+	}
+	g.desk.Copy(b, words)
 }
 
 // forward puts forward authentication before a gate, in the roles that are on: a txn that a portal has had
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -39,6 +39,24 @@
 	return Old
 }
 
+// Words gives the newest words of so many, by number, in place of what is in all; none of those not known.
+func (t *Table) Words(all []Word, n int) []Word {
+	all = all[:0]
+	for i := range n {
+		all = append(all, t.heard[i])
+	}
+	return all
+}
+
+// Recall takes words as a former life had heard them, of those that are not known yet.
+func (t *Table) Recall(all []Word) {
+	for from, w := range all {
+		if _, known := t.heard[from]; !known && w != (Word{}) {
+			t.heard[from] = w
+		}
+	}
+}
+
 // Keep forgets all from a number on: they are no more, and others may come under their numbers.
 func (t *Table) Keep(below int) {
 	for from := range t.heard {
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -66,3 +66,27 @@
 		}
 	}
 }
+
+// What a former life had heard tells a peer that has returned meanwhile from one that goes on, and what was
+// said before from news. Guards against a demand that counts twice where two come back at the same time.
+func TestRecall(t *testing.T) {
+	one, two := NewTable(), NewTable()
+	one.Hear(1, Word{5, 9})
+	one.Hear(2, Word{6, 3})
+	words := one.Words(nil, 4)
+	two.Hear(2, Word{9, 1}) // heard already
+	two.Recall(words)
+	for i, c := range []struct {
+		from int
+		w    Word
+		want Verdict
+	}{{1, Word{5, 9}, Old}, {1, Word{5, 10}, News}, {1, Word{7, 1}, Returned}, {2, Word{6, 4}, Old},
+		{2, Word{9, 2}, News}, {3, Word{1, 1}, News}} {
+		if got := two.Hear(c.from, c.w); got != c.want {
+			t.Errorf("%d: %v is %v, want %v", i, c.w, got, c.want)
+		}
+	}
+	if n := testing.AllocsPerRun(10, func() { words = one.Words(words, 4) }); n > 0 || len(words) != 4 {
+		t.Errorf("%v allocations", n)
+	}
+}
--- a/internal/wire/peers.go
+++ b/internal/wire/peers.go
@@ -28,6 +28,20 @@
 	heard *member.Table
 }
 
+// Heard gives the last word of each peer in place of what is in all.
+func (p *Peers) Heard(all []member.Word) []member.Word {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.heard.Words(all, len(*p.to.Load()))
+}
+
+// Recall takes peers' words as a former life had heard them.
+func (p *Peers) Recall(all []member.Word) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.heard.Recall(all)
+}
+
 // Room is how many reports fit a message that bears a word.
 const Room = gossip.Room - (wordBytes+7)/8
 
--- a/logic/recall.go
+++ b/logic/recall.go
@@ -58,8 +58,8 @@
 
 // Recall takes a former life's copy, after Remember and before the first txn, and tells how many customers it
 // goes by: none of a copy of another charter, or that is older than five seconds. Peers that know this for a
-// new life drop what the former told them (told): then all demand is news to them, else only what has
-// changed.
+// new life drop what they were told in the last message (told): that is news to them again, while of all else
+// what is left is known.
 //
 // What fades has faded by the copy's age. Stores have not filled since, unless there are no peers: what came
 // in was theirs to give. What the former life may have spent after the copy is taken from them, by the demand
@@ -97,8 +97,12 @@
 	}
 	g.muted()
 	said := e.NextTell <= e.At+CopyEach // it may have told its peers after the copy
+	drop := math.Inf(1)                 // from when on peers drop what was told: their last message's
+	if told {
+		drop = e.NextTell - g.charter.period - 1
+	}
 	for i := range e.Customers {
-		if g.recall(&e.Customers[i], e.At, told, said) {
+		if g.recall(&e.Customers[i], e.At, drop, said) {
 			customers++
 		}
 	}
@@ -106,7 +110,7 @@
 }
 
 // recall takes one customer of a copy, and tells whether it has.
-func (g *Gatekeeper) recall(k *Customer, at float64, told, said bool) bool {
+func (g *Gatekeeper) recall(k *Customer, at, drop float64, said bool) bool {
 	figures := [...]float64{k.Level, k.Whole, k.Others, k.Flow, k.Held, k.Demand, k.Lately, k.Unsaid, k.Said,
 		k.Known}
 	for i, v := range figures {
@@ -144,7 +148,7 @@
 	c.txns, c.hot, c.holding = max(k.Txns, 0), k.Hot, k.Holding
 	c.others, c.flow, c.held, c.heard = k.Others*fade, k.Flow*math.Exp(-dt/flowMemory), k.Held, k.Heard
 	c.demand, c.lately, c.seen, c.coolSince, c.filled = k.Demand, k.Lately, k.Seen, k.CoolSince, g.now
-	if !told {
+	if k.SaidAt < drop {
 		c.said, c.saidAt, c.known = k.Said, k.SaidAt, k.Known
 	}
 	if !said {
