--- a/internal/fleet/port.go
+++ b/internal/fleet/port.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"willowdeck/internal/lifecycle"
 )
 
 // Port answers operators of the whole fleet.
@@ -34,9 +36,19 @@
 		w.Header().Set("Content-Type", "text/plain")
 		fmt.Fprint(w, d.text())
 	})
+	if d.seat != nil {
+		mux.HandleFunc("GET "+lifecycle.LeasePath, d.lease)
+		mux.HandleFunc("GET /fleet/council", d.sitting)
+		mux.HandleFunc("GET /fleet/rules", d.rulesText)
+	}
+	if d.watcher != nil {
+		mux.HandleFunc("GET /fleet/words", d.watcher.words)
+		mux.HandleFunc("GET /fleet/outlook", d.watcher.outlook)
+	}
 	p := &Port{At: l.Addr().String(), server: &http.Server{Handler: mux, ReadTimeout: time.Second,
 		WriteTimeout: time.Second, MaxHeaderBytes: 4096}}
-	p.server.SetKeepAlivesEnabled(false)
+	p.server.SetKeepAlivesEnabled(d.seat != nil) // instances ask five times in each lease
+	p.server.IdleTimeout = time.Minute
 	go func() { _ = p.server.Serve(l) }()
 	return p, nil
 }
@@ -69,5 +81,8 @@
 	for s, name := range stateNames {
 		fmt.Fprintf(&b, "fleet.%s=%d\n", name, counts[State(s)])
 	}
+	if d.watcher != nil {
+		d.watcher.figures(&b)
+	}
 	return b.String()
 }
--- a/internal/gate/copies.go
+++ b/internal/gate/copies.go
@@ -19,14 +19,17 @@
 // Copies gives the counts.
 func (d *Desk) Copies() *Copies { return &d.copies }
 
-// Recall takes a former life's copy of what fades, after Leave, and gives how many customers it goes by. told
-// tells that peers know this for a new life.
-func (d *Desk) Recall(e logic.Estate, told bool) int {
+// Recollect takes a former life's copy of what fades, after Leave, and gives how many customers it goes by;
+// it is false where that is of another charter than the one in force, or of other rules. told tells that
+// peers know this for a new life.
+func (d *Desk) Recollect(l *inventory.Left, told bool) (customers int, fits bool) {
 	d.enter()
-	n := d.gk.Recall(e, told)
+	if fits = l.Of == inventory.Digest(d.charter, d.terms.Number()); fits {
+		customers = d.gk.Recollect(l.Estate, told)
+	}
 	d.leave()
-	d.copies.Recalled.Add(int64(n))
-	return n
+	d.copies.Recalled.Add(int64(customers))
+	return customers, fits
 }
 
 // Copy writes copies of what fades from here on, until Stop or Retire, and closes the book then. Each is
@@ -41,21 +44,21 @@
 	var l inventory.Left
 	timer := time.NewTimer(0)
 	defer timer.Stop()
-	for members, idle := 0, false; ; {
+	for charters, idle := 0, false; ; {
 		select {
 		case <-d.stop:
 			return
 		case <-timer.C:
 		}
 		began := time.Now()
-		c, goes := d.copy(&l.Estate)
+		of, goes := d.copy(&l.Estate)
 		if !goes {
 			return
 		}
 		l.Words = words(l.Words)
-		if members != c.Gatekeepers {
-			members = c.Gatekeepers
-			b.Sign(inventory.Digest(c))
+		if charters != of.count {
+			charters, idle = of.count, false
+			l.Of = inventory.Digest(of.charter, of.rules)
 		}
 		if none := len(l.Estate.Customers) == 0; !none || !idle { // one copy says that there are none
 			if err := b.Write(&l); err != nil {
@@ -69,12 +72,22 @@
 	}
 }
 
-// copy takes a copy, and tells whether this process still spends.
-func (d *Desk) copy(e *logic.Estate) (of logic.Charter, goes bool) {
+// inForce is what a copy is of.
+type inForce struct {
+	charter logic.Charter
+	rules   uint64 // their version; 0 where none are agreed on, or gone by
+	count   int    // of charters so far
+}
+
+// copy takes a copy, and tells whether this process still spends. Guards against pieces of one that are
+// reckoned by another charter than the rest: it begins anew.
+func (d *Desk) copy(e *logic.Estate) (of inForce, goes bool) {
 	for from := 0; ; {
 		d.mu.Lock()
-		of, goes = d.charter, !d.left
-		if goes {
+		if of.count != d.charters {
+			of, from = inForce{d.charter, d.terms.Number(), d.charters}, 0
+		}
+		if goes = !d.left; goes {
 			from = d.gk.Copy(e, from, d.clock.now())
 		}
 		if d.mu.Unlock(); !goes || from == 0 {
--- a/internal/held/life.go
+++ b/internal/held/life.go
@@ -13,6 +13,7 @@
 	Answer   *wire.Answer
 	To       Life        // Submit: the worker as it was when this was decided
 	Sub      *Submission // Submit: the submission itself
+	By       *Terms      // Submit: what it was decided by; nil where there are none
 }
 
 // Txn is one txn in hand. All but Box belongs to the gate's lock.
@@ -20,6 +21,8 @@
 	ID     uint64
 	Of     uint64 // its customer
 	Plan   int
+	Kind   int     // its product
+	Came   float64 // when it was taken
 	Expiry float64
 	Whole  float64     // when a body that is not kept had gone out
 	Gone   func() bool // whether its client has closed
@@ -37,6 +40,7 @@
 
 // Submission is one submission that is out, which another goroutine may withdraw.
 type Submission struct {
+	Recorded  bool // it is written down that it goes out; the goroutine's that carries it
 	mu        sync.Mutex
 	link      *wire.Link
 	withdrawn bool
--- a/internal/inventory/code.go
+++ b/internal/inventory/code.go
@@ -10,9 +10,10 @@
 // This file puts a copy in bytes and back. All figures are little-endian; times and units are eight bytes.
 
 // figures are those of a customer that are written, in their order.
-func figures(c *logic.Customer) [15]*float64 {
+func figures(c *logic.Customer) [17]*float64 {
 	return [...]*float64{&c.Level, &c.Whole, &c.Filled, &c.Others, &c.Flow, &c.Held, &c.Heard, &c.Demand,
-		&c.Lately, &c.Seen, &c.CoolSince, &c.Unsaid, &c.Said, &c.SaidAt, &c.Known}
+		&c.Lately, &c.Seen, &c.CoolSince, &c.Unsaid, &c.Said, &c.SaidAt, &c.Known, &c.Lag,
+		&c.Dealt}
 }
 
 func encode(b []byte, l *Left) []byte {
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -26,7 +26,7 @@
 	version  = 1
 	slot     = 4 << 20 // bytes; 16,384 customers and 65,536 reports of peers have room. Disk is used as needed
 	header   = 128     // of a slot
-	perOne   = 24 + 15*8
+	perOne   = 24 + 17*8
 	perPeer  = 48
 	perWord  = 16
 	most     = (slot - header) / 4 // bytes of peers' reports; those beyond are left out
@@ -35,7 +35,7 @@
 	atLength = 16                  // bytes after the header,
 	atUp     = 24                  // how long the machine was up, ms,
 	atSum    = 32                  // the checksum of all but itself; four bytes,
-	atDigest = 40                  // of the charter; 32 bytes,
+	atDigest = 40                  // of what it depends on; 32 bytes,
 	atBoot   = 72                  // and the mark of the machine's start; 56 bytes
 )
 
@@ -49,7 +49,7 @@
 var (
 	ErrNone    = errors.New("inventory: there is none")
 	ErrSpoilt  = errors.New("inventory: spoilt, cut or of another version")
-	ErrCharter = errors.New("inventory: of another charter")
+	ErrCharter = errors.New("inventory: of another charter, or other rules")
 	ErrMachine = errors.New("inventory: of another start of the machine")
 )
 
@@ -59,12 +59,14 @@
 type Left struct {
 	Estate logic.Estate
 	Words  []member.Word // none of those that were not heard
+	Of     [32]byte      // the digest of what it depends on, as it was written
 }
 
-// Digest stands for all that a copy depends on.
-func Digest(c logic.Charter) [32]byte {
-	return sha256.Sum256(fmt.Append(nil, c.Me, c.Gatekeepers, c.LargestUnits, c.PeerInPerS, c.ReportsPerTell,
-		c.Plans))
+// Digest stands for all that a copy depends on: a charter, and the version of the agreed rules that brought
+// it; 0 where none are agreed on.
+func Digest(c logic.Charter, rules uint64) [32]byte {
+	return sha256.Sum256(fmt.Append(nil, rules, c.Me, c.Gatekeepers, c.LargestUnits, c.PeerInPerS,
+		c.ReportsPerTell, c.Narrow, c.Plans))
 }
 
 // file is where copies go; another in tests.
@@ -75,11 +77,10 @@
 
 // Book writes copies. It is not safe for concurrent use.
 type Book struct {
-	f      file
-	digest [32]byte
-	mark   []byte
-	next   uint64 // in the sequence
-	b      []byte
+	f    file
+	mark []byte
+	next uint64 // in the sequence
+	b    []byte
 }
 
 var machine = boot // another in tests
@@ -101,18 +102,18 @@
 }
 
 // Open begins a file of copies at a path, and gives the newest whole copy of a former life with its times in
-// this one's, now being Unix ms; none says why there is nothing to go by. The file is a new one in the
-// former's place, with that copy in it: a process that yet writes the former is not heard. An error tells
-// that no copies can be kept.
-func Open(path string, digest [32]byte, now float64) (b *Book, l *Left, none, err error) {
+// this one's, now being Unix ms; none says why there is nothing to go by. Whether it is of the charter in
+// force is its reader's to see. The file is a new one in the former's place, with that copy in it: a process
+// that yet writes the former is not heard. An error tells that no copies can be kept.
+func Open(path string, now float64) (b *Book, l *Left, none, err error) {
 	mark, up, err := machine()
 	if err != nil {
 		return nil, nil, nil, fmt.Errorf("inventory: %w", err)
 	}
-	b = &Book{digest: digest, mark: mark}
+	b = &Book{mark: mark}
 	raw, none := newest(path)
 	if none == nil {
-		l, none = read(raw, digest, mark, up, now)
+		l, none = read(raw, mark, up, now)
 	}
 	if none != nil {
 		raw, l = nil, nil
@@ -177,15 +178,12 @@
 
 // read takes a slot. Guards against a clock that was set meanwhile: its age is by the machine's uptime, and
 // what moved the clock moves the times.
-func read(s []byte, digest [32]byte, mark []byte, up, now float64) (*Left, error) {
+func read(s []byte, mark []byte, up, now float64) (*Left, error) {
 	then := math.Float64frombits(order.Uint64(s[atUp:]))
-	switch {
-	case !bytes.Equal(s[atDigest:atDigest+32], digest[:]):
-		return nil, ErrCharter
-	case !bytes.Equal(bytes.TrimRight(s[atBoot:header], "\x00"), mark) || !(then <= up):
+	if !bytes.Equal(bytes.TrimRight(s[atBoot:header], "\x00"), mark) || !(then <= up) {
 		return nil, ErrMachine
 	}
-	l := &Left{}
+	l := &Left{Of: [32]byte(s[atDigest:])}
 	e, d := &l.Estate, decoder{b: s[header:]}
 	if d.left(l); d.bad || len(d.b) > 0 {
 		return nil, ErrSpoilt
@@ -216,7 +214,7 @@
 	}
 	for i := range e.Customers {
 		c := &e.Customers[i]
-		move(&c.Filled, &c.Heard, &c.Seen, &c.CoolSince, &c.SaidAt)
+		move(&c.Filled, &c.Heard, &c.Seen, &c.CoolSince, &c.SaidAt, &c.Dealt)
 	}
 }
 
@@ -243,7 +241,7 @@
 	order.PutUint64(s[atOrder:], b.next)
 	order.PutUint64(s[atLength:], uint64(len(s)-header))
 	order.PutUint64(s[atUp:], math.Float64bits(up))
-	copy(s[atDigest:], b.digest[:])
+	copy(s[atDigest:], l.Of[:])
 	copy(s[atBoot:header], b.mark)
 	order.PutUint32(s[atSum:], sum(s))
 	if _, err := b.f.WriteAt(s, int64(b.next%2)*slot); err != nil {
@@ -253,8 +251,5 @@
 	return nil
 }
 
-// Sign has copies be of another charter from here on.
-func (b *Book) Sign(digest [32]byte) { b.digest = digest }
-
 // Close lets the file go. What is in it stays.
 func (b *Book) Close() { _ = b.f.Close() }
--- a/internal/inventory/inventory_test.go
+++ b/internal/inventory/inventory_test.go
@@ -17,13 +17,13 @@
 	"willowdeck/logic"
 )
 
-var digest = Digest(logic.Charter{Gatekeepers: 2, Plans: []logic.Plan{{Rate: 10, Burst: 20}}})
+var digest = Digest(logic.Charter{Gatekeepers: 2, Plans: []logic.Plan{{Rate: 10, Burst: 20}}}, 3)
 
 func clock() float64 { return float64(time.Now().UnixMicro()) / 1000 }
 
 // some is a copy at a time, with so many customers whose levels say which copy it is.
 func some(at float64, customers int, says float64) *Left {
-	l := &Left{Words: []member.Word{{}, {Incarnation: 7, Sequence: 8}}}
+	l := &Left{Of: digest, Words: []member.Word{{}, {Incarnation: 7, Sequence: 8}}}
 	e := &l.Estate
 	*e = logic.Estate{At: at, Started: at - 9000, NextTell: at + 100, Tight: []float64{0.9},
 		Stay: []float64{120}, Peers: []logic.Hearing{{}, {
@@ -32,7 +32,8 @@
 	for i := range customers {
 		e.Customers = append(e.Customers, logic.Customer{Key: uint64(i), Plan: i % 3, N: 2, First: 1, Txns: i,
 			Holding: 1, Level: says, Whole: 3, Filled: at - 1, Others: 4, Flow: 5, Held: 6, Heard: at - 2, Demand: 7,
-			Lately: 8, Seen: at - 3, CoolSince: at - 4, Unsaid: 9, Said: 10, SaidAt: at - 5, Known: 11, Hot: i%2 == 0})
+			Lately: 8, Seen: at - 3, CoolSince: at - 4, Unsaid: 9, Said: 10, SaidAt: at - 5, Known: 11, Hot: i%2 == 0,
+			Lag: 12, Dealt: at - 6})
 	}
 	return l
 }
@@ -42,7 +43,7 @@
 	t.Helper()
 	machine = func() ([]byte, float64, error) { return []byte("m1"), up, nil }
 	t.Cleanup(func() { machine = boot })
-	b, e, none, err := Open(path, digest, now)
+	b, e, none, err := Open(path, now)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -155,7 +156,6 @@
 		{"length", func(b []byte) []byte { order.PutUint64(b[atLength:], 1<<63); return b }, 1e6, ErrSpoilt},
 		{"a bit of its body", func(b []byte) []byte { b[header+40] ^= 4; return b }, 1e6, ErrSpoilt},
 		{"a bit of its sum", func(b []byte) []byte { b[atSum] ^= 4; return b }, 1e6, ErrSpoilt},
-		{"charter", func(b []byte) []byte { b[atDigest]++; return sealed(b) }, 1e6, ErrCharter},
 		{"machine", func(b []byte) []byte { b[atBoot]++; return sealed(b) }, 1e6, ErrMachine},
 		{"a machine up for longer then", func(b []byte) []byte { return b }, 1e5, ErrMachine},
 		{"a count that is none", func(b []byte) []byte {
@@ -191,11 +191,48 @@
 		}
 		b.Close()
 	}
-	if _, _, _, err := Open(filepath.Join(t.TempDir(), "none", "copy"), digest, now); err == nil {
+	if _, _, _, err := Open(filepath.Join(t.TempDir(), "none", "copy"), now); err == nil {
 		t.Error("opened in no folder")
 	}
 }
 
+// A copy says what it depends on: another charter, also one that withholds or goes without words, and another
+// version of the rules have another digest.
+func TestDigest(t *testing.T) {
+	of := func() logic.Charter {
+		return logic.Charter{Gatekeepers: 2, Plans: []logic.Plan{{Rate: 10, Burst: 20}}}
+	}
+	for i, change := range []func(c *logic.Charter, rules *uint64){
+		func(c *logic.Charter, _ *uint64) { c.Gatekeepers = 3 },
+		func(c *logic.Charter, _ *uint64) { c.Narrow = true },
+		func(c *logic.Charter, _ *uint64) { c.Plans[0].Withheld = 0.5 },
+		func(c *logic.Charter, _ *uint64) { c.Plans[0].Credit = 1 },
+		func(_ *logic.Charter, rules *uint64) { *rules = 4 }} {
+		c, rules := of(), uint64(3)
+		if Digest(c, rules) != digest {
+			t.Fatal("the same has another")
+		}
+		if change(&c, &rules); Digest(c, rules) == digest {
+			t.Errorf("change %d has the same", i)
+		}
+	}
+	path, now := filepath.Join(t.TempDir(), "copy"), clock()
+	b, _, _ := open(t, path, now, 1e6)
+	for i, rules := range []uint64{3, 4} { // it changes while a book is written
+		l := some(now, 1, float64(i))
+		l.Of = Digest(of(), rules)
+		if err := b.write(l, 1e6); err != nil {
+			t.Fatal(err)
+		}
+	}
+	b.Close()
+	if b, l, _ := open(t, path, now, 1e6); l == nil || l.Of != Digest(of(), 4) {
+		t.Errorf("the newest is of %+v", l)
+	} else {
+		b.Close()
+	}
+}
+
 // sealed gives a slot its checksum anew.
 func sealed(b []byte) []byte {
 	order.PutUint32(b[atSum:], sum(b))
@@ -224,7 +261,7 @@
 // one after. The process is this test itself.
 func TestKilled(t *testing.T) {
 	if path := os.Getenv("WILLOWDECK_TEST_INVENTORY"); path != "" {
-		b, _, _, err := Open(path, digest, clock())
+		b, _, _, err := Open(path, clock())
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -258,7 +295,7 @@
 			}
 		}
 		_ = cmd.Wait()
-		b, e, none, err := Open(path, digest, clock())
+		b, e, none, err := Open(path, clock())
 		if err != nil || none != nil {
 			t.Fatal(err, none)
 		}
@@ -272,7 +309,7 @@
 }
 
 func BenchmarkWrite(b *testing.B) {
-	book, _, _, err := Open(filepath.Join(b.TempDir(), "copy"), digest, clock())
+	book, _, _, err := Open(filepath.Join(b.TempDir(), "copy"), clock())
 	if err != nil {
 		b.Fatal(err)
 	}
--- a/internal/lifecycle/operate.go
+++ b/internal/lifecycle/operate.go
@@ -47,6 +47,10 @@
 		add("copies.written", c.Written.Load())
 		add("copies.failed", c.Failed.Load())
 	}
+	g.creditFigures(add)
+	if g.agreed != nil {
+		g.agreed.figures(add)
+	}
 	if g.portal != nil {
 		g.portal.Figures(add)
 	}
--- a/internal/lifecycle/start.go
+++ b/internal/lifecycle/start.go
@@ -4,8 +4,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math"
 	"math/rand"
+	"os"
+	"path/filepath"
 	"runtime"
 	"runtime/debug"
 	"sync"
@@ -17,6 +20,7 @@
 	"willowdeck/internal/config"
 	"willowdeck/internal/gate"
 	"willowdeck/internal/handover"
+	"willowdeck/internal/history"
 	"willowdeck/internal/inventory"
 	"willowdeck/internal/member"
 	"willowdeck/internal/ops"
@@ -55,7 +59,19 @@
 	portal  *portal.Portal // nil where portals do not ask
 	vouch   *vouch.Voucher // nil where no auth service is asked
 	spoilt  atomic.Int64   // copies of a former life that could not be gone by
-	said    time.Time      // when the log last told that the watch had ended
+	asking  atomic.Bool    // others are asked for their list
+	agreed  *agreement     // nil where no rules are agreed on
+	history *history.Log   // nil where no record is kept
+	word    *speaker       // nil where no word is told
+	lends   atomic.Bool    // credit is, or can't be
+	away    atomic.Bool    // its place is another process's, still or from here on
+
+	copied   atomic.Pointer[inventory.Left] // a former life's, until it is known which rules are in force
+	agreedOn atomic.Pointer[[]logic.Plan]   // as rules that were adopted last have them; nil before any
+
+	said  time.Time     // when the log last told that the watch had ended
+	first chan struct{} // closed at the watch's first word or failure
+	once  sync.Once     // of that
 }
 
 // Start brings a gatekeeper up: when it returns, clients are served.
@@ -64,7 +80,8 @@
 	debug.SetMemoryLimit(int64(float64(c.MemoryMB) * (1 << 20) * logic.MemoryPart))
 	debug.SetGCPercent(logic.GarbagePart)
 
-	g := &Gatekeeper{conf: c, log: log, served: make(chan error, 1), over: make(chan struct{})}
+	g := &Gatekeeper{conf: c, log: log, served: make(chan error, 1), over: make(chan struct{}),
+		first: make(chan struct{})}
 	spare := float64(max(c.Sockets-logic.SpareFiles, 2))
 	if c.Control != "" {
 		spare = max(spare-logic.OperatorCalls, 2)
@@ -88,6 +105,13 @@
 	if err != nil {
 		return nil, err
 	}
+	if c.History != "" {
+		path := filepath.Join(c.History, fmt.Sprintf("%s.%d.jsonl", c.Name, os.Getpid()))
+		if g.history, err = history.Open(path, c.Name, residue.Uptime()); err != nil {
+			_ = l.Close()
+			return nil, err
+		}
+	}
 	var before *handover.Heir
 	if c.Scratch != "" {
 		if before, err = handover.Find(handover.Path(c.Scratch, c.Name), c.Name); err != nil {
@@ -101,12 +125,23 @@
 		}
 	}
 	g.desk = gate.NewDesk(c.Charter, c.Seed, c.Lines.AnswerSlack+socketSlack, tell, g.links.Shed)
+	if c.Hall != "" && c.Control != "" {
+		g.word = g.teller()
+	}
+	if g.history != nil {
+		g.desk.Record(g.history)
+	}
 	g.desk.Roster(c.Known)
 	g.list = warm.NewBook(c.Known)
 	g.members.Store(int64(c.Charter.Gatekeepers))
 	g.front = wire.NewFront(c.Names, c.Charter, g.forward(gate.New(g.desk, g.links)), g.up)
 	g.front.Nameless = g.vouch != nil && c.Forward.Asking.Customer != ""
 
+	g.away.Store(true) // until what was before it is known
+	if c.Agree != "" {
+		g.agree()
+	}
+
 	g.limit = wire.Limit(l, int(spare*logic.ClientPart))
 	if err = nil; g.portal != nil && before == nil {
 		err = g.portal.Bind()
@@ -125,13 +160,16 @@
 		return nil, err
 	}
 	if g.port != nil {
-		go ops.Every(g.over, g.desk.Look)
+		go ops.Every(g.over, g.look)
 	}
 	g.At = l.Addr().String()
-	g.watch(c.Known.Version)
-	if len(c.Ask) > 0 {
+	g.watch(c.Known.Version, logic.WatchDue)
+	if len(c.Ask) > 0 && g.asking.CompareAndSwap(false, true) {
 		go g.ask(c.Ask, rand.New(rand.NewSource(c.Seed)))
 	}
+	if !c.Lines.ListAsked {
+		g.await()
+	}
 	switch {
 	case before != nil:
 		go g.inherit(before)
@@ -144,13 +182,30 @@
 		}
 		g.serve()
 	}
+	if g.agreed != nil { // what a former life has left is known by now
+		go g.agreed.run()
+	}
 	log.Info().Str("listen", g.At).Int("workers", len(c.Known.Workers)).Msg("serving")
 	return g, nil
 }
 
+// look renews the copies that operators' calls are answered from.
+func (g *Gatekeeper) look() {
+	g.desk.Look()
+	if g.word != nil {
+		g.word.renew(g)
+	}
+}
+
 // remember keeps what outlives a sudden end, and takes what one has left; of what fades, only where it was
 // sudden. Without it the gatekeeper starts as ever.
 func (g *Gatekeeper) remember(sudden bool) {
+	g.away.Store(false)
+	plans := g.conf.Charter.Plans
+	if p := g.agreedOn.Load(); p != nil {
+		plans = *p
+	}
+	g.lend(plans)
 	if g.conf.Residue == "" {
 		return
 	}
@@ -169,30 +224,22 @@
 	}
 }
 
-// recall keeps copies of what fades beside the residue, and takes that of a former life.
+// recall keeps copies of what fades beside the residue, and takes that of a former life: at once, or where
+// rules are agreed on, with the first version of them that is gone by.
 func (g *Gatekeeper) recall(sudden bool) {
-	path, of := g.conf.Residue+".inventory", inventory.Digest(g.conf.Charter)
-	b, left, none, err := inventory.Open(path, of, g.desk.Now())
+	b, left, none, err := inventory.Open(g.conf.Residue+".inventory", g.desk.Now())
 	if err != nil {
 		g.log.Warn().Err(err).Msg("no copies of quotas and demand will be kept")
 		return
 	}
 	switch {
 	case !sudden:
-	case left != nil:
-		if g.peers != nil {
-			g.peers.Recall(left.Words)
-		}
-		e := &left.Estate
-		age := g.desk.Now() - e.At
-		n := g.desk.Recall(*e, g.conf.Tells)
-		g.log.Info().Int("customers", n).Int("of", len(e.Customers)).Float64("age_ms", age).
-			Msg("going by a copy of a former life's quotas and demand")
+	case left == nil:
+		g.doubt(none)
 	default:
-		if !errors.Is(none, inventory.ErrNone) {
-			g.spoilt.Add(1)
+		if g.copied.Store(left); g.agreed == nil || g.agreed.version.Load() > 0 {
+			g.recollect()
 		}
-		g.log.Info().AnErr("as", none).Msg("no copy of quotas and demand to go by")
 	}
 	words := func(all []member.Word) []member.Word { return all[:0] }
 	if g.peers != nil {
@@ -201,6 +248,35 @@
 	g.desk.Copy(b, words)
 }
 
+// recollect goes by a former life's copy, if there is one, and it is of the charter in force.
+func (g *Gatekeeper) recollect() {
+	l := g.copied.Swap(nil)
+	if l == nil {
+		return
+	}
+	age := g.desk.Now() - l.Estate.At
+	n, fits := g.desk.Recollect(l, g.conf.Tells)
+	if !fits {
+		g.doubt(inventory.ErrCharter)
+		return
+	}
+	if n > 0 && g.peers != nil {
+		for _, i := range g.peers.Recall(l.Words) {
+			g.desk.Another(i)
+		}
+	}
+	g.log.Info().Int("customers", n).Int("of", len(l.Estate.Customers)).Float64("age_ms", age).
+		Msg("going by a copy of a former life's quotas and demand")
+}
+
+// doubt says why there is no copy to go by, and counts it where there was one.
+func (g *Gatekeeper) doubt(why error) {
+	if !errors.Is(why, inventory.ErrNone) {
+		g.spoilt.Add(1)
+	}
+	g.log.Info().AnErr("as", why).Msg("no copy of quotas and demand to go by")
+}
+
 // forward puts forward authentication before a gate, in the roles that are on: a txn that a portal has had
 // cleared needs nobody else's word.
 func (g *Gatekeeper) forward(to *gate.Gate) func(*wire.Txn) wire.Final {
@@ -216,34 +292,49 @@
 	return serve
 }
 
-// watch follows discovery's list from a version on.
-func (g *Gatekeeper) watch(version int64) {
+// watch follows discovery's list from a version on. What discovery has to tell counts as told in due ms.
+func (g *Gatekeeper) watch(version int64, due float64) {
 	ctx, cancel := context.WithCancel(context.Background())
 	addr, ended := g.conf.Discovery, make(chan int64, 1)
 	g.unwind, g.ended = cancel, ended
-	rng := rand.New(rand.NewSource(g.conf.Seed))
-	after := func(tries int) float64 {
-		askers := 0
-		if g.conf.Lines.ListAsked {
-			askers = int(g.members.Load())
-		}
-		return logic.WatchAfter(tries, askers, rng.Float64())
-	}
+	pace := wire.Pace{Askers: g.askers, Due: due, Chance: rand.New(rand.NewSource(g.conf.Seed)).Float64}
 	go func() {
-		ended <- wire.Watch(ctx, addr, version, g.news, g.alive, g.unheard, after)
+		ended <- wire.Watch(ctx, addr, version, g.news, g.alive, g.unheard, pace)
 	}()
 }
 
+// askers is how many gatekeepers may ask for the list at once; none where it is pushed.
+func (g *Gatekeeper) askers() int {
+	if g.conf.Lines.ListAsked {
+		return int(g.members.Load())
+	}
+	return 0
+}
+
+// await waits for the first word of the watch, or its first failure, but for FirstWord at most. Guards
+// against txns that go by the list known at the start where a newer one is at hand and counts as told.
+func (g *Gatekeeper) await() {
+	select {
+	case <-g.first:
+	case <-time.After(wire.Millis(logic.FirstWord)):
+	}
+}
+
+// speaks notes the watch's first word, or its first failure.
+func (g *Gatekeeper) speaks() { g.once.Do(func() { close(g.first) }) }
+
 func (g *Gatekeeper) news(l roster.List) {
 	g.lists.Lock()
 	g.desk.Roster(g.list.Discovery(l, g.desk.Now()))
 	g.lists.Unlock()
+	g.speaks()
 	g.log.Debug().Int64("version", l.Version).Bool("whole", l.Whole).Int("workers", len(l.Workers)).Msg("list")
 }
 
-// unheard says at most once in WatchQuiet that the watch has ended: tries without end must not fill the log.
+// unheard says at most once in WatchDue that the watch has ended: tries without end must not fill the log.
 func (g *Gatekeeper) unheard(err error) {
-	if now := time.Now(); now.Sub(g.said) > wire.Millis(logic.WatchQuiet) {
+	g.speaks()
+	if now := time.Now(); now.Sub(g.said) > wire.Millis(logic.WatchDue) {
 		g.said = now
 		g.log.Warn().Err(err).Msg("watch ended, opening it again")
 	}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -48,13 +48,20 @@
 	return all
 }
 
-// Recall takes words as a former life had heard them, of those that are not known yet.
-func (t *Table) Recall(all []Word) {
+// Recall takes words as a former life had heard them, of those that are not known yet. It gives those that
+// were heard since in another life than then.
+func (t *Table) Recall(all []Word) (returned []int) {
 	for from, w := range all {
-		if _, known := t.heard[from]; !known && w != (Word{}) {
+		now, known := t.heard[from]
+		switch {
+		case w == (Word{}):
+		case !known:
 			t.heard[from] = w
+		case now.Incarnation != w.Incarnation:
+			returned = append(returned, from)
 		}
 	}
+	return returned
 }
 
 // Keep forgets all from a number on: they are no more, and others may come under their numbers.
@@ -66,5 +73,8 @@
 	}
 }
 
+// Forget forgets one: another comes under its number.
+func (t *Table) Forget(from int) { delete(t.heard, from) }
+
 // after tells whether a serial number comes after another.
 func after(a, b uint32) bool { return int32(a-b) > 0 }
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -75,7 +75,9 @@
 	one.Hear(2, Word{6, 3})
 	words := one.Words(nil, 4)
 	two.Hear(2, Word{9, 1}) // heard already
-	two.Recall(words)
+	if got := two.Recall(words); len(got) != 1 || got[0] != 2 {
+		t.Errorf("%v have returned", got)
+	}
 	for i, c := range []struct {
 		from int
 		w    Word
--- /dev/null
+++ b/internal/outlook/quota.go
@@ -0,0 +1,363 @@
+package outlook
+
+import (
+	"fmt"
+	"math"
+
+	"willowdeck/logic"
+)
+
+// step gives the use that stands for a step of a sight's counts.
+func step(i int) float64 {
+	switch b := logic.UseSteps; {
+	case i == 0:
+		return b[0] / 2
+	case i < len(b):
+		return (b[i-1] + b[i]) / 2
+	default:
+		return b[len(b)-1] * 1.5
+	}
+}
+
+// using is demand of customers of a use, which is their demand over their rate.
+type using struct{ of, demand float64 }
+
+// uses gives a plan's demand by its customers' use, and the mean size of its txns. What gatekeepers see of a
+// customer at a moment swings by chance about what it asks: that part of the spread is taken out, as far as
+// it would be there if all came by chance alone (a Poisson stream, seen through an exponential memory of a
+// second), so that what stores even out is not taken for need.
+func (f *fleet) uses(plan int) (use [len(logic.UseSteps) + 1]using, size, all float64) {
+	customers, mean, squares := 0.0, 0.0, 0.0
+	for _, w := range f.words {
+		customers += w.Customers[plan].Customers * f.scaled
+		for i, d := range w.Customers[plan].Use {
+			use[i].demand += d
+			all += d
+		}
+	}
+	if all == 0 || customers == 0 {
+		return use, 1, 0
+	}
+	units, txns := 0.0, 0.0
+	for p := range f.products {
+		i := plan*len(f.products) + p
+		units, txns = units+f.flows[i].Units*f.first(i)*1000, txns+f.flows[i].Asked*f.first(i)*1000
+	}
+	for i := range use {
+		use[i].of = step(i)
+		mean, squares = mean+use[i].of*use[i].demand/all, squares+use[i].of*use[i].of*use[i].demand/all
+	}
+	spread := math.Max(squares-mean*mean, 0)
+	chance := mean * mean / (2 * math.Max(txns/customers*memory, 0.1)) * 1.1 // sizes differ a little
+	truly := math.Max(spread-chance, 0)
+	narrow := 0.0
+	if spread > 0 {
+		narrow = math.Sqrt(truly / spread)
+	}
+	usual := units / customers / f.charter.Plans[plan].Rate * (1 + truly/(mean*mean)) // as demand sees it
+	for i := range use {
+		use[i].of = math.Max(usual+narrow*(use[i].of-mean), usual/20)
+	}
+	return use, math.Max(units/math.Max(txns, 1e-9), 1), all
+}
+
+// memory is the design's smoothing of demand, s.
+const memory = 1.0
+
+// moved is how long after a loss the demand of those lost still counts, ms.
+func (f *fleet) moved() float64 { return math.Max(f.manner.Suspicion+f.manner.Hold, f.manner.Unheard) }
+
+// quotas gives the part of what customers ask that their quotas and ceilings let in, by plan, while their
+// gatekeepers in some halls are silent. early has the mean until their shares have moved: the last demand of
+// those lost still counts for so long, so the others' parts of a rate add up to less than it.
+func (f *fleet) quotas(s *stage, early bool) []float64 {
+	let := make([]float64, len(f.plans))
+	for q := range f.plans {
+		if let[q] = 1; f.charter.Plans[q].Rate <= 0 || f.manner.Beyond[q] {
+			continue
+		}
+		use, size, all := f.uses(q)
+		if all == 0 {
+			continue
+		}
+		parts, come := f.parts(q, s), f.come(q, s)
+		sum := 0.0
+		for i := range use {
+			if d := use[i].demand; d > 0 {
+				for _, p := range parts {
+					sum += d / all * p.weight * f.lets(q, use[i].of*come, size, p, early)
+				}
+			}
+		}
+		let[q] = sum
+	}
+	return let
+}
+
+// come is the part of a plan's demand that finds a gatekeeper.
+func (f *fleet) come(plan int, s *stage) float64 {
+	sum, all := 0.0, 0.0
+	np := len(f.products)
+	for g := range f.names {
+		rate := 0.0
+		for p := range f.products {
+			rate += f.asked[g][plan*np+p]
+		}
+		_, none, late := f.heirs(g, s)
+		all += rate
+		gone := late[plan]
+		if !f.rules.Elsewhere {
+			gone += none[plan]
+		}
+		sum += rate * (1 - gone)
+	}
+	if all == 0 {
+		return 1
+	}
+	return sum / all
+}
+
+// soonest is the shortest SLA time, ms.
+func (f *fleet) soonest() float64 {
+	least := math.Inf(1)
+	for _, p := range f.charter.Products {
+		least = math.Min(least, p.SLA)
+	}
+	return least
+}
+
+// share is the part of a plan's demand whose sets have lost so many of their gatekeepers.
+type share struct {
+	weight, lost float64 // lost is of the set's gatekeepers
+	size         int
+}
+
+// parts sums a plan's sets up by size and the part lost.
+func (f *fleet) parts(plan int, s *stage) []share {
+	if s.parts == nil {
+		for q := range f.plans {
+			s.parts = append(s.parts, f.share(q, s.mute))
+		}
+	}
+	return s.parts[plan]
+}
+
+func (f *fleet) share(plan int, mute []bool) (all []share) {
+	sum := 0.0
+	for _, e := range f.rings[plan] {
+		lost := 0
+		for h, n := range e.counts {
+			if mute[h] {
+				lost += n
+			}
+		}
+		if lost == len(e.halls) {
+			continue // others serve its customers, as far as they do
+		}
+		p := share{e.demand, float64(lost) / float64(len(e.halls)), len(e.halls)}
+		sum += p.weight
+		known := false
+		for i := range all {
+			if all[i].lost == p.lost && all[i].size == p.size {
+				all[i].weight, known = all[i].weight+p.weight, true
+			}
+		}
+		if !known {
+			all = append(all, p)
+		}
+	}
+	if sum <= 0 {
+		return []share{{1, 0, 1}}
+	}
+	for i := range all {
+		all[i].weight /= sum
+	}
+	return all
+}
+
+// store is one that fills at a rate and holds depth, with demand of a mean and a variance, all in units and
+// seconds. What it holds is taken for a Brownian motion between nought and its depth (Harrison, Brownian
+// motion and stochastic flow systems, 1985): what it cannot give is what holds the motion up at nought.
+type store struct{ rate, depth, demand, variance float64 }
+
+// short gives the part of its demand that a store cannot give in the long run.
+func (s store) short() float64 {
+	drift := s.rate - s.demand
+	x := 2 * drift * s.depth / s.variance
+	push := s.variance / (2 * s.depth)
+	if math.Abs(x) > 1e-6 {
+		push = drift / math.Expm1(x)
+	}
+	return math.Min(math.Max(push/s.demand, 0), 1)
+}
+
+// shortFor gives it as the mean over so many seconds that begin with a store that is full: until it is empty
+// for the first time it is short of nothing. That time's spread is that of a first passage.
+func (s store) shortFor(secs float64) float64 {
+	if secs <= 0 {
+		return 0
+	}
+	drift, v := s.rate-s.demand, s.variance
+	x := 2 * drift * s.depth / v
+	until := s.depth * s.depth / v
+	if math.Abs(x) > 1e-3 {
+		until = v/(2*drift*drift)*math.Expm1(math.Min(x, 500)) - s.depth/drift
+	}
+	even := 1.0 // how far it is by chance alone
+	if drift < 0 {
+		even = math.Min(v/(-drift*s.depth), 1)
+	}
+	sharp := math.Max(1-until/secs, 0)
+	blurred := 1 - until/secs*(1-math.Exp(-secs/until))
+	return s.short() * (even*blurred + (1-even)*sharp)
+}
+
+// lets gives the part of its demand that a customer of some use and a size of txns is let in. Of what its
+// stores cannot give, the worst counts: the quota's one store, the slices together, each slice by itself as
+// far as a further try at another gatekeeper finds no more, and the same of a ceiling.
+func (f *fleet) lets(plan int, use, size float64, p share, early bool) float64 {
+	c, m := &f.charter.Plans[plan], &f.manner
+	if use <= 0 {
+		return 1
+	}
+	demand := use * c.Rate
+	n, living := float64(p.size), math.Max(float64(p.size)*(1-p.lost), 1)
+	span := (f.moved() - m.Unheard) / 1000
+	waits := 0.0 // what is turned away comes again while that is of use, as if the store were so much deeper
+	if f.rules.Tries > 1 {
+		waits = demand * f.soonest() / 1000
+	}
+	steady := func(rate, depth, of float64) float64 {
+		depth += waits
+		s := store{rate / of, math.Max(depth/of, size), demand / of, 1.1 * demand / of * size}
+		if early && p.lost > 0 {
+			return s.shortFor(span)
+		}
+		return s.short()
+	}
+	part := 1.0
+	switch {
+	case p.lost > 0 && early:
+		// Those lost count by the last demand that they told. Where their last message did not name the customer,
+		// as one that asks seldom, they count as the mean of the others, which by now have all of its demand.
+		told := 1 - math.Exp(-demand/size/n*m.Told(p.size)/1000)
+		held := told*p.lost + (1-told)*p.lost/math.Max(1-p.lost, 1/n)
+		part = m.Floors*(1-p.lost) + (1-m.Floors)/(1+held)
+	case p.lost > 0:
+		part = m.Floors*(1-p.lost) + 1 - m.Floors
+	}
+	short := math.Max(steady(c.Rate*part, c.Burst*part, 1),
+		math.Pow(steady(c.Rate*part, c.Burst*part, living), float64(f.rules.Tries)))
+	if !m.Blind[plan] && p.size > 1 {
+		rate := c.Rate
+		if early && p.lost > 0 { // what the silent ones may spend is kept from the one store, too
+			rate *= math.Max(1-p.lost*n/(n-1)*(1-part/living), 0)
+		}
+		kept := demand * (n - 1) / n * m.Reserve(p.size) / 1000
+		short = math.Max(short, steady(rate, c.Burst-kept, 1))
+	}
+	if c.CeilingRate > 0 {
+		rate, depth := c.CeilingRate*(1-p.lost), c.CeilingDepth*(1-p.lost)
+		short = math.Max(short, steady(rate, depth, 1))
+		short = math.Max(short, math.Pow(steady(rate, depth, living), float64(f.rules.Tries)))
+	}
+	if early && p.lost > 0 {
+		moved := span + m.Unheard/1000
+		whole := share{p.weight, 0, p.size}
+		return ((moved-span)*f.lets(plan, use, size, whole, false) + span*(1-short)) / moved
+	}
+	return 1 - short
+}
+
+// borrow has customers borrow what quotas keep from them until shares have moved, where plans lend and
+// workers are not pressed. It gives the units.
+func (f *fleet) borrow(s *stage, base *outcome, ms float64) (drawn float64) {
+	if base.pressed {
+		return 0
+	}
+	whole := f.quotas(f.stage(Loss{}), false)
+	for q := range f.plans {
+		demand := 0.0
+		for _, w := range f.words {
+			demand += w.Customers[q].Demand * f.scaled
+		}
+		short := (whole[q] - s.let[q]) * demand * ms / 1000
+		if line := f.credit[q].Line - f.credit[q].Open; short > 0 && line > 0 {
+			lent := math.Min(short, line)
+			drawn += lent
+			s.let[q] += lent / (demand * ms / 1000)
+		}
+	}
+	return drawn
+}
+
+// missing names what quotas and ceilings keep back, and gatekeepers that nobody stands in for.
+func (f *fleet) missing(s *stage) (all []string) {
+	whole, after := f.quotas(f.stage(Loss{}), false), f.quotas(s, false)
+	for q, plan := range f.plans {
+		demand := 0.0
+		for _, w := range f.words {
+			demand += w.Customers[q].Demand * f.scaled
+		}
+		if v := (whole[q] - s.let[q]) * demand; v > 0.005*demand {
+			all = append(all, fmt.Sprintf("quota: %.4g units/s of %s until shares have moved, %.4g then", round4(v),
+				plan, round4(math.Max((whole[q]-after[q])*demand, 0))))
+		}
+	}
+	_, orphans, _ := f.demand(s)
+	for q, plan := range f.plans {
+		if orphans[q] > 0 {
+			all = append(all, fmt.Sprintf("gatekeepers: none of theirs is left for %.4g txns/s of %s",
+				round4(orphans[q]*1000), plan))
+		}
+	}
+	return all
+}
+
+// atOnce reckons what a loss costs in its first moment: txns in hand at lost workers that may not be
+// repeated, those in hand at lost gatekeepers whose clients do not try again, and what is asked until clients
+// have moved.
+func (f *fleet) atOnce(c *Cost, s *stage) {
+	np := len(f.products)
+	worth, once, all := 0.0, 0.0, 0.0
+	for i := range f.flows {
+		v, r := f.worth(i/np, i%np), f.flows[i].Settled*f.usual[i%np]
+		worth, all = worth+v*r, all+r
+		if f.charter.Products[i%np].Repeat == logic.OnceOnly {
+			once += v * r
+		}
+	}
+	if all == 0 {
+		return
+	}
+	worth, once = worth/all, once/all
+	island := make([]int, len(f.names))
+	for i, is := range s.islands {
+		for _, x := range is {
+			island[x] = i
+		}
+	}
+	for g := range f.names {
+		for x, n := range f.inHand[g] {
+			cut := s.gone[x] || island[g] != island[x]
+			switch in := float64(n) * f.scaled; {
+			case s.mute[g]:
+				if f.rules.Tries == 1 {
+					c.AtOnce += in * worth
+				}
+				if !cut {
+					c.Wasted += in
+				}
+			case cut:
+				c.AtOnce += in * once
+				c.Wasted += in
+			}
+		}
+		if s.mute[g] {
+			for i, r := range f.asked[g] {
+				c.AtOnce += f.worth(i/np, i%np) * r * f.rules.Takeover
+			}
+		}
+	}
+	c.AtOnce, c.Wasted = round4(c.AtOnce), round4(c.Wasted)
+}
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -256,6 +256,103 @@
 	<-closed
 }
 
+// At a stop what has asked nothing for longest ends first, a new connection only once its first txn would
+// have come, and one in use or with a txn unread in it not at all.
+func TestEndIdle(t *testing.T) {
+	raw, at := sink(t)
+	l := Limit(raw, 9)
+	for _, c := range []struct {
+		name   string
+		state  int32
+		gone   float64 // ms without a byte
+		unread bool
+		after  float64 // ms
+		ends   bool
+	}{
+		{"idle", idle, 50, false, 10, true},
+		{"idle for too short", idle, 50, false, 200, false},
+		{"idle, a txn unread", idle, 50, true, 10, false},
+		{"new", fresh, logic.Unproven / 2, false, 10, false},
+		{"new, and nothing came", fresh, 2 * logic.Unproven, false, 10, true},
+		{"a txn is coming", asking, 1000, false, 10, false},
+		{"a txn is in hand", taken, 1000, false, 10, false},
+	} {
+		theirs, err := net.Dial("tcp", at.String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		ours, err := l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		p := ours.(*placed)
+		if c.unread {
+			_, _ = theirs.Write([]byte("GET"))
+			for quiet(p.Conn) {
+				time.Sleep(time.Millisecond)
+			}
+		}
+		p.state.Store(c.state)
+		p.since.Store(time.Now().Add(-Millis(c.gone)).UnixNano())
+		waits := l.endIdle(Millis(c.after))
+		ends, may := p.state.Load() == ended, c.state == idle || c.state == fresh
+		if ends != c.ends || waits != (!ends && may) {
+			t.Errorf("%s: ends %v, want %v; waits for more %v", c.name, ends, c.ends, waits)
+		}
+		_ = p.Close()
+		_ = theirs.Close()
+	}
+}
+
+// Guards against a stop that ends the listener while connections wait in it for a place: they would be reset
+// with no answer.
+func TestDrainWaitsForHeld(t *testing.T) {
+	raw, at := sink(t)
+	l := Limit(raw, 1)
+	taken := make(chan *placed, 3)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			p := c.(*placed)
+			p.come()
+			p.take()
+			taken <- p
+		}
+	}()
+	for range 3 {
+		c, err := net.Dial("tcp", at.String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+	}
+	first := <-taken
+	for !l.held.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	drained := make(chan bool)
+	go func() {
+		l.Drain()
+		_ = l.Close()
+		close(drained)
+	}()
+	for _, p := range []*placed{first, nil, nil} {
+		if p == nil {
+			select {
+			case p = <-taken:
+			case <-time.After(2 * time.Second):
+				t.Fatal("one that waited is not served")
+			}
+		}
+		time.Sleep(3 * Millis(logic.AcceptAgain)) // a txn
+		_ = p.Close()
+	}
+	<-drained
+}
+
 // While places are scarce a connection ends with its first answer, but not one that goes on asking.
 func TestCrowded(t *testing.T) {
 	const most = 10
@@ -400,23 +497,26 @@
 
 func TestAppendSubmission(t *testing.T) {
 	cases := []struct {
-		name string
-		t    Txn
-		wait float64
-		want string
+		name  string
+		t     Txn
+		wait  float64
+		rules int64
+		want  string
 	}{
-		{"inquiry", Txn{Method: []byte("GET"), Target: []byte("/a?b"), Mark: []byte("1")}, 12.5,
+		{"inquiry", Txn{Method: []byte("GET"), Target: []byte("/a?b"), Mark: []byte("1")}, 12.5, Ruleless,
 			"GET /a?b HTTP/1.1\r\nHost: backend.local\r\nX-Request-Id: 1\r\nX-Deadline: 12500u\r\n\r\n"},
 		{"referenced", Txn{Method: []byte("POST"), Target: []byte("/s"), Mark: []byte("2"), Key: []byte("k"),
-			Body: []byte("xy")}, 1, "POST /s HTTP/1.1\r\nHost: backend.local\r\nX-Request-Id: 2\r\n" +
+			Body: []byte("xy")}, 1, Ruleless, "POST /s HTTP/1.1\r\nHost: backend.local\r\nX-Request-Id: 2\r\n" +
 			"X-Deadline: 1000u\r\nIdempotency-Key: k\r\nContent-Length: 2\r\n\r\nxy"},
-		{"no time left", Txn{Method: []byte("POST"), Target: []byte("/s"), Mark: []byte("3")}, -1,
+		{"no time left", Txn{Method: []byte("POST"), Target: []byte("/s"), Mark: []byte("3")}, -1, Ruleless,
 			"POST /s HTTP/1.1\r\nHost: backend.local\r\nX-Request-Id: 3\r\n" +
 				"X-Deadline: 0u\r\nContent-Length: 0\r\n\r\n"},
+		{"by rules", Txn{Method: []byte("GET"), Target: []byte("/a"), Mark: []byte("4")}, 1, 12,
+			"GET /a HTTP/1.1\r\nHost: backend.local\r\nX-Request-Id: 4\r\nX-Deadline: 1000u\r\nX-Rules: 12\r\n\r\n"},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			if got := AppendSubmission(nil, &c.t, c.wait); string(got) != c.want {
+			if got := AppendSubmission(nil, &c.t, c.wait, c.rules); string(got) != c.want {
 				t.Errorf("got %q, want %q", got, c.want)
 			}
 		})
@@ -454,3 +554,25 @@
 		})
 	}
 }
+
+// One that comes under another's number is told of as another, and is heard whatever its former owner has
+// said.
+func TestAnotherPeer(t *testing.T) {
+	at := func(ports ...uint16) (all []netip.AddrPort) {
+		for _, p := range ports {
+			all = append(all, netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), p))
+		}
+		return all
+	}
+	p := NewPeers(at(1, 2, 3), 0)
+	p.heard.Hear(2, member.Word{Incarnation: 9})
+	if got := p.Among(at(4, 2, 3, 5)); len(got) > 0 {
+		t.Errorf("%v are told of as others", got)
+	}
+	if got := p.Among(at(4, 2, 6)); len(got) != 1 || got[0] != 2 {
+		t.Errorf("%v are told of as others", got)
+	}
+	if v := p.heard.Hear(2, member.Word{Incarnation: 1}); v != member.News {
+		t.Errorf("its first word is %v", v)
+	}
+}
--- a/logic/recall.go
+++ b/logic/recall.go
@@ -12,6 +12,7 @@
 const (
 	copyRows  = 128     // customers, or peers' reports, in a piece of a copy: some us of the host's lock
 	copyMost  = 1 << 14 // customers in a copy; 2 MB as the host writes them
+	dealtEach = 2000.0  // ms between looks at a customer that owes anything, at most; see internal/credit
 	recallFor = 5000.0  // ms; by then a customer is cold again, and no demand is left to speak of
 
 	// CopyEach is how long the host waits between copies, ms: what was spent since the last is not known.
@@ -53,21 +54,24 @@
 func (c *account) leaves() Customer {
 	return Customer{c.customer, c.plan, c.n, c.first, c.txns, c.out, c.holding, c.level, c.whole, c.filled,
 		c.others, c.flow, c.held, c.heard, c.demand, c.lately, c.seen, c.coolSince, c.ceilingAt, c.unsaid, c.said,
-		c.saidAt, c.known, c.hot}
+		c.saidAt, c.known, c.hot, c.lag, c.dealt}
 }
 
-// Recall takes a former life's copy, after Remember and before the first txn, and tells how many customers it
-// goes by: none of a copy of another charter, or that is older than five seconds. Peers that know this for a
-// new life drop what they were told in the last message (told): that is news to them again, while of all else
+// Recollect takes a former life's copy, after Remember, and tells how many customers it goes by: none of a
+// copy of another charter, or that is older than five seconds, and none while quotas go without words or a
+// part is withheld. Customers whose txns have come meanwhile are let alone. Peers that know this for a new
+// life drop what they were told in the last message (told): that is news to them again, while of all else
 // what is left is known.
 //
 // What fades has faded by the copy's age. Stores have not filled since, unless there are no peers: what came
 // in was theirs to give. What the former life may have spent after the copy is taken from them, by the demand
-// that it saw, and a slice holds no more than that of one that knows nothing.
-func (g *Gatekeeper) Recall(e Estate, told bool) (customers int) {
+// that it saw, and a slice holds no more than that of one that knows nothing. So is what credit may have
+// taken back after the copy: its book outlives a kill, and has that as paid.
+func (g *Gatekeeper) Recollect(e Estate, told bool) (customers int) {
 	age := g.now - e.At
 	if len(e.Peers) != len(g.peers) || len(e.Tight) != len(g.plans) || len(e.Stay) != len(g.plans) ||
-		!(age >= 0 && age <= recallFor) {
+		!(age >= 0 && age <= recallFor) || g.signed.Narrow ||
+		slices.ContainsFunc(g.signed.Plans, func(p Plan) bool { return p.Withheld > 0 }) {
 		return 0
 	}
 	if e.Started <= e.At { // what it has seen of demand is as old as that
@@ -83,6 +87,7 @@
 			g.plans[i].restate()
 		}
 	}
+	var spoken []int
 	for i, p := range e.Peers {
 		if i == g.charter.me || !(p.Heard <= e.At && p.Spoke <= e.At && p.Told <= e.At) {
 			continue
@@ -93,6 +98,9 @@
 		last := slices.DeleteFunc(slices.Clone(p.Last), func(r Report) bool {
 			return !(r.Demand >= 0 && r.Demand <= math.MaxInt32) || r.Plan < 0 || r.Plan >= len(g.plans)
 		})
+		if g.peers[i].heard > 0 { // in this life
+			spoken = append(spoken, i)
+		}
 		g.peers[i] = peer{p.Heard, p.Told, p.Owes, p.Spoke, p.Silent, p.Gone, last}
 	}
 	g.muted()
@@ -106,19 +114,24 @@
 			customers++
 		}
 	}
+	for _, i := range spoken {
+		if g.peers[i].silent {
+			g.silence(i, false, false)
+		}
+	}
 	return customers
 }
 
 // recall takes one customer of a copy, and tells whether it has.
 func (g *Gatekeeper) recall(k *Customer, at, drop float64, said bool) bool {
 	figures := [...]float64{k.Level, k.Whole, k.Others, k.Flow, k.Held, k.Demand, k.Lately, k.Unsaid, k.Said,
-		k.Known}
+		k.Known, k.Lag}
 	for i, v := range figures {
 		if !(math.Abs(v) <= math.MaxInt32) || v < 0 && i > 0 { // a slice may be overdrawn
 			return false
 		}
 	}
-	times := [...]float64{k.Filled, k.Heard, k.Seen, k.CoolSince, k.SaidAt}
+	times := [...]float64{k.Filled, k.Heard, k.Seen, k.CoolSince, k.SaidAt, k.Dealt}
 	for _, v := range times {
 		if !(v >= 0 && v <= at) {
 			return false
@@ -159,6 +172,7 @@
 	if c.n == 1 {
 		grew = dt
 	}
+	c.lag, c.dealt = k.Lag, k.Dealt
 	unseen := k.Demand * math.Exp((k.Seen-at)/p.memory) * math.Min(g.now-at, CopyEach)
 	most := g.holds(p, c.share)
 	if !g.sparse(c) { // never more than one has that knows nothing
@@ -166,8 +180,23 @@
 	}
 	c.level = less(math.Min(k.Level+grew*c.share, most), unseen)
 	c.whole = less(math.Min(k.Whole+grew*p.rate, g.holds(p, p.rate)), unseen)
+	if units := g.repaid(c, at); units > 0 { // as Repay does
+		c.level = math.Max(c.level-units, -g.holds(p, p.rate))
+		c.lag += units
+		c.withhold()
+	}
 	return true
 }
 
+// repaid is what credit may have taken of a customer's fill after a copy of that time, units. Guards against
+// a kill that undoes it.
+func (g *Gatekeeper) repaid(c *account, at float64) float64 {
+	span := at + CopyEach - c.dealt
+	if g.signed.Plans[c.plan].Credit <= 0 || c.n == 0 || span > dealtEach { // nothing was owed
+		return 0
+	}
+	return g.fills(c) * span
+}
+
 // less is what is left of a store after so many units, or as little as there was.
 func less(store, units float64) float64 { return math.Max(store-units, math.Min(store, 0)) }
--- a/logic/recall_test.go
+++ b/logic/recall_test.go
@@ -31,13 +31,13 @@
 	n := &host{t: h.t, g: New(h.c, 2), c: h.c, txns: map[uint64]*seen{}, gone: -1}
 	n.at(e.At + age)
 	n.g.Roster([]Posting{{Worker: 0, Active: true}}, false)
-	return n, n.g.Recall(e, told)
+	return n, n.g.Recollect(e, told)
 }
 
 // A life that was killed had a customer's store as good as empty, and knew what its peer asks. The next one
 // goes on from there as long as that is news: stores fill by its own share meanwhile, demand fades, and
 // nothing is believed of a copy that is too old, to come, or of another fleet.
-func TestRecall(t *testing.T) {
+func TestRecollect(t *testing.T) {
 	h := crowd(t, nil)
 	e, was := copied(h.g, h.now), h.g.accounts[0]
 	if was.level > 3 || was.others < 0.01 {
@@ -88,7 +88,7 @@
 
 // Ceilings are the residue's alone, whatever a copy says: a customer in the residue has what is left there,
 // and one that is not is as full as the residue's base says.
-func TestRecallCeilings(t *testing.T) {
+func TestRecollectCeilings(t *testing.T) {
 	h := crowd(t, func(c *Charter) { c.Plans[0].CeilingRate, c.Plans[0].CeilingDepth = 10, 100 })
 	e := copied(h.g, h.now)
 	e.Customers[0].CeilingAt = 0
@@ -99,7 +99,7 @@
 	n.g.Roster([]Posting{{Worker: 0, Active: true}}, false)
 	base := n.now - 9000
 	n.g.Remember(Residue{Base: base, Ceilings: []Spent{{7, 0, n.now + 30000}}})
-	if took := n.g.Recall(e, false); took != 2 {
+	if took := n.g.Recollect(e, false); took != 2 {
 		t.Fatalf("%d customers", took)
 	}
 	of := func(key uint32) *account { return &n.g.accounts[n.g.byKey[key]] }
@@ -115,7 +115,7 @@
 // What the former life told its peers does not count beside what this one tells: those that know of its
 // return have dropped it, and get all as news; to the others what is left of it is known. Nor are units told
 // twice.
-func TestRecallTellsOnce(t *testing.T) {
+func TestRecollectTellsOnce(t *testing.T) {
 	h := crowd(t, nil)
 	e := copied(h.g, h.now)
 	a := h.g.accounts[0]
@@ -149,7 +149,7 @@
 }
 
 // A peer that was heard before the kill is not silent for what it said while there was nobody to hear it.
-func TestRecallPeers(t *testing.T) {
+func TestRecollectPeers(t *testing.T) {
 	h := crowd(t, nil)
 	h.g.peers[1].owes = h.now - 100
 	n, _ := back(h, copied(h.g, h.now), 4000, false)
@@ -162,6 +162,110 @@
 	}
 }
 
+// Nothing is recalled while quotas go without words, or a part of a plan is withheld: what a copy says of a
+// customer was reckoned where it had more. And a customer whose txns have come meanwhile is let alone.
+func TestRecollectNarrow(t *testing.T) {
+	h := crowd(t, nil)
+	e := copied(h.g, h.now)
+	for _, c := range []struct {
+		name   string
+		change func(*Charter)
+		takes  int
+	}{
+		{"wide", func(*Charter) {}, 1},
+		{"narrow", func(c *Charter) { c.Narrow = true }, 0},
+		{"withheld", func(c *Charter) { c.Plans[0].Withheld = 0.5 }, 0},
+	} {
+		n := newHost(t, charterFor(InquiryLike, c.change), 2, 3)
+		n.at(e.At + 50)
+		if got := n.g.Recollect(e, false); got != c.takes || len(n.g.byKey) != c.takes {
+			t.Errorf("%s: %d customers", c.name, got)
+		}
+	}
+	n := newHost(t, h.c, 2, 3)
+	n.at(e.At + 50)
+	n.txn(7, 1)
+	was := n.g.accounts[n.g.byKey[7]]
+	if n.g.Recollect(e, false) > 0 || n.g.accounts[n.g.byKey[7]] != was {
+		t.Error("a customer that is known by its txns is taken from a copy")
+	}
+}
+
+// A peer that was silent in the former life and has been heard in this one is not silent.
+func TestRecollectHeard(t *testing.T) {
+	h := crowd(t, nil)
+	h.g.silence(1, true, false)
+	e := copied(h.g, h.now)
+	for _, heard := range []bool{false, true} {
+		n := newHost(t, h.c, 2, 3)
+		n.at(e.At + 50)
+		if heard {
+			n.g.Hear(1, nil)
+		}
+		n.g.Recollect(e, false)
+		if a := &n.g.accounts[n.g.byKey[7]]; n.g.peers[1].silent == heard || (a.held == 0) != heard {
+			t.Errorf("heard %t: %+v, %v held", heard, n.g.peers[1], a.held)
+		}
+	}
+}
+
+// A kill undoes no repayment, whether it was made before the copy or in the time after it of which the copy
+// does not know: the book of credit has both as paid. Nor does a handover. A customer that owes nothing any
+// more is taken nothing.
+func TestRecollectRepaid(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		gatekeepers int
+		whole, lag  float64
+		lent        bool // and not repaid before the copy
+	}{{"alone", 1, 5, 0, false}, {"alone, lent", 1, 5, 0, true}, {"alone, lag", 1, 0, 3, false},
+		{"two", 2, 5, 0, false}, {"two, lent", 2, 5, 0, true}, {"two, lag", 2, 0, 3, false}} {
+		change := func(x *Charter) { lends(x); x.Gatekeepers = c.gatekeepers }
+		h := newHost(t, charterFor(InquiryLike, change), 1, 3)
+		h.at(1e6)
+		h.ask(30, 3000, nil)
+		a := &h.g.accounts[h.g.byKey[7]]
+		if a.level, a.whole = 0, 0; c.lent {
+			h.g.Borrow(&purse{line: 10})
+			h.g.press, h.g.window = 0, 50
+			h.ended(h.txn(7, 1), 0, Settled, 20)
+		} else {
+			h.g.Repay(7, 0, c.gatekeepers, 1, 1, 200)
+		}
+		if a.dealt != h.now {
+			t.Fatalf("%s: last dealt with at %v", c.name, a.dealt)
+		}
+		a.level, a.whole, a.lag, a.demand, a.lately = 0.1, c.whole, c.lag, 0, 0
+		e := copied(h.g, h.now)
+		for _, after := range []float64{0, 99} { // of the copy
+			n, _ := back(h, e, 100, false)
+			of := &n.g.accounts[n.g.byKey[7]]
+			took := 0.0
+			if h.at(e.At + after); after > 0 {
+				took, _ = h.g.Repay(7, 0, c.gatekeepers, 5, 5, after)
+			}
+			h.at(n.now)
+			h.g.fill(a)
+			if of.level > a.level+1e-9 || of.whole-of.lag > a.whole-a.lag+1e-9 || after > 0 && took <= 0 {
+				t.Errorf("%s, %v taken %v ms after the copy: level %v and store %v, which would be %v and %v",
+					c.name, took, after, of.level, of.whole-of.lag, a.level, a.whole-a.lag)
+			}
+		}
+		a.dealt, a.lag = h.now-dealtEach, 1.5
+		e = copied(h.g, h.now)
+		n, _ := back(h, e, 100, false)
+		if of := &n.g.accounts[n.g.byKey[7]]; of.lag > 1.5 || of.level < math.Min(a.level, 0) {
+			t.Errorf("%s: lag %v and level %v where nothing is owed", c.name, of.lag, of.level)
+		}
+		heir := newHost(t, h.c, 2, 3)
+		heir.at(h.now)
+		heir.g.Resume(h.g.Retire())
+		if got := heir.g.accounts[heir.g.byKey[7]].lag; got != 1.5 {
+			t.Errorf("%s: %v of what was repaid is handed over, of 1.5", c.name, got)
+		}
+	}
+}
+
 // A copy in pieces is whole though customers come and go meanwhile, and costs the ordinary path no memory.
 func TestCopyInPieces(t *testing.T) {
 	h := newHost(t, charterFor(InquiryLike, nil), 1, 3)
