--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -43,6 +43,7 @@
 	Host      string   // whose daemon keeps it
 	Group     string   // of those that share quotas; empty is told by their addresses
 	Residue   string   // the file that outlives a sudden end of this process; empty where none is kept
+	Recall    bool     // beside it, a copy of quotas and demand
 	Agree     string   // HOST:PORT of the daemon that tells which rules are in force; empty where none
 	History   string   // the folder in which this process records what it does; empty where it does not
 	Forward   *Forward // nil where forward authentication is off
--- a/internal/gate/desk.go
+++ b/internal/gate/desk.go
@@ -47,10 +47,12 @@
 	ready atomic.Bool
 	pool  atomic.Pointer[logic.Tally] // a copy for those who must not wait
 
-	record *record       // nil where none is kept
-	terms  *held.Terms   // under the lock; nil where no rules are agreed on
-	bound  logic.Charter // that they have brought
-	under  uint64        // the last version that was gone by
+	record *record     // nil where none is kept
+	terms  *held.Terms // under the lock; nil where no rules are agreed on
+	under  uint64      // the last version that was gone by
+
+	charter  logic.Charter // in force, under the lock
+	charters int           // how many there have been
 
 	recalled atomic.Int64
 	knows    uint64 // the version of the rules by which a former life spent what is remembered here; 0 none
@@ -65,6 +67,8 @@
 	waiting []waiting     // of the wake's goroutine
 	residue *residue.File // nil where none is kept
 	lending *lending      // nil where nothing is lent
+	left    bool          // another process goes on
+	copies  Copies
 	meter   *outlook.Meter
 	sight   logic.Sight
 }
@@ -85,7 +89,7 @@
 // the idle connections to a worker.
 func NewDesk(c logic.Charter, seed int64, late float64, tell func(int, []byte), shed func(int)) *Desk {
 	d := &Desk{clock: newClock(), tell: tell, shed: shed, subs: max(c.MaxSubmissions, 1), late: late,
-		gk: logic.New(c, seed), txns: map[uint64]*held.Txn{}}
+		gk: logic.New(c, seed), charter: c, charters: 1, txns: map[uint64]*held.Txn{}}
 	d.timer, d.stop = time.NewTimer(time.Hour), make(chan struct{})
 	go d.wake()
 	return d
@@ -147,6 +151,7 @@
 func (d *Desk) Retire() (e logic.Estate, workers, kinds map[int]string) {
 	d.enter()
 	d.void()
+	d.left = true
 	e = d.gk.Retire()
 	d.endLending()
 	workers, kinds = d.workers.Names()
@@ -212,7 +217,9 @@
 	if d.terms != nil {
 		d.terms.End()
 	}
-	if d.terms, d.bound = t, c; t.Version > 0 {
+	d.terms, d.charter = t, c
+	d.charters++
+	if t.Version > 0 {
 		d.under = t.Version
 	}
 	if d.residue != nil { // what it says is reckoned by the ceilings
@@ -236,7 +243,7 @@
 	if d.terms.Holds() {
 		return
 	}
-	c := d.bound
+	c := d.charter
 	c.Narrow, c.Plans = true, slices.Clone(c.Plans)
 	for i := range c.Plans {
 		c.Plans[i].Withheld = 1
@@ -248,6 +255,8 @@
 func (d *Desk) Resize(n int) {
 	d.enter()
 	d.gk.Resize(n)
+	d.charter.Gatekeepers = n
+	d.charters++
 	if d.lending != nil {
 		d.lending.book.Resize(n)
 	}
@@ -274,7 +283,7 @@
 	if returned {
 		d.gk.Returned(from)
 	}
-	if d.bound.Narrow { // it is there, and what it says is not gone by
+	if d.charter.Narrow { // it is there, and what it says is not gone by
 		reports = nil
 	}
 	d.gk.Hear(from, reports)
