--- a/internal/fleet/outlook.go
+++ b/internal/fleet/outlook.go
@@ -102,6 +102,7 @@
 	Form  int
 	Host  string
 	Words []json.RawMessage
+	Ages  []float64 // ms since each was last heard
 }
 
 // watcher gathers words and answers from them. Nothing that serves clients waits for it.
@@ -227,7 +228,7 @@
 func (w *watcher) askInstance(at, name string) error {
 	raw, err := w.get("http://"+at+ops.WordPath, wordWithin, outlook.LongestWord)
 	if err == nil {
-		w.hear(at, raw, true, func(x *outlook.Word) error {
+		w.hear(at, raw, 0, true, func(x *outlook.Word) error {
 			if name != "" && (x.Name != name || x.Host != w.host) {
 				return fmt.Errorf("it is said by %s of %s, not by %s", x.Name, x.Host, name)
 			}
@@ -252,14 +253,22 @@
 		w.refuse(at, "version", fmt.Errorf("form %d of words, not %d", t.Form, wordsForm))
 		return nil
 	}
-	for _, one := range t.Words {
-		w.hear(at, one, false, func(*outlook.Word) error { return nil })
+	if len(t.Ages) != len(t.Words) {
+		w.refuse(at, "spoilt", fmt.Errorf("%d ages for %d words", len(t.Ages), len(t.Words)))
+		return nil
+	}
+	for i, one := range t.Words {
+		if !(t.Ages[i] >= 0 && t.Ages[i] <= float64(forgets.Milliseconds())) {
+			w.refuse(at, "spoilt", fmt.Errorf("a word of an age of %v ms", t.Ages[i]))
+			continue
+		}
+		w.hear(at, one, time.Duration(t.Ages[i]*float64(time.Millisecond)), false, func(*outlook.Word) error { return nil })
 	}
 	return nil
 }
 
-// hear takes a word, unless something is wrong with it.
-func (w *watcher) hear(at string, raw []byte, own bool, known func(*outlook.Word) error) {
+// hear takes a word that was said so long ago, unless something is wrong with it.
+func (w *watcher) hear(at string, raw []byte, age time.Duration, own bool, known func(*outlook.Word) error) {
 	x, err := outlook.Decode(raw)
 	switch {
 	case errors.Is(err, outlook.ErrForm):
@@ -277,7 +286,7 @@
 		w.refuse(at, "ahead", fmt.Errorf("%s: its clock is %d ms ahead", x.Name, ahead))
 		return
 	}
-	id := fmt.Sprintf("%s/%d", x.Group, x.Number)
+	id, then := fmt.Sprintf("%s/%d", x.Group, x.Number), time.Now().Add(-age)
 	w.mu.Lock()
 	was, there := w.all[id]
 	if there && (x.Name != was.word.Name || x.Host != was.word.Host) &&
@@ -293,13 +302,13 @@
 		return
 	}
 	if there && !x.Newer(was.word) {
-		if was.own = was.own || own; x.Life == was.word.Life && x.Seq == was.word.Seq {
-			was.at = time.Now()
+		if was.own = was.own || own; x.Life == was.word.Life && x.Seq == was.word.Seq && then.After(was.at) {
+			was.at = then
 		}
 		w.all[id] = was
 		return
 	}
-	w.all[id] = heard{x, bytes.Clone(raw), time.Now(), own}
+	w.all[id] = heard{x, bytes.Clone(raw), then, own}
 }
 
 // refuse counts and names what is not taken.
@@ -337,6 +346,7 @@
 	for _, h := range w.all {
 		if h.own {
 			t.Words = append(t.Words, h.raw)
+			t.Ages = append(t.Ages, float64(time.Since(h.at).Milliseconds()))
 		}
 	}
 	w.mu.Unlock()
--- a/internal/fleet/watcher_test.go
+++ b/internal/fleet/watcher_test.go
@@ -53,6 +53,8 @@
 		{"spoilt", "word:", []json.RawMessage{good, json.RawMessage(`{"Form":1,"At":"x"}`)}, 1},
 		{"spoilt", "unexpected end", "{", 0},
 		{"spoilt", "invalid character", `{"Form":1,"Host":"there","Words":[{"Form":1,"Window":NaN}]}`, 0},
+		{"spoilt", "0 ages for 1 words", `{"Form":1,"Host":"there","Words":[{"Form":1}]}`, 0},
+		{"spoilt", "age of -5 ms", `{"Form":1,"Host":"there","Words":[{"Form":1}],"Ages":[-5]}`, 0},
 		{"version", "form 2 of words", `{"Form":2,"Words":[]}`, 0},
 		{"stranger", "and so does g0 of there", []json.RawMessage{good, told1(0, func(w *outlook.Word) {
 			w.Name, w.Life = "intruder", 99
@@ -66,7 +68,8 @@
 				_, _ = out.Write([]byte(text))
 				return
 			}
-			_ = json.NewEncoder(out).Encode(told{wordsForm, "there", c.answer.([]json.RawMessage)})
+			all := c.answer.([]json.RawMessage)
+			_ = json.NewEncoder(out).Encode(told{wordsForm, "there", all, make([]float64, len(all))})
 		}))
 		var log bytes.Buffer
 		d := &Daemon{log: zerolog.New(&log), fleet: &Fleet{Name: "here", Hall: "west", Looks: usualLooks()}}
@@ -94,7 +97,7 @@
 func TestOwnWords(t *testing.T) {
 	s := httptest.NewServer(http.HandlerFunc(func(out http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/fleet/words" {
-			_ = json.NewEncoder(out).Encode(told{wordsForm, "there", []json.RawMessage{told1(2, nil)}})
+			_ = json.NewEncoder(out).Encode(told{wordsForm, "there", []json.RawMessage{told1(2, nil)}, []float64{40}})
 			return
 		}
 		_, _ = out.Write(told1(0, func(w *outlook.Word) { w.Host = "here" }))
--- a/internal/outlook/fleet.go
+++ b/internal/outlook/fleet.go
@@ -155,6 +155,12 @@
 			}
 		}
 	}
+	for x, name := range f.names {
+		if f.keepers[x] > 0 && f.workers[x] == 0 {
+			f.unknown = append(f.unknown, fmt.Sprintf("hall %s: gatekeepers stand there and no worker does; is it "+
+				"named as discovery names it?", name))
+		}
+	}
 	f.ways()
 	f.work(pace, busy)
 	f.reach()
--- a/internal/outlook/outlook_test.go
+++ b/internal/outlook/outlook_test.go
@@ -180,6 +180,12 @@
 		!strings.Contains(o.Unknown[0], "worker_cores") || o.Now.Halls[0].Use != -1 {
 		t.Errorf("without cores: %v, %d losses", o.Unknown, len(o.Losses))
 	}
+	all = words(9, 0.5)
+	all[0].Hall = "eest"
+	if o := Project(all, rules()); len(o.Unknown) != 1 || !strings.Contains(o.Unknown[0], "hall eest") ||
+		len(o.Losses) == 0 {
+		t.Errorf("a hall that no worker stands in: %v", o.Unknown)
+	}
 	if o := Project(nil, r); len(o.Unknown) != 1 {
 		t.Errorf("without words: %v", o)
 	}
