--- a/internal/fleet/outlook.go
+++ b/internal/fleet/outlook.go
@@ -262,7 +262,8 @@
 			w.refuse(at, "spoilt", fmt.Errorf("a word of an age of %v ms", t.Ages[i]))
 			continue
 		}
-		w.hear(at, one, time.Duration(t.Ages[i]*float64(time.Millisecond)), false, func(*outlook.Word) error { return nil })
+		age := time.Duration(t.Ages[i] * float64(time.Millisecond))
+		w.hear(at, one, age, false, func(*outlook.Word) error { return nil })
 	}
 	return nil
 }
