--- a/internal/lifecycle/agree_test.go
+++ b/internal/lifecycle/agree_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
@@ -14,6 +15,7 @@
 
 	"willowdeck/internal/accord"
 	"willowdeck/internal/config"
+	"willowdeck/internal/wire"
 	"willowdeck/internal/wire/roster"
 	"willowdeck/logic"
 )
@@ -301,6 +303,10 @@
 // nothing passes under its ceilings.
 func TestMembersByRules(t *testing.T) {
 	d, x := agreed(t, 1)
+	// Guards against messages that outgrow a datagram once rules are gone by, as their word was forgotten.
+	if n := d.gk.agreed.wide.ReportsPerTell; n != wire.Room {
+		t.Errorf("%d reports to a message, where there is room for %d", n, wire.Room)
+	}
 	r := rules(1000, 1000)
 	x.leases(1, r, true)
 	d.mode(accord.Leased)
@@ -355,6 +361,71 @@
 	}
 }
 
+// Where rules are agreed on, a copy of quotas is gone by with the first lease, and not before, if it names
+// the version of that lease; else nothing is recalled. Guards against quotas as they were by other rules, or
+// while the former life was cut off, and against a copy that is dropped as the rules are not known yet.
+func TestRecallUnderAgreement(t *testing.T) {
+	leased := func(x *daemon, version uint64, d *deployment) {
+		x.leases(version, rules(1000, 1000), true)
+		d.mode(accord.Leased)
+	}
+	for _, c := range []struct {
+		name     string
+		version  uint64 // of the later life's first lease
+		cut, met bool   // the former was cut off; the customer comes before the lease
+		recalled int64
+		says     string
+	}{
+		{"the same version", 1, false, false, 1, "429 Too Many Requests"},
+		{"another version", 2, false, false, 0, "200 OK"},
+		{"cut off", 1, true, false, 0, "200 OK"},
+		{"known by then", 1, false, true, 0, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			x, path := newDaemon(t), filepath.Join(t.TempDir(), "residue")
+			life := func() *deployment {
+				x.answers(silent)
+				return deployWith(t, func(conf *config.Gatekeeper) {
+					conf.Agree, conf.Tells, conf.Residue, conf.Recall = x.at, true, path, true
+				}, 1, 5000)
+			}
+			of := func(d *deployment) string {
+				status, _ := d.ask(strings.NewReplacer("basic", "tiny", "b4d65521", "b4d65530").
+					Replace(check("/check", fmt.Sprint("r", serial.Add(1)))))
+				return strings.TrimPrefix(status, "HTTP/1.1 ")
+			}
+			d := life()
+			leased(x, 1, d)
+			if s := of(d); s != "200 OK" {
+				t.Fatalf("a first start: %q", s)
+			}
+			if c.cut {
+				x.answers(silent)
+				d.mode(accord.CutOff)
+			}
+			n := d.gk.desk.Copies().Written.Load()
+			until(t, "no copies are written", func() bool { return d.gk.desk.Copies().Written.Load() > n+1 })
+			d.gk.limit.Close() // as at a sudden end
+			d.gk.desk.Stop()
+			close(d.gk.over)
+
+			d = life()
+			t.Cleanup(func() { close(d.gk.over) })
+			if c.met {
+				of(d)
+			}
+			if n := d.figure("copies.recalled"); n > 0 {
+				t.Errorf("%d recalled before there are rules", n)
+			}
+			leased(x, c.version, d)
+			s, n := of(d), d.figure("copies.recalled")
+			if n != c.recalled || c.says != "" && s != c.says || d.gk.copied.Load() != nil {
+				t.Errorf("%q, %d recalled", s, n)
+			}
+		})
+	}
+}
+
 // Without agreement no submission names rules, and no figure speaks of them.
 func TestWithoutAgreement(t *testing.T) {
 	d := deploy(t, 1, 5000)
