--- a/internal/emu/gatekeeper.go
+++ b/internal/emu/gatekeeper.go
@@ -5,6 +5,7 @@
 	"math/rand"
 
 	"willowdeck/internal/judge"
+	"willowdeck/internal/outlook"
 	"willowdeck/logic"
 )
 
@@ -22,7 +23,12 @@
 	txns    map[uint64]*txn
 	wakeAt  float64
 	told    []told        // by worker: what it knows of the list
+	lender  *lender       // nil where no plan has credit
 	left    *logic.Estate // what its former life knew, as far as it is kept
+	copied  logic.Estate  // the newest copy of what fades
+	heard   []int         // by peer: its life when it was last heard
+	known   []int         // the same as the newest copy has it
+	meter   *outlook.Meter
 }
 
 type told struct {
@@ -40,6 +46,7 @@
 	sent    int // submissions that were written: the judge knows of no others
 	subs    []*submission
 	product int
+	came    float64
 }
 
 // submission is one copy of a txn on its way to a worker, there, or back.
@@ -63,6 +70,9 @@
 	g.up, g.held, g.pending = true, false, nil
 	g.txns, g.wakeAt = map[uint64]*txn{}, 0
 	g.brain = g.w.newBrain(g.num, g.source.Int63())
+	if m, ok := g.brain.(*logic.Gatekeeper); ok {
+		g.lend(m)
+	}
 	g.told = make([]told, len(g.w.workers))
 	var list []logic.Posting
 	for i, x := range g.w.workers {
@@ -78,8 +88,29 @@
 		m.Resume(g.keep(*g.left))
 		m.Alone()
 		m.Roster(list, true) // its window, where that is not kept
+		if what := g.w.s.Gatekeepers.Keeps; what&KeepCopies != 0 && what&KeepQuotas == 0 {
+			g.w.res.Recalled += int64(m.Recollect(g.copied, what&KeepReturns != 0))
+		}
 	}
 	g.left = nil
+	g.heard = make([]int, g.w.s.Gatekeepers.Count)
+	copy(g.heard, g.known)
+}
+
+// copies has the gatekeeper take a copy of what fades now and then, each at its own times, as long as it
+// lives.
+func (g *gatekeeper) copies() {
+	_, phase := math.Modf(float64(g.num) * math.Phi)
+	var again func()
+	again = func() {
+		if m, ok := g.brain.(*logic.Gatekeeper); ok && g.up && !g.held {
+			for from := m.Copy(&g.copied, 0, g.w.now); from > 0; from = m.Copy(&g.copied, from, g.w.now) {
+			}
+			g.known = append(g.known[:0], g.heard...)
+		}
+		g.w.in(logic.CopyEach, again)
+	}
+	g.w.in(phase*logic.CopyEach, again)
 }
 
 // period is about the time within which a newcomer first speaks to its peers, ms: 400, or what they take in.
@@ -94,24 +125,26 @@
 	KeepQuotas               // levels of slices and stores, demand, and what peers said
 	KeepWorkers              // their standing, paces and used turns
 	KeepPressure             // window, pace and pressure
+	KeepCopies               // quotas as a copy has them that is up to 100 ms old: what the program does
+	KeepReturns              // no knowledge: peers learn that it has returned, as instances of a host do
 )
 
 // keep is what is left of an estate as a new life begins.
 func (g *gatekeeper) keep(e logic.Estate) logic.Estate {
 	what := g.w.s.Gatekeepers.Keeps
 	if what&KeepQuotas == 0 {
-		started := g.w.now
+		started := g.w.clock()
 		if what&KeepCeilings != 0 {
 			started = e.Started // ceilings of customers that it does not know are full
 		}
-		e.Started, e.Base = g.w.now, started
+		e.Started, e.Base = g.w.clock(), started
 		for i := range e.Peers {
 			e.Peers[i] = logic.Hearing{}
 		}
 		for i := range e.Tight { // as at a start
 			e.Tight[i] = 1
 		}
-		e.NextTell = g.w.now + g.w.s.period()*g.source.Float64()
+		e.NextTell = g.w.clock() + g.w.s.period()*g.source.Float64()
 	}
 	var customers []logic.Customer
 	for _, c := range e.Customers {
@@ -123,7 +156,7 @@
 				Filled: e.At, Seen: e.At, CoolSince: e.At}
 		case what&KeepCeilings == 0:
 			if p := g.w.s.Plans[c.Plan]; p.Ceiling > 0 { // taken as spent, as at any start
-				c.CeilingAt = g.w.now + p.CeilingDepth/p.Ceiling*1000
+				c.CeilingAt = g.w.clock() + p.CeilingDepth/p.Ceiling*1000
 			}
 		}
 		customers = append(customers, c)
@@ -147,7 +180,7 @@
 	}
 	g.up = false
 	if m, ok := g.brain.(*logic.Gatekeeper); ok && g.w.s.Gatekeepers.Keeps > 0 {
-		m.Clock(g.w.now)
+		m.Clock(g.w.clock())
 		e := m.Retire()
 		g.left = &e
 	}
@@ -185,10 +218,15 @@
 		g.pending = append(g.pending, func() { g.input(f) })
 		return
 	}
-	g.brain.Clock(g.w.now)
+	g.brain.Clock(g.w.clock())
 	f(g.brain)
+	m, lends := g.brain.(*logic.Gatekeeper)
+	lends = lends && g.lender != nil
 	for {
 		d, ok := g.brain.Next()
+		if lends {
+			g.lender.settle(m)
+		}
 		if !ok {
 			return
 		}
@@ -216,7 +254,8 @@
 		return
 	}
 	w.ids++
-	t := &txn{c: c, id: w.ids, until: until, product: c.a.Product}
+	t := &txn{c: c, id: w.ids, until: until, product: c.a.Product, came: w.now}
+	g.meter.Asked(c.a.Plan, c.a.Product, c.a.Units)
 	g.txns[t.id] = t
 	life := g.life
 	w.judge.Taken(w.now, g.num, t.id, c.a.Product, c.a.Plan, c.a.Customer, c.a.Units, until)
@@ -225,6 +264,7 @@
 			t.final = true // it stands still: the client goes, and is owed nothing that it could get
 			w.judge.Left(t.id)
 			w.res.Silent++
+			g.meter.Ended(c.a.Plan, c.a.Product, outlook.Other, 0)
 			c.answered(silent, 0)
 			g.input(func(b brain) { b.Left(t.id) })
 			g.drop(t)
@@ -244,6 +284,7 @@
 	w := g.w
 	switch d.Kind {
 	case logic.Wake:
+		d.At -= dawn
 		if g.wakeAt > w.now && g.wakeAt <= d.At {
 			return
 		}
@@ -287,10 +328,26 @@
 	w.res.Messages++
 	to := w.gks[d.Peer]
 	lost := w.net.Float64() < w.s.Network.PeerLoss
-	if delay := w.draw(w.s.Network.PeerMS); !lost && !g.cut && !to.cut {
+	if delay := w.draw(w.s.Network.PeerMS); !lost && !g.cut && !to.cut &&
+		w.joined(w.s.hall(g.num), w.s.hall(to.num)) {
 		reports, from := append([]logic.Report(nil), d.Reports...), g.num
-		w.in(delay, func() { to.input(func(b brain) { b.Hear(from, reports) }) })
+		life := g.life
+		w.in(delay, func() { to.input(func(b brain) { to.hears(b, from, life, reports) }) })
+	}
+}
+
+// hears takes a peer's message.
+func (g *gatekeeper) hears(b brain, from, life int, reports []logic.Report) {
+	if g.w.s.Gatekeepers.Keeps&KeepReturns != 0 {
+		if life < g.heard[from] {
+			return
+		}
+		if m, ok := b.(*logic.Gatekeeper); ok && g.heard[from] > 0 && life > g.heard[from] {
+			m.Returned(from)
+		}
+		g.heard[from] = life
 	}
+	b.Hear(from, reports)
 }
 
 // final gives a txn's client its answer.
@@ -300,10 +357,14 @@
 		return
 	}
 	t.final = true
+	g.meter.Ended(t.c.a.Plan, t.product, ends[k], g.w.now-t.came)
 	g.w.in(g.w.draw(g.w.s.Network.ClientMS), func() { t.c.answered(k, wait) })
 	g.drop(t)
 }
 
+var ends = map[answerKind]outlook.Final{settled: outlook.Settled, declined: outlook.Declined,
+	voided: outlook.Voided}
+
 // drop forgets a txn of which nothing more can come.
 func (g *gatekeeper) drop(t *txn) {
 	if t.final && t.out == 0 {
@@ -329,8 +390,14 @@
 			g.ended(s, logic.TimedOut, proof)
 		}
 	})
-	w.in(w.draw(w.s.Network.WorkerMS), func() { // its connection has come up, or not
+	w.in(w.way(g, x), func() { // its connection has come up, or not
 		switch {
+		case !s.over && g.life == s.life && g.up && !w.reach(g, x):
+			w.in(connects, func() {
+				if !s.over && g.life == s.life && g.up {
+					g.ended(s, logic.NoRoute, judge.NeverRan)
+				}
+			})
 		case s.over || g.life != s.life || !g.up:
 		case t.final || !w.s.blind && (!g.told[x.at].active || g.told[x.at].life != s.wlife):
 			g.ended(s, logic.NotSent, judge.NeverRan)
@@ -342,15 +409,21 @@
 			w.res.Submissions++
 			w.judge.Sent(w.now, g.num, t.id, x.at)
 			x.coming++
-			w.in(w.draw(w.s.Network.WorkerMS), func() { x.take(s) })
+			w.in(w.way(g, x), func() { x.take(s) })
 		}
 	})
 }
 
+// connects is how long a gatekeeper waits for a connection that does not come up, ms, as the program does.
+const connects = 250
+
 // answer brings a worker's answer back.
 func (s *submission) answer(o logic.Outcome, proof judge.End) {
 	w := s.g.w
-	w.in(w.draw(w.s.Network.WorkerMS), func() {
+	if !w.reach(s.g, s.worker) {
+		return
+	}
+	w.in(w.way(s.g, s.worker), func() {
 		if s.g.life == s.life && s.g.up && !s.over {
 			s.g.ended(s, o, proof)
 		}
@@ -377,10 +450,12 @@
 
 func (g *gatekeeper) learn(s *submission, o logic.Outcome) {
 	t := s.t
+	over := t.final
 	if o == logic.Settled && !t.final {
 		g.final(t, judge.Settled, settled, 0)
 	}
 	took, closed := g.w.now-s.began, t.final
+	g.meter.Answered(g.w.s.hall(s.worker.at), t.product, o, took, over)
 	g.input(func(b brain) { b.Ended(t.id, s.n, o, took, closed) })
 	g.drop(t)
 }
--- a/internal/emu/result.go
+++ b/internal/emu/result.go
@@ -23,12 +23,15 @@
 	Declined, Voided int64   // tries
 	Failed           int64   // txns given up by their clients
 	Lost, Crashed    int64   // tries that found no gatekeeper, and those of them that died with it
+	Recalled         int64   // customers of copies that returned gatekeepers went by
 	Silent           int64   // tries left by their clients while a gatekeeper stood still
 	Submissions      int64
 	Full             int64 // turned away by a worker
 	OverUnits        float64
-	Messages         int64 // to peers
-	Stray            int64 // decisions on txns that are not in hand
+	Messages         int64 // to peers, but for those of credit
+	CreditMessages   int64
+	Lent, RepaidLate float64 // units borrowed, and paid back after their time
+	Stray            int64   // decisions on txns that are not in hand
 	Events           int64
 	Mean             float64
 	P50, P99, P999   float64 // ms from the moment the client meant to send
@@ -65,9 +68,11 @@
 
 // Second is what became of the txns that were meant to be sent in one second.
 type Second struct {
-	At, Settled int
-	P99, Most   float64
-	hist        *hdrhistogram.Histogram
+	At, Settled     int
+	P99, Most       float64
+	Offered, Served float64   // values
+	Ran             []float64 // txns run in it, by hall of worker
+	hist            *hdrhistogram.Histogram
 }
 
 func newResult(s *Scenario, seed int64) *Result {
@@ -99,6 +104,7 @@
 // finish reckons what is known at the end only.
 func (w *world) finish() {
 	r := w.res
+	w.lent()
 	if r.Offered > 0 {
 		r.Score = r.Served / r.Offered
 	}
--- a/internal/gate/desk.go
+++ b/internal/gate/desk.go
@@ -2,11 +2,14 @@
 
 import (
 	"math"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"willowdeck/internal/held"
+	"willowdeck/internal/history"
+	"willowdeck/internal/outlook"
 	"willowdeck/internal/residue"
 	"willowdeck/internal/wire"
 	"willowdeck/internal/wire/gossip"
@@ -44,6 +47,16 @@
 	ready atomic.Bool
 	pool  atomic.Pointer[logic.Tally] // a copy for those who must not wait
 
+	record *record     // nil where none is kept
+	terms  *held.Terms // under the lock; nil where no rules are agreed on
+	under  uint64      // the last version that was gone by
+
+	charter  logic.Charter // in force, under the lock
+	charters int           // how many there have been
+
+	recalled atomic.Int64
+	knows    uint64 // the version of the rules by which a former life spent what is remembered here; 0 none
+
 	mu      sync.Mutex
 	gk      *logic.Gatekeeper
 	timer   *time.Timer
@@ -53,6 +66,11 @@
 	speech  []speech
 	waiting []waiting     // of the wake's goroutine
 	residue *residue.File // nil where none is kept
+	lending *lending      // nil where nothing is lent
+	left    bool          // another process goes on
+	copies  Copies
+	meter   *outlook.Meter
+	sight   logic.Sight
 }
 
 // waiting is a txn whose client is looked at.
@@ -71,7 +89,7 @@
 // the idle connections to a worker.
 func NewDesk(c logic.Charter, seed int64, late float64, tell func(int, []byte), shed func(int)) *Desk {
 	d := &Desk{clock: newClock(), tell: tell, shed: shed, subs: max(c.MaxSubmissions, 1), late: late,
-		gk: logic.New(c, seed), txns: map[uint64]*held.Txn{}}
+		gk: logic.New(c, seed), charter: c, charters: 1, txns: map[uint64]*held.Txn{}}
 	d.timer, d.stop = time.NewTimer(time.Hour), make(chan struct{})
 	go d.wake()
 	return d
@@ -86,6 +104,7 @@
 		d.residue.Close()
 		d.residue = nil
 	}
+	d.endLending()
 }
 
 // Now is the desk's time, Unix ms.
@@ -118,6 +137,7 @@
 // Roster takes discovery's news.
 func (d *Desk) Roster(l roster.List) {
 	d.enter()
+	d.record.roster(l)
 	list, ended := d.workers.Update(l, d.gk.Vacant)
 	d.ready.Store(d.workers.Active())
 	d.gk.Roster(list, !l.Whole)
@@ -131,7 +151,9 @@
 func (d *Desk) Retire() (e logic.Estate, workers, kinds map[int]string) {
 	d.enter()
 	d.void()
+	d.left = true
 	e = d.gk.Retire()
+	d.endLending()
 	workers, kinds = d.workers.Names()
 	d.leave()
 	return e, workers, kinds
@@ -141,8 +163,12 @@
 // nil is nothing.
 func (d *Desk) Leave(f *residue.File, left *logic.Residue) {
 	d.enter()
-	if left != nil {
+	if left != nil && (d.under == 0 || d.under == f.Rules()) { // else it is of other ceilings
 		d.gk.Remember(*left)
+		d.knows = f.Rules()
+	}
+	if d.under > 0 {
+		f.By(d.under)
 	}
 	base, spent := d.gk.Residue()
 	f.Inherit(base, spent, d.clock.now())
@@ -166,10 +192,74 @@
 	d.leave()
 }
 
+// Record has what is acted on and sent written down. To be called before the first txn.
+func (d *Desk) Record(r history.Recorder) { d.record = &record{to: r, told: map[string]bool{}} }
+
+// Govern has the module go by a charter for as long as some terms hold, in place of those before, which end.
+// Where the time of these runs out and nothing has come in their place, nothing passes under a ceiling. It is
+// false, and nothing changes, where the charter differs in what may not change.
+func (d *Desk) Govern(t *held.Terms, c logic.Charter) bool {
+	d.mu.Lock()
+	d.gk.Clock(d.clock.now())
+	taken := d.govern(t, c)
+	d.leave()
+	return taken
+}
+
+func (d *Desk) govern(t *held.Terms, c logic.Charter) bool {
+	d.record.acts(t)
+	if !d.gk.Recharter(c) {
+		return false
+	}
+	if d.lending != nil {
+		d.lending.relend(&c)
+	}
+	if d.terms != nil {
+		d.terms.End()
+	}
+	d.terms, d.charter = t, c
+	d.charters++
+	if t.Version > 0 {
+		d.under = t.Version
+	}
+	if d.residue != nil { // what it says is reckoned by the ceilings
+		d.residue.By(d.under)
+		base, spent := d.gk.Residue()
+		d.residue.Inherit(base, spent, d.clock.now())
+	}
+	return true
+}
+
+// Knows gives the version of the rules by which a former life spent what is remembered of it; 0 where nothing
+// is, or no rules were agreed on.
+func (d *Desk) Knows() uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.knows
+}
+
+// lapse has the module act on nothing whose time has run out. What comes in its place is told soon.
+func (d *Desk) lapse() {
+	if d.terms.Holds() {
+		return
+	}
+	c := d.charter
+	c.Narrow, c.Plans = true, slices.Clone(c.Plans)
+	for i := range c.Plans {
+		c.Plans[i].Withheld = 1
+	}
+	d.govern(held.NewTerms(0, history.Bare, math.MaxInt64), c)
+}
+
 // Resize tells the module how many gatekeepers there are from now on.
 func (d *Desk) Resize(n int) {
 	d.enter()
 	d.gk.Resize(n)
+	d.charter.Gatekeepers = n
+	d.charters++
+	if d.lending != nil {
+		d.lending.book.Resize(n)
+	}
 	d.leave()
 }
 
@@ -180,12 +270,22 @@
 	d.leave()
 }
 
+// Another tells the module that a peer is another now, which knows nothing.
+func (d *Desk) Another(peer int) {
+	d.enter()
+	d.gk.Returned(peer)
+	d.leave()
+}
+
 // Hear takes a peer's reports, the first of a new life if it has returned.
 func (d *Desk) Hear(from int, reports []logic.Report, returned bool) {
 	d.enter()
 	if returned {
 		d.gk.Returned(from)
 	}
+	if d.charter.Narrow { // it is there, and what it says is not gone by
+		reports = nil
+	}
 	d.gk.Hear(from, reports)
 	d.leave()
 }
@@ -240,7 +340,7 @@
 // take gives a txn to the module. What is decided on it comes to its box.
 func (d *Desk) take(t *wire.Txn) *held.Txn {
 	now := d.enter()
-	h := d.hold(&t.Arrival, t.Gone)
+	h := d.hold(&t.Arrival, t.Gone, now)
 	h.Expiry = expiry(t, now)
 	d.gk.Take(t.Arrival)
 	d.leave()
@@ -248,11 +348,12 @@
 }
 
 // hold makes a txn, under the lock. Until it has come it has no expiry.
-func (d *Desk) hold(a *logic.Arrival, gone func() bool) *held.Txn {
+func (d *Desk) hold(a *logic.Arrival, gone func() bool, now float64) *held.Txn {
 	d.last++
 	a.ID = d.last
 	h := held.NewTxn(a.ID, math.Inf(1), gone, d.subs)
-	h.Of, h.Plan = a.Customer, a.Plan
+	h.Of, h.Plan, h.Kind, h.Came = a.Customer, a.Plan, a.Product, now
+	d.meter.Asked(a.Plan, a.Product, a.Units)
 	d.txns[a.ID] = h
 	return h
 }
@@ -269,8 +370,8 @@
 func (d *Desk) clear(t *wire.Txn, life float64) (*held.Txn, bool) {
 	a := t.Arrival
 	a.Clears = life
-	d.enter()
-	h := d.hold(&a, t.Gone)
+	now := d.enter()
+	h := d.hold(&a, t.Gone, now)
 	d.gk.Take(a)
 	d.leave()
 	return h, h.Clear
@@ -279,8 +380,8 @@
 // cleared takes a clearance over that another process has given, for so many ms more.
 func (d *Desk) cleared(a logic.Arrival, life float64) *held.Txn {
 	a.Clears = life
-	d.enter()
-	h := d.hold(&a, func() bool { return false })
+	now := d.enter()
+	h := d.hold(&a, func() bool { return false }, now)
 	h.Clear = true
 	d.gk.Cleared(a)
 	d.leave()
@@ -292,7 +393,7 @@
 	now := d.enter()
 	known := !h.Final && d.gk.Claim(h.ID, t.Left, t.Streams)
 	if known {
-		t.ID, h.Expiry, h.Gone = h.ID, expiry(t, now), t.Gone
+		t.ID, h.Expiry, h.Gone, h.Came = h.ID, expiry(t, now), t.Gone, now
 	}
 	d.leave()
 	return known
@@ -304,6 +405,7 @@
 	if !h.Final {
 		d.gk.Release(h.ID)
 		h.Final = true
+		d.meter.Ended(h.Plan, h.Kind, outlook.Other, 0)
 		d.forget(h)
 	}
 	d.leave()
@@ -350,8 +452,10 @@
 // ended tells the module how a submission ended. The first answer of a worker settles the txn.
 func (d *Desk) ended(h *held.Txn, n, worker int, a *wire.Answer, took float64) {
 	now := d.enter()
+	d.meter.Answered(d.workers.Zone(worker), h.Kind, a.Outcome, took, h.Final)
 	if a.Heard {
 		d.gk.Burden(worker, a.Load)
+		d.meter.Said(d.workers.Zone(worker), a.Load)
 	}
 	if a.Outcome == logic.Settled && !h.Final {
 		d.finish(h, held.Word{Answer: a}, now)
@@ -362,18 +466,76 @@
 	d.leave()
 }
 
+// recall tells the module that a submission was never sent, as what it was decided by had run out.
+func (d *Desk) recall(h *held.Txn, n int) {
+	d.enter()
+	if d.gk.Recall(h.ID, n) {
+		h.Subs = h.Subs[:n]
+	} else {
+		d.gk.Ended(h.ID, n, logic.NotSent, 0, h.Final)
+	}
+	h.Out--
+	d.recalled.Add(1)
+	d.forget(h)
+	d.leave()
+}
+
+// Recalled tells how many submissions were not sent as what they were decided by had run out.
+func (d *Desk) Recalled() int64 { return d.recalled.Load() }
+
 // finish gives a txn its final answer. Guards against a submission whose connection is still coming up:
 // nothing is sent for a txn after that, also where submissions may not be withdrawn.
 func (d *Desk) finish(h *held.Txn, w held.Word, now float64) {
 	held.Must(!h.Final, held.OneFinal)
 	held.Must(now <= h.Expiry+d.late, held.InTime)
 	h.Final = true
+	d.meter.Ended(h.Plan, h.Kind, endOf(w), now-h.Came)
 	for _, s := range h.Subs {
 		s.Bar()
 	}
 	h.Box <- w
 }
 
+// endOf tells a final answer's kind for the meter.
+func endOf(w held.Word) outlook.Final {
+	switch {
+	case w.Answer != nil:
+		return outlook.Settled
+	case w.Decision.Kind == logic.Decline:
+		return outlook.Declined
+	}
+	return outlook.Voided
+}
+
+// Measure has a meter count from here on what a word of this gatekeeper tells. It is to come before any txn.
+func (d *Desk) Measure(m *outlook.Meter) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.meter = m
+}
+
+// Speak fills in a word what the meter and the module have seen. Its caller is alone in that; txns come in
+// between.
+func (d *Desk) Speak(w *outlook.Word) {
+	for at := d.look(0); at > 0; {
+		at = d.look(at)
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now, t := d.clock.now(), d.gk.Tally()
+	d.meter.Mark(now, &t)
+	d.meter.Tell(w, now, &t, &d.sight, d.workers.ZoneName)
+	if d.lending != nil {
+		d.lending.book.Plans(w.Lent)
+	}
+}
+
+func (d *Desk) look(from int) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.gk.Look(&d.sight, from)
+}
+
 // forget drops a txn of which nothing more can come.
 func (d *Desk) forget(h *held.Txn) {
 	if h.Final && h.Out == 0 {
@@ -386,6 +548,9 @@
 	d.mu.Lock()
 	now := d.clock.now()
 	d.gk.Clock(now)
+	if d.terms != nil {
+		d.lapse()
+	}
 	return now
 }
 
@@ -397,8 +562,14 @@
 		if !ok {
 			break
 		}
+		if d.lending != nil { // what was drawn for it is kept before it is carried out
+			d.settle()
+		}
 		d.carry(v)
 	}
+	if d.lending != nil {
+		d.settle()
+	}
 	speech := d.speech
 	d.speech = nil
 	d.mu.Unlock()
@@ -436,7 +607,7 @@
 		if d.residue != nil && v.Full > 0 { // before it can go out
 			d.residue.Spend(h.Of, h.Plan, v.Full, d.clock.now())
 		}
-		h.Box <- held.Word{Decision: v, To: d.workers.Life(v.Worker), Sub: s}
+		h.Box <- held.Word{Decision: v, To: d.workers.Life(v.Worker), Sub: s, By: d.terms}
 	case logic.Decline, logic.Void:
 		d.finish(h, held.Word{Decision: v}, d.clock.now())
 		d.forget(h)
--- a/internal/lifecycle/start.go
+++ b/internal/lifecycle/start.go
@@ -3,8 +3,12 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"math"
 	"math/rand"
+	"os"
+	"path/filepath"
 	"runtime"
 	"runtime/debug"
 	"sync"
@@ -16,6 +20,8 @@
 	"willowdeck/internal/config"
 	"willowdeck/internal/gate"
 	"willowdeck/internal/handover"
+	"willowdeck/internal/history"
+	"willowdeck/internal/inventory"
 	"willowdeck/internal/member"
 	"willowdeck/internal/ops"
 	"willowdeck/internal/portal"
@@ -52,9 +58,19 @@
 	list    *warm.Book
 	portal  *portal.Portal // nil where portals do not ask
 	vouch   *vouch.Voucher // nil where no auth service is asked
+	spoilt  atomic.Int64   // copies of a former life that could not be gone by
+	asking  atomic.Bool    // others are asked for their list
+	agreed  *agreement     // nil where no rules are agreed on
+	history *history.Log   // nil where no record is kept
 	said    time.Time      // when the log last told that the watch had ended
+	word    *speaker       // nil where no word is told
 	first   chan struct{}  // closed at the watch's first word or failure
 	once    sync.Once      // of that
+	lends   atomic.Bool    // credit is, or can't be
+	away    atomic.Bool    // its place is another process's, still or from here on
+
+	copied   atomic.Pointer[inventory.Left] // a former life's, until it is known which rules are in force
+	agreedOn atomic.Pointer[[]logic.Plan]   // as rules that were adopted last have them; nil before any
 }
 
 // Start brings a gatekeeper up: when it returns, clients are served.
@@ -79,8 +95,7 @@
 	if len(c.Peers) > 0 {
 		g.peers = wire.NewPeers(c.Peers, c.Charter.Me)
 		tell = g.peers.Tell
-		if c.Tells { // among instances of one host, that may say more to each other than the platform's
-			c.Charter.ReportsPerTell = min(c.Charter.ReportsPerTell, wire.Room)
+		if c.Charter = spoken(c); c.Tells {
 			g.peers.Bear(member.Word{Incarnation: residue.Uptime()})
 		}
 	}
@@ -88,6 +103,13 @@
 	if err != nil {
 		return nil, err
 	}
+	if c.History != "" {
+		path := filepath.Join(c.History, fmt.Sprintf("%s.%d.jsonl", c.Name, os.Getpid()))
+		if g.history, err = history.Open(path, c.Name, residue.Uptime()); err != nil {
+			_ = l.Close()
+			return nil, err
+		}
+	}
 	var before *handover.Heir
 	if c.Scratch != "" {
 		if before, err = handover.Find(handover.Path(c.Scratch, c.Name), c.Name); err != nil {
@@ -101,12 +123,23 @@
 		}
 	}
 	g.desk = gate.NewDesk(c.Charter, c.Seed, c.Lines.AnswerSlack+socketSlack, tell, g.links.Shed)
+	if c.Hall != "" && c.Control != "" {
+		g.word = g.teller()
+	}
+	if g.history != nil {
+		g.desk.Record(g.history)
+	}
 	g.desk.Roster(c.Known)
 	g.list = warm.NewBook(c.Known)
 	g.members.Store(int64(c.Charter.Gatekeepers))
 	g.front = wire.NewFront(c.Names, c.Charter, g.forward(gate.New(g.desk, g.links)), g.up)
 	g.front.Nameless = g.vouch != nil && c.Forward.Asking.Customer != ""
 
+	g.away.Store(true) // until what was before it is known
+	if c.Agree != "" {
+		g.agree()
+	}
+
 	g.limit = wire.Limit(l, int(spare*logic.ClientPart))
 	if err = nil; g.portal != nil && before == nil {
 		err = g.portal.Bind()
@@ -125,11 +158,11 @@
 		return nil, err
 	}
 	if g.port != nil {
-		go ops.Every(g.over, g.desk.Look)
+		go ops.Every(g.over, g.look)
 	}
 	g.At = l.Addr().String()
 	g.watch(c.Known.Version, logic.WatchDue)
-	if len(c.Ask) > 0 {
+	if len(c.Ask) > 0 && g.asking.CompareAndSwap(false, true) {
 		go g.ask(c.Ask, rand.New(rand.NewSource(c.Seed)))
 	}
 	if !c.Lines.ListAsked {
@@ -139,7 +172,7 @@
 	case before != nil:
 		go g.inherit(before)
 	default:
-		g.remember()
+		g.remember(true)
 		if g.peers != nil && g.peers.Bound() {
 			go g.peers.Hear(g.desk.Hear)
 		} else if g.peers != nil { // a process that can't be talked to has it still
@@ -147,13 +180,39 @@
 		}
 		g.serve()
 	}
+	if g.agreed != nil { // what a former life has left is known by now
+		go g.agreed.run()
+	}
 	log.Info().Str("listen", g.At).Int("workers", len(c.Known.Workers)).Msg("serving")
 	return g, nil
 }
 
-// remember keeps what outlives a sudden end, and takes what one has left. Without it the gatekeeper starts as
-// ever.
-func (g *Gatekeeper) remember() {
+// look renews the copies that operators' calls are answered from.
+func (g *Gatekeeper) look() {
+	g.desk.Look()
+	if g.word != nil {
+		g.word.renew(g)
+	}
+}
+
+// spoken is the charter of a gatekeeper by what its messages hold: among instances of one host, that may say
+// more to each other than the platform's, a word takes some of their room.
+func spoken(c config.Gatekeeper) logic.Charter {
+	if c.Tells {
+		c.Charter.ReportsPerTell = min(c.Charter.ReportsPerTell, wire.Room)
+	}
+	return c.Charter
+}
+
+// remember keeps what outlives a sudden end, and takes what one has left; of what fades, only where it was
+// sudden. Without it the gatekeeper starts as ever.
+func (g *Gatekeeper) remember(sudden bool) {
+	g.away.Store(false)
+	plans := g.conf.Charter.Plans
+	if p := g.agreedOn.Load(); p != nil {
+		plans = *p
+	}
+	g.lend(plans)
 	if g.conf.Residue == "" {
 		return
 	}
@@ -167,6 +226,62 @@
 		g.log.Info().Int("ceilings", len(left.Ceilings)).Float64("base_s", (g.desk.Now()-left.Base)/1000).
 			Msg("remembering what a former life has spent")
 	}
+	if g.conf.Recall {
+		g.recall(sudden)
+	}
+}
+
+// recall keeps copies of what fades beside the residue, and takes that of a former life: at once, or where
+// rules are agreed on, with the first version of them that is gone by.
+func (g *Gatekeeper) recall(sudden bool) {
+	b, left, none, err := inventory.Open(g.conf.Residue+".inventory", g.desk.Now())
+	if err != nil {
+		g.log.Warn().Err(err).Msg("no copies of quotas and demand will be kept")
+		return
+	}
+	switch {
+	case !sudden:
+	case left == nil:
+		g.doubt(none)
+	default:
+		if g.copied.Store(left); g.agreed == nil || g.agreed.version.Load() > 0 {
+			g.recollect()
+		}
+	}
+	words := func(all []member.Word) []member.Word { return all[:0] }
+	if g.peers != nil {
+		words = g.peers.Heard
+	}
+	g.desk.Copy(b, words)
+}
+
+// recollect goes by a former life's copy, if there is one, and it is of the charter in force.
+func (g *Gatekeeper) recollect() {
+	l := g.copied.Swap(nil)
+	if l == nil {
+		return
+	}
+	age := g.desk.Now() - l.Estate.At
+	n, fits := g.desk.Recollect(l, g.conf.Tells)
+	if !fits {
+		g.doubt(inventory.ErrCharter)
+		return
+	}
+	if n > 0 && g.peers != nil {
+		for _, i := range g.peers.Recall(l.Words) {
+			g.desk.Another(i)
+		}
+	}
+	g.log.Info().Int("customers", n).Int("of", len(l.Estate.Customers)).Float64("age_ms", age).
+		Msg("going by a copy of a former life's quotas and demand")
+}
+
+// doubt says why there is no copy to go by, and counts it where there was one.
+func (g *Gatekeeper) doubt(why error) {
+	if !errors.Is(why, inventory.ErrNone) {
+		g.spoilt.Add(1)
+	}
+	g.log.Info().AnErr("as", why).Msg("no copy of quotas and demand to go by")
 }
 
 // forward puts forward authentication before a gate, in the roles that are on: a txn that a portal has had
--- a/internal/lifecycle/warm.go
+++ b/internal/lifecycle/warm.go
@@ -8,6 +8,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"willowdeck/internal/accord"
 	"willowdeck/internal/ops"
 	"willowdeck/internal/warm"
 	"willowdeck/internal/wire"
@@ -24,6 +25,36 @@
 	}
 }
 
+// words takes the operators' words on workers and halls.
+func (g *Gatekeeper) words(all []accord.Word) {
+	g.lists.Lock()
+	defer g.lists.Unlock()
+	g.desk.Roster(g.list.Words(all))
+}
+
+// discovered gives the index of discovery's list that is known here; below nought where it has not spoken.
+func (g *Gatekeeper) discovered() int64 {
+	g.lists.Lock()
+	defer g.lists.Unlock()
+	if !g.list.Heard() {
+		return -1
+	}
+	return g.list.Version()
+}
+
+// lags takes the highest index of discovery's list that any instance has. Where this one has been behind it
+// for long, it asks the others.
+func (g *Gatekeeper) lags(highest int64) {
+	g.lists.Lock()
+	late := g.list.Lags(highest, g.desk.Now()) && g.list.Waits()
+	g.lists.Unlock()
+	if late && len(g.conf.Ask) > 0 && g.asking.CompareAndSwap(false, true) {
+		g.log.Warn().Int64("index", g.discovered()).Int64("highest", highest).
+			Msg("discovery lags here, asking others for the list")
+		go g.ask(g.conf.Ask, rand.New(rand.NewSource(g.conf.Seed)))
+	}
+}
+
 // Tells tells whether newcomers may ask here.
 func (g *Gatekeeper) Tells() bool { return g.conf.Tells }
 
@@ -43,6 +74,7 @@
 
 // ask asks running instances for their list until discovery has spoken. Nothing waits for it.
 func (g *Gatekeeper) ask(peers []string, rng *rand.Rand) {
+	defer g.asking.Store(false)
 	client := fasthttp.Client{MaxResponseBodySize: warm.LongestOf, MaxIdemponentCallAttempts: 1,
 		NoDefaultUserAgentHeader: true, ReadTimeout: wire.Millis(warm.AskWithin)}
 	for {
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -15,6 +15,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"willowdeck/internal/history"
 )
 
 // Fault is what a worker does for a while, instead of answering.
@@ -38,6 +40,7 @@
 	Target      string // path and query
 	At          time.Time
 	Ran         bool
+	Version     string // of the rules that it was sent by; empty where it names none
 }
 
 // Worker is a worker on loopback.
@@ -46,8 +49,13 @@
 	At   string
 
 	script
-	server *http.Server
-	got    []Got
+	// Record has what comes written down; to be set before anything does.
+	Record history.Recorder
+
+	server  *http.Server
+	got     []Got
+	serials map[string]uint64 // how often each txn has come
+	cores   chan struct{}     // nil where it runs all at once
 }
 
 // script is how a stand-in behaves now.
@@ -73,6 +81,13 @@
 	s.service = service
 }
 
+// Cores bounds how many txns it runs at once from now on; the others wait in turn.
+func (w *Worker) Cores(n int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cores = make(chan struct{}, n)
+}
+
 // play waits, or does what a fault does, and tells whether an answer is to follow. It ends at once where its
 // caller gives up.
 func play(f Fault, over <-chan struct{}, service time.Duration, out http.ResponseWriter,
@@ -117,7 +132,8 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &Worker{Name: name, At: l.Addr().String(), script: script{service: service, over: make(chan struct{})}}
+	w := &Worker{Name: name, At: l.Addr().String(), script: script{service: service, over: make(chan struct{})},
+		serials: map[string]uint64{}}
 	w.server = &http.Server{Handler: w}
 	go func() { _ = w.server.Serve(l) }()
 	return w, nil
@@ -145,8 +161,28 @@
 	product, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
 	w.mu.Lock()
 	fault, over, service := w.fault, w.over, w.service
-	w.got = append(w.got, Got{id, product, r.RequestURI, time.Now(), fault != Full && fault != Silent})
+	rules := r.Header.Get("X-Rules")
+	serial := w.serials[id]
+	w.serials[id]++
+	w.got = append(w.got, Got{id, product, r.RequestURI, time.Now(), fault != Full && fault != Silent, rules})
+	cores := w.cores
 	w.mu.Unlock()
+	if w.Record != nil {
+		version, _ := strconv.ParseUint(rules, 10, 64)
+		w.Record.Write(history.Event{Kind: history.Got, Txn: id, Worker: w.Name, Version: version,
+			Serial: serial})
+		if fault != Full && fault != Silent {
+			w.Record.Write(history.Event{Kind: history.Ran, Txn: id, Worker: w.Name, Serial: serial})
+		}
+	}
+	if cores != nil {
+		select {
+		case cores <- struct{}{}:
+			defer func() { <-cores }()
+		case <-r.Context().Done():
+			return
+		}
+	}
 	if play(fault, over, service, out, r) {
 		fmt.Fprintf(out, "done %s\n", id)
 	}
--- a/internal/wire/peers.go
+++ b/internal/wire/peers.go
@@ -9,8 +9,10 @@
 	"sync/atomic"
 	"syscall"
 
+	"willowdeck/internal/credit"
 	"willowdeck/internal/member"
 	"willowdeck/internal/wire/gossip"
+	"willowdeck/internal/wire/ledger"
 	"willowdeck/logic"
 )
 
@@ -21,6 +23,8 @@
 	me      int
 	dropped atomic.Int64
 
+	credit atomic.Pointer[func(int, member.Word, []credit.Entry)] // nil where none is lent
+
 	bears atomic.Bool   // messages bear a word
 	life  atomic.Uint32 // incarnation
 	said  atomic.Uint32 // messages of it so far
@@ -28,6 +32,21 @@
 	heard *member.Table
 }
 
+// Heard gives the last word of each peer in place of what is in all.
+func (p *Peers) Heard(all []member.Word) []member.Word {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.heard.Words(all, len(*p.to.Load()))
+}
+
+// Recall takes peers' words as a former life had heard them, and gives those that have returned since, and
+// were heard.
+func (p *Peers) Recall(all []member.Word) (returned []int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.heard.Recall(all)
+}
+
 // Room is how many reports fit a message that bears a word.
 const Room = gossip.Room - (wordBytes+7)/8
 
@@ -57,12 +76,22 @@
 	return p
 }
 
-// Among changes who the peers are; this one keeps its number.
-func (p *Peers) Among(peers []netip.AddrPort) {
+// Among changes who the peers are; this one keeps its number. It gives the numbers of those that are others
+// now than were there before.
+func (p *Peers) Among(peers []netip.AddrPort) (others []int) {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.heard.Keep(len(peers))
-	p.mu.Unlock()
+	if was := p.to.Load(); was != nil {
+		for i := range min(len(*was), len(peers)) {
+			if (*was)[i] != peers[i] && i != p.me {
+				p.heard.Forget(i)
+				others = append(others, i)
+			}
+		}
+	}
 	p.to.Store(&peers)
+	return others
 }
 
 // Bind takes peers' datagrams at an address.
@@ -99,11 +128,17 @@
 	}
 }
 
+// Credit has peers' words on credit be taken; until then they are dropped.
+func (p *Peers) Credit(take func(from int, w member.Word, entries []credit.Entry)) {
+	p.credit.Store(&take)
+}
+
 // Hear gives each peer's reports to take, until Close, and says which are the first of one that has returned.
 // What comes from elsewhere, makes no sense or is no news is dropped.
 func (p *Peers) Hear(take func(from int, reports []logic.Report, returned bool)) {
 	conn := p.conn.Load()
 	var reports []logic.Report
+	var entries []credit.Entry
 	buf := make([]byte, 2*gossip.Limit)
 	for {
 		n, from, err := conn.ReadFromUDPAddrPort(buf)
@@ -112,7 +147,13 @@
 		}
 		who, b := p.number(from), buf[:n]
 		word, bears := wordOf(&b)
-		reports, err = gossip.Decode(reports[:0], b)
+		lends := p.credit.Load()
+		if entries = entries[:0]; lends != nil && bears && len(b) > 0 && b[0] == ledger.Mark {
+			reports = reports[:0]
+			entries, err = ledger.Decode(entries, b)
+		} else {
+			reports, err = gossip.Decode(reports[:0], b)
+		}
 		verdict := member.News
 		if who >= 0 && err == nil && bears {
 			p.mu.Lock()
@@ -123,7 +164,12 @@
 			p.dropped.Add(1)
 			continue
 		}
-		take(who, reports, verdict == member.Returned)
+		if len(entries) == 0 || verdict == member.Returned {
+			take(who, reports, verdict == member.Returned)
+		}
+		if len(entries) > 0 {
+			(*lends)(who, word, entries)
+		}
 	}
 }
 
