--- a/internal/fleet/council_hard_test.go
+++ b/internal/fleet/council_hard_test.go
@@ -835,6 +835,9 @@
 			f := 0.1 + 0.9*rng.Float64()
 			r := x.ceilings(ceiling*f, depth*f)
 			h := x.hosts[rng.Intn(3)]
+			if all := faults.Instances(h.run()); len(all) > 0 {
+				x.hurts(all[rng.Intn(len(all))], rng)
+			}
 			if h.Running() {
 				h.write(r)
 				_ = h.Renew()
@@ -864,6 +867,24 @@
 	x.check(rules)
 }
 
+// hurts has an instance stand still for a while, or ends it, or lets it be.
+func (x *trial) hurts(i faults.Instance, rng *rand.Rand) {
+	switch still := time.Duration(100+rng.Intn(1500)) * time.Millisecond; rng.Intn(4) {
+	case 0:
+		if i.Stall() != nil {
+			return
+		}
+		x.rig.Write(history.Event{Kind: history.Stalls, Peer: i.Name})
+		time.Sleep(still)
+		x.rig.Write(history.Event{Kind: history.Wakes, Peer: i.Name})
+		_ = i.Resume()
+	case 1:
+		if i.Kill() == nil {
+			x.rig.Write(history.Event{Kind: history.Died, Peer: i.Name})
+		}
+	}
+}
+
 // known finds which of the wanted rules each version has, by its digest.
 func (x *trial) known(rules map[uint64]accord.Rules, wanted []accord.Rules) {
 	x.t.Helper()
