--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -39,6 +39,9 @@
 	Known     roster.List
 	Ask       []string // operators' ports of running instances, that a newcomer asks for their list
 	Tells     bool     // newcomers may ask this one for its list, at the operators' port
+	Hall      string   // where this gatekeeper stands; where it is said, its word is told at the operators' port
+	Host      string   // whose daemon keeps it
+	Group     string   // of those that share quotas; empty is told by their addresses
 	Residue   string   // the file that outlives a sudden end of this process; empty where none is kept
 	Agree     string   // HOST:PORT of the daemon that tells which rules are in force; empty where none
 	History   string   // the folder in which this process records what it does; empty where it does not
--- a/internal/emu/scenario.go
+++ b/internal/emu/scenario.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strings"
 
+	"willowdeck/internal/credit"
 	"willowdeck/internal/judge"
 	"willowdeck/internal/strict"
 	"willowdeck/internal/traffic"
@@ -57,6 +58,8 @@
 		Fee          float64 `toml:"excess_fee"`
 		Units        float64
 		Spread       int     // of its customers' sets; 0 is as for all
+		Credit       float64 `toml:"credit_s"` // of its rate that may be borrowed
+		Repay        float64 `toml:"repay_s"`  // until that is paid back
 		Skew         float64 // how unevenly txns come through a set, by Zipf's law
 	}
 	Workers struct {
@@ -76,7 +79,8 @@
 		WorkerMS float64 `toml:"worker_ms"`
 		PeerMS   float64 `toml:"peer_ms"`
 		PeerLoss float64 `toml:"peer_loss"`
-		ListMS   float64 `toml:"list_ms"` // within which news of the list reaches a gatekeeper
+		ListMS   float64 `toml:"list_ms"`   // within which news of the list reaches a gatekeeper
+		AcrossMS float64 `toml:"across_ms"` // more each way, between a gatekeeper and a worker of another hall
 	}
 	Clients struct {
 		Waits   float64 // of the SLA time
@@ -106,6 +110,7 @@
 	ToS    float64 `toml:"to_s"`
 	Part   float64 // of the workers or gatekeepers, rounded up
 	Factor float64 // slow: of the time; fail, lose: of the txns
+	Halls  []int   // hall, keepers, links: which; others: their workers or gatekeepers alone, in place of part
 }
 
 // FaultKinds are the faults there are, and what they do.
@@ -120,12 +125,16 @@
 	"stall":   "gatekeepers stand still",
 	"restart": "gatekeepers are killed, and start from nothing at the end",
 	"roll":    "gatekeepers are killed one after another over the span, and each starts again at once",
+	"hall":    "halls are lost, workers and gatekeepers, and come back as new processes",
+	"keepers": "the gatekeepers of halls are killed, and start from nothing at the end",
+	"links":   "halls are cut off from each other and all others; clients reach their gatekeepers",
 }
 
 // Policies are what may decide in a run.
 var Policies = map[string]string{
 	"willowdeck": "the project's module",
 	"open":       "baseline: lets all in, to random workers",
+	"deep":       "the project's module, with lines of credit made part of bursts",
 	"static":     "baseline: each gatekeeper holds an equal part of each quota, random workers",
 	"seer":       "baseline: sees every quota and worker as it is",
 }
@@ -199,6 +208,13 @@
 	for i := range s.Plans {
 		m[fmt.Sprintf("plans[%d].asks", i)] = number(&s.Plans[i].Asks)
 		m[fmt.Sprintf("plans[%d].rate", i)] = number(&s.Plans[i].Rate)
+		m[fmt.Sprintf("plans[%d].burst", i)] = number(&s.Plans[i].Burst)
+		m[fmt.Sprintf("plans[%d].credit_s", i)] = number(&s.Plans[i].Credit)
+	}
+	m["shapes.factor"] = func(v float64) { // of all
+		for i := range s.Shapes {
+			s.Shapes[i].Factor = v
+		}
 	}
 	for i := range s.Faults {
 		m[fmt.Sprintf("faults[%d].part", i)] = number(&s.Faults[i].Part)
@@ -230,7 +246,8 @@
 		in("workers.drain_s", w.DrainS, 0, 1e4), in("workers.grace_ms", w.GraceMS, 0, 1e5),
 		in("network.client_ms", n.ClientMS, 0, 1e4), in("network.worker_ms", n.WorkerMS, 0, 1e4),
 		in("network.peer_ms", n.PeerMS, 0, 1e5), in("network.peer_loss", n.PeerLoss, 0, 1),
-		in("network.list_ms", n.ListMS, 0, 1e5), in("clients.waits", s.Clients.Waits, 0.01, 100),
+		in("network.list_ms", n.ListMS, 0, 1e5), in("network.across_ms", n.AcrossMS, 0, 1e4),
+		in("clients.waits", s.Clients.Waits, 0.01, 100),
 		in("clients.retries", float64(s.Clients.Retries), 0, 100), in("clients.back_ms", s.Clients.BackMS, 0, 1e5))
 	if err != nil {
 		return first(err)
@@ -273,9 +290,13 @@
 			in(key+"ceiling_depth", p.CeilingDepth, 0, 1e7), in(key+"asks", p.Asks, 0, 1000),
 			in(key+"factor", p.Factor, 0, 1000), in(key+"excess_share", p.Excess, 0, 1),
 			in(key+"excess_fee", p.Fee, 0, 100), in(key+"units", p.Units, 1, 1e6),
-			in(key+"spread", float64(p.Spread), 0, float64(g.Count)), in(key+"skew", p.Skew, 0, 10)); err != nil {
+			in(key+"spread", float64(p.Spread), 0, float64(g.Count)), in(key+"skew", p.Skew, 0, 10),
+			in(key+"credit_s", p.Credit, 0, 1e5), in(key+"repay_s", p.Repay, 0, 1e5)); err != nil {
 			return first(err)
 		}
+		if p.Credit > p.Repay*credit.Part {
+			return fmt.Errorf("%srepay_s: in %v s a half of the fill does not pay %v s back", key, p.Repay, p.Credit)
+		}
 	}
 	for i := range s.Shapes {
 		if _, err := s.shape(i); err != nil {
@@ -292,6 +313,15 @@
 			in(key+"part", f.Part, 0, 1), in(key+"factor", f.Factor, 0, 1e4)); err != nil {
 			return first(err)
 		}
+		if ofHalls := f.Kind == "hall" || f.Kind == "keepers" || f.Kind == "links"; ofHalls != (len(f.Halls) > 0) &&
+			(ofHalls || f.Part > 0) {
+			return fmt.Errorf("%shalls: they go with hall, keepers and links, else in place of part", key)
+		}
+		for _, h := range f.Halls {
+			if err := in(key+"halls", float64(h), 0, float64(max(w.Zones, 1)-1)); err != nil {
+				return err
+			}
+		}
 	}
 	return nil
 }
@@ -318,6 +348,14 @@
 	return all
 }
 
+// hall is where a worker or gatekeeper of a number stands.
+func (s *Scenario) hall(number int) int {
+	if z := s.Workers.Zones; z > 1 {
+		return number % z
+	}
+	return 0
+}
+
 // spread is how many gatekeepers the customers of a plan come through.
 func (s *Scenario) spread(plan int) int {
 	if n := s.Plans[plan].Spread; n > 0 {
@@ -410,8 +448,12 @@
 			Repeat: repeats[p.Repeat], Group: groups[p.Group], Window: p.WindowMS})
 	}
 	for _, p := range s.Plans {
-		c.Plans = append(c.Plans, logic.Plan{Rate: p.Rate, Burst: p.Burst, CeilingRate: p.Ceiling,
-			CeilingDepth: p.CeilingDepth, Factor: p.Factor, ExcessShare: p.Excess, ExcessFee: p.Fee})
+		q := logic.Plan{Rate: p.Rate, Burst: p.Burst, CeilingRate: p.Ceiling, CeilingDepth: p.CeilingDepth,
+			Factor: p.Factor, ExcessShare: p.Excess, ExcessFee: p.Fee, Credit: p.Credit, Repay: p.Repay * 1000}
+		if s.Policy == "deep" {
+			q.Burst, q.Credit = q.Burst+q.Credit*q.Rate, 0
+		}
+		c.Plans = append(c.Plans, q)
 	}
 	return c
 }
--- a/internal/lifecycle/start.go
+++ b/internal/lifecycle/start.go
@@ -60,8 +60,13 @@
 	agreed  *agreement     // nil where no rules are agreed on
 	history *history.Log   // nil where no record is kept
 	said    time.Time      // when the log last told that the watch had ended
+	word    *speaker       // nil where no word is told
 	first   chan struct{}  // closed at the watch's first word or failure
 	once    sync.Once      // of that
+	lends   atomic.Bool    // credit is, or can't be
+	away    atomic.Bool    // its place is another process's, still or from here on
+
+	agreedOn atomic.Pointer[[]logic.Plan] // as rules that were adopted last have them; nil before any
 }
 
 // Start brings a gatekeeper up: when it returns, clients are served.
@@ -115,6 +120,9 @@
 		}
 	}
 	g.desk = gate.NewDesk(c.Charter, c.Seed, c.Lines.AnswerSlack+socketSlack, tell, g.links.Shed)
+	if c.Hall != "" && c.Control != "" {
+		g.word = g.teller()
+	}
 	if g.history != nil {
 		g.desk.Record(g.history)
 	}
@@ -124,6 +132,7 @@
 	g.front = wire.NewFront(c.Names, c.Charter, g.forward(gate.New(g.desk, g.links)), g.up)
 	g.front.Nameless = g.vouch != nil && c.Forward.Asking.Customer != ""
 
+	g.away.Store(true) // until what was before it is known
 	if c.Agree != "" {
 		g.agree()
 	}
@@ -146,7 +155,7 @@
 		return nil, err
 	}
 	if g.port != nil {
-		go ops.Every(g.over, g.desk.Look)
+		go ops.Every(g.over, g.look)
 	}
 	g.At = l.Addr().String()
 	g.watch(c.Known.Version, logic.WatchDue)
@@ -175,9 +184,23 @@
 	return g, nil
 }
 
+// look renews the copies that operators' calls are answered from.
+func (g *Gatekeeper) look() {
+	g.desk.Look()
+	if g.word != nil {
+		g.word.renew(g)
+	}
+}
+
 // remember keeps what outlives a sudden end, and takes what one has left. Without it the gatekeeper starts as
 // ever.
 func (g *Gatekeeper) remember() {
+	g.away.Store(false)
+	plans := g.conf.Charter.Plans
+	if p := g.agreedOn.Load(); p != nil {
+		plans = *p
+	}
+	g.lend(plans)
 	if g.conf.Residue == "" {
 		return
 	}
--- a/logic/state.go
+++ b/logic/state.go
@@ -38,6 +38,7 @@
 	unsaid              float64 // units sent on since the last report
 	said, saidAt, known float64 // demand last reported, when, and what was left of the one before
 	out, lent           int     // submissions out or cleared, and of these the predecessor's
+	lag                 float64 // repaid, and not yet taken from whole
 	kept, keptDraws     float64 // units of txns that may yet be sent on; what they then take from the quota
 }
 
@@ -83,6 +84,7 @@
 	acct          int32
 	product, plan int
 	units, draws  float64 // its size, and what it takes from its quota
+	lent          float64 // what it takes instead from its customer's credit
 	expiry        float64
 	subs          []submission
 	out           int
@@ -139,6 +141,7 @@
 	base     float64 // ceilings of customers that are not known here are taken as spent at this time
 	retired  bool    // another has taken over what it knows
 	fresh    bool    // it knew nobody when quotas began to go without messages
+	lender   Lender  // nil where nothing is lent
 	widened  float64 // when quotas last went by messages again; 0 where they always did
 	thawed   float64 // when the gatekeeper last found that it had itself stood still
 	begun    bool
@@ -350,6 +353,9 @@
 // asked adds to a customer's demand here.
 func (g *Gatekeeper) asked(c *account, draws float64) {
 	p := &g.plans[c.plan]
+	if c.lag > 0 {
+		c.withhold()
+	}
 	c.demand = c.demand*math.Exp((c.seen-g.now)/p.memory) + draws/p.memory
 	c.lately = c.lately*math.Exp((c.seen-g.now)/demandMemory) + draws/demandMemory
 	c.seen = g.now
@@ -657,6 +663,7 @@
 // unkeep ends that, and a clearance with it.
 func (g *Gatekeeper) unkeep(t *txn) {
 	g.ungrant(t)
+	g.unlend(t)
 	if t.kept {
 		t.kept = false
 		g.kept(t, -1)
