--- a/internal/council/council_test.go
+++ b/internal/council/council_test.go
@@ -775,3 +775,47 @@
 		}
 	}
 }
+
+// A copy of a disk is found out by what the others have written down, even if all of them have been started
+// anew since: by nothing else, as their logs would only take it for one that is behind.
+func TestOldDisk(t *testing.T) {
+	t.Parallel()
+	p := newParley(t, 3)
+	p.startAll()
+	p.until("a leader", func() bool { return p.leader() != nil })
+	p.outcome(p.all["h0"], p.propose(p.all["h0"], 100))
+	p.agree(1)
+	p.end("h1")
+	raw, err := os.ReadFile(p.store("h1"))
+	must(t, err)
+	p.start("h1", nil)
+	p.agree(1)
+	p.until("a leader", func() bool { return p.leader() != nil })
+	x := p.leader()
+	p.outcome(x, p.propose(x, 200))
+	p.agree(2)
+	wrote := p.all["h1"].seq.Load()
+	p.until("the others have written down how far it is", func() bool {
+		for _, name := range []string{"h0", "h2"} {
+			s := p.all[name].disk.Load()
+			s.mu.Lock()
+			told := s.heard[p.all["h1"].View().Disk] >= wrote && !s.fresh
+			s.mu.Unlock()
+			if !told {
+				return false
+			}
+		}
+		return true
+	})
+	p.end("h1")
+	must(t, os.WriteFile(p.store("h1"), raw, 0o600))
+	for _, name := range []string{"h0", "h2"} {
+		p.end(name)
+		p.start(name, nil)
+	}
+	p.start("h1", nil)
+	p.agree(2)
+	if v := p.all["h1"].View(); v.Aside["old"] != 1 {
+		t.Errorf("%+v", v)
+	}
+}
--- a/internal/council/store_test.go
+++ b/internal/council/store_test.go
@@ -72,6 +72,15 @@
 		case s.self.id() != id || s.seq != seq && s.seq != seq-1 || last != next-1:
 			t.Errorf("seed %d: taken for whole: id %x, write %d of %d, log to %d of %d", seed, s.self.id(), s.seq, seq,
 				last, next-1)
+		default:
+			first, _ := s.mem.FirstIndex()
+			all, err := s.mem.Entries(first, last+1, 1<<30)
+			must(t, err)
+			for _, e := range all {
+				if want := fmt.Sprint("entry ", e.Index, " and some more"); string(e.Data) != want {
+					t.Errorf("seed %d: taken for whole, and entry %d says %q", seed, e.Index, e.Data)
+				}
+			}
 		}
 		s.close()
 		_ = os.Remove(path)
