--- a/internal/fleet/council_hard_test.go
+++ b/internal/fleet/council_hard_test.go
@@ -501,6 +501,7 @@
 		n := uint64(len(rules) + 1)
 		rules[n] = x.quota(500 + float64(n))
 		x.enforced(x.hosts[(i+1)%3], rules[n])
+		x.until(int64(n), 3, x.hosts...) // it has written that too
 		x.kill(h)
 		if how != "kept" {
 			if err := disk.Spoil(faults.Damage{What: how, Bytes: 9000, Seed: int64(i)}); err != nil {
