--- a/internal/emu/world.go
+++ b/internal/emu/world.go
@@ -207,7 +207,9 @@
 	}
 	begin(w)
 	for _, g := range w.gks {
-		g.start()
+		if g.start(); s.Gatekeepers.Keeps&KeepCopies != 0 {
+			g.copies()
+		}
 	}
 	w.plan(all)
 	w.faults()
--- a/internal/fleet/file.go
+++ b/internal/fleet/file.go
@@ -37,6 +37,7 @@
 	Step   int
 
 	Remember bool // instances keep what outlives a sudden end
+	Recall   bool // of quotas and demand too
 	Warm     bool // and ask others for their list until discovery has spoken
 	Hall     string
 	Outlook  Looks
@@ -52,7 +53,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := File{ReadyS: 6, GraceS: 4, Step: 1, Remember: true, Warm: true, Outlook: usualLooks()}
+	f := File{ReadyS: 6, GraceS: 4, Step: 1, Remember: true, Recall: true, Warm: true, Outlook: usualLooks()}
 	f.Restart.FirstMS, f.Restart.MostMS, f.Restart.CalmS = 200, 10000, 30
 	if err := strict.Decode(string(raw), &f); err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
@@ -78,7 +79,7 @@
 	Name, Program, RunDir, Control string
 	Pace                           Pace
 	Instances                      []Instance
-	Remember, Warm                 bool
+	Remember, Recall, Warm         bool
 	Hall                           string // where it stands; empty where it looks ahead at nothing
 	Looks                          Looks
 	Agreed                         *Agreed // nil where there is no council
@@ -136,8 +137,8 @@
 	case f.Step < 1:
 		return nil, fmt.Errorf("step: %d is under one", f.Step)
 	}
-	fl := &Fleet{Remember: f.Remember, Warm: f.Warm, Agreed: agreed, file: f, places: f.Instances,
-		Name: f.Name, Program: f.Program, RunDir: f.RunDir, Control: f.Control,
+	fl := &Fleet{Remember: f.Remember, Recall: f.Recall, Warm: f.Warm, Agreed: agreed, file: f,
+		places: f.Instances, Name: f.Name, Program: f.Program, RunDir: f.RunDir, Control: f.Control,
 		Pace: Pace{First: f.Restart.FirstMS, Most: f.Restart.MostMS, Calm: f.Restart.CalmS * 1000,
 			Within: f.ReadyS * 1000, Grace: f.GraceS * 1000, Step: f.Step}}
 	if err := f.looks(fl); err != nil {
--- a/internal/fleet/host.go
+++ b/internal/fleet/host.go
@@ -383,7 +383,8 @@
 		cmd.Env = append(cmd.Env, "WILLOWDECK_HALL="+d.fleet.Hall, "WILLOWDECK_HOST="+d.fleet.Name)
 	}
 	if d.fleet.Remember {
-		cmd.Env = append(cmd.Env, "WILLOWDECK_RESIDUE="+filepath.Join(dir, "residue"))
+		cmd.Env = append(cmd.Env, "WILLOWDECK_RESIDUE="+filepath.Join(dir, "residue"),
+			fmt.Sprintf("WILLOWDECK_RECALL=%t", d.fleet.Recall))
 	}
 	if d.seat != nil {
 		cmd.Env = append(cmd.Env, "WILLOWDECK_AGREE="+d.fleet.Control)
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -39,6 +39,31 @@
 	return Old
 }
 
+// Words gives the newest words of so many, by number, in place of what is in all; none of those not known.
+func (t *Table) Words(all []Word, n int) []Word {
+	all = all[:0]
+	for i := range n {
+		all = append(all, t.heard[i])
+	}
+	return all
+}
+
+// Recall takes words as a former life had heard them, of those that are not known yet. It gives those that
+// were heard since in another life than then.
+func (t *Table) Recall(all []Word) (returned []int) {
+	for from, w := range all {
+		now, known := t.heard[from]
+		switch {
+		case w == (Word{}):
+		case !known:
+			t.heard[from] = w
+		case now.Incarnation != w.Incarnation:
+			returned = append(returned, from)
+		}
+	}
+	return returned
+}
+
 // Keep forgets all from a number on: they are no more, and others may come under their numbers.
 func (t *Table) Keep(below int) {
 	for from := range t.heard {
--- a/logic/credit.go
+++ b/logic/credit.go
@@ -29,7 +29,7 @@
 		!g.lender.Lend(c.customer, t.plan, c.first, c.n, t.draws) {
 		return false
 	}
-	t.lent, t.draws = t.draws, 0
+	t.lent, t.draws, c.dealt = t.draws, 0, g.now
 	return true
 }
 
@@ -58,12 +58,7 @@
 	c := &g.accounts[ai]
 	p := &g.plans[c.plan]
 	g.fill(c)
-	if fill = c.share; !c.hot || c.n == 1 { // what all its gatekeepers credit adds up to the rate
-		fill = p.rate / float64(c.n)
-	}
-	if g.sparse(c) { // what is credited as demand comes
-		fill = c.share + p.rate*(1-beta)*math.Min(g.own(c)/math.Max(g.total(c), 1e-12), 1)
-	}
+	fill, c.dealt = g.fills(c), g.now
 	took = math.Min(need, fill*span)
 	over := c.level - fullEnough*g.startLevel(c)
 	if !g.blind(c) {
@@ -82,6 +77,18 @@
 	return took, fill
 }
 
+// fills is what of a customer's fill here may go to debts, units a ms.
+func (g *Gatekeeper) fills(c *account) float64 {
+	p := &g.plans[c.plan]
+	if g.sparse(c) { // what is credited as demand comes
+		return c.share + p.rate*(1-beta)*math.Min(g.own(c)/math.Max(g.total(c), 1e-12), 1)
+	}
+	if !c.hot || c.n == 1 { // what all its gatekeepers credit adds up to the rate
+		return p.rate / float64(c.n)
+	}
+	return c.share
+}
+
 // withhold takes what was repaid from the quota's one store, as it fills. Guards against a store that has
 // less than nothing: with what is spent next it has nothing, and what was taken of it would be there again.
 func (c *account) withhold() {
