--- a/internal/clear/asker.go
+++ b/internal/clear/asker.go
@@ -5,6 +5,8 @@
 	"math/rand"
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
+
+	"willowdeck/internal/breaker"
 )
 
 const (
@@ -23,7 +25,6 @@
 	DefaultPause   = 500.0    // ms that it is left alone then, doubled by each failure after that,
 	DefaultPauseAt = 10000.0  // up to this
 	LongestPause   = 600000.0 // ms
-	pauseJitter    = 0.5      // of a pause, either way half of it: many gatekeepers must not come back at once
 	LateGrace      = 50.0     // ms after which units held for an ask come back, whoever forgets them
 )
 
@@ -44,7 +45,7 @@
 	limit, share float64
 	yes, no      float64
 	kept         *simplelru.LRU[Digest, good]
-	breaker      breaker
+	breaker      *breaker.Breaker
 }
 
 // good is an answer, and until when it is good.
@@ -65,7 +66,7 @@
 // NewService starts with nothing known. Same seed and calls, same answers.
 func NewService(t Terms, seed int64) *Service {
 	s := &Service{limit: t.Limit, share: t.Share, yes: t.Yes, no: t.No,
-		breaker: breaker{after: t.After, pause: t.Pause, most: t.MostPause, rng: rand.New(rand.NewSource(seed))}}
+		breaker: breaker.New(t.After, t.Pause, t.MostPause, rand.New(rand.NewSource(seed)))}
 	if t.Kept > 0 {
 		s.kept, _ = simplelru.NewLRU[Digest, good](t.Kept, nil) // its one error is a size of nought
 	}
@@ -97,12 +98,12 @@
 
 // MayAsk tells whether the service may be asked now, and if not, how long it is left alone for. One that
 // has been left alone is asked once, and by nobody else until that has been Heard or was Lost.
-func (s *Service) MayAsk(now float64) (bool, float64) { return s.breaker.admits(now) }
+func (s *Service) MayAsk(now float64) (bool, float64) { return s.breaker.Admits(now) }
 
 // Heard takes an answer. It is good from when it was asked for, not from when it came: the service may have
 // looked the credential up at any time between. Not every answer is to be kept.
 func (s *Service) Heard(d Digest, a Answer, asked, now float64, keep bool) {
-	s.breaker.ended(true, now)
+	s.breaker.Ended(true, now)
 	span := s.no
 	if a.Yes {
 		span = s.yes
@@ -113,53 +114,10 @@
 }
 
 // Lost notes that the service gave no answer that can be read, or none in its time.
-func (s *Service) Lost(now float64) { s.breaker.ended(false, now) }
+func (s *Service) Lost(now float64) { s.breaker.Ended(false, now) }
 
 // Unasked notes that after all it was not asked.
-func (s *Service) Unasked() { s.breaker.probing = false }
+func (s *Service) Unasked() { s.breaker.Unasked() }
 
 // Shut tells whether the service is left alone now.
-func (s *Service) Shut(now float64) bool { return now < s.breaker.until || s.breaker.probing }
-
-// breaker leaves a service alone once it has failed so many times one after another. See M. Nygard,
-// Release It!, "Circuit Breaker"; the growing pause with jitter is ours.
-type breaker struct {
-	after       int
-	pause, most float64
-	rng         *rand.Rand
-	failures    int
-	until       float64 // it is left alone till then
-	span        float64 // the last pause, before its jitter
-	probing     bool    // it is asked once, to see
-}
-
-func (b *breaker) admits(now float64) (bool, float64) {
-	switch {
-	case b.failures < b.after:
-		return true, 0
-	case now < b.until:
-		return false, b.until - now
-	case b.probing:
-		return false, b.span // what the next pause will be about, at least
-	}
-	b.probing = true
-	return true, 0
-}
-
-// ended takes how an ask went. Those that were under way when the pause began prolong nothing.
-func (b *breaker) ended(well bool, now float64) {
-	if well {
-		b.failures, b.probing, b.span, b.until = 0, false, 0, 0
-		return
-	}
-	if now < b.until {
-		return
-	}
-	b.failures = min(b.failures+1, b.after)
-	if b.failures < b.after {
-		return
-	}
-	b.probing = false
-	b.span = math.Min(math.Max(2*b.span, b.pause), b.most)
-	b.until = now + b.span*(1+pauseJitter*(b.rng.Float64()-0.5))
-}
+func (s *Service) Shut(now float64) bool { return s.breaker.Shut(now) }
--- /dev/null
+++ b/internal/journal/store/keeper.go
@@ -0,0 +1,437 @@
+package store
+
+import (
+	"math"
+	"math/rand"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"willowdeck/internal/breaker"
+	"willowdeck/internal/journal"
+)
+
+const (
+	mostWaiting = 1 << 20                // bytes of records, about, that wait for the disk; ends are dropped beyond
+	aRecord     = 160                    // bytes of one, about, without its answer
+	leaving     = 500 * time.Millisecond // that a hand-over or a stop waits for the disk
+	stepBy      = 1000.0                 // ms by which the system's clock leaves the machine's own if it was set
+)
+
+// Keeper keeps a journal while a gatekeeper runs: txns wait in Meant for their group, and for nothing else. Its
+// methods may be called from any goroutine.
+type Keeper struct {
+	terms journal.Terms
+	log   zerolog.Logger
+	epoch time.Time
+	kick  chan struct{}
+	stop  chan struct{}
+	over  chan struct{} // closed once the writer has ended
+	ready chan struct{} // closed once the journal was read, or could not be
+
+	mu      sync.Mutex
+	j       *Log // nil until it is open
+	breaker *breaker.Breaker
+	waiting []queued
+	bytes   int
+	since   time.Time // when the commit under way began; zero without one
+	cover   float64   // ms after epoch up to which it may have been promised to send nothing unwritten
+	retired bool
+	settled bool // the process before has ended
+	set     float64
+	seen    Figures
+}
+
+// queued is a record that waits for the disk, and who waits for it.
+type queued struct {
+	journal.Record
+	durable chan bool // takes one word; nil where nobody waits
+	size    int
+}
+
+// Figures counts what a keeper has done.
+type Figures struct {
+	Commits, Records, Failures int64
+	Refused                    int64 // submissions that were not sent as they could not be written down
+	Late                       int64 // of these, those whose group came too late
+	Doubtful                   int64 // submissions that were sent unwritten
+	Lost                       int64 // ends that were not written down
+	Txns, Answers, Segments    int64
+	Down                       bool
+}
+
+// Keep begins to keep a journal: it is read beside the caller. Same as Open, beside tells of a process that
+// goes on telling ends until Settle.
+func Keep(d Disk, t journal.Terms, who Who, beside bool, seed int64, log zerolog.Logger) *Keeper {
+	k := &Keeper{terms: t, log: log, epoch: time.Now(), kick: make(chan struct{}, 1), stop: make(chan struct{}),
+		over: make(chan struct{}), ready: make(chan struct{}), settled: !beside,
+		breaker: breaker.New(t.After, t.Pause, t.MostPause, rand.New(rand.NewSource(seed)))}
+	go k.run(d, who, beside)
+	return k
+}
+
+// wall is the time by the system's clock, Unix ms.
+func wall() float64 { return float64(time.Now().UnixMicro()) / 1000 }
+
+// age is ms since the epoch, however the system's clock is set.
+func (k *Keeper) age() float64 { return float64(time.Since(k.epoch)) / float64(time.Millisecond) }
+
+// Known gives what is known of a customer's txn, once the journal has been read. It is false where that takes
+// longer than so long, or the journal can't be had: nothing is known then, and Meant lets nothing out.
+func (k *Keeper) Known(customer uint64, mark string, within time.Duration) (e journal.Entry,
+	v journal.Verdict, ok bool) {
+	if !k.await(within) {
+		return e, v, false
+	}
+	k.mu.Lock()
+	j := k.j
+	k.mu.Unlock()
+	if j == nil {
+		return e, v, false
+	}
+	j.Ask(func(b *journal.Book) { e, v = b.Known(customer, mark) })
+	return e, v, true
+}
+
+// await waits until the journal has been read.
+func (k *Keeper) await(within time.Duration) bool {
+	select {
+	case <-k.ready:
+		return true
+	default:
+	}
+	t := time.NewTimer(within)
+	defer t.Stop()
+	select {
+	case <-k.ready:
+		return true
+	case <-t.C:
+		return false
+	}
+}
+
+// Meant writes down that a submission is about to be sent, and tells whether it may be. It returns once that
+// is durable, or at the latest at until or when the terms' wait has passed. However it goes, Ended is to be
+// told.
+func (k *Keeper) Meant(t journal.Txn, s journal.Sub, worker string, expiry float64, until time.Time) bool {
+	wait := min(time.Duration(k.terms.Wait*float64(time.Millisecond)), time.Until(until))
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	if !k.await(wait) {
+		return k.refuse()
+	}
+	if math.IsInf(expiry, 0) {
+		expiry = 0
+	}
+	r := journal.Record{Kind: journal.Meant, At: wall(), Txn: t, Sub: s, Worker: worker, Expiry: expiry}
+	k.mu.Lock()
+	if !k.well() {
+		serves := k.unwritten()
+		if serves {
+			k.seen.Doubtful++
+			r.Life = k.j.Life()
+			k.j.Take(r)
+		}
+		k.mu.Unlock()
+		return serves || k.refuse()
+	}
+	durable := make(chan bool, 1)
+	k.push(r, durable)
+	k.mu.Unlock()
+	select {
+	case ok := <-durable:
+		return ok || k.refuse()
+	case <-timer.C:
+		k.mu.Lock()
+		k.seen.Late++
+		k.mu.Unlock()
+		return k.refuse()
+	}
+}
+
+func (k *Keeper) refuse() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.seen.Refused++
+	return false
+}
+
+// well tells, under the lock, whether the disk may be waited for.
+func (k *Keeper) well() bool {
+	stuck := !k.since.IsZero() && float64(time.Since(k.since)) > k.terms.Slow*float64(time.Millisecond)
+	return k.j != nil && !k.retired && !k.breaker.Tripped() && !stuck
+}
+
+// unwritten tells, under the lock, whether a txn may be sent that can't be written down: only by the policy,
+// by the one process whose journal it is, and not before the last promise to the contrary has run out.
+func (k *Keeper) unwritten() bool {
+	return k.terms.Policy == journal.Serve && k.j != nil && !k.retired && k.age() > k.cover
+}
+
+// Ended writes down how a submission ended. It never waits.
+func (k *Keeper) Ended(t journal.Txn, s journal.Sub, worker string, end journal.End, a journal.Answer) {
+	if len(a.Body) > k.terms.Answer {
+		a = journal.Answer{}
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.j == nil {
+		return
+	}
+	k.push(journal.Record{Kind: journal.Ended, At: wall(), Txn: t, Sub: s, Worker: worker, End: end, Answer: a}, nil)
+}
+
+// push queues a record, under the lock. What waits stays bounded: an end that is not written down leaves its
+// txn unknown.
+func (k *Keeper) push(r journal.Record, durable chan bool) {
+	r.Life = k.j.Life()
+	k.j.Take(r)
+	q := queued{r, durable, aRecord + len(r.Answer.Body)}
+	if k.bytes+q.size > k.most() && durable == nil {
+		k.seen.Lost++
+		return
+	}
+	k.bytes += q.size
+	k.waiting = append(k.waiting, q)
+	select {
+	case k.kick <- struct{}{}:
+	default:
+	}
+}
+
+// most is how many bytes may wait: they have to fit a segment together with what a checkpoint takes.
+func (k *Keeper) most() int { return min(mostWaiting, k.terms.Segment/4) }
+
+// run opens the journal and writes what comes, until Close.
+func (k *Keeper) run(d Disk, who Who, beside bool) {
+	defer close(k.over)
+	k.open(d, who, beside)
+	close(k.ready)
+	for k.j == nil {
+		if !k.pause(k.terms.MostPause) {
+			return
+		}
+		k.open(d, who, beside)
+	}
+	for k.rest() {
+		k.commit()
+	}
+	k.commit()
+	k.j.Close()
+}
+
+func (k *Keeper) pause(ms float64) bool {
+	t := time.NewTimer(time.Duration(ms * float64(time.Millisecond)))
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-k.stop:
+		return false
+	}
+}
+
+func (k *Keeper) open(d Disk, who Who, beside bool) {
+	from := time.Now()
+	j, err := Open(d, k.terms, who, wall(), beside)
+	if err != nil {
+		k.log.Error().Err(err).Msg("no journal: once-only txns are declined")
+		return
+	}
+	k.mu.Lock()
+	k.j = j
+	k.set = wall() - k.age()
+	settled := k.settled
+	k.mu.Unlock()
+	if settled {
+		j.Settle()
+	}
+	f := j.Found
+	k.log.Info().Uint32("life", j.Life()).Int("segments", f.Segments).Int("records", f.Records).
+		Int64("cut_bytes", f.Cut).Int("torn", f.Torn).Int("damaged", f.Damaged).Int("unreadable", f.Unreadable).
+		Dur("took", time.Since(from)).Msg("journal read")
+}
+
+// rest waits until there is something to commit and its group has had time to gather, and tells whether to go
+// on. While the disk is left alone it waits for the end of that.
+func (k *Keeper) rest() bool {
+	for {
+		k.mu.Lock()
+		down, admits, left := k.breaker.Tripped(), true, 0.0
+		if down {
+			admits, left = k.breaker.Admits(k.age())
+		}
+		some, many := len(k.waiting) > 0, k.bytes > k.most()/2
+		k.mu.Unlock()
+		switch {
+		case !admits:
+			if !k.pause(math.Max(left, 1)) {
+				return false
+			}
+			continue
+		case down || many:
+			return true
+		case some:
+			return k.pause(k.terms.Window)
+		}
+		idle := time.Hour
+		if k.terms.Policy == journal.Serve {
+			idle = time.Duration(k.terms.Lease / 3 * float64(time.Millisecond))
+		}
+		t := time.NewTimer(idle)
+		select {
+		case <-k.stop:
+			t.Stop()
+			return false
+		case <-t.C:
+			return true
+		case <-k.kick:
+			t.Stop()
+		}
+	}
+}
+
+// commit writes what waits, as one group.
+func (k *Keeper) commit() {
+	k.mu.Lock()
+	group := k.waiting
+	k.waiting, k.bytes = nil, 0
+	now := wall()
+	all := k.marks(now)
+	for _, q := range group {
+		all = append(all, q.Record)
+	}
+	if len(all) == 0 && k.breaker.Tripped() {
+		all = append(all, journal.Record{Kind: journal.Covers, At: now, To: now}) // to see whether it goes again
+	}
+	if len(all) == 0 {
+		k.mu.Unlock()
+		return
+	}
+	k.since = time.Now()
+	j := k.j
+	k.mu.Unlock()
+
+	err := j.Commit(all, now)
+
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	took := float64(time.Since(k.since)) / float64(time.Millisecond)
+	k.since = time.Time{}
+	was := k.breaker.Tripped()
+	k.breaker.Ended(err == nil && took <= k.terms.Slow, k.age())
+	if is := k.breaker.Tripped(); is != was {
+		k.log.Warn().Err(err).Float64("took_ms", took).Bool("down", is).Msg("journal")
+	}
+	k.seen.Commits++
+	if err == nil {
+		k.seen.Records += int64(len(all))
+	} else {
+		k.seen.Failures++
+	}
+	var again []queued
+	for _, q := range group {
+		switch {
+		case q.durable != nil:
+			q.durable <- err == nil
+		case err != nil:
+			again = append(again, q)
+		}
+	}
+	if err != nil {
+		k.again(again)
+	}
+	j.Ask(func(b *journal.Book) { b.Trim(now) })
+}
+
+// again puts the ends of a group that failed before what came meanwhile: they are still to be written down.
+func (k *Keeper) again(ends []queued) {
+	since := k.waiting
+	k.waiting, k.bytes = nil, 0
+	for _, q := range append(ends, since...) {
+		if k.bytes+q.size > k.most() && q.durable == nil {
+			k.seen.Lost++
+			continue
+		}
+		k.bytes += q.size
+		k.waiting = append(k.waiting, q)
+	}
+}
+
+// marks gives what a group has to say besides its txns: that the clock was set, and under Serve how long
+// nothing is sent unwritten.
+func (k *Keeper) marks(now float64) (all []journal.Record) {
+	if set := now - k.age(); math.Abs(set-k.set) > stepBy {
+		k.set = set
+		all = append(all, journal.Record{Kind: journal.Stepped, At: now, To: now})
+	}
+	if age := k.age(); k.terms.Policy == journal.Serve && !k.retired && k.cover < age+k.terms.Lease/2 {
+		k.cover = age + k.terms.Lease
+		all = append(all, journal.Record{Kind: journal.Covers, At: now, To: now + k.terms.Lease})
+	}
+	return all
+}
+
+// Settle tells that the process before this one has ended.
+func (k *Keeper) Settle() {
+	k.mu.Lock()
+	k.settled = true
+	j := k.j
+	k.mu.Unlock()
+	if j != nil {
+		j.Settle()
+	}
+}
+
+// Retire lets another process take over: from here on nothing is meant, and the lock is free once it returns.
+func (k *Keeper) Retire() { k.leave(true) }
+
+// Close ends the keeping, and waits a little for what is to be written.
+func (k *Keeper) Close() {
+	k.leave(false)
+	close(k.stop)
+	select {
+	case <-k.over:
+	case <-time.After(leaving):
+	}
+}
+
+// leave writes that this life means nothing more.
+func (k *Keeper) leave(handsOn bool) {
+	if !k.await(leaving) {
+		return
+	}
+	k.mu.Lock()
+	was, j := k.retired, k.j
+	if k.retired = true; was || j == nil {
+		k.mu.Unlock()
+		return
+	}
+	durable := make(chan bool, 1)
+	k.push(journal.Record{Kind: journal.Gone, At: wall()}, durable)
+	k.mu.Unlock()
+	select {
+	case <-durable:
+	case <-time.After(leaving):
+	}
+	if handsOn {
+		j.Retire()
+	}
+}
+
+// Seen gives the counts.
+func (k *Keeper) Seen() Figures {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	f := k.seen
+	f.Down = !k.well()
+	if k.j != nil {
+		k.j.Ask(func(b *journal.Book) {
+			txns, answers := b.Len()
+			f.Txns, f.Answers = int64(txns), int64(answers)
+		})
+		f.Segments = int64(k.j.Segments())
+	}
+	return f
+}
