--- a/cmd/willowdeck/main.go
+++ b/cmd/willowdeck/main.go
@@ -39,17 +39,20 @@
 		Sources: cli.EnvVars("WILLOWDECK_ASK")}
 	tell := &cli.BoolFlag{Name: "tell", Usage: "tell others the list at the operators' port",
 		Sources: cli.EnvVars("WILLOWDECK_TELL")}
+	notes := &cli.StringFlag{Name: "journal", Usage: "the operator `FILE` of the journal of once-only txns",
+		Sources: cli.EnvVars("WILLOWDECK_JOURNAL")}
 	fleetFile := &cli.StringFlag{Name: "file", Usage: "the fleet's `FILE`", Required: true}
 	return &cli.Command{
 		Name:  "willowdeck",
 		Usage: "holds customers to quotas before a shared back end",
 		Commands: []*cli.Command{
 			{Name: "serve", Usage: "run a gatekeeper until SIGTERM; SIGHUP reads its file anew",
-				Flags: []cli.Flag{file, forward, left, ask, tell, level}, Action: serve},
+				Flags: []cli.Flag{file, forward, notes, left, ask, tell, level}, Action: serve},
 			{Name: "fleet", Usage: "keep many gatekeepers on this host until SIGTERM; SIGHUP reads the file anew",
 				Flags: []cli.Flag{fleetFile, level}, Action: keep},
 			{Name: "check", Usage: "read and check the configuration, and say what it holds",
-				Flags: []cli.Flag{file, forward}, Action: check},
+				Flags: []cli.Flag{file, forward, notes}, Action: check},
+			journals(),
 			{Name: "version", Usage: "say which build this is", Action: version},
 		},
 	}
@@ -99,6 +102,9 @@
 	if path := c.String("forward"); err == nil && path != "" {
 		conf.Forward, err = config.ReadForward(path, &conf)
 	}
+	if path := c.String("journal"); err == nil && path != "" {
+		conf.Journal, err = config.ReadJournal(path, conf.Name)
+	}
 	return conf, err
 }
 
@@ -157,6 +163,9 @@
 	if f := conf.Forward; f != nil && f.Asking != nil {
 		fmt.Printf("asking %s, at most %g ms\n", f.Asking.Service, f.Asking.Terms.Limit)
 	}
+	if j := conf.Journal; j != nil {
+		fmt.Printf("once-only txns are written down in %s, policy %s\n", j.Of(conf.Name), j.Terms.Policy)
+	}
 	return nil
 }
 
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -41,6 +41,7 @@
 	Tells     bool     // newcomers may ask this one for its list, at the operators' port
 	Residue   string   // the file that outlives a sudden end of this process; empty where none is kept
 	Forward   *Forward // nil where forward authentication is off
+	Journal   *Journal // nil where once-only txns are not written down
 	Terms
 }
 
--- /dev/null
+++ b/internal/config/journal.go
@@ -0,0 +1,101 @@
+package config
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"willowdeck/internal/journal"
+	"willowdeck/internal/strict"
+)
+
+// Journal is what the journal of once-only txns is told.
+type Journal struct {
+	Dir   string // folders of all instances on this host
+	Terms journal.Terms
+}
+
+// Of gives an instance's own folder.
+func (j *Journal) Of(name string) string { return filepath.Join(j.Dir, name) }
+
+// journalFile is the operator file's own form.
+type journalFile struct {
+	Dir         string
+	Policy      string
+	WindowMS    float64 `toml:"window_ms"`
+	WaitMS      float64 `toml:"wait_ms"`
+	SlowMS      float64 `toml:"slow_ms"`
+	LeaseMS     float64 `toml:"lease_ms"`
+	SegmentKB   int     `toml:"segment_kb"`
+	Segments    int
+	Txns        int
+	AnswerBytes int     `toml:"answer_bytes"`
+	AnswersKB   int     `toml:"answers_kb"`
+	RememberS   float64 `toml:"remember_s"`
+	Breaker     struct {
+		After   int
+		PauseMS float64 `toml:"pause_ms"`
+		MostMS  float64 `toml:"most_ms"`
+	}
+}
+
+// ReadJournal reads and checks the operator file of the journal. An error names the file, and the line or the
+// key.
+func ReadJournal(path, name string) (*Journal, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("journal: %w", err)
+	}
+	j, err := DecodeJournal(string(raw))
+	if err == nil && (strings.ContainsRune(name, filepath.Separator) || name == "." || name == "..") {
+		err = fmt.Errorf("name: %q can't be a folder's", name)
+	}
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return j, nil
+}
+
+// DecodeJournal decodes and checks the operator file's text.
+func DecodeJournal(text string) (*Journal, error) {
+	t := journal.DefaultTerms()
+	f := journalFile{Policy: t.Policy.String(), WindowMS: t.Window, WaitMS: t.Wait, SlowMS: t.Slow, LeaseMS: t.Lease,
+		SegmentKB: t.Segment >> 10, Segments: t.Segments, Txns: t.Txns, AnswerBytes: t.Answer,
+		AnswersKB: t.Answers >> 10, RememberS: t.Remember / 1000}
+	f.Breaker.After, f.Breaker.PauseMS, f.Breaker.MostMS = t.After, t.Pause, t.MostPause
+	if err := strict.Decode(text, &f); err != nil {
+		return nil, err
+	}
+	if f.Dir == "" {
+		return nil, errors.New("dir: it is not set")
+	}
+	switch f.Policy {
+	case journal.Refuse.String():
+	case journal.Serve.String():
+		t.Policy = journal.Serve
+	default:
+		return nil, fmt.Errorf("policy: %q is neither refuse nor serve", f.Policy)
+	}
+	err := within(bound{"window_ms", f.WindowMS, 0, journal.LongestWindow},
+		bound{"wait_ms", f.WaitMS, 1, journal.LongestWait}, bound{"slow_ms", f.SlowMS, 1, journal.LongestWait},
+		bound{"lease_ms", f.LeaseMS, 100, journal.LongestLease},
+		bound{"segment_kb", float64(f.SegmentKB), journal.LeastSegment >> 10, journal.MostSegment >> 10},
+		bound{"segments", float64(f.Segments), journal.LeastSegments, journal.MostSegments},
+		bound{"txns", float64(f.Txns), 1, journal.MostTxns},
+		bound{"answer_bytes", float64(f.AnswerBytes), 0, float64(f.SegmentKB << 10 / 8)},
+		bound{"answers_kb", float64(f.AnswersKB), 0, journal.MostAnswers >> 10},
+		bound{"remember_s", f.RememberS, 0, journal.LongestMemory / 1000},
+		bound{"breaker.after", float64(f.Breaker.After), 1, 1000},
+		bound{"breaker.pause_ms", f.Breaker.PauseMS, 1, journal.LongestPause},
+		bound{"breaker.most_ms", f.Breaker.MostMS, f.Breaker.PauseMS, journal.LongestPause})
+	if err != nil {
+		return nil, err
+	}
+	t.Window, t.Wait, t.Slow, t.Lease = f.WindowMS, f.WaitMS, f.SlowMS, f.LeaseMS
+	t.Segment, t.Segments, t.Txns = f.SegmentKB<<10, f.Segments, f.Txns
+	t.Answer, t.Answers, t.Remember = f.AnswerBytes, f.AnswersKB<<10, f.RememberS*1000
+	t.After, t.Pause, t.MostPause = f.Breaker.After, f.Breaker.PauseMS, f.Breaker.MostMS
+	return &Journal{Dir: f.Dir, Terms: t}, nil
+}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -6,15 +6,17 @@
 	"errors"
 
 	"willowdeck/internal/held"
+	"willowdeck/internal/journal"
 	"willowdeck/internal/wire"
 	"willowdeck/logic"
 )
 
 // Gate is one gatekeeper at work.
 type Gate struct {
-	desk  *Desk
-	links *wire.Links
-	jobs  chan job
+	desk   *Desk
+	links  *wire.Links
+	jobs   chan job
+	ledger *ledger // nil where no txn is written down
 }
 
 // errGone tells that an answer came when its txn had its final one.
@@ -26,6 +28,7 @@
 	word   held.Word
 	msg    []byte
 	upload *wire.Upload // what follows on it, or nil
+	note   *journal.Txn // where it is written down, else nil
 	left   float64      // ms that the client waits from then on
 }
 
@@ -33,7 +36,13 @@
 func New(d *Desk, links *wire.Links) *Gate { return &Gate{desk: d, links: links, jobs: make(chan job)} }
 
 // Serve is a txn's life: it is taken, submitted where the module says and as often, and answered once.
-func (g *Gate) Serve(t *wire.Txn) wire.Final { return g.carry(g.desk.take(t), t) }
+func (g *Gate) Serve(t *wire.Txn) wire.Final {
+	n := g.note(t)
+	if end, known := g.recall(n, t.Left); known {
+		return end
+	}
+	return g.carry(g.desk.take(t), t, n)
+}
 
 // Hold is a txn that is cleared ahead of its coming: its units are kept for it.
 type Hold struct{ txn *held.Txn }
@@ -61,17 +70,22 @@
 // Claim is the life of a cleared txn from its coming on. It is false where the clearance is no more: then
 // nothing has become of it.
 func (g *Gate) Claim(h *Hold, t *wire.Txn) (wire.Final, bool) {
+	n := g.note(t)
+	if end, known := g.recall(n, t.Left); known {
+		g.Release(h)
+		return end, true
+	}
 	if !g.desk.claim(h.txn, t) {
 		return wire.Final{}, false
 	}
-	return g.carry(h.txn, t), true
+	return g.carry(h.txn, t, n), true
 }
 
 // Release gives a cleared txn up: it will not come.
 func (g *Gate) Release(h *Hold) { g.desk.release(h.txn) }
 
 // carry carries a txn that is the module's to its final answer.
-func (g *Gate) carry(h *held.Txn, t *wire.Txn) wire.Final {
+func (g *Gate) carry(h *held.Txn, t *wire.Txn, n *journal.Txn) wire.Final {
 	if t.Upload != nil {
 		defer t.Upload.Settle()
 	}
@@ -85,7 +99,7 @@
 		}
 		// What passes on is copied here: the txn's own bytes end with this function, which a submission that may
 		// not be withdrawn outlives.
-		j := job{h, w, wire.AppendSubmission(nil, t, d.Wait), t.Upload, t.Left}
+		j := job{h, w, wire.AppendSubmission(nil, t, d.Wait), t.Upload, n, t.Left}
 		if t.Upload != nil {
 			t.Upload.Begin()
 		}
@@ -129,5 +143,6 @@
 			a.Outcome = logic.Cut
 		}
 	}
+	g.noted(&j, a)
 	g.desk.ended(j.txn, d.N, d.Worker, a, took)
 }
--- /dev/null
+++ b/internal/gate/journal.go
@@ -0,0 +1,95 @@
+package gate
+
+import (
+	"hash/crc32"
+	"time"
+
+	"willowdeck/internal/journal"
+	"willowdeck/internal/journal/store"
+	"willowdeck/internal/wire"
+	"willowdeck/logic"
+)
+
+// ledger is where once-only txns are written down before they go out.
+type ledger struct {
+	*store.Keeper
+	names []string // of products
+	once  []bool   // by product
+	wait  time.Duration
+	keeps int // bytes of an answer, at most
+}
+
+// Journal has once-only txns written down from here on. It is to be called before the first txn, if at all.
+func (g *Gate) Journal(k *store.Keeper, t journal.Terms, products []logic.Product, names map[string]int) {
+	l := &ledger{Keeper: k, names: make([]string, len(products)), wait: wire.Millis(t.Wait), keeps: t.Answer}
+	for name, i := range names {
+		l.names[i] = name
+	}
+	for _, p := range products {
+		l.once = append(l.once, p.Repeat == logic.OnceOnly)
+	}
+	g.ledger = l
+}
+
+// note is a txn as the journal names it; nil where it is not written down. What it names is copied: the txn's
+// own bytes end before a submission that may not be withdrawn.
+func (g *Gate) note(t *wire.Txn) *journal.Txn {
+	if g.ledger == nil || !g.ledger.once[t.Product] {
+		return nil
+	}
+	sum := crc32.NewIEEE()
+	_, _ = sum.Write(t.Target)
+	_, _ = sum.Write([]byte{0})
+	_, _ = sum.Write(t.Body)
+	return &journal.Txn{Customer: t.Customer, Mark: string(t.Mark), Product: g.ledger.names[t.Product],
+		Digest: sum.Sum32()}
+}
+
+// recall answers a txn that is known to have gone out before, and is not submitted again: with its own answer
+// where that is kept, else nothing is promised. Nor is anything where the journal can't say: a decline would
+// tell that it never ran.
+func (g *Gate) recall(n *journal.Txn, left float64) (end wire.Final, known bool) {
+	if n == nil {
+		return end, false
+	}
+	e, v, ok := g.ledger.Known(n.Customer, n.Mark, min(g.ledger.wait, wire.Millis(left)))
+	a := e.Answer
+	switch {
+	case ok && v == journal.NotSent:
+		return end, false
+	case ok && v == journal.SentSettled && a.Whole && e.Digest == n.Digest && e.Product == n.Product:
+		return wire.Final{Kind: logic.Submit, Answer: &wire.Answer{Outcome: logic.Settled, Type: a.Type,
+			Coding: a.Coding, Body: a.Body, Length: len(a.Body)}}, true
+	}
+	return wire.Final{Kind: logic.Void}, true
+}
+
+// meant tells whether a submission may go out: it does not have to be written down, or now is.
+func (g *Gate) meant(j *job, until time.Time) bool {
+	if j.note == nil {
+		return true
+	}
+	var expiry float64
+	if !until.IsZero() {
+		expiry = float64(until.UnixMicro()) / 1000
+	}
+	return g.ledger.Meant(*j.note, journal.Sub{Number: j.txn.ID, N: j.word.Decision.N}, j.word.To.Name(), expiry,
+		until)
+}
+
+// noted writes down how a submission ended. It waits for nothing.
+func (g *Gate) noted(j *job, a *wire.Answer) {
+	if j.note == nil {
+		return
+	}
+	end, kept := journal.MayRun, journal.Answer{}
+	switch a.Outcome {
+	case logic.Settled:
+		if end = journal.Settled; a.Rest == nil && len(a.Body) <= g.ledger.keeps {
+			kept = journal.Answer{Type: a.Type, Coding: a.Coding, Body: append([]byte(nil), a.Body...), Whole: true}
+		}
+	case logic.NotSent, logic.NoRoute, logic.Full:
+		end = journal.Never
+	}
+	g.ledger.Ended(*j.note, journal.Sub{Number: j.txn.ID, N: j.word.Decision.N}, j.word.To.Name(), end, kept)
+}
--- a/internal/held/workers.go
+++ b/internal/held/workers.go
@@ -26,6 +26,9 @@
 	life   int64
 }
 
+// Name is the worker's name.
+func (l *Life) Name() string { return l.of.name }
+
 // Holds tells whether the worker still takes new submissions and lives the same life. Any goroutine
 // may ask.
 func (l *Life) Holds() bool { return l.of.life.Load() == l.life }
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -36,6 +36,12 @@
 	DefaultAfter     = 3       // failures one after another until the disk is left alone
 	DefaultPause     = 200.0   // ms that it is left alone then, doubled by each failure after that,
 	DefaultMostPause = 5000.0  // up to this
+	LongestWait      = 10000.0 // ms, for a commit too
+	LongestLease     = 60000.0 // ms
+	LongestPause     = 600000.0
+	LongestMemory    = 7 * 24 * 3.6e6 // ms
+	MostSegments     = 1024
+	MostAnswers      = 1 << 30 // bytes
 )
 
 // Policy tells what becomes of once-only txns that can't be written down.
--- a/internal/journal/store/keeper.go
+++ b/internal/journal/store/keeper.go
@@ -40,7 +40,7 @@
 	retired bool
 	settled bool // the process before has ended
 	set     float64
-	seen    Figures
+	seen    counts
 }
 
 // queued is a record that waits for the disk, and who waits for it.
@@ -50,15 +50,13 @@
 	size    int
 }
 
-// Figures counts what a keeper has done.
-type Figures struct {
-	Commits, Records, Failures int64
-	Refused                    int64 // submissions that were not sent as they could not be written down
-	Late                       int64 // of these, those whose group came too late
-	Doubtful                   int64 // submissions that were sent unwritten
-	Lost                       int64 // ends that were not written down
-	Txns, Answers, Segments    int64
-	Down                       bool
+// counts are what operators see.
+type counts struct {
+	commits, records, failures int64
+	refused                    int64 // submissions that were not sent, as they could not be written down
+	late                       int64 // of these, those whose group came too late
+	doubtful                   int64 // submissions that were sent unwritten
+	lost                       int64 // ends that were not written down
 }
 
 // Keep begins to keep a journal: it is read beside the caller. Same as Open, beside tells of a process that
@@ -126,10 +124,14 @@
 	}
 	r := journal.Record{Kind: journal.Meant, At: wall(), Txn: t, Sub: s, Worker: worker, Expiry: expiry}
 	k.mu.Lock()
+	if k.j != nil && k.went(t) {
+		k.mu.Unlock()
+		return k.refuse()
+	}
 	if !k.well() {
 		serves := k.unwritten()
 		if serves {
-			k.seen.Doubtful++
+			k.seen.doubtful++
 			r.Life = k.j.Life()
 			k.j.Take(r)
 		}
@@ -144,16 +146,25 @@
 		return ok || k.refuse()
 	case <-timer.C:
 		k.mu.Lock()
-		k.seen.Late++
+		k.seen.late++
 		k.mu.Unlock()
 		return k.refuse()
 	}
 }
 
+// went tells, under the lock, whether a txn may have gone out before.
+func (k *Keeper) went(t journal.Txn) (went bool) {
+	k.j.Ask(func(b *journal.Book) {
+		_, v := b.Known(t.Customer, t.Mark)
+		went = v != journal.NotSent
+	})
+	return went
+}
+
 func (k *Keeper) refuse() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.seen.Refused++
+	k.seen.refused++
 	return false
 }
 
@@ -189,7 +200,7 @@
 	k.j.Take(r)
 	q := queued{r, durable, aRecord + len(r.Answer.Body)}
 	if k.bytes+q.size > k.most() && durable == nil {
-		k.seen.Lost++
+		k.seen.lost++
 		return
 	}
 	k.bytes += q.size
@@ -324,11 +335,11 @@
 	if is := k.breaker.Tripped(); is != was {
 		k.log.Warn().Err(err).Float64("took_ms", took).Bool("down", is).Msg("journal")
 	}
-	k.seen.Commits++
+	k.seen.commits++
 	if err == nil {
-		k.seen.Records += int64(len(all))
+		k.seen.records += int64(len(all))
 	} else {
-		k.seen.Failures++
+		k.seen.failures++
 	}
 	var again []queued
 	for _, q := range group {
@@ -351,7 +362,7 @@
 	k.waiting, k.bytes = nil, 0
 	for _, q := range append(ends, since...) {
 		if k.bytes+q.size > k.most() && q.durable == nil {
-			k.seen.Lost++
+			k.seen.lost++
 			continue
 		}
 		k.bytes += q.size
@@ -420,18 +431,29 @@
 	}
 }
 
-// Seen gives the counts.
-func (k *Keeper) Seen() Figures {
+// Figures gives what operators see.
+func (k *Keeper) Figures(add func(name string, v int64)) {
 	k.mu.Lock()
-	defer k.mu.Unlock()
-	f := k.seen
-	f.Down = !k.well()
-	if k.j != nil {
-		k.j.Ask(func(b *journal.Book) {
-			txns, answers := b.Len()
-			f.Txns, f.Answers = int64(txns), int64(answers)
-		})
-		f.Segments = int64(k.j.Segments())
-	}
-	return f
+	c, down, j := k.seen, !k.well(), k.j
+	k.mu.Unlock()
+	var is int64
+	if down {
+		is = 1
+	}
+	add("journal.down", is)
+	add("journal.commits", c.commits)
+	add("journal.records", c.records)
+	add("journal.failures", c.failures)
+	add("journal.refused", c.refused)
+	add("journal.late", c.late)
+	add("journal.doubtful", c.doubtful)
+	add("journal.lost", c.lost)
+	if j == nil {
+		return
+	}
+	var txns, answers int
+	j.Ask(func(b *journal.Book) { txns, answers = b.Len() })
+	add("journal.txns", int64(txns))
+	add("journal.answer_bytes", int64(answers))
+	add("journal.segments", int64(j.Segments()))
 }
--- a/internal/lifecycle/replace.go
+++ b/internal/lifecycle/replace.go
@@ -42,6 +42,7 @@
 				g.peers.Bear(w.Word)
 			}
 			g.remember() // the process before has let it go
+			g.keepJournal(true)
 			g.log.Info().Int("customers", len(w.Estate.Customers)).Int("workers", len(w.Estate.Workers)).
 				Msg("taking over")
 			if g.portal != nil {
@@ -58,8 +59,12 @@
 	})
 	g.log.Info().Bool("whole", whole).Err(err).Msg("the process before has ended")
 	g.desk.Alone()
+	if whole && g.journal != nil {
+		g.journal.Settle()
+	}
 	if !whole { // as after any sudden end
 		g.remember()
+		g.keepJournal(false)
 		if g.portal != nil {
 			go g.portal.Rebind(g.over)
 		}
@@ -131,6 +136,9 @@
 		w.Clearances = g.portal.Leave() // before the module's own, which would count them as spent
 	}
 	w.Estate, w.Workers, w.Kinds = g.desk.Retire()
+	if g.journal != nil {
+		g.journal.Retire()
+	}
 	if g.peers != nil {
 		w.Word = g.peers.Word()
 	}
--- a/internal/lifecycle/start.go
+++ b/internal/lifecycle/start.go
@@ -16,6 +16,7 @@
 	"willowdeck/internal/config"
 	"willowdeck/internal/gate"
 	"willowdeck/internal/handover"
+	"willowdeck/internal/journal/store"
 	"willowdeck/internal/member"
 	"willowdeck/internal/ops"
 	"willowdeck/internal/portal"
@@ -27,6 +28,9 @@
 	"willowdeck/logic"
 )
 
+// journalFiles is how many descriptors a journal takes: a segment, its folder for a moment, and the lock.
+const journalFiles = 4
+
 // socketSlack is by how much the protocol lengthens the rules' time limits, ms.
 const socketSlack = 50
 
@@ -52,7 +56,9 @@
 	list    *warm.Book
 	portal  *portal.Portal // nil where portals do not ask
 	vouch   *vouch.Voucher // nil where no auth service is asked
-	said    time.Time      // when the log last told that the watch had ended
+	gate    *gate.Gate
+	journal *store.Keeper // nil where no txn is written down
+	said    time.Time     // when the log last told that the watch had ended
 }
 
 // Start brings a gatekeeper up: when it returns, clients are served.
@@ -67,6 +73,9 @@
 		spare = max(spare-logic.OperatorCalls, 2)
 	}
 	spare = max(spare-float64(c.Forward.Connections()), 2)
+	if c.Journal != nil {
+		spare = max(spare-journalFiles, 2)
+	}
 	if c.Scratch != "" { // a process that gets ready to take this one's place is counted with it
 		spare -= min(logic.SpareFiles+logic.OperatorCalls, spare/4)
 	}
@@ -101,7 +110,8 @@
 	g.desk.Roster(c.Known)
 	g.list = warm.NewBook(c.Known)
 	g.members.Store(int64(c.Charter.Gatekeepers))
-	g.front = wire.NewFront(c.Names, c.Charter, g.forward(gate.New(g.desk, g.links)), g.up)
+	g.gate = gate.New(g.desk, g.links)
+	g.front = wire.NewFront(c.Names, c.Charter, g.forward(g.gate), g.up)
 	g.front.Nameless = g.vouch != nil && c.Forward.Asking.Customer != ""
 
 	g.limit = wire.Limit(l, int(spare*logic.ClientPart))
@@ -134,6 +144,7 @@
 		go g.inherit(before)
 	default:
 		g.remember()
+		g.keepJournal(false)
 		if g.peers != nil && g.peers.Bound() {
 			go g.peers.Hear(g.desk.Hear)
 		} else if g.peers != nil { // a process that can't be talked to has it still
@@ -163,6 +174,19 @@
 	}
 }
 
+// keepJournal has once-only txns written down from here on. beside tells that the process before still ends
+// its own.
+func (g *Gatekeeper) keepJournal(beside bool) {
+	j := g.conf.Journal
+	if j == nil {
+		return
+	}
+	start, up := residue.Machine()
+	who := store.Who{Name: g.conf.Name, Boot: start, Offset: float64(time.Now().UnixMilli()) - up}
+	g.journal = store.Keep(store.Dir(j.Of(g.conf.Name)), j.Terms, who, beside, g.conf.Seed, g.log)
+	g.gate.Journal(g.journal, j.Terms, g.conf.Charter.Products, g.conf.Names.Products)
+}
+
 // forward puts forward authentication before a gate, in the roles that are on: a txn that a portal has had
 // cleared needs nobody else's word.
 func (g *Gatekeeper) forward(to *gate.Gate) func(*wire.Txn) wire.Final {
--- a/internal/lifecycle/stop.go
+++ b/internal/lifecycle/stop.go
@@ -61,6 +61,9 @@
 		g.vouch.Close()
 	}
 	g.desk.Stop()
+	if g.journal != nil {
+		g.journal.Close()
+	}
 	if close(g.over); g.port != nil {
 		g.port.Close()
 	}
--- a/internal/residue/residue.go
+++ b/internal/residue/residue.go
@@ -9,6 +9,7 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"hash/crc32"
 	"math"
 	"os"
 	"strconv"
@@ -84,6 +85,16 @@
 	return bytes.TrimSpace(mark), up * 1000, err
 }
 
+// Machine gives a number that stands for this start of the machine, and how many ms it has been up; nought
+// where that can't be found out.
+func Machine() (start uint32, up float64) {
+	mark, up, err := machine()
+	if err != nil {
+		return 0, 0
+	}
+	return crc32.ChecksumIEEE(mark), up
+}
+
 // Uptime gives how long the machine has been up, in hundredths of a second: it grows over the lives of
 // processes, however the system's clock is set.
 func Uptime() uint32 {
