--- /dev/null
+++ b/internal/lifecycle/journal_test.go
@@ -0,0 +1,322 @@
+package lifecycle
+
+import (
+	"flag"
+	"fmt"
+	"math/rand"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"willowdeck/internal/config"
+	"willowdeck/internal/journal"
+	"willowdeck/internal/journal/store"
+	"willowdeck/internal/standin"
+)
+
+var kills = flag.Int("kills", 8, "how often the gatekeeper of the journal's test is killed")
+
+// journaled has a gatekeeper keep a journal in a folder.
+func journaled(dir string) func(*config.Gatekeeper) { return journaledIn(dir, journal.DefaultSegments) }
+
+func journaledIn(dir string, segments int) func(*config.Gatekeeper) {
+	return func(c *config.Gatekeeper) {
+		t := journal.DefaultTerms()
+		t.Segment, t.Segments = 4<<10, segments // so that they change often
+		t.Wait, t.Slow = 250, 1000 // a loaded machine
+		c.Journal = &config.Journal{Dir: dir, Terms: t}
+	}
+}
+
+// again starts the deployment's gatekeeper anew, once the one before has ended.
+func (d *deployment) again() *Gatekeeper {
+	d.t.Helper()
+	g := d.second(func(*config.Gatekeeper) {})
+	d.at = g.At
+	return g
+}
+
+// says gives the journal's answer on a mark that was asked for not long ago.
+func answers(t *testing.T, dir, mark string) journal.Verdict {
+	t.Helper()
+	now := float64(time.Now().UnixMilli())
+	b, _, _, _, err := store.ReadAll(store.Dir(dir), journal.DefaultTerms(), now, nil, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	v, _, _ := b.Answers(mark, now+5000, now+5000, now) // not so near to when the journal began
+	return v
+}
+
+// A once-only txn that went out is not submitted again when its client comes back: one that was settled gets
+// its answer, one of which nobody knows is voided, in the same life and in the next. Guards against a second
+// effect after a restart. What has another content, or another customer, is not answered by it.
+func TestOnceOnlyComesBack(t *testing.T) {
+	dir := t.TempDir()
+	d := deployWith(t, journaled(dir), 1, 5000)
+	const ok, void = "HTTP/1.1 200 OK", "HTTP/1.1 500 Internal Server Error"
+	other := strings.Replace(issue("/issue", "done"), "b4d65521", "b4d65522", 1)
+	cases := []struct {
+		name, raw, status, body string
+		sent                    int // submissions for it
+	}{
+		{"settled", issue("/issue", "done"), ok, "valid\n", 1},
+		{"settled, again", issue("/issue", "done"), ok, "valid\n", 0},
+		{"another content", issue("/issue/2", "done"), void, "", 0},
+		{"another customer's", other, ok, "valid\n", 1},
+		{"cut", issue("/issue?cut", "lost"), void, "", 1},
+		{"cut, again", issue("/issue?cut", "lost"), void, "", 0},
+		{"an inquiry", check("/check", "look"), ok, "valid\n", 1},
+		{"an inquiry, again", check("/check", "look"), ok, "valid\n", 1},
+		{"turned away by all", issue("/issue?full", "none"), "HTTP/1.1 429 Too Many Requests", "", -1},
+	}
+	for _, c := range cases {
+		before := len(d.got())
+		status, body := d.ask(c.raw)
+		if n := len(d.got()) - before; status != c.status || body != c.body || c.sent >= 0 && n != c.sent {
+			t.Errorf("%s: %q %q, submitted %d times, want %q, %d", c.name, status, body, n, c.status, c.sent)
+		}
+	}
+	d.gk.Stop()
+	for mark, want := range map[string]journal.Verdict{"done": journal.SentSettled, "lost": journal.SentUnknown,
+		"none": journal.NotSent} {
+		if v := answers(t, filepath.Join(dir, "n0"), mark); v != want {
+			t.Errorf("the journal says of %s: %v", mark, v)
+		}
+	}
+	next := d.again()
+	before := len(d.got())
+	for _, i := range []int{1, 2, 5} {
+		if status, body := d.ask(cases[i].raw); status != cases[i].status || body != cases[i].body {
+			t.Errorf("%s, in the next life: %q %q", cases[i].name, status, body)
+		}
+	}
+	if n := len(d.got()) - before; n != 0 {
+		t.Errorf("%d submitted again", n)
+	}
+	if status, _ := d.ask(issue("/issue", "fresh")); status != ok {
+		t.Errorf("a new one: %q", status)
+	}
+	next.Stop()
+}
+
+// Where the journal can't be had no once-only txn goes out, and all else is served as ever.
+func TestNoJournal(t *testing.T) {
+	dir := t.TempDir()
+	if err := os.WriteFile(filepath.Join(dir, "n0"), nil, 0o600); err != nil { // no folder can be made there
+		t.Fatal(err)
+	}
+	d := deployWith(t, journaled(dir), 1, 5000)
+	if status, _ := d.ask(issue("/issue", "1")); status != "HTTP/1.1 500 Internal Server Error" {
+		t.Errorf("once-only: %q", status)
+	}
+	if len(d.got()) > 0 {
+		t.Error("it was sent")
+	}
+	for range 3 {
+		if status, _ := d.ask(check("/check", "2")); status != "HTTP/1.1 200 OK" {
+			t.Errorf("an inquiry: %q", status)
+		}
+	}
+}
+
+// A second process takes the journal over: what the first has in hand ends in it, and nothing of it is sent
+// again. Guards against two writers, and against ends that the heir never hears of.
+func TestJournalAtReplacement(t *testing.T) {
+	d, change := heldListener(t)
+	dir := t.TempDir()
+	both := func(c *config.Gatekeeper) {
+		change(c)
+		journaled(dir)(c)
+	}
+	first := d.second(both)
+	d.gk.Stop()
+	d.ask(issue("/issue", "before"))
+	busy, err := net.Dial("tcp", d.at)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer busy.Close()
+	fmt.Fprint(busy, issue("/issue?slow", "busy"))
+	before := d.got()
+	until(t, "it does not go out", func() bool { before = d.got(); return len(before) == 2 })
+	second := d.second(both)
+	first.Stop()
+	if status, _ := read(busy); status != "HTTP/1.1 200 OK" {
+		t.Errorf("in hand: %q", status)
+	}
+	for _, raw := range []string{issue("/issue", "before"), issue("/issue?slow", "busy")} {
+		until(t, "not answered by what the first process was told", func() bool {
+			status, _ := d.ask(raw)
+			return status == "HTTP/1.1 200 OK"
+		})
+	}
+	if n := len(d.got()); n != 2 {
+		t.Errorf("%d submitted", n)
+	}
+	if status, _ := d.ask(issue("/issue", "after")); status != "HTTP/1.1 200 OK" {
+		t.Errorf("after: %q", status)
+	}
+	second.Stop()
+}
+
+// TestJournalChild is no test: it is the gatekeeper that TestJournalKilled kills.
+func TestJournalChild(t *testing.T) {
+	path := os.Getenv("WILLOWDECK_TEST_JOURNAL")
+	if path == "" {
+		t.Skip("run by TestJournalKilled")
+	}
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	conf, err := config.Decode(raw, func(string) string { return "" })
+	if err != nil {
+		t.Fatal(err)
+	}
+	segments, _ := strconv.Atoi(os.Getenv("WILLOWDECK_TEST_SEGMENTS"))
+	journaledIn(filepath.Dir(path), segments)(&conf)
+	g, err := Start(conf, zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	fmt.Println("at", g.At)
+	select {}
+}
+
+// Kills at random moments, under load: the journal says of no txn that a worker has run that it was not sent,
+// and of none that it is settled that no worker has run; and what comes back to the next life is not run again.
+func TestJournalKilled(t *testing.T) {
+	t.Run("all kept", func(t *testing.T) { killed(t, 1000) })
+	t.Run("segments let go", func(t *testing.T) { killed(t, 12) })
+}
+
+func killed(t *testing.T, segments int) {
+	rng := rand.New(rand.NewSource(4))
+	dir := t.TempDir()
+	var workers []*standin.Worker
+	var entries []string
+	for i := range 3 {
+		w, err := standin.NewWorker(fmt.Sprint("w", i), 3*time.Millisecond)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer w.Close()
+		workers = append(workers, w)
+		entries = append(entries, fmt.Sprintf(`{"name":%q,"address":%q,"zone":"a","group":1,"status":"active"}`,
+			w.Name, w.At))
+	}
+	disc, err := standin.NewDiscovery()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer disc.Close()
+	conf := fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":%q,"seed":"5","limits":{"sockets":128},
+		"known":{"index":7,"snapshot":true,"endpoints":[%s]},"settings":%s}`, disc.At, strings.Join(entries, ","),
+		strings.NewReplacer("IDLE", "5000000").Replace(settings))
+	path := filepath.Join(dir, "conf.json")
+	if err := os.WriteFile(path, []byte(conf), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	asked := map[string]float64{}
+	next := 0
+	var back []string // of the life before: they come once more
+	for range *kills {
+		cmd := exec.Command(os.Args[0], "-test.run", "TestJournalChild$")
+		cmd.Env = append(os.Environ(), "WILLOWDECK_TEST_JOURNAL="+path,
+			fmt.Sprint("WILLOWDECK_TEST_SEGMENTS=", segments))
+		out, err := cmd.StdoutPipe()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := cmd.Start(); err != nil {
+			t.Fatal(err)
+		}
+		var at string
+		if _, err := fmt.Fscanln(out, new(string), &at); err != nil {
+			t.Fatal(err)
+		}
+		var wg sync.WaitGroup
+		var mu sync.Mutex
+		var now []string
+		over := time.Now().Add(time.Duration(20+rng.Intn(60)) * time.Millisecond)
+		for client := range 8 {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				for i := client; ; i += 8 {
+					mu.Lock()
+					var mark string
+					if i < len(back) {
+						mark = back[i]
+					} else {
+						next++
+						mark = fmt.Sprint("x", next)
+						asked[mark] = float64(time.Now().UnixMilli())
+						now = append(now, mark)
+					}
+					mu.Unlock()
+					c, err := net.Dial("tcp", at)
+					if err != nil {
+						return // it is dead
+					}
+					c.SetDeadline(time.Now().Add(2 * time.Second))
+					fmt.Fprint(c, issue("/issue", mark))
+					buf := make([]byte, 512)
+					n, _ := c.Read(buf)
+					c.Close()
+					if n == 0 {
+						return
+					}
+				}
+			}()
+		}
+		time.Sleep(time.Until(over))
+		_ = cmd.Process.Kill()
+		wg.Wait()
+		_ = cmd.Wait()
+		back = now[:len(now)-len(now)/4] // the last ones may not have got there, and don't come again
+	}
+	ran, twice := map[string]int{}, 0
+	for _, w := range workers {
+		for _, g := range w.Got() {
+			if ran[g.ID]++; ran[g.ID] > 1 {
+				twice++
+			}
+		}
+	}
+	end := float64(time.Now().UnixMilli())
+	b, found, _, lives, err := store.ReadAll(store.Dir(filepath.Join(dir, "n0")), journal.DefaultTerms(), end, nil, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	count, falsely, early, needless := [3]int{}, 0, 0, 0
+	for mark, at := range asked {
+		v, why, _ := b.Answers(mark, at, end, end)
+		count[v]++
+		switch {
+		case v == journal.NotSent && ran[mark] > 0:
+			falsely++
+			t.Errorf("%s ran, and the journal says it was not sent: %s", mark, why)
+		case v == journal.SentSettled && ran[mark] == 0:
+			early++
+		case v == journal.SentUnknown && ran[mark] == 0:
+			needless++
+		}
+	}
+	t.Logf("%d lives, %d records in %d segments, %d bytes cut; of %d txns %d ran, %d twice; settled %d, "+
+		"unknown %d (%d of them never ran), not sent %d; falsely not sent %d, falsely settled %d", lives,
+		found.Records, found.Segments, found.Cut, len(asked), len(ran), twice, count[journal.SentSettled],
+		count[journal.SentUnknown], needless, count[journal.NotSent], falsely, early)
+	if twice > 0 || early > 0 || len(ran) < *kills || int(lives) < *kills-1 {
+		t.Errorf("%d ran twice, %d are settled that never ran, %d ran in %d lives", twice, early, len(ran), lives)
+	}
+}
--- a/internal/lifecycle/operate.go
+++ b/internal/lifecycle/operate.go
@@ -40,8 +40,8 @@
 		add("peers.suspected", int64(seen.Suspected))
 		add("peers.gone", int64(seen.Lost))
 	}
-	if g.journal != nil {
-		g.journal.Figures(add)
+	if k := g.journal.Load(); k != nil {
+		k.Figures(add)
 	}
 	if g.portal != nil {
 		g.portal.Figures(add)
--- a/internal/lifecycle/replace.go
+++ b/internal/lifecycle/replace.go
@@ -59,8 +59,8 @@
 	})
 	g.log.Info().Bool("whole", whole).Err(err).Msg("the process before has ended")
 	g.desk.Alone()
-	if whole && g.journal != nil {
-		g.journal.Settle()
+	if k := g.journal.Load(); whole && k != nil {
+		k.Settle()
 	}
 	if !whole { // as after any sudden end
 		g.remember()
@@ -136,8 +136,8 @@
 		w.Clearances = g.portal.Leave() // before the module's own, which would count them as spent
 	}
 	w.Estate, w.Workers, w.Kinds = g.desk.Retire()
-	if g.journal != nil {
-		g.journal.Retire()
+	if k := g.journal.Load(); k != nil {
+		k.Retire()
 	}
 	if g.peers != nil {
 		w.Word = g.peers.Word()
--- a/internal/lifecycle/start.go
+++ b/internal/lifecycle/start.go
@@ -57,8 +57,8 @@
 	portal  *portal.Portal // nil where portals do not ask
 	vouch   *vouch.Voucher // nil where no auth service is asked
 	gate    *gate.Gate
-	journal *store.Keeper // nil where no txn is written down
-	said    time.Time     // when the log last told that the watch had ended
+	journal atomic.Pointer[store.Keeper] // nil where no txn is written down
+	said    time.Time                    // when the log last told that the watch had ended
 }
 
 // Start brings a gatekeeper up: when it returns, clients are served.
@@ -183,8 +183,9 @@
 	}
 	start, up := residue.Machine()
 	who := store.Who{Name: g.conf.Name, Boot: start, Offset: float64(time.Now().UnixMilli()) - up}
-	g.journal = store.Keep(store.Dir(j.Of(g.conf.Name)), j.Terms, who, beside, g.conf.Seed, g.log)
-	g.gate.Journal(g.journal, j.Terms, g.conf.Charter.Products, g.conf.Names.Products)
+	k := store.Keep(store.Dir(j.Of(g.conf.Name)), j.Terms, who, beside, g.conf.Seed, g.log)
+	g.journal.Store(k)
+	g.gate.Journal(k, j.Terms, g.conf.Charter.Products, g.conf.Names.Products)
 }
 
 // forward puts forward authentication before a gate, in the roles that are on: a txn that a portal has had
--- a/internal/lifecycle/stop.go
+++ b/internal/lifecycle/stop.go
@@ -61,8 +61,8 @@
 		g.vouch.Close()
 	}
 	g.desk.Stop()
-	if g.journal != nil {
-		g.journal.Close()
+	if k := g.journal.Load(); k != nil {
+		k.Close()
 	}
 	if close(g.over); g.port != nil {
 		g.port.Close()
