--- a/internal/journal/book.go
+++ b/internal/journal/book.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 )
 
 // Book is what a journal says: its txns, and when it may lack some. It is filled by reading segments in the
@@ -86,9 +87,10 @@
 	if b.last.Life > 0 && (stepped(&b.last, &h) || !math.IsInf(b.cover, 1) && h.At < b.latest) {
 		b.step(h.At)
 	}
-	b.covers(h.At, math.Inf(1))
-	if h.Policy == Serve {
-		b.cover = h.At + h.Lease
+	if h.Policy == Refuse {
+		b.covers(h.At, math.Inf(1))
+	} else if h.Life != b.last.Life { // it has promised nothing yet
+		b.covers(h.At, h.At)
 	}
 	b.last, b.latest = h, h.At
 }
@@ -191,9 +193,8 @@
 		e.Txn, e.Meant = r.Txn, r.At
 		b.txns[k] = e
 		b.order = append(b.order, e)
-		if r.Kind == Ended && r.End != Settled { // its beginning is lost, and maybe more
+		if r.Kind == Ended { // its beginning is lost, or was never written
 			b.Strays++
-			e.mayRun = true
 		}
 		defer b.bound()
 	}
@@ -320,6 +321,12 @@
 	return NotSent, "the journal lacks nothing of that time", found
 }
 
+// Open tells whether a submission is written down, and its end is not.
+func (b *Book) Open(t Txn, life uint32, s Sub) bool {
+	e := b.txns[key{t.Customer, t.Mark}]
+	return e != nil && slices.Contains(e.open, of{life, s})
+}
+
 // Each gives all txns, the oldest first.
 func (b *Book) Each(f func(Entry, Verdict)) {
 	for _, e := range b.order {
--- a/internal/journal/code.go
+++ b/internal/journal/code.go
@@ -50,10 +50,9 @@
 	le.PutUint32(to[12:], h.Life)
 	le.PutUint64(to[16:], h.Number)
 	putFloat(to[24:], h.At)
-	putFloat(to[32:], h.Lease)
+	putFloat(to[32:], h.Offset)
 	le.PutUint32(to[40:], h.Boot)
-	putFloat(to[44:], h.Offset)
-	copy(to[52:52+nameBytes], h.Name)
+	copy(to[44:44+nameBytes], h.Name)
 	le.PutUint32(to[headBytes-4:], crc32.Checksum(to[:headBytes-4], table))
 	return append(b, to[:]...)
 }
@@ -67,12 +66,12 @@
 	h := Head{Number: number, Spoilt: true}
 	if len(b) < headBytes || !bytes.Equal(b[:8], headMagic) ||
 		crc32.Checksum(b[:headBytes-4], table) != le.Uint32(b[headBytes-4:]) || le.Uint64(b[16:]) != number ||
-		!sane(float(b[24:])) || !sane(float(b[32:])) || !sane(float(b[44:])) {
+		!sane(float(b[24:])) || !sane(float(b[32:])) {
 		return h
 	}
 	h = Head{Number: number, Life: le.Uint32(b[12:]), Policy: Policy(b[10]), At: float(b[24:]),
-		Lease: float(b[32:]), Boot: le.Uint32(b[40:]), Offset: float(b[44:]),
-		Name: string(bytes.TrimRight(b[52:52+nameBytes], "\x00")), Version: int(le.Uint16(b[8:]))}
+		Offset: float(b[32:]), Boot: le.Uint32(b[40:]),
+		Name: string(bytes.TrimRight(b[44:44+nameBytes], "\x00")), Version: int(le.Uint16(b[8:]))}
 	h.Unreadable = h.Version < Oldest || h.Version > Version || h.Policy > Serve
 	return h
 }
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -188,7 +188,6 @@
 	Life       uint32
 	Policy     Policy
 	At         float64
-	Lease      float64
 	Boot       uint32  // stands for a start of the machine
 	Offset     float64 // of the system's clock against the machine's uptime, ms
 	Name       string  // of the gatekeeper
--- a/internal/journal/store/keeper.go
+++ b/internal/journal/store/keeper.go
@@ -28,6 +28,7 @@
 	kick  chan struct{}
 	stop  chan struct{}
 	over  chan struct{} // closed once the writer has ended
+	once  sync.Once
 	ready chan struct{} // closed once the journal was read, or could not be
 
 	mu      sync.Mutex
@@ -190,6 +191,11 @@
 	if k.j == nil {
 		return
 	}
+	written := false
+	k.j.Ask(func(b *journal.Book) { written = b.Open(t, k.j.Life(), s) })
+	if !written && end == journal.Never {
+		return // it was refused
+	}
 	k.push(journal.Record{Kind: journal.Ended, At: wall(), Txn: t, Sub: s, Worker: worker, End: end, Answer: a}, nil)
 }
 
@@ -377,7 +383,8 @@
 		k.set = set
 		all = append(all, journal.Record{Kind: journal.Stepped, At: now, To: now})
 	}
-	if age := k.age(); k.terms.Policy == journal.Serve && !k.retired && k.cover < age+k.terms.Lease/2 {
+	if age := k.age(); k.terms.Policy == journal.Serve && !k.retired && !k.breaker.Tripped() &&
+		k.cover < age+k.terms.Lease/2 { // a disk that is left alone is promised nothing
 		k.cover = age + k.terms.Lease
 		all = append(all, journal.Record{Kind: journal.Covers, At: now, To: now + k.terms.Lease})
 	}
@@ -401,7 +408,7 @@
 // Close ends the keeping, and waits a little for what is to be written.
 func (k *Keeper) Close() {
 	k.leave(false)
-	close(k.stop)
+	k.once.Do(func() { close(k.stop) })
 	select {
 	case <-k.over:
 	case <-time.After(leaving):
--- a/internal/journal/store/log.go
+++ b/internal/journal/store/log.go
@@ -278,9 +278,10 @@
 		_ = l.drop()
 		return err
 	}
-	b := journal.AppendHead(l.buf[:0], journal.Head{Number: number, Life: l.life, Policy: l.terms.Policy, At: now,
-		Lease: l.terms.Lease, Boot: l.who.Boot, Offset: l.who.Offset, Name: l.who.Name})
-	below, kept := l.checkpoint(now)
+	h := journal.Head{Number: number, Life: l.life, Policy: l.terms.Policy, At: now, Boot: l.who.Boot,
+		Offset: l.who.Offset, Name: l.who.Name}
+	b := journal.AppendHead(l.buf[:0], h)
+	below, kept := l.checkpoint(h)
 	for _, more := range [][]journal.Record{kept, all} {
 		if b, err = l.encode(b, number, len(b), more); err != nil {
 			_ = l.drop()
@@ -299,9 +300,10 @@
 }
 
 // checkpoint gives what has to be in a new segment before those below a number can go; 0 where none can.
-func (l *Log) checkpoint(now float64) (below uint64, kept []journal.Record) {
+func (l *Log) checkpoint(h journal.Head) (below uint64, kept []journal.Record) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.book.Opens(h)
 	n := uint64(l.terms.Segments)
 	if l.number <= n {
 		return 0, nil
@@ -312,7 +314,7 @@
 	if below <= l.have[0] {
 		return 0, nil
 	}
-	return below, l.book.Checkpoint(below, l.life, now, l.terms.Segment/2)
+	return below, l.book.Checkpoint(below, l.life, h.At, l.terms.Segment/2)
 }
 
 // letGo removes the segments below a number, whose checkpoint is durable in another. What can't be removed
