--- a/internal/journal/book.go
+++ b/internal/journal/book.go
@@ -81,7 +81,11 @@
 	b.began = true
 	if h.Spoilt || h.Unreadable {
 		b.last.Number = h.Number
-		b.cover = math.Inf(-1) // its promise can't be read
+		from := b.latest // its promise can't be read
+		if h.Unreadable {
+			from = h.At
+		}
+		b.cover = math.Min(b.cover, from)
 		return
 	}
 	if b.last.Life > 0 && (stepped(&b.last, &h) || !math.IsInf(b.cover, 1) && h.At < b.latest) {
