--- a/internal/gate/desk.go
+++ b/internal/gate/desk.go
@@ -2,11 +2,13 @@
 
 import (
 	"math"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"willowdeck/internal/held"
+	"willowdeck/internal/history"
 	"willowdeck/internal/residue"
 	"willowdeck/internal/wire"
 	"willowdeck/internal/wire/gossip"
@@ -44,6 +46,14 @@
 	ready atomic.Bool
 	pool  atomic.Pointer[logic.Tally] // a copy for those who must not wait
 
+	record *record       // nil where none is kept
+	terms  *held.Terms   // under the lock; nil where no rules are agreed on
+	bound  logic.Charter // that they have brought
+	under  uint64        // the last version that was gone by
+
+	recalled atomic.Int64
+	knows    uint64 // the version of the rules by which a former life spent what is remembered here; 0 none
+
 	mu      sync.Mutex
 	gk      *logic.Gatekeeper
 	timer   *time.Timer
@@ -118,6 +128,7 @@
 // Roster takes discovery's news.
 func (d *Desk) Roster(l roster.List) {
 	d.enter()
+	d.record.roster(l)
 	list, ended := d.workers.Update(l, d.gk.Vacant)
 	d.ready.Store(d.workers.Active())
 	d.gk.Roster(list, !l.Whole)
@@ -141,8 +152,12 @@
 // nil is nothing.
 func (d *Desk) Leave(f *residue.File, left *logic.Residue) {
 	d.enter()
-	if left != nil {
+	if left != nil && (d.under == 0 || d.under == f.Rules()) { // else it is of other ceilings
 		d.gk.Remember(*left)
+		d.knows = f.Rules()
+	}
+	if d.under > 0 {
+		f.By(d.under)
 	}
 	base, spent := d.gk.Residue()
 	f.Inherit(base, spent, d.clock.now())
@@ -166,6 +181,60 @@
 	d.leave()
 }
 
+// Record has what is acted on and sent written down. To be called before the first txn.
+func (d *Desk) Record(r history.Recorder) { d.record = &record{to: r, told: map[string]bool{}} }
+
+// Govern has the module go by a charter for as long as some terms hold, in place of those before, which end.
+// Where the time of these runs out and nothing has come in their place, nothing passes under a ceiling. It is
+// false, and nothing changes, where the charter differs in what may not change.
+func (d *Desk) Govern(t *held.Terms, c logic.Charter) bool {
+	d.mu.Lock()
+	d.gk.Clock(d.clock.now())
+	taken := d.govern(t, c)
+	d.leave()
+	return taken
+}
+
+func (d *Desk) govern(t *held.Terms, c logic.Charter) bool {
+	d.record.acts(t)
+	if !d.gk.Recharter(c) {
+		return false
+	}
+	if d.terms != nil {
+		d.terms.End()
+	}
+	if d.terms, d.bound = t, c; t.Version > 0 {
+		d.under = t.Version
+	}
+	if d.residue != nil { // what it says is reckoned by the ceilings
+		d.residue.By(d.under)
+		base, spent := d.gk.Residue()
+		d.residue.Inherit(base, spent, d.clock.now())
+	}
+	return true
+}
+
+// Knows gives the version of the rules by which a former life spent what is remembered of it; 0 where nothing
+// is, or no rules were agreed on.
+func (d *Desk) Knows() uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.knows
+}
+
+// lapse has the module act on nothing whose time has run out. What comes in its place is told soon.
+func (d *Desk) lapse() {
+	if d.terms.Holds() {
+		return
+	}
+	c := d.bound
+	c.Narrow, c.Plans = true, slices.Clone(c.Plans)
+	for i := range c.Plans {
+		c.Plans[i].Withheld = 1
+	}
+	d.govern(held.NewTerms(0, history.Bare, math.MaxInt64), c)
+}
+
 // Resize tells the module how many gatekeepers there are from now on.
 func (d *Desk) Resize(n int) {
 	d.enter()
@@ -180,12 +249,22 @@
 	d.leave()
 }
 
+// Another tells the module that a peer is another now, which knows nothing.
+func (d *Desk) Another(peer int) {
+	d.enter()
+	d.gk.Returned(peer)
+	d.leave()
+}
+
 // Hear takes a peer's reports, the first of a new life if it has returned.
 func (d *Desk) Hear(from int, reports []logic.Report, returned bool) {
 	d.enter()
 	if returned {
 		d.gk.Returned(from)
 	}
+	if d.bound.Narrow { // it is there, and what it says is not gone by
+		reports = nil
+	}
 	d.gk.Hear(from, reports)
 	d.leave()
 }
@@ -362,6 +441,23 @@
 	d.leave()
 }
 
+// recall tells the module that a submission was never sent, as what it was decided by had run out.
+func (d *Desk) recall(h *held.Txn, n int) {
+	d.enter()
+	if d.gk.Recall(h.ID, n) {
+		h.Subs = h.Subs[:n]
+	} else {
+		d.gk.Ended(h.ID, n, logic.NotSent, 0, h.Final)
+	}
+	h.Out--
+	d.recalled.Add(1)
+	d.forget(h)
+	d.leave()
+}
+
+// Recalled tells how many submissions were not sent as what they were decided by had run out.
+func (d *Desk) Recalled() int64 { return d.recalled.Load() }
+
 // finish gives a txn its final answer. Guards against a submission whose connection is still coming up:
 // nothing is sent for a txn after that, also where submissions may not be withdrawn.
 func (d *Desk) finish(h *held.Txn, w held.Word, now float64) {
@@ -386,6 +482,9 @@
 	d.mu.Lock()
 	now := d.clock.now()
 	d.gk.Clock(now)
+	if d.terms != nil {
+		d.lapse()
+	}
 	return now
 }
 
@@ -436,7 +535,7 @@
 		if d.residue != nil && v.Full > 0 { // before it can go out
 			d.residue.Spend(h.Of, h.Plan, v.Full, d.clock.now())
 		}
-		h.Box <- held.Word{Decision: v, To: d.workers.Life(v.Worker), Sub: s}
+		h.Box <- held.Word{Decision: v, To: d.workers.Life(v.Worker), Sub: s, By: d.terms}
 	case logic.Decline, logic.Void:
 		d.finish(h, held.Word{Decision: v}, d.clock.now())
 		d.forget(h)
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -28,8 +28,10 @@
 	word   held.Word
 	msg    []byte
 	upload *wire.Upload // what follows on it, or nil
-	note   *journal.Txn // where it is written down, else nil
+	note   *mention     // where it is written down, else nil
 	left   float64      // ms that the client waits from then on
+	mark   string       // of the txn, where submissions are recorded
+	serial uint64       // and how many went to the same worker before
 }
 
 // New makes a gate over a desk and connections to workers.
@@ -38,7 +40,7 @@
 // Serve is a txn's life: it is taken, submitted where the module says and as often, and answered once.
 func (g *Gate) Serve(t *wire.Txn) wire.Final {
 	n := g.note(t)
-	if end, known := g.recall(n, t.Left); known {
+	if end, known := g.remembered(n, t.Left); known {
 		return end
 	}
 	return g.carry(g.desk.take(t), t, n)
@@ -71,7 +73,7 @@
 // nothing has become of it.
 func (g *Gate) Claim(h *Hold, t *wire.Txn) (wire.Final, bool) {
 	n := g.note(t)
-	if end, known := g.recall(n, t.Left); known {
+	if end, known := g.remembered(n, t.Left); known {
 		g.Release(h)
 		return end, true
 	}
@@ -89,6 +91,7 @@
 	if t.Upload != nil {
 		defer t.Upload.Settle()
 	}
+	var sent []string // workers, where submissions are recorded
 	for w := range h.Box {
 		if w.Answer != nil {
 			return wire.Final{Kind: logic.Submit, Answer: w.Answer}
@@ -99,7 +102,21 @@
 		}
 		// What passes on is copied here: the txn's own bytes end with this function, which a submission that may
 		// not be withdrawn outlives.
-		j := job{h, w, wire.AppendSubmission(nil, t, d.Wait), t.Upload, n, t.Left}
+		rules := int64(wire.Ruleless)
+		if v := w.By.Number(); v > 0 {
+			rules = int64(v)
+		}
+		j := job{txn: h, word: w, msg: wire.AppendSubmission(nil, t, d.Wait, rules), upload: t.Upload,
+			note: g.mention(n, d.N), left: t.Left}
+		if g.desk.record != nil {
+			j.mark = string(t.Mark)
+			for _, name := range sent {
+				if name == w.To.Name() {
+					j.serial++
+				}
+			}
+			sent = append(sent, w.To.Name())
+		}
 		if t.Upload != nil {
 			t.Upload.Begin()
 		}
@@ -128,6 +145,12 @@
 	if j.upload != nil {
 		j.upload.End()
 	}
+	if a == nil {
+		g.noted(&j, &wire.Answer{Outcome: logic.NotSent})
+		g.desk.record.back(&j, logic.NotSent)
+		g.desk.recall(j.txn, d.N)
+		return
+	}
 	took := g.desk.clock.now() - began
 	if l != nil { // the answer is the client's from here on, and its rest goes through the client's function
 		passed := make(chan error, 1)
@@ -144,5 +167,6 @@
 		}
 	}
 	g.noted(&j, a)
+	g.desk.record.back(&j, a.Outcome)
 	g.desk.ended(j.txn, d.N, d.Worker, a, took)
 }
--- a/internal/gate/journal.go
+++ b/internal/gate/journal.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/crc32"
+	"sync/atomic"
 	"time"
 
 	"willowdeck/internal/journal"
@@ -16,7 +17,8 @@
 	names []string // of products
 	once  []bool   // by product
 	wait  time.Duration
-	keeps int // bytes of an answer, at most
+	keeps int           // bytes of an answer, at most
+	subs  atomic.Uint64 // submissions named so far
 }
 
 // Journal has once-only txns written down from here on. It is to be called before the first txn, if at all.
@@ -45,10 +47,25 @@
 		Digest: sum.Sum32()}
 }
 
-// recall answers a txn that is known to have gone out before, and is not submitted again: with its own answer
+// mention is a submission as the journal names it.
+type mention struct {
+	journal.Txn
+	sub journal.Sub
+}
+
+// mention names a submission of a txn apart from all others of this life: one that was called back is sent
+// under the same number again.
+func (g *Gate) mention(t *journal.Txn, n int) *mention {
+	if t == nil {
+		return nil
+	}
+	return &mention{*t, journal.Sub{Number: g.ledger.subs.Add(1), N: n}}
+}
+
+// remembered answers a txn that is known to have gone out before, and is not submitted again: with its own answer
 // where that is kept, else nothing is promised. Nor is anything where the journal can't say: a decline would
 // tell that it never ran.
-func (g *Gate) recall(n *journal.Txn, left float64) (end wire.Final, known bool) {
+func (g *Gate) remembered(n *journal.Txn, left float64) (end wire.Final, known bool) {
 	if n == nil {
 		return end, false
 	}
@@ -73,8 +90,7 @@
 	if !until.IsZero() {
 		expiry = float64(until.UnixMicro()) / 1000
 	}
-	return g.ledger.Meant(*j.note, journal.Sub{Number: j.txn.ID, N: j.word.Decision.N}, j.word.To.Name(), expiry,
-		until)
+	return g.ledger.Meant(j.note.Txn, j.note.sub, j.word.To.Name(), expiry, until)
 }
 
 // noted writes down how a submission ended. It waits for nothing.
@@ -91,5 +107,5 @@
 	case logic.NotSent, logic.NoRoute, logic.Full:
 		end = journal.Never
 	}
-	g.ledger.Ended(*j.note, journal.Sub{Number: j.txn.ID, N: j.word.Decision.N}, j.word.To.Name(), end, kept)
+	g.ledger.Ended(j.note.Txn, j.note.sub, j.word.To.Name(), end, kept)
 }
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -135,7 +135,7 @@
 	Digest   uint32 // of its target and body: another one under the same mark is not answered by this one's answer
 }
 
-// Sub names a submission among all of a life: the txn's number in its process, and the submission's.
+// Sub names a submission: Number among all that a life means to send, N among those of its txn.
 type Sub struct {
 	Number uint64
 	N      int
--- a/internal/lifecycle/operate.go
+++ b/internal/lifecycle/operate.go
@@ -43,6 +43,9 @@
 	if k := g.journal.Load(); k != nil {
 		k.Figures(add)
 	}
+	if g.agreed != nil {
+		g.agreed.figures(add)
+	}
 	if g.portal != nil {
 		g.portal.Figures(add)
 	}
