--- a/internal/emu/emu_test.go
+++ b/internal/emu/emu_test.go
@@ -358,6 +358,22 @@
 	}
 }
 
+// What a gatekeeper keeps of workers is there after its restart. Guards against a list that comes behind it as
+// one of new workers: for a while all that was kept of them had gone again, and its worth was measured as none.
+func TestWorkersKept(t *testing.T) {
+	s, err := Read("../../scenarios/restartscold.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Seconds, s.Faults = 12, slices.DeleteFunc(s.Faults, func(f Fault) bool { return f.ToS > 12 })
+	s.Gatekeepers.Keeps = KeepPressure
+	without := play(t, s, 1, nil).Events
+	s.Gatekeepers.Keeps |= KeepCold
+	if with := play(t, s, 1, nil).Events; with == without {
+		t.Error("cold turns that are kept change nothing")
+	}
+}
+
 // Three hundred gatekeepers before two hundred workers, of which most are replaced: the parts of the cold
 // budget, each below one txn, do not come together by chance; gatekeepers without a budget come far nearer.
 func TestColdTogether(t *testing.T) {
--- a/internal/emu/gatekeeper.go
+++ b/internal/emu/gatekeeper.go
@@ -77,6 +77,9 @@
 	if m, ok := g.brain.(*logic.Gatekeeper); ok && g.left != nil {
 		m.Resume(g.keep(*g.left))
 		m.Alone()
+		for i := range list {
+			list[i].New = false // else all that was kept of them would go again
+		}
 		m.Roster(list, true) // its window, where that is not kept
 	}
 	g.left = nil
@@ -94,6 +97,7 @@
 	KeepQuotas               // levels of slices and stores, demand, and what peers said
 	KeepWorkers              // their standing, paces and used turns
 	KeepPressure             // window, pace and pressure
+	KeepCold                 // used turns of workers that are not warm, alone
 )
 
 // keep is what is left of an estate as a new life begins.
@@ -130,7 +134,13 @@
 	}
 	e.Customers = customers
 	if what&KeepWorkers == 0 {
-		e.Workers, e.Kinds = nil, nil
+		if e.Kinds = nil; what&KeepCold == 0 {
+			e.Workers = nil
+		}
+		for i, s := range e.Workers { // all else as of one that has just been listed
+			e.Workers[i] = logic.Standing{Worker: s.Worker, Since: s.Since, Heard: g.w.now, ColdAt: s.ColdAt,
+				ColdDebt: s.ColdDebt, Turned: make([]float64, len(s.Turned)), TurnedAt: make([]float64, len(s.TurnedAt))}
+		}
 		e.WarmDone, e.WarmAt, e.WarmFrom = 0, e.At, e.At
 	}
 	if what&KeepPressure == 0 {
--- a/internal/emu/scenario.go
+++ b/internal/emu/scenario.go
@@ -220,7 +220,7 @@
 		in("seconds", s.Seconds, 0.1, 1e5), in("gatekeepers.count", float64(g.Count), 1, 2000),
 		in("gatekeepers.spread", float64(g.Spread), 1, float64(g.Count)),
 		in("gatekeepers.max_submissions", float64(g.MaxSubmissions), 1, 100),
-		in("gatekeepers.keeps", float64(g.Keeps), 0, 15),
+		in("gatekeepers.keeps", float64(g.Keeps), 0, 31),
 		in("gatekeepers.peer_in_per_s", g.PeerInPerS, 0, 1e6), in("gatekeepers.start_ms", g.StartMS, 0, 1e5),
 		in("workers.count", float64(w.Count), 1, 5000), in("workers.cores", float64(w.Cores), 1, 1000),
 		in("workers.queue", float64(w.Queue), 0, 1e6), in("workers.zones", float64(w.Zones), 0, 1000),
--- /dev/null
+++ b/internal/journal/store/bench_test.go
@@ -0,0 +1,37 @@
+package store
+
+import (
+	"fmt"
+	"testing"
+
+	"willowdeck/internal/journal"
+)
+
+// Reading 4 MB of txns, as at a start.
+func BenchmarkRead(b *testing.B) {
+	m, t := NewMemory(1), journal.DefaultTerms()
+	l, err := Open(m, t, Who{}, 1e12, false)
+	if err != nil {
+		b.Fatal(err)
+	}
+	for n := uint64(0); l.Segments() < 2; {
+		var all []journal.Record
+		for range 200 {
+			n++
+			r := journal.Record{Kind: journal.Meant, At: 1e12 + float64(n), Sub: journal.Sub{Number: n}, Worker: "w1",
+				Txn: journal.Txn{Customer: n % 100, Mark: fmt.Sprintf("%016x", n), Product: "tag-issue"}}
+			all = append(all, r)
+			r.Kind, r.End = journal.Ended, journal.Settled
+			all = append(all, r)
+		}
+		if err := l.Commit(all, 1e12); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ResetTimer()
+	for b.Loop() {
+		if _, found, _, _, err := ReadAll(m, t, 1e12, nil, nil); err != nil || found.Records < 10000 {
+			b.Fatal(err, found)
+		}
+	}
+}
--- a/internal/lifecycle/journal_test.go
+++ b/internal/lifecycle/journal_test.go
@@ -247,7 +247,7 @@
 		var wg sync.WaitGroup
 		var mu sync.Mutex
 		var now []string
-		over := time.Now().Add(time.Duration(20+rng.Intn(60)) * time.Millisecond)
+		over := time.Now().Add(time.Duration(20+rng.Intn(160)) * time.Millisecond)
 		for client := range 8 {
 			wg.Add(1)
 			go func() {
