--- a/internal/lifecycle/journal_test.go
+++ b/internal/lifecycle/journal_test.go
@@ -247,7 +247,7 @@
 		var wg sync.WaitGroup
 		var mu sync.Mutex
 		var now []string
-		over := time.Now().Add(time.Duration(20+rng.Intn(160)) * time.Millisecond)
+		first := make(chan bool, 1)
 		for client := range 8 {
 			wg.Add(1)
 			go func() {
@@ -276,10 +276,18 @@
 					if n == 0 {
 						return
 					}
+					select {
+					case first <- true:
+					default:
+					}
 				}
 			}()
 		}
-		time.Sleep(time.Until(over))
+		select { // a machine under load takes its time
+		case <-first:
+		case <-time.After(2 * time.Second):
+		}
+		time.Sleep(time.Duration(rng.Intn(160)) * time.Millisecond)
 		_ = cmd.Process.Kill()
 		wg.Wait()
 		_ = cmd.Wait()
