--- a/cmd/wdlab/journal.go
+++ b/cmd/wdlab/journal.go
@@ -82,7 +82,11 @@
 	}
 	db.MaxBatchDelay = time.Duration(window * float64(time.Millisecond))
 	bucket := []byte("txns")
-	if err = db.Update(func(tx *bbolt.Tx) error { _, err := tx.CreateBucketIfNotExists(bucket); return err }); err != nil {
+	err = db.Update(func(tx *bbolt.Tx) error {
+		_, err := tx.CreateBucketIfNotExists(bucket)
+		return err
+	})
+	if err != nil {
 		return writes{}, err
 	}
 	put := func(n uint64, end byte) error {
--- a/cmd/willowdeck/journal.go
+++ b/cmd/willowdeck/journal.go
@@ -21,15 +21,15 @@
 // within is how long after it was asked for a txn may go out, if nothing is said: clients wait for seconds.
 const within = time.Minute
 
-// journals is the sub-command that reads journals. It writes nothing and takes no lock, so that it may be used
-// while gatekeepers write.
+// journals is the sub-command that reads journals. It writes nothing and takes no lock, so that it may be
+// used while gatekeepers write.
 func journals() *cli.Command {
 	dirs := &cli.StringSliceFlag{Name: "dir", Required: true,
 		Usage: "an instance's `FOLDER`, or one with the folders of several"}
 	last := &cli.IntFlag{Name: "last", Value: 20, Usage: "the last `N` txns of each"}
 	at := &cli.StringFlag{Name: "at", Usage: "the `TIME` at which it was asked for, as 2026-12-01T14:03:20Z"}
 	span := &cli.DurationFlag{Name: "within", Value: within, Usage: "how long after that it may have gone out"}
-	return &cli.Command{Name: "journal", Usage: "read the journals of once-only txns, also while they are written",
+	return &cli.Command{Name: "journal", Usage: "read journals of once-only txns, also while they are written",
 		Commands: []*cli.Command{
 			{Name: "show", Usage: "what there is", Flags: []cli.Flag{dirs, last}, Action: show},
 			{Name: "verify", Usage: "read all of it; status 1 where something is damaged or missing",
@@ -85,11 +85,12 @@
 	}
 	for _, dir := range all {
 		var last journal.Seen
-		b, found, numbers, lives, err := store.ReadAll(store.Dir(dir), terms(), now(), func(_ uint64, s journal.Seen) {
+		note := func(_ uint64, s journal.Seen) {
 			if !s.Blank {
 				last = s
 			}
-		}, nil)
+		}
+		b, found, numbers, lives, err := store.ReadAll(store.Dir(dir), terms(), now(), note, nil)
 		if err != nil {
 			return err
 		}
@@ -124,8 +125,8 @@
 // damage tells what can't be relied on.
 func damage(b *journal.Book, f store.Found) {
 	if f.Cut > 0 {
-		fmt.Printf("  %d bytes cut: %d segments with a torn end, %d damaged before it, %d of another version\n", f.Cut,
-			f.Torn, f.Damaged, f.Unreadable)
+		fmt.Printf("  %d bytes cut: segments with a torn end %d, damaged before it %d, of another version %d\n",
+			f.Cut, f.Torn, f.Damaged, f.Unreadable)
 	}
 	for _, s := range b.Doubts() {
 		fmt.Printf("  in doubt %s to %s: %s\n", clock(s.From), clock(s.To), s.Why)
--- a/cmd/willowdeck/main.go
+++ b/cmd/willowdeck/main.go
@@ -41,6 +41,12 @@
 		Sources: cli.EnvVars("WILLOWDECK_TELL")}
 	notes := &cli.StringFlag{Name: "journal", Usage: "the operator `FILE` of the journal of once-only txns",
 		Sources: cli.EnvVars("WILLOWDECK_JOURNAL")}
+	hall := &cli.StringFlag{Name: "hall", Usage: "tell its word at the operators' port, as in `HALL`",
+		Sources: cli.EnvVars("WILLOWDECK_HALL")}
+	host := &cli.StringFlag{Name: "host", Usage: "the `NAME` of the daemon that keeps it, for its word",
+		Sources: cli.EnvVars("WILLOWDECK_HOST")}
+	group := &cli.StringFlag{Name: "group", Usage: "the `NAME` of those it shares quotas with, for its word",
+		Sources: cli.EnvVars("WILLOWDECK_GROUP")}
 	agree := &cli.StringFlag{Name: "agree", Usage: "go by the rules that the daemon at `HOST:PORT` tells",
 		Sources: cli.EnvVars("WILLOWDECK_AGREE")}
 	past := &cli.StringFlag{Name: "history", Usage: "record what is done in a file in the folder `DIR`",
@@ -51,7 +57,8 @@
 		Usage: "holds customers to quotas before a shared back end",
 		Commands: []*cli.Command{
 			{Name: "serve", Usage: "run a gatekeeper until SIGTERM; SIGHUP reads its file anew",
-				Flags: []cli.Flag{file, forward, left, ask, tell, agree, past, notes, level}, Action: serve},
+				Flags:  []cli.Flag{file, forward, notes, left, ask, tell, hall, host, group, agree, past, level},
+				Action: serve},
 			{Name: "fleet", Usage: "keep many gatekeepers on this host until SIGTERM; SIGHUP reads the file anew",
 				Flags: []cli.Flag{fleetFile, level}, Action: keep},
 			{Name: "check", Usage: "read and check the configuration, and say what it holds",
@@ -98,6 +105,7 @@
 func readAll(c *cli.Command) (config.Gatekeeper, error) {
 	conf, err := config.Read(c.String("config"), os.Getenv)
 	conf.Residue, conf.Ask, conf.Tells = c.String("residue"), c.StringSlice("ask"), c.Bool("tell")
+	conf.Hall, conf.Host, conf.Group = c.String("hall"), c.String("host"), c.String("group")
 	conf.Agree, conf.History = c.String("agree"), c.String("history")
 	for _, at := range conf.Ask {
 		if _, bad := netip.ParseAddrPort(at); err == nil && bad != nil {
--- a/internal/breaker/breaker.go
+++ b/internal/breaker/breaker.go
@@ -21,8 +21,8 @@
 	probing     bool    // it is asked once, to see
 }
 
-// New makes a breaker that pauses after so many failures: for pause ms, doubled by each failure after that, up
-// to most.
+// New makes a breaker that pauses after so many failures: for pause ms, doubled by each failure after that,
+// up to most.
 func New(after int, pause, most float64, rng *rand.Rand) *Breaker {
 	return &Breaker{after: after, pause: pause, most: most, rng: rng}
 }
--- a/internal/config/journal.go
+++ b/internal/config/journal.go
@@ -61,8 +61,8 @@
 // DecodeJournal decodes and checks the operator file's text.
 func DecodeJournal(text string) (*Journal, error) {
 	t := journal.DefaultTerms()
-	f := journalFile{Policy: t.Policy.String(), WindowMS: t.Window, WaitMS: t.Wait, SlowMS: t.Slow, LeaseMS: t.Lease,
-		SegmentKB: t.Segment >> 10, Segments: t.Segments, Txns: t.Txns, AnswerBytes: t.Answer,
+	f := journalFile{Policy: t.Policy.String(), WindowMS: t.Window, WaitMS: t.Wait, SlowMS: t.Slow,
+		LeaseMS: t.Lease, SegmentKB: t.Segment >> 10, Segments: t.Segments, Txns: t.Txns, AnswerBytes: t.Answer,
 		AnswersKB: t.Answers >> 10, RememberS: t.Remember / 1000}
 	f.Breaker.After, f.Breaker.PauseMS, f.Breaker.MostMS = t.After, t.Pause, t.MostPause
 	if err := strict.Decode(text, &f); err != nil {
--- a/internal/gate/journal.go
+++ b/internal/gate/journal.go
@@ -62,9 +62,9 @@
 	return &mention{*t, journal.Sub{Number: g.ledger.subs.Add(1), N: n}}
 }
 
-// remembered answers a txn that is known to have gone out before, and is not submitted again: with its own answer
-// where that is kept, else nothing is promised. Nor is anything where the journal can't say: a decline would
-// tell that it never ran.
+// remembered answers a txn that is known to have gone out before, and is not submitted again: with its own
+// answer where that is kept, else nothing is promised. Nor is anything where the journal can't say: a decline
+// would tell that it never ran.
 func (g *Gate) remembered(n *journal.Txn, left float64) (end wire.Final, known bool) {
 	if n == nil {
 		return end, false
--- a/internal/journal/book.go
+++ b/internal/journal/book.go
@@ -7,8 +7,8 @@
 )
 
 // Book is what a journal says: its txns, and when it may lack some. It is filled by reading segments in the
-// order of their numbers, and by each record that is written after. Same records, same answers; it may be told
-// the same record twice. It is not safe for concurrent use.
+// order of their numbers, and by each record that is written after. Same records, same answers; it may be
+// told the same record twice. It is not safe for concurrent use.
 type Book struct {
 	terms   Terms
 	txns    map[key]*entry
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -8,12 +8,13 @@
 
 const (
 	// Version is of a segment's head and of the records in it. A record of a later form of this version has
-	// more fields behind those known here, which are let pass; one of an earlier form lacks some, which are nought.
+	// more fields behind those known here, which are let pass; one of an earlier form lacks some, which are
+	// nought.
 	Version = 2
 	// Oldest is the oldest version that is read.
 	Oldest = 1
 
-	slack     = 1000.0  // ms by which clocks may disagree, and records be out of order, before it counts as a step
+	slack     = 1000.0  // ms by which clocks may disagree, or records be out of order; more is a step
 	longest   = 255     // bytes of a name or a mark; the front lets marks of 64 in
 	mostBody  = 1 << 20 // bytes of an answer that a record may hold; bounds what a damaged length asks for
 	mostSpans = 64      // doubts told of one by one; what is older is taken as one
@@ -132,7 +133,7 @@
 	Customer uint64
 	Mark     string
 	Product  string
-	Digest   uint32 // of its target and body: another one under the same mark is not answered by this one's answer
+	Digest   uint32 // of its target and body: under the same mark another one does not get its answer
 }
 
 // Sub names a submission: Number among all that a life means to send, N among those of its txn.
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -65,7 +65,8 @@
 		Sub: Sub{1 << 40, 2}, Worker: "w9", Expiry: 1e12 + 5, End: Settled,
 		Answer: Answer{"text/plain", "gzip", []byte("valid\n"), true}, First: 5}
 	marks := Record{Kind: Checked, Life: 3, Group: 9, At: 1e12, To: 9e11, Below: 6}
-	b := segment(t, Head{Number: 5, Life: 3, At: 1e12, Policy: Serve, Boot: 4, Offset: -2, Name: "g7"}, full, marks)
+	b := segment(t, Head{Number: 5, Life: 3, At: 1e12, Policy: Serve, Boot: 4, Offset: -2, Name: "g7"}, full,
+		marks)
 	var got []Record
 	seen := Read(5, b, func(_ int, r Record) { got = append(got, r) })
 	if !reflect.DeepEqual(got[0], full) || got[1].Kind != Checked || got[1].To != 9e11 || got[1].Below != 6 ||
@@ -183,7 +184,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, more := range []int{-12, 16} { // without the digest and what is behind it; with what is not known here
+	for _, more := range []int{-12, 16} { // without the digest and what follows; with what is not known here
 		f := append(bytes.Clone(b), make([]byte, 64)...)[:len(b)+more]
 		le.PutUint32(f[8:], uint32(len(f)-frameBytes))
 		le.PutUint32(f[20:], sum(1, headBytes, f))
--- a/internal/journal/store/keeper.go
+++ b/internal/journal/store/keeper.go
@@ -13,14 +13,14 @@
 )
 
 const (
-	mostWaiting = 1 << 20                // bytes of records, about, that wait for the disk; ends are dropped beyond
+	mostWaiting = 1 << 20                // bytes of records, about, that wait; ends are dropped beyond
 	aRecord     = 160                    // bytes of one, about, without its answer
 	leaving     = 500 * time.Millisecond // that a hand-over or a stop waits for the disk
 	stepBy      = 1000.0                 // ms by which the system's clock leaves the machine's own if it was set
 )
 
-// Keeper keeps a journal while a gatekeeper runs: txns wait in Meant for their group, and for nothing else. Its
-// methods may be called from any goroutine.
+// Keeper keeps a journal while a gatekeeper runs: txns wait in Meant for their group, and for nothing else.
+// Its methods may be called from any goroutine.
 type Keeper struct {
 	terms journal.Terms
 	log   zerolog.Logger
@@ -196,7 +196,8 @@
 	if !written && end == journal.Never {
 		return // it was refused
 	}
-	k.push(journal.Record{Kind: journal.Ended, At: wall(), Txn: t, Sub: s, Worker: worker, End: end, Answer: a}, nil)
+	k.push(journal.Record{Kind: journal.Ended, At: wall(), Txn: t, Sub: s, Worker: worker, End: end, Answer: a},
+		nil)
 }
 
 // push queues a record, under the lock. What waits stays bounded: an end that is not written down leaves its
--- a/internal/journal/store/keeper_test.go
+++ b/internal/journal/store/keeper_test.go
@@ -119,8 +119,9 @@
 	}
 }
 
-// Under serve txns go out unwritten once the promise not to has run out, and not before; the journal then says
-// of that time that it does not know, though nothing could be written, also where the process dies meanwhile.
+// Under serve txns go out unwritten once the promise not to has run out, and not before; the journal then
+// says of that time that it does not know, though nothing could be written, also where the process dies
+// meanwhile.
 func TestServesInDoubt(t *testing.T) {
 	for _, dies := range []bool{false, true} {
 		m := NewMemory(1)
@@ -259,8 +260,8 @@
 	}
 }
 
-// Segments that are let go take no unknown or settled txn with them, as far as there is room, and what has been
-// forgotten is in doubt, not unsent; the disk's use is bounded.
+// Segments that are let go take no unknown or settled txn with them, as far as there is room, and what has
+// been forgotten is in doubt, not unsent; the disk's use is bounded.
 func TestSegmentsAreLetGo(t *testing.T) {
 	m := NewMemory(1)
 	terms := quick()
--- a/internal/journal/store/log.go
+++ b/internal/journal/store/log.go
@@ -133,8 +133,8 @@
 	return all, nil
 }
 
-// Open locks a journal and reads it. Nothing is written yet. beside tells that the process that wrote last may
-// go on telling how its submissions ended, until Settle.
+// Open locks a journal and reads it. Nothing is written yet. beside tells that the process that wrote last
+// may go on telling how its submissions ended, until Settle.
 func Open(d Disk, t journal.Terms, who Who, now float64, beside bool) (*Log, error) {
 	lock, err := d.Lock()
 	if err != nil {
--- a/internal/journal/store/memory.go
+++ b/internal/journal/store/memory.go
@@ -13,8 +13,8 @@
 
 const sector = 512 // bytes that a disk writes whole or not at all
 
-// Memory is a disk that is made up, with faults by script. What it does is in the order of its calls and by its
-// source alone. For tests and for the laboratory.
+// Memory is a disk that is made up, with faults by script. What it does is in the order of its calls and by
+// its source alone. For tests and for the laboratory.
 type Memory struct {
 	mu      sync.Mutex
 	files   map[string]*image
@@ -25,7 +25,7 @@
 
 	Calls    int    // that changed something or made it durable
 	CrashAt  int    // the call that is cut short, and with which all ends; 0 is none
-	FailSync int    // Syncs of files from now on that fail and drop what was to be written out; then they "succeed"
+	FailSync int    // Syncs of files that fail and drop what was to be written out; then they "succeed"
 	Room     int    // bytes that files may still take; below nought any
 	ReadOnly bool   // nothing can be changed
 	Away     bool   // nothing answers
@@ -246,8 +246,8 @@
 	}
 }
 
-// After gives the disk as the next process finds it. After a power cut only what was made durable is sure to be
-// there; of the rest, names and removals included, any part may be.
+// After gives the disk as the next process finds it. After a power cut only what was made durable is sure to
+// be there; of the rest, names and removals included, any part may be.
 func (m *Memory) After(powerCut bool) *Memory {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/journal/store/model_test.go
+++ b/internal/journal/store/model_test.go
@@ -20,8 +20,8 @@
 	settled bool
 }
 
-// life is one life of a gatekeeper over a disk: each txn is meant, goes out where the journal says so, and ends
-// in one of the ways there are. It ends with a crash, or in peace.
+// life is one life of a gatekeeper over a disk: each txn is meant, goes out where the journal says so, and
+// ends in one of the ways there are. It ends with a crash, or in peace.
 type life struct {
 	t     *testing.T
 	rng   *rand.Rand
@@ -125,9 +125,9 @@
 }
 
 // Whichever call of the disk is the last one, and whatever of the unsynced is there afterwards, the journal
-// never says of a txn that went out that it was not sent, nor that one was settled that was not. Guards against
-// a txn that goes out before its record is durable, a reader that takes a hole for the end, a failed sync taken
-// for a good one, and segments let go before what they alone hold is written again.
+// never says of a txn that went out that it was not sent, nor that one was settled that was not. Guards
+// against a txn that goes out before its record is durable, a reader that takes a hole for the end, a failed
+// sync taken for a good one, and segments let go before what they alone hold is written again.
 func TestCrashAtEachCall(t *testing.T) {
 	for _, powerCut := range []bool{false, true} {
 		t.Run(fmt.Sprint("power cut ", powerCut), func(t *testing.T) {
@@ -162,7 +162,8 @@
 					}
 				}
 			}
-			t.Logf("%d crashes; where nothing is forgotten %d txns never went out, of these %d are in doubt", crashes, never, doubtful)
+			t.Logf("%d crashes; where nothing is forgotten %d txns never went out, of these %d are in doubt", crashes,
+				never, doubtful)
 			if never == 0 || doubtful*2 > never {
 				t.Errorf("%d of %d txns that never went out are in doubt", doubtful, never)
 			}
--- a/internal/lifecycle/agree.go
+++ b/internal/lifecycle/agree.go
@@ -278,6 +278,9 @@
 		a.g.words(t.Words)
 	}
 	a.taken = t
+	if a.g.word != nil {
+		a.g.word.rules(t.Version, a.wide.Plans)
+	}
 	a.g.log.Info().Uint64("version", t.Version).Stringer("mode", t.Mode).Int("gatekeepers", c.Gatekeepers).
 		Msg("going by rules")
 }
--- a/internal/lifecycle/journal_test.go
+++ b/internal/lifecycle/journal_test.go
@@ -193,7 +193,8 @@
 }
 
 // Kills at random moments, under load: the journal says of no txn that a worker has run that it was not sent,
-// and of none that it is settled that no worker has run; and what comes back to the next life is not run again.
+// and of none that it is settled that no worker has run; and what comes back to the next life is not run
+// again.
 func TestJournalKilled(t *testing.T) {
 	t.Run("all kept", func(t *testing.T) { killed(t, 1000) })
 	t.Run("segments let go", func(t *testing.T) { killed(t, 12) })
@@ -302,7 +303,8 @@
 		}
 	}
 	end := float64(time.Now().UnixMilli())
-	b, found, _, lives, err := store.ReadAll(store.Dir(filepath.Join(dir, "n0")), journal.DefaultTerms(), end, nil, nil)
+	kept := store.Dir(filepath.Join(dir, "n0"))
+	b, found, _, lives, err := store.ReadAll(kept, journal.DefaultTerms(), end, nil, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/lifecycle/reload.go
+++ b/internal/lifecycle/reload.go
@@ -69,4 +69,7 @@
 		}
 		g.members.Store(int64(n))
 	}
+	if g.word != nil {
+		g.word.among(peers, n)
+	}
 }
