--- a/internal/journal/store/keeper.go
+++ b/internal/journal/store/keeper.go
@@ -254,7 +254,7 @@
 	from := time.Now()
 	j, err := Open(d, k.terms, who, wall(), beside)
 	if err != nil {
-		k.log.Error().Err(err).Msg("no journal: once-only txns are declined")
+		k.log.Error().Err(err).Msg("no journal: no once-only txn goes out")
 		return
 	}
 	k.mu.Lock()
@@ -271,8 +271,8 @@
 		Dur("took", time.Since(from)).Msg("journal read")
 }
 
-// rest waits until there is something to commit and its group has had time to gather, and tells whether to go
-// on. While the disk is left alone it waits for the end of that.
+// rest waits until there is something to commit, and tells whether to go on. While the disk is left alone it
+// waits for the end of that.
 func (k *Keeper) rest() bool {
 	for {
 		k.mu.Lock()
@@ -280,7 +280,7 @@
 		if down {
 			admits, left = k.breaker.Admits(k.age())
 		}
-		some, many := len(k.waiting) > 0, k.bytes > k.most()/2
+		some := len(k.waiting) > 0
 		k.mu.Unlock()
 		switch {
 		case !admits:
@@ -288,10 +288,8 @@
 				return false
 			}
 			continue
-		case down || many:
+		case down || some:
 			return true
-		case some:
-			return k.pause(k.terms.Window)
 		}
 		idle := time.Hour
 		if k.terms.Policy == journal.Serve {
@@ -310,33 +308,45 @@
 	}
 }
 
-// commit writes what waits, as one group.
+// commit writes what waits, as one group: what is there and what comes within the window at once, so that it
+// outlives the process, and then all of it for good.
 func (k *Keeper) commit() {
 	k.mu.Lock()
-	group := k.waiting
-	k.waiting, k.bytes = nil, 0
 	now := wall()
-	all := k.marks(now)
-	for _, q := range group {
-		all = append(all, q.Record)
-	}
+	group, all := k.gather(k.marks(now))
 	if len(all) == 0 && k.breaker.Tripped() {
 		all = append(all, journal.Record{Kind: journal.Covers, At: now, To: now}) // to see whether it goes again
 	}
+	gathers := !k.breaker.Tripped()
+	j := k.j
+	k.mu.Unlock()
 	if len(all) == 0 {
-		k.mu.Unlock()
 		return
 	}
-	k.since = time.Now()
-	j := k.j
-	k.mu.Unlock()
-
-	err := j.Commit(all, now)
+	n := len(all)
+	var spent time.Duration
+	write := func(f func() error) error {
+		from := time.Now()
+		err := k.timed(f)
+		spent += time.Since(from)
+		return err
+	}
+	err := write(func() error { return j.Stage(all, now) })
+	for end := time.Now().Add(k.window()); err == nil && gathers && k.comes(time.Until(end)); {
+		var more []queued
+		k.mu.Lock()
+		more, all = k.gather(all[:0])
+		k.mu.Unlock()
+		group, n = append(group, more...), n+len(all)
+		err = write(func() error { return j.Stage(all, now) })
+	}
+	if err == nil {
+		err = write(func() error { return j.Commit(nil, now) })
+	}
 
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	took := float64(time.Since(k.since)) / float64(time.Millisecond)
-	k.since = time.Time{}
+	took := float64(spent) / float64(time.Millisecond)
 	was := k.breaker.Tripped()
 	k.breaker.Ended(err == nil && took <= k.terms.Slow, k.age())
 	if is := k.breaker.Tripped(); is != was {
@@ -344,7 +354,7 @@
 	}
 	k.seen.commits++
 	if err == nil {
-		k.seen.records += int64(len(all))
+		k.seen.records += int64(n)
 	} else {
 		k.seen.failures++
 	}
@@ -363,6 +373,48 @@
 	j.Ask(func(b *journal.Book) { b.Trim(now) })
 }
 
+func (k *Keeper) window() time.Duration {
+	return time.Duration(k.terms.Window * float64(time.Millisecond))
+}
+
+// comes waits for more of a group, and tells whether it has come; not longer than so long, nor once it ends.
+func (k *Keeper) comes(within time.Duration) bool {
+	if within <= 0 {
+		return false
+	}
+	t := time.NewTimer(within)
+	defer t.Stop()
+	select {
+	case <-k.kick:
+		return true
+	case <-t.C:
+	case <-k.stop:
+	}
+	return false
+}
+
+// gather takes what waits, under the lock, and gives its records behind others.
+func (k *Keeper) gather(all []journal.Record) ([]queued, []journal.Record) {
+	group := k.waiting
+	k.waiting, k.bytes = nil, 0
+	for _, q := range group {
+		all = append(all, q.Record)
+	}
+	return group, all
+}
+
+// timed calls the disk, and has it seen for how long it takes.
+func (k *Keeper) timed(f func() error) error {
+	k.mu.Lock()
+	k.since = time.Now()
+	k.mu.Unlock()
+	err := f()
+	k.mu.Lock()
+	k.since = time.Time{}
+	k.mu.Unlock()
+	return err
+}
+
 // again puts the ends of a group that failed before what came meanwhile: they are still to be written down.
 func (k *Keeper) again(ends []queued) {
 	since := k.waiting
--- a/internal/journal/store/log.go
+++ b/internal/journal/store/log.go
@@ -31,6 +31,7 @@
 	file  File   // nil where a new segment has to be begun
 	at    int
 	group uint32
+	dirty bool // something was written that is not durable
 	buf   []byte
 	Found Found
 
@@ -199,19 +200,33 @@
 	f(l.book)
 }
 
-// Commit writes records and returns once they are durable. After an error none of them may be taken for
-// written, nor for unwritten; the next commit begins a segment of its own.
+// Commit writes records and returns once they are durable, with all that was staged before. After an error
+// none of them may be taken for written, nor for unwritten; the next one begins a segment of its own.
 func (l *Log) Commit(all []journal.Record, now float64) error {
+	if err := l.Stage(all, now); err != nil {
+		return err
+	}
+	return l.sync()
+}
+
+// Stage writes records that the next Commit makes durable. From here on they outlive the process, though not
+// the machine. What an error means is as with Commit, for all that was staged since the last one.
+func (l *Log) Stage(all []journal.Record, now float64) error {
 	if l.file == nil {
-		return l.begin(all, now)
+		return l.begin(all, now) // durable at once
+	}
+	if !l.dirty {
+		l.group++
 	}
-	l.group++
 	b, err := l.encode(l.buf[:0], l.number, l.at, all)
 	l.buf = b
 	if err != nil {
 		return err
 	}
 	if l.at+len(b) > l.terms.Segment {
+		if err := l.sync(); err != nil {
+			return err
+		}
 		if err := l.drop(); err != nil {
 			return err
 		}
@@ -233,24 +248,37 @@
 }
 
 func (l *Log) write(b []byte) error {
-	_, err := l.file.WriteAt(b, int64(l.at))
-	if err == nil {
-		err = l.file.Sync()
+	if len(b) == 0 {
+		return nil
 	}
-	if err != nil {
+	if _, err := l.file.WriteAt(b, int64(l.at)); err != nil {
+		_ = l.drop()
+		return fmt.Errorf("journal: %w", err)
+	}
+	l.at += len(b)
+	l.dirty = true
+	return nil
+}
+
+// sync makes durable what was written.
+func (l *Log) sync() error {
+	if !l.dirty || l.file == nil {
+		return nil
+	}
+	if err := l.file.Sync(); err != nil {
 		// What the system has of it is not known any more, and a later Sync that goes well says nothing of it: it
 		// may have dropped what it could not write. So nothing more is written there.
 		_ = l.drop()
 		return fmt.Errorf("journal: %w", err)
 	}
-	l.at += len(b)
+	l.dirty = false
 	return nil
 }
 
 // drop ends the segment that is written.
 func (l *Log) drop() error {
 	f := l.file
-	l.file = nil
+	l.file, l.dirty = nil, false
 	return f.Close()
 }
 
@@ -292,7 +320,10 @@
 		_ = l.drop()
 		return fmt.Errorf("journal: %d bytes don't fit a segment", len(b))
 	}
-	if err = l.write(b); err != nil || below == 0 {
+	if err = l.write(b); err == nil {
+		err = l.sync()
+	}
+	if err != nil || below == 0 {
 		return err
 	}
 	l.letGo(below, number)
--- a/internal/lifecycle/journal_test.go
+++ b/internal/lifecycle/journal_test.go
@@ -8,7 +8,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -25,13 +24,15 @@
 var kills = flag.Int("kills", 8, "how often the gatekeeper of the journal's test is killed")
 
 // journaled has a gatekeeper keep a journal in a folder.
-func journaled(dir string) func(*config.Gatekeeper) { return journaledIn(dir, journal.DefaultSegments) }
+func journaled(dir string) func(*config.Gatekeeper) {
+	return journaledIn(dir, 4<<10, journal.DefaultSegments)
+}
 
-func journaledIn(dir string, segments int) func(*config.Gatekeeper) {
+func journaledIn(dir string, size, segments int) func(*config.Gatekeeper) {
 	return func(c *config.Gatekeeper) {
 		t := journal.DefaultTerms()
-		t.Segment, t.Segments = 4<<10, segments // so that they change often
-		t.Wait, t.Slow = 250, 1000              // a loaded machine
+		t.Segment, t.Segments = size, segments // so that they change often
+		t.Wait, t.Slow = 250, 1000             // a loaded machine
 		c.Journal = &config.Journal{Dir: dir, Terms: t}
 	}
 }
@@ -182,8 +183,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	segments, _ := strconv.Atoi(os.Getenv("WILLOWDECK_TEST_SEGMENTS"))
-	journaledIn(filepath.Dir(path), segments)(&conf)
+	var size, segments int
+	if _, err := fmt.Sscan(os.Getenv("WILLOWDECK_TEST_SEGMENTS"), &size, &segments); err != nil {
+		t.Fatal(err)
+	}
+	journaledIn(filepath.Dir(path), size, segments)(&conf)
 	g, err := Start(conf, zerolog.Nop())
 	if err != nil {
 		t.Fatal(err)
@@ -196,11 +200,11 @@
 // and of none that it is settled that no worker has run; and what comes back to the next life is not run
 // again.
 func TestJournalKilled(t *testing.T) {
-	t.Run("all kept", func(t *testing.T) { killed(t, 1000) })
-	t.Run("segments let go", func(t *testing.T) { killed(t, 12) })
+	t.Run("all kept", func(t *testing.T) { killed(t, 4<<10, 1000) })
+	t.Run("segments let go", func(t *testing.T) { killed(t, 16<<10, 12) })
 }
 
-func killed(t *testing.T, segments int) {
+func killed(t *testing.T, size, segments int) {
 	rng := rand.New(rand.NewSource(4))
 	dir := t.TempDir()
 	var workers []*standin.Worker
@@ -233,7 +237,7 @@
 	for range *kills {
 		cmd := exec.Command(os.Args[0], "-test.run", "TestJournalChild$")
 		cmd.Env = append(os.Environ(), "WILLOWDECK_TEST_JOURNAL="+path,
-			fmt.Sprint("WILLOWDECK_TEST_SEGMENTS=", segments))
+			fmt.Sprint("WILLOWDECK_TEST_SEGMENTS=", size, " ", segments))
 		out, err := cmd.StdoutPipe()
 		if err != nil {
 			t.Fatal(err)
