--- a/internal/gate/exchange.go
+++ b/internal/gate/exchange.go
@@ -27,7 +27,7 @@
 	l.Until(until)
 	// Guards against what was learned while the connection came up: the txn was given up on, or the worker
 	// drains or has started anew, cold. What is to be written down before it goes out is now.
-	if !g.meant(&j, until) || !to.Holds() || !time.Now().Before(until) || !s.Begin(l) {
+	if !g.meant(&j, until, &began) || !to.Holds() || !time.Now().Before(until) || !s.Begin(l) {
 		g.links.Drop(l)
 		return &wire.Answer{Outcome: logic.NotSent}, nil, began
 	}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -40,7 +40,7 @@
 // Serve is a txn's life: it is taken, submitted where the module says and as often, and answered once.
 func (g *Gate) Serve(t *wire.Txn) wire.Final {
 	n := g.note(t)
-	if end, known := g.remembered(n, t.Left); known {
+	if end, known := g.remembered(t, n); known {
 		return end
 	}
 	return g.carry(g.desk.take(t), t, n)
@@ -73,7 +73,7 @@
 // nothing has become of it.
 func (g *Gate) Claim(h *Hold, t *wire.Txn) (wire.Final, bool) {
 	n := g.note(t)
-	if end, known := g.remembered(n, t.Left); known {
+	if end, known := g.remembered(t, n); known {
 		g.Release(h)
 		return end, true
 	}
--- a/internal/gate/journal.go
+++ b/internal/gate/journal.go
@@ -11,19 +11,22 @@
 	"willowdeck/logic"
 )
 
+// readPart is the part of a txn's time for which it waits for a journal that is still being read, at a start
+// alone. A worker needs the rest.
+const readPart = 0.5
+
 // ledger is where once-only txns are written down before they go out.
 type ledger struct {
 	*store.Keeper
-	names []string // of products
-	once  []bool   // by product
-	wait  time.Duration
+	names []string      // of products
+	once  []bool        // by product
 	keeps int           // bytes of an answer, at most
 	subs  atomic.Uint64 // submissions named so far
 }
 
 // Journal has once-only txns written down from here on. It is to be called before the first txn, if at all.
 func (g *Gate) Journal(k *store.Keeper, t journal.Terms, products []logic.Product, names map[string]int) {
-	l := &ledger{Keeper: k, names: make([]string, len(products)), wait: wire.Millis(t.Wait), keeps: t.Answer}
+	l := &ledger{Keeper: k, names: make([]string, len(products)), keeps: t.Answer}
 	for name, i := range names {
 		l.names[i] = name
 	}
@@ -65,11 +68,15 @@
 // remembered answers a txn that is known to have gone out before, and is not submitted again: with its own
 // answer where that is kept, else nothing is promised. Nor is anything where the journal can't say: a decline
 // would tell that it never ran.
-func (g *Gate) remembered(n *journal.Txn, left float64) (end wire.Final, known bool) {
+func (g *Gate) remembered(t *wire.Txn, n *journal.Txn) (end wire.Final, known bool) {
 	if n == nil {
 		return end, false
 	}
-	e, v, ok := g.ledger.Known(n.Customer, n.Mark, min(g.ledger.wait, wire.Millis(left)))
+	asked := g.desk.clock.now()
+	e, v, ok := g.ledger.Known(n.Customer, n.Mark, wire.Millis(t.Left*readPart))
+	if !t.Streams {
+		t.Left = max(t.Left-(g.desk.clock.now()-asked), 0)
+	}
 	a := e.Answer
 	switch {
 	case ok && v == journal.NotSent:
@@ -81,11 +88,13 @@
 	return wire.Final{Kind: logic.Void}, true
 }
 
-// meant tells whether a submission may go out: it does not have to be written down, or now is.
-func (g *Gate) meant(j *job, until time.Time) bool {
+// meant tells whether a submission may go out: it does not have to be written down, or now is. The wait for
+// that is not its worker's.
+func (g *Gate) meant(j *job, until time.Time, began *float64) bool {
 	if j.note == nil {
 		return true
 	}
+	defer func() { *began = g.desk.clock.now() }()
 	var expiry float64
 	if !until.IsZero() {
 		expiry = float64(until.UnixMicro()) / 1000
--- a/internal/journal/store/keeper.go
+++ b/internal/journal/store/keeper.go
@@ -482,9 +482,9 @@
 	durable := make(chan bool, 1)
 	k.push(journal.Record{Kind: journal.Gone, At: wall()}, durable)
 	k.mu.Unlock()
-	select {
+	select { // whoever waits now to send something has given up by the end of this
 	case <-durable:
-	case <-time.After(leaving):
+	case <-time.After(leaving + time.Duration(k.terms.Wait*float64(time.Millisecond))):
 	}
 	if handsOn {
 		j.Retire()
