--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -19,7 +19,7 @@
 	mostBody  = 1 << 20 // bytes of an answer that a record may hold; bounds what a damaged length asks for
 	mostSpans = 64      // doubts told of one by one; what is older is taken as one
 
-	DefaultWindow    = 2.0      // ms that a group waits for company; about one write to a usual disk
+	DefaultWindow    = 0.0      // ms that a group waits for company; what comes during a write is company enough
 	LongestWindow    = 1000.0   // ms
 	DefaultWait      = 50.0     // ms that a txn waits for its group; a tenth of usual SLA times
 	DefaultSlow      = 40.0     // ms that a commit may take; slower ones would use the wait up
