--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -13,10 +13,10 @@
 
 // Gate is one gatekeeper at work.
 type Gate struct {
-	desk   *Desk
-	links  *wire.Links
-	jobs   chan job
-	ledger *ledger // nil where no txn is written down
+	desk  *Desk
+	links *wire.Links
+	jobs  chan job
+	notes *notes // nil where no txn is written down
 }
 
 // errGone tells that an answer came when its txn had its final one.
--- a/internal/gate/journal.go
+++ b/internal/gate/journal.go
@@ -15,8 +15,8 @@
 // alone. A worker needs the rest.
 const readPart = 0.5
 
-// ledger is where once-only txns are written down before they go out.
-type ledger struct {
+// notes is where once-only txns are written down before they go out.
+type notes struct {
 	*store.Keeper
 	names []string      // of products
 	once  []bool        // by product
@@ -26,27 +26,27 @@
 
 // Journal has once-only txns written down from here on. It is to be called before the first txn, if at all.
 func (g *Gate) Journal(k *store.Keeper, t journal.Terms, products []logic.Product, names map[string]int) {
-	l := &ledger{Keeper: k, names: make([]string, len(products)), keeps: t.Answer}
+	l := &notes{Keeper: k, names: make([]string, len(products)), keeps: t.Answer}
 	for name, i := range names {
 		l.names[i] = name
 	}
 	for _, p := range products {
 		l.once = append(l.once, p.Repeat == logic.OnceOnly)
 	}
-	g.ledger = l
+	g.notes = l
 }
 
 // note is a txn as the journal names it; nil where it is not written down. What it names is copied: the txn's
 // own bytes end before a submission that may not be withdrawn.
 func (g *Gate) note(t *wire.Txn) *journal.Txn {
-	if g.ledger == nil || !g.ledger.once[t.Product] {
+	if g.notes == nil || !g.notes.once[t.Product] {
 		return nil
 	}
 	sum := crc32.NewIEEE()
 	_, _ = sum.Write(t.Target)
 	_, _ = sum.Write([]byte{0})
 	_, _ = sum.Write(t.Body)
-	return &journal.Txn{Customer: t.Customer, Mark: string(t.Mark), Product: g.ledger.names[t.Product],
+	return &journal.Txn{Customer: t.Customer, Mark: string(t.Mark), Product: g.notes.names[t.Product],
 		Digest: sum.Sum32()}
 }
 
@@ -62,7 +62,7 @@
 	if t == nil {
 		return nil
 	}
-	return &mention{*t, journal.Sub{Number: g.ledger.subs.Add(1), N: n}}
+	return &mention{*t, journal.Sub{Number: g.notes.subs.Add(1), N: n}}
 }
 
 // remembered answers a txn that is known to have gone out before, and is not submitted again: with its own
@@ -73,7 +73,7 @@
 		return end, false
 	}
 	asked := g.desk.clock.now()
-	e, v, ok := g.ledger.Known(n.Customer, n.Mark, wire.Millis(t.Left*readPart))
+	e, v, ok := g.notes.Known(n.Customer, n.Mark, wire.Millis(t.Left*readPart))
 	if !t.Streams {
 		t.Left = max(t.Left-(g.desk.clock.now()-asked), 0)
 	}
@@ -99,7 +99,7 @@
 	if !until.IsZero() {
 		expiry = float64(until.UnixMicro()) / 1000
 	}
-	return g.ledger.Meant(j.note.Txn, j.note.sub, j.word.To.Name(), expiry, until)
+	return g.notes.Meant(j.note.Txn, j.note.sub, j.word.To.Name(), expiry, until)
 }
 
 // noted writes down how a submission ended. It waits for nothing.
@@ -110,11 +110,11 @@
 	end, kept := journal.MayRun, journal.Answer{}
 	switch a.Outcome {
 	case logic.Settled:
-		if end = journal.Settled; a.Rest == nil && len(a.Body) <= g.ledger.keeps {
+		if end = journal.Settled; a.Rest == nil && len(a.Body) <= g.notes.keeps {
 			kept = journal.Answer{Type: a.Type, Coding: a.Coding, Body: append([]byte(nil), a.Body...), Whole: true}
 		}
 	case logic.NotSent, logic.NoRoute, logic.Full:
 		end = journal.Never
 	}
-	g.ledger.Ended(j.note.Txn, j.note.sub, j.word.To.Name(), end, kept)
+	g.notes.Ended(j.note.Txn, j.note.sub, j.word.To.Name(), end, kept)
 }
--- a/internal/lifecycle/operate.go
+++ b/internal/lifecycle/operate.go
@@ -43,6 +43,7 @@
 	if k := g.journal.Load(); k != nil {
 		k.Figures(add)
 	}
+	g.creditFigures(add)
 	if g.agreed != nil {
 		g.agreed.figures(add)
 	}
--- a/logic/iface.go
+++ b/logic/iface.go
@@ -35,6 +35,8 @@
 	Withheld                       float64 // part of its slice here that is not to be used now, 0 to 1
 	Open                           int     // submissions the customer may have out at once
 	Factor, ExcessShare, ExcessFee float64 // value multiplier; earned and paid beyond the quota, of the value
+	Credit                         float64 // s of the rate that may be borrowed; 0 is none
+	Repay                          float64 // ms within which that is paid back
 }
 
 // Charter is all that a gatekeeper is told at its start; some of it may change in service, see Recharter.
