--- a/internal/journal/code.go
+++ b/internal/journal/code.go
@@ -111,8 +111,8 @@
 		b = appendText(b, r.Answer.Coding)
 		b = le.AppendUint32(b, uint32(len(r.Answer.Body)))
 		b = append(b, r.Answer.Body...)
-		b = le.AppendUint32(b, r.Txn.Digest) // since version 2, and what follows
-		b = appendFloat(b, r.First)
+		b = le.AppendUint32(b, r.Txn.Digest)
+		b = appendFloat(b, r.First) // what is new comes behind this
 	} else {
 		b = appendFloat(b, r.To)
 		b = le.AppendUint64(b, r.Below)
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -10,7 +10,7 @@
 	// Version is of a segment's head and of the records in it. A record of a later form of this version has
 	// more fields behind those known here, which are let pass; one of an earlier form lacks some, which are
 	// nought.
-	Version = 2
+	Version = 1
 	// Oldest is the oldest version that is read.
 	Oldest = 1
 
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -102,9 +102,14 @@
 	size := (len(clean) - 200 - headBytes) / len(whole) // of a record, about
 	old := Head{Number: 2, Life: 2, At: 1e6 + 90000}
 	serve := Head{Number: 1, Life: 1, At: 1e6, Policy: Serve}
-	newer := segment(t, old, meant(1e6+95000, "later"))
-	newer[8] = Version + 1
-	le.PutUint32(newer[headBytes-4:], crc32.Checksum(newer[:headBytes-4], table))
+	of := func(version byte) []byte {
+		b := segment(t, old, meant(1e6+95000, "later"))
+		b[8] = version
+		le.PutUint32(b[headBytes-4:], crc32.Checksum(b[:headBytes-4], table))
+		return b
+	}
+	newer := of(Version + 1)
+	covers := func(to float64) Record { return Record{Kind: Covers, Life: 1, At: 1e6, To: to} }
 	cases := []struct {
 		name     string
 		segments [][]byte
@@ -129,10 +134,16 @@
 		{"a blank segment", [][]byte{make([]byte, 500), segment(t, old)}, "other", 1e6 + 95000, NotSent},
 		{"a newer version", [][]byte{clean, newer}, "later", 1e6 + 95000, SentUnknown},
 		{"before a newer version", [][]byte{clean, newer}, "other", 1e6 + 50000, NotSent},
-		{"served unwritten", [][]byte{segment(t, serve, Record{Kind: Covers, Life: 1, At: 1e6, To: 1e6 + 1000}),
-			segment(t, old)}, "other", 1e6 + 50000, SentUnknown},
-		{"served written", [][]byte{segment(t, serve, Record{Kind: Covers, Life: 1, At: 1e6, To: 1e6 + 80000}),
-			segment(t, old)}, "other", 1e6 + 50000, NotSent},
+		{"an older version", [][]byte{clean, of(Oldest - 1)}, "later", 1e6 + 95000, SentUnknown},
+		{"served unwritten", [][]byte{segment(t, serve, covers(1e6+1000)), segment(t, old)}, "other", 1e6 + 50000,
+			SentUnknown},
+		{"served written", [][]byte{segment(t, serve, covers(1e6+80000)), segment(t, old)}, "other", 1e6 + 50000,
+			NotSent},
+		{"clock back hides a time unwritten", [][]byte{segment(t, serve, meant(1e6+60000, "a"), covers(1e6+61000)),
+			segment(t, Head{Number: 2, Life: 2, At: 1e6 + 20000})}, "other", 1e6 + 15000, SentUnknown},
+		{"clock back by the machine's uptime", [][]byte{segment(t, Head{Number: 1, Life: 1, At: 1e6,
+			Policy: Serve, Boot: 1, Offset: 9000}, covers(1e6+30000)), segment(t, Head{Number: 2, Life: 2,
+			At: 1e6 + 20000, Boot: 1, Offset: 2000})}, "other", 1e6 + 17000, SentUnknown},
 		{"it may be served unwritten now", [][]byte{segment(t, serve)}, "other", 1e6 + 50000, SentUnknown},
 		{"ended in peace", [][]byte{segment(t, serve, Record{Kind: Gone, Life: 1, At: 1e6 + 10})}, "other",
 			1e6 + 50000, NotSent},
--- a/internal/lifecycle/journal_test.go
+++ b/internal/lifecycle/journal_test.go
@@ -129,8 +129,8 @@
 	}
 }
 
-// A disk that fails or hangs in service: once-only txns are declined, or go out unwritten, as the policy says,
-// soon and within their time; inquiries know nothing of it.
+// A disk that fails or hangs in service: once-only txns are declined, or go out unwritten, as the policy
+// says, soon and within their time; inquiries know nothing of it.
 func TestDiskFailsInService(t *testing.T) {
 	for _, policy := range []journal.Policy{journal.Refuse, journal.Serve} {
 		t.Run(policy.String(), func(t *testing.T) {
