--- a/internal/journal/store/keeper.go
+++ b/internal/journal/store/keeper.go
@@ -31,17 +31,18 @@
 	once  sync.Once
 	ready chan struct{} // closed once the journal was read, or could not be
 
-	mu      sync.Mutex
-	j       *Log // nil until it is open
-	breaker *breaker.Breaker
-	waiting []queued
-	bytes   int
-	since   time.Time // when the commit under way began; zero without one
-	cover   float64   // ms after epoch up to which it may have been promised to send nothing unwritten
-	retired bool
-	settled bool // the process before has ended
-	set     float64
-	seen    counts
+	mu       sync.Mutex
+	j        *Log // nil until it is open
+	breaker  *breaker.Breaker
+	waiting  []queued
+	bytes    int
+	since    time.Time // when the commit under way began; zero without one
+	cover    float64   // ms after epoch up to which it may have been promised to send nothing unwritten
+	retired  bool
+	promised bool // under Serve: the journal knows of this life, and up to when it has everything
+	settled  bool // the process before has ended
+	set      float64
+	seen     counts
 }
 
 // queued is a record that waits for the disk, and who waits for it.
@@ -176,9 +177,10 @@
 }
 
 // unwritten tells, under the lock, whether a txn may be sent that can't be written down: only by the policy,
-// by the one process whose journal it is, and not before the last promise to the contrary has run out.
+// by the one process whose journal it is, and not before the last promise to the contrary has run out. Nor
+// before the first: a life of which the journal knows nothing sends nothing that it does not know.
 func (k *Keeper) unwritten() bool {
-	return k.terms.Policy == journal.Serve && k.j != nil && !k.retired && k.age() > k.cover
+	return k.terms.Policy == journal.Serve && k.promised && !k.retired && k.age() > k.cover
 }
 
 // Ended writes down how a submission ended. It never waits.
@@ -226,12 +228,15 @@
 	defer close(k.over)
 	k.open(d, who, beside)
 	close(k.ready)
-	for k.j == nil {
-		if !k.pause(k.terms.MostPause) {
+	for wait := k.terms.Pause; k.j == nil; wait = math.Min(2*wait, k.terms.MostPause) {
+		if !k.pause(wait) { // one that drains may have it still
 			return
 		}
 		k.open(d, who, beside)
 	}
+	if k.terms.Policy == journal.Serve {
+		k.commit()
+	}
 	for k.rest() {
 		k.commit()
 	}
@@ -355,6 +360,7 @@
 	k.seen.commits++
 	if err == nil {
 		k.seen.records += int64(n)
+		k.promised = true
 	} else {
 		k.seen.failures++
 	}
--- a/internal/journal/store/keeper_test.go
+++ b/internal/journal/store/keeper_test.go
@@ -159,6 +159,25 @@
 	}
 }
 
+// A life under serve whose journal never knew of it sends nothing unwritten. Guards against a life that
+// leaves no trace, between two whose journals have everything.
+func TestServeNeedsAPromise(t *testing.T) {
+	m := NewMemory(1)
+	m.Room = 0
+	terms := quick()
+	terms.Policy = journal.Serve
+	k := keep(t, m, terms)
+	for end := time.Now().Add(3 * 200 * time.Millisecond); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if k.means("a", 0) {
+			t.Fatal("it goes out, and nothing tells that it may have")
+		}
+	}
+	m.script(func(m *Memory) { m.Room = -1 })
+	until(t, "it does not begin", func() bool { return k.means("a", 0) })
+	m.script(func(m *Memory) { m.Away = true })
+	until(t, "it does not serve", func() bool { return k.means("b", 0) })
+}
+
 // A disk that hangs holds nobody up for longer than the wait, and once it is known to hang nobody at all.
 func TestDiskHangs(t *testing.T) {
 	m := NewMemory(1)
