--- a/internal/lifecycle/replace.go
+++ b/internal/lifecycle/replace.go
@@ -41,7 +41,7 @@
 			if g.peers != nil && g.conf.Tells {
 				g.peers.Bear(w.Word)
 			}
-			g.remember() // the process before has let it go
+			g.remember(false) // the process before has let it go
 			g.keepJournal(true)
 			g.log.Info().Int("customers", len(w.Estate.Customers)).Int("workers", len(w.Estate.Workers)).
 				Msg("taking over")
@@ -63,7 +63,7 @@
 		k.Settle()
 	}
 	if !whole { // as after any sudden end
-		g.remember()
+		g.remember(true)
 		g.keepJournal(false)
 		if g.portal != nil {
 			go g.portal.Rebind(g.over)
--- a/internal/wire/peers.go
+++ b/internal/wire/peers.go
@@ -32,6 +32,21 @@
 	heard *member.Table
 }
 
+// Heard gives the last word of each peer in place of what is in all.
+func (p *Peers) Heard(all []member.Word) []member.Word {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.heard.Words(all, len(*p.to.Load()))
+}
+
+// Recall takes peers' words as a former life had heard them, and gives those that have returned since, and
+// were heard.
+func (p *Peers) Recall(all []member.Word) (returned []int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.heard.Recall(all)
+}
+
 // Room is how many reports fit a message that bears a word.
 const Room = gossip.Room - (wordBytes+7)/8
 
