--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -21,7 +21,7 @@
 
 	DefaultWindow    = 0.0      // ms that a group waits for company; what comes during a write is company enough
 	LongestWindow    = 1000.0   // ms
-	DefaultWait      = 150.0    // ms that a txn waits for its group; within usual SLA times, over a disk's stalls
+	DefaultWait      = 150.0    // ms that a txn waits for its group; over the stalls of a usual disk
 	DefaultSlow      = 100.0    // ms that a commit may take; slower ones would use the wait up
 	DefaultLease     = 1000.0   // ms that a promise lasts to send nothing unwritten; an outage costs so much
 	DefaultSegment   = 4 << 20  // bytes; some ten thousand txns
