--- a/internal/lifecycle/start.go
+++ b/internal/lifecycle/start.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"hash/crc32"
 	"math"
 	"math/rand"
 	"os"
@@ -22,6 +23,7 @@
 	"willowdeck/internal/handover"
 	"willowdeck/internal/history"
 	"willowdeck/internal/inventory"
+	"willowdeck/internal/journal/store"
 	"willowdeck/internal/member"
 	"willowdeck/internal/ops"
 	"willowdeck/internal/portal"
@@ -33,6 +35,9 @@
 	"willowdeck/logic"
 )
 
+// journalFiles is how many descriptors a journal takes: a segment, its folder for a moment, and the lock.
+const journalFiles = 4
+
 // socketSlack is by how much the protocol lengthens the rules' time limits, ms.
 const socketSlack = 50
 
@@ -71,6 +76,9 @@
 
 	copied   atomic.Pointer[inventory.Left] // a former life's, until it is known which rules are in force
 	agreedOn atomic.Pointer[[]logic.Plan]   // as rules that were adopted last have them; nil before any
+
+	gate    *gate.Gate
+	journal atomic.Pointer[store.Keeper] // nil where no txn is written down
 }
 
 // Start brings a gatekeeper up: when it returns, clients are served.
@@ -86,6 +94,9 @@
 		spare = max(spare-logic.OperatorCalls, 2)
 	}
 	spare = max(spare-float64(c.Forward.Connections()), 2)
+	if c.Journal != nil {
+		spare = max(spare-journalFiles, 2)
+	}
 	if c.Scratch != "" { // a process that gets ready to take this one's place is counted with it
 		spare -= min(logic.SpareFiles+logic.OperatorCalls, spare/4)
 	}
@@ -132,7 +143,8 @@
 	g.desk.Roster(c.Known)
 	g.list = warm.NewBook(c.Known)
 	g.members.Store(int64(c.Charter.Gatekeepers))
-	g.front = wire.NewFront(c.Names, c.Charter, g.forward(gate.New(g.desk, g.links)), g.up)
+	g.gate = gate.New(g.desk, g.links)
+	g.front = wire.NewFront(c.Names, c.Charter, g.forward(g.gate), g.up)
 	g.front.Nameless = g.vouch != nil && c.Forward.Asking.Customer != ""
 
 	g.away.Store(true) // until what was before it is known
@@ -173,6 +185,7 @@
 		go g.inherit(before)
 	default:
 		g.remember(true)
+		g.keepJournal(false)
 		if g.peers != nil && g.peers.Bound() {
 			go g.peers.Hear(g.desk.Hear)
 		} else if g.peers != nil { // a process that can't be talked to has it still
@@ -284,6 +297,24 @@
 	g.log.Info().AnErr("as", why).Msg("no copy of quotas and demand to go by")
 }
 
+var diskOf = func(dir string) store.Disk { return store.Dir(dir) } // another in tests
+
+// keepJournal has once-only txns written down from here on. beside tells that the process before still ends
+// its own.
+func (g *Gatekeeper) keepJournal(beside bool) {
+	j := g.conf.Journal
+	if j == nil {
+		return
+	}
+	who := store.Who{Name: g.conf.Name}
+	if mark, up, err := residue.Boot(); err == nil {
+		who.Boot, who.Offset = crc32.ChecksumIEEE(mark), float64(time.Now().UnixMilli())-up
+	}
+	k := store.Keep(diskOf(j.Of(g.conf.Name)), j.Terms, who, beside, g.conf.Seed, g.log)
+	g.journal.Store(k)
+	g.gate.Journal(k, j.Terms, g.conf.Charter.Products, g.conf.Names.Products)
+}
+
 // forward puts forward authentication before a gate, in the roles that are on: a txn that a portal has had
 // cleared needs nobody else's word.
 func (g *Gatekeeper) forward(to *gate.Gate) func(*wire.Txn) wire.Final {
