--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -47,6 +47,7 @@
 	Agree     string   // HOST:PORT of the daemon that tells which rules are in force; empty where none
 	History   string   // the folder in which this process records what it does; empty where it does not
 	Forward   *Forward // nil where forward authentication is off
+	Journal   *Journal // nil where once-only txns are not written down
 	Terms
 }
 
