Rig: a relay waits for an address that a process just being started still holds

Cause: between fork and exec a child has a copy of every listener, closed ones too; Ports opens and closes one, and other tests start processes meanwhile. Measured: TestListenAgain, with a copy held for 100 ms, fails without it.

--- a/internal/faults/relay_test.go
+++ b/internal/faults/relay_test.go
@@ -395,3 +395,27 @@
 		}
 	}
 }
+
+// Guards against an address in use for the ms in which a process that is being started still has a copy of a
+// listener that was closed here.
+func TestListenAgain(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f, err := l.(*net.TCPListener).File() // as a fork has it
+	if err != nil {
+		t.Fatal(err)
+	}
+	at := l.Addr().String()
+	_ = l.Close()
+	if held, err := net.Listen("tcp4", at); err == nil {
+		_ = held.Close()
+		t.Fatal("a copy does not hold the address")
+	}
+	time.AfterFunc(100*time.Millisecond, func() { _ = f.Close() })
+	if l, err = listenAgain(at); err != nil {
+		t.Fatal(err)
+	}
+	_ = l.Close()
+}
--- a/internal/faults/stream.go
+++ b/internal/faults/stream.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -109,8 +110,20 @@
 	return s.openLocked()
 }
 
+// listenAgain listens where a listener was until a moment ago. Guards against a process that another
+// goroutine is just starting: between its fork and its exec it has all listeners of this one, also those
+// that are closed.
+func listenAgain(at string) (net.Listener, error) {
+	for end := time.Now().Add(startsWithin); ; time.Sleep(startsWithin / 100) {
+		l, err := net.Listen("tcp4", at)
+		if !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(end) {
+			return l, err
+		}
+	}
+}
+
 func (s *stream) openLocked() error {
-	l, err := net.Listen("tcp4", s.listen)
+	l, err := listenAgain(s.listen)
 	if err != nil {
 		return err
 	}
