--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -140,7 +140,25 @@
 }
 
 // Close ends the worker at once: its connections break.
-func (w *Worker) Close() { _ = w.server.Close() }
+func (w *Worker) Close() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	_ = w.server.Close()
+}
+
+// Reopen has a worker that was closed be there again at its address, with what it knows.
+func (w *Worker) Reopen() error {
+	l, err := net.Listen("tcp", w.At)
+	if err != nil {
+		return err
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	server := &http.Server{Handler: w}
+	w.server = server
+	go func() { _ = server.Serve(l) }()
+	return nil
+}
 
 // Got gives what it was sent.
 func (w *Worker) Got() []Got {
--- /dev/null
+++ b/internal/whole/plant_test.go
@@ -0,0 +1,5 @@
+package whole
+
+import "testing"
+
+func planted(t *testing.T, e *evidence) {}
