--- a/internal/gate/desk.go
+++ b/internal/gate/desk.go
@@ -64,9 +64,9 @@
 	speech  []speech
 	waiting []waiting     // of the wake's goroutine
 	residue *residue.File // nil where none is kept
+	lending *lending      // nil where nothing is lent
 	meter   *outlook.Meter
 	sight   logic.Sight
-	lending *lending // nil where nothing is lent
 }
 
 // waiting is a txn whose client is looked at.
@@ -207,7 +207,7 @@
 		return false
 	}
 	if d.lending != nil {
-		d.lending.relend(c.Plans)
+		d.lending.relend(&c)
 	}
 	if d.terms != nil {
 		d.terms.End()
@@ -516,6 +516,9 @@
 	now, t := d.clock.now(), d.gk.Tally()
 	d.meter.Mark(now, &t)
 	d.meter.Tell(w, now, &t, &d.sight, d.workers.ZoneName)
+	if d.lending != nil {
+		d.lending.book.Plans(w.Lent)
+	}
 }
 
 func (d *Desk) look(from int) int {
