--- a/internal/credit/audit/audit_test.go
+++ b/internal/credit/audit/audit_test.go
@@ -60,6 +60,17 @@
 			t.Errorf("%s: %+v", c.name, a)
 		}
 	}
+	// A debt of one that was killed, taken by another: it has the time that its giver had since it came back.
+	late := append(append([]e(nil), base[:8]...), e{At: 150e6, Who: "0", Kind: history.Began, Life: 2},
+		e{At: 151e6, Who: "0", Kind: history.Hands, Says: "debt", Peer: "1", Units: 4, Serial: 4000},
+		e{At: 152e6, Who: "1", Kind: history.Takes, Says: "debt", Peer: "0", Units: 4, Serial: 4000})
+	for at, times := range map[int64]int{200e6: 0, 300e6: 1} {
+		a := Check(history.Record{Events: append(late[:len(late):len(late)], e{At: at, Who: "1", Kind: history.Repays,
+			Units: 4})}, func(e) Line { return Line{Units: 12, Repay: 100} }, func(who string) string { return who }, 10)
+		if a.Count != times || (a.Late > 0) != (times > 0) {
+			t.Errorf("paid back at %d: %+v", at, a)
+		}
+	}
 	forgot := append(append([]e(nil), base[:5]...), e{At: 3e6, Who: "0", Kind: history.Holds, Says: "owed",
 		Units: 1})
 	if a := Check(history.Record{Events: forgot}, func(e) Line { return Line{Units: 12, Repay: 100} },
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -121,3 +121,33 @@
 		t.Errorf("%q, %+v", says, w.Got())
 	}
 }
+
+// A worker that was closed takes no calls until it is there again, at its address and with what it knows.
+func TestReopen(t *testing.T) {
+	w, err := NewWorker("w", 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer w.Close()
+	ask := func() error {
+		req, _ := http.NewRequest("GET", "http://"+w.At+"/check", nil)
+		req.Header.Set("X-Request-Id", "1")
+		res, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(req)
+		if err == nil {
+			err = res.Body.Close()
+		}
+		return err
+	}
+	if err := ask(); err != nil {
+		t.Fatal(err)
+	}
+	if w.Close(); ask() == nil {
+		t.Error("closed, it answers")
+	}
+	if err := w.Reopen(); err != nil {
+		t.Fatal(err)
+	}
+	if err := ask(); err != nil || len(w.Got()) != 2 {
+		t.Errorf("%v, %d txns", err, len(w.Got()))
+	}
+}
