No debt to a peer that has not acknowledged what it was handed

Six minutes of drawn faults found debts paid back 0.6 s late: a link carried one way alone for six seconds, the peer behind it was heard and did not hear, and four units of debt went to it in five hand-overs that only arrived with the heal. A debt now goes to a peer that has acknowledged all that was handed to it before. What one hand-over takes to arrive is told by the audit, and not counted as time that somebody had to pay.

--- a/internal/credit/audit/audit_test.go
+++ b/internal/credit/audit/audit_test.go
@@ -71,6 +71,16 @@
 			t.Errorf("paid back at %d: %+v", at, a)
 		}
 	}
+	// What is on its way over a cut link nobody can pay back: that time is not counted, and told.
+	slow := append(append([]e(nil), base[:9]...), e{At: 506e6, Who: "1", Kind: history.Takes, Says: "debt",
+		Peer: "0", Units: 4, Serial: 4000})
+	for at, times := range map[int64]int{600e6: 0, 650e6: 1} {
+		a := Check(history.Record{Events: append(slow[:len(slow):len(slow)], e{At: at, Who: "1", Kind: history.Repays,
+			Units: 4})}, func(e) Line { return Line{Units: 12, Repay: 100} }, func(who string) string { return who }, 10)
+		if a.Count != times || a.Held != 500 {
+			t.Errorf("on its way for 500 ms and paid back at %d: %+v", at, a)
+		}
+	}
 	forgot := append(append([]e(nil), base[:5]...), e{At: 3e6, Who: "0", Kind: history.Holds, Says: "owed",
 		Units: 1})
 	if a := Check(history.Record{Events: forgot}, func(e) Line { return Line{Units: 12, Repay: 100} },
--- a/internal/credit/exchange.go
+++ b/internal/credit/exchange.go
@@ -156,7 +156,8 @@
 func (b *Book) short(a *account) bool { return a.want > 0 && b.now-a.wantAt < wantFor }
 
 // relieve hands a part of a debt that this gatekeeper's fill of the customer can't pay in time to the peer
-// where the customer is credited most.
+// where the customer is credited most, of those that have acknowledged all that was handed to them: on a link
+// that carries one way alone a peer is heard, and a debt handed to it would be nobody's to pay.
 func (b *Book) relieve(at int32) {
 	a := &b.all[at]
 	pace, fill := a.pace(b.now), a.fill*relief*parts
@@ -166,7 +167,7 @@
 	var best *Pair
 	for i := range a.Pairs {
 		if p := &a.Pairs[i]; p.Used && p.known && b.now-p.heardFill < fillTold && p.fill > a.fill &&
-			(best == nil || p.fill > best.fill) {
+			p.GaveR <= p.ackedR && p.GaveD <= p.ackedD && (best == nil || p.fill > best.fill) {
 			best = p
 		}
 	}
