--- a/internal/credit/audit/audit.go
+++ b/internal/credit/audit/audit.go
@@ -228,8 +228,8 @@
 	return left
 }
 
-// arrive has debts that were on their way be owed. It gives what there was not, and ns for which what there was
-// had been on its way.
+// arrive has debts that were on their way be owed. It gives what there was not, and ns for which what there
+// was had been on its way.
 func (c *account) arrive(me string, from between, at int64, units float64) (left float64, held int64) {
 	left = units
 	for left > crumb/10 && len(c.moving[from]) > 0 {
--- a/internal/credit/audit/audit_test.go
+++ b/internal/credit/audit/audit_test.go
@@ -10,6 +10,10 @@
 // Each way to go wrong is found, alone in a record that is else right, and the right one has none.
 func TestFinds(t *testing.T) {
 	type e = history.Event
+	check := func(all []e) Audited {
+		return Check(history.Record{Events: all}, func(e) Line { return Line{Units: 12, Repay: 100} },
+			func(who string) string { return who }, 10)
+	}
 	base := []e{
 		{At: 1e6, Who: "0", Kind: history.Holds, Says: "none", Serial: 1},
 		{At: 1e6, Who: "0", Kind: history.Holds, Units: 6},
@@ -50,8 +54,7 @@
 			c.at = len(base)
 		}
 		all = append(append(all[:c.at:c.at], c.more...), base[c.at:]...)
-		a := Check(history.Record{Events: all}, func(e) Line { return Line{Units: 12, Repay: 100} },
-			func(who string) string { return who }, 10)
+		a := check(all)
 		says := strings.Join(a.Broken, "\n")
 		if (c.says == "") != (a.Count == 0) || !strings.Contains(says, c.says) {
 			t.Errorf("%s: %d broken: %s", c.name, a.Count, says)
@@ -65,8 +68,7 @@
 		e{At: 151e6, Who: "0", Kind: history.Hands, Says: "debt", Peer: "1", Units: 4, Serial: 4000},
 		e{At: 152e6, Who: "1", Kind: history.Takes, Says: "debt", Peer: "0", Units: 4, Serial: 4000})
 	for at, times := range map[int64]int{200e6: 0, 300e6: 1} {
-		a := Check(history.Record{Events: append(late[:len(late):len(late)], e{At: at, Who: "1", Kind: history.Repays,
-			Units: 4})}, func(e) Line { return Line{Units: 12, Repay: 100} }, func(who string) string { return who }, 10)
+		a := check(append(late[:len(late):len(late)], e{At: at, Who: "1", Kind: history.Repays, Units: 4}))
 		if a.Count != times || (a.Late > 0) != (times > 0) {
 			t.Errorf("paid back at %d: %+v", at, a)
 		}
@@ -75,16 +77,14 @@
 	slow := append(append([]e(nil), base[:9]...), e{At: 506e6, Who: "1", Kind: history.Takes, Says: "debt",
 		Peer: "0", Units: 4, Serial: 4000})
 	for at, times := range map[int64]int{600e6: 0, 650e6: 1} {
-		a := Check(history.Record{Events: append(slow[:len(slow):len(slow)], e{At: at, Who: "1", Kind: history.Repays,
-			Units: 4})}, func(e) Line { return Line{Units: 12, Repay: 100} }, func(who string) string { return who }, 10)
+		a := check(append(slow[:len(slow):len(slow)], e{At: at, Who: "1", Kind: history.Repays, Units: 4}))
 		if a.Count != times || a.Held != 500 {
 			t.Errorf("on its way for 500 ms and paid back at %d: %+v", at, a)
 		}
 	}
 	forgot := append(append([]e(nil), base[:5]...), e{At: 3e6, Who: "0", Kind: history.Holds, Says: "owed",
 		Units: 1})
-	if a := Check(history.Record{Events: forgot}, func(e) Line { return Line{Units: 12, Repay: 100} },
-		func(who string) string { return who }, 10); a.Forgotten != 3 {
+	if a := check(forgot); a.Forgotten != 3 {
 		t.Errorf("a debt forgotten: %+v", a)
 	}
 }
--- a/internal/whole/check_test.go
+++ b/internal/whole/check_test.go
@@ -68,9 +68,10 @@
 	return e
 }
 
-// number gives submissions the places that gatekeeper and worker agree on. A gatekeeper counts also those that
-// it has decided on and not sent, and the worker those alone that have come. Of several of a txn to one worker
-// a worker's line is held to be of the last one before it that its gatekeeper does not say has never run.
+// number gives submissions the places that gatekeeper and worker agree on. A gatekeeper counts also those
+// that it has decided on and not sent, and the worker those alone that have come. Of several of a txn to one
+// worker a line of that worker is held to be of the last one before it of which its gatekeeper does not say
+// that it has never run.
 func (e *evidence) number() {
 	type way struct{ txn, worker string }
 	type sent struct {
@@ -154,7 +155,7 @@
 }
 
 // judged is the record as the judge is told it. Workers were there long before, so that they do not start at
-// its beginning. No answer is owed to a client whose gatekeeper stood still while it waited, or was not there.
+// its beginning. No answer is owed to a client whose gatekeeper stood still or was not there while it waited.
 func (e *evidence) judged() (r history.Record, excused int) {
 	still, there := e.away()
 	r = history.Record{Files: e.Files}
@@ -247,7 +248,7 @@
 		}
 	}
 	c := history.Contradiction(r, e.clash, bound, bunched)
-	return verdict{c.Found, fmt.Sprintf("longest %.0f of %.0f ms, a submission up to %.0f ms after its version, "+
+	return verdict{c.Found, fmt.Sprintf("longest %.0f of %.0f ms, a submission %.0f ms after its version, "+
 		"%d spans, %d submissions unnamed, %d held by links", c.Longest, bound, c.Lag, c.Spans, c.Unnamed, held)}
 }
 
@@ -292,9 +293,10 @@
 	a := audit.Check(e.Record, func(history.Event) audit.Line {
 		return audit.Line{Units: lentRate * lentS, Repay: repayS * 1000}
 	}, func(who string) string { return who[1:] }, bunched)
-	v := verdict{history.Found{Count: a.Count, Seen: a.Seen}, fmt.Sprintf("lent %.1f, repaid %.1f, earned %.1f, "+
-		"handed %.1f, debts moved %.1f, on their way for up to %.0f ms, forgotten %.1f, %.0f%% of the line at once",
-		a.Lent, a.Repaid, a.Earned, a.Handed, a.Moved, a.Held, a.Forgotten, 100*a.Most)}
+	says := fmt.Sprintf("lent %.1f, repaid %.1f, earned %.1f, handed %.1f, debts moved %.1f, on their way for "+
+		"up to %.0f ms, forgotten %.1f, %.0f%% of the line at once", a.Lent, a.Repaid, a.Earned, a.Handed, a.Moved,
+		a.Held, a.Forgotten, 100*a.Most)
+	v := verdict{history.Found{Count: a.Count, Seen: a.Seen}, says}
 	for _, s := range a.Broken {
 		at := 0.0
 		_, _ = fmt.Sscanf(s, "%f ms", &at)
@@ -314,7 +316,7 @@
 		return history.Limit{Rate: lentRate, Depth: lentAll + lentRate*lentS + hearsay}
 	})
 	w.Seen = min(w.Seen, w.Customers)
-	return verdict{w.Found, fmt.Sprintf("%.0f%% of %v units at once", 100*w.Most, lentAll+lentRate*lentS+hearsay)}
+	return verdict{w.Found, fmt.Sprintf("%.0f%% of what may pass at once", 100*w.Most)}
 }
 
 // ceilings holds what workers got against the ceiling in force, or any that was within what is promised for
--- a/internal/whole/fleet_test.go
+++ b/internal/whole/fleet_test.go
@@ -148,7 +148,8 @@
 	p.t.Helper()
 	p.must(os.MkdirAll(filepath.Join(h.dir, "store"), 0o700))
 	classes := []map[string]any{{"name": "check", "aim_us": 800e3, "effect": "read_like", "worth": 1},
-		{"name": "sale", "aim_us": 800e3, "effect": "idempotency_key", "group": "all", "window_us": 5e6, "worth": 1},
+		{"name": "sale", "aim_us": 800e3, "effect": "idempotency_key", "group": "all", "window_us": 5e6,
+			"worth": 1},
 		{"name": "issue", "aim_us": 800e3, "effect": "non_idempotent", "worth": 1}}
 	var tariffs []map[string]any
 	for _, q := range p.rules.Plans {
@@ -161,8 +162,8 @@
 		}
 		tariffs = append(tariffs, f)
 	}
-	config, err := json.Marshal(map[string]any{"discovery": p.net.Stream("fleet", "list", p.list.At), "seed": "5",
-		"known": p.list.List(), "limits": map[string]any{"sockets": 256, "memory_mb": 64},
+	config, err := json.Marshal(map[string]any{"discovery": p.net.Stream("fleet", "list", p.list.At),
+		"seed": "5", "known": p.list.List(), "limits": map[string]any{"sockets": 256, "memory_mb": 64},
 		"settings": map[string]any{"me": 0, "balancers": 1, "classes": classes, "tariffs": tariffs,
 			"allowed": map[string]any{"max_attempts": 3, "cancel": true, "retry_after": true,
 				"max_retry_after_us": 9e6, "keepalive_us": 5e6, "connect_timeout_us": 100e3, "peers": true},
--- a/internal/whole/whole_test.go
+++ b/internal/whole/whole_test.go
@@ -276,7 +276,7 @@
 
 func (s *soak) String() string {
 	var b strings.Builder
-	fmt.Fprint(&b, "| s | daemon MB | daemon fds | store kB | instance MB | instance fds | goroutines of the rig |\n")
+	fmt.Fprint(&b, "| s | daemon MB | daemon fds | store kB | instance MB | instance fds | goroutines here |\n")
 	for i, x := range s.samples {
 		if i%max(len(s.samples)/10, 1) == 0 {
 			fmt.Fprintf(&b, "| %.0f | %d | %d | %d | %d | %d | %d |\n", x.at.Seconds(), x.daemon[0], x.daemon[1],
