--- a/internal/whole/whole_test.go
+++ b/internal/whole/whole_test.go
@@ -194,7 +194,8 @@
 	s := schedule(t)
 	t.Logf("schedule:\n%s", s)
 	var out outcome
-	broken := faults.Try(t, func(t faults.T) { out = run(t, s, t.Logf) }) // all has ended before it is played again
+	// All has ended before it is played again.
+	broken := faults.Try(t, func(t faults.T) { out = run(t, s, t.Logf) })
 	if broken == nil {
 		planted(t, out.evidence)
 		return
