--- a/internal/whole/check_test.go
+++ b/internal/whole/check_test.go
@@ -22,6 +22,8 @@
 	// hearsay is the units that the quota alone lets pass beyond its rate and burst, as stores go by hearsay
 	// and those that start again have theirs full: that of internal/credit/rig, for the same plan.
 	hearsay = 68.0
+	// granted is how many ms of a ceiling's rate internal/judge lets pass by itself.
+	granted = 150.0
 )
 
 // evidence is a record and what the checks know beside it.
@@ -193,7 +195,7 @@
 	rules := judge.Rules{Slack: bunched, Grace: bunched, Capacity: perS / workers, ColdFrom: coldFrom,
 		WarmUp: warmUp, Tips: 3, TipsAfter: 1500, Products: []judge.Product{{Repeat: judge.Inquiry},
 			{Repeat: judge.Referenced, Window: 5000}, {Repeat: judge.Once}}, Plans: []judge.Plan{{},
-			{Ceiling: ceiling * n, Depth: (depth + ceiling*bunched/1000) * n}, {}}}
+			{Ceiling: ceiling * n, Depth: (depth + ceiling*(bunched-granted)/1000) * n}, {}}}
 	j := history.Judge(r, history.Cast{Gatekeepers: e.members, Workers: names, Products: productNames,
 		Plans: planNames}, rules)
 	v := verdict{j.Found, fmt.Sprintf("by rule %v, %d txns excused, %d submissions of whose end nobody writes, "+
