--- a/cmd/willowdeck/main.go
+++ b/cmd/willowdeck/main.go
@@ -35,10 +35,14 @@
 		Sources: cli.EnvVars("WILLOWDECK_FORWARD")}
 	left := &cli.StringFlag{Name: "residue", Usage: "the `FILE` that outlives a sudden end",
 		Sources: cli.EnvVars("WILLOWDECK_RESIDUE")}
+	recall := &cli.BoolFlag{Name: "recall", Value: true, Usage: "keep quotas and demand beside the residue",
+		Sources: cli.EnvVars("WILLOWDECK_RECALL")}
 	ask := &cli.StringSliceFlag{Name: "ask", Usage: "ask the instance whose operators' port is at `HOST:PORT`",
 		Sources: cli.EnvVars("WILLOWDECK_ASK")}
 	tell := &cli.BoolFlag{Name: "tell", Usage: "tell others the list at the operators' port",
 		Sources: cli.EnvVars("WILLOWDECK_TELL")}
+	notes := &cli.StringFlag{Name: "journal", Usage: "the operator `FILE` of the journal of once-only txns",
+		Sources: cli.EnvVars("WILLOWDECK_JOURNAL")}
 	hall := &cli.StringFlag{Name: "hall", Usage: "tell its word at the operators' port, as in `HALL`",
 		Sources: cli.EnvVars("WILLOWDECK_HALL")}
 	host := &cli.StringFlag{Name: "host", Usage: "the `NAME` of the daemon that keeps it, for its word",
@@ -55,11 +59,13 @@
 		Usage: "holds customers to quotas before a shared back end",
 		Commands: []*cli.Command{
 			{Name: "serve", Usage: "run a gatekeeper until SIGTERM; SIGHUP reads its file anew",
-				Flags: []cli.Flag{file, forward, left, ask, tell, hall, host, group, agree, past, level}, Action: serve},
+				Flags: []cli.Flag{file, forward, notes, left, recall, ask, tell, hall, host, group, agree, past,
+					level}, Action: serve},
 			{Name: "fleet", Usage: "keep many gatekeepers on this host until SIGTERM; SIGHUP reads the file anew",
 				Flags: []cli.Flag{fleetFile, level}, Action: keep},
 			{Name: "check", Usage: "read and check the configuration, and say what it holds",
-				Flags: []cli.Flag{file, forward}, Action: check},
+				Flags: []cli.Flag{file, forward, notes}, Action: check},
+			journals(),
 			{Name: "version", Usage: "say which build this is", Action: version},
 		},
 	}
@@ -101,6 +107,7 @@
 func readAll(c *cli.Command) (config.Gatekeeper, error) {
 	conf, err := config.Read(c.String("config"), os.Getenv)
 	conf.Residue, conf.Ask, conf.Tells = c.String("residue"), c.StringSlice("ask"), c.Bool("tell")
+	conf.Recall = c.Bool("recall")
 	conf.Hall, conf.Host, conf.Group = c.String("hall"), c.String("host"), c.String("group")
 	conf.Agree, conf.History = c.String("agree"), c.String("history")
 	for _, at := range conf.Ask {
@@ -114,6 +121,9 @@
 	if path := c.String("forward"); err == nil && path != "" {
 		conf.Forward, err = config.ReadForward(path, &conf)
 	}
+	if path := c.String("journal"); err == nil && path != "" {
+		conf.Journal, err = config.ReadJournal(path, conf.Name)
+	}
 	return conf, err
 }
 
@@ -172,6 +182,9 @@
 	if f := conf.Forward; f != nil && f.Asking != nil {
 		fmt.Printf("asking %s, at most %g ms\n", f.Asking.Service, f.Asking.Terms.Limit)
 	}
+	if j := conf.Journal; j != nil {
+		fmt.Printf("once-only txns are written down in %s, policy %s\n", j.Of(conf.Name), j.Terms.Policy)
+	}
 	return nil
 }
 
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -6,6 +6,7 @@
 	"errors"
 
 	"willowdeck/internal/held"
+	"willowdeck/internal/journal"
 	"willowdeck/internal/wire"
 	"willowdeck/logic"
 )
@@ -15,6 +16,7 @@
 	desk  *Desk
 	links *wire.Links
 	jobs  chan job
+	notes *notes // nil where no txn is written down
 }
 
 // errGone tells that an answer came when its txn had its final one.
@@ -26,6 +28,7 @@
 	word   held.Word
 	msg    []byte
 	upload *wire.Upload // what follows on it, or nil
+	note   *mention     // where it is written down, else nil
 	left   float64      // ms that the client waits from then on
 	mark   string       // of the txn, where submissions are recorded
 	serial uint64       // and how many went to the same worker before
@@ -35,7 +38,13 @@
 func New(d *Desk, links *wire.Links) *Gate { return &Gate{desk: d, links: links, jobs: make(chan job)} }
 
 // Serve is a txn's life: it is taken, submitted where the module says and as often, and answered once.
-func (g *Gate) Serve(t *wire.Txn) wire.Final { return g.carry(g.desk.take(t), t) }
+func (g *Gate) Serve(t *wire.Txn) wire.Final {
+	n := g.note(t)
+	if end, known := g.remembered(t, n); known {
+		return end
+	}
+	return g.carry(g.desk.take(t), t, n)
+}
 
 // Hold is a txn that is cleared ahead of its coming: its units are kept for it.
 type Hold struct{ txn *held.Txn }
@@ -63,17 +72,22 @@
 // Claim is the life of a cleared txn from its coming on. It is false where the clearance is no more: then
 // nothing has become of it.
 func (g *Gate) Claim(h *Hold, t *wire.Txn) (wire.Final, bool) {
+	n := g.note(t)
+	if end, known := g.remembered(t, n); known {
+		g.Release(h)
+		return end, true
+	}
 	if !g.desk.claim(h.txn, t) {
 		return wire.Final{}, false
 	}
-	return g.carry(h.txn, t), true
+	return g.carry(h.txn, t, n), true
 }
 
 // Release gives a cleared txn up: it will not come.
 func (g *Gate) Release(h *Hold) { g.desk.release(h.txn) }
 
 // carry carries a txn that is the module's to its final answer.
-func (g *Gate) carry(h *held.Txn, t *wire.Txn) wire.Final {
+func (g *Gate) carry(h *held.Txn, t *wire.Txn, n *journal.Txn) wire.Final {
 	if t.Upload != nil {
 		defer t.Upload.Settle()
 	}
@@ -89,10 +103,11 @@
 		// What passes on is copied here: the txn's own bytes end with this function, which a submission that may
 		// not be withdrawn outlives.
 		rules := int64(wire.Ruleless)
-		if n := w.By.Number(); n > 0 {
-			rules = int64(n)
+		if v := w.By.Number(); v > 0 {
+			rules = int64(v)
 		}
-		j := job{txn: h, word: w, msg: wire.AppendSubmission(nil, t, d.Wait, rules), upload: t.Upload, left: t.Left}
+		j := job{txn: h, word: w, msg: wire.AppendSubmission(nil, t, d.Wait, rules), upload: t.Upload,
+			note: g.mention(n, d.N), left: t.Left}
 		if g.desk.record != nil {
 			j.mark = string(t.Mark)
 			for _, name := range sent {
@@ -131,6 +146,7 @@
 		j.upload.End()
 	}
 	if a == nil {
+		g.noted(&j, &wire.Answer{Outcome: logic.NotSent})
 		g.desk.record.back(&j, logic.NotSent)
 		g.desk.recall(j.txn, d.N)
 		return
@@ -150,6 +166,7 @@
 			a.Outcome = logic.Cut
 		}
 	}
+	g.noted(&j, a)
 	g.desk.record.back(&j, a.Outcome)
 	g.desk.ended(j.txn, d.N, d.Worker, a, took)
 }
--- a/internal/lifecycle/agree.go
+++ b/internal/lifecycle/agree.go
@@ -82,7 +82,7 @@
 
 // agree has the gatekeeper go by agreed rules: bare, until it hears of some, for which run has to run.
 func (g *Gatekeeper) agree() {
-	c := g.conf.Charter
+	c := spoken(g.conf)
 	a := &agreement{g: g, wide: c, timer: time.NewTimer(time.Hour), answer: make(chan answer, 1),
 		of: make([]float64, len(c.Plans)), client: fasthttp.Client{MaxResponseBodySize: accord.MostBytes,
 			MaxIdemponentCallAttempts: 1, NoDefaultUserAgentHeader: true}}
@@ -276,6 +276,9 @@
 	a.terms.Store(terms)
 	a.mode.Store(int64(t.Mode))
 	a.version.Store(t.Version)
+	if t.Version > 0 { // what a former life knew is of these rules, or of no use
+		a.g.recollect()
+	}
 	if !same {
 		a.g.words(t.Words)
 	}
--- a/internal/lifecycle/replace.go
+++ b/internal/lifecycle/replace.go
@@ -41,7 +41,8 @@
 			if g.peers != nil && g.conf.Tells {
 				g.peers.Bear(w.Word)
 			}
-			g.remember() // the process before has let it go
+			g.remember(false) // the process before has let it go
+			g.keepJournal(true)
 			g.log.Info().Int("customers", len(w.Estate.Customers)).Int("workers", len(w.Estate.Workers)).
 				Msg("taking over")
 			if g.portal != nil {
@@ -58,8 +59,12 @@
 	})
 	g.log.Info().Bool("whole", whole).Err(err).Msg("the process before has ended")
 	g.desk.Alone()
+	if k := g.journal.Load(); whole && k != nil {
+		k.Settle()
+	}
 	if !whole { // as after any sudden end
-		g.remember()
+		g.remember(true)
+		g.keepJournal(false)
 		if g.portal != nil {
 			go g.portal.Rebind(g.over)
 		}
@@ -132,6 +137,9 @@
 		w.Clearances = g.portal.Leave() // before the module's own, which would count them as spent
 	}
 	w.Estate, w.Workers, w.Kinds = g.desk.Retire()
+	if k := g.journal.Load(); k != nil {
+		k.Retire()
+	}
 	if g.peers != nil {
 		w.Word = g.peers.Word()
 	}
--- a/internal/lifecycle/start.go
+++ b/internal/lifecycle/start.go
@@ -3,7 +3,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"hash/crc32"
 	"math"
 	"math/rand"
 	"os"
@@ -20,6 +22,8 @@
 	"willowdeck/internal/gate"
 	"willowdeck/internal/handover"
 	"willowdeck/internal/history"
+	"willowdeck/internal/inventory"
+	"willowdeck/internal/journal/store"
 	"willowdeck/internal/member"
 	"willowdeck/internal/ops"
 	"willowdeck/internal/portal"
@@ -31,6 +35,9 @@
 	"willowdeck/logic"
 )
 
+// journalFiles is how many descriptors a journal takes: a segment, its folder for a moment, and the lock.
+const journalFiles = 4
+
 // socketSlack is by how much the protocol lengthens the rules' time limits, ms.
 const socketSlack = 50
 
@@ -56,6 +63,7 @@
 	list    *warm.Book
 	portal  *portal.Portal // nil where portals do not ask
 	vouch   *vouch.Voucher // nil where no auth service is asked
+	spoilt  atomic.Int64   // copies of a former life that could not be gone by
 	asking  atomic.Bool    // others are asked for their list
 	agreed  *agreement     // nil where no rules are agreed on
 	history *history.Log   // nil where no record is kept
@@ -66,7 +74,11 @@
 	lends   atomic.Bool    // credit is, or can't be
 	away    atomic.Bool    // its place is another process's, still or from here on
 
-	agreedOn atomic.Pointer[[]logic.Plan] // as rules that were adopted last have them; nil before any
+	copied   atomic.Pointer[inventory.Left] // a former life's, until it is known which rules are in force
+	agreedOn atomic.Pointer[[]logic.Plan]   // as rules that were adopted last have them; nil before any
+
+	gate    *gate.Gate
+	journal atomic.Pointer[store.Keeper] // nil where no txn is written down
 }
 
 // Start brings a gatekeeper up: when it returns, clients are served.
@@ -82,6 +94,9 @@
 		spare = max(spare-logic.OperatorCalls, 2)
 	}
 	spare = max(spare-float64(c.Forward.Connections()), 2)
+	if c.Journal != nil {
+		spare = max(spare-journalFiles, 2)
+	}
 	if c.Scratch != "" { // a process that gets ready to take this one's place is counted with it
 		spare -= min(logic.SpareFiles+logic.OperatorCalls, spare/4)
 	}
@@ -91,8 +106,7 @@
 	if len(c.Peers) > 0 {
 		g.peers = wire.NewPeers(c.Peers, c.Charter.Me)
 		tell = g.peers.Tell
-		if c.Tells { // among instances of one host, that may say more to each other than the platform's
-			c.Charter.ReportsPerTell = min(c.Charter.ReportsPerTell, wire.Room)
+		if c.Charter = spoken(c); c.Tells {
 			g.peers.Bear(member.Word{Incarnation: residue.Uptime()})
 		}
 	}
@@ -129,7 +143,8 @@
 	g.desk.Roster(c.Known)
 	g.list = warm.NewBook(c.Known)
 	g.members.Store(int64(c.Charter.Gatekeepers))
-	g.front = wire.NewFront(c.Names, c.Charter, g.forward(gate.New(g.desk, g.links)), g.up)
+	g.gate = gate.New(g.desk, g.links)
+	g.front = wire.NewFront(c.Names, c.Charter, g.forward(g.gate), g.up)
 	g.front.Nameless = g.vouch != nil && c.Forward.Asking.Customer != ""
 
 	g.away.Store(true) // until what was before it is known
@@ -169,7 +184,8 @@
 	case before != nil:
 		go g.inherit(before)
 	default:
-		g.remember()
+		g.remember(true)
+		g.keepJournal(false)
 		if g.peers != nil && g.peers.Bound() {
 			go g.peers.Hear(g.desk.Hear)
 		} else if g.peers != nil { // a process that can't be talked to has it still
@@ -192,9 +208,18 @@
 	}
 }
 
-// remember keeps what outlives a sudden end, and takes what one has left. Without it the gatekeeper starts as
-// ever.
-func (g *Gatekeeper) remember() {
+// spoken is the charter of a gatekeeper by what its messages hold: among instances of one host, that may say
+// more to each other than the platform's, a word takes some of their room.
+func spoken(c config.Gatekeeper) logic.Charter {
+	if c.Tells {
+		c.Charter.ReportsPerTell = min(c.Charter.ReportsPerTell, wire.Room)
+	}
+	return c.Charter
+}
+
+// remember keeps what outlives a sudden end, and takes what one has left; of what fades, only where it was
+// sudden. Without it the gatekeeper starts as ever.
+func (g *Gatekeeper) remember(sudden bool) {
 	g.away.Store(false)
 	plans := g.conf.Charter.Plans
 	if p := g.agreedOn.Load(); p != nil {
@@ -214,6 +239,80 @@
 		g.log.Info().Int("ceilings", len(left.Ceilings)).Float64("base_s", (g.desk.Now()-left.Base)/1000).
 			Msg("remembering what a former life has spent")
 	}
+	if g.conf.Recall {
+		g.recall(sudden)
+	}
+}
+
+// recall keeps copies of what fades beside the residue, and takes that of a former life: at once, or where
+// rules are agreed on, with the first version of them that is gone by.
+func (g *Gatekeeper) recall(sudden bool) {
+	b, left, none, err := inventory.Open(g.conf.Residue+".inventory", g.desk.Now())
+	if err != nil {
+		g.log.Warn().Err(err).Msg("no copies of quotas and demand will be kept")
+		return
+	}
+	switch {
+	case !sudden:
+	case left == nil:
+		g.doubt(none)
+	default:
+		if g.copied.Store(left); g.agreed == nil || g.agreed.version.Load() > 0 {
+			g.recollect()
+		}
+	}
+	words := func(all []member.Word) []member.Word { return all[:0] }
+	if g.peers != nil {
+		words = g.peers.Heard
+	}
+	g.desk.Copy(b, words)
+}
+
+// recollect goes by a former life's copy, if there is one, and it is of the charter in force.
+func (g *Gatekeeper) recollect() {
+	l := g.copied.Swap(nil)
+	if l == nil {
+		return
+	}
+	age := g.desk.Now() - l.Estate.At
+	n, fits := g.desk.Recollect(l, g.conf.Tells)
+	if !fits {
+		g.doubt(inventory.ErrCharter)
+		return
+	}
+	if n > 0 && g.peers != nil {
+		for _, i := range g.peers.Recall(l.Words) {
+			g.desk.Another(i)
+		}
+	}
+	g.log.Info().Int("customers", n).Int("of", len(l.Estate.Customers)).Float64("age_ms", age).
+		Msg("going by a copy of a former life's quotas and demand")
+}
+
+// doubt says why there is no copy to go by, and counts it where there was one.
+func (g *Gatekeeper) doubt(why error) {
+	if !errors.Is(why, inventory.ErrNone) {
+		g.spoilt.Add(1)
+	}
+	g.log.Info().AnErr("as", why).Msg("no copy of quotas and demand to go by")
+}
+
+var diskOf = func(dir string) store.Disk { return store.Dir(dir) } // another in tests
+
+// keepJournal has once-only txns written down from here on. beside tells that the process before still ends
+// its own.
+func (g *Gatekeeper) keepJournal(beside bool) {
+	j := g.conf.Journal
+	if j == nil {
+		return
+	}
+	who := store.Who{Name: g.conf.Name}
+	if mark, up, err := residue.Boot(); err == nil {
+		who.Boot, who.Offset = crc32.ChecksumIEEE(mark), float64(time.Now().UnixMilli())-up
+	}
+	k := store.Keep(diskOf(j.Of(g.conf.Name)), j.Terms, who, beside, g.conf.Seed, g.log)
+	g.journal.Store(k)
+	g.gate.Journal(k, j.Terms, g.conf.Charter.Products, g.conf.Names.Products)
 }
 
 // forward puts forward authentication before a gate, in the roles that are on: a txn that a portal has had
--- a/logic/estate.go
+++ b/logic/estate.go
@@ -35,6 +35,7 @@
 	Demand, Lately, Seen, CoolSince        float64
 	CeilingAt, Unsaid, Said, SaidAt, Known float64
 	Hot                                    bool
+	Lag, Dealt                             float64
 }
 
 // Standing is what is known of one worker.
@@ -79,9 +80,7 @@
 		LongAt: g.long.since, Astray: g.astray.score, AstrayAt: g.astray.since, NextTell: g.nextTell}
 	for i := range g.accounts {
 		if c := &g.accounts[i]; c.live {
-			e.Customers = append(e.Customers, Customer{c.customer, c.plan, c.n, c.first, c.txns, c.out, c.holding,
-				c.level, c.whole, c.filled, c.others, c.flow, c.held, c.heard, c.demand, c.lately, c.seen,
-				c.coolSince, c.ceilingAt, c.unsaid, c.said, c.saidAt, c.known, c.hot})
+			e.Customers = append(e.Customers, c.leaves())
 		}
 	}
 	for i := range g.workers {
@@ -169,7 +168,7 @@
 		c.filled, c.others, c.flow, c.held, c.heard = k.Filled, k.Others, k.Flow, k.Held, k.Heard
 		c.demand, c.lately, c.seen, c.coolSince = k.Demand, k.Lately, k.Seen, k.CoolSince
 		c.ceilingAt, c.unsaid, c.said, c.saidAt = k.CeilingAt, k.Unsaid, k.Said, k.SaidAt
-		c.known, c.hot, c.lent, c.out = k.Known, k.Hot, k.Out, k.Out
+		c.known, c.hot, c.lent, c.out, c.lag, c.dealt = k.Known, k.Hot, k.Out, k.Out, k.Lag, k.Dealt
 		if c.n == 0 {
 			g.heardOnly++
 		}
--- a/logic/state.go
+++ b/logic/state.go
@@ -39,6 +39,7 @@
 	said, saidAt, known float64 // demand last reported, when, and what was left of the one before
 	out, lent           int     // submissions out or cleared, and of these the predecessor's
 	lag                 float64 // repaid, and not yet taken from whole
+	dealt               float64 // time of the last loan, or look for a repayment; 0 where there was none
 	kept, keptDraws     float64 // units of txns that may yet be sent on; what they then take from the quota
 }
 
