--- a/internal/whole/fleet_test.go
+++ b/internal/whole/fleet_test.go
@@ -291,7 +291,8 @@
 		if time.Now().After(end) {
 			for _, h := range p.hosts {
 				s, _ := h.sitting()
-				p.t.Logf("%s: %+v\n%.6000s", h.name, s, p.rig.Processes[h.name].Output())
+				all := p.rig.Processes[h.name].Output()
+				p.t.Logf("%s: %+v\n%s", h.name, s, all[max(len(all)-8000, 0):])
 			}
 			p.t.Fatalf("not well within %v: %s", readyIn, why)
 		}
