Keeper: walks of kills, members, deaf and sick processes and new daemons end with all that are wanted running

Change: 400 walks in virtual time over the deciding part, which would find instances that wait for one another for ever.

--- a/internal/fleet/keeper_test.go
+++ b/internal/fleet/keeper_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"math/rand"
 	"slices"
 	"testing"
 )
@@ -302,3 +304,67 @@
 		t.Error(b.states())
 	}
 }
+
+// Whatever was wanted, killed, deaf or never ready before, and however often the daemon itself was started
+// anew over what ran, once that is over all that are wanted come to run what is wanted. Guards against
+// instances that wait for one another for ever.
+func TestWalksOfKeeper(t *testing.T) {
+	names := []string{"n0", "n1", "n2", "n3"}
+	for seed := range int64(400) {
+		rng := rand.New(rand.NewSource(seed))
+		b := newBench(t, names...)
+		wanted := names
+		for range 5 + rng.Intn(40) {
+			switch who := names[rng.Intn(len(names))]; rng.Intn(8) {
+			case 0, 1: // killed
+				for p := 1; p <= b.k.numbers; p++ {
+					if b.up[p] == who {
+						b.ends[p] = b.now
+					}
+				}
+			case 2, 3: // other members, and all are told of it
+				wanted = slices.DeleteFunc(slices.Clone(names), func(string) bool { return rng.Intn(4) == 0 })
+				changed := map[string]Change{}
+				for _, n := range wanted {
+					changed[n] = Members
+				}
+				b.k.Want(wanted, changed)
+			case 4:
+				b.k.Want(wanted, map[string]Change{who: Change(rng.Intn(3))})
+			case 5:
+				b.deaf[who] = !b.deaf[who]
+			case 6:
+				b.sick[who] = !b.sick[who]
+			case 7: // the daemon is started anew, over what runs
+				b.adopted(wanted, rng)
+			}
+			b.run(float64(rng.Intn(150)) * 10)
+		}
+		b.sick, b.deaf = map[string]bool{}, map[string]bool{}
+		b.run(40000)
+		for _, s := range b.k.Standings() {
+			if want := slices.Contains(wanted, s.Name); want != (s.State == Ready) || want && s.Behind {
+				t.Fatalf("seed %d: %s of %v is %v, behind %v, of %v", seed, s.Name, wanted, s.State, s.Behind,
+					b.k.Standings())
+			}
+		}
+	}
+}
+
+// adopted has another keeper take over what runs: one process each, the others are told to end.
+func (b *bench) adopted(wanted []string, rng *rand.Rand) {
+	was, from := b.up, b.k.numbers
+	b.k = NewKeeper(pace, rng.Int63())
+	b.k.Clock(b.now)
+	b.up, b.ready, b.ends, b.renews = map[int]string{}, map[int]float64{}, map[int]float64{}, map[int]float64{}
+	b.k.Want(wanted, nil)
+	for p := 1; p <= from; p++ {
+		name := was[p]
+		if slices.Contains(wanted, name) && !slices.Contains(slices.Collect(maps.Values(b.up)), name) {
+			n := b.k.Adopt(name)
+			if b.up[n], b.ready[n] = name, b.now+100; rng.Intn(3) == 0 { // what is wanted has changed meanwhile
+				b.k.Want(wanted, map[string]Change{name: More})
+			}
+		}
+	}
+}
