--- a/logic/logic.go
+++ b/logic/logic.go
@@ -742,9 +742,8 @@
 	return g.window + g.surge*math.Exp((g.thawed-g.now)/surgeFade)
 }
 
-// leastWindow is what the window starts at and keeps. A small part of few txns swings much, and no other
-// gatekeeper can lend its room: without the allowance many gatekeepers decline while workers idle. leastOf is
-// that of a part of the fleet's least depth.
+// leastWindow is what the window starts at and keeps, leastOf the same of any part. Few txns swing much, and
+// no other gatekeeper can lend its room: without the allowance many decline while workers idle.
 func (g *Gatekeeper) leastWindow() float64 {
 	return leastOf(leastDepth * math.Max(g.able, 1) / float64(g.charter.n))
 }
