Credit, audit, histories: one loop, one check and one clash in place of two of each

Need: paying debts and taking them back were the same loop, rights and debts that come the same check, and two rigs told of contradicting leases by the same function. Change: strike, comes and history.Leases. Measured: their packages' tests pass.

--- a/internal/credit/audit/audit.go
+++ b/internal/credit/audit/audit.go
@@ -248,26 +248,12 @@
 
 func (a *auditor) takes(c *account, me string, from between, e history.Event) {
 	if e.Says != "debt" {
-		switch {
-		case e.Serial <= c.got[from]:
-			a.broken(e, "takes a right again")
-		case e.Serial > c.gave[from]:
-			a.broken(e, "takes a right of %.3f units in all, of %.3f that were handed on", float64(e.Serial)/1000,
-				float64(c.gave[from])/1000)
-		}
-		c.got[from] = e.Serial
+		a.comes(e, "right", from, c.got, c.gave)
 		c.rights[me] += e.Units
 		a.Handed += e.Units
 		return
 	}
-	switch {
-	case e.Serial <= c.gotD[from]:
-		a.broken(e, "takes a debt again")
-	case e.Serial > c.gaveD[from]:
-		a.broken(e, "takes a debt of %.3f units in all, of %.3f that were handed on", float64(e.Serial)/1000,
-			float64(c.gaveD[from])/1000)
-	}
-	c.gotD[from] = e.Serial
+	a.comes(e, "debt", from, c.gotD, c.gaveD)
 	a.Moved += e.Units
 	left, held := c.arrive(me, from, e.At, e.Units)
 	a.Held = math.Max(a.Held, float64(held)/1e6)
@@ -276,6 +262,18 @@
 	}
 }
 
+// comes books that what was handed on has been taken, once and no more of it than was.
+func (a *auditor) comes(e history.Event, what string, from between, got, gave map[between]uint64) {
+	switch {
+	case e.Serial <= got[from]:
+		a.broken(e, "takes a %s again", what)
+	case e.Serial > gave[from]:
+		a.broken(e, "takes a %s of %.3f units in all, of %.3f that were handed on", what, float64(e.Serial)/1000,
+			float64(gave[from])/1000)
+	}
+	got[from] = e.Serial
+}
+
 // owe adds a loan by its time.
 func (c *account) owe(me string, o loan) {
 	all := append(c.owed[me], o)
--- a/internal/credit/credit.go
+++ b/internal/credit/credit.go
@@ -625,40 +625,31 @@
 
 // pay pays debts, those due first before others, and gives how much of it there was to pay.
 func (a *account) pay(m int64) (paid int64) {
-	for paid < m {
-		first := -1
-		for i := range a.Owed {
-			if a.Owed[i] > 0 && (first < 0 || a.Due[i] < a.Due[first]) {
-				first = i
-			}
-		}
-		if first < 0 {
-			break
-		}
-		x := min(a.Owed[first], m-paid)
-		a.Owed[first] -= x
-		paid += x
-	}
-	return paid
+	return a.strike(m, func(due, than float64) bool { return due < than })
 }
 
 // unowe takes debts back, those due last before others.
 func (a *account) unowe(m int64) (back int64) {
-	for back < m {
-		last := -1
+	return a.strike(m, func(due, than float64) bool { return due > than })
+}
+
+// strike takes debts away in the order of when they are due, and gives how much of it there was.
+func (a *account) strike(m int64, before func(due, than float64) bool) (struck int64) {
+	for struck < m {
+		next := -1
 		for i := range a.Owed {
-			if a.Owed[i] > 0 && (last < 0 || a.Due[i] > a.Due[last]) {
-				last = i
+			if a.Owed[i] > 0 && (next < 0 || before(a.Due[i], a.Due[next])) {
+				next = i
 			}
 		}
-		if last < 0 {
+		if next < 0 {
 			break
 		}
-		x := min(a.Owed[last], m-back)
-		a.Owed[last] -= x
-		back += x
+		x := min(a.Owed[next], m-struck)
+		a.Owed[next] -= x
+		struck += x
 	}
-	return back
+	return struck
 }
 
 // pace is what has to be paid from now on, parts a ms, so that each debt is paid when it is due.
--- a/internal/fleet/council_hard_test.go
+++ b/internal/fleet/council_hard_test.go
@@ -236,7 +236,7 @@
 	} else {
 		x.t.Logf("%d versions, %d reads, porcupine: %s", v.InForce, v.Reads, v.Checker)
 	}
-	c := history.Contradiction(record, clash(ceilings), promised, between)
+	c := history.Contradiction(record, history.Leases(ceilings), promised, between)
 	if c.Count > 0 || c.Spans == 0 {
 		x.t.Errorf("contradictions: %+v", c.Found)
 	}
@@ -258,24 +258,6 @@
 	return sent
 }
 
-// clash tells that two leases contradict: together more may pass than the later version allows. What a
-// fallback may not do is seen in what the workers are sent.
-func clash(rules map[uint64]accord.Rules) history.Clash {
-	return func(first, second history.Stance) bool {
-		a, known := rules[first.Version]
-		b, too := rules[second.Version]
-		leased := first.Mode == history.Leased && second.Mode == history.Leased
-		if !leased || first.Version == second.Version || !known || !too {
-			return false
-		}
-		s := accord.Stance{Members: a.Members}
-		for i := range a.Plans {
-			s.Parts = append(s.Parts, accord.Share(&a, i, 0))
-		}
-		return accord.Contradicts([]accord.Stance{s}, &b) != ""
-	}
-}
-
 // capped are the txns of the customer with a ceiling, as the workers know them.
 func (x *trial) capped() map[string]bool {
 	capped := map[string]bool{}
--- a/internal/history/contradict.go
+++ b/internal/history/contradict.go
@@ -39,6 +39,24 @@
 	}
 }
 
+// Leases is a Clash of two leases that contradict: together more may pass than the later version allows. What
+// a fallback may not do is seen in what workers are sent.
+func Leases(rules map[uint64]accord.Rules) Clash {
+	return func(first, second Stance) bool {
+		a, known := rules[first.Version]
+		b, too := rules[second.Version]
+		leased := first.Mode == Leased && second.Mode == Leased
+		if !leased || first.Version == second.Version || !known || !too {
+			return false
+		}
+		s := accord.Stance{Members: a.Members}
+		for i := range a.Plans {
+			s.Parts = append(s.Parts, accord.Share(&a, i, 0))
+		}
+		return accord.Contradicts([]accord.Stance{s}, &b) != ""
+	}
+}
+
 // beyond tells whether the fallback of rules lets more through of some plan than others do.
 func beyond(fallback, others accord.Rules) bool {
 	part := fallback.Fallback.Part
--- a/internal/whole/check_test.go
+++ b/internal/whole/check_test.go
@@ -206,22 +206,6 @@
 	return v
 }
 
-// clash tells that two leases contradict: together more may pass than the later version allows. What a
-// fallback may not do is seen in what workers are sent.
-func (e *evidence) clash(first, second history.Stance) bool {
-	a, known := e.rules[first.Version]
-	b, too := e.rules[second.Version]
-	leased := first.Mode == history.Leased && second.Mode == history.Leased
-	if !leased || first.Version == second.Version || !known || !too {
-		return false
-	}
-	s := accord.Stance{Members: a.Members}
-	for i := range a.Plans {
-		s.Parts = append(s.Parts, accord.Share(&a, i, 0))
-	}
-	return accord.Contradicts([]accord.Stance{s}, &b) != ""
-}
-
 func contradiction(e *evidence) verdict {
 	first := e.rules[1]
 	bound := accord.Bound(&first)
@@ -253,7 +237,7 @@
 			o.Version = 0
 		}
 	}
-	c := history.Contradiction(r, e.clash, bound, bunched)
+	c := history.Contradiction(r, history.Leases(e.rules), bound, bunched)
 	return verdict{c.Found, fmt.Sprintf("longest %.0f of %.0f ms, a submission %.0f ms after its version, "+
 		"%d spans, %d submissions unnamed, %d held by links", c.Longest, bound, c.Lag, c.Spans, c.Unnamed, held)}
 }
--- a/internal/whole/plant_test.go
+++ b/internal/whole/plant_test.go
@@ -109,7 +109,7 @@
 			low := history.Stance{Version: e.highest(), Mode: history.Leased}
 			for i, o := range e.Events {
 				first := history.Stance{Version: o.Version, Mode: o.Mode}
-				if o.Kind != history.Acts || !e.clash(first, low) || !e.acts(o, low) {
+				if o.Kind != history.Acts || !history.Leases(e.rules)(first, low) || !e.acts(o, low) {
 					continue
 				}
 				e.Events = append(slices.Clone(e.Events[:i+1]), slices.DeleteFunc(e.Events[i+1:],
