Names of products and plans by place from the configuration; one refusal of a word at the port

Need: three places made such a list by hand beside PlanNames, and a call answered not found in two branches. Change: ProductNames; one branch.

--- a/internal/config/charter.go
+++ b/internal/config/charter.go
@@ -23,9 +23,14 @@
 }
 
 // PlanNames gives the plans' names by their places.
-func (n Names) PlanNames() []string {
-	all := make([]string, len(n.Plans))
-	for name, i := range n.Plans {
+func (n Names) PlanNames() []string { return byPlace(n.Plans) }
+
+// ProductNames gives the products' names by their places.
+func (n Names) ProductNames() []string { return byPlace(n.Products) }
+
+func byPlace(places map[string]int) []string {
+	all := make([]string, len(places))
+	for name, i := range places {
 		all[i] = name
 	}
 	return all
--- a/internal/gate/journal.go
+++ b/internal/gate/journal.go
@@ -25,11 +25,9 @@
 }
 
 // Journal has once-only txns written down from here on. It is to be called before the first txn, if at all.
-func (g *Gate) Journal(k *store.Keeper, t journal.Terms, products []logic.Product, names map[string]int) {
-	l := &notes{Keeper: k, names: make([]string, len(products)), keeps: t.Answer}
-	for name, i := range names {
-		l.names[i] = name
-	}
+// Names are the products', by their places.
+func (g *Gate) Journal(k *store.Keeper, t journal.Terms, products []logic.Product, names []string) {
+	l := &notes{Keeper: k, names: names, keeps: t.Answer}
 	for _, p := range products {
 		l.once = append(l.once, p.Repeat == logic.OnceOnly)
 	}
--- a/internal/lifecycle/speak.go
+++ b/internal/lifecycle/speak.go
@@ -32,14 +32,7 @@
 func (g *Gatekeeper) teller() *speaker {
 	c := &g.conf
 	s := &speaker{word: outlook.Word{Name: c.Name, Host: c.Host, Hall: c.Hall, Number: c.Charter.Me,
-		Charter: c.Charter, Products: make([]string, len(c.Charter.Products)),
-		Plans: make([]string, len(c.Charter.Plans))}}
-	for name, i := range c.Names.Products {
-		s.word.Products[i] = name
-	}
-	for name, i := range c.Names.Plans {
-		s.word.Plans[i] = name
-	}
+		Charter: c.Charter, Products: c.Names.ProductNames(), Plans: c.Names.PlanNames()}}
 	s.word.Charter.Me = 0
 	if s.named = c.Group != ""; s.named {
 		s.word.Group = c.Group
--- a/internal/lifecycle/start.go
+++ b/internal/lifecycle/start.go
@@ -312,7 +312,7 @@
 	}
 	k := store.Keep(diskOf(j.Of(g.conf.Name)), j.Terms, who, beside, g.conf.Seed, g.log)
 	g.journal.Store(k)
-	g.gate.Journal(k, j.Terms, g.conf.Charter.Products, g.conf.Names.Products)
+	g.gate.Journal(k, j.Terms, g.conf.Charter.Products, g.conf.Names.ProductNames())
 }
 
 // forward puts forward authentication before a gate, in the roles that are on: a txn that a portal has had
--- a/internal/ops/ops.go
+++ b/internal/ops/ops.go
@@ -160,12 +160,11 @@
 }
 
 func (p *Port) word(ctx *fasthttp.RequestCtx) {
+	var word []byte
 	s, ok := p.desk.(Speaker)
-	if !ok {
-		say(ctx, fasthttp.StatusNotFound, "no such call")
-		return
+	if ok {
+		word, ok = s.Word()
 	}
-	word, ok := s.Word()
 	if !ok {
 		say(ctx, fasthttp.StatusNotFound, "no such call")
 		return
