Workers are told what is left right before the first byte, not at the decision

What was told was that much too old at the first byte. The time limit of the attempt itself was also counted from when its goroutine began, not from the decision.

Change: a submission is encoded with room for the figure; TellLeft fills it in right before the write and moves the head up to it, so that the bytes are as before and nothing is allocated. The end of its time comes with the decision (Decision.At), so a wait for the goroutine counts too.

TestTellLeft: no allocation.

--- a/internal/gate/ends_test.go
+++ b/internal/gate/ends_test.go
@@ -311,6 +311,14 @@
 
 // full listens on loopback, and takes no connection that comes until take is called.
 func full(t *testing.T) (at netip.AddrPort, take func() []int) {
+	t.Helper()
+	at, fill, take := narrow(t)
+	fill()
+	return at, take
+}
+
+// narrow listens on loopback for one connection; after fill one more does not come up until take is called.
+func narrow(t *testing.T) (at netip.AddrPort, fill func(), take func() []int) {
 	t.Helper()
 	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
 	if err == nil {
@@ -328,14 +336,16 @@
 		t.Fatal(err)
 	}
 	at = netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(name.(*unix.SockaddrInet4).Port))
-	for range 9 { // until one more does not come up
-		c, err := net.DialTimeout("tcp", at.String(), 50*time.Millisecond)
-		if err != nil {
-			break
+	fill = func() {
+		for range 9 { // until one more does not come up
+			c, err := net.DialTimeout("tcp", at.String(), 50*time.Millisecond)
+			if err != nil {
+				break
+			}
+			t.Cleanup(func() { c.Close() })
 		}
-		t.Cleanup(func() { c.Close() })
 	}
-	return at, func() (all []int) {
+	return at, fill, func() (all []int) {
 		_ = unix.SetNonblock(fd, true)
 		for {
 			c, _, err := unix.Accept(fd)
--- a/internal/gate/exchange.go
+++ b/internal/gate/exchange.go
@@ -50,6 +50,17 @@
 		g.links.Drop(l)
 		return nil, nil, began
 	}
+	// Guards against a time that was right when this was decided: its goroutine, the connection, the journal and
+	// the record have been waited for since, and the worker is told what the client has left now.
+	now := time.Now()
+	if !now.Before(latest) {
+		s.End()
+		g.links.Drop(l)
+		return &wire.Answer{Outcome: logic.NotSent}, nil, began
+	}
+	if j.told > 0 {
+		j.msg = wire.TellLeft(j.msg, j.told, until.Sub(now))
+	}
 	err := l.Send(j.msg)
 	if err == nil && j.upload != nil {
 		var whole bool
--- a/internal/gate/exchange_test.go
+++ b/internal/gate/exchange_test.go
@@ -312,7 +312,9 @@
 				if w.By != nil {
 					rules = int64(w.By.Version)
 				}
-				msg = wire.AppendSubmission(msg[:0], t, w.Decision.Wait, rules)
+				var at int
+				msg, at = wire.AppendSubmission(msg[:0], t, rules)
+				wire.TellLeft(msg, at, wire.Millis(w.Decision.At-d.clock.now()))
 				d.ended(h, 0, w.Decision.Worker, &wire.Answer{Outcome: logic.Settled, Heard: true}, 1)
 			}
 		})
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -27,6 +27,7 @@
 	txn    *held.Txn
 	word   held.Word
 	msg    []byte
+	told   int          // the place in it of the time that is left; 0 where it tells none
 	upload *wire.Upload // what follows on it, or nil
 	note   *mention     // where it is written down, else nil
 	left   float64      // ms that the client waits from then on
@@ -106,8 +107,8 @@
 		if v := w.By.Number(); v > 0 {
 			rules = int64(v)
 		}
-		j := job{txn: h, word: w, msg: wire.AppendSubmission(nil, t, d.Wait, rules), upload: t.Upload,
-			note: g.mention(n, d.N), left: t.Left}
+		j := job{txn: h, word: w, upload: t.Upload, note: g.mention(n, d.N), left: t.Left}
+		j.msg, j.told = wire.AppendSubmission(nil, t, rules)
 		if g.desk.record != nil {
 			j.mark = string(t.Mark)
 			for _, name := range sent {
@@ -141,7 +142,7 @@
 // submit carries one submission to its worker and its end to the desk.
 func (g *Gate) submit(j job) {
 	d := &j.word.Decision
-	a, l, began := g.exchange(j, g.desk.clock.time(g.desk.clock.now()+d.Wait))
+	a, l, began := g.exchange(j, g.desk.clock.time(d.At))
 	if j.upload != nil {
 		j.upload.End()
 	}
--- a/internal/wire/submission.go
+++ b/internal/wire/submission.go
@@ -126,13 +126,20 @@
 // Ruleless is no version of rules.
 const Ruleless = -1
 
-// AppendSubmission encodes a submission of a txn that is waited for so many ms, but for a body that is not
-// kept. It names the version of the rules that it goes by, if any.
-func AppendSubmission(b []byte, t *Txn, wait float64, rules int64) []byte {
+// The time that is left is told in us, in as many digits as LongestWait has.
+const (
+	leftRoom = "0000000000"
+	mostTold = 9999999999
+)
+
+// AppendSubmission encodes a submission of a txn to b, but for a body that is not kept. It names the version
+// of the rules that it goes by, if any. The time that is left is for TellLeft to fill in, at the place given.
+func AppendSubmission(b []byte, t *Txn, rules int64) (msg []byte, at int) {
 	b = append(append(b, t.Method...), ' ')
 	b = append(append(b, t.Target...), " HTTP/1.1\r\nHost: backend.local\r\nX-Request-Id: "...)
 	b = append(append(b, t.Mark...), "\r\nX-Deadline: "...)
-	b = append(strconv.AppendInt(b, int64(max(wait, 0)*1000), 10), "u\r\n"...)
+	at = len(b)
+	b = append(b, leftRoom+"u\r\n"...)
 	if rules >= 0 {
 		b = append(strconv.AppendInt(append(b, "X-Rules: "...), rules, 10), "\r\n"...)
 	}
@@ -149,7 +156,19 @@
 	case length > 0 || string(t.Method) != fasthttp.MethodGet:
 		b = append(strconv.AppendInt(append(b, "Content-Length: "...), length, 10), "\r\n"...)
 	}
-	return append(append(b, "\r\n"...), t.Body...)
+	return append(append(b, "\r\n"...), t.Body...), at
+}
+
+// TellLeft fills in how much of its client's time is left for a submission, in whole us, and gives what is to
+// be sent. It is for the moment before the first byte, and once: room that the figure does not need is given
+// up ahead of the message, and what stands before the figure moves up to it. Nothing is allocated.
+func TellLeft(msg []byte, at int, left time.Duration) []byte {
+	var digits [len(leftRoom)]byte
+	d := strconv.AppendInt(digits[:0], min(max(left.Microseconds(), 0), mostTold), 10)
+	spare := len(leftRoom) - len(d)
+	copy(msg[spare:], msg[:at])
+	copy(msg[spare+at:], d)
+	return msg[spare:]
 }
 
 // Link is one connection to a worker. It carries one submission at a time, and sends nothing again by itself.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -516,13 +516,35 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			if got := AppendSubmission(nil, &c.t, c.wait, c.rules); string(got) != c.want {
+			msg, at := AppendSubmission(nil, &c.t, c.rules)
+			if got := TellLeft(msg, at, Millis(c.wait)); string(got) != c.want {
 				t.Errorf("got %q, want %q", got, c.want)
 			}
 		})
 	}
 }
 
+// The time that is left is told in whole us, and never more than there is. Filling it in allocates nothing.
+func TestTellLeft(t *testing.T) {
+	x := Txn{Method: []byte("POST"), Target: []byte("/s"), Mark: []byte("2"), Body: []byte("xy")}
+	for left, want := range map[time.Duration]string{
+		-time.Hour: "0u", 0: "0u", 999 * time.Nanosecond: "0u", 1999 * time.Nanosecond: "1u",
+		480 * time.Millisecond: "480000u", Millis(logic.LongestWait): "3600000000u", 24 * time.Hour: "9999999999u",
+	} {
+		msg, at := AppendSubmission(make([]byte, 0, 512), &x, 7)
+		var got []byte
+		room := make([]byte, 0, 512)
+		n := testing.AllocsPerRun(10, func() { got = TellLeft(append(room[:0], msg...), at, left) })
+		if n > 0 {
+			t.Errorf("%v: %g allocations", left, n)
+		}
+		if want := "POST /s HTTP/1.1\r\nHost: backend.local\r\nX-Request-Id: 2\r\nX-Deadline: " + want +
+			"\r\nX-Rules: 7\r\nContent-Length: 2\r\n\r\nxy"; string(got) != want {
+			t.Errorf("%v: %q, want %q", left, got, want)
+		}
+	}
+}
+
 // What answers say of load, and what of it counts as not said.
 func TestLoad(t *testing.T) {
 	cases := []struct {
--- a/logic/iface.go
+++ b/logic/iface.go
@@ -123,7 +123,7 @@
 	Worker  int
 	N       int
 	Wait    float64 // Submit: time-out; Decline: when to return; ms
-	At      float64
+	At      float64 // Wake: then; Submit: the end of Wait, which is its client's
 	Peer    int
 	Reports []Report
 	Latest  float64 // Submit: its first byte goes out before this time, or it is NotSent; +Inf where any will do
--- a/logic/state.go
+++ b/logic/state.go
@@ -718,7 +718,7 @@
 // order is the decision that sends a txn's newest submission to a worker, before a moment.
 func (g *Gatekeeper) order(t *txn, wi int, latest float64) Decision {
 	return Decision{Kind: Submit, Txn: t.id, Worker: wi, N: len(t.subs) - 1, Wait: t.expiry - g.now,
-		Latest: latest, Full: g.full(&g.accounts[t.acct])}
+		At: t.expiry, Latest: latest, Full: g.full(&g.accounts[t.acct])}
 }
 
 // seat notes whether a submission counts as in hand.
