Ports of tests and rigs stay theirs: outside of the system's range, claimed by block

Cause: council's TestWalks/1 failed once with "bind: address already in use". newParley listened at port 0, closed and had the seats bind the port later; until then the system gives it to any call or listener. So did wire's TestPeersTakeOnlyPeers and TestPeersBear, lifecycle's start of a program and TestListenAgain, and wdlab forward. Stand-ins' workers came back at such a port, and tests of a former's end let one go for a heir. faults.Ports drew from 10000 to 29999, whatever the system's range, and its claims lay in os.TempDir().

Change: internal/ports. Blocks of 25 outside of ip_local_port_range, claimed by a datagram socket on another loopback address: machine-wide, gone with the process. What comes back rests for 5 s, then is given anew, so that long runs end at no bound. faults.Ports goes by it, lifecycle's own list of ports is gone. A worker of the stand-ins is Down while it may reopen, and gives its port back at Close.

--- a/cmd/wdlab/forward.go
+++ b/cmd/wdlab/forward.go
@@ -19,6 +19,7 @@
 	"willowdeck/internal/emu"
 	"willowdeck/internal/lab"
 	"willowdeck/internal/load"
+	"willowdeck/internal/ports"
 	"willowdeck/internal/standin"
 	"willowdeck/internal/traffic"
 )
@@ -110,11 +111,13 @@
 func (a arm) play(ctx context.Context, s *emu.Scenario, arrivals []traffic.Arrival, seed int64,
 	start func([]byte, string) (*gatekeeper, error)) (r result, err error) {
 	r.arm = a
-	listen, err := freePorts(2)
+	first, giveBack, err := ports.Take(2)
 	if err != nil {
 		return r, err
 	}
-	f, err := newFleet(s, listen[0])
+	defer giveBack()
+	at := func(i int) string { return fmt.Sprintf("127.0.0.1:%d", first+i) }
+	f, err := newFleet(s, at(0))
 	if err != nil {
 		return r, err
 	}
@@ -132,7 +135,7 @@
 	file := ""
 	if a.asked || a.asking {
 		file = filepath.Join(dir, "forward.toml")
-		if err := os.WriteFile(file, []byte(a.operators(listen[1], auth.At)), 0o600); err != nil {
+		if err := os.WriteFile(file, []byte(a.operators(at(1), auth.At)), 0o600); err != nil {
 			return r, err
 		}
 	}
@@ -293,19 +296,6 @@
 		"s", "p99 of what was due in that second, ms", true, lines, path)
 }
 
-// freePorts gives addresses on loopback that are free now.
-func freePorts(n int) (all []string, err error) {
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, err
-		}
-		defer l.Close()
-		all = append(all, l.Addr().String())
-	}
-	return all, nil
-}
-
 // spawn starts a gatekeeper's program, and waits until it is up.
 func spawn(program string, conf []byte, file string) (*gatekeeper, error) {
 	var told struct{ Listen string }
--- a/internal/council/council_test.go
+++ b/internal/council/council_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -18,6 +17,7 @@
 
 	"willowdeck/internal/accord"
 	"willowdeck/internal/history"
+	"willowdeck/internal/ports"
 )
 
 func TestMain(m *testing.M) {
@@ -42,12 +42,7 @@
 	p := &parley{t: t, dir: t.TempDir(), all: map[string]*Seat{}, cut: map[[2]string]bool{},
 		full: map[string]bool{}}
 	for i := range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		p.hosts = append(p.hosts, Host{fmt.Sprintf("h%d", i), l.Addr().String()})
-		l.Close()
+		p.hosts = append(p.hosts, Host{fmt.Sprintf("h%d", i), ports.Address(t)})
 	}
 	t.Cleanup(func() {
 		for _, s := range p.all {
--- a/internal/faults/faults.go
+++ b/internal/faults/faults.go
@@ -34,13 +34,8 @@
 	lastWords = 500 * time.Millisecond
 	// stopLimit is how long a signal to stop may take to act.
 	stopLimit = 2 * time.Second
-	// firstPort, and so many blocks of portBlock each, are where ports are looked for: below those that the
-	// kernel gives to calls. A block is a process's own; a scenario takes a few.
-	firstPort, portBlock, portBlocks = 10000, 25, 800
 	// startsWithin is how long a process may take from its fork to its exec, on a loaded machine.
 	startsWithin = 2 * time.Second
-	// portTries bounds the search.
-	portTries = 200
 	// mostReplays is how often Shrink asks whether a schedule breaks: with plays of a few seconds, minutes.
 	mostReplays = 200
 	// leastStep is the shortest fault that is drawn, ms: shorter ones are lost in the scheduling of a process.
--- a/internal/faults/process.go
+++ b/internal/faults/process.go
@@ -19,6 +19,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"willowdeck/internal/ports"
 )
 
 var (
@@ -76,71 +78,10 @@
 	return path, nil
 }
 
-// Ports finds a run of n ports at which nobody takes connections or datagrams, and gives the first. They are
-// the caller's until its process ends. Guards against test binaries that run side by side, of which one binds
-// what another has found free and not bound yet.
+// Ports gives the first of n ports of 127.0.0.1 that are the test's: see ports.Span.
 func Ports(t T, n int) int {
 	t.Helper()
-	blocks := (n + portBlock - 1) / portBlock
-	for range portTries {
-		first := rand.Intn(portBlocks - blocks + 1)
-		if from := firstPort + first*portBlock; takeBlocks(first, blocks) && portsFree(from, n) {
-			return from
-		}
-	}
-	t.Fatalf("no run of %d free ports", n)
-	return 0
-}
-
-var (
-	handing sync.Mutex
-	handed  = map[int]*os.File{} // blocks of ports that are this process's, with their locks
-)
-
-// takeBlocks locks blocks of ports for this process, all or none.
-func takeBlocks(first, n int) bool {
-	handing.Lock()
-	defer handing.Unlock()
-	dir := filepath.Join(os.TempDir(), "willowdeck-ports")
-	if os.MkdirAll(dir, 0o777) != nil {
-		return false
-	}
-	var locks []*os.File
-	for i := first; i < first+n; i++ {
-		f, err := os.OpenFile(filepath.Join(dir, strconv.Itoa(i)), os.O_CREATE|os.O_RDWR, 0o666)
-		if err == nil {
-			if locks = append(locks, f); handed[i] == nil {
-				err = syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB)
-			}
-		}
-		if err != nil || handed[i] != nil {
-			for _, f := range locks {
-				_ = f.Close()
-			}
-			return false
-		}
-	}
-	for i, f := range locks {
-		handed[first+i] = f
-	}
-	return true
-}
-
-func portsFree(from, n int) bool {
-	for i := from; i < from+n; i++ {
-		at := fmt.Sprintf("127.0.0.1:%d", i)
-		l, err := net.Listen("tcp", at)
-		if err != nil {
-			return false
-		}
-		l.Close()
-		p, err := net.ListenPacket("udp", at)
-		if err != nil {
-			return false
-		}
-		p.Close()
-	}
-	return true
+	return ports.Span(t, n)
 }
 
 // Spec is how a process is started.
--- a/internal/faults/process_test.go
+++ b/internal/faults/process_test.go
@@ -10,7 +10,6 @@
 	"net/netip"
 	"os"
 	"path/filepath"
-	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -522,39 +521,3 @@
 		}
 	}
 }
-
-// Guards against two test binaries of which one binds what the other was given: a block that another process
-// has locked is not handed out, and no port is handed out twice.
-func TestPortsOfOthers(t *testing.T) {
-	dir := t.TempDir()
-	t.Setenv("TMPDIR", dir)
-	taken := filepath.Join(dir, "willowdeck-ports")
-	if err := os.MkdirAll(taken, 0o777); err != nil {
-		t.Fatal(err)
-	}
-	for i := range portBlocks {
-		if i%4 == 3 { // what is left has no run of four blocks
-			f, err := os.Create(filepath.Join(taken, strconv.Itoa(i)))
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer f.Close()
-			if err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX); err != nil {
-				t.Fatal(err)
-			}
-		}
-	}
-	seen := map[int]bool{}
-	for range 5 {
-		from := Ports(t, 2*portBlock)
-		for i := from; i < from+2*portBlock; i++ {
-			if seen[i] || (i-firstPort)/portBlock%4 == 3 {
-				t.Fatalf("port %d is another's", i)
-			}
-			seen[i] = true
-		}
-	}
-	if takeBlocks(0, 4) {
-		t.Error("a block that is locked was taken")
-	}
-}
--- a/internal/faults/relay_test.go
+++ b/internal/faults/relay_test.go
@@ -13,6 +13,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"willowdeck/internal/ports"
 )
 
 // ends are sockets for datagrams, as gatekeepers have them, with relays between.
@@ -408,10 +410,7 @@
 // Guards against an address in use for the ms in which a process that is being started still has a copy of a
 // listener that was closed here.
 func TestListenAgain(t *testing.T) {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	l := ports.Listen(t)
 	f, err := l.(*net.TCPListener).File() // as a fork has it
 	if err != nil {
 		t.Fatal(err)
--- a/internal/faults/stream.go
+++ b/internal/faults/stream.go
@@ -2,12 +2,13 @@
 
 import (
 	"errors"
-	"fmt"
 	"io"
 	"net"
 	"sync"
 	"syscall"
 	"time"
+
+	"willowdeck/internal/ports"
 )
 
 // stream takes one end's connections to another and passes them on.
@@ -31,7 +32,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	s := &stream{net: n, from: from, to: to, target: target, there: n.way(from, to), back: n.way(to, from),
-		listen: fmt.Sprintf("127.0.0.1:%d", Ports(n.t, 1)), pipes: map[*pipe]bool{}}
+		listen: ports.Address(n.t), pipes: map[*pipe]bool{}}
 	if err := s.open(); err != nil {
 		n.t.Fatalf("stream from %s to %s: %v", from, to, err)
 	}
--- a/internal/fleet/outlook_test.go
+++ b/internal/fleet/outlook_test.go
@@ -295,7 +295,7 @@
 			continue
 		case lost && l.Kind != outlook.Keepers:
 			for _, w := range x.workers[h] {
-				w.Close()
+				w.Down()
 			}
 			for o := range 3 { // a relay takes connections for workers that are no more
 				if o != h {
--- a/internal/lifecycle/standstill_test.go
+++ b/internal/lifecycle/standstill_test.go
@@ -15,6 +15,7 @@
 
 	"willowdeck/internal/accord"
 	"willowdeck/internal/history"
+	"willowdeck/internal/ports"
 	"willowdeck/internal/standin"
 )
 
@@ -34,12 +35,7 @@
 			t.Fatalf("%v: %s", err, out)
 		}
 	}
-	free, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	at := free.Addr().String()
-	free.Close()
+	at := ports.Address(t)
 	conf, err := json.Marshal(map[string]any{"name": "n0", "listen": at, "discovery": list.At, "seed": "5",
 		"known": list.List(), "limits": map[string]any{"sockets": 256, "memory_mb": 64},
 		"settings": map[string]any{"me": 0, "balancers": 1,
--- a/internal/lifecycle/start_test.go
+++ b/internal/lifecycle/start_test.go
@@ -23,6 +23,7 @@
 
 	"willowdeck/internal/config"
 	"willowdeck/internal/faults"
+	"willowdeck/internal/ports"
 	"willowdeck/internal/standin"
 )
 
@@ -101,7 +102,7 @@
 		}()
 		return l.Addr().String()
 	}
-	return map[string]string{"refuses": fmt.Sprintf("127.0.0.1:%d", faults.Ports(t, 1)), "is silent": held(""),
+	return map[string]string{"refuses": ports.Address(t), "is silent": held(""),
 		"stops in a list": held("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n20\r\n{\"index\":9"),
 		"is black-holed":  hole(t)}
 }
@@ -307,12 +308,8 @@
 // and serves before it has the peers' one, which is let go last. Guards against a start that gives up over an
 // address that is free a moment later.
 func TestStartBeforeFormerEnds(t *testing.T) {
-	former, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer former.Close()
-	peer, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	former := ports.Listen(t)
+	peer, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.MustParseAddrPort(ports.Address(t))))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -391,10 +388,7 @@
 	n := newNest(t)
 	faults.Program(t, "willowdeck")
 	for range 5 { // a machine that stands still may miss the time in which new connections are served
-		former, err := net.Listen("tcp4", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
+		former := ports.Listen(t)
 		at := former.Addr().String()
 		file := filepath.Join(t.TempDir(), "n0.json")
 		conf := fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"5","limits":{"sockets":64},
--- a/internal/lifecycle/watch_test.go
+++ b/internal/lifecycle/watch_test.go
@@ -10,7 +10,6 @@
 	"net/http/httptest"
 	"net/netip"
 	"os"
-	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -19,8 +18,8 @@
 	"github.com/valyala/fasthttp"
 
 	"willowdeck/internal/config"
-	"willowdeck/internal/faults"
 	"willowdeck/internal/ops"
+	"willowdeck/internal/ports"
 	"willowdeck/internal/standin"
 	"willowdeck/internal/warm"
 	"willowdeck/internal/wire"
@@ -230,35 +229,6 @@
 	}
 }
 
-// free has the ports of blocks that are this test binary's and that no test uses now.
-var free struct {
-	sync.Mutex
-	ports []int
-}
-
-// address gives one on loopback that is nobody else's until the test ends, also while nobody listens there.
-// To be called before what may still call there is started: its clean-up comes last then.
-func address(t *testing.T) string {
-	t.Helper()
-	const block = 25
-	free.Lock()
-	defer free.Unlock()
-	if len(free.ports) == 0 {
-		first := faults.Ports(t, block)
-		for i := range block {
-			free.ports = append(free.ports, first+i)
-		}
-	}
-	port := free.ports[0]
-	free.ports = free.ports[1:]
-	t.Cleanup(func() {
-		free.Lock()
-		defer free.Unlock()
-		free.ports = append(free.ports, port)
-	})
-	return fmt.Sprintf("127.0.0.1:%d", port)
-}
-
 // calls is a discovery on loopback that meets one call after another as it is told to.
 type calls struct {
 	at   string
@@ -392,7 +362,7 @@
 					if conf.Lines.ListAsked {
 						turn = time.Second // of the 2 s it may be; what is left is for a loaded machine
 					}
-					list = meeting(t, address(t), conf, turn)
+					list = meeting(t, ports.Address(t), conf, turn)
 					if l = list.open(t); len(c.how) == 0 {
 						l.Close()
 					}
@@ -440,7 +410,7 @@
 			var list *calls
 			var hole []io.Closer
 			d := deployWith(t, func(conf *config.Gatekeeper) {
-				list = meeting(t, address(t), conf, 0)
+				list = meeting(t, ports.Address(t), conf, 0)
 				hole = blackHole(t, list.at)
 				list.how <- "well"
 				conf.Discovery = list.at
@@ -501,7 +471,7 @@
 		for _, down := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%s, down first: %v", m.name, down), func(t *testing.T) {
 				t.Parallel()
-				at := []string{address(t), address(t), address(t)}
+				at := []string{ports.Address(t), ports.Address(t), ports.Address(t)}
 				d := deploy(t, 2, 5000, m.swaps...)
 				next := d.conf
 				swallows, last := meeting(t, at[0], &next, 0), meeting(t, at[1], &next, 0)
--- a/internal/standin/forward.go
+++ b/internal/standin/forward.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"willowdeck/internal/ports"
 )
 
 // Asked is a question that an auth service was put.
@@ -22,17 +24,18 @@
 
 	script
 	server *http.Server
+	leave  func() // gives its port back
 	say    func(credential string) (status int, headers map[string]string)
 	got    []Asked
 }
 
 // NewAuth starts a service that takes so long for an answer, and says yes to any credential but none.
 func NewAuth(service time.Duration) (*Auth, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, leave, err := ports.Open()
 	if err != nil {
 		return nil, err
 	}
-	a := &Auth{At: l.Addr().String(), script: script{service: service, over: make(chan struct{})}}
+	a := &Auth{At: l.Addr().String(), leave: leave, script: script{service: service, over: make(chan struct{})}}
 	a.Says(func(credential string) (int, map[string]string) {
 		if credential == "" {
 			return http.StatusUnauthorized, map[string]string{"WWW-Authenticate": "Bearer"}
@@ -45,7 +48,10 @@
 }
 
 // Close ends the service at once: its connections break.
-func (a *Auth) Close() { _ = a.server.Close() }
+func (a *Auth) Close() {
+	_ = a.server.Close()
+	a.leave()
+}
 
 // Says changes what it answers to a credential.
 func (a *Auth) Says(f func(credential string) (status int, headers map[string]string)) {
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"willowdeck/internal/history"
+	"willowdeck/internal/ports"
 )
 
 // Fault is what a worker does for a while, instead of answering.
@@ -53,6 +54,7 @@
 	Record history.Recorder
 
 	server  *http.Server
+	leave   func() // gives its port back
 	got     []Got
 	serials map[string]uint64 // how often each txn has come
 	cores   chan struct{}     // nil where it runs all at once
@@ -128,25 +130,31 @@
 
 // NewWorker starts a worker that takes so long for a txn.
 func NewWorker(name string, service time.Duration) (*Worker, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, leave, err := ports.Open()
 	if err != nil {
 		return nil, err
 	}
 	w := &Worker{Name: name, At: l.Addr().String(), script: script{service: service, over: make(chan struct{})},
-		serials: map[string]uint64{}}
+		serials: map[string]uint64{}, leave: leave}
 	w.server = &http.Server{Handler: w}
 	go func() { _ = w.server.Serve(l) }()
 	return w, nil
 }
 
-// Close ends the worker at once: its connections break.
+// Close ends the worker for good: its connections break, and its port may be another's.
 func (w *Worker) Close() {
+	w.Down()
+	w.leave()
+}
+
+// Down ends the worker at once: its connections break. Nobody else is at its address until it is closed.
+func (w *Worker) Down() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	_ = w.server.Close()
 }
 
-// Reopen has a worker that was closed be there again at its address, with what it knows.
+// Reopen has a worker that is down be there again at its address, with what it knows.
 func (w *Worker) Reopen() error {
 	l, err := net.Listen("tcp", w.At)
 	if err != nil {
@@ -235,6 +243,7 @@
 	At string
 
 	server *http.Server
+	leave  func() // gives its port back
 	mu     sync.Mutex
 	all    map[string]Entry
 	order  []string
@@ -249,11 +258,12 @@
 
 // NewDiscovery starts discovery with a list.
 func NewDiscovery(entries ...Entry) (*Discovery, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, leave, err := ports.Open()
 	if err != nil {
 		return nil, err
 	}
-	d := &Discovery{At: l.Addr().String(), all: map[string]Entry{}, news: make(chan struct{}), index: 1}
+	d := &Discovery{At: l.Addr().String(), leave: leave, all: map[string]Entry{}, news: make(chan struct{}),
+		index: 1}
 	for _, e := range entries {
 		d.keep(e)
 	}
@@ -272,7 +282,10 @@
 }
 
 // Close ends it.
-func (d *Discovery) Close() { _ = d.server.Close() }
+func (d *Discovery) Close() {
+	_ = d.server.Close()
+	d.leave()
+}
 
 // Down has it say nothing more, until it is up again.
 func (d *Discovery) Down(down bool) {
@@ -385,6 +398,7 @@
 	At string
 
 	listener net.Listener
+	leave    func() // gives its port back
 	mu       sync.Mutex
 	totals   map[string]total
 	busy     bool
@@ -397,11 +411,11 @@
 
 // NewCounter starts a counter that is empty.
 func NewCounter() (*Counter, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, leave, err := ports.Open()
 	if err != nil {
 		return nil, err
 	}
-	c := &Counter{At: l.Addr().String(), listener: l, totals: map[string]total{}}
+	c := &Counter{At: l.Addr().String(), listener: l, leave: leave, totals: map[string]total{}}
 	go func() {
 		for {
 			conn, err := l.Accept()
@@ -415,7 +429,10 @@
 }
 
 // Close ends it.
-func (c *Counter) Close() { _ = c.listener.Close() }
+func (c *Counter) Close() {
+	_ = c.listener.Close()
+	c.leave()
+}
 
 // Busy has it turn all calls away.
 func (c *Counter) Busy(busy bool) {
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -122,7 +122,7 @@
 	}
 }
 
-// A worker that was closed takes no calls until it is there again, at its address and with what it knows.
+// A worker that is down takes no calls until it is there again, at its address and with what it knows.
 func TestReopen(t *testing.T) {
 	w, err := NewWorker("w", 0)
 	if err != nil {
@@ -141,8 +141,8 @@
 	if err := ask(); err != nil {
 		t.Fatal(err)
 	}
-	if w.Close(); ask() == nil {
-		t.Error("closed, it answers")
+	if w.Down(); ask() == nil {
+		t.Error("down, it answers")
 	}
 	if err := w.Reopen(); err != nil {
 		t.Fatal(err)
--- a/internal/whole/stage_test.go
+++ b/internal/whole/stage_test.go
@@ -117,7 +117,7 @@
 // Crash kills a process. A worker's connections break, and nobody tells of it.
 func (s stage) Crash(name string) error {
 	if w := s.worker(name); w != nil {
-		w.Close()
+		w.Down()
 		s.log.Write(history.Event{Kind: history.Died, Peer: name})
 		return nil
 	}
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"willowdeck/internal/member"
+	"willowdeck/internal/ports"
 	"willowdeck/internal/wire/gossip"
 	"willowdeck/logic"
 )
@@ -396,8 +397,7 @@
 	}
 	peer, peerAt := bind()
 	stranger, _ := bind()
-	self, selfAt := bind()
-	self.Close()
+	selfAt := netip.MustParseAddrPort(ports.Address(t))
 	p := NewPeers([]netip.AddrPort{selfAt, peerAt}, 0)
 	if err := p.Bind(selfAt); err != nil {
 		t.Fatal(err)
@@ -426,23 +426,18 @@
 // Peers whose messages bear a word: each is heard once and in order, those of a former life and those without
 // one not at all, and one that has started anew is known for that. Whole messages stay within their bound.
 func TestPeersBear(t *testing.T) {
-	ports := make([]netip.AddrPort, 2)
-	for i := range ports {
-		c, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
-		if err != nil {
-			t.Fatal(err)
-		}
-		ports[i] = c.LocalAddr().(*net.UDPAddr).AddrPort()
-		c.Close()
+	both := make([]netip.AddrPort, 2)
+	for i := range both {
+		both[i] = netip.MustParseAddrPort(ports.Address(t))
 	}
 	type got struct {
 		reports  int
 		returned bool
 	}
 	begin := func(me int, word member.Word, heard chan got) *Peers {
-		p := NewPeers(ports, me)
+		p := NewPeers(both, me)
 		p.Bear(word)
-		if err := p.Bind(ports[me]); err != nil {
+		if err := p.Bind(both[me]); err != nil {
 			t.Fatal(err)
 		}
 		go p.Hear(func(_ int, r []logic.Report, returned bool) { heard <- got{len(r), returned} })
@@ -485,10 +480,10 @@
 	c := begin(0, word, nil) // its heir
 	c.Tell(1, full)
 	expect("an heir", got{Room, false}, 3)
-	b.Among(ports[:0])
+	b.Among(both[:0])
 	c.Tell(1, full)
 	time.Sleep(20 * time.Millisecond)
-	b.Among(ports)
+	b.Among(both)
 	c.Bear(member.Word{Incarnation: 1}) // another, under the number of one that was no more
 	c.Tell(1, full)
 	expect("another", got{Room, false}, 4)
