A txn that lay in a connection without a place has that much less time left

Cause: where all places are taken, the next connection is held back by Limited.next, and others wait behind it in the listener's queue; their first txns lie at the machine meanwhile. Front.once counted their clients' time from when they were read, so that workers were told more than was left by the whole wait, and the final answer was due that much too late.

Change: a connection that may have waited is asked, with its first txn, when its last bytes came (tcpi_last_data_recv), bounded by the wait as the listener saw it; the txn has that much less left. Other connections are not asked.

Not covered: a process that stood still as a whole, and what lies behind a body that passes on.

--- a/internal/wire/front.go
+++ b/internal/wire/front.go
@@ -229,6 +229,12 @@
 		return false // it was ended before the body came whole
 	}
 	x.client, x.Streams = p, x.Upload != nil
+	if !p.from.IsZero() {
+		if !x.Streams {
+			x.Left = max(x.Left-p.lain(), 0)
+		}
+		p.from = time.Time{} // what comes from here on is read as it comes
+	}
 	free, waited := f.marks.take(&x, Millis(x.Left))
 	if !free {
 		return f.refuse(p, t, fasthttp.StatusConflict, "X-Request-Id: a txn with this one is open")
--- a/internal/wire/quick_linux.go
+++ b/internal/wire/quick_linux.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"encoding/binary"
 	"io"
 	"net"
 	"os"
@@ -147,6 +148,21 @@
 	return ended
 }
 
+// Lain is how long ago the last bytes came, in the kernel's own steps of some ms; 0 where it can't be asked.
+func (q *quick) Lain() (since time.Duration) {
+	const at = 52 // tcpi_last_data_recv, ms, in Linux' struct tcp_info
+	_ = q.raw.Control(func(fd uintptr) {
+		var info [at + 4]byte
+		size := uint32(len(info))
+		_, _, e := syscall.RawSyscall6(syscall.SYS_GETSOCKOPT, fd, syscall.IPPROTO_TCP, syscall.TCP_INFO,
+			uintptr(unsafe.Pointer(&info[0])), uintptr(unsafe.Pointer(&size)), 0)
+		if e == 0 && size == uint32(len(info)) {
+			since = time.Duration(binary.NativeEndian.Uint32(info[at:])) * time.Millisecond
+		}
+	})
+	return since
+}
+
 // The states of a TCP connection at the kernel in which its other side has ended.
 const (
 	timeWait  = 6
