Tests: txns in every form of the page and in pieces; a worker left out of a whole list that still answers

Change: TestFormsOfTxns (21 forms, each whole, in two, byte by byte and slowly, past the time that it states); TestNothingNewAfterTheDecision has one more case, on an idle and on a new connection.

--- a/internal/gate/ends_test.go
+++ b/internal/gate/ends_test.go
@@ -226,6 +226,10 @@
 	}{
 		{"drains", told(func(w *roster.Worker) { w.Active = false })},
 		{"gone", told(func(w *roster.Worker) { w.Active, w.Gone = false, true })},
+		{"left out of a whole list, and it still answers", func(b *bed, _ *job) {
+			other := roster.Worker{Name: "v", Address: b.list.Workers[0].Address, Active: true}
+			b.g.desk.Roster(roster.List{Whole: true, Workers: []roster.Worker{other}})
+		}},
 		{"started anew", told(func(w *roster.Worker) { w.Since = 9 })},
 		{"moved", told(func(w *roster.Worker) { w.Address = netip.MustParseAddrPort("127.0.0.1:1") })},
 		{"withdrawn", func(_ *bed, j *job) { j.word.Sub.Withdraw() }},
--- a/internal/lifecycle/lifecycle_test.go
+++ b/internal/lifecycle/lifecycle_test.go
@@ -312,6 +312,71 @@
 	}
 }
 
+// A txn is taken in each form that the protocol page allows, whole, in two pieces and byte by byte, from a
+// client that writes slowly, and its time counts from its last byte. Guards against forms that are read only
+// as one client happens to write them.
+func TestFormsOfTxns(t *testing.T) {
+	d := deploy(t, 1, 5000)
+	plain, sold := check("/check", "1"), sale("/sale", "1")
+	swap := func(s string, pairs ...string) string { return strings.NewReplacer(pairs...).Replace(s) }
+	chunked := func(s, body string) string { return swap(s, "Content-Length: 4\r\n\r\na\r\nb", body) }
+	forms := []struct{ name, raw string }{
+		{"as usual", plain},
+		{"names in small letters", swap(plain, "X-Request-Id", "x-request-id", "Plan", "plan", "Cookie", "cookie",
+			"X-Deadline", "x-deadline", "Quota-Info", "quota-info", "Host", "host")},
+		{"names in capitals", swap(plain, "X-Request-Id", "X-REQUEST-ID", "Quota-Info", "QUOTA-INFO")},
+		{"no blank, blanks and a tab about values", swap(plain, "Plan: basic", "Plan:basic", "X-Deadline: 300m",
+			"X-Deadline: \t 300m \t")},
+		{"microseconds", swap(plain, "300m", "300000u")},
+		{"a part of a millisecond", swap(plain, "300m", "300.25m")},
+		{"quota in another order", swap(plain, "units=1,spread=1,first=0", "first=0,units=1,spread=1")},
+		{"quota with blanks", swap(plain, "units=1,spread=1,first=0", "units=1, spread=1 , first=0")},
+		{"units as a decimal", swap(plain, "units=1,", "units=0.50,")},
+		{"other cookies", swap(plain, "Cookie: ", "Cookie: a=b; ", "b4d65521", "b4d65521; c=d")},
+		{"a client's retry", swap(plain, "Host:", "X-Retry: 1\r\nHost:")},
+		{"kept by its own word", swap(plain, "Host:", "Connection: keep-alive\r\nHost:")},
+		{"an empty query", swap(plain, "/check", "/check/%41?")},
+		{"a longer path", swap(plain, "/check", "/check/a/b")},
+		{"lines ahead of it", "\r\n" + plain},
+		{"a body", sold},
+		{"a body in one chunk", chunked(sold, "Transfer-Encoding: chunked\r\n\r\n4\r\na\r\nb\r\n0\r\n\r\n")},
+		{"a body in chunks", chunked(sold, "Transfer-Encoding: Chunked\r\n\r\n1\r\na\r\n03\r\n\r\nb\r\n0\r\n\r\n")},
+		{"no body, in chunks", chunked(sold, "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n")},
+		{"once-only without a body", issue("/issue", "1")},
+		{"once-only without a length", swap(issue("/issue", "1"), "Content-Length: 0\r\n", "")},
+	}
+	for _, f := range forms {
+		for _, way := range []string{"whole", "in two", "byte by byte", "slowly"} {
+			t.Run(f.name+", "+way, func(t *testing.T) {
+				t.Parallel()
+				c, err := net.Dial("tcp", d.at)
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer c.Close()
+				id := "-Id: " + strings.ReplaceAll(f.name+way, " ", "") + "\r\n"
+				raw := strings.NewReplacer("-Id: 1\r\n", id, "-id: 1\r\n", id, "-ID: 1\r\n", id).Replace(f.raw)
+				step, pause := len(raw), time.Duration(0)
+				switch way {
+				case "in two":
+					step, pause = len(raw)/2+1, 5*time.Millisecond
+				case "byte by byte":
+					step = 1
+				case "slowly": // its time, 300 ms, would be over
+					step, pause = len(raw)/8+1, 50*time.Millisecond
+				}
+				for at := 0; at < len(raw); at += step {
+					io.WriteString(c, raw[at:min(at+step, len(raw))])
+					time.Sleep(pause)
+				}
+				if status, body := read(c); status != "HTTP/1.1 200 OK" || body != "valid\n" {
+					t.Errorf("answered %q %q", status, body)
+				}
+			})
+		}
+	}
+}
+
 // What clients get wrong has a clear answer, and none of it reaches a worker.
 func TestBrokenClients(t *testing.T) {
 	d := deploy(t, 1, 5000)
