Lists: places of those gone are kept, and long lists hold the desk's lock for a ms

Need: held.Workers went over all places for each worker that was not known (3.4 s for 40,000) and at each change, and a list held the desk's lock until all of it was taken.

Change: places of workers gone are a set in order, so that the first vacant one is found as before; a worker's list is stamped, not mapped; those that take submissions are counted. What a whole list does not change is left out before the lock is taken.

--- a/internal/gate/desk.go
+++ b/internal/gate/desk.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"runtime"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -57,6 +58,7 @@
 	recalled atomic.Int64
 	knows    uint64 // the version of the rules by which a former life spent what is remembered here; 0 none
 
+	listing sync.Mutex // who holds it alone changes workers, under the lock too
 	mu      sync.Mutex
 	gk      *logic.Gatekeeper
 	timer   *time.Timer
@@ -134,16 +136,30 @@
 	return d.gk.Tally()
 }
 
-// Roster takes discovery's news.
+// Roster takes discovery's news. Guards against lists that hold all txns up: what a whole list does not
+// change is left out before the lock is taken, and a long one is taken in pieces. Until the last of them the
+// desk is as ready as before.
 func (d *Desk) Roster(l roster.List) {
-	d.enter()
-	d.record.roster(l)
-	list, ended := d.workers.Update(l, d.gk.Vacant)
-	d.ready.Store(d.workers.Active())
-	d.gk.Roster(list, !l.Whole)
-	d.leave()
-	for _, w := range ended {
-		d.shed(w)
+	d.listing.Lock()
+	defer d.listing.Unlock()
+	pieces := d.workers.Pieces(d.workers.Changes(l), logic.ListPiece)
+	for i, piece := range pieces {
+		d.enter()
+		if len(pieces) == 1 {
+			d.record.roster(l)
+		} else {
+			d.record.roster(piece)
+		}
+		list, ended := d.workers.Update(piece, d.gk.Vacant)
+		if i == len(pieces)-1 {
+			d.ready.Store(d.workers.Active())
+		}
+		d.gk.Roster(list, !piece.Whole)
+		d.leave()
+		for _, w := range ended {
+			d.shed(w)
+		}
+		runtime.Gosched() // to those who wait for the lock
 	}
 }
 
--- /dev/null
+++ b/internal/gate/lists_test.go
@@ -0,0 +1,115 @@
+package gate
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"willowdeck/internal/wire/roster"
+	"willowdeck/logic"
+)
+
+const hall = 7900 // workers of one zone
+
+func vast(n int) roster.List {
+	l := roster.List{Whole: true}
+	for i := range n {
+		l.Workers = append(l.Workers, roster.Worker{Name: fmt.Sprint("worker-", i), Zone: fmt.Sprint("z", i/hall),
+			Cell: i / 38, Kind: fmt.Sprint("k", i%5), Rating: 1, Active: true,
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, byte(i >> 16), byte(i >> 8), byte(i)}), 80)})
+	}
+	return l
+}
+
+// held gives how long a call holds the desk's lock at the longest, in ms, as one who asks for it all the time
+// finds it, and how long the call takes.
+func (d *Desk) heldBy(call func()) (longest, took float64) {
+	done, over := make(chan struct{}), make(chan float64)
+	go func() {
+		most := time.Duration(0)
+		for {
+			select {
+			case <-done:
+				over <- float64(most) / float64(time.Millisecond)
+				return
+			default:
+			}
+			began := time.Now()
+			d.mu.Lock()
+			d.mu.Unlock() //nolint:staticcheck
+			most = max(most, time.Since(began))
+		}
+	}()
+	time.Sleep(time.Millisecond)
+	began := time.Now()
+	call()
+	took = float64(time.Since(began)) / float64(time.Millisecond)
+	close(done)
+	return <-over, took
+}
+
+// BenchmarkDeskHold gives the longest wait for the desk's lock while it takes a list: the first one, the same
+// told again, one worker's change, and a zone's workers that drain and come back, cold. Median and worst of the
+// rounds, and the median time of the whole call.
+func BenchmarkDeskHold(b *testing.B) {
+	for _, n := range []int{200, 2000, 6000, 20000, 60000, 110000} {
+		for _, what := range []string{"first", "again", "one", "drain", "back"} {
+			if what == "drain" || what == "back" {
+				if n < 2*hall {
+					continue
+				}
+			}
+			b.Run(fmt.Sprintf("%s/%d", what, n), func(b *testing.B) {
+				l := vast(n)
+				c := logic.Charter{Gatekeepers: 7900, LargestUnits: 8, MaxSubmissions: 3, MayTell: true,
+					PeerInPerS: 60, ReportsPerTell: 20, ColdFrom: 0.2, WarmUp: 20000, Whole: 1,
+					Products: []logic.Product{{SLA: 500, Value: 1}}, Plans: []logic.Plan{{Rate: 1000, Burst: 2000}}}
+				make := func() *Desk {
+					return NewDesk(c, 1, 2, func(int, []byte) {}, func(int) {})
+				}
+				d := make()
+				defer func() { d.Stop() }()
+				var holds, calls []float64
+				d.Roster(l)
+				for i := range b.N {
+					change := roster.List{Workers: slices.Clone(l.Workers[:min(hall, n)])}
+					for k := range change.Workers {
+						change.Workers[k].Active = false
+					}
+					var hold, took float64
+					switch what {
+					case "first":
+						d.Stop()
+						d = make()
+						hold, took = d.heldBy(func() { d.Roster(l) })
+					case "again":
+						hold, took = d.heldBy(func() { d.Roster(l) })
+					case "one":
+						at := i % min(hall, n)
+						change.Workers = change.Workers[at : at+1]
+						hold, took = d.heldBy(func() { d.Roster(change) })
+					case "drain", "back":
+						back := roster.List{Workers: slices.Clone(l.Workers[:hall])}
+						for k := range back.Workers {
+							back.Workers[k].Since = d.Now()
+						}
+						hold, took = d.heldBy(func() { d.Roster(change) })
+						h, c := d.heldBy(func() { d.Roster(back) })
+						if what == "back" {
+							hold, took = h, c
+						}
+					}
+					holds, calls = append(holds, hold), append(calls, took)
+				}
+				slices.Sort(holds)
+				slices.Sort(calls)
+				b.ReportMetric(holds[len(holds)/2], "hold-ms")
+				b.ReportMetric(holds[len(holds)-1], "worst-hold-ms")
+				b.ReportMetric(calls[len(calls)/2], "call-ms")
+				b.ReportMetric(0, "ns/op")
+			})
+		}
+	}
+}
--- a/internal/held/workers.go
+++ b/internal/held/workers.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"sync/atomic"
 
 	"willowdeck/internal/wire/roster"
@@ -15,6 +16,10 @@
 	since  float64
 	active bool
 	gone   bool
+	named  uint64 // the last whole list that has it
+	seen   uint64 // the same, of those that Changes has looked at
+	kind   int
+	rating float64
 	zone   int
 	cell   int
 	life   atomic.Int64 // grows with each change that ends what was meant for the worker as it was
@@ -41,6 +46,10 @@
 	kinds    Index
 	places   map[string]int // of the workers on the list, and of those gone whose places nobody has taken
 	all      []*Worker      // by place
+	gone     places         // of those gone
+	active   int            // workers that take submissions
+	lists    uint64         // whole ones so far
+	looks    uint64         // lists that Changes has looked at
 	postings []logic.Posting
 }
 
@@ -90,41 +99,105 @@
 }
 
 // Active tells whether any worker takes submissions.
-func (w *Workers) Active() bool {
+func (w *Workers) Active() bool { return w.active > 0 }
+
+// Changes gives what a whole list changes, as a list of those entries alone: Update does with it what it
+// does with the whole one. Any other list it gives as it is. It only reads what others read too, and may run
+// beside them, but not beside Update.
+func (w *Workers) Changes(l roster.List) roster.List {
+	if !l.Whole || len(w.all) == 0 {
+		return l
+	}
+	w.looks++
+	change := roster.List{Version: l.Version}
+	for i := range l.Workers {
+		e := &l.Workers[i]
+		if at, known := w.places[e.Name]; known {
+			x := w.all[at]
+			if x.seen == w.looks { // named twice: the last one counts, whatever was known
+				return l
+			}
+			if x.seen = w.looks; x.is(e) && w.zones.Name(x.zone) == e.Zone && w.kinds.Name(x.kind) == e.Kind {
+				continue
+			}
+		}
+		change.Workers = append(change.Workers, *e)
+	}
 	for _, x := range w.all {
-		if x.active {
-			return true
+		if x.seen != w.looks && !x.gone {
+			change.Workers = append(change.Workers, roster.Worker{Name: x.name, Address: x.addr,
+				Zone: w.zones.Name(x.zone), Cell: x.cell, Kind: w.kinds.Name(x.kind), Rating: x.rating, Gone: true,
+				Since: x.since})
 		}
 	}
-	return false
+	return change
+}
+
+// Pieces cuts a long list of changes to be taken one after another, so that no lock is held for all of it.
+// Those that take workers away come first. Where it changes half of all at once, or one of them twice, it is
+// not cut: the rest may be none, and the last word on one must come last.
+func (w *Workers) Pieces(l roster.List, most int) []roster.List {
+	if l.Whole || len(l.Workers) <= most || 2*len(l.Workers) > len(w.all) {
+		return []roster.List{l}
+	}
+	var all []roster.Worker
+	named := make(map[string]bool, len(l.Workers))
+	for _, active := range []bool{false, true} {
+		for i := range l.Workers {
+			if e := &l.Workers[i]; e.Active == active {
+				named[e.Name] = true
+				all = append(all, *e)
+			}
+		}
+	}
+	if len(named) < len(all) {
+		return []roster.List{l}
+	}
+	var pieces []roster.List
+	for piece := range slices.Chunk(all, most) {
+		pieces = append(pieces, roster.List{Version: l.Version, Workers: piece})
+	}
+	return pieces
+}
+
+// is tells whether a worker is as an entry says, but for its zone and kind. One that is gone may lose its
+// place to another of the same list, and is as no entry says.
+func (x *Worker) is(e *roster.Worker) bool {
+	return x.addr == e.Address && x.since == e.Since && x.active == e.Active && !x.gone && !e.Gone &&
+		x.cell == e.Cell && x.rating == e.Rating
 }
 
 // Update takes a list, and gives the module's form of it and the workers whose connections are of no more
 // use. Both are valid until the next call. vacant tells whether nothing refers to a place any more.
 func (w *Workers) Update(l roster.List, vacant func(int) bool) (list []logic.Posting, ended []int) {
 	w.postings = w.postings[:0]
-	named := map[int]bool{}
-	for _, e := range l.Workers {
-		i, known := w.places[e.Name]
+	if l.Whole {
+		w.lists++
+	}
+	for i := range l.Workers {
+		e := &l.Workers[i]
+		at, known := w.places[e.Name]
 		if !known {
-			i = w.place(e, vacant)
+			at = w.place(e, vacant)
 		}
-		named[i] = true
-		x, zone := w.all[i], w.zones.Of(e.Zone)
-		if !known { // nothing was meant for it elsewhere
+		x, zone := w.all[at], w.zones.Of(e.Zone)
+		if x.named = w.lists; !known { // nothing was meant for it elsewhere
 			x.zone, x.cell = zone, e.Cell
 		}
-		if x.become(e.Address, e.Since, e.Active, zone, e.Cell) {
-			ended = append(ended, i)
+		if w.become(x, e.Address, e.Since, e.Active, zone, e.Cell) {
+			ended = append(ended, at)
 		}
-		x.gone = e.Gone
-		w.postings = append(w.postings, logic.Posting{Worker: i, Zone: zone, Cell: e.Cell,
-			Kind: w.kinds.Of(e.Kind), Rating: e.Rating,
+		x.gone, x.kind, x.rating = e.Gone, w.kinds.Of(e.Kind), e.Rating
+		w.gone.set(at, e.Gone)
+		w.postings = append(w.postings, logic.Posting{Worker: at, Zone: zone, Cell: e.Cell,
+			Kind: x.kind, Rating: e.Rating,
 			Active: e.Active, Since: e.Since, New: !known})
 	}
-	for i, x := range w.all {
-		if l.Whole && !named[i] {
-			if x.gone = true; x.become(x.addr, x.since, false, x.zone, x.cell) {
+	for i := 0; l.Whole && i < len(w.all); i++ {
+		if x := w.all[i]; x.named != w.lists {
+			x.gone = true
+			w.gone.set(i, true)
+			if w.become(x, x.addr, x.since, false, x.zone, x.cell) {
 				ended = append(ended, i)
 			}
 		}
@@ -132,20 +205,18 @@
 	return w.postings, ended
 }
 
-// place gives a worker that is not known a place: that of one that is gone, or a new one. Guards against
-// workers without end, each under a name of its own, that fill the memory.
-func (w *Workers) place(e roster.Worker, vacant func(int) bool) int {
-	x, at := &Worker{name: e.Name, since: e.Since, addr: e.Address}, len(w.all)
-	for i, other := range w.all {
-		if other.gone && vacant(i) {
-			at = i
-			break
-		}
-	}
-	if at == len(w.all) {
+// place gives a worker that is not known a place: the first one of a worker that is gone, or a new one.
+// Guards against workers without end, each under a name of its own, that fill the memory.
+func (w *Workers) place(e *roster.Worker, vacant func(int) bool) int {
+	x, at := &Worker{name: e.Name, since: e.Since, addr: e.Address}, w.gone.first(vacant)
+	if at < 0 {
+		at = len(w.all)
 		w.all = append(w.all, x)
 	} else {
 		delete(w.places, w.all[at].name)
+		if w.all[at].active {
+			w.active--
+		}
 		w.all[at] = x
 	}
 	if w.places == nil {
@@ -157,11 +228,17 @@
 
 // become notes a worker's state, and tells whether that ends what was meant for it as it was: a repeat that
 // is on its way must not reach it outside of its txn's group.
-func (w *Worker) become(addr netip.AddrPort, since float64, active bool, zone, cell int) bool {
-	if w.addr == addr && w.since == since && w.active == active && w.zone == zone && w.cell == cell {
+func (w *Workers) become(x *Worker, addr netip.AddrPort, since float64, active bool, zone, cell int) bool {
+	if x.addr == addr && x.since == since && x.active == active && x.zone == zone && x.cell == cell {
 		return false
 	}
-	w.addr, w.since, w.active, w.zone, w.cell = addr, since, active, zone, cell
-	w.life.Add(1)
+	switch {
+	case active && !x.active:
+		w.active++
+	case !active && x.active:
+		w.active--
+	}
+	x.addr, x.since, x.active, x.zone, x.cell = addr, since, active, zone, cell
+	x.life.Add(1)
 	return true
 }
--- a/logic/listed.go
+++ b/logic/listed.go
@@ -10,11 +10,27 @@
 // what it changes and a move of the places behind it, not a look at each worker: at 110,000 workers that held
 // all txns up for 80 ms. What it gives is to the last bit what a look at all of them in order gives.
 
-// oneByOne is how many changes are put in one after another; more are cheaper in one go over all workers.
-const oneByOne = 64
+// oneByOne is how many changes are put in one after another; more are cheaper merged into the list.
+const oneByOne = 16
 
-// begins makes room for a list, takes all workers off where it is whole, and tells whether it changes few.
-func (g *Gatekeeper) begins(list []Posting, partial bool) (few bool) {
+// Where a worker stands.
+const (
+	out    = uint8(iota) // not among the ready ones
+	listed               // among them
+	fresh                // it is to be, and is not in its places yet
+)
+
+// manner is how a list is taken.
+type manner uint8
+
+const (
+	byOne   manner = iota // entry by entry
+	byMerge               // merged
+	byAll                 // all workers are gone over
+)
+
+// begins makes room for a list, takes all workers off where it is whole, and tells how it is taken.
+func (g *Gatekeeper) begins(list []Posting, partial bool) manner {
 	for i := 0; i < len(g.workers) && !partial; i++ {
 		g.workers[i].listed = false
 	}
@@ -26,25 +42,36 @@
 		g.workers = slices.Grow(g.workers, more)[:n]
 		g.ranks, g.in = slices.Grow(g.ranks, more)[:n], slices.Grow(g.in, more)[:n]
 	}
-	return partial && len(list) <= oneByOne
+	switch {
+	case !partial:
+		return byAll
+	case len(list) <= oneByOne:
+		return byOne
+	}
+	g.brought, g.chilled = g.brought[:0], g.chilled[:0]
+	return byMerge
 }
 
-// posted gives the worker of an entry of the list, a new one if another had its place. Where one of few
-// entries changes its place among the ready ones it is taken off them.
-func (g *Gatekeeper) posted(p Posting, few bool) *worker {
+// posted gives the worker of an entry of the list, a new one if another had its place. Where the entry
+// changes its place among the ready ones it is taken off them.
+func (g *Gatekeeper) posted(p Posting, how manner) *worker {
 	for len(g.kinds) <= p.Kind {
 		g.kinds = append(g.kinds, kind{})
 	}
 	i := p.Worker
 	w := &g.workers[i]
 	switch {
-	case !few || !g.in[i]:
+	case how == byAll || g.in[i] == out:
 	case p.New || !p.Active || g.ranks[i] == 0:
-		g.strike(i)
+		g.strike(i, how)
 	case p.Since != w.Since && w.warm:
 		w.warm = false
 		g.warm--
-		g.cold = inserted(g.cold, i)
+		if how == byOne {
+			g.cold = inserted(g.cold, i)
+		} else {
+			g.chilled = append(g.chilled, i)
+		}
 	}
 	if p.New {
 		clear(w.turned)
@@ -52,36 +79,98 @@
 		g.ranks[i] = 0
 	}
 	if g.ranks[i] == 0 {
-		g.in[i] = false // where it is ranked anew it has another place by rank
+		g.in[i] = out // where it is ranked anew it has another place by rank
 		g.ranks[i] = g.rng.Float64()
 	}
 	return w
 }
 
-// relist puts a worker among the ready ones, as one of few entries that may have changed.
-func (g *Gatekeeper) relist(i int, few bool) {
-	if w := &g.workers[i]; few && w.listed && !g.in[i] {
-		g.in[i], w.warm = true, false
-		g.ready, g.cold = inserted(g.ready, i), inserted(g.cold, i)
-		at, _ := slices.BinarySearchFunc(g.ranked, i, g.byRank)
-		g.ranked = slices.Insert(g.ranked, at, i)
+// relist puts a worker whose entry was taken among the ready ones. Until time is reckoned with it is cold.
+func (g *Gatekeeper) relist(i int, how manner) {
+	w := &g.workers[i]
+	if how == byAll || !w.listed || g.in[i] != out {
+		return
+	}
+	w.warm = false
+	if how == byMerge {
+		g.in[i], g.brought = fresh, append(g.brought, i)
+		return
 	}
+	g.in[i] = listed
+	g.ready, g.cold = inserted(g.ready, i), inserted(g.cold, i)
+	at, _ := slices.BinarySearchFunc(g.ranked, i, g.byRank)
+	g.ranked = slices.Insert(g.ranked, at, i)
 }
 
 // strike takes a worker off the ready ones.
-func (g *Gatekeeper) strike(i int) {
-	g.in[i] = false
-	g.ready = removed(g.ready, i)
-	if g.workers[i].warm {
+func (g *Gatekeeper) strike(i int, how manner) {
+	g.in[i] = out
+	warm := g.workers[i].warm
+	if g.workers[i].warm = false; warm {
 		g.warm--
-	} else {
-		g.cold = removed(g.cold, i)
 	}
+	if how == byMerge {
+		return
+	}
+	g.ready, g.cold = removed(g.ready, i), removed(g.cold, i)
 	if at, found := slices.BinarySearchFunc(g.ranked, i, g.byRank); found {
 		g.ranked = slices.Delete(g.ranked, at, at+1)
 	}
 }
 
+// lists ends a list: it puts what has changed of the ready workers in its places.
+func (g *Gatekeeper) lists(how manner) {
+	switch g.rated = false; how {
+	case byAll:
+		g.list()
+		return
+	case byMerge:
+		g.merge()
+	}
+	g.renew()
+}
+
+// merge takes those struck off the ready ones, and puts the fresh ones among them.
+func (g *Gatekeeper) merge() {
+	slices.Sort(g.brought) // an entry may have come twice
+	g.brought = slices.DeleteFunc(slices.Compact(g.brought), func(i int) bool { return g.in[i] != fresh })
+	g.chilled = append(slices.DeleteFunc(g.chilled, func(i int) bool { return g.in[i] == out }), g.brought...)
+	slices.Sort(g.chilled)
+	g.chilled = slices.Compact(g.chilled)
+	g.ready = merged(g.stayed(g.ready), g.brought, cmp.Compare[int])
+	g.cold = merged(g.stayed(g.cold), g.chilled, cmp.Compare[int])
+	g.ranked = g.stayed(g.ranked)
+	slices.SortFunc(g.brought, g.byRank)
+	g.ranked = merged(g.ranked, g.brought, g.byRank)
+	for _, i := range g.brought {
+		g.in[i] = listed
+	}
+}
+
+// stayed gives those of all that are in their places still.
+func (g *Gatekeeper) stayed(all []int) []int {
+	n := 0
+	for _, i := range all {
+		if g.in[i] == listed {
+			all[n] = i
+			n++
+		}
+	}
+	return all[:n]
+}
+
+// merged puts more into all. Both are in order.
+func merged(all, more []int, order func(a, b int) int) []int {
+	end := len(all) // of those that have not moved
+	all = append(all, more...)
+	for k := len(more) - 1; k >= 0; k-- {
+		at, _ := slices.BinarySearchFunc(all[:end], more[k], order)
+		copy(all[at+k+1:], all[at:end])
+		all[at+k], end = more[k], at
+	}
+	return all
+}
+
 // byRank orders workers by rank.
 func (g *Gatekeeper) byRank(a, b int) int {
 	if c := cmp.Compare(g.ranks[a], g.ranks[b]); c != 0 {
@@ -108,18 +197,16 @@
 // list gathers the workers that may be sent to. Those that were ready keep their order by rank.
 func (g *Gatekeeper) list() {
 	g.rated = false
-	g.ranked = slices.DeleteFunc(g.ranked, func(i int) bool { return !g.in[i] || !g.workers[i].listed })
-	stayed := len(g.ranked)
-	g.ready, g.cold, g.warm = g.ready[:0], g.cold[:0], 0
+	g.ranked = slices.DeleteFunc(g.ranked, func(i int) bool { return g.in[i] == out || !g.workers[i].listed })
+	g.ready, g.cold, g.brought, g.warm = g.ready[:0], g.cold[:0], g.brought[:0], 0
 	for i := range g.workers {
 		w := &g.workers[i]
 		if !w.listed {
-			g.in[i] = false
+			g.in[i] = out
 			continue
 		}
-		if !g.in[i] {
-			g.in[i] = true
-			g.ranked = append(g.ranked, i)
+		if g.in[i] == out {
+			g.in[i], g.brought = listed, append(g.brought, i)
 		}
 		g.ready = append(g.ready, i)
 		if w.warm = g.warmth(w.Since) >= 1; w.warm {
@@ -128,27 +215,11 @@
 			g.cold = append(g.cold, i)
 		}
 	}
-	g.merge(stayed)
+	slices.SortFunc(g.brought, g.byRank)
+	g.ranked = merged(g.ranked, g.brought, g.byRank)
 	g.renew()
 }
 
-// merge puts those of ranked from a place on in order, and among those before, which are.
-func (g *Gatekeeper) merge(from int) {
-	slices.SortFunc(g.ranked[from:], g.byRank)
-	if from == 0 {
-		return
-	}
-	fresh := slices.Clone(g.ranked[from:])
-	for at, i := len(g.ranked)-1, from-1; len(fresh) > 0; at-- {
-		if last := fresh[len(fresh)-1]; i < 0 || g.byRank(g.ranked[i], last) < 0 {
-			g.ranked[at], fresh = last, fresh[:len(fresh)-1]
-		} else {
-			g.ranked[at] = g.ranked[i]
-			i--
-		}
-	}
-}
-
 // renew reckons with what time has changed of the ready workers: which are warm by now, what all can do, and
 // what is open to each sort of txn.
 func (g *Gatekeeper) renew() {
@@ -176,7 +247,7 @@
 		w.wary = w.distrust.at(g.now, distrustFade) >= distrusted
 		for k := range g.openTo {
 			if g.turnsAway(w, k) {
-				if w.wary = true; g.in[i] && !w.full {
+				if w.wary = true; g.in[i] != out && !w.full {
 					g.openTo[k]--
 				}
 			}
--- a/logic/listed_test.go
+++ b/logic/listed_test.go
@@ -79,7 +79,8 @@
 			if list {
 				lists++
 			}
-			cold, shed, distrusted, near = cold+len(l.cold), shed+l.shedded, distrusted+l.distrusted, near+len(l.near)
+			cold, shed = cold+len(l.cold), shed+l.shedded
+			distrusted, near = distrusted+l.distrusted, near+len(l.near)
 		}, func(g *Gatekeeper, _ Decision) {
 			for i := range g.workers { // who is referred to
 				refers := int32(0)
@@ -97,7 +98,8 @@
 		})
 	}
 	if cold < 1000 || shed < 100 || distrusted < 100 || lists < 5000 || near < 1000 {
-		t.Errorf("seen %d cold, %d turning away, %d distrusted, %d lists, %d near", cold, shed, distrusted, lists, near)
+		t.Errorf("seen %d cold, %d turning away, %d distrusted, %d lists, %d near", cold, shed, distrusted, lists,
+			near)
 	}
 }
 
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -132,6 +132,7 @@
 	WatchMoved    = 4000.0   // the same after a move to another discovery
 	WatchAnswer   = 2200.0   // ms to an answer: 2 s in turn where lists are asked for, the way, and 100 spare
 	FirstWord     = 50.0     // ms at a start for the list, where it is pushed: it is at hand, and txns may wait
+	ListPiece     = 500      // entries of a long list taken in one go; at 110,000 workers txns wait 1 ms for it
 	LongestList   = 8 << 20  // bytes of a list in the watch; some ten thousand workers
 	WatchAgain    = 100.0    // ms until the watch is opened anew; news must not wait long
 	WatchSway     = 0.1      // of later pauses, left to chance; more makes more calls, which keep discovery down
@@ -259,9 +260,9 @@
 
 // Roster updates the list of workers. Unless it is partial, workers that it does not name are gone.
 func (g *Gatekeeper) Roster(list []Posting, partial bool) {
-	few := g.begins(list, partial)
+	how := g.begins(list, partial)
 	for _, p := range list {
-		w := g.posted(p, few)
+		w := g.posted(p, how)
 		if p.Since != w.Since || w.Worker != p.Worker {
 			// A fresh process: what its former life, and ours, sent it must be taken as spent. Where each of many
 			// gatekeepers may send it one txn in minutes, chance spreads their turns from the start on.
@@ -270,13 +271,9 @@
 			clear(w.turned)
 		}
 		w.Posting, w.listed = p, p.Active
-		g.relist(p.Worker, few)
-	}
-	if g.rated = false; few {
-		g.renew()
-	} else {
-		g.list()
+		g.relist(p.Worker, how)
 	}
+	g.lists(how)
 	if g.window == 0 {
 		g.window = g.leastWindow()
 	}
@@ -740,7 +737,8 @@
 		span := math.Max(refMemory*(1-math.Exp((g.started-g.now)/refMemory)), refLeast)
 		g.coldAs, g.coldEach = as, g.warmEach*math.Exp((g.warmAt-g.now)/refMemory)/span
 	}
-	return math.Max(g.charter.coldPart*g.warmth(since)*g.coldEach, g.charter.coldFrom/(coldBlind*float64(g.charter.n)))
+	least := g.charter.coldFrom / (coldBlind * float64(g.charter.n))
+	return math.Max(g.charter.coldPart*g.warmth(since)*g.coldEach, least)
 }
 
 // pressed takes one answer's time over its SLA time, and moves the window.
--- a/logic/state.go
+++ b/logic/state.go
@@ -156,12 +156,14 @@
 
 	workers []worker
 	ranks   []float64 // of each, by chance, so that each gatekeeper draws from some of its own; 0 is none yet
-	in      []bool    // whether it is among the ready ones
+	in      []uint8   // where each stands
 	ready   []int     // the listed ones, in order
 	ranked  []int     // the same by rank
 	near    []int     // of these, those that are drawn from: the first
 	cold    []int     // of the ready ones, those that are not warm, in order
 	wary    []int     // workers that fail, or turn txns away
+	brought []int     // those that a list brings among the ready ones
+	chilled []int     // and of the ready ones those that it makes cold
 	outOf   []int     // submissions out by sort of txn
 	openTo  []float64 // part of the workers that does not turn a sort away
 	warm    int       // how many of the listed ones are warm
@@ -245,7 +247,7 @@
 		}
 	}
 	for _, i := range g.wary {
-		if g.in[i] && g.workers[i].distrust.at(g.now, distrustFade) >= distrusted {
+		if g.in[i] != out && g.workers[i].distrust.at(g.now, distrustFade) >= distrusted {
 			t.Distrusted++
 		}
 	}
