The list is read entry by entry, within bounds on its entries, workers and bytes

Need: the coming list, 14 to 15 MB at 110,000 workers, was over the bound of 8 MB and never told. The bound was there for memory, as the text was held whole beside its entries in their own form and the workers made of them.

Bounds: 32 MB in all, 16 KB an entry (or any other value), 200,000 workers. A peer's list may be as long.

--- a/internal/gate/lists_test.go
+++ b/internal/gate/lists_test.go
@@ -51,8 +51,8 @@
 }
 
 // BenchmarkDeskHold gives the longest wait for the desk's lock while it takes a list: the first one, the same
-// told again, one worker's change, and a zone's workers that drain and come back, cold. Median and worst of the
-// rounds, and the median time of the whole call.
+// told again, one worker's change, and a zone's workers that drain and come back, cold. Median and worst of
+// the rounds, and the median time of the whole call.
 func BenchmarkDeskHold(b *testing.B) {
 	for _, n := range []int{200, 2000, 6000, 20000, 60000, 110000} {
 		for _, what := range []string{"first", "again", "one", "drain", "back"} {
--- a/internal/held/lists_test.go
+++ b/internal/held/lists_test.go
@@ -223,8 +223,8 @@
 	}
 }
 
-// Pieces of a list come to what the list comes to, with what is taken away first. Guards against a last word on
-// a worker that is overtaken, and against a moment at which hardly any worker is left.
+// Pieces of a list come to what the list comes to, with what is taken away first. Guards against a last word
+// on a worker that is overtaken, and against a moment at which hardly any worker is left.
 func TestPieces(t *testing.T) {
 	change := func(from, to int, active func(i int) bool) roster.List {
 		l := vast(to, true)
--- a/internal/warm/warm.go
+++ b/internal/warm/warm.go
@@ -11,13 +11,13 @@
 )
 
 const (
-	Version   = 1       // of what instances tell each other; another one is not heard
-	Peers     = 3       // instances that are asked; one may be down and one wrong
-	AskWithin = 300.0   // ms for one to answer; a list takes some ms
-	AskAgain  = 500.0   // ms until they are asked again while discovery says nothing, with jitter of half
-	MostAge   = 60000.0 // ms since a peer last heard discovery; longer ago its list is no news to anyone
-	LagFor    = 1000.0  // ms behind another's list until others are asked; news comes to all within less
-	LongestOf = 8 << 20 // bytes of a peer's list; discovery's own bound
+	Version   = 1        // of what instances tell each other; another one is not heard
+	Peers     = 3        // instances that are asked; one may be down and one wrong
+	AskWithin = 300.0    // ms for one to answer; a list takes some ms
+	AskAgain  = 500.0    // ms until they are asked again while discovery says nothing, with jitter of half
+	MostAge   = 60000.0  // ms since a peer last heard discovery; longer ago its list is no news to anyone
+	LagFor    = 1000.0   // ms behind another's list until others are asked; news comes to all within less
+	LongestOf = 32 << 20 // bytes of a peer's list; discovery's own bound
 )
 
 // Book is a newcomer's knowledge of the list. It is not safe for concurrent use.
--- a/internal/wire/discovery.go
+++ b/internal/wire/discovery.go
@@ -131,7 +131,8 @@
 	w.since = time.Now() // it was reached until here
 	_ = conn.SetDeadline(w.since.Add(Millis(logic.WatchQuiet)))
 	heard := func() { _ = conn.SetDeadline(time.Now().Add(Millis(w.silent()))) }
-	lists := roster.NewStream(r.BodyStream(), logic.LongestList, func(empty bool) {
+	bounds := roster.Bounds{Bytes: logic.LongestList, Entry: logic.LongestEntry, Workers: logic.MostWorkers}
+	lists := roster.NewStream(r.BodyStream(), bounds, func(empty bool) {
 		if w.spoke = w.spoke || empty; w.spoke {
 			heard()
 		}
--- a/internal/wire/discovery_test.go
+++ b/internal/wire/discovery_test.go
@@ -69,6 +69,47 @@
 	}
 }
 
+// A list beyond a bound ends the watch: that is said, nothing of it is told, and the next call asks from the
+// version before it.
+func TestWatchTooLong(t *testing.T) {
+	const list = `{"index":%d,"endpoints":[{"name":"%s","status":"left"}]}` + "\n"
+	long := strings.Repeat("n", logic.LongestEntry)
+	l, addr := sink(t)
+	asked := make(chan string, 2)
+	go func() {
+		for _, say := range []string{fmt.Sprintf(list, 4, "a") + fmt.Sprintf(list, 5, long),
+			fmt.Sprintf(list, 6, "b")} {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			if r, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+				asked <- r.URL.Query().Get("index")
+			}
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"+say)
+			_ = conn.Close()
+		}
+	}()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	var told []int64
+	var ends []error
+	w := watch{dial: (&net.Dialer{}).DialContext, addr: addr.String(), version: 3, tell: func(l roster.List) {
+		if told = append(told, l.Version); l.Version == 6 {
+			cancel()
+		}
+	}, alive: func() {}, failed: func(err error) { ends = append(ends, err) },
+		open: func(int, time.Duration, time.Duration) float64 { return 1 },
+		head: func() float64 { return logic.WatchQuiet }, silent: func() float64 { return logic.WatchQuiet }}
+	w.follow(ctx)
+	if !slices.Equal(told, []int64{4, 6}) || len(ends) == 0 || !errors.Is(ends[0], roster.ErrTooLong) {
+		t.Errorf("told of %v; ends: %v", told, ends)
+	}
+	if first, next := <-asked, <-asked; first != "3" || next != "4" {
+		t.Errorf("asked from %s, then from %s", first, next)
+	}
+}
+
 // act is what discovery does with one call after another, until the watcher leaves. In what it says "^" is
 // the head, "~" a second's wait and "$" the end; the rest comes in chunks of a byte.
 func act(t *testing.T, says ...string) (dial func(context.Context, string, string) (net.Conn, error),
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -133,7 +133,9 @@
 	WatchAnswer   = 2200.0   // ms to an answer: 2 s in turn where lists are asked for, the way, and 100 spare
 	FirstWord     = 50.0     // ms at a start for the list, where it is pushed: it is at hand, and txns may wait
 	ListPiece     = 500      // entries of a long list taken in one go; at 110,000 workers txns wait 1 ms for it
-	LongestList   = 8 << 20  // bytes of a list in the watch; some ten thousand workers
+	LongestList   = 32 << 20 // bytes of a list in the watch; two and a half times that of 110,000 workers
+	LongestEntry  = 16 << 10 // of one worker in it; usual ones have 124
+	MostWorkers   = 200000   // in a list; 22 MB beside the texts of their names
 	WatchAgain    = 100.0    // ms until the watch is opened anew; news must not wait long
 	WatchSway     = 0.1      // of later pauses, left to chance; more makes more calls, which keep discovery down
 	WatchEach     = 25.0     // ms of that for each gatekeeper that may ask at the same time; a call takes some
