--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"willowdeck/internal/member"
+	"willowdeck/internal/ports"
 	"willowdeck/internal/wire/gossip"
 	"willowdeck/logic"
 )
@@ -396,8 +397,7 @@
 	}
 	peer, peerAt := bind()
 	stranger, _ := bind()
-	self, selfAt := bind()
-	self.Close()
+	selfAt := netip.MustParseAddrPort(ports.Address(t))
 	p := NewPeers([]netip.AddrPort{selfAt, peerAt}, 0)
 	if err := p.Bind(selfAt); err != nil {
 		t.Fatal(err)
@@ -426,23 +426,18 @@
 // Peers whose messages bear a word: each is heard once and in order, those of a former life and those without
 // one not at all, and one that has started anew is known for that. Whole messages stay within their bound.
 func TestPeersBear(t *testing.T) {
-	ports := make([]netip.AddrPort, 2)
-	for i := range ports {
-		c, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
-		if err != nil {
-			t.Fatal(err)
-		}
-		ports[i] = c.LocalAddr().(*net.UDPAddr).AddrPort()
-		c.Close()
+	both := make([]netip.AddrPort, 2)
+	for i := range both {
+		both[i] = netip.MustParseAddrPort(ports.Address(t))
 	}
 	type got struct {
 		reports  int
 		returned bool
 	}
 	begin := func(me int, word member.Word, heard chan got) *Peers {
-		p := NewPeers(ports, me)
+		p := NewPeers(both, me)
 		p.Bear(word)
-		if err := p.Bind(ports[me]); err != nil {
+		if err := p.Bind(both[me]); err != nil {
 			t.Fatal(err)
 		}
 		go p.Hear(func(_ int, r []logic.Report, returned bool) { heard <- got{len(r), returned} })
@@ -485,10 +480,10 @@
 	c := begin(0, word, nil) // its heir
 	c.Tell(1, full)
 	expect("an heir", got{Room, false}, 3)
-	b.Among(ports[:0])
+	b.Among(both[:0])
 	c.Tell(1, full)
 	time.Sleep(20 * time.Millisecond)
-	b.Among(ports)
+	b.Among(both)
 	c.Bear(member.Word{Incarnation: 1}) // another, under the number of one that was no more
 	c.Tell(1, full)
 	expect("another", got{Room, false}, 4)
@@ -516,13 +511,35 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			if got := AppendSubmission(nil, &c.t, c.wait, c.rules); string(got) != c.want {
+			msg, at := AppendSubmission(nil, &c.t, c.rules)
+			if got := TellLeft(msg, at, Millis(c.wait)); string(got) != c.want {
 				t.Errorf("got %q, want %q", got, c.want)
 			}
 		})
 	}
 }
 
+// The time that is left is told in whole us, and never more than there is. Filling it in allocates nothing.
+func TestTellLeft(t *testing.T) {
+	x := Txn{Method: []byte("POST"), Target: []byte("/s"), Mark: []byte("2"), Body: []byte("xy")}
+	for left, want := range map[time.Duration]string{
+		-time.Hour: "0u", 0: "0u", 999 * time.Nanosecond: "0u", 1999 * time.Nanosecond: "1u",
+		480 * time.Millisecond: "480000u", Millis(logic.LongestWait): "3600000000u", 24 * time.Hour: "9999999999u",
+	} {
+		msg, at := AppendSubmission(make([]byte, 0, 512), &x, 7)
+		var got []byte
+		room := make([]byte, 0, 512)
+		n := testing.AllocsPerRun(10, func() { got = TellLeft(append(room[:0], msg...), at, left) })
+		if n > 0 {
+			t.Errorf("%v: %g allocations", left, n)
+		}
+		if want := "POST /s HTTP/1.1\r\nHost: backend.local\r\nX-Request-Id: 2\r\nX-Deadline: " + want +
+			"\r\nX-Rules: 7\r\nContent-Length: 2\r\n\r\nxy"; string(got) != want {
+			t.Errorf("%v: %q, want %q", left, got, want)
+		}
+	}
+}
+
 // What answers say of load, and what of it counts as not said.
 func TestLoad(t *testing.T) {
 	cases := []struct {
