--- a/internal/held/lists_test.go
+++ b/internal/held/lists_test.go
@@ -5,6 +5,7 @@
 	"math/rand"
 	"net/netip"
 	"reflect"
+	"runtime"
 	"slices"
 	"sync/atomic"
 	"testing"
@@ -377,3 +378,27 @@
 		})
 	}
 }
+
+// BenchmarkMemory gives the bytes of the heap that a list keeps here, beside its own texts.
+func BenchmarkMemory(b *testing.B) {
+	heap := func() float64 {
+		var m runtime.MemStats
+		runtime.GC()
+		runtime.GC()
+		runtime.ReadMemStats(&m)
+		return float64(m.HeapAlloc)
+	}
+	for _, n := range sizes {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			l := vast(n, true)
+			for range b.N {
+				before := heap()
+				w := &Workers{}
+				w.Update(l, empty)
+				kept := heap() - before
+				runtime.KeepAlive(w)
+				b.ReportMetric(kept/float64(n), "B/each")
+			}
+		})
+	}
+}
--- a/logic/size_test.go
+++ b/logic/size_test.go
@@ -222,6 +222,18 @@
 	}
 }
 
+// BenchmarkSight is a look at all workers, as an instance that tells of its hall does each time that it tells.
+func BenchmarkSight(b *testing.B) {
+	for _, n := range workerSizes {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			var s Sight
+			for g := listing(n, 0); b.Loop(); {
+				g.Look(&s, 0)
+			}
+		})
+	}
+}
+
 // BenchmarkMemory gives the bytes of the heap that a module keeps, by workers and customers.
 func BenchmarkMemory(b *testing.B) {
 	heap := func() float64 {
