--- a/logic/size_test.go
+++ b/logic/size_test.go
@@ -222,7 +222,7 @@
 	}
 }
 
-// BenchmarkSight is a look at all workers, as an instance that tells of its hall does each time that it tells.
+// BenchmarkSight is a look at all workers, as an instance that tells of its hall has it each time.
 func BenchmarkSight(b *testing.B) {
 	for _, n := range workerSizes {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
