An id is free again before its txn's answer is written

Cause: a client that has its final answer may ask under the same id at once. Front.once freed the mark in a defer, behind the write, so that for some us a second txn got 409 for one that had ended.

Change: the mark is freed as the answer is decided, but for an answer whose rest is still to come from its worker.

Measured: TestMarkOfOneAnswered holds the first's goroutine in its write; without the change both rows get 409.

--- a/internal/wire/end_test.go
+++ b/internal/wire/end_test.go
@@ -452,6 +452,50 @@
 	}
 }
 
+// after is a connection whose writes return once a signal has come behind them.
+type after struct {
+	*quick
+	wrote chan<- struct{}
+	on    <-chan struct{}
+}
+
+func (a after) Write(b []byte) (int, error) {
+	n, err := a.quick.Write(b)
+	a.wrote <- struct{}{}
+	<-a.on
+	return n, err
+}
+
+// A client that has its final answer may ask under the same id at once, on another connection, however late
+// the goroutine of the first goes on. Guards against a 409 for a txn that has ended.
+func TestMarkOfOneAnswered(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		end  Final
+		want string
+	}{
+		{"declined", Final{Kind: logic.Decline}, declines},
+		{"voided", Final{Kind: logic.Void}, "HTTP/1.1 500 Internal Server Error"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			d := openDoor(t, 9, func(*Txn) Final { return c.end })
+			wrote, on := make(chan struct{}, 9), make(chan struct{})
+			defer close(on)
+			a, _ := d.meet(func(q *quick) net.Conn { return after{q, wrote, on} }, false)
+			fmt.Fprint(a, ask("1"))
+			if s := status(a); s != c.want {
+				t.Fatalf("the first gets %q", s)
+			}
+			<-wrote // and its goroutine stands there
+			b, _ := d.meet(nil, false)
+			fmt.Fprint(b, ask("1"))
+			if s := status(b); s != c.want {
+				t.Errorf("the second gets %q", s)
+			}
+		})
+	}
+}
+
 // Small writes go out at once, on connections taken here, from a listener that was inherited, and from
 // another process. Guards against an answer that the kernel holds back and a reset takes with it.
 func TestNoDelay(t *testing.T) {
--- a/internal/wire/front.go
+++ b/internal/wire/front.go
@@ -239,13 +239,25 @@
 	if !free {
 		return f.refuse(p, t, fasthttp.StatusConflict, "X-Request-Id: a txn with this one is open")
 	}
-	defer f.marks.free(x.Mark)
+	free = false
+	leave := func() { // its mark, once
+		if !free {
+			f.marks.free(x.Mark)
+		}
+		free = true
+	}
+	defer leave()
 	if !x.Streams {
 		x.Left = max(x.Left-float64(waited)/float64(time.Millisecond), 0)
 	}
 	f.active.Add(1)
 	defer f.active.Add(-1)
 	end := f.serve(&x)
+	// Guards against a client that has its answer, and asks again under the same id before this goroutine has
+	// gone on: it was told that its txn is open. While the rest of an answer comes it is.
+	if end.Answer == nil || end.Answer.Rest == nil {
+		leave()
+	}
 	// Guards against what a client that has gone sent behind its txn: nobody waits for that either.
 	t.closes = t.closes || end.Kind == logic.Void && x.Gone()
 	if up := x.Upload; up != nil && !up.rest.whole.Load() {
