A txn that came behind another on its connection has less time left by its wait there

Cause: a client may send several txns at once; the second lies in the connection's buffer until the first has its answer, and Front.once counted its time from its turn. Its worker was told more than was left by that wait, and its final answer came that much late.

Change: as for a connection that waits for its place: the time is taken from when the bytes were read or, where more has been read since, from when the last came, by the kernel.

--- a/internal/wire/end_test.go
+++ b/internal/wire/end_test.go
@@ -644,3 +644,39 @@
 	d.l.Close()
 	d.Wait()
 }
+
+// So has a txn that came with the one before it, and lay in the buffer until that had its answer.
+func TestWaitBehindAnotherCounts(t *testing.T) {
+	const step, all = 200 * time.Millisecond, 900 * time.Millisecond
+	lefts, next := make(chan time.Duration, 3), make(chan struct{})
+	d := openDoor(t, 9, func(x *Txn) Final {
+		lefts <- Millis(x.Left)
+		<-next
+		return Final{Kind: logic.Decline}
+	})
+	c, _ := d.meet(nil, false)
+	written := time.Now()
+	fmt.Fprint(c, ask("1")+ask("2")+ask("3"))
+	came := time.Time{}
+	for i := range 3 {
+		turn := time.Now()
+		if i > 0 {
+			time.Sleep(step)
+			turn = time.Now()
+			next <- struct{}{}
+		}
+		left := <-lefts
+		if came.IsZero() {
+			came = time.Now() // it has been read by then
+		}
+		if least, most := all-time.Since(written), all-max(turn.Sub(came), 0); left < least || left > most {
+			t.Errorf("txn %d has %v left, and not from %v to %v", i, left, least, most)
+		}
+	}
+	next <- struct{}{}
+	for range 3 {
+		if s := status(c); s != declines {
+			t.Error(s)
+		}
+	}
+}
--- a/internal/wire/limit.go
+++ b/internal/wire/limit.go
@@ -317,7 +317,8 @@
 	state   atomic.Int32
 	proven  bool         // it has sent more than one txn
 	ahead   []byte       // read by a process before this one
-	from    time.Time    // it may have waited for its place since then; zero where it has not
+	read    atomic.Int64 // when bytes were read from it last, Unix ns
+	from    time.Time    // what is read next may have come since then, and lain; zero where it has not
 	since   atomic.Int64 // when it came, sent its last byte or had its last answer, Unix ns
 	lingers atomic.Bool
 	parts   atomic.Bool // it waits for its client to end it too
@@ -345,7 +346,9 @@
 
 // heard notes that bytes have been read.
 func (c *placed) heard() {
-	c.since.Store(time.Now().UnixNano())
+	now := time.Now().UnixNano()
+	c.since.Store(now)
+	c.read.Store(now)
 	if !c.state.CompareAndSwap(fresh, opening) {
 		c.state.CompareAndSwap(idle, asking)
 	}
@@ -369,6 +372,9 @@
 	next := idle
 	if more {
 		next = asking
+		if at := c.read.Load(); at > 0 {
+			c.from = time.Unix(0, at)
+		}
 	}
 	if s := c.state.Load(); s != ended {
 		c.state.CompareAndSwap(s, next)
@@ -455,16 +461,19 @@
 	return c.of.held.Load() || c.of.ending.Load() || !c.proven && c.of.crowded()
 }
 
-// lain is how long, ms, what came last on a connection may have lain at this machine before it was read,
-// while the connection waited for its place. Guards against a client's time that is counted from its place
-// on: what is left of it is told to workers, and bounds the answer.
+// lain is how long, ms, what was read last may have lain before: at this machine while the connection waited
+// for its place, or in its buffer behind the txn before. Guards against a client's time that is counted from
+// its turn on: what is left of it is told to workers, and bounds the answer.
 func (c *placed) lain() float64 {
-	waited := time.Since(c.from)
 	q, ok := c.Conn.(interface{ Lain() time.Duration })
 	if c.from.IsZero() || !ok {
 		return 0
 	}
-	return float64(min(q.Lain(), waited)) / float64(time.Millisecond)
+	lay := max(time.Since(c.from), 0)
+	if c.read.Load() > c.from.UnixNano() { // its last bytes have been read since
+		lay = min(lay, q.Lain())
+	}
+	return float64(lay) / float64(time.Millisecond)
 }
 
 // quiet tells whether a connection is up and nothing lies unread in it. Where that cannot be seen it counts
