--- a/internal/emu/gatekeeper.go
+++ b/internal/emu/gatekeeper.go
@@ -29,6 +29,27 @@
 	heard   []int         // by peer: its life when it was last heard
 	known   []int         // the same as the newest copy has it
 	meter   *outlook.Meter
+	away    streak
+}
+
+// streak is what a gatekeeper has turned away since its last submission.
+type streak struct {
+	since float64
+	n     int
+	told  bool // it counts as one that turns all away
+}
+
+// refuse notes a try that ends without a submission. One that turns all away for so long, and so many, counts.
+func (g *gatekeeper) refuse() {
+	const most, many = 4000, 15
+	r := &g.away
+	if r.n++; r.n == 1 {
+		r.since = g.w.now
+	}
+	if r.n >= many && g.w.now-r.since >= most && !r.told {
+		r.told = true
+		g.w.res.RefuseAll++
+	}
 }
 
 type told struct {
@@ -366,7 +387,9 @@
 	if t.final {
 		return
 	}
-	t.final = true
+	if t.final = true; len(t.subs) == 0 {
+		g.refuse()
+	}
 	g.meter.Ended(t.c.a.Plan, t.product, ends[k], g.w.now-t.came)
 	g.w.in(g.w.draw(g.w.s.Network.ClientMS), func() { t.c.answered(k, wait) })
 	g.drop(t)
@@ -391,6 +414,7 @@
 		work:  w.s.Products[t.product].Work}
 	t.subs = append(t.subs, s)
 	t.out++
+	g.away.n = 0
 	w.in(d.Wait, func() {
 		if g.life == s.life && g.up && !s.over {
 			proof := judge.MayHaveRun
--- a/internal/emu/result.go
+++ b/internal/emu/result.go
@@ -37,6 +37,7 @@
 	Mean             float64
 	P50, P99, P999   float64 // ms from the moment the client meant to send
 	Breaks           [6]int  // by rule
+	RefuseAll        int     // gatekeepers that turned away all that they got, 15 or more, for 4 s on end
 	Falls            int     // cold workers pushed over, whoever knew that they had started
 	NearFall         float64 // how near the one came to it that got the most for what it bears; 1 is there
 	Products, Plans  []Part  // of the value within quotas
--- a/internal/lab/floors_test.go
+++ b/internal/lab/floors_test.go
@@ -136,6 +136,9 @@
 							t.Errorf("beside %s: %v", other.Policy, m)
 						}
 					}
+					if day.calm && r.RefuseAll*10 > size.gatekeepers {
+						t.Errorf("%d of %d gatekeepers turned all away for 4 s", r.RefuseAll, size.gatekeepers)
+					}
 					if r.Breaks != [6]int{} {
 						t.Errorf("broken %v, first %v", r.Breaks, r.First[0])
 					}
@@ -149,6 +152,14 @@
 	}
 }
 
+// Gatekeepers that turn all away for 4 s are found: all of them where every worker is lost.
+func TestPlantedRefusal(t *testing.T) {
+	s := onDay(t, "small", "[[faults]]\nkind = \"kill\"\npart = 1\nfrom_s = 2\nto_s = 11\n")
+	if r := under(t, s, "willowdeck", 1); r.RefuseAll != s.Gatekeepers.Count {
+		t.Errorf("%d of %d gatekeepers are found", r.RefuseAll, s.Gatekeepers.Count)
+	}
+}
+
 // served is a run of so many seconds of which the same share was served everywhere: of 100 worth a second, in
 // two classes that are asked alike and two tenants, beside a small class and a small tenant.
 func served(share float64) *emu.Result {
