--- a/internal/emu/gatekeeper.go
+++ b/internal/emu/gatekeeper.go
@@ -39,7 +39,8 @@
 	told  bool // it counts as one that turns all away
 }
 
-// refuse notes a try that ends without a submission. One that turns all away for so long, and so many, counts.
+// refuse notes a try that ends without a submission. One that turns all away, for so long and so many,
+// counts.
 func (g *gatekeeper) refuse() {
 	const most, many = 4000, 15
 	r := &g.away
