--- a/internal/gate/told_test.go
+++ b/internal/gate/told_test.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -33,12 +34,12 @@
 // was left of its client's time: when its first byte was about to go out, and when the worker had its head.
 type told struct {
 	*testing.T
-	d      *Desk
-	links  *wire.Links
-	at     string // the front's address
-	before hook   // called ahead of each first byte, if set
+	d     *Desk
+	links *wire.Links
+	at    string // the front's address
 
 	mu     sync.Mutex
+	before hook      // called ahead of each first byte, if set
 	most   []float64 // by submission, ms
 	told   []float64
 	least  []float64
@@ -52,8 +53,11 @@
 	if e.Kind != history.Sends {
 		return
 	}
-	if w.before != nil {
-		w.before()
+	w.mu.Lock()
+	before := w.before
+	w.mu.Unlock()
+	if before != nil {
+		before()
 	}
 	w.d.mu.Lock()
 	defer w.d.mu.Unlock()
@@ -159,13 +163,13 @@
 		}
 		w.mu.Lock()
 		w.told, w.least = append(w.told, float64(us)/1000), append(w.least, w.came+waits-w.d.clock.now())
-		n := len(w.told)
+		n, answer := len(w.told), w.answer
 		w.mu.Unlock()
 		w.heard <- struct{}{}
 		if _, err := io.Copy(io.Discard, r.Body); err != nil {
 			w.Error(err)
 		}
-		if on = w.answer == nil || w.answer(n); on {
+		if on = answer == nil || answer(n); on {
 			c.Write([]byte(okay))
 		} else {
 			c.(*net.TCPConn).CloseWrite() // its descriptor is another's too, and would keep it up
@@ -299,6 +303,7 @@
 			at2, fill2, take2 := narrow(t)
 			w := tells(t, c.overlap, nil, at1, at2)
 			first := true
+			w.mu.Lock()
 			w.before = func() {
 				if first { // its own connection is up
 					first = false
@@ -315,6 +320,7 @@
 				}
 				return n > 1
 			}
+			w.mu.Unlock()
 			got := w.asks(c.head, "")
 			select {
 			case <-w.heard:
@@ -350,8 +356,14 @@
 			t.Parallel()
 			at, _, take := narrow(t)
 			var disk *store.Memory
+			var slow atomic.Bool
 			if c.written {
 				disk = store.NewMemory(1)
+				disk.Slow = func() {
+					if slow.Load() {
+						time.Sleep(wait)
+					}
+				}
 			}
 			w := tells(t, false, disk, at)
 			stop := w.serves(-1, take)
@@ -361,12 +373,10 @@
 			}
 			w.mu.Lock()
 			w.most, w.told, w.least = nil, nil, nil
-			w.mu.Unlock()
-			if c.written {
-				disk.Slow = func() { time.Sleep(wait) }
-			} else {
+			if slow.Store(c.written); !c.written {
 				w.before = func() { time.Sleep(wait) }
 			}
+			w.mu.Unlock()
 			if s := <-w.asks(c.head, ""); s != "200 OK" {
 				t.Errorf("answered %s", s)
 			}
