--- a/internal/wire/end_test.go
+++ b/internal/wire/end_test.go
@@ -639,9 +639,57 @@
 	}
 }
 
-// A txn that came with the one before it, and lay in the buffer until that had its answer, has that much less
-// of its time left. Guards against a client's time that begins anew with its turn: its answer came late by
-// the wait, and its worker was told more than was left.
+// A txn that lay in a connection which waited for its place has that much less of its time left, also where
+// it waited behind another in the listener's queue. Guards against a client's time that begins anew with its
+// place: its answer came late by the wait, and its worker was told more than was left.
+func TestWaitForPlaceCounts(t *testing.T) {
+	const step, all = 300 * time.Millisecond, 900 * time.Millisecond
+	const slack = 20 * time.Millisecond // of the kernel's clock
+	lefts := make(chan time.Duration, 3)
+	next := make(chan struct{})
+	d := openDoor(t, 1, func(x *Txn) Final {
+		lefts <- Millis(x.Left)
+		<-next
+		return Final{Kind: logic.Decline}
+	})
+	go d.Serve(d.l)
+	var sent [3][2]time.Time // about when each was written
+	for i := range sent {
+		c, err := net.Dial("tcp", d.at)
+		if err != nil {
+			t.Fatal(err)
+		}
+		sent[i][0] = time.Now()
+		if _, err := io.WriteString(c, ask(fmt.Sprint(i))); err != nil {
+			t.Fatal(err)
+		}
+		sent[i][1] = time.Now()
+		go func() {
+			defer c.Close()
+			_, _ = io.Copy(io.Discard, c)
+		}()
+		if i == 0 { // it has the one place before the others come
+			if left := <-lefts; left != all {
+				t.Errorf("the first has %v left", left)
+			}
+		}
+	}
+	for i := 1; i < len(sent); i++ {
+		time.Sleep(step)
+		before := time.Now()
+		next <- struct{}{}
+		left := <-lefts
+		least, most := all-time.Since(sent[i][0])-slack, all-before.Sub(sent[i][1])+slack
+		if left < least || left > most {
+			t.Errorf("txn %d has %v left, and not from %v to %v", i, left, least, most)
+		}
+	}
+	next <- struct{}{}
+	d.l.Close()
+	d.Wait()
+}
+
+// So has a txn that came with the one before it, and lay in the buffer until that had its answer.
 func TestWaitBehindAnotherCounts(t *testing.T) {
 	const step, all = 200 * time.Millisecond, 900 * time.Millisecond
 	lefts, next := make(chan time.Duration, 3), make(chan struct{})
--- a/internal/wire/limit.go
+++ b/internal/wire/limit.go
@@ -27,6 +27,8 @@
 	late   atomic.Bool // what is not whole by now is not waited for
 	gaveUp atomic.Bool // nor are answers: what is in hand is to be given up
 
+	empty time.Time // until when nobody waited to be taken; the accepting goroutine's
+
 	mu   sync.Mutex
 	open map[*placed]bool
 	away chan struct{} // open while clients are sent away
@@ -35,7 +37,7 @@
 // Limit bounds the connections that a listener has open at once.
 func Limit(l net.Listener, most int) *Limited {
 	return &Limited{Listener: l, most: max(most, 1), freed: make(chan struct{}, 1), closed: make(chan struct{}),
-		open: map[*placed]bool{}}
+		empty: time.Now(), open: map[*placed]bool{}}
 }
 
 // Accept takes the next connection, and holds it back until there is room for it, also while the listener
@@ -49,7 +51,11 @@
 }
 
 func (l *Limited) next() (*placed, error) {
+	called := time.Now()
 	c, err := l.Listener.Accept()
+	if now := time.Now(); err == nil && now.Sub(called) > Millis(logic.AcceptNow) {
+		l.empty = now // it has come while it was waited for
+	}
 	defer l.held.Store(false)
 	for err != nil {
 		// Guards against a moment without descriptors, or a client gone before it is met: the front must not end.
@@ -71,7 +77,11 @@
 		case <-time.After(Millis(logic.AcceptAgain)): // one may have become idle
 		}
 	}
-	return l.admit(c), nil
+	p := l.admit(c)
+	if time.Since(l.empty) > Millis(logic.AcceptNow) {
+		p.from = l.empty
+	}
+	return p, nil
 }
 
 // admit gives a connection a place.
@@ -451,9 +461,9 @@
 	return c.of.held.Load() || c.of.ending.Load() || !c.proven && c.of.crowded()
 }
 
-// lain is how long, ms, what was read last has lain in the connection's buffer behind the txn before. Guards
-// against a client's time that is counted from its turn on: what is left of it is told to workers, and bounds
-// the answer.
+// lain is how long, ms, what was read last may have lain before: at this machine while the connection waited
+// for its place, or in its buffer behind the txn before. Guards against a client's time that is counted from
+// its turn on: what is left of it is told to workers, and bounds the answer.
 func (c *placed) lain() float64 {
 	q, ok := c.Conn.(interface{ Lain() time.Duration })
 	if c.from.IsZero() || !ok {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -126,6 +126,7 @@
 	AnswerPause   = 100.0    // ms that an answer may pause; whole ones of usual workers come within 20
 	MostInterim   = 8        // interim answers ahead of one; more are no answer
 	AcceptAgain   = 10.0     // ms until the next try to take a connection after one has failed
+	AcceptNow     = 1.0      // ms that an accept takes at most where a connection waits for it
 	WatchQuiet    = 2800.0   // ms for a watch to say something: it does each 2 s, and one word may be late
 	WatchHead     = 1400.0   // ms for an agent at hand to answer; behind a silence two silent ones fit WatchDue
 	WatchDue      = 6000.0   // ms after a silence or an end: what was missed counts as told
