--- a/internal/accord/check.go
+++ b/internal/accord/check.go
@@ -28,6 +28,9 @@
 	again        = 300.0           // until what was submitted and not seen to be taken is submitted again
 )
 
+// MostSeen is how many hosts one entry may name: some 40 bytes each, and half of the fleet that is coming.
+const MostSeen = 4000
+
 // features are what this program can go by beyond the keys that it has always known.
 var features = [...]string{}
 
--- a/internal/accord/council.go
+++ b/internal/accord/council.go
@@ -15,17 +15,27 @@
 	Withdraw                // ID, Base: what is pending on top of version Base is not to come in force
 	Seen                    // Host, Step: each process of a host goes by what was said at Step, or later
 	Passed                  // Step, Fallbacks: time has run out for what ended at Step
+	SeenAll                 // Hosts: as Seen, of many hosts at once
 )
 
+// HostStep says that all processes of a host's gatekeepers go by what was said at a step, or later. Only the
+// host's own daemon can say so first; once true it stays true, so that it may come late, twice and by any way.
+type HostStep struct {
+	_    struct{} `cbor:",toarray"`
+	Host string
+	Step uint64
+}
+
 // Entry is one entry of the council's log.
 type Entry struct {
 	Act       Act
-	ID        string `json:",omitempty"` // of a proposal; the same one twice is one
-	Base      uint64 `json:",omitempty"`
-	Rules     *Rules `json:",omitempty"`
-	Host      string `json:",omitempty"`
-	Step      uint64 `json:",omitempty"`
-	Fallbacks bool   `json:",omitempty"` // Passed: not only what was acted on, but the fallbacks too
+	ID        string     `json:",omitempty"` // of a proposal; the same one twice is one
+	Base      uint64     `json:",omitempty"`
+	Rules     *Rules     `json:",omitempty"`
+	Host      string     `json:",omitempty"`
+	Step      uint64     `json:",omitempty"`
+	Fallbacks bool       `json:",omitempty"` // Passed: not only what was acted on, but the fallbacks too
+	Hosts     []HostStep `json:",omitempty"` // SeenAll, up to MostSeen
 }
 
 // Outcome is what the council has made of an entry.
@@ -132,6 +142,20 @@
 		}
 		c.s.Seen[e.Host] = max(c.s.Seen[e.Host], e.Step)
 		c.review(0)
+	case SeenAll:
+		if len(e.Hosts) > MostSeen {
+			return Outcome{Refused: fmt.Sprintf("hosts: %d are more than %d", len(e.Hosts), MostSeen)}
+		}
+		taken := false // one that is no host any more does not keep the others out
+		for _, h := range e.Hosts {
+			if known, there := c.s.Seen[h.Host]; there && h.Step <= c.s.Step {
+				c.s.Seen[h.Host], taken = max(known, h.Step), true
+			}
+		}
+		if !taken {
+			return Outcome{Refused: fmt.Sprintf("hosts: of %d none is one and has seen what was said", len(e.Hosts))}
+		}
+		c.review(0)
 	case Passed:
 		for i := range c.s.Held {
 			if c.s.Held[i].Step == e.Step {
--- a/internal/accord/explore_test.go
+++ b/internal/accord/explore_test.go
@@ -142,7 +142,7 @@
 		h, s := *c.sites[i].holder, *c.sites[i].steward
 		h.own = slices.Clone(h.own)
 		s.council = &k
-		s.processes, s.endings = slices.Clone(s.processes), slices.Clone(s.endings)
+		s.Warden, s.endings = s.Warden.clone(), slices.Clone(s.endings)
 		c.sites[i].holder, c.sites[i].steward = &h, &s
 	}
 	return &c
@@ -385,7 +385,8 @@
 		for _, p := range h.own {
 			part(p)
 		}
-		for _, p := range s.steward.processes {
+		for _, id := range slices.Sorted(maps.Keys(s.steward.processes)) {
+			p := s.steward.processes[id]
 			yes(p.given)
 			small(p.holds)
 		}
--- a/internal/accord/steward.go
+++ b/internal/accord/steward.go
@@ -5,13 +5,6 @@
 	"slices"
 )
 
-// process is one process of a gatekeeper on a daemon's host.
-type process struct {
-	id    int
-	given bool   // it may go by something
-	holds uint64 // as it last said
-}
-
 // ending is something that time will have run out for.
 type ending struct {
 	step         uint64
@@ -25,19 +18,19 @@
 // them what is in force and for how long that may be believed, and the council what they go by and what time
 // has run out. All of it may be lost and begun anew. It is not safe for concurrent use.
 type Steward struct {
-	host      string
-	council   *Council
-	now       float64
-	leads     bool
-	processes []process
-	endings   []ending
-	lease     Lease   // as last read; Age is set when it is given
-	begun     float64 // when that reading began
-	read      float64 // when one was last asked for
-	readFor   uint64  // the step that was new here then
-	told      float64 // when the host's own step was last submitted
-	toldStep  uint64
-	slept     float64
+	Warden
+	host     string
+	council  *Council
+	now      float64
+	leads    bool
+	endings  []ending
+	lease    Lease   // as last read; Age is set when it is given
+	begun    float64 // when that reading began
+	read     float64 // when one was last asked for
+	readFor  uint64  // the step that was new here then
+	told     float64 // when the host's own step was last submitted
+	toldStep uint64
+	slept    float64
 }
 
 // NewSteward makes one for a host, with that daemon's own council, which the log is applied to beside it.
@@ -95,59 +88,22 @@
 	}
 }
 
-// Began tells of a process of a gatekeeper. One that ran before this daemon did may go by anything until it
-// says what it holds.
-func (s *Steward) Began(id int, before bool) {
-	if s.of(id) == nil {
-		s.processes = append(s.processes, process{id: id, given: before})
-	}
-}
-
-// Ended tells that a process is no more.
-func (s *Steward) Ended(id int) {
-	s.processes = slices.DeleteFunc(s.processes, func(p process) bool { return p.id == id })
-}
-
-func (s *Steward) of(id int) *process {
-	if i := slices.IndexFunc(s.processes, func(p process) bool { return p.id == id }); i >= 0 {
-		return &s.processes[i]
-	}
-	return nil
-}
-
 // Asked takes a process's question, with the step that it holds, and gives what to answer; false where there
 // is nothing that may still be believed. Clock has to be told a time after the question came. An answer that
 // is late after that does no harm, as the one that asked counts from when it did.
 func (s *Steward) Asked(id int, holds uint64) (Lease, bool) {
-	p := s.of(id)
-	if p == nil && len(s.processes) >= mostRun {
+	if !s.Warden.Asked(id, holds) {
 		return Lease{}, false
 	}
-	if p == nil { // it is not known to have ended: it counts
-		s.processes = append(s.processes, process{id: id})
-		p = &s.processes[len(s.processes)-1]
-	}
-	p.holds = max(p.holds, holds)
 	l := s.lease
 	l.Age = s.now - s.begun
 	if l.Version.Number == 0 || !(l.Age < l.Version.Rules.Lease) {
 		return Lease{}, false
 	}
-	p.given = true
+	s.Given(id)
 	return l, true
 }
 
-// seen is the step that no process of the host goes by anything older than.
-func (s *Steward) seen() uint64 {
-	least := s.lease.Step // what the next one that asks is told
-	for _, p := range s.processes {
-		if p.given {
-			least = min(least, p.holds)
-		}
-	}
-	return least
-}
-
 // wanted tells whether the council gains by knowing that this host has seen a step.
 func (s *Steward) wanted(step uint64) bool {
 	st := s.council.State()
@@ -174,7 +130,7 @@
 		return Decision{Kind: Read}, true
 	}
 	wake := s.read + every
-	if seen := s.seen(); s.wanted(seen) {
+	if seen := s.Seen(s.lease.Step); s.wanted(seen) {
 		if seen > s.toldStep || s.now >= s.told+again {
 			s.told, s.toldStep = s.now, seen
 			return Decision{Kind: Submit, Entry: Entry{Act: Seen, Host: s.host, Step: seen}}, true
--- /dev/null
+++ b/internal/relay/api.go
@@ -0,0 +1,132 @@
+// Package relay decides how agreed rules go from a small quorum to thousands of gatekeepers: by relays that
+// ask those above them and answer those below. It is free of I/O and clocks; a host tells it the time and
+// what has come, and pulls what follows. docs/relay-design.md has the reasons.
+package relay
+
+import (
+	"willowdeck/internal/accord"
+	"willowdeck/internal/resource"
+)
+
+// Form is that of the questions and answers which this program writes and reads.
+const Form = 1
+
+// HostStep says that all processes of a host's gatekeepers go by what was said at a step, or later.
+type HostStep = accord.HostStep
+
+// Ask is a question to one above. All but its head is what the asker has, so that an answer brings no more.
+type Ask struct {
+	_        struct{} `cbor:",toarray"`
+	Form     int
+	Cluster  string
+	From     string // the asker's name
+	Interest accord.Interest
+	Step     uint64        // of what it goes by; 0 is nothing
+	Rules    resource.Mark // that it has, as a base for deltas; none: it wants the whole
+	Pending  resource.Mark
+	Quiet    bool       // nothing but a renewal: it was told to wait for a whole, and is waiting
+	Seen     []HostStep // news, up to MostTold
+	Index    int64      // highest index of discovery's list that is known below; below nought: none
+	Process  int        // of a gatekeeper to its own host's daemon: its process id; else 0
+	Holds    uint64     // and accord.Holder.Holds
+}
+
+// Answer is what is told.
+type Answer struct {
+	_            struct{} `cbor:",toarray"`
+	Form         int
+	Cluster      string
+	From         string // the answerer's name
+	Life         uint64 // that its process drew at its start: another one has forgotten what it was told
+	Depth        int    // of relays between it and the council; 0 is a council's own daemon
+	Step         uint64 // of what was said; 0: it knows nothing
+	Settled      bool
+	Age          float64 // ms from before the quorum's read began until this was made, after the question came
+	Index        int64   // highest index of discovery's list that is known anywhere; below nought: none
+	Rules        resource.Mark
+	Pending      resource.Mark   // none: nothing is pending
+	RulesDelta   *resource.Delta // nil: the asker has them, or Busy
+	PendingDelta *resource.Delta // against the answer's rules
+	Busy         float64         // ms, over 0: there was no room for a whole; ask quietly for up to so long
+}
+
+// View is what is known at a moment, by one's own clock.
+type View struct {
+	Step    uint64
+	Settled bool
+	Begun   float64         // ms: no later than the quorum's read began which this rests on
+	Rules   *resource.State // in force then
+	Pending *resource.State // agreed and waiting; nil: nothing
+	Index   int64           // highest index of discovery's list; below nought: none is known
+	Depth   int             // of relays between this one and the council, this one too
+}
+
+// Age is how old a view is at a time, ms.
+func (v *View) Age(now float64) float64 { return now - v.Begun }
+
+// Kind is what a Decision asks for.
+type Kind uint8
+
+// The kinds.
+const (
+	AskOf Kind = iota + 1 // Ask the Upstream, and note the time before; give up after Within
+	News                  // the view is another than before: another step, other rules, or settled
+	Wake                  // call Clock again at time At
+)
+
+// Decision is one thing for the host to do.
+type Decision struct {
+	Kind     Kind
+	Upstream int     // AskOf: its place in the list of upstreams
+	Ask      *Ask    // AskOf
+	Within   float64 // AskOf: ms after which no answer is waited for; Failed is to be told then
+	At       float64 // Wake
+}
+
+// Config is what a Follower is made with.
+type Config struct {
+	Name     string // of the asker, in Ask.From
+	Cluster  string
+	Upstream int // how many there are to ask
+	Interest accord.Interest
+	Lease    float64 // ms, until rules say what theirs is
+	Every    float64 // ms between two questions; 0: a tenth of the lease
+	Seed     int64   // of the order of upstreams and of jitter
+	// Booked: the one upstream keeps books on this very process (a host's daemon, on its gatekeepers), so that
+	// it may go by what was read before it began. All others may not.
+	Booked bool
+}
+
+// Bounds are those of a Source. 0 is the default.
+type Bounds struct {
+	Versions   int     // kept to make deltas from
+	Parts      int     // by interest that are kept of the latest version
+	Askers     int     // of whom the index of discovery's list is kept
+	Hosts      int     // whose steps are kept
+	WholeRate  float64 // bytes a second of whole states
+	WholeBurst float64 // bytes of whole states at once
+	Life       uint64  // to be drawn anew by each process; 0 is 1
+}
+
+// Counts are what a Follower has met. What is refused changes nothing.
+type Counts struct {
+	Asked    int64 // questions
+	Failed   int64 // without an answer in time
+	Renewed  int64 // words that brought no other step
+	Taken    int64 // words of another step
+	Deltas   int64 // states made by a delta
+	Wholes   int64 // states that came whole
+	Late     int64 // words of a lower step, or of an older read
+	Before   int64 // read before this process began
+	Lapsed   int64 // whose lease is over
+	Empty    int64 // from one that knows nothing
+	Busy     int64 // from one without room for a whole
+	Foreign  int64 // of another form or cluster
+	Bad      int64 // with figures that are none, or that contradict what is known of that step
+	Base     int64 // deltas against another state
+	Digest   int64 // deltas whose result has another digest
+	Missing  int64 // a version that is not here, without a delta
+	Switched int64 // times that another upstream was gone over to
+	Dropped  int64 // facts on hosts beyond the bound
+	Lost     int64 // times that the lease ran out
+}
