--- a/internal/accord/check.go
+++ b/internal/accord/check.go
@@ -95,7 +95,13 @@
 }
 
 // Check tells what is wrong with rules; the error names the key as their file has it.
-func Check(r *Rules) error {
+func Check(r *Rules) error { return check(r, false) }
+
+// CheckPart is Check for a part of rules, as FromState gives it: members that it does not name are vacant,
+// and there may be none.
+func CheckPart(r *Rules) error { return check(r, true) }
+
+func check(r *Rules, part bool) error {
 	if what := Unknown(r); what != "" {
 		return fmt.Errorf("needs: %q is not known here", what)
 	}
@@ -131,7 +137,8 @@
 		plans[p.Name] = true
 		const most = 1e9
 		if err := first(figure(key+".rate", p.Rate, 0, most), figure(key+".burst", p.Burst, 0, most),
-			figure(key+".ceiling_rate", p.CeilingRate, 0, most), figure(key+".ceiling_depth", p.CeilingDepth, 0, most),
+			figure(key+".ceiling_rate", p.CeilingRate, 0, most),
+			figure(key+".ceiling_depth", p.CeilingDepth, 0, most),
 			figure(key+".credit_s", p.Credit, 0, 86400), figure(key+".repay_s", p.Repay/1000, 0, 86400)); err != nil {
 			return err
 		}
@@ -147,10 +154,10 @@
 			return fmt.Errorf("%s.ceiling_rate: it and ceiling_depth need each other", key)
 		}
 	}
-	return first(checkMembers(r), checkWords(r))
+	return first(checkMembers(r, part), checkWords(r))
 }
 
-func checkMembers(r *Rules) error {
+func checkMembers(r *Rules, part bool) error {
 	names, peers := map[string]bool{}, map[string]bool{}
 	for i, m := range r.Members {
 		key := fmt.Sprintf("members.%d", i)
@@ -172,6 +179,9 @@
 		}
 		names[m.Name], peers[m.Peers] = true, true
 	}
+	if part {
+		return nil
+	}
 	if len(names) == 0 {
 		return errors.New("members: there are none")
 	}
--- a/internal/accord/council.go
+++ b/internal/accord/council.go
@@ -19,7 +19,8 @@
 )
 
 // HostStep says that all processes of a host's gatekeepers go by what was said at a step, or later. Only the
-// host's own daemon can say so first; once true it stays true, so that it may come late, twice and by any way.
+// host's own daemon can say so first; once true it stays true, so that it may come late, twice and by any
+// way.
 type HostStep struct {
 	_    struct{} `cbor:",toarray"`
 	Host string
--- a/internal/accord/steward.go
+++ b/internal/accord/steward.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 )
 
 // ending is something that time will have run out for.
@@ -106,18 +105,49 @@
 
 // wanted tells whether the council gains by knowing that this host has seen a step.
 func (s *Steward) wanted(step uint64) bool {
-	st := s.council.State()
-	known, there := st.Seen[s.host]
-	if !there || step <= known {
-		return false
+	return len(s.council.State().Gains([]HostStep{{Host: s.host, Step: step}})) > 0
+}
+
+// Gains gives those facts by which the council gains: what it keeps waits for such a word of their hosts.
+func (s *State) Gains(all []HostStep) []HostStep {
+	type waits struct {
+		step  uint64
+		hosts []string
 	}
-	for _, h := range st.Held {
-		if slices.Contains(h.Hosts, s.host) && known < h.Step && h.Step <= step {
-			return true
+	var wanted []waits
+	for _, h := range s.Held {
+		wanted = append(wanted, waits{h.Step, h.Hosts})
+	}
+	if p := s.Pending; p != nil {
+		wanted = append(wanted, waits{p.Step, p.Hosts})
+	}
+	if len(wanted) == 0 {
+		return nil
+	}
+	at := map[string]int{}
+	for i, f := range all {
+		if known, there := s.Seen[f.Host]; there && f.Step > known {
+			at[f.Host] = i
+		}
+	}
+	if len(at) == 0 {
+		return nil
+	}
+	gains := make([]bool, len(all))
+	for _, w := range wanted {
+		for _, host := range w.hosts {
+			if i, there := at[host]; there && s.Seen[host] < w.step && w.step <= all[i].Step {
+				gains[i] = true
+			}
+		}
+	}
+	var good []HostStep
+	for i, f := range all {
+		if gains[i] && f.Step <= s.Step { // of a later one this council has not heard yet
+			good = append(good, f)
 		}
 	}
-	p := st.Pending
-	return p != nil && slices.Contains(p.Hosts, s.host) && known < p.Step && p.Step <= step
+	return good
 }
 
 // Next gives what follows; call it until there is nothing more. Entries are to go to the log by way of
--- a/internal/relay/api.go
+++ b/internal/relay/api.go
@@ -16,38 +16,45 @@
 
 // Ask is a question to one above. All but its head is what the asker has, so that an answer brings no more.
 type Ask struct {
-	_        struct{} `cbor:",toarray"`
-	Form     int
-	Cluster  string
-	From     string // the asker's name
-	Interest accord.Interest
-	Step     uint64        // of what it goes by; 0 is nothing
-	Rules    resource.Mark // that it has, as a base for deltas; none: it wants the whole
-	Pending  resource.Mark
-	Quiet    bool       // nothing but a renewal: it was told to wait for a whole, and is waiting
-	Seen     []HostStep // news, up to MostTold
-	Index    int64      // highest index of discovery's list that is known below; below nought: none
-	Process  int        // of a gatekeeper to its own host's daemon: its process id; else 0
-	Holds    uint64     // and accord.Holder.Holds
+	Form     int             `cbor:"1,keyasint"`
+	Cluster  string          `cbor:"2,keyasint"`
+	From     string          `cbor:"3,keyasint"` // the asker's name
+	Interest accord.Interest `cbor:"4,keyasint"`
+	Step     uint64          `cbor:"5,keyasint,omitempty"` // of what it goes by; 0 is nothing
+	// Rules is what it has, as a base for deltas; none: it wants the whole.
+	Rules   resource.Mark `cbor:"6,keyasint,omitzero"`
+	Pending resource.Mark `cbor:"7,keyasint,omitzero"`
+	// Quiet: nothing but a renewal. It was told to wait for a whole and is waiting, or asks beside another.
+	Quiet bool       `cbor:"8,keyasint,omitempty"`
+	Seen  []HostStep `cbor:"9,keyasint,omitempty"` // news, up to MostTold
+	// Index is the highest of discovery's list that is known at the asker and below; below nought: none.
+	Index int64 `cbor:"10,keyasint"`
+	// Process and Holds are a gatekeeper's to its own host's daemon: its process id, and accord.Holder.Holds.
+	Process int    `cbor:"11,keyasint,omitempty"`
+	Holds   uint64 `cbor:"12,keyasint,omitempty"`
 }
 
 // Answer is what is told.
 type Answer struct {
-	_            struct{} `cbor:",toarray"`
-	Form         int
-	Cluster      string
-	From         string // the answerer's name
-	Life         uint64 // that its process drew at its start: another one has forgotten what it was told
-	Depth        int    // of relays between it and the council; 0 is a council's own daemon
-	Step         uint64 // of what was said; 0: it knows nothing
-	Settled      bool
-	Age          float64 // ms from before the quorum's read began until this was made, after the question came
-	Index        int64   // highest index of discovery's list that is known anywhere; below nought: none
-	Rules        resource.Mark
-	Pending      resource.Mark   // none: nothing is pending
-	RulesDelta   *resource.Delta // nil: the asker has them, or Busy
-	PendingDelta *resource.Delta // against the answer's rules
-	Busy         float64         // ms, over 0: there was no room for a whole; ask quietly for up to so long
+	Form    int    `cbor:"1,keyasint"`
+	Cluster string `cbor:"2,keyasint"`
+	From    string `cbor:"3,keyasint"` // the answerer's name
+	// Life is what its process drew at its start: another one has forgotten what it was told.
+	Life    uint64 `cbor:"4,keyasint"`
+	Depth   int    `cbor:"5,keyasint,omitempty"` // of relays up to the council; 0 is a council's own daemon
+	Step    uint64 `cbor:"6,keyasint,omitempty"` // of what was said; 0: it knows nothing
+	Settled bool   `cbor:"7,keyasint,omitempty"`
+	// Age is the ms from before the quorum's read began until this was made, after the question came.
+	Age float64 `cbor:"8,keyasint"`
+	// Index is the highest of discovery's list that is known anywhere; below nought: none.
+	Index   int64         `cbor:"9,keyasint"`
+	Rules   resource.Mark `cbor:"10,keyasint,omitzero"`
+	Pending resource.Mark `cbor:"11,keyasint,omitzero"` // none: nothing is pending
+	// RulesDelta is nil where the asker has them, or at Busy; PendingDelta is against the answer's rules.
+	RulesDelta   *resource.Delta `cbor:"12,keyasint,omitempty"`
+	PendingDelta *resource.Delta `cbor:"13,keyasint,omitempty"`
+	// Busy, over 0: there was no room for a whole; ask quietly for up to so many ms.
+	Busy float64 `cbor:"14,keyasint,omitempty"`
 }
 
 // View is what is known at a moment, by one's own clock.
