Rules of up to 10,000 members: what was squared in members is linear

Need: 7,900 gatekeepers; 500 were the most. Cause: keep, hosts, the union of hosts and narrowed went over all members for each.

--- a/internal/accord/check.go
+++ b/internal/accord/check.go
@@ -9,30 +9,35 @@
 
 // What the promise rests on, and what bounds the state. Times in ms.
 const (
-	fillPart     = 0.5             // of a plan's fill that may have to go to debts, as internal/credit has it
-	Form         = 1               // of the encoding that this program writes and reads
-	drift        = 2e-4            // by which a clock runs fast or slow; crystals keep 1e-4
-	step         = 250.0           // from the last check to the write that it allows: a long pause of the host
-	MostBound    = 2000.0          // of Rules.Bound where none is named; the promise to the operators
-	leastLease   = 100.0           // under it the asking alone would fill it
-	mostFallback = 3.6e6           // an hour: what contradicts the fallback of one cut off waits for so long
-	mostPlans    = 256             // a plan's place is a small index with the instances, and is kept for life
-	mostMembers  = 500             // as many as a fleet's file may name
-	mostRun      = 2 * mostMembers // on a host: of each gatekeeper one, and one that takes its place
-	mostWords    = 4096            // a hall's worth of words by worker
-	mostName     = 200             // bytes of a name
-	mostHeld     = 8               // fallbacks that may be held beside each other, by those long cut off
-	mostAnswers  = 128             // proposals whose outcome is kept for those that ask again
-	readsPer     = 5               // asks and reads in a lease: two in a row may be lost, and each costs a round
-	freshLease   = 1000.0          // of one that has heard of none: its default
-	again        = 300.0           // until what was submitted and not seen to be taken is submitted again
+	fillPart     = 0.5    // of a plan's fill that may have to go to debts, as internal/credit has it
+	Form         = 1      // of the encoding that this program writes and reads
+	drift        = 2e-4   // by which a clock runs fast or slow; crystals keep 1e-4
+	step         = 250.0  // from the last check to the write that it allows: a long pause of the host
+	MostBound    = 2000.0 // of Rules.Bound where none is named; the promise to the operators
+	leastLease   = 100.0  // under it the asking alone would fill it
+	mostFallback = 3.6e6  // an hour: what contradicts the fallback of one cut off waits for so long
+	mostPlans    = 256    // a plan's place is a small index with the instances, and is kept for life
+	mostMembers  = 10000  // the 7,900 that are coming, and a quarter more for places left vacant
+	fewMembers   = 500    // that programs knew before ManyMembers: what passes it has to need that
+	mostRun      = 1000   // on a host: of 500, as a fleet's file may name, one and one in its place
+	mostWords    = 4096   // a hall's worth of words by worker
+	mostName     = 200    // bytes of a name
+	mostHeld     = 8      // fallbacks that may be held beside each other, by those long cut off
+	mostAnswers  = 128    // proposals whose outcome is kept for those that ask again
+	readsPer     = 5      // asks and reads in a lease: two in a row may be lost, and each costs a round
+	freshLease   = 1000.0 // of one that has heard of none: its default
+	again        = 300.0  // until what was submitted and not seen to be taken is submitted again
 )
 
 // MostSeen is how many hosts one entry may name: some 40 bytes each, and half of the fleet that is coming.
 const MostSeen = 4000
 
+// ManyMembers is the feature that rules of more than 500 members need. A program without it would refuse them
+// where others take them, and its council would be another for good; so it has to stop at them instead.
+const ManyMembers = "members"
+
 // features are what this program can go by beyond the keys that it has always known.
-var features = [...]string{}
+var features = [...]string{ManyMembers}
 
 // Has tells whether this program has a feature that Rules.Needs may name.
 func Has(feature string) bool { return slices.Contains(features[:], feature) }
@@ -74,8 +79,10 @@
 	return nil
 }
 
+func named(s string) bool { return s != "" && len(s) <= mostName }
+
 func name(key, s string) error {
-	if s == "" || len(s) > mostName {
+	if !named(s) {
 		return fmt.Errorf("%s: a name has 1 to %d bytes, not %d", key, mostName, len(s))
 	}
 	return nil
@@ -125,6 +132,9 @@
 			return fmt.Errorf("%s: %d are more than %d", n.key, n.have, n.max)
 		}
 	}
+	if n := len(r.Members); n > fewMembers && !slices.Contains(r.Needs, ManyMembers) {
+		return fmt.Errorf("needs: %d members are more than %d, which needs %q", n, fewMembers, ManyMembers)
+	}
 	plans := map[string]bool{}
 	for _, p := range r.Plans {
 		if err := name("plans.name", p.Name); err != nil {
@@ -158,24 +168,28 @@
 }
 
 func checkMembers(r *Rules, part bool) error {
-	names, peers := map[string]bool{}, map[string]bool{}
+	names, peers := make(map[string]bool, len(r.Members)), make(map[string]bool, len(r.Members))
 	for i, m := range r.Members {
-		key := fmt.Sprintf("members.%d", i)
+		wrong := func(what, form string, args ...any) error { // made only where there is one
+			return fmt.Errorf("members.%d.%s: %w", i, what, fmt.Errorf(form, args...))
+		}
 		if m.Name == "" {
 			if m != (Member{}) {
-				return fmt.Errorf("%s.name: there is none, and the place is not vacant", key)
+				return wrong("name", "there is none, and the place is not vacant")
 			}
 			continue
 		}
-		switch err := first(name(key+".name", m.Name), name(key+".host", m.Host)); {
-		case err != nil:
-			return err
+		switch {
+		case !named(m.Name):
+			return name(fmt.Sprintf("members.%d.name", i), m.Name)
+		case !named(m.Host):
+			return name(fmt.Sprintf("members.%d.host", i), m.Host)
 		case len(m.Peers) > mostName:
-			return fmt.Errorf("%s.peers: %d bytes are too many", key, len(m.Peers))
+			return wrong("peers", "%d bytes are too many", len(m.Peers))
 		case names[m.Name]:
-			return fmt.Errorf("%s.name: %s has another place already", key, m.Name)
+			return wrong("name", "%s has another place already", m.Name)
 		case m.Peers != "" && peers[m.Peers]:
-			return fmt.Errorf("%s.peers: %s is another's already", key, m.Peers)
+			return wrong("peers", "%s is another's already", m.Peers)
 		}
 		names[m.Name], peers[m.Peers] = true, true
 	}
@@ -230,11 +244,15 @@
 
 // keep tells which member of rules has another place among former ones.
 func keep(next *Rules, former []Member) error {
+	places := make(map[string]int, len(former))
+	for j, o := range former {
+		if o.Name != "" {
+			places[o.Name] = j
+		}
+	}
 	for i, m := range next.Members {
-		for j, o := range former {
-			if m.Name != "" && o.Name == m.Name && i != j {
-				return fmt.Errorf("members.%d.name: %s has place %d", i, m.Name, j)
-			}
+		if j, there := places[m.Name]; there && i != j {
+			return fmt.Errorf("members.%d.name: %s has place %d", i, m.Name, j)
 		}
 	}
 	return nil
--- a/internal/accord/council.go
+++ b/internal/accord/council.go
@@ -219,11 +219,7 @@
 	for _, h := range s.Held {
 		held = append(held, h.Stance)
 		p.Lasts = max(p.Lasts, h.Lasts)
-		for _, host := range h.Hosts {
-			if !slices.Contains(p.Hosts, host) {
-				p.Hosts = append(p.Hosts, host)
-			}
-		}
+		p.Hosts = union(p.Hosts, h.Hosts)
 	}
 	p.Contradicts, p.Mixes = Contradicts(held, e.Rules), Mixes(&s.InForce.Rules, e.Rules)
 	s.Pending = p
--- a/internal/accord/form.go
+++ b/internal/accord/form.go
@@ -8,8 +8,9 @@
 	"io"
 )
 
-// MostBytes is the longest entry, answer or snapshot that is read; the longest rules that pass Check fit.
-const MostBytes = 8 << 20
+// MostBytes is the longest entry, answer or snapshot that is read. A snapshot has up to ten versions: in
+// force, pending, and eight that may be fallen back to, each of the 2 MB that a council takes as an entry.
+const MostBytes = 24 << 20
 
 // Lease is what a daemon tells an instance: what the council said at a moment, and how long ago that was.
 type Lease struct {
--- a/internal/accord/holder.go
+++ b/internal/accord/holder.go
@@ -86,6 +86,7 @@
 	own     []Part // by plan, what it may let through while it is leased
 	raised  bool   // some of it has grown since it last adopted terms
 	coming  *Rules // what waits, as far as it is known here
+	then    int    // this one's place by it
 	strange bool   // and is not known whole, so that no part of it is either
 	until   float64
 	stale   bool    // what is adopted is not what holds now
@@ -151,7 +152,7 @@
 			return Share(r, plan, -1)
 		}
 		if h.coming != nil {
-			p = p.least(Share(h.coming, plan, Place(h.coming, h.name)))
+			p = p.least(Share(h.coming, plan, h.then))
 		}
 		return p
 	}
@@ -195,6 +196,9 @@
 	if l.Step > h.step {
 		h.step = l.Step
 		h.coming, h.strange = l.Pending, l.Strange != ""
+		if h.coming != nil {
+			h.then = Place(h.coming, h.name)
+		}
 		h.next, h.since = l.Step, h.now
 	}
 	if l.Strange != "" {
--- a/internal/accord/parts.go
+++ b/internal/accord/parts.go
@@ -110,8 +110,12 @@
 // coming ones do not name.
 func (s Stance) narrowed(coming *Rules) Stance {
 	var n Stance
+	stays := make(map[string]bool, len(coming.Members))
+	for _, m := range coming.Members {
+		stays[m.Name] = m.Name != ""
+	}
 	for _, m := range s.Members {
-		if Place(coming, m.Name) >= 0 {
+		if stays[m.Name] {
 			n.Members = append(n.Members, m)
 		}
 	}
@@ -150,24 +154,31 @@
 
 // passes names the plan of which the worst mix of stances lets through more than is allowed.
 func passes(all []Stance, allowed []Part, next *Rules) string {
-	member := map[string][]int{} // which stances name it
-	var names []string
+	places := 0
+	for _, s := range all {
+		places = max(places, len(s.Members))
+	}
+	number := make(map[string]int, places) // in the order of their first mention
+	var member [][]int32                   // which stances name it
 	for i, s := range all {
 		for _, m := range s.Members {
 			if m.Name == "" {
 				continue
 			}
-			if member[m.Name] == nil {
-				names = append(names, m.Name)
+			n, known := number[m.Name]
+			if !known {
+				n = len(member)
+				number[m.Name] = n
+				member = append(member, nil)
 			}
-			member[m.Name] = append(member[m.Name], i)
+			member[n] = append(member[n], int32(i))
 		}
 	}
 	for plan := range allowed {
 		var sum Part
-		for _, n := range names {
+		for _, in := range member {
 			var worst Part
-			for _, i := range member[n] {
+			for _, i := range in {
 				if plan < len(all[i].Parts) {
 					worst = worst.most(all[i].Parts[plan])
 				}
@@ -184,10 +195,27 @@
 // hosts are those whose daemons keep members, each once.
 func hosts(members []Member) []string {
 	var all []string
+	there := make(map[string]bool, len(members))
 	for _, m := range members {
-		if m.Name != "" && !slices.Contains(all, m.Host) {
+		if m.Name != "" && !there[m.Host] {
+			there[m.Host] = true
 			all = append(all, m.Host)
 		}
 	}
 	return all
 }
+
+// union adds hosts to some, each once.
+func union(some, more []string) []string {
+	there := make(map[string]bool, len(some))
+	for _, h := range some {
+		there[h] = true
+	}
+	for _, h := range more {
+		if !there[h] {
+			there[h] = true
+			some = append(some, h)
+		}
+	}
+	return some
+}
--- a/internal/council/council.go
+++ b/internal/council/council.go
@@ -26,8 +26,8 @@
 	// Form is the version of what daemons say to each other. Another one is refused.
 	Form = 1
 
-	longest     = 8 << 20                 // bytes of a message: a snapshot with the longest rules, and some
-	longestWord = 1 << 20                 // bytes of an entry: 500 members and 4,096 words are half of it
+	longest     = 32 << 20                // bytes of a message: a snapshot of ten of the longest rules
+	longestWord = 2 << 20                 // bytes of an entry: 10,000 members and 4,096 words are half of it
 	mostQueued  = 512                     // messages that wait for one daemon: seconds of them
 	mostAtOnce  = 32                      // posts that are read at once, from all daemons
 	mostIn      = 256                     // posts that wait for the log
