--- /dev/null
+++ b/internal/accord/state_test.go
@@ -0,0 +1,215 @@
+package accord
+
+import (
+	"errors"
+	"fmt"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"willowdeck/internal/resource"
+)
+
+func drawRules(t *rapid.T) *Rules {
+	r := small(float64(rapid.IntRange(1, 100).Draw(t, "ceiling")), "a")
+	r.Members = nil
+	for i := range rapid.IntRange(1, 14).Draw(t, "places") {
+		m := Member{}
+		if rapid.IntRange(0, 3).Draw(t, "vacant") > 0 {
+			m = Member{Name: fmt.Sprint("g", i), Host: fmt.Sprint("h", rapid.IntRange(0, 4).Draw(t, "host")),
+				Peers: rapid.SampledFrom([]string{"", fmt.Sprint("10.0.0.1:", 1000+i)}).Draw(t, "peers")}
+		}
+		r.Members = append(r.Members, m)
+	}
+	for i := range rapid.IntRange(0, 3).Draw(t, "plans") {
+		r.Plans = append(r.Plans, Plan{Name: fmt.Sprint("p", i), Rate: rapid.Float64Range(0, 1e6).Draw(t, "rate")})
+	}
+	for i := range rapid.IntRange(0, 3).Draw(t, "words") {
+		r.Words = append(r.Words, Word{Worker: fmt.Sprint("w", i), Barred: rapid.Bool().Draw(t, "barred"),
+			Weight: float64(rapid.IntRange(0, 2).Draw(t, "weight"))})
+	}
+	return r
+}
+
+// A version comes back from its entries as it was; a part of it has all plans and words, its own members in
+// their places and nobody else, and so has a part of a part.
+func TestVersionsAsEntries(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		v := Version{Number: 7, Rules: *drawRules(t)}
+		if v.Rules.Words == nil { // as an empty list comes back
+			v.Rules.Words = []Word{}
+		}
+		s, err := Entries(&v)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got, err := FromState(s); err != nil || !reflect.DeepEqual(got, v) {
+			t.Fatalf("%v\n%+v\n%+v", err, got, v)
+		}
+		if again, _ := Entries(&v); again.Mark() != s.Mark() || s.Mark().Number != 7 {
+			t.Fatal("the same has another mark")
+		}
+		if l := LeaseOf(s); l != v.Rules.Lease {
+			t.Fatalf("a lease of %v", l)
+		}
+		n := len(v.Rules.Members)
+		in := Interest{Host: rapid.SampledFrom([]string{"", "h0", "h1", "nowhere"}).Draw(t, "of"),
+			Name:   rapid.SampledFrom([]string{"", "g0", "g3", "g13", "nobody"}).Draw(t, "name"),
+			Around: rapid.IntRange(0, 20).Draw(t, "around")}
+		part, err := FromState(Select(s, in))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for i, m := range v.Rules.Members {
+			near := false
+			for j, o := range v.Rules.Members {
+				d := max(i-j, j-i)
+				if d = min(d, n-d); o.Name != "" && (o.Name == in.Name || o.Host == in.Host) && d <= in.Around {
+					near = true
+				}
+			}
+			if want := (Member{}); near && part.Rules.Members[i] != m || !near && part.Rules.Members[i] != want {
+				t.Fatalf("%+v: place %d is %+v of %+v", in, i, part.Rules.Members[i], v.Rules.Members)
+			}
+			if m.Name != "" && m.Name == in.Name && Place(&part.Rules, m.Name) != i {
+				t.Fatal("it has another place")
+			}
+		}
+		if part.Rules.Members = v.Rules.Members; !reflect.DeepEqual(part, v) {
+			t.Fatalf("%+v, not %+v", part, v)
+		}
+		host := Interest{Host: "h1", Around: in.Around}
+		for _, m := range v.Rules.Members {
+			own := Interest{Name: m.Name, Around: in.Around}
+			if m.Host == "h1" && Select(Select(s, host), own).Mark() != Select(s, own).Mark() {
+				t.Fatal("a part of a part is another")
+			}
+		}
+		if Select(s, Interest{All: true}) != s {
+			t.Fatal("all is another")
+		}
+	})
+}
+
+// One member that comes, goes or moves is one entry, whatever their number.
+func TestDeltaOfOneMember(t *testing.T) {
+	a, b := many(1000, 96), many(1000, 96)
+	b.Members[500].Peers = "10.9.9.9:1"
+	b.Members[501] = Member{}
+	x, _ := Entries(&Version{Number: 1, Rules: *a})
+	y, _ := Entries(&Version{Number: 2, Rules: *b})
+	d := resource.Between(x, y)
+	if len(d.Set) != 1 || !slices.Equal(d.Drop, []string{"member/000501"}) {
+		t.Errorf("%+v", d)
+	}
+}
+
+// Entries that are no version are refused by key, and those of a later program are named as that.
+func TestEntriesThatAreNoVersion(t *testing.T) {
+	good, err := Entries(&Version{Number: 1, Rules: *small(96, "ab")})
+	if err != nil {
+		t.Fatal(err)
+	}
+	raw := func(v any) []byte { return must(entryOut.Marshal(v)) }
+	headOf := func(change func(h *head)) []byte {
+		h, _ := readHead(good)
+		change(&h)
+		return raw(h)
+	}
+	for name, c := range map[string]struct {
+		set     resource.Entry
+		drop    string
+		want    string
+		foreign bool
+	}{
+		"no header":       {drop: headKey, want: "rules: there is none"},
+		"a plan is lost":  {drop: "plan/0000", want: "rules: 0 plans"},
+		"a plan too many": {set: resource.Entry{Key: "plan/0001", Value: raw(Plan{Name: "q"})}, want: "plan/0001"},
+		"no such place":   {set: resource.Entry{Key: "member/000009", Value: raw(Member{Name: "z"})}, want: "member/000009"},
+		"a strange place": {set: resource.Entry{Key: "member/1", Value: raw(Member{Name: "z"})}, want: "member/1"},
+		"no number":       {set: resource.Entry{Key: "member/00000x", Value: raw(Member{Name: "z"})}, want: "member/00000x"},
+		"a strange entry": {set: resource.Entry{Key: "tenant/1"}, want: "tenant/1", foreign: true},
+		"a strange field": {set: resource.Entry{Key: "member/000000", Value: raw(map[int]any{1: "a", 9: 1})},
+			want: "member/000000", foreign: true},
+		"a later form": {set: resource.Entry{Key: headKey, Value: headOf(func(h *head) { h.Form = 2 })},
+			want: "form 2", foreign: true},
+		"a later need": {set: resource.Entry{Key: headKey, Value: headOf(func(h *head) { h.Needs = []string{"wings"} })},
+			want: "wings", foreign: true},
+		"a header of a later program": {set: resource.Entry{Key: headKey,
+			Value: raw(map[int]any{1: Form, 99: true})}, want: "rules", foreign: true},
+		"too many members": {set: resource.Entry{Key: headKey,
+			Value: headOf(func(h *head) { h.Members = mostMembers + 1 })}, want: "members: 10001"},
+		"fewer than none": {set: resource.Entry{Key: headKey,
+			Value: headOf(func(h *head) { h.Words = -1 })}, want: "words: -1"},
+		"no header at all": {set: resource.Entry{Key: headKey, Value: []byte{0xff}}, want: "rules: "},
+	} {
+		var all []resource.Entry
+		for k, v := range good.All() {
+			if k != c.drop && k != c.set.Key {
+				all = append(all, resource.Entry{Key: k, Value: v})
+			}
+		}
+		if c.set.Key != "" {
+			all = append(all, c.set)
+		}
+		s := resource.New(1, all)
+		_, err := FromState(s)
+		if err == nil || !strings.Contains(err.Error(), c.want) || errors.Is(err, ErrForeign) != c.foreign {
+			t.Errorf("%s: %v", name, err)
+		}
+		Select(s, Interest{Name: "a", Around: 3}) // it goes through, whatever it is
+		LeaseOf(s)
+	}
+}
+
+// A part of rules has vacant places where others have members; Check would refuse it for that alone.
+func TestCheckPart(t *testing.T) {
+	s, _ := Entries(&Version{Number: 1, Rules: *small(96, "abc")})
+	for _, in := range []Interest{{Name: "a"}, {}} {
+		v, err := FromState(Select(s, in))
+		if err != nil || CheckPart(&v.Rules) != nil || Check(&v.Rules) == nil {
+			t.Errorf("%v, %v, %v", err, CheckPart(&v.Rules), Check(&v.Rules))
+		}
+	}
+	bad := small(-1, "a")
+	if CheckPart(bad) == nil {
+		t.Error("a rate below nought is taken")
+	}
+}
+
+// A warden says no step that one of its processes may be behind of.
+func TestWarden(t *testing.T) {
+	var w Warden
+	w.Began(1, false)
+	if s := w.Seen(5); s != 5 {
+		t.Errorf("nobody goes by anything: %d", s)
+	}
+	w.Asked(1, 0)
+	if s := w.Seen(5); s != 5 {
+		t.Errorf("it has been told nothing: %d", s)
+	}
+	w.Given(1)
+	if s := w.Seen(5); s != 0 {
+		t.Errorf("it may go by anything: %d", s)
+	}
+	w.Asked(1, 4)
+	w.Asked(1, 3) // late
+	w.Began(1, true)
+	w.Began(2, true) // of before
+	if s := w.Seen(5); s != 0 {
+		t.Errorf("one of before may go by anything: %d", s)
+	}
+	w.Ended(2)
+	if s := w.Seen(5); s != 4 {
+		t.Errorf("%d, not 4", s)
+	}
+	for i := range mostRun {
+		w.Asked(i, 0)
+	}
+	if w.Asked(mostRun, 9) || !w.Asked(1, 9) {
+		t.Error("the books are not bounded")
+	}
+}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 
 	"willowdeck/internal/accord"
@@ -128,3 +129,428 @@
 		t.Error("it goes by what is over")
 	}
 }
+
+// follower is one with two upstreams that has heard of version 1 at step 2, as of 950 of 1,000 ms.
+func follower(t *testing.T) (*Follower, *resource.State) {
+	t.Helper()
+	f := NewFollower(Config{Name: "f", Cluster: "c", Upstream: 2, Interest: accord.Interest{All: true}, Seed: 1},
+		500)
+	v1 := state(t, 1, rules(6, 96))
+	f.Clock(1000)
+	f.Heard(f.Current(), 1000, &Answer{Form: Form, Cluster: "c", Step: 2, Age: 50, Rules: v1.Mark(), Life: 1,
+		RulesDelta: resource.Whole(v1), Index: -1})
+	if v, ok := f.View(); !ok || v.Begun != 950 || v.Rules.Mark() != v1.Mark() {
+		t.Fatalf("%+v %v %+v", v, ok, f.Counts())
+	}
+	return f, v1
+}
+
+// What can't be gone by is counted by its reason, and changes nothing.
+func TestRefused(t *testing.T) {
+	v2, other := state(t, 2, rules(6, 48)), state(t, 1, rules(6, 12))
+	_, v1 := follower(t)
+	spoilt := resource.Between(v1, v2)
+	spoilt.Set = spoilt.Set[1:]
+	for _, c := range []struct {
+		name   string
+		change func(a *Answer)
+		count  func(n Counts) int64
+		bare   bool // the next question says that there is nothing
+	}{
+		{"another form", func(a *Answer) { a.Form = 2 }, func(n Counts) int64 { return n.Foreign }, false},
+		{"another cluster", func(a *Answer) { a.Cluster = "d" }, func(n Counts) int64 { return n.Foreign }, false},
+		{"an age that is none", func(a *Answer) { a.Age = -1 }, func(n Counts) int64 { return n.Bad }, false},
+		{"nothing known", func(a *Answer) { a.Step = 0 }, func(n Counts) int64 { return n.Empty }, false},
+		{"a lower step", func(a *Answer) { a.Step = 1 }, func(n Counts) int64 { return n.Late }, false},
+		{"an older read of the same", func(a *Answer) { a.Step, a.Age, a.Rules = 2, 151, v1.Mark() },
+			func(n Counts) int64 { return n.Late }, false},
+		{"a lease that is over", func(a *Answer) { a.Age = 1000 }, func(n Counts) int64 { return n.Lapsed }, false},
+		{"read before this life", func(a *Answer) { a.Age = 601 }, func(n Counts) int64 { return n.Before }, false},
+		{"other rules at the same step", func(a *Answer) { a.Step, a.Rules = 2, other.Mark() },
+			func(n Counts) int64 { return n.Bad }, false},
+		{"a pending one more at the same step", func(a *Answer) {
+			a.Step, a.Rules, a.Pending = 2, v1.Mark(), v2.Mark()
+		}, func(n Counts) int64 { return n.Bad }, false},
+		{"a lower version", func(a *Answer) { a.Rules.Number = 0 }, func(n Counts) int64 { return n.Bad }, false},
+		{"no version", func(a *Answer) { a.Rules = resource.Mark{} }, func(n Counts) int64 { return n.Bad }, false},
+		{"a pending one that does not follow", func(a *Answer) { a.Pending = v2.Mark() },
+			func(n Counts) int64 { return n.Bad }, false},
+		{"a version without a delta", func(a *Answer) { a.RulesDelta = nil },
+			func(n Counts) int64 { return n.Missing }, false},
+		{"a delta of another mark", func(a *Answer) { a.Rules.Digest[0]++ },
+			func(n Counts) int64 { return n.Bad }, true},
+		{"a delta against another state", func(a *Answer) { a.RulesDelta = resource.Between(other, v2) },
+			func(n Counts) int64 { return n.Base }, true},
+		{"a spoilt delta", func(a *Answer) { a.RulesDelta = spoilt },
+			func(n Counts) int64 { return n.Digest }, true},
+		{"a spoilt pending one", func(a *Answer) {
+			v3 := state(t, 3, rules(6, 24))
+			a.Pending, a.PendingDelta = v3.Mark(), resource.Between(v2, v3)
+			a.PendingDelta.Set = nil
+		}, func(n Counts) int64 { return n.Digest }, true},
+		{"no room", func(a *Answer) { a.RulesDelta, a.Busy = nil, 3000 },
+			func(n Counts) int64 { return n.Busy }, false},
+	} {
+		f, v1 := follower(t)
+		a := &Answer{Form: Form, Cluster: "c", Step: 3, Age: 10, Life: 1, Rules: v2.Mark(),
+			RulesDelta: resource.Between(v1, v2), Index: -1}
+		before, _ := f.View()
+		c.change(a)
+		f.Clock(1100)
+		f.Heard(f.Current(), 1100, a)
+		if after, ok := f.View(); !ok || after != before {
+			t.Errorf("%s: %+v", c.name, after)
+		}
+		if n := f.Counts(); c.count(n) != 1 {
+			t.Errorf("%s: %+v", c.name, n)
+		}
+		asks := asked(f, 1200)
+		if len(asks) == 0 || asks[0].Rules.None() != c.bare {
+			t.Errorf("%s: asks %+v", c.name, asks)
+		}
+		f.Clock(1300) // and the same unspoilt is taken
+		f.Heard(f.Current(), 1300, &Answer{Form: Form, Cluster: "c", Step: 3, Age: 10, Life: 1, Rules: v2.Mark(),
+			RulesDelta: resource.Whole(v2), Index: -1})
+		if v, ok := f.View(); !ok || v.Step != 3 {
+			t.Errorf("%s: then %+v", c.name, v)
+		}
+	}
+}
+
+// asked gives the questions that a follower puts at a time.
+func asked(f *Follower, now float64) (all []*Ask) {
+	f.Clock(now)
+	for {
+		d, ok := f.Next()
+		if !ok {
+			return all
+		}
+		if d.Kind == AskOf {
+			all = append(all, d.Ask)
+		}
+	}
+}
+
+// A delta that comes late, after another way has brought a later version, and one that comes twice.
+func TestLateAndTwice(t *testing.T) {
+	f, v1 := follower(t)
+	v2, v3 := state(t, 2, rules(6, 48)), state(t, 3, rules(6, 24))
+	say := func(step uint64, v *resource.State, d *resource.Delta) {
+		f.Heard(f.Current(), 1100, &Answer{Form: Form, Cluster: "c", Step: step, Age: 10, Life: 1, Rules: v.Mark(),
+			RulesDelta: d, Index: -1})
+	}
+	f.Clock(1100)
+	say(3, v2, resource.Between(v1, v2))
+	say(3, v2, resource.Between(v1, v2)) // twice: a renewal
+	say(4, v3, resource.Between(v1, v3)) // made for what it had when it asked, which it has still
+	say(3, v2, resource.Between(v1, v2)) // late
+	if v, _ := f.View(); v.Step != 4 || v.Rules.Mark() != v3.Mark() {
+		t.Errorf("%+v", v)
+	}
+	if n := f.Counts(); n.Taken != 3 || n.Renewed != 1 || n.Late != 1 || n.Base+n.Digest+n.Bad != 0 {
+		t.Errorf("%+v", n)
+	}
+}
+
+// A pending version that comes in force is not sent again, and its withdrawal sends nothing.
+func TestPendingComes(t *testing.T) {
+	s := NewSource("s", "c", Bounds{})
+	f, v1 := follower(t)
+	v2 := state(t, 2, rules(6, 24))
+	s.Offer(View{Step: 3, Begun: 1000, Rules: v1, Pending: v2, Index: -1})
+	told(t, f, 1200, s, s)
+	s.Offer(View{Step: 4, Begun: 1200, Rules: v2, Index: -1})
+	told(t, f, 1400, s, s)
+	if v, _ := f.View(); v.Step != 4 || v.Rules.Mark() != v2.Mark() || v.Pending != nil {
+		t.Errorf("%+v", v)
+	}
+	if n := s.Counts(); n.Wholes+n.Deltas != 0 {
+		t.Errorf("it was sent again: %+v", n)
+	}
+}
+
+// drive has a follower live for a time with upstreams that answer or not, and gives how often each was asked.
+func drive(t *testing.T, f *Follower, from, until float64, above []*Source,
+	alive func(u int, now float64) bool, view func(now float64) View) []int {
+	t.Helper()
+	n := make([]int, len(above))
+	for now := from; now < until; now += 5 {
+		f.Clock(now)
+		for {
+			d, ok := f.Next()
+			if !ok {
+				break
+			}
+			if d.Kind != AskOf {
+				continue
+			}
+			n[d.Upstream]++
+			if !alive(d.Upstream, now) {
+				continue
+			}
+			above[d.Upstream].Offer(view(now))
+			r, err := above[d.Upstream].Answer(d.Ask, now)
+			if err != nil {
+				t.Fatal(err)
+			}
+			f.Heard(d.Upstream, now, r)
+		}
+	}
+	return n
+}
+
+// One that lies still is left within a fifth of a lease and the lease never runs out; questions come at the
+// same rate. The preferred one is gone back to once it answers.
+func TestLeavesOneThatLiesStill(t *testing.T) {
+	f, v1 := follower(t)
+	above := []*Source{NewSource("a", "c", Bounds{}), NewSource("b", "c", Bounds{})}
+	fresh := func(now float64) View { return View{Step: 2, Begun: now - 20, Rules: v1, Index: -1} }
+	first := f.Current()
+	still := func(u int, now float64) bool { return u != first || now < 3000 || now > 20000 }
+	drive(t, f, 1000, 3000, above, still, fresh)
+	if f.Current() != first || f.Counts().Switched != 0 {
+		t.Fatalf("%+v", f.Counts())
+	}
+	left := 0.0
+	for now := 3000.0; now < 20000; now += 5 {
+		drive(t, f, now, now+5, above, still, fresh)
+		if left == 0 && f.Current() != first {
+			left = now
+		}
+		if _, ok := f.View(); !ok {
+			t.Fatalf("at %.0f the lease is over", now)
+		}
+	}
+	if left == 0 || left > 3000+100+200+5 {
+		t.Errorf("left at %.0f", left)
+	}
+	drive(t, f, 20000, 65000, above, still, fresh)
+	if f.Current() != first {
+		t.Errorf("not back: %+v", f.Counts())
+	}
+	n := drive(t, f, 65000, 75000, above, still, fresh)
+	if n[first] < 99 || n[first] > 101 || n[1-first] != 0 {
+		t.Errorf("%v questions in ten leases", n)
+	}
+}
+
+// One that answers, and whose words are old as it is cut off from above, is left by its age.
+func TestLeavesOneThatIsCutOff(t *testing.T) {
+	f, v1 := follower(t)
+	above := []*Source{NewSource("a", "c", Bounds{}), NewSource("b", "c", Bounds{})}
+	first := f.Current()
+	all := func(int, float64) bool { return true }
+	for now := 1000.0; now < 9000; now += 5 {
+		for u, s := range above {
+			begun := now - 20
+			if u == first && now > 3000 {
+				begun = 3000
+			}
+			s.Offer(View{Step: 2, Begun: begun, Rules: v1, Index: -1})
+		}
+		drive(t, f, now, now+5, above, all, func(float64) View { return View{} })
+		if v, ok := f.View(); !ok || v.Age(now) > 600 {
+			t.Fatalf("at %.0f: %v, %.0f old", now, ok, v.Age(now))
+		}
+	}
+	if f.Current() == first {
+		t.Errorf("not left: %+v", f.Counts())
+	}
+}
+
+// Where nobody answers, or all refuse at once, questions come at the rate at which they always do.
+func TestConstantWork(t *testing.T) {
+	for _, fast := range []bool{false, true} {
+		f := NewFollower(Config{Name: "f", Cluster: "c", Upstream: 3, Seed: 2}, 0)
+		n := 0
+		for now := 0.0; now < 10000; now += 5 {
+			f.Clock(now)
+			for {
+				d, ok := f.Next()
+				if !ok {
+					break
+				}
+				if d.Kind == AskOf {
+					if n++; fast {
+						f.Failed(d.Upstream, now)
+					}
+				}
+			}
+		}
+		if n < 40 || n > 3*100+3 {
+			t.Errorf("fast %v: %d questions in ten leases", fast, n)
+		}
+	}
+}
+
+// Facts go up until one above has answered a question that had them; all of them go again to another one,
+// and to one that has begun anew.
+func TestFactsGoUp(t *testing.T) {
+	f, v1 := follower(t)
+	above := []*Source{NewSource("a", "c", Bounds{Life: 5}), NewSource("b", "c", Bounds{Life: 6})}
+	view := func(now float64) View { return View{Step: 2, Begun: now - 20, Rules: v1, Index: -1} }
+	first, dead := f.Current(), -1
+	alive := func(u int, now float64) bool { return u != dead }
+	var all []HostStep
+	for i := range MostTold + 10 {
+		all = append(all, HostStep{Host: fmt.Sprintf("h%05d", i), Step: uint64(1 + i%3)})
+	}
+	f.Tell(all)
+	f.Tell([]HostStep{{Host: "h00002", Step: 1}}) // older: no news
+	drive(t, f, 1000, 1500, above, alive, view)
+	if got := above[first].Facts(); len(got) != len(all) || got[2].Step != 3 {
+		t.Fatalf("%d facts", len(got))
+	}
+	if n := len(above[first].Told()); n != len(all) || len(above[first].Told()) != 0 {
+		t.Errorf("%d told", n)
+	}
+	if a := asked(f, 1700); len(a) != 1 || len(a[0].Seen) != 0 {
+		t.Errorf("told again: %+v", a)
+	}
+	dead = first
+	drive(t, f, 1800, 3000, above, alive, view)
+	if n := len(above[1-first].Facts()); n != len(all) {
+		t.Errorf("%d at the other one", n)
+	}
+	above[1-first] = NewSource("b", "c", Bounds{Life: 7}) // it begins anew
+	drive(t, f, 3000, 4000, above, alive, view)
+	if n := len(above[1-first].Facts()); n != len(all) {
+		t.Errorf("%d at one that has begun anew", n)
+	}
+}
+
+// Facts are bounded: those of the lowest steps go first.
+func TestFactsAreBounded(t *testing.T) {
+	f := NewFollower(Config{Name: "f", Cluster: "c", Upstream: 1}, 0)
+	for i := range mostHosts + 1 {
+		f.Tell([]HostStep{{Host: fmt.Sprint("h", i), Step: uint64(10 + i)}})
+	}
+	if len(f.facts) != mostHosts || f.facts["h0"] != 0 || f.facts["h1"] != 11 || f.Counts().Dropped != 1 {
+		t.Errorf("%d facts, %+v", len(f.facts), f.Counts())
+	}
+	s := NewSource("s", "c", Bounds{Hosts: 2})
+	for i := range 4 {
+		if _, err := s.Answer(&Ask{Form: Form, Cluster: "c", From: "f", Index: -1,
+			Seen: []HostStep{{Host: fmt.Sprint("h", i), Step: 1}}}, 0); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if n := s.Counts(); len(s.Facts()) != 2 || n.Dropped != 2 {
+		t.Errorf("%v %+v", s.Facts(), n)
+	}
+}
+
+// Wholes are bounded by bytes; renewals and deltas are not, and one that is told to wait asks quietly and
+// then again, so that all are served in the end.
+func TestStorm(t *testing.T) {
+	v1 := state(t, 1, rules(100, 96))
+	size := float64(v1.Bytes())
+	s := NewSource("s", "c", Bounds{WholeBurst: 4 * size, WholeRate: 10 * size})
+	var all []*Follower
+	for i := range 50 {
+		all = append(all, NewFollower(Config{Name: fmt.Sprint("f", i), Cluster: "c", Upstream: 1,
+			Interest: accord.Interest{All: true}, Seed: int64(i)}, 1000))
+	}
+	up, wholes := 0, int64(0)
+	for now := 1000.0; now < 12000; now += 10 {
+		s.Offer(View{Step: 2, Begun: now, Rules: v1, Index: -1})
+		up = 0
+		for _, f := range all {
+			told(t, f, now, s)
+			if _, ok := f.View(); ok {
+				up++
+			}
+		}
+		if n := s.Counts(); float64(n.Wholes) > 6+(now-1000)/100 {
+			t.Fatalf("%d wholes by %.0f", n.Wholes, now)
+		}
+		if up == len(all) && wholes == 0 {
+			wholes = s.Counts().Wholes
+			t.Logf("all up after %.0f ms, %d told to wait", now-1000, s.Counts().Busy)
+		}
+	}
+	n := s.Counts()
+	if up != len(all) || wholes != 50 || n.Wholes != 50 || n.Busy == 0 || n.Busy > 1000 {
+		t.Errorf("%d up, %+v", up, n)
+	}
+}
+
+// A delta is made from a version that is kept, for any interest; one further back gets the whole.
+func TestSourceKeeps(t *testing.T) {
+	s := NewSource("s", "c", Bounds{Versions: 3})
+	in := accord.Interest{Host: "h1"}
+	var marks []resource.Mark
+	for i := range 5 {
+		v := state(t, uint64(i+1), rules(20, 96-float64(i)))
+		s.Offer(View{Step: uint64(i + 1), Begun: 0, Rules: v, Index: -1})
+		marks = append(marks, accord.Select(v, in).Mark())
+	}
+	for i, m := range marks {
+		r, err := s.Answer(&Ask{Form: Form, Cluster: "c", From: "f", Interest: in, Rules: m, Index: -1}, 10)
+		if err != nil || r.Rules != marks[4] {
+			t.Fatalf("%v %+v", err, r)
+		}
+		switch {
+		case i == 4 && r.RulesDelta == nil:
+		case i < 4 && i >= 2 && r.RulesDelta.From == m && len(r.RulesDelta.Set) == 1:
+		case i < 2 && r.RulesDelta.From.None() && len(r.RulesDelta.Set) == 4: // header, plan, two members
+		default:
+			t.Errorf("from version %d: %+v", i+1, r.RulesDelta)
+		}
+	}
+	spoilt := marks[3]
+	spoilt.Digest[0]++
+	r, _ := s.Answer(&Ask{Form: Form, Cluster: "c", From: "f", Interest: in, Rules: spoilt, Index: -1}, 10)
+	if r.RulesDelta == nil || !r.RulesDelta.From.None() {
+		t.Errorf("a mark that never was: %+v", r.RulesDelta)
+	}
+	if s.Offer(View{Step: 2, Rules: state(t, 9, rules(2, 1))}); s.v.Step != 5 {
+		t.Error("a lower step was taken")
+	}
+}
+
+func TestSourceRefuses(t *testing.T) {
+	s := NewSource("s", "c", Bounds{})
+	for name, a := range map[string]*Ask{
+		"form: 2":    {Form: 2, Cluster: "c", From: "f"},
+		"cluster: ":  {Form: Form, Cluster: "d", From: "f"},
+		"from: ":     {Form: Form, Cluster: "c"},
+		"seen: 2001": {Form: Form, Cluster: "c", From: "f", Seen: make([]HostStep, MostTold+1)},
+		"interest: ": {Form: Form, Cluster: "c", From: "f", Interest: accord.Interest{Around: -1}},
+	} {
+		if _, err := s.Answer(a, 0); err == nil || !strings.HasPrefix(err.Error(), name) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	if n := s.Counts(); n.Refused != 5 {
+		t.Errorf("%+v", n)
+	}
+	r, err := s.Answer(&Ask{Form: Form, Cluster: "c", From: "f", Index: -1}, 0)
+	if err != nil || r.Step != 0 || r.Index != -1 {
+		t.Errorf("%v %+v", err, r)
+	}
+}
+
+// The highest index of discovery's list goes up, and down once those that told it are silent.
+func TestIndexGoesUp(t *testing.T) {
+	s := NewSource("s", "c", Bounds{})
+	s.Offer(View{Step: 1, Rules: state(t, 1, rules(2, 96)), Index: 3})
+	tell := func(who string, index int64, now float64) int64 {
+		r, err := s.Answer(&Ask{Form: Form, Cluster: "c", From: who, Index: index}, now)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return r.Index
+	}
+	for i, c := range []struct {
+		who   string
+		index int64
+		at    float64
+		want  int64
+	}{{"a", -1, 0, 3}, {"a", 7, 10, 7}, {"b", 5, 20, 7}, {"b", 5, 9000, 7}, {"b", 5, 11500, 5},
+		{"b", -1, 25000, 3}} {
+		if got := tell(c.who, c.index, c.at); got != c.want {
+			t.Errorf("%d: %d, not %d", i, got, c.want)
+		}
+	}
+}
