--- a/internal/relay/api.go
+++ b/internal/relay/api.go
@@ -77,7 +77,7 @@
 // The kinds.
 const (
 	AskOf Kind = iota + 1 // Ask the Upstream, and note the time before; give up after Within
-	News                  // the view is another than before: another step, other rules, or settled
+	News                  // another step, other rules, settled, or lost. A renewal is none: see Follower.View
 	Wake                  // call Clock again at time At
 )
 
--- a/internal/relay/follower.go
+++ b/internal/relay/follower.go
@@ -176,7 +176,8 @@
 	f.process, f.holds = process, step
 }
 
-// View gives what is known; false where there is nothing whose lease still runs.
+// View gives what is known; false where there is nothing whose lease still runs. One that answers others
+// offers it to its Source after each Heard, as a renewal makes it younger.
 func (f *Follower) View() (View, bool) {
 	v := f.v
 	v.Index = max(v.Index, f.own)
--- a/internal/relay/form_test.go
+++ b/internal/relay/form_test.go
@@ -177,10 +177,11 @@
 		name  string
 		in    accord.Interest
 		whole int
-	}{{"a relay", accord.Interest{All: true}, 300000}, {"a gatekeeper", accord.Interest{Name: "g77", Around: 20}, 2500},
+	}{{"a relay", accord.Interest{All: true}, 300000},
+		{"a gatekeeper", accord.Interest{Name: "g77", Around: 20}, 2500},
 		{"a host", accord.Interest{Host: "h77", Around: 20}, 2500}} {
-		a := &Ask{Form: Form, Cluster: "fleet", From: "host-0077", Interest: c.in, Step: 80, Index: 123456, Process: 4321,
-			Holds: 80}
+		a := &Ask{Form: Form, Cluster: "fleet", From: "host-0077", Interest: c.in, Step: 80, Index: 123456,
+			Process: 4321, Holds: 80}
 		s.Offer(View{Step: 80, Begun: 1900, Rules: v1, Index: 123456})
 		_, whole := size(a)
 		a.Rules = accord.Select(v1, c.in).Mark()
@@ -188,8 +189,8 @@
 		s.Offer(View{Step: 81, Begun: 1900, Rules: v2, Index: 123456})
 		_, delta := size(a)
 		s = NewSource("region-0-relay-1", "fleet", Bounds{})
-		t.Logf("%s: %d bytes of a question, %d of a renewal, %d of a version of one plan, %d of a whole", c.name, ask,
-			renewal, delta, whole)
+		t.Logf("%s: %d bytes of a question, %d of a renewal, %d of a version of one plan, %d of a whole", c.name,
+			ask, renewal, delta, whole)
 		if ask > 120 || renewal > 120 || delta > 250 || whole > c.whole {
 			t.Errorf("%s: too long", c.name)
 		}
@@ -204,7 +205,8 @@
 
 func FuzzReadAnswer(f *testing.F) {
 	s := state(f, 1, rules(3, 96))
-	raw, _ := (&Answer{Form: Form, Cluster: "c", Step: 2, Rules: s.Mark(), RulesDelta: resource.Whole(s)}).Bytes()
+	raw, _ := (&Answer{Form: Form, Cluster: "c", Step: 2, Rules: s.Mark(),
+		RulesDelta: resource.Whole(s)}).Bytes()
 	f.Add(raw[1 : len(raw)-sumBytes])
 	f.Fuzz(func(t *testing.T, body []byte) {
 		raw := sealed(body)
--- a/internal/rulebook/rulebook_test.go
+++ b/internal/rulebook/rulebook_test.go
@@ -1,6 +1,7 @@
 package rulebook
 
 import (
+	"fmt"
 	"reflect"
 	"strings"
 	"testing"
@@ -55,3 +56,52 @@
 		t.Errorf("%+v", r)
 	}
 }
+
+// members are rules' text with so many.
+func members(n int) string {
+	var b strings.Builder
+	b.WriteString("needs = [\"members\"]\n[[plans]]\nname = \"p\"\nrate = 10\nburst = 5\n")
+	for i := range n {
+		fmt.Fprintf(&b, "[[members]]\nname = \"gk-%04d\"\nhost = \"host-%04d\"\npeers = \"10.%d.%d.%d:9000\"\n",
+			i, i, i>>16, i>>8&255, i&255)
+	}
+	return b.String()
+}
+
+// The coming fleet's file is read, and written as it was; without what it needs it is refused by key.
+func TestManyMembers(t *testing.T) {
+	text := members(7900)
+	r, err := Decode(text)
+	if err != nil || len(r.Members) != 7900 {
+		t.Fatalf("%v, %d members", err, len(r.Members))
+	}
+	again, err := Encode(&r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if back, err := Decode(again); err != nil || !reflect.DeepEqual(back, r) {
+		t.Errorf("%v", err)
+	}
+	if len(text) > MostOf/4 || len(again) > MostOf/4 {
+		t.Errorf("%d and %d bytes", len(text), len(again))
+	}
+	_, err = Decode(strings.TrimPrefix(text, "needs = [\"members\"]"))
+	if err == nil || !strings.Contains(err.Error(), "needs: 7900 members") {
+		t.Errorf("%v", err)
+	}
+}
+
+func BenchmarkDecode(b *testing.B) {
+	for _, n := range []int{100, 300, 1000, 3000, 7900} {
+		text := members(n)
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			b.ReportAllocs()
+			b.SetBytes(int64(len(text)))
+			for b.Loop() {
+				if _, err := Decode(text); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
