--- a/internal/relay/follower.go
+++ b/internal/relay/follower.go
@@ -22,6 +22,7 @@
 	mostBusy    = 10000.0    // that one waits for a whole, whatever it was told
 	mostBases   = 4          // states kept as bases for deltas: versions in force and pending, and those before
 	mostHosts   = 16384      // whose facts are kept; of more, those of the lowest steps go
+	mostDepth   = 16         // relays one above the other; more are a ring
 	mostState   = MostAnswer // bytes of keys and values of a state
 	mostEntries = 32768      // of a state or delta: members, words and plans of the largest rules, and as many
 	never       = -math.MaxFloat64
@@ -151,16 +152,23 @@
 	}
 }
 
-// forget drops the fact of the lowest step: a host that is silent makes a change wait, and no more.
+// forget drops the fact of the lowest step.
 func (f *Follower) forget() {
+	least := lowest(f.facts)
+	delete(f.facts, least)
+	delete(f.up, least)
+}
+
+// lowest is the host of the lowest step, most likely one that is gone. Where it is not, it makes a change
+// wait.
+func lowest(facts map[string]uint64) string {
 	least := ""
-	for h, step := range f.facts {
-		if l := f.facts[least]; least == "" || step < l || step == l && h < least {
+	for h, step := range facts {
+		if l := facts[least]; least == "" || step < l || step == l && h < least {
 			least = h
 		}
 	}
-	delete(f.facts, least)
-	delete(f.up, least)
+	return least
 }
 
 // Index tells the highest index of discovery's list that is known here and below; below nought: none.
@@ -342,7 +350,7 @@
 		f.pass(upstream)
 		return
 	}
-	if !(a.Age >= 0) || a.Age > math.MaxFloat32 || a.Depth < 0 || !(a.Busy >= 0) {
+	if !(a.Age >= 0) || a.Age > math.MaxFloat32 || !(a.Busy >= 0) || a.Depth < 0 || a.Depth >= mostDepth {
 		f.n.Bad++
 		f.pass(upstream)
 		return
@@ -355,9 +363,12 @@
 		f.pass(upstream)
 		return
 	}
-	f.tried = 0
 	f.weigh(upstream, asked-a.Age, a)
-	f.word(asked-a.Age, a, o.quiet)
+	if f.word(asked-a.Age, a, o.quiet) {
+		f.tried = 0
+	} else {
+		f.pass(upstream)
+	}
 }
 
 // heldUp books which facts the current upstream has. One of another life has forgotten what it was told.
@@ -388,31 +399,38 @@
 	}
 }
 
-// word takes what was said, whole or not at all.
-func (f *Follower) word(begun float64, a *Answer, quiet bool) {
+// word takes what was said, whole or not at all; false where another had better be asked.
+func (f *Follower) word(begun float64, a *Answer, quiet bool) bool {
 	switch {
-	case begun+f.lease <= f.now:
-		f.n.Lapsed++
-		return
 	// A clock that ran slow says too little of an age, by no more than the drift over a lease.
 	case !f.c.Booked && begun < f.start+3*drift*f.lease:
 		f.n.Before++
-		return
+		return true
 	case f.has && (a.Step < f.v.Step || a.Step == f.v.Step && begun < f.v.Begun):
 		f.n.Late++
 		if a.Step == f.v.Step && a.Settled && !f.v.Settled && f.same(a) { // it stays true
 			f.v.Settled, f.news = true, true
 		}
-		return
+		return true
 	case f.has && a.Step == f.v.Step && !f.same(a),
 		f.has && a.Rules.Number < f.v.Rules.Mark().Number, a.Rules.None(),
 		!a.Pending.None() && a.Pending.Number != a.Rules.Number+1:
 		f.n.Bad++
-		return
+		return false
 	}
-	rules, pending, ok := f.made(a, quiet)
-	if !ok {
-		return
+	rules, pending, sound := f.made(a, quiet)
+	if rules == nil {
+		return sound
+	}
+	lease := f.lease // of the rules that are told, which may be longer than that of those before
+	if !f.has || rules.Mark() != f.v.Rules.Mark() {
+		if l := accord.LeaseOf(rules); l > 0 {
+			lease = l
+		}
+	}
+	if begun+lease <= f.now {
+		f.n.Lapsed++
+		return true
 	}
 	if f.has && a.Step == f.v.Step {
 		f.n.Renewed++
@@ -429,10 +447,11 @@
 	f.has, f.lost, f.empty = true, false, false
 	f.keep(pending)
 	f.keep(rules)
-	if l := accord.LeaseOf(rules); l > 0 && l != f.lease {
-		f.lease = l
+	if lease != f.lease {
+		f.lease = lease
 		f.pace()
 	}
+	return true
 }
 
 // same tells whether an answer names the states that are gone by.
@@ -440,8 +459,9 @@
 	return a.Rules == f.v.Rules.Mark() && a.Pending == f.v.Pending.Mark()
 }
 
-// made gives the states that an answer names: those at hand, or made by its deltas.
-func (f *Follower) made(a *Answer, quiet bool) (rules, pending *resource.State, ok bool) {
+// made gives the states that an answer names: those at hand, or made by its deltas. Without rules there are
+// none, and sound tells whether the one above did as it should.
+func (f *Follower) made(a *Answer, quiet bool) (rules, pending *resource.State, sound bool) {
 	if rules = f.find(a.Rules); rules == nil {
 		if a.RulesDelta == nil {
 			switch {
@@ -450,11 +470,12 @@
 				f.quiet = f.now + f.rng.Float64()*math.Min(a.Busy, mostBusy)
 			case !quiet:
 				f.n.Missing++
+				return nil, nil, false
 			}
-			return nil, nil, false
+			return nil, nil, true
 		}
-		if rules = f.apply(f.find(a.RulesDelta.From), a.RulesDelta, a.Rules); rules == nil {
-			return nil, nil, false
+		if rules, sound = f.apply(f.find(a.RulesDelta.From), a.RulesDelta, a.Rules); rules == nil {
+			return nil, nil, sound
 		}
 	}
 	if a.Pending.None() {
@@ -468,34 +489,39 @@
 			f.n.Missing++
 			f.empty = true
 		}
-		return nil, nil, false
+		return nil, nil, quiet
 	}
-	pending = f.apply(rules, a.PendingDelta, a.Pending)
-	return rules, pending, pending != nil
+	if pending, sound = f.apply(rules, a.PendingDelta, a.Pending); pending == nil {
+		return nil, nil, sound
+	}
+	return rules, pending, true
 }
 
-// apply makes a state of a delta, or counts why not and has the next question say that there is nothing.
-func (f *Follower) apply(base *resource.State, d *resource.Delta, to resource.Mark) *resource.State {
+// apply makes a state of a delta, or counts why not and has the next question say that there is nothing. A
+// delta against a state that is gone here is sound: it may have been asked for before.
+func (f *Follower) apply(base *resource.State, d *resource.Delta, to resource.Mark) (
+	s *resource.State, sound bool) {
 	if d.To != to || len(d.Set)+len(d.Drop) > mostEntries || d.Bytes() > mostState {
 		f.n.Bad++
 		f.empty = true
-		return nil
+		return nil, false
 	}
 	s, err := base.Apply(d)
 	switch {
 	case errors.Is(err, resource.ErrBase):
 		f.n.Base++
+		sound = true
 	case err != nil:
 		f.n.Digest++
 	case s.Bytes() > mostState || s.Len() > mostEntries:
 		f.n.Bad++
 	case d.From.None():
 		f.n.Wholes++
-		return s
+		return s, true
 	default:
 		f.n.Deltas++
-		return s
+		return s, true
 	}
 	f.empty = true
-	return nil
+	return nil, sound
 }
--- a/internal/relay/source.go
+++ b/internal/relay/source.go
@@ -12,8 +12,8 @@
 // What a Source's Bounds are where they are 0, and what of it is fixed.
 const (
 	keptVersions = 16       // at 5,600 changes a day four minutes' worth; longer away, and it is the whole
-	keptParts    = 8192     // a region's hosts and relays, four times over
-	keptAskers   = 8192     // the same
+	keptParts    = 2048     // a region's hosts, of some 10 KB each
+	keptAskers   = 8192     // a region's hosts and relays, four times over
 	wholeRate    = 16 << 20 // bytes a second: a tenth of a link of a gigabit and some
 	wholeBurst   = 4 << 20  // bytes: a zone's 564 parts of 4 KB and a few relays' wholes
 	indexFor     = 10000.0  // ms for which one's word on discovery's list counts
@@ -62,6 +62,7 @@
 	v             View
 	versions      []*kept // the latest first
 	parts         map[accord.Interest]*part
+	former        map[accord.Interest]*part // of the view before, which most have
 	deltas        map[pair]*resource.Delta
 	facts         map[string]uint64
 	news          map[string]bool
@@ -106,7 +107,7 @@
 		return
 	}
 	if !s.has || v.Rules.Mark() != s.v.Rules.Mark() || v.Pending.Mark() != s.v.Pending.Mark() {
-		clear(s.parts)
+		s.former, s.parts = s.parts, map[accord.Interest]*part{}
 		clear(s.deltas)
 		s.keep(v.Pending)
 		s.keep(v.Rules)
@@ -152,10 +153,9 @@
 		p.pending = s.of(s.v.Pending.Mark()).part(in)
 		p.coming = s.delta(p.rules, p.pending)
 	}
-	if len(s.parts) >= s.b.Parts {
-		clear(s.parts)
+	if len(s.parts) < s.b.Parts { // of more, each is made anew
+		s.parts[in] = p
 	}
-	s.parts[in] = p
 	return p
 }
 
@@ -164,10 +164,9 @@
 	d := s.deltas[key]
 	if d == nil {
 		d = resource.Between(from, to)
-		if len(s.deltas) >= s.b.Parts {
-			clear(s.deltas)
+		if len(s.deltas) < s.b.Parts {
+			s.deltas[key] = d
 		}
-		s.deltas[key] = d
 	}
 	return d
 }
@@ -178,6 +177,13 @@
 	if m.None() {
 		return nil
 	}
+	if p := s.former[in]; p != nil {
+		for _, o := range []*resource.State{p.rules, p.pending} {
+			if o.Mark() == m {
+				return o
+			}
+		}
+	}
 	for _, k := range s.versions {
 		if k.state.Mark().Number == m.Number {
 			if p := k.part(in); p.Mark() == m {
@@ -254,7 +260,9 @@
 		}
 		if !there && len(s.facts) >= s.b.Hosts {
 			s.n.Dropped++
-			continue
+			least := lowest(s.facts)
+			delete(s.facts, least)
+			delete(s.news, least)
 		}
 		s.facts[h.Host], s.news[h.Host] = h.Step, true
 		s.n.Seen++
