Relays: questions have numbers, which answers echo

Cause: an answer that is doubled and comes for a later question than its own is taken for younger than it is, and acted on beyond B. Change: the message has the question's number under its checksum; a follower refuses an answer whose number is of another question than the one that was sent then.

--- a/internal/relay/api.go
+++ b/internal/relay/api.go
@@ -32,6 +32,8 @@
 	// Process and Holds are a gatekeeper's to its own host's daemon: its process id, and accord.Holder.Holds.
 	Process int    `cbor:"11,keyasint,omitempty"`
 	Holds   uint64 `cbor:"12,keyasint,omitempty"`
+	// Number is the asker's own, another one for each question.
+	Number uint64 `cbor:"13,keyasint,omitempty"`
 }
 
 // Answer is what is told.
@@ -55,6 +57,9 @@
 	PendingDelta *resource.Delta `cbor:"13,keyasint,omitempty"`
 	// Busy, over 0: there was no room for a whole; ask quietly for up to so many ms.
 	Busy float64 `cbor:"14,keyasint,omitempty"`
+	// Number is the question's. An answer that came for a later question than its own would be taken for younger
+	// than it is. Nought: the host sees to that.
+	Number uint64 `cbor:"15,keyasint,omitempty"`
 }
 
 // View is what is known at a moment, by one's own clock.
--- a/internal/relay/follower.go
+++ b/internal/relay/follower.go
@@ -20,6 +20,7 @@
 	stalestPart = 2.0 / 3    // and what any relay says
 	againLeases = 30.0       // until the one above that is preferred is tried again: 20 to 40 with jitter
 	mostBusy    = 10000.0    // that one waits for a whole, whatever it was told
+	mostPast    = 64         // questions that an answer may still come to: two leases' worth and more
 	mostBases   = 4          // states kept as bases for deltas: versions in force and pending, and those before
 	mostHosts   = 16384      // whose facts are kept; of more, those of the lowest steps go
 	mostDepth   = 16         // relays one above the other; more are a ring
@@ -36,6 +37,13 @@
 	quiet bool
 }
 
+// past is a question that an answer may still come to.
+type past struct {
+	number   uint64
+	upstream int
+	asked    float64
+}
+
 // Follower follows those above: it asks one of them at a fixed rate, takes what they say, and goes over to
 // another where one lies still. It is not safe for concurrent use.
 type Follower struct {
@@ -70,6 +78,8 @@
 	up    map[string]bool // those that the current upstream has not answered yet
 	life  uint64          // of the current upstream
 	slept float64
+	last  uint64 // number of a question
+	asked []past // the latest
 	n     Counts
 }
 
@@ -82,6 +92,7 @@
 	if !(f.lease > 0) {
 		f.lease = freshLease
 	}
+	f.last = f.rng.Uint64() >> 1 // what came for a former life is none of this one's
 	f.order = f.rng.Perm(max(c.Upstream, 1))
 	f.asks, f.fresh = make([]out, len(f.order)), slices.Repeat([]float64{never}, len(f.order))
 	f.pace()
@@ -287,7 +298,12 @@
 			a.Seen = append(a.Seen, HostStep{Host: h, Step: f.facts[h]})
 		}
 	}
+	f.last++
+	a.Number = f.last
 	f.asks[u] = out{is: true, asked: f.now, seen: a.Seen, quiet: a.Quiet}
+	if f.asked = append(f.asked, past{f.last, u, f.now}); len(f.asked) > mostPast {
+		f.asked = slices.Delete(f.asked, 0, 1)
+	}
 	f.n.Asked++
 	return Decision{Kind: AskOf, Upstream: u, Ask: a, Within: f.within()}
 }
@@ -345,6 +361,10 @@
 	if f.asks[upstream].is && f.asks[upstream].asked == asked {
 		o, f.asks[upstream] = f.asks[upstream], out{}
 	}
+	if !f.mine(upstream, asked, a.Number) {
+		f.n.Bad++
+		return
+	}
 	if a.Form != Form || a.Cluster != f.c.Cluster {
 		f.n.Foreign++
 		f.pass(upstream)
@@ -371,6 +391,13 @@
 	}
 }
 
+// mine tells whether an answer is one to the question that was sent at a time.
+func (f *Follower) mine(upstream int, asked float64, number uint64) bool {
+	return number == 0 || slices.ContainsFunc(f.asked, func(p past) bool {
+		return p.number == number && p.upstream == upstream && p.asked == asked
+	})
+}
+
 // heldUp books which facts the current upstream has. One of another life has forgotten what it was told.
 func (f *Follower) heldUp(o out, a *Answer) {
 	if a.Life != f.life {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -223,6 +223,27 @@
 	}
 }
 
+// An answer that came for a later question than its own is refused: it would be taken for younger than it is.
+func TestAnswersAnotherQuestion(t *testing.T) {
+	f, v1 := follower(t)
+	s := NewSource("s", "c", Bounds{})
+	s.Offer(View{Step: 3, Begun: 990, Rules: v1, Index: -1})
+	a := asked(f, 1200)[0]
+	r, err := s.Answer(a, 1200)
+	if err != nil || r.Number == 0 || r.Number != a.Number {
+		t.Fatalf("%v %+v", err, r)
+	}
+	f.Heard(f.Current(), 1200, r)
+	if v, _ := f.View(); v.Step != 3 || v.Begun != 990 {
+		t.Fatalf("%+v", v)
+	}
+	b := asked(f, 1300)[0]
+	f.Heard(f.Current(), 1300, r) // the former one, doubled
+	if v, _ := f.View(); v.Begun != 990 || f.Counts().Bad != 1 || a.Number == b.Number {
+		t.Errorf("%+v %+v", v, f.Counts())
+	}
+}
+
 // asked gives the questions that a follower puts at a time.
 func asked(f *Follower, now float64) (all []*Ask) {
 	f.Clock(now)
--- a/internal/relay/source.go
+++ b/internal/relay/source.go
@@ -204,7 +204,7 @@
 		return nil, err
 	}
 	s.hear(a, now)
-	r := &Answer{Form: Form, Cluster: s.cluster, From: s.name, Life: s.b.Life, Index: -1}
+	r := &Answer{Form: Form, Cluster: s.cluster, From: s.name, Life: s.b.Life, Index: -1, Number: a.Number}
 	if !s.has {
 		return r, nil
 	}
