--- a/internal/accord/size_test.go
+++ b/internal/accord/size_test.go
@@ -365,6 +365,20 @@
 			}
 		}
 	}},
+	{"gains of all hosts' words", func(n int) func() {
+		c, low := NewCouncil(), many(n, 24)
+		c.Apply(Entry{Act: Propose, ID: "first", Rules: many(n, 96)})
+		c.Apply(Entry{Act: Propose, ID: "low", Base: 1, Rules: low})
+		var facts []HostStep
+		for _, m := range low.Members {
+			facts = append(facts, HostStep{Host: m.Host, Step: c.s.Step})
+		}
+		return func() {
+			if len(c.s.Gains(facts)) != n {
+				panic("it gains by none")
+			}
+		}
+	}},
 	{"snapshot", func(n int) func() {
 		c := held4(n)
 		return func() { _, _ = c.Snapshot() }
