--- a/internal/relay/form_test.go
+++ b/internal/relay/form_test.go
@@ -182,7 +182,7 @@
 		{"a gatekeeper", accord.Interest{Name: "g77", Around: 20}, 2500},
 		{"a host", accord.Interest{Host: "h77", Around: 20}, 2500}} {
 		a := &Ask{Form: Form, Cluster: "fleet", From: "host-0077", Interest: c.in, Step: 80, Index: 123456,
-			Process: 4321, Holds: 80}
+			Process: 4321, Holds: 80, Number: 1 << 60}
 		s.Offer(View{Step: 80, Begun: 1900, Rules: v1, Index: 123456})
 		_, whole := size(a)
 		a.Rules = accord.Select(v1, c.in).Mark()
