--- a/internal/relay/follower.go
+++ b/internal/relay/follower.go
@@ -26,6 +26,7 @@
 	mostDepth   = 16         // relays one above the other; more are a ring
 	mostState   = MostAnswer // bytes of keys and values of a state
 	mostEntries = 32768      // of a state or delta: members, words and plans of the largest rules, and as many
+	oneRead     = 1.0        // by which clocks may count one read's beginning as two
 	never       = -math.MaxFloat64
 )
 
@@ -433,7 +434,7 @@
 	case !f.c.Booked && begun < f.start+3*drift*f.lease:
 		f.n.Before++
 		return true
-	case f.has && (a.Step < f.v.Step || a.Step == f.v.Step && begun < f.v.Begun):
+	case f.has && (a.Step < f.v.Step || a.Step == f.v.Step && begun < f.v.Begun-oneRead):
 		f.n.Late++
 		if a.Step == f.v.Step && a.Settled && !f.v.Settled && f.same(a) { // it stays true
 			f.v.Settled, f.news = true, true
