--- a/internal/council/council_test.go
+++ b/internal/council/council_test.go
@@ -152,7 +152,7 @@
 		time.Sleep(5 * time.Millisecond)
 	}
 	for name, s := range p.all {
-		p.t.Logf("%s: %+v; %+v", name, s.View(), s.Agreement())
+		p.t.Logf("%s: %.4000s", name, fmt.Sprintf("%+v; %+v", s.View(), s.Agreement()))
 	}
 	p.t.Fatalf("not in time: %s", what)
 	return 0
@@ -819,3 +819,52 @@
 		t.Errorf("%+v", v)
 	}
 }
+
+// Rules of the coming fleet's size are agreed, one after the other before the last has settled, and a daemon
+// that comes back with nothing catches up by a snapshot of several of them.
+func TestManyMembers(t *testing.T) {
+	p := newParley(t, 5)
+	p.startAll()
+	p.until("a leader", func() bool { return p.leader() != nil })
+	many := func(rate float64) *accord.Rules {
+		r := rules(rate)
+		r.Needs = []string{accord.ManyMembers}
+		for i := len(r.Members); i < 7900; i++ {
+			r.Members = append(r.Members, accord.Member{Name: fmt.Sprintf("g%04d", i),
+				Host: fmt.Sprintf("host-%04d", i), Peers: fmt.Sprintf("10.0.%d.%d:9000", i>>8, i&255)})
+		}
+		return r
+	}
+	propose := func(s *Seat, rate float64) time.Duration {
+		began := time.Now()
+		id, err := s.Propose(many(rate))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if h := p.outcome(s, id); h.Refused != "" {
+			t.Fatalf("%+v", h)
+		}
+		return time.Since(began)
+	}
+	var took []time.Duration
+	for i := range 3 {
+		took = append(took, propose(p.all["h0"], float64(100+i)))
+	}
+	p.agree(3)
+	p.end("h4")
+	for i := range 2 {
+		took = append(took, propose(p.all["h0"], float64(200+i)))
+	}
+	for i := range 150 { // as many entries as end with a snapshot here
+		_ = p.all["h0"].Council.Propose([]byte(fmt.Sprintf(`{"Act":4,"Step":%d}`, 900+i)))
+		time.Sleep(2 * time.Millisecond)
+	}
+	p.until("the log's beginning is cut off", func() bool {
+		n, err := p.all["h0"].disk.Load().mem.FirstIndex()
+		return err == nil && n > 30
+	})
+	must(t, os.Remove(p.store("h4")))
+	p.start("h4", nil)
+	back := p.agree(5)
+	t.Logf("7,900 members: proposals answered after %v; one without a disk is back after %v", took, back)
+}
