Rules that need "members": a member that stays keeps its place in a narrowed fallback

Cause: narrowed leaves out members that a version which waited does not name, and keep then took the place in what is left for the member's own: the next change was refused ("members.1.name: b has place 0") until all hosts had seen the version or its time was up. Seen by a test of three entries. Change: a narrowed fallback has the places of those that stay, where the coming rules need "members"; without that need it stays as it was, as a daemon of before would come to another outcome for the same entry.

--- a/internal/accord/check.go
+++ b/internal/accord/check.go
@@ -239,15 +239,15 @@
 			return fmt.Errorf("plans.%s.ceiling_rate: it had none, and those cut off would go without", p.Name)
 		}
 	}
-	return keep(next, former.Members)
+	return keep(next, Stance{Members: former.Members})
 }
 
 // keep tells which member of rules has another place among former ones.
-func keep(next *Rules, former []Member) error {
-	places := make(map[string]int, len(former))
-	for j, o := range former {
+func keep(next *Rules, former Stance) error {
+	places := make(map[string]int, len(former.Members))
+	for j, o := range former.Members {
 		if o.Name != "" {
-			places[o.Name] = j
+			places[o.Name] = former.place(j)
 		}
 	}
 	for i, m := range next.Members {
--- a/internal/accord/council.go
+++ b/internal/accord/council.go
@@ -200,7 +200,7 @@
 		err = Follows(e.Rules, &s.InForce.Rules)
 	}
 	for i := 0; i < len(s.Held) && err == nil; i++ {
-		err = keep(e.Rules, s.Held[i].Stance.Members)
+		err = keep(e.Rules, s.Held[i].Stance)
 	}
 	if err != nil {
 		return Outcome{Refused: err.Error()}
--- a/internal/accord/parts.go
+++ b/internal/accord/parts.go
@@ -87,6 +87,17 @@
 type Stance struct {
 	Members []Member
 	Parts   []Part
+	// Places are those of Members where some were left out; none: they are in their places. Rules that do not
+	// need ManyMembers leave members out without a word of places, as programs before it do.
+	Places []int `json:",omitempty"`
+}
+
+// place is that of the member at i.
+func (s *Stance) place(i int) int {
+	if i < len(s.Places) {
+		return s.Places[i]
+	}
+	return i
 }
 
 // normal and fallback are the stances that rules name.
@@ -114,9 +125,12 @@
 	for _, m := range coming.Members {
 		stays[m.Name] = m.Name != ""
 	}
-	for _, m := range s.Members {
+	placed := slices.Contains(coming.Needs, ManyMembers)
+	for i, m := range s.Members {
 		if stays[m.Name] {
-			n.Members = append(n.Members, m)
+			if n.Members = append(n.Members, m); placed {
+				n.Places = append(n.Places, s.place(i))
+			}
 		}
 	}
 	for i, p := range s.Parts {
--- a/internal/accord/size_test.go
+++ b/internal/accord/size_test.go
@@ -147,7 +147,8 @@
 	differ := map[string]int{}
 	for range 20000 {
 		a, b, c := draw(), draw(), draw()
-		if got, want := fmt.Sprint(keep(a, b.Members)), fmt.Sprint(formerKeep(a, b.Members)); got != want {
+		was := fmt.Sprint(formerKeep(a, b.Members))
+		if got, want := fmt.Sprint(keep(a, Stance{Members: b.Members})), was; got != want {
 			t.Fatalf("keep: %s, not %s", got, want)
 		} else if want != "<nil>" {
 			differ["keep"]++
@@ -290,6 +291,44 @@
 	}
 }
 
+// A fallback that was narrowed to what a version that waited names leaves members out. Guards against one
+// who stays being taken for one that has moved up: the next change was refused by a key that nobody had
+// touched.
+func TestPlacesOfThoseThatStay(t *testing.T) {
+	for _, needs := range [][]string{{ManyMembers}, nil} {
+		c, id := NewCouncil(), 0
+		propose := func(ceiling float64, members string) Outcome {
+			r := small(ceiling, members)
+			r.Needs = needs
+			id++
+			return c.Apply(Entry{Act: Propose, ID: fmt.Sprint(id), Base: c.s.InForce.Number, Rules: r})
+		}
+		propose(96, "abc")
+		if o := propose(24, ".bc"); o.Waits == "" {
+			t.Fatalf("%+v", o)
+		}
+		for _, h := range "abc" {
+			c.Apply(Entry{Act: Seen, Host: "host-" + string(h), Step: 3})
+		}
+		if c.s.InForce.Number != 2 || len(c.s.Held) != 1 {
+			t.Fatalf("%+v", c.s)
+		}
+		raw, err := c.Snapshot()
+		if err != nil || c.Restore(raw) != nil {
+			t.Fatal(err)
+		}
+		if o := propose(20, ".cb"); !strings.Contains(o.Refused, "members.1.name: c has place 2") && needs != nil {
+			t.Errorf("it moves: %+v", o)
+		}
+		o := propose(20, ".bcd")
+		if needs != nil && (o.Refused != "" || o.Number != 3) {
+			t.Errorf("%+v", o)
+		} else if needs == nil && !strings.Contains(o.Refused, "members.1.name: b has place 0") {
+			t.Errorf("another program than those before takes what they refuse: %+v", o)
+		}
+	}
+}
+
 // sized are the things whose cost grows with the members; each gives what is to be measured at a size.
 var sized = []struct {
 	name string
@@ -301,7 +340,7 @@
 	}},
 	{"keep", func(n int) func() {
 		r := many(n, 96)
-		return func() { _ = keep(r, r.Members) }
+		return func() { _ = keep(r, Stance{Members: r.Members}) }
 	}},
 	{"hosts, former", func(n int) func() {
 		r := many(n, 96)
