--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -583,6 +583,19 @@
 	}
 }
 
+// The least that a source keeps is the version in force and one that waits.
+func TestSourceKeepsWhatWaits(t *testing.T) {
+	s := NewSource("s", "c", Bounds{Versions: 1, Parts: 1})
+	v1, v2 := state(t, 1, rules(6, 96)), state(t, 2, rules(6, 24))
+	s.Offer(View{Step: 3, Begun: 0, Rules: v1, Pending: v2, Index: -1})
+	for _, in := range []accord.Interest{{All: true}, {Host: "h0"}, {Host: "h1"}} {
+		r, err := s.Answer(&Ask{Form: Form, Cluster: "c", From: "f", Interest: in, Index: -1}, 10)
+		if err != nil || r.PendingDelta == nil || r.Pending.Number != 2 {
+			t.Errorf("%+v: %v %+v", in, err, r)
+		}
+	}
+}
+
 func TestSourceRefuses(t *testing.T) {
 	s := NewSource("s", "c", Bounds{})
 	for name, a := range map[string]*Ask{
--- a/internal/relay/source.go
+++ b/internal/relay/source.go
@@ -81,6 +81,7 @@
 		}
 	}
 	preset(&b.Versions, keptVersions)
+	b.Versions = max(b.Versions, 2) // the one in force, and one that waits
 	preset(&b.Parts, keptParts)
 	preset(&b.Askers, keptAskers)
 	preset(&b.Hosts, mostHosts)
