--- a/internal/relay/walk_test.go
+++ b/internal/relay/walk_test.go
@@ -76,7 +76,8 @@
 	writes         []wrote
 	process        int
 	pair           [2]resource.Mark
-	before         *Answer // the one before, which may come once more in place of another
+	replica        *Replica // in place of a follower
+	before         *Answer  // the one before, which may come once more in place of another
 	mine           [2]*accord.Rules
 	leased, lapses int
 }
@@ -128,6 +129,8 @@
 	wrong     string
 	versions  map[resource.Mark]*accord.Rules
 	processes int
+	numbers   uint64
+	replicas  bool // gatekeepers keep them, as they do with relayd
 }
 
 func (w *walk) bad(form string, args ...any) {
@@ -262,7 +265,10 @@
 	for i := range 2 {
 		w.roots = append(w.roots, add(&node{name: fmt.Sprint("root", i), council: accord.NewCouncil()}))
 	}
-	branches := [2][]*node{w.roots, w.roots}
+	branches, around := [2][]*node{w.roots, w.roots}, 1
+	if w.replicas {
+		around = Around
+	}
 	for level := 1; level < depth; level++ {
 		for b := range 2 {
 			if b == 1 && (!tree || level == 1) {
@@ -283,10 +289,10 @@
 	}
 	for b := range 2 {
 		d := add(&node{name: fmt.Sprint("daemon", b), host: fmt.Sprint("h", b), level: depth, zone: b + 1,
-			ups: branches[b], interest: accord.Interest{Host: fmt.Sprint("h", b), Around: 1}})
+			ups: branches[b], interest: accord.Interest{Host: fmt.Sprint("h", b), Around: around}})
 		for _, g := range []string{"ab", "cd"}[b] {
 			n := &node{name: string(g), host: d.host, level: depth + 1, zone: b + 1, ups: []*node{d}, daemon: d,
-				interest: accord.Interest{Name: string(g), Around: 1}}
+				interest: accord.Interest{Name: string(g), Around: around}}
 			d.gates, w.gates = append(d.gates, n), append(w.gates, n)
 		}
 	}
@@ -343,6 +349,9 @@
 	if n.daemon == nil && n.gates == nil {
 		c.PerLease = 20
 	}
+	if n.replica = nil; n.daemon != nil && w.replicas {
+		n.replica = NewReplica(n.name, n.process, c.Seed)
+	}
 	n.follower = NewFollower(c, n.clock(w.now))
 	n.follower.Holds(n.process, 0)
 	switch {
@@ -399,6 +408,15 @@
 		w.sit(n)
 		return
 	}
+	if n.replica != nil {
+		n.holder.Clock(n.clock(w.now))
+		for d, more := n.holder.Next(); more; d, more = n.holder.Next() {
+			if d.Kind == accord.Ask {
+				w.askFor(n)
+			}
+		}
+		return
+	}
 	for done := false; !done; {
 		done = true
 		n.follower.Clock(n.clock(w.now))
@@ -504,7 +522,52 @@
 
 // ask sends a question on its way, and its answer back.
 func (w *walk) ask(n *node, d Decision) {
-	up, asked, a, life := n.ups[d.Upstream], n.clock(w.now), d.Ask, n.life
+	asked := n.clock(w.now)
+	w.send(n, n.ups[d.Upstream], d.Ask, func(r *Answer) {
+		f, asked := n.follower, asked
+		f.Clock(n.clock(w.now))
+		switch w.plant {
+		case fromReceipt:
+			asked, r.Number = n.clock(w.now), 0
+		case lowerTaken:
+			f.has = false
+		}
+		if r.Number != d.Ask.Number && w.plant == anyQuestion {
+			r.Number = 0
+		}
+		f.Heard(d.Upstream, asked, r)
+		w.turn(n)
+	})
+}
+
+// askFor sends the question of a gatekeeper that keeps a replica, as its holder wants it, and has the holder
+// hear what came.
+func (w *walk) askFor(n *node) {
+	asked, a := n.clock(w.now), n.replica.Ask(n.clock(w.now), n.holder.Holds(), -1)
+	w.numbers++
+	a.Cluster, a.Number = "c", w.numbers
+	w.send(n, n.daemon, a, func(r *Answer) {
+		asked := asked
+		switch {
+		case w.plant == fromReceipt:
+			asked = n.clock(w.now)
+		case w.plant == lowerTaken:
+			n.replica.lease.Step = 0
+		case r.Number != a.Number && w.plant != anyQuestion: // as relayd's client has it
+			return
+		}
+		n.holder.Clock(n.clock(w.now))
+		if l, _, err := n.replica.Hear(r, n.clock(w.now)); err == nil && l.Version.Number > 0 {
+			w.goes(n, &View{Step: l.Step, Begun: asked - l.Age, Rules: n.replica.rules, Pending: n.replica.pending})
+			n.holder.Heard(l, asked)
+		}
+		w.turn(n)
+	})
+}
+
+// send sends a question on its way, and its answer back, if the life that asked is still there.
+func (w *walk) send(n, up *node, a *Ask, came func(*Answer)) {
+	life := n.life
 	w.counts["asks"]++
 	w.in(up, func() {
 		if up.warden != nil {
@@ -526,27 +589,16 @@
 			if n.life != life {
 				return
 			}
-			f, asked := n.follower, asked
-			f.Clock(n.clock(w.now))
-			switch w.plant {
-			case fromReceipt:
-				asked, r.Number = n.clock(w.now), 0
-			case notAdded:
-				r.Age = 0
-			case lowerTaken:
-				f.has = false
-			}
-			switch before := n.before; {
-			case w.calm || before == nil || w.rng.Intn(30) > 0:
+			x := *r
+			if before := n.before; w.calm || before == nil || w.rng.Intn(30) > 0 {
 				n.before = r
-			case w.plant == anyQuestion:
-				x := *before
-				x.Number, r = 0, &x
-			default:
-				r = before
+			} else {
+				x = *before
 			}
-			f.Heard(d.Upstream, asked, r)
-			w.turn(n)
+			if w.plant == notAdded {
+				x.Age = 0
+			}
+			came(&x)
 		})
 	})
 }
@@ -600,6 +652,14 @@
 	if !ok {
 		return
 	}
+	w.goes(n, &v)
+	if n.source != nil {
+		n.source.Offer(v)
+	}
+}
+
+// goes checks a view that a node goes by.
+func (w *walk) goes(n *node, v *View) {
 	if v.Step < n.step || v.Rules.Mark().Number < n.version {
 		w.bad("%s goes from step %d back to %d", n.name, n.step, v.Step)
 	}
@@ -614,24 +674,22 @@
 	} else if begun < n.began-slackMS && n.daemon == nil {
 		w.bad("%s began at %.1f and goes by what was read at %.1f", n.name, n.began, begun)
 	}
-	if n.viewed != v.Rules.Mark() || n.pair != [2]resource.Mark{v.Rules.Mark(), v.Pending.Mark()} {
-		n.viewed, n.pair = v.Rules.Mark(), [2]resource.Mark{v.Rules.Mark(), v.Pending.Mark()}
-		for i, have := range []*resource.State{v.Rules, v.Pending} {
-			want := s.states[i]
-			if want != nil {
-				want = accord.Select(want, n.interest)
-			}
-			if have.Mark() != want.Mark() || have != nil && resource.New(have.Mark().Number,
-				resource.Whole(have).Set).Mark() != want.Mark() {
-				w.bad("%s goes by %v at step %d, where there is %v", n.name, have.Mark(), v.Step, want.Mark())
-			}
+	if n.viewed == v.Rules.Mark() && n.pair == [2]resource.Mark{v.Rules.Mark(), v.Pending.Mark()} {
+		return
+	}
+	n.viewed, n.pair = v.Rules.Mark(), [2]resource.Mark{v.Rules.Mark(), v.Pending.Mark()}
+	for i, have := range []*resource.State{v.Rules, v.Pending} {
+		want := s.states[i]
+		if want != nil {
+			want = accord.Select(want, n.interest)
 		}
-		if n.daemon == nil && w.rng.Intn(4) > 0 { // a write that did not come to be
-			n.disk, n.coming, n.kept = v.Rules, v.Pending, v
+		if have.Mark() != want.Mark() || have != nil && resource.New(have.Mark().Number,
+			resource.Whole(have).Set).Mark() != want.Mark() {
+			w.bad("%s goes by %v at step %d, where there is %v", n.name, have.Mark(), v.Step, want.Mark())
 		}
 	}
-	if n.source != nil {
-		n.source.Offer(v)
+	if n.daemon == nil && w.rng.Intn(4) > 0 { // a write that did not come to be
+		n.disk, n.coming, n.kept = v.Rules, v.Pending, *v
 	}
 }
 
@@ -756,6 +814,7 @@
 	w := &walk{rng: rand.New(rand.NewSource(seed)), truth: accord.NewCouncil(), counts: map[string]int{},
 		plant: plant, steps: map[uint64]*said{}, states: map[string]*resource.State{},
 		versions: map[resource.Mark]*accord.Rules{}}
+	w.replicas = seed/8%3 > 0
 	w.build(1+int(seed)%4, seed/4%2 == 0)
 	w.commit(accord.Entry{Act: accord.Propose, ID: "first", Rules: w.rules()})
 	for next := 1000.0; w.now < until && w.wrong == ""; w.now += w.rng.ExpFloat64() * 15 {
