--- a/cmd/willowdeck/main.go
+++ b/cmd/willowdeck/main.go
@@ -66,6 +66,7 @@
 			{Name: "check", Usage: "read and check the configuration, and say what it holds",
 				Flags: []cli.Flag{file, forward, notes}, Action: check},
 			journals(),
+			relays(level),
 			{Name: "version", Usage: "say which build this is", Action: version},
 		},
 	}
--- /dev/null
+++ b/internal/council/root.go
@@ -0,0 +1,126 @@
+package council
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"willowdeck/internal/accord"
+)
+
+// batchEach is the least pause between two entries that say what hosts below have seen: a change reaches a
+// zone's hosts over some hundred ms, and each entry is written by most daemons.
+const batchEach = 100 * time.Millisecond
+
+// mostBelow bounds the hosts whose word is kept here; members name no more.
+const mostBelow = 16384
+
+// Word is what a quorum has confirmed last, for those that follow this daemon.
+type Word struct {
+	Step    uint64
+	Begun   float64 // ms of Clock's: when the reading began
+	Settled bool
+	InForce accord.Version  // not to be changed
+	Pending *accord.Version // agreed and waiting; nil: none is
+}
+
+// below is what those that follow this daemon have told.
+type below struct {
+	seen  map[string]uint64 // by host: what all of its processes go by, or later
+	index int64             // the highest of discovery's list among them
+	put   time.Time         // when some of it was last put to the log
+}
+
+// confirmed keeps what is in force as of a reading, under the lock. A daemon whose log is behind what it has
+// told before (its store was given up) says nothing of it.
+func (s *Seat) confirmed(begun float64) {
+	st := s.council.State()
+	if begun <= s.word.Begun || st.Step < s.word.Step || st.InForce.Number == 0 {
+		return
+	}
+	s.word = Word{Step: st.Step, Begun: begun, Settled: st.Settled(), InForce: st.InForce}
+	if st.Pending != nil {
+		v := st.Pending.Version
+		s.word.Pending = &v
+	}
+	select {
+	case s.read <- struct{}{}:
+	default:
+	}
+}
+
+// Word gives what a quorum has confirmed last; false where it has nothing yet.
+func (s *Seat) Word() (Word, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.word, s.word.InForce.Number > 0
+}
+
+// Confirmed tells that another reading was confirmed since it was last taken from.
+func (s *Seat) Confirmed() <-chan struct{} { return s.read }
+
+// Told takes what all processes of hosts below go by, or something later, and the highest index of discovery's
+// list there. What the council gains by goes into the log. Twice, late and in any order is fine.
+func (s *Seat) Told(all []accord.HostStep, index int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, h := range all {
+		if _, there := s.below.seen[h.Host]; there || len(s.below.seen) < mostBelow {
+			s.below.seen[h.Host] = max(s.below.seen[h.Host], h.Step)
+		}
+	}
+	if index > s.below.index {
+		s.below.index = index
+		s.newest()
+	}
+}
+
+// newest has the other daemons told of the highest index of discovery's list here, under the lock.
+func (s *Seat) newest() {
+	most := s.below.index
+	for _, t := range s.tellers {
+		most = max(most, t.index)
+	}
+	s.Council.index.Store(most)
+}
+
+// batch gives the entry by which the council learns what hosts below have seen, if it gains by any, under the
+// lock. It may be lost: it is put again until the council has it.
+func (s *Seat) batch(now time.Time) []byte {
+	if len(s.below.seen) == 0 || now.Sub(s.below.put) < batchEach {
+		return nil
+	}
+	s.below.put = now
+	st := s.council.State()
+	wanted := map[string]uint64{} // by host: the least step that the council gains by
+	need := func(hosts []string, step uint64) {
+		for _, h := range hosts {
+			if at, there := wanted[h]; st.Seen[h] < step && (!there || step < at) {
+				wanted[h] = step
+			}
+		}
+	}
+	for _, h := range st.Held {
+		need(h.Hosts, h.Step)
+	}
+	if p := st.Pending; p != nil {
+		need(p.Hosts, p.Step)
+	}
+	var all []accord.HostStep
+	for _, h := range slices.Sorted(maps.Keys(wanted)) {
+		if at := min(s.below.seen[h], st.Step); at >= wanted[h] {
+			all = append(all, accord.HostStep{Host: h, Step: at})
+		}
+		if len(all) == accord.MostSeen {
+			break
+		}
+	}
+	if len(all) == 0 {
+		return nil
+	}
+	raw, err := accord.Entry{Act: accord.SeenAll, Hosts: all}.Bytes()
+	if err != nil {
+		return nil
+	}
+	return raw
+}
--- a/internal/council/seat.go
+++ b/internal/council/seat.go
@@ -43,6 +43,9 @@
 	changed  chan struct{}
 	tellers  map[int]teller
 	outcomes []Heard
+	word     Word          // as last confirmed
+	read     chan struct{} // told with each
+	below    below
 }
 
 // teller is a process that has asked.
@@ -79,7 +82,8 @@
 // they may be nil. The record may be nil.
 func NewSeat(ch Charter, rules *accord.Rules, record history.Recorder, log zerolog.Logger) (*Seat, error) {
 	s := &Seat{log: log, record: record, host: ch.Me, begun: -1, council: accord.NewCouncil(),
-		lag: accord.NewLag(), changed: make(chan struct{}, 1), tellers: map[int]teller{}}
+		lag: accord.NewLag(), changed: make(chan struct{}, 1), tellers: map[int]teller{},
+		read: make(chan struct{}, 1), below: below{seen: map[string]uint64{}}}
 	s.steward = accord.NewSteward(ch.Me, s.council)
 	if rules != nil {
 		if err := accord.Check(rules); err != nil {
@@ -151,11 +155,7 @@
 	if index >= 0 {
 		s.lag.Told(name, index, Clock())
 	}
-	most := int64(0)
-	for _, t := range s.tellers {
-		most = max(most, t.index)
-	}
-	s.Council.index.Store(most)
+	s.newest()
 	return s.steward.Asked(pid, holds)
 }
 
@@ -314,13 +314,16 @@
 	s.steward.ReadDone(begun)
 	n := s.council.State().InForce.Number
 	s.begun = begun
+	s.confirmed(begun)
 	s.write(history.Event{Kind: history.Gives, Version: n, Mark: s.mark,
 		Age: Clock() - begun})
 }
 
 // Mark is a digest of rules, as records name versions.
 func Mark(r *accord.Rules) string {
-	raw, err := json.Marshal(r)
+	c := *r // a list that is empty is none
+	c.Needs, c.Plans, c.Words = some(c.Needs), some(c.Plans), some(c.Words)
+	raw, err := json.Marshal(c)
 	if err != nil {
 		return ""
 	}
@@ -328,6 +331,13 @@
 	return hex.EncodeToString(h[:6])
 }
 
+func some[T any](all []T) []T {
+	if len(all) == 0 {
+		return nil
+	}
+	return all
+}
+
 // Turn gives what the steward and this daemon's proposal ask for.
 func (b *bench) Turn(t Turn) (w Wish) {
 	s := b.seat()
@@ -356,6 +366,9 @@
 	if raw := s.want(t); raw != nil {
 		w.Propose = append(w.Propose, raw)
 	}
+	if raw := s.batch(t.Now); raw != nil {
+		w.Propose = append(w.Propose, raw)
+	}
 	return w
 }
 
--- a/internal/fleet/council.go
+++ b/internal/fleet/council.go
@@ -15,6 +15,7 @@
 	"willowdeck/internal/council"
 	"willowdeck/internal/history"
 	"willowdeck/internal/lifecycle"
+	"willowdeck/internal/relayd"
 	"willowdeck/internal/residue"
 	"willowdeck/internal/rulebook"
 )
@@ -35,6 +36,7 @@
 	Store  string // the file of the log
 	Rules  string // the file of the rules that this daemon proposes
 	Found  bool   // on a first start: a council is founded once all hosts are there with empty stores
+	Serve  string // HOST:PORT for relays that follow this daemon; empty: none do
 	Hosts  []struct{ Name, Address string }
 }
 
@@ -45,6 +47,7 @@
 	Wrong   error  // what is wrong with the rules' file: it keeps a daemon from starting only on its first start
 	Stamp   string // of the rules' file: what has not been written since is not proposed anew
 	Reach   map[string]map[string]string
+	Serve   string // HOST:PORT for relays; empty: none follow
 }
 
 // agreed checks what the file says of the council.
@@ -66,11 +69,14 @@
 	case len(c.Hosts) == 0 || len(c.Hosts) > mostHosts:
 		return nil, fmt.Errorf("council.hosts: %d are not from 1 to %d", len(c.Hosts), mostHosts)
 	}
-	a := &Agreed{Reach: f.Reach, Charter: council.Charter{Cluster: f.Name, Me: c.Me, Listen: c.Listen,
+	a := &Agreed{Reach: f.Reach, Serve: c.Serve, Charter: council.Charter{Cluster: f.Name, Me: c.Me, Listen: c.Listen,
 		Store: c.Store, Found: c.Found, Reach: f.Reach[toCouncil]}}
 	if _, err := netip.ParseAddrPort(c.Listen); err != nil {
 		return nil, fmt.Errorf("council.listen: %w", err)
 	}
+	if _, err := netip.ParseAddrPort(c.Serve); err != nil && c.Serve != "" {
+		return nil, fmt.Errorf("council.serve: %w", err)
+	}
 	names, at := map[string]bool{}, map[string]bool{}
 	for i, h := range c.Hosts {
 		if h.Name == "" || names[h.Name] {
@@ -172,6 +178,7 @@
 	record *history.Log
 	stamp  string
 	ended  chan struct{}
+	root   *relayd.Root // nil where no relay follows
 }
 
 // convene takes this host's seat. Its instances are those of the version that a daemon before this one knew
@@ -200,6 +207,13 @@
 		return err
 	}
 	s.Seat = seat
+	if a.Serve != "" {
+		if s.root, err = relayd.NewRoot(seat, a.Charter.Me, a.Charter.Cluster, a.Serve, d.log); err != nil {
+			seat.Close()
+			_ = s.record.Close()
+			return fmt.Errorf("council.serve: %w", err)
+		}
+	}
 	d.seat = s
 	return nil
 }
@@ -291,8 +305,8 @@
 		return a.Wrong
 	}
 	x, y := was.Charter, a.Charter
-	if x.Me != y.Me || x.Listen != y.Listen || x.Store != y.Store {
-		return errors.New("council.me, council.listen and council.store can't change while the daemon runs")
+	if x.Me != y.Me || x.Listen != y.Listen || x.Store != y.Store || was.Serve != a.Serve {
+		return errors.New("council.me, .listen, .store and .serve can't change while the daemon runs")
 	}
 	s.Hosts(y.Hosts, y.Reach)
 	s.file = f.file
@@ -314,6 +328,9 @@
 		return
 	}
 	<-d.seat.ended
+	if d.seat.root != nil {
+		d.seat.root.Close()
+	}
 	d.seat.Close()
 	if err := d.seat.record.Close(); err != nil {
 		d.log.Warn().Err(err).Msg("record")
@@ -385,6 +402,15 @@
 	Rules council.Agreement `json:"rules"`
 }
 
+// relays tells how those stand that follow this daemon.
+func (d *Daemon) relays(w http.ResponseWriter, _ *http.Request) {
+	if d.seat.root == nil {
+		http.Error(w, "council.serve: there is none", http.StatusNotFound)
+		return
+	}
+	relayd.Show(w, d.seat.root.Status())
+}
+
 func (d *Daemon) sitting(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
 	e := json.NewEncoder(w)
--- a/internal/fleet/port.go
+++ b/internal/fleet/port.go
@@ -40,6 +40,7 @@
 		mux.HandleFunc("GET "+lifecycle.LeasePath, d.lease)
 		mux.HandleFunc("GET /fleet/council", d.sitting)
 		mux.HandleFunc("GET /fleet/rules", d.rulesText)
+		mux.HandleFunc("GET /relay/status", d.relays)
 	}
 	if d.watcher != nil {
 		mux.HandleFunc("GET /fleet/words", d.watcher.words)
--- /dev/null
+++ b/internal/relayd/root.go
@@ -0,0 +1,125 @@
+package relayd
+
+import (
+	"context"
+	"math/rand"
+	"sync"
+
+	"github.com/rs/zerolog"
+
+	"willowdeck/internal/accord"
+	"willowdeck/internal/council"
+	"willowdeck/internal/relay"
+	"willowdeck/internal/resource"
+)
+
+// Quorum is what a Root needs of a council's daemon; see council.Seat.
+type Quorum interface {
+	Word() (council.Word, bool)
+	Confirmed() <-chan struct{}
+	Told(all []accord.HostStep, index int64)
+	Highest() int64
+}
+
+const (
+	rootConnections = 4096
+	rootWhole       = 8 << 20 // bytes of whole states in a second, and at once: a tenth of a core
+	rootLease       = 1000.0  // ms, for who counts as below
+)
+
+// Root serves what a quorum has confirmed to those that follow it.
+type Root struct {
+	name, cluster string
+	log           zerolog.Logger
+	quorum        Quorum
+	giver         *giver
+	stop          context.CancelFunc
+	wait          sync.WaitGroup
+
+	mu             sync.Mutex
+	view           relay.View
+	rules, pending *resource.State
+}
+
+// NewRoot begins to listen at an address. Name is the daemon's host.
+func NewRoot(q Quorum, name, cluster, listen string, log zerolog.Logger) (*Root, error) {
+	r := &Root{name: name, cluster: cluster, log: log, quorum: q}
+	g, err := give(listen, rootConnections, rootLease, relay.NewSource(name, cluster,
+		relay.Bounds{WholeRate: rootWhole, WholeBurst: rootWhole, Life: rand.Uint64()}), q.Told)
+	if err != nil {
+		return nil, err
+	}
+	r.giver = g
+	ctx, stop := context.WithCancel(context.Background())
+	r.stop = stop
+	r.wait.Add(1)
+	go func() {
+		defer r.wait.Done()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-q.Confirmed():
+				r.offer()
+			}
+		}
+	}()
+	return r, nil
+}
+
+// At is where it listens.
+func (r *Root) At() string { return r.giver.at }
+
+// Close ends it and waits for all of its goroutines.
+func (r *Root) Close() {
+	r.stop()
+	r.giver.close()
+	r.wait.Wait()
+}
+
+// offer gives on what was confirmed last. A version is made entries once; what waits has its own number, and
+// one that was withdrawn may have had the same.
+func (r *Root) offer() {
+	w, ok := r.quorum.Word()
+	if !ok {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	v := relay.View{Step: w.Step, Settled: w.Settled, Begun: w.Begun, Index: r.quorum.Highest()}
+	if w.Step != r.view.Step || r.rules == nil {
+		rules, err := r.entries(r.rules, &w.InForce)
+		var pending *resource.State
+		if err == nil && w.Pending != nil {
+			pending, err = accord.Entries(w.Pending)
+		}
+		if err != nil {
+			r.log.Error().Err(err).Uint64("step", w.Step).Msg("what is in force can't be given on")
+			return
+		}
+		r.rules, r.pending = rules, pending
+	}
+	v.Rules, v.Pending = r.rules, r.pending
+	r.view = v
+	r.giver.offer(v)
+}
+
+// entries gives a version as a state, or the one that is there already.
+func (r *Root) entries(had *resource.State, v *accord.Version) (*resource.State, error) {
+	if had != nil && had.Mark().Number == v.Number {
+		return had, nil
+	}
+	return accord.Entries(v)
+}
+
+// Status tells how it stands.
+func (r *Root) Status() Status {
+	s := Status{Name: r.name, Cluster: r.cluster, Form: relay.Form, AgeMS: -1}
+	r.mu.Lock()
+	if r.view.Rules != nil {
+		s.of(&r.view)
+	}
+	r.mu.Unlock()
+	r.giver.stands(&s)
+	return s
+}
