--- a/cmd/willowdeck/relay.go
+++ b/cmd/willowdeck/relay.go
@@ -34,7 +34,8 @@
 		return err
 	}
 	if c.Bool("check") {
-		fmt.Printf("%s: of %s, listens at %s, asks %s\n", f.Name, f.Cluster, f.Listen, strings.Join(f.Upstream, ", "))
+		fmt.Printf("%s: of %s, listens at %s, asks %s\n", f.Name, f.Cluster, f.Listen,
+			strings.Join(f.Upstream, ", "))
 		return nil
 	}
 	log = log.With().Str("relay", f.Name).Logger()
--- a/internal/council/root.go
+++ b/internal/council/root.go
@@ -59,8 +59,8 @@
 // Confirmed tells that another reading was confirmed since it was last taken from.
 func (s *Seat) Confirmed() <-chan struct{} { return s.read }
 
-// Told takes what all processes of hosts below go by, or something later, and the highest index of discovery's
-// list there. What the council gains by goes into the log. Twice, late and in any order is fine.
+// Told takes what all processes of hosts below go by, or something later, and the highest index of
+// discovery's list there. What the council gains by goes into the log. Twice, late and in any order is fine.
 func (s *Seat) Told(all []accord.HostStep, index int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/fleet/council.go
+++ b/internal/fleet/council.go
@@ -69,7 +69,8 @@
 	case len(c.Hosts) == 0 || len(c.Hosts) > mostHosts:
 		return nil, fmt.Errorf("council.hosts: %d are not from 1 to %d", len(c.Hosts), mostHosts)
 	}
-	a := &Agreed{Reach: f.Reach, Serve: c.Serve, Charter: council.Charter{Cluster: f.Name, Me: c.Me, Listen: c.Listen,
+	a := &Agreed{Reach: f.Reach, Serve: c.Serve, Charter: council.Charter{Cluster: f.Name, Me: c.Me,
+		Listen: c.Listen,
 		Store: c.Store, Found: c.Found, Reach: f.Reach[toCouncil]}}
 	if _, err := netip.ParseAddrPort(c.Listen); err != nil {
 		return nil, fmt.Errorf("council.listen: %w", err)
--- a/internal/relayd/client.go
+++ b/internal/relayd/client.go
@@ -1,10 +1,11 @@
-// Package relayd carries versions of the rules from a council's daemon down a tree of relays, and what has been
-// seen of them up: the I/O of package relay, which decides. See docs/relay-design.md.
+// Package relayd carries versions of the rules from a council's daemon down a tree of relays, and what has
+// been seen of them up: the I/O of package relay, which decides. See docs/relay-design.md.
 package relayd
 
 import (
 	"errors"
 	"fmt"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -41,6 +42,9 @@
 
 func (e *StatusError) Error() string { return fmt.Sprintf("status %d: %s", e.Code, e.Says) }
 
+// ErrSpoilt is of an answer that came and can't be gone by: garbled, too long, or with another's digest.
+var ErrSpoilt = errors.New("an answer that can't be gone by")
+
 // Reasons why an ask has no answer, as they are counted.
 const (
 	late    = "late"    // no answer in its time
@@ -56,12 +60,14 @@
 	Answers     int64            `json:"answers"`
 	AskBytes    int64            `json:"ask_bytes"`    // bodies, without HTTP's headers
 	AnswerBytes int64            `json:"answer_bytes"` // the same
-	Failed      map[string]int64 `json:"failed"`       // without an answer that can be gone by, by reason
+	In          int64            `json:"in"`           // bytes on the wire that came here, heads too
+	Out         int64            `json:"out"`
+	Failed      map[string]int64 `json:"failed"` // without an answer that can be gone by, by reason
 }
 
 // traffic counts as it passes.
 type traffic struct {
-	asks, answers, askBytes, answerBytes atomic.Int64
+	asks, answers, askBytes, answerBytes, in, out atomic.Int64
 
 	mu     sync.Mutex
 	failed map[string]int64
@@ -80,13 +86,31 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	c := Traffic{Asks: t.asks.Load(), Answers: t.answers.Load(), AskBytes: t.askBytes.Load(),
-		AnswerBytes: t.answerBytes.Load(), Failed: map[string]int64{}}
+		AnswerBytes: t.answerBytes.Load(), In: t.in.Load(), Out: t.out.Load(), Failed: map[string]int64{}}
 	for k, n := range t.failed {
 		c.Failed[k] = n
 	}
 	return c
 }
 
+// counted counts the bytes that pass, heads and all.
+type counted struct {
+	net.Conn
+	in, out *atomic.Int64
+}
+
+func (c counted) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.in.Add(int64(n))
+	return n, err
+}
+
+func (c counted) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.out.Add(int64(n))
+	return n, err
+}
+
 // Client asks upstreams, over connections that are kept. It is safe for concurrent use.
 type Client struct {
 	traffic traffic
@@ -102,11 +126,20 @@
 		c.urls = append(c.urls, "http://"+a+path)
 		c.ways = append(c.ways, &fasthttp.HostClient{Addr: a, MaxConns: mostTalks, MaxIdleConnDuration: idleFor,
 			MaxIdemponentCallAttempts: 1, MaxResponseBodySize: relay.MostAnswer, NoDefaultUserAgentHeader: true,
-			DisablePathNormalizing: true})
+			DisablePathNormalizing: true, DialTimeout: c.dial})
 	}
 	return c
 }
 
+// dial connects to an upstream within an ask's own time.
+func (c *Client) dial(at string, within time.Duration) (net.Conn, error) {
+	n, err := net.DialTimeout("tcp", at, within)
+	if err != nil {
+		return nil, err
+	}
+	return counted{n, &c.traffic.in, &c.traffic.out}, nil
+}
+
 // Ask asks one upstream and waits for its answer, for so many ms at most. An error is a *StatusError where it
 // has answered with another status than 200.
 func (c *Client) Ask(upstream int, a *relay.Ask, within float64) (*relay.Answer, error) {
@@ -130,6 +163,7 @@
 			c.traffic.fail(late)
 		case errors.Is(err, fasthttp.ErrBodyTooLarge):
 			c.traffic.fail(garbled)
+			return nil, fmt.Errorf("%w: %w", ErrSpoilt, err)
 		default:
 			c.traffic.fail(lost)
 		}
@@ -144,12 +178,12 @@
 	}
 	if !sound(res.Header.Peek(digestHeader), body) {
 		c.traffic.fail(spoilt)
-		return nil, errSpoilt
+		return nil, fmt.Errorf("%w: %w", ErrSpoilt, errDigest)
 	}
 	got, err := relay.ReadAnswer(body)
 	if err != nil {
 		c.traffic.fail(garbled)
-		return nil, err
+		return nil, fmt.Errorf("%w: %w", ErrSpoilt, err)
 	}
 	return got, nil
 }
--- a/internal/relayd/copy.go
+++ b/internal/relayd/copy.go
@@ -2,14 +2,18 @@
 
 import (
 	"bytes"
+	"context"
 	"crypto/sha256"
 	"errors"
 	"fmt"
 	"io"
 	"os"
 	"path/filepath"
+	"sync/atomic"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/rs/zerolog"
 
 	"willowdeck/internal/relay"
 	"willowdeck/internal/resource"
@@ -24,6 +28,92 @@
 
 const longestCopy = 2 * relay.MostAnswer // bytes
 
+// copyAgain is the pause before a copy is tried again that could not be written.
+const copyAgain = 5 * time.Second
+
+// Copy is a follower's copy on disk.
+type Copy struct {
+	path, cluster string
+	log           zerolog.Logger
+	last          [2]resource.Mark // of Keep's caller alone
+	latest        atomic.Pointer[relay.View]
+	save          chan struct{}
+
+	written, failed, aside atomic.Int64
+}
+
+// NewCopy is one at a path; where that is empty, none is kept.
+func NewCopy(path, cluster string, log zerolog.Logger) *Copy {
+	return &Copy{path: path, cluster: cluster, log: log, save: make(chan struct{}, 1)}
+}
+
+// Counts gives how many were written, could not be written, and could not be used.
+func (c *Copy) Counts() (written, failed, aside int64) {
+	return c.written.Load(), c.failed.Load(), c.aside.Load()
+}
+
+// Base has a follower begin with the copy, if there is one that can be used. One that can't is set aside.
+func (c *Copy) Base(f *relay.Follower) {
+	if c.path == "" {
+		return
+	}
+	rules, pending, err := readCopy(c.path, c.cluster)
+	switch {
+	case errors.Is(err, errNoCopy):
+	case err != nil:
+		c.aside.Add(1)
+		aside, moved := setCopyAside(c.path)
+		c.log.Warn().Err(err).Str("aside", aside).AnErr("moved", moved).Msg("copy set aside: all is asked for anew")
+	default:
+		f.Base(rules, pending)
+		c.log.Info().Uint64("version", rules.Mark().Number).Msg("copy taken as a base")
+	}
+}
+
+// Keep has the states of a view written, where they are others than before. It does not wait, and is to be
+// called from one goroutine.
+func (c *Copy) Keep(v relay.View) {
+	now := [2]resource.Mark{v.Rules.Mark(), v.Pending.Mark()}
+	if c.path == "" || now == c.last {
+		return
+	}
+	c.last = now
+	c.latest.Store(&v)
+	c.wake()
+}
+
+func (c *Copy) wake() {
+	select {
+	case c.save <- struct{}{}:
+	default:
+	}
+}
+
+// Run writes until the context ends.
+func (c *Copy) Run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.save:
+		}
+		v := c.latest.Load()
+		err := keepCopy(c.path, c.cluster, v.Rules, v.Pending)
+		if err == nil {
+			c.written.Add(1)
+			continue
+		}
+		c.failed.Add(1)
+		c.log.Error().Err(err).Msg("copy not written: a start after this one asks for all anew")
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(copyAgain):
+		}
+		c.wake()
+	}
+}
+
 // errNoCopy tells that there is none, which is no fault.
 var errNoCopy = errors.New("no copy")
 
@@ -34,7 +124,8 @@
 	Rules, Pending []byte // as relay.StateBytes has them
 }
 
-// keepCopy writes states aside, has them on the disk, and then in place of the copy before. Pending may be nil.
+// keepCopy writes states aside, has them on the disk, and then in place of the copy before. Pending may be
+// nil.
 func keepCopy(path, cluster string, rules, pending *resource.State) error {
 	c := copied{Cluster: cluster}
 	var err, bad error
--- a/internal/relayd/digest.go
+++ b/internal/relayd/digest.go
@@ -15,7 +15,7 @@
 	digestTail   = ":"
 )
 
-var errSpoilt = errors.New("the body's Content-Digest is missing, or another's")
+var errDigest = errors.New("the body's Content-Digest is missing, or another's")
 
 // digest appends the header's value for a body.
 func digest(to, body []byte) []byte {
--- a/internal/relayd/feed.go
+++ b/internal/relayd/feed.go
@@ -78,8 +78,8 @@
 	}
 }
 
-// ask asks beside all else: its answer counts from the time at which it was decided on, which is no later than
-// the one at which it is sent.
+// ask asks beside all else: its answer counts from the time at which it was decided on, which is no later
+// than the one at which it is sent.
 func (f *Feed) ask(ctx context.Context, d relay.Decision, now float64) {
 	f.wait.Add(1)
 	go func() {
--- a/internal/relayd/giver.go
+++ b/internal/relayd/giver.go
@@ -36,8 +36,8 @@
 	index  int64              // the highest of discovery's list that any of them has told
 }
 
-// give listens for those below. What they have seen, where it is news, goes to told, with the highest index of
-// discovery's list among them.
+// give listens for those below. What they have seen, where it is news, goes to told, with the highest index
+// of discovery's list among them.
 func give(listen string, connections int, lease float64, s *relay.Source,
 	told func(news []relay.HostStep, highest int64)) (*giver, error) {
 	l, err := net.Listen("tcp", listen)
@@ -52,11 +52,25 @@
 		NoDefaultDate: true, CloseOnShutdown: true, DisablePreParseMultipartForm: true, Logger: quiet{}}
 	go func() {
 		defer close(g.ended)
-		_ = g.server.Serve(l)
+		_ = g.server.Serve(countedListener{l, &g.handler.traffic})
 	}()
 	return g, nil
 }
 
+// countedListener counts what passes over its connections.
+type countedListener struct {
+	net.Listener
+	t *traffic
+}
+
+func (l countedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return counted{c, &l.t.in, &l.t.out}, nil
+}
+
 // quiet drops what the library says of each connection: it is counted.
 type quiet struct{}
 
--- a/internal/relayd/handler.go
+++ b/internal/relayd/handler.go
@@ -30,7 +30,8 @@
 }
 
 // NewHandler makes one that has asks answered by a function, which is called from many goroutines. An ask
-// that it refuses is answered with 403 and the error's text, and counted by its reason where it is a *Refusal.
+// that it refuses is answered with 403 and the error's text, and counted by its reason where it is a
+// *Refusal.
 func NewHandler(answer func(*relay.Ask) (*relay.Answer, error)) *Handler {
 	return &Handler{answer: answer}
 }
@@ -44,7 +45,7 @@
 	h.traffic.askBytes.Add(int64(len(body)))
 	if !sound(sum, body) {
 		h.traffic.fail(spoilt)
-		return http.StatusBadRequest, []byte(errSpoilt.Error())
+		return http.StatusBadRequest, []byte(errDigest.Error())
 	}
 	a, err := relay.ReadAsk(body)
 	if err != nil {
--- a/internal/relayd/status.go
+++ b/internal/relayd/status.go
@@ -25,7 +25,7 @@
 	Mark     string  `json:"mark,omitempty"`
 	Pending  uint64  `json:"pending"` // 0: nothing waits
 	Settled  bool    `json:"settled"`
-	AgeMS    float64 `json:"age_ms"` // since the quorum's read began which all of it rests on; below nought: none
+	AgeMS    float64 `json:"age_ms"` // since the quorum's read began which it rests on; -1: none
 	Bytes    int     `json:"bytes"`  // of the version
 	Below    int     `json:"below"`  // who has asked within the last five leases
 	Upstream string  `json:"upstream,omitempty"`
@@ -58,7 +58,8 @@
 		s.of(&v)
 	}
 	up := r.client.Traffic()
-	s.Up, s.Copy = &up, &Copies{r.written.Load(), r.failed.Load(), r.aside.Load()}
+	s.Up, s.Copy = &up, &Copies{}
+	s.Copy.Written, s.Copy.Failed, s.Copy.Aside = r.copy.Counts()
 	r.feed.With(func(f *relay.Follower) {
 		c := f.Counts()
 		s.Follow, s.Upstream = &c, r.file.Upstream[f.Current()]
@@ -131,7 +132,8 @@
 		}
 		fmt.Fprintln(w, "ready")
 	})
-	r.control = &http.Server{Handler: mux, ReadTimeout: time.Second, WriteTimeout: time.Second, MaxHeaderBytes: 4096}
+	r.control = &http.Server{Handler: mux, ReadTimeout: time.Second, WriteTimeout: time.Second,
+		MaxHeaderBytes: 4096}
 	r.control.SetKeepAlivesEnabled(false)
 	r.wait.Add(1)
 	go func() {
