--- a/internal/fleet/council.go
+++ b/internal/fleet/council.go
@@ -71,7 +71,7 @@
 	}
 	a := &Agreed{Reach: f.Reach, Serve: c.Serve, Charter: council.Charter{Cluster: f.Name, Me: c.Me,
 		Listen: c.Listen,
-		Store: c.Store, Found: c.Found, Reach: f.Reach[toCouncil]}}
+		Store:  c.Store, Found: c.Found, Reach: f.Reach[toCouncil]}}
 	if _, err := netip.ParseAddrPort(c.Listen); err != nil {
 		return nil, fmt.Errorf("council.listen: %w", err)
 	}
