--- a/internal/relayd/client.go
+++ b/internal/relayd/client.go
@@ -22,9 +22,9 @@
 
 	contentType = "application/cbor"
 
-	longestSays = 200 // bytes of a refusal that are kept
-	mostTalks   = 2   // connections to one upstream: one may hang until its time is up
-	idleFor     = 30 * time.Second
+	longestSays = 200             // bytes of a refusal that are kept
+	mostTalks   = 2               // connections to one upstream: one may hang until its time is up
+	idleFor     = 5 * time.Second // asks come several in a lease: only those to others lie idle
 )
 
 // Clock is the time by which ages are counted, ms: it goes on while the process stands still and the machine
--- a/internal/relayd/giver.go
+++ b/internal/relayd/giver.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"sync"
@@ -18,6 +19,7 @@
 	readWithin  = 5 * time.Second
 	writeWithin = 5 * time.Second
 	idleBelow   = time.Minute
+	restFor     = 2 * time.Second // the library's goroutines go so long after they were last used
 	endWithin   = time.Second
 )
 
@@ -49,7 +51,8 @@
 	g.handler = NewHandler(g.answer)
 	g.server = &fasthttp.Server{Handler: g.route, Concurrency: connections, MaxRequestBodySize: relay.MostAsk,
 		ReadTimeout: readWithin, WriteTimeout: writeWithin, IdleTimeout: idleBelow, NoDefaultServerHeader: true,
-		NoDefaultDate: true, CloseOnShutdown: true, DisablePreParseMultipartForm: true, Logger: quiet{}}
+		NoDefaultDate: true, CloseOnShutdown: true, DisablePreParseMultipartForm: true, Logger: quiet{},
+		MaxIdleWorkerDuration: restFor, ErrorHandler: g.garbled}
 	go func() {
 		defer close(g.ended)
 		_ = g.server.Serve(countedListener{l, &g.handler.traffic})
@@ -76,6 +79,17 @@
 
 func (quiet) Printf(string, ...any) {}
 
+// garbled answers what is no request.
+func (g *giver) garbled(ctx *fasthttp.RequestCtx, err error) {
+	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
+		g.handler.traffic.fail(tooLong)
+		ctx.Error(err.Error(), fasthttp.StatusRequestEntityTooLarge)
+		return
+	}
+	g.handler.traffic.fail(noAsk)
+	ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+}
+
 func (g *giver) route(ctx *fasthttp.RequestCtx) {
 	if string(ctx.Path()) != AskPath || !ctx.IsPost() {
 		ctx.Error("only POST "+AskPath+" is answered here", fasthttp.StatusNotFound)
--- /dev/null
+++ b/internal/relayd/hollow_test.go
@@ -0,0 +1,286 @@
+package relayd
+
+import (
+	"context"
+	"fmt"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"willowdeck/internal/accord"
+	"willowdeck/internal/history"
+	"willowdeck/internal/relay"
+	"willowdeck/internal/resource"
+)
+
+// generation is rules that say in each part which generation they are of, so that a mix of two shows.
+func generation(i int, members []accord.Member) accord.Rules {
+	x := float64(i)
+	return generationOf(i, members, 1000-x, 1000-x)
+}
+
+// generationOf has ceilings of its own: one that is lower than its fallback allows has to wait.
+func generationOf(i int, members []accord.Member, ceiling, depth float64) accord.Rules {
+	x := float64(i)
+	r := accord.Rules{Form: accord.Form, Lease: 1000, Bound: 2000,
+		Fallback: accord.Fallback{Part: 0.5, For: 2000},
+		Plans: []accord.Plan{{Name: "basic", Rate: 500 + x, Burst: 500 + x},
+			{Name: "capped", Rate: 200 + x, Burst: 200 + x, CeilingRate: ceiling, CeilingDepth: depth}},
+		Words: []accord.Word{{Worker: "w0", Weight: 1 + x}}}
+	for place, m := range members {
+		m.Peers = fmt.Sprintf("127.0.0.1:%d", 10000+100*place+i)
+		r.Members = append(r.Members, m)
+	}
+	return r
+}
+
+// generations gives those that rules are of: one where they are whole.
+func generations(r *accord.Rules) map[int]bool {
+	all := map[int]bool{}
+	for i, p := range r.Plans {
+		all[int(p.Rate)-[2]int{500, 200}[i]] = true
+	}
+	for _, w := range r.Words {
+		all[int(w.Weight)-1] = true
+	}
+	for place, m := range r.Members {
+		if m.Name != "" {
+			var port int
+			_, _ = fmt.Sscanf(m.Peers, "127.0.0.1:%d", &port)
+			all[port-10000-100*place] = true
+		}
+	}
+	return all
+}
+
+// hollowHost is a host's daemon with its gatekeepers, without processes, links or txns: it follows relays by
+// the real client, keeps the real books, and each gatekeeper has the real holder.
+type hollowHost struct {
+	name    string
+	client  *Client
+	feed    *Feed
+	keepers []*hollowKeeper
+	stop    context.CancelFunc
+	wait    sync.WaitGroup
+
+	mu     sync.Mutex
+	warden accord.Warden
+	told   uint64
+	last   [2]*resource.State
+	rules  accord.Version
+	coming *accord.Rules
+}
+
+// hollowKeeper is a gatekeeper of one.
+type hollowKeeper struct {
+	t    testing.TB
+	name string
+	pid  int
+	host *hollowHost
+	log  *history.Log
+
+	mu     sync.Mutex
+	holder *accord.Holder
+	seen   map[uint64]int // generation by version
+}
+
+var (
+	livesMu sync.Mutex
+	lives   = map[string]uint32{}
+)
+
+// lifeOf counts the lives of a name.
+func lifeOf(name string) uint32 {
+	livesMu.Lock()
+	defer livesMu.Unlock()
+	lives[name]++
+	return lives[name]
+}
+
+// newHollowHost starts one with its members; records go to a folder.
+func newHollowHost(t testing.TB, host, cluster, records string, upstream []string,
+	members []accord.Member, copied *Copy) *hollowHost {
+	t.Helper()
+	h := &hollowHost{name: host, client: NewClient(upstream, AskPath)}
+	f := relay.NewFollower(relay.Config{Name: host, Cluster: cluster, Upstream: len(upstream),
+		Interest: accord.Interest{Host: host}, Lease: 1000, Seed: int64(len(host)) + int64(host[len(host)-1])},
+		Clock())
+	if copied == nil {
+		copied = NewCopy("", cluster, zerolog.Nop())
+	}
+	copied.Base(f)
+	h.feed = NewFeed(f, h.client, func() {
+		if v, ok := h.feed.View(); ok {
+			copied.Keep(v)
+		}
+	})
+	ctx, stop := context.WithCancel(context.Background())
+	h.stop = stop
+	run := func(f func(context.Context)) {
+		h.wait.Add(1)
+		go func() {
+			defer h.wait.Done()
+			f(ctx)
+		}()
+	}
+	run(h.feed.Run)
+	run(copied.Run)
+	for place, m := range members {
+		if m.Host != host {
+			continue
+		}
+		k := &hollowKeeper{t: t, name: m.Name, pid: place + 1, host: h, seen: map[uint64]int{},
+			holder: accord.NewHolder(m.Name, generation(0, members))}
+		life := lifeOf(m.Name)
+		var err error
+		path := filepath.Join(records, fmt.Sprintf("%s.%d.jsonl", m.Name, life))
+		if k.log, err = history.Open(path, m.Name, life); err != nil {
+			t.Fatal(err)
+		}
+		h.warden.Began(k.pid, false)
+		h.keepers = append(h.keepers, k)
+		run(k.run)
+	}
+	return h
+}
+
+// end ends it with all of its gatekeepers.
+func (h *hollowHost) end() {
+	h.stop()
+	h.wait.Wait()
+	h.client.Close()
+	for _, k := range h.keepers {
+		_ = k.log.Close()
+	}
+}
+
+// lease answers one of its gatekeepers, as a host's daemon does.
+func (h *hollowHost) lease(t testing.TB, pid int, holds uint64) (accord.Lease, bool) {
+	h.mu.Lock()
+	v, ok := h.feed.View()
+	if !ok || !h.warden.Asked(pid, holds) {
+		h.mu.Unlock()
+		return accord.Lease{}, false
+	}
+	if now := [2]*resource.State{v.Rules, v.Pending}; now != h.last {
+		whole, err := accord.FromState(v.Rules)
+		if err != nil {
+			t.Errorf("%s: %v", h.name, err)
+		}
+		h.last, h.rules, h.coming = now, whole, nil
+		if v.Pending != nil {
+			p, err := accord.FromState(v.Pending)
+			if err != nil {
+				t.Errorf("%s: %v", h.name, err)
+			}
+			h.coming = &p.Rules
+		}
+	}
+	l := accord.Lease{Step: v.Step, Version: h.rules, Settled: v.Settled, Pending: h.coming, Age: v.Age(Clock())}
+	h.warden.Given(pid)
+	seen := h.warden.Seen(v.Step)
+	news := seen > h.told
+	h.told = max(h.told, seen)
+	h.mu.Unlock()
+	if news {
+		h.feed.With(func(f *relay.Follower) { f.Tell([]relay.HostStep{{Host: h.name, Step: seen}}) })
+	}
+	return l, true
+}
+
+// run goes by rules until it ends.
+func (k *hollowKeeper) run(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		}
+		k.mu.Lock()
+		k.holder.Clock(Clock())
+		for {
+			d, ok := k.holder.Next()
+			if !ok {
+				break
+			}
+			switch d.Kind {
+			case accord.Adopt:
+				k.adopt(d.Terms)
+			case accord.Ask:
+				asked := Clock()
+				if l, ok := k.host.lease(k.t, k.pid, k.holder.Holds()); ok {
+					k.holder.Clock(Clock())
+					k.holder.Heard(l, asked)
+				}
+			case accord.Wake:
+				timer.Reset(max(millis(d.At-Clock()), 0))
+			}
+		}
+		k.mu.Unlock()
+	}
+}
+
+// adopt records what it goes by, and finds a mix of two versions.
+func (k *hollowKeeper) adopt(t accord.Terms) {
+	mode := [...]string{accord.Bare: history.Bare, accord.CutOff: history.Fallback,
+		accord.Leased: history.Leased}[t.Mode]
+	k.log.Write(history.Event{Kind: history.Acts, Version: t.Version, Mode: mode})
+	if t.Version == 0 {
+		return
+	}
+	r := accord.Rules{Words: t.Words}
+	for _, p := range t.Plans {
+		r.Plans = append(r.Plans, p.Plan)
+	}
+	all := generations(&r)
+	if len(all) != 1 {
+		k.t.Errorf("%s goes by version %d with parts of generations %v", k.name, t.Version, all)
+	}
+	for i := range all {
+		if was, there := k.seen[t.Version]; there && was != i {
+			k.t.Errorf("%s knew version %d as generation %d, and now as %d", k.name, t.Version, was, i)
+		}
+		k.seen[t.Version] = i
+	}
+}
+
+// stands tells the generation that it is leased by; false where it has no lease.
+func (k *hollowKeeper) stands() (int, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	t := k.holder.Current()
+	if t.Mode != accord.Leased || !k.holder.May(Clock()) {
+		return 0, false
+	}
+	return k.seen[t.Version], true
+}
+
+// mode tells how it goes.
+func (k *hollowKeeper) mode() accord.Mode {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.holder.Current().Mode
+}
+
+// lapses tells how often it lost its lease.
+func (k *hollowKeeper) lapses() int64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.holder.Counts().Lapses
+}
+
+// known gives the generations by version that it has gone by.
+func (k *hollowKeeper) known() map[uint64]int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	all := map[uint64]int{}
+	for v, i := range k.seen {
+		all[v] = i
+	}
+	return all
+}
--- /dev/null
+++ b/internal/relayd/relayd_test.go
@@ -0,0 +1,325 @@
+package relayd
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"go.uber.org/goleak"
+
+	"willowdeck/internal/accord"
+	"willowdeck/internal/relay"
+	"willowdeck/internal/resource"
+)
+
+// fullFile has every key.
+const fullFile = `name = "south-1"
+cluster = "till"
+listen = "127.0.0.1:7900"
+control = "127.0.0.1:7901"
+upstream = ["127.0.0.2:7900", "127.0.0.3:7900"]
+store = "relay.copy"
+lease_ms = 1000
+[limits]
+connections = 4096
+whole_kb_s = 8192
+whole_kb = 8192
+`
+
+// TestFile: what is wrong in a relay's file is named by its key.
+func TestFile(t *testing.T) {
+	for _, c := range []struct{ was, is, says string }{
+		{"", "", ""},
+		{"", "colour = 1\n", "colour: unknown key"},
+		{`name = "south-1"`, `name = ""`, "name:"},
+		{`cluster = "till"`, "", "cluster:"},
+		{`listen = "127.0.0.1:7900"`, `listen = "nowhere"`, "listen:"},
+		{`control = "127.0.0.1:7901"`, `control = "127.0.0.1:7900"`, "control:"},
+		{`["127.0.0.2:7900", "127.0.0.3:7900"]`, "[]", "upstream:"},
+		{`"127.0.0.3:7900"]`, `"127.0.0.2:7900"]`, "upstream.1:"},
+		{`"127.0.0.3:7900"]`, `"127.0.0.1:7900"]`, "upstream.1:"},
+		{`"127.0.0.3:7900"]`, `"there"]`, "upstream.1:"},
+		{`"relay.copy"`, `"nowhere/relay.copy"`, "store:"},
+		{"lease_ms = 1000", "lease_ms = 50", "lease_ms:"},
+		{"lease_ms = 1000", "lease_ms = nan", "lease_ms:"},
+		{"connections = 4096", "connections = 0", "limits.connections:"},
+		{"whole_kb_s = 8192", "whole_kb_s = 0", "limits.whole_kb_s:"},
+		{"whole_kb = 8192", "whole_kb = inf", "limits.whole_kb:"},
+		{"whole_kb = 8192", "whole_kb = \"8\"", "whole_kb"},
+	} {
+		text := strings.Replace(fullFile, c.was, c.is, 1)
+		path := filepath.Join(t.TempDir(), "relay.toml")
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		f, err := Read(path)
+		if c.says == "" {
+			if err != nil || f.Store != filepath.Join(filepath.Dir(path), "relay.copy") {
+				t.Errorf("the whole file: %+v, %v", f, err)
+			}
+			continue
+		}
+		if err == nil || !strings.Contains(err.Error(), c.says) {
+			t.Errorf("%s in place of %s: %v, not %q", c.is, c.was, err, c.says)
+		}
+	}
+}
+
+// TestDeployed: the file that operators begin with is right.
+func TestDeployed(t *testing.T) {
+	if _, err := Read("../../deploy/relay.toml"); err != nil {
+		t.Error(err)
+	}
+}
+
+// some gives members of one host.
+func some(n int, host string) (all []accord.Member) {
+	for i := range n {
+		all = append(all, accord.Member{Name: fmt.Sprintf("g%d", i), Host: host})
+	}
+	return all
+}
+
+// stateOf makes a state of a generation.
+func stateOf(t testing.TB, number uint64, gen int, members []accord.Member) *resource.State {
+	t.Helper()
+	s, err := accord.Entries(&accord.Version{Number: number, Rules: generation(gen, members)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// TestCopy: a copy comes back as it was; one that is spoilt anywhere, or is another's, is none.
+func TestCopy(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "relay.copy")
+	if _, _, err := readCopy(path, "till"); !errors.Is(err, errNoCopy) {
+		t.Errorf("no file: %v", err)
+	}
+	rules, pending := stateOf(t, 4, 4, some(3, "h")), stateOf(t, 5, 5, some(3, "h"))
+	for _, p := range []*resource.State{nil, pending} {
+		if err := keepCopy(path, "till", rules, p); err != nil {
+			t.Fatal(err)
+		}
+		r, q, err := readCopy(path, "till")
+		if err != nil || r.Mark() != rules.Mark() || q.Mark() != p.Mark() {
+			t.Errorf("%v and %v came back as %v and %v: %v", rules.Mark(), p.Mark(), r.Mark(), q.Mark(), err)
+		}
+	}
+	if _, _, err := readCopy(path, "mill"); err == nil {
+		t.Error("a copy of another cluster was taken")
+	}
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range raw {
+		spoilt := bytes.Clone(raw)
+		spoilt[i] ^= 0x40
+		for what, b := range map[string][]byte{"flipped": spoilt, "torn": raw[:i]} {
+			if err := os.WriteFile(path, b, 0o600); err != nil {
+				t.Fatal(err)
+			}
+			if _, _, err := readCopy(path, "till"); err == nil || errors.Is(err, errNoCopy) {
+				t.Fatalf("a copy that is %s at byte %d was taken: %v", what, i, err)
+			}
+		}
+	}
+}
+
+// server answers asks from a source, at a port of its own.
+func server(t testing.TB, s *relay.Source, told func([]relay.HostStep, int64)) *giver {
+	t.Helper()
+	if told == nil {
+		told = func([]relay.HostStep, int64) {}
+	}
+	g, err := give("127.0.0.1:0", 64, 1000, s, told)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(g.close)
+	return g
+}
+
+// TestSpoilt: a body with a byte changed anywhere, or without its digest, is refused at either end, and what
+// is refused is counted.
+func TestSpoilt(t *testing.T) {
+	s := relay.NewSource("root", "till", relay.Bounds{})
+	s.Offer(relay.View{Step: 3, Begun: Clock(), Settled: true, Rules: stateOf(t, 1, 1, some(2, "h")), Index: -1})
+	var news []relay.HostStep
+	g := server(t, s, func(all []relay.HostStep, _ int64) { news = append(news, all...) })
+	ask := relay.Ask{Form: relay.Form, Cluster: "till", From: "h", Interest: accord.Interest{Host: "h"},
+		Seen: []relay.HostStep{{Host: "h", Step: 3}}, Index: -1}
+	raw, err := ask.Bytes()
+	if err != nil {
+		t.Fatal(err)
+	}
+	good := string(digest(nil, raw))
+	post := func(body []byte, sum string) int {
+		req, err := http.NewRequest(http.MethodPost, "http://"+g.at+AskPath, bytes.NewReader(body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Header.Set(digestHeader, sum)
+		res, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer res.Body.Close()
+		return res.StatusCode
+	}
+	for i := range raw {
+		b := bytes.Clone(raw)
+		b[i] ^= 1
+		if status := post(b, good); status != http.StatusBadRequest {
+			t.Fatalf("byte %d is another: status %d", i, status)
+		}
+	}
+	if status := post(raw, ""); status != http.StatusBadRequest {
+		t.Errorf("no digest: status %d", status)
+	}
+	if len(news) != 0 {
+		t.Errorf("believed of spoilt asks: %v", news)
+	}
+	if n := g.handler.Traffic().Failed[spoilt]; n != int64(len(raw)+1) {
+		t.Errorf("%d of %d are counted", n, len(raw)+1)
+	}
+	if status := post(raw, good); status != http.StatusOK || len(news) != 1 {
+		t.Errorf("a whole ask: status %d, news %v", status, news)
+	}
+
+	body, sum := []byte(nil), ""
+	up := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(digestHeader, sum)
+		_, _ = w.Write(body)
+	}))
+	t.Cleanup(up.Close)
+	c := NewClient([]string{up.Listener.Addr().String()}, AskPath)
+	t.Cleanup(c.Close)
+	got, err := s.Answer(&ask, Clock())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if raw, err = got.Bytes(); err != nil {
+		t.Fatal(err)
+	}
+	sum = string(digest(nil, raw))
+	for i := range raw {
+		body = bytes.Clone(raw)
+		body[i] ^= 1
+		if _, err := c.Ask(0, &ask, 1000); !errors.Is(err, ErrSpoilt) {
+			t.Fatalf("byte %d of an answer is another: %v", i, err)
+		}
+	}
+	if n := c.Traffic().Failed[spoilt]; n != int64(len(raw)) {
+		t.Errorf("%d of %d are counted", n, len(raw))
+	}
+	body = raw
+	if _, err := c.Ask(0, &ask, 1000); err != nil {
+		t.Error(err)
+	}
+}
+
+// TestRefused: what is no ask, or one of another form or cluster, has a status and a reason.
+func TestRefused(t *testing.T) {
+	g := server(t, relay.NewSource("root", "till", relay.Bounds{}), nil)
+	c := NewClient([]string{g.at}, AskPath)
+	t.Cleanup(c.Close)
+	whole := relay.Ask{Form: relay.Form, Cluster: "till", From: "h", Index: -1}
+	for what, change := range map[string]func(*relay.Ask){
+		"other form":    func(a *relay.Ask) { a.Form = relay.Form + 1 },
+		"other cluster": func(a *relay.Ask) { a.Cluster = "mill" },
+	} {
+		a := whole
+		change(&a)
+		_, err := c.Ask(0, &a, 1000)
+		var status *StatusError
+		if !errors.As(err, &status) || status.Code == http.StatusOK || status.Code == http.StatusNotFound {
+			t.Errorf("%s: %v", what, err)
+		}
+	}
+	if f := g.handler.Traffic().Failed; f[unfit]+f[noAsk] != 2 {
+		t.Errorf("counted: %v", f)
+	}
+	other := NewClient([]string{g.at}, "/fleet/ask")
+	t.Cleanup(other.Close)
+	var status *StatusError
+	if _, err := other.Ask(0, &whole, 1000); !errors.As(err, &status) || status.Code != http.StatusNotFound {
+		t.Errorf("another path: %v", err)
+	}
+	long := bytes.Repeat([]byte("a"), relay.MostAsk+1)
+	res, err := http.Post("http://"+g.at+AskPath, contentType, bytes.NewReader(long))
+	if err == nil {
+		res.Body.Close()
+		if res.StatusCode != http.StatusRequestEntityTooLarge {
+			t.Errorf("too long an ask: status %d", res.StatusCode)
+		}
+	}
+}
+
+// TestStill: an upstream that takes connections and says nothing costs no more than its time, and no more
+// than its connections.
+func TestStill(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	c := NewClient([]string{l.Addr().String()}, AskPath)
+	defer c.Close()
+	for range 3 {
+		began := time.Now()
+		if _, err := c.Ask(0, &relay.Ask{Form: relay.Form, Cluster: "till", From: "h"}, 100); err == nil {
+			t.Error("an answer from one that lies still")
+		}
+		if took := time.Since(began); took > time.Second {
+			t.Errorf("waited %v for 100 ms", took)
+		}
+	}
+	if n := c.Traffic().Failed[late]; n != 3 {
+		t.Errorf("%d of 3 are counted as late", n)
+	}
+}
+
+// TestNothingLeft: a relay that is ended leaves no goroutine, however its upstream stands, and its address
+// can be taken again at once.
+func TestNothingLeft(t *testing.T) {
+	s := relay.NewSource("root", "till", relay.Bounds{})
+	s.Offer(relay.View{Step: 1, Begun: Clock(), Rules: stateOf(t, 1, 1, some(2, "h")), Index: -1})
+	up := server(t, s, nil)
+	still, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer still.Close()
+	none := goleak.IgnoreCurrent()
+	f := &File{Name: "r", Cluster: "till", Listen: "127.0.0.1:0", Control: "127.0.0.1:0", LeaseMS: 1000,
+		Upstream: []string{up.at, still.Addr().String()}, Store: filepath.Join(t.TempDir(), "copy")}
+	f.Limits.Connections, f.Limits.WholeKB, f.Limits.WholeKBS = 16, 1024, 1024
+	for range 2 {
+		r, err := Start(f, nil, zerolog.Nop())
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.Listen = r.At()
+		c := NewClient([]string{r.At()}, AskPath)
+		_, _ = c.Ask(0, &relay.Ask{Form: relay.Form, Cluster: "till", From: "h", Index: -1}, 1000)
+		time.Sleep(300 * time.Millisecond)
+		c.Close()
+		r.Close()
+	}
+	// The library's own goroutines sleep for a while before they look whether they are still of use.
+	for end := time.Now().Add(2 * idleFor); goleak.Find(none) != nil && time.Now().Before(end); {
+		time.Sleep(100 * time.Millisecond)
+	}
+	goleak.VerifyNone(t, none)
+}
--- /dev/null
+++ b/internal/relayd/rig_test.go
@@ -0,0 +1,425 @@
+package relayd
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"willowdeck/internal/accord"
+	"willowdeck/internal/faults"
+	"willowdeck/internal/history"
+	"willowdeck/internal/rulebook"
+)
+
+const (
+	within   = 10 * time.Second // a change is in force everywhere, once links allow it
+	daemons  = 3
+	hosts    = 2 // of a zone
+	keepers  = 2 // of a host
+	betweens = 300.0
+)
+
+// tree is a council, two region relays below it, and two zones of two relays each, all of them real
+// processes; below each zone's relays are hollow hosts with their gatekeepers. What goes to regions and zones
+// passes through links that can be cut, and through a middle man that spoils answers where it is told to.
+type tree struct {
+	t       *testing.T
+	dir     string
+	records string
+	net     *faults.Net
+	first   int
+	council []*faults.Process
+	relays  map[string]*faults.Process
+	control map[string]string // of relays
+	below   map[string]string // where relays listen
+	disks   map[string]*faults.Disk
+	middle  map[string]*middleMan // by zone relay
+	members []accord.Member
+	zones   map[string][]*hollowHost
+	gen     int
+	rules   map[int]accord.Rules
+	rig     *history.Log
+	slowest time.Duration
+	took    []string
+}
+
+func (x *tree) at(i, port int) string { return fmt.Sprintf("127.0.0.%d:%d", 2+i, x.first+port) }
+
+// plant starts a tree with its first rules in force.
+func plant(t *testing.T) *tree {
+	t.Helper()
+	dir := t.TempDir()
+	x := &tree{t: t, dir: dir, records: filepath.Join(dir, "records"), net: faults.NewNet(t, 1),
+		first: faults.Ports(t, 3+2*6), relays: map[string]*faults.Process{}, control: map[string]string{},
+		below: map[string]string{}, disks: map[string]*faults.Disk{}, middle: map[string]*middleMan{},
+		zones: map[string][]*hollowHost{}, rules: map[int]accord.Rules{}}
+	if err := os.MkdirAll(x.records, 0o700); err != nil {
+		t.Fatal(err)
+	}
+	var err error
+	if x.rig, err = history.Open(filepath.Join(x.records, "rig.jsonl"), "rig", 1); err != nil {
+		t.Fatal(err)
+	}
+	for _, z := range []string{"a", "b"} {
+		for h := range hosts {
+			for range keepers {
+				x.members = append(x.members, accord.Member{Name: fmt.Sprintf("g%d", len(x.members)),
+					Host: fmt.Sprintf("%s-host%d", z, h)})
+			}
+		}
+	}
+	x.gen = 1
+	x.rules[1] = generation(1, x.members)
+	for i := range daemons {
+		x.daemon(i)
+	}
+	for i, name := range []string{"r0", "r1"} {
+		var up []string
+		for j := range daemons {
+			c := (i + j) % daemons
+			up = append(up, x.net.Stream(name, fmt.Sprintf("c%d", c), x.at(c, 2)))
+		}
+		x.relay(name, 3+2*i, up)
+	}
+	for i, name := range []string{"a0", "a1", "b0", "b1"} {
+		var up []string
+		for j := range 2 {
+			r := fmt.Sprintf("r%d", (i+j)%2)
+			to := x.below[r]
+			if name[0] == 'b' {
+				if x.middle[name] == nil {
+					x.middle[name] = &middleMan{t: t}
+				}
+				to = x.middle[name].open(to)
+			}
+			up = append(up, x.net.Stream(name, r, to))
+		}
+		x.relay(name, 7+2*i, up)
+	}
+	for _, z := range []string{"a", "b"} {
+		x.people(z)
+	}
+	t.Cleanup(func() {
+		for _, all := range x.zones {
+			for _, h := range all {
+				h.end()
+			}
+		}
+	})
+	x.settled("start, empty disks", 1)
+	return x
+}
+
+// daemon starts one of the council's.
+func (x *tree) daemon(i int) {
+	x.t.Helper()
+	name := fmt.Sprintf("c%d", i)
+	dir := filepath.Join(x.dir, name)
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		x.t.Fatal(err)
+	}
+	var b strings.Builder
+	fmt.Fprintf(&b, "name = \"till\"\nconfig = \"gatekeeper.json\"\nrun_dir = \"run\"\ncontrol = %q\n"+
+		"listen = \"127.0.1.1:20000\"\noperators = \"127.0.1.2:20000\"\n[council]\nme = %q\nlisten = %q\n"+
+		"serve = %q\nstore = \"council.db\"\nrules = \"rules.toml\"\nfound = true\nhosts = [", x.at(i, 0), name,
+		x.at(i, 1), x.at(i, 2))
+	for j := range daemons {
+		fmt.Fprintf(&b, "{name = \"c%d\", address = %q}, ", j, x.at(j, 1))
+	}
+	b.WriteString("]\n")
+	x.write(filepath.Join(dir, "fleet.toml"), b.String())
+	x.write(filepath.Join(dir, "gatekeeper.json"), "{}")
+	x.write(filepath.Join(dir, "rules.toml"), x.text(x.rules[1]))
+	x.council = append(x.council, faults.Start(x.t, faults.Spec{Name: name, Dir: dir,
+		Args: []string{"fleet", "--file", filepath.Join(dir, "fleet.toml")},
+		Env:  []string{"WILLOWDECK_HISTORY=" + x.records}}))
+}
+
+// relay starts a relay at two ports of the first address.
+func (x *tree) relay(name string, port int, upstream []string) {
+	x.t.Helper()
+	dir := filepath.Join(x.dir, name)
+	if err := os.MkdirAll(filepath.Join(dir, "store"), 0o700); err != nil {
+		x.t.Fatal(err)
+	}
+	x.below[name], x.control[name] = x.at(0, port), x.at(0, port+1)
+	up, _ := json.Marshal(upstream)
+	x.write(filepath.Join(dir, "relay.toml"), fmt.Sprintf("name = %q\ncluster = \"till\"\nlisten = %q\n"+
+		"control = %q\nupstream = %s\nstore = \"store/relay.copy\"\n", name, x.below[name], x.control[name], up))
+	x.disks[name] = faults.NewDisk(x.t, filepath.Join(dir, "store"))
+	x.relays[name] = faults.Start(x.t, faults.Spec{Name: name, Dir: dir,
+		Args: []string{"relay", "--config", filepath.Join(dir, "relay.toml")},
+		Env:  []string{"WILLOWDECK_HISTORY=" + x.records}})
+}
+
+// people starts a zone's hollow hosts, with copies on disk.
+func (x *tree) people(z string) {
+	x.t.Helper()
+	x.zones[z] = nil
+	for h := range hosts {
+		name := fmt.Sprintf("%s-host%d", z, h)
+		c := NewCopy(filepath.Join(x.dir, name+".copy"), "till", zerolog.Nop())
+		x.zones[z] = append(x.zones[z], newHollowHost(x.t, name, "till", x.records,
+			[]string{x.below[z+"0"], x.below[z+"1"]}, x.members, c))
+	}
+}
+
+func (x *tree) write(path, text string) {
+	x.t.Helper()
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		x.t.Fatal(err)
+	}
+}
+
+func (x *tree) text(r accord.Rules) string {
+	x.t.Helper()
+	text, err := rulebook.Encode(&r)
+	if err != nil {
+		x.t.Fatal(err)
+	}
+	return text
+}
+
+// propose has a daemon propose the next generation.
+func (x *tree) propose(daemon int) { x.proposes(daemon, generation(x.gen+1, x.members)) }
+
+func (x *tree) proposes(daemon int, r accord.Rules) {
+	x.t.Helper()
+	x.gen++
+	x.rules[x.gen] = r
+	x.put(daemon, r)
+}
+
+// put writes rules as a daemon's file, and has it read that.
+func (x *tree) put(daemon int, r accord.Rules) {
+	x.t.Helper()
+	p := x.council[daemon]
+	faults.Until(x.t, within, p.Name+" answers", func() bool {
+		_, err := faults.Ask(x.at(daemon, 0), "/fleet/council")
+		return err == nil
+	})
+	x.write(filepath.Join(p.Dir(), "rules.toml"), x.text(r))
+	if err := p.Renew(); err != nil {
+		x.t.Fatal(err)
+	}
+}
+
+// all gives the gatekeepers of zones; of all where none is named.
+func (x *tree) all(zones ...string) (all []*hollowKeeper) {
+	if len(zones) == 0 {
+		zones = slices.Sorted(maps.Keys(x.zones))
+	}
+	for _, z := range zones {
+		for _, h := range x.zones[z] {
+			all = append(all, h.keepers...)
+		}
+	}
+	return all
+}
+
+// settled waits until all gatekeepers of zones are leased by a generation, and books how long that took.
+func (x *tree) settled(what string, gen int, zones ...string) time.Duration {
+	x.t.Helper()
+	began := time.Now()
+	for {
+		var late []string
+		for _, k := range x.all(zones...) {
+			if i, ok := k.stands(); !ok || i != gen {
+				late = append(late, fmt.Sprintf("%s: %d %v", k.name, i, k.mode()))
+			}
+		}
+		took := time.Since(began)
+		if len(late) == 0 {
+			x.took = append(x.took, fmt.Sprintf("%-52s %6d ms", what, took.Milliseconds()))
+			x.slowest = max(x.slowest, took)
+			return took
+		}
+		if took > within {
+			x.tells()
+			x.t.Fatalf("%s: not all go by generation %d after %v: %v", what, gen, within, late)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// tells prints how all stand, for a failure.
+func (x *tree) tells() {
+	for _, name := range slices.Sorted(maps.Keys(x.relays)) {
+		s, err := x.status(name)
+		raw, _ := json.Marshal(s)
+		x.t.Logf("%s: %s %v\n%s", name, raw, err, tail(x.relays[name].Output()))
+	}
+	for _, p := range x.council {
+		x.t.Logf("%s: %s", p.Name, tail(p.Output()))
+	}
+	for _, line := range x.took {
+		x.t.Log(line)
+	}
+}
+
+func tail(text string) string { return text[max(len(text)-1500, 0):] }
+
+func (x *tree) status(name string) (s Status, err error) {
+	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	res, err := client.Get("http://" + x.control[name] + "/relay/status")
+	if err != nil {
+		return s, err
+	}
+	defer res.Body.Close()
+	return s, json.NewDecoder(res.Body).Decode(&s)
+}
+
+func (x *tree) mustStatus(name string) Status {
+	x.t.Helper()
+	s, err := x.status(name)
+	if err != nil {
+		x.t.Fatalf("%s: %v: %s", name, err, x.relays[name].Output())
+	}
+	return s
+}
+
+// up waits until a relay knows of a version no older than a step.
+func (x *tree) up(name string, step uint64) {
+	x.t.Helper()
+	faults.Until(x.t, within, name+" is there again", func() bool {
+		s, err := x.status(name)
+		return err == nil && s.Known && s.Step >= step
+	})
+}
+
+func (x *tree) must(err error) {
+	x.t.Helper()
+	if err != nil {
+		x.t.Fatal(err)
+	}
+}
+
+func (x *tree) lapses() (n int64) {
+	for _, k := range x.all() {
+		n += k.lapses()
+	}
+	return n
+}
+
+// leader gives the daemon that leads.
+func (x *tree) leader() int {
+	x.t.Helper()
+	lead := -1
+	faults.Until(x.t, within, "a leader", func() bool {
+		for i, p := range x.council {
+			if !p.Running() {
+				continue
+			}
+			text, err := faults.Ask(x.at(i, 0), "/fleet/council")
+			var s struct {
+				Leader string `json:"leader"`
+			}
+			if err == nil && json.Unmarshal([]byte(text), &s) == nil && len(s.Leader) == 2 {
+				if lead = int(s.Leader[1] - '0'); x.council[lead].Running() {
+					return true
+				}
+			}
+		}
+		return false
+	})
+	return lead
+}
+
+// cut cuts a zone off from both regions, or joins it.
+func (x *tree) cut(z string, how faults.Cut) {
+	for _, a := range []string{z + "0", z + "1"} {
+		for _, r := range []string{"r0", "r1"} {
+			x.net.Part(a, r, how)
+		}
+	}
+}
+
+// judge ends all and holds the records of all processes against what is promised.
+func (x *tree) judge() {
+	t := x.t
+	t.Helper()
+	known, lapses := map[uint64]int{}, x.lapses()
+	for _, k := range x.all() {
+		for v, i := range k.known() {
+			if was, there := known[v]; there && was != i {
+				t.Errorf("version %d is generation %d and %d", v, was, i)
+			}
+			known[v] = i
+		}
+	}
+	for _, h := range slices.Concat(x.zones["a"], x.zones["b"]) {
+		h.end()
+	}
+	clear(x.zones)
+	for _, name := range slices.Sorted(maps.Keys(x.relays)) {
+		p := x.relays[name]
+		x.must(p.Term())
+		if !p.Wait(5*time.Second) || !p.Exit().Success() {
+			t.Errorf("%s did not end cleanly: %s", name, tail(p.Output()))
+		}
+	}
+	for _, p := range x.council {
+		x.must(p.Term())
+		if !p.Wait(10 * time.Second) {
+			t.Errorf("%s did not end: %s", p.Name, tail(p.Output()))
+		}
+	}
+	x.must(x.rig.Close())
+	r, err := history.Read(x.records)
+	if err != nil {
+		t.Fatal(err)
+	}
+	rules := map[uint64]accord.Rules{}
+	for v, i := range known {
+		rules[v] = x.rules[i]
+	}
+	v := history.Versions(r)
+	if len(v.Breaks) > 0 || v.Seen == 0 || v.Checker == "Illegal" {
+		t.Errorf("versions: %v (%s)", v.Found, v.Checker)
+	}
+	b := accord.Bound(&accord.Rules{Lease: 1000})
+	c := history.Contradiction(r, history.Leases(rules), b, betweens)
+	if len(c.Breaks) > 0 || c.Seen == 0 {
+		t.Errorf("contradictions: %v", c.Found)
+	}
+	type life struct {
+		who  string
+		life uint32
+	}
+	newest, gives := map[life]uint64{}, map[string]int{}
+	for _, e := range r.Events {
+		if e.Kind != history.Acts && e.Kind != history.Gives || e.Mode == history.Bare {
+			continue
+		}
+		if e.Kind == history.Gives && e.Says != "" {
+			t.Errorf("%s gives what is no rules: %s", e.Who, e.Says)
+		}
+		l := life{e.Who, e.Life}
+		if e.Version < newest[l] {
+			t.Errorf("%s went back from version %d to %d", e.Who, newest[l], e.Version)
+		}
+		newest[l] = max(newest[l], e.Version)
+		if e.Kind == history.Gives {
+			gives[e.Who]++
+		}
+	}
+	for name := range x.relays {
+		if gives[name] == 0 {
+			t.Errorf("%s has recorded nothing", name)
+		}
+	}
+	for _, line := range x.took {
+		t.Log(line)
+	}
+	t.Logf("%d events; versions in force %d (%s); longest contradiction %.0f ms of %.0f; lapses %d; slowest %v",
+		len(r.Events), v.InForce, v.Checker, c.Longest, b, lapses, x.slowest.Round(time.Millisecond))
+}
