--- a/internal/relayd/relay.go
+++ b/internal/relayd/relay.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"math/rand"
 	"net/http"
+	"os"
+	"path/filepath"
 	"sync"
 
 	"github.com/rs/zerolog"
@@ -41,6 +43,11 @@
 
 // Start starts a relay. The record may be nil.
 func Start(f *File, record history.Recorder, log zerolog.Logger) (*Relay, error) {
+	if f.Store != "" {
+		if err := os.MkdirAll(filepath.Dir(f.Store), 0o700); err != nil {
+			return nil, fmt.Errorf("store: %w", err)
+		}
+	}
 	r := &Relay{file: f, log: log, record: record, client: NewClient(f.Upstream, AskPath),
 		copy: NewCopy(f.Store, f.Cluster, log)}
 	seed := f.Seed
