--- a/internal/council/root.go
+++ b/internal/council/root.go
@@ -56,6 +56,13 @@
 	return s.word, s.word.InForce.Number > 0
 }
 
+// Often has a quorum read more often than the gatekeepers of this host need, for those that follow.
+func (s *Seat) Often() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.steward.Often(true)
+}
+
 // Confirmed tells that another reading was confirmed since it was last taken from.
 func (s *Seat) Confirmed() <-chan struct{} { return s.read }
 
@@ -92,32 +99,17 @@
 	}
 	s.below.put = now
 	st := s.council.State()
-	wanted := map[string]uint64{} // by host: the least step that the council gains by
-	need := func(hosts []string, step uint64) {
-		for _, h := range hosts {
-			if at, there := wanted[h]; st.Seen[h] < step && (!there || step < at) {
-				wanted[h] = step
-			}
-		}
-	}
-	for _, h := range st.Held {
-		need(h.Hosts, h.Step)
-	}
-	if p := st.Pending; p != nil {
-		need(p.Hosts, p.Step)
+	if st.Pending == nil && len(st.Held) == 0 {
+		return nil
 	}
-	var all []accord.HostStep
-	for _, h := range slices.Sorted(maps.Keys(wanted)) {
-		if at := min(s.below.seen[h], st.Step); at >= wanted[h] {
-			all = append(all, accord.HostStep{Host: h, Step: at})
-		}
-		if len(all) == accord.MostSeen {
-			break
-		}
+	all := make([]accord.HostStep, 0, len(s.below.seen))
+	for _, h := range slices.Sorted(maps.Keys(s.below.seen)) {
+		all = append(all, accord.HostStep{Host: h, Step: min(s.below.seen[h], st.Step)})
 	}
-	if len(all) == 0 {
+	if all = st.Gains(all); len(all) == 0 {
 		return nil
 	}
+	all = all[:min(len(all), accord.MostSeen)]
 	raw, err := accord.Entry{Act: accord.SeenAll, Hosts: all}.Bytes()
 	if err != nil {
 		return nil
--- a/internal/relayd/relay.go
+++ b/internal/relayd/relay.go
@@ -18,6 +18,10 @@
 	"willowdeck/internal/resource"
 )
 
+// perLease is how often one above is asked in a lease. A gatekeeper's host asks half as often: each level
+// adds to the age of what the next one is told.
+const perLease = 20
+
 // Relay is one that runs: it follows upstreams, and answers those below.
 type Relay struct {
 	file    *File
@@ -55,7 +59,8 @@
 		seed = rand.Int63()
 	}
 	follower := relay.NewFollower(relay.Config{Name: f.Name, Cluster: f.Cluster, Upstream: len(f.Upstream),
-		Interest: accord.Interest{All: true}, Lease: f.LeaseMS, Seed: seed}, Clock())
+		Interest: accord.Interest{All: true}, Lease: f.LeaseMS, PerLease: perLease,
+		Seed: seed}, Clock())
 	r.copy.Base(follower)
 	r.feed = NewFeed(follower, r.client, r.news)
 	var err error
--- a/internal/relayd/root.go
+++ b/internal/relayd/root.go
@@ -19,6 +19,7 @@
 	Confirmed() <-chan struct{}
 	Told(all []accord.HostStep, index int64)
 	Highest() int64
+	Often()
 }
 
 const (
@@ -50,6 +51,7 @@
 		return nil, err
 	}
 	r.giver = g
+	q.Often()
 	ctx, stop := context.WithCancel(context.Background())
 	r.stop = stop
 	r.wait.Add(1)
