Relays: renewals make what is given on younger

A relay offered its source a view at changes alone, so ages below grew to a third of the lease between two changes, and those below went over to the other relay all the time. TestAgeStaysYoung fails without it.

--- a/internal/relayd/feed.go
+++ b/internal/relayd/feed.go
@@ -41,10 +41,14 @@
 // Run follows until the context ends, and returns once nothing of it is left but idle connections.
 func (f *Feed) Run(ctx context.Context) {
 	defer f.wait.Wait()
+	came := false
 	for {
-		if f.turn(ctx) {
+		// A renewal is no news of the follower's, and makes what it knows younger all the same: those below
+		// would else see an age that grows up to the next change.
+		if f.turn(ctx) || came {
 			f.news()
 		}
+		came = false
 		select {
 		case <-ctx.Done():
 			return
@@ -52,6 +56,7 @@
 		case <-f.wake:
 		case h := <-f.got:
 			f.take(h)
+			came = h.answer != nil
 		}
 	}
 }
