Relays: an answer names its question, and one to another question is not gone by

An answer's age counts from when its question came. Given again for a later question, which a box between the two may do, it made what it says younger than it is, by as much as lies between: the bound on contradicting rules did not hold. TestSpoilt has that case; so has the middle man of the tree's rig.

--- a/internal/relayd/client.go
+++ b/internal/relayd/client.go
@@ -3,9 +3,12 @@
 package relayd
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
+	"math/rand"
 	"net"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -51,6 +54,7 @@
 	refused = "refused" // one with another status than 200
 	garbled = "garbled" // one that can't be read
 	lost    = "lost"    // the connection failed
+	other   = "other"   // it is to another question
 	spoilt  = "spoilt"  // its digest is another than that of what came
 )
 
@@ -114,6 +118,7 @@
 // Client asks upstreams, over connections that are kept. It is safe for concurrent use.
 type Client struct {
 	traffic traffic
+	number  atomic.Uint64 // of the last question
 	ways    []*fasthttp.HostClient
 	urls    []string
 }
@@ -122,6 +127,7 @@
 // dialled when it is asked.
 func NewClient(at []string, path string) *Client {
 	c := &Client{}
+	c.number.Store(rand.Uint64()) // those of a former life may be on the way
 	for _, a := range at {
 		c.urls = append(c.urls, "http://"+a+path)
 		c.ways = append(c.ways, &fasthttp.HostClient{Addr: a, MaxConns: mostTalks, MaxIdleConnDuration: idleFor,
@@ -154,6 +160,8 @@
 	req.Header.SetMethod(fasthttp.MethodPost)
 	req.Header.SetContentType(contentType)
 	req.Header.SetBytesV(digestHeader, digest(nil, raw))
+	number := strconv.AppendUint(nil, c.number.Add(1), 10)
+	req.Header.SetBytesV(askHeader, number)
 	req.SetBodyRaw(raw)
 	c.traffic.asks.Add(1)
 	c.traffic.askBytes.Add(int64(len(raw)))
@@ -176,6 +184,10 @@
 		c.traffic.fail(refused)
 		return nil, &StatusError{Code: s, Says: string(body[:min(len(body), longestSays)])}
 	}
+	if !bytes.Equal(res.Header.Peek(askHeader), number) {
+		c.traffic.fail(other)
+		return nil, fmt.Errorf("%w: %w", ErrSpoilt, errOther)
+	}
 	if !sound(res.Header.Peek(digestHeader), body) {
 		c.traffic.fail(spoilt)
 		return nil, fmt.Errorf("%w: %w", ErrSpoilt, errDigest)
--- a/internal/relayd/digest.go
+++ b/internal/relayd/digest.go
@@ -15,6 +15,16 @@
 	digestTail   = ":"
 )
 
+// askHeader bears a number that an asker gives its question, and that comes back with the answer. An
+// answer's age counts from when its question came, so that one which is given again for a later question (by
+// a cache, or a box that has lost count) would make what it says younger than it is.
+const (
+	askHeader  = "Ask-Number"
+	mostDigits = 20
+)
+
+var errOther = errors.New("the answer is to another question")
+
 var errDigest = errors.New("the body's Content-Digest is missing, or another's")
 
 // digest appends the header's value for a body.
--- a/internal/relayd/handler.go
+++ b/internal/relayd/handler.go
@@ -78,6 +78,8 @@
 	if status == http.StatusOK {
 		ctx.SetContentType(contentType)
 		ctx.Response.Header.SetBytesV(digestHeader, digest(nil, raw))
+		number := ctx.Request.Header.Peek(askHeader)
+		ctx.Response.Header.SetBytesV(askHeader, number[:min(len(number), mostDigits)])
 	}
 	ctx.Response.SetBodyRaw(raw)
 }
@@ -100,6 +102,8 @@
 	if status == http.StatusOK {
 		w.Header().Set("Content-Type", contentType)
 		w.Header().Set(digestHeader, string(digest(nil, raw)))
+		number := r.Header.Get(askHeader)
+		w.Header().Set(askHeader, number[:min(len(number), mostDigits)])
 	}
 	w.WriteHeader(status)
 	_, _ = w.Write(raw)
--- a/internal/relayd/middle_test.go
+++ b/internal/relayd/middle_test.go
@@ -32,7 +32,13 @@
 	how   string
 	times int // left to do so
 	did   int
-	last  []byte
+	last  answered
+}
+
+// answered is an answer as it came: its body, and the heads that count.
+type answered struct {
+	body        []byte
+	sum, number string
 }
 
 // open listens in front of a real upstream.
@@ -55,14 +61,15 @@
 		if err != nil {
 			return
 		}
-		sum := res.Header.Get(digestHeader)
+		a := answered{body, res.Header.Get(digestHeader), res.Header.Get(askHeader)}
 		if res.StatusCode == http.StatusOK {
-			body, sum = m.spoil(body, sum)
+			a = m.spoil(a)
 		}
 		w.Header().Set("Content-Type", contentType)
-		w.Header().Set(digestHeader, sum)
+		w.Header().Set(digestHeader, a.sum)
+		w.Header().Set(askHeader, a.number)
 		w.WriteHeader(res.StatusCode)
-		_, _ = w.Write(body)
+		_, _ = w.Write(a.body)
 	}))
 	m.t.Cleanup(func() {
 		s.CloseClientConnections()
@@ -86,40 +93,40 @@
 	return m.did
 }
 
-func (m *middleMan) spoil(body []byte, sum string) ([]byte, string) {
+func (m *middleMan) spoil(came answered) answered {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	was := m.last
-	m.last = body
+	m.last = came
 	if m.times == 0 {
-		return body, sum
+		return came
 	}
-	a, err := relay.ReadAnswer(body)
+	a, err := relay.ReadAnswer(came.body)
 	if err != nil {
 		m.t.Error(err)
-		return body, sum
+		return came
 	}
-	whole := func() ([]byte, string) {
+	whole := func() answered {
 		m.times--
 		m.did++
 		raw, err := a.Bytes()
 		if err != nil {
 			m.t.Error(err)
 		}
-		return raw, string(digest(nil, raw))
+		return answered{raw, string(digest(nil, raw)), came.number}
 	}
 	d := a.RulesDelta
 	switch m.how {
 	case flips:
 		m.times--
 		m.did++
-		body = bytes.Clone(body)
-		body[len(body)/2] ^= 0x10
+		came.body = bytes.Clone(came.body)
+		came.body[len(came.body)/2] ^= 0x10
 	case doubles:
-		if was != nil {
+		if was.body != nil {
 			m.times--
 			m.did++
-			return was, string(digest(nil, was))
+			return was
 		}
 	case delays:
 		m.times--
@@ -145,5 +152,5 @@
 			return whole()
 		}
 	}
-	return body, sum
+	return came
 }
--- a/internal/relayd/relayd_test.go
+++ b/internal/relayd/relayd_test.go
@@ -197,9 +197,14 @@
 		t.Errorf("a whole ask: status %d, news %v", status, news)
 	}
 
-	body, sum := []byte(nil), ""
-	up := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	body, sum, number := []byte(nil), "", ""
+	up := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set(digestHeader, sum)
+		if number == "" {
+			w.Header().Set(askHeader, r.Header.Get(askHeader))
+		} else {
+			w.Header().Set(askHeader, number)
+		}
 		_, _ = w.Write(body)
 	}))
 	t.Cleanup(up.Close)
@@ -227,6 +232,11 @@
 	if _, err := c.Ask(0, &ask, 1000); err != nil {
 		t.Error(err)
 	}
+	// Guards against an answer that is given again for a later question: its age would count from then.
+	number = fmt.Sprint(c.number.Load())
+	if _, err := c.Ask(0, &ask, 1000); !errors.Is(err, ErrSpoilt) || c.Traffic().Failed[other] != 1 {
+		t.Errorf("the answer to the question before: %v", err)
+	}
 }
 
 // TestRefused: what is no ask, or one of another form or cluster, has a status and a reason.
--- a/internal/relayd/tree_test.go
+++ b/internal/relayd/tree_test.go
@@ -143,7 +143,7 @@
 				swaps:   s.Follow.Digest - b.Follow.Digest,
 				rebases: s.Follow.Base - b.Follow.Base,
 				loses:   s.Follow.Missing - b.Follow.Missing,
-				doubles: s.Follow.Late + s.Follow.Renewed - b.Follow.Late - b.Follow.Renewed,
+				doubles: s.Up.Failed[other] - b.Up.Failed[other],
 				delays:  s.Up.Failed[late] - b.Up.Failed[late],
 			}[how]
 			if counted == 0 {
