--- a/internal/relayd/tree_test.go
+++ b/internal/relayd/tree_test.go
@@ -158,14 +158,14 @@
 func (x *tree) bounds() {
 	was := x.mustStatus("a0")
 	for key, change := range map[string]func(*accord.Rules){
-		"bound":   func(r *accord.Rules) { r.Lease, r.Bound = 5000, 2000 },
-		"plans.0": func(r *accord.Rules) { r.Plans[0].Rate = -1 },
+		"bound:":            func(r *accord.Rules) { r.Lease, r.Bound = 5000, 2000 },
+		"plans.basic.rate:": func(r *accord.Rules) { r.Plans[0].Rate = -1 },
 	} {
 		r := generation(x.gen+1, x.members)
 		change(&r)
 		x.put(0, r)
 		p := x.council[0]
-		x.until("a word on "+key, func() bool { return strings.Contains(p.Output(), key) })
+		x.until("a word on "+key, func() bool { return strings.Contains(p.Output(), "rules.toml: "+key) })
 	}
 	time.Sleep(500 * time.Millisecond)
 	if now := x.mustStatus("a0"); now.Mark != was.Mark || now.Pending != 0 {
