--- a/internal/relayd/tree_test.go
+++ b/internal/relayd/tree_test.go
@@ -23,6 +23,14 @@
 	x.propose(0)
 	x.settled("a change, all well", x.gen)
 
+	// A ceiling under the fallback waits for all hosts below to have seen it, and not for its time to be up.
+	x.proposes(0, generationOf(x.gen+1, x.members, 400, 400))
+	if took := x.settled("a ceiling under the fallback, all well", x.gen); took > 2500*time.Millisecond {
+		t.Errorf("in force after %v: what hosts below have seen does not come up", took)
+	}
+	x.propose(0)
+	x.settled("the ceiling up, all well", x.gen)
+
 	// A region's relay is killed, and comes back with its copy of a version before.
 	x.must(x.disks["r0"].Keep())
 	x.must(x.relays["r0"].Kill())
