--- a/internal/relayd/rig_test.go
+++ b/internal/relayd/rig_test.go
@@ -393,44 +393,138 @@
 	for v, i := range known {
 		rules[v] = x.rules[i]
 	}
-	v := history.Versions(r)
-	if len(v.Breaks) > 0 || v.Seen == 0 || v.Checker == "Illegal" {
-		t.Errorf("versions: %v (%s)", v.Found, v.Checker)
+	v := judged(r, rules)
+	for _, broken := range v.breaks {
+		t.Error(broken)
 	}
-	b := accord.Bound(&accord.Rules{Lease: 1000})
-	c := history.Contradiction(r, history.Leases(rules), b, betweens)
-	if len(c.Breaks) > 0 || c.Seen == 0 {
-		t.Errorf("contradictions: %v", c.Found)
+	for name := range x.relays {
+		if v.gives[name] == 0 {
+			t.Errorf("%s has recorded nothing", name)
+		}
+	}
+	if len(v.breaks) == 0 {
+		planted(t, r, rules)
+	}
+	for _, line := range x.took {
+		t.Log(line)
+	}
+	t.Logf("%d events; versions in force %d (%s); longest contradiction %.0f ms of %.0f; lapses %d; slowest %v",
+		len(r.Events), v.versions.InForce, v.versions.Checker, v.stances.Longest, bounded, lapses,
+		x.slowest.Round(time.Millisecond))
+}
+
+// bounded is B for the lease of these rules.
+var bounded = accord.Bound(&accord.Rules{Lease: 1000})
+
+// verdict is what is found in a record.
+type verdict struct {
+	breaks   []string
+	versions history.Versioned
+	stances  history.Contradictions
+	gives    map[string]int
+}
+
+// judged holds a record against what is promised, with the rules by version.
+func judged(r history.Record, rules map[uint64]accord.Rules) verdict {
+	v := verdict{versions: history.Versions(r), gives: map[string]int{},
+		stances: history.Contradiction(r, history.Leases(rules), bounded, betweens)}
+	says := func(format string, args ...any) { v.breaks = append(v.breaks, fmt.Sprintf(format, args...)) }
+	if v.versions.Count > 0 || v.versions.Seen == 0 || v.versions.Checker == "Illegal" {
+		says("versions: %v (%s)", v.versions.Found, v.versions.Checker)
+	}
+	if v.stances.Count > 0 || v.stances.Seen == 0 {
+		says("contradictions: %v", v.stances.Found)
 	}
 	type life struct {
 		who  string
 		life uint32
 	}
-	newest, gives := map[life]uint64{}, map[string]int{}
+	newest := map[life]uint64{}
 	for _, e := range r.Events {
 		if e.Kind != history.Acts && e.Kind != history.Gives || e.Mode == history.Bare {
 			continue
 		}
 		if e.Kind == history.Gives && e.Says != "" {
-			t.Errorf("%s gives what is no rules: %s", e.Who, e.Says)
+			says("%s gives what is no rules: %s", e.Who, e.Says)
 		}
 		l := life{e.Who, e.Life}
 		if e.Version < newest[l] {
-			t.Errorf("%s went back from version %d to %d", e.Who, newest[l], e.Version)
+			says("%s went back from version %d to %d", e.Who, newest[l], e.Version)
 		}
 		newest[l] = max(newest[l], e.Version)
 		if e.Kind == history.Gives {
-			gives[e.Who]++
+			v.gives[e.Who]++
 		}
 	}
-	for name := range x.relays {
-		if gives[name] == 0 {
-			t.Errorf("%s has recorded nothing", name)
+	return v
+}
+
+// planted puts breaks into a record without any, one at a time: each has to be found.
+func planted(t *testing.T, r history.Record, rules map[uint64]accord.Rules) {
+	t.Helper()
+	find := func(holds func(history.Event) bool) int {
+		i := slices.IndexFunc(r.Events, holds)
+		if i < 0 {
+			t.Fatal("nothing in the record to plant a break by")
+		}
+		return i
+	}
+	relays := func(e history.Event) bool { return e.Kind == history.Gives && e.Mark != "" && e.Who[0] == 'a' }
+	last := r.Events[len(r.Events)-1].At
+	for what, plant := range map[string]func([]history.Event) []history.Event{
+		"a gatekeeper goes back": func(all []history.Event) []history.Event {
+			i := find(func(e history.Event) bool { return e.Kind == history.Acts && e.Version >= 3 })
+			e := all[i]
+			e.Version, e.Mode = 1, history.Leased
+			return slices.Insert(all, i+1, e)
+		},
+		"a relay goes back": func(all []history.Event) []history.Event {
+			i := find(func(e history.Event) bool { return relays(e) && e.Version >= 3 })
+			e := all[i]
+			e.Version, e.Mark = 1, ""
+			return slices.Insert(all, i+1, e)
+		},
+		"a relay gives other rules under a version's number": func(all []history.Event) []history.Event {
+			all[find(relays)].Mark = "000000000000"
+			return all
+		},
+		"a relay gives a version long after its time": func(all []history.Event) []history.Event {
+			i := find(func(e history.Event) bool { return relays(e) && e.Version == 1 })
+			e := all[i]
+			e.At, e.Who = last, "z9"
+			return append(all, e)
+		},
+		"a gatekeeper keeps to its lease": func(all []history.Event) []history.Event {
+			i := find(func(e history.Event) bool { return e.Kind == history.Acts && e.Version == 2 })
+			e := all[i]
+			e.Who, e.Mode = "z9", history.Leased
+			return slices.Insert(all, i+1, e)
+		},
+	} {
+		broken := r
+		broken.Events = plant(slices.Clone(r.Events))
+		if len(judged(broken, rules).breaks) == 0 {
+			t.Errorf("planted and not found: %s", what)
 		}
 	}
-	for _, line := range x.took {
-		t.Log(line)
+}
+
+// TestGenerations: a mix of two generations shows in each part of the rules.
+func TestGenerations(t *testing.T) {
+	whole := func() accord.Rules { return generation(3, some(2, "h")) }
+	other := generation(4, some(2, "h"))
+	if r := whole(); len(generations(&r)) != 1 || !generations(&r)[3] {
+		t.Errorf("whole rules of generation 3 are of %v", generations(&r))
+	}
+	for i, mix := range []func(*accord.Rules){
+		func(r *accord.Rules) { r.Plans[0] = other.Plans[0] },
+		func(r *accord.Rules) { r.Plans[1] = other.Plans[1] },
+		func(r *accord.Rules) { r.Words = other.Words },
+		func(r *accord.Rules) { r.Members[1] = other.Members[1] },
+	} {
+		r := whole()
+		if mix(&r); len(generations(&r)) != 2 {
+			t.Errorf("mix %d is not seen", i)
+		}
 	}
-	t.Logf("%d events; versions in force %d (%s); longest contradiction %.0f ms of %.0f; lapses %d; slowest %v",
-		len(r.Events), v.InForce, v.Checker, c.Longest, b, lapses, x.slowest.Round(time.Millisecond))
 }
