--- a/internal/relayd/cost_test.go
+++ b/internal/relayd/cost_test.go
@@ -15,6 +15,7 @@
 
 	"willowdeck/internal/accord"
 	"willowdeck/internal/faults"
+	"willowdeck/internal/ports"
 	"willowdeck/internal/relay"
 	"willowdeck/internal/resource"
 )
@@ -98,7 +99,7 @@
 		stop()
 		<-over
 	})
-	port := faults.Ports(t, 2)
+	port := ports.Span(t, 2)
 	b.at, b.ops = fmt.Sprintf("127.0.0.1:%d", port), fmt.Sprintf("127.0.0.1:%d", port+1)
 	dir := t.TempDir()
 	file := filepath.Join(dir, "relay.toml")
--- a/internal/relayd/rig_test.go
+++ b/internal/relayd/rig_test.go
@@ -17,6 +17,7 @@
 	"willowdeck/internal/accord"
 	"willowdeck/internal/faults"
 	"willowdeck/internal/history"
+	"willowdeck/internal/ports"
 	"willowdeck/internal/rulebook"
 )
 
@@ -59,7 +60,7 @@
 	t.Helper()
 	dir := t.TempDir()
 	x := &tree{t: t, dir: dir, records: filepath.Join(dir, "records"), net: faults.NewNet(t, 1),
-		first: faults.Ports(t, 3+2*6), relays: map[string]*faults.Process{}, control: map[string]string{},
+		first: ports.Span(t, 3+2*6), relays: map[string]*faults.Process{}, control: map[string]string{},
 		below: map[string]string{}, disks: map[string]*faults.Disk{}, middle: map[string]*middleMan{},
 		zones: map[string][]*hollowHost{}, rules: map[int]accord.Rules{}}
 	if err := os.MkdirAll(x.records, 0o700); err != nil {
