--- a/internal/relayd/rig_test.go
+++ b/internal/relayd/rig_test.go
@@ -240,7 +240,8 @@
 		}
 		took := time.Since(began)
 		if len(late) == 0 {
-			x.took = append(x.took, fmt.Sprintf("%-52s %6d ms", what, took.Milliseconds()))
+			x.took = append(x.took, fmt.Sprintf("%-54s %6d ms, %d leases lost so far", what,
+				took.Milliseconds(), x.lapses()))
 			x.slowest = max(x.slowest, took)
 			return took
 		}
