Relays: one ask in a slot where none above has a word

With control wholly gone each relay and host asked all of its upstreams in each slot: 122 asks a second became 237 in a tree of two upstreams each, and would be five times as many below five daemons. Now they are tried once in a row, and one in a slot after that, until one has a word.

--- a/internal/relay/follower.go
+++ b/internal/relay/follower.go
@@ -53,16 +53,17 @@
 	now, start   float64
 	lease, every float64
 
-	order []int     // upstreams as preferred
-	at    int       // in order: the one that is asked
-	other int       // in order: the one that was asked beside it last
-	asks  []out     // by upstream
-	ready []int     // in order: to be asked now
-	next  float64   // when the next question is due
-	tried int       // in a row without a word, since the last slot
-	doubt bool      // what the current one says is old
-	again float64   // when the preferred one is to be tried again
-	fresh []float64 // by upstream, when the read began that it told of last
+	order  []int     // upstreams as preferred
+	at     int       // in order: the one that is asked
+	other  int       // in order: the one that was asked beside it last
+	asks   []out     // by upstream
+	ready  []int     // in order: to be asked now
+	next   float64   // when the next question is due
+	tried  int       // in a row without a word, since the last slot
+	barren bool      // none of them had a word in a whole row, and none has since
+	doubt  bool      // what the current one says is old
+	again  float64   // when the preferred one is to be tried again
+	fresh  []float64 // by upstream, when the read began that it told of last
 
 	has     bool
 	lost    bool // the lease has run out
@@ -270,7 +271,7 @@
 	case f.at != 0 && f.now >= f.again:
 		beside = 0
 		f.again = f.now + f.lease*againLeases*(2+2*f.rng.Float64())/3
-	case f.doubt && len(f.order) > 1:
+	case f.doubt && !f.barren && len(f.order) > 1:
 		if f.other = (f.other + 1) % len(f.order); f.other == f.at {
 			f.other = (f.other + 1) % len(f.order)
 		}
@@ -319,14 +320,16 @@
 	f.pass(upstream)
 }
 
-// pass goes over to the next upstream where the current one is of no use. All are asked once in a row; then
-// the next slot is waited for, so that the rate stays the same where all are gone.
+// pass goes over to the next upstream where the current one is of no use. All are asked once in a row; if none
+// is of use, one is asked in each slot from then on, so that the rate stays the same where all are gone.
 func (f *Follower) pass(upstream int) {
 	if upstream != f.Current() || len(f.order) == 1 {
 		return
 	}
 	f.turn((f.at + 1) % len(f.order))
-	if f.tried++; f.tried < len(f.order) && !f.asks[f.Current()].is {
+	if f.tried++; f.tried >= len(f.order) {
+		f.barren = true
+	} else if !f.barren && !f.asks[f.Current()].is {
 		f.ready = append(f.ready[:0], f.at)
 	}
 }
@@ -386,7 +389,7 @@
 	}
 	f.weigh(upstream, asked-a.Age, a)
 	if f.word(asked-a.Age, a, o.quiet) {
-		f.tried = 0
+		f.tried, f.barren = 0, false
 	} else {
 		f.pass(upstream)
 	}
