--- a/internal/relay/follower.go
+++ b/internal/relay/follower.go
@@ -320,8 +320,8 @@
 	f.pass(upstream)
 }
 
-// pass goes over to the next upstream where the current one is of no use. All are asked once in a row; if none
-// is of use, one is asked in each slot from then on, so that the rate stays the same where all are gone.
+// pass goes over to the next upstream where the current one is of no use. All are asked once in a row; if
+// none is of use, one is asked in each slot from then on, so that the rate stays the same where all are gone.
 func (f *Follower) pass(upstream int) {
 	if upstream != f.Current() || len(f.order) == 1 {
 		return
--- a/internal/relay/rate_test.go
+++ b/internal/relay/rate_test.go
@@ -6,8 +6,8 @@
 	"willowdeck/internal/accord"
 )
 
-// TestRateWithAllGone guards against a wave where nobody above knows anything: whether they are silent, refuse,
-// or have nothing to say, a follower asks as often as ever, but for one row in which it tries them all.
+// TestRateWithAllGone guards against a wave where nobody above knows anything: whether they are silent,
+// refuse, or have nothing to say, a follower asks as often as ever, but for one row in which it tries all.
 func TestRateWithAllGone(t *testing.T) {
 	// Counted once what is told is of this life: before that two are asked in a slot, as one may have more.
 	const first, last, every = 3000.0, 23000.0, 50.0
