--- a/internal/relayd/cost_test.go
+++ b/internal/relayd/cost_test.go
@@ -23,6 +23,7 @@
 var (
 	costs  = flag.Bool("costs", false, "measure what an ask costs a relay, at several sizes")
 	commit = flag.String("commit", "", "named in the figures' lines")
+	named  = flag.String("run", "trial", "and this, in their first column")
 )
 
 const (
@@ -186,7 +187,7 @@
 }
 
 func (b *bench) line(figure, unit string, value float64) {
-	fmt.Printf("relay-cost,%s,relay,%d,relay,%s,%s,%.4g\n", *commit, b.size, figure, unit, value)
+	fmt.Printf("%s,%s,relays,%d,relay,%s,%s,%.4g\n", *named, *commit, b.size, figure, unit, value)
 }
 
 func (b *bench) lines(what string, ms, in, out float64) {
