--- a/internal/lifecycle/agree.go
+++ b/internal/lifecycle/agree.go
@@ -1,8 +1,11 @@
 package lifecycle
 
 import (
+	"errors"
 	"fmt"
 	"math"
+	"net"
+	"net/http"
 	"net/netip"
 	"net/url"
 	"os"
@@ -17,12 +20,16 @@
 	"willowdeck/internal/accord"
 	"willowdeck/internal/held"
 	"willowdeck/internal/history"
+	"willowdeck/internal/relay"
+	"willowdeck/internal/relayd"
 	"willowdeck/internal/wire"
 	"willowdeck/logic"
 )
 
-// What the daemon is asked, and what its answer says beside the lease.
+// What the daemon is asked. At AskPath it tells changes of what is here, and how long ago that was in force;
+// at LeasePath all rules each time, for instances of a program that does not ask for less.
 const (
+	AskPath     = "/fleet/ask"
 	LeasePath   = "/fleet/lease"
 	IndexHeader = "X-Discovery-Index" // the highest index of discovery's list that any process has told
 )
@@ -30,6 +37,9 @@
 const (
 	askLeast  = 25.0   // ms at least for an answer; on one host it takes some tenths
 	spoiltSay = 5000.0 // ms between two lines of the log on answers that can't be gone by
+	// olderFor is how long a daemon that does not answer at AskPath is asked at LeasePath alone, ms: a daemon is
+	// replaced within seconds, and each try in vain costs an answer of some bytes.
+	olderFor = 5000.0
 )
 
 // agreement is the part of a gatekeeper that goes by rules which all agree on. One goroutine does all of it
@@ -41,7 +51,11 @@
 	taken  accord.Terms   // last adopted
 	wide   logic.Charter  // what is gone by with nothing withheld
 	of     []float64      // by plan of the charter, the part of a place's that this has
-	client fasthttp.Client
+	copied *relay.Replica
+	unfit  string          // why what copied has can't be gone by
+	client *relayd.Client  // asks for changes
+	whole  fasthttp.Client // and this one for all
+	older  float64         // ms until which the daemon is taken to be of an older program
 	timer  *time.Timer
 	answer chan answer
 	asks   bool // one is out
@@ -54,6 +68,10 @@
 	refused atomic.Int64 // answers that can't be gone by
 	silent  atomic.Int64 // questions without an answer, or with none that holds
 	highest atomic.Int64 // index of discovery's list anywhere, as told
+
+	bytesIn, bytesOut atomic.Int64 // at LeasePath, with HTTP's heads
+	work              atomic.Int64 // ns in which answers were read and taken up, waits left out
+	counts            atomic.Pointer[relay.ReplicaCounts]
 }
 
 // ruleModes are as records name them.
@@ -62,6 +80,8 @@
 
 // answer is what came on a question that was sent at a time, ms.
 type answer struct {
+	told    *relay.Answer // nil: the lease holds, of one that tells all
+	older   bool          // the daemon does not answer at AskPath
 	lease   accord.Lease
 	highest int64
 	asked   float64
@@ -84,8 +104,11 @@
 func (g *Gatekeeper) agree() {
 	c := spoken(g.conf)
 	a := &agreement{g: g, wide: c, timer: time.NewTimer(time.Hour), answer: make(chan answer, 1),
-		of: make([]float64, len(c.Plans)), client: fasthttp.Client{MaxResponseBodySize: accord.MostBytes,
-			MaxIdemponentCallAttempts: 1, NoDefaultUserAgentHeader: true}}
+		of: make([]float64, len(c.Plans)), whole: fasthttp.Client{MaxResponseBodySize: accord.MostBytes,
+			MaxIdemponentCallAttempts: 1, NoDefaultUserAgentHeader: true},
+		client: relayd.NewClient([]string{g.conf.Agree}, AskPath),
+		copied: relay.NewReplica(g.conf.Name, os.Getpid(), g.conf.Seed)}
+	a.whole.Dial = a.dial
 	a.wide.Plans = slices.Clone(c.Plans)
 	a.holder = accord.NewHolder(g.conf.Name, born(&g.conf.Charter, g.conf.Name, g.conf.Names.Plans))
 	g.agreed = a
@@ -106,18 +129,24 @@
 }
 
 func (a *agreement) run() {
+	defer a.client.Close()
 	for {
 		select {
 		case <-a.timer.C:
 		case got := <-a.answer:
 			a.asks = false
-			if a.hear(got); a.again {
+			began := time.Now()
+			a.hear(got)
+			a.work.Add(int64(time.Since(began)))
+			if a.again {
 				a.ask()
 			}
 		case <-a.g.over:
 			return
 		}
+		began := time.Now()
 		a.turn()
+		a.work.Add(int64(time.Since(began)))
 	}
 }
 
@@ -151,20 +180,49 @@
 	}
 	a.asks, a.again = true, false
 	within := math.Max(a.heard.Rules.Lease/4, askLeast)
+	holds, index := a.holder.Holds(), a.g.discovered()
 	q := url.Values{"instance": {a.g.conf.Name}, "pid": {strconv.Itoa(os.Getpid())},
-		"holds": {strconv.FormatUint(a.holder.Holds(), 10)}, "index": {strconv.FormatInt(a.g.discovered(), 10)}}
+		"holds": {strconv.FormatUint(holds, 10)}, "index": {strconv.FormatInt(index, 10)}}
 	at := "http://" + a.g.conf.Agree + LeasePath + "?" + q.Encode()
-	go func() { a.answer <- a.call(at, within) }()
+	if boot() < a.older {
+		go func() { a.answer <- a.call(at, within) }()
+		return
+	}
+	changes := a.copied.Ask(boot(), holds, index)
+	go func() {
+		got := a.callFor(changes, within)
+		if got.older {
+			got = a.call(at, within)
+			got.older = true
+		}
+		a.answer <- got
+	}()
 }
 
-// call asks the daemon and waits for so many ms at most.
+// callFor asks the daemon for changes and waits for so many ms at most.
+func (a *agreement) callFor(changes *relay.Ask, within float64) (got answer) {
+	got.asked = boot()
+	got.told, got.err = a.client.Ask(0, changes, within)
+	var status *relayd.StatusError
+	switch {
+	case got.err == nil:
+		got.highest = got.told.Index
+	case errors.As(got.err, &status):
+		got.older = status.Code == http.StatusNotFound || status.Code == http.StatusMethodNotAllowed
+	default:
+		got.spoilt = errors.Is(got.err, relayd.ErrSpoilt)
+	}
+	return got
+}
+
+// call asks the daemon for all and waits for so many ms at most.
 func (a *agreement) call(at string, within float64) (got answer) {
 	req, res := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(res)
 	req.SetRequestURI(at)
 	got.asked = boot()
-	if got.err = a.client.DoTimeout(req, res, wire.Millis(within)); got.err != nil {
+	if got.err = a.whole.DoTimeout(req, res, wire.Millis(within)); got.err != nil {
 		got.spoilt = got.err == fasthttp.ErrBodyTooLarge
 		return got
 	}
@@ -172,15 +230,48 @@
 		got.err = fmt.Errorf("status %d: %.100s", s, res.Body())
 		return got
 	}
+	began := time.Now()
 	got.lease, got.err = accord.ReadLease(res.Body())
+	a.work.Add(int64(time.Since(began)))
 	got.spoilt = got.err != nil
 	got.highest, _ = strconv.ParseInt(string(res.Header.Peek(IndexHeader)), 10, 64)
 	return got
 }
 
+// dial opens a connection on which bytes are counted.
+func (a *agreement) dial(at string) (net.Conn, error) {
+	c, err := fasthttp.Dial(at)
+	if err != nil {
+		return nil, err
+	}
+	return &counted{c, a}, nil
+}
+
+// counted is a connection to the daemon.
+type counted struct {
+	net.Conn
+	of *agreement
+}
+
+func (c *counted) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.of.bytesIn.Add(int64(n))
+	return n, err
+}
+
+func (c *counted) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.of.bytesOut.Add(int64(n))
+	return n, err
+}
+
 // hear takes an answer. One that can't be gone by changes nothing: what is gone by goes on until its time has
 // run out.
 func (a *agreement) hear(got answer) {
+	if got.older {
+		a.older = boot() + olderFor
+		a.g.log.Info().Msg("the daemon is of an older program, and is asked for all rules each time")
+	}
 	switch {
 	case got.spoilt:
 		a.refuse(got.err.Error())
@@ -190,12 +281,19 @@
 		return
 	}
 	a.holder.Clock(boot())
-	l := &got.lease
-	if l.Foreign == "" {
-		if why := a.misfit(&l.Version.Rules); why != "" {
-			a.refuse(why)
+	l, why := &got.lease, ""
+	if got.told != nil {
+		if why = a.replica(got.told, l); why == "" && l.Version.Number == 0 { // no news, and counted
 			return
 		}
+	} else if l.Foreign == "" {
+		why = a.misfit(&l.Version.Rules, accord.Check)
+	}
+	if why != "" {
+		a.refuse(why)
+		return
+	}
+	if l.Foreign == "" {
 		if l.Version.Number > a.heard.Number {
 			a.heard = l.Version
 		}
@@ -213,11 +311,33 @@
 	a.g.lags(got.highest)
 }
 
+// replica takes what the daemon tells of changes, and gives it as a lease. Rules that it can't go by are
+// named each time; a lease without a number is no news.
+func (a *agreement) replica(told *relay.Answer, l *accord.Lease) (why string) {
+	next, news, err := a.copied.Hear(told, boot())
+	counts := a.copied.Counts()
+	a.counts.Store(&counts)
+	switch {
+	case errors.Is(err, relay.ErrBusy):
+		a.silent.Add(1)
+		return ""
+	case err != nil:
+		return err.Error()
+	}
+	if news {
+		if a.unfit = ""; next.Foreign == "" {
+			a.unfit = a.misfit(&next.Version.Rules, accord.CheckPart)
+		}
+	}
+	*l = next
+	return a.unfit
+}
+
 // misfit tells why this gatekeeper can't go by rules; empty where it can. One that was a member and is none
 // any more goes by them: nothing passes under its ceilings.
-func (a *agreement) misfit(r *accord.Rules) string {
+func (a *agreement) misfit(r *accord.Rules, check func(*accord.Rules) error) string {
 	c := &a.g.conf.Charter
-	if err := accord.Check(r); err != nil {
+	if err := check(r); err != nil {
 		return err.Error()
 	}
 	switch me := accord.Place(r, a.g.conf.Name); {
@@ -339,7 +459,9 @@
 	return c
 }
 
-// addresses are those of the rules' members; of one that they have none for, what was known.
+// addresses are those of the rules' members; of one that they have none for, what was known. Of those that
+// are not told here, as no customer is shared with them, there is none: nothing is sent to them, and nothing
+// of theirs is heard.
 func (a *agreement) addresses() []netip.AddrPort {
 	all := make([]netip.AddrPort, len(a.heard.Rules.Members))
 	for i, m := range a.heard.Rules.Members {
@@ -354,8 +476,8 @@
 
 // figures are what operators see of it. Mode is 0 bare, 1 cut off, 2 leased.
 func (a *agreement) figures(add func(string, int64)) {
-	t, left := a.terms.Load(), int64(0)
-	if until := t.Until(); until < math.MaxInt64 {
+	terms, left := a.terms.Load(), int64(0)
+	if until := terms.Until(); until < math.MaxInt64 {
 		left = max(until-held.Boot(), 0) / 1e6
 	}
 	add("rules.version", int64(a.version.Load()))
@@ -364,6 +486,21 @@
 	add("rules.refused", a.refused.Load())
 	add("rules.unanswered", a.silent.Load())
 	add("rules.recalled", a.g.desk.Recalled())
+	t := a.client.Traffic()
+	add("rules.bytes_in", a.bytesIn.Load()+t.In)
+	add("rules.bytes_out", a.bytesOut.Load()+t.Out)
+	add("rules.work_us", a.work.Load()/1000)
+	c := a.counts.Load()
+	if c == nil {
+		c = &relay.ReplicaCounts{}
+	}
+	add("rules.renewals", c.Renewals)
+	add("rules.deltas", c.Deltas)
+	add("rules.wholes", c.Wholes)
+	add("rules.busy", c.Busy)
+	add("rules.spoilt", c.Base+c.Digest+c.Bad)
+	add("rules.spoilt.base", c.Base)
+	add("rules.spoilt.digest", c.Digest)
 	add("discovery.index", a.g.discovered())
 	add("discovery.index_highest", a.highest.Load())
 }
--- a/internal/lifecycle/agree_test.go
+++ b/internal/lifecycle/agree_test.go
@@ -20,7 +20,7 @@
 	"willowdeck/logic"
 )
 
-// daemon stands in for the daemon of an instance's host.
+// daemon stands in for the daemon of an instance's host, of a program that tells all rules each time.
 type daemon struct {
 	at    string
 	mu    sync.Mutex
@@ -35,6 +35,10 @@
 	d.at = scripted(t, func(w http.ResponseWriter, r *http.Request) {
 		d.mu.Lock()
 		defer d.mu.Unlock()
+		if r.URL.Path == AskPath { // as its mux does
+			http.NotFound(w, r)
+			return
+		}
 		d.asked++
 		for key := range r.URL.Query() {
 			d.last[key] = r.FormValue(key)
--- /dev/null
+++ b/internal/relay/replica.go
@@ -0,0 +1,172 @@
+package relay
+
+import (
+	"errors"
+	"fmt"
+	"math/rand"
+
+	"willowdeck/internal/accord"
+	"willowdeck/internal/resource"
+)
+
+// Around is how many places of the ring on either side of its own a gatekeeper is told the members of. A
+// customer's set is a row of the ring with this gatekeeper in it, so that of one as wide as Around + 1 all
+// others lie there. No setting bounds a set but the number of gatekeepers: this covers every set in a fleet
+// of 501, which was the largest before there were relays, and a set lent credit has 64 at most. Of a wider
+// one those beyond are to this gatekeeper as peers that have never spoken.
+const Around = 250
+
+// Replica is a gatekeeper's copy of its part of the rules, as its host's daemon tells them. When to ask is
+// accord.Holder's to say, and what to go by; the daemon keeps books on this very process, so that it may go
+// by what was read before it began. It is not safe for concurrent use.
+type Replica struct {
+	name           string
+	process        int
+	rng            *rand.Rand
+	rules, pending *resource.State
+	lease          accord.Lease // of these, without an age
+	quiet          float64      // ms until when no whole is asked for
+	counts         ReplicaCounts
+}
+
+// ReplicaCounts are what a replica has met. What is spoilt changes nothing, and the next question asks for
+// all.
+type ReplicaCounts struct {
+	Renewals int64 // answers with what is here already
+	Deltas   int64 // rules made of those before
+	Wholes   int64 // rules that came whole
+	Late     int64 // answers of a lower step
+	Busy     int64 // answers that put a whole off
+	Base     int64 // spoilt: changes of other rules than are here, or rules that are not here without any
+	Digest   int64 // spoilt: what a change makes is not what the answer says
+	Bad      int64 // spoilt: an answer of another form, or one that makes no sense
+}
+
+// What an answer may come to beside resource's errors.
+var (
+	ErrBusy = errors.New("the whole rules are put off")
+	ErrBad  = errors.New("an answer that makes no sense")
+)
+
+// NewReplica makes one that has nothing, for a process of a gatekeeper.
+func NewReplica(name string, process int, seed int64) *Replica {
+	return &Replica{name: name, process: process, rng: rand.New(rand.NewSource(seed))}
+}
+
+// Counts gives what it has met.
+func (r *Replica) Counts() ReplicaCounts { return r.counts }
+
+// Ask is what the daemon is to be asked at a time, ms; holds is accord.Holder's, and index that of
+// discovery's list.
+func (r *Replica) Ask(now float64, holds uint64, index int64) *Ask {
+	return &Ask{Form: Form, From: r.name, Interest: accord.Interest{Name: r.name, Around: Around},
+		Step: r.lease.Step, Rules: r.rules.Mark(), Pending: r.pending.Mark(), Quiet: now < r.quiet, Index: index,
+		Process: r.process, Holds: holds}
+}
+
+// Hear takes an answer that came at a time, and gives what it says as a lease for the Holder. News: the rules
+// are others than before. An error changes nothing.
+func (r *Replica) Hear(a *Answer, now float64) (l accord.Lease, news bool, err error) {
+	switch {
+	case a.Form != Form:
+		r.counts.Bad++
+		return l, false, fmt.Errorf("%w: form %d", ErrBad, a.Form)
+	case a.Step < r.lease.Step: // it came late: no news, and no base for any
+		r.counts.Late++
+		return accord.Lease{Step: a.Step, Age: a.Age}, false, nil
+	case a.Busy > 0:
+		r.counts.Busy++
+		r.quiet = now + r.rng.Float64()*a.Busy // full jitter
+		return l, false, ErrBusy
+	case now < r.quiet && a.Rules != r.rules.Mark():
+		return l, false, ErrBusy
+	}
+	rules, pending, err := r.apply(a)
+	next := r.lease
+	if err == nil {
+		next, err = r.read(rules, pending)
+	}
+	if err != nil {
+		switch {
+		case errors.Is(err, resource.ErrBase):
+			r.counts.Base++
+		case errors.Is(err, resource.ErrDigest):
+			r.counts.Digest++
+		default:
+			r.counts.Bad++
+		}
+		r.rules, r.pending = nil, nil
+		return l, false, err
+	}
+	switch d := a.RulesDelta; {
+	case d == nil && a.PendingDelta == nil:
+		r.counts.Renewals++
+	case d != nil && d.From.None():
+		r.counts.Wholes++
+	default:
+		r.counts.Deltas++
+	}
+	news = rules.Mark() != r.rules.Mark() || pending.Mark() != r.pending.Mark()
+	next.Step, next.Settled = a.Step, a.Settled
+	r.rules, r.pending, r.lease = rules, pending, next
+	next.Age = a.Age
+	return next, news, nil
+}
+
+// apply makes of what is here what an answer is of.
+func (r *Replica) apply(a *Answer) (rules, pending *resource.State, err error) {
+	switch rules = r.rules; {
+	case a.RulesDelta != nil:
+		if rules, err = r.rules.Apply(a.RulesDelta); err != nil {
+			return nil, nil, fmt.Errorf("rules: %w", err)
+		}
+	case a.Rules == r.pending.Mark(): // what was pending has come in force
+		rules = r.pending
+	}
+	switch {
+	case a.Pending.None():
+	case a.PendingDelta != nil:
+		if pending, err = rules.Apply(a.PendingDelta); err != nil {
+			return nil, nil, fmt.Errorf("pending rules: %w", err)
+		}
+	default:
+		pending = r.pending
+	}
+	if rules.Mark() != a.Rules || rules.Mark().None() || pending.Mark() != a.Pending {
+		return nil, nil, fmt.Errorf("%w: %v and %v are told of", resource.ErrBase, a.Rules, a.Pending)
+	}
+	return rules, pending, nil
+}
+
+// read makes a lease of states; what was read before is not read again.
+func (r *Replica) read(rules, pending *resource.State) (l accord.Lease, err error) {
+	if l = r.lease; rules.Mark() != r.rules.Mark() {
+		if l.Version, l.Foreign, err = readState(rules); err != nil {
+			return l, err
+		}
+	}
+	switch {
+	case pending == nil:
+		l.Pending, l.Strange = nil, ""
+	case pending.Mark() != r.pending.Mark():
+		v, strange, err := readState(pending)
+		if err != nil {
+			return l, err
+		}
+		l.Pending, l.Strange = &v.Rules, strange
+	}
+	return l, nil
+}
+
+// readState reads a version. One that this program does not know whole is left empty, and what it needs
+// named.
+func readState(s *resource.State) (v accord.Version, foreign string, err error) {
+	v, err = accord.FromState(s)
+	switch {
+	case errors.Is(err, accord.ErrForeign):
+		return accord.Version{Number: s.Mark().Number}, err.Error(), nil
+	case err != nil:
+		return v, "", fmt.Errorf("%w: %w", ErrBad, err)
+	}
+	return v, "", nil
+}
