Outlook: words of gatekeepers in groups of up to 10,000

Need: a word that told of more than 5,000 gatekeepers was refused; 7,900 are to come. Change: as many as agreed rules may name.

--- a/internal/outlook/word.go
+++ b/internal/outlook/word.go
@@ -21,9 +21,10 @@
 	MostHalls    = 32      // that are told apart
 	mostProducts = 32
 	mostPlans    = 64
-	longestName  = 128  // bytes
-	mostFigure   = 1e12 // any of them; more is no measure of anything here
-	MostAhead    = 2000 // ms that a word's clock may be ahead of its hearer's
+	mostKeepers  = 10000 // gatekeepers of a group: as many as agreed rules may name
+	longestName  = 128   // bytes
+	mostFigure   = 1e12  // any of them; more is no measure of anything here
+	MostAhead    = 2000  // ms that a word's clock may be ahead of its hearer's
 )
 
 // Flow is what became of txns, a second.
@@ -133,7 +134,7 @@
 		return fmt.Errorf("name, host, hall, group: one is over %d bytes", longestName)
 	case strings.ContainsAny(w.Name+w.Host+w.Hall+w.Group, "\n\r\x00"):
 		return errors.New("name, host, hall, group: one has a control character")
-	case c.Gatekeepers < 1 || c.Gatekeepers > 5000 || w.Number < 0 || w.Number >= c.Gatekeepers:
+	case c.Gatekeepers < 1 || c.Gatekeepers > mostKeepers || w.Number < 0 || w.Number >= c.Gatekeepers:
 		return fmt.Errorf("number: %d of %d gatekeepers", w.Number, c.Gatekeepers)
 	case np < 1 || np > mostProducts || nq < 1 || nq > mostPlans:
 		return fmt.Errorf("charter: %d products and %d plans", np, nq)
