Hosts without a seat: a daemon that follows relays and keeps books on its instances

Need: each host's daemon was a voter of the council, 31 at most; 7,900 gatekeepers have some 560 hosts or more. Change: [relay] in place of [council] in a fleet's file. It follows only when processes that a daemon before it left are booked, as what it says to be seen can't be taken back. Daemons in a council answer /fleet/ask too. Ports of all places are weighed as spans, not one by one. older() of council_hard_test.go answers 404 at /fleet/ask, as it stands before a program that does not ask there; what it checks is as it was.

--- /dev/null
+++ b/internal/fleet/branch.go
@@ -0,0 +1,344 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"willowdeck/internal/accord"
+	"willowdeck/internal/council"
+	"willowdeck/internal/history"
+	"willowdeck/internal/relay"
+	"willowdeck/internal/relayd"
+	"willowdeck/internal/resource"
+)
+
+const (
+	bornLease = 1000.0 // ms, until rules have told theirs
+	lagAfter  = 3000.0 // ms behind another's list of discovery until one is named
+)
+
+// branch is the part in agreed rules of a daemon without a seat: it follows relays, tells the processes of
+// its host what those say, and says up the chain what all of its processes go by. It has no vote, and no
+// other host waits for it but for that word. It is safe for concurrent use, and nothing of it waits.
+type branch struct {
+	cluster string
+	me      string
+	log     zerolog.Logger
+	record  history.Recorder
+	copy    *relayd.Copy
+	changed chan struct{}
+	ctx     context.Context
+	end     context.CancelFunc
+	wait    sync.WaitGroup
+
+	mu       sync.Mutex
+	upstream []string
+	follower *relay.Follower // by way of feed alone
+	feed     *relayd.Feed
+	leave    context.CancelFunc // ends the feed
+	warden   accord.Warden
+	lag      *accord.Lag
+	askers   map[int]asker
+
+	view    relay.View // as last taken
+	lease   accord.Lease
+	bad     [2]resource.Mark // of rules, and pending ones, that were told and make no sense
+	inForce accord.Version
+	said    uint64 // the step that was last told to have been seen
+	index   int64  // of discovery's list, the highest here
+}
+
+// asker is a process that has asked.
+type asker struct {
+	name  string
+	holds uint64
+	index int64
+	at    time.Time
+}
+
+func newBranch(cluster string, r *RelayFile, record history.Recorder, log zerolog.Logger) *branch {
+	b := &branch{cluster: cluster, me: r.Me, log: log, record: record,
+		copy:    relayd.NewCopy(r.Store, cluster, log),
+		changed: make(chan struct{}, 1), lag: accord.NewLag(), askers: map[int]asker{}, index: -1}
+	b.view.Index = -1
+	b.ctx, b.end = context.WithCancel(context.Background())
+	b.wait.Add(1)
+	go func() {
+		defer b.wait.Done()
+		b.copy.Run(b.ctx)
+	}()
+	return b
+}
+
+// follows has it ask these from now on. What was heard goes on until its time. It is to be called first when
+// all processes have been booked that a daemon before this one has left: what their daemon has seen is told
+// up the chain as soon as it is known here, and can't be taken back.
+func (b *branch) follows(upstream []string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if slices.Equal(upstream, b.upstream) {
+		return
+	}
+	f := relay.NewFollower(relay.Config{Name: b.me, Cluster: b.cluster, Upstream: len(upstream),
+		Lease: bornLease, Interest: accord.Interest{Host: b.me, Around: relay.Around}, Seed: rand.Int63()},
+		council.Clock())
+	if b.feed == nil {
+		b.copy.Base(f)
+	} else {
+		f.Base(b.view.Rules, b.view.Pending)
+		b.leave()
+	}
+	client := relayd.NewClient(upstream, relayd.AskPath)
+	b.upstream, b.follower, b.said = slices.Clone(upstream), f, 0
+	feed := relayd.NewFeed(f, client, b.news)
+	b.feed = feed
+	var ctx context.Context
+	ctx, b.leave = context.WithCancel(b.ctx)
+	b.wait.Add(1)
+	go func() {
+		defer b.wait.Done()
+		feed.Run(ctx)
+		client.Close()
+	}()
+}
+
+// news takes what the follower has come to know.
+func (b *branch) news() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.take()
+}
+
+// take goes over to what the follower knows, if that is later, and says up the chain what there is to say;
+// under the lock.
+func (b *branch) take() {
+	if b.feed == nil {
+		return
+	}
+	v, ok := b.feed.View()
+	said := [2]resource.Mark{v.Rules.Mark(), v.Pending.Mark()}
+	if !ok || v.Step < b.view.Step || v.Step == b.view.Step && v.Begun < b.view.Begun || said == b.bad {
+		return
+	}
+	rules, pending := b.view.Rules.Mark(), b.view.Pending.Mark()
+	if v.Rules.Mark() != rules || v.Pending.Mark() != pending {
+		l, err := leaseOf(&v)
+		if err != nil {
+			b.bad = said
+			b.log.Error().Err(err).Msg("rules that make no sense: those before go on until their time")
+			return
+		}
+		if l.Foreign != "" {
+			b.log.Error().Str("needs", l.Foreign).
+				Msg("rules in force that this program does not know: instances stay as they are")
+		}
+		b.lease = l
+		b.copy.Keep(v)
+	}
+	b.view, b.lease.Step, b.lease.Settled = v, v.Step, v.Settled
+	if v.Rules.Mark() != rules {
+		if b.record != nil {
+			b.record.Write(history.Event{Kind: history.Gives, Version: v.Rules.Mark().Number,
+				Age: council.Clock() - v.Begun})
+		}
+		if b.lease.Foreign == "" {
+			b.inForce = b.lease.Version
+			select {
+			case b.changed <- struct{}{}:
+			default:
+			}
+		}
+	}
+	b.say()
+}
+
+// leaseOf reads what a view says. Rules that this program does not know whole are left empty, and named.
+func leaseOf(v *relay.View) (l accord.Lease, err error) {
+	read := func(s *resource.State) (accord.Version, string, error) {
+		v, err := accord.FromState(s)
+		if errors.Is(err, accord.ErrForeign) {
+			return accord.Version{Number: s.Mark().Number}, err.Error(), nil
+		}
+		if err == nil {
+			err = accord.CheckPart(&v.Rules)
+		}
+		return v, "", err
+	}
+	if l.Version, l.Foreign, err = read(v.Rules); err != nil || v.Pending == nil {
+		return l, err
+	}
+	p, strange, err := read(v.Pending)
+	l.Pending, l.Strange = &p.Rules, strange
+	return l, err
+}
+
+// say has the follower tell what all processes of this host go by, where that is news; under the lock.
+func (b *branch) say() {
+	seen, highest := b.warden.Seen(b.view.Step), int64(-1)
+	for _, a := range b.askers {
+		highest = max(highest, a.index)
+	}
+	if b.feed == nil || seen <= b.said && highest == b.index {
+		return
+	}
+	more := seen > b.said
+	b.said, b.index = max(seen, b.said), highest
+	b.feed.With(func(f *relay.Follower) {
+		if f.Index(highest); more {
+			f.Tell([]relay.HostStep{{Host: b.me, Step: seen}})
+		}
+	})
+}
+
+// Changed tells that another version than before is in force.
+func (b *branch) Changed() <-chan struct{} { return b.changed }
+
+// InForce gives the version in force as far as it is known here: the part that this host needs.
+func (b *branch) InForce() accord.Version {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.inForce
+}
+
+// Began tells of a process of this host's gatekeepers; before: it ran before this daemon did.
+func (b *branch) Began(pid int, before bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.warden.Began(pid, before)
+}
+
+// Ended tells that a process is no more.
+func (b *branch) Ended(pid int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.warden.Ended(pid)
+	if a, there := b.askers[pid]; there {
+		b.lag.Left(a.name)
+		delete(b.askers, pid)
+	}
+	b.say()
+}
+
+// Asked answers a process of a gatekeeper, as council.Seat's does.
+func (b *branch) Asked(pid int, name string, holds uint64, index int64) (accord.Lease, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := council.Clock()
+	if !b.warden.Asked(pid, holds) {
+		return accord.Lease{}, false
+	}
+	b.askers[pid] = asker{name, holds, index, time.Now()}
+	if index >= 0 {
+		b.lag.Told(name, index, now)
+	}
+	b.take()
+	b.say()
+	l := b.lease
+	l.Age = council.Clock() - b.view.Begun
+	if b.view.Step == 0 || !(l.Age < accord.LeaseOf(b.view.Rules)) {
+		return accord.Lease{}, false
+	}
+	b.warden.Given(pid)
+	return l, true
+}
+
+// given is the view as it was last taken: of the step that a process was just booked to be given, or later.
+func (b *branch) given() relay.View {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.view
+}
+
+// Highest gives the highest index of discovery's list that any process has told, here or elsewhere.
+func (b *branch) Highest() int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return max(b.index, b.view.Index, 0)
+}
+
+// Close ends it.
+func (b *branch) Close() {
+	b.end()
+	b.wait.Wait()
+}
+
+// Following is how a daemon below relays stands, for operators.
+type Following struct {
+	Cluster  string             `json:"cluster"`
+	Me       string             `json:"me"`
+	Upstream []string           `json:"upstream"`
+	Asked    string             `json:"asked"` // of them, the one that is asked now
+	Depth    int                `json:"depth"` // of relays from here to the council
+	Version  uint64             `json:"version"`
+	Mark     string             `json:"mark,omitempty"` // of the part that this host needs
+	Members  int                `json:"members"`        // of all that there are places for
+	Known    int                `json:"known"`          // and those that this host is told of
+	Step     uint64             `json:"step"`
+	Settled  bool               `json:"settled"`
+	ReadMS   float64            `json:"read_ms"` // ago that a quorum confirmed it; below nought nothing has been
+	Pending  uint64             `json:"pending,omitempty"`
+	Foreign  string             `json:"foreign,omitempty"` // what of the rules this program does not know
+	Seen     uint64             `json:"seen"`              // the step that all processes here go by, or later
+	Behind   map[string]uint64  `json:"behind,omitempty"`  // instances that hold an older one
+	CutOff   map[string]float64 `json:"cut_off,omitempty"` // instances here: ms since they last asked
+	Lags     []accord.Behind    `json:"lags,omitempty"`
+	Counts   relay.Counts       `json:"counts"`
+	Copies   struct {
+		Written int64 `json:"written"`
+		Failed  int64 `json:"failed"`
+		Aside   int64 `json:"aside"`
+	} `json:"copies"`
+}
+
+// stands tells how it stands.
+func (b *branch) stands() Following {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := Following{Cluster: b.cluster, Me: b.me, Upstream: b.upstream, Depth: b.view.Depth, ReadMS: -1,
+		Step: b.view.Step, Settled: b.view.Settled, Foreign: b.lease.Foreign, Seen: b.said,
+		Behind: map[string]uint64{}, CutOff: map[string]float64{}}
+	if b.feed == nil {
+		return s
+	}
+	b.feed.With(func(f *relay.Follower) { s.Asked, s.Counts = b.upstream[f.Current()], f.Counts() })
+	s.Copies.Written, s.Copies.Failed, s.Copies.Aside = b.copy.Counts()
+	lease := bornLease
+	if b.view.Step > 0 {
+		s.Version, s.Mark = b.view.Rules.Mark().Number, b.view.Rules.Mark().String()
+		s.Pending = b.view.Pending.Mark().Number
+		s.ReadMS, lease = council.Clock()-b.view.Begun, accord.LeaseOf(b.view.Rules)
+	}
+	s.Members = len(b.lease.Version.Rules.Members)
+	for _, m := range b.lease.Version.Rules.Members {
+		if m.Name != "" {
+			s.Known++
+		}
+	}
+	for _, a := range b.askers {
+		if a.holds < b.view.Step {
+			s.Behind[a.name] = a.holds
+		}
+		age := float64(time.Since(a.at)) / float64(time.Millisecond)
+		if age > lease || s.ReadMS < 0 || s.ReadMS > lease {
+			s.CutOff[a.name] = age
+		}
+	}
+	s.Lags = b.lag.Late(council.Clock(), lagAfter)
+	return s
+}
+
+// follows answers operators.
+func (d *Daemon) follows(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	e := json.NewEncoder(w)
+	e.SetIndent("", " ")
+	_ = e.Encode(d.seat.branch.stands())
+}
--- a/internal/fleet/council.go
+++ b/internal/fleet/council.go
@@ -24,9 +24,10 @@
 	// nobody stands in a configuration for a peer that has no address: what is sent to it is dropped here.
 	nobody = "0.0.0.0:0"
 	// toCouncil is the name under reach by which the council's own addresses are rewritten.
-	toCouncil = "council"
-	mostHosts = 31 // of a council: each entry waits for half of them
-	lastRules = "rules.json"
+	toCouncil     = "council"
+	mostHosts     = 31 // of a council: each entry waits for half of them
+	mostUpstreams = 16 // of a host's: each is asked in turn while none is fresh
+	lastRules     = "rules.json"
 )
 
 // CouncilFile is what a fleet's file says of the council; nil where there is none.
@@ -40,9 +41,19 @@
 	Hosts  []struct{ Name, Address string }
 }
 
-// Agreed is a fleet's part in a council, as it is carried out.
+// RelayFile is what a fleet's file says of a host that hears by relays what a council has agreed on; nil
+// where there is none.
+type RelayFile struct {
+	Me       string   // this host, as members name it
+	Upstream []string // HOST:PORT of relays, or of council daemons that serve: each may be asked
+	Store    string   // the file of what was heard last, as a base for changes of it
+}
+
+// Agreed is a fleet's part in rules that are agreed on, as it is carried out: by a seat in the council, or
+// below relays.
 type Agreed struct {
 	Charter council.Charter
+	Relay   *RelayFile // nil in a council
 	Rules   *accord.Rules
 	Wrong   error  // what is wrong with the rules' file: it keeps a daemon from starting only on its first start
 	Stamp   string // of the rules' file: what has not been written since is not proposed anew
@@ -50,18 +61,22 @@
 	Serve   string // HOST:PORT for relays; empty: none follow
 }
 
-// agreed checks what the file says of the council.
+// agreed checks what the file says of the council, or of relays.
 func (f *File) agreed() (*Agreed, error) {
 	c := f.Council
 	switch {
-	case c == nil && len(f.Reach) > 0:
-		return nil, errors.New("reach: it is for a council, and there is none")
-	case c == nil:
+	case c == nil && f.Relay == nil && len(f.Reach) > 0:
+		return nil, errors.New("reach: it is for agreed rules, and there are none")
+	case c == nil && f.Relay == nil:
 		return nil, nil
+	case c != nil && f.Relay != nil:
+		return nil, errors.New("relay: there is a council, and a host that sits in it hears its own word")
 	case f.Instances != 0:
 		return nil, errors.New("instances: the rules say which there are")
 	case f.Peers != "":
 		return nil, errors.New("peers: the rules say where they hear")
+	case f.Relay != nil:
+		return f.below()
 	case c.Store == "":
 		return nil, errors.New("council.store: there is none")
 	case c.Rules == "":
@@ -92,14 +107,8 @@
 	if !names[c.Me] {
 		return nil, fmt.Errorf("council.me: %q is none of the hosts", c.Me)
 	}
-	for who, ways := range f.Reach {
-		for from, to := range ways {
-			_, bad := netip.ParseAddrPort(from)
-			_, worse := netip.ParseAddrPort(to)
-			if err := errors.Join(bad, worse); err != nil {
-				return nil, fmt.Errorf("reach.%s: %w", who, err)
-			}
-		}
+	if err := f.ways(); err != nil {
+		return nil, err
 	}
 	info, err := os.Stat(c.Rules)
 	if err != nil {
@@ -113,18 +122,60 @@
 	return a, nil
 }
 
+// ways checks the addresses that are reached in place of others.
+func (f *File) ways() error {
+	for who, ways := range f.Reach {
+		for from, to := range ways {
+			_, bad := netip.ParseAddrPort(from)
+			_, worse := netip.ParseAddrPort(to)
+			if err := errors.Join(bad, worse); err != nil {
+				return fmt.Errorf("reach.%s: %w", who, err)
+			}
+		}
+	}
+	return nil
+}
+
+// below checks what the file says of relays.
+func (f *File) below() (*Agreed, error) {
+	r, seen := f.Relay, map[string]bool{}
+	switch {
+	case r.Me == "":
+		return nil, errors.New("relay.me: there is none")
+	case r.Store == "":
+		return nil, errors.New("relay.store: there is none")
+	case len(r.Upstream) == 0 || len(r.Upstream) > mostUpstreams:
+		return nil, fmt.Errorf("relay.upstream: %d are not from 1 to %d", len(r.Upstream), mostUpstreams)
+	}
+	for i, at := range r.Upstream {
+		if _, err := netip.ParseAddrPort(at); err != nil || seen[at] {
+			return nil, fmt.Errorf("relay.upstream.%d: %q is no address, or there twice", i, at)
+		}
+		seen[at] = true
+	}
+	return &Agreed{Reach: f.Reach, Relay: r}, f.ways()
+}
+
+// me is this host, as members name it.
+func (f *File) me() string {
+	if f.Relay != nil {
+		return f.Relay.Me
+	}
+	return f.Council.Me
+}
+
 // members gives this host's instances by rules. A member's place gives its ports, as it keeps it for life:
 // the address for clients is place ports above the first, the two operators' ports twice that.
 func (f *File) members(r *accord.Rules) ([]Instance, error) {
-	n, taken := len(r.Members), map[netip.AddrPort]string{}
-	if _, err := span("control", f.Control, 1, taken); err != nil {
+	n, taken := len(r.Members), []span(nil)
+	if _, err := spanOf("control", f.Control, 1, &taken); err != nil {
 		return nil, err
 	}
-	clients, err := span("listen", f.Listen, n, taken)
+	clients, err := spanOf("listen", f.Listen, n, &taken)
 	if err != nil {
 		return nil, err
 	}
-	operators, err := span("operators", f.Operators, 2*n, taken)
+	operators, err := spanOf("operators", f.Operators, 2*n, &taken)
 	if err != nil {
 		return nil, err
 	}
@@ -134,7 +185,7 @@
 	}
 	var all []Instance
 	for place, m := range r.Members {
-		if m.Name == "" || m.Host != f.Council.Me {
+		if m.Name == "" || m.Host != f.me() {
 			continue
 		}
 		var peers []string
@@ -143,14 +194,14 @@
 				peers = append(peers, f.reaches(m.Name, o.Peers))
 			}
 		}
-		in, g, err := f.instance(raw, m.Name, place, n, clients[place], m.Peers, peers)
+		in, g, err := f.instance(raw, m.Name, place, n, clients.at(place), m.Peers, peers)
 		if err != nil {
 			return nil, err
 		}
-		in.Operators = [2]string{operators[2*place], operators[2*place+1]}
+		in.Operators = [2]string{operators.at(2 * place), operators.at(2*place + 1)}
 		for _, p := range r.Plans {
 			if _, known := g.Names.Plans[p.Name]; !known {
-				return nil, fmt.Errorf("council.rules: plans.%s: %s has no such tariff", p.Name, f.Config)
+				return nil, fmt.Errorf("rules: plans.%s: %s has no such tariff", p.Name, f.Config)
 			}
 		}
 		if err := f.roomFor(g, len(all)+1); err != nil {
@@ -172,18 +223,33 @@
 	return peer
 }
 
-// seat is a daemon's part in the council.
+// voice is where a daemon hears which rules are in force, and says what its processes go by: its seat in the
+// council, or the relays above it. It is safe for concurrent use, and nothing of it waits.
+type voice interface {
+	Changed() <-chan struct{}
+	InForce() accord.Version
+	Began(pid int, before bool)
+	Ended(pid int)
+	Asked(pid int, name string, holds uint64, index int64) (accord.Lease, bool)
+	Highest() int64
+	Close()
+}
+
+// seat is a daemon's part in agreed rules.
 type seat struct {
-	*council.Seat
-	file   *File
-	record *history.Log
-	stamp  string
-	ended  chan struct{}
-	root   *relayd.Root // nil where no relay follows
+	voice
+	council *council.Seat // nil below relays
+	branch  *branch       // nil in a council
+	teller  *teller
+	file    *File
+	record  *history.Log
+	stamp   string
+	ended   chan struct{}
+	root    *relayd.Root // nil where no relay follows
 }
 
-// convene takes this host's seat. Its instances are those of the version that a daemon before this one knew
-// last, or of the file.
+// convene takes this host's seat, or its place below relays. Its instances are those of the version that a
+// daemon before this one knew last, or of the file.
 func (d *Daemon) convene(f *Fleet) error {
 	a := f.Agreed
 	if err := f.resume(); err != nil {
@@ -196,21 +262,28 @@
 	var record history.Recorder
 	if dir := os.Getenv("WILLOWDECK_HISTORY"); dir != "" {
 		var err error
-		path := filepath.Join(dir, fmt.Sprintf("%s.%d.jsonl", a.Charter.Me, os.Getpid()))
-		if s.record, err = history.Open(path, a.Charter.Me, residue.Uptime()); err != nil {
+		path := filepath.Join(dir, fmt.Sprintf("%s.%d.jsonl", f.file.me(), os.Getpid()))
+		if s.record, err = history.Open(path, f.file.me(), residue.Uptime()); err != nil {
 			return err
 		}
 		record = s.record
 	}
-	seat, err := council.NewSeat(a.Charter, a.Rules, record, d.log)
+	var err error
+	if a.Relay != nil {
+		s.branch = newBranch(f.Name, a.Relay, record, d.log)
+		s.voice = s.branch
+	} else {
+		s.council, err = council.NewSeat(a.Charter, a.Rules, record, d.log)
+		s.voice = s.council
+	}
 	if err != nil {
 		_ = s.record.Close()
 		return err
 	}
-	s.Seat = seat
+	s.teller = newTeller(f.Name)
 	if a.Serve != "" {
-		if s.root, err = relayd.NewRoot(seat, a.Charter.Me, a.Charter.Cluster, a.Serve, d.log); err != nil {
-			seat.Close()
+		if s.root, err = relayd.NewRoot(s.council, a.Charter.Me, a.Charter.Cluster, a.Serve, d.log); err != nil {
+			s.Close()
 			_ = s.record.Close()
 			return fmt.Errorf("council.serve: %w", err)
 		}
@@ -243,6 +316,9 @@
 	if err := json.Unmarshal(raw, &v); err != nil {
 		return nil, err
 	}
+	if f.Agreed.Relay != nil { // a part of them is all that this host is told
+		return &v.Rules, accord.CheckPart(&v.Rules)
+	}
 	return &v.Rules, accord.Check(&v.Rules)
 }
 
@@ -296,10 +372,17 @@
 // recall takes up a file that has been read anew: where the others are, and the rules that it proposes.
 func (d *Daemon) recall(f *Fleet) error {
 	s, was, a := d.seat, d.fleet.Agreed, f.Agreed
-	if (was == nil) != (a == nil) {
-		return errors.New("council: it can't come or go while the daemon runs")
-	}
-	if a == nil {
+	switch {
+	case (was == nil) != (a == nil) || a != nil && (was.Relay == nil) != (a.Relay == nil):
+		return errors.New("council, relay: neither can come or go while the daemon runs")
+	case a == nil:
+		return nil
+	case a.Relay != nil:
+		if was.Relay.Me != a.Relay.Me || was.Relay.Store != a.Relay.Store {
+			return errors.New("relay.me and relay.store can't change while the daemon runs")
+		}
+		s.file = f.file
+		s.branch.follows(a.Relay.Upstream)
 		return nil
 	}
 	if a.Wrong != nil {
@@ -309,13 +392,13 @@
 	if x.Me != y.Me || x.Listen != y.Listen || x.Store != y.Store || was.Serve != a.Serve {
 		return errors.New("council.me, .listen, .store and .serve can't change while the daemon runs")
 	}
-	s.Hosts(y.Hosts, y.Reach)
+	s.council.Hosts(y.Hosts, y.Reach)
 	s.file = f.file
 	if a.Stamp == s.stamp {
 		return nil
 	}
 	s.stamp = a.Stamp
-	id, err := s.Propose(a.Rules)
+	id, err := s.council.Propose(a.Rules)
 	if err != nil {
 		return fmt.Errorf("council.rules: %w", err)
 	}
@@ -359,35 +442,61 @@
 	})
 }
 
-// lease answers an instance. It waits for nothing: what it says is what a quorum has confirmed last, and how
-// long ago that is.
-func (d *Daemon) lease(w http.ResponseWriter, r *http.Request) {
-	name := r.FormValue("instance")
-	pid, err := strconv.Atoi(r.FormValue("pid"))
-	holds, bad := strconv.ParseUint(r.FormValue("holds"), 10, 64)
-	index, worse := strconv.ParseInt(r.FormValue("index"), 10, 64)
+const notConfirmed = "no quorum has confirmed within the lease what is in force"
+
+// asked reads what an instance's question says beside its path, books it, and gives the lease to answer it
+// by; false: it has been answered. It waits for nothing: what it says is what a quorum has confirmed last,
+// and how long ago that is.
+func (d *Daemon) asked(w http.ResponseWriter, r *http.Request) (name string, l accord.Lease, ok bool) {
+	q := r.URL.Query()
+	name = q.Get("instance")
+	pid, err := strconv.Atoi(q.Get("pid"))
+	holds, bad := strconv.ParseUint(q.Get("holds"), 10, 64)
+	index, worse := strconv.ParseInt(q.Get("index"), 10, 64)
 	if err := errors.Join(err, bad, worse); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
+		return name, l, false
 	}
 	if who, runs := d.pids.Load(pid); !runs || who != name {
 		http.Error(w, fmt.Sprintf("%d is no process of %q that this daemon keeps", pid, name), http.StatusForbidden)
-		return
+		return name, l, false
 	}
 	w.Header().Set(lifecycle.IndexHeader, strconv.FormatInt(d.seat.Highest(), 10))
-	l, ok := d.seat.Asked(pid, name, holds, index)
-	if !ok {
-		http.Error(w, "no quorum has confirmed within the lease what is in force", http.StatusServiceUnavailable)
-		return
+	if l, ok = d.seat.Asked(pid, name, holds, index); !ok {
+		http.Error(w, notConfirmed, http.StatusServiceUnavailable)
 	}
-	if ways := d.reach.Load(); ways != nil && len((*ways)[name]) > 0 {
-		l.Version.Rules.Members = slices.Clone(l.Version.Rules.Members)
-		for i, m := range l.Version.Rules.Members {
-			if to := (*ways)[name][m.Peers]; to != "" {
-				l.Version.Rules.Members[i].Peers = to
-			}
+	return name, l, ok
+}
+
+// rewrites tells whether an instance reaches others at other addresses than they are known by.
+func (d *Daemon) rewrites(name string) bool {
+	ways := d.reach.Load()
+	return ways != nil && len((*ways)[name]) > 0
+}
+
+// rewritten are rules with the addresses by which one instance reaches the others.
+func (d *Daemon) rewritten(name string, r *accord.Rules) accord.Rules {
+	rules := *r
+	if !d.rewrites(name) {
+		return rules
+	}
+	ways := (*d.reach.Load())[name]
+	rules.Members = slices.Clone(r.Members)
+	for i, m := range rules.Members {
+		if to := ways[m.Peers]; to != "" {
+			rules.Members[i].Peers = to
 		}
 	}
+	return rules
+}
+
+// lease answers an instance of an older program: with all rules, each time.
+func (d *Daemon) lease(w http.ResponseWriter, r *http.Request) {
+	name, l, ok := d.asked(w, r)
+	if !ok {
+		return
+	}
+	l.Version.Rules = d.rewritten(name, &l.Version.Rules)
 	raw, err := l.Bytes()
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
@@ -416,7 +525,7 @@
 	w.Header().Set("Content-Type", "application/json")
 	e := json.NewEncoder(w)
 	e.SetIndent("", " ")
-	_ = e.Encode(Sitting{d.seat.View(), d.seat.Agreement()})
+	_ = e.Encode(Sitting{d.seat.council.View(), d.seat.council.Agreement()})
 }
 
 // rulesText is the version in force as a file of rules, for operators that change it.
--- a/internal/fleet/council_hard_test.go
+++ b/internal/fleet/council_hard_test.go
@@ -25,6 +25,7 @@
 	"willowdeck/internal/council"
 	"willowdeck/internal/faults"
 	"willowdeck/internal/history"
+	"willowdeck/internal/lifecycle"
 	"willowdeck/internal/load"
 	"willowdeck/internal/traffic"
 )
@@ -682,7 +683,13 @@
 		res.Header.Set("Content-Length", strconv.Itoa(len(raw)))
 		return nil
 	}
-	s := httptest.NewServer(proxy)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == lifecycle.AskPath { // an older program does not ask there
+			http.NotFound(w, r)
+			return
+		}
+		proxy.ServeHTTP(w, r)
+	}))
 	t.Cleanup(s.Close)
 	return strings.TrimPrefix(s.URL, "http://"), on
 }
--- a/internal/fleet/file.go
+++ b/internal/fleet/file.go
@@ -8,10 +8,15 @@
 	"os"
 	"path/filepath"
 
+	"willowdeck/internal/accord"
 	"willowdeck/internal/config"
 	"willowdeck/internal/strict"
 )
 
+// mostInstances is of one host without rules that are agreed on: each is a process of some 20 MB, and the
+// daemon looks at all of them in each turn. It is no bound on the gatekeepers that agreed rules name.
+const mostInstances = 500
+
 // File is a fleet as its file says it.
 type File struct {
 	Name      string
@@ -43,6 +48,7 @@
 	Outlook  Looks
 
 	Council *CouncilFile                 // several hosts agree on the rules
+	Relay   *RelayFile                   // others do, and this host hears of them by relays
 	Reach   map[string]map[string]string // by instance, and for the council: address in place of another
 }
 
@@ -62,6 +68,9 @@
 	if f.Council != nil {
 		paths = append(paths, &f.Council.Store, &f.Council.Rules)
 	}
+	if f.Relay != nil {
+		paths = append(paths, &f.Relay.Store)
+	}
 	for _, p := range paths {
 		if *p != "" && !filepath.IsAbs(*p) {
 			*p = filepath.Join(filepath.Dir(path), *p)
@@ -82,7 +91,7 @@
 	Remember, Recall, Warm         bool
 	Hall                           string // where it stands; empty where it looks ahead at nothing
 	Looks                          Looks
-	Agreed                         *Agreed // nil where there is no council
+	Agreed                         *Agreed // nil where no rules are agreed on
 
 	file   *File
 	places int // gatekeepers that there are, on all hosts
@@ -96,25 +105,36 @@
 	Config    []byte    // all that it is told, but for the operators' port
 }
 
-// span gives n addresses, each one port above the one before.
-func span(key, first string, n int, taken map[netip.AddrPort]string) ([]string, error) {
+// span is n addresses in a row, each one port above the one before.
+type span struct {
+	key   string
+	first netip.AddrPort
+	n     int
+}
+
+// spanOf reads one, that meets none of those taken before it.
+func spanOf(key, first string, n int, taken *[]span) (span, error) {
 	a, err := netip.ParseAddrPort(first)
 	if err != nil {
-		return nil, fmt.Errorf("%s: %w", key, err)
+		return span{}, fmt.Errorf("%s: %w", key, err)
 	}
 	if a.Port() == 0 || int(a.Port())+n > 65536 {
-		return nil, fmt.Errorf("%s: there are no %d ports from %d on", key, n, a.Port())
+		return span{}, fmt.Errorf("%s: there are no %d ports from %d on", key, n, a.Port())
 	}
-	var all []string
-	for i := range n {
-		x := netip.AddrPortFrom(a.Addr(), a.Port()+uint16(i))
-		if other, there := taken[x]; there {
-			return nil, fmt.Errorf("%s: %s is one of %s", key, x, other)
+	s := span{key, a, n}
+	for _, o := range *taken {
+		if from := max(int(o.first.Port()), int(a.Port())); o.first.Addr() == a.Addr() &&
+			from < min(int(o.first.Port())+o.n, int(a.Port())+n) {
+			return span{}, fmt.Errorf("%s: %s is one of %s", key, netip.AddrPortFrom(a.Addr(), uint16(from)), o.key)
 		}
-		taken[x] = key
-		all = append(all, x.String())
 	}
-	return all, nil
+	*taken = append(*taken, s)
+	return s, nil
+}
+
+// at gives the i-th address.
+func (s span) at(i int) string {
+	return netip.AddrPortFrom(s.first.Addr(), s.first.Port()+uint16(i)).String()
 }
 
 func (f *File) fleet() (*Fleet, error) {
@@ -124,8 +144,9 @@
 		return nil, err
 	case f.Name == "":
 		return nil, errors.New("name: there is none")
-	case f.Council == nil && (f.Instances < 0 || f.Instances > 500 || f.Instances == 0 && f.Hall == ""):
-		return nil, fmt.Errorf("instances: %d is not from 1 to 500, nor nought beside a hall", f.Instances)
+	case agreed == nil && (f.Instances < 0 || f.Instances > mostInstances || f.Instances == 0 && f.Hall == ""):
+		return nil, fmt.Errorf("instances: %d is not from 1 to %d, nor nought beside a hall", f.Instances,
+			mostInstances)
 	case f.RunDir == "":
 		return nil, errors.New("run_dir: there is none")
 	case !(f.Restart.FirstMS > 0) || !(f.Restart.MostMS >= f.Restart.FirstMS):
@@ -144,33 +165,41 @@
 	if err := f.looks(fl); err != nil {
 		return nil, err
 	}
-	if agreed != nil && agreed.Wrong == nil {
+	switch {
+	case agreed == nil:
+	case agreed.Rules != nil:
 		fl.places = len(agreed.Rules.Members)
 		fl.Instances, err = f.members(agreed.Rules)
+	case agreed.Relay != nil: // which there are the relays say; what they will be told is checked now
+		_, err = f.members(&accord.Rules{Members: []accord.Member{{Name: f.Name, Host: f.Relay.Me}}})
 	}
 	if agreed != nil {
 		return fl, err
 	}
-	taken := map[netip.AddrPort]string{}
-	if _, err := span("control", f.Control, 1, taken); err != nil {
+	var taken []span
+	if _, err := spanOf("control", f.Control, 1, &taken); err != nil {
 		return nil, err
 	}
 	if f.Instances == 0 { // it only looks ahead
 		return fl, nil
 	}
-	clients, err := span("listen", f.Listen, f.Instances, taken)
+	clients, err := spanOf("listen", f.Listen, f.Instances, &taken)
 	if err != nil {
 		return nil, err
 	}
-	operators, err := span("operators", f.Operators, 2*f.Instances, taken)
+	operators, err := spanOf("operators", f.Operators, 2*f.Instances, &taken)
 	if err != nil {
 		return nil, err
 	}
 	var peers []string
 	if f.Peers != "" {
-		if peers, err = span("peers", f.Peers, f.Instances, map[netip.AddrPort]string{}); err != nil { // datagrams
+		hear, err := spanOf("peers", f.Peers, f.Instances, &[]span{}) // datagrams
+		if err != nil {
 			return nil, err
 		}
+		for i := range f.Instances {
+			peers = append(peers, hear.at(i))
+		}
 	}
 	raw, err := os.ReadFile(f.Config)
 	if err != nil {
@@ -181,11 +210,12 @@
 		if len(peers) > 0 {
 			listen = peers[i]
 		}
-		in, g, err := f.instance(raw, fmt.Sprintf("%s-%d", f.Name, i), i, f.Instances, clients[i], listen, peers)
+		in, g, err := f.instance(raw, fmt.Sprintf("%s-%d", f.Name, i), i, f.Instances, clients.at(i), listen,
+			peers)
 		if err != nil {
 			return nil, err
 		}
-		in.Operators = [2]string{operators[2*i], operators[2*i+1]}
+		in.Operators = [2]string{operators.at(2 * i), operators.at(2*i + 1)}
 		if err := f.roomFor(g, f.Instances); err != nil {
 			return nil, err
 		}
--- a/internal/fleet/host.go
+++ b/internal/fleet/host.go
@@ -97,6 +97,9 @@
 	d.mu.Lock()
 	d.want(f)
 	d.adopt()
+	if d.seat != nil && d.seat.branch != nil {
+		d.seat.branch.follows(f.Agreed.Relay.Upstream)
+	}
 	d.turn()
 	d.mu.Unlock()
 	if f.Hall != "" {
@@ -382,6 +385,9 @@
 	if d.fleet.Hall != "" {
 		cmd.Env = append(cmd.Env, "WILLOWDECK_HALL="+d.fleet.Hall, "WILLOWDECK_HOST="+d.fleet.Name)
 	}
+	if d.fleet.Hall != "" && d.seat != nil && d.seat.branch != nil { // each knows other addresses than its peers
+		cmd.Env = append(cmd.Env, "WILLOWDECK_GROUP="+d.fleet.Name)
+	}
 	if d.fleet.Remember {
 		cmd.Env = append(cmd.Env, "WILLOWDECK_RESIDUE="+filepath.Join(dir, "residue"),
 			fmt.Sprintf("WILLOWDECK_RECALL=%t", d.fleet.Recall))
--- a/internal/fleet/port.go
+++ b/internal/fleet/port.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"willowdeck/internal/lifecycle"
+	"willowdeck/internal/relayd"
 )
 
 // Port answers operators of the whole fleet.
@@ -38,10 +39,16 @@
 	})
 	if d.seat != nil {
 		mux.HandleFunc("GET "+lifecycle.LeasePath, d.lease)
+		mux.Handle("POST "+lifecycle.AskPath, relayd.NewHandler(d.ask))
+	}
+	if d.seat != nil && d.seat.council != nil {
 		mux.HandleFunc("GET /fleet/council", d.sitting)
 		mux.HandleFunc("GET /fleet/rules", d.rulesText)
 		mux.HandleFunc("GET /relay/status", d.relays)
 	}
+	if d.seat != nil && d.seat.branch != nil {
+		mux.HandleFunc("GET /fleet/relay", d.follows)
+	}
 	if d.watcher != nil {
 		mux.HandleFunc("GET /fleet/words", d.watcher.words)
 		mux.HandleFunc("GET /fleet/outlook", d.watcher.outlook)
