--- a/internal/lifecycle/agree.go
+++ b/internal/lifecycle/agree.go
@@ -467,8 +467,8 @@
 	for i, m := range a.heard.Rules.Members {
 		if at, err := netip.ParseAddrPort(m.Peers); err == nil {
 			all[i] = at
-		} else if m.Name != "" && i < len(a.g.conf.Peers) {
-			all[i] = a.g.conf.Peers[i]
+		} else if i < len(a.g.conf.Peers) && (m.Name != "" || a.g.conf.Peers[i].Port() == 0) {
+			all[i] = a.g.conf.Peers[i] // known, or nobody's: then it is not another's from here on
 		}
 	}
 	return all
--- a/internal/lifecycle/ask_test.go
+++ b/internal/lifecycle/ask_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"net/http"
+	"net/netip"
 	"slices"
 	"sync"
 	"testing"
@@ -399,3 +400,24 @@
 			d.figure("rules.deltas")-before, d.figure("rules.spoilt"), d.figure("rules.bytes_in")-in)
 	}
 }
+
+// Where the peers of a gatekeeper's part hear: by the rules, by its own configuration where they have none for
+// a member, and nowhere where they name none. Guards against an address that was a former member's, under which
+// another's datagrams would be booked, and against thousands of places that count as another's at a start.
+func TestAddresses(t *testing.T) {
+	at := func(s ...string) (all []netip.AddrPort) {
+		for _, x := range s {
+			a, _ := netip.ParseAddrPort(x)
+			all = append(all, a)
+		}
+		return all
+	}
+	a := &agreement{g: &Gatekeeper{}}
+	a.g.conf.Peers = at("10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1", "0.0.0.0:0", "10.0.0.5:1")
+	a.heard.Rules.Members = []accord.Member{{Name: "a", Peers: "10.0.1.1:1"}, {Name: "b"}, {}, {}, {},
+		{Name: "f"}, {Name: "g", Peers: "10.0.1.7:1"}}
+	want := at("10.0.1.1:1", "10.0.0.2:1", "", "0.0.0.0:0", "", "", "10.0.1.7:1")
+	if got := a.addresses(); !slices.Equal(got, want) {
+		t.Errorf("%v, not %v", got, want)
+	}
+}
