--- a/internal/fleet/branch_test.go
+++ b/internal/fleet/branch_test.go
@@ -586,7 +586,14 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	part, err := accord.FromState(accord.Select(whole, accord.Interest{Host: "l0", Around: relay.Around}))
+	some := accord.Select(whole, accord.Interest{Host: "l0", Around: relay.Around})
+	sent, err := (&relay.Answer{Form: relay.Form, Rules: some.Mark(), RulesDelta: resource.Whole(some)}).Bytes()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("the whole has %d bytes, a host's part %d, and %d as it is sent", whole.Bytes(), some.Bytes(),
+		len(sent))
+	part, err := accord.FromState(some)
 	if err != nil || accord.CheckPart(&part.Rules) != nil {
 		t.Fatal(err, accord.CheckPart(&part.Rules))
 	}
--- a/internal/lifecycle/ask_test.go
+++ b/internal/lifecycle/ask_test.go
@@ -401,9 +401,10 @@
 	}
 }
 
-// Where the peers of a gatekeeper's part hear: by the rules, by its own configuration where they have none for
-// a member, and nowhere where they name none. Guards against an address that was a former member's, under which
-// another's datagrams would be booked, and against thousands of places that count as another's at a start.
+// Where the peers of a gatekeeper's part hear: by the rules, by its own configuration where they have none
+// for a member, and nowhere where they name none. Guards against an address that was a former member's, under
+// which another's datagrams would be booked, and against thousands of places that count as another's at a
+// start.
 func TestAddresses(t *testing.T) {
 	at := func(s ...string) (all []netip.AddrPort) {
 		for _, x := range s {
--- a/internal/relay/replica_test.go
+++ b/internal/relay/replica_test.go
@@ -37,9 +37,10 @@
 	return r
 }
 
-// In walks of a daemon that goes on to other versions, has some wait and withdraws them, and begins anew, with
-// answers that are late, doubled, spoilt or lost, a replica gives for each step what was said at that step, whole,
-// never goes a step back, and changes nothing by what it refuses; an exchange without harm brings the latest.
+// In walks of a daemon that goes on to other versions, has some wait and withdraws them, and begins anew,
+// with answers that are late, doubled, spoilt or lost, a replica gives for each step what was said at that
+// step, whole, never goes a step back, and changes nothing by what it refuses; an exchange without harm
+// brings the latest.
 func TestReplicaWalks(t *testing.T) {
 	met := ReplicaCounts{}
 	for seed := range int64(*replicas) {
@@ -62,7 +63,8 @@
 
 func walkReplica(t *testing.T, seed int64) ReplicaCounts {
 	rng := rand.New(rand.NewSource(seed))
-	r := accord.Rules{Form: accord.Form, Lease: 1000, Bound: 2000, Plans: []accord.Plan{{Name: "a"}, {Name: "b"}}}
+	r := accord.Rules{Form: accord.Form, Lease: 1000, Bound: 2000,
+		Plans: []accord.Plan{{Name: "a"}, {Name: "b"}}}
 	for i := range 3 + rng.Intn(40) {
 		r.Members = append(r.Members, accord.Member{Name: fmt.Sprint("m", i), Host: "h"})
 	}
@@ -206,8 +208,8 @@
 	return &got
 }
 
-// A version that this program does not know whole is named, and so is a pending one; what was known before is a
-// base still.
+// A version that this program does not know whole is named, and so is a pending one; what was known before is
+// a base still.
 func TestReplicaForeign(t *testing.T) {
 	r := accord.Rules{Form: accord.Form, Lease: 1000, Bound: 2000, Plans: []accord.Plan{{Name: "a"}},
 		Members: []accord.Member{{Name: "m1", Host: "h"}}}
