--- a/internal/relayd/giver.go
+++ b/internal/relayd/giver.go
@@ -86,7 +86,13 @@
 		ctx.Error(err.Error(), fasthttp.StatusRequestEntityTooLarge)
 		return
 	}
-	g.handler.traffic.fail(noAsk)
+	var n net.Error
+	if errors.As(err, &n) && n.Timeout() { // a connection on which nothing whole has come
+		g.handler.traffic.fail(late)
+		ctx.Error(err.Error(), fasthttp.StatusRequestTimeout)
+		return
+	}
+	g.handler.traffic.fail(garbled)
 	ctx.Error(err.Error(), fasthttp.StatusBadRequest)
 }
 
