Part of the members is gone by, whichever way it is told

A gatekeeper that takes its daemon for an older one asks at /fleet/lease for up to 5 s; below relays that tells a part, whose last place may be vacant, and the check of whole rules refused it (TestPartOfMembers, all: failed).

--- a/internal/lifecycle/agree.go
+++ b/internal/lifecycle/agree.go
@@ -287,7 +287,7 @@
 			return
 		}
 	} else if l.Foreign == "" {
-		why = a.misfit(&l.Version.Rules, accord.Check)
+		why = a.misfit(&l.Version.Rules)
 	}
 	if why != "" {
 		a.refuse(why)
@@ -326,7 +326,7 @@
 	}
 	if news {
 		if a.unfit = ""; next.Foreign == "" {
-			a.unfit = a.misfit(&next.Version.Rules, accord.CheckPart)
+			a.unfit = a.misfit(&next.Version.Rules)
 		}
 	}
 	*l = next
@@ -335,9 +335,9 @@
 
 // misfit tells why this gatekeeper can't go by rules; empty where it can. One that was a member and is none
 // any more goes by them: nothing passes under its ceilings.
-func (a *agreement) misfit(r *accord.Rules, check func(*accord.Rules) error) string {
+func (a *agreement) misfit(r *accord.Rules) string {
 	c := &a.g.conf.Charter
-	if err := check(r); err != nil {
+	if err := accord.CheckPart(r); err != nil { // a daemon below relays knows a part, and tells it either way
 		return err.Error()
 	}
 	switch me := accord.Place(r, a.g.conf.Name); {
--- a/internal/lifecycle/ask_test.go
+++ b/internal/lifecycle/ask_test.go
@@ -422,3 +422,23 @@
 		t.Errorf("%v, not %v", got, want)
 	}
 }
+
+// Rules of which a daemon below relays knows a part are gone by, whichever way they are told; the number of
+// gatekeepers is that of all places. Guards against a lease that is lost while a daemon is taken for an older
+// one.
+func TestPartOfMembers(t *testing.T) {
+	for name, older := range map[string]bool{"changes": false, "all": true} {
+		t.Run(name, func(t *testing.T) {
+			x := newTeller(t)
+			x.begins(older)
+			r := rules(3000, 3000)
+			r.Members = append(r.Members, accord.Member{}, accord.Member{})
+			x.leases(1, r, nil)
+			d := asksFor(t, x)
+			d.mode(accord.Leased)
+			if n := d.figure("members"); n != 3 || d.figure("rules.refused") > 0 {
+				t.Errorf("%d members, %d refused", n, d.figure("rules.refused"))
+			}
+		})
+	}
+}
