Rig: a process's output is whole when asked for; TestFullDisk waits for the word it is about

The operators' port says that a gatekeeper is healthy before its start is over: it opens ahead of the residue, and health asks for the list alone. The test read the log then, which did not have the line yet. Found beside it: what a process writes goes through a pipe that a goroutine empties into its log, and Output read the log alone, so it could lack what was written before something that the test had seen.

Change: the test waits for the line, and then asks that the process is healthy and on its second life. Output takes what is left in the pipe itself.

--- a/internal/faults/process.go
+++ b/internal/faults/process.go
@@ -105,6 +105,7 @@
 	spec  Spec
 	cmd   *exec.Cmd
 	done  chan struct{} // closed once this life's process has been reaped, and before the first
+	says  *words        // of this life
 	lives int
 }
 
@@ -211,15 +212,44 @@
 		_ = log.Close()
 		return nil, nil, err
 	}
+	raw, err := from.SyscallConn()
+	if err != nil {
+		_, _, _ = log.Close(), from.Close(), to.Close()
+		return nil, nil, err
+	}
+	w := &words{from: raw, log: log}
+	p.says = w
 	over := make(chan struct{})
 	go func() {
-		_, _ = io.Copy(log, from)
+		_ = raw.Read(w.take)
 		_, _ = log.Close(), from.Close()
 		close(over)
 	}()
 	return to, over, nil
 }
 
+// words is what a life writes, on its way to the log.
+type words struct {
+	from syscall.RawConn
+	mu   sync.Mutex
+	log  *os.File
+}
+
+// take takes what there is, and tells whether that was the last.
+func (w *words) take(fd uintptr) (over bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for b := make([]byte, 4096); ; {
+		switch n, err := syscall.Read(int(fd), b); {
+		case n > 0:
+			_, _ = w.log.Write(b[:n])
+		case err == syscall.EINTR:
+		default:
+			return err != syscall.EAGAIN
+		}
+	}
+}
+
 // Limit bounds how long files of the running process may get, in bytes; nought takes the bound away. A write
 // past it is cut short, and the next one fails (EFBIG), as on a disk that is full.
 func (p *Process) Limit(room int64) error {
@@ -364,8 +394,14 @@
 // Log gives the file that has the output of all lives.
 func (p *Process) Log() string { return filepath.Join(p.spec.Dir, p.Name+".log") }
 
-// Output gives what it has written so far, in all lives.
+// Output gives what it has written so far, in all lives: all that went before whatever else it is seen to do.
 func (p *Process) Output() string {
+	p.mu.Lock()
+	says := p.says
+	p.mu.Unlock()
+	if says != nil { // at its end all is in the log
+		_ = says.from.Control(func(fd uintptr) { says.take(fd) })
+	}
 	b, _ := os.ReadFile(p.Log())
 	return string(b)
 }
--- a/internal/faults/process_test.go
+++ b/internal/faults/process_test.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"runtime"
 	"strings"
 	"syscall"
 	"testing"
@@ -75,6 +76,34 @@
 	}
 }
 
+// Guards against output that is asked for when something else shows that it was written, and is still on its
+// way to the log: the goroutine that takes it there is given no time meanwhile.
+func TestOutputIsWhole(t *testing.T) {
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	for range 20 {
+		dir := t.TempDir()
+		p := Start(t, Spec{Name: "w", Program: "/bin/sh", Dir: dir,
+			Args: []string{"-c", "while [ ! -e go ]; do sleep 0.01; done; echo said; echo > seen; exec sleep 60"}})
+		if err := os.WriteFile(filepath.Join(dir, "go"), nil, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		for end := time.Now().Add(10 * time.Second); ; {
+			if _, err := os.Stat(filepath.Join(dir, "seen")); err == nil {
+				break
+			}
+			if time.Now().After(end) {
+				t.Fatal("it does nothing")
+			}
+		}
+		if s := p.Output(); s != "said\n" {
+			t.Fatalf("%q, before it was seen to go on", s)
+		}
+		if err := p.Kill(); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
 // A process whose files may get no longer writes short and fails, from its first write on or from when it is
 // told; without the bound it writes on.
 func TestLimit(t *testing.T) {
@@ -411,9 +440,12 @@
 	if err := g0.Restart(func(s *Spec) { s.Room = 4096 }); err != nil {
 		t.Fatal(err)
 	}
+	Until(t, 10*time.Second, "it says so", func() bool { // an operators' port answers before the start is over
+		return strings.Contains(g0.Output(), "nothing will outlive a sudden end")
+	})
 	d.healthy()
-	if s := g0.Output(); !strings.Contains(s, "nothing will outlive a sudden end") {
-		t.Error(s)
+	if !g0.Running() || g0.Lives() != 2 {
+		t.Errorf("%v after %d lives", g0.Exit(), g0.Lives())
 	}
 }
 
