--- a/internal/relayd/tree_test.go
+++ b/internal/relayd/tree_test.go
@@ -49,6 +49,17 @@
 	x.must(x.relays["a0"].Resume())
 	x.up("a0", x.mustStatus("a1").Step)
 
+	// A region's relay hears nothing from above, and answers on with ages that grow.
+	for i := range daemons {
+		x.net.Part("r0", fmt.Sprintf("c%d", i), faults.Silent)
+	}
+	x.propose(0)
+	x.settled("a region's relay cut off from the council", x.gen)
+	for i := range daemons {
+		x.net.Join("r0", fmt.Sprintf("c%d", i))
+	}
+	x.up("r0", x.mustStatus("r1").Step)
+
 	// The leader is killed, with a change at another daemon at once.
 	lead := x.leader()
 	x.must(x.council[lead].Kill())
