--- a/internal/fleet/branch_test.go
+++ b/internal/fleet/branch_test.go
@@ -661,6 +661,16 @@
 		}
 	}
 	os.WriteFile(file, raw, 0o600)
+	shown, err := os.ReadFile("../../deploy/host.toml") // and the file that operators begin with is right
+	if err == nil {
+		err = os.WriteFile(filepath.Join(h.dir, "host.toml"), shown, 0o600)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	if f, err := Read(filepath.Join(h.dir, "host.toml")); err != nil || f.Agreed.Relay.Me != "south-7" {
+		t.Errorf("deploy/host.toml: %v", err)
+	}
 	f, err := Read(file)
 	if err != nil || f.resume() != nil || len(f.Instances) != 0 {
 		t.Fatalf("a first start: %v, %+v", err, f)
