--- a/cmd/wdlab/main.go
+++ b/cmd/wdlab/main.go
@@ -70,6 +70,8 @@
 					&cli.IntFlag{Name: "seed", Value: 1}, out,
 					&cli.StringFlag{Name: "chart", Usage: "draw each second's 99th percentile, `FILE.png`"}}},
 			journalCommand(out),
+			scaleCommand(out),
+			{Name: "hollow", Hidden: true, Action: hollow},
 			{Name: "stand", Usage: "run stand-ins on loopback, and write a gatekeeper's configuration",
 				ArgsUsage: "SCENARIO.toml",
 				Action:    stand, Flags: []cli.Flag{&cli.StringFlag{Name: "config", Value: "wdlab.json",
--- /dev/null
+++ b/internal/scale/hosts.go
@@ -0,0 +1,144 @@
+package scale
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"willowdeck/internal/accord"
+	"willowdeck/internal/council"
+	"willowdeck/internal/lifecycle"
+)
+
+// hosts are the daemons of hollow hosts.
+type hosts struct {
+	h     *Hollow
+	all   []*hollowHost
+	tally Tally // with gatekeepers
+}
+
+type hollowHost struct {
+	seat   *council.Seat // nil in a trial
+	trial  *accord.Version
+	read   time.Time // when a trial's rules were last read, as the seat reads them
+	server *http.Server
+}
+
+func newHosts(h *Hollow) *hosts { return &hosts{h: h} }
+
+func (x *hosts) begin() error {
+	for i := range x.h.Hosts {
+		o, err := x.open(&x.h.Hosts[i])
+		if err != nil {
+			return fmt.Errorf("%s: %w", x.h.Hosts[i].Name, err)
+		}
+		x.all = append(x.all, o)
+	}
+	return nil
+}
+
+func (x *hosts) open(c *HollowHost) (*hollowHost, error) {
+	o := &hollowHost{read: time.Now()}
+	if c.Trial != "" {
+		raw, err := os.ReadFile(c.Trial)
+		if err != nil {
+			return nil, err
+		}
+		o.trial = &accord.Version{Number: 1}
+		if err := json.Unmarshal(raw, &o.trial.Rules); err != nil {
+			return nil, err
+		}
+	} else {
+		var err error
+		o.seat, err = council.NewSeat(council.Charter{Cluster: x.h.Cluster, Me: c.Name, Listen: c.Listen,
+			Store: c.Store, Hosts: c.Voters, Found: true}, nil, nil, zerolog.Nop())
+		if err != nil {
+			return nil, err
+		}
+	}
+	l, err := net.Listen("tcp", c.Control)
+	if err != nil {
+		o.close()
+		return nil, err
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+lifecycle.LeasePath, o.lease)
+	o.server = &http.Server{Handler: mux, ReadTimeout: time.Second, WriteTimeout: time.Second,
+		MaxHeaderBytes: 4096, IdleTimeout: time.Minute}
+	go func() { _ = o.server.Serve(listener{l, &x.tally}) }()
+	return o, nil
+}
+
+func (o *hollowHost) close() {
+	if o.server != nil {
+		_ = o.server.Close()
+	}
+	if o.seat != nil {
+		o.seat.Close()
+	}
+}
+
+// lease answers as fleet.Daemon.lease does, but for the processes: whoever asks is one.
+func (o *hollowHost) lease(w http.ResponseWriter, r *http.Request) {
+	name := r.FormValue("instance")
+	pid, err := strconv.Atoi(r.FormValue("pid"))
+	holds, bad := strconv.ParseUint(r.FormValue("holds"), 10, 64)
+	index, worse := strconv.ParseInt(r.FormValue("index"), 10, 64)
+	if err := errors.Join(err, bad, worse); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	var l accord.Lease
+	if o.seat != nil {
+		w.Header().Set(lifecycle.IndexHeader, strconv.FormatInt(o.seat.Highest(), 10))
+		var ok bool
+		if l, ok = o.seat.Asked(pid, name, holds, index); !ok {
+			http.Error(w, "no quorum has confirmed within the lease what is in force",
+				http.StatusServiceUnavailable)
+			return
+		}
+	} else {
+		l = accord.Lease{Step: 1, Version: *o.trial, Settled: true, Age: 100}
+	}
+	raw, err := l.Bytes()
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(raw)
+}
+
+// end and again concern gatekeepers alone: the daemon books what its processes say.
+func (x *hosts) end(from, to int) {
+	for _, o := range x.all {
+		for pid := from; pid < to && o.seat != nil; pid++ {
+			o.seat.Ended(pid)
+		}
+	}
+}
+
+func (x *hosts) again(int, int) {}
+
+func (x *hosts) report(_ Order, r *Report) {
+	r.Count = len(x.all)
+	r.In, r.Out, r.Messages = x.tally.In.Load(), x.tally.Out.Load(), x.tally.Messages.Load()
+	for _, o := range x.all {
+		if o.seat != nil {
+			r.Version = max(r.Version, o.seat.InForce().Number)
+		}
+	}
+}
+
+func (x *hosts) close() {
+	for _, o := range x.all {
+		o.close()
+	}
+}
--- /dev/null
+++ b/internal/scale/keepers.go
@@ -0,0 +1,302 @@
+package scale
+
+import (
+	"fmt"
+	"math"
+	"net"
+	"net/netip"
+	"net/url"
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"willowdeck/internal/accord"
+	"willowdeck/internal/held"
+	"willowdeck/internal/lifecycle"
+	"willowdeck/internal/wire"
+)
+
+// keepers are gatekeepers as far as rules reach them.
+type keepers struct {
+	h     *Hollow
+	all   []*keeper
+	tally Tally
+}
+
+// keeper is one: the holder, the question and the reading are the real ones, in the order in which
+// lifecycle/agree.go has them; what is adopted governs nothing.
+type keeper struct {
+	of     *keepers
+	c      *HollowKeeper
+	holder *accord.Holder
+	client *fasthttp.Client
+	heard  accord.Version
+	timer  *time.Timer
+	answer chan answered
+	asks   bool
+	again  bool
+	over   chan struct{}
+	ended  chan struct{}
+
+	mu      sync.Mutex
+	leased  bool
+	version uint64
+	taken   map[uint64]float64 // when it came to a version, leased: boot
+	why     string
+
+	late, silent, spoilt, bytes atomic.Int64
+}
+
+type answered struct {
+	lease  accord.Lease
+	asked  float64
+	err    error
+	spoilt bool
+	bytes  int
+}
+
+// boot is the time by which leases run, the same for all processes of a machine, ms.
+func boot() float64 { return float64(held.Boot()) / 1e6 }
+
+const (
+	askLeast  = 25.0 // ms, as lifecycle has it
+	keptTaken = 64   // versions whose times are kept
+)
+
+func newKeepers(h *Hollow) *keepers {
+	x := &keepers{h: h}
+	for i := range h.Keepers {
+		x.all = append(x.all, &keeper{of: x, c: &h.Keepers[i]})
+	}
+	return x
+}
+
+func (x *keepers) begin() error {
+	x.again(0, len(x.all))
+	return nil
+}
+
+// again starts those that do not run, by number.
+func (x *keepers) again(from, to int) {
+	for _, k := range x.all[min(from, len(x.all)):min(to, len(x.all))] {
+		if k.over == nil {
+			k.start()
+		}
+	}
+}
+
+// end ends some, as if they were killed.
+func (x *keepers) end(from, to int) {
+	part := x.all[min(from, len(x.all)):min(to, len(x.all))]
+	for _, k := range part {
+		if k.over != nil {
+			close(k.over)
+		}
+	}
+	for _, k := range part {
+		if k.over != nil {
+			<-k.ended
+			k.client.CloseIdleConnections()
+			k.over = nil
+		}
+	}
+}
+
+func (x *keepers) close() { x.end(0, len(x.all)) }
+
+func (x *keepers) report(o Order, r *Report) {
+	r.In, r.Out, r.Messages = x.tally.In.Load(), x.tally.Out.Load(), x.tally.Messages.Load()
+	for _, k := range x.all {
+		if k.over == nil {
+			continue
+		}
+		r.Count++
+		k.mu.Lock()
+		if k.leased && k.version >= o.Version {
+			r.Reached++
+			if at, there := k.taken[o.Version]; there {
+				r.At = append(r.At, at)
+			}
+		}
+		if k.why != "" {
+			r.Why = k.c.Name + ": " + k.why
+		}
+		r.Version = max(r.Version, k.version)
+		k.mu.Unlock()
+		r.Late, r.Silent, r.Spoilt = r.Late+k.late.Load(), r.Silent+k.silent.Load(), r.Spoilt+k.spoilt.Load()
+		r.AnswerBytes = max(r.AnswerBytes, k.bytes.Load())
+	}
+	if o.Do != "reached" || r.Reached < r.Count {
+		r.At = nil
+	}
+}
+
+func (k *keeper) start() {
+	k.holder = accord.NewHolder(k.c.Name, accord.Rules{Form: accord.Form, Plans: k.of.h.Plans,
+		Members: []accord.Member{{Name: k.c.Name}}})
+	k.client = &fasthttp.Client{MaxResponseBodySize: accord.MostBytes, MaxIdemponentCallAttempts: 1,
+		NoDefaultUserAgentHeader: true, Dial: func(addr string) (net.Conn, error) {
+			c, err := fasthttp.Dial(addr)
+			if err != nil {
+				return nil, err
+			}
+			return &counted{Conn: c, t: &k.of.tally}, nil
+		}}
+	k.heard, k.asks, k.again = accord.Version{}, false, false
+	k.timer, k.answer = time.NewTimer(time.Hour), make(chan answered, 1)
+	k.over, k.ended = make(chan struct{}), make(chan struct{})
+	k.mu.Lock()
+	k.leased, k.version, k.taken = false, 0, map[uint64]float64{}
+	k.mu.Unlock()
+	go k.run()
+}
+
+func (k *keeper) run() {
+	defer close(k.ended)
+	defer k.timer.Stop()
+	k.turn()
+	for {
+		select {
+		case <-k.timer.C:
+		case got := <-k.answer:
+			k.asks = false
+			if k.hear(got); k.again {
+				k.ask()
+			}
+		case <-k.over:
+			if k.asks {
+				<-k.answer
+			}
+			return
+		}
+		k.turn()
+	}
+}
+
+func (k *keeper) turn() {
+	k.holder.Clock(boot())
+	for {
+		d, ok := k.holder.Next()
+		if !ok {
+			return
+		}
+		switch d.Kind {
+		case accord.Adopt:
+			k.adopt(d.Terms)
+		case accord.Ask:
+			k.ask()
+		case accord.Wake:
+			k.timer.Reset(wire.Millis(d.At - boot()))
+		}
+	}
+}
+
+func (k *keeper) adopt(t accord.Terms) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.leased, k.version = t.Mode == accord.Leased, t.Version
+	if _, there := k.taken[t.Version]; k.leased && !there {
+		if len(k.taken) >= keptTaken {
+			clear(k.taken)
+		}
+		k.taken[t.Version] = boot()
+	}
+}
+
+func (k *keeper) ask() {
+	if k.asks {
+		k.again = true
+		return
+	}
+	k.asks, k.again = true, false
+	lease := k.heard.Rules.Lease
+	q := url.Values{"instance": {k.c.Name}, "pid": {strconv.Itoa(k.c.Pid)},
+		"holds": {strconv.FormatUint(k.holder.Holds(), 10)}, "index": {"-1"}}
+	at := "http://" + k.c.Host + lifecycle.LeasePath + "?" + q.Encode()
+	go func() { k.answer <- k.call(at, math.Max(lease/4, askLeast)) }()
+}
+
+func (k *keeper) call(at string, within float64) (got answered) {
+	req, res := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(res)
+	req.SetRequestURI(at)
+	got.asked = boot()
+	if got.err = k.client.DoTimeout(req, res, wire.Millis(within)); got.err != nil {
+		got.spoilt = got.err == fasthttp.ErrBodyTooLarge
+		return got
+	}
+	if s := res.StatusCode(); s != fasthttp.StatusOK {
+		got.err = fmt.Errorf("status %d: %.100s", s, res.Body())
+		return got
+	}
+	got.bytes = len(res.Body())
+	got.lease, got.err = accord.ReadLease(res.Body())
+	got.spoilt = got.err != nil
+	return got
+}
+
+func (k *keeper) says(why string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.why = why
+}
+
+func (k *keeper) hear(got answered) {
+	if got.spoilt {
+		k.spoilt.Add(1)
+		k.says(got.err.Error())
+		return
+	}
+	if got.err != nil {
+		k.silent.Add(1)
+		k.says(got.err.Error())
+		return
+	}
+	k.holder.Clock(boot())
+	r := &got.lease.Version.Rules
+	k.bytes.Store(int64(got.bytes))
+	if why := k.misfit(r); why != "" && !k.c.Trial {
+		k.spoilt.Add(1)
+		k.says(why)
+		return
+	}
+	if got.lease.Version.Number > k.heard.Number {
+		k.heard = got.lease.Version
+	}
+	before := k.holder.Counts()
+	k.holder.Heard(got.lease, got.asked)
+	if c := k.holder.Counts(); c.Late > before.Late {
+		k.late.Add(1)
+	}
+}
+
+// misfit does what a gatekeeper does with each answer.
+func (k *keeper) misfit(r *accord.Rules) string {
+	if err := accord.Check(r); err != nil {
+		return err.Error()
+	}
+	if accord.Place(r, k.c.Name) < 0 {
+		return k.c.Name + " is not among the members"
+	}
+	for _, m := range r.Members {
+		if _, err := netip.ParseAddrPort(m.Peers); m.Peers != "" && err != nil {
+			return fmt.Sprintf("members.%s.peers: %v", m.Name, err)
+		}
+	}
+	return ""
+}
+
+// median gives the middle of some values, 0 where there is none.
+func median(all []float64) float64 {
+	if len(all) == 0 {
+		return 0
+	}
+	all = slices.Clone(all)
+	slices.Sort(all)
+	return all[len(all)/2]
+}
--- /dev/null
+++ b/internal/scale/rules.go
@@ -0,0 +1,375 @@
+package scale
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"willowdeck/internal/accord"
+	"willowdeck/internal/council"
+	"willowdeck/internal/rulebook"
+	"willowdeck/internal/standin"
+)
+
+// Ports on a daemon's own address; a place's are counted from the first ones, up to 7,900 places and more.
+const (
+	controlPort  = 6000
+	councilPort  = 6001
+	frontPort    = 6002 // of a real daemon's meter, where the other voters come to
+	metersPort   = 6100 // of a real daemon's meters, one for each other voter
+	listenPort   = 7000
+	operatorPort = 15000 // two for each place
+	peersPort    = 7000  // datagrams
+)
+
+// assembly is the processes of one size.
+type assembly struct {
+	s       *Scenario
+	t       *Table
+	program string // willowdeck
+	self    string // wdlab
+	dir     string
+	net     *loopback
+	n       int // gatekeepers
+	rules   accord.Rules
+	real    []*daemon
+	hosts   []HollowHost
+	perHost int
+	voters  []council.Host
+	meters  []*meter
+	list    *standin.Discovery
+
+	hostProcess *child
+	keepers     []*child
+	asking      int
+}
+
+// daemon is a real one.
+type daemon struct {
+	*child
+	name, ip, dir string
+	front         *meter   // to it
+	meters        []*meter // from it to each other voter
+}
+
+func (d *daemon) at(port int) string { return fmt.Sprintf("%s:%d", d.ip, port) }
+
+// plans are the rules' plans: every other one has a ceiling.
+func plans(n int) (all []accord.Plan) {
+	for i := range n {
+		p := accord.Plan{Name: fmt.Sprintf("plan-%d", i), Rate: 500, Burst: 500}
+		if i%2 == 1 {
+			p.CeilingRate, p.CeilingDepth = 5e5, 5e5
+		}
+		all = append(all, p)
+	}
+	return all
+}
+
+// newAssembly lays a size out: real daemons with a few gatekeepers each, then hollow hosts.
+func newAssembly(s *Scenario, t *Table, program, self, dir string, n int) (*assembly, error) {
+	a := &assembly{s: s, t: t, program: program, self: self, dir: dir, n: n}
+	var err error
+	if a.net, err = newLoopback(); err != nil {
+		return nil, err
+	}
+	if a.list, err = standin.NewDiscovery(standin.Entry{Name: "w0", Address: "127.0.0.1:9", Zone: "z0", Type: "m",
+		Status: "active", Weight: 1}); err != nil {
+		a.net.close()
+		return nil, err
+	}
+	c := &s.Council
+	a.rules = accord.Rules{Form: accord.Form, Lease: c.LeaseMS, Bound: c.BoundMS,
+		Fallback: accord.Fallback{Part: c.FallbackPart, For: c.FallbackMS}, Plans: plans(c.Plans)}
+	for i := range c.Daemons {
+		d := &daemon{name: fmt.Sprintf("council-%d", i), ip: a.net.ip()}
+		d.dir = filepath.Join(dir, d.name)
+		a.real = append(a.real, d)
+		a.voters = append(a.voters, council.Host{Name: d.name, Address: d.at(frontPort)})
+		for range c.Gatekeepers {
+			a.member(d.name, d.ip)
+		}
+	}
+	left := max(n-len(a.rules.Members), 0)
+	hosts := min((left+s.Hollow.PerHost-1)/s.Hollow.PerHost, c.MostVoters-c.Daemons)
+	if hosts > 0 {
+		a.perHost = (left + hosts - 1) / hosts
+	}
+	for i := 0; left > 0; i++ {
+		ip := a.net.ip()
+		h := HollowHost{Name: fmt.Sprintf("host-%d", i), Listen: fmt.Sprintf("%s:%d", ip, councilPort),
+			Control: fmt.Sprintf("%s:%d", ip, controlPort), Store: filepath.Join(dir, fmt.Sprintf("host-%d.db", i))}
+		a.hosts = append(a.hosts, h)
+		a.voters = append(a.voters, council.Host{Name: h.Name, Address: h.Listen})
+		for range min(a.perHost, left) {
+			a.member(h.Name, ip)
+			left--
+		}
+	}
+	for i := range a.hosts {
+		a.hosts[i].Voters = a.voters
+	}
+	return a, nil
+}
+
+func (a *assembly) member(host, ip string) {
+	i := len(a.rules.Members)
+	a.rules.Members = append(a.rules.Members, accord.Member{Name: fmt.Sprintf("gatekeeper-%04d", i), Host: host,
+		Peers: fmt.Sprintf("%s:%d", ip, peersPort+i)})
+}
+
+// prepare writes a real daemon's files, and starts the meters of its part in the council.
+func (a *assembly) prepare(d *daemon) error {
+	if err := os.MkdirAll(d.dir, 0o700); err != nil {
+		return err
+	}
+	var b strings.Builder
+	fmt.Fprintf(&b, "name = \"scale\"\nconfig = \"gatekeeper.json\"\nrun_dir = \"run\"\ncontrol = %q\n"+
+		"listen = %q\noperators = %q\nprogram = %q\nready_s = 20\n", d.at(controlPort), d.at(listenPort),
+		d.at(operatorPort), a.program)
+	fmt.Fprintf(&b, "[restart]\nfirst_ms = 100\nmost_ms = 1000\ncalm_s = 5\n[council]\nme = %q\nlisten = %q\n"+
+		"store = \"council.db\"\nrules = \"rules.toml\"\nfound = true\nhosts = [", d.name, d.at(councilPort))
+	for _, v := range a.voters {
+		fmt.Fprintf(&b, "{ name = %q, address = %q }, ", v.Name, v.Address)
+	}
+	fmt.Fprint(&b, "]\n[reach.council]\n")
+	for i, v := range a.voters {
+		if v.Name == d.name {
+			continue
+		}
+		m, err := newMeter(d.at(metersPort+i), v.Address)
+		if err != nil {
+			return err
+		}
+		d.meters, a.meters = append(d.meters, m), append(a.meters, m)
+		fmt.Fprintf(&b, "%q = %q\n", v.Address, m.at)
+	}
+	var err error
+	if d.front, err = newMeter(d.at(frontPort), d.at(councilPort)); err != nil {
+		return err
+	}
+	a.meters = append(a.meters, d.front)
+	if err := os.WriteFile(filepath.Join(d.dir, "fleet.toml"), []byte(b.String()), 0o600); err != nil {
+		return err
+	}
+	raw, err := json.Marshal(gatekeeperFile(a.list.At, a.list.List(), &a.rules, nil))
+	if err == nil {
+		err = os.WriteFile(filepath.Join(d.dir, "gatekeeper.json"), raw, 0o600)
+	}
+	if err == nil {
+		err = a.write(d, &a.rules)
+	}
+	return err
+}
+
+// gatekeeperFile is a gatekeeper's configuration, for the daemon or for a gatekeeper alone.
+func gatekeeperFile(discovery string, known standin.List, r *accord.Rules, more map[string]any) map[string]any {
+	var tariffs []map[string]any
+	for _, p := range r.Plans {
+		tariffs = append(tariffs, map[string]any{"name": p.Name, "rate": p.Rate, "most_at_once": p.Burst,
+			"hard_rate": p.CeilingRate, "cap_depth": p.CeilingDepth, "worth_factor": 1})
+	}
+	c := map[string]any{"discovery": discovery, "seed": "5", "known": known,
+		"limits": map[string]any{"cores": 1, "sockets": 512, "memory_mb": 256},
+		"settings": map[string]any{"me": 0, "balancers": 1,
+			"classes": []map[string]any{{"name": "check", "aim_us": 500e3, "effect": "read_like", "worth": 1}},
+			"tariffs": tariffs, "allowed": map[string]any{"max_attempts": 3, "cancel": true, "retry_after": true,
+				"max_retry_after_us": 9e6, "keepalive_us": 5e6, "connect_timeout_us": 100e3, "peers": true},
+			"family_info": map[string]any{"largest": 1, "peer_in_per_s": 60},
+			"safety":      map[string]any{"answer_slack_us": 8000}, "score_parts": map[string]any{"whole": 1}}}
+	for k, v := range more {
+		c[k] = v
+	}
+	return c
+}
+
+// write writes a daemon's file of rules, whether they pass the check or not: the daemon is to say so.
+func (a *assembly) write(d *daemon, r *accord.Rules) error {
+	text, err := rulebook.Encode(r)
+	if err != nil {
+		return err
+	}
+	path := filepath.Join(d.dir, "rules.toml")
+	if err := os.WriteFile(path+".part", []byte(text), 0o600); err != nil {
+		return err
+	}
+	return os.Rename(path+".part", path)
+}
+
+// start starts a size's real daemons; refused is what they say where the program takes no such size.
+func (a *assembly) start(ctx context.Context) (refused string, err error) {
+	for _, d := range a.real {
+		if err := a.prepare(d); err != nil {
+			return "", err
+		}
+		if d.child, err = spawn(d.name, d.dir, false, a.program, "fleet", "--file", "fleet.toml"); err != nil {
+			return "", err
+		}
+	}
+	first := a.real[0]
+	err = wait(ctx, 20*time.Second, first.name+" is up", func() (bool, error) {
+		if first.over() {
+			return true, nil
+		}
+		_, err := ask(first.at(controlPort), "/fleet/council")
+		return err == nil, nil
+	})
+	if first.child.over() {
+		return first.says(), nil
+	}
+	return "", err
+}
+
+// hollow starts a hollow process and tells it what to play.
+func (a *assembly) hollow(name string, h Hollow) (*child, error) {
+	h.Cluster, h.Plans = "scale", plans(a.s.Council.Plans)
+	c, err := spawn(name, a.dir, true, a.self, "hollow")
+	if err != nil {
+		return nil, err
+	}
+	if err := c.tell(h); err != nil {
+		c.stop()
+		return nil, err
+	}
+	return c, nil
+}
+
+// populate starts the hollow gatekeepers: members of hollow hosts in turn, up to so many.
+func (a *assembly) populate(most int, trial bool) error {
+	var all []HollowKeeper
+	for i, m := range a.rules.Members {
+		h := slices.IndexFunc(a.hosts, func(h HollowHost) bool { return h.Name == m.Host })
+		if h < 0 || i%a.stride(most) != 0 {
+			continue
+		}
+		all = append(all, HollowKeeper{Name: m.Name, Pid: 1 + len(all), Host: a.hosts[h].Control, LeaseMS: a.rules.Lease,
+			Trial: trial})
+	}
+	all = all[:min(len(all), most)]
+	a.asking = len(all)
+	for i := 0; i < len(all); i += a.s.Hollow.PerProcess {
+		c, err := a.hollow(fmt.Sprintf("gatekeepers-%d", len(a.keepers)),
+			Hollow{Role: keeperRole, Keepers: all[i:min(i+a.s.Hollow.PerProcess, len(all))]})
+		if err != nil {
+			return err
+		}
+		a.keepers = append(a.keepers, c)
+	}
+	return nil
+}
+
+// stride has those that run be spread over all hosts.
+func (a *assembly) stride(most int) int { return max((len(a.rules.Members)+most-1)/most, 1) }
+
+// all has all hollow gatekeepers do something at once, and adds their answers up.
+func (a *assembly) all(o Order) (sum Report, err error) {
+	answers, errs := make([]Report, len(a.keepers)), make([]error, len(a.keepers))
+	var out sync.WaitGroup
+	for i, c := range a.keepers {
+		out.Go(func() { answers[i], errs[i] = c.order(o) })
+	}
+	out.Wait()
+	for i, r := range answers {
+		if errs[i] != nil {
+			return sum, errs[i]
+		}
+		sum.CPU, sum.RSS, sum.Descriptors = sum.CPU+r.CPU, sum.RSS+r.RSS, sum.Descriptors+r.Descriptors
+		sum.In, sum.Out, sum.Messages = sum.In+r.In, sum.Out+r.Out, sum.Messages+r.Messages
+		sum.Count, sum.Reached = sum.Count+r.Count, sum.Reached+r.Reached
+		sum.Late, sum.Silent, sum.Spoilt = sum.Late+r.Late, sum.Silent+r.Silent, sum.Spoilt+r.Spoilt
+		sum.AnswerBytes, sum.Version = max(sum.AnswerBytes, r.AnswerBytes), max(sum.Version, r.Version)
+		sum.At = append(sum.At, r.At...)
+		if r.Why != "" {
+			sum.Why = r.Why
+		}
+	}
+	return sum, nil
+}
+
+// reached waits for all hollow gatekeepers to go by a version, and gives when each came to.
+func (a *assembly) reached(ctx context.Context, version uint64, within time.Duration) (at []float64, err error) {
+	var last Report
+	err = wait(ctx, within, fmt.Sprintf("all go by version %d", version), func() (bool, error) {
+		if last, err = a.all(Order{Do: "reached", Version: version}); err != nil {
+			return false, err
+		}
+		return last.Reached == last.Count, nil
+	})
+	if err != nil {
+		return nil, fmt.Errorf("%w: %d of %d do; %s", err, last.Reached, last.Count, last.Why)
+	}
+	return last.At, nil
+}
+
+// realGatekeepers waits for the real ones to go by a version, leased.
+func (a *assembly) realGatekeepers(ctx context.Context, version uint64, within time.Duration) error {
+	if a.s.Council.Gatekeepers == 0 {
+		return nil
+	}
+	return wait(ctx, within, fmt.Sprintf("the real gatekeepers go by version %d", version), func() (bool, error) {
+		for _, d := range a.real {
+			page, err := ask(d.at(controlPort), "/fleet/stats")
+			if err != nil {
+				return false, nil
+			}
+			for i, m := range a.rules.Members {
+				if m.Host != d.name {
+					continue
+				}
+				control, there := line(page, "fleet."+m.Name+".control")
+				if !there {
+					return false, nil
+				}
+				figures, err := ask(control, "/admin/stats")
+				if err != nil || number(figures, "svc.rules.version") < float64(version) ||
+					number(figures, "svc.rules.mode") != float64(accord.Leased) {
+					return false, nil
+				}
+				_ = i
+			}
+		}
+		return true, nil
+	})
+}
+
+// propose has the first daemon propose rules, and gives when it was told to.
+func (a *assembly) propose(r *accord.Rules) (float64, error) {
+	d := a.real[0]
+	if err := a.write(d, r); err != nil {
+		return 0, err
+	}
+	at := boot()
+	return at, d.renew()
+}
+
+// close ends all that was started, the lower ends first.
+func (a *assembly) close() {
+	var out sync.WaitGroup
+	for _, c := range a.keepers {
+		out.Go(c.stop)
+	}
+	out.Wait()
+	for _, d := range a.real {
+		if d.child != nil {
+			out.Go(d.stop)
+		}
+	}
+	out.Wait()
+	if a.hostProcess != nil {
+		a.hostProcess.stop()
+	}
+	for _, d := range a.real {
+		strays(filepath.Join(d.dir, "run"))
+	}
+	for _, m := range a.meters {
+		m.close()
+	}
+	a.list.Close()
+	a.net.close()
+}
--- /dev/null
+++ b/internal/scale/run_test.go
@@ -0,0 +1,138 @@
+package scale
+
+import (
+	"context"
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"go.uber.org/goleak"
+
+	"willowdeck/internal/faults"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m) // a run leaves no goroutine behind
+}
+
+// rig has runs' files in a folder of their own, and checks at the end that no file and no process is left:
+// each process of a run works below that folder.
+func rig(t *testing.T) Programs {
+	t.Helper()
+	p := Programs{faults.Program(t, "willowdeck"), faults.Program(t, "wdlab")}
+	dir, err := os.MkdirTemp("", "wds")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Setenv("TMPDIR", dir)
+	t.Cleanup(func() {
+		left, _ := os.ReadDir(dir)
+		for _, f := range left {
+			if f.Name() != "willowdeck-ports" {
+				t.Errorf("%s is left", f.Name())
+			}
+		}
+		for _, cmd := range below(dir) {
+			t.Errorf("a process is left: %q", cmd)
+		}
+		os.RemoveAll(dir)
+	})
+	return p
+}
+
+// below gives the command lines of processes that work below a folder.
+func below(dir string) (all []string) {
+	cwds, _ := filepath.Glob("/proc/[0-9]*/cwd")
+	for _, link := range cwds {
+		if at, err := os.Readlink(link); err == nil && strings.HasPrefix(at, dir) {
+			cmd, _ := os.ReadFile(filepath.Join(filepath.Dir(link), "cmdline"))
+			all = append(all, string(cmd))
+		}
+	}
+	return all
+}
+
+func quick(t *testing.T, text string) *Scenario {
+	t.Helper()
+	s, err := Decode("name = \"quick\"\n" + text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Council.WindowS, s.Changes.Count, s.Changes.EveryMS, s.Changes.AwayMS = 1, 2, 300, 100
+	s.Lists.Changes, s.Lists.EveryMS, s.Words.Periods = 4, 20, 3
+	return s
+}
+
+// A small size from end to end: real daemons and gatekeepers, hollow ones, lists and words. Its verdict is of
+// what came to be and of what has to be so on any machine, not of how fast.
+func TestRun(t *testing.T) {
+	p := rig(t)
+	s := quick(t, "sizes = [20]\nparts = [\"rules\", \"lists\", \"words\"]\n")
+	table, err := Run(context.Background(), s, p, zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		role, name  string
+		least, most float64
+	}{
+		{fleetRole, "refused", 0, 0}, {fleetRole, "hosts", 4, 4}, {fleetRole, "asking", 17, 17},
+		{fleetRole, "start", 1, 60000}, {fleetRole, "in_force_worst", 1, 30000}, {fleetRole, "zone_back", 0.01, 60000},
+		{keeperRole, "bytes_in_per_s", 1000, 20000}, {keeperRole, "answer_bytes", 1500, 3000},
+		{keeperRole, "spoilt", 0, 0}, {keeperRole, "rss_real", 5, 200}, {councilRole, "bytes_out_per_s", 1000, 1e6},
+		{councilRole, "rss", 5, 200}, {hostRole, "bytes_out_per_s", 1000, 1e6}, {hostRole, "rss_each", 1000, 200000},
+		{listRole, "workers", 278, 278}, {listRole, "refused", 0, 0}, {keeperRole, "change_bytes", 100, 300},
+		{keeperRole, "words_period", 399, 401}, {keeperRole, "words_peers", 19, 19}, {machineRole, "processes", 9, 9},
+	} {
+		if v, there := table.Value(20, c.role, c.name); !there || !(v >= c.least && v <= c.most) {
+			t.Errorf("%s of the %s: %v (measured: %t), not from %v to %v", c.name, c.role, v, there, c.least, c.most)
+		}
+	}
+}
+
+// A size beyond what the program takes is a result, with what the program said, and a trial beside it.
+func TestRefused(t *testing.T) {
+	p := rig(t)
+	s := quick(t, "sizes = [12000]\nparts = [\"rules\"]\n")
+	s.Hollow.Sample, s.Council.Daemons = 2, 1
+	table, err := Run(context.Background(), s, p, zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if v, _ := table.Value(12000, fleetRole, "refused"); v != 1 || len(table.Refused) != 1 ||
+		!strings.Contains(table.Refused[0], "members: 12000 are more than") {
+		t.Errorf("%v: %q", v, table.Refused)
+	}
+	for _, f := range table.Rows {
+		if f.Role == keeperRole && f.Distribution != Direct+"-trial" {
+			t.Errorf("a trial's figure is told as another: %+v", f)
+		}
+	}
+	if v, there := table.Value(12000, keeperRole, "answer_bytes"); !there || v < 5e5 {
+		t.Errorf("answers of %v bytes", v)
+	}
+}
+
+// A run that is broken off, at any moment, and one whose time is up leave nothing behind.
+func TestBrokenOff(t *testing.T) {
+	p := rig(t)
+	for _, after := range []time.Duration{50 * time.Millisecond, 300 * time.Millisecond, 1500 * time.Millisecond} {
+		ctx, cancel := context.WithTimeout(context.Background(), after)
+		_, err := Run(ctx, quick(t, "sizes = [20]\nparts = [\"rules\", \"lists\"]\n"), p, zerolog.Nop())
+		cancel()
+		if !errors.Is(err, context.DeadlineExceeded) {
+			t.Errorf("after %v: %v", after, err)
+		}
+	}
+	s := quick(t, "sizes = [20]\nparts = [\"rules\"]\n[machine]\nsize_s = 1\n")
+	if _, err := Run(context.Background(), s, p, zerolog.Nop()); !errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("its time is up: %v", err)
+	}
+	if _, err := Run(context.Background(), s, Programs{"none", "none"}, zerolog.Nop()); err == nil {
+		t.Error("a program that is not there")
+	}
+}
