--- a/internal/scale/desk.go
+++ b/internal/scale/desk.go
@@ -66,7 +66,8 @@
 		return err
 	}
 	began := time.Now()
-	g, err := spawn("gatekeeper", dir, false, p.Willowdeck, "serve", "--config", "gatekeeper.json", "--log", "warn")
+	g, err := spawn("gatekeeper", dir, false, p.Willowdeck, "serve", "--config", "gatekeeper.json",
+		"--log", "warn")
 	if err != nil {
 		return err
 	}
@@ -120,7 +121,7 @@
 	t.add(keeperRole, "p50_changes", ms(busy, 50))
 	t.add(keeperRole, "p99_changes", ms(busy, 99))
 	t.add(keeperRole, "p99_added", ms(busy, 99)-ms(quiet, 99))
-	t.add(keeperRole, "lag_p99", max(float64(quiet.Lag.ValueAtQuantile(99)), float64(busy.Lag.ValueAtQuantile(99)))/1000)
+	t.add(keeperRole, "lag_p99", float64(max(quiet.Lag.ValueAtQuantile(99), busy.Lag.ValueAtQuantile(99)))/1000)
 	settled := int64(0)
 	for _, c := range busy.Counts {
 		settled += c[load.Settled]
--- a/internal/scale/hollow.go
+++ b/internal/scale/hollow.go
@@ -68,7 +68,7 @@
 	Messages       int64
 	Count          int       // that run
 	Reached        int       // that go by the version, or a later one
-	At             []float64 `json:",omitempty"` // once all do: when each came to, ms of the machine's time since its start
+	At             []float64 `json:",omitempty"` // once all do: when each came to, boot
 	Late           int64     // answers that were older than what was known
 	Silent         int64     // questions without an answer
 	Spoilt         int64     // answers that can't be gone by
--- a/internal/scale/lists.go
+++ b/internal/scale/lists.go
@@ -16,9 +16,9 @@
 // entries are a list of workers as it is at a size. Nobody calls them.
 func entries(n int) (all []standin.Entry) {
 	for i := range n {
-		all = append(all, standin.Entry{Name: fmt.Sprintf("worker-%06d", i), Zone: fmt.Sprintf("zone-%02d", i%zones),
-			Address: fmt.Sprintf("10.%d.%d.%d:5000", i>>16&255, i>>8&255, i&255), Type: "m2", Group: i % 4,
-			Status: "active", Weight: 1})
+		all = append(all, standin.Entry{Name: fmt.Sprintf("worker-%06d", i),
+			Zone: fmt.Sprintf("zone-%02d", i%zones), Type: "m2", Group: i % 4, Status: "active", Weight: 1,
+			Address: fmt.Sprintf("10.%d.%d.%d:5000", i>>16&255, i>>8&255, i&255)})
 	}
 	return all
 }
--- a/internal/scale/process.go
+++ b/internal/scale/process.go
@@ -39,7 +39,7 @@
 func newLoopback() (*loopback, error) {
 	var err error
 	for range netTries {
-		l := &loopback{a: 64 + rand.Intn(128), b: 1 + rand.Intn(250)}
+		l := &loopback{a: 128 + rand.Intn(100), b: 1 + rand.Intn(250)}
 		if l.hold, err = net.Listen("tcp", fmt.Sprintf("127.%d.%d.0:%d", l.a, l.b, 20000+holdPort)); err == nil {
 			return l, nil
 		}
--- a/internal/scale/rules.go
+++ b/internal/scale/rules.go
@@ -79,8 +79,8 @@
 	if a.net, err = newLoopback(); err != nil {
 		return nil, err
 	}
-	if a.list, err = standin.NewDiscovery(standin.Entry{Name: "w0", Address: "127.0.0.1:9", Zone: "z0", Type: "m",
-		Status: "active", Weight: 1}); err != nil {
+	if a.list, err = standin.NewDiscovery(standin.Entry{Name: "w0", Address: "127.0.0.1:9", Zone: "z0",
+		Type: "m", Status: "active", Weight: 1}); err != nil {
 		a.net.close()
 		return nil, err
 	}
@@ -169,7 +169,8 @@
 }
 
 // gatekeeperFile is a gatekeeper's configuration, for the daemon or for a gatekeeper alone.
-func gatekeeperFile(discovery string, known standin.List, r *accord.Rules, more map[string]any) map[string]any {
+func gatekeeperFile(discovery string, known standin.List, r *accord.Rules,
+	more map[string]any) map[string]any {
 	var tariffs []map[string]any
 	for _, p := range r.Plans {
 		tariffs = append(tariffs, map[string]any{"name": p.Name, "rate": p.Rate, "most_at_once": p.Burst,
@@ -248,8 +249,8 @@
 		if h < 0 || i%a.stride(most) != 0 {
 			continue
 		}
-		all = append(all, HollowKeeper{Name: m.Name, Pid: 1 + len(all), Host: a.hosts[h].Control, LeaseMS: a.rules.Lease,
-			Trial: trial})
+		all = append(all, HollowKeeper{Name: m.Name, Pid: 1 + len(all), Host: a.hosts[h].Control,
+			LeaseMS: a.rules.Lease, Trial: trial})
 	}
 	all = all[:min(len(all), most)]
 	a.asking = len(all)
@@ -293,7 +294,8 @@
 }
 
 // reached waits for all hollow gatekeepers to go by a version, and gives when each came to.
-func (a *assembly) reached(ctx context.Context, version uint64, within time.Duration) (at []float64, err error) {
+func (a *assembly) reached(ctx context.Context, version uint64, within time.Duration) (at []float64,
+	err error) {
 	var last Report
 	err = wait(ctx, within, fmt.Sprintf("all go by version %d", version), func() (bool, error) {
 		if last, err = a.all(Order{Do: "reached", Version: version}); err != nil {
@@ -312,7 +314,8 @@
 	if a.s.Council.Gatekeepers == 0 {
 		return nil
 	}
-	return wait(ctx, within, fmt.Sprintf("the real gatekeepers go by version %d", version), func() (bool, error) {
+	what := fmt.Sprintf("the real gatekeepers go by version %d", version)
+	return wait(ctx, within, what, func() (bool, error) {
 		for _, d := range a.real {
 			page, err := ask(d.at(controlPort), "/fleet/stats")
 			if err != nil {
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -205,7 +205,8 @@
 				in, out, calls = in+m.Out.Load(), out+m.In.Load(), calls+m.Messages.Load()
 			}
 			in, out, calls = in+d.front.In.Load(), out+d.front.Out.Load(), calls+d.front.Messages.Load()
-			s.cpu, s.in, s.out, s.calls = append(s.cpu, cpu), append(s.in, in), append(s.out, out), append(s.calls, calls)
+			s.cpu, s.calls = append(s.cpu, cpu), append(s.calls, calls)
+			s.in, s.out = append(s.in, in), append(s.out, out)
 			for _, pid := range a.pids(d) {
 				s.of[strconv.Itoa(pid)], _, _ = usage(pid)
 			}
--- a/internal/scale/run_test.go
+++ b/internal/scale/run_test.go
@@ -81,12 +81,15 @@
 		least, most float64
 	}{
 		{fleetRole, "refused", 0, 0}, {fleetRole, "hosts", 4, 4}, {fleetRole, "asking", 17, 17},
-		{fleetRole, "start", 1, 60000}, {fleetRole, "in_force_worst", 1, 30000}, {fleetRole, "zone_back", 0.01, 60000},
+		{fleetRole, "start", 1, 60000}, {fleetRole, "in_force_worst", 1, 30000},
+		{fleetRole, "zone_back", 0.01, 60000},
 		{keeperRole, "bytes_in_per_s", 1000, 20000}, {keeperRole, "answer_bytes", 1500, 3000},
 		{keeperRole, "spoilt", 0, 0}, {keeperRole, "rss_real", 5, 200}, {councilRole, "bytes_out_per_s", 1000, 1e6},
-		{councilRole, "rss", 5, 200}, {hostRole, "bytes_out_per_s", 1000, 1e6}, {hostRole, "rss_each", 1000, 200000},
+		{councilRole, "rss", 5, 200}, {hostRole, "bytes_out_per_s", 1000, 1e6},
+		{hostRole, "rss_each", 1000, 200000},
 		{listRole, "workers", 278, 278}, {listRole, "refused", 0, 0}, {keeperRole, "change_bytes", 100, 300},
-		{keeperRole, "words_period", 399, 401}, {keeperRole, "words_peers", 19, 19}, {machineRole, "processes", 9, 9},
+		{keeperRole, "words_period", 399, 401}, {keeperRole, "words_peers", 19, 19},
+		{machineRole, "processes", 9, 9},
 	} {
 		if v, there := table.Value(20, c.role, c.name); !there || !(v >= c.least && v <= c.most) {
 			t.Errorf("%s of the %s: %v (measured: %t), not from %v to %v", c.name, c.role, v, there, c.least, c.most)
@@ -120,7 +123,8 @@
 // A run that is broken off, at any moment, and one whose time is up leave nothing behind.
 func TestBrokenOff(t *testing.T) {
 	p := rig(t)
-	for _, after := range []time.Duration{50 * time.Millisecond, 300 * time.Millisecond, 1500 * time.Millisecond} {
+	for _, ms := range []time.Duration{50, 300, 1500} {
+		after := ms * time.Millisecond
 		ctx, cancel := context.WithTimeout(context.Background(), after)
 		_, err := Run(ctx, quick(t, "sizes = [20]\nparts = [\"rules\", \"lists\"]\n"), p, zerolog.Nop())
 		cancel()
--- a/internal/scale/scenario_test.go
+++ b/internal/scale/scenario_test.go
@@ -6,8 +6,8 @@
 	"testing"
 )
 
-// Each key that is wrong is named, and none is passed over. Guards against a run of hours by a figure that was
-// mistyped.
+// Each key that is wrong is named, and none is passed over. Guards against a run of hours by a figure that
+// was mistyped.
 func TestDecode(t *testing.T) {
 	const least = "name = \"x\"\nsizes = [20]\n"
 	for _, c := range []struct{ text, want string }{
--- a/internal/scale/table.go
+++ b/internal/scale/table.go
@@ -31,15 +31,17 @@
 // units are the figures that there are, with their units.
 var units = map[string]string{
 	"bytes_in_per_s": "B/s", "bytes_out_per_s": "B/s", "messages_per_s": "1/s", "cpu": "% of a core",
-	"rss": "MB", "cpu_real": "% of a core", "rss_real": "MB", "rss_each": "KB", "descriptors": "", "descriptors_each": "",
-	"in_force_median": "ms", "in_force_worst": "ms", "in_force_median_gatekeeper": "ms", "start": "ms",
+	"rss": "MB", "cpu_real": "% of a core", "rss_real": "MB", "rss_each": "KB", "descriptors": "",
+	"descriptors_each": "",
+	"in_force_median":  "ms", "in_force_worst": "ms", "in_force_median_gatekeeper": "ms", "start": "ms",
 	"zone_back": "ms", "refused": "", "asking": "", "leased": "", "late": "", "silent": "", "spoilt": "",
 	"rules_bytes": "B", "answer_bytes": "B", "hosts": "", "per_host": "", "processes": "",
 	"list_bytes": "B", "workers": "", "first_list": "ms", "read_list": "ms", "place_list": "ms", "change": "ms",
 	"change_worst": "ms", "change_bytes": "B", "change_cpu": "ms", "zone_change": "ms", "zone_bytes": "B",
 	"list_kb": "KB",
-	"p50":     "ms", "p99": "ms", "p99_changes": "ms", "p99_added": "ms", "p50_changes": "ms", "hold_worst": "ms",
-	"answered": "", "cpu_changes": "% of a core", "rss_list": "MB", "list_up_real": "ms", "lag_p99": "ms",
+	"p50":     "ms", "p99": "ms", "p99_changes": "ms", "p99_added": "ms", "p50_changes": "ms",
+	"hold_worst": "ms",
+	"answered":   "", "cpu_changes": "% of a core", "rss_list": "MB", "list_up_real": "ms", "lag_p99": "ms",
 	"words_period": "ms", "words_in_per_s": "1/s", "words_bytes_per_s": "B/s", "words_peers": "",
 }
 
@@ -152,8 +154,8 @@
 	return err
 }
 
-// Add puts the figures of a table that was written before ahead of this one's, but for those that this one has
-// anew. No file is no table.
+// Add puts the figures of a table that was written before ahead of this one's, but for those that this one
+// has anew. No file is no table.
 func (t *Table) Add(path string) error {
 	f, err := os.Open(path)
 	if errors.Is(err, os.ErrNotExist) {
@@ -233,9 +235,9 @@
 // Chart draws some figures over the size.
 func (t *Table) Chart(path string) error {
 	var lines []lab.Curve
-	for _, c := range []struct{ role, name string }{{keeperRole, "bytes_in_per_s"}, {councilRole, "bytes_out_per_s"},
-		{hostRole, "bytes_out_per_s"}, {fleetRole, "in_force_worst"}, {fleetRole, "start"}, {fleetRole, "zone_back"},
-		{keeperRole, "first_list"}, {keeperRole, "words_period"}} {
+	for _, c := range []struct{ role, name string }{{keeperRole, "bytes_in_per_s"},
+		{councilRole, "bytes_out_per_s"}, {hostRole, "bytes_out_per_s"}, {fleetRole, "in_force_worst"},
+		{fleetRole, "start"}, {fleetRole, "zone_back"}, {keeperRole, "first_list"}, {keeperRole, "words_period"}} {
 		l := lab.Curve{Name: fmt.Sprintf("%s %s, %s", c.role, c.name, units[c.name])}
 		for _, n := range t.sizes() {
 			if v, there := t.Value(n, c.role, c.name); there && v > 0 {
--- a/internal/scale/words.go
+++ b/internal/scale/words.go
@@ -99,7 +99,8 @@
 
 func (w *words) in(after float64, do func()) { w.on(w.now+after, do) }
 
-// on has something done at a time, exactly: a wake that came a little early would be asked for again for ever.
+// on has something done at a time, exactly: a wake that came a little early would be asked for again, without
+// end.
 func (w *words) on(at float64, do func()) {
 	w.seq++
 	heap.Push(&w.due, event{max(at, w.now), w.seq, do})
