--- a/cmd/wdlab/scale.go
+++ b/cmd/wdlab/scale.go
@@ -23,6 +23,7 @@
 			&cli.IntSliceFlag{Name: "sizes", Usage: "instead of the scenario's own, `N,N`"},
 			&cli.StringSliceFlag{Name: "parts", Usage: "instead of the scenario's own: rules, lists, desk, words"},
 			&cli.StringFlag{Name: "distribution", Usage: "instead of the scenario's own"},
+			&cli.StringFlag{Name: "commit", Usage: "which is measured; else this build's own"},
 			&cli.BoolFlag{Name: "append", Usage: "add to the table that there is: sizes may be run one by one"}}}
 }
 
@@ -53,6 +54,9 @@
 	}
 	began := time.Now()
 	t, err := scale.Run(ctx, s, scale.Programs{Willowdeck: c.String("program"), Lab: self}, logger())
+	if commit := c.String("commit"); commit != "" {
+		t.Commit(commit)
+	}
 	t.Print(os.Stdout)
 	fmt.Printf("took %.1f s\n", time.Since(began).Seconds())
 	if broken := t.Broken(s.Bounds); len(broken) > 0 {
--- a/internal/scale/table.go
+++ b/internal/scale/table.go
@@ -87,6 +87,13 @@
 	return &Table{run: fmt.Sprintf("%s:%d", s.Name, s.Seed), commit: build(), distribution: s.Distribution}
 }
 
+// Commit names what was measured, where the build does not say.
+func (t *Table) Commit(name string) {
+	for i := range t.Rows {
+		t.Rows[i].Commit = name
+	}
+}
+
 func (t *Table) add(role, name string, v float64) {
 	if _, known := units[name]; !known {
 		panic("figure " + name + " has no unit")
