--- a/internal/faults/process.go
+++ b/internal/faults/process.go
@@ -19,6 +19,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"willowdeck/internal/ports"
 )
 
 var (
@@ -76,71 +78,10 @@
 	return path, nil
 }
 
-// Ports finds a run of n ports at which nobody takes connections or datagrams, and gives the first. They are
-// the caller's until its process ends. Guards against test binaries that run side by side, of which one binds
-// what another has found free and not bound yet.
+// Ports gives the first of n ports of 127.0.0.1 that are the test's: see ports.Span.
 func Ports(t T, n int) int {
 	t.Helper()
-	blocks := (n + portBlock - 1) / portBlock
-	for range portTries {
-		first := rand.Intn(portBlocks - blocks + 1)
-		if from := firstPort + first*portBlock; takeBlocks(first, blocks) && portsFree(from, n) {
-			return from
-		}
-	}
-	t.Fatalf("no run of %d free ports", n)
-	return 0
-}
-
-var (
-	handing sync.Mutex
-	handed  = map[int]*os.File{} // blocks of ports that are this process's, with their locks
-)
-
-// takeBlocks locks blocks of ports for this process, all or none.
-func takeBlocks(first, n int) bool {
-	handing.Lock()
-	defer handing.Unlock()
-	dir := filepath.Join(os.TempDir(), "willowdeck-ports")
-	if os.MkdirAll(dir, 0o777) != nil {
-		return false
-	}
-	var locks []*os.File
-	for i := first; i < first+n; i++ {
-		f, err := os.OpenFile(filepath.Join(dir, strconv.Itoa(i)), os.O_CREATE|os.O_RDWR, 0o666)
-		if err == nil {
-			if locks = append(locks, f); handed[i] == nil {
-				err = syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB)
-			}
-		}
-		if err != nil || handed[i] != nil {
-			for _, f := range locks {
-				_ = f.Close()
-			}
-			return false
-		}
-	}
-	for i, f := range locks {
-		handed[first+i] = f
-	}
-	return true
-}
-
-func portsFree(from, n int) bool {
-	for i := from; i < from+n; i++ {
-		at := fmt.Sprintf("127.0.0.1:%d", i)
-		l, err := net.Listen("tcp", at)
-		if err != nil {
-			return false
-		}
-		l.Close()
-		p, err := net.ListenPacket("udp", at)
-		if err != nil {
-			return false
-		}
-		p.Close()
-	}
-	return true
+	return ports.Span(t, n)
 }
 
 // Spec is how a process is started.
@@ -164,6 +105,7 @@
 	spec  Spec
 	cmd   *exec.Cmd
 	done  chan struct{} // closed once this life's process has been reaped, and before the first
+	says  *words        // of this life
 	lives int
 }
 
@@ -270,15 +212,44 @@
 		_ = log.Close()
 		return nil, nil, err
 	}
+	raw, err := from.SyscallConn()
+	if err != nil {
+		_, _, _ = log.Close(), from.Close(), to.Close()
+		return nil, nil, err
+	}
+	w := &words{from: raw, log: log}
+	p.says = w
 	over := make(chan struct{})
 	go func() {
-		_, _ = io.Copy(log, from)
+		_ = raw.Read(w.take)
 		_, _ = log.Close(), from.Close()
 		close(over)
 	}()
 	return to, over, nil
 }
 
+// words is what a life writes, on its way to the log.
+type words struct {
+	from syscall.RawConn
+	mu   sync.Mutex
+	log  *os.File
+}
+
+// take takes what there is, and tells whether that was the last.
+func (w *words) take(fd uintptr) (over bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for b := make([]byte, 4096); ; {
+		switch n, err := syscall.Read(int(fd), b); {
+		case n > 0:
+			_, _ = w.log.Write(b[:n])
+		case err == syscall.EINTR:
+		default:
+			return err != syscall.EAGAIN
+		}
+	}
+}
+
 // Limit bounds how long files of the running process may get, in bytes; nought takes the bound away. A write
 // past it is cut short, and the next one fails (EFBIG), as on a disk that is full.
 func (p *Process) Limit(room int64) error {
@@ -423,8 +394,14 @@
 // Log gives the file that has the output of all lives.
 func (p *Process) Log() string { return filepath.Join(p.spec.Dir, p.Name+".log") }
 
-// Output gives what it has written so far, in all lives.
+// Output gives what it has written so far, in all lives: all that went before whatever else it is seen to do.
 func (p *Process) Output() string {
+	p.mu.Lock()
+	says := p.says
+	p.mu.Unlock()
+	if says != nil { // at its end all is in the log
+		_ = says.from.Control(func(fd uintptr) { says.take(fd) })
+	}
 	b, _ := os.ReadFile(p.Log())
 	return string(b)
 }
