An instance of a fleet tells the longest holds of its desk's lock

Need: for how long a list, its changes or other rules hold all txns up is to be measured in service. Change: svc.desk.longest.list_us, .change_us and .rules_us beside the others of an instance that tells; nothing is read on the way of a txn.

--- a/internal/gate/desk.go
+++ b/internal/gate/desk.go
@@ -58,6 +58,7 @@
 	recalled atomic.Int64
 	knows    uint64 // the version of the rules by which a former life spent what is remembered here; 0 none
 
+	holds   Holds
 	listing sync.Mutex // who holds it alone changes workers, under the lock too
 	mu      sync.Mutex
 	gk      *logic.Gatekeeper
@@ -144,7 +145,7 @@
 	defer d.listing.Unlock()
 	pieces := d.workers.Pieces(d.workers.Changes(l), logic.ListPiece)
 	for i, piece := range pieces {
-		d.enter()
+		from := d.enter()
 		if len(pieces) == 1 {
 			d.record.roster(l)
 		} else {
@@ -156,6 +157,11 @@
 		}
 		d.gk.Roster(list, !piece.Whole)
 		d.leave()
+		if l.Whole {
+			d.heldFor(from, &d.holds.List)
+		} else {
+			d.heldFor(from, &d.holds.Change)
+		}
 		for _, w := range ended {
 			d.shed(w)
 		}
@@ -163,6 +169,26 @@
 	}
 }
 
+// Holds are the longest times for which what is no txn's held the lock, and all txns up, us.
+type Holds struct {
+	List   atomic.Int64 // a piece of a whole list
+	Change atomic.Int64 // changes of the list
+	Rules  atomic.Int64
+}
+
+// Holds gives the longest times.
+func (d *Desk) Holds() *Holds { return &d.holds }
+
+// heldFor notes for how long the lock was held that was taken at a time.
+func (d *Desk) heldFor(from float64, longest *atomic.Int64) {
+	took := int64((d.clock.now() - from) * 1000)
+	for most := longest.Load(); took > most; most = longest.Load() {
+		if longest.CompareAndSwap(most, took) {
+			return
+		}
+	}
+}
+
 // Retire gives what the module knows, and lets it end the txns in hand alone from then on.
 func (d *Desk) Retire() (e logic.Estate, workers, kinds map[int]string) {
 	d.enter()
@@ -216,9 +242,11 @@
 // false, and nothing changes, where the charter differs in what may not change.
 func (d *Desk) Govern(t *held.Terms, c logic.Charter) bool {
 	d.mu.Lock()
-	d.gk.Clock(d.clock.now())
+	from := d.clock.now()
+	d.gk.Clock(from)
 	taken := d.govern(t, c)
 	d.leave()
+	d.heldFor(from, &d.holds.Rules)
 	return taken
 }
 
--- a/internal/lifecycle/operate.go
+++ b/internal/lifecycle/operate.go
@@ -37,6 +37,10 @@
 	add := func(name string, v int64) { f.More = append(f.More, ops.Figure{Name: name, Value: v}) }
 	if g.conf.Tells {
 		add("members", g.members.Load())
+		holds := g.desk.Holds()
+		add("desk.longest.list_us", holds.List.Load())
+		add("desk.longest.change_us", holds.Change.Load())
+		add("desk.longest.rules_us", holds.Rules.Load())
 		add("peers.suspected", int64(seen.Suspected))
 		add("peers.gone", int64(seen.Lost))
 	}
