--- a/internal/scale/desk.go
+++ b/internal/scale/desk.go
@@ -3,16 +3,19 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math/rand"
 	"os"
 	"path/filepath"
+	"strings"
 	"time"
 
 	"willowdeck/internal/accord"
 	"willowdeck/internal/load"
 	"willowdeck/internal/standin"
 	"willowdeck/internal/traffic"
+	"willowdeck/internal/wire/roster"
 )
 
 const (
@@ -23,7 +26,8 @@
 
 // desk measures what changes of the list add to a txn at a real gatekeeper, by an open load. All workers that
 // are listed have the address of one of a few that stand in for them.
-func desk(ctx context.Context, s *Scenario, t *Table, p Programs, dir string, n int) error {
+func desk(ctx context.Context, s *Scenario, t *Table, p Programs, where *site, n int) error {
+	dir, net := where.dir, where.net
 	var stand []*standin.Worker
 	defer func() {
 		for _, w := range stand {
@@ -46,14 +50,16 @@
 		return err
 	}
 	defer d.Close()
-	net, err := newLoopback()
-	if err != nil {
-		return err
-	}
-	defer net.close()
 	at := fmt.Sprintf("%s:%d", net.ip(), listenPort)
 	control := fmt.Sprintf("%s:%d", net.ip(), controlPort)
-	r := accord.Rules{Plans: plans(s.Council.Plans)}
+	r := accord.Rules{Form: accord.Form, Lease: s.Council.LeaseMS, Bound: s.Council.BoundMS,
+		Fallback: accord.Fallback{Part: s.Council.FallbackPart, For: s.Council.FallbackMS},
+		Plans:    plans(s.Council.Plans)}
+	r.Needs = needs(n)
+	for i := range n {
+		r.Members = append(r.Members, accord.Member{Name: fmt.Sprintf("g%d", i),
+			Host: fmt.Sprintf("host-%d", i/s.Hollow.PerHost), Peers: fmt.Sprintf("127.0.0.1:%d", 1+i)})
+	}
 	for i := range r.Plans { // no quota is in the way
 		r.Plans[i].Rate, r.Plans[i].Burst, r.Plans[i].CeilingRate, r.Plans[i].CeilingDepth = 1e6, 1e6, 0, 0
 	}
@@ -65,9 +71,29 @@
 	if err != nil {
 		return err
 	}
+	rules, err := json.Marshal(&r)
+	if err == nil {
+		err = os.WriteFile(filepath.Join(dir, "rules.json"), rules, 0o600)
+	}
+	if err != nil {
+		return err
+	}
+	daemon, err := where.hollow("daemon", p.Lab)
+	if err != nil {
+		return err
+	}
+	defer daemon.stop()
+	above := HollowHost{Name: "host-0", Control: fmt.Sprintf("%s:%d", net.ip(), controlPort),
+		Trial: filepath.Join(dir, "rules.json"), Changes: true}
+	if err := daemon.tell(Hollow{Role: hostRole, Cluster: "scale", Hosts: []HollowHost{above}}); err != nil {
+		return err
+	}
+	if _, err := daemon.order(Order{Do: "begin"}); err != nil {
+		return err
+	}
 	began := time.Now()
-	g, err := spawn("gatekeeper", dir, false, p.Willowdeck, "serve", "--config", "gatekeeper.json",
-		"--log", "warn")
+	g, err := where.real("gatekeeper", dir, p.Willowdeck, "serve", "--config", "gatekeeper.json",
+		"--log", "warn", "--tell", "--agree", above.Control)
 	if err != nil {
 		return err
 	}
@@ -76,13 +102,20 @@
 		if g.over() {
 			return false, fmt.Errorf("it has ended: %s", g.says())
 		}
+		if strings.Contains(g.says(), roster.ErrTooLong.Error()) {
+			return false, roster.ErrTooLong
+		}
 		page, err := ask(control, "/admin/stats")
-		return err == nil && number(page, "svc.pool_size") >= float64(len(all)), nil
+		return err == nil && number(page, "svc.pool_size") >= float64(len(all)) &&
+			number(page, "svc.rules.mode") == float64(accord.Leased), nil
 	})
-	if err != nil {
-		t.refuse(fmt.Sprintf("%v: %s", err, lastLine(g.says())))
+	if errors.Is(err, roster.ErrTooLong) {
+		t.refuse(err.Error())
 		t.add(listRole, "refused", 1)
-		return ctx.Err()
+		return nil
+	}
+	if err != nil {
+		return fmt.Errorf("%w: %s", err, lastLine(g.says()))
 	}
 	t.add(keeperRole, "list_up_real", float64(time.Since(began))/float64(time.Millisecond))
 	quiet, err := deskLoad(ctx, s, at, 1)
@@ -92,10 +125,15 @@
 	before, _, _ := usage(g.pid())
 	from := time.Now()
 	changing, cancel := context.WithCancel(ctx)
-	told := make(chan int, 1)
+	told := make(chan error, 1)
 	go func() {
-		k := 0
-		for ; changing.Err() == nil; k++ {
+		var err error
+		rules := time.Now()
+		for k := 0; changing.Err() == nil && err == nil; k++ {
+			if float64(time.Since(rules)) >= s.Desk.RulesMS*float64(time.Millisecond) {
+				rules = time.Now()
+				_, err = daemon.order(Order{Do: "again", Hosts: 1})
+			}
 			e := all[(k/2*97)%len(all)]
 			if e.Status = "leaving"; k%2 == 1 {
 				e.Status = "active"
@@ -106,12 +144,11 @@
 			case <-time.After(time.Duration(s.Desk.EveryMS * float64(time.Millisecond))):
 			}
 		}
-		told <- k
+		told <- err
 	}()
 	busy, err := deskLoad(ctx, s, at, 2)
 	cancel()
-	<-told
-	if err != nil {
+	if err := errors.Join(err, <-told); err != nil {
 		return err
 	}
 	after, rss, descriptors := usage(g.pid())
@@ -130,11 +167,14 @@
 	t.add(keeperRole, "cpu_changes", (after-before)/time.Since(from).Seconds()*100)
 	t.add(keeperRole, "rss_list", rss/1e6)
 	t.add(keeperRole, "descriptors", float64(descriptors))
-	if page, err := ask(control, "/admin/stats"); err == nil {
-		if _, there := line(page, "svc.desk.longest_us"); there {
-			t.add(keeperRole, "hold_worst", number(page, "svc.desk.longest_us")/1000)
-		}
+	page, err := ask(control, "/admin/stats")
+	if err != nil {
+		return err
+	}
+	for _, what := range []string{"list", "change", "rules"} {
+		t.add(keeperRole, "hold_"+what, number(page, "svc.desk.longest."+what+"_us")/1000)
 	}
+	t.add(keeperRole, "rules_taken", number(page, "svc.rules.version"))
 	return nil
 }
 
--- a/internal/scale/hollow.go
+++ b/internal/scale/hollow.go
@@ -23,6 +23,7 @@
 	Hosts   []HollowHost   `json:",omitempty"` // role host
 	Keepers []HollowKeeper `json:",omitempty"` // role gatekeeper
 	Plans   []accord.Plan  `json:",omitempty"` // that gatekeepers are born with
+	Dir     string         `json:",omitempty"` // rear: of the run
 	Watch   *HollowWatch   `json:",omitempty"` // role discovery: whoever follows its list
 }
 
@@ -32,7 +33,9 @@
 type HollowHost struct {
 	Name, Listen, Control, Store string
 	Voters                       []council.Host
-	Trial                        string `json:",omitempty"`
+	Trial                        string   `json:",omitempty"`
+	Upstream                     []string `json:",omitempty"` // it has no seat and follows these
+	Changes                      bool     `json:",omitempty"` // of a trial: it tells changes, new ones by order
 }
 
 // HollowKeeper is a gatekeeper without a txn path.
@@ -41,6 +44,7 @@
 	Pid     int // as its daemon knows it
 	Host    string
 	LeaseMS float64
+	Changes bool // it asks for changes, as below relays
 	Trial   bool // rules that do not pass the check are gone by, as a trial
 }
 
@@ -56,6 +60,7 @@
 	Do       string // begin, figures, reached, end, again
 	Version  uint64 `json:",omitempty"` // reached: of the rules, or of the list
 	From, To int    `json:",omitempty"` // end, again: keepers by number
+	Hosts    int    `json:",omitempty"` // end, again: so many of the first hosts, where they have no seat
 }
 
 // Report is its answer.
@@ -65,6 +70,7 @@
 	RSS            float64 // bytes
 	Descriptors    int
 	In, Out        int64
+	UpIn, UpOut    int64 // of these, with relays
 	Messages       int64
 	Count          int       // that run
 	Reached        int       // that go by the version, or a later one
@@ -87,8 +93,8 @@
 // part is what a hollow process plays.
 type part interface {
 	begin() error
-	end(from, to int)
-	again(from, to int)
+	end(o Order)
+	again(o Order)
 	report(o Order, r *Report)
 	close()
 }
@@ -112,6 +118,8 @@
 		x = newKeepers(&h)
 	case listRole:
 		x = newWatches(h.Watch)
+	case rearRole:
+		x = newRear(&h)
 	default:
 		return fmt.Errorf("role: %q can't be played hollow", h.Role)
 	}
@@ -151,9 +159,9 @@
 				r.Err = err.Error()
 			}
 		case "end":
-			x.end(o.From, o.To)
+			x.end(o)
 		case "again":
-			x.again(o.From, o.To)
+			x.again(o)
 		}
 		x.report(o, &r)
 		r.CPU, r.RSS, r.Descriptors = usage(os.Getpid())
@@ -166,6 +174,18 @@
 // clockTicks are what /proc counts processor time in, 1/s: the kernel's interface fixes it at 100.
 const clockTicks = 100.0
 
+// bornAt gives when the kernel started a process, in its ticks; nothing where there is none, or it has ended.
+func bornAt(pid int) string {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	_, rest, _ := strings.Cut(string(raw), ") ")
+	f := strings.Fields(rest)
+	const state, since = 0, 19 // behind the name
+	if err != nil || len(f) <= since || f[state] == "Z" {
+		return ""
+	}
+	return f[since]
+}
+
 // usage gives a process's processor time, s, its resident memory, bytes, and its open descriptors.
 func usage(pid int) (cpu, rss float64, descriptors int) {
 	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
--- a/internal/scale/hosts.go
+++ b/internal/scale/hosts.go
@@ -21,7 +21,9 @@
 type hosts struct {
 	h     *Hollow
 	all   []*hollowHost
-	tally Tally // with gatekeepers
+	below []*branchHost // those without a seat
+	tally Tally         // with gatekeepers
+	why   string
 }
 
 type hollowHost struct {
@@ -35,6 +37,14 @@
 
 func (x *hosts) begin() error {
 	for i := range x.h.Hosts {
+		if h := &x.h.Hosts[i]; len(h.Upstream) > 0 || h.Changes {
+			b := &branchHost{c: &x.h.Hosts[i], cluster: x.h.Cluster, tally: &x.tally}
+			if err := b.start(); err != nil {
+				return fmt.Errorf("%s: %w", b.c.Name, err)
+			}
+			x.below = append(x.below, b)
+			continue
+		}
 		o, err := x.open(&x.h.Hosts[i])
 		if err != nil {
 			return fmt.Errorf("%s: %w", x.h.Hosts[i].Name, err)
@@ -117,19 +127,46 @@
 }
 
 // end and again concern gatekeepers alone: the daemon books what its processes say.
-func (x *hosts) end(from, to int) {
-	for _, o := range x.all {
-		for pid := from; pid < to && o.seat != nil; pid++ {
-			o.seat.Ended(pid)
+func (x *hosts) end(o Order) {
+	for _, h := range x.all {
+		for pid := o.From; pid < o.To && h.seat != nil; pid++ {
+			h.seat.Ended(pid)
+		}
+	}
+	for i, b := range x.below {
+		if b.ended(o.From, o.To); i < o.Hosts {
+			b.end()
+		}
+	}
+}
+
+func (x *hosts) again(o Order) {
+	for _, b := range x.below[:min(o.Hosts, len(x.below))] {
+		if b.trial != nil {
+			x.change(b)
+		} else if b.server == nil {
+			if err := b.start(); err != nil {
+				x.why = err.Error()
+			}
 		}
 	}
 }
 
-func (x *hosts) again(int, int) {}
+// change puts other rules in force at a trial's host.
+func (x *hosts) change(b *branchHost) {
+	if err := b.change(); err != nil {
+		x.why = err.Error()
+	}
+}
 
 func (x *hosts) report(_ Order, r *Report) {
-	r.Count = len(x.all)
+	r.Count, r.Err = len(x.all)+len(x.below), x.why
 	r.In, r.Out, r.Messages = x.tally.In.Load(), x.tally.Out.Load(), x.tally.Messages.Load()
+	for _, b := range x.below {
+		in, out, asks := b.traffic()
+		r.In, r.Out, r.Messages = r.In+in, r.Out+out, r.Messages+asks
+		r.UpIn, r.UpOut = r.UpIn+in, r.UpOut+out
+	}
 	for _, o := range x.all {
 		if o.seat != nil {
 			r.Version = max(r.Version, o.seat.InForce().Number)
@@ -141,4 +178,7 @@
 	for _, o := range x.all {
 		o.close()
 	}
+	for _, b := range x.below {
+		b.end()
+	}
 }
--- a/internal/scale/keepers.go
+++ b/internal/scale/keepers.go
@@ -17,6 +17,8 @@
 	"willowdeck/internal/accord"
 	"willowdeck/internal/held"
 	"willowdeck/internal/lifecycle"
+	"willowdeck/internal/relay"
+	"willowdeck/internal/relayd"
 	"willowdeck/internal/wire"
 )
 
@@ -25,6 +27,8 @@
 	h     *Hollow
 	all   []*keeper
 	tally Tally
+
+	in, out, asks int64 // of clients below relays that have ended
 }
 
 // keeper is one: the holder, the question and the reading are the real ones, in the order in which
@@ -34,13 +38,16 @@
 	c      *HollowKeeper
 	holder *accord.Holder
 	client *fasthttp.Client
-	heard  accord.Version
-	timer  *time.Timer
-	answer chan answered
-	asks   bool
-	again  bool
-	over   chan struct{}
-	ended  chan struct{}
+	// Below relays, where it asks for changes.
+	changes *relayd.Client
+	copied  *relay.Replica
+	heard   accord.Version
+	timer   *time.Timer
+	answer  chan answered
+	asks    bool
+	again   bool
+	over    chan struct{}
+	ended   chan struct{}
 
 	mu      sync.Mutex
 	leased  bool
@@ -52,6 +59,7 @@
 }
 
 type answered struct {
+	told   *relay.Answer // nil: the lease holds
 	lease  accord.Lease
 	asked  float64
 	err    error
@@ -76,13 +84,13 @@
 }
 
 func (x *keepers) begin() error {
-	x.again(0, len(x.all))
+	x.again(Order{To: len(x.all)})
 	return nil
 }
 
 // again starts those that do not run, by number.
-func (x *keepers) again(from, to int) {
-	for _, k := range x.all[min(from, len(x.all)):min(to, len(x.all))] {
+func (x *keepers) again(o Order) {
+	for _, k := range x.all[min(o.From, len(x.all)):min(o.To, len(x.all))] {
 		if k.over == nil {
 			k.start()
 		}
@@ -90,8 +98,8 @@
 }
 
 // end ends some, as if they were killed.
-func (x *keepers) end(from, to int) {
-	part := x.all[min(from, len(x.all)):min(to, len(x.all))]
+func (x *keepers) end(o Order) {
+	part := x.all[min(o.From, len(x.all)):min(o.To, len(x.all))]
 	for _, k := range part {
 		if k.over != nil {
 			close(k.over)
@@ -101,20 +109,30 @@
 		if k.over != nil {
 			<-k.ended
 			k.client.CloseIdleConnections()
+			if k.changes != nil {
+				k.changes.Close()
+				t := k.changes.Traffic()
+				x.in, x.out, x.asks = x.in+t.In, x.out+t.Out, x.asks+t.Asks
+				k.changes = nil
+			}
 			k.over = nil
 		}
 	}
 }
 
-func (x *keepers) close() { x.end(0, len(x.all)) }
+func (x *keepers) close() { x.end(Order{To: len(x.all)}) }
 
 func (x *keepers) report(o Order, r *Report) {
-	r.In, r.Out, r.Messages = x.tally.In.Load(), x.tally.Out.Load(), x.tally.Messages.Load()
+	r.In, r.Out, r.Messages = x.tally.In.Load()+x.in, x.tally.Out.Load()+x.out, x.tally.Messages.Load()+x.asks
 	for _, k := range x.all {
 		if k.over == nil {
 			continue
 		}
 		r.Count++
+		if k.changes != nil {
+			t := k.changes.Traffic()
+			r.In, r.Out, r.Messages = r.In+t.In, r.Out+t.Out, r.Messages+t.Asks
+		}
 		k.mu.Lock()
 		if k.leased && k.version >= o.Version {
 			r.Reached++
@@ -146,6 +164,10 @@
 			}
 			return &counted{Conn: c, t: &k.of.tally}, nil
 		}}
+	if k.c.Changes {
+		k.changes = relayd.NewClient([]string{k.c.Host}, lifecycle.AskPath)
+		k.copied = relay.NewReplica(k.c.Name, k.c.Pid, int64(k.c.Pid))
+	}
 	k.heard, k.asks, k.again = accord.Version{}, false, false
 	k.timer, k.answer = time.NewTimer(time.Hour), make(chan answered, 1)
 	k.over, k.ended = make(chan struct{}), make(chan struct{})
@@ -214,6 +236,11 @@
 	}
 	k.asks, k.again = true, false
 	lease := k.heard.Rules.Lease
+	if k.copied != nil {
+		question := k.copied.Ask(boot(), k.holder.Holds(), -1)
+		go func() { k.answer <- k.callFor(question, math.Max(lease/4, askLeast)) }()
+		return
+	}
 	q := url.Values{"instance": {k.c.Name}, "pid": {strconv.Itoa(k.c.Pid)},
 		"holds": {strconv.FormatUint(k.holder.Holds(), 10)}, "index": {"-1"}}
 	at := "http://" + k.c.Host + lifecycle.LeasePath + "?" + q.Encode()
@@ -258,9 +285,19 @@
 		return
 	}
 	k.holder.Clock(boot())
+	if got.told != nil {
+		var ok bool
+		if got.lease, ok = k.replica(got.told); !ok {
+			return
+		}
+	}
 	r := &got.lease.Version.Rules
 	k.bytes.Store(int64(got.bytes))
-	if why := k.misfit(r); why != "" && !k.c.Trial {
+	why := ""
+	if got.told == nil {
+		why = k.misfit(r, accord.Check)
+	}
+	if why != "" && !k.c.Trial {
 		k.spoilt.Add(1)
 		k.says(why)
 		return
@@ -276,8 +313,8 @@
 }
 
 // misfit does what a gatekeeper does with each answer.
-func (k *keeper) misfit(r *accord.Rules) string {
-	if err := accord.Check(r); err != nil {
+func (k *keeper) misfit(r *accord.Rules, check func(*accord.Rules) error) string {
+	if err := check(r); err != nil {
 		return err.Error()
 	}
 	if accord.Place(r, k.c.Name) < 0 {
--- a/internal/scale/lists.go
+++ b/internal/scale/lists.go
@@ -26,7 +26,7 @@
 func workersOf(s *Scenario, n int) int { return max(int(math.Round(float64(n)*s.Lists.Workers)), 1) }
 
 // lists measures what discovery's list costs who follows it.
-func lists(ctx context.Context, s *Scenario, t *Table, p Programs, dir string, n int) error {
+func lists(ctx context.Context, s *Scenario, t *Table, p Programs, at *site, n int) error {
 	all := entries(workersOf(s, n))
 	d, err := standin.NewDiscovery(all...)
 	if err != nil {
@@ -44,7 +44,7 @@
 		return err
 	}
 	defer m.close()
-	c, err := spawn("watches", dir, true, p.Lab, "hollow")
+	c, err := at.hollow("watches", p.Lab)
 	if err != nil {
 		return err
 	}
--- a/internal/scale/process.go
+++ b/internal/scale/process.go
@@ -29,18 +29,22 @@
 // loopback is a run's own part of 127.0.0.0/8, held by a listener, so that no other run has its ports and
 // no call of anybody's is made from one of them.
 type loopback struct {
-	a, b int
+	part int
 	hold net.Listener
 	next int
 }
 
-const holdPort = 7
+const (
+	firstPart, nParts = 128, 100 // of the second byte: 127.87 is where ports are claimed
+	holdPort          = 20007
+	inRow             = 250 // addresses of one third byte
+)
 
 func newLoopback() (*loopback, error) {
 	var err error
 	for range netTries {
-		l := &loopback{a: 128 + rand.Intn(100), b: 1 + rand.Intn(250)}
-		if l.hold, err = net.Listen("tcp", fmt.Sprintf("127.%d.%d.0:%d", l.a, l.b, 20000+holdPort)); err == nil {
+		l := &loopback{part: firstPart + rand.Intn(nParts)}
+		if l.hold, err = net.Listen("tcp", fmt.Sprintf("127.%d.255.1:%d", l.part, holdPort)); err == nil {
 			return l, nil
 		}
 	}
@@ -50,7 +54,7 @@
 // ip gives another address, with all of its ports.
 func (l *loopback) ip() string {
 	l.next++
-	return fmt.Sprintf("127.%d.%d.%d", l.a, l.b, l.next)
+	return fmt.Sprintf("127.%d.%d.%d", l.part, l.next/inRow, 1+l.next%inRow)
 }
 
 func (l *loopback) close() { _ = l.hold.Close() }
@@ -67,6 +71,64 @@
 	out *bufio.Reader
 }
 
+// site is where a run's processes work, with the one that tidies up if the run can't.
+type site struct {
+	dir  string
+	net  *loopback
+	rear *child
+}
+
+const rearRole = "rear"
+
+func newSite(lab string) (*site, error) {
+	dir, err := os.MkdirTemp("", "wdscale")
+	if err != nil {
+		return nil, err
+	}
+	s := &site{dir: dir}
+	if s.net, err = newLoopback(); err == nil {
+		s.rear, err = spawn("rear", dir, true, lab, "hollow")
+	}
+	if err == nil {
+		err = s.rear.tell(Hollow{Role: rearRole, Dir: dir})
+	}
+	if err != nil {
+		s.close()
+		return nil, err
+	}
+	return s, nil
+}
+
+// hollow starts a hollow process.
+func (s *site) hollow(name, lab string) (*child, error) {
+	return spawn(name, s.dir, true, lab, "hollow")
+}
+
+// real starts a real one.
+func (s *site) real(name, dir, program string, args ...string) (*child, error) {
+	c, err := spawn(name, dir, false, program, args...)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := s.rear.order(Order{Do: "again", From: c.pid()}); err != nil {
+		c.stop()
+		return nil, err
+	}
+	return c, nil
+}
+
+// close is for when all processes have ended.
+func (s *site) close() {
+	if s.rear != nil {
+		_, _ = s.rear.order(Order{Do: "end"})
+		s.rear.stop()
+	}
+	if s.net != nil {
+		s.net.close()
+	}
+	_ = os.RemoveAll(s.dir)
+}
+
 // spawn starts a process whose output goes to a file in dir.
 func spawn(name, dir string, hollow bool, program string, args ...string) (*child, error) {
 	c := &child{name: name, log: filepath.Join(dir, name+".log"), ended: make(chan struct{})}
@@ -201,8 +263,7 @@
 		if err != nil || json.Unmarshal(raw, &r) != nil || r.Pid <= 1 {
 			continue
 		}
-		if stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", r.Pid)); err == nil &&
-			strings.Contains(string(stat), " "+r.Born+" ") {
+		if r.Born != "" && bornAt(r.Pid) == r.Born {
 			_ = syscall.Kill(r.Pid, syscall.SIGKILL)
 		}
 	}
@@ -261,5 +322,7 @@
 	}
 }
 
+func (c *child) signal(s syscall.Signal) error { return c.cmd.Process.Signal(s) }
+
 // renew has it read its files anew.
 func (c *child) renew() error { return c.cmd.Process.Signal(syscall.SIGHUP) }
--- a/internal/scale/rules.go
+++ b/internal/scale/rules.go
@@ -34,7 +34,8 @@
 	t       *Table
 	program string // willowdeck
 	self    string // wdlab
-	dir     string
+	site    *site
+	dir     string // the site's
 	net     *loopback
 	n       int // gatekeepers
 	rules   accord.Rules
@@ -44,10 +45,15 @@
 	voters  []council.Host
 	meters  []*meter
 	list    *standin.Discovery
+	tree    tree      // of relays
+	below   []*daemon // real ones that follow relays
 
 	hostProcess *child
+	hostless    Report // of it, before it played any
 	keepers     []*child
 	asking      int
+	proposer    int // of the real daemons
+	bytes       int // of the rules
 }
 
 // daemon is a real one.
@@ -60,6 +66,20 @@
 
 func (d *daemon) at(port int) string { return fmt.Sprintf("%s:%d", d.ip, port) }
 
+// relayed tells whether hosts hear of rules by relays.
+func (a *assembly) relayed() bool { return a.s.Distribution == Relays }
+
+// formerly is how many members rules may have without naming a feature.
+const formerly = 500
+
+// needs are the features that rules of a size have to name, as far as this program knows them.
+func needs(n int) []string {
+	if n > formerly && accord.Has(accord.ManyMembers) {
+		return []string{accord.ManyMembers}
+	}
+	return nil
+}
+
 // plans are the rules' plans: every other one has a ceiling.
 func plans(n int) (all []accord.Plan) {
 	for i := range n {
@@ -73,31 +93,45 @@
 }
 
 // newAssembly lays a size out: real daemons with a few gatekeepers each, then hollow hosts.
-func newAssembly(s *Scenario, t *Table, program, self, dir string, n int) (*assembly, error) {
-	a := &assembly{s: s, t: t, program: program, self: self, dir: dir, n: n}
+func newAssembly(s *Scenario, t *Table, p Programs, at *site, n int) (*assembly, error) {
+	a := &assembly{s: s, t: t, program: p.Willowdeck, self: p.Lab, site: at, dir: at.dir, net: at.net, n: n}
+	dir := at.dir
 	var err error
-	if a.net, err = newLoopback(); err != nil {
-		return nil, err
-	}
 	if a.list, err = standin.NewDiscovery(standin.Entry{Name: "w0", Address: "127.0.0.1:9", Zone: "z0",
 		Type: "m", Status: "active", Weight: 1}); err != nil {
-		a.net.close()
 		return nil, err
 	}
 	c := &s.Council
 	a.rules = accord.Rules{Form: accord.Form, Lease: c.LeaseMS, Bound: c.BoundMS,
 		Fallback: accord.Fallback{Part: c.FallbackPart, For: c.FallbackMS}, Plans: plans(c.Plans)}
+	a.rules.Needs = needs(n)
 	for i := range c.Daemons {
 		d := &daemon{name: fmt.Sprintf("council-%d", i), ip: a.net.ip()}
 		d.dir = filepath.Join(dir, d.name)
 		a.real = append(a.real, d)
 		a.voters = append(a.voters, council.Host{Name: d.name, Address: d.at(frontPort)})
 		for range c.Gatekeepers {
-			a.member(d.name, d.ip)
+			if !a.relayed() {
+				a.member(d.name, d.ip)
+			}
+		}
+	}
+	if a.relayed() {
+		a.plant()
+		for i := range s.Relays.Hosts {
+			d := &daemon{name: fmt.Sprintf("real-%d", i), ip: a.net.ip()}
+			d.dir = filepath.Join(dir, d.name)
+			a.below = append(a.below, d)
+			for range c.Gatekeepers {
+				a.member(d.name, d.ip)
+			}
 		}
 	}
 	left := max(n-len(a.rules.Members), 0)
-	hosts := min((left+s.Hollow.PerHost-1)/s.Hollow.PerHost, c.MostVoters-c.Daemons)
+	hosts := (left + s.Hollow.PerHost - 1) / s.Hollow.PerHost
+	if !a.relayed() {
+		hosts = min(hosts, c.MostVoters-c.Daemons)
+	}
 	if hosts > 0 {
 		a.perHost = (left + hosts - 1) / hosts
 	}
@@ -105,15 +139,21 @@
 		ip := a.net.ip()
 		h := HollowHost{Name: fmt.Sprintf("host-%d", i), Listen: fmt.Sprintf("%s:%d", ip, councilPort),
 			Control: fmt.Sprintf("%s:%d", ip, controlPort), Store: filepath.Join(dir, fmt.Sprintf("host-%d.db", i))}
+		if a.relayed() { // a zone's hosts follow one another
+			h.Upstream = a.zoneRelays(i*s.Relays.Zones/hosts, i)
+		} else {
+			a.voters = append(a.voters, council.Host{Name: h.Name, Address: h.Listen})
+		}
 		a.hosts = append(a.hosts, h)
-		a.voters = append(a.voters, council.Host{Name: h.Name, Address: h.Listen})
 		for range min(a.perHost, left) {
 			a.member(h.Name, ip)
 			left--
 		}
 	}
 	for i := range a.hosts {
-		a.hosts[i].Voters = a.voters
+		if !a.relayed() {
+			a.hosts[i].Voters = a.voters
+		}
 	}
 	return a, nil
 }
@@ -134,7 +174,11 @@
 		"listen = %q\noperators = %q\nprogram = %q\nready_s = 20\n", d.at(controlPort), d.at(listenPort),
 		d.at(operatorPort), a.program)
 	fmt.Fprintf(&b, "[restart]\nfirst_ms = 100\nmost_ms = 1000\ncalm_s = 5\n[council]\nme = %q\nlisten = %q\n"+
-		"store = \"council.db\"\nrules = \"rules.toml\"\nfound = true\nhosts = [", d.name, d.at(councilPort))
+		"store = \"council.db\"\nrules = \"rules.toml\"\nfound = true\n", d.name, d.at(councilPort))
+	if a.relayed() {
+		fmt.Fprintf(&b, "serve = %q\n", d.at(servePort))
+	}
+	fmt.Fprint(&b, "hosts = [")
 	for _, v := range a.voters {
 		fmt.Fprintf(&b, "{ name = %q, address = %q }, ", v.Name, v.Address)
 	}
@@ -158,16 +202,57 @@
 	if err := os.WriteFile(filepath.Join(d.dir, "fleet.toml"), []byte(b.String()), 0o600); err != nil {
 		return err
 	}
+	if err := a.gatekeepers(d); err != nil {
+		return err
+	}
+	return a.write(d, &a.rules)
+}
+
+// gatekeepers writes what a daemon's gatekeepers are told.
+func (a *assembly) gatekeepers(d *daemon) error {
 	raw, err := json.Marshal(gatekeeperFile(a.list.At, a.list.List(), &a.rules, nil))
 	if err == nil {
 		err = os.WriteFile(filepath.Join(d.dir, "gatekeeper.json"), raw, 0o600)
 	}
-	if err == nil {
-		err = a.write(d, &a.rules)
-	}
 	return err
 }
 
+// follow starts the real daemons below relays.
+func (a *assembly) follow() error {
+	for i, d := range a.below {
+		if err := os.MkdirAll(d.dir, 0o700); err != nil {
+			return err
+		}
+		if err := a.gatekeepers(d); err != nil {
+			return err
+		}
+		var quoted []string
+		for _, at := range a.zoneRelays(i%a.s.Relays.Zones, i) {
+			quoted = append(quoted, fmt.Sprintf("%q", at))
+		}
+		text := fmt.Sprintf("name = \"scale\"\nconfig = \"gatekeeper.json\"\nrun_dir = \"run\"\ncontrol = %q\n"+
+			"listen = %q\noperators = %q\nprogram = %q\nready_s = 20\n[restart]\nfirst_ms = 100\nmost_ms = 1000\n"+
+			"calm_s = 5\n[relay]\nme = %q\nupstream = [%s]\nstore = \"relay.copy\"\n", d.at(controlPort),
+			d.at(listenPort), d.at(operatorPort), a.program, d.name, strings.Join(quoted, ", "))
+		err := os.WriteFile(filepath.Join(d.dir, "fleet.toml"), []byte(text), 0o600)
+		if err == nil {
+			d.child, err = a.site.real(d.name, d.dir, a.program, "fleet", "--file", "fleet.toml")
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// keeping gives the real daemons that have gatekeepers.
+func (a *assembly) keeping() []*daemon {
+	if a.relayed() {
+		return a.below
+	}
+	return a.real
+}
+
 // gatekeeperFile is a gatekeeper's configuration, for the daemon or for a gatekeeper alone.
 func gatekeeperFile(discovery string, known standin.List, r *accord.Rules,
 	more map[string]any) map[string]any {
@@ -209,7 +294,7 @@
 		if err := a.prepare(d); err != nil {
 			return "", err
 		}
-		if d.child, err = spawn(d.name, d.dir, false, a.program, "fleet", "--file", "fleet.toml"); err != nil {
+		if d.child, err = a.site.real(d.name, d.dir, a.program, "fleet", "--file", "fleet.toml"); err != nil {
 			return "", err
 		}
 	}
@@ -230,7 +315,7 @@
 // hollow starts a hollow process and tells it what to play.
 func (a *assembly) hollow(name string, h Hollow) (*child, error) {
 	h.Cluster, h.Plans = "scale", plans(a.s.Council.Plans)
-	c, err := spawn(name, a.dir, true, a.self, "hollow")
+	c, err := a.site.hollow(name, a.self)
 	if err != nil {
 		return nil, err
 	}
@@ -250,7 +335,7 @@
 			continue
 		}
 		all = append(all, HollowKeeper{Name: m.Name, Pid: 1 + len(all), Host: a.hosts[h].Control,
-			LeaseMS: a.rules.Lease, Trial: trial})
+			LeaseMS: a.rules.Lease, Trial: trial, Changes: a.relayed()})
 	}
 	all = all[:min(len(all), most)]
 	a.asking = len(all)
@@ -280,6 +365,7 @@
 		if errs[i] != nil {
 			return sum, errs[i]
 		}
+		sum.UpIn, sum.UpOut = sum.UpIn+r.UpIn, sum.UpOut+r.UpOut
 		sum.CPU, sum.RSS, sum.Descriptors = sum.CPU+r.CPU, sum.RSS+r.RSS, sum.Descriptors+r.Descriptors
 		sum.In, sum.Out, sum.Messages = sum.In+r.In, sum.Out+r.Out, sum.Messages+r.Messages
 		sum.Count, sum.Reached = sum.Count+r.Count, sum.Reached+r.Reached
@@ -316,12 +402,12 @@
 	}
 	what := fmt.Sprintf("the real gatekeepers go by version %d", version)
 	return wait(ctx, within, what, func() (bool, error) {
-		for _, d := range a.real {
+		for _, d := range a.keeping() {
 			page, err := ask(d.at(controlPort), "/fleet/stats")
 			if err != nil {
 				return false, nil
 			}
-			for i, m := range a.rules.Members {
+			for _, m := range a.rules.Members {
 				if m.Host != d.name {
 					continue
 				}
@@ -334,7 +420,6 @@
 					number(figures, "svc.rules.mode") != float64(accord.Leased) {
 					return false, nil
 				}
-				_ = i
 			}
 		}
 		return true, nil
@@ -343,7 +428,7 @@
 
 // propose has the first daemon propose rules, and gives when it was told to.
 func (a *assembly) propose(r *accord.Rules) (float64, error) {
-	d := a.real[0]
+	d := a.real[a.proposer]
 	if err := a.write(d, r); err != nil {
 		return 0, err
 	}
@@ -358,21 +443,25 @@
 		out.Go(c.stop)
 	}
 	out.Wait()
-	for _, d := range a.real {
+	for _, d := range slices.Concat(a.below, a.real) {
 		if d.child != nil {
 			out.Go(d.stop)
 		}
 	}
+	for _, r := range slices.Concat(a.tree.regions, a.tree.zones) {
+		if r.child != nil {
+			out.Go(r.stop)
+		}
+	}
 	out.Wait()
 	if a.hostProcess != nil {
 		a.hostProcess.stop()
 	}
-	for _, d := range a.real {
+	for _, d := range slices.Concat(a.below, a.real) {
 		strays(filepath.Join(d.dir, "run"))
 	}
 	for _, m := range a.meters {
 		m.close()
 	}
 	a.list.Close()
-	a.net.close()
 }
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -16,6 +16,8 @@
 	"github.com/rs/zerolog"
 )
 
+const asksPerLease = 5 // of a gatekeeper, as accord has it
+
 // Programs are the ones that a run starts: the gatekeeper's, and the laboratory's own for hollow processes.
 type Programs struct{ Willowdeck, Lab string }
 
@@ -47,24 +49,32 @@
 func one(ctx context.Context, s *Scenario, t *Table, p Programs, n int, part string) (err error) {
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(s.Machine.SizeS*float64(time.Second)))
 	defer cancel()
-	dir, err := os.MkdirTemp("", "wdscale")
+	ctx, room := keepRoom(ctx, s)
+	defer func() {
+		if over := room.close(); over != nil {
+			err = over
+		}
+		t.most(machineRole, "processes", float64(room.processes))
+		t.most(machineRole, "rss", room.rss)
+	}()
+	at, err := newSite(p.Lab)
 	if err != nil {
 		return err
 	}
-	defer os.RemoveAll(dir)
+	defer at.close()
 	defer caller.CloseIdleConnections()
 	switch part {
 	case Rules:
-		a, err := newAssembly(s, t, p.Willowdeck, p.Lab, dir, n)
+		a, err := newAssembly(s, t, p, at, n)
 		if err != nil {
 			return err
 		}
 		defer a.close()
 		return a.play(ctx)
 	case Lists:
-		return lists(ctx, s, t, p, dir, n)
+		return lists(ctx, s, t, p, at, n)
 	case Desk:
-		return desk(ctx, s, t, p, dir, n)
+		return desk(ctx, s, t, p, at, n)
 	case Words:
 		return wordsPart(ctx, s, t, n)
 	}
@@ -78,7 +88,8 @@
 	if err != nil {
 		return err
 	}
-	a.t.add(fleetRole, "rules_bytes", float64(len(text)))
+	a.bytes = len(text)
+	a.t.add(fleetRole, "rules_bytes", float64(a.bytes))
 	refused, err := a.start(ctx)
 	if err != nil {
 		return err
@@ -89,8 +100,13 @@
 		return a.trial(ctx, text)
 	}
 	a.t.add(fleetRole, "refused", 0)
-	a.t.add(fleetRole, "hosts", float64(len(a.voters)))
+	a.t.add(fleetRole, "hosts", float64(len(a.hosts)+len(a.keeping())))
 	a.t.add(fleetRole, "per_host", float64(a.perHost))
+	if a.relayed() {
+		if err := errors.Join(a.grow(), a.follow()); err != nil {
+			return err
+		}
+	}
 	if err := a.playHosts(ctx); err != nil {
 		return err
 	}
@@ -119,7 +135,10 @@
 	if err := a.zone(ctx, version); err != nil {
 		return err
 	}
-	return a.room()
+	if !a.relayed() {
+		return nil
+	}
+	return a.faults(ctx, version)
 }
 
 func lastLine(s string) string { return s[strings.LastIndexByte(s, '\n')+1:] }
@@ -129,10 +148,18 @@
 	if a.hostProcess, err = a.hollow("hosts", Hollow{Role: hostRole, Hosts: a.hosts}); err != nil {
 		return err
 	}
+	if a.hostless, err = a.hostProcess.order(Order{Do: "figures"}); err != nil {
+		return err
+	}
 	if _, err = a.hostProcess.order(Order{Do: "begin"}); err != nil {
 		return err
 	}
-	if err := a.populate(a.s.Hollow.MostAsking, false); err != nil {
+	most := a.s.Hollow.MostAsking
+	if !a.relayed() { // each is told all rules, each time
+		perS := float64(a.bytes) * asksPerLease * 1000 / a.rules.Lease
+		most = max(min(most, int(a.s.Hollow.MostMBS*1e6/perS)), 1)
+	}
+	if err := a.populate(most, false); err != nil {
 		return err
 	}
 	a.t.add(fleetRole, "asking", float64(a.asking))
@@ -151,13 +178,16 @@
 		d.stop()
 	}
 	a.hosts = a.hosts[:1]
-	a.hosts[0].Trial = path
+	a.hosts[0].Trial, a.hosts[0].Upstream, a.hosts[0].Changes = path, nil, a.relayed()
 	for i := range a.rules.Members { // a sample of all are asked for by one host
 		a.rules.Members[i].Host = a.hosts[0].Name
 	}
 	if a.hostProcess, err = a.hollow("hosts", Hollow{Role: hostRole, Hosts: a.hosts}); err != nil {
 		return err
 	}
+	if a.hostless, err = a.hostProcess.order(Order{Do: "figures"}); err != nil {
+		return err
+	}
 	if _, err = a.hostProcess.order(Order{Do: "begin"}); err != nil {
 		return err
 	}
@@ -185,6 +215,10 @@
 		cpu            []float64
 		in, out, calls []int64
 		of             map[string]float64 // processor time of real gatekeepers
+		relays         map[string][]flows
+		served         []flows   // by the council's daemons
+		told           float64   // to a real gatekeeper, bytes
+		below          []float64 // processor time of real daemons below relays
 		at             time.Time
 	}
 	look := func() (s state, err error) {
@@ -195,6 +229,9 @@
 			return s, err
 		}
 		s.of = map[string]float64{}
+		if s.relays, err = a.relays(); err != nil {
+			return s, err
+		}
 		for _, d := range a.real {
 			if d.over() {
 				continue
@@ -205,11 +242,28 @@
 				in, out, calls = in+m.Out.Load(), out+m.In.Load(), calls+m.Messages.Load()
 			}
 			in, out, calls = in+d.front.In.Load(), out+d.front.Out.Load(), calls+d.front.Messages.Load()
+			if a.relayed() {
+				f, err := flow(d.child, d.at(controlPort))
+				if err != nil {
+					return s, err
+				}
+				in, out, calls = in+int64(f.in), out+int64(f.out), calls+int64(f.asks)
+			}
 			s.cpu, s.calls = append(s.cpu, cpu), append(s.calls, calls)
 			s.in, s.out = append(s.in, in), append(s.out, out)
+		}
+		for _, d := range a.keeping() {
+			if d.over() {
+				continue
+			}
 			for _, pid := range a.pids(d) {
 				s.of[strconv.Itoa(pid)], _, _ = usage(pid)
 			}
+			s.told += a.told(d)
+			if a.relayed() {
+				cpu, _, _ := usage(d.pid())
+				s.below = append(s.below, cpu)
+			}
 		}
 		s.at = time.Now()
 		return s, nil
@@ -238,17 +292,20 @@
 	rate(keeperRole, before.keepers, after.keepers, n)
 	a.t.add(keeperRole, "rss_each", (after.keepers.RSS-empty.RSS)/n/1024)
 	a.t.add(keeperRole, "descriptors_each", float64(after.keepers.Descriptors-empty.Descriptors)/n)
-	a.t.add(keeperRole, "answer_bytes", float64(after.keepers.AnswerBytes))
+	if after.keepers.AnswerBytes > 0 {
+		a.t.add(keeperRole, "answer_bytes", float64(after.keepers.AnswerBytes))
+	}
 	a.t.add(keeperRole, "silent", float64(after.keepers.Silent-before.keepers.Silent))
 	a.t.add(keeperRole, "late", float64(after.keepers.Late-before.keepers.Late))
 	a.t.add(keeperRole, "spoilt", float64(after.keepers.Spoilt-before.keepers.Spoilt))
 	h := float64(len(a.hosts))
 	rate(hostRole, before.hosts, after.hosts, h)
-	a.t.add(hostRole, "rss_each", after.hosts.RSS/h/1024)
-	a.t.add(hostRole, "descriptors_each", float64(after.hosts.Descriptors)/h)
+	a.t.add(hostRole, "rss_each", (after.hosts.RSS-a.hostless.RSS)/h/1024)
+	a.t.add(hostRole, "descriptors_each", float64(after.hosts.Descriptors-a.hostless.Descriptors)/h)
 	if len(after.cpu) == 0 {
 		return nil
 	}
+	a.relayWindow(before.relays, after.relays, span)
 	worst := 0
 	for i := range after.cpu { // the one that leads
 		if after.out[i]-before.out[i] > after.out[worst]-before.out[worst] {
@@ -263,7 +320,16 @@
 	a.t.add(councilRole, "rss", rss/1e6)
 	a.t.add(councilRole, "descriptors", float64(descriptors))
 	var cpus, sizes []float64
-	for _, d := range a.real {
+	for i := range after.below {
+		_, rss, _ := usage(a.below[i].pid())
+		cpus, sizes = append(cpus, (after.below[i]-before.below[i])/span*100), append(sizes, rss/1e6)
+	}
+	if len(cpus) > 0 {
+		a.t.add(hostRole, "cpu_real", median(cpus))
+		a.t.add(hostRole, "rss_real", median(sizes))
+	}
+	cpus, sizes = nil, nil
+	for _, d := range a.keeping() {
 		for _, pid := range a.pids(d) {
 			if was, there := before.of[strconv.Itoa(pid)]; there {
 				_, rss, _ := usage(pid)
@@ -275,6 +341,9 @@
 	if len(cpus) > 0 {
 		a.t.add(keeperRole, "cpu_real", median(cpus))
 		a.t.add(keeperRole, "rss_real", median(sizes))
+		if after.told > before.told {
+			a.t.add(keeperRole, "rules_real", (after.told-before.told)/span/float64(len(cpus)))
+		}
 	}
 	return nil
 }
@@ -293,32 +362,53 @@
 	return all
 }
 
+// told is how many bytes a daemon's gatekeepers say that they were told of rules; 0 where they do not say.
+func (a *assembly) told(d *daemon) (sum float64) {
+	page, err := ask(d.at(controlPort), "/fleet/stats")
+	if err != nil {
+		return 0
+	}
+	for _, m := range a.rules.Members {
+		if control, there := line(page, "fleet."+m.Name+".control"); there && m.Host == d.name {
+			if figures, err := ask(control, "/admin/stats"); err == nil {
+				sum += number(figures, "svc.rules.bytes_in")
+			}
+		}
+	}
+	return sum
+}
+
+// changed puts the next version in force, and gives how long each hollow gatekeeper took to go by it, ms.
+func (a *assembly) changed(ctx context.Context, version *uint64) (times []float64, err error) {
+	next := a.rules
+	next.Plans = slices.Clone(a.rules.Plans)
+	next.Plans[0].Rate = 400 + float64(*version%2)*50
+	a.rules = next
+	at, err := a.propose(&next)
+	if err != nil {
+		return nil, err
+	}
+	*version++
+	if times, err = a.reached(ctx, *version, 30*time.Second); err != nil {
+		return nil, err
+	}
+	for k := range times {
+		times[k] -= at
+	}
+	return times, a.realGatekeepers(ctx, *version, 20*time.Second)
+}
+
 // change puts versions in force one after another.
 func (a *assembly) change(ctx context.Context) (version uint64, err error) {
 	var medians, worsts []float64
 	version = 1
-	for i := range a.s.Changes.Count {
+	for range a.s.Changes.Count {
 		began := time.Now()
-		next := a.rules
-		next.Plans = slices.Clone(a.rules.Plans)
-		next.Plans[0].Rate = 400 + float64(i%2)*50
-		a.rules = next
-		at, err := a.propose(&next)
-		if err != nil {
-			return version, err
-		}
-		version++
-		times, err := a.reached(ctx, version, 30*time.Second)
+		times, err := a.changed(ctx, &version)
 		if err != nil {
 			return version, err
 		}
-		for k := range times {
-			times[k] -= at
-		}
 		medians, worsts = append(medians, median(times)), append(worsts, slices.Max(append(times, 0)))
-		if err := a.realGatekeepers(ctx, version, 20*time.Second); err != nil {
-			return version, err
-		}
 		select {
 		case <-ctx.Done():
 			return version, ctx.Err()
@@ -351,7 +441,11 @@
 	if err := each(Order{Do: "end"}); err != nil {
 		return err
 	}
-	if _, err := a.hostProcess.order(Order{Do: "end", From: 1, To: 1 + share}); err != nil {
+	hosts := 0 // their daemons are gone too, where they have no seat
+	if a.relayed() {
+		hosts = max(int(math.Round(float64(len(a.hosts))*a.s.Changes.Zone)), 1)
+	}
+	if _, err := a.hostProcess.order(Order{Do: "end", From: 1, To: 1 + share, Hosts: hosts}); err != nil {
 		return err
 	}
 	select {
@@ -360,6 +454,9 @@
 	case <-time.After(time.Duration(a.s.Changes.AwayMS * float64(time.Millisecond))):
 	}
 	at := boot()
+	if _, err := a.hostProcess.order(Order{Do: "again", Hosts: hosts}); err != nil {
+		return err
+	}
 	if err := each(Order{Do: "again"}); err != nil {
 		return err
 	}
@@ -370,29 +467,3 @@
 	a.t.add(fleetRole, "zone_back", max(slices.Max(append(times, at))-at, 0))
 	return nil
 }
-
-// room checks what all processes have together.
-func (a *assembly) room() error {
-	pids := []int{os.Getpid(), a.hostProcess.pid()}
-	for _, c := range a.keepers {
-		pids = append(pids, c.pid())
-	}
-	for _, d := range a.real {
-		pids = append(append(pids, d.pid()), a.pids(d)...)
-	}
-	sum := 0.0
-	for _, pid := range pids {
-		_, rss, _ := usage(pid)
-		sum += rss / 1e6
-	}
-	a.t.add(machineRole, "processes", float64(len(pids)))
-	a.t.add(machineRole, "rss", sum)
-	var err error
-	if len(pids) > a.s.Machine.Processes {
-		err = fmt.Errorf("machine.processes: %d are more than %d", len(pids), a.s.Machine.Processes)
-	}
-	if sum > a.s.Machine.MemoryMB {
-		err = errors.Join(err, fmt.Errorf("machine.memory_mb: %.0f are more than %.0f", sum, a.s.Machine.MemoryMB))
-	}
-	return err
-}
--- a/internal/scale/run_test.go
+++ b/internal/scale/run_test.go
@@ -1,9 +1,11 @@
 package scale
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strings"
 	"testing"
@@ -73,6 +75,9 @@
 	p := rig(t)
 	s := quick(t, "sizes = [20]\nparts = [\"rules\", \"lists\", \"words\"]\n")
 	table, err := Run(context.Background(), s, p, zerolog.Nop())
+	var page bytes.Buffer
+	table.Print(&page)
+	t.Logf("%s", page.Bytes())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -89,7 +94,40 @@
 		{hostRole, "rss_each", 1000, 200000},
 		{listRole, "workers", 278, 278}, {listRole, "refused", 0, 0}, {keeperRole, "change_bytes", 100, 300},
 		{keeperRole, "words_period", 399, 401}, {keeperRole, "words_peers", 19, 19},
-		{machineRole, "processes", 9, 9},
+		{machineRole, "processes", 10, 11},
+	} {
+		if v, there := table.Value(20, c.role, c.name); !there || !(v >= c.least && v <= c.most) {
+			t.Errorf("%s of the %s: %v (measured: %t), not from %v to %v", c.name, c.role, v, there, c.least, c.most)
+		}
+	}
+}
+
+// The same by relays, with changes while relays lie still and are killed, and a zone that comes back without
+// any copy. No word of relays is spoilt, and gatekeepers are told changes alone.
+func TestRelays(t *testing.T) {
+	p := rig(t)
+	s := quick(t, "distribution = \"relays\"\nsizes = [20]\nparts = [\"rules\"]\n[hollow]\nper_host = 5\n"+
+		"[relays]\nregions = 1\nzones = 2\nfaults = true\n")
+	table, err := Run(context.Background(), s, p, zerolog.Nop())
+	var page bytes.Buffer
+	table.Print(&page)
+	t.Logf("%s", page.Bytes())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		role, name  string
+		least, most float64
+	}{
+		{fleetRole, "refused", 0, 0}, {fleetRole, "hosts", 5, 5}, {fleetRole, "asking", 19, 19},
+		{fleetRole, "start", 1, 60000}, {fleetRole, "in_force_worst", 1, 30000}, {fleetRole, "zone_back", 1, 60000},
+		{fleetRole, "in_force_still", 1, 30000}, {fleetRole, "in_force_killed", 1, 30000},
+		{fleetRole, "in_force_leader", 1, 30000}, {fleetRole, "control_back", 1, 30000},
+		{keeperRole, "bytes_in_per_s", 100, 5000}, {keeperRole, "spoilt", 0, 0}, {keeperRole, "rss_real", 5, 200},
+		{keeperRole, "rules_real", 100, 5000}, {councilRole, "bytes_out_per_s", 1000, 1e6},
+		{regionRole, "bytes_out_per_s", 500, 1e6}, {zoneRole, "bytes_out_per_s", 500, 1e6},
+		{zoneRole, "rss", 5, 200},
+		{machineRole, "processes", 15, 16},
 	} {
 		if v, there := table.Value(20, c.role, c.name); !there || !(v >= c.least && v <= c.most) {
 			t.Errorf("%s of the %s: %v (measured: %t), not from %v to %v", c.name, c.role, v, there, c.least, c.most)
@@ -103,6 +141,9 @@
 	s := quick(t, "sizes = [12000]\nparts = [\"rules\"]\n")
 	s.Hollow.Sample, s.Council.Daemons = 2, 1
 	table, err := Run(context.Background(), s, p, zerolog.Nop())
+	var page bytes.Buffer
+	table.Print(&page)
+	t.Logf("%s", page.Bytes())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -136,7 +177,44 @@
 	if _, err := Run(context.Background(), s, p, zerolog.Nop()); !errors.Is(err, context.DeadlineExceeded) {
 		t.Errorf("its time is up: %v", err)
 	}
+	s.Machine.SizeS, s.Machine.Processes = 30, 4
+	if _, err := Run(context.Background(), s, p, zerolog.Nop()); err == nil ||
+		!strings.Contains(err.Error(), "machine.processes") {
+		t.Errorf("too many processes: %v", err)
+	}
+	s.Machine.Processes, s.Machine.MemoryMB = 100, 100
+	if _, err := Run(context.Background(), s, p, zerolog.Nop()); err == nil ||
+		!strings.Contains(err.Error(), "machine.memory_mb") {
+		t.Errorf("too little memory: %v", err)
+	}
 	if _, err := Run(context.Background(), s, Programs{"none", "none"}, zerolog.Nop()); err == nil {
 		t.Error("a program that is not there")
 	}
 }
+
+// A run that is killed outright leaves no process and no file either.
+func TestKilled(t *testing.T) {
+	p := rig(t)
+	cmd := exec.Command(p.Lab, "scale", "../../scenarios/scale-ci.toml", "--program", p.Willowdeck)
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	tmp := os.Getenv("TMPDIR")
+	faults.Until(t, 20*time.Second, "real gatekeepers run", func() bool {
+		n := 0
+		for _, c := range below(tmp) {
+			if strings.HasSuffix(c, "serve\x00") {
+				n++
+			}
+		}
+		return n == 3
+	})
+	if err := cmd.Process.Kill(); err != nil {
+		t.Fatal(err)
+	}
+	_ = cmd.Wait()
+	faults.Until(t, 30*time.Second, "nothing is left", func() bool {
+		left, _ := filepath.Glob(filepath.Join(tmp, "wdscale*"))
+		return len(left) == 0 && len(below(tmp)) == 0
+	})
+}
--- a/internal/scale/scenario.go
+++ b/internal/scale/scenario.go
@@ -13,7 +13,8 @@
 
 // The ways in which agreed rules come to gatekeepers, and the parts of a run.
 const (
-	Direct = "direct" // each host's daemon is a voter of the council, its gatekeepers ask it
+	Direct = "direct" // each host's daemon is a voter of the council, its gatekeepers ask it for all
+	Relays = "relays" // hosts' daemons follow relays by region and zone, gatekeepers are told changes
 
 	Rules = "rules" // agreed rules, from their proposal to the last gatekeeper
 	Lists = "lists" // discovery's list, and its changes
@@ -22,7 +23,7 @@
 )
 
 var (
-	distributions = []string{Direct}
+	distributions = []string{Direct, Relays}
 	parts         = []string{Rules, Lists, Desk, Words}
 )
 
@@ -51,10 +52,17 @@
 		WindowS      float64 `toml:"window_s"` // in which nothing changes, for what goes on anyway
 	}
 	Hollow struct {
-		PerHost    int `toml:"per_host"`    // gatekeepers of a host, more where there are not hosts enough
-		PerProcess int `toml:"per_process"` // gatekeepers in a hollow process
-		MostAsking int `toml:"most_asking"` // hollow gatekeepers that run at all; the others are names in the rules
-		Sample     int // that run where the rules are refused, and a trial goes on without the check
+		PerHost    int     `toml:"per_host"`    // gatekeepers of a host, more where there are not hosts enough
+		PerProcess int     `toml:"per_process"` // gatekeepers in a hollow process
+		MostAsking int     `toml:"most_asking"` // hollow gatekeepers that run; the others are names in the rules
+		MostMBS    float64 `toml:"most_mb_s"`   // of rules that all of them may be told; fewer run beyond it
+		Sample     int     // that run where the rules are refused, and a trial goes on without the check
+	}
+	Relays struct {
+		Regions, Zones int
+		Each           int  // relays of a region, and of a zone
+		Hosts          int  // real daemons below relays, each with its gatekeepers
+		Faults         bool // changes are measured with relays killed and lying still, too
 	}
 	Changes struct {
 		Count   int
@@ -72,6 +80,7 @@
 		TxnsPerS float64 `toml:"txns_per_s"`
 		Seconds  float64 // without changes, and as many with them
 		EveryMS  float64 `toml:"every_ms"` // between two changes of one worker
+		RulesMS  float64 `toml:"rules_ms"` // between two changes of the rules
 		Stand    int     // stand-in workers that serve for all that are listed
 	}
 	Words struct {
@@ -100,9 +109,12 @@
 	s.Council.LeaseMS, s.Council.BoundMS, s.Council.FallbackMS, s.Council.FallbackPart = 1000, 2000, 3000, 0.5
 	s.Council.Plans, s.Council.WindowS = 5, 5
 	s.Hollow.PerHost, s.Hollow.PerProcess, s.Hollow.MostAsking, s.Hollow.Sample = 25, 500, 200, 10
+	s.Hollow.MostMBS = 50
+	s.Relays.Regions, s.Relays.Zones, s.Relays.Each, s.Relays.Hosts = 4, 14, 2, 1
 	s.Changes.Count, s.Changes.EveryMS, s.Changes.AwayMS, s.Changes.Zone = 5, 1500, 1000, 1.0/14
 	s.Lists.Workers, s.Lists.Watches, s.Lists.Changes, s.Lists.EveryMS = 110000.0/7900, 4, 20, 100
 	s.Desk.TxnsPerS, s.Desk.Seconds, s.Desk.EveryMS, s.Desk.Stand = 76, 5, 500, 8
+	s.Desk.RulesMS = 2000
 	s.Words.Spread, s.Words.Customers, s.Words.TakesPerS, s.Words.Periods = 12, 4, 60, 10
 	s.Words.RequestsPerS = 20
 	return s
@@ -174,7 +186,12 @@
 		{"hollow.per_host", float64(s.Hollow.PerHost), 1, 500},
 		{"hollow.per_process", float64(s.Hollow.PerProcess), 1, 5000},
 		{"hollow.most_asking", float64(s.Hollow.MostAsking), 1, 20000},
+		{"hollow.most_mb_s", s.Hollow.MostMBS, 0.1, 10000},
 		{"hollow.sample", float64(s.Hollow.Sample), 1, 1000},
+		{"relays.regions", float64(s.Relays.Regions), 1, 20},
+		{"relays.zones", float64(s.Relays.Zones), 1, 50},
+		{"relays.each", float64(s.Relays.Each), 1, 4},
+		{"relays.hosts", float64(s.Relays.Hosts), 0, 20},
 		{"changes.count", float64(s.Changes.Count), 0, 1000},
 		{"changes.every_ms", s.Changes.EveryMS, 10, 600000},
 		{"changes.away_ms", s.Changes.AwayMS, 0, 60000},
@@ -186,6 +203,7 @@
 		{"desk.txns_per_s", s.Desk.TxnsPerS, 1, 100000},
 		{"desk.seconds", s.Desk.Seconds, 0.5, 600},
 		{"desk.every_ms", s.Desk.EveryMS, 1, 600000},
+		{"desk.rules_ms", s.Desk.RulesMS, 1, 600000},
 		{"desk.stand", float64(s.Desk.Stand), 1, 100},
 		{"words.spread", float64(s.Words.Spread), 2, 100},
 		{"words.customers", float64(s.Words.Customers), 1, 100000},
--- a/internal/scale/table.go
+++ b/internal/scale/table.go
@@ -19,6 +19,8 @@
 // The roles that figures are of.
 const (
 	councilRole = "council daemon"
+	regionRole  = "region relay"
+	zoneRole    = "zone relay"
 	hostRole    = "host daemon"
 	keeperRole  = "gatekeeper"
 	listRole    = "discovery"
@@ -26,7 +28,8 @@
 	machineRole = "machine"
 )
 
-var roles = []string{councilRole, hostRole, keeperRole, listRole, fleetRole, machineRole}
+var roles = []string{councilRole, regionRole, zoneRole, hostRole, keeperRole, listRole, fleetRole,
+	machineRole}
 
 // units are the figures that there are, with their units.
 var units = map[string]string{
@@ -34,14 +37,16 @@
 	"rss": "MB", "cpu_real": "% of a core", "rss_real": "MB", "rss_each": "KB", "descriptors": "",
 	"descriptors_each": "",
 	"in_force_median":  "ms", "in_force_worst": "ms", "in_force_median_gatekeeper": "ms", "start": "ms",
-	"zone_back": "ms", "refused": "", "asking": "", "leased": "", "late": "", "silent": "", "spoilt": "",
+	"zone_back": "ms", "in_force_still": "ms", "in_force_killed": "ms", "in_force_leader": "ms",
+	"control_back": "ms", "rules_real": "B/s",
+	"refused": "", "asking": "", "leased": "", "late": "", "silent": "", "spoilt": "",
 	"rules_bytes": "B", "answer_bytes": "B", "hosts": "", "per_host": "", "processes": "",
 	"list_bytes": "B", "workers": "", "first_list": "ms", "read_list": "ms", "place_list": "ms", "change": "ms",
 	"change_worst": "ms", "change_bytes": "B", "change_cpu": "ms", "zone_change": "ms", "zone_bytes": "B",
 	"list_kb": "KB",
 	"p50":     "ms", "p99": "ms", "p99_changes": "ms", "p99_added": "ms", "p50_changes": "ms",
-	"hold_worst": "ms",
-	"answered":   "", "cpu_changes": "% of a core", "rss_list": "MB", "list_up_real": "ms", "lag_p99": "ms",
+	"hold_list": "ms", "hold_change": "ms", "hold_rules": "ms", "rules_taken": "",
+	"answered": "", "cpu_changes": "% of a core", "rss_list": "MB", "list_up_real": "ms", "lag_p99": "ms",
 	"words_period": "ms", "words_in_per_s": "1/s", "words_bytes_per_s": "B/s", "words_peers": "",
 }
 
@@ -101,6 +106,17 @@
 	t.Rows = append(t.Rows, Figure{t.run, t.commit, t.distribution, t.size, role, name, v})
 }
 
+// most adds a figure, or raises it where the same size has it already.
+func (t *Table) most(role, name string, v float64) {
+	for i := range t.Rows {
+		if f := &t.Rows[i]; f.Size == t.size && f.Role == role && f.Name == name {
+			f.Value = max(f.Value, v)
+			return
+		}
+	}
+	t.add(role, name, v)
+}
+
 func (t *Table) note(format string, args ...any) {
 	t.Notes = append(t.Notes, fmt.Sprintf("size %d: ", t.size)+fmt.Sprintf(format, args...))
 }
--- a/internal/scale/watches.go
+++ b/internal/scale/watches.go
@@ -10,6 +10,7 @@
 	"willowdeck/internal/held"
 	"willowdeck/internal/wire"
 	"willowdeck/internal/wire/roster"
+	"willowdeck/logic"
 )
 
 // watches follow discovery's list as gatekeepers do: wire.Watch, and held.Workers that takes each list in.
@@ -72,7 +73,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	came := time.Now()
-	w.workers.Update(l, func(int) bool { return true })
+	for _, piece := range w.workers.Pieces(w.workers.Changes(l), logic.ListPiece) {
+		w.workers.Update(piece, func(int) bool { return true })
+	}
 	took := float64(time.Since(came)) / float64(time.Millisecond)
 	if w.version == 0 {
 		w.first, w.place = float64(time.Since(w.began))/float64(time.Millisecond), took
@@ -91,8 +94,8 @@
 	w.failing++
 }
 
-func (x *watches) end(int, int)   {}
-func (x *watches) again(int, int) {}
+func (x *watches) end(Order)   {}
+func (x *watches) again(Order) {}
 
 func (x *watches) report(o Order, r *Report) {
 	for _, w := range x.all {
