wdlab elements: what one more member, peer, route, worker or customer costs

Need: the capacity page states each need as slope x size + offset, measured at four sizes or more, and the bounds that refuse the coming size by name.

--- /dev/null
+++ b/internal/elements/rules.go
@@ -0,0 +1,274 @@
+package elements
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"willowdeck/internal/accord"
+	"willowdeck/internal/config"
+	"willowdeck/internal/fleet"
+	"willowdeck/internal/rulebook"
+	"willowdeck/internal/wire/roster"
+	"willowdeck/logic"
+)
+
+const (
+	perHost    = 16 // gatekeepers of a host: 494 hosts at 7,900
+	usualPlans = 5
+	usualHosts = 31 // that a council takes today
+)
+
+// rules of so many members, plans and words, on hosts of perHost members each, or on no more than some.
+func rules(members, plans, words, hosts int) *accord.Rules {
+	r := &accord.Rules{Form: accord.Form, Lease: rulebook.Lease, Bound: accord.MostBound,
+		Fallback: accord.Fallback{Part: rulebook.Part, For: rulebook.For}}
+	for i := range plans {
+		r.Plans = append(r.Plans, accord.Plan{Name: fmt.Sprintf("plan-%03d", i), Rate: 2 + float64(i), Burst: 20,
+			CeilingRate: 200, CeilingDepth: 400})
+	}
+	for i := range members {
+		host := i / perHost
+		if hosts > 0 {
+			host %= hosts
+		}
+		r.Members = append(r.Members, accord.Member{Name: fmt.Sprintf("gk-%05d", i), Host: fmt.Sprintf("host-%03d", host),
+			Peers: fmt.Sprintf("10.%d.%d.%d:7946", i>>16, i>>8&255, i&255)})
+	}
+	for i := range words {
+		r.Words = append(r.Words, accord.Word{Worker: fmt.Sprintf("worker-%06d", i), Drained: true})
+	}
+	return r
+}
+
+func lease(r *accord.Rules) *accord.Lease {
+	return &accord.Lease{Step: 7, Version: accord.Version{Number: 3, Rules: *r}, Settled: true, Age: 12}
+}
+
+// answer measures what a daemon tells a gatekeeper five times in a lease.
+func answer(over string, r *accord.Rules) ([]Value, error) {
+	l := lease(r)
+	raw, err := l.Bytes()
+	if err != nil {
+		return nil, err
+	}
+	if _, err = accord.ReadLease(raw); err != nil {
+		return nil, err
+	}
+	read := func() { _, _ = accord.ReadLease(raw) }
+	return []Value{{"gatekeeper", "answer with rules over " + over, "B", float64(len(raw))},
+		{"gatekeeper", "reading an answer over " + over, "ms", took(read)},
+		{"gatekeeper", "allocated in reading an answer over " + over, "B", allocated(read)},
+		{"host daemon", "making an answer over " + over, "ms", took(func() { _, _ = l.Bytes() })}}, nil
+}
+
+// change measures what a council does to take a change of one plan's rate, until it is in force.
+func change(n int) ([]Value, error) {
+	r := rules(n, usualPlans, 0, usualHosts)
+	if err := accord.Check(r); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrRefused, err)
+	}
+	first := accord.Entry{Act: accord.Propose, ID: "first", Rules: r}
+	c := accord.NewCouncil()
+	if o := c.Apply(first); o.InForce != 1 {
+		return nil, fmt.Errorf("not in force: %+v", o)
+	}
+	snap, err := c.Snapshot()
+	if err != nil {
+		return nil, err
+	}
+	next := *r
+	next.Plans = append([]accord.Plan{}, r.Plans...)
+	next.Plans[0].Rate++
+	e := accord.Entry{Act: accord.Propose, ID: "next", Base: 1, Rules: &next}
+	raw, err := e.Bytes()
+	if err != nil {
+		return nil, err
+	}
+	state := c.State()
+	var o accord.Outcome
+	apply := func() {
+		d := accord.NewCouncil()
+		*d.State() = *state
+		d.State().Answered = append([]accord.Answer{}, state.Answered...)
+		d.State().Held = append([]accord.Held{}, state.Held...)
+		o = d.Apply(e)
+	}
+	ms := took(apply)
+	if o.InForce != 2 {
+		return nil, fmt.Errorf("not in force: %+v", o)
+	}
+	return []Value{{"council daemon", "a change, applied", "ms", ms},
+		{"council daemon", "a change, read from the log", "ms", took(func() { _, _ = accord.ReadEntry(raw) })},
+		{"council daemon", "a change in the log", "B", float64(len(raw))},
+		{"council daemon", "snapshot", "B", float64(len(snap))},
+		{"council daemon", "making a snapshot", "ms", took(func() { _, _ = c.Snapshot() })}}, nil
+}
+
+// fleetOf writes the files of a host's daemon for a council of so many hosts, and reads them as it does at its
+// start.
+func fleetOf(dir string, members, hosts int) (*fleet.Fleet, error) {
+	conf, err := settings(20, usualPlans, 3, 0)
+	if err != nil {
+		return nil, err
+	}
+	text, err := rulebook.Encode(rules(members, usualPlans, 0, hosts))
+	if err != nil {
+		return nil, err
+	}
+	var b strings.Builder
+	fmt.Fprintf(&b, "name = %q\nconfig = %q\nrun_dir = %q\n", "fleet", filepath.Join(dir, "config.json"), dir)
+	b.WriteString("control = \"127.0.0.1:4000\"\nlisten = \"127.0.0.1:5000\"\noperators = \"127.0.0.1:20000\"\n")
+	fmt.Fprintf(&b, "[council]\nme = \"host-000\"\nlisten = \"10.0.0.1:7800\"\nstore = %q\nrules = %q\nhosts = [\n",
+		filepath.Join(dir, "council.db"), filepath.Join(dir, "rules.toml"))
+	for i := range hosts {
+		fmt.Fprintf(&b, "{ name = \"host-%03d\", address = \"10.0.%d.%d:7800\" },\n", i, i>>8, i&255)
+	}
+	b.WriteString("]\n[host]\nmemory_mb = 65536\nsockets = 1000000\n")
+	for name, what := range map[string]string{"config.json": string(conf), "rules.toml": text,
+		"fleet.toml": b.String()} {
+		if err := os.WriteFile(filepath.Join(dir, name), []byte(what), 0o600); err != nil {
+			return nil, err
+		}
+	}
+	return fleet.Read(filepath.Join(dir, "fleet.toml"))
+}
+
+// fleetFile measures what a host's daemon with some perHost gatekeepers reads at its start, and carries out at
+// each change.
+func fleetFile(n int) ([]Value, error) {
+	dir, err := os.MkdirTemp("", "wdlab-*")
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	if err := accord.Check(rules(n, usualPlans, 0, usualHosts)); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrRefused, err)
+	}
+	if _, err := fleetOf(dir, n, usualHosts); err != nil {
+		return nil, err
+	}
+	path := filepath.Join(dir, "fleet.toml")
+	_, kept := keeps(func() *fleet.Fleet {
+		f, _ := fleet.Read(path)
+		return f
+	})
+	return []Value{{"host daemon", "reading the fleet's files over members", "ms",
+		took(func() { _, _ = fleet.Read(path) })},
+		{"host daemon", "kept of the fleet's files over members", "B", kept}}, nil
+}
+
+// councilOf tells why a council of so many hosts is refused.
+func councilOf(hosts int) error {
+	dir, err := os.MkdirTemp("", "wdlab-*")
+	if err != nil {
+		return err
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	if _, err = fleetOf(dir, 20, hosts); err != nil {
+		return errors.New(strings.ReplaceAll(err.Error(), dir+"/", ""))
+	}
+	return nil
+}
+
+// settings is a gatekeeper's configuration with so many peers, plans, routes and known workers.
+func settings(peers, plans, routes, workers int) ([]byte, error) {
+	type m = map[string]any
+	var addresses []string
+	for i := range peers {
+		addresses = append(addresses, fmt.Sprintf("10.%d.%d.%d:7946", i>>16, i>>8&255, i&255))
+	}
+	var classes, tariffs []m
+	for i := range routes {
+		classes = append(classes, m{"name": fmt.Sprintf("route-%06d", i), "aim_us": 1e6, "hard_limit_us": 3e6, "worth": 1,
+			"effect": "read_like"})
+	}
+	for i := range plans {
+		tariffs = append(tariffs, m{"name": fmt.Sprintf("plan-%03d", i), "rate": 2 + i, "most_at_once": 20})
+	}
+	all := m{"name": "gk-00000", "listen": "127.0.0.1:5000", "discovery": "127.0.0.1:8500",
+		"peer_listen": "127.0.0.1:7946", "peers": addresses,
+		"settings": m{"me": 0, "balancers": peers, "classes": classes, "tariffs": tariffs,
+			"allowed": m{"max_attempts": 3, "peers": true}, "family_info": m{"peer_in_per_s": 60}}}
+	if workers > 0 {
+		raw, err := roster.Append(nil, list(workers))
+		if err != nil {
+			return nil, err
+		}
+		all["known"] = json.RawMessage(raw)
+	}
+	return json.Marshal(all)
+}
+
+func none(string) string { return "" }
+
+// read measures what reading a configuration costs at a start.
+func read(over string, peers, plans, routes, workers int) ([]Value, error) {
+	raw, err := settings(peers, plans, routes, workers)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := config.Decode(raw, none); err != nil {
+		return nil, err
+	}
+	g, kept := keeps(func() config.Gatekeeper {
+		g, _ := config.Decode(raw, none)
+		return g
+	})
+	values := []Value{{"gatekeeper", "configuration over " + over, "B", float64(len(raw))},
+		{"gatekeeper", "reading a configuration over " + over, "ms",
+			took(func() { _, _ = config.Decode(raw, none) })},
+		{"gatekeeper", "kept of a configuration over " + over, "B", kept}}
+	if len(g.Name) == 0 {
+		return nil, fmt.Errorf("read without a name")
+	}
+	return values, nil
+}
+
+// Bounds are what refuses the size that is coming.
+func Bounds() []Bound {
+	check := func(r *accord.Rules) error { return accord.Check(r) }
+	decode := func(peers, plans, routes, workers int) error {
+		raw, err := settings(peers, plans, routes, workers)
+		if err == nil {
+			_, err = config.Decode(raw, none)
+		}
+		return err
+	}
+	return []Bound{
+		{"council daemon", "hosts, each with a vote", 7900 / perHost, func(n int) error { return councilOf(max(n, 1)) }},
+		{"council daemon", "members of the agreed rules", 7900, func(n int) error {
+			return check(rules(n, usualPlans, 0, 0))
+		}},
+		{"council daemon", "tenants with a quota of their own, as plans of the agreed rules", 490000, func(n int) error {
+			return check(rules(20, n, 0, 0))
+		}},
+		{"council daemon", "words on single workers (a zone's, drained by name)", 7900, func(n int) error {
+			return check(rules(20, usualPlans, n, 0))
+		}},
+		{"council daemon", "bytes of the rules' file with so many members", 7900, func(n int) error {
+			text, err := rulebook.Encode(rules(n, usualPlans, 0, 0))
+			if err == nil && len(text) > rulebook.MostOf {
+				err = fmt.Errorf("%d bytes are more than %d", len(text), rulebook.MostOf)
+			}
+			return err
+		}},
+		{"gatekeeper", "tenants with a quota of their own, as plans in the configuration", 490000, func(n int) error {
+			return decode(20, max(n, 1), 3, 0)
+		}},
+		{"gatekeeper", "workers on the watched list", 110000, func(n int) error {
+			raw, err := roster.Append(nil, list(n))
+			if err == nil && len(raw) > logic.LongestList {
+				err = fmt.Errorf("a list of %d bytes, more than %d", len(raw), logic.LongestList)
+			}
+			return err
+		}},
+		{"gatekeeper", "peers in the configuration", 7900, func(n int) error { return decode(max(n, 1), 5, 3, 0) }},
+		{"gatekeeper", "routes in the configuration, as classes", 150000, func(n int) error {
+			return decode(20, 5, max(n, 1), 0)
+		}},
+	}
+}
--- a/internal/slope/slope.go
+++ b/internal/slope/slope.go
@@ -1,5 +1,5 @@
-// Package slope fits a measured figure over sizes: a straight line with what it leaves over, the power by which
-// the figure really grows, and the size up to which a straight line foretells the next one.
+// Package slope fits a measured figure over sizes: a straight line with what it leaves over, the power by
+// which the figure really grows, and the size up to which a straight line foretells the next one.
 package slope
 
 import (
--- a/internal/slope/slope_test.go
+++ b/internal/slope/slope_test.go
@@ -47,8 +47,10 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			if f.Shape != c.want || f.Exponent < c.low || f.Exponent > c.top || f.Low > f.Exponent || f.High < f.Exponent {
-				t.Errorf("%s, seed %d: %v, exponent %.2f (%.2f to %.2f)", c.name, seed, f.Shape, f.Exponent, f.Low, f.High)
+			if f.Shape != c.want || f.Exponent < c.low || f.Exponent > c.top || f.Low > f.Exponent ||
+				f.High < f.Exponent {
+				t.Errorf("%s, seed %d: %v, exponent %.2f (%.2f to %.2f)", c.name, seed, f.Shape, f.Exponent,
+					f.Low, f.High)
 			}
 			if c.straight != nil && (f.Until == sizes[len(sizes)-1]) != c.straight {
 				t.Errorf("%s, seed %d: straight until %v", c.name, seed, f.Until)
