--- a/internal/capacity/chart.go
+++ b/internal/capacity/chart.go
@@ -53,7 +53,12 @@
 		l.Color, l.Dashes = plotutil.Color(drawn), plotutil.Dashes(drawn)
 		s.Color, s.Shape = plotutil.Color(drawn), plotutil.Shape(drawn)
 		p.Add(l, s)
-		p.Legend.Add(n.what()+", "+n.Resource, l, s)
+		name, _, _ := strings.Cut(n.What, ",")
+		name, _, _ = strings.Cut(name, ":")
+		if n.Way != direct {
+			name += ", " + n.Way
+		}
+		p.Legend.Add(name+", "+n.Resource, l, s)
 		drawn++
 		for _, at := range line {
 			p.Y.Min, p.Y.Max = math.Min(p.Y.Min, at.Y), math.Max(p.Y.Max, at.Y)
@@ -66,7 +71,7 @@
 	one.Width = vg.Points(1.5)
 	p.Add(one, plotter.NewGrid())
 	p.Legend.Add("the limit", one)
-	p.Y.Max *= 30 // room for the legend
+	p.Y.Max *= 100 // room for the legend
 	to, err := p.WriterTo(18*vg.Centimeter, 12*vg.Centimeter, strings.TrimPrefix(filepath.Ext(path), "."))
 	if err != nil {
 		return err
--- a/internal/capacity/page.go
+++ b/internal/capacity/page.go
@@ -181,13 +181,13 @@
 }
 
 func (s *Spec) sizes() string {
-	t := newTable("what", "how many")
+	var all []string
 	for _, key := range known {
 		if key != "one" {
-			t.row(strings.ReplaceAll(key, "_", " "), sizeOf(s.Coming[key]))
+			all = append(all, sizeOf(s.Coming[key])+" "+strings.ReplaceAll(key, "_", " "))
 		}
 	}
-	return t.String()
+	return strings.Join(all, " · ") + "\n"
 }
 
 // sum writes slope x size + offset, as it was measured.
--- a/internal/capacity/spec.go
+++ b/internal/capacity/spec.go
@@ -68,7 +68,8 @@
 // known are the keys of Spec.Coming.
 var known = []string{"gatekeepers", "workers", "services", "requests_per_s", "routes", "tenants", "regions",
 	"zones", "zone_gatekeepers", "zone_workers", "region_gatekeepers", "region_workers", "changes_a_day",
-	"restarts_a_day", "losses_a_day", "machines", "hosts", "per_host", "set", "customers_here", "one"}
+	"restarts_a_day", "losses_a_day", "machines", "hosts", "per_host", "set", "customers_here",
+	"drawn", "one"}
 
 // roles in the order of the page.
 var roles = []string{"front", "gatekeeper", "host daemon", "relay", "council daemon", "discovery", "fleet"}
