Capacity page: a column for what comes after, by runs of it alone

Figures and bounds that runs with relays give stand beside those before; where there is no run it says so.

--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -348,3 +348,65 @@
 		}
 	}
 }
+
+// What comes after stands beside what was there before: a line that takes another's place, the same figure of
+// runs with relays, or that there is no run of it.
+func TestAfter(t *testing.T) {
+	sizes := []float64{20, 300, 1000, 7900}
+	n := func(n float64) float64 { return 10 * n }
+	instead := strings.NewReplacer(`"x"`, `"y"`, `figure = "f"`, `figure = "g"`).Replace(line) +
+		"way = \"relay\"\ninstead = \"x\"\n"
+	before := rowsOf("a", "direct", sizes, n)
+	other := rowsOf("b", "relay", sizes, func(float64) float64 { return 1100 })
+	for i := range other {
+		other[i].Figure = "g"
+	}
+	cases := []struct {
+		name, lines string
+		rows        []Row
+		refusals    []Refusal
+		want        []string
+	}{
+		{"no run", "", before, nil, []string{"| 3.59 | no run |"}},
+		{"the same figure", "", append(rowsOf("b", "relay", sizes, func(n float64) float64 { return n }),
+			before...), nil,
+			[]string{"| 3.59 | 0.359 (7.9 KB/s, measured) |"}},
+		{"a line instead, no run", instead, before, nil, []string{"| 3.59 | no run |"}},
+		{"a line instead", instead, append(other, before...), nil,
+			[]string{"| 3.59 | 0.05 (1.1 KB/s, measured) |"}},
+		{"refused, no run", "", before, []Refusal{{"a", "c", "direct", "r", "w", 79, 5, "s"}},
+			[]string{"| 1 | r | w | 79, refused | 5 (program) | 15.8 | no run |", "| 2 | gatekeeper |"}},
+		{"refused, then taken", "", before, []Refusal{{"a", "c", "direct", "r", "w", 79, 5, "s"},
+			{"b", "c", "relay", "r", "w", 79, 79, "taken"}}, []string{"| 15.8 | taken |"}},
+		{"refused still", "", before, []Refusal{{"a", "c", "direct", "r", "w", 79, 5, "s"},
+			{"b", "c", "relay", "r", "w", 79, 50, "s"}}, []string{"| 15.8 | 50, refused beyond |"}},
+		{"refused, and not needed", "", before, []Refusal{{"a", "c", "direct", "r", "v", 79, 5, "s"}},
+			[]string{"| 1 | gatekeeper |"}},
+	}
+	notes := "\n[[refusals]]\nwhat = \"w\"\nneeded = true\n\n[[refusals]]\nwhat = \"v\"\nmeans = \"m\"\n"
+	for _, c := range cases {
+		s, err := DecodeSpec(small(t) + c.lines + notes)
+		if err != nil {
+			t.Fatal(err)
+		}
+		needs, err := Needs(s, c.rows)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got := s.ranking(needs, c.refusals)
+		for _, want := range c.want {
+			if !strings.Contains(got, want) {
+				t.Errorf("%s: no %q in\n%s", c.name, want, got)
+			}
+		}
+	}
+	s, err := DecodeSpec(small(t) + notes)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := s.refused([]Refusal{{What: "z", Distribution: "direct", Coming: 2, Most: 1}},
+		nil); err == nil ||
+		!strings.Contains(err.Error(), `"z"`) {
+		t.Errorf("a refusal of which nothing is said: %v", err)
+	}
+}
--- a/internal/capacity/need.go
+++ b/internal/capacity/need.go
@@ -20,6 +20,7 @@
 	Known string  // measured, by slope, worked out, assumed, no run
 	Ratio float64
 	Most  *Limit
+	After *Need // the same figure where runs with relays have it; nil where none has
 
 	letter string // of the run, on the page
 }
@@ -63,6 +64,17 @@
 		if err != nil {
 			return nil, fmt.Errorf("lines[%d] (%s).%w", i, s.Lines[i].Name, err)
 		}
+		if n.Fit != nil && n.Way == direct {
+			l := s.Lines[i]
+			l.Way, l.Run = relay, ""
+			after, err := s.need(&l, rows)
+			if err != nil {
+				return nil, fmt.Errorf("lines[%d] (%s, %s).%w", i, l.Name, relay, err)
+			}
+			if after.There() {
+				n.After = &after
+			}
+		}
 		all = append(all, n)
 	}
 	return all, nil
--- a/internal/capacity/page.go
+++ b/internal/capacity/page.go
@@ -296,16 +296,22 @@
 }
 
 func (s *Spec) ranking(needs []Need, refusals []Refusal) string {
-	t := newTable("", "role", "need", "today", "limit", "ratio", "with relays")
+	t := newTable("", "role", "need", "today", "limit", "ratio", "after")
 	first := 0
 	for _, r := range Refused(refusals) {
 		i := slices.IndexFunc(s.Refusals, func(n Note) bool { return n.What == r.What })
 		if r.Distribution != direct || i < 0 || !s.Refusals[i].Needed {
 			continue
 		}
-		with := s.Refusals[i].Instead
-		if with == "" {
-			with = "refused"
+		with := noRun
+		for _, after := range refusals {
+			switch {
+			case after.Distribution != relay || after.What != r.What:
+			case after.Most < after.Coming:
+				with = whole(after.Most) + ", refused beyond"
+			default:
+				with = "taken"
+			}
 		}
 		first++
 		t.row(fmt.Sprint(first), r.Role, r.What, whole(r.Coming)+", refused", whole(r.Most)+" (program)",
@@ -316,9 +322,14 @@
 			break
 		}
 		with := "as today"
-		if o := Instead(needs, n.Name); o != nil {
-			with = fmt.Sprintf("%s (%s %s, %s)", figure(o.Ratio), figure(o.Value), o.Unit, o.Known)
-		} else if n.replaced(needs) {
+		switch o := Instead(needs, n.Name); {
+		case o != nil:
+			with = o.after()
+		case n.replaced(needs):
+			with = noRun
+		case n.After != nil:
+			with = n.After.after()
+		case n.Fit != nil:
 			with = noRun
 		}
 		most, ratio := n.limit()
@@ -327,6 +338,11 @@
 	return t.String()
 }
 
+// after is a need in the column of what comes after.
+func (n *Need) after() string {
+	return fmt.Sprintf("%s (%s %s, %s)", figure(n.Ratio), figure(n.Value), n.Unit, n.Known)
+}
+
 // replaced tells whether a line takes this one's place, measured or not.
 func (n *Need) replaced(needs []Need) bool {
 	return slices.ContainsFunc(needs, func(o Need) bool { return o.Line.Instead == n.Name })
@@ -335,6 +351,9 @@
 func (s *Spec) refused(all []Refusal, by []run) (string, error) {
 	t := newTable("role", "what", "coming", "most", "times", "it says", "needed", "run")
 	for _, r := range Refused(all) {
+		if r.Distribution != direct {
+			continue
+		}
 		letter := ""
 		for _, x := range by {
 			if x.name == r.Run && x.way == r.Distribution {
--- a/internal/capacity/spec.go
+++ b/internal/capacity/spec.go
@@ -56,14 +56,16 @@
 
 // Note says of a bound what it means.
 type Note struct {
-	What    string
-	Needed  bool // by the coming size as it is planned; else only if
-	Means   string
-	Instead string // what of it is left with relays
+	What   string
+	Needed bool // by the coming size as it is planned; else only if
+	Means  string
 }
 
-// direct is the distribution without relays.
-const direct = "direct"
+// The distributions: what was there before, and relays with all that came with them.
+const (
+	direct = "direct"
+	relay  = "relay"
+)
 
 // known are the keys of Spec.Coming.
 var known = []string{"gatekeepers", "workers", "services", "requests_per_s", "routes", "tenants", "regions",
--- a/internal/capacity/table.go
+++ b/internal/capacity/table.go
@@ -87,8 +87,8 @@
 	return os.Rename(f.Name(), path)
 }
 
-// ReadAll reads all tables of a folder: those of measurements, refusals.csv, and what benchmarks gave, *.txt.
-// An error names file and line.
+// ReadAll reads all tables of a folder: those of measurements, refusals*.csv, and what benchmarks gave,
+// *.txt. An error names file and line.
 func ReadAll(dir string) (rows []Row, refusals []Refusal, err error) {
 	files, err := filepath.Glob(filepath.Join(dir, "*.csv"))
 	more, bad := filepath.Glob(filepath.Join(dir, "*.txt"))
@@ -105,8 +105,10 @@
 		in := strings.NewReader(string(raw))
 		var found []Row
 		switch {
-		case filepath.Base(path) == "refusals.csv":
-			refusals, err = readRefusals(in)
+		case strings.HasPrefix(filepath.Base(path), "refusals"):
+			var more []Refusal
+			more, err = readRefusals(in)
+			refusals = append(refusals, more...)
 		case filepath.Ext(path) == ".txt":
 			found, err = readBench(filepath.Base(path), in)
 		default:
