--- a/cmd/wdlab/capacity.go
+++ b/cmd/wdlab/capacity.go
@@ -23,7 +23,7 @@
 				Usage: "and what is refused, `FILE.csv`"},
 			&cli.StringFlag{Name: "run", Usage: "the `NAME` of the run; else its time"},
 			&cli.StringFlag{Name: "commit", Usage: "which is measured; else this build's own"},
-			&cli.StringFlag{Name: "distribution", Value: "direct", Usage: "how agreed rules are told: direct, relay"},
+			&cli.StringFlag{Name: "distribution", Value: "direct", Usage: "how agreed rules are told: direct, relays"},
 			&cli.StringSliceFlag{Name: "only", Usage: "elements of this `NAME`; what others wrote is not kept"},
 		}}
 }
--- a/internal/capacity/need.go
+++ b/internal/capacity/need.go
@@ -47,7 +47,7 @@
 }
 
 func convert(from, to string) (float64, error) {
-	if from == to {
+	if from == to || from == "" { // a count has no unit of its own
 		return 1, nil
 	}
 	if f, there := conversions[[2]string{from, to}]; there {
@@ -96,7 +96,11 @@
 // of gives the rows of a figure: those of the run that is named, or of the last one of the file.
 func of(l *Line, rows []Row) (all []Row) {
 	for _, r := range rows {
-		if r.Role == l.From && r.Figure == l.Figure && r.Distribution == l.Way && (l.Run == "" || r.Run == l.Run) {
+		way := r.Distribution
+		if way == trial {
+			way = direct
+		}
+		if r.Role == l.From && r.Figure == l.Figure && way == l.Way && (l.Run == "" || r.Run == l.Run) {
 			all = append(all, r)
 		}
 	}
--- a/internal/capacity/spec.go
+++ b/internal/capacity/spec.go
@@ -44,7 +44,7 @@
 	TimesIs  string `toml:"times_is"`
 	Unit     string // in which it is told
 	Limit    string // name of a limit; empty: none is stated
-	Way      string // how agreed rules are told: direct where none is named
+	Way      string // how agreed rules are told: direct, relays; direct where none is named
 	Instead  string // the line that this one takes the place of
 	If       string // it is needed only if
 	Chart    bool
@@ -64,7 +64,9 @@
 // The distributions: what was there before, and relays with all that came with them.
 const (
 	direct = "direct"
-	relay  = "relay"
+	relay  = "relays"
+
+	trial = "direct-trial" // of direct, with the check left out that refuses the size
 )
 
 // known are the keys of Spec.Coming.
@@ -74,7 +76,8 @@
 	"drawn", "one"}
 
 // roles in the order of the page.
-var roles = []string{"front", "gatekeeper", "host daemon", "relay", "council daemon", "discovery", "fleet"}
+var roles = []string{"front", "gatekeeper", "host daemon", "zone relay", "region relay", "council daemon", "discovery",
+	"fleet"}
 
 var resources = []string{"state", "messages", "bytes", "processor", "memory", "descriptors", "time"}
 
--- a/internal/capacity/table.go
+++ b/internal/capacity/table.go
@@ -144,9 +144,10 @@
 	return v, nil
 }
 
+// named checks that each column says something; a count has no unit.
 func named(line int, head, l []string) error {
 	for i, s := range l {
-		if strings.TrimSpace(s) == "" {
+		if strings.TrimSpace(s) == "" && head[i] != "unit" {
 			return fmt.Errorf("line %d: %s: there is none", line+2, head[i])
 		}
 	}
