--- a/internal/capacity/spec.go
+++ b/internal/capacity/spec.go
@@ -76,7 +76,8 @@
 	"drawn", "one"}
 
 // roles in the order of the page.
-var roles = []string{"front", "gatekeeper", "host daemon", "zone relay", "region relay", "council daemon", "discovery",
+var roles = []string{"front", "gatekeeper", "host daemon", "zone relay", "region relay", "council daemon",
+	"discovery",
 	"fleet"}
 
 var resources = []string{"state", "messages", "bytes", "processor", "memory", "descriptors", "time"}
