--- a/internal/capacity/page.go
+++ b/internal/capacity/page.go
@@ -260,8 +260,10 @@
 				continue
 			}
 			any = true
-			most, ratio := n.limit()
-			t.row(n.Resource, n.what(), n.Carried, n.sum(), figure(n.Value)+" "+n.Unit, most, ratio, n.known())
+			for ; n != nil; n = n.After {
+				most, ratio := n.limit()
+				t.row(n.Resource, n.what(), n.Carried, n.sum(), figure(n.Value)+" "+n.Unit, most, ratio, n.known())
+			}
 		}
 		if any {
 			fmt.Fprintf(&b, "\n**%s**\n\n%s", role, t.String())
@@ -275,7 +277,10 @@
 		"known by")
 	for _, e := range events {
 		for i := range needs {
-			if n := &needs[i]; n.Event == e && n.There() {
+			if needs[i].Event != e || !needs[i].There() {
+				continue
+			}
+			for n := &needs[i]; n != nil; n = n.After {
 				most, ratio := n.limit()
 				t.row(e, n.Role, n.what(), n.Carried, figure(n.Value)+" "+n.Unit, most, ratio, n.Touches, n.known())
 			}
@@ -417,8 +422,12 @@
 // letters gives each run that is used its letter.
 func letters(needs []Need, rows []Row, refusals []Refusal) (all []run) {
 	used := map[string]bool{}
+	var each []*Need
 	for i := range needs {
-		used[needs[i].Run] = needs[i].Fit != nil || used[needs[i].Run]
+		for n := &needs[i]; n != nil; n = n.After {
+			each = append(each, n)
+			used[n.Run] = n.Fit != nil || used[n.Run]
+		}
 	}
 	add := func(name, commit, way string) {
 		if used[name] && !slices.ContainsFunc(all, func(r run) bool { return r.name == name && r.way == way }) {
@@ -432,10 +441,10 @@
 	for _, r := range rows {
 		add(r.Run, r.Commit, r.Distribution)
 	}
-	for i := range needs {
+	for _, n := range each {
 		for _, r := range all {
-			if r.name == needs[i].Run && r.way == needs[i].Way {
-				needs[i].letter = r.letter
+			if r.name == n.Run && r.way == n.Way {
+				n.letter = r.letter
 			}
 		}
 	}
--- a/internal/capacity/spec.go
+++ b/internal/capacity/spec.go
@@ -77,8 +77,7 @@
 
 // roles in the order of the page.
 var roles = []string{"front", "gatekeeper", "host daemon", "zone relay", "region relay", "council daemon",
-	"discovery",
-	"fleet"}
+	"discovery", "fleet"}
 
 var resources = []string{"state", "messages", "bytes", "processor", "memory", "descriptors", "time"}
 
