--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -168,6 +168,7 @@
 			"lines[0].touches"},
 		{"an event that is none", `figure = "f"`, "figure = \"f\"\nevent = \"rain\"\ntouches = \"t\"",
 			`lines[0].event: "rain"`},
+		{"of nothing", `figure = "f"`, "figure = \"f\"\nof = \"y\"", `lines[0].of: there is no line "y"`},
 		{"instead of nothing", `figure = "f"`, "figure = \"f\"\ninstead = \"y\"",
 			`lines[0].instead: there is no line "y"`},
 	}
@@ -219,6 +220,8 @@
 		{"a run that is named", append(rowsOf("a", "direct", whole, linear), rowsOf("b", "direct", whole,
 			squared)...),
 			`run = "a"`, 791, measured, ""},
+		{"a trial beyond the check", append(rowsOf("a", "direct", part[:2], linear), rowsOf("a", "direct-trial",
+			whole[1:], linear)...), "", 791, measured, ""},
 		{"no run yet", rowsOf("a", "direct", whole, linear), `way = "relays"`, 0, noRun, ""},
 		{"not measured", nil, "", 0, "", "no measurement"},
 		{"a run that is not there", rowsOf("a", "direct", whole, linear), `run = "z"`, 0, "",
@@ -258,6 +261,7 @@
 func TestRanking(t *testing.T) {
 	second := strings.Replace(line, `name = "x"`, `name = "y"`, 1) + "times = 5\ntimes_is = \"t\"\n"
 	third := strings.Replace(line, `name = "x"`, `name = "z"`, 1) + "if = \"i\"\n"
+	third += strings.Replace(line, `name = "x"`, `name = "part"`, 1) + "of = \"y\"\n"
 	s, err := DecodeSpec(small(t) + second + third)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/capacity/chart.go
+++ b/internal/capacity/chart.go
@@ -26,11 +26,15 @@
 	p.X.Min, p.X.Max = leastPart, 1
 	p.Y.Min, p.Y.Max = 1, 1
 	drawn := 0
+	var all []*Need
 	for i := range needs {
-		n := &needs[i]
-		if !n.Chart || !n.There() || n.Fit == nil || n.Most == nil {
-			continue
+		for n := &needs[i]; n != nil && n.Chart; n = n.After {
+			if n.There() && n.Fit != nil && n.Most != nil {
+				all = append(all, n)
+			}
 		}
+	}
+	for _, n := range all {
 		var line, points plotter.XYs
 		for part := leastPart; part <= 1.0001; part *= math.Pow(400, 1.0/60) {
 			if y := n.part(part) / n.Most.Most; y > 0 {
--- a/internal/capacity/need.go
+++ b/internal/capacity/need.go
@@ -97,7 +97,7 @@
 func of(l *Line, rows []Row) (all []Row) {
 	for _, r := range rows {
 		way := r.Distribution
-		if way == trial {
+		if way == trial && l.From == gatekeeper {
 			way = direct
 		}
 		if r.Role == l.From && r.Figure == l.Figure && way == l.Way && (l.Run == "" || r.Run == l.Run) {
@@ -169,7 +169,7 @@
 func Ranking(needs []Need) []Need {
 	var all []Need
 	for _, n := range needs {
-		if n.Most != nil && n.There() && n.If == "" && n.Instead == "" {
+		if n.Most != nil && n.There() && n.If == "" && n.Instead == "" && n.Of == "" {
 			all = append(all, n)
 		}
 	}
--- a/internal/capacity/spec.go
+++ b/internal/capacity/spec.go
@@ -46,6 +46,7 @@
 	Limit    string // name of a limit; empty: none is stated
 	Way      string // how agreed rules are told: direct, relays; direct where none is named
 	Instead  string // the line that this one takes the place of
+	Of       string // the line that this one is a part of: it has no rank of its own
 	If       string // it is needed only if
 	Chart    bool
 	Each     float64 // worked out: of one element
@@ -61,12 +62,15 @@
 	Means  string
 }
 
+const gatekeeper = "gatekeeper" // a role
+
 // The distributions: what was there before, and relays with all that came with them.
 const (
 	direct = "direct"
 	relay  = "relays"
 
-	trial = "direct-trial" // of direct, with the check left out that refuses the size
+	// trial is direct with the check left out that refuses the size: what a gatekeeper would pay, and no more.
+	trial = "direct-trial"
 )
 
 // known are the keys of Spec.Coming.
@@ -76,7 +80,7 @@
 	"drawn", "one"}
 
 // roles in the order of the page.
-var roles = []string{"front", "gatekeeper", "host daemon", "zone relay", "region relay", "council daemon",
+var roles = []string{"front", gatekeeper, "host daemon", "zone relay", "region relay", "council daemon",
 	"discovery", "fleet"}
 
 var resources = []string{"state", "messages", "bytes", "processor", "memory", "descriptors", "time"}
@@ -150,6 +154,9 @@
 		if l.Instead != "" && !seen[l.Instead] {
 			return nil, fmt.Errorf("lines[%d].instead: there is no line %q", i, l.Instead)
 		}
+		if l.Of != "" && !seen[l.Of] {
+			return nil, fmt.Errorf("lines[%d].of: there is no line %q", i, l.Of)
+		}
 	}
 	return s, nil
 }
