--- a/cmd/wdlab/main.go
+++ b/cmd/wdlab/main.go
@@ -69,7 +69,7 @@
 					&cli.FloatFlag{Name: "seconds", Usage: "instead of the scenario's own"},
 					&cli.IntFlag{Name: "seed", Value: 1}, out,
 					&cli.StringFlag{Name: "chart", Usage: "draw each second's 99th percentile, `FILE.png`"}}},
-			journalCommand(out), elementsCommand(), capacityCommand(),
+			journalCommand(out),
 			{Name: "stand", Usage: "run stand-ins on loopback, and write a gatekeeper's configuration",
 				ArgsUsage: "SCENARIO.toml",
 				Action:    stand, Flags: []cli.Flag{&cli.StringFlag{Name: "config", Value: "wdlab.json",
@@ -78,6 +78,7 @@
 					&cli.StringFlag{Name: "portal", Usage: "run a portal at `HOST:PORT` before it"},
 					&cli.StringFlag{Name: "asks", Usage: "that asks at `HOST:PORT`"},
 					&cli.DurationFlag{Name: "auth", Usage: "run an auth service that takes so long"}}},
+			elementsCommand(), capacityCommand(),
 		},
 	}
 }
