--- a/internal/capacity/page.go
+++ b/internal/capacity/page.go
@@ -312,6 +312,8 @@
 		for _, after := range refusals {
 			switch {
 			case after.Distribution != relay || after.What != r.What:
+			case s.Refusals[i].After != "":
+				with = s.Refusals[i].After
 			case after.Most < after.Coming:
 				with = whole(after.Most) + ", refused beyond"
 			default:
--- a/internal/capacity/spec.go
+++ b/internal/capacity/spec.go
@@ -60,6 +60,7 @@
 	What   string
 	Needed bool // by the coming size as it is planned; else only if
 	Means  string
+	After  string // what stands beside it once runs with relays are there, where it is needed no more
 }
 
 const gatekeeper = "gatekeeper" // a role
