--- a/internal/elements/module.go
+++ b/internal/elements/module.go
@@ -248,7 +248,7 @@
 			return answer("words", rules(20, usualPlans, n, 0))
 		}},
 		{"change", "members", []int{20, 50, 100, 200, 500, 1000, 3000, 7900}, change},
-		{"fleet's file", "members", []int{20, 50, 100, 200, 496, 1000, 3000, 7900}, fleetFile},
+		{"fleet's file", "members", []int{20, 50, 100, 200, 500, 1000, 3000, 7900}, fleetFile},
 		{"configuration", "peers", fleet, func(n int) ([]Value, error) { return read("peers", n, 5, 3, 0) }},
 		{"configuration", "plans", []int{1, 8, 32, 64}, func(n int) ([]Value, error) {
 			return read("plans", 20, n, 3, 0)
--- a/internal/elements/rules.go
+++ b/internal/elements/rules.go
@@ -19,13 +19,18 @@
 const (
 	perHost    = 16 // gatekeepers of a host: 494 hosts at 7,900
 	usualPlans = 5
-	usualHosts = 31 // that a council takes today
+	usualHosts = 31 // that a council takes, each with a vote
+
+	manyMembers = "members" // the feature that rules of more than 500 members need, where there is one
 )
 
 // rules of so many members, plans and words, on hosts of perHost members each, or on no more than some.
 func rules(members, plans, words, hosts int) *accord.Rules {
 	r := &accord.Rules{Form: accord.Form, Lease: rulebook.Lease, Bound: accord.MostBound,
 		Fallback: accord.Fallback{Part: rulebook.Part, For: rulebook.For}}
+	if accord.Has(manyMembers) && members > 500 {
+		r.Needs = []string{manyMembers}
+	}
 	for i := range plans {
 		r.Plans = append(r.Plans, accord.Plan{Name: fmt.Sprintf("plan-%03d", i), Rate: 2 + float64(i), Burst: 20,
 			CeilingRate: 200, CeilingDepth: 400})
@@ -116,7 +121,7 @@
 	if err != nil {
 		return nil, err
 	}
-	text, err := rulebook.Encode(rules(members, usualPlans, 0, hosts))
+	text, err := rulebook.Encode(rules(members, usualPlans, 0, 0))
 	if err != nil {
 		return nil, err
 	}
@@ -147,7 +152,7 @@
 		return nil, err
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
-	if err := accord.Check(rules(n, usualPlans, 0, usualHosts)); err != nil {
+	if err := accord.Check(rules(n, usualPlans, 0, 0)); err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrRefused, err)
 	}
 	if _, err := fleetOf(dir, n, usualHosts); err != nil {
