--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -168,6 +168,8 @@
 			"lines[0].touches"},
 		{"an event that is none", `figure = "f"`, "figure = \"f\"\nevent = \"rain\"\ntouches = \"t\"",
 			`lines[0].event: "rain"`},
+		{"a sum of nothing", `figure = "f"`, "sum = [\"y\"]", `lines[0].sum: ["y"] are not all lines`},
+		{"a sum and a figure", `figure = "f"`, "figure = \"f\"\nsum = [\"y\"]", "lines[0].sum: figure"},
 		{"of nothing", `figure = "f"`, "figure = \"f\"\nof = \"y\"", `lines[0].of: there is no line "y"`},
 		{"instead of nothing", `figure = "f"`, "figure = \"f\"\ninstead = \"y\"",
 			`lines[0].instead: there is no line "y"`},
@@ -418,3 +420,31 @@
 		t.Errorf("a refusal of which nothing is said: %v", err)
 	}
 }
+
+// A sum adds up lines, and what comes after of those that change; units are one.
+func TestSum(t *testing.T) {
+	sizes := []float64{20, 300, 1000, 7900}
+	more := strings.NewReplacer(`"x"`, `"y"`, "figure = \"f\"",
+		"each = 0.01\nmark = \"assumed\"\nwhy = \"w\"").Replace(line)
+	sum := strings.NewReplacer(`"x"`, `"all"`, `figure = "f"`, `sum = ["x", "y"]`).Replace(line)
+	s, err := DecodeSpec(small(t) + more + sum)
+	if err != nil {
+		t.Fatal(err)
+	}
+	before := rowsOf("a", "direct", sizes, func(n float64) float64 { return 10 * n })
+	needs, err := Needs(s, before)
+	if err != nil || math.Abs(needs[2].Value-158) > 1 || needs[2].After != nil ||
+		needs[2].Ratio != needs[2].Value/22 {
+		t.Fatalf("%+v, %v", needs[2], err)
+	}
+	needs, err = Needs(s, append(before, rowsOf("b", "relays", sizes, func(n float64) float64 { return n })...))
+	if err != nil || needs[2].After == nil || math.Abs(needs[2].After.Value-86.9) > 1 ||
+		math.Abs(needs[2].Value-158) > 1 {
+		t.Fatalf("%+v, %v", needs[2], err)
+	}
+	if s, err = DecodeSpec(small(t) + strings.NewReplacer(`"KB/s"`, `"MB/s"`, "limit = \"bytes\"\n",
+		"").Replace(sum+
+		more)); err == nil {
+		t.Errorf("a sum ahead of its lines: %+v", s)
+	}
+}
--- a/internal/capacity/need.go
+++ b/internal/capacity/need.go
@@ -29,11 +29,12 @@
 func (n *Need) There() bool { return n.Known != noRun }
 
 const (
-	noRun    = "no run"
-	measured = "measured"
-	bySlope  = "by slope"
-	byNone   = "a guess: no line holds; by slope"
-	sameSize = 0.02 // part by which a measured size may differ from the coming one
+	noRun     = "no run"
+	measured  = "measured"
+	bySlope   = "by slope"
+	workedOut = "worked out"
+	byNone    = "a guess: no line holds; by slope"
+	sameSize  = 0.02 // part by which a measured size may differ from the coming one
 )
 
 // conversions from a measurement's unit to the one that it is told in.
@@ -75,13 +76,52 @@
 				n.After = &after
 			}
 		}
+		if len(n.Sum) > 0 {
+			if err := n.sumOf(all); err != nil {
+				return nil, fmt.Errorf("lines[%d] (%s).%w", i, s.Lines[i].Name, err)
+			}
+		}
 		all = append(all, n)
 	}
 	return all, nil
 }
 
+// sumOf adds up lines that come before, and what comes after of those that change.
+func (n *Need) sumOf(all []Need) error {
+	after := *n
+	changes := false
+	for i := range all {
+		o := &all[i]
+		if !slices.Contains(n.Sum, o.Name) {
+			continue
+		}
+		if o.Unit != n.Unit {
+			return fmt.Errorf("sum: %q is in %q", o.Name, o.Unit)
+		}
+		n.Value += o.Value
+		if after.Value += o.Value; o.After != nil {
+			after.Value += o.After.Value - o.Value
+			changes = true
+		}
+	}
+	n.Known = workedOut
+	if n.Most != nil {
+		n.Ratio, after.Ratio = n.Value/n.Most.Most, after.Value/n.Most.Most
+	}
+	if after.Known = workedOut; changes {
+		after.Line = &Line{}
+		*after.Line = *n.Line
+		after.Way = relay
+		n.After = &after
+	}
+	return nil
+}
+
 func (s *Spec) need(l *Line, rows []Row) (Need, error) {
 	n := Need{Line: l, Size: s.Coming[l.Over], Most: s.limit(l.Limit), Known: l.Mark}
+	if len(l.Sum) > 0 {
+		return n, nil
+	}
 	if l.Figure == "" {
 		n.Value = (l.Each*n.Size + l.Offset) * l.Times
 	} else if err := n.measured(s.Within, rows); err != nil {
--- a/internal/capacity/page.go
+++ b/internal/capacity/page.go
@@ -194,7 +194,7 @@
 func (n *Need) sum() string {
 	slope, apart, unit, name := n.Each, n.Offset, n.Unit, strings.ReplaceAll(n.Over, "_", " ")
 	switch {
-	case n.Over == "one":
+	case n.Over == "one" || len(n.Sum) > 0:
 		return "-"
 	case n.Fit == nil:
 	case n.Fit.Shape == slopes.Worse:
@@ -228,7 +228,10 @@
 
 // known is how a need is known, and from which run.
 func (n *Need) known() string {
-	if n.Fit == nil {
+	switch {
+	case len(n.Sum) > 0:
+		return n.Known + ": the sum of these"
+	case n.Fit == nil:
 		return n.Known + ": " + n.Why
 	}
 	t := fmt.Sprintf("%s [%s]", n.Known, n.letter)
@@ -336,7 +339,7 @@
 			with = noRun
 		case n.After != nil:
 			with = n.After.after()
-		case n.Fit != nil:
+		case n.Fit != nil || len(n.Sum) > 0:
 			with = noRun
 		}
 		most, ratio := n.limit()
--- a/internal/capacity/spec.go
+++ b/internal/capacity/spec.go
@@ -53,6 +53,7 @@
 	Offset   float64 // and beside them
 	Mark     string  // worked out or assumed, where there is no figure
 	Why      string
+	Sum      []string // or the sum of lines of these names, which come before it
 }
 
 // Note says of a bound what it means.
@@ -90,7 +91,7 @@
 var events = []string{"the ordinary day", "a rack or switch goes", "a zone goes", "a zone comes back",
 	"a region goes or comes back", "control wholly gone"}
 
-var marks = []string{"worked out", "assumed"}
+var marks = []string{workedOut, "assumed"}
 
 var sayers = []string{"operators", "program", "assumed"}
 
@@ -200,8 +201,13 @@
 		return fmt.Errorf("times: %v is below nought", l.Times)
 	case (l.Times != 0) != (l.TimesIs != ""):
 		return fmt.Errorf("times_is: it goes with times, and only with it")
+	case len(l.Sum) > 0 && (l.Figure != "" || l.Each != 0 || l.Offset != 0 || l.Mark != "" || l.Times != 0):
+		return fmt.Errorf("sum: figure, each, offset, mark and times are for lines without one")
+	case len(l.Sum) > 0 && slices.ContainsFunc(l.Sum, func(name string) bool { return !seen[name] }):
+		return fmt.Errorf("sum: %q are not all lines before it", l.Sum)
 	case l.Figure != "" && (l.Each != 0 || l.Offset != 0 || l.Mark != ""):
 		return fmt.Errorf("figure: each, offset and mark are for lines without one")
+	case len(l.Sum) > 0:
 	case l.Figure == "" && !slices.Contains(marks, l.Mark):
 		return fmt.Errorf("mark: %q is none of %v, and there is no figure", l.Mark, marks)
 	case l.Figure == "" && l.Why == "":
