--- a/internal/capacity/need.go
+++ b/internal/capacity/need.go
@@ -44,7 +44,8 @@
 	{"ms", "% of time"}:   0.1,
 	{"ns", "% of a core"}: 1e-7, {"ns", "µs"}: 1e-3, {"ns/op", "ms"}: 1e-6, {"ns/op", "% of a core"}: 1e-7,
 	{"ns/op", "% of time"}: 1e-7, {"ms", "s"}: 1e-3, {"s", "min"}: 1.0 / 60, {"B", "TB"}: 1e-12,
-	{"list-B", "KB"}: 1e-3, {"MB", "GB"}: 1e-3,
+	{"MB", "GB"}: 1e-3, {"us", "% of a core"}: 1e-4, {"us", "s"}: 1e-6, {"ms_per_s", "% of a core"}: 0.1,
+	{"bytes", "KB"}: 1e-3, {"bytes", "KB/s"}: 1e-3, {"bytes", "MB"}: 1e-6, {"bytes", "MB/s"}: 1e-6,
 }
 
 func convert(from, to string) (float64, error) {
--- a/internal/capacity/page.go
+++ b/internal/capacity/page.go
@@ -197,6 +197,8 @@
 	case n.Over == "one" || len(n.Sum) > 0:
 		return "-"
 	case n.Fit == nil:
+	case n.Fit.Shape == slopes.Flat:
+		return strings.TrimSpace(figure(n.Fit.Largest().Value)+" "+n.In) + " at any size"
 	case n.Fit.Shape == slopes.Worse:
 		return fmt.Sprintf("as %s^%.2f", name, n.Fit.Exponent)
 	case n.Fit.Shape != slopes.Linear && n.Fit.Shape != slopes.Flat:
--- /dev/null
+++ b/internal/elements/relay.go
@@ -0,0 +1,168 @@
+package elements
+
+import (
+	"fmt"
+
+	"willowdeck/internal/accord"
+	"willowdeck/internal/relay"
+	"willowdeck/internal/resource"
+)
+
+const (
+	cluster   = "fleet"
+	zoneHosts = 36 // of 564 gatekeepers
+	around    = 20 // places on either side whose gatekeepers share customers with one
+)
+
+// hop is one that asks and one that answers, without what lies between.
+type hop struct {
+	source   *relay.Source
+	follower *relay.Follower
+	now      float64
+	view     relay.View
+}
+
+func newHop(in accord.Interest) *hop {
+	h := &hop{source: relay.NewSource("above", cluster, relay.Bounds{WholeBurst: 1e12}), now: 1000,
+		follower: relay.NewFollower(relay.Config{Name: "below", Cluster: cluster, Upstream: 1, Interest: in,
+			Seed: seed},
+			0)}
+	return h
+}
+
+// round has one ask and be answered, and gives the bytes of both.
+func (h *hop) round() (asked, answered int, err error) {
+	h.now += 1000             // long enough for the next question to be due
+	h.view.Begun = h.now - 50 // of a lease of a second
+	h.source.Offer(h.view)
+	h.follower.Clock(h.now)
+	for range 100 {
+		d, ok := h.follower.Next()
+		if !ok {
+			return 0, 0, fmt.Errorf("nothing is asked")
+		}
+		if d.Kind != relay.AskOf {
+			continue
+		}
+		out, err := d.Ask.Bytes()
+		if err != nil {
+			return 0, 0, err
+		}
+		back, err := h.answer(out)
+		if err != nil {
+			return 0, 0, err
+		}
+		a, err := relay.ReadAnswer(back)
+		if err != nil {
+			return 0, 0, err
+		}
+		h.follower.Heard(0, h.now, a)
+		return len(out), len(back), nil
+	}
+	return 0, 0, fmt.Errorf("nothing is asked in a hundred decisions")
+}
+
+func (h *hop) answer(ask []byte) ([]byte, error) {
+	q, err := relay.ReadAsk(ask)
+	if err != nil {
+		return nil, err
+	}
+	a, err := h.source.Answer(q, h.now)
+	if err != nil {
+		return nil, err
+	}
+	return a.Bytes()
+}
+
+func (h *hop) offer(step uint64, rules *resource.State) {
+	h.view = relay.View{Step: step, Settled: true, Begun: h.now, Rules: rules, Index: -1}
+	h.source.Offer(h.view)
+}
+
+// hops measures what a renewal, a version and a whole cost on each hop, over members.
+func hops(n int) ([]Value, error) {
+	r := rules(n, usualPlans, 0, 0)
+	if err := accord.Check(r); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrRefused, err)
+	}
+	first, err := accord.Entries(&accord.Version{Number: 1, Rules: *r})
+	if err != nil {
+		return nil, err
+	}
+	changed := *r
+	changed.Plans = append([]accord.Plan{}, r.Plans...)
+	changed.Plans[0].Rate++
+	second, err := accord.Entries(&accord.Version{Number: 2, Rules: changed})
+	if err != nil {
+		return nil, err
+	}
+	var values []Value
+	for _, who := range []struct {
+		role string
+		in   accord.Interest
+	}{{"gatekeeper", accord.Interest{Name: "gk-00007", Around: around}},
+		{"host daemon", accord.Interest{Host: "host-000", Around: around}}, {"zone relay",
+			accord.Interest{All: true}}} {
+		h := newHop(who.in)
+		h.offer(1, first)
+		_, whole, err := h.round()
+		if err != nil {
+			return nil, err
+		}
+		asked, answered, err := h.round()
+		if err != nil {
+			return nil, err
+		}
+		h.offer(2, second)
+		_, version, err := h.round()
+		if err != nil {
+			return nil, err
+		}
+		v, ok := h.follower.View()
+		if !ok || v.Step != 2 || v.Rules.Mark().Number != 2 {
+			return nil, fmt.Errorf("%s: not on version 2: %+v, %v", who.role, v, ok)
+		}
+		values = append(values, Value{who.role, "a renewal over members", "B", float64(asked + answered)},
+			Value{who.role, "a version over members", "B", float64(version - answered)},
+			Value{who.role, "a whole over members", "B", float64(whole)},
+			Value{who.role, "state in bytes over members", "B", float64(v.Rules.Bytes())})
+		if who.role != "gatekeeper" {
+			continue
+		}
+		both := took(func() { _, _, _ = h.round() })
+		ask, err := (&relay.Ask{Form: relay.Form, Cluster: cluster, From: "below", Interest: who.in, Step: 2,
+			Rules: v.Rules.Mark(), Index: -1}).Bytes()
+		if err != nil {
+			return nil, err
+		}
+		above := took(func() { _, _ = h.answer(ask) })
+		_, kept := keeps(func() *hop {
+			h := newHop(who.in)
+			h.offer(1, first)
+			_, _, _ = h.round()
+			h.source = nil
+			return h
+		})
+		values = append(values, Value{who.role, "asking and taking a renewal over members", "ms",
+			max(both-above, 0)},
+			Value{"zone relay", "answering a renewal over members", "ms", above},
+			Value{who.role, "kept of agreed rules over members", "B", kept})
+	}
+	_, kept := keeps(func() *resource.State {
+		s, _ := accord.Entries(&accord.Version{Number: 1, Rules: *r})
+		return s
+	})
+	h := newHop(accord.Interest{})
+	parts := took(func() {
+		h.offer(1, first)
+		h.offer(2, second)
+		h = newHop(accord.Interest{})
+		h.offer(1, first)
+		for i := range min(zoneHosts, (n+perHost-1)/perHost) {
+			_, _ = h.source.Answer(&relay.Ask{Form: relay.Form, Cluster: cluster, From: "x", Index: -1,
+				Interest: accord.Interest{Host: fmt.Sprintf("host-%03d", i), Around: around}}, h.now)
+		}
+	})
+	return append(values, Value{"zone relay", "kept of agreed rules over members", "B", kept},
+		Value{"zone relay", "parts for a zone's hosts over members", "ms", parts}), nil
+}
