--- a/internal/capacity/page.go
+++ b/internal/capacity/page.go
@@ -45,9 +45,11 @@
 	if b.Fits, err = Fits(s.Within, rows); err != nil {
 		return nil, fmt.Errorf("%s: %w", data, err)
 	}
+	b.Fits += "\n# Needs that are parts of others\n" + tables(b.Needs, true)
 	b.Parts = map[string]string{"sizes": s.sizes(), "refused": refused, "ranking": s.ranking(b.Needs, refusals),
-		"roles": tables(b.Needs), "events": eventTable(b.Needs), "if": ifTable(b.Needs), "shapes": shapes(b.Needs),
-		"runs": runTable(all)}
+		"roles": tables(b.Needs, false), "events": eventTable(b.Needs), "if": ifTable(b.Needs),
+		"shapes": shapes(b.Needs),
+		"runs":   runTable(all)}
 	return b, nil
 }
 
@@ -253,7 +255,8 @@
 	return n.What
 }
 
-func tables(needs []Need) string {
+// tables gives the needs of each role: those that stand by themselves, or the parts of others.
+func tables(needs []Need, parts bool) string {
 	var b strings.Builder
 	for _, role := range roles {
 		t := newTable("", "need", "carried by", "slope × size + offset", "at the coming size", "limit", "ratio",
@@ -261,7 +264,7 @@
 		any := false
 		for i := range needs {
 			n := &needs[i]
-			if n.Role != role || n.Event != "" || n.If != "" || !n.There() {
+			if n.Role != role || n.Event != "" || n.If != "" || !n.There() || (n.Of != "") != parts {
 				continue
 			}
 			any = true
@@ -278,16 +281,18 @@
 }
 
 func eventTable(needs []Need) string {
-	t := newTable("when", "role", "what", "carried by", "need", "limit", "ratio", "rules and bounds touched",
-		"known by")
+	t := newTable("when", "role", "what", "carried by", "need", "rules and bounds touched", "known by")
 	for _, e := range events {
 		for i := range needs {
 			if needs[i].Event != e || !needs[i].There() {
 				continue
 			}
 			for n := &needs[i]; n != nil; n = n.After {
-				most, ratio := n.limit()
-				t.row(e, n.Role, n.what(), n.Carried, figure(n.Value)+" "+n.Unit, most, ratio, n.Touches, n.known())
+				need := figure(n.Value) + " " + n.Unit
+				if most, ratio := n.limit(); n.Most != nil {
+					need += fmt.Sprintf(" of %s: %s", most, ratio)
+				}
+				t.row(e, n.Role, n.what(), n.Carried, need, n.Touches, n.known())
 			}
 		}
 	}
