--- a/internal/elements/relay.go
+++ b/internal/elements/relay.go
@@ -11,7 +11,6 @@
 const (
 	cluster   = "fleet"
 	zoneHosts = 36 // of 564 gatekeepers
-	around    = 20 // places on either side whose gatekeepers share customers with one
 )
 
 // hop is one that asks and one that answers, without what lies between.
@@ -100,8 +99,8 @@
 	for _, who := range []struct {
 		role string
 		in   accord.Interest
-	}{{"gatekeeper", accord.Interest{Name: "gk-00007", Around: around}},
-		{"host daemon", accord.Interest{Host: "host-000", Around: around}}, {"zone relay",
+	}{{"gatekeeper", accord.Interest{Name: "gk-00007", Around: relay.Around}},
+		{"host daemon", accord.Interest{Host: "host-000", Around: relay.Around}}, {"zone relay",
 			accord.Interest{All: true}}} {
 		h := newHop(who.in)
 		h.offer(1, first)
@@ -160,7 +159,7 @@
 		h.offer(1, first)
 		for i := range min(zoneHosts, (n+perHost-1)/perHost) {
 			_, _ = h.source.Answer(&relay.Ask{Form: relay.Form, Cluster: cluster, From: "x", Index: -1,
-				Interest: accord.Interest{Host: fmt.Sprintf("host-%03d", i), Around: around}}, h.now)
+				Interest: accord.Interest{Host: fmt.Sprintf("host-%03d", i), Around: relay.Around}}, h.now)
 		}
 	})
 	return append(values, Value{"zone relay", "kept of agreed rules over members", "B", kept},
