--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -378,6 +378,11 @@
 		{"the same figure", "", append(rowsOf("b", "relays", sizes, func(n float64) float64 { return n }),
 			before...), nil,
 			[]string{"| 3.59 | 0.359 (7.9 KB/s, measured) |"}},
+		{"too few sizes", "", append(rowsOf("b", "relays", sizes[:3], n), before...), nil,
+			[]string{"| 3.59 | too few sizes |"}},
+		{"too few sizes, with the coming one", "", append(rowsOf("b", "relays", sizes[2:], func(n float64) float64 {
+			return n
+		}), before...), nil, []string{"| 3.59 | 0.359 (7.9 KB/s, measured) |"}},
 		{"a line instead, no run", instead, before, nil, []string{"| 3.59 | no run |"}},
 		{"a line instead", instead, append(other, before...), nil,
 			[]string{"| 3.59 | 0.05 (1.1 KB/s, measured) |"}},
--- a/internal/capacity/need.go
+++ b/internal/capacity/need.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"errors"
 	"fmt"
 	"math"
 	"slices"
@@ -22,13 +23,16 @@
 	Most  *Limit
 	After *Need // the same figure where runs with relays have it; nil where none has
 
+	AfterIs string // how that is known, or why it is not
+
 	letter string // of the run, on the page
 }
 
 // There tells whether there is something to show.
-func (n *Need) There() bool { return n.Known != noRun }
+func (n *Need) There() bool { return n.Known != noRun && n.Known != tooFew }
 
 const (
+	tooFew    = "too few sizes"
 	noRun     = "no run"
 	measured  = "measured"
 	bySlope   = "by slope"
@@ -73,7 +77,7 @@
 			if err != nil {
 				return nil, fmt.Errorf("lines[%d] (%s, %s).%w", i, l.Name, relay, err)
 			}
-			if after.There() {
+			if n.AfterIs = after.Known; after.There() {
 				n.After = &after
 			}
 		}
@@ -173,6 +177,15 @@
 		points = append(points, slope.Point{Size: r.Size, Value: r.Value})
 	}
 	fit, err := slope.Of(points, within)
+	if errors.Is(err, slope.ErrFew) && n.Way != direct { // runs may come one by one
+		n.Known, n.Run = tooFew, own[0].Run
+		for _, p := range points {
+			if math.Abs(p.Size-n.Size) <= sameSize*n.Size {
+				n.Value, n.Known = p.Value*f*n.Times, measured
+			}
+		}
+		return nil
+	}
 	if err != nil {
 		return fmt.Errorf("figure: %q of a %s: %w", n.Figure, n.From, err)
 	}
--- a/internal/capacity/page.go
+++ b/internal/capacity/page.go
@@ -198,6 +198,8 @@
 	switch {
 	case n.Over == "one" || len(n.Sum) > 0:
 		return "-"
+	case n.Fit == nil && n.Figure != "":
+		return "-"
 	case n.Fit == nil:
 	case n.Fit.Shape == slopes.Flat:
 		return strings.TrimSpace(figure(n.Fit.At(n.Size))+" "+n.In) + " at any size"
@@ -235,6 +237,8 @@
 	switch {
 	case len(n.Sum) > 0:
 		return n.Known + ": the sum of these"
+	case n.Fit == nil && n.Figure != "":
+		return fmt.Sprintf("%s [%s], of too few sizes for a slope", n.Known, n.letter)
 	case n.Fit == nil:
 		return n.Known + ": " + n.Why
 	}
@@ -346,7 +350,9 @@
 			with = noRun
 		case n.After != nil:
 			with = n.After.after()
-		case n.Fit != nil || len(n.Sum) > 0:
+		case n.Fit != nil:
+			with = n.AfterIs
+		case len(n.Sum) > 0:
 			with = noRun
 		}
 		most, ratio := n.limit()
@@ -438,7 +444,7 @@
 	for i := range needs {
 		for n := &needs[i]; n != nil; n = n.After {
 			each = append(each, n)
-			used[n.Run] = n.Fit != nil || used[n.Run]
+			used[n.Run] = n.Figure != "" && n.There() || used[n.Run]
 		}
 	}
 	add := func(name, commit, way string) {
