--- a/internal/capacity/page.go
+++ b/internal/capacity/page.go
@@ -306,9 +306,12 @@
 func ifTable(needs []Need) string {
 	t := newTable("only if", "role", "what", "need", "limit", "ratio", "known by")
 	for i := range needs {
-		if n := &needs[i]; n.If != "" && n.There() {
+		if needs[i].If == "" || !needs[i].There() {
+			continue
+		}
+		for n := &needs[i]; n != nil; n = n.After {
 			most, ratio := n.limit()
-			t.row(n.If, n.Role, n.What, figure(n.Value)+" "+n.Unit, most, ratio, n.known())
+			t.row(n.If, n.Role, n.what(), figure(n.Value)+" "+n.Unit, most, ratio, n.known())
 		}
 	}
 	return t.String()
