--- /dev/null
+++ b/cmd/wdlab/capacity.go
@@ -0,0 +1,117 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"willowdeck/internal/capacity"
+	"willowdeck/internal/elements"
+	"willowdeck/internal/lab"
+)
+
+// elementsCommand measures what one more element of each kind costs a process.
+func elementsCommand() *cli.Command {
+	return &cli.Command{Name: "elements",
+		Usage:  "measure what a member, peer, route, worker or customer more costs, up to the coming sizes",
+		Action: measure, Flags: []cli.Flag{
+			&cli.StringFlag{Name: "out", Value: "docs/capacity/elements.csv", Usage: "the table to write, `FILE.csv`"},
+			&cli.StringFlag{Name: "refusals", Value: "docs/capacity/refusals.csv",
+				Usage: "and what is refused, `FILE.csv`"},
+			&cli.StringFlag{Name: "run", Usage: "the `NAME` of the run; else its time"},
+			&cli.StringFlag{Name: "commit", Usage: "which is measured; else this build's own"},
+			&cli.StringFlag{Name: "distribution", Value: "direct", Usage: "how agreed rules are told: direct, relays"},
+			&cli.StringSliceFlag{Name: "only", Usage: "elements of this `NAME`; what others wrote is not kept"},
+		}}
+}
+
+func measure(_ context.Context, c *cli.Command) error {
+	if _, err := args(c, 0); err != nil {
+		return err
+	}
+	run, commit, way := c.String("run"), c.String("commit"), c.String("distribution")
+	if run == "" {
+		run = "elements-" + time.Now().UTC().Format("0102-1504")
+	}
+	if commit == "" {
+		commit = lab.Build()
+	}
+	wanted := map[string]bool{}
+	for _, name := range c.StringSlice("only") {
+		wanted[name] = true
+	}
+	var all []elements.Element
+	for _, e := range elements.All() {
+		if len(wanted) == 0 || wanted[e.Name] {
+			all = append(all, e)
+		}
+	}
+	if len(all) == 0 {
+		return errors.New("only: there is no such element")
+	}
+	log, begun := logger(), time.Now()
+	var rows []capacity.Row
+	err := elements.Run(all, func(e *elements.Element, n int, values []elements.Value) {
+		line := log.Info().Float64("s", time.Since(begun).Seconds()).Int(e.Over, n)
+		for _, v := range values {
+			rows = append(rows, capacity.Row{Run: run, Commit: commit, Distribution: way, Size: float64(n),
+				Role: v.Role, Figure: v.Figure, Unit: v.Unit, Value: v.Value})
+			line = line.Float64(fmt.Sprintf("%s, %s", v.Figure, v.Unit), v.Value)
+		}
+		line.Msg(e.Name)
+	})
+	if err != nil {
+		return err
+	}
+	if err := capacity.Write(c.String("out"), rows); err != nil {
+		return err
+	}
+	if len(wanted) > 0 {
+		return nil
+	}
+	var refusals []capacity.Refusal
+	for _, b := range elements.Bounds() {
+		most, says := b.Most(b.Coming)
+		r := capacity.Refusal{Run: run, Commit: commit, Distribution: way, Role: b.Role, What: b.What,
+			Coming: float64(b.Coming), Most: float64(most), Says: "taken"}
+		if says != nil {
+			r.Says = says.Error()
+		}
+		log.Info().Int("most", most).Int("coming", b.Coming).Str("says", r.Says).Msg(b.What)
+		refusals = append(refusals, r)
+	}
+	return capacity.WriteRefusals(c.String("refusals"), refusals)
+}
+
+// capacityCommand makes the tables and the chart of the capacity page.
+func capacityCommand() *cli.Command {
+	return &cli.Command{Name: "capacity",
+		Usage:  "make the tables and the chart of docs/CAPACITY.md from what was measured",
+		Action: renew, Flags: []cli.Flag{
+			&cli.StringFlag{Name: "spec", Value: "scenarios/capacity.toml",
+				Usage: "what the operators state, `FILE.toml`"},
+			&cli.StringFlag{Name: "data", Value: "docs/capacity", Usage: "the `FOLDER` of what was measured"},
+			&cli.StringFlag{Name: "page", Value: "docs/CAPACITY.md", Usage: "`FILE` whose tables are made anew"},
+			&cli.StringFlag{Name: "fits", Value: "docs/capacity/fits.md", Usage: "`FILE` of all figures' fits"},
+			&cli.StringFlag{Name: "chart", Value: "docs/capacity/need.png", Usage: "`FILE` of the chart"},
+			&cli.BoolFlag{Name: "check",
+				Usage: "write nothing, and fail where the tables are not those that the data gives"},
+		}}
+}
+
+func renew(_ context.Context, c *cli.Command) error {
+	if _, err := args(c, 0); err != nil {
+		return err
+	}
+	b, err := capacity.Work(c.String("spec"), c.String("data"))
+	if err != nil {
+		return err
+	}
+	if err := b.Renew(c.String("page"), c.String("fits"), c.Bool("check")); err != nil || c.Bool("check") {
+		return err
+	}
+	return capacity.Chart(b.Needs, c.String("chart"))
+}
