Relays: one ask in a slot also where those above say what is lapsed

With the council gone, relays that answer with the same old read kept a follower in doubt: it asked two of them in each slot, 241 asks a second in the tree in place of 119, which TestTree fails on. They are asked by turns now. TestRateWithAllGone (had what is lapsed): 800 asks in 20 s before, 400 slots. TestTree not run again since.

--- a/internal/relay/follower.go
+++ b/internal/relay/follower.go
@@ -53,17 +53,18 @@
 	now, start   float64
 	lease, every float64
 
-	order  []int     // upstreams as preferred
-	at     int       // in order: the one that is asked
-	other  int       // in order: the one that was asked beside it last
-	asks   []out     // by upstream
-	ready  []int     // in order: to be asked now
-	next   float64   // when the next question is due
-	tried  int       // in a row without a word, since the last slot
-	barren bool      // none of them had a word in a whole row, and none has since
-	doubt  bool      // what the current one says is old
-	again  float64   // when the preferred one is to be tried again
-	fresh  []float64 // by upstream, when the read began that it told of last
+	order   []int     // upstreams as preferred
+	at      int       // in order: the one that is asked
+	other   int       // in order: the one that was asked beside it last
+	asks    []out     // by upstream
+	ready   []int     // in order: to be asked now
+	next    float64   // when the next question is due
+	tried   int       // in a row without a word, since the last slot
+	byTurns bool      // the last slot was another's than the current one's
+	barren  bool      // none of them had a word in a whole row, and none has since
+	doubt   bool      // what the current one says is old
+	again   float64   // when the preferred one is to be tried again
+	fresh   []float64 // by upstream, when the read began that it told of last
 
 	has     bool
 	lost    bool // the lease has run out
@@ -276,6 +277,11 @@
 			f.other = (f.other + 1) % len(f.order)
 		}
 		beside = f.other
+		if f.byTurns = f.lost && !f.byTurns; f.byTurns { // none holds: one in a slot, and the rate stays the same
+			f.ready = f.ready[:0]
+		} else if f.lost {
+			beside = -1
+		}
 	}
 	if beside >= 0 && !f.asks[f.order[beside]].is {
 		f.ready = append(f.ready, beside)
