--- a/internal/scale/hollow.go
+++ b/internal/scale/hollow.go
@@ -23,6 +23,7 @@
 	Hosts   []HollowHost   `json:",omitempty"` // role host
 	Keepers []HollowKeeper `json:",omitempty"` // role gatekeeper
 	Plans   []accord.Plan  `json:",omitempty"` // that gatekeepers are born with
+	PerS    float64        `json:",omitempty"` // gatekeepers that are begun in a second; 0: all at once
 	Dir     string         `json:",omitempty"` // rear: of the run
 	Watch   *HollowWatch   `json:",omitempty"` // role discovery: whoever follows its list
 }
--- a/internal/scale/keepers.go
+++ b/internal/scale/keepers.go
@@ -84,7 +84,13 @@
 }
 
 func (x *keepers) begin() error {
-	x.again(Order{To: len(x.all)})
+	began := time.Now()
+	for i := range x.all {
+		if x.h.PerS > 0 {
+			time.Sleep(time.Until(began.Add(time.Duration(float64(i) / x.h.PerS * float64(time.Second)))))
+		}
+		x.again(Order{From: i, To: i + 1})
+	}
 	return nil
 }
 
--- a/internal/scale/rules.go
+++ b/internal/scale/rules.go
@@ -329,19 +329,26 @@
 // populate starts the hollow gatekeepers: members of hollow hosts in turn, up to so many.
 func (a *assembly) populate(most int, trial bool) error {
 	var all []HollowKeeper
-	for i, m := range a.rules.Members {
+	for _, m := range a.rules.Members {
 		h := slices.IndexFunc(a.hosts, func(h HollowHost) bool { return h.Name == m.Host })
-		if h < 0 || i%a.stride(most) != 0 {
+		if h < 0 {
 			continue
 		}
 		all = append(all, HollowKeeper{Name: m.Name, Pid: 1 + len(all), Host: a.hosts[h].Control,
 			LeaseMS: a.rules.Lease, Trial: trial, Changes: a.relayed()})
 	}
-	all = all[:min(len(all), most)]
+	if n := len(all); n > most { // spread over all hosts
+		for i := range most {
+			all[i] = all[i*n/most]
+			all[i].Pid = 1 + i
+		}
+		all = all[:most]
+	}
 	a.asking = len(all)
 	for i := 0; i < len(all); i += a.s.Hollow.PerProcess {
+		some := all[i:min(i+a.s.Hollow.PerProcess, len(all))]
 		c, err := a.hollow(fmt.Sprintf("gatekeepers-%d", len(a.keepers)),
-			Hollow{Role: keeperRole, Keepers: all[i:min(i+a.s.Hollow.PerProcess, len(all))]})
+			Hollow{Role: keeperRole, PerS: a.s.Hollow.BeginPerS, Keepers: some})
 		if err != nil {
 			return err
 		}
@@ -350,9 +357,6 @@
 	return nil
 }
 
-// stride has those that run be spread over all hosts.
-func (a *assembly) stride(most int) int { return max((len(a.rules.Members)+most-1)/most, 1) }
-
 // all has all hollow gatekeepers do something at once, and adds their answers up.
 func (a *assembly) all(o Order) (sum Report, err error) {
 	answers, errs := make([]Report, len(a.keepers)), make([]error, len(a.keepers))
--- a/internal/scale/scenario.go
+++ b/internal/scale/scenario.go
@@ -56,6 +56,7 @@
 		PerProcess int     `toml:"per_process"` // gatekeepers in a hollow process
 		MostAsking int     `toml:"most_asking"` // hollow gatekeepers that run; the others are names in the rules
 		MostMBS    float64 `toml:"most_mb_s"`   // of rules that all of them may be told; fewer run beyond it
+		BeginPerS  float64 `toml:"begin_per_s"` // that are begun in a second at first; 0: all at once
 		Sample     int     // that run where the rules are refused, and a trial goes on without the check
 	}
 	Relays struct {
@@ -187,6 +188,7 @@
 		{"hollow.per_process", float64(s.Hollow.PerProcess), 1, 5000},
 		{"hollow.most_asking", float64(s.Hollow.MostAsking), 1, 20000},
 		{"hollow.most_mb_s", s.Hollow.MostMBS, 0.1, 10000},
+		{"hollow.begin_per_s", s.Hollow.BeginPerS, 0, 1e6},
 		{"hollow.sample", float64(s.Hollow.Sample), 1, 1000},
 		{"relays.regions", float64(s.Relays.Regions), 1, 20},
 		{"relays.zones", float64(s.Relays.Zones), 1, 50},
--- a/internal/scale/scenario_test.go
+++ b/internal/scale/scenario_test.go
@@ -41,6 +41,7 @@
 		{least + "[hollow]\nper_process = 0\n", "hollow.per_process: 0"},
 		{least + "[hollow]\nmost_asking = 0\n", "hollow.most_asking: 0"},
 		{least + "[hollow]\nmost_mb_s = 0\n", "hollow.most_mb_s: 0"},
+		{least + "[hollow]\nbegin_per_s = -1\n", "hollow.begin_per_s: -1"},
 		{least + "[hollow]\nsample = 0\n", "hollow.sample: 0"},
 		{least + "[relays]\nregions = 0\n", "relays.regions: 0"},
 		{least + "[relays]\nzones = 0\n", "relays.zones: 0"},
