--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -68,7 +68,7 @@
 		{"the page", "CAPACITY.md", "| 22 KB/s |", "| 23 KB/s |"},
 		{"the page of fits", "fits.md", "linear", "squared"},
 		{"a limit", "capacity.toml", "most = 22\n", "most = 23\n"},
-		{"a coming size", "capacity.toml", "workers = 110000", "workers = 120000"},
+		{"a coming size", "capacity.toml", "regions = 4", "regions = 5"},
 		{"a figure", "elements.csv", ",7900,gatekeeper,answer with rules over members,B,",
 			",7900,gatekeeper,answer with rules over members,B,9"},
 		{"a refusal", "refusals.csv", "7900,500,", "7900,600,"},
@@ -228,6 +228,7 @@
 		{"not measured", nil, "", 0, "", "no measurement"},
 		{"a run that is not there", rowsOf("a", "direct", whole, linear), `run = "z"`, 0, "",
 			`run "z": no measurement`},
+		{"few sizes, with the coming one", rowsOf("a", "direct", whole[2:], linear), "", 791, measured, ""},
 		{"three sizes", rowsOf("a", "direct", whole[:3], linear), "", 0, "", slope.ErrFew.Error()},
 		{"a unit that is none", func() []Row {
 			r := rowsOf("a", "direct", whole, linear)
@@ -383,6 +384,8 @@
 		{"too few sizes, with the coming one", "", append(rowsOf("b", "relays", sizes[2:], func(n float64) float64 {
 			return n
 		}), before...), nil, []string{"| 3.59 | 0.359 (7.9 KB/s, measured) |"}},
+		{"the same figure of another run", "after_run = \"b\"\n", append(rowsOf("b", "direct", sizes,
+			func(n float64) float64 { return n }), before...), nil, []string{"| 3.59 | 0.359 (7.9 KB/s, measured) |"}},
 		{"a line instead, no run", instead, before, nil, []string{"| 3.59 | no run |"}},
 		{"a line instead", instead, append(other, before...), nil,
 			[]string{"| 3.59 | 0.05 (1.1 KB/s, measured) |"}},
--- a/internal/capacity/need.go
+++ b/internal/capacity/need.go
@@ -49,7 +49,9 @@
 	{"ns", "% of a core"}: 1e-7, {"ns", "µs"}: 1e-3, {"ns/op", "ms"}: 1e-6, {"ns/op", "% of a core"}: 1e-7,
 	{"ns/op", "% of time"}: 1e-7, {"ms", "s"}: 1e-3, {"s", "min"}: 1.0 / 60, {"B", "TB"}: 1e-12,
 	{"MB", "GB"}: 1e-3, {"us", "% of a core"}: 1e-4, {"us", "s"}: 1e-6, {"ms_per_s", "% of a core"}: 0.1,
-	{"bytes", "KB"}: 1e-3, {"bytes", "KB/s"}: 1e-3, {"bytes", "MB"}: 1e-6, {"bytes", "MB/s"}: 1e-6,
+	{"hold-ms", "% of time"}: 0.1,
+	{"worst-hold-ms", "ms"}:  1, {"B/module", "MB"}: 1e-6, {"bytes", "KB"}: 1e-3, {"bytes", "KB/s"}: 1e-3,
+	{"bytes", "MB"}: 1e-6, {"bytes", "MB/s"}: 1e-6,
 }
 
 func convert(from, to string) (float64, error) {
@@ -70,9 +72,11 @@
 		if err != nil {
 			return nil, fmt.Errorf("lines[%d] (%s).%w", i, s.Lines[i].Name, err)
 		}
-		if n.Fit != nil && n.Way == direct {
+		if n.Figure != "" && n.Way == direct && n.There() {
 			l := s.Lines[i]
-			l.Way, l.Run = relay, ""
+			if l.Way, l.Run = relay, ""; l.AfterRun != "" {
+				l.Way, l.Run = direct, l.AfterRun
+			}
 			after, err := s.need(&l, rows)
 			if err != nil {
 				return nil, fmt.Errorf("lines[%d] (%s, %s).%w", i, l.Name, relay, err)
@@ -177,14 +181,16 @@
 		points = append(points, slope.Point{Size: r.Size, Value: r.Value})
 	}
 	fit, err := slope.Of(points, within)
-	if errors.Is(err, slope.ErrFew) && n.Way != direct { // runs may come one by one
+	if errors.Is(err, slope.ErrFew) {
 		n.Known, n.Run = tooFew, own[0].Run
 		for _, p := range points {
 			if math.Abs(p.Size-n.Size) <= sameSize*n.Size {
 				n.Value, n.Known = p.Value*f*n.Times, measured
 			}
 		}
-		return nil
+		if n.There() || n.Way != direct { // runs with relays may come one by one
+			return nil
+		}
 	}
 	if err != nil {
 		return fmt.Errorf("figure: %q of a %s: %w", n.Figure, n.From, err)
--- a/internal/capacity/page.go
+++ b/internal/capacity/page.go
@@ -253,6 +253,9 @@
 }
 
 func (n *Need) what() string {
+	if n.AfterRun != "" && n.Line.Run == n.AfterRun {
+		return n.What + " (after)"
+	}
 	if n.Way != direct {
 		return n.What + " (" + n.Way + ")"
 	}
--- a/internal/capacity/spec.go
+++ b/internal/capacity/spec.go
@@ -39,6 +39,7 @@
 	From     string // the role that was measured, where it is not Role
 	Figure   string
 	Run      string // where the file has several of them; empty: the last one
+	AfterRun string `toml:"after_run"` // of the same figure, after a mend that is none of relays
 	Over     string // key of Coming by which the figure grows
 	Times    float64
 	TimesIs  string `toml:"times_is"`
