--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -224,6 +224,13 @@
 			`run = "a"`, 791, measured, ""},
 		{"a trial beyond the check", append(rowsOf("a", "direct", part[:2], linear), rowsOf("a", "direct-trial",
 			whole[1:], linear)...), "", 791, measured, ""},
+		{"a run of a name that two have", append(rowsOf("a", "direct", whole, squared), func() []Row {
+			r := rowsOf("a", "direct", whole, linear)
+			for i := range r {
+				r[i].Commit = "c9"
+			}
+			return r
+		}()...), `run = "a@c9"`, 791, measured, ""},
 		{"no run yet", rowsOf("a", "direct", whole, linear), `way = "relays"`, 0, noRun, ""},
 		{"not measured", nil, "", 0, "", "no measurement"},
 		{"a run that is not there", rowsOf("a", "direct", whole, linear), `run = "z"`, 0, "",
--- a/internal/capacity/need.go
+++ b/internal/capacity/need.go
@@ -142,6 +142,9 @@
 	return n, nil
 }
 
+// is tells whether a row is of a run, by its name, or by name@commit where several have one name.
+func (r *Row) is(run string) bool { return run == r.Run || run == r.Run+"@"+r.Commit }
+
 // of gives the rows of a figure: those of the run that is named, or of the last one of the file.
 func of(l *Line, rows []Row) (all []Row) {
 	for _, r := range rows {
@@ -149,7 +152,7 @@
 		if way == trial && l.From == gatekeeper {
 			way = direct
 		}
-		if r.Role == l.From && r.Figure == l.Figure && way == l.Way && (l.Run == "" || r.Run == l.Run) {
+		if r.Role == l.From && r.Figure == l.Figure && way == l.Way && (l.Run == "" || r.is(l.Run)) {
 			all = append(all, r)
 		}
 	}
@@ -163,7 +166,8 @@
 func (n *Need) measured(within float64, rows []Row) error {
 	own := of(n.Line, rows)
 	if len(own) == 0 {
-		if n.Way == direct { // what is on hand has to be measured
+		after := n.AfterRun != "" && n.Line.Run == n.AfterRun
+		if n.Way == direct && !after { // what is on hand has to be measured
 			return fmt.Errorf("figure: %q of a %s, %s, run %q: no measurement", n.Figure, n.From, n.Way, n.Line.Run)
 		}
 		n.Known = noRun
@@ -182,7 +186,7 @@
 	}
 	fit, err := slope.Of(points, within)
 	if errors.Is(err, slope.ErrFew) {
-		n.Known, n.Run = tooFew, own[0].Run
+		n.Known, n.Run = tooFew, cmp.Or(n.Line.Run, own[0].Run)
 		for _, p := range points {
 			if math.Abs(p.Size-n.Size) <= sameSize*n.Size {
 				n.Value, n.Known = p.Value*f*n.Times, measured
@@ -195,7 +199,7 @@
 	if err != nil {
 		return fmt.Errorf("figure: %q of a %s: %w", n.Figure, n.From, err)
 	}
-	n.Fit, n.In, n.Run = fit, own[0].Unit, own[0].Run
+	n.Fit, n.In, n.Run = fit, own[0].Unit, cmp.Or(n.Line.Run, own[0].Run)
 	if last := fit.Largest(); math.Abs(last.Size-n.Size) <= sameSize*n.Size {
 		n.Value, n.Known = last.Value*f*n.Times, measured
 		return nil
--- a/internal/capacity/page.go
+++ b/internal/capacity/page.go
@@ -362,7 +362,11 @@
 			with = noRun
 		}
 		most, ratio := n.limit()
-		t.row(fmt.Sprint(first+i+1), n.Role, n.What, figure(n.Value)+" "+n.Unit, most, ratio, with)
+		today := figure(n.Value) + " " + n.Unit
+		if n.Way != direct { // there was no such thing
+			today, ratio, with = "-", "-", n.after()
+		}
+		t.row(fmt.Sprint(first+i+1), n.Role, n.What, today, most, ratio, with)
 	}
 	return t.String()
 }
@@ -454,8 +458,17 @@
 		}
 	}
 	add := func(name, commit, way string) {
-		if used[name] && !slices.ContainsFunc(all, func(r run) bool { return r.name == name && r.way == way }) {
-			all = append(all, run{string(rune('a' + len(all))), name, commit, way})
+		for _, id := range []string{name, name + "@" + commit} {
+			if !used[id] {
+				continue
+			}
+			i := slices.IndexFunc(all, func(r run) bool { return r.name == id && r.way == way })
+			switch {
+			case i < 0:
+				all = append(all, run{string(rune('a' + len(all))), id, commit, way})
+			case !slices.Contains(strings.Split(all[i].commit, ", "), commit):
+				all[i].commit += ", " + commit
+			}
 		}
 	}
 	for _, r := range refusals {
