--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -391,8 +391,12 @@
 		{"too few sizes, with the coming one", "", append(rowsOf("b", "relays", sizes[2:], func(n float64) float64 {
 			return n
 		}), before...), nil, []string{"| 3.59 | 0.359 (7.9 KB/s, measured) |"}},
-		{"the same figure of another run", "after_run = \"b\"\n", append(rowsOf("b", "direct", sizes,
+		{"the same figure of another run", "run = \"a\"\nafter_run = \"b\"\n", append(rowsOf("b", "direct", sizes,
 			func(n float64) float64 { return n }), before...), nil, []string{"| 3.59 | 0.359 (7.9 KB/s, measured) |"}},
+		{"of another run alone", "after_run = \"b\"\n", append(rowsOf("b", "direct", sizes,
+			func(n float64) float64 {
+				return n
+			}), before...), nil, []string{"| - | 22 KB/s | - | 0.359 (7.9 KB/s, measured) |"}},
 		{"a line instead, no run", instead, before, nil, []string{"| 3.59 | no run |"}},
 		{"a line instead", instead, append(other, before...), nil,
 			[]string{"| 3.59 | 0.05 (1.1 KB/s, measured) |"}},
--- a/internal/capacity/chart.go
+++ b/internal/capacity/chart.go
@@ -59,8 +59,11 @@
 		p.Add(l, s)
 		name, _, _ := strings.Cut(n.What, ",")
 		name, _, _ = strings.Cut(name, ":")
-		if n.Way != direct {
+		switch {
+		case n.Way != direct:
 			name += ", " + n.Way
+		case n.AfterRun != "" && n.Line.Run == n.AfterRun:
+			name += ", after"
 		}
 		p.Legend.Add(name+", "+n.Resource, l, s)
 		drawn++
--- a/internal/capacity/need.go
+++ b/internal/capacity/need.go
@@ -72,7 +72,7 @@
 		if err != nil {
 			return nil, fmt.Errorf("lines[%d] (%s).%w", i, s.Lines[i].Name, err)
 		}
-		if n.Figure != "" && n.Way == direct && n.There() {
+		if n.Figure != "" && !n.late() && n.There() {
 			l := s.Lines[i]
 			if l.Way, l.Run = relay, ""; l.AfterRun != "" {
 				l.Way, l.Run = direct, l.AfterRun
@@ -145,6 +145,9 @@
 // is tells whether a row is of a run, by its name, or by name@commit where several have one name.
 func (r *Row) is(run string) bool { return run == r.Run || run == r.Run+"@"+r.Commit }
 
+// late tells whether a line is of what came after today's distribution alone.
+func (l *Line) late() bool { return l.Way != direct || l.AfterRun != "" && l.Run == l.AfterRun }
+
 // of gives the rows of a figure: those of the run that is named, or of the last one of the file.
 func of(l *Line, rows []Row) (all []Row) {
 	for _, r := range rows {
@@ -166,8 +169,7 @@
 func (n *Need) measured(within float64, rows []Row) error {
 	own := of(n.Line, rows)
 	if len(own) == 0 {
-		after := n.AfterRun != "" && n.Line.Run == n.AfterRun
-		if n.Way == direct && !after { // what is on hand has to be measured
+		if n.Way == direct && !n.late() { // what is on hand has to be measured
 			return fmt.Errorf("figure: %q of a %s, %s, run %q: no measurement", n.Figure, n.From, n.Way, n.Line.Run)
 		}
 		n.Known = noRun
--- a/internal/capacity/page.go
+++ b/internal/capacity/page.go
@@ -363,7 +363,7 @@
 		}
 		most, ratio := n.limit()
 		today := figure(n.Value) + " " + n.Unit
-		if n.Way != direct { // there was no such thing
+		if n.late() { // there was no such thing, or no run of it
 			today, ratio, with = "-", "-", n.after()
 		}
 		t.row(fmt.Sprint(first+i+1), n.Role, n.What, today, most, ratio, with)
@@ -413,7 +413,7 @@
 // shapes tells of the fits that are not plainly linear up to the largest size.
 func shapes(needs []Need) string {
 	t := newTable("figure", "sizes", "exponent (95%)", "a line holds until", "R²", "off the line by", "shape")
-	seen, straight := map[string]bool{}, 0
+	seen, straight, bent := map[string]bool{}, 0, 0
 	for i := range needs {
 		n := &needs[i]
 		if n.Fit == nil {
@@ -432,6 +432,10 @@
 			straight++
 			continue
 		}
+		if n.Known == measured && f.Shape != slopes.Worse {
+			bent++
+			continue
+		}
 		holds := sizeOf(f.Until)
 		if f.Until == f.Largest().Size {
 			holds += ", the largest"
@@ -440,8 +444,8 @@
 			fmt.Sprintf("%.2f (%.2f to %.2f)", f.Exponent, f.Low, f.High), holds, fmt.Sprintf("%.3f", f.R2),
 			fmt.Sprintf("%.0f%%", 100*f.Off), f.Shape.String())
 	}
-	return fmt.Sprintf("%s\nThe other %d figures on this page go by one line up to their largest size.\n",
-		t.String(), straight)
+	return fmt.Sprintf("%s\nOf the other figures on this page %d go by one line up to their largest size. "+
+		"%d do not, and were measured at the coming size, so that nothing rests on a line.\n", t.String(), straight, bent)
 }
 
 // run is one run that the page goes by.
--- a/internal/capacity/spec.go
+++ b/internal/capacity/spec.go
@@ -39,7 +39,8 @@
 	From     string // the role that was measured, where it is not Role
 	Figure   string
 	Run      string // where the file has several of them; empty: the last one
-	AfterRun string `toml:"after_run"` // of the same figure, after a mend that is none of relays
+	// AfterRun has the same figure after a mend that is none of relays; without Run it is the only one.
+	AfterRun string `toml:"after_run"`
 	Over     string // key of Coming by which the figure grows
 	Times    float64
 	TimesIs  string `toml:"times_is"`
@@ -216,6 +217,9 @@
 	case l.Figure == "" && l.Each == 0 && l.Offset == 0:
 		return fmt.Errorf("each: it or offset has to be there where there is no figure")
 	}
+	if l.Run == "" { // there is nothing from before
+		l.Run = l.AfterRun
+	}
 	if l.Way == "" {
 		l.Way = direct
 	}
