--- a/internal/capacity/page.go
+++ b/internal/capacity/page.go
@@ -444,8 +444,9 @@
 			fmt.Sprintf("%.2f (%.2f to %.2f)", f.Exponent, f.Low, f.High), holds, fmt.Sprintf("%.3f", f.R2),
 			fmt.Sprintf("%.0f%%", 100*f.Off), f.Shape.String())
 	}
-	return fmt.Sprintf("%s\nOf the other figures on this page %d go by one line up to their largest size. "+
-		"%d do not, and were measured at the coming size, so that nothing rests on a line.\n", t.String(), straight, bent)
+	return fmt.Sprintf("%s\nOf the other figures on this page %d go by one line up to their largest "+
+		"size. %d do not, and were measured at the coming size, so that nothing rests on a line.\n",
+		t.String(), straight, bent)
 }
 
 // run is one run that the page goes by.
