--- a/internal/capacity/need.go
+++ b/internal/capacity/need.go
@@ -49,7 +49,9 @@
 	{"ns", "% of a core"}: 1e-7, {"ns", "µs"}: 1e-3, {"ns/op", "ms"}: 1e-6, {"ns/op", "% of a core"}: 1e-7,
 	{"ns/op", "% of time"}: 1e-7, {"ms", "s"}: 1e-3, {"s", "min"}: 1.0 / 60, {"B", "TB"}: 1e-12,
 	{"MB", "GB"}: 1e-3, {"us", "% of a core"}: 1e-4, {"us", "s"}: 1e-6, {"ms_per_s", "% of a core"}: 0.1,
-	{"bytes", "KB"}: 1e-3, {"bytes", "KB/s"}: 1e-3, {"bytes", "MB"}: 1e-6, {"bytes", "MB/s"}: 1e-6,
+	{"hold-ms", "% of time"}: 0.1,
+	{"worst-hold-ms", "ms"}:  1, {"B/module", "MB"}: 1e-6, {"bytes", "KB"}: 1e-3, {"bytes", "KB/s"}: 1e-3,
+	{"bytes", "MB"}: 1e-6, {"bytes", "MB/s"}: 1e-6,
 }
 
 func convert(from, to string) (float64, error) {
@@ -70,9 +72,11 @@
 		if err != nil {
 			return nil, fmt.Errorf("lines[%d] (%s).%w", i, s.Lines[i].Name, err)
 		}
-		if n.Fit != nil && n.Way == direct {
+		if n.Figure != "" && !n.late() && n.There() {
 			l := s.Lines[i]
-			l.Way, l.Run = relay, ""
+			if l.Way, l.Run = relay, ""; l.AfterRun != "" {
+				l.Way, l.Run = direct, l.AfterRun
+			}
 			after, err := s.need(&l, rows)
 			if err != nil {
 				return nil, fmt.Errorf("lines[%d] (%s, %s).%w", i, l.Name, relay, err)
@@ -138,6 +142,12 @@
 	return n, nil
 }
 
+// is tells whether a row is of a run, by its name, or by name@commit where several have one name.
+func (r *Row) is(run string) bool { return run == r.Run || run == r.Run+"@"+r.Commit }
+
+// late tells whether a line is of what came after today's distribution alone.
+func (l *Line) late() bool { return l.Way != direct || l.AfterRun != "" && l.Run == l.AfterRun }
+
 // of gives the rows of a figure: those of the run that is named, or of the last one of the file.
 func of(l *Line, rows []Row) (all []Row) {
 	for _, r := range rows {
@@ -145,7 +155,7 @@
 		if way == trial && l.From == gatekeeper {
 			way = direct
 		}
-		if r.Role == l.From && r.Figure == l.Figure && way == l.Way && (l.Run == "" || r.Run == l.Run) {
+		if r.Role == l.From && r.Figure == l.Figure && way == l.Way && (l.Run == "" || r.is(l.Run)) {
 			all = append(all, r)
 		}
 	}
@@ -159,7 +169,7 @@
 func (n *Need) measured(within float64, rows []Row) error {
 	own := of(n.Line, rows)
 	if len(own) == 0 {
-		if n.Way == direct { // what is on hand has to be measured
+		if n.Way == direct && !n.late() { // what is on hand has to be measured
 			return fmt.Errorf("figure: %q of a %s, %s, run %q: no measurement", n.Figure, n.From, n.Way, n.Line.Run)
 		}
 		n.Known = noRun
@@ -177,19 +187,21 @@
 		points = append(points, slope.Point{Size: r.Size, Value: r.Value})
 	}
 	fit, err := slope.Of(points, within)
-	if errors.Is(err, slope.ErrFew) && n.Way != direct { // runs may come one by one
-		n.Known, n.Run = tooFew, own[0].Run
+	if errors.Is(err, slope.ErrFew) {
+		n.Known, n.Run = tooFew, cmp.Or(n.Line.Run, own[0].Run)
 		for _, p := range points {
 			if math.Abs(p.Size-n.Size) <= sameSize*n.Size {
 				n.Value, n.Known = p.Value*f*n.Times, measured
 			}
 		}
-		return nil
+		if n.There() || n.Way != direct { // runs with relays may come one by one
+			return nil
+		}
 	}
 	if err != nil {
 		return fmt.Errorf("figure: %q of a %s: %w", n.Figure, n.From, err)
 	}
-	n.Fit, n.In, n.Run = fit, own[0].Unit, own[0].Run
+	n.Fit, n.In, n.Run = fit, own[0].Unit, cmp.Or(n.Line.Run, own[0].Run)
 	if last := fit.Largest(); math.Abs(last.Size-n.Size) <= sameSize*n.Size {
 		n.Value, n.Known = last.Value*f*n.Times, measured
 		return nil
--- a/internal/capacity/page.go
+++ b/internal/capacity/page.go
@@ -253,6 +253,9 @@
 }
 
 func (n *Need) what() string {
+	if n.AfterRun != "" && n.Line.Run == n.AfterRun {
+		return n.What + " (after)"
+	}
 	if n.Way != direct {
 		return n.What + " (" + n.Way + ")"
 	}
@@ -359,7 +362,11 @@
 			with = noRun
 		}
 		most, ratio := n.limit()
-		t.row(fmt.Sprint(first+i+1), n.Role, n.What, figure(n.Value)+" "+n.Unit, most, ratio, with)
+		today := figure(n.Value) + " " + n.Unit
+		if n.late() { // there was no such thing, or no run of it
+			today, ratio, with = "-", "-", n.after()
+		}
+		t.row(fmt.Sprint(first+i+1), n.Role, n.What, today, most, ratio, with)
 	}
 	return t.String()
 }
@@ -406,7 +413,7 @@
 // shapes tells of the fits that are not plainly linear up to the largest size.
 func shapes(needs []Need) string {
 	t := newTable("figure", "sizes", "exponent (95%)", "a line holds until", "R²", "off the line by", "shape")
-	seen, straight := map[string]bool{}, 0
+	seen, straight, bent := map[string]bool{}, 0, 0
 	for i := range needs {
 		n := &needs[i]
 		if n.Fit == nil {
@@ -425,6 +432,10 @@
 			straight++
 			continue
 		}
+		if n.Known == measured && f.Shape != slopes.Worse {
+			bent++
+			continue
+		}
 		holds := sizeOf(f.Until)
 		if f.Until == f.Largest().Size {
 			holds += ", the largest"
@@ -433,8 +444,9 @@
 			fmt.Sprintf("%.2f (%.2f to %.2f)", f.Exponent, f.Low, f.High), holds, fmt.Sprintf("%.3f", f.R2),
 			fmt.Sprintf("%.0f%%", 100*f.Off), f.Shape.String())
 	}
-	return fmt.Sprintf("%s\nThe other %d figures on this page go by one line up to their largest size.\n",
-		t.String(), straight)
+	return fmt.Sprintf("%s\nOf the other figures on this page %d go by one line up to their largest "+
+		"size. %d do not, and were measured at the coming size, so that nothing rests on a line.\n",
+		t.String(), straight, bent)
 }
 
 // run is one run that the page goes by.
@@ -451,8 +463,17 @@
 		}
 	}
 	add := func(name, commit, way string) {
-		if used[name] && !slices.ContainsFunc(all, func(r run) bool { return r.name == name && r.way == way }) {
-			all = append(all, run{string(rune('a' + len(all))), name, commit, way})
+		for _, id := range []string{name, name + "@" + commit} {
+			if !used[id] {
+				continue
+			}
+			i := slices.IndexFunc(all, func(r run) bool { return r.name == id && r.way == way })
+			switch {
+			case i < 0:
+				all = append(all, run{string(rune('a' + len(all))), id, commit, way})
+			case !slices.Contains(strings.Split(all[i].commit, ", "), commit):
+				all[i].commit += ", " + commit
+			}
 		}
 	}
 	for _, r := range refusals {
