--- a/internal/credit/rig/rig_test.go
+++ b/internal/credit/rig/rig_test.go
@@ -22,6 +22,7 @@
 	"willowdeck/internal/credit/audit"
 	"willowdeck/internal/faults"
 	"willowdeck/internal/history"
+	"willowdeck/internal/lifecycle"
 	"willowdeck/internal/standin"
 )
 
@@ -408,7 +409,7 @@
 	f.end(line)
 }
 
-// daemon tells all gatekeepers which rules are in force.
+// daemon tells all gatekeepers which rules are in force, as an older program's does: all of them each time.
 type daemon struct {
 	mu    sync.Mutex
 	lease accord.Lease
@@ -426,7 +427,11 @@
 	d.mu.Unlock()
 }
 
-func (d *daemon) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+func (d *daemon) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != lifecycle.LeasePath { // as its mux does
+		http.NotFound(w, r)
+		return
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if b, err := d.lease.Bytes(); err == nil {
