--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -397,6 +397,8 @@
 			func(n float64) float64 {
 				return n
 			}), before...), nil, []string{"| - | 22 KB/s | - | 0.359 (7.9 KB/s, measured) |"}},
+		{"gone with relays", "former = true\n", append(rowsOf("b", "relays", sizes, n), before...), nil,
+			[]string{"| 3.59 | gone |"}},
 		{"a line instead, no run", instead, before, nil, []string{"| 3.59 | no run |"}},
 		{"a line instead", instead, append(other, before...), nil,
 			[]string{"| 3.59 | 0.05 (1.1 KB/s, measured) |"}},
--- a/internal/capacity/need.go
+++ b/internal/capacity/need.go
@@ -72,7 +72,7 @@
 		if err != nil {
 			return nil, fmt.Errorf("lines[%d] (%s).%w", i, s.Lines[i].Name, err)
 		}
-		if n.Figure != "" && !n.late() && n.There() {
+		if n.Figure != "" && !n.late() && !n.Former && n.There() {
 			l := s.Lines[i]
 			if l.Way, l.Run = relay, ""; l.AfterRun != "" {
 				l.Way, l.Run = direct, l.AfterRun
--- a/internal/capacity/page.go
+++ b/internal/capacity/page.go
@@ -11,7 +11,10 @@
 	slopes "willowdeck/internal/slope"
 )
 
-const least = 0.1 // ratio that the ranking shows
+const (
+	least = 0.1 // ratio that the ranking shows
+	alike = 0.1 // part by which what came after may differ and not be shown
+)
 
 // ErrStale is a page whose tables are not those that the measurements give.
 var ErrStale = errors.New("the page is out of date")
@@ -262,6 +265,14 @@
 	return n.What
 }
 
+// other is what came after of a need, where it is another by more than a tenth.
+func (n *Need) other() *Need {
+	if n.After == nil || math.Abs(n.After.Value-n.Value) <= alike*math.Abs(n.Value) {
+		return nil
+	}
+	return n.After
+}
+
 // tables gives the needs of each role: those that stand by themselves, or the parts of others.
 func tables(needs []Need, parts bool) string {
 	var b strings.Builder
@@ -275,7 +286,7 @@
 				continue
 			}
 			any = true
-			for ; n != nil; n = n.After {
+			for ; n != nil; n = n.other() {
 				most, ratio := n.limit()
 				t.row(n.Resource, n.what(), n.Carried, n.sum(), figure(n.Value)+" "+n.Unit, most, ratio, n.known())
 			}
@@ -294,7 +305,7 @@
 			if needs[i].Event != e || !needs[i].There() {
 				continue
 			}
-			for n := &needs[i]; n != nil; n = n.After {
+			for n := &needs[i]; n != nil; n = n.other() {
 				need := figure(n.Value) + " " + n.Unit
 				if most, ratio := n.limit(); n.Most != nil {
 					need += fmt.Sprintf(" of %s: %s", most, ratio)
@@ -312,7 +323,7 @@
 		if needs[i].If == "" || !needs[i].There() {
 			continue
 		}
-		for n := &needs[i]; n != nil; n = n.After {
+		for n := &needs[i]; n != nil; n = n.other() {
 			most, ratio := n.limit()
 			t.row(n.If, n.Role, n.what(), figure(n.Value)+" "+n.Unit, most, ratio, n.known())
 		}
@@ -356,7 +367,9 @@
 			with = noRun
 		case n.After != nil:
 			with = n.After.after()
-		case n.Fit != nil:
+		case n.Former:
+			with = "gone"
+		case n.Figure != "":
 			with = n.AfterIs
 		case len(n.Sum) > 0:
 			with = noRun
@@ -459,12 +472,12 @@
 	for i := range needs {
 		for n := &needs[i]; n != nil; n = n.After {
 			each = append(each, n)
-			used[n.Run] = n.Figure != "" && n.There() || used[n.Run]
+			used[n.Way+n.Run] = n.Figure != "" && n.There() || used[n.Way+n.Run]
 		}
 	}
 	add := func(name, commit, way string) {
 		for _, id := range []string{name, name + "@" + commit} {
-			if !used[id] {
+			if !used[way+id] && !(way == trial && used[direct+id]) {
 				continue
 			}
 			i := slices.IndexFunc(all, func(r run) bool { return r.name == id && r.way == way })
@@ -477,7 +490,7 @@
 		}
 	}
 	for _, r := range refusals {
-		used[r.Run] = true
+		used[r.Distribution+r.Run] = true
 		add(r.Run, r.Commit, r.Distribution)
 	}
 	for _, r := range rows {
--- a/internal/capacity/spec.go
+++ b/internal/capacity/spec.go
@@ -50,6 +50,7 @@
 	Instead  string // the line that this one takes the place of
 	Of       string // the line that this one is a part of: it has no rank of its own
 	If       string // it is needed only if
+	Former   bool   // relays do away with it; what runs with them have of it is for older instances
 	Chart    bool
 	Each     float64 // worked out: of one element
 	Offset   float64 // and beside them
