A first question to the daemon waits a quarter of the usual lease for its answer

Hosts with many instances and few cores could meet the same.

Change: 250 ms until a lease is known; a quarter of it from then on, as before. Hollow gatekeepers go by the same.

--- a/internal/lifecycle/agree.go
+++ b/internal/lifecycle/agree.go
@@ -35,7 +35,7 @@
 )
 
 const (
-	askLeast  = 25.0   // ms at least for an answer; on one host it takes some tenths
+	askFirst  = 250.0  // ms for an answer until a lease is known: a quarter of the usual one
 	spoiltSay = 5000.0 // ms between two lines of the log on answers that can't be gone by
 	// olderFor is how long a daemon that does not answer at AskPath is asked at LeasePath alone, ms: a daemon is
 	// replaced within seconds, and each try in vain costs an answer of some bytes.
@@ -172,6 +172,16 @@
 	}
 }
 
+// AnswerWithin is how long a question to the daemon waits for its answer under a lease, ms; 0 is none that is
+// known. Guards against many that start on one host and give their first question up so soon that the daemon,
+// which answers one after another, is asked anew by all and answers nobody in time.
+func AnswerWithin(lease float64) float64 {
+	if lease == 0 {
+		return askFirst
+	}
+	return lease / 4
+}
+
 // ask asks the daemon, once it is not being asked any more.
 func (a *agreement) ask() {
 	if a.asks {
@@ -179,7 +189,7 @@
 		return
 	}
 	a.asks, a.again = true, false
-	within := math.Max(a.heard.Rules.Lease/4, askLeast)
+	within := AnswerWithin(a.heard.Rules.Lease)
 	holds, index := a.holder.Holds(), a.g.discovered()
 	q := url.Values{"instance": {a.g.conf.Name}, "pid": {strconv.Itoa(os.Getpid())},
 		"holds": {strconv.FormatUint(holds, 10)}, "index": {strconv.FormatInt(index, 10)}}
--- a/internal/lifecycle/ask_test.go
+++ b/internal/lifecycle/ask_test.go
@@ -142,6 +142,20 @@
 	return d
 }
 
+// A daemon that is busy, and takes longer for the first answer than a quarter of the shortest lease there is,
+// is waited for: the instance is leased by that answer. Guards against a host whose many instances start at
+// once, give up at once, and ask anew.
+func TestFirstAnswerLate(t *testing.T) {
+	x := newTeller(t)
+	x.leases(1, rules(1000, 1000), nil)
+	x.does(func(a *relay.Answer) {
+		if a.RulesDelta != nil { // renewals come at once
+			time.Sleep(80 * time.Millisecond)
+		}
+	})
+	asksFor(t, x).mode(accord.Leased)
+}
+
 // An instance is told the rules whole once. While nothing changes an answer is small, whatever is in force;
 // another version comes as a change; and the daemon is told who asks, of which life, and what that holds.
 func TestAskedForChanges(t *testing.T) {
--- a/internal/scale/keepers.go
+++ b/internal/scale/keepers.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math"
 	"net"
 	"net/netip"
 	"net/url"
@@ -71,8 +70,7 @@
 func boot() float64 { return float64(held.Boot()) / 1e6 }
 
 const (
-	askLeast  = 25.0 // ms, as lifecycle has it
-	keptTaken = 64   // versions whose times are kept
+	keptTaken = 64 // versions whose times are kept
 )
 
 func newKeepers(h *Hollow) *keepers {
@@ -244,13 +242,13 @@
 	lease := k.heard.Rules.Lease
 	if k.copied != nil {
 		question := k.copied.Ask(boot(), k.holder.Holds(), -1)
-		go func() { k.answer <- k.callFor(question, math.Max(lease/4, askLeast)) }()
+		go func() { k.answer <- k.callFor(question, lifecycle.AnswerWithin(lease)) }()
 		return
 	}
 	q := url.Values{"instance": {k.c.Name}, "pid": {strconv.Itoa(k.c.Pid)},
 		"holds": {strconv.FormatUint(k.holder.Holds(), 10)}, "index": {"-1"}}
 	at := "http://" + k.c.Host + lifecycle.LeasePath + "?" + q.Encode()
-	go func() { k.answer <- k.call(at, math.Max(lease/4, askLeast)) }()
+	go func() { k.answer <- k.call(at, lifecycle.AnswerWithin(lease)) }()
 }
 
 func (k *keeper) call(at string, within float64) (got answered) {
