wdlab scale: changes while gatekeepers restart at a stated pace

Change: changes.restarts_per_s kills hollow gatekeepers one after another, as their host sees it too, and starts them anew, while as many changes again are put in force: figures in_force_restarts and restarts. Orders to a hollow process are one at a time now.

--- a/internal/scale/process.go
+++ b/internal/scale/process.go
@@ -15,6 +15,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -69,6 +70,7 @@
 
 	in  io.WriteCloser // hollow ones
 	out *bufio.Reader
+	one sync.Mutex // order at a time
 }
 
 // site is where a run's processes work, with the one that tidies up if the run can't.
@@ -218,6 +220,8 @@
 
 // order has a hollow process do something, and gives its answer.
 func (c *child) order(o Order) (r Report, err error) {
+	c.one.Lock()
+	defer c.one.Unlock()
 	if err = c.tell(o); err == nil {
 		r, err = c.answer()
 	}
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -132,6 +132,9 @@
 	if err != nil {
 		return err
 	}
+	if err := a.restarts(ctx, &version); err != nil {
+		return err
+	}
 	if err := a.zone(ctx, version); err != nil {
 		return err
 	}
@@ -400,27 +403,82 @@
 
 // change puts versions in force one after another.
 func (a *assembly) change(ctx context.Context) (version uint64, err error) {
-	var medians, worsts []float64
 	version = 1
+	medians, worsts, err := a.series(ctx, &version)
+	if err == nil && len(worsts) > 0 {
+		a.t.add(fleetRole, "in_force_median_gatekeeper", median(medians))
+		a.t.add(fleetRole, "in_force_median", median(worsts))
+		a.t.add(fleetRole, "in_force_worst", slices.Max(worsts))
+	}
+	return version, err
+}
+
+// series puts versions in force at the scenario's pace, and gives for each the times, ms, until the
+// gatekeeper in the middle and the last one go by it.
+func (a *assembly) series(ctx context.Context, version *uint64) (medians, worsts []float64, err error) {
 	for range a.s.Changes.Count {
 		began := time.Now()
-		times, err := a.changed(ctx, &version)
+		times, err := a.changed(ctx, version)
 		if err != nil {
-			return version, err
+			return nil, nil, err
 		}
 		medians, worsts = append(medians, median(times)), append(worsts, slices.Max(append(times, 0)))
 		select {
 		case <-ctx.Done():
-			return version, ctx.Err()
-		case <-time.After(time.Until(began.Add(time.Duration(a.s.Changes.EveryMS * float64(time.Millisecond))))):
+			return nil, nil, ctx.Err()
+		case <-time.After(time.Duration(a.s.Changes.EveryMS*float64(time.Millisecond)) - time.Since(began)):
 		}
 	}
-	if len(worsts) > 0 {
-		a.t.add(fleetRole, "in_force_median_gatekeeper", median(medians))
-		a.t.add(fleetRole, "in_force_median", median(worsts))
-		a.t.add(fleetRole, "in_force_worst", slices.Max(worsts))
+	return medians, worsts, nil
+}
+
+// restarts puts versions in force while hollow gatekeepers are killed, one after another, and start anew.
+func (a *assembly) restarts(ctx context.Context, version *uint64) error {
+	if a.s.Changes.RestartsPerS == 0 || a.asking == 0 || a.s.Changes.Count == 0 {
+		return nil
+	}
+	done, ended := make(chan struct{}), make(chan error, 1)
+	count := 0
+	go func() {
+		t := time.NewTicker(time.Duration(float64(time.Second) / a.s.Changes.RestartsPerS))
+		defer t.Stop()
+		for {
+			select {
+			case <-done:
+				ended <- nil
+				return
+			case <-t.C:
+			}
+			if err := a.restart(count * 7919 % a.asking); err != nil { // a prime, so that all have their turn
+				ended <- err
+				return
+			}
+			count++
+		}
+	}()
+	_, worsts, err := a.series(ctx, version)
+	close(done)
+	if err := errors.Join(err, <-ended); err != nil {
+		return fmt.Errorf("restarts: %w", err)
+	}
+	a.t.add(fleetRole, "restarts", float64(count))
+	a.t.add(fleetRole, "in_force_restarts", slices.Max(worsts))
+	return nil
+}
+
+// restart kills one hollow gatekeeper, as its host sees it too, and starts it anew.
+func (a *assembly) restart(n int) error {
+	at := n % a.s.Hollow.PerProcess
+	c, one := a.keepers[n/a.s.Hollow.PerProcess], Order{Do: "end", From: at, To: at + 1}
+	if _, err := c.order(one); err != nil {
+		return err
+	}
+	if _, err := a.hostProcess.order(Order{Do: "end", From: 1 + n, To: 2 + n}); err != nil {
+		return err
 	}
-	return version, nil
+	one.Do = "again"
+	_, err := c.order(one)
+	return err
 }
 
 // zone takes the zone's share of the gatekeepers away, and has it come back at once.
--- a/internal/scale/run_test.go
+++ b/internal/scale/run_test.go
@@ -107,7 +107,7 @@
 func TestRelays(t *testing.T) {
 	p := rig(t)
 	s := quick(t, "distribution = \"relays\"\nsizes = [20]\nparts = [\"rules\"]\n[hollow]\nper_host = 5\n"+
-		"[relays]\nregions = 1\nzones = 2\nfaults = true\n")
+		"[relays]\nregions = 1\nzones = 2\nfaults = true\n[changes]\nrestarts_per_s = 5\n")
 	table, err := Run(context.Background(), s, p, zerolog.Nop())
 	var page bytes.Buffer
 	table.Print(&page)
@@ -121,6 +121,7 @@
 	}{
 		{fleetRole, "refused", 0, 0}, {fleetRole, "hosts", 5, 5}, {fleetRole, "asking", 19, 19},
 		{fleetRole, "start", 1, 60000}, {fleetRole, "in_force_worst", 1, 30000}, {fleetRole, "zone_back", 1, 60000},
+		{fleetRole, "restarts", 1, 1000}, {fleetRole, "in_force_restarts", 1, 30000},
 		{fleetRole, "in_force_still", 1, 30000}, {fleetRole, "in_force_killed", 1, 30000},
 		{fleetRole, "in_force_leader", 1, 30000}, {fleetRole, "control_back", 1, 30000},
 		{keeperRole, "bytes_in_per_s", 100, 5000}, {keeperRole, "spoilt", 0, 0}, {keeperRole, "rss_real", 5, 200},
--- a/internal/scale/scenario.go
+++ b/internal/scale/scenario.go
@@ -70,6 +70,9 @@
 		EveryMS float64 `toml:"every_ms"`
 		AwayMS  float64 `toml:"away_ms"` // for which the zone's share is gone
 		Zone    float64 // its share of all gatekeepers, and of all workers
+		// RestartsPerS is how many hollow gatekeepers are killed and start anew in a second while as many changes
+		// again are made; 0: none.
+		RestartsPerS float64 `toml:"restarts_per_s"`
 	}
 	Lists struct {
 		Workers float64 // for each gatekeeper
@@ -198,6 +201,7 @@
 		{"changes.every_ms", s.Changes.EveryMS, 10, 600000},
 		{"changes.away_ms", s.Changes.AwayMS, 0, 60000},
 		{"changes.zone", s.Changes.Zone, 0.001, 1},
+		{"changes.restarts_per_s", s.Changes.RestartsPerS, 0, 100},
 		{"lists.workers", s.Lists.Workers, 0.01, 1000},
 		{"lists.watches", float64(s.Lists.Watches), 1, 1000},
 		{"lists.changes", float64(s.Lists.Changes), 0, 10000},
--- a/internal/scale/table.go
+++ b/internal/scale/table.go
@@ -38,7 +38,7 @@
 	"descriptors_each": "",
 	"in_force_median":  "ms", "in_force_worst": "ms", "in_force_median_gatekeeper": "ms", "start": "ms",
 	"zone_back": "ms", "in_force_still": "ms", "in_force_killed": "ms", "in_force_leader": "ms",
-	"control_back": "ms", "rules_real": "B/s",
+	"control_back": "ms", "rules_real": "B/s", "in_force_restarts": "ms", "restarts": "",
 	"refused": "", "asking": "", "leased": "", "late": "", "silent": "", "spoilt": "",
 	"rules_bytes": "B", "answer_bytes": "B", "hosts": "", "per_host": "", "processes": "",
 	"list_bytes": "B", "workers": "", "first_list": "ms", "read_list": "ms", "place_list": "ms", "change": "ms",
