Scale runs' tests: one piece plays a scenario, and one compares its figures

Need: three tests played and two compared with the same lines. Change: played and within; every figure, its bounds and the words of a failure are as they were.

--- a/internal/scale/run_test.go
+++ b/internal/scale/run_test.go
@@ -69,11 +69,9 @@
 	return s
 }
 
-// A small size from end to end: real daemons and gatekeepers, hollow ones, lists and words. Its verdict is of
-// what came to be and of what has to be so on any machine, not of how fast.
-func TestRun(t *testing.T) {
-	p := rig(t)
-	s := quick(t, "sizes = [20]\nparts = [\"rules\", \"lists\", \"words\"]\n")
+// played runs a scenario to its end, and shows its table.
+func played(t *testing.T, s *Scenario, p Programs) *Table {
+	t.Helper()
 	table, err := Run(context.Background(), s, p, zerolog.Nop())
 	var page bytes.Buffer
 	table.Print(&page)
@@ -81,10 +79,31 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, c := range []struct {
-		role, name  string
-		least, most float64
-	}{
+	return table
+}
+
+// bounded is a figure at 20 gatekeepers that has to be measured, and from least to most.
+type bounded struct {
+	role, name  string
+	least, most float64
+}
+
+func within(t *testing.T, table *Table, all []bounded) {
+	t.Helper()
+	for _, c := range all {
+		if v, there := table.Value(20, c.role, c.name); !there || !(v >= c.least && v <= c.most) {
+			t.Errorf("%s of the %s: %v (measured: %t), not from %v to %v", c.name, c.role, v, there, c.least, c.most)
+		}
+	}
+}
+
+// A small size from end to end: real daemons and gatekeepers, hollow ones, lists and words. Its verdict is of
+// what came to be and of what has to be so on any machine, not of how fast.
+func TestRun(t *testing.T) {
+	p := rig(t)
+	s := quick(t, "sizes = [20]\nparts = [\"rules\", \"lists\", \"words\"]\n")
+	table := played(t, s, p)
+	within(t, table, []bounded{
 		{fleetRole, "refused", 0, 0}, {fleetRole, "hosts", 4, 4}, {fleetRole, "asking", 17, 17},
 		{fleetRole, "start", 1, 60000}, {fleetRole, "in_force_worst", 1, 30000},
 		{fleetRole, "zone_back", 0.01, 60000},
@@ -95,11 +114,7 @@
 		{listRole, "workers", 278, 278}, {listRole, "refused", 0, 0}, {keeperRole, "change_bytes", 100, 300},
 		{keeperRole, "words_period", 399, 401}, {keeperRole, "words_peers", 19, 19},
 		{machineRole, "processes", 10, 11},
-	} {
-		if v, there := table.Value(20, c.role, c.name); !there || !(v >= c.least && v <= c.most) {
-			t.Errorf("%s of the %s: %v (measured: %t), not from %v to %v", c.name, c.role, v, there, c.least, c.most)
-		}
-	}
+	})
 }
 
 // The same by relays, with changes while relays lie still and are killed, and a zone that comes back without
@@ -108,17 +123,8 @@
 	p := rig(t)
 	s := quick(t, "distribution = \"relays\"\nsizes = [20]\nparts = [\"rules\"]\n[hollow]\nper_host = 5\n"+
 		"[relays]\nregions = 1\nzones = 2\nfaults = true\n[changes]\nrestarts_per_s = 5\n")
-	table, err := Run(context.Background(), s, p, zerolog.Nop())
-	var page bytes.Buffer
-	table.Print(&page)
-	t.Logf("%s", page.Bytes())
-	if err != nil {
-		t.Fatal(err)
-	}
-	for _, c := range []struct {
-		role, name  string
-		least, most float64
-	}{
+	table := played(t, s, p)
+	within(t, table, []bounded{
 		{fleetRole, "refused", 0, 0}, {fleetRole, "hosts", 5, 5}, {fleetRole, "asking", 19, 19},
 		{fleetRole, "start", 1, 60000}, {fleetRole, "in_force_worst", 1, 30000}, {fleetRole, "zone_back", 1, 60000},
 		{fleetRole, "restarts", 1, 1000}, {fleetRole, "in_force_restarts", 1, 30000},
@@ -129,11 +135,7 @@
 		{regionRole, "bytes_out_per_s", 500, 1e6}, {zoneRole, "bytes_out_per_s", 500, 1e6},
 		{zoneRole, "rss", 5, 200},
 		{machineRole, "processes", 15, 16},
-	} {
-		if v, there := table.Value(20, c.role, c.name); !there || !(v >= c.least && v <= c.most) {
-			t.Errorf("%s of the %s: %v (measured: %t), not from %v to %v", c.name, c.role, v, there, c.least, c.most)
-		}
-	}
+	})
 }
 
 // A size beyond what the program takes is a result, with what the program said, and a trial beside it.
@@ -141,13 +143,7 @@
 	p := rig(t)
 	s := quick(t, "sizes = [12000]\nparts = [\"rules\"]\n")
 	s.Hollow.Sample, s.Council.Daemons = 2, 1
-	table, err := Run(context.Background(), s, p, zerolog.Nop())
-	var page bytes.Buffer
-	table.Print(&page)
-	t.Logf("%s", page.Bytes())
-	if err != nil {
-		t.Fatal(err)
-	}
+	table := played(t, s, p)
 	if v, _ := table.Value(12000, fleetRole, "refused"); v != 1 || len(table.Refused) != 1 ||
 		!strings.Contains(table.Refused[0], "members: 12000 are more than") {
 		t.Errorf("%v: %q", v, table.Refused)
