--- a/Makefile
+++ b/Makefile
@@ -18,3 +18,7 @@
 # CONFIG names the configuration file.
 run: build
 	NODE_CONFIG=$(or $(CONFIG),$(NODE_CONFIG)) bin/willowdeck serve
+
+# Regenerates the messages of the serving system; needs protoc and protoc-gen-go.
+protobuf:
+	protoc --go_out=. --go_opt=module=willowdeck internal/serving/wirepb/serving.proto
--- /dev/null
+++ b/cmd/willowdeck-agent/main.go
@@ -0,0 +1,18 @@
+// Command willowdeck-agent keeps the link to the core for the edge proxy beside it.
+package main
+
+import (
+	"os"
+
+	"willowdeck/internal/serving/agent"
+	"willowdeck/internal/serving/program"
+)
+
+func main() {
+	p := program.Program{
+		Name:    "willowdeck-agent",
+		Summary: "agent beside an edge proxy: it keeps the link to the core",
+		Run:     agent.Run,
+	}
+	os.Exit(p.Main(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/cmd/willowdeck-edge/main.go
@@ -0,0 +1,18 @@
+// Command willowdeck-edge takes clients' requests and passes them to workers.
+package main
+
+import (
+	"os"
+
+	"willowdeck/internal/serving/edge"
+	"willowdeck/internal/serving/program"
+)
+
+func main() {
+	p := program.Program{
+		Name:    "willowdeck-edge",
+		Summary: "edge proxy: it takes clients' requests and passes them to workers",
+		Run:     edge.Run,
+	}
+	os.Exit(p.Main(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/internal/serving/agent/agent.go
@@ -0,0 +1,272 @@
+// Package agent is the small program beside each edge proxy: it keeps the link to the core, holds a copy of what the
+// core tells, and feeds the proxy over loopback. A proxy that restarts finds all it needs here; a proxy whose agent
+// restarts goes on with what it has.
+package agent
+
+import (
+	"context"
+	"net"
+	"os/signal"
+	"slices"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"willowdeck/internal/serving/boot"
+	"willowdeck/internal/serving/feed"
+	"willowdeck/internal/serving/framing"
+	"willowdeck/internal/serving/wirepb"
+)
+
+const (
+	coreDialTimeout  = 500 * time.Millisecond
+	linkWriteTimeout = 2 * time.Second
+	settingsInterval = 2 * time.Second
+	stopLinger       = 80 * time.Millisecond
+	orderStep        = 10 // between two states of the edge, so that a core can put a lost link between them
+)
+
+// Distances of cores.
+const (
+	sameZone = iota
+	sameRegion
+	elsewhere
+	unknownPlace
+)
+
+// Agent is the process.
+type Agent struct {
+	settingsPath string
+	logger       *zap.Logger
+	replica      *feed.Replica
+	started      time.Time
+
+	mu       sync.Mutex
+	settings *boot.Settings
+	edge     *wirepb.Edge // nil until the proxy has spoken
+	order    uint64
+	changed  chan struct{} // closed when the edge's state changes
+	proxies  int           // links of the proxy; more than one only while an old one is being noticed
+	demands  []*wirepb.Demand
+}
+
+// LoopbackAddress returns where an agent with these settings feeds its proxy.
+func LoopbackAddress(settings *boot.Settings) string {
+	return net.JoinHostPort("127.0.0.1", strconv.Itoa(settings.FirstPort+1))
+}
+
+// Run serves until the process is told to stop.
+func Run(settingsPath string, logger *zap.Logger) error {
+	settings, err := boot.Load(settingsPath)
+	if err != nil {
+		return err
+	}
+	a := &Agent{
+		settingsPath: settingsPath, logger: logger, settings: settings, started: time.Now(),
+		changed: make(chan struct{}),
+	}
+	a.replica = feed.NewReplica("", func() time.Duration { return time.Since(a.started) })
+	listener, err := framing.Listen(LoopbackAddress(settings))
+	if err != nil {
+		return errors.Wrap(err, "cannot listen for the proxy: check internal_port_range")
+	}
+	signal.Ignore(syscall.SIGHUP) // the settings are read again all the while
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	go a.accept(ctx, listener)
+	go a.keepSettings(ctx)
+	logger.Info("agent started", zap.String("edge", settings.NodeName))
+	subscriber := feed.Subscriber{
+		Replica: a.replica, DialTimeout: coreDialTimeout, Providers: a.cores,
+		Status: a.status, StatusChanged: a.statusChanged, Linked: a.linked,
+		Wrap: func(request *wirepb.FeedRequest) proto.Message {
+			return &wirepb.Envelope{Body: &wirepb.Envelope_Subscribe{Subscribe: request}}
+		},
+	}
+	go subscriber.Run(context.WithoutCancel(ctx))
+	a.awaitStop(ctx)
+	logger.Info("agent stopped")
+	return nil
+}
+
+// awaitStop returns once the proxy has stopped after SIGTERM, or the time for it is over: the proxy's requests still
+// need what this process holds.
+func (a *Agent) awaitStop(ctx context.Context) {
+	<-ctx.Done()
+	deadline := time.Now().Add(a.settings.Bounds.Grace - time.Second/2)
+	for time.Now().Before(deadline) {
+		a.mu.Lock()
+		proxies := a.proxies
+		a.mu.Unlock()
+		if proxies == 0 {
+			time.Sleep(stopLinger)
+			return
+		}
+		time.Sleep(stopLinger)
+	}
+}
+
+// keepSettings reads the settings again all the while: they may change with or without a signal.
+func (a *Agent) keepSettings(ctx context.Context) {
+	ticker := time.NewTicker(settingsInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		settings, err := boot.Load(a.settingsPath)
+		if err != nil {
+			a.logger.Warn("settings kept as they were", zap.Error(err))
+			continue
+		}
+		a.mu.Lock()
+		a.settings = settings
+		a.mu.Unlock()
+	}
+}
+
+// cores returns the cores to subscribe at, the near ones first, and then the seeds that no core has told of.
+func (a *Agent) cores() []feed.Provider {
+	a.mu.Lock()
+	settings := a.settings
+	a.mu.Unlock()
+	var providers []feed.Provider
+	known := map[string]bool{}
+	for _, entry := range a.replica.View().Entries {
+		core := entry.Record.GetCore()
+		if core == nil || entry.Record.Deleted || known[core.Address] {
+			continue
+		}
+		known[core.Address] = true
+		providers = append(providers, feed.Provider{Address: core.Address, Distance: distance(settings, core)})
+	}
+	for _, seed := range settings.Seeds {
+		host, _, err := net.SplitHostPort(seed)
+		if err != nil {
+			continue
+		}
+		address := net.JoinHostPort(host, strconv.Itoa(settings.FirstPort))
+		if !known[address] {
+			known[address] = true
+			providers = append(providers, feed.Provider{Address: address, Distance: unknownPlace})
+		}
+	}
+	slices.SortStableFunc(providers, func(x, y feed.Provider) int { return x.Distance - y.Distance })
+	return providers
+}
+
+func distance(settings *boot.Settings, core *wirepb.CoreNode) int {
+	switch {
+	case core.Zone == settings.Zone:
+		return sameZone
+	case core.Region == settings.Region:
+		return sameRegion
+	}
+	return elsewhere
+}
+
+func (a *Agent) linked(address string) {
+	if address == "" {
+		a.logger.Info("link to the core lost")
+		return
+	}
+	a.logger.Info("linked to the core", zap.String("core", address))
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.raiseOrder()
+}
+
+// raiseOrder makes the edge's state newer than any that was told before, also by an earlier life of this process.
+func (a *Agent) raiseOrder() {
+	a.order = max(a.order+orderStep, uint64(time.Now().UnixMilli()))
+	close(a.changed)
+	a.changed = make(chan struct{})
+}
+
+func (a *Agent) statusChanged() <-chan struct{} {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.changed
+}
+
+// status is what the core is told of the edge.
+func (a *Agent) status() *wirepb.FeedRequest {
+	a.overtakeOldRecord()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	request := &wirepb.FeedRequest{Subscriber: a.settings.NodeName, EdgeOrder: a.order, Demands: a.demands}
+	if a.edge != nil {
+		request.Edge = proto.Clone(a.edge).(*wirepb.Edge)
+	}
+	return request
+}
+
+// overtakeOldRecord raises the order where the catalog holds something newer of this edge that is not true: an earlier
+// life's state, told by a clock that was ahead, or a link that a core has taken for lost.
+func (a *Agent) overtakeOldRecord() {
+	for _, entry := range a.replica.View().Entries {
+		edge := entry.Record.GetEdge()
+		if edge == nil {
+			continue
+		}
+		a.mu.Lock()
+		if a.edge != nil && edge.Name == a.edge.Name && entry.Record.Order > a.order {
+			a.order = entry.Record.Order + orderStep
+		}
+		a.mu.Unlock()
+	}
+}
+
+// accept takes links of the proxy.
+func (a *Agent) accept(ctx context.Context, listener net.Listener) {
+	for {
+		accepted, err := listener.Accept()
+		if err != nil {
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(stopLinger):
+				continue
+			}
+		}
+		go a.serveProxy(framing.NewConn(accepted, linkWriteTimeout))
+	}
+}
+
+func (a *Agent) serveProxy(connection *framing.Conn) {
+	defer connection.Close()
+	first := &wirepb.FeedRequest{}
+	if err := connection.ReadMessage(first, feed.LinkSilence); err != nil {
+		return
+	}
+	a.mu.Lock()
+	a.proxies++
+	a.mu.Unlock()
+	feed.Provide(connection, first, a.replica, a.takeProxyStatus, nil)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.proxies--
+	if a.proxies == 0 && a.edge != nil && a.edge.Ready {
+		a.edge = proto.Clone(a.edge).(*wirepb.Edge)
+		a.edge.Ready = false
+		a.raiseOrder()
+	}
+}
+
+func (a *Agent) takeProxyStatus(request *wirepb.FeedRequest) {
+	a.replica.SetDemands(request.Demands)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.demands = request.Demands
+	if request.Edge != nil && !proto.Equal(a.edge, request.Edge) {
+		a.edge = request.Edge
+		a.raiseOrder()
+	}
+}
--- /dev/null
+++ b/internal/serving/balance/balance.go
@@ -0,0 +1,259 @@
+// Package balance chooses the worker of each request by what one edge knows: which prompt parts a worker has read, how
+// much it has in hand, where it stands, and how its answers ended. All edges agree without messages on the worker that
+// a shared prompt belongs to, by rendezvous hashing (Thaler and Ravishankar, "Using Name-Based Mappings to Increase Hit
+// Rates", 1998); load moves requests away from it, as with consistent hashing with bounded loads.
+//
+// Costs are in milliseconds of the time to the first token; prices other than time are turned into it. The package has
+// no I/O, clock or goroutines, and is not safe for concurrent use.
+package balance
+
+import (
+	"hash/fnv"
+	"math"
+	"math/rand"
+	"time"
+)
+
+// Weights of the costs.
+const (
+	prefillPerMs     = 50.0 // prompt tokens that a worker reads in a millisecond, about
+	rereadPerToken   = 0.05 // ms: the price of shared tokens that are read again
+	otherRegion      = 140  // ms: the way there and back, and the price of the bytes
+	otherZone        = 4    // ms
+	runningCost      = 4.0  // ms for each request in hand: tokens come more slowly
+	waitingCost      = 60.0 // ms for each request that waits there, as the worker says
+	fullCost         = 2000 // ms where all places are taken
+	doubtCost        = 4000 // ms for a worker in doubt, so that it is taken only where there is no other
+	globalHomeAt     = 2000 // shared tokens from which one home for all regions pays
+	partMemory       = 20 * time.Second
+	loadMemory       = 800 * time.Millisecond // of what a worker says of its load
+	firstDoubt       = 400 * time.Millisecond
+	longestDoubt     = 3 * time.Second
+	doubtDoublings   = 4
+	tieBreak         = 2.0 // ms of chance, so that edges do not move together
+	rememberedParts  = 4096
+	plainServiceTime = 30.0 // ms of a request that is no prompt
+)
+
+// Worker is what the catalog tells of a worker, in the form that choosing needs.
+type Worker struct {
+	Instance string
+	Address  string
+	Zone     string
+	Region   string
+	Capacity int
+	Engine   bool // it reads prompts
+}
+
+// tracked is what this edge knows of a worker itself.
+type tracked struct {
+	inHand      int           // own requests
+	unread      float64       // prompt tokens of own requests without a first token
+	saidOthers  float64       // requests of other edges, by the worker's last word
+	saidWaiting float64       // requests that waited, by the same
+	saidAt      time.Duration // of the last word
+	everSaid    bool
+	failures    int
+	doubtUntil  time.Duration
+	parts       map[string]time.Duration // when a prompt part was last sent there
+}
+
+// Request is what choosing needs to know of a request.
+type Request struct {
+	Parts []Part
+}
+
+// Balancer chooses for one edge.
+type Balancer struct {
+	zone, region string
+	random       *rand.Rand
+	workers      map[string]*tracked // by instance
+}
+
+// New makes a balancer for an edge in a zone of a region.
+func New(zone, region string, random *rand.Rand) *Balancer {
+	return &Balancer{zone: zone, region: region, random: random, workers: map[string]*tracked{}}
+}
+
+// Keep forgets all workers but those that wanted names.
+func (b *Balancer) Keep(wanted func(instance string) bool) {
+	for instance, worker := range b.workers {
+		if !wanted(instance) && worker.inHand == 0 {
+			delete(b.workers, instance)
+		}
+	}
+}
+
+func (b *Balancer) tracked(instance string) *tracked {
+	worker := b.workers[instance]
+	if worker == nil {
+		worker = &tracked{parts: map[string]time.Duration{}}
+		b.workers[instance] = worker
+	}
+	return worker
+}
+
+// Choose returns the index of the best candidate, or -1 where there is none.
+func (b *Balancer) Choose(now time.Duration, request *Request, candidates []Worker) int {
+	home := b.home(request, candidates)
+	best, bestCost := -1, math.Inf(1)
+	for i := range candidates {
+		cost := b.cost(now, request, &candidates[i], candidates[i].Instance == home)
+		cost += b.random.Float64() * tieBreak
+		if cost < bestCost {
+			best, bestCost = i, cost
+		}
+	}
+	return best
+}
+
+// home returns the instance that the request's shared prompt belongs to: among all regions where the prompt is long,
+// else in this edge's own.
+func (b *Balancer) home(request *Request, candidates []Worker) string {
+	key := homeKey(request.Parts)
+	if key == "" {
+		return ""
+	}
+	global := sharedTokens(request.Parts) >= globalHomeAt
+	home, highest := "", uint64(0)
+	for _, candidate := range candidates {
+		if !global && candidate.Region != b.region {
+			continue
+		}
+		if rank := rendezvous(key, candidate.Instance); home == "" || rank > highest {
+			home, highest = candidate.Instance, rank
+		}
+	}
+	return home
+}
+
+func rendezvous(key, instance string) uint64 {
+	hash := fnv.New64a()
+	hash.Write([]byte(key))
+	hash.Write([]byte{0})
+	hash.Write([]byte(instance))
+	sum := hash.Sum64() // mixed further: FNV's high bits depend little on the last bytes
+	sum ^= sum >> 33
+	sum *= 0xff51afd7ed558ccd
+	sum ^= sum >> 33
+	return sum
+}
+
+// cost estimates what it costs to send the request to a worker.
+func (b *Balancer) cost(now time.Duration, request *Request, candidate *Worker, home bool) float64 {
+	worker := b.tracked(candidate.Instance)
+	cost := b.distanceCost(candidate)
+	others, waiting := worker.said(now)
+	inHand := float64(worker.inHand) + others
+	if candidate.Engine {
+		cost += worker.promptCost(now, request.Parts, home)
+		cost += worker.unread/prefillPerMs + inHand*runningCost
+	} else {
+		cost += plainServiceTime * inHand / math.Max(float64(candidate.Capacity), 1)
+	}
+	cost += waiting * waitingCost
+	if capacity := float64(candidate.Capacity); capacity > 0 && inHand >= capacity {
+		cost += fullCost * (1 + inHand - capacity)
+	}
+	if now < worker.doubtUntil {
+		cost += doubtCost
+	}
+	return cost
+}
+
+func (b *Balancer) distanceCost(candidate *Worker) float64 {
+	switch {
+	case candidate.Zone == b.zone:
+		return 0
+	case candidate.Region == b.region:
+		return otherZone
+	}
+	return otherRegion
+}
+
+// promptCost is the reading of what is not kept there, and the price of shared parts that are read again.
+func (t *tracked) promptCost(now time.Duration, parts []Part, home bool) float64 {
+	cost := 0.0
+	kept := true
+	for i, part := range parts {
+		shared := i+1 < len(parts)
+		last, known := t.parts[part.ID]
+		kept = kept && (known && now-last < partMemory || home && shared)
+		if kept {
+			continue
+		}
+		cost += part.Tokens / prefillPerMs
+		if shared {
+			cost += part.Tokens * rereadPerToken
+		}
+	}
+	return cost
+}
+
+// said returns what the worker has said of other edges' requests and of waiting ones, as far as it is fresh.
+func (t *tracked) said(now time.Duration) (others, waiting float64) {
+	if !t.everSaid {
+		return 0, 0
+	}
+	fresh := math.Exp(-(now - t.saidAt).Seconds() / loadMemory.Seconds())
+	return t.saidOthers, t.saidWaiting * fresh
+}
+
+// Sent notes that a request goes to a worker.
+func (b *Balancer) Sent(now time.Duration, request *Request, instance string) {
+	worker := b.tracked(instance)
+	worker.inHand++
+	worker.unread += totalTokens(request.Parts)
+	if len(worker.parts) > rememberedParts {
+		for id, last := range worker.parts {
+			if now-last > partMemory {
+				delete(worker.parts, id)
+			}
+		}
+	}
+	for _, part := range request.Parts {
+		worker.parts[part.ID] = now
+	}
+}
+
+// FirstToken notes that a worker has read a request's prompt.
+func (b *Balancer) FirstToken(request *Request, instance string) {
+	worker := b.tracked(instance)
+	worker.unread = math.Max(0, worker.unread-totalTokens(request.Parts))
+}
+
+// Done notes that a request has left a worker.
+func (b *Balancer) Done(instance string) {
+	worker := b.tracked(instance)
+	worker.inHand = max(worker.inHand-1, 0)
+}
+
+// Load notes what a worker says of itself: requests that run and that wait.
+func (b *Balancer) Load(now time.Duration, instance string, running, waiting float64) {
+	worker := b.tracked(instance)
+	worker.saidOthers = math.Max(0, running+waiting-float64(worker.inHand))
+	worker.saidWaiting = waiting
+	worker.saidAt = now
+	worker.everSaid = true
+}
+
+// Succeeded notes a sign of life.
+func (b *Balancer) Succeeded(instance string) {
+	worker := b.tracked(instance)
+	worker.failures = 0
+	worker.doubtUntil = 0
+}
+
+// Failed notes that a worker could not be reached, or broke off. It is in doubt for a time that doubles.
+func (b *Balancer) Failed(now time.Duration, instance string) {
+	worker := b.tracked(instance)
+	doubt := firstDoubt << min(worker.failures, doubtDoublings)
+	worker.failures++
+	worker.doubtUntil = now + min(doubt, longestDoubt)
+}
+
+// InDoubt reports whether a worker has failed lately.
+func (b *Balancer) InDoubt(now time.Duration, instance string) bool {
+	worker := b.workers[instance]
+	return worker != nil && now < worker.doubtUntil
+}
--- /dev/null
+++ b/internal/serving/catalog/catalog.go
@@ -0,0 +1,174 @@
+// Package catalog holds what is told of workers, edges and cores: records that several replicas write, merged without
+// agreement. Each writer (origin) counts its writes; a version vector of these counts says what a holder has seen, so
+// that another can send just what is missing (Parker et al., "Detection of Mutual Inconsistency in Distributed
+// Systems", 1983; the pull of missing updates as in Petersen et al., "Flexible Update Propagation", 1997).
+//
+// Which of two versions of a key is newer is said by their order, a number that the described party counts itself.
+// The package has no I/O, clock or goroutines, and is not safe for concurrent use.
+package catalog
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"willowdeck/internal/serving/wirepb"
+)
+
+// Final is the order of a record that nothing follows: the incarnation of a worker that has deregistered.
+const Final = 1<<63 - 1
+
+// tombstoneLife is how long a deletion is kept, so that holders that were away hear of it.
+const tombstoneLife = 5 * time.Minute
+
+// Entry is a record as this holder keeps it.
+type Entry struct {
+	Record    *wirepb.Record
+	ColdUntil time.Duration // workers: on the holder's clock
+	Merged    time.Duration // when this version came
+}
+
+// Catalog is one holder's copy.
+type Catalog struct {
+	origin  string
+	vector  map[string]uint64
+	entries map[string]*Entry
+}
+
+// New makes an empty catalog. origin must be new with each life of the process; holders that write nothing pass "".
+func New(origin string) *Catalog {
+	return &Catalog{origin: origin, vector: map[string]uint64{}, entries: map[string]*Entry{}}
+}
+
+// WorkerKey returns the key of a worker incarnation's record.
+func WorkerKey(instance string) string { return "worker/" + instance }
+
+// EdgeKey returns the key of an edge's record.
+func EdgeKey(name string) string { return "edge/" + name }
+
+// CoreKey returns the key of a core's record.
+func CoreKey(replica string) string { return "core/" + replica }
+
+// Get returns the entry of key, deleted ones included, or nil.
+func (c *Catalog) Get(key string) *Entry { return c.entries[key] }
+
+// Entries returns all entries in the order of their keys, deleted ones included.
+func (c *Catalog) Entries() []*Entry {
+	list := make([]*Entry, 0, len(c.entries))
+	for _, key := range slices.Sorted(maps.Keys(c.entries)) {
+		list = append(list, c.entries[key])
+	}
+	return list
+}
+
+// Vector returns a copy of what has been seen of each origin.
+func (c *Catalog) Vector() *wirepb.VersionVector {
+	return &wirepb.VersionVector{Sequences: maps.Clone(c.vector)}
+}
+
+// Publish writes a version of a record, and returns it, or nil where a version at least as new is held.
+func (c *Catalog) Publish(now time.Duration, record *wirepb.Record) *wirepb.Record {
+	held := c.entries[record.Key]
+	if held != nil && (held.Record.Order > record.Order || held.Record.Order == record.Order && held.Record.Deleted) {
+		return nil
+	}
+	c.vector[c.origin]++
+	record.Origin = c.origin
+	record.Sequence = c.vector[c.origin]
+	c.put(now, record)
+	return record
+}
+
+// Merge takes records and the vector of their sender, and returns the entries that changed.
+func (c *Catalog) Merge(now time.Duration, records []*wirepb.Record, vector *wirepb.VersionVector) []*Entry {
+	var changed []*Entry
+	for _, record := range records {
+		if held := c.entries[record.Key]; held == nil || newer(record, held.Record) {
+			changed = append(changed, c.put(now, record))
+		}
+		c.vector[record.Origin] = max(c.vector[record.Origin], record.Sequence)
+	}
+	for origin, sequence := range vector.GetSequences() {
+		c.vector[origin] = max(c.vector[origin], sequence)
+	}
+	return changed
+}
+
+// newer reports whether a replaces b. It is the same at each holder, whatever the order of arrival.
+func newer(a, b *wirepb.Record) bool {
+	if a.Order != b.Order {
+		return a.Order > b.Order
+	}
+	if a.Deleted != b.Deleted {
+		return a.Deleted
+	}
+	if a.Origin != b.Origin {
+		return a.Origin > b.Origin
+	}
+	return a.Sequence > b.Sequence
+}
+
+func (c *Catalog) put(now time.Duration, record *wirepb.Record) *Entry {
+	entry := &Entry{Record: record, Merged: now}
+	if worker := record.GetWorker(); worker != nil {
+		entry.ColdUntil = now + time.Duration(worker.ColdRemainingMs)*time.Millisecond
+	}
+	c.entries[record.Key] = entry
+	return entry
+}
+
+// Since returns the records that a holder of vector lacks. Times are told as they stand now.
+func (c *Catalog) Since(now time.Duration, vector *wirepb.VersionVector) []*wirepb.Record {
+	if c.Covered(vector) {
+		return nil
+	}
+	var records []*wirepb.Record
+	for _, entry := range c.Entries() {
+		record := entry.Record
+		if record.Sequence > vector.GetSequences()[record.Origin] {
+			records = append(records, told(now, entry))
+		}
+	}
+	return records
+}
+
+// Covered reports whether a holder of vector lacks nothing.
+func (c *Catalog) Covered(vector *wirepb.VersionVector) bool {
+	for origin, sequence := range c.vector {
+		if vector.GetSequences()[origin] < sequence {
+			return false
+		}
+	}
+	return true
+}
+
+func told(now time.Duration, entry *Entry) *wirepb.Record {
+	worker := entry.Record.GetWorker()
+	if worker == nil || worker.ColdRemainingMs == 0 {
+		return entry.Record
+	}
+	record := proto.Clone(entry.Record).(*wirepb.Record)
+	remaining := (entry.ColdUntil - now + time.Millisecond - 1) / time.Millisecond
+	record.GetWorker().ColdRemainingMs = int64(max(remaining, 0))
+	return record
+}
+
+// Expire forgets deletions that are old.
+func (c *Catalog) Expire(now time.Duration) {
+	maps.DeleteFunc(c.entries, func(_ string, entry *Entry) bool {
+		return entry.Record.Deleted && now-entry.Merged > tombstoneLife
+	})
+}
+
+// DropUnknownOrigins removes the records whose writer a settled provider does not know: they were written by an
+// earlier life of the core, and nobody has told of their subjects since. It returns whether any was removed.
+func (c *Catalog) DropUnknownOrigins(provider *wirepb.VersionVector) bool {
+	before := len(c.entries)
+	maps.DeleteFunc(c.entries, func(_ string, entry *Entry) bool {
+		_, known := provider.GetSequences()[entry.Record.Origin]
+		return !known
+	})
+	return len(c.entries) != before
+}
--- /dev/null
+++ b/internal/serving/edge/decisions.go
@@ -0,0 +1,189 @@
+package edge
+
+import (
+	"math"
+	"math/rand"
+	"slices"
+	"sync"
+	"time"
+
+	"willowdeck/internal/serving/balance"
+	"willowdeck/internal/serving/boot"
+	"willowdeck/internal/serving/coldshare"
+	"willowdeck/internal/serving/configuration"
+	"willowdeck/internal/serving/retrybudget"
+	"willowdeck/internal/serving/wirepb"
+)
+
+// noWorkerWait is what a client is told to wait where no worker is known that may get its request.
+const noWorkerWait = 400 * time.Millisecond
+
+// decisions guards what the requests of an edge share: the choice of workers, shares of cold ones, and the budget.
+type decisions struct {
+	mu       sync.Mutex
+	bounds   boot.Bounds
+	balancer *balance.Balancer
+	shares   *coldshare.Shares
+	budgets  map[string]*retrybudget.Budget // by service
+	random   *rand.Rand
+}
+
+func newDecisions(settings *boot.Settings, random *rand.Rand) *decisions {
+	return &decisions{
+		bounds:   settings.Bounds,
+		balancer: balance.New(settings.Zone, settings.Region, random),
+		shares:   coldshare.New(settings.NodeName),
+		budgets:  map[string]*retrybudget.Budget{},
+		random:   random,
+	}
+}
+
+// service draws the service of a request by the route's weights, among those with workers where there are any.
+func (d *decisions) service(t *table, route *configuration.Route) string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	splits := route.Backends()
+	sum, served := 0.0, 0.0
+	for _, split := range splits {
+		sum += split.Weight
+		if len(t.workers[split.Backend]) > 0 {
+			served += split.Weight
+		}
+	}
+	draw := d.random.Float64() * sum
+	if served > 0 {
+		draw = d.random.Float64() * served
+	}
+	chosen := splits[0].Backend
+	for _, split := range splits {
+		if split.Weight <= 0 || served > 0 && len(t.workers[split.Backend]) == 0 {
+			continue
+		}
+		chosen = split.Backend
+		if draw -= split.Weight; draw < 0 {
+			break
+		}
+	}
+	return chosen
+}
+
+// choose picks a worker of the service for a request, and counts it as sent. Workers in excluded are left out. Where
+// none may get it, the returned wait says when to come back.
+func (d *decisions) choose(
+	now time.Duration, t *table, service string, route *configuration.Route, request *balance.Request,
+	excluded map[string]bool,
+) (chosen worker, wait time.Duration, ok bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var candidates []worker
+	for _, candidate := range t.workers[service] {
+		if !excluded[candidate.Instance] && allowed(route, candidate.Region) {
+			candidates = append(candidates, candidate)
+		}
+	}
+	wait = noWorkerWait
+	for len(candidates) > 0 {
+		index := d.balancer.Choose(now, request, plain(candidates))
+		candidate := candidates[index]
+		admitted, shortest := d.admitCold(now, t, service, candidate)
+		if admitted {
+			d.balancer.Sent(now, request, candidate.Instance)
+			return candidate, 0, true
+		}
+		wait = min(wait, shortest)
+		candidates = slices.Delete(candidates, index, index+1)
+	}
+	return worker{}, wait, false
+}
+
+// admitCold asks the cold share where the worker is cold.
+func (d *decisions) admitCold(now time.Duration, t *table, service string, w worker) (bool, time.Duration) {
+	told := t.services[service]
+	if now >= w.coldUntil || told == nil || told.ColdPerS <= 0 {
+		return true, 0
+	}
+	limits := coldshare.Limits{
+		PerSecond: told.ColdPerS, Overshoot: d.bounds.ColdOvershoot, Slack: d.bounds.ColdSlack,
+	}
+	wait, ok := d.shares.Admit(now, w.Instance, limits, t.edges, t.demands)
+	return ok, wait
+}
+
+func allowed(route *configuration.Route, region string) bool {
+	return len(route.AllowedRegions) == 0 || slices.Contains(route.AllowedRegions, region)
+}
+
+func plain(workers []worker) []balance.Worker {
+	list := make([]balance.Worker, len(workers))
+	for i := range workers {
+		list[i] = workers[i].Worker
+	}
+	return list
+}
+
+func (d *decisions) budget(service string) *retrybudget.Budget {
+	budget := d.budgets[service]
+	if budget == nil {
+		budget = retrybudget.New(d.bounds.RetryBudgetRatio, d.bounds.RetrySlack, d.bounds.BudgetWindow)
+		d.budgets[service] = budget
+	}
+	return budget
+}
+
+func (d *decisions) countRequest(now time.Duration, service string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.budget(service).Request(now)
+}
+
+func (d *decisions) allowRepeat(now time.Duration, service string, edges int) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.budget(service).Repeat(now, edges)
+}
+
+func (d *decisions) firstToken(request *balance.Request, instance string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.balancer.FirstToken(request, instance)
+	d.balancer.Succeeded(instance)
+}
+
+// firstTokenGone notes that a request leaves a worker before its prompt was read.
+func (d *decisions) firstTokenGone(request *balance.Request, instance string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.balancer.FirstToken(request, instance)
+}
+
+func (d *decisions) done(instance string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.balancer.Done(instance)
+}
+
+func (d *decisions) failed(now time.Duration, instance string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.balancer.Failed(now, instance)
+}
+
+func (d *decisions) load(now time.Duration, instance string, running, waiting float64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !math.IsNaN(running) && !math.IsNaN(waiting) {
+		d.balancer.Load(now, instance, running, waiting)
+	}
+}
+
+func (d *decisions) keep(t *table) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.balancer.Keep(func(instance string) bool { return t.instances[instance] })
+}
+
+func (d *decisions) reports(now time.Duration, t *table) []*wirepb.Demand {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.shares.Reports(now, t.demands)
+}
--- /dev/null
+++ b/internal/serving/edge/table.go
@@ -0,0 +1,168 @@
+package edge
+
+import (
+	"encoding/json"
+	"maps"
+	"net"
+	"slices"
+	"strings"
+	"time"
+
+	"willowdeck/internal/serving/balance"
+	"willowdeck/internal/serving/boot"
+	"willowdeck/internal/serving/configuration"
+	"willowdeck/internal/serving/feed"
+	"willowdeck/internal/serving/wirepb"
+)
+
+// table is what requests are handled by: one moment's configuration and workers. It is not changed once made.
+type table struct {
+	generation uint64
+	hosts      map[string][]*configuration.Route // the longest prefix first
+	services   map[string]*configuration.Service
+	limits     configuration.Limits
+	workers    map[string][]worker // by service; those that may get new requests
+	instances  map[string]bool     // all that are known
+	edges      int                 // N, never counted too low
+	demands    []*wirepb.Demand
+}
+
+// worker is one that may get requests.
+type worker struct {
+	balance.Worker
+	coldUntil time.Duration
+}
+
+// routeCache keeps decoded routes by their text: most stay as they are from one configuration to the next.
+type routeCache map[string]*configuration.Route
+
+// tableBuilder makes tables out of what the agent feeds.
+type tableBuilder struct {
+	settings  *boot.Settings
+	routes    routeCache
+	edges     int                      // the most edges that were known at any time
+	evacuated map[string]bool          // zones, as of the last table
+	coldZones map[string]time.Duration // zones taken back lately: until when their workers count as cold
+}
+
+func newTableBuilder(settings *boot.Settings) *tableBuilder {
+	return &tableBuilder{
+		settings: settings, routes: routeCache{}, evacuated: map[string]bool{}, coldZones: map[string]time.Duration{},
+	}
+}
+
+// build returns the table for a view, or nil where no configuration is known yet.
+func (b *tableBuilder) build(now time.Duration, view feed.View) (*table, error) {
+	if view.Document == nil {
+		return nil, nil
+	}
+	t := &table{
+		generation: view.Document.Generation, services: map[string]*configuration.Service{},
+		workers: map[string][]worker{}, instances: map[string]bool{}, demands: view.Demands,
+	}
+	if err := b.buildRoutes(t, view.Document); err != nil {
+		return nil, err
+	}
+	services, err := view.Document.Services()
+	if err != nil {
+		return nil, err
+	}
+	longestCold := 0.0
+	for i := range services {
+		t.services[services[i].Name] = &services[i]
+		longestCold = max(longestCold, services[i].ColdStartS)
+	}
+	if t.limits, err = view.Document.Limits(); err != nil {
+		return nil, err
+	}
+	b.noteEvacuations(now, view.Evacuated, longestCold)
+	b.buildWorkers(now, t, view)
+	t.edges = b.edges
+	return t, nil
+}
+
+func (b *tableBuilder) buildRoutes(t *table, document *configuration.Document) error {
+	kept := make(routeCache, len(document.Routes()))
+	t.hosts = map[string][]*configuration.Route{}
+	for _, raw := range document.Routes() {
+		route := b.routes[raw]
+		if route == nil {
+			route = &configuration.Route{}
+			if err := json.Unmarshal([]byte(raw), route); err != nil {
+				return err
+			}
+		}
+		kept[raw] = route
+		host := strings.ToLower(route.Hostname)
+		t.hosts[host] = append(t.hosts[host], route)
+	}
+	b.routes = kept
+	for _, routes := range t.hosts {
+		slices.SortFunc(routes, func(x, y *configuration.Route) int { return len(y.PathPrefix) - len(x.PathPrefix) })
+	}
+	return nil
+}
+
+// noteEvacuations keeps which zones' workers may have turned cold: an evacuation's end says that they may have, shortly
+// before it.
+func (b *tableBuilder) noteEvacuations(now time.Duration, evacuated []string, coldSeconds float64) {
+	current := map[string]bool{}
+	for _, zone := range evacuated {
+		current[zone] = true
+	}
+	for zone := range b.evacuated {
+		if !current[zone] {
+			b.coldZones[zone] = now + time.Duration((coldSeconds+evacuationMargin)*float64(time.Second))
+		}
+	}
+	b.evacuated = current
+	maps.DeleteFunc(b.coldZones, func(_ string, until time.Duration) bool { return now >= until })
+}
+
+func (b *tableBuilder) buildWorkers(now time.Duration, t *table, view feed.View) {
+	edges := 0
+	for _, entry := range view.Entries {
+		if entry.Record.Deleted {
+			continue
+		}
+		if entry.Record.GetEdge() != nil {
+			edges++
+		}
+		told := entry.Record.GetWorker()
+		if told == nil {
+			continue
+		}
+		t.instances[told.InstanceId] = true
+		if told.Draining || b.evacuated[told.Zone] {
+			continue
+		}
+		service := t.services[told.Service]
+		t.workers[told.Service] = append(t.workers[told.Service], worker{
+			Worker: balance.Worker{
+				Instance: told.InstanceId, Address: told.Address, Zone: told.Zone,
+				Region: b.settings.Zones[told.Zone], Capacity: int(told.Capacity),
+				Engine: service != nil && service.Engine != nil,
+			},
+			coldUntil: max(entry.ColdUntil, b.coldZones[told.Zone]),
+		})
+	}
+	b.edges = max(b.edges, edges, 1)
+}
+
+// route returns the route of a request, or nil.
+func (t *table) route(host, path string) *configuration.Route {
+	for _, route := range t.hosts[hostName(host)] {
+		if strings.HasPrefix(path, route.PathPrefix) {
+			return route
+		}
+	}
+	return nil
+}
+
+// hostName returns a Host header's name, without port and in lower case.
+func hostName(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	return strings.ToLower(host)
+}
