--- a/internal/serving/core/core.go
+++ b/internal/serving/core/core.go
@@ -102,7 +102,7 @@
 	}
 	c.node = consensus.New(identity, stored, c.now(), mathrand.New(mathrand.NewSource(randomSeed())))
 	c.tellCommitted()
-	c.disk = newDisk(log, c.events)
+	c.disk = newDisk(log, stored, c.events)
 	return c, nil
 }
 
--- a/internal/serving/core/disk.go
+++ b/internal/serving/core/disk.go
@@ -98,8 +98,9 @@
 	busy   bool             // a rewrite is under way; owned by the core's goroutine
 }
 
-func newDisk(log *wal.Log, events chan func()) *disk {
-	return &disk{log: log, tasks: make(chan diskTask, 4096), events: events}
+// newDisk takes a log that was opened, with what it held.
+func newDisk(log *wal.Log, stored consensus.Stored, events chan func()) *disk {
+	return &disk{log: log, tasks: make(chan diskTask, 4096), events: events, held: stored}
 }
 
 func (d *disk) write(batch consensus.Persist, done func()) {
