--- a/internal/serving/consensus/election.go
+++ b/internal/serving/consensus/election.go
@@ -1,6 +1,10 @@
 package consensus
 
-import "willowdeck/internal/serving/wirepb"
+import (
+	"slices"
+
+	"willowdeck/internal/serving/wirepb"
+)
 
 // startPreVote asks the others whether they would vote, without raising the term.
 func (n *Node) startPreVote() {
@@ -21,7 +25,7 @@
 	n.term++
 	n.votedFor = n.id
 	n.votes = map[string]bool{n.id: true}
-	n.deadline = n.now + voteTimeout + orderStep
+	n.resetDeadline()
 	batch := Persist{HardState: n.hardState()}
 	n.askForVotes(wirepb.ConsensusKind_CONSENSUS_VOTE, n.term, func(m *wirepb.Consensus) {
 		m.From = n.id
@@ -58,7 +62,9 @@
 	}
 	granted := m.Term > n.term && n.upToDate(m)
 	term := m.Term
-	if !granted {
+	if granted {
+		n.yieldTo(m.From)
+	} else {
 		term = n.term
 	}
 	n.send(&wirepb.Consensus{
@@ -66,6 +72,16 @@
 	})
 }
 
+// yieldTo leaves the election to a candidate that comes earlier in the order, so that votes do not split.
+func (n *Node) yieldTo(candidate string) {
+	if slices.Index(n.members, candidate) < slices.Index(n.members, n.id) {
+		n.deadline = max(n.deadline, n.now+voteTimeout)
+		if n.role == PreCandidate {
+			n.role = Follower
+		}
+	}
+}
+
 func (n *Node) stepPreVoteReply(m *wirepb.Consensus) {
 	if m.Reject {
 		if m.Term > n.term {
--- a/internal/serving/consensus/follower.go
+++ b/internal/serving/consensus/follower.go
@@ -95,6 +95,13 @@
 		n.replyAppend(m.From, m.Round)
 		return
 	}
+	if term, ok := n.log.term(m.Snapshot.Index); ok && term == m.Snapshot.Term {
+		// A late snapshot: the log goes on behind it, and what was acknowledged there has to stay.
+		n.matched = max(n.matched, m.Snapshot.Index)
+		n.setCommit(m.Snapshot.Index)
+		n.replyAppend(m.From, m.Round)
+		return
+	}
 	n.log.snapshot = m.Snapshot
 	n.log.entries = nil
 	n.commit = m.Snapshot.Index
--- a/internal/serving/consensus/leader.go
+++ b/internal/serving/consensus/leader.go
@@ -216,7 +216,8 @@
 	}
 }
 
-// admissible reports whether the quorum after the admission of id answers at present.
+// admissible reports whether the quorum after the admission of id answers at present. An even number with a silent
+// member first gives that one up: else silent members would add up.
 func (n *Node) admissible(id string) bool {
 	answering := 1 // id itself
 	for _, member := range n.members {
@@ -224,31 +225,38 @@
 			answering++
 		}
 	}
+	if len(n.members)%2 == 0 && answering <= len(n.members) {
+		return false
+	}
 	return answering >= (len(n.members)+1)/2+1
 }
 
-// removable returns a member whose removal makes the quorum smaller: of an even number, one that is silent for long,
-// or whose address has come back with another disk.
+// removable returns a member to remove, or "": one that is dead, where the quorum becomes smaller by it. That is so with
+// an even number of members, and with an odd one where two are dead.
 func (n *Node) removable() string {
-	if len(n.members)%2 != 0 {
-		return ""
-	}
 	var longest time.Duration
-	dead := ""
+	worst, dead := "", 0
 	for _, member := range n.members {
 		if member == n.id {
 			continue
 		}
 		silence := n.now - n.peers[member].heard
-		gone := n.peers[member].leaving || n.replaced(member)
-		if silence > 2*HeartbeatInterval && gone {
-			return member
+		gone := silence > 2*HeartbeatInterval && (n.peers[member].leaving || n.replaced(member))
+		if !gone && silence <= deadAfter {
+			continue
 		}
-		if silence > deadAfter && silence > longest {
-			longest, dead = silence, member
+		dead++
+		if gone {
+			silence += deadAfter
 		}
+		if silence > longest {
+			longest, worst = silence, member
+		}
+	}
+	if len(n.members)%2 == 0 && dead >= 1 || dead >= 2 {
+		return worst
 	}
-	return dead
+	return ""
 }
 
 // replaced reports whether another identity than member's is known at its address.
