--- a/internal/serving/agent/agent.go
+++ b/internal/serving/agent/agent.go
@@ -24,7 +24,7 @@
 )
 
 const (
-	coreDialTimeout  = 500 * time.Millisecond
+	coreDialTimeout  = 280 * time.Millisecond
 	linkWriteTimeout = 2 * time.Second
 	settingsInterval = 2 * time.Second
 	stopLinger       = 80 * time.Millisecond
--- a/internal/serving/consensus/election.go
+++ b/internal/serving/consensus/election.go
@@ -129,6 +129,7 @@
 func (n *Node) becomeLeader() {
 	n.role = Leader
 	n.leader = n.id
+	n.everLed = true
 	n.peers = map[string]*peer{}
 	for _, member := range n.members {
 		n.addPeer(member)
--- a/internal/serving/consensus/follower.go
+++ b/internal/serving/consensus/follower.go
@@ -9,6 +9,7 @@
 	}
 	n.leaderHeard = n.now
 	n.everHeard = true
+	n.everLed = true
 	n.round = m.Round
 	n.resetDeadline()
 }
--- a/internal/serving/consensus/node.go
+++ b/internal/serving/consensus/node.go
@@ -14,6 +14,7 @@
 const (
 	HeartbeatInterval = 120 * time.Millisecond
 	ElectionTimeout   = 500 * time.Millisecond // of silence, until the first in the order stands for election
+	firstElection     = 180 * time.Millisecond // the same while no acting replica was heard in this life
 	orderStep         = 180 * time.Millisecond // that each further replica in the order waits longer
 	electionJitter    = 90 * time.Millisecond
 	quorumTimeout     = 900 * time.Millisecond // without a majority, until the acting replica stops acting
@@ -107,6 +108,7 @@
 	matched     uint64        // index up to which the log is known to be the acting replica's
 	leaderHeard time.Duration // when the acting replica last spoke
 	everHeard   bool
+	everLed     bool          // an acting replica was heard in this life
 	deadline    time.Duration // of the present wait for an election
 	votes       map[string]bool
 
@@ -137,6 +139,9 @@
 	n.commit = n.log.snapshot.Index
 	n.applied = n.commit
 	n.members, n.membersIndex = n.log.membership()
+	n.setCommit(min(stored.HardState.GetCommit(), n.log.lastIndex()))
+	n.output.Persist = nil // the disk has it
+	n.persisting = 0
 	n.resetDeadline()
 	return n
 }
@@ -362,14 +367,18 @@
 }
 
 func (n *Node) hardState() *wirepb.HardState {
-	return &wirepb.HardState{Term: n.term, VotedFor: n.votedFor}
+	return &wirepb.HardState{Term: n.term, VotedFor: n.votedFor, Commit: n.commit}
 }
 
 // resetDeadline draws the next time to stand for election. The order of the membership comes first.
 func (n *Node) resetDeadline() {
 	rank := max(slices.Index(n.members, n.id), 0)
 	jitter := time.Duration(n.random.Int63n(int64(electionJitter)))
-	n.deadline = n.now + ElectionTimeout + time.Duration(rank)*orderStep + jitter
+	silence := ElectionTimeout
+	if !n.everLed {
+		silence = firstElection
+	}
+	n.deadline = n.now + silence + time.Duration(rank)*orderStep + jitter
 }
 
 func (n *Node) becomeFollower(term uint64, leader string) {
@@ -397,6 +406,7 @@
 		n.applied++
 		n.output.Committed = append(n.output.Committed, n.log.entries[n.applied-n.log.firstIndex()])
 	}
+	n.persist(Persist{HardState: n.hardState()}) // after a restart, this much is known at once
 }
 
 func decodeMembership(data []byte) []string {
--- a/internal/serving/core/core.go
+++ b/internal/serving/core/core.go
@@ -49,17 +49,17 @@
 	events       chan func()
 	stop         chan struct{}
 
-	node     *consensus.Node
-	machine  *committed.Machine
-	disk     *disk
-	replica  *feed.Replica
-	links    map[string]*peerLink // by internal address
-	inbound  map[string]time.Duration
-	workers  workerTable
-	edges    map[string]*edgeLink // by edge name: links of agents to this core
-	callers  callTable
-	acks     ackTable
-	selfTold time.Duration
+	node    *consensus.Node
+	machine *committed.Machine
+	disk    *disk
+	replica *feed.Replica
+	links   map[string]*peerLink // by internal address
+	inbound map[string]time.Duration
+	workers workerTable
+	edges   map[string]*edgeLink // by edge name: links of agents to this core
+	callers callTable
+	acks    ackTable
+	saved   savedWorkers
 
 	nextPresence time.Duration
 	nextSettings time.Duration
@@ -103,6 +103,8 @@
 	c.node = consensus.New(identity, stored, c.now(), mathrand.New(mathrand.NewSource(randomSeed())))
 	c.tellCommitted()
 	c.disk = newDisk(log, stored, c.events)
+	c.loadWorkers()
+	c.carryOut()
 	return c, nil
 }
 
@@ -217,6 +219,7 @@
 	if now >= c.nextSweep {
 		c.nextSweep = now + presenceInterval
 		c.sweep()
+		c.saveWorkers()
 	}
 	if now >= c.nextSettings {
 		c.nextSettings = now + settingsInterval
--- a/internal/serving/edge/handler.go
+++ b/internal/serving/edge/handler.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	unknownWait     = 300 * time.Millisecond // told to clients while this edge does not know enough
+	unknownWait     = 700 * time.Millisecond // told to clients while this edge does not know enough
 	defaultBodyMost = 8 << 20                // bytes, where the limits say nothing
 	defaultDeadline = 30 * time.Second
 	highestPriority = 9
--- a/internal/serving/wal/wal.go
+++ b/internal/serving/wal/wal.go
@@ -54,7 +54,7 @@
 
 // SaveIdentity keeps the identity in folder. It returns once the identity outlasts a loss of power.
 func SaveIdentity(folder, identity string) error {
-	return writeFile(folder, identityFile, []byte(identity+"\n"))
+	return WriteFile(folder, identityFile, []byte(identity+"\n"))
 }
 
 // Clear removes the segments in folder.
@@ -218,7 +218,7 @@
 	}
 	number := l.number + 1
 	path := segmentPath(l.folder, number)
-	if err := writeFile(l.folder, filepath.Base(path), buffer); err != nil {
+	if err := WriteFile(l.folder, filepath.Base(path), buffer); err != nil {
 		os.Remove(path + temporarySuffix)
 		return err
 	}
@@ -246,8 +246,8 @@
 
 const temporarySuffix = ".new"
 
-// writeFile writes a file whole or not at all: a new file is synced, renamed, and its folder synced.
-func writeFile(folder, name string, data []byte) error {
+// WriteFile writes a file whole or not at all: a new file is synced, renamed, and its folder synced.
+func WriteFile(folder, name string, data []byte) error {
 	path := filepath.Join(folder, name)
 	file, err := os.OpenFile(path+temporarySuffix, os.O_WRONLY|os.O_CREATE|os.O_TRUNC, 0o644)
 	if err != nil {
@@ -255,6 +255,7 @@
 	}
 	defer file.Close()
 	if _, err := file.Write(data); err != nil {
+		os.Remove(path + temporarySuffix)
 		return errors.Wrapf(err, "cannot write %s: free the disk", name)
 	}
 	if err := file.Sync(); err != nil {
