Edges that start wait for their first configuration; a core tells at its start what it knows

A core told its log index before its state, so that its state was taken for known until an election; an agent moved from a core to that same core.

--- a/internal/serving/core/core.go
+++ b/internal/serving/core/core.go
@@ -101,10 +101,10 @@
 		return nil, err
 	}
 	c.node = consensus.New(identity, stored, c.now(), mathrand.New(mathrand.NewSource(randomSeed())))
-	c.tellCommitted()
 	c.disk = newDisk(log, stored, c.events)
 	c.loadWorkers()
 	c.carryOut()
+	c.tellCommitted()
 	return c, nil
 }
 
--- a/internal/serving/edge/edge.go
+++ b/internal/serving/edge/edge.go
@@ -44,6 +44,9 @@
 	started  time.Time
 	replica  *feed.Replica
 	table    atomic.Pointer[table]
+
+	firstTable chan struct{} // closed once there is a table
+
 	decide   *decisions
 	pool     *workerlink.Pool
 	draining atomic.Bool
@@ -70,7 +73,7 @@
 func newEdge(settings *boot.Settings, logger *zap.Logger) *Edge {
 	e := &Edge{
 		settings: settings, logger: logger, started: time.Now(), pool: workerlink.NewPool(),
-		changed: make(chan struct{}),
+		changed: make(chan struct{}), firstTable: make(chan struct{}),
 	}
 	e.replica = feed.NewReplica("", e.now)
 	e.decide = newDecisions(settings, rand.New(rand.NewSource(time.Now().UnixNano())))
@@ -207,6 +210,7 @@
 	}
 	e.table.Store(next)
 	if before == nil {
+		close(e.firstTable)
 		e.tellAgent()
 	}
 	if before == nil || before.generation != next.generation {
--- a/internal/serving/edge/handler.go
+++ b/internal/serving/edge/handler.go
@@ -1,7 +1,9 @@
 package edge
 
 import (
+	"context"
 	"io"
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -15,10 +17,14 @@
 )
 
 const (
-	unknownWait     = 700 * time.Millisecond // told to clients while this edge does not know enough
-	defaultBodyMost = 8 << 20                // bytes, where the limits say nothing
+	firstTableWait  = 1200 * time.Millisecond // for the first configuration of a life
+	unknownWait     = 700 * time.Millisecond  // told to clients while this edge does not know enough
+	defaultBodyMost = 8 << 20                 // bytes, where the limits say nothing
 	defaultDeadline = 30 * time.Second
 	highestPriority = 9
+	usualPriority   = 5
+	tightestAim     = 400.0 // ms: routes with this aim or a shorter one are the most urgent
+	priorityStep    = 2.0   // ranks for each doubling of the aim
 )
 
 // ServeHTTP is the life of a client's request.
@@ -29,7 +35,7 @@
 	if e.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	t := e.table.Load()
+	t := e.awaitTable(r.Context())
 	if t == nil {
 		refuse(w, http.StatusServiceUnavailable, unknownWait)
 		return
@@ -61,6 +67,22 @@
 	j.run()
 }
 
+// awaitTable returns what requests are handled by. An edge that has just started waits a little for its first
+// configuration: the request can be served then, which is better than sending a client away that may not come back.
+func (e *Edge) awaitTable(ctx context.Context) *table {
+	if t := e.table.Load(); t != nil {
+		return t
+	}
+	timer := time.NewTimer(firstTableWait)
+	defer timer.Stop()
+	select {
+	case <-e.firstTable:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return e.table.Load()
+}
+
 // refuseUnknownRoute answers a request for which no route is known: with 404 only where that is known for sure.
 func (e *Edge) refuseUnknownRoute(w http.ResponseWriter) {
 	if e.mayDeny() {
@@ -111,7 +133,12 @@
 	w.WriteHeader(status)
 }
 
-// priority is what workers are told of a route's rank.
+// priority ranks requests at a worker by their aim: what has to begin soon goes before what can wait. Such requests are
+// the small ones, too: they hold the others up least.
 func priority(route *configuration.Route) string {
-	return strconv.Itoa(min(max(route.Priority, 0), highestPriority))
+	if route.TargetLatencyMs <= 0 {
+		return strconv.Itoa(usualPriority)
+	}
+	rank := math.Round(priorityStep * math.Log2(route.TargetLatencyMs/tightestAim))
+	return strconv.Itoa(int(min(max(rank, 0), highestPriority)))
 }
--- a/internal/serving/feed/subscriber.go
+++ b/internal/serving/feed/subscriber.go
@@ -116,7 +116,15 @@
 // nearerThan reports whether it is time to move to a nearer provider.
 func (s *Subscriber) nearerThan(provider Provider) bool {
 	best, ok := s.choose()
-	if !ok || best.Distance >= provider.Distance || time.Since(s.lastMoved) < nearerPause {
+	if !ok || best.Address == provider.Address || time.Since(s.lastMoved) < nearerPause {
+		return false
+	}
+	for _, known := range s.Providers() {
+		if known.Address == provider.Address {
+			provider = known // its place may have become known only by its own feed
+		}
+	}
+	if best.Distance >= provider.Distance {
 		return false
 	}
 	s.lastMoved = time.Now()
