--- a/internal/serving/balance/balance.go
+++ b/internal/serving/balance/balance.go
@@ -16,15 +16,15 @@
 
 // Weights of the costs.
 const (
-	prefillPerMs     = 50.0 // prompt tokens that a worker reads in a millisecond, about
-	rereadPerToken   = 0.08 // ms: the price of shared tokens that are read again
-	otherRegion      = 140  // ms: the way there and back, and the price of the bytes
-	otherZone        = 4    // ms
+	prefillPerMs     = 50.0  // prompt tokens that a worker reads in a millisecond, about
+	rereadPerToken   = 0.08  // ms: the price of shared tokens that are read again
+	otherRegion      = 140   // ms: the way there and back, and the price of the bytes
+	otherZone        = 4     // ms
 	runningCost      = 10.0  // ms for each request in hand: tokens come more slowly
 	waitingCost      = 150.0 // ms for each request that waits there, as the worker says
-	fullCost         = 2000 // ms where all places are taken
-	doubtCost        = 4000 // ms for a worker in doubt, so that it is taken only where there is no other
-	globalHomeAt     = 2000 // shared tokens from which one home for all regions pays
+	fullCost         = 2000  // ms where all places are taken
+	doubtCost        = 4000  // ms for a worker in doubt, so that it is taken only where there is no other
+	globalHomeAt     = 2000  // shared tokens from which one home for all regions pays
 	partMemory       = 20 * time.Second
 	loadMemory       = 800 * time.Millisecond // of what a worker says of its load
 	firstDoubt       = 400 * time.Millisecond
--- a/internal/serving/catalog/catalog.go
+++ b/internal/serving/catalog/catalog.go
@@ -68,10 +68,12 @@
 	return &wirepb.VersionVector{Sequences: maps.Clone(c.vector)}
 }
 
-// Publish writes a version of a record, and returns it, or nil where a version at least as new is held.
+// Publish writes a version of a record, and returns it, or nil where a version at least as new is held. Of the same
+// order, a deletion alone is newer: of two writers, all holders must come to choose the same one.
 func (c *Catalog) Publish(now time.Duration, record *wirepb.Record) *wirepb.Record {
 	held := c.entries[record.Key]
-	if held != nil && (held.Record.Order > record.Order || held.Record.Order == record.Order && held.Record.Deleted) {
+	if held != nil && !(record.Order > held.Record.Order ||
+		record.Order == held.Record.Order && record.Deleted && !held.Record.Deleted) {
 		return nil
 	}
 	c.vector[c.origin]++
--- a/internal/serving/coldshare/gcra.go
+++ b/internal/serving/coldshare/gcra.go
@@ -40,5 +40,5 @@
 	if b.depth < 1 || b.rate <= 0 {
 		return -1, false
 	}
-	return time.Duration((1 - b.fill) / b.rate * float64(time.Second)), false
+	return time.Duration((1-b.fill)/b.rate*float64(time.Second)) + time.Millisecond, false
 }
--- /dev/null
+++ b/internal/serving/committed/machine_test.go
@@ -0,0 +1,105 @@
+package committed
+
+import (
+	"fmt"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"willowdeck/internal/serving/wirepb"
+)
+
+func replaceCommand(t *testing.T, base, generation uint64, mark string) []byte {
+	t.Helper()
+	body := []byte(fmt.Sprintf(`{"generation":%d,"routes":[],"services":[],"mark":%q}`, generation, mark))
+	packed, err := Compress(body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	data, err := proto.Marshal(&wirepb.Command{Change: &wirepb.Command_Replace{Replace: &wirepb.ReplaceConfiguration{
+		Base: base, Generation: generation, Digest: Digest(base, body), Body: packed,
+	}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
+
+func apply(t *testing.T, m *Machine, data []byte) wirepb.Outcome {
+	t.Helper()
+	result, err := m.Apply(data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return result.Outcome
+}
+
+func TestReplace(t *testing.T) {
+	const (
+		taken    = wirepb.Outcome_OUTCOME_TAKEN
+		conflict = wirepb.Outcome_OUTCOME_CONFLICT
+		stale    = wirepb.Outcome_OUTCOME_STALE
+	)
+	m := New()
+	steps := []struct {
+		name             string
+		base, generation uint64
+		mark             string
+		want             wirepb.Outcome
+	}{
+		{"the first", 0, 3, "a", taken},
+		{"the first once more", 0, 3, "a", taken},
+		{"a second one on the same version", 0, 4, "b", conflict},
+		{"the next", 3, 7, "c", taken},
+		{"the first again, after newer ones", 0, 3, "a", taken},
+		{"the same number with another body", 3, 7, "d", conflict},
+		{"the same number on the newest version", 7, 7, "d", stale},
+		{"an older number on the newest version", 7, 5, "d", stale},
+		{"an old body on the newest version", 7, 3, "a", stale},
+		{"a version that never was", 6, 9, "e", conflict},
+	}
+	for _, step := range steps {
+		if got := apply(t, m, replaceCommand(t, step.base, step.generation, step.mark)); got != step.want {
+			t.Errorf("%s: %v instead of %v", step.name, got, step.want)
+		}
+	}
+	if m.Generation() != 7 {
+		t.Errorf("generation %d in force", m.Generation())
+	}
+}
+
+func TestSnapshotKeepsAll(t *testing.T) {
+	m := New()
+	apply(t, m, replaceCommand(t, 0, 3, "a"))
+	apply(t, m, replaceCommand(t, 3, 8, "b"))
+	for zone, active := range map[string]bool{"x": true, "y": false} {
+		data, err := proto.Marshal(&wirepb.Command{Change: &wirepb.Command_Evacuation{
+			Evacuation: &wirepb.SetEvacuation{Zone: zone, Active: active},
+		}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		apply(t, m, data)
+	}
+	data, err := m.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	restored := New()
+	if err := restored.Restore(data); err != nil {
+		t.Fatal(err)
+	}
+	if restored.Generation() != 8 || restored.Document().Generation != 8 {
+		t.Errorf("generation %d", restored.Generation())
+	}
+	if zones := restored.Evacuated(); len(zones) != 1 || zones[0] != "x" {
+		t.Errorf("evacuated %v", zones)
+	}
+	if got := apply(t, restored, replaceCommand(t, 0, 3, "a")); got != wirepb.Outcome_OUTCOME_TAKEN {
+		t.Errorf("an order that was taken before the snapshot: %v", got)
+	}
+	body, err := Decompress(restored.Body())
+	if err != nil || string(body) != `{"generation":8,"routes":[],"services":[],"mark":"b"}` {
+		t.Errorf("body %s, error %v", body, err)
+	}
+}
--- a/internal/serving/edge/answer.go
+++ b/internal/serving/edge/answer.go
@@ -101,6 +101,7 @@
 			return j.endStream(a, event, err)
 		}
 		j.sawFirstToken(a)
+		j.edge.liveness.hear(a.worker.Instance)
 		if !j.inOrder(event) {
 			j.fail(a, j.client.Context())
 			return j.answerBroken()
--- a/internal/serving/edge/decisions.go
+++ b/internal/serving/edge/decisions.go
@@ -162,6 +162,13 @@
 	d.balancer.Done(instance)
 }
 
+// alive notes that a worker can be reached.
+func (d *decisions) alive(instance string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.balancer.Succeeded(instance)
+}
+
 func (d *decisions) failed(now time.Duration, instance string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/serving/edge/edge.go
+++ b/internal/serving/edge/edge.go
@@ -49,6 +49,7 @@
 
 	decide   *decisions
 	pool     *workerlink.Pool
+	liveness *liveness
 	draining atomic.Bool
 	inHand   atomic.Int64
 
@@ -72,7 +73,7 @@
 
 func newEdge(settings *boot.Settings, logger *zap.Logger) *Edge {
 	e := &Edge{
-		settings: settings, logger: logger, started: time.Now(), pool: workerlink.NewPool(),
+		settings: settings, logger: logger, started: time.Now(), pool: workerlink.NewPool(), liveness: newLiveness(),
 		changed: make(chan struct{}), firstTable: make(chan struct{}),
 	}
 	e.replica = feed.NewReplica("", e.now)
@@ -102,6 +103,7 @@
 	go e.subscribe(ctx)
 	go e.keepTable(ctx)
 	go e.keepHouse(ctx)
+	go e.keepLiveness(ctx)
 	server := e.frontServer()
 	go server.Serve(front)
 	e.logger.Info("edge started", zap.String("front", e.settings.Front))
--- a/internal/serving/edge/job.go
+++ b/internal/serving/edge/job.go
@@ -160,11 +160,13 @@
 	ctx := j.client.Context()
 	connection, err := j.edge.pool.Get(ctx, chosen.Address, dialTimeout)
 	if err != nil {
+		j.edge.liveness.suspect(a, dialTimeout)
 		j.fail(a, ctx)
 		return nil, err
 	}
 	a.connection = connection
 	a.release = context.AfterFunc(ctx, func() { connection.Close() })
+	j.watch(a, dialTimeout)
 	j.attempts++
 	if err := connection.Send(j.prepare(chosen), j.deadline); err != nil {
 		j.fail(a, ctx)
@@ -175,6 +177,7 @@
 		j.fail(a, ctx)
 		return nil, err
 	}
+	j.edge.liveness.hear(chosen.Instance)
 	j.noteLoad(a)
 	if workerlink.NotExecuted(a.response) {
 		return nil, j.passBy(a)
@@ -182,6 +185,15 @@
 	return a, nil
 }
 
+// watch has the worker's life watched for as long as it has the request.
+func (j *job) watch(a *attempt, probeTimeout time.Duration) {
+	var interrupt func()
+	if j.route.Repeatable() {
+		interrupt = func() { a.connection.Close() }
+	}
+	j.edge.liveness.begin(a, probeTimeout, interrupt)
+}
+
 // prepare adds what the worker is told by us.
 func (j *job) prepare(chosen worker) *workerlink.Request {
 	request := *j.request
@@ -237,6 +249,7 @@
 		a.firstSeen = true
 	}
 	j.edge.decide.done(a.worker.Instance)
+	j.edge.liveness.end(a)
 	if a.connection == nil {
 		return
 	}
--- a/internal/serving/retrybudget/retrybudget.go
+++ b/internal/serving/retrybudget/retrybudget.go
@@ -5,7 +5,12 @@
 
 import "time"
 
-const slots = 20 // of a window
+// slots cover a window and one more slot. Repeats count over all of them; requests over half a window, which lies whole
+// in a window that the rule looks at, wherever that begins (at the repeats' window, or half a window or one before it).
+const (
+	slots        = 20
+	requestSlots = slots/2 - 1
+)
 
 // Budget counts one service's requests and repeats at this edge.
 type Budget struct {
@@ -43,9 +48,11 @@
 func (b *Budget) Repeat(now time.Duration, edges int) bool {
 	position := b.advance(now)
 	var requests, repeats float64
-	for i := range slots {
-		requests += b.requests[i]
+	for i := range int64(slots) {
 		repeats += b.repeats[i]
+		if age := (position - i + slots) % slots; age < requestSlots {
+			requests += b.requests[i]
+		}
 	}
 	if repeats+1 > b.ratio*requests+b.slack/float64(max(edges, 1)) {
 		return false
--- /dev/null
+++ b/internal/serving/retrybudget/retrybudget_test.go
@@ -0,0 +1,64 @@
+package retrybudget
+
+import (
+	"math/rand"
+	"testing"
+	"time"
+)
+
+// TestWindowKeepsTheBound draws requests and repeats: in every window the repeats keep within the bound.
+func TestWindowKeepsTheBound(t *testing.T) {
+	const (
+		ratio  = 0.2
+		slack  = 54.0
+		edges  = 7
+		window = 10 * time.Second
+	)
+	for seed := range int64(60) {
+		random := rand.New(rand.NewSource(seed))
+		budget := New(ratio, slack, window)
+		var requests, repeats []time.Duration
+		for now := time.Duration(0); now < time.Minute; now += 10 * time.Millisecond {
+			busy := (now/(7*time.Second))%2 == 0
+			if busy && random.Intn(3) == 0 {
+				budget.Request(now)
+				requests = append(requests, now)
+			}
+			if random.Intn(2) == 0 && budget.Repeat(now, edges) {
+				repeats = append(repeats, now)
+			}
+		}
+		for _, start := range repeats {
+			used := within(repeats, start, window)
+			// The rule lets the requests of the window before count as well.
+			most := ratio*float64(max(within(requests, start, window), within(requests, start-window/2, window),
+				within(requests, start-window, window))) + slack/edges
+			if float64(used) > most {
+				t.Fatalf("seed %d: %d repeats from %v on, %.1f are allowed", seed, used, start, most)
+			}
+		}
+	}
+}
+
+func within(times []time.Duration, start, length time.Duration) int {
+	count := 0
+	for _, at := range times {
+		if at >= start && at < start+length {
+			count++
+		}
+	}
+	return count
+}
+
+func TestSlackIsSharedByEdges(t *testing.T) {
+	budget := New(0, 54, 10*time.Second)
+	allowed := 0
+	for range 100 {
+		if budget.Repeat(time.Second, 9) {
+			allowed++
+		}
+	}
+	if allowed != 6 {
+		t.Errorf("%d repeats of one edge of nine, 6 are its part", allowed)
+	}
+}
--- a/internal/serving/workerlink/pool.go
+++ b/internal/serving/workerlink/pool.go
@@ -23,6 +23,10 @@
 	readBuffer     = 8 << 10
 )
 
+// keepAlive finds out within some seconds that a worker which should send is gone: then nothing of ours is on its way
+// that could stay unacknowledged.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
+
 // Conn is a connection to a worker.
 type Conn struct {
 	net.Conn
@@ -72,7 +76,7 @@
 }
 
 func dial(ctx context.Context, address string, timeout time.Duration) (*Conn, error) {
-	dialer := net.Dialer{Timeout: timeout, KeepAlive: -1, Control: framing.GiveUpAfter(unacknowledged)}
+	dialer := net.Dialer{Timeout: timeout, KeepAliveConfig: keepAlive, Control: framing.GiveUpAfter(unacknowledged)}
 	connection, err := dialer.DialContext(ctx, "tcp4", address)
 	if err != nil {
 		return nil, errors.Wrap(ErrNotSent, err.Error())
