--- a/internal/serving/balance/balance.go
+++ b/internal/serving/balance/balance.go
@@ -11,6 +11,8 @@
 	"hash/fnv"
 	"math"
 	"math/rand"
+	"slices"
+	"strings"
 	"time"
 )
 
@@ -30,7 +32,8 @@
 	firstDoubt       = 400 * time.Millisecond
 	longestDoubt     = 3 * time.Second
 	doubtDoublings   = 4
-	tieBreak         = 2.0 // ms of chance, so that edges do not move together
+	hearsayDoubt     = 150 * time.Millisecond // of a worker that another edge finds dead; renewed while it says so
+	tieBreak         = 2.0                    // ms of chance, so that edges do not move together
 	rememberedParts  = 4096
 	plainServiceTime = 30.0 // ms of a request that is no prompt
 )
@@ -53,6 +56,9 @@
 	saidWaiting float64       // requests that waited, by the same
 	saidAt      time.Duration // of the last word
 	everSaid    bool
+	toldInHand  float64 // requests of other edges, as they say themselves
+	toldUnread  float64 // prompt tokens of those without a first token
+	told        bool    // the other edges are heard from
 	failures    int
 	doubtUntil  time.Duration
 	parts       map[string]time.Duration // when a prompt part was last sent there
@@ -144,10 +150,15 @@
 	worker := b.tracked(candidate.Instance)
 	cost := b.distanceCost(candidate)
 	others, waiting := worker.said(now)
+	unread := worker.unread
+	if worker.told {
+		others, waiting = worker.toldInHand, 0
+		unread += worker.toldUnread
+	}
 	inHand := float64(worker.inHand) + others
 	if candidate.Engine {
 		cost += worker.promptCost(now, request.Parts, home)
-		cost += worker.unread/prefillPerMs + inHand*runningCost
+		cost += unread/prefillPerMs + inHand*runningCost
 	} else {
 		cost += plainServiceTime * inHand / math.Max(float64(candidate.Capacity), 1)
 	}
@@ -237,6 +248,38 @@
 	worker.everSaid = true
 }
 
+// Others notes what other edges say that they have in hand at a worker. Where known is false, they are not heard from,
+// and what the worker has said of itself is gone by.
+func (b *Balancer) Others(instance string, inHand, unread float64, known bool) {
+	worker := b.tracked(instance)
+	worker.toldInHand, worker.toldUnread, worker.told = inHand, unread, known
+}
+
+// InHandAt is what this edge has in hand at a worker.
+type InHandAt struct {
+	Instance string
+	InHand   int
+	Unread   float64 // prompt tokens of requests without a first token
+}
+
+// InHand returns what this edge has in hand, in the order of the instances.
+func (b *Balancer) InHand() []InHandAt {
+	var list []InHandAt
+	for instance, worker := range b.workers {
+		if worker.inHand > 0 {
+			list = append(list, InHandAt{Instance: instance, InHand: worker.inHand, Unread: worker.unread})
+		}
+	}
+	slices.SortFunc(list, func(x, y InHandAt) int { return strings.Compare(x.Instance, y.Instance) })
+	return list
+}
+
+// Doubt notes that another edge finds a worker dead.
+func (b *Balancer) Doubt(now time.Duration, instance string) {
+	worker := b.tracked(instance)
+	worker.doubtUntil = max(worker.doubtUntil, now+hearsayDoubt)
+}
+
 // Succeeded notes a sign of life.
 func (b *Balancer) Succeeded(instance string) {
 	worker := b.tracked(instance)
--- a/internal/serving/edge/decisions.go
+++ b/internal/serving/edge/decisions.go
@@ -11,6 +11,7 @@
 	"willowdeck/internal/serving/boot"
 	"willowdeck/internal/serving/coldshare"
 	"willowdeck/internal/serving/configuration"
+	"willowdeck/internal/serving/loadshare"
 	"willowdeck/internal/serving/retrybudget"
 	"willowdeck/internal/serving/wirepb"
 )
@@ -23,6 +24,7 @@
 	mu       sync.Mutex
 	bounds   boot.Bounds
 	balancer *balance.Balancer
+	peers    *loadshare.Peers
 	shares   *coldshare.Shares
 	budgets  map[string]*retrybudget.Budget // by service
 	random   *rand.Rand
@@ -32,6 +34,7 @@
 	return &decisions{
 		bounds:   settings.Bounds,
 		balancer: balance.New(settings.Zone, settings.Region, random),
+		peers:    loadshare.New(),
 		shares:   coldshare.New(settings.NodeName),
 		budgets:  map[string]*retrybudget.Budget{},
 		random:   random,
@@ -82,6 +85,7 @@
 		}
 	}
 	wait = noWorkerWait
+	d.tellBalancer(now, t, candidates)
 	for len(candidates) > 0 {
 		index := d.balancer.Choose(now, request, plain(candidates))
 		candidate := candidates[index]
@@ -96,6 +100,40 @@
 	return worker{}, wait, false
 }
 
+// tellBalancer brings what the other edges say of the candidates.
+func (d *decisions) tellBalancer(now time.Duration, t *table, candidates []worker) {
+	for i := range candidates {
+		instance := candidates[i].Instance
+		load, known := d.peers.Sum(now, instance, len(t.peers))
+		d.balancer.Others(instance, load.InHand, load.Unread, known && len(t.peers) > 0)
+		if d.peers.Dead(now, instance, len(t.peers)) {
+			d.balancer.Doubt(now, instance)
+		}
+	}
+}
+
+func (d *decisions) takeLoads(now time.Duration, report *wirepb.LoadReport) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.peers.Take(now, report)
+}
+
+// loadReport returns what this edge has in hand, at most at so many workers.
+func (d *decisions) loadReport(most int) *wirepb.LoadReport {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	report := &wirepb.LoadReport{}
+	for _, load := range d.balancer.InHand() {
+		if len(report.Loads) == most {
+			break
+		}
+		report.Loads = append(report.Loads, &wirepb.WorkerLoad{
+			InstanceId: load.Instance, InHand: uint32(load.InHand), UnreadTokens: uint32(load.Unread),
+		})
+	}
+	return report
+}
+
 // admitCold asks the cold share where the worker is cold.
 func (d *decisions) admitCold(now time.Duration, t *table, service string, w worker) (bool, time.Duration) {
 	told := t.services[service]
@@ -187,6 +225,11 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.balancer.Keep(func(instance string) bool { return t.instances[instance] })
+	names := map[string]bool{}
+	for _, peer := range t.peers {
+		names[peer.name] = true
+	}
+	d.peers.Keep(func(edge string) bool { return names[edge] })
 }
 
 func (d *decisions) reports(now time.Duration, t *table) []*wirepb.Demand {
--- a/internal/serving/edge/edge.go
+++ b/internal/serving/edge/edge.go
@@ -104,6 +104,7 @@
 	go e.keepTable(ctx)
 	go e.keepHouse(ctx)
 	go e.keepLiveness(ctx)
+	go e.shareLoads(ctx)
 	server := e.frontServer()
 	go server.Serve(front)
 	e.logger.Info("edge started", zap.String("front", e.settings.Front))
@@ -168,7 +169,7 @@
 		Demands:    e.demands,
 		Edge: &wirepb.Edge{
 			Name: e.settings.NodeName, Address: e.settings.Front, Zone: e.settings.Zone, Region: e.settings.Region,
-			Ready: e.ready(),
+			Ready: e.ready(), InternalAddress: e.loadsAddress(),
 		},
 	}
 }
--- a/internal/serving/edge/liveness.go
+++ b/internal/serving/edge/liveness.go
@@ -143,6 +143,19 @@
 	return interrupts, true
 }
 
+// dead returns the workers that do not answer.
+func (l *liveness) dead() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var list []string
+	for instance, w := range l.workers {
+		if !w.deadSince.IsZero() && w.failed >= probesFailed {
+			list = append(list, instance)
+		}
+	}
+	return list
+}
+
 // keepLiveness probes silent workers until the context ends.
 func (e *Edge) keepLiveness(ctx context.Context) {
 	ticker := time.NewTicker(livenessInterval)
--- a/internal/serving/edge/table.go
+++ b/internal/serving/edge/table.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"maps"
 	"net"
+	"net/netip"
 	"slices"
 	"strings"
 	"time"
@@ -25,6 +26,13 @@
 	instances  map[string]bool     // all that are known
 	edges      int                 // N, never counted too low
 	demands    []*wirepb.Demand
+	peers      []peer // the other edges that live
+}
+
+// peer is another edge, by where it hears of loads.
+type peer struct {
+	name    string
+	address netip.AddrPort
 }
 
 // worker is one that may get requests.
@@ -125,8 +133,9 @@
 		if entry.Record.Deleted {
 			continue
 		}
-		if entry.Record.GetEdge() != nil {
+		if edge := entry.Record.GetEdge(); edge != nil {
 			edges++
+			b.addPeer(t, edge)
 		}
 		told := entry.Record.GetWorker()
 		if told == nil {
@@ -149,6 +158,13 @@
 	b.edges = max(b.edges, edges, 1)
 }
 
+func (b *tableBuilder) addPeer(t *table, edge *wirepb.Edge) {
+	address, err := netip.ParseAddrPort(edge.InternalAddress)
+	if err == nil && edge.Linked && edge.Name != b.settings.NodeName {
+		t.peers = append(t.peers, peer{name: edge.Name, address: address})
+	}
+}
+
 // route returns the route of a request, or nil.
 func (t *table) route(host, path string) *configuration.Route {
 	for _, route := range t.hosts[hostName(host)] {
