--- a/internal/serving/balance/balance.go
+++ b/internal/serving/balance/balance.go
@@ -67,6 +67,9 @@
 // Request is what choosing needs to know of a request.
 type Request struct {
 	Parts []Part
+
+	home   string  // the worker that its shared prompt belongs to, as of the last choice
+	unread float64 // tokens that its present worker has to read for it, about
 }
 
 // Balancer chooses for one edge.
@@ -101,10 +104,10 @@
 
 // Choose returns the index of the best candidate, or -1 where there is none.
 func (b *Balancer) Choose(now time.Duration, request *Request, candidates []Worker) int {
-	home := b.home(request, candidates)
+	request.home = b.home(request, candidates)
 	best, bestCost := -1, math.Inf(1)
 	for i := range candidates {
-		cost := b.cost(now, request, &candidates[i], candidates[i].Instance == home)
+		cost := b.cost(now, request, &candidates[i])
 		cost += b.random.Float64() * tieBreak
 		if cost < bestCost {
 			best, bestCost = i, cost
@@ -146,7 +149,7 @@
 }
 
 // cost estimates what it costs to send the request to a worker.
-func (b *Balancer) cost(now time.Duration, request *Request, candidate *Worker, home bool) float64 {
+func (b *Balancer) cost(now time.Duration, request *Request, candidate *Worker) float64 {
 	worker := b.tracked(candidate.Instance)
 	cost := b.distanceCost(candidate)
 	others, waiting := worker.said(now)
@@ -157,7 +160,8 @@
 	}
 	inHand := float64(worker.inHand) + others
 	if candidate.Engine {
-		cost += worker.promptCost(now, request.Parts, home)
+		own, shared := worker.unreadTokens(now, request.Parts, candidate.Instance == request.home)
+		cost += (own+shared)/prefillPerMs + shared*rereadPerToken
 		cost += unread/prefillPerMs + inHand*runningCost
 	} else {
 		cost += plainServiceTime * inHand / math.Max(float64(candidate.Capacity), 1)
@@ -182,23 +186,23 @@
 	return otherRegion
 }
 
-// promptCost is the reading of what is not kept there, and the price of shared parts that are read again.
-func (t *tracked) promptCost(now time.Duration, parts []Part, home bool) float64 {
-	cost := 0.0
+// unreadTokens returns how many tokens of a prompt are not kept at a worker: of its last part, which is the request's
+// own, and of the parts that are shared. A part is kept only where all before it are.
+func (t *tracked) unreadTokens(now time.Duration, parts []Part, home bool) (own, shared float64) {
 	kept := true
 	for i, part := range parts {
-		shared := i+1 < len(parts)
-		last, known := t.parts[part.ID]
-		kept = kept && (known && now-last < partMemory || home && shared)
-		if kept {
-			continue
-		}
-		cost += part.Tokens / prefillPerMs
-		if shared {
-			cost += part.Tokens * rereadPerToken
+		last := i+1 == len(parts)
+		sent, known := t.parts[part.ID]
+		kept = kept && (known && now-sent < partMemory || home && !last)
+		switch {
+		case kept:
+		case last:
+			own += part.Tokens
+		default:
+			shared += part.Tokens
 		}
 	}
-	return cost
+	return own, shared
 }
 
 // said returns what the worker has said of other edges' requests and of waiting ones, as far as it is fresh.
@@ -214,7 +218,9 @@
 func (b *Balancer) Sent(now time.Duration, request *Request, instance string) {
 	worker := b.tracked(instance)
 	worker.inHand++
-	worker.unread += totalTokens(request.Parts)
+	own, shared := worker.unreadTokens(now, request.Parts, instance == request.home)
+	request.unread = own + shared
+	worker.unread += request.unread
 	if len(worker.parts) > rememberedParts {
 		for id, last := range worker.parts {
 			if now-last > partMemory {
@@ -230,7 +236,8 @@
 // FirstToken notes that a worker has read a request's prompt.
 func (b *Balancer) FirstToken(request *Request, instance string) {
 	worker := b.tracked(instance)
-	worker.unread = math.Max(0, worker.unread-totalTokens(request.Parts))
+	worker.unread = math.Max(0, worker.unread-request.unread)
+	request.unread = 0
 }
 
 // Done notes that a request has left a worker.
--- a/internal/serving/balance/prompt.go
+++ b/internal/serving/balance/prompt.go
@@ -34,14 +34,6 @@
 	return sum
 }
 
-func totalTokens(parts []Part) float64 {
-	sum := 0.0
-	for _, part := range parts {
-		sum += part.Tokens
-	}
-	return sum
-}
-
 // homeKey names what requests of the same shared prompt have in common: the last shared part, or "" without one.
 func homeKey(parts []Part) string {
 	if len(parts) < 2 {
