--- a/cmd/willowdeck-core/main.go
+++ b/cmd/willowdeck-core/main.go
@@ -11,7 +11,7 @@
 func main() {
 	p := program.Program{
 		Name:    "willowdeck-core",
-		Summary: "core of the serving system: it agrees on the configuration, hears the workers and tells the edges",
+		Summary: "core of the serving system: agrees on the configuration, hears the workers, tells the edges",
 		Run:     core.Run,
 	}
 	os.Exit(p.Main(os.Args[1:], os.Stdout, os.Stderr))
--- a/internal/serving/agent/agent.go
+++ b/internal/serving/agent/agent.go
@@ -1,6 +1,6 @@
-// Package agent is the small program beside each edge proxy: it keeps the link to the core, holds a copy of what the
-// core tells, and feeds the proxy over loopback. A proxy that restarts finds all it needs here; a proxy whose agent
-// restarts goes on with what it has.
+// Package agent is the small program beside each edge proxy: it keeps the link to the core, holds a copy of
+// what the core tells, and feeds the proxy over loopback. A proxy that restarts finds all it needs here; a
+// proxy whose agent restarts goes on with what it has.
 package agent
 
 import (
@@ -94,8 +94,8 @@
 	return nil
 }
 
-// awaitStop returns once the proxy has stopped after SIGTERM, or the time for it is over: the proxy's requests still
-// need what this process holds.
+// awaitStop returns once the proxy has stopped after SIGTERM, or the time for it is over: the proxy's
+// requests still need what this process holds.
 func (a *Agent) awaitStop(ctx context.Context) {
 	<-ctx.Done()
 	deadline := time.Now().Add(a.settings.Bounds.Grace - time.Second/2)
@@ -183,7 +183,8 @@
 	a.raiseOrder()
 }
 
-// raiseOrder makes the edge's state newer than any that was told before, also by an earlier life of this process.
+// raiseOrder makes the edge's state newer than any that was told before, also by an earlier life of this
+// process.
 func (a *Agent) raiseOrder() {
 	a.order = max(a.order+orderStep, uint64(time.Now().UnixMilli()))
 	close(a.changed)
@@ -208,8 +209,8 @@
 	return request
 }
 
-// overtakeOldRecord raises the order where the catalog holds something newer of this edge that is not true: an earlier
-// life's state, told by a clock that was ahead, or a link that a core has taken for lost.
+// overtakeOldRecord raises the order where the catalog holds something newer of this edge that is not true:
+// an earlier life's state, told by a clock that was ahead, or a link that a core has taken for lost.
 func (a *Agent) overtakeOldRecord() {
 	for _, entry := range a.replica.View().Entries {
 		edge := entry.Record.GetEdge()
--- a/internal/serving/balance/balance.go
+++ b/internal/serving/balance/balance.go
@@ -1,10 +1,11 @@
-// Package balance chooses the worker of each request by what one edge knows: which prompt parts a worker has read, how
-// much it has in hand, where it stands, and how its answers ended. All edges agree without messages on the worker that
-// a shared prompt belongs to, by rendezvous hashing (Thaler and Ravishankar, "Using Name-Based Mappings to Increase Hit
-// Rates", 1998); load moves requests away from it, as with consistent hashing with bounded loads.
+// Package balance chooses the worker of each request by what one edge knows: which prompt parts a worker
+// has read, how much it has in hand, where it stands, and how its answers ended. All edges agree without
+// messages on the worker that a shared prompt belongs to, by rendezvous hashing (Thaler and Ravishankar,
+// "Using Name-Based Mappings to Increase Hit Rates", 1998); load moves requests away from it, as with
+// consistent hashing with bounded loads.
 //
-// Costs are in milliseconds of the time to the first token; prices other than time are turned into it. The package has
-// no I/O, clock or goroutines, and is not safe for concurrent use.
+// Costs are in milliseconds of the time to the first token; prices other than time are turned into it. The
+// package has no I/O, clock or goroutines, and is not safe for concurrent use.
 package balance
 
 import (
@@ -18,22 +19,23 @@
 
 // Weights of the costs.
 const (
-	prefillPerMs     = 50.0  // prompt tokens that a worker reads in a millisecond, about
-	rereadPerToken   = 0.08  // ms: the price of shared tokens that are read again
-	otherRegion      = 140   // ms: the way there and back, and the price of the bytes
-	otherZone        = 4     // ms
-	runningCost      = 10.0  // ms for each request in hand: tokens come more slowly
-	waitingCost      = 150.0 // ms for each request that waits there, as the worker says
-	fullCost         = 2000  // ms where all places are taken
-	doubtCost        = 4000  // ms for a worker in doubt, so that it is taken only where there is no other
-	globalHomeAt     = 2000  // shared tokens from which one home for all regions pays
-	partMemory       = 20 * time.Second
-	loadMemory       = 800 * time.Millisecond // of what a worker says of its load
-	firstDoubt       = 400 * time.Millisecond
-	longestDoubt     = 3 * time.Second
-	doubtDoublings   = 4
-	hearsayDoubt     = 150 * time.Millisecond // of a worker that another edge finds dead; renewed while it says so
-	tieBreak         = 2.0                    // ms of chance, so that edges do not move together
+	prefillPerMs   = 50.0  // prompt tokens that a worker reads in a millisecond, about
+	rereadPerToken = 0.08  // ms: the price of shared tokens that are read again
+	otherRegion    = 140   // ms: the way there and back, and the price of the bytes
+	otherZone      = 4     // ms
+	runningCost    = 10.0  // ms for each request in hand: tokens come more slowly
+	waitingCost    = 150.0 // ms for each request that waits there, as the worker says
+	fullCost       = 2000  // ms where all places are taken
+	doubtCost      = 4000  // ms for a worker in doubt, so that it is taken only where there is no other
+	globalHomeAt   = 2000  // shared tokens from which one home for all regions pays
+	partMemory     = 20 * time.Second
+	loadMemory     = 800 * time.Millisecond // of what a worker says of its load
+	firstDoubt     = 400 * time.Millisecond
+	longestDoubt   = 3 * time.Second
+	doubtDoublings = 4
+	// of a worker that another edge finds dead; renewed while it says so
+	hearsayDoubt     = 150 * time.Millisecond
+	tieBreak         = 2.0 // ms of chance, so that edges do not move together
 	rememberedParts  = 4096
 	plainServiceTime = 30.0 // ms of a request that is no prompt
 )
@@ -116,8 +118,8 @@
 	return best
 }
 
-// home returns the instance that the request's shared prompt belongs to: among all regions where the prompt is long,
-// else in this edge's own.
+// home returns the instance that the request's shared prompt belongs to: among all regions where the prompt
+// is long, else in this edge's own.
 func (b *Balancer) home(request *Request, candidates []Worker) string {
 	key := homeKey(request.Parts)
 	if key == "" {
@@ -186,8 +188,8 @@
 	return otherRegion
 }
 
-// unreadTokens returns how many tokens of a prompt are not kept at a worker: of its last part, which is the request's
-// own, and of the parts that are shared. A part is kept only where all before it are.
+// unreadTokens returns how many tokens of a prompt are not kept at a worker: of its last part, which is the
+// request's own, and of the parts that are shared. A part is kept only where all before it are.
 func (t *tracked) unreadTokens(now time.Duration, parts []Part, home bool) (own, shared float64) {
 	kept := true
 	for i, part := range parts {
@@ -255,8 +257,8 @@
 	worker.everSaid = true
 }
 
-// Others notes what other edges say that they have in hand at a worker. Where known is false, they are not heard from,
-// and what the worker has said of itself is gone by.
+// Others notes what other edges say that they have in hand at a worker. Where known is false, they are not
+// heard from, and what the worker has said of itself is gone by.
 func (b *Balancer) Others(instance string, inHand, unread float64, known bool) {
 	worker := b.tracked(instance)
 	worker.toldInHand, worker.toldUnread, worker.told = inHand, unread, known
--- a/internal/serving/balance/prompt.go
+++ b/internal/serving/balance/prompt.go
@@ -34,7 +34,8 @@
 	return sum
 }
 
-// homeKey names what requests of the same shared prompt have in common: the last shared part, or "" without one.
+// homeKey names what requests of the same shared prompt have in common: the last shared part, or "" without
+// one.
 func homeKey(parts []Part) string {
 	if len(parts) < 2 {
 		return ""
--- a/internal/serving/boot/boot.go
+++ b/internal/serving/boot/boot.go
@@ -1,4 +1,5 @@
-// Package boot reads the settings file of a process: its place, its addresses, and the bounds that it has to keep.
+// Package boot reads the settings file of a process: its place, its addresses, and the bounds that it has
+// to keep.
 package boot
 
 import (
--- a/internal/serving/catalog/catalog.go
+++ b/internal/serving/catalog/catalog.go
@@ -1,10 +1,11 @@
-// Package catalog holds what is told of workers, edges and cores: records that several replicas write, merged without
-// agreement. Each writer (origin) counts its writes; a version vector of these counts says what a holder has seen, so
-// that another can send just what is missing (Parker et al., "Detection of Mutual Inconsistency in Distributed
-// Systems", 1983; the pull of missing updates as in Petersen et al., "Flexible Update Propagation", 1997).
+// Package catalog holds what is told of workers, edges and cores: records that several replicas write,
+// merged without agreement. Each writer (origin) counts its writes; a version vector of these counts says
+// what a holder has seen, so that another can send just what is missing (Parker et al., "Detection of
+// Mutual Inconsistency in Distributed Systems", 1983; the pull of missing updates as in Petersen et al.,
+// "Flexible Update Propagation", 1997).
 //
-// Which of two versions of a key is newer is said by their order, a number that the described party counts itself.
-// The package has no I/O, clock or goroutines, and is not safe for concurrent use.
+// Which of two versions of a key is newer is said by their order, a number that the described party counts
+// itself. The package has no I/O, clock or goroutines, and is not safe for concurrent use.
 package catalog
 
 import (
@@ -37,7 +38,8 @@
 	entries map[string]*Entry
 }
 
-// New makes an empty catalog. origin must be new with each life of the process; holders that write nothing pass "".
+// New makes an empty catalog. origin must be new with each life of the process; holders that write nothing
+// pass "".
 func New(origin string) *Catalog {
 	return &Catalog{origin: origin, vector: map[string]uint64{}, entries: map[string]*Entry{}}
 }
@@ -68,8 +70,8 @@
 	return &wirepb.VersionVector{Sequences: maps.Clone(c.vector)}
 }
 
-// Publish writes a version of a record, and returns it, or nil where a version at least as new is held. Of the same
-// order, a deletion alone is newer: of two writers, all holders must come to choose the same one.
+// Publish writes a version of a record, and returns it, or nil where a version at least as new is held. Of
+// the same order, a deletion alone is newer: of two writers, all holders must come to choose the same one.
 func (c *Catalog) Publish(now time.Duration, record *wirepb.Record) *wirepb.Record {
 	held := c.entries[record.Key]
 	if held != nil && !(record.Order > held.Record.Order ||
@@ -164,8 +166,9 @@
 	})
 }
 
-// DropUnknownOrigins removes the records whose writer a settled provider does not know: they were written by an
-// earlier life of the core, and nobody has told of their subjects since. It returns whether any was removed.
+// DropUnknownOrigins removes the records whose writer a settled provider does not know: they were written
+// by an earlier life of the core, and nobody has told of their subjects since. It returns whether any was
+// removed.
 func (c *Catalog) DropUnknownOrigins(provider *wirepb.VersionVector) bool {
 	before := len(c.entries)
 	maps.DeleteFunc(c.entries, func(_ string, entry *Entry) bool {
--- a/internal/serving/catalog/catalog_test.go
+++ b/internal/serving/catalog/catalog_test.go
@@ -15,7 +15,8 @@
 	return &wirepb.Record{Key: WorkerKey(instance), Order: order, Value: &wirepb.Record_Worker{Worker: worker}}
 }
 
-// TestHoldersConverge lets three writers publish and hand over in drawn orders: all end with the same records.
+// TestHoldersConverge lets three writers publish and hand over in drawn orders: all end with the same
+// records.
 func TestHoldersConverge(t *testing.T) {
 	for seed := range int64(300) {
 		random := rand.New(rand.NewSource(seed))
--- a/internal/serving/coldshare/coldshare.go
+++ b/internal/serving/coldshare/coldshare.go
@@ -1,12 +1,14 @@
-// Package coldshare decides how much of a cold worker's rate this edge may send, after rateguard: each edge keeps a
-// bucket and a demand estimate for each cold worker. A quiet worker runs at rate/N×α and causes no messages. A hot one
-// has a floor of rate×β/N and the rest by own demand over total demand, which the edges report to each other. Summed
-// over all edges, in touch or not, what is sent never passes rate × overshoot + slack in any second:
+// Package coldshare decides how much of a cold worker's rate this edge may send, after rateguard: each edge
+// keeps a bucket and a demand estimate for each cold worker. A quiet worker runs at rate/N×α and causes no
+// messages. A hot one has a floor of rate×β/N and the rest by own demand over total demand, which the edges
+// report to each other. Summed over all edges, in touch or not, what is sent never passes rate × overshoot
+// + slack in any second:
 //
-//   - β equals α, so that a hot edge's floor is a quiet edge's slice: whichever edges have turned hot, the floors add
-//     up to rate×α, and the parts by demand to the rest.
+//   - β equals α, so that a hot edge's floor is a quiet edge's slice: whichever edges have turned hot, the
+//     floors add up to rate×α, and the parts by demand to the rest.
 //   - An edge that lacks a report of any other edge stays at its floor.
-//   - A demand counts for its own edge only once it has been reported for a period, and for the others at once.
+//   - A demand counts for its own edge only once it has been reported for a period, and for the others at
+//     once.
 //
 // The package has no I/O, clock or goroutines, and is not safe for concurrent use.
 package coldshare
@@ -59,8 +61,8 @@
 // New makes shares for the edge of that name.
 func New(edge string) *Shares { return &Shares{edge: edge, workers: map[string]*worker{}} }
 
-// Admit asks to send one request to a cold worker. edges is N: how many edges there are, never counted too low.
-// Otherwise it returns how long until the bucket holds one.
+// Admit asks to send one request to a cold worker. edges is N: how many edges there are, never counted too
+// low. Otherwise it returns how long until the bucket holds one.
 func (s *Shares) Admit(
 	now time.Duration, instance string, limits Limits, edges int, reports []*wirepb.Demand,
 ) (wait time.Duration, ok bool) {
@@ -104,7 +106,9 @@
 }
 
 // share returns the rate that this edge may send at.
-func (s *Shares) share(w *worker, instance string, limits Limits, edges int, reports []*wirepb.Demand) float64 {
+func (s *Shares) share(
+	w *worker, instance string, limits Limits, edges int, reports []*wirepb.Demand,
+) float64 {
 	rate := limits.PerSecond * usedRate
 	floor := rate * floorShare / float64(edges)
 	others, reporting := 0.0, 0
@@ -122,8 +126,9 @@
 	return floor + rate*(1-floorShare)*own/total
 }
 
-// Reports returns what this edge has to tell the others: its demand for each worker that is hot here or, zero included,
-// that another edge has reported. It is called once a period. Workers that are idle are forgotten.
+// Reports returns what this edge has to tell the others: its demand for each worker that is hot here or,
+// zero included, that another edge has reported. It is called once a period. Workers that are idle are
+// forgotten.
 func (s *Shares) Reports(now time.Duration, others []*wirepb.Demand) []*wirepb.Demand {
 	s.number++
 	told := map[string]bool{}
--- a/internal/serving/coldshare/coldshare_test.go
+++ b/internal/serving/coldshare/coldshare_test.go
@@ -22,7 +22,8 @@
 }
 
 func newCluster(seed int64, edges int) *cluster {
-	c := &cluster{random: rand.New(rand.NewSource(seed)), cut: make([]bool, edges), pressed: make([]float64, edges)}
+	c := &cluster{random: rand.New(rand.NewSource(seed)), cut: make([]bool, edges)}
+	c.pressed = make([]float64, edges)
 	for i := range edges {
 		c.shares = append(c.shares, New(string(rune('a'+i))))
 		c.known = append(c.known, make([]*wirepb.Demand, edges))
@@ -75,7 +76,8 @@
 	return worst
 }
 
-// TestSumKeepsTheBound draws pressure, jumps, cuts and restarts: in no second do all edges together pass the bound.
+// TestSumKeepsTheBound draws pressure, jumps, cuts and restarts: in no second do all edges together pass
+// the bound.
 func TestSumKeepsTheBound(t *testing.T) {
 	bound := int(limits.PerSecond*limits.Overshoot + limits.Slack)
 	for seed := range int64(120) {
@@ -101,7 +103,8 @@
 	}
 }
 
-// TestDemandGetsTheRest lets one edge have all demand: it comes near the whole rate once all others have reported.
+// TestDemandGetsTheRest lets one edge have all demand: it comes near the whole rate once all others have
+// reported.
 func TestDemandGetsTheRest(t *testing.T) {
 	const edges = 4
 	c := newCluster(1, edges)
--- a/internal/serving/coldshare/gcra.go
+++ b/internal/serving/coldshare/gcra.go
@@ -5,8 +5,9 @@
 	"time"
 )
 
-// bucket is a rate store after the generic cell rate algorithm (ITU-T I.371): it remembers the time at which it would
-// be full again. Its rate may change at any time; what it holds then stays what it is in requests.
+// bucket is a rate store after the generic cell rate algorithm (ITU-T I.371): it remembers the time at
+// which it would be full again. Its rate may change at any time; what it holds then stays what it is in
+// requests.
 type bucket struct {
 	rate  float64       // requests a second
 	depth float64       // requests that it holds
@@ -29,8 +30,8 @@
 	b.fill = math.Min(b.fill, depth)
 }
 
-// take takes one request out. Otherwise it returns how long until one can be had; ok is false then. A bucket that can
-// never hold one says so by a negative wait.
+// take takes one request out. Otherwise it returns how long until one can be had; ok is false then. A
+// bucket that can never hold one says so by a negative wait.
 func (b *bucket) take(now time.Duration) (wait time.Duration, ok bool) {
 	b.advance(now)
 	if b.fill >= 1 {
--- a/internal/serving/committed/machine.go
+++ b/internal/serving/committed/machine.go
@@ -1,5 +1,6 @@
-// Package committed is the state machine above the replicated log: the configuration in force, the zones that are
-// evacuated, and the digests of accepted orders. It has no I/O, and each replica comes to the same state.
+// Package committed is the state machine above the replicated log: the configuration in force, the zones
+// that are evacuated, and the digests of accepted orders. It has no I/O, and each replica comes to the same
+// state.
 package committed
 
 import (
--- a/internal/serving/committed/machine_test.go
+++ b/internal/serving/committed/machine_test.go
@@ -16,9 +16,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	data, err := proto.Marshal(&wirepb.Command{Change: &wirepb.Command_Replace{Replace: &wirepb.ReplaceConfiguration{
+	change := &wirepb.ReplaceConfiguration{
 		Base: base, Generation: generation, Digest: Digest(base, body), Body: packed,
-	}}})
+	}
+	data, err := proto.Marshal(&wirepb.Command{Change: &wirepb.Command_Replace{Replace: change}})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/serving/configuration/check.go
+++ b/internal/serving/configuration/check.go
@@ -4,6 +4,7 @@
 	"bytes"
 	_ "embed"
 	"encoding/json"
+	"fmt"
 	"io"
 	"sync"
 
@@ -57,7 +58,8 @@
 	return document, checkReferences(body)
 }
 
-// checkReferences checks what a schema cannot say: that names refer to something, and that no place is taken twice.
+// checkReferences checks what a schema cannot say: that names refer to something, and that no place is
+// taken twice.
 func checkReferences(body []byte) error {
 	var parsed struct {
 		Routes   []Route   `json:"routes"`
@@ -90,7 +92,8 @@
 	sum := 0.0
 	for _, split := range route.Backends() {
 		if !services[split.Backend] {
-			return invalid("route "+route.Name, "name a service of this configuration instead of \""+split.Backend+"\"")
+			remedy := fmt.Sprintf("name a service of this configuration instead of %q", split.Backend)
+			return invalid("route "+route.Name, remedy)
 		}
 		sum += split.Weight
 	}
--- a/internal/serving/configuration/configuration.go
+++ b/internal/serving/configuration/configuration.go
@@ -1,5 +1,5 @@
-// Package configuration holds the operator's configurations: their types, their check, and the differences between two
-// of them. It has no I/O.
+// Package configuration holds the operator's configurations: their types, their check, and the differences
+// between two of them. It has no I/O.
 package configuration
 
 // Route types.
--- a/internal/serving/configuration/configuration_test.go
+++ b/internal/serving/configuration/configuration_test.go
@@ -10,7 +10,8 @@
 )
 
 const valid = `{"generation":7,"routes":[` +
-	`{"name":"r1","hostname":"h","path_prefix":"/a/","route_type":"streaming","timeout_ms":12000,"backend":"s1"},` +
+	`{"name":"r1","hostname":"h","path_prefix":"/a/","route_type":"streaming","timeout_ms":12000,` +
+	`"backend":"s1"},` +
 	`{"name":"r2","hostname":"h","path_prefix":"/b/","route_type":"idempotent","timeout_ms":2.5,` +
 	`"traffic_split":[{"backend":"s1","weight":90},{"backend":"s2","weight":10}],"allowed_regions":["x"]}],` +
 	`"services":[{"name":"s1","cold_per_s":10.0,"engine":{"capacity":64}},{"name":"s2","engine":null}],` +
@@ -97,7 +98,8 @@
 				random.Intn(3)))
 		}
 	}
-	body := fmt.Sprintf(`{"generation":%d,"routes":[%s],"services":[{"name":"s%d"}],"limits":{"max_body_bytes":%d}}`,
+	body := fmt.Sprintf(`{"generation":%d,"routes":[%s],"services":[{"name":"s%d"}],`+
+		`"limits":{"max_body_bytes":%d}}`,
 		generation, strings.Join(routes, ","), random.Intn(3), random.Intn(2))
 	document, err := Read([]byte(body))
 	if err != nil {
--- a/internal/serving/configuration/document.go
+++ b/internal/serving/configuration/document.go
@@ -103,7 +103,8 @@
 
 // Apply returns the document that update leads to from d. An update that is whole may have a nil d.
 func (d *Document) Apply(update *wirepb.ConfigurationUpdate) (*Document, error) {
-	next := &Document{Generation: update.Generation, routes: map[string]string{}, services: "null", limits: "null"}
+	next := &Document{Generation: update.Generation, routes: map[string]string{}}
+	next.services, next.limits = "null", "null"
 	if update.From != 0 {
 		if d == nil || d.Generation != update.From {
 			return nil, invalid("an update", "ask for the whole: its base is not held here")
--- a/internal/serving/consensus/follower.go
+++ b/internal/serving/consensus/follower.go
@@ -77,8 +77,8 @@
 	n.members, n.membersIndex = n.log.membership()
 }
 
-// replyAppend tells the acting replica what is on this disk. Entries that contradict the acting replica's are never
-// among it: they were dropped when its first message after them was taken.
+// replyAppend tells the acting replica what is on this disk. Entries that contradict the acting replica's
+// are never among it: they were dropped when its first message after them was taken.
 func (n *Node) replyAppend(leader string, round uint64) {
 	n.send(&wirepb.Consensus{
 		Kind: wirepb.ConsensusKind_CONSENSUS_APPEND_REPLY, To: leader, Term: n.term,
--- a/internal/serving/consensus/identity.go
+++ b/internal/serving/consensus/identity.go
@@ -5,7 +5,8 @@
 // founderTag marks the disks of the first start: their identities are known to all founders beforehand.
 const founderTag = "founder"
 
-// Identity returns the identity of a disk at an address (an IP number). The tag is drawn when the disk is first used.
+// Identity returns the identity of a disk at an address (an IP number). The tag is drawn when the disk is
+// first used.
 func Identity(address, tag string) string { return address + "#" + tag }
 
 // FounderIdentity returns the identity of a disk of the first start.
--- a/internal/serving/consensus/leader.go
+++ b/internal/serving/consensus/leader.go
@@ -98,7 +98,8 @@
 	p.sentSnapshot = true
 	p.snapshotSent = n.now
 	n.send(&wirepb.Consensus{
-		Kind: wirepb.ConsensusKind_CONSENSUS_SNAPSHOT, To: id, Term: n.term, Snapshot: n.log.snapshot, Round: n.round,
+		Kind: wirepb.ConsensusKind_CONSENSUS_SNAPSHOT, To: id, Term: n.term, Round: n.round,
+		Snapshot: n.log.snapshot,
 	})
 }
 
@@ -123,7 +124,8 @@
 	n.sendAppend(m.From, false)
 }
 
-// advanceCommit commits what a majority has on disk, if it is of this term (Ongaro and Ousterhout, section 5.4.2).
+// advanceCommit commits what a majority has on disk, if it is of this term (Ongaro and Ousterhout, section
+// 5.4.2).
 func (n *Node) advanceCommit() {
 	matches := make([]uint64, 0, len(n.members))
 	for _, member := range n.members {
@@ -185,7 +187,8 @@
 	n.sendAppend(m.From, true)
 }
 
-// changeMembership admits replicas that have caught up and removes surplus ones that are silent, one at a time.
+// changeMembership admits replicas that have caught up and removes surplus ones that are silent, one at a
+// time.
 func (n *Node) changeMembership() {
 	if !n.Acting() || n.commit < n.membersIndex {
 		return
@@ -216,8 +219,8 @@
 	}
 }
 
-// admissible reports whether the quorum after the admission of id answers at present. An even number with a silent
-// member first gives that one up: else silent members would add up.
+// admissible reports whether the quorum after the admission of id answers at present. An even number with a
+// silent member first gives that one up: else silent members would add up.
 func (n *Node) admissible(id string) bool {
 	answering := 1 // id itself
 	for _, member := range n.members {
@@ -231,8 +234,8 @@
 	return answering >= (len(n.members)+1)/2+1
 }
 
-// removable returns a member to remove, or "": one that is dead, where the quorum becomes smaller by it. That is so with
-// an even number of members, and with an odd one where two are dead.
+// removable returns a member to remove, or "": one that is dead, where the quorum becomes smaller by it.
+// That is so with an even number of members, and with an odd one where two are dead.
 func (n *Node) removable() string {
 	var longest time.Duration
 	worst, dead := "", 0
--- a/internal/serving/consensus/node.go
+++ b/internal/serving/consensus/node.go
@@ -122,8 +122,8 @@
 	output Output
 }
 
-// New makes a replica out of what its disk holds. The membership is that of the stored snapshot and log; a replica
-// outside it waits until it is admitted.
+// New makes a replica out of what its disk holds. The membership is that of the stored snapshot and log; a
+// replica outside it waits until it is admitted.
 func New(id string, stored Stored, now time.Duration, random *rand.Rand) *Node {
 	n := &Node{id: id, random: random, now: now}
 	n.log.snapshot = stored.Snapshot
@@ -235,7 +235,8 @@
 	}
 }
 
-// tickJoin asks to be heard of: a replica that no acting replica speaks to tells all whom its caller can reach.
+// tickJoin asks to be heard of: a replica that no acting replica speaks to tells all whom its caller can
+// reach.
 func (n *Node) tickJoin() {
 	if n.now < n.nextJoin || n.leader != "" && n.now-n.leaderHeard < ElectionTimeout {
 		return
@@ -284,7 +285,8 @@
 	}
 }
 
-// Persisted reports that a batch of Output.Persist is on disk. Batches are reported in the order of their making.
+// Persisted reports that a batch of Output.Persist is on disk. Batches are reported in the order of their
+// making.
 func (n *Node) Persisted(now time.Duration, batch Persist) {
 	n.now = now
 	n.persisting--
@@ -328,8 +330,8 @@
 	}
 }
 
-// Read registers a read, which Output.Reads allows once a majority has confirmed that this replica still acts. It
-// returns false where this replica does not act.
+// Read registers a read, which Output.Reads allows once a majority has confirmed that this replica still
+// acts. It returns false where this replica does not act.
 func (n *Node) Read(id uint64) bool {
 	if !n.Acting() {
 		return false
--- a/internal/serving/consensus/simulator_schedules_test.go
+++ b/internal/serving/consensus/simulator_schedules_test.go
@@ -17,8 +17,8 @@
 	troubleSpacing = 900 * time.Millisecond
 )
 
-// play runs one schedule: rounds of one trouble each, within what is to be borne, and calm at the end. tolerated is how
-// many machines may be lost at once.
+// play runs one schedule: rounds of one trouble each, within what is to be borne, and calm at the end.
+// tolerated is how many machines may be lost at once.
 func play(seed int64, planted fault, cores, tolerated int) []string {
 	s := newSimulation(seed, planted, cores)
 	s.run(3 * time.Second)
--- a/internal/serving/consensus/simulator_test.go
+++ b/internal/serving/consensus/simulator_test.go
@@ -13,10 +13,11 @@
 	"willowdeck/internal/serving/wirepb"
 )
 
-// The simulator plays replicas over links that lose, delay and cut, on disks that stall, lose unsynced writes and are
-// wiped, with kills, losses of power and replacements. One seed is one schedule. It checks that nothing acknowledged
-// is lost, that no two replicas apply different commands at an index, that versions never go back, that of two changes
-// on one version one at most is taken, and that calm brings progress. Planted faults show that the checks find them.
+// The simulator plays replicas over links that lose, delay and cut, on disks that stall, lose unsynced
+// writes and are wiped, with kills, losses of power and replacements. One seed is one schedule. It checks
+// that nothing acknowledged is lost, that no two replicas apply different commands at an index, that
+// versions never go back, that of two changes on one version one at most is taken, and that calm brings
+// progress. Planted faults show that the checks find them.
 
 // fault is a deliberate mistake in the programs that the simulator plays.
 type fault int
@@ -371,8 +372,8 @@
 	return id, base
 }
 
-// propose lets an operator change the version that a replica which believes that it acts has in force. Two operators
-// may choose the same one.
+// propose lets an operator change the version that a replica which believes that it acts has in force. Two
+// operators may choose the same one.
 func (s *simulation) propose() {
 	for _, m := range s.machines {
 		if m.process == nil || !m.process.node.Acting() {
@@ -451,7 +452,8 @@
 	s.machines = append(s.machines, fresh)
 }
 
-// swapMember plants the fault of a replacement that counts at once: in everyone's membership, without agreement.
+// swapMember plants the fault of a replacement that counts at once: in everyone's membership, without
+// agreement.
 func (s *simulation) swapMember(old, new string) {
 	for _, m := range s.machines {
 		if m.process == nil {
@@ -473,7 +475,8 @@
 	}
 }
 
-// checkNothingLost looks at the end that what was acknowledged is in the state of every replica that is up to date.
+// checkNothingLost looks at the end that what was acknowledged is in the state of every replica that is up
+// to date.
 func (s *simulation) checkNothingLost() {
 	checked := false
 	for _, m := range s.machines {
--- a/internal/serving/core/acks.go
+++ b/internal/serving/core/acks.go
@@ -7,7 +7,8 @@
 	"willowdeck/internal/serving/wirepb"
 )
 
-// replicationTimeout is how long a caller waits until a majority holds a record. Callers themselves wait for a second.
+// replicationTimeout is how long a caller waits until a majority holds a record. Callers themselves wait
+// for a second.
 const replicationTimeout = 800 * time.Millisecond
 
 // ackTable follows records that must be held by a majority of the core before their writer is answered.
@@ -43,7 +44,8 @@
 	}
 }
 
-// replicate sends a held record to the other cores and returns a channel that is closed once a majority has it.
+// replicate sends a held record to the other cores and returns a channel that is closed once a majority has
+// it.
 func (c *Core) replicate(record *wirepb.Record) (number uint64, done <-chan struct{}) {
 	quorum := len(c.node.Members())/2 + 1
 	number, pending := c.acks.start(quorum, consensus.Address(c.identity))
@@ -55,8 +57,8 @@
 	return number, pending.done
 }
 
-// awaitReplicas waits, outside the core's goroutine, until a majority holds the record that prepare returns. A nil
-// record needs no waiting.
+// awaitReplicas waits, outside the core's goroutine, until a majority holds the record that prepare
+// returns. A nil record needs no waiting.
 func (c *Core) awaitReplicas(prepare func() *wirepb.Record) bool {
 	type ticket struct {
 		record *wirepb.Record
--- a/internal/serving/core/calls.go
+++ b/internal/serving/core/calls.go
@@ -17,8 +17,8 @@
 	orderRetry   = 60 * time.Millisecond  // between looks for an acting replica
 )
 
-// callTable follows orders until their outcome is known. Commands are found by their id, reads and calls to another
-// core by a number.
+// callTable follows orders until their outcome is known. Commands are found by their id, reads and calls to
+// another core by a number.
 type callTable struct {
 	next     uint64
 	commands map[string]chan *wirepb.CallReply
@@ -47,7 +47,8 @@
 
 func (t *callTable) finishRead(number uint64, machine *committed.Machine) {
 	t.finishCall(&wirepb.CallReply{
-		Number: number, Outcome: wirepb.Outcome_OUTCOME_TAKEN, Body: machine.Body(), Generation: machine.Generation(),
+		Number: number, Outcome: wirepb.Outcome_OUTCOME_TAKEN,
+		Body: machine.Body(), Generation: machine.Generation(),
 	})
 }
 
@@ -58,8 +59,8 @@
 	}
 }
 
-// order carries out a command, or a read where command is nil, at the acting replica, wherever that is. It returns
-// OUTCOME_UNKNOWN where no clear answer came in time; the caller may send the same again.
+// order carries out a command, or a read where command is nil, at the acting replica, wherever that is. It
+// returns OUTCOME_UNKNOWN where no clear answer came in time; the caller may send the same again.
 func (c *Core) order(ctx context.Context, command *wirepb.Command) *wirepb.CallReply {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
@@ -123,7 +124,8 @@
 	}
 }
 
-// submit proposes a command or registers a read here, or hands it to the acting replica. It returns who has it.
+// submit proposes a command or registers a read here, or hands it to the acting replica. It returns who has
+// it.
 func (c *Core) submit(command *wirepb.Command, reply chan *wirepb.CallReply) string {
 	leader := c.node.Leader()
 	if leader == "" {
--- a/internal/serving/core/control.go
+++ b/internal/serving/core/control.go
@@ -58,12 +58,12 @@
 	OK bool `json:"ok"`
 }
 
-// replaceConfiguration takes a whole configuration. Nothing is refused that may have been taken: where the outcome is
-// not known in time, the answer is 503, and the same order may be sent again to any core.
+// replaceConfiguration takes a whole configuration. Nothing is refused that may have been taken: where the
+// outcome is not known in time, the answer is 503, and the same order may be sent again to any core.
 func (c *Core) replaceConfiguration(w http.ResponseWriter, r *http.Request) {
 	base, err := strconv.ParseUint(r.Header.Get("Base-Version"), 10, 64)
 	if err != nil {
-		refuse(w, http.StatusBadRequest, "Base-Version: give the generation that this configuration builds on, or 0")
+		refuse(w, http.StatusBadRequest, "Base-Version: give the generation that this builds on, or 0")
 		return
 	}
 	http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTimeout))
--- a/internal/serving/core/core.go
+++ b/internal/serving/core/core.go
@@ -1,7 +1,8 @@
-// Package core is the control program: the core's replicas agree on the configuration and the evacuations, hear the
-// workers, tell the edges, and answer clients who ask where to go.
+// Package core is the control program: the core's replicas agree on the configuration and the evacuations,
+// hear the workers, tell the edges, and answer clients who ask where to go.
 //
-// One goroutine, run, owns all state but the replica for the feeds; everything else sends it functions to carry out.
+// One goroutine, run, owns all state but the replica for the feeds; everything else sends it functions to
+// carry out.
 package core
 
 import (
@@ -74,7 +75,7 @@
 		return err
 	}
 	if settings.DataDir == "" {
-		return &boot.ValueError{Key: "data_dir", Remedy: "give the folder of a disk: the core keeps its state there"}
+		return &boot.ValueError{Key: "data_dir", Remedy: "give the folder of a disk, for the state"}
 	}
 	c, err := newCore(settings, settingsPath, logger)
 	if err != nil {
@@ -186,7 +187,8 @@
 	}
 }
 
-// leave ends this process's part: a surplus seat is given up, and the feeds are ended so that agents go elsewhere.
+// leave ends this process's part: a surplus seat is given up, and the feeds are ended so that agents go
+// elsewhere.
 func (c *Core) leave() {
 	c.node.Leave()
 	c.carryOut()
--- /dev/null
+++ b/internal/serving/core/core_test.go
@@ -0,0 +1,291 @@
+package core
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"willowdeck/internal/ports"
+	"willowdeck/internal/serving/boot"
+	"willowdeck/internal/serving/catalog"
+	"willowdeck/internal/serving/feed"
+	"willowdeck/internal/serving/framing"
+	"willowdeck/internal/serving/wirepb"
+)
+
+// startCore runs a core of one replica. It ends with the test.
+func startCore(t *testing.T, folder string, bootstrap bool) *Core {
+	t.Helper()
+	first := ports.Span(t, 2)
+	text := fmt.Sprintf("node_name=core-1\nip=127.0.0.1\nzone=a\nregion=south\nzones.a=south\nzones.b=north\n"+
+		"internal_port_range=%d,%d\nseeds=127.0.0.1:9\nbootstrap=%v\ndata_dir=%s\nheartbeat_ms=100\n",
+		first, first+1, bootstrap, folder)
+	path := filepath.Join(t.TempDir(), "boot.conf")
+	if err := os.WriteFile(path, []byte(text), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	settings, err := boot.Load(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := newCore(settings, path, zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	listener, err := framing.Listen(c.internal)
+	if err != nil {
+		t.Fatal(err)
+	}
+	go c.acceptLinks(listener)
+	go c.disk.run(c.stop)
+	signals := make(chan os.Signal, 1)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		c.run(signals)
+	}()
+	t.Cleanup(func() {
+		signals <- os.Interrupt
+		<-ended
+		listener.Close()
+	})
+	return c
+}
+
+func call(c *Core, method, path, base, body string) *httptest.ResponseRecorder {
+	request := httptest.NewRequest(method, path, strings.NewReader(body))
+	if base != "" {
+		request.Header.Set("Base-Version", base)
+	}
+	recorder := httptest.NewRecorder()
+	c.controlHandler().ServeHTTP(recorder, request)
+	return recorder
+}
+
+// mustCall repeats an order for as long as it has no clear answer, as an operator does.
+func mustCall(t *testing.T, c *Core, method, path, base, body string) *httptest.ResponseRecorder {
+	t.Helper()
+	for range 20 {
+		if recorder := call(c, method, path, base, body); recorder.Code != http.StatusServiceUnavailable {
+			return recorder
+		}
+	}
+	t.Fatalf("%s %s has no clear answer", method, path)
+	return nil
+}
+
+func configurationBody(generation int, mark string) string {
+	return fmt.Sprintf(`{"generation":%d,"routes":[{"name":%q,"hostname":"h","path_prefix":"/a/",`+
+		`"route_type":"idempotent","timeout_ms":100,"backend":"s"}],"services":[{"name":"s"}]}`, generation, mark)
+}
+
+func TestOrders(t *testing.T) {
+	c := startCore(t, t.TempDir(), true)
+	unknownBackend := strings.Replace(configurationBody(5, "y"), `"backend":"s"`, `"backend":"t"`, 1)
+	steps := []struct {
+		name, base, body string
+		want             int
+	}{
+		{"no base", "", configurationBody(3, "x"), 400},
+		{"the first", "0", configurationBody(3, "x"), 200},
+		{"the same again", "0", configurationBody(3, "x"), 200},
+		{"another on the same version", "0", configurationBody(5, "y"), 412},
+		{"an invalid one", "3", unknownBackend, 400},
+		{"an old number", "3", configurationBody(2, "y"), 400},
+		{"the next", "3", configurationBody(9, "y"), 200},
+		{"the first again, after a newer one", "0", configurationBody(3, "x"), 200},
+		{"too long", "9", configurationBody(10, strings.Repeat("z", maxConfiguration)), 413},
+	}
+	for _, step := range steps {
+		got := mustCall(t, c, "POST", "/Config.Replace", step.base, step.body)
+		if got.Code != step.want {
+			t.Errorf("%s: %d %s instead of %d", step.name, got.Code, got.Body, step.want)
+		}
+	}
+	if got := mustCall(t, c, "GET", "/Config.Get", "", ""); got.Body.String() != configurationBody(9, "y") {
+		t.Errorf("read back %s", got.Body)
+	}
+	if got := mustCall(t, c, "POST", "/Evacuations.Start/nowhere", "", ""); got.Code != 404 {
+		t.Errorf("an unknown zone: %d", got.Code)
+	}
+}
+
+// TestRestartKnowsAllAtOnce stops a core and starts it again: before anybody acts, feeds tell what was
+// committed, and the workers that were known.
+func TestRestartKnowsAllAtOnce(t *testing.T) {
+	folder := t.TempDir()
+	t.Run("before", func(t *testing.T) {
+		c := startCore(t, folder, true)
+		if got := mustCall(t, c, "POST", "/Config.Replace", "0", configurationBody(3, "x")); got.Code != 200 {
+			t.Fatal(got.Code)
+		}
+		if got := mustCall(t, c, "POST", "/Evacuations.Start/b", "", ""); got.Code != 200 {
+			t.Fatal(got.Code)
+		}
+		heartbeat := heartbeatOf("10.0.0.1:80", "ready", 1)
+		if got := mustCall(t, c, "POST", "/Instances.Heartbeat/i-1", "", heartbeat); got.Code != 200 {
+			t.Fatal(got.Code)
+		}
+		for saved := false; !saved; {
+			data, err := os.ReadFile(filepath.Join(folder, savedFile))
+			saved = err == nil && strings.Contains(string(data), "i-1")
+		}
+	})
+	text := fmt.Sprintf("node_name=core-1\nip=127.0.0.1\nzone=a\nregion=south\ninternal_port_range=1,2\n"+
+		"seeds=127.0.0.1:9\ndata_dir=%s\n", folder)
+	settings, err := boot.Parse(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := newCore(settings, "", zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	update, _ := c.replica.Difference(feed.Position{})
+	if update.Configuration.GetGeneration() != 3 || len(update.Evacuated) != 1 {
+		t.Errorf("told %v %v", update.Configuration, update.Evacuated)
+	}
+	if c.heldEntry(catalog.WorkerKey("i-1")) == nil {
+		t.Error("the worker is not known")
+	}
+}
+
+func heartbeatOf(address, state string, sequence int) string {
+	return fmt.Sprintf(`{"backend":"s","address":%q,"zone":"a","capacity":4,"state":%q,"sequence":%d}`,
+		address, state, sequence)
+}
+
+func TestWorkers(t *testing.T) {
+	c := startCore(t, t.TempDir(), true)
+	beat := func(instance, body string) int {
+		return mustCall(t, c, "POST", "/Instances.Heartbeat/"+instance, "", body).Code
+	}
+	worker := func(instance string) *wirepb.Record {
+		if entry := c.heldEntry(catalog.WorkerKey(instance)); entry != nil {
+			return entry.Record
+		}
+		return nil
+	}
+	for _, body := range []string{"", "{", `{"backend":"s"}`, `{"backend":"s","address":"nowhere"}`, `[]`} {
+		if code := beat("i-1", body); code != 400 {
+			t.Errorf("heartbeat %q: %d", body, code)
+		}
+	}
+	if beat("i-1", heartbeatOf("10.0.0.1:80", "ready", 5)) != 200 || worker("i-1").GetWorker().GetDraining() {
+		t.Fatal("a heartbeat was not taken")
+	}
+	draining := heartbeatOf("10.0.0.1:80", "draining", 6)
+	if beat("i-1", draining) != 200 || !worker("i-1").GetWorker().GetDraining() {
+		t.Error("draining was not taken")
+	}
+	if beat("i-1", heartbeatOf("10.0.0.1:80", "ready", 4)) != 200 || !worker("i-1").GetWorker().GetDraining() {
+		t.Error("a late heartbeat undid draining")
+	}
+	if beat("i-2", heartbeatOf("10.0.0.1:80", "ready", 1)) != 200 || !worker("i-1").Deleted {
+		t.Error("the earlier incarnation at an address was kept")
+	}
+	code := mustCall(t, c, "POST", "/Instances.Deregister/i-2", "", "").Code
+	if code != 200 || !worker("i-2").Deleted {
+		t.Errorf("deregistered with %d", code)
+	}
+	beat("i-2", heartbeatOf("10.0.0.1:80", "ready", 9))
+	if !worker("i-2").Deleted {
+		t.Error("an incarnation that has left came back")
+	}
+}
+
+// TestDirectoryFollowsLinks links an agent: its edge is told to clients while it is ready and linked.
+func TestDirectoryFollowsLinks(t *testing.T) {
+	c := startCore(t, t.TempDir(), true)
+	resolved := func() []string {
+		recorder := httptest.NewRecorder()
+		c.directoryHandler().ServeHTTP(recorder, httptest.NewRequest("GET", "/resolve?zone=a&region=south", nil))
+		var body resolution
+		if recorder.Code == 200 {
+			if err := json.Unmarshal(recorder.Body.Bytes(), &body); err != nil || body.TTL <= 0 {
+				t.Fatalf("%s %v", recorder.Body, err)
+			}
+		}
+		return body.Addresses
+	}
+	if addresses := resolved(); addresses != nil {
+		t.Fatalf("addresses %v before any edge", addresses)
+	}
+	connections := map[string]*framing.Conn{}
+	for order, name := range []string{"e1", "e2"} {
+		connection, err := framing.Dial(context.Background(), c.internal, time.Second, time.Second)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer connection.Close()
+		connections[name] = connection
+		link(t, connection, name, uint64(order+1))
+	}
+	awaitAddresses(t, c, resolved, 2)
+	connections["e1"].Close()
+	awaitAddresses(t, c, resolved, 1)
+	if addresses := resolved(); addresses[0] != "e2:80" {
+		t.Errorf("addresses %v", addresses)
+	}
+}
+
+func link(t *testing.T, connection *framing.Conn, name string, order uint64) {
+	t.Helper()
+	edge := &wirepb.Edge{Name: name, Address: name + ":80", Zone: "a", Region: "south", Ready: true}
+	request := &wirepb.FeedRequest{Subscriber: name, Edge: edge, EdgeOrder: order}
+	envelope := &wirepb.Envelope{Body: &wirepb.Envelope_Subscribe{Subscribe: request}}
+	if err := connection.WriteMessage(envelope); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// awaitAddresses looks after each change of the core's copy until so many addresses are told.
+func awaitAddresses(t *testing.T, c *Core, resolved func() []string, count int) {
+	t.Helper()
+	deadline := time.After(10 * time.Second)
+	for {
+		changed := c.replica.Changed()
+		if len(resolved()) == count {
+			return
+		}
+		select {
+		case <-changed:
+		case <-deadline:
+			t.Fatalf("addresses %v, not %d", resolved(), count)
+		}
+	}
+}
+
+func TestNearEdges(t *testing.T) {
+	entry := func(address, zone, region string, ready bool) *catalog.Entry {
+		edge := &wirepb.Edge{Name: address, Address: address, Zone: zone, Region: region, Ready: ready}
+		return &catalog.Entry{Record: &wirepb.Record{Value: &wirepb.Record_Edge{Edge: edge}}}
+	}
+	a1, a2, b1 := entry("a1", "a", "s", true), entry("a2", "a", "s", true), entry("b1", "b", "s", true)
+	n1, down := entry("n1", "n", "t", true), entry("a3", "a", "s", false)
+	cases := []struct {
+		name    string
+		entries []*catalog.Entry
+		want    string
+	}{
+		{"enough in the zone", []*catalog.Entry{a1, a2, b1, n1, down}, "[a1 a2]"},
+		{"few in the zone", []*catalog.Entry{a1, b1, n1}, "[a1 b1]"},
+		{"few in the region", []*catalog.Entry{a1, n1}, "[a1 n1]"},
+		{"none ready", []*catalog.Entry{down}, "[a3]"},
+		{"none known", nil, "[]"},
+	}
+	for _, c := range cases {
+		if got := fmt.Sprint(nearEdges(c.entries, "a", "s")); got != c.want {
+			t.Errorf("%s: %s instead of %s", c.name, got, c.want)
+		}
+	}
+}
--- a/internal/serving/core/disk.go
+++ b/internal/serving/core/disk.go
@@ -20,8 +20,8 @@
 	rewritePause = 100 * time.Millisecond
 )
 
-// openDisk returns the identity of the disk and what it holds. A disk without an identity gets one: that of a founder
-// on the first start of the whole system, else a new one that no quorum knows yet.
+// openDisk returns the identity of the disk and what it holds. A disk without an identity gets one: that of
+// a founder on the first start of the whole system, else a new one that no quorum knows yet.
 func openDisk(settings *boot.Settings, logger *zap.Logger) (string, *wal.Log, consensus.Stored, error) {
 	folder := settings.DataDir
 	if err := os.MkdirAll(folder, 0o755); err != nil {
@@ -86,8 +86,8 @@
 	done    func()
 }
 
-// disk writes in its own goroutine, in order, so that a slow disk holds up nothing else. A write that fails is made
-// good by a new segment, tried again until the disk takes it: until then nothing counts as written.
+// disk writes in its own goroutine, in order, so that a slow disk holds up nothing else. A write that fails
+// is made good by a new segment, tried again until the disk takes it: until then nothing counts as written.
 type disk struct {
 	log    *wal.Log
 	tasks  chan diskTask
--- a/internal/serving/core/edges.go
+++ b/internal/serving/core/edges.go
@@ -44,8 +44,8 @@
 	})
 }
 
-// unlinkEdge notes that an agent's link is lost: no client is sent to its edge until the agent links anew, here or at
-// another core.
+// unlinkEdge notes that an agent's link is lost: no client is sent to its edge until the agent links anew,
+// here or at another core.
 func (c *Core) unlinkEdge(link *edgeLink) {
 	if link.edge == nil || c.edges[link.edge.Name] != link {
 		return
@@ -84,8 +84,9 @@
 	answer(w, http.StatusOK, resolution{Addresses: addresses, TTL: ttl})
 }
 
-// nearEdges returns the ready edges that a client should use: those of its zone, with those of its region where the
-// zone has few, and all where the region has few. Where none is ready, all that are known are better than nothing.
+// nearEdges returns the ready edges that a client should use: those of its zone, with those of its region
+// where the zone has few, and all where the region has few. Where none is ready, all that are known are
+// better than nothing.
 func nearEdges(entries []*catalog.Entry, zone, region string) []string {
 	var inZone, inRegion, ready, known []string
 	for _, entry := range entries {
--- a/internal/serving/core/peers.go
+++ b/internal/serving/core/peers.go
@@ -24,8 +24,8 @@
 	forgetPeer      = 30 * time.Second // after it last spoke, unless it is a member or a seed
 )
 
-// peerLink sends envelopes to another core. What cannot be sent is dropped: consensus repeats itself, and records are
-// handed over again from the vector in the other's next presence.
+// peerLink sends envelopes to another core. What cannot be sent is dropped: consensus repeats itself, and
+// records are handed over again from the vector in the other's next presence.
 type peerLink struct {
 	address string
 	queue   chan *wirepb.Envelope
@@ -265,8 +265,8 @@
 	}
 }
 
-// takePresence hands over what the other core lacks (the repair that hinted handoff stands for: the hint is the
-// vector), and notes which workers it hears.
+// takePresence hands over what the other core lacks (the repair that hinted handoff stands for: the hint is
+// the vector), and notes which workers it hears.
 func (c *Core) takePresence(presence *wirepb.Presence) {
 	address := presence.Node.GetAddress()
 	c.inbound[address] = c.now()
--- a/internal/serving/core/saved.go
+++ b/internal/serving/core/saved.go
@@ -18,8 +18,9 @@
 	saveInterval = time.Second
 )
 
-// savedWorkers keeps the known workers on disk, so that a core that has lost power can tell the edges of them before
-// they have sent a heartbeat again. Nothing depends on it: a list that is old, or lost, is made good by heartbeats.
+// savedWorkers keeps the known workers on disk, so that a core that has lost power can tell the edges of
+// them before they have sent a heartbeat again. Nothing depends on it: a list that is old, or lost, is made
+// good by heartbeats.
 type savedWorkers struct {
 	sequence uint64 // of the catalog's state that was saved last
 	next     time.Duration
--- a/internal/serving/edge/answer.go
+++ b/internal/serving/edge/answer.go
@@ -13,8 +13,8 @@
 	"willowdeck/internal/serving/workerlink"
 )
 
-// finish passes an answer on. It returns false where the request has to be sent again: nothing of the answer has gone
-// to the client then, or the stream may be taken up elsewhere.
+// finish passes an answer on. It returns false where the request has to be sent again: nothing of the
+// answer has gone to the client then, or the stream may be taken up elsewhere.
 func (j *job) finish(a *attempt) bool {
 	if isStream(a.response) {
 		return j.finishStream(a)
@@ -74,8 +74,8 @@
 	return err == nil && kind == "text/event-stream" && response.StatusCode == http.StatusOK
 }
 
-// writeHead passes the head of an answer on, without what concerns the worker's connection alone. A negative length is
-// not known beforehand.
+// writeHead passes the head of an answer on, without what concerns the worker's connection alone. A
+// negative length is not known beforehand.
 func (j *job) writeHead(response *http.Response, length int) {
 	header := j.writer.Header()
 	for name, values := range workerlink.EndToEnd(response.Header) {
@@ -91,8 +91,8 @@
 	j.writer.WriteHeader(response.StatusCode)
 }
 
-// finishStream passes events on as they come, whole ones only. It returns false where the stream is to be taken up at
-// another worker.
+// finishStream passes events on as they come, whole ones only. It returns false where the stream is to be
+// taken up at another worker.
 func (j *job) finishStream(a *attempt) bool {
 	events := sse.NewReader(a.response.Body)
 	for {
--- a/internal/serving/edge/decisions.go
+++ b/internal/serving/edge/decisions.go
@@ -19,7 +19,8 @@
 // noWorkerWait is what a client is told to wait where no worker is known that may get its request.
 const noWorkerWait = 400 * time.Millisecond
 
-// decisions guards what the requests of an edge share: the choice of workers, shares of cold ones, and the budget.
+// decisions guards what the requests of an edge share: the choice of workers, shares of cold ones, and the
+// budget.
 type decisions struct {
 	mu       sync.Mutex
 	bounds   boot.Bounds
@@ -41,7 +42,8 @@
 	}
 }
 
-// service draws the service of a request by the route's weights, among those with workers where there are any.
+// service draws the service of a request by the route's weights, among those with workers where there are
+// any.
 func (d *decisions) service(t *table, route *configuration.Route) string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -70,8 +72,8 @@
 	return chosen
 }
 
-// choose picks a worker of the service for a request, and counts it as sent. Workers in excluded are left out. Where
-// none may get it, the returned wait says when to come back.
+// choose picks a worker of the service for a request, and counts it as sent. Workers in excluded are left
+// out. Where none may get it, the returned wait says when to come back.
 func (d *decisions) choose(
 	now time.Duration, t *table, service string, route *configuration.Route, request *balance.Request,
 	excluded map[string]bool,
--- a/internal/serving/edge/edge.go
+++ b/internal/serving/edge/edge.go
@@ -1,5 +1,6 @@
-// Package edge is the proxy: it takes clients' requests, chooses a worker for each, and passes the answer on. What it
-// goes by comes from the agent beside it; it decides alone, and waits for nobody but the worker.
+// Package edge is the proxy: it takes clients' requests, chooses a worker for each, and passes the answer
+// on. What it goes by comes from the agent beside it; it decides alone, and waits for nobody but the
+// worker.
 package edge
 
 import (
@@ -73,7 +74,8 @@
 
 func newEdge(settings *boot.Settings, logger *zap.Logger) *Edge {
 	e := &Edge{
-		settings: settings, logger: logger, started: time.Now(), pool: workerlink.NewPool(), liveness: newLiveness(),
+		settings: settings, logger: logger, started: time.Now(),
+		pool: workerlink.NewPool(), liveness: newLiveness(),
 		changed: make(chan struct{}), firstTable: make(chan struct{}),
 	}
 	e.replica = feed.NewReplica("", e.now)
--- a/internal/serving/edge/handler.go
+++ b/internal/serving/edge/handler.go
@@ -67,8 +67,9 @@
 	j.run()
 }
 
-// awaitTable returns what requests are handled by. An edge that has just started waits a little for its first
-// configuration: the request can be served then, which is better than sending a client away that may not come back.
+// awaitTable returns what requests are handled by. An edge that has just started waits a little for its
+// first configuration: the request can be served then, which is better than sending a client away that may
+// not come back.
 func (e *Edge) awaitTable(ctx context.Context) *table {
 	if t := e.table.Load(); t != nil {
 		return t
@@ -83,7 +84,8 @@
 	return e.table.Load()
 }
 
-// refuseUnknownRoute answers a request for which no route is known: with 404 only where that is known for sure.
+// refuseUnknownRoute answers a request for which no route is known: with 404 only where that is known for
+// sure.
 func (e *Edge) refuseUnknownRoute(w http.ResponseWriter) {
 	if e.mayDeny() {
 		refuse(w, http.StatusNotFound, 0)
@@ -133,8 +135,8 @@
 	w.WriteHeader(status)
 }
 
-// priority ranks requests at a worker by their aim: what has to begin soon goes before what can wait. Such requests are
-// the small ones, too: they hold the others up least.
+// priority ranks requests at a worker by their aim: what has to begin soon goes before what can wait. Such
+// requests are the small ones, too: they hold the others up least.
 func priority(route *configuration.Route) string {
 	if route.TargetLatencyMs <= 0 {
 		return strconv.Itoa(usualPriority)
--- a/internal/serving/edge/job.go
+++ b/internal/serving/edge/job.go
@@ -97,8 +97,8 @@
 	}
 }
 
-// send finds a worker that takes the request and returns once the head of its answer is there. Attempts that did not
-// run, or may be repeated, are followed by others as far as the route and the budget allow.
+// send finds a worker that takes the request and returns once the head of its answer is there. Attempts
+// that did not run, or may be repeated, are followed by others as far as the route and the budget allow.
 func (j *job) send() (*attempt, error) {
 	for {
 		if err := j.mayGoOn(); err != nil {
@@ -233,7 +233,8 @@
 	}
 }
 
-// fail ends an attempt whose worker could not be reached, or broke off. A client that left is no fault of the worker.
+// fail ends an attempt whose worker could not be reached, or broke off. A client that left is no fault of
+// the worker.
 func (j *job) fail(a *attempt, ctx context.Context) {
 	if ctx.Err() == nil && time.Now().Before(j.deadline) {
 		j.edge.decide.failed(j.edge.now(), a.worker.Instance)
--- a/internal/serving/edge/liveness.go
+++ b/internal/serving/edge/liveness.go
@@ -9,15 +9,17 @@
 
 const (
 	livenessInterval = 60 * time.Millisecond
-	silenceMost      = 280 * time.Millisecond // of a worker that has requests of ours in hand, until it is probed
-	probesFailed     = 2                      // in a row, after which a worker counts as dead
-	probeAgain       = 500 * time.Millisecond // between probes of a dead worker
-	probeFor         = 20 * time.Second       // after which a dead worker is left to the core's word
+	// of a worker that has requests of ours in hand, until it is probed
+	silenceMost  = 280 * time.Millisecond
+	probesFailed = 2                      // in a row, after which a worker counts as dead
+	probeAgain   = 500 * time.Millisecond // between probes of a dead worker
+	probeFor     = 20 * time.Second       // after which a dead worker is left to the core's word
 )
 
-// liveness watches the workers that have requests of this edge in hand. One that says nothing on any connection is
-// probed by a new connection. If that fails as well, requests that may be repeated are taken away from it; others stay,
-// since silence is no reason to end an answer. A dead worker is probed until it answers, so that no request has to.
+// liveness watches the workers that have requests of this edge in hand. One that says nothing on any
+// connection is probed by a new connection. If that fails as well, requests that may be repeated are taken
+// away from it; others stay, since silence is no reason to end an answer. A dead worker is probed until it
+// answers, so that no request has to.
 type liveness struct {
 	mu      sync.Mutex
 	workers map[string]*watchedWorker // by instance
@@ -36,7 +38,8 @@
 
 func newLiveness() *liveness { return &liveness{workers: map[string]*watchedWorker{}} }
 
-// begin notes that a request is in hand at a worker. interrupt ends it where the worker is found dead; nil: it stays.
+// begin notes that a request is in hand at a worker. interrupt ends it where the worker is found dead; nil:
+// it stays.
 func (l *liveness) begin(a *attempt, timeout time.Duration, interrupt func()) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -112,7 +115,8 @@
 	return list
 }
 
-// probed takes a probe's outcome. It returns what ends the requests of a worker that has just been found dead.
+// probed takes a probe's outcome. It returns what ends the requests of a worker that has just been found
+// dead.
 func (l *liveness) probed(instance string, w *watchedWorker, alive bool) (interrupts []func(), dead bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/serving/edge/table.go
+++ b/internal/serving/edge/table.go
@@ -55,7 +55,8 @@
 
 func newTableBuilder(settings *boot.Settings) *tableBuilder {
 	return &tableBuilder{
-		settings: settings, routes: routeCache{}, evacuated: map[string]bool{}, coldZones: map[string]time.Duration{},
+		settings: settings, routes: routeCache{},
+		evacuated: map[string]bool{}, coldZones: map[string]time.Duration{},
 	}
 }
 
@@ -106,13 +107,15 @@
 	}
 	b.routes = kept
 	for _, routes := range t.hosts {
-		slices.SortFunc(routes, func(x, y *configuration.Route) int { return len(y.PathPrefix) - len(x.PathPrefix) })
+		slices.SortFunc(routes, func(x, y *configuration.Route) int {
+			return len(y.PathPrefix) - len(x.PathPrefix)
+		})
 	}
 	return nil
 }
 
-// noteEvacuations keeps which zones' workers may have turned cold: an evacuation's end says that they may have, shortly
-// before it.
+// noteEvacuations keeps which zones' workers may have turned cold: an evacuation's end says that they may
+// have, shortly before it.
 func (b *tableBuilder) noteEvacuations(now time.Duration, evacuated []string, coldSeconds float64) {
 	current := map[string]bool{}
 	for _, zone := range evacuated {
--- a/internal/serving/feed/provider.go
+++ b/internal/serving/feed/provider.go
@@ -14,8 +14,8 @@
 	gatherChanges     = 4 * time.Millisecond    // that a change waits for more of its kind
 )
 
-// Provide serves a subscriber on a link whose first request was read. onRequest is called with it and with each
-// further one; Provide returns when the link is lost or stop is closed.
+// Provide serves a subscriber on a link whose first request was read. onRequest is called with it and with
+// each further one; Provide returns when the link is lost or stop is closed.
 func Provide(
 	connection *framing.Conn, first *wirepb.FeedRequest, replica *Replica, onRequest func(*wirepb.FeedRequest),
 	stop <-chan struct{},
@@ -51,7 +51,9 @@
 	<-lost
 }
 
-func readRequests(connection *framing.Conn, request *wirepb.FeedRequest, onRequest func(*wirepb.FeedRequest)) {
+func readRequests(
+	connection *framing.Conn, request *wirepb.FeedRequest, onRequest func(*wirepb.FeedRequest),
+) {
 	for {
 		onRequest(request)
 		request = &wirepb.FeedRequest{}
--- a/internal/serving/feed/replica.go
+++ b/internal/serving/feed/replica.go
@@ -1,6 +1,7 @@
-// Package feed brings the core's state to the edges: a core provides it to agents, an agent to its proxy and, where it
-// is told so, to other agents. Each holder says by a version vector, a generation and a log index what it has, and gets
-// what is missing. Replica is a holder's copy; Provider and Subscriber are the two ends of a link.
+// Package feed brings the core's state to the edges: a core provides it to agents, an agent to its proxy
+// and, where it is told so, to other agents. Each holder says by a version vector, a generation and a log
+// index what it has, and gets what is missing. Replica is a holder's copy; Provider and Subscriber are the
+// two ends of a link.
 package feed
 
 import (
@@ -124,8 +125,8 @@
 	}
 }
 
-// Touch notes that the holder is in touch with a majority of the core now. settled says whether that core has run long
-// enough to have heard of all that lives.
+// Touch notes that the holder is in touch with a majority of the core now. settled says whether that core
+// has run long enough to have heard of all that lives.
 func (r *Replica) Touch(settled bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -155,8 +156,8 @@
 	}
 }
 
-// Apply takes an update from a provider. It returns false where a part could not be used, and the holder has to
-// subscribe anew.
+// Apply takes an update from a provider. It returns false where a part could not be used, and the holder
+// has to subscribe anew.
 func (r *Replica) Apply(update *wirepb.FeedUpdate) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -202,8 +203,8 @@
 	return changed, true
 }
 
-// Difference returns what a holder at position lacks, and the position that it will have then. The update is empty
-// but for its vector where nothing is missing.
+// Difference returns what a holder at position lacks, and the position that it will have then. The update
+// is empty but for its vector where nothing is missing.
 func (r *Replica) Difference(position Position) (*wirepb.FeedUpdate, Position) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -225,7 +226,8 @@
 	return update, next
 }
 
-// updateFrom returns the update from a generation that the holder has, whole where that one is no longer known.
+// updateFrom returns the update from a generation that the holder has, whole where that one is no longer
+// known.
 func (r *Replica) updateFrom(generation uint64) *wirepb.ConfigurationUpdate {
 	for _, document := range r.history {
 		if generation != 0 && document.Generation == generation {
--- a/internal/serving/feed/subscriber.go
+++ b/internal/serving/feed/subscriber.go
@@ -34,7 +34,8 @@
 	Status func() *wirepb.FeedRequest
 	// StatusChanged returns a channel that is closed when Status should be told at once.
 	StatusChanged func() <-chan struct{}
-	// Wrap makes the first frame out of the first request, for providers that serve other links too. Nil: as it is.
+	// Wrap makes the first frame out of the first request, for providers that serve other links too. Nil: as
+	// it is.
 	Wrap func(*wirepb.FeedRequest) proto.Message
 	// Linked is told when a link comes up (its address) and is lost ("").
 	Linked func(address string)
@@ -75,8 +76,8 @@
 	return oldest, found
 }
 
-// follow stays with one provider until its link is lost, it has been out of touch for too long, or a nearer one can be
-// had. It returns whether the provider is as good as before.
+// follow stays with one provider until its link is lost, it has been out of touch for too long, or a nearer
+// one can be had. It returns whether the provider is as good as before.
 func (s *Subscriber) follow(ctx context.Context, provider Provider) bool {
 	connection, err := framing.Dial(ctx, provider.Address, s.DialTimeout, writeTimeout)
 	if err != nil {
@@ -134,7 +135,9 @@
 func (s *Subscriber) firstRequest() proto.Message {
 	request := s.Status()
 	position := s.Replica.Position()
-	request.Vector, request.Generation, request.StateIndex = position.Vector, position.Generation, position.StateIndex
+	request.Vector = position.Vector
+	request.Generation = position.Generation
+	request.StateIndex = position.StateIndex
 	if s.Wrap != nil {
 		return s.Wrap(request)
 	}
--- a/internal/serving/framing/framing.go
+++ b/internal/serving/framing/framing.go
@@ -49,7 +49,8 @@
 	return config.Listen(context.Background(), "tcp4", address)
 }
 
-// GiveUpAfter sets TCP_USER_TIMEOUT, so that a peer without power or behind a cut does not hold a connection for ever.
+// GiveUpAfter sets TCP_USER_TIMEOUT, so that a peer without power or behind a cut does not hold a
+// connection for ever.
 func GiveUpAfter(timeout time.Duration) func(network, address string, raw syscall.RawConn) error {
 	return func(_, _ string, raw syscall.RawConn) error {
 		var optionErr error
--- a/internal/serving/loadshare/loadshare.go
+++ b/internal/serving/loadshare/loadshare.go
@@ -1,6 +1,7 @@
-// Package loadshare adds up what other edges say that they have in hand at workers, and which workers they find dead.
-// Reports are datagrams: each replaces the one before it, a lost one is made good by the next, and an edge that is not
-// heard from drops out. The package has no I/O, clock or goroutines, and is not safe for concurrent use.
+// Package loadshare adds up what other edges say that they have in hand at workers, and which workers they
+// find dead. Reports are datagrams: each replaces the one before it, a lost one is made good by the next,
+// and an edge that is not heard from drops out. The package has no I/O, clock or goroutines, and is not
+// safe for concurrent use.
 package loadshare
 
 import (
@@ -58,8 +59,8 @@
 	return now-r.heard < time.Duration(periodsHeard*float64(Period(peers)))
 }
 
-// Sum returns what other edges have in hand at a worker. known is false where fewer than half of them are heard from:
-// then what the worker says itself is the better guide.
+// Sum returns what other edges have in hand at a worker. known is false where fewer than half of them are
+// heard from: then what the worker says itself is the better guide.
 func (p *Peers) Sum(now time.Duration, instance string, peers int) (sum Load, known bool) {
 	heard := 0
 	for _, r := range p.reports {
--- a/internal/serving/program/program.go
+++ b/internal/serving/program/program.go
@@ -97,7 +97,8 @@
 	if err != nil {
 		return err
 	}
-	fmt.Fprintf(output, "settings: %s in zone %s of region %s\n", settings.NodeName, settings.Zone, settings.Region)
+	fmt.Fprintf(output, "settings: %s in zone %s of region %s\n",
+		settings.NodeName, settings.Zone, settings.Region)
 	for _, file := range files {
 		body, err := os.ReadFile(file)
 		if err != nil {
@@ -107,7 +108,8 @@
 		if err != nil {
 			return err
 		}
-		fmt.Fprintf(output, "configuration: generation %d, %d routes\n", document.Generation, len(document.Routes()))
+		fmt.Fprintf(output, "configuration: generation %d, %d routes\n",
+			document.Generation, len(document.Routes()))
 	}
 	return nil
 }
--- a/internal/serving/retrybudget/retrybudget.go
+++ b/internal/serving/retrybudget/retrybudget.go
@@ -1,12 +1,13 @@
-// Package retrybudget bounds how many requests this edge sends a second time, so that all edges together keep within
-// the shared budget: a ratio of the requests of a window, plus a slack that the edges share evenly. It has no I/O,
-// clock or goroutines, and is not safe for concurrent use.
+// Package retrybudget bounds how many requests this edge sends a second time, so that all edges together
+// keep within the shared budget: a ratio of the requests of a window, plus a slack that the edges share
+// evenly. It has no I/O, clock or goroutines, and is not safe for concurrent use.
 package retrybudget
 
 import "time"
 
-// slots cover a window and one more slot. Repeats count over all of them; requests over half a window, which lies whole
-// in a window that the rule looks at, wherever that begins (at the repeats' window, or half a window or one before it).
+// slots cover a window and one more slot. Repeats count over all of them; requests over half a window,
+// which lies whole in a window that the rule looks at, wherever that begins (at the repeats' window, or
+// half a window or one before it).
 const (
 	slots        = 20
 	requestSlots = slots/2 - 1
--- a/internal/serving/sse/sse.go
+++ b/internal/serving/sse/sse.go
@@ -1,4 +1,5 @@
-// Package sse splits a stream of server-sent events (WHATWG HTML, "Server-sent events") into whole events, as bytes.
+// Package sse splits a stream of server-sent events (WHATWG HTML, "Server-sent events") into whole events,
+// as bytes.
 package sse
 
 import (
@@ -31,8 +32,8 @@
 // NewReader reads events from source.
 func NewReader(source io.Reader) *Reader { return &Reader{reader: bufio.NewReader(source)} }
 
-// Next returns the next whole event. With an error, io.EOF at the end of the source, it returns the bytes that came
-// after the last whole event.
+// Next returns the next whole event. With an error, io.EOF at the end of the source, it returns the bytes
+// that came after the last whole event.
 func (r *Reader) Next() (Event, error) {
 	var event Event
 	for {
--- a/internal/serving/wal/frame.go
+++ b/internal/serving/wal/frame.go
@@ -5,8 +5,9 @@
 	"hash/crc32"
 )
 
-// A frame is a header of 8 bytes (length and checksum of the payload), then the payload. One write makes one frame, and
-// is synced before the next one begins: a frame behind a damaged one therefore proves that the damage is no torn tail.
+// A frame is a header of 8 bytes (length and checksum of the payload), then the payload. One write makes
+// one frame, and is synced before the next one begins: a frame behind a damaged one therefore proves that
+// the damage is no torn tail.
 const (
 	headerBytes = 8
 	maxPayload  = 64 << 20 // bytes; a greater length is damage
--- a/internal/serving/wal/wal.go
+++ b/internal/serving/wal/wal.go
@@ -1,9 +1,11 @@
-// Package wal keeps a replica's log, votes and snapshot on disk. A segment file begins with the snapshot and the votes
-// that it builds on, and grows by one checksummed frame for each write; a new segment replaces the one before it as a whole. Nothing
-// counts before it is synced; a segment whose write or sync has failed is never written again.
+// Package wal keeps a replica's log, votes and snapshot on disk. A segment file begins with the snapshot
+// and the votes that it builds on, and grows by one checksummed frame for each write; a new segment
+// replaces the one before it as a whole. Nothing counts before it is synced; a segment whose write or sync
+// has failed is never written again.
 //
-// A torn tail, as a loss of power leaves it, is cut. Damage before a valid frame means that the disk has lost what it
-// had acknowledged: Open then refuses with ErrDamaged, and the caller begins with a new identity.
+// A torn tail, as a loss of power leaves it, is cut. Damage before a valid frame means that the disk has
+// lost what it had acknowledged: Open then refuses with ErrDamaged, and the caller begins with a new
+// identity.
 package wal
 
 import (
@@ -21,7 +23,8 @@
 )
 
 // ErrDamaged is returned by Open for a disk that has lost what it had acknowledged.
-var ErrDamaged = errors.New("log is damaged before its end: empty the data folder, so that the replica joins anew")
+var ErrDamaged = errors.New(
+	"log is damaged before its end: empty the data folder, so that the replica joins anew")
 
 const (
 	segmentPrefix = "segment-"
@@ -71,7 +74,8 @@
 	return syncFolder(folder)
 }
 
-// Open reads the newest segment in folder. exists is false where there is none; the caller then begins with Rewrite.
+// Open reads the newest segment in folder. exists is false where there is none; the caller then begins with
+// Rewrite.
 func Open(folder string) (log *Log, stored consensus.Stored, exists bool, err error) {
 	log = &Log{folder: folder}
 	numbers, err := segmentNumbers(folder)
@@ -94,8 +98,8 @@
 	return log, stored, false, nil
 }
 
-// readSegment returns what a segment holds. complete is false where not even its beginning is whole: it was being
-// written when the power went, and the segment before it still counts.
+// readSegment returns what a segment holds. complete is false where not even its beginning is whole: it was
+// being written when the power went, and the segment before it still counts.
 func readSegment(path string) (stored consensus.Stored, complete bool, err error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
@@ -230,7 +234,8 @@
 	return l.removeOlder()
 }
 
-// removeOlder drops the segments that the present one replaces. A failure leaves files that the next call drops.
+// removeOlder drops the segments that the present one replaces. A failure leaves files that the next call
+// drops.
 func (l *Log) removeOlder() error {
 	numbers, err := segmentNumbers(l.folder)
 	if err != nil {
--- a/internal/serving/workerlink/exchange.go
+++ b/internal/serving/workerlink/exchange.go
@@ -90,8 +90,8 @@
 	return nil
 }
 
-// Receive reads the head of the answer to the request with that id. Answers to other requests are skipped: they are
-// surplus. The body is read by the caller.
+// Receive reads the head of the answer to the request with that id. Answers to other requests are skipped:
+// they are surplus. The body is read by the caller.
 func (c *Conn) Receive(method, requestID string) (*http.Response, error) {
 	for range maxSurplus {
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
@@ -112,7 +112,8 @@
 	return nil, errors.Wrap(ErrOutcomeUnknown, "too many surplus answers")
 }
 
-// KeepAlive returns how long the worker keeps an idle connection, 0 where it does not say, and whether it keeps it.
+// KeepAlive returns how long the worker keeps an idle connection, 0 where it does not say, and whether it
+// keeps it.
 func KeepAlive(response *http.Response) (time.Duration, bool) {
 	if response.Close {
 		return 0, false
--- a/internal/serving/workerlink/pool.go
+++ b/internal/serving/workerlink/pool.go
@@ -1,6 +1,6 @@
-// Package workerlink speaks to workers: a pool of connections per worker, one request at a time on each. Nothing is
-// ever sent a second time here: the caller decides that, from the typed error that says whether the request may have
-// run.
+// Package workerlink speaks to workers: a pool of connections per worker, one request at a time on each.
+// Nothing is ever sent a second time here: the caller decides that, from the typed error that says whether
+// the request may have run.
 package workerlink
 
 import (
@@ -23,8 +23,8 @@
 	readBuffer     = 8 << 10
 )
 
-// keepAlive finds out within some seconds that a worker which should send is gone: then nothing of ours is on its way
-// that could stay unacknowledged.
+// keepAlive finds out within some seconds that a worker which should send is gone: then nothing of ours is
+// on its way that could stay unacknowledged.
 var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
 
 // Conn is a connection to a worker.
@@ -76,7 +76,9 @@
 }
 
 func dial(ctx context.Context, address string, timeout time.Duration) (*Conn, error) {
-	dialer := net.Dialer{Timeout: timeout, KeepAliveConfig: keepAlive, Control: framing.GiveUpAfter(unacknowledged)}
+	dialer := net.Dialer{
+		Timeout: timeout, KeepAliveConfig: keepAlive, Control: framing.GiveUpAfter(unacknowledged),
+	}
 	connection, err := dialer.DialContext(ctx, "tcp4", address)
 	if err != nil {
 		return nil, errors.Wrap(ErrNotSent, err.Error())
@@ -84,7 +86,8 @@
 	return &Conn{Conn: connection, reader: bufio.NewReaderSize(connection, readBuffer)}, nil
 }
 
-// Put gives a connection back after a whole exchange. life is how long the worker keeps it, 0 where it did not say.
+// Put gives a connection back after a whole exchange. life is how long the worker keeps it, 0 where it did
+// not say.
 func (p *Pool) Put(address string, connection *Conn, life time.Duration) {
 	keep := defaultIdle
 	if life > 0 {
