A record whose push was lost is asked for; scale run of the serving system

A pushed record counted all before it of its origin as seen. It counts only where nothing before it is missing; the next presence brings the rest. wdlab system-scale: real programs beside hollow agents and workers.

--- a/cmd/wdlab/main.go
+++ b/cmd/wdlab/main.go
@@ -80,7 +80,7 @@
 					&cli.StringFlag{Name: "portal", Usage: "run a portal at `HOST:PORT` before it"},
 					&cli.StringFlag{Name: "asks", Usage: "that asks at `HOST:PORT`"},
 					&cli.DurationFlag{Name: "auth", Usage: "run an auth service that takes so long"}}},
-			elementsCommand(), capacityCommand(),
+			elementsCommand(), capacityCommand(), systemScaleCommand(),
 		},
 	}
 }
--- a/internal/serving/agent/agent.go
+++ b/internal/serving/agent/agent.go
@@ -55,9 +55,14 @@
 	demands  []*wirepb.Demand
 }
 
-// LoopbackAddress returns where an agent with these settings feeds its proxy.
+// LoopbackAddress returns where an agent with these settings feeds its proxy. Where the machine's own address is one of
+// loopback, as with several edges on one machine, it is that.
 func LoopbackAddress(settings *boot.Settings) string {
-	return net.JoinHostPort("127.0.0.1", strconv.Itoa(settings.FirstPort+1))
+	host := "127.0.0.1"
+	if ip := net.ParseIP(settings.IP); ip.IsLoopback() {
+		host = settings.IP
+	}
+	return net.JoinHostPort(host, strconv.Itoa(settings.FirstPort+1))
 }
 
 // Run serves until the process is told to stop.
--- a/internal/serving/catalog/catalog.go
+++ b/internal/serving/catalog/catalog.go
@@ -85,14 +85,18 @@
 	return record
 }
 
-// Merge takes records and the vector of their sender, and returns the entries that changed.
+// Merge takes records and the vector of their sender, and returns the entries that changed. Records that come without
+// a vector count as seen only where nothing of their origin is missing before them: else the gap would never be asked
+// for.
 func (c *Catalog) Merge(now time.Duration, records []*wirepb.Record, vector *wirepb.VersionVector) []*Entry {
 	var changed []*Entry
 	for _, record := range records {
 		if held := c.entries[record.Key]; held == nil || newer(record, held.Record) {
 			changed = append(changed, c.put(now, record))
 		}
-		c.vector[record.Origin] = max(c.vector[record.Origin], record.Sequence)
+		if record.Sequence == c.vector[record.Origin]+1 {
+			c.vector[record.Origin] = record.Sequence
+		}
 	}
 	for origin, sequence := range vector.GetSequences() {
 		c.vector[origin] = max(c.vector[origin], sequence)
--- a/internal/serving/catalog/catalog_test.go
+++ b/internal/serving/catalog/catalog_test.go
@@ -97,3 +97,21 @@
 		t.Error("a worker that lives was dropped")
 	}
 }
+
+// TestLostPushIsAskedFor pushes single records, of which one is lost: the holder's vector has to show it.
+func TestLostPushIsAskedFor(t *testing.T) {
+	from, to := New("a"), New("b")
+	var pushed []*wirepb.Record
+	for _, instance := range []string{"p", "q", "r"} {
+		pushed = append(pushed, from.Publish(0, workerRecord(instance, 1, 0)))
+	}
+	to.Merge(0, pushed[:1], nil)
+	to.Merge(0, pushed[2:], nil)
+	if to.Get(WorkerKey("r")) == nil {
+		t.Error("a record that came was not taken")
+	}
+	pull(to, from)
+	if to.Get(WorkerKey("q")) == nil {
+		t.Error("a record whose push was lost never came")
+	}
+}
