--- a/internal/serving/agent/agent.go
+++ b/internal/serving/agent/agent.go
@@ -18,6 +18,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"willowdeck/internal/serving/boot"
+	"willowdeck/internal/serving/catalog"
 	"willowdeck/internal/serving/feed"
 	"willowdeck/internal/serving/framing"
 	"willowdeck/internal/serving/wirepb"
@@ -144,7 +145,7 @@
 	a.mu.Unlock()
 	var providers []feed.Provider
 	known := map[string]bool{}
-	for _, entry := range a.replica.View().Entries {
+	for _, entry := range a.replica.Of(catalog.Cores) {
 		core := entry.Record.GetCore()
 		if core == nil || entry.Record.Deleted || known[core.Address] {
 			continue
@@ -217,16 +218,13 @@
 // overtakeOldRecord raises the order where the catalog holds something newer of this edge that is not true:
 // an earlier life's state, told by a clock that was ahead, or a link that a core has taken for lost.
 func (a *Agent) overtakeOldRecord() {
-	for _, entry := range a.replica.View().Entries {
-		edge := entry.Record.GetEdge()
-		if edge == nil {
-			continue
-		}
-		a.mu.Lock()
-		if a.edge != nil && edge.Name == a.edge.Name && entry.Record.Order > a.order {
-			a.order = entry.Record.Order + orderStep
-		}
-		a.mu.Unlock()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.edge == nil {
+		return
+	}
+	if entry := a.replica.Get(catalog.EdgeKey(a.edge.Name)); entry != nil && entry.Record.Order > a.order {
+		a.order = entry.Record.Order + orderStep
 	}
 }
 
--- a/internal/serving/catalog/catalog.go
+++ b/internal/serving/catalog/catalog.go
@@ -31,17 +31,48 @@
 	Merged    time.Duration // when this version came
 }
 
+// Kind is what a record describes.
+type Kind int
+
+// The kinds of records.
+const (
+	Workers Kind = iota
+	Edges
+	Cores
+	kinds
+)
+
+// kindOf tells a record's kind by its value.
+func kindOf(record *wirepb.Record) Kind {
+	switch record.Value.(type) {
+	case *wirepb.Record_Edge:
+		return Edges
+	case *wirepb.Record_Core:
+		return Cores
+	}
+	return Workers
+}
+
 // Catalog is one holder's copy.
 type Catalog struct {
-	origin  string
-	vector  map[string]uint64
-	entries map[string]*Entry
+	origin    string
+	vector    map[string]uint64
+	entries   map[string]*Entry
+	byKind    [kinds]map[string]*Entry
+	byAddress map[string]map[string]*Entry // workers
+	written   map[string]*writes           // by origin
 }
 
-// New makes an empty catalog. origin must be new with each life of the process; holders that write nothing
-// pass "".
+// New makes an empty catalog. origin must be new with each life of the process; holders that write nothing pass "".
 func New(origin string) *Catalog {
-	return &Catalog{origin: origin, vector: map[string]uint64{}, entries: map[string]*Entry{}}
+	c := &Catalog{
+		origin: origin, vector: map[string]uint64{}, entries: map[string]*Entry{},
+		byAddress: map[string]map[string]*Entry{}, written: map[string]*writes{},
+	}
+	for kind := range c.byKind {
+		c.byKind[kind] = map[string]*Entry{}
+	}
+	return c
 }
 
 // WorkerKey returns the key of a worker incarnation's record.
@@ -57,17 +88,35 @@
 func (c *Catalog) Get(key string) *Entry { return c.entries[key] }
 
 // Entries returns all entries in the order of their keys, deleted ones included.
-func (c *Catalog) Entries() []*Entry {
-	list := make([]*Entry, 0, len(c.entries))
-	for _, key := range slices.Sorted(maps.Keys(c.entries)) {
-		list = append(list, c.entries[key])
+func (c *Catalog) Entries() []*Entry { return sorted(c.entries) }
+
+// Of returns the entries of one kind in the order of their keys, deleted ones included.
+func (c *Catalog) Of(kind Kind) []*Entry { return sorted(c.byKind[kind]) }
+
+// AtAddress returns the workers at an address that are not deleted.
+func (c *Catalog) AtAddress(address string) []*Entry {
+	list := sorted(c.byAddress[address])
+	return slices.DeleteFunc(list, func(entry *Entry) bool { return entry.Record.Deleted })
+}
+
+func sorted(entries map[string]*Entry) []*Entry {
+	list := make([]*Entry, 0, len(entries))
+	for _, key := range slices.Sorted(maps.Keys(entries)) {
+		list = append(list, entries[key])
 	}
 	return list
 }
 
-// Vector returns a copy of what has been seen of each origin.
+// Vector returns a copy of what has been seen of each origin. An origin of which something is held, but not all that
+// comes before it, stands there with what is complete.
 func (c *Catalog) Vector() *wirepb.VersionVector {
-	return &wirepb.VersionVector{Sequences: maps.Clone(c.vector)}
+	sequences := maps.Clone(c.vector)
+	for origin, written := range c.written {
+		if _, known := sequences[origin]; !known && written.live > 0 {
+			sequences[origin] = 0
+		}
+	}
+	return &wirepb.VersionVector{Sequences: sequences}
 }
 
 // Publish writes a version of a record, and returns it, or nil where a version at least as new is held. Of
@@ -123,25 +172,58 @@
 	if worker := record.GetWorker(); worker != nil {
 		entry.ColdUntil = now + time.Duration(worker.ColdRemainingMs)*time.Millisecond
 	}
+	c.remove(record.Key)
 	c.entries[record.Key] = entry
+	c.byKind[kindOf(record)][record.Key] = entry
+	if address := record.GetWorker().GetAddress(); address != "" {
+		if c.byAddress[address] == nil {
+			c.byAddress[address] = map[string]*Entry{}
+		}
+		c.byAddress[address][record.Key] = entry
+	}
+	if c.written[record.Origin] == nil {
+		c.written[record.Origin] = &writes{}
+	}
+	c.written[record.Origin].add(record.Sequence, record.Key)
 	return entry
 }
 
+// remove takes an entry out of all indexes but the writes, which leave out what is no longer held.
+func (c *Catalog) remove(key string) {
+	entry := c.entries[key]
+	if entry == nil {
+		return
+	}
+	delete(c.entries, key)
+	delete(c.byKind[kindOf(entry.Record)], key)
+	if address := entry.Record.GetWorker().GetAddress(); address != "" {
+		delete(c.byAddress[address], key)
+		if len(c.byAddress[address]) == 0 {
+			delete(c.byAddress, address)
+		}
+	}
+	c.written[entry.Record.Origin].live--
+}
+
 // Since returns the records that a holder of vector lacks. Times are told as they stand now.
 func (c *Catalog) Since(now time.Duration, vector *wirepb.VersionVector) []*wirepb.Record {
-	if c.Covered(vector) {
-		return nil
-	}
 	var records []*wirepb.Record
-	for _, entry := range c.Entries() {
-		record := entry.Record
-		if record.Sequence > vector.GetSequences()[record.Origin] {
-			records = append(records, told(now, entry))
+	for _, origin := range slices.Sorted(maps.Keys(c.written)) {
+		for _, key := range c.written[origin].after(vector.GetSequences()[origin], c.holds(origin)) {
+			records = append(records, told(now, c.entries[key]))
 		}
 	}
 	return records
 }
 
+// holds tells whether a write of an origin is still the held version of its key.
+func (c *Catalog) holds(origin string) func(sequence uint64, key string) bool {
+	return func(sequence uint64, key string) bool {
+		entry := c.entries[key]
+		return entry != nil && entry.Record.Origin == origin && entry.Record.Sequence == sequence
+	}
+}
+
 // Covered reports whether a holder of vector lacks nothing.
 func (c *Catalog) Covered(vector *wirepb.VersionVector) bool {
 	for origin, sequence := range c.vector {
@@ -165,19 +247,25 @@
 
 // Expire forgets deletions that are old.
 func (c *Catalog) Expire(now time.Duration) {
-	maps.DeleteFunc(c.entries, func(_ string, entry *Entry) bool {
-		return entry.Record.Deleted && now-entry.Merged > tombstoneLife
-	})
+	for key, entry := range c.entries {
+		if entry.Record.Deleted && now-entry.Merged > tombstoneLife {
+			c.remove(key)
+		}
+	}
 }
 
-// DropUnknownOrigins removes the records whose writer a settled provider does not know: they were written
-// by an earlier life of the core, and nobody has told of their subjects since. It returns whether any was
-// removed.
+// DropUnknownOrigins removes the records whose writer a settled provider does not know: they were written by an earlier
+// life of the core, and nobody has told of their subjects since. It returns whether any was removed.
 func (c *Catalog) DropUnknownOrigins(provider *wirepb.VersionVector) bool {
-	before := len(c.entries)
-	maps.DeleteFunc(c.entries, func(_ string, entry *Entry) bool {
-		_, known := provider.GetSequences()[entry.Record.Origin]
-		return !known
-	})
-	return len(c.entries) != before
+	removed := false
+	for origin, written := range c.written {
+		if _, known := provider.GetSequences()[origin]; known || written.live == 0 {
+			continue
+		}
+		for _, key := range written.after(0, c.holds(origin)) {
+			c.remove(key)
+			removed = true
+		}
+	}
+	return removed
 }
--- a/internal/serving/catalog/catalog_test.go
+++ b/internal/serving/catalog/catalog_test.go
@@ -115,3 +115,14 @@
 		t.Error("a record whose push was lost never came")
 	}
 }
+
+// TestHeldOriginsAreKnown holds a record without what its writer wrote before: who is told must not drop it.
+func TestHeldOriginsAreKnown(t *testing.T) {
+	from, between, holder := New("a"), New("b"), New("")
+	from.Publish(0, workerRecord("p", 1, 0))
+	between.Merge(0, []*wirepb.Record{from.Publish(0, workerRecord("q", 1, 0))}, nil)
+	pull(holder, between)
+	if holder.DropUnknownOrigins(between.Vector()) || holder.Get(WorkerKey("q")) == nil {
+		t.Error("a record was dropped that its provider holds")
+	}
+}
--- a/internal/serving/core/core_test.go
+++ b/internal/serving/core/core_test.go
@@ -157,6 +157,14 @@
 	if c.heldEntry(catalog.WorkerKey("i-1")) == nil {
 		t.Error("the worker is not known")
 	}
+	agent := feed.NewReplica("", c.now)
+	for range 2 { // the second time, as a provider that has settled
+		agent.Apply(update)
+		update.Settled, update.InTouch = true, true
+	}
+	if agent.Get(catalog.WorkerKey("i-1")) == nil {
+		t.Error("an agent takes the worker for one of an earlier life of the core")
+	}
 }
 
 func heartbeatOf(address, state string, sequence int) string {
--- a/internal/serving/core/edges.go
+++ b/internal/serving/core/edges.go
@@ -75,7 +75,7 @@
 
 func (c *Core) resolve(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
-	addresses := nearEdges(c.replica.View().Entries, query.Get("zone"), query.Get("region"))
+	addresses := nearEdges(c.replica.Of(catalog.Edges), query.Get("zone"), query.Get("region"))
 	if len(addresses) == 0 {
 		refuse(w, http.StatusServiceUnavailable, "no edge is known yet: ask again soon")
 		return
--- a/internal/serving/core/saved.go
+++ b/internal/serving/core/saved.go
@@ -27,7 +27,8 @@
 	busy     bool
 }
 
-// loadWorkers merges the list that an earlier life has saved.
+// loadWorkers takes over the list that an earlier life has saved, as writes of this life: those who are told of them
+// need to know their writer.
 func (c *Core) loadWorkers() {
 	data, err := os.ReadFile(filepath.Join(c.settings.DataDir, savedFile))
 	if err != nil {
@@ -39,7 +40,10 @@
 		return
 	}
 	c.replica.WithCatalog(func(now time.Duration, held *catalog.Catalog) bool {
-		return len(held.Merge(now, batch.Records, nil)) > 0
+		for _, record := range batch.Records {
+			held.Publish(now, record)
+		}
+		return len(batch.Records) > 0
 	})
 }
 
--- a/internal/serving/core/workers.go
+++ b/internal/serving/core/workers.go
@@ -123,14 +123,7 @@
 	return c.unconfirmed(instance)
 }
 
-func (c *Core) heldEntry(key string) *catalog.Entry {
-	var entry *catalog.Entry
-	c.replica.WithCatalog(func(_ time.Duration, held *catalog.Catalog) bool {
-		entry = held.Get(key)
-		return false
-	})
-	return entry
-}
+func (c *Core) heldEntry(key string) *catalog.Entry { return c.replica.Get(key) }
 
 // sameWorker reports whether a heartbeat says nothing new.
 func sameWorker(now time.Duration, held *catalog.Entry, worker *wirepb.Worker) bool {
@@ -158,12 +151,13 @@
 
 // dropPredecessors drops earlier incarnations at a worker's address: it has been given to this one.
 func (c *Core) dropPredecessors(worker *wirepb.Worker) {
-	for _, entry := range c.replica.View().Entries {
-		earlier := entry.Record.GetWorker()
-		if earlier == nil || entry.Record.Deleted || earlier.InstanceId == worker.InstanceId {
-			continue
-		}
-		if earlier.Address == worker.Address {
+	var present []*catalog.Entry
+	c.replica.WithCatalog(func(_ time.Duration, held *catalog.Catalog) bool {
+		present = held.AtAddress(worker.Address)
+		return false
+	})
+	for _, entry := range present {
+		if entry.Record.GetWorker().InstanceId != worker.InstanceId {
 			c.publishDeletion(entry.Record, catalog.Final)
 		}
 	}
--- a/internal/serving/edge/edge.go
+++ b/internal/serving/edge/edge.go
@@ -32,6 +32,8 @@
 	maxHeadBytes     = 128 << 10
 	sweepInterval    = 500 * time.Millisecond
 	reportInterval   = time.Second // of demands for cold workers
+	tableRest        = 2           // times as long as a table took to make, until the next one
+	longestTableRest = 150 * time.Millisecond
 	stopPoll         = 50 * time.Millisecond
 	stopMargin       = 400 * time.Millisecond  // before SIGKILL
 	directoryLag     = 3300 * time.Millisecond // until clients with old answers have gone elsewhere
@@ -194,12 +196,15 @@
 	builder := newTableBuilder(e.settings)
 	for {
 		changed := e.replica.Changed()
+		begun := time.Now()
 		e.makeTable(builder)
+		rest := min(tableRest*time.Since(begun), longestTableRest)
 		select {
 		case <-ctx.Done():
 			return
 		case <-changed:
 		}
+		time.Sleep(rest) // many changes in a row make one table
 	}
 }
 
--- a/internal/serving/edge/loads.go
+++ b/internal/serving/edge/loads.go
@@ -42,7 +42,7 @@
 	for {
 		t := e.table.Load()
 		period := loadshare.Period(0)
-		if t != nil {
+		if t != nil && loadshare.Worthwhile(len(t.peers)) {
 			period = loadshare.Period(len(t.peers))
 			number++
 			e.tellLoads(connection, t, number)
--- a/internal/serving/feed/replica.go
+++ b/internal/serving/feed/replica.go
@@ -87,6 +87,20 @@
 	}
 }
 
+// Of returns the entries of one kind. They must not be changed.
+func (r *Replica) Of(kind catalog.Kind) []*catalog.Entry {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.catalog.Of(kind)
+}
+
+// Get returns the entry of a key, or nil. It must not be changed.
+func (r *Replica) Get(key string) *catalog.Entry {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.catalog.Get(key)
+}
+
 // Position returns what is held, for a subscription.
 func (r *Replica) Position() Position {
 	r.mu.Lock()
--- a/internal/serving/loadshare/loadshare.go
+++ b/internal/serving/loadshare/loadshare.go
@@ -12,7 +12,8 @@
 
 const (
 	shortestPeriod = 100 * time.Millisecond
-	periodPerPeer  = 12 * time.Millisecond // so that an edge's bytes do not grow with the number of edges
+	periodPerPeer  = 15 * time.Millisecond // so that an edge's bytes do not grow with the number of edges
+	mostPeers      = 60                    // beyond which reports would be too old to be worth their bytes
 	periodsHeard   = 3.5                   // that a report counts for
 )
 
@@ -21,6 +22,9 @@
 	return max(shortestPeriod, time.Duration(peers)*periodPerPeer)
 }
 
+// Worthwhile reports whether edges tell each other at all, by the number of others.
+func Worthwhile(peers int) bool { return peers > 0 && peers <= mostPeers }
+
 // Load is what is in hand at a worker.
 type Load struct {
 	InHand float64
--- a/internal/serving/loadshare/loadshare_test.go
+++ b/internal/serving/loadshare/loadshare_test.go
@@ -41,6 +41,9 @@
 }
 
 func TestBytesDoNotGrowWithPeers(t *testing.T) {
+	if Worthwhile(0) || !Worthwhile(7) || Worthwhile(329) {
+		t.Error("who reports")
+	}
 	for peers := 10; peers < 400; peers++ {
 		if perSecond := float64(peers) / Period(peers).Seconds(); perSecond > 100 {
 			t.Fatalf("%d peers: %.0f datagrams a second", peers, perSecond)
