--- a/cmd/wdlab/capacity.go
+++ b/cmd/wdlab/capacity.go
@@ -89,12 +89,12 @@
 // capacityCommand makes the tables and the chart of the capacity page.
 func capacityCommand() *cli.Command {
 	return &cli.Command{Name: "capacity",
-		Usage:  "make the tables and the chart of docs/CAPACITY.md from what was measured",
+		Usage:  "make the tables and the chart of a capacity page from what was measured",
 		Action: renew, Flags: []cli.Flag{
 			&cli.StringFlag{Name: "spec", Value: "scenarios/capacity.toml",
 				Usage: "what the operators state, `FILE.toml`"},
 			&cli.StringFlag{Name: "data", Value: "docs/capacity", Usage: "the `FOLDER` of what was measured"},
-			&cli.StringFlag{Name: "page", Value: "docs/CAPACITY.md", Usage: "`FILE` whose tables are made anew"},
+			&cli.StringFlag{Name: "page", Value: "docs/CAPACITY-gateway.md", Usage: "`FILE` whose tables are made anew"},
 			&cli.StringFlag{Name: "fits", Value: "docs/capacity/fits.md", Usage: "`FILE` of all figures' fits"},
 			&cli.StringFlag{Name: "chart", Value: "docs/capacity/need.png", Usage: "`FILE` of the chart"},
 			&cli.BoolFlag{Name: "check",
--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -12,23 +12,30 @@
 )
 
 const (
-	page = "../../docs/CAPACITY.md"
+	page = "../../docs/CAPACITY-gateway.md"
 	fits = "../../docs/capacity/fits.md"
 	data = "../../docs/capacity"
 	spec = "../../scenarios/capacity.toml"
 )
 
-// The tables of the page are those that the measurements on hand give.
+// The tables of both pages, the gateway's and the serving system's, are those that the measurements on hand give.
 func TestPageIsUpToDate(t *testing.T) {
-	b, err := Work(spec, data)
-	if err != nil {
-		t.Fatal(err)
+	pages := []struct{ page, fits, data, spec string }{
+		{page, fits, data, spec},
+		{"../../docs/CAPACITY.md", "../../docs/capacity/system/fits.md", "../../docs/capacity/system",
+			"../../scenarios/system-capacity.toml"},
 	}
-	if err := b.Renew(page, fits, true); err != nil {
-		t.Error(err)
-	}
-	if err := Chart(b.Needs, filepath.Join(t.TempDir(), "need.png")); err != nil {
-		t.Error(err)
+	for _, p := range pages {
+		b, err := Work(p.spec, p.data)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := b.Renew(p.page, p.fits, true); err != nil {
+			t.Error(err)
+		}
+		if err := Chart(b.Needs, filepath.Join(t.TempDir(), "need.png")); err != nil {
+			t.Error(err)
+		}
 	}
 }
 
@@ -65,7 +72,7 @@
 // making the tables anew.
 func TestStale(t *testing.T) {
 	cases := []struct{ name, file, old, new string }{
-		{"the page", "CAPACITY.md", "| 22 KB/s |", "| 23 KB/s |"},
+		{"the page", "CAPACITY-gateway.md", "| 22 KB/s |", "| 23 KB/s |"},
 		{"the page of fits", "fits.md", "linear", "squared"},
 		{"a limit", "capacity.toml", "most = 22\n", "most = 23\n"},
 		{"a coming size", "capacity.toml", "regions = 4", "regions = 5"},
@@ -82,13 +89,13 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			if err := b.Renew(in("CAPACITY.md"), in("fits.md"), true); !errors.Is(err, ErrStale) {
+			if err := b.Renew(in("CAPACITY-gateway.md"), in("fits.md"), true); !errors.Is(err, ErrStale) {
 				t.Errorf("got %v, want %v", err, ErrStale)
 			}
-			if err := b.Renew(in("CAPACITY.md"), in("fits.md"), false); err != nil {
+			if err := b.Renew(in("CAPACITY-gateway.md"), in("fits.md"), false); err != nil {
 				t.Error(err)
 			}
-			if err := b.Renew(in("CAPACITY.md"), in("fits.md"), true); err != nil {
+			if err := b.Renew(in("CAPACITY-gateway.md"), in("fits.md"), true); err != nil {
 				t.Errorf("made anew: %v", err)
 			}
 		})
--- a/internal/capacity/spec.go
+++ b/internal/capacity/spec.go
@@ -86,7 +86,7 @@
 
 // roles in the order of the page.
 var roles = []string{"front", gatekeeper, "host daemon", "zone relay", "region relay", "council daemon",
-	"discovery", "fleet"}
+	"discovery", "fleet", "edge proxy", "agent", "core", "system"}
 
 var resources = []string{"state", "messages", "bytes", "processor", "memory", "descriptors", "time"}
 
--- a/internal/capacity/table.go
+++ b/internal/capacity/table.go
@@ -1,5 +1,5 @@
 // Package capacity reads what was measured over sizes and says what each role needs at the size that is
-// coming, beside the operators' limits: as tables of docs/CAPACITY.md and one chart.
+// coming, beside the operators' limits: as tables of a page in docs and one chart.
 package capacity
 
 import (
--- a/internal/serving/scale/scale.go
+++ b/internal/serving/scale/scale.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand"
 	"os"
 	"slices"
 	"time"
@@ -13,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"willowdeck/internal/capacity"
+	"willowdeck/internal/serving/balance"
 )
 
 // Options say what is played.
@@ -37,6 +39,9 @@
 }
 
 const (
+	// distribution is what the capacity tables take for the way that is there today.
+	distribution = "direct"
+
 	cores       = 5
 	realEdges   = 4
 	regions     = 16
@@ -57,7 +62,7 @@
 		}
 		for _, figure := range figures {
 			rows = append(rows, capacity.Row{
-				Run: options.Run, Commit: options.Commit, Distribution: "feed", Size: float64(size.Edges),
+				Run: options.Run, Commit: options.Commit, Distribution: distribution, Size: float64(size.Edges),
 				Role: figure.Role, Figure: figure.Name, Unit: figure.Unit, Value: figure.Value,
 			})
 		}
@@ -99,6 +104,7 @@
 	if err != nil {
 		return nil, err
 	}
+	figures = append(figures, measureChoice(size))
 	changes, err := measureChanges(ctx, s, fleet, generation, options.Changes)
 	if err != nil {
 		return nil, err
@@ -182,6 +188,24 @@
 	}, nil
 }
 
+// measureChoice measures what the choice of a worker takes, among the workers of one model.
+func measureChoice(size Size) Figure {
+	const choices = 400
+	candidates := make([]balance.Worker, max(size.Workers/models, 1))
+	for i := range candidates {
+		candidates[i] = balance.Worker{
+			Instance: workerName(i), Zone: zoneName(i), Region: regionName(i), Capacity: 64, Engine: true,
+		}
+	}
+	balancer := balance.New(zoneName(0), regionName(0), rand.New(rand.NewSource(1)))
+	begun := time.Now()
+	for i := range choices {
+		request := &balance.Request{Parts: balance.ParsePrompt(fmt.Sprintf("a:500,b%d:4800,c%d:6000", i%50, i))}
+		balancer.Choose(time.Duration(i)*time.Millisecond, request, candidates)
+	}
+	return Figure{roleEdge, "choice", "ms", float64(time.Since(begun).Microseconds()) / 1000 / choices}
+}
+
 // configurationOf makes a configuration of a generation: one route differs from generation to generation.
 func configurationOf(size Size, generation int) []byte {
 	text := fmt.Sprintf(`{"generation":%d,"routes":[`, generation)
