--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -18,7 +18,7 @@
 	spec = "../../scenarios/capacity.toml"
 )
 
-// The tables of both pages, the gateway's and the serving system's, are those that the measurements on hand give.
+// The tables of both pages, the gateway's and the system's, are those that the measurements on hand give.
 func TestPageIsUpToDate(t *testing.T) {
 	pages := []struct{ page, fits, data, spec string }{
 		{page, fits, data, spec},
--- a/internal/capacity/page.go
+++ b/internal/capacity/page.go
@@ -549,7 +549,7 @@
 	}
 	return fmt.Sprintf(`# Every measured figure over its sizes
 
-Made by wdlab capacity from the tables beside this file; what each column means is in docs/CAPACITY-gateway.md.
+Made by wdlab capacity from the tables beside this file; docs/CAPACITY-gateway.md says what each column means.
 %d figures have fewer than %d sizes and no fit.
 
 `, few, slopes.Least) + t.String(), nil
--- a/internal/serving/agent/agent.go
+++ b/internal/serving/agent/agent.go
@@ -56,8 +56,8 @@
 	demands  []*wirepb.Demand
 }
 
-// LoopbackAddress returns where an agent with these settings feeds its proxy. Where the machine's own address is one of
-// loopback, as with several edges on one machine, it is that.
+// LoopbackAddress returns where an agent with these settings feeds its proxy. Where the machine's own
+// address is one of loopback, as with several edges on one machine, it is that.
 func LoopbackAddress(settings *boot.Settings) string {
 	host := "127.0.0.1"
 	if ip := net.ParseIP(settings.IP); ip.IsLoopback() {
--- a/internal/serving/catalog/catalog.go
+++ b/internal/serving/catalog/catalog.go
@@ -63,7 +63,8 @@
 	written   map[string]*writes           // by origin
 }
 
-// New makes an empty catalog. origin must be new with each life of the process; holders that write nothing pass "".
+// New makes an empty catalog. origin must be new with each life of the process; holders that write nothing
+// pass "".
 func New(origin string) *Catalog {
 	c := &Catalog{
 		origin: origin, vector: map[string]uint64{}, entries: map[string]*Entry{},
@@ -107,8 +108,8 @@
 	return list
 }
 
-// Vector returns a copy of what has been seen of each origin. An origin of which something is held, but not all that
-// comes before it, stands there with what is complete.
+// Vector returns a copy of what has been seen of each origin. An origin of which something is held, but not
+// all that comes before it, stands there with what is complete.
 func (c *Catalog) Vector() *wirepb.VersionVector {
 	sequences := maps.Clone(c.vector)
 	for origin, written := range c.written {
@@ -134,9 +135,9 @@
 	return record
 }
 
-// Merge takes records and the vector of their sender, and returns the entries that changed. Records that come without
-// a vector count as seen only where nothing of their origin is missing before them: else the gap would never be asked
-// for.
+// Merge takes records and the vector of their sender, and returns the entries that changed. Records that
+// come without a vector count as seen only where nothing of their origin is missing before them: else the
+// gap would never be asked for.
 func (c *Catalog) Merge(now time.Duration, records []*wirepb.Record, vector *wirepb.VersionVector) []*Entry {
 	var changed []*Entry
 	for _, record := range records {
@@ -254,8 +255,9 @@
 	}
 }
 
-// DropUnknownOrigins removes the records whose writer a settled provider does not know: they were written by an earlier
-// life of the core, and nobody has told of their subjects since. It returns whether any was removed.
+// DropUnknownOrigins removes the records whose writer a settled provider does not know: they were written
+// by an earlier life of the core, and nobody has told of their subjects since. It returns whether any was
+// removed.
 func (c *Catalog) DropUnknownOrigins(provider *wirepb.VersionVector) bool {
 	removed := false
 	for origin, written := range c.written {
--- a/internal/serving/catalog/writes.go
+++ b/internal/serving/catalog/writes.go
@@ -8,8 +8,8 @@
 // compactAt is how many writes are kept before those that are no longer held are dropped.
 const compactAt = 64
 
-// writes lists the writes of one origin in the order of their sequences, so that what a holder lacks is found without
-// a look at all records.
+// writes lists the writes of one origin in the order of their sequences, so that what a holder lacks is
+// found without a look at all records.
 type writes struct {
 	list []write
 	live int // of list, those that are held
@@ -21,7 +21,9 @@
 }
 
 func (w *writes) find(sequence uint64) (int, bool) {
-	return slices.BinarySearchFunc(w.list, sequence, func(x write, s uint64) int { return cmp.Compare(x.sequence, s) })
+	return slices.BinarySearchFunc(w.list, sequence, func(x write, s uint64) int {
+		return cmp.Compare(x.sequence, s)
+	})
 }
 
 // add notes a write that is held now. Most come in order.
--- a/internal/serving/core/saved.go
+++ b/internal/serving/core/saved.go
@@ -27,8 +27,8 @@
 	busy     bool
 }
 
-// loadWorkers takes over the list that an earlier life has saved, as writes of this life: those who are told of them
-// need to know their writer.
+// loadWorkers takes over the list that an earlier life has saved, as writes of this life: those who are
+// told of them need to know their writer.
 func (c *Core) loadWorkers() {
 	data, err := os.ReadFile(filepath.Join(c.settings.DataDir, savedFile))
 	if err != nil {
--- a/internal/serving/scale/hollow.go
+++ b/internal/serving/scale/hollow.go
@@ -175,8 +175,8 @@
 	if f.drain.Load() == int64(worker)+1 {
 		state = "draining"
 	}
-	body := fmt.Sprintf(`{"backend":"s%d","address":"127.4.%d.%d:8080","zone":%q,"generation":"v1","capacity":64,`+
-		`"state":%q,"cold_remaining_ms":0,"phase":"dual","models":[{"name":"m","generation":1,"adapters":[]}],`+
+	body := fmt.Sprintf(`{"backend":"s%d","address":"127.4.%d.%d:8080","zone":%q,"generation":"v1",`+
+		`"state":%q,"cold_remaining_ms":0,"phase":"dual","models":[{"name":"m","generation":1}],`+
 		`"sequence":%d}`, worker%models, worker/250, worker%250, zoneName(worker), state, sequence)
 	address := "http://" + f.system.controlAddress(worker%cores) + "/Instances.Heartbeat/" + workerName(worker)
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, address, bytes.NewReader([]byte(body)))
--- a/internal/serving/scale/scale.go
+++ b/internal/serving/scale/scale.go
@@ -1,6 +1,6 @@
-// Package scale measures the serving system at sizes that no bench here has: real cores, agents and proxies beside
-// hollow agents and workers, which share this process and speak the real protocols over loopback. It gives rows for
-// the capacity page. It belongs to the laboratory: no program of the system imports it.
+// Package scale measures the serving system at sizes that no bench here has: real cores, agents and proxies
+// beside hollow agents and workers, which share this process and speak the real protocols over loopback. It
+// gives rows for the capacity page. It belongs to the laboratory: no program of the system imports it.
 package scale
 
 import (
@@ -217,9 +217,9 @@
 		if i > 0 {
 			text += ","
 		}
-		text += fmt.Sprintf(`{"name":"r%d","hostname":"h%d.example","path_prefix":"/p%d/","route_type":"streaming",`+
-			`"timeout_ms":%d,"target_latency_ms":490,"priority":1,"backend":"s%d","max_attempts":2,`+
-			`"session_affinity":true,"resumable":true,"gap_aim_ms":30,"allowed_regions":[]}`,
+		text += fmt.Sprintf(`{"name":"r%d","hostname":"h%d.example","path_prefix":"/p%d/",`+
+			`"route_type":"streaming","timeout_ms":%d,"target_latency_ms":490,"priority":1,"backend":"s%d",`+
+			`"max_attempts":2,"session_affinity":true,"resumable":true,"gap_aim_ms":30,"allowed_regions":[]}`,
 			i, i%40, i, timeout, i%models)
 	}
 	text += `],"services":[`
