--- a/internal/serving/coldshare/coldshare.go
+++ b/internal/serving/coldshare/coldshare.go
@@ -69,7 +69,6 @@
 	w := s.workers[instance]
 	if w == nil {
 		w = &worker{demandAt: now, below: now}
-		w.bucket.at = now
 		s.workers[instance] = w
 	}
 	w.used = now
@@ -77,6 +76,9 @@
 	s.updateTemperature(now, w, limits, edges)
 	rate := s.share(w, instance, limits, edges, reports)
 	depth := rate*math.Max(limits.Overshoot-1, 0) + limits.Slack/float64(edges)
+	if w.bucket.rate == 0 {
+		w.bucket = newBucket(now, rate, depth)
+	}
 	w.bucket.set(now, rate, depth)
 	wait, ok = w.bucket.take(now)
 	if !ok && wait < 0 {
--- a/logic/state.go
+++ b/logic/state.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"math/rand"
+
+	"willowdeck/internal/gcra"
 )
 
 // This file holds what a gatekeeper keeps, and the book-keeping that decides nothing.
@@ -735,14 +737,7 @@
 // gcraWait is how long until a store, full at tat, that fills at rate and holds depth has the units; 0 is
 // now.
 func gcraWait(tat, now, rate, depth, units float64) float64 {
-	if rate <= 0 {
-		return math.MaxFloat64
-	}
-	level := depth - math.Max(tat-now, 0)*rate
-	if level >= units-1e-9 {
-		return 0
-	}
-	return (units - level) / rate
+	return gcra.Wait(tat, now, rate, depth, units)
 }
 
 // holds is how much a store of a plan holds that fills at a rate.
