--- a/internal/credit/credit.go
+++ b/internal/credit/credit.go
@@ -81,15 +81,15 @@
 // Pair is what one gatekeeper has given another and got from it, of a customer's rights and debts, in parts;
 // these only grow. Due is when the debts that were given are due.
 type Pair struct {
-	Peer                       uint16
-	Used                       bool
-	GaveR, GaveD, GotR, GotD   uint64
-	Due                        float64
-	ackedR, ackedD             uint64
-	fill                       float64 // the peer's, units a ms, as it last said
-	spare                      float64 // and what it could hand on, parts
-	known                      bool    // and whether it knows what it holds
-	heardFill, toldAt, askedAt float64
+	Peer                     uint16
+	Used                     bool
+	GaveR, GaveD, GotR, GotD uint64
+	Due                      float64
+	ackedR, ackedD           uint64
+	fill                     float64 // the peer's, units a ms, as it last said
+	spare                    float64 // and what it could hand on, parts
+	known                    bool    // and whether it knows what it holds
+	heardFill, toldAt        float64
 }
 
 // Record is all that is kept of a customer over a sudden end. Amounts are in parts, times in ms of a clock
--- a/internal/emu/emu_test.go
+++ b/internal/emu/emu_test.go
@@ -107,7 +107,6 @@
 type planted struct {
 	brain
 	now    float64
-	take   func(p *planted, a logic.Arrival)
 	next   func(p *planted, d logic.Decision) (logic.Decision, bool)
 	cold   int
 	due    []logic.Decision
@@ -240,7 +239,7 @@
 		}
 		return string(b)
 	}
-	if text(7) != text(7) {
+	if first, again := text(7), text(7); first != again {
 		t.Error("two runs of one seed differ")
 	}
 	if text(7) == text(8) {
--- a/internal/faults/process_test.go
+++ b/internal/faults/process_test.go
@@ -476,7 +476,7 @@
 		b, _ = json.Marshal(conf)
 		os.WriteFile(filepath.Join(dir, "gatekeeper.json"), b, 0o600)
 		port := Ports(t, 7)
-		text := fmt.Sprintf("name = \"g\"\ninstances = 2\nconfig = \"gatekeeper.json\"\nrun_dir = \"run\"\n")
+		text := "name = \"g\"\ninstances = 2\nconfig = \"gatekeeper.json\"\nrun_dir = \"run\"\n"
 		for i, key := range []string{"control", "listen", "peers", "operators"} {
 			text += fmt.Sprintf("%s = \"127.0.0.1:%d\"\n", key, port+[]int{0, 1, 1, 3}[i])
 		}
--- a/internal/gate/lists_test.go
+++ b/internal/gate/lists_test.go
@@ -41,7 +41,7 @@
 			}
 			began := time.Now()
 			d.mu.Lock()
-			d.mu.Unlock() //nolint:staticcheck
+			d.mu.Unlock() //lint:ignore SA2001 the wait for the lock is what is measured
 			most = max(most, time.Since(began))
 		}
 	}()
--- a/internal/held/lists_test.go
+++ b/internal/held/lists_test.go
@@ -102,8 +102,6 @@
 type sight struct {
 	listed map[int]logic.Posting // the module's, as it keeps them
 	order  []logic.Posting       // of those of others' places, or of other lives: these draw chance
-	lives  map[string]int64
-	active bool
 }
 
 func (s *sight) take(list []logic.Posting, whole bool) {
--- a/internal/history/check_test.go
+++ b/internal/history/check_test.go
@@ -635,7 +635,6 @@
 	since    float64 // when the version in force was proposed
 	serial   uint64
 	rights   map[string]float64
-	loans    []Event
 	due      float64 // GCRA's theoretical time of arrival, ms: another way than the checks'
 	messages uint64
 }
--- a/internal/history/replay.go
+++ b/internal/history/replay.go
@@ -39,7 +39,6 @@
 	id    uint64
 	subs  []submitted
 	rests []Event
-	found bool // a break of it is told
 }
 
 // submitted is one submission.
--- a/internal/lifecycle/room_test.go
+++ b/internal/lifecycle/room_test.go
@@ -51,7 +51,7 @@
 						}
 					}()
 					fmt.Fprint(c, says)
-					_, err = bufio.NewReader(c).WriteTo(discard{})
+					bufio.NewReader(c).WriteTo(discard{}) // until the other end closes
 					close(stop)
 					c.Close()
 					open.Add(-1)
--- a/internal/relay/walk_test.go
+++ b/internal/relay/walk_test.go
@@ -48,38 +48,38 @@
 // node is one process: a council's daemon, a relay, a host's daemon or a gatekeeper. What is in it dies with
 // it; the clock and the disk stay.
 type node struct {
-	name, host     string
-	level, zone    int // zone: 0 of all
-	ups            []*node
-	interest       accord.Interest
-	fast, offset   float64
-	still          float64 // until when it stands still, true time
-	life           int
-	began          float64 // true time
-	follower       *Follower
-	source         *Source
-	step           uint64 // highest that it has gone by in this life
-	version        uint64
-	viewed         resource.Mark
-	facts          map[string]uint64 // as its source knew them
-	disk, coming   *resource.State
-	kept           View   // beside them, which none may go by
-	told           uint64 // highest Seen of the host, said by this life or one before
-	council        *accord.Council
-	steward        *accord.Steward
-	applied        int
-	warden         *accord.Warden
-	submitted      float64
-	gates          []*node // of a host's daemon
-	daemon         *node   // of a gatekeeper
-	holder         *accord.Holder
-	writes         []wrote
-	process        int
-	pair           [2]resource.Mark
-	replica        *Replica // in place of a follower
-	before         *Answer  // the one before, which may come once more in place of another
-	mine           [2]*accord.Rules
-	leased, lapses int
+	name, host   string
+	level, zone  int // zone: 0 of all
+	ups          []*node
+	interest     accord.Interest
+	fast, offset float64
+	still        float64 // until when it stands still, true time
+	life         int
+	began        float64 // true time
+	follower     *Follower
+	source       *Source
+	step         uint64 // highest that it has gone by in this life
+	version      uint64
+	viewed       resource.Mark
+	facts        map[string]uint64 // as its source knew them
+	disk, coming *resource.State
+	kept         View   // beside them, which none may go by
+	told         uint64 // highest Seen of the host, said by this life or one before
+	council      *accord.Council
+	steward      *accord.Steward
+	applied      int
+	warden       *accord.Warden
+	submitted    float64
+	gates        []*node // of a host's daemon
+	daemon       *node   // of a gatekeeper
+	holder       *accord.Holder
+	writes       []wrote
+	process      int
+	pair         [2]resource.Mark
+	replica      *Replica // in place of a follower
+	before       *Answer  // the one before, which may come once more in place of another
+	mine         [2]*accord.Rules
+	leased       int
 }
 
 func (n *node) clock(now float64) float64    { return now*n.fast + n.offset }
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -219,7 +219,6 @@
 		in, out, calls []int64
 		of             map[string]float64 // processor time of real gatekeepers
 		relays         map[string][]flows
-		served         []flows   // by the council's daemons
 		told           float64   // to a real gatekeeper, bytes
 		below          []float64 // processor time of real daemons below relays
 		at             time.Time
--- a/internal/scale/table.go
+++ b/internal/scale/table.go
@@ -117,10 +117,6 @@
 	t.add(role, name, v)
 }
 
-func (t *Table) note(format string, args ...any) {
-	t.Notes = append(t.Notes, fmt.Sprintf("size %d: ", t.size)+fmt.Sprintf(format, args...))
-}
-
 func (t *Table) refuse(why string) {
 	t.Refused = append(t.Refused, fmt.Sprintf("size %d: refused: %s", t.size, why))
 }
--- a/internal/serving/coldshare/bucket.go
+++ b/internal/serving/coldshare/bucket.go
@@ -7,7 +7,8 @@
 	"willowdeck/internal/gcra"
 )
 
-// bucket is a GCRA store of requests. Its rate and depth may change at any time; what it holds then stays what it is.
+// bucket is a GCRA store of requests. Its rate and depth may change at any time; what it holds then stays
+// what it is.
 type bucket struct {
 	rate   float64 // requests a second
 	depth  float64 // requests that it holds
@@ -28,8 +29,8 @@
 	b.fullAt = now.Seconds() + (depth-level)/rate
 }
 
-// take takes one request out. Otherwise it returns how long until one can be had; a bucket that can never hold one
-// says so by a negative wait.
+// take takes one request out. Otherwise it returns how long until one can be had; a bucket that can never
+// hold one says so by a negative wait.
 func (b *bucket) take(now time.Duration) (wait time.Duration, ok bool) {
 	if b.depth < 1 {
 		return -1, false
--- a/internal/serving/consensus/simulator_test.go
+++ b/internal/serving/consensus/simulator_test.go
@@ -74,12 +74,6 @@
 	to      string // address; "" for all
 }
 
-type pendingWrite struct {
-	id     string
-	base   int
-	sentAt time.Duration
-}
-
 type simulation struct {
 	random   *rand.Rand
 	fault    fault
--- a/internal/wire/txn.go
+++ b/internal/wire/txn.go
@@ -91,6 +91,7 @@
 	}
 	var ok bool
 	if t.Plan, ok = names.Plans[string(plan)]; !ok {
+		//lint:ignore ST1005 it begins with a header's name
 		return t, fmt.Errorf("Plan: %q is unknown", plan)
 	}
 	if nameless && len(h.Peek("Cookie")) == 0 {
@@ -148,6 +149,7 @@
 		part, cookie, _ = bytes.Cut(cookie, []byte(";"))
 		if value, ok := bytes.CutPrefix(bytes.TrimSpace(part), []byte("key=")); ok {
 			if seen {
+				//lint:ignore ST1005 it begins with a header's name
 				return 0, errors.New("Cookie: key must be given once")
 			}
 			key, seen = value, true
@@ -155,6 +157,7 @@
 	}
 	v, err := Customer(key)
 	if err != nil {
+		//lint:ignore ST1005 it begins with a header's name
 		return 0, fmt.Errorf("Cookie: key %w", err)
 	}
 	return v, nil
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -204,7 +204,7 @@
 		}
 	}
 	span := shedSpan * math.Max(0, 1-evenly*c.WorstPlan/math.Max(c.WorstPlan+c.Whole, 1e-9))
-	g.charter.slack, g.charter.calm = 1, calmBeat // a txn that comes after a look can't be found silent sooner than patience allows
+	g.charter.slack, g.charter.calm = 1, calmBeat // one that comes after a look waits out patience
 	for _, d := range c.Products {
 		g.charter.calm = math.Max(math.Min(g.charter.calm, patience*d.SLA), beat)
 		g.products = append(g.products, product{sla: d.SLA, window: d.Window, repeat: d.Repeat, group: d.Group})
