--- a/internal/serving/coldshare/coldshare.go
+++ b/internal/serving/coldshare/coldshare.go
@@ -128,10 +128,14 @@
 	return floor + rate*(1-floorShare)*own/total
 }
 
+// gossipMost is how many edges report demands to each other at the most. Beyond it a split by demand is
+// worth less than its messages, whose number grows with the square of the edges.
+const gossipMost = 30
+
 // Reports returns what this edge has to tell the others: its demand for each worker that is hot here or,
 // zero included, that another edge has reported. It is called once a period. Workers that are idle are
 // forgotten.
-func (s *Shares) Reports(now time.Duration, others []*wirepb.Demand) []*wirepb.Demand {
+func (s *Shares) Reports(now time.Duration, edges int, others []*wirepb.Demand) []*wirepb.Demand {
 	s.number++
 	told := map[string]bool{}
 	for _, report := range others {
@@ -146,6 +150,9 @@
 			told[instance] = true
 		}
 	}
+	if edges > gossipMost {
+		return nil
+	}
 	reports := make([]*wirepb.Demand, 0, len(told))
 	for _, instance := range slices.Sorted(maps.Keys(told)) {
 		demand := 0.0
--- a/internal/serving/coldshare/coldshare_test.go
+++ b/internal/serving/coldshare/coldshare_test.go
@@ -54,7 +54,7 @@
 		if !periodic {
 			continue
 		}
-		for _, report := range share.Reports(c.now, c.reports(edge)) {
+		for _, report := range share.Reports(c.now, len(c.shares), c.reports(edge)) {
 			for other := range c.shares {
 				if other != edge && !c.cut[edge] && !c.cut[other] && c.random.Float64() > 0.1 {
 					c.known[other][edge] = report
@@ -128,7 +128,7 @@
 	for second := range 20 {
 		now := time.Duration(second) * time.Second
 		share.Admit(now, "w", limits, 2, nil) // one a second: under the slice of 2.4
-		if reports := share.Reports(now, nil); len(reports) > 0 {
+		if reports := share.Reports(now, 2, nil); len(reports) > 0 {
 			t.Fatalf("reports %v at %v", reports, now)
 		}
 	}
--- a/internal/serving/edge/decisions.go
+++ b/internal/serving/edge/decisions.go
@@ -237,5 +237,5 @@
 func (d *decisions) reports(now time.Duration, t *table) []*wirepb.Demand {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.shares.Reports(now, t.demands)
+	return d.shares.Reports(now, t.edges, t.demands)
 }
--- a/internal/serving/feed/demand.go
+++ b/internal/serving/feed/demand.go
@@ -11,27 +11,24 @@
 // demandLife is how long an edge's last demand counts: suspicion (6 s), then hold (10 s), as the design says.
 const demandLife = 16 * time.Second
 
-// SetDemands takes the demands that one edge reports of itself. They replace its earlier ones.
+// SetDemands takes the demands that one edge reports of itself. They go on with the next heartbeats: a
+// period of a second does not need more, and a message for each report to each edge would grow with the
+// square of the edges.
 func (r *Replica) SetDemands(demands []*wirepb.Demand) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.applyDemands(demands) {
-		r.notify()
-	}
+	r.applyDemands(demands)
 }
 
-func (r *Replica) applyDemands(demands []*wirepb.Demand) bool {
-	changed := false
+func demandKey(demand *wirepb.Demand) string { return demand.Edge + "/" + demand.InstanceId }
+
+func (r *Replica) applyDemands(demands []*wirepb.Demand) {
 	for _, demand := range demands {
-		key := demand.Edge + "/" + demand.InstanceId
-		held, known := r.demands[key]
-		if known && held.demand.Number >= demand.Number {
-			continue
+		held, known := r.demands[demandKey(demand)]
+		if !known || held.demand.Number < demand.Number {
+			r.demands[demandKey(demand)] = demandEntry{demand: demand, heard: r.clock()}
 		}
-		r.demands[key] = demandEntry{demand: demand, heard: r.clock()}
-		changed = true
 	}
-	return changed
 }
 
 // liveDemands returns the demands that still count, in a fixed order.
@@ -44,3 +41,21 @@
 	}
 	return demands
 }
+
+// demandsSince returns the demands that were not told yet, and what has been told with them.
+func (r *Replica) demandsSince(told map[string]uint64) ([]*wirepb.Demand, map[string]uint64) {
+	live := r.liveDemands()
+	if len(live) == 0 {
+		return nil, nil
+	}
+	var missing []*wirepb.Demand
+	next := make(map[string]uint64, len(live))
+	for _, demand := range live {
+		key := demandKey(demand)
+		next[key] = demand.Number
+		if told[key] < demand.Number {
+			missing = append(missing, demand)
+		}
+	}
+	return missing, next
+}
--- a/internal/serving/feed/replica.go
+++ b/internal/serving/feed/replica.go
@@ -25,6 +25,7 @@
 	Vector     *wirepb.VersionVector
 	Generation uint64
 	StateIndex uint64
+	Demands    map[string]uint64 // by edge: the newest report that was told on this link
 }
 
 // Replica is one holder's copy of the core's state. It is safe for concurrent use.
@@ -191,9 +192,7 @@
 	if update.Settled && update.InTouch && r.catalog.DropUnknownOrigins(update.Vector) {
 		changed = true
 	}
-	if r.applyDemands(update.Demands) {
-		changed = true
-	}
+	r.applyDemands(update.Demands)
 	if changed {
 		r.notify()
 	}
@@ -235,7 +234,7 @@
 	}
 	update.Records = r.catalog.Since(r.clock(), position.Vector)
 	update.Vector = r.catalog.Vector()
-	update.Demands = r.liveDemands()
+	update.Demands, next.Demands = r.demandsSince(position.Demands)
 	next.Vector = update.Vector
 	return update, next
 }
