--- a/internal/serving/balance/balance.go
+++ b/internal/serving/balance/balance.go
@@ -213,7 +213,7 @@
 		return 0, 0
 	}
 	fresh := math.Exp(-(now - t.saidAt).Seconds() / loadMemory.Seconds())
-	return t.saidOthers, t.saidWaiting * fresh
+	return t.saidOthers * fresh, t.saidWaiting * fresh
 }
 
 // Sent notes that a request goes to a worker.
