--- /dev/null
+++ b/internal/serving/program/imports_test.go
@@ -0,0 +1,61 @@
+package program
+
+import (
+	"os/exec"
+	"slices"
+	"strings"
+	"testing"
+)
+
+const module = "willowdeck/internal/serving/"
+
+// goList returns what `go list` prints for a template, a line each.
+func goList(t *testing.T, arguments ...string) []string {
+	t.Helper()
+	command := exec.Command("go", append([]string{"list"}, arguments...)...)
+	command.Dir = "../../.."
+	output, err := command.Output()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return strings.Fields(string(output))
+}
+
+// TestProgramsBringNoAgreementOfOthers looks that forwarding, discovery, membership and agreement are our
+// own work.
+func TestProgramsBringNoAgreementOfOthers(t *testing.T) {
+	foreign := []string{"etcd", "raft", "memberlist", "serf", "consul", "bbolt", "gossip", "zookeeper", "nats",
+		"net/http/httputil", "grpc"}
+	for _, dependency := range goList(t, "-deps", "./cmd/willowdeck-core", "./cmd/willowdeck-agent",
+		"./cmd/willowdeck-edge") {
+		for _, name := range foreign {
+			if strings.Contains(dependency, name) {
+				t.Errorf("the programs bring %s", dependency)
+			}
+		}
+	}
+}
+
+// TestDecisionsHaveNoInputOrOutput looks at what the deciding packages import.
+func TestDecisionsHaveNoInputOrOutput(t *testing.T) {
+	deciding := []string{"consensus", "committed", "configuration", "catalog", "balance", "loadshare",
+		"coldshare", "retrybudget"}
+	forbidden := []string{"net", "net/http", "os", "os/exec", "syscall", "log", "go.uber.org/zap",
+		module + "framing", module + "feed", module + "core", module + "agent", module + "edge"}
+	for _, name := range deciding {
+		for _, imported := range goList(t, "-f", `{{join .Imports "\n"}}`, "./internal/serving/"+name) {
+			if slices.Contains(forbidden, imported) {
+				t.Errorf("%s imports %s", name, imported)
+			}
+		}
+	}
+}
+
+// TestLaboratoryStaysOutside looks that no program of the system brings the laboratory.
+func TestLaboratoryStaysOutside(t *testing.T) {
+	for _, dependency := range goList(t, "-deps", "./cmd/willowdeck-core", "./cmd/willowdeck-edge") {
+		if dependency == module+"scale" || strings.HasPrefix(dependency, "willowdeck/internal/capacity") {
+			t.Errorf("the programs bring %s", dependency)
+		}
+	}
+}
