Cold shares and the budget's slack wait until the number of edges is known for sure

A restarted core tells an incomplete list of edges at first; an edge that knew no better divided by too few. It now uses none of the cold rate, and next to none of the slack, until a core that has settled has told it.

--- a/internal/serving/edge/decisions.go
+++ b/internal/serving/edge/decisions.go
@@ -142,6 +142,9 @@
 	if now >= w.coldUntil || told == nil || told.ColdPerS <= 0 {
 		return true, 0
 	}
+	if t.edges == 0 {
+		return false, noWorkerWait // how many edges share the cold rate is not known: none of it can be used
+	}
 	limits := coldshare.Limits{
 		PerSecond: told.ColdPerS, Overshoot: d.bounds.ColdOvershoot, Slack: d.bounds.ColdSlack,
 	}
--- a/internal/serving/edge/edge_test.go
+++ b/internal/serving/edge/edge_test.go
@@ -14,6 +14,7 @@
 
 	"go.uber.org/zap"
 
+	"willowdeck/internal/serving/balance"
 	"willowdeck/internal/serving/boot"
 	"willowdeck/internal/serving/catalog"
 	"willowdeck/internal/serving/configuration"
@@ -455,3 +456,35 @@
 		t.Errorf("%+v %v", response, err)
 	}
 }
+
+// TestColdWorkersWaitForTheNumberOfEdges starts an edge whose core has only just begun, so that edges may
+// be missing in what it tells: no cold worker may get anything before the core has settled.
+func TestColdWorkersWaitForTheNumberOfEdges(t *testing.T) {
+	w := newStandInWorker(t, whole(200, "good", "Server-Signature: s"))
+	e, _ := startEdge(t)
+	publishWorker(e, "i-1", w.listener.Addr().String(), &wirepb.Worker{ColdRemainingMs: 60_000})
+	builder := newTableBuilder(e.settings)
+	route := &configuration.Route{Backend: "s"}
+	admitted := func() bool {
+		e.makeTable(builder)
+		for second := range 20 {
+			now := time.Duration(second) * time.Second
+			if _, _, ok := e.decide.choose(now, e.table.Load(), "s", route, &balance.Request{}, nil); ok {
+				return true
+			}
+		}
+		return false
+	}
+	e.replica.Touch(false)
+	if admitted() {
+		t.Error("a cold worker got a request before the core had settled")
+	}
+	e.replica.Touch(true)
+	if !admitted() {
+		t.Error("a cold worker gets nothing")
+	}
+	e.replica.Touch(false) // another core, which has only just begun: what is known stays
+	if !admitted() {
+		t.Error("the number of edges was forgotten")
+	}
+}
--- a/internal/serving/edge/job.go
+++ b/internal/serving/edge/job.go
@@ -110,7 +110,7 @@
 		if !ok {
 			return nil, &refusalError{http.StatusServiceUnavailable, wait}
 		}
-		if j.attempts > 0 && !j.edge.decide.allowRepeat(now, j.service, t.edges) {
+		if j.attempts > 0 && !j.edge.decide.allowRepeat(now, j.service, t.budgetEdges()) {
 			j.end(&attempt{worker: chosen}, false)
 			return nil, &refusalError{http.StatusServiceUnavailable, fullWait}
 		}
--- a/internal/serving/edge/table.go
+++ b/internal/serving/edge/table.go
@@ -24,7 +24,7 @@
 	limits     configuration.Limits
 	workers    map[string][]worker // by service; those that may get new requests
 	instances  map[string]bool     // all that are known
-	edges      int                 // N, never counted too low
+	edges      int                 // N, never counted too low; 0: not known yet
 	demands    []*wirepb.Demand
 	peers      []peer // the other edges that live
 }
@@ -49,6 +49,7 @@
 	settings  *boot.Settings
 	routes    routeCache
 	edges     int                      // the most edges that were known at any time
+	settled   bool                     // a core that has heard of all edges has told of them, in this life
 	evacuated map[string]bool          // zones, as of the last table
 	coldZones map[string]time.Duration // zones taken back lately: until when their workers count as cold
 }
@@ -86,7 +87,10 @@
 	}
 	b.noteEvacuations(now, view.Evacuated, longestCold)
 	b.buildWorkers(now, t, view)
-	t.edges = b.edges
+	b.settled = b.settled || view.Settled && view.InTouch
+	if b.settled {
+		t.edges = b.edges
+	}
 	return t, nil
 }
 
@@ -168,6 +172,18 @@
 	}
 }
 
+// manyEdges stands for a number of edges that is not known: an edge's part of the slack is next to nothing
+// then.
+const manyEdges = 10_000
+
+// budgetEdges returns how many edges share the retry budget's slack, never too few.
+func (t *table) budgetEdges() int {
+	if t.edges == 0 {
+		return manyEdges
+	}
+	return t.edges
+}
+
 // route returns the route of a request, or nil.
 func (t *table) route(host, path string) *configuration.Route {
 	for _, route := range t.hosts[hostName(host)] {
--- a/internal/serving/feed/replica.go
+++ b/internal/serving/feed/replica.go
@@ -56,6 +56,7 @@
 	Evacuated  []string
 	Entries    []*catalog.Entry
 	InTouch    bool
+	Settled    bool // the core has run for long enough to have heard of all that lives
 	Demands    []*wirepb.Demand
 }
 
@@ -85,6 +86,7 @@
 	return View{
 		Document: r.document, StateIndex: r.stateIndex, Evacuated: r.evacuated,
 		Entries: r.catalog.Entries(), InTouch: r.inTouch(), Demands: r.liveDemands(),
+		Settled: r.settled,
 	}
 }
 
@@ -178,6 +180,7 @@
 	defer r.mu.Unlock()
 	changed := false
 	if update.InTouch {
+		changed = update.Settled && !r.settled
 		r.touch(update.Settled)
 	}
 	usable := true
