Serving: paths are probed, long prompts keep to few engines, edges of silent cores leave the directory

Cause: unserved requests went to regions that were cut off or lost, found out worker by worker; a directory that names edges whose core is gone with them; links that moved counted as lost; streams halted by long prompts.

--- a/internal/serving/balance/balance.go
+++ b/internal/serving/balance/balance.go
@@ -33,6 +33,7 @@
 	firstDoubt     = 400 * time.Millisecond
 	longestDoubt   = 3 * time.Second
 	doubtDoublings = 4
+	goneDoubt      = 10 * time.Second // of a worker whose address another one has
 	// of a worker that another edge finds dead; renewed while it says so
 	hearsayDoubt     = 150 * time.Millisecond
 	tieBreak         = 2.0 // ms of chance, so that edges do not move together
@@ -48,6 +49,8 @@
 	Region   string
 	Capacity int
 	Engine   bool // it reads prompts
+
+	PathInDoubt bool // there may be no way to where it stands
 }
 
 // tracked is what this edge knows of a worker itself.
@@ -64,26 +67,41 @@
 	failures    int
 	doubtUntil  time.Duration
 	parts       map[string]time.Duration // when a prompt part was last sent there
+	reading     reading
 }
 
 // Request is what choosing needs to know of a request.
 type Request struct {
-	Parts []Part
+	Parts   []Part
+	PauseMs float64 // that streams of the service may make; 0: not known
 
-	home   string  // the worker that its shared prompt belongs to, as of the last choice
-	unread float64 // tokens that its present worker has to read for it, about
+	home   string        // the worker that its shared prompt belongs to, as of the last choice
+	long   bool          // reading it makes streams pause for longer than they may
+	unread float64       // tokens that its present worker has to read for it, about
+	toRead float64       // the same when it was sent
+	waited float64       // ms that the worker was busy for when it was sent, about
+	sentAt time.Duration // to its present worker
+}
+
+// pause returns the ms that streams of the service may make.
+func (r *Request) pause() float64 {
+	if r.PauseMs > 0 {
+		return r.PauseMs
+	}
+	return defaultPause
 }
 
 // Balancer chooses for one edge.
 type Balancer struct {
 	zone, region string
 	random       *rand.Rand
+	readTimes    readTimes
 	workers      map[string]*tracked // by instance
 }
 
 // New makes a balancer for an edge in a zone of a region.
 func New(zone, region string, random *rand.Rand) *Balancer {
-	return &Balancer{zone: zone, region: region, random: random, workers: map[string]*tracked{}}
+	return &Balancer{zone: zone, region: region, random: random, readTimes: newReadTimes(), workers: map[string]*tracked{}}
 }
 
 // Keep forgets all workers but those that wanted names.
@@ -106,10 +124,17 @@
 
 // Choose returns the index of the best candidate, or -1 where there is none.
 func (b *Balancer) Choose(now time.Duration, request *Request, candidates []Worker) int {
-	request.home = b.home(request, candidates)
+	request.home = b.home(now, request, candidates)
+	all := allTokens(request.Parts)
+	request.long = b.readTimes.learned() && b.readTimes.estimate(all, all) >= request.pause()
+	var places map[string]int
+	if request.long {
+		places = longOrder(candidates)
+	}
 	best, bestCost := -1, math.Inf(1)
 	for i := range candidates {
 		cost := b.cost(now, request, &candidates[i])
+		cost += longRankCost * float64(places[candidates[i].Instance])
 		cost += b.random.Float64() * tieBreak
 		if cost < bestCost {
 			best, bestCost = i, cost
@@ -120,7 +145,7 @@
 
 // home returns the instance that the request's shared prompt belongs to: among all regions where the prompt
 // is long, else in this edge's own.
-func (b *Balancer) home(request *Request, candidates []Worker) string {
+func (b *Balancer) home(now time.Duration, request *Request, candidates []Worker) string {
 	key := homeKey(request.Parts)
 	if key == "" {
 		return ""
@@ -131,6 +156,9 @@
 		if !global && candidate.Region != b.region {
 			continue
 		}
+		if b.tracked(candidate.Instance).reading.shareOfLong(now) > longNoHome {
+			continue
+		}
 		if rank := rendezvous(key, candidate.Instance); home == "" || rank > highest {
 			home, highest = candidate.Instance, rank
 		}
@@ -162,9 +190,13 @@
 	}
 	inHand := float64(worker.inHand) + others
 	if candidate.Engine {
-		own, shared := worker.unreadTokens(now, request.Parts, candidate.Instance == request.home)
-		cost += (own+shared)/prefillPerMs + shared*rereadPerToken
-		cost += unread/prefillPerMs + inHand*runningCost
+		cost += b.readCost(now, request, worker, candidate.Instance == request.home)
+		if worker.told {
+			cost += unread / prefillPerMs
+		} else {
+			cost += worker.reading.wait(now)
+		}
+		cost += inHand * runningCost
 	} else {
 		cost += plainServiceTime * inHand / math.Max(float64(candidate.Capacity), 1)
 	}
@@ -172,12 +204,24 @@
 	if capacity := float64(candidate.Capacity); capacity > 0 && inHand >= capacity {
 		cost += fullCost * (1 + inHand - capacity)
 	}
-	if worker.inDoubt(now) {
+	if worker.inDoubt(now) || candidate.PathInDoubt {
 		cost += doubtCost
 	}
 	return cost
 }
 
+// readCost is what it costs that a worker reads the prompt: its own time, the price of shared tokens that are
+// read again, and the halts of its stream where others' long prompts are read. A long prompt is not worth
+// more waiting for the sake of what it shares.
+func (b *Balancer) readCost(now time.Duration, request *Request, worker *tracked, home bool) float64 {
+	own, shared := worker.unreadTokens(now, request.Parts, home)
+	cost := b.readTimes.estimate(own+shared, allTokens(request.Parts))
+	if request.long {
+		return cost
+	}
+	return cost + shared*rereadPerToken + worker.reading.shareOfLong(now)*request.pause()
+}
+
 func (b *Balancer) distanceCost(candidate *Worker) float64 {
 	switch {
 	case candidate.Zone == b.zone:
@@ -216,12 +260,15 @@
 	return t.saidOthers * fresh, t.saidWaiting * fresh
 }
 
-// Sent notes that a request goes to a worker.
-func (b *Balancer) Sent(now time.Duration, request *Request, instance string) {
+// Sent notes that a request goes to a worker. It returns what other edges may be told of its prompt.
+func (b *Balancer) Sent(now time.Duration, request *Request, instance string) Prompt {
 	worker := b.tracked(instance)
 	worker.inHand++
 	own, shared := worker.unreadTokens(now, request.Parts, instance == request.home)
 	request.unread = own + shared
+	request.toRead = request.unread
+	request.sentAt = now
+	request.waited = worker.reading.wait(now)
 	worker.unread += request.unread
 	if len(worker.parts) > rememberedParts {
 		for id, last := range worker.parts {
@@ -233,10 +280,23 @@
 	for _, part := range request.Parts {
 		worker.parts[part.ID] = now
 	}
+	readMs := b.readTimes.estimate(request.unread, allTokens(request.Parts))
+	worker.reading.add(now, readMs, request.long)
+	return Prompt{Instance: instance, ReadMs: readMs, Long: request.long}
 }
 
 // FirstToken notes that a worker has read a request's prompt.
-func (b *Balancer) FirstToken(request *Request, instance string) {
+func (b *Balancer) FirstToken(now time.Duration, request *Request, instance string) {
+	b.Left(request, instance)
+	if len(request.Parts) == 0 {
+		return
+	}
+	took := now - request.sentAt - time.Duration(request.waited*float64(time.Millisecond))
+	b.readTimes.observe(max(took, 0), request.toRead, allTokens(request.Parts))
+}
+
+// Left notes that a request whose prompt may not have been read leaves a worker.
+func (b *Balancer) Left(request *Request, instance string) {
 	worker := b.tracked(instance)
 	worker.unread = math.Max(0, worker.unread-request.unread)
 	request.unread = 0
@@ -306,3 +366,9 @@
 	worker.failures++
 	worker.doubtUntil = now + min(doubt, longestDoubt)
 }
+
+// Gone notes that another worker answers at a worker's address: it will not come back under its name.
+func (b *Balancer) Gone(now time.Duration, instance string) {
+	worker := b.tracked(instance)
+	worker.doubtUntil = max(worker.doubtUntil, now+goneDoubt)
+}
--- a/internal/serving/balance/balance_test.go
+++ b/internal/serving/balance/balance_test.go
@@ -136,8 +136,8 @@
 	if list := b.InHand(); len(list) != 1 || list[0].InHand != 1 || list[0].Unread != 6000 {
 		t.Errorf("%+v: the home keeps the shared parts", list)
 	}
-	b.FirstToken(request, "i-0")
-	b.FirstToken(request, "i-0")
+	b.FirstToken(0, request, "i-0")
+	b.FirstToken(0, request, "i-0")
 	if list := b.InHand(); list[0].Unread != 0 {
 		t.Errorf("%+v", list)
 	}
--- a/internal/serving/balance/prompt.go
+++ b/internal/serving/balance/prompt.go
@@ -34,6 +34,15 @@
 	return sum
 }
 
+// allTokens adds up all parts.
+func allTokens(parts []Part) float64 {
+	sum := 0.0
+	for _, part := range parts {
+		sum += part.Tokens
+	}
+	return sum
+}
+
 // homeKey names what requests of the same shared prompt have in common: the last shared part, or "" without
 // one.
 func homeKey(parts []Part) string {
--- a/internal/serving/control/engine.go
+++ b/internal/serving/control/engine.go
@@ -75,6 +75,7 @@
 	workers     workerTable
 	edges       map[string]*EdgeLink     // by edge name: links of agents to this core
 	heardCores  map[string]time.Duration // by internal address: when a core last spoke
+	writers     writerTable
 	saved       savedWorkers
 	joining     joinWatch
 
@@ -96,6 +97,7 @@
 		options: options, environment: environment, logger: options.Logger, machine: committed.New(),
 		orders: newOrderTable(), asked: newAskedTable(), workers: newWorkerTable(), joining: newJoinWatch(),
 		edges: map[string]*EdgeLink{}, heardCores: map[string]time.Duration{},
+		writers:  newWriterTable(),
 		lastTick: options.Clock(), steadySince: options.Clock(),
 	}
 	e.mirror = mirror.New(options.Life, options.Clock)
@@ -130,6 +132,7 @@
 	if now >= e.nextPresence {
 		e.nextPresence = now + presenceInterval
 		e.tellPresence()
+		e.writers.publish(now, e.node.InTouch() && e.settled())
 	}
 	if now >= e.nextSweep {
 		e.nextSweep = now + sweepInterval
--- a/internal/serving/control/presence.go
+++ b/internal/serving/control/presence.go
@@ -90,6 +90,7 @@
 		Node:   e.selfRecord(),
 		Vector: e.mirror.Position().Vector,
 		Heard:  e.workers.heardLately(e.now(), presenceInterval),
+		Life:   e.options.Life,
 	}
 	e.broadcast(&wirepb.Envelope{Body: &wirepb.Envelope_Presence{Presence: presence}})
 }
@@ -121,6 +122,7 @@
 	now := e.now()
 	address := presence.Node.GetAddress()
 	e.heardCores[address] = now
+	e.writers.heard(now, presence.Life)
 	e.node.Sighted(presence.Node.GetReplica(), now)
 	for _, heard := range presence.Heard {
 		e.workers.hear(heard.InstanceId, address, now-time.Duration(heard.AgeMs)*time.Millisecond)
--- a/internal/serving/control/sweep.go
+++ b/internal/serving/control/sweep.go
@@ -51,7 +51,8 @@
 // last is silent itself, or where most of a zone is silent at once: control may be what is cut off. Such
 // workers stay for a while, and edges find out by themselves which of them answer (compare the panic
 // threshold of Envoy's load balancing and the self-preservation of Eureka's registry, as their
-// documentation has them).
+// documentation has them). Once it would prove something again, a worker has as long to be heard as any other:
+// the workers behind a cut that has healed are heard one after the other.
 func (e *Engine) sweepWorkers(now time.Duration) {
 	limit := time.Duration(missedHeartbeats * float64(e.options.HeartbeatEvery))
 	zones := map[string]*zoneSilence{}
@@ -71,9 +72,13 @@
 		}
 	}
 	for _, entry := range silent {
-		zone := zones[entry.Record.GetWorker().GetZone()]
-		doubtful := float64(zone.silent) > doubtfulShare*float64(zone.known) || e.heardBySilentCore(now, entry)
-		if !doubtful || now-e.lastHeard(entry) > doubtLife {
+		worker := entry.Record.GetWorker()
+		zone := zones[worker.GetZone()]
+		if float64(zone.silent) > doubtfulShare*float64(zone.known) || e.heardBySilentCore(now, entry) {
+			e.workers.doubtedAt[worker.GetInstanceId()] = now
+		}
+		silence := now - max(e.lastHeard(entry), e.workers.doubtedAt[worker.GetInstanceId()])
+		if silence > limit || now-e.lastHeard(entry) > doubtLife {
 			e.publishDeletion(entry.Record, entry.Record.Order)
 		}
 	}
--- a/internal/serving/control/workers.go
+++ b/internal/serving/control/workers.go
@@ -25,6 +25,7 @@
 // workerTable notes when each incarnation was last heard, and at which core.
 type workerTable struct {
 	heard     map[string]heardWorker   // anywhere
+	doubtedAt map[string]time.Duration // when a silence proved nothing, last
 	heardHere map[string]time.Duration // at this core
 }
 
@@ -34,7 +35,10 @@
 }
 
 func newWorkerTable() workerTable {
-	return workerTable{heard: map[string]heardWorker{}, heardHere: map[string]time.Duration{}}
+	return workerTable{
+		heard: map[string]heardWorker{}, heardHere: map[string]time.Duration{},
+		doubtedAt: map[string]time.Duration{},
+	}
 }
 
 func (t *workerTable) hear(instance, core string, at time.Duration) {
@@ -64,6 +68,7 @@
 		if now-heard.at > forgetWorker {
 			delete(t.heard, instance)
 			delete(t.heardHere, instance)
+			delete(t.doubtedAt, instance)
 		}
 	}
 }
--- a/internal/serving/core/core_test.go
+++ b/internal/serving/core/core_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
 
 	"willowdeck/internal/ports"
 	"willowdeck/internal/serving/boot"
@@ -297,6 +298,12 @@
 	}
 	a1, a2, b1 := entry("a1", "a", "s", true), entry("a2", "a", "s", true), entry("b1", "b", "s", true)
 	n1, down := entry("n1", "n", "t", true), entry("a3", "a", "s", false)
+	unsure := func(entry *catalog.Entry) *catalog.Entry {
+		record := proto.Clone(entry.Record).(*wirepb.Record)
+		record.Origin = "silent"
+		return &catalog.Entry{Record: record}
+	}
+	silent := func(origin string) bool { return origin == "silent" }
 	cases := []struct {
 		name    string
 		entries []*catalog.Entry
@@ -307,9 +314,13 @@
 		{"few in the region", []*catalog.Entry{a1, n1}, "[a1 n1]"},
 		{"none ready", []*catalog.Entry{down}, "[a3]"},
 		{"none known", nil, "[]"},
+		{"the zone's core is silent", []*catalog.Entry{unsure(a1), unsure(a2), b1, n1}, "[b1 n1]"},
+		{"all cores are silent", []*catalog.Entry{unsure(a1), unsure(a2), unsure(b1)}, "[a1 a2]"},
+		{"the region cannot serve all routes", []*catalog.Entry{down, entry("b2", "b", "s", false), n1}, "[n1]"},
+		{"no edge can serve all routes", []*catalog.Entry{down, entry("a4", "a", "s", false), entry("n2", "n", "t", false)}, "[a3 a4]"},
 	}
 	for _, c := range cases {
-		if got := fmt.Sprint(nearEdges(c.entries, "a", "s")); got != c.want {
+		if got := fmt.Sprint(nearEdges(c.entries, silent, "a", "s")); got != c.want {
 			t.Errorf("%s: %s instead of %s", c.name, got, c.want)
 		}
 	}
--- a/internal/serving/edge/decisions.go
+++ b/internal/serving/edge/decisions.go
@@ -26,13 +26,15 @@
 	bounds   boot.Bounds
 	balancer *balance.Balancer
 	peers    *loadshare.Peers
+	paths    *paths
 	shares   *coldshare.Shares
 	budgets  map[string]*retrybudget.Budget // by service
 	random   *rand.Rand
 }
 
-func newDecisions(settings *boot.Settings, random *rand.Rand) *decisions {
+func newDecisions(settings *boot.Settings, paths *paths, random *rand.Rand) *decisions {
 	return &decisions{
+		paths:    paths,
 		bounds:   settings.Bounds,
 		balancer: balance.New(settings.Zone, settings.Region, random),
 		peers:    loadshare.New(),
@@ -77,7 +79,7 @@
 func (d *decisions) choose(
 	now time.Duration, t *table, service string, route *configuration.Route, request *balance.Request,
 	excluded map[string]bool,
-) (chosen worker, wait time.Duration, ok bool) {
+) (chosen worker, sent balance.Prompt, wait time.Duration, ok bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var candidates []worker
@@ -87,19 +89,21 @@
 		}
 	}
 	wait = noWorkerWait
+	for i := range candidates {
+		candidates[i].PathInDoubt = d.paths.suspected(candidates[i].Zone)
+	}
 	d.tellBalancer(now, t, candidates)
 	for len(candidates) > 0 {
 		index := d.balancer.Choose(now, request, plain(candidates))
 		candidate := candidates[index]
 		admitted, shortest := d.admitCold(now, t, service, candidate)
 		if admitted {
-			d.balancer.Sent(now, request, candidate.Instance)
-			return candidate, 0, true
+			return candidate, d.balancer.Sent(now, request, candidate.Instance), 0, true
 		}
 		wait = min(wait, shortest)
 		candidates = slices.Delete(candidates, index, index+1)
 	}
-	return worker{}, wait, false
+	return worker{}, balance.Prompt{}, wait, false
 }
 
 // tellBalancer brings what the other edges say of the candidates.
@@ -120,6 +124,14 @@
 	d.peers.Take(now, report)
 }
 
+// takePrompt notes a prompt that another edge has sent.
+func (d *decisions) takePrompt(now time.Duration, notice *wirepb.PromptNotice) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	prompt := balance.Prompt{Instance: notice.InstanceId, ReadMs: float64(notice.ReadMs), Long: notice.Long}
+	d.balancer.Read(now, prompt)
+}
+
 // loadReport returns what this edge has in hand, at most at so many workers.
 func (d *decisions) loadReport(most int) *wirepb.LoadReport {
 	d.mu.Lock()
@@ -185,10 +197,10 @@
 	return d.budget(service).Repeat(now, edges)
 }
 
-func (d *decisions) firstToken(request *balance.Request, instance string) {
+func (d *decisions) firstToken(now time.Duration, request *balance.Request, instance string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.balancer.FirstToken(request, instance)
+	d.balancer.FirstToken(now, request, instance)
 	d.balancer.Succeeded(instance)
 }
 
@@ -196,7 +208,7 @@
 func (d *decisions) firstTokenGone(request *balance.Request, instance string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.balancer.FirstToken(request, instance)
+	d.balancer.Left(request, instance)
 }
 
 func (d *decisions) done(instance string) {
@@ -212,6 +224,13 @@
 	d.balancer.Succeeded(instance)
 }
 
+// gone notes that a worker is no longer at its address.
+func (d *decisions) gone(now time.Duration, instance string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.balancer.Gone(now, instance)
+}
+
 func (d *decisions) failed(now time.Duration, instance string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/serving/edge/edge.go
+++ b/internal/serving/edge/edge.go
@@ -51,11 +51,16 @@
 
 	firstTable chan struct{} // closed once there is a table
 
-	decide   *decisions
-	pool     *workerlink.Pool
-	liveness *liveness
-	draining atomic.Bool
-	inHand   atomic.Int64
+	decide    *decisions
+	pool      *workerlink.Pool
+	liveness  *liveness
+	paths     *paths
+	datagrams atomic.Pointer[datagrams] // nil until the socket is there
+	draining  atomic.Bool
+	impaired  atomic.Bool // some route has no worker that there is a path to
+
+	impairment impairment // of the goroutine that watches paths
+	inHand     atomic.Int64
 
 	mu      sync.Mutex
 	changed chan struct{} // closed when what the agent is told changes
@@ -82,7 +87,8 @@
 		changed: make(chan struct{}), firstTable: make(chan struct{}),
 	}
 	e.mirror = mirror.New("", e.now)
-	e.decide = newDecisions(settings, rand.New(rand.NewSource(time.Now().UnixNano())))
+	e.paths = newPaths(settings, uint64(e.started.UnixMicro()))
+	e.decide = newDecisions(settings, e.paths, rand.New(rand.NewSource(time.Now().UnixNano())))
 	return e
 }
 
@@ -109,7 +115,7 @@
 	go e.keepTable(ctx)
 	go e.keepHouse(ctx)
 	go e.keepLiveness(ctx)
-	go e.shareLoads(ctx)
+	go e.exchangeDatagrams(ctx)
 	server := e.frontServer()
 	go server.Serve(front)
 	e.logger.Info("edge started", zap.String("front", e.settings.Front))
@@ -174,7 +180,7 @@
 		Demands:    e.demands,
 		Edge: &wirepb.Edge{
 			Name: e.settings.NodeName, Address: e.settings.Front, Zone: e.settings.Zone, Region: e.settings.Region,
-			Ready: e.ready(), InternalAddress: e.loadsAddress(),
+			Ready: e.ready() && !e.impaired.Load(), InternalAddress: e.datagramAddress(),
 		},
 	}
 }
--- a/internal/serving/edge/edge_test.go
+++ b/internal/serving/edge/edge_test.go
@@ -469,7 +469,7 @@
 		e.makeTable(builder)
 		for second := range 20 {
 			now := time.Duration(second) * time.Second
-			if _, _, ok := e.decide.choose(now, e.table.Load(), "s", route, &balance.Request{}, nil); ok {
+			if _, _, _, ok := e.decide.choose(now, e.table.Load(), "s", route, &balance.Request{}, nil); ok {
 				return true
 			}
 		}
--- a/internal/serving/edge/handler.go
+++ b/internal/serving/edge/handler.go
@@ -56,10 +56,13 @@
 		refuse(w, http.StatusBadRequest, 0)
 		return
 	}
+	service := e.decide.service(t, route)
 	j := &job{
-		edge: e, writer: w, client: r, route: route, id: id, service: e.decide.service(t, route),
+		edge: e, writer: w, client: r, route: route, id: id, service: service,
 		deadline: arrived.Add(patience(r, route)), excluded: map[string]bool{},
-		prompt: &balance.Request{Parts: balance.ParsePrompt(r.Header.Get("Prompt-Prefix"))},
+		prompt: &balance.Request{
+			Parts: balance.ParsePrompt(r.Header.Get("Prompt-Prefix")), PauseMs: t.pauses[service],
+		},
 		request: &workerlink.Request{
 			Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: workerlink.EndToEnd(r.Header), Body: body,
 		},
--- a/internal/serving/edge/job.go
+++ b/internal/serving/edge/job.go
@@ -19,7 +19,9 @@
 	nearDial        = 250 * time.Millisecond // to workers of the own region
 	farDial         = 450 * time.Millisecond
 	mostDials       = 4                      // workers that are tried in vain before a request is refused
+	mostMisdirected = 3                      // workers whose address another one has, before a request is refused
 	leastTime       = 5 * time.Millisecond   // left, under which nothing is sent any more
+	noPathWait      = 700 * time.Millisecond // told to clients when no path to a worker is known: the directory changes
 	fullWait        = 250 * time.Millisecond // told to clients when a worker was full
 	wholeAnswerMost = 256 << 10              // bytes of an answer that is read whole before it is passed on
 )
@@ -37,9 +39,10 @@
 	deadline time.Time
 	excluded map[string]bool // workers that are not tried again
 
-	attempts int  // workers that the request was sent to
-	dials    int  // workers that could not be reached
-	unknown  bool // an attempt may have run
+	attempts    int  // workers that the request was sent to and that may have run it
+	dials       int  // workers that could not be reached
+	misdirected int  // workers whose address another one has
+	unknown     bool // an attempt may have run
 
 	lastEvent  uint64 // id of the last event passed on, of resumable streams
 	eventKnown bool
@@ -106,14 +109,19 @@
 		}
 		t := j.edge.table.Load()
 		now := j.edge.now()
-		chosen, wait, ok := j.edge.decide.choose(now, t, j.service, j.route, j.prompt, j.excluded)
+		chosen, sent, wait, ok := j.edge.decide.choose(now, t, j.service, j.route, j.prompt, j.excluded)
 		if !ok {
 			return nil, &refusalError{http.StatusServiceUnavailable, wait}
 		}
-		if j.attempts > 0 && !j.edge.decide.allowRepeat(now, j.service, t.budgetEdges()) {
+		if chosen.PathInDoubt && !j.route.Repeatable() {
+			j.end(&attempt{worker: chosen}, false)
+			return nil, &refusalError{http.StatusServiceUnavailable, noPathWait}
+		}
+		if j.attempts+j.misdirected > 0 && !j.edge.decide.allowRepeat(now, j.service, t.budgetEdges()) {
 			j.end(&attempt{worker: chosen}, false)
 			return nil, &refusalError{http.StatusServiceUnavailable, fullWait}
 		}
+		j.edge.tellPrompt(t, chosen, sent)
 		a, err := j.try(chosen)
 		if err == nil {
 			return a, nil
@@ -140,7 +148,7 @@
 	if time.Until(j.deadline) < leastTime {
 		return &refusalError{http.StatusServiceUnavailable, fullWait}
 	}
-	if j.dials >= mostDials || j.attempts >= max(j.route.MaxAttempts, 1) {
+	if j.dials >= mostDials || j.misdirected >= mostMisdirected || j.attempts >= max(j.route.MaxAttempts, 1) {
 		return &refusalError{http.StatusServiceUnavailable, fullWait}
 	}
 	return nil
@@ -168,6 +176,7 @@
 	a.release = context.AfterFunc(ctx, func() { connection.Close() })
 	j.watch(a, dialTimeout)
 	j.attempts++
+	sentAt := j.edge.now()
 	if err := connection.Send(j.prepare(chosen), j.deadline); err != nil {
 		j.fail(a, ctx)
 		return nil, err
@@ -178,6 +187,7 @@
 		return nil, err
 	}
 	j.edge.liveness.hear(chosen.Instance)
+	j.edge.paths.proven(sentAt, chosen)
 	j.noteLoad(a)
 	if workerlink.NotExecuted(a.response) {
 		return nil, j.passBy(a)
@@ -213,7 +223,9 @@
 // passBy ends an attempt that the worker has refused without running it.
 func (j *job) passBy(a *attempt) error {
 	if a.response.StatusCode == http.StatusMisdirectedRequest {
-		j.edge.decide.failed(j.edge.now(), a.worker.Instance) // another worker has its address
+		j.edge.decide.gone(j.edge.now(), a.worker.Instance) // another worker has its address
+		j.attempts--                                        // it was never sent to a worker that the route means
+		j.misdirected++
 	}
 	_, err := io.Copy(io.Discard, io.LimitReader(a.response.Body, wholeAnswerMost))
 	j.end(a, err == nil)
@@ -272,6 +284,6 @@
 func (j *job) sawFirstToken(a *attempt) {
 	if !a.firstSeen {
 		a.firstSeen = true
-		j.edge.decide.firstToken(j.prompt, a.worker.Instance)
+		j.edge.decide.firstToken(j.edge.now(), j.prompt, a.worker.Instance)
 	}
 }
--- a/internal/serving/edge/loads.go
+++ b/internal/serving/edge/loads.go
@@ -2,42 +2,18 @@
 
 import (
 	"context"
-	"net"
-	"strconv"
+	"net/netip"
 	"time"
 
-	"go.uber.org/zap"
-	"google.golang.org/protobuf/proto"
-
+	"willowdeck/internal/serving/balance"
 	"willowdeck/internal/serving/loadshare"
 	"willowdeck/internal/serving/wirepb"
 )
 
-const (
-	loadPortOffset = 2 // from the first internal port
-	maxDatagram    = 1400
-	mostLoads      = 40 // workers in a report; the datagram stays under an Ethernet frame
-)
-
-// loadsAddress is where this edge hears what others have in hand.
-func (e *Edge) loadsAddress() string {
-	return net.JoinHostPort(e.settings.IP, strconv.Itoa(e.settings.FirstPort+loadPortOffset))
-}
+const mostLoads = 40 // workers in a report; the datagram stays under an Ethernet frame
 
-// shareLoads tells the other edges what this one has in hand, and hears them, until the context ends.
-func (e *Edge) shareLoads(ctx context.Context) {
-	address, err := net.ResolveUDPAddr("udp4", e.loadsAddress())
-	if err != nil {
-		e.logger.Warn("loads are not shared", zap.Error(err))
-		return
-	}
-	connection, err := net.ListenUDP("udp4", address)
-	if err != nil {
-		e.logger.Warn("loads are not shared", zap.Error(err))
-		return
-	}
-	defer connection.Close()
-	go e.hearLoads(connection)
+// shareLoads tells the other edges what this one has in hand, until the context ends.
+func (e *Edge) shareLoads(ctx context.Context, datagrams *datagrams) {
 	number := uint64(e.started.UnixMicro())
 	for {
 		t := e.table.Load()
@@ -45,7 +21,7 @@
 		if t != nil && loadshare.Worthwhile(len(t.peers)) {
 			period = loadshare.Period(len(t.peers))
 			number++
-			e.tellLoads(connection, t, number)
+			e.tellLoads(datagrams, t, number)
 		}
 		select {
 		case <-ctx.Done():
@@ -55,30 +31,35 @@
 	}
 }
 
-func (e *Edge) tellLoads(connection *net.UDPConn, t *table, number uint64) {
+func (e *Edge) tellLoads(datagrams *datagrams, t *table, number uint64) {
 	report := e.decide.loadReport(mostLoads)
 	report.Edge = e.settings.NodeName
 	report.Number = number
 	report.Dead = e.liveness.dead()
-	data, err := proto.Marshal(report)
-	if err != nil || len(data) > maxDatagram {
-		return
-	}
-	for _, peer := range t.peers {
-		connection.WriteToUDPAddrPort(data, peer.address) // a loss is made good by the next
+	message := &wirepb.EdgeDatagram{Body: &wirepb.EdgeDatagram_Load{Load: report}}
+	addresses := make([]netip.AddrPort, len(t.peers))
+	for i, peer := range t.peers {
+		addresses[i] = peer.address
 	}
+	datagrams.send(message, addresses...)
 }
 
-func (e *Edge) hearLoads(connection *net.UDPConn) {
-	buffer := make([]byte, maxDatagram+1)
-	for {
-		length, _, err := connection.ReadFromUDPAddrPort(buffer)
-		if err != nil {
-			return
-		}
-		report := &wirepb.LoadReport{}
-		if proto.Unmarshal(buffer[:length], report) == nil && report.Edge != "" {
-			e.decide.takeLoads(e.now(), report)
+// noticedRead is the ms of a worker's time from which a prompt is told to other edges.
+const noticedRead = 30.0
+
+// tellPrompt tells other edges of a prompt that has just been given to a worker, so that they wait for it no
+// longer than they have to: those of its region, and all where it is long, since all avoid such workers.
+func (e *Edge) tellPrompt(t *table, chosen worker, sent balance.Prompt) {
+	datagrams := e.datagrams.Load()
+	if datagrams == nil || !chosen.Engine || sent.ReadMs < noticedRead {
+		return
+	}
+	var addresses []netip.AddrPort
+	for _, target := range t.targets {
+		if target.Linked && (sent.Long || target.Region == chosen.Region) {
+			addresses = append(addresses, target.address)
 		}
 	}
+	notice := &wirepb.PromptNotice{InstanceId: sent.Instance, ReadMs: uint32(sent.ReadMs), Long: sent.Long}
+	datagrams.send(&wirepb.EdgeDatagram{Body: &wirepb.EdgeDatagram_Prompt{Prompt: notice}}, addresses...)
 }
--- a/internal/serving/edge/table.go
+++ b/internal/serving/edge/table.go
@@ -13,6 +13,7 @@
 	"willowdeck/internal/serving/boot"
 	"willowdeck/internal/serving/configuration"
 	"willowdeck/internal/serving/mirror"
+	"willowdeck/internal/serving/pathwatch"
 	"willowdeck/internal/serving/wirepb"
 )
 
@@ -27,6 +28,8 @@
 	edges      int                 // N, never counted too low; 0: not known yet
 	demands    []*wirepb.Demand
 	peers      []peer // the other edges that live
+	targets    []target
+	pauses     map[string]float64 // by service: the ms that its streams may pause, by the strictest route
 }
 
 // peer is another edge, by where it hears of loads.
@@ -35,6 +38,12 @@
 	address netip.AddrPort
 }
 
+// target is another edge that the path to its place can be proven with.
+type target struct {
+	pathwatch.Target
+	address netip.AddrPort
+}
+
 // worker is one that may get requests.
 type worker struct {
 	balance.Worker
@@ -68,7 +77,7 @@
 	}
 	t := &table{
 		generation: view.Document.Generation, services: map[string]*configuration.Service{},
-		workers: map[string][]worker{}, instances: map[string]bool{}, demands: view.Demands,
+		workers: map[string][]worker{}, pauses: map[string]float64{}, instances: map[string]bool{}, demands: view.Demands,
 	}
 	if err := b.buildRoutes(t, view.Document); err != nil {
 		return nil, err
@@ -108,6 +117,7 @@
 		kept[raw] = route
 		host := strings.ToLower(route.Hostname)
 		t.hosts[host] = append(t.hosts[host], route)
+		t.notePause(route)
 	}
 	b.routes = kept
 	for _, routes := range t.hosts {
@@ -118,6 +128,17 @@
 	return nil
 }
 
+func (t *table) notePause(route *configuration.Route) {
+	if route.GapAimMs <= 0 {
+		return
+	}
+	for _, split := range route.Backends() {
+		if strictest, known := t.pauses[split.Backend]; !known || route.GapAimMs < strictest {
+			t.pauses[split.Backend] = route.GapAimMs
+		}
+	}
+}
+
 // noteEvacuations keeps which zones' workers may have turned cold: an evacuation's end says that they may
 // have, shortly before it.
 func (b *tableBuilder) noteEvacuations(now time.Duration, evacuated []string, coldSeconds float64) {
@@ -167,9 +188,16 @@
 
 func (b *tableBuilder) addPeer(t *table, edge *wirepb.Edge) {
 	address, err := netip.ParseAddrPort(edge.InternalAddress)
-	if err == nil && edge.Linked && edge.Name != b.settings.NodeName {
+	if err != nil || edge.Name == b.settings.NodeName {
+		return
+	}
+	if edge.Linked {
 		t.peers = append(t.peers, peer{name: edge.Name, address: address})
 	}
+	place := pathwatch.Place{Zone: edge.Zone, Region: edge.Region}
+	t.targets = append(t.targets, target{
+		Target: pathwatch.Target{Name: edge.Name, Place: place, Linked: edge.Linked}, address: address,
+	})
 }
 
 // manyEdges stands for a number of edges that is not known: an edge's part of the slack is next to nothing
--- a/internal/serving/feed/subscriber.go
+++ b/internal/serving/feed/subscriber.go
@@ -17,6 +17,7 @@
 	outOfTouchMost = 900 * time.Millisecond // that a provider without a majority of the core is kept
 	failureMemory  = 3 * time.Second        // for which a provider that has failed comes last
 	nearerPause    = 4 * time.Second        // between moves to a nearer provider
+	moveOverlap    = 500 * time.Millisecond // that a link is kept open after a move, so that nobody sees it lost
 )
 
 // Provider is an address to subscribe at.
@@ -78,39 +79,54 @@
 }
 
 // follow stays with one provider until its link is lost, it has been out of touch for too long, or a nearer
-// one can be had. It returns whether the provider is as good as before.
+// one can be had. It returns whether the provider is as good as before. A link that is left for a nearer one
+// stays open, but says nothing more, until the next one stands: else the edge would count as gone meanwhile.
 func (s *Subscriber) follow(ctx context.Context, provider Provider) bool {
 	connection, err := framing.Dial(ctx, provider.Address, s.DialTimeout, writeTimeout)
 	if err != nil {
 		return false
 	}
-	defer connection.Close()
-	linkContext, cancel := context.WithCancel(ctx)
-	defer cancel()
-	stopClosing := context.AfterFunc(linkContext, func() { connection.Close() })
-	defer stopClosing()
 	if err := connection.WriteMessage(s.firstRequest()); err != nil {
+		connection.Close()
 		return false
 	}
 	s.Linked(provider.Address)
 	defer s.Linked("")
-	go s.tell(linkContext, connection, cancel)
+	linkContext, cancel := context.WithCancel(ctx)
+	told := make(chan struct{})
+	go func() {
+		defer close(told)
+		s.tell(linkContext, connection, cancel)
+	}()
+	stopClosing := context.AfterFunc(linkContext, func() { connection.Close() })
+	good, moving := s.read(connection, provider)
+	if moving && stopClosing() {
+		time.AfterFunc(moveOverlap, func() { connection.Close() })
+	}
+	cancel()
+	<-told // what is told on the next link follows all that was told on this one
+	return good
+}
+
+// read takes updates until the link should end. It returns whether the provider is as good as before, and
+// whether the link ends only for the sake of a nearer one.
+func (s *Subscriber) read(connection *framing.Conn, provider Provider) (good, moving bool) {
 	lastInTouch := time.Now()
 	for {
 		update := &wirepb.FeedUpdate{}
 		if err := connection.ReadMessage(update, LinkSilence); err != nil {
-			return false
+			return false, false
 		}
 		if !s.Mirror.Apply(update) {
-			return true // its base was not held here: the next subscription asks for the whole
+			return true, false // its base was not held here: the next subscription asks for the whole
 		}
 		if update.InTouch {
 			lastInTouch = time.Now()
 		} else if time.Since(lastInTouch) > outOfTouchMost {
-			return false
+			return false, false
 		}
 		if s.nearerThan(provider) {
-			return true
+			return true, true
 		}
 	}
 }
