--- a/internal/serving/balance/balance.go
+++ b/internal/serving/balance/balance.go
@@ -19,24 +19,25 @@
 
 // Weights of the costs.
 const (
-	prefillPerMs   = 50.0  // prompt tokens that a worker reads in a millisecond, about
-	rereadPerToken = 0.08  // ms: the price of shared tokens that are read again
-	otherRegion    = 140   // ms: the way there and back, and the price of the bytes
-	otherZone      = 4     // ms
-	runningCost    = 10.0  // ms for each request in hand: tokens come more slowly
-	waitingCost    = 150.0 // ms for each request that waits there, as the worker says
-	fullCost       = 2000  // ms where all places are taken
-	doubtCost      = 4000  // ms for a worker in doubt, so that it is taken only where there is no other
-	globalHomeAt   = 2000  // shared tokens from which one home for all regions pays
-	partMemory     = 20 * time.Second
-	loadMemory     = 800 * time.Millisecond // of what a worker says of its load
-	firstDoubt     = 400 * time.Millisecond
-	longestDoubt   = 3 * time.Second
-	doubtDoublings = 4
-	goneDoubt      = 10 * time.Second // of a worker whose address another one has
-	// of a worker that another edge finds dead; renewed while it says so
-	hearsayDoubt     = 150 * time.Millisecond
-	tieBreak         = 2.0 // ms of chance, so that edges do not move together
+	rereadPerToken   = 0.08  // ms: the price of shared tokens that are read again
+	otherRegion      = 140   // ms: the way there and back, and the price of the bytes
+	otherZone        = 4     // ms
+	runningCost      = 10.0  // ms for each request in hand: tokens come more slowly
+	waitingCost      = 150.0 // ms for each request that waits there, as the worker says
+	breakCost        = 100.0 // ms for each break of a worker's connections lately, beyond the first
+	breakMemory      = 5 * time.Second
+	fullCost         = 2000 // ms where all places are taken
+	doubtCost        = 4000 // ms for a worker in doubt, so that it is taken only where there is no other
+	globalHomeAt     = 2000 // shared tokens from which one home for all regions pays
+	partMemory       = 20 * time.Second
+	loadMemory       = 800 * time.Millisecond // of what a worker says of its load
+	firstDoubt       = 400 * time.Millisecond
+	longestDoubt     = 3 * time.Second
+	doubtDoublings   = 4
+	goneDoubt        = 10 * time.Second        // of a worker whose address another one has
+	deadDoubt        = 1500 * time.Millisecond // of a worker that does not answer probes; renewed by each
+	freshLife        = 300 * time.Millisecond  // of a sign of life, against what another edge says
+	tieBreak         = 2.0                     // ms of chance, so that edges do not move together
 	rememberedParts  = 4096
 	plainServiceTime = 30.0 // ms of a request that is no prompt
 )
@@ -65,7 +66,12 @@
 	toldUnread  float64 // prompt tokens of those without a first token
 	told        bool    // the other edges are heard from
 	failures    int
+	breaks      float64 // times that it broke off lately, here or at other edges, as of brokeAt
+	brokeAt     time.Duration
 	doubtUntil  time.Duration
+	dead        bool          // the doubt comes from probes without an answer, here or at another edge
+	aliveAt     time.Duration // of the last sign of life
+	everAlive   bool
 	parts       map[string]time.Duration // when a prompt part was last sent there
 	reading     reading
 }
@@ -101,7 +107,9 @@
 
 // New makes a balancer for an edge in a zone of a region.
 func New(zone, region string, random *rand.Rand) *Balancer {
-	return &Balancer{zone: zone, region: region, random: random, readTimes: newReadTimes(), workers: map[string]*tracked{}}
+	return &Balancer{
+		zone: zone, region: region, random: random, readTimes: newReadTimes(), workers: map[string]*tracked{},
+	}
 }
 
 // Keep forgets all workers but those that wanted names.
@@ -126,7 +134,7 @@
 func (b *Balancer) Choose(now time.Duration, request *Request, candidates []Worker) int {
 	request.home = b.home(now, request, candidates)
 	all := allTokens(request.Parts)
-	request.long = b.readTimes.learned() && b.readTimes.estimate(all, all) >= request.pause()
+	request.long = b.readTimes.estimate(all, all) >= request.pause()
 	var places map[string]int
 	if request.long {
 		places = longOrder(candidates)
@@ -192,7 +200,7 @@
 	if candidate.Engine {
 		cost += b.readCost(now, request, worker, candidate.Instance == request.home)
 		if worker.told {
-			cost += unread / prefillPerMs
+			cost += b.readTimes.estimate(unread, 0)
 		} else {
 			cost += worker.reading.wait(now)
 		}
@@ -207,7 +215,7 @@
 	if worker.inDoubt(now) || candidate.PathInDoubt {
 		cost += doubtCost
 	}
-	return cost
+	return cost + breakCost*math.Max(0, worker.breaksLately(now)-1)
 }
 
 // readCost is what it costs that a worker reads the prompt: its own time, the price of shared tokens that are
@@ -346,17 +354,38 @@
 // inDoubt reports whether a worker has failed lately.
 func (w *tracked) inDoubt(now time.Duration) bool { return now < w.doubtUntil }
 
-// Doubt notes that another edge finds a worker dead.
-func (b *Balancer) Doubt(now time.Duration, instance string) {
+// Dead notes that a worker does not answer probes. hearsay says that another edge finds so: what this one has
+// just seen itself counts for more. It returns whether that was known already.
+func (b *Balancer) Dead(now time.Duration, instance string, hearsay bool) (known bool) {
 	worker := b.tracked(instance)
-	worker.doubtUntil = max(worker.doubtUntil, now+hearsayDoubt)
+	if hearsay && worker.everAlive && now-worker.aliveAt < freshLife {
+		return false
+	}
+	known = worker.inDoubt(now) && worker.dead
+	worker.dead = true
+	worker.doubtUntil = max(worker.doubtUntil, now+deadDoubt)
+	return known
+}
+
+// Broke notes that a worker broke off a connection that it had kept, here or at another edge. One that does
+// so again and again is avoided, though each time it is soon alive again.
+func (b *Balancer) Broke(now time.Duration, instance string) {
+	worker := b.tracked(instance)
+	worker.breaks = worker.breaksLately(now) + 1
+	worker.brokeAt = now
+}
+
+func (t *tracked) breaksLately(now time.Duration) float64 {
+	return t.breaks * math.Exp(-(now-t.brokeAt).Seconds()/breakMemory.Seconds())
 }
 
 // Succeeded notes a sign of life.
-func (b *Balancer) Succeeded(instance string) {
+func (b *Balancer) Succeeded(now time.Duration, instance string) {
 	worker := b.tracked(instance)
 	worker.failures = 0
 	worker.doubtUntil = 0
+	worker.dead = false
+	worker.aliveAt, worker.everAlive = now, true
 }
 
 // Failed notes that a worker could not be reached, or broke off. It is in doubt for a time that doubles.
--- a/internal/serving/balance/readtime.go
+++ b/internal/serving/balance/readtime.go
@@ -13,7 +13,6 @@
 
 	learnStep       = 0.1  // of the factor's logarithm, for one observation
 	firstSteps      = 1.0  // the same for the first one; it falls with their number
-	surelyLearned   = 4    // observations, before which no prompt counts as long
 	learnQuantile   = 0.25 // of observed times: the others have waited for something
 	smallestFactor  = 1.0 / 16
 	largestFactor   = 8.0
@@ -60,9 +59,6 @@
 	r.factor = math.Min(math.Max(factor, smallestFactor), largestFactor)
 }
 
-// learned reports whether the factor rests on enough.
-func (r *readTimes) learned() bool { return r.seen >= surelyLearned }
-
 // follow moves an estimate of a quantile towards an observation by a step of its logarithm.
 func follow(estimate, observed, step, quantile float64) float64 {
 	if observed < estimate {
--- a/internal/serving/control/sweep.go
+++ b/internal/serving/control/sweep.go
@@ -51,8 +51,8 @@
 // last is silent itself, or where most of a zone is silent at once: control may be what is cut off. Such
 // workers stay for a while, and edges find out by themselves which of them answer (compare the panic
 // threshold of Envoy's load balancing and the self-preservation of Eureka's registry, as their
-// documentation has them). Once it would prove something again, a worker has as long to be heard as any other:
-// the workers behind a cut that has healed are heard one after the other.
+// documentation has them). Once silence proves something again, a worker has as long to be heard as any
+// other: the workers behind a cut that has healed are heard one after the other.
 func (e *Engine) sweepWorkers(now time.Duration) {
 	limit := time.Duration(missedHeartbeats * float64(e.options.HeartbeatEvery))
 	zones := map[string]*zoneSilence{}
--- a/internal/serving/edge/datagrams.go
+++ b/internal/serving/edge/datagrams.go
@@ -87,6 +87,8 @@
 		datagrams.send(&wirepb.EdgeDatagram{Body: &wirepb.EdgeDatagram_Answer{Answer: body.Probe}}, from)
 	case *wirepb.EdgeDatagram_Prompt:
 		e.decide.takePrompt(e.now(), body.Prompt)
+	case *wirepb.EdgeDatagram_Dead:
+		e.takeDead(body.Dead)
 	case *wirepb.EdgeDatagram_Answer:
 		e.paths.answered(e.now(), body.Answer.GetNumber())
 	}
--- a/internal/serving/edge/decisions.go
+++ b/internal/serving/edge/decisions.go
@@ -112,9 +112,6 @@
 		instance := candidates[i].Instance
 		load, known := d.peers.Sum(now, instance, len(t.peers))
 		d.balancer.Others(instance, load.InHand, load.Unread, known && len(t.peers) > 0)
-		if d.peers.Dead(now, instance, len(t.peers)) {
-			d.balancer.Doubt(now, instance)
-		}
 	}
 }
 
@@ -201,7 +198,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.balancer.FirstToken(now, request, instance)
-	d.balancer.Succeeded(instance)
+	d.balancer.Succeeded(now, instance)
 }
 
 // firstTokenGone notes that a request leaves a worker before its prompt was read.
@@ -218,10 +215,24 @@
 }
 
 // alive notes that a worker can be reached.
-func (d *decisions) alive(instance string) {
+func (d *decisions) alive(now time.Duration, instance string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.balancer.Succeeded(now, instance)
+}
+
+func (d *decisions) broke(now time.Duration, instance string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.balancer.Broke(now, instance)
+}
+
+// dead notes that a worker does not answer probes, of this edge's or, by hearsay, of another's. It returns
+// whether that was known already.
+func (d *decisions) dead(now time.Duration, instance string, hearsay bool) (known bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.balancer.Succeeded(instance)
+	return d.balancer.Dead(now, instance, hearsay)
 }
 
 // gone notes that a worker is no longer at its address.
--- a/internal/serving/edge/job.go
+++ b/internal/serving/edge/job.go
@@ -19,9 +19,9 @@
 	nearDial        = 250 * time.Millisecond // to workers of the own region
 	farDial         = 450 * time.Millisecond
 	mostDials       = 4                      // workers that are tried in vain before a request is refused
-	mostMisdirected = 3                      // workers whose address another one has, before a request is refused
+	mostMisdirected = 3                      // workers whose address another one has
 	leastTime       = 5 * time.Millisecond   // left, under which nothing is sent any more
-	noPathWait      = 700 * time.Millisecond // told to clients when no path to a worker is known: the directory changes
+	noPathWait      = 700 * time.Millisecond // told to clients when there is no path to a worker
 	fullWait        = 250 * time.Millisecond // told to clients when a worker was full
 	wholeAnswerMost = 256 << 10              // bytes of an answer that is read whole before it is passed on
 )
@@ -251,6 +251,9 @@
 	if ctx.Err() == nil && time.Now().Before(j.deadline) {
 		j.edge.decide.failed(j.edge.now(), a.worker.Instance)
 		j.edge.pool.Drop(a.worker.Address)
+		if a.connection != nil {
+			j.edge.tellBroken(a.worker)
+		}
 	}
 	j.end(a, false)
 }
--- a/internal/serving/edge/liveness.go
+++ b/internal/serving/edge/liveness.go
@@ -5,15 +5,18 @@
 	"net"
 	"sync"
 	"time"
+
+	"willowdeck/internal/serving/wirepb"
 )
 
 const (
 	livenessInterval = 60 * time.Millisecond
 	// of a worker that has requests of ours in hand, until it is probed
-	silenceMost  = 280 * time.Millisecond
-	probesFailed = 2                      // in a row, after which a worker counts as dead
-	probeAgain   = 500 * time.Millisecond // between probes of a dead worker
-	probeFor     = 20 * time.Second       // after which a dead worker is left to the core's word
+	silenceMost   = 280 * time.Millisecond
+	probeFraction = 2                      // of a request's time to connect: a probe is repeated
+	probesFailed  = 2                      // in a row, after which a worker counts as dead
+	probeAgain    = 500 * time.Millisecond // between probes of a dead worker
+	probeFor      = 20 * time.Second       // after which a dead worker is left to the core's word
 )
 
 // liveness watches the workers that have requests of this edge in hand. One that says nothing on any
@@ -27,15 +30,23 @@
 
 type watchedWorker struct {
 	address   string
+	zone      string
 	timeout   time.Duration // of a probe
 	heard     time.Time
 	failed    int       // probes in a row
 	deadSince time.Time // zero: alive, as far as known
 	nextProbe time.Time
 	probing   bool
+	told      bool                // to the other edges, by this one; belongs to whoever probes
 	requests  map[*attempt]func() // in hand; what ends one that may be repeated, or nil
 }
 
+func newWatchedWorker(w worker, timeout time.Duration) *watchedWorker {
+	return &watchedWorker{
+		address: w.Address, zone: w.Zone, timeout: timeout, requests: map[*attempt]func(){},
+	}
+}
+
 func newLiveness() *liveness { return &liveness{workers: map[string]*watchedWorker{}} }
 
 // begin notes that a request is in hand at a worker. interrupt ends it where the worker is found dead; nil:
@@ -45,7 +56,7 @@
 	defer l.mu.Unlock()
 	w := l.workers[a.worker.Instance]
 	if w == nil {
-		w = &watchedWorker{address: a.worker.Address, timeout: timeout, requests: map[*attempt]func(){}}
+		w = newWatchedWorker(a.worker, timeout)
 		l.workers[a.worker.Instance] = w
 	}
 	if len(w.requests) == 0 {
@@ -85,7 +96,7 @@
 	defer l.mu.Unlock()
 	w := l.workers[a.worker.Instance]
 	if w == nil {
-		w = &watchedWorker{address: a.worker.Address, timeout: timeout, requests: map[*attempt]func(){}}
+		w = newWatchedWorker(a.worker, timeout)
 		l.workers[a.worker.Instance] = w
 	}
 	if w.deadSince.IsZero() {
@@ -94,6 +105,15 @@
 	}
 }
 
+// hint has a worker that has requests in hand probed soon: another edge finds it dead.
+func (l *liveness) hint(instance string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if w := l.workers[instance]; w != nil && len(w.requests) > 0 && w.deadSince.IsZero() {
+		w.heard = time.Time{}
+	}
+}
+
 // due returns the instances to be probed now, and marks them.
 func (l *liveness) due() map[string]*watchedWorker {
 	l.mu.Lock()
@@ -147,19 +167,6 @@
 	return interrupts, true
 }
 
-// dead returns the workers that do not answer.
-func (l *liveness) dead() []string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	var list []string
-	for instance, w := range l.workers {
-		if !w.deadSince.IsZero() && w.failed >= probesFailed {
-			list = append(list, instance)
-		}
-	}
-	return list
-}
-
 // keepLiveness probes silent workers until the context ends.
 func (e *Edge) keepLiveness(ctx context.Context) {
 	ticker := time.NewTicker(livenessInterval)
@@ -177,17 +184,21 @@
 }
 
 func (e *Edge) probe(instance string, w *watchedWorker) {
-	connection, err := net.DialTimeout("tcp4", w.address, w.timeout)
+	connection, err := net.DialTimeout("tcp4", w.address, w.timeout/probeFraction)
 	if err == nil {
 		connection.Close()
 	}
 	interrupts, dead := e.liveness.probed(instance, w, err == nil)
 	switch {
 	case err == nil:
-		e.decide.alive(instance)
+		w.told = false
+		e.decide.alive(e.now(), instance)
 	case dead:
-		e.decide.failed(e.now(), instance)
 		e.pool.Drop(w.address)
+		if known := e.decide.dead(e.now(), instance, false); !known || w.told {
+			w.told = true // the other edges need not say the same
+			e.tellDead(w.zone, &wirepb.DeadNotice{InstanceId: instance})
+		}
 	}
 	for _, interrupt := range interrupts {
 		interrupt()
--- a/internal/serving/edge/loads.go
+++ b/internal/serving/edge/loads.go
@@ -35,7 +35,6 @@
 	report := e.decide.loadReport(mostLoads)
 	report.Edge = e.settings.NodeName
 	report.Number = number
-	report.Dead = e.liveness.dead()
 	message := &wirepb.EdgeDatagram{Body: &wirepb.EdgeDatagram_Load{Load: report}}
 	addresses := make([]netip.AddrPort, len(t.peers))
 	for i, peer := range t.peers {
@@ -63,3 +62,43 @@
 	notice := &wirepb.PromptNotice{InstanceId: sent.Instance, ReadMs: uint32(sent.ReadMs), Long: sent.Long}
 	datagrams.send(&wirepb.EdgeDatagram{Body: &wirepb.EdgeDatagram_Prompt{Prompt: notice}}, addresses...)
 }
+
+// tellBroken tells other edges of a worker that has just broken off a connection, so that what may not be
+// repeated is not risked on others which they have kept.
+func (e *Edge) tellBroken(w worker) {
+	if e.paths.suspected(w.Zone) {
+		return // the path broke, not the worker
+	}
+	e.decide.broke(e.now(), w.Instance)
+	e.tellDead(w.Zone, &wirepb.DeadNotice{InstanceId: w.Instance, Broke: true})
+}
+
+// tellDead tells the other edges of this region of a worker that stands in a zone: they see it from where
+// this one does. Others may well have a path to it that this one lacks.
+func (e *Edge) tellDead(zone string, notice *wirepb.DeadNotice) {
+	datagrams, t := e.datagrams.Load(), e.table.Load()
+	if datagrams == nil || t == nil || e.paths.suspected(zone) {
+		return
+	}
+	var addresses []netip.AddrPort
+	for _, target := range t.targets {
+		if target.Linked && target.Region == e.settings.Region {
+			addresses = append(addresses, target.address)
+		}
+	}
+	datagrams.send(&wirepb.EdgeDatagram{Body: &wirepb.EdgeDatagram_Dead{Dead: notice}}, addresses...)
+}
+
+// takeDead takes another edge's word that a worker does not answer. Where this one has requests there, it
+// looks itself at once.
+func (e *Edge) takeDead(notice *wirepb.DeadNotice) {
+	if notice.Broke {
+		e.decide.broke(e.now(), notice.InstanceId)
+		if t := e.table.Load(); t != nil && t.addresses[notice.InstanceId] != "" {
+			e.pool.Drop(t.addresses[notice.InstanceId])
+		}
+		return
+	}
+	e.decide.dead(e.now(), notice.InstanceId, true)
+	e.liveness.hint(notice.InstanceId)
+}
--- a/internal/serving/edge/table.go
+++ b/internal/serving/edge/table.go
@@ -25,6 +25,7 @@
 	limits     configuration.Limits
 	workers    map[string][]worker // by service; those that may get new requests
 	instances  map[string]bool     // all that are known
+	addresses  map[string]string   // of the same
 	edges      int                 // N, never counted too low; 0: not known yet
 	demands    []*wirepb.Demand
 	peers      []peer // the other edges that live
@@ -77,7 +78,8 @@
 	}
 	t := &table{
 		generation: view.Document.Generation, services: map[string]*configuration.Service{},
-		workers: map[string][]worker{}, pauses: map[string]float64{}, instances: map[string]bool{}, demands: view.Demands,
+		workers: map[string][]worker{}, pauses: map[string]float64{},
+		instances: map[string]bool{}, addresses: map[string]string{}, demands: view.Demands,
 	}
 	if err := b.buildRoutes(t, view.Document); err != nil {
 		return nil, err
@@ -170,6 +172,7 @@
 			continue
 		}
 		t.instances[told.InstanceId] = true
+		t.addresses[told.InstanceId] = told.Address
 		if told.Draining || b.evacuated[told.Zone] {
 			continue
 		}
--- a/internal/serving/loadshare/loadshare.go
+++ b/internal/serving/loadshare/loadshare.go
@@ -1,7 +1,6 @@
-// Package loadshare adds up what other edges say that they have in hand at workers, and which workers they
-// find dead. Reports are datagrams: each replaces the one before it, a lost one is made good by the next,
-// and an edge that is not heard from drops out. The package has no I/O, clock or goroutines, and is not
-// safe for concurrent use.
+// Package loadshare adds up what other edges say that they have in hand at workers. Reports are datagrams:
+// each replaces the one before it, a lost one is made good by the next, and an edge that is not heard from
+// drops out. The package has no I/O, clock or goroutines, and is not safe for concurrent use.
 package loadshare
 
 import (
@@ -35,7 +34,6 @@
 	number uint64
 	heard  time.Duration
 	loads  map[string]Load
-	dead   []string
 }
 
 // Peers holds the newest report of each other edge.
@@ -51,7 +49,7 @@
 	if held := p.reports[message.Edge]; held != nil && held.number >= message.Number {
 		return
 	}
-	taken := &report{number: message.Number, heard: now, loads: map[string]Load{}, dead: message.Dead}
+	taken := &report{number: message.Number, heard: now, loads: map[string]Load{}}
 	for _, load := range message.Loads {
 		taken.loads[load.InstanceId] = Load{InHand: float64(load.InHand), Unread: float64(load.UnreadTokens)}
 	}
@@ -78,21 +76,6 @@
 	return sum, 2*heard >= peers
 }
 
-// Dead reports whether another edge finds a worker dead.
-func (p *Peers) Dead(now time.Duration, instance string, peers int) bool {
-	for _, r := range p.reports {
-		if !r.fresh(now, peers) {
-			continue
-		}
-		for _, dead := range r.dead {
-			if dead == instance {
-				return true
-			}
-		}
-	}
-	return false
-}
-
 // Keep forgets the edges that wanted does not name.
 func (p *Peers) Keep(wanted func(edge string) bool) {
 	for edge := range p.reports {
