--- a/internal/serving/balance/balance.go
+++ b/internal/serving/balance/balance.go
@@ -19,6 +19,7 @@
 
 // Weights of the costs.
 const (
+	reportedPerMs    = 50.0  // prompt tokens of other edges that a worker reads in a millisecond, about
 	rereadPerToken   = 0.08  // ms: the price of shared tokens that are read again
 	otherRegion      = 140   // ms: the way there and back, and the price of the bytes
 	otherZone        = 4     // ms
@@ -200,7 +201,7 @@
 	if candidate.Engine {
 		cost += b.readCost(now, request, worker, candidate.Instance == request.home)
 		if worker.told {
-			cost += b.readTimes.estimate(unread, 0)
+			cost += unread / reportedPerMs
 		} else {
 			cost += worker.reading.wait(now)
 		}
