--- a/internal/serving/balance/balance.go
+++ b/internal/serving/balance/balance.go
@@ -135,7 +135,8 @@
 func (b *Balancer) Choose(now time.Duration, request *Request, candidates []Worker) int {
 	request.home = b.home(now, request, candidates)
 	all := allTokens(request.Parts)
-	request.long = b.readTimes.estimate(all, all) >= request.pause()
+	own := all - sharedTokens(request.Parts) // the rest may be kept
+	request.long = b.readTimes.estimate(own, all) >= request.pause()
 	var places map[string]int
 	if request.long {
 		places = longOrder(candidates)
--- a/internal/serving/consensus/sightings.go
+++ b/internal/serving/consensus/sightings.go
@@ -28,13 +28,14 @@
 // Sighted notes that another replica lives, by something that was no message of the consensus.
 func (n *Node) Sighted(replica string, now time.Duration) { n.seen.note(replica, now) }
 
-// lastSeen returns when a replica was heard last. One that this life has not heard may just not have spoken.
+// lastSeen returns when a replica was heard last. One that this life has not heard has been silent since that
+// began, for all that this life can know.
 func (n *Node) lastSeen(id string) time.Duration {
 	if known, ok := n.seen[id]; ok {
 		return known.last
 	}
-	n.seen.note(id, n.now)
-	return n.now
+	n.seen[id] = sighting{first: n.now, last: n.born}
+	return n.born
 }
 
 func (n *Node) firstSeen(id string) time.Duration {
