--- a/internal/serving/control/scenarios_test.go
+++ b/internal/serving/control/scenarios_test.go
@@ -133,6 +133,40 @@
 	}
 }
 
+// TestWorkersBehindHealedCut has all workers of a zone silent, which proves nothing, and then most of them
+// heard again, as after a cut: the last one has a full time to be heard before it is dropped.
+func TestWorkersBehindHealedCut(t *testing.T) {
+	t.Parallel()
+	w := begin(1, shape{cores: 3, tolerated: 1, edges: 1})
+	names := []string{"first", "second", "third", "last"}
+	w.run(settledAfter)
+	e := w.leader().process.engine
+	for i, name := range names {
+		address := fmt.Sprintf("10.8.0.%d:80", i+1)
+		worker := &wirepb.Worker{InstanceId: name, Service: "s", Address: address, Zone: "cut off"}
+		e.Heartbeat(Heartbeat{Worker: worker, Sequence: 1}, func(bool) {})
+	}
+	dropped := func(name string) bool { return e.mirror.Get(catalog.WorkerKey(name)).Record.Deleted }
+	limit := time.Duration(missedHeartbeats * float64(e.options.HeartbeatEvery))
+	now := e.now() + 2*limit
+	e.sweepWorkers(now)
+	for _, name := range names[:3] {
+		e.workers.hear(name, "", now)
+	}
+	for _, c := range []struct {
+		after   time.Duration
+		dropped bool
+	}{{0, false}, {limit / 2, false}, {limit + time.Millisecond, true}} {
+		for _, name := range names[:3] {
+			e.workers.hear(name, "", now+c.after)
+		}
+		e.sweepWorkers(now + c.after)
+		if dropped("last") != c.dropped || dropped("first") {
+			t.Errorf("%v after the others were heard: dropped is not %v", c.after, c.dropped)
+		}
+	}
+}
+
 // TestDeadWorkerIsDropped lets one worker of several fall silent while control hears the rest of its zone.
 func TestDeadWorkerIsDropped(t *testing.T) {
 	t.Parallel()
--- a/internal/serving/core/core_test.go
+++ b/internal/serving/core/core_test.go
@@ -315,6 +315,7 @@
 		{"few in the region", []*catalog.Entry{a1, n1}, "[a1 n1]"},
 		{"none ready", []*catalog.Entry{down}, "[a3]"},
 		{"none known", nil, "[]"},
+		{"most of the zone is gone", []*catalog.Entry{a1, a2, b1, down, down, down}, "[a1 a2 b1]"},
 		{"the zone's core is silent", []*catalog.Entry{unsure(a1), unsure(a2), b1, n1}, "[b1 n1]"},
 		{"all cores are silent", []*catalog.Entry{unsure(a1), unsure(a2), unsure(b1)}, "[a1 a2]"},
 		{"the region cannot serve all routes", []*catalog.Entry{down, entry("b2", "b", "s", false), n1}, "[n1]"},
