Crash state: the lock of an ended process is waited for; benchmarks and an acknowledgement test mended

TestLedgerKilled and TestRestoreAfterKill failed beside load as the kernel releases the lock of a killed process up to 250 ms after it was reaped (reproduced in 2 of 2 batches beside 20 busy processes), and MapLocked gave up after 100 ms and began a new file: a rate limit's memory or a ledger was lost. TestHostAcksActivateVersion: the acknowledgement took 0.03 s as a rule and up to 1.6 s where the machine's disk stalled its syncs for up to 2 s (measured beside it); the test now waits for the condition and for ten confirmed reads. BenchmarkApply lacked the feature that 10,000 members need; BenchmarkAdmit replaced the policy after the list of workers had been told.

--- a/internal/gateway/proxy/attempt_test.go
+++ b/internal/gateway/proxy/attempt_test.go
@@ -304,16 +304,17 @@
 			charter := testCharter()
 			charter.Plans[0] = policy.Plan{QuotaPerSecond: 1e9, QuotaBurst: 1e9, RateLimitPerSecond: 1e9,
 				RateLimitBurst: 1e9, ValueFactor: 1}
+			switch name {
+			case "credit":
+				charter.Plans[0].CreditSeconds, charter.Plans[0].RepayWithinMillis = 1, 2e3
+			case "lent":
+				charter.Plans[0] = policy.Plan{QuotaPerSecond: 1e-3, CreditSeconds: 1e12, RepayWithinMillis: 2e15,
+					ValueFactor: 1}
+			}
 			d.policy = policy.New(charter, 1)
+			// The dispatcher tells the policy what changes in a list, so the policy is in place before it.
 			d.ApplyEndpoints(endpoints.List{Snapshot: true, Workers: []endpoints.Worker{{Name: "w", Active: true}}})
-			if name == "credit" || name == "lent" {
-				if charter.Plans[0].CreditSeconds, charter.Plans[0].RepayWithinMillis = 1, 2e3; name == "lent" {
-					charter.Plans[0] = policy.Plan{QuotaPerSecond: 1e-3, CreditSeconds: 1e12, RepayWithinMillis: 2e15,
-						ValueFactor: 1}
-				}
-				d.policy = policy.New(charter, 1)
-				d.ApplyEndpoints(endpoints.List{Snapshot: true, Workers: []endpoints.Worker{{Name: "w", Active: true}}})
-				lines, _ := CreditLines(charter.Plans)
+			if lines, lends := CreditLines(charter.Plans); lends {
 				d.EnableBorrowing(
 					borrowing.New(borrowing.Config{Instances: 1, Plans: lines}, 1, -1e18),
 					nullCreditStore{time.Now()},
--- a/internal/gateway/recovery/crashstate/file.go
+++ b/internal/gateway/recovery/crashstate/file.go
@@ -12,7 +12,6 @@
 	"strings"
 	"sync/atomic"
 	"syscall"
-	"time"
 	"unsafe"
 
 	"willowdeck/internal/policy"
@@ -24,10 +23,9 @@
 	headerSize    = 256     // bytes
 	slotSize      = 16      // bytes
 	fileSize      = headerSize + slotCount*slotSize
-	maxClockDrift = 50.0                   // ms between system clock and uptime; more is a clock that was set
-	loadMaxAge    = 10000.0                // ms; an older recorded load is ignored
-	lockTimeout   = 100 * time.Millisecond // a killed process releases its lock within some ms
-	slotProbes    = 16                     // slots examined in the search for a free one
+	maxClockDrift = 50.0    // ms between system clock and uptime; more is a clock that was set
+	loadMaxAge    = 10000.0 // ms; an older recorded load is ignored
+	slotProbes    = 16      // slots examined in the search for a free one
 )
 
 // Offsets of the header's fields; eight bytes each, except the digest and the boot ID.
@@ -124,19 +122,13 @@
 }
 
 // MapLocked maps a file of size bytes into memory under an exclusive lock that ends with the returned
-// file, and reports whether a file of that size existed. A file that another process has locked is
+// file, and reports whether a file of that size existed. A file that a running process has locked is
 // unlinked and a new one is created in its place.
 func MapLocked(path string, size int) (file *os.File, data []byte, existed bool, err error) {
 	if file, err = os.OpenFile(path, os.O_RDWR|os.O_CREATE, 0o600); err != nil {
 		return nil, nil, false, err
 	}
-	for deadline := time.Now().Add(lockTimeout); ; time.Sleep(lockTimeout / 20) {
-		if err = syscall.Flock(int(file.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err == nil ||
-			time.Now().After(deadline) {
-			break
-		}
-	}
-	if err != nil {
+	if err = lockExclusively(file); err != nil {
 		_ = file.Close()
 		if err = os.Remove(path); err == nil {
 			file, err = os.OpenFile(path, os.O_RDWR|os.O_CREATE|os.O_EXCL, 0o600)
--- a/internal/gateway/recovery/crashstate/file_test.go
+++ b/internal/gateway/recovery/crashstate/file_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"math"
 	"math/rand"
@@ -247,3 +248,27 @@
 		file.RecordSpent(uint64(i%1000), 0, now+float64(i), now+float64(i))
 	}
 }
+
+// TestLockHolder checks which process holds a file's lock, and that its lock counts as held.
+func TestLockHolder(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "residue")
+	held, _, _, err := MapLocked(path, fileSize)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer held.Close()
+	if pid, err := lockHolder(held); err != nil || pid != os.Getpid() {
+		t.Errorf("the holder is %d, not %d: %v", pid, os.Getpid(), err)
+	}
+	if !lockHolderRuns(held) {
+		t.Error("this process does not run")
+	}
+	free, err := os.Create(filepath.Join(t.TempDir(), "free"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer free.Close()
+	if pid, err := lockHolder(free); !errors.Is(err, errNoHolder) {
+		t.Errorf("a free lock is held by %d: %v", pid, err)
+	}
+}
--- /dev/null
+++ b/internal/gateway/recovery/crashstate/lock.go
@@ -0,0 +1,84 @@
+package crashstate
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+)
+
+const (
+	// liveHolderTimeout is for the lock of a process that runs, such as the predecessor of a hot restart.
+	liveHolderTimeout = 100 * time.Millisecond
+	// endedHolderTimeout is for the lock of a process that has ended: on a busy machine the kernel releases it
+	// hundreds of milliseconds after the process was reaped.
+	endedHolderTimeout = 2 * time.Second
+	lockRetryInterval  = 5 * time.Millisecond
+)
+
+// Fields of a line of /proc/locks, from 0.
+const (
+	lockKindField  = 1 // FLOCK for what this package takes
+	lockPIDField   = 4
+	lockInodeField = 5 // MAJOR:MINOR:INODE, the first two in hex
+	lockFieldCount = 8
+)
+
+// lockExclusively takes the exclusive lock of a file. It waits as long as the holder may be ending, and
+// returns EWOULDBLOCK if another process keeps the lock.
+func lockExclusively(file *os.File) error {
+	began := time.Now()
+	for {
+		err := syscall.Flock(int(file.Fd()), syscall.LOCK_EX|syscall.LOCK_NB)
+		if err == nil {
+			return nil
+		}
+		waited := time.Since(began)
+		if waited > endedHolderTimeout || waited > liveHolderTimeout && lockHolderRuns(file) {
+			return err
+		}
+		time.Sleep(lockRetryInterval)
+	}
+}
+
+// lockHolderRuns tells whether the process that holds the lock of a file runs. A lock whose holder is not
+// known counts as one that is held.
+func lockHolderRuns(file *os.File) bool {
+	pid, err := lockHolder(file)
+	return err != nil || !errors.Is(syscall.Kill(pid, 0), syscall.ESRCH)
+}
+
+// errNoHolder says that no process of this PID namespace holds the lock.
+var errNoHolder = errors.New("the lock's holder is not known")
+
+// lockHolder returns the PID of the process that holds the lock of a file, according to /proc/locks.
+func lockHolder(file *os.File) (pid int, err error) {
+	var status syscall.Stat_t
+	if err := syscall.Fstat(int(file.Fd()), &status); err != nil {
+		return 0, err
+	}
+	locks, err := os.Open("/proc/locks")
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = locks.Close() }() // it was only read
+	inode := fmt.Sprintf("%02x:%02x:%d", deviceMajor(status.Dev), deviceMinor(status.Dev), status.Ino)
+	for lines := bufio.NewScanner(locks); lines.Scan(); {
+		fields := strings.Fields(lines.Text())
+		if len(fields) < lockFieldCount || fields[lockKindField] != "FLOCK" || fields[lockInodeField] != inode {
+			continue
+		}
+		if pid, err := strconv.Atoi(fields[lockPIDField]); err == nil && pid > 0 {
+			return pid, nil
+		}
+	}
+	return 0, errNoHolder
+}
+
+// deviceMajor and deviceMinor split a device number as Linux encodes it (makedev(3)).
+func deviceMajor(device uint64) uint64 { return device>>8&0xfff | device>>32&^0xfff }
+func deviceMinor(device uint64) uint64 { return device&0xff | device>>12&^0xff }
--- a/internal/raftlog/followers_test.go
+++ b/internal/raftlog/followers_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"testing"
-	"time"
 
 	"willowdeck/internal/ruleset"
 )
 
+// confirmedReadsWithoutActivation is for how many confirmed reads a version must stay pending.
+const confirmedReadsWithoutActivation = 10
+
 // A pending version comes in force once all hosts without a vote have reported that they have applied its
 // step, and not before. Followers are given the state of the last confirmed read.
 func TestHostAcksActivateVersion(t *testing.T) {
@@ -40,14 +42,20 @@
 	}
 	s.RecordHostAcks([]ruleset.HostAck{{Host: "x", Step: w.Step}, {Host: "nobody", Step: w.Step},
 		{Host: "y", Step: w.Step - 1}}, 7)
-	for end := time.Now().Add(700 * time.Millisecond); time.Now().Before(end); {
-		time.Sleep(10 * time.Millisecond)
-		if a := s.ActivationStatus(); a.Version != 1 {
-			t.Fatalf("in force without the word of host y: %+v", a)
+	hasAckOfX := func() bool {
+		status := s.ActivationStatus()
+		if status.Version != 1 {
+			t.Fatalf("in force without the acknowledgement of host y: %+v", status)
 		}
+		return status.AckedSteps["x"] == w.Step
+	}
+	t.Logf("x's acknowledgement is applied after %v", group.waitUntil("x's acknowledgement", hasAckOfX))
+	for range confirmedReadsWithoutActivation { // each shows what is in force at a quorum
+		<-s.Confirmations()
+		hasAckOfX()
 	}
-	if a := s.ActivationStatus(); a.AckedSteps["x"] != w.Step || a.AckedSteps["nobody"] != 0 {
-		t.Errorf("seen: %v at step %d", a.AckedSteps, w.Step)
+	if acked := s.ActivationStatus().AckedSteps; acked["x"] != w.Step || acked["nobody"] != 0 {
+		t.Errorf("acknowledged: %v at step %d", acked, w.Step)
 	}
 	// A late report, and one of a step that is not confirmed yet, which counts as of the last one.
 	s.RecordHostAcks([]ruleset.HostAck{{Host: "x", Step: 1}, {Host: "y", Step: w.Step + 50}}, 3)
@@ -55,17 +63,21 @@
 	if s.HighestDiscoveryIndex() != 7 {
 		t.Errorf("the highest index is %d, of 7 and 3", s.HighestDiscoveryIndex())
 	}
-	last := w
+	last, firstRead := w, BootClockMillis()
 	for range 20 {
 		<-s.Confirmations()
 		now, ok := s.LastConfirmed()
 		if !ok || now.Step < last.Step || now.ReadStartMillis < last.ReadStartMillis ||
-			BootClockMillis()-now.ReadStartMillis > 2000 {
+			now.ReadStartMillis > BootClockMillis() {
 			t.Errorf("from step %d, begun %.0f, to %d, %.0f (%v)", last.Step, last.ReadStartMillis, now.Step,
 				now.ReadStartMillis, ok)
 		}
 		last = now
 	}
+	if last.ReadStartMillis < firstRead {
+		t.Errorf("20 reads were confirmed, and the last began %.0f ms before the first",
+			firstRead-last.ReadStartMillis)
+	}
 	if last.InForce.Number != 2 || last.Pending != nil {
 		t.Errorf("confirmed in the end: %+v", last)
 	}
--- a/internal/ruleset/state_machine_test.go
+++ b/internal/ruleset/state_machine_test.go
@@ -116,7 +116,7 @@
 // acknowledged by each.
 func BenchmarkApply(b *testing.B) {
 	r := smallRules(96, "a")
-	r.Members = nil
+	r.Members, r.Needs = nil, []string{FeatureManyMembers}
 	for i := range maxMembers {
 		r.Members = append(r.Members, Member{Name: fmt.Sprint(i), Host: fmt.Sprint(i % 10)})
 	}
