--- a/internal/distribution/replica.go
+++ b/internal/distribution/replica.go
@@ -75,7 +75,7 @@
 		return ruleset.Lease{Step: response.Step, AgeMillis: response.AgeMillis}, false, nil
 	case response.RetryAfterMillis > 0:
 		r.counts.Deferred++
-		r.renewalOnlyUntil = now + r.rng.Float64()*response.RetryAfterMillis // full jitter
+		r.renewalOnlyUntil = deferralEnd(now, r.rng, response.RetryAfterMillis)
 		return lease, false, ErrDeferred
 	case now < r.renewalOnlyUntil && response.Rules != r.rules.ID():
 		return lease, false, ErrDeferred
--- a/internal/distribution/replica_test.go
+++ b/internal/distribution/replica_test.go
@@ -267,3 +267,19 @@
 		t.Errorf("a response without rules: %v", err)
 	}
 }
+
+// TestDeferralIsBounded defers a replica for a year: it asks for the full state again after
+// maxRetryAfterMillis at the latest.
+func TestDeferralIsBounded(t *testing.T) {
+	const now, year = 5000.0, 365 * 24 * 3600e3
+	for seed := range int64(20) {
+		replica := NewReplica("g0", 1, seed)
+		response := &Response{FormatVersion: FormatVersion, Step: 1, RetryAfterMillis: year}
+		if _, _, err := replica.HandleResponse(response, now); !errors.Is(err, ErrDeferred) {
+			t.Fatalf("error %v", err)
+		}
+		if replica.NewRequest(now+maxRetryAfterMillis, 0, -1).RenewalOnly {
+			t.Errorf("seed %d: still deferred after %v ms", seed, maxRetryAfterMillis)
+		}
+	}
+}
--- a/internal/distribution/response.go
+++ b/internal/distribution/response.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"math"
+	"math/rand"
 
 	"willowdeck/internal/ruleset"
 	"willowdeck/internal/versioned"
@@ -53,6 +54,12 @@
 	}
 }
 
+// deferralEnd gives until when a requester whose full state is deferred asks for renewals alone: with full
+// jitter, and never for longer than maxRetryAfterMillis. Times are in milliseconds.
+func deferralEnd(now float64, rng *rand.Rand, retryAfterMillis float64) float64 {
+	return now + rng.Float64()*math.Min(retryAfterMillis, maxRetryAfterMillis)
+}
+
 // validate reports whether a response is of this format version and cluster, with figures within bounds.
 func (f *Follower) validate(r *Response) bool {
 	switch {
@@ -199,9 +206,9 @@
 		return f.applyDelta(f.base(r.RulesDelta.From), r.RulesDelta, r.Rules)
 	}
 	switch {
-	case r.RetryAfterMillis > 0: // full jitter
+	case r.RetryAfterMillis > 0:
 		f.counts.Deferred++
-		f.renewalOnlyUntil = f.now + f.rng.Float64()*math.Min(r.RetryAfterMillis, maxRetryAfterMillis)
+		f.renewalOnlyUntil = deferralEnd(f.now, f.rng, r.RetryAfterMillis)
 	case !renewalOnly:
 		f.counts.MissingDeltas++
 		return nil, false
--- a/internal/gateway/hotrestart/handoff_test.go
+++ b/internal/gateway/hotrestart/handoff_test.go
@@ -3,10 +3,13 @@
 import (
 	"bytes"
 	"encoding/gob"
+	"errors"
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"path/filepath"
+	"syscall"
 	"testing"
 	"time"
 
@@ -195,3 +198,45 @@
 		t.Error("a path that can't be made, and no error")
 	}
 }
+
+// A descriptor that comes with a packet which has none, or with one of an unknown kind, is closed.
+func TestUnexpectedDescriptorsAreClosed(t *testing.T) {
+	for _, kind := range []byte{stateChunkPacket, '?'} {
+		path := SocketPath(t.TempDir(), "n0")
+		listener, err := net.ListenUnix("unixpacket", &net.UnixAddr{Name: path, Net: "unixpacket"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer listener.Close()
+		reader, writer, err := os.Pipe()
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer reader.Close()
+		sent := make(chan error, 1)
+		go func() {
+			conn, err := listener.AcceptUnix()
+			if err == nil {
+				defer conn.Close()
+				_, _ = conn.Write([]byte(goldenGreeting))
+				rights := syscall.UnixRights(int(writer.Fd()))
+				_, _, err = conn.WriteMsgUnix([]byte{kind, 'x'}, rights, nil)
+			}
+			sent <- errors.Join(err, writer.Close())
+		}()
+		successor, err := Connect(path, "n0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := <-sent; err != nil {
+			t.Fatal(err)
+		}
+		if complete, _ := successor.Receive(Handlers{}); complete {
+			t.Errorf("%q: a state is complete", kind)
+		}
+		_ = reader.SetReadDeadline(time.Now().Add(5 * time.Second))
+		if _, err := reader.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+			t.Errorf("%q: the descriptor is still open: %v", kind, err)
+		}
+	}
+}
--- a/internal/gateway/hotrestart/successor.go
+++ b/internal/gateway/hotrestart/successor.go
@@ -83,6 +83,9 @@
 		}
 		switch kind {
 		case stateChunkPacket, lastChunkPacket:
+			if file != nil {
+				closeFile(file) // a chunk has none: it is not kept open
+			}
 			if err := receiver.receiveChunk(payload, kind == lastChunkPacket); err != nil {
 				return receiver.complete, err
 			}
@@ -90,6 +93,10 @@
 			receivePeerSocket(file, handlers)
 		case clientPacket:
 			receiveClient(file, payload, handlers)
+		default:
+			if file != nil {
+				closeFile(file)
+			}
 		}
 	}
 }
--- a/internal/serving/agent/agent.go
+++ b/internal/serving/agent/agent.go
@@ -92,7 +92,7 @@
 // nearly over: the proxy needs updates until its last request has ended.
 func (a *Agent) awaitStop(ctx context.Context) {
 	<-ctx.Done()
-	deadline := time.Now().Add(a.settings.Bounds.GracePeriod - stopMargin)
+	deadline := time.Now().Add(a.currentSettings().Bounds.GracePeriod - stopMargin)
 	for time.Now().Before(deadline) {
 		a.mu.Lock()
 		links := a.proxyLinks
@@ -105,6 +105,13 @@
 	}
 }
 
+// currentSettings returns the settings that were loaded last. They are replaced, never changed.
+func (a *Agent) currentSettings() *settings.Settings {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.settings
+}
+
 // reloadSettings loads the settings periodically until ctx is done: they may change with or without a signal.
 func (a *Agent) reloadSettings(ctx context.Context) {
 	ticker := time.NewTicker(settingsReloadInterval)
--- a/internal/serving/agent/agent_test.go
+++ b/internal/serving/agent/agent_test.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -101,3 +102,20 @@
 		}
 	}
 }
+
+// TestStopWhileSettingsAreReloaded replaces the settings while the agent waits for its end: the race detector
+// sees an access without the lock.
+func TestStopWhileSettingsAreReloaded(t *testing.T) {
+	a := newAgent()
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	replaced := make(chan struct{})
+	go func() {
+		defer close(replaced)
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		a.settings = &settings.Settings{Bounds: settings.Bounds{GracePeriod: time.Second}}
+	}()
+	a.awaitStop(ctx)
+	<-replaced
+}
--- a/internal/serving/agent/providers.go
+++ b/internal/serving/agent/providers.go
@@ -21,9 +21,7 @@
 
 // providers returns the cores to subscribe to, nearest first. Seeds that are not in the catalog come last.
 func (a *Agent) providers() []watch.Provider {
-	a.mu.Lock()
-	config := a.settings
-	a.mu.Unlock()
+	config := a.currentSettings()
 	var providers []watch.Provider
 	known := map[string]bool{}
 	for _, entry := range a.store.EntriesOf(catalog.Cores) {
--- a/internal/serving/configuration/configuration_test.go
+++ b/internal/serving/configuration/configuration_test.go
@@ -50,7 +50,10 @@
 		"deep nesting":        strings.Repeat("[", 100) + strings.Repeat("]", 100),
 	}
 	for name, body := range cases {
-		_, err := ParseAndValidate([]byte(body))
+		document, err := ParseAndValidate([]byte(body))
+		if document != nil {
+			t.Errorf("%s: a document beside the error %v", name, err)
+		}
 		var invalidError *InvalidError
 		if !errors.As(err, &invalidError) {
 			t.Errorf("%s: error %v", name, err)
--- a/internal/serving/configuration/validate.go
+++ b/internal/serving/configuration/validate.go
@@ -55,11 +55,10 @@
 	if err := schema().Validate(value); err != nil {
 		return nil, invalid("document", err.Error())
 	}
-	document, err := Parse(body)
-	if err != nil {
+	if err := validateReferences(body); err != nil {
 		return nil, err
 	}
-	return document, validateReferences(body)
+	return Parse(body)
 }
 
 // validateReferences validates what a schema cannot express: that backends are services of the configuration,
--- a/internal/serving/control/leader_requests.go
+++ b/internal/serving/control/leader_requests.go
@@ -20,6 +20,7 @@
 type leaderRequest struct {
 	requester requester
 	expiresAt time.Duration
+	term      uint64 // in which the command was proposed
 }
 
 // leaderRequestTable holds the accepted requests: commands by their id, reads by number.
@@ -56,17 +57,19 @@
 	if !e.node.IsEstablishedLeader() || e.leaderRequests.full() {
 		return false
 	}
-	entry := leaderRequest{requester: from, expiresAt: expires}
+	entry := leaderRequest{requester: from, expiresAt: expires, term: e.node.Term()}
 	if command == nil {
 		e.requests.lastNumber++
 		e.leaderRequests.reads[e.requests.lastNumber] = entry
 		return e.node.ReadIndex(e.requests.lastNumber)
 	}
-	_, proposed := e.leaderRequests.commands[command.Id]
+	earlier, proposed := e.leaderRequests.commands[command.Id]
 	e.leaderRequests.commands[command.Id] = entry
-	if proposed {
+	if proposed && earlier.term == entry.term {
 		return true // an earlier attempt of the same request is in progress
 	}
+	// An entry of an earlier term may have been lost with the lead. If it was not, the command is applied once
+	// all the same: the state machine knows it by its id.
 	data, err := proto.Marshal(command)
 	if err != nil {
 		return false
--- a/internal/serving/edge/attempt.go
+++ b/internal/serving/edge/attempt.go
@@ -46,6 +46,7 @@
 	connection, err := p.edge.connections.Get(ctx, chosen.Address, dialTimeout)
 	if err != nil {
 		p.edge.healthChecker.recordUnreachable(a, dialTimeout)
+		p.recordNotExecuted(a)
 		p.failAttempt(a)
 		return nil, err
 	}
@@ -105,6 +106,7 @@
 		p.attempts-- // it went to a worker that the route does not mean
 		p.misdirectedAttempts++
 	}
+	p.recordNotExecuted(a)
 	_, err := io.Copy(io.Discard, io.LimitReader(a.response.Body, maxBufferedBodyBytes))
 	p.endAttempt(a, err == nil)
 	return errNotExecuted
@@ -163,6 +165,12 @@
 	p.edge.connections.Put(a.worker.Address, a.connection, idleTimeout)
 }
 
+// recordNotExecuted records that the worker has not prefilled the prompt, and will not.
+func (p *proxiedRequest) recordNotExecuted(a *attempt) {
+	a.prefillReleased = true
+	p.edge.decisions.recordNotExecuted(p.edge.now(), p.prompt, a.worker.Instance)
+}
+
 // recordFirstToken records, once, that the worker has sent the first part of a response's body.
 func (p *proxiedRequest) recordFirstToken(a *attempt) {
 	if !a.prefillReleased {
--- a/internal/serving/edge/workerrecords.go
+++ b/internal/serving/edge/workerrecords.go
@@ -26,6 +26,13 @@
 	d.balancer.ReleasePrefill(request, instance)
 }
 
+// recordNotExecuted takes back what was assumed of a prompt that its worker has not prefilled and will not.
+func (d *decisions) recordNotExecuted(now time.Duration, request *loadbalancer.Request, instance string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.balancer.RecordNotExecuted(now, request, instance)
+}
+
 // release records that a request is no longer in flight at a worker.
 func (d *decisions) release(instance string) {
 	d.mu.Lock()
--- a/internal/serving/loadbalancer/balancer.go
+++ b/internal/serving/loadbalancer/balancer.go
@@ -73,10 +73,10 @@
 	request.sentAt = now
 	request.queueMillis = worker.prefillQueue.waitMillis(now)
 	worker.prefillTokens += request.pendingTokens
-	worker.cacheParts(now, request.Parts)
-	prefillMillis := b.prefillModel.estimateMillis(request.pendingTokens, totalTokens(request.Parts))
-	worker.prefillQueue.add(now, prefillMillis, request.long)
-	return PrefillNotice{Instance: instance, PrefillMillis: prefillMillis, Long: request.long}
+	request.partsBefore = worker.cacheParts(now, request.Parts)
+	request.prefillMillis = b.prefillModel.estimateMillis(request.pendingTokens, totalTokens(request.Parts))
+	worker.prefillQueue.add(now, request.prefillMillis, request.long)
+	return PrefillNotice{Instance: instance, PrefillMillis: request.prefillMillis, Long: request.long}
 }
 
 // RecordFirstToken records that a worker has prefilled a request's prompt, and learns from the time it took.
@@ -98,6 +98,16 @@
 	request.pendingTokens = 0
 }
 
+// RecordNotExecuted takes back what RecordSent assumed of a prompt that its worker has not prefilled and will
+// not: the request did not reach it, or was rejected unexecuted. The request stays in flight until Release.
+func (b *Balancer) RecordNotExecuted(now time.Duration, request *Request, instance string) {
+	b.ReleasePrefill(request, instance)
+	worker := b.state(instance)
+	worker.uncacheParts(request.sentAt, request.partsBefore)
+	worker.prefillQueue.remove(now, request.prefillMillis, request.long)
+	request.prefillMillis, request.partsBefore = 0, nil
+}
+
 // Release records that a request is no longer in flight at a worker.
 func (b *Balancer) Release(instance string) {
 	worker := b.state(instance)
--- a/internal/serving/loadbalancer/prefill_test.go
+++ b/internal/serving/loadbalancer/prefill_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"math/rand"
 	"testing"
@@ -210,3 +211,49 @@
 		t.Error("ejected after a success")
 	}
 }
+
+// TestRequestNotExecuted sends a prompt to a worker that does not execute it: nothing of the prompt counts
+// there, and what an earlier request had sent stays.
+func TestRequestNotExecuted(t *testing.T) {
+	b := newBalancer(1)
+	const instance = "i-1"
+	earlier := promptOf("common", 100)
+	b.RecordSent(0, earlier, instance)
+	b.RecordFirstToken(time.Second, earlier, instance)
+	state := b.state(instance)
+	waitBefore := state.prefillQueue.waitMillis(0)
+	cachedBefore := maps.Clone(state.prefixCache)
+
+	request := promptOf("common", 6000)
+	request.Parts = append(ParsePrompt("new:4000"), request.Parts...)
+	b.RecordSent(0, request, instance)
+	if state.prefillTokens == 0 || state.prefillQueue.waitMillis(0) <= waitBefore {
+		t.Fatal("the prompt does not count while it is in flight")
+	}
+	for attempt := range 2 { // the second has no effect
+		b.RecordNotExecuted(time.Second, request, instance)
+		if state.prefillTokens != 0 {
+			t.Errorf("%d: %.0f tokens are still to be prefilled", attempt, state.prefillTokens)
+		}
+		if wait := state.prefillQueue.waitMillis(0); wait != waitBefore {
+			t.Errorf("%d: a further prompt waits for %.1f ms, not %.1f ms", attempt, wait, waitBefore)
+		}
+		if !maps.Equal(state.prefixCache, cachedBefore) {
+			t.Errorf("%d: cached parts %v, not %v", attempt, state.prefixCache, cachedBefore)
+		}
+	}
+}
+
+// TestRequestNotExecutedKeepsLaterParts sends the same prompt again before the first request comes back
+// unexecuted: the later request's parts stay.
+func TestRequestNotExecutedKeepsLaterParts(t *testing.T) {
+	b := newBalancer(1)
+	const instance = "i-1"
+	rejected, later := promptOf("common", 100), promptOf("common", 100)
+	b.RecordSent(0, rejected, instance)
+	b.RecordSent(time.Second, later, instance)
+	b.RecordNotExecuted(2*time.Second, rejected, instance)
+	if own, shared := b.state(instance).uncachedTokens(2*time.Second, later.Parts, false); own+shared > 0 {
+		t.Errorf("%.0f tokens of the later request count as not cached", own+shared)
+	}
+}
--- a/internal/serving/loadbalancer/prefillqueue.go
+++ b/internal/serving/loadbalancer/prefillqueue.go
@@ -29,6 +29,14 @@
 	}
 }
 
+// remove takes back a prompt that was added and is not prefilled.
+func (q *prefillQueue) remove(now time.Duration, prefillMillis float64, long bool) {
+	q.busyUntil -= time.Duration(prefillMillis * float64(time.Millisecond))
+	if long {
+		q.longShare.Add(now, -prefillMillis/float64(longShareTimeConstant.Milliseconds()))
+	}
+}
+
 // waitMillis returns how long a further prompt would wait for its prefill to begin.
 func (q *prefillQueue) waitMillis(now time.Duration) float64 {
 	return math.Max(0, float64(q.busyUntil-now)/float64(time.Millisecond))
--- a/internal/serving/loadbalancer/request.go
+++ b/internal/serving/loadbalancer/request.go
@@ -17,6 +17,8 @@
 	uncachedTokens float64       // that its worker has to prefill, as of sending
 	queueMillis    float64       // that the prefill waits at its worker, estimated at sending
 	sentAt         time.Duration // to its present worker
+	prefillMillis  float64       // added to its worker's queue, estimated at sending
+	partsBefore    []cachedPart  // what its worker's prefix cache had of its parts before it was sent
 }
 
 // maxStreamGapMillis returns the longest gap between tokens of the service's streams.
--- a/internal/serving/loadbalancer/worker.go
+++ b/internal/serving/loadbalancer/worker.go
@@ -90,8 +90,15 @@
 	return own, shared
 }
 
-// cacheParts records that the parts of a prompt are sent to the worker.
-func (w *workerState) cacheParts(now time.Duration, parts []Part) {
+// cachedPart is what a prefix cache has of a part.
+type cachedPart struct {
+	id     string
+	sentAt time.Duration
+	cached bool // it has the part; sentAt is valid
+}
+
+// cacheParts records that the parts of a prompt are sent to the worker, and returns what the cache had of them.
+func (w *workerState) cacheParts(now time.Duration, parts []Part) (before []cachedPart) {
 	if len(w.prefixCache) > maxCachedParts {
 		for id, sentAt := range w.prefixCache {
 			if now-sentAt > prefixCacheTTL {
@@ -100,6 +107,22 @@
 		}
 	}
 	for _, part := range parts {
+		sentAt, cached := w.prefixCache[part.ID]
+		before = append(before, cachedPart{id: part.ID, sentAt: sentAt, cached: cached})
 		w.prefixCache[part.ID] = now
 	}
+	return before
+}
+
+// uncacheParts takes back what cacheParts recorded at sentAt. Parts that were sent again since stay.
+func (w *workerState) uncacheParts(sentAt time.Duration, before []cachedPart) {
+	for _, part := range before {
+		switch {
+		case w.prefixCache[part.id] != sentAt:
+		case part.cached:
+			w.prefixCache[part.id] = part.sentAt
+		default:
+			delete(w.prefixCache, part.id)
+		}
+	}
 }
--- a/internal/serving/settings/reader.go
+++ b/internal/serving/settings/reader.go
@@ -10,8 +10,9 @@
 )
 
 const (
-	maxPort   = 65535
-	maxNumber = 1e12 // a greater one is taken for an error
+	maxPort    = 65535
+	maxNumber  = 1e12 // a greater one is taken for an error
+	maxSeconds = 1e9  // a greater one does not fit a time.Duration
 )
 
 // reader converts the values of properties, and keeps the first error.
@@ -103,7 +104,12 @@
 
 // seconds returns the duration of a value in seconds, to a multiple of a microsecond.
 func (r *reader) seconds(key string, fallback float64) time.Duration {
-	return r.milliseconds(key, fallback) * 1000
+	seconds := r.number(key, fallback)
+	if seconds > maxSeconds {
+		r.fail(key, r.text(key), "give seconds, 1e9 at most")
+		return 0
+	}
+	return time.Duration(seconds*float64(time.Millisecond)) * 1000
 }
 
 // ports returns the first and the last port of a range that has at least two.
--- a/internal/serving/settings/settings_test.go
+++ b/internal/serving/settings/settings_test.go
@@ -47,6 +47,7 @@
 		"heartbeat_ms=1200>heartbeat_ms=-1":                           "heartbeat_ms",
 		"heartbeat_ms=1200>heartbeat_ms=NaN":                          "heartbeat_ms",
 		"listen.front=10.1.0.35:8144>listen.front=10.1.0.35":          "listen.front",
+		"bounds.grace_s=8>bounds.grace_s=1e10":                        "bounds.grace_s",
 		"node_name=edge-a-1>node_name=":                               "node_name",
 		"internal_port_range=7660,7675>internal_port_range=7675,7660": "internal_port_range",
 	}
@@ -59,3 +60,11 @@
 		}
 	}
 }
+
+// TestLongestSeconds accepts the greatest number of seconds without an overflow.
+func TestLongestSeconds(t *testing.T) {
+	parsed, err := Parse(strings.Replace(validSettings, "bounds.grace_s=8", "bounds.grace_s=1e9", 1))
+	if err != nil || parsed.Bounds.GracePeriod != 1e9*time.Second {
+		t.Errorf("grace period %v, error %v", parsed.Bounds.GracePeriod, err)
+	}
+}
--- a/internal/serving/wal/atomicfile.go
+++ b/internal/serving/wal/atomicfile.go
@@ -17,9 +17,14 @@
 	if err != nil {
 		return errors.Wrapf(err, "cannot create %s: check the disk", name)
 	}
-	defer func() { _ = file.Close() }() // the data is synced before, or the write has failed already
+	renamed := false
+	defer func() {
+		_ = file.Close() // the data is synced before, or the write has failed already
+		if !renamed {
+			_ = fsys.Remove(path + temporarySuffix) // best effort: frees the space of an incomplete file
+		}
+	}()
 	if _, err := file.Write(data); err != nil {
-		_ = fsys.Remove(path + temporarySuffix) // best effort: frees the space of an incomplete file
 		return errors.Wrapf(err, "cannot write %s: free the disk", name)
 	}
 	if err := file.Sync(); err != nil {
@@ -28,5 +33,6 @@
 	if err := fsys.Rename(path+temporarySuffix, path); err != nil {
 		return errors.Wrapf(err, "cannot rename %s: check the disk", name)
 	}
+	renamed = true
 	return errors.Wrapf(fsys.SyncDir(dir), "cannot sync %s: check the disk", dir)
 }
--- a/internal/serving/wal/log.go
+++ b/internal/serving/wal/log.go
@@ -9,9 +9,9 @@
 	"willowdeck/internal/serving/wirepb"
 )
 
-// ErrCorrupted is returned by Open for a disk that has lost acknowledged data.
+// ErrCorrupted is returned by Open for a disk that has lost acknowledged data. OpenReplica discards such a log.
 var ErrCorrupted = errors.New(
-	"log is corrupted before its end: empty data_dir, so that the replica joins anew")
+	"log is corrupted before its end: its replica joins anew under another identity; check the disk")
 
 // errSegmentFailed is returned by Append until Rewrite has succeeded.
 var errSegmentFailed = errors.New("a write to the segment has failed before: rewrite the log first")
--- a/internal/serving/wal/power_loss_test.go
+++ b/internal/serving/wal/power_loss_test.go
@@ -169,3 +169,30 @@
 		}
 	}
 }
+
+// TestFailedWriteLeavesNoTemporaryFile fails a write at each of its operations: the old content stays, and no
+// temporary file takes space.
+func TestFailedWriteLeavesNoTemporaryFile(t *testing.T) {
+	const name = "workers"
+	failures := map[string]func(*waltest.FileSystem){
+		"full disk": func(fsys *waltest.FileSystem) { fsys.Full = true },
+		"sync":      func(fsys *waltest.FileSystem) { fsys.FailSyncs = 1 },
+	}
+	for failure, inject := range failures {
+		fsys := waltest.New(rand.New(rand.NewSource(1)))
+		if err := wal.WriteFile(fsys, dataDir, name, []byte("old")); err != nil {
+			t.Fatal(err)
+		}
+		inject(fsys)
+		if err := wal.WriteFile(fsys, dataDir, name, []byte("new")); err == nil {
+			t.Errorf("%s: no error", failure)
+		}
+		content, err := fsys.ReadFile(dataDir + "/" + name)
+		if err != nil || string(content) != "old" {
+			t.Errorf("%s: content %q, error %v", failure, content, err)
+		}
+		if names, err := fsys.ReadDir(dataDir); err != nil || len(names) != 1 {
+			t.Errorf("%s: files %v, error %v", failure, names, err)
+		}
+	}
+}
--- a/internal/serving/workerlink/exchange.go
+++ b/internal/serving/workerlink/exchange.go
@@ -33,6 +33,9 @@
 // maxStaleResponses is how many responses to other requests are skipped before a connection is abandoned.
 const maxStaleResponses = 4
 
+// maxInterimResponses is how many interim responses (1xx) may come before each response.
+const maxInterimResponses = 5
+
 // Request is what is sent to a worker.
 type Request struct {
 	Method string
@@ -98,13 +101,10 @@
 // the first on a connection that has carried one request. Any error is an ErrOutcomeUnknown.
 func (c *Conn) Receive(method, requestID string) (*http.Response, error) {
 	for range maxStaleResponses {
-		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		response, err := c.readFinalResponse(method)
 		if err != nil {
 			return nil, errors.Wrap(ErrOutcomeUnknown, err.Error())
 		}
-		if response.StatusCode >= 100 && response.StatusCode < 200 {
-			continue
-		}
 		c.responses++
 		id := response.Header.Get(HeaderRequestID)
 		unambiguous := id == "" && c.requests == 1 && c.responses == 1 &&
@@ -119,6 +119,20 @@
 	return nil, errors.Wrap(ErrOutcomeUnknown, "too many stale responses")
 }
 
+// readFinalResponse reads the head of the next response, and skips the interim ones before it.
+func (c *Conn) readFinalResponse(method string) (*http.Response, error) {
+	for range maxInterimResponses + 1 {
+		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		if err != nil {
+			return nil, err
+		}
+		if response.StatusCode >= http.StatusOK {
+			return response, nil
+		}
+	}
+	return nil, errors.New("too many interim responses")
+}
+
 // KeepAlive returns how long the worker keeps the connection open when idle, 0 where it does not say, and
 // whether it keeps it open at all.
 func KeepAlive(response *http.Response) (time.Duration, bool) {
--- a/internal/serving/workerlink/exchange_test.go
+++ b/internal/serving/workerlink/exchange_test.go
@@ -14,7 +14,10 @@
 	"github.com/pkg/errors"
 )
 
-const testTimeout = 5 * time.Second
+const (
+	testTimeout     = 5 * time.Second
+	interimResponse = "HTTP/1.1 103 Early Hints\r\n\r\n"
+)
 
 // script is what a worker does on one connection; it reads the requests itself.
 type script func(connection net.Conn, reader *bufio.Reader)
@@ -117,6 +120,25 @@
 		}, 0},
 		{"a 421 that names no request", func(c net.Conn, _ *bufio.Reader) { respond(c, "", 421) }, 0},
 		{"a success that names no request", func(c net.Conn, _ *bufio.Reader) { respond(c, "", 200) }, 0},
+		{"interim responses before its own", func(c net.Conn, _ *bufio.Reader) {
+			for range maxInterimResponses {
+				io.WriteString(c, interimResponse)
+			}
+			respond(c, "q-2", 200)
+		}, 200},
+		{"interim responses before stale ones", func(c net.Conn, _ *bufio.Reader) {
+			for range maxStaleResponses - 1 {
+				io.WriteString(c, interimResponse+interimResponse)
+				respond(c, "q-1", 200)
+			}
+			respond(c, "q-2", 200)
+		}, 200},
+		{"too many interim responses", func(c net.Conn, _ *bufio.Reader) {
+			for range maxInterimResponses + 1 {
+				io.WriteString(c, interimResponse)
+			}
+			respond(c, "q-2", 200)
+		}, 0},
 		{"too many stale responses", func(c net.Conn, _ *bufio.Reader) {
 			for range maxStaleResponses + 1 {
 				respond(c, "q-1", 200)
--- a/internal/supervisor/control.go
+++ b/internal/supervisor/control.go
@@ -28,7 +28,10 @@
 
 // ServeControl opens the control port at the address of the settings, and serves it until Close.
 func (d *Daemon) ServeControl() (*ControlServer, error) {
-	listener, err := net.Listen("tcp", d.settings.ControlAddress)
+	d.mu.Lock()
+	address := d.settings.ControlAddress
+	d.mu.Unlock()
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("control: %w", err)
 	}
--- a/internal/supervisor/daemon.go
+++ b/internal/supervisor/daemon.go
@@ -227,6 +227,8 @@
 // Reload puts settings in force that have been loaded again; err is the error of loading them. Settings that
 // could not be loaded, or that change what cannot change while the daemon runs, leave the old ones in force.
 func (d *Daemon) Reload(settings *Settings, err error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	if err == nil &&
 		(settings.RunDir != d.settings.RunDir || settings.ControlAddress != d.settings.ControlAddress ||
 			settings.Name != d.settings.Name || settings.Region != d.settings.Region) {
@@ -236,8 +238,6 @@
 		d.log.Error().Err(err).Msg("settings not reloaded, the old ones stay in force")
 		return
 	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
 	if err := d.reloadRules(settings); err != nil {
 		d.log.Error().Err(err).Msg("settings not reloaded, the old ones stay in force")
 		return
