Raft group: the store is written by a goroutine of its own; reads and leases outlive a stalled disk

Now raft's asynchronous storage writes: a storeWriter writes in order, several updates by one transaction, and what depends on a write goes out once it is durable. TestAllDisksStall and TestLeaderDiskStalls hold disks and wait for 30 confirmed reads.

--- a/internal/distribution/relay/checkpoint.go
+++ b/internal/distribution/relay/checkpoint.go
@@ -14,6 +14,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rs/zerolog"
 
+	"willowdeck/internal/atomicfile"
 	"willowdeck/internal/distribution"
 	"willowdeck/internal/versioned"
 )
@@ -25,6 +26,7 @@
 const (
 	maxCheckpointBytes   = 2 * distribution.MaxResponseBytes
 	checkpointRetryPause = 5 * time.Second // after a write that failed
+	checkpointMode       = 0o600
 )
 
 // Checkpoint stores the latest states of a follower in a file. They are bases for deltas after a restart, and
@@ -135,7 +137,7 @@
 		return err
 	}
 	digest := sha256.Sum256(body)
-	return writeFileAtomic(path, checkpointMagic, digest[:], body)
+	return atomicfile.WriteBytes(path, checkpointMode, checkpointMagic, digest[:], body)
 }
 
 // readCheckpoint gives the stored states. The error is errNoCheckpoint where there is no file; after any
--- a/internal/lab/capacity/demand_test.go
+++ b/internal/lab/capacity/demand_test.go
@@ -121,6 +121,19 @@
 		math.Abs(demands[2].Value-158) > 1 {
 		t.Fatalf("%+v, %v", demands[2], err)
 	}
+	if after := demands[2].AfterChange; after.Distribution != distributionRelays {
+		t.Errorf("with relays the sum is distributed by %q", after.Distribution)
+	}
+	byRun := specWithOneEntry(t) + "after_run = \"c\"\n" + secondEntry + sumEntry
+	if s, err = DecodeSpec(byRun); err != nil {
+		t.Fatal(err)
+	}
+	demands, err = ComputeDemands(s, append(before, rowsOverSizes("c", "direct", sizes,
+		func(n float64) float64 { return n })...))
+	if err != nil || demands[2].AfterChange == nil ||
+		demands[2].AfterChange.Distribution != distributionDirect {
+		t.Errorf("after a change that is a run: %+v, %v", demands[2].AfterChange, err)
+	}
 	if s, err = DecodeSpec(specWithOneEntry(t) + strings.NewReplacer(`"KB/s"`, `"MB/s"`, "limit = \"bytes\"\n",
 		"").Replace(sumEntry+
 		secondEntry)); err == nil {
--- a/internal/lab/experiment/chart.go
+++ b/internal/lab/experiment/chart.go
@@ -10,6 +10,8 @@
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/plotutil"
 	"gonum.org/v1/plot/vg"
+
+	"willowdeck/internal/atomicfile"
 )
 
 // pointsWithErrors is a curve with error bars.
@@ -124,7 +126,7 @@
 func saveChart(chart *plot.Plot, path string) error {
 	chart.Add(plotter.NewGrid())
 	format := strings.TrimPrefix(filepath.Ext(path), ".")
-	return writeFile(path, func(w io.Writer) error {
+	return atomicfile.Write(path, tableMode, func(w io.Writer) error {
 		writer, err := chart.WriterTo(18*vg.Centimeter, 11*vg.Centimeter, format)
 		if err != nil {
 			return err
--- a/internal/lab/experiment/forecasttable.go
+++ b/internal/lab/experiment/forecasttable.go
@@ -7,6 +7,8 @@
 	"slices"
 	"strconv"
 	"strings"
+
+	"willowdeck/internal/atomicfile"
 )
 
 // forecastColumns are the columns of a table of forecast checks.
@@ -22,7 +24,7 @@
 
 // WriteForecastChecks writes checks as CSV.
 func WriteForecastChecks(path string, groups []ForecastChecks) error {
-	return writeFile(path, func(w io.Writer) error {
+	return atomicfile.Write(path, tableMode, func(w io.Writer) error {
 		writer := csv.NewWriter(w)
 		_ = writer.Write(forecastColumns)
 		formatFloat := func(value float64) string { return strconv.FormatFloat(value, 'f', 4, 64) }
--- a/internal/raftlog/apply.go
+++ b/internal/raftlog/apply.go
@@ -31,6 +31,8 @@
 			call(s)
 		case batch := <-s.node.inbound:
 			s.stepMessages(batch)
+		case result := <-s.results:
+			s.finishWrites(result)
 		case <-ticker.C:
 			s.rawNode.Tick()
 			if err := s.runPeriodicTasks(time.Now()); err != nil {
@@ -64,11 +66,11 @@
 
 // stepMessages passes a batch of messages from a peer to raft.
 func (s *session) stepMessages(batch inboundBatch) {
-	if batch.groupID != s.store.identity.GroupID {
+	if batch.groupID != s.store.groupID() {
 		if !s.store.isBlank() {
 			return // the store has joined another group since the batch was accepted
 		}
-		s.store.identity.GroupID = batch.groupID // written with the first update
+		s.store.setGroupID(batch.groupID) // written with the first update
 	}
 	s.store.recordPeerSeq(batch.fromDiskID, batch.writeSeq)
 	for _, message := range batch.messages {
@@ -98,7 +100,7 @@
 			IsLeader:   status.RaftState == raft.StateLeader,
 			Term:       status.Term,
 			LeaderName: s.members[status.Lead],
-			IsVoter:    slices.Contains(s.confState.Voters, s.store.identity.diskID()),
+			IsVoter:    slices.Contains(s.confState.Voters, s.store.diskID()),
 		})
 		if status.Lead != 0 && (requests.ReadIndex || s.readDue) {
 			s.requestRead()
@@ -149,30 +151,110 @@
 	return nil
 }
 
-// handleReady handles one of raft's updates. What has to outlive a crash is written before messages go out.
+// handleReady handles one of raft's updates. What has to outlive a crash is written by the storeWriter;
+// the messages that depend on it go out once it is durable (finishWrites).
 func (s *session) handleReady() error {
 	ready := s.rawNode.Ready()
-	if len(ready.Entries) > 0 || !raft.IsEmptyHardState(ready.HardState) || !raft.IsEmptySnap(ready.Snapshot) {
-		if err := s.store.save(ready.HardState, ready.Entries, ready.Snapshot); err != nil {
-			return err
+	var toPeers []raftpb.Message
+	for _, message := range ready.Messages {
+		switch message.To {
+		case raft.LocalAppendThread:
+			s.enqueueAppend(message)
+		case raft.LocalApplyThread:
+			if err := s.applyCommitted(message); err != nil {
+				return err
+			}
+		default:
+			toPeers = append(toPeers, message)
 		}
 	}
-	if !raft.IsEmptySnap(ready.Snapshot) {
-		if err := s.restoreSnapshot(ready.Snapshot); err != nil {
-			return err
+	s.publish()
+	s.sendMessages(toPeers)
+	s.confirmReads(ready.ReadStates)
+	return s.compactIfDue()
+}
+
+// enqueueAppend has the writer write what an append message holds, and then has its responses delivered.
+func (s *session) enqueueAppend(message raftpb.Message) {
+	update := &storeUpdate{
+		hardState: raftpb.HardState{Term: message.Term, Vote: message.Vote, Commit: message.Commit},
+		entries:   message.Entries,
+	}
+	if message.Snapshot != nil {
+		update.snapshot = *message.Snapshot
+		s.lastIndex = update.snapshot.Metadata.Index
+	}
+	if count := len(update.entries); count > 0 {
+		s.lastIndex = update.entries[count-1].Index
+	}
+	s.writer.enqueue(storeTask{update: update, done: func(s *session) { s.finishAppend(update, message.Responses) }})
+}
+
+// finishWrites takes note of writes that are durable. After an error the session ends.
+func (s *session) finishWrites(result storeResult) {
+	s.node.writeSeq.Store(s.store.writeSeq.Load()) // before a message that depends on the write
+	for _, task := range result.written {
+		if task.done != nil {
+			task.done(s)
+		}
+	}
+	if result.err != nil {
+		s.fail(result.err)
+	}
+}
+
+// finishAppend delivers the responses to a durable update, which are for peers and for raft here. A snapshot
+// replaces the applied state first.
+func (s *session) finishAppend(update *storeUpdate, responses []raftpb.Message) {
+	if !raft.IsEmptySnap(update.snapshot) {
+		if err := s.restoreSnapshot(update.snapshot); err != nil {
+			s.fail(err)
+			return
 		}
 		s.node.log.Info().Uint64("index", s.appliedIndex).Msg("raft group: caught up by a snapshot")
 	}
 	s.publish()
-	s.sendMessages(ready.Messages)
-	for i := range ready.CommittedEntries {
-		if err := s.applyEntry(&ready.CommittedEntries[i]); err != nil {
+	s.deliver(responses)
+}
+
+// deliver steps messages that are for raft here, and sends the others.
+func (s *session) deliver(messages []raftpb.Message) {
+	var toPeers []raftpb.Message
+	for _, message := range messages {
+		if message.To == s.store.diskID() {
+			_ = s.rawNode.Step(message) // raft drops what it can't use
+		} else {
+			toPeers = append(toPeers, message)
+		}
+	}
+	s.sendMessages(toPeers)
+}
+
+// applyCommitted applies the committed entries of a message, and delivers its responses.
+func (s *session) applyCommitted(message raftpb.Message) error {
+	for i := range message.Entries {
+		if err := s.applyEntry(&message.Entries[i]); err != nil {
 			return err
 		}
 	}
-	s.confirmReads(ready.ReadStates)
-	s.rawNode.Advance(ready)
-	return s.compactIfDue()
+	s.deliver(message.Responses)
+	return nil
+}
+
+// writeAndWait writes an update before raft runs here. It returns false if the session fails or ends first.
+func (s *session) writeAndWait(update *storeUpdate) bool {
+	written := false
+	s.writer.enqueue(storeTask{update: update, done: func(*session) { written = true }})
+	for !written && s.failure == nil {
+		select {
+		case <-s.ctx.Done():
+			return false
+		case result := <-s.results:
+			s.finishWrites(result)
+		}
+	}
+	s.lastIndex, _ = s.store.memory.LastIndex() // the memory storage has no error
+	return written
 }
 
 // sendMessages queues messages to peers. A full queue drops a message, as raft expects of a network.
@@ -208,8 +290,7 @@
 	if s.rawNode == nil {
 		return
 	}
-	last, _ := s.store.memory.LastIndex() // the memory storage has no error
-	if s.rawNode.BasicStatus().Lead != 0 && last < s.appliedIndex+maxUnappliedEntries {
+	if s.rawNode.BasicStatus().Lead != 0 && s.lastIndex < s.appliedIndex+maxUnappliedEntries {
 		_ = s.rawNode.Propose(data)
 	}
 }
--- a/internal/raftlog/disk_test.go
+++ b/internal/raftlog/disk_test.go
@@ -207,3 +207,73 @@
 		t.Errorf("%+v", v)
 	}
 }
+
+// readsDuringStall is for how many confirmed reads a stall lasts: leases are renewed by each.
+const readsDuringStall = 30
+
+// awaitReads waits for confirmed reads at a node, which come in the order in which they began.
+func awaitReads(t *testing.T, s *RulesetNode, count int) {
+	t.Helper()
+	began, last := BootClockMillis(), 0.0
+	for reads := 0; reads < count; {
+		select {
+		case <-s.Confirmations():
+		case <-time.After(15 * time.Second):
+			t.Fatalf("%s: %d reads were confirmed", s.Status().HostName, reads)
+		}
+		if state, ok := s.LastConfirmed(); ok && state.ReadStartMillis > max(began, last) {
+			last = state.ReadStartMillis
+			reads++
+		}
+	}
+}
+
+// While all disks stall nothing is committed, the leader stays, and reads are confirmed at every host, so that
+// no lease is lost. What was proposed comes in force once the disks are back.
+func TestAllDisksStall(t *testing.T) {
+	t.Parallel()
+	group := newActiveGroup(t, 3)
+	leader := group.leader()
+	term := leader.Status().Term
+	resume := group.stallDisks("h0", "h1", "h2")
+	id := group.propose(group.nodes["h0"], 200)
+	for _, s := range group.nodes {
+		awaitReads(t, s, readsDuringStall)
+	}
+	for name, s := range group.nodes {
+		if version := s.InForce().Number; version != 1 {
+			t.Errorf("%s: version %d is in force while no disk writes", name, version)
+		}
+	}
+	if status := leader.Status(); status.LeaderName != status.HostName || status.Term != term {
+		t.Errorf("the leader of term %d has lost the lead: %+v", term, status)
+	}
+	resume()
+	group.waitForOutcome(group.nodes["h0"], id)
+	group.waitForVersion(2)
+}
+
+// While the leader's disk alone stalls, the others commit with it as their leader, and apply what it proposes.
+func TestLeaderDiskStalls(t *testing.T) {
+	t.Parallel()
+	group := newActiveGroup(t, 3)
+	leader := group.leader()
+	name, term := leader.Status().HostName, leader.Status().Term
+	resume := group.stallDisks(name)
+	var other *RulesetNode
+	for otherName, s := range group.nodes {
+		if otherName != name {
+			other = s
+		}
+	}
+	group.waitForOutcome(other, group.propose(other, 200))
+	awaitReads(t, other, readsDuringStall)
+	if status := other.Status(); status.LeaderName != name || status.Term != term {
+		t.Errorf("the leader of term %d is lost with its disk stalled: %+v", term, status)
+	}
+	if version := leader.InForce().Number; version != 1 {
+		t.Errorf("version %d is in force at the leader before its disk has it", version)
+	}
+	resume()
+	group.waitForVersion(2)
+}
--- a/internal/raftlog/membership.go
+++ b/internal/raftlog/membership.go
@@ -28,11 +28,9 @@
 
 // runPeriodicTasks saves the peers' sequence numbers and checks the membership, each when it is due.
 func (s *session) runPeriodicTasks(now time.Time) error {
-	if now.Sub(s.lastPeerSeqsSave) >= peerSeqsInterval {
-		s.lastPeerSeqsSave = now
-		if err := s.store.savePeerSeqs(); err != nil {
-			return err
-		}
+	if now.Sub(s.lastPeerSeqsSave) >= peerSeqsInterval && !s.savingPeerSeqs {
+		s.lastPeerSeqsSave, s.savingPeerSeqs = now, true
+		s.writer.enqueue(storeTask{write: s.store.savePeerSeqs, done: func(s *session) { s.savingPeerSeqs = false }})
 	}
 	if now.Sub(s.lastMembershipCheck) < 2*s.node.config.HelloInterval {
 		return nil
@@ -55,7 +53,7 @@
 	leader, groupID, blankHosts := s.surveyPeers(hosts)
 	switch {
 	case leader != "":
-		s.store.identity.GroupID = groupID
+		s.store.setGroupID(groupID)
 		n.goroutines.Add(1)
 		go func() {
 			defer n.goroutines.Done()
@@ -122,15 +120,16 @@
 	for _, id := range confState.Voters {
 		digest.Write(encodeUint64(id))
 	}
-	s.store.identity.GroupID = hex.EncodeToString(digest.Sum(nil)[:8])
+	s.store.setGroupID(hex.EncodeToString(digest.Sum(nil)[:8]))
 	data, err := s.encodeSnapshot()
 	if err != nil {
 		return err
 	}
 	snapshot := raftpb.Snapshot{Data: data,
 		Metadata: raftpb.SnapshotMetadata{ConfState: confState, Index: 1, Term: 1}}
-	if err := s.store.save(raftpb.HardState{Term: 1, Commit: 1}, nil, snapshot); err != nil {
-		return err
+	initial := &storeUpdate{hardState: raftpb.HardState{Term: 1, Commit: 1}, snapshot: snapshot}
+	if !s.writeAndWait(initial) {
+		return s.failure
 	}
 	if err := s.restoreSnapshot(snapshot); err != nil {
 		return err
@@ -138,7 +137,7 @@
 	if s.rawNode, err = s.newRawNode(); err != nil {
 		return err
 	}
-	n.log.Info().Str("group", s.store.identity.GroupID).Int("hosts", len(confState.Voters)).
+	n.log.Info().Str("group", s.store.groupID()).Int("hosts", len(confState.Voters)).
 		Msg("raft group: bootstrapped")
 	return s.rawNode.Campaign()
 }
@@ -146,7 +145,7 @@
 // collectFounders makes the disks of all hosts the members. It returns false if one of them has no valid ID.
 func (s *session) collectFounders() bool {
 	n := s.node
-	s.members = map[uint64]string{s.store.identity.diskID(): n.config.HostName}
+	s.members = map[uint64]string{s.store.diskID(): n.config.HostName}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, host := range *n.hosts.Load() {
@@ -297,7 +296,7 @@
 		queue.cancel()
 		delete(s.sendQueues, diskID)
 	}
-	if diskID == s.store.identity.diskID() {
+	if diskID == s.store.diskID() {
 		s.fail(fmt.Errorf("%w: by agreement of the others", errRemovedMember))
 	}
 }
--- a/internal/raftlog/peers.go
+++ b/internal/raftlog/peers.go
@@ -112,7 +112,7 @@
 		return
 	}
 	n.enqueue(func(s *session) {
-		if formatDiskID(s.store.identity.diskID()) == r.ForDiskID {
+		if formatDiskID(s.store.diskID()) == r.ForDiskID {
 			s.fail(cause)
 		}
 	})
--- a/internal/raftlog/session.go
+++ b/internal/raftlog/session.go
@@ -29,7 +29,9 @@
 	node       *Node
 	ctx        context.Context // ends with the session
 	store      *store
-	rawNode    *raft.RawNode // nil until the peers have reported on this disk
+	writer     *storeWriter
+	results    chan storeResult // of the writer
+	rawNode    *raft.RawNode    // nil until the peers have reported on this disk
 	goroutines sync.WaitGroup
 	sendQueues map[uint64]*sendQueue // by the peer's disk ID
 
@@ -38,6 +40,7 @@
 	confState     raftpb.ConfState
 	appliedIndex  uint64
 	snapshotIndex uint64
+	lastIndex     uint64 // of the log, with entries that are still being written
 	leaderID      uint64 // as of the last update; 0: none
 
 	lastReadID     uint64
@@ -50,6 +53,7 @@
 	startedAt           time.Time
 	lastMembershipCheck time.Time
 	lastPeerSeqsSave    time.Time
+	savingPeerSeqs      bool // a write of them is in progress
 }
 
 // publishedState is what other goroutines see of a session; immutable.
@@ -81,7 +85,14 @@
 	// A leader keeps reads by their IDs, and responses to those of an earlier session may still be in flight.
 	s.lastReadID = randomUint64()
 	st.writeFault = n.config.writeFault
-	n.writeSeq.Store(st.writeSeq)
+	s.lastIndex, _ = st.memory.LastIndex() // the memory storage has no error
+	s.writer, s.results = newStoreWriter(st), make(chan storeResult)
+	s.goroutines.Add(1)
+	go func() {
+		defer s.goroutines.Done()
+		s.writer.run(ctx.Done(), s.results)
+	}()
+	n.writeSeq.Store(st.writeSeq.Load())
 	n.currentStore.Store(st)
 	defer func() {
 		n.currentStore.Store(nil)
@@ -109,7 +120,7 @@
 
 // publish makes the session's state visible to other goroutines.
 func (s *session) publish() {
-	published := &publishedState{diskID: s.store.identity.diskID(), groupID: s.store.identity.GroupID,
+	published := &publishedState{diskID: s.store.diskID(), groupID: s.store.groupID(),
 		isBlank: s.store.isBlank(), appliedIndex: s.appliedIndex,
 		removed: map[string]bool{}, members: map[uint64]string{}}
 	for _, id := range s.removed {
@@ -123,7 +134,7 @@
 		status := s.rawNode.BasicStatus()
 		published.term, published.leaderName = status.Term, s.members[status.Lead]
 	}
-	s.node.writeSeq.Store(s.store.writeSeq)
+	s.node.writeSeq.Store(s.store.writeSeq.Load())
 	s.node.published.Store(published)
 }
 
@@ -154,7 +165,7 @@
 // entries that it has acknowledged.
 func (s *session) peerReportsComplete() bool {
 	n := s.node
-	hosts, diskID := *n.hosts.Load(), formatDiskID(s.store.identity.diskID())
+	hosts, diskID := *n.hosts.Load(), formatDiskID(s.store.diskID())
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	reports := 1 // its own
@@ -180,7 +191,7 @@
 // newRawNode creates the raft state machine from what the store holds.
 func (s *session) newRawNode() (*raft.RawNode, error) {
 	return raft.NewRawNode(&raft.Config{
-		ID:                        s.store.identity.diskID(),
+		ID:                        s.store.diskID(),
 		ElectionTick:              electionTicks,
 		HeartbeatTick:             heartbeatTicks,
 		Storage:                   s.store.memory,
@@ -189,6 +200,7 @@
 		MaxCommittedSizePerReady:  4 * maxEntryBytes,
 		MaxUncommittedEntriesSize: 4 * maxEntryBytes,
 		MaxInflightMsgs:           maxInflightMessages,
+		AsyncStorageWrites:        true,
 		CheckQuorum:               true,
 		PreVote:                   true,
 		ReadOnlyOption:            raft.ReadOnlySafe,
--- a/internal/raftlog/snapshot.go
+++ b/internal/raftlog/snapshot.go
@@ -60,9 +60,12 @@
 	if err != nil {
 		return err
 	}
-	if err := s.store.compact(s.appliedIndex, &s.confState, data, retainedEntries); err != nil {
+	// Raft sends the new snapshot from here on, whose state is committed, while it is being written.
+	snapshot, err := s.store.memory.CreateSnapshot(s.appliedIndex, &s.confState, data)
+	if err != nil {
 		return err
 	}
+	s.writer.enqueue(storeTask{write: func() error { return s.store.compact(snapshot, retainedEntries) }})
 	s.snapshotIndex, s.membershipChanged = s.appliedIndex, false
 	return nil
 }
--- a/internal/raftlog/store.go
+++ b/internal/raftlog/store.go
@@ -12,6 +12,7 @@
 	"math"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 
 	"go.etcd.io/bbolt"
 	"go.etcd.io/raft/v3"
@@ -51,15 +52,16 @@
 // raft reads. Each write is one transaction, synced before it returns. Every value carries a checksum of
 // its key and itself, as bbolt has checksums of its meta pages alone.
 //
-// The session's goroutine alone writes it. recordPeerSeq may be called by any goroutine.
+// During a session its storeWriter's goroutine alone writes it. Methods that do not write may be called by any
+// goroutine.
 type store struct {
 	db         *bbolt.DB
 	memory     *raft.MemoryStorage
-	identity   identity
-	writeSeq   uint64       // transactions so far: peers remember it, and so recognize a stale copy of the disk
-	writeFault func() error // injected by tests: the error of a write
+	writeSeq   atomic.Uint64 // transactions so far: peers remember it, and so recognize a stale copy of the disk
+	writeFault func() error  // injected by tests: the error of a write
 
-	mu            sync.Mutex        // guards the fields below
+	mu            sync.Mutex // guards the fields below
+	identity      identity
 	peerSeqs      map[string]uint64 // the highest write sequence number seen of each other disk, by disk ID
 	peerSeqsDirty bool              // some of it is not written yet
 }
@@ -120,36 +122,65 @@
 	return s.db.Update(write)
 }
 
-// save writes what raft wants to outlive a crash, with the peers' sequence numbers. After an error the file
-// holds what it held before, and no message that depends on the write may be sent.
-func (s *store) save(hardState raftpb.HardState, entries []raftpb.Entry, snapshot raftpb.Snapshot) error {
+// diskID is the member's ID in raft.
+func (s *store) diskID() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.identity.diskID()
+}
+
+// groupID is the group that the disk belongs to; empty until it has joined or formed one.
+func (s *store) groupID() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.identity.GroupID
+}
+
+// setGroupID sets the group, which is written with the next transaction.
+func (s *store) setGroupID(groupID string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.identity.GroupID = groupID
+}
+
+// save writes, in one transaction, updates that raft wants to outlive a crash, with the peers' sequence
+// numbers. After an error the file holds what it held before, and no message that depends on the write may be
+// sent.
+func (s *store) save(updates ...*storeUpdate) error {
 	if s.writeFault != nil {
 		if err := s.writeFault(); err != nil {
 			return err
 		}
 	}
-	writeSeq := s.writeSeq + 1
-	err := s.update(func(tx *bbolt.Tx) error {
-		return s.saveTx(tx, writeSeq, hardState, entries, snapshot)
-	})
+	writeSeq := s.writeSeq.Load() + 1
+	err := s.update(func(tx *bbolt.Tx) error { return s.saveTx(tx, writeSeq, updates) })
 	if err != nil {
 		return err
 	}
-	s.writeSeq = writeSeq
-	if !raft.IsEmptySnap(snapshot) {
-		if err := s.memory.ApplySnapshot(snapshot); err != nil {
+	s.writeSeq.Store(writeSeq)
+	for _, update := range updates {
+		if err := s.applyToMemory(update); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// applyToMemory brings a written update into the copy that raft reads.
+func (s *store) applyToMemory(update *storeUpdate) error {
+	if !raft.IsEmptySnap(update.snapshot) {
+		if err := s.memory.ApplySnapshot(update.snapshot); err != nil {
 			return err
 		}
 	}
-	if !raft.IsEmptyHardState(hardState) {
-		_ = s.memory.SetHardState(hardState) // the memory storage has no error
+	if !raft.IsEmptyHardState(update.hardState) {
+		_ = s.memory.SetHardState(update.hardState) // the memory storage has no error
 	}
-	return s.memory.Append(entries)
+	return s.memory.Append(update.entries)
 }
 
 // saveTx is save's transaction.
-func (s *store) saveTx(tx *bbolt.Tx, writeSeq uint64, hardState raftpb.HardState, entries []raftpb.Entry,
-	snapshot raftpb.Snapshot) error {
+func (s *store) saveTx(tx *bbolt.Tx, writeSeq uint64, updates []*storeUpdate) error {
 	state, err := tx.CreateBucketIfNotExists(stateBucket)
 	if err != nil {
 		return err
@@ -162,27 +193,35 @@
 	if err != nil {
 		return err
 	}
-	if !raft.IsEmptySnap(snapshot) { // received from the leader in place of the log
-		last = snapshot.Metadata.Index
-		if err := deleteEntries(log, 0, math.MaxUint64); err != nil {
-			return err
-		}
-		if err := putMarshaled(state, snapshotKey, &snapshot); err != nil {
+	for _, update := range updates {
+		if last, err = putUpdate(state, log, update, last); err != nil {
 			return err
 		}
 	}
-	if len(entries) > 0 {
-		last = entries[len(entries)-1].Index
-		if err := putEntries(log, entries); err != nil {
-			return err
+	return s.putWriteState(state, writeSeq, last)
+}
+
+// putUpdate writes an update to a log whose last index is known, and returns the last index after it.
+func putUpdate(state, log *bbolt.Bucket, update *storeUpdate, last uint64) (uint64, error) {
+	if !raft.IsEmptySnap(update.snapshot) { // received from the leader in place of the log
+		last = update.snapshot.Metadata.Index
+		if err := deleteEntries(log, 0, math.MaxUint64); err != nil {
+			return last, err
+		}
+		if err := putMarshaled(state, snapshotKey, &update.snapshot); err != nil {
+			return last, err
 		}
 	}
-	if !raft.IsEmptyHardState(hardState) {
-		if err := putMarshaled(state, hardStateKey, &hardState); err != nil {
-			return err
+	if len(update.entries) > 0 {
+		last = update.entries[len(update.entries)-1].Index
+		if err := putEntries(log, update.entries); err != nil {
+			return last, err
 		}
 	}
-	return s.putWriteState(state, writeSeq, last)
+	if raft.IsEmptyHardState(update.hardState) {
+		return last, nil
+	}
+	return last, putMarshaled(state, hardStateKey, &update.hardState)
 }
 
 // putEntries writes entries in place of all from the first one's index on.
@@ -205,15 +244,12 @@
 // putWriteState writes what is part of every transaction: the identity, the peers' sequence numbers, the
 // store's own and the log's last index.
 func (s *store) putWriteState(state *bbolt.Bucket, writeSeq, lastIndex uint64) error {
-	identityJSON, err := json.Marshal(s.identity)
-	if err != nil {
-		return err
-	}
 	s.mu.Lock()
-	peerSeqsJSON, err := json.Marshal(s.peerSeqs)
+	identityJSON, err := json.Marshal(s.identity)
+	peerSeqsJSON, peerSeqsErr := json.Marshal(s.peerSeqs)
 	s.peerSeqsDirty = false
 	s.mu.Unlock()
-	if err != nil {
+	if err := errors.Join(err, peerSeqsErr); err != nil {
 		return err
 	}
 	return errors.Join(
@@ -224,19 +260,15 @@
 	)
 }
 
-// compact writes a snapshot of the state applied up to index in place of the log, and retains the last
-// entries before it for followers that are a little behind.
-func (s *store) compact(index uint64, confState *raftpb.ConfState, data []byte, retained uint64) error {
-	snapshot, err := s.memory.CreateSnapshot(index, confState, data)
-	if err != nil {
-		return err
-	}
+// compact writes a snapshot, which memory has already, in place of the log, and retains the last entries before
+// it for followers that are a little behind.
+func (s *store) compact(snapshot raftpb.Snapshot, retained uint64) error {
 	last, err := s.memory.LastIndex()
 	if err != nil {
 		return err
 	}
-	writeSeq, compactIndex := s.writeSeq+1, uint64(0)
-	if index > retained {
+	writeSeq, compactIndex := s.writeSeq.Load()+1, uint64(0)
+	if index := snapshot.Metadata.Index; index > retained {
 		compactIndex = index - retained
 	}
 	err = s.update(func(tx *bbolt.Tx) error {
@@ -252,7 +284,7 @@
 	if err != nil {
 		return err
 	}
-	s.writeSeq = writeSeq
+	s.writeSeq.Store(writeSeq)
 	if first, _ := s.memory.FirstIndex(); compactIndex < first { // the memory storage has no error
 		return nil
 	}
@@ -290,7 +322,7 @@
 		return err
 	}
 	return s.update(func(tx *bbolt.Tx) error {
-		return s.putWriteState(tx.Bucket(stateBucket), s.writeSeq, last)
+		return s.putWriteState(tx.Bucket(stateBucket), s.writeSeq.Load(), last)
 	})
 }
 
--- a/internal/raftlog/store_open.go
+++ b/internal/raftlog/store_open.go
@@ -68,7 +68,7 @@
 	s = newStore(db)
 	if err = s.loadAll(); err == nil && s.identity.Nonce == "" {
 		s.identity = identity{HostName: hostName, Nonce: newNonce()}
-		err = s.save(raftpb.HardState{}, nil, raftpb.Snapshot{})
+		err = s.save(&storeUpdate{})
 	}
 	if err == nil && s.identity.HostName != hostName {
 		err = fmt.Errorf("%s: it is the store of %q, not of %q", path, s.identity.HostName, hostName)
@@ -201,7 +201,7 @@
 	); err != nil {
 		return stored, fmt.Errorf("%w: %w", errCorruptStore, err)
 	}
-	s.writeSeq = binary.BigEndian.Uint64(values[writeSeqKey])
+	s.writeSeq.Store(binary.BigEndian.Uint64(values[writeSeqKey]))
 	stored.lastIndex = binary.BigEndian.Uint64(values[lastIndexKey])
 	return stored, nil
 }
--- a/internal/supervisor/rundir.go
+++ b/internal/supervisor/rundir.go
@@ -6,12 +6,16 @@
 	"os"
 	"path/filepath"
 
+	"willowdeck/internal/atomicfile"
 	"willowdeck/internal/ruleset"
 )
 
 // appliedRulesFile is the name, in the run directory, of the rules that were applied last on this host.
 const appliedRulesFile = "rules.json"
 
+// runFileMode is the mode of the files in the run directory.
+const runFileMode = 0o600
+
 // instanceDir is the directory of an instance's files.
 func (d *Daemon) instanceDir(name string) string { return filepath.Join(d.settings.RunDir, name) }
 
@@ -38,13 +42,14 @@
 	return replaceFile(d.notePath(process), raw)
 }
 
-// writeAppliedRules writes the version whose instances the next daemon starts with.
+// writeAppliedRules writes the version whose instances the next daemon starts with, durably: that daemon may
+// have no other valid rules, also after a crash of the machine. Leases do not wait for the disk meanwhile.
 func writeAppliedRules(runDir string, version *ruleset.Version) error {
 	raw, err := json.Marshal(version)
 	if err != nil {
 		return err
 	}
-	return replaceFile(filepath.Join(runDir, appliedRulesFile), raw)
+	return atomicfile.WriteBytes(filepath.Join(runDir, appliedRulesFile), runFileMode, raw)
 }
 
 // readAppliedRules reads the rules that were applied last on this host, and checks them.
@@ -64,11 +69,11 @@
 }
 
 // replaceFile writes a file so that a reader, and a start after the daemon's own crash, finds either the old
-// or the new content. It does not sync: after a crash of the machine no instance runs, and what is missing is
-// written again.
+// or the new content. It does not sync, for what is of no use after a crash of the machine: no instance runs
+// then, and its configuration and note are written again.
 func replaceFile(path string, content []byte) error {
 	part := path + ".part"
-	if err := os.WriteFile(part, content, 0o600); err != nil {
+	if err := os.WriteFile(part, content, runFileMode); err != nil {
 		return err
 	}
 	return os.Rename(part, path)
