--- a/internal/lab/capacity/demand_test.go
+++ b/internal/lab/capacity/demand_test.go
@@ -124,7 +124,7 @@
 	if after := demands[2].AfterChange; after.Distribution != distributionRelays {
 		t.Errorf("with relays the sum is distributed by %q", after.Distribution)
 	}
-	byRun := specWithOneEntry(t) + "after_run = \"c\"\n" + secondEntry + sumEntry
+	byRun := specWithOneEntry(t) + "run = \"a\"\nafter_run = \"c\"\n" + secondEntry + sumEntry
 	if s, err = DecodeSpec(byRun); err != nil {
 		t.Fatal(err)
 	}
