Limits, priority and session_affinity of a configuration take effect

An operator who set max_header_bytes, header_timeout_ms, idle_timeout_ms, priority or session_affinity got nothing for it. Connections are now served by the limits in force when they were accepted (frontServer: one http.Server for each set of limits); a route never goes before one of higher priority at the same service, and by its latency target else, which is what the sites' configurations give already; a prompt of a route without session_affinity goes to any worker. The routes of a table are built again only where the configuration has changed.

--- a/internal/serving/edge/attempt.go
+++ b/internal/serving/edge/attempt.go
@@ -91,7 +91,7 @@
 	request.Header[workerlink.HeaderDeadline] = []string{strconv.FormatInt(leftMillis, 10)}
 	request.Header[workerlink.HeaderTarget] = []string{chosen.Instance}
 	if chosen.Engine {
-		request.Header[workerlink.HeaderPriority] = []string{priority(p.route)}
+		request.Header[workerlink.HeaderPriority] = []string{strconv.Itoa(p.priorityRank)}
 	}
 	if p.hasLastEventID {
 		request.Header[workerlink.HeaderLastEvent] = []string{strconv.FormatUint(p.lastEventID, 10)}
--- a/internal/serving/edge/edge.go
+++ b/internal/serving/edge/edge.go
@@ -22,10 +22,6 @@
 )
 
 const (
-	requestHeadTimeout = 6 * time.Second
-	// clientIdleTimeout lets clients reuse connections for as long as the configuration's limits say.
-	clientIdleTimeout   = 60 * time.Second
-	maxRequestHeadBytes = 128 << 10
 	// clientDirectoryLag is how long clients with old answers of the directory still come to an edge.
 	clientDirectoryLag   = 3300 * time.Millisecond
 	shutdownPollInterval = 50 * time.Millisecond
@@ -108,8 +104,8 @@
 	go e.runMaintenance(ctx)
 	go e.runHealthChecks(ctx)
 	go e.exchangeDatagrams(ctx)
-	server := e.frontServer()
-	go func() { _ = server.Serve(front) }() // returns after Shutdown
+	server := newFrontServer(front, e, e.connectionLimits)
+	go server.serve()
 	e.logger.Info("edge started", zap.String("front", e.settings.FrontAddress))
 	<-signals
 	e.drain(server)
@@ -117,16 +113,17 @@
 	return nil
 }
 
-func (e *Edge) frontServer() *http.Server {
-	return &http.Server{
-		Handler: e, ReadHeaderTimeout: requestHeadTimeout, IdleTimeout: clientIdleTimeout,
-		MaxHeaderBytes: maxRequestHeadBytes, ErrorLog: zap.NewStdLog(zap.NewNop()),
+// connectionLimits returns the limits on clients' connections that are in force.
+func (e *Edge) connectionLimits() connectionLimits {
+	if table := e.table.Load(); table != nil {
+		return connectionLimitsOf(table.limits)
 	}
+	return defaultConnectionLimits
 }
 
 // drain lets clients move to other edges and waits for the requests in flight, within the platform's grace
 // period.
-func (e *Edge) drain(server *http.Server) {
+func (e *Edge) drain(server *frontServer) {
 	e.draining.Store(true)
 	e.notifyStatusChange()
 	begun := time.Now()
@@ -139,7 +136,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownMargin/2)
 	defer cancel()
-	_ = server.Shutdown(ctx) // requests that outlast it are cut off by the end of the process
+	server.Shutdown(ctx) // requests that outlast it are cut off by the end of the process
 }
 
 // ready reports whether new clients may come.
--- a/internal/serving/edge/edge_test.go
+++ b/internal/serving/edge/edge_test.go
@@ -140,6 +140,7 @@
 	"/twice/":  `"route_type":"non_idempotent","max_attempts":2`,
 	"/stream/": `"route_type":"streaming","resumable":false,"max_attempts":1`,
 	"/resume/": `"route_type":"streaming","resumable":true,"max_attempts":2`,
+	"/prompt/": `"route_type":"idempotent","max_attempts":2,"session_affinity":true`,
 }
 
 // startEdge runs an edge with the workers i-0, i-1 and so on, and a server that clients connect to.
@@ -168,7 +169,7 @@
 	}
 	e.updateTable(newTableBuilder(config))
 	server := httptest.NewUnstartedServer(e)
-	server.Config = e.frontServer()
+	server.Config = newHTTPServer(e, defaultConnectionLimits)
 	server.Start()
 	t.Cleanup(server.Close)
 	return e, server
--- a/internal/serving/edge/golden_test.go
+++ b/internal/serving/edge/golden_test.go
@@ -78,7 +78,7 @@
 		fmt.Fprint(connection, "HTTP/1.1 200 OK\r\nRequest-Id: id-1\r\nContent-Length: 0\r\n\r\n")
 	})
 	e, server := startEdge(t, w)
-	request, err := http.NewRequest(http.MethodGet, server.URL+"/idem/", nil)
+	request, err := http.NewRequest(http.MethodGet, server.URL+"/prompt/", nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -143,10 +143,11 @@
 
 // TestGoldenHeaders compares the headers that a worker gets, and how a client's deadline is read.
 func TestGoldenHeaders(t *testing.T) {
+	route := &configuration.Route{TargetLatencyMs: 1600}
 	p := &proxiedRequest{
 		workerRequest: &workerlink.Request{Header: http.Header{"Request-Id": {"id-1"}}},
 		lastEventID:   41, hasLastEventID: true,
-		route: &configuration.Route{TargetLatencyMs: 1600}, deadline: time.Now().Add(time.Hour),
+		route: route, priorityRank: priorityRanks([]*configuration.Route{route})[route], deadline: time.Now().Add(time.Hour),
 	}
 	got := p.workerRequestFor(worker{Worker: loadbalancer.Worker{Instance: "w-1", Engine: true}}).Header
 	for name, want := range map[string]string{
--- a/internal/serving/edge/handler.go
+++ b/internal/serving/edge/handler.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -26,14 +25,6 @@
 	maxStatedTimeoutMillis = 1e9                     // of a client's deadline, so that it fits a Duration
 )
 
-// Priority ranks of requests at a worker; the lowest rank is the most urgent.
-const (
-	maxPriorityRank        = 9
-	defaultPriorityRank    = 5     // of routes without a latency target
-	mostUrgentTargetMillis = 400.0 // routes with this latency target or a tighter one have rank 0
-	ranksPerDoubling       = 2.0   // of the latency target
-)
-
 // ServeHTTP handles a client's request.
 func (e *Edge) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	e.inFlight.Add(1)
@@ -67,9 +58,11 @@
 	p := &proxiedRequest{
 		edge: e, writer: w, clientRequest: r, route: route, id: id, service: service,
 		deadline: arrivedAt.Add(requestTimeout(r, route)), excluded: map[string]bool{},
+		priorityRank: table.priorityRanks[route],
 		prompt: &loadbalancer.Request{
 			Parts:              loadbalancer.ParsePrompt(r.Header.Get(headerPromptPrefix)),
 			MaxStreamGapMillis: table.maxStreamGapMillis[service],
+			WithoutAffinity:    !route.SessionAffinity,
 		},
 		workerRequest: &workerlink.Request{
 			Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: workerlink.EndToEnd(r.Header), Body: body,
@@ -146,13 +139,3 @@
 	w.Header().Set("Content-Length", "0")
 	w.WriteHeader(status)
 }
-
-// priority returns a request's rank at a worker, by the route's latency target: what has to begin soon goes
-// before what can wait. Such requests are the small ones, too, which delay the others least.
-func priority(route *configuration.Route) string {
-	if route.TargetLatencyMs <= 0 {
-		return strconv.Itoa(defaultPriorityRank)
-	}
-	rank := math.Round(ranksPerDoubling * math.Log2(route.TargetLatencyMs/mostUrgentTargetMillis))
-	return strconv.Itoa(int(min(max(rank, 0), maxPriorityRank)))
-}
--- a/internal/serving/edge/pathmonitor_test.go
+++ b/internal/serving/edge/pathmonitor_test.go
@@ -36,7 +36,8 @@
 	}
 	for _, c := range cases {
 		table := &routingTable{
-			routesByHost: map[string][]*configuration.Route{"h": c.routes}, workersByService: workers,
+			routeSet:         &routeSet{routesByHost: map[string][]*configuration.Route{"h": c.routes}},
+			workersByService: workers,
 		}
 		suspected := map[string]bool{}
 		for _, zone := range c.suspected {
@@ -107,7 +108,7 @@
 
 // TestStrictestStreamGapCounts bounds the gaps in streams of a service by all routes that lead there.
 func TestStrictestStreamGapCounts(t *testing.T) {
-	table := &routingTable{maxStreamGapMillis: map[string]float64{}}
+	table := &routingTable{routeSet: &routeSet{maxStreamGapMillis: map[string]float64{}}}
 	for _, route := range []*configuration.Route{
 		{Backend: "s", TargetGapMs: 600}, {Backend: "s"}, {Backend: "other", TargetGapMs: 100},
 		{TrafficSplit: []configuration.Split{{Backend: "s"}, {Backend: "new", Weight: 1}}, TargetGapMs: 400},
--- a/internal/serving/edge/proxiedrequest.go
+++ b/internal/serving/edge/proxiedrequest.go
@@ -29,6 +29,7 @@
 	route         *configuration.Route
 	service       string
 	id            string
+	priorityRank  int                 // at its worker
 	workerRequest *workerlink.Request // as received from the client; attempts add headers
 	prompt        *loadbalancer.Request
 	deadline      time.Time
--- a/internal/serving/edge/routingtable.go
+++ b/internal/serving/edge/routingtable.go
@@ -17,11 +17,19 @@
 // budget's slack is next to nothing then.
 const unknownEdgeCount = 10_000
 
+// routeSet is what the routes of a configuration say. It is immutable once built.
+type routeSet struct {
+	routesByHost  map[string][]*configuration.Route // the longest path prefix first
+	priorityRanks map[*configuration.Route]int      // at a worker; 0 is the most urgent
+	// maxStreamGapMillis bounds the gaps between tokens of a service's streams, by its strictest route.
+	maxStreamGapMillis map[string]float64
+}
+
 // routingTable is what requests are routed by: the configuration and the workers at one moment. It is
 // immutable once built.
 type routingTable struct {
+	*routeSet
 	generation       uint64
-	routesByHost     map[string][]*configuration.Route // the longest path prefix first
 	services         map[string]*configuration.Service
 	limits           configuration.Limits
 	workersByService map[string][]worker // those that may get new requests
@@ -31,8 +39,6 @@
 	linkedPeers      int // how many of peers are linked, as the core says
 	// edgeCount is N, how many edges there are, this one included. It is never too low; 0: not known.
 	edgeCount int
-	// maxStreamGapMillis bounds the gaps between tokens of a service's streams, by its strictest route.
-	maxStreamGapMillis map[string]float64
 }
 
 // peer is another edge.
@@ -56,8 +62,8 @@
 }
 
 // route returns the route of a request, or nil.
-func (t *routingTable) route(host, path string) *configuration.Route {
-	for _, route := range t.routesByHost[hostName(host)] {
+func (s *routeSet) route(host, path string) *configuration.Route {
+	for _, route := range s.routesByHost[hostName(host)] {
 		if strings.HasPrefix(path, route.PathPrefix) {
 			return route
 		}
--- a/internal/serving/edge/tablebuilder.go
+++ b/internal/serving/edge/tablebuilder.go
@@ -35,6 +35,8 @@
 type tableBuilder struct {
 	settings       *settings.Settings
 	routes         routeCache               // of the last table
+	document       *configuration.Document  // of the last table
+	routeSet       *routeSet                // of document
 	maxEdges       int                      // the most edges that were known at any time
 	edgeCountKnown bool                     // a core that had heard of all edges has fed this process
 	evacuated      map[string]bool          // zones, as of the last table
@@ -91,14 +93,15 @@
 	if snapshot.Document == nil {
 		return nil, nil
 	}
+	routes, err := b.routeSetOf(snapshot.Document)
+	if err != nil {
+		return nil, err
+	}
 	table := &routingTable{
-		generation: snapshot.Document.Generation, services: map[string]*configuration.Service{},
-		workersByService: map[string][]worker{}, maxStreamGapMillis: map[string]float64{},
+		routeSet: routes, generation: snapshot.Document.Generation,
+		services: map[string]*configuration.Service{}, workersByService: map[string][]worker{},
 		addresses: map[string]string{}, demands: snapshot.Demands,
 	}
-	if err := b.addRoutes(table, snapshot.Document); err != nil {
-		return nil, err
-	}
 	services, err := snapshot.Document.Services()
 	if err != nil {
 		return nil, err
@@ -120,40 +123,46 @@
 	return table, nil
 }
 
-// addRoutes adds the routes of a configuration to a table.
-func (b *tableBuilder) addRoutes(table *routingTable, document *configuration.Document) error {
-	routes := make(routeCache, len(document.Routes()))
-	table.routesByHost = map[string][]*configuration.Route{}
+// routeSetOf returns the routes of a configuration. They are those of the last table where it has not changed.
+func (b *tableBuilder) routeSetOf(document *configuration.Document) (*routeSet, error) {
+	if document == b.document {
+		return b.routeSet, nil
+	}
+	set := &routeSet{routesByHost: map[string][]*configuration.Route{}, maxStreamGapMillis: map[string]float64{}}
+	decoded := make(routeCache, len(document.Routes()))
+	all := make([]*configuration.Route, 0, len(document.Routes()))
 	for _, text := range document.Routes() {
 		route := b.routes[text]
 		if route == nil {
 			route = &configuration.Route{}
 			if err := json.Unmarshal([]byte(text), route); err != nil {
-				return err
+				return nil, err
 			}
 		}
-		routes[text] = route
+		decoded[text] = route
+		all = append(all, route)
 		host := strings.ToLower(route.Hostname)
-		table.routesByHost[host] = append(table.routesByHost[host], route)
-		table.addStreamGap(route)
+		set.routesByHost[host] = append(set.routesByHost[host], route)
+		set.addStreamGap(route)
 	}
-	b.routes = routes
-	for _, routes := range table.routesByHost {
+	for _, routes := range set.routesByHost {
 		slices.SortFunc(routes, func(x, y *configuration.Route) int {
 			return len(y.PathPrefix) - len(x.PathPrefix)
 		})
 	}
-	return nil
+	set.priorityRanks = priorityRanks(all)
+	b.document, b.routeSet, b.routes = document, set, decoded
+	return set, nil
 }
 
 // addStreamGap tightens maxStreamGapMillis of the services that a route leads to.
-func (t *routingTable) addStreamGap(route *configuration.Route) {
+func (s *routeSet) addStreamGap(route *configuration.Route) {
 	if route.TargetGapMs <= 0 {
 		return
 	}
 	for _, split := range route.Backends() {
-		if strictest, known := t.maxStreamGapMillis[split.Backend]; !known || route.TargetGapMs < strictest {
-			t.maxStreamGapMillis[split.Backend] = route.TargetGapMs
+		if strictest, known := s.maxStreamGapMillis[split.Backend]; !known || route.TargetGapMs < strictest {
+			s.maxStreamGapMillis[split.Backend] = route.TargetGapMs
 		}
 	}
 }
--- a/internal/serving/loadbalancer/affinity.go
+++ b/internal/serving/loadbalancer/affinity.go
@@ -18,7 +18,7 @@
 // among the candidates of all regions where the shared parts are long, else among those of the edge's region.
 func (b *Balancer) affinityInstance(now time.Duration, request *Request, candidates []Worker) string {
 	key := affinityKey(request.Parts)
-	if key == "" {
+	if key == "" || request.WithoutAffinity {
 		return ""
 	}
 	global := sharedTokens(request.Parts) >= globalAffinityTokens
--- a/internal/serving/loadbalancer/balancer_test.go
+++ b/internal/serving/loadbalancer/balancer_test.go
@@ -149,3 +149,29 @@
 		t.Errorf("%+v", loads)
 	}
 }
+
+// TestRequestWithoutAffinity sends one shared prompt again and again without affinity: it is spread over the
+// workers, where one with affinity keeps to few.
+func TestRequestWithoutAffinity(t *testing.T) {
+	used := map[bool]int{}
+	for _, withoutAffinity := range []bool{false, true} {
+		b := newBalancer(1)
+		candidates := workers(10)
+		instances := map[int]bool{}
+		for i := range 100 {
+			now := time.Duration(i) * time.Second
+			request := prompt("common")
+			request.WithoutAffinity = withoutAffinity
+			chosen := b.Choose(now, request, candidates)
+			instance := candidates[chosen].Instance
+			b.RecordSent(now, request, instance)
+			b.RecordFirstToken(now, request, instance)
+			b.Release(instance)
+			instances[chosen] = true
+		}
+		used[withoutAffinity] = len(instances)
+	}
+	if used[true] < 9 || used[false] > 3 {
+		t.Errorf("%d workers without affinity, %d with", used[true], used[false])
+	}
+}
--- a/internal/serving/loadbalancer/cost.go
+++ b/internal/serving/loadbalancer/cost.go
@@ -69,6 +69,9 @@
 	now time.Duration, request *Request, worker *workerState, hasAffinity bool,
 ) float64 {
 	own, shared := worker.uncachedTokens(now, request.Parts, hasAffinity)
+	if request.WithoutAffinity {
+		own, shared = totalTokens(request.Parts), 0
+	}
 	cost := b.prefillModel.estimateMillis(own+shared, totalTokens(request.Parts))
 	if request.long {
 		return cost
--- a/internal/serving/loadbalancer/request.go
+++ b/internal/serving/loadbalancer/request.go
@@ -10,6 +10,7 @@
 type Request struct {
 	Parts              []Part
 	MaxStreamGapMillis float64 // between tokens of the service's streams; 0: not known
+	WithoutAffinity    bool    // workers' prefix caches do not count: it goes to any worker
 
 	affinity       string        // the instance that its prompt has affinity to, as of the last choice
 	long           bool          // its prefill makes gaps in streams longer than they may be, as of the same
