--- /dev/null
+++ b/internal/borrowing/figures.go
@@ -0,0 +1,59 @@
+package borrowing
+
+// Figures returns totals and the present state.
+func (l *Lender) Figures() Figures {
+	f := l.totals
+	for i := range l.accounts {
+		if a := &l.accounts[i]; a.InUse {
+			f.Customers++
+			f.Outstanding += float64(a.totalDebt()) / partsPerUnit
+			f.Rights += float64(a.Rights) / partsPerUnit
+			f.PresumedDrawn += float64(a.PresumedDrawn) / partsPerUnit
+		}
+	}
+	return f
+}
+
+// EachAccount calls visit with each account: its plan, the rights that may be drawn here at once, and its
+// debt here, in units.
+func (l *Lender) EachAccount(visit func(plan int, rights, debt float64)) {
+	for i := range l.accounts {
+		if a := &l.accounts[i]; a.InUse {
+			rights := 0.0
+			if a.Known && a.Rights > 0 {
+				rights = float64(a.Rights) / partsPerUnit
+			}
+			visit(int(a.Plan), rights, float64(a.totalDebt())/partsPerUnit)
+		}
+	}
+}
+
+// Holding is what this instance holds of one customer, in units.
+type Holding struct {
+	Known                                                bool
+	Rights, PresumedDrawn, Debt                          float64
+	RightsGiven, DebtGiven, RightsReceived, DebtReceived float64
+}
+
+// Holding returns what is held of a customer.
+func (l *Lender) Holding(customer uint64) Holding {
+	slot, ok := l.slotOf[uint32(customer)]
+	if !ok {
+		return Holding{}
+	}
+	a := &l.accounts[slot]
+	h := Holding{
+		Known:         a.Known,
+		Rights:        float64(a.Rights) / partsPerUnit,
+		PresumedDrawn: float64(a.PresumedDrawn) / partsPerUnit,
+		Debt:          float64(a.totalDebt()) / partsPerUnit,
+	}
+	for i := range a.Pairs {
+		p := &a.Pairs[i]
+		h.RightsGiven += float64(p.RightsGiven) / partsPerUnit
+		h.DebtGiven += float64(p.DebtGiven) / partsPerUnit
+		h.RightsReceived += float64(p.RightsReceived) / partsPerUnit
+		h.DebtReceived += float64(p.DebtReceived) / partsPerUnit
+	}
+	return h
+}
--- /dev/null
+++ b/internal/borrowing/processing.go
@@ -0,0 +1,170 @@
+package borrowing
+
+import "math"
+
+// processActive processes the active accounts.
+func (l *Lender) processActive() {
+	for range min(len(l.activeSlots), maxLooksPerInterval) {
+		if l.activeCursor >= len(l.activeSlots) {
+			l.activeCursor = 0
+		}
+		slot := l.activeSlots[l.activeCursor]
+		a := &l.accounts[slot]
+		if !l.needsProcessing(a) {
+			a.active = false
+			last := len(l.activeSlots) - 1
+			l.activeSlots[l.activeCursor] = l.activeSlots[last]
+			l.activeSlots = l.activeSlots[:last]
+			continue
+		}
+		l.activeCursor++
+		l.process(slot)
+	}
+}
+
+// requestRights asks peers for rights that are wanted here, or queries them for what is needed to determine
+// the rights here.
+func (l *Lender) requestRights(slot int32) {
+	a := &l.accounts[slot]
+	if !l.wantsRights(a) && !l.mustQuery(a) ||
+		l.nowMillis-a.lastRequestMillis < resendMillis*float64(int(1)<<a.unansweredRequests) {
+		return
+	}
+	a.lastRequestMillis = l.nowMillis
+	switch {
+	case !a.Known:
+		a.queryPlaces = l.otherPlaces(a) &^ a.answeredPlaces
+	case a.Rights < a.wantedParts:
+		a.queryPlaces, a.unansweredRequests = l.likelyGivers(a), min(a.unansweredRequests+1, maxRequestDoublings)
+	}
+	l.queueEntries(slot, a.queryPlaces)
+}
+
+// repaymentNeed returns how many units of a span's fill have to go to debts. While a customer borrows that
+// is 0, as long as MaxRepaymentShare of its later fill repays all in time.
+func (l *Lender) repaymentNeed(a *account, spanMillis float64) float64 {
+	pace := a.requiredPace(l.nowMillis)
+	if l.nowMillis-a.lastLoanMillis < borrowingPauseMillis &&
+		pace < a.fillPerMilli*MaxRepaymentShare*partsPerUnit {
+		return 0
+	}
+	return math.Min(pace*spanMillis, float64(a.totalDebt())) / partsPerUnit
+}
+
+// needsProcessing reports whether an account stays active.
+func (l *Lender) needsProcessing(a *account) bool {
+	if !a.InUse || int(a.Plan) >= len(l.lineParts) {
+		return false
+	}
+	if a.totalDebt() > 0 || a.Known && a.PresumedDrawn > 0 || l.wantsRights(a) || l.mustQuery(a) ||
+		a.queryPlaces|a.replyPlaces != 0 {
+		return true
+	}
+	for i := range a.Pairs {
+		if p := &a.Pairs[i]; p.Used &&
+			(p.RightsGiven > p.rightsAcked || p.DebtGiven > p.debtAcked || l.nowMillis-p.heardMillis < fillTTLMillis) {
+			return true
+		}
+	}
+	return false
+}
+
+// process processes an active account.
+func (l *Lender) process(slot int32) {
+	a := &l.accounts[slot]
+	if elapsedMillis := l.nowMillis - a.lastCollectedMillis; elapsedMillis >= earnIntervalMillis ||
+		elapsedMillis >= lookIntervalMillis*(1-1e-9) && (a.totalDebt() > 0 || a.PresumedDrawn == 0) {
+		l.collectSlots = append(l.collectSlots, slot)
+	}
+	if a.totalDebt() > 0 && a.Known {
+		l.transferDebt(slot)
+	}
+	l.requestRights(slot)
+	for i := range a.Pairs {
+		if p := &a.Pairs[i]; p.Used && (p.RightsGiven > p.rightsAcked || p.DebtGiven > p.debtAcked) &&
+			l.nowMillis-p.sentMillis >= resendMillis {
+			l.queueEntry(slot, int(p.Peer))
+		}
+	}
+}
+
+// Next returns the next decision, or false. Records are stored before entries that depend on them are sent.
+func (l *Lender) Next() (Decision, bool) {
+	if len(l.eventsBeforeStore) > 0 {
+		d := l.eventsBeforeStore[0]
+		l.eventsBeforeStore = l.eventsBeforeStore[1:]
+		return d, true
+	}
+	if n := len(l.dirtySlots); n > 0 {
+		slot := l.dirtySlots[n-1]
+		l.dirtySlots = l.dirtySlots[:n-1]
+		l.accounts[slot].dirty = false
+		return Decision{Action: ActionStore, Slot: int(slot), Record: &l.accounts[slot].Record}, true
+	}
+	if len(l.eventsAfterStore) > 0 {
+		d := l.eventsAfterStore[0]
+		l.eventsAfterStore = l.eventsAfterStore[1:]
+		return d, true
+	}
+	if l.started && l.nowMillis >= l.nextLookMillis {
+		l.nextLookMillis = l.nowMillis + lookIntervalMillis
+		l.processActive()
+		if len(l.dirtySlots)+len(l.eventsBeforeStore)+len(l.eventsAfterStore) > 0 {
+			return l.Next()
+		}
+	}
+	if len(l.pendingEntries) > 0 && l.allowMessage() {
+		to, kept := l.pendingEntries[0].peer, l.pendingEntries[:0]
+		l.entryBuffer = l.entryBuffer[:0]
+		for _, t := range l.pendingEntries {
+			if t.peer == to && len(l.entryBuffer) < maxEntriesPerMessage {
+				l.entryBuffer = append(l.entryBuffer, l.newEntry(t.slot, to))
+			} else {
+				kept = append(kept, t)
+			}
+		}
+		l.pendingEntries = kept
+		return Decision{Action: ActionSend, Peer: to, Entries: l.entryBuffer}, true
+	}
+	if n := len(l.collectSlots); n > 0 {
+		slot := l.collectSlots[n-1]
+		l.collectSlots = l.collectSlots[:n-1]
+		a := &l.accounts[slot]
+		spanMillis := math.Min(l.nowMillis-a.lastCollectedMillis, 2*earnIntervalMillis)
+		a.lastCollectedMillis = l.nowMillis
+		debt := float64(a.totalDebt())
+		return Decision{
+			Action:     ActionCollect,
+			Customer:   a.Customer,
+			Plan:       int(a.Plan),
+			SetSize:    int(a.SetSize),
+			SpanMillis: spanMillis,
+			RepayUnits: l.repaymentNeed(
+				a,
+				spanMillis,
+			),
+			MaxUnits: (debt + float64(max(a.PresumedDrawn, 0))) / partsPerUnit,
+		}, true
+	}
+	return Decision{}, false
+}
+
+// allowMessage reports whether one more message is within the rate, and counts it. Entries that wait
+// meanwhile are sent together.
+func (l *Lender) allowMessage() bool {
+	rate := l.config.PeerMessagesPerSecond * messageRateShare / 1000
+	if rate <= 0 {
+		return true
+	}
+	if l.messagesFullAtMillis = math.Max(
+		l.messagesFullAtMillis,
+		l.nowMillis,
+	); l.messagesFullAtMillis-l.nowMillis > (messageBurst-1)/rate {
+		return false
+	}
+	l.messagesFullAtMillis += 1 / rate
+	return true
+}
+
+// Busy reports whether the caller has to call Advance and Next again within lookIntervalMillis.
+func (l *Lender) Busy() bool { return len(l.activeSlots)+len(l.pendingEntries) > 0 }
--- a/internal/gateway/hotrestart/handoff_test.go
+++ b/internal/gateway/hotrestart/handoff_test.go
@@ -218,6 +218,7 @@
 			conn, err := listener.AcceptUnix()
 			if err == nil {
 				defer conn.Close()
+				_, _ = conn.Read(make([]byte, 256)) // an unread greeting would reset the connection
 				_, _ = conn.Write([]byte(goldenGreeting))
 				rights := syscall.UnixRights(int(writer.Fd()))
 				_, _, err = conn.WriteMsgUnix([]byte{kind, 'x'}, rights, nil)
--- a/internal/policy/admission.go
+++ b/internal/policy/admission.go
@@ -20,8 +20,8 @@
 	windowLeapPressureFraction = 0.5
 	// windowLeapPerResponse is the growth by a response then; less where the window is small.
 	windowLeapPerResponse = 0.2
-	// windowGrowthPerRound is the growth over one window's worth of responses otherwise.
-	windowGrowthPerRound = 1.0
+	// windowGrowthPerCycle is the growth over one window's worth of responses otherwise.
+	windowGrowthPerCycle = 1.0
 	// minWindowPerWorker is the window, in attempts for each warm worker and over all gateways, that it starts
 	// at and never goes below,
 	minWindowPerWorker = 1.5
@@ -38,8 +38,8 @@
 	sheddingFairnessFactor = 2.5
 	// minWindowCutFraction of its use is what one cut leaves of the window, at least.
 	minWindowCutFraction = 0.7
-	// windowCutPauseMillis is the time between two cuts: the delay of the control loop is that of a response.
-	windowCutPauseMillis = 150.0
+	// windowCutIntervalMillis is the time between two cuts: the delay of the control loop is that of a response.
+	windowCutIntervalMillis = 150.0
 	// spareWindowFraction of the window: with less in flight there is capacity for requests beyond a quota,
 	spareWindowFraction = 0.5
 	// while the pressure is also under sparePressureFraction of its target.
@@ -50,8 +50,8 @@
 	// minShortDeadlineSuccessFraction is the part of a plan's short-deadline requests that has to succeed for
 	// more of them to be admitted: with fewer they waste more work than they bring value.
 	minShortDeadlineSuccessFraction = 0.65
-	// shortDeadlineProbeFraction of them is admitted all the same, to notice when that changes.
-	shortDeadlineProbeFraction = 0.1
+	// shortDeadlineTrialFraction of them is admitted all the same, to notice when that changes.
+	shortDeadlineTrialFraction = 0.1
 	// shortDeadlineGain is the weight of the newest outcome in that part.
 	shortDeadlineGain = 0.1
 	// minTimeLeftResponses is the time left, in mean responses, under which a request is not worth a worker's
@@ -105,7 +105,7 @@
 	request.shortDeadline = left < shortDeadlineResponses*e.responseMillis
 	if !room || left < minTimeLeftResponses*e.responseMillis || request.shortDeadline &&
 		plan.shortDeadlineSuccess < minShortDeadlineSuccessFraction &&
-		e.rng.Float64() > shortDeadlineProbeFraction {
+		e.rng.Float64() > shortDeadlineTrialFraction {
 		return ReasonOverload, overloadRetryTargetFraction * e.products[request.product].latencyTargetMillis
 	}
 	return ReasonSucceeded, 0
@@ -124,7 +124,7 @@
 func (e *Engine) recordPressure(pressure float64) {
 	e.pressure += pressureGain * (math.Min(pressure, 1) - e.pressure)
 	switch {
-	case e.pressure > targetPressureFraction && e.now-e.windowCutAt > windowCutPauseMillis:
+	case e.pressure > targetPressureFraction && e.now-e.windowCutAt > windowCutIntervalMillis:
 		e.windowCutAt = e.now
 		used := math.Min(e.window, float64(e.inFlight)+1)
 		e.window = math.Max(used*math.Max(targetPressureFraction/e.pressure, minWindowCutFraction), e.minWindow())
@@ -133,7 +133,7 @@
 		float64(e.inFlight)+1 > windowUseFraction*e.window:
 		e.window += windowLeapPerResponse * math.Min(e.window/minWindowDeviations, 1)
 	case e.pressure < targetPressureFraction && float64(e.inFlight) > windowUseFraction*e.window:
-		e.window += windowGrowthPerRound / math.Max(e.window, 1)
+		e.window += windowGrowthPerCycle / math.Max(e.window, 1)
 	}
 }
 
--- a/internal/policy/checkpoint.go
+++ b/internal/policy/checkpoint.go
@@ -13,9 +13,9 @@
 	// one is not known after a crash.
 	CheckpointIntervalMillis = 100.0
 
-	// checkpointRowsPerPiece bounds the customers, or peers' reports, in a piece of a checkpoint: some
+	// checkpointRowsPerChunk bounds the customers, or peers' reports, in a piece of a checkpoint: some
 	// microseconds under the host's lock.
-	checkpointRowsPerPiece = 128
+	checkpointRowsPerChunk = 128
 	// maxCheckpointCustomers bounds a checkpoint: 2 MB as the host writes it.
 	maxCheckpointCustomers = 1 << 14
 	// maxCreditIntervalMillis is the time between two looks at a customer that owes anything, at most; see
@@ -47,14 +47,14 @@
 		}
 	}
 	rows := 0
-	for ; from < len(e.peers) && rows < checkpointRowsPerPiece; from++ {
+	for ; from < len(e.peers) && rows < checkpointRowsPerChunk; from++ {
 		peer, saved := &e.peers[from], &handoff.Peers[from]
-		*saved = PeerState{peer.heardAt, peer.reportedAt, peer.reportDueSince, peer.reportsHeardAt, peer.silent,
+		*saved = PeerState{peer.receivedAt, peer.reportedAt, peer.reportDueSince, peer.reportsReceivedAt, peer.silent,
 			peer.lost, append(saved.LastReports[:0], peer.lastReports...)}
 		rows += 1 + len(peer.lastReports)
 	}
 	for accountOffset := from - len(e.peers); accountOffset >= 0 && accountOffset < len(e.accounts) &&
-		rows < checkpointRowsPerPiece; accountOffset++ {
+		rows < checkpointRowsPerChunk; accountOffset++ {
 		if from, rows = from+1, rows+1; e.accounts[accountOffset].live &&
 			len(handoff.Customers) < maxCheckpointCustomers {
 			handoff.Customers = append(handoff.Customers, e.accounts[accountOffset].state())
@@ -87,20 +87,52 @@
 	if handoff.StartedAtMillis <= handoff.AtMillis { // what it has seen of demand is as old as that
 		e.startedAt = math.Min(e.startedAt, handoff.StartedAtMillis)
 	}
-	// Keep this gateway's turn among the peers.
+	e.restoreReportTurn(&handoff)
+	e.restorePlans(&handoff)
+	receivedSinceStart := e.restorePeers(&handoff)
+	e.countSilentPeers()
+	// The earlier run may have reported to its peers after the checkpoint.
+	mayHaveReported := handoff.NextReportAtMillis <= handoff.AtMillis+CheckpointIntervalMillis
+	// Peers drop what was reported from then on: that of the last message.
+	peersDropFrom := math.Inf(1)
+	if peersDropLastReport {
+		peersDropFrom = handoff.NextReportAtMillis - e.derived.reportIntervalMillis - 1
+	}
+	for i := range handoff.Customers {
+		if e.restoreCustomer(&handoff.Customers[i], handoff.AtMillis, peersDropFrom, mayHaveReported) {
+			customers++
+		}
+	}
+	for _, i := range receivedSinceStart {
+		if e.peers[i].silent {
+			e.setPeerSilent(i, false, false)
+		}
+	}
+	return customers
+}
+
+// restoreReportTurn keeps this gateway's turn among the peers.
+func (e *Engine) restoreReportTurn(handoff *HandoffState) {
 	if handoff.NextReportAtMillis > handoff.AtMillis &&
 		handoff.NextReportAtMillis <= handoff.AtMillis+e.derived.reportIntervalMillis {
 		turns := math.Max(math.Ceil((e.now-handoff.NextReportAtMillis)/e.derived.reportIntervalMillis), 0)
 		e.nextReportAt = handoff.NextReportAtMillis + turns*e.derived.reportIntervalMillis
 	}
+}
+
+// restorePlans restores what is measured of each plan, as far as it is within bounds.
+func (e *Engine) restorePlans(handoff *HandoffState) {
 	for i := range e.plans {
-		if success, attemptMillis := handoff.ShortDeadlineSuccess[i], handoff.AttemptMillis[i]; success >= 0 &&
-			success <= 1 && attemptMillis >= 0 && attemptMillis <= math.MaxInt32 {
+		success, attemptMillis := handoff.ShortDeadlineSuccess[i], handoff.AttemptMillis[i]
+		if success >= 0 && success <= 1 && attemptMillis >= 0 && attemptMillis <= math.MaxInt32 {
 			e.plans[i].shortDeadlineSuccess, e.plans[i].attemptMillis = success, attemptMillis
 			e.plans[i].deriveRate()
 		}
 	}
-	var heardSinceStart []int
+}
+
+// restorePeers restores the records of the peers, and returns those that have sent something in this run.
+func (e *Engine) restorePeers(handoff *HandoffState) (receivedSinceStart []int) {
 	for i, saved := range handoff.Peers {
 		if i == e.derived.gatewayIndex || !(saved.HeardAtMillis <= handoff.AtMillis &&
 			saved.ReportsHeardAtMillis <= handoff.AtMillis &&
@@ -114,32 +146,14 @@
 			return !(report.DemandPerSecond >= 0 && report.DemandPerSecond <= math.MaxInt32) || report.Plan < 0 ||
 				report.Plan >= len(e.plans)
 		})
-		if e.peers[i].heardAt > 0 { // in this run
-			heardSinceStart = append(heardSinceStart, i)
+		if e.peers[i].receivedAt > 0 { // in this run
+			receivedSinceStart = append(receivedSinceStart, i)
 		}
 		e.peers[i] = peerRecord{saved.HeardAtMillis, saved.ReportedAtMillis, saved.ReportDueSinceMillis,
 			saved.ReportsHeardAtMillis,
 			saved.Silent, saved.Lost, last}
 	}
-	e.countSilentPeers()
-	// The earlier run may have reported to its peers after the checkpoint.
-	mayHaveReported := handoff.NextReportAtMillis <= handoff.AtMillis+CheckpointIntervalMillis
-	// Peers drop what was reported from then on: that of the last message.
-	peersDropFrom := math.Inf(1)
-	if peersDropLastReport {
-		peersDropFrom = handoff.NextReportAtMillis - e.derived.reportIntervalMillis - 1
-	}
-	for i := range handoff.Customers {
-		if e.restoreCustomer(&handoff.Customers[i], handoff.AtMillis, peersDropFrom, mayHaveReported) {
-			customers++
-		}
-	}
-	for _, i := range heardSinceStart {
-		if e.peers[i].silent {
-			e.setPeerSilent(i, false, false)
-		}
-	}
-	return customers
+	return receivedSinceStart
 }
 
 // restoreCustomer takes over one customer of a checkpoint, and tells whether it has.
--- a/internal/policy/checkpoint_test.go
+++ b/internal/policy/checkpoint_test.go
@@ -306,7 +306,7 @@
 			h.submit(Request{Customer: 5000, Units: 1, SetSize: 2, TimeLeftMillis: 1000})
 		}
 	}
-	if len(e.Customers) != 1001 || pieces < 1000/checkpointRowsPerPiece {
+	if len(e.Customers) != 1001 || pieces < 1000/checkpointRowsPerChunk {
 		t.Errorf("%d customers in %d pieces", len(e.Customers), pieces)
 	}
 	if n := testing.AllocsPerRun(10, func() {
--- a/internal/policy/endpoints.go
+++ b/internal/policy/endpoints.go
@@ -34,7 +34,7 @@
 // applied.
 func (e *Engine) beginUpdate(list []Endpoint, partial bool) updateMode {
 	for i := 0; i < len(e.workers) && !partial; i++ {
-		e.workers[i].listed = false
+		e.workers[i].inEndpoints = false
 	}
 	count := len(e.workers)
 	for i := range list {
@@ -92,7 +92,7 @@
 // warming.
 func (e *Engine) addReady(i int, mode updateMode) {
 	worker := &e.workers[i]
-	if mode == updateAll || !worker.listed || e.readiness[i] != notReady {
+	if mode == updateAll || !worker.inEndpoints || e.readiness[i] != notReady {
 		return
 	}
 	worker.warm = false
@@ -211,12 +211,12 @@
 	e.sizeRatingKnown = false
 	e.readyByRank = slices.DeleteFunc(e.readyByRank, func(i int) bool {
 		return e.readiness[i] == notReady ||
-			!e.workers[i].listed
+			!e.workers[i].inEndpoints
 	})
 	e.ready, e.warming, e.added, e.warmCount = e.ready[:0], e.warming[:0], e.added[:0], 0
 	for i := range e.workers {
 		worker := &e.workers[i]
-		if !worker.listed {
+		if !worker.inEndpoints {
 			e.readiness[i] = notReady
 			continue
 		}
@@ -327,10 +327,10 @@
 			// A fresh process: what its earlier run, and ours, sent it must be taken as spent. Where each of many
 			// gateways may send it one request in minutes, chance spreads their turns from the start on.
 			worker.slowStartAt, worker.slowStartDebt = e.now, e.rng.Float64()*e.derived.meanUnits()
-			worker.suspicion.score, worker.heardAt = 0, e.now
+			worker.suspicion.score, worker.receivedAt = 0, e.now
 			clear(worker.rejections)
 		}
-		worker.Endpoint, worker.listed = endpoint, endpoint.Active
+		worker.Endpoint, worker.inEndpoints = endpoint, endpoint.Active
 		e.addReady(endpoint.Worker, mode)
 	}
 	if e.endUpdate(mode); e.window == 0 {
--- a/internal/policy/endpoints_test.go
+++ b/internal/policy/endpoints_test.go
@@ -22,7 +22,7 @@
 	l := derivedState{openTo: make([]float64, len(g.acceptingFraction))}
 	for i := range g.workers {
 		w := &g.workers[i]
-		if !w.listed {
+		if !w.inEndpoints {
 			continue
 		}
 		l.ready = append(l.ready, i)
@@ -75,7 +75,7 @@
 				g.sizeRating, g.sizeRatingKnown = rating, rated // so that it is asked for in all states
 			}
 			for i := range g.workers {
-				if w := &g.workers[i]; w.listed && w.warm == slices.Contains(l.cold, i) {
+				if w := &g.workers[i]; w.inEndpoints && w.warm == slices.Contains(l.cold, i) {
 					t.Fatalf("seed %d: worker %d is warm: %v", seed, i, w.warm)
 				}
 			}
--- a/internal/policy/engine.go
+++ b/internal/policy/engine.go
@@ -62,10 +62,10 @@
 		allowRetryAfter: settings.AllowRetryAfter, maxRetryAfterMillis: settings.MaxRetryAfterMillis,
 		maxRequestUnits:      math.Max(settings.MaxRequestUnits, 1),
 		reportIntervalMillis: reportIntervalMillis, coolDownMillis: coolDownMillis,
-		coldCapacityFraction: settings.ColdCapacityFraction,
-		warmUpMillis:         settings.WarmUpMillis * warmUpStretchFactor,
-		workersReportLoad:    settings.WorkersReportLoad,
-		turnMillis:           settings.OverloadMillis, warmingLoadFraction: 1,
+		warmingCapacityFraction: settings.ColdCapacityFraction,
+		warmUpMillis:            settings.WarmUpMillis * warmUpStretchFactor,
+		workersReportLoad:       settings.WorkersReportLoad,
+		turnMillis:              settings.OverloadMillis, warmingLoadFraction: 1,
 		latencySlackFactor: 1, idleScanMillis: idleScanIntervalMillis,
 		gossip: settings.AllowGossip && gatewayCount > 1 && settings.ReportsPerMessage > 0}
 	if settings.OverloadFactor > 0 { // as far as the settings say what a worker withstands
@@ -337,7 +337,7 @@
 	immediatePerMilli                                          float64
 	maxRetryAfterMillis, maxRequestUnits, reportIntervalMillis float64
 	coolDownMillis                                             float64
-	coldCapacityFraction, warmUpMillis                         float64
+	warmingCapacityFraction, warmUpMillis                      float64
 	// fraction of a warm worker's work for one that is warming up; how long a turn lasts, 0 without an end
 	warmingLoadFraction, turnMillis float64
 	idleScanMillis                  float64 // between scans while no request has waited for long
--- a/internal/policy/engine_test.go
+++ b/internal/policy/engine_test.go
@@ -175,8 +175,8 @@
 		part   float64 // of the rate
 	}{
 		{silentAfterIntervals*reportIntervalMillis + 2*reportIntervalMillis, false, 0.5},
-		{peerSuspicionMillis + lostPeerHoldMillis - 2*reportIntervalMillis, false, 0.5},
-		{peerSuspicionMillis + lostPeerHoldMillis + 2*reportIntervalMillis, false, 1}, {peerSuspicionMillis, true,
+		{peerSuspicionMillis + lostPeerRetentionMillis - 2*reportIntervalMillis, false, 0.5},
+		{peerSuspicionMillis + lostPeerRetentionMillis + 2*reportIntervalMillis, false, 1}, {peerSuspicionMillis, true,
 			1},
 	}
 	for _, c := range cases {
--- a/internal/policy/gossip.go
+++ b/internal/policy/gossip.go
@@ -13,11 +13,11 @@
 	silentAfterIntervals = 3.5
 	// peerSuspicionMillis is the silence after which a peer is suspected to have ended,
 	peerSuspicionMillis = 6000.0
-	// and lostPeerHoldMillis the time after that during which its last demand still counts.
-	lostPeerHoldMillis = 10000.0
-	// peerLapseIntervals is the number of intervals without a message after which an exchange with a peer starts
+	// and lostPeerRetentionMillis the time after that during which its last demand still counts.
+	lostPeerRetentionMillis = 10000.0
+	// peerExpiryIntervals is the number of intervals without a message after which an exchange with a peer starts
 	// anew.
-	peerLapseIntervals = 2.0
+	peerExpiryIntervals = 2.0
 	// reportIntakeFraction of what peers take in may be filled by reports; the rest is for jitter.
 	reportIntakeFraction = 0.95
 	// maxImmediateSetSize is the size of a customer's set up to which spending is reported at once, and not each
@@ -42,7 +42,7 @@
 		return
 	}
 	peer := &e.peers[from]
-	if peer.heardAt = e.now; peer.silent {
+	if peer.receivedAt = e.now; peer.silent {
 		e.setPeerSilent(from, false, false)
 	}
 	// A single report may be an immediate one, between two intervals.
@@ -57,7 +57,7 @@
 			report.Plan < 0 || report.Plan >= len(e.plans) {
 			continue
 		}
-		peer.reportsHeardAt = e.now
+		peer.reportsReceivedAt = e.now
 		peer.rememberReport(report)
 		accountIndex, ok := e.accountByCustomer[uint32(report.Customer)]
 		if !ok {
@@ -85,17 +85,7 @@
 // endReportInterval looks for silent peers, turns customers hot and cold, updates their shares, collects
 // what is to be reported, and drops idle customers.
 func (e *Engine) endReportInterval() {
-	for i := range e.peers {
-		peer := &e.peers[i]
-		silentMillis := e.now - math.Max(peer.heardAt, peer.reportDueSince)
-		switch {
-		case peer.reportDueSince == 0 || i == e.derived.gatewayIndex:
-		case !peer.silent && silentMillis > silentAfterIntervals*e.derived.reportIntervalMillis:
-			e.setPeerSilent(i, true, false)
-		case peer.silent && !peer.lost && silentMillis > peerSuspicionMillis+lostPeerHoldMillis:
-			e.setPeerSilent(i, true, true)
-		}
-	}
+	e.updateSilentPeers()
 	e.refreshReady()
 	for i := range e.plans {
 		e.plans[i].deriveRate()
@@ -103,36 +93,8 @@
 	clear(e.hotPrefix)
 	e.changedAccounts = e.changedAccounts[:0]
 	for i := range e.accounts {
-		account := &e.accounts[i]
-		if !account.live {
-			continue
-		}
-		e.refill(account)
-		ownDemand, idleMillis, coldShare := e.ownDemand(account), e.now-account.lastRequestAt, e.coldShare(account)
-		if ownDemand > coldShare || account.setSize == 0 && idleMillis < e.derived.coolDownMillis {
-			account.coolSince = e.now
-		}
-		// One request makes no demand, unless the share cannot hold it: then all that is known is what peers say.
-		if !account.hot && ownDemand > hotDemandFraction*coldShare && coldShare > 0 && (account.requests > 1 ||
-			e.initialShareTokens(account) < e.derived.maxRequestUnits) {
-			account.hot = true
-		}
-		inUse := account.peerDemandAt > 0 && e.now-account.peerDemandAt < e.derived.coolDownMillis
-		if account.hot && e.now-account.coolSince > e.derived.coolDownMillis && !inUse {
-			account.hot = false
-			account.peerDemand, account.silentPeerDemand, account.silentPeers = 0, 0, 0
-		}
-		e.updateShare(account)
-		if account.hot {
-			e.collectReport(int32(i))
-			continue
-		}
-		account.unreportedUnits = 0
-		plan := &e.plans[account.plan]
-		if idleMillis > e.derived.coolDownMillis && account.inFlight == 0 &&
-			account.shareTokens >= e.initialShareTokens(account)-1e-9 && account.rateLimitFullAt <= e.now &&
-			!inUse && account.quotaTokens >= e.storeDepth(plan, plan.ratePerMilli)-1e-9 {
-			e.closeAccount(int32(i))
+		if e.accounts[i].live {
+			e.updateDemand(int32(i))
 		}
 	}
 	for i := range e.hotPrefix[1:] {
@@ -140,6 +102,54 @@
 	}
 }
 
+// updateSilentPeers takes note of peers that have reported nothing for too long.
+func (e *Engine) updateSilentPeers() {
+	for i := range e.peers {
+		peer := &e.peers[i]
+		silentMillis := e.now - math.Max(peer.receivedAt, peer.reportDueSince)
+		switch {
+		case peer.reportDueSince == 0 || i == e.derived.gatewayIndex:
+		case !peer.silent && silentMillis > silentAfterIntervals*e.derived.reportIntervalMillis:
+			e.setPeerSilent(i, true, false)
+		case peer.silent && !peer.lost && silentMillis > peerSuspicionMillis+lostPeerRetentionMillis:
+			e.setPeerSilent(i, true, true)
+		}
+	}
+}
+
+// updateDemand turns an account hot or quiet by its demand, updates its share, reports it where it is hot, and
+// closes it where it is idle and full.
+func (e *Engine) updateDemand(index int32) {
+	account := &e.accounts[index]
+	e.refill(account)
+	ownDemand, idleMillis, quietShare := e.ownDemand(account), e.now-account.lastRequestAt, e.quietShare(account)
+	if ownDemand > quietShare || account.setSize == 0 && idleMillis < e.derived.coolDownMillis {
+		account.coolSince = e.now
+	}
+	// One request makes no demand, unless the share cannot hold it: then all that is known is what peers say.
+	if !account.hot && ownDemand > hotDemandFraction*quietShare && quietShare > 0 && (account.requests > 1 ||
+		e.initialShareTokens(account) < e.derived.maxRequestUnits) {
+		account.hot = true
+	}
+	inUse := account.peerDemandAt > 0 && e.now-account.peerDemandAt < e.derived.coolDownMillis
+	if account.hot && e.now-account.coolSince > e.derived.coolDownMillis && !inUse {
+		account.hot = false
+		account.peerDemand, account.silentPeerDemand, account.silentPeers = 0, 0, 0
+	}
+	e.updateShare(account)
+	if account.hot {
+		e.collectReport(index)
+		return
+	}
+	account.unreportedUnits = 0
+	plan := &e.plans[account.plan]
+	if idleMillis > e.derived.coolDownMillis && account.inFlight == 0 &&
+		account.shareTokens >= e.initialShareTokens(account)-1e-9 && account.rateLimitFullAt <= e.now &&
+		!inUse && account.quotaTokens >= e.storeDepth(plan, plan.ratePerMilli)-1e-9 {
+		e.closeAccount(index)
+	}
+}
+
 // nextImmediateReport returns the next message that reports spending to a small set at once. Where these
 // would exceed the peers' intake, spending waits for the periodic report.
 func (e *Engine) nextImmediateReport() (Decision, bool) {
@@ -152,7 +162,7 @@
 		}
 		if e.immediateSent++; e.immediateSent == 1 {
 			e.immediateFullAt = math.Max(e.immediateFullAt, e.now) + float64(account.setSize)/at
-			e.markReported(account)
+			e.setReported(account)
 		}
 		if e.immediateSent < account.setSize {
 			return e.immediateReport(account, e.immediateSent), true
@@ -168,8 +178,8 @@
 func (e *Engine) nextPeriodicReport() (Decision, bool) {
 	n, to, peer := e.derived.gatewayCount, e.reportPeer, &e.peers[e.reportPeer]
 	// The peer has reported customers, which may not be known here.
-	asks := peer.reportsHeardAt > 0 &&
-		e.now-peer.reportsHeardAt < peerLapseIntervals*e.derived.reportIntervalMillis
+	asks := peer.reportsReceivedAt > 0 &&
+		e.now-peer.reportsReceivedAt < peerExpiryIntervals*e.derived.reportIntervalMillis
 	if to == e.derived.gatewayIndex || e.messagesToPeer >= e.derived.messagesPerPeer ||
 		e.hotPrefix[to]+e.hotPrefix[to+n] == 0 && !asks {
 		return Decision{}, false
@@ -185,7 +195,7 @@
 	if len(e.reportBuffer) == 0 && e.messagesToPeer > 0 {
 		return Decision{}, false
 	}
-	if e.now-peer.reportedAt > peerLapseIntervals*e.derived.reportIntervalMillis {
+	if e.now-peer.reportedAt > peerExpiryIntervals*e.derived.reportIntervalMillis {
 		peer.reportDueSince = e.now
 	}
 	peer.reportedAt, e.messagesToPeer = e.now, e.messagesToPeer+1
@@ -207,7 +217,7 @@
 			account := &e.accounts[accountIndex]
 			e.refill(account)
 			account.peerDemand = math.Max(account.peerDemand-report.DemandPerSecond/1000*math.Exp(
-				(peer.heardAt-e.now)/e.plans[account.plan].demandWindowMillis), 0)
+				(peer.receivedAt-e.now)/e.plans[account.plan].demandWindowMillis), 0)
 			e.updateShare(account)
 		}
 	}
@@ -217,9 +227,9 @@
 // peerRecord is what is known of another gateway.
 type peerRecord struct {
 	// last heard; last reported to; since when it has owed a report each interval, 0 where it owes none
-	heardAt, reportedAt, reportDueSince float64
-	reportsHeardAt                      float64 // last heard with reports
-	silent, lost                        bool    // it sends nothing; has not for so long that it counts no more
+	receivedAt, reportedAt, reportDueSince float64
+	reportsReceivedAt                      float64 // last heard with reports
+	silent, lost                           bool    // it sends nothing; has not for so long that it counts no more
 	// of its last message; their demand is held while it is silent and not lost
 	lastReports []Report
 }
@@ -259,12 +269,12 @@
 	if account.setSize > 0 && (e.now-account.lastRequestAt <= e.derived.reportIntervalMillis ||
 		account.unreportedUnits > 0) {
 		e.changedAccounts = append(e.changedAccounts, accountIndex)
-		e.markReported(account)
+		e.setReported(account)
 	}
 }
 
-// markReported records that the demand here is reported now.
-func (e *Engine) markReported(account *customerAccount) {
+// setReported records that the demand here is reported now.
+func (e *Engine) setReported(account *customerAccount) {
 	account.previousReportedDemand = account.reportedDemand *
 		math.Exp((account.reportedAt-e.now)/e.plans[account.plan].demandWindowMillis)
 	account.reportedDemand, account.reportedAt = e.ownDemand(account), e.now
@@ -297,7 +307,7 @@
 			e.refill(account)
 			if d := report.DemandPerSecond / 1000; hold {
 				account.peerDemand = math.Max(account.peerDemand-d*math.Exp(
-					(peer.heardAt-e.now)/e.plans[account.plan].demandWindowMillis), 0)
+					(peer.receivedAt-e.now)/e.plans[account.plan].demandWindowMillis), 0)
 				account.silentPeerDemand += d
 				account.silentPeers++
 			} else {
--- a/internal/policy/handoff.go
+++ b/internal/policy/handoff.go
@@ -108,42 +108,45 @@
 		}
 	}
 	for i := range e.workers {
-		worker := &e.workers[i]
-		if !worker.listed {
-			continue
+		if e.workers[i].inEndpoints {
+			handoff.Workers = append(handoff.Workers, e.workerState(i))
 		}
-		saved := WorkerState{Worker: i, StartedAtMillis: worker.StartedAtMillis,
-			ResponseMillis:   worker.responseMillis,
-			ResponseAtMillis: worker.responseAt, ReportedLoad: worker.reportedLoad,
-			ReportedLoadAtMillis: worker.reportedLoadAt,
-			HeardAtMillis:        worker.heardAt, Suspicion: worker.suspicion.score,
-			SuspicionAtMillis: worker.suspicion.updatedAt,
-			Overloaded:        worker.overloaded,
-			SlowStartAtMillis: worker.slowStartAt, SlowStartDebtUnits: worker.slowStartDebt}
-		saved.Rejections, saved.RejectionsAtMillis = make([]float64, len(e.acceptingFraction)), make([]float64,
-			len(e.acceptingFraction))
-		for k, score := range worker.rejections {
-			saved.Rejections[k], saved.RejectionsAtMillis[k] = score.score, score.updatedAt
-		}
-		handoff.Workers = append(handoff.Workers, saved)
 	}
 	for i, kind := range e.machineKinds {
 		handoff.Kinds = append(handoff.Kinds, MachineKindState{i, kind.responseMillis, kind.responses})
 	}
 	for i := range e.peers {
 		peer := &e.peers[i]
-		handoff.Peers = append(handoff.Peers, PeerState{peer.heardAt, peer.reportedAt, peer.reportDueSince,
-			peer.reportsHeardAt, peer.silent, peer.lost,
+		handoff.Peers = append(handoff.Peers, PeerState{peer.receivedAt, peer.reportedAt, peer.reportDueSince,
+			peer.reportsReceivedAt, peer.silent, peer.lost,
 			append([]Report(nil), peer.lastReports...)})
 	}
 	for i := range e.plans {
-		handoff.ShortDeadlineSuccess, handoff.AttemptMillis = append(handoff.ShortDeadlineSuccess,
-			e.plans[i].shortDeadlineSuccess),
-			append(handoff.AttemptMillis, e.plans[i].attemptMillis)
+		handoff.ShortDeadlineSuccess = append(handoff.ShortDeadlineSuccess, e.plans[i].shortDeadlineSuccess)
+		handoff.AttemptMillis = append(handoff.AttemptMillis, e.plans[i].attemptMillis)
 	}
 	return handoff
 }
 
+// workerState returns what a successor is told of a worker.
+func (e *Engine) workerState(index int) WorkerState {
+	worker := &e.workers[index]
+	saved := WorkerState{Worker: index, StartedAtMillis: worker.StartedAtMillis,
+		ResponseMillis:   worker.responseMillis,
+		ResponseAtMillis: worker.responseAt, ReportedLoad: worker.reportedLoad,
+		ReportedLoadAtMillis: worker.reportedLoadAt,
+		HeardAtMillis:        worker.receivedAt, Suspicion: worker.suspicion.score,
+		SuspicionAtMillis: worker.suspicion.updatedAt,
+		Overloaded:        worker.overloaded,
+		SlowStartAtMillis: worker.slowStartAt, SlowStartDebtUnits: worker.slowStartDebt}
+	saved.Rejections, saved.RejectionsAtMillis = make([]float64, len(e.acceptingFraction)), make([]float64,
+		len(e.acceptingFraction))
+	for k, score := range worker.rejections {
+		saved.Rejections[k], saved.RejectionsAtMillis[k] = score.score, score.updatedAt
+	}
+	return saved
+}
+
 // RestoreHandoff takes over what a predecessor on this machine has handed off, before the first request, and
 // converts it from the settings that it went by to those of this engine. What does not fit is not taken. The
 // worker of a WorkerState, and a machine kind, are this engine's own indices.
@@ -209,7 +212,7 @@
 	worker := &e.workers[saved.Worker]
 	worker.responseMillis, worker.responseAt = saved.ResponseMillis, saved.ResponseAtMillis
 	worker.reportedLoad, worker.reportedLoadAt = saved.ReportedLoad, saved.ReportedLoadAtMillis
-	worker.heardAt = saved.HeardAtMillis
+	worker.receivedAt = saved.HeardAtMillis
 	worker.suspicion = decayingScore{saved.Suspicion, saved.SuspicionAtMillis}
 	worker.overloaded = saved.Overloaded
 	worker.slowStartAt, worker.slowStartDebt = saved.SlowStartAtMillis, saved.SlowStartDebtUnits
@@ -219,7 +222,7 @@
 			e.rejectionsOf(worker)[i] = decayingScore{saved.Rejections[i], saved.RejectionsAtMillis[i]}
 		}
 	}
-	e.markSuspect(worker)
+	e.suspect(worker)
 }
 
 // restoreAccount takes over what a predecessor knew of a customer that is not known here.
--- a/internal/policy/lending.go
+++ b/internal/policy/lending.go
@@ -60,7 +60,7 @@
 	}
 	accountIndex, ok := e.accountByCustomer[uint32(customer)]
 	if plan := &e.plans[planIndex]; !ok || e.accounts[accountIndex].setSize == 0 || plan.ratePerMilli <= 0 {
-		ratePerMilli = plan.ratePerMilli * coldShareFraction / float64(max(setSize, 1))
+		ratePerMilli = plan.ratePerMilli * quietShareFraction / float64(max(setSize, 1))
 		return math.Max(math.Min(math.Max(minUnits, maxUnits), ratePerMilli*spanMillis), 0), ratePerMilli
 	}
 	account := &e.accounts[accountIndex]
--- a/internal/policy/outliers.go
+++ b/internal/policy/outliers.go
@@ -42,12 +42,12 @@
 	if worker.rejections == nil {
 		worker.rejections = make([]decayingScore, len(e.acceptingFraction))
 	}
-	e.markSuspect(worker)
+	e.suspect(worker)
 	return worker.rejections
 }
 
-// markSuspect puts a worker among those whose suspicion and rejections refreshReady examines.
-func (e *Engine) markSuspect(worker *workerRecord) {
+// suspect puts a worker among those whose suspicion and rejections refreshReady examines.
+func (e *Engine) suspect(worker *workerRecord) {
 	if !worker.suspect {
 		worker.suspect = true
 		e.suspects = append(e.suspects, worker.Worker)
@@ -84,7 +84,7 @@
 // WorkerResponded tells that a worker has begun to respond, so that it does not count as silent.
 func (e *Engine) WorkerResponded(workerIndex int) {
 	if workerIndex >= 0 && workerIndex < len(e.workers) {
-		e.workers[workerIndex].heardAt = e.now
+		e.workers[workerIndex].receivedAt = e.now
 	}
 }
 
@@ -124,7 +124,7 @@
 			continue
 		}
 		worker, startedAt := &e.workers[attempt.worker], math.Max(attempt.sentAt, e.stalledUntil)
-		if worker.heardAt >= attempt.sentAt {
+		if worker.receivedAt >= attempt.sentAt {
 			// Guards against answers that get lost though their worker is well. A request that is only long would be
 			// long again, so it acts only while more of such age were never answered than late, once a request.
 			dueAt := startedAt + math.Max(silentWorkerTargetFraction*product.latencyTargetMillis,
@@ -166,5 +166,5 @@
 	visits := warmWorkWindowMillis * float64(len(e.ready)) / math.Max(e.warmWorkUnits(), 1)
 	weight := math.Min(rareVisitWeight*visits/suspicionDecayMillis, responseMillis/math.Max(e.responseMillis, 1))
 	worker.suspicion.add(math.Max(weight, 1), e.now, suspicionDecayMillis)
-	e.markSuspect(worker)
+	e.suspect(worker)
 }
--- a/internal/policy/quota.go
+++ b/internal/policy/quota.go
@@ -11,9 +11,9 @@
 	demandWindowMillis = 1000.0
 	// maxDemandWindowMillis bounds the longer one that a sparse plan's burst allows.
 	maxDemandWindowMillis = 5000.0
-	// coldShareFraction is the part of an even share, rate over gateways, that a customer without reported
+	// quietShareFraction is the part of an even share, rate over gateways, that a customer without reported
 	// demand may use at each gateway.
-	coldShareFraction = 0.5
+	quietShareFraction = 0.5
 	// floorFraction is the part of a quota's rate that is divided evenly whatever the demand, so that no gateway
 	// has a share of nothing.
 	floorFraction = 0.05
@@ -23,11 +23,11 @@
 	// coolDownMillis is the time with demand under the cold share after which a customer is cold again, and that
 	// an idle one is kept.
 	coolDownMillis = 5000.0
-	// maxAlikePeers bounds how many peers are taken to see the same burst as this gateway.
-	maxAlikePeers = 3
-	// unheardSpendIntervals is how many report intervals peers may have spent without a report that has arrived:
+	// maxEqualPeers bounds how many peers are taken to see the same burst as this gateway.
+	maxEqualPeers = 3
+	// silentSpendIntervals is how many report intervals peers may have spent without a report that has arrived:
 	// one, its jitter, and half of one.
-	unheardSpendIntervals = 1.5
+	silentSpendIntervals = 1.5
 	// immediateDelayMillis is the same time where peers report at once: the way, and one lost message.
 	immediateDelayMillis = 500.0
 	// peerSpendWindowMillis is the time constant of the mean of what peers spend: several requests of a small
@@ -78,8 +78,8 @@
 	e.refill(account)
 	priorDemand := e.ownDemand(account) - units/e.plans[account.plan].demandWindowMillis
 	reservePerMilli := math.Max(account.peerSpent/peerSpendWindowMillis,
-		priorDemand*float64(min(account.setSize-1, maxAlikePeers)))
-	unheardMillis := unheardSpendIntervals * e.derived.reportIntervalMillis
+		priorDemand*float64(min(account.setSize-1, maxEqualPeers)))
+	unheardMillis := silentSpendIntervals * e.derived.reportIntervalMillis
 	if e.reportsImmediately(account) {
 		unheardMillis = immediateDelayMillis
 	}
@@ -148,12 +148,12 @@
 // initialShareTokens returns the units in a new share: it is full, but not rounded up to the largest
 // request, which over all gateways of a large set would come to many times the quota's burst.
 func (e *Engine) initialShareTokens(account *customerAccount) float64 {
-	return e.coldShare(account) * e.plans[account.plan].burstMillis
+	return e.quietShare(account) * e.plans[account.plan].burstMillis
 }
 
-// coldShare returns a cold customer's share of the rate, units a ms.
-func (e *Engine) coldShare(account *customerAccount) float64 {
-	return e.plans[account.plan].ratePerMilli / float64(max(account.setSize, 1)) * coldShareFraction
+// quietShare returns a cold customer's share of the rate, units a ms.
+func (e *Engine) quietShare(account *customerAccount) float64 {
+	return e.plans[account.plan].ratePerMilli / float64(max(account.setSize, 1)) * quietShareFraction
 }
 
 // updateShare sets a customer's share of the rate: the cold share, or the floor and a part of the rest by
@@ -165,7 +165,7 @@
 		return
 	}
 	if !account.hot {
-		account.sharePerMilli = e.coldShare(account)
+		account.sharePerMilli = e.quietShare(account)
 		return
 	}
 	own, total := e.ownDemand(account), e.totalDemand(account)
@@ -454,7 +454,7 @@
 	}
 	if derived.gatewayCount > maxDenseGateways &&
 		params.burstMillis < sparseBurstIntervals*derived.reportIntervalMillis &&
-		params.ratePerMilli*params.burstMillis*coldShareFraction < params.maxUnits*float64(derived.gatewayCount) {
+		params.ratePerMilli*params.burstMillis*quietShareFraction < params.maxUnits*float64(derived.gatewayCount) {
 		params.sparse = true
 		params.demandWindowMillis = max(demandWindowMillis, derived.reportIntervalMillis,
 			min(params.burstMillis, maxDemandWindowMillis))
--- a/internal/policy/reconfigure_test.go
+++ b/internal/policy/reconfigure_test.go
@@ -207,8 +207,8 @@
 			h.ask(400, 3000, nil) // hot
 			ch.QuotaWithoutGossip = true
 			h.engine.Reconfigure(ch)
-			slice := coldShareFraction * c.plan.QuotaPerSecond / float64(c.n)
-			most := math.Max(coldShareFraction*c.plan.QuotaBurst/float64(c.n), 1)
+			slice := quietShareFraction * c.plan.QuotaPerSecond / float64(c.n)
+			most := math.Max(quietShareFraction*c.plan.QuotaBurst/float64(c.n), 1)
 			for _, customer := range []uint64{7, 8} { // one that is known, and one that comes new
 				in, span := 0, 10000.0
 				for end := h.now + span; h.now < end; {
@@ -278,7 +278,7 @@
 	h.newRequest(8, 1)
 	for _, customer := range []uint32{7, 8} {
 		a := &h.engine.accounts[h.engine.accountByCustomer[customer]]
-		if a.quotaTokens < coldShareFraction*c.Plans[0].QuotaBurst-2 {
+		if a.quotaTokens < quietShareFraction*c.Plans[0].QuotaBurst-2 {
 			t.Errorf("customer %d: %v in its one store", customer, a.quotaTokens)
 		}
 	}
--- a/internal/policy/retry.go
+++ b/internal/policy/retry.go
@@ -63,11 +63,11 @@
 	if slow := responseMillis > slowRequestResponses*math.Max(e.responseMillis, 1); slow &&
 		outcome == Succeeded {
 		e.slowRequests.add(1, e.now, lostRequestDecayMillis)
-	} else if slow && outcome == TimedOut && worker.heardAt >= attempt.sentAt {
+	} else if slow && outcome == TimedOut && worker.receivedAt >= attempt.sentAt {
 		e.lostRequests.add(1, e.now, lostRequestDecayMillis)
 	}
 	if outcome <= Overloaded || outcome == ConnectFailed || outcome == ConnectionLost {
-		worker.heardAt = e.now
+		worker.receivedAt = e.now
 	}
 }
 
--- a/internal/policy/slowstart.go
+++ b/internal/policy/slowstart.go
@@ -35,7 +35,7 @@
 	}
 	fade := math.Exp((e.warmUnitsAt - e.now) / warmWorkWindowMillis)
 	e.warmUnits, e.warmUnitsPerWorker, e.warmUnitsAt = e.warmUnits*fade+units, e.warmUnitsPerWorker*fade, e.now
-	if worker.warm && worker.listed {
+	if worker.warm && worker.inEndpoints {
 		e.warmUnitsPerWorker += units / float64(e.warmCount)
 	}
 }
@@ -46,7 +46,7 @@
 	if since <= 0 || e.derived.warmUpMillis <= 0 || e.now-since >= e.derived.warmUpMillis {
 		return 1
 	}
-	return e.derived.coldCapacityFraction + (1-e.derived.coldCapacityFraction)*math.Max(e.now-since,
+	return e.derived.warmingCapacityFraction + (1-e.derived.warmingCapacityFraction)*math.Max(e.now-since,
 		0)/e.derived.warmUpMillis
 }
 
@@ -76,6 +76,6 @@
 		e.cachedWarmRateKey, e.cachedWarmRate = as,
 			e.warmUnitsPerWorker*math.Exp((e.warmUnitsAt-e.now)/warmWorkWindowMillis)/span
 	}
-	least := e.derived.coldCapacityFraction / (warmingBlindIntervalMillis * float64(e.derived.gatewayCount))
+	least := e.derived.warmingCapacityFraction / (warmingBlindIntervalMillis * float64(e.derived.gatewayCount))
 	return math.Max(e.derived.warmingLoadFraction*e.warmFraction(since)*e.cachedWarmRate, least)
 }
--- a/internal/policy/snapshot.go
+++ b/internal/policy/snapshot.go
@@ -93,7 +93,7 @@
 			snapshot.Regions = append(snapshot.Regions, RegionSnapshot{})
 		}
 		region := &snapshot.Regions[worker.Zone]
-		if region.InFlight += worker.inFlight; worker.listed {
+		if region.InFlight += worker.inFlight; worker.inEndpoints {
 			region.Workers++
 			region.WarmWorkers += e.warmFraction(worker.StartedAtMillis)
 		}
@@ -172,7 +172,7 @@
 	e := New(settings, 0)
 	model := ModelParameters{ReportIntervalMillis: e.derived.reportIntervalMillis,
 		SilentAfterMillis: silentAfterIntervals * e.derived.reportIntervalMillis,
-		LostAfterMillis:   peerSuspicionMillis, LostHoldMillis: lostPeerHoldMillis,
+		LostAfterMillis:   peerSuspicionMillis, LostHoldMillis: lostPeerRetentionMillis,
 		FloorFraction: floorFraction, LatencyTargetFraction: targetPressureFraction * e.derived.latencySlackFactor,
 		WindowFraction:       e.windowFraction,
 		MinTimeLeftResponses: minTimeLeftResponses, RetryAfterTargets: overloadRetryTargetFraction,
@@ -191,7 +191,7 @@
 	if model.ImmediateReports && size <= maxImmediateSetSize {
 		return immediateDelayMillis
 	}
-	return unheardSpendIntervals * model.ReportIntervalMillis
+	return silentSpendIntervals * model.ReportIntervalMillis
 }
 
 // ReportSpanMillis is the ms that a gateway's last reports to those of a set cover, on average: an
--- a/internal/policy/snapshot_test.go
+++ b/internal/policy/snapshot_test.go
@@ -73,7 +73,7 @@
 		t.Errorf("%d sets, others %v", len(s.Sets), s.OtherSetsDemandPerSecond)
 	}
 	m := ModelParametersOf(c)
-	if m.LostAfterMillis+m.LostHoldMillis != peerSuspicionMillis+lostPeerHoldMillis ||
+	if m.LostAfterMillis+m.LostHoldMillis != peerSuspicionMillis+lostPeerRetentionMillis ||
 		m.SilentAfterMillis != silentAfterIntervals*m.ReportIntervalMillis ||
 		!m.ImmediateReports == (c.GatewayCount > maxImmediateSetSize) ||
 		math.Abs(m.LeastWindow(3)-g.minWindowOf(3)) > 1e-9 {
--- a/internal/policy/workerselection.go
+++ b/internal/policy/workerselection.go
@@ -34,11 +34,11 @@
 // workerRecord is what is known of a worker.
 type workerRecord struct {
 	Endpoint
-	listed                       bool
+	inEndpoints                  bool
 	inFlight                     int
 	responseMillis, responseAt   float64 // smoothed response time, and when it was updated
 	reportedLoad, reportedLoadAt float64 // its requests in flight by its last report, of all gateways, and when
-	heardAt                      float64
+	receivedAt                   float64
 	suspicion                    decayingScore
 	rejections                   []decayingScore // by class of request; nil while it has rejected none
 	overloaded                   bool            // it rejects every class
