--- a/cmd/willowdeck-lab/capacity.go
+++ b/cmd/willowdeck-lab/capacity.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/urfave/cli/v3"
 
 	"willowdeck/internal/lab/capacity"
@@ -73,6 +74,11 @@
 	if len(wanted) > 0 {
 		return nil
 	}
+	return capacity.WriteRefusals(c.String("refusals"), measureBounds(run, commit, way, log))
+}
+
+// measureBounds finds how many of each thing the program takes.
+func measureBounds(run, commit, way string, log zerolog.Logger) []capacity.Refusal {
 	var refusals []capacity.Refusal
 	for _, b := range footprint.Bounds() {
 		most, says := b.Most(b.Coming)
@@ -84,7 +90,7 @@
 		log.Info().Int("most", most).Int("coming", b.Coming).Str("says", r.Message).Msg(b.What)
 		refusals = append(refusals, r)
 	}
-	return capacity.WriteRefusals(c.String("refusals"), refusals)
+	return refusals
 }
 
 // capacityCommand makes the tables and the chart of a capacity page.
--- a/internal/borrowing/exchange.go
+++ b/internal/borrowing/exchange.go
@@ -201,16 +201,7 @@
 	if pace <= fill || a.SetSize < 2 {
 		return
 	}
-	var best *Pair
-	for i := range a.Pairs {
-		if p := &a.Pairs[i]; p.Used && p.rightsKnown && l.nowMillis-p.heardMillis < fillTTLMillis &&
-			p.fillPerMilli > a.fillPerMilli &&
-			p.RightsGiven <= p.rightsAcked &&
-			p.DebtGiven <= p.debtAcked &&
-			(best == nil || p.fillPerMilli > best.fillPerMilli) {
-			best = p
-		}
-	}
+	best := l.bestDebtReceiver(a)
 	if best == nil { // no fill of a peer is known
 		if l.nowMillis-a.lastRequestMillis >= resendMillis {
 			a.lastRequestMillis = l.nowMillis
@@ -219,13 +210,41 @@
 		}
 		return
 	}
-	parts := int64(
-		float64(a.totalDebt()) * (1 - fill/pace) * retainedShare,
-	) // more at the next look if needed
+	// More is given at the next look if needed.
+	parts := int64(float64(a.totalDebt()) * (1 - fill/pace) * retainedShare)
 	if parts <= 0 {
 		return
 	}
-	dueMillis := math.Inf(1)
+	dueMillis := a.takeLatestDebt(parts)
+	if best.DebtGiven == best.debtAcked {
+		best.DueMillis = dueMillis
+	}
+	best.DueMillis = math.Min(best.DueMillis, dueMillis)
+	best.DebtGiven += uint64(parts)
+	l.totals.DebtGiven += float64(parts) / partsPerUnit
+	l.recordEvent(EventDebtGiven, slot, int(best.Peer), parts, best.DebtGiven)
+	l.markDirty(slot)
+	l.queueEntry(slot, int(best.Peer))
+}
+
+// bestDebtReceiver returns the peer whose account fills fastest, and faster than this one: nil where none is
+// known to. One that has not acknowledged what it was given last gets nothing more.
+func (l *Lender) bestDebtReceiver(a *account) (best *Pair) {
+	for i := range a.Pairs {
+		p := &a.Pairs[i]
+		known := p.Used && p.rightsKnown && l.nowMillis-p.heardMillis < fillTTLMillis
+		acknowledged := p.RightsGiven <= p.rightsAcked && p.DebtGiven <= p.debtAcked
+		if known && acknowledged && p.fillPerMilli > a.fillPerMilli &&
+			(best == nil || p.fillPerMilli > best.fillPerMilli) {
+			best = p
+		}
+	}
+	return best
+}
+
+// takeLatestDebt takes parts of the debt that is due last, and returns when the first of them is due.
+func (a *account) takeLatestDebt(parts int64) (dueMillis float64) {
+	dueMillis = math.Inf(1)
 	for left := parts; left > 0; {
 		last := -1
 		for i := range a.Debt {
@@ -238,15 +257,7 @@
 		left -= amount
 		dueMillis = math.Min(dueMillis, a.DebtDueMillis[last])
 	}
-	if best.DebtGiven == best.debtAcked {
-		best.DueMillis = dueMillis
-	}
-	best.DueMillis = math.Min(best.DueMillis, dueMillis)
-	best.DebtGiven += uint64(parts)
-	l.totals.DebtGiven += float64(parts) / partsPerUnit
-	l.recordEvent(EventDebtGiven, slot, int(best.Peer), parts, best.DebtGiven)
-	l.markDirty(slot)
-	l.queueEntry(slot, int(best.Peer))
+	return dueMillis
 }
 
 // samplePeers returns the other places of a small set, or random ones of a large one.
--- a/internal/borrowing/processing.go
+++ b/internal/borrowing/processing.go
@@ -114,41 +114,48 @@
 		}
 	}
 	if len(l.pendingEntries) > 0 && l.allowMessage() {
-		to, kept := l.pendingEntries[0].peer, l.pendingEntries[:0]
-		l.entryBuffer = l.entryBuffer[:0]
-		for _, t := range l.pendingEntries {
-			if t.peer == to && len(l.entryBuffer) < maxEntriesPerMessage {
-				l.entryBuffer = append(l.entryBuffer, l.newEntry(t.slot, to))
-			} else {
-				kept = append(kept, t)
-			}
-		}
-		l.pendingEntries = kept
-		return Decision{Action: ActionSend, Peer: to, Entries: l.entryBuffer}, true
+		return l.nextMessage(), true
 	}
-	if n := len(l.collectSlots); n > 0 {
-		slot := l.collectSlots[n-1]
-		l.collectSlots = l.collectSlots[:n-1]
-		a := &l.accounts[slot]
-		spanMillis := math.Min(l.nowMillis-a.lastCollectedMillis, 2*earnIntervalMillis)
-		a.lastCollectedMillis = l.nowMillis
-		debt := float64(a.totalDebt())
-		return Decision{
-			Action:     ActionCollect,
-			Customer:   a.Customer,
-			Plan:       int(a.Plan),
-			SetSize:    int(a.SetSize),
-			SpanMillis: spanMillis,
-			RepayUnits: l.repaymentNeed(
-				a,
-				spanMillis,
-			),
-			MaxUnits: (debt + float64(max(a.PresumedDrawn, 0))) / partsPerUnit,
-		}, true
+	if len(l.collectSlots) > 0 {
+		return l.nextCollection(), true
 	}
 	return Decision{}, false
 }
 
+// nextMessage returns a message with the pending entries of the peer whose entry has waited longest.
+func (l *Lender) nextMessage() Decision {
+	to, kept := l.pendingEntries[0].peer, l.pendingEntries[:0]
+	l.entryBuffer = l.entryBuffer[:0]
+	for _, pending := range l.pendingEntries {
+		if pending.peer == to && len(l.entryBuffer) < maxEntriesPerMessage {
+			l.entryBuffer = append(l.entryBuffer, l.newEntry(pending.slot, to))
+		} else {
+			kept = append(kept, pending)
+		}
+	}
+	l.pendingEntries = kept
+	return Decision{Action: ActionSend, Peer: to, Entries: l.entryBuffer}
+}
+
+// nextCollection returns the decision to collect from a customer what it repays.
+func (l *Lender) nextCollection() Decision {
+	last := len(l.collectSlots) - 1
+	a := &l.accounts[l.collectSlots[last]]
+	l.collectSlots = l.collectSlots[:last]
+	spanMillis := math.Min(l.nowMillis-a.lastCollectedMillis, 2*earnIntervalMillis)
+	a.lastCollectedMillis = l.nowMillis
+	debt := float64(a.totalDebt())
+	return Decision{
+		Action:     ActionCollect,
+		Customer:   a.Customer,
+		Plan:       int(a.Plan),
+		SetSize:    int(a.SetSize),
+		SpanMillis: spanMillis,
+		RepayUnits: l.repaymentNeed(a, spanMillis),
+		MaxUnits:   (debt + float64(max(a.PresumedDrawn, 0))) / partsPerUnit,
+	}
+}
+
 // allowMessage reports whether one more message is within the rate, and counts it. Entries that wait
 // meanwhile are sent together.
 func (l *Lender) allowMessage() bool {
--- a/internal/forecast/emulatormodel.go
+++ b/internal/forecast/emulatormodel.go
@@ -34,6 +34,18 @@
 	l := &EmulatorModel{Gatekeepers: f.charter.GatewayCount, Regions: f.regions, WorkersByRegion: f.workers,
 		ServiceCV2:    f.serviceCV2,
 		ServiceMillis: f.serviceMillis}
+	l.CrossRegionMillis = f.crossRegionMillis()
+	for _, w := range used {
+		l.MeanWindow += w.Window / float64(len(used))
+	}
+	for q := range f.plans {
+		l.Plans = append(l.Plans, f.planModel(q, used))
+	}
+	return l
+}
+
+// crossRegionMillis returns how much longer answers take from another region, on average; 0 where none came.
+func (f *fleet) crossRegionMillis() float64 {
 	ways, runs := 0.0, 0.0
 	for g := range f.regions {
 		for x := range f.regions {
@@ -44,33 +56,32 @@
 		}
 	}
 	if runs > 0 {
-		l.CrossRegionMillis = max(ways/runs, 0)
+		return max(ways/runs, 0)
 	}
+	return 0
+}
+
+// planModel returns the model of a plan by the reports in use.
+func (f *fleet) planModel(q int, used []*Report) PlanModel {
+	p := PlanModel{RequestsByProduct: make([]float64, len(f.products))}
+	units, tried, most := 0.0, 0.0, map[int]float64{}
+	for k := range f.products {
+		i := q*len(f.products) + k
+		p.RequestsByProduct[k] = 1000 * f.flows[i].Requested * f.firstAttemptShare(i)
+		p.Requested += p.RequestsByProduct[k]
+		units, tried = units+f.flows[i].Units, tried+f.flows[i].Requested
+	}
+	p.MeanUnits = units / max(tried, 1e-12)
 	for _, w := range used {
-		l.MeanWindow += w.Window / float64(len(used))
+		p.Customers += w.Customers[q].Customers * f.scale
 	}
-	for q := range f.plans {
-		p := PlanModel{RequestsByProduct: make([]float64, len(f.products))}
-		units, tried, most := 0.0, 0.0, map[int]float64{}
-		for k := range f.products {
-			i := q*len(f.products) + k
-			p.RequestsByProduct[k] = 1000 * f.flows[i].Requested * f.firstAttemptShare(i)
-			p.Requested += p.RequestsByProduct[k]
-			units, tried = units+f.flows[i].Units, tried+f.flows[i].Requested
-		}
-		p.MeanUnits = units / max(tried, 1e-12)
-		for _, w := range used {
-			p.Customers += w.Customers[q].Customers * f.scale
-		}
-		for _, e := range f.customerSets[q] {
-			most[len(e.regions)] += e.demand
-		}
-		for n := 1; n <= l.Gatekeepers; n++ {
-			if p.SetSize == 0 && most[n] > 0 || most[n] > most[p.SetSize] {
-				p.SetSize = n
-			}
+	for _, e := range f.customerSets[q] {
+		most[len(e.regions)] += e.demand
+	}
+	for n := 1; n <= f.charter.GatewayCount; n++ {
+		if p.SetSize == 0 && most[n] > 0 || most[n] > most[p.SetSize] {
+			p.SetSize = n
 		}
-		l.Plans = append(l.Plans, p)
 	}
-	return l
+	return p
 }
--- a/internal/forecast/fleet.go
+++ b/internal/forecast/fleet.go
@@ -81,28 +81,7 @@
 	sums := &answerSums{workers: make([][]int, n), warmWorkers: make([][]float64, n),
 		byProduct: make([][4]float64, np)}
 	for _, w := range f.reports {
-		g := f.regionOf(w.Region)
-		if g < 0 {
-			continue
-		}
-		f.gateways[g]++
-		all := f.gatewayRegions[w.Group]
-		for len(all) < w.Charter.GatewayCount {
-			all = append(all, -1)
-		}
-		all[w.Index] = g
-		f.gatewayRegions[w.Group] = all
-		for i, x := range w.Flows {
-			f.requested[g][i] += x.Requested * f.scale / 1000
-			f.flows[i].add(x, f.scale)
-		}
-		for i, r := range w.RejectionsPerSecond {
-			f.reason[i] += r * f.scale / 1000
-		}
-		for i, c := range w.Credit {
-			f.credit[g][i] += c.Available
-		}
-		f.addRegions(w, g, sums)
+		f.addReport(w, sums)
 	}
 	for x := range n {
 		f.workers[x], f.warmWorkers[x] = median(sums.workers[x]), median(sums.warmWorkers[x])
@@ -123,6 +102,32 @@
 	f.collectSets()
 }
 
+// addReport adds one gateway's report, unless its region is not known.
+func (f *fleet) addReport(w *Report, sums *answerSums) {
+	g := f.regionOf(w.Region)
+	if g < 0 {
+		return
+	}
+	f.gateways[g]++
+	all := f.gatewayRegions[w.Group]
+	for len(all) < w.Charter.GatewayCount {
+		all = append(all, -1)
+	}
+	all[w.Index] = g
+	f.gatewayRegions[w.Group] = all
+	for i, x := range w.Flows {
+		f.requested[g][i] += x.Requested * f.scale / 1000
+		f.flows[i].add(x, f.scale)
+	}
+	for i, r := range w.RejectionsPerSecond {
+		f.reason[i] += r * f.scale / 1000
+	}
+	for i, c := range w.Credit {
+		f.credit[g][i] += c.Available
+	}
+	f.addRegions(w, g, sums)
+}
+
 // indexRegions numbers the regions that reports name, at most MaxRegions.
 func (f *fleet) indexRegions() {
 	for _, w := range f.reports {
@@ -264,10 +269,20 @@
 		return
 	}
 	f.cores = k
+	f.estimateServiceByProduct(pace, s, way+math.Max(mean-s, 0))
+}
+
+// estimateServiceByProduct sets the service time of each product, whose mean over all is meanMillis. Of an
+// answer's time otherMillis are the way and the wait, of which a product's are all products' mean.
+func (f *fleet) estimateServiceByProduct(pace [][4]float64, meanMillis, otherMillis float64) {
+	rate := 0.0
+	for _, p := range pace {
+		rate += p[0]
+	}
 	for _, p := range pace {
-		one := s
-		if p[0] > 0 { // a product's wait is all products' mean
-			one = math.Max(p[1]/p[0]-way-math.Max(mean-s, 0), s/10)
+		one := meanMillis
+		if p[0] > 0 {
+			one = math.Max(p[1]/p[0]-otherMillis, meanMillis/10)
 		}
 		f.serviceMillis = append(f.serviceMillis, one)
 	}
@@ -276,7 +291,7 @@
 		sum += pace[p][0] * f.serviceMillis[p]
 	}
 	for p := range f.serviceMillis {
-		f.serviceMillis[p] *= s * rate / sum
+		f.serviceMillis[p] *= meanMillis * rate / sum
 	}
 }
 
--- a/internal/forecast/meter.go
+++ b/internal/forecast/meter.go
@@ -208,24 +208,29 @@
 		if s.Regions[z] == (policy.RegionSnapshot{}) {
 			continue
 		}
-		h := Region{Name: regionName(z), Workers: s.Regions[z].Workers, WarmWorkers: s.Regions[z].WarmWorkers,
-			InFlight: s.Regions[z].InFlight,
-			CPUUse:   -1}
-		if said := m.regionOffset(MaxRegions, 0) + 2*z; per(said) > 0 {
-			h.CPUUse = math.Min(per(said+1)/per(said), 1)
-		}
-		for p := range m.products {
-			k := m.regionOffset(z, p)
-			a := Answers{PerSecond: per(k + countAnswers), WastedPerSecond: per(k + countWasted)}
-			if a.PerSecond > 0 {
-				a.MeanMillis = per(k+sumMillis) / a.PerSecond
-				a.DeviationMillis = math.Sqrt(math.Max(per(k+sumSquares)/a.PerSecond-a.MeanMillis*a.MeanMillis, 0))
-			}
-			h.Answers = append(h.Answers, a)
-		}
-		w.Regions = append(w.Regions, h)
+		w.Regions = append(w.Regions, m.region(z, regionName(z), s.Regions[z], per))
 	}
 	w.Customers, w.Sets = append(w.Customers[:0], s.Plans...), append(w.Sets[:0], s.Sets...)
 	w.OtherDemand, w.Window, w.Pressure = s.OtherSetsDemandPerSecond, s.Window, s.Pressure
 	w.InFlight, w.SilentPeers, w.LostPeers = s.InFlight, s.SilentPeers, s.LostPeers
 }
+
+// region returns the report of a region. perSecond gives the rate of a counter over the report's span.
+func (m *Meter) region(z int, name string, snapshot policy.RegionSnapshot, perSecond func(int) float64) Region {
+	h := Region{Name: name, Workers: snapshot.Workers, WarmWorkers: snapshot.WarmWorkers,
+		InFlight: snapshot.InFlight,
+		CPUUse:   -1}
+	if said := m.regionOffset(MaxRegions, 0) + 2*z; perSecond(said) > 0 {
+		h.CPUUse = math.Min(perSecond(said+1)/perSecond(said), 1)
+	}
+	for p := range m.products {
+		k := m.regionOffset(z, p)
+		a := Answers{PerSecond: perSecond(k + countAnswers), WastedPerSecond: perSecond(k + countWasted)}
+		if a.PerSecond > 0 {
+			a.MeanMillis = perSecond(k+sumMillis) / a.PerSecond
+			a.DeviationMillis = math.Sqrt(math.Max(perSecond(k+sumSquares)/a.PerSecond-a.MeanMillis*a.MeanMillis, 0))
+		}
+		h.Answers = append(h.Answers, a)
+	}
+	return h
+}
--- a/internal/gateway/config/forwardauth.go
+++ b/internal/gateway/config/forwardauth.go
@@ -279,23 +279,32 @@
 	if a.FailsOpen, err = g.productFlags("open", t.Open, false); err != nil {
 		return nil, err
 	}
+	if err = a.checkFailsOpen(); err != nil {
+		return nil, err
+	}
+	return a, file.checkAskingRanges()
+}
+
+// checkFailsOpen checks the products whose requests pass while the service fails.
+func (a *Authorizer) checkFailsOpen() error {
 	for i, open := range a.FailsOpen {
 		if open && !a.Covers[i] {
-			return nil, errors.New("open: it names a product that is not among products")
+			return errors.New("open: it names a product that is not among products")
 		}
 		if open && a.CustomerHeader != "" {
-			return nil, errors.New("open: if the service fails nobody names the customer, which customer asks for")
+			return errors.New("open: if the service fails nobody names the customer, which customer asks for")
 		}
 	}
-	return a, firstOutOfRange(
+	return nil
+}
+
+// checkAskingRanges checks the numbers of how the service is asked.
+func (file *forwardAuthFile) checkAskingRanges() error {
+	t := &file.Asking
+	return firstOutOfRange(
 		keyRange{"limit_ms", t.LimitMS, 1, authcache.MaxTimeoutMillis},
 		keyRange{"share", t.Share, 0.01, 0.9},
-		keyRange{
-			"yes_s",
-			t.YesS,
-			0,
-			authcache.MaxDecisionTTLMillis / 1000,
-		},
+		keyRange{"yes_s", t.YesS, 0, authcache.MaxDecisionTTLMillis / 1000},
 		keyRange{"no_s", t.NoS, 0, authcache.MaxDecisionTTLMillis / 1000},
 		keyRange{"credentials", float64(t.Credentials), 0, authcache.LargestMaxDecisions},
 		keyRange{"connections", float64(t.Connections), 1, authcache.MaxConnections},
--- a/internal/gateway/config/journal.go
+++ b/internal/gateway/config/journal.go
@@ -90,17 +90,27 @@
 	default:
 		return nil, fmt.Errorf("policy: %q is not refuse or serve", f.Policy)
 	}
-	err := firstOutOfRange(
+	if err := f.checkRanges(); err != nil {
+		return nil, err
+	}
+	t.BatchWindowMillis, t.CommitWaitMillis = f.WindowMS, f.WaitMS
+	t.SlowCommitMillis, t.CoverageLeaseMillis = f.SlowMS, f.LeaseMS
+	t.SegmentBytes, t.MaxSegments, t.MaxTxns = f.SegmentKB<<10, f.Segments, f.Txns
+	t.MaxResponseBytes, t.MaxStoredResponseBytes = f.AnswerBytes, f.AnswersKB<<10
+	t.ResponseRetentionMillis = f.RememberS * 1000
+	t.BreakerThreshold = f.Breaker.After
+	t.BreakerBackoffMillis, t.BreakerMaxBackoffMillis = f.Breaker.PauseMS, f.Breaker.MostMS
+	return &Journal{Dir: f.Dir, Terms: t}, nil
+}
+
+// checkRanges checks the numbers of the file.
+func (f *journalFile) checkRanges() error {
+	return firstOutOfRange(
 		keyRange{"window_ms", f.WindowMS, 0, txnjournal.MaxBatchWindowMillis},
 		keyRange{"wait_ms", f.WaitMS, 1, txnjournal.MaxCommitWaitMillis},
 		keyRange{"slow_ms", f.SlowMS, 1, txnjournal.MaxCommitWaitMillis},
 		keyRange{"lease_ms", f.LeaseMS, 100, txnjournal.MaxCoverageLeaseMillis},
-		keyRange{
-			"segment_kb",
-			float64(f.SegmentKB),
-			txnjournal.MinSegmentBytes >> 10,
-			txnjournal.MaxSegmentBytes >> 10,
-		},
+		keyRange{"segment_kb", float64(f.SegmentKB), txnjournal.MinSegmentBytes >> 10, txnjournal.MaxSegmentBytes >> 10},
 		keyRange{"segments", float64(f.Segments), txnjournal.MinMaxSegments, txnjournal.LargestMaxSegments},
 		keyRange{"txns", float64(f.Txns), 1, txnjournal.LargestMaxTxns},
 		keyRange{"answer_bytes", float64(f.AnswerBytes), 0, float64(f.SegmentKB << 10 / 8)},
@@ -110,15 +120,4 @@
 		keyRange{"breaker.pause_ms", f.Breaker.PauseMS, 1, txnjournal.MaxBreakerBackoffMillis},
 		keyRange{"breaker.most_ms", f.Breaker.MostMS, f.Breaker.PauseMS, txnjournal.MaxBreakerBackoffMillis},
 	)
-	if err != nil {
-		return nil, err
-	}
-	t.BatchWindowMillis, t.CommitWaitMillis = f.WindowMS, f.WaitMS
-	t.SlowCommitMillis, t.CoverageLeaseMillis = f.SlowMS, f.LeaseMS
-	t.SegmentBytes, t.MaxSegments, t.MaxTxns = f.SegmentKB<<10, f.Segments, f.Txns
-	t.MaxResponseBytes, t.MaxStoredResponseBytes = f.AnswerBytes, f.AnswersKB<<10
-	t.ResponseRetentionMillis = f.RememberS * 1000
-	t.BreakerThreshold = f.Breaker.After
-	t.BreakerBackoffMillis, t.BreakerMaxBackoffMillis = f.Breaker.PauseMS, f.Breaker.MostMS
-	return &Journal{Dir: f.Dir, Terms: t}, nil
 }
--- a/internal/gateway/config/settings.go
+++ b/internal/gateway/config/settings.go
@@ -84,6 +84,13 @@
 		WorstPlanWeight:       s.ScoreWeights.WorstTenant + s.ScoreWeights.WorstClass,
 		WorkersReportLoad:     s.Report.Mode == reportInAnswers,
 	}
+	s.addProducts(&t)
+	s.addPlans(&t)
+	return t
+}
+
+// addProducts adds the products to the settings.
+func (s *settingsFile) addProducts(t *Settings) {
 	for i, p := range s.Classes {
 		t.Connections.MaxClientWaitMillis = max(t.Connections.MaxClientWaitMillis,
 			orDefault(p.HardLimitMicros/microsPerMilli, math.Inf(1)))
@@ -97,6 +104,10 @@
 			LateValueFraction: p.LateShare, Idempotency: repeatsByEffect[p.Effect], DedupScope: group,
 			DedupWindowMillis: p.WindowMicros / microsPerMilli})
 	}
+}
+
+// addPlans adds the plans to the settings.
+func (s *settingsFile) addPlans(t *Settings) {
 	for i, p := range s.Tariffs {
 		t.Names.Plans[p.Name] = i
 		if p.LimitRate == 0 { // there is no rate limit, whatever its depth
@@ -108,7 +119,6 @@
 			ExcessValueFraction: p.ExcessShare, ExcessCostFraction: p.ExcessFee, CreditSeconds: p.CreditSeconds,
 			RepayWithinMillis: p.RepaySeconds * millisPerSecond})
 	}
-	return t
 }
 
 // orDefault returns value, or fallback where value is not positive.
--- a/internal/lab/capacity/csv.go
+++ b/internal/lab/capacity/csv.go
@@ -74,7 +74,9 @@
 }
 
 // writeFile replaces a file.
-func writeFile(path string, content []byte) error { return atomicfile.WriteBytes(path, fileMode, content) }
+func writeFile(path string, content []byte) error {
+	return atomicfile.WriteBytes(path, fileMode, content)
+}
 
 // ReadAll reads all tables of a folder: measurements (*.csv), refusals (refusals*.csv) and the output of
 // benchmarks (*.txt), by file name. An error names the file and the line.
--- a/internal/lab/emulator/restore.go
+++ b/internal/lab/emulator/restore.go
@@ -54,6 +54,21 @@
 		}
 		state.NextReportAtMillis = g.sim.clockMillis() + g.sim.scenario.reportPeriodMillis()*g.seeds.Float64()
 	}
+	state.Customers = g.retainedCustomers(state)
+	if retained&RetainWorkers == 0 {
+		g.forgetWorkers(&state)
+	}
+	if retained&RetainPressure == 0 {
+		state.Window, state.Pressure, state.WindowCutAtMillis, state.ResponseMillis, state.MeanWorkerLoad = 0, 0,
+			0, 0, 0
+		state.SlowRequests, state.LostRequests = 0, 0
+	}
+	return state
+}
+
+// retainedCustomers returns what is known of customers after a restart.
+func (g *gatekeeper) retainedCustomers(state policy.HandoffState) []policy.CustomerState {
+	retained := g.sim.scenario.Gatekeepers.Retained
 	var customers []policy.CustomerState
 	for _, c := range state.Customers {
 		switch {
@@ -70,23 +85,21 @@
 		}
 		customers = append(customers, c)
 	}
-	state.Customers = customers
-	if retained&RetainWorkers == 0 {
-		if state.Kinds = nil; retained&RetainSlowStart == 0 {
-			state.Workers = nil
-		}
-		for i, worker := range state.Workers { // all else as of one that was just added
-			state.Workers[i] = policy.WorkerState{Worker: worker.Worker, StartedAtMillis: worker.StartedAtMillis,
-				HeardAtMillis: g.sim.clockMillis(), SlowStartAtMillis: worker.SlowStartAtMillis,
-				SlowStartDebtUnits: worker.SlowStartDebtUnits, Rejections: make([]float64, len(worker.Rejections)),
-				RejectionsAtMillis: make([]float64, len(worker.RejectionsAtMillis))}
-		}
-		state.WarmWorkUnits, state.WarmWorkAtMillis = 0, state.AtMillis
+	return customers
+}
+
+// forgetWorkers leaves of the workers their slow start, where that is retained: all else is as of workers that
+// were just added.
+func (g *gatekeeper) forgetWorkers(state *policy.HandoffState) {
+	retained := g.sim.scenario.Gatekeepers.Retained
+	if state.Kinds = nil; retained&RetainSlowStart == 0 {
+		state.Workers = nil
 	}
-	if retained&RetainPressure == 0 {
-		state.Window, state.Pressure, state.WindowCutAtMillis, state.ResponseMillis, state.MeanWorkerLoad = 0, 0,
-			0, 0, 0
-		state.SlowRequests, state.LostRequests = 0, 0
+	for i, worker := range state.Workers {
+		state.Workers[i] = policy.WorkerState{Worker: worker.Worker, StartedAtMillis: worker.StartedAtMillis,
+			HeardAtMillis: g.sim.clockMillis(), SlowStartAtMillis: worker.SlowStartAtMillis,
+			SlowStartDebtUnits: worker.SlowStartDebtUnits, Rejections: make([]float64, len(worker.Rejections)),
+			RejectionsAtMillis: make([]float64, len(worker.RejectionsAtMillis))}
 	}
-	return state
+	state.WarmWorkUnits, state.WarmWorkAtMillis = 0, state.AtMillis
 }
--- a/internal/testkit/faultinject/process.go
+++ b/internal/testkit/faultinject/process.go
@@ -163,14 +163,7 @@
 		return err
 	}
 	defer func() { _ = out.Close() }()
-	cmd := exec.Command(p.spec.Program, p.spec.Args...)
-	if p.spec.Room > 0 { // the limit is there before its first write
-		cmd = exec.Command("/bin/sh", append([]string{"-c", "kill -STOP $$; exec \"$@\"", "sh",
-			p.spec.Program}, p.spec.Args...)...)
-	}
-	cmd.Env = append(append(os.Environ(), p.spec.Env...), p.mark)
-	cmd.Dir, cmd.Stdout, cmd.Stderr = p.spec.Dir, out, out
-	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
+	cmd := p.command(out)
 	started := make(chan error)
 	processStarter() <- func() { started <- cmd.Start() }
 	if err := <-started; err != nil {
@@ -199,6 +192,20 @@
 	return nil
 }
 
+// command returns the command of the next incarnation, whose output goes to out. One with a limit of its files
+// stops before it begins, so that the limit is there before its first write.
+func (p *Process) command(out *os.File) *exec.Cmd {
+	cmd := exec.Command(p.spec.Program, p.spec.Args...)
+	if p.spec.Room > 0 {
+		cmd = exec.Command("/bin/sh", append([]string{"-c", "kill -STOP $$; exec \"$@\"", "sh",
+			p.spec.Program}, p.spec.Args...)...)
+	}
+	cmd.Env = append(append(os.Environ(), p.spec.Env...), p.mark)
+	cmd.Dir, cmd.Stdout, cmd.Stderr = p.spec.Dir, out, out
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
+	return cmd
+}
+
 // keep has a life's output written to the log by the rig: a bound on the process's files does not cut it.
 func (p *Process) keep() (to *os.File, copied <-chan struct{}, err error) {
 	log, err := os.OpenFile(p.Log(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
--- a/internal/testkit/faultinject/schedule.go
+++ b/internal/testkit/faultinject/schedule.go
@@ -170,6 +170,33 @@
 	if step.At < 0 || step.Until <= step.At || step.Until > s.Span {
 		return fmt.Errorf("at %d, until %d of a span of %d", step.At, step.Until, s.Span)
 	}
+	if err := s.checkNames(step); err != nil {
+		return err
+	}
+	switch step.What {
+	case Cuts, Parts, Splits:
+		if step.How == Whole {
+			return errors.New("how is missing")
+		}
+	case Shapes:
+		return step.Shape.check()
+	case Spoils:
+		if !slices.Contains(damages, step.Damage.What) || step.Damage.Bytes < 0 {
+			return fmt.Errorf("damage: %q of %d bytes", step.Damage.What, step.Damage.Bytes)
+		}
+	case Fills:
+		if step.Room <= 0 {
+			return fmt.Errorf("room: %d bytes", step.Room)
+		}
+	case Stalls, Crashes:
+	default:
+		return fmt.Errorf("what: %q is unknown", step.What)
+	}
+	return nil
+}
+
+// checkNames checks the names of whom a step is about.
+func (s *Schedule) checkNames(step *Step) error {
 	least, most := 1, 1
 	switch step.What {
 	case Cuts, Parts, Shapes:
@@ -188,32 +215,18 @@
 			return fmt.Errorf("whom: %q is no end", name)
 		}
 	}
-	sh := step.Shape
-	switch step.What {
-	case Cuts, Parts, Splits:
-		if step.How == Whole {
-			return errors.New("how is missing")
-		}
-	case Shapes:
-		for _, p := range []float64{sh.Loss, sh.Double, sh.Reorder} {
-			if !(p >= 0 && p <= 1) {
-				return fmt.Errorf("shape: a chance of %v", p)
-			}
-		}
-		if min(sh.Back, sh.Delay, sh.Jitter) < 0 || !(sh.Rate >= 0) || math.IsInf(sh.Rate, 1) {
-			return errors.New("shape: a figure below nought or without bound")
-		}
-	case Spoils:
-		if !slices.Contains(damages, step.Damage.What) || step.Damage.Bytes < 0 {
-			return fmt.Errorf("damage: %q of %d bytes", step.Damage.What, step.Damage.Bytes)
-		}
-	case Fills:
-		if step.Room <= 0 {
-			return fmt.Errorf("room: %d bytes", step.Room)
+	return nil
+}
+
+// check checks the figures of a link's shape.
+func (shape *Shape) check() error {
+	for _, chance := range []float64{shape.Loss, shape.Double, shape.Reorder} {
+		if !(chance >= 0 && chance <= 1) {
+			return fmt.Errorf("shape: a chance of %v", chance)
 		}
-	case Stalls, Crashes:
-	default:
-		return fmt.Errorf("what: %q is unknown", step.What)
+	}
+	if min(shape.Back, shape.Delay, shape.Jitter) < 0 || !(shape.Rate >= 0) || math.IsInf(shape.Rate, 1) {
+		return errors.New("shape: a figure below nought or without bound")
 	}
 	return nil
 }
--- a/internal/testkit/history/ledger.go
+++ b/internal/testkit/history/ledger.go
@@ -336,60 +336,70 @@
 	flight        map[handed]float64
 }
 
+// apply applies an event. It returns whether what is lent or may be lent has grown by it, and whether the event
+// is possible at all.
+func (t *tally) apply(e Event) (raised, possible bool) {
+	h := handed{incarnation{e.Who, e.Life}, e.Peer, e.Customer, e.Serial}
+	switch e.Kind {
+	case Holds:
+		raised = e.Units > t.rights[e.Who]+unitTolerance
+		t.rights[e.Who] = e.Units
+	case Hands:
+		t.rights[e.Who] -= e.Units
+		if _, again := t.flight[h]; again {
+			return false, false
+		}
+		t.flight[h] = e.Units
+	case Takes:
+		h = handed{incarnation{e.Peer, e.PeerLife}, e.Who, e.Customer, e.Serial}
+		if units, there := t.flight[h]; !there || units != e.Units {
+			return false, false
+		}
+		delete(t.flight, h)
+		t.rights[e.Who] += e.Units
+	case Lends:
+		raised = true
+		t.rights[e.Who] -= e.Units
+		t.loans[e.Who] += e.Units
+	case Repays:
+		by := lender(e)
+		t.rights[by] += e.Units
+		t.loans[by] -= e.Units
+		return false, t.loans[by] >= -unitTolerance
+	}
+	return raised, true
+}
+
+// sumAfter returns what is lent after an event, and with what may be lent where rights were set.
+func (t *tally) sumAfter(e Event) (sum float64) {
+	for _, units := range t.loans {
+		sum += units
+	}
+	if e.Kind != Holds {
+		return sum
+	}
+	for _, units := range t.rights {
+		sum += units
+	}
+	for _, units := range t.flight {
+		sum += units
+	}
+	return sum
+}
+
 // bounded is the ledger as a sequential object.
 func bounded(line func(Event) float64) porcupine.Model {
 	near := func(a, b float64) bool { return a-b < unitTolerance && b-a < unitTolerance }
 	return porcupine.Model{
 		Init: func() any { return tally{map[string]float64{}, map[string]float64{}, map[handed]float64{}} },
 		Step: func(state, input, _ any) (bool, any) {
-			t, e := state.(tally), input.(Event)
-			t = tally{maps.Clone(t.rights), maps.Clone(t.loans), maps.Clone(t.flight)}
-			h := handed{incarnation{e.Who, e.Life}, e.Peer, e.Customer, e.Serial}
-			raised := false
-			switch e.Kind {
-			case Holds:
-				raised = e.Units > t.rights[e.Who]+unitTolerance
-				t.rights[e.Who] = e.Units
-			case Hands:
-				t.rights[e.Who] -= e.Units
-				if _, again := t.flight[h]; again {
-					return false, t
-				}
-				t.flight[h] = e.Units
-			case Takes:
-				h = handed{incarnation{e.Peer, e.PeerLife}, e.Who, e.Customer, e.Serial}
-				if units, there := t.flight[h]; !there || units != e.Units {
-					return false, t
-				}
-				delete(t.flight, h)
-				t.rights[e.Who] += e.Units
-			case Lends:
-				raised = true
-				t.rights[e.Who] -= e.Units
-				t.loans[e.Who] += e.Units
-			case Repays:
-				by := lender(e)
-				t.rights[by] += e.Units
-				if t.loans[by] -= e.Units; t.loans[by] < -unitTolerance {
-					return false, t
-				}
-			}
-			if t.rights[e.Who] < -unitTolerance {
+			before, e := state.(tally), input.(Event)
+			t := tally{maps.Clone(before.rights), maps.Clone(before.loans), maps.Clone(before.flight)}
+			raised, possible := t.apply(e)
+			if !possible || t.rights[e.Who] < -unitTolerance {
 				return false, t
 			}
-			sum := 0.0
-			for _, u := range t.loans {
-				sum += u
-			}
-			if e.Kind == Holds {
-				for _, u := range t.rights {
-					sum += u
-				}
-				for _, u := range t.flight {
-					sum += u
-				}
-			}
-			return !raised || sum <= line(e)+unitTolerance, t
+			return !raised || t.sumAfter(e) <= line(e)+unitTolerance, t
 		},
 		Equal: func(a, b any) bool {
 			x, y := a.(tally), b.(tally)
--- a/internal/txnjournal/segment.go
+++ b/internal/txnjournal/segment.go
@@ -128,13 +128,8 @@
 				fmt.Sprintf("damage in segment %d before byte %d", number, offset))
 			readable = true
 		}
-		if record.known() {
-			report.Records++
+		if report.addRecord(number, record) {
 			visit(offset, record)
-		} else {
-			report.UnknownRecords++
-			report.addUncertain(record.TimeMillis, record.TimeMillis,
-				fmt.Sprintf("segment %d holds a record of a kind that is not known", number))
 		}
 		offset += size
 		report.LastMillis, report.EndOffset = math.Max(report.LastMillis, record.TimeMillis), offset
@@ -147,6 +142,18 @@
 	return report
 }
 
+// addRecord counts a record of a segment, and returns whether its kind is known.
+func (r *SegmentReport) addRecord(number uint64, record Record) (known bool) {
+	if record.known() {
+		r.Records++
+		return true
+	}
+	r.UnknownRecords++
+	r.addUncertain(record.TimeMillis, record.TimeMillis,
+		fmt.Sprintf("segment %d holds a record of a kind that is not known", number))
+	return false
+}
+
 // findRecord returns the offset of the first record at or behind an offset; the segment's length where
 // there is none.
 func findRecord(segment uint64, offset int, b []byte) int {
