--- a/cmd/willowdeck-lab/experiment.go
+++ b/cmd/willowdeck-lab/experiment.go
@@ -47,7 +47,7 @@
 		e := log.Info().Str("policy", r.Policy).Int64("seed", r.Seed).Float64("score", r.Score).
 			Int64("asked", r.Transactions).Int64("settled", r.Completed).Float64("p50_ms",
 			r.P50Millis).Float64("p99_ms", r.P99Millis).
-			Float64("near_fall", r.HighestColdLoad).Float64("starved", r.StarvedFraction)
+			Float64("near_fall", r.HighestWarmingLoad).Float64("starved", r.StarvedFraction)
 		for _, p := range []emulator.Segment{emulator.WorstServed(r.Products), emulator.WorstServed(r.Plans)} {
 			e = e.Float64("served_of_"+p.Name, p.ServedShare())
 		}
--- a/cmd/willowdeck-lab/journal.go
+++ b/cmd/willowdeck-lab/journal.go
@@ -24,11 +24,11 @@
 )
 
 const (
-	serviceTime    = 5 * time.Millisecond // of a worker: an end comes so long after its intent
-	patienceMillis = 2000.0               // long enough that late commits show
-	syncDelay      = 5 * time.Millisecond // that each sync of the slow disk takes longer, and
-	hangDelay      = 30 * time.Millisecond
-	hangFraction   = 0.02 // of them, this much longer
+	serviceTime         = 5 * time.Millisecond // of a worker: an end comes so long after its intent
+	clientTimeoutMillis = 2000.0               // long enough that late commits show
+	syncDelay           = 5 * time.Millisecond // that each sync of the slow disk takes longer, and
+	hangDelay           = 30 * time.Millisecond
+	hangFraction        = 0.02 // of them, this much longer
 )
 
 // journalCommand measures the cost of recording non-idempotent transactions.
@@ -59,8 +59,8 @@
 // startSegments starts a journal of the gateway's own segments.
 func startSegments(disk store.Disk, window float64) journalWriter {
 	config := txnjournal.DefaultConfig()
-	config.BatchWindowMillis, config.CommitWaitMillis, config.SlowCommitMillis = window, patienceMillis,
-		patienceMillis
+	config.BatchWindowMillis, config.CommitWaitMillis, config.SlowCommitMillis = window, clientTimeoutMillis,
+		clientTimeoutMillis
 	journal := store.Start(disk, config, store.Writer{Instance: "lab"}, false, 1, zerolog.Nop())
 	txn := func(n uint64) txnjournal.Txn {
 		return txnjournal.Txn{Customer: n % 100, RequestID: fmt.Sprintf("%016x", n), Product: "tag-issue"}
--- a/cmd/willowdeck/main.go
+++ b/cmd/willowdeck/main.go
@@ -189,19 +189,19 @@
 		return err
 	}
 	fmt.Printf("%s: %d products, %d plans, %d workers known, %d gatekeepers\n", conf.Name,
-		len(conf.Charter.Products), len(conf.Charter.Plans), len(conf.KnownEndpoints.Workers),
-		conf.Charter.GatewayCount)
+		len(conf.Policy.Products), len(conf.Policy.Plans), len(conf.KnownEndpoints.Workers),
+		conf.Policy.GatewayCount)
 	if forwardAuth := conf.ForwardAuth; forwardAuth != nil && forwardAuth.Server != nil {
 		fmt.Printf("asked by portals at %s, clearances last %g ms\n", forwardAuth.Server.ListenAddress,
 			forwardAuth.Server.LifetimeMillis)
 	}
 	if forwardAuth := conf.ForwardAuth; forwardAuth != nil && forwardAuth.Authorizer != nil {
 		fmt.Printf("asking %s, at most %g ms\n", forwardAuth.Authorizer.ServiceAddress,
-			forwardAuth.Authorizer.Terms.TimeoutMillis)
+			forwardAuth.Authorizer.Service.TimeoutMillis)
 	}
 	if journal := conf.Journal; journal != nil {
 		fmt.Printf("once-only txns are written down in %s, policy %s\n", journal.InstanceDir(conf.Name),
-			journal.Terms.Policy)
+			journal.Config.Policy)
 	}
 	return nil
 }
--- a/internal/atomicfile/atomicfile.go
+++ b/internal/atomicfile/atomicfile.go
@@ -1,5 +1,5 @@
-// Package atomicfile replaces files so that a reader finds either the old content or the new one, also after a
-// loss of power. It is safe for concurrent use on different paths.
+// Package atomicfile replaces files so that a reader finds either the old content or the new one, also after
+// a loss of power. It is safe for concurrent use on different paths.
 package atomicfile
 
 import (
@@ -11,9 +11,9 @@
 	"github.com/google/renameio/v2"
 )
 
-// Write replaces the file at path by what write writes, with these permissions. The content is synced before it
-// gets the name, and the directory after that: when Write returns nil, the new content is durable. After an
-// error from before the rename the path has its former content, and no temporary file is left.
+// Write replaces the file at path by what write writes, with these permissions. The content is synced before
+// it gets the name, and the directory after that: when Write returns nil, the new content is durable. After
+// an error from before the rename the path has its former content, and no temporary file is left.
 func Write(path string, permissions os.FileMode, write func(io.Writer) error) error {
 	file, err := renameio.NewPendingFile(path, renameio.WithStaticPermissions(permissions))
 	if err != nil {
--- a/internal/atomicfile/atomicfile_test.go
+++ b/internal/atomicfile/atomicfile_test.go
@@ -17,8 +17,8 @@
 	}
 }
 
-// TestWrite replaces a file, and then fails to: the content and the permissions are those of the last success,
-// and no other file is left.
+// TestWrite replaces a file, and then fails to: the content and the permissions are those of the last
+// success, and no other file is left.
 func TestWrite(t *testing.T) {
 	dir := t.TempDir()
 	path := filepath.Join(dir, "state")
--- a/internal/borrowing/audit/audit_test.go
+++ b/internal/borrowing/audit/audit_test.go
@@ -68,7 +68,7 @@
 		}
 	}
 	// A debt of one that was killed, taken by another: it has the time that its giver had since it came back.
-	late := append(append([]e(nil), base[:8]...), e{At: 150e6, Who: "0", Kind: history.Began, Life: 2},
+	late := append(append([]e(nil), base[:8]...), e{At: 150e6, Who: "0", Kind: history.Began, Incarnation: 2},
 		e{At: 151e6, Who: "0", Kind: history.Hands, Says: "debt", Peer: "1", Units: 4, Serial: 4000},
 		e{At: 152e6, Who: "1", Kind: history.Takes, Says: "debt", Peer: "0", Units: 4, Serial: 4000})
 	for at, times := range map[int64]int{200e6: 0, 300e6: 1} {
--- a/internal/borrowing/exchange.go
+++ b/internal/borrowing/exchange.go
@@ -25,9 +25,9 @@
 		l.totals.RejectedEntries++
 		return 0, 0, false
 	}
-	digest, peerPlace := l.setDigest(plan, first, setSize), l.placeInSet(first, setSize, from)
+	digest, peerPlace := l.setDigest(plan, first, setSize), l.indexInSet(first, setSize, from)
 	if uint16(digest) != e.SetDigest || peerPlace == maxSetSize ||
-		l.placeInSet(first, setSize, l.config.Instance) == maxSetSize {
+		l.indexInSet(first, setSize, l.config.Instance) == maxSetSize {
 		l.totals.RejectedEntries++
 		return 0, 0, false
 	}
@@ -65,7 +65,7 @@
 		l.totals.AccountsReset++
 		a.reset(l.newNonce())
 		l.recordState(slot)
-		l.markDirty(slot)
+		l.setDirty(slot)
 		l.activate(slot)
 		p = l.pairWith(a, from)
 		p.assign(from)
@@ -75,16 +75,16 @@
 	case a.Known:
 		changed = l.applyTransfers(slot, p, e)
 	case nothingExchanged:
-	case a.answeredPlaces&bit != 0 || e.IsReply && e.Echo == a.nonce: // nothing from before the query
+	case a.answeredMembers&bit != 0 || e.IsReply && e.Echo == a.nonce: // nothing from before the query
 		changed = p.restore(e)
 	}
 	if p != nil && p.Used {
 		p.rightsAcked, p.debtAcked = max(p.rightsAcked, e.RightsReceived), max(p.debtAcked, e.DebtReceived)
-		p.fillPerMilli, p.heardMillis, p.rightsKnown = e.FillPerSecond/1000, l.nowMillis, e.Known
+		p.fillPerMilli, p.receivedMillis, p.rightsKnown = e.FillPerSecond/1000, l.nowMillis, e.Known
 		p.spareParts = e.SpareUnits * partsPerUnit
 	}
 	if changed {
-		l.markDirty(slot)
+		l.setDirty(slot)
 		l.queueEntry(slot, from)
 	}
 	if !a.Known && e.IsReply && e.Echo == a.nonce {
@@ -98,10 +98,10 @@
 
 // recordReply notes that the peer at a place has answered this instance's query.
 func (a *account) recordReply(bit uint64, noPriorDebt bool) {
-	if a.answeredPlaces |= bit; noPriorDebt {
-		a.noPriorDebtPlaces |= bit
+	if a.answeredMembers |= bit; noPriorDebt {
+		a.noPriorDebtMembers |= bit
 	} else {
-		a.noPriorDebtPlaces &^= bit
+		a.noPriorDebtMembers &^= bit
 	}
 }
 
@@ -109,7 +109,7 @@
 // every entry, lest rights go back and forth. bit is the peer's place.
 func (l *Lender) receiveQuery(slot int32, from int, bit uint64, e *Entry) {
 	a := &l.accounts[slot]
-	a.replyPlaces, a.echo = bit, e.Nonce     // one query at a time: others are sent again
+	a.replyMembers, a.echo = bit, e.Nonce    // one query at a time: others are sent again
 	if l.totals.QueriesReceived++; e.Known { // the peer asks for rights or for the fill here
 		a.lastQueriedMillis = l.nowMillis
 	}
@@ -177,7 +177,7 @@
 	p.RightsGiven += uint64(parts)
 	l.totals.RightsGiven += float64(parts) / partsPerUnit
 	l.recordEvent(EventRightsGiven, slot, to, parts, p.RightsGiven)
-	l.markDirty(slot)
+	l.setDirty(slot)
 	l.activate(slot)
 	l.queueEntry(slot, to)
 }
@@ -205,8 +205,8 @@
 	if best == nil { // no fill of a peer is known
 		if l.nowMillis-a.lastRequestMillis >= resendMillis {
 			a.lastRequestMillis = l.nowMillis
-			a.queryPlaces |= l.samplePeers(a)
-			l.queueEntries(slot, a.queryPlaces)
+			a.queryMembers |= l.samplePeers(a)
+			l.queueEntries(slot, a.queryMembers)
 		}
 		return
 	}
@@ -223,7 +223,7 @@
 	best.DebtGiven += uint64(parts)
 	l.totals.DebtGiven += float64(parts) / partsPerUnit
 	l.recordEvent(EventDebtGiven, slot, int(best.Peer), parts, best.DebtGiven)
-	l.markDirty(slot)
+	l.setDirty(slot)
 	l.queueEntry(slot, int(best.Peer))
 }
 
@@ -232,7 +232,7 @@
 func (l *Lender) bestDebtReceiver(a *account) (best *Pair) {
 	for i := range a.Pairs {
 		p := &a.Pairs[i]
-		known := p.Used && p.rightsKnown && l.nowMillis-p.heardMillis < fillTTLMillis
+		known := p.Used && p.rightsKnown && l.nowMillis-p.receivedMillis < fillTTLMillis
 		acknowledged := p.RightsGiven <= p.rightsAcked && p.DebtGiven <= p.debtAcked
 		if known && acknowledged && p.fillPerMilli > a.fillPerMilli &&
 			(best == nil || p.fillPerMilli > best.fillPerMilli) {
@@ -262,7 +262,7 @@
 
 // samplePeers returns the other places of a small set, or random ones of a large one.
 func (l *Lender) samplePeers(a *account) (places uint64) {
-	others := l.otherPlaces(a)
+	others := l.otherMembers(a)
 	if bits.OnesCount64(others) <= debtTransferFanout {
 		return others
 	}
@@ -275,7 +275,7 @@
 // likelyGivers returns a few other places that may have rights to give: those that stated most, and those
 // of which nothing is known; a random one where all lately stated that they have none.
 func (l *Lender) likelyGivers(a *account) (places uint64) {
-	candidates := l.otherPlaces(a)
+	candidates := l.otherMembers(a)
 	for range rightsRequestFanout {
 		best, bestParts := -1, 0.0
 		start := l.rng.Intn(int(a.SetSize)) // a random one of equals
@@ -286,7 +286,7 @@
 			}
 			spareParts := float64(a.wantedParts) // where nothing is known
 			if p := l.pairWith(a, (int(a.First)+place)%l.config.Instances); p != nil && p.Used &&
-				int(p.Peer) == (int(a.First)+place)%l.config.Instances && l.nowMillis-p.heardMillis < spareTTLMillis {
+				int(p.Peer) == (int(a.First)+place)%l.config.Instances && l.nowMillis-p.receivedMillis < spareTTLMillis {
 				spareParts = p.spareParts
 			}
 			if spareParts > bestParts {
@@ -308,11 +308,11 @@
 // queueEntry queues an entry for a peer.
 func (l *Lender) queueEntry(slot int32, to int) {
 	a := &l.accounts[slot]
-	bit := uint64(1) << l.placeInSet(int(a.First), int(a.SetSize), to)
-	if bit == 0 || a.queuedPlaces&bit != 0 || len(l.pendingEntries) >= maxPendingEntries {
+	bit := uint64(1) << l.indexInSet(int(a.First), int(a.SetSize), to)
+	if bit == 0 || a.queuedMembers&bit != 0 || len(l.pendingEntries) >= maxPendingEntries {
 		return
 	}
-	a.queuedPlaces |= bit
+	a.queuedMembers |= bit
 	l.pendingEntries = append(l.pendingEntries, pendingEntry{to, slot})
 }
 
@@ -329,7 +329,7 @@
 // newEntry returns the entry for a peer.
 func (l *Lender) newEntry(slot int32, to int) Entry {
 	a := &l.accounts[slot]
-	bit := uint64(1) << l.placeInSet(int(a.First), int(a.SetSize), to)
+	bit := uint64(1) << l.indexInSet(int(a.First), int(a.SetSize), to)
 	e := Entry{
 		Customer:    a.Customer,
 		Plan:        a.Plan,
@@ -340,10 +340,11 @@
 		NoPriorDebt: a.NoPriorDebt,
 		Nonce:       a.nonce,
 		Echo:        a.echo,
-		IsQuery:     a.queryPlaces&bit != 0,
-		IsReply:     a.replyPlaces&bit != 0,
+		IsQuery:     a.queryMembers&bit != 0,
+		IsReply:     a.replyMembers&bit != 0,
 	}
-	a.queuedPlaces, a.queryPlaces, a.replyPlaces = a.queuedPlaces&^bit, a.queryPlaces&^bit, a.replyPlaces&^bit
+	a.queuedMembers, a.queryMembers, a.replyMembers = a.queuedMembers&^bit, a.queryMembers&^bit,
+		a.replyMembers&^bit
 	if a.lastCollectedMillis > 0 && l.nowMillis-a.lastCollectedMillis < fillTTLMillis {
 		e.FillPerSecond = a.fillPerMilli * 1000
 	}
--- a/internal/borrowing/lender.go
+++ b/internal/borrowing/lender.go
@@ -150,15 +150,15 @@
 // Lend lends a customer units, if this instance has the rights. The loan is stored once Next has returned all
 // decisions that follow; nothing may be sent on the strength of it before.
 func (l *Lender) Lend(customer uint64, plan, first, setSize int, units float64) LoanResult {
-	result := l.tryLend(uint32(customer), plan, first, max(setSize, 1), units)
+	result := l.lend(uint32(customer), plan, first, max(setSize, 1), units)
 	if result != LoanGranted {
 		l.totals.Denied[result]++
 	}
 	return result
 }
 
-// tryLend is Lend without counting denials.
-func (l *Lender) tryLend(customer uint32, plan, first, setSize int, units float64) LoanResult {
+// lend is Lend without counting denials.
+func (l *Lender) lend(customer uint32, plan, first, setSize int, units float64) LoanResult {
 	switch {
 	case plan < 0 || plan >= len(l.lineParts) || l.lineParts[plan] <= 0:
 		return DeniedNoLine
@@ -196,7 +196,7 @@
 	)
 	l.totals.Lent += float64(parts) / partsPerUnit
 	l.recordEvent(EventLent, slot, 0, parts, 0)
-	l.markDirty(slot)
+	l.setDirty(slot)
 	l.activate(slot)
 	if a.Rights < parts && setSize > 1 { // the next loan of this size would be denied
 		a.wantedParts, a.wantedMillis = parts, l.nowMillis
@@ -218,7 +218,7 @@
 	}
 	l.totals.Undone += float64(parts) / partsPerUnit
 	l.recordEvent(EventUndone, slot, 0, parts, 0)
-	l.markDirty(slot)
+	l.setDirty(slot)
 }
 
 // RecordPayment says how many units of an ActionCollect were taken from the customer's fill, and that fill
@@ -250,20 +250,20 @@
 		l.totals.Earned += float64(earned) / partsPerUnit
 		l.recordEvent(EventEarned, slot, 0, earned, 0)
 	}
-	l.markDirty(slot)
+	l.setDirty(slot)
 }
 
 // determineRights computes this instance's rights once all of the set have answered. What is not known to
 // be owed is presumed drawn, unless none of the set has ever had a debt of this customer.
 func (l *Lender) determineRights(slot int32) {
 	a := &l.accounts[slot]
-	others := l.otherPlaces(a)
-	if a.Known || a.answeredPlaces&others != others {
+	others := l.otherMembers(a)
+	if a.Known || a.answeredMembers&others != others {
 		return
 	}
 	held, pristine := l.lineParts[a.Plan]/int64(
 		a.SetSize,
-	), a.NoPriorDebt && a.noPriorDebtPlaces&others == others &&
+	), a.NoPriorDebt && a.noPriorDebtMembers&others == others &&
 		a.totalDebt() == 0
 	for i := range a.Pairs {
 		p := &a.Pairs[i]
@@ -280,17 +280,17 @@
 		a.Rights = held - debt
 	}
 	l.recordState(slot)
-	l.markDirty(slot)
+	l.setDirty(slot)
 	l.activate(slot)
 }
 
-// otherPlaces returns the places in a customer's set of all but this instance.
-func (l *Lender) otherPlaces(a *account) uint64 {
-	return (uint64(1)<<a.SetSize - 1) &^ (1 << l.placeInSet(int(a.First), int(a.SetSize), l.config.Instance))
+// otherMembers returns the places in a customer's set of all but this instance.
+func (l *Lender) otherMembers(a *account) uint64 {
+	return (uint64(1)<<a.SetSize - 1) &^ (1 << l.indexInSet(int(a.First), int(a.SetSize), l.config.Instance))
 }
 
-// placeInSet returns an instance's place in a set, or maxSetSize where it is not in it.
-func (l *Lender) placeInSet(first, setSize, instance int) uint {
+// indexInSet returns an instance's place in a set, or maxSetSize where it is not in it.
+func (l *Lender) indexInSet(first, setSize, instance int) uint {
 	if place := (instance - first + l.config.Instances) % max(
 		l.config.Instances,
 		1,
@@ -309,7 +309,7 @@
 		if p.Used && int(p.Peer) == peer {
 			return p
 		}
-		if free == nil && (!p.Used || p.isZero() && l.nowMillis-p.heardMillis > fillTTLMillis) {
+		if free == nil && (!p.Used || p.isZero() && l.nowMillis-p.receivedMillis > fillTTLMillis) {
 			free = p
 		}
 	}
@@ -326,8 +326,8 @@
 // isZero reports whether nothing has been exchanged.
 func (p *Pair) isZero() bool { return p.RightsGiven|p.DebtGiven|p.RightsReceived|p.DebtReceived == 0 }
 
-// markDirty has an account stored.
-func (l *Lender) markDirty(slot int32) {
+// setDirty has an account stored.
+func (l *Lender) setDirty(slot int32) {
 	if a := &l.accounts[slot]; !a.dirty {
 		a.dirty = true
 		l.dirtySlots = append(l.dirtySlots, slot)
@@ -378,7 +378,7 @@
 		known = 1
 	}
 	l.recordEvent(EventHoldsUnknown, slot, 0, 0, known)
-	for others := l.otherPlaces(a); a.Known && others != 0; others &= others - 1 {
+	for others := l.otherMembers(a); a.Known && others != 0; others &= others - 1 {
 		peer, p := (int(a.First)+bits.TrailingZeros64(others))%l.config.Instances, Pair{}
 		if known := l.pairWith(a, peer); known != nil && known.Used && int(known.Peer) == peer {
 			p = *known
--- a/internal/borrowing/lender_test.go
+++ b/internal/borrowing/lender_test.go
@@ -161,15 +161,15 @@
 		if !sendOnly {
 			kind, says := d.Event.HistoryKey()
 			e := history.Event{
-				At:       int64(c.nowMillis * 1e6),
-				Who:      fmt.Sprint(i),
-				Life:     k.incarnation,
-				Kind:     history.Kind(kind),
-				Says:     says,
-				Customer: uint64(d.Customer),
-				Units:    d.Units,
-				Serial:   d.Serial,
-				Base:     uint64(d.SetDigest),
+				At:          int64(c.nowMillis * 1e6),
+				Who:         fmt.Sprint(i),
+				Incarnation: k.incarnation,
+				Kind:        history.Kind(kind),
+				Says:        says,
+				Customer:    uint64(d.Customer),
+				Units:       d.Units,
+				Serial:      d.Serial,
+				Base:        uint64(d.SetDigest),
 			}
 			if d.Event.InvolvesPeer() {
 				e.Peer = fmt.Sprint(d.Peer)
--- a/internal/borrowing/processing.go
+++ b/internal/borrowing/processing.go
@@ -33,18 +33,18 @@
 	a.lastRequestMillis = l.nowMillis
 	switch {
 	case !a.Known:
-		a.queryPlaces = l.otherPlaces(a) &^ a.answeredPlaces
+		a.queryMembers = l.otherMembers(a) &^ a.answeredMembers
 	case a.Rights < a.wantedParts:
-		a.queryPlaces, a.unansweredRequests = l.likelyGivers(a), min(a.unansweredRequests+1, maxRequestDoublings)
+		a.queryMembers, a.unansweredRequests = l.likelyGivers(a), min(a.unansweredRequests+1, maxRequestDoublings)
 	}
-	l.queueEntries(slot, a.queryPlaces)
+	l.queueEntries(slot, a.queryMembers)
 }
 
 // repaymentNeed returns how many units of a span's fill have to go to debts. While a customer borrows that
 // is 0, as long as MaxRepaymentShare of its later fill repays all in time.
 func (l *Lender) repaymentNeed(a *account, spanMillis float64) float64 {
 	pace := a.requiredPace(l.nowMillis)
-	if l.nowMillis-a.lastLoanMillis < borrowingPauseMillis &&
+	if l.nowMillis-a.lastLoanMillis < borrowingBackoffMillis &&
 		pace < a.fillPerMilli*MaxRepaymentShare*partsPerUnit {
 		return 0
 	}
@@ -57,12 +57,13 @@
 		return false
 	}
 	if a.totalDebt() > 0 || a.Known && a.PresumedDrawn > 0 || l.wantsRights(a) || l.mustQuery(a) ||
-		a.queryPlaces|a.replyPlaces != 0 {
+		a.queryMembers|a.replyMembers != 0 {
 		return true
 	}
 	for i := range a.Pairs {
 		if p := &a.Pairs[i]; p.Used &&
-			(p.RightsGiven > p.rightsAcked || p.DebtGiven > p.debtAcked || l.nowMillis-p.heardMillis < fillTTLMillis) {
+			(p.RightsGiven > p.rightsAcked || p.DebtGiven > p.debtAcked ||
+				l.nowMillis-p.receivedMillis < fillTTLMillis) {
 			return true
 		}
 	}
--- a/internal/borrowing/rig/rig_test.go
+++ b/internal/borrowing/rig/rig_test.go
@@ -128,7 +128,7 @@
 	for i := range n {
 		name := fmt.Sprint("g", i)
 		f.names = append(f.names, name)
-		f.net.Place(name, netip.MustParseAddrPort(at(i, 0)))
+		f.net.SetAddress(name, netip.MustParseAddrPort(at(i, 0)))
 		f.control[name], f.at = at(i, 1), append(f.at, at(i, 2))
 	}
 	tariff := map[string]any{"name": "basic", "rate": rate, "most_at_once": burst, "worth_factor": 1}
--- a/internal/borrowing/slots.go
+++ b/internal/borrowing/slots.go
@@ -38,7 +38,7 @@
 	}
 	l.slotOf[customer] = slot
 	l.recordState(slot)
-	l.markDirty(slot)
+	l.setDirty(slot)
 	return slot
 }
 
@@ -78,7 +78,7 @@
 	a.NoPriorDebt = false
 	a.reset(l.newNonce())
 	l.recordState(slot)
-	l.markDirty(slot)
+	l.setDirty(slot)
 	l.activate(slot)
 }
 
@@ -86,6 +86,6 @@
 func (a *account) reset(nonce uint16) {
 	a.Known, a.Rights, a.PresumedDrawn = false, 0, 0
 	clear(a.Pairs[:])
-	a.answeredPlaces, a.noPriorDebtPlaces, a.queryPlaces, a.replyPlaces = 0, 0, 0, 0
+	a.answeredMembers, a.noPriorDebtMembers, a.queryMembers, a.replyMembers = 0, 0, 0, 0
 	a.nonce, a.lastRequestMillis = nonce, 0
 }
--- a/internal/borrowing/types.go
+++ b/internal/borrowing/types.go
@@ -15,9 +15,9 @@
 const (
 	lookIntervalMillis = 200.0  // between looks at an account; small against any time of repayment
 	earnIntervalMillis = 1000.0 // between looks at one that owes nothing and earns back what is presumed drawn
-	// borrowingPauseMillis is the time without a loan after which debts are repaid that could wait; a pause
+	// borrowingBackoffMillis is the time without a loan after which debts are repaid that could wait; a pause
 	// within a burst.
-	borrowingPauseMillis = 1000.0
+	borrowingBackoffMillis = 1000.0
 	// repaymentDueShare is the share of the time of repayment after which a debt is due, so that a late look is
 	// in time.
 	repaymentDueShare = 0.8
@@ -83,7 +83,7 @@
 	fillPerMilli                                         float64 // the peer's fill as it last stated
 	spareParts                                           float64 // rights that it could give
 	rightsKnown                                          bool    // the peer knows its rights
-	heardMillis, sentMillis                              float64
+	receivedMillis, sentMillis                           float64
 }
 
 // Record is what is stored of a customer, to outlive a crash. Amounts are in parts, times in ms of the
@@ -106,20 +106,20 @@
 // account is a record with state that a later incarnation does not need. Places are bits by place in the set.
 type account struct {
 	Record
-	answeredPlaces, noPriorDebtPlaces uint64 // who has answered, and who of them had no prior debt
-	queryPlaces, replyPlaces          uint64 // who is queried next, who is owed a reply,
-	queuedPlaces                      uint64 // and for whom an entry waits to be sent
-	nonce                             uint16 // of this instance's query
-	echo                              uint16 // of the query to be answered; one at a time
-	wantedParts                       int64
-	wantedMillis                      float64
-	lastLoanMillis                    float64 // last request for a loan here
-	lastQueriedMillis                 float64 // last query of a peer
-	lastCollectedMillis               float64 // last time fill was collected
-	fillPerMilli                      float64 // units per ms credited here, as last seen
-	lastRequestMillis                 float64
-	unansweredRequests                int // consecutive requests for rights on which none came
-	active, dirty                     bool
+	answeredMembers, noPriorDebtMembers uint64 // who has answered, and who of them had no prior debt
+	queryMembers, replyMembers          uint64 // who is queried next, who is owed a reply,
+	queuedMembers                       uint64 // and for whom an entry waits to be sent
+	nonce                               uint16 // of this instance's query
+	echo                                uint16 // of the query to be answered; one at a time
+	wantedParts                         int64
+	wantedMillis                        float64
+	lastLoanMillis                      float64 // last request for a loan here
+	lastQueriedMillis                   float64 // last query of a peer
+	lastCollectedMillis                 float64 // last time fill was collected
+	fillPerMilli                        float64 // units per ms credited here, as last seen
+	lastRequestMillis                   float64
+	unansweredRequests                  int // consecutive requests for rights on which none came
+	active, dirty                       bool
 }
 
 // Entry is what one instance tells another of a customer.
--- a/internal/distribution/relay/relay.go
+++ b/internal/distribution/relay/relay.go
@@ -156,7 +156,7 @@
 	event := history.Event{Kind: history.ReportedInForce, Version: snapshot.Rules.ID().Number,
 		Age: nowMillis() - snapshot.ReadStartMillis}
 	if version, err := ruleset.VersionFromState(snapshot.Rules); err == nil {
-		event.Mark = raftlog.RulesDigest(&version.Rules)
+		event.Digest = raftlog.RulesDigest(&version.Rules)
 	} else {
 		event.Says = fmt.Sprintf("not a ruleset of this program: %v", err)
 	}
--- a/internal/distribution/relay/testtree_test.go
+++ b/internal/distribution/relay/testtree_test.go
@@ -459,7 +459,7 @@
 		if event.Kind == history.ReportedInForce && event.Says != "" {
 			fail("%s publishes an invalid ruleset: %s", event.Who, event.Says)
 		}
-		p := process{event.Who, event.Life}
+		p := process{event.Who, event.Incarnation}
 		if event.Version < newest[p] {
 			fail("%s went back from version %d to %d", event.Who, newest[p], event.Version)
 		}
@@ -482,7 +482,7 @@
 		return i
 	}
 	fromRelay := func(e history.Event) bool {
-		return e.Kind == history.ReportedInForce && e.Mark != "" && e.Who[0] == 'a'
+		return e.Kind == history.ReportedInForce && e.Digest != "" && e.Who[0] == 'a'
 	}
 	last := r.Events[len(r.Events)-1].At
 	for what, inject := range map[string]func([]history.Event) []history.Event{
@@ -495,11 +495,11 @@
 		"a relay goes back": func(events []history.Event) []history.Event {
 			i := indexOf(func(e history.Event) bool { return fromRelay(e) && e.Version >= 3 })
 			e := events[i]
-			e.Version, e.Mark = 1, ""
+			e.Version, e.Digest = 1, ""
 			return slices.Insert(events, i+1, e)
 		},
 		"a relay publishes other rules under a version's number": func(events []history.Event) []history.Event {
-			events[indexOf(fromRelay)].Mark = "000000000000"
+			events[indexOf(fromRelay)].Digest = "000000000000"
 			return events
 		},
 		"a relay publishes a superseded version": func(events []history.Event) []history.Event {
--- a/internal/distribution/relay/tree_test.go
+++ b/internal/distribution/relay/tree_test.go
@@ -142,7 +142,7 @@
 			x.t.Errorf("%s is %v once its fallback is over", k.name, m)
 		}
 	}
-	x.partition("a", faultinject.Whole)
+	x.partition("a", faultinject.Connected)
 	x.waitForGeneration("the partition healed", x.generation)
 	x.proposeRules(1, generation(x.generation+1, x.members))
 	x.waitForGeneration("the ceiling raised again", x.generation)
@@ -298,7 +298,7 @@
 				fault := []faultinject.Cut{faultinject.Silent, faultinject.Reset, faultinject.Refused}[rng.Intn(3)]
 				description += " cut " + z + " " + fault.String()
 				x.partition(z, fault)
-				repairs = append(repairs, func() { x.partition(z, faultinject.Whole) })
+				repairs = append(repairs, func() { x.partition(z, faultinject.Connected) })
 			case 4:
 				c := x.voters[rng.Intn(councilDaemons)]
 				if len(repairs) > 0 {
--- a/internal/e2e/check_test.go
+++ b/internal/e2e/check_test.go
@@ -59,7 +59,7 @@
 	}
 	for _, o := range r.Events {
 		if o.Kind == history.Decided && o.Says == "" {
-			rules, known := p.known[o.Mark]
+			rules, known := p.known[o.Digest]
 			if !known {
 				p.t.Errorf("nobody has proposed %v", o)
 			}
@@ -142,10 +142,10 @@
 	for _, o := range e.Events {
 		switch o.Kind {
 		case history.Began:
-			at[life{o.Who, o.Life}] = len(there[o.Who])
+			at[life{o.Who, o.Incarnation}] = len(there[o.Who])
 			there[o.Who] = append(there[o.Who], span{o.At, end})
 		case history.Gone:
-			over(o.Who, at[life{o.Who, o.Life}], o.At)
+			over(o.Who, at[life{o.Who, o.Incarnation}], o.At)
 		case history.Died:
 			if i := last(o.Peer); i >= 0 {
 				over(o.Peer, i, o.At)
@@ -166,7 +166,7 @@
 	still, there := e.away()
 	r = history.Record{Files: e.Files}
 	for _, o := range e.Events {
-		if o.Kind == history.Began && o.Life == 1 && o.Who[0] == 'w' {
+		if o.Kind == history.Began && o.Incarnation == 1 && o.Who[0] == 'w' {
 			continue
 		}
 		r.Events = append(r.Events, o)
@@ -192,11 +192,12 @@
 	_, _, names := cast(1, 1)
 	n := float64(len(e.members))
 	// A cold worker falls by three times what it bears, and a warm one gets its part of the load.
-	rules := invariants.Rules{Slack: bunched, Grace: bunched, Capacity: perS / workers, ColdFraction: coldFrom,
-		WarmUp: warmUp, OverloadFactor: 3, OverloadWindow: 1500,
+	rules := invariants.Rules{Slack: bunched, Grace: bunched, Capacity: perS / workers,
+		WarmingFraction: coldFrom,
+		WarmUp:          warmUp, OverloadFactor: 3, OverloadWindow: 1500,
 		Products: []invariants.Product{{Repeat: invariants.Inquiry},
 			{Repeat: invariants.Referenced, Window: 5000}, {Repeat: invariants.Once}}, Plans: []invariants.Plan{{},
-			{Ceiling: ceiling * n, Depth: (depth + ceiling*(bunched-granted)/1000) * n}, {}}}
+			{RateLimit: ceiling * n, Depth: (depth + ceiling*(bunched-granted)/1000) * n}, {}}}
 	j := history.CheckInvariants(r, history.Cast{Gatekeepers: e.members, Workers: names, Products: productNames,
 		Plans: planNames}, rules)
 	v := verdict{j.Result,
@@ -329,7 +330,7 @@
 		}
 	}
 	n := 0
-	w := history.Ceiling(e.Record, history.Got, func(o history.Event) (l history.Limit) {
+	w := history.RateLimit(e.Record, history.Got, func(o history.Event) (l history.Limit) {
 		if o.Plan != "capped" {
 			return l
 		}
@@ -387,9 +388,9 @@
 	for _, o := range e.Events {
 		if o.Kind == history.Takes {
 			o.Peer = fmt.Sprint(o.Peer, o.Customer, o.Base, o.Says)
-			o.Kind = history.Heard
+			o.Kind = history.Received
 			r.Events = append(r.Events, o)
 		}
 	}
-	return verdict{history.HeardTwice(r), fmt.Sprintf("%d hand-overs of rights and debts", len(r.Events))}
+	return verdict{history.ReceivedTwice(r), fmt.Sprintf("%d hand-overs of rights and debts", len(r.Events))}
 }
--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -119,7 +119,7 @@
 		m := ruleset.Member{Name: fmt.Sprint("g", place), Host: h.name,
 			Peers: fmt.Sprintf("%s:%d", h.ip, p.first+2+3*n*k+place)}
 		p.rules.Members = append(p.rules.Members, m)
-		p.net.Place(m.Name, netip.MustParseAddrPort(m.Peers))
+		p.net.SetAddress(m.Name, netip.MustParseAddrPort(m.Peers))
 	}
 	p.entered = slices.Clone(p.rules.Members)
 	for _, h := range p.hosts {
@@ -229,7 +229,7 @@
 }
 
 // sitting asks a host's daemon how the council stands.
-func (h *host) sitting() (s supervisor.CouncilStatus, ok bool) {
+func (h *host) sitting() (s supervisor.RaftGroupStatus, ok bool) {
 	page, err := faultinject.Ask(h.control, "/fleet/council")
 	return s, err == nil && json.Unmarshal([]byte(page), &s) == nil
 }
--- a/internal/e2e/load_test.go
+++ b/internal/e2e/load_test.go
@@ -138,7 +138,7 @@
 		c.failed.Store(id, err)
 		return
 	case code == fasthttp.StatusOK:
-		says = history.Settled
+		says = history.Succeeded
 	case code == fasthttp.StatusTooManyRequests || code == fasthttp.StatusServiceUnavailable:
 		says = history.Declined
 	}
--- a/internal/e2e/plant_test.go
+++ b/internal/e2e/plant_test.go
@@ -67,7 +67,7 @@
 	{"a cold worker gets a warm one's load at once", "five rules", "bears", func(e *evidence) bool {
 		cold := map[string]bool{} // told of by any
 		for _, o := range e.Events {
-			if o.Kind == history.Began && o.Who[0] == 'w' && o.Life > 1 {
+			if o.Kind == history.Began && o.Who[0] == 'w' && o.Incarnation > 1 {
 				cold[o.Who] = true
 			}
 			if o.Kind == history.Notified && o.Mode == history.Active && cold[o.Worker] {
@@ -77,7 +77,8 @@
 				})]
 				for n := range int(perS) {
 					ask.Txn, ask.At = fmt.Sprint("planted ", n), o.At+2e6
-					send := history.Event{At: ask.At, Who: o.Who, Life: o.Life, Seq: o.Seq, Kind: history.Sends,
+					send := history.Event{At: ask.At, Who: o.Who, Incarnation: o.Incarnation, Seq: o.Seq,
+						Kind:   history.Sends,
 						Worker: o.Worker, Txn: ask.Txn}
 					all = append(all, ask, send)
 				}
@@ -114,7 +115,7 @@
 				}
 				e.Events = append(slices.Clone(e.Events[:i+1]), slices.DeleteFunc(e.Events[i+1:],
 					func(later history.Event) bool {
-						of := later.Who == o.Who && later.Life == o.Life
+						of := later.Who == o.Who && later.Incarnation == o.Incarnation
 						return later.Kind == history.Got || of && (later.Kind == history.Acts || later.Kind == history.Sends)
 					})...)
 				return true
@@ -123,11 +124,11 @@
 		}},
 	{"a version of two contents", "versions", "is not the same", func(e *evidence) bool {
 		return e.change(func(o history.Event) bool { return o.Kind == history.ReportedInForce },
-			func(o *history.Event) { o.Mark = "another" })
+			func(o *history.Event) { o.Digest = "another" })
 	}},
 	{"a version that was in force is read again", "versions", "was in force", func(e *evidence) bool {
 		return e.change(func(o history.Event) bool { return o.Kind == history.ReportedInForce && o.Version > 2 },
-			func(o *history.Event) { o.Version, o.Age, o.Mark = 1, 1, "" })
+			func(o *history.Event) { o.Version, o.Age, o.Digest = 1, 1, "" })
 	}},
 	{"a loan counted once too few", "ledger", "does not owe", func(e *evidence) bool {
 		return e.drop(e.last(func(o history.Event) bool { return o.Kind == history.Lends }))
@@ -152,7 +153,7 @@
 	}},
 }
 
-func settled(o history.Event) bool { return o.Kind == history.Ends && o.Says == history.Settled }
+func settled(o history.Event) bool { return o.Kind == history.Ends && o.Says == history.Succeeded }
 
 // highest gives the last version in force.
 func (e *evidence) highest() (n uint64) {
@@ -165,7 +166,8 @@
 // acts tells whether the life that an event is of goes by a stance.
 func (e *evidence) acts(life history.Event, s history.Stance) bool {
 	return slices.ContainsFunc(e.Events, func(o history.Event) bool {
-		return o.Kind == history.Acts && o.Who == life.Who && o.Life == life.Life && o.Version == s.Version &&
+		return o.Kind == history.Acts && o.Who == life.Who && o.Incarnation == life.Incarnation &&
+			o.Version == s.Version &&
 			o.Mode == s.Mode
 	})
 }
--- a/internal/e2e/stage_test.go
+++ b/internal/e2e/stage_test.go
@@ -43,7 +43,7 @@
 }
 
 // Heal ends a direction's cut.
-func (s stage) Heal(from, to string) error { return s.Cut(from, to, faultinject.Whole) }
+func (s stage) Heal(from, to string) error { return s.Cut(from, to, faultinject.Connected) }
 
 // Shape shapes a direction. Two instances' own shape goes before their hosts'.
 func (s stage) Shape(from, to string, shape faultinject.Shape) error {
--- a/internal/forecast/emulatormodel.go
+++ b/internal/forecast/emulatormodel.go
@@ -31,7 +31,7 @@
 	if f.cores == 0 {
 		return nil
 	}
-	l := &EmulatorModel{Gatekeepers: f.charter.GatewayCount, Regions: f.regions, WorkersByRegion: f.workers,
+	l := &EmulatorModel{Gatekeepers: f.settings.GatewayCount, Regions: f.regions, WorkersByRegion: f.workers,
 		ServiceCV2:    f.serviceCV2,
 		ServiceMillis: f.serviceMillis}
 	l.CrossRegionMillis = f.crossRegionMillis()
@@ -78,7 +78,7 @@
 	for _, e := range f.customerSets[q] {
 		most[len(e.regions)] += e.demand
 	}
-	for n := 1; n <= f.charter.GatewayCount; n++ {
+	for n := 1; n <= f.settings.GatewayCount; n++ {
 		if p.SetSize == 0 && most[n] > 0 || most[n] > most[p.SetSize] {
 			p.SetSize = n
 		}
--- a/internal/forecast/fleet.go
+++ b/internal/forecast/fleet.go
@@ -13,7 +13,7 @@
 type fleet struct {
 	rules           Assumptions
 	reports         []*Report
-	charter         policy.Settings
+	settings        policy.Settings
 	behaviour       policy.ModelParameters
 	products, plans []string
 	scale           float64
@@ -110,7 +110,7 @@
 	}
 	f.gateways[g]++
 	all := f.gatewayRegions[w.Group]
-	for len(all) < w.Charter.GatewayCount {
+	for len(all) < w.Settings.GatewayCount {
 		all = append(all, -1)
 	}
 	all[w.Index] = g
@@ -336,7 +336,7 @@
 		d := 0.0
 		for p := range f.products {
 			x := &f.flows[q*len(f.products)+p]
-			s.Value += 1000 * f.value(q, p) * (x.Succeeded - x.Late*(1-f.charter.Products[p].LateValueFraction))
+			s.Value += 1000 * f.value(q, p) * (x.Succeeded - x.Late*(1-f.settings.Products[p].LateValueFraction))
 			s.InTime += 1000 * (x.Succeeded - x.Late)
 			s.Late += 1000 * x.Late
 			d += 1000 * (x.Rejected + x.Failed + x.Other)
@@ -363,7 +363,7 @@
 		h.WindowCapacity = f.windowCapacity[x]
 		s.Regions = append(s.Regions, h)
 	}
-	s.roundValues()
+	s.limitDigits()
 	return s
 }
 
@@ -387,19 +387,20 @@
 }
 
 func (f *fleet) value(plan, product int) float64 {
-	return f.charter.Products[product].Value * f.charter.Plans[plan].ValueFactor
+	return f.settings.Products[product].Value * f.settings.Plans[plan].ValueFactor
 }
 
-func (s *State) roundValues() {
-	s.Value, s.InTime, s.Late = roundSignificant(s.Value), roundSignificant(s.InTime), roundSignificant(s.Late)
+func (s *State) limitDigits() {
+	s.Value, s.InTime, s.Late = toSignificantDigits(s.Value), toSignificantDigits(s.InTime),
+		toSignificantDigits(s.Late)
 	for i := range s.Rejected {
-		s.Rejected[i].Rate = roundSignificant(s.Rejected[i].Rate)
+		s.Rejected[i].Rate = toSignificantDigits(s.Rejected[i].Rate)
 	}
 	for i := range s.Regions {
 		h := &s.Regions[i]
 		for _, v := range []*float64{&h.WarmWorkers, &h.Requested, &h.Succeeded, &h.Utilization, &h.MeanMillis,
 			&h.WindowCapacity} {
-			*v = roundSignificant(*v)
+			*v = toSignificantDigits(*v)
 		}
 	}
 }
--- a/internal/forecast/forecast.go
+++ b/internal/forecast/forecast.go
@@ -195,7 +195,7 @@
 		return o
 	}
 	f := o.newFleet(used)
-	o.RebalanceMillis = roundSignificant(f.rebalanceMillis())
+	o.RebalanceMillis = toSignificantDigits(f.rebalanceMillis())
 	o.Now = f.currentState()
 	if f.cores == 0 {
 		return o
@@ -245,7 +245,7 @@
 
 // comparableSettings encodes what reports must agree on to be added up.
 func (w *Report) comparableSettings() string {
-	c := w.Charter
+	c := w.Settings
 	c.GatewayIndex = 0
 	b, err := json.Marshal(struct {
 		C              any
@@ -278,7 +278,7 @@
 func (o *Forecast) findMissing(used []*Report) {
 	known, heard := 0, 0
 	for i := 0; i < len(used); {
-		group, n := used[i].Group, used[i].Charter.GatewayCount
+		group, n := used[i].Group, used[i].Settings.GatewayCount
 		said := map[int]bool{}
 		for ; i < len(used) && used[i].Group == group; i++ {
 			said[used[i].Index] = true
@@ -295,15 +295,15 @@
 		}
 	}
 	if heard > 0 {
-		o.Scale = roundSignificant(float64(known) / float64(heard))
+		o.Scale = toSignificantDigits(float64(known) / float64(heard))
 	}
 }
 
 // newFleet adds the reports up.
 func (o *Forecast) newFleet(used []*Report) *fleet {
-	f := &fleet{rules: o.Assumptions, reports: used, charter: used[0].Charter, products: used[0].Products,
+	f := &fleet{rules: o.Assumptions, reports: used, settings: used[0].Settings, products: used[0].Products,
 		plans: used[0].Plans, regionIndex: map[string]int{}, gatewayRegions: map[string][]int{}, scale: o.Scale}
-	f.behaviour = policy.ModelParametersOf(f.charter)
+	f.behaviour = policy.ModelParametersOf(f.settings)
 	f.addReports()
 	o.Unknown = append(o.Unknown, f.unknown...)
 	return f
--- a/internal/forecast/forecast_test.go
+++ b/internal/forecast/forecast_test.go
@@ -19,7 +19,7 @@
 func testCharter(n int) policy.Settings {
 	return policy.Settings{GatewayCount: n, MaxRequestUnits: 1, MaxAttempts: 3, AllowGossip: true,
 		PeerMessagesPerSecond: 200,
-		ReportsPerMessage:     31, ColdCapacityFraction: 0.3, WarmUpMillis: 8000, TotalWeight: 1,
+		ReportsPerMessage:     31, WarmingCapacityFraction: 0.3, WarmUpMillis: 8000, TotalWeight: 1,
 		Products: []policy.Product{
 			{LatencyTargetMillis: 500, Value: 1}, {LatencyTargetMillis: 500, Value: 5,
 				Idempotency: policy.NonIdempotent}},
@@ -36,7 +36,7 @@
 		w := &Report{FormatVersion: FormatVersion, Name: fmt.Sprintf("g%d", i), Host: "h", Region: halls[i%3],
 			Group: "all", Index: i,
 			Incarnation: 7, Sequence: 3, MeasuredAtMillis: nowMS - int64(i),
-			SpanMillis: 10000, Charter: testCharter(n),
+			SpanMillis: 10000, Settings: testCharter(n),
 			Products: []string{"check", "issue"}, Plans: []string{"basic"}, Window: 12, InFlight: 3}
 		perS := use * 12 * 2 / 0.02 / float64(n)
 		w.Flows = []Flow{{Requested: 0.8 * perS, Units: 0.8 * perS, Succeeded: 0.8 * perS},
@@ -161,7 +161,7 @@
 	all := testReports(9, 0.5)
 	whole := Project(all, testAssumptions()).Now.Value
 	all[2].MeasuredAtMillis -= 20000
-	all[4].Charter.Plans = []policy.Plan{{QuotaPerSecond: 21, QuotaBurst: 40, ValueFactor: 1}}
+	all[4].Settings.Plans = []policy.Plan{{QuotaPerSecond: 21, QuotaBurst: 40, ValueFactor: 1}}
 	all = slices.Delete(all, 7, 8)
 	o := Project(all, testAssumptions())
 	if len(o.TooOld) != 1 || o.TooOld[0].Name != "g2" || o.TooOld[0].AgeMillis < 19900 {
@@ -274,8 +274,8 @@
 		{func(w *Report) { w.Regions[1].Name = "" }, "halls[1]"},
 		{func(w *Report) { w.Sets[0].FirstGateway = 99 }, "sets[0]"},
 		{func(w *Report) { w.Customers[0].DemandByUtilization[2] = -4 }, "customers[0].use: -4"},
-		{func(w *Report) { w.Charter.Plans[0].QuotaPerSecond = -4 }, "charter.plans[0]: -4"},
-		{func(w *Report) { w.Charter.Products[1].LatencyTargetMillis = -1 }, "charter.products[1]: -1"},
+		{func(w *Report) { w.Settings.Plans[0].QuotaPerSecond = -4 }, "charter.plans[0]: -4"},
+		{func(w *Report) { w.Settings.Products[1].LatencyTargetMillis = -1 }, "charter.products[1]: -1"},
 		{func(w *Report) { w.Window = -1 }, "window: -1"},
 		{func(w *Report) { w.Credit = []Credit{{}, {}} }, "credit: 2 for 1 plans"},
 		{func(w *Report) { w.MeasuredAtMillis = 0 }, "at: 0"},
@@ -376,7 +376,7 @@
 		}
 	}
 	m.AttemptEnded(1, 0, policy.TimedOut, 500, false)
-	w := Report{Name: "a", Region: "h", Group: "g", Charter: c, Products: []string{"x", "y"},
+	w := Report{Name: "a", Region: "h", Group: "g", Settings: c, Products: []string{"x", "y"},
 		Plans: []string{"p"}}
 	sight := policy.Snapshot{Plans: make([]policy.PlanSnapshot, 1), Regions: make([]policy.RegionSnapshot, 2)}
 	sight.Regions[1].Workers = 1
@@ -426,7 +426,7 @@
 	}
 	var all []*Report
 	for i, w := range testReports(6, 0.9) {
-		w.Charter, w.Products, w.Plans = c, products, plans
+		w.Settings, w.Products, w.Plans = c, products, plans
 		w.Flows, w.Sets = make([]Flow, len(products)*len(plans)), nil
 		w.Customers = make([]policy.PlanSnapshot, len(plans))
 		for k := range w.Flows {
--- a/internal/forecast/golden_test.go
+++ b/internal/forecast/golden_test.go
@@ -32,7 +32,7 @@
 // fits makes of a filled word one that passes Check: its lists are as long as each other, and its numbers
 // name gatekeepers and plans that there are.
 func makeValid(w *Report) {
-	w.FormatVersion, w.Index, w.Charter.GatewayCount = FormatVersion, 3, 5
+	w.FormatVersion, w.Index, w.Settings.GatewayCount = FormatVersion, 3, 5
 	w.Flows = append(w.Flows, w.Flows...)
 	for i := range w.Sets {
 		w.Sets[i] = policy.GatewaySetSnapshot{Plan: 1, FirstGateway: 1 + i, Size: 2,
--- a/internal/forecast/meter.go
+++ b/internal/forecast/meter.go
@@ -216,7 +216,8 @@
 }
 
 // region returns the report of a region. perSecond gives the rate of a counter over the report's span.
-func (m *Meter) region(z int, name string, snapshot policy.RegionSnapshot, perSecond func(int) float64) Region {
+func (m *Meter) region(z int, name string, snapshot policy.RegionSnapshot,
+	perSecond func(int) float64) Region {
 	h := Region{Name: name, Workers: snapshot.Workers, WarmWorkers: snapshot.WarmWorkers,
 		InFlight: snapshot.InFlight,
 		CPUUse:   -1}
--- a/internal/forecast/quota.go
+++ b/internal/forecast/quota.go
@@ -59,7 +59,7 @@
 		narrow = math.Sqrt(truly / spread)
 	}
 	// as demand sees it
-	usual := units / customers / f.charter.Plans[plan].QuotaPerSecond * (1 + truly/(mean*mean))
+	usual := units / customers / f.settings.Plans[plan].QuotaPerSecond * (1 + truly/(mean*mean))
 	for i := range use {
 		use[i].utilization = math.Max(usual+narrow*(use[i].utilization-mean), usual/20)
 	}
@@ -81,7 +81,7 @@
 func (f *fleet) admittedByQuota(s *scenario, early bool) []float64 {
 	let := make([]float64, len(f.plans))
 	for q := range f.plans {
-		if let[q] = 1; f.charter.Plans[q].QuotaPerSecond <= 0 || f.behaviour.AllowsExcess[q] {
+		if let[q] = 1; f.settings.Plans[q].QuotaPerSecond <= 0 || f.behaviour.AllowsExcess[q] {
 			continue
 		}
 		use, size, all := f.demandByUse(q)
@@ -128,7 +128,7 @@
 // shortestTarget is the shortest latency target, ms.
 func (f *fleet) shortestTarget() float64 {
 	least := math.Inf(1)
-	for _, p := range f.charter.Products {
+	for _, p := range f.settings.Products {
 		least = math.Min(least, p.LatencyTargetMillis)
 	}
 	return least
@@ -237,7 +237,7 @@
 // requests. The largest shortage counts: that of the quota's one bucket, of its shares together, of each
 // share by itself as far as a retry at another gateway finds no more, and the same of a rate limit.
 func (f *fleet) admittedShare(plan int, use, size float64, p setShare, early bool) float64 {
-	c, m := &f.charter.Plans[plan], &f.behaviour
+	c, m := &f.settings.Plans[plan], &f.behaviour
 	if use <= 0 {
 		return 1
 	}
@@ -331,15 +331,15 @@
 		}
 		if v := (whole[q] - s.admitted[q]) * demand; v > 0.005*demand {
 			all = append(all, fmt.Sprintf("quota: %.4g units/s of %s until shares have moved, %.4g then",
-				roundSignificant(v),
-				plan, roundSignificant(math.Max((whole[q]-after[q])*demand, 0))))
+				toSignificantDigits(v),
+				plan, toSignificantDigits(math.Max((whole[q]-after[q])*demand, 0))))
 		}
 	}
 	_, orphans, _ := f.demand(s)
 	for q, plan := range f.plans {
 		if orphans[q] > 0 {
 			all = append(all, fmt.Sprintf("gatekeepers: none of theirs is left for %.4g txns/s of %s",
-				roundSignificant(orphans[q]*1000), plan))
+				toSignificantDigits(orphans[q]*1000), plan))
 		}
 	}
 	return all
@@ -354,7 +354,7 @@
 	for i := range f.flows {
 		v, r := f.value(i/np, i%np), f.flows[i].Succeeded*f.serviceMillis[i%np]
 		worth, all = worth+v*r, all+r
-		if f.charter.Products[i%np].Idempotency == policy.NonIdempotent {
+		if f.settings.Products[i%np].Idempotency == policy.NonIdempotent {
 			once += v * r
 		}
 	}
@@ -390,5 +390,5 @@
 			}
 		}
 	}
-	c.Immediate, c.Wasted = roundSignificant(c.Immediate), roundSignificant(c.Wasted)
+	c.Immediate, c.Wasted = toSignificantDigits(c.Immediate), toSignificantDigits(c.Wasted)
 }
--- a/internal/forecast/report.go
+++ b/internal/forecast/report.go
@@ -79,7 +79,7 @@
 	RulesetVersion   uint64          `json:"Version"` // in force; 0 where none is
 	MeasuredAtMillis int64           `json:"At"`      // Unix ms by the gateway's clock
 	SpanMillis       float64         `json:"Span"`
-	Charter          policy.Settings `json:"Charter"` // without the gateway's own index
+	Settings         policy.Settings `json:"Charter"` // without the gateway's own index
 
 	Products  []string                    `json:"Products"`
 	Plans     []string                    `json:"Plans"`
@@ -138,7 +138,7 @@
 
 // Validate returns an error that names the first key of the report whose value makes no sense.
 func (r *Report) Validate() error {
-	c := &r.Charter
+	c := &r.Settings
 	np, nq := len(c.Products), len(c.Plans)
 	switch {
 	case r.FormatVersion != FormatVersion:
@@ -188,7 +188,7 @@
 func (r *Report) validateValues() error {
 	c := &valueCheck{}
 	r.checkMeasurements(c)
-	r.checkCharter(c)
+	r.checkSettings(c)
 	return c.err
 }
 
@@ -216,8 +216,9 @@
 	}
 	for i, s := range r.Sets {
 		c.check(s.DemandPerSecond, "sets[%d].demand", i)
-		if c.err == nil && (s.Plan < 0 || s.Plan >= len(r.Plans) || s.Size < 1 || s.Size > r.Charter.GatewayCount ||
-			s.FirstGateway < 0 || s.FirstGateway >= r.Charter.GatewayCount) {
+		if c.err == nil && (s.Plan < 0 || s.Plan >= len(r.Plans) || s.Size < 1 ||
+			s.Size > r.Settings.GatewayCount ||
+			s.FirstGateway < 0 || s.FirstGateway >= r.Settings.GatewayCount) {
 			c.err = fmt.Errorf("sets[%d]: plan %d, %d gatekeepers from %d on", i, s.Plan, s.Size, s.FirstGateway)
 		}
 	}
@@ -239,13 +240,13 @@
 	}
 }
 
-func (r *Report) checkCharter(c *valueCheck) {
-	for i, p := range r.Charter.Products {
+func (r *Report) checkSettings(c *valueCheck) {
+	for i, p := range r.Settings.Products {
 		for _, v := range []float64{p.LatencyTargetMillis, p.Value, p.LateValueFraction, p.DedupWindowMillis} {
 			c.check(v, "charter.products[%d]", i)
 		}
 	}
-	for i, p := range r.Charter.Plans {
+	for i, p := range r.Settings.Plans {
 		for _, v := range []float64{p.QuotaPerSecond, p.QuotaBurst, p.RateLimitPerSecond, p.RateLimitBurst,
 			p.ValueFactor, p.ExcessValueFraction,
 			p.ExcessCostFraction, p.CreditSeconds, p.RepayWithinMillis, p.WithheldFraction} {
@@ -255,11 +256,11 @@
 			c.check(-1, "charter.plans[%d].open", i)
 		}
 	}
-	for _, v := range []float64{r.Charter.MaxRequestUnits, r.Charter.PeerMessagesPerSecond,
-		r.Charter.ColdCapacityFraction,
-		r.Charter.WarmUpMillis, r.Charter.OverloadFactor, r.Charter.OverloadMillis, r.Charter.TotalWeight,
-		r.Charter.WorstPlanWeight,
-		r.Charter.MaxRetryAfterMillis} {
+	for _, v := range []float64{r.Settings.MaxRequestUnits, r.Settings.PeerMessagesPerSecond,
+		r.Settings.WarmingCapacityFraction,
+		r.Settings.WarmUpMillis, r.Settings.OverloadFactor, r.Settings.OverloadMillis, r.Settings.TotalWeight,
+		r.Settings.WorstPlanWeight,
+		r.Settings.MaxRetryAfterMillis} {
 		c.check(v, "charter")
 	}
 }
@@ -273,8 +274,8 @@
 	return r.Sequence > o.Sequence
 }
 
-// roundSignificant rounds to four significant digits, so that a result is no finer than what it rests on.
-func roundSignificant(v float64) float64 {
+// toSignificantDigits rounds to four significant digits, so that a result is no finer than what it rests on.
+func toSignificantDigits(v float64) float64 {
 	if math.Abs(v) < 1e-6 || math.IsNaN(v) || math.IsInf(v, 0) {
 		return 0
 	}
--- a/internal/forecast/scenario.go
+++ b/internal/forecast/scenario.go
@@ -75,7 +75,7 @@
 	after := f.evaluate(s)
 	c.After.fill(f, s, now, base, after)
 	c.Missing = append(after.shortages, short...)
-	c.Orphans = roundSignificant(first.orphans * 1000)
+	c.Orphans = toSignificantDigits(first.orphans * 1000)
 	f.estimateImmediate(&c, s)
 	return c
 }
@@ -105,9 +105,9 @@
 		}
 		p.Regions = append(p.Regions, h)
 	}
-	p.LostValue, p.Wasted = roundSignificant(p.LostValue), roundSignificant(p.Wasted)
-	p.CreditDrawn = roundSignificant(p.CreditDrawn)
-	p.roundValues()
+	p.LostValue, p.Wasted = toSignificantDigits(p.LostValue), toSignificantDigits(p.Wasted)
+	p.CreditDrawn = toSignificantDigits(p.CreditDrawn)
+	p.limitDigits()
 }
 
 // expectedAttempts returns the mean number of attempts per request, where each fails by chance.
@@ -298,7 +298,7 @@
 	for i := range pool.rates {
 		q, p := i/np, i%np
 		done, late := pool.completed(i)
-		o.value += f.value(q, p) * done * (1 - late*(1-f.charter.Products[p].LateValueFraction))
+		o.value += f.value(q, p) * done * (1 - late*(1-f.settings.Products[p].LateValueFraction))
 		o.inTime += done * (1 - late)
 		o.late += done * late
 		o.rejected[q] += pool.rates[i] - done
@@ -324,7 +324,7 @@
 			}
 		}
 		o.shortages = append(o.shortages, fmt.Sprintf("workers: %.4g more warm ones in %s",
-			roundSignificant(short), strings.Join(names, ", ")))
+			toSignificantDigits(short), strings.Join(names, ", ")))
 	}
 }
 
--- a/internal/forecast/workerpool.go
+++ b/internal/forecast/workerpool.go
@@ -73,7 +73,7 @@
 	q := p.queue()
 	sla, all := 0.0, 0.0 // mean of one over it
 	for i, r := range p.rates {
-		sla, all = sla+r/p.f.charter.Products[i%len(p.f.products)].LatencyTargetMillis, all+r
+		sla, all = sla+r/p.f.settings.Products[i%len(p.f.products)].LatencyTargetMillis, all+r
 	}
 	sla /= math.Max(all, 1e-12)
 	p.target = bisect(0, maxUtilization, fineSteps, func(use float64) float64 {
@@ -164,7 +164,7 @@
 // exponential tail.
 func (p *workerPool) completed(i int) (rate, late float64) {
 	r := &p.f.rules
-	sla := p.f.charter.Products[i%len(p.f.products)].LatencyTargetMillis
+	sla := p.f.settings.Products[i%len(p.f.products)].LatencyTargetMillis
 	q := p.queue()
 	chance, mean := q.wait(p.utilization)
 	rate = p.rates[i] * p.admittedShare(i)
@@ -172,8 +172,8 @@
 		return 0, 0
 	}
 	pause := r.ClientBackoffMillis / 2
-	if p.f.charter.AllowRetryAfter {
-		pause = math.Min(p.f.behaviour.RetryAfterTargets*sla, p.f.charter.MaxRetryAfterMillis)
+	if p.f.settings.AllowRetryAfter {
+		pause = math.Min(p.f.behaviour.RetryAfterTargets*sla, p.f.settings.MaxRetryAfterMillis)
 	}
 	over := func(spent float64) float64 {
 		left := sla - spent - p.networkMillis - p.serviceMillis(i)
--- a/internal/forwardauth/authorizer/authorizer.go
+++ b/internal/forwardauth/authorizer/authorizer.go
@@ -54,8 +54,9 @@
 
 // New returns an authorizer in front of a proxy. The seed is for the breaker's jitter.
 func New(cfg *config.Authorizer, settings policy.Settings, p *proxy.Proxy, seed int64) *Authorizer {
-	timeout := transport.Millis(cfg.Terms.TimeoutMillis)
-	return &Authorizer{config: cfg, settings: settings, proxy: p, service: authcache.NewService(cfg.Terms, seed),
+	timeout := transport.Millis(cfg.Service.TimeoutMillis)
+	return &Authorizer{config: cfg, settings: settings, proxy: p,
+		service: authcache.NewService(cfg.Service, seed),
 		client: &fasthttp.HostClient{Addr: cfg.ServiceAddress, MaxConns: cfg.MaxConnections,
 			MaxConnWaitTimeout: timeout,
 			ReadTimeout:        timeout, WriteTimeout: timeout, MaxIdleConnDuration: 2 * time.Second,
@@ -129,7 +130,7 @@
 	timer := time.NewTimer(transport.Millis(timeoutMillis))
 	defer timer.Stop()
 	var results <-chan singleflight.Result
-	if request.hasCredential && a.config.Terms.MaxDecisions > 0 {
+	if request.hasCredential && a.config.Service.MaxDecisions > 0 {
 		results = a.pending.DoChan(string(request.digest[:]), func() (any, error) { return a.query(request), nil })
 	} else { // not to be shared
 		own := make(chan singleflight.Result, 1)
@@ -151,7 +152,7 @@
 	case <-timer.C:
 	}
 	a.counters[countTimedOut].Add(1)
-	return result{err: errTimeout, retryAfterMillis: a.config.Terms.TimeoutMillis}, nil
+	return result{err: errTimeout, retryAfterMillis: a.config.Service.TimeoutMillis}, nil
 }
 
 // resolve acts on a result: the request is forwarded with its reservation, or rejected and that is released.
@@ -275,8 +276,8 @@
 		return result{err: errBreakerOpen, retryAfterMillis: waitMillis}
 	}
 	response := &fasthttp.Response{}
-	err := a.client.DoTimeout(request.http, response, transport.Millis(a.config.Terms.TimeoutMillis))
-	r := result{err: err, retryAfterMillis: a.config.Terms.TimeoutMillis}
+	err := a.client.DoTimeout(request.http, response, transport.Millis(a.config.Service.TimeoutMillis))
+	r := result{err: err, retryAfterMillis: a.config.Service.TimeoutMillis}
 	if err == nil {
 		r = a.decodeResponse(response)
 	}
@@ -309,13 +310,13 @@
 		values := response.Header.PeekAll(a.config.CustomerHeader)
 		if len(values) != 1 {
 			return result{err: fmt.Errorf("%s: it is there %d times", a.config.CustomerHeader, len(values)),
-				retryAfterMillis: a.config.Terms.TimeoutMillis}
+				retryAfterMillis: a.config.Service.TimeoutMillis}
 		}
 		customer, err := transport.ParseCustomer(values[0])
 		if err != nil {
 			return result{
 				err:              fmt.Errorf("%s: %w", a.config.CustomerHeader, err),
-				retryAfterMillis: a.config.Terms.TimeoutMillis,
+				retryAfterMillis: a.config.Service.TimeoutMillis,
 			}
 		}
 		decision.Customer, decision.HasCustomer = customer, true
@@ -328,11 +329,11 @@
 	case status == fasthttp.StatusTooManyRequests:
 		seconds, err := strconv.ParseFloat(string(response.Header.Peek(fasthttp.HeaderRetryAfter)), 64)
 		if err != nil || !(seconds > 0) || math.IsInf(seconds, 1) {
-			seconds = a.config.Terms.TimeoutMillis / 1000
+			seconds = a.config.Service.TimeoutMillis / 1000
 		}
 		return result{decision: decision, retryAfterMillis: seconds * 1000}
 	default:
-		return result{err: fmt.Errorf("status %d", status), retryAfterMillis: a.config.Terms.TimeoutMillis}
+		return result{err: fmt.Errorf("status %d", status), retryAfterMillis: a.config.Service.TimeoutMillis}
 	}
 	return result{decision: decision}
 }
--- a/internal/gateway/config/forwardauth.go
+++ b/internal/gateway/config/forwardauth.go
@@ -69,7 +69,7 @@
 	Covers []bool
 	// FailsOpen says, by product, that a request goes on if the service fails.
 	FailsOpen []bool
-	Terms     authcache.ServiceConfig
+	Service   authcache.ServiceConfig
 	// MaxConnections bounds the connections to the service.
 	MaxConnections int
 }
@@ -252,7 +252,7 @@
 		SentHeaders:      t.Send,
 		CopiedHeaders:    t.Copy,
 		MaxConnections:   t.Connections,
-		Terms: authcache.ServiceConfig{
+		Service: authcache.ServiceConfig{
 			TimeoutMillis:           t.LimitMS,
 			TimeoutShare:            t.Share,
 			AllowTTLMillis:          t.YesS * 1000,
@@ -337,7 +337,7 @@
 
 // productFlags returns a flag for each product: true for those in names, or for all.
 func (g *Gateway) productFlags(key string, names []string, all bool) ([]bool, error) {
-	marks := make([]bool, len(g.Charter.Products))
+	marks := make([]bool, len(g.Policy.Products))
 	for i := range marks {
 		marks[i] = all
 	}
--- a/internal/gateway/config/forwardauth_test.go
+++ b/internal/gateway/config/forwardauth_test.go
@@ -37,8 +37,8 @@
 		t.Errorf("asked: %+v", f.Server)
 	case f.Server.RequiresClearance[0] || !f.Server.RequiresClearance[1] || len(f.Server.TrustedProxies) != 2:
 		t.Errorf("asked: %+v", f.Server)
-	case f.Authorizer.CredentialHeader != "Authorization" || f.Authorizer.Terms.BreakerThreshold != 3 ||
-		f.Authorizer.Terms.BreakerBackoffMillis != 500:
+	case f.Authorizer.CredentialHeader != "Authorization" || f.Authorizer.Service.BreakerThreshold != 3 ||
+		f.Authorizer.Service.BreakerBackoffMillis != 500:
 		t.Errorf("asking: %+v", f.Authorizer)
 	case !f.Authorizer.FailsOpen[0] || f.Authorizer.FailsOpen[1] || f.Connections() != 64+1+16:
 		t.Errorf("asking: %+v", f.Authorizer)
--- a/internal/gateway/config/gateway.go
+++ b/internal/gateway/config/gateway.go
@@ -157,14 +157,14 @@
 		if _, err = address("counter", file.CounterAddress); err != nil {
 			return g, err
 		}
-		if g.Charter.WorkersReportLoad {
+		if g.Policy.WorkersReportLoad {
 			return g, errors.New("counter: there is none where settings.report.how is answers")
 		}
 	}
 	if err := g.setLimits(file.Limits); err != nil {
 		return g, err
 	}
-	if g.Charter.AllowGossip && g.Charter.GatewayCount > 1 {
+	if g.Policy.AllowGossip && g.Policy.GatewayCount > 1 {
 		return g, g.setPeers(file.PeerListen, file.Peers)
 	}
 	return g, nil
@@ -216,8 +216,8 @@
 	if g.PeerListenAddress, err = netip.ParseAddrPort(listen); err != nil {
 		return fmt.Errorf("peer_listen: %w", err)
 	}
-	if len(list) != g.Charter.GatewayCount {
-		return fmt.Errorf("peers: %d addresses for settings.balancers of %d", len(list), g.Charter.GatewayCount)
+	if len(list) != g.Policy.GatewayCount {
+		return fmt.Errorf("peers: %d addresses for settings.balancers of %d", len(list), g.Policy.GatewayCount)
 	}
 	for i, p := range list {
 		a, err := netip.ParseAddrPort(p)
--- a/internal/gateway/config/gateway_test.go
+++ b/internal/gateway/config/gateway_test.go
@@ -29,14 +29,14 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	p := g.Charter.Products
+	p := g.Policy.Products
 	switch {
 	case g.Name != "n1" || g.ListenAddress != "127.0.0.1:5000" || uint64(g.Seed) != 0x8c1f30d27a5be964:
 		t.Errorf("name, listen or seed: %+v", g)
 	case g.Cores != 0.5 || g.MemoryMB != 64 || g.MaxSockets != 256:
 		t.Errorf("limits: %v %v %v", g.Cores, g.MemoryMB, g.MaxSockets)
 	case len(g.PeerAddresses) != 2 || g.PeerAddresses[1].String() != "127.0.0.3:7946" ||
-		g.Charter.GatewayIndex != 1:
+		g.Policy.GatewayIndex != 1:
 		t.Errorf("peers: %v", g.PeerAddresses)
 	case len(p) != 2 || p[1].Idempotency != policy.Deduplicated || p[1].DedupScope != policy.DedupWithinCell ||
 		p[1].DedupWindowMillis != 7000:
@@ -202,8 +202,8 @@
 			}
 			text := strings.Join(c.swaps, " ")
 			load := strings.Contains(text, "answers")
-			if err == nil && g.Charter.WorkersReportLoad != load {
-				t.Errorf("the charter has load %v", g.Charter.WorkersReportLoad)
+			if err == nil && g.Policy.WorkersReportLoad != load {
+				t.Errorf("the charter has load %v", g.Policy.WorkersReportLoad)
 			}
 		})
 	}
--- a/internal/gateway/config/journal.go
+++ b/internal/gateway/config/journal.go
@@ -13,8 +13,8 @@
 
 // Journal configures the journal of non-idempotent requests.
 type Journal struct {
-	Dir   string // holds the directories of all instances on this host
-	Terms txnjournal.Config
+	Dir    string // holds the directories of all instances on this host
+	Config txnjournal.Config
 }
 
 // InstanceDir returns the directory of one instance's journal.
@@ -100,7 +100,7 @@
 	t.ResponseRetentionMillis = f.RememberS * 1000
 	t.BreakerThreshold = f.Breaker.After
 	t.BreakerBackoffMillis, t.BreakerMaxBackoffMillis = f.Breaker.PauseMS, f.Breaker.MostMS
-	return &Journal{Dir: f.Dir, Terms: t}, nil
+	return &Journal{Dir: f.Dir, Config: t}, nil
 }
 
 // checkRanges checks the numbers of the file.
@@ -110,7 +110,8 @@
 		keyRange{"wait_ms", f.WaitMS, 1, txnjournal.MaxCommitWaitMillis},
 		keyRange{"slow_ms", f.SlowMS, 1, txnjournal.MaxCommitWaitMillis},
 		keyRange{"lease_ms", f.LeaseMS, 100, txnjournal.MaxCoverageLeaseMillis},
-		keyRange{"segment_kb", float64(f.SegmentKB), txnjournal.MinSegmentBytes >> 10, txnjournal.MaxSegmentBytes >> 10},
+		keyRange{"segment_kb", float64(f.SegmentKB), txnjournal.MinSegmentBytes >> 10,
+			txnjournal.MaxSegmentBytes >> 10},
 		keyRange{"segments", float64(f.Segments), txnjournal.MinMaxSegments, txnjournal.LargestMaxSegments},
 		keyRange{"txns", float64(f.Txns), 1, txnjournal.LargestMaxTxns},
 		keyRange{"answer_bytes", float64(f.AnswerBytes), 0, float64(f.SegmentKB << 10 / 8)},
--- a/internal/gateway/config/journal_test.go
+++ b/internal/gateway/config/journal_test.go
@@ -19,7 +19,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if plain.Terms != txnjournal.DefaultConfig() || plain.InstanceDir("g1") != "/var/lib/willowdeck/journal/g1" {
+	if plain.Config != txnjournal.DefaultConfig() ||
+		plain.InstanceDir("g1") != "/var/lib/willowdeck/journal/g1" {
 		t.Errorf("%+v", plain)
 	}
 	set := regexp.MustCompile(`(?m)^# (\w+ = )`).ReplaceAllString(string(raw), "$1")
--- a/internal/gateway/config/settings.go
+++ b/internal/gateway/config/settings.go
@@ -42,7 +42,7 @@
 
 // Settings are the decoded settings in the gateway's units: ms, and indexes for names.
 type Settings struct {
-	Charter     policy.Settings
+	Policy      policy.Settings
 	Names       Names
 	Connections Connections
 }
@@ -65,24 +65,24 @@
 		ConnectTimeoutMillis: orDefault(s.Allowed.ConnectTimeoutMicros/microsPerMilli, defaultConnectTimeoutMillis),
 		AnswerSlackMillis:    s.Safety.AnswerSlackMicros / microsPerMilli,
 		PollsDiscovery:       s.RegistryMode == registryOnRequest}
-	t.Charter = policy.Settings{
+	t.Policy = policy.Settings{
 		GatewayIndex: s.Index, GatewayCount: s.Instances,
-		MaxRequestUnits:       s.Deployment.LargestUnits,
-		MaxAttempts:           s.Allowed.MaxAttempts,
-		AllowHedging:          s.Allowed.MayDuplicate,
-		AllowCancel:           s.Allowed.Cancel,
-		AllowRetryAfter:       s.Allowed.RetryAfter,
-		MaxRetryAfterMillis:   s.Allowed.MaxRetryAfterMicros / microsPerMilli,
-		AllowGossip:           s.Allowed.Peers,
-		PeerMessagesPerSecond: s.Deployment.PeerMessagesPerSecond,
-		ReportsPerMessage:     gossip.MaxReports,
-		ColdCapacityFraction:  s.Safety.SlowStartShare,
-		WarmUpMillis:          s.Safety.WarmUpMicros / microsPerMilli,
-		OverloadFactor:        s.Safety.OverloadMultiple,
-		OverloadMillis:        s.Safety.OverloadAfterMicros / microsPerMilli,
-		TotalWeight:           s.ScoreWeights.Total,
-		WorstPlanWeight:       s.ScoreWeights.WorstTenant + s.ScoreWeights.WorstClass,
-		WorkersReportLoad:     s.Report.Mode == reportInAnswers,
+		MaxRequestUnits:         s.Deployment.LargestUnits,
+		MaxAttempts:             s.Allowed.MaxAttempts,
+		AllowHedging:            s.Allowed.MayDuplicate,
+		AllowCancel:             s.Allowed.Cancel,
+		AllowRetryAfter:         s.Allowed.RetryAfter,
+		MaxRetryAfterMillis:     s.Allowed.MaxRetryAfterMicros / microsPerMilli,
+		AllowGossip:             s.Allowed.Peers,
+		PeerMessagesPerSecond:   s.Deployment.PeerMessagesPerSecond,
+		ReportsPerMessage:       gossip.MaxReports,
+		WarmingCapacityFraction: s.Safety.SlowStartShare,
+		WarmUpMillis:            s.Safety.WarmUpMicros / microsPerMilli,
+		OverloadFactor:          s.Safety.OverloadMultiple,
+		OverloadMillis:          s.Safety.OverloadAfterMicros / microsPerMilli,
+		TotalWeight:             s.ScoreWeights.Total,
+		WorstPlanWeight:         s.ScoreWeights.WorstTenant + s.ScoreWeights.WorstClass,
+		WorkersReportLoad:       s.Report.Mode == reportInAnswers,
 	}
 	s.addProducts(&t)
 	s.addPlans(&t)
@@ -99,7 +99,7 @@
 		if p.Group == "" { // the smallest group, so that no promise is assumed
 			group = policy.DedupWithinCell
 		}
-		t.Charter.Products = append(t.Charter.Products, policy.Product{
+		t.Policy.Products = append(t.Policy.Products, policy.Product{
 			LatencyTargetMillis: orDefault(p.LatencyTargetMicros, p.HardLimitMicros) / microsPerMilli, Value: p.Value,
 			LateValueFraction: p.LateShare, Idempotency: repeatsByEffect[p.Effect], DedupScope: group,
 			DedupWindowMillis: p.WindowMicros / microsPerMilli})
@@ -113,7 +113,7 @@
 		if p.LimitRate == 0 { // there is no rate limit, whatever its depth
 			p.LimitDepth = 0
 		}
-		t.Charter.Plans = append(t.Charter.Plans, policy.Plan{QuotaPerSecond: p.Rate, QuotaBurst: p.Burst,
+		t.Policy.Plans = append(t.Policy.Plans, policy.Plan{QuotaPerSecond: p.Rate, QuotaBurst: p.Burst,
 			RateLimitPerSecond: p.LimitRate, RateLimitBurst: p.LimitDepth, MaxInFlight: p.MaxInFlight,
 			ValueFactor:         p.ValueFactor,
 			ExcessValueFraction: p.ExcessShare, ExcessCostFraction: p.ExcessFee, CreditSeconds: p.CreditSeconds,
--- a/internal/gateway/config/settings_test.go
+++ b/internal/gateway/config/settings_test.go
@@ -61,40 +61,40 @@
 		{"a wait of clients that is not said: any", `"hard_limit_us":900000,`, "",
 			func(t *Settings) bool { return math.IsInf(t.Connections.MaxClientWaitMillis, 1) }},
 		{"no aim: the time that clients wait", `"aim_us":90000,`, "",
-			func(t *Settings) bool { return t.Charter.Products[0].LatencyTargetMillis == 300 }},
+			func(t *Settings) bool { return t.Policy.Products[0].LatencyTargetMillis == 300 }},
 		{"neither: no time is known", `"hard_limit_us":250000,`, "",
-			func(t *Settings) bool { return t.Charter.Products[2].LatencyTargetMillis == 0 }},
+			func(t *Settings) bool { return t.Policy.Products[2].LatencyTargetMillis == 0 }},
 		{"no group: the fewest share marks, and none is promised to all", `"group":"zone",`, "",
-			func(t *Settings) bool { return t.Charter.Products[1].DedupScope == policy.DedupWithinCell }},
+			func(t *Settings) bool { return t.Policy.Products[1].DedupScope == policy.DedupWithinCell }},
 		{"no window: never repeated", `"window_us":400000,`, "",
-			func(t *Settings) bool { return t.Charter.Products[1].DedupWindowMillis == 0 }},
+			func(t *Settings) bool { return t.Policy.Products[1].DedupWindowMillis == 0 }},
 		{"no rate of a ceiling: there is none, of any depth", `"hard_rate":25,`, "",
 			func(t *Settings) bool {
-				p := t.Charter.Plans[0]
+				p := t.Policy.Plans[0]
 				return p.RateLimitPerSecond == 0 && p.RateLimitBurst == 0
 			}},
 		{"no submissions said: one", `"max_attempts":2,`, "",
-			func(t *Settings) bool { return t.Charter.MaxAttempts == 0 && !t.Charter.AllowCancel }},
+			func(t *Settings) bool { return t.Policy.MaxAttempts == 0 && !t.Policy.AllowCancel }},
 		{"no copies said: none", `"may_duplicate":true,`, "",
-			func(t *Settings) bool { return !t.Charter.AllowHedging }},
+			func(t *Settings) bool { return !t.Policy.AllowHedging }},
 		{
 			"no advice said: none",
 			`"retry_after":true,`,
 			"",
-			func(t *Settings) bool { return !t.Charter.AllowRetryAfter },
+			func(t *Settings) bool { return !t.Policy.AllowRetryAfter },
 		},
 		{"no bound of advice: none is given", `"max_retry_after_us":150000,`, "",
-			func(t *Settings) bool { return t.Charter.MaxRetryAfterMillis == 0 }},
+			func(t *Settings) bool { return t.Policy.MaxRetryAfterMillis == 0 }},
 		{"no peers said: none are talked to", `,"peers":true`, "",
-			func(t *Settings) bool { return !t.Charter.AllowGossip }},
+			func(t *Settings) bool { return !t.Policy.AllowGossip }},
 		{"no least start: a cold worker can do nothing", `"cold_from":0.25,`, "",
-			func(t *Settings) bool { return t.Charter.ColdCapacityFraction == 0 && t.Charter.WarmUpMillis == 9000 }},
+			func(t *Settings) bool { return t.Policy.WarmingCapacityFraction == 0 && t.Policy.WarmUpMillis == 9000 }},
 		{"no slack: none", `,"answer_slack_us":8000`, "",
 			func(t *Settings) bool { return t.Connections.AnswerSlackMillis == 0 }},
 		{"no way of lists: pushed", `"registry_mode":"on_request",`, "",
 			func(t *Settings) bool { return !t.Connections.PollsDiscovery }},
 		{"no reports: none are gone by", `"report":{"how":"answers","fields":["load_share"]},`, "",
-			func(t *Settings) bool { return !t.Charter.WorkersReportLoad }},
+			func(t *Settings) bool { return !t.Policy.WorkersReportLoad }},
 		{"no time for connections", `"connect_timeout_us":80000,`, "",
 			func(t *Settings) bool { return t.Connections.ConnectTimeoutMillis == defaultConnectTimeoutMillis }},
 		{"no idle limit", `"keepalive_us":6000000,`, "",
@@ -102,7 +102,7 @@
 		{"a key of later days", `"me":4,`, `"me":4,"later":{"classes":1},`, func(*Settings) bool { return true }},
 		{"a plan without any quota", `"rate":12,"most_at_once":36,"hard_rate":25,"cap_depth":78,`, "",
 			func(t *Settings) bool {
-				p := t.Charter.Plans[0]
+				p := t.Policy.Plans[0]
 				return p.QuotaPerSecond == 0 && p.MaxInFlight == 0 && p.RateLimitPerSecond == 0
 			}},
 	}
--- a/internal/gateway/hotrestart/storedform.go
+++ b/internal/gateway/hotrestart/storedform.go
@@ -9,7 +9,7 @@
 // storedHandoff is what a process leaves to its successor.
 type storedHandoff struct {
 	Drains     bool
-	Estate     storedEstate
+	Estate     storedPolicyState
 	Workers    map[int]string
 	Kinds      map[int]string
 	Clearances []storedClearance
@@ -40,9 +40,9 @@
 	First    int
 }
 
-// storedEstate is the policy's state.
-type storedEstate struct {
-	Signed    storedCharter
+// storedPolicyState is the policy's state.
+type storedPolicyState struct {
+	Signed    storedSettings
 	At        float64
 	Started   float64
 	Base      float64
@@ -67,8 +67,8 @@
 	NextTell  float64
 }
 
-// storedCharter is the settings that the state was computed with.
-type storedCharter struct {
+// storedSettings is the settings that the state was computed with.
+type storedSettings struct {
 	Me             int
 	Gatekeepers    int
 	Products       []storedProduct
--- a/internal/gateway/hotrestart/storedform_decode.go
+++ b/internal/gateway/hotrestart/storedform_decode.go
@@ -9,7 +9,7 @@
 func decodeHandoff(stored storedHandoff) HandoffState {
 	return HandoffState{
 		Draining:       stored.Drains,
-		Policy:         decodeEstate(stored.Estate),
+		Policy:         decodePolicyState(stored.Estate),
 		WorkerNames:    stored.Workers,
 		KindNames:      stored.Kinds,
 		Clearances:     convertAll(stored.Clearances, decodeClearance),
@@ -44,9 +44,9 @@
 	}
 }
 
-func decodeEstate(stored storedEstate) policy.HandoffState {
+func decodePolicyState(stored storedPolicyState) policy.HandoffState {
 	return policy.HandoffState{
-		Settings:               decodeCharter(stored.Signed),
+		Settings:               decodeSettings(stored.Signed),
 		AtMillis:               stored.At,
 		StartedAtMillis:        stored.Started,
 		RateLimitBaseMillis:    stored.Base,
@@ -72,29 +72,29 @@
 	}
 }
 
-func decodeCharter(stored storedCharter) policy.Settings {
+func decodeSettings(stored storedSettings) policy.Settings {
 	return policy.Settings{
-		GatewayIndex:          stored.Me,
-		GatewayCount:          stored.Gatekeepers,
-		Products:              convertAll(stored.Products, decodeProduct),
-		Plans:                 convertAll(stored.Plans, decodePlan),
-		MaxRequestUnits:       stored.LargestUnits,
-		MaxAttempts:           stored.MaxSubmissions,
-		AllowHedging:          stored.MayOverlap,
-		AllowCancel:           stored.MayWithdraw,
-		AllowRetryAfter:       stored.MayAdvise,
-		MaxRetryAfterMillis:   stored.MaxAdvice,
-		AllowGossip:           stored.MayTell,
-		WorkersReportLoad:     stored.LoadTold,
-		PeerMessagesPerSecond: stored.PeerInPerS,
-		ReportsPerMessage:     stored.ReportsPerTell,
-		ColdCapacityFraction:  stored.ColdFrom,
-		WarmUpMillis:          stored.WarmUp,
-		OverloadFactor:        stored.Tips,
-		OverloadMillis:        stored.TipAfter,
-		TotalWeight:           stored.Whole,
-		WorstPlanWeight:       stored.WorstPlan,
-		QuotaWithoutGossip:    stored.Narrow,
+		GatewayIndex:            stored.Me,
+		GatewayCount:            stored.Gatekeepers,
+		Products:                convertAll(stored.Products, decodeProduct),
+		Plans:                   convertAll(stored.Plans, decodePlan),
+		MaxRequestUnits:         stored.LargestUnits,
+		MaxAttempts:             stored.MaxSubmissions,
+		AllowHedging:            stored.MayOverlap,
+		AllowCancel:             stored.MayWithdraw,
+		AllowRetryAfter:         stored.MayAdvise,
+		MaxRetryAfterMillis:     stored.MaxAdvice,
+		AllowGossip:             stored.MayTell,
+		WorkersReportLoad:       stored.LoadTold,
+		PeerMessagesPerSecond:   stored.PeerInPerS,
+		ReportsPerMessage:       stored.ReportsPerTell,
+		WarmingCapacityFraction: stored.ColdFrom,
+		WarmUpMillis:            stored.WarmUp,
+		OverloadFactor:          stored.Tips,
+		OverloadMillis:          stored.TipAfter,
+		TotalWeight:             stored.Whole,
+		WorstPlanWeight:         stored.WorstPlan,
+		QuotaWithoutGossip:      stored.Narrow,
 	}
 }
 
@@ -164,7 +164,7 @@
 		ResponseAtMillis:     stored.Paced,
 		ReportedLoad:         stored.Load,
 		ReportedLoadAtMillis: stored.Told,
-		HeardAtMillis:        stored.Heard,
+		ReceivedAtMillis:     stored.Heard,
 		Suspicion:            stored.Distrust,
 		SuspicionAtMillis:    stored.DistrustAt,
 		Rejections:           stored.Turned,
@@ -185,13 +185,13 @@
 
 func decodePeer(stored storedPeer) policy.PeerState {
 	return policy.PeerState{
-		HeardAtMillis:        stored.Heard,
-		ReportedAtMillis:     stored.Told,
-		ReportDueSinceMillis: stored.Owes,
-		ReportsHeardAtMillis: stored.Spoke,
-		Silent:               stored.Silent,
-		Lost:                 stored.Gone,
-		LastReports:          convertAll(stored.Last, decodeReport),
+		ReceivedAtMillis:        stored.Heard,
+		ReportedAtMillis:        stored.Told,
+		ReportDueSinceMillis:    stored.Owes,
+		ReportsReceivedAtMillis: stored.Spoke,
+		Silent:                  stored.Silent,
+		Lost:                    stored.Gone,
+		LastReports:             convertAll(stored.Last, decodeReport),
 	}
 }
 
--- a/internal/gateway/hotrestart/storedform_encode.go
+++ b/internal/gateway/hotrestart/storedform_encode.go
@@ -9,7 +9,7 @@
 func encodeHandoff(live HandoffState) storedHandoff {
 	return storedHandoff{
 		Drains:     live.Draining,
-		Estate:     encodeEstate(live.Policy),
+		Estate:     encodePolicyState(live.Policy),
 		Workers:    live.WorkerNames,
 		Kinds:      live.KindNames,
 		Clearances: convertAll(live.Clearances, encodeClearance),
@@ -44,9 +44,9 @@
 	}
 }
 
-func encodeEstate(live policy.HandoffState) storedEstate {
-	return storedEstate{
-		Signed:    encodeCharter(live.Settings),
+func encodePolicyState(live policy.HandoffState) storedPolicyState {
+	return storedPolicyState{
+		Signed:    encodeSettings(live.Settings),
 		At:        live.AtMillis,
 		Started:   live.StartedAtMillis,
 		Base:      live.RateLimitBaseMillis,
@@ -72,8 +72,8 @@
 	}
 }
 
-func encodeCharter(live policy.Settings) storedCharter {
-	return storedCharter{
+func encodeSettings(live policy.Settings) storedSettings {
+	return storedSettings{
 		Me:             live.GatewayIndex,
 		Gatekeepers:    live.GatewayCount,
 		Products:       convertAll(live.Products, encodeProduct),
@@ -88,7 +88,7 @@
 		LoadTold:       live.WorkersReportLoad,
 		PeerInPerS:     live.PeerMessagesPerSecond,
 		ReportsPerTell: live.ReportsPerMessage,
-		ColdFrom:       live.ColdCapacityFraction,
+		ColdFrom:       live.WarmingCapacityFraction,
 		WarmUp:         live.WarmUpMillis,
 		Tips:           live.OverloadFactor,
 		TipAfter:       live.OverloadMillis,
@@ -164,7 +164,7 @@
 		Paced:      live.ResponseAtMillis,
 		Load:       live.ReportedLoad,
 		Told:       live.ReportedLoadAtMillis,
-		Heard:      live.HeardAtMillis,
+		Heard:      live.ReceivedAtMillis,
 		Distrust:   live.Suspicion,
 		DistrustAt: live.SuspicionAtMillis,
 		Turned:     live.Rejections,
@@ -185,10 +185,10 @@
 
 func encodePeer(live policy.PeerState) storedPeer {
 	return storedPeer{
-		Heard:  live.HeardAtMillis,
+		Heard:  live.ReceivedAtMillis,
 		Told:   live.ReportedAtMillis,
 		Owes:   live.ReportDueSinceMillis,
-		Spoke:  live.ReportsHeardAtMillis,
+		Spoke:  live.ReportsReceivedAtMillis,
 		Silent: live.Silent,
 		Gone:   live.Lost,
 		Last:   convertAll(live.LastReports, encodeReport),
--- a/internal/gateway/lifecycle/admin.go
+++ b/internal/gateway/lifecycle/admin.go
@@ -33,7 +33,7 @@
 		Workers:  int64(tally.Workers),
 		Ejected:  int64(tally.SuspectedWorkers),
 	}
-	f.Products = make([]admin.ProductStats, len(g.config.Charter.Products))
+	f.Products = make([]admin.ProductStats, len(g.config.Policy.Products))
 	for name, i := range g.config.Names.Products {
 		p := &f.Products[i]
 		p.Name = name
--- a/internal/gateway/lifecycle/borrowing.go
+++ b/internal/gateway/lifecycle/borrowing.go
@@ -22,7 +22,7 @@
 // ruleset that is adopted later. It stays disabled where a crash would forget a debt, or where peers that
 // share customers can't be told from their earlier incarnations.
 func (g *Gateway) enableBorrowing(plans []policy.Plan) {
-	c := g.config.Charter
+	c := g.config.Policy
 	creditLines, allowed := proxy.CreditLines(plans)
 	switch {
 	case !allowed || g.standby.Load() || !g.borrowingEnabled.CompareAndSwap(false, true):
--- a/internal/gateway/lifecycle/forwardauth.go
+++ b/internal/gateway/lifecycle/forwardauth.go
@@ -12,11 +12,11 @@
 func (g *Gateway) enableForwardAuth(next *proxy.Proxy) func(*transport.Request) transport.FinalAnswer {
 	serve, settings := next.Serve, g.config.ForwardAuth
 	if settings != nil && settings.Authorizer != nil {
-		g.authorizer = authorizer.New(settings.Authorizer, g.config.Charter, next, g.config.Seed)
+		g.authorizer = authorizer.New(settings.Authorizer, g.config.Policy, next, g.config.Seed)
 		serve = g.authorizer.Serve
 	}
 	if settings != nil && settings.Server != nil {
-		g.authServer = authserver.New(settings.Server, g.config.Names, g.config.Charter, next, serve)
+		g.authServer = authserver.New(settings.Server, g.config.Names, g.config.Policy, next, serve)
 		serve = g.authServer.Serve
 	}
 	return serve
--- a/internal/gateway/lifecycle/golden_test.go
+++ b/internal/gateway/lifecycle/golden_test.go
@@ -30,8 +30,8 @@
 		c.RulesetAddress, c.SharesEndpoints, c.KeepsCheckpoint = daemon.address, true, true
 		c.CrashStatePath = filepath.Join(t.TempDir(), "residue")
 		withJournal(t.TempDir())(c)
-		c.Charter.Plans[0].RateLimitPerSecond, c.Charter.Plans[0].RateLimitBurst = 1000, 1000
-		c.Charter.Plans[0].CreditSeconds, c.Charter.Plans[0].RepayWithinMillis = 1, 60000
+		c.Policy.Plans[0].RateLimitPerSecond, c.Policy.Plans[0].RateLimitBurst = 1000, 1000
+		c.Policy.Plans[0].CreditSeconds, c.Policy.Plans[0].RepayWithinMillis = 1, 60000
 	}, 1, 5000)
 	t.Cleanup(func() { close(gateway.gateway.done) })
 	waitFor(t, "the journal is not open", func() bool {
--- a/internal/gateway/lifecycle/hotrestart_test.go
+++ b/internal/gateway/lifecycle/hotrestart_test.go
@@ -204,7 +204,7 @@
 	}
 	crash(d)
 	// As if its start had been long ago.
-	f, left, err := crashstate.Open(path, crashstate.Digest(d.config.Charter), float64(time.Now().UnixMilli()))
+	f, left, err := crashstate.Open(path, crashstate.Digest(d.config.Policy), float64(time.Now().UnixMilli()))
 	if err != nil || left == nil {
 		t.Fatal(left, err)
 	}
--- a/internal/gateway/lifecycle/journal_test.go
+++ b/internal/gateway/lifecycle/journal_test.go
@@ -33,7 +33,7 @@
 		t := txnjournal.DefaultConfig()
 		t.SegmentBytes, t.MaxSegments = size, segments     // so that they change often
 		t.CommitWaitMillis, t.SlowCommitMillis = 250, 1000 // a loaded machine
-		c.Journal = &config.Journal{Dir: dir, Terms: t}
+		c.Journal = &config.Journal{Dir: dir, Config: t}
 	}
 }
 
@@ -142,7 +142,7 @@
 			defer func() { journalDisk = usual }()
 			d := deployWith(t, func(c *config.Gateway) {
 				withJournal("")(c)
-				t := &c.Journal.Terms
+				t := &c.Journal.Config
 				t.Policy, t.CommitWaitMillis, t.CoverageLeaseMillis = policy, 150, 200
 				t.BreakerBackoffMillis, t.BreakerMaxBackoffMillis = 20, 40
 			}, 2, 5000)
--- a/internal/gateway/lifecycle/loadreport.go
+++ b/internal/gateway/lifecycle/loadreport.go
@@ -36,17 +36,17 @@
 		Name:     c.Name,
 		Host:     c.Host,
 		Region:   c.Region,
-		Index:    c.Charter.GatewayIndex,
-		Charter:  c.Charter,
+		Index:    c.Policy.GatewayIndex,
+		Settings: c.Policy,
 		Products: c.Names.ProductNames(),
 		Plans:    c.Names.PlanNames(),
 	}}
-	r.report.Charter.GatewayIndex = 0
+	r.report.Settings.GatewayIndex = 0
 	if r.groupConfigured {
 		r.report.Group = c.Group
 	}
-	r.setMembers(c.PeerAddresses, c.Charter.GatewayCount)
-	g.dispatcher.SetMeter(forecast.NewMeter(c.Charter, crashstate.UptimeCentiseconds()))
+	r.setMembers(c.PeerAddresses, c.Policy.GatewayCount)
+	g.dispatcher.SetMeter(forecast.NewMeter(c.Policy, crashstate.UptimeCentiseconds()))
 	return r
 }
 
@@ -54,7 +54,7 @@
 func (r *loadReporter) setMembers(peers []netip.AddrPort, size int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.report.Charter.GatewayCount = size
+	r.report.Settings.GatewayCount = size
 	if r.groupConfigured {
 		return
 	}
@@ -70,7 +70,7 @@
 func (r *loadReporter) setRuleset(version uint64, plans []policy.Plan) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.report.RulesetVersion, r.report.Charter.Plans = version, slices.Clone(plans)
+	r.report.RulesetVersion, r.report.Settings.Plans = version, slices.Clone(plans)
 }
 
 // refresh makes a new report, unless the last is younger than reportInterval.
--- a/internal/gateway/lifecycle/operations_test.go
+++ b/internal/gateway/lifecycle/operations_test.go
@@ -209,17 +209,17 @@
 		t.Fatal(s)
 	}
 	conf := d.config
-	conf.Charter.GatewayCount = 3
+	conf.Policy.GatewayCount = 3
 	d.gateway.Reload(conf, nil)
 	if s := of("b", 3); s != "HTTP/1.1 200 OK" || d.stat("members") != 3 {
 		t.Errorf("of three: %q, %d", s, d.stat("members"))
 	}
-	conf.Charter.GatewayCount, conf.Charter.MaxRequestUnits = 4, 7
+	conf.Policy.GatewayCount, conf.Policy.MaxRequestUnits = 4, 7
 	d.gateway.Reload(conf, nil)
 	if n := d.stat("members"); n != 3 {
 		t.Errorf("with other settings changed it applies %d", n)
 	}
-	conf.Charter.GatewayCount, conf.Charter.MaxRequestUnits = 1, d.config.Charter.MaxRequestUnits
+	conf.Policy.GatewayCount, conf.Policy.MaxRequestUnits = 1, d.config.Policy.MaxRequestUnits
 	d.gateway.Reload(conf, nil)
 	if s := of("c", 1); s != "HTTP/1.1 200 OK" || d.stat("members") != 1 {
 		t.Errorf("alone: %q, %d", s, d.stat("members"))
--- a/internal/gateway/lifecycle/recovery.go
+++ b/internal/gateway/lifecycle/recovery.go
@@ -16,7 +16,7 @@
 // the crash state can't be opened, the gateway serves without it.
 func (g *Gateway) openCrashState(crashed bool) {
 	g.standby.Store(false)
-	plans := g.config.Charter.Plans
+	plans := g.config.Policy.Plans
 	if adopted := g.rulesetPlans.Load(); adopted != nil {
 		plans = *adopted
 	}
@@ -24,7 +24,7 @@
 	if g.config.CrashStatePath == "" {
 		return
 	}
-	digest := crashstate.Digest(g.config.Charter)
+	digest := crashstate.Digest(g.config.Policy)
 	file, left, err := crashstate.Open(g.config.CrashStatePath, digest, g.dispatcher.Now())
 	if err != nil {
 		g.log.Warn().Err(err).Msg("crash state unavailable, nothing will survive a crash")
@@ -111,7 +111,7 @@
 		owner.ClockOffsetMillis = float64(time.Now().UnixMilli()) - uptimeMillis
 	}
 	disk := journalDisk(settings.InstanceDir(g.config.Name))
-	journal := store.Start(disk, settings.Terms, owner, besidePredecessor, g.config.Seed, g.log)
+	journal := store.Start(disk, settings.Config, owner, besidePredecessor, g.config.Seed, g.log)
 	g.journal.Store(journal)
-	g.proxy.EnableJournal(journal, settings.Terms, g.config.Charter.Products, g.config.Names.ProductNames())
+	g.proxy.EnableJournal(journal, settings.Config, g.config.Policy.Products, g.config.Names.ProductNames())
 }
--- a/internal/gateway/lifecycle/reload.go
+++ b/internal/gateway/lifecycle/reload.go
@@ -33,14 +33,14 @@
 
 // resize applies another number of gateways, if no other setting that is shared with them has changed.
 func (g *Gateway) resize(c config.Gateway) {
-	size, former := c.Charter.GatewayCount, g.memberCount.Load()
+	size, former := c.Policy.GatewayCount, g.memberCount.Load()
 	if int64(size) == former && slices.Equal(c.PeerAddresses, g.config.PeerAddresses) {
 		return
 	}
-	expected := c.Charter
-	expected.GatewayCount = g.config.Charter.GatewayCount
+	expected := c.Policy
+	expected.GatewayCount = g.config.Policy.GatewayCount
 	needsSocket := g.peers == nil && len(c.PeerAddresses) > 0 // it was started without one
-	if needsSocket || !reflect.DeepEqual(expected, g.config.Charter) {
+	if needsSocket || !reflect.DeepEqual(expected, g.config.Policy) {
 		g.log.Warn().Msg("number of gateways changed along with other settings, which wait for the next start")
 		return
 	}
--- a/internal/gateway/lifecycle/ruleset_adoption.go
+++ b/internal/gateway/lifecycle/ruleset_adoption.go
@@ -32,7 +32,7 @@
 		version = 0
 	}
 	lease := inflight.NewLease(version, historyModes[next.Mode], millisToNanos(next.ExpiresAtMillis))
-	charter := c.charterFor(next)
+	charter := c.settingsFor(next)
 	peers := c.gateway.config.PeerAddresses
 	if next.Version == c.newest.Number && next.Version > 0 {
 		peers = c.peerAddresses()
@@ -53,7 +53,7 @@
 	}
 	c.effective = next
 	if c.gateway.reporter != nil {
-		c.gateway.reporter.setRuleset(next.Version, c.baseCharter.Plans)
+		c.gateway.reporter.setRuleset(next.Version, c.baseSettings.Plans)
 	}
 	c.gateway.log.Info().Uint64("version", next.Version).Stringer("mode", next.Mode).
 		Int("gateways", charter.GatewayCount).Msg("ruleset adopted")
@@ -69,18 +69,18 @@
 ) {
 	dispatcher := c.gateway.dispatcher
 	if c.effective.Version == 0 && next.Version > 0 && dispatcher.RestoredRulesetVersion() != next.Version {
-		dispatcher.ApplyRuleset(inflight.NewLease(0, history.Bare, math.MaxInt64), exhaustedCharter(charter))
+		dispatcher.ApplyRuleset(inflight.NewLease(0, history.Bare, math.MaxInt64), exhaustedSettings(charter))
 	}
 	if !dispatcher.ApplyRuleset(lease, charter) {
 		c.reject("the ruleset changes settings that are fixed at the start")
 	}
 }
 
-// charterFor gives the settings under a ruleset. Rate limits are set to what this member may use while it is
+// settingsFor gives the settings under a ruleset. Rate limits are set to what this member may use while it is
 // leased. What it may use less of in fallback is withheld, and returns with the lease. A share that grows is
 // set as a rate limit that grows or is new, and so counts as used up: other members may just have used it.
-func (c *rulesetClient) charterFor(next ruleset.EffectiveRules) policy.Settings {
-	base := &c.baseCharter
+func (c *rulesetClient) settingsFor(next ruleset.EffectiveRules) policy.Settings {
+	base := &c.baseSettings
 	if next.MemberIndex == base.GatewayIndex {
 		base.GatewayCount = next.MemberCount
 	}
@@ -103,27 +103,27 @@
 func (c *rulesetClient) applyPlan(
 	i int, plan ruleset.EffectivePlan, next ruleset.EffectiveRules,
 ) (withheld float64) {
-	base := &c.baseCharter.Plans[i]
+	base := &c.baseSettings.Plans[i]
 	base.QuotaPerSecond, base.QuotaBurst = plan.Rate, plan.Burst
 	if next.Version == 0 { // before any lease
 		return 1
 	}
 	if next.Mode == ruleset.ModeLeased || next.Version != c.effective.Version {
-		c.ceilingShares[i] = plan.CeilingFraction
+		c.rateLimitShares[i] = plan.RateLimitFraction
 	}
-	share := c.ceilingShares[i]
+	share := c.rateLimitShares[i]
 	base.CreditSeconds, base.RepayWithinMillis = plan.CreditSeconds, plan.RepayMillis
 	base.RateLimitPerSecond, base.RateLimitBurst = plan.CeilingRate*share, plan.CeilingDepth*share
 	if share > 0 {
-		return 1 - min(plan.CeilingFraction/share, 1)
+		return 1 - min(plan.RateLimitFraction/share, 1)
 	}
 	base.RateLimitBurst = plan.CeilingDepth // it never fills, so a share that comes later counts as used up
 	return 0
 }
 
-// exhaustedCharter gives settings under which all rate limits count as used up at the moment in which other
+// exhaustedSettings gives settings under which all rate limits count as used up at the moment in which other
 // settings follow.
-func exhaustedCharter(charter policy.Settings) policy.Settings {
+func exhaustedSettings(charter policy.Settings) policy.Settings {
 	charter.Plans = slices.Clone(charter.Plans)
 	for i := range charter.Plans {
 		charter.Plans[i].RateLimitPerSecond = 0
--- a/internal/gateway/lifecycle/ruleset_client.go
+++ b/internal/gateway/lifecycle/ruleset_client.go
@@ -29,12 +29,12 @@
 // does all of that except for the requests themselves, each of which has a goroutine; what others read is
 // atomic.
 type rulesetClient struct {
-	gateway       *Gateway
-	leaseHolder   *ruleset.LeaseHolder
-	newest        ruleset.Version        // the newest version received
-	effective     ruleset.EffectiveRules // adopted last
-	baseCharter   policy.Settings        // the settings in force, with nothing withheld
-	ceilingShares []float64              // by plan of the charter: this member's fraction of its rate limit
+	gateway         *Gateway
+	leaseHolder     *ruleset.LeaseHolder
+	newest          ruleset.Version        // the newest version received
+	effective       ruleset.EffectiveRules // adopted last
+	baseSettings    policy.Settings        // the settings in force, with nothing withheld
+	rateLimitShares []float64              // by plan of the charter: this member's fraction of its rate limit
 
 	replica          *distribution.Replica
 	replicaRejection string // why the version in replica can't be adopted; empty where it can
@@ -73,21 +73,21 @@
 
 // initRulesetClient starts without a lease: nothing passes under a rate limit until run has received one.
 func (g *Gateway) initRulesetClient() {
-	charter := peerCharter(g.config)
+	charter := peerSettings(g.config)
 	c := &rulesetClient{
-		gateway:       g,
-		baseCharter:   charter,
-		wakeTimer:     time.NewTimer(time.Hour),
-		responses:     make(chan daemonResponse, 1),
-		ceilingShares: make([]float64, len(charter.Plans)),
+		gateway:         g,
+		baseSettings:    charter,
+		wakeTimer:       time.NewTimer(time.Hour),
+		responses:       make(chan daemonResponse, 1),
+		rateLimitShares: make([]float64, len(charter.Plans)),
 		leases: fasthttp.Client{MaxResponseBodySize: ruleset.MaxEncodedBytes,
 			MaxIdemponentCallAttempts: 1, NoDefaultUserAgentHeader: true},
 		updates: relay.NewClient([]string{g.config.RulesetAddress}, UpdatePath),
 		replica: distribution.NewReplica(g.config.Name, os.Getpid(), g.config.Seed),
 	}
 	c.leases.Dial = c.dial
-	c.baseCharter.Plans = slices.Clone(charter.Plans)
-	initial := initialRules(&g.config.Charter, g.config.Name, g.config.Names.Plans)
+	c.baseSettings.Plans = slices.Clone(charter.Plans)
+	initial := initialRules(&g.config.Policy, g.config.Name, g.config.Names.Plans)
 	c.leaseHolder = ruleset.NewLeaseHolder(g.config.Name, initial)
 	g.ruleset = c
 	c.performActions()
@@ -233,7 +233,7 @@
 // rejectionReason tells why this gateway can't adopt rules; empty where it can. One that was a member and no
 // longer is adopts them: nothing passes under its rate limits.
 func (c *rulesetClient) rejectionReason(rules *ruleset.Rules) string {
-	name, started := c.gateway.config.Name, c.gateway.config.Charter.GatewayIndex
+	name, started := c.gateway.config.Name, c.gateway.config.Policy.GatewayIndex
 	// A daemon below relays knows a part of the members, and sends that on either path.
 	if err := ruleset.ValidateSubset(rules); err != nil {
 		return err.Error()
--- a/internal/gateway/lifecycle/ruleset_test.go
+++ b/internal/gateway/lifecycle/ruleset_test.go
@@ -98,7 +98,7 @@
 	x.setHandler(unavailable)
 	d := deployWith(t, func(c *config.Gateway) {
 		c.RulesetAddress, c.SharesEndpoints = x.address, true
-		c.Charter.Plans[0].RateLimitPerSecond, c.Charter.Plans[0].RateLimitBurst = 1000, 1000
+		c.Policy.Plans[0].RateLimitPerSecond, c.Policy.Plans[0].RateLimitBurst = 1000, 1000
 	}, workers, 5000)
 	t.Cleanup(func() { close(d.gateway.done) })
 	return d, x
@@ -319,7 +319,7 @@
 func TestMembersFromRuleset(t *testing.T) {
 	d, x := deployBelowDaemon(t, 1)
 	// Guards against messages that outgrow a datagram once a ruleset is adopted.
-	if n := d.gateway.ruleset.baseCharter.ReportsPerMessage; n != transport.MaxReportsPerMessage {
+	if n := d.gateway.ruleset.baseSettings.ReportsPerMessage; n != transport.MaxReportsPerMessage {
 		t.Errorf("%d reports to a message, where there is room for %d", n, transport.MaxReportsPerMessage)
 	}
 	next := testRules(1000, 1000)
@@ -358,7 +358,7 @@
 	x.setLease(1, testRules(rate, depth), true)
 	d := deployWith(t, func(c *config.Gateway) {
 		c.RulesetAddress, c.SharedDir = x.address, t.TempDir()
-		c.Charter.Plans[0].RateLimitPerSecond, c.Charter.Plans[0].RateLimitBurst = rate, depth
+		c.Policy.Plans[0].RateLimitPerSecond, c.Policy.Plans[0].RateLimitBurst = rate, depth
 	}, 1, 5000)
 	d.awaitMode(ruleset.ModeLeased)
 	time.Sleep(3100 * time.Millisecond) // until the rate limit is full
@@ -485,8 +485,8 @@
 		return ruleset.EffectiveRules{Version: version, Mode: mode, MemberIndex: me, MemberCount: 3,
 			Plans: []ruleset.EffectivePlan{
 				{Plan: ruleset.Plan{Name: "basic", Rate: 1, Burst: 1, CeilingRate: rate, CeilingDepth: depth},
-					CeilingFraction: of},
-				{Plan: ruleset.Plan{Name: "not known here", CeilingRate: 1, CeilingDepth: 1}, CeilingFraction: 1}}}
+					RateLimitFraction: of},
+				{Plan: ruleset.Plan{Name: "not known here", CeilingRate: 1, CeilingDepth: 1}, RateLimitFraction: 1}}}
 	}
 	for name, steps := range map[string][]struct {
 		ruleset.EffectiveRules
@@ -514,12 +514,12 @@
 	} {
 		g := &Gateway{}
 		g.config.Names.Plans = map[string]int{"basic": 0}
-		g.config.Charter = policy.Settings{GatewayCount: 3,
+		g.config.Policy = policy.Settings{GatewayCount: 3,
 			Plans: []policy.Plan{{RateLimitPerSecond: 10, RateLimitBurst: 20}}}
-		a := &rulesetClient{gateway: g, baseCharter: g.config.Charter, ceilingShares: make([]float64, 1)}
-		a.baseCharter.Plans = append([]policy.Plan(nil), a.baseCharter.Plans...)
+		a := &rulesetClient{gateway: g, baseSettings: g.config.Policy, rateLimitShares: make([]float64, 1)}
+		a.baseSettings.Plans = append([]policy.Plan(nil), a.baseSettings.Plans...)
 		for i, s := range steps {
-			c := a.charterFor(s.EffectiveRules)
+			c := a.settingsFor(s.EffectiveRules)
 			p := c.Plans[0]
 			got := want{p.RateLimitPerSecond, p.RateLimitBurst, p.WithheldFraction, c.QuotaWithoutGossip}
 			if got != s.want {
--- a/internal/gateway/lifecycle/ruleset_updates_test.go
+++ b/internal/gateway/lifecycle/ruleset_updates_test.go
@@ -140,7 +140,7 @@
 	t.Helper()
 	d := deployWith(t, func(c *config.Gateway) {
 		c.RulesetAddress, c.SharesEndpoints = x.address, true
-		c.Charter.Plans[0].RateLimitPerSecond, c.Charter.Plans[0].RateLimitBurst = 1000, 1000
+		c.Policy.Plans[0].RateLimitPerSecond, c.Policy.Plans[0].RateLimitBurst = 1000, 1000
 	}, 1, 5000)
 	t.Cleanup(func() { close(d.gateway.done) })
 	return d
--- a/internal/gateway/lifecycle/start.go
+++ b/internal/gateway/lifecycle/start.go
@@ -47,9 +47,9 @@
 		transport.Millis(c.Connections.ConnectTimeoutMillis))
 	sendToPeer := func(int, []byte) {}
 	if len(c.PeerAddresses) > 0 {
-		g.peers = transport.NewPeers(c.PeerAddresses, c.Charter.GatewayIndex)
+		g.peers = transport.NewPeers(c.PeerAddresses, c.Policy.GatewayIndex)
 		sendToPeer = g.peers.Send
-		if c.Charter = peerCharter(c); c.SharesEndpoints {
+		if c.Policy = peerSettings(c); c.SharesEndpoints {
 			g.peers.Identify(incarnation.MessageID{Incarnation: crashstate.UptimeCentiseconds()})
 		}
 	}
@@ -144,7 +144,7 @@
 
 // initRequestPath makes what requests pass through: dispatcher, proxy, forward authentication and frontend.
 func (g *Gateway) initRequestPath(c config.Gateway, sendToPeer func(int, []byte)) {
-	g.dispatcher = proxy.NewDispatcher(c.Charter, c.Seed,
+	g.dispatcher = proxy.NewDispatcher(c.Policy, c.Seed,
 		c.Connections.AnswerSlackMillis+socketSlackMillis, sendToPeer, g.workerConns.CloseIdle)
 	if c.Region != "" && c.AdminAddress != "" {
 		g.reporter = g.newLoadReporter()
@@ -154,9 +154,9 @@
 	}
 	g.dispatcher.ApplyEndpoints(c.KnownEndpoints)
 	g.endpoints = bootstrap.NewRegistry(c.KnownEndpoints)
-	g.memberCount.Store(int64(c.Charter.GatewayCount))
+	g.memberCount.Store(int64(c.Policy.GatewayCount))
 	g.proxy = proxy.New(g.dispatcher, g.workerConns)
-	g.frontend = transport.NewFrontend(c.Names, c.Charter, g.enableForwardAuth(g.proxy), g.ready)
+	g.frontend = transport.NewFrontend(c.Names, c.Policy, g.enableForwardAuth(g.proxy), g.ready)
 	g.frontend.AllowAnonymous = g.authorizer != nil && c.ForwardAuth.Authorizer.CustomerHeader != ""
 }
 
@@ -229,11 +229,11 @@
 	}
 }
 
-// peerCharter gives the settings with the number of reports that fit a message to peers. Messages that carry
+// peerSettings gives the settings with the number of reports that fit a message to peers. Messages that carry
 // an incarnation have room for fewer.
-func peerCharter(c config.Gateway) policy.Settings {
+func peerSettings(c config.Gateway) policy.Settings {
 	if c.SharesEndpoints {
-		c.Charter.ReportsPerMessage = min(c.Charter.ReportsPerMessage, transport.MaxReportsPerMessage)
+		c.Policy.ReportsPerMessage = min(c.Policy.ReportsPerMessage, transport.MaxReportsPerMessage)
 	}
-	return c.Charter
+	return c.Policy
 }
--- a/internal/gateway/proxy/checkpoint.go
+++ b/internal/gateway/proxy/checkpoint.go
@@ -9,9 +9,9 @@
 	"willowdeck/internal/policy"
 )
 
-// checkpointPauseRatio is how many times longer than a checkpoint took the pause after it is, at least:
+// checkpointIntervalRatio is how many times longer than a checkpoint took the pause after it is, at least:
 // checkpoints of very many customers are taken less often, and use no more than a fiftieth of a core.
-const checkpointPauseRatio = 49
+const checkpointIntervalRatio = 49
 
 // CheckpointStats counts what is kept of the state that decays, for operators.
 type CheckpointStats struct {
@@ -28,7 +28,7 @@
 // force. peersKnow tells that the peers see this process as a new incarnation.
 func (d *Dispatcher) RestoreCheckpoint(c *checkpoint.Snapshot, peersKnow bool) (customers int, fits bool) {
 	d.lockPolicy()
-	if fits = c.Digest == checkpoint.Digest(d.ruleset.charter, d.ruleset.lease.Version()); fits {
+	if fits = c.Digest == checkpoint.Digest(d.ruleset.settings, d.ruleset.lease.Version()); fits {
 		customers = d.policy.RestoreCheckpoint(c.State, peersKnow)
 	}
 	d.flushAndUnlock()
@@ -64,7 +64,7 @@
 		c.LastMessages = latest(c.LastMessages)
 		if generation != of.generation {
 			generation, idle = of.generation, false
-			c.Digest = checkpoint.Digest(of.charter, of.rulesetVersion)
+			c.Digest = checkpoint.Digest(of.settings, of.rulesetVersion)
 		}
 		if empty := len(c.State.Customers) == 0; !empty || !idle { // an empty state is written once
 			if err := b.Write(&c); err != nil {
@@ -75,13 +75,13 @@
 			idle = empty
 		}
 		timer.Reset(max(time.Duration(policy.CheckpointIntervalMillis*float64(time.Millisecond)),
-			checkpointPauseRatio*time.Since(began)))
+			checkpointIntervalRatio*time.Since(began)))
 	}
 }
 
 // snapshotBase is what a snapshot's figures are relative to.
 type snapshotBase struct {
-	charter        policy.Settings
+	settings       policy.Settings
 	rulesetVersion uint64 // 0 where none is in force
 	generation     int    // of the charter
 }
@@ -92,7 +92,7 @@
 	for from := 0; ; {
 		d.mu.Lock()
 		if of.generation != d.ruleset.generation {
-			of = snapshotBase{d.ruleset.charter, d.ruleset.lease.Version(), d.ruleset.generation}
+			of = snapshotBase{d.ruleset.settings, d.ruleset.lease.Version(), d.ruleset.generation}
 			from = 0
 		}
 		if owner = !d.handedOff; owner {
--- a/internal/gateway/proxy/checkpoint_test.go
+++ b/internal/gateway/proxy/checkpoint_test.go
@@ -115,7 +115,7 @@
 			}
 			of, _ := d.snapshot(&state)
 			for i := range state.Customers {
-				if burst := of.charter.Plans[0].QuotaBurst; state.Customers[i].QuotaTokens > burst+1e-9 {
+				if burst := of.settings.Plans[0].QuotaBurst; state.Customers[i].QuotaTokens > burst+1e-9 {
 					t.Fatalf("customer %d has %v under a burst of %v", i, state.Customers[i].QuotaTokens, burst)
 				}
 			}
--- a/internal/gateway/proxy/dispatcher.go
+++ b/internal/gateway/proxy/dispatcher.go
@@ -78,7 +78,7 @@
 func NewDispatcher(c policy.Settings, seed int64, lateMillis float64, send func(int, []byte),
 	closeIdle func(int)) *Dispatcher {
 	d := &Dispatcher{clock: newClock(), outbox: outbox{send: send}, closeIdle: closeIdle, lateMillis: lateMillis,
-		policy: policy.New(c, seed), ruleset: activeRuleset{charter: c, generation: 1},
+		policy: policy.New(c, seed), ruleset: activeRuleset{settings: c, generation: 1},
 		requests: requestTable{byID: map[uint64]*inflight.Request{}, maxAttempts: max(c.MaxAttempts, 1)}}
 	d.timer, d.stop = time.NewTimer(time.Hour), make(chan struct{})
 	go d.wakeLoop()
@@ -169,7 +169,7 @@
 func (d *Dispatcher) startAttempt(r *inflight.Request, v *policy.Decision) {
 	inflight.Check(!r.Answered && len(r.Attempts) == v.Attempt, inflight.NoAttemptAfterFinalAnswer)
 	// Guards against a connection that comes up when the window that a hedged request has opened is over.
-	if d.ruleset.charter.Products[r.Product].Idempotency == policy.Deduplicated {
+	if d.ruleset.settings.Products[r.Product].Idempotency == policy.Deduplicated {
 		for _, earlier := range r.Attempts {
 			earlier.CancelUnsent()
 		}
--- a/internal/gateway/proxy/endpoints.go
+++ b/internal/gateway/proxy/endpoints.go
@@ -20,13 +20,13 @@
 	chunks := d.workers.Split(d.workers.Diff(list), policy.EndpointBatchSize)
 	for i, chunk := range chunks {
 		if i > 0 {
-			time.Sleep(transport.Millis(policy.EndpointBatchPauseMillis))
+			time.Sleep(transport.Millis(policy.EndpointBatchIntervalMillis))
 		}
 		lockedMillis := d.lockPolicy()
 		if len(chunks) == 1 {
-			d.history.workersListed(list)
+			d.history.workersChanged(list)
 		} else {
-			d.history.workersListed(chunk)
+			d.history.workersChanged(chunk)
 		}
 		postings, ended := d.workers.Apply(chunk, d.policy.WorkerUnreferenced)
 		if i == len(chunks)-1 {
--- a/internal/gateway/proxy/endpoints_bench_test.go
+++ b/internal/gateway/proxy/endpoints_bench_test.go
@@ -84,7 +84,7 @@
 			b.Run(fmt.Sprintf("%s/%d", step, n), func(b *testing.B) {
 				list := listOf(n)
 				c := policy.Settings{GatewayCount: 7900, MaxRequestUnits: 8, MaxAttempts: 3, AllowGossip: true,
-					PeerMessagesPerSecond: 60, ReportsPerMessage: 20, ColdCapacityFraction: 0.2, WarmUpMillis: 20000,
+					PeerMessagesPerSecond: 60, ReportsPerMessage: 20, WarmingCapacityFraction: 0.2, WarmUpMillis: 20000,
 					TotalWeight: 1,
 					Products:    []policy.Product{{LatencyTargetMillis: 500, Value: 1}},
 					Plans:       []policy.Plan{{QuotaPerSecond: 1000, QuotaBurst: 2000}}}
--- a/internal/gateway/proxy/history.go
+++ b/internal/gateway/proxy/history.go
@@ -27,8 +27,8 @@
 	}
 }
 
-// workersListed records which workers take attempts now and did not before, or the other way round.
-func (h *historyLog) workersListed(list endpoints.List) {
+// workersChanged records which workers take attempts now and did not before, or the other way round.
+func (h *historyLog) workersChanged(list endpoints.List) {
 	if h == nil {
 		return
 	}
--- a/internal/gateway/proxy/lending.go
+++ b/internal/gateway/proxy/lending.go
@@ -24,7 +24,7 @@
 
 // lender is the book of credit with its store, under the dispatcher's lock.
 type lender struct {
-	book     *borrowing.Lender
+	accounts *borrowing.Lender
 	store    CreditStore
 	recorder history.Recorder // nil where no history is recorded
 	plans    []string         // names, by plan
@@ -33,19 +33,19 @@
 // Lend asks the book for units of credit; the policy calls it. Its entries are stored before the policy's
 // next decision is executed.
 func (l *lender) Lend(customer uint64, plan, first, n int, units float64) bool {
-	l.book.Advance(l.store.NowMillis())
-	return l.book.Lend(customer, plan, first, n, units) == borrowing.LoanGranted
+	l.accounts.Advance(l.store.NowMillis())
+	return l.accounts.Lend(customer, plan, first, n, units) == borrowing.LoanGranted
 }
 
 // Refund returns a loan that was not used; the policy calls it.
-func (l *lender) Refund(customer uint64, units float64) { l.book.Undo(customer, units) }
+func (l *lender) Refund(customer uint64, units float64) { l.accounts.Undo(customer, units) }
 
 // EnableBorrowing has the policy borrow from a book from here on. Plans gives the plans' names for the
 // recorder, which may be nil.
 func (d *Dispatcher) EnableBorrowing(b *borrowing.Lender, s CreditStore, r history.Recorder, plans []string) {
 	d.lockPolicy()
 	d.stopLending()
-	d.lender = &lender{book: b, store: s, recorder: r, plans: plans}
+	d.lender = &lender{accounts: b, store: s, recorder: r, plans: plans}
 	b.RecordEvents(r != nil)
 	b.Advance(s.NowMillis())
 	d.policy.SetLender(d.lender)
@@ -67,8 +67,8 @@
 func (d *Dispatcher) ReceiveCredit(peer int, id incarnation.MessageID, entries []borrowing.Entry) {
 	d.lockPolicy()
 	if l := d.lender; l != nil && l.store.AcceptMessage(peer, id) {
-		l.book.Advance(l.store.NowMillis())
-		l.book.Receive(peer, entries)
+		l.accounts.Advance(l.store.NowMillis())
+		l.accounts.Receive(peer, entries)
 	}
 	d.flushAndUnlock()
 }
@@ -77,7 +77,7 @@
 func (d *Dispatcher) CollectDue() {
 	d.lockPolicy()
 	if l := d.lender; l != nil {
-		l.book.Advance(l.store.NowMillis())
+		l.accounts.Advance(l.store.NowMillis())
 	}
 	d.flushAndUnlock()
 }
@@ -89,7 +89,7 @@
 	if d.lender == nil {
 		return borrowing.Figures{}, false
 	}
-	return d.lender.book.Figures(), true
+	return d.lender.accounts.Figures(), true
 }
 
 // CreditLines gives the plans' lines of credit as the book has them, and whether any plan lends.
@@ -102,12 +102,12 @@
 	return lines, lends
 }
 
-// applyCharter has the book go by a charter that has changed in service.
-func (l *lender) applyCharter(c *policy.Settings) {
+// applySettings has the book go by a charter that has changed in service.
+func (l *lender) applySettings(c *policy.Settings) {
 	lines, _ := CreditLines(c.Plans)
-	l.book.Advance(l.store.NowMillis())
-	l.book.SetInstances(max(c.GatewayCount, 1))
-	l.book.SetPlans(lines)
+	l.accounts.Advance(l.store.NowMillis())
+	l.accounts.SetInstances(max(c.GatewayCount, 1))
+	l.accounts.SetPlans(lines)
 }
 
 // flushLending executes the book's decisions, under the lock. Records are stored before it returns;
@@ -115,7 +115,7 @@
 func (d *Dispatcher) flushLending() {
 	l := d.lender
 	for {
-		v, ok := l.book.Next()
+		v, ok := l.accounts.Next()
 		if !ok {
 			return
 		}
@@ -134,7 +134,7 @@
 		case borrowing.ActionCollect:
 			took, fill := d.policy.CollectRepayment(uint64(v.Customer), v.Plan, v.SetSize, v.RepayUnits,
 				v.MaxUnits, v.SpanMillis)
-			l.book.RecordPayment(v.Customer, took, fill)
+			l.accounts.RecordPayment(v.Customer, took, fill)
 		}
 	}
 }
--- a/internal/gateway/proxy/metrics.go
+++ b/internal/gateway/proxy/metrics.go
@@ -73,7 +73,7 @@
 	d.meter.Snapshot(now, &t)
 	d.meter.FillReport(report, now, &t, &d.sample, d.workers.ZoneName)
 	if d.lender != nil {
-		d.lender.book.EachAccount(report.AddCredit)
+		d.lender.accounts.EachAccount(report.AddCredit)
 	}
 }
 
--- a/internal/gateway/proxy/peers.go
+++ b/internal/gateway/proxy/peers.go
@@ -15,7 +15,7 @@
 	if restarted {
 		d.policy.PeerRestarted(peer)
 	}
-	if d.ruleset.charter.QuotaWithoutGossip { // the peer is alive, but its reports are not used
+	if d.ruleset.settings.QuotaWithoutGossip { // the peer is alive, but its reports are not used
 		reports = nil
 	}
 	d.policy.ReceiveReports(peer, reports)
--- a/internal/gateway/proxy/ruleset.go
+++ b/internal/gateway/proxy/ruleset.go
@@ -13,7 +13,7 @@
 type activeRuleset struct {
 	lease       *inflight.Lease // nil where no rulesets are agreed on
 	lastVersion uint64          // the last version other than 0 that was in force here; 0 where there was none
-	charter     policy.Settings
+	settings    policy.Settings
 	generation  int // of the charter; grows with each change
 }
 
@@ -37,12 +37,12 @@
 		return false
 	}
 	if d.lender != nil {
-		d.lender.applyCharter(&c)
+		d.lender.applySettings(&c)
 	}
 	if d.ruleset.lease != nil {
 		d.ruleset.lease.Revoke()
 	}
-	d.ruleset.lease, d.ruleset.charter = lease, c
+	d.ruleset.lease, d.ruleset.settings = lease, c
 	d.ruleset.generation++
 	if lease.RulesetVersion > 0 {
 		d.ruleset.lastVersion = lease.RulesetVersion
@@ -61,7 +61,7 @@
 	if d.ruleset.lease.Valid() {
 		return
 	}
-	c := d.ruleset.charter
+	c := d.ruleset.settings
 	c.QuotaWithoutGossip, c.Plans = true, slices.Clone(c.Plans)
 	for i := range c.Plans {
 		c.Plans[i].WithheldFraction = 1
@@ -73,10 +73,10 @@
 func (d *Dispatcher) Resize(instances int) {
 	d.lockPolicy()
 	d.policy.SetGatewayCount(instances)
-	d.ruleset.charter.GatewayCount = instances
+	d.ruleset.settings.GatewayCount = instances
 	d.ruleset.generation++
 	if d.lender != nil {
-		d.lender.book.SetInstances(instances)
+		d.lender.accounts.SetInstances(instances)
 	}
 	d.flushAndUnlock()
 }
--- a/internal/gateway/recovery/checkpoint/checkpoint.go
+++ b/internal/gateway/recovery/checkpoint/checkpoint.go
@@ -213,8 +213,8 @@
 	shiftAll(&state.AtMillis, &state.StartedAtMillis, &state.NextReportAtMillis)
 	for i := range state.Peers {
 		peer := &state.Peers[i]
-		shiftAll(&peer.HeardAtMillis, &peer.ReportedAtMillis, &peer.ReportDueSinceMillis,
-			&peer.ReportsHeardAtMillis)
+		shiftAll(&peer.ReceivedAtMillis, &peer.ReportedAtMillis, &peer.ReportDueSinceMillis,
+			&peer.ReportsReceivedAtMillis)
 	}
 	for i := range state.Customers {
 		customer := &state.Customers[i]
--- a/internal/gateway/recovery/checkpoint/checkpoint_test.go
+++ b/internal/gateway/recovery/checkpoint/checkpoint_test.go
@@ -36,8 +36,8 @@
 		ShortDeadlineSuccess: []float64{0.9},
 		AttemptMillis:        []float64{120},
 		Peers: []policy.PeerState{{}, {
-			HeardAtMillis: at - 10, ReportedAtMillis: at - 20, ReportDueSinceMillis: at - 30,
-			ReportsHeardAtMillis: at - 40, Silent: true,
+			ReceivedAtMillis: at - 10, ReportedAtMillis: at - 20, ReportDueSinceMillis: at - 30,
+			ReportsReceivedAtMillis: at - 40, Silent: true,
 			LastReports: []policy.Report{
 				{Customer: 3, DemandPerSecond: 7},
 				{Customer: 4, Plan: 1, DemandPerSecond: 8},
@@ -98,8 +98,8 @@
 
 			math.Abs(
 				snapshot.State.Customers[4].LastRequestAtMillis-want.State.Customers[4].LastRequestAtMillis) > 1 ||
-			snapshot.State.Peers[0].HeardAtMillis != 0 ||
-			math.Abs(snapshot.State.Peers[1].HeardAtMillis-want.State.Peers[1].HeardAtMillis) > 1 {
+			snapshot.State.Peers[0].ReceivedAtMillis != 0 ||
+			math.Abs(snapshot.State.Peers[1].ReceivedAtMillis-want.State.Peers[1].ReceivedAtMillis) > 1 {
 			t.Errorf("clock set by %v: %v %+v", by, rejected, snapshot)
 		}
 		writer.Close()
--- a/internal/gateway/recovery/checkpoint/encoding.go
+++ b/internal/gateway/recovery/checkpoint/encoding.go
@@ -47,8 +47,8 @@
 	reportBytesLeft := maxReportBytes
 	for i := range state.Peers {
 		peer := &state.Peers[i]
-		for _, v := range [...]float64{peer.HeardAtMillis, peer.ReportedAtMillis, peer.ReportDueSinceMillis,
-			peer.ReportsHeardAtMillis} {
+		for _, v := range [...]float64{peer.ReceivedAtMillis, peer.ReportedAtMillis, peer.ReportDueSinceMillis,
+			peer.ReportsReceivedAtMillis} {
 			b = appendFloat(b, v)
 		}
 		var message incarnation.MessageID
@@ -143,10 +143,10 @@
 	}
 	for range d.count(peers, peerSize) {
 		peer := policy.PeerState{
-			HeardAtMillis:        d.float64(),
-			ReportedAtMillis:     d.float64(),
-			ReportDueSinceMillis: d.float64(),
-			ReportsHeardAtMillis: d.float64(),
+			ReceivedAtMillis:        d.float64(),
+			ReportedAtMillis:        d.float64(),
+			ReportDueSinceMillis:    d.float64(),
+			ReportsReceivedAtMillis: d.float64(),
 		}
 		message := incarnation.MessageID{Incarnation: uint32(d.uint32()), Sequence: uint32(d.uint32())}
 		snapshot.LastMessages = append(snapshot.LastMessages, message)
--- a/internal/gateway/recovery/checkpoint/golden_test.go
+++ b/internal/gateway/recovery/checkpoint/golden_test.go
@@ -61,21 +61,21 @@
 			AttemptMillis:        []float64{120.5, 121.5},
 			Peers: []policy.PeerState{
 				{
-					HeardAtMillis:        201.5,
-					ReportedAtMillis:     202.5,
-					ReportDueSinceMillis: 203.5,
-					ReportsHeardAtMillis: 204.5,
-					Silent:               true,
+					ReceivedAtMillis:        201.5,
+					ReportedAtMillis:        202.5,
+					ReportDueSinceMillis:    203.5,
+					ReportsReceivedAtMillis: 204.5,
+					Silent:                  true,
 					LastReports: []policy.Report{{Customer: 205, Plan: 206, DemandPerSecond: 207.5},
 						{Customer: 208, Plan: 209, DemandPerSecond: 210.5}},
 				},
 				{
-					HeardAtMillis:        211.5,
-					ReportedAtMillis:     212.5,
-					ReportDueSinceMillis: 213.5,
-					ReportsHeardAtMillis: 214.5,
-					Lost:                 true,
-					LastReports:          []policy.Report{{Customer: 0xfffefdfc, Plan: 216, DemandPerSecond: 217.5}},
+					ReceivedAtMillis:        211.5,
+					ReportedAtMillis:        212.5,
+					ReportDueSinceMillis:    213.5,
+					ReportsReceivedAtMillis: 214.5,
+					Lost:                    true,
+					LastReports:             []policy.Report{{Customer: 0xfffefdfc, Plan: 216, DemandPerSecond: 217.5}},
 				}},
 			Customers: []policy.CustomerState{
 				{
--- a/internal/gateway/recovery/crashstate/file_test.go
+++ b/internal/gateway/recovery/crashstate/file_test.go
@@ -249,18 +249,18 @@
 	}
 }
 
-// TestLockHolder checks which process holds a file's lock, and that its lock counts as held.
-func TestLockHolder(t *testing.T) {
+// TestLockOwner checks which process holds a file's lock, and that its lock counts as held.
+func TestLockOwner(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "residue")
 	held, _, _, err := MapLocked(path, fileSize)
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer held.Close()
-	if pid, err := lockHolder(held); err != nil || pid != os.Getpid() {
+	if pid, err := lockOwner(held); err != nil || pid != os.Getpid() {
 		t.Errorf("the holder is %d, not %d: %v", pid, os.Getpid(), err)
 	}
-	if !lockHolderRuns(held) {
+	if !lockOwnerRuns(held) {
 		t.Error("this process does not run")
 	}
 	free, err := os.Create(filepath.Join(t.TempDir(), "free"))
@@ -268,7 +268,7 @@
 		t.Fatal(err)
 	}
 	defer free.Close()
-	if pid, err := lockHolder(free); !errors.Is(err, errNoHolder) {
+	if pid, err := lockOwner(free); !errors.Is(err, errNoOwner) {
 		t.Errorf("a free lock is held by %d: %v", pid, err)
 	}
 }
--- a/internal/gateway/recovery/crashstate/lock.go
+++ b/internal/gateway/recovery/crashstate/lock.go
@@ -12,12 +12,12 @@
 )
 
 const (
-	// liveHolderTimeout is for the lock of a process that runs, such as the predecessor of a hot restart.
-	liveHolderTimeout = 100 * time.Millisecond
-	// endedHolderTimeout is for the lock of a process that has ended: on a busy machine the kernel releases it
+	// liveOwnerTimeout is for the lock of a process that runs, such as the predecessor of a hot restart.
+	liveOwnerTimeout = 100 * time.Millisecond
+	// endedOwnerTimeout is for the lock of a process that has ended: on a busy machine the kernel releases it
 	// hundreds of milliseconds after the process was reaped.
-	endedHolderTimeout = 2 * time.Second
-	lockRetryInterval  = 5 * time.Millisecond
+	endedOwnerTimeout = 2 * time.Second
+	lockRetryInterval = 5 * time.Millisecond
 )
 
 // Fields of a line of /proc/locks, from 0.
@@ -38,25 +38,25 @@
 			return nil
 		}
 		waited := time.Since(began)
-		if waited > endedHolderTimeout || waited > liveHolderTimeout && lockHolderRuns(file) {
+		if waited > endedOwnerTimeout || waited > liveOwnerTimeout && lockOwnerRuns(file) {
 			return err
 		}
 		time.Sleep(lockRetryInterval)
 	}
 }
 
-// lockHolderRuns tells whether the process that holds the lock of a file runs. A lock whose holder is not
+// lockOwnerRuns tells whether the process that holds the lock of a file runs. A lock whose holder is not
 // known counts as one that is held.
-func lockHolderRuns(file *os.File) bool {
-	pid, err := lockHolder(file)
+func lockOwnerRuns(file *os.File) bool {
+	pid, err := lockOwner(file)
 	return err != nil || !errors.Is(syscall.Kill(pid, 0), syscall.ESRCH)
 }
 
-// errNoHolder says that no process of this PID namespace holds the lock.
-var errNoHolder = errors.New("the lock's holder is not known")
+// errNoOwner says that no process of this PID namespace holds the lock.
+var errNoOwner = errors.New("the lock's holder is not known")
 
-// lockHolder returns the PID of the process that holds the lock of a file, according to /proc/locks.
-func lockHolder(file *os.File) (pid int, err error) {
+// lockOwner returns the PID of the process that holds the lock of a file, according to /proc/locks.
+func lockOwner(file *os.File) (pid int, err error) {
 	var status syscall.Stat_t
 	if err := syscall.Fstat(int(file.Fd()), &status); err != nil {
 		return 0, err
@@ -76,7 +76,7 @@
 			return pid, nil
 		}
 	}
-	return 0, errNoHolder
+	return 0, errNoOwner
 }
 
 // deviceMajor and deviceMinor split a device number as Linux encodes it (makedev(3)).
--- a/internal/gateway/transport/client_connection.go
+++ b/internal/gateway/transport/client_connection.go
@@ -66,8 +66,8 @@
 	return s.SyscallConn()
 }
 
-// noteRead notes that bytes have been read.
-func (c *clientConn) noteRead() {
+// recordRead notes that bytes have been read.
+func (c *clientConn) recordRead() {
 	now := time.Now().UnixNano()
 	c.lastActivityNanos.Store(now)
 	c.lastReadNanos.Store(now)
@@ -118,11 +118,11 @@
 // isEnded tells whether the connection has been ended here: nothing is read from it any more.
 func (c *clientConn) isEnded() bool { return c.state.Load() == stateEnded }
 
-// tryEnd ends a connection that is in one of these states and has no unread bytes, and tells whether it did:
+// endIf ends a connection that is in one of these states and has no unread bytes, and tells whether it did:
 // nothing more is sent on it, and nothing read. Guards against ending one with a request that the kernel has
 // received. A request that comes in this very moment stays unread, and its client, which meets the end, sends
 // it again elsewhere. The goroutine that reads from the connection closes it.
-func (c *clientConn) tryEnd(states ...int32) bool {
+func (c *clientConn) endIf(states ...int32) bool {
 	c.readMu.Lock()
 	ended := false
 	for _, state := range states {
@@ -155,13 +155,13 @@
 		AwaitPeerClose(time.Duration)
 	})
 	if ok && !c.lingerOnClose.Load() && socket.CloseWrite() == nil {
-		c.markClosing()
+		c.setClosing()
 		socket.AwaitPeerClose(Millis(policy.LingerTimeoutMillis))
 	}
 }
 
-// markClosing notes that the last answer has been written: the place is the first to be given to another.
-func (c *clientConn) markClosing() {
+// setClosing notes that the last answer has been written: the place is the first to be given to another.
+func (c *clientConn) setClosing() {
 	c.lastActivityNanos.Store(time.Now().UnixNano())
 	c.closing.Store(true)
 }
@@ -228,7 +228,7 @@
 	c.closeOnce.Do(func() {
 		if socket, ok := c.Conn.(interface{ CloseWrite() error }); ok && c.lingerOnClose.Load() &&
 			socket.CloseWrite() == nil {
-			c.markClosing()
+			c.setClosing()
 			_ = c.SetReadDeadline(time.Now().Add(Millis(policy.LingerTimeoutMillis)))
 			_, _ = io.CopyN(io.Discard, c.Conn, policy.MaxLingerBytes)
 		}
--- a/internal/gateway/transport/discovery.go
+++ b/internal/gateway/transport/discovery.go
@@ -42,7 +42,7 @@
 	return policy.WatchHeartbeatTimeoutMillis
 }
 
-// silenceTimeoutMillis bounds a silence of a watch that has received something.
+// watchTimeoutMillis bounds a silence of a watch that has received something.
 func (t WatchTiming) silenceTimeoutMillis() float64 {
 	return policy.WatchIdleTimeout(t.PollingInstances(), t.Random())
 }
--- a/internal/gateway/transport/frontend.go
+++ b/internal/gateway/transport/frontend.go
@@ -38,7 +38,7 @@
 	AllowAnonymous bool
 
 	names        config.Names
-	charter      atomic.Pointer[policy.Settings]
+	settings     atomic.Pointer[policy.Settings]
 	serve        func(*Request) FinalAnswer
 	ready        func() bool
 	exchanges    sync.Pool      // of *exchange
@@ -53,7 +53,7 @@
 
 // The indexes of a product's counts in Frontend.finalCounts.
 const (
-	finalSettled = iota
+	finalSucceeded = iota
 	finalDeclined
 	finalVoided
 	finalKinds
@@ -65,16 +65,16 @@
 	f := &Frontend{names: names, serve: serve, ready: ready,
 		openRequests: openRequests{byID: map[string]*openRequest{}},
 		finalCounts:  make([][finalKinds]atomic.Int64, len(charter.Products))}
-	f.charter.Store(&charter)
+	f.settings.Store(&charter)
 	f.exchanges.New = func() any { return &exchange{reader: bufio.NewReader(nil)} }
 	return f
 }
 
 // SetInstanceCount sets how many instances there are from now on.
 func (f *Frontend) SetInstanceCount(n int) {
-	charter := *f.charter.Load()
+	charter := *f.settings.Load()
 	charter.GatewayCount = n
-	f.charter.Store(&charter)
+	f.settings.Store(&charter)
 }
 
 // DiscardLogger drops the log of a fasthttp server: malformed requests are counted instead.
@@ -157,7 +157,7 @@
 // FinalCounts gives how many requests of a product were settled, declined and voided.
 func (f *Frontend) FinalCounts(product int) (settled, declined, voided int64) {
 	counts := &f.finalCounts[product]
-	return counts[finalSettled].Load(), counts[finalDeclined].Load(), counts[finalVoided].Load()
+	return counts[finalSucceeded].Load(), counts[finalDeclined].Load(), counts[finalVoided].Load()
 }
 
 // serveConn serves a connection's requests, one after another, until it ends or is handed over.
@@ -172,7 +172,7 @@
 		}
 		conn.answered(x.reader.Buffered() > 0)
 		if f.closing.Load() {
-			conn.tryEnd(stateIdle) // its answer may have begun before Close
+			conn.endIf(stateIdle) // its answer may have begun before Close
 		}
 	}
 	_ = conn.Close()
@@ -194,7 +194,7 @@
 	if string(head.RequestURI()) == "/up" {
 		return f.answerHealthCheck(conn, x)
 	}
-	request, err := DecodeRequest(head, head.Method(), head.RequestURI(), &f.names, f.charter.Load(),
+	request, err := DecodeRequest(head, head.Method(), head.RequestURI(), &f.names, f.settings.Load(),
 		f.AllowAnonymous)
 	if err != nil {
 		return f.reject(conn, x, fasthttp.StatusBadRequest, err.Error())
@@ -225,7 +225,7 @@
 		if first && isTimeout(err) {
 			return false, f.rejectUnreadable(conn, x, err)
 		}
-		return false, isTimeout(err) && !conn.tryEnd(stateIdle) // it is not ended where bytes have just come
+		return false, isTimeout(err) && !conn.endIf(stateIdle) // it is not ended where bytes have just come
 	}
 	if !first {
 		conn.setReadDeadline(time.Now().Add(Millis(policy.RequestHeadTimeoutMillis)))
--- a/internal/gateway/transport/frontend_test.go
+++ b/internal/gateway/transport/frontend_test.go
@@ -192,7 +192,7 @@
 		t.Fatal(err)
 	}
 	defer conn.Close()
-	if !conn.tryEnd(stateNew) {
+	if !conn.endIf(stateNew) {
 		t.Fatal("it does not end")
 	}
 	fmt.Fprint(client, requestText("1"))
--- a/internal/gateway/transport/listener.go
+++ b/internal/gateway/transport/listener.go
@@ -89,7 +89,7 @@
 func (l *LimitListener) admit(raw net.Conn) *clientConn {
 	conn := &clientConn{Conn: bypassScheduler(raw), listener: l}
 	if guarded, ok := conn.Conn.(guardedConn); ok {
-		guarded.guardReads(&conn.readMu, func() bool { return !conn.isEnded() }, conn.noteRead)
+		guarded.guardReads(&conn.readMu, func() bool { return !conn.isEnded() }, conn.recordRead)
 	}
 	conn.lastActivityNanos.Store(time.Now().UnixNano())
 	l.mu.Lock()
@@ -144,7 +144,7 @@
 			continue
 		}
 		closing := conn.closing.Load()
-		if closing || conn.tryEnd(stateNew, stateIdle, stateReadingFirst, stateReadingBody) {
+		if closing || conn.endIf(stateNew, stateIdle, stateReadingFirst, stateReadingBody) {
 			conn.closeNow()
 			if !closing {
 				l.evicted.Add(1)
--- a/internal/gateway/transport/listener_drain.go
+++ b/internal/gateway/transport/listener_drain.go
@@ -62,7 +62,7 @@
 	for _, conn := range waiting {
 		idle := time.Since(time.Unix(0, conn.lastActivityNanos.Load()))
 		ended := idle > idleFor &&
-			(conn.tryEnd(stateIdle) || idle > Millis(policy.EvictNewClientMillis) && conn.tryEnd(stateNew))
+			(conn.endIf(stateIdle) || idle > Millis(policy.EvictNewClientMillis) && conn.endIf(stateNew))
 		if !ended && !conn.Gone() {
 			remaining = true
 		}
--- a/internal/gateway/transport/listener_test.go
+++ b/internal/gateway/transport/listener_test.go
@@ -93,7 +93,7 @@
 	}()
 	time.Sleep(20 * time.Millisecond)
 	start := time.Now()
-	if !last.tryEnd(stateNew) || time.Since(start) > Millis(policy.LingerTimeoutMillis/2) {
+	if !last.endIf(stateNew) || time.Since(start) > Millis(policy.LingerTimeoutMillis/2) {
 		t.Errorf("ended after %v", time.Since(start))
 	}
 	<-closed
@@ -218,7 +218,7 @@
 			}
 			if conn.headReceived(); tc.proven {
 				conn.answered(false)
-				conn.noteRead()
+				conn.recordRead()
 				conn.headReceived()
 			}
 			if conn.shouldClose() != tc.closes {
--- a/internal/gateway/transport/response.go
+++ b/internal/gateway/transport/response.go
@@ -70,7 +70,7 @@
 		if err = f.forwardAnswer(conn, x, final.Answer); errors.Is(err, ErrTruncated) {
 			counts[finalVoided].Add(1)
 		} else {
-			counts[finalSettled].Add(1)
+			counts[finalSucceeded].Add(1)
 		}
 	case policy.Reject:
 		if final.RetryAfterMillis > 0 {
--- a/internal/gateway/transport/socket_linux.go
+++ b/internal/gateway/transport/socket_linux.go
@@ -46,8 +46,8 @@
 	return direct
 }
 
-// trySyscall makes the system call once, and again where it was interrupted; false means that the socket is
-// not ready.
+// attemptSyscall makes the system call once, and again where it was interrupted; false means that the socket
+// is not ready.
 func (t *transfer) trySyscall(number, fd uintptr) bool {
 	for {
 		n, _, e := syscall.RawSyscall6(number, fd, uintptr(unsafe.Pointer(&t.buffer[t.done])),
--- a/internal/gateway/transport/worker_answer.go
+++ b/internal/gateway/transport/worker_answer.go
@@ -82,7 +82,7 @@
 	}
 }
 
-// clearStallTimeout has reads wait until the deadline for the answer, no shorter. Where a stall time-out may
+// endStallTimeout has reads wait until the deadline for the answer, no shorter. Where a stall time-out may
 // have been set on the connection, resetDeadline replaces it, also where the deadline changes meanwhile.
 func (c *WorkerConn) clearStallTimeout(resetDeadline bool) {
 	for c.stallTimeout = 0; resetDeadline; {
--- a/internal/gateway/workers/registry.go
+++ b/internal/gateway/workers/registry.go
@@ -10,18 +10,18 @@
 
 // worker is what the transport needs of one worker: its address, and which of its states is current.
 type worker struct {
-	name          string
-	addr          netip.AddrPort
-	startedMillis float64 // when its process started, Unix ms
-	active        bool    // takes new attempts
-	removed       bool    // is on the list no more
-	listedIn      uint64  // number of the last full list that has it
-	comparedIn    uint64  // number of the last full list that Diff found it on
-	kind          int
-	rating        float64
-	zone          int
-	cell          int
-	generation    atomic.Int64 // grows with each change that invalidates the upstreams handed out before
+	name           string
+	addr           netip.AddrPort
+	startedMillis  float64 // when its process started, Unix ms
+	active         bool    // takes new attempts
+	removed        bool    // is on the list no more
+	lastListNumber uint64  // number of the last full list that has it
+	comparedIn     uint64  // number of the last full list that Diff found it on
+	kind           int
+	rating         float64
+	zone           int
+	cell           int
+	generation     atomic.Int64 // grows with each change that invalidates the upstreams handed out before
 }
 
 // Registry is the current list of workers, each at a slot: the index by which the policy names it. The zero
@@ -35,7 +35,7 @@
 	activeCount int            // workers that take new attempts
 	fullLists   uint64         // full lists applied so far
 	comparisons uint64         // full lists compared by Diff so far
-	postings    []policy.Endpoint
+	endpoints   []policy.Endpoint
 }
 
 // Upstream gives the worker at a slot as it is now.
@@ -91,7 +91,7 @@
 // slot any more.
 func (r *Registry) Apply(list endpoints.List, vacant func(int) bool) (postings []policy.Endpoint,
 	ended []int) {
-	r.postings = r.postings[:0]
+	r.endpoints = r.endpoints[:0]
 	if list.Snapshot {
 		r.fullLists++
 	}
@@ -102,7 +102,7 @@
 			slot = r.assignSlot(entry, vacant)
 		}
 		target, zone := r.workers[slot], r.zones.ID(entry.Zone)
-		target.listedIn = r.fullLists
+		target.lastListNumber = r.fullLists
 		if !known { // no upstream refers to it in another zone or cell
 			target.zone, target.cell = zone, entry.Cell
 		}
@@ -111,21 +111,21 @@
 		}
 		target.removed, target.kind, target.rating = entry.Removed, r.kinds.ID(entry.Kind), entry.Weight
 		r.free.set(slot, entry.Removed)
-		r.postings = append(r.postings, policy.Endpoint{Worker: slot, Zone: zone, Cell: entry.Cell,
+		r.endpoints = append(r.endpoints, policy.Endpoint{Worker: slot, Zone: zone, Cell: entry.Cell,
 			MachineKind: target.kind, SizeRating: entry.Weight,
 			Active: entry.Active, StartedAtMillis: entry.StartedMillis, Replaced: !known})
 	}
 	if list.Snapshot {
 		ended = r.removeUnlisted(ended)
 	}
-	return r.postings, ended
+	return r.endpoints, ended
 }
 
 // removeUnlisted marks the workers that the last full list lacks as removed. It appends the slots of those
 // that change by that to ended.
 func (r *Registry) removeUnlisted(ended []int) []int {
 	for slot, target := range r.workers {
-		if target.listedIn == r.fullLists {
+		if target.lastListNumber == r.fullLists {
 			continue
 		}
 		target.removed = true
--- a/internal/lab/capacity/cells.go
+++ b/internal/lab/capacity/cells.go
@@ -56,13 +56,13 @@
 	case len(d.SumOf) > 0:
 		return d.Basis + ": the sum of these"
 	case d.Model == nil && d.Figure != "":
-		return fmt.Sprintf("%s [%s], of too few sizes for a slope", d.Basis, d.runLetter)
+		return fmt.Sprintf("%s [%s], of too few sizes for a slope", d.Basis, d.runLabel)
 	case d.Model == nil:
 		return d.Basis + ": " + d.Reason
 	}
-	text := fmt.Sprintf("%s [%s]", d.Basis, d.runLetter)
+	text := fmt.Sprintf("%s [%s]", d.Basis, d.runLabel)
 	if d.Basis == basisExtrapolated || d.Basis == basisGuess {
-		text = fmt.Sprintf("%s to %s [%s]", d.Basis, formatSize(d.Model.LargestPoint().Size), d.runLetter)
+		text = fmt.Sprintf("%s to %s [%s]", d.Basis, formatSize(d.Model.LargestPoint().Size), d.runLabel)
 	}
 	if d.MultiplierReason != "" {
 		text += "; " + d.MultiplierReason
--- a/internal/lab/capacity/demand.go
+++ b/internal/lab/capacity/demand.go
@@ -25,7 +25,7 @@
 
 	AfterChangeBasis string // its basis, also where it has no value
 
-	runLetter string // of the run, on the page; assignRunLetters sets it
+	runLabel string // of the run, on the page; assignRunLetters sets it
 }
 
 // The bases of a value, as the page prints them.
--- a/internal/lab/capacity/runs.go
+++ b/internal/lab/capacity/runs.go
@@ -6,7 +6,7 @@
 )
 
 // run is a run that the page cites.
-type run struct{ letter, name, commits, distribution string }
+type run struct{ label, name, commits, distribution string }
 
 // assignRunLetters gives each run that the demands and refusals use a letter, sets the letter of each demand,
 // and returns the runs in the order of their letters.
@@ -43,7 +43,7 @@
 	for _, d := range allDemands {
 		for _, r := range runs {
 			if r.name == d.Run && r.distribution == d.Distribution {
-				d.runLetter = r.letter
+				d.runLabel = r.label
 			}
 		}
 	}
@@ -54,7 +54,7 @@
 func runTable(runs []run) string {
 	t := newMarkdownTable("", "run", "commit", "agreed rules are told")
 	for _, r := range runs {
-		t.row(r.letter, r.name, r.commits, r.distribution)
+		t.row(r.label, r.name, r.commits, r.distribution)
 	}
 	return t.String()
 }
--- a/internal/lab/capacity/spec.go
+++ b/internal/lab/capacity/spec.go
@@ -16,7 +16,7 @@
 	Planned  map[string]float64 `toml:"coming"` // planned numbers, by the names of plannedKeys
 	Limits   []Limit            `toml:"limits"`
 	Entries  []Entry            `toml:"lines"`
-	Refusals []RefusalNote      `toml:"refusals"`
+	Refusals []RefusalMeaning   `toml:"refusals"`
 }
 
 // Values of Limit.Source.
@@ -67,8 +67,8 @@
 	SumOf               []string `toml:"sum"` // names of entries before this one, whose sum it is
 }
 
-// RefusalNote says what it means that the program refuses a number.
-type RefusalNote struct {
+// RefusalMeaning says what it means that the program refuses a number.
+type RefusalMeaning struct {
 	What        string `toml:"what"`
 	Needed      bool   `toml:"needed"` // by the planned sizes
 	Meaning     string `toml:"means"`  // required where it is not needed
--- a/internal/lab/capacity/tables.go
+++ b/internal/lab/capacity/tables.go
@@ -115,7 +115,7 @@
 }
 
 // refusalNote returns the note on what was refused, or nil.
-func (s *Spec) refusalNote(what string) *RefusalNote {
+func (s *Spec) refusalNote(what string) *RefusalMeaning {
 	for i := range s.Refusals {
 		if s.Refusals[i].What == what {
 			return &s.Refusals[i]
@@ -125,7 +125,7 @@
 }
 
 // afterChangeCell returns what becomes of a refusal in runs with relays.
-func (n *RefusalNote) afterChangeCell(refusals []Refusal) string {
+func (n *RefusalMeaning) afterChangeCell(refusals []Refusal) string {
 	cell := basisNoRun
 	for _, r := range refusals {
 		switch {
@@ -173,7 +173,7 @@
 		letter := ""
 		for _, candidate := range runs {
 			if candidate.name == r.Run && candidate.distribution == r.Distribution {
-				letter = "[" + candidate.letter + "]"
+				letter = "[" + candidate.label + "]"
 			}
 		}
 		note := s.refusalNote(r.What)
--- a/internal/lab/emulator/attempt.go
+++ b/internal/lab/emulator/attempt.go
@@ -106,7 +106,7 @@
 	t := a.transaction
 	answeredBefore := t.answered
 	if o == policy.Succeeded && !t.answered {
-		g.respond(t, invariants.Settled, completed, 0)
+		g.respond(t, invariants.Succeeded, completed, 0)
 	}
 	latencyMillis, answered := g.sim.nowMillis-a.startedMillis, t.answered
 	g.meter.AttemptEnded(g.sim.scenario.region(a.worker.index), t.product, o, latencyMillis, answeredBefore)
--- a/internal/lab/emulator/cold_test.go
+++ b/internal/lab/emulator/cold_test.go
@@ -62,11 +62,12 @@
 						break // what many do evens out, and takes its time
 					}
 					r := play(t, coldScenario(t, n, day), seed, nil)
-					if r.ColdOverloads > 0 || r.Violations[4] > 0 || r.HighestColdLoad < 0.01 {
-						t.Errorf("seed %d: %d overloaded, highest load %.2f, %v", seed, r.ColdOverloads, r.HighestColdLoad,
+					if r.WarmingOverloads > 0 || r.Violations[4] > 0 || r.HighestWarmingLoad < 0.01 {
+						t.Errorf("seed %d: %d overloaded, highest load %.2f, %v", seed, r.WarmingOverloads,
+							r.HighestWarmingLoad,
 							r.FirstViolations)
 					}
-					t.Logf("seed %d: highest load %.2f, score %.4f", seed, r.HighestColdLoad, r.Score)
+					t.Logf("seed %d: highest load %.2f, score %.4f", seed, r.HighestWarmingLoad, r.Score)
 				}
 				if day != "return" {
 					return
@@ -82,8 +83,8 @@
 							return d, true
 						}}
 				})
-				if r.ColdOverloads == 0 || r.Violations[4] == 0 {
-					t.Errorf("where one in eight ignores slow start %d are overloaded, %v", r.ColdOverloads, r.Violations)
+				if r.WarmingOverloads == 0 || r.Violations[4] == 0 {
+					t.Errorf("where one in eight ignores slow start %d are overloaded, %v", r.WarmingOverloads, r.Violations)
 				}
 			})
 		}
--- a/internal/lab/emulator/derived.go
+++ b/internal/lab/emulator/derived.go
@@ -93,22 +93,22 @@
 func (s *Scenario) policySettings(index int) policy.Settings {
 	g := &s.Gatekeepers
 	settings := policy.Settings{
-		GatewayIndex:          index,
-		GatewayCount:          g.Count,
-		MaxRequestUnits:       s.maxUnits(),
-		MaxAttempts:           g.MaxAttempts,
-		AllowHedging:          g.AllowHedging,
-		AllowCancel:           true,
-		AllowRetryAfter:       true,
-		MaxRetryAfterMillis:   10000,
-		AllowGossip:           g.AllowGossip,
-		PeerMessagesPerSecond: g.PeerMessagesPerSecond,
-		ReportsPerMessage:     31,
-		ColdCapacityFraction:  s.Workers.ColdCapacityFraction,
-		WarmUpMillis:          s.Workers.WarmUpSeconds * 1000,
-		OverloadFactor:        s.overloadFactor(),
-		OverloadMillis:        s.overloadMillis(),
-		TotalWeight:           1,
+		GatewayIndex:            index,
+		GatewayCount:            g.Count,
+		MaxRequestUnits:         s.maxUnits(),
+		MaxAttempts:             g.MaxAttempts,
+		AllowHedging:            g.AllowHedging,
+		AllowCancel:             true,
+		AllowRetryAfter:         true,
+		MaxRetryAfterMillis:     10000,
+		AllowGossip:             g.AllowGossip,
+		PeerMessagesPerSecond:   g.PeerMessagesPerSecond,
+		ReportsPerMessage:       31,
+		WarmingCapacityFraction: s.Workers.ColdCapacityFraction,
+		WarmUpMillis:            s.Workers.WarmUpSeconds * 1000,
+		OverloadFactor:          s.overloadFactor(),
+		OverloadMillis:          s.overloadMillis(),
+		TotalWeight:             1,
 	}
 	for _, p := range s.Products {
 		settings.Products = append(settings.Products, policy.Product{LatencyTargetMillis: p.LatencyTargetMillis,
@@ -136,7 +136,7 @@
 // invariantRules returns what the checker of the five rules has to know.
 func (s *Scenario) invariantRules() invariants.Rules {
 	rules := invariants.Rules{Overlap: s.Gatekeepers.AllowHedging, Slack: 8, Grace: s.Workers.GraceMillis,
-		Capacity: s.workerCapacity(), ColdFraction: s.Workers.ColdCapacityFraction,
+		Capacity: s.workerCapacity(), WarmingFraction: s.Workers.ColdCapacityFraction,
 		WarmUp:         s.Workers.WarmUpSeconds * 1000,
 		OverloadFactor: s.overloadFactor(), OverloadWindow: s.overloadMillis()}
 	for _, p := range s.Products {
@@ -148,7 +148,7 @@
 		rules.Products = append(rules.Products, product)
 	}
 	for _, p := range s.Plans {
-		rules.Plans = append(rules.Plans, invariants.Plan{Ceiling: p.RateLimitPerSecond, Depth: p.RateLimitBurst})
+		rules.Plans = append(rules.Plans, invariants.Plan{RateLimit: p.RateLimitPerSecond, Depth: p.RateLimitBurst})
 	}
 	return rules
 }
--- a/internal/lab/emulator/emulator_test.go
+++ b/internal/lab/emulator/emulator_test.go
@@ -443,9 +443,9 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		near[policy] = r.HighestColdLoad
-		if r.Violations[4] > 0 || r.ColdOverloads > 0 && policy == "willowdeck" {
-			t.Errorf("%s: %d fell, %v", policy, r.ColdOverloads, r.FirstViolations)
+		near[policy] = r.HighestWarmingLoad
+		if r.Violations[4] > 0 || r.WarmingOverloads > 0 && policy == "willowdeck" {
+			t.Errorf("%s: %d fell, %v", policy, r.WarmingOverloads, r.FirstViolations)
 		}
 	}
 	if n := near["willowdeck"]; n > 0.5 || n < 0.01 || near["open"] < 2*n {
--- a/internal/lab/emulator/forecast.go
+++ b/internal/lab/emulator/forecast.go
@@ -16,8 +16,8 @@
 	regionName := func(region int) string { return fmt.Sprintf("hall%d", region) }
 	report := &forecast.Report{Name: fmt.Sprintf("g%d", g.index), Host: "emulated",
 		Region: regionName(scenario.region(g.index)),
-		Group:  "emulated", Index: g.index, Charter: scenario.policySettings(g.index)}
-	report.Charter.GatewayIndex = 0
+		Group:  "emulated", Index: g.index, Settings: scenario.policySettings(g.index)}
+	report.Settings.GatewayIndex = 0
 	for _, p := range scenario.Products {
 		report.Products = append(report.Products, p.Name)
 	}
--- a/internal/lab/emulator/restore.go
+++ b/internal/lab/emulator/restore.go
@@ -88,8 +88,8 @@
 	return customers
 }
 
-// forgetWorkers leaves of the workers their slow start, where that is retained: all else is as of workers that
-// were just added.
+// forgetWorkers leaves of the workers their slow start, where that is retained: all else is as of workers
+// that were just added.
 func (g *gatekeeper) forgetWorkers(state *policy.HandoffState) {
 	retained := g.sim.scenario.Gatekeepers.Retained
 	if state.Kinds = nil; retained&RetainSlowStart == 0 {
@@ -97,7 +97,7 @@
 	}
 	for i, worker := range state.Workers {
 		state.Workers[i] = policy.WorkerState{Worker: worker.Worker, StartedAtMillis: worker.StartedAtMillis,
-			HeardAtMillis: g.sim.clockMillis(), SlowStartAtMillis: worker.SlowStartAtMillis,
+			ReceivedAtMillis: g.sim.clockMillis(), SlowStartAtMillis: worker.SlowStartAtMillis,
 			SlowStartDebtUnits: worker.SlowStartDebtUnits, Rejections: make([]float64, len(worker.Rejections)),
 			RejectionsAtMillis: make([]float64, len(worker.RejectionsAtMillis))}
 	}
--- a/internal/lab/emulator/result.go
+++ b/internal/lab/emulator/result.go
@@ -47,8 +47,8 @@
 	P999Millis         float64                `json:"P999"`
 	Violations         [6]int                 `json:"Breaks"`    // violations by rule, 1 to 5
 	RejectingInstances int                    `json:"RefuseAll"` // see recordRejection
-	ColdOverloads      int                    `json:"Falls"`     // cold workers that were overloaded
-	HighestColdLoad    float64                `json:"NearFall"`  // of a cold worker; 1 is overload
+	WarmingOverloads   int                    `json:"Falls"`     // cold workers that were overloaded
+	HighestWarmingLoad float64                `json:"NearFall"`  // of a cold worker; 1 is overload
 	Products           []Segment              `json:"Products"`  // of the value within quotas
 	Plans              []Segment              `json:"Plans"`     // of the value within quotas
 	StarvedFraction    float64                `json:"Starved"`   // of customers below starvedBelow
@@ -139,7 +139,7 @@
 	result.MeanMillis = sim.latency.Mean() / 1000
 	result.P50Millis, result.P99Millis, result.P999Millis = ms(50), ms(99), ms(99.9)
 	result.FirstViolations, result.Violations = sim.judge.Violations()
-	result.ColdOverloads, result.HighestColdLoad = sim.judge.Overloads()
+	result.WarmingOverloads, result.HighestWarmingLoad = sim.judge.Overloads()
 	for _, i := range slices.Sorted(maps.Keys(sim.customerSegments)) {
 		p := sim.customerSegments[i]
 		if result.Offered > 0 && p.Offered > 0 && p.ServedShare() < starvedBelow {
--- a/internal/lab/experiment/floors.go
+++ b/internal/lab/experiment/floors.go
@@ -15,8 +15,8 @@
 	minRelevantShare      = 1.0 / 20 // of the transactions or the value, from which a class or tenant counts
 	minReferenceShare     = 0.3      // share of a class in the reference below which the class does not count
 	maxExtraStarved       = 0.15     // of the value: that of starved customers, beyond the reference's
-	calmPlainTolerance    = 0.05     // on a calm day: below the share of the plainest policy
-	calmLateTolerance     = 0.1      // on a calm day: below the reference's share, where that is less
+	steadyPlainTolerance  = 0.05     // on a calm day: below the share of the plainest policy
+	steadyLateTolerance   = 0.1      // on a calm day: below the reference's share, where that is less
 	maxExtraOverQuotaCost = 0.1      // on a calm day: beyond the reference's cost of over-quota service
 	floatTolerance        = 1e-9     // for sums of floats
 	thirds                = 3        // parts of a day
@@ -57,8 +57,8 @@
 	share := servedShare(result, 0, len(result.Seconds))
 	atLeast("whole", "", share, minRunShare*servedShare(late, 0, len(late.Seconds)))
 	if day.PlainRun != nil {
-		atLeast("calm", "", share, min(servedShare(day.PlainRun, 0, len(day.PlainRun.Seconds))-calmPlainTolerance,
-			servedShare(late, 0, len(late.Seconds))-calmLateTolerance))
+		atLeast("calm", "", share, min(servedShare(day.PlainRun, 0, len(day.PlainRun.Seconds))-steadyPlainTolerance,
+			servedShare(late, 0, len(late.Seconds))-steadyLateTolerance))
 		atMost("over_quota", OverQuotaCost(result), OverQuotaCost(late)+maxExtraOverQuotaCost)
 	}
 	floor := minThirdShare
--- a/internal/lab/experiment/table.go
+++ b/internal/lab/experiment/table.go
@@ -51,7 +51,7 @@
 	for rule := 1; rule <= 5; rule++ {
 		fields = append(fields, strconv.Itoa(r.Violations[rule]))
 	}
-	return append(fields, strconv.Itoa(r.ColdOverloads), formatFloat(r.HighestColdLoad),
+	return append(fields, strconv.Itoa(r.WarmingOverloads), formatFloat(r.HighestWarmingLoad),
 		formatFloat(emulator.WorstServed(r.Products).ServedShare()),
 		formatFloat(emulator.WorstServed(r.Plans).ServedShare()), formatFloat(r.StarvedFraction),
 		formatInt(r.BorrowingMessages),
--- a/internal/lab/footprint/elements.go
+++ b/internal/lab/footprint/elements.go
@@ -98,11 +98,11 @@
 	for n := 1; ; n *= 8 {
 		var before, after runtime.MemStats
 		var all []T
-		settle(&before)
+		collectGarbage(&before)
 		for range n {
 			all = append(all, create())
 		}
-		settle(&after)
+		collectGarbage(&after)
 		held := float64(after.HeapAlloc) - float64(before.HeapAlloc)
 		runtime.KeepAlive(all)
 		if held > shows || n >= mostCopies {
@@ -111,8 +111,9 @@
 	}
 }
 
-// settle reads the heap when nothing more can be freed; a second collection frees what the first had to end.
-func settle(m *runtime.MemStats) {
+// collectGarbage reads the heap when nothing more can be freed; a second collection frees what the first had
+// to end.
+func collectGarbage(m *runtime.MemStats) {
 	runtime.GC()
 	runtime.GC()
 	runtime.ReadMemStats(m)
--- a/internal/lab/footprint/elements_test.go
+++ b/internal/lab/footprint/elements_test.go
@@ -69,7 +69,7 @@
 		{"a worker", workers, "kept over workers", [2]int{2000, 20000}, 200, 1500},
 		{"a customer", customers, "kept over customers", [2]int{10000, 50000}, 100, 900},
 		{"a route, by plan", routes, "kept over routes, no worker listed", [2]int{300, 3000}, 60, 400},
-		{"a gatekeeper's period", words, "period of words over gatekeepers", [2]int{100, 1000}, 0.015, 0.025},
+		{"a gatekeeper's period", reportCosts, "period of words over gatekeepers", [2]int{100, 1000}, 0.015, 0.025},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -135,7 +135,7 @@
 			t.Errorf("%s: five: %v", b.What, err)
 		}
 	}
-	if err := councilOf(32); err == nil || strings.Contains(err.Error(), "/") {
+	if err := raftGroupOf(32); err == nil || strings.Contains(err.Error(), "/") {
 		t.Errorf("32 hosts: %v", err)
 	}
 }
--- a/internal/lab/footprint/module.go
+++ b/internal/lab/footprint/module.go
@@ -13,10 +13,11 @@
 )
 
 const (
-	intake    = 60.0 // peers' messages that a gatekeeper takes in a second, as the settings on hand have it
-	usualSet  = 20   // gatekeepers of a customer's set
-	wordBytes = 9    // ahead of a message that says which life it is of
-	seed      = 7
+	// peers' messages that a gatekeeper takes in a second, as the settings on hand have it
+	intake          = 60.0
+	usualSet        = 20 // gatekeepers of a customer's set
+	setElementBytes = 9  // ahead of a message that says which life it is of
+	seed            = 7
 )
 
 // list is discovery's list of so many workers, over 14 zones.
@@ -31,12 +32,12 @@
 	return l
 }
 
-// charter of so many gatekeepers, routes and plans. Each plan's customers may have 2 units a second.
-func charter(gatekeepers, routes, plans int) policy.Settings {
+// policySettings of so many gatekeepers, routes and plans. Each plan's customers may have 2 units a second.
+func policySettings(gatekeepers, routes, plans int) policy.Settings {
 	c := policy.Settings{GatewayCount: gatekeepers, MaxRequestUnits: 1, MaxAttempts: 3, AllowHedging: true,
 		AllowCancel: true, AllowRetryAfter: true, MaxRetryAfterMillis: 2000, AllowGossip: true,
 		PeerMessagesPerSecond: intake,
-		ReportsPerMessage:     gossip.MaxReports, ColdCapacityFraction: 0.2, WarmUpMillis: 10000, TotalWeight: 1}
+		ReportsPerMessage:     gossip.MaxReports, WarmingCapacityFraction: 0.2, WarmUpMillis: 10000, TotalWeight: 1}
 	for range routes {
 		c.Products = append(c.Products, policy.Product{LatencyTargetMillis: 1000, Value: 1,
 			DedupWindowMillis: 5000})
@@ -48,7 +49,7 @@
 	return c
 }
 
-func postings(n int) []policy.Endpoint {
+func endpointLists(n int) []policy.Endpoint {
 	var all []policy.Endpoint
 	for i := range n {
 		all = append(all, policy.Endpoint{Worker: i, Zone: i % 14, Cell: i / 38, Active: true})
@@ -61,7 +62,7 @@
 	g       *policy.Engine
 	now     float64
 	id      uint64
-	told    int
+	reports int
 	bytes   int
 	longest time.Duration // of one pull of all decisions
 	telling []float64     // ms of each pull that told peers
@@ -71,14 +72,14 @@
 func newPlay(c policy.Settings, workers int) *play {
 	p := &play{g: policy.New(c, seed), now: 1000}
 	p.g.AdvanceTo(p.now)
-	p.g.UpdateEndpoints(postings(workers), false)
+	p.g.UpdateEndpoints(endpointLists(workers), false)
 	p.pull()
 	return p
 }
 
 // pull takes all decisions that there are now.
 func (p *play) pull() {
-	start, before := time.Now(), p.told
+	start, before := time.Now(), p.reports
 	for {
 		d, ok := p.g.NextDecision()
 		if !ok {
@@ -88,13 +89,13 @@
 		case policy.Submit:
 			p.g.AttemptEnded(d.RequestID, d.Attempt, policy.Succeeded, 20, true)
 		case policy.SendReports:
-			p.told++
+			p.reports++
 			p.buf = gossip.Append(p.buf[:0], d.Reports)
-			p.bytes += len(p.buf) + wordBytes
+			p.bytes += len(p.buf) + setElementBytes
 		}
 	}
 	spent := time.Since(start)
-	if p.longest = max(p.longest, spent); p.told > before {
+	if p.longest = max(p.longest, spent); p.reports > before {
 		p.telling = append(p.telling, float64(spent.Nanoseconds())/1e6)
 	}
 }
@@ -123,7 +124,7 @@
 			all = append(all, k)
 		}
 	}
-	c := charter(gatekeepers, 3, usualPlans)
+	c := policySettings(gatekeepers, 3, usualPlans)
 	var p *play
 	touch := func() float64 {
 		start := time.Now()
@@ -161,11 +162,11 @@
 // routes measures what a module keeps of a worker for routes that are classes of their own, by plan.
 func routes(n int) ([]Value, error) {
 	const workers = 200
-	c := charter(20, n, usualPlans)
+	c := policySettings(20, n, usualPlans)
 	start := func(listed int) *policy.Engine {
 		g := policy.New(c, seed)
 		g.AdvanceTo(1000)
-		g.UpdateEndpoints(postings(listed), false)
+		g.UpdateEndpoints(endpointLists(listed), false)
 		return g
 	}
 	_, kept := keeps(func() *policy.Engine { return start(0) })
@@ -179,7 +180,7 @@
 // workers measures the turn of a period, in which the list is gone over, and what is kept.
 func workers(n int) ([]Value, error) {
 	var p *play
-	_, kept := keeps(func() *play { p = newPlay(charter(20, 3, usualPlans), n); return p })
+	_, kept := keeps(func() *play { p = newPlay(policySettings(20, 3, usualPlans), n); return p })
 	p.txn(1, usualSet, 0)
 	var turns []float64
 	for range rounds {
@@ -192,10 +193,10 @@
 		{"gatekeeper", "turn of a period over workers", "ms", median(turns)}}, nil
 }
 
-// words measures what gatekeepers tell each other, in a fleet of so many: 76 txns a second of customers
+// reportCosts measures what gatekeepers tell each other, in a fleet of so many: 76 txns a second of customers
 // that ask for more than their part, with sets of usualSet, and of all.
-func words(n int) ([]Value, error) {
-	c := charter(n, 3, 1)
+func reportCosts(n int) ([]Value, error) {
+	c := policySettings(n, 3, 1)
 	m := policy.ModelParametersOf(c)
 	g, kept := keeps(func() *policy.Engine { return policy.New(c, seed) })
 	_ = g.Stats()
@@ -215,7 +216,7 @@
 		rng := rand.New(rand.NewSource(seed))
 		const customers, txnsPerS = 50, 76.0
 		end := p.now + 4*m.ReportIntervalMillis
-		p.told, p.bytes, p.telling = 0, 0, nil
+		p.reports, p.bytes, p.telling = 0, 0, nil
 		start := p.now
 		for p.now < end {
 			p.at(p.now + 1000/txnsPerS)
@@ -228,7 +229,7 @@
 			kind = "sets of all"
 		}
 		values = append(values, Value{"gatekeeper", "messages told over gatekeepers, " + kind, "1/s",
-			float64(p.told) / s},
+			float64(p.reports) / s},
 			Value{"gatekeeper", "bytes told over gatekeepers, " + kind, "B/s", float64(p.bytes) / s},
 			Value{"gatekeeper", "turn of words over gatekeepers, " + kind, "ms", median(p.telling)})
 		if set == n {
@@ -267,6 +268,6 @@
 		{"module", "routes", []int{3, 30, 300, 3000}, routes},
 		{"module", "workers", []int{200, 2000, 20000, 110000}, workers},
 		{"module", "customers", []int{1000, 10000, 50000, 150000, 490000}, customers},
-		{"words", "gatekeepers", []int{20, 60, 100, 300, 1000, 3000, 7900}, words},
+		{"words", "gatekeepers", []int{20, 60, 100, 300, 1000, 3000, 7900}, reportCosts},
 	}
 }
--- a/internal/lab/footprint/rules.go
+++ b/internal/lab/footprint/rules.go
@@ -176,8 +176,8 @@
 		{"host daemon", "kept of the fleet's files over members", "B", kept}}, nil
 }
 
-// councilOf tells why a council of so many hosts is refused.
-func councilOf(hosts int) error {
+// raftGroupOf tells why a council of so many hosts is refused.
+func raftGroupOf(hosts int) error {
 	dir, err := os.MkdirTemp("", "willowdeck-lab-*")
 	if err != nil {
 		return err
@@ -256,7 +256,7 @@
 	}
 	return []Bound{
 		{"council daemon", "hosts, each with a vote", (7900 + perHost - 1) / perHost,
-			func(n int) error { return councilOf(max(n, 1)) }},
+			func(n int) error { return raftGroupOf(max(n, 1)) }},
 		{"council daemon", "members of the agreed rules", 7900, func(n int) error {
 			return check(rules(n, usualPlans, 0, 0))
 		}},
--- a/internal/policy/benchmark_test.go
+++ b/internal/policy/benchmark_test.go
@@ -21,7 +21,7 @@
 func largeFleetSettings(gatekeepers int) Settings {
 	c := Settings{GatewayCount: gatekeepers, MaxRequestUnits: 8, MaxAttempts: 3, WorkersReportLoad: true,
 		AllowGossip:           true,
-		PeerMessagesPerSecond: 60, ReportsPerMessage: 20, ColdCapacityFraction: 0.2, WarmUpMillis: 20000,
+		PeerMessagesPerSecond: 60, ReportsPerMessage: 20, WarmingCapacityFraction: 0.2, WarmUpMillis: 20000,
 		TotalWeight: 1, AllowHedging: true,
 		AllowCancel: true, AllowRetryAfter: true, MaxRetryAfterMillis: 1000}
 	for i := range 4 {
--- a/internal/policy/checkpoint.go
+++ b/internal/policy/checkpoint.go
@@ -49,7 +49,8 @@
 	rows := 0
 	for ; from < len(e.peers) && rows < checkpointRowsPerChunk; from++ {
 		peer, saved := &e.peers[from], &handoff.Peers[from]
-		*saved = PeerState{peer.receivedAt, peer.reportedAt, peer.reportDueSince, peer.reportsReceivedAt, peer.silent,
+		*saved = PeerState{peer.receivedAt, peer.reportedAt, peer.reportDueSince, peer.reportsReceivedAt,
+			peer.silent,
 			peer.lost, append(saved.LastReports[:0], peer.lastReports...)}
 		rows += 1 + len(peer.lastReports)
 	}
@@ -134,8 +135,8 @@
 // restorePeers restores the records of the peers, and returns those that have sent something in this run.
 func (e *Engine) restorePeers(handoff *HandoffState) (receivedSinceStart []int) {
 	for i, saved := range handoff.Peers {
-		if i == e.derived.gatewayIndex || !(saved.HeardAtMillis <= handoff.AtMillis &&
-			saved.ReportsHeardAtMillis <= handoff.AtMillis &&
+		if i == e.derived.gatewayIndex || !(saved.ReceivedAtMillis <= handoff.AtMillis &&
+			saved.ReportsReceivedAtMillis <= handoff.AtMillis &&
 			saved.ReportedAtMillis <= handoff.AtMillis) {
 			continue
 		}
@@ -149,8 +150,8 @@
 		if e.peers[i].receivedAt > 0 { // in this run
 			receivedSinceStart = append(receivedSinceStart, i)
 		}
-		e.peers[i] = peerRecord{saved.HeardAtMillis, saved.ReportedAtMillis, saved.ReportDueSinceMillis,
-			saved.ReportsHeardAtMillis,
+		e.peers[i] = peerRecord{saved.ReceivedAtMillis, saved.ReportedAtMillis, saved.ReportDueSinceMillis,
+			saved.ReportsReceivedAtMillis,
 			saved.Silent, saved.Lost, last}
 	}
 	return receivedSinceStart
--- a/internal/policy/endpoints_test.go
+++ b/internal/policy/endpoints_test.go
@@ -147,7 +147,7 @@
 	rng := rand.New(rand.NewSource(seed))
 	c := Settings{GatewayCount: []int{1, 3, 80}[seed%3], MaxRequestUnits: 8, MaxAttempts: 3,
 		WorkersReportLoad: true,
-		AllowGossip:       true, PeerMessagesPerSecond: 60, ReportsPerMessage: 8, ColdCapacityFraction: 0.2,
+		AllowGossip:       true, PeerMessagesPerSecond: 60, ReportsPerMessage: 8, WarmingCapacityFraction: 0.2,
 		WarmUpMillis: 4000, TotalWeight: 1, WorstPlanWeight: 0.2,
 		AllowHedging: seed%2 == 0, AllowCancel: seed%2 == 0, AllowRetryAfter: true, MaxRetryAfterMillis: 1000}
 	if seed%4 == 1 {
--- a/internal/policy/engine.go
+++ b/internal/policy/engine.go
@@ -62,7 +62,7 @@
 		allowRetryAfter: settings.AllowRetryAfter, maxRetryAfterMillis: settings.MaxRetryAfterMillis,
 		maxRequestUnits:      math.Max(settings.MaxRequestUnits, 1),
 		reportIntervalMillis: reportIntervalMillis, coolDownMillis: coolDownMillis,
-		warmingCapacityFraction: settings.ColdCapacityFraction,
+		warmingCapacityFraction: settings.WarmingCapacityFraction,
 		warmUpMillis:            settings.WarmUpMillis * warmUpStretchFactor,
 		workersReportLoad:       settings.WorkersReportLoad,
 		turnMillis:              settings.OverloadMillis, warmingLoadFraction: 1,
--- a/internal/policy/engine_test.go
+++ b/internal/policy/engine_test.go
@@ -176,7 +176,8 @@
 	}{
 		{silentAfterIntervals*reportIntervalMillis + 2*reportIntervalMillis, false, 0.5},
 		{peerSuspicionMillis + lostPeerRetentionMillis - 2*reportIntervalMillis, false, 0.5},
-		{peerSuspicionMillis + lostPeerRetentionMillis + 2*reportIntervalMillis, false, 1}, {peerSuspicionMillis, true,
+		{peerSuspicionMillis + lostPeerRetentionMillis + 2*reportIntervalMillis, false, 1},
+		{peerSuspicionMillis, true,
 			1},
 	}
 	for _, c := range cases {
--- a/internal/policy/gossip.go
+++ b/internal/policy/gossip.go
@@ -15,8 +15,8 @@
 	peerSuspicionMillis = 6000.0
 	// and lostPeerRetentionMillis the time after that during which its last demand still counts.
 	lostPeerRetentionMillis = 10000.0
-	// peerExpiryIntervals is the number of intervals without a message after which an exchange with a peer starts
-	// anew.
+	// peerExpiryIntervals is the number of intervals without a message after which an exchange with a peer
+	// starts anew.
 	peerExpiryIntervals = 2.0
 	// reportIntakeFraction of what peers take in may be filled by reports; the rest is for jitter.
 	reportIntakeFraction = 0.95
@@ -117,8 +117,8 @@
 	}
 }
 
-// updateDemand turns an account hot or quiet by its demand, updates its share, reports it where it is hot, and
-// closes it where it is idle and full.
+// updateDemand turns an account hot or quiet by its demand, updates its share, reports it where it is hot,
+// and closes it where it is idle and full.
 func (e *Engine) updateDemand(index int32) {
 	account := &e.accounts[index]
 	e.refill(account)
@@ -229,7 +229,8 @@
 	// last heard; last reported to; since when it has owed a report each interval, 0 where it owes none
 	receivedAt, reportedAt, reportDueSince float64
 	reportsReceivedAt                      float64 // last heard with reports
-	silent, lost                           bool    // it sends nothing; has not for so long that it counts no more
+	// it sends nothing; has not for so long that it counts no more
+	silent, lost bool
 	// of its last message; their demand is held while it is silent and not lost
 	lastReports []Report
 }
--- a/internal/policy/handoff.go
+++ b/internal/policy/handoff.go
@@ -61,7 +61,7 @@
 	StartedAtMillis                       float64
 	ResponseMillis, ResponseAtMillis      float64
 	ReportedLoad, ReportedLoadAtMillis    float64
-	HeardAtMillis                         float64
+	ReceivedAtMillis                      float64
 	Suspicion, SuspicionAtMillis          float64
 	Rejections, RejectionsAtMillis        []float64 // by class of request
 	Overloaded                            bool
@@ -76,9 +76,9 @@
 
 // PeerState is what is known of one peer.
 type PeerState struct {
-	HeardAtMillis, ReportedAtMillis, ReportDueSinceMillis, ReportsHeardAtMillis float64
-	Silent, Lost                                                                bool
-	LastReports                                                                 []Report
+	ReceivedAtMillis, ReportedAtMillis, ReportDueSinceMillis, ReportsReceivedAtMillis float64
+	Silent, Lost                                                                      bool
+	LastReports                                                                       []Report
 }
 
 // HandOff returns what a successor takes over. From then on this engine only ends the open requests: it
@@ -135,7 +135,7 @@
 		ResponseMillis:   worker.responseMillis,
 		ResponseAtMillis: worker.responseAt, ReportedLoad: worker.reportedLoad,
 		ReportedLoadAtMillis: worker.reportedLoadAt,
-		HeardAtMillis:        worker.receivedAt, Suspicion: worker.suspicion.score,
+		ReceivedAtMillis:     worker.receivedAt, Suspicion: worker.suspicion.score,
 		SuspicionAtMillis: worker.suspicion.updatedAt,
 		Overloaded:        worker.overloaded,
 		SlowStartAtMillis: worker.slowStartAt, SlowStartDebtUnits: worker.slowStartDebt}
@@ -168,8 +168,8 @@
 		e.restoreWorker(&handoff.Workers[i])
 	}
 	for i, saved := range handoff.Peers {
-		e.peers[i] = peerRecord{saved.HeardAtMillis, saved.ReportedAtMillis, saved.ReportDueSinceMillis,
-			saved.ReportsHeardAtMillis, saved.Silent, saved.Lost, saved.LastReports}
+		e.peers[i] = peerRecord{saved.ReceivedAtMillis, saved.ReportedAtMillis, saved.ReportDueSinceMillis,
+			saved.ReportsReceivedAtMillis, saved.Silent, saved.Lost, saved.LastReports}
 	}
 	e.countSilentPeers()
 	for i := range handoff.Customers {
@@ -212,7 +212,7 @@
 	worker := &e.workers[saved.Worker]
 	worker.responseMillis, worker.responseAt = saved.ResponseMillis, saved.ResponseAtMillis
 	worker.reportedLoad, worker.reportedLoadAt = saved.ReportedLoad, saved.ReportedLoadAtMillis
-	worker.receivedAt = saved.HeardAtMillis
+	worker.receivedAt = saved.ReceivedAtMillis
 	worker.suspicion = decayingScore{saved.Suspicion, saved.SuspicionAtMillis}
 	worker.overloaded = saved.Overloaded
 	worker.slowStartAt, worker.slowStartDebt = saved.SlowStartAtMillis, saved.SlowStartDebtUnits
--- a/internal/policy/harness_test.go
+++ b/internal/policy/harness_test.go
@@ -10,7 +10,7 @@
 func settingsFor(r Idempotency, change func(*Settings)) Settings {
 	c := Settings{GatewayCount: 2, MaxRequestUnits: 1, MaxAttempts: 3, AllowHedging: true, AllowCancel: true,
 		AllowRetryAfter: true, MaxRetryAfterMillis: 2000, AllowGossip: true, PeerMessagesPerSecond: 60,
-		ReportsPerMessage: 31, ColdCapacityFraction: 0.2,
+		ReportsPerMessage: 31, WarmingCapacityFraction: 0.2,
 		WarmUpMillis: 10000, TotalWeight: 1,
 		Products: []Product{{LatencyTargetMillis: 1000, Value: 1, Idempotency: r, DedupWindowMillis: 5000}},
 		Plans:    []Plan{{QuotaPerSecond: 10, QuotaBurst: 20, ValueFactor: 1, ExcessCostFraction: 1}}}
--- a/internal/policy/settings.go
+++ b/internal/policy/settings.go
@@ -83,10 +83,10 @@
 	PeerMessagesPerSecond float64 `json:"PeerInPerS"`
 	// ReportsPerMessage is how many customers' reports fit a message.
 	ReportsPerMessage int `json:"ReportsPerTell"`
-	// ColdCapacityFraction of its capacity is what a worker has at its start, at least; it has all of it after
-	// WarmUpMillis, at most.
-	ColdCapacityFraction float64 `json:"ColdFrom"`
-	WarmUpMillis         float64 `json:"WarmUp"`
+	// WarmingCapacityFraction of its capacity is what a worker has at its start, at least; it has all of it
+	// after WarmUpMillis, at most.
+	WarmingCapacityFraction float64 `json:"ColdFrom"`
+	WarmUpMillis            float64 `json:"WarmUp"`
 	// OverloadFactor is how many times its capacity a worker withstands, for OverloadMillis before it falls
 	// behind; 0 where that is not stated.
 	OverloadFactor float64 `json:"Tips"`
--- a/internal/policy/slowstart_test.go
+++ b/internal/policy/slowstart_test.go
@@ -54,7 +54,7 @@
 func (f *warmingFleet) warmFractionOf(i int) float64 {
 	c := &f.charter
 	if age := f.now - f.since[i]; f.since[i] > 0 && age < c.WarmUpMillis {
-		return c.ColdCapacityFraction + (1-c.ColdCapacityFraction)*age/c.WarmUpMillis
+		return c.WarmingCapacityFraction + (1-c.WarmingCapacityFraction)*age/c.WarmUpMillis
 	}
 	return 1
 }
@@ -263,7 +263,7 @@
 
 func slowStartSettings(n int, tips float64) Settings {
 	return settingsFor(Idempotent, func(c *Settings) {
-		c.GatewayCount, c.WarmUpMillis, c.ColdCapacityFraction, c.AllowGossip = n, 18000, 0.1, false
+		c.GatewayCount, c.WarmUpMillis, c.WarmingCapacityFraction, c.AllowGossip = n, 18000, 0.1, false
 		c.OverloadFactor, c.OverloadMillis = tips, 1000
 		c.Plans[0] = Plan{ValueFactor: 1}
 	})
@@ -296,7 +296,7 @@
 		c := slowStartSettings(n, 2)
 		c.WarmUpMillis = 30000
 		f := simulateFleet(n, 40, 1, c, 8, 2, func(f *warmingFleet) {
-			f.told.ColdCapacityFraction, f.told.OverloadFactor = 1, 20 // as warm ones, for all that is told of them
+			f.told.WarmingCapacityFraction, f.told.OverloadFactor = 1, 20 // as warm ones, for all that is told of them
 			f.after(1000, func() { f.killWorkers(firstWorkers(20)...) })
 			f.after(1500, func() { f.startWorkers(firstWorkers(20)...) })
 		})
--- a/internal/policy/snapshot_test.go
+++ b/internal/policy/snapshot_test.go
@@ -10,7 +10,7 @@
 func TestSnapshot(t *testing.T) {
 	c := Settings{GatewayCount: 6, MaxRequestUnits: 1, MaxAttempts: 2, AllowGossip: true,
 		PeerMessagesPerSecond: 100,
-		ReportsPerMessage:     31, ColdCapacityFraction: 0.5, WarmUpMillis: 8000, TotalWeight: 1,
+		ReportsPerMessage:     31, WarmingCapacityFraction: 0.5, WarmUpMillis: 8000, TotalWeight: 1,
 		Products: []Product{{LatencyTargetMillis: 500, Value: 1}, {LatencyTargetMillis: 500, Value: 2}},
 		Plans: []Plan{{QuotaPerSecond: 100, QuotaBurst: 100, ValueFactor: 1}, {QuotaPerSecond: 10,
 			QuotaBurst: 10, ValueFactor: 1}}}
--- a/internal/policy/subset_test.go
+++ b/internal/policy/subset_test.go
@@ -65,7 +65,7 @@
 	used := 0
 	for seed := range int64(20) {
 		h := newHost(t, manyGatewaySettings(80, func(c *Settings) {
-			c.WarmUpMillis, c.ColdCapacityFraction = 20000,
+			c.WarmUpMillis, c.WarmingCapacityFraction = 20000,
 				0.2
 		}), seed,
 			60)
--- a/internal/policy/transportlimits.go
+++ b/internal/policy/transportlimits.go
@@ -89,9 +89,9 @@
 	// EndpointBatchSize is how many entries of a long list are applied in one go: at 110,000 workers requests
 	// wait 1 ms for them.
 	EndpointBatchSize = 500
-	// EndpointBatchPauseMillis is the time between two batches: who waits for the lock would else lose it to the
-	// next one.
-	EndpointBatchPauseMillis = 0.1
+	// EndpointBatchIntervalMillis is the time between two batches: who waits for the lock would else lose it to
+	// the next one.
+	EndpointBatchIntervalMillis = 0.1
 	// MaxEndpointListBytes bounds a list in the watch: two and a half times that of 110,000 workers.
 	MaxEndpointListBytes = 32 << 20
 	// MaxEndpointBytes bounds one worker's entry; usual ones have 124.
--- a/internal/raftlog/apply.go
+++ b/internal/raftlog/apply.go
@@ -187,7 +187,10 @@
 	if count := len(update.entries); count > 0 {
 		s.lastIndex = update.entries[count-1].Index
 	}
-	s.writer.enqueue(storeTask{update: update, done: func(s *session) { s.finishAppend(update, message.Responses) }})
+	s.writer.enqueue(storeTask{update: update, done: func(s *session) {
+		s.finishAppend(update,
+			message.Responses)
+	}})
 }
 
 // finishWrites takes note of writes that are durable. After an error the session ends.
--- a/internal/raftlog/disk_test.go
+++ b/internal/raftlog/disk_test.go
@@ -228,8 +228,8 @@
 	}
 }
 
-// While all disks stall nothing is committed, the leader stays, and reads are confirmed at every host, so that
-// no lease is lost. What was proposed comes in force once the disks are back.
+// While all disks stall nothing is committed, the leader stays, and reads are confirmed at every host, so
+// that no lease is lost. What was proposed comes in force once the disks are back.
 func TestAllDisksStall(t *testing.T) {
 	t.Parallel()
 	group := newActiveGroup(t, 3)
@@ -253,7 +253,8 @@
 	group.waitForVersion(2)
 }
 
-// While the leader's disk alone stalls, the others commit with it as their leader, and apply what it proposes.
+// While the leader's disk alone stalls, the others commit with it as their leader, and apply what it
+// proposes.
 func TestLeaderDiskStalls(t *testing.T) {
 	t.Parallel()
 	group := newActiveGroup(t, 3)
--- a/internal/raftlog/membership.go
+++ b/internal/raftlog/membership.go
@@ -30,7 +30,8 @@
 func (s *session) runPeriodicTasks(now time.Time) error {
 	if now.Sub(s.lastPeerSeqsSave) >= peerSeqsInterval && !s.savingPeerSeqs {
 		s.lastPeerSeqsSave, s.savingPeerSeqs = now, true
-		s.writer.enqueue(storeTask{write: s.store.savePeerSeqs, done: func(s *session) { s.savingPeerSeqs = false }})
+		s.writer.enqueue(storeTask{write: s.store.savePeerSeqs,
+			done: func(s *session) { s.savingPeerSeqs = false }})
 	}
 	if now.Sub(s.lastMembershipCheck) < 2*s.node.config.HelloInterval {
 		return nil
--- a/internal/raftlog/ruleset_machine.go
+++ b/internal/raftlog/ruleset_machine.go
@@ -44,7 +44,7 @@
 	inForce := n.activation.State().InForce
 	n.inForceDigest = RulesDigest(&inForce.Rules)
 	n.recordEvent(history.Event{Kind: history.Decided, Version: version, Base: version - 1, Txn: proposalID,
-		Mark: n.inForceDigest})
+		Digest: n.inForceDigest})
 	n.log.Info().Uint64("version", version).Int("members", len(inForce.Rules.Members)).
 		Msg("ruleset version in force")
 	signal(n.changed)
@@ -107,7 +107,7 @@
 	version := n.activation.State().InForce.Number
 	n.lastReadMillis = startMillis
 	n.recordConfirmed(startMillis)
-	n.recordEvent(history.Event{Kind: history.ReportedInForce, Version: version, Mark: n.inForceDigest,
+	n.recordEvent(history.Event{Kind: history.ReportedInForce, Version: version, Digest: n.inForceDigest,
 		Age: BootClockMillis() - startMillis})
 }
 
--- a/internal/raftlog/store.go
+++ b/internal/raftlog/store.go
@@ -52,8 +52,8 @@
 // raft reads. Each write is one transaction, synced before it returns. Every value carries a checksum of
 // its key and itself, as bbolt has checksums of its meta pages alone.
 //
-// During a session its storeWriter's goroutine alone writes it. Methods that do not write may be called by any
-// goroutine.
+// During a session its storeWriter's goroutine alone writes it. Methods that do not write may be called by
+// any goroutine.
 type store struct {
 	db         *bbolt.DB
 	memory     *raft.MemoryStorage
@@ -260,8 +260,8 @@
 	)
 }
 
-// compact writes a snapshot, which memory has already, in place of the log, and retains the last entries before
-// it for followers that are a little behind.
+// compact writes a snapshot, which memory has already, in place of the log, and retains the last entries
+// before it for followers that are a little behind.
 func (s *store) compact(snapshot raftpb.Snapshot, retained uint64) error {
 	last, err := s.memory.LastIndex()
 	if err != nil {
--- a/internal/raftlog/store_test.go
+++ b/internal/raftlog/store_test.go
@@ -32,7 +32,8 @@
 			entries = append(entries, e)
 			next++
 		}
-		requireNoError(t, s.save(&storeUpdate{hardState: raftpb.HardState{Term: 1, Commit: next - 1}, entries: entries}))
+		requireNoError(t, s.save(&storeUpdate{hardState: raftpb.HardState{Term: 1, Commit: next - 1},
+			entries: entries}))
 	}
 	confState := &raftpb.ConfState{Voters: []uint64{s.diskID()}}
 	snapshot, err := s.memory.CreateSnapshot(100, confState, []byte(`{}`))
--- a/internal/ruleset/effective_rules.go
+++ b/internal/ruleset/effective_rules.go
@@ -20,10 +20,10 @@
 type EffectivePlan struct {
 	Plan                // as the version has it, for all gatekeepers
 	Allowance Allowance // what this gatekeeper may let through
-	// CeilingFraction is what its even share of the rate limit is multiplied by to give Allowance, 0 to 1; 1
+	// RateLimitFraction is what its even share of the rate limit is multiplied by to give Allowance, 0 to 1; 1
 	// where there is no limit.
-	CeilingFraction float64
-	CreditFraction  float64 // the same for its even share of the credit line
+	RateLimitFraction float64
+	CreditFraction    float64 // the same for its even share of the credit line
 }
 
 // EffectiveRules are what a gatekeeper goes by from the moment at which it has adopted them.
--- a/internal/ruleset/lease_holder.go
+++ b/internal/ruleset/lease_holder.go
@@ -242,10 +242,10 @@
 		AllowanceGrew:   h.allowanceGrew,
 	}
 	for i, plan := range rules.Plans {
-		effectivePlan := EffectivePlan{Plan: plan, Allowance: h.allowance(i), CeilingFraction: 1}
+		effectivePlan := EffectivePlan{Plan: plan, Allowance: h.allowance(i), RateLimitFraction: 1}
 		evenShare := LeasedAllowance(rules, i, 0)
 		if plan.CeilingRate > 0 {
-			effectivePlan.CeilingFraction = math.Min(effectivePlan.Allowance.Rate/evenShare.Rate,
+			effectivePlan.RateLimitFraction = math.Min(effectivePlan.Allowance.Rate/evenShare.Rate,
 				effectivePlan.Allowance.Depth/evenShare.Depth)
 		}
 		if evenShare.Credit > 0 {
--- a/internal/serving/control/leader_requests_test.go
+++ b/internal/serving/control/leader_requests_test.go
@@ -20,7 +20,8 @@
 	from := requester{number: 1}
 	expires := w.now + time.Second
 	term := engine.node.Term()
-	engine.leaderRequests.commands[command.Id] = leaderRequest{requester: from, expiresAt: expires, term: term - 1}
+	engine.leaderRequests.commands[command.Id] = leaderRequest{requester: from, expiresAt: expires,
+		term: term - 1}
 	before := len(engine.node.UncommittedEntries())
 	if !engine.accept(command, from, expires) {
 		t.Fatal("the retry is not accepted")
--- a/internal/serving/edge/frontserver.go
+++ b/internal/serving/edge/frontserver.go
@@ -43,8 +43,8 @@
 	return stated
 }
 
-// frontServer serves clients. An http.Server has fixed limits, so there is one for each set of limits that has
-// been in force: a connection keeps those under which it was accepted. It is safe for concurrent use.
+// frontServer serves clients. An http.Server has fixed limits, so there is one for each set of limits that
+// has been in force: a connection keeps those under which it was accepted. It is safe for concurrent use.
 type frontServer struct {
 	handler  http.Handler
 	listener net.Listener
@@ -61,7 +61,8 @@
 	listener *handoverListener
 }
 
-func newFrontServer(listener net.Listener, handler http.Handler, limits func() connectionLimits) *frontServer {
+func newFrontServer(listener net.Listener, handler http.Handler,
+	limits func() connectionLimits) *frontServer {
 	return &frontServer{
 		handler: handler, listener: listener, limits: limits, servers: map[connectionLimits]*limitedServer{},
 	}
--- a/internal/serving/edge/frontserver_test.go
+++ b/internal/serving/edge/frontserver_test.go
@@ -69,8 +69,8 @@
 	return err == nil
 }
 
-// TestConfiguredConnectionLimits puts each limit in force for new connections, while an older connection keeps
-// those under which it was accepted.
+// TestConfiguredConnectionLimits puts each limit in force for new connections, while an older connection
+// keeps those under which it was accepted.
 func TestConfiguredConnectionLimits(t *testing.T) {
 	var limits atomic.Pointer[connectionLimits]
 	limits.Store(&defaultConnectionLimits)
--- a/internal/serving/edge/golden_test.go
+++ b/internal/serving/edge/golden_test.go
@@ -147,7 +147,8 @@
 	p := &proxiedRequest{
 		workerRequest: &workerlink.Request{Header: http.Header{"Request-Id": {"id-1"}}},
 		lastEventID:   41, hasLastEventID: true,
-		route: route, priorityRank: priorityRanks([]*configuration.Route{route})[route], deadline: time.Now().Add(time.Hour),
+		route: route, priorityRank: priorityRanks([]*configuration.Route{route})[route],
+		deadline: time.Now().Add(time.Hour),
 	}
 	got := p.workerRequestFor(worker{Worker: loadbalancer.Worker{Instance: "w-1", Engine: true}}).Header
 	for name, want := range map[string]string{
--- a/internal/serving/edge/tablebuilder.go
+++ b/internal/serving/edge/tablebuilder.go
@@ -123,7 +123,8 @@
 	return table, nil
 }
 
-// routeSetOf returns the routes of a configuration. They are those of the last table where it has not changed.
+// routeSetOf returns the routes of a configuration. They are those of the last table where it has not
+// changed.
 func (b *tableBuilder) routeSetOf(document *configuration.Document) (*routeSet, error) {
 	if document == b.document {
 		return b.routeSet, nil
--- a/internal/serving/loadbalancer/worker.go
+++ b/internal/serving/loadbalancer/worker.go
@@ -97,7 +97,8 @@
 	cached bool // it has the part; sentAt is valid
 }
 
-// cacheParts records that the parts of a prompt are sent to the worker, and returns what the cache had of them.
+// cacheParts records that the parts of a prompt are sent to the worker, and returns what the cache had of
+// them.
 func (w *workerState) cacheParts(now time.Duration, parts []Part) (before []cachedPart) {
 	if len(w.prefixCache) > maxCachedParts {
 		for id, sentAt := range w.prefixCache {
--- a/internal/serving/pathhealth/detector.go
+++ b/internal/serving/pathhealth/detector.go
@@ -7,14 +7,14 @@
 )
 
 const (
-	minProbeInterval     = 150 * time.Millisecond // between two probes to a region
+	minCheckInterval     = 150 * time.Millisecond // between two probes to a region
 	probesPerSecond      = 20                     // of one edge, to all regions, while nothing is missed
 	confirmInterval      = 40 * time.Millisecond  // between two probes while a miss is not confirmed or refuted
 	missesToSuspect      = 3                      // unanswered probes in a row
 	initialAnswerTimeout = 250 * time.Millisecond // of a probe, before a round trip is known
 	minAnswerTimeout     = 40 * time.Millisecond
-	roundTripsToTimeout  = 2.5             // smoothed round trips until a probe counts as missed
-	roundTripWeight      = 0.2             // of a new round trip in the smoothed one
+	tripsToTimeout       = 2.5             // smoothed round trips until a probe counts as missed
+	tripWeight           = 0.2             // of a new round trip in the smoothed one
 	suspicionExpiry      = 3 * time.Second // after the last miss, for domains without an edge left to probe
 )
 
@@ -79,7 +79,7 @@
 func (d *Detector) DueProbes(now time.Duration, targets []Target) []Probe {
 	d.recordMisses(now)
 	byZone := d.groupByZone(targets)
-	interval := max(minProbeInterval, time.Duration(len(d.regions))*time.Second/probesPerSecond)
+	interval := max(minCheckInterval, time.Duration(len(d.regions))*time.Second/probesPerSecond)
 	var probes []Probe
 	for _, name := range slices.Sorted(maps.Keys(d.regions)) {
 		region := d.regions[name]
@@ -204,7 +204,7 @@
 	if region.roundTrip == 0 {
 		region.roundTrip = roundTrip
 	}
-	region.roundTrip += time.Duration(roundTripWeight * float64(roundTrip-region.roundTrip))
+	region.roundTrip += time.Duration(tripWeight * float64(roundTrip-region.roundTrip))
 	zone.prove(probe.sentAt)
 }
 
@@ -271,5 +271,5 @@
 	if r.roundTrip == 0 {
 		return initialAnswerTimeout
 	}
-	return max(minAnswerTimeout, time.Duration(roundTripsToTimeout*float64(r.roundTrip)))
+	return max(minAnswerTimeout, time.Duration(tripsToTimeout*float64(r.roundTrip)))
 }
--- a/internal/serving/wal/log.go
+++ b/internal/serving/wal/log.go
@@ -9,7 +9,8 @@
 	"willowdeck/internal/serving/wirepb"
 )
 
-// ErrCorrupted is returned by Open for a disk that has lost acknowledged data. OpenReplica discards such a log.
+// ErrCorrupted is returned by Open for a disk that has lost acknowledged data. OpenReplica discards such a
+// log.
 var ErrCorrupted = errors.New(
 	"log is corrupted before its end: its replica joins anew under another identity; check the disk")
 
--- a/internal/simadapter/adapter.go
+++ b/internal/simadapter/adapter.go
@@ -260,7 +260,7 @@
 	}
 	in := &instance{number: number, names: settings.Names}
 	defer a.reportPanic(in)
-	in.gateway = policy.New(settings.Charter, int64(seed))
+	in.gateway = policy.New(settings.Policy, int64(seed))
 	a.instances[number] = in
 	a.activate(in)
 	return nil
--- a/internal/supervisor/cluster_fault_test.go
+++ b/internal/supervisor/cluster_fault_test.go
@@ -129,7 +129,7 @@
 
 // partition cuts hosts and their instances off from all others, in both directions; heal ends that.
 func (trial *clusterTrial) partition(hosts ...*testHost) { trial.setLinks(hosts, faultinject.Silent) }
-func (trial *clusterTrial) heal(hosts ...*testHost)      { trial.setLinks(hosts, faultinject.Whole) }
+func (trial *clusterTrial) heal(hosts ...*testHost)      { trial.setLinks(hosts, faultinject.Connected) }
 
 // setLinks sets the state of all links between some hosts and the others.
 func (trial *clusterTrial) setLinks(hosts []*testHost, cut faultinject.Cut) {
@@ -941,7 +941,7 @@
 	}
 	for _, e := range record.Events {
 		for _, r := range proposed {
-			if e.Kind == history.Decided && e.Says == "" && e.Mark == raftlog.RulesDigest(&r) {
+			if e.Kind == history.Decided && e.Says == "" && e.Digest == raftlog.RulesDigest(&r) {
 				rules[e.Version] = r
 			}
 		}
--- a/internal/supervisor/cluster_test.go
+++ b/internal/supervisor/cluster_test.go
@@ -168,7 +168,7 @@
 func (c *testCluster) placeMember(name string) {
 	for _, member := range c.rules.Members {
 		if member.Name == name {
-			c.network.Place(name, netip.MustParseAddrPort(member.Peers))
+			c.network.SetAddress(name, netip.MustParseAddrPort(member.Peers))
 		}
 	}
 }
@@ -217,7 +217,7 @@
 }
 
 // councilStatus returns /fleet/council of a host's daemon; false if it does not answer.
-func (h *testHost) councilStatus() (status CouncilStatus, ok bool) {
+func (h *testHost) councilStatus() (status RaftGroupStatus, ok bool) {
 	page, err := faultinject.Ask(h.controlAddress, "/fleet/council")
 	return status, err == nil && json.Unmarshal([]byte(page), &status) == nil
 }
--- a/internal/supervisor/control.go
+++ b/internal/supervisor/control.go
@@ -59,7 +59,7 @@
 		mux.Handle("POST "+lifecycle.UpdatePath, relay.NewHandler(d.answerUpdateRequest))
 	}
 	if d.rules != nil && d.rules.voter != nil {
-		mux.HandleFunc("GET /fleet/council", d.handleCouncilStatus)
+		mux.HandleFunc("GET /fleet/council", d.handleRaftGroupStatus)
 		mux.HandleFunc("GET /fleet/rules", d.handleRules)
 		mux.HandleFunc("GET /relay/status", d.handleRelayStatus)
 	}
@@ -116,14 +116,14 @@
 	return text.String()
 }
 
-// CouncilStatus is the status of the raft group and of the ruleset, as /fleet/council shows it.
-type CouncilStatus struct {
+// RaftGroupStatus is the status of the raft group and of the ruleset, as /fleet/council shows it.
+type RaftGroupStatus struct {
 	raftlog.Status
 	Rules raftlog.ActivationStatus `json:"rules"`
 }
 
-func (d *Daemon) handleCouncilStatus(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, CouncilStatus{d.rules.voter.Status(), d.rules.voter.ActivationStatus()})
+func (d *Daemon) handleRaftGroupStatus(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, RaftGroupStatus{d.rules.voter.Status(), d.rules.voter.ActivationStatus()})
 }
 
 // handleRules answers with the version in force as a rules file, for operators who change it.
--- a/internal/supervisor/forecast_collector_test.go
+++ b/internal/supervisor/forecast_collector_test.go
@@ -24,7 +24,7 @@
 		Host: "there", Region: "east",
 		Group: "all", Index: number, Incarnation: 4, Sequence: 9, MeasuredAtMillis: time.Now().UnixMilli(),
 		SpanMillis: 10000,
-		Charter: policy.Settings{GatewayCount: 3, Products: []policy.Product{{LatencyTargetMillis: 500, Value: 1}},
+		Settings: policy.Settings{GatewayCount: 3, Products: []policy.Product{{LatencyTargetMillis: 500, Value: 1}},
 			Plans: []policy.Plan{{QuotaPerSecond: 10, QuotaBurst: 10, ValueFactor: 1}}},
 		Products: []string{"check"}, Plans: []string{"basic"}, Flows: make([]forecast.Flow, 1),
 		Customers: make([]policy.PlanSnapshot, 1)}
--- a/internal/supervisor/forecast_test.go
+++ b/internal/supervisor/forecast_test.go
@@ -93,7 +93,7 @@
 	at := func(i int) string { return fmt.Sprintf("127.0.0.1:%d", basePort+i) }
 	for i := range gatewayCount {
 		names = append(names, fmt.Sprintf("g%d", i))
-		r.network.Place(names[i], netip.MustParseAddrPort(at(2*gatewayCount+i)))
+		r.network.SetAddress(names[i], netip.MustParseAddrPort(at(2*gatewayCount+i)))
 		r.targets = append(r.targets, at(i))
 	}
 	var adminAddresses [3][]string
--- a/internal/supervisor/golden_council_test.go
+++ b/internal/supervisor/golden_council_test.go
@@ -95,7 +95,7 @@
 		FirstListen:    "127.0.0.1:7200",
 		FirstAdmin:     "127.0.0.1:7300",
 		GatewayConfig:  filepath.Join(dir, "gatekeeper.toml"),
-		Council:        &CouncilSettings{HostName: "h9"},
+		Council:        &RaftGroupSettings{HostName: "h9"},
 	}
 	if err := os.WriteFile(file.GatewayConfig, nil, 0o600); err != nil {
 		t.Fatal(err)
@@ -165,8 +165,8 @@
 		TransitionComplete: true, Pending: &pending, AgeMillis: 12.5}, err)
 }
 
-func goldenCouncilStatus() CouncilStatus {
-	return CouncilStatus{
+func goldenCouncilStatus() RaftGroupStatus {
+	return RaftGroupStatus{
 		Status: raftlog.Status{State: "member", Reason: "why", HostName: "h1", DiskID: "a1", GroupID: "c",
 			LeaderName: "h2",
 			Term:       3, AppliedIndex: 44, Hosts: []raftlog.HostStatus{{Name: "h2", Address: "10.0.0.2:9000",
@@ -178,7 +178,7 @@
 }
 
 func TestGoldenCouncilStatus(t *testing.T) {
-	var got CouncilStatus
+	var got RaftGroupStatus
 	err := json.Unmarshal(readGoldenCouncilFile(t, "sitting.json"), &got)
 	checkGoldenCouncilValue(t, "sitting.json", got, goldenCouncilStatus(), err)
 	raw, err := json.MarshalIndent(goldenCouncilStatus(), "", " ")
@@ -198,7 +198,7 @@
 		t,
 		"council",
 		f.Council,
-		&CouncilSettings{HostName: "h1", RaftListen: "10.0.0.1:9000",
+		&RaftGroupSettings{HostName: "h1", RaftListen: "10.0.0.1:9000",
 			StorePath: "council.db", RulesPath: "rules.toml", BootstrapCluster: true, RelayListen: "10.0.0.1:9100",
 			Hosts: []struct{ Name, Address string }{{"h1", "10.0.0.1:9000"}, {"h2", "10.0.0.2:9000"}}},
 		nil,
--- a/internal/supervisor/process.go
+++ b/internal/supervisor/process.go
@@ -69,7 +69,7 @@
 	process.StartTime = processStartTime(process.PID)
 	d.processes[number] = process
 	d.recordStart(process, false)
-	if err := d.writeNote(process); err != nil {
+	if err := d.writeProcessRecord(process); err != nil {
 		d.log.Warn().Err(err).Msg("note of the instance process not written: the next daemon will not adopt it")
 		if d.rules != nil { // and the next daemon would report steps as seen that this process does not hold
 			_ = cmd.Process.Kill()
@@ -155,7 +155,7 @@
 		return err
 	}
 	process.Config, process.reloading = slot.instance.Config, true
-	if err := d.writeNote(process); err != nil {
+	if err := d.writeProcessRecord(process); err != nil {
 		d.log.Warn().Err(err).
 			Msg("note of the instance process not updated: the next daemon will adopt it with its old configuration")
 	}
@@ -182,7 +182,7 @@
 	if d.rules != nil {
 		d.rules.ProcessExited(process.PID)
 	}
-	_ = os.Remove(d.notePath(process))
+	_ = os.Remove(d.processRecordPath(process))
 	d.reconciler.ProcessEnded(process.Instance, process.number)
 }
 
--- a/internal/supervisor/rundir.go
+++ b/internal/supervisor/rundir.go
@@ -28,18 +28,18 @@
 	return replaceFile(d.gatewayConfigPath(name), config)
 }
 
-// notePath is the path of a process's note.
-func (d *Daemon) notePath(process *processRecord) string {
+// processRecordPath is the path of a process's note.
+func (d *Daemon) processRecordPath(process *processRecord) string {
 	return filepath.Join(d.settings.RunDir, fmt.Sprintf("%s.%d.run", process.Instance, process.PID))
 }
 
-// writeNote writes the note by which the next daemon adopts a process.
-func (d *Daemon) writeNote(process *processRecord) error {
+// writeProcessRecord writes the note by which the next daemon adopts a process.
+func (d *Daemon) writeProcessRecord(process *processRecord) error {
 	raw, err := json.Marshal(process)
 	if err != nil {
 		return err
 	}
-	return replaceFile(d.notePath(process), raw)
+	return replaceFile(d.processRecordPath(process), raw)
 }
 
 // writeAppliedRules writes the version whose instances the next daemon starts with, durably: that daemon may
--- a/internal/supervisor/settings.go
+++ b/internal/supervisor/settings.go
@@ -58,8 +58,8 @@
 	Region            string           `toml:"hall"`
 	Forecast          ForecastSettings `toml:"outlook"`
 
-	Council *CouncilSettings `toml:"council"` // this host is a voter on the ruleset; nil: it is not
-	Relay   *RelaySettings   `toml:"relay"`   // this host subscribes to the ruleset; nil: it does not
+	Council *RaftGroupSettings `toml:"council"` // this host is a voter on the ruleset; nil: it is not
+	Relay   *RelaySettings     `toml:"relay"`   // this host subscribes to the ruleset; nil: it does not
 	// AddressOverrides are, by instance's name and for the raft group by raftOverridesKey, the addresses to
 	// use in place of others (HOST:PORT to HOST:PORT).
 	AddressOverrides map[string]map[string]string `toml:"reach"`
--- a/internal/supervisor/settings_rules.go
+++ b/internal/supervisor/settings_rules.go
@@ -23,8 +23,8 @@
 	maxUpstreams = 16
 )
 
-// CouncilSettings are the settings of a host that is a voter of the raft group.
-type CouncilSettings struct {
+// RaftGroupSettings are the settings of a host that is a voter of the raft group.
+type RaftGroupSettings struct {
 	HostName   string `toml:"me"`     // this host among Hosts
 	RaftListen string `toml:"listen"` // HOST:PORT for the other voters
 	StorePath  string `toml:"store"`  // file of the raft log
@@ -119,7 +119,7 @@
 }
 
 // raftHosts checks the hosts of the raft group, of which this one has to be one.
-func (c *CouncilSettings) raftHosts() ([]raftlog.Host, error) {
+func (c *RaftGroupSettings) raftHosts() ([]raftlog.Host, error) {
 	var hosts []raftlog.Host
 	names, addresses := map[string]bool{}, map[string]bool{}
 	for i, host := range c.Hosts {
--- a/internal/supervisor/subscription_test.go
+++ b/internal/supervisor/subscription_test.go
@@ -701,13 +701,13 @@
 				known++
 			}
 		}
-		if g.Charter.GatewayCount != n || g.Charter.GatewayIndex != i ||
+		if g.Policy.GatewayCount != n || g.Policy.GatewayIndex != i ||
 			known != perHost+2*distribution.RingRadius ||
 			in.ListenAddress != fmt.Sprintf("127.0.0.10:%d", 2002+i) {
 			t.Errorf(
 				"position %d of %d at %s, %d known",
-				g.Charter.GatewayIndex,
-				g.Charter.GatewayCount,
+				g.Policy.GatewayIndex,
+				g.Policy.GatewayCount,
 				in.ListenAddress,
 				known,
 			)
--- a/internal/testkit/faultinject/acts.go
+++ b/internal/testkit/faultinject/acts.go
@@ -13,7 +13,7 @@
 // The verbs.
 const (
 	Sever   Verb = "cut"     // Whom to To, as How says
-	Mend    Verb = "heal"    // Whom to To
+	Heal    Verb = "heal"    // Whom to To
 	Bend    Verb = "shape"   // Whom to To, as Shape says
 	Halt    Verb = "stall"   // Whom
 	Go      Verb = "resume"  // Whom
@@ -25,13 +25,13 @@
 
 // Act is one thing that is done at a moment.
 type Act struct {
-	At       int // ms from the schedule's start
-	Do       Verb
-	Whom, To string
-	How      Cut
-	Shape    Shape
-	Damage   Damage
-	Room     int64
+	At             int // ms from the schedule's start
+	Do             Verb
+	Whom, To       string
+	How            Cut
+	Shape          Shape
+	Damage         Damage
+	FileLimitBytes int64
 }
 
 // String returns the act as one line.
@@ -48,7 +48,7 @@
 	case Spoil:
 		s += fmt.Sprintf(", %s, %d bytes, seed %d", a.Damage.What, a.Damage.Bytes, a.Damage.Seed)
 	case Bound:
-		s += fmt.Sprintf(", %d bytes", a.Room)
+		s += fmt.Sprintf(", %d bytes", a.FileLimitBytes)
 	}
 	return s
 }
@@ -62,9 +62,9 @@
 
 // processState is the faults of a process at a moment.
 type processState struct {
-	down, stalled bool
-	room          int64
-	damage        []Damage // that begins now
+	down, stalled  bool
+	fileLimitBytes int64
+	damage         []Damage // that begins now
 }
 
 // faultState is all faults at a moment. What it does not name has none.
@@ -102,11 +102,11 @@
 				p.damage = append(p.damage, step.Damage)
 			}
 		case Fills:
-			if p.room == 0 || step.Room < p.room {
-				p.room = step.Room
+			if p.fileLimitBytes == 0 || step.FileLimitBytes < p.fileLimitBytes {
+				p.fileLimitBytes = step.FileLimitBytes
 			}
 		}
-		if p.down || p.stalled || p.room > 0 {
+		if p.down || p.stalled || p.fileLimitBytes > 0 {
 			t.processes[step.Whom[0]] = p
 		}
 	}
@@ -140,8 +140,8 @@
 	for _, l := range slices.SortedFunc(maps.Keys(union(old.cuts, now.cuts)), link.compare) {
 		if how := now.cuts[l]; how == old.cuts[l] {
 			continue
-		} else if how == Whole {
-			all = append(all, Act{At: at, Do: Mend, Whom: l.from, To: l.to})
+		} else if how == Connected {
+			all = append(all, Act{At: at, Do: Heal, Whom: l.from, To: l.to})
 		} else {
 			all = append(all, Act{At: at, Do: Sever, Whom: l.from, To: l.to, How: how})
 		}
@@ -166,8 +166,8 @@
 		for _, d := range p.damage {
 			do(Act{Do: Spoil, Damage: d})
 		}
-		if p.room != o.room {
-			do(Act{Do: Bound, Room: p.room})
+		if p.fileLimitBytes != o.fileLimitBytes {
+			do(Act{Do: Bound, FileLimitBytes: p.fileLimitBytes})
 		}
 		if o.down && !p.down {
 			do(Act{Do: Restart})
--- a/internal/testkit/faultinject/limits.go
+++ b/internal/testkit/faultinject/limits.go
@@ -16,9 +16,9 @@
 	chunkBytes, maxChunks = 4 << 10, 64
 	// maxConnections is how many connections a stream has at once; one more is ended.
 	maxConnections = 1024
-	// defaultHoldBack is how long a reordered datagram is held back where a Shape names no time: at gossip's
+	// defaultReorderDelay is how long a reordered datagram is held back where a Shape names no time: at gossip's
 	// rate a few later ones overtake it.
-	defaultHoldBack = 20 * time.Millisecond
+	defaultReorderDelay = 20 * time.Millisecond
 	// dialTimeout bounds a relay's own dial: on loopback one that is not established by then never will be.
 	dialTimeout = 2 * time.Second
 	// pollInterval is how often a condition that is waited for is checked.
--- a/internal/testkit/faultinject/play.go
+++ b/internal/testkit/faultinject/play.go
@@ -90,7 +90,7 @@
 	switch a.Do {
 	case Sever:
 		return p.Stage.Cut(a.Whom, a.To, a.How)
-	case Mend:
+	case Heal:
 		return p.Stage.Heal(a.Whom, a.To)
 	case Bend:
 		return p.Stage.Shape(a.Whom, a.To, a.Shape)
@@ -105,7 +105,7 @@
 	case Restart:
 		return p.Stage.Restart(a.Whom)
 	default:
-		return p.Stage.Limit(a.Whom, a.Room)
+		return p.Stage.Limit(a.Whom, a.FileLimitBytes)
 	}
 }
 
