--- a/internal/testkit/faultinject/process.go
+++ b/internal/testkit/faultinject/process.go
@@ -83,27 +83,27 @@
 
 // Spec is how a process is started.
 type Spec struct {
-	Name    string
-	Program string // a path; where empty, willowdeck
-	Args    []string
-	Env     []string // KEY=VALUE, beside the test's own environment
-	Dir     string   // where it starts and its output is kept; where empty, one of the test's
-	Room    int64    // bytes that a file of it may have; none where nought
+	Name           string
+	Program        string // a path; where empty, willowdeck
+	Args           []string
+	Env            []string // KEY=VALUE, beside the test's own environment
+	Dir            string   // where it starts and its output is kept; where empty, one of the test's
+	FileLimitBytes int64    // bytes that a file of it may have; none where nought
 }
 
 // Process is a process of a real program, over several lives. When the test ends, it and all that descend
 // from it are ended.
 type Process struct {
-	Name string
-	t    T
-	mark string // in the environment of it and all its descendants
-
-	mu    sync.Mutex
-	spec  Spec
-	cmd   *exec.Cmd
-	done  chan struct{} // closed once this life's process has been reaped, and before the first
-	says  *words        // of this life
-	lives int
+	Name           string
+	t              T
+	environmentTag string // in the environment of it and all its descendants
+
+	mu           sync.Mutex
+	spec         Spec
+	cmd          *exec.Cmd
+	done         chan struct{}  // closed once this life's process has been reaped, and before the first
+	says         *outputCounter // of this life
+	incarnations int
 }
 
 // Errors of a Process.
@@ -122,7 +122,7 @@
 		spec.Dir = t.TempDir()
 	}
 	p := &Process{Name: spec.Name, t: t, spec: spec, done: make(chan struct{}),
-		mark: fmt.Sprintf("WILLOWDECK_RIG=%d.%s.%d", os.Getpid(), spec.Name, rand.Int63())}
+		environmentTag: fmt.Sprintf("WILLOWDECK_RIG=%d.%s.%d", os.Getpid(), spec.Name, rand.Int63())}
 	close(p.done)
 	t.Cleanup(p.end)
 	if err := p.Restart(nil); err != nil {
@@ -169,7 +169,7 @@
 	if err := <-started; err != nil {
 		return err
 	}
-	p.lives++
+	p.incarnations++
 	done := make(chan struct{})
 	p.cmd, p.done = cmd, done
 	go func() {
@@ -180,11 +180,11 @@
 		}
 		close(done)
 	}()
-	if p.spec.Room > 0 {
+	if p.spec.FileLimitBytes > 0 {
 		if err := stopped(cmd.Process.Pid); err != nil {
 			return err
 		}
-		if err := limit(cmd.Process.Pid, p.spec.Room); err != nil {
+		if err := limit(cmd.Process.Pid, p.spec.FileLimitBytes); err != nil {
 			return err
 		}
 		return syscall.Kill(cmd.Process.Pid, syscall.SIGCONT)
@@ -192,15 +192,15 @@
 	return nil
 }
 
-// command returns the command of the next incarnation, whose output goes to out. One with a limit of its files
-// stops before it begins, so that the limit is there before its first write.
+// command returns the command of the next incarnation, whose output goes to out. One with a limit of its
+// files stops before it begins, so that the limit is there before its first write.
 func (p *Process) command(out *os.File) *exec.Cmd {
 	cmd := exec.Command(p.spec.Program, p.spec.Args...)
-	if p.spec.Room > 0 {
+	if p.spec.FileLimitBytes > 0 {
 		cmd = exec.Command("/bin/sh", append([]string{"-c", "kill -STOP $$; exec \"$@\"", "sh",
 			p.spec.Program}, p.spec.Args...)...)
 	}
-	cmd.Env = append(append(os.Environ(), p.spec.Env...), p.mark)
+	cmd.Env = append(append(os.Environ(), p.spec.Env...), p.environmentTag)
 	cmd.Dir, cmd.Stdout, cmd.Stderr = p.spec.Dir, out, out
 	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
 	return cmd
@@ -222,7 +222,7 @@
 		_, _, _ = log.Close(), from.Close(), to.Close()
 		return nil, nil, err
 	}
-	w := &words{from: raw, log: log}
+	w := &outputCounter{from: raw, log: log}
 	p.says = w
 	over := make(chan struct{})
 	go func() {
@@ -233,15 +233,15 @@
 	return to, over, nil
 }
 
-// words is what a life writes, on its way to the log.
-type words struct {
+// outputCounter is what a life writes, on its way to the log.
+type outputCounter struct {
 	from syscall.RawConn
 	mu   sync.Mutex
 	log  *os.File
 }
 
 // take takes what there is, and tells whether that was the last.
-func (w *words) take(fd uintptr) (over bool) {
+func (w *outputCounter) take(fd uintptr) (over bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for b := make([]byte, 4096); ; {
@@ -260,7 +260,7 @@
 func (p *Process) Limit(room int64) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.spec.Room = room
+	p.spec.FileLimitBytes = room
 	return p.signalled(func(pid int) error { return limit(pid, room) })
 }
 
@@ -386,11 +386,11 @@
 	return p.cmd.Process.Pid
 }
 
-// Lives tells how often it has been started.
-func (p *Process) Lives() int {
+// Incarnations tells how often it has been started.
+func (p *Process) Incarnations() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.lives
+	return p.incarnations
 }
 
 // Dir gives where it starts, and where its output is kept.
@@ -420,7 +420,7 @@
 		}
 	}
 	for end := time.Now().Add(exitTimeout); ; time.Sleep(pollInterval) {
-		all := marked(p.mark)
+		all := marked(p.environmentTag)
 		if len(all) == 0 {
 			return
 		}
--- a/internal/testkit/faultinject/process_test.go
+++ b/internal/testkit/faultinject/process_test.go
@@ -71,7 +71,7 @@
 		t.Fatal(err)
 	}
 	if !p.Wait(5*time.Second) || p.Exit().ExitCode() != 3 || !strings.HasSuffix(p.Output(), "new\n") ||
-		p.Lives() != 2 {
+		p.Incarnations() != 2 {
 		t.Errorf("the second life: %v, %q", p.Exit(), p.Output())
 	}
 }
@@ -117,7 +117,7 @@
 		return -1
 	}
 	write := "trap '' XFSZ; while :; do printf '%100s' >>" + file + " 2>/dev/null; sleep 0.005; done"
-	p := Start(t, Spec{Name: "w", Program: "/bin/sh", Args: []string{"-c", write}, Room: 1050})
+	p := Start(t, Spec{Name: "w", Program: "/bin/sh", Args: []string{"-c", write}, FileLimitBytes: 1050})
 	Until(t, 5*time.Second, "full", func() bool { return long() == 1050 })
 	time.Sleep(50 * time.Millisecond)
 	if long() != 1050 {
@@ -139,7 +139,7 @@
 	var mark string
 	t.Run("inner", func(t *testing.T) {
 		p := script(t, "setsid sleep 300 & sleep 300 & wait")
-		mark = p.mark
+		mark = p.environmentTag
 		Until(t, 5*time.Second, "three run", func() bool { return len(marked(mark)) == 3 })
 		if err := p.Kill(); err != nil {
 			t.Error(err)
@@ -263,7 +263,7 @@
 	ports := Ports(t, 3*len(names))
 	at := func(i, j int) string { return fmt.Sprintf("127.0.0.1:%d", ports+3*i+j) }
 	for i, name := range names {
-		n.Place(name, netip.MustParseAddrPort(at(i, 0)))
+		n.SetAddress(name, netip.MustParseAddrPort(at(i, 0)))
 		d.control[name], d.at = at(i, 1), append(d.at, at(i, 2))
 	}
 	for i, name := range names {
@@ -423,7 +423,7 @@
 	d.talk()
 	lives := 0
 	for _, p := range d.rig.Processes {
-		lives += p.Lives()
+		lives += p.Incarnations()
 	}
 	if lives != len(names)+did[Restart] {
 		t.Errorf("%d lives after %d restarts", lives, did[Restart])
@@ -438,15 +438,15 @@
 	if err := d.rig.Disks["g0"].Spoil(Damage{What: Empty}); err != nil {
 		t.Fatal(err)
 	}
-	if err := g0.Restart(func(s *Spec) { s.Room = 4096 }); err != nil {
+	if err := g0.Restart(func(s *Spec) { s.FileLimitBytes = 4096 }); err != nil {
 		t.Fatal(err)
 	}
 	Until(t, 10*time.Second, "it says so", func() bool { // an operators' port answers before the start is over
 		return strings.Contains(g0.Output(), "nothing will survive a crash")
 	})
 	d.healthy()
-	if !g0.Running() || g0.Lives() != 2 {
-		t.Errorf("%v after %d lives", g0.Exit(), g0.Lives())
+	if !g0.Running() || g0.Incarnations() != 2 {
+		t.Errorf("%v after %d lives", g0.Exit(), g0.Incarnations())
 	}
 }
 
@@ -523,14 +523,14 @@
 	ended := 0
 	scenario := func(t T, s Schedule) {
 		p := Start(t, Spec{Name: "p", Program: "/bin/sh", Args: []string{"-c", "exec sleep 300"}})
-		marks = append(marks, p.mark)
+		marks = append(marks, p.environmentTag)
 		t.Cleanup(func() { ended++ })
 		rig := &Rig{Net: NewNet(t, s.Seed), Processes: map[string]*Process{"p": p}}
 		if err := (&Player{Stage: rig, Wait: atOnce}).Play(context.Background(), s); err != nil {
 			t.Errorf("%v", err)
 		}
-		if p.Lives() > 1 {
-			t.Fatalf("%d lives", p.Lives())
+		if p.Incarnations() > 1 {
+			t.Fatalf("%d lives", p.Incarnations())
 		}
 	}
 	s := Draw(1, Cast{Ends: names, Processes: []string{"p"}, Steps: 12}, 4000)
--- a/internal/testkit/faultinject/relay.go
+++ b/internal/testkit/faultinject/relay.go
@@ -17,10 +17,10 @@
 // The cuts. A connection that is made while either direction is cut does not come up: where the cut is Silent
 // it is accepted and nothing is said, until the heal.
 const (
-	Whole   Cut = iota
-	Silent      // datagrams vanish; bytes of connections are held, the connections stay open
-	Reset       // datagrams vanish; connections are reset, and each new one is
-	Refused     // datagrams vanish; connections are reset, and new ones are refused
+	Connected Cut = iota
+	Silent        // datagrams vanish; bytes of connections are held, the connections stay open
+	Reset         // datagrams vanish; connections are reset, and each new one is
+	Refused       // datagrams vanish; connections are reset, and new ones are refused
 )
 
 var cutNames = [...]string{"whole", "silent", "reset", "refused"}
@@ -51,33 +51,33 @@
 	t    T
 	seed int64
 
-	mu      sync.Mutex
-	places  map[string]netip.AddrPort // where ends take datagrams
-	ways    map[[2]string]*way
-	relays  map[[2]string]*relay
-	streams []*stream
-	closed  bool
+	mu        sync.Mutex
+	addresses map[string]netip.AddrPort // where ends take datagrams
+	ways      map[[2]string]*way
+	relays    map[[2]string]*relay
+	streams   []*stream
+	closed    bool
 }
 
 // NewNet makes links whose draws are made from the seed. They are closed when the test ends.
 func NewNet(t T, seed int64) *Net {
-	n := &Net{t: t, seed: seed, places: map[string]netip.AddrPort{}, ways: map[[2]string]*way{},
+	n := &Net{t: t, seed: seed, addresses: map[string]netip.AddrPort{}, ways: map[[2]string]*way{},
 		relays: map[[2]string]*relay{}}
 	t.Cleanup(n.Close)
 	return n
 }
 
-// Place says where an end takes datagrams and sends them from. It may change.
-func (n *Net) Place(name string, at netip.AddrPort) {
+// SetAddress sets where an end takes datagrams and sends them from. It may change.
+func (n *Net) SetAddress(name string, at netip.AddrPort) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.places[name] = at
+	n.addresses[name] = at
 }
 
-func (n *Net) place(name string) netip.AddrPort {
+func (n *Net) address(name string) netip.AddrPort {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.places[name]
+	return n.addresses[name]
 }
 
 // way is a direction.
@@ -123,11 +123,11 @@
 // Cut cuts the direction from one end to another. When it returns nothing passes any more.
 func (n *Net) Cut(from, to string, how Cut) {
 	n.change(from, to, func(w *way) { w.cut = how })
-	n.settle(from, to)
+	n.applyCuts(from, to)
 }
 
 // Heal ends a direction's cut. Its Shape stays.
-func (n *Net) Heal(from, to string) { n.Cut(from, to, Whole) }
+func (n *Net) Heal(from, to string) { n.Cut(from, to, Connected) }
 
 // Part cuts both directions between two.
 func (n *Net) Part(a, b string, how Cut) {
@@ -136,7 +136,7 @@
 }
 
 // Join heals both directions between two.
-func (n *Net) Join(a, b string) { n.Part(a, b, Whole) }
+func (n *Net) Join(a, b string) { n.Part(a, b, Connected) }
 
 // Shape says what a direction does to what comes from now on.
 func (n *Net) Shape(from, to string, s Shape) {
@@ -177,14 +177,14 @@
 func (w *way) draw(now time.Time, bytes int) (due, double time.Time) {
 	loss, twice, back, jitter := w.rng.Float64(), w.rng.Float64(), w.rng.Float64(), w.rng.Float64()
 	s := w.shape
-	if w.cut != Whole || loss < s.Loss {
+	if w.cut != Connected || loss < s.Loss {
 		return due, double
 	}
 	due = w.takes(now, bytes).Add(s.Delay + time.Duration(jitter*float64(s.Jitter)))
 	if back < s.Reorder {
 		w.counts.Back++
 		if due = due.Add(s.Back); s.Back == 0 {
-			due = due.Add(defaultHoldBack)
+			due = due.Add(defaultReorderDelay)
 		}
 	} else {
 		if due.Before(w.last) {
@@ -252,7 +252,7 @@
 func (n *Net) Peers(me string, all []string) (list []string) {
 	n.t.Helper()
 	for _, name := range all {
-		at := n.place(name)
+		at := n.address(name)
 		if name != me {
 			at, _ = n.Datagrams(me, name)
 		}
@@ -275,7 +275,7 @@
 			}
 			continue
 		}
-		known := n.place(s.end) == from
+		known := n.address(s.end) == from
 		now, w := time.Now(), s.way
 		w.mu.Lock()
 		if !known {
@@ -318,7 +318,7 @@
 		case <-s.kick:
 		case <-t.C:
 		}
-		to := n.place(s.other.end)
+		to := n.address(s.other.end)
 		w := s.way
 		w.mu.Lock()
 		for len(s.queue) > 0 {
@@ -327,7 +327,7 @@
 				break
 			}
 			d := heap.Pop(&s.queue).(flying)
-			if w.cut != Whole || !to.IsValid() {
+			if w.cut != Connected || !to.IsValid() {
 				w.counts.Lost++
 			} else if _, err := s.other.conn.WriteToUDPAddrPort(d.bytes, to); err != nil {
 				w.counts.Lost++
@@ -342,7 +342,7 @@
 // flying is a datagram on its way.
 type flying struct {
 	due   time.Time
-	place uint64 // of its coming: one that is due with another keeps its order
+	order uint64 // of its coming: one that is due with another keeps its order
 	bytes []byte
 }
 
@@ -353,7 +353,7 @@
 func (f flight) Swap(i, j int) { f[i], f[j] = f[j], f[i] }
 func (f flight) Less(i, j int) bool {
 	if f[i].due.Equal(f[j].due) {
-		return f[i].place < f[j].place
+		return f[i].order < f[j].order
 	}
 	return f[i].due.Before(f[j].due)
 }
--- a/internal/testkit/faultinject/relay_test.go
+++ b/internal/testkit/faultinject/relay_test.go
@@ -35,7 +35,7 @@
 		c.SetReadBuffer(kernelBytes)
 		t.Cleanup(func() { c.Close() })
 		e.conn[name] = c
-		e.net.Place(name, c.LocalAddr().(*net.UDPAddr).AddrPort())
+		e.net.SetAddress(name, c.LocalAddr().(*net.UDPAddr).AddrPort())
 	}
 	return e
 }
@@ -150,7 +150,7 @@
 	if p := e.net.Peers("b", names); p[1] != e.conn["b"].LocalAddr().String() || len(p) != 4 || p[0] == p[2] {
 		t.Errorf("listed at b: %v", p)
 	}
-	e.net.Place("a", e.conn["c"].LocalAddr().(*net.UDPAddr).AddrPort())
+	e.net.SetAddress("a", e.conn["c"].LocalAddr().(*net.UDPAddr).AddrPort())
 	e.say("a", "b", 3)
 	if got, _ := e.hear("b", 0, 100*time.Millisecond); len(got) > 0 || e.net.Counts("a", "b").Strange != 3 {
 		t.Errorf("from where a was: %v, %+v", got, e.net.Counts("a", "b"))
--- a/internal/testkit/faultinject/schedule.go
+++ b/internal/testkit/faultinject/schedule.go
@@ -33,13 +33,13 @@
 
 // Step is a fault and its end.
 type Step struct {
-	At, Until int // ms from the schedule's start; the fault is undone at Until
-	What      Kind
-	Whom      []string
-	How       Cut    // of cuts, parts and splits
-	Shape     Shape  // of shapes
-	Damage    Damage // of spoils
-	Room      int64  // bytes, of full
+	At, Until      int // ms from the schedule's start; the fault is undone at Until
+	What           Kind
+	Whom           []string
+	How            Cut    // of cuts, parts and splits
+	Shape          Shape  // of shapes
+	Damage         Damage // of spoils
+	FileLimitBytes int64  // bytes, of full
 }
 
 // Schedule is what breaks and when, as data.
@@ -143,8 +143,8 @@
 		s.Damage = Damage{What: damages[rng.Intn(len(damages))], Bytes: int64(1 + rng.Intn(600)),
 			Seed: rng.Int63n(1e6)}
 	case Fills:
-		s.Room = int64(rng.Intn(64)) * 1024
-		s.Room = max(s.Room, 1) // nought would be no bound
+		s.FileLimitBytes = int64(rng.Intn(64)) * 1024
+		s.FileLimitBytes = max(s.FileLimitBytes, 1) // nought would be no bound
 	}
 }
 
@@ -175,7 +175,7 @@
 	}
 	switch step.What {
 	case Cuts, Parts, Splits:
-		if step.How == Whole {
+		if step.How == Connected {
 			return errors.New("how is missing")
 		}
 	case Shapes:
@@ -185,8 +185,8 @@
 			return fmt.Errorf("damage: %q of %d bytes", step.Damage.What, step.Damage.Bytes)
 		}
 	case Fills:
-		if step.Room <= 0 {
-			return fmt.Errorf("room: %d bytes", step.Room)
+		if step.FileLimitBytes <= 0 {
+			return fmt.Errorf("room: %d bytes", step.FileLimitBytes)
 		}
 	case Stalls, Crashes:
 	default:
@@ -245,7 +245,7 @@
 // String gives the step as a TOML table in one line.
 func (s Step) String() string {
 	b := fmt.Sprintf("{at = %d, until = %d, what = %q, whom = [%s]", s.At, s.Until, s.What, quoted(s.Whom))
-	if s.How != Whole {
+	if s.How != Connected {
 		b += fmt.Sprintf(", how = %q", s.How)
 	}
 	if s.Shape != (Shape{}) {
@@ -254,19 +254,19 @@
 	if d := s.Damage; d != (Damage{}) {
 		b += fmt.Sprintf(", damage = {what = %q, bytes = %d, seed = %d}", d.What, d.Bytes, d.Seed)
 	}
-	if s.Room != 0 {
-		b += fmt.Sprintf(", room = %d", s.Room)
+	if s.FileLimitBytes != 0 {
+		b += fmt.Sprintf(", room = %d", s.FileLimitBytes)
 	}
 	return b + "}"
 }
 
 // String gives what a Shape has beside its zero value, as TOML.
-func (s Shape) String() string {
+func (shape Shape) String() string {
 	var all []string
 	for _, f := range []struct {
 		name string
 		v    float64
-	}{{"loss", s.Loss}, {"double", s.Double}, {"reorder", s.Reorder}, {"rate", s.Rate}} {
+	}{{"loss", shape.Loss}, {"double", shape.Double}, {"reorder", shape.Reorder}, {"rate", shape.Rate}} {
 		if f.v != 0 {
 			all = append(all, f.name+" = "+strconv.FormatFloat(f.v, 'g', -1, 64))
 		}
@@ -274,7 +274,7 @@
 	for _, f := range []struct {
 		name string
 		v    time.Duration
-	}{{"back", s.Back}, {"delay", s.Delay}, {"jitter", s.Jitter}} {
+	}{{"back", shape.Back}, {"delay", shape.Delay}, {"jitter", shape.Jitter}} {
 		if f.v != 0 {
 			all = append(all, fmt.Sprintf("%s = %q", f.name, f.v))
 		}
--- a/internal/testkit/faultinject/schedule_test.go
+++ b/internal/testkit/faultinject/schedule_test.go
@@ -53,13 +53,13 @@
 
 func (m *model) Cut(a, b string, how Cut) error {
 	m.cuts[link{a, b}] = how
-	return m.do(how != Whole, "cut %s %s %v", a, b, how)
+	return m.do(how != Connected, "cut %s %s %v", a, b, how)
 }
 
 func (m *model) Heal(a, b string) error {
 	was := m.cuts[link{a, b}]
 	delete(m.cuts, link{a, b})
-	return m.do(was != Whole, "heal %s %s", a, b)
+	return m.do(was != Connected, "heal %s %s", a, b)
 }
 
 func (m *model) Shape(a, b string, s Shape) error {
--- a/internal/testkit/faultinject/shrink.go
+++ b/internal/testkit/faultinject/shrink.go
@@ -28,8 +28,8 @@
 	left   int // replays
 }
 
-// try takes a schedule up that still breaks.
-func (x *shrinker) try(s Schedule) bool {
+// attempt takes a schedule up that still breaks.
+func (x *shrinker) attempt(s Schedule) bool {
 	if x.left <= 0 || s.Check() != nil {
 		return false
 	}
@@ -47,7 +47,7 @@
 		for i := 0; i < len(x.best.Steps); {
 			s := x.best
 			s.Steps = slices.Delete(slices.Clone(s.Steps), i, min(i+run, len(s.Steps)))
-			if x.try(s) {
+			if x.attempt(s) {
 				smaller = true
 			} else {
 				i += run
@@ -69,7 +69,7 @@
 		s.Steps[i].At -= first
 		s.Steps[i].Until -= first
 	}
-	return first > 0 && len(s.Steps) > 0 && x.try(s)
+	return first > 0 && len(s.Steps) > 0 && x.attempt(s)
 }
 
 // change tries what a change makes of a step.
@@ -77,7 +77,7 @@
 	s := x.best
 	s.Steps = slices.Clone(s.Steps)
 	f(&s.Steps[i])
-	return s.Steps[i].String() != x.best.Steps[i].String() && x.try(s)
+	return s.Steps[i].String() != x.best.Steps[i].String() && x.attempt(s)
 }
 
 // step makes a step smaller: it goes as far as it can at once, else half the way, as long as that breaks.
@@ -124,6 +124,6 @@
 	s := x.best
 	calm := int(float64(s.Span) * quietFraction)
 	if s.Span = last(s) + calm; s.Span < x.best.Span {
-		x.try(s)
+		x.attempt(s)
 	}
 }
--- a/internal/testkit/faultinject/stream.go
+++ b/internal/testkit/faultinject/stream.go
@@ -40,8 +40,8 @@
 	return s.listen
 }
 
-// Aim changes where a stream's new connections go.
-func (n *Net) Aim(listen, target string) {
+// Retarget changes where a stream's new connections go.
+func (n *Net) Retarget(listen, target string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, s := range n.streams {
@@ -53,8 +53,8 @@
 	}
 }
 
-// settle has the streams between two do what the cuts say.
-func (n *Net) settle(a, b string) {
+// applyCuts has the streams between two do what the cuts say.
+func (n *Net) applyCuts(a, b string) {
 	n.mu.Lock()
 	var all []*stream
 	for _, s := range n.streams {
@@ -64,7 +64,7 @@
 	}
 	n.mu.Unlock()
 	for _, s := range all {
-		s.settle()
+		s.applyCuts()
 	}
 }
 
@@ -75,7 +75,7 @@
 	return max(there, back), a, b
 }
 
-func (s *stream) settle() {
+func (s *stream) applyCuts() {
 	s.mu.Lock()
 	cut, _, _ := s.worst()
 	var drop []*pipe
@@ -219,7 +219,7 @@
 		if cut >= Reset {
 			return
 		}
-		if cut == Whole {
+		if cut == Connected {
 			break
 		}
 		select {
@@ -311,11 +311,11 @@
 	for {
 		cut, changed := w.now()
 		wait := time.Until(due)
-		if cut == Whole && wait <= 0 {
+		if cut == Connected && wait <= 0 {
 			return true
 		}
 		var at <-chan time.Time
-		if cut == Whole {
+		if cut == Connected {
 			at = time.After(wait)
 		}
 		select {
--- a/internal/testkit/history/check.go
+++ b/internal/testkit/history/check.go
@@ -52,16 +52,16 @@
 // String gives an event in one line, without what it does not speak of.
 func (e Event) String() string {
 	var s strings.Builder
-	fmt.Fprintf(&s, "%.3f ms %s life %d #%d %s", millis(e.At), e.Who, e.Life, e.Seq, e.Kind)
+	fmt.Fprintf(&s, "%.3f ms %s life %d #%d %s", millis(e.At), e.Who, e.Incarnation, e.Seq, e.Kind)
 	for _, f := range []struct {
 		name string
 		what any
 		has  bool
-	}{{"version", e.Version, e.Version != 0}, {"base", e.Base, e.Base != 0}, {"mark", e.Mark, e.Mark != ""},
+	}{{"version", e.Version, e.Version != 0}, {"base", e.Base, e.Base != 0}, {"mark", e.Digest, e.Digest != ""},
 		{"mode", e.Mode, e.Mode != ""}, {"txn", e.Txn, e.Txn != ""}, {"customer", e.Customer, e.Customer != 0},
 		{"plan", e.Plan, e.Plan != ""}, {"product", e.Product, e.Product != ""},
 		{"worker", e.Worker, e.Worker != ""}, {"peer", e.Peer, e.Peer != ""},
-		{"peer's life", e.PeerLife, e.PeerLife != 0}, {"units", e.Units, e.Units != 0},
+		{"peer's life", e.PeerIncarnation, e.PeerIncarnation != 0}, {"units", e.Units, e.Units != 0},
 		{"serial", e.Serial, e.Serial != 0}, {"expiry", millis(e.Expiry), e.Expiry != 0},
 		{"age", e.Age, e.Age != 0},
 		{"says", e.Says, e.Says != ""}} {
@@ -100,7 +100,7 @@
 	l := incarnations{map[string][]incarnation{}, map[incarnation]int64{}, map[incarnation]int64{},
 		map[incarnation]bool{}}
 	for _, e := range r.Events {
-		here := incarnation{e.Who, e.Life}
+		here := incarnation{e.Who, e.Incarnation}
 		if _, known := l.firstAt[here]; !known {
 			l.firstAt[here] = e.At
 			l.byProcess[e.Who] = append(l.byProcess[e.Who], here)
@@ -131,9 +131,9 @@
 	return l.lastAt[o] <= at && (l.exited[o] || l.byProcess[o.process][len(l.byProcess[o.process])-1] != o)
 }
 
-// HeardTwice finds messages (peer, its incarnation, serial) that one incarnation of a process accepted more
-// than once. Another incarnation of it has forgotten what the last one received, and may.
-func HeardTwice(r Record) Result {
+// ReceivedTwice finds messages (peer, its incarnation, serial) that one incarnation of a process accepted
+// more than once. Another incarnation of it has forgotten what the last one received, and may.
+func ReceivedTwice(r Record) Result {
 	type message struct {
 		by, from incarnation
 		serial   uint64
@@ -141,14 +141,14 @@
 	var f Result
 	heard := map[message]int{}
 	for i, e := range r.Events {
-		if e.Kind != Heard {
+		if e.Kind != Received {
 			continue
 		}
 		f.Seen++
-		m := message{incarnation{e.Who, e.Life}, incarnation{e.Peer, e.PeerLife}, e.Serial}
+		m := message{incarnation{e.Who, e.Incarnation}, incarnation{e.Peer, e.PeerIncarnation}, e.Serial}
 		if first, twice := heard[m]; twice {
 			f.violate(e.At, []Event{r.Events[first], e}, "%s believes message %d of %s's life %d again", e.Who,
-				e.Serial, e.Peer, e.PeerLife)
+				e.Serial, e.Peer, e.PeerIncarnation)
 			continue
 		}
 		heard[m] = i
--- a/internal/testkit/history/check_test.go
+++ b/internal/testkit/history/check_test.go
@@ -43,8 +43,8 @@
 	if p.now = at; p.lives[who] == 0 {
 		p.lives[who] = 1
 	}
-	e.At, e.Who, e.Life = nanos(at), who, p.lives[who]
-	l := incarnation{who, e.Life}
+	e.At, e.Who, e.Incarnation = nanos(at), who, p.lives[who]
+	l := incarnation{who, e.Incarnation}
 	p.places[l]++
 	e.Seq = p.places[l]
 	p.events = append(p.events, e)
@@ -64,7 +64,8 @@
 
 // units adds an entry of the ledger of customer 1.
 func (p *play) units(at float64, who string, k Kind, units float64, peer string, serial uint64) {
-	p.by(at, who, Event{Kind: k, Units: units, Peer: peer, Serial: serial, Customer: 1, PeerLife: p.lives[peer]})
+	p.by(at, who, Event{Kind: k, Units: units, Peer: peer, Serial: serial, Customer: 1,
+		PeerIncarnation: p.lives[peer]})
 }
 
 func (p *play) came(at float64, txn string, units float64) {
@@ -83,7 +84,7 @@
 func (p *play) many(n int) {
 	for at, e := range []Event{{Who: "cl", Kind: Asks, Peer: "a", Product: "pay", Plan: "p", Customer: 1,
 		Units: 1, Expiry: nanos(1000)}, {Who: "a", Kind: Sends, Worker: "w"},
-		{Who: "cl", Kind: Ends, Says: Settled}} {
+		{Who: "cl", Kind: Ends, Says: Succeeded}} {
 		for i := range n {
 			e.Txn = fmt.Sprint("t", i)
 			p.by(2+float64(at), e.Who, e)
@@ -104,8 +105,8 @@
 	cast = Cast{Gatekeepers: []string{"a", "b"}, Workers: []string{"w", "v"}, Products: []string{"ask", "pay"},
 		Plans: []string{"p"}}
 	fiveRules = invariants.Rules{Products: []invariants.Product{{}, {Repeat: invariants.Once}},
-		Plans: []invariants.Plan{{Ceiling: 10, Depth: 5}}, Slack: 10, Grace: 250,
-		Capacity: 1, ColdFraction: 0.1, WarmUp: 3000, OverloadFactor: 0.01, OverloadWindow: 1000}
+		Plans: []invariants.Plan{{RateLimit: 10, Depth: 5}}, Slack: 10, Grace: 250,
+		Capacity: 1, WarmingFraction: 0.1, WarmUp: 3000, OverloadFactor: 0.01, OverloadWindow: 1000}
 )
 
 // line is 30 units, 10 by version 9.
@@ -138,9 +139,9 @@
 	},
 	"window": func(r Record) Result { return Window(r, Got, limit).Result },
 	"ceiling": func(r Record) Result {
-		return Ceiling(r, Got, func(Event) Limit { return Limit{10, 4} }, 100).Result
+		return RateLimit(r, Got, func(Event) Limit { return Limit{10, 4} }, 100).Result
 	},
-	"heard": HeardTwice,
+	"heard": ReceivedTwice,
 	"judge": func(r Record) Result {
 		j := CheckInvariants(r, cast, fiveRules)
 		if j.OddOf > 0 {
@@ -350,8 +351,8 @@
 		}},
 		{"versions", "one number, two contents", "not the same", func(p *play) {
 			takenBy(p)
-			p.by(40, "d", Event{Kind: ReportedInForce, Version: 1, Mark: "x"})
-			p.by(40, "b", Event{Kind: Acts, Version: 1, Mark: "y"})
+			p.by(40, "d", Event{Kind: ReportedInForce, Version: 1, Digest: "x"})
+			p.by(40, "b", Event{Kind: Acts, Version: 1, Digest: "y"})
 		}},
 
 		{"ledger", "handed, lent, repaid", "", func(p *play) {
@@ -419,7 +420,7 @@
 		{"ledger", "never repaid", "not repaid", func(p *play) {
 			rights(p)
 			p.units(1, "a", Lends, 5, "", 0)
-			p.by(9000, "a", Event{Kind: Heard})
+			p.by(9000, "a", Event{Kind: Received})
 		}},
 		{"ledger", "repaid after a stall", "", func(p *play) {
 			rights(p)
@@ -527,17 +528,17 @@
 
 		{"heard", "another life, another peer", "", func(p *play) {
 			for _, peer := range []string{"a", "b"} {
-				p.units(1, "c", Heard, 0, peer, 1)
+				p.units(1, "c", Received, 0, peer, 1)
 			}
 			p.born(2, "c")
-			p.units(3, "c", Heard, 0, "a", 1)
+			p.units(3, "c", Received, 0, "a", 1)
 			p.lives["a"] = 2
-			p.units(4, "c", Heard, 0, "a", 1)
+			p.units(4, "c", Received, 0, "a", 1)
 		}},
 		{"heard", "a datagram believed twice", "again", func(p *play) {
-			p.units(1, "c", Heard, 0, "a", 1)
-			p.units(2, "c", Heard, 0, "a", 2)
-			p.units(3, "c", Heard, 0, "a", 1)
+			p.units(1, "c", Received, 0, "a", 1)
+			p.units(2, "c", Received, 0, "a", 2)
+			p.units(3, "c", Received, 0, "a", 1)
 		}},
 
 		{"judge", "refused, sent again, run once", "", func(p *play) {
@@ -549,7 +550,7 @@
 			p.once(6, "a", Sends, 2, "")
 			p.once(7, "w", Ran, 2, "")
 			p.once(8, "a", AttemptEnded, 2, Answered)
-			p.once(9, "cl", Ends, 0, Settled)
+			p.once(9, "cl", Ends, 0, Succeeded)
 			p.by(2000, "cl", Event{Kind: Gone})
 		}},
 		{"judge", "a once-only run twice", "run 2 times", func(p *play) {
@@ -698,10 +699,10 @@
 		f.by(f.wait(0.01), worker, Event{Kind: Got, Txn: id, Peer: g, Version: f.version})
 		f.by(f.wait(0.01), worker, Event{Kind: Ran, Txn: id})
 		f.by(f.wait(1), g, Event{Kind: AttemptEnded, Txn: id, Worker: worker, Says: Answered})
-		f.by(f.wait(1), "cl", Event{Kind: Ends, Txn: id, Says: Settled})
+		f.by(f.wait(1), "cl", Event{Kind: Ends, Txn: id, Says: Succeeded})
 	case 4: // a message
 		f.messages++
-		f.units(f.wait(5), g, Heard, 0, f.pick("c", "d"), f.messages)
+		f.units(f.wait(5), g, Received, 0, f.pick("c", "d"), f.messages)
 	case 5: // a kill
 		f.rig(f.wait(50), Died, g)
 		f.born(f.wait(3000), g)
@@ -753,13 +754,13 @@
 	"contradiction": func(f *fleet) { // one goes on by the former version, which has another ceiling
 		f.acts(f.now+1, "a", 3, Leased)
 		f.acts(f.now, "b", 4, Leased)
-		f.by(f.now+1001, "a", Event{Kind: Heard, Serial: 1 << 40})
+		f.by(f.now+1001, "a", Event{Kind: Received, Serial: 1 << 40})
 	},
 	"ledger":       func(f *fleet) { i := f.some(Lends); f.events = slices.Delete(f.events, i, i+1) },
 	"ledger order": func(f *fleet) { f.again(Takes, func(*Event) {}) },
 	"window":       func(f *fleet) { f.again(Got, func(e *Event) { e.Txn, e.Customer, e.Units = "x", 1, 5.1 }) },
 	"ceiling":      func(f *fleet) { f.again(Got, func(e *Event) { e.Txn, e.Customer, e.Units = "x", 1, 5.1 }) },
-	"heard":        func(f *fleet) { f.again(Heard, func(*Event) {}) },
+	"heard":        func(f *fleet) { f.again(Received, func(*Event) {}) },
 	"judge":        func(f *fleet) { f.again(Ran, func(*Event) {}) },
 }
 
@@ -853,8 +854,8 @@
 		p.by(at, "w", Event{Kind: Got, Txn: id, Peer: g, Version: 1})
 		p.by(at, "w", Event{Kind: Ran, Txn: id})
 		p.by(at, g, Event{Kind: AttemptEnded, Txn: id, Worker: "w", Says: Answered})
-		p.by(at, "cl", Event{Kind: Ends, Txn: id, Says: Settled})
-		p.by(at, g, Event{Kind: Heard, Peer: "w", Serial: uint64(i)})
+		p.by(at, "cl", Event{Kind: Ends, Txn: id, Says: Succeeded})
+		p.by(at, g, Event{Kind: Received, Peer: "w", Serial: uint64(i)})
 		p.by(at, "d", Event{Kind: ReportedInForce, Version: 1, Age: 1})
 	}
 	by := map[string][]Event{}
--- a/internal/testkit/history/contradict.go
+++ b/internal/testkit/history/contradict.go
@@ -185,7 +185,7 @@
 }
 
 func (p *contradictionCheck) event(e Event) {
-	here := incarnation{e.Who, e.Life}
+	here := incarnation{e.Who, e.Incarnation}
 	a := p.actor(here)
 	switch e.Kind {
 	case Acts:
@@ -196,13 +196,13 @@
 			a.spans, a.open = append(a.spans, &span{Stance: s, began: e, from: e.At}), true
 		}
 	case Died:
-		d := p.actor(p.incarnations.resolve(e.Peer, e.PeerLife, e.At))
+		d := p.actor(p.incarnations.resolve(e.Peer, e.PeerIncarnation, e.At))
 		d.leave(e.At)
 		d.stalledSince = 0
 	case Stalls:
-		p.actor(p.incarnations.resolve(e.Peer, e.PeerLife, e.At)).stalledSince = e.At
+		p.actor(p.incarnations.resolve(e.Peer, e.PeerIncarnation, e.At)).stalledSince = e.At
 	case Wakes:
-		if w := p.actor(p.incarnations.resolve(e.Peer, e.PeerLife, e.At)); w.stalledSince > 0 {
+		if w := p.actor(p.incarnations.resolve(e.Peer, e.PeerIncarnation, e.At)); w.stalledSince > 0 {
 			if w.open {
 				s := w.spans[len(w.spans)-1]
 				s.stalls = append(s.stalls, w.stalledSince, e.At)
@@ -213,10 +213,10 @@
 		p.sender[arrival{txn: e.Txn, worker: e.Worker}] = here
 		p.sent([]incarnation{here}, e, 0)
 	case Got:
-		from := []incarnation{{e.Peer, e.PeerLife}}
+		from := []incarnation{{e.Peer, e.PeerIncarnation}}
 		if e.Peer == "" {
 			from[0] = p.sender[arrival{txn: e.Txn, worker: worker(e)}]
-		} else if e.PeerLife == 0 {
+		} else if e.PeerIncarnation == 0 {
 			from = p.incarnations.byProcess[e.Peer]
 		}
 		if e.Version == 0 || e.Peer == "" && from[0].process == "" {
@@ -304,7 +304,7 @@
 // overlap records for how long two contradicting spans overlap, s being the one that began last, and a
 // violation where that is longer than bound milliseconds. Spans of one incarnation do not contradict.
 func (c *Contradictions) overlap(earlier, s *span, bound float64) {
-	if earlier.began.Who == s.began.Who && earlier.began.Life == s.began.Life {
+	if earlier.began.Who == s.began.Who && earlier.began.Incarnation == s.began.Incarnation {
 		return
 	}
 	duration := millis(min(earlier.to, s.to) - s.from)
@@ -322,7 +322,7 @@
 func (c *Contradictions) overlaps(all []*span, clash Clash, bound float64) {
 	slices.SortFunc(all, func(a, b *span) int {
 		return cmp.Or(cmp.Compare(a.from, b.from), cmp.Compare(a.began.Who, b.began.Who),
-			cmp.Compare(a.began.Life, b.began.Life))
+			cmp.Compare(a.began.Incarnation, b.began.Incarnation))
 	})
 	c.Spans = len(all)
 	at := map[Stance][]*span{} // those not known to have ended
--- a/internal/testkit/history/event.go
+++ b/internal/testkit/history/event.go
@@ -35,8 +35,8 @@
 	Hands Kind = "hands"
 	// Takes is written by a gateway: a right to Units has come from Peer, with its Serial.
 	Takes Kind = "takes"
-	// Heard is written by any process: a message of Peer with Serial was accepted.
-	Heard Kind = "heard"
+	// Received is written by any process: a message of Peer with Serial was accepted.
+	Received Kind = "heard"
 	// Holds is written by a gateway: its right to Customer's line is now Units by Version, whatever it was.
 	Holds Kind = "holds"
 	// AttemptEnded is written by a gateway or worker: attempt Serial of Txn has ended; Says what that proves.
@@ -59,7 +59,7 @@
 var kinds = map[Kind]bool{Began: true, Gone: true, Acts: true, ReportedInForce: true,
 	Proposed: true, Decided: true,
 	Sends: true, Got: true, Asks: true, Ends: true, Lends: true, Repays: true, Hands: true, Takes: true,
-	Heard: true, Holds: true, AttemptEnded: true, Ran: true, Notified: true, Faults: true, Died: true,
+	Received: true, Holds: true, AttemptEnded: true, Ran: true, Notified: true, Faults: true, Died: true,
 	Stalls: true, Wakes: true}
 
 // The modes of Acts. Any other counts as Leased.
@@ -74,38 +74,39 @@
 
 // What AttemptEnded says that the end of a submission proves, and what Ends says besides the three answers.
 const (
-	NeverRan = "never ran"
-	MayRun   = "may have run"
-	Answered = "answered"
-	Left     = "left" // the client waits no longer: no answer is owed
-	Settled  = "settled"
-	Declined = "declined"
-	Voided   = "voided"
+	NeverRan  = "never ran"
+	MayRun    = "may have run"
+	Answered  = "answered"
+	Left      = "left" // the client waits no longer: no answer is owed
+	Succeeded = "settled"
+	Declined  = "declined"
+	Voided    = "voided"
 )
 
 // Event is one line of a record. Fields that a Kind does not speak of are left out.
 type Event struct {
-	At       int64   `json:"at"` // ns of the machine's monotonic clock
-	Who      string  `json:"who"`
-	Life     uint32  `json:"life,omitempty"` // incarnation
-	Seq      uint64  `json:"seq"`            // sequence number in its record, from 1 in each incarnation
-	Kind     Kind    `json:"kind"`
-	Version  uint64  `json:"version,omitempty"`
-	Base     uint64  `json:"base,omitempty"`
-	Mark     string  `json:"mark,omitempty"` // a digest of what Version holds
-	Mode     string  `json:"mode,omitempty"`
-	Txn      string  `json:"txn,omitempty"`
-	Customer uint64  `json:"customer,omitempty"`
-	Plan     string  `json:"plan,omitempty"`
-	Product  string  `json:"product,omitempty"`
-	Worker   string  `json:"worker,omitempty"`
-	Peer     string  `json:"peer,omitempty"`
-	PeerLife uint32  `json:"peer_life,omitempty"` // incarnation of Peer
-	Units    float64 `json:"units,omitempty"`
-	Serial   uint64  `json:"serial,omitempty"`
-	Expiry   int64   `json:"expiry,omitempty"` // ns of the same clock: until when the client of Asks waits
-	Age      float64 `json:"age,omitempty"`    // ms: Version was in force at most so long ago
-	Says     string  `json:"says,omitempty"`
+	At              int64   `json:"at"` // ns of the machine's monotonic clock
+	Who             string  `json:"who"`
+	Incarnation     uint32  `json:"life,omitempty"` // incarnation
+	Seq             uint64  `json:"seq"`            // sequence number in its record, from 1 in each incarnation
+	Kind            Kind    `json:"kind"`
+	Version         uint64  `json:"version,omitempty"`
+	Base            uint64  `json:"base,omitempty"`
+	Digest          string  `json:"mark,omitempty"` // a digest of what Version holds
+	Mode            string  `json:"mode,omitempty"`
+	Txn             string  `json:"txn,omitempty"`
+	Customer        uint64  `json:"customer,omitempty"`
+	Plan            string  `json:"plan,omitempty"`
+	Product         string  `json:"product,omitempty"`
+	Worker          string  `json:"worker,omitempty"`
+	Peer            string  `json:"peer,omitempty"`
+	PeerIncarnation uint32  `json:"peer_life,omitempty"` // incarnation of Peer
+	Units           float64 `json:"units,omitempty"`
+	Serial          uint64  `json:"serial,omitempty"`
+	// ns of the same clock: until when the client of Asks waits
+	Expiry int64   `json:"expiry,omitempty"`
+	Age    float64 `json:"age,omitempty"` // ms: Version was in force at most so long ago
+	Says   string  `json:"says,omitempty"`
 }
 
 // Recorder takes events. A nil one takes none, so that a program without a record pays a branch.
--- a/internal/testkit/history/golden_test.go
+++ b/internal/testkit/history/golden_test.go
@@ -14,22 +14,24 @@
 // written once by Log, before names were changed, with its times set to 1, 2, 3. It is what older versions
 // leave; new code must never write it again.
 func goldenEvents() []Event {
-	events := []Event{{Kind: Began}, {Kind: Got, Version: 5, Base: 6, Mark: "mark-7", Mode: Leased, Txn: "txn-8",
-		Customer: 9, Plan: "plan-10", Product: "product-11", Worker: "worker-12", Peer: "peer-13", PeerLife: 14,
-		Units: 15.5, Serial: 16, Expiry: 17, Age: 18.5, Says: Settled}}
+	events := []Event{{Kind: Began}, {Kind: Got, Version: 5, Base: 6, Digest: "mark-7", Mode: Leased,
+		Txn:      "txn-8",
+		Customer: 9, Plan: "plan-10", Product: "product-11", Worker: "worker-12", Peer: "peer-13",
+		PeerIncarnation: 14,
+		Units:           15.5, Serial: 16, Expiry: 17, Age: 18.5, Says: Succeeded}}
 	for _, kind := range []Kind{Acts, ReportedInForce, Proposed, Decided, Sends, Got, Asks, Ends, Lends, Repays,
 		Hands, Takes,
-		Heard, Holds, AttemptEnded, Ran, Notified, Faults, Died, Stalls, Wakes} {
+		Received, Holds, AttemptEnded, Ran, Notified, Faults, Died, Stalls, Wakes} {
 		events = append(events, Event{Kind: kind})
 	}
 	events[2].Mode, events[3].Mode, events[4].Mode, events[5].Mode = Leased, Fallback, Bare, Active
-	for i, says := range []string{NeverRan, MayRun, Answered, Left, Settled, Declined, Voided} {
+	for i, says := range []string{NeverRan, MayRun, Answered, Left, Succeeded, Declined, Voided} {
 		events[6+i].Says = says
 	}
 	events = append(events, Event{Kind: Gone})
 	for i := range events {
 		e := &events[i]
-		e.At, e.Who, e.Life, e.Seq = int64(i+1), "gateway-7", 3, uint64(i+1)
+		e.At, e.Who, e.Incarnation, e.Seq = int64(i+1), "gateway-7", 3, uint64(i+1)
 	}
 	return events
 }
--- a/internal/testkit/history/ledger.go
+++ b/internal/testkit/history/ledger.go
@@ -87,7 +87,7 @@
 	for _, e := range r.Events {
 		l.expire(e.At)
 		if _, known := l.current[e.Who]; !known {
-			l.current[e.Who] = e.Life
+			l.current[e.Who] = e.Incarnation
 		}
 		switch e.Kind {
 		case Began, Gone, Died, Stalls, Wakes:
@@ -132,18 +132,18 @@
 func (l *ledger) lifetime(e Event) {
 	switch e.Kind {
 	case Began:
-		if l.current[e.Who] != e.Life {
+		if l.current[e.Who] != e.Incarnation {
 			l.grace[e.Who] = e.At + l.allowed
 		}
-		l.current[e.Who] = e.Life
+		l.current[e.Who] = e.Incarnation
 		delete(l.downSince, e.Who)
 		delete(l.stalled, e.Who)
 	case Gone:
-		if l.current[e.Who] == e.Life { // else its successor speaks for it
+		if l.current[e.Who] == e.Incarnation { // else its successor speaks for it
 			l.downSince[e.Who] = e.At
 		}
 	case Died:
-		if e.PeerLife == 0 || l.current[e.Peer] == e.PeerLife {
+		if e.PeerIncarnation == 0 || l.current[e.Peer] == e.PeerIncarnation {
 			l.downSince[e.Peer] = e.At
 		}
 	case Stalls:
@@ -180,13 +180,13 @@
 	case Hands:
 		l.spend(a, e, "hands on")
 		a.inTransit += e.Units
-		h := handed{incarnation{e.Who, e.Life}, e.Peer, e.Customer, e.Serial}
+		h := handed{incarnation{e.Who, e.Incarnation}, e.Peer, e.Customer, e.Serial}
 		if o, again := l.hands[h]; again {
 			l.violate(e.At, []Event{o, e}, "a right is handed on again with the same serial")
 		}
 		l.hands[h] = e
 		h.from.number = 0
-		l.lastLife[h] = e.Life
+		l.lastLife[h] = e.Incarnation
 	case Takes:
 		l.takes(a, e)
 	case Lends:
@@ -198,7 +198,7 @@
 
 func (l *ledger) takes(a *account, e Event) {
 	h := handed{incarnation{e.Peer, 0}, e.Who, e.Customer, e.Serial}
-	if h.from.number = e.PeerLife; e.PeerLife == 0 {
+	if h.from.number = e.PeerIncarnation; e.PeerIncarnation == 0 {
 		h.from.number = l.lastLife[h]
 	}
 	a.right(e.Who, e.Units)
@@ -239,7 +239,7 @@
 func (l *ledger) repays(a *account, e Event) {
 	lender := lender(e)
 	if e.Serial != 0 {
-		h := handed{incarnation{e.Who, e.Life}, lender, e.Customer, e.Serial}
+		h := handed{incarnation{e.Who, e.Incarnation}, lender, e.Customer, e.Serial}
 		if o, again := l.paid[h]; again {
 			l.violate(e.At, []Event{o, e}, "the same repayment again")
 		}
@@ -336,10 +336,10 @@
 	flight        map[handed]float64
 }
 
-// apply applies an event. It returns whether what is lent or may be lent has grown by it, and whether the event
-// is possible at all.
+// apply applies an event. It returns whether what is lent or may be lent has grown by it, and whether the
+// event is possible at all.
 func (t *tally) apply(e Event) (raised, possible bool) {
-	h := handed{incarnation{e.Who, e.Life}, e.Peer, e.Customer, e.Serial}
+	h := handed{incarnation{e.Who, e.Incarnation}, e.Peer, e.Customer, e.Serial}
 	switch e.Kind {
 	case Holds:
 		raised = e.Units > t.rights[e.Who]+unitTolerance
@@ -351,7 +351,7 @@
 		}
 		t.flight[h] = e.Units
 	case Takes:
-		h = handed{incarnation{e.Peer, e.PeerLife}, e.Who, e.Customer, e.Serial}
+		h = handed{incarnation{e.Peer, e.PeerIncarnation}, e.Who, e.Customer, e.Serial}
 		if units, there := t.flight[h]; !there || units != e.Units {
 			return false, false
 		}
--- a/internal/testkit/history/log.go
+++ b/internal/testkit/history/log.go
@@ -30,17 +30,17 @@
 	// Tell is told the first error, once; nil writes it to standard error. It is set before the first Write.
 	Tell func(error)
 
-	mu    sync.Mutex
-	out   io.Writer // the file, but for tests
-	file  *os.File
-	lines zerolog.Logger
-	who   string
-	life  uint32
-	seq   uint64
-	torn  bool  // the last write was cut short: a line's start stands in the file
-	fault error // of the write at hand
-	lost  int64
-	first error
+	mu          sync.Mutex
+	out         io.Writer // the file, but for tests
+	file        *os.File
+	lines       zerolog.Logger
+	who         string
+	incarnation uint32
+	seq         uint64
+	torn        bool  // the last write was cut short: a line's start stands in the file
+	fault       error // of the write at hand
+	lost        int64
+	first       error
 }
 
 // Open opens the record of one life of a process, and writes that it Began. Lives of one process may share a
@@ -50,7 +50,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("history: %w", err)
 	}
-	l := &Log{out: f, file: f, who: who, life: life}
+	l := &Log{out: f, file: f, who: who, incarnation: life}
 	info, err := f.Stat()
 	if err == nil && info.Size() > 0 {
 		var last [1]byte
@@ -103,7 +103,7 @@
 	}
 	l.mu.Lock()
 	l.seq++
-	e.At, e.Who, e.Life, e.Seq = Now(), l.who, l.life, l.seq
+	e.At, e.Who, e.Incarnation, e.Seq = Now(), l.who, l.incarnation, l.seq
 	l.fault = nil
 	if finite(e.Units) && finite(e.Age) {
 		encode(&l.lines, &e)
@@ -142,11 +142,11 @@
 			z.Str(name, s)
 		}
 	}
-	number("life", uint64(e.Life))
+	number("life", uint64(e.Incarnation))
 	z.Uint64("seq", e.Seq).Str("kind", string(e.Kind))
 	number("version", e.Version)
 	number("base", e.Base)
-	word("mark", e.Mark)
+	word("mark", e.Digest)
 	word("mode", e.Mode)
 	word("txn", e.Txn)
 	number("customer", e.Customer)
@@ -154,7 +154,7 @@
 	word("product", e.Product)
 	word("worker", e.Worker)
 	word("peer", e.Peer)
-	number("peer_life", uint64(e.PeerLife))
+	number("peer_life", uint64(e.PeerIncarnation))
 	if e.Units != 0 {
 		z.Float64("units", e.Units)
 	}
@@ -219,7 +219,7 @@
 	w.m.mu.Lock()
 	defer w.m.mu.Unlock()
 	w.seq++
-	e.At, e.Who, e.Life, e.Seq = Now(), w.who, w.life, w.seq
+	e.At, e.Who, e.Incarnation, e.Seq = Now(), w.who, w.life, w.seq
 	w.m.events = append(w.m.events, e)
 }
 
--- a/internal/testkit/history/log_test.go
+++ b/internal/testkit/history/log_test.go
@@ -53,7 +53,7 @@
 	if now := Now(); got.At > now || now-got.At > int64(time.Minute) {
 		t.Errorf("written at %d, now it is %d", got.At, now)
 	}
-	want.At, want.Who, want.Life, want.Seq = got.At, "a", 3, 2
+	want.At, want.Who, want.Incarnation, want.Seq = got.At, "a", 3, 2
 	if got != want {
 		t.Errorf("got  %+v\nwant %+v", got, want)
 	}
@@ -70,7 +70,7 @@
 			t.Fatal(err)
 		}
 		for range 999 {
-			l.Write(Event{Kind: Heard, Peer: "x"})
+			l.Write(Event{Kind: Received, Peer: "x"})
 		}
 		p, _ := os.FindProcess(os.Getpid())
 		_ = p.Kill()
@@ -149,7 +149,7 @@
 			l.Tell = func(error) { told++ }
 			l.out = &partly{to: l.file, takes: takes}
 			for range 5 {
-				l.Write(Event{Kind: Heard})
+				l.Write(Event{Kind: Received})
 			}
 			if n, err := l.Lost(); n != int64(len(takes)) || told != 1 || err == nil {
 				t.Errorf("%d lost, told %d times: %v", n, told, err)
--- a/internal/testkit/history/read.go
+++ b/internal/testkit/history/read.go
@@ -28,7 +28,7 @@
 		if c := cmp.Compare(a.Who, b.Who); c != 0 {
 			return c
 		}
-		if c := cmp.Compare(a.Life, b.Life); c != 0 {
+		if c := cmp.Compare(a.Incarnation, b.Incarnation); c != 0 {
 			return c
 		}
 		return cmp.Compare(a.Seq, b.Seq)
@@ -103,7 +103,7 @@
 			tornAt, tornErr = i, wrong("cut short, and not the last of its life: %w", err)
 			continue
 		}
-		here := incarnation{e.Who, e.Life}
+		here := incarnation{e.Who, e.Incarnation}
 		if tornErr != nil {
 			if i != tornAt+1 || here == now || e.Seq != 1 {
 				return nil, 0, tornErr
@@ -112,13 +112,13 @@
 		}
 		if here != now {
 			if at, known := in[here]; known {
-				return nil, 0, wrong("%s's life %d is told of in %s too, or anew", e.Who, e.Life, at)
+				return nil, 0, wrong("%s's life %d is told of in %s too, or anew", e.Who, e.Incarnation, at)
 			}
 			in[here], now, last = path, here, Event{}
 		}
 		switch {
 		case e.Seq != last.Seq+1:
-			return nil, 0, wrong("place %d of %s's life %d follows %d: lines are missing", e.Seq, e.Who, e.Life,
+			return nil, 0, wrong("place %d of %s's life %d follows %d: lines are missing", e.Seq, e.Who, e.Incarnation,
 				last.Seq)
 		case e.At < last.At:
 			return nil, 0, wrong("time goes back, from %d to %d", last.At, e.At)
--- a/internal/testkit/history/replay.go
+++ b/internal/testkit/history/replay.go
@@ -216,8 +216,8 @@
 	switch e.Says {
 	case Left:
 		p.checker.ClientLeft(t.id)
-	case Settled:
-		p.checker.RequestAnswered(at, t.id, invariants.Settled)
+	case Succeeded:
+		p.checker.RequestAnswered(at, t.id, invariants.Succeeded)
 	case Declined:
 		p.checker.RequestAnswered(at, t.id, invariants.Declined)
 	case Voided:
@@ -230,7 +230,7 @@
 // crashes replays crashes of gateways: where the rig says so, else at the last line of a life that
 // has a successor and no Gone, and again, for what was asked for meanwhile, when that one begins.
 func (p *replay) crashes(e Event) {
-	here := incarnation{e.Who, e.Life}
+	here := incarnation{e.Who, e.Incarnation}
 	who, dead := e.Who, p.incarnations.endsAt(here, e.At) && !p.incarnations.exited[here]
 	switch e.Kind {
 	case Died:
--- a/internal/testkit/history/versions.go
+++ b/internal/testkit/history/versions.go
@@ -117,12 +117,12 @@
 
 // checkDigest checks that all digests of a version are equal.
 func (c *versionCollector) checkDigest(e Event) {
-	if e.Mark == "" || e.Version == 0 {
+	if e.Digest == "" || e.Version == 0 {
 		return
 	}
 	if first, known := c.digests[e.Version]; !known {
 		c.digests[e.Version] = e
-	} else if first.Mark != e.Mark {
+	} else if first.Digest != e.Digest {
 		c.violate(e.At, []Event{first, e}, "version %d is not the same for %s and %s", e.Version, first.Who, e.Who)
 	}
 }
--- a/internal/testkit/history/window.go
+++ b/internal/testkit/history/window.go
@@ -117,9 +117,9 @@
 	}
 }
 
-// Ceiling checks hard ceilings as Window does: slack ms of the ceiling's rate pass besides, as long as news
+// RateLimit checks hard ceilings as Window does: slack ms of the ceiling's rate pass besides, as long as news
 // takes and a submission is on its way. ceiling gives the rate and depth of a customer's plan.
-func Ceiling(r Record, by Kind, ceiling func(Event) Limit, slack float64) Windowed {
+func RateLimit(r Record, by Kind, ceiling func(Event) Limit, slack float64) Windowed {
 	return Window(r, by, func(e Event) Limit {
 		l := ceiling(e)
 		l.Depth += l.Rate * slack / 1000
--- a/internal/testkit/invariants/checker.go
+++ b/internal/testkit/invariants/checker.go
@@ -29,7 +29,7 @@
 	rules       Rules
 	requests    map[uint64]*request
 	unavailable map[gatewayWorker]float64 // since when the gateway is notified not to send there
-	coldWorkers map[int]*coldWorker
+	coldWorkers map[int]*warmingWorker
 	buckets     map[int]*bucket // by customer
 	violations  []Violation     // the first maxViolations
 	counts      [6]int          // of all violations, by rule
@@ -47,7 +47,7 @@
 // New returns a checker with the rules' parameters.
 func New(r Rules) *Checker {
 	return &Checker{rules: r, requests: map[uint64]*request{}, unavailable: map[gatewayWorker]float64{},
-		coldWorkers: map[int]*coldWorker{}, buckets: map[int]*bucket{}}
+		coldWorkers: map[int]*warmingWorker{}, buckets: map[int]*bucket{}}
 }
 
 // Violations returns the first violations, and the number of all by rule.
--- a/internal/testkit/invariants/checker_test.go
+++ b/internal/testkit/invariants/checker_test.go
@@ -5,8 +5,8 @@
 var rules = Rules{
 	Products: []Product{{Repeat: Inquiry}, {Repeat: Referenced, Window: 1000,
 		SharesReferences: func(a, b int) bool { return a/10 == b/10 }}, {Repeat: Once}},
-	Plans: []Plan{{}, {Ceiling: 10, Depth: 5}},
-	Slack: 10, Grace: 250, Capacity: 10, ColdFraction: 0.2, WarmUp: 10000, OverloadFactor: 2,
+	Plans: []Plan{{}, {RateLimit: 10, Depth: 5}},
+	Slack: 10, Grace: 250, Capacity: 10, WarmingFraction: 0.2, WarmUp: 10000, OverloadFactor: 2,
 	OverloadWindow: 1000,
 }
 
@@ -20,7 +20,7 @@
 		for id := from; id < from+n; id++ {
 			checker.RequestReceived(at, int(id%2), id, 0, 0, 5, 1, at+1000)
 			checker.AttemptSent(at+1, int(id%2), id, 3)
-			checker.RequestAnswered(at+2, id, Settled)
+			checker.RequestAnswered(at+2, id, Succeeded)
 		}
 	}
 	// overload sends n requests by two gateways, of which the first informedGateways know of the worker's start.
@@ -41,7 +41,7 @@
 			checker.AttemptSent(1, 1, 1, 3)
 			checker.AttemptRan(2, 1, 0)
 			checker.AttemptEnded(3, 1, 0, Answered)
-			checker.RequestAnswered(3, 1, Settled)
+			checker.RequestAnswered(3, 1, Succeeded)
 		}},
 		{"no answer", 1, func(checker *Checker) { receive(checker, 1, 0) }},
 		{"no answer of a crashed gateway", 0, func(checker *Checker) {
@@ -93,41 +93,41 @@
 			checker.AttemptSent(3, 1, 1, 4)
 			checker.AttemptRan(4, 1, 0)
 			checker.AttemptRan(5, 1, 1)
-			checker.RequestAnswered(6, 1, Settled)
+			checker.RequestAnswered(6, 1, Succeeded)
 		}},
 		{"two in flight", 2, func(checker *Checker) {
 			receive(checker, 1, 0)
 			checker.AttemptSent(1, 1, 1, 3)
 			checker.AttemptSent(2, 1, 1, 4)
-			checker.RequestAnswered(3, 1, Settled)
+			checker.RequestAnswered(3, 1, Succeeded)
 		}},
 		{"referenced outside its window", 2, func(checker *Checker) {
 			checker.RequestReceived(0, 1, 1, 1, 0, 5, 1, 5000)
 			checker.AttemptSent(1, 1, 1, 3)
 			checker.AttemptEnded(2, 1, 0, MayHaveRun)
 			checker.AttemptSent(1100, 1, 1, 4)
-			checker.RequestAnswered(1101, 1, Settled)
+			checker.RequestAnswered(1101, 1, Succeeded)
 		}},
 		{"referenced outside its group", 2, func(checker *Checker) {
 			receive(checker, 1, 1)
 			checker.AttemptSent(1, 1, 1, 3)
 			checker.AttemptEnded(2, 1, 0, MayHaveRun)
 			checker.AttemptSent(3, 1, 1, 14)
-			checker.RequestAnswered(4, 1, Settled)
+			checker.RequestAnswered(4, 1, Succeeded)
 		}},
 		{"referenced inside both", 0, func(checker *Checker) {
 			receive(checker, 1, 1)
 			checker.AttemptSent(1, 1, 1, 3)
 			checker.AttemptEnded(2, 1, 0, MayHaveRun)
 			checker.AttemptSent(3, 1, 1, 4)
-			checker.RequestAnswered(4, 1, Settled)
+			checker.RequestAnswered(4, 1, Succeeded)
 		}},
 		{"to a draining worker past the grace", 3, func(checker *Checker) {
 			receive(checker, 1, 0)
 			checker.AvailabilityNotified(1, 1, 3, false)
 			checker.AvailabilityNotified(200, 1, 3, false)
 			checker.AttemptSent(252, 1, 1, 3)
-			checker.RequestAnswered(253, 1, Settled)
+			checker.RequestAnswered(253, 1, Succeeded)
 		}},
 		{"within the grace, by a gateway not notified, and once it is back", 0, func(checker *Checker) {
 			for id := range uint64(3) {
@@ -161,7 +161,7 @@
 			for id := range uint64(8) { // 5 and 1.5 at once
 				checker.RequestReceived(100, int(id%2), id, 0, 1, 5, 1, 1000)
 				checker.AttemptSent(100, int(id%2), id, 3)
-				checker.RequestAnswered(101, id, Settled)
+				checker.RequestAnswered(101, id, Succeeded)
 			}
 		}},
 		{"a ceiling kept, over a restart", 0, func(checker *Checker) {
@@ -169,7 +169,7 @@
 				at := 100 + 100*float64(id)
 				checker.RequestReceived(at, int(id%2), id, 0, 1, 5, 1, 5000)
 				checker.AttemptSent(at, int(id%2), id, 3)
-				checker.RequestAnswered(at+1, id, Settled)
+				checker.RequestAnswered(at+1, id, Succeeded)
 				checker.GatewayCrashed(int(id % 2))
 			}
 		}},
--- a/internal/testkit/invariants/rules.go
+++ b/internal/testkit/invariants/rules.go
@@ -24,20 +24,20 @@
 
 // Plan is what the rules need to know of a plan: its rate limit in units a second (0 is none) and its burst
 // in units.
-type Plan struct{ Ceiling, Depth float64 }
+type Plan struct{ RateLimit, Depth float64 }
 
 // Rules holds the parameters of the rules; times are milliseconds.
 type Rules struct {
-	Products       []Product
-	Plans          []Plan
-	Overlap        bool    // whether several attempts of a request may be in flight together
-	Slack          float64 // by which a final answer may come late
-	Grace          float64 // after the notification of a drain, in which requests may still be sent
-	Capacity       float64 // of a warm worker, in units of mean work a second
-	ColdFraction   float64 // fraction of Capacity that a worker has at its start
-	WarmUp         float64 // from a worker's start until it has all of Capacity
-	OverloadFactor float64 // multiple of its present capacity that a cold worker survives
-	OverloadWindow float64 // how long a cold worker survives more than that
+	Products        []Product
+	Plans           []Plan
+	Overlap         bool    // whether several attempts of a request may be in flight together
+	Slack           float64 // by which a final answer may come late
+	Grace           float64 // after the notification of a drain, in which requests may still be sent
+	Capacity        float64 // of a warm worker, in units of mean work a second
+	WarmingFraction float64 // fraction of Capacity that a worker has at its start
+	WarmUp          float64 // from a worker's start until it has all of Capacity
+	OverloadFactor  float64 // multiple of its present capacity that a cold worker survives
+	OverloadWindow  float64 // how long a cold worker survives more than that
 }
 
 // End is what the end of an attempt proves.
@@ -55,7 +55,7 @@
 
 // The outcomes.
 const (
-	Settled Final = iota
+	Succeeded Final = iota
 	Declined
 	Voided
 )
--- a/internal/testkit/invariants/warmup.go
+++ b/internal/testkit/invariants/warmup.go
@@ -8,8 +8,8 @@
 // of its start, up to which the overload violates no rule.
 const maxInformedFraction = 2.0 / 3
 
-// coldWorker is a worker since its last start.
-type coldWorker struct {
+// warmingWorker is a worker since its last start.
+type warmingWorker struct {
 	startedAt  float64
 	overloaded bool
 	knownBy    map[int]bool // gateways that were notified of the start
@@ -24,7 +24,7 @@
 
 // WorkerStarted records that a worker's process has started, with cold caches.
 func (c *Checker) WorkerStarted(at float64, worker int) {
-	c.coldWorkers[worker] = &coldWorker{startedAt: at, knownBy: map[int]bool{}}
+	c.coldWorkers[worker] = &warmingWorker{startedAt: at, knownBy: map[int]bool{}}
 }
 
 // StartNotified records that a gateway was notified of the start of a worker's process.
@@ -58,7 +58,7 @@
 			informed += a.work
 		}
 	}
-	fraction := c.rules.ColdFraction + (1-c.rules.ColdFraction)*(at-w.startedAt)/c.rules.WarmUp
+	fraction := c.rules.WarmingFraction + (1-c.rules.WarmingFraction)*(at-w.startedAt)/c.rules.WarmUp
 	n := c.rules.OverloadFactor * fraction * c.rules.Capacity * c.rules.OverloadWindow / 1000
 	limit := n + 2*math.Sqrt(n) + 2
 	c.maxLoad = math.Max(c.maxLoad, sum/limit)
--- a/internal/txnjournal/index.go
+++ b/internal/txnjournal/index.go
@@ -86,7 +86,7 @@
 // OpenSegment begins a segment by its header. For a blank segment BlankSegment is called in its place.
 func (x *Index) OpenSegment(header SegmentHeader) {
 	if header.Number > x.lastHeader.Number+1 {
-		x.noteMissing(x.lastHeader.Number+1, header)
+		x.recordMissing(x.lastHeader.Number+1, header)
 	} else if !x.started && !header.Corrupt {
 		x.horizonMillis = header.CreatedMillis // there was no journal before
 	}
@@ -119,8 +119,9 @@
 	}
 }
 
-// noteMissing notes that segments are not there. If they were removed, a later KindCheckpoint record says so.
-func (x *Index) noteMissing(first uint64, next SegmentHeader) {
+// recordMissing notes that segments are not there. If they were removed, a later KindCheckpoint record says
+// so.
+func (x *Index) recordMissing(first uint64, next SegmentHeader) {
 	period := UncertainPeriod{math.Max(x.latestMillis, 0), math.Max(next.CreatedMillis, x.latestMillis),
 		fmt.Sprintf("segments %d to %d are missing", first, next.Number-1)}
 	x.missing = append(x.missing, missingSegments{period, next.Number})
