--- a/internal/serving/control/scenarios_test.go
+++ b/internal/serving/control/scenarios_test.go
@@ -360,3 +360,47 @@
 			len(e.leaderRequests.commands), len(e.leaderRequests.reads))
 	}
 }
+
+// quotaPeriod is that of a processor share that is a quota: a process runs until its share is spent, and then
+// not until the period ends.
+const quotaPeriod = 100 * time.Millisecond
+
+// freezeByQuota freezes each machine for the rest of a period once it has run for so long in it. The machines'
+// periods begin at different times.
+func freezeByQuota(w *world, runs time.Duration) {
+	for i, m := range w.machines {
+		phase := time.Duration(i) * 35 * time.Millisecond
+		if into := (w.now + phase) % quotaPeriod; into >= runs && m.frozenUntil < w.now {
+			m.frozenUntil = w.now + quotaPeriod - into
+		}
+	}
+}
+
+// TestProcessorQuotaKeepsLeader lets each core run for a part of each tenth of a second only, for a minute: the
+// leader keeps the lead, and commands are committed.
+func TestProcessorQuotaKeepsLeader(t *testing.T) {
+	t.Parallel()
+	for seed := range int64(scenarioSeeds) {
+		for _, runs := range []time.Duration{20, 50, 80} {
+			w := startWorld(seed, shape{cores: 3 + 2*int(seed%2), tolerated: 1 + int(seed%2), edges: 2})
+			leader := w.leader()
+			if leader == nil {
+				t.Fatalf("seed %d: there is no leader", seed)
+			}
+			term, applied := leader.process.engine.node.Term(), leader.process.engine.node.Applied()
+			for end := w.now + time.Minute; w.now < end; {
+				freezeByQuota(w, runs*time.Millisecond)
+				w.step()
+			}
+			name := fmt.Sprintf("seed %d, %d of 100 ms", seed, runs)
+			node := leader.process.engine.node
+			if !node.IsEstablishedLeader() || node.Term() != term {
+				t.Errorf("%s: the leader of term %d has lost the lead; term %d", name, term, node.Term())
+			}
+			if node.Applied() <= applied {
+				t.Errorf("%s: nothing was committed after index %d", name, applied)
+			}
+			finishWorld(t, w, name)
+		}
+	}
+}
--- a/internal/supervisor/cluster_test.go
+++ b/internal/supervisor/cluster_test.go
@@ -199,12 +199,9 @@
 	h.cluster.t.Helper()
 	h.Process = faultinject.Start(
 		h.cluster.t,
-		faultinject.Spec{Name: h.name, Program: gatewayProgram(h.cluster.t), Dir: h.dir,
-			Args: []string{
-				"fleet",
-				"--file",
-				"fleet.toml",
-			}, Env: []string{"WILLOWDECK_HISTORY=" + h.cluster.historyDir}},
+		faultinject.Spec{Name: h.name, Program: programOf(h.cluster.t, slices.Index(h.cluster.hosts, h)), Dir: h.dir,
+			Args: []string{"fleet", "--file", "fleet.toml"},
+			Env:  []string{"WILLOWDECK_HISTORY=" + h.cluster.historyDir}},
 	)
 }
 
--- a/internal/supervisor/subscription_test.go
+++ b/internal/supervisor/subscription_test.go
@@ -73,7 +73,7 @@
 		}
 		tree.relays = append(
 			tree.relays,
-			faultinject.Start(t, faultinject.Spec{Name: name, Program: gatewayProgram(t), Dir: dir,
+			faultinject.Start(t, faultinject.Spec{Name: name, Program: programOf(t, i), Dir: dir,
 				Args: []string{
 					"relay",
 					"--config",
