--- a/internal/gateway/config/settings_test.go
+++ b/internal/gateway/config/settings_test.go
@@ -32,7 +32,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	const want = "{Charter:{GatewayIndex:4 GatewayCount:7 Products:[" +
+	const want = "{Policy:{GatewayIndex:4 GatewayCount:7 Products:[" +
 		"{LatencyTargetMillis:90 Value:4 LateValueFraction:0 Idempotency:2 DedupScope:2 DedupWindowMillis:0} " +
 		"{LatencyTargetMillis:60 Value:0 LateValueFraction:0.5 Idempotency:1 DedupScope:1 DedupWindowMillis:400} " +
 		"{LatencyTargetMillis:250 Value:0.5 LateValueFraction:0 Idempotency:0 DedupScope:2 DedupWindowMillis:0}] " +
@@ -41,7 +41,7 @@
 		"ExcessCostFraction:0.1 CreditSeconds:0 RepayWithinMillis:0}] MaxRequestUnits:5 MaxAttempts:2 " +
 		"AllowHedging:true AllowCancel:false " +
 		"AllowRetryAfter:true MaxRetryAfterMillis:150 AllowGossip:true WorkersReportLoad:true " +
-		"PeerMessagesPerSecond:50 ReportsPerMessage:31 ColdCapacityFraction:0.25 " +
+		"PeerMessagesPerSecond:50 ReportsPerMessage:31 WarmingCapacityFraction:0.25 " +
 		"WarmUpMillis:9000 OverloadFactor:1.5 OverloadMillis:700 TotalWeight:0.5 WorstPlanWeight:0.4 " +
 		"QuotaWithoutGossip:false} " +
 		"Names:{Products:map[gate:1 look:2 toll:0] Plans:map[all:0]} " +
--- a/internal/serving/control/scenarios_test.go
+++ b/internal/serving/control/scenarios_test.go
@@ -365,8 +365,8 @@
 // not until the period ends.
 const quotaPeriod = 100 * time.Millisecond
 
-// freezeByQuota freezes each machine for the rest of a period once it has run for so long in it. The machines'
-// periods begin at different times.
+// freezeByQuota freezes each machine for the rest of a period once it has run for so long in it. The
+// machines' periods begin at different times.
 func freezeByQuota(w *world, runs time.Duration) {
 	for i, m := range w.machines {
 		phase := time.Duration(i) * 35 * time.Millisecond
@@ -376,8 +376,8 @@
 	}
 }
 
-// TestProcessorQuotaKeepsLeader lets each core run for a part of each tenth of a second only, for a minute: the
-// leader keeps the lead, and commands are committed.
+// TestProcessorQuotaKeepsLeader lets each core run for a part of each tenth of a second only, for a minute:
+// the leader keeps the lead, and commands are committed.
 func TestProcessorQuotaKeepsLeader(t *testing.T) {
 	t.Parallel()
 	for seed := range int64(scenarioSeeds) {
--- a/internal/serving/edge/edge_test.go
+++ b/internal/serving/edge/edge_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -498,3 +499,80 @@
 		t.Error("the number of edges was forgotten")
 	}
 }
+
+// TestEngineHeadersAreUnchanged sends the headers that engines read: each arrives as the client sent it.
+func TestEngineHeadersAreUnchanged(t *testing.T) {
+	w := newFakeWorker(t, complete(200, "good", "Server-Signature: s"))
+	_, server := startEdge(t, w)
+	headers := map[string]string{
+		"Model": "m", "Token-Usage": "1460,80", "Prompt-Prefix": "5c1e07a2:800,91bd3f06:410", "Expect-Version": "4",
+	}
+	var lines []string
+	for name, value := range headers {
+		lines = append(lines, name+": "+value)
+	}
+	if got := post(t, server, "/prompt/x", lines...); got.status != 200 {
+		t.Fatalf("response %+v", got)
+	}
+	for name, value := range headers {
+		if got := w.requests[0].Header.Get(name); got != value {
+			t.Errorf("%s: %q instead of %q", name, got, value)
+		}
+	}
+}
+
+// TestTooLongBodyIsRejected limits bodies: a longer one gets 413 and reaches no worker, by a stated length
+// and without one.
+func TestTooLongBodyIsRejected(t *testing.T) {
+	limits := configuration.Limits{MaxBodyBytes: 100}
+	for name, body := range map[string]io.Reader{
+		"stated length": strings.NewReader(strings.Repeat("x", 101)),
+		"chunks": io.MultiReader(strings.NewReader(strings.Repeat("x", 60)),
+			strings.NewReader(strings.Repeat("x", 60))),
+	} {
+		request := httptest.NewRequest(http.MethodPost, "/idem/x", body)
+		if _, status := readBody(httptest.NewRecorder(), request,
+			limits); status != http.StatusRequestEntityTooLarge {
+			t.Errorf("%s: status %d", name, status)
+		}
+	}
+	request := httptest.NewRequest(http.MethodPost, "/idem/x", strings.NewReader(strings.Repeat("x", 100)))
+	if body, status := readBody(httptest.NewRecorder(), request, limits); status != 0 || len(body) != 100 {
+		t.Errorf("%d bytes at the limit: status %d", len(body), status)
+	}
+}
+
+// TestSplitFollowsWeights draws the service of many requests: each part gets its share, also where another
+// has no workers, which gets none.
+func TestSplitFollowsWeights(t *testing.T) {
+	const draws = 20_000
+	e, _ := startEdge(t)
+	route := &configuration.Route{TrafficSplit: []configuration.Split{
+		{Backend: "a", Weight: 70}, {Backend: "b", Weight: 20}, {Backend: "c", Weight: 10}, {Backend: "off",
+			Weight: 0},
+	}}
+	cases := []struct {
+		name    string
+		workers []string // services that have some
+		want    map[string]float64
+	}{
+		{"all", []string{"a", "b", "c", "off"}, map[string]float64{"a": 0.7, "b": 0.2, "c": 0.1}},
+		{"one without workers", []string{"a", "c"}, map[string]float64{"a": 0.875, "c": 0.125}},
+		{"none with workers", nil, map[string]float64{"a": 0.7, "b": 0.2, "c": 0.1}},
+	}
+	for _, c := range cases {
+		table := &routingTable{workersByService: map[string][]worker{}}
+		for _, service := range c.workers {
+			table.workersByService[service] = []worker{{}}
+		}
+		counts := map[string]float64{}
+		for range draws {
+			counts[e.decisions.drawService(table, route)]++
+		}
+		for _, split := range route.TrafficSplit {
+			if got := counts[split.Backend] / draws; math.Abs(got-c.want[split.Backend]) > 0.015 {
+				t.Errorf("%s: %s gets %.3f instead of %.3f", c.name, split.Backend, got, c.want[split.Backend])
+			}
+		}
+	}
+}
--- a/internal/serving/pathhealth/quota_test.go
+++ b/internal/serving/pathhealth/quota_test.go
@@ -23,8 +23,8 @@
 	return at + quotaPeriod - into
 }
 
-// TestProcessorQuotaIsNoPartition has all edges run for a part of each tenth of a second only, each in a phase of
-// its own that drifts: no zone and no region is ever suspected.
+// TestProcessorQuotaIsNoPartition has all edges run for a part of each tenth of a second only, each in a
+// phase of its own: no zone and no region is ever suspected.
 func TestProcessorQuotaIsNoPartition(t *testing.T) {
 	for _, runs := range []time.Duration{10, 20, 50, 90} {
 		for _, oneWayMillis := range []time.Duration{1, 3, 55} {
@@ -41,7 +41,9 @@
 // simulateQuota runs a detector for a minute and returns what it suspects first, with the time.
 func simulateQuota(seed int64, runs, oneWay time.Duration) string {
 	random := rand.New(rand.NewSource(seed))
-	drawQuota := func() quota { return quota{time.Duration(random.Int63n(quotaPeriod.Milliseconds())) * time.Millisecond, runs} }
+	drawQuota := func() quota {
+		return quota{time.Duration(random.Int63n(quotaPeriod.Milliseconds())) * time.Millisecond, runs}
+	}
 	own := drawQuota()
 	detector := New(FailureDomain{Zone: "a1", Region: "a"}, 0)
 	var targets []Target
--- a/internal/serving/program/upgrade_test.go
+++ b/internal/serving/program/upgrade_test.go
@@ -19,8 +19,10 @@
 	"time"
 )
 
-// oldPrograms is the folder with the programs of an earlier version, beside which TestUpgrade runs this one's.
-var oldPrograms = flag.String("old", "", "folder with willowdeck-core, -agent and -edge of an earlier version")
+// oldPrograms is the folder with the programs of an earlier version, beside which TestUpgrade runs this
+// one's.
+var oldPrograms = flag.String("old", "",
+	"folder with willowdeck-core, -agent and -edge of an earlier version")
 
 const (
 	upgradeTimeout    = 20 * time.Second // for each step of an upgrade
@@ -56,7 +58,8 @@
 
 func (c *upgradeCluster) newNode(name, ip string, lines ...string) *upgradeNode {
 	c.t.Helper()
-	n := &upgradeNode{t: c.t, name: name, ip: ip, dir: filepath.Join(c.t.TempDir(), name), processes: map[string]*exec.Cmd{}}
+	n := &upgradeNode{t: c.t, name: name, ip: ip, dir: filepath.Join(c.t.TempDir(), name),
+		processes: map[string]*exec.Cmd{}}
 	if err := os.MkdirAll(filepath.Join(n.dir, "data"), 0o755); err != nil {
 		c.t.Fatal(err)
 	}
@@ -119,7 +122,8 @@
 }
 
 // call sends a request and returns the response's status, 0 without one, and its body.
-func (c *upgradeCluster) call(method, url string, header map[string]string, body string) (status int, answer string) {
+func (c *upgradeCluster) call(method, url string, header map[string]string, body string) (status int,
+	answer string) {
 	request, err := http.NewRequest(method, url, strings.NewReader(body))
 	if err != nil {
 		c.t.Error(err)
@@ -141,8 +145,8 @@
 	return response.StatusCode, string(content)
 }
 
-// putConfiguration has a core take the next configuration, whose routes are those of all generations so far, and
-// returns how long it was until all edges served the newest.
+// putConfiguration has a core take the next configuration, whose routes are those of all generations so far,
+// and returns how long it was until all edges served the newest.
 func (c *upgradeCluster) putConfiguration(core *upgradeNode) time.Duration {
 	c.t.Helper()
 	base := c.generation
@@ -215,7 +219,8 @@
 	})
 	go func() {
 		for sequence := 1; ; sequence++ {
-			body := fmt.Sprintf(`{"backend":%q,"address":%q,"zone":"a","generation":"v1","capacity":64,"state":"ready",`+
+			body := fmt.Sprintf(`{"backend":%q,"address":%q,"zone":"a","generation":"v1","capacity":64,`+
+				`"state":"ready",`+
 				`"cold_remaining_ms":0,"sequence":%d}`, upgradeService, listener.Addr(), sequence)
 			core := c.cores[sequence%len(c.cores)]
 			url := fmt.Sprintf("http://%s:%d/Instances.Heartbeat/%s", core.ip, controlPlanePort, upgradeInstance)
@@ -229,8 +234,8 @@
 	}()
 }
 
-// startClients sends requests to all ready edges, and returns what ends that and says how many were served, and
-// how many were not.
+// startClients sends requests to all ready edges, and returns what ends that and says how many were served,
+// and how many were not.
 func (c *upgradeCluster) startClients() (finish func() (served, failed int64)) {
 	var servedCount, failedCount atomic.Int64
 	stop := make(chan struct{})
@@ -277,8 +282,8 @@
 }
 
 // TestUpgrade runs cores, agents and edges of an earlier version beside this one's, in each pairing, and then
-// replaces the earlier ones machine by machine, with a change of the configuration after each: every edge goes by
-// it in time, every core reads it back, and clients of ready edges are served meanwhile. It runs with
+// replaces the earlier ones machine by machine, with a change of the configuration after each: every edge
+// goes by it in time, every core reads it back, and clients of ready edges are served meanwhile. It runs with
 // -args -old FOLDER alone.
 func TestUpgrade(t *testing.T) {
 	if *oldPrograms == "" {
--- a/internal/supervisor/cluster_test.go
+++ b/internal/supervisor/cluster_test.go
@@ -199,7 +199,8 @@
 	h.cluster.t.Helper()
 	h.Process = faultinject.Start(
 		h.cluster.t,
-		faultinject.Spec{Name: h.name, Program: programOf(h.cluster.t, slices.Index(h.cluster.hosts, h)), Dir: h.dir,
+		faultinject.Spec{Name: h.name, Program: programOf(h.cluster.t, slices.Index(h.cluster.hosts, h)),
+			Dir:  h.dir,
 			Args: []string{"fleet", "--file", "fleet.toml"},
 			Env:  []string{"WILLOWDECK_HISTORY=" + h.cluster.historyDir}},
 	)
--- a/internal/supervisor/daemon_test.go
+++ b/internal/supervisor/daemon_test.go
@@ -67,10 +67,13 @@
 	}
 }()
 
-// oldProgram is the gateway's program of an earlier version, which runs at some hosts and relays beside this one.
-var oldProgram = flag.String("old", "", "gateway program of an earlier version, for every second host and relay")
+// oldProgram is the gateway's program of an earlier version, which runs at some hosts and relays beside this
+// one.
+var oldProgram = flag.String("old", "",
+	"gateway program of an earlier version, for every second host and relay")
 
-// programOf returns the program of a host or relay by its ordinal: with -old the earlier one for odd ordinals.
+// programOf returns the program of a host or relay by its ordinal: with -old the earlier one for odd
+// ordinals.
 func programOf(t *testing.T, ordinal int) string {
 	t.Helper()
 	if *oldProgram != "" && ordinal%2 == 1 {
--- a/internal/testkit/faultinject/schedule.go
+++ b/internal/testkit/faultinject/schedule.go
@@ -39,7 +39,7 @@
 	How            Cut    // of cuts, parts and splits
 	Shape          Shape  // of shapes
 	Damage         Damage // of spoils
-	FileLimitBytes int64  // bytes, of full
+	FileLimitBytes int64  `toml:"room"` // bytes, of full
 }
 
 // Schedule is what breaks and when, as data.
