--- a/internal/raftlog/store_open.go
+++ b/internal/raftlog/store_open.go
@@ -15,7 +15,9 @@
 	"go.etcd.io/raft/v3/raftpb"
 )
 
-const storeLockTimeout = time.Second
+// storeLockTimeout is how long a store that another process has locked is waited for. After a kill on a busy
+// machine the kernel has kept the lock for over a second beyond the process.
+const storeLockTimeout = 10 * time.Second
 
 // Why a store can't be opened.
 var (
