--- a/internal/supervisor/daemon_test.go
+++ b/internal/supervisor/daemon_test.go
@@ -552,3 +552,25 @@
 		daemon.Stop()
 	}
 }
+
+// TestConcurrentReloads reloads the settings from several goroutines while the control port is opened: the
+// race detector sees an access to them without the lock.
+func TestConcurrentReloads(t *testing.T) {
+	f := newTestFleet(t, 1)
+	daemon := f.startDaemon()
+	defer daemon.Stop()
+	var reloads sync.WaitGroup
+	for range 4 {
+		reloads.Go(func() { daemon.Reload(LoadSettings(f.file)) })
+	}
+	reloads.Go(func() {
+		server, err := daemon.ServeControl()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		server.Close()
+	})
+	reloads.Wait()
+	f.waitReady(daemon, 1)
+}
