--- a/internal/testkit/ports/ports.go
+++ b/internal/testkit/ports/ports.go
@@ -7,11 +7,17 @@
 	"os"
 	"strconv"
 	"sync"
+	"syscall"
 )
 
 // ephemeralRangeFile holds the first and the last port of the system's ephemeral range, as text.
 const ephemeralRangeFile = "/proc/sys/net/ipv4/ip_local_port_range"
 
+var listenTCP = net.Listen // replaced in tests
+
+// maxListenAttempts bounds the ports at which Open tries to listen.
+const maxListenAttempts = 5
+
 // ErrNoFreePorts is returned where no run of ports of the requested length is free.
 var ErrNoFreePorts = errors.New("no run of ports is free")
 
@@ -71,11 +77,12 @@
 // closed before.
 func Listen(t T) net.Listener {
 	t.Helper()
-	l, err := net.Listen("tcp", Address(t))
+	l, release, err := Open()
 	if err != nil {
 		t.Fatalf("ports: %v", err)
 		return nil
 	}
+	t.Cleanup(release)
 	t.Cleanup(func() { _ = l.Close() })
 	return l
 }
@@ -83,15 +90,21 @@
 // Open listens at an allocated port on behalf of a caller that is no test. The port stays the caller's until
 // it calls release; the listener is the caller's to close.
 func Open() (l net.Listener, release func(), err error) {
-	first, release, err := Take(1)
-	if err != nil {
-		return nil, nil, err
-	}
-	if l, err = net.Listen("tcp", address(first)); err != nil {
-		release()
-		return nil, nil, err
+	for range maxListenAttempts {
+		var first int
+		if first, release, err = Take(1); err != nil {
+			return nil, nil, err
+		}
+		if l, err = listenTCP("tcp", address(first)); err == nil {
+			return l, release, nil
+		}
+		if !errors.Is(err, syscall.EADDRINUSE) {
+			release()
+			return nil, nil, err
+		}
+		// Another program listens there since the check: the port stays allocated, so that nobody is given it.
 	}
-	return l, release, nil
+	return nil, nil, fmt.Errorf("%w: %w", ErrNoFreePorts, err)
 }
 
 // address returns a port of the process's pool as host:port.
--- a/internal/testkit/ports/ports_test.go
+++ b/internal/testkit/ports/ports_test.go
@@ -311,3 +311,30 @@
 		t.Errorf("%v is taken", l.Addr())
 	}
 }
+
+// TestOpenBesideAnotherListener has another program listen at a port between its check and the listen: Open
+// listens at another one, and gives the taken port to nobody.
+func TestOpenBesideAnotherListener(t *testing.T) {
+	taken := ""
+	listenTCP = func(network, address string) (net.Listener, error) {
+		if taken == "" {
+			other, err := net.Listen(network, address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() { other.Close() })
+			taken = address
+		}
+		return net.Listen(network, address)
+	}
+	t.Cleanup(func() { listenTCP = net.Listen })
+	l, release, err := Open()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer release()
+	defer l.Close()
+	if l.Addr().String() == taken {
+		t.Errorf("both listen at %s", taken)
+	}
+}
