--- a/internal/gateway/recovery/crashstate/file_test.go
+++ b/internal/gateway/recovery/crashstate/file_test.go
@@ -271,4 +271,7 @@
 	if pid, err := lockOwner(free); !errors.Is(err, errNoOwner) {
 		t.Errorf("a free lock is held by %d: %v", pid, err)
 	}
+	if lockOwnerRuns(free) {
+		t.Error("a lock that nobody has counts as held: it is not tried again")
+	}
 }
--- a/internal/gateway/recovery/crashstate/lock.go
+++ b/internal/gateway/recovery/crashstate/lock.go
@@ -45,15 +45,18 @@
 	}
 }
 
-// lockOwnerRuns tells whether the process that holds the lock of a file runs. A lock whose holder is not
-// known counts as one that is held.
+// lockOwnerRuns tells whether the process that holds the lock of a file runs, as far as it is known.
 func lockOwnerRuns(file *os.File) bool {
 	pid, err := lockOwner(file)
+	if errors.Is(err, errNoOwner) {
+		return false
+	}
 	return err != nil || !errors.Is(syscall.Kill(pid, 0), syscall.ESRCH)
 }
 
-// errNoOwner says that no process of this PID namespace holds the lock.
-var errNoOwner = errors.New("the lock's holder is not known")
+// errNoOwner says that no running process of this PID namespace holds the lock. Of an owner that has ended
+// Linux lists no lock, or one without a PID; so does it of one in another namespace.
+var errNoOwner = errors.New("nobody is known to hold the lock")
 
 // lockOwner returns the PID of the process that holds the lock of a file, according to /proc/locks.
 func lockOwner(file *os.File) (pid int, err error) {
@@ -75,6 +78,7 @@
 		if pid, err := strconv.Atoi(fields[lockPIDField]); err == nil && pid > 0 {
 			return pid, nil
 		}
+		return 0, errNoOwner
 	}
 	return 0, errNoOwner
 }
