--- a/internal/serving/core/controlplane.go
+++ b/internal/serving/core/controlplane.go
@@ -30,6 +30,8 @@
 	router.HandleFunc("/Evacuations.Stop/{zone}", c.setEvacuation(false)).Methods(http.MethodPost)
 	router.HandleFunc("/Instances.Heartbeat/{id}", c.heartbeat).Methods(http.MethodPost)
 	router.HandleFunc("/Instances.Deregister/{id}", c.deregister).Methods(http.MethodPost)
+	router.HandleFunc("/Tallies.Update/{id}", c.updateTally).Methods(http.MethodPost)
+	router.HandleFunc("/Tallies.Get/{id}", c.getTally).Methods(http.MethodGet)
 	router.HandleFunc("/status", c.status).Methods(http.MethodGet)
 	return router
 }
--- a/internal/serving/core/core.go
+++ b/internal/serving/core/core.go
@@ -21,6 +21,7 @@
 	"willowdeck/internal/serving/control"
 	"willowdeck/internal/serving/framing"
 	"willowdeck/internal/serving/settings"
+	"willowdeck/internal/serving/tally"
 )
 
 const (
@@ -44,10 +45,12 @@
 	events          chan func()   // to the core's goroutine
 	stop            chan struct{} // closed when the process stops
 
-	engine     *control.Engine // owned by the core's goroutine, except for Mirror and SilentWriter
-	diskWriter *diskWriter
-	links      map[string]*peerLink // by internal address; owned by the core's goroutine
-	nextReload time.Time            // of the settings; owned by the core's goroutine
+	engine      *control.Engine // owned by the core's goroutine, except for StateView and OriginSilent
+	diskWriter  *diskWriter
+	tallies     *tally.Replica // owned by the core's goroutine
+	tallyWriter *tallyWriter
+	links       map[string]*peerLink // by internal address; owned by the core's goroutine
+	nextReload  time.Time            // of the settings; owned by the core's goroutine
 }
 
 // Run runs the process with a settings file until SIGTERM or SIGINT.
@@ -78,9 +81,16 @@
 	if err != nil {
 		return nil, err
 	}
+	tallyLog, err := openTallyLog(config, logger)
+	if err != nil {
+		return nil, err
+	}
+	incarnation := config.NodeName + "/" + randomTag()
 	c.diskWriter = newDiskWriter(opened.Store, c.events)
+	c.tallyWriter = newTallyWriter(tallyLog.Log, c.events, logger)
+	c.tallies = c.newTallies(config, incarnation, tallyLog)
 	options := control.Options{
-		Identity: opened.Identity, Incarnation: config.NodeName + "/" + randomTag(),
+		Identity: opened.Identity, Incarnation: incarnation,
 		Address: c.internalAddress, AddressOf: c.peerAddress, Zone: config.Zone, Region: config.Region,
 		Seeds: hostsOf(config.Seeds), Consensus: consensus.Options{Voters: voterCount(config)},
 		WorkerHeartbeatInterval: config.HeartbeatInterval,
@@ -125,6 +135,7 @@
 	}
 	go c.acceptLinks(internalListener)
 	go c.diskWriter.run(c.stop)
+	go c.tallyWriter.run(c.stop)
 	signals := make(chan os.Signal, signalQueueCapacity)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	status := c.engine.Status()
@@ -160,10 +171,13 @@
 	ticker := time.NewTicker(control.TickInterval)
 	defer ticker.Stop()
 	stopping := false
-	for !stopping || !c.engine.SafeToStop() {
+	for !stopping || !c.engine.SafeToStop() || !c.tallies.SafeToStop() {
 		select {
 		case event := <-c.events:
 			event()
+			if len(c.events) == 0 {
+				c.tallies.Flush()
+			}
 		case <-ticker.C:
 			c.tick()
 		case received := <-signals:
@@ -173,6 +187,7 @@
 			}
 			stopping = true
 			c.engine.BeginShutdown()
+			c.tallies.BeginShutdown()
 		}
 	}
 	close(c.stop) // ends the streams to agents, so that they connect to another core
@@ -192,6 +207,8 @@
 func (c *Core) tick() {
 	c.engine.Tick()
 	c.updateLinks()
+	c.tallies.Tick()
+	c.tallies.Flush()
 	if now := time.Now(); now.After(c.nextReload) {
 		c.nextReload = now.Add(settingsReloadInterval)
 		c.reloadSettings()
--- a/internal/serving/core/environment.go
+++ b/internal/serving/core/environment.go
@@ -23,7 +23,7 @@
 }
 
 // SegmentBytes returns the size of the current segment of the log, in bytes.
-func (v *environment) SegmentBytes() int64 { return v.core.diskWriter.size }
+func (v *environment) SegmentBytes() int64 { return v.core.diskWriter.size.Load() }
 
 // SaveWorkers writes the list of workers atomically, in a goroutine of its own. A failure is not reported to
 // the engine: without the list, workers are learnt from their heartbeats.
--- a/internal/serving/core/links.go
+++ b/internal/serving/core/links.go
@@ -19,6 +19,7 @@
 // updateLinks creates and closes links, so that there is one to each core that the engine names.
 func (c *Core) updateLinks() {
 	wanted := c.engine.Links()
+	c.tallies.SetPeers(wanted)
 	for _, address := range wanted {
 		if c.links[address] == nil {
 			c.links[address] = newPeerLink(address)
@@ -60,12 +61,21 @@
 			c.serveAgent(connection, request)
 			return
 		}
-		if !c.enqueue(func() { c.engine.HandleEnvelope(envelope) }) {
+		if !c.enqueue(func() { c.handleEnvelope(envelope) }) {
 			return
 		}
 	}
 }
 
+// handleEnvelope handles a message of another core.
+func (c *Core) handleEnvelope(envelope *wirepb.Envelope) {
+	if message := envelope.GetTally(); message != nil {
+		c.tallies.HandleMessage(message)
+		return
+	}
+	c.engine.HandleEnvelope(envelope)
+}
+
 // serveAgent streams updates to an agent until its link or the process ends.
 func (c *Core) serveAgent(connection *framing.Conn, subscription *wirepb.WatchRequest) {
 	view := c.engine.StateView()
--- a/internal/serving/core/peerlink.go
+++ b/internal/serving/core/peerlink.go
@@ -18,8 +18,8 @@
 
 // peerLink sends envelopes to another core over one connection, which it dials again after a failure.
 // Envelopes that cannot be sent are dropped: consensus retransmits, and records are sent again on the version
-// vector in the peer's next presence. Chunks of snapshots and batches of records have lower priority than all
-// else.
+// vector in the peer's next presence. Chunks of snapshots and batches of records, those of tallies included,
+// have lower priority than all else.
 type peerLink struct {
 	address   string
 	urgent    chan *wirepb.Envelope
@@ -41,7 +41,7 @@
 
 // isBulk reports whether an envelope has low priority.
 func isBulk(envelope *wirepb.Envelope) bool {
-	if envelope.GetCatalog() != nil {
+	if envelope.GetCatalog() != nil || envelope.GetTally().GetKind() == wirepb.TallyMessageKind_TALLY_BATCH {
 		return true
 	}
 	return envelope.GetConsensus().GetKind() == wirepb.ConsensusKind_CONSENSUS_SNAPSHOT_CHUNK
--- /dev/null
+++ b/internal/serving/core/tallies.go
@@ -0,0 +1,172 @@
+package core
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/pkg/errors"
+
+	"willowdeck/internal/serving/settings"
+	"willowdeck/internal/serving/tally"
+	"willowdeck/internal/serving/tallylog"
+	"willowdeck/internal/serving/wirepb"
+)
+
+// Limits of the calls of tallies.
+const (
+	maxTallyBodyBytes  = 4 << 10
+	maxTallyNameBytes  = 256
+	maxTallyIDBytes    = 128
+	maxTallyAmount     = 1_000_000_000_000 // so that the greatest number of adds does not overflow a total
+	tallyBodyTimeout   = time.Second       // for the body of a request
+	tallyStopMargin    = 2 * time.Second   // before the process is killed
+	tallyRetryAfter    = "0.2"             // seconds
+	headerRetryAfter   = "Retry-After"
+	unavailableMessage = "tallies cannot be made durable here now: nothing was done, call another core"
+)
+
+// errTallyRequest is wrapped by the errors of requests that are not valid.
+var errTallyRequest = errors.New("tally")
+
+// tallyRequest is the body of an add.
+type tallyRequest struct {
+	InstanceID string      `json:"instance_id"`
+	Amount     json.Number `json:"lease_owner"`
+}
+
+// tallyResponse is the body of the response to a read.
+type tallyResponse struct {
+	Total uint64 `json:"total"`
+}
+
+// tallyEnvironment implements tally.Environment with this process's disk and links. Its methods are called on
+// the core's goroutine.
+type tallyEnvironment struct{ core *Core }
+
+// Send sends a message over the link to another core.
+func (v tallyEnvironment) Send(address string, message *wirepb.TallyMessage) {
+	envelope := &wirepb.Envelope{Body: &wirepb.Envelope_Tally{Tally: message}}
+	(&environment{v.core}).Send(address, envelope)
+}
+
+// Append appends records to the log of tallies.
+func (v tallyEnvironment) Append(records []*wirepb.TallyRecords, done func()) {
+	v.core.tallyWriter.submit(tallyTask{records: records, done: done})
+}
+
+// newTallies returns the replica of the tallies with the records of its log. The records of an earlier process
+// count as durable once its log has been synced.
+func (c *Core) newTallies(config *settings.Settings, incarnation string, opened tallylog.Opened) *tally.Replica {
+	replica := tally.NewReplica(tally.Options{
+		Incarnation: incarnation, Address: c.internalAddress, Zone: config.Zone,
+		RequiredCopies: config.ToleratedMachineLosses + 1, RequiredZones: config.ToleratedZoneLosses + 1,
+		ShutdownLimit: config.Bounds.GracePeriod - tallyStopMargin,
+		Clock:         func() time.Duration { return time.Since(c.started) },
+	}, tallyEnvironment{c})
+	for _, records := range opened.Records {
+		replica.Restore(records)
+	}
+	if restored := replica.Vector(); len(restored) > 0 {
+		c.tallyWriter.submit(tallyTask{done: func() { replica.ConfirmRestored(restored) }})
+	}
+	return replica
+}
+
+// updateTally adds to a tally. An add that may count is never rejected: where its outcome is not known in time,
+// the status is 504, and the caller may send it again to any core.
+func (c *Core) updateTally(w http.ResponseWriter, r *http.Request) {
+	// Writers without deadlines, as in tests, need no limit.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(tallyBodyTimeout))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxTallyBodyBytes))
+	if err != nil {
+		writeError(w, http.StatusBadRequest, "tally: send a complete body of at most 4 KiB")
+		return
+	}
+	add, err := parseTallyAdd(mux.Vars(r)["id"], body)
+	if err != nil {
+		writeError(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	outcomes := make(chan tally.Outcome, 1)
+	outcome := tally.Unavailable // where the process has stopped
+	if c.enqueue(func() { c.tallies.Add(add, func(result tally.Outcome) { outcomes <- result }) }) {
+		outcome = tally.Unknown
+		select {
+		case outcome = <-outcomes:
+		case <-c.stop:
+		}
+	}
+	writeTallyOutcome(w, outcome)
+}
+
+// parseTallyAdd returns the add to the tally name that a request's body states.
+func parseTallyAdd(name string, body []byte) (tally.Add, error) {
+	if name == "" || len(name) > maxTallyNameBytes {
+		return tally.Add{}, errors.Wrapf(errTallyRequest, "give a name of 1 to %d bytes", maxTallyNameBytes)
+	}
+	var request tallyRequest
+	decoder := json.NewDecoder(bytes.NewReader(body))
+	if err := decoder.Decode(&request); err != nil {
+		return tally.Add{}, errors.Wrap(errTallyRequest, "send a JSON object with instance_id and lease_owner")
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return tally.Add{}, errors.Wrap(errTallyRequest, "send nothing behind the JSON object")
+	}
+	if request.InstanceID == "" || len(request.InstanceID) > maxTallyIDBytes {
+		return tally.Add{}, errors.Wrapf(errTallyRequest, "instance_id: give 1 to %d bytes", maxTallyIDBytes)
+	}
+	amount, err := strconv.ParseUint(request.Amount.String(), 10, 64)
+	if err != nil || amount > maxTallyAmount {
+		return tally.Add{}, errors.Wrapf(errTallyRequest, "lease_owner: give a whole number from 0 to %d", maxTallyAmount)
+	}
+	return tally.Add{Tally: name, ID: request.InstanceID, Amount: amount}, nil
+}
+
+// writeTallyOutcome writes the response to an add.
+func writeTallyOutcome(w http.ResponseWriter, outcome tally.Outcome) {
+	switch outcome {
+	case tally.Acknowledged:
+		writeJSON(w, http.StatusOK, acceptedResponse{OK: true})
+	case tally.Unavailable:
+		w.Header().Set(headerRetryAfter, tallyRetryAfter)
+		writeError(w, http.StatusServiceUnavailable, unavailableMessage)
+	case tally.Overloaded:
+		w.Header().Set(headerRetryAfter, tallyRetryAfter)
+		writeError(w, http.StatusTooManyRequests, "too many adds: nothing was done, send the same again later")
+	case tally.Conflict:
+		writeError(w, http.StatusConflict, "instance_id was used with another amount: choose a new one for a new add")
+	default:
+		writeError(w, http.StatusGatewayTimeout, "the add may count or not: send the same again")
+	}
+}
+
+// getTally returns the total of a tally.
+func (c *Core) getTally(w http.ResponseWriter, r *http.Request) {
+	name := mux.Vars(r)["id"]
+	type result struct {
+		total uint64
+		ok    bool
+	}
+	results := make(chan result, 1)
+	read := result{}
+	if c.enqueue(func() {
+		total, ok := c.tallies.Read(name)
+		results <- result{total, ok}
+	}) {
+		select {
+		case read = <-results:
+		case <-c.stop:
+		}
+	}
+	if !read.ok {
+		w.Header().Set(headerRetryAfter, tallyRetryAfter)
+		writeError(w, http.StatusServiceUnavailable, "this core is catching up with the others: call another one")
+		return
+	}
+	writeJSON(w, http.StatusOK, tallyResponse{Total: read.total})
+}
--- a/internal/serving/settings/settings.go
+++ b/internal/serving/settings/settings.go
@@ -30,6 +30,7 @@
 	DataDir                string
 	HeartbeatInterval      time.Duration // of workers
 	ToleratedMachineLosses int           // simultaneous losses of machines that all guarantees survive
+	ToleratedZoneLosses    int           // simultaneous losses of zones that all guarantees survive
 	Bounds                 Bounds
 }
 
@@ -98,6 +99,7 @@
 		Bootstrap:              r.boolean("bootstrap"),
 		DataDir:                r.text("data_dir"),
 		ToleratedMachineLosses: int(r.number("fault_tolerance.machines", 1)),
+		ToleratedZoneLosses:    int(r.number("fault_tolerance.zones", 0)),
 		HeartbeatInterval:      r.milliseconds("heartbeat_ms", 1000),
 		Bounds: Bounds{
 			CatchUpTimeout:     r.seconds("bounds.catch_up_s", 4),
--- /dev/null
+++ b/internal/serving/tally/antientropy.go
@@ -0,0 +1,99 @@
+package tally
+
+import (
+	"maps"
+	"slices"
+
+	"willowdeck/internal/serving/wirepb"
+)
+
+// HandleMessage handles a message of another core.
+func (r *Replica) HandleMessage(message *wirepb.TallyMessage) {
+	r.advanceTime()
+	if message.Address == r.options.Address {
+		return
+	}
+	p := r.observe(message)
+	p.durable.advance(message.Durable.GetSequences())
+	p.received.advance(message.Durable.GetSequences())
+	switch message.Kind {
+	case wirepb.TallyMessageKind_TALLY_STATE:
+		p.received.advance(message.Received.GetSequences())
+	case wirepb.TallyMessageKind_TALLY_PUSH:
+		r.mergeRecords(p, message.Records)
+	case wirepb.TallyMessageKind_TALLY_BATCH:
+		r.pullPending = false
+		r.mergeRecords(p, message.Records)
+	case wirepb.TallyMessageKind_TALLY_PULL:
+		p.received.advance(message.Received.GetSequences())
+		r.answerPull(p, message.Received.GetSequences())
+	case wirepb.TallyMessageKind_TALLY_CONFIRM: // its vector is all that it carries
+	}
+	r.updateTarget(p)
+	r.pullFrom(p)
+	r.completeAdds()
+}
+
+// mergeRecords merges records of a peer, and confirms them to it once they are durable.
+func (r *Replica) mergeRecords(p *peer, records []*wirepb.TallyRecords) {
+	var merged []*wirepb.TallyRecords
+	for _, part := range records {
+		if len(part.Adds) == 0 {
+			continue
+		}
+		p.received.advance(Vector{part.Origin: part.First + uint64(len(part.Adds)) - 1})
+		if added, _ := r.set.Merge(part); added != nil {
+			merged = append(merged, added)
+		}
+	}
+	if len(merged) == 0 {
+		return
+	}
+	address := p.address
+	r.write(merged, func() { r.confirm(address, merged) })
+}
+
+// confirm tells a peer that records are durable here.
+func (r *Replica) confirm(address string, records []*wirepb.TallyRecords) {
+	confirmed := Vector{}
+	for _, part := range records {
+		confirmed[part.Origin] = r.durable[part.Origin]
+	}
+	message := r.message(wirepb.TallyMessageKind_TALLY_CONFIRM)
+	message.Durable = vectorMessage(confirmed)
+	r.environment.Send(address, message)
+}
+
+// pullFrom asks a peer for the records that it holds and this replica lacks. One pull is sent at a time, so
+// that records are not sent by several peers at once.
+func (r *Replica) pullFrom(p *peer) {
+	delay := pullDelay
+	if r.active < startGrace {
+		delay = 0
+	}
+	if !r.lags(p, delay) || r.pullPending && r.active-r.pullSentAt < pullTimeout {
+		return
+	}
+	r.pullPending = true
+	r.pullSentAt = r.active
+	pull := r.message(wirepb.TallyMessageKind_TALLY_PULL)
+	pull.Received = vectorMessage(r.set.Vector())
+	r.environment.Send(p.address, pull)
+}
+
+// pullMissing asks for missing records, where an earlier pull or its answer may have been lost.
+func (r *Replica) pullMissing() {
+	for _, address := range slices.Sorted(maps.Keys(r.peers)) {
+		if p := r.peers[address]; r.heardRecently(p) {
+			r.updateTarget(p)
+			r.pullFrom(p)
+		}
+	}
+}
+
+// answerPull sends a peer a part of the records that it lacks.
+func (r *Replica) answerPull(p *peer, vector Vector) {
+	batch := r.message(wirepb.TallyMessageKind_TALLY_BATCH)
+	batch.Records = r.set.Since(vector, maxBatchBytes)
+	r.environment.Send(p.address, batch)
+}
--- /dev/null
+++ b/internal/serving/tally/reads.go
@@ -0,0 +1,29 @@
+package tally
+
+// Read returns the total of a tally. It contains all adds that this replica has acknowledged. ok is false
+// while the replica may lack adds that other cores acknowledged a while ago: after a start until it has heard
+// of all cores that can be reached, and while it has not received what a peer holds.
+func (r *Replica) Read(name string) (total uint64, ok bool) {
+	r.advanceTime()
+	if !r.current() {
+		return 0, false
+	}
+	return r.set.Total(name), true
+}
+
+// current reports whether reads may be answered.
+func (r *Replica) current() bool {
+	starting := r.active < readGrace
+	for _, p := range r.peers {
+		if p.incarnation == "" && starting {
+			return false
+		}
+		if !r.heardRecently(p) {
+			continue
+		}
+		if starting && p.target != nil || r.lags(p, readGrace) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/serving/tally/set.go
@@ -0,0 +1,194 @@
+package tally
+
+import (
+	"maps"
+	"slices"
+
+	"willowdeck/internal/serving/wirepb"
+)
+
+// Add is one add to a tally. Its id counts once for each tally.
+type Add struct {
+	Tally  string
+	ID     string
+	Amount uint64
+}
+
+// Vector says, by origin, up to which sequence number records are held. Origins without records are left out.
+type Vector map[string]uint64
+
+// covers reports whether v holds all records of other.
+func (v Vector) covers(other Vector) bool {
+	for origin, sequence := range other {
+		if v[origin] < sequence {
+			return false
+		}
+	}
+	return true
+}
+
+// advance raises v to hold all records of other as well.
+func (v Vector) advance(other Vector) {
+	for origin, sequence := range other {
+		v[origin] = max(v[origin], sequence)
+	}
+}
+
+// recordOverheadBytes estimates the encoded size of a record beside its texts.
+const recordOverheadBytes = 24
+
+// record is an add in the sequence of its origin.
+type record struct {
+	tally  *namedTally
+	id     string
+	amount uint64
+}
+
+// encodedBytes estimates the size of the record in a message.
+func (r *record) encodedBytes() int { return len(r.tally.name) + len(r.id) + recordOverheadBytes }
+
+// originRecords are the records of one origin without gaps, from sequence number 1.
+type originRecords struct {
+	origin  string
+	records []record
+}
+
+// namedTally is one tally: the adds that count towards it, by their ids.
+type namedTally struct {
+	name  string
+	total uint64
+	adds  map[string]countedAdd
+}
+
+// countedAdd is an add that counts, with one of its places.
+type countedAdd struct {
+	amount   uint64
+	origin   *originRecords
+	sequence uint64
+}
+
+// Set is the state of all tallies that a replica holds. It is not safe for concurrent use.
+type Set struct {
+	origins map[string]*originRecords
+	tallies map[string]*namedTally
+	records int
+}
+
+// NewSet returns an empty set.
+func NewSet() *Set {
+	return &Set{origins: map[string]*originRecords{}, tallies: map[string]*namedTally{}}
+}
+
+// Total returns the total of a tally, which is 0 where it has no adds.
+func (s *Set) Total(name string) uint64 {
+	if tally := s.tallies[name]; tally != nil {
+		return tally.total
+	}
+	return 0
+}
+
+// Records returns the number of records, those of repeated ids included.
+func (s *Set) Records() int { return s.records }
+
+// Sequence returns the sequence number up to which the records of an origin are held.
+func (s *Set) Sequence(origin string) uint64 {
+	if held := s.origins[origin]; held != nil {
+		return uint64(len(held.records))
+	}
+	return 0
+}
+
+// Vector returns the version vector of the set.
+func (s *Set) Vector() Vector {
+	vector := make(Vector, len(s.origins))
+	for origin, held := range s.origins {
+		vector[origin] = uint64(len(held.records))
+	}
+	return vector
+}
+
+// find returns the add that counts for an id, and whether there is one.
+func (s *Set) find(name, id string) (countedAdd, bool) {
+	tally := s.tallies[name]
+	if tally == nil {
+		return countedAdd{}, false
+	}
+	counted, found := tally.adds[id]
+	return counted, found
+}
+
+// append records an add as the next one of an origin, and returns its sequence number.
+func (s *Set) append(origin string, add Add) uint64 {
+	held := s.origins[origin]
+	if held == nil {
+		held = &originRecords{origin: origin}
+		s.origins[origin] = held
+	}
+	tally := s.tallies[add.Tally]
+	if tally == nil {
+		tally = &namedTally{name: add.Tally, adds: map[string]countedAdd{}}
+		s.tallies[add.Tally] = tally
+	}
+	held.records = append(held.records, record{tally: tally, id: add.ID, amount: add.Amount})
+	s.records++
+	sequence := uint64(len(held.records))
+	tally.count(add, held, sequence)
+	return sequence
+}
+
+// count lets an add count. Of two amounts under one id the greater one counts, in whichever order they come.
+func (t *namedTally) count(add Add, held *originRecords, sequence uint64) {
+	known, found := t.adds[add.ID]
+	if found && add.Amount <= known.amount {
+		return
+	}
+	t.total += add.Amount - known.amount
+	t.adds[add.ID] = countedAdd{amount: add.Amount, origin: held, sequence: sequence}
+}
+
+// Merge takes those records that follow directly on what is held of their origin, and returns them. complete
+// is false where records before them are missing.
+func (s *Set) Merge(records *wirepb.TallyRecords) (merged *wirepb.TallyRecords, complete bool) {
+	held := s.Sequence(records.Origin)
+	if records.First == 0 || records.First > held+1 {
+		return nil, false
+	}
+	known := held + 1 - records.First
+	if known >= uint64(len(records.Adds)) {
+		return nil, true
+	}
+	adds := records.Adds[known:]
+	for _, add := range adds {
+		s.append(records.Origin, Add{Tally: add.Tally, ID: add.Id, Amount: add.Amount})
+	}
+	return &wirepb.TallyRecords{Origin: records.Origin, First: held + 1, Adds: adds}, true
+}
+
+// Since returns records that a replica with a vector lacks, those of each origin in order. It returns at most
+// about maxBytes, and at least one record where any is missing.
+func (s *Set) Since(vector Vector, maxBytes int) []*wirepb.TallyRecords {
+	var missing []*wirepb.TallyRecords
+	for _, origin := range slices.Sorted(maps.Keys(s.origins)) {
+		held := s.origins[origin]
+		first := vector[origin]
+		if first >= uint64(len(held.records)) {
+			continue
+		}
+		records := &wirepb.TallyRecords{Origin: origin, First: first + 1}
+		for i := first; i < uint64(len(held.records)) && maxBytes > 0; i++ {
+			entry := &held.records[i]
+			records.Adds = append(records.Adds, entry.message())
+			maxBytes -= entry.encodedBytes()
+		}
+		missing = append(missing, records)
+		if maxBytes <= 0 {
+			break
+		}
+	}
+	return missing
+}
+
+// message returns the message of a record.
+func (r *record) message() *wirepb.TallyAdd {
+	return &wirepb.TallyAdd{Tally: r.tally.name, Id: r.id, Amount: r.amount}
+}
--- /dev/null
+++ b/internal/serving/tally/status.go
@@ -0,0 +1,50 @@
+package tally
+
+import (
+	"maps"
+	"slices"
+)
+
+// Status is the state of a replica as /status shows it. The keys are part of the operators' interface.
+type Status struct {
+	Tallies int          `json:"tallies"`
+	Records int          `json:"records"`
+	Pending int          `json:"pending"`
+	Current bool         `json:"current"` // reads are answered
+	Peers   []PeerStatus `json:"peers"`
+}
+
+// PeerStatus is the state of another core as this one knows it.
+type PeerStatus struct {
+	Address    string `json:"address"`
+	Responsive bool   `json:"responsive"`
+	Missing    uint64 `json:"missing"`  // records that it has not made durable
+	NotHeld    uint64 `json:"not_held"` // records that it holds and this core lacks
+}
+
+// Status returns the present state of the replica.
+func (r *Replica) Status() Status {
+	status := Status{
+		Tallies: len(r.set.tallies), Records: r.set.Records(), Pending: len(r.pending), Current: r.current(),
+	}
+	held := r.set.Vector()
+	for _, address := range slices.Sorted(maps.Keys(r.peers)) {
+		p := r.peers[address]
+		status.Peers = append(status.Peers, PeerStatus{
+			Address: address, Responsive: r.responsive(p), Missing: held.lacking(p.durable),
+			NotHeld: p.received.lacking(held),
+		})
+	}
+	return status
+}
+
+// lacking returns how many records of v other does not hold.
+func (v Vector) lacking(other Vector) uint64 {
+	count := uint64(0)
+	for origin, sequence := range v {
+		if held := other[origin]; held < sequence {
+			count += sequence - held
+		}
+	}
+	return count
+}
--- a/internal/serving/wal/frame.go
+++ b/internal/serving/wal/frame.go
@@ -15,16 +15,16 @@
 
 var checksumTable = crc32.MakeTable(crc32.Castagnoli)
 
-// appendFrame appends the frame of payload to buffer.
-func appendFrame(buffer, payload []byte) []byte {
+// AppendFrame appends the frame of payload to buffer.
+func AppendFrame(buffer, payload []byte) []byte {
 	var header [headerBytes]byte
 	binary.LittleEndian.PutUint32(header[0:], uint32(len(payload)))
 	binary.LittleEndian.PutUint32(header[4:], crc32.Checksum(payload, checksumTable))
 	return append(append(buffer, header[:]...), payload...)
 }
 
-// nextFrame splits the first frame off data. ok is false where it is truncated, corrupted or empty.
-func nextFrame(data []byte) (payload, rest []byte, ok bool) {
+// NextFrame splits the first frame off data. ok is false where it is truncated, corrupted or empty.
+func NextFrame(data []byte) (payload, rest []byte, ok bool) {
 	if len(data) < headerBytes {
 		return nil, nil, false
 	}
@@ -39,12 +39,12 @@
 	return payload, data[headerBytes+length:], true
 }
 
-// validFrameAfter reports whether a valid frame begins at any offset after the first byte of data.
-func validFrameAfter(data []byte) bool {
+// NextValidFrame returns the offset after the first byte of data at which a valid frame begins, or -1.
+func NextValidFrame(data []byte) int {
 	for offset := 1; offset+headerBytes < len(data); offset++ {
-		if _, _, ok := nextFrame(data[offset:]); ok {
-			return true
+		if _, _, ok := NextFrame(data[offset:]); ok {
+			return offset
 		}
 	}
-	return false
+	return -1
 }
--- a/internal/serving/wal/log.go
+++ b/internal/serving/wal/log.go
@@ -30,12 +30,12 @@
 // Append only after Rewrite: a segment from before a restart is never written again.
 func Open(fsys FileSystem, dir string) (log *Log, state consensus.DurableState, exists bool, err error) {
 	log = &Log{fsys: fsys, dir: dir}
-	numbers, err := segmentNumbers(fsys, dir)
+	numbers, err := SegmentNumbers(fsys, dir, segmentPrefix)
 	if err != nil {
 		return nil, state, false, err
 	}
 	for i := len(numbers) - 1; i >= 0; i-- {
-		state, usable, err := readSegment(fsys, segmentPath(dir, numbers[i]))
+		state, usable, err := readSegment(fsys, SegmentPath(dir, segmentPrefix, numbers[i]))
 		if err != nil {
 			return nil, state, false, err
 		}
@@ -106,7 +106,7 @@
 		return err
 	}
 	number := l.number + 1
-	path := segmentPath(l.dir, number)
+	path := SegmentPath(l.dir, segmentPrefix, number)
 	if err := WriteFile(l.fsys, l.dir, filepath.Base(path), buffer); err != nil {
 		_ = l.fsys.Remove(path + temporarySuffix) // best effort: frees the space of an incomplete file
 		return err
@@ -123,13 +123,13 @@
 // removeOlderSegments removes the segments that the current one replaces. What it fails to remove is removed
 // by the next call.
 func (l *Log) removeOlderSegments() {
-	numbers, err := segmentNumbers(l.fsys, l.dir)
+	numbers, err := SegmentNumbers(l.fsys, l.dir, segmentPrefix)
 	if err != nil {
 		return
 	}
 	for _, number := range numbers {
 		if number < l.number {
-			_ = l.fsys.Remove(segmentPath(l.dir, number))
+			_ = l.fsys.Remove(SegmentPath(l.dir, segmentPrefix, number))
 		}
 	}
 }
--- a/internal/serving/wal/log_test.go
+++ b/internal/serving/wal/log_test.go
@@ -38,7 +38,7 @@
 			t.Fatal(err)
 		}
 	}
-	return dir, segmentPath(dir, log.number)
+	return dir, SegmentPath(dir, segmentPrefix, log.number)
 }
 
 func TestReplaysWrittenEntries(t *testing.T) {
@@ -65,8 +65,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	_, rest, _ := nextFrame(content)
-	_, last, _ := nextFrame(rest)
+	_, rest, _ := NextFrame(content)
+	_, last, _ := NextFrame(rest)
 	for length := len(content) - len(last) + 1; length < len(content); length++ {
 		if err := os.WriteFile(segment, content[:length], 0o644); err != nil {
 			t.Fatal(err)
@@ -86,8 +86,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	_, rest, _ := nextFrame(content)
-	_, last, _ := nextFrame(rest)
+	_, rest, _ := NextFrame(content)
+	_, last, _ := NextFrame(rest)
 	for offset := len(content) - len(rest); offset < len(content)-len(last); offset++ {
 		corrupted := append([]byte(nil), content...)
 		corrupted[offset] ^= 0x40
@@ -106,7 +106,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := os.WriteFile(segmentPath(dir, 99), content[:5], 0o644); err != nil {
+	if err := os.WriteFile(SegmentPath(dir, segmentPrefix, 99), content[:5], 0o644); err != nil {
 		t.Fatal(err)
 	}
 	if _, state, exists, err := Open(Disk, dir); err != nil || !exists || len(state.Entries) != 2 {
--- a/internal/serving/wal/segment.go
+++ b/internal/serving/wal/segment.go
@@ -16,12 +16,14 @@
 // segmentPrefix begins the name of each segment file; 16 hexadecimal digits of the segment's number follow.
 const segmentPrefix = "segment-"
 
-func segmentPath(dir string, number uint64) string {
-	return filepath.Join(dir, fmt.Sprintf("%s%016x", segmentPrefix, number))
+// SegmentPath returns the path of the segment with a number, of the log whose file names begin with prefix.
+func SegmentPath(dir, prefix string, number uint64) string {
+	return filepath.Join(dir, fmt.Sprintf("%s%016x", prefix, number))
 }
 
-// segmentNumbers returns the numbers of the segments in dir in ascending order, without unfinished files.
-func segmentNumbers(fsys FileSystem, dir string) ([]uint64, error) {
+// SegmentNumbers returns the numbers of the segments in dir in ascending order, without unfinished files, of
+// the log whose file names begin with prefix.
+func SegmentNumbers(fsys FileSystem, dir, prefix string) ([]uint64, error) {
 	names, err := fsys.ReadDir(dir)
 	if err != nil {
 		return nil, errors.Wrapf(err, "cannot list %s: check that data_dir exists", dir)
@@ -29,7 +31,7 @@
 	var numbers []uint64
 	for _, name := range names {
 		var number uint64
-		digits, ok := strings.CutPrefix(name, segmentPrefix)
+		digits, ok := strings.CutPrefix(name, prefix)
 		if !ok || strings.HasSuffix(digits, temporarySuffix) {
 			continue
 		}
@@ -43,12 +45,12 @@
 
 // RemoveSegments removes all segments in dir. It returns once the removal is durable.
 func RemoveSegments(fsys FileSystem, dir string) error {
-	numbers, err := segmentNumbers(fsys, dir)
+	numbers, err := SegmentNumbers(fsys, dir, segmentPrefix)
 	if err != nil {
 		return err
 	}
 	for _, number := range numbers {
-		if err := fsys.Remove(segmentPath(dir, number)); err != nil {
+		if err := fsys.Remove(SegmentPath(dir, segmentPrefix, number)); err != nil {
 			return errors.Wrap(err, "cannot remove a segment")
 		}
 	}
@@ -63,9 +65,9 @@
 		return state, false, errors.Wrapf(err, "cannot read %s: check the disk", path)
 	}
 	for len(data) > 0 {
-		payload, rest, ok := nextFrame(data)
+		payload, rest, ok := NextFrame(data)
 		if !ok {
-			if usable && validFrameAfter(data) {
+			if usable && NextValidFrame(data) >= 0 {
 				return state, false, errors.Wrap(ErrCorrupted, path)
 			}
 			return state, usable, nil
@@ -106,5 +108,5 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "cannot encode a log frame")
 	}
-	return appendFrame(nil, payload), nil
+	return AppendFrame(nil, payload), nil
 }
