--- a/internal/serving/core/tallies.go
+++ b/internal/serving/core/tallies.go
@@ -23,7 +23,7 @@
 	maxTallyNameBytes  = 256
 	maxTallyIDBytes    = 128
 	maxTallyAmount     = 1_000_000_000_000 // so that the greatest number of adds does not overflow a total
-	tallyBodyTimeout   = time.Second       // for the body of a request
+	tallyBodyTimeout   = 3 * time.Second   // for the body of a request
 	tallyStopMargin    = 2 * time.Second   // before the process is killed
 	tallyRetryAfter    = "0.2"             // seconds
 	headerRetryAfter   = "Retry-After"
--- a/internal/serving/settings/settings.go
+++ b/internal/serving/settings/settings.go
@@ -31,9 +31,12 @@
 	HeartbeatInterval      time.Duration // of workers
 	ToleratedMachineLosses int           // simultaneous losses of machines that all guarantees survive
 	ToleratedZoneLosses    int           // simultaneous losses of zones that all guarantees survive
+	MemoryLimitBytes       int64         // of the process; 0: not limited
 	Bounds                 Bounds
 }
 
+const bytesPerMegabyte = 1 << 20
+
 // Bounds are the limits within which the programs keep their guarantees.
 type Bounds struct {
 	CatchUpTimeout     time.Duration // for a new or returned core to catch up with the log
@@ -100,6 +103,7 @@
 		DataDir:                r.text("data_dir"),
 		ToleratedMachineLosses: int(r.number("fault_tolerance.machines", 1)),
 		ToleratedZoneLosses:    int(r.number("fault_tolerance.zones", 0)),
+		MemoryLimitBytes:       int64(r.number("limits.memory_mb", 0) * bytesPerMegabyte),
 		HeartbeatInterval:      r.milliseconds("heartbeat_ms", 1000),
 		Bounds: Bounds{
 			CatchUpTimeout:     r.seconds("bounds.catch_up_s", 4),
--- a/internal/serving/tally/adds.go
+++ b/internal/serving/tally/adds.go
@@ -39,7 +39,7 @@
 func (r *Replica) Add(add Add, done func(Outcome)) {
 	r.advanceTime()
 	counted, known := r.set.find(add.Tally, add.ID)
-	if known && counted.amount != add.Amount {
+	if known && counted.amount() != add.Amount {
 		done(Conflict)
 		return
 	}
@@ -70,7 +70,7 @@
 
 // recordOwn records an add in the own sequence.
 func (r *Replica) recordOwn(add Add) uint64 {
-	sequence := r.set.append(r.options.Incarnation, add)
+	sequence := r.set.record(r.options.Incarnation, add)
 	r.unsent = append(r.unsent, &wirepb.TallyAdd{Tally: add.Tally, Id: add.ID, Amount: add.Amount})
 	return sequence
 }
--- a/internal/serving/tally/replica.go
+++ b/internal/serving/tally/replica.go
@@ -24,9 +24,9 @@
 
 // Limits of a replica.
 const (
-	maxPendingAdds = 2000    // adds that wait for copies
-	maxUnsentAdds  = 64      // adds that wait for Flush
-	maxRecords     = 1500000 // records in memory
+	maxPendingAdds = 2000      // adds that wait for copies
+	maxUnsentAdds  = 64        // adds that wait for Flush
+	maxRecords     = 1_200_000 // records in memory
 	maxBatchBytes  = 128 << 10
 )
 
--- a/internal/serving/tally/set.go
+++ b/internal/serving/tally/set.go
@@ -53,30 +53,40 @@
 	records []record
 }
 
-// namedTally is one tally: the adds that count towards it, by their ids.
+// namedTally is one tally.
 type namedTally struct {
 	name  string
 	total uint64
-	adds  map[string]countedAdd
 }
 
-// countedAdd is an add that counts, with one of its places.
-type countedAdd struct {
-	amount   uint64
+// addKey identifies an add.
+type addKey struct {
+	tally *namedTally
+	id    string
+}
+
+// place is where the record of an add stands.
+type place struct {
 	origin   *originRecords
 	sequence uint64
 }
 
+// amount returns the amount of the record at a place.
+func (p place) amount() uint64 { return p.origin.records[p.sequence-1].amount }
+
 // Set is the state of all tallies that a replica holds. It is not safe for concurrent use.
 type Set struct {
 	origins map[string]*originRecords
 	tallies map[string]*namedTally
+	counted map[addKey]place // the record that counts for each add
 	records int
 }
 
 // NewSet returns an empty set.
 func NewSet() *Set {
-	return &Set{origins: map[string]*originRecords{}, tallies: map[string]*namedTally{}}
+	return &Set{
+		origins: map[string]*originRecords{}, tallies: map[string]*namedTally{}, counted: map[addKey]place{},
+	}
 }
 
 // Total returns the total of a tally, which is 0 where it has no adds.
@@ -107,17 +117,21 @@
 	return vector
 }
 
-// find returns the add that counts for an id, and whether there is one.
-func (s *Set) find(name, id string) (countedAdd, bool) {
-	tally := s.tallies[name]
-	if tally == nil {
-		return countedAdd{}, false
-	}
-	counted, found := tally.adds[id]
-	return counted, found
+// find returns the place of the record that counts for an id, and whether there is one.
+func (s *Set) find(name, id string) (place, bool) {
+	found, ok := s.counted[addKey{s.tallies[name], id}]
+	return found, ok
 }
 
-// append records an add as the next one of an origin, and returns its sequence number.
+// record records an add as the next one of an origin, and returns its sequence number. Where the add has a record
+// of the same amount already, the new one counts in its place.
+func (s *Set) record(origin string, add Add) uint64 {
+	sequence := s.append(origin, add)
+	s.counted[addKey{s.tallies[add.Tally], add.ID}] = place{s.origins[origin], sequence}
+	return sequence
+}
+
+// append appends an add to the records of an origin, and returns its sequence number.
 func (s *Set) append(origin string, add Add) uint64 {
 	held := s.origins[origin]
 	if held == nil {
@@ -126,24 +140,28 @@
 	}
 	tally := s.tallies[add.Tally]
 	if tally == nil {
-		tally = &namedTally{name: add.Tally, adds: map[string]countedAdd{}}
+		tally = &namedTally{name: add.Tally}
 		s.tallies[add.Tally] = tally
 	}
 	held.records = append(held.records, record{tally: tally, id: add.ID, amount: add.Amount})
 	s.records++
 	sequence := uint64(len(held.records))
-	tally.count(add, held, sequence)
+	s.count(tally, add, place{held, sequence})
 	return sequence
 }
 
 // count lets an add count. Of two amounts under one id the greater one counts, in whichever order they come.
-func (t *namedTally) count(add Add, held *originRecords, sequence uint64) {
-	known, found := t.adds[add.ID]
-	if found && add.Amount <= known.amount {
+func (s *Set) count(tally *namedTally, add Add, at place) {
+	key := addKey{tally, add.ID}
+	known, found := s.counted[key]
+	if found && add.Amount <= known.amount() {
 		return
 	}
-	t.total += add.Amount - known.amount
-	t.adds[add.ID] = countedAdd{amount: add.Amount, origin: held, sequence: sequence}
+	if found {
+		tally.total -= known.amount()
+	}
+	tally.total += add.Amount
+	s.counted[key] = at
 }
 
 // Merge takes those records that follow directly on what is held of their origin, and returns them. complete
