--- a/internal/serving/core/groupwriter.go
+++ b/internal/serving/core/groupwriter.go
@@ -10,9 +10,10 @@
 // groupWriter executes the writes of one log in order in a goroutine of its own, so that a slow disk does not
 // block the core's goroutine. Tasks that wait together are written together (group commit).
 type groupWriter[Task any] struct {
-	write     func(tasks []Task, stop <-chan struct{}) bool // makes tasks durable; false: the process has stopped before
-	completed func(tasks []Task)                            // called on the core's goroutine once tasks are durable
-	maxGroup  int                                           // tasks that are written together
+	// write makes tasks durable. It returns false where the process has stopped before that.
+	write     func(tasks []Task, stop <-chan struct{}) bool
+	completed func(tasks []Task) // called on the core's goroutine once tasks are durable
+	maxGroup  int                // tasks that are written together
 	tasks     chan Task
 	overflow  []Task        // tasks that did not fit into the channel; owned by the core's goroutine
 	events    chan<- func() // to the core's goroutine
@@ -67,8 +68,8 @@
 	}
 }
 
-// retryUntilDurable calls repair at intervals until it succeeds, if err is not nil. It returns false where the
-// process stops before that.
+// retryUntilDurable calls repair at intervals until it succeeds, if err is not nil. It returns false where
+// the process stops before that.
 func retryUntilDurable(err error, repair func() error, stop <-chan struct{}) bool {
 	for err != nil {
 		select {
--- a/internal/serving/core/tallies.go
+++ b/internal/serving/core/tallies.go
@@ -59,9 +59,11 @@
 	v.core.tallyWriter.submit(tallyTask{records: records, done: done})
 }
 
-// newTallies returns the replica of the tallies with the records of its log. The records of an earlier process
-// count as durable once its log has been synced.
-func (c *Core) newTallies(config *settings.Settings, incarnation string, opened tallylog.Opened) *tally.Replica {
+// newTallies returns the replica of the tallies with the records of its log. The records of an earlier
+// process count as durable once its log has been synced.
+func (c *Core) newTallies(
+	config *settings.Settings, incarnation string, opened tallylog.Opened,
+) *tally.Replica {
 	replica := tally.NewReplica(tally.Options{
 		Incarnation: incarnation, Address: c.internalAddress, Zone: config.Zone,
 		RequiredCopies: config.ToleratedMachineLosses + 1, RequiredZones: config.ToleratedZoneLosses + 1,
@@ -77,8 +79,8 @@
 	return replica
 }
 
-// updateTally adds to a tally. An add that may count is never rejected: where its outcome is not known in time,
-// the status is 504, and the caller may send it again to any core.
+// updateTally adds to a tally. An add that may count is never rejected: where its outcome is not known in
+// time, the status is 504, and the caller may send it again to any core.
 func (c *Core) updateTally(w http.ResponseWriter, r *http.Request) {
 	// Writers without deadlines, as in tests, need no limit.
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(tallyBodyTimeout))
@@ -122,7 +124,8 @@
 	}
 	amount, err := strconv.ParseUint(request.Amount.String(), 10, 64)
 	if err != nil || amount > maxTallyAmount {
-		return tally.Add{}, errors.Wrapf(errTallyRequest, "lease_owner: give a whole number from 0 to %d", maxTallyAmount)
+		return tally.Add{}, errors.Wrapf(errTallyRequest, "lease_owner: give a whole number from 0 to %d",
+			maxTallyAmount)
 	}
 	return tally.Add{Tally: name, ID: request.InstanceID, Amount: amount}, nil
 }
@@ -139,7 +142,7 @@
 		w.Header().Set(headerRetryAfter, tallyRetryAfter)
 		writeError(w, http.StatusTooManyRequests, "too many adds: nothing was done, send the same again later")
 	case tally.Conflict:
-		writeError(w, http.StatusConflict, "instance_id was used with another amount: choose a new one for a new add")
+		writeError(w, http.StatusConflict, "instance_id was used with another amount: choose a new one")
 	default:
 		writeError(w, http.StatusGatewayTimeout, "the add may count or not: send the same again")
 	}
--- a/internal/serving/program/imports_test.go
+++ b/internal/serving/program/imports_test.go
@@ -39,7 +39,7 @@
 // TestDecidingPackagesDoNoIO checks the direct imports of the packages that make decisions.
 func TestDecidingPackagesDoNoIO(t *testing.T) {
 	deciding := []string{"consensus", "statemachine", "configuration", "catalog", "loadbalancer", "loadreport",
-		"slowstart", "retrybudget", "stateview", "control", "pathhealth", "decay"}
+		"slowstart", "retrybudget", "stateview", "control", "pathhealth", "decay", "tally"}
 	forbidden := []string{"net", "net/http", "os", "os/exec", "syscall", "log", "go.uber.org/zap",
 		module + "framing", module + "watch", module + "core", module + "agent", module + "edge"}
 	for _, name := range deciding {
--- a/internal/serving/tally/adds.go
+++ b/internal/serving/tally/adds.go
@@ -33,9 +33,9 @@
 	at       time.Duration
 }
 
-// Add adds to a tally and calls done with the outcome, at once or later. An id that was recorded before is not
-// recorded a second time by this replica. Where another core has recorded it, this one records it as well: the
-// set counts it once, and its copies are known.
+// Add adds to a tally and calls done with the outcome, at once or later. An id that was recorded before is
+// not recorded a second time by this replica. Where another core has recorded it, this one records it as
+// well: the set counts it once, and its copies are known.
 func (r *Replica) Add(add Add, done func(Outcome)) {
 	r.advanceTime()
 	counted, known := r.set.find(add.Tally, add.ID)
--- a/internal/serving/tally/set.go
+++ b/internal/serving/tally/set.go
@@ -123,8 +123,8 @@
 	return found, ok
 }
 
-// record records an add as the next one of an origin, and returns its sequence number. Where the add has a record
-// of the same amount already, the new one counts in its place.
+// record records an add as the next one of an origin, and returns its sequence number. Where the add has a
+// record of the same amount already, the new one counts in its place.
 func (s *Set) record(origin string, add Add) uint64 {
 	sequence := s.append(origin, add)
 	s.counted[addKey{s.tallies[add.Tally], add.ID}] = place{s.origins[origin], sequence}
--- a/internal/serving/tallylog/log.go
+++ b/internal/serving/tallylog/log.go
@@ -14,7 +14,8 @@
 const segmentPrefix = "tallies-"
 
 // ErrCorrupted is the error of a segment that has lost records before its end.
-var ErrCorrupted = errors.New("log of tallies is corrupted before its end: other cores send what is missing; check the disk")
+var ErrCorrupted = errors.New(
+	"log of tallies is corrupted before its end: other cores send what is missing; check the disk")
 
 // Log is the log of one core. It is not safe for concurrent use.
 type Log struct {
@@ -101,7 +102,8 @@
 	return nil
 }
 
-// removeSegments removes the segments up to a number. What it fails to remove is removed after the next start.
+// removeSegments removes the segments up to a number. What it fails to remove is removed after the next
+// start.
 func (l *Log) removeSegments(last uint64) {
 	numbers, err := wal.SegmentNumbers(l.fsys, l.dir, segmentPrefix)
 	if err != nil {
@@ -114,8 +116,8 @@
 	}
 }
 
-// Append writes records as one frame and syncs it. After an error the records may be appended again: they then
-// go into another segment.
+// Append writes records as one frame and syncs it. After an error the records may be appended again: they
+// then go into another segment.
 func (l *Log) Append(records []*wirepb.TallyRecords) error {
 	payload, err := proto.Marshal(&wirepb.TallyLogFrame{Records: records})
 	if err != nil {
