--- a/internal/serving/core/tallies.go
+++ b/internal/serving/core/tallies.go
@@ -70,7 +70,7 @@
 		ShutdownLimit: config.Bounds.GracePeriod - tallyStopMargin,
 		Clock:         func() time.Duration { return time.Since(c.started) },
 	}, tallyEnvironment{c})
-	for _, records := range opened.Records {
+	for records := range opened.Log.Earlier() {
 		replica.Restore(records)
 	}
 	if restored := replica.Vector(); len(restored) > 0 {
--- a/internal/serving/tallylog/doc.go
+++ b/internal/serving/tallylog/doc.go
@@ -5,6 +5,8 @@
 // segment is never rewritten in place. A process never writes to a segment of an earlier one, nor to one
 // whose write or sync has failed: it begins another one. Consolidate merges what an earlier process has left
 // into one segment and makes it durable, since that process may have ended between a write and its sync.
+// The newest file of the log is never removed, so no name is used twice: a removal that was not synced could
+// otherwise still apply to a later file of that name.
 //
 // A torn frame at the end of a segment is discarded. Damage before valid frames is reported; the records
 // behind it are kept, and the other replicas send those that are missing.
--- a/internal/serving/tallylog/log.go
+++ b/internal/serving/tallylog/log.go
@@ -1,6 +1,7 @@
 package tallylog
 
 import (
+	"iter"
 	"path/filepath"
 
 	"github.com/pkg/errors"
@@ -22,15 +23,19 @@
 	fsys    wal.FileSystem
 	dir     string
 	file    wal.File // nil before the first Append, and after a failed write or sync
+	path    string   // of file
 	number  uint64   // of the newest segment
-	size    int64    // of all segments, in bytes
-	earlier []byte   // frames of earlier processes, until Consolidate has succeeded
+	durable bool     // whether file has a frame that is durable
+	failed  string   // path of the newest segment whose first write or sync has failed, until it is removed
+
+	earlier       []byte // frames of earlier processes, until Consolidate has succeeded
+	earlierNumber uint64 // of the newest segment of earlier processes
+	consolidated  bool
 }
 
-// Opened is a log with the records that it contains, in the order in which they were written.
+// Opened is an open log.
 type Opened struct {
 	Log        *Log
-	Records    []*wirepb.TallyRecords
 	Corruption error // wraps ErrCorrupted where records before the end of a segment are lost, or nil
 }
 
@@ -41,76 +46,101 @@
 	if err != nil {
 		return opened, err
 	}
+	merged := newMerger()
 	for _, number := range numbers {
 		path := wal.SegmentPath(dir, segmentPrefix, number)
 		data, err := fsys.ReadFile(path)
 		if err != nil {
 			return opened, errors.Wrapf(err, "cannot read %s: check the disk", path)
 		}
-		opened.Log.number = number
-		if err := opened.replay(data); err != nil {
-			opened.Corruption = errors.Wrap(err, path)
+		opened.Log.number, opened.Log.earlierNumber = number, number
+		corruption, err := replay(data, merged)
+		if err != nil {
+			return opened, err
+		}
+		if corruption != nil {
+			opened.Corruption = errors.Wrap(corruption, path)
 		}
 	}
-	opened.Log.size = int64(len(opened.Log.earlier))
-	return opened, nil
+	opened.Log.earlier, err = merged.finish()
+	return opened, err
 }
 
-// replay takes the valid frames of a segment. Invalid bytes before a valid frame are skipped and reported.
-func (o *Opened) replay(data []byte) error {
-	var corruption error
+// replay takes the valid frames of a segment. Invalid bytes before a valid frame are skipped and reported as
+// corruption.
+func replay(data []byte, merged *merger) (corruption, err error) {
 	for len(data) > 0 {
 		payload, rest, ok := wal.NextFrame(data)
 		if !ok {
 			next := wal.NextValidFrame(data)
 			if next < 0 {
-				return corruption
+				return corruption, nil
 			}
 			corruption = ErrCorrupted
 			data = data[next:]
 			continue
 		}
+		data = rest
 		var frame wirepb.TallyLogFrame
 		if err := proto.Unmarshal(payload, &frame); err != nil {
 			corruption = errors.Wrap(ErrCorrupted, err.Error())
-		} else {
-			o.Records = append(o.Records, frame.Records...)
-			o.Log.earlier = append(o.Log.earlier, data[:len(data)-len(rest)]...)
+			continue
+		}
+		if err := merged.add(frame.Records); err != nil {
+			return corruption, err
 		}
-		data = rest
 	}
-	return corruption
+	return corruption, nil
 }
 
-// Size returns the size of the log in bytes.
-func (l *Log) Size() int64 { return l.size }
+// Earlier returns the records of earlier processes, those of each origin in the order of their sequence. It
+// is empty after Consolidate.
+func (l *Log) Earlier() iter.Seq[*wirepb.TallyRecords] {
+	return func(yield func(*wirepb.TallyRecords) bool) {
+		payload, rest, ok := wal.NextFrame(l.earlier)
+		for ok {
+			var frame wirepb.TallyLogFrame
+			if err := proto.Unmarshal(payload, &frame); err != nil {
+				return // cannot happen: Open has encoded the frame
+			}
+			for _, records := range frame.Records {
+				if !yield(records) {
+					return
+				}
+			}
+			payload, rest, ok = wal.NextFrame(rest)
+		}
+	}
+}
 
 // Consolidate makes the records of earlier processes durable in one segment, and removes their segments. It
 // may be called again after an error.
 func (l *Log) Consolidate() error {
-	if len(l.earlier) == 0 {
+	if l.consolidated {
 		return nil
 	}
-	last := l.number
-	name := filepath.Base(wal.SegmentPath(l.dir, segmentPrefix, last+1))
-	if err := wal.WriteFile(l.fsys, l.dir, name, l.earlier); err != nil {
-		return err
+	if len(l.earlier) > 0 {
+		name := filepath.Base(wal.SegmentPath(l.dir, segmentPrefix, l.number+1))
+		if err := wal.WriteFile(l.fsys, l.dir, name, l.earlier); err != nil {
+			return err
+		}
+		l.number++
 	}
-	l.number = last + 1
 	l.earlier = nil
-	l.removeSegments(last)
+	l.consolidated = true
+	l.removeEarlierSegments()
 	return nil
 }
 
-// removeSegments removes the segments up to a number. What it fails to remove is removed after the next
-// start.
-func (l *Log) removeSegments(last uint64) {
+// removeEarlierSegments removes the segments of earlier processes, except the newest file of the log. What
+// it fails to remove is removed after the next start.
+func (l *Log) removeEarlierSegments() {
 	numbers, err := wal.SegmentNumbers(l.fsys, l.dir, segmentPrefix)
 	if err != nil {
 		return
 	}
 	for _, number := range numbers {
-		if number <= last {
+		if number <= l.earlierNumber && number < l.number {
 			_ = l.fsys.Remove(wal.SegmentPath(l.dir, segmentPrefix, number))
 		}
 	}
@@ -119,19 +149,20 @@
 // Append writes records as one frame and syncs it. After an error the records may be appended again: they
 // then go into another segment.
 func (l *Log) Append(records []*wirepb.TallyRecords) error {
-	payload, err := proto.Marshal(&wirepb.TallyLogFrame{Records: records})
+	frame, err := encodeFrame(records)
 	if err != nil {
-		return errors.Wrap(err, "cannot encode records of tallies")
+		return err
 	}
-	frame := wal.AppendFrame(nil, payload)
 	if l.file == nil {
-		return l.beginSegment(frame)
+		err = l.beginSegment(frame)
+	} else {
+		err = writeAndSync(l.file, frame)
 	}
-	if err := writeAndSync(l.file, frame); err != nil {
+	if err != nil {
 		l.abandonSegment()
 		return err
 	}
-	l.size += int64(len(frame))
+	l.durable = true
 	return nil
 }
 
@@ -143,23 +174,28 @@
 		return errors.Wrapf(err, "cannot create %s: check the disk", path)
 	}
 	l.number++
-	l.file = file
+	l.file, l.path, l.durable = file, path, false
+	if l.failed != "" {
+		_ = l.fsys.Remove(l.failed) // otherwise after the next start
+		l.failed = ""
+	}
 	if err := writeAndSync(file, frame); err != nil {
-		l.abandonSegment()
 		return err
 	}
-	if err := l.fsys.SyncDir(l.dir); err != nil {
-		l.abandonSegment()
-		return errors.Wrapf(err, "cannot sync %s: check the disk", l.dir)
-	}
-	l.size += int64(len(frame))
-	return nil
+	return errors.Wrapf(l.fsys.SyncDir(l.dir), "cannot sync %s: check the disk", l.dir)
 }
 
-// abandonSegment closes the segment after a failed write or sync: what of it is durable is unknown.
+// abandonSegment closes the segment, if there is one, after a failed write or sync: what of its last frame is
+// durable is unknown. A segment without any other frame is removed once a newer one exists.
 func (l *Log) abandonSegment() {
+	if l.file == nil {
+		return
+	}
 	_ = l.file.Close() // whatever was acknowledged has been synced
 	l.file = nil
+	if !l.durable {
+		l.failed = l.path
+	}
 }
 
 // writeAndSync makes a frame durable at the end of a file.
