Tallies: names and ids that are not UTF-8, doubled keys are refused; tests of the calls

What callers saw: after one POST /Tallies.Update/%ff (answered with 504) every further add at that core was answered with 504, then with 503, and /status counted the record. Cause: protobuf encodes no string that is not UTF-8, so the record could not be written, and the writer repeated it for good before all later ones; no message carried it either. Evidence: TestTallyNames on the former code: 'no UTF-8: status 504', 'cut UTF-8: 503', 'an add after the invalid ones: 503'. Now the name is checked before anything is recorded, and the body as well: the JSON decoder turned invalid bytes and lone surrogates into the replacement character, so that different ids became one (TestInvalidTallyAdds: 200 for both, and for doubled keys, of which the last counted).

Decided: doubled keys are 400, keys are case-sensitive, an amount is written in digits alone, a body over 4 KiB is 413, a name with an encoded slash is 404, Get checks names as Update does.

--- a/internal/serving/core/tallies.go
+++ b/internal/serving/core/tallies.go
@@ -1,14 +1,9 @@
 package core
 
 import (
-	"bytes"
-	"encoding/json"
-	"io"
 	"net/http"
-	"strconv"
 	"time"
 
-	"github.com/gorilla/mux"
 	"github.com/pkg/errors"
 
 	"willowdeck/internal/serving/settings"
@@ -17,28 +12,13 @@
 	"willowdeck/internal/serving/wirepb"
 )
 
-// Limits of the calls of tallies.
 const (
-	maxTallyBodyBytes  = 4 << 10
-	maxTallyNameBytes  = 256
-	maxTallyIDBytes    = 128
-	maxTallyAmount     = 1_000_000_000_000 // so that the greatest number of adds does not overflow a total
-	tallyBodyTimeout   = 3 * time.Second   // for the body of a request
-	tallyStopMargin    = 2 * time.Second   // before the process is killed
-	tallyRetryAfter    = "0.2"             // seconds
+	tallyStopMargin    = 2 * time.Second // before the process is killed
+	tallyRetryAfter    = "0.2"           // seconds
 	headerRetryAfter   = "Retry-After"
 	unavailableMessage = "tallies cannot be made durable here now: nothing was done, call another core"
 )
 
-// errTallyRequest is wrapped by the errors of requests that are not valid.
-var errTallyRequest = errors.New("tally")
-
-// tallyRequest is the body of an add.
-type tallyRequest struct {
-	InstanceID string      `json:"instance_id"`
-	Amount     json.Number `json:"lease_owner"`
-}
-
 // tallyResponse is the body of the response to a read.
 type tallyResponse struct {
 	Total uint64 `json:"total"`
@@ -82,14 +62,11 @@
 // updateTally adds to a tally. An add that may count is never rejected: where its outcome is not known in
 // time, the status is 504, and the caller may send it again to any core.
 func (c *Core) updateTally(w http.ResponseWriter, r *http.Request) {
-	// Writers without deadlines, as in tests, need no limit.
-	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(tallyBodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxTallyBodyBytes))
-	if err != nil {
-		writeError(w, http.StatusBadRequest, "tally: send a complete body of at most 4 KiB")
+	add, err := readTallyAdd(w, r)
+	if errors.Is(err, errTallyBodyTooLarge) {
+		writeError(w, http.StatusRequestEntityTooLarge, err.Error())
 		return
 	}
-	add, err := parseTallyAdd(mux.Vars(r)["id"], body)
 	if err != nil {
 		writeError(w, http.StatusBadRequest, err.Error())
 		return
@@ -106,30 +83,6 @@
 	writeTallyOutcome(w, outcome)
 }
 
-// parseTallyAdd returns the add to the tally name that a request's body states.
-func parseTallyAdd(name string, body []byte) (tally.Add, error) {
-	if name == "" || len(name) > maxTallyNameBytes {
-		return tally.Add{}, errors.Wrapf(errTallyRequest, "give a name of 1 to %d bytes", maxTallyNameBytes)
-	}
-	var request tallyRequest
-	decoder := json.NewDecoder(bytes.NewReader(body))
-	if err := decoder.Decode(&request); err != nil {
-		return tally.Add{}, errors.Wrap(errTallyRequest, "send a JSON object with instance_id and lease_owner")
-	}
-	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
-		return tally.Add{}, errors.Wrap(errTallyRequest, "send nothing behind the JSON object")
-	}
-	if request.InstanceID == "" || len(request.InstanceID) > maxTallyIDBytes {
-		return tally.Add{}, errors.Wrapf(errTallyRequest, "instance_id: give 1 to %d bytes", maxTallyIDBytes)
-	}
-	amount, err := strconv.ParseUint(request.Amount.String(), 10, 64)
-	if err != nil || amount > maxTallyAmount {
-		return tally.Add{}, errors.Wrapf(errTallyRequest, "lease_owner: give a whole number from 0 to %d",
-			maxTallyAmount)
-	}
-	return tally.Add{Tally: name, ID: request.InstanceID, Amount: amount}, nil
-}
-
 // writeTallyOutcome writes the response to an add.
 func writeTallyOutcome(w http.ResponseWriter, outcome tally.Outcome) {
 	switch outcome {
@@ -150,7 +103,11 @@
 
 // getTally returns the total of a tally.
 func (c *Core) getTally(w http.ResponseWriter, r *http.Request) {
-	name := mux.Vars(r)["id"]
+	name, err := tallyName(r)
+	if err != nil {
+		writeError(w, http.StatusBadRequest, err.Error())
+		return
+	}
 	type result struct {
 		total uint64
 		ok    bool
