--- a/internal/serving/wirepb/golden_test.go
+++ b/internal/serving/wirepb/golden_test.go
@@ -5,18 +5,23 @@
 	"encoding/hex"
 	"fmt"
 	"os"
+	"slices"
 	"strings"
 	"testing"
 
 	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/reflect/protodesc"
 	"google.golang.org/protobuf/reflect/protoreflect"
+	"google.golang.org/protobuf/types/descriptorpb"
+	"google.golang.org/protobuf/types/dynamicpb"
 
 	"willowdeck/internal/serving/wirepb"
 )
 
 // The files in testdata were written once, by the code of 2 December 2026, by a program that filled each
-// message with goldenValue and wrote the lines that schemaLines returns. They are never rewritten: other
-// processes speak these bytes, and disks hold them. New fields and messages may be added beside them.
+// message with goldenScalar and wrote the lines that schemaLines returns; those of tallies were added so on
+// 3 December 2026. They are never rewritten: other processes speak these bytes, and disks hold them. New
+// fields and messages may be added beside them.
 const (
 	goldenSchema   = "testdata/schema.txt"   // MESSAGE NUMBER KIND CARDINALITY ONEOF, and enums and reserved
 	goldenMessages = "testdata/messages.txt" // MESSAGE VARIANT HEX
@@ -102,12 +107,17 @@
 	"PathProbe":            &wirepb.PathProbe{},
 	"LoadReport":           &wirepb.LoadReport{},
 	"WorkerLoad":           &wirepb.WorkerLoad{},
+	"TallyAdd":             &wirepb.TallyAdd{},
+	"TallyRecords":         &wirepb.TallyRecords{},
+	"TallyLogFrame":        &wirepb.TallyLogFrame{},
+	"TallyMessage":         &wirepb.TallyMessage{},
 }
 
 var enumByGoldenName = map[string]protoreflect.EnumDescriptor{
-	"EntryKind":     wirepb.EntryKind(0).Descriptor(),
-	"ConsensusKind": wirepb.ConsensusKind(0).Descriptor(),
-	"Outcome":       wirepb.Outcome(0).Descriptor(),
+	"EntryKind":        wirepb.EntryKind(0).Descriptor(),
+	"ConsensusKind":    wirepb.ConsensusKind(0).Descriptor(),
+	"Outcome":          wirepb.Outcome(0).Descriptor(),
+	"TallyMessageKind": wirepb.TallyMessageKind(0).Descriptor(),
 }
 
 // enumConstants pairs the constants of the code with the numbers that they had, since their names may be
@@ -130,6 +140,11 @@
 	wirepb.Outcome_OUTCOME_ACCEPTED:               1,
 	wirepb.Outcome_OUTCOME_CONFLICT:               2,
 	wirepb.Outcome_OUTCOME_STALE:                  3,
+	wirepb.TallyMessageKind_TALLY_STATE:           0,
+	wirepb.TallyMessageKind_TALLY_PUSH:            1,
+	wirepb.TallyMessageKind_TALLY_CONFIRM:         2,
+	wirepb.TallyMessageKind_TALLY_PULL:            3,
+	wirepb.TallyMessageKind_TALLY_BATCH:           4,
 }
 
 func goldenLines(t *testing.T, path string) []string {
@@ -369,3 +384,49 @@
 		}
 	}
 }
+
+// envelopeWithoutTallies returns the type of the envelope as programs before the tallies know it.
+func envelopeWithoutTallies(t *testing.T) protoreflect.MessageType {
+	t.Helper()
+	file := protodesc.ToFileDescriptorProto(wirepb.File_internal_serving_wirepb_serving_proto)
+	for _, message := range file.MessageType {
+		if message.GetName() == "Envelope" {
+			message.Field = slices.DeleteFunc(message.Field, func(field *descriptorpb.FieldDescriptorProto) bool {
+				return field.GetName() == "tally"
+			})
+		}
+	}
+	former, err := protodesc.NewFile(file, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return dynamicpb.NewMessageType(former.Messages().ByName("Envelope"))
+}
+
+// goldenTallyVariant is the variant of the golden envelope with a message of tallies.
+const goldenTallyVariant = 6
+
+// TestFormerProgramIgnoresTallies decodes a message of tallies as a program does that knows none: without an
+// error and without a body, which such a program passes over.
+func TestFormerProgramIgnoresTallies(t *testing.T) {
+	for _, line := range goldenLines(t, goldenMessages) {
+		var variant int
+		var text string
+		if _, err := fmt.Sscanf(line, "Envelope %d %s", &variant, &text); err != nil {
+			continue
+		}
+		data, err := hex.DecodeString(text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		envelope := envelopeWithoutTallies(t).New()
+		if err := proto.Unmarshal(data, envelope.Interface()); err != nil {
+			t.Fatal(err)
+		}
+		body := envelope.WhichOneof(envelope.Descriptor().Oneofs().Get(0))
+		isTally := variant == goldenTallyVariant
+		if isTally != (body == nil) || isTally != (len(envelope.GetUnknown()) > 0) {
+			t.Errorf("envelope %d: body %v", variant, body)
+		}
+	}
+}
