--- /dev/null
+++ b/internal/serving/tallylog/full_disk_test.go
@@ -0,0 +1,69 @@
+package tallylog
+
+import (
+	"errors"
+	"fmt"
+	"syscall"
+	"testing"
+
+	"willowdeck/internal/serving/wal"
+	"willowdeck/internal/serving/wirepb"
+)
+
+// fullDisk is a file system that creates files and takes no bytes, as a full disk does.
+type fullDisk struct {
+	wal.FileSystem
+	full bool
+}
+
+// Create creates a file that takes no bytes while the disk is full.
+func (d *fullDisk) Create(path string) (wal.File, error) {
+	created, err := d.FileSystem.Create(path)
+	return &fullDiskFile{created, d}, err
+}
+
+type fullDiskFile struct {
+	wal.File
+	disk *fullDisk
+}
+
+// Write fails while the disk is full.
+func (f *fullDiskFile) Write(data []byte) (int, error) {
+	if f.disk.full {
+		return 0, syscall.ENOSPC
+	}
+	return f.File.Write(data)
+}
+
+// Guards against files without bound: the writer repeats a failed append ten times a second, for as long as the
+// disk is full.
+func TestAppendsToFullDiskLeaveNoFiles(t *testing.T) {
+	const attempts = 600 // one minute of a full disk
+	disk := &fullDisk{FileSystem: wal.Disk, full: true}
+	dir := t.TempDir()
+	opened, err := Open(disk, dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	records := []*wirepb.TallyRecords{{Origin: "o", First: 1, Adds: []*wirepb.TallyAdd{{Tally: "t", Id: "i", Amount: 4}}}}
+	for range attempts {
+		if err := opened.Log.Append(records); !errors.Is(err, syscall.ENOSPC) {
+			t.Fatalf("append to a full disk: %v", err)
+		}
+	}
+	disk.full = false
+	if err := opened.Log.Append(records); err != nil {
+		t.Fatal(err)
+	}
+	names, err := disk.ReadDir(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(names) > 2 {
+		t.Errorf("%d files after %d failed appends and one that succeeded", len(names), attempts)
+	}
+	reopened, err := Open(disk, dir)
+	if err != nil || reopened.Corruption != nil || len(reopened.Records) != 1 {
+		t.Error(fmt.Sprint("reopened: ", len(reopened.Records), " records, ", err, reopened.Corruption))
+	}
+}
