Proposal: a segment of tallies whose first frame cannot be written is removed

Change: beginSegment removes the file best effort; nothing in it was acknowledged, and the records are appended again.

--- a/internal/serving/tallylog/log.go
+++ b/internal/serving/tallylog/log.go
@@ -142,18 +142,23 @@
 	}
 	l.number++
 	l.file = file
-	if err := writeAndSync(file, frame); err != nil {
+	if err := l.writeFirstFrame(frame); err != nil {
 		l.abandonSegment()
+		_ = l.fsys.Remove(path) // it holds nothing that was acknowledged; attempts on a full disk would add up
 		return err
 	}
-	if err := l.fsys.SyncDir(l.dir); err != nil {
-		l.abandonSegment()
-		return errors.Wrapf(err, "cannot sync %s: check the disk", l.dir)
-	}
 	l.size += int64(len(frame))
 	return nil
 }
 
+// writeFirstFrame makes the first frame of a new segment durable, and its name in the directory.
+func (l *Log) writeFirstFrame(frame []byte) error {
+	if err := writeAndSync(l.file, frame); err != nil {
+		return err
+	}
+	return errors.Wrapf(l.fsys.SyncDir(l.dir), "cannot sync %s: check the disk", l.dir)
+}
+
 // abandonSegment closes the segment after a failed write or sync: what of it is durable is unknown.
 func (l *Log) abandonSegment() {
 	_ = l.file.Close() // whatever was acknowledged has been synced
