Proposal: a core that leaves waits for what it held when its peers learned of it, not for what comes later

Change: SafeToStop compares with a vector that is noted until 0.5 s after the shutdown has begun; own records always count. Copies that are made later count nowhere, since messages say that the sender is shutting down.

--- a/internal/serving/tally/replica.go
+++ b/internal/serving/tally/replica.go
@@ -19,6 +19,7 @@
 	startGrace       = 2 * time.Second         // after a start, for peers to be heard before fewer copies may do
 	readGrace        = 1500 * time.Millisecond // for missing records to arrive before reads are refused
 	peerRetention    = 30 * time.Second        // after the last message of a peer that is not listed any more
+	handoverDelay    = 500 * time.Millisecond  // after which peers know of a shutdown and count no copy here
 	maxActiveTimeGap = 100 * time.Millisecond
 )
 
@@ -72,6 +73,7 @@
 	pullPending  bool
 	shuttingDown bool
 	shutdownAt   time.Duration
+	handover     Vector // what peers have to hold before this replica stops
 }
 
 // NewReplica returns a replica without records. Restore is called with those of its disk.
@@ -202,20 +204,30 @@
 	r.broadcast(r.stateMessage())
 }
 
-// SafeToStop reports whether all responsive peers have all records of this replica on their disks, or no time
-// is left to wait for them.
+// SafeToStop reports whether all responsive peers have on their disks what they may rely on this replica for,
+// or no time is left to wait for them.
 func (r *Replica) SafeToStop() bool {
-	if r.active-r.shutdownAt > r.options.ShutdownLimit {
+	elapsed := r.active - r.shutdownAt
+	if elapsed > r.options.ShutdownLimit {
 		return true
 	}
 	if len(r.pending) > 0 {
 		return false
 	}
-	held := r.set.Vector()
+	r.updateHandover(elapsed)
 	for _, p := range r.peers {
-		if r.heardRecently(p) && !p.shuttingDown && !p.durable.covers(held) {
+		if r.heardRecently(p) && !p.shuttingDown && !p.durable.covers(r.handover) {
 			return false
 		}
 	}
 	return true
 }
+
+// updateHandover notes what peers have to hold: all own records, and what had arrived of others before they
+// knew of the shutdown. Later records have enough copies without the one here, and new ones come all the time.
+func (r *Replica) updateHandover(elapsed time.Duration) {
+	if r.handover == nil || elapsed < handoverDelay {
+		r.handover = r.set.Vector()
+	}
+	r.handover.advance(Vector{r.options.Incarnation: r.set.Sequence(r.options.Incarnation)})
+}
--- a/internal/serving/tallylog/full_disk_test.go
+++ b/internal/serving/tallylog/full_disk_test.go
@@ -35,8 +35,8 @@
 	return f.File.Write(data)
 }
 
-// Guards against files without bound: the writer repeats a failed append ten times a second, for as long as the
-// disk is full.
+// Guards against files without bound: the writer repeats a failed append ten times a second, for as long as
+// the disk is full.
 func TestAppendsToFullDiskLeaveNoFiles(t *testing.T) {
 	const attempts = 600 // one minute of a full disk
 	disk := &fullDisk{FileSystem: wal.Disk, full: true}
@@ -45,7 +45,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	records := []*wirepb.TallyRecords{{Origin: "o", First: 1, Adds: []*wirepb.TallyAdd{{Tally: "t", Id: "i", Amount: 4}}}}
+	adds := []*wirepb.TallyAdd{{Tally: "t", Id: "i", Amount: 4}}
+	records := []*wirepb.TallyRecords{{Origin: "o", First: 1, Adds: adds}}
 	for range attempts {
 		if err := opened.Log.Append(records); !errors.Is(err, syscall.ENOSPC) {
 			t.Fatalf("append to a full disk: %v", err)
