--- a/internal/serving/tally/replica.go
+++ b/internal/serving/tally/replica.go
@@ -224,7 +224,7 @@
 }
 
 // updateHandover notes what peers have to hold: all own records, and what had arrived of others before they
-// knew of the shutdown. Later records have enough copies without the one here, and new ones come all the time.
+// knew of the shutdown. Later records have enough copies elsewhere, and new ones come all the time.
 func (r *Replica) updateHandover(elapsed time.Duration) {
 	if r.handover == nil || elapsed < handoverDelay {
 		r.handover = r.set.Vector()
