--- a/internal/serving/tally/reads.go
+++ b/internal/serving/tally/reads.go
@@ -14,6 +14,9 @@
 // current reports whether reads may be answered.
 func (r *Replica) current() bool {
 	starting := r.active < readGrace
+	if starting && !r.peersNamed {
+		return false
+	}
 	for _, p := range r.peers {
 		if p.incarnation == "" && starting {
 			return false
--- a/internal/serving/tally/replica.go
+++ b/internal/serving/tally/replica.go
@@ -60,6 +60,7 @@
 	durable     Vector // what of the set is on the own disk
 	peers       map[string]*peer
 	listed      []string // addresses of the cores to replicate to, as SetPeers named them
+	peersNamed  bool     // SetPeers has been called
 
 	lastTime    time.Duration // of the clock, when the active time was advanced
 	active      time.Duration // active time since the start
@@ -101,6 +102,7 @@
 // SetPeers names the internal addresses of the cores to replicate to.
 func (r *Replica) SetPeers(addresses []string) {
 	r.listed = addresses
+	r.peersNamed = true
 	for _, address := range addresses {
 		r.peerAt(address)
 	}
