--- a/internal/serving/tally/shutdown_test.go
+++ b/internal/serving/tally/network_test.go
@@ -47,6 +47,7 @@
 	events   eventQueue
 	order    int
 	replicas map[string]*Replica
+	delayTo  map[string]time.Duration // to and from an address; testLinkDelay where there is none
 }
 
 func (n *network) after(delay time.Duration, run func()) {
@@ -71,13 +72,64 @@
 	}
 }
 
+// delay returns the delay between two addresses.
+func (n *network) delay(from, to string) time.Duration {
+	return max(testLinkDelay, n.delayTo[from], n.delayTo[to])
+}
+
+// addCores adds five replicas, each in a zone of its own, and returns their addresses.
+func (n *network) addCores() []string {
+	addresses := []string{"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1", "10.0.0.4:1", "10.0.0.5:1"}
+	for i, address := range addresses {
+		replica := NewReplica(Options{
+			Incarnation: address, Address: address, Zone: fmt.Sprint(i), RequiredCopies: 3, RequiredZones: 2,
+			ShutdownLimit: testGrace, Clock: func() time.Duration { return n.now },
+		}, endpoint{n, address})
+		n.replicas[address] = replica
+		replica.SetPeers(append(append([]string{}, addresses[:i]...), addresses[i+1:]...))
+		n.every(testTick, func() {
+			replica.Tick()
+			replica.Flush()
+		})
+	}
+	return addresses
+}
+
+// addAt has a replica add to a tally at intervals. done gets the sequence number and the outcome of each add.
+func (n *network) addAt(address string, done func(sequence uint64, outcome Outcome)) {
+	replica := n.replicas[address]
+	id := 0
+	n.every(testAddInterval, func() {
+		id++
+		sequence := replica.set.Sequence(address) + 1
+		add := Add{Tally: "t", ID: fmt.Sprint(address, "/", id), Amount: 1}
+		replica.Add(add, func(outcome Outcome) { done(sequence, outcome) })
+		replica.Flush()
+	})
+}
+
+// copies returns on how many disks an own record of the replica at an address is.
+func (n *network) copies(address string, sequence uint64) int {
+	count := 0
+	for _, replica := range n.replicas {
+		if replica.durable[address] >= sequence {
+			count++
+		}
+	}
+	return count
+}
+
 // endpoint implements Environment for one replica.
-type endpoint struct{ network *network }
+type endpoint struct {
+	network *network
+	address string
+}
 
 // Send delivers a message after the delay of the link.
 func (e endpoint) Send(address string, message *wirepb.TallyMessage) {
 	copied := proto.CloneOf(message)
-	e.network.after(testLinkDelay, func() { e.network.replicas[address].HandleMessage(copied) })
+	deliver := func() { e.network.replicas[address].HandleMessage(copied) }
+	e.network.after(e.network.delay(e.address, address), deliver)
 }
 
 // Append calls done after the time of a sync.
@@ -88,25 +140,9 @@
 func TestCoreLeavesBeforeGraceEndsWhileAddsGoOn(t *testing.T) {
 	const begin = 4 * time.Second
 	network := &network{replicas: map[string]*Replica{}}
-	addresses := []string{"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1", "10.0.0.4:1", "10.0.0.5:1"}
-	for i, address := range addresses {
-		replica := NewReplica(Options{
-			Incarnation: address, Address: address, Zone: fmt.Sprint(i), RequiredCopies: 3, RequiredZones: 2,
-			ShutdownLimit: testGrace, Clock: func() time.Duration { return network.now },
-		}, endpoint{network})
-		network.replicas[address] = replica
-		replica.SetPeers(append(append([]string{}, addresses[:i]...), addresses[i+1:]...))
-		network.every(testTick, func() {
-			replica.Tick()
-			replica.Flush()
-		})
-		id := 0
-		network.every(testAddInterval, func() {
-			id++
-			add := Add{Tally: "t", ID: fmt.Sprint(address, "/", id), Amount: 1}
-			replica.Add(add, func(Outcome) {})
-			replica.Flush()
-		})
+	addresses := network.addCores()
+	for _, address := range addresses {
+		network.addAt(address, func(uint64, Outcome) {})
 	}
 	leaving := network.replicas[addresses[0]]
 	network.runUntil(begin, func() bool { return false })
@@ -116,3 +152,29 @@
 		t.Errorf("the core was not safe to stop for %s", took)
 	}
 }
+
+// Guards against LOST without a partition: links that are slow, but work, must not reduce the copies of an
+// add that is acknowledged.
+func TestSlowLinksDoNotReduceCopies(t *testing.T) {
+	const slow, end = 210 * time.Millisecond, 15 * time.Second
+	network := &network{replicas: map[string]*Replica{}, delayTo: map[string]time.Duration{}}
+	address := network.addCores()[0]
+	network.delayTo[address] = slow
+	acknowledged, short, fewest := 0, 0, len(network.replicas)
+	network.addAt(address, func(sequence uint64, outcome Outcome) {
+		if outcome != Acknowledged {
+			return
+		}
+		acknowledged++
+		copies := network.copies(address, sequence)
+		fewest = min(fewest, copies)
+		if copies < 3 {
+			short++
+		}
+	})
+	network.runUntil(end, func() bool { return false })
+	if short > 0 {
+		t.Errorf("%d of %d adds were acknowledged with fewer than 3 copies, at least one with %d",
+			short, acknowledged, fewest)
+	}
+}
--- a/internal/serving/tally/reads_test.go
+++ b/internal/serving/tally/reads_test.go
@@ -12,7 +12,7 @@
 	replica := NewReplica(Options{
 		Incarnation: "core-1/1", Address: "10.0.0.1:1", Zone: "a", RequiredCopies: 3, RequiredZones: 2,
 		Clock: func() time.Duration { return network.now },
-	}, endpoint{network})
+	}, endpoint{network, "10.0.0.1:1"})
 	if total, ok := replica.Read("t"); ok {
 		t.Errorf("read of %d before any peer was named", total)
 	}
