--- /dev/null
+++ b/internal/testkit/tallyhistory/check.go
@@ -0,0 +1,254 @@
+package tallyhistory
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+)
+
+// maxNamedAdds is the number of adds that the message of a violation names.
+const maxNamedAdds = 5
+
+// Check returns the violations of the rules in a history, in the order of the reads that show them. The order
+// of the events does not matter.
+//
+// A read shows a total alone: an add counts as lacking where the total is less than the sum of all that must
+// be in it, so the amount of an add of unknown outcome may hide a lacking one.
+func Check(events []Event, limits Limits) []Violation {
+	c := &checker{limits: limits, adds: map[string][]*add{}, reads: map[string][]Event{}}
+	c.collect(events)
+	var violations []Violation
+	for _, reads := range c.reads {
+		slices.SortStableFunc(reads, compareEnds)
+		for i, read := range reads {
+			violations = append(violations, c.checkRead(read)...)
+			if violation := checkBackwards(read, reads[:i]); violation != nil {
+				violations = append(violations, *violation)
+			}
+		}
+	}
+	slices.SortFunc(violations, func(a, b Violation) int {
+		if order := compareEnds(a.Read, b.Read); order != 0 {
+			return order
+		}
+		return strings.Compare(a.String(), b.String())
+	})
+	return violations
+}
+
+// compareEnds orders events by their ends.
+func compareEnds(a, b Event) int { return int(a.Ended - b.Ended) }
+
+// add is an add with all of its attempts.
+type add struct {
+	id           string
+	amount       uint64
+	mayCount     bool          // an attempt was not refused
+	startedFirst time.Duration // the first attempt that was not refused
+	acknowledged []Event       // attempts that were acknowledged
+}
+
+// span is a time during which a disturbance lasted.
+type span struct{ from, to time.Duration }
+
+// checker is the state of one check.
+type checker struct {
+	limits       Limits
+	adds         map[string][]*add  // by tally
+	reads        map[string][]Event // by tally
+	disturbances []span
+	cuts         []span // those disturbances that are partitions, joined
+	diskLosses   []Event
+}
+
+// collect sorts events by what they are.
+func (c *checker) collect(events []Event) {
+	byID := map[[2]string]*add{}
+	var cuts []span
+	for _, event := range events {
+		switch event.Kind {
+		case Add:
+			key := [2]string{event.Tally, event.ID}
+			known := byID[key]
+			if known == nil {
+				known = &add{id: event.ID}
+				byID[key] = known
+				c.adds[event.Tally] = append(c.adds[event.Tally], known)
+			}
+			known.attempt(event)
+		case Read, FinalRead:
+			c.reads[event.Tally] = append(c.reads[event.Tally], event)
+		case Disturbance:
+			c.disturbances = append(c.disturbances, span{event.Started, event.Ended})
+			if event.Cut {
+				cuts = append(cuts, span{event.Started, event.Ended})
+			}
+		case DiskLoss:
+			c.diskLosses = append(c.diskLosses, event)
+		}
+	}
+	c.cuts = join(cuts, c.limits.Merge)
+}
+
+// attempt notes an attempt of the add.
+func (a *add) attempt(event Event) {
+	a.amount = max(a.amount, event.Amount)
+	if event.Outcome == Refused {
+		return
+	}
+	if !a.mayCount || event.Started < a.startedFirst {
+		a.startedFirst = event.Started
+	}
+	a.mayCount = true
+	if event.Outcome == Acknowledged {
+		a.acknowledged = append(a.acknowledged, event)
+	}
+}
+
+// join joins spans that follow one another within a gap.
+func join(spans []span, gap time.Duration) []span {
+	slices.SortFunc(spans, func(a, b span) int { return int(a.from - b.from) })
+	var joined []span
+	for _, next := range spans {
+		if last := len(joined) - 1; last >= 0 && next.from <= joined[last].to+gap {
+			joined[last].to = max(joined[last].to, next.to)
+			continue
+		}
+		joined = append(joined, next)
+	}
+	return joined
+}
+
+// checkRead checks one read against all adds of its tally.
+func (c *checker) checkRead(read Event) []Violation {
+	if read.Outcome != Acknowledged {
+		if read.Kind != FinalRead {
+			return nil
+		}
+		message := fmt.Sprintf("the final read of %s at %s was not answered", read.Tally, read.Core)
+		return []Violation{{Lost, read, message}}
+	}
+	var violations []Violation
+	if violation := c.checkTwice(read); violation != nil {
+		violations = append(violations, *violation)
+	}
+	if violation := c.checkLacking(Stale, read, c.owedNow); violation != nil {
+		violations = append(violations, *violation)
+	}
+	if read.Kind == FinalRead {
+		if violation := c.checkLacking(Lost, read, c.owedAtEnd); violation != nil {
+			violations = append(violations, *violation)
+		}
+	}
+	return violations
+}
+
+// checkTwice checks that a read shows no more than what could have counted.
+func (c *checker) checkTwice(read Event) *Violation {
+	possible := uint64(0)
+	for _, a := range c.adds[read.Tally] {
+		if a.mayCount && a.startedFirst < read.Ended {
+			possible += a.amount
+		}
+	}
+	if read.Total <= possible {
+		return nil
+	}
+	message := fmt.Sprintf("%s at %s reads %d at %v, more than %d, the sum of what could have counted",
+		read.Tally, read.Core, read.Total, read.Ended, possible)
+	return &Violation{Twice, read, message}
+}
+
+// checkLacking checks that a read shows at least the sum of those adds of which an acknowledgement is owed.
+func (c *checker) checkLacking(rule Rule, read Event, owed func(read, add Event) bool) *Violation {
+	sum := uint64(0)
+	var newest []Event
+	for _, a := range c.adds[read.Tally] {
+		for _, acknowledgement := range a.acknowledged {
+			if owed(read, acknowledgement) {
+				sum += a.amount
+				newest = append(newest, acknowledgement)
+				break
+			}
+		}
+	}
+	if read.Total >= sum {
+		return nil
+	}
+	slices.SortFunc(newest, func(a, b Event) int { return int(b.Ended - a.Ended) })
+	var named []string
+	for _, acknowledgement := range newest[:min(len(newest), maxNamedAdds)] {
+		named = append(named, fmt.Sprintf("%s of %d at %s, acknowledged at %v", acknowledgement.ID,
+			acknowledgement.Amount, acknowledgement.Core, acknowledgement.Ended))
+	}
+	message := fmt.Sprintf(
+		"%s at %s in its life %q reads %d from %v to %v, less than %d of %d adds; the newest: %s",
+		read.Tally, read.Core, read.Life, read.Total, read.Started, read.Ended, sum, len(newest),
+		strings.Join(named, "; "))
+	return &Violation{rule, read, message}
+}
+
+// owedNow reports whether a read must show an acknowledged add because its own incarnation acknowledged it,
+// or because nothing has been disturbed for a while.
+func (c *checker) owedNow(read, acknowledgement Event) bool {
+	if acknowledgement.Ended > read.Started {
+		return false
+	}
+	if read.Life != "" && read.Core == acknowledgement.Core && read.Life == acknowledgement.Life {
+		return true
+	}
+	return c.calm(read) && c.owedAtEnd(read, acknowledgement)
+}
+
+// calm reports whether no disturbance overlaps the time of a read or the merge time before it.
+func (c *checker) calm(read Event) bool {
+	for _, d := range c.disturbances {
+		if d.to > read.Started-c.limits.Merge && d.from < read.Ended {
+			return false
+		}
+	}
+	return true
+}
+
+// owedAtEnd reports whether a final read must show an acknowledged add.
+func (c *checker) owedAtEnd(read, acknowledgement Event) bool {
+	return acknowledgement.Ended <= read.Started-c.limits.Merge && !c.lostInCut(acknowledgement)
+}
+
+// lostInCut reports whether a core has acknowledged an add during a partition, and lost its disk before the
+// merge time had passed since the end of the partition.
+func (c *checker) lostInCut(acknowledgement Event) bool {
+	for _, cut := range c.cuts {
+		if acknowledgement.Ended < cut.from || acknowledgement.Started > cut.to {
+			continue
+		}
+		for _, loss := range c.diskLosses {
+			if loss.Core == acknowledgement.Core && loss.Started >= acknowledgement.Started &&
+				loss.Started < cut.to+c.limits.Merge {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// checkBackwards checks that a read shows no less than earlier reads of the same incarnation did.
+func checkBackwards(read Event, earlier []Event) *Violation {
+	if read.Outcome != Acknowledged || read.Life == "" {
+		return nil
+	}
+	for _, before := range slices.Backward(earlier) {
+		sameLife := before.Core == read.Core && before.Life == read.Life
+		if !sameLife || before.Outcome != Acknowledged || before.Ended > read.Started {
+			continue
+		}
+		if before.Total > read.Total {
+			message := fmt.Sprintf("%s at %s in its life %q reads %d at %v, but %d at %v",
+				read.Tally, read.Core, read.Life, read.Total, read.Ended, before.Total, before.Ended)
+			return &Violation{Backwards, read, message}
+		}
+		return nil // the one before it was compared with those before
+	}
+	return nil
+}
