--- a/internal/testkit/tallyhistory/event.go
+++ b/internal/testkit/tallyhistory/event.go
@@ -42,6 +42,9 @@
 // Limits are the times that the rules refer to.
 type Limits struct {
 	Merge time.Duration // without disturbances, after which all cores hold what was acknowledged before
+	// Reconnect prolongs each partition, for the adds that are not owed once their core has lost its disk: the
+	// time that cores take to notice the end of a partition. 0 is the strict rule.
+	Reconnect time.Duration
 }
 
 // Rule is a rule that a history may violate.
@@ -54,7 +57,7 @@
 	// Stale is violated by a read that lacks an add acknowledged before by the same incarnation, or
 	// acknowledged by any core Limits.Merge before, with no disturbance since.
 	Stale Rule = "STALE"
-	// Lost is violated by a final read that is not answered, or lacks an add acknowledged Limits.Merge before it.
+	// Lost is violated by a final read that is not answered, or lacks an add acknowledged Limits.Merge before.
 	Lost Rule = "LOST"
 	// Backwards is violated by a read of less than an earlier read of the same incarnation.
 	Backwards Rule = "BACKWARDS"
