Tallies: a core that cannot reach one peer asks the others for what it lacks

Callers would have got 503 for reads at that core for as long as packets pass one way only, from the peer with the lowest address. Cause: when a pull stays unanswered, Tick asked the first peer in the order of addresses again, which is heard but never reached. It now begins behind the peer that was asked last, so that each is asked in turn. TestOneWayCutDoesNotDelayOthers: converged after 10 s and more -> within 3 s for each of four unreachable zones.

--- a/internal/serving/tally/antientropy.go
+++ b/internal/serving/tally/antientropy.go
@@ -76,14 +76,19 @@
 	}
 	r.pullPending = true
 	r.pullSentAt = r.active
+	r.pulledFrom = p.address
 	pull := r.message(wirepb.TallyMessageKind_TALLY_PULL)
 	pull.Received = vectorMessage(r.set.Vector())
 	r.environment.Send(p.address, pull)
 }
 
-// pullMissing asks for missing records, where an earlier pull or its answer may have been lost.
+// pullMissing asks for missing records, where an earlier pull or its answer may have been lost. It begins
+// behind the peer that was asked last, which may be heard and yet not be reached.
 func (r *Replica) pullMissing() {
-	for _, address := range slices.Sorted(maps.Keys(r.peers)) {
+	addresses := slices.Sorted(maps.Keys(r.peers))
+	asked, _ := slices.BinarySearch(addresses, r.pulledFrom)
+	for i := range addresses {
+		address := addresses[(asked+1+i)%len(addresses)]
 		if p := r.peers[address]; r.heardRecently(p) {
 			r.updateTarget(p)
 			r.pullFrom(p)
--- a/internal/serving/tally/replica.go
+++ b/internal/serving/tally/replica.go
@@ -69,6 +69,7 @@
 	sent         []sentMark         // own records by the time of sending, not yet overdue
 	overdue      uint64             // own sequence number that each responsive peer has made durable
 	pullSentAt   time.Duration      // of the pull that has not been answered
+	pulledFrom   string             // address of the peer that was asked last
 	pullPending  bool
 	shuttingDown bool
 	shutdownAt   time.Duration
