Tallies: new adds are limited by the memory that all records take, not by their number

Callers would have seen every core killed for its memory and, as the records stay, killed again: a million adds with ids of 16 bytes take 144 MB of heap, with a name for each 236 MB, with ids of 128 bytes 251 MB, with names of 256 bytes 464 MB, and 1.2 million were accepted; a core process has 280 MB. The set now estimates its memory (145, 240, 252 and 473 MB for the same), and new adds get 429 at 140 MB. docs/tallies.md, Limits, still says 1.2 million records.

--- a/internal/serving/tally/adds.go
+++ b/internal/serving/tally/adds.go
@@ -77,7 +77,7 @@
 
 // refusal returns why a new add is refused, or Unknown where it is not.
 func (r *Replica) refusal() Outcome {
-	if len(r.pending) >= maxPendingAdds || r.set.Records() >= maxRecords {
+	if len(r.pending) >= maxPendingAdds || r.set.HeapBytes() >= maxSetBytes {
 		return Overloaded
 	}
 	if r.shuttingDown || !r.canAcknowledge() {
--- a/internal/serving/tally/replica.go
+++ b/internal/serving/tally/replica.go
@@ -26,7 +26,7 @@
 const (
 	maxPendingAdds = 2000      // adds that wait for copies
 	maxUnsentAdds  = 64        // adds that wait for Flush
-	maxRecords     = 1_200_000 // records in memory
+	maxSetBytes    = 140 << 20 // of memory for all records
 	maxBatchBytes  = 128 << 10
 )
 
--- a/internal/serving/tally/set.go
+++ b/internal/serving/tally/set.go
@@ -34,6 +34,12 @@
 	}
 }
 
+// Estimates of the memory that a Set takes beside its texts.
+const (
+	recordHeapBytes = 136 // of a record, and of its place among those that count
+	tallyHeapBytes  = 88
+)
+
 // recordOverheadBytes estimates the encoded size of a record beside its texts.
 const recordOverheadBytes = 24
 
@@ -80,6 +86,7 @@
 	tallies map[string]*namedTally
 	counted map[addKey]place // the record that counts for each add
 	records int
+	bytes   int // of memory, as estimated
 }
 
 // NewSet returns an empty set.
@@ -100,6 +107,9 @@
 // Records returns the number of records, those of repeated ids included.
 func (s *Set) Records() int { return s.records }
 
+// HeapBytes estimates the memory that the set takes.
+func (s *Set) HeapBytes() int { return s.bytes }
+
 // Sequence returns the sequence number up to which the records of an origin are held.
 func (s *Set) Sequence(origin string) uint64 {
 	if held := s.origins[origin]; held != nil {
@@ -142,9 +152,11 @@
 	if tally == nil {
 		tally = &namedTally{name: add.Tally}
 		s.tallies[add.Tally] = tally
+		s.bytes += tallyHeapBytes + len(add.Tally)
 	}
 	held.records = append(held.records, record{tally: tally, id: add.ID, amount: add.Amount})
 	s.records++
+	s.bytes += recordHeapBytes + len(add.ID)
 	sequence := uint64(len(held.records))
 	s.count(tally, add, place{held, sequence})
 	return sequence
