Tallies: an add whose name or id is not valid UTF-8 is refused before it is recorded

Callers would have seen: after one POST /Tallies.Update/a%ff no add of that core becomes durable on its disk, and, since the record can be sent to nobody, all other cores lack what it holds and answer reads with 503 until it restarts. Cause: protobuf strings must be valid UTF-8, so the frame of the log and the messages cannot be encoded, and the log tries again for ever. The replica now answers Invalid and records nothing. The HTTP handler does not know Invalid yet and answers 504; it ought to be 400 (core/tallies.go, parseTallyAdd).

--- a/internal/serving/tally/adds.go
+++ b/internal/serving/tally/adds.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 	"time"
+	"unicode/utf8"
 
 	"willowdeck/internal/serving/wirepb"
 )
@@ -18,6 +19,7 @@
 	Unavailable                 // nothing was done: this replica cannot make adds durable now
 	Overloaded                  // nothing was done: too many adds are pending or held
 	Conflict                    // nothing was done: the id was used with another amount
+	Invalid                     // nothing was done: the name or the id is not valid UTF-8
 )
 
 // pendingAdd is an add that waits for copies.
@@ -38,6 +40,10 @@
 // set counts it once, and its copies are known.
 func (r *Replica) Add(add Add, done func(Outcome)) {
 	r.advanceTime()
+	if !utf8.ValidString(add.Tally) || !utf8.ValidString(add.ID) {
+		done(Invalid) // its messages and its frame of the log could not be encoded
+		return
+	}
 	counted, known := r.set.find(add.Tally, add.ID)
 	if known && counted.amount() != add.Amount {
 		done(Conflict)
--- a/internal/serving/tally/encoding_test.go
+++ b/internal/serving/tally/encoding_test.go
@@ -29,9 +29,12 @@
 	w.callers.idle = true
 	w.run(4 * time.Second)
 	p := w.machines[0].process
-	p.post(func() { p.replica.Add(invalidAdd, func(Outcome) {}) })
-	w.run(time.Second)
 	outcome := Unknown
+	p.post(func() { p.replica.Add(invalidAdd, func(o Outcome) { outcome = o }) })
+	w.run(time.Second)
+	if outcome != Invalid {
+		t.Errorf("the invalid add has outcome %d", outcome)
+	}
 	p.post(func() { p.replica.Add(Add{Tally: "t", ID: "y", Amount: 1}, func(o Outcome) { outcome = o }) })
 	w.run(time.Second)
 	if outcome != Acknowledged {
