--- a/internal/serving/tally/sim_callers_test.go
+++ b/internal/serving/tally/sim_callers_test.go
@@ -30,7 +30,6 @@
 	number       int
 	inProgress   int
 	acknowledged int
-	refusals     int
 }
 
 func newCallers(w *world) *callers {
@@ -168,10 +167,11 @@
 func (a *attempt) respond(p *process, outcome tallyhistory.Outcome, total uint64) {
 	w := a.call.world
 	w.after(w.network.delay(p.machine.zone, a.call.zone), func() {
-		if !w.network.isCut(p.machine.zone, a.call.zone) && !(p.dead && p.machine.powerless) {
-			a.event.Total = total
-			a.finish(outcome)
+		if w.network.isCut(p.machine.zone, a.call.zone) || p.dead && p.machine.powerless {
+			return
 		}
+		a.event.Total = total
+		a.finish(outcome)
 	})
 }
 
--- a/internal/serving/tally/sim_reconnect_test.go
+++ b/internal/serving/tally/sim_reconnect_test.go
@@ -60,7 +60,8 @@
 func TestCopiesAfterHeal(t *testing.T) {
 	for seed := range int64(reconnectSeeds) {
 		fewUntil, heardAfter := copiesAfterHeal(seed)
-		t.Logf("seed %d: others are heard %v after the cut, too few copies until %v", seed, heardAfter, fewUntil)
+		t.Logf("seed %d: others are heard %v after the cut, too few copies until %v", seed, heardAfter,
+			fewUntil)
 		if fewUntil > heardAfter+maxFewCopies {
 			t.Errorf("seed %d: too few copies %v after others are heard", seed, fewUntil-heardAfter)
 		}
