--- a/internal/serving/tally/sim_faults_test.go
+++ b/internal/serving/tally/sim_faults_test.go
@@ -56,6 +56,7 @@
 	faultRetryInterval = 100 * time.Millisecond
 	finalRunTime       = 8 * time.Second
 	settleTime         = 4 * time.Second      // for calls in progress, and for the merge
+	handoverTime       = 15 * time.Second     // after a cut, for machines that are faulty then
 	maxFinalDelay      = 4 * time.Millisecond // of the final loss of power after an acknowledgement
 )
 
@@ -184,8 +185,12 @@
 	return kind == loseDisk || kind == replaceAtOnce || kind == replacePlanned
 }
 
-// mayLoseDisk reports whether a machine may lose its disk now: no more machines count as lost than tolerated.
+// mayLoseDisk reports whether a machine may lose its disk now: no more machines count as lost than tolerated,
+// and it has run since the last cut, or else nobody can have what it acknowledged alone meanwhile.
 func (w *world) mayLoseDisk(m *machine) bool {
+	if m.lost() && w.cutSince(w.now-handoverTime) {
+		return false
+	}
 	lost := w.lostMachines()
 	if !m.lost() {
 		lost++
@@ -193,6 +198,11 @@
 	return lost <= toleratedLosses && !m.removed
 }
 
+// cutSince reports whether a cut has lasted until after a time.
+func (w *world) cutSince(since time.Duration) bool {
+	return slices.ContainsFunc(w.disturbances, func(d *disturbance) bool { return d.cut && d.to > since })
+}
+
 // remove takes the machine away for good.
 func (m *machine) remove() {
 	if m.wipedAt != m.world.now {
