--- a/internal/serving/tally/sim_reconnect_test.go
+++ b/internal/serving/tally/sim_reconnect_test.go
@@ -24,7 +24,7 @@
 }
 
 // copiesAfterHeal isolates a core and heals the cut. It returns until when after that the core acknowledged
-// adds with too few copies, and when it first heard of another one.
+// adds with too few copies, and when it first heard another one.
 func copiesAfterHeal(seed int64) (fewUntil, heardAfter time.Duration) {
 	w := newWorld(seed, plantedFault{})
 	w.callers.idle = true
@@ -55,8 +55,8 @@
 	return fewUntil, heardAfter
 }
 
-// TestCopiesAfterHeal checks that a core that hears enough others again acknowledges no more adds that they do
-// not hold.
+// TestCopiesAfterHeal checks that a core that hears the others again soon acknowledges no more adds that they
+// do not hold.
 func TestCopiesAfterHeal(t *testing.T) {
 	for seed := range int64(reconnectSeeds) {
 		fewUntil, heardAfter := copiesAfterHeal(seed)
