Tallies: a core that is asked to stop waits no longer for adds of others that came after it said so

Callers got 503 for adds at a core for 6 s after SIGTERM, though its peers had all that it held within 0.3 s. SafeToStop asked that all peers have everything held at that moment, which others' adds changed all the time; peers report what they made durable of others' records four times a second.

--- a/internal/serving/tally/replica.go
+++ b/internal/serving/tally/replica.go
@@ -18,6 +18,7 @@
 	answerTimeout    = 800 * time.Millisecond  // after which an add is answered as unknown: callers wait for 1 s
 	startGrace       = 2 * time.Second         // after a start, for peers to be heard before fewer copies may do
 	readGrace        = 1500 * time.Millisecond // for missing records to arrive before reads are refused
+	announceTime     = 400 * time.Millisecond  // after a shutdown has begun, for the peers to learn of it
 	peerRetention    = 30 * time.Second        // after the last message of a peer that is not listed any more
 	maxActiveTimeGap = 100 * time.Millisecond
 )
@@ -72,6 +73,7 @@
 	pullPending  bool
 	shuttingDown bool
 	shutdownAt   time.Duration
+	handover     Vector // what was held once all peers knew of the shutdown; nil before
 }
 
 // NewReplica returns a replica without records. Restore is called with those of its disk.
@@ -118,6 +120,9 @@
 	}
 	r.pullMissing()
 	r.completeAdds()
+	if r.shuttingDown && r.handover == nil && r.active-r.shutdownAt >= announceTime {
+		r.handover = r.set.Vector()
+	}
 }
 
 // Flush sends the adds that were recorded since the last call, and has them written.
@@ -202,18 +207,20 @@
 	r.broadcast(r.stateMessage())
 }
 
-// SafeToStop reports whether all responsive peers have all records of this replica on their disks, or no time
-// is left to wait for them.
+// SafeToStop reports whether all peers that are heard have on their disks what may depend on this replica's, or no
+// time is left to wait for them. Those are its own records, and what it held when the peers had learnt that its
+// copies count no more: later records of others do not depend on it.
 func (r *Replica) SafeToStop() bool {
 	if r.active-r.shutdownAt > r.options.ShutdownLimit {
 		return true
 	}
-	if len(r.pending) > 0 {
+	if r.handover == nil || len(r.pending) > 0 {
 		return false
 	}
-	held := r.set.Vector()
+	own := r.set.Sequence(r.options.Incarnation)
 	for _, p := range r.peers {
-		if r.heardRecently(p) && !p.shuttingDown && !p.durable.covers(held) {
+		hasAll := p.durable[r.options.Incarnation] >= own && p.durable.covers(r.handover)
+		if r.heardRecently(p) && !p.shuttingDown && !hasAll {
 			return false
 		}
 	}
