Core, agent: signals are handled before the data directory is read

A SIGHUP or SIGTERM in the first moments of a core ended the process at once, so that it counted as one that ends by itself, or was cut off between its first listener and the handler. The core says 'core starting' once it handles them; the soak sends them from then on.

--- a/internal/serving/agent/agent.go
+++ b/internal/serving/agent/agent.go
@@ -56,6 +56,7 @@
 
 // Run runs the agent with a settings file until SIGTERM or SIGINT.
 func Run(settingsPath string, logger *zap.Logger) error {
+	signal.Ignore(syscall.SIGHUP) // the settings are reloaded periodically in any case
 	config, err := settings.Load(settingsPath)
 	if err != nil {
 		return err
@@ -69,7 +70,6 @@
 	if err != nil {
 		return errors.Wrap(err, "cannot listen for the proxy: check internal_port_range")
 	}
-	signal.Ignore(syscall.SIGHUP) // the settings are reloaded periodically in any case
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
 	go a.acceptProxies(ctx, listener)
--- a/internal/serving/core/core.go
+++ b/internal/serving/core/core.go
@@ -57,6 +57,10 @@
 
 // Run runs the process with a settings file until SIGTERM or SIGINT.
 func Run(settingsPath string, logger *zap.Logger) error {
+	// Before the data directory is read, which takes a while: a signal without a handler ends the process.
+	signals := make(chan os.Signal, signalQueueCapacity)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	logger.Info("core starting")
 	config, err := settings.Load(settingsPath)
 	if err != nil {
 		return err
@@ -71,7 +75,7 @@
 	if err != nil {
 		return err
 	}
-	return c.serve()
+	return c.serve(signals)
 }
 
 // newCore opens the data directory and creates the engine. It starts no goroutines and opens no ports.
@@ -124,8 +128,8 @@
 	return int64(binary.LittleEndian.Uint64(seed[:]))
 }
 
-// serve opens the ports, runs until the process is stopped, and closes the ports.
-func (c *Core) serve() error {
+// serve opens the ports, runs until a signal stops the process, and closes the ports.
+func (c *Core) serve(signals <-chan os.Signal) error {
 	internalListener, err := framing.Listen(c.internalAddress)
 	if err != nil {
 		return errors.Wrap(err, "cannot listen for other cores and agents: check internal_port_range")
@@ -141,8 +145,6 @@
 	go c.acceptLinks(internalListener)
 	go c.diskWriter.run(c.stop)
 	go c.tallyWriter.run(c.stop)
-	signals := make(chan os.Signal, signalQueueCapacity)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	status := c.engine.Status()
 	c.logger.Info("core started", zap.String("replica", status.Replica), zap.Strings("members", status.Members))
 	c.run(signals)
--- a/internal/serving/soak/machine_test.go
+++ b/internal/serving/soak/machine_test.go
@@ -19,10 +19,12 @@
 	gracePeriod = 8 * time.Second
 	// stopTimeout is after how long a process that was asked to stop is a failure: the grace period and a
 	// margin for a busy machine.
-	stopTimeout = gracePeriod + 12*time.Second
-	tailLines   = 15 // of a log that are shown with a failure
-	dirMode     = 0o755
-	fileMode    = 0o600
+	stopTimeout       = gracePeriod + 12*time.Second
+	startMessage      = "core starting"
+	startPollInterval = 2 * time.Millisecond
+	tailLines         = 15 // of a log that are shown with a failure
+	dirMode           = 0o755
+	fileMode          = 0o600
 )
 
 // zones are those of the machines by their place in the cluster, and regions the zones' regions.
@@ -111,12 +113,28 @@
 	m.process = faultinject.Start(m.t, faultinject.Spec{
 		Name: m.name, Program: program, Args: []string{"-settings", m.settingsPath()}, Dir: m.dir,
 	})
+	m.awaitHandlers(0)
 }
 
 // restart starts the process again.
 func (m *machine) restart() {
+	before := len(m.process.Output())
 	if err := m.process.Restart(nil); err != nil {
 		m.t.Error(err)
+		return
+	}
+	m.awaitHandlers(before)
+}
+
+// awaitHandlers waits until the process handles signals, which it logs behind some bytes of earlier output. No
+// program does so from its first instruction on, so that a signal before that ends it.
+func (m *machine) awaitHandlers(earlierBytes int) {
+	for began := time.Now(); !strings.Contains(m.process.Output()[earlierBytes:], startMessage); {
+		if time.Since(began) > startTimeout {
+			m.t.Errorf("%s does not handle signals %v after its start", m.name, startTimeout)
+			return
+		}
+		time.Sleep(startPollInterval)
 	}
 }
 
