--- a/internal/serving/soak/injector_test.go
+++ b/internal/serving/soak/injector_test.go
@@ -165,8 +165,8 @@
 	time.Sleep(f.lasts)
 }
 
-// takeDisks carries out a fault that takes disks, once the machines have recovered from others. It returns false
-// where they do not in time.
+// takeDisks carries out a fault that takes disks, once the machines have recovered from others. It returns
+// false where they do not in time.
 func (j *injector) takeDisks(f fault) bool {
 	lost := f.places[:1]
 	if f.kind == wipeTwo || f.kind == killAllWipeTwo || f.kind == wipeCutOff {
@@ -196,8 +196,8 @@
 	return true
 }
 
-// wipe kills the processes of some places at the same moment, and starts them after their delays. Those of the
-// places lost have empty disks then.
+// wipe kills the processes of some places at the same moment, and starts them after their delays. Those of
+// the places lost have empty disks then.
 func (j *injector) wipe(lost, killed []int, delays []time.Duration) {
 	machines := j.lock(killed)
 	defer unlock(machines)
--- a/internal/serving/soak/machine_test.go
+++ b/internal/serving/soak/machine_test.go
@@ -126,8 +126,8 @@
 	m.awaitHandlers(before)
 }
 
-// awaitHandlers waits until the process handles signals, which it logs behind some bytes of earlier output. No
-// program does so from its first instruction on, so that a signal before that ends it.
+// awaitHandlers waits until the process handles signals, which it logs behind some bytes of earlier output.
+// No program does so from its first instruction on, so that a signal before that ends it.
 func (m *machine) awaitHandlers(earlierBytes int) {
 	for began := time.Now(); !strings.Contains(m.process.Output()[earlierBytes:], startMessage); {
 		if time.Since(began) > startTimeout {
--- a/internal/serving/tally/replica.go
+++ b/internal/serving/tally/replica.go
@@ -207,9 +207,9 @@
 	r.broadcast(r.stateMessage())
 }
 
-// SafeToStop reports whether all peers that are heard have on their disks what may depend on this replica's, or no
-// time is left to wait for them. Those are its own records, and what it held when the peers had learnt that its
-// copies count no more: later records of others do not depend on it.
+// SafeToStop reports whether all peers that are heard have on their disks what may depend on this replica's,
+// or no time is left to wait for them. Those are its own records, and what it held when the peers had learnt
+// that its copies count no more: later records of others do not depend on it.
 func (r *Replica) SafeToStop() bool {
 	if r.active-r.shutdownAt > r.options.ShutdownLimit {
 		return true
