--- a/internal/serving/soak/machine_test.go
+++ b/internal/serving/soak/machine_test.go
@@ -148,6 +148,7 @@
 
 // terminate asks the process to stop, and waits until it has.
 func (m *machine) terminate() {
+	began := time.Now()
 	if err := m.process.Term(); err != nil {
 		m.t.Errorf("%s cannot be asked to stop: %v\n%s", m.name, err, m.logTail())
 		return
@@ -157,6 +158,7 @@
 		m.kill()
 		return
 	}
+	m.t.Logf("%s ended %v after SIGTERM", m.name, time.Since(began).Round(time.Millisecond))
 	if exit := m.process.Exit(); !exit.Success() {
 		m.t.Errorf("%s ended with %v after SIGTERM\n%s", m.name, exit, m.logTail())
 	}
