--- a/internal/gateway/transport/creditwire/creditwire.go
+++ b/internal/gateway/transport/creditwire/creditwire.go
@@ -140,6 +140,47 @@
 	return value
 }
 
+// entry gives the next entry.
+func (r *fieldReader) entry() borrowing.Entry {
+	entry := borrowing.Entry{
+		Customer: binary.BigEndian.Uint32(r.take(4)), Plan: r.take(1)[0], SetSize: r.take(1)[0],
+		First: binary.BigEndian.Uint16(r.take(2)), SetDigest: binary.BigEndian.Uint16(r.take(2)),
+	}
+	flags := r.take(1)[0]
+	entry.Known, entry.NoPriorDebt = flags&flagKnown > 0, flags&flagVirgin > 0
+	entry.IsQuery, entry.IsReply = flags&flagAsks > 0, flags&flagAnswers > 0
+	counters := []*uint64{&entry.RightsGiven, &entry.DebtGiven, &entry.RightsReceived, &entry.DebtReceived}
+	for _, counter := range counters {
+		if *counter = r.uvarint(); *counter > math.MaxInt64 {
+			r.err = errors.New("a counter is out of bounds")
+		}
+	}
+	r.optionalFields(&entry, flags)
+	return entry
+}
+
+// optionalFields reads the fields that the flags of an entry announce.
+func (r *fieldReader) optionalFields(entry *borrowing.Entry, flags byte) {
+	if entry.IsQuery {
+		entry.Nonce = binary.BigEndian.Uint16(r.take(2))
+	}
+	if entry.IsReply {
+		entry.Echo = binary.BigEndian.Uint16(r.take(2))
+	}
+	if flags&flagWant > 0 {
+		entry.WantedParts = r.uvarint()
+	}
+	if flags&flagLeft > 0 {
+		entry.DebtTimeLeft = float64(r.take(1)[0]) / math.MaxUint8
+	}
+	if flags&flagFill > 0 {
+		entry.FillPerSecond = decodeLog(r.take(1)[0])
+	}
+	if flags&flagSpare > 0 {
+		entry.SpareUnits = decodeLog(r.take(1)[0])
+	}
+}
+
 // Decode appends a message's entries to dst. A message that is truncated, longer than it states or than it
 // may be, or of another version gives an error and dst as it was.
 func Decode(dst []borrowing.Entry, message []byte) ([]borrowing.Entry, error) {
@@ -151,39 +192,10 @@
 	case len(message) > MaxMessageBytes:
 		return dst, fmt.Errorf("credit message of %d bytes, of %d at most", len(message), MaxMessageBytes)
 	}
-	original, count, fields := dst, int(message[countOffset]), fieldReader{remaining: message[headerBytes:]}
-	for range count {
-		entry := borrowing.Entry{Customer: binary.BigEndian.Uint32(fields.take(4)), Plan: fields.take(1)[0],
-			SetSize: fields.take(1)[0], First: binary.BigEndian.Uint16(fields.take(2)),
-			SetDigest: binary.BigEndian.Uint16(fields.take(2))}
-		flags := fields.take(1)[0]
-		entry.Known, entry.NoPriorDebt = flags&flagKnown > 0, flags&flagVirgin > 0
-		entry.IsQuery, entry.IsReply = flags&flagAsks > 0, flags&flagAnswers > 0
-		for _, counter := range []*uint64{&entry.RightsGiven, &entry.DebtGiven, &entry.RightsReceived,
-			&entry.DebtReceived} {
-			if *counter = fields.uvarint(); *counter > math.MaxInt64 {
-				fields.err = errors.New("a counter is out of bounds")
-			}
-		}
-		if entry.IsQuery {
-			entry.Nonce = binary.BigEndian.Uint16(fields.take(2))
-		}
-		if entry.IsReply {
-			entry.Echo = binary.BigEndian.Uint16(fields.take(2))
-		}
-		if flags&flagWant > 0 {
-			entry.WantedParts = fields.uvarint()
-		}
-		if flags&flagLeft > 0 {
-			entry.DebtTimeLeft = float64(fields.take(1)[0]) / math.MaxUint8
-		}
-		if flags&flagFill > 0 {
-			entry.FillPerSecond = decodeLog(fields.take(1)[0])
-		}
-		if flags&flagSpare > 0 {
-			entry.SpareUnits = decodeLog(fields.take(1)[0])
-		}
-		dst = append(dst, entry)
+	original := dst
+	fields := fieldReader{remaining: message[headerBytes:]}
+	for range int(message[countOffset]) {
+		dst = append(dst, fields.entry())
 	}
 	if fields.err == nil && len(fields.remaining) > 0 {
 		fields.err = fmt.Errorf("%d bytes follow its last entry", len(fields.remaining))
--- a/internal/testkit/history/read.go
+++ b/internal/testkit/history/read.go
@@ -74,62 +74,93 @@
 }
 
 // readFile appends the events of one file.
-func readFile(to []Event, b []byte, path string, in map[incarnation]string) ([]Event, int, error) {
-	lines := bytes.Split(b, []byte{'\n'})
-	whole := len(lines) - 1 // what follows the last line's end is empty or torn
-	torn, tornAt, tornErr := 0, 0, error(nil)
-	var now incarnation
-	var last Event
-	for i, line := range lines {
-		if i == whole && len(line) == 0 {
-			break
+func readFile(to []Event, content []byte, path string, in map[incarnation]string) ([]Event, int, error) {
+	lines := bytes.Split(content, []byte{'\n'})
+	complete := len(lines) - 1 // what follows the last line's end is empty or torn
+	reader := fileReader{path: path, in: in, events: to}
+	for i, line := range lines[:complete] {
+		if err := reader.readLine(i, line); err != nil {
+			return nil, 0, err
 		}
-		var e Event
-		err := parse(line, &e)
-		if i == whole {
-			torn++ // even if it can be read: its writer was not told that it is written
-			break
-		}
-		wrong := func(format string, args ...any) error {
-			return fmt.Errorf("%s: line %d: %w", path, i+1, fmt.Errorf(format, args...))
-		}
-		if err != nil {
-			if tornErr != nil {
-				return nil, 0, tornErr
-			}
-			if !errors.Is(err, errCut) {
-				return nil, 0, wrong("%w", err)
-			}
-			tornAt, tornErr = i, wrong("cut short, and not the last of its life: %w", err)
-			continue
-		}
-		here := incarnation{e.Who, e.Incarnation}
-		if tornErr != nil {
-			if i != tornAt+1 || here == now || e.Seq != 1 {
-				return nil, 0, tornErr
-			}
-			torn, tornErr = torn+1, nil
-		}
-		if here != now {
-			if at, known := in[here]; known {
-				return nil, 0, wrong("%s's life %d is told of in %s too, or anew", e.Who, e.Incarnation, at)
-			}
-			in[here], now, last = path, here, Event{}
+	}
+	if reader.tornErr != nil {
+		reader.torn++ // the file's last line, which was ended before a life that wrote nothing
+	}
+	if len(lines[complete]) > 0 {
+		reader.torn++ // even if it can be parsed: its writer was not told that it is written
+	}
+	return reader.events, reader.torn, nil
+}
+
+// fileReader reads the lines of one file in order.
+type fileReader struct {
+	path   string
+	in     map[incarnation]string // the file of each incarnation that was read
+	events []Event
+	torn   int // lines that are cut short
+
+	current incarnation
+	last    Event // of the current incarnation
+	tornAt  int   // index of a line that is cut short, until the next line shows whether it may be
+	tornErr error // of that line; nil where there is none
+}
+
+// readLine reads the line with an index.
+func (f *fileReader) readLine(index int, line []byte) error {
+	var event Event
+	if err := parse(line, &event); err != nil {
+		return f.handleInvalid(index, err)
+	}
+	here := incarnation{event.Who, event.Incarnation}
+	if f.tornErr != nil {
+		if index != f.tornAt+1 || here == f.current || event.Seq != 1 {
+			return f.tornErr
 		}
-		switch {
-		case e.Seq != last.Seq+1:
-			return nil, 0, wrong("place %d of %s's life %d follows %d: lines are missing", e.Seq, e.Who, e.Incarnation,
-				last.Seq)
-		case e.At < last.At:
-			return nil, 0, wrong("time goes back, from %d to %d", last.At, e.At)
+		f.torn++
+		f.tornErr = nil
+	}
+	if here != f.current {
+		if at, known := f.in[here]; known {
+			return f.errorf(index, "%s's life %d is told of in %s too, or anew", event.Who, event.Incarnation, at)
 		}
-		last = e
-		to = append(to, e)
+		f.in[here] = f.path
+		f.current, f.last = here, Event{}
+	}
+	if err := f.checkOrder(index, &event); err != nil {
+		return err
+	}
+	f.last = event
+	f.events = append(f.events, event)
+	return nil
+}
+
+// handleInvalid notes a line that is cut short. Any other line that cannot be parsed is an error.
+func (f *fileReader) handleInvalid(index int, err error) error {
+	if f.tornErr != nil {
+		return f.tornErr
 	}
-	if tornErr != nil {
-		torn++ // the file's last line, which was ended before a life that wrote nothing
+	if !errors.Is(err, errCut) {
+		return f.errorf(index, "%w", err)
 	}
-	return to, torn, nil
+	f.tornAt, f.tornErr = index, f.errorf(index, "cut short, and not the last of its life: %w", err)
+	return nil
+}
+
+// checkOrder checks that an event follows the last one of its incarnation.
+func (f *fileReader) checkOrder(index int, event *Event) error {
+	switch {
+	case event.Seq != f.last.Seq+1:
+		return f.errorf(index, "place %d of %s's life %d follows %d: lines are missing", event.Seq, event.Who,
+			event.Incarnation, f.last.Seq)
+	case event.At < f.last.At:
+		return f.errorf(index, "time goes back, from %d to %d", f.last.At, event.At)
+	}
+	return nil
+}
+
+// errorf returns an error that names the file and the line.
+func (f *fileReader) errorf(index int, format string, arguments ...any) error {
+	return fmt.Errorf("%s: line %d: %w", f.path, index+1, fmt.Errorf(format, arguments...))
 }
 
 var errCut = errors.New("a line without its end")
