Readability: the authorization server's decision in three functions

The reservation of a clearance that was handed over meanwhile is released before the call is answered instead of after it.

--- a/internal/forwardauth/authserver/server.go
+++ b/internal/forwardauth/authserver/server.go
@@ -295,17 +295,31 @@
 	s.mu.Lock()
 	status := s.clearances.Begin(requestID, attributes, nowMillis)
 	s.mu.Unlock()
+	if status != authcache.StatusUnknown {
+		s.respondKnown(ctx, status)
+		return
+	}
+	final, granted := s.grant(t, requestID, nowMillis)
+	if !granted {
+		if final.RetryAfterMillis > 0 {
+			ctx.Response.Header.Set("Retry-After", transport.RetryAfter(final.RetryAfterMillis))
+		}
+		s.respond(ctx, countDenied, s.config.RejectStatus, "declined")
+		return
+	}
+	ctx.Response.Header.Set("X-Cleared-Ms", strconv.FormatFloat(s.config.LifetimeMillis, 'f', 0, 64))
+	s.respond(ctx, countCleared, fasthttp.StatusOK, "cleared")
+}
+
+// respondKnown answers a call whose request the table of clearances knows, or has no place for.
+func (s *Server) respondKnown(ctx *fasthttp.RequestCtx, status authcache.Status) {
 	switch status {
-	case authcache.StatusUnknown:
 	case authcache.StatusGranted:
 		s.respond(ctx, countClearedBefore, fasthttp.StatusOK, "cleared before")
-		return
 	case authcache.StatusUsed:
 		s.respond(ctx, countAlreadyUsed, fasthttp.StatusConflict, "X-Request-Id: its txn has come already")
-		return
 	case authcache.StatusMismatch:
 		s.respond(ctx, countMismatched, fasthttp.StatusConflict, "X-Request-Id: another txn was cleared by it")
-		return
 	default: // full, handed over, or pending
 		waitMillis := authcache.FullRetryMillis
 		if status != authcache.StatusFull {
@@ -313,26 +327,27 @@
 		}
 		ctx.Response.Header.Set("Retry-After", transport.RetryAfter(waitMillis))
 		s.respond(ctx, countFull, fasthttp.StatusServiceUnavailable, "no place for one more clearance")
-		return
 	}
+}
+
+// grant reserves capacity for a request and grants the clearance that was begun. It is not granted where
+// there is no capacity, or the clearance was handed over meanwhile. final is the policy's decision, if any.
+func (s *Server) grant(
+	t *transport.Request, requestID string, nowMillis float64,
+) (final transport.FinalAnswer, granted bool) {
 	reservation, final := s.proxy.Reserve(t, s.clearances.LifetimeMillis())
 	s.mu.Lock()
 	if reservation == nil {
 		s.clearances.Cancel(requestID)
-	} else if s.clearances.Grant(requestID, reservation, nowMillis) <= nowMillis { // handed over meanwhile
-		defer s.proxy.Release(reservation)
-		reservation = nil
+		s.mu.Unlock()
+		return final, false
 	}
+	granted = s.clearances.Grant(requestID, reservation, nowMillis) > nowMillis // else: handed over meanwhile
 	s.mu.Unlock()
-	if reservation == nil {
-		if final.RetryAfterMillis > 0 {
-			ctx.Response.Header.Set("Retry-After", transport.RetryAfter(final.RetryAfterMillis))
-		}
-		s.respond(ctx, countDenied, s.config.RejectStatus, "declined")
-		return
+	if !granted {
+		s.proxy.Release(reservation)
 	}
-	ctx.Response.Header.Set("X-Cleared-Ms", strconv.FormatFloat(s.config.LifetimeMillis, 'f', 0, 64))
-	s.respond(ctx, countCleared, fasthttp.StatusOK, "cleared")
+	return final, granted
 }
 
 // rejectCall answers a call that is invalid or from an untrusted caller, and closes its connection.
