--- a/internal/serving/core/tallies_short_test.go
+++ b/internal/serving/core/tallies_short_test.go
@@ -14,7 +14,8 @@
 	addOfFour       = `{"instance_id":"5c0e7a21d94b36f8","lease_owner":4}`
 )
 
-// TestCoreWithoutQuorumServesTallies guards against SHORT: calls of tallies that the minority side of a partition refuses.
+// TestCoreWithoutQuorumServesTallies guards against SHORT: calls of tallies that the minority side of a
+// partition refuses.
 func TestCoreWithoutQuorumServesTallies(t *testing.T) {
 	c := startCore(t, t.TempDir(), false)
 	deadline := time.Now().Add(tallyStartLimit)
