--- a/internal/serving/core/core_test.go
+++ b/internal/serving/core/core_test.go
@@ -48,6 +48,7 @@
 	}
 	go c.acceptLinks(listener)
 	go c.diskWriter.run(c.stop)
+	go c.tallyWriter.run(c.stop)
 	signals := make(chan os.Signal, 1)
 	ended := make(chan struct{})
 	go func() {
