Tallies: replicated grow-only counters that both sides of a partition add to and read

Cause: nothing of tallies was built. Fix: docs/tallies.md; package tally decides, tallylog stores, core serves. The wal's segment names and frames and the core's group commit serve both logs.

--- a/internal/serving/core/core.go
+++ b/internal/serving/core/core.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"strconv"
 	"syscall"
 	"time"
@@ -21,6 +22,7 @@
 	"willowdeck/internal/serving/control"
 	"willowdeck/internal/serving/framing"
 	"willowdeck/internal/serving/settings"
+	"willowdeck/internal/serving/tally"
 )
 
 const (
@@ -31,6 +33,7 @@
 	linkWriteTimeout       = 3 * time.Second
 	eventQueueCapacity     = 256
 	signalQueueCapacity    = 8
+	heapTenths             = 8 // of the process's memory that the collector aims to stay within
 )
 
 // Core is one process of the core. The core's goroutine is the one that calls run; it also calls the
@@ -44,10 +47,12 @@
 	events          chan func()   // to the core's goroutine
 	stop            chan struct{} // closed when the process stops
 
-	engine     *control.Engine // owned by the core's goroutine, except for Mirror and SilentWriter
-	diskWriter *diskWriter
-	links      map[string]*peerLink // by internal address; owned by the core's goroutine
-	nextReload time.Time            // of the settings; owned by the core's goroutine
+	engine      *control.Engine // owned by the core's goroutine, except for StateView and OriginSilent
+	diskWriter  *diskWriter
+	tallies     *tally.Replica // owned by the core's goroutine
+	tallyWriter *tallyWriter
+	links       map[string]*peerLink // by internal address; owned by the core's goroutine
+	nextReload  time.Time            // of the settings; owned by the core's goroutine
 }
 
 // Run runs the process with a settings file until SIGTERM or SIGINT.
@@ -59,6 +64,9 @@
 	if config.DataDir == "" {
 		return &settings.ValueError{Key: "data_dir", Remedy: "give the directory for the replica's state"}
 	}
+	if config.MemoryLimitBytes > 0 {
+		debug.SetMemoryLimit(config.MemoryLimitBytes / 10 * heapTenths)
+	}
 	c, err := newCore(config, settingsPath, logger)
 	if err != nil {
 		return err
@@ -78,9 +86,16 @@
 	if err != nil {
 		return nil, err
 	}
+	tallyLog, err := openTallyLog(config, logger)
+	if err != nil {
+		return nil, err
+	}
+	incarnation := config.NodeName + "/" + randomTag()
 	c.diskWriter = newDiskWriter(opened.Store, c.events)
+	c.tallyWriter = newTallyWriter(tallyLog.Log, c.events, logger)
+	c.tallies = c.newTallies(config, incarnation, tallyLog)
 	options := control.Options{
-		Identity: opened.Identity, Incarnation: config.NodeName + "/" + randomTag(),
+		Identity: opened.Identity, Incarnation: incarnation,
 		Address: c.internalAddress, AddressOf: c.peerAddress, Zone: config.Zone, Region: config.Region,
 		Seeds: hostsOf(config.Seeds), Consensus: consensus.Options{Voters: voterCount(config)},
 		WorkerHeartbeatInterval: config.HeartbeatInterval,
@@ -125,6 +140,7 @@
 	}
 	go c.acceptLinks(internalListener)
 	go c.diskWriter.run(c.stop)
+	go c.tallyWriter.run(c.stop)
 	signals := make(chan os.Signal, signalQueueCapacity)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	status := c.engine.Status()
@@ -160,10 +176,13 @@
 	ticker := time.NewTicker(control.TickInterval)
 	defer ticker.Stop()
 	stopping := false
-	for !stopping || !c.engine.SafeToStop() {
+	for !stopping || !c.engine.SafeToStop() || !c.tallies.SafeToStop() {
 		select {
 		case event := <-c.events:
 			event()
+			if len(c.events) == 0 {
+				c.tallies.Flush()
+			}
 		case <-ticker.C:
 			c.tick()
 		case received := <-signals:
@@ -173,6 +192,7 @@
 			}
 			stopping = true
 			c.engine.BeginShutdown()
+			c.tallies.BeginShutdown()
 		}
 	}
 	close(c.stop) // ends the streams to agents, so that they connect to another core
@@ -192,6 +212,8 @@
 func (c *Core) tick() {
 	c.engine.Tick()
 	c.updateLinks()
+	c.tallies.Tick()
+	c.tallies.Flush()
 	if now := time.Now(); now.After(c.nextReload) {
 		c.nextReload = now.Add(settingsReloadInterval)
 		c.reloadSettings()
--- /dev/null
+++ b/internal/serving/tallylog/log.go
@@ -0,0 +1,207 @@
+package tallylog
+
+import (
+	"iter"
+	"path/filepath"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"willowdeck/internal/serving/wal"
+	"willowdeck/internal/serving/wirepb"
+)
+
+// segmentPrefix begins the name of each segment file.
+const segmentPrefix = "tallies-"
+
+// ErrCorrupted is the error of a segment that has lost records before its end.
+var ErrCorrupted = errors.New(
+	"log of tallies is corrupted before its end: other cores send what is missing; check the disk")
+
+// Log is the log of one core. It is not safe for concurrent use.
+type Log struct {
+	fsys    wal.FileSystem
+	dir     string
+	file    wal.File // nil before the first Append, and after a failed write or sync
+	path    string   // of file
+	number  uint64   // of the newest segment
+	durable bool     // whether file has a frame that is durable
+	failed  string   // path of the newest segment whose first write or sync has failed, until it is removed
+
+	earlier       []byte // frames of earlier processes, until Consolidate has succeeded
+	earlierNumber uint64 // of the newest segment of earlier processes
+	consolidated  bool
+}
+
+// Opened is an open log.
+type Opened struct {
+	Log        *Log
+	Corruption error // wraps ErrCorrupted where records before the end of a segment are lost, or nil
+}
+
+// Open reads the segments in dir. It writes nothing.
+func Open(fsys wal.FileSystem, dir string) (Opened, error) {
+	opened := Opened{Log: &Log{fsys: fsys, dir: dir}}
+	numbers, err := wal.SegmentNumbers(fsys, dir, segmentPrefix)
+	if err != nil {
+		return opened, err
+	}
+	merged := newMerger()
+	for _, number := range numbers {
+		path := wal.SegmentPath(dir, segmentPrefix, number)
+		data, err := fsys.ReadFile(path)
+		if err != nil {
+			return opened, errors.Wrapf(err, "cannot read %s: check the disk", path)
+		}
+		opened.Log.number, opened.Log.earlierNumber = number, number
+		corruption, err := replay(data, merged)
+		if err != nil {
+			return opened, err
+		}
+		if corruption != nil {
+			opened.Corruption = errors.Wrap(corruption, path)
+		}
+	}
+	opened.Log.earlier, err = merged.finish()
+	return opened, err
+}
+
+// replay takes the valid frames of a segment. Invalid bytes before a valid frame are skipped and reported as
+// corruption.
+func replay(data []byte, merged *merger) (corruption, err error) {
+	for len(data) > 0 {
+		payload, rest, ok := wal.NextFrame(data)
+		if !ok {
+			next := wal.NextValidFrame(data)
+			if next < 0 {
+				return corruption, nil
+			}
+			corruption = ErrCorrupted
+			data = data[next:]
+			continue
+		}
+		data = rest
+		var frame wirepb.TallyLogFrame
+		if err := proto.Unmarshal(payload, &frame); err != nil {
+			corruption = errors.Wrap(ErrCorrupted, err.Error())
+			continue
+		}
+		if err := merged.add(frame.Records); err != nil {
+			return corruption, err
+		}
+	}
+	return corruption, nil
+}
+
+// Earlier returns the records of earlier processes, those of each origin in the order of their sequence. It
+// is empty after Consolidate.
+func (l *Log) Earlier() iter.Seq[*wirepb.TallyRecords] {
+	return func(yield func(*wirepb.TallyRecords) bool) {
+		payload, rest, ok := wal.NextFrame(l.earlier)
+		for ok {
+			var frame wirepb.TallyLogFrame
+			if err := proto.Unmarshal(payload, &frame); err != nil {
+				return // cannot happen: Open has encoded the frame
+			}
+			for _, records := range frame.Records {
+				if !yield(records) {
+					return
+				}
+			}
+			payload, rest, ok = wal.NextFrame(rest)
+		}
+	}
+}
+
+// Consolidate makes the records of earlier processes durable in one segment, and removes their segments. It
+// may be called again after an error.
+func (l *Log) Consolidate() error {
+	if l.consolidated {
+		return nil
+	}
+	if len(l.earlier) > 0 {
+		name := filepath.Base(wal.SegmentPath(l.dir, segmentPrefix, l.number+1))
+		if err := wal.WriteFile(l.fsys, l.dir, name, l.earlier); err != nil {
+			return err
+		}
+		l.number++
+	}
+	l.earlier = nil
+	l.consolidated = true
+	l.removeEarlierSegments()
+	return nil
+}
+
+// removeEarlierSegments removes the segments of earlier processes, except the newest file of the log. What
+// it fails to remove is removed after the next start.
+func (l *Log) removeEarlierSegments() {
+	numbers, err := wal.SegmentNumbers(l.fsys, l.dir, segmentPrefix)
+	if err != nil {
+		return
+	}
+	for _, number := range numbers {
+		if number <= l.earlierNumber && number < l.number {
+			_ = l.fsys.Remove(wal.SegmentPath(l.dir, segmentPrefix, number))
+		}
+	}
+}
+
+// Append writes records as one frame and syncs it. After an error the records may be appended again: they
+// then go into another segment.
+func (l *Log) Append(records []*wirepb.TallyRecords) error {
+	frame, err := encodeFrame(records)
+	if err != nil {
+		return err
+	}
+	if l.file == nil {
+		err = l.beginSegment(frame)
+	} else {
+		err = writeAndSync(l.file, frame)
+	}
+	if err != nil {
+		l.abandonSegment()
+		return err
+	}
+	l.durable = true
+	return nil
+}
+
+// beginSegment creates a segment with one frame.
+func (l *Log) beginSegment(frame []byte) error {
+	path := wal.SegmentPath(l.dir, segmentPrefix, l.number+1)
+	file, err := l.fsys.Create(path)
+	if err != nil {
+		return errors.Wrapf(err, "cannot create %s: check the disk", path)
+	}
+	l.number++
+	l.file, l.path, l.durable = file, path, false
+	if l.failed != "" {
+		_ = l.fsys.Remove(l.failed) // otherwise after the next start
+		l.failed = ""
+	}
+	if err := writeAndSync(file, frame); err != nil {
+		return err
+	}
+	return errors.Wrapf(l.fsys.SyncDir(l.dir), "cannot sync %s: check the disk", l.dir)
+}
+
+// abandonSegment closes the segment, if there is one, after a failed write or sync: what of its last frame is
+// durable is unknown. A segment without any other frame is removed once a newer one exists.
+func (l *Log) abandonSegment() {
+	if l.file == nil {
+		return
+	}
+	_ = l.file.Close() // whatever was acknowledged has been synced
+	l.file = nil
+	if !l.durable {
+		l.failed = l.path
+	}
+}
+
+// writeAndSync makes a frame durable at the end of a file.
+func writeAndSync(file wal.File, frame []byte) error {
+	if _, err := file.Write(frame); err != nil {
+		return errors.Wrap(err, "cannot write the log of tallies: free the disk or replace it")
+	}
+	return errors.Wrap(file.Sync(), "cannot sync the log of tallies: check the disk")
+}
