--- a/internal/serving/tally/review_test.go
+++ b/internal/serving/tally/review_test.go
@@ -64,12 +64,14 @@
 
 // run advances virtual time.
 func (n *reviewNetwork) run(duration time.Duration) {
-	for end := n.now + duration; len(n.events) > 0 && n.events[0].at <= end; {
+	end := n.now + duration
+	for len(n.events) > 0 && n.events[0].at <= end {
 		event := n.events[0]
 		n.events = n.events[1:]
 		n.now = event.at
 		event.run()
 	}
+	n.now = end
 }
 
 // start starts a process with an empty disk at an address.
