--- a/internal/serving/tally/review_test.go
+++ b/internal/serving/tally/review_test.go
@@ -519,3 +519,47 @@
 		t.Errorf("stopped after %v", took)
 	}
 }
+
+// A peer confirms, loses its disk and returns at its old address before a third copy exists. Its earlier
+// confirmation counts no longer.
+func TestReviewWipedPeerDoesNotCount(t *testing.T) {
+	network := newReviewNetwork()
+	network.drops = func(string, string, *wirepb.TallyMessage) bool { return true }
+	node := network.start(1, 1, []string{reviewAddress(1), reviewAddress(2), reviewAddress(3)})
+	hear := func(index, life int, durable Vector) {
+		node.replica.HandleMessage(&wirepb.TallyMessage{
+			Kind: wirepb.TallyMessageKind_TALLY_STATE, Address: reviewAddress(index), Zone: fmt.Sprint("zone-", index),
+			Incarnation: fmt.Sprintf("core-%d/%d", index, life), Durable: vectorMessage(durable),
+		})
+	}
+	var outcomes []Outcome
+	hear(2, 1, nil)
+	hear(3, 1, nil)
+	node.add("a", &outcomes)
+	network.run(50 * time.Millisecond)
+	hear(2, 1, Vector{"core-1/1": 1})
+	hear(2, 2, nil)
+	hear(3, 1, Vector{"core-1/1": 1})
+	if len(outcomes) != 0 {
+		t.Errorf("acknowledged (%v) on two disks", outcomes)
+	}
+	hear(2, 2, Vector{"core-1/1": 1})
+	if !slices.Equal(outcomes, []Outcome{Acknowledged}) {
+		t.Errorf("outcomes %v with three copies", outcomes)
+	}
+}
+
+// A killed process had written records without a sync. Its successor, which has read them, does not tell
+// others that they are durable before they are.
+func TestReviewRestoredRecordsAreNotDurable(t *testing.T) {
+	network := newReviewNetwork()
+	replica := network.start(1, 2, []string{reviewAddress(1)}).replica
+	replica.Restore(&wirepb.TallyRecords{Origin: "core-2/1", First: 1, Adds: []*wirepb.TallyAdd{{Tally: "t", Id: "a"}}})
+	if durable := replica.stateMessage().Durable.Sequences["core-2/1"]; durable != 0 {
+		t.Errorf("durable up to %d", durable)
+	}
+	replica.ConfirmRestored(replica.Vector())
+	if durable := replica.stateMessage().Durable.Sequences["core-2/1"]; durable != 1 {
+		t.Errorf("durable up to %d once synced", durable)
+	}
+}
