--- a/internal/serving/core/tallies_review_test.go
+++ b/internal/serving/core/tallies_review_test.go
@@ -101,8 +101,8 @@
 	}
 }
 
-// A read that is the first event of a core's goroutine, before its first tick: the core knows its peers' seeds
-// only, and has heard nobody.
+// A read that is the first event of a core's goroutine, before its first tick: the core knows its seeds only,
+// and has heard nobody.
 func TestReviewFirstReadOfACoreThatHasHeardNobody(t *testing.T) {
 	text := fmt.Sprintf("node_name=core-1\nip=127.0.0.1\nzone=a\nregion=south\nzones.a=south\n"+
 		"internal_port_range=7660,7661\nseeds=127.0.0.2:9,127.0.0.3:9\nbootstrap=false\ndata_dir=%s\n"+
--- a/internal/serving/tally/review_random_test.go
+++ b/internal/serving/tally/review_random_test.go
@@ -102,8 +102,8 @@
 			p.replica.HandleMessage(message)
 		}
 		p.inbox = nil
-		listed := slices.DeleteFunc(p.core.world.addresses(), func(a string) bool { return a == reviewAddress(p.core.index+1) })
-		p.replica.SetPeers(listed)
+		own := reviewAddress(p.core.index + 1)
+		p.replica.SetPeers(slices.DeleteFunc(p.core.world.addresses(), func(a string) bool { return a == own }))
 		p.replica.Tick()
 		p.replica.Flush()
 	}
@@ -230,8 +230,8 @@
 func (w *randomWorld) trouble() {
 	w.troubled = w.now
 	core := w.cores[w.random.Intn(len(w.cores))]
-	for_ := time.Duration(100+w.random.Intn(3000)) * time.Millisecond
-	ended := func(f func()) { w.after(for_, func() { f(); w.troubled = w.now }) }
+	lasting := time.Duration(100+w.random.Intn(3000)) * time.Millisecond
+	ended := func(f func()) { w.after(lasting, func() { f(); w.troubled = w.now }) }
 	switch w.random.Intn(6) {
 	case 0:
 		for i := range w.side {
@@ -245,10 +245,10 @@
 		core.stalled = true
 		ended(func() { core.stalled = false })
 	case 3: // a kill
-		w.kill(core, false, for_)
+		w.kill(core, false, lasting)
 	case 4: // a loss of power of all
 		for _, core := range w.cores {
-			w.kill(core, false, for_)
+			w.kill(core, false, lasting)
 		}
 	case 5:
 		for _, add := range w.adds { // fewer copies than required are another test's
@@ -256,7 +256,7 @@
 				return
 			}
 		}
-		w.kill(core, true, for_)
+		w.kill(core, true, lasting)
 	}
 }
 
--- a/internal/serving/tally/review_test.go
+++ b/internal/serving/tally/review_test.go
@@ -52,10 +52,12 @@
 func newReviewNetwork() *reviewNetwork {
 	return &reviewNetwork{
 		nodes: map[string]*reviewNode{}, latency: reviewLatency,
-		drops: func(string, string, *wirepb.TallyMessage) bool { return false },
+		drops: dropNothing,
 	}
 }
 
+func dropNothing(string, string, *wirepb.TallyMessage) bool { return false }
+
 func (n *reviewNetwork) after(delay time.Duration, run func()) {
 	at := n.now + delay
 	index := sort.Search(len(n.events), func(i int) bool { return n.events[i].at > at })
@@ -144,7 +146,8 @@
 }
 
 func (v *reviewNode) add(id string, outcomes *[]Outcome) {
-	v.replica.Add(Add{Tally: reviewTally, ID: id, Amount: 1}, func(o Outcome) { *outcomes = append(*outcomes, o) })
+	add := Add{Tally: reviewTally, ID: id, Amount: 1}
+	v.replica.Add(add, func(outcome Outcome) { *outcomes = append(*outcomes, outcome) })
 	v.replica.Flush()
 }
 
@@ -171,13 +174,13 @@
 		network.drops = func(from, to string, _ *wirepb.TallyMessage) bool {
 			return from == node.address || to == node.address
 		}
-		network.after(duration, func() { network.drops = func(string, string, *wirepb.TallyMessage) bool { return false } })
+		network.after(duration, func() { network.drops = dropNothing })
 	}
 	troubles := map[string]func(network *reviewNetwork, nodes []*reviewNode){
 		"connections reset, dialled again after 200 ms": func(network *reviewNetwork, nodes []*reviewNode) {
 			silence(network, nodes[0], 200*time.Millisecond)
 		},
-		"frozen for 5 s, links dialled again 1.3 s after the thaw": func(network *reviewNetwork, nodes []*reviewNode) {
+		"frozen for 5 s, links back 1.3 s after": func(network *reviewNetwork, nodes []*reviewNode) {
 			nodes[0].frozen = true
 			network.run(5 * time.Second)
 			nodes[0].frozen = false
@@ -272,7 +275,8 @@
 	}
 }
 
-// A peer whose first message is a push has not said what it holds. Reads are refused until its state has come.
+// A peer whose first message is a push has not said what it holds. Reads are refused until its state has
+// come.
 func TestReviewPushIsNotTakenForState(t *testing.T) {
 	network := newReviewNetwork()
 	network.drops = func(string, string, *wirepb.TallyMessage) bool { return true }
@@ -281,7 +285,8 @@
 	starting.replica.HandleMessage(&wirepb.TallyMessage{
 		Kind: wirepb.TallyMessageKind_TALLY_PUSH, Address: reviewAddress(2), Zone: "b", Incarnation: "core-2/7",
 		Records: []*wirepb.TallyRecords{{
-			Origin: "core-2/7", First: 1, Adds: []*wirepb.TallyAdd{{Tally: reviewTally, Id: "new", Amount: 1}},
+			Origin: "core-2/7", First: 1,
+			Adds: []*wirepb.TallyAdd{{Tally: reviewTally, Id: "new", Amount: 1}},
 		}},
 	})
 	if total, ok := starting.replica.Read(reviewTally); ok {
@@ -401,7 +406,7 @@
 		network.run(20 * time.Millisecond)
 	}
 	nodes[3].stalled = false
-	network.drops = func(string, string, *wirepb.TallyMessage) bool { return false }
+	network.drops = dropNothing
 	network.run(reviewMerge)
 	for _, node := range nodes {
 		if total, ok := node.replica.Read(reviewTally); !ok || total != 200 {
@@ -528,8 +533,9 @@
 	node := network.start(1, 1, []string{reviewAddress(1), reviewAddress(2), reviewAddress(3)})
 	hear := func(index, life int, durable Vector) {
 		node.replica.HandleMessage(&wirepb.TallyMessage{
-			Kind: wirepb.TallyMessageKind_TALLY_STATE, Address: reviewAddress(index), Zone: fmt.Sprint("zone-", index),
-			Incarnation: fmt.Sprintf("core-%d/%d", index, life), Durable: vectorMessage(durable),
+			Kind: wirepb.TallyMessageKind_TALLY_STATE, Address: reviewAddress(index),
+			Zone: fmt.Sprint("zone-", index), Incarnation: fmt.Sprintf("core-%d/%d", index, life),
+			Durable: vectorMessage(durable),
 		})
 	}
 	var outcomes []Outcome
@@ -554,7 +560,8 @@
 func TestReviewRestoredRecordsAreNotDurable(t *testing.T) {
 	network := newReviewNetwork()
 	replica := network.start(1, 2, []string{reviewAddress(1)}).replica
-	replica.Restore(&wirepb.TallyRecords{Origin: "core-2/1", First: 1, Adds: []*wirepb.TallyAdd{{Tally: "t", Id: "a"}}})
+	adds := []*wirepb.TallyAdd{{Tally: reviewTally, Id: "a"}}
+	replica.Restore(&wirepb.TallyRecords{Origin: "core-2/1", First: 1, Adds: adds})
 	if durable := replica.stateMessage().Durable.Sequences["core-2/1"]; durable != 0 {
 		t.Errorf("durable up to %d", durable)
 	}
