--- a/internal/serving/core/core.go
+++ b/internal/serving/core/core.go
@@ -57,6 +57,10 @@
 
 // Run runs the process with a settings file until SIGTERM or SIGINT.
 func Run(settingsPath string, logger *zap.Logger) error {
+	// Before the data directory is read, which takes a while: a signal without a handler ends the process.
+	signals := make(chan os.Signal, signalQueueCapacity)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	logger.Info("core starting")
 	config, err := settings.Load(settingsPath)
 	if err != nil {
 		return err
@@ -71,7 +75,7 @@
 	if err != nil {
 		return err
 	}
-	return c.serve()
+	return c.serve(signals)
 }
 
 // newCore opens the data directory and creates the engine. It starts no goroutines and opens no ports.
@@ -105,7 +109,11 @@
 		SavedWorkers: loadSavedWorkers(config.DataDir),
 	}
 	c.engine, err = control.New(options, opened.State, &environment{c})
-	return c, err
+	if err != nil {
+		return nil, err
+	}
+	c.tallies.SetPeers(c.engine.Links()) // before the first call: reads wait until these are heard
+	return c, nil
 }
 
 // voterCount returns the number of voters of which a majority remains after the tolerated losses.
@@ -124,8 +132,8 @@
 	return int64(binary.LittleEndian.Uint64(seed[:]))
 }
 
-// serve opens the ports, runs until the process is stopped, and closes the ports.
-func (c *Core) serve() error {
+// serve opens the ports, runs until a signal stops the process, and closes the ports.
+func (c *Core) serve(signals <-chan os.Signal) error {
 	internalListener, err := framing.Listen(c.internalAddress)
 	if err != nil {
 		return errors.Wrap(err, "cannot listen for other cores and agents: check internal_port_range")
@@ -141,8 +149,6 @@
 	go c.acceptLinks(internalListener)
 	go c.diskWriter.run(c.stop)
 	go c.tallyWriter.run(c.stop)
-	signals := make(chan os.Signal, signalQueueCapacity)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	status := c.engine.Status()
 	c.logger.Info("core started", zap.String("replica", status.Replica), zap.Strings("members", status.Members))
 	c.run(signals)
--- a/internal/serving/core/tallies_lost_test.go
+++ b/internal/serving/core/tallies_lost_test.go
@@ -20,7 +20,8 @@
 	return code, response
 }
 
-// Guards against LOST: an add to a tally that was acknowledged, but cannot be read after the core has restarted.
+// Guards against LOST: an add to a tally that was acknowledged, but cannot be read after the core has
+// restarted.
 func TestAcknowledgedTallyAddIsReadAfterRestart(t *testing.T) {
 	const add = `{"instance_id":"5c0e7a21d94b36f8","lease_owner":4}`
 	dataDir := t.TempDir()
--- a/internal/serving/tally/adds.go
+++ b/internal/serving/tally/adds.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 	"time"
+	"unicode/utf8"
 
 	"willowdeck/internal/serving/wirepb"
 )
@@ -18,6 +19,7 @@
 	Unavailable                 // nothing was done: this replica cannot make adds durable now
 	Overloaded                  // nothing was done: too many adds are pending or held
 	Conflict                    // nothing was done: the id was used with another amount
+	Invalid                     // nothing was done: the name or the id is not valid UTF-8
 )
 
 // pendingAdd is an add that waits for copies.
@@ -38,6 +40,10 @@
 // well: the set counts it once, and its copies are known.
 func (r *Replica) Add(add Add, done func(Outcome)) {
 	r.advanceTime()
+	if !utf8.ValidString(add.Tally) || !utf8.ValidString(add.ID) {
+		done(Invalid) // its messages and its frame of the log could not be encoded
+		return
+	}
 	counted, known := r.set.find(add.Tally, add.ID)
 	if known && counted.amount() != add.Amount {
 		done(Conflict)
@@ -77,7 +83,7 @@
 
 // refusal returns why a new add is refused, or Unknown where it is not.
 func (r *Replica) refusal() Outcome {
-	if len(r.pending) >= maxPendingAdds || r.set.Records() >= maxRecords {
+	if len(r.pending) >= maxPendingAdds || r.set.HeapBytes() >= maxSetBytes {
 		return Overloaded
 	}
 	if r.shuttingDown || !r.canAcknowledge() {
@@ -86,23 +92,28 @@
 	return Unknown
 }
 
-// canAcknowledge reports whether enough disks seem to be available for an add. After a start all cores that
-// are up have to be heard first: fewer copies do only where the others cannot be reached.
+// canAcknowledge reports whether enough disks seem to be available for an add. Fewer than required do only
+// where the other cores have been given up, which takes a while, also after a start.
 func (r *Replica) canAcknowledge() bool {
+	ownDisk := r.durable[r.options.Incarnation] >= r.overdue
 	disks := 0
+	if ownDisk {
+		disks++
+	}
+	undecided := false
 	for _, p := range r.peers {
-		if r.responsive(p) {
+		switch {
+		case r.unreachable(p):
+		case p.late:
+			undecided = true
+		default:
 			disks++
 		}
 	}
-	ownDisk := r.durable[r.options.Incarnation] >= r.overdue
-	if ownDisk {
-		disks++
-	}
 	if disks >= r.options.RequiredCopies {
 		return true
 	}
-	return ownDisk && r.active >= startGrace
+	return ownDisk && !undecided && r.active >= startGrace
 }
 
 // completeAdds answers the pending adds that have enough copies or have waited too long.
@@ -133,7 +144,7 @@
 
 // acknowledgedSequence returns the sequence number up to which own records have enough durable copies.
 func (r *Replica) acknowledgedSequence() uint64 {
-	return max(r.fullyReplicated(), r.replicatedToResponsive())
+	return max(r.fullyReplicated(), r.replicatedToReachable())
 }
 
 // fullyReplicated returns the sequence number up to which own records are on the required number of disks, in
@@ -156,15 +167,15 @@
 	return 0
 }
 
-// replicatedToResponsive returns the sequence number up to which own records are on the own disk and on those
-// of all responsive peers. It is what counts where too few cores can be reached.
-func (r *Replica) replicatedToResponsive() uint64 {
+// replicatedToReachable returns the sequence number up to which own records are on the own disk and on those
+// of all peers that are not given up. It is what counts where too few cores can be reached.
+func (r *Replica) replicatedToReachable() uint64 {
 	if r.active < startGrace {
 		return 0
 	}
 	sequence := r.durable[r.options.Incarnation]
 	for _, p := range r.peers {
-		if r.responsive(p) {
+		if !r.unreachable(p) {
 			sequence = min(sequence, p.durable[r.options.Incarnation])
 		}
 	}
--- a/internal/serving/tally/antientropy.go
+++ b/internal/serving/tally/antientropy.go
@@ -14,10 +14,16 @@
 		return
 	}
 	p := r.observe(message)
-	p.durable.advance(message.Durable.GetSequences())
-	p.received.advance(message.Durable.GetSequences())
+	if p == nil {
+		return
+	}
+	r.advanceDurable(p, message.Durable.GetSequences())
 	switch message.Kind {
 	case wirepb.TallyMessageKind_TALLY_STATE:
+		if !p.stateHeard {
+			p.stateHeard = true
+			p.target = nil // the first target after a start is all that a peer holds
+		}
 		p.received.advance(message.Received.GetSequences())
 	case wirepb.TallyMessageKind_TALLY_PUSH:
 		r.mergeRecords(p, message.Records)
@@ -30,6 +36,7 @@
 	case wirepb.TallyMessageKind_TALLY_CONFIRM: // its vector is all that it carries
 	}
 	r.updateTarget(p)
+	r.updateLateness()
 	r.pullFrom(p)
 	r.completeAdds()
 }
@@ -76,14 +83,19 @@
 	}
 	r.pullPending = true
 	r.pullSentAt = r.active
+	r.pulledFrom = p.address
 	pull := r.message(wirepb.TallyMessageKind_TALLY_PULL)
 	pull.Received = vectorMessage(r.set.Vector())
 	r.environment.Send(p.address, pull)
 }
 
-// pullMissing asks for missing records, where an earlier pull or its answer may have been lost.
+// pullMissing asks for missing records, where an earlier pull or its answer may have been lost. It begins
+// behind the peer that was asked last, which may be heard and yet not be reached.
 func (r *Replica) pullMissing() {
-	for _, address := range slices.Sorted(maps.Keys(r.peers)) {
+	addresses := slices.Sorted(maps.Keys(r.peers))
+	asked, _ := slices.BinarySearch(addresses, r.pulledFrom)
+	for i := range addresses {
+		address := addresses[(asked+1+i)%len(addresses)]
 		if p := r.peers[address]; r.heardRecently(p) {
 			r.updateTarget(p)
 			r.pullFrom(p)
--- a/internal/serving/tally/reads.go
+++ b/internal/serving/tally/reads.go
@@ -13,17 +13,26 @@
 
 // current reports whether reads may be answered.
 func (r *Replica) current() bool {
-	starting := r.active < readGrace
+	if !r.peersNamed {
+		return false
+	}
 	for _, p := range r.peers {
-		if p.incarnation == "" && starting {
-			return false
-		}
-		if !r.heardRecently(p) {
-			continue
-		}
-		if starting && p.target != nil || r.lags(p, readGrace) {
+		if !r.currentWith(p) {
 			return false
 		}
 	}
 	return true
 }
+
+// currentWith reports whether a peer does not keep reads from being answered.
+func (r *Replica) currentWith(p *peer) bool {
+	switch {
+	case p.incarnation == "":
+		return r.active >= readGrace
+	case !r.heardRecently(p) || r.givenUp(p):
+		return true
+	case !p.caughtUp && r.active < catchUpLimit:
+		return false
+	}
+	return !r.lags(p, maxLag)
+}
--- a/internal/serving/tally/replica.go
+++ b/internal/serving/tally/replica.go
@@ -11,13 +11,18 @@
 // Times of a replica. All are measured on its active time, which does not pass while the process is stalled.
 const (
 	stateInterval    = 250 * time.Millisecond
-	silenceTimeout   = 3 * stateInterval       // after which a peer that sends nothing is unresponsive
-	confirmTimeout   = 400 * time.Millisecond  // after which a peer that lacks a durable record is unresponsive
+	silenceTimeout   = 750 * time.Millisecond  // after which a peer that sends nothing is late
+	confirmTimeout   = 400 * time.Millisecond  // after which a peer that lacks a durable record is late
+	giveUpTimeout    = 1200 * time.Millisecond // of being late, after which a peer counts as unreachable
 	pullTimeout      = 400 * time.Millisecond  // after which another pull may be sent
 	pullDelay        = 150 * time.Millisecond  // for records that are on their way
 	answerTimeout    = 800 * time.Millisecond  // after which an add is answered as unknown: callers wait for 1 s
-	startGrace       = 2 * time.Second         // after a start, for peers to be heard before fewer copies may do
-	readGrace        = 1500 * time.Millisecond // for missing records to arrive before reads are refused
+	startGrace       = 2 * time.Second         // after a start, until fewer copies may do
+	readGrace        = 2500 * time.Millisecond // after a start, until reads do without unheard peers
+	catchUpLimit     = 10 * time.Second        // after a start, for peers that are heard to send what they hold
+	maxLag           = 1500 * time.Millisecond // of missing records, after which reads are refused
+	announceTime     = 400 * time.Millisecond  // after a shutdown has begun, for the peers to learn of it
+	maxMessageDelay  = 2 * time.Second         // of a message that its sender has not outlived
 	peerRetention    = 30 * time.Second        // after the last message of a peer that is not listed any more
 	maxActiveTimeGap = 100 * time.Millisecond
 )
@@ -26,7 +31,7 @@
 const (
 	maxPendingAdds = 2000      // adds that wait for copies
 	maxUnsentAdds  = 64        // adds that wait for Flush
-	maxRecords     = 1_200_000 // records in memory
+	maxSetBytes    = 140 << 20 // of memory for all records
 	maxBatchBytes  = 128 << 10
 )
 
@@ -59,6 +64,7 @@
 	durable     Vector // what of the set is on the own disk
 	peers       map[string]*peer
 	listed      []string // addresses of the cores to replicate to, as SetPeers named them
+	peersNamed  bool     // SetPeers has been called
 
 	lastTime    time.Duration // of the clock, when the active time was advanced
 	active      time.Duration // active time since the start
@@ -67,11 +73,13 @@
 	pending      []pendingAdd
 	unsent       []*wirepb.TallyAdd // own records that Flush sends
 	sent         []sentMark         // own records by the time of sending, not yet overdue
-	overdue      uint64             // own sequence number that each responsive peer has made durable
+	overdue      uint64             // own sequence number that each peer that is not late has made durable
 	pullSentAt   time.Duration      // of the pull that has not been answered
+	pulledFrom   string             // address of the peer that was asked last
 	pullPending  bool
 	shuttingDown bool
 	shutdownAt   time.Duration
+	handover     Vector // what was held once all peers knew of the shutdown; nil before
 }
 
 // NewReplica returns a replica without records. Restore is called with those of its disk.
@@ -99,6 +107,7 @@
 // SetPeers names the internal addresses of the cores to replicate to.
 func (r *Replica) SetPeers(addresses []string) {
 	r.listed = addresses
+	r.peersNamed = true
 	for _, address := range addresses {
 		r.peerAt(address)
 	}
@@ -116,8 +125,12 @@
 		r.nextStateAt = r.active + stateInterval
 		r.broadcast(r.stateMessage())
 	}
+	r.updateLateness()
 	r.pullMissing()
 	r.completeAdds()
+	if r.shuttingDown && r.handover == nil && r.active-r.shutdownAt >= announceTime {
+		r.handover = r.set.Vector()
+	}
 }
 
 // Flush sends the adds that were recorded since the last call, and has them written.
@@ -202,20 +215,27 @@
 	r.broadcast(r.stateMessage())
 }
 
-// SafeToStop reports whether all responsive peers have all records of this replica on their disks, or no time
-// is left to wait for them.
+// SafeToStop reports whether enough other cores have on their disks what may depend on this replica's, or no
+// time is left to wait for them. Those are its own records, and what it held when the peers had learnt that
+// its copies count no more: later records of others do not depend on it.
 func (r *Replica) SafeToStop() bool {
 	if r.active-r.shutdownAt > r.options.ShutdownLimit {
 		return true
 	}
-	if len(r.pending) > 0 {
+	if r.handover == nil || len(r.pending) > 0 {
 		return false
 	}
-	held := r.set.Vector()
+	handover := maps.Clone(r.handover)
+	handover.advance(Vector{r.options.Incarnation: r.set.Sequence(r.options.Incarnation)})
+	holding, waiting := 0, 0
 	for _, p := range r.peers {
-		if r.heardRecently(p) && !p.shuttingDown && !p.durable.covers(held) {
-			return false
+		switch {
+		case p.shuttingDown || !r.heardRecently(p):
+		case p.durable.covers(handover):
+			holding++
+		default:
+			waiting++
 		}
 	}
-	return true
+	return waiting == 0 || holding >= r.options.RequiredCopies
 }
--- a/internal/serving/tally/status.go
+++ b/internal/serving/tally/status.go
@@ -31,7 +31,7 @@
 	for _, address := range slices.Sorted(maps.Keys(r.peers)) {
 		p := r.peers[address]
 		status.Peers = append(status.Peers, PeerStatus{
-			Address: address, Responsive: r.responsive(p), Missing: held.lacking(p.durable),
+			Address: address, Responsive: !p.late && !p.shuttingDown, Missing: held.lacking(p.durable),
 			NotHeld: p.received.lacking(held),
 		})
 	}
--- a/internal/serving/tallylog/log.go
+++ b/internal/serving/tallylog/log.go
@@ -11,8 +11,10 @@
 	"willowdeck/internal/serving/wirepb"
 )
 
-// segmentPrefix begins the name of each segment file.
-const segmentPrefix = "tallies-"
+const (
+	segmentPrefix   = "tallies-" // of the name of each segment file
+	maxSegmentBytes = 4 << 20    // after which another segment is begun
+)
 
 // ErrCorrupted is the error of a segment that has lost records before its end.
 var ErrCorrupted = errors.New(
@@ -25,11 +27,13 @@
 	file    wal.File // nil before the first Append, and after a failed write or sync
 	path    string   // of file
 	number  uint64   // of the newest segment
+	size    int      // of file in bytes
 	durable bool     // whether file has a frame that is durable
 	failed  string   // path of the newest segment whose first write or sync has failed, until it is removed
 
 	earlier       []byte // frames of earlier processes, until Consolidate has succeeded
 	earlierNumber uint64 // of the newest segment of earlier processes
+	rewriteFailed bool   // whether the last attempt of Consolidate to write one segment for all has failed
 	consolidated  bool
 }
 
@@ -113,25 +117,72 @@
 	}
 }
 
-// Consolidate makes the records of earlier processes durable in one segment, and removes their segments. It
-// may be called again after an error.
+// Consolidate makes the records of earlier processes durable in segments of this one, and removes theirs. It
+// may be called again after an error. It first writes one segment for all; after a failure, as on a disk
+// that has no room for two copies, it replaces one segment at a time.
 func (l *Log) Consolidate() error {
 	if l.consolidated {
 		return nil
 	}
+	rewrite := l.rewriteTogether
+	if l.rewriteFailed {
+		rewrite = l.rewriteOneByOne
+	}
+	if err := rewrite(); err != nil {
+		l.rewriteFailed = !l.rewriteFailed
+		return err
+	}
+	l.earlier = nil
+	l.consolidated = true
+	return nil
+}
+
+// rewriteTogether replaces the segments of earlier processes by one with merged frames.
+func (l *Log) rewriteTogether() error {
 	if len(l.earlier) > 0 {
-		name := filepath.Base(wal.SegmentPath(l.dir, segmentPrefix, l.number+1))
-		if err := wal.WriteFile(l.fsys, l.dir, name, l.earlier); err != nil {
+		if err := l.writeSegment(l.earlier); err != nil {
 			return err
 		}
-		l.number++
 	}
-	l.earlier = nil
-	l.consolidated = true
 	l.removeEarlierSegments()
 	return nil
 }
 
+// rewriteOneByOne replaces each segment of an earlier process by one with the same frames.
+func (l *Log) rewriteOneByOne() error {
+	numbers, err := wal.SegmentNumbers(l.fsys, l.dir, segmentPrefix)
+	if err != nil {
+		return err
+	}
+	for _, number := range numbers {
+		if number > l.earlierNumber {
+			break
+		}
+		path := wal.SegmentPath(l.dir, segmentPrefix, number)
+		data, err := l.fsys.ReadFile(path)
+		if err != nil {
+			return errors.Wrapf(err, "cannot read %s: check the disk", path)
+		}
+		if err := l.writeSegment(data); err != nil {
+			return err
+		}
+		if err := l.fsys.Remove(path); err != nil {
+			return errors.Wrapf(err, "cannot remove %s: check the disk", path)
+		}
+	}
+	return nil
+}
+
+// writeSegment writes a complete segment with the next number.
+func (l *Log) writeSegment(data []byte) error {
+	name := filepath.Base(wal.SegmentPath(l.dir, segmentPrefix, l.number+1))
+	if err := wal.WriteFile(l.fsys, l.dir, name, data); err != nil {
+		return err
+	}
+	l.number++
+	return nil
+}
+
 // removeEarlierSegments removes the segments of earlier processes, except the newest file of the log. What
 // it fails to remove is removed after the next start.
 func (l *Log) removeEarlierSegments() {
@@ -153,6 +204,9 @@
 	if err != nil {
 		return err
 	}
+	if l.size >= maxSegmentBytes {
+		l.closeSegment()
+	}
 	if l.file == nil {
 		err = l.beginSegment(frame)
 	} else {
@@ -163,6 +217,7 @@
 		return err
 	}
 	l.durable = true
+	l.size += len(frame)
 	return nil
 }
 
@@ -191,13 +246,21 @@
 	if l.file == nil {
 		return
 	}
-	_ = l.file.Close() // whatever was acknowledged has been synced
-	l.file = nil
+	l.closeSegment()
 	if !l.durable {
 		l.failed = l.path
 	}
 }
 
+// closeSegment closes the segment. An error is of no interest: whatever was acknowledged has been synced.
+func (l *Log) closeSegment() {
+	if l.file != nil {
+		_ = l.file.Close()
+	}
+	l.file = nil
+	l.size = 0
+}
+
 // writeAndSync makes a frame durable at the end of a file.
 func writeAndSync(file wal.File, frame []byte) error {
 	if _, err := file.Write(frame); err != nil {
