--- a/internal/serving/core/controlplane_test.go
+++ b/internal/serving/core/controlplane_test.go
@@ -21,8 +21,8 @@
 	{http.MethodGet, "/resolve"},
 }
 
-// TestEachCallOfTheContractHasAHandler guards against LOST and SHORT: a call that a deployment's contract names
-// and that gets 404 from the router.
+// TestEachCallOfTheContractHasAHandler guards against LOST and SHORT: a call that the contract names and that
+// gets 404 from the router.
 func TestEachCallOfTheContractHasAHandler(t *testing.T) {
 	c, _ := goldenCore(t)
 	for _, call := range contractCalls {
--- a/internal/serving/tally/adds.go
+++ b/internal/serving/tally/adds.go
@@ -29,8 +29,8 @@
 	done     func(Outcome)
 }
 
-// sentMark says when own records up to a sequence number were sent.
-type sentMark struct {
+// sendTime says when own records up to a sequence number were sent.
+type sendTime struct {
 	sequence uint64
 	at       time.Duration
 }
--- a/internal/serving/tally/antientropy.go
+++ b/internal/serving/tally/antientropy.go
@@ -20,8 +20,8 @@
 	r.advanceDurable(p, message.Durable.GetSequences())
 	switch message.Kind {
 	case wirepb.TallyMessageKind_TALLY_STATE:
-		if !p.stateHeard {
-			p.stateHeard = true
+		if !p.stateReceived {
+			p.stateReceived = true
 			p.target = nil // the first target after a start is all that a peer holds
 		}
 		p.received.advance(message.Received.GetSequences())
@@ -96,7 +96,7 @@
 	asked, _ := slices.BinarySearch(addresses, r.pulledFrom)
 	for i := range addresses {
 		address := addresses[(asked+1+i)%len(addresses)]
-		if p := r.peers[address]; r.heardRecently(p) {
+		if p := r.peers[address]; r.isActive(p) {
 			r.updateTarget(p)
 			r.pullFrom(p)
 		}
--- a/internal/serving/tally/peers.go
+++ b/internal/serving/tally/peers.go
@@ -9,22 +9,22 @@
 
 // peer is what a replica knows of another core.
 type peer struct {
-	address      string
-	zone         string
-	incarnation  string        // "" until its first message
-	previous     string        // incarnation before this one, if it was known
-	followedAt   time.Duration // when this incarnation followed the previous one
-	received     Vector        // what it holds
-	durable      Vector        // what is on its disk
-	lastHeard    time.Duration
-	progressAt   time.Duration // when it last made more of the own records durable
-	late         bool          // it is silent, or lacks durable records that were sent to it a while ago
-	lateSince    time.Duration // since when it is late
-	target       Vector        // what it holds and this replica lacked at targetSince, or nil
-	targetSince  time.Duration
-	stateHeard   bool // it has sent a state, which says all that it holds
-	caughtUp     bool // what its first state named has arrived
-	shuttingDown bool
+	address       string
+	zone          string
+	incarnation   string        // "" until its first message
+	previous      string        // incarnation before this one, if it was known
+	followedAt    time.Duration // when this incarnation followed the previous one
+	received      Vector        // what it holds
+	durable       Vector        // what is on its disk
+	lastContact   time.Duration
+	progressAt    time.Duration // when it last made more of the own records durable
+	late          bool          // it is silent, or lacks durable records that were sent to it a while ago
+	lateSince     time.Duration // since when it is late
+	target        Vector        // what it holds and this replica lacked at targetSince, or nil
+	targetSince   time.Duration
+	stateReceived bool // it has sent a state, which says all that it holds
+	caughtUp      bool // what its first state named has arrived
+	shuttingDown  bool
 }
 
 // peerAt returns the peer at an address, which is created where there is none.
@@ -59,7 +59,7 @@
 		r.peers[message.Address] = p
 	}
 	p.zone = message.Zone
-	p.lastHeard = r.active
+	p.lastContact = r.active
 	p.shuttingDown = message.ShuttingDown
 	return p
 }
@@ -73,16 +73,16 @@
 	p.received.advance(durable)
 }
 
-// heardRecently reports whether a peer has sent messages within the silence time-out.
-func (r *Replica) heardRecently(p *peer) bool {
-	return p.incarnation != "" && r.active-p.lastHeard <= silenceTimeout
+// isActive reports whether a peer has sent messages within the contact time-out.
+func (r *Replica) isActive(p *peer) bool {
+	return p.incarnation != "" && r.active-p.lastContact <= contactTimeout
 }
 
 // updateLateness records which peers are late.
 func (r *Replica) updateLateness() {
 	for _, p := range r.peers {
 		lacking := p.durable[r.options.Incarnation] < r.overdue && r.active-p.progressAt >= confirmTimeout
-		late := !r.heardRecently(p) || lacking
+		late := !r.isActive(p) || lacking
 		if late && !p.late {
 			p.lateSince = r.active
 		}
@@ -103,13 +103,13 @@
 	held := r.set.Vector()
 	if p.target != nil && held.covers(p.target) {
 		p.target = nil
-		p.caughtUp = p.stateHeard
+		p.caughtUp = p.stateReceived
 	}
 	if p.target == nil && !held.covers(p.received) {
 		p.target = maps.Clone(p.received)
 		p.targetSince = r.active
 	}
-	if p.target == nil && p.stateHeard {
+	if p.target == nil && p.stateReceived {
 		p.caughtUp = true
 	}
 }
--- a/internal/serving/tally/reads.go
+++ b/internal/serving/tally/reads.go
@@ -29,7 +29,7 @@
 	switch {
 	case p.incarnation == "":
 		return r.active >= readGrace
-	case !r.heardRecently(p) || r.givenUp(p):
+	case !r.isActive(p) || r.givenUp(p):
 		return true
 	case !p.caughtUp && r.active < catchUpLimit:
 		return false
--- a/internal/serving/tally/replica.go
+++ b/internal/serving/tally/replica.go
@@ -11,7 +11,7 @@
 // Times of a replica. All are measured on its active time, which does not pass while the process is stalled.
 const (
 	stateInterval    = 250 * time.Millisecond
-	silenceTimeout   = 750 * time.Millisecond  // after which a peer that sends nothing is late
+	contactTimeout   = 750 * time.Millisecond  // after which a peer that sends nothing is late
 	confirmTimeout   = 400 * time.Millisecond  // after which a peer that lacks a durable record is late
 	giveUpTimeout    = 1200 * time.Millisecond // of being late, after which a peer counts as unreachable
 	pullTimeout      = 400 * time.Millisecond  // after which another pull may be sent
@@ -58,13 +58,13 @@
 // Replica is the tallies of one core. All methods are called on one goroutine. The caller calls Tick at
 // intervals, and Flush after each group of other calls.
 type Replica struct {
-	options     Options
-	environment Environment
-	set         *Set
-	durable     Vector // what of the set is on the own disk
-	peers       map[string]*peer
-	listed      []string // addresses of the cores to replicate to, as SetPeers named them
-	peersNamed  bool     // SetPeers has been called
+	options       Options
+	environment   Environment
+	set           *Set
+	durable       Vector // what of the set is on the own disk
+	peers         map[string]*peer
+	peerAddresses []string // addresses of the cores to replicate to, as SetPeers named them
+	peersNamed    bool     // SetPeers has been called
 
 	lastTime    time.Duration // of the clock, when the active time was advanced
 	active      time.Duration // active time since the start
@@ -72,7 +72,7 @@
 
 	pending      []pendingAdd
 	unsent       []*wirepb.TallyAdd // own records that Flush sends
-	sent         []sentMark         // own records by the time of sending, not yet overdue
+	sent         []sendTime         // own records by the time of sending, not yet overdue
 	overdue      uint64             // own sequence number that each peer that is not late has made durable
 	pullSentAt   time.Duration      // of the pull that has not been answered
 	pulledFrom   string             // address of the peer that was asked last
@@ -106,13 +106,13 @@
 
 // SetPeers names the internal addresses of the cores to replicate to.
 func (r *Replica) SetPeers(addresses []string) {
-	r.listed = addresses
+	r.peerAddresses = addresses
 	r.peersNamed = true
 	for _, address := range addresses {
 		r.peerAt(address)
 	}
 	for address, p := range r.peers {
-		if r.active-p.lastHeard > peerRetention && !slices.Contains(addresses, address) {
+		if r.active-p.lastContact > peerRetention && !slices.Contains(addresses, address) {
 			delete(r.peers, address)
 		}
 	}
@@ -143,7 +143,7 @@
 		Origin: r.options.Incarnation, First: last + 1 - uint64(len(r.unsent)), Adds: r.unsent,
 	}
 	r.unsent = nil
-	r.sent = append(r.sent, sentMark{sequence: last, at: r.active})
+	r.sent = append(r.sent, sendTime{sequence: last, at: r.active})
 	r.write([]*wirepb.TallyRecords{records}, r.completeAdds)
 	push := r.message(wirepb.TallyMessageKind_TALLY_PUSH)
 	push.Records = []*wirepb.TallyRecords{records}
@@ -198,7 +198,7 @@
 
 // broadcast sends a message to all listed peers.
 func (r *Replica) broadcast(message *wirepb.TallyMessage) {
-	for _, address := range r.listed {
+	for _, address := range r.peerAddresses {
 		r.environment.Send(address, message)
 	}
 }
@@ -230,7 +230,7 @@
 	holding, waiting := 0, 0
 	for _, p := range r.peers {
 		switch {
-		case p.shuttingDown || !r.heardRecently(p):
+		case p.shuttingDown || !r.isActive(p):
 		case p.durable.covers(handover):
 			holding++
 		default:
--- a/internal/serving/tally/review_test.go
+++ b/internal/serving/tally/review_test.go
@@ -187,7 +187,7 @@
 			silence(network, nodes[0], reviewRedial)
 		},
 		"three peers killed, back after 1 s": func(network *reviewNetwork, nodes []*reviewNode) {
-			addresses := append(slices.Clone(nodes[0].replica.listed), nodes[0].address)
+			addresses := append(slices.Clone(nodes[0].replica.peerAddresses), nodes[0].address)
 			for i := 2; i <= 4; i++ {
 				nodes[i-1].down = true
 				network.after(time.Second, func() { network.start(i, 2, addresses) })
@@ -238,7 +238,7 @@
 		node.replica.ConfirmRestored(node.replica.Vector())
 	}
 	network.run(time.Second)
-	addresses := append(slices.Clone(nodes[0].replica.listed), nodes[0].address)
+	addresses := append(slices.Clone(nodes[0].replica.peerAddresses), nodes[0].address)
 	wiped := network.start(5, 2, addresses)
 	started := network.now
 	for network.now < started+10*time.Second {
--- a/internal/serving/tally/set.go
+++ b/internal/serving/tally/set.go
@@ -71,20 +71,20 @@
 	id    string
 }
 
-// place is where the record of an add stands.
-type place struct {
+// location is where the record of an add stands.
+type location struct {
 	origin   *originRecords
 	sequence uint64
 }
 
 // amount returns the amount of the record at a place.
-func (p place) amount() uint64 { return p.origin.records[p.sequence-1].amount }
+func (p location) amount() uint64 { return p.origin.records[p.sequence-1].amount }
 
 // Set is the state of all tallies that a replica holds. It is not safe for concurrent use.
 type Set struct {
 	origins map[string]*originRecords
 	tallies map[string]*namedTally
-	counted map[addKey]place // the record that counts for each add
+	counted map[addKey]location // the record that counts for each add
 	records int
 	bytes   int // of memory, as estimated
 }
@@ -92,7 +92,7 @@
 // NewSet returns an empty set.
 func NewSet() *Set {
 	return &Set{
-		origins: map[string]*originRecords{}, tallies: map[string]*namedTally{}, counted: map[addKey]place{},
+		origins: map[string]*originRecords{}, tallies: map[string]*namedTally{}, counted: map[addKey]location{},
 	}
 }
 
@@ -128,7 +128,7 @@
 }
 
 // find returns the place of the record that counts for an id, and whether there is one.
-func (s *Set) find(name, id string) (place, bool) {
+func (s *Set) find(name, id string) (location, bool) {
 	found, ok := s.counted[addKey{s.tallies[name], id}]
 	return found, ok
 }
@@ -137,7 +137,7 @@
 // record of the same amount already, the new one counts in its place.
 func (s *Set) record(origin string, add Add) uint64 {
 	sequence := s.append(origin, add)
-	s.counted[addKey{s.tallies[add.Tally], add.ID}] = place{s.origins[origin], sequence}
+	s.counted[addKey{s.tallies[add.Tally], add.ID}] = location{s.origins[origin], sequence}
 	return sequence
 }
 
@@ -158,12 +158,12 @@
 	s.records++
 	s.bytes += recordHeapBytes + len(add.ID)
 	sequence := uint64(len(held.records))
-	s.count(tally, add, place{held, sequence})
+	s.count(tally, add, location{held, sequence})
 	return sequence
 }
 
 // count lets an add count. Of two amounts under one id the greater one counts, in whichever order they come.
-func (s *Set) count(tally *namedTally, add Add, at place) {
+func (s *Set) count(tally *namedTally, add Add, at location) {
 	key := addKey{tally, add.ID}
 	known, found := s.counted[key]
 	if found && add.Amount <= known.amount() {
--- a/internal/serving/tally/sim_powerloss_test.go
+++ b/internal/serving/tally/sim_powerloss_test.go
@@ -87,7 +87,7 @@
 // hearsOthers reports whether the machine's replica has heard a peer recently.
 func (m *machine) hearsOthers() bool {
 	for _, p := range m.process.replica.peers {
-		if m.process.replica.heardRecently(p) {
+		if m.process.replica.isActive(p) {
 			return true
 		}
 	}
--- a/internal/serving/tally/status.go
+++ b/internal/serving/tally/status.go
@@ -19,7 +19,7 @@
 	Address    string `json:"address"`
 	Responsive bool   `json:"responsive"`
 	Missing    uint64 `json:"missing"`  // records that it has not made durable
-	NotHeld    uint64 `json:"not_held"` // records that it holds and this core lacks
+	Lacking    uint64 `json:"not_held"` // records that it holds and this core lacks
 }
 
 // Status returns the present state of the replica.
@@ -32,7 +32,7 @@
 		p := r.peers[address]
 		status.Peers = append(status.Peers, PeerStatus{
 			Address: address, Responsive: !p.late && !p.shuttingDown, Missing: held.lacking(p.durable),
-			NotHeld: p.received.lacking(held),
+			Lacking: p.received.lacking(held),
 		})
 	}
 	return status
