--- a/review/standin/cutevent.go
+++ b/review/standin/cutevent.go
@@ -18,6 +18,7 @@
 	streamEvents = 8
 	crashEvent   = 5 // inside which the worker crashes
 	rounds       = 4
+	cutWorkers   = 6 // of which one at a time is lost
 	routeTimeout = 15 * time.Second
 	streamHost   = "desk.example"
 	streamPath   = "/dossier/1"
@@ -96,8 +97,8 @@
 	var workers []*workerProcess
 	started := 0
 	for round := range rounds {
-		for len(workers) < len(zones) {
-			w, err := c.startWorker(fmt.Sprintf("i-%d", started), 101+started, zones[len(workers)],
+		for len(workers) < cutWorkers {
+			w, err := c.startWorker(fmt.Sprintf("i-%d", started), 101+started, zones[started%len(zones)],
 				"-events", fmt.Sprint(streamEvents))
 			if err != nil {
 				return broken, err
--- a/review/standin/lateheartbeat.go
+++ b/review/standin/lateheartbeat.go
@@ -13,6 +13,7 @@
 )
 
 const (
+	helpWorkers    = 7               // of which one is lost for good
 	reuseAfter     = 2 * time.Second // the least time from a worker's end to the reuse of its address
 	heldFor        = 500 * time.Millisecond
 	calmAfter      = 5 * time.Second  // contact_ms: after the last event, until requests count
@@ -109,7 +110,7 @@
 		return 0, err
 	}
 	var workers []*workerProcess
-	for i := range len(zones) + 1 {
+	for i := range helpWorkers {
 		more := []string{"-events", "3", "-chunked"}
 		if i == 0 {
 			more = append(more, "-cores", proxy.address)
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -6,7 +6,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 )
 
 // Exit statuses of a case.
@@ -35,6 +37,15 @@
 	return runCase(arguments[0], arguments[1])
 }
 
+// endOnSignal ends the processes of a case when it is stopped from outside.
+func endOnSignal(c *cluster) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	<-signals
+	c.end()
+	os.Exit(cannotRun)
+}
+
 // runCase plays a case and returns its exit status.
 func runCase(name, folder string) int {
 	r, err := newRecord(filepath.Join(folder, "record.txt"))
@@ -45,6 +56,7 @@
 	c, err := startCluster(r)
 	if c != nil {
 		defer c.end()
+		go endOnSignal(c)
 	}
 	broken := 0
 	trouble := os.Getenv("TROUBLE") != "0"
