--- a/review/build.sh
+++ b/review/build.sh
@@ -3,3 +3,5 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 go build -o target/review-standin ./review/standin
+mkdir -p target/review
+go build -o target/review/rig ./review/rig
