--- a/review/rig/memory.go
+++ b/review/rig/memory.go
@@ -13,7 +13,8 @@
 	peak, killed int
 }
 
-// watchMemory kills a process of the machine that goes over the limit, and starts it again, as the platform does.
+// watchMemory kills a process of the machine that goes over the limit, and starts it again, as the platform
+// does.
 func watchMemory(d *deployment, m *machine) *memoryWatch {
 	w := &memoryWatch{stop: make(chan struct{}), ended: make(chan struct{})}
 	go func() {
