--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,7 +1,6 @@
-#!/usr/bin/env bash
-# Has the last heartbeat of a lost worker come late; see claim.txt. TROUBLE=0: it never comes.
-cd "$(dirname "$0")/../.." || exit 2
-for program in willowdeck-core willowdeck-agent willowdeck-edge review-standin; do
-  [ -x "target/$program" ] || { echo "target/$program: build it first"; exit 2; }
-done
-exec target/review-standin late-heartbeat review/3
+#!/bin/sh
+# Exit status: 1 the rule was broken, 0 it held, 2 the case could not run. TROUBLE=0: without the disruption.
+folder=$(cd "$(dirname "$0")" && pwd)
+cd "$folder/../.." || exit 2
+[ -x target/review/rig ] || { echo "run review/build.sh first"; exit 2; }
+exec target/review/rig garbage "$folder/record.txt"
