--- a/internal/serving/edge/edge.go
+++ b/internal/serving/edge/edge.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"willowdeck/internal/serving/drain"
 	"willowdeck/internal/serving/framing"
 	"willowdeck/internal/serving/settings"
 	"willowdeck/internal/serving/stateview"
@@ -21,13 +22,6 @@
 	"willowdeck/internal/serving/workerlink"
 )
 
-const (
-	// clientDirectoryLag is how long clients with old answers of the directory still come to an edge.
-	clientDirectoryLag   = 3300 * time.Millisecond
-	shutdownPollInterval = 50 * time.Millisecond
-	shutdownMargin       = 400 * time.Millisecond // kept before the platform's SIGKILL
-)
-
 // Edge is the process.
 type Edge struct {
 	settings  *settings.Settings
@@ -43,8 +37,7 @@
 	healthChecker *healthChecker
 	paths         *pathMonitor
 	datagrams     atomic.Pointer[datagramSocket] // nil until the socket is open
-	draining      atomic.Bool
-	inFlight      atomic.Int64 // client requests
+	gate          *drain.Gate                    // of clients' requests
 
 	unreachableRoute  atomic.Bool       // some route has workers, but none that there is a path to
 	reachabilityInput reachabilityInput // of the last check; only monitorPaths uses it
@@ -71,7 +64,7 @@
 	e := &Edge{
 		settings: config, logger: logger, startedAt: time.Now(),
 		connections: workerlink.NewPool(), healthChecker: newHealthChecker(),
-		statusChanged: make(chan struct{}), tableReady: make(chan struct{}),
+		gate: drain.NewGate(), statusChanged: make(chan struct{}), tableReady: make(chan struct{}),
 	}
 	e.store = stateview.New("", e.now)
 	e.paths = newPathMonitor(config, uint64(e.startedAt.UnixMicro()))
@@ -109,7 +102,7 @@
 	e.logger.Info("edge started", zap.String("front", e.settings.FrontAddress))
 	<-signals
 	e.drain(server)
-	e.logger.Info("edge stopped", zap.Int64("unfinished", e.inFlight.Load()))
+	e.logger.Info("edge stopped", zap.Int("unfinished", e.gate.InFlight()))
 	return nil
 }
 
@@ -121,26 +114,8 @@
 	return defaultConnectionLimits
 }
 
-// drain lets clients move to other edges and waits for the requests in flight, within the platform's grace
-// period.
-func (e *Edge) drain(server *frontServer) {
-	e.draining.Store(true)
-	e.notifyStatusChange()
-	begun := time.Now()
-	limit := e.settings.Bounds.GracePeriod - shutdownMargin
-	for time.Since(begun) < limit {
-		if time.Since(begun) > clientDirectoryLag && e.inFlight.Load() == 0 {
-			break
-		}
-		time.Sleep(shutdownPollInterval)
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), shutdownMargin/2)
-	defer cancel()
-	server.Shutdown(ctx) // requests that outlast it are cut off by the end of the process
-}
-
 // ready reports whether new clients may come.
-func (e *Edge) ready() bool { return e.table.Load() != nil && !e.draining.Load() }
+func (e *Edge) ready() bool { return e.table.Load() != nil && !e.gate.Draining() }
 
 func (e *Edge) readyz(w http.ResponseWriter, _ *http.Request) {
 	if !e.ready() {
--- a/internal/serving/edge/edge_test.go
+++ b/internal/serving/edge/edge_test.go
@@ -35,14 +35,14 @@
 	bodies     []string
 }
 
-func newFakeWorker(t *testing.T, responders ...responder) *fakeWorker {
-	t.Helper()
+func newFakeWorker(tb testing.TB, responders ...responder) *fakeWorker {
+	tb.Helper()
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
 	w := &fakeWorker{listener: listener, responders: responders}
-	t.Cleanup(func() { listener.Close() })
+	tb.Cleanup(func() { listener.Close() })
 	go func() {
 		for {
 			connection, err := listener.Accept()
@@ -145,8 +145,8 @@
 }
 
 // startEdge runs an edge with the workers i-0, i-1 and so on, and a server that clients connect to.
-func startEdge(t *testing.T, workers ...*fakeWorker) (*Edge, *httptest.Server) {
-	t.Helper()
+func startEdge(tb testing.TB, workers ...*fakeWorker) (*Edge, *httptest.Server) {
+	tb.Helper()
 	config := &settings.Settings{NodeName: "e1", IP: "127.0.0.1", Zone: "a", Region: "south",
 		Zones: map[string]string{"a": "south"}, Bounds: settings.Bounds{
 			GracePeriod: time.Second, RetryBudgetRatio: 1, RetryBudgetWindow: 10 * time.Second, RetryBudgetSlack: 100,
@@ -162,7 +162,7 @@
 		`{"generation":1,"routes":[` + strings.Join(routes, ",") +
 			`],"services":[{"name":"s","cold_per_s":10}]}`))
 	if err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
 	e.store.SetCommitted(1, document, nil)
 	for i, w := range workers {
@@ -172,7 +172,7 @@
 	server := httptest.NewUnstartedServer(e)
 	server.Config = newHTTPServer(e, defaultConnectionLimits)
 	server.Start()
-	t.Cleanup(server.Close)
+	tb.Cleanup(server.Close)
 	return e, server
 }
 
@@ -444,7 +444,7 @@
 	if status() != 200 {
 		t.Error("an edge with a configuration is not ready")
 	}
-	e.draining.Store(true)
+	e.gate.Begin(e.now(), e.now()+time.Minute)
 	if status() != 503 {
 		t.Error("a draining edge is ready")
 	}
@@ -455,7 +455,7 @@
 
 func TestDrainingEdgeClosesConnections(t *testing.T) {
 	e, server := startEdge(t, newFakeWorker(t, complete(200, "good")))
-	e.draining.Store(true)
+	e.gate.Begin(e.now(), e.now()+time.Minute)
 	request, err := http.NewRequest("POST", server.URL+"/once/", nil)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/serving/edge/handler.go
+++ b/internal/serving/edge/handler.go
@@ -27,10 +27,10 @@
 
 // ServeHTTP handles a client's request.
 func (e *Edge) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	e.inFlight.Add(1)
-	defer e.inFlight.Add(-1)
+	e.gate.Enter()
+	defer e.gate.Leave()
 	arrivedAt := time.Now()
-	if e.draining.Load() {
+	if e.gate.Draining() {
 		w.Header().Set("Connection", "close")
 	}
 	table := e.awaitTable(r.Context())
@@ -54,10 +54,15 @@
 		reject(w, http.StatusBadRequest, 0)
 		return
 	}
+	deadline := arrivedAt.Add(requestTimeout(r, route))
+	if !e.gate.Take(e.now(), drainRoute(route), time.Until(deadline)) {
+		e.rejectWhileDraining(w)
+		return
+	}
 	service := e.decisions.drawService(table, route)
 	p := &proxiedRequest{
 		edge: e, writer: w, clientRequest: r, route: route, id: id, service: service,
-		deadline: arrivedAt.Add(requestTimeout(r, route)), excluded: map[string]bool{},
+		deadline: deadline, excluded: map[string]bool{},
 		priorityRank: table.priorityRanks[route],
 		prompt: &loadbalancer.Request{
 			Parts:              loadbalancer.ParsePrompt(r.Header.Get(headerPromptPrefix)),
@@ -69,6 +74,9 @@
 		},
 	}
 	p.run()
+	if p.headWritten {
+		e.gate.RecordDuration(drainRoute(route), time.Since(arrivedAt))
+	}
 }
 
 // awaitTable returns the table in force, or nil. An edge that has just started waits a little for its first
--- a/internal/serving/edge/healthcheck.go
+++ b/internal/serving/edge/healthcheck.go
@@ -101,6 +101,17 @@
 	}
 }
 
+// interruptAll ends all requests in flight at workers.
+func (h *healthChecker) interruptAll() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, w := range h.workers {
+		for a := range w.requests {
+			a.connection.Close()
+		}
+	}
+}
+
 // recordActivity records that a worker sent something on a connection.
 func (h *healthChecker) recordActivity(instance string) {
 	h.mu.Lock()
--- a/internal/serving/edge/maintenance.go
+++ b/internal/serving/edge/maintenance.go
@@ -43,4 +43,5 @@
 	}
 	e.connections.CloseExpired(func(address string) bool { return addresses[address] })
 	e.decisions.retain(table)
+	e.gate.Retain(table.hasRoute)
 }
--- a/internal/serving/edge/proxiedrequest.go
+++ b/internal/serving/edge/proxiedrequest.go
@@ -147,7 +147,7 @@
 	if p.clientRequest.Context().Err() != nil {
 		return errClientDisconnected
 	}
-	if time.Until(p.deadline) < minAttemptTime {
+	if time.Until(p.deadline) < minAttemptTime || p.edge.gate.Closed() {
 		return errSaturated
 	}
 	if p.failedDials >= maxFailedDials || p.misdirectedAttempts >= maxMisdirectedAttempts ||
