--- a/internal/serving/agent/agent.go
+++ b/internal/serving/agent/agent.go
@@ -61,6 +61,7 @@
 	if err != nil {
 		return err
 	}
+	config.LimitHeap()
 	a := &Agent{
 		settingsPath: settingsPath, logger: logger, settings: config, started: time.Now(),
 		statusChange: make(chan struct{}),
--- a/internal/serving/core/core.go
+++ b/internal/serving/core/core.go
@@ -10,7 +10,6 @@
 	"net/http"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"strconv"
 	"syscall"
 	"time"
@@ -33,7 +32,6 @@
 	linkWriteTimeout       = 3 * time.Second
 	eventQueueCapacity     = 256
 	signalQueueCapacity    = 8
-	heapTenths             = 8 // of the process's memory that the collector aims to stay within
 )
 
 // Core is one process of the core. The core's goroutine is the one that calls run; it also calls the
@@ -68,9 +66,7 @@
 	if config.DataDir == "" {
 		return &settings.ValueError{Key: "data_dir", Remedy: "give the directory for the replica's state"}
 	}
-	if config.MemoryLimitBytes > 0 {
-		debug.SetMemoryLimit(config.MemoryLimitBytes / 10 * heapTenths)
-	}
+	config.LimitHeap()
 	c, err := newCore(config, settingsPath, logger)
 	if err != nil {
 		return err
--- a/internal/serving/drain/durations.go
+++ b/internal/serving/drain/durations.go
@@ -5,7 +5,8 @@
 	"time"
 )
 
-// durationsPerRoute is how many durations of a route are kept: the longest of them is exceeded by few requests.
+// durationsPerRoute is how many durations of a route are kept: the longest of them is exceeded by few
+// requests.
 const durationsPerRoute = 32
 
 // recentDurations holds the last durations of a route's responses.
--- a/internal/serving/drain/gate.go
+++ b/internal/serving/drain/gate.go
@@ -6,8 +6,8 @@
 )
 
 // uncertainPeriod is how long after the begin of the shutdown a request is taken that is only likely to be
-// finished. Most clients still have an answer of the directory that names this process. After it, a request is
-// taken only if its time limit ends before the process does.
+// finished. Most clients still have an answer of the directory that names this process. After it, a request
+// is taken only if its time limit ends before the process does.
 const uncertainPeriod = 2500 * time.Millisecond
 
 // Route identifies a route.
--- a/internal/serving/edge/attempt.go
+++ b/internal/serving/edge/attempt.go
@@ -64,6 +64,10 @@
 		p.failAttempt(a)
 		return nil, err
 	}
+	if !p.memory.Grow(headerMemory(a.response.Header)) {
+		p.failAttempt(a)
+		return nil, errors.Wrap(workerlink.ErrOutcomeUnknown, errNoMemory.Error())
+	}
 	p.edge.healthChecker.recordActivity(chosen.Instance)
 	p.edge.paths.confirm(sentAt, chosen)
 	p.recordSelfReport(a)
--- a/internal/serving/edge/drain.go
+++ b/internal/serving/edge/drain.go
@@ -55,8 +55,8 @@
 	})
 }
 
-// rejectWhileDraining rejects a request that this edge cannot finish any more. The client is told when an edge
-// takes it: at once, where another one is ready, or else when this one is back.
+// rejectWhileDraining rejects a request that this edge cannot finish any more. The client is told when an
+// edge takes it: at once, where another one is ready, or else when this one is back.
 func (e *Edge) rejectWhileDraining(w http.ResponseWriter) {
 	retryAfter := otherEdgeRetryAfter
 	if !e.otherEdgeReady() {
--- a/internal/serving/edge/drain_test.go
+++ b/internal/serving/edge/drain_test.go
@@ -21,8 +21,8 @@
 	return front, &httptest.Server{URL: "http://" + listener.Addr().String()}
 }
 
-// TestDrainTakesOnlyWhatItCanFinish sends requests to an edge that drains. One that may outlast the process is
-// refused before a worker gets it: passed on, it would be cut off at the end (LOST). One that is short is
+// TestDrainTakesOnlyWhatItCanFinish sends requests to an edge that drains. One that may outlast the process
+// is refused before a worker gets it: passed on, it would be cut off at the end (LOST). One that is short is
 // served, and one that waits for its worker's response gets an answer of the edge at the end.
 func TestDrainTakesOnlyWhatItCanFinish(t *testing.T) {
 	silent := func(connection net.Conn, _ *http.Request, _ string) { time.Sleep(4 * time.Second) }
--- a/internal/serving/edge/edge.go
+++ b/internal/serving/edge/edge.go
@@ -16,6 +16,7 @@
 
 	"willowdeck/internal/serving/drain"
 	"willowdeck/internal/serving/framing"
+	"willowdeck/internal/serving/memorybudget"
 	"willowdeck/internal/serving/settings"
 	"willowdeck/internal/serving/stateview"
 	"willowdeck/internal/serving/wirepb"
@@ -38,6 +39,7 @@
 	paths         *pathMonitor
 	datagrams     atomic.Pointer[datagramSocket] // nil until the socket is open
 	gate          *drain.Gate                    // of clients' requests
+	requestMemory *memorybudget.Budget
 
 	unreachableRoute  atomic.Bool       // some route has workers, but none that there is a path to
 	reachabilityInput reachabilityInput // of the last check; only monitorPaths uses it
@@ -56,6 +58,7 @@
 	if config.FrontAddress == "" {
 		return &settings.ValueError{Key: "listen.front", Remedy: "give IP:PORT: clients come there"}
 	}
+	config.LimitHeap()
 	e := newEdge(config, logger)
 	return e.serve()
 }
@@ -64,7 +67,8 @@
 	e := &Edge{
 		settings: config, logger: logger, startedAt: time.Now(),
 		connections: workerlink.NewPool(), healthChecker: newHealthChecker(),
-		gate: drain.NewGate(), statusChanged: make(chan struct{}), tableReady: make(chan struct{}),
+		gate: drain.NewGate(), requestMemory: newRequestMemory(config),
+		statusChanged: make(chan struct{}), tableReady: make(chan struct{}),
 	}
 	e.store = stateview.New("", e.now)
 	e.paths = newPathMonitor(config, uint64(e.startedAt.UnixMicro()))
--- a/internal/serving/edge/edge_test.go
+++ b/internal/serving/edge/edge_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"math"
@@ -18,6 +19,7 @@
 	"willowdeck/internal/serving/catalog"
 	"willowdeck/internal/serving/configuration"
 	"willowdeck/internal/serving/loadbalancer"
+	"willowdeck/internal/serving/memorybudget"
 	"willowdeck/internal/serving/settings"
 	"willowdeck/internal/serving/wirepb"
 )
@@ -531,14 +533,15 @@
 			strings.NewReader(strings.Repeat("x", 60))),
 	} {
 		request := httptest.NewRequest(http.MethodPost, "/idem/x", body)
-		if _, status := readBody(httptest.NewRecorder(), request,
-			limits); status != http.StatusRequestEntityTooLarge {
+		if _, status := readBody(httptest.NewRecorder(), request, limits,
+			memorybudget.New(0).Open()); status != http.StatusRequestEntityTooLarge {
 			t.Errorf("%s: status %d", name, status)
 		}
 	}
 	request := httptest.NewRequest(http.MethodPost, "/idem/x", strings.NewReader(strings.Repeat("x", 100)))
-	if body, status := readBody(httptest.NewRecorder(), request, limits); status != 0 || len(body) != 100 {
-		t.Errorf("%d bytes at the limit: status %d", len(body), status)
+	body, status := readBody(httptest.NewRecorder(), request, limits, memorybudget.New(0).Open())
+	if length := len(bytes.Join(body, nil)); status != 0 || length != 100 {
+		t.Errorf("%d bytes at the limit: status %d", length, status)
 	}
 }
 
--- a/internal/serving/edge/handler.go
+++ b/internal/serving/edge/handler.go
@@ -2,14 +2,11 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"willowdeck/internal/serving/configuration"
 	"willowdeck/internal/serving/loadbalancer"
 	"willowdeck/internal/serving/workerlink"
@@ -44,9 +41,10 @@
 		e.rejectUnknownRoute(w)
 		return
 	}
-	body, status := readBody(w, r, table.limits)
-	if status != 0 {
-		reject(w, status, 0)
+	memory := e.requestMemory.Open()
+	defer func() { memory.Release(e.now()) }()
+	body, ok := e.receiveBody(w, r, table.limits, memory)
+	if !ok {
 		return
 	}
 	id := r.Header.Get(workerlink.HeaderRequestID)
@@ -61,7 +59,7 @@
 	}
 	service := e.decisions.drawService(table, route)
 	p := &proxiedRequest{
-		edge: e, writer: w, clientRequest: r, route: route, id: id, service: service,
+		edge: e, writer: w, clientRequest: r, route: route, id: id, service: service, memory: memory,
 		deadline: deadline, excluded: map[string]bool{},
 		priorityRank: table.priorityRanks[route],
 		prompt: &loadbalancer.Request{
@@ -119,26 +117,6 @@
 	return timeout
 }
 
-// readBody reads a request's body completely. It returns the status of a rejection, or 0.
-func readBody(w http.ResponseWriter, r *http.Request, limits configuration.Limits) ([]byte, int) {
-	maxBytes := int64(defaultMaxBodyBytes)
-	if limits.MaxBodyBytes > 0 {
-		maxBytes = int64(limits.MaxBodyBytes)
-	}
-	if r.ContentLength > maxBytes {
-		return nil, http.StatusRequestEntityTooLarge
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBytes))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return nil, http.StatusRequestEntityTooLarge
-	case err != nil:
-		return nil, http.StatusBadRequest
-	}
-	return body, 0
-}
-
 // reject writes a response without a body. retryAfter tells the client when to come back; 0: it is not told.
 func reject(w http.ResponseWriter, status int, retryAfter time.Duration) {
 	if retryAfter > 0 {
--- a/internal/serving/edge/proxiedrequest.go
+++ b/internal/serving/edge/proxiedrequest.go
@@ -9,6 +9,7 @@
 
 	"willowdeck/internal/serving/configuration"
 	"willowdeck/internal/serving/loadbalancer"
+	"willowdeck/internal/serving/memorybudget"
 	"willowdeck/internal/serving/workerlink"
 )
 
@@ -28,6 +29,7 @@
 	clientRequest *http.Request
 	route         *configuration.Route
 	service       string
+	memory        *memorybudget.Reservation // of all that is kept for the request
 	id            string
 	priorityRank  int                 // at its worker
 	workerRequest *workerlink.Request // as received from the client; attempts add headers
--- a/internal/serving/edge/response.go
+++ b/internal/serving/edge/response.go
@@ -20,7 +20,7 @@
 	if isEventStream(a.response) {
 		return p.relayStream(a)
 	}
-	body, err := io.ReadAll(io.LimitReader(a.response.Body, maxBufferedBodyBytes+1))
+	body, complete, err := p.readBuffered(a.response)
 	if err != nil {
 		p.mayHaveExecuted = true
 		p.failAttempt(a)
@@ -30,7 +30,7 @@
 		p.endAttempt(a, false)
 		return p.endUnlessRetried()
 	}
-	if len(body) > maxBufferedBodyBytes {
+	if !complete {
 		p.relayLongBody(a, body)
 		return true
 	}
@@ -90,5 +90,8 @@
 		header.Set("Content-Length", strconv.Itoa(length))
 	}
 	p.headWritten = true
+	if !p.route.IsIdempotent() {
+		p.releaseBody()
+	}
 	p.writer.WriteHeader(response.StatusCode)
 }
--- a/internal/serving/edge/stream.go
+++ b/internal/serving/edge/stream.go
@@ -12,7 +12,7 @@
 // relayStream relays events as they come, complete ones only. It returns false where the stream has to be
 // resumed at another worker.
 func (p *proxiedRequest) relayStream(a *attempt) (done bool) {
-	events := sse.NewReader(a.response.Body)
+	events := p.newEventReader(a.response.Body)
 	for {
 		event, err := events.Next()
 		if err != nil {
--- a/internal/serving/program/imports_test.go
+++ b/internal/serving/program/imports_test.go
@@ -40,7 +40,8 @@
 // I/O or logging, and none of framing, watch and the programs' packages.
 func TestDecidingPackagesDoNoIO(t *testing.T) {
 	deciding := []string{"consensus", "statemachine", "configuration", "catalog", "loadbalancer", "loadreport",
-		"slowstart", "retrybudget", "stateview", "control", "pathhealth", "decay", "tally", "drain"}
+		"slowstart", "retrybudget", "stateview", "control", "pathhealth", "decay", "tally", "drain",
+		"memorybudget"}
 	forbidden := []string{"net", "net/http", "os", "os/exec", "syscall", "log", "go.uber.org/zap",
 		module + "framing", module + "watch", module + "core", module + "agent", module + "edge"}
 	for _, name := range deciding {
--- a/internal/serving/settings/settings.go
+++ b/internal/serving/settings/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"runtime/debug"
 	"time"
 
 	"github.com/magiconair/properties"
@@ -49,6 +50,16 @@
 	MaxResolveTTL      time.Duration
 }
 
+// heapTenths is the part of the process's memory, in tenths, that the garbage collector aims to stay within.
+const heapTenths = 8
+
+// LimitHeap has the garbage collector keep the process within its memory, where that is limited.
+func (s *Settings) LimitHeap() {
+	if s.MemoryLimitBytes > 0 {
+		debug.SetMemoryLimit(s.MemoryLimitBytes / 10 * heapTenths)
+	}
+}
+
 // ValueError is the error of a value that cannot be used. Remedy says what the operator has to change.
 type ValueError struct {
 	Key, Value, Remedy string
--- a/internal/serving/sse/sse.go
+++ b/internal/serving/sse/sse.go
@@ -24,11 +24,15 @@
 
 // Reader reads events from a stream.
 type Reader struct {
-	reader *bufio.Reader
+	reader  *bufio.Reader
+	reserve func(bytes int) bool
 }
 
-// NewReader returns a reader of the events of source.
-func NewReader(source io.Reader) *Reader { return &Reader{reader: bufio.NewReader(source)} }
+// NewReader returns a reader of the events of source. It calls reserve with the length of an event as that
+// grows; where reserve returns false, the event is too long.
+func NewReader(source io.Reader, reserve func(bytes int) bool) *Reader {
+	return &Reader{reader: bufio.NewReader(source), reserve: reserve}
+}
 
 // Next returns the next complete event. If it returns an error, which is io.EOF at the end of the source, the
 // event's Raw has the bytes that were read after the last complete event.
@@ -36,6 +40,9 @@
 	var event Event
 	for {
 		line, err := r.reader.ReadSlice('\n')
+		if !r.reserve(len(event.Raw) + len(line)) {
+			return event, ErrEventTooLong
+		}
 		event.Raw = append(event.Raw, line...)
 		if errors.Is(err, bufio.ErrBufferFull) && len(event.Raw) <= MaxEventBytes {
 			continue
--- a/internal/serving/sse/sse_test.go
+++ b/internal/serving/sse/sse_test.go
@@ -8,7 +8,7 @@
 )
 
 func readAll(text string) (events []Event, rest Event, err error) {
-	reader := NewReader(strings.NewReader(text))
+	reader := NewReader(strings.NewReader(text), func(int) bool { return true })
 	for {
 		event, err := reader.Next()
 		if err != nil {
--- a/internal/serving/workerlink/exchange.go
+++ b/internal/serving/workerlink/exchange.go
@@ -1,6 +1,7 @@
 package workerlink
 
 import (
+	"bytes"
 	"io"
 	"net/http"
 	"strconv"
@@ -36,13 +37,18 @@
 // maxInterimResponses is how many interim responses (1xx) may come before each response.
 const maxInterimResponses = 5
 
+const (
+	headBytesHint      = 512     // room for the head of a request
+	maxCopiedBodyBytes = 8 << 10 // a body up to this length is sent together with the head
+)
+
 // Request is what is sent to a worker.
 type Request struct {
 	Method string
 	URI    string // as the client sent it
 	Host   string
 	Header http.Header // without hop-by-hop headers, as EndToEnd returns them
-	Body   []byte
+	Body   [][]byte    // segments, in their order
 }
 
 // hopByHopHeaders concern one connection only.
@@ -65,22 +71,32 @@
 	return endToEnd
 }
 
-// encode returns the request as it is sent.
-func (r *Request) encode() []byte {
-	var text strings.Builder
-	text.Grow(512 + len(r.Body))
+// encode returns the buffers to send: the head, with the body where that is short, and the segments of a long
+// body as they are.
+func (r *Request) encode() [][]byte {
+	bodyBytes := 0
+	for _, segment := range r.Body {
+		bodyBytes += len(segment)
+	}
+	var text bytes.Buffer
+	text.Grow(headBytesHint + min(bodyBytes, maxCopiedBodyBytes))
 	text.WriteString(r.Method + " " + r.URI + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	for name, values := range r.Header {
 		for _, value := range values {
 			text.WriteString(name + ": " + value + "\r\n")
 		}
 	}
-	if len(r.Body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
-		text.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
+	if bodyBytes > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
+		text.WriteString("Content-Length: " + strconv.Itoa(bodyBytes) + "\r\n")
 	}
 	text.WriteString("\r\n")
-	text.Write(r.Body)
-	return []byte(text.String())
+	if bodyBytes > maxCopiedBodyBytes {
+		return append([][]byte{text.Bytes()}, r.Body...)
+	}
+	for _, segment := range r.Body {
+		text.Write(segment)
+	}
+	return [][]byte{text.Bytes()}
 }
 
 // Send sends a request. deadline bounds the whole exchange on the connection. Any error is an
@@ -90,8 +106,10 @@
 		return errors.Wrap(ErrOutcomeUnknown, err.Error())
 	}
 	c.requests++
-	if _, err := c.Write(r.encode()); err != nil {
-		return errors.Wrap(ErrOutcomeUnknown, err.Error())
+	for _, buffer := range r.encode() {
+		if _, err := c.Write(buffer); err != nil {
+			return errors.Wrap(ErrOutcomeUnknown, err.Error())
+		}
 	}
 	return nil
 }
--- a/internal/serving/workerlink/exchange_test.go
+++ b/internal/serving/workerlink/exchange_test.go
@@ -72,7 +72,7 @@
 
 func requestWith(id, body string) *Request {
 	header := http.Header{HeaderRequestID: {id}}
-	return &Request{Method: http.MethodPost, URI: "/a", Host: "h", Header: header, Body: []byte(body)}
+	return &Request{Method: http.MethodPost, URI: "/a", Host: "h", Header: header, Body: [][]byte{[]byte(body)}}
 }
 
 // exchange sends a request, receives its response, and returns the connection to the pool.
--- a/internal/serving/workerlink/golden_test.go
+++ b/internal/serving/workerlink/golden_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"net/http"
 	"strings"
 	"testing"
@@ -29,10 +30,10 @@
 func TestGoldenRequest(t *testing.T) {
 	request := &Request{
 		Method: http.MethodPost, URI: "/p/x?y=1", Host: "h1", Header: http.Header{"Request-Id": {"id-1"}},
-		Body: []byte("body"),
+		Body: [][]byte{[]byte("bo"), []byte("dy")},
 	}
 	const want = "POST /p/x?y=1 HTTP/1.1\r\nHost: h1\r\nRequest-Id: id-1\r\nContent-Length: 4\r\n\r\nbody"
-	if got := string(request.encode()); got != want {
+	if got := string(bytes.Join(request.encode(), nil)); got != want {
 		t.Errorf("request %q instead of %q", got, want)
 	}
 }
