--- a/internal/serving/edge/attempt.go
+++ b/internal/serving/edge/attempt.go
@@ -59,7 +59,7 @@
 		p.failAttempt(a)
 		return nil, err
 	}
-	a.response, err = connection.Receive(p.workerRequest.Method, p.id)
+	a.response, err = connection.Receive(p.workerRequest.Method, p.id, p.memory.Grow)
 	if err != nil {
 		p.failAttempt(a)
 		return nil, err
--- a/internal/serving/workerlink/exchange.go
+++ b/internal/serving/workerlink/exchange.go
@@ -116,10 +116,13 @@
 
 // Receive reads the head of the response to the request with that id; the caller reads the body. Responses to
 // other requests are stale and skipped. A response that names no request is accepted only as an error, and as
-// the first on a connection that has carried one request. Any error is an ErrOutcomeUnknown.
-func (c *Conn) Receive(method, requestID string) (*http.Response, error) {
+// the first on a connection that has carried one request. reserve is called for the memory of a long head,
+// which fails where it returns false. Any error is an ErrOutcomeUnknown.
+func (c *Conn) Receive(
+	method, requestID string, reserve func(bytes int64) bool,
+) (*http.Response, error) {
 	for range maxStaleResponses {
-		response, err := c.readFinalResponse(method)
+		response, err := c.readFinalResponse(method, reserve)
 		if err != nil {
 			return nil, errors.Wrap(ErrOutcomeUnknown, err.Error())
 		}
@@ -138,8 +141,10 @@
 }
 
 // readFinalResponse reads the head of the next response, and skips the interim ones before it.
-func (c *Conn) readFinalResponse(method string) (*http.Response, error) {
+func (c *Conn) readFinalResponse(method string, reserve func(bytes int64) bool) (*http.Response, error) {
+	defer c.head.end()
 	for range maxInterimResponses + 1 {
+		c.head.begin(reserve)
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
 			return nil, err
--- a/internal/serving/workerlink/exchange_test.go
+++ b/internal/serving/workerlink/exchange_test.go
@@ -85,7 +85,7 @@
 		connection.Close()
 		return nil, err
 	}
-	response, err := connection.Receive(http.MethodPost, id)
+	response, err := connection.Receive(http.MethodPost, id, reserveAny)
 	if err != nil {
 		connection.Close()
 		return nil, err
@@ -204,7 +204,7 @@
 	if err := connection.Send(requestWith("q-1", body), time.Now().Add(testTimeout)); err != nil {
 		t.Fatal(err)
 	}
-	response, err := connection.Receive(http.MethodPost, "q-1")
+	response, err := connection.Receive(http.MethodPost, "q-1", reserveAny)
 	if err != nil || !NotExecuted(response) {
 		t.Fatalf("response %v, error %v", response, err)
 	}
--- a/internal/serving/workerlink/pool.go
+++ b/internal/serving/workerlink/pool.go
@@ -28,6 +28,7 @@
 type Conn struct {
 	net.Conn
 	reader    *bufio.Reader // used by the idle watch between watchIdle and stopWatching
+	head      *headLimiter  // below reader
 	idleUntil time.Time
 	quiet     chan bool // receives, once, whether nothing arrived while the connection was idle
 	requests  int       // sent on it
@@ -78,7 +79,8 @@
 	if err != nil {
 		return nil, errors.Wrap(ErrNotSent, err.Error())
 	}
-	return &Conn{Conn: connection, reader: bufio.NewReaderSize(connection, readBufferBytes)}, nil
+	head := &headLimiter{source: connection}
+	return &Conn{Conn: connection, reader: bufio.NewReaderSize(head, readBufferBytes), head: head}, nil
 }
 
 // Put returns a connection to the pool after a complete exchange. idleTimeout is how long the worker keeps it
