--- a/internal/serving/edge/drain_test.go
+++ b/internal/serving/edge/drain_test.go
@@ -16,7 +16,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	front := newFrontServer(listener, e, e.connectionLimits)
+	front := newFrontServer(listener, e, e.connectionLimits, 0)
 	go front.serve()
 	return front, &httptest.Server{URL: "http://" + listener.Addr().String()}
 }
--- a/internal/serving/edge/edge.go
+++ b/internal/serving/edge/edge.go
@@ -92,7 +92,8 @@
 		if err != nil {
 			return errors.Wrap(err, "cannot listen for readiness checks: free the port or change listen.readiness")
 		}
-		go func() { _ = http.Serve(readiness, http.HandlerFunc(e.readyz)) }() // ends with the process
+		server := newHTTPServer(http.HandlerFunc(e.readyz), readinessLimits)
+		go func() { _ = server.Serve(readiness) }() // ends with the process
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -101,7 +102,8 @@
 	go e.runMaintenance(ctx)
 	go e.runHealthChecks(ctx)
 	go e.exchangeDatagrams(ctx)
-	server := newFrontServer(front, e, e.connectionLimits)
+	connectionMemory := e.settings.MemoryLimitBytes / 10 * connectionMemoryTenths
+	server := newFrontServer(front, e, e.connectionLimits, connectionMemory)
 	go server.serve()
 	e.logger.Info("edge started", zap.String("front", e.settings.FrontAddress))
 	<-signals
--- a/internal/serving/edge/frontserver.go
+++ b/internal/serving/edge/frontserver.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -28,6 +29,11 @@
 	headBytes: 128 << 10, headTimeout: 6 * time.Second, idleTimeout: 60 * time.Second,
 }
 
+// readinessLimits hold for the platform's readiness checks.
+var readinessLimits = connectionLimits{
+	headBytes: 8 << 10, headTimeout: 3 * time.Second, idleTimeout: 10 * time.Second,
+}
+
 // connectionLimitsOf returns the limits that a configuration states.
 func connectionLimitsOf(limits configuration.Limits) connectionLimits {
 	stated := defaultConnectionLimits
@@ -49,6 +55,10 @@
 	handler  http.Handler
 	listener net.Listener
 	limits   func() connectionLimits // in force now
+	// memoryBytes is what all connections may take together; 0: not limited.
+	memoryBytes int64
+	open        atomic.Int64 // connections that are served
+	refusing    atomic.Int64 // connections that get a rejection
 
 	mu      sync.Mutex // guards what follows
 	servers map[connectionLimits]*limitedServer
@@ -62,9 +72,10 @@
 }
 
 func newFrontServer(listener net.Listener, handler http.Handler,
-	limits func() connectionLimits) *frontServer {
+	limits func() connectionLimits, memoryBytes int64) *frontServer {
 	return &frontServer{
-		handler: handler, listener: listener, limits: limits, servers: map[connectionLimits]*limitedServer{},
+		handler: handler, listener: listener, limits: limits, memoryBytes: memoryBytes,
+		servers: map[connectionLimits]*limitedServer{},
 	}
 }
 
@@ -87,9 +98,15 @@
 			time.Sleep(acceptBackoff)
 			continue
 		}
-		server := f.serverFor(f.limits())
-		if server == nil || !server.listener.handOver(connection) {
-			_ = connection.Close() // the front is shut down
+		limits := f.limits()
+		counted, ok := f.admit(connection, limits)
+		if !ok {
+			go f.refuse(connection)
+			continue
+		}
+		server := f.serverFor(limits)
+		if server == nil || !server.listener.handOver(counted) {
+			_ = counted.Close() // the front is shut down
 		}
 	}
 }
--- a/internal/serving/edge/frontserver_test.go
+++ b/internal/serving/edge/frontserver_test.go
@@ -17,14 +17,17 @@
 const frontTestTimeout = 10 * time.Second
 
 // startFront serves "ok" on loopback by limits that the test may replace, and returns the address.
-func startFront(t *testing.T, limits *atomic.Pointer[connectionLimits]) (*frontServer, string) {
+func startFront(
+	t *testing.T, limits *atomic.Pointer[connectionLimits], memoryBytes int64,
+) (*frontServer, string) {
 	t.Helper()
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") })
-	front := newFrontServer(listener, handler, func() connectionLimits { return *limits.Load() })
+	front := newFrontServer(listener, handler, func() connectionLimits { return *limits.Load() },
+		memoryBytes)
 	go front.serve()
 	t.Cleanup(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
@@ -74,7 +77,7 @@
 func TestConfiguredConnectionLimits(t *testing.T) {
 	var limits atomic.Pointer[connectionLimits]
 	limits.Store(&defaultConnectionLimits)
-	_, address := startFront(t, &limits)
+	_, address := startFront(t, &limits, 0)
 	older := dialFront(t, address)
 	if status := older.request(t, 60_000); status != http.StatusOK {
 		t.Fatalf("status %d", status)
@@ -103,6 +106,39 @@
 	}
 }
 
+// TestConnectionsAreLimitedByMemory opens as many connections as the memory bears: a further one gets 503 and
+// a time to come back, and is served once another one has ended.
+func TestConnectionsAreLimitedByMemory(t *testing.T) {
+	var limits atomic.Pointer[connectionLimits]
+	limits.Store(&defaultConnectionLimits)
+	const connections = 3
+	memoryBytes := connections * int64(connectionBytes+defaultConnectionLimits.headBytes)
+	front, address := startFront(t, &limits, memoryBytes)
+	var open []*client
+	for range connections {
+		open = append(open, dialFront(t, address))
+		if status := open[len(open)-1].request(t, 10); status != http.StatusOK {
+			t.Fatalf("status %d", status)
+		}
+	}
+	refused := dialFront(t, address)
+	fmt.Fprint(refused, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	response, err := http.ReadResponse(refused.reader, nil)
+	if err != nil || response.StatusCode != http.StatusServiceUnavailable ||
+		response.Header.Get("Retry-After") == "" || !response.Close {
+		t.Fatalf("response %+v, error %v", response, err)
+	}
+	open[0].Close()
+	for began := time.Now(); front.open.Load() == connections; time.Sleep(time.Millisecond) {
+		if time.Since(began) > frontTestTimeout {
+			t.Fatal("a connection that has ended counts")
+		}
+	}
+	if status := dialFront(t, address).request(t, 10); status != http.StatusOK {
+		t.Errorf("status %d after another connection has ended", status)
+	}
+}
+
 // TestUnstatedLimitsAreDefaults leaves what a configuration does not state as it is.
 func TestUnstatedLimitsAreDefaults(t *testing.T) {
 	if got := connectionLimitsOf(configuration.Limits{}); got != defaultConnectionLimits {
@@ -114,7 +150,7 @@
 func TestFrontShutdown(t *testing.T) {
 	var limits atomic.Pointer[connectionLimits]
 	limits.Store(&defaultConnectionLimits)
-	front, address := startFront(t, &limits)
+	front, address := startFront(t, &limits, 0)
 	kept := dialFront(t, address)
 	if status := kept.request(t, 10); status != http.StatusOK {
 		t.Fatalf("status %d", status)
