--- a/internal/serving/framing/conn.go
+++ b/internal/serving/framing/conn.go
@@ -15,6 +15,7 @@
 	lengthBytes     = 4        // length of a frame's header
 	maxFrameBytes   = 32 << 20 // without the header; a longer frame is an error
 	readBufferBytes = 16 << 10
+	firstReadBytes  = 64 << 10 // of a long frame, before more memory is taken
 )
 
 // Conn is a connection that carries frames. One goroutine may read while another one writes.
@@ -63,9 +64,25 @@
 	if length > maxFrameBytes {
 		return errors.Errorf("frame of %d bytes exceeds the limit of %d", length, maxFrameBytes)
 	}
-	buffer := make([]byte, length)
-	if _, err := io.ReadFull(c.reader, buffer); err != nil {
+	buffer, err := readAllOf(c.reader, int(length))
+	if err != nil {
 		return err
 	}
 	return proto.Unmarshal(buffer, message)
 }
+
+// readAllOf reads length bytes. Its memory grows with what has come: a length that is stated takes none.
+func readAllOf(source io.Reader, length int) ([]byte, error) {
+	buffer := make([]byte, min(length, firstReadBytes))
+	for read := 0; ; {
+		n, err := io.ReadFull(source, buffer[read:])
+		if err != nil {
+			return nil, err
+		}
+		if read += n; read == length {
+			return buffer, nil
+		}
+		buffer = append(make([]byte, 0, min(2*len(buffer), length)), buffer...)
+		buffer = buffer[:cap(buffer)]
+	}
+}
