--- a/internal/serving/core/controlplane.go
+++ b/internal/serving/core/controlplane.go
@@ -17,7 +17,10 @@
 const (
 	maxConfigurationBytes = 16 << 20
 	maxHeartbeatBytes     = 64 << 10
-	configurationTimeout  = 20 * time.Second // for the body of a request
+	// configurationMemoryBytes bounds the configurations that are handled at one time, by their bodies: the
+	// longest one fits into the part that new requests may fill.
+	configurationMemoryBytes = maxConfigurationBytes*4/3 + 4
+	configurationTimeout     = 20 * time.Second // for the body of a request
 )
 
 // controlHandler returns the handler of the control plane, which operators and workers call.
@@ -44,6 +47,14 @@
 		writeError(w, http.StatusBadRequest, "Base-Version: give the generation that this builds on, or 0")
 		return
 	}
+	memory := c.configurationMemory.Open()
+	defer func() { memory.Release(time.Since(c.started)) }()
+	if !memory.Admit(configurationBytes(r)) {
+		retryAfter := c.configurationMemory.RetryAfter(time.Since(c.started), configurationBytes(r))
+		w.Header().Set(headerRetryAfter, strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
+		writeError(w, http.StatusServiceUnavailable, "configuration: others are being read: send the same again")
+		return
+	}
 	// Writers without deadlines, as in tests, need no limit.
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(configurationTimeout))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxConfigurationBytes))
@@ -69,6 +80,14 @@
 	writeOutcome(w, c.submitAndWait(command).Outcome)
 }
 
+// configurationBytes returns how long the configuration in a request may be.
+func configurationBytes(r *http.Request) int64 {
+	if r.ContentLength < 0 {
+		return maxConfigurationBytes
+	}
+	return min(r.ContentLength, maxConfigurationBytes)
+}
+
 // submitAndWait submits a command, or a linearizable read where command is nil, and waits for its outcome.
 // The outcome is unknown where the process stops meanwhile.
 func (c *Core) submitAndWait(command *wirepb.Command) *wirepb.CallReply {
--- a/internal/serving/core/core.go
+++ b/internal/serving/core/core.go
@@ -20,6 +20,7 @@
 	"willowdeck/internal/serving/consensus"
 	"willowdeck/internal/serving/control"
 	"willowdeck/internal/serving/framing"
+	"willowdeck/internal/serving/memorybudget"
 	"willowdeck/internal/serving/settings"
 	"willowdeck/internal/serving/tally"
 )
@@ -29,6 +30,7 @@
 	httpShutdownTimeout    = 250 * time.Millisecond
 	httpReadHeaderTimeout  = 3 * time.Second
 	httpIdleTimeout        = 30 * time.Second
+	httpMaxHeaderBytes     = 64 << 10
 	linkWriteTimeout       = 3 * time.Second
 	eventQueueCapacity     = 256
 	signalQueueCapacity    = 8
@@ -45,12 +47,14 @@
 	events          chan func()   // to the core's goroutine
 	stop            chan struct{} // closed when the process stops
 
-	engine      *control.Engine // owned by the core's goroutine, except for StateView and OriginSilent
-	diskWriter  *diskWriter
-	tallies     *tally.Replica // owned by the core's goroutine
-	tallyWriter *tallyWriter
-	links       map[string]*peerLink // by internal address; owned by the core's goroutine
-	nextReload  time.Time            // of the settings; owned by the core's goroutine
+	engine              *control.Engine // owned by the core's goroutine, except for StateView and OriginSilent
+	diskWriter          *diskWriter
+	tallies             *tally.Replica // owned by the core's goroutine
+	tallyWriter         *tallyWriter
+	configurationMemory *memorybudget.Budget // of the operators' configurations that are being handled
+
+	links      map[string]*peerLink // by internal address; owned by the core's goroutine
+	nextReload time.Time            // of the settings; owned by the core's goroutine
 }
 
 // Run runs the process with a settings file until SIGTERM or SIGINT.
@@ -80,7 +84,7 @@
 		settings: config, settingsPath: settingsPath, logger: logger, started: time.Now(),
 		internalAddress: net.JoinHostPort(config.IP, strconv.Itoa(config.FirstInternalPort)),
 		events:          make(chan func(), eventQueueCapacity), stop: make(chan struct{}),
-		links: map[string]*peerLink{},
+		links: map[string]*peerLink{}, configurationMemory: memorybudget.New(configurationMemoryBytes),
 	}
 	opened, err := openReplica(config, logger)
 	if err != nil {
@@ -168,6 +172,7 @@
 	}
 	server := &http.Server{
 		Handler: handler, ReadHeaderTimeout: httpReadHeaderTimeout, IdleTimeout: httpIdleTimeout,
+		MaxHeaderBytes: httpMaxHeaderBytes,
 	}
 	go func() { _ = server.Serve(listener) }() // returns after Shutdown
 	return server, nil
