Edge: let responses end before the rest is interrupted; ask for no refused body

At the end of a drain the requests in flight were interrupted before the last 0.2 s that their responses have; now after them.

--- a/internal/serving/edge/drain.go
+++ b/internal/serving/edge/drain.go
@@ -37,10 +37,16 @@
 		time.Sleep(shutdownPollInterval)
 	}
 	e.gate.Close()
+	shutDown(server, shutdownMargin/2)
 	e.healthChecker.interruptAll()
-	ctx, cancel := context.WithTimeout(context.Background(), shutdownMargin/2)
+	shutDown(server, shutdownMargin/4) // what outlasts it is cut off by the end of the process
+}
+
+// shutDown waits until the server has written the responses of all requests in flight, at most so long.
+func shutDown(server *frontServer, timeout time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	server.Shutdown(ctx) // requests that outlast it are cut off by the end of the process
+	server.Shutdown(ctx)
 }
 
 // drainRoute returns a route in the form that the gate takes.
--- a/internal/serving/edge/memory.go
+++ b/internal/serving/edge/memory.go
@@ -56,6 +56,9 @@
 	control := http.NewResponseController(w)
 	_ = control.EnableFullDuplex() // the response goes out before the body has come
 	reject(w, http.StatusServiceUnavailable, e.requestMemory.RetryAfter(e.now(), bytes))
+	if r.Header.Get("Expect") != "" {
+		return // the client waits for 100 Continue, which reading the body would send
+	}
 	if control.Flush() == nil && control.SetReadDeadline(time.Now().Add(discardTimeout)) == nil {
 		_, _ = io.Copy(io.Discard, r.Body)
 	}
--- a/internal/serving/edge/memory_test.go
+++ b/internal/serving/edge/memory_test.go
@@ -149,3 +149,22 @@
 		}
 	}
 }
+
+// TestRefusedBodyIsNotAskedFor refuses a request whose client waits for 100 Continue: behind the response
+// nothing may follow.
+func TestRefusedBodyIsNotAskedFor(t *testing.T) {
+	e, server := startEdge(t, newFakeWorker(t, closeConnection))
+	e.requestMemory = memorybudget.New(2 * requestOverheadBytes)
+	connection, err := net.Dial("tcp4", strings.TrimPrefix(server.URL, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer connection.Close()
+	_ = connection.SetDeadline(time.Now().Add(10 * time.Second))
+	fmt.Fprint(connection, "POST /once/x HTTP/1.1\r\nHost: h\r\nRequest-Id: q\r\nContent-Length: 4000000\r\n"+
+		"Expect: 100-continue\r\n\r\n")
+	text, err := io.ReadAll(connection)
+	if err != nil || !strings.HasPrefix(string(text), "HTTP/1.1 503 ") || strings.Contains(string(text), " 100 ") {
+		t.Errorf("response %q, error %v", text, err)
+	}
+}
