--- a/internal/serving/edge/memory_test.go
+++ b/internal/serving/edge/memory_test.go
@@ -164,7 +164,8 @@
 	fmt.Fprint(connection, "POST /once/x HTTP/1.1\r\nHost: h\r\nRequest-Id: q\r\nContent-Length: 4000000\r\n"+
 		"Expect: 100-continue\r\n\r\n")
 	text, err := io.ReadAll(connection)
-	if err != nil || !strings.HasPrefix(string(text), "HTTP/1.1 503 ") || strings.Contains(string(text), " 100 ") {
-		t.Errorf("response %q, error %v", text, err)
+	response := string(text)
+	if err != nil || !strings.HasPrefix(response, "HTTP/1.1 503 ") || strings.Contains(response, " 100 ") {
+		t.Errorf("response %q, error %v", response, err)
 	}
 }
