Edge: a slow body and a refused request hold memory no longer than they may

A client that stated a long body and sent little of it held its reservation without a bound, so that some 26 of them could have every other request refused: a body has the request's own time now, then 408. A refused request kept its reservation while the rest of its body was discarded, up to a second, and counted as memory that becomes free, which made Retry-After too short: it is cancelled first, and not counted. A retry that the end of a drain forbids states the drain's time.

edge.TestSlowBodyHoldsMemoryForItsTimeOnly, memorybudget.TestRefusedRequestsMakeNoRoom.

--- a/internal/serving/edge/drain.go
+++ b/internal/serving/edge/drain.go
@@ -64,11 +64,15 @@
 // rejectWhileDraining rejects a request that this edge cannot finish any more. The client is told when an
 // edge takes it: at once, where another one is ready, or else when this one is back.
 func (e *Edge) rejectWhileDraining(w http.ResponseWriter) {
-	retryAfter := otherEdgeRetryAfter
-	if !e.otherEdgeReady() {
-		retryAfter = e.gate.TimeLeft(e.now()) + restartTime
+	reject(w, http.StatusServiceUnavailable, e.drainRetryAfter())
+}
+
+// drainRetryAfter returns when some edge takes a request that this one refuses while it drains.
+func (e *Edge) drainRetryAfter() time.Duration {
+	if e.otherEdgeReady() {
+		return otherEdgeRetryAfter
 	}
-	reject(w, http.StatusServiceUnavailable, retryAfter)
+	return e.gate.TimeLeft(e.now()) + restartTime
 }
 
 // otherEdgeReady reports whether some other edge takes requests, as far as known.
--- a/internal/serving/edge/handler.go
+++ b/internal/serving/edge/handler.go
@@ -41,9 +41,10 @@
 		e.rejectUnknownRoute(w)
 		return
 	}
+	deadline := arrivedAt.Add(requestTimeout(r, route))
 	memory := e.requestMemory.Open()
 	defer func() { memory.Release(e.now()) }()
-	body, ok := e.receiveBody(w, r, table.limits, memory)
+	body, ok := e.receiveBody(w, r, table.limits, deadline, memory)
 	if !ok {
 		return
 	}
@@ -52,7 +53,6 @@
 		reject(w, http.StatusBadRequest, 0)
 		return
 	}
-	deadline := arrivedAt.Add(requestTimeout(r, route))
 	if !e.gate.Take(e.now(), drainRoute(route), time.Until(deadline)) {
 		e.rejectWhileDraining(w)
 		return
--- a/internal/serving/edge/memory.go
+++ b/internal/serving/edge/memory.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/pkg/errors"
@@ -67,18 +68,25 @@
 // receiveBody reserves what a request holds and reads its body. It returns false where it has rejected the
 // request.
 func (e *Edge) receiveBody(
-	w http.ResponseWriter, r *http.Request, limits configuration.Limits, memory *memorybudget.Reservation,
+	w http.ResponseWriter, r *http.Request, limits configuration.Limits, deadline time.Time,
+	memory *memorybudget.Reservation,
 ) (body [][]byte, ok bool) {
 	if !memory.Admit(requestOverheadBytes + headerMemory(r.Header)) {
 		e.rejectWithoutMemory(w, r, 0)
 		return nil, false
 	}
+	// A client that sends slowly holds memory no longer than its request may take.
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(deadline)
 	body, status := readBody(w, r, limits, memory)
+	_ = control.SetReadDeadline(time.Time{})
 	switch status {
 	case 0:
 		return body, true
 	case http.StatusServiceUnavailable:
-		e.rejectWithoutMemory(w, r, memory.Bytes())
+		reserved := memory.Bytes()
+		memory.Cancel() // before the rest of the body is discarded
+		e.rejectWithoutMemory(w, r, reserved)
 	default:
 		reject(w, status, 0)
 	}
@@ -120,6 +128,8 @@
 			return nil, http.StatusRequestEntityTooLarge
 		case errors.Is(err, io.EOF):
 			return segments, 0
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			return nil, http.StatusRequestTimeout
 		case err != nil:
 			return nil, http.StatusBadRequest
 		}
--- a/internal/serving/edge/memory_test.go
+++ b/internal/serving/edge/memory_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"bufio"
 	"bytes"
 	"fmt"
 	"io"
@@ -169,3 +170,27 @@
 		t.Errorf("response %q, error %v", response, err)
 	}
 }
+
+// TestSlowBodyHoldsMemoryForItsTimeOnly has a client state a long body and send little of it: it gets 408
+// once its time is over, and what it held is free for others.
+func TestSlowBodyHoldsMemoryForItsTimeOnly(t *testing.T) {
+	const stated = 1 << 20
+	w := newFakeWorker(t, complete(200, "good", "Server-Signature: s"))
+	e, server := startEdge(t, w)
+	e.requestMemory = memorybudget.New(2 * stated)
+	connection, err := net.Dial("tcp4", strings.TrimPrefix(server.URL, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer connection.Close()
+	_ = connection.SetDeadline(time.Now().Add(4 * time.Second)) // less than the route's timeout
+	fmt.Fprintf(connection, "POST /once/x HTTP/1.1\r\nHost: h\r\nRequest-Id: q\r\nDeadline-Ms: 300\r\n"+
+		"Content-Length: %d\r\n\r\nbegun", stated)
+	response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+	if err != nil || response.StatusCode != http.StatusRequestTimeout {
+		t.Fatalf("response %+v, error %v", response, err)
+	}
+	if status, _ := upload(t, server, "q-2", strings.NewReader(strings.Repeat("x", stated))); status != 200 {
+		t.Errorf("status %d for the next one", status)
+	}
+}
--- a/internal/serving/edge/proxiedrequest.go
+++ b/internal/serving/edge/proxiedrequest.go
@@ -149,9 +149,12 @@
 	if p.clientRequest.Context().Err() != nil {
 		return errClientDisconnected
 	}
-	if time.Until(p.deadline) < minAttemptTime || p.edge.gate.Closed() {
+	if time.Until(p.deadline) < minAttemptTime {
 		return errSaturated
 	}
+	if p.edge.gate.Closed() {
+		return &rejectionError{http.StatusServiceUnavailable, p.edge.drainRetryAfter()}
+	}
 	if p.failedDials >= maxFailedDials || p.misdirectedAttempts >= maxMisdirectedAttempts ||
 		p.attempts >= max(p.route.MaxAttempts, 1) {
 		return errSaturated
--- a/internal/serving/memorybudget/budget.go
+++ b/internal/serving/memorybudget/budget.go
@@ -53,6 +53,13 @@
 	return true
 }
 
+// cancel gives bytes back that served no request: they do not count as released.
+func (b *Budget) cancel(bytes int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.reserved -= bytes
+}
+
 func (b *Budget) release(now time.Duration, bytes int64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -107,5 +114,11 @@
 	r.bytes -= bytes
 }
 
+// Cancel gives all back for a request that is refused. The reservation is empty then.
+func (r *Reservation) Cancel() {
+	r.budget.cancel(r.bytes)
+	r.bytes = 0
+}
+
 // Release gives all back. The reservation is empty then.
 func (r *Reservation) Release(now time.Duration) { r.Shrink(now, r.bytes) }
--- a/internal/serving/memorybudget/budget_test.go
+++ b/internal/serving/memorybudget/budget_test.go
@@ -64,6 +64,19 @@
 	}
 }
 
+// TestRefusedRequestsMakeNoRoom cancels reservations: that tells nothing of when memory becomes free.
+func TestRefusedRequestsMakeNoRoom(t *testing.T) {
+	budget := New(1000)
+	reservation := budget.Open()
+	if !reservation.Admit(500) {
+		t.Fatal("no room")
+	}
+	reservation.Cancel()
+	if got := budget.RetryAfter(0, 100); got != maxRetryAfter || budget.Reserved() != 0 {
+		t.Errorf("%v, %d bytes reserved", got, budget.Reserved())
+	}
+}
+
 // TestUnlimited refuses nothing without a limit.
 func TestUnlimited(t *testing.T) {
 	if !New(0).Open().Admit(1 << 40) {
