Gateway tests: the requests for a peer's endpoints end with their test

Cause, shown by a trace that listens again at the addresses of ended tests: in the cases of TestBootstrapFromPeer whose peer is of no use, the last check held before discovery had responded, the test ended, and its gateway went on to ask GET /admin/list at the peer's port, every 0.5 s until the end of the process (two cases, 16 requests each in 8 s). TestLongBodies's worker got that port, answered 12 MiB, and the asking gateway held them. Change: each case waits until the requests end, as discovery's response should make them; no stray request is left in the trace. TestBootstrapFromPeer passes 3 of 3, TestLongBodies 20 of 20 alone.

--- a/internal/gateway/lifecycle/bootstrap_test.go
+++ b/internal/gateway/lifecycle/bootstrap_test.go
@@ -118,6 +118,12 @@
 				"a peer's endpoints outlive discovery's response",
 				func() bool { return d.gateway.dispatcher.Tally().Workers == 2 },
 			)
+			// Requests that went on would reach whichever server of a later test gets the peer's port.
+			waitFor(
+				t,
+				"the peer is still asked after discovery's response",
+				func() bool { return !d.gateway.requestingEndpoints.Load() },
+			)
 		})
 	}
 }
