--- a/internal/gateway/lifecycle/worker_endings_test.go
+++ b/internal/gateway/lifecycle/worker_endings_test.go
@@ -438,7 +438,7 @@
 	x.readPartial(1 << 10)
 	// As in a goroutine's stack.
 	write := runtime.FuncForPC(reflect.ValueOf((*transport.WorkerConn).Write).Pointer()).Name()
-	stack := make([]byte, 1<<20)
+	stack := make([]byte, 8<<20) // of all goroutines, also those that earlier tests left
 	waitFor(t, "the body is still being sent", func() bool {
 		for _, s := range strings.Split(string(stack[:runtime.Stack(stack, true)]), "\n\n") {
 			if strings.Contains(s, "[IO wait") && strings.Contains(s, write+"(") {
--- a/internal/serving/edge/edge.go
+++ b/internal/serving/edge/edge.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"willowdeck/internal/serving/connlimit"
 	"willowdeck/internal/serving/drain"
 	"willowdeck/internal/serving/framing"
 	"willowdeck/internal/serving/memorybudget"
@@ -102,8 +103,7 @@
 	go e.runMaintenance(ctx)
 	go e.runHealthChecks(ctx)
 	go e.exchangeDatagrams(ctx)
-	connectionMemory := e.settings.MemoryLimitBytes / 10 * connectionMemoryTenths
-	server := newFrontServer(front, e, e.connectionLimits, connectionMemory)
+	server := newFrontServer(front, e, e.connectionLimits, connlimit.ShareOf(e.settings.MemoryLimitBytes))
 	go server.serve()
 	e.logger.Info("edge started", zap.String("front", e.settings.FrontAddress))
 	<-signals
--- a/internal/serving/edge/frontserver.go
+++ b/internal/serving/edge/frontserver.go
@@ -5,13 +5,13 @@
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"willowdeck/internal/serving/configuration"
+	"willowdeck/internal/serving/connlimit"
 )
 
 // acceptBackoff is the pause after a failed accept, as when the process has no descriptor left.
@@ -55,10 +55,7 @@
 	handler  http.Handler
 	listener net.Listener
 	limits   func() connectionLimits // in force now
-	// memoryBytes is what all connections may take together; 0: not limited.
-	memoryBytes int64
-	open        atomic.Int64 // connections that are served
-	refusing    atomic.Int64 // connections that get a rejection
+	memory   *connlimit.Limiter      // of the connections
 
 	mu      sync.Mutex // guards what follows
 	servers map[connectionLimits]*limitedServer
@@ -74,7 +71,7 @@
 func newFrontServer(listener net.Listener, handler http.Handler,
 	limits func() connectionLimits, memoryBytes int64) *frontServer {
 	return &frontServer{
-		handler: handler, listener: listener, limits: limits, memoryBytes: memoryBytes,
+		handler: handler, listener: listener, limits: limits, memory: connlimit.New(memoryBytes),
 		servers: map[connectionLimits]*limitedServer{},
 	}
 }
@@ -84,6 +81,7 @@
 	return &http.Server{
 		Handler: handler, ReadHeaderTimeout: limits.headTimeout, IdleTimeout: limits.idleTimeout,
 		MaxHeaderBytes: limits.headBytes, ErrorLog: zap.NewStdLog(zap.NewNop()),
+		ConnState: connlimit.TrackState,
 	}
 }
 
@@ -98,15 +96,14 @@
 			time.Sleep(acceptBackoff)
 			continue
 		}
-		limits := f.limits()
-		counted, ok := f.admit(connection, limits)
+		admitted, ok := f.memory.Admit(connection)
 		if !ok {
-			go f.refuse(connection)
+			go f.memory.Refuse(connection)
 			continue
 		}
-		server := f.serverFor(limits)
-		if server == nil || !server.listener.handOver(counted) {
-			_ = counted.Close() // the front is shut down
+		server := f.serverFor(f.limits())
+		if server == nil || !server.listener.handOver(admitted) {
+			_ = admitted.Close() // the front is shut down
 		}
 	}
 }
--- a/internal/serving/edge/frontserver_test.go
+++ b/internal/serving/edge/frontserver_test.go
@@ -7,6 +7,9 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
+	"strconv"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -111,8 +114,11 @@
 func TestConnectionsAreLimitedByMemory(t *testing.T) {
 	var limits atomic.Pointer[connectionLimits]
 	limits.Store(&defaultConnectionLimits)
-	const connections = 3
-	memoryBytes := connections * int64(connectionBytes+defaultConnectionLimits.headBytes)
+	const (
+		memoryBytes     = 160 << 10
+		connectionBytes = 24 << 10 // of each
+	)
+	connections := memoryBytes * 3 / 4 / connectionBytes // a quarter is for the heads of requests
 	front, address := startFront(t, &limits, memoryBytes)
 	var open []*client
 	for range connections {
@@ -128,8 +134,12 @@
 		response.Header.Get("Retry-After") == "" || !response.Close {
 		t.Fatalf("response %+v, error %v", response, err)
 	}
+	reserved := front.memory.Reserved()
+	if reserved > memoryBytes {
+		t.Errorf("%d bytes are reserved", reserved)
+	}
 	open[0].Close()
-	for began := time.Now(); front.open.Load() == connections; time.Sleep(time.Millisecond) {
+	for began := time.Now(); front.memory.Reserved() == reserved; time.Sleep(time.Millisecond) {
 		if time.Since(began) > frontTestTimeout {
 			t.Fatal("a connection that has ended counts")
 		}
@@ -167,3 +177,57 @@
 		t.Error("a server is started after the shutdown")
 	}
 }
+
+// TestUnfinishedHeadsStayWithinTheMemory has clients send heads of short fields, within the limit on a head,
+// and not their ends: what an edge holds for all of them together is bounded, and a head that does not fit
+// gets 503 with a time to come back. Without a bound a few hundred connections take the edge over its memory.
+func TestUnfinishedHeadsStayWithinTheMemory(t *testing.T) {
+	const (
+		memoryBytes = 16 << 20
+		connections = 400
+		headBytes   = 16 << 10
+	)
+	var limits atomic.Pointer[connectionLimits]
+	limits.Store(&connectionLimits{headBytes: headBytes, headTimeout: time.Minute, idleTimeout: time.Minute})
+	_, address := startFront(t, &limits, memoryBytes)
+	head := shortFields(headBytes)
+	before := heapInUse()
+	clients := make([]*client, connections)
+	for i := range clients {
+		clients[i] = dialFront(t, address)
+		go fmt.Fprint(clients[i], head)
+	}
+	refused := 0
+	for _, c := range clients {
+		c.SetReadDeadline(time.Now().Add(20 * time.Millisecond))
+		response, err := http.ReadResponse(c.reader, nil)
+		if err != nil {
+			continue // the edge waits for the end of the head, or has too many to refuse
+		}
+		refused++
+		if response.StatusCode != http.StatusServiceUnavailable || response.Header.Get("Retry-After") == "" {
+			t.Errorf("response %+v", response)
+		}
+	}
+	if held := heapInUse() - before; held > memoryBytes || refused == 0 || refused == connections {
+		t.Errorf("%d bytes are held for %d connections; %d were refused", held, connections, refused)
+	}
+}
+
+// shortFields returns the begin of a head of so many bytes, in fields of few bytes each.
+func shortFields(bytes int) string {
+	var head strings.Builder
+	head.WriteString("GET / HTTP/1.1\r\nHost: h\r\n")
+	for field := 0; head.Len() < bytes; field++ {
+		head.WriteString(strconv.FormatInt(int64(field), 36) + ":\n")
+	}
+	return head.String()
+}
+
+// heapInUse returns how many bytes live objects take.
+func heapInUse() int64 {
+	var statistics runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&statistics)
+	return int64(statistics.HeapAlloc)
+}
--- a/internal/serving/edge/handler.go
+++ b/internal/serving/edge/handler.go
@@ -30,6 +30,12 @@
 	if e.gate.Draining() {
 		w.Header().Set("Connection", "close")
 	}
+	memory := e.requestMemory.Open()
+	defer func() { memory.Release(e.now()) }()
+	if !memory.Admit(requestOverheadBytes + headerMemory(r.Header)) {
+		e.rejectWithoutMemory(w, r, 0)
+		return
+	}
 	table := e.awaitTable(r.Context())
 	if table == nil {
 		reject(w, http.StatusServiceUnavailable, notReadyRetryAfter)
@@ -42,8 +48,6 @@
 		return
 	}
 	deadline := arrivedAt.Add(requestTimeout(r, route))
-	memory := e.requestMemory.Open()
-	defer func() { memory.Release(e.now()) }()
 	body, ok := e.receiveBody(w, r, table.limits, deadline, memory)
 	if !ok {
 		return
--- a/internal/serving/edge/memory.go
+++ b/internal/serving/edge/memory.go
@@ -65,16 +65,12 @@
 	}
 }
 
-// receiveBody reserves what a request holds and reads its body. It returns false where it has rejected the
-// request.
+// receiveBody reads a request's body, and reserves what that holds. It returns false where it has rejected
+// the request.
 func (e *Edge) receiveBody(
 	w http.ResponseWriter, r *http.Request, limits configuration.Limits, deadline time.Time,
 	memory *memorybudget.Reservation,
 ) (body [][]byte, ok bool) {
-	if !memory.Admit(requestOverheadBytes + headerMemory(r.Header)) {
-		e.rejectWithoutMemory(w, r, 0)
-		return nil, false
-	}
 	// A client that sends slowly holds memory no longer than its request may take.
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(deadline)
