Connection limits: a refused head is dropped before its client has been answered

A refused head kept its memory for up to a second, while what the client still sent was discarded, and 360 of 400 refused heads took 17,411,464 bytes where 16 MiB were for all (edge.TestUnfinishedHeadsStayWithinTheMemory, beside other tests). The server drops the head at once now; the response, and the discarding in 512 bytes, are the limiter's.

--- a/internal/serving/connlimit/connection.go
+++ b/internal/serving/connlimit/connection.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 
 	"github.com/pkg/errors"
 
@@ -22,13 +23,15 @@
 	receivingHead bool  // the next request's; else a handler has the request
 	unreserved    int64 // bytes of the head that memory does not hold yet
 	closed        bool
+
+	refused atomic.Bool // the limiter writes the response, and closes the connection
 }
 
 // Read reads from the connection. What has come of a head is reserved before more of it is read; most heads
 // come at once, and need no reservation.
 func (c *connection) Read(buffer []byte) (int, error) {
 	if missing, ok := c.reserveHead(); !ok {
-		c.limiter.writeRefusal(c.Conn, missing)
+		c.refuse(missing)
 		return 0, &net.OpError{Op: "read", Net: "tcp", Err: errNoMemory} // the server writes nothing then
 	}
 	n, err := c.Conn.Read(buffer)
@@ -56,6 +59,15 @@
 	return 0, true
 }
 
+// refuse answers a head for which bytes of memory are missing. The server drops the head meanwhile.
+func (c *connection) refuse(missing int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.closed && c.refused.CompareAndSwap(false, true) {
+		go c.limiter.refuse(c.Conn, missing, func() error { return nil })
+	}
+}
+
 // beginHead records that the next request is due.
 func (c *connection) beginHead() {
 	c.mu.Lock()
@@ -73,8 +85,21 @@
 	}
 }
 
+// Write writes to the connection, unless its client gets a refusal.
+func (c *connection) Write(buffer []byte) (int, error) {
+	if c.refused.Load() {
+		return 0, errNoMemory
+	}
+	return c.Conn.Write(buffer)
+}
+
 // CloseWrite ends the sending, where the connection has such an end.
-func (c *connection) CloseWrite() error { return closeWrite(c.Conn) }
+func (c *connection) CloseWrite() error {
+	if c.refused.Load() {
+		return nil
+	}
+	return closeWrite(c.Conn)
+}
 
 func closeWrite(c net.Conn) error {
 	if half, ok := c.(interface{ CloseWrite() error }); ok {
@@ -86,10 +111,13 @@
 // Close closes the connection.
 func (c *connection) Close() error {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	if !c.closed {
 		c.closed = true
 		c.memory.Release(c.limiter.now())
 	}
-	c.mu.Unlock()
+	if c.refused.Load() {
+		return nil
+	}
 	return c.Conn.Close()
 }
--- a/internal/serving/connlimit/limiter.go
+++ b/internal/serving/connlimit/limiter.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -22,7 +21,7 @@
 	maxRefusing           = 512         // connections that get a rejection at one time; others are closed
 	refusalTimeout        = time.Second // for the rejection, and for what the client sends meanwhile
 	maxDiscardedOfRefusal = 64 << 10
-	firstBytesOfARefusal  = 512
+	refusalBufferBytes    = 512
 )
 
 // Limiter bounds the memory of connections. It is safe for concurrent use.
@@ -72,27 +71,42 @@
 
 // Refuse answers a connection for which there is no memory, and closes it.
 func (l *Limiter) Refuse(refused net.Conn) {
+	l.refuse(refused, connectionBytes, func() error {
+		_, err := refused.Read(make([]byte, refusalBufferBytes))
+		return err // where the client has sent no request
+	})
+}
+
+// refuse answers a request for which bytes of memory are missing, after awaitRequest, and closes the
+// connection.
+func (l *Limiter) refuse(refused net.Conn, bytes int64, awaitRequest func() error) {
 	defer refused.Close()
 	defer l.refusing.Add(-1)
 	if l.refusing.Add(1) > maxRefusing {
 		return
 	}
 	_ = refused.SetDeadline(time.Now().Add(refusalTimeout))
-	if _, err := refused.Read(make([]byte, firstBytesOfARefusal)); err != nil {
-		return // the client has sent no request
+	if awaitRequest() != nil {
+		return
 	}
-	l.writeRefusal(refused, connectionBytes)
-}
-
-// writeRefusal writes the response to a request for which bytes of memory are missing, and ends the sending.
-func (l *Limiter) writeRefusal(refused net.Conn, bytes int64) {
-	_ = refused.SetDeadline(time.Now().Add(refusalTimeout))
 	const head = "HTTP/1.1 %d %s\r\nRetry-After: %.3f\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 	fmt.Fprintf(refused, head, http.StatusServiceUnavailable,
 		http.StatusText(http.StatusServiceUnavailable), l.memory.RetryAfter(l.now(), bytes).Seconds())
 	_ = closeWrite(refused)
-	// Closing a connection with unread bytes resets it, which would lose the client the response.
-	_, _ = io.Copy(io.Discard, io.LimitReader(refused, maxDiscardedOfRefusal))
+	discard(refused)
+}
+
+// discard reads what a refused client still sends: closing a connection with unread bytes resets it, which
+// would lose the client the response.
+func discard(refused net.Conn) {
+	buffer := make([]byte, refusalBufferBytes)
+	for left := maxDiscardedOfRefusal; left > 0; {
+		n, err := refused.Read(buffer)
+		if err != nil {
+			return
+		}
+		left -= n
+	}
 }
 
 // Listener returns a listener of the connections of another one that there is memory for.
--- a/internal/serving/edge/frontserver_test.go
+++ b/internal/serving/edge/frontserver_test.go
@@ -192,15 +192,15 @@
 	_, address := startFront(t, &limits, memoryBytes)
 	head := shortFields(headBytes)
 	before := heapInUse()
-	clients := make([]*client, connections)
+	clients := make([]net.Conn, connections)
 	for i := range clients {
-		clients[i] = dialFront(t, address)
-		go fmt.Fprint(clients[i], head)
+		clients[i] = dialFront(t, address).Conn
+		go io.WriteString(clients[i], head)
 	}
 	refused := 0
 	for _, c := range clients {
 		c.SetReadDeadline(time.Now().Add(20 * time.Millisecond))
-		response, err := http.ReadResponse(c.reader, nil)
+		response, err := http.ReadResponse(bufio.NewReaderSize(c, 64), nil)
 		if err != nil {
 			continue // the edge waits for the end of the head, or has too many to refuse
 		}
