--- a/internal/serving/core/controlplane.go
+++ b/internal/serving/core/controlplane.go
@@ -48,16 +48,11 @@
 		return
 	}
 	memory := c.configurationMemory.Open()
-	defer func() { memory.Release(time.Since(c.started)) }()
-	if !memory.Admit(configurationBytes(r)) {
-		retryAfter := c.configurationMemory.RetryAfter(time.Since(c.started), configurationBytes(r))
-		w.Header().Set(headerRetryAfter, strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
-		writeError(w, http.StatusServiceUnavailable, "configuration: others are being read: send the same again")
+	defer func() { memory.Release(c.now()) }()
+	if !c.admit(w, c.configurationMemory, memory, bodyBytes(r, maxConfigurationBytes)) {
 		return
 	}
-	// Writers without deadlines, as in tests, need no limit.
-	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(configurationTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxConfigurationBytes))
+	body, err := readBody(w, r, maxConfigurationBytes, configurationTimeout)
 	if err != nil {
 		var tooLarge *http.MaxBytesError
 		if errors.As(err, &tooLarge) {
@@ -80,14 +75,6 @@
 	writeOutcome(w, c.submitAndWait(command).Outcome)
 }
 
-// configurationBytes returns how long the configuration in a request may be.
-func configurationBytes(r *http.Request) int64 {
-	if r.ContentLength < 0 {
-		return maxConfigurationBytes
-	}
-	return min(r.ContentLength, maxConfigurationBytes)
-}
-
 // submitAndWait submits a command, or a linearizable read where command is nil, and waits for its outcome.
 // The outcome is unknown where the process stops meanwhile.
 func (c *Core) submitAndWait(command *wirepb.Command) *wirepb.CallReply {
@@ -113,12 +100,21 @@
 		writeError(w, http.StatusNotFound, "there is no configuration yet: send one with Base-Version 0")
 		return
 	}
-	body, err := statemachine.Decompress(reply.Body)
+	c.writeConfiguration(w, reply.Body)
+}
+
+// writeConfiguration responds with a compressed configuration. It is decompressed as it is sent: readers, also
+// slow ones, hold none of it.
+func (c *Core) writeConfiguration(w http.ResponseWriter, compressed []byte) {
+	length, err := io.Copy(io.Discard, statemachine.NewDecompressor(compressed))
 	if err != nil {
 		writeError(w, http.StatusInternalServerError, err.Error())
 		return
 	}
-	writeBody(w, http.StatusOK, body)
+	// Writers without deadlines, as in tests, need no limit.
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(configurationTimeout))
+	writeHead(w, http.StatusOK, length)
+	_, _ = io.Copy(w, statemachine.NewDecompressor(compressed)) // the caller has gone, or gets a truncated body
 }
 
 // setEvacuation returns the handler that starts (active) or stops the evacuation of a zone.
--- a/internal/serving/core/core.go
+++ b/internal/serving/core/core.go
@@ -11,12 +11,14 @@
 	"os"
 	"os/signal"
 	"strconv"
+	"sync"
 	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"willowdeck/internal/serving/connlimit"
 	"willowdeck/internal/serving/consensus"
 	"willowdeck/internal/serving/control"
 	"willowdeck/internal/serving/framing"
@@ -52,6 +54,10 @@
 	tallies             *tally.Replica // owned by the core's goroutine
 	tallyWriter         *tallyWriter
 	configurationMemory *memorybudget.Budget // of the operators' configurations that are being handled
+	reportMemory        *memorybudget.Budget // of workers' reports and adds to tallies that are being handled
+	connections         *connlimit.Limiter   // of callers of the control plane and the directory
+	linkMemory          *memorybudget.Budget // of the inbound links of other cores and of agents
+	frameMemory         *memorybudget.Budget // of the long messages on those links
 
 	links      map[string]*peerLink // by internal address; owned by the core's goroutine
 	nextReload time.Time            // of the settings; owned by the core's goroutine
@@ -85,6 +91,10 @@
 		internalAddress: net.JoinHostPort(config.IP, strconv.Itoa(config.FirstInternalPort)),
 		events:          make(chan func(), eventQueueCapacity), stop: make(chan struct{}),
 		links: map[string]*peerLink{}, configurationMemory: memorybudget.New(configurationMemoryBytes),
+		reportMemory: newReportMemory(config.MemoryLimitBytes),
+		connections:  connlimit.New(connlimit.ShareOf(config.MemoryLimitBytes)),
+		linkMemory:   memorybudget.New(config.MemoryLimitBytes / 10 * linkMemoryTenths),
+		frameMemory:  framing.NewFrameMemory(config.MemoryLimitBytes),
 	}
 	opened, err := openReplica(config, logger)
 	if err != nil {
@@ -152,15 +162,24 @@
 	status := c.engine.Status()
 	c.logger.Info("core started", zap.String("replica", status.Replica), zap.Strings("members", status.Members))
 	c.run(signals)
-	ctx, cancel := context.WithTimeout(context.Background(), httpShutdownTimeout)
-	defer cancel()
-	_ = controlPlane.Shutdown(ctx) // requests that outlast the time-out are cut off by the end of the process
-	_ = directory.Shutdown(ctx)
+	shutDown(controlPlane, directory)
 	_ = internalListener.Close()
 	c.logger.Info("core stopped")
 	return nil
 }
 
+// shutDown ends servers together, so that requests at one of them take no time from those at another one.
+// Requests that outlast the time-out are cut off by the end of the process.
+func shutDown(servers ...*http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), httpShutdownTimeout)
+	defer cancel()
+	var stopping sync.WaitGroup
+	for _, server := range servers {
+		stopping.Go(func() { _ = server.Shutdown(ctx) })
+	}
+	stopping.Wait()
+}
+
 // listenHTTP starts a server at the address that the settings give for key.
 func (c *Core) listenHTTP(key, address string, handler http.Handler) (*http.Server, error) {
 	if address == "" {
@@ -172,9 +191,9 @@
 	}
 	server := &http.Server{
 		Handler: handler, ReadHeaderTimeout: httpReadHeaderTimeout, IdleTimeout: httpIdleTimeout,
-		MaxHeaderBytes: httpMaxHeaderBytes,
+		MaxHeaderBytes: httpMaxHeaderBytes, ConnState: connlimit.TrackState,
 	}
-	go func() { _ = server.Serve(listener) }() // returns after Shutdown
+	go func() { _ = server.Serve(c.connections.Listener(listener)) }() // returns after Shutdown
 	return server, nil
 }
 
--- a/internal/serving/core/links.go
+++ b/internal/serving/core/links.go
@@ -14,6 +14,9 @@
 const (
 	peerIdleTimeout = 3 * time.Second       // after which an inbound link without envelopes is closed
 	acceptBackoff   = 50 * time.Millisecond // after a failed accept
+
+	linkBytes        = 40 << 10 // of an inbound link: stacks and buffers
+	linkMemoryTenths = 1        // part of the process's memory that inbound links may take together
 )
 
 // updateLinks creates and closes links, so that there is one to each core that the engine names.
@@ -45,7 +48,17 @@
 				continue
 			}
 		}
-		go c.serveLink(framing.NewConn(accepted, linkWriteTimeout))
+		memory := c.linkMemory.Open()
+		if !memory.Admit(linkBytes) {
+			_ = accepted.Close() // agents go to another core, cores connect again
+			continue
+		}
+		go func() {
+			defer memory.Cancel()
+			connection := framing.NewConn(accepted, linkWriteTimeout)
+			connection.LimitFrames(c.frameMemory)
+			c.serveLink(connection)
+		}()
 	}
 }
 
@@ -61,7 +74,16 @@
 			c.serveAgent(connection, request)
 			return
 		}
-		if !c.enqueue(func() { c.handleEnvelope(envelope) }) {
+		handled := make(chan struct{})
+		if !c.enqueue(func() { c.handleEnvelope(envelope); close(handled) }) {
+			return
+		}
+		if !connection.HoldsMemory() {
+			continue
+		}
+		select { // before the memory of a long envelope is given back
+		case <-handled:
+		case <-c.stop:
 			return
 		}
 	}
--- a/internal/serving/core/responses.go
+++ b/internal/serving/core/responses.go
@@ -24,10 +24,15 @@
 
 // writeBody writes a response with a JSON body.
 func writeBody(w http.ResponseWriter, status int, body []byte) {
+	writeHead(w, status, int64(len(body)))
+	_, _ = w.Write(body) // the caller has gone, or gets a truncated body
+}
+
+// writeHead writes the head of a response with a JSON body of so many bytes.
+func writeHead(w http.ResponseWriter, status int, length int64) {
 	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.Header().Set("Content-Length", strconv.FormatInt(length, 10))
 	w.WriteHeader(status)
-	_, _ = w.Write(body) // the caller has gone, or gets a truncated body
 }
 
 // writeError writes an error response.
--- a/internal/serving/core/tallies.go
+++ b/internal/serving/core/tallies.go
@@ -62,6 +62,11 @@
 // updateTally adds to a tally. An add that may count is never rejected: where its outcome is not known in
 // time, the status is 504, and the caller may send it again to any core.
 func (c *Core) updateTally(w http.ResponseWriter, r *http.Request) {
+	memory := c.reportMemory.Open()
+	defer func() { memory.Release(c.now()) }()
+	if !c.admit(w, c.reportMemory, memory, reportMemoryFactor*bodyBytes(r, maxTallyBodyBytes)) {
+		return
+	}
 	add, err := readTallyAdd(w, r)
 	if errors.Is(err, errTallyBodyTooLarge) {
 		writeError(w, http.StatusRequestEntityTooLarge, err.Error())
--- a/internal/serving/core/tallyrequest.go
+++ b/internal/serving/core/tallyrequest.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"encoding/json"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -43,9 +42,7 @@
 	if err != nil {
 		return tally.Add{}, err
 	}
-	// Writers without deadlines, as in tests, need no limit.
-	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(tallyBodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxTallyBodyBytes))
+	body, err := readBody(w, r, maxTallyBodyBytes, tallyBodyTimeout)
 	if err != nil {
 		var tooLarge *http.MaxBytesError
 		if errors.As(err, &tooLarge) {
--- a/internal/serving/core/workers.go
+++ b/internal/serving/core/workers.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"io"
 	"net"
 	"net/http"
 
@@ -38,8 +37,13 @@
 
 // heartbeat handles a heartbeat of a worker's incarnation.
 func (c *Core) heartbeat(w http.ResponseWriter, r *http.Request) {
+	memory := c.reportMemory.Open()
+	defer func() { memory.Release(c.now()) }()
+	if !c.admit(w, c.reportMemory, memory, reportMemoryFactor*bodyBytes(r, maxHeartbeatBytes)) {
+		return
+	}
 	var body heartbeatRequest
-	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxHeartbeatBytes))
+	text, err := readBody(w, r, maxHeartbeatBytes, reportTimeout)
 	if err == nil {
 		err = json.Unmarshal(text, &body)
 	}
--- a/internal/serving/statemachine/compression.go
+++ b/internal/serving/statemachine/compression.go
@@ -26,11 +26,14 @@
 	return buffer.Bytes(), nil
 }
 
-// Decompress returns the configuration that Compress compressed.
-func Decompress(compressed []byte) ([]byte, error) {
-	return io.ReadAll(flate.NewReader(bytes.NewReader(compressed)))
+// NewDecompressor returns a reader of the configuration that Compress compressed.
+func NewDecompressor(compressed []byte) io.Reader {
+	return flate.NewReader(bytes.NewReader(compressed))
 }
 
+// Decompress returns the configuration that Compress compressed.
+func Decompress(compressed []byte) ([]byte, error) { return io.ReadAll(NewDecompressor(compressed)) }
+
 // readCompressed parses a compressed configuration.
 func readCompressed(compressed []byte) (*configuration.Document, error) {
 	body, err := Decompress(compressed)
