--- a/internal/serving/workerlink/headlimit_test.go
+++ b/internal/serving/workerlink/headlimit_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"github.com/pkg/errors"
@@ -136,3 +137,21 @@
 		connection.Close()
 	}
 }
+
+// TestSlowHeadIsReservedByItsBytes has a worker send a head byte by byte: as much memory is reserved as the
+// head takes, however many reads it came in.
+func TestSlowHeadIsReservedByItsBytes(t *testing.T) {
+	const headBytes = 2 * unreservedHeadBytes
+	reserved := int64(0)
+	limiter := &headLimiter{source: iotest.OneByteReader(strings.NewReader(strings.Repeat("y", headBytes)))}
+	limiter.begin(func(bytes int64) bool {
+		reserved += bytes
+		return true
+	})
+	if _, err := io.ReadAll(limiter); err != nil {
+		t.Fatal(err)
+	}
+	if want := int64(headBytes-unreservedHeadBytes) * headMemoryFactor; reserved != want {
+		t.Errorf("%d bytes are reserved for %d of a head, want %d", reserved, headBytes, want)
+	}
+}
