--- a/internal/serving/core/controlplane.go
+++ b/internal/serving/core/controlplane.go
@@ -103,8 +103,8 @@
 	c.writeConfiguration(w, reply.Body)
 }
 
-// writeConfiguration responds with a compressed configuration. It is decompressed as it is sent: readers, also
-// slow ones, hold none of it.
+// writeConfiguration responds with a compressed configuration. It is decompressed as it is sent: readers,
+// also slow ones, hold none of it.
 func (c *Core) writeConfiguration(w http.ResponseWriter, compressed []byte) {
 	length, err := io.Copy(io.Discard, statemachine.NewDecompressor(compressed))
 	if err != nil {
--- a/internal/serving/workerlink/headlimit.go
+++ b/internal/serving/workerlink/headlimit.go
@@ -37,7 +37,8 @@
 // end lifts the limit: the head is complete.
 func (l *headLimiter) end() { l.limited, l.reserve = false, nil }
 
-// Read reads from the connection, once what has come of the head before is reserved. It returns errHeadTooLong where the head has come to its limit.
+// Read reads from the connection, once what has come of the head before is reserved. It returns
+// errHeadTooLong where the head has come to its limit.
 func (l *headLimiter) Read(buffer []byte) (int, error) {
 	if !l.limited {
 		return l.source.Read(buffer)
