--- a/internal/serving/connlimit/limiter.go
+++ b/internal/serving/connlimit/limiter.go
@@ -11,8 +11,6 @@
 )
 
 const (
-	// memoryTenths is the part of a process's memory that is for clients' connections.
-	memoryTenths = 2
 	// connectionBytes is what a connection takes besides a request's head: stacks and buffers.
 	connectionBytes = 24 << 10
 	// headMemoryFactor is how much more memory a head takes than bytes were received, in short lines.
@@ -31,9 +29,6 @@
 	refusing atomic.Int64 // connections that get a rejection
 }
 
-// ShareOf returns which part of a process's memory is for clients' connections; 0 stands for no limit.
-func ShareOf(processBytes int64) int64 { return processBytes / 10 * memoryTenths }
-
 // New returns a limiter whose connections take so many bytes together at most; 0 stands for no limit.
 func New(memoryBytes int64) *Limiter {
 	return &Limiter{memory: memorybudget.New(memoryBytes), started: time.Now()}
--- a/internal/serving/core/core.go
+++ b/internal/serving/core/core.go
@@ -92,7 +92,7 @@
 		events:          make(chan func(), eventQueueCapacity), stop: make(chan struct{}),
 		links: map[string]*peerLink{}, configurationMemory: memorybudget.New(configurationMemoryBytes),
 		reportMemory: newReportMemory(config.MemoryLimitBytes),
-		connections:  connlimit.New(connlimit.ShareOf(config.MemoryLimitBytes)),
+		connections:  connlimit.New(config.MemoryLimitBytes / 10 * connectionMemoryTenths),
 		linkMemory:   memorybudget.New(config.MemoryLimitBytes / 10 * linkMemoryTenths),
 		frameMemory:  framing.NewFrameMemory(config.MemoryLimitBytes),
 	}
--- a/internal/serving/core/requestmemory.go
+++ b/internal/serving/core/requestmemory.go
@@ -10,6 +10,9 @@
 )
 
 const (
+	// connectionMemoryTenths is the part of the process's memory that the connections of callers may take
+	// together: hundreds of workers keep theirs.
+	connectionMemoryTenths = 3
 	// reportMemoryTwentieths is the part of the process's memory that the bodies of workers' reports and of
 	// adds to tallies may take together.
 	reportMemoryTwentieths = 2
--- a/internal/serving/edge/edge.go
+++ b/internal/serving/edge/edge.go
@@ -14,7 +14,6 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
-	"willowdeck/internal/serving/connlimit"
 	"willowdeck/internal/serving/drain"
 	"willowdeck/internal/serving/framing"
 	"willowdeck/internal/serving/memorybudget"
@@ -103,7 +102,7 @@
 	go e.runMaintenance(ctx)
 	go e.runHealthChecks(ctx)
 	go e.exchangeDatagrams(ctx)
-	server := newFrontServer(front, e, e.connectionLimits, connlimit.ShareOf(e.settings.MemoryLimitBytes))
+	server := newFrontServer(front, e, e.connectionLimits, e.settings.MemoryLimitBytes/10*connectionMemoryTenths)
 	go server.serve()
 	e.logger.Info("edge started", zap.String("front", e.settings.FrontAddress))
 	<-signals
--- a/internal/serving/edge/memory.go
+++ b/internal/serving/edge/memory.go
@@ -17,6 +17,8 @@
 const (
 	// requestMemoryTenths is the part of the process's memory that requests may hold together.
 	requestMemoryTenths = 5
+	// connectionMemoryTenths is the part that clients' connections may take together.
+	connectionMemoryTenths = 2
 	// requestOverheadBytes is what a request holds besides its headers and bodies: stacks, and the buffers of
 	// the client's and the worker's connections.
 	requestOverheadBytes = 48 << 10
