Core: the time limit for reading the configuration ends with the response

Found on reading again: a write deadline stays on the connection, so that later responses on it, 20 s after a Config.Get, would have been lost.

--- a/internal/serving/core/requestmemory_test.go
+++ b/internal/serving/core/requestmemory_test.go
@@ -144,6 +144,35 @@
 	ended.Wait()
 }
 
+// deadlineWriter is a response that records the write deadline of its connection.
+type deadlineWriter struct {
+	*httptest.ResponseRecorder
+	deadlines []time.Time
+}
+
+func (w *deadlineWriter) SetWriteDeadline(deadline time.Time) error {
+	w.deadlines = append(w.deadlines, deadline)
+	return nil
+}
+
+// TestConfigurationLeavesNoWriteDeadline reads the configuration: the time limit for that ends with the
+// response. It would end later responses on the same connection, since a server does not reset it.
+func TestConfigurationLeavesNoWriteDeadline(t *testing.T) {
+	c, _ := goldenCore(t)
+	compressed, err := statemachine.Compress([]byte("{}"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := &deadlineWriter{ResponseRecorder: httptest.NewRecorder()}
+	c.writeConfiguration(w, compressed)
+	if len(w.deadlines) != 2 || w.deadlines[0].IsZero() || !w.deadlines[1].IsZero() || !w.Flushed {
+		t.Errorf("deadlines %v, sent: %v", w.deadlines, w.Flushed)
+	}
+	if w.Body.String() != "{}" {
+		t.Errorf("body %q", w.Body.String())
+	}
+}
+
 // liveBytes returns how many bytes live objects take.
 func liveBytes() int64 {
 	var statistics runtime.MemStats
