--- a/internal/serving/connlimit/limiter_test.go
+++ b/internal/serving/connlimit/limiter_test.go
@@ -77,7 +77,8 @@
 	}
 }
 
-// TestSlowHeadIsServed sends a head byte by byte, with memory enough: it is served, and gives its memory back.
+// TestSlowHeadIsServed sends a head byte by byte, with memory enough: it is served, and gives its memory
+// back.
 func TestSlowHeadIsServed(t *testing.T) {
 	limiter := New(256 << 10)
 	connection := dial(t, startServer(t, limiter))
