--- a/internal/serving/edge/frontserver_test.go
+++ b/internal/serving/edge/frontserver_test.go
@@ -21,18 +21,18 @@
 
 // startFront serves "ok" on loopback by limits that the test may replace, and returns the address.
 func startFront(
-	t *testing.T, limits *atomic.Pointer[connectionLimits], memoryBytes int64,
+	tb testing.TB, limits *atomic.Pointer[connectionLimits], memoryBytes int64,
 ) (*frontServer, string) {
-	t.Helper()
+	tb.Helper()
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
 	handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") })
 	front := newFrontServer(listener, handler, func() connectionLimits { return *limits.Load() },
 		memoryBytes)
 	go front.serve()
-	t.Cleanup(func() {
+	tb.Cleanup(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
 		front.Shutdown(ctx)
@@ -46,24 +46,24 @@
 	reader *bufio.Reader
 }
 
-func dialFront(t *testing.T, address string) *client {
-	t.Helper()
+func dialFront(tb testing.TB, address string) *client {
+	tb.Helper()
 	connection, err := net.Dial("tcp4", address)
 	if err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
-	t.Cleanup(func() { connection.Close() })
+	tb.Cleanup(func() { connection.Close() })
 	_ = connection.SetDeadline(time.Now().Add(frontTestTimeout))
 	return &client{Conn: connection, reader: bufio.NewReader(connection)}
 }
 
 // request sends a request with a header of so many bytes and returns the response's status.
-func (c *client) request(t *testing.T, headerBytes int) int {
-	t.Helper()
+func (c *client) request(tb testing.TB, headerBytes int) int {
+	tb.Helper()
 	fmt.Fprintf(c, "GET / HTTP/1.1\r\nHost: h\r\nX: %0*d\r\n\r\n", headerBytes, 0)
 	response, err := http.ReadResponse(c.reader, nil)
 	if err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
 	_, _ = io.Copy(io.Discard, response.Body)
 	return response.StatusCode
@@ -231,3 +231,33 @@
 	runtime.ReadMemStats(&statistics)
 	return int64(statistics.HeapAlloc)
 }
+
+// BenchmarkFrontRequest measures a request without a body on a kept connection to the front alone.
+func BenchmarkFrontRequest(b *testing.B) {
+	var limits atomic.Pointer[connectionLimits]
+	limits.Store(&defaultConnectionLimits)
+	_, address := startFront(b, &limits, 64<<20)
+	c := dialFront(b, address)
+	_ = c.SetDeadline(time.Time{})
+	b.ReportAllocs()
+	for b.Loop() {
+		if status := c.request(b, 400); status != http.StatusOK {
+			b.Fatal(status)
+		}
+	}
+}
+
+// BenchmarkFrontConnection measures a connection with one request.
+func BenchmarkFrontConnection(b *testing.B) {
+	var limits atomic.Pointer[connectionLimits]
+	limits.Store(&defaultConnectionLimits)
+	_, address := startFront(b, &limits, 64<<20)
+	b.ReportAllocs()
+	for b.Loop() {
+		c := dialFront(b, address)
+		if status := c.request(b, 400); status != http.StatusOK {
+			b.Fatal(status)
+		}
+		_ = c.Close()
+	}
+}
