Edge: a client that does not read its response holds memory for its request's time only

What was seen: a request whose client reads nothing kept its reservation for as long as the connection lasted (559,630 bytes after 5.3 s, deadline 0.3 s), so that others were refused with a Retry-After that was too short; a slow body has had a limit since. Change: a response has to be written 3 s after the request's deadline, a rejection 10 s after the arrival. edge.TestClientThatDoesNotReadHoldsMemoryForItsTimeOnly fails before, with the figure above.

--- a/internal/serving/core/controlplane.go
+++ b/internal/serving/core/controlplane.go
@@ -111,14 +111,10 @@
 		writeError(w, http.StatusInternalServerError, err.Error())
 		return
 	}
-	control := http.NewResponseController(w)
 	// Writers without deadlines, as in tests, need no limit.
-	_ = control.SetWriteDeadline(time.Now().Add(configurationTimeout))
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(configurationTimeout))
 	writeHead(w, http.StatusOK, length)
 	_, _ = io.Copy(w, statemachine.NewDecompressor(compressed)) // the caller has gone, or gets a truncated body
-	if control.Flush() == nil {
-		_ = control.SetWriteDeadline(time.Time{}) // it would end later responses on the connection
-	}
 }
 
 // setEvacuation returns the handler that starts (active) or stops the evacuation of a zone.
--- a/internal/serving/edge/handler.go
+++ b/internal/serving/edge/handler.go
@@ -27,6 +27,8 @@
 	e.gate.Enter()
 	defer e.gate.Leave()
 	arrivedAt := time.Now()
+	control := http.NewResponseController(w)
+	_ = control.SetWriteDeadline(arrivedAt.Add(rejectionTimeout))
 	if e.gate.Draining() {
 		w.Header().Set("Connection", "close")
 	}
@@ -48,6 +50,7 @@
 		return
 	}
 	deadline := arrivedAt.Add(requestTimeout(r, route))
+	_ = control.SetWriteDeadline(deadline.Add(slowReaderTimeout))
 	body, ok := e.receiveBody(w, r, table.limits, deadline, memory)
 	if !ok {
 		return
--- a/internal/serving/edge/memory.go
+++ b/internal/serving/edge/memory.go
@@ -27,6 +27,11 @@
 	headerCopies     = 3 // as received, without hop-by-hop headers, and as sent
 
 	discardTimeout = time.Second // for the rest of a rejected request's body
+	// rejectionTimeout is how long after its arrival a request without a route may hold its memory.
+	rejectionTimeout = 10 * time.Second
+	// slowReaderTimeout is how long after its deadline a request whose client does not read the response may
+	// hold its memory.
+	slowReaderTimeout = 3 * time.Second
 
 	minSegmentBytes = 4 << 10
 	maxSegmentBytes = 256 << 10
--- a/internal/serving/edge/memory_test.go
+++ b/internal/serving/edge/memory_test.go
@@ -194,3 +194,32 @@
 		t.Errorf("status %d for the next one", status)
 	}
 }
+
+// TestClientThatDoesNotReadHoldsMemoryForItsTimeOnly has a client read nothing of a long response: what its
+// request holds is free some time after its deadline. It was held for as long as the connection lasted.
+func TestClientThatDoesNotReadHoldsMemoryForItsTimeOnly(t *testing.T) {
+	const (
+		deadline = 300 * time.Millisecond
+		margin   = 2 * time.Second
+	)
+	w := newFakeWorker(t, complete(200, strings.Repeat("y", 32<<20), "Server-Signature: s"))
+	e, _ := startEdge(t, w)
+	_, server := serveFront(t, e)
+	connection, err := net.Dial("tcp4", strings.TrimPrefix(server.URL, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer connection.Close()
+	fmt.Fprintf(connection, "POST /once/x HTTP/1.1\r\nHost: h\r\nRequest-Id: q\r\nDeadline-Ms: %d\r\n"+
+		"Content-Length: 4\r\n\r\nbody", deadline.Milliseconds())
+	for w.count() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	begun := time.Now()
+	for e.requestMemory.Reserved() > 0 {
+		if time.Since(begun) > deadline+slowReaderTimeout+margin {
+			t.Fatalf("%d bytes are held after %v", e.requestMemory.Reserved(), time.Since(begun))
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
