Core: readers of configurations share memory; agents leave links to cores

Found on reading the change again. Agents could take all links that the memory of links bears, and shut out the other cores, so the quorum: they have three quarters of it now. core.TestReadersShareTheirMemory and core.TestLinksShareTheirMemory fail with either part taken out (trials). One constant for the time of a report and of an add, which were two; shares named by what divides them.

--- a/internal/serving/core/controlplane.go
+++ b/internal/serving/core/controlplane.go
@@ -20,7 +20,7 @@
 	// configurationMemoryBytes bounds the configurations that are handled at one time, by their bodies: the
 	// longest one fits into the part that new requests may fill.
 	configurationMemoryBytes = maxConfigurationBytes*4/3 + 4
-	configurationTimeout     = 20 * time.Second // for the body of a request
+	configurationTimeout     = 20 * time.Second // for receiving a configuration, and for sending one
 )
 
 // controlHandler returns the handler of the control plane, which operators and workers call.
@@ -100,11 +100,15 @@
 		writeError(w, http.StatusNotFound, "there is no configuration yet: send one with Base-Version 0")
 		return
 	}
-	c.writeConfiguration(w, reply.Body)
+	memory := c.readerMemory.Open()
+	defer func() { memory.Release(c.now()) }()
+	if c.admit(w, c.readerMemory, memory, int64(len(reply.Body))) {
+		c.writeConfiguration(w, reply.Body)
+	}
 }
 
 // writeConfiguration responds with a compressed configuration. It is decompressed as it is sent: readers,
-// also slow ones, hold none of it.
+// also slow ones, hold the compressed one alone.
 func (c *Core) writeConfiguration(w http.ResponseWriter, compressed []byte) {
 	length, err := io.Copy(io.Discard, statemachine.NewDecompressor(compressed))
 	if err != nil {
--- a/internal/serving/core/core.go
+++ b/internal/serving/core/core.go
@@ -54,9 +54,11 @@
 	tallies             *tally.Replica // owned by the core's goroutine
 	tallyWriter         *tallyWriter
 	configurationMemory *memorybudget.Budget // of the operators' configurations that are being handled
+	readerMemory        *memorybudget.Budget // of compressed configurations that are being sent to readers
 	reportMemory        *memorybudget.Budget // of workers' reports and adds to tallies that are being handled
 	connections         *connlimit.Limiter   // of callers of the control plane and the directory
 	linkMemory          *memorybudget.Budget // of the inbound links of other cores and of agents
+	agentMemory         *memorybudget.Budget // the part of linkMemory that agents may take
 	frameMemory         *memorybudget.Budget // of the long messages on those links
 
 	links      map[string]*peerLink // by internal address; owned by the core's goroutine
@@ -91,9 +93,11 @@
 		internalAddress: net.JoinHostPort(config.IP, strconv.Itoa(config.FirstInternalPort)),
 		events:          make(chan func(), eventQueueCapacity), stop: make(chan struct{}),
 		links: map[string]*peerLink{}, configurationMemory: memorybudget.New(configurationMemoryBytes),
+		readerMemory: memorybudget.New(configurationMemoryBytes),
 		reportMemory: newReportMemory(config.MemoryLimitBytes),
 		connections:  connlimit.New(config.MemoryLimitBytes / 10 * connectionMemoryTenths),
 		linkMemory:   memorybudget.New(config.MemoryLimitBytes / 10 * linkMemoryTenths),
+		agentMemory:  memorybudget.New(config.MemoryLimitBytes / 10 * linkMemoryTenths),
 		frameMemory:  framing.NewFrameMemory(config.MemoryLimitBytes),
 	}
 	opened, err := openReplica(config, logger)
--- a/internal/serving/core/links.go
+++ b/internal/serving/core/links.go
@@ -49,8 +49,8 @@
 			}
 		}
 		memory := c.linkMemory.Open()
-		if !memory.Admit(linkBytes) {
-			_ = accepted.Close() // agents go to another core, cores connect again
+		if !memory.Grow(linkBytes) {
+			_ = accepted.Close() // the other end connects again, an agent to another core
 			continue
 		}
 		go func() {
@@ -98,8 +98,14 @@
 	c.engine.HandleEnvelope(envelope)
 }
 
-// serveAgent streams updates to an agent until its link or the process ends.
+// serveAgent streams updates to an agent until its link or the process ends. Where agents fill their part of
+// the links' memory it returns at once: the rest is for other cores.
 func (c *Core) serveAgent(connection *framing.Conn, subscription *wirepb.WatchRequest) {
+	memory := c.agentMemory.Open()
+	if !memory.Admit(linkBytes) {
+		return
+	}
+	defer memory.Cancel()
 	view := c.engine.StateView()
 	link := &control.EdgeLink{}
 	onRequest := func(request *wirepb.WatchRequest) {
--- a/internal/serving/core/requestmemory.go
+++ b/internal/serving/core/requestmemory.go
@@ -13,17 +13,17 @@
 	// connectionMemoryTenths is the part of the process's memory that the connections of callers may take
 	// together: hundreds of workers keep theirs.
 	connectionMemoryTenths = 3
-	// reportMemoryTwentieths is the part of the process's memory that the bodies of workers' reports and of
-	// adds to tallies may take together.
-	reportMemoryTwentieths = 2
+	// reportMemoryTenths is the part that the bodies of workers' reports and of adds to tallies may take
+	// together.
+	reportMemoryTenths = 1
 	// reportMemoryFactor is how much more memory a short JSON object takes than its text.
 	reportMemoryFactor = 8
-	reportTimeout      = 3 * time.Second // for the body of a request
+	reportTimeout      = 3 * time.Second // for the body of a report or an add
 )
 
 // newReportMemory returns the budget of workers' reports and of adds to tallies.
 func newReportMemory(processBytes int64) *memorybudget.Budget {
-	return memorybudget.New(processBytes / 20 * reportMemoryTwentieths)
+	return memorybudget.New(processBytes / 10 * reportMemoryTenths)
 }
 
 // now returns the time since the start of the process, as budgets take it.
--- a/internal/serving/core/requestmemory_test.go
+++ b/internal/serving/core/requestmemory_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"runtime"
 	"strings"
 	"sync"
@@ -14,11 +15,12 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"willowdeck/internal/serving/connlimit"
 	"willowdeck/internal/serving/framing"
 	"willowdeck/internal/serving/memorybudget"
 	"willowdeck/internal/serving/statemachine"
-	"willowdeck/internal/serving/watch"
 	"willowdeck/internal/serving/wirepb"
 )
 
@@ -116,6 +118,31 @@
 	return len(body), nil
 }
 
+// TestReadersShareTheirMemory reads a configuration while others that are being sent fill the memory: it is
+// refused with a time to come back. Each reader at a core that is not the leader has a copy of its own.
+func TestReadersShareTheirMemory(t *testing.T) {
+	c := startCore(t, t.TempDir(), true)
+	replaced := mustCall(t, c, http.MethodPost, "/Config.Replace", "0", configurationBody(3, "x"))
+	if replaced.Code != http.StatusOK {
+		t.Fatalf("status %d", replaced.Code)
+	}
+	others := c.readerMemory.Open()
+	if !others.Admit(maxConfigurationBytes) {
+		t.Fatal("the longest configuration does not fit")
+	}
+	refused := call(c, http.MethodGet, "/Config.Get", "", "")
+	if refused.Code != http.StatusServiceUnavailable || refused.Header().Get("Retry-After") == "" {
+		t.Errorf("status %d, Retry-After %q", refused.Code, refused.Header().Get("Retry-After"))
+	}
+	others.Release(0)
+	if read := mustCall(t, c, http.MethodGet, "/Config.Get", "", ""); read.Code != http.StatusOK {
+		t.Errorf("with room: status %d", read.Code)
+	}
+	if held := c.readerMemory.Reserved(); held != 0 {
+		t.Errorf("%d bytes are held", held)
+	}
+}
+
 // TestSlowReadersHoldNoConfiguration has callers read a long configuration and stall: they hold none of it.
 // Each held all of it, for as long as it liked.
 func TestSlowReadersHoldNoConfiguration(t *testing.T) {
@@ -155,8 +182,8 @@
 	return nil
 }
 
-// TestReadOfConfigurationHasATimeLimit reads the configuration: a caller that does not read the response holds
-// its connection for the time limit at most. The server takes the deadline back after the response, see
+// TestReadOfConfigurationHasATimeLimit reads the configuration: a caller that does not read the response
+// holds its connection for the time limit at most. The server takes the deadline back after the response, see
 // connlimit.TestWriteDeadlineEndsWithItsResponse.
 func TestReadOfConfigurationHasATimeLimit(t *testing.T) {
 	c, _ := goldenCore(t)
@@ -165,10 +192,13 @@
 		t.Fatal(err)
 	}
 	w := &deadlineWriter{ResponseRecorder: httptest.NewRecorder()}
-	latest := time.Now().Add(configurationTimeout)
+	earliest := time.Now().Add(configurationTimeout)
 	c.writeConfiguration(w, compressed)
-	if len(w.deadlines) != 1 || w.deadlines[0].Before(latest) || time.Until(w.deadlines[0]) > configurationTimeout {
-		t.Errorf("deadlines %v, %v is wanted", w.deadlines, latest)
+	if len(w.deadlines) != 1 {
+		t.Fatalf("deadlines %v", w.deadlines)
+	}
+	if got := w.deadlines[0]; got.Before(earliest) || time.Until(got) > configurationTimeout {
+		t.Errorf("deadline %v, %v is wanted", got, earliest)
 	}
 	if w.Body.String() != "{}" {
 		t.Errorf("body %q", w.Body.String())
@@ -183,39 +213,55 @@
 	return int64(statistics.HeapAlloc)
 }
 
-// TestLinksShareTheirMemory opens more links to a core than there is memory for: those that do not fit are
-// closed, and one is taken again once another one has ended. Any number of them was served.
-func TestLinksShareTheirMemory(t *testing.T) {
-	c, _ := goldenCore(t)
-	c.linkMemory = memorybudget.New(4 * linkBytes) // of which new links may fill three
+// startLinks has a core accept links, and returns a function that opens one and sends its first envelope.
+// That reports whether the link stays open for a while.
+func startLinks(t *testing.T, c *Core) (open func(first *wirepb.Envelope) (*framing.Conn, bool)) {
+	t.Helper()
 	listener, err := framing.Listen("127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { close(c.stop); listener.Close() })
 	go c.acceptLinks(listener)
-	link := func() (*framing.Conn, bool) {
+	return func(first *wirepb.Envelope) (*framing.Conn, bool) {
 		connection, err := framing.Dial(context.Background(), listener.Addr().String(), time.Second, time.Second)
 		if err != nil {
 			t.Fatal(err)
 		}
 		t.Cleanup(func() { connection.Close() })
-		subscription := &wirepb.Envelope{Body: &wirepb.Envelope_Subscribe{Subscribe: &wirepb.WatchRequest{}}}
-		_ = connection.WriteMessage(subscription) // fails where the link is closed
-		return connection, connection.ReadMessage(&wirepb.WatchUpdate{}, watch.LinkTimeout) == nil
-	}
-	var links []*framing.Conn
-	for range 5 {
-		if connection, taken := link(); taken {
-			links = append(links, connection)
+		_ = connection.WriteMessage(first) // fails where the link is closed
+		err = connection.ReadMessage(&wirepb.WatchUpdate{}, 100*time.Millisecond)
+		return connection, err == nil || errors.Is(err, os.ErrDeadlineExceeded)
+	}
+}
+
+// TestLinksShareTheirMemory opens more links to a core than there is memory for: agents get their part of it,
+// cores the rest as well, and one is taken again once another one has ended. Any number of them was served.
+func TestLinksShareTheirMemory(t *testing.T) {
+	const links = 4 // of which agents may have three
+	c, _ := goldenCore(t)
+	c.linkMemory, c.agentMemory = memorybudget.New(links*linkBytes), memorybudget.New(links*linkBytes)
+	open := startLinks(t, c)
+	agent := &wirepb.Envelope{Body: &wirepb.Envelope_Subscribe{Subscribe: &wirepb.WatchRequest{}}}
+	peer := &wirepb.Envelope{}
+	var agents []*framing.Conn
+	for range links + 1 {
+		if connection, taken := open(agent); taken {
+			agents = append(agents, connection)
 		}
 	}
-	if len(links) != 3 {
-		t.Fatalf("%d links are served", len(links))
+	if len(agents) != links-1 {
+		t.Fatalf("%d links of agents are served", len(agents))
+	}
+	if _, taken := open(peer); !taken {
+		t.Error("agents have left no link for a core")
+	}
+	if _, taken := open(peer); taken {
+		t.Error("a link is taken beyond the memory")
 	}
-	links[0].Close()
+	agents[0].Close()
 	for began := time.Now(); ; time.Sleep(10 * time.Millisecond) {
-		if _, taken := link(); taken {
+		if _, taken := open(agent); taken {
 			break
 		}
 		if time.Since(began) > requestTestTimeout {
--- a/internal/serving/core/tallies_test.go
+++ b/internal/serving/core/tallies_test.go
@@ -429,7 +429,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	connection.SetReadDeadline(time.Now().Add(2 * tallyBodyTimeout))
+	connection.SetReadDeadline(time.Now().Add(2 * reportTimeout))
 	response, err := http.ReadResponse(bufio.NewReader(connection), nil)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/serving/core/tallyrequest.go
+++ b/internal/serving/core/tallyrequest.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"time"
 	"unicode/utf8"
 
 	"github.com/gorilla/mux"
@@ -21,7 +20,6 @@
 	maxTallyNameBytes = 256
 	maxTallyIDBytes   = 128
 	maxTallyAmount    = 1_000_000_000_000 // so that the greatest number of adds does not overflow a total
-	tallyBodyTimeout  = 3 * time.Second   // for the body of a request
 )
 
 // Keys of the body of an add.
@@ -42,7 +40,7 @@
 	if err != nil {
 		return tally.Add{}, err
 	}
-	body, err := readBody(w, r, maxTallyBodyBytes, tallyBodyTimeout)
+	body, err := readBody(w, r, maxTallyBodyBytes, reportTimeout)
 	if err != nil {
 		var tooLarge *http.MaxBytesError
 		if errors.As(err, &tooLarge) {
--- a/internal/serving/framing/conn.go
+++ b/internal/serving/framing/conn.go
@@ -21,8 +21,8 @@
 
 	// frameMemoryFactor is how much more memory a long frame takes than its bytes: they and the message.
 	frameMemoryFactor = 2
-	// frameMemoryFourths is the part of the process's memory that long frames may take together.
-	frameMemoryFourths = 1
+	// frameMemoryDivisor divides the process's memory: so much of it long frames may take together.
+	frameMemoryDivisor = 4
 )
 
 // errNoMemory is returned for a long frame that there is no memory for. The peer connects and sends again.
@@ -41,7 +41,7 @@
 	if processBytes <= 0 {
 		return memorybudget.New(0)
 	}
-	return memorybudget.New(max(processBytes/4*frameMemoryFourths, maxFrameBytes*frameMemoryFactor))
+	return memorybudget.New(max(processBytes/frameMemoryDivisor, maxFrameBytes*frameMemoryFactor))
 }
 
 // LimitFrames has the connection share the memory of long frames with others. What a frame takes is reserved
