Edge: readiness checks have a memory of their own

Found on reading the change again: connections to the readiness checks were the one listener without a bound. A hundredth of the memory is theirs, apart from clients', so that a crowd of clients does not keep the platform from an answer. edge.TestReadinessChecksAreLimitedByMemory fails without it (10 of 10 served). TestConnectionsAreLimitedByMemory takes a connection's bytes from the limiter, not from a copy.

--- a/internal/serving/edge/edge.go
+++ b/internal/serving/edge/edge.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand"
+	"net"
 	"net/http"
 	"os"
 	"os/signal"
@@ -14,6 +15,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"willowdeck/internal/serving/connlimit"
 	"willowdeck/internal/serving/drain"
 	"willowdeck/internal/serving/framing"
 	"willowdeck/internal/serving/memorybudget"
@@ -92,8 +94,7 @@
 		if err != nil {
 			return errors.Wrap(err, "cannot listen for readiness checks: free the port or change listen.readiness")
 		}
-		server := newHTTPServer(http.HandlerFunc(e.readyz), readinessLimits)
-		go func() { _ = server.Serve(readiness) }() // ends with the process
+		go e.serveReadiness(readiness)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -122,6 +123,14 @@
 // ready reports whether new clients may come.
 func (e *Edge) ready() bool { return e.table.Load() != nil && !e.gate.Draining() }
 
+// serveReadiness serves the platform's readiness checks until the listener is closed, within a memory of
+// their own: clients' connections do not keep the platform from an answer.
+func (e *Edge) serveReadiness(listener net.Listener) {
+	server := newHTTPServer(http.HandlerFunc(e.readyz), readinessLimits)
+	memory := connlimit.New(e.settings.MemoryLimitBytes / 100 * readinessMemoryHundredths)
+	_ = server.Serve(memory.Listener(listener)) // always returns an error
+}
+
 func (e *Edge) readyz(w http.ResponseWriter, _ *http.Request) {
 	if !e.ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/internal/serving/edge/frontserver_test.go
+++ b/internal/serving/edge/frontserver_test.go
@@ -114,18 +114,16 @@
 func TestConnectionsAreLimitedByMemory(t *testing.T) {
 	var limits atomic.Pointer[connectionLimits]
 	limits.Store(&defaultConnectionLimits)
-	const (
-		memoryBytes     = 160 << 10
-		connectionBytes = 24 << 10 // of each
-	)
-	connections := memoryBytes * 3 / 4 / connectionBytes // a quarter is for the heads of requests
+	const memoryBytes = 160 << 10
 	front, address := startFront(t, &limits, memoryBytes)
 	var open []*client
-	for range connections {
+	for connections := int64(1); int64(len(open)) < connections; {
 		open = append(open, dialFront(t, address))
 		if status := open[len(open)-1].request(t, 10); status != http.StatusOK {
 			t.Fatalf("status %d", status)
 		}
+		// A quarter of the memory is for the heads of requests.
+		connections = memoryBytes * 3 / 4 / (front.memory.Reserved() / int64(len(open)))
 	}
 	refused := dialFront(t, address)
 	fmt.Fprint(refused, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
@@ -149,6 +147,27 @@
 	}
 }
 
+// TestReadinessChecksAreLimitedByMemory opens connections to the readiness checks until there is no memory
+// for more. Any number of them was served.
+func TestReadinessChecksAreLimitedByMemory(t *testing.T) {
+	const connections = 10
+	e, _ := startEdge(t)
+	e.settings.MemoryLimitBytes = 100 * (160 << 10) // of which a hundredth bears some of the connections
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	go e.serveReadiness(listener)
+	statuses := map[int]int{}
+	for range connections {
+		statuses[dialFront(t, listener.Addr().String()).request(t, 10)]++
+	}
+	if statuses[http.StatusOK] == 0 || statuses[http.StatusServiceUnavailable] == 0 || len(statuses) != 2 {
+		t.Errorf("connections by status: %v", statuses)
+	}
+}
+
 // TestUnstatedLimitsAreDefaults leaves what a configuration does not state as it is.
 func TestUnstatedLimitsAreDefaults(t *testing.T) {
 	if got := connectionLimitsOf(configuration.Limits{}); got != defaultConnectionLimits {
--- a/internal/serving/edge/memory.go
+++ b/internal/serving/edge/memory.go
@@ -19,6 +19,8 @@
 	requestMemoryTenths = 5
 	// connectionMemoryTenths is the part that clients' connections may take together.
 	connectionMemoryTenths = 2
+	// readinessMemoryHundredths is the part, in hundredths, that connections of readiness checks may take.
+	readinessMemoryHundredths = 1
 	// requestOverheadBytes is what a request holds besides its headers and bodies: stacks, and the buffers of
 	// the client's and the worker's connections.
 	requestOverheadBytes = 48 << 10
