Edge: log which attempts a refused or failed request had, and by what evidence each ended

What clients see is unchanged. Tests: TestRefusalIsLoggedWithItsAttempts, TestManyRefusalsAreLoggedInPart, execution's.

--- a/internal/serving/edge/attempt.go
+++ b/internal/serving/edge/attempt.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"willowdeck/internal/serving/execution"
 	"willowdeck/internal/serving/workerlink"
 )
 
@@ -47,6 +48,7 @@
 	if err != nil {
 		p.edge.healthChecker.recordUnreachable(a, dialTimeout)
 		p.recordNotExecuted(a)
+		p.recordOutcome(a, execution.NotSent)
 		p.failAttempt(a)
 		return nil, err
 	}
@@ -55,28 +57,51 @@
 	p.monitorHealth(a, dialTimeout)
 	p.attempts++
 	sentAt := p.edge.now()
-	if err := connection.Send(p.workerRequestFor(chosen), p.deadline); err != nil {
+	if err := p.exchange(a); err != nil {
+		p.recordOutcome(a, execution.Unknown)
 		p.failAttempt(a)
 		return nil, err
 	}
-	a.response, err = connection.Receive(p.workerRequest.Method, p.id, p.memory.Grow)
-	if err != nil {
-		p.failAttempt(a)
-		return nil, err
-	}
-	if !p.memory.Grow(headerMemory(a.response.Header)) {
-		p.failAttempt(a)
-		return nil, errors.Wrap(workerlink.ErrOutcomeUnknown, errNoMemory.Error())
-	}
 	p.edge.healthChecker.recordActivity(chosen.Instance)
 	p.edge.paths.confirm(sentAt, chosen)
 	p.recordSelfReport(a)
 	if workerlink.NotExecuted(a.response) {
+		p.recordOutcome(a, execution.NotExecuted)
 		return nil, p.endNotExecuted(a)
 	}
+	p.recordOutcome(a, execution.Executed)
 	return a, nil
 }
 
+// exchange sends the request on the attempt's connection and reads the head of the response. After an error
+// the request may have been executed.
+func (p *proxiedRequest) exchange(a *attempt) error {
+	if err := a.connection.Send(p.workerRequestFor(a.worker), p.deadline); err != nil {
+		return err
+	}
+	response, err := a.connection.Receive(p.workerRequest.Method, p.id, p.memory.Grow)
+	if err != nil {
+		return err
+	}
+	a.response = response
+	if !p.memory.Grow(headerMemory(response.Header)) {
+		return errors.Wrap(workerlink.ErrOutcomeUnknown, errNoMemory.Error())
+	}
+	return nil
+}
+
+// recordOutcome records what is known of the request's execution after an attempt.
+func (p *proxiedRequest) recordOutcome(a *attempt, outcome execution.Outcome) {
+	ended := execution.Attempt{Instance: a.worker.Instance, Address: a.worker.Address, Outcome: outcome}
+	if a.connection != nil {
+		ended.ConnectionRequests = a.connection.Requests()
+	}
+	if a.response != nil {
+		ended.Status = a.response.StatusCode
+	}
+	p.execution.Add(ended)
+}
+
 // monitorHealth has the worker's health checked while it has the request. An idempotent request is
 // interrupted where the worker becomes unresponsive.
 func (p *proxiedRequest) monitorHealth(a *attempt, dialTimeout time.Duration) {
--- a/internal/serving/edge/edge.go
+++ b/internal/serving/edge/edge.go
@@ -27,10 +27,12 @@
 
 // Edge is the process.
 type Edge struct {
-	settings  *settings.Settings
-	logger    *zap.Logger
-	startedAt time.Time
-	store     *stateview.Store // fed by the agent
+	settings *settings.Settings
+	logger   *zap.Logger
+	// requestLogger logs single requests, a part of them where there are many.
+	requestLogger *zap.Logger
+	startedAt     time.Time
+	store         *stateview.Store // fed by the agent
 
 	table      atomic.Pointer[routingTable] // nil: no configuration was received
 	tableReady chan struct{}                // closed once there is a table
@@ -67,7 +69,7 @@
 
 func newEdge(config *settings.Settings, logger *zap.Logger) *Edge {
 	e := &Edge{
-		settings: config, logger: logger, startedAt: time.Now(),
+		settings: config, logger: logger, requestLogger: newRequestLogger(logger), startedAt: time.Now(),
 		connections: workerlink.NewPool(), healthChecker: newHealthChecker(),
 		gate: drain.NewGate(), requestMemory: newRequestMemory(config),
 		statusChanged: make(chan struct{}), tableReady: make(chan struct{}),
--- a/internal/serving/edge/proxiedrequest.go
+++ b/internal/serving/edge/proxiedrequest.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"willowdeck/internal/serving/configuration"
+	"willowdeck/internal/serving/execution"
 	"willowdeck/internal/serving/loadbalancer"
 	"willowdeck/internal/serving/memorybudget"
 	"willowdeck/internal/serving/workerlink"
@@ -41,6 +42,7 @@
 	failedDials         int  // workers that could not be reached
 	misdirectedAttempts int  // sent to an address that another worker has
 	mayHaveExecuted     bool // some attempt may have been executed, and its response is lost
+	execution           execution.Record
 
 	lastEventID    uint64 // of the last event relayed, of resumable streams
 	hasLastEventID bool
@@ -85,14 +87,20 @@
 	case errors.Is(err, errClientDisconnected) || p.headWritten:
 		panic(http.ErrAbortHandler)
 	case errors.As(err, &rejection) && !p.mayHaveExecuted:
-		reject(p.writer, rejection.status, rejection.retryAfter)
+		p.reject(rejection.status, rejection.retryAfter)
 	case time.Now().After(p.deadline.Add(-minAttemptTime)):
-		reject(p.writer, http.StatusGatewayTimeout, 0)
+		p.reject(http.StatusGatewayTimeout, 0)
 	default:
-		reject(p.writer, http.StatusBadGateway, 0)
+		p.reject(http.StatusBadGateway, 0)
 	}
 }
 
+// reject writes a response of the edge's own.
+func (p *proxiedRequest) reject(status int, retryAfter time.Duration) {
+	p.logOwnResponse(status)
+	reject(p.writer, status, retryAfter)
+}
+
 // attemptWorkers sends the request to workers until one has sent the head of a response. An attempt that was
 // not executed, or is idempotent, is followed by others as far as the route and the retry budget allow.
 func (p *proxiedRequest) attemptWorkers() (*attempt, error) {
--- a/internal/serving/edge/response.go
+++ b/internal/serving/edge/response.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 
+	"willowdeck/internal/serving/execution"
 	"willowdeck/internal/serving/workerlink"
 )
 
@@ -40,6 +41,9 @@
 		p.excluded[a.worker.Instance] = true
 		return false
 	}
+	if execution.IsPromise(a.response.StatusCode) {
+		p.logRequest("a worker refuses a request without saying that it did not execute it", a.response.StatusCode)
+	}
 	p.writeHead(a.response, len(body))
 	p.writer.Write(body)
 	return true
--- a/internal/serving/program/imports_test.go
+++ b/internal/serving/program/imports_test.go
@@ -41,7 +41,7 @@
 func TestDecidingPackagesDoNoIO(t *testing.T) {
 	deciding := []string{"consensus", "statemachine", "configuration", "catalog", "loadbalancer", "loadreport",
 		"slowstart", "retrybudget", "stateview", "control", "pathhealth", "decay", "tally", "drain",
-		"memorybudget"}
+		"memorybudget", "execution"}
 	forbidden := []string{"net", "net/http", "os", "os/exec", "syscall", "log", "go.uber.org/zap",
 		module + "framing", module + "watch", module + "core", module + "agent", module + "edge"}
 	for _, name := range deciding {
--- a/internal/serving/workerlink/pool.go
+++ b/internal/serving/workerlink/pool.go
@@ -83,6 +83,9 @@
 	return &Conn{Conn: connection, reader: bufio.NewReaderSize(head, readBufferBytes), head: head}, nil
 }
 
+// Requests returns how many requests were sent on the connection.
+func (c *Conn) Requests() int { return c.requests }
+
 // Put returns a connection to the pool after a complete exchange. idleTimeout is how long the worker keeps it
 // open, 0 where it did not say.
 func (p *Pool) Put(address string, connection *Conn, idleTimeout time.Duration) {
