--- a/internal/serving/edge/attempt.go
+++ b/internal/serving/edge/attempt.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -136,8 +135,7 @@
 		p.misdirectedAttempts++
 	}
 	p.recordNotExecuted(a)
-	_, err := io.Copy(io.Discard, io.LimitReader(a.response.Body, maxBufferedBodyBytes))
-	p.endAttempt(a, err == nil)
+	p.endAttempt(a, discardBody(a.response))
 	return errNotExecuted
 }
 
--- /dev/null
+++ b/internal/serving/edge/promise_test.go
@@ -0,0 +1,57 @@
+package edge
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+)
+
+// unframed responds with a body that ends with the connection.
+func unframed(status int, body string, lines ...string) responder {
+	return func(connection net.Conn, request *http.Request, _ string) {
+		io.WriteString(connection, head(request, status, append(lines, "Connection: close")...)+body)
+		connection.Close()
+	}
+}
+
+// unnamed responds without the id of the request.
+func unnamed(status int, lines ...string) responder {
+	return func(connection net.Conn, request *http.Request, body string) {
+		request.Header.Del("Request-Id")
+		complete(status, "", lines...)(connection, request, body)
+	}
+}
+
+// TestWorkersRefusalWithoutProofIsNoPromise guards against REFUSED (issue 78): a worker's 408, 429 or 503 that
+// does not say Not-Executed went to the client, who read that the request had not run.
+func TestWorkersRefusalWithoutProofIsNoPromise(t *testing.T) {
+	long := strings.Repeat("x", 2*maxBufferedBodyBytes)
+	responses := map[string]func(status int) responder{
+		"with a length":        func(status int) responder { return complete(status, "busy", "Server-Signature: s") },
+		"with Retry-After":     func(status int) responder { return complete(status, "", "Retry-After: 1") },
+		"without a length":     func(status int) responder { return unframed(status, "busy", "Server-Signature: s") },
+		"with a long body":     func(status int) responder { return complete(status, long, "Server-Signature: s") },
+		"without an id":        func(status int) responder { return unnamed(status) },
+		"with an event's type": func(status int) responder { return complete(status, "", streamHead) },
+	}
+	for name, response := range responses {
+		for _, status := range []int{408, 429, 503} {
+			for _, path := range []string{"/once/", "/twice/", "/stream/"} {
+				w := newFakeWorker(t, response(status))
+				_, server := startEdge(t, w)
+				got := post(t, server, path)
+				if got.status != 502 || got.broken || got.header.Get("Server-Signature") != "" || w.count() != 1 {
+					t.Errorf("%d %s on %s: status %d, sent %d times", status, name, path, got.status, w.count())
+				}
+			}
+			good := complete(200, "good", "Server-Signature: s")
+			shared := &responderScript{script: []responder{response(status), good}}
+			_, server := startEdge(t, newFakeWorker(t, shared.next), newFakeWorker(t, shared.next))
+			if got := post(t, server, "/idem/"); got.status != 200 || got.body != "good" {
+				t.Errorf("%d %s, idempotent with another worker: response %+v", status, name, got)
+			}
+		}
+	}
+}
--- a/internal/serving/edge/response.go
+++ b/internal/serving/edge/response.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"strconv"
 
+	"github.com/pkg/errors"
+
 	"willowdeck/internal/serving/execution"
 	"willowdeck/internal/serving/workerlink"
 )
@@ -18,6 +20,9 @@
 // relayResponse relays a response to the client. It returns false where the request has to be attempted
 // again: nothing of the response has been written then, or the stream may be resumed at another worker.
 func (p *proxiedRequest) relayResponse(a *attempt) (done bool) {
+	if execution.IsPromise(a.response.StatusCode) {
+		return p.endUnprovenRefusal(a)
+	}
 	if isEventStream(a.response) {
 		return p.relayStream(a)
 	}
@@ -41,14 +46,26 @@
 		p.excluded[a.worker.Instance] = true
 		return false
 	}
-	if execution.IsPromise(a.response.StatusCode) {
-		p.logRequest("a worker refuses a request without saying that it did not execute it", a.response.StatusCode)
-	}
 	p.writeHead(a.response, len(body))
 	p.writer.Write(body)
 	return true
 }
 
+// endUnprovenRefusal handles the response of a worker that refuses the request and does not state that it did
+// not execute it: relayed, its status would promise that to the client.
+func (p *proxiedRequest) endUnprovenRefusal(a *attempt) (done bool) {
+	p.logRequest("a worker refuses a request without stating that it did not execute it", a.response.StatusCode)
+	p.excluded[a.worker.Instance] = true
+	p.endAttempt(a, discardBody(a.response))
+	return p.endUnlessRetried()
+}
+
+// discardBody reads a response's body. It returns false where the body is not complete, or too long.
+func discardBody(response *http.Response) (complete bool) {
+	_, err := io.CopyN(io.Discard, response.Body, maxBufferedBodyBytes)
+	return errors.Is(err, io.EOF)
+}
+
 // endUnlessRetried handles a lost response: it returns false where the request may be attempted again, and
 // ends it otherwise.
 func (p *proxiedRequest) endUnlessRetried() (done bool) {
