--- a/internal/serving/edge/promise_test.go
+++ b/internal/serving/edge/promise_test.go
@@ -55,3 +55,41 @@
 		}
 	}
 }
+
+// TestExecutedRequestIsNotRefused guards against a promise that is untrue for idempotent requests and streams
+// (issue 78): after a worker's own failure, no further worker or attempt was allowed, and the client got 503.
+func TestExecutedRequestIsNotRefused(t *testing.T) {
+	failed := complete(500, "bad", "Server-Signature: s")
+	cases := []struct {
+		name, path string
+		response   responder
+		drains     bool // between the attempts
+		status     int
+		body       string
+	}{
+		{"the only worker fails", "/idem/", failed, false, 500, "bad"},
+		{"the only worker fails with 504", "/idem/", complete(504, "late", "Server-Signature: s"), false, 504, "late"},
+		{"the only worker refuses without proof", "/idem/", complete(503, "busy"), false, 502, ""},
+		{"the edge drains after the failure", "/idem/", failed, true, 500, "bad"},
+		{"a stream breaks off before its first event", "/resume/", stream(1, 0, "id:"), false, 502, ""},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			w := newFakeWorker(t, nil)
+			e, server := startEdge(t, w)
+			w.responders[0] = func(connection net.Conn, request *http.Request, body string) {
+				if c.drains {
+					e.gate.Close()
+				}
+				c.response(connection, request, body)
+			}
+			got := post(t, server, c.path)
+			if got.status != c.status || got.body != c.body {
+				t.Errorf("response %+v", got)
+			}
+			if signed := got.header.Get("Server-Signature") == "s"; signed != (c.body != "") {
+				t.Errorf("signature %q of status %d", got.header.Get("Server-Signature"), got.status)
+			}
+		})
+	}
+}
--- a/internal/serving/edge/proxiedrequest.go
+++ b/internal/serving/edge/proxiedrequest.go
@@ -38,11 +38,11 @@
 	deadline      time.Time
 	excluded      map[string]bool // workers that get no further attempt, by instance
 
-	attempts            int  // that were sent to a worker of the route and may have been executed
-	failedDials         int  // workers that could not be reached
-	misdirectedAttempts int  // sent to an address that another worker has
-	mayHaveExecuted     bool // some attempt may have been executed, and its response is lost
+	attempts            int // that were sent to a worker of the route and may have been executed
+	failedDials         int // workers that could not be reached
+	misdirectedAttempts int // sent to an address that another worker has
 	execution           execution.Record
+	workerFailure       *bufferedResponse // the last failure of a worker that another attempt was to replace; or nil
 
 	lastEventID    uint64 // of the last event relayed, of resumable streams
 	hasLastEventID bool
@@ -79,14 +79,16 @@
 	}
 }
 
-// end responds to a request that gets no response of a worker. The client of a request that may have been
-// executed is not told to retry. It panics with http.ErrAbortHandler where the connection has to be cut.
+// end responds to a request that gets no further attempt: with the last failure of a worker, if there is one.
+// The client of a request that may have been executed gets no promise that it was not. It panics with http.ErrAbortHandler where the connection has to be cut.
 func (p *proxiedRequest) end(err error) {
 	var rejection *rejectionError
 	switch {
 	case errors.Is(err, errClientDisconnected) || p.headWritten:
 		panic(http.ErrAbortHandler)
-	case errors.As(err, &rejection) && !p.mayHaveExecuted:
+	case p.workerFailure != nil:
+		p.relayBuffered(p.workerFailure)
+	case errors.As(err, &rejection) && !p.execution.MayHaveExecuted():
 		p.reject(rejection.status, rejection.retryAfter)
 	case time.Now().After(p.deadline.Add(-minAttemptTime)):
 		p.reject(http.StatusGatewayTimeout, 0)
@@ -118,11 +120,8 @@
 			p.failedDials++
 			continue
 		}
-		if !errors.Is(err, errNotExecuted) {
-			p.mayHaveExecuted = true
-			if !p.route.IsIdempotent() {
-				return nil, err
-			}
+		if !errors.Is(err, errNotExecuted) && !p.route.IsIdempotent() {
+			return nil, err
 		}
 	}
 }
--- a/internal/serving/edge/response.go
+++ b/internal/serving/edge/response.go
@@ -28,7 +28,6 @@
 	}
 	body, complete, err := p.readBuffered(a.response)
 	if err != nil {
-		p.mayHaveExecuted = true
 		p.failAttempt(a)
 		return p.endUnlessRetried()
 	}
@@ -42,15 +41,28 @@
 	}
 	p.recordFirstToken(a)
 	p.endAttempt(a, true)
+	response := &bufferedResponse{a.response, body}
 	if a.response.StatusCode >= http.StatusInternalServerError && p.mayRetry() {
 		p.excluded[a.worker.Instance] = true
+		p.workerFailure = response
 		return false
 	}
-	p.writeHead(a.response, len(body))
-	p.writer.Write(body)
+	p.relayBuffered(response)
 	return true
 }
 
+// bufferedResponse is a worker's response with its complete body.
+type bufferedResponse struct {
+	*http.Response
+	body []byte
+}
+
+// relayBuffered writes a worker's complete response to the client.
+func (p *proxiedRequest) relayBuffered(response *bufferedResponse) {
+	p.writeHead(response.Response, len(response.body))
+	p.writer.Write(response.body)
+}
+
 // endUnprovenRefusal handles the response of a worker that refuses the request and does not state that it did
 // not execute it: relayed, its status would promise that to the client.
 func (p *proxiedRequest) endUnprovenRefusal(a *attempt) (done bool) {
--- a/internal/serving/edge/stream.go
+++ b/internal/serving/edge/stream.go
@@ -73,7 +73,6 @@
 		return true
 	}
 	p.excluded[a.worker.Instance] = true
-	p.mayHaveExecuted = true
 	p.failAttempt(a)
 	return p.endUnlessRetried()
 }
