--- a/internal/serving/edge/attempt.go
+++ b/internal/serving/edge/attempt.go
@@ -27,6 +27,7 @@
 	// stopWatch ends the watch that closes the connection when the client disconnects. It returns false where
 	// the client has done so.
 	stopWatch       func() bool
+	rejected        bool // the worker did not execute the request
 	prefillReleased bool // the first token has come, or the attempt has ended before
 }
 
@@ -135,6 +136,7 @@
 		p.misdirectedAttempts++
 	}
 	p.recordNotExecuted(a)
+	a.rejected = true
 	p.endAttempt(a, discardBody(a.response))
 	return errNotExecuted
 }
@@ -184,12 +186,31 @@
 		a.connection.Close()
 		return
 	}
-	idleTimeout, reusable := workerlink.KeepAlive(a.response)
-	if !reusable {
+	idleUntil, reusable := workerlink.IdleUntil(a.response, time.Now())
+	switch {
+	case !reusable:
 		a.connection.Close()
-		return
+	case a.rejected:
+		p.withheld = append(p.withheld, withheldConnection{a.worker.Address, a.connection, idleUntil})
+	default:
+		p.edge.connections.Put(a.worker.Address, a.connection, idleUntil)
+	}
+}
+
+// withheldConnection is one on which a worker has rejected the request. A late copy of the rejection bears the
+// same id as a further attempt, so that no further attempt may use the connection.
+type withheldConnection struct {
+	address    string
+	connection *workerlink.Conn
+	idleUntil  time.Time
+}
+
+// returnWithheld puts the withheld connections into the pool: the request gets no further attempt.
+func (p *proxiedRequest) returnWithheld() {
+	for _, w := range p.withheld {
+		p.edge.connections.Put(w.address, w.connection, w.idleUntil)
 	}
-	p.edge.connections.Put(a.worker.Address, a.connection, idleTimeout)
+	p.withheld = nil
 }
 
 // recordNotExecuted records that the worker has not prefilled the prompt, and will not.
--- a/internal/serving/edge/promise_test.go
+++ b/internal/serving/edge/promise_test.go
@@ -5,7 +5,10 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
+
+	"willowdeck/internal/serving/wirepb"
 )
 
 // unframed responds with a body that ends with the connection.
@@ -93,3 +96,38 @@
 		})
 	}
 }
+
+// TestLateCopyOfRejectionIsNotTheNextResponse guards against REFUSED and TWICE (issue 78): two incarnations of
+// a worker are known at one address. A request that the first attempt was rejected for took the same
+// connection again, with the same id, and a late copy of the rejection was read as the second's response.
+func TestLateCopyOfRejectionIsNotTheNextResponse(t *testing.T) {
+	for _, rejection := range []responder{
+		complete(421, "", "Server-Signature: s"), complete(503, "", "Not-Executed: 1", "Server-Signature: s"),
+	} {
+		var mu sync.Mutex
+		received, executed := map[net.Conn]int{}, 0
+		w := newFakeWorker(t, func(connection net.Conn, request *http.Request, body string) {
+			mu.Lock()
+			defer mu.Unlock()
+			received[connection]++
+			switch {
+			case len(received) == 1 && received[connection] == 1:
+				rejection(connection, request, body)
+				return
+			case received[connection] > 1:
+				rejection(connection, request, body) // the late copy
+			}
+			executed++
+			complete(200, "good", "Server-Signature: s")(connection, request, body)
+		})
+		e, server := startEdge(t, w)
+		publishWorker(e, "i-1", w.listener.Addr().String(), &wirepb.Worker{})
+		e.updateTable(newTableBuilder(e.settings))
+		got := post(t, server, "/twice/")
+		mu.Lock()
+		if got.status != 200 || got.body != "good" || executed != 1 {
+			t.Errorf("status %d, executed %d times", got.status, executed)
+		}
+		mu.Unlock()
+	}
+}
--- a/internal/serving/edge/proxiedrequest.go
+++ b/internal/serving/edge/proxiedrequest.go
@@ -42,6 +42,7 @@
 	failedDials         int // workers that could not be reached
 	misdirectedAttempts int // sent to an address that another worker has
 	execution           execution.Record
+	withheld            []withheldConnection
 	workerFailure       *bufferedResponse // the last failure of a worker that another attempt was to replace; or nil
 
 	lastEventID    uint64 // of the last event relayed, of resumable streams
@@ -66,6 +67,7 @@
 
 // run attempts the request until there is a final response.
 func (p *proxiedRequest) run() {
+	defer p.returnWithheld()
 	p.edge.decisions.recordRequest(p.edge.now(), p.service)
 	for {
 		a, err := p.attemptWorkers()
--- a/internal/serving/workerlink/exchange.go
+++ b/internal/serving/workerlink/exchange.go
@@ -156,22 +156,31 @@
 	return nil, errors.New("too many interim responses")
 }
 
-// KeepAlive returns how long the worker keeps the connection open when idle, 0 where it does not say, and
-// whether it keeps it open at all.
-func KeepAlive(response *http.Response) (time.Duration, bool) {
+// IdleUntil returns until when a connection whose last response came now may stay idle, and whether the worker
+// keeps it open at all.
+func IdleUntil(response *http.Response, now time.Time) (time.Time, bool) {
 	if response.Close {
-		return 0, false
+		return time.Time{}, false
 	}
-	for parameter := range strings.SplitSeq(response.Header.Get("Keep-Alive"), ",") {
+	stated, ok := statedIdleTimeout(response.Header.Get("Keep-Alive"))
+	if !ok {
+		return now.Add(defaultIdleTimeout), true
+	}
+	return now.Add(stated - idleTimeoutMargin), stated > idleTimeoutMargin
+}
+
+// statedIdleTimeout returns the time-out in a Keep-Alive header.
+func statedIdleTimeout(keepAlive string) (time.Duration, bool) {
+	for parameter := range strings.SplitSeq(keepAlive, ",") {
 		value, ok := strings.CutPrefix(strings.TrimSpace(parameter), "timeout=")
 		if !ok {
 			continue
 		}
 		if seconds, err := strconv.Atoi(value); err == nil && seconds >= 0 {
-			return max(time.Duration(seconds)*time.Second, time.Millisecond), true
+			return time.Duration(seconds) * time.Second, true
 		}
 	}
-	return 0, true
+	return 0, false
 }
 
 // NotExecuted reports whether a response states that the worker did not run the request.
--- a/internal/serving/workerlink/exchange_test.go
+++ b/internal/serving/workerlink/exchange_test.go
@@ -91,7 +91,7 @@
 		return nil, err
 	}
 	io.Copy(io.Discard, response.Body)
-	pool.Put(address, connection, testTimeout)
+	pool.Put(address, connection, time.Now().Add(testTimeout))
 	return response, nil
 }
 
@@ -209,7 +209,7 @@
 		t.Fatalf("response %v, error %v", response, err)
 	}
 	io.Copy(io.Discard, response.Body)
-	pool.Put(address, connection, testTimeout)
+	pool.Put(address, connection, time.Now().Add(testTimeout))
 	if got := <-bodies; got != body {
 		t.Errorf("the worker got %d bytes of %d", len(got), len(body))
 	}
--- a/internal/serving/workerlink/pool.go
+++ b/internal/serving/workerlink/pool.go
@@ -86,18 +86,14 @@
 // Requests returns how many requests were sent on the connection.
 func (c *Conn) Requests() int { return c.requests }
 
-// Put returns a connection to the pool after a complete exchange. idleTimeout is how long the worker keeps it
-// open, 0 where it did not say.
-func (p *Pool) Put(address string, connection *Conn, idleTimeout time.Duration) {
-	keep := defaultIdleTimeout
-	if idleTimeout > 0 {
-		keep = idleTimeout - idleTimeoutMargin
-	}
-	if connection.reader.Buffered() > 0 || keep <= 0 || connection.SetDeadline(time.Time{}) != nil {
+// Put returns a connection to the pool after a complete exchange, until idleUntil at most.
+func (p *Pool) Put(address string, connection *Conn, idleUntil time.Time) {
+	unusable := connection.reader.Buffered() > 0 || !time.Now().Before(idleUntil)
+	if unusable || connection.SetDeadline(time.Time{}) != nil {
 		connection.Close() // bytes after a complete response belong to no request
 		return
 	}
-	connection.idleUntil = time.Now().Add(keep)
+	connection.idleUntil = idleUntil
 	connection.watchIdle()
 	p.mu.Lock()
 	p.idle[address] = append(p.idle[address], connection)
