--- a/internal/serving/edge/attempt.go
+++ b/internal/serving/edge/attempt.go
@@ -65,7 +65,7 @@
 	p.edge.healthChecker.recordActivity(chosen.Instance)
 	p.edge.paths.confirm(sentAt, chosen)
 	p.recordSelfReport(a)
-	if workerlink.NotExecuted(a.response) {
+	if workerlink.NotExecuted(a.response, p.id) {
 		p.recordOutcome(a, execution.NotExecuted)
 		return nil, p.endNotExecuted(a)
 	}
--- a/internal/serving/edge/promise_test.go
+++ b/internal/serving/edge/promise_test.go
@@ -8,6 +8,7 @@
 	"sync"
 	"testing"
 
+	"willowdeck/internal/serving/execution"
 	"willowdeck/internal/serving/wirepb"
 )
 
@@ -131,3 +132,15 @@
 		mu.Unlock()
 	}
 }
+
+// TestRejectionWithoutIDIsNoProof guards against REFUSED (issue 78): a response that names no request was
+// believed to say that this one had not run.
+func TestRejectionWithoutIDIsNoProof(t *testing.T) {
+	for _, response := range []responder{unnamed(503, "Not-Executed: 1"), unnamed(421)} {
+		w := newFakeWorker(t, response)
+		_, server := startEdge(t, w)
+		if got := post(t, server, "/once/"); execution.IsPromise(got.status) || w.count() != 1 {
+			t.Errorf("status %d, sent %d times", got.status, w.count())
+		}
+	}
+}
--- a/internal/serving/workerlink/exchange.go
+++ b/internal/serving/workerlink/exchange.go
@@ -183,7 +183,11 @@
 	return 0, false
 }
 
-// NotExecuted reports whether a response states that the worker did not run the request.
-func NotExecuted(response *http.Response) bool {
+// NotExecuted reports whether a response states that the worker did not run the request with that id. One that
+// names no request proves nothing of this one.
+func NotExecuted(response *http.Response, requestID string) bool {
+	if response.Header.Get(HeaderRequestID) != requestID {
+		return false
+	}
 	return response.StatusCode == http.StatusMisdirectedRequest || response.Header.Get(HeaderNotExecuted) != ""
 }
--- a/internal/serving/workerlink/exchange_test.go
+++ b/internal/serving/workerlink/exchange_test.go
@@ -205,7 +205,7 @@
 		t.Fatal(err)
 	}
 	response, err := connection.Receive(http.MethodPost, "q-1", reserveAny)
-	if err != nil || !NotExecuted(response) {
+	if err != nil || !NotExecuted(response, "q-1") {
 		t.Fatalf("response %v, error %v", response, err)
 	}
 	io.Copy(io.Discard, response.Body)
--- a/internal/serving/workerlink/golden_test.go
+++ b/internal/serving/workerlink/golden_test.go
@@ -41,15 +41,18 @@
 // TestGoldenNotExecuted reads responses that state that a worker did not run the request.
 func TestGoldenNotExecuted(t *testing.T) {
 	for head, want := range map[string]bool{
-		"HTTP/1.1 421 Misdirected Request\r\n\r\n":                    true,
-		"HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n\r\n": true,
-		"HTTP/1.1 503 Service Unavailable\r\n\r\n":                    false,
+		"HTTP/1.1 421 Misdirected Request\r\nRequest-Id: q-1\r\n\r\n":                    true,
+		"HTTP/1.1 503 Service Unavailable\r\nRequest-Id: q-1\r\nNot-Executed: 1\r\n\r\n": true,
+		"HTTP/1.1 503 Service Unavailable\r\nRequest-Id: q-1\r\n\r\n":                    false,
+		"HTTP/1.1 421 Misdirected Request\r\n\r\n":                                       false,
+		"HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n\r\n":                    false,
+		"HTTP/1.1 503 Service Unavailable\r\nRequest-Id: q-2\r\nNot-Executed: 1\r\n\r\n": false,
 	} {
 		response, err := http.ReadResponse(bufio.NewReader(strings.NewReader(head)), nil)
 		if err != nil {
 			t.Fatal(err)
 		}
-		if got := NotExecuted(response); got != want {
+		if got := NotExecuted(response, "q-1"); got != want {
 			t.Errorf("%q: %v", head, got)
 		}
 	}
