--- a/internal/serving/edge/attempt.go
+++ b/internal/serving/edge/attempt.go
@@ -197,8 +197,8 @@
 	}
 }
 
-// withheldConnection is one on which a worker has rejected the request. A late copy of the rejection bears the
-// same id as a further attempt, so that no further attempt may use the connection.
+// withheldConnection is one on which a worker has rejected the request. A late copy of the rejection bears
+// the same id as a further attempt, so that no further attempt may use the connection.
 type withheldConnection struct {
 	address    string
 	connection *workerlink.Conn
--- a/internal/serving/edge/promise_test.go
+++ b/internal/serving/edge/promise_test.go
@@ -28,14 +28,18 @@
 	}
 }
 
-// TestWorkersRefusalWithoutProofIsNoPromise guards against REFUSED (issue 78): a worker's 408, 429 or 503 that
-// does not say Not-Executed went to the client, who read that the request had not run.
+// TestWorkersRefusalWithoutProofIsNoPromise guards against REFUSED (issue 78): a worker's 408, 429 or 503
+// that does not say Not-Executed went to the client, who read that the request had not run.
 func TestWorkersRefusalWithoutProofIsNoPromise(t *testing.T) {
 	long := strings.Repeat("x", 2*maxBufferedBodyBytes)
 	responses := map[string]func(status int) responder{
-		"with a length":        func(status int) responder { return complete(status, "busy", "Server-Signature: s") },
-		"with Retry-After":     func(status int) responder { return complete(status, "", "Retry-After: 1") },
-		"without a length":     func(status int) responder { return unframed(status, "busy", "Server-Signature: s") },
+		"with a length": func(status int) responder {
+			return complete(status, "busy", "Server-Signature: s")
+		},
+		"with Retry-After": func(status int) responder { return complete(status, "", "Retry-After: 1") },
+		"without a length": func(status int) responder {
+			return unframed(status, "busy", "Server-Signature: s")
+		},
 		"with a long body":     func(status int) responder { return complete(status, long, "Server-Signature: s") },
 		"without an id":        func(status int) responder { return unnamed(status) },
 		"with an event's type": func(status int) responder { return complete(status, "", streamHead) },
@@ -72,7 +76,7 @@
 		body       string
 	}{
 		{"the only worker fails", "/idem/", failed, false, 500, "bad"},
-		{"the only worker fails with 504", "/idem/", complete(504, "late", "Server-Signature: s"), false, 504, "late"},
+		{"the only worker is late", "/idem/", complete(504, "late", "Server-Signature: s"), false, 504, "late"},
 		{"the only worker refuses without proof", "/idem/", complete(503, "busy"), false, 502, ""},
 		{"the edge drains after the failure", "/idem/", failed, true, 500, "bad"},
 		{"a stream breaks off before its first event", "/resume/", stream(1, 0, "id:"), false, 502, ""},
@@ -98,9 +102,10 @@
 	}
 }
 
-// TestLateCopyOfRejectionIsNotTheNextResponse guards against REFUSED and TWICE (issue 78): two incarnations of
-// a worker are known at one address. A request that the first attempt was rejected for took the same
-// connection again, with the same id, and a late copy of the rejection was read as the second's response.
+// TestLateCopyOfRejectionIsNotTheNextResponse guards against REFUSED and TWICE (issue 78): two incarnations
+// of a worker are known at one address. The second attempt of a request took the connection on which the
+// first one was rejected, with the same id, and a late copy of the rejection was read as the second's
+// response.
 func TestLateCopyOfRejectionIsNotTheNextResponse(t *testing.T) {
 	for _, rejection := range []responder{
 		complete(421, "", "Server-Signature: s"), complete(503, "", "Not-Executed: 1", "Server-Signature: s"),
--- a/internal/serving/edge/proxiedrequest.go
+++ b/internal/serving/edge/proxiedrequest.go
@@ -43,7 +43,7 @@
 	misdirectedAttempts int // sent to an address that another worker has
 	execution           execution.Record
 	withheld            []withheldConnection
-	workerFailure       *bufferedResponse // the last failure of a worker that another attempt was to replace; or nil
+	workerFailure       *bufferedResponse // the last that another attempt was to replace; nil: none
 
 	lastEventID    uint64 // of the last event relayed, of resumable streams
 	hasLastEventID bool
@@ -81,8 +81,9 @@
 	}
 }
 
-// end responds to a request that gets no further attempt: with the last failure of a worker, if there is one.
-// The client of a request that may have been executed gets no promise that it was not. It panics with http.ErrAbortHandler where the connection has to be cut.
+// end responds to a request that gets no further attempt: with a worker's last failure, if there is one. The
+// client of a request that may have been executed gets no promise that it was not. It panics with
+// http.ErrAbortHandler where the connection has to be cut.
 func (p *proxiedRequest) end(err error) {
 	var rejection *rejectionError
 	switch {
--- a/internal/serving/edge/requestlog.go
+++ b/internal/serving/edge/requestlog.go
@@ -24,8 +24,8 @@
 	}))
 }
 
-// logOwnResponse logs that a request which was sent to a worker gets a response of the edge's own, and by what
-// evidence.
+// logOwnResponse logs that a request which was sent to a worker gets a response of the edge's own, and by
+// what evidence.
 func (p *proxiedRequest) logOwnResponse(status int) {
 	if !p.execution.Sent() {
 		return
--- a/internal/serving/execution/record_test.go
+++ b/internal/serving/execution/record_test.go
@@ -4,7 +4,8 @@
 
 // TestMayHaveExecuted adds one attempt of each outcome to a record that proves that nothing was executed.
 func TestMayHaveExecuted(t *testing.T) {
-	for outcome, want := range map[Outcome]bool{NotSent: false, NotExecuted: false, Unknown: true, Executed: true} {
+	outcomes := map[Outcome]bool{NotSent: false, NotExecuted: false, Unknown: true, Executed: true}
+	for outcome, want := range outcomes {
 		record := Record{}
 		for _, earlier := range []Outcome{NotSent, NotExecuted, outcome, NotExecuted, NotSent} {
 			record.Add(Attempt{Outcome: earlier})
@@ -31,7 +32,8 @@
 // TestIsPromise lists the statuses after which a client repeats a request that may be executed once only.
 func TestIsPromise(t *testing.T) {
 	for status, want := range map[int]bool{
-		200: false, 400: false, 404: false, 408: true, 421: true, 429: true, 500: false, 502: false, 503: true, 504: false,
+		200: false, 400: false, 404: false, 408: true, 421: true, 429: true,
+		500: false, 502: false, 503: true, 504: false,
 	} {
 		if got := IsPromise(status); got != want {
 			t.Errorf("status %d: a promise: %v", status, got)
--- a/internal/serving/workerlink/exchange.go
+++ b/internal/serving/workerlink/exchange.go
@@ -156,8 +156,8 @@
 	return nil, errors.New("too many interim responses")
 }
 
-// IdleUntil returns until when a connection whose last response came now may stay idle, and whether the worker
-// keeps it open at all.
+// IdleUntil returns until when a connection whose last response came now may stay idle, and whether the
+// worker keeps it open at all.
 func IdleUntil(response *http.Response, now time.Time) (time.Time, bool) {
 	if response.Close {
 		return time.Time{}, false
@@ -183,8 +183,8 @@
 	return 0, false
 }
 
-// NotExecuted reports whether a response states that the worker did not run the request with that id. One that
-// names no request proves nothing of this one.
+// NotExecuted reports whether a response states that the worker did not run the request with that id. One
+// that names no request proves nothing of this one.
 func NotExecuted(response *http.Response, requestID string) bool {
 	if response.Header.Get(HeaderRequestID) != requestID {
 		return false
