--- a/internal/serving/control/requests.go
+++ b/internal/serving/control/requests.go
@@ -24,6 +24,10 @@
 	maxLeaderRequests = 8192
 )
 
+// OutcomeNotForwarded is the outcome of a request that no leader was sent, and that none will be: nothing was
+// changed by it. It is never sent in a message.
+const OutcomeNotForwarded wirepb.Outcome = -1
+
 // pendingRequest is a request to this core whose outcome is not known yet. It may be forwarded more than
 // once, always with the same number and command id.
 type pendingRequest struct {
@@ -33,6 +37,16 @@
 	leader   string // the replica that it was forwarded to; "": none
 	number   uint64
 	retryAt  time.Duration
+	// forwarded is set once a leader may have accepted the request, and stays set.
+	forwarded bool
+}
+
+// timeoutReply returns the reply to a request that has ended without a reply of the leader.
+func (r *pendingRequest) timeoutReply() *wirepb.CallReply {
+	if r.forwarded {
+		return &wirepb.CallReply{Outcome: wirepb.Outcome_OUTCOME_UNKNOWN}
+	}
+	return &wirepb.CallReply{Outcome: OutcomeNotForwarded}
 }
 
 // requestTable holds the pending requests, in the order of their arrival.
@@ -60,9 +74,10 @@
 }
 
 // Submit forwards a command to the leader, which may be this core, to be committed; if command is nil, it
-// reads the configuration in force. done is called once, with OUTCOME_UNKNOWN if the outcome is not known
-// in time; the caller may then submit the same again. The request may have arrived during a stall of this
-// process, so the time-out is shortened by the longest recent gap between ticks.
+// reads the configuration in force. done is called once, with OUTCOME_UNKNOWN if the outcome is not known in
+// time, and OutcomeNotForwarded if no leader was known; the caller may then submit the same again. The
+// request may have arrived during a stall of this process, so the time-out is shortened by the longest
+// recent gap between ticks.
 func (e *Engine) Submit(command *wirepb.Command, done func(*wirepb.CallReply)) {
 	now := e.advanceTime()
 	e.requests.lastNumber++
@@ -75,7 +90,7 @@
 	}
 	e.requests.pending = append(e.requests.pending, request)
 	if now >= request.deadline {
-		e.complete(request, &wirepb.CallReply{}) // the caller may have timed out while this process was stalled
+		e.complete(request, request.timeoutReply()) // the caller may have timed out while this process was stalled
 		return
 	}
 	e.forward(request)
@@ -90,7 +105,7 @@
 	for _, request := range slices.Clone(e.requests.pending) {
 		switch {
 		case now >= request.deadline:
-			e.complete(request, &wirepb.CallReply{})
+			e.complete(request, request.timeoutReply())
 		case request.leader != e.node.Leader() || now >= request.retryAt:
 			e.forward(request)
 		}
@@ -116,8 +131,11 @@
 		if !e.accept(request.command, requester{number: request.number}, request.deadline) {
 			request.leader = ""
 			request.retryAt = now + unacceptedRetryInterval
+			return
 		}
+		request.forwarded = true
 	default:
+		request.forwarded = true
 		e.environment.Send(e.options.AddressOf(consensus.Address(leader)), e.callEnvelope(request))
 	}
 }
--- a/internal/serving/control/scenarios_test.go
+++ b/internal/serving/control/scenarios_test.go
@@ -346,6 +346,44 @@
 	}
 }
 
+// TestOnlyUnforwardedRequestsAreRefused guards against REFUSED at a core (issue 78): a request that a leader
+// may have accepted was refused with 503. A leader that is cut off accepts one: its outcome is unknown. Once
+// it knows no leader, a request is forwarded to none, and never takes effect.
+func TestOnlyUnforwardedRequestsAreRefused(t *testing.T) {
+	w := startWorld(6, shape{cores: 3, tolerated: 1})
+	w.clients.idle = true
+	cutOff := w.leader()
+	w.partitionMachine(partitionBoth, cutOff, w.now+time.Hour)
+	e := cutOff.process.engine
+	outcomeOf := func(zone string) wirepb.Outcome {
+		var outcomes []wirepb.Outcome
+		e.Submit(statemachine.EvacuationCommand(zone, true), func(reply *wirepb.CallReply) {
+			outcomes = append(outcomes, reply.Outcome)
+		})
+		w.run(2 * requestTimeout)
+		if len(outcomes) != 1 {
+			t.Fatalf("outcomes %v", outcomes)
+		}
+		return outcomes[0]
+	}
+	if got := outcomeOf("zone-0"); got != wirepb.Outcome_OUTCOME_UNKNOWN {
+		t.Errorf("a request that the leader has accepted: outcome %v", got)
+	}
+	for e.node.Leader() != "" {
+		w.step()
+	}
+	if got := outcomeOf("zone-1"); got != OutcomeNotForwarded {
+		t.Errorf("a request without a leader: outcome %v", got)
+	}
+	for d := range w.network.partitionedUntil {
+		w.network.partitionedUntil[d] = w.now
+	}
+	w.run(5 * time.Second)
+	if evacuated := w.leader().process.engine.machine.Evacuated(); slices.Contains(evacuated, "zone-1") {
+		t.Errorf("a request that was refused has taken effect: evacuated %v", evacuated)
+	}
+}
+
 // TestTablesAreBounded submits requests to a partitioned leader. All of them must end, and none may remain
 // in its tables.
 func TestTablesAreBounded(t *testing.T) {
--- a/internal/serving/core/controlplane.go
+++ b/internal/serving/core/controlplane.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"willowdeck/internal/serving/configuration"
+	"willowdeck/internal/serving/control"
 	"willowdeck/internal/serving/statemachine"
 	"willowdeck/internal/serving/wirepb"
 )
@@ -40,7 +41,7 @@
 }
 
 // replaceConfiguration replaces the configuration. A change that may have been accepted is never rejected:
-// where the outcome is not known in time, the status is 503, and the operator may retry at any core.
+// where the outcome is not known in time, the status is 504, and the operator may retry at any core.
 func (c *Core) replaceConfiguration(w http.ResponseWriter, r *http.Request) {
 	base, err := strconv.ParseUint(r.Header.Get("Base-Version"), 10, 64)
 	if err != nil {
@@ -76,24 +77,26 @@
 }
 
 // submitAndWait submits a command, or a linearizable read where command is nil, and waits for its outcome.
-// The outcome is unknown where the process stops meanwhile.
+// The outcome is unknown where the process stops meanwhile, and control.OutcomeNotForwarded where it has
+// stopped before.
 func (c *Core) submitAndWait(command *wirepb.Command) *wirepb.CallReply {
 	replies := make(chan *wirepb.CallReply, 1)
-	if c.enqueue(func() { c.engine.Submit(command, func(reply *wirepb.CallReply) { replies <- reply }) }) {
-		select {
-		case reply := <-replies:
-			return reply
-		case <-c.stop:
-		}
+	if !c.enqueue(func() { c.engine.Submit(command, func(reply *wirepb.CallReply) { replies <- reply }) }) {
+		return &wirepb.CallReply{Outcome: control.OutcomeNotForwarded}
+	}
+	select {
+	case reply := <-replies:
+		return reply
+	case <-c.stop:
+		return &wirepb.CallReply{Outcome: wirepb.Outcome_OUTCOME_UNKNOWN}
 	}
-	return &wirepb.CallReply{}
 }
 
 // getConfiguration returns the configuration in force, as the operator has sent it.
 func (c *Core) getConfiguration(w http.ResponseWriter, _ *http.Request) {
 	reply := c.submitAndWait(nil)
 	if reply.Outcome != wirepb.Outcome_OUTCOME_ACCEPTED {
-		writeOutcome(w, wirepb.Outcome_OUTCOME_UNKNOWN)
+		writeError(w, http.StatusServiceUnavailable, "no majority of the core has answered: read again")
 		return
 	}
 	if reply.Generation == 0 {
--- a/internal/serving/core/responses.go
+++ b/internal/serving/core/responses.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strconv"
 
+	"willowdeck/internal/serving/control"
 	"willowdeck/internal/serving/wirepb"
 )
 
@@ -45,7 +46,8 @@
 	OK bool `json:"ok"`
 }
 
-// writeOutcome writes the response to a command.
+// writeOutcome writes the response to a command. Where the outcome is not known the status is 504: unlike
+// 503, it does not promise that nothing was done.
 func writeOutcome(w http.ResponseWriter, outcome wirepb.Outcome) {
 	switch outcome {
 	case wirepb.Outcome_OUTCOME_ACCEPTED:
@@ -54,7 +56,9 @@
 		writeError(w, http.StatusPreconditionFailed, "another version is current: read it and build on it")
 	case wirepb.Outcome_OUTCOME_STALE:
 		writeError(w, http.StatusBadRequest, "generation: choose one above the current one")
+	case control.OutcomeNotForwarded:
+		writeError(w, http.StatusServiceUnavailable, "no leader is known, nothing was done: send the same again")
 	default:
-		writeError(w, http.StatusServiceUnavailable, "no majority of the core has answered: send the same again")
+		writeError(w, http.StatusGatewayTimeout, "no majority of the core has answered: send the same again")
 	}
 }
--- a/internal/serving/core/workers.go
+++ b/internal/serving/core/workers.go
@@ -65,18 +65,21 @@
 	c.acknowledge(w, func(done func(bool)) { c.engine.Deregister(instance, done) })
 }
 
-// acknowledge applies a report of a worker and responds with success once the report is replicated.
+// acknowledge applies a report of a worker and responds with success once the report is replicated. One that
+// was applied and is not known to be replicated gets 504: it may take effect.
 func (c *Core) acknowledge(w http.ResponseWriter, apply func(done func(acknowledged bool))) {
 	outcomes := make(chan bool, 1)
+	if !c.enqueue(func() { apply(func(outcome bool) { outcomes <- outcome }) }) {
+		writeError(w, http.StatusServiceUnavailable, "this core has stopped, nothing was done: call another core")
+		return
+	}
 	acknowledged := false
-	if c.enqueue(func() { apply(func(outcome bool) { outcomes <- outcome }) }) {
-		select {
-		case acknowledged = <-outcomes:
-		case <-c.stop:
-		}
+	select {
+	case acknowledged = <-outcomes:
+	case <-c.stop:
 	}
 	if !acknowledged {
-		writeError(w, http.StatusServiceUnavailable, "no majority of the core has answered: call another core")
+		writeError(w, http.StatusGatewayTimeout, "no majority of the core has answered: call another core")
 		return
 	}
 	writeJSON(w, http.StatusOK, struct{}{})
