--- a/internal/serving/edge/edge_test.go
+++ b/internal/serving/edge/edge_test.go
@@ -134,6 +134,30 @@
 	}
 }
 
+// unframedStream sends the events from first to last in a body that ends with the connection.
+func unframedStream(first, last int) responder {
+	return func(connection net.Conn, request *http.Request, _ string) {
+		text := head(request, 200, streamHead, "Connection: close", "Server-Signature: by-"+fmt.Sprint(first))
+		for id := first; id <= last; id++ {
+			text += event(id)
+		}
+		io.WriteString(connection, text)
+		connection.Close()
+	}
+}
+
+// killedInEvent sends events like unframedStream, and ends inside the next one.
+func killedInEvent(first, last int) responder {
+	return func(connection net.Conn, request *http.Request, _ string) {
+		text := head(request, 200, streamHead, "Connection: close", "Server-Signature: by-"+fmt.Sprint(first))
+		for id := first; id <= last; id++ {
+			text += event(id)
+		}
+		io.WriteString(connection, text+fmt.Sprintf("id: %d\ndata: pi", last+1))
+		connection.Close()
+	}
+}
+
 func closeConnection(connection net.Conn, _ *http.Request, _ string) { connection.Close() }
 
 // routeSettings are the settings of the tests' routes, by path prefix.
@@ -333,6 +357,8 @@
 	step(connection, request, body)
 }
 
+// TestStreams guards against ORDER among others: a stream without a length whose worker was killed inside an
+// event ended as complete.
 func TestStreams(t *testing.T) {
 	all := event(1) + event(2) + event(3)
 	cases := []struct {
@@ -347,6 +373,9 @@
 		{"resumed at another worker", "/resume/", stream(1, 1, "id: 2\nda"), stream(2, 3, ""), all, false, "1"},
 		{"resumed at the wrong event", "/resume/", stream(1, 1, "x"), stream(3, 3, ""), event(1), true, "1"},
 		{"resumed with a failure", "/resume/", stream(1, 1, "x"), complete(500, "bad"), event(1), true, "1"},
+		{"killed inside an event, without a length", "/stream/", killedInEvent(1, 2), nil, event(1) + event(2), true, ""},
+		{"the same, resumed", "/resume/", killedInEvent(1, 1), stream(2, 3, ""), all, false, "1"},
+		{"complete, without a length", "/stream/", unframedStream(1, 3), nil, all, false, ""},
 		{"broken before its first event", "/resume/", stream(1, 0, "id:"), stream(1, 3, ""), all, false, ""},
 		{"broken before its first event, once", "/stream/", stream(1, 0, "id:"), stream(1, 3, ""), "", false, ""},
 	}
--- a/internal/serving/edge/stream.go
+++ b/internal/serving/edge/stream.go
@@ -60,10 +60,11 @@
 	return true
 }
 
-// endStream handles the end of a stream: complete where readErr is io.EOF, rest being what follows the last
-// event, and broken otherwise.
+// endStream handles the end of a stream, rest being what follows the last event. The stream is complete where
+// readErr is io.EOF, unless it ends with its connection inside an event, and broken otherwise.
 func (p *proxiedRequest) endStream(a *attempt, rest sse.Event, readErr error) (done bool) {
-	if errors.Is(readErr, io.EOF) {
+	cutOff := len(rest.Raw) > 0 && endsWithConnection(a.response)
+	if errors.Is(readErr, io.EOF) && !cutOff {
 		if !p.headWritten {
 			p.writeHead(a.response, unknownLength)
 		}
@@ -76,3 +77,8 @@
 	p.failAttempt(a)
 	return p.endUnlessRetried()
 }
+
+// endsWithConnection reports whether a response has no length: its end looks the same as the worker's.
+func endsWithConnection(response *http.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
+}
