--- a/internal/serving/control/scenarios_test.go
+++ b/internal/serving/control/scenarios_test.go
@@ -346,6 +346,45 @@
 	}
 }
 
+// TestLateHeartbeatDoesNotRemoveTheWorkerAtItsAddress guards against Starved: the heartbeat of a worker that
+// is lost comes late, after its address was given to another one. The record of that one was deleted for
+// good.
+func TestLateHeartbeatDoesNotRemoveTheWorkerAtItsAddress(t *testing.T) {
+	for _, expired := range []bool{false, true} {
+		w := startWorld(7, shape{cores: 3, tolerated: 1})
+		w.clients.idle = true
+		e := w.leader().process.engine
+		heartbeat := func(instance string, sequence uint64) {
+			worker := &wirepb.Worker{
+				InstanceId: instance, Service: "s-" + instance, Address: "10.9.0.1:80", Zone: "zone-0",
+			}
+			e.Heartbeat(Heartbeat{Worker: worker, Sequence: sequence}, func(bool) {})
+			w.run(100 * time.Millisecond)
+		}
+		check := func(moment string) {
+			for _, m := range w.machines {
+				for instance, want := range map[string]bool{"lost": false, "successor": true} {
+					entry := m.process.engine.StateView().Get(catalog.WorkerKey(instance))
+					if listed := entry != nil && !entry.Record.Deleted; listed != want {
+						t.Errorf("%s, expired before: %v: %s is listed: %v", moment, expired, instance, listed)
+					}
+				}
+			}
+		}
+		heartbeat("lost", 1)
+		if expired {
+			lost := e.stateView.Get(catalog.WorkerKey("lost"))
+			e.publishDeletion(lost.Record, lost.Record.Version)
+		}
+		heartbeat("successor", 1)
+		check("after the first heartbeat at the address")
+		heartbeat("lost", 2)
+		check("after the late heartbeat")
+		heartbeat("successor", 2)
+		check("after the next heartbeat at the address")
+	}
+}
+
 // TestOnlyUnforwardedRequestsAreRefused guards against REFUSED at a core (issue 78): a request that a leader
 // may have accepted was refused with 503. A leader that is cut off accepts one: its outcome is unknown. Once
 // it knows no leader, a request is forwarded to none, and never takes effect.
--- a/internal/serving/control/workers.go
+++ b/internal/serving/control/workers.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -48,19 +49,24 @@
 	e.commitDeparture(&wirepb.Departure{InstanceId: instance, Version: heartbeat.Sequence}, done)
 }
 
-// publishWorker publishes a worker's record if the heartbeat differs from the record in the catalog.
+// publishWorker publishes a worker's record if the heartbeat differs from the record in the catalog. The
+// heartbeat of a worker whose record was deleted is ignored while its address belongs to another one: it is a
+// late one.
 func (e *Engine) publishWorker(now time.Duration, heartbeat Heartbeat) {
 	worker := heartbeat.Worker
 	record := &wirepb.Record{
 		Key: catalog.WorkerKey(worker.InstanceId), Version: heartbeat.Sequence,
 		Value: &wirepb.Record_Worker{Worker: worker},
 	}
-	existing := e.stateView.Get(record.Key)
-	if existing != nil && (existing.Record.Version >= heartbeat.Sequence || unchanged(now, existing, worker)) {
-		return
+	others := e.othersAtAddress(worker)
+	if existing := e.stateView.Get(record.Key); existing != nil {
+		late := existing.Record.Deleted && len(others) > 0
+		if late || existing.Record.Version >= heartbeat.Sequence || unchanged(now, existing, worker) {
+			return
+		}
 	}
 	if e.publish(record) {
-		e.deletePredecessors(worker)
+		e.deletePredecessors(others)
 	}
 }
 
@@ -80,18 +86,24 @@
 	return proto.Equal(compared, known)
 }
 
-// deletePredecessors deletes the records of other worker incarnations at the address of this worker: the
-// address now belongs to this one.
-func (e *Engine) deletePredecessors(worker *wirepb.Worker) {
+// othersAtAddress returns the records of other worker incarnations at the address of a worker.
+func (e *Engine) othersAtAddress(worker *wirepb.Worker) []*catalog.Entry {
 	var entries []*catalog.Entry
 	e.stateView.WithCatalog(func(_ time.Duration, records *catalog.Catalog) bool {
 		entries = records.WorkersAtAddress(worker.Address)
 		return false
 	})
+	return slices.DeleteFunc(entries, func(entry *catalog.Entry) bool {
+		return entry.Record.GetWorker().InstanceId == worker.InstanceId
+	})
+}
+
+// deletePredecessors deletes the records of earlier worker incarnations at an address. The deletions are not
+// final: where a late heartbeat was taken for that of a successor, the worker at the address comes back once the
+// other one is silent.
+func (e *Engine) deletePredecessors(entries []*catalog.Entry) {
 	for _, entry := range entries {
-		if entry.Record.GetWorker().InstanceId != worker.InstanceId {
-			e.publishDeletion(entry.Record, catalog.FinalVersion)
-		}
+		e.publishDeletion(entry.Record, entry.Record.Version)
 	}
 }
 
