--- a/internal/serving/control/workers.go
+++ b/internal/serving/control/workers.go
@@ -99,8 +99,8 @@
 }
 
 // deletePredecessors deletes the records of earlier worker incarnations at an address. The deletions are not
-// final: where a late heartbeat was taken for that of a successor, the worker at the address comes back once the
-// other one is silent.
+// final: where a late heartbeat was taken for that of a successor, the worker at the address comes back once
+// the other one is silent.
 func (e *Engine) deletePredecessors(entries []*catalog.Entry) {
 	for _, entry := range entries {
 		e.publishDeletion(entry.Record, entry.Record.Version)
--- a/internal/serving/edge/edge_test.go
+++ b/internal/serving/edge/edge_test.go
@@ -373,7 +373,7 @@
 		{"resumed at another worker", "/resume/", stream(1, 1, "id: 2\nda"), stream(2, 3, ""), all, false, "1"},
 		{"resumed at the wrong event", "/resume/", stream(1, 1, "x"), stream(3, 3, ""), event(1), true, "1"},
 		{"resumed with a failure", "/resume/", stream(1, 1, "x"), complete(500, "bad"), event(1), true, "1"},
-		{"killed inside an event, without a length", "/stream/", killedInEvent(1, 2), nil, event(1) + event(2), true, ""},
+		{"killed inside an event, no length", "/stream/", killedInEvent(1, 2), nil, event(1) + event(2), true, ""},
 		{"the same, resumed", "/resume/", killedInEvent(1, 1), stream(2, 3, ""), all, false, "1"},
 		{"complete, without a length", "/stream/", unframedStream(1, 3), nil, all, false, ""},
 		{"broken before its first event", "/resume/", stream(1, 0, "id:"), stream(1, 3, ""), all, false, ""},
