--- a/internal/serving/control/engine.go
+++ b/internal/serving/control/engine.go
@@ -111,7 +111,7 @@
 		options: options, environment: environment, logger: options.Logger, machine: statemachine.New(),
 		requests: newRequestTable(), leaderRequests: newLeaderRequestTable(), workers: newWorkerTable(),
 		learnerMonitor: newLearnerMonitor(), edges: map[string]*EdgeLink{},
-		coreContacts: map[string]time.Duration{}, origins: newOriginTable(),
+		coreContacts: map[string]time.Duration{}, origins: newOriginTable(options.Incarnation),
 		lastTick: options.Clock(), runningSince: options.Clock(),
 	}
 	e.stateView = stateview.New(options.Incarnation, options.Clock)
