--- a/internal/serving/edge/attempt.go
+++ b/internal/serving/edge/attempt.go
@@ -69,7 +69,11 @@
 		p.recordOutcome(a, execution.NotExecuted)
 		return nil, p.endNotExecuted(a)
 	}
-	p.recordOutcome(a, execution.Executed)
+	if execution.IsPromise(a.response.StatusCode) {
+		p.recordOutcome(a, execution.Unknown) // a refusal that does not state what it would prove
+	} else {
+		p.recordOutcome(a, execution.Executed)
+	}
 	return a, nil
 }
 
--- a/internal/serving/edge/requestlog_test.go
+++ b/internal/serving/edge/requestlog_test.go
@@ -1,6 +1,9 @@
 package edge
 
 import (
+	"io"
+	"net"
+	"net/http"
 	"testing"
 
 	"go.uber.org/zap"
@@ -31,6 +34,29 @@
 	}
 }
 
+// TestUnprovenRefusalIsLoggedAsUnknown has a worker refuse a request without Not-Executed, with a body that
+// does not end: the log does not claim that the worker executed it, and the client need not wait.
+func TestUnprovenRefusalIsLoggedAsUnknown(t *testing.T) {
+	release := make(chan struct{})
+	defer close(release)
+	w := newFakeWorker(t, func(connection net.Conn, request *http.Request, _ string) {
+		io.WriteString(connection, head(request, 503, "Content-Length: 100")+"begun")
+		<-release
+	})
+	e, server := startEdge(t, w)
+	core, lines := observer.New(zap.InfoLevel)
+	e.requestLogger = newRequestLogger(zap.New(core))
+	if got := post(t, server, "/once/"); got.status != 502 { // 504 at the deadline
+		t.Errorf("response %+v", got)
+	}
+	for _, line := range lines.All() {
+		attempts, _ := line.ContextMap()["attempts"].([]any)
+		if attempt, _ := attempts[0].(map[string]any); attempt["outcome"] != "unknown" {
+			t.Errorf("%s: attempt %+v", line.Message, attempt)
+		}
+	}
+}
+
 // TestManyRefusalsAreLoggedInPart has more requests refused than lines may be logged.
 func TestManyRefusalsAreLoggedInPart(t *testing.T) {
 	const requests = 4 * requestLogFirst
--- a/internal/serving/edge/response.go
+++ b/internal/serving/edge/response.go
@@ -64,11 +64,11 @@
 }
 
 // endUnprovenRefusal handles the response of a worker that refuses the request and does not state that it did
-// not execute it: relayed, its status would promise that to the client.
+// not execute it: relayed, its status would promise that to the client. Its body is not waited for.
 func (p *proxiedRequest) endUnprovenRefusal(a *attempt) (done bool) {
 	p.logRequest("a worker refuses a request without stating that it did not execute it", a.response.StatusCode)
 	p.excluded[a.worker.Instance] = true
-	p.endAttempt(a, discardBody(a.response))
+	p.endAttempt(a, false)
 	return p.endUnlessRetried()
 }
 
