--- a/review/rig2/client.go
+++ b/review/rig2/client.go
@@ -29,6 +29,7 @@
 	edge       *node
 	connection net.Conn
 	reader     *bufio.Reader
+	patience   time.Duration // of a stream; 0: the usual one
 }
 
 func newID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
@@ -58,10 +59,11 @@
 		}
 		c.connection, c.reader = connection, bufio.NewReader(connection)
 	}
-	c.connection.SetDeadline(time.Now().Add(5 * time.Second))
+	c.connection.SetDeadline(time.Now().Add(max(c.patience, 5*time.Second)))
 	const body = "0123456789"
-	text := fmt.Sprintf("POST %s2f HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: 4000\r\n%s"+
-		"Content-Length: %d\r\n\r\n%s", clientPath, clientHost, id, header, len(body), body)
+	text := fmt.Sprintf("POST %s2f HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\n%s"+
+		"Content-Length: %d\r\n\r\n%s", clientPath, clientHost, id,
+		max(c.patience, 4*time.Second).Milliseconds(), header, len(body), body)
 	if _, err := io.WriteString(c.connection, text); err != nil {
 		return 0, "", err
 	}
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -32,6 +32,7 @@
 	"cold":       playCold,
 	"budget":     playBudget,
 	"badconfig":  playBadConfig,
+	"home":       playHome,
 }
 
 func main() {
--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -214,12 +214,15 @@
 func (n *node) signal(sent syscall.Signal) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	for program, command := range n.processes {
+	for _, command := range n.processes {
 		_ = command.Process.Signal(sent)
-		if sent == syscall.SIGKILL || sent == syscall.SIGTERM {
-			_ = command.Wait()
-			delete(n.processes, program)
-		}
+	}
+	if sent != syscall.SIGKILL && sent != syscall.SIGTERM {
+		return
+	}
+	for program, command := range n.processes {
+		_ = command.Wait()
+		delete(n.processes, program)
 	}
 }
 
--- a/review/rig2/worker.go
+++ b/review/rig2/worker.go
@@ -27,6 +27,8 @@
 	work     time.Duration
 	arrivals chan<- arrival
 	service  string
+	events   int // of a stream; 0: answers are no streams
+	server   *http.Server
 
 	mu        sync.Mutex // guards what follows
 	running   int
@@ -34,6 +36,7 @@
 	coldUntil time.Time
 	runs      int
 	nextBeat  time.Time
+	crashed   bool
 }
 
 // arrival is a request that has come to a worker.
@@ -64,8 +67,8 @@
 		return nil, err
 	}
 	w.address = listener.Addr().String()
-	server := &http.Server{Handler: w, IdleTimeout: 30 * time.Second}
-	go func() { _ = server.Serve(listener) }() // ends with the process
+	w.server = &http.Server{Handler: w, IdleTimeout: 30 * time.Second}
+	go func() { _ = w.server.Serve(listener) }() // ends with the process, or with crash
 	go w.beat()
 	return w, nil
 }
@@ -75,8 +78,11 @@
 	client := http.Client{Timeout: time.Second}
 	for core := 0; ; {
 		w.mu.Lock()
-		wait := time.Until(w.nextBeat)
+		wait, crashed := time.Until(w.nextBeat), w.crashed
 		w.mu.Unlock()
+		if crashed {
+			return
+		}
 		if wait > 0 {
 			time.Sleep(min(wait, 10*time.Millisecond))
 			continue
@@ -119,6 +125,14 @@
 	w.coldUntil = time.Now().Add(duration)
 }
 
+// crash ends the worker without a word.
+func (w *worker) crash() {
+	w.mu.Lock()
+	w.crashed = true
+	w.mu.Unlock()
+	w.server.Close()
+}
+
 // take takes a slot, if one is free.
 func (w *worker) take() bool {
 	w.mu.Lock()
@@ -154,6 +168,10 @@
 		return
 	}
 	defer w.release()
+	if w.events > 0 {
+		w.stream(answer, request)
+		return
+	}
 	select {
 	case <-time.After(w.work):
 	case <-request.Context().Done():
@@ -165,3 +183,21 @@
 	w.mu.Unlock()
 	fmt.Fprintf(answer, "answer of service %s to %s\n", w.service, id)
 }
+
+// stream sends events in an even rhythm, from the one after Last-Event-Id on.
+func (w *worker) stream(answer http.ResponseWriter, request *http.Request) {
+	last, _ := strconv.Atoi(request.Header.Get("Last-Event-Id")) // 0 where there is none
+	answer.Header().Set("Server-Signature", w.instance+"."+request.Header.Get("Request-Id"))
+	answer.Header().Set("Content-Type", "text/event-stream")
+	for id := last + 1; id <= w.events; id++ {
+		fmt.Fprintf(answer, "id: %d\ndata: of %s\n\n", id, w.instance)
+		if http.NewResponseController(answer).Flush() != nil {
+			return
+		}
+		select {
+		case <-time.After(w.work):
+		case <-request.Context().Done():
+			return
+		}
+	}
+}
