--- a/review/rig2/home.go
+++ b/review/rig2/home.go
@@ -11,8 +11,8 @@
 	streamTime   = 15 * time.Second // deadline and timeout_ms of streams
 )
 
-// playHome gives a route a home while a stream runs in it. The stream's worker, which is in that home, crashes
-// more than config_ms after the acknowledgement.
+// playHome gives a route a home while a stream runs in it. The stream's worker, which is in that home,
+// crashes more than config_ms after the acknowledgement.
 func playHome(r *rig) (bool, error) {
 	if err := r.start("lulea-east", "kiruna-south"); err != nil {
 		return false, err
