--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,4 +4,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review2
-go build -o target/review2/ ./review/rig2
+go build -buildvcs=false -o target/review2/ ./review/rig2
