--- a/internal/serving/control/engine.go
+++ b/internal/serving/control/engine.go
@@ -85,6 +85,7 @@
 	stateView      *stateview.Store
 	requests       requestTable
 	leaderRequests leaderRequestTable
+	evacuations    []*evacuationRequest // in the order of their arrival
 	workers        workerTable
 	edges          map[string]*EdgeLink     // by edge name: the links of agents to this core
 	coreContacts   map[string]time.Duration // by internal address: time of the last presence message
@@ -92,6 +93,8 @@
 	savedWorkers   savedWorkersState
 	learnerMonitor learnerMonitor
 
+	evacuationRevisions evacuationRevisions // of the last term in which this core led
+
 	lastTick       time.Duration
 	longestTickGap time.Duration // longest recent gap between two ticks
 	tickGapExpiry  time.Duration // when longestTickGap may be replaced by a shorter gap
--- a/internal/serving/control/leader_requests.go
+++ b/internal/serving/control/leader_requests.go
@@ -79,8 +79,12 @@
 	}
 	if _, proposed = e.node.Propose(data); !proposed {
 		delete(e.leaderRequests.commands, command.Id)
+		return false
+	}
+	if evacuation := command.GetEvacuation(); evacuation != nil {
+		e.evacuationRevisions.increase(e.node.Term(), evacuation.Zone)
 	}
-	return proposed
+	return true
 }
 
 // handleCall accepts a request that another core has forwarded, unless it is from another term or its
@@ -88,11 +92,24 @@
 func (e *Engine) handleCall(call *wirepb.Call) {
 	from := requester{address: call.From, incarnation: call.Incarnation, number: call.Number}
 	late := call.Term != e.node.Term() || e.node.LeaderClock() >= call.NotAfter
-	if late || !e.accept(call.GetCommand(), from, e.now()+requestTimeout) {
+	if late || !e.acceptCall(call, from, e.now()+requestTimeout) {
 		e.reply(from, &wirepb.CallReply{})
 	}
 }
 
+// acceptCall accepts the request of a call, or returns false.
+func (e *Engine) acceptCall(call *wirepb.Call, from requester, expires time.Duration) bool {
+	switch request := call.Request.(type) {
+	case *wirepb.Call_EvacuationZone:
+		return e.replyRevision(request.EvacuationZone, from)
+	case *wirepb.Call_Command:
+		if call.EvacuationRevision != 0 {
+			return e.acceptAtRevision(request.Command, call.EvacuationRevision, from, expires)
+		}
+	}
+	return e.accept(call.GetCommand(), from, expires)
+}
+
 // reply sends an outcome to a requester, which may be this core.
 func (e *Engine) reply(to requester, outcome *wirepb.CallReply) {
 	outcome.Number = to.number
--- a/internal/serving/control/requests.go
+++ b/internal/serving/control/requests.go
@@ -31,7 +31,11 @@
 // pendingRequest is a request to this core whose outcome is not known yet. It may be forwarded more than
 // once, always with the same number and command id.
 type pendingRequest struct {
-	command  *wirepb.Command // nil: a read
+	command        *wirepb.Command // nil: a read, or a question for a revision
+	evacuationZone string          // whose evacuation revision is asked for; "": no such question
+	// revision is the evacuation revision that a command builds on, in a term; 0: none.
+	revision uint64
+	term     uint64
 	done     func(*wirepb.CallReply)
 	deadline time.Duration
 	leader   string // the replica that it was forwarded to; "": none
@@ -124,20 +128,26 @@
 	leader := e.node.Leader()
 	request.leader = leader
 	request.retryAt = now + replyTimeout
-	switch leader {
-	case "":
+	if leader == "" {
 		request.retryAt = now + unacceptedRetryInterval
-	case e.options.Identity:
-		if !e.accept(request.command, requester{number: request.number}, request.deadline) {
-			request.leader = ""
-			request.retryAt = now + unacceptedRetryInterval
-			return
-		}
-		request.forwarded = true
-	default:
+		return
+	}
+	if request.revision != 0 && request.term != e.node.Term() { // a revision says nothing about other terms
+		e.complete(request, &wirepb.CallReply{Outcome: wirepb.Outcome_OUTCOME_SUPERSEDED})
+		return
+	}
+	if leader != e.options.Identity {
 		request.forwarded = true
 		e.environment.Send(e.options.AddressOf(consensus.Address(leader)), e.callEnvelope(request))
+		return
+	}
+	from := requester{number: request.number}
+	if !e.acceptCall(e.callEnvelope(request).GetCall(), from, request.deadline) {
+		request.leader = ""
+		request.retryAt = now + unacceptedRetryInterval
+		return
 	}
+	request.forwarded = true
 }
 
 // callEnvelope returns the message that forwards a request. It contains the time, on the leader's clock,
@@ -148,10 +158,14 @@
 		Number: request.number, From: e.options.Address, Incarnation: e.options.Incarnation, Term: e.node.Term(),
 		NotAfter: e.node.LeaderClock() + uint64((request.deadline-e.now())/time.Microsecond),
 	}
-	if request.command == nil {
+	switch {
+	case request.evacuationZone != "":
+		call.Request = &wirepb.Call_EvacuationZone{EvacuationZone: request.evacuationZone}
+	case request.command == nil:
 		call.Request = &wirepb.Call_Read{Read: true}
-	} else {
+	default:
 		call.Request = &wirepb.Call_Command{Command: request.command}
+		call.EvacuationRevision = request.revision
 	}
 	return &wirepb.Envelope{Body: &wirepb.Envelope_Call{Call: call}}
 }
--- a/internal/serving/control/sim_clients_test.go
+++ b/internal/serving/control/sim_clients_test.go
@@ -66,11 +66,12 @@
 	departures        map[string]time.Duration // by instance: when its departure was acknowledged
 	sentVersions      map[uint64]bool          // generations of the configurations that were sent
 	acknowledged      []*operation             // configurations, in the order of their acknowledgement
+	callers           callerLinks
 }
 
-func newClients(w *world) *clients {
+func newClients(w *world, callers callerLinks) *clients {
 	c := &clients{
-		world: w, departures: map[string]time.Duration{}, sentVersions: map[uint64]bool{0: true},
+		world: w, callers: callers, departures: map[string]time.Duration{}, sentVersions: map[uint64]bool{0: true},
 	}
 	for i := range operatorCount {
 		c.operators = append(c.operators, &operator{id: i, nextAttempt: 3 * time.Second})
@@ -82,6 +83,7 @@
 }
 
 func (c *clients) step() {
+	c.callers.step(c.world.now)
 	for _, o := range c.operators {
 		c.stepOperator(o)
 	}
@@ -190,6 +192,10 @@
 		}
 		c.end(o, reply.Outcome)
 	}
+	if op.kind == setEvacuation {
+		c.callEvacuation(m, o.command, onReply)
+		return
+	}
 	command := o.command
 	m.process.post(func(e *Engine) {
 		if submit := w.planted.submit; submit == nil || !submit(e, command, onReply) {
--- a/internal/serving/control/sim_planted_test.go
+++ b/internal/serving/control/sim_planted_test.go
@@ -80,6 +80,24 @@
 			return true
 		},
 	},
+	"2: an evacuation command is forwarded as soon as it comes": {
+		submit: func(e *Engine, command *wirepb.Command, done func(*wirepb.CallReply)) bool {
+			if command.GetEvacuation() == nil {
+				return false
+			}
+			e.Submit(command, done)
+			return true
+		},
+	},
+	"2: an evacuation command is accepted after its caller has gone": {
+		submit: func(e *Engine, command *wirepb.Command, done func(*wirepb.CallReply)) bool {
+			if command.GetEvacuation() == nil {
+				return false
+			}
+			e.SubmitEvacuation(command, done) // never withdrawn
+			return true
+		},
+	},
 	"3: a replica that shuts down stops at once": {stopImmediately: true},
 	"3: a replica becomes a voter before it has caught up": {
 		send: func(_ *world, _ string, envelope *wirepb.Envelope) *wirepb.Envelope {
--- a/internal/serving/control/sim_world_test.go
+++ b/internal/serving/control/sim_world_test.go
@@ -58,7 +58,7 @@
 		w.segmentScale = 400
 	}
 	w.network = newNetwork(w, rand.New(rand.NewSource(random.Int63())), bandwidth)
-	w.clients = newClients(w)
+	w.clients = newClients(w, newCallerLinks(seed))
 	var seeds []string
 	for i := range min(s.cores, founderCount) {
 		seeds = append(seeds, hostName(i))
--- a/internal/serving/control/tick.go
+++ b/internal/serving/control/tick.go
@@ -15,6 +15,7 @@
 	}
 	e.logLeaderChange()
 	e.retryRequests()
+	e.advanceEvacuations()
 	e.monitorLearners()
 	if now >= e.nextPresenceAt {
 		e.nextPresenceAt = now + presenceInterval
--- a/internal/serving/core/controlplane.go
+++ b/internal/serving/core/controlplane.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"strconv"
@@ -124,7 +125,9 @@
 	_, _ = io.Copy(w, statemachine.NewDecompressor(compressed)) // the caller has gone, or gets a truncated body
 }
 
-// setEvacuation returns the handler that starts (active) or stops the evacuation of a zone.
+// setEvacuation returns the handler that starts (active) or stops the evacuation of a zone. A caller that
+// closes its connection before it has a response withdraws the command: it has given the call up, and may
+// have sent the same command, and others after it, to another core.
 func (c *Core) setEvacuation(active bool) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		zone := mux.Vars(r)["zone"]
@@ -132,6 +135,35 @@
 			writeError(w, http.StatusNotFound, "zone "+zone+": name one of the settings")
 			return
 		}
-		writeOutcome(w, c.submitAndWait(statemachine.EvacuationCommand(zone, active)).Outcome)
+		if err := discardBody(w, r); err != nil {
+			writeError(w, http.StatusBadRequest, "evacuation: send no body")
+			return
+		}
+		writeOutcome(w, c.submitEvacuationAndWait(r.Context(), zone, active).Outcome)
+	}
+}
+
+// submitEvacuationAndWait submits the command that starts (active) or stops the evacuation of a zone, and
+// waits for its outcome, as submitAndWait does. Once the caller's context ends it withdraws the command. The
+// outcome is then unknown: a caller that has closed its side alone, and reads on, gets no acknowledgement.
+func (c *Core) submitEvacuationAndWait(
+	caller context.Context, zone string, active bool,
+) *wirepb.CallReply {
+	replies := make(chan *wirepb.CallReply, 1)
+	command := statemachine.EvacuationCommand(zone, active)
+	var withdraw func() // set and called by the core's goroutine
+	submit := func() {
+		withdraw = c.engine.SubmitEvacuation(command, func(reply *wirepb.CallReply) { replies <- reply })
+	}
+	if !c.enqueue(submit) {
+		return &wirepb.CallReply{Outcome: control.OutcomeNotForwarded}
+	}
+	select {
+	case reply := <-replies:
+		return reply
+	case <-caller.Done():
+		c.enqueue(func() { withdraw() })
+	case <-c.stop:
 	}
+	return &wirepb.CallReply{Outcome: wirepb.Outcome_OUTCOME_UNKNOWN}
 }
--- a/internal/serving/core/requestmemory.go
+++ b/internal/serving/core/requestmemory.go
@@ -57,3 +57,15 @@
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(timeout))
 	return io.ReadAll(http.MaxBytesReader(w, r.Body, maxBytes))
 }
+
+// discardBody reads the body of a request that needs none: the server notices that a caller has gone only
+// behind the end of the body.
+func discardBody(w http.ResponseWriter, r *http.Request) error {
+	if r.Body == nil || r.Body == http.NoBody {
+		return nil
+	}
+	// Writers without deadlines, as in tests, need no limit.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(reportTimeout))
+	_, err := io.Copy(io.Discard, r.Body)
+	return err
+}
--- a/internal/serving/statemachine/machine.go
+++ b/internal/serving/statemachine/machine.go
@@ -60,6 +60,13 @@
 // Evacuated returns the evacuated zones in lexical order.
 func (m *Machine) Evacuated() []string { return slices.Sorted(maps.Keys(m.evacuated)) }
 
+// EvacuationApplied reports whether the command of an evacuation with this id was applied. It is known of the
+// last maxEvacuationCommands commands.
+func (m *Machine) EvacuationApplied(commandID string) bool {
+	_, applied := m.appliedEvacuations.get(commandID)
+	return applied
+}
+
 // Departure returns the newest departure of a worker's incarnation, or nil if it has reported none.
 func (m *Machine) Departure(instance string) *wirepb.Departure {
 	departure, _ := m.departures.get(instance)
