--- a/internal/serving/control/evacuations.go
+++ b/internal/serving/control/evacuations.go
@@ -184,7 +184,8 @@
 	}
 	term := e.node.Term()
 	e.reply(to, &wirepb.CallReply{
-		Outcome: wirepb.Outcome_OUTCOME_ACCEPTED, Term: term, EvacuationRevision: e.evacuationRevisions.of(term, zone),
+		Outcome: wirepb.Outcome_OUTCOME_ACCEPTED,
+		Term:    term, EvacuationRevision: e.evacuationRevisions.of(term, zone),
 	})
 	return true
 }
--- a/internal/serving/control/evacuations_test.go
+++ b/internal/serving/control/evacuations_test.go
@@ -14,7 +14,8 @@
 
 const testZone = "zone-0"
 
-// evacuationWorld returns a world of three cores without operators, and its leader and a follower far from it.
+// evacuationWorld returns a world of three cores without operators, and its leader and a follower far from
+// it.
 func evacuationWorld(t *testing.T, seed int64) (w *world, leader, follower *machine) {
 	t.Helper()
 	w = startWorld(seed, shape{cores: 3, tolerated: 1})
@@ -57,9 +58,9 @@
 	return slices.Contains(w.leader().process.engine.machine.Evacuated(), testZone)
 }
 
-// TestHeldUpEvacuationCommandHasNoEffect guards against EVAC (review/4): a command that a cut holds up reaches
-// a core after its twin and a newer command were acknowledged elsewhere, and its caller's close some time
-// behind it. It ended the newer evacuation, or evacuated a zone that was taken back.
+// TestHeldUpEvacuationCommandHasNoEffect guards against EVAC (review/4): a command that a cut holds up
+// reaches a core after its twin and a newer command were acknowledged elsewhere, and its caller's close some
+// time behind it. It ended the newer evacuation, or evacuated a zone that was taken back.
 func TestHeldUpEvacuationCommandHasNoEffect(t *testing.T) {
 	for _, active := range []bool{false, true} {
 		for _, atLeader := range []bool{false, true} {
@@ -71,8 +72,8 @@
 	}
 }
 
-// holdUpEvacuation has a command arrive at the leader or another core, after the same one and its opposite were
-// acknowledged. Its caller's close arrives lag behind it.
+// holdUpEvacuation has a command arrive at the leader or another core, after the same one and its opposite
+// were acknowledged. Its caller's close arrives lag behind it.
 func holdUpEvacuation(t *testing.T, active, atLeader bool, lag time.Duration) {
 	t.Helper()
 	w, leader, follower := evacuationWorld(t, 1)
@@ -94,8 +95,9 @@
 	}
 }
 
-// TestTwoHeldUpEvacuationCommands has two copies of a command held up on their way to two cores, and the newest
-// command equal to them: both arrive, one while its caller seems to wait. The copies must not undo anything.
+// TestTwoHeldUpEvacuationCommands has two copies of a command held up on their way to two cores, and the
+// newest command equal to them: both arrive, one while its caller seems to wait. The copies must not undo
+// anything.
 func TestTwoHeldUpEvacuationCommands(t *testing.T) {
 	w, leader, follower := evacuationWorld(t, 2)
 	mustEvacuate(t, w, leader, false)
@@ -144,9 +146,9 @@
 	}
 }
 
-// TestEvacuationRevisionHoldsForOneTerm takes the lead from the leader while a command waits. A revision of the
-// former leader says nothing about what the next one accepts: the core asks anew, and the command is accepted
-// within its time if its caller waits, and not if it has gone.
+// TestEvacuationRevisionHoldsForOneTerm takes the lead from the leader while a command waits. A revision of
+// the former leader says nothing about what the next one accepts: the core asks anew, and the command is
+// accepted within its time if its caller waits, and not if it has gone.
 func TestEvacuationRevisionHoldsForOneTerm(t *testing.T) {
 	w, _, follower := evacuationWorld(t, 4)
 	e := follower.process.engine
@@ -197,7 +199,8 @@
 	lost := 0
 	w.planted.send = func(_ *world, _ string, envelope *wirepb.Envelope) *wirepb.Envelope {
 		reply := envelope.GetReply()
-		if lost == 0 && reply.GetOutcome() == wirepb.Outcome_OUTCOME_ACCEPTED && reply.GetEvacuationRevision() == 0 {
+		ofCommand := reply.GetOutcome() == wirepb.Outcome_OUTCOME_ACCEPTED && reply.GetEvacuationRevision() == 0
+		if lost == 0 && ofCommand {
 			lost++
 			return nil
 		}
--- a/internal/serving/core/evacuations_test.go
+++ b/internal/serving/core/evacuations_test.go
@@ -64,8 +64,8 @@
 }
 
 // TestEvacuationCallWithCloseBehindItHasNoEffect guards against EVAC (review/4): a call that a cut held up
-// arrives, and the close of its caller, who has gone on with other calls at another core, some time behind it.
-// It ended an evacuation that the operator had started since.
+// arrives, and the close of its caller, who has gone on with other calls at another core, some time behind
+// it. It ended an evacuation that the operator had started since.
 func TestEvacuationCallWithCloseBehindItHasNoEffect(t *testing.T) {
 	c, address := startControlPlane(t)
 	for name, form := range evacuationCalls {
@@ -91,8 +91,8 @@
 	}
 }
 
-// TestEvacuationCallOfWaitingCallerIsAcknowledged has callers in all forms, which wait up to a second for their
-// response, on new and kept connections.
+// TestEvacuationCallOfWaitingCallerIsAcknowledged has callers in all forms, which wait up to a second for
+// their response, on new and kept connections.
 func TestEvacuationCallOfWaitingCallerIsAcknowledged(t *testing.T) {
 	c, address := startControlPlane(t)
 	for name, form := range evacuationCalls {
@@ -109,8 +109,8 @@
 	}
 }
 
-// TestHalfClosedEvacuationCallIsNotAcknowledged has a caller close its side alone and read on: a close can't be
-// told from this one, so the call has no effect, and the response is no acknowledgement.
+// TestHalfClosedEvacuationCallIsNotAcknowledged has a caller close its side alone and read on: a close can't
+// be told from this one, so the call has no effect, and the response is no acknowledgement.
 func TestHalfClosedEvacuationCallIsNotAcknowledged(t *testing.T) {
 	c, address := startControlPlane(t)
 	connection := dialCore(t, address).(*net.TCPConn)
