--- a/internal/serving/configuration/document.go
+++ b/internal/serving/configuration/document.go
@@ -11,20 +11,15 @@
 // Document is a configuration, split into the parts that an update may carry separately. It is immutable.
 type Document struct {
 	Generation uint64            // increased by the operator with each change; 0 means no configuration
-	routes     map[string]string // JSON objects by Route.Key
+	routes     map[string]string // JSON objects by routeKey
 	services   string            // JSON array, or null
 	limits     string            // JSON object, or null
 }
 
-// Parse parses a configuration that was validated before.
+// Parse parses a configuration that was validated before, by this build or an earlier one.
 func Parse(body []byte) (*Document, error) {
-	var parsed struct {
-		Generation uint64            `json:"generation"`
-		Routes     []json.RawMessage `json:"routes"`
-		Services   json.RawMessage   `json:"services"`
-		Limits     json.RawMessage   `json:"limits"`
-	}
-	if err := json.Unmarshal(body, &parsed); err != nil {
+	var parsed topLevel
+	if err := json.Unmarshal(withoutMiscasedKeys(body), &parsed); err != nil {
 		return nil, invalid("document", err.Error())
 	}
 	d := &Document{Generation: parsed.Generation, routes: make(map[string]string, len(parsed.Routes))}
@@ -57,11 +52,11 @@
 	if err := json.Unmarshal(raw, &key); err != nil {
 		return invalid("route", err.Error())
 	}
-	d.routes[key.Hostname+key.PathPrefix] = compactJSON(raw)
+	d.routes[routeKey(key.Hostname, key.PathPrefix)] = compactJSON(raw)
 	return nil
 }
 
-// Routes returns the JSON of each route, by Route.Key. The map must not be changed.
+// Routes returns the JSON of each route, by its identity in updates. The map must not be changed.
 func (d *Document) Routes() map[string]string { return d.routes }
 
 // Services decodes the services.
@@ -121,15 +116,15 @@
 		delete(next.routes, key)
 	}
 	for _, raw := range update.Routes {
-		if err := next.setRoute(raw); err != nil {
+		if err := next.setRoute(withoutMiscasedKeys(raw)); err != nil {
 			return nil, err
 		}
 	}
 	if len(update.Services) > 0 {
-		next.services = string(update.Services)
+		next.services = string(withoutMiscasedKeys(update.Services))
 	}
 	if len(update.Limits) > 0 {
-		next.limits = string(update.Limits)
+		next.limits = string(withoutMiscasedKeys(update.Limits))
 	}
 	return next, nil
 }
--- a/internal/serving/configuration/route.go
+++ b/internal/serving/configuration/route.go
@@ -10,13 +10,13 @@
 // Route defines which services answer the requests to a hostname and path prefix, and how.
 type Route struct {
 	Name            string   `json:"name"`              // used only in messages
-	Hostname        string   `json:"hostname"`          // compared without regard to case
+	Hostname        string   `json:"hostname"`          // compared as CanonicalHost says
 	PathPrefix      string   `json:"path_prefix"`       // begins and ends with a slash; the longest match wins
 	RouteType       string   `json:"route_type"`        // Idempotent, NonIdempotent or Streaming
 	TimeoutMs       float64  `json:"timeout_ms"`        // for a request with all its attempts
 	TargetLatencyMs float64  `json:"target_latency_ms"` // 0: none
 	Priority        int      `json:"priority"`
-	Backend         string   `json:"backend"`       // the service; ignored where TrafficSplit is not empty
+	Backend         string   `json:"backend"`       // the service; not used where TrafficSplit is not empty
 	TrafficSplit    []Split  `json:"traffic_split"` // the services with their weights
 	MaxAttempts     int      `json:"max_attempts"`  // attempts of a request at most; 0 counts as 1
 	SessionAffinity bool     `json:"session_affinity"`
@@ -31,9 +31,6 @@
 	Weight  float64 `json:"weight"`
 }
 
-// Key returns the identity of a route, which is unique in a configuration.
-func (r *Route) Key() string { return r.Hostname + r.PathPrefix }
-
 // Backends returns the services of a route with their weights: TrafficSplit, or Backend if that is empty.
 func (r *Route) Backends() []Split {
 	if len(r.TrafficSplit) > 0 {
--- a/internal/serving/configuration/validate.go
+++ b/internal/serving/configuration/validate.go
@@ -6,7 +6,11 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"slices"
+	"strconv"
 	"sync"
+	"unicode/utf16"
+	"unicode/utf8"
 
 	"github.com/pkg/errors"
 	"github.com/santhosh-tekuri/jsonschema/v6"
@@ -63,13 +67,13 @@
 }
 
 // validateReferences checks the rules that the schema cannot express: backends must be services of the
-// configuration, and service names and routes must be unique.
+// configuration, and the names of services and what routes match must be unique.
 func validateReferences(body []byte) error {
 	var parsed struct {
 		Routes   []Route   `json:"routes"`
 		Services []Service `json:"services"`
 	}
-	if err := json.Unmarshal(body, &parsed); err != nil {
+	if err := json.Unmarshal(withoutMiscasedKeys(body), &parsed); err != nil {
 		return invalid("document", err.Error())
 	}
 	services := map[string]bool{}
@@ -79,12 +83,13 @@
 		}
 		services[service.Name] = true
 	}
-	routeKeys := map[string]bool{}
+	names := map[Match]string{}
 	for _, route := range parsed.Routes {
-		if routeKeys[route.Key()] {
-			return invalid("route "+route.Name, "give each host and prefix to one route")
+		if other, taken := names[route.Match()]; taken {
+			remedy := fmt.Sprintf("give its host and prefix to one route, not to %q as well", other)
+			return invalid("route "+route.Name, remedy)
 		}
-		routeKeys[route.Key()] = true
+		names[route.Match()] = route.Name
 		if err := validateBackends(&route, services); err != nil {
 			return err
 		}
@@ -92,14 +97,21 @@
 	return nil
 }
 
-// validateBackends checks that the route's backends exist and that the sum of their weights is positive.
+// validateBackends checks that all services that the route names exist, whether it uses them or not, and that
+// the sum of the weights is positive.
 func validateBackends(route *Route, services map[string]bool) error {
-	sum := 0.0
-	for _, split := range route.Backends() {
+	named := route.Backends()
+	if route.Backend != "" {
+		named = append(slices.Clone(named), Split{Backend: route.Backend})
+	}
+	for _, split := range named {
 		if !services[split.Backend] {
 			remedy := fmt.Sprintf("name a service of this configuration instead of %q", split.Backend)
 			return invalid("route "+route.Name, remedy)
 		}
+	}
+	sum := 0.0
+	for _, split := range route.Backends() {
 		sum += split.Weight
 	}
 	if !(sum > 0) {
@@ -108,9 +120,12 @@
 	return nil
 }
 
-// validateStructure rejects duplicate keys, deep nesting and data after the object, which the JSON decoder
-// would accept.
+// validateStructure rejects text that is no Unicode, duplicate keys, deep nesting and data after the object,
+// which the JSON decoder would accept.
 func validateStructure(body []byte) error {
+	if !utf8.Valid(body) || hasLoneSurrogate(body) {
+		return invalid("document", "send it in UTF-8, with surrogates in pairs")
+	}
 	decoder := json.NewDecoder(bytes.NewReader(body))
 	decoder.UseNumber()
 	if err := validateValue(decoder, 0); err != nil {
@@ -122,6 +137,43 @@
 	return nil
 }
 
+// hasLoneSurrogate reports whether a JSON text has an escaped half of a surrogate pair alone. The decoder
+// puts the replacement character in its place, so that different names would become the same.
+func hasLoneSurrogate(text []byte) bool {
+	for {
+		escape := bytes.IndexByte(text, '\\')
+		if escape < 0 || escape+1 >= len(text) {
+			return false
+		}
+		unit, ok := escapedUnit(text[escape:])
+		if !ok {
+			text = text[escape+2:]
+			continue
+		}
+		text = text[escape+escapedUnitBytes:]
+		if !utf16.IsSurrogate(unit) {
+			continue
+		}
+		second, ok := escapedUnit(text)
+		if !ok || utf16.DecodeRune(unit, second) == utf8.RuneError {
+			return true
+		}
+		text = text[escapedUnitBytes:]
+	}
+}
+
+// escapedUnitBytes is the length of an escaped UTF-16 code unit, as in \u0041.
+const escapedUnitBytes = 6
+
+// escapedUnit returns the UTF-16 code unit that a text begins with in escaped form.
+func escapedUnit(text []byte) (unit rune, ok bool) {
+	if len(text) < escapedUnitBytes || text[0] != '\\' || text[1] != 'u' {
+		return 0, false
+	}
+	value, err := strconv.ParseUint(string(text[2:escapedUnitBytes]), 16, 16)
+	return rune(value), err == nil
+}
+
 // validateValue consumes the next JSON value of the decoder.
 func validateValue(decoder *json.Decoder, depth int) error {
 	token, err := decoder.Token()
--- a/internal/serving/edge/drain.go
+++ b/internal/serving/edge/drain.go
@@ -51,13 +51,13 @@
 
 // drainRoute returns a route in the form that the gate takes.
 func drainRoute(route *configuration.Route) drain.Route {
-	return drain.Route{Host: route.Hostname, PathPrefix: route.PathPrefix}
+	return drain.Route(route.Match())
 }
 
 // hasRoute reports whether the set has a route.
 func (s *routeSet) hasRoute(wanted drain.Route) bool {
-	return slices.ContainsFunc(s.routesByHost[hostName(wanted.Host)], func(route *configuration.Route) bool {
-		return route.Hostname == wanted.Host && route.PathPrefix == wanted.PathPrefix
+	return slices.ContainsFunc(s.routesByHost[wanted.Host], func(route *configuration.Route) bool {
+		return drainRoute(route) == wanted
 	})
 }
 
--- a/internal/serving/edge/routingtable.go
+++ b/internal/serving/edge/routingtable.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"net"
 	"net/netip"
 	"slices"
 	"strings"
@@ -19,7 +18,7 @@
 
 // routeSet is what the routes of a configuration say. It is immutable once built.
 type routeSet struct {
-	routesByHost  map[string][]*configuration.Route // the longest path prefix first
+	routesByHost  map[string][]*configuration.Route // by canonical host; the longest path prefix first
 	priorityRanks map[*configuration.Route]int      // at a worker; 0 is the most urgent
 	// maxStreamGapMillis bounds the gaps between tokens of a service's streams, by its strictest route.
 	maxStreamGapMillis map[string]float64
@@ -63,7 +62,7 @@
 
 // route returns the route of a request, or nil.
 func (s *routeSet) route(host, path string) *configuration.Route {
-	for _, route := range s.routesByHost[hostName(host)] {
+	for _, route := range s.routesByHost[configuration.CanonicalHost(host)] {
 		if strings.HasPrefix(path, route.PathPrefix) {
 			return route
 		}
@@ -82,14 +81,6 @@
 	return addresses
 }
 
-// hostName returns the name in a Host header, without port and in lower case.
-func hostName(host string) string {
-	if name, _, err := net.SplitHostPort(host); err == nil {
-		host = name
-	}
-	return strings.ToLower(host)
-}
-
 // allowed reports whether a route allows workers of a region.
 func allowed(route *configuration.Route, region string) bool {
 	return len(route.AllowedRegions) == 0 || slices.Contains(route.AllowedRegions, region)
--- a/internal/serving/edge/tablebuilder.go
+++ b/internal/serving/edge/tablebuilder.go
@@ -1,12 +1,12 @@
 package edge
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"maps"
 	"net/netip"
 	"slices"
-	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -142,20 +142,29 @@
 		}
 		decoded[text] = route
 		all = append(all, route)
-		host := strings.ToLower(route.Hostname)
+		host := route.Match().Host
 		set.routesByHost[host] = append(set.routesByHost[host], route)
 		set.addStreamGap(route)
 	}
 	for _, routes := range set.routesByHost {
-		slices.SortFunc(routes, func(x, y *configuration.Route) int {
-			return len(y.PathPrefix) - len(x.PathPrefix)
-		})
+		slices.SortFunc(routes, compareRoutes)
 	}
 	set.priorityRanks = priorityRanks(all)
 	b.document, b.routeSet, b.routes = document, set, decoded
 	return set, nil
 }
 
+// compareRoutes orders the routes of a host by precedence: the longest prefix first. Configurations that
+// earlier builds have accepted may give one prefix to two routes; the same one has to take precedence at each
+// edge.
+func compareRoutes(x, y *configuration.Route) int {
+	return cmp.Or(
+		cmp.Compare(len(y.PathPrefix), len(x.PathPrefix)),
+		cmp.Compare(x.PathPrefix, y.PathPrefix),
+		cmp.Compare(x.Hostname, y.Hostname),
+	)
+}
+
 // addStreamGap tightens maxStreamGapMillis of the services that a route leads to.
 func (s *routeSet) addStreamGap(route *configuration.Route) {
 	if route.TargetGapMs <= 0 {
--- a/internal/serving/program/check.go
+++ b/internal/serving/program/check.go
@@ -5,6 +5,8 @@
 	"io"
 	"os"
 
+	"github.com/pkg/errors"
+
 	"willowdeck/internal/serving/configuration"
 	"willowdeck/internal/serving/settings"
 )
@@ -29,7 +31,8 @@
 		}
 		document, err := configuration.ParseAndValidate(body)
 		if err != nil {
-			return err
+			return errors.WithMessagef(err, "%s: cores refuse it; one that an earlier build has accepted stays in "+
+				"force until the next valid one", file)
 		}
 		fmt.Fprintf(output, "configuration: generation %d, %d routes\n",
 			document.Generation, len(document.Routes()))
--- a/internal/serving/statemachine/machine_test.go
+++ b/internal/serving/statemachine/machine_test.go
@@ -19,7 +19,12 @@
 	change := &wirepb.ReplaceConfiguration{
 		Base: base, Generation: generation, Digest: Digest(base, body), Body: compressed,
 	}
-	data, err := proto.Marshal(&wirepb.Command{Change: &wirepb.Command_Replace{Replace: change}})
+	return encoded(t, &wirepb.Command{Change: &wirepb.Command_Replace{Replace: change}})
+}
+
+func encoded(t *testing.T, command *wirepb.Command) []byte {
+	t.Helper()
+	data, err := proto.Marshal(command)
 	if err != nil {
 		t.Fatal(err)
 	}
