Upgrade test: evacuations by cores of both builds

TestUpgrade changed configurations alone. It now starts and stops an evacuation after each change, by the core that took it; each call needs an acknowledgement within ack_ms, and all cores know of it.

--- a/internal/serving/program/upgrade_test.go
+++ b/internal/serving/program/upgrade_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -25,18 +26,21 @@
 	"folder with willowdeck-core, -agent and -edge of an earlier version")
 
 const (
-	upgradeTimeout    = 20 * time.Second // limit for each step of an upgrade
-	configBound       = 3 * time.Second  // from a configuration's acknowledgement until all edges serve it
-	upgradeHost       = "catania.example"
-	upgradeService    = "model"
-	upgradeInstance   = "w-1"
-	heartbeatPeriod   = 300 * time.Millisecond
-	clientPeriod      = 20 * time.Millisecond
-	controlPlanePort  = 18146
-	directoryPort     = 18147
-	frontPort         = 18144
-	readinessPort     = 18140
-	internalPortRange = "17660,17675"
+	upgradeTimeout = 20 * time.Second // limit for each step of an upgrade
+	emptyZone      = "b"
+	// acknowledgementBound is how long an operator's call may take in a calm time (ack_ms of the sites).
+	acknowledgementBound = 6 * time.Second
+	configBound          = 3 * time.Second // from a configuration's acknowledgement until all edges serve it
+	upgradeHost          = "catania.example"
+	upgradeService       = "model"
+	upgradeInstance      = "w-1"
+	heartbeatPeriod      = 300 * time.Millisecond
+	clientPeriod         = 20 * time.Millisecond
+	controlPlanePort     = 18146
+	directoryPort        = 18147
+	frontPort            = 18144
+	readinessPort        = 18140
+	internalPortRange    = "17660,17675"
 )
 
 // upgradeNode is an emulated machine with its own loopback address.
@@ -64,7 +68,7 @@
 	if err := os.MkdirAll(filepath.Join(n.dir, "data"), 0o755); err != nil {
 		c.t.Fatal(err)
 	}
-	lines = append(lines, "node_name="+name, "ip="+ip, "zone=a", "region=south", "zones.a=south",
+	lines = append(lines, "node_name="+name, "ip="+ip, "zone=a", "region=south", "zones.a=south", "zones.b=south",
 		"internal_port_range="+internalPortRange, "heartbeat_ms=1000", "bounds.grace_s=4",
 		fmt.Sprintf("seeds=127.0.1.1:%[1]d,127.0.1.2:%[1]d,127.0.1.3:%[1]d", controlPlanePort))
 	if err := os.WriteFile(n.settingsPath(), []byte(strings.Join(lines, "\n")+"\n"), 0o600); err != nil {
@@ -176,6 +180,36 @@
 	})
 }
 
+// checkEvacuations starts and stops the evacuation of a zone without workers by a core. The next call is made
+// once all cores know of the last one.
+func (c *upgradeCluster) checkEvacuations(core *upgradeNode) {
+	c.t.Helper()
+	for _, verb := range []string{"Start", "Stop"} {
+		url := fmt.Sprintf("http://%s:%d/Evacuations.%s/%s", core.ip, controlPlanePort, verb, emptyZone)
+		took := c.await(verb+" is acknowledged by "+core.name, func() bool {
+			status, _ := c.call(http.MethodPost, url, nil, "")
+			return status == http.StatusOK
+		})
+		if took > acknowledgementBound {
+			c.t.Errorf("%s: %s took %v", core.name, verb, took)
+		}
+		c.await("the cores know of "+verb, func() bool { return c.coresKnow(verb == "Start") })
+	}
+}
+
+// coresKnow reports whether all cores say that the zone without workers is evacuated, or that it is not.
+func (c *upgradeCluster) coresKnow(evacuated bool) bool {
+	for _, core := range c.cores {
+		status, answer := c.call(http.MethodGet, fmt.Sprintf("http://%s:%d/status", core.ip, controlPlanePort), nil, "")
+		var got struct{ Evacuated []string }
+		if status != http.StatusOK || json.Unmarshal([]byte(answer), &got) != nil ||
+			slices.Contains(got.Evacuated, emptyZone) != evacuated {
+			return false
+		}
+	}
+	return true
+}
+
 // serves reports whether an edge serves a route of the newest generation.
 func (c *upgradeCluster) serves(edge *upgradeNode) bool {
 	url := fmt.Sprintf("http://%s:%d/g%d/x", edge.ip, frontPort, c.generation)
@@ -287,7 +321,7 @@
 // TestUpgrade runs cores, agents and edges of an earlier version together with those of this version, with
 // each pairing of agent and edge. It then replaces the earlier programs machine by machine, and changes the
 // configuration after each replacement. Every edge must serve the new configuration within configBound,
-// every core must return it, and clients of ready edges must be served meanwhile. The test is skipped
+// every core must return it and take evacuations, and clients of ready edges must be served meanwhile. The test is skipped
 // unless it is run with -args -old FOLDER.
 func TestUpgrade(t *testing.T) {
 	if *oldPrograms == "" {
@@ -331,6 +365,7 @@
 			t.Errorf("%s: a change took %v", what, took)
 		}
 		c.checkReadBack()
+		c.checkEvacuations(core)
 	}
 	for _, core := range c.cores {
 		change("sent to "+core.name+", with mixed versions", core)
