--- a/internal/serving/program/upgrade_test.go
+++ b/internal/serving/program/upgrade_test.go
@@ -68,7 +68,8 @@
 	if err := os.MkdirAll(filepath.Join(n.dir, "data"), 0o755); err != nil {
 		c.t.Fatal(err)
 	}
-	lines = append(lines, "node_name="+name, "ip="+ip, "zone=a", "region=south", "zones.a=south", "zones.b=south",
+	lines = append(lines, "node_name="+name, "ip="+ip, "zone=a", "region=south", "zones.a=south",
+		"zones.b=south",
 		"internal_port_range="+internalPortRange, "heartbeat_ms=1000", "bounds.grace_s=4",
 		fmt.Sprintf("seeds=127.0.1.1:%[1]d,127.0.1.2:%[1]d,127.0.1.3:%[1]d", controlPlanePort))
 	if err := os.WriteFile(n.settingsPath(), []byte(strings.Join(lines, "\n")+"\n"), 0o600); err != nil {
@@ -200,7 +201,8 @@
 // coresKnow reports whether all cores say that the zone without workers is evacuated, or that it is not.
 func (c *upgradeCluster) coresKnow(evacuated bool) bool {
 	for _, core := range c.cores {
-		status, answer := c.call(http.MethodGet, fmt.Sprintf("http://%s:%d/status", core.ip, controlPlanePort), nil, "")
+		url := fmt.Sprintf("http://%s:%d/status", core.ip, controlPlanePort)
+		status, answer := c.call(http.MethodGet, url, nil, "")
 		var got struct{ Evacuated []string }
 		if status != http.StatusOK || json.Unmarshal([]byte(answer), &got) != nil ||
 			slices.Contains(got.Evacuated, emptyZone) != evacuated {
@@ -321,7 +323,8 @@
 // TestUpgrade runs cores, agents and edges of an earlier version together with those of this version, with
 // each pairing of agent and edge. It then replaces the earlier programs machine by machine, and changes the
 // configuration after each replacement. Every edge must serve the new configuration within configBound,
-// every core must return it and take evacuations, and clients of ready edges must be served meanwhile. The test is skipped
+// every core must return it and take evacuations, and clients of ready edges must be served meanwhile. The
+// test is skipped
 // unless it is run with -args -old FOLDER.
 func TestUpgrade(t *testing.T) {
 	if *oldPrograms == "" {
