--- a/internal/serving/edge/decisions.go
+++ b/internal/serving/edge/decisions.go
@@ -74,18 +74,18 @@
 	return chosen
 }
 
-// choose selects a worker of the service for a request and counts the request as sent there. Workers in
-// excluded, by instance, are left out. Where no worker may get it, ok is false and retryAfter says when to
-// come back. assigned is what other edges may be notified of.
+// choose selects a worker of the service in one of the regions (none: in any) for a request and counts the
+// request as sent there. Workers in excluded, by instance, are left out. Where no worker may get it, ok is
+// false and retryAfter says when to come back. assigned is what other edges may be notified of.
 func (d *decisions) choose(
-	now time.Duration, table *routingTable, service string, route *configuration.Route,
+	now time.Duration, table *routingTable, service string, regions []string,
 	request *loadbalancer.Request, excluded map[string]bool,
 ) (chosen worker, assigned loadbalancer.PrefillNotice, retryAfter time.Duration, ok bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var candidates []worker
 	for _, candidate := range table.workersByService[service] {
-		if !excluded[candidate.Instance] && allowed(route, candidate.Region) {
+		if !excluded[candidate.Instance] && allowed(regions, candidate.Region) {
 			candidates = append(candidates, candidate)
 		}
 	}
--- a/internal/serving/edge/edge_test.go
+++ b/internal/serving/edge/edge_test.go
@@ -506,12 +506,11 @@
 	e, _ := startEdge(t)
 	publishWorker(e, "i-1", w.listener.Addr().String(), &wirepb.Worker{WarmupRemainingMs: 60_000})
 	builder := newTableBuilder(e.settings)
-	route := &configuration.Route{Backend: "s"}
 	admitted := func() bool {
 		e.updateTable(builder)
 		for second := range 20 {
 			now := time.Duration(second) * time.Second
-			if _, _, _, ok := e.decisions.choose(now, e.table.Load(), "s", route, &loadbalancer.Request{}, nil); ok {
+			if _, _, _, ok := e.decisions.choose(now, e.table.Load(), "s", nil, &loadbalancer.Request{}, nil); ok {
 				return true
 			}
 		}
--- a/internal/serving/edge/handler.go
+++ b/internal/serving/edge/handler.go
@@ -43,8 +43,7 @@
 		reject(w, http.StatusServiceUnavailable, notReadyRetryAfter)
 		return
 	}
-	path, _, _ := strings.Cut(r.RequestURI, "?")
-	route := table.route(r.Host, path)
+	route := table.route(r.Host, requestPath(r))
 	if route == nil {
 		e.rejectUnknownRoute(w)
 		return
@@ -84,6 +83,12 @@
 	}
 }
 
+// requestPath returns the path of a request as the client has sent it, by which it is matched to a route.
+func requestPath(r *http.Request) string {
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	return path
+}
+
 // awaitTable returns the table in force, or nil. An edge that has just started waits a little for its first
 // one: the client's request can then be served, while a rejected client may not come back.
 func (e *Edge) awaitTable(ctx context.Context) *routingTable {
--- a/internal/serving/edge/proxiedrequest.go
+++ b/internal/serving/edge/proxiedrequest.go
@@ -137,7 +137,8 @@
 	table := p.edge.table.Load()
 	now := p.edge.now()
 	decisions := p.edge.decisions
-	chosen, assigned, retryAfter, ok := decisions.choose(now, table, p.service, p.route, p.prompt, p.excluded)
+	regions := p.allowedRegions(table)
+	chosen, assigned, retryAfter, ok := decisions.choose(now, table, p.service, regions, p.prompt, p.excluded)
 	if !ok {
 		return worker{}, &rejectionError{http.StatusServiceUnavailable, retryAfter}
 	}
@@ -154,6 +155,15 @@
 	return chosen, nil
 }
 
+// allowedRegions returns the regions whose workers may get the next attempt: those of the configuration in
+// force now, which may have changed since the request came. A route that was removed since keeps its own.
+func (p *proxiedRequest) allowedRegions(table *routingTable) []string {
+	if current := table.route(p.clientRequest.Host, requestPath(p.clientRequest)); current != nil {
+		return current.AllowedRegions
+	}
+	return p.route.AllowedRegions
+}
+
 // checkAttemptAllowed returns why no further attempt may be made, or nil.
 func (p *proxiedRequest) checkAttemptAllowed() error {
 	if p.clientRequest.Context().Err() != nil {
--- a/internal/serving/edge/reachability.go
+++ b/internal/serving/edge/reachability.go
@@ -42,7 +42,7 @@
 	hasWorkers := false
 	for _, split := range route.Backends() {
 		for _, worker := range t.workersByService[split.Backend] {
-			if !allowed(route, worker.Region) {
+			if !allowed(route.AllowedRegions, worker.Region) {
 				continue
 			}
 			if !suspected[worker.Zone] {
--- a/internal/serving/edge/routingtable.go
+++ b/internal/serving/edge/routingtable.go
@@ -81,7 +81,8 @@
 	return addresses
 }
 
-// allowed reports whether a route allows workers of a region.
-func allowed(route *configuration.Route, region string) bool {
-	return len(route.AllowedRegions) == 0 || slices.Contains(route.AllowedRegions, region)
+// allowed reports whether workers of a region are allowed where the regions of a route are given. An empty
+// list allows all.
+func allowed(regions []string, region string) bool {
+	return len(regions) == 0 || slices.Contains(regions, region)
 }
