--- a/internal/serving/edge/decisions.go
+++ b/internal/serving/edge/decisions.go
@@ -151,6 +151,7 @@
 	budget := d.retryBudgets[service]
 	if budget == nil {
 		budget = retrybudget.New(d.bounds.RetryBudgetRatio, d.bounds.RetryBudgetSlack, d.bounds.RetryBudgetWindow)
+		budget.WithholdSlack(d.bounds.RetryBudgetWindow) // after the start of the process
 		d.retryBudgets[service] = budget
 	}
 	return budget
--- a/internal/serving/retrybudget/retrybudget.go
+++ b/internal/serving/retrybudget/retrybudget.go
@@ -20,6 +20,7 @@
 	requests   [slots]float64 // by slot number modulo slots
 	retries    [slots]float64 // by slot number modulo slots
 	newest     int64          // number of the newest slot; slots are counted from the clock's origin
+	slackFrom  time.Duration  // before it there is no slack
 }
 
 // New returns a budget: in each window, all edges together may send ratio times the number of requests,
@@ -28,6 +29,10 @@
 	return &Budget{ratio: ratio, slack: slack, slotLength: max(window/(slots-1), time.Millisecond)}
 }
 
+// WithholdSlack allows no slack before a time. An earlier process of this edge may have used the edge's
+// share, and this one knows nothing of that: it needs a window without slack from its start on.
+func (b *Budget) WithholdSlack(until time.Duration) { b.slackFrom = until }
+
 // advance clears the slots that are out of date and returns the index of the current slot.
 func (b *Budget) advance(now time.Duration) int64 {
 	current := int64(now / b.slotLength)
@@ -57,7 +62,11 @@
 			requests += b.requests[i]
 		}
 	}
-	if retries+1 > b.ratio*requests+b.slack/float64(max(edges, 1)) {
+	allowed := b.ratio * requests
+	if now >= b.slackFrom {
+		allowed += b.slack / float64(max(edges, 1))
+	}
+	if retries+1 > allowed {
 		return false
 	}
 	b.retries[current]++
--- a/internal/serving/retrybudget/retrybudget_test.go
+++ b/internal/serving/retrybudget/retrybudget_test.go
@@ -64,3 +64,41 @@
 		t.Errorf("%d retries of one edge of nine, want its share of 6", allowed)
 	}
 }
+
+// TestRestartedEdgesKeepTheBound guards against BUDGET (review/REPORT-2): edges are killed and start again,
+// each without a memory of what it has used. Each had its whole share of the slack again, so that the retries
+// of all edges exceeded the bound.
+func TestRestartedEdgesKeepTheBound(t *testing.T) {
+	const (
+		ratio  = 0.2
+		slack  = 56.0
+		edges  = 5
+		window = 10 * time.Second
+	)
+	for seed := range int64(60) {
+		random := rand.New(rand.NewSource(seed))
+		budgets, started := [edges]*Budget{}, [edges]time.Duration{}
+		var requests, retries []time.Duration
+		for now := time.Duration(0); now < time.Minute; now += 10 * time.Millisecond {
+			edge := random.Intn(edges)
+			if budgets[edge] == nil || random.Intn(100) == 0 {
+				budgets[edge], started[edge] = New(ratio, slack, window), now
+				budgets[edge].WithholdSlack(window)
+			}
+			if random.Intn(3) == 0 {
+				budgets[edge].RecordRequest(now - started[edge])
+				requests = append(requests, now)
+			}
+			for budgets[edge].AllowRetry(now-started[edge], edges) && random.Intn(3) > 0 {
+				retries = append(retries, now)
+			}
+		}
+		for _, start := range retries {
+			most := ratio*float64(max(within(requests, start, window), within(requests, start-window/2, window),
+				within(requests, start-window, window))) + slack
+			if used := within(retries, start, window); float64(used) > most {
+				t.Fatalf("seed %d: %d retries in the window from %v on, bound %.1f", seed, used, start, most)
+			}
+		}
+	}
+}
