DRAIN: a late report on an agent's earlier link doesn't hide the loss of its next link

A report of an agent that was held up on a link which the agent has given up, and that comes after reports on its next link to the same core, made the earlier link the edge's. When that one ended, the core had no link of the edge; the loss of the next one was not published then, and the directory went on naming the edge as ready.

Change: control.LinkEdge ignores a report older than that of the edge's present link. Versions rise with each link (agent.advanceEdgeVersion), so that a new link is never taken for an earlier one.

--- a/internal/serving/control/edges.go
+++ b/internal/serving/control/edges.go
@@ -19,8 +19,13 @@
 }
 
 // LinkEdge handles an agent's report of its edge, and publishes the edge if it differs from the agent's last
-// report on this link.
+// report on this link. A report that comes after a newer one on another link is late: its link is an earlier
+// one, which the agent has given up.
 func (e *Engine) LinkEdge(link *EdgeLink, request *wirepb.WatchRequest) {
+	current := e.edges[request.Edge.Name]
+	if current != nil && current != link && current.version > request.EdgeVersion {
+		return
+	}
 	link.generation = request.Generation
 	if link.edge != nil && link.version == request.EdgeVersion && proto.Equal(link.edge, request.Edge) {
 		return
