Test ports: a block where another program listens costs no other block

Cause, from a trace of the claims: the rest of a newly claimed block was kept for the next calls without a look at its ports. Where another program listened in it, each later call found that rest taken, claimed a whole block for one port, and did not put that block's rest in its place. And an attempt at a run kept all blocks of the run claimed where one of them was taken.

Now all ports of the claimed blocks are checked, free blocks beside a taken one are given back, and a rest at which somebody begins to listen is dropped. TestOccupiedBlockLeavesItsNeighbours and TestRestOfOccupiedBlock fail without this; TestNoPortAllocatedTwice is unchanged.

--- a/internal/testkit/ports/pool.go
+++ b/internal/testkit/ports/pool.go
@@ -94,9 +94,13 @@
 			return r, nil
 		}
 	}
-	if r := (portRange{first: p.unused.first, count: n}); n <= p.unused.count && p.isFree(r) {
-		p.unused.first, p.unused.count = p.unused.first+n, p.unused.count-n
-		return r, nil
+	if n <= p.unused.count {
+		r := portRange{first: p.unused.first, count: n}
+		if p.isFree(r) {
+			p.unused.first, p.unused.count = p.unused.first+n, p.unused.count-n
+			return r, nil
+		}
+		p.unused = portRange{} // another program has begun to listen there
 	}
 	blockCount := (n + blockSize - 1) / blockSize
 	for range maxClaimAttempts {
@@ -104,13 +108,15 @@
 		if !p.claim(i, blockCount) {
 			continue
 		}
-		// Where another program listens in the blocks they stay claimed and unused.
-		if r := (portRange{first: p.blocks[i], count: n}); p.isFree(r) {
-			if rest := blockCount*blockSize - n; rest > p.unused.count {
-				p.unused = portRange{first: r.first + n, count: rest}
-			}
-			return r, nil
+		claimed := portRange{first: p.blocks[i], count: blockCount * blockSize}
+		if !p.isFree(claimed) {
+			p.keepOccupied(i, blockCount)
+			continue
+		}
+		if rest := claimed.count - n; rest > p.unused.count {
+			p.unused = portRange{first: claimed.first + n, count: rest}
 		}
+		return portRange{first: claimed.first, count: n}, nil
 	}
 	return portRange{}, fmt.Errorf("%w: %d of them", ErrNoFreePorts, n)
 }
@@ -138,6 +144,19 @@
 	return true
 }
 
+// keepOccupied goes through n consecutive claimed blocks from index i. Those where another program listens stay
+// claimed and unused, so that they are not tried again; the others can be claimed again, also as part of
+// another run. The caller holds the lock.
+func (p *pool) keepOccupied(i, n int) {
+	for _, first := range p.blocks[i : i+n] {
+		if !p.isFree(portRange{first: first, count: blockSize}) {
+			continue
+		}
+		_ = p.claims[first].Close()
+		delete(p.claims, first)
+	}
+}
+
 // isFree reports whether nobody listens at any port of a range. Only claimed ports may be checked: the check
 // binds them. No process is started meanwhile: between fork and exec a child holds a copy of what is bound
 // here, also once it is closed.
--- a/internal/testkit/ports/ports_test.go
+++ b/internal/testkit/ports/ports_test.go
@@ -253,6 +253,56 @@
 	}
 }
 
+// Guards against "no run of ports is free" while one is: of the blocks of a run, an attempt keeps only those
+// where another program listens.
+func TestOccupiedBlockLeavesItsNeighbours(t *testing.T) {
+	const attempts = 40 // the pool draws where it begins to search
+	for range attempts {
+		p := newTestPool(os.Getpid(), 4)
+		listener, err := net.Listen("tcp4", net.JoinHostPort(p.host, strconv.Itoa(p.blocks[0]+1)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if first, _, err := p.take(3 * blockSize); err != nil || first != p.blocks[1] {
+			t.Errorf("%d, %v, want the three blocks that are nobody's, from %d", first, err, p.blocks[1])
+		}
+		listener.Close()
+		for _, claim := range p.claims {
+			claim.Close()
+		}
+	}
+}
+
+// Guards against a block claimed for every port: the rest of a block isn't kept for the next calls where
+// another program listens in it, be it before the block is claimed or later.
+func TestRestOfOccupiedBlock(t *testing.T) {
+	for _, late := range []bool{false, true} {
+		t.Run(fmt.Sprintf("late %v", late), func(t *testing.T) {
+			p := testPool(t, 3)
+			listen := func(port int) {
+				l, err := net.Listen("tcp4", net.JoinHostPort(p.host, strconv.Itoa(port)))
+				if err != nil {
+					t.Fatal(err)
+				}
+				t.Cleanup(func() { l.Close() })
+			}
+			if !late {
+				listen(p.blocks[0] + 1)
+				listen(p.blocks[1] + 1)
+			}
+			for i := range blockSize {
+				first, _, err := p.take(1)
+				if err != nil {
+					t.Fatalf("port %d: %v", i, err)
+				}
+				if late && i < 2 {
+					listen(first + 1) // in the first block and the next
+				}
+			}
+		})
+	}
+}
+
 // Released ports are allocated again only after reuseDelay, and then are, so that endless runs stay within
 // the pool; released twice they are there once.
 func TestReuseDelay(t *testing.T) {
