--- a/internal/testkit/ports/pool.go
+++ b/internal/testkit/ports/pool.go
@@ -144,8 +144,8 @@
 	return true
 }
 
-// keepOccupied goes through n consecutive claimed blocks from index i. Those where another program listens stay
-// claimed and unused, so that they are not tried again; the others can be claimed again, also as part of
+// keepOccupied goes through n consecutive claimed blocks from index i. Those where another program listens
+// stay claimed and unused, so that they are not tried again; the others can be claimed again, also as part of
 // another run. The caller holds the lock.
 func (p *pool) keepOccupied(i, n int) {
 	for _, first := range p.blocks[i : i+n] {
