TestTree: the old checkpoint is of a version that both upstreams have had

The test failed by chance beside load: "a disk that is old: 1 full states and 0 deltas". It kills a zone's relay right after gateways have a new version. A region's relay that is late then (the leader it asked has just been killed) goes from the version before straight to the next one, never has the one between, and makes no delta from it: a full state is the right answer. The gateways below had the version by the other region's relay.

Now the test waits until the stored version is the one in force at both region relays, within the time-out of all its waits; what it checks is unchanged.

--- a/internal/distribution/relay/testtree_test.go
+++ b/internal/distribution/relay/testtree_test.go
@@ -27,6 +27,7 @@
 	hostsPerZone         = 2 // per zone
 	gatewaysPerHost      = 2 // per host
 	clockToleranceMillis = 300.0
+	checkpointFile       = "store/relay.copy" // in a relay's directory
 )
 
 // testTree is a raft group, two region relays below it, and two zones of two relays each, all of them real
@@ -160,8 +161,8 @@
 	x.listenAddress[name], x.adminAddress[name] = x.address(0, port), x.address(0, port+1)
 	up, _ := json.Marshal(upstream)
 	x.writeFile(filepath.Join(dir, "relay.toml"), fmt.Sprintf("name = %q\ncluster = \"till\"\nlisten = %q\n"+
-		"control = %q\nupstream = %s\nstore = \"store/relay.copy\"\n", name, x.listenAddress[name],
-		x.adminAddress[name], up))
+		"control = %q\nupstream = %s\nstore = %q\n", name, x.listenAddress[name], x.adminAddress[name], up,
+		checkpointFile))
 	x.disks[name] = faultinject.NewDisk(x.t, filepath.Join(dir, "store"))
 	x.relays[name] = faultinject.Start(x.t, faultinject.Spec{Name: name, Dir: dir,
 		Args: []string{"relay", "--config", filepath.Join(dir, "relay.toml")},
@@ -316,6 +317,23 @@
 	})
 }
 
+// waitForStoredVersion waits until the checkpoint of a relay holds the version that its upstreams have in
+// force, and nothing is pending at them.
+func (x *testTree) waitForStoredVersion(name string, upstreams ...string) {
+	x.t.Helper()
+	path := filepath.Join(x.dir, name, checkpointFile)
+	x.waitFor(name+" has stored the version in force above", func() bool {
+		rules, _, err := readCheckpoint(path, "till")
+		if err != nil {
+			return false
+		}
+		return !slices.ContainsFunc(upstreams, func(upstream string) bool {
+			s, err := x.status(upstream)
+			return err != nil || s.VersionID != rules.ID().String() || s.Pending != 0
+		})
+	})
+}
+
 func (x *testTree) require(err error) {
 	x.t.Helper()
 	if err != nil {
--- a/internal/distribution/relay/tree_test.go
+++ b/internal/distribution/relay/tree_test.go
@@ -95,6 +95,8 @@
 func (x *testTree) damagedCheckpoints() {
 	const name = "a1"
 	wantQuarantined := map[string]int64{faultinject.Torn: 1, faultinject.Flipped: 1}
+	// A relay that was late while versions changed never had those between, and makes no delta from them.
+	x.waitForStoredVersion(name, "r0", "r1")
 	x.require(x.relays[name].Kill())
 	x.require(x.disks[name].Keep())
 	for _, damage := range []string{faultinject.Torn, faultinject.Flipped, faultinject.Old, faultinject.Empty} {
