--- a/internal/gateway/lifecycle/start_test.go
+++ b/internal/gateway/lifecycle/start_test.go
@@ -10,7 +10,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"runtime"
 	"slices"
 	"strings"
 	"sync"
@@ -19,7 +18,6 @@
 	"time"
 
 	"github.com/rs/zerolog"
-	"golang.org/x/sys/unix"
 
 	"willowdeck/internal/gateway/config"
 	"willowdeck/internal/testkit/fakes"
@@ -33,55 +31,6 @@
 	readyTimeout             = 30 * time.Second
 )
 
-// processGroup starts processes that all run on one processor, and ends them with the test.
-type processGroup struct {
-	t     *testing.T
-	spawn chan func()
-}
-
-func newProcessGroup(t *testing.T) *processGroup {
-	t.Helper()
-	n := &processGroup{t, make(chan func())}
-	go func() { // the thread does not return to the pool, and its child processes end with it at the latest
-		runtime.LockOSThread()
-		var may, one unix.CPUSet
-		if unix.SchedGetaffinity(0, &may) == nil {
-			last := 0
-			for i := range 1024 {
-				if may.IsSet(i) {
-					last = i
-				}
-			}
-			one.Set(last)
-			_ = unix.SchedSetaffinity(0, &one)
-		}
-		for f := range n.spawn {
-			f()
-		}
-	}()
-	t.Cleanup(func() { close(n.spawn) })
-	return n
-}
-
-// start starts a gateway's process by its configuration file.
-func (n *processGroup) start(file string) *exec.Cmd {
-	cmd := exec.Command(faultinject.Program(n.t, "willowdeck"), "serve", "--config", file)
-	cmd.Env = append(os.Environ(), "GOMAXPROCS=1")
-	out, err := os.OpenFile(file+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
-	if err != nil {
-		n.t.Fatal(err)
-	}
-	defer out.Close()
-	cmd.Stdout, cmd.Stderr = out, out
-	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
-	failed := make(chan error)
-	n.spawn <- func() { failed <- cmd.Start() }
-	if err := <-failed; err != nil {
-		n.t.Fatal(err)
-	}
-	return cmd
-}
-
 // silentDiscoveries are the addresses of discoveries that send a starting gateway nothing, by how they fail.
 func silentDiscoveries(t *testing.T) map[string]string {
 	t.Helper()
