--- a/internal/serving/program/upgrade_test.go
+++ b/internal/serving/program/upgrade_test.go
@@ -324,8 +324,7 @@
 // each pairing of agent and edge. It then replaces the earlier programs machine by machine, and changes the
 // configuration after each replacement. Every edge must serve the new configuration within configBound,
 // every core must return it and take evacuations, and clients of ready edges must be served meanwhile. The
-// test is skipped
-// unless it is run with -args -old FOLDER.
+// test is skipped unless it is run with -args -old FOLDER.
 func TestUpgrade(t *testing.T) {
 	if *oldPrograms == "" {
 		t.Skip("needs -args -old FOLDER")
